--- /dev/null
+++ b/cmake/zb.cmake
@@ -0,0 +1,35 @@
+# The few rules that every target of the workspace follows.
+
+add_library(zb_flags INTERFACE)
+target_compile_options(zb_flags INTERFACE -Wall -Wextra -Wpedantic -Werror -Wshadow -Wnon-virtual-dtor)
+target_include_directories(zb_flags INTERFACE ${PROJECT_SOURCE_DIR}/include ${PROJECT_SOURCE_DIR}/libs)
+if(ZB_SANITIZE)
+  target_compile_options(zb_flags INTERFACE -fsanitize=address,undefined -fno-omit-frame-pointer)
+  target_link_options(zb_flags INTERFACE -fsanitize=address,undefined)
+endif()
+
+# zb_library(NAME [DEPS lib...]): a library from every .cpp of the folder; its headers are included
+# as "NAME/header.h".
+function(zb_library NAME)
+  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${NAME}/*.cpp)
+  add_library(zb_${NAME} STATIC ${sources})
+  target_link_libraries(zb_${NAME} PUBLIC zb_flags ${ARG_DEPS})
+endfunction()
+
+# zb_test(NAME [DEPS lib...]): tests/NAME.cpp as one Criterion program and one CTest entry.
+function(zb_test NAME)
+  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  add_executable(${NAME} ${NAME}.cpp)
+  target_link_libraries(${NAME} PRIVATE zb_flags ${ARG_DEPS} PkgConfig::CRITERION)
+  add_test(NAME ${NAME} COMMAND ${NAME} -j4
+           WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
+  set_tests_properties(${NAME} PROPERTIES TIMEOUT 300)
+endfunction()
+
+# zb_bench(NAME [DEPS lib...]): bench/NAME.cpp as one program; run by hand or by a bounded test.
+function(zb_bench NAME)
+  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  add_executable(${NAME} ${NAME}.cpp)
+  target_link_libraries(${NAME} PRIVATE zb_flags ${ARG_DEPS} benchmark::benchmark)
+endfunction()
--- /dev/null
+++ b/libs/base/bounded_ring.h
@@ -0,0 +1,52 @@
+// A bounded ring between duties: many writers, one reader, never a waiting writer.
+#pragma once
+
+#include <cstddef>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include <boost/circular_buffer.hpp>
+
+namespace zinniabarrow {
+
+template <typename T>
+class bounded_ring
+{
+public:
+    explicit bounded_ring(std::size_t capacity)
+        : m_items(capacity)
+    { }
+
+    // False when the ring is full: the caller refuses the work and counts it.
+    bool push(T &&item)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_items.full())
+            return false;
+        m_items.push_back(std::move(item));
+        return true;
+    }
+
+    std::optional<T> pop()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_items.empty())
+            return std::nullopt;
+        std::optional<T> item(std::move(m_items.front()));
+        m_items.pop_front();
+        return item;
+    }
+
+    std::size_t size() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_items.size();
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    boost::circular_buffer<T> m_items;
+};
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/base/log.cpp
@@ -0,0 +1,64 @@
+#include "base/log.h"
+
+#include <chrono>
+#include <cstdio>
+#include <utility>
+
+#include <fmt/chrono.h>
+#include <fmt/core.h>
+
+#include "base/json.h"
+#include "base/names.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr name_table<log_level, 4> LevelNames{{
+        {log_level::Debug, "debug"},
+        {log_level::Info, "info"},
+        {log_level::Warning, "warning"},
+        {log_level::Error, "error"},
+}};
+
+std::string wallTime()
+{
+    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now());
+    const auto inSecond = now.time_since_epoch().count() % 1000;
+    return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
+                       fmt::gmtime(std::chrono::system_clock::to_time_t(now)), inSecond);
+}
+
+} // namespace
+
+logger::logger(std::string role, std::string id, log_level lowest)
+    : m_role(std::move(role))
+    , m_id(std::move(id))
+    , m_lowest(lowest)
+{ }
+
+void logger::write(log_level level, std::string_view event, Json::Value fields) const
+{
+    if (level < m_lowest)
+        return;
+    fields["time"] = wallTime();
+    fields["level"] = std::string(nameOf(LevelNames, level));
+    fields["event"] = std::string(event);
+    fields["role"] = m_role;
+    fields["id"] = m_id;
+    // One print call for each line: lines of several threads never mix.
+    fmt::print(stderr, "{}\n", compactJson(fields));
+}
+
+void logger::info(std::string_view event, Json::Value fields) const
+{
+    write(log_level::Info, event, std::move(fields));
+}
+
+void logger::warn(std::string_view event, Json::Value fields) const
+{
+    write(log_level::Warning, event, std::move(fields));
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/base/log.h
@@ -0,0 +1,30 @@
+// Logs: JSON lines on standard error, one event name for each line.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include <json/json.h>
+
+namespace zinniabarrow {
+
+enum class log_level { Debug, Info, Warning, Error };
+
+// Writes whole lines, safe from several threads.
+class logger
+{
+public:
+    logger(std::string role, std::string id, log_level lowest = log_level::Info);
+
+    void write(log_level level, std::string_view event,
+               Json::Value fields = Json::Value(Json::objectValue)) const;
+    void info(std::string_view event, Json::Value fields = Json::Value(Json::objectValue)) const;
+    void warn(std::string_view event, Json::Value fields = Json::Value(Json::objectValue)) const;
+
+private:
+    std::string m_role;
+    std::string m_id;
+    log_level m_lowest;
+};
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/base/time.h
@@ -0,0 +1,44 @@
+// Time: one monotonic clock, passed into decisions as a value.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace zinniabarrow {
+
+// Monotonic time of this process. Wall clocks are never compared between processes: a deadline
+// travels as the time that remains and becomes a time_point again where it arrives.
+struct monotonic_clock
+{
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<monotonic_clock>;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
+
+    // Only daemons call this; decision code is given `now`.
+    static time_point now() noexcept
+    {
+        return time_point(std::chrono::duration_cast<duration>(
+                std::chrono::steady_clock::now().time_since_epoch()));
+    }
+};
+
+using time_point = monotonic_clock::time_point;
+using duration = monotonic_clock::duration;
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point Never = time_point::max();
+
+// Milliseconds from `now` until `deadline`, rounded down, never below zero.
+constexpr std::int64_t millisecondsUntil(time_point deadline, time_point now)
+{
+    if (deadline <= now)
+        return 0;
+    return std::chrono::duration_cast<milliseconds>(deadline - now).count();
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/platform/memory_platform.h
@@ -0,0 +1,37 @@
+// The platform's table and object store in memory: the heart of the stand-in program and the fake
+// of the tests. One thread at a time.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "platform/records.h"
+
+namespace zinniabarrow {
+
+class memory_platform
+{
+public:
+    // Table.
+    write_result commit(const table_transaction &transaction);
+    std::optional<table_row> read(const std::string &key) const;
+    std::vector<table_row> scan(const std::string &prefix) const; // in the order of keys
+    std::uint64_t sequence() const { return m_sequence; }         // raised by every commit
+
+    // Object store. `expected` set: written only if the object still has that version (0: absent).
+    write_result putObject(const std::string &name, const std::string &content,
+                           std::optional<std::uint64_t> expected);
+    write_result removeObject(const std::string &name, std::optional<std::uint64_t> expected);
+    std::optional<stored_object> getObject(const std::string &name) const;
+    std::vector<stored_object> listObjects(const std::string &prefix) const; // without content
+
+private:
+    std::uint64_t m_sequence = 0;
+    std::map<std::string, table_row> m_rows;
+    std::map<std::string, stored_object> m_objects;
+};
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/tests/base_test.cpp
@@ -0,0 +1,82 @@
+// The base library: errors, names, JSON, hashing, rings.
+#include <set>
+#include <string>
+
+#include "base/bounded_ring.h"
+#include "base/errors.h"
+#include "base/hash.h"
+#include "base/json.h"
+#include "base/time.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using tests::section;
+
+Test(base, errors)
+{
+    section("the table from kind to answer", [] {
+        std::set<std::string_view> names;
+        for (const auto &row : errorAnswers()) {
+            check(answerFor(row.kind).name == row.name);
+            check(errorKindNamed(row.name) == row.kind);
+            names.insert(row.name);
+        }
+        section("gives each kind a name of its own",
+                [&] { check(names.size() == errorAnswers().size()); });
+        section("allows another try only where nothing ran", [] {
+            for (const auto &row : errorAnswers())
+                check(!row.retryElsewhere || row.ran == executed::No);
+        });
+        section("tells a caller that may come back when to do so", [] {
+            for (const auto &row : errorAnswers())
+                check(row.httpStatus != 503 || row.comeBackAfter.count() > 0);
+        });
+    });
+}
+
+Test(base, json)
+{
+    section("broken text is refused with its line", [] {
+        try {
+            parseJson("{\n\"a\": 1,\n}");
+            check(!"accepted");
+        } catch (const error &problem) {
+            check(problem.kind() == error_kind::BadRequest);
+            check(std::string(problem.what()).find("Line 3") != std::string::npos);
+        }
+    });
+    section("deep nesting is refused, not recursed into", [] {
+        try {
+            parseJson(std::string(100000, '['));
+            check(!"accepted");
+        } catch (const error &problem) {
+            check(problem.kind() == error_kind::BadRequest);
+        }
+    });
+}
+
+Test(base, rendezvous)
+{
+    section("losing a member moves only its keys", [] {
+        const std::vector<std::string> all{"a", "b", "c", "d"};
+        const std::vector<std::string> fewer{"a", "b", "d"};
+        for (int key = 0; key < 200; ++key) {
+            const auto before = rendezvousOrder(std::to_string(key), all).front();
+            const auto after = rendezvousOrder(std::to_string(key), fewer).front();
+            check(before == "c" || before == after);
+        }
+    });
+}
+
+Test(base, ring)
+{
+    section("a full ring refuses and keeps what it holds", [] {
+        bounded_ring<int> ring(2);
+        check(ring.push(1));
+        check(ring.push(2));
+        check(!ring.push(3));
+        check(ring.pop() == 1);
+        check(ring.pop() == 2);
+        check(!ring.pop());
+    });
+}
