--- a/cmake/zb.cmake
+++ b/cmake/zb.cmake
@@ -1,7 +1,8 @@
 # The few rules that every target of the workspace follows.
 
 add_library(zb_flags INTERFACE)
-target_compile_options(zb_flags INTERFACE -Wall -Wextra -Wpedantic -Werror -Wshadow -Wnon-virtual-dtor)
+target_compile_options(zb_flags INTERFACE -Wall -Wextra -Wpedantic -Werror -Wshadow -Wnon-virtual-dtor
+  -Wno-restrict) # GCC 12 reports std::string concatenation falsely (its bug 105651)
 target_include_directories(zb_flags INTERFACE ${PROJECT_SOURCE_DIR}/include ${PROJECT_SOURCE_DIR}/libs)
 if(ZB_SANITIZE)
   target_compile_options(zb_flags INTERFACE -fsanitize=address,undefined -fno-omit-frame-pointer)
--- /dev/null
+++ b/libs/base/json_member.cpp
@@ -0,0 +1,72 @@
+#include "base/json_member.h"
+
+#include "base/errors.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+[[noreturn]] void refuse(const char *name, const char *needed)
+{
+    throw error(error_kind::BadRequest,
+                std::string("member '") + name + "': " + needed + " is needed");
+}
+
+const Json::Value &member(const Json::Value &object, const char *name, const char *needed)
+{
+    if (!object.isObject() || !object.isMember(name))
+        refuse(name, needed);
+    return object[name];
+}
+
+} // namespace
+
+std::string stringMember(const Json::Value &object, const char *name)
+{
+    const auto &value = member(object, name, "a string");
+    if (!value.isString())
+        refuse(name, "a string");
+    return value.asString();
+}
+
+std::int64_t integerMember(const Json::Value &object, const char *name)
+{
+    const auto &value = member(object, name, "an integer");
+    if (!value.isInt64())
+        refuse(name, "an integer");
+    return value.asInt64();
+}
+
+std::uint64_t countMember(const Json::Value &object, const char *name)
+{
+    const auto &value = member(object, name, "an integer of zero or above");
+    if (!value.isUInt64())
+        refuse(name, "an integer of zero or above");
+    return value.asUInt64();
+}
+
+bool boolMember(const Json::Value &object, const char *name)
+{
+    const auto &value = member(object, name, "true or false");
+    if (!value.isBool())
+        refuse(name, "true or false");
+    return value.asBool();
+}
+
+const Json::Value &arrayMember(const Json::Value &object, const char *name)
+{
+    const auto &value = member(object, name, "an array");
+    if (!value.isArray())
+        refuse(name, "an array");
+    return value;
+}
+
+const Json::Value &objectMember(const Json::Value &object, const char *name)
+{
+    const auto &value = member(object, name, "an object");
+    if (!value.isObject())
+        refuse(name, "an object");
+    return value;
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/base/json_member.h
@@ -0,0 +1,19 @@
+// Typed access to the members of a JSON object, with an error that names the member.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <json/json.h>
+
+namespace zinniabarrow {
+
+// Each throws error BadRequest "member 'x': a string is needed" and the like.
+std::string stringMember(const Json::Value &object, const char *name);
+std::int64_t integerMember(const Json::Value &object, const char *name);
+std::uint64_t countMember(const Json::Value &object, const char *name); // zero or above
+bool boolMember(const Json::Value &object, const char *name);
+const Json::Value &arrayMember(const Json::Value &object, const char *name);
+const Json::Value &objectMember(const Json::Value &object, const char *name);
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/platform/platform_json.h
@@ -0,0 +1,23 @@
+// The platform's records as JSON, as its HTTP interface carries them.
+#pragma once
+
+#include <string>
+
+#include <json/json.h>
+
+#include "platform/records.h"
+
+namespace zinniabarrow {
+
+std::string_view nameOf(write_outcome outcome);
+
+Json::Value toJson(const table_row &row);
+Json::Value toJson(const table_transaction &transaction);
+Json::Value toJson(const write_result &result);
+
+// Each throws error BadRequest that names the missing or wrong member.
+table_row tableRowFromJson(const Json::Value &json);
+table_transaction tableTransactionFromJson(const Json::Value &json);
+write_result writeResultFromJson(const Json::Value &json);
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/runtime/http.cpp
@@ -0,0 +1,439 @@
+#include "runtime/http.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <strings.h>
+#include <sys/socket.h>
+#include <thread>
+
+#include <httplib.h>
+
+#include "base/errors.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr int ListenBacklog = 1024; // httplib's own is 5: bursts of connections would lose SYNs
+constexpr std::size_t OverflowThreads = 4;
+constexpr std::size_t RequestsPerConnection = 1U << 30U;
+
+// Set on the threads that serve connections beyond the bound: they only refuse.
+thread_local bool overflowing = false;
+
+// Runs each connection on a thread of a bounded pool. Connections beyond the bound go to a few
+// threads that refuse at once; without them such a connection would wait in a queue with no answer.
+class bounded_task_queue : public httplib::TaskQueue
+{
+public:
+    explicit bounded_task_queue(std::size_t bound)
+        : m_bound(bound)
+        , m_main(bound)
+        , m_overflow(OverflowThreads)
+    { }
+
+    void enqueue(std::function<void()> connection) override
+    {
+        if (m_busy.load() >= m_bound) {
+            m_overflow.enqueue([connection = std::move(connection)] {
+                overflowing = true;
+                connection();
+            });
+            return;
+        }
+        ++m_busy;
+        m_main.enqueue([this, connection = std::move(connection)] {
+            connection();
+            --m_busy;
+        });
+    }
+
+    void shutdown() override
+    {
+        m_main.shutdown();
+        m_overflow.shutdown();
+    }
+
+private:
+    const std::size_t m_bound;
+    std::atomic<std::size_t> m_busy{0};
+    httplib::ThreadPool m_main;
+    httplib::ThreadPool m_overflow;
+};
+
+http_request requestOf(const httplib::Request &from)
+{
+    http_request request;
+    request.method = from.method;
+    request.target = from.target;
+    for (const auto &[name, value] : from.headers)
+        request.headers[name] = value;
+    request.body = from.body;
+    return request;
+}
+
+bool isFramingHeader(const std::string &name)
+{
+    static const char *const Framing[] = {"Content-Length", "Transfer-Encoding", "Connection",
+                                          "Keep-Alive",     "Content-Type",      "Host"};
+    return std::any_of(std::begin(Framing), std::end(Framing),
+                       [&](const char *framing) { return strcasecmp(name.c_str(), framing) == 0; });
+}
+
+void fillResponse(httplib::Response &to, const http_response &from)
+{
+    to.status = from.status;
+    for (const auto &[name, value] : from.headers) {
+        if (!isFramingHeader(name))
+            to.set_header(name, value);
+    }
+    std::string type = from.header("Content-Type");
+    if (type.empty())
+        type = "application/json";
+    to.set_content(from.body, type);
+}
+
+http_response refusal(error_kind kind)
+{
+    const auto &row = answerFor(kind);
+    http_response response;
+    response.status = row.httpStatus;
+    response.headers["Zb-Error"] = std::string(row.name);
+    response.headers["Zb-Executed"] = std::string(nameOf(row.ran));
+    if (row.comeBackAfter.count() > 0)
+        response.headers["Retry-After"] = std::to_string((row.comeBackAfter.count() + 999) / 1000);
+    response.body = std::string(R"({"error":")") + std::string(row.name) + "\"}";
+    return response;
+}
+
+} // namespace
+
+bool header_less::operator()(const std::string &left, const std::string &right) const
+{
+    return strcasecmp(left.c_str(), right.c_str()) < 0;
+}
+
+std::string http_request::path() const
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string http_request::header(const std::string &name) const
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string() : found->second;
+}
+
+std::string http_request::query(const std::string &name) const
+{
+    const auto mark = target.find('?');
+    if (mark == std::string::npos)
+        return {};
+    const std::string wanted = name + "=";
+    std::size_t begin = mark + 1;
+    while (begin < target.size()) {
+        const auto end = std::min(target.find('&', begin), target.size());
+        if (target.compare(begin, wanted.size(), wanted) == 0)
+            return target.substr(begin + wanted.size(), end - begin - wanted.size());
+        begin = end + 1;
+    }
+    return {};
+}
+
+std::string http_response::header(const std::string &name) const
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string() : found->second;
+}
+
+socket_address parseAddress(const std::string &text)
+{
+    constexpr int LastPort = 65535;
+    const auto colon = text.rfind(':');
+    socket_address address;
+    if (colon == std::string::npos || colon == 0)
+        throw error(error_kind::BadSettings, "'" + text + "' is no address: write ip:port");
+    address.address = text.substr(0, colon);
+    const char *begin = text.data() + colon + 1;
+    const char *end = text.data() + text.size();
+    const auto read = std::from_chars(begin, end, address.port);
+    if (read.ec != std::errc() || read.ptr != end || address.port < 0 || address.port > LastPort)
+        throw error(error_kind::BadSettings, "'" + text + "' has no port from 0 to 65535");
+    return address;
+}
+
+std::string toText(const socket_address &address)
+{
+    return address.address + ":" + std::to_string(address.port);
+}
+
+struct http_server::impl
+{
+    httplib::Server server;
+    socket_address address;
+    http_server_limits limits;
+    handler serve;
+    std::thread acceptor;
+    std::atomic<std::size_t> inFlight{0};
+    std::atomic<bool> closing{false};
+    socket_t listener = INVALID_SOCKET;
+
+    void answer(const httplib::Request &from, httplib::Response &to)
+    {
+        if (overflowing) {
+            fillResponse(to, refusal(error_kind::Overloaded));
+            to.set_header("Connection", "close");
+            return;
+        }
+        ++inFlight;
+        try {
+            fillResponse(to, serve(requestOf(from)));
+        } catch (const error &problem) {
+            fillResponse(to, refusal(problem.kind()));
+        } catch (const std::exception &) {
+            fillResponse(to, refusal(error_kind::Internal));
+        }
+        if (closing)
+            to.set_header("Connection", "close");
+        --inFlight;
+    }
+
+    void configure()
+    {
+        const auto all = [this](const httplib::Request &from, httplib::Response &to) {
+            answer(from, to);
+        };
+        server.Get(".*", all).Post(".*", all).Put(".*", all);
+        server.Patch(".*", all).Delete(".*", all).Options(".*", all);
+        server.set_error_handler([](const httplib::Request &, httplib::Response &to) {
+            // httplib refused by itself (broken request line, body over the bound): say why.
+            if (to.body.empty() && !to.has_header("Zb-Error"))
+                fillResponse(to, [&] {
+                    auto answer = refusal(to.status == 413 ? error_kind::RequestTooLarge
+                                                           : error_kind::BadRequest);
+                    answer.status = to.status;
+                    return answer;
+                }());
+        });
+        server.set_payload_max_length(limits.bodyBytes);
+        server.set_keep_alive_max_count(RequestsPerConnection);
+        server.set_keep_alive_timeout(limits.keepAlive.count());
+        server.set_tcp_nodelay(true);
+        server.new_task_queue = [this] { return new bounded_task_queue(limits.connections); };
+        server.set_socket_options([this](socket_t socket) {
+            const int on = 1;
+            setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+            listener = socket;
+        });
+    }
+};
+
+http_server::http_server(socket_address address, http_server_limits limits, handler serve)
+    : m_impl(std::make_unique<impl>())
+{
+    m_impl->address = std::move(address);
+    m_impl->limits = limits;
+    m_impl->serve = std::move(serve);
+    m_impl->configure();
+}
+
+http_server::~http_server()
+{
+    stop();
+}
+
+void http_server::start()
+{
+    auto &address = m_impl->address;
+    bool bound = true;
+    if (address.port == 0) {
+        address.port = m_impl->server.bind_to_any_port(address.address);
+        bound = address.port > 0;
+    } else {
+        bound = m_impl->server.bind_to_port(address.address, address.port);
+    }
+    if (!bound)
+        throw error(error_kind::BadSettings,
+                    "cannot listen on " + toText(address) + ": choose a free address");
+    ::listen(m_impl->listener, ListenBacklog);
+    m_impl->acceptor = std::thread([this] { m_impl->server.listen_after_bind(); });
+    while (!m_impl->server.is_running())
+        std::this_thread::yield();
+}
+
+void http_server::stop()
+{
+    if (!m_impl->acceptor.joinable())
+        return;
+    m_impl->closing = true;
+    m_impl->server.stop();
+    m_impl->acceptor.join();
+}
+
+void http_server::announceClose(bool closing)
+{
+    m_impl->closing = closing;
+}
+
+socket_address http_server::address() const
+{
+    return m_impl->address;
+}
+
+std::size_t http_server::inFlight() const
+{
+    return m_impl->inFlight;
+}
+
+struct http_pool::connection
+{
+    explicit connection(const socket_address &peer)
+        : client(peer.address, peer.port)
+    {
+        client.set_keep_alive(true);
+        client.set_tcp_nodelay(true);
+        client.set_decompress(false);
+        client.set_url_encode(false);
+        client.set_follow_location(false);
+    }
+
+    httplib::ClientImpl client;
+    time_point usedAt;
+};
+
+http_pool::http_pool(socket_address peer, http_pool_limits limits)
+    : m_peer(std::move(peer))
+    , m_limits(limits)
+{ }
+
+http_pool::~http_pool() = default;
+
+std::unique_ptr<http_pool::connection> http_pool::take()
+{
+    const auto now = monotonic_clock::now();
+    const std::lock_guard lock(m_mutex);
+    while (!m_idle.empty()) {
+        auto candidate = std::move(m_idle.back());
+        m_idle.pop_back();
+        // A connection idle for as long as the server's keep-alive may be closed by the server just
+        // as the request is sent: the outcome would be unknown for nothing.
+        if (now - candidate->usedAt < m_limits.idleAtMost)
+            return candidate;
+    }
+    return std::make_unique<connection>(m_peer);
+}
+
+void http_pool::giveBack(std::unique_ptr<connection> link)
+{
+    link->usedAt = monotonic_clock::now();
+    const std::lock_guard lock(m_mutex);
+    if (m_idle.size() < m_limits.idleConnections)
+        m_idle.push_back(std::move(link));
+}
+
+namespace {
+
+struct received_answer
+{
+    std::string body;
+    bool tooLarge = false;
+    bool late = false;
+    bool framed = true; // a length or chunks: a cut would be seen
+};
+
+httplib::Request outgoing(const http_request &request)
+{
+    httplib::Request out;
+    out.method = request.method;
+    out.path = request.target;
+    for (const auto &[name, value] : request.headers) {
+        if (!isFramingHeader(name) || strcasecmp(name.c_str(), "Content-Type") == 0)
+            out.headers.emplace(name, value);
+    }
+    out.body = request.body;
+    return out;
+}
+
+bool hasNoBody(const std::string &method, int status)
+{
+    return method == "HEAD" || status == 204 || status == 304;
+}
+
+call_failure failureOf(httplib::Error error, const received_answer &received)
+{
+    if (received.tooLarge)
+        return call_failure::TooLarge;
+    if (received.late)
+        return call_failure::Late;
+    if (error == httplib::Error::Connection)
+        return call_failure::NotConnected;
+    return call_failure::Cut;
+}
+
+} // namespace
+
+call_result http_pool::call(const http_request &request, time_point deadline)
+{
+    const auto now = monotonic_clock::now();
+    if (deadline <= now)
+        return call_failure::NotConnected;
+    const auto left = std::chrono::duration_cast<microseconds>(deadline - now);
+    auto link = take();
+    link->client.set_connection_timeout(std::min<microseconds>(left, m_limits.connectTimeout));
+    link->client.set_read_timeout(left);
+    link->client.set_write_timeout(left);
+
+    received_answer received;
+    auto out = outgoing(request);
+    out.response_handler = [&](const httplib::Response &head) {
+        received.framed =
+                head.has_header("Content-Length")
+                || strcasecmp(head.get_header_value("Transfer-Encoding").c_str(), "chunked") == 0
+                || hasNoBody(request.method, head.status);
+        return received.framed;
+    };
+    out.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
+        received.tooLarge = received.body.size() + size > m_limits.answerBytes;
+        // The read timeout restarts with every byte: an answer that drips needs this check.
+        received.late = monotonic_clock::now() > deadline;
+        if (received.tooLarge || received.late)
+            return false;
+        received.body.append(data, size);
+        return true;
+    };
+
+    httplib::Response in;
+    auto error = httplib::Error::Success;
+    const bool sent = link->client.send(out, in, error);
+    if (!received.framed)
+        return call_failure::Unprovable;
+    if (!sent) {
+        if (error == httplib::Error::Read && monotonic_clock::now() >= deadline)
+            return call_failure::Late;
+        return failureOf(error, received);
+    }
+    http_response response;
+    response.status = in.status;
+    for (const auto &[name, value] : in.headers)
+        response.headers[name] = value;
+    response.body = std::move(received.body);
+    if (strcasecmp(response.header("Connection").c_str(), "close") != 0)
+        giveBack(std::move(link));
+    return response;
+}
+
+http_pools::http_pools(http_pool_limits limits)
+    : m_limits(limits)
+{ }
+
+http_pool &http_pools::to(const std::string &address)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &pool = m_pools[address];
+    if (!pool)
+        pool = std::make_unique<http_pool>(parseAddress(address), m_limits);
+    return *pool;
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/runtime/http.h
@@ -0,0 +1,144 @@
+// HTTP as the daemons use it: plain requests and responses, a server with a hard bound on
+// connections, and a client pool that says how far a failed call got. cpp-httplib stays in
+// http.cpp.
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/time.h"
+
+namespace zinniabarrow {
+
+struct header_less
+{
+    bool operator()(const std::string &left, const std::string &right) const;
+};
+
+// Names compare without case; a repeated header keeps its last value.
+using http_headers = std::map<std::string, std::string, header_less>;
+
+struct http_request
+{
+    std::string method = "GET";
+    std::string target = "/"; // path with query, as on the wire
+    http_headers headers;
+    std::string body;
+
+    std::string path() const;                          // target without query
+    std::string header(const std::string &name) const; // empty when absent
+    std::string query(const std::string &name) const;  // empty when absent; not decoded
+};
+
+struct http_response
+{
+    int status = 200;
+    http_headers headers;
+    std::string body;
+
+    std::string header(const std::string &name) const;
+};
+
+struct socket_address
+{
+    std::string address = "127.0.0.1"; // IP number
+    int port = 0;                      // 0: any free port, for servers
+};
+
+// Reads "ip:port"; throws error BadSettings.
+socket_address parseAddress(const std::string &text);
+std::string toText(const socket_address &address);
+
+struct http_server_limits
+{
+    std::size_t connections = 128;       // threads, one for each connection
+    std::size_t bodyBytes = 1024 * 1024; // a larger request body is answered 413
+    seconds keepAlive{5};                // an idle connection is closed after this
+};
+
+class http_server
+{
+public:
+    using handler = std::function<http_response(const http_request &)>;
+
+    http_server(socket_address address, http_server_limits limits, handler serve);
+    ~http_server();
+    http_server(const http_server &) = delete;
+    http_server &operator=(const http_server &) = delete;
+
+    // Binds and serves on threads of its own. Throws error BadSettings when the address is taken.
+    void start();
+    // Stops accepting, finishes what is in flight, returns when every connection is closed.
+    void stop();
+    void announceClose(bool closing); // answers carry "Connection: close" from now on
+    socket_address address() const;
+    std::size_t inFlight() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+// How far a call got that brought no whole answer.
+enum class call_failure {
+    NotConnected, // nothing was sent
+    Cut,          // sent, and the connection ended before the whole answer
+    Late,         // sent, and the deadline passed
+    TooLarge,     // the answer exceeds the bound
+    Unprovable,   // the answer declares no length: a cut would go unseen
+};
+
+using call_result = std::variant<http_response, call_failure>;
+
+struct http_pool_limits
+{
+    std::size_t idleConnections = 64; // kept for reuse
+    milliseconds idleAtMost{2500};    // below the servers' keep-alive, see http.cpp
+    milliseconds connectTimeout{500};
+    std::size_t answerBytes = 8 * 1024 * 1024;
+};
+
+// Connections to one peer. Each call has a connection of its own; one in doubt is dropped.
+class http_pool
+{
+public:
+    explicit http_pool(socket_address peer, http_pool_limits limits = {});
+    ~http_pool();
+    http_pool(const http_pool &) = delete;
+    http_pool &operator=(const http_pool &) = delete;
+
+    call_result call(const http_request &request, time_point deadline);
+
+private:
+    struct connection;
+    std::unique_ptr<connection> take();
+    void giveBack(std::unique_ptr<connection> link);
+
+    socket_address m_peer;
+    http_pool_limits m_limits;
+    std::mutex m_mutex;
+    std::vector<std::unique_ptr<connection>> m_idle;
+};
+
+// One pool for each peer, made at first use.
+class http_pools
+{
+public:
+    explicit http_pools(http_pool_limits limits = {});
+    http_pool &to(const std::string &address); // "ip:port"
+
+private:
+    http_pool_limits m_limits;
+    std::mutex m_mutex;
+    std::map<std::string, std::unique_ptr<http_pool>> m_pools;
+};
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/runtime/platform_client.h
@@ -0,0 +1,46 @@
+// The platform's table and object store over HTTP. Blocking: only a duty of its own calls it.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "platform/records.h"
+#include "runtime/http.h"
+
+namespace zinniabarrow {
+
+struct table_reading
+{
+    std::uint64_t sequence = 0; // of the table when it was read
+    std::vector<table_row> rows;
+};
+
+class platform_client
+{
+public:
+    platform_client(const socket_address &platform, milliseconds timeout);
+
+    // Unknown when no answer came: the write may have taken effect.
+    write_result commit(const table_transaction &transaction);
+    write_result putObject(const std::string &name, const std::string &content,
+                           std::optional<std::uint64_t> expected);
+    write_result removeObject(const std::string &name, std::optional<std::uint64_t> expected);
+
+    // Nothing when the platform did not answer.
+    std::optional<table_reading> read(const std::vector<std::string> &keys,
+                                      const std::vector<std::string> &prefixes);
+    std::optional<std::vector<stored_object>> listObjects(const std::string &prefix);
+    // Version 0 when the object does not exist.
+    std::optional<stored_object> getObject(const std::string &name);
+
+private:
+    call_result send(const http_request &request);
+    write_result writeOutcome(const call_result &result) const;
+
+    http_pool m_pool;
+    milliseconds m_timeout;
+};
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/standins/platform.cpp
@@ -0,0 +1,231 @@
+// The platform's stand-in: memory_platform behind HTTP, with budgets and faults.
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+#include "base/errors.h"
+#include "base/json.h"
+#include "base/json_member.h"
+#include "platform/memory_platform.h"
+#include "platform/platform_json.h"
+#include "standins/standin.h"
+
+namespace zinniabarrow::standins {
+
+namespace {
+
+http_response jsonResponse(int status, const Json::Value &body)
+{
+    return {status, {}, compactJson(body)};
+}
+
+http_response writeResponse(const write_result &result)
+{
+    return jsonResponse(result.outcome == write_outcome::Applied ? 200 : 409, toJson(result));
+}
+
+std::optional<std::uint64_t> expectedVersion(const http_request &request)
+{
+    const auto text = request.header("If-Version");
+    if (text.empty())
+        return std::nullopt;
+    return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+// A budget refilled every second.
+class budget
+{
+public:
+    explicit budget(unsigned perSecond)
+        : m_perSecond(perSecond)
+    { }
+
+    bool take(std::size_t amount, time_point now)
+    {
+        if (now >= m_refillAt) {
+            m_left = m_perSecond;
+            m_refillAt = now + seconds(1);
+        }
+        // A transaction larger than a whole second's budget passes when nothing else was done.
+        if (amount > m_left && m_left < m_perSecond)
+            return false;
+        m_left -= std::min<std::size_t>(amount, m_left);
+        return true;
+    }
+
+private:
+    std::size_t m_perSecond;
+    std::size_t m_left = 0;
+    time_point m_refillAt{};
+};
+
+class platform_standin : public standin
+{
+public:
+    explicit platform_standin(const platform_options &options)
+        : m_writes(options.writesPerSecond)
+        , m_reads(options.readsPerSecond)
+        , m_server(options.address, {512, 16 * 1024 * 1024},
+                   [this](const http_request &request) { return serve(request); })
+    {
+        m_server.start();
+    }
+
+    socket_address address() const override { return m_server.address(); }
+
+private:
+    http_response serve(const http_request &request)
+    {
+        const auto path = request.path();
+        if (path == "/fault")
+            return setFault(request);
+        if (path == "/stats")
+            return stats();
+        if (m_slowMs > 0)
+            std::this_thread::sleep_for(milliseconds(m_slowMs));
+        if (m_down)
+            return jsonResponse(503, Json::Value(Json::objectValue));
+        if (path == "/table/commit")
+            return commit(request);
+        if (path == "/table/read")
+            return read(request);
+        if (path.rfind("/objects", 0) == 0)
+            return object(request, path);
+        return jsonResponse(404, Json::Value(Json::objectValue));
+    }
+
+    http_response setFault(const http_request &request)
+    {
+        const auto fault = parseJson(request.body);
+        if (fault.isMember("down"))
+            m_down = boolMember(fault, "down");
+        if (fault.isMember("slow_ms"))
+            m_slowMs = integerMember(fault, "slow_ms");
+        if (fault.isMember("lose_answers"))
+            m_loseAnswers = integerMember(fault, "lose_answers");
+        return jsonResponse(200, fault);
+    }
+
+    http_response stats()
+    {
+        const std::lock_guard lock(m_mutex);
+        return jsonResponse(200, m_stats);
+    }
+
+    bool affords(budget &from, std::size_t amount, const char *counter)
+    {
+        m_stats[counter] = m_stats[counter].asUInt64() + amount;
+        return from.take(amount, monotonic_clock::now());
+    }
+
+    // The effect stands, the answer is dropped: the client sees its deadline pass.
+    http_response answerOrLose(const write_result &result)
+    {
+        long left = m_loseAnswers;
+        while (left > 0 && !m_loseAnswers.compare_exchange_weak(left, left - 1)) { }
+        if (left > 0)
+            return {500, {}, ""};
+        return writeResponse(result);
+    }
+
+    http_response commit(const http_request &request)
+    {
+        const auto transaction = tableTransactionFromJson(parseJson(request.body));
+        write_result result;
+        {
+            const std::lock_guard lock(m_mutex);
+            affords(m_reads, 0, "commits");
+            m_stats["commits"] = m_stats["commits"].asUInt64() + 1;
+            if (!affords(m_writes, transaction.writes.size(), "rows_written"))
+                return jsonResponse(429, Json::Value(Json::objectValue));
+            result = m_platform.commit(transaction);
+        }
+        return answerOrLose(result);
+    }
+
+    http_response read(const http_request &request)
+    {
+        const auto wanted = parseJson(request.body);
+        const std::lock_guard lock(m_mutex);
+        if (!affords(m_reads, 1, "reads"))
+            return jsonResponse(429, Json::Value(Json::objectValue));
+        Json::Value rows(Json::arrayValue);
+        for (const auto &key : arrayMember(wanted, "keys")) {
+            if (const auto row = m_platform.read(key.asString()))
+                rows.append(toJson(*row));
+        }
+        for (const auto &prefix : arrayMember(wanted, "prefixes")) {
+            for (const auto &row : m_platform.scan(prefix.asString()))
+                rows.append(toJson(row));
+        }
+        Json::Value answer(Json::objectValue);
+        answer["sequence"] = Json::UInt64(m_platform.sequence());
+        answer["rows"] = std::move(rows);
+        return jsonResponse(200, answer);
+    }
+
+    http_response list(const http_request &request)
+    {
+        Json::Value objects(Json::arrayValue);
+        for (const auto &object : m_platform.listObjects(request.query("prefix"))) {
+            Json::Value entry(Json::objectValue);
+            entry["name"] = object.name;
+            entry["version"] = Json::UInt64(object.version);
+            objects.append(std::move(entry));
+        }
+        Json::Value answer(Json::objectValue);
+        answer["objects"] = std::move(objects);
+        return jsonResponse(200, answer);
+    }
+
+    http_response get(const std::string &name)
+    {
+        const auto found = m_platform.getObject(name);
+        if (!found)
+            return jsonResponse(404, Json::Value(Json::objectValue));
+        http_response response{200, {}, found->content};
+        response.headers["Zb-Version"] = std::to_string(found->version);
+        response.headers["Content-Type"] = "application/octet-stream";
+        return response;
+    }
+
+    http_response object(const http_request &request, const std::string &path)
+    {
+        const std::string prefix = "/objects/";
+        const auto name = path.size() > prefix.size() ? path.substr(prefix.size()) : std::string();
+        write_result result;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (request.method == "GET") {
+                if (!affords(m_reads, 1, "reads"))
+                    return jsonResponse(429, Json::Value(Json::objectValue));
+                return name.empty() ? list(request) : get(name);
+            }
+            if (!affords(m_writes, 1, "objects_written"))
+                return jsonResponse(429, Json::Value(Json::objectValue));
+            const auto expected = expectedVersion(request);
+            result = request.method == "PUT" ? m_platform.putObject(name, request.body, expected)
+                                             : m_platform.removeObject(name, expected);
+        }
+        return answerOrLose(result);
+    }
+
+    std::mutex m_mutex;
+    memory_platform m_platform;
+    budget m_writes;
+    budget m_reads;
+    Json::Value m_stats{Json::objectValue};
+    std::atomic<bool> m_down{false};
+    std::atomic<long> m_slowMs{0};
+    std::atomic<long> m_loseAnswers{0};
+    http_server m_server;
+};
+
+} // namespace
+
+std::unique_ptr<standin> startPlatform(const platform_options &options)
+{
+    return std::make_unique<platform_standin>(options);
+}
+
+} // namespace zinniabarrow::standins
--- /dev/null
+++ b/standins/standin.h
@@ -0,0 +1,52 @@
+// Stand-ins for the outside systems: each is one HTTP server with faults by command.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "runtime/http.h"
+
+namespace zinniabarrow::standins {
+
+// A running stand-in; it serves until destroyed.
+class standin
+{
+public:
+    virtual ~standin() = default;
+    virtual socket_address address() const = 0;
+};
+
+// The platform's table and object store, with the budgets of the brief.
+// POST /fault {"down": bool, "slow_ms": n, "lose_answers": n}: down answers 503 before any effect;
+// lose_answers drops the answers of the next n writes after they took effect.
+struct platform_options
+{
+    socket_address address;
+    unsigned writesPerSecond = 500; // rows; a transaction above the budget is refused with 429
+    unsigned readsPerSecond = 2000; // calls
+};
+std::unique_ptr<standin> startPlatform(const platform_options &options);
+
+// A worker: runs tasks under leases and starts whatever it is given.
+// POST /fault {"fail_starts": bool, "slow_ms": n, "unreachable": bool}.
+struct worker_options
+{
+    socket_address address;
+    std::string id;
+    milliseconds usageLag{500}; // usage is reported as it was this long ago
+};
+std::unique_ptr<standin> startWorker(const worker_options &options);
+
+// An upstream: `slots` requests at a time, `connections` at most, echoes the request it was sent.
+// POST /fault {"slow_ms": n, "cut": n, "unavailable": bool}: cut ends the next n answers midway.
+struct upstream_options
+{
+    socket_address address;
+    std::string id;
+    unsigned slots = 8;
+    unsigned connections = 64;
+    milliseconds work{5}; // time one request takes
+};
+std::unique_ptr<standin> startUpstream(const upstream_options &options);
+
+} // namespace zinniabarrow::standins
--- /dev/null
+++ b/standins/upstream.cpp
@@ -0,0 +1,163 @@
+// An upstream's stand-in: a fixed number of slots, echoes its request, counts each operation it
+// ran.
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include <httplib.h>
+
+#include "base/errors.h"
+#include "base/json.h"
+#include "base/json_member.h"
+#include "standins/standin.h"
+
+namespace zinniabarrow::standins {
+
+namespace {
+
+constexpr std::size_t RequestsPerConnection = 1U << 30U;
+
+class upstream_standin : public standin
+{
+public:
+    explicit upstream_standin(const upstream_options &options)
+        : m_options(options)
+    {
+        const auto all = [this](const httplib::Request &request, httplib::Response &response) {
+            serve(request, response);
+        };
+        m_server.Get(".*", all).Post(".*", all).Put(".*", all).Delete(".*", all);
+        m_server.set_keep_alive_max_count(RequestsPerConnection);
+        m_server.set_tcp_nodelay(true);
+        m_server.new_task_queue = [this] { return new httplib::ThreadPool(m_options.connections); };
+        auto &address = m_options.address;
+        if (address.port == 0)
+            address.port = m_server.bind_to_any_port(address.address);
+        else if (!m_server.bind_to_port(address.address, address.port))
+            throw error(error_kind::BadSettings, "cannot listen on " + toText(address));
+        m_acceptor = std::thread([this] { m_server.listen_after_bind(); });
+    }
+
+    ~upstream_standin() override
+    {
+        m_server.stop();
+        m_acceptor.join();
+    }
+
+    socket_address address() const override { return m_options.address; }
+
+private:
+    void serve(const httplib::Request &request, httplib::Response &response)
+    {
+        if (request.path == "/fault")
+            return reply(response, setFault(parseJson(request.body)));
+        if (request.path == "/executions")
+            return reply(response, executions());
+        if (m_unavailable) {
+            response.status = 503;
+            return;
+        }
+        runInSlot(request, response);
+    }
+
+    static void reply(httplib::Response &response, const Json::Value &body)
+    {
+        response.set_content(compactJson(body), "application/json");
+    }
+
+    Json::Value setFault(const Json::Value &fault)
+    {
+        if (fault.isMember("slow_ms"))
+            m_slowMs = integerMember(fault, "slow_ms");
+        if (fault.isMember("cut"))
+            m_cut = integerMember(fault, "cut");
+        if (fault.isMember("unavailable"))
+            m_unavailable = boolMember(fault, "unavailable");
+        return fault;
+    }
+
+    // How often each operation ran; more than the slots at a time is counted as overrun.
+    Json::Value executions()
+    {
+        const std::lock_guard lock(m_mutex);
+        Json::Value json(Json::objectValue);
+        json["overruns"] = m_overruns;
+        json["most_at_once"] = m_mostAtOnce;
+        json["operations"] = Json::Value(Json::objectValue);
+        for (const auto &[operation, count] : m_executions)
+            json["operations"][operation] = count;
+        return json;
+    }
+
+    void enter(const std::string &operation)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_executions[operation];
+        ++m_atOnce;
+        m_mostAtOnce = std::max(m_mostAtOnce, m_atOnce);
+        if (m_atOnce > m_options.slots)
+            ++m_overruns;
+    }
+
+    void leave()
+    {
+        const std::lock_guard lock(m_mutex);
+        --m_atOnce;
+    }
+
+    // Declares the whole length, sends half of it, and ends the connection.
+    static void cut(httplib::Response &response, const std::string &body)
+    {
+        response.set_content_provider(
+                body.size(), "application/json",
+                [body](std::size_t offset, std::size_t, httplib::DataSink &sink) {
+                    if (offset > 0)
+                        return false;
+                    sink.write(body.data(), body.size() / 2);
+                    return true;
+                });
+    }
+
+    void runInSlot(const httplib::Request &request, httplib::Response &response)
+    {
+        const auto operation = request.get_header_value("Operation");
+        enter(operation);
+        std::this_thread::sleep_for(m_options.work + milliseconds(m_slowMs));
+        leave();
+        Json::Value echo(Json::objectValue);
+        echo["upstream"] = m_options.id;
+        echo["operation"] = operation;
+        echo["method"] = request.method;
+        echo["target"] = request.target;
+        echo["body"] = request.body;
+        long left = m_cut;
+        while (left > 0 && !m_cut.compare_exchange_weak(left, left - 1)) { }
+        if (left > 0)
+            cut(response, compactJson(echo));
+        else
+            reply(response, echo);
+    }
+
+    upstream_options m_options;
+    std::mutex m_mutex;
+    std::map<std::string, unsigned> m_executions;
+    unsigned m_atOnce = 0;
+    unsigned m_mostAtOnce = 0;
+    unsigned m_overruns = 0;
+    std::atomic<long> m_slowMs{0};
+    std::atomic<long> m_cut{0};
+    std::atomic<bool> m_unavailable{false};
+    httplib::Server m_server;
+    std::thread m_acceptor;
+};
+
+} // namespace
+
+std::unique_ptr<standin> startUpstream(const upstream_options &options)
+{
+    return std::make_unique<upstream_standin>(options);
+}
+
+} // namespace zinniabarrow::standins
