--- /dev/null
+++ b/standins/fleet.cpp
@@ -0,0 +1,374 @@
+#include "standins/fleet.h"
+
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "base/json.h"
+#include "rpc/rpc.h"
+
+namespace zinniabarrow::standins {
+
+namespace {
+
+constexpr int PlatformPort = 20000;
+constexpr int EntryPort = 20100;
+constexpr int EntryRpcPort = 20200;
+constexpr int WorkerPort = 21000;
+constexpr int UpstreamPort = 22000;
+constexpr int AgentPort = 23000;
+constexpr unsigned WorkersPerRack = 3;
+constexpr milliseconds StartWithin{30'000};
+constexpr milliseconds CallWithin{5'000};
+
+std::string readFile(const std::string &name)
+{
+    std::ifstream file(name);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+// 127.x.y.z from the pid: no other fleet on this machine has it.
+std::string ownLoopbackAddress()
+{
+    static unsigned fleets = 0;
+    const auto pid = static_cast<unsigned>(getpid());
+    const unsigned second = 1 + (pid >> 16U) % 100 + 100 * (fleets++ % 2);
+    return "127." + std::to_string(second) + "." + std::to_string((pid >> 8U) & 255U) + "."
+           + std::to_string(1 + (pid & 255U) % 254);
+}
+
+void merge(Json::Value &into, const Json::Value &from)
+{
+    for (const auto &name : from.getMemberNames()) {
+        if (from[name].isObject() && into[name].isObject())
+            merge(into[name], from[name]);
+        else
+            into[name] = from[name];
+    }
+}
+
+} // namespace
+
+child_process::child_process(const std::vector<std::string> &command, std::string outFile,
+                             std::string errorFile)
+    : m_outFile(std::move(outFile))
+    , m_errorFile(std::move(errorFile))
+{
+    std::vector<char *> words;
+    for (const auto &word : command)
+        words.push_back(const_cast<char *>(word.c_str()));
+    words.push_back(nullptr);
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(&files, 0, "/dev/null", O_RDONLY, 0);
+    const int append = O_WRONLY | O_CREAT | O_APPEND;
+    posix_spawn_file_actions_addopen(&files, 1, m_outFile.c_str(), append, 0644);
+    posix_spawn_file_actions_addopen(&files, 2, m_errorFile.c_str(), append, 0644);
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    sigset_t none;
+    sigemptyset(&none);
+    posix_spawnattr_setsigmask(&attributes, &none);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
+    const int problem = posix_spawn(&m_pid, words[0], &files, &attributes, words.data(), environ);
+    posix_spawn_file_actions_destroy(&files);
+    posix_spawnattr_destroy(&attributes);
+    if (problem != 0)
+        throw std::runtime_error("cannot start " + command[0] + ": build it first");
+}
+
+child_process::~child_process()
+{
+    if (!running())
+        return;
+    signal(SIGKILL);
+    waitForExit(StartWithin);
+}
+
+void child_process::signal(int number) const
+{
+    if (!m_ended)
+        kill(m_pid, number);
+}
+
+bool child_process::running()
+{
+    if (!m_ended && waitpid(m_pid, &m_status, WNOHANG) == m_pid)
+        m_ended = true;
+    return !m_ended;
+}
+
+int child_process::waitForExit(milliseconds atMost)
+{
+    if (!waitUntil([this] { return !running(); }, atMost))
+        return -1;
+    return WIFEXITED(m_status) ? WEXITSTATUS(m_status) : 128 + WTERMSIG(m_status);
+}
+
+command_result runCommand(const std::vector<std::string> &command, const std::string &scratch,
+                          milliseconds atMost)
+{
+    static unsigned number = 0;
+    const std::string name = scratch + "/command-" + std::to_string(number++);
+    child_process process(command, name + ".out", name + ".err");
+    command_result result;
+    result.exitCode = process.waitForExit(atMost);
+    result.output = readFile(name + ".out");
+    result.errors = readFile(name + ".err");
+    return result;
+}
+
+fleet::fleet(fleet_options options)
+    : m_options(std::move(options))
+    , m_host(ownLoopbackAddress())
+    , m_workers(m_options.workers)
+    , m_upstreams(m_options.workers)
+    , m_entries(m_options.entries)
+    , m_agents(m_options.workers)
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "zinniabarrow-XXXXXX").string();
+    if (mkdtemp(pattern.data()) == nullptr)
+        throw std::runtime_error("cannot make a scratch folder: check the temporary directory");
+    m_scratch = pattern;
+}
+
+fleet::~fleet()
+{
+    m_agents.clear();
+    m_entries.clear();
+    m_upstreams.clear();
+    m_workers.clear();
+    m_platform.reset();
+    std::error_code ignored;
+    if (std::getenv("ZINNIABARROW_KEEP_SCRATCH") == nullptr)
+        std::filesystem::remove_all(m_scratch, ignored);
+}
+
+std::string fleet::address(int port) const
+{
+    return m_host + ":" + std::to_string(port);
+}
+
+std::string fleet::platformAddress() const
+{
+    return address(PlatformPort);
+}
+
+std::string fleet::workerAddress(unsigned index) const
+{
+    return address(WorkerPort + static_cast<int>(index));
+}
+
+std::string fleet::upstreamAddress(unsigned index) const
+{
+    return address(UpstreamPort + static_cast<int>(index));
+}
+
+std::string fleet::entryAddress(unsigned index) const
+{
+    return address(EntryPort + static_cast<int>(index));
+}
+
+std::string fleet::entryRpcAddress(unsigned index) const
+{
+    return address(EntryRpcPort + static_cast<int>(index));
+}
+
+std::string fleet::agentAddress(unsigned index) const
+{
+    return address(AgentPort + static_cast<int>(index));
+}
+
+std::string fleet::workerId(unsigned index) const
+{
+    return "worker-" + std::to_string(index);
+}
+
+std::string fleet::writeSettings(const std::string &name, const Json::Value &settings) const
+{
+    const std::string path = m_scratch + "/" + name + ".json";
+    std::ofstream(path) << prettyJson(settings);
+    return path;
+}
+
+std::unique_ptr<child_process> fleet::start(const std::string &name,
+                                            const std::vector<std::string> &command) const
+{
+    return std::make_unique<child_process>(command, m_scratch + "/" + name + ".out",
+                                           m_scratch + "/" + name + ".err");
+}
+
+void fleet::startPlatform()
+{
+    m_platform = start("platform", {m_options.binaries + "/zinniabarrow_standin", "platform",
+                                    "--listen", platformAddress()});
+}
+
+void fleet::startWorker(unsigned index)
+{
+    const auto id = workerId(index);
+    m_traceFiles.push_back(m_scratch + "/" + id + ".out");
+    m_workers.at(index) = start(id, {m_options.binaries + "/zinniabarrow_standin", "worker",
+                                     "--listen", workerAddress(index), "--id", id});
+}
+
+void fleet::startUpstream(unsigned index)
+{
+    const auto id = "upstream-" + std::to_string(index);
+    m_upstreams.at(index) = start(id, {m_options.binaries + "/zinniabarrow_standin", "upstream",
+                                       "--listen", upstreamAddress(index), "--id", id, "--work-ms",
+                                       std::to_string(m_options.upstreamWorkMs)});
+}
+
+void fleet::startEntry(unsigned index)
+{
+    Json::Value settings(Json::objectValue);
+    settings["id"] = "entry-" + std::to_string(index);
+    settings["region"] = m_options.region;
+    settings["zone"] = m_options.zones[index % m_options.zones.size()];
+    settings["listen"] = entryAddress(index);
+    settings["rpc"] = entryRpcAddress(index);
+    settings["peers"] = Json::Value(Json::arrayValue);
+    for (unsigned peer = 0; peer < m_options.entries; ++peer) {
+        if (peer != index)
+            settings["peers"].append(entryRpcAddress(peer));
+    }
+    settings["platform"] = platformAddress();
+    merge(settings, m_options.entrySettings);
+    const auto file = writeSettings("entry-" + std::to_string(index), settings);
+    m_entries.at(index) =
+            start("entry-" + std::to_string(index),
+                  {m_options.binaries + "/zinniabarrow", "entry", "--settings", file});
+}
+
+void fleet::startAgent(unsigned index)
+{
+    const auto name = "agent-" + std::to_string(index);
+    Json::Value settings(Json::objectValue);
+    settings["id"] = name;
+    settings["region"] = m_options.region;
+    settings["zone"] = m_options.zones[index % m_options.zones.size()];
+    settings["rack"] = "rack-" + std::to_string(index / WorkersPerRack);
+    settings["listen"] = agentAddress(index);
+    settings["entries"] = Json::Value(Json::arrayValue);
+    for (unsigned entry = 0; entry < m_options.entries; ++entry)
+        settings["entries"].append(entryRpcAddress(entry));
+    auto &upstream = settings["upstream"];
+    upstream["address"] = upstreamAddress(index);
+    upstream["service"] = m_options.service;
+    auto &worker = settings["worker"];
+    worker["address"] = workerAddress(index);
+    worker["id"] = workerId(index);
+    worker["pool"] = "shared";
+    worker["millicores"] = Json::Int64(m_options.millicores);
+    worker["bytes"] = Json::Int64(m_options.bytes);
+    worker["accelerators"] = 0;
+    merge(settings, m_options.agentSettings);
+    const auto file = writeSettings(name, settings);
+    m_agents.at(index) =
+            start(name, {m_options.binaries + "/zinniabarrow", "agent", "--settings", file});
+}
+
+void fleet::startAll()
+{
+    startPlatform();
+    for (unsigned index = 0; index < m_options.workers; ++index) {
+        startWorker(index);
+        startUpstream(index);
+    }
+    for (unsigned index = 0; index < m_options.entries; ++index)
+        startEntry(index);
+    for (unsigned index = 0; index < m_options.workers; ++index)
+        startAgent(index);
+    for (unsigned index = 0; index < m_options.entries; ++index) {
+        const auto ready = [&] {
+            const auto result =
+                    m_pools.to(entryAddress(index))
+                            .call({"GET", "/readyz", {}, {}}, monotonic_clock::now() + CallWithin);
+            const auto *response = std::get_if<http_response>(&result);
+            return response != nullptr && response->status == 200;
+        };
+        if (!waitUntil(ready, StartWithin))
+            throw std::runtime_error("entry " + std::to_string(index)
+                                     + " is not ready: read its log\n"
+                                     + readFile(m_entries.at(index)->errorFile()));
+    }
+}
+
+void fleet::setFault(const std::string &address, const Json::Value &fault)
+{
+    const auto result = m_pools.to(address).call({"POST", "/fault", {}, compactJson(fault)},
+                                                 monotonic_clock::now() + CallWithin);
+    if (!std::holds_alternative<http_response>(result))
+        throw std::runtime_error("no answer from the stand-in at " + address);
+}
+
+Json::Value fleet::getJson(const std::string &address, const std::string &target)
+{
+    const auto result =
+            m_pools.to(address).call({"GET", target, {}, {}}, monotonic_clock::now() + CallWithin);
+    const auto *response = std::get_if<http_response>(&result);
+    if (response == nullptr)
+        throw std::runtime_error("no answer from " + address + target);
+    return parseJson(response->body);
+}
+
+void fleet::putFolderFile(const std::string &name, const Json::Value &content)
+{
+    const auto result = m_pools.to(platformAddress())
+                                .call({"PUT", "/objects/folder/" + name, {}, prettyJson(content)},
+                                      monotonic_clock::now() + CallWithin);
+    if (!std::holds_alternative<http_response>(result))
+        throw std::runtime_error("the platform took no file");
+}
+
+void fleet::removeFolderFile(const std::string &name)
+{
+    const auto result = m_pools.to(platformAddress())
+                                .call({"DELETE", "/objects/folder/" + name, {}, {}},
+                                      monotonic_clock::now() + CallWithin);
+    if (!std::holds_alternative<http_response>(result))
+        throw std::runtime_error("the platform removed no file");
+}
+
+Json::Value fleet::rpc(unsigned entryIndex, const std::string &method,
+                       const Json::Value &parameters)
+{
+    auto &pool = m_pools.to(entryRpcAddress(entryIndex));
+    const auto transport = [&](const std::string &text) {
+        const auto result =
+                pool.call({"POST", "/rpc", {}, text}, monotonic_clock::now() + CallWithin);
+        const auto *response = std::get_if<http_response>(&result);
+        if (response == nullptr)
+            throw std::runtime_error("no answer from entry " + std::to_string(entryIndex));
+        return response->body;
+    };
+    return rpcCall(transport, method, parameters);
+}
+
+std::vector<Json::Value> fleet::workerTrace() const
+{
+    std::vector<Json::Value> lines;
+    for (const auto &name : m_traceFiles) {
+        std::ifstream file(name);
+        std::string line;
+        while (std::getline(file, line)) {
+            auto value = parseJson(line);
+            if (value.isMember("task"))
+                lines.push_back(std::move(value));
+        }
+    }
+    return lines;
+}
+
+} // namespace zinniabarrow::standins
