config: checked settings of the two daemon roles

Cause: a daemon must refuse malformed settings with file, line, what was found and what is allowed. Change: libs/config with entrySettingsFrom and agentSettingsFrom. A schema for each role is embedded and checked by valijson; a walk beside it names each fault where it lies, and the schema library has the last word. Members are listed once for reading and writing (fields.h). Ruled out: patterns in the schemas, since they run std::regex over operators' text, whose stack use grows with the text; names and addresses are formats that the walk checks.

--- /dev/null
+++ b/libs/config/fields.h
@@ -0,0 +1,166 @@
+// Plain structs to JSON and back: each struct lists its members once, for both directions.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <type_traits>
+#include <vector>
+
+#include <json/json.h>
+
+#include "base/errors.h"
+#include "base/time.h"
+#include "config/endpoint.h"
+
+namespace zinniabarrow {
+
+// Reads members of one object. A member that is absent keeps its value; one of the wrong type
+// throws BadRequest that names it.
+class field_reader
+{
+public:
+    explicit field_reader(const Json::Value &object)
+        : m_object(object)
+    {
+        if (!object.isObject())
+            throw error(error_kind::BadRequest, "expected an object");
+    }
+
+    template <typename T>
+    void operator()(const char *name, T &member)
+    {
+        const auto *value = m_object.find(name, name + std::char_traits<char>::length(name));
+        if (!value)
+            return;
+        try {
+            read(*value, member);
+        } catch (const Json::Exception &wrongType) {
+            throw error(error_kind::BadRequest,
+                        std::string("member ") + name + ": " + wrongType.what());
+        } catch (const error &inner) {
+            throw error(error_kind::BadRequest,
+                        std::string("member ") + name + ": " + inner.what());
+        }
+    }
+
+private:
+    static void read(const Json::Value &value, std::string &member)
+    {
+        if (!value.isString())
+            throw error(error_kind::BadRequest, "expected text");
+        member = value.asString();
+    }
+    static void read(const Json::Value &value, bool &member)
+    {
+        if (!value.isBool())
+            throw error(error_kind::BadRequest, "expected true or false");
+        member = value.asBool();
+    }
+    static void read(const Json::Value &value, double &member) { member = value.asDouble(); }
+    static void read(const Json::Value &value, int &member) { member = value.asInt(); }
+    static void read(const Json::Value &value, std::int64_t &member) { member = value.asInt64(); }
+    static void read(const Json::Value &value, std::uint64_t &member) { member = value.asUInt64(); }
+    static void read(const Json::Value &value, std::uint16_t &member)
+    {
+        if (!value.isUInt() || value.asUInt() > UINT16_MAX)
+            throw error(error_kind::BadRequest, "expected a port");
+        member = static_cast<std::uint16_t>(value.asUInt());
+    }
+    static void read(const Json::Value &value, milliseconds &member)
+    {
+        member = milliseconds(value.asInt64());
+    }
+    static void read(const Json::Value &value, endpoint &member)
+    {
+        const auto parsed = endpointFrom(value.asString());
+        if (!parsed)
+            throw error(error_kind::BadRequest, "expected an IP address and port");
+        member = *parsed;
+    }
+    template <typename T>
+    static void read(const Json::Value &value, std::vector<T> &member)
+    {
+        if (!value.isArray())
+            throw error(error_kind::BadRequest, "expected an array");
+        member.clear();
+        for (const auto &element : value)
+            read(element, member.emplace_back());
+    }
+    template <typename T>
+    static void read(const Json::Value &value, T &member)
+    {
+        if constexpr (std::is_enum_v<T>) {
+            fromName(value.asString(), member);
+        } else {
+            field_reader reader(value);
+            describe(reader, member);
+        }
+    }
+
+    const Json::Value &m_object;
+};
+
+// Writes every member into one object.
+class field_writer
+{
+public:
+    template <typename T>
+    void operator()(const char *name, const T &member)
+    {
+        m_object[name] = written(member);
+    }
+
+    Json::Value take() { return std::move(m_object); }
+
+private:
+    static Json::Value written(const std::string &member) { return member; }
+    static Json::Value written(bool member) { return member; }
+    static Json::Value written(double member) { return member; }
+    static Json::Value written(int member) { return member; }
+    static Json::Value written(std::uint16_t member) { return member; }
+    static Json::Value written(std::int64_t member) { return Json::Int64(member); }
+    static Json::Value written(std::uint64_t member) { return Json::UInt64(member); }
+    static Json::Value written(milliseconds member) { return Json::Int64(member.count()); }
+    static Json::Value written(const endpoint &member) { return toText(member); }
+    template <typename T>
+    static Json::Value written(const std::vector<T> &member)
+    {
+        Json::Value array(Json::arrayValue);
+        for (const auto &element : member)
+            array.append(written(element));
+        return array;
+    }
+    template <typename T>
+    static Json::Value written(const T &member)
+    {
+        if constexpr (std::is_enum_v<T>) {
+            return std::string(nameOf(member));
+        } else {
+            field_writer writer;
+            describe(writer, const_cast<T &>(member)); // the writer only reads
+            return writer.take();
+        }
+    }
+
+    Json::Value m_object{Json::objectValue};
+};
+
+template <typename T>
+Json::Value written(const T &object)
+{
+    field_writer writer;
+    describe(writer, const_cast<T &>(object)); // the writer only reads
+    return writer.take();
+}
+
+template <typename T>
+T readFrom(const Json::Value &value)
+{
+    T object;
+    field_reader reader(value);
+    describe(reader, object);
+    return object;
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/config/resources.h
@@ -0,0 +1,16 @@
+// Processors, memory and accelerators, in integers.
+#pragma once
+
+#include <cstdint>
+
+namespace zinniabarrow {
+
+struct resources
+{
+    std::int64_t millicores = 0;   // thousandths of a processor
+    std::int64_t bytes = 0;        // of memory
+    std::int64_t accelerators = 0; // whole ones
+    bool operator==(const resources &) const = default;
+};
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/config/schema.cpp
@@ -0,0 +1,293 @@
+#include "config/schema.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include <fmt/format.h>
+#include <valijson/adapters/jsoncpp_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+#include "base/json.h"
+#include "config/endpoint.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr std::size_t LongestName = 63;
+
+bool hasType(const Json::Value &value, const std::string &type)
+{
+    if (type == "object")
+        return value.isObject();
+    if (type == "array")
+        return value.isArray();
+    if (type == "string")
+        return value.isString();
+    if (type == "boolean")
+        return value.isBool();
+    if (type == "null")
+        return value.isNull();
+    if (type == "integer")
+        return value.isInt64() && value.type() != Json::realValue;
+    return value.isNumeric() && !value.isBool();
+}
+
+bool hasAllowedType(const Json::Value &value, const Json::Value &types)
+{
+    if (types.isNull())
+        return true;
+    if (types.isString())
+        return hasType(value, types.asString());
+    return std::any_of(types.begin(), types.end(),
+                       [&](const Json::Value &type) { return hasType(value, type.asString()); });
+}
+
+bool hasFormat(const std::string &text, const std::string &format)
+{
+    if (format == "name")
+        return isName(text);
+    if (format == "ip")
+        return isAddress(text);
+    return endpointFrom(text).has_value();
+}
+
+bool isInRange(const Json::Value &value, const Json::Value &definition)
+{
+    if (!value.isNumeric())
+        return true;
+    const double number = value.asDouble();
+    if (definition.isMember("minimum") && number < definition["minimum"].asDouble())
+        return false;
+    return !definition.isMember("maximum") || number <= definition["maximum"].asDouble();
+}
+
+bool isAllowedText(const Json::Value &value, const Json::Value &definition)
+{
+    if (!value.isString())
+        return true;
+    const auto text = value.asString();
+    if (definition.isMember("minLength") && text.size() < definition["minLength"].asUInt())
+        return false;
+    if (definition.isMember("maxLength") && text.size() > definition["maxLength"].asUInt())
+        return false;
+    return !definition.isMember("format") || hasFormat(text, definition["format"].asString());
+}
+
+bool isEnumerated(const Json::Value &value, const Json::Value &definition)
+{
+    const auto &names = definition["enum"];
+    return names.isNull() || std::find(names.begin(), names.end(), value) != names.end();
+}
+
+bool isAllowedSize(const Json::Value &value, const Json::Value &definition)
+{
+    if (value.isArray() && definition.isMember("minItems"))
+        return value.size() >= definition["minItems"].asUInt();
+    return true;
+}
+
+bool isAllowedItself(const Json::Value &value, const Json::Value &definition)
+{
+    return hasAllowedType(value, definition["type"]) && isInRange(value, definition)
+           && isAllowedText(value, definition) && isEnumerated(value, definition)
+           && isAllowedSize(value, definition);
+}
+
+std::string joined(const std::vector<std::string> &parts)
+{
+    return fmt::format("{}", fmt::join(parts, ", "));
+}
+
+// Walks text and schema together and names each fault where it lies.
+class fault_finder
+{
+public:
+    explicit fault_finder(const json_text &text)
+        : m_text(text)
+    { }
+
+    std::vector<problem> takeProblems() { return std::move(m_problems); }
+
+    void visit(const Json::Value &value, const Json::Value &definition, const std::string &pointer)
+    {
+        if (!isAllowedItself(value, definition)) {
+            report(value, pointer, shortText(value), allowedBy(definition));
+            return;
+        }
+        if (value.isObject())
+            visitObject(value, definition, pointer);
+        if (value.isArray())
+            visitArray(value, definition, pointer);
+    }
+
+private:
+    void visitObject(const Json::Value &object, const Json::Value &definition,
+                     const std::string &pointer)
+    {
+        for (const auto &name : definition["required"]) {
+            if (!object.isMember(name.asString()))
+                report(object, childPointer(pointer, name.asString()), "nothing",
+                       allowedBy(definition["properties"][name.asString()]));
+        }
+        for (const auto &name : object.getMemberNames())
+            visitMember(object[name], name, definition, pointer);
+    }
+
+    void visitMember(const Json::Value &member, const std::string &name,
+                     const Json::Value &definition, const std::string &pointer)
+    {
+        const auto &properties = definition["properties"];
+        const auto &others = definition["additionalProperties"];
+        const auto memberPointer = childPointer(pointer, name);
+        if (properties.isMember(name)) {
+            visit(member, properties[name], memberPointer);
+        } else if (!others.isObject()) {
+            if (others.isBool() && !others.asBool())
+                report(member, memberPointer, "unknown key " + shortText(name),
+                       joined(properties.getMemberNames()));
+        } else if (!isName(name)) {
+            report(member, memberPointer, "the name " + shortText(name),
+                   "1 to 63 letters, digits, '.', '_' and '-', the first a letter or digit");
+        } else {
+            visit(member, others, memberPointer);
+        }
+    }
+
+    void visitArray(const Json::Value &array, const Json::Value &definition,
+                    const std::string &pointer)
+    {
+        for (Json::ArrayIndex index = 0; index < array.size(); ++index)
+            visit(array[index], definition["items"], childPointer(pointer, std::to_string(index)));
+    }
+
+    void report(const Json::Value &value, const std::string &pointer, const std::string &found,
+                const std::string &allowed)
+    {
+        m_problems.push_back({m_text.file(), m_text.lineOf(value), pointer, found, allowed});
+    }
+
+    const json_text &m_text;
+    std::vector<problem> m_problems;
+};
+
+std::string range(const Json::Value &definition)
+{
+    std::string text;
+    if (definition.isMember("minimum"))
+        text += " from " + compactJson(definition["minimum"]);
+    if (definition.isMember("maximum"))
+        text += " to " + compactJson(definition["maximum"]);
+    return text;
+}
+
+std::string typeNames(const Json::Value &types)
+{
+    if (types.isString())
+        return types.asString();
+    std::vector<std::string> names;
+    for (const auto &type : types)
+        names.push_back(type.asString());
+    return fmt::format("{}", fmt::join(names, " or "));
+}
+
+} // namespace
+
+struct json_schema::compiled
+{
+    valijson::Schema schema;
+};
+
+json_schema::json_schema(std::string_view schemaText)
+    : json_schema(parseJson(schemaText))
+{ }
+
+json_schema::json_schema(Json::Value schema)
+    : m_definition(std::move(schema))
+    , m_compiled(std::make_unique<compiled>())
+{
+    valijson::SchemaParser parser;
+    const valijson::adapters::JsonCppAdapter adapter(m_definition);
+    parser.populateSchema(adapter, m_compiled->schema);
+}
+
+json_schema::~json_schema() = default;
+
+std::vector<problem> json_schema::check(const json_text &text) const
+{
+    fault_finder finder(text);
+    finder.visit(text.root(), m_definition, "");
+    auto problems = finder.takeProblems();
+    if (!problems.empty())
+        return problems;
+    // The schema library has the last word: a word of the schema that the walk above does not
+    // know must refuse the text rather than let it pass without a place.
+    valijson::Validator validator;
+    valijson::ValidationResults results;
+    const valijson::adapters::JsonCppAdapter target(text.root());
+    if (!validator.validate(m_compiled->schema, target, &results)) {
+        for (const auto &fault : results)
+            problems.push_back({text.file(), 1, fmt::format("{}", fmt::join(fault.context, "")),
+                                "a value that the schema refuses", fault.description});
+    }
+    return problems;
+}
+
+Json::Value defaultsOf(const Json::Value &definition)
+{
+    if (definition.isMember("default"))
+        return definition["default"];
+    Json::Value values(Json::objectValue);
+    const auto &properties = definition["properties"];
+    for (const auto &name : properties.getMemberNames()) {
+        const auto &member = properties[name];
+        const bool isObject = member.isMember("properties");
+        if (!member.isMember("default") && !isObject)
+            continue;
+        auto value = defaultsOf(member);
+        if (!isObject || !value.empty())
+            values[name] = std::move(value);
+    }
+    return values;
+}
+
+std::string allowedBy(const Json::Value &definition)
+{
+    if (definition.isMember("enum")) {
+        std::vector<std::string> names;
+        for (const auto &name : definition["enum"])
+            names.push_back(compactJson(name));
+        return "one of " + joined(names);
+    }
+    const auto type = typeNames(definition["type"]);
+    const auto format = definition["format"].asString();
+    if (format == "name")
+        return "a name: 1 to 63 letters, digits, '.', '_' and '-', the first a letter or digit";
+    if (format == "ip")
+        return "an IP address";
+    if (format == "ip:port")
+        return "an IP address and port, as 10.0.0.1:8080 or [::1]:8080";
+    if (type == "array")
+        return fmt::format("an array of {} or more elements, each {}",
+                           definition["minItems"].asUInt(), allowedBy(definition["items"]));
+    if (type == "object" && definition.isMember("properties"))
+        return "an object of " + joined(definition["properties"].getMemberNames());
+    return type + range(definition);
+}
+
+bool isName(std::string_view text)
+{
+    if (text.empty() || text.size() > LongestName)
+        return false;
+    const auto isLetterOrDigit = [](unsigned char c) { return c < 0x80 && std::isalnum(c) != 0; };
+    if (!isLetterOrDigit(static_cast<unsigned char>(text.front())))
+        return false;
+    return std::all_of(text.begin(), text.end(), [&](unsigned char c) {
+        return isLetterOrDigit(c) || c == '.' || c == '_' || c == '-';
+    });
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/config/settings.cpp
@@ -0,0 +1,309 @@
+#include "config/settings.h"
+
+#include <array>
+
+#include <fmt/format.h>
+
+#include "base/errors.h"
+#include "base/json.h"
+#include "base/names.h"
+#include "config/fields.h"
+#include "config/json_text.h"
+#include "config/schema.h"
+#include "config/settings_schema.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr name_table<log_level, 4> LogLevelNames{{
+        {log_level::Debug, "debug"},
+        {log_level::Info, "info"},
+        {log_level::Warning, "warning"},
+        {log_level::Error, "error"},
+}};
+
+constexpr name_table<routing_policy, 2> RoutingPolicyNames{{
+        {routing_policy::TwoChoices, "two_choices"},
+        {routing_policy::Random, "random"},
+}};
+
+template <typename Enum, std::size_t Size>
+Enum named(const name_table<Enum, Size> &table, const std::string &name)
+{
+    const auto value = valueOf(table, name);
+    if (!value)
+        throw error(error_kind::BadRequest, "unknown name " + name);
+    return *value;
+}
+
+} // namespace
+
+std::string_view nameOf(routing_policy policy)
+{
+    return nameOf(RoutingPolicyNames, policy);
+}
+
+// Found by argument-dependent look-up from fields.h, so not in the unnamed namespace.
+static std::string_view nameOf(log_level level)
+{
+    return nameOf(LogLevelNames, level);
+}
+
+static void fromName(const std::string &name, log_level &level)
+{
+    level = named(LogLevelNames, name);
+}
+
+static void fromName(const std::string &name, routing_policy &policy)
+{
+    policy = named(RoutingPolicyNames, name);
+}
+
+template <typename Archive>
+void describe(Archive &archive, resources &size)
+{
+    archive("millicores", size.millicores);
+    archive("bytes", size.bytes);
+    archive("accelerators", size.accelerators);
+}
+
+template <typename Archive>
+void describe(Archive &archive, listen_settings &listen)
+{
+    archive("address", listen.address);
+    archive("port", listen.port);
+}
+
+template <typename Archive>
+void describe(Archive &archive, platform_settings &platform)
+{
+    archive("address", platform.address);
+    archive("timeout_ms", platform.timeout);
+}
+
+template <typename Archive>
+void describe(Archive &archive, retry_settings &retry)
+{
+    archive("share", retry.share);
+    archive("floor", retry.floor);
+}
+
+template <typename Archive>
+void describe(Archive &archive, policy_weights &weights)
+{
+    archive("tail_latency", weights.tailLatency);
+    archive("throughput", weights.throughput);
+    archive("evictions", weights.evictions);
+}
+
+template <typename Archive>
+void describe(Archive &archive, placement_settings &placement)
+{
+    archive("tick_ms", placement.tick);
+    archive("max_tasks_per_commit", placement.maxTasksPerCommit);
+    archive("size_quantile", placement.sizeQuantile);
+    archive("quarantine_workers", placement.quarantineWorkers);
+    archive("set_aside_jobs", placement.setAsideJobs);
+    archive("evictions_per_minute", placement.evictionsPerMinute);
+    archive("eviction_cool_down_ms", placement.evictionCoolDown);
+}
+
+template <typename Archive>
+void describe(Archive &archive, routing_settings &routing)
+{
+    archive("policy", routing.policy);
+    archive("spill", routing.spill);
+}
+
+template <typename Archive>
+void describe(Archive &archive, entry_settings &entry)
+{
+    archive("id", entry.id);
+    archive("region", entry.region);
+    archive("zone", entry.zone);
+    archive("listen", entry.listen);
+    archive("rpc", entry.rpc);
+    archive("peers", entry.peers);
+    archive("platform", entry.platform);
+    archive("shards", entry.shards);
+    archive("lease_ms", entry.lease);
+    archive("agent_lease_ms", entry.agentLease);
+    archive("clock_margin_ms", entry.clockMargin);
+    archive("announce_silence_ms", entry.announceSilence);
+    archive("max_body_bytes", entry.maxBodyBytes);
+    archive("max_connections", entry.maxConnections);
+    archive("request_deadline_ms", entry.requestDeadline);
+    archive("retry", entry.retry);
+    archive("drain_ms", entry.drain);
+    archive("weights", entry.weights);
+    archive("config_poll_ms", entry.configPoll);
+    archive("placement", entry.placement);
+    archive("routing", entry.routing);
+    archive("log_level", entry.logLevel);
+}
+
+template <typename Archive>
+void describe(Archive &archive, upstream_settings &upstream)
+{
+    archive("address", upstream.address);
+    archive("service", upstream.service);
+    archive("slots", upstream.slots);
+    archive("connections", upstream.connections);
+}
+
+template <typename Archive>
+void describe(Archive &archive, worker_settings &worker)
+{
+    archive("address", worker.address);
+    archive("id", worker.id);
+    archive("pool", worker.pool);
+    archive("size", worker.size);
+}
+
+template <typename Archive>
+void describe(Archive &archive, agent_lease_settings &lease)
+{
+    archive("clock_margin_ms", lease.clockMargin);
+    archive("task_lease_ms", lease.taskLease);
+    archive("renew_ms", lease.renew);
+}
+
+template <typename Archive>
+void describe(Archive &archive, agent_settings &agent)
+{
+    archive("id", agent.id);
+    archive("region", agent.region);
+    archive("zone", agent.zone);
+    archive("rack", agent.rack);
+    archive("listen", agent.listen);
+    archive("entries", agent.entries);
+    archive("upstream", agent.upstream);
+    archive("worker", agent.worker);
+    archive("announce_ms", agent.announce);
+    archive("lease", agent.lease);
+    archive("queue_length", agent.queueLength);
+    archive("max_body_bytes", agent.maxBodyBytes);
+    archive("drain_ms", agent.drain);
+    archive("log_level", agent.logLevel);
+}
+
+namespace {
+
+const json_schema &entrySchema()
+{
+    static const json_schema Schema{std::string_view(EntrySettingsSchemaText)};
+    return Schema;
+}
+
+const json_schema &agentSchema()
+{
+    static const json_schema Schema{std::string_view(AgentSettingsSchemaText)};
+    return Schema;
+}
+
+[[noreturn]] void refuse(const std::vector<problem> &problems)
+{
+    std::vector<std::string> lines;
+    for (const auto &problem : problems)
+        lines.push_back(toText(problem));
+    throw error(error_kind::BadSettings, fmt::format("{}", fmt::join(lines, "\n")));
+}
+
+json_text checkedText(const std::string &fileName, const std::string &text,
+                      const json_schema &schema)
+{
+    try {
+        json_text parsed(fileName, text);
+        const auto problems = schema.check(parsed);
+        if (!problems.empty())
+            refuse(problems);
+        return parsed;
+    } catch (const syntax_error &broken) {
+        refuse({broken.where});
+    }
+}
+
+// Refuses a pair of settings that cannot hold together, at the line of `key`.
+void demand(bool holds, const json_text &text, const Json::Value &parent, const char *key,
+            const std::string &pointer, const std::string &allowed)
+{
+    if (holds)
+        return;
+    const auto &value = parent.isMember(key) ? parent[key] : parent;
+    const auto found = parent.isMember(key) ? shortText(value) : std::string("the default");
+    refuse({{text.file(), text.lineOf(value), pointer, found, allowed}});
+}
+
+void describeRow(std::string &table, const std::string &key, const Json::Value &definition,
+                 bool isRequired)
+{
+    if (definition.isMember("properties")) {
+        for (const auto &name : definition["properties"].getMemberNames()) {
+            bool required = false;
+            for (const auto &other : definition["required"])
+                required = required || other.asString() == name;
+            describeRow(table, key.empty() ? name : key + '.' + name,
+                        definition["properties"][name], required);
+        }
+        return;
+    }
+    const auto fallback =
+            isRequired ? std::string("required") : '`' + compactJson(definition["default"]) + '`';
+    table += fmt::format("| `{}` | {} | {} | {} |\n", key, allowedBy(definition), fallback,
+                         definition["description"].asString());
+}
+
+} // namespace
+
+entry_settings entrySettingsFrom(const std::string &fileName, const std::string &text)
+{
+    const auto parsed = checkedText(fileName, text, entrySchema());
+    const auto &root = parsed.root();
+    const auto settings = readFrom<entry_settings>(root);
+    demand(settings.agentLease + settings.clockMargin < settings.lease, parsed, root, "lease_ms",
+           "/lease_ms", "more than agent_lease_ms and clock_margin_ms together");
+    return settings;
+}
+
+agent_settings agentSettingsFrom(const std::string &fileName, const std::string &text)
+{
+    const auto parsed = checkedText(fileName, text, agentSchema());
+    const auto &root = parsed.root();
+    const auto settings = readFrom<agent_settings>(root);
+    demand(settings.lease.renew + settings.lease.clockMargin < settings.lease.taskLease, parsed,
+           root["lease"], "task_lease_ms", "/lease/task_lease_ms",
+           "more than renew_ms and clock_margin_ms together");
+    demand(settings.upstream.slots <= settings.upstream.connections, parsed, root["upstream"],
+           "connections", "/upstream/connections", "at least as many as slots");
+    return settings;
+}
+
+Json::Value toJson(const entry_settings &settings)
+{
+    return written(settings);
+}
+
+Json::Value toJson(const agent_settings &settings)
+{
+    return written(settings);
+}
+
+const Json::Value &entrySettingsSchema()
+{
+    return entrySchema().definition();
+}
+
+const Json::Value &agentSettingsSchema()
+{
+    return agentSchema().definition();
+}
+
+std::string settingsTable(const Json::Value &schema)
+{
+    std::string table = "| key | allowed | default | meaning |\n|---|---|---|---|\n";
+    describeRow(table, "", schema, true);
+    return table;
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/config/settings_schema.h
@@ -0,0 +1,9 @@
+// Schemas of the two settings files, embedded in the binary.
+#pragma once
+
+namespace zinniabarrow {
+
+extern const char *const EntrySettingsSchemaText;
+extern const char *const AgentSettingsSchemaText;
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,122 @@
+#include <fstream>
+#include <sstream>
+
+#include "base/errors.h"
+#include "base/json.h"
+#include "config/schema.h"
+#include "config/settings.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using zinniabarrow::tests::section;
+
+namespace {
+
+std::string fileText(const std::string &path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::string refusalOf(const std::string &text, bool isEntry = true)
+{
+    try {
+        if (isEntry)
+            entrySettingsFrom("entry.json", text);
+        else
+            agentSettingsFrom("agent.json", text);
+    } catch (const error &refused) {
+        return refused.kind() == error_kind::BadSettings ? refused.what() : "wrong kind";
+    }
+    return "accepted";
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const auto at = text.find(from);
+    require(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+// Every default of the schema is a member of the written struct with the same value.
+void compareDefaults(const Json::Value &defaults, const Json::Value &members)
+{
+    for (const auto &name : defaults.getMemberNames()) {
+        section(name, [&] {
+            if (defaults[name].isObject())
+                compareDefaults(defaults[name], members[name]);
+            else
+                check(compactJson(defaults[name]) == compactJson(members[name])
+                      || defaults[name].asDouble() == members[name].asDouble());
+        });
+    }
+}
+
+} // namespace
+
+Test(settings, accepted)
+{
+    section("the example of an entry gives its values and the defaults for the rest", [] {
+        const auto entry =
+                entrySettingsFrom("entry.json", fileText("examples/settings/entry.json"));
+        check(entry.id == "entry-1" && entry.listen.port == 8080);
+        check(entry.peers.size() == 2 && toText(entry.peers[1]) == "127.0.0.3:8090");
+        check(entry.lease == milliseconds(1'800'000) && entry.shards == 1);
+        check(toJson(entrySettingsFrom("again", compactJson(toJson(entry)))) == toJson(entry));
+    });
+    section("the example of an agent too", [] {
+        const auto agent =
+                agentSettingsFrom("agent.json", fileText("examples/settings/agent.json"));
+        check(agent.upstream.slots == 8 && agent.upstream.connections == 64);
+        check(agent.worker.size == (resources{16000, 60'000'000'000, 0}));
+        check(toJson(agentSettingsFrom("again", compactJson(toJson(agent)))) == toJson(agent));
+    });
+    section("the defaults of the schema are those of the structs", [] {
+        compareDefaults(defaultsOf(entrySettingsSchema()), toJson(entry_settings{}));
+        compareDefaults(defaultsOf(agentSettingsSchema()), toJson(agent_settings{}));
+    });
+}
+
+// The operator sees a daemon that does not start, with one line for each fault: where it is, what
+// was found, what is allowed. A silently ignored slip in a key would run with the default instead.
+Test(settings, refused)
+{
+    const auto entry = fileText("examples/settings/entry.json");
+    const auto agent = fileText("examples/settings/agent.json");
+    section("an unknown key names its line and the keys that exist", [&] {
+        const auto text = refusalOf(replaced(entry, "\"peers\"", "\"pears\""));
+        check(text.starts_with("entry.json:7: /pears: found unknown key \"pears\"; allowed: "));
+        check(text.find("peers") != std::string::npos);
+    });
+    section("a value out of range, of the wrong type, or missing", [&] {
+        check(refusalOf(replaced(entry, "8090", "70000"))
+              == "entry.json:6: /rpc/port: found 70000; allowed: integer from 0 to 65535");
+        check(refusalOf(replaced(entry, "8090", "80.5"))
+              == "entry.json:6: /rpc/port: found 80.5; allowed: integer from 0 to 65535");
+        check(refusalOf(replaced(entry, "\"zone\": \"kartli-a\",", ""))
+              == "entry.json:1: /zone: found nothing; allowed: a name: 1 to 63 letters, digits, "
+                 "'.', '_' and '-', the first a letter or digit");
+        check(refusalOf(replaced(entry, "127.0.0.3:8090", "rink.ge:8090"))
+                      .starts_with("entry.json:7: /peers/1: found \"rink.ge:8090\"; allowed: an IP "
+                                   "address and port"));
+    });
+    section("all faults at once, one a line", [&] {
+        const auto text = refusalOf(replaced(replaced(entry, "8090", "-1"), "8080", "true"));
+        check(std::count(text.begin(), text.end(), '\n') == 1);
+    });
+    section("half a file and a doubled key", [&] {
+        check(refusalOf(entry.substr(0, entry.size() / 2)).starts_with("entry.json:"));
+        check(refusalOf(replaced(entry, "\"region\"", "\"id\"")).find("Duplicate key")
+              != std::string::npos);
+    });
+    section("two settings that cannot hold together", [&] {
+        check(refusalOf(replaced(entry, "\"weights\"", "\"lease_ms\": 2000, \"weights\""))
+              == "entry.json:9: /lease_ms: found 2000; allowed: more than agent_lease_ms and "
+                 "clock_margin_ms together");
+        check(refusalOf(replaced(agent, "\"tickets\"", "\"tickets\", \"slots\": 65"), false)
+                      .find("allowed: at least as many as slots")
+              != std::string::npos);
+    });
+}
