--- /dev/null
+++ b/libs/work/messages.cpp
@@ -0,0 +1,224 @@
+#include "work/messages.h"
+
+#include <charconv>
+#include <utility>
+
+#include "base/errors.h"
+#include "base/names.h"
+#include "work/json_members.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr name_table<failover_class, 2> FailoverNames = {{
+        {failover_class::Lease, "lease"},
+        {failover_class::Proof, "proof"},
+}};
+
+constexpr name_table<task_event_kind, 8> EventNames = {{
+        {task_event_kind::Started, "started"},
+        {task_event_kind::Checkpointed, "checkpointed"},
+        {task_event_kind::Evicted, "evicted"},
+        {task_event_kind::Succeeded, "succeeded"},
+        {task_event_kind::Failed, "failed"},
+        {task_event_kind::Stopped, "stopped"},
+        {task_event_kind::Refused, "refused"},
+        {task_event_kind::Lost, "lost"},
+}};
+
+task_event_kind eventKindFromName(std::string_view name)
+{
+    const auto kind = valueOf(EventNames, name);
+    if (!kind)
+        throw error(error_kind::BadRequest, "unknown task event \"" + std::string(name) + "\"");
+    return *kind;
+}
+
+Json::Value toJson(const task_event &event)
+{
+    Json::Value value(Json::objectValue);
+    value["number"] = Json::UInt64(event.number);
+    value["task"] = textOf(event.task);
+    value["attempt"] = event.attempt;
+    value["kind"] = std::string(nameOf(event.kind));
+    if (!event.checkpoint.empty())
+        value["checkpoint"] = event.checkpoint;
+    if (!event.detail.empty())
+        value["detail"] = event.detail;
+    return value;
+}
+
+task_event taskEventFromJson(const Json::Value &value)
+{
+    task_event event;
+    event.number = numberMember(value, "number");
+    event.task = taskIdFromText(textMember(value, "task"));
+    event.attempt = smallNumberMember(value, "attempt");
+    event.kind = eventKindFromName(textMember(value, "kind"));
+    event.checkpoint = textMemberOr(value, "checkpoint", "");
+    event.detail = textMemberOr(value, "detail", "");
+    return event;
+}
+
+Json::Value toJson(const granted_task &task)
+{
+    Json::Value value(Json::objectValue);
+    value["task"] = textOf(task.task);
+    value["attempt"] = task.attempt;
+    value["failover"] = std::string(nameOf(task.failover));
+    if (!task.checkpoint.empty())
+        value["checkpoint"] = task.checkpoint;
+    return value;
+}
+
+granted_task grantedTaskFromJson(const Json::Value &value)
+{
+    granted_task task;
+    task.task = taskIdFromText(textMember(value, "task"));
+    task.attempt = smallNumberMember(value, "attempt");
+    task.failover = failoverClassFromName(textMember(value, "failover"));
+    task.checkpoint = textMemberOr(value, "checkpoint", "");
+    return task;
+}
+
+template <typename Item>
+Json::Value listToJson(const std::vector<Item> &items)
+{
+    Json::Value list(Json::arrayValue);
+    for (const auto &item : items)
+        list.append(toJson(item));
+    return list;
+}
+
+template <typename Item>
+std::vector<Item> listFromJson(const Json::Value &value, const char *name,
+                               Item (*read)(const Json::Value &))
+{
+    std::vector<Item> items;
+    for (const auto &item : listMember(value, name))
+        items.push_back(read(item));
+    return items;
+}
+
+} // namespace
+
+std::string textOf(const task_id &task)
+{
+    return task.job + "/" + std::to_string(task.index);
+}
+
+task_id taskIdFromText(std::string_view text)
+{
+    const auto slash = text.rfind('/');
+    if (slash == std::string_view::npos || slash == 0)
+        throw error(error_kind::BadRequest, "task \"" + std::string(text) + "\": needs job/index");
+    task_id task{std::string(text.substr(0, slash)), 0};
+    const auto digits = text.substr(slash + 1);
+    const char *end = digits.data() + digits.size();
+    const auto [stop, problem] = std::from_chars(digits.data(), end, task.index);
+    if (problem != std::errc() || stop != end)
+        throw error(error_kind::BadRequest, "task \"" + std::string(text) + "\": bad index");
+    return task;
+}
+
+std::string_view nameOf(failover_class failover)
+{
+    return nameOf(FailoverNames, failover);
+}
+
+std::string_view nameOf(task_event_kind kind)
+{
+    return nameOf(EventNames, kind);
+}
+
+failover_class failoverClassFromName(std::string_view name)
+{
+    const auto failover = valueOf(FailoverNames, name);
+    if (!failover)
+        throw error(error_kind::BadRequest, "unknown failover class \"" + std::string(name) + "\"");
+    return *failover;
+}
+
+Json::Value toJson(const task_attempt &attempt)
+{
+    Json::Value value(Json::objectValue);
+    value["task"] = textOf(attempt.task);
+    value["attempt"] = attempt.attempt;
+    return value;
+}
+
+task_attempt taskAttemptFromJson(const Json::Value &value)
+{
+    return {taskIdFromText(textMember(value, "task")), smallNumberMember(value, "attempt")};
+}
+
+Json::Value toJson(const agent_report &report)
+{
+    Json::Value value(Json::objectValue);
+    value["worker"] = report.worker;
+    value["incarnation"] = Json::UInt64(report.incarnation);
+    value["session"] = report.session;
+    value["sequence"] = Json::UInt64(report.sequence);
+    value["epoch"] = Json::UInt64(report.epoch);
+    value["events"] = listToJson(report.events);
+    return value;
+}
+
+agent_report agentReportFromJson(const Json::Value &value)
+{
+    agent_report report;
+    report.worker = textMember(value, "worker");
+    report.incarnation = numberMember(value, "incarnation");
+    report.session = textMember(value, "session");
+    report.sequence = numberMember(value, "sequence");
+    report.epoch = numberMember(value, "epoch");
+    report.events = listFromJson(value, "events", taskEventFromJson);
+    return report;
+}
+
+Json::Value toJson(const worker_grant &grant)
+{
+    Json::Value value(Json::objectValue);
+    value["shard"] = grant.shard;
+    value["epoch"] = Json::UInt64(grant.epoch);
+    value["worker"] = grant.worker;
+    value["incarnation"] = Json::UInt64(grant.incarnation);
+    value["session"] = grant.session;
+    value["replyTo"] = Json::UInt64(grant.replyTo);
+    value["leaseMs"] = Json::Int64(grant.lease.count());
+    value["ackedThrough"] = Json::UInt64(grant.ackedThrough);
+    value["startAhead"] = grant.startAhead;
+    value["tasks"] = listToJson(grant.tasks);
+    value["backlog"] = listToJson(grant.backlog);
+    value["stops"] = listToJson(grant.stops);
+    value["checkpoints"] = listToJson(grant.checkpoints);
+    value["specs"] = Json::Value(Json::objectValue);
+    for (const auto &[job, spec] : grant.specs)
+        value["specs"][job] = spec;
+    return value;
+}
+
+worker_grant workerGrantFromJson(const Json::Value &value)
+{
+    worker_grant grant;
+    grant.shard = static_cast<int>(smallNumberMember(value, "shard"));
+    grant.epoch = numberMember(value, "epoch");
+    grant.worker = textMember(value, "worker");
+    grant.incarnation = numberMember(value, "incarnation");
+    grant.session = textMember(value, "session");
+    grant.replyTo = numberMember(value, "replyTo");
+    grant.lease = milliseconds(numberMember(value, "leaseMs"));
+    grant.ackedThrough = numberMember(value, "ackedThrough");
+    grant.startAhead = flagMember(value, "startAhead");
+    grant.tasks = listFromJson(value, "tasks", grantedTaskFromJson);
+    grant.backlog = listFromJson(value, "backlog", grantedTaskFromJson);
+    grant.stops = listFromJson(value, "stops", taskAttemptFromJson);
+    grant.checkpoints = listFromJson(value, "checkpoints", taskAttemptFromJson);
+    const Json::Value &specs = objectMember(value, "specs");
+    for (const auto &job : specs.getMemberNames())
+        grant.specs[job] = specs[job];
+    return grant;
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/work/messages.h
@@ -0,0 +1,119 @@
+// Messages between the owner of a shard (an entry) and the agents of its workers, and the names of
+// tasks that both sides share.
+//
+// An agent sends reports; the owner answers each with a grant. Both are repeated whole until they
+// are settled, so a lost, doubled or reordered message changes nothing.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <json/json.h>
+
+#include "base/time.h"
+
+namespace zinniabarrow {
+
+// When a silent worker's task may start elsewhere (docs/design/OWNERSHIP.md).
+enum class failover_class {
+    Lease, // once every lease that the worker can hold has lapsed
+    Proof, // only on proof that the old attempt has ended
+};
+
+struct task_id
+{
+    std::string job;
+    std::uint32_t index = 0; // within the job
+
+    auto operator<=>(const task_id &) const = default;
+};
+
+// "job/index"; the job's own name may hold slashes.
+std::string textOf(const task_id &task);
+task_id taskIdFromText(std::string_view text); // throws error BadRequest
+
+struct task_attempt
+{
+    task_id task;
+    std::uint32_t attempt = 0;
+
+    auto operator<=>(const task_attempt &) const = default;
+};
+
+// What an agent tells the owner about one attempt.
+enum class task_event_kind {
+    Started,
+    Checkpointed, // still running; `checkpoint` names the newest checkpoint
+    Evicted,      // checkpointed and ended
+    Succeeded,
+    Failed,
+    Stopped, // ended on request, or will never start
+    Refused, // does not fit the worker; will never start
+    Lost,    // ended without a result: its lease lapsed, or the worker does not know it
+};
+
+struct task_event
+{
+    std::uint64_t number = 0; // rises by one within an agent's session
+    task_id task;
+    std::uint32_t attempt = 0;
+    task_event_kind kind = task_event_kind::Started;
+    std::string checkpoint; // object name, for Checkpointed and Evicted
+    std::string detail;     // reason of a failure or refusal
+};
+
+// The agent's heartbeat. Events are repeated until a grant acknowledges them.
+struct agent_report
+{
+    std::string worker;
+    std::uint64_t incarnation = 0; // of the worker's instance, from its listing
+    std::string session;           // unique for each process of an agent
+    std::uint64_t sequence = 0;    // rises with each report of the session
+    std::uint64_t epoch = 0;       // newest epoch that the worker itself has recorded
+    std::vector<task_event> events;
+};
+
+struct granted_task
+{
+    task_id task;
+    std::uint32_t attempt = 0;
+    failover_class failover = failover_class::Lease;
+    std::string checkpoint; // resume from here; empty: from the start
+};
+
+// The owner's answer to a report, or (replyTo 0) an unasked repeat that extends no lease.
+struct worker_grant
+{
+    int shard = 0;
+    std::uint64_t epoch = 0;
+    std::string worker;
+    std::uint64_t incarnation = 0;
+    std::string session;            // of the agent that is addressed
+    std::uint64_t replyTo = 0;      // report that is answered; the lease counts from its sending
+    milliseconds lease{0};          // measured by the agent from when it sent report `replyTo`
+    std::uint64_t ackedThrough = 0; // events up to here are settled in the table
+    bool startAhead = false;        // the table is down: the backlog may be started
+    std::vector<granted_task> tasks;
+    std::vector<granted_task> backlog; // placed ahead, in order; not to be started yet
+    std::vector<task_attempt> stops;
+    std::vector<task_attempt> checkpoints;    // checkpoint, then end
+    std::map<std::string, Json::Value> specs; // by job, for `tasks` and `backlog`
+};
+
+std::string_view nameOf(failover_class failover);
+std::string_view nameOf(task_event_kind kind);
+
+// Each reader throws error BadRequest that names the bad member.
+failover_class failoverClassFromName(std::string_view name);
+Json::Value toJson(const task_attempt &attempt);
+task_attempt taskAttemptFromJson(const Json::Value &value);
+Json::Value toJson(const agent_report &report);
+agent_report agentReportFromJson(const Json::Value &value);
+Json::Value toJson(const worker_grant &grant);
+worker_grant workerGrantFromJson(const Json::Value &value);
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/work/ownership.h
@@ -0,0 +1,177 @@
+// Who may decide for a shard of workers.
+//
+// `shard/<n>` holds owner and epoch and changes only with the owner; every write of the owner is
+// conditional on its version. `shard/<n>/lease` is written at each renewal, so that renewals never
+// conflict with the owner's own task transactions.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/time.h"
+#include "platform/records.h"
+#include "work/leases.h"
+
+namespace zinniabarrow {
+
+struct shard_info
+{
+    int shard = 0;
+    std::string zone; // availability zone of its workers
+};
+
+struct entry_info
+{
+    std::string id;
+    std::string zone;
+};
+
+// Stable key of the shard's row, and of the row that renewals write.
+std::string shardKey(int shard);
+std::string shardLeaseKey(int shard);
+constexpr const char *ShardPrefix = "shard/";
+
+// The shard of a worker: rendezvous over the shards of its availability zone (over all if none).
+int shardOfWorker(const std::string &worker, const std::string &zone,
+                  const std::vector<shard_info> &shards);
+
+// Entries by preference for a shard: those outside the shard's availability zone first, so that the
+// loss of one zone does not take the workers and their owner together.
+std::vector<std::string> ownersByPreference(const shard_info &shard,
+                                            const std::vector<entry_info> &entries);
+
+// Events.
+struct shard_rows_read // every row under ShardPrefix
+{
+    std::vector<table_row> rows;
+    time_point readStartedAt;
+};
+struct shard_write_settled
+{
+    std::string operationId;
+    write_result result;
+    time_point sentAt; // taken before the write was sent
+};
+struct peers_changed
+{
+    std::vector<entry_info> entries; // live ones, this one included
+};
+struct ownership_tick
+{ };
+struct release_shards // planned stop: hands over everything it holds
+{ };
+using ownership_event = std::variant<shard_rows_read, shard_write_settled, peers_changed,
+                                     ownership_tick, release_shards>;
+
+// Actions.
+struct commit_shard
+{
+    table_transaction transaction;
+};
+struct scan_shards // read every row under ShardPrefix
+{ };
+struct became_owner
+{
+    int shard = 0;
+    std::uint64_t epoch = 0;
+    std::uint64_t shardVersion = 0; // of `shard/<n>`: each write of the owner is conditional on it
+    time_point waitForSilentUntil;  // a worker that has not attached may hold a lease until then
+};
+struct lost_shard
+{
+    int shard = 0;
+};
+using ownership_action = std::variant<commit_shard, scan_shards, became_owner, lost_shard>;
+
+struct ownership_settings
+{
+    lease_settings leases;
+    milliseconds scanEvery{2'000};      // between two readings of the shard rows
+    milliseconds stagger{2'000};        // each place down the preference waits this much longer
+    milliseconds handOverAfter{60'000}; // a less preferred owner hands over after this long
+};
+
+// The shards of one entry.
+class shard_owner
+{
+public:
+    // `operationPrefix` is unique for each process: no two processes share an operation id.
+    shard_owner(entry_info self, std::string operationPrefix, std::vector<shard_info> shards,
+                ownership_settings settings);
+
+    std::vector<ownership_action> handle(const ownership_event &event, time_point now);
+
+    bool owns(int shard) const;
+    // No grant may be sent at or after this time; checked right before each send. A time in the
+    // past when the shard is not owned.
+    time_point mayGrantUntil(int shard) const;
+    // True once everything was handed over after release_shards.
+    bool released() const;
+
+private:
+    struct pending_write
+    {
+        enum class purpose { Take, Renew, Release } kind = purpose::Take;
+        table_transaction transaction;
+        time_point sentAt;             // of the first sending
+        time_point retryAt;            // resent then, if it stays unsettled
+        time_point waitForSilentUntil; // for Take
+        std::uint64_t epoch = 0;
+        bool everUnknown = false; // a copy may still take effect later
+    };
+
+    struct shard_state
+    {
+        shard_info info;
+        // As last read.
+        std::uint64_t rowVersion = 0;
+        std::uint64_t leaseVersion = 0;
+        std::uint64_t epoch = 0;
+        std::string owner;
+        bool freed = false;           // handed over by its last owner
+        milliseconds silentWait{0};   // what its last owner still had to wait, when freed
+        time_point seenSince = Never; // unchanged since, on this clock
+        time_point lastReadAt;
+        // When owned.
+        bool owned = false;
+        time_point grantUntil;
+        time_point renewAt;
+        time_point waitForSilentUntil;
+        time_point lessPreferredSince = Never;
+        std::optional<pending_write> pending;
+    };
+
+    void handleRows(const shard_rows_read &event, time_point now);
+    void readShard(shard_state &state, const table_row *row, const table_row *lease,
+                   time_point readStartedAt, time_point now);
+    void settlePendingFromRows(shard_state &state, const table_row *row, const table_row *lease,
+                               time_point readStartedAt, time_point now);
+    void handleSettled(const shard_write_settled &event, time_point now);
+    void handleTick(time_point now);
+    void tickOwned(shard_state &state, time_point now);
+    void tickFree(shard_state &state, time_point now);
+    void applied(shard_state &state, std::uint64_t version, time_point now);
+    void lose(shard_state &state);
+    void send(shard_state &state, pending_write write);
+    pending_write makeTake(shard_state &state, time_point now);
+    pending_write makeRenewal(shard_state &state, time_point now);
+    pending_write makeRelease(shard_state &state, time_point now);
+    std::size_t rankFor(const shard_state &state) const;
+    std::string nextOperation();
+
+    entry_info m_self;
+    std::string m_operationPrefix;
+    std::uint64_t m_operations = 0;
+    ownership_settings m_settings;
+    std::vector<entry_info> m_peers;
+    std::map<int, shard_state> m_shards;
+    time_point m_scanAt;
+    bool m_releasing = false;
+    std::vector<ownership_action> m_actions;
+};
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/work/task_keeper.h
@@ -0,0 +1,216 @@
+// The agent's side of the work: what it asks of its worker, and what it tells the owner.
+//
+// What the worker itself must keep is listed in docs/design/OWNERSHIP.md: its incarnation, the
+// newest epoch it was told, and the newest attempt of each task that it ran or was told to stop.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/time.h"
+#include "work/leases.h"
+#include "work/messages.h"
+
+namespace zinniabarrow {
+
+// How an attempt ended on the worker.
+enum class task_outcome {
+    Succeeded,
+    Failed,
+    Evicted, // after a checkpoint request
+    Stopped, // on request, also for an attempt that never ran
+    Lapsed,  // its lease lapsed
+};
+std::string_view nameOf(task_outcome outcome);
+task_outcome taskOutcomeFromName(std::string_view name); // throws error BadRequest
+
+struct finished_task
+{
+    task_attempt attempt;
+    task_outcome outcome = task_outcome::Succeeded;
+    std::string checkpoint;
+    std::string detail;
+};
+
+struct running_task
+{
+    task_attempt attempt;
+    std::string checkpoint; // newest one, if any
+    Json::Value spec;       // as it was started with
+    failover_class failover = failover_class::Lease;
+};
+
+// What a worker runs and what has ended there since it was last told to forget.
+struct worker_listing
+{
+    std::uint64_t number = 0;      // rises with each listing of an incarnation
+    std::uint64_t incarnation = 0; // rises when the instance is restarted or replaced
+    std::uint64_t epoch = 0;       // newest epoch the worker was told
+    std::vector<running_task> running;
+    std::vector<finished_task> finished;
+};
+Json::Value toJson(const worker_listing &listing);
+worker_listing workerListingFromJson(const Json::Value &value);
+
+// Events.
+struct grant_received
+{
+    worker_grant grant;
+};
+struct listing_received
+{
+    worker_listing listing;
+};
+struct start_refused // the worker had a newer attempt, or the lease had lapsed on arrival
+{
+    task_attempt attempt;
+};
+struct keeper_tick
+{ };
+using keeper_event = std::variant<grant_received, listing_received, start_refused, keeper_tick>;
+
+// Actions on the worker. Each is idempotent and repeated until a listing shows its effect.
+struct worker_list // the worker records `epoch` if it is newer, and answers with a listing
+{
+    std::uint64_t epoch = 0;
+};
+struct worker_start
+{
+    granted_task task;
+    Json::Value spec;
+    milliseconds lease{0}; // counted from when the worker made listing `listing`
+    std::uint64_t listing = 0;
+    std::uint64_t epoch = 0;
+};
+struct worker_renew
+{
+    task_attempt attempt;
+    milliseconds lease{0}; // counted from when the worker made listing `listing`
+    std::uint64_t listing = 0;
+};
+struct worker_stop // also for an attempt that is not there: it must never start later
+{
+    task_attempt attempt;
+};
+struct worker_checkpoint // checkpoint, then end
+{
+    task_attempt attempt;
+};
+struct worker_forget // the outcome is settled in the table
+{
+    task_attempt attempt;
+};
+// Actions towards the owner.
+struct send_report
+{
+    agent_report report;
+};
+enum class keeper_count {
+    StaleEpoch,       // grant of a superseded owner
+    StaleIncarnation, // grant for an earlier life of the worker
+    OtherSession,     // grant for another agent of this worker
+    LeaseLapsed,      // a start was held back: the agent's own lease had lapsed
+    OverCapacity,     // a start was refused: it does not fit the worker
+    OldListing,       // a reordered or doubled listing
+    OldAttempt,       // a start of an attempt that already ran here
+    AheadStarted,     // backlog started while the table was down
+};
+std::string_view nameOf(keeper_count reason);
+struct count_keeper
+{
+    keeper_count reason;
+};
+using keeper_action = std::variant<worker_list, worker_start, worker_renew, worker_stop,
+                                   worker_checkpoint, worker_forget, send_report, count_keeper>;
+
+struct keeper_settings
+{
+    lease_settings leases;
+    milliseconds reportEvery{2'000};
+    milliseconds listEvery{1'000};
+    std::size_t reportEvents = 200; // most events in one report
+};
+
+// True if the task with this spec fits beside what the worker runs now (the last check before a
+// start; workers start whatever they are given).
+using capacity_check = std::function<bool(const granted_task &task, const Json::Value &spec)>;
+
+class task_keeper
+{
+public:
+    // `session` is unique for each process.
+    task_keeper(std::string worker, std::string session, keeper_settings settings,
+                capacity_check fits);
+
+    std::vector<keeper_action> handle(const keeper_event &event, time_point now);
+
+    // Tasks that count against the worker's capacity: starting, running, ending.
+    std::vector<running_task> occupying() const;
+    time_point leaseUntil() const { return m_leaseUntil; }
+    std::uint64_t epoch() const { return m_epoch; }
+    std::size_t unackedEvents() const { return m_events.size(); }
+
+private:
+    enum class kept_state { Starting, Running, Ended };
+    struct kept_task
+    {
+        std::uint32_t attempt = 0;
+        kept_state state = kept_state::Starting;
+        failover_class failover = failover_class::Lease;
+        std::string checkpoint;
+        Json::Value spec;
+        granted_task granted;
+        bool refused = false; // a stop was sent because it does not fit
+    };
+
+    void handleGrant(const worker_grant &grant, time_point now);
+    bool accepts(const worker_grant &grant);
+    void takeLease(const worker_grant &grant);
+    void takeAcks(const worker_grant &grant);
+    void takeTask(const granted_task &task, const Json::Value &spec, time_point now);
+    void takeBacklog(const worker_grant &grant, time_point now);
+    void takeStop(const task_attempt &attempt);
+    void handleListing(const worker_listing &listing, time_point now);
+    void adopt(const worker_listing &listing);
+    void takeRunning(const running_task &running);
+    void takeFinished(const finished_task &finished);
+    void handleStartRefused(const task_attempt &attempt);
+    void handleTick(time_point now);
+    void start(kept_task &kept, time_point now);
+    void renew(const task_id &id, const kept_task &kept, time_point now);
+    void report(time_point now);
+    void addEvent(const task_attempt &attempt, task_event_kind kind, const std::string &checkpoint,
+                  const std::string &detail);
+    bool hasEvent(const task_attempt &attempt, task_event_kind kind) const;
+    bool hasEnded(const task_attempt &attempt) const;
+    milliseconds leaseToGive(failover_class failover) const;
+    void count(keeper_count reason);
+
+    std::string m_worker;
+    std::string m_session;
+    keeper_settings m_settings;
+    capacity_check m_fits;
+
+    std::uint64_t m_incarnation = 0; // 0: the worker has not been listed yet
+    std::uint64_t m_epoch = 0;       // newest seen in a grant or a listing
+    std::uint64_t m_workerEpoch = 0; // newest that the worker has recorded
+    std::uint64_t m_listing = 0;
+    time_point m_listingReceivedAt;
+    time_point m_leaseUntil;
+    std::uint64_t m_sequence = 0;
+    std::map<std::uint64_t, time_point> m_sentAt; // of the newest reports
+    std::uint64_t m_lastEvent = 0;
+    std::deque<task_event> m_events; // unacknowledged
+    std::map<task_id, kept_task> m_tasks;
+    time_point m_listAt;
+    time_point m_reportAt;
+    std::vector<keeper_action> m_actions;
+};
+
+} // namespace zinniabarrow
