--- /dev/null
+++ b/libs/placement/actions.h
@@ -0,0 +1,104 @@
+// What the placer asks the daemon to do, and what the daemon tells the placer.
+//
+//   placement_action   place, preempt, throttle, refuse
+//   usage_sample, latency_sample   late measurements of the workers
+//   pool_info, team_quota          from the operators' configuration
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/errors.h"
+#include "base/time.h"
+#include "placement/resources.h"
+
+namespace zinniabarrow {
+
+// Start the task there, limited to `reserved`. The ledger already counts it; report the outcome of
+// the write with placer::taskSettled().
+struct place_action
+{
+    task_ref task;
+    std::string worker;
+    resources reserved; // limits that the worker enforces
+};
+
+enum class preempt_reason {
+    UrgentTask,     // room for an urgent task
+    MemoryPressure, // usage no longer fits the worker
+    Interference,   // it slows a service, and throttling did not help
+};
+
+// Checkpoint the victim and stop it. The ledger counts it until placer::taskReleased().
+struct preempt_action
+{
+    task_ref victim;
+    std::string worker;
+    preempt_reason reason = preempt_reason::UrgentTask;
+    task_ref beneficiary;        // the task for which it makes room; unset for MemoryPressure
+    time_point checkpointBefore; // after it, stop with the last checkpoint that there is
+};
+
+// Limit the processor time of a batch task; its reservation stays as it is.
+struct throttle_action
+{
+    task_ref task;
+    std::string worker;
+    std::int64_t millicores = 0; // the limit; the whole reservation ends the throttling
+};
+
+// The task does not run; `reason` names the limit and what to do.
+struct refuse_action
+{
+    task_ref task;
+    error_kind kind = error_kind::NeverFits; // NeverFits, QuotaExceeded or Quarantined
+    std::string reason;
+};
+
+using placement_action = std::variant<place_action, preempt_action, throttle_action, refuse_action>;
+
+// Outcome of the write that records a placement.
+enum class placement_outcome {
+    Applied,    // the task may start
+    NotApplied, // certain that nothing was written: the task is pending again
+    Unknown,    // the answer was lost: counted, and not placeable, until settled again
+};
+
+// What a task used, seen late and perhaps twice.
+struct usage_sample
+{
+    task_ref task;
+    std::string worker;
+    resources used;        // processor over the sampling interval, memory at its peak
+    time_point measuredAt; // on this process's clock: now minus the age that the message gave
+};
+
+// Tail latency of one instance of a service, seen late.
+struct latency_sample
+{
+    task_ref task; // of the service
+    std::string worker;
+    microseconds p99{0};
+    microseconds target{0}; // at most this is fine
+    time_point measuredAt;
+};
+
+struct pool_info
+{
+    std::string name;
+    resources workerSize; // of its largest workers, as configured
+};
+
+struct team_quota
+{
+    std::string team;
+    double weight = 1; // share when teams compete
+    resources limit;   // reserved at the same time, at most; 0 in a dimension: no limit there
+};
+
+std::string_view nameOf(preempt_reason reason);
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/placement/resources.cpp
@@ -0,0 +1,230 @@
+#include "placement/resources.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "base/errors.h"
+#include "base/names.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr name_table<task_kind, 2> KindNames{{
+        {task_kind::Service, "service"},
+        {task_kind::Batch, "batch"},
+}};
+
+constexpr name_table<task_priority, 3> PriorityNames{{
+        {task_priority::Urgent, "urgent"},
+        {task_priority::Normal, "normal"},
+        {task_priority::Low, "low"},
+}};
+
+constexpr name_table<failover_class, 2> FailoverNames{{
+        {failover_class::Lease, "lease"},
+        {failover_class::Proof, "proof"},
+}};
+
+[[noreturn]] void refuseMember(const char *member, const char *expected)
+{
+    throw error(error_kind::BadRequest,
+                std::string("member \"") + member + "\" must be " + expected);
+}
+
+const Json::Value &memberOf(const Json::Value &value, const char *member)
+{
+    if (!value.isObject())
+        refuseMember(member, "inside an object");
+    return value[member];
+}
+
+// An amount above this is a mistake, and sums of thousands of amounts below it cannot overflow.
+constexpr std::int64_t LargestAmount = std::numeric_limits<std::int64_t>::max() / 1'000'000;
+
+std::int64_t amountMember(const Json::Value &value, const char *member)
+{
+    const auto &found = memberOf(value, member);
+    if (!found.isInt64() || found.asInt64() < 0 || found.asInt64() > LargestAmount)
+        refuseMember(member, "a whole number, zero or above, within range");
+    return found.asInt64();
+}
+
+std::int32_t indexMember(const Json::Value &value, const char *member)
+{
+    const auto &found = memberOf(value, member);
+    if (!found.isInt() || found.asInt() < 0)
+        refuseMember(member, "a whole number, zero or above");
+    return found.asInt();
+}
+
+std::string textMember(const Json::Value &value, const char *member)
+{
+    const auto &found = memberOf(value, member);
+    if (!found.isString() || found.asString().empty())
+        refuseMember(member, "a text that is not empty");
+    return found.asString();
+}
+
+template <typename Enum, std::size_t Size>
+Enum enumMember(const Json::Value &value, const char *member, const name_table<Enum, Size> &names)
+{
+    const auto found = valueOf(names, textMember(value, member));
+    if (!found)
+        refuseMember(member, "one of the known names");
+    return *found;
+}
+
+double shareOf(std::int64_t part, std::int64_t whole)
+{
+    if (part <= 0)
+        return 0;
+    if (whole <= 0)
+        return 1;
+    return static_cast<double>(part) / static_cast<double>(whole);
+}
+
+} // namespace
+
+resources &resources::operator+=(const resources &other)
+{
+    millicores += other.millicores;
+    bytes += other.bytes;
+    accelerators += other.accelerators;
+    return *this;
+}
+
+resources &resources::operator-=(const resources &other)
+{
+    millicores -= other.millicores;
+    bytes -= other.bytes;
+    accelerators -= other.accelerators;
+    return *this;
+}
+
+bool resources::fitsIn(const resources &room) const
+{
+    return millicores <= room.millicores && bytes <= room.bytes
+           && accelerators <= room.accelerators;
+}
+
+bool resources::isNegative() const
+{
+    return millicores < 0 || bytes < 0 || accelerators < 0;
+}
+
+resources largest(const resources &left, const resources &right)
+{
+    return {std::max(left.millicores, right.millicores), std::max(left.bytes, right.bytes),
+            std::max(left.accelerators, right.accelerators)};
+}
+
+resources smallest(const resources &left, const resources &right)
+{
+    return {std::min(left.millicores, right.millicores), std::min(left.bytes, right.bytes),
+            std::min(left.accelerators, right.accelerators)};
+}
+
+double dominantShare(const resources &part, const resources &whole)
+{
+    return std::max({shareOf(part.millicores, whole.millicores), shareOf(part.bytes, whole.bytes),
+                     shareOf(part.accelerators, whole.accelerators)});
+}
+
+std::string_view nameOf(task_kind kind)
+{
+    return nameOf(KindNames, kind);
+}
+
+std::string_view nameOf(task_priority priority)
+{
+    return nameOf(PriorityNames, priority);
+}
+
+std::string_view nameOf(failover_class failover)
+{
+    return nameOf(FailoverNames, failover);
+}
+
+std::string toText(const task_ref &task)
+{
+    return task.jobId + "/" + std::to_string(task.taskIndex);
+}
+
+Json::Value toJson(const resources &amount)
+{
+    Json::Value value(Json::objectValue);
+    value["millicores"] = Json::Int64(amount.millicores);
+    value["bytes"] = Json::Int64(amount.bytes);
+    value["accelerators"] = Json::Int64(amount.accelerators);
+    return value;
+}
+
+Json::Value toJson(const task_ref &task)
+{
+    Json::Value value(Json::objectValue);
+    value["jobId"] = task.jobId;
+    value["taskIndex"] = task.taskIndex;
+    return value;
+}
+
+Json::Value toJson(const task_spec &task)
+{
+    Json::Value value = toJson(task.ref());
+    value["kind"] = std::string(nameOf(task.kind));
+    value["jobClass"] = task.jobClass;
+    value["team"] = task.team;
+    value["priority"] = std::string(nameOf(task.priority));
+    value["pool"] = task.pool;
+    value["declared"] = toJson(task.declared);
+    value["replicas"] = task.replicas;
+    value["failover"] = std::string(nameOf(task.failover));
+    return value;
+}
+
+Json::Value toJson(const worker_info &worker)
+{
+    Json::Value value(Json::objectValue);
+    value["id"] = worker.id;
+    value["zone"] = worker.zone;
+    value["rack"] = worker.rack;
+    value["pool"] = worker.pool;
+    value["size"] = toJson(worker.size);
+    return value;
+}
+
+resources resourcesFromJson(const Json::Value &value)
+{
+    return {amountMember(value, "millicores"), amountMember(value, "bytes"),
+            amountMember(value, "accelerators")};
+}
+
+task_ref taskRefFromJson(const Json::Value &value)
+{
+    return {textMember(value, "jobId"), indexMember(value, "taskIndex")};
+}
+
+task_spec taskSpecFromJson(const Json::Value &value)
+{
+    const auto ref = taskRefFromJson(value);
+    task_spec task;
+    task.jobId = ref.jobId;
+    task.taskIndex = ref.taskIndex;
+    task.kind = enumMember(value, "kind", KindNames);
+    task.jobClass = textMember(value, "jobClass");
+    task.team = textMember(value, "team");
+    task.priority = enumMember(value, "priority", PriorityNames);
+    task.pool = textMember(value, "pool");
+    task.declared = resourcesFromJson(memberOf(value, "declared"));
+    task.replicas = indexMember(value, "replicas");
+    task.failover = enumMember(value, "failover", FailoverNames);
+    return task;
+}
+
+worker_info workerInfoFromJson(const Json::Value &value)
+{
+    return {textMember(value, "id"), textMember(value, "zone"), textMember(value, "rack"),
+            textMember(value, "pool"), resourcesFromJson(memberOf(value, "size"))};
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/placement/resources.h
@@ -0,0 +1,116 @@
+// What tasks ask for and workers hold.
+//
+//   resources   an amount of processor, memory and accelerators, in integers
+//   task_ref    the identity of a task
+//   task_spec   what placement has to know of a task
+//   worker_info what placement has to know of a worker
+//   toJson, …FromJson   their form in messages; a wrong member throws error BadRequest
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include <json/json.h>
+
+namespace zinniabarrow {
+
+// Integers only: sums of reservations never drift by rounding.
+struct resources
+{
+    std::int64_t millicores = 0;   // thousandths of a processor
+    std::int64_t bytes = 0;        // memory
+    std::int64_t accelerators = 0; // whole devices
+
+    resources &operator+=(const resources &other);
+    resources &operator-=(const resources &other);
+    friend resources operator+(resources left, const resources &right) { return left += right; }
+    friend resources operator-(resources left, const resources &right) { return left -= right; }
+    friend bool operator==(const resources &, const resources &) = default;
+
+    // True when every dimension is at most that of `room`.
+    bool fitsIn(const resources &room) const;
+    bool isNegative() const;
+};
+
+// The larger of the two in each dimension.
+resources largest(const resources &left, const resources &right);
+// The smaller of the two in each dimension.
+resources smallest(const resources &left, const resources &right);
+// The largest quotient of `part` by `whole` over all dimensions; a dimension that `whole` lacks
+// counts as full when `part` asks for it.
+double dominantShare(const resources &part, const resources &whole);
+
+enum class task_kind { Service, Batch };
+enum class task_priority { Urgent, Normal, Low };
+
+// When a task may start elsewhere after its worker fell silent.
+enum class failover_class {
+    Lease, // once the lease has lapsed
+    Proof, // only when it is proven that the old one has ended
+};
+
+std::string_view nameOf(task_kind kind);
+std::string_view nameOf(task_priority priority);
+std::string_view nameOf(failover_class failover);
+
+struct task_ref
+{
+    std::string jobId;
+    std::int32_t taskIndex = 0;
+
+    friend auto operator<=>(const task_ref &, const task_ref &) = default;
+};
+
+struct task_ref_hash
+{
+    std::size_t operator()(const task_ref &task) const noexcept
+    {
+        constexpr std::size_t Spread = 0x9e3779b97f4a7c15ULL;
+        return std::hash<std::string>()(task.jobId)
+               + Spread * static_cast<std::size_t>(task.taskIndex + 1);
+    }
+};
+
+// "job/index", for reasons and logs.
+std::string toText(const task_ref &task);
+
+struct task_spec
+{
+    std::string jobId;                 // one service or batch job
+    std::int32_t taskIndex = 0;        // 0 … replicas-1
+    task_kind kind = task_kind::Batch; //
+    std::string
+            jobClass; // tasks of a class behave alike: sizes and interference are learned for it
+    std::string team; // whose quota it counts against
+    task_priority priority = task_priority::Normal;  //
+    std::string pool;                                // which workers may run it
+    resources declared;                              // what the operator wrote, far off at times
+    std::int32_t replicas = 1;                       // tasks of the job
+    failover_class failover = failover_class::Lease; //
+
+    task_ref ref() const { return {jobId, taskIndex}; }
+};
+
+struct worker_info
+{
+    std::string id;
+    std::string zone; // availability zone
+    std::string rack; // unique within its availability zone
+    std::string pool;
+    resources size; // what tasks may use in all
+};
+
+Json::Value toJson(const resources &amount);
+Json::Value toJson(const task_ref &task);
+Json::Value toJson(const task_spec &task);
+Json::Value toJson(const worker_info &worker);
+resources resourcesFromJson(const Json::Value &value);
+task_ref taskRefFromJson(const Json::Value &value);
+task_spec taskSpecFromJson(const Json::Value &value);
+worker_info workerInfoFromJson(const Json::Value &value);
+
+} // namespace zinniabarrow
