Each library has an inner namespace

Cause: settings, placement and work each name resources, failover classes and outcomes of their own; in one namespace they would violate the one-definition rule.

--- a/libs/config/endpoint.cpp
+++ b/libs/config/endpoint.cpp
@@ -4,7 +4,7 @@
 
 #include <arpa/inet.h>
 
-namespace zinniabarrow {
+namespace zinniabarrow::config {
 
 namespace {
 
@@ -61,4 +61,4 @@
     return isVersion4(text) || isVersion6(text);
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::config
--- a/libs/config/endpoint.h
+++ b/libs/config/endpoint.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace zinniabarrow {
+namespace zinniabarrow::config {
 
 struct endpoint
 {
@@ -23,4 +23,4 @@
 
 bool isAddress(const std::string &text);
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::config
--- a/libs/config/fields.h
+++ b/libs/config/fields.h
@@ -13,7 +13,7 @@
 #include "base/time.h"
 #include "config/endpoint.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::config {
 
 // Reads members of one object. A member that is absent keeps its value; one of the wrong type
 // throws BadRequest that names it.
@@ -163,4 +163,4 @@
     return object;
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::config
--- a/libs/config/json_text.cpp
+++ b/libs/config/json_text.cpp
@@ -7,7 +7,7 @@
 #include "base/errors.h"
 #include "base/json.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::config {
 
 namespace {
 
@@ -126,4 +126,4 @@
     return text;
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::config
--- a/libs/config/json_text.h
+++ b/libs/config/json_text.h
@@ -7,7 +7,7 @@
 
 #include <json/json.h>
 
-namespace zinniabarrow {
+namespace zinniabarrow::config {
 
 // One thing that is wrong in an operator's file.
 struct problem
@@ -54,4 +54,4 @@
 // One value on one line, cut to a length that fits a message.
 std::string shortText(const Json::Value &value);
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::config
--- a/libs/config/resources.h
+++ b/libs/config/resources.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 
-namespace zinniabarrow {
+namespace zinniabarrow::config {
 
 struct resources
 {
@@ -13,4 +13,4 @@
     bool operator==(const resources &) const = default;
 };
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::config
--- a/libs/config/schema.cpp
+++ b/libs/config/schema.cpp
@@ -13,7 +13,7 @@
 #include "base/json.h"
 #include "config/endpoint.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::config {
 
 namespace {
 
@@ -290,4 +290,4 @@
     });
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::config
--- a/libs/config/schema.h
+++ b/libs/config/schema.h
@@ -11,7 +11,7 @@
 
 #include "config/json_text.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::config {
 
 // A compiled schema. Beside JSON Schema's own words it knows the formats "name" (letters, digits,
 // '.', '_' and '-'), "ip" and "ip:port".
@@ -42,4 +42,4 @@
 // True for 1 to 63 letters, digits, '.', '_' and '-', the first a letter or digit.
 bool isName(std::string_view text);
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::config
--- a/libs/config/settings.cpp
+++ b/libs/config/settings.cpp
@@ -12,7 +12,7 @@
 #include "config/schema.h"
 #include "config/settings_schema.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::config {
 
 namespace {
 
@@ -306,4 +306,4 @@
     return table;
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::config
--- a/libs/config/settings.h
+++ b/libs/config/settings.h
@@ -14,7 +14,7 @@
 #include "config/endpoint.h"
 #include "config/resources.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::config {
 
 struct listen_settings
 {
@@ -146,4 +146,4 @@
 // A Markdown table of every setting: key, type and range, default, meaning.
 std::string settingsTable(const Json::Value &schema);
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::config
--- a/libs/config/settings_schema.cpp
+++ b/libs/config/settings_schema.cpp
@@ -1,6 +1,6 @@
 #include "config/settings_schema.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::config {
 
 const char *const EntrySettingsSchemaText = R"json({
   "type": "object",
@@ -439,4 +439,4 @@
   "required": ["id", "region", "zone", "rack", "listen", "entries", "upstream", "worker"]
 })json";
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::config
--- a/libs/config/settings_schema.h
+++ b/libs/config/settings_schema.h
@@ -1,9 +1,9 @@
 // Schemas of the two settings files, embedded in the binary.
 #pragma once
 
-namespace zinniabarrow {
+namespace zinniabarrow::config {
 
 extern const char *const EntrySettingsSchemaText;
 extern const char *const AgentSettingsSchemaText;
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::config
--- a/libs/placement/actions.h
+++ b/libs/placement/actions.h
@@ -15,7 +15,7 @@
 #include "base/time.h"
 #include "placement/resources.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::placement {
 
 // Start the task there, limited to `reserved`. The ledger already counts it; report the outcome of
 // the write with placer::taskSettled().
@@ -101,4 +101,4 @@
 
 std::string_view nameOf(preempt_reason reason);
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::placement
--- a/libs/placement/ledger.cpp
+++ b/libs/placement/ledger.cpp
@@ -4,7 +4,7 @@
 
 #include "base/names.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::placement {
 
 namespace {
 
@@ -99,4 +99,4 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::placement
--- a/libs/placement/ledger.h
+++ b/libs/placement/ledger.h
@@ -11,7 +11,7 @@
 
 #include "placement/resources.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::placement {
 
 // All of these count until the entry is released.
 enum class entry_state {
@@ -71,4 +71,4 @@
     std::unordered_map<task_ref, ledger_entry, task_ref_hash> m_entries;
 };
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::placement
--- a/libs/placement/resources.cpp
+++ b/libs/placement/resources.cpp
@@ -6,7 +6,7 @@
 #include "base/errors.h"
 #include "base/names.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::placement {
 
 namespace {
 
@@ -227,4 +227,4 @@
             textMember(value, "pool"), resourcesFromJson(memberOf(value, "size"))};
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::placement
--- a/libs/placement/resources.h
+++ b/libs/placement/resources.h
@@ -16,7 +16,7 @@
 
 #include <json/json.h>
 
-namespace zinniabarrow {
+namespace zinniabarrow::placement {
 
 // Integers only: sums of reservations never drift by rounding.
 struct resources
@@ -113,4 +113,4 @@
 task_spec taskSpecFromJson(const Json::Value &value);
 worker_info workerInfoFromJson(const Json::Value &value);
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::placement
--- a/libs/placement/scheduler.cpp
+++ b/libs/placement/scheduler.cpp
@@ -2,7 +2,7 @@
 
 #include "base/names.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::placement {
 
 namespace {
 
@@ -210,4 +210,4 @@
     return found == m_workers.end() ? nullptr : &found->second.book;
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::placement
--- a/libs/placement/scheduler.h
+++ b/libs/placement/scheduler.h
@@ -29,7 +29,7 @@
 #include <map>
 #include <set>
 
-namespace zinniabarrow {
+namespace zinniabarrow::placement {
 
 struct placer_settings
 {
@@ -117,4 +117,4 @@
     std::set<task_ref> m_pending;
 };
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::placement
--- a/libs/work/json_members.cpp
+++ b/libs/work/json_members.cpp
@@ -2,7 +2,7 @@
 
 #include "base/errors.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::work {
 
 namespace {
 
@@ -78,4 +78,4 @@
     return found.asBool();
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::work
--- a/libs/work/json_members.h
+++ b/libs/work/json_members.h
@@ -7,7 +7,7 @@
 
 #include <json/json.h>
 
-namespace zinniabarrow {
+namespace zinniabarrow::work {
 
 const Json::Value &objectMember(const Json::Value &value, const char *name);
 const Json::Value &listMember(const Json::Value &value, const char *name);
@@ -17,4 +17,4 @@
 std::uint32_t smallNumberMember(const Json::Value &value, const char *name);
 bool flagMember(const Json::Value &value, const char *name);
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::work
--- a/libs/work/leases.h
+++ b/libs/work/leases.h
@@ -3,7 +3,7 @@
 
 #include "base/time.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::work {
 
 struct lease_settings
 {
@@ -24,4 +24,4 @@
     return lease + settings.margin + milliseconds(drift);
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::work
--- a/libs/work/messages.cpp
+++ b/libs/work/messages.cpp
@@ -7,7 +7,7 @@
 #include "base/names.h"
 #include "work/json_members.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::work {
 
 namespace {
 
@@ -221,4 +221,4 @@
     return grant;
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::work
--- a/libs/work/messages.h
+++ b/libs/work/messages.h
@@ -16,7 +16,7 @@
 
 #include "base/time.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::work {
 
 // When a silent worker's task may start elsewhere (docs/design/OWNERSHIP.md).
 enum class failover_class {
@@ -116,4 +116,4 @@
 Json::Value toJson(const worker_grant &grant);
 worker_grant workerGrantFromJson(const Json::Value &value);
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::work
--- a/libs/work/ownership.h
+++ b/libs/work/ownership.h
@@ -16,7 +16,7 @@
 #include "platform/records.h"
 #include "work/leases.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::work {
 
 struct shard_info
 {
@@ -174,4 +174,4 @@
     std::vector<ownership_action> m_actions;
 };
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::work
--- a/libs/work/task_keeper.h
+++ b/libs/work/task_keeper.h
@@ -17,7 +17,7 @@
 #include "work/leases.h"
 #include "work/messages.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::work {
 
 // How an attempt ended on the worker.
 enum class task_outcome {
@@ -213,4 +213,4 @@
     std::vector<keeper_action> m_actions;
 };
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::work
--- a/libs/work/task_table.h
+++ b/libs/work/task_table.h
@@ -21,7 +21,7 @@
 #include "work/leases.h"
 #include "work/messages.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::work {
 
 enum class task_state {
     Pending,    // may be placed; `checkpoint` set: resumes from there
@@ -340,4 +340,4 @@
     std::vector<table_action> m_actions;
 };
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::work
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -8,6 +8,7 @@
 #include "section.h"
 
 using namespace zinniabarrow;
+using namespace zinniabarrow::config;
 using zinniabarrow::tests::section;
 
 namespace {
