--- /dev/null
+++ b/app/request_duty.cpp
@@ -0,0 +1,629 @@
+#include "app/request_duty.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "app/answers.h"
+#include "base/hash.h"
+#include "base/json.h"
+#include "base/json_member.h"
+#include "rpc/rpc.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr std::size_t RingCapacity = 32768;
+constexpr milliseconds TickEvery{10};
+constexpr milliseconds ShareEvery{500};
+constexpr milliseconds ReplyWithin{2000};
+constexpr std::size_t StoredAnswerBytes = 4096; // larger ones are not kept with a claim
+constexpr std::uint64_t RouterSeedStream = 7;
+
+request::membership_settings membershipSettings(const config::entry_settings &settings,
+                                                const process_identity &self)
+{
+    request::membership_settings out;
+    out.entryId = self.id;
+    out.incarnation = self.incarnation;
+    out.shortestPeriod = std::max<milliseconds>(settings.announceSilence / out.missedPeriods,
+                                                milliseconds(100));
+    return out;
+}
+
+request::router_settings routerSettings(const config::entry_settings &settings)
+{
+    request::router_settings out;
+    out.zone = settings.zone;
+    out.region = settings.region;
+    out.spillAt = settings.routing.spill;
+    return out;
+}
+
+request::retry_budget_settings budgetSettings(const config::retry_settings &settings)
+{
+    request::retry_budget_settings out;
+    out.share = settings.share;
+    out.floorPerSecond = settings.floor;
+    return out;
+}
+
+// "/tickets/hold?x" asks service tickets for "/hold?x".
+struct service_target
+{
+    std::string service;
+    std::string rest;
+};
+
+service_target splitTarget(const std::string &target)
+{
+    const auto end = target.find_first_of("/?", 1);
+    if (end == std::string::npos)
+        return {target.substr(1), "/"};
+    std::string rest = target.substr(end);
+    if (rest.front() == '?')
+        rest.insert(rest.begin(), '/');
+    return {target.substr(1, end - 1), rest};
+}
+
+milliseconds remainingOf(const http_request &request, milliseconds unset)
+{
+    const auto text = request.header(DeadlineHeader);
+    if (text.empty())
+        return unset;
+    std::int64_t value = 0;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (read.ec != std::errc() || read.ptr != text.data() + text.size() || value < 0)
+        throw error(error_kind::BadRequest,
+                    std::string(DeadlineHeader) + ": whole milliseconds are needed");
+    return milliseconds(value);
+}
+
+std::optional<request::upstream_load> loadOf(const http_response &response)
+{
+    const auto text = response.header(LoadHeader);
+    const auto comma = text.find(',');
+    if (comma == std::string::npos)
+        return std::nullopt;
+    request::upstream_load load;
+    load.inFlight = std::atoi(text.c_str());
+    load.queued = std::atoi(text.c_str() + comma + 1);
+    return load;
+}
+
+delivery::attempt_outcome outcomeOf(const http_response &response, const std::string &id)
+{
+    // An answer that names another request belongs to that one: never pass it on.
+    if (response.header(RequestIdHeader) != id)
+        return delivery::attempt_cut{};
+    const auto kind = errorKindNamed(response.header(ErrorHeader));
+    if (kind) {
+        delivery::attempt_refused refused;
+        refused.kind = *kind;
+        refused.ran = response.header(ExecutedHeader) == nameOf(executed::No) ? executed::No
+                                                                              : executed::Unknown;
+        refused.ended = refused.ran == executed::No;
+        refused.retryAfter = milliseconds(std::atoll(response.header("Zb-Retry-After-Ms").c_str()));
+        return refused;
+    }
+    delivery::whole_answer whole;
+    whole.status = response.status;
+    whole.bodyBytes = response.body.size();
+    const auto type = response.header("Content-Type");
+    if (!type.empty())
+        whole.headers["Content-Type"] = type;
+    if (response.body.size() <= StoredAnswerBytes)
+        whole.body = response.body;
+    return whole;
+}
+
+delivery::attempt_outcome outcomeOf(call_failure failure)
+{
+    switch (failure) {
+    case call_failure::NotConnected:
+        return delivery::attempt_unreachable{};
+    case call_failure::Late:
+        return delivery::attempt_late{};
+    case call_failure::TooLarge:
+        return delivery::attempt_too_large{};
+    case call_failure::Cut:
+    case call_failure::Unprovable:
+        break;
+    }
+    return delivery::attempt_cut{};
+}
+
+request::attempt_outcome routingOutcome(const delivery::attempt_outcome &outcome)
+{
+    if (std::holds_alternative<delivery::whole_answer>(outcome))
+        return request::attempt_outcome::Answered;
+    const auto *refused = std::get_if<delivery::attempt_refused>(&outcome);
+    if (refused == nullptr || refused->ran != executed::No
+        || refused->kind == error_kind::UpstreamUnreachable)
+        return request::attempt_outcome::Failed;
+    if (refused->kind == error_kind::Draining || refused->kind == error_kind::Starting)
+        return request::attempt_outcome::Leaving;
+    return request::attempt_outcome::Refused;
+}
+
+} // namespace
+
+void caller_call::push(call_step step)
+{
+    const std::lock_guard lock(m_mutex);
+    m_steps.push_back(std::move(step));
+    m_changed.notify_one();
+}
+
+call_step caller_call::next()
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, [this] { return !m_steps.empty(); });
+    auto step = std::move(m_steps.front());
+    m_steps.pop_front();
+    return step;
+}
+
+request_duty::request_duty(duty_system &system, const config::entry_settings &settings,
+                           const process_identity &self, platform_lane &claims, rpc_sender &sender,
+                           metrics &counters, const logger &log,
+                           std::function<void(members_snapshot)> membersChanged)
+    : m_settings(settings)
+    , m_self(self)
+    , m_claims(claims)
+    , m_sender(sender)
+    , m_metrics(counters)
+    , m_log(log)
+    , m_membersChanged(std::move(membersChanged))
+    , m_membership(membershipSettings(settings, self))
+    , m_router(routerSettings(settings), request::two_choices{},
+               random_generator(self.incarnation, RouterSeedStream))
+    , m_flow(
+              self.unique(), {}, [this](error_kind kind) { return permitRetry(kind); },
+              [this](const std::string &id) { return entryAlive(id); })
+{
+    for (const auto &peer : settings.peers)
+        m_peers.push_back({config::toText(peer), {}, 0, {}});
+    m_duty = std::make_unique<duty<event>>(
+            system, RingCapacity, [this](event &what) { handle(what); }, TickEvery,
+            [this] { tick(); });
+}
+
+request_duty::~request_duty() = default;
+
+// --- On HTTP threads ----------------------------------------------------------------------------
+
+http_response request_duty::serve(const http_request &request)
+{
+    const auto now = monotonic_clock::now();
+    const auto target = splitTarget(request.target);
+    auto call = std::make_shared<caller_call>(request);
+    delivery::request_arrived arrived;
+    arrived.id = m_self.unique() + "-" + std::to_string(m_nextRequest++);
+    arrived.service = target.service;
+    arrived.method = request.method;
+    arrived.path = target.rest;
+    arrived.team = request.header(TeamHeader);
+    arrived.idempotencyKey = request.header(KeyHeader);
+    arrived.bodyHash = stableHash(request.body);
+    arrived.deadline = now + remainingOf(request, m_settings.requestDeadline);
+    const std::string id = arrived.id;
+    if (!m_duty->post(arrival{std::move(arrived), call})) {
+        m_metrics.count("refusals_total", "ring_full");
+        return refusalAnswer(error_kind::Overloaded);
+    }
+    http_response lastAnswer;
+    while (true) {
+        const auto step = call->next();
+        if (const auto *answer = std::get_if<answer_step>(&step)) {
+            m_metrics.observeMilliseconds(
+                    "request_ms",
+                    std::chrono::duration<double, std::milli>(monotonic_clock::now() - now)
+                            .count());
+            return finalAnswer(*answer, lastAnswer);
+        }
+        lastAnswer = forwardAndReport(*call, id, std::get<forward_step>(step));
+    }
+}
+
+http_response request_duty::forwardAndReport(const caller_call &call, const std::string &id,
+                                             const forward_step &step)
+{
+    static http_pools pools;
+    const auto startedAt = monotonic_clock::now();
+    const auto target = splitTarget(call.request().target);
+    http_request out;
+    out.method = call.request().method;
+    out.target = target.rest;
+    out.body = call.request().body;
+    for (const auto &[name, value] : call.request().headers) {
+        if (!isReservedHeader(name) || strcasecmp(name.c_str(), TeamHeader) == 0)
+            out.headers[name] = value;
+    }
+    out.headers[RequestIdHeader] = id;
+    out.headers[AttemptHeader] = std::to_string(step.attempt);
+    out.headers[ServiceHeader] = target.service;
+    out.headers[DeadlineHeader] = std::to_string(millisecondsUntil(step.deadline, startedAt));
+
+    const auto result = pools.to(step.upstream.address).call(out, step.deadline);
+    attempt_result ended;
+    ended.event.id = id;
+    ended.event.attempt = step.attempt;
+    ended.routing.upstream = step.upstream;
+    ended.routing.latency = monotonic_clock::now() - startedAt;
+    http_response answer;
+    if (const auto *response = std::get_if<http_response>(&result)) {
+        answer = *response;
+        ended.event.outcome = outcomeOf(answer, id);
+        ended.routing.load = loadOf(answer);
+    } else {
+        ended.event.outcome = outcomeOf(std::get<call_failure>(result));
+    }
+    ended.routing.outcome = routingOutcome(ended.event.outcome);
+    // The ring holds more than all requests in flight can post; were it full all the same, the
+    // request would end by its deadline.
+    if (!m_duty->post(std::move(ended)))
+        m_metrics.count("ring_full_total", "attempt_ended");
+    return answer;
+}
+
+http_response request_duty::finalAnswer(const answer_step &step,
+                                        const http_response &lastAnswer) const
+{
+    if (const auto *refusal = std::get_if<delivery::refuse_request>(&step.answer))
+        return refusalAnswer(refusal->kind, refusal->ran, refusal->retryAfter);
+    http_response answer;
+    if (const auto *replay = std::get_if<delivery::replay_answer>(&step.answer)) {
+        answer.status = replay->stored.status;
+        for (const auto &[name, value] : replay->stored.headers)
+            answer.headers[name] = value;
+        answer.body = replay->stored.body.value_or("");
+        answer.headers[ReplayedHeader] = "yes";
+    } else {
+        answer = lastAnswer;
+        std::erase_if(answer.headers, [](const auto &entry) { return isReservedHeader(entry.first); });
+    }
+    answer.headers[ExecutedHeader] = std::string(nameOf(executed::Yes));
+    return answer;
+}
+
+template<typename Make>
+Json::Value request_duty::ask(Make make)
+{
+    auto reply = std::make_shared<std::promise<Json::Value>>();
+    auto answer = reply->get_future();
+    if (!m_duty->post(make(reply)) || answer.wait_for(ReplyWithin) != std::future_status::ready)
+        throw rpc_refusal(std::string(nameOf(error_kind::Overloaded)), "try again later");
+    try {
+        return answer.get();
+    } catch (const error &problem) {
+        throw rpc_refusal(std::string(nameOf(problem.kind())), problem.what());
+    }
+}
+
+Json::Value request_duty::announce(const Json::Value &parameters)
+{
+    return ask([&](auto reply) { return announced{parameters, reply}; });
+}
+
+Json::Value request_duty::digest(const Json::Value &parameters)
+{
+    const auto message = request::digestFromJson(parameters);
+    return ask([&](auto reply) { return digest_heard{message, reply}; });
+}
+
+Json::Value request_duty::status()
+{
+    return ask([](auto reply) { return status_asked{reply}; });
+}
+
+void request_duty::drain()
+{
+    while (!m_duty->post(delivery::flow_drain{}))
+        std::this_thread::sleep_for(TickEvery);
+}
+
+void request_duty::stop()
+{
+    m_duty->stop();
+}
+
+// --- On the duty's thread -----------------------------------------------------------------------
+
+void request_duty::handle(event &what)
+{
+    m_now = monotonic_clock::now();
+    std::visit([this](auto &each) { on(each, m_now); }, what);
+}
+
+void request_duty::on(arrival &what, time_point now)
+{
+    const auto &service = what.event.service;
+    auto budget = m_budgets.find(service);
+    if (budget == m_budgets.end() && m_router.upstreams(service) > 0)
+        budget = m_budgets.try_emplace(service, budgetSettings(m_settings.retry), now).first;
+    if (budget != m_budgets.end())
+        budget->second.requestStarted(now);
+    m_calls[what.event.id] = what.call;
+    m_services[what.event.id] = service;
+    feed(what.event, now);
+}
+
+void request_duty::on(attempt_result &what, time_point now)
+{
+    m_router.attemptEnded(what.routing, now);
+    const auto service = m_services.find(what.event.id);
+    m_retryService = service == m_services.end() ? std::string() : service->second;
+    feed(what.event, now);
+}
+
+void request_duty::on(delivery::claims_committed &what, time_point now)
+{
+    feed(what, now);
+}
+
+void request_duty::on(delivery::claims_read &what, time_point now)
+{
+    feed(what, now);
+}
+
+void request_duty::on(announced &what, time_point now)
+{
+    try {
+        const bool whole = what.parameters.isMember("whole");
+        const auto outcome = whole
+                ? m_membership.heard(request::announcementFromJson(what.parameters["whole"]), now)
+                : m_membership.heard(request::heartbeatFromJson(what.parameters["beat"]), now);
+        apply(outcome.changes, now);
+        what.reply->set_value(toJson(outcome.reply));
+    } catch (const error &) {
+        m_metrics.count("announcements_refused_total", "bad_request");
+        what.reply->set_exception(std::current_exception());
+    }
+}
+
+void request_duty::on(digest_heard &what, time_point now)
+{
+    const auto outcome = m_membership.heard(what.message, now);
+    apply(outcome.changes, now);
+    for (auto &peer : m_peers) {
+        if (peer.id == what.message.from) {
+            peer.incarnation = std::max(peer.incarnation, what.message.incarnation);
+            peer.heardAt = now;
+        }
+    }
+    Json::Value reply(Json::objectValue);
+    if (outcome.ack)
+        reply["ack"] = toJson(*outcome.ack);
+    reply["entry"] = m_self.id;
+    reply["incarnation"] = Json::UInt64(m_self.incarnation);
+    what.reply->set_value(reply);
+}
+
+void request_duty::on(digest_answered &what, time_point now)
+{
+    const auto peer = std::find_if(m_peers.begin(), m_peers.end(), [&](const peer_entry &each) {
+        return each.address == what.peer;
+    });
+    try {
+        if (!what.ack) {
+            m_membership.digestFailed(what.peer);
+            return;
+        }
+        peer->id = stringMember(*what.ack, "entry");
+        peer->incarnation = countMember(*what.ack, "incarnation");
+        peer->heardAt = now;
+        if (what.ack->isMember("ack")) {
+            auto ack = request::digestAckFromJson((*what.ack)["ack"]);
+            ack.from = what.peer; // digests are kept by the address they are sent to
+            m_membership.heard(ack);
+        }
+    } catch (const error &) {
+        m_metrics.count("digests_refused_total", "bad_request");
+    }
+}
+
+void request_duty::on(status_asked &what, time_point /*now*/)
+{
+    Json::Value status(Json::objectValue);
+    status["entry"] = m_self.id;
+    status["incarnation"] = Json::UInt64(m_self.incarnation);
+    status["in_flight"] = Json::UInt64(m_flow.inFlight());
+    status["draining"] = m_flow.draining();
+    status["upstreams"] = Json::Value(Json::arrayValue);
+    for (const auto &upstream : m_membership.routable())
+        status["upstreams"].append(toJson(upstream));
+    what.reply->set_value(status);
+}
+
+void request_duty::on(delivery::flow_drain &what, time_point now)
+{
+    feed(what, now);
+}
+
+void request_duty::tick()
+{
+    const auto now = monotonic_clock::now();
+    m_now = now;
+    if (m_flow.nextWake() <= now)
+        feed(delivery::flow_tick{}, now);
+    apply(m_membership.tick(now), now);
+    sendDigests(now);
+    if (now >= m_shareAt)
+        shareMembers(now);
+}
+
+void request_duty::feed(const delivery::flow_event &what, time_point now)
+{
+    for (const auto &action : m_flow.handle(what, now))
+        std::visit([&](const auto &each) { perform(each, now); }, action);
+}
+
+void request_duty::perform(const delivery::choose_upstream &action, time_point now)
+{
+    const std::set<std::string> excluded(action.excluded.begin(), action.excluded.end());
+    const auto decision = m_router.choose(action.service, excluded, now);
+    if (const auto *kind = std::get_if<error_kind>(&decision)) {
+        feed(delivery::none_available{action.id, *kind}, now);
+        return;
+    }
+    const auto &chosen = std::get<request::route>(decision);
+    m_routes[action.id] = chosen;
+    feed(delivery::upstream_chosen{action.id, chosen.agentId}, now);
+}
+
+void request_duty::perform(const delivery::forward_request &action, time_point now)
+{
+    const auto &route = m_routes[action.id];
+    m_router.attemptStarted(route, now);
+    m_calls.at(action.id)->push(forward_step{action.attempt, route, action.deadline});
+}
+
+void request_duty::perform(const delivery::cancel_attempt &action, time_point /*now*/)
+{
+    Json::Value parameters(Json::objectValue);
+    parameters["id"] = action.id;
+    parameters["attempt"] = action.attempt;
+    m_sender.call(m_routes[action.id].address, "cancel", parameters,
+                  [](const std::optional<Json::Value> &) {});
+}
+
+void request_duty::perform(const delivery::answer_caller &action, time_point /*now*/)
+{
+    if (const auto *refusal = std::get_if<delivery::refuse_request>(&action.answer))
+        m_metrics.count("refusals_total", nameOf(refusal->kind));
+    else
+        m_metrics.count("answers_total", "whole");
+    m_calls.at(action.id)->push(answer_step{action.answer});
+    m_calls.erase(action.id);
+    m_services.erase(action.id);
+    m_routes.erase(action.id);
+}
+
+void request_duty::perform(const delivery::commit_claims &action, time_point /*now*/)
+{
+    const bool queued = m_claims.run([this, action](platform_client &platform) {
+        m_duty->post(delivery::claims_committed{action.transaction.operationId,
+                                                platform.commit(action.transaction)});
+    });
+    if (!queued)
+        m_duty->post(delivery::claims_committed{action.transaction.operationId,
+                                                {write_outcome::Refused, 0, {}}});
+}
+
+void request_duty::perform(const delivery::read_claims &action, time_point /*now*/)
+{
+    readClaims(action.readId, action.keys, {});
+}
+
+void request_duty::perform(const delivery::scan_claims &action, time_point /*now*/)
+{
+    readClaims(action.readId, {}, {action.prefix});
+}
+
+void request_duty::readClaims(const std::string &readId, std::vector<std::string> keys,
+                              std::vector<std::string> prefixes)
+{
+    const bool queued = m_claims.run(
+            [this, readId, keys = std::move(keys),
+             prefixes = std::move(prefixes)](platform_client &platform) {
+                const auto reading = platform.read(keys, prefixes);
+                delivery::claims_read read{readId, reading.has_value(), {}};
+                if (reading)
+                    read.rows = reading->rows;
+                m_duty->post(std::move(read));
+            });
+    if (!queued)
+        m_duty->post(delivery::claims_read{readId, false, {}});
+}
+
+void request_duty::perform(const delivery::count_flow &action, time_point /*now*/)
+{
+    m_metrics.count("flow_" + std::string(nameOf(action.counter)) + "_total",
+                    action.kind ? nameOf(*action.kind) : "all",
+                    static_cast<double>(action.amount));
+}
+
+void request_duty::perform(const delivery::flow_drained &action, time_point /*now*/)
+{
+    if (action.recordsLost > 0)
+        m_metrics.count("claim_records_lost_total", "drain",
+                        static_cast<double>(action.recordsLost));
+    m_drained = true;
+}
+
+void request_duty::apply(const std::vector<request::membership_change> &changes, time_point now)
+{
+    for (const auto &change : changes) {
+        m_router.apply(change, now);
+        Json::Value fields(Json::objectValue);
+        if (const auto *joined = std::get_if<request::upstream_joined>(&change)) {
+            fields["agent"] = joined->upstream.agentId;
+            m_log.info("upstream_joined", fields);
+        } else if (const auto *left = std::get_if<request::upstream_left>(&change)) {
+            fields["agent"] = left->agentId;
+            fields["reason"] = std::string(nameOf(left->reason));
+            m_log.info("upstream_left", fields);
+        }
+    }
+    if (!changes.empty())
+        m_shareAt = std::min(m_shareAt, now);
+}
+
+void request_duty::sendDigests(time_point now)
+{
+    for (const auto &peer : m_peers) {
+        const auto digest = m_membership.digestFor(peer.address, now);
+        if (!digest)
+            continue;
+        const auto address = peer.address;
+        const bool queued = m_sender.call(
+                address, "digest", toJson(*digest), [this, address](std::optional<Json::Value> ack) {
+                    m_duty->post(digest_answered{address, std::move(ack)});
+                });
+        if (!queued)
+            m_membership.digestFailed(address);
+    }
+}
+
+void request_duty::shareMembers(time_point now)
+{
+    m_shareAt = now + ShareEvery;
+    members_snapshot snapshot;
+    snapshot.agents = m_membership.known();
+    snapshot.liveEntries.push_back(m_self.id);
+    for (const auto &peer : m_peers) {
+        if (!peer.id.empty() && now - peer.heardAt < m_settings.announceSilence * 2)
+            snapshot.liveEntries.push_back(peer.id);
+    }
+    m_membersChanged(std::move(snapshot));
+}
+
+bool request_duty::permitRetry(error_kind kind)
+{
+    const auto budget = m_budgets.find(m_retryService);
+    if (budget == m_budgets.end())
+        return false;
+    request::failed_attempt failed;
+    failed.kind = kind;
+    failed.deadline = Never; // the request's own deadline and attempts are the flow's to check
+    const auto verdict = budget->second.mayRetry(failed, m_now);
+    if (const auto *denied = std::get_if<request::give_up>(&verdict)) {
+        m_metrics.count("retries_denied_total", nameOf(denied->why));
+        return false;
+    }
+    m_metrics.count("retries_total", nameOf(kind));
+    return true;
+}
+
+bool request_duty::entryAlive(const std::string &uniqueId) const
+{
+    if (uniqueId == m_self.unique())
+        return true;
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const peer_entry &peer) {
+        return process_identity{peer.id, peer.incarnation}.unique() == uniqueId
+                && m_now - peer.heardAt < m_settings.announceSilence * 2;
+    });
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/app/request_duty.h
@@ -0,0 +1,200 @@
+// The entry's request duty: membership, routing, retry budgets and the life of callers' requests.
+// One thread decides; the HTTP threads of callers do the waiting and the sending.
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <variant>
+
+#include "app/lanes.h"
+#include "base/log.h"
+#include "config/settings.h"
+#include "delivery/request_flow.h"
+#include "request/membership.h"
+#include "request/retry_budget.h"
+#include "request/router.h"
+#include "runtime/duty.h"
+#include "runtime/http.h"
+#include "runtime/metrics.h"
+
+namespace zinniabarrow {
+
+// What the duty tells the HTTP thread that holds a caller's connection.
+struct forward_step
+{
+    std::uint32_t attempt = 0;
+    request::route upstream;
+    time_point deadline;
+};
+struct answer_step
+{
+    delivery::caller_answer answer;
+};
+using call_step = std::variant<forward_step, answer_step>;
+
+// One caller's request while its HTTP thread waits.
+class caller_call
+{
+public:
+    explicit caller_call(const http_request &request) : m_request(request) { }
+
+    const http_request &request() const { return m_request; }
+    void push(call_step step);
+    call_step next(); // waits
+
+private:
+    const http_request &m_request;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<call_step> m_steps;
+};
+
+// Identity of this process among its peers.
+struct process_identity
+{
+    std::string id;                // from the settings
+    std::uint64_t incarnation = 0; // higher for each start
+
+    std::string unique() const { return id + "@" + std::to_string(incarnation); }
+};
+
+// What the scheduler has to know of the others.
+struct members_snapshot
+{
+    std::vector<request::announcement> agents;   // known ones, silent ones included
+    std::vector<std::string> liveEntries;        // ids, this one included
+};
+
+class request_duty
+{
+public:
+    request_duty(duty_system &system, const config::entry_settings &settings,
+                 const process_identity &self, platform_lane &claims, rpc_sender &sender,
+                 metrics &counters, const logger &log,
+                 std::function<void(members_snapshot)> membersChanged);
+    ~request_duty();
+
+    // Runs on the caller's HTTP thread until the final answer is there.
+    http_response serve(const http_request &request);
+
+    // JSON-RPC bodies; run on an HTTP thread and wait for the duty.
+    Json::Value announce(const Json::Value &parameters);
+    Json::Value digest(const Json::Value &parameters);
+    Json::Value status();
+
+    void drain();
+    bool drained() const { return m_drained; }
+    void stop();
+
+private:
+    struct arrival
+    {
+        delivery::request_arrived event;
+        std::shared_ptr<caller_call> call;
+    };
+    struct attempt_result
+    {
+        delivery::attempt_ended event;
+        request::attempt_ended routing;
+    };
+    struct announced
+    {
+        Json::Value parameters;
+        std::shared_ptr<std::promise<Json::Value>> reply;
+    };
+    struct digest_heard
+    {
+        request::digest message;
+        std::shared_ptr<std::promise<Json::Value>> reply;
+    };
+    struct digest_answered
+    {
+        std::string peer;
+        std::optional<Json::Value> ack;
+    };
+    struct status_asked
+    {
+        std::shared_ptr<std::promise<Json::Value>> reply;
+    };
+    using event = std::variant<arrival, attempt_result, delivery::claims_committed,
+                               delivery::claims_read, announced, digest_heard, digest_answered,
+                               status_asked, delivery::flow_drain>;
+
+    struct peer_entry
+    {
+        std::string address;           // ip:port
+        std::string id;                // once heard
+        std::uint64_t incarnation = 0; // once heard
+        time_point heardAt{};
+    };
+
+    // On HTTP threads.
+    http_response forwardAndReport(const caller_call &call, const std::string &id,
+                                   const forward_step &step);
+    http_response finalAnswer(const answer_step &step, const http_response &lastAnswer) const;
+    template<typename Make>
+    Json::Value ask(Make make);
+
+    // On the duty's thread.
+    void handle(event &what);
+    void on(arrival &what, time_point now);
+    void on(attempt_result &what, time_point now);
+    void on(delivery::claims_committed &what, time_point now);
+    void on(delivery::claims_read &what, time_point now);
+    void on(announced &what, time_point now);
+    void on(digest_heard &what, time_point now);
+    void on(digest_answered &what, time_point now);
+    void on(status_asked &what, time_point now);
+    void on(delivery::flow_drain &what, time_point now);
+    void tick();
+    void feed(const delivery::flow_event &what, time_point now);
+    void perform(const delivery::choose_upstream &action, time_point now);
+    void perform(const delivery::forward_request &action, time_point now);
+    void perform(const delivery::cancel_attempt &action, time_point now);
+    void perform(const delivery::answer_caller &action, time_point now);
+    void perform(const delivery::commit_claims &action, time_point now);
+    void perform(const delivery::read_claims &action, time_point now);
+    void perform(const delivery::scan_claims &action, time_point now);
+    void perform(const delivery::count_flow &action, time_point now);
+    void perform(const delivery::flow_drained &action, time_point now);
+    void readClaims(const std::string &readId, std::vector<std::string> keys,
+                    std::vector<std::string> prefixes);
+    void apply(const std::vector<request::membership_change> &changes, time_point now);
+    void sendDigests(time_point now);
+    void shareMembers(time_point now);
+    bool permitRetry(error_kind kind);
+    bool entryAlive(const std::string &uniqueId) const;
+
+    const config::entry_settings m_settings;
+    const process_identity m_self;
+    platform_lane &m_claims;
+    rpc_sender &m_sender;
+    metrics &m_metrics;
+    const logger &m_log;
+    std::function<void(members_snapshot)> m_membersChanged;
+    std::atomic<std::uint64_t> m_nextRequest{0};
+    std::atomic<bool> m_drained{false};
+
+    // Touched by the duty's thread alone.
+    request::membership m_membership;
+    request::router m_router;
+    delivery::request_flow m_flow;
+    std::map<std::string, request::retry_budget> m_budgets;        // by service
+    std::map<std::string, std::shared_ptr<caller_call>> m_calls;   // by request id
+    std::map<std::string, std::string> m_services;                 // by request id
+    std::map<std::string, request::route> m_routes;                // chosen, by request id
+    std::vector<peer_entry> m_peers;
+    std::string m_retryService;   // of the attempt being handled
+    time_point m_now{};           // of the event being handled
+    time_point m_shareAt{};
+
+    std::unique_ptr<duty<event>> m_duty; // last: its thread uses all of the above
+};
+
+} // namespace zinniabarrow
