--- /dev/null
+++ b/libs/request/membership.h
@@ -0,0 +1,172 @@
+// Membership: which upstreams an entry may route to.
+//
+//   membership_settings   own identity, periods, bounds
+//   membership_change     upstream_joined, upstream_left, upstream_reported: input of the router
+//   membership            announcements, heartbeats and digests in; changes and digests out
+//   announceTargets       which entries an agent announces to
+//
+// An upstream is routable while its state is Serving and somebody hears its agent: this entry, or
+// a peer entry that vouches for it and is itself heard. Leaving counts at once, through any peer.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/time.h"
+#include "request/announcement.h"
+
+namespace zinniabarrow {
+
+struct membership_settings
+{
+    std::string entryId;               // of this entry
+    std::uint64_t incarnation = 0;     // of this process, newer ones are higher
+    milliseconds shortestPeriod{1000}; // between heartbeats when upstreams are few
+    milliseconds longestPeriod{10 * 1000};
+    int announceBytes = 75;                   // of one heartbeat as sent, for the period
+    int announceBytesPerSecond = 1500;        // share of the control budget for heartbeats
+    int missedPeriods = 3;                    // without a heartbeat, until an agent is silent
+    milliseconds digestPeriod{2000};          // between digests to a peer when nothing changed
+    int missedDigests = 3;                    // until a peer's word counts no more
+    milliseconds rememberFor{10 * 60 * 1000}; // upstreams that left, to know late messages
+    std::size_t memberLimit = 4096;           // remembered ones included
+    std::size_t peerLimit = 64;
+    std::size_t recordsPerDigest = 16; // bound on one digest; the rest follows
+};
+
+struct upstream_joined
+{
+    announcement upstream;
+};
+
+enum class leave_reason {
+    Left,     // announced Leaving
+    Silent,   // nobody hears its agent
+    Replaced, // a newer incarnation is there
+    NotReady, // Serving no more, and not Leaving
+};
+std::string_view nameOf(leave_reason reason);
+
+struct upstream_left
+{
+    std::string agentId;
+    std::uint64_t incarnation = 0;
+    leave_reason reason = leave_reason::Left;
+};
+
+struct upstream_reported
+{
+    std::string agentId;
+    std::uint64_t incarnation = 0;
+    upstream_load load;
+};
+
+using membership_change = std::variant<upstream_joined, upstream_left, upstream_reported>;
+
+struct announce_outcome
+{
+    announce_reply reply;
+    std::vector<membership_change> changes;
+};
+
+struct digest_outcome
+{
+    std::optional<digest_ack> ack; // absent: the digest was late, no answer is due
+    std::vector<membership_change> changes;
+};
+
+struct membership_counters
+{
+    std::uint64_t accepted = 0;  // announcements and heartbeats
+    std::uint64_t late = 0;      // old incarnation or sequence
+    std::uint64_t overLimit = 0; // refused for the bound on members or peers
+    std::uint64_t lateDigests = 0;
+    std::uint64_t resyncs = 0; // peers that had to start from the beginning
+    std::map<leave_reason, std::uint64_t> left;
+};
+
+class membership
+{
+public:
+    explicit membership(membership_settings settings);
+
+    announce_outcome heard(const announcement &message, time_point now);
+    announce_outcome heard(const heartbeat &message, time_point now);
+    digest_outcome heard(const digest &message, time_point now);
+    void heard(const digest_ack &message);
+
+    // What went silent meanwhile. Call it several times in the shortest period.
+    std::vector<membership_change> tick(time_point now);
+
+    // The digest that is due for `peer`: at once after a change, else every digestPeriod.
+    std::optional<digest> digestFor(const std::string &peer, time_point now);
+
+    std::vector<announcement> routable() const;
+    std::vector<announcement> known() const; // silent and left ones included
+    std::size_t size() const { return m_members.size(); }
+    const membership_counters &counters() const { return m_counters; }
+
+private:
+    struct member
+    {
+        announcement last;
+        time_point heardAt{};           // directly, by this entry
+        milliseconds period{};          // promised to the agent
+        bool heard = false;             // directly, and not silent since
+        bool everHeard = false;         // directly, in this incarnation
+        std::set<std::string> vouchers; // peers that hear it
+        std::uint64_t version = 0;      // of this entry's table, at the last change
+        bool isRoutable = false;        // as last told to the router
+        time_point goneAt = Never;      // since when nobody hears it or it is leaving
+    };
+    struct peer
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0; // of its last digest
+        std::uint64_t applied = 0;  // version of its table that is applied here
+        time_point heardAt{};
+        bool everHeard = false;
+        std::uint64_t acked = 0; // version of this table that it has applied
+        std::uint64_t sent = 0;  // version last sent
+        time_point sentAt{};
+        bool everSent = false;
+    };
+    using changes = std::vector<membership_change>;
+
+    member *memberFor(const announcement &message);
+    bool isLate(const member &known, std::uint64_t incarnation, std::uint64_t sequence) const;
+    void adopt(member &known, const announcement &message, changes &out);
+    void noteHeard(member &known, time_point now);
+    void applyRecord(const digest_record &record, const std::string &from, changes &out,
+                     time_point now);
+    void evaluate(member &known, changes &out, time_point now);
+    bool isVouched(const member &known, time_point now) const;
+    bool isShared(const member &known) const;
+    bool makeRoom();
+    peer *peerNamed(const std::string &id);
+    void forgetVouchesOf(const std::string &peerId);
+    milliseconds grantedPeriod() const;
+    void touch(member &known) { known.version = ++m_version; }
+
+    membership_settings m_settings;
+    membership_counters m_counters;
+    std::map<std::string, member> m_members; // by agent id
+    std::map<std::string, peer> m_peers;     // by entry id
+    std::uint64_t m_version = 0;
+    std::uint64_t m_digestSequence = 0;
+    std::size_t m_heardDirectly = 0;
+};
+
+// The entries that `agentId` announces to: all of them when there are at most `count`, else the
+// first `count` in rendezvous order, leaving out those that do not answer while others do.
+std::vector<std::string> announceTargets(const std::string &agentId,
+                                         const std::vector<std::string> &entries, std::size_t count,
+                                         const std::set<std::string> &unresponsive = {});
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/request/retry_budget.cpp
@@ -0,0 +1,86 @@
+#include "request/retry_budget.h"
+
+#include <algorithm>
+
+#include "base/names.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr name_table<retry_denial, 5> DenialNames{{
+        {retry_denial::MayHaveRun, "may_have_run"},
+        {retry_denial::NoUse, "no_use"},
+        {retry_denial::NoTimeLeft, "no_time_left"},
+        {retry_denial::AttemptLimit, "attempt_limit"},
+        {retry_denial::BudgetSpent, "budget_spent"},
+}};
+
+} // namespace
+
+std::string_view nameOf(retry_denial denial)
+{
+    return nameOf(DenialNames, denial);
+}
+
+retry_budget::retry_budget(retry_budget_settings settings, time_point now)
+    : m_settings(settings)
+    , m_tokens(settings.floorPerSecond)
+    , m_floorAt(now)
+{ }
+
+void retry_budget::requestStarted(time_point now)
+{
+    ++m_counters.requests;
+    earnFloor(now);
+    earn(m_settings.share);
+}
+
+retry_verdict retry_budget::mayRetry(const failed_attempt &failed, time_point now)
+{
+    earnFloor(now);
+    const auto denial = denialOf(failed, now);
+    if (!denial) {
+        m_tokens -= 1.0;
+        ++m_counters.retried[failed.kind];
+        return retry_now{};
+    }
+    ++m_counters.denied[*denial];
+    const bool spent = *denial == retry_denial::BudgetSpent;
+    return give_up{*denial, spent ? error_kind::RetryBudgetSpent : failed.kind};
+}
+
+std::optional<retry_denial> retry_budget::denialOf(const failed_attempt &failed,
+                                                   time_point now) const
+{
+    const auto &answer = answerFor(failed.kind);
+    if (answer.ran != executed::No)
+        return retry_denial::MayHaveRun;
+    if (!answer.retryElsewhere)
+        return retry_denial::NoUse;
+    if (now + failed.expectedTime >= failed.deadline)
+        return retry_denial::NoTimeLeft;
+    if (failed.attempts >= m_settings.attemptLimit)
+        return retry_denial::AttemptLimit;
+    // When every upstream fails, unlimited retries multiply the load by the attempt limit and keep
+    // the upstreams down. Retries bounded by a share of the requests add at most that share.
+    if (m_tokens < 1.0)
+        return retry_denial::BudgetSpent;
+    return std::nullopt;
+}
+
+void retry_budget::earn(double tokens)
+{
+    m_tokens = std::min(m_tokens + tokens, m_settings.burst);
+}
+
+void retry_budget::earnFloor(time_point now)
+{
+    if (now <= m_floorAt)
+        return;
+    const std::chrono::duration<double> passed = now - m_floorAt;
+    earn(passed.count() * m_settings.floorPerSecond);
+    m_floorAt = now;
+}
+
+} // namespace zinniabarrow
