--- a/libs/base/errors.cpp
+++ b/libs/base/errors.cpp
@@ -34,6 +34,7 @@
         error_answer{KeyInProgress, "key_in_progress", 409, executed::Unknown, false, Later},
         error_answer{PlatformUnavailable, "platform_unavailable", 503, executed::No, false,
                      MuchLater},
+        error_answer{AlreadyExecuted, "already_executed", 409, executed::Yes, false, NoReturn},
         error_answer{OutcomeUnknown, "outcome_unknown", 502, executed::Unknown, false, NoReturn},
         error_answer{AnswerCut, "answer_cut", 502, executed::Unknown, false, NoReturn},
         error_answer{AnswerTooLarge, "answer_too_large", 502, executed::Yes, false, NoReturn},
--- a/libs/base/errors.h
+++ b/libs/base/errors.h
@@ -32,7 +32,8 @@
     Overloaded,
     KeyInProgress,
     PlatformUnavailable,
-    // The request may have run.
+    // The request may have run, or has.
+    AlreadyExecuted,
     OutcomeUnknown,
     AnswerCut,
     AnswerTooLarge,
--- /dev/null
+++ b/libs/delivery/claim_row.cpp
@@ -0,0 +1,125 @@
+#include <iterator>
+
+#include <boost/algorithm/hex.hpp>
+#include <fmt/core.h>
+
+#include "base/hash.h"
+#include "base/names.h"
+#include "delivery/claim_book.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr std::size_t SweepPrefixes = 4096;
+
+constexpr name_table<claim_state, 4> StateNames{{
+        {claim_state::Started, "started"},
+        {claim_state::Finished, "finished"},
+        {claim_state::NotRun, "not_run"},
+        {claim_state::Unknown, "unknown"},
+}};
+
+const Json::Value &member(const Json::Value &value, const char *name, Json::ValueType type)
+{
+    if (!value.isObject() || !value.isMember(name) || !value[name].isConvertibleTo(type))
+        throw error(error_kind::BadRequest, fmt::format("claim row: bad member \"{}\"", name));
+    return value[name];
+}
+
+// Bodies are bytes, JSON strings are text: hexadecimal digits carry any byte.
+std::string toHex(const std::string &bytes)
+{
+    std::string digits;
+    boost::algorithm::hex_lower(bytes, std::back_inserter(digits));
+    return digits;
+}
+
+std::string fromHex(const std::string &digits)
+{
+    std::string bytes;
+    try {
+        boost::algorithm::unhex(digits, std::back_inserter(bytes));
+    } catch (const boost::algorithm::hex_decode_error &) {
+        throw error(error_kind::BadRequest, "claim row: bad member \"body\"");
+    }
+    return bytes;
+}
+
+} // namespace
+
+std::string_view nameOf(claim_state state)
+{
+    return nameOf(StateNames, state);
+}
+
+std::string claimPrefix(std::size_t index)
+{
+    return fmt::format("claim/{:03x}/", index % SweepPrefixes);
+}
+
+std::string claimKey(const std::string &service, const std::string &team, const std::string &key)
+{
+    // Lengths keep two scopes apart whose parts hold the separator.
+    const auto scope =
+            fmt::format("{}:{}/{}:{}/{}", service.size(), service, team.size(), team, key);
+    return claimPrefix(stableHash(scope)) + scope;
+}
+
+Json::Value toJson(const whole_answer &answer)
+{
+    Json::Value value(Json::objectValue);
+    value["status"] = answer.status;
+    value["body_bytes"] = Json::UInt64(answer.bodyBytes);
+    for (const auto &[name, text] : answer.headers)
+        value["headers"][name] = text;
+    if (answer.body)
+        value["body"] = toHex(*answer.body);
+    return value;
+}
+
+whole_answer wholeAnswerFromJson(const Json::Value &value)
+{
+    whole_answer answer;
+    answer.status = member(value, "status", Json::intValue).asInt();
+    answer.bodyBytes = member(value, "body_bytes", Json::uintValue).asUInt64();
+    for (const auto &name : value["headers"].getMemberNames())
+        answer.headers[name] = member(value["headers"], name.c_str(), Json::stringValue).asString();
+    if (value.isMember("body"))
+        answer.body = fromHex(member(value, "body", Json::stringValue).asString());
+    return answer;
+}
+
+Json::Value toJson(const claim_row &row)
+{
+    Json::Value value(Json::objectValue);
+    value["request"] = row.requestId;
+    value["entry"] = row.entryId;
+    value["hash"] = fmt::format("{:016x}", row.requestHash);
+    value["state"] = std::string(nameOf(row.state));
+    value["era"] = Json::UInt64(row.era);
+    if (row.answer)
+        value["answer"] = toJson(*row.answer);
+    return value;
+}
+
+claim_row claimRowFromJson(const Json::Value &value)
+{
+    claim_row row;
+    row.requestId = member(value, "request", Json::stringValue).asString();
+    row.entryId = member(value, "entry", Json::stringValue).asString();
+    const auto hash = member(value, "hash", Json::stringValue).asString();
+    if (hash.size() != 16 || hash.find_first_not_of("0123456789abcdef") != std::string::npos)
+        throw error(error_kind::BadRequest, "claim row: bad member \"hash\"");
+    row.requestHash = std::stoull(hash, nullptr, 16);
+    const auto state = valueOf(StateNames, member(value, "state", Json::stringValue).asString());
+    if (!state)
+        throw error(error_kind::BadRequest, "claim row: bad member \"state\"");
+    row.state = *state;
+    row.era = member(value, "era", Json::uintValue).asUInt64();
+    if (value.isMember("answer"))
+        row.answer = wholeAnswerFromJson(value["answer"]);
+    return row;
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/delivery/flow_messages.cpp
@@ -0,0 +1,31 @@
+#include "delivery/flow_messages.h"
+
+#include "base/names.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr name_table<flow_counter, 12> CounterNames{{
+        {flow_counter::Arrived, "arrived"},
+        {flow_counter::Passed, "passed"},
+        {flow_counter::Replayed, "replayed"},
+        {flow_counter::Refused, "refused"},
+        {flow_counter::Retried, "retried"},
+        {flow_counter::RetryDenied, "retry_denied"},
+        {flow_counter::StaleEvent, "stale_event"},
+        {flow_counter::DoubledEvent, "doubled_event"},
+        {flow_counter::LateOutcome, "late_outcome"},
+        {flow_counter::Unclaimed, "unclaimed"},
+        {flow_counter::ClaimResent, "claim_resent"},
+        {flow_counter::ClaimSwept, "claim_swept"},
+}};
+
+} // namespace
+
+std::string_view nameOf(flow_counter counter)
+{
+    return nameOf(CounterNames, counter);
+}
+
+} // namespace zinniabarrow
