--- /dev/null
+++ b/app/agent.cpp
@@ -0,0 +1,116 @@
+#include "app/agent.h"
+
+#include <thread>
+
+#include "app/admission_duty.h"
+#include "app/announce_duty.h"
+#include "app/answers.h"
+#include "app/lanes.h"
+#include "app/process.h"
+#include "app/rpc_endpoint.h"
+#include "base/json_member.h"
+#include "base/log.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr milliseconds RpcTimeout{500};
+constexpr milliseconds PollEvery{10};
+constexpr milliseconds LeaveAtLeast{1500}; // entries that were not reached hear it from the others
+constexpr std::size_t EntryConnections = 192;
+
+class agent_daemon
+{
+public:
+    explicit agent_daemon(const config::agent_settings &settings)
+        : m_settings(settings)
+        , m_self(identityFor(settings.id))
+        , m_log("agent", settings.id, settings.logLevel)
+        , m_sender(m_duties, RpcTimeout, m_metrics)
+        , m_admission(m_duties, settings, m_metrics)
+        , m_endpoint(m_metrics, [this] { return m_ready.load(); })
+        , m_server(addressOf(settings.listen), {EntryConnections, settings.maxBodyBytes},
+                   [this](const http_request &request) { return serve(request); })
+    {
+        bindMethods();
+    }
+
+    void start()
+    {
+        m_server.start();
+        m_announce.emplace(m_duties, m_settings, m_self, toText(m_server.address()), m_sender,
+                           [this] { return m_admission.load(); });
+        m_announce->setState(request::upstream_state::Serving);
+        m_ready = true;
+        Json::Value fields(Json::objectValue);
+        fields["address"] = toText(m_server.address());
+        m_log.info("agent_started", fields);
+    }
+
+    void drain()
+    {
+        const auto startedAt = monotonic_clock::now();
+        m_log.info("drain_started");
+        m_ready = false;
+        m_announce->setState(request::upstream_state::Leaving);
+        m_admission.drain();
+        const auto giveUpAt = startedAt + m_settings.drain;
+        const auto done = [&](time_point now) {
+            return m_admission.drained() && m_announce->acknowledged()
+                   && now - startedAt >= LeaveAtLeast;
+        };
+        while (!done(monotonic_clock::now()) && monotonic_clock::now() < giveUpAt)
+            std::this_thread::sleep_for(PollEvery);
+        m_server.stop();
+        m_announce->stop();
+        m_admission.stop();
+        m_sender.stop();
+        m_log.info("agent_stopped");
+    }
+
+private:
+    void bindMethods()
+    {
+        m_endpoint.methods().bind("cancel", [this](const Json::Value &parameters) {
+            m_admission.cancel(stringMember(parameters, "id") + "/"
+                               + std::to_string(countMember(parameters, "attempt")));
+            return Json::Value(Json::objectValue);
+        });
+    }
+
+    http_response serve(const http_request &request)
+    {
+        if (request.header(RequestIdHeader).empty()) {
+            if (auto answer = m_endpoint.serve(request))
+                return *answer;
+        }
+        return m_admission.serve(request);
+    }
+
+    config::agent_settings m_settings;
+    process_identity m_self;
+    logger m_log;
+    metrics m_metrics;
+    duty_system m_duties;
+    rpc_sender m_sender;
+    admission_duty m_admission;
+    std::atomic<bool> m_ready{false};
+    rpc_endpoint m_endpoint;
+    std::optional<announce_duty> m_announce;
+    http_server m_server;
+};
+
+} // namespace
+
+int runAgent(const config::agent_settings &settings)
+{
+    stop_signals signals;
+    agent_daemon daemon(settings);
+    daemon.start();
+    signals.wait();
+    daemon.drain();
+    return ExitDone;
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/app/entry.cpp
@@ -0,0 +1,131 @@
+#include "app/entry.h"
+
+#include <thread>
+
+#include "app/lanes.h"
+#include "app/process.h"
+#include "app/request_duty.h"
+#include "app/rpc_endpoint.h"
+#include "base/log.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr milliseconds RpcTimeout{500};
+constexpr milliseconds PollEvery{10};
+constexpr milliseconds UnreadyFirst{500}; // the balancer sees /readyz fail before anything closes
+constexpr std::size_t RpcConnections = 128;
+
+class entry_daemon
+{
+public:
+    explicit entry_daemon(const config::entry_settings &settings)
+        : m_settings(settings)
+        , m_self(identityFor(settings.id))
+        , m_log("entry", settings.id, settings.logLevel)
+        , m_sender(m_duties, RpcTimeout, m_metrics)
+        , m_claims(m_duties, platformAddress(settings), settings.platform.timeout)
+        , m_requests(m_duties, settings, m_self, m_claims, m_sender, m_metrics, m_log,
+                     [](const members_snapshot &) {})
+        , m_endpoint(m_metrics, [this] { return m_ready.load(); })
+        , m_callers(addressOf(settings.listen), {settings.maxConnections, settings.maxBodyBytes},
+                    [this](const http_request &request) { return serveCaller(request); })
+        , m_processes(addressOf(settings.rpc), {RpcConnections, settings.maxBodyBytes},
+                      [this](const http_request &request) { return serveProcess(request); })
+    {
+        bindMethods();
+    }
+
+    void start()
+    {
+        m_processes.start();
+        m_callers.start();
+        m_ready = true;
+        Json::Value fields(Json::objectValue);
+        fields["callers"] = toText(m_callers.address());
+        fields["rpc"] = toText(m_processes.address());
+        m_log.info("entry_started", fields);
+    }
+
+    void drain()
+    {
+        const auto startedAt = monotonic_clock::now();
+        m_log.info("drain_started");
+        m_ready = false;
+        m_callers.announceClose(true);
+        std::this_thread::sleep_for(UnreadyFirst);
+        m_requests.drain();
+        const auto giveUpAt = startedAt + m_settings.drain;
+        const auto done = [&] { return m_requests.drained() && m_callers.inFlight() == 0; };
+        while (!done() && monotonic_clock::now() < giveUpAt)
+            std::this_thread::sleep_for(PollEvery);
+        m_callers.stop();
+        m_processes.stop();
+        m_requests.stop();
+        m_claims.stop();
+        m_sender.stop();
+        m_log.info("entry_stopped");
+    }
+
+private:
+    static socket_address platformAddress(const config::entry_settings &settings)
+    {
+        return {settings.platform.address.address, settings.platform.address.port};
+    }
+
+    void bindMethods()
+    {
+        auto &methods = m_endpoint.methods();
+        methods.bind("announce", [this](const Json::Value &parameters) {
+            return m_requests.announce(parameters);
+        });
+        methods.bind("digest", [this](const Json::Value &parameters) {
+            return m_requests.digest(parameters);
+        });
+        methods.bind("status",
+                     [this](const Json::Value & /*parameters*/) { return m_requests.status(); });
+    }
+
+    http_response serveCaller(const http_request &request)
+    {
+        const auto path = request.path();
+        if (path == "/healthz" || path == "/readyz" || path == "/metrics")
+            return *m_endpoint.serve(request);
+        return m_requests.serve(request);
+    }
+
+    http_response serveProcess(const http_request &request)
+    {
+        if (auto answer = m_endpoint.serve(request))
+            return *answer;
+        return {404, {}, R"({"error":"no such path: use /rpc, /metrics, /healthz or /readyz"})"};
+    }
+
+    config::entry_settings m_settings;
+    process_identity m_self;
+    logger m_log;
+    metrics m_metrics;
+    duty_system m_duties;
+    rpc_sender m_sender;
+    platform_lane m_claims;
+    request_duty m_requests;
+    std::atomic<bool> m_ready{false};
+    rpc_endpoint m_endpoint;
+    http_server m_callers;
+    http_server m_processes;
+};
+
+} // namespace
+
+int runEntry(const config::entry_settings &settings)
+{
+    stop_signals signals;
+    entry_daemon daemon(settings);
+    daemon.start();
+    signals.wait();
+    daemon.drain();
+    return ExitDone;
+}
+
+} // namespace zinniabarrow
--- a/app/lanes.cpp
+++ b/app/lanes.cpp
@@ -19,8 +19,7 @@
     : m_client(platform, timeout)
     , m_duty(std::make_unique<duty<job>>(
               system, LaneCapacity, [this](job &work) { work(m_client); }, NoTick, [] {}))
-{
-}
+{ }
 
 platform_lane::~platform_lane() = default;
 
@@ -40,8 +39,7 @@
 {
     for (std::size_t index = 0; index < SenderThreads; ++index)
         m_threads.push_back(std::make_unique<duty<outgoing>>(
-                system, LaneCapacity, [this](outgoing &message) { send(message); }, NoTick,
-                [] {}));
+                system, LaneCapacity, [this](outgoing &message) { send(message); }, NoTick, [] {}));
 }
 
 rpc_sender::~rpc_sender() = default;
@@ -80,8 +78,7 @@
         result = rpcCall(transport, message.method, message.parameters);
         m_metrics.count("rpc_sent_total", message.method);
     } catch (const rpc_failure &failure) {
-        m_metrics.count("rpc_failed_total",
-                        failure.kind().empty() ? "no_answer" : failure.kind());
+        m_metrics.count("rpc_failed_total", failure.kind().empty() ? "no_answer" : failure.kind());
     }
     message.done(std::move(result));
 }
--- /dev/null
+++ b/app/main.cpp
@@ -0,0 +1,82 @@
+// zinniabarrow: one binary with a subcommand for each role and for operators.
+#include <cstdio>
+#include <string>
+
+#include <fmt/core.h>
+#include <tclap/CmdLine.h>
+
+#include "app/agent.h"
+#include "app/entry.h"
+#include "app/process.h"
+#include "base/errors.h"
+
+using namespace zinniabarrow;
+
+namespace {
+
+constexpr const char *Version = "0.1.0";
+
+void printHelp(FILE *to)
+{
+    fmt::print(to,
+               "zinniabarrow {}\n"
+               "usage: zinniabarrow COMMAND [options]\n\n"
+               "  entry --settings FILE   carry requests, schedule, accept configuration\n"
+               "  agent --settings FILE   admit to one upstream, run its worker's tasks\n\n"
+               "exit codes: 0 done, 1 refused or failed, 2 usage\n",
+               Version);
+}
+
+std::string settingsFile(const std::string &role, int count, char **words)
+{
+    TCLAP::CmdLine command("zinniabarrow " + role, ' ', Version);
+    command.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> file("s", "settings", "JSON settings of the process", true, "",
+                                      "FILE", command);
+    command.parse(count, words);
+    return file.getValue();
+}
+
+int dispatch(const std::string &name, int count, char **words)
+{
+    if (name == "entry") {
+        const auto file = settingsFile(name, count, words);
+        return runEntry(config::entrySettingsFrom(file, readTextFile(file)));
+    }
+    if (name == "agent") {
+        const auto file = settingsFile(name, count, words);
+        return runAgent(config::agentSettingsFrom(file, readTextFile(file)));
+    }
+    if (name == "--help" || name == "help") {
+        printHelp(stdout);
+        return ExitDone;
+    }
+    if (name == "--version") {
+        fmt::print("zinniabarrow {}\n", Version);
+        return ExitDone;
+    }
+    fmt::print(stderr, "unknown command '{}'\n", name);
+    printHelp(stderr);
+    return ExitUsage;
+}
+
+} // namespace
+
+int main(int count, char **words)
+{
+    if (count < 2) {
+        printHelp(stderr);
+        return ExitUsage;
+    }
+    try {
+        return dispatch(words[1], count - 1, words + 1);
+    } catch (const TCLAP::ExitException &exit) {
+        return exit.getExitStatus() == 0 ? ExitDone : ExitUsage;
+    } catch (const TCLAP::ArgException &problem) {
+        fmt::print(stderr, "{} {}\n", problem.error(), problem.argId());
+        return ExitUsage;
+    } catch (const error &problem) {
+        fmt::print(stderr, "{}\n", problem.what());
+        return ExitFailed;
+    }
+}
--- a/app/request_duty.cpp
+++ b/app/request_duty.cpp
@@ -26,8 +26,8 @@
     request::membership_settings out;
     out.entryId = self.id;
     out.incarnation = self.incarnation;
-    out.shortestPeriod = std::max<milliseconds>(settings.announceSilence / out.missedPeriods,
-                                                milliseconds(100));
+    out.shortestPeriod =
+            std::max<milliseconds>(settings.announceSilence / out.missedPeriods, milliseconds(100));
     return out;
 }
 
@@ -216,10 +216,9 @@
     while (true) {
         const auto step = call->next();
         if (const auto *answer = std::get_if<answer_step>(&step)) {
-            m_metrics.observeMilliseconds(
-                    "request_ms",
-                    std::chrono::duration<double, std::milli>(monotonic_clock::now() - now)
-                            .count());
+            m_metrics.observeMilliseconds("request_ms", std::chrono::duration<double, std::milli>(
+                                                                monotonic_clock::now() - now)
+                                                                .count());
             return finalAnswer(*answer, lastAnswer);
         }
         lastAnswer = forwardAndReport(*call, id, std::get<forward_step>(step));
@@ -281,13 +280,14 @@
         answer.headers[ReplayedHeader] = "yes";
     } else {
         answer = lastAnswer;
-        std::erase_if(answer.headers, [](const auto &entry) { return isReservedHeader(entry.first); });
+        std::erase_if(answer.headers,
+                      [](const auto &entry) { return isReservedHeader(entry.first); });
     }
     answer.headers[ExecutedHeader] = std::string(nameOf(executed::Yes));
     return answer;
 }
 
-template<typename Make>
+template <typename Make>
 Json::Value request_duty::ask(Make make)
 {
     auto reply = std::make_shared<std::promise<Json::Value>>();
@@ -371,9 +371,11 @@
 {
     try {
         const bool whole = what.parameters.isMember("whole");
-        const auto outcome = whole
-                ? m_membership.heard(request::announcementFromJson(what.parameters["whole"]), now)
-                : m_membership.heard(request::heartbeatFromJson(what.parameters["beat"]), now);
+        const auto outcome =
+                whole ? m_membership.heard(request::announcementFromJson(what.parameters["whole"]),
+                                           now)
+                      : m_membership.heard(request::heartbeatFromJson(what.parameters["beat"]),
+                                           now);
         apply(outcome.changes, now);
         what.reply->set_value(toJson(outcome.reply));
     } catch (const error &) {
@@ -407,7 +409,7 @@
     });
     try {
         if (!what.ack) {
-            m_membership.digestFailed(what.peer);
+            m_metrics.count("digests_failed_total", "no_answer");
             return;
         }
         peer->id = stringMember(*what.ack, "entry");
@@ -524,15 +526,14 @@
 void request_duty::readClaims(const std::string &readId, std::vector<std::string> keys,
                               std::vector<std::string> prefixes)
 {
-    const bool queued = m_claims.run(
-            [this, readId, keys = std::move(keys),
-             prefixes = std::move(prefixes)](platform_client &platform) {
-                const auto reading = platform.read(keys, prefixes);
-                delivery::claims_read read{readId, reading.has_value(), {}};
-                if (reading)
-                    read.rows = reading->rows;
-                m_duty->post(std::move(read));
-            });
+    const bool queued = m_claims.run([this, readId, keys = std::move(keys),
+                                      prefixes = std::move(prefixes)](platform_client &platform) {
+        const auto reading = platform.read(keys, prefixes);
+        delivery::claims_read read{readId, reading.has_value(), {}};
+        if (reading)
+            read.rows = reading->rows;
+        m_duty->post(std::move(read));
+    });
     if (!queued)
         m_duty->post(delivery::claims_read{readId, false, {}});
 }
@@ -540,8 +541,7 @@
 void request_duty::perform(const delivery::count_flow &action, time_point /*now*/)
 {
     m_metrics.count("flow_" + std::string(nameOf(action.counter)) + "_total",
-                    action.kind ? nameOf(*action.kind) : "all",
-                    static_cast<double>(action.amount));
+                    action.kind ? nameOf(*action.kind) : "all", static_cast<double>(action.amount));
 }
 
 void request_duty::perform(const delivery::flow_drained &action, time_point /*now*/)
@@ -577,12 +577,13 @@
         if (!digest)
             continue;
         const auto address = peer.address;
-        const bool queued = m_sender.call(
-                address, "digest", toJson(*digest), [this, address](std::optional<Json::Value> ack) {
-                    m_duty->post(digest_answered{address, std::move(ack)});
-                });
+        const bool queued =
+                m_sender.call(address, "digest", toJson(*digest),
+                              [this, address](std::optional<Json::Value> ack) {
+                                  m_duty->post(digest_answered{address, std::move(ack)});
+                              });
         if (!queued)
-            m_membership.digestFailed(address);
+            m_metrics.count("digests_failed_total", "ring_full");
     }
 }
 
@@ -622,7 +623,7 @@
         return true;
     return std::any_of(m_peers.begin(), m_peers.end(), [&](const peer_entry &peer) {
         return process_identity{peer.id, peer.incarnation}.unique() == uniqueId
-                && m_now - peer.heardAt < m_settings.announceSilence * 2;
+               && m_now - peer.heardAt < m_settings.announceSilence * 2;
     });
 }
 
--- a/app/request_duty.h
+++ b/app/request_duty.h
@@ -42,7 +42,9 @@
 class caller_call
 {
 public:
-    explicit caller_call(const http_request &request) : m_request(request) { }
+    explicit caller_call(const http_request &request)
+        : m_request(request)
+    { }
 
     const http_request &request() const { return m_request; }
     void push(call_step step);
@@ -67,8 +69,8 @@
 // What the scheduler has to know of the others.
 struct members_snapshot
 {
-    std::vector<request::announcement> agents;   // known ones, silent ones included
-    std::vector<std::string> liveEntries;        // ids, this one included
+    std::vector<request::announcement> agents; // known ones, silent ones included
+    std::vector<std::string> liveEntries;      // ids, this one included
 };
 
 class request_duty
@@ -138,7 +140,7 @@
     http_response forwardAndReport(const caller_call &call, const std::string &id,
                                    const forward_step &step);
     http_response finalAnswer(const answer_step &step, const http_response &lastAnswer) const;
-    template<typename Make>
+    template <typename Make>
     Json::Value ask(Make make);
 
     // On the duty's thread.
@@ -185,13 +187,13 @@
     request::membership m_membership;
     request::router m_router;
     delivery::request_flow m_flow;
-    std::map<std::string, request::retry_budget> m_budgets;        // by service
-    std::map<std::string, std::shared_ptr<caller_call>> m_calls;   // by request id
-    std::map<std::string, std::string> m_services;                 // by request id
-    std::map<std::string, request::route> m_routes;                // chosen, by request id
+    std::map<std::string, request::retry_budget> m_budgets;      // by service
+    std::map<std::string, std::shared_ptr<caller_call>> m_calls; // by request id
+    std::map<std::string, std::string> m_services;               // by request id
+    std::map<std::string, request::route> m_routes;              // chosen, by request id
     std::vector<peer_entry> m_peers;
-    std::string m_retryService;   // of the attempt being handled
-    time_point m_now{};           // of the event being handled
+    std::string m_retryService; // of the attempt being handled
+    time_point m_now{};         // of the event being handled
     time_point m_shareAt{};
 
     std::unique_ptr<duty<event>> m_duty; // last: its thread uses all of the above
--- a/app/rpc_endpoint.cpp
+++ b/app/rpc_endpoint.cpp
@@ -5,8 +5,7 @@
 rpc_endpoint::rpc_endpoint(metrics &counters, std::function<bool()> ready)
     : m_metrics(counters)
     , m_ready(std::move(ready))
-{
-}
+{ }
 
 std::optional<http_response> rpc_endpoint::serve(const http_request &request) const
 {
@@ -14,12 +13,14 @@
     if (path == "/rpc")
         return http_response{200, {}, m_methods.handle(request.body)};
     if (path == "/metrics")
-        return http_response{200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()};
+        return http_response{
+                200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()};
     if (path == "/healthz")
         return http_response{200, {}, R"({"status":"alive"})"};
     if (path == "/readyz") {
         const bool ready = m_ready();
-        return http_response{ready ? 200 : 503, {},
+        return http_response{ready ? 200 : 503,
+                             {},
                              ready ? R"({"status":"ready"})" : R"({"status":"not ready"})"};
     }
     return std::nullopt;
--- a/libs/base/log.cpp
+++ b/libs/base/log.cpp
@@ -32,6 +32,16 @@
 
 } // namespace
 
+std::string_view nameOf(log_level level)
+{
+    return nameOf(LevelNames, level);
+}
+
+std::optional<log_level> logLevelNamed(std::string_view name)
+{
+    return valueOf(LevelNames, name);
+}
+
 logger::logger(std::string role, std::string id, log_level lowest)
     : m_role(std::move(role))
     , m_id(std::move(id))
@@ -43,7 +53,7 @@
     if (level < m_lowest)
         return;
     fields["time"] = wallTime();
-    fields["level"] = std::string(nameOf(LevelNames, level));
+    fields["level"] = std::string(nameOf(level));
     fields["event"] = std::string(event);
     fields["role"] = m_role;
     fields["id"] = m_id;
--- a/libs/base/log.h
+++ b/libs/base/log.h
@@ -1,6 +1,7 @@
 // Logs: JSON lines on standard error, one event name for each line.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -9,6 +10,8 @@
 namespace zinniabarrow {
 
 enum class log_level { Debug, Info, Warning, Error };
+std::string_view nameOf(log_level level);
+std::optional<log_level> logLevelNamed(std::string_view name);
 
 // Writes whole lines, safe from several threads.
 class logger
--- a/libs/config/settings.cpp
+++ b/libs/config/settings.cpp
@@ -12,17 +12,23 @@
 #include "config/schema.h"
 #include "config/settings_schema.h"
 
+namespace zinniabarrow {
+
+// Found by argument-dependent look-up from fields.h, so in the namespace of log_level.
+static void fromName(const std::string &name, log_level &level)
+{
+    const auto value = logLevelNamed(name);
+    if (!value)
+        throw error(error_kind::BadRequest, "unknown log level " + name);
+    level = *value;
+}
+
+} // namespace zinniabarrow
+
 namespace zinniabarrow::config {
 
 namespace {
 
-constexpr name_table<log_level, 4> LogLevelNames{{
-        {log_level::Debug, "debug"},
-        {log_level::Info, "info"},
-        {log_level::Warning, "warning"},
-        {log_level::Error, "error"},
-}};
-
 constexpr name_table<routing_policy, 2> RoutingPolicyNames{{
         {routing_policy::TwoChoices, "two_choices"},
         {routing_policy::Random, "random"},
@@ -45,16 +51,6 @@
 }
 
 // Found by argument-dependent look-up from fields.h, so not in the unnamed namespace.
-static std::string_view nameOf(log_level level)
-{
-    return nameOf(LogLevelNames, level);
-}
-
-static void fromName(const std::string &name, log_level &level)
-{
-    level = named(LogLevelNames, name);
-}
-
 static void fromName(const std::string &name, routing_policy &policy)
 {
     policy = named(RoutingPolicyNames, name);
--- a/libs/delivery/claim_book.cpp
+++ b/libs/delivery/claim_book.cpp
@@ -7,7 +7,7 @@
 
 #include "base/hash.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::delivery {
 
 namespace {
 
@@ -589,4 +589,4 @@
     return std::exchange(m_actions, {});
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::delivery
--- a/libs/delivery/claim_book.h
+++ b/libs/delivery/claim_book.h
@@ -26,7 +26,7 @@
 #include "delivery/flow_messages.h"
 #include "platform/records.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::delivery {
 
 enum class claim_state {
     Started,  // may be running, or may have been run by an entry that died
@@ -228,4 +228,4 @@
     std::vector<claim_action> m_actions;
 };
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::delivery
--- a/libs/delivery/claim_row.cpp
+++ b/libs/delivery/claim_row.cpp
@@ -7,7 +7,7 @@
 #include "base/names.h"
 #include "delivery/claim_book.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::delivery {
 
 namespace {
 
@@ -122,4 +122,4 @@
     return row;
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::delivery
--- a/libs/delivery/flow_messages.cpp
+++ b/libs/delivery/flow_messages.cpp
@@ -2,7 +2,7 @@
 
 #include "base/names.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::delivery {
 
 namespace {
 
@@ -28,4 +28,4 @@
     return nameOf(CounterNames, counter);
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::delivery
--- a/libs/delivery/flow_messages.h
+++ b/libs/delivery/flow_messages.h
@@ -18,7 +18,7 @@
 #include "base/time.h"
 #include "platform/records.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::delivery {
 
 // --- Events -------------------------------------------------------------------------------------
 
@@ -232,4 +232,4 @@
 
 std::string_view nameOf(flow_counter counter);
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::delivery
--- a/libs/delivery/request_flow.cpp
+++ b/libs/delivery/request_flow.cpp
@@ -9,7 +9,7 @@
 #include "base/hash.h"
 #include "base/names.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::delivery {
 
 namespace {
 
@@ -433,4 +433,4 @@
     return nullptr;
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::delivery
--- a/libs/delivery/request_flow.h
+++ b/libs/delivery/request_flow.h
@@ -19,7 +19,7 @@
 #include "delivery/claim_book.h"
 #include "delivery/flow_messages.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::delivery {
 
 struct flow_settings
 {
@@ -118,4 +118,4 @@
     std::vector<flow_action> m_actions;  // of the event being handled
 };
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::delivery
--- a/libs/request/admission.cpp
+++ b/libs/request/admission.cpp
@@ -5,7 +5,7 @@
 #include <queue>
 #include <utility>
 
-namespace zinniabarrow {
+namespace zinniabarrow::request {
 
 namespace {
 
@@ -361,4 +361,4 @@
     return estimateFor(service).mean;
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::request
--- a/libs/request/admission.h
+++ b/libs/request/admission.h
@@ -17,7 +17,7 @@
 #include "base/errors.h"
 #include "base/time.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::request {
 
 struct admission_settings
 {
@@ -159,4 +159,4 @@
     bool m_draining = false;
 };
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::request
--- a/libs/request/announcement.cpp
+++ b/libs/request/announcement.cpp
@@ -5,7 +5,7 @@
 #include "base/names.h"
 #include "request/json_members.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::request {
 
 namespace {
 
@@ -213,4 +213,4 @@
     return {idIn(json, "from"), numberIn(json, "incarnation"), numberIn(json, "upTo")};
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::request
--- a/libs/request/announcement.h
+++ b/libs/request/announcement.h
@@ -20,7 +20,7 @@
 #include "base/errors.h"
 #include "base/time.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::request {
 
 enum class upstream_state {
     Starting, // takes no requests yet
@@ -112,4 +112,4 @@
 Json::Value toJson(const digest_ack &message);
 digest_ack digestAckFromJson(const Json::Value &json);
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::request
--- a/libs/request/json_members.cpp
+++ b/libs/request/json_members.cpp
@@ -4,7 +4,7 @@
 
 #include "base/errors.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::request {
 
 namespace {
 
@@ -72,4 +72,4 @@
     return value.asBool();
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::request
--- a/libs/request/json_members.h
+++ b/libs/request/json_members.h
@@ -6,7 +6,7 @@
 
 #include <json/json.h>
 
-namespace zinniabarrow {
+namespace zinniabarrow::request {
 
 const Json::Value &objectIn(const Json::Value &json, const char *name);
 const Json::Value &arrayIn(const Json::Value &json, const char *name);
@@ -15,4 +15,4 @@
 int smallCountIn(const Json::Value &json, const char *name);     // zero or above, fits an int
 bool flagIn(const Json::Value &json, const char *name);
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::request
--- a/libs/request/membership.cpp
+++ b/libs/request/membership.cpp
@@ -6,7 +6,7 @@
 #include "base/hash.h"
 #include "base/names.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::request {
 
 namespace {
 
@@ -364,4 +364,4 @@
     return targets;
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::request
--- a/libs/request/membership.h
+++ b/libs/request/membership.h
@@ -21,7 +21,7 @@
 #include "base/time.h"
 #include "request/announcement.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::request {
 
 struct membership_settings
 {
@@ -169,4 +169,4 @@
                                          const std::vector<std::string> &entries, std::size_t count,
                                          const std::set<std::string> &unresponsive = {});
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::request
--- a/libs/request/retry_budget.cpp
+++ b/libs/request/retry_budget.cpp
@@ -4,7 +4,7 @@
 
 #include "base/names.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::request {
 
 namespace {
 
@@ -83,4 +83,4 @@
     m_floorAt = now;
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::request
--- a/libs/request/retry_budget.h
+++ b/libs/request/retry_budget.h
@@ -14,7 +14,7 @@
 #include "base/errors.h"
 #include "base/time.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::request {
 
 struct retry_budget_settings
 {
@@ -83,4 +83,4 @@
     time_point m_floorAt; // floor earned up to here
 };
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::request
--- a/libs/request/router.cpp
+++ b/libs/request/router.cpp
@@ -7,7 +7,7 @@
 
 #include "base/names.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::request {
 
 namespace {
 
@@ -342,4 +342,4 @@
     return kind;
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::request
--- a/libs/request/router.h
+++ b/libs/request/router.h
@@ -20,7 +20,7 @@
 #include "base/time.h"
 #include "request/membership.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::request {
 
 struct router_settings
 {
@@ -164,4 +164,4 @@
     std::map<std::string, duration> m_latency; // by service
 };
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::request
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -47,6 +47,15 @@
            + std::to_string(1 + (pid & 255U) % 254);
 }
 
+Json::Value listenOn(const std::string &address)
+{
+    const auto parsed = parseAddress(address);
+    Json::Value listen(Json::objectValue);
+    listen["address"] = parsed.address;
+    listen["port"] = parsed.port;
+    return listen;
+}
+
 void merge(Json::Value &into, const Json::Value &from)
 {
     for (const auto &name : from.getMemberNames()) {
@@ -236,14 +245,14 @@
     settings["id"] = "entry-" + std::to_string(index);
     settings["region"] = m_options.region;
     settings["zone"] = m_options.zones[index % m_options.zones.size()];
-    settings["listen"] = entryAddress(index);
-    settings["rpc"] = entryRpcAddress(index);
+    settings["listen"] = listenOn(entryAddress(index));
+    settings["rpc"] = listenOn(entryRpcAddress(index));
     settings["peers"] = Json::Value(Json::arrayValue);
     for (unsigned peer = 0; peer < m_options.entries; ++peer) {
         if (peer != index)
             settings["peers"].append(entryRpcAddress(peer));
     }
-    settings["platform"] = platformAddress();
+    settings["platform"]["address"] = platformAddress();
     merge(settings, m_options.entrySettings);
     const auto file = writeSettings("entry-" + std::to_string(index), settings);
     m_entries.at(index) =
@@ -259,7 +268,7 @@
     settings["region"] = m_options.region;
     settings["zone"] = m_options.zones[index % m_options.zones.size()];
     settings["rack"] = "rack-" + std::to_string(index / WorkersPerRack);
-    settings["listen"] = agentAddress(index);
+    settings["listen"] = listenOn(agentAddress(index));
     settings["entries"] = Json::Value(Json::arrayValue);
     for (unsigned entry = 0; entry < m_options.entries; ++entry)
         settings["entries"].append(entryRpcAddress(entry));
@@ -270,9 +279,8 @@
     worker["address"] = workerAddress(index);
     worker["id"] = workerId(index);
     worker["pool"] = "shared";
-    worker["millicores"] = Json::Int64(m_options.millicores);
-    worker["bytes"] = Json::Int64(m_options.bytes);
-    worker["accelerators"] = 0;
+    worker["size"]["millicores"] = Json::Int64(m_options.millicores);
+    worker["size"]["bytes"] = Json::Int64(m_options.bytes);
     merge(settings, m_options.agentSettings);
     const auto file = writeSettings(name, settings);
     m_agents.at(index) =
