config: folder, validation, generations and operators' view, first cut

Change: merge (RFC 7396) with the place of each value, whole-folder validation, generation_follower for agents, generation_keeper for entries, status as table and JSON.

--- a/libs/config/fields.h
+++ b/libs/config/fields.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <type_traits>
 #include <vector>
@@ -10,11 +11,22 @@
 #include <json/json.h>
 
 #include "base/errors.h"
+#include "base/names.h"
 #include "base/time.h"
 #include "config/endpoint.h"
 
 namespace zinniabarrow {
 
+// The enumerator of a name; throws BadRequest where the table lacks it.
+template <typename Enum, std::size_t Size>
+Enum valueNamed(const name_table<Enum, Size> &table, const std::string &name)
+{
+    const auto value = valueOf(table, name);
+    if (!value)
+        throw error(error_kind::BadRequest, "unknown name " + name);
+    return *value;
+}
+
 // Reads members of one object. A member that is absent keeps its value; one of the wrong type
 // throws BadRequest that names it.
 class field_reader
@@ -57,6 +69,7 @@
             throw error(error_kind::BadRequest, "expected true or false");
         member = value.asBool();
     }
+    static void read(const Json::Value &value, Json::Value &member) { member = value; }
     static void read(const Json::Value &value, double &member) { member = value.asDouble(); }
     static void read(const Json::Value &value, int &member) { member = value.asInt(); }
     static void read(const Json::Value &value, std::int64_t &member) { member = value.asInt64(); }
@@ -88,6 +101,15 @@
             read(element, member.emplace_back());
     }
     template <typename T>
+    static void read(const Json::Value &value, std::map<std::string, T> &member)
+    {
+        if (!value.isObject())
+            throw error(error_kind::BadRequest, "expected an object");
+        member.clear();
+        for (const auto &name : value.getMemberNames())
+            read(value[name], member[name]);
+    }
+    template <typename T>
     static void read(const Json::Value &value, T &member)
     {
         if constexpr (std::is_enum_v<T>) {
@@ -115,6 +137,7 @@
 
 private:
     static Json::Value written(const std::string &member) { return member; }
+    static Json::Value written(const Json::Value &member) { return member; }
     static Json::Value written(bool member) { return member; }
     static Json::Value written(double member) { return member; }
     static Json::Value written(int member) { return member; }
@@ -132,6 +155,14 @@
         return array;
     }
     template <typename T>
+    static Json::Value written(const std::map<std::string, T> &member)
+    {
+        Json::Value object(Json::objectValue);
+        for (const auto &[name, element] : member)
+            object[name] = written(element);
+        return object;
+    }
+    template <typename T>
     static Json::Value written(const T &member)
     {
         if constexpr (std::is_enum_v<T>) {
--- /dev/null
+++ b/libs/config/folder.cpp
@@ -0,0 +1,255 @@
+#include "config/folder.h"
+
+#include <algorithm>
+
+#include "base/errors.h"
+#include "base/json.h"
+#include "base/names.h"
+#include "config/fields.h"
+#include "config/folder_schema.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr name_table<failover_class, 2> FailoverNames{{
+        {failover_class::Lease, "lease"},
+        {failover_class::Proof, "proof"},
+}};
+
+constexpr name_table<priority_class, 3> PriorityNames{{
+        {priority_class::Urgent, "urgent"},
+        {priority_class::Normal, "normal"},
+        {priority_class::Low, "low"},
+}};
+
+} // namespace
+
+std::string_view nameOf(failover_class failover)
+{
+    return nameOf(FailoverNames, failover);
+}
+
+std::string_view nameOf(priority_class priority)
+{
+    return nameOf(PriorityNames, priority);
+}
+
+// Found by argument-dependent look-up from fields.h, so not in the unnamed namespace.
+static void fromName(const std::string &name, failover_class &failover)
+{
+    failover = valueNamed(FailoverNames, name);
+}
+
+static void fromName(const std::string &name, priority_class &priority)
+{
+    priority = valueNamed(PriorityNames, name);
+}
+
+template <typename Archive>
+void describe(Archive &archive, service_spec &service)
+{
+    archive("team", service.team);
+    archive("pool", service.pool);
+    archive("replicas", service.replicas);
+    archive("size", service.size);
+    archive("port", service.port);
+    archive("latency_target_ms", service.latencyTarget);
+    archive("priority", service.priority);
+    archive("failover", service.failover);
+    archive("class", service.interferenceClass);
+}
+
+template <typename Archive>
+void describe(Archive &archive, job_spec &job)
+{
+    archive("team", job.team);
+    archive("pool", job.pool);
+    archive("tasks", job.tasks);
+    archive("size", job.size);
+    archive("run_time_estimate_ms", job.runTimeEstimate);
+    archive("checkpointable", job.isCheckpointable);
+    archive("priority", job.priority);
+    archive("failover", job.failover);
+    archive("class", job.interferenceClass);
+}
+
+template <typename Archive>
+void describe(Archive &archive, pool_spec &pool)
+{
+    archive("zones", pool.zones);
+    archive("workers", pool.workers);
+    archive("worker", pool.worker);
+}
+
+template <typename Archive>
+void describe(Archive &archive, team_spec &team)
+{
+    archive("quota", team.quota);
+    archive("weight", team.weight);
+}
+
+template <typename Archive>
+void describe(Archive &archive, configuration &whole)
+{
+    archive("services", whole.services);
+    archive("jobs", whole.jobs);
+    archive("pools", whole.pools);
+    archive("teams", whole.teams);
+}
+
+Json::Value toJson(const configuration &configuration)
+{
+    return written(configuration);
+}
+
+configuration configurationFromJson(const Json::Value &value)
+{
+    return readFrom<configuration>(value);
+}
+
+bool isFolderFile(std::string_view name)
+{
+    return !name.empty() && name.front() != '.' && name.ends_with(".json");
+}
+
+text_place merged_folder::placeOf(const std::string &pointer) const
+{
+    for (auto part = pointer;; part.resize(part.rfind('/'))) {
+        const auto found = sources.find(part);
+        if (found != sources.end())
+            return found->second;
+        if (part.empty())
+            return {};
+    }
+}
+
+namespace {
+
+// Applies one file after the other and keeps account of whose values are still in force.
+class folder_merger
+{
+public:
+    merged_folder take()
+    {
+        for (const auto &[file, replacer] : m_lastReplacer) {
+            if (m_values[file] == 0)
+                m_merged.overridden[file] = replacer;
+        }
+        return std::move(m_merged);
+    }
+
+    void apply(const json_text &file)
+    {
+        m_file = &file;
+        patch(m_merged.value, file.root(), "");
+    }
+
+private:
+    void patch(Json::Value &target, const Json::Value &change, const std::string &pointer)
+    {
+        if (!change.isObject()) {
+            forget(pointer);
+            target = change;
+            m_merged.sources[pointer] = placeHere(change);
+            countValue(pointer);
+            return;
+        }
+        if (!target.isObject() || !m_merged.sources.contains(pointer)) {
+            forget(pointer);
+            target = Json::Value(Json::objectValue);
+            m_merged.sources[pointer] = placeHere(change);
+        }
+        for (const auto &name : change.getMemberNames())
+            patchMember(target, name, change[name], childPointer(pointer, name));
+    }
+
+    void patchMember(Json::Value &target, const std::string &name, const Json::Value &change,
+                     const std::string &pointer)
+    {
+        if (!change.isNull()) {
+            patch(target[name], change, pointer);
+            return;
+        }
+        forget(pointer);
+        target.removeMember(name);
+        countValue(pointer); // a deletion is in force until a later file gives the member again
+    }
+
+    text_place placeHere(const Json::Value &value) const
+    {
+        return {m_file->file(), m_file->lineOf(value)};
+    }
+
+    void countValue(const std::string &pointer)
+    {
+        m_owners[pointer] = m_file->file();
+        ++m_values[m_file->file()];
+    }
+
+    // What stood at `pointer` and below it is replaced by the file at hand.
+    void forget(const std::string &pointer)
+    {
+        eraseBelow(m_merged.sources, pointer, [](const auto &) {});
+        eraseBelow(m_owners, pointer, [&](const std::string &owner) {
+            --m_values[owner];
+            if (owner != m_file->file())
+                m_lastReplacer[owner] = m_file->file();
+        });
+    }
+
+    template <typename Map, typename Visit>
+    static void eraseBelow(Map &map, const std::string &pointer, Visit &&visit)
+    {
+        const auto itself = map.find(pointer);
+        if (itself != map.end()) {
+            visit(itself->second);
+            map.erase(itself);
+        }
+        const auto prefix = pointer + '/';
+        auto it = map.lower_bound(prefix);
+        while (it != map.end() && it->first.starts_with(prefix)) {
+            visit(it->second);
+            it = map.erase(it);
+        }
+    }
+
+    const json_text *m_file = nullptr;
+    merged_folder m_merged;
+    std::map<std::string, std::string> m_owners; // file of each value or deletion, by pointer
+    std::map<std::string, int> m_values;         // how many of them a file still has
+    std::map<std::string, std::string> m_lastReplacer;
+};
+
+} // namespace
+
+merged_folder merge(std::vector<json_text> files)
+{
+    std::sort(files.begin(), files.end(),
+              [](const json_text &a, const json_text &b) { return a.file() < b.file(); });
+    folder_merger merger;
+    for (const auto &file : files)
+        merger.apply(file);
+    return merger.take();
+}
+
+const json_schema &folderSchema()
+{
+    static const json_schema Schema{std::string_view(FolderSchemaText)};
+    return Schema;
+}
+
+static Json::Value fileDefinition()
+{
+    auto definition = patchOf(folderSchema().definition());
+    definition["type"] = "object"; // a file that is null as a whole would delete the folder
+    return definition;
+}
+
+const json_schema &folderFileSchema()
+{
+    static const json_schema Schema{fileDefinition()};
+    return Schema;
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/config/generation_follower.h
@@ -0,0 +1,88 @@
+// Decides which generation a process works by: the highest that it has heard of and whose content
+// it holds, never a lower one than before. Enough for an agent; an entry's keeper has one inside.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "config/generation_events.h"
+
+namespace zinniabarrow {
+
+struct follower_settings
+{
+    std::string process;            // id of this process
+    std::string role;               // "entry" or "agent"
+    milliseconds readTimeout{1000}; // then the next source is asked
+};
+
+struct follower_counters
+{
+    std::uint64_t adopted = 0;     // generations taken up
+    std::uint64_t readsFailed = 0; // contents that a source did not give in time
+    std::uint64_t badContents = 0; // contents that did not match their digest or did not parse
+    std::uint64_t forks = 0;       // reports of the same generation with another content
+};
+
+class generation_follower
+{
+public:
+    explicit generation_follower(follower_settings settings);
+
+    // report_heard, content_read and tick; other events do nothing. Gives read_content,
+    // adopt_generation and push_generation.
+    generation_actions handle(const generation_event &event, time_point now);
+
+    // A generation that the table names: its content lies in the object store.
+    generation_actions offerStored(std::uint64_t generation, const std::string &digest,
+                                   time_point now);
+    // A generation whose content is at hand.
+    generation_actions adoptHeld(std::uint64_t generation, const std::string &text);
+
+    std::uint64_t generation() const { return m_generation; } // in force here; 0: none yet
+    std::uint64_t highestKnown() const { return m_highest; }  // here, at peers or in the table
+    const std::string &digest() const { return m_digest; }
+    const generation_content &content() const { return *m_content; }
+    std::shared_ptr<const configuration> whole() const;
+    generation_report report() const;
+    const follower_counters &counters() const { return m_counters; }
+
+    // For a peer that asks; empty unless it is the content in force.
+    std::optional<std::string> textFor(const std::string &digest) const;
+
+private:
+    // The generation being fetched, and who may have its content.
+    struct fetch
+    {
+        std::uint64_t generation = 0;
+        std::string digest;
+        std::vector<std::string> sources; // process ids; "": the object store
+        std::size_t next = 0;             // source to ask next, round and round
+        std::uint64_t request = 0;        // being waited for; 0: none
+        time_point deadline{};            // of that request, or of the pause before the next
+    };
+
+    generation_actions hear(const generation_report &report, time_point now);
+    generation_actions offer(std::uint64_t generation, const std::string &digest,
+                             const std::string &source, time_point now);
+    generation_actions take(const content_read &answer, time_point now);
+    generation_actions askNext(time_point now);
+    generation_actions checkTime(time_point now);
+    void giveUpSource(time_point now);
+
+    follower_settings m_settings;
+    std::uint64_t m_generation = 0;
+    std::uint64_t m_highest = 0;
+    std::string m_digest;
+    std::string m_text;
+    std::shared_ptr<const generation_content> m_content;
+    std::optional<fetch> m_fetch;
+    std::uint64_t m_lastRequest = 0;
+    follower_counters m_counters;
+};
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/config/generation_records.cpp
@@ -0,0 +1,193 @@
+#include "config/generation_records.h"
+
+#include <fmt/format.h>
+
+#include "base/errors.h"
+#include "base/hash.h"
+#include "base/json.h"
+#include "base/names.h"
+#include "config/fields.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr name_table<lag_reason, 2> LagReasonNames{{
+        {lag_reason::Behind, "behind"},
+        {lag_reason::Silent, "silent"},
+}};
+
+constexpr name_table<file_state, 4> FileStateNames{{
+        {file_state::InForce, "in force"},
+        {file_state::Superseded, "superseded"},
+        {file_state::Refused, "refused"},
+        {file_state::Pending, "pending"},
+}};
+
+} // namespace
+
+std::string_view nameOf(lag_reason reason)
+{
+    return nameOf(LagReasonNames, reason);
+}
+
+std::string_view nameOf(file_state state)
+{
+    return nameOf(FileStateNames, state);
+}
+
+// Found by argument-dependent look-up from fields.h, so not in the unnamed namespace.
+static void fromName(const std::string &name, file_state &state)
+{
+    state = valueNamed(FileStateNames, name);
+}
+
+template <typename Archive>
+void describe(Archive &archive, problem &fault)
+{
+    archive("file", fault.file);
+    archive("line", fault.line);
+    archive("pointer", fault.pointer);
+    archive("found", fault.found);
+    archive("allowed", fault.allowed);
+}
+
+template <typename Archive>
+void describe(Archive &archive, accepted_row &row)
+{
+    archive("generation", row.generation);
+    archive("digest", row.digest);
+    archive("folder", row.folder);
+    archive("operation_id", row.operationId);
+    archive("previous", row.previous);
+}
+
+template <typename Archive>
+void describe(Archive &archive, generation_report &report)
+{
+    archive("process", report.process);
+    archive("role", report.role);
+    archive("generation", report.generation);
+    archive("digest", report.digest);
+}
+
+template <typename Archive>
+void describe(Archive &archive, file_status &status)
+{
+    archive("file", status.name);
+    archive("version", status.version);
+    archive("state", status.state);
+    archive("generation", status.generation);
+    archive("reason", status.reason);
+    archive("problems", status.problems);
+}
+
+namespace {
+
+// A member that must be there: its absence means another kind of message, not a default.
+void demandMember(const Json::Value &value, const char *name)
+{
+    if (!value.isObject() || !value.isMember(name))
+        throw error(error_kind::BadRequest, fmt::format("member {} is missing", name));
+}
+
+} // namespace
+
+std::string contentText(const generation_content &content)
+{
+    Json::Value value(Json::objectValue);
+    value["configuration"] = toJson(content.whole);
+    value["files"] = Json::Value(Json::objectValue);
+    for (const auto &[name, version] : content.files)
+        value["files"][name] = Json::UInt64(version);
+    value["overridden"] = Json::Value(Json::objectValue);
+    for (const auto &[name, by] : content.overridden)
+        value["overridden"][name] = by;
+    return compactJson(value);
+}
+
+generation_content contentFromText(const std::string &text)
+{
+    const auto value = parseJson(text);
+    for (const auto *name : {"configuration", "files", "overridden"})
+        demandMember(value, name);
+    generation_content content;
+    content.whole = configurationFromJson(value["configuration"]);
+    field_reader reader(value);
+    reader("files", content.files);
+    reader("overridden", content.overridden);
+    return content;
+}
+
+std::string digestOf(const std::string &text)
+{
+    return fmt::format("{:016x}-{}", stableHash(text), text.size());
+}
+
+std::string digestOf(const file_versions &files)
+{
+    std::string text;
+    for (const auto &[name, version] : files)
+        text += fmt::format("{}\n{}\n", name, version);
+    return digestOf(text);
+}
+
+Json::Value toJson(const accepted_row &row)
+{
+    return written(row);
+}
+
+accepted_row acceptedRowFromJson(const Json::Value &value)
+{
+    for (const auto *name : {"generation", "digest", "folder", "operation_id"})
+        demandMember(value, name);
+    return readFrom<accepted_row>(value);
+}
+
+Json::Value toJson(const generation_report &report)
+{
+    return written(report);
+}
+
+generation_report generationReportFromJson(const Json::Value &value)
+{
+    for (const auto *name : {"process", "role", "generation", "digest"})
+        demandMember(value, name);
+    return readFrom<generation_report>(value);
+}
+
+Json::Value toJson(const laggard &laggard)
+{
+    auto value = toJson(laggard.report);
+    value["reason"] = std::string(nameOf(laggard.reason));
+    value["silence_ms"] = Json::Int64(laggard.silence.count());
+    return value;
+}
+
+std::vector<laggard> laggards(const std::vector<heard_report> &reports, std::uint64_t generation,
+                              time_point now, milliseconds silence)
+{
+    std::vector<laggard> found;
+    for (const auto &[report, heardAt] : reports) {
+        const auto silent = std::chrono::duration_cast<milliseconds>(now - heardAt);
+        if (report.generation < generation)
+            found.push_back({report, lag_reason::Behind, silent});
+        else if (silent > silence)
+            found.push_back({report, lag_reason::Silent, silent});
+    }
+    return found;
+}
+
+Json::Value toJson(const file_status &status)
+{
+    return written(status);
+}
+
+file_status fileStatusFromJson(const Json::Value &value)
+{
+    for (const auto *name : {"file", "version", "state"})
+        demandMember(value, name);
+    return readFrom<file_status>(value);
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/config/generations.cpp
@@ -0,0 +1,478 @@
+#include "config/generations.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "base/errors.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr std::size_t KeptContents = 8; // of earlier generations, for processes that lag
+constexpr std::size_t MostReports = 10'000;
+
+void append(generation_actions &actions, generation_actions more)
+{
+    std::move(more.begin(), more.end(), std::back_inserter(actions));
+}
+
+// The files that belong to the folder, by name without its prefix.
+file_versions versionsOf(const std::vector<stored_object> &objects)
+{
+    file_versions versions;
+    for (const auto &object : objects) {
+        if (!object.name.starts_with(FolderPrefix))
+            continue;
+        const auto name = object.name.substr(FolderPrefix.size());
+        if (isFolderFile(name))
+            versions[name] = object.version;
+    }
+    return versions;
+}
+
+std::uint64_t versionIn(const file_versions &files, const std::string &name)
+{
+    const auto found = files.find(name);
+    return found == files.end() ? 0 : found->second;
+}
+
+} // namespace
+
+generation_keeper::generation_keeper(keeper_settings settings, random_generator random,
+                                     time_point now)
+    : m_settings(std::move(settings))
+    , m_random(random)
+    , m_follower(follower_settings{m_settings.process, "entry", m_settings.answerTimeout})
+    , m_startedAt(now)
+    , m_nextRound(now)
+    , m_nextPush(now)
+{ }
+
+generation_actions generation_keeper::handle(const generation_event &event, time_point now)
+{
+    struct visitor
+    {
+        generation_keeper &keeper;
+        time_point now;
+        generation_actions operator()(const tick &) { return keeper.onTick(now); }
+        generation_actions operator()(const report_heard &e) { return keeper.onReport(e, now); }
+        generation_actions operator()(const content_read &e)
+        {
+            return keeper.m_follower.handle(e, now);
+        }
+        generation_actions operator()(const accepted_read &e) { return keeper.onAccepted(e, now); }
+        generation_actions operator()(const folder_listed &e) { return keeper.onListed(e, now); }
+        generation_actions operator()(const files_read &e) { return keeper.onFiles(e, now); }
+        generation_actions operator()(const content_written &e) { return keeper.onContent(e, now); }
+        generation_actions operator()(const generation_committed &e)
+        {
+            return keeper.onCommitted(e, now);
+        }
+    };
+    auto actions = std::visit(visitor{*this, now}, event);
+    learnReady(now);
+    return actions;
+}
+
+// --- Rounds
+
+template <typename Question>
+generation_actions generation_keeper::ask(phase next, Question question, time_point now)
+{
+    m_phase = next;
+    m_deadline = now + m_settings.answerTimeout;
+    question.request = ++m_lastRequest;
+    return {std::move(question)};
+}
+
+bool generation_keeper::isAwaited(phase expected, std::uint64_t request) const
+{
+    return m_phase == expected && m_lastRequest == request;
+}
+
+generation_actions generation_keeper::endRound(time_point nextRound)
+{
+    m_phase = phase::Idle;
+    m_nextRound = nextRound;
+    return {};
+}
+
+generation_actions generation_keeper::failRound(time_point now)
+{
+    ++m_counters.platformFailures;
+    return endRound(now + m_settings.poll);
+}
+
+// The folder changed while it was read: what was read is a mixture that no operator wrote.
+generation_actions generation_keeper::restartRound(time_point now)
+{
+    ++m_counters.listingsChanged;
+    return endRound(now + m_settings.poll);
+}
+
+generation_actions generation_keeper::onTick(time_point now)
+{
+    generation_actions actions;
+    if (m_phase != phase::Idle && now >= m_deadline) {
+        m_counters.unknownWrites += m_phase == phase::Committing;
+        failRound(now);
+    }
+    if (m_phase == phase::Idle && now >= m_nextRound)
+        append(actions, beginRound(now));
+    append(actions, m_follower.handle(tick{}, now));
+    append(actions, pushToLaggards(now));
+    return actions;
+}
+
+generation_actions generation_keeper::beginRound(time_point now)
+{
+    ++m_counters.rounds;
+    m_highestAtAsking = m_follower.highestKnown();
+    return ask(phase::ReadingRow, read_accepted{}, now);
+}
+
+generation_actions generation_keeper::onAccepted(const accepted_read &event, time_point now)
+{
+    if (!isAwaited(phase::ReadingRow, event.request))
+        return {};
+    if (!event.isAnswered)
+        return failRound(now);
+    try {
+        m_row = event.row.version == 0 ? accepted_row{} : acceptedRowFromJson(event.row.value);
+    } catch (const error &) {
+        ++m_counters.badRows;
+        return endRound(now + m_settings.poll);
+    }
+    m_rowVersion = event.row.version;
+    m_isRowRead = true;
+    generation_actions actions;
+    // The answer to a write was lost: the row tells whether it took effect. Without this an entry
+    // would report its own accepted edit as lost to somebody else.
+    if (m_proposal && !m_unsettledOperation.empty() && m_row.operationId == m_unsettledOperation) {
+        m_unsettledOperation.clear();
+        ++m_counters.settledByReadBack;
+        append(actions, m_follower.adoptHeld(m_row.generation, m_proposal->text));
+    }
+    append(actions, m_follower.offerStored(m_row.generation, m_row.digest, now));
+    const bool holdsHighest =
+            m_follower.generation() > 0 && m_follower.generation() >= m_highestAtAsking;
+    if (isRowBehind() && holdsHighest) {
+        ++m_counters.raisedAgain;
+        const auto folder = digestOf(m_follower.content().files);
+        append(actions, propose(*m_follower.textFor(m_follower.digest()), folder, now));
+    } else {
+        append(actions, ask(phase::ListingBefore, list_folder{}, now));
+    }
+    return actions;
+}
+
+// A table that was restored from an older copy names a generation below one that was in force, or
+// another content for the same one. Taking it would revert an accepted configuration; so what is
+// in force is written again under a higher number, or, where its content is lost, the folder as it
+// stands now.
+bool generation_keeper::isRowBehind() const
+{
+    if (m_row.generation < m_highestAtAsking)
+        return true;
+    return m_row.generation > 0 && m_row.generation == m_follower.generation()
+           && m_row.digest != m_follower.digest();
+}
+
+generation_actions generation_keeper::onListed(const folder_listed &event, time_point now)
+{
+    const bool isFirst = isAwaited(phase::ListingBefore, event.request);
+    if (!isFirst && !isAwaited(phase::ListingAfter, event.request))
+        return {};
+    if (!event.isAnswered)
+        return failRound(now);
+    const auto listing = versionsOf(event.objects);
+    rememberListing(listing);
+    return isFirst ? listBefore(listing, now) : listAfter(listing, now);
+}
+
+generation_actions generation_keeper::listBefore(const file_versions &listing, time_point now)
+{
+    m_listing = listing;
+    const auto folder = digestOf(listing);
+    const bool isAccepted = m_row.generation > 0 && m_row.folder == folder && !isRowBehind();
+    if (isAccepted || (listing.empty() && m_row.generation == 0)) {
+        m_refusal = {};
+        return endRound(now + m_settings.poll);
+    }
+    if (m_refusal.folder == folder)
+        return endRound(now + m_settings.poll);
+    // An object store that comes back empty looks like an operator who removed every file, and
+    // would stop every service. Removing all takes a file that says so.
+    if (listing.empty()) {
+        ++m_counters.refused;
+        m_refusal = {folder,
+                     {{"", 0, "", "no file at all",
+                       "one file or more; an empty configuration is a file with {}"}}};
+        return endRound(now + m_settings.poll);
+    }
+    return readMissing(now);
+}
+
+generation_actions generation_keeper::readMissing(time_point now)
+{
+    read_files question;
+    for (const auto &[name, version] : m_listing) {
+        const auto cached = m_cache.find(name);
+        const bool isHeld = cached != m_cache.end() && cached->second.version == version;
+        if (!isHeld && question.names.size() < m_settings.filesPerRead)
+            question.names.push_back(std::string(FolderPrefix) + name);
+    }
+    if (question.names.empty())
+        return ask(phase::ListingAfter, list_folder{}, now);
+    return ask(phase::ReadingFiles, std::move(question), now);
+}
+
+generation_actions generation_keeper::onFiles(const files_read &event, time_point now)
+{
+    if (!isAwaited(phase::ReadingFiles, event.request))
+        return {};
+    if (!event.isAnswered)
+        return failRound(now);
+    std::size_t held = 0;
+    for (const auto &object : event.objects) {
+        if (!object.name.starts_with(FolderPrefix))
+            continue;
+        const auto name = object.name.substr(FolderPrefix.size());
+        if (object.version != versionIn(m_listing, name))
+            return restartRound(now);
+        m_cache[name] = {object.version, object.content};
+        ++held;
+    }
+    if (held == 0)
+        return restartRound(now);
+    return readMissing(now);
+}
+
+generation_actions generation_keeper::listAfter(const file_versions &listing, time_point now)
+{
+    if (listing != m_listing)
+        return restartRound(now);
+    return judge(now);
+}
+
+std::vector<folder_file> generation_keeper::filesOfListing()
+{
+    std::erase_if(m_cache, [&](const auto &cached) { return !m_listing.contains(cached.first); });
+    std::vector<folder_file> files;
+    for (const auto &[name, cached] : m_cache)
+        files.push_back({name, cached.content});
+    return files;
+}
+
+generation_actions generation_keeper::judge(time_point now)
+{
+    auto checked = checkFolder(filesOfListing(), m_settings.limits);
+    const auto folder = digestOf(m_listing);
+    if (!checked.isAcceptable()) {
+        ++m_counters.refused;
+        m_refusal = {folder, std::move(checked.problems)};
+        return endRound(now + m_settings.poll);
+    }
+    m_refusal = {};
+    generation_content content{std::move(checked.whole), m_listing,
+                               std::move(checked.merged.overridden)};
+    return propose(contentText(content), folder, now);
+}
+
+generation_actions generation_keeper::propose(std::string text, std::string folder, time_point now)
+{
+    proposal next;
+    next.text = std::move(text);
+    next.row.generation = std::max(m_row.generation, m_follower.highestKnown()) + 1;
+    next.row.digest = digestOf(next.text);
+    next.row.folder = std::move(folder);
+    next.row.operationId = newOperationId();
+    auto earlier = m_row.previous;
+    if (m_row.generation > 0)
+        earlier.insert(earlier.begin(), m_row.digest);
+    std::erase(earlier, next.row.digest);
+    const auto kept = std::min(earlier.size(), KeptContents);
+    next.row.previous.assign(earlier.begin(), earlier.begin() + static_cast<std::ptrdiff_t>(kept));
+    next.dropped.assign(earlier.begin() + static_cast<std::ptrdiff_t>(kept), earlier.end());
+    m_proposal = std::move(next);
+    // The content goes first: a row whose content is missing could not be taken up by anyone.
+    const auto name = std::string(MergedPrefix) + m_proposal->row.digest;
+    return ask(phase::WritingContent, write_content{0, name, m_proposal->text}, now);
+}
+
+generation_actions generation_keeper::onContent(const content_written &event, time_point now)
+{
+    if (!isAwaited(phase::WritingContent, event.request))
+        return {};
+    if (event.result.outcome != write_outcome::Applied)
+        return failRound(now);
+    commit_generation commit;
+    commit.transaction.operationId = m_proposal->row.operationId;
+    commit.transaction.conditions = {{std::string(AcceptedRowKey), m_rowVersion}};
+    commit.transaction.writes = {{std::string(AcceptedRowKey), toJson(m_proposal->row)}};
+    m_unsettledOperation = m_proposal->row.operationId;
+    return ask(phase::Committing, std::move(commit), now);
+}
+
+generation_actions generation_keeper::onCommitted(const generation_committed &event, time_point now)
+{
+    if (!isAwaited(phase::Committing, event.request))
+        return {};
+    switch (event.result.outcome) {
+    case write_outcome::Applied:
+        break;
+    case write_outcome::Conflict:
+        ++m_counters.conflicts;
+        m_unsettledOperation.clear();
+        return endRound(now);
+    case write_outcome::Refused:
+        m_unsettledOperation.clear();
+        return failRound(now);
+    case write_outcome::Unknown:
+        // Neither taken as done nor tried again: the next round begins by reading the row back.
+        ++m_counters.unknownWrites;
+        return endRound(now);
+    }
+    ++m_counters.accepted;
+    m_unsettledOperation.clear();
+    auto actions = m_follower.adoptHeld(m_proposal->row.generation, m_proposal->text);
+    for (const auto &digest : m_proposal->dropped)
+        actions.push_back(remove_content{std::string(MergedPrefix) + digest});
+    endRound(now + m_settings.poll);
+    return actions;
+}
+
+// Never the same twice, also across restarts under the same id: an operation of an earlier life
+// must not pass for one of this life.
+std::string generation_keeper::newOperationId()
+{
+    const auto high = static_cast<std::uint64_t>(m_random()) << 32U;
+    return fmt::format("{}-{:016x}", m_settings.process, high | m_random());
+}
+
+// --- Other processes
+
+generation_actions generation_keeper::onReport(const report_heard &event, time_point now)
+{
+    const auto &process = event.report.process;
+    if (process == m_settings.process)
+        return {};
+    if (m_reports.contains(process) || m_reports.size() < MostReports)
+        m_reports[process] = {event.report, now};
+    return m_follower.handle(event, now);
+}
+
+generation_actions generation_keeper::pushToLaggards(time_point now)
+{
+    if (now < m_nextPush)
+        return {};
+    m_nextPush = now + m_settings.pushAgain;
+    std::erase_if(m_reports, [&](const auto &known) {
+        return known.second.heardAt + m_settings.forgetAfter < now;
+    });
+    push_generation push{report(), {}};
+    for (const auto &[process, heard] : m_reports) {
+        if (heard.report.generation < generation())
+            push.processes.push_back(process);
+    }
+    if (push.processes.empty())
+        return {};
+    return {std::move(push)};
+}
+
+std::vector<heard_report> generation_keeper::reports() const
+{
+    std::vector<heard_report> all;
+    for (const auto &[process, heard] : m_reports)
+        all.push_back(heard);
+    return all;
+}
+
+bool generation_keeper::hasListened(time_point now) const
+{
+    if (now >= m_startedAt + m_settings.peerWait)
+        return true;
+    const auto entries = std::count_if(m_reports.begin(), m_reports.end(), [](const auto &known) {
+        return known.second.report.role == "entry";
+    });
+    const bool haveAllSpoken = static_cast<std::size_t>(entries) >= m_settings.peers;
+    return haveAllSpoken && (m_isRowRead || m_settings.peers > 0);
+}
+
+// A newcomer that served at once would work by nothing, or by a generation that the others have
+// left: callers would be sent to services that are gone.
+void generation_keeper::learnReady(time_point now)
+{
+    if (m_isReady || generation() < m_follower.highestKnown() || !hasListened(now))
+        return;
+    const bool isNewSystem = m_isRowRead && m_row.generation == 0;
+    m_isReady = generation() > 0 || isNewSystem;
+}
+
+// --- Status of files
+
+void generation_keeper::rememberListing(const file_versions &listing)
+{
+    const auto &before = m_latestListing ? *m_latestListing : m_follower.content().files;
+    if (m_removed.size() > m_settings.limits.maxFiles)
+        m_removed.clear();
+    for (const auto &[name, version] : before) {
+        if (!listing.contains(name))
+            m_removed[name] = version;
+    }
+    m_latestListing = listing;
+}
+
+file_status generation_keeper::statusOf(const std::string &name, std::uint64_t version) const
+{
+    file_status status;
+    status.name = name;
+    status.version = version;
+    status.generation = generation();
+    const auto &content = m_follower.content();
+    const auto inForce = versionIn(content.files, name);
+    const auto listed = m_latestListing ? versionIn(*m_latestListing, name) : inForce;
+    const auto overridden = content.overridden.find(name);
+    if (inForce == version && overridden != content.overridden.end()) {
+        status.state = file_state::Superseded;
+        status.reason = "every value is replaced by " + overridden->second;
+    } else if (inForce == version && generation() > 0) {
+        status.state = file_state::InForce;
+    } else if (version > 0 && std::max(inForce, listed) > version) {
+        status.state = file_state::Superseded;
+        status.reason = fmt::format("version {} has taken its place", std::max(inForce, listed));
+    } else if (version > 0 && listed == 0 && versionIn(m_removed, name) >= version) {
+        status.state = file_state::Superseded;
+        status.reason = "the file was removed";
+    } else if (listed == version && !m_refusal.problems.empty()) {
+        return refusedStatus(std::move(status));
+    }
+    return status;
+}
+
+file_status generation_keeper::refusedStatus(file_status status) const
+{
+    status.state = file_state::Refused;
+    status.problems = m_refusal.problems;
+    std::stable_partition(status.problems.begin(), status.problems.end(),
+                          [&](const problem &problem) { return problem.file == status.name; });
+    status.reason = toText(status.problems.front());
+    return status;
+}
+
+std::vector<file_status> generation_keeper::files() const
+{
+    auto versions = m_latestListing.value_or(file_versions{});
+    for (const auto &[name, version] : m_follower.content().files) {
+        if (!versions.contains(name))
+            versions[name] = m_latestListing ? 0 : version;
+    }
+    std::vector<file_status> all;
+    for (const auto &[name, version] : versions)
+        all.push_back(statusOf(name, version));
+    return all;
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/config/generations.h
@@ -0,0 +1,167 @@
+// The entry's part in configuration: watches the operators' folder, accepts it as a generation by
+// a conditional write, and keeps the highest accepted generation in force.
+//
+// One round: read the accepted row, list the folder, read the files that changed, list again,
+// validate the whole, write the content, write the row on the condition that it is still as read.
+// Since the row is read before the folder is listed, a row that is still unchanged at the write
+// means that no newer listing was accepted meanwhile: generations follow the folder's own order,
+// whichever entries race.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "config/generation_events.h"
+#include "config/generation_follower.h"
+#include "config/validate.h"
+
+namespace zinniabarrow {
+
+struct keeper_settings
+{
+    std::string process;              // id of this entry
+    std::size_t peers = 0;            // other entries that the settings name
+    milliseconds poll{500};           // between two rounds
+    milliseconds answerTimeout{3000}; // of the platform; then the outcome is unknown
+    milliseconds peerWait{2000};      // a newcomer without the table listens this long to peers
+    milliseconds pushAgain{1000};     // between two pushes to processes that lag
+    milliseconds forgetAfter{60'000}; // silence after which a process's report is dropped
+    std::size_t filesPerRead = 32;    // files asked for at once
+    folder_limits limits;             //
+};
+
+struct keeper_counters
+{
+    std::uint64_t rounds = 0;            // begun
+    std::uint64_t accepted = 0;          // generations that this entry wrote
+    std::uint64_t refused = 0;           // folders refused
+    std::uint64_t conflicts = 0;         // writes that lost to another entry
+    std::uint64_t unknownWrites = 0;     // answers lost
+    std::uint64_t settledByReadBack = 0; // of these, found in force by reading back
+    std::uint64_t listingsChanged = 0;   // rounds given up because the folder changed meanwhile
+    std::uint64_t platformFailures = 0;  // questions that the platform did not answer
+    std::uint64_t badRows = 0;           // accepted rows that could not be read
+    std::uint64_t raisedAgain = 0;       // rows found lower than what is in force, written anew
+};
+
+class generation_keeper
+{
+public:
+    generation_keeper(keeper_settings settings, random_generator random, time_point now);
+
+    generation_actions handle(const generation_event &event, time_point now);
+
+    // True once this entry may serve: it works by the highest generation that the table knows, or,
+    // with the table out of reach, that its peers know. Stays true.
+    bool isReady() const { return m_isReady; }
+
+    const generation_follower &follower() const { return m_follower; }
+    std::uint64_t generation() const { return m_follower.generation(); }
+    generation_report report() const { return m_follower.report(); }
+    const keeper_counters &counters() const { return m_counters; }
+
+    // Reports of the other processes, as last heard.
+    std::vector<heard_report> reports() const;
+
+    // What became of one version of a file; version 0 asks for its removal.
+    file_status statusOf(const std::string &name, std::uint64_t version) const;
+    // All files of the folder and of the generation in force.
+    std::vector<file_status> files() const;
+    // Why the folder as last read is refused; none: it is not.
+    const std::vector<problem> &problems() const { return m_refusal.problems; }
+
+private:
+    enum class phase {
+        Idle,
+        ReadingRow,
+        ListingBefore,
+        ReadingFiles,
+        ListingAfter,
+        WritingContent,
+        Committing,
+    };
+
+    struct cached_file
+    {
+        std::uint64_t version = 0;
+        std::string content;
+    };
+
+    struct refusal
+    {
+        std::string folder; // digest of the file versions that were refused
+        std::vector<problem> problems;
+    };
+
+    // What is to become the next generation.
+    struct proposal
+    {
+        accepted_row row;
+        std::string text;
+        std::vector<std::string> dropped; // digests that no row names any more afterwards
+    };
+
+    generation_actions onTick(time_point now);
+    generation_actions onReport(const report_heard &event, time_point now);
+    generation_actions onAccepted(const accepted_read &event, time_point now);
+    generation_actions onListed(const folder_listed &event, time_point now);
+    generation_actions onFiles(const files_read &event, time_point now);
+    generation_actions onContent(const content_written &event, time_point now);
+    generation_actions onCommitted(const generation_committed &event, time_point now);
+
+    generation_actions beginRound(time_point now);
+    generation_actions listBefore(const file_versions &listing, time_point now);
+    generation_actions readMissing(time_point now);
+    generation_actions listAfter(const file_versions &listing, time_point now);
+    generation_actions judge(time_point now);
+    generation_actions propose(std::string text, std::string folder, time_point now);
+    generation_actions pushToLaggards(time_point now);
+
+    template <typename Question>
+    generation_actions ask(phase next, Question question, time_point now);
+    bool isAwaited(phase expected, std::uint64_t request) const;
+    generation_actions endRound(time_point nextRound);
+    generation_actions failRound(time_point now);
+    generation_actions restartRound(time_point now);
+    bool isRowBehind() const;
+    bool hasListened(time_point now) const;
+    void rememberListing(const file_versions &listing);
+    std::vector<folder_file> filesOfListing();
+    file_status refusedStatus(file_status status) const;
+    void learnReady(time_point now);
+    std::string newOperationId();
+
+    keeper_settings m_settings;
+    random_generator m_random;
+    generation_follower m_follower;
+    keeper_counters m_counters;
+    time_point m_startedAt;
+    bool m_isReady = false;
+
+    phase m_phase = phase::Idle;
+    std::uint64_t m_lastRequest = 0;
+    time_point m_deadline{};  // of the question being waited for
+    time_point m_nextRound{}; //
+    time_point m_nextPush{};  //
+
+    bool m_isRowRead = false;            // in this life
+    std::uint64_t m_rowVersion = 0;      // as read at the beginning of the round
+    accepted_row m_row;                  //
+    std::uint64_t m_highestAtAsking = 0; // generation known when the row was asked for
+    std::string m_unsettledOperation;    // a write whose answer was lost
+    file_versions m_listing;             // of this round
+    std::optional<file_versions> m_latestListing;
+    file_versions m_removed; // last versions of files that have left the folder
+    std::map<std::string, cached_file> m_cache;
+    refusal m_refusal;
+    std::optional<proposal> m_proposal;
+    std::map<std::string, heard_report> m_reports;
+};
+
+} // namespace zinniabarrow
--- a/libs/config/resources.h
+++ b/libs/config/resources.h
@@ -13,4 +13,12 @@
     bool operator==(const resources &) const = default;
 };
 
+template <typename Archive>
+void describe(Archive &archive, resources &size)
+{
+    archive("millicores", size.millicores);
+    archive("bytes", size.bytes);
+    archive("accelerators", size.accelerators);
+}
+
 } // namespace zinniabarrow
--- a/libs/config/schema.cpp
+++ b/libs/config/schema.cpp
@@ -106,8 +106,8 @@
 class fault_finder
 {
 public:
-    explicit fault_finder(const json_text &text)
-        : m_text(text)
+    explicit fault_finder(const place_finder &placeOf)
+        : m_placeOf(placeOf)
     { }
 
     std::vector<problem> takeProblems() { return std::move(m_problems); }
@@ -167,10 +167,11 @@
     void report(const Json::Value &value, const std::string &pointer, const std::string &found,
                 const std::string &allowed)
     {
-        m_problems.push_back({m_text.file(), m_text.lineOf(value), pointer, found, allowed});
+        const auto place = m_placeOf(pointer, value);
+        m_problems.push_back({place.file, place.line, pointer, found, allowed});
     }
 
-    const json_text &m_text;
+    const place_finder &m_placeOf;
     std::vector<problem> m_problems;
 };
 
@@ -184,14 +185,41 @@
     return text;
 }
 
-std::string typeNames(const Json::Value &types)
+bool isNullable(const Json::Value &definition)
 {
-    if (types.isString())
-        return types.asString();
-    std::vector<std::string> names;
-    for (const auto &type : types)
-        names.push_back(type.asString());
-    return fmt::format("{}", fmt::join(names, " or "));
+    return definition["type"].isArray();
+}
+
+// A definition names one type, or one type and null.
+std::string typeName(const Json::Value &types)
+{
+    return types.isArray() ? types[0].asString() : types.asString();
+}
+
+std::string allowedBesideNull(const Json::Value &definition)
+{
+    const auto type = typeName(definition["type"]);
+    if (definition.isMember("enum")) {
+        std::vector<std::string> names;
+        for (const auto &name : definition["enum"]) {
+            if (!name.isNull())
+                names.push_back(compactJson(name));
+        }
+        return "one of " + joined(names);
+    }
+    const auto format = definition["format"].asString();
+    if (format == "name")
+        return "a name: 1 to 63 letters, digits, '.', '_' and '-', the first a letter or digit";
+    if (format == "ip")
+        return "an IP address";
+    if (format == "ip:port")
+        return "an IP address and port, as 10.0.0.1:8080 or [::1]:8080";
+    if (type == "array")
+        return fmt::format("an array of {} or more elements, each {}",
+                           definition["minItems"].asUInt(), allowedBy(definition["items"]));
+    if (type == "object" && definition.isMember("properties"))
+        return "an object of " + joined(definition["properties"].getMemberNames());
+    return type + range(definition);
 }
 
 } // namespace
@@ -218,8 +246,15 @@
 
 std::vector<problem> json_schema::check(const json_text &text) const
 {
-    fault_finder finder(text);
-    finder.visit(text.root(), m_definition, "");
+    return check(text.root(), [&](const std::string &, const Json::Value &value) {
+        return text_place{text.file(), text.lineOf(value)};
+    });
+}
+
+std::vector<problem> json_schema::check(const Json::Value &root, const place_finder &placeOf) const
+{
+    fault_finder finder(placeOf);
+    finder.visit(root, m_definition, "");
     auto problems = finder.takeProblems();
     if (!problems.empty())
         return problems;
@@ -227,10 +262,12 @@
     // know must refuse the text rather than let it pass without a place.
     valijson::Validator validator;
     valijson::ValidationResults results;
-    const valijson::adapters::JsonCppAdapter target(text.root());
+    const valijson::adapters::JsonCppAdapter target(root);
     if (!validator.validate(m_compiled->schema, target, &results)) {
+        const auto place = placeOf("", root);
         for (const auto &fault : results)
-            problems.push_back({text.file(), 1, fmt::format("{}", fmt::join(fault.context, "")),
+            problems.push_back({place.file, place.line,
+                                fmt::format("{}", fmt::join(fault.context, "")),
                                 "a value that the schema refuses", fault.description});
     }
     return problems;
@@ -254,28 +291,32 @@
     return values;
 }
 
-std::string allowedBy(const Json::Value &definition)
+Json::Value patchOf(Json::Value definition)
 {
-    if (definition.isMember("enum")) {
-        std::vector<std::string> names;
-        for (const auto &name : definition["enum"])
-            names.push_back(compactJson(name));
-        return "one of " + joined(names);
+    definition.removeMember("required");
+    for (const auto &name : definition["properties"].getMemberNames()) {
+        auto member = patchOf(definition["properties"][name]);
+        definition["properties"][name] = std::move(member);
     }
-    const auto type = typeNames(definition["type"]);
-    const auto format = definition["format"].asString();
-    if (format == "name")
-        return "a name: 1 to 63 letters, digits, '.', '_' and '-', the first a letter or digit";
-    if (format == "ip")
-        return "an IP address";
-    if (format == "ip:port")
-        return "an IP address and port, as 10.0.0.1:8080 or [::1]:8080";
-    if (type == "array")
-        return fmt::format("an array of {} or more elements, each {}",
-                           definition["minItems"].asUInt(), allowedBy(definition["items"]));
-    if (type == "object" && definition.isMember("properties"))
-        return "an object of " + joined(definition["properties"].getMemberNames());
-    return type + range(definition);
+    if (definition["properties"].empty())
+        definition.removeMember("properties");
+    if (definition["additionalProperties"].isObject())
+        definition["additionalProperties"] = patchOf(definition["additionalProperties"]);
+    if (definition["additionalProperties"].isNull())
+        definition.removeMember("additionalProperties");
+    Json::Value types(Json::arrayValue);
+    types.append(definition["type"]);
+    types.append("null");
+    definition["type"] = std::move(types);
+    if (definition.isMember("enum"))
+        definition["enum"].append(Json::Value());
+    return definition;
+}
+
+std::string allowedBy(const Json::Value &definition)
+{
+    const auto text = allowedBesideNull(definition);
+    return isNullable(definition) ? text + ", or null to delete" : text;
 }
 
 bool isName(std::string_view text)
--- a/libs/config/schema.h
+++ b/libs/config/schema.h
@@ -2,6 +2,7 @@
 // allowed.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -13,6 +14,16 @@
 
 namespace zinniabarrow {
 
+// Where the value at `pointer` was written. A missing member is asked for with its own pointer and
+// the value of its parent.
+struct text_place
+{
+    std::string file;
+    int line = 0;
+};
+using place_finder =
+        std::function<text_place(const std::string &pointer, const Json::Value &value)>;
+
 // A compiled schema. Beside JSON Schema's own words it knows the formats "name" (letters, digits,
 // '.', '_' and '-'), "ip" and "ip:port".
 class json_schema
@@ -26,6 +37,7 @@
 
     const Json::Value &definition() const { return m_definition; }
     std::vector<problem> check(const json_text &text) const;
+    std::vector<problem> check(const Json::Value &root, const place_finder &placeOf) const;
 
 private:
     struct compiled;
@@ -36,6 +48,9 @@
 // The values that the schema's "default" members give, as one object.
 Json::Value defaultsOf(const Json::Value &definition);
 
+// The definition for a text that is merged with others: members may be missing, and null deletes.
+Json::Value patchOf(Json::Value definition);
+
 // One line on what a value may be: "an integer from 1 to 65535".
 std::string allowedBy(const Json::Value &definition);
 
--- a/libs/config/settings.cpp
+++ b/libs/config/settings.cpp
@@ -28,15 +28,6 @@
         {routing_policy::Random, "random"},
 }};
 
-template <typename Enum, std::size_t Size>
-Enum named(const name_table<Enum, Size> &table, const std::string &name)
-{
-    const auto value = valueOf(table, name);
-    if (!value)
-        throw error(error_kind::BadRequest, "unknown name " + name);
-    return *value;
-}
-
 } // namespace
 
 std::string_view nameOf(routing_policy policy)
@@ -52,20 +43,12 @@
 
 static void fromName(const std::string &name, log_level &level)
 {
-    level = named(LogLevelNames, name);
+    level = valueNamed(LogLevelNames, name);
 }
 
 static void fromName(const std::string &name, routing_policy &policy)
 {
-    policy = named(RoutingPolicyNames, name);
-}
-
-template <typename Archive>
-void describe(Archive &archive, resources &size)
-{
-    archive("millicores", size.millicores);
-    archive("bytes", size.bytes);
-    archive("accelerators", size.accelerators);
+    policy = valueNamed(RoutingPolicyNames, name);
 }
 
 template <typename Archive>
