--- a/libs/base/log.cpp
+++ b/libs/base/log.cpp
@@ -7,6 +7,7 @@
 #include <fmt/chrono.h>
 #include <fmt/core.h>
 
+#include "base/errors.h"
 #include "base/json.h"
 #include "base/names.h"
 
@@ -42,6 +43,14 @@
     return valueOf(LevelNames, name);
 }
 
+void fromName(const std::string &name, log_level &level)
+{
+    const auto value = logLevelNamed(name);
+    if (!value)
+        throw error(error_kind::BadSettings, "unknown log level " + name);
+    level = *value;
+}
+
 logger::logger(std::string role, std::string id, log_level lowest)
     : m_role(std::move(role))
     , m_id(std::move(id))
--- a/libs/base/log.h
+++ b/libs/base/log.h
@@ -12,6 +12,7 @@
 enum class log_level { Debug, Info, Warning, Error };
 std::string_view nameOf(log_level level);
 std::optional<log_level> logLevelNamed(std::string_view name);
+void fromName(const std::string &name, log_level &level); // throws error BadSettings
 
 // Writes whole lines, safe from several threads.
 class logger
--- a/libs/config/resources.h
+++ b/libs/config/resources.h
@@ -13,4 +13,16 @@
     bool operator==(const resources &) const = default;
 };
 
+<<<<<<< HEAD
 } // namespace zinniabarrow::config
+=======
+template <typename Archive>
+void describe(Archive &archive, resources &size)
+{
+    archive("millicores", size.millicores);
+    archive("bytes", size.bytes);
+    archive("accelerators", size.accelerators);
+}
+
+} // namespace zinniabarrow::config
+>>>>>>> config
--- a/libs/config/settings.cpp
+++ b/libs/config/settings.cpp
@@ -12,7 +12,7 @@
 #include "config/schema.h"
 #include "config/settings_schema.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::config {
 
 // Found by argument-dependent look-up from fields.h, so in the namespace of log_level.
 static void fromName(const std::string &name, log_level &level)
@@ -23,7 +23,7 @@
     level = *value;
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::config
 
 namespace zinniabarrow::config {
 
@@ -34,15 +34,6 @@
         {routing_policy::Random, "random"},
 }};
 
-template <typename Enum, std::size_t Size>
-Enum named(const name_table<Enum, Size> &table, const std::string &name)
-{
-    const auto value = valueOf(table, name);
-    if (!value)
-        throw error(error_kind::BadRequest, "unknown name " + name);
-    return *value;
-}
-
 } // namespace
 
 std::string_view nameOf(routing_policy policy)
@@ -51,17 +42,22 @@
 }
 
 // Found by argument-dependent look-up from fields.h, so not in the unnamed namespace.
-static void fromName(const std::string &name, routing_policy &policy)
+<<<<<<< HEAD
+=======
+static std::string_view nameOf(log_level level)
 {
-    policy = named(RoutingPolicyNames, name);
+    return nameOf(LogLevelNames, level);
 }
 
-template <typename Archive>
-void describe(Archive &archive, resources &size)
+static void fromName(const std::string &name, log_level &level)
+{
+    level = valueNamed(LogLevelNames, name);
+}
+
+>>>>>>> config
+static void fromName(const std::string &name, routing_policy &policy)
 {
-    archive("millicores", size.millicores);
-    archive("bytes", size.bytes);
-    archive("accelerators", size.accelerators);
+    policy = valueNamed(RoutingPolicyNames, name);
 }
 
 template <typename Archive>
