--- a/libs/work/messages.h
+++ b/libs/work/messages.h
@@ -1,8 +1,10 @@
 // Messages between the owner of a shard (an entry) and the agents of its workers, and the names of
 // tasks that both sides share.
 //
-// An agent sends reports; the owner answers each with a grant. Both are repeated whole until they
-// are settled, so a lost, doubled or reordered message changes nothing.
+// An agent sends reports; the owner answers each with a grant, and may send another one at any
+// time. Both are repeated whole until they are settled, so a lost, doubled or reordered message
+// changes nothing. A lease counts from the agent's own sending of the report that it answers: a
+// grant that the network or a paused owner holds back is worth nothing when it arrives.
 #pragma once
 
 #include <compare>
@@ -66,7 +68,8 @@
     std::string detail;     // reason of a failure or refusal
 };
 
-// The agent's heartbeat. Events are repeated until a grant acknowledges them.
+// The agent's heartbeat, and the start of the lease that its answer gives. Events are repeated
+// until a grant acknowledges them.
 struct agent_report
 {
     std::string worker;
--- a/libs/work/ownership.h
+++ b/libs/work/ownership.h
@@ -54,7 +54,6 @@
 {
     std::string operationId;
     write_result result;
-    time_point sentAt; // taken before the write was sent
 };
 struct peers_changed
 {
@@ -117,11 +116,11 @@
     {
         enum class purpose { Take, Renew, Release } kind = purpose::Take;
         table_transaction transaction;
-        time_point sentAt;             // of the first sending
-        time_point retryAt;            // resent then, if it stays unsettled
+        time_point sentAt;             // decided then: before its first sending
+        time_point retryAt = Never;    // sent again then
         time_point waitForSilentUntil; // for Take
-        std::uint64_t epoch = 0;
-        bool everUnknown = false; // a copy may still take effect later
+        std::uint64_t epoch = 0;       // for Take
+        bool inDoubt = false;          // may have taken effect, or may still do so
     };
 
     struct shard_state
@@ -131,12 +130,12 @@
         std::uint64_t rowVersion = 0;
         std::uint64_t leaseVersion = 0;
         std::uint64_t epoch = 0;
-        std::string owner;
-        bool freed = false;           // handed over by its last owner
-        milliseconds silentWait{0};   // what its last owner still had to wait, when freed
-        time_point seenSince = Never; // unchanged since, on this clock
-        time_point lastReadAt;
-        // When owned.
+        bool freed = false;         // handed over by its last owner
+        milliseconds silentWait{0}; // what its last owner still had to wait, when freed
+        time_point changedAt;       // the versions were first seen then
+        time_point watchedSince;    // unchanged since then, without a gap in the readings
+        std::optional<time_point> readAt;
+        // While owned.
         bool owned = false;
         time_point grantUntil;
         time_point renewAt;
@@ -145,23 +144,26 @@
         std::optional<pending_write> pending;
     };
 
-    void handleRows(const shard_rows_read &event, time_point now);
+    void handle(const shard_rows_read &event, time_point now);
+    void handle(const shard_write_settled &event, time_point now);
+    void handle(const peers_changed &event, time_point now);
+    void handle(const ownership_tick &event, time_point now);
+    void handle(const release_shards &event, time_point now);
     void readShard(shard_state &state, const table_row *row, const table_row *lease,
-                   time_point readStartedAt, time_point now);
-    void settlePendingFromRows(shard_state &state, const table_row *row, const table_row *lease,
-                               time_point readStartedAt, time_point now);
-    void handleSettled(const shard_write_settled &event, time_point now);
-    void handleTick(time_point now);
+                   time_point now);
+    void settleFromRows(shard_state &state, const table_row *row, const table_row *lease,
+                        time_point now);
+    void applied(shard_state &state, std::uint64_t version, time_point now);
     void tickOwned(shard_state &state, time_point now);
     void tickFree(shard_state &state, time_point now);
-    void applied(shard_state &state, std::uint64_t version, time_point now);
+    void take(shard_state &state, time_point now);
+    void renew(shard_state &state, time_point now);
+    void release(shard_state &state, time_point now);
     void lose(shard_state &state);
-    void send(shard_state &state, pending_write write);
-    pending_write makeTake(shard_state &state, time_point now);
-    pending_write makeRenewal(shard_state &state, time_point now);
-    pending_write makeRelease(shard_state &state, time_point now);
+    void send(shard_state &state, pending_write write, time_point now);
+    time_point mayTakeAt(const shard_state &state) const;
+    time_point silentUntil(const shard_state &state) const;
     std::size_t rankFor(const shard_state &state) const;
-    std::string nextOperation();
 
     entry_info m_self;
     std::string m_operationPrefix;
--- a/libs/work/task_keeper.h
+++ b/libs/work/task_keeper.h
@@ -67,15 +67,17 @@
 {
     worker_listing listing;
 };
-struct start_refused // the worker had a newer attempt, or the lease had lapsed on arrival
+struct start_refused // the worker ran or stopped this attempt, or a newer one, before
 {
     task_attempt attempt;
+    std::uint64_t listing = 0; // newest listing that the worker had made when it refused
 };
 struct keeper_tick
 { };
 using keeper_event = std::variant<grant_received, listing_received, start_refused, keeper_tick>;
 
-// Actions on the worker. Each is idempotent and repeated until a listing shows its effect.
+// Actions on the worker. Each is idempotent and is asked again until a listing shows its effect. A
+// lost answer to any but worker_list changes nothing.
 struct worker_list // the worker records `epoch` if it is newer, and answers with a listing
 {
     std::uint64_t epoch = 0;
@@ -134,6 +136,7 @@
     lease_settings leases;
     milliseconds reportEvery{2'000};
     milliseconds listEvery{1'000};
+    milliseconds eventDelay{100};   // a new event is reported after this, with others
     std::size_t reportEvents = 200; // most events in one report
 };
 
@@ -157,7 +160,12 @@
     std::size_t unackedEvents() const { return m_events.size(); }
 
 private:
-    enum class kept_state { Starting, Running, Ended };
+    enum class kept_state {
+        Starting,
+        Refusing, // does not fit: the worker is told never to start it
+        Running,  // a listing showed it
+        Ended,    // a listing showed its end; the event is not acknowledged yet
+    };
     struct kept_task
     {
         std::uint32_t attempt = 0;
@@ -165,31 +173,37 @@
         failover_class failover = failover_class::Lease;
         std::string checkpoint;
         Json::Value spec;
-        granted_task granted;
-        bool refused = false; // a stop was sent because it does not fit
+        time_point startUntil;       // while Starting: the worker refuses it from then on
+        std::uint64_t refusedAt = 0; // listing number when the worker refused to start it
     };
 
-    void handleGrant(const worker_grant &grant, time_point now);
-    bool accepts(const worker_grant &grant);
-    void takeLease(const worker_grant &grant);
-    void takeAcks(const worker_grant &grant);
-    void takeTask(const granted_task &task, const Json::Value &spec, time_point now);
-    void takeBacklog(const worker_grant &grant, time_point now);
+    void handle(const grant_received &event, time_point now);
+    void handle(const listing_received &event, time_point now);
+    void handle(const start_refused &event, time_point now);
+    void handle(const keeper_tick &event, time_point now);
+    bool accepts(const worker_grant &grant) const;
+    void takeEpoch(std::uint64_t epoch, time_point now);
+    time_point takeLease(const worker_grant &grant);
+    void takeAcks(std::uint64_t through);
+    void takeTask(const worker_grant &grant, const granted_task &task, bool ahead,
+                  time_point grantEnds, time_point now);
+    bool isKnown(const granted_task &task, time_point now);
+    bool isStarting(const granted_task &task) const;
+    void start(const granted_task &task, const Json::Value &spec, time_point grantEnds);
     void takeStop(const task_attempt &attempt);
-    void handleListing(const worker_listing &listing, time_point now);
-    void adopt(const worker_listing &listing);
-    void takeRunning(const running_task &running);
-    void takeFinished(const finished_task &finished);
-    void handleStartRefused(const task_attempt &attempt);
-    void handleTick(time_point now);
-    void start(kept_task &kept, time_point now);
-    void renew(const task_id &id, const kept_task &kept, time_point now);
+    void takeCheckpoint(const task_attempt &attempt);
+    void takeIncarnation(std::uint64_t incarnation);
+    void takeRunning(const running_task &running, time_point now);
+    void takeFinished(const finished_task &finished, time_point now);
+    void settleMissing(const worker_listing &listing, time_point now);
+    void renewTasks();
+    void list(time_point now);
     void report(time_point now);
-    void addEvent(const task_attempt &attempt, task_event_kind kind, const std::string &checkpoint,
-                  const std::string &detail);
+    void addEvent(const task_attempt &attempt, task_event_kind kind, time_point now,
+                  const std::string &checkpoint = {}, const std::string &detail = {});
     bool hasEvent(const task_attempt &attempt, task_event_kind kind) const;
     bool hasEnded(const task_attempt &attempt) const;
-    milliseconds leaseToGive(failover_class failover) const;
+    milliseconds leaseToGive(failover_class failover, time_point grantEnds) const;
     void count(keeper_count reason);
 
     std::string m_worker;
