--- a/libs/work/task_keeper.h
+++ b/libs/work/task_keeper.h
@@ -86,9 +86,9 @@
 {
     granted_task task;
     Json::Value spec;
-    milliseconds lease{0}; // counted from when the worker made listing `listing`
-    std::uint64_t listing = 0;
-    std::uint64_t epoch = 0;
+    milliseconds lease{0};       // of the task
+    milliseconds startWithin{0}; // the worker refuses to start it later
+    std::uint64_t listing = 0;   // both count from when the worker made this listing
 };
 struct worker_renew
 {
