--- a/libs/config/settings.cpp
+++ b/libs/config/settings.cpp
@@ -15,14 +15,6 @@
 namespace zinniabarrow::config {
 
 // Found by argument-dependent look-up from fields.h, so in the namespace of log_level.
-static void fromName(const std::string &name, log_level &level)
-{
-    const auto value = logLevelNamed(name);
-    if (!value)
-        throw error(error_kind::BadRequest, "unknown log level " + name);
-    level = *value;
-}
-
 } // namespace zinniabarrow::config
 
 namespace zinniabarrow::config {
@@ -44,16 +36,6 @@
 // Found by argument-dependent look-up from fields.h, so not in the unnamed namespace.
 <<<<<<< HEAD
 =======
-static std::string_view nameOf(log_level level)
-{
-    return nameOf(LogLevelNames, level);
-}
-
-static void fromName(const std::string &name, log_level &level)
-{
-    level = valueNamed(LogLevelNames, name);
-}
-
 >>>>>>> config
 static void fromName(const std::string &name, routing_policy &policy)
 {
