--- a/libs/config/generation_events.cpp
+++ b/libs/config/generation_events.cpp
@@ -8,31 +8,13 @@
 #include "base/errors.h"
 #include "base/names.h"
 #include "config/fields.h"
+#include "platform/platform_json.h"
 
 namespace zinniabarrow::config {
 
-namespace {
-
-constexpr name_table<write_outcome, 4> OutcomeNames{{
-        {write_outcome::Applied, "applied"},
-        {write_outcome::Conflict, "conflict"},
-        {write_outcome::Refused, "refused"},
-        {write_outcome::Unknown, "unknown"},
-}};
-
-} // namespace
+namespace { } // namespace
 
 // Found by argument-dependent look-up from fields.h, so not in the unnamed namespace.
-static std::string_view nameOf(write_outcome outcome)
-{
-    return nameOf(OutcomeNames, outcome);
-}
-
-static void fromName(const std::string &name, write_outcome &outcome)
-{
-    outcome = valueNamed(OutcomeNames, name);
-}
-
 template <typename Archive>
 void describe(Archive &archive, write_result &result)
 {
--- a/libs/config/resources.h
+++ b/libs/config/resources.h
@@ -13,9 +13,6 @@
     bool operator==(const resources &) const = default;
 };
 
-<<<<<<< HEAD
-} // namespace zinniabarrow::config
-=======
 template <typename Archive>
 void describe(Archive &archive, resources &size)
 {
@@ -25,4 +22,3 @@
 }
 
 } // namespace zinniabarrow::config
->>>>>>> config
--- a/libs/config/settings.cpp
+++ b/libs/config/settings.cpp
@@ -14,11 +14,6 @@
 
 namespace zinniabarrow::config {
 
-// Found by argument-dependent look-up from fields.h, so in the namespace of log_level.
-} // namespace zinniabarrow::config
-
-namespace zinniabarrow::config {
-
 namespace {
 
 constexpr name_table<routing_policy, 2> RoutingPolicyNames{{
@@ -34,9 +29,6 @@
 }
 
 // Found by argument-dependent look-up from fields.h, so not in the unnamed namespace.
-<<<<<<< HEAD
-=======
->>>>>>> config
 static void fromName(const std::string &name, routing_policy &policy)
 {
     policy = valueNamed(RoutingPolicyNames, name);
--- a/libs/platform/platform_json.cpp
+++ b/libs/platform/platform_json.cpp
@@ -22,6 +22,14 @@
     return nameOf(OutcomeNames, outcome);
 }
 
+void fromName(const std::string &name, write_outcome &outcome)
+{
+    const auto value = valueOf(OutcomeNames, name);
+    if (!value)
+        throw error(error_kind::BadRequest, "member 'outcome': '" + name + "' is unknown");
+    outcome = *value;
+}
+
 Json::Value toJson(const table_row &row)
 {
     Json::Value json(Json::objectValue);
@@ -90,11 +98,9 @@
 
 write_result writeResultFromJson(const Json::Value &json)
 {
-    const auto name = stringMember(json, "outcome");
-    const auto outcome = valueOf(OutcomeNames, name);
-    if (!outcome)
-        throw error(error_kind::BadRequest, "member 'outcome': '" + name + "' is unknown");
-    return {*outcome, countMember(json, "sequence"), stringMember(json, "conflict_key")};
+    write_outcome outcome = write_outcome::Unknown;
+    fromName(stringMember(json, "outcome"), outcome);
+    return {outcome, countMember(json, "sequence"), stringMember(json, "conflict_key")};
 }
 
 } // namespace zinniabarrow
--- a/libs/platform/platform_json.h
+++ b/libs/platform/platform_json.h
@@ -10,6 +10,7 @@
 namespace zinniabarrow {
 
 std::string_view nameOf(write_outcome outcome);
+void fromName(const std::string &name, write_outcome &outcome); // throws error BadRequest
 
 Json::Value toJson(const table_row &row);
 Json::Value toJson(const table_transaction &transaction);
