--- /dev/null
+++ b/app/config_duty.h
@@ -0,0 +1,101 @@
+// The entry's configuration duty: watches the operators' folder, accepts generations, tells the
+// other processes, and answers operators.
+#pragma once
+
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "app/lanes.h"
+#include "app/request_duty.h"
+#include "base/log.h"
+#include "config/generations.h"
+#include "config/operator_view.h"
+#include "config/settings.h"
+#include "runtime/duty.h"
+#include "runtime/metrics.h"
+
+namespace zinniabarrow {
+
+struct adopted_configuration
+{
+    std::uint64_t generation = 0;
+    std::shared_ptr<const config::configuration> whole;
+};
+
+class config_duty
+{
+public:
+    config_duty(duty_system &system, const config::entry_settings &settings,
+                const process_identity &self, platform_lane &platform, rpc_sender &sender,
+                metrics &counters, const logger &log,
+                std::function<void(adopted_configuration)> adopted);
+    ~config_duty();
+
+    // May this entry serve callers? Not before it knows the highest generation in force.
+    bool isReady() const { return m_ready; }
+    std::uint64_t generation() const { return m_generation; }
+
+    void hear(const config::generation_report &report);
+    void membersChanged(const members_snapshot &snapshot);
+
+    // JSON-RPC bodies; they wait for the duty or for the platform.
+    Json::Value generationPushed(const Json::Value &parameters); // {report}; answers the own report
+    Json::Value content(const Json::Value &parameters);          // {digest}
+    Json::Value view();
+    Json::Value fileStatus(const Json::Value &parameters);       // {name, version}
+    Json::Value putFile(const Json::Value &parameters);          // {name, content, version?}
+    Json::Value removeFile(const Json::Value &parameters);       // {name, version?}
+
+    void stop();
+
+private:
+    struct question
+    {
+        std::function<Json::Value(const config::generation_keeper &, time_point)> answer;
+        std::shared_ptr<std::promise<Json::Value>> reply;
+    };
+    struct members_known
+    {
+        std::map<std::string, std::string> addresses; // by process id
+    };
+    using event = std::variant<config::generation_event, question, members_known>;
+
+    Json::Value ask(std::function<Json::Value(const config::generation_keeper &, time_point)> how);
+    Json::Value writeFile(std::function<write_result(platform_client &)> write);
+
+    void handle(event &what);
+    void feed(const config::generation_event &what);
+    void perform(const config::read_accepted &action);
+    void perform(const config::list_folder &action);
+    void perform(const config::read_files &action);
+    void perform(const config::write_content &action);
+    void perform(const config::commit_generation &action);
+    void perform(const config::remove_content &action);
+    void perform(const config::read_content &action);
+    void perform(const config::adopt_generation &action);
+    void perform(const config::push_generation &action);
+    void push(const std::string &address, const config::generation_report &report);
+    void post(config::generation_event what);
+
+    const config::entry_settings m_settings;
+    const process_identity m_self;
+    platform_lane &m_platform;
+    rpc_sender &m_sender;
+    metrics &m_metrics;
+    const logger &m_log;
+    std::function<void(adopted_configuration)> m_adopted;
+    std::atomic<bool> m_ready{false};
+    std::atomic<std::uint64_t> m_generation{0};
+
+    // Touched by the duty's thread alone.
+    config::generation_keeper m_keeper;
+    std::map<std::string, std::string> m_addresses; // by process id
+
+    std::unique_ptr<duty<event>> m_duty; // last: its thread uses all of the above
+};
+
+} // namespace zinniabarrow
--- a/app/request_duty.cpp
+++ b/app/request_duty.cpp
@@ -594,6 +594,8 @@
     snapshot.agents = m_membership.known();
     snapshot.liveEntries.push_back(m_self.id);
     for (const auto &peer : m_peers) {
+        if (!peer.id.empty())
+            snapshot.entryAddresses[peer.id] = peer.address;
         if (!peer.id.empty() && now - peer.heardAt < m_settings.announceSilence * 2)
             snapshot.liveEntries.push_back(peer.id);
     }
