placement: learned sizes, quarantine, quotas, interference, preemption and relief in the placer

Cause: first fit on declared sizes overruns memory, slows services and lets one team or one bad job take the pool. Change: each decision is a module of its own (size_learner, quarantine, quota, interference, relief, choose, preemption), and the placer joins them.

--- a/libs/placement/actions.h
+++ b/libs/placement/actions.h
@@ -1,6 +1,6 @@
 // What the placer asks the daemon to do, and what the daemon tells the placer.
 //
-//   placement_action   place, preempt, throttle, refuse
+//   placement_action   place, raise, preempt, throttle, refuse
 //   usage_sample, latency_sample   late measurements of the workers
 //   pool_info, team_quota          from the operators' configuration
 #pragma once
@@ -15,7 +15,7 @@
 #include "base/time.h"
 #include "placement/resources.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::placement {
 
 // Start the task there, limited to `reserved`. The ledger already counts it; report the outcome of
 // the write with placer::taskSettled().
@@ -42,6 +42,14 @@
     time_point checkpointBefore; // after it, stop with the last checkpoint that there is
 };
 
+// Tell the worker (and the agent's ledger) that the task may use more from now on.
+struct raise_action
+{
+    task_ref task;
+    std::string worker;
+    resources reserved; // the whole reservation, not the difference
+};
+
 // Limit the processor time of a batch task; its reservation stays as it is.
 struct throttle_action
 {
@@ -50,7 +58,9 @@
     std::int64_t millicores = 0; // the limit; the whole reservation ends the throttling
 };
 
-// The task does not run; `reason` names the limit and what to do.
+// The task does not run; `reason` names the limit and what to do. NeverFits and QuotaExceeded drop
+// the task here: submit it again when its job has changed. Quarantined stands for the whole job,
+// once for each stay; its tasks stay pending and one of them tries again by itself.
 struct refuse_action
 {
     task_ref task;
@@ -58,7 +68,8 @@
     std::string reason;
 };
 
-using placement_action = std::variant<place_action, preempt_action, throttle_action, refuse_action>;
+using placement_action =
+        std::variant<place_action, raise_action, preempt_action, throttle_action, refuse_action>;
 
 // Outcome of the write that records a placement.
 enum class placement_outcome {
@@ -101,4 +112,4 @@
 
 std::string_view nameOf(preempt_reason reason);
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::placement
--- /dev/null
+++ b/libs/placement/choose.cpp
@@ -0,0 +1,212 @@
+#include "placement/choose.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace zinniabarrow::placement {
+
+namespace {
+
+// Costs of one more replica at the same place. Losing an availability zone costs most, but is
+// rarest; two replicas on one worker are lost together every month.
+constexpr double SameWorkerCost = 2;
+constexpr double SameZoneCost = 1;
+constexpr double SameRackCost = 0.5;
+constexpr double LoadCost = 0.1;      // of a full worker, for a service
+constexpr double PackingWeight = 0.2; // of room left over, for batch
+constexpr double SuspectCost = 4;
+constexpr double AcceleratorCost = 1; // of taking a worker with accelerators without need
+constexpr double HeadroomUse = 0.05;  // part of an effect that counts below the target already
+constexpr std::size_t Tightest = 16;  // candidates that are scored in full
+constexpr std::size_t Sampled = 16;   // and others, so that a calm worker with much room is seen
+
+double processorsOf(const resources &amount)
+{
+    return static_cast<double>(amount.millicores) / 1000;
+}
+
+std::string rackKey(const worker_info &info)
+{
+    return info.zone + '/' + info.rack;
+}
+
+template <typename Key>
+int countIn(const std::map<Key, int> &counts, const Key &key)
+{
+    const auto found = counts.find(key);
+    return found == counts.end() ? 0 : found->second;
+}
+
+} // namespace
+
+void replica_counts::add(const worker_slot &worker, int slot)
+{
+    ++zones[worker.info.zone];
+    ++racks[rackKey(worker.info)];
+    ++slots[slot];
+}
+
+worker_chooser::worker_chooser(const placer_settings &settings, const worker_table &workers,
+                               const interference_model &interference)
+    : m_settings(settings)
+    , m_workers(workers)
+    , m_interference(interference)
+{ }
+
+worker_choice worker_chooser::choose(const place_request &request)
+{
+    if (m_settings.order == placement_order::FirstFit)
+        return firstFit(request);
+    return request.kind == task_kind::Service ? forService(request) : forBatch(request);
+}
+
+bool worker_chooser::fits(const place_request &request, int slot) const
+{
+    return request.demand.fitsIn(m_workers.room(slot)) && slot != request.avoid;
+}
+
+worker_choice worker_chooser::firstFit(const place_request &request) const
+{
+    for (const int slot : m_workers.pool(request.pool).slots) {
+        if (fits(request, slot))
+            return {choice_outcome::Found, slot};
+    }
+    return {};
+}
+
+double worker_chooser::spreadCost(const place_request &request, int slot) const
+{
+    if (request.kind != task_kind::Service)
+        return 0;
+    const auto &info = m_workers.at(slot).info;
+    return SameWorkerCost * countIn(request.replicas.slots, slot)
+           + SameZoneCost * countIn(request.replicas.zones, info.zone)
+           + SameRackCost * countIn(request.replicas.racks, rackKey(info));
+}
+
+worker_choice worker_chooser::forService(const place_request &request) const
+{
+    worker_choice best;
+    double lowest = std::numeric_limits<double>::max();
+    for (const int slot : m_workers.pool(request.pool).slots) {
+        if (!fits(request, slot))
+            continue;
+        const auto &worker = m_workers.at(slot);
+        const auto used = worker.info.size - m_workers.room(slot) + request.demand;
+        double cost = spreadCost(request, slot) + LoadCost * dominantShare(used, worker.info.size);
+        cost += worker.suspect ? SuspectCost : 0;
+        if (m_settings.avoidInterference && cost < lowest) {
+            cost += m_settings.weights.tailLatency
+                    * (harmFrom(worker, request.jobClass)
+                       + harmTo(worker, request.jobClass, processorsOf(request.demand)));
+        }
+        if (cost < lowest) {
+            lowest = cost;
+            best = {choice_outcome::Found, slot};
+        }
+    }
+    return best;
+}
+
+worker_choice worker_chooser::forBatch(const place_request &request)
+{
+    worker_choice best;
+    double lowest = std::numeric_limits<double>::max();
+    bool refusedForHarm = false;
+    for (const int slot : batchCandidates(request)) {
+        const auto &worker = m_workers.at(slot);
+        double cost = m_settings.weights.throughput * PackingWeight * packingCost(request, slot);
+        cost += worker.suspect ? SuspectCost : 0;
+        if (m_settings.avoidInterference) {
+            const double harm = harmTo(worker, request.jobClass, processorsOf(request.demand));
+            if (!request.mustStart && !worthStarting(request, worker, harm)) {
+                refusedForHarm = true;
+                continue;
+            }
+            cost += m_settings.weights.tailLatency * harm;
+        }
+        if (cost < lowest) {
+            lowest = cost;
+            best = {choice_outcome::Found, slot};
+        }
+    }
+    if (best.outcome != choice_outcome::Found && refusedForHarm)
+        best.outcome = choice_outcome::WouldSlowService;
+    return best;
+}
+
+// The tightest fits, and a rotating sample of the others: scoring interference for every worker
+// would cost more than it gains.
+std::vector<int> worker_chooser::batchCandidates(const place_request &request)
+{
+    std::vector<std::pair<double, int>> fitting;
+    for (const int slot : m_workers.pool(request.pool).slots) {
+        if (fits(request, slot))
+            fitting.emplace_back(packingCost(request, slot), slot);
+    }
+    const auto tight = std::min(Tightest, fitting.size());
+    const auto middle = fitting.begin() + static_cast<std::ptrdiff_t>(tight);
+    std::partial_sort(fitting.begin(), middle, fitting.end());
+    std::vector<int> candidates;
+    for (std::size_t index = 0; index < tight; ++index)
+        candidates.push_back(fitting[index].second);
+    const auto others = fitting.size() - tight;
+    for (std::size_t index = 0; index < std::min(Sampled, others); ++index)
+        candidates.push_back(fitting[tight + (m_rotation + index) % others].second);
+    m_rotation += Sampled;
+    return candidates;
+}
+
+double worker_chooser::packingCost(const place_request &request, int slot) const
+{
+    const auto &size = m_workers.at(slot).info.size;
+    const auto left = m_workers.room(slot) - request.demand;
+    double cost = static_cast<double>(left.millicores)
+                  / static_cast<double>(std::max<std::int64_t>(size.millicores, 1));
+    cost += static_cast<double>(left.bytes)
+            / static_cast<double>(std::max<std::int64_t>(size.bytes, 1));
+    if (size.accelerators > 0 && request.demand.accelerators == 0)
+        cost += AcceleratorCost;
+    return cost;
+}
+
+double worker_chooser::pessimistic(class_number service, class_number neighbour) const
+{
+    const auto effect = m_interference.effect(service, neighbour);
+    return effect.mean + m_settings.doubt * effect.deviation;
+}
+
+// What the services there would lose: all of what lies above their targets, little of the rest.
+double worker_chooser::harmTo(const worker_slot &worker, class_number jobClass,
+                              double processors) const
+{
+    double harm = 0;
+    for (const auto &service : worker.services) {
+        const double added = pessimistic(service.jobClass, jobClass) * processors;
+        harm += std::max(0.0, service.level + added) - std::max(0.0, service.level);
+        harm += HeadroomUse * added;
+    }
+    return harm;
+}
+
+double worker_chooser::harmFrom(const worker_slot &worker, class_number service) const
+{
+    double sum = 0;
+    for (const auto &neighbour : worker.history.current())
+        sum += pessimistic(service, neighbour.jobClass) * neighbour.processors;
+    return std::max(0.0, m_interference.baseline(service) + sum) + HeadroomUse * sum;
+}
+
+// Starting batch work is worth its part of the worker, and more the longer it has waited, so that a
+// task that would slow any service a little still starts in the end.
+bool worker_chooser::worthStarting(const place_request &request, const worker_slot &worker,
+                                   double harm) const
+{
+    const double patience = static_cast<double>(m_settings.batchPatience.count());
+    const double waited = static_cast<double>(request.waited.count()) / std::max(patience, 1.0);
+    const double worth = dominantShare(request.demand, worker.info.size) * (1 + waited);
+    return m_settings.weights.tailLatency * harm <= m_settings.weights.throughput * worth;
+}
+
+} // namespace zinniabarrow::placement
--- /dev/null
+++ b/libs/placement/choose.h
@@ -0,0 +1,78 @@
+// Which worker takes a task.
+//
+// Services spread over availability zones, racks and workers, where few noisy neighbours run. Batch
+// is packed where it fits most tightly, unless it would slow a service there more than it is worth.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "placement/interference.h"
+#include "placement/placer_settings.h"
+#include "placement/resources.h"
+#include "placement/worker_table.h"
+
+namespace zinniabarrow::placement {
+
+// How many replicas of one job each place holds already.
+struct replica_counts
+{
+    std::map<std::string, int> zones;
+    std::map<std::string, int> racks; // by availability zone and rack
+    std::map<int, int> slots;
+
+    void add(const worker_slot &worker, int slot);
+};
+
+struct place_request
+{
+    task_kind kind = task_kind::Batch; //
+    class_number jobClass = 0;         //
+    std::size_t pool = 0;              //
+    resources demand;                  //
+    int avoid = worker_table::NoSlot;  // not this one
+    duration waited{0};                //
+    bool mustStart = false;            // urgent: harm orders the workers, but refuses none
+    replica_counts replicas;           // of a service
+};
+
+enum class choice_outcome { Found, NoRoom, WouldSlowService };
+
+struct worker_choice
+{
+    choice_outcome outcome = choice_outcome::NoRoom;
+    int slot = worker_table::NoSlot;
+};
+
+class worker_chooser
+{
+public:
+    worker_chooser(const placer_settings &settings, const worker_table &workers,
+                   const interference_model &interference);
+
+    worker_choice choose(const place_request &request);
+    // Of a place on that worker, in the unit of the weighted parts: lower spreads better.
+    double spreadCost(const place_request &request, int slot) const;
+
+private:
+    worker_choice firstFit(const place_request &request) const;
+    worker_choice forService(const place_request &request) const;
+    worker_choice forBatch(const place_request &request);
+    bool fits(const place_request &request, int slot) const;
+    std::vector<int> batchCandidates(const place_request &request);
+    double packingCost(const place_request &request, int slot) const;
+    double harmTo(const worker_slot &worker, class_number jobClass, double processors) const;
+    double harmFrom(const worker_slot &worker, class_number service) const;
+    double pessimistic(class_number service, class_number neighbour) const;
+    bool worthStarting(const place_request &request, const worker_slot &worker, double harm) const;
+
+    const placer_settings &m_settings;
+    const worker_table &m_workers;
+    const interference_model &m_interference;
+    std::size_t m_rotation = 0; // where the sampled candidates start
+};
+
+} // namespace zinniabarrow::placement
--- a/libs/placement/ledger.cpp
+++ b/libs/placement/ledger.cpp
@@ -4,7 +4,7 @@
 
 #include "base/names.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::placement {
 
 namespace {
 
@@ -22,7 +22,7 @@
     return nameOf(StateNames, state);
 }
 
-ledger::ledger(resources size)
+ledger::ledger(const resources &size)
     : m_size(size)
 { }
 
@@ -99,4 +99,4 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::placement
--- a/libs/placement/ledger.h
+++ b/libs/placement/ledger.h
@@ -11,7 +11,7 @@
 
 #include "placement/resources.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::placement {
 
 // All of these count until the entry is released.
 enum class entry_state {
@@ -33,7 +33,8 @@
 class ledger
 {
 public:
-    explicit ledger(resources size = {});
+    ledger() = default;
+    explicit ledger(const resources &size);
 
     // Reserves `amount` when it fits beside everything counted; false leaves the ledger unchanged.
     // A task that already has an entry is not counted twice: true when the amount is the same.
@@ -71,4 +72,4 @@
     std::unordered_map<task_ref, ledger_entry, task_ref_hash> m_entries;
 };
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::placement
--- /dev/null
+++ b/libs/placement/load_signal.cpp
@@ -0,0 +1,35 @@
+#include "placement/load_signal.h"
+
+#include <algorithm>
+
+namespace zinniabarrow::placement {
+
+void load_signal::add(double excess, const load_signal_settings &settings)
+{
+    const auto slices = std::clamp<std::size_t>(settings.slices, 1, MostSlices);
+    if (m_count >= slices) {
+        std::shift_left(m_window.begin(), m_window.begin() + static_cast<std::ptrdiff_t>(m_count),
+                        1);
+        m_count = slices - 1;
+    }
+    m_window.at(m_count) = static_cast<float>(excess);
+    ++m_count;
+    if (m_count < slices)
+        return;
+    if (mean() > settings.riseAbove)
+        m_raised = true;
+    else if (mean() < settings.fallBelow)
+        m_raised = false;
+}
+
+double load_signal::mean() const
+{
+    if (m_count == 0)
+        return 0;
+    double sum = 0;
+    for (std::size_t index = 0; index < m_count; ++index)
+        sum += m_window.at(index);
+    return sum / static_cast<double>(m_count);
+}
+
+} // namespace zinniabarrow::placement
--- /dev/null
+++ b/libs/placement/placer_settings.h
@@ -0,0 +1,60 @@
+// Settings and counters of the placer.
+#pragma once
+
+#include <cstdint>
+
+#include "base/time.h"
+#include "placement/interference.h"
+#include "placement/load_signal.h"
+#include "placement/quarantine.h"
+#include "placement/relief.h"
+#include "placement/size_learner.h"
+
+namespace zinniabarrow::placement {
+
+enum class placement_order {
+    Scored,   // spread services, pack batch, weigh interference
+    FirstFit, // the first worker with room, for comparison
+};
+
+struct placer_settings
+{
+    placement_order order = placement_order::Scored;  //
+    bool avoidInterference = true;                    // weigh the expected harm when placing
+    bool relieveServices = true;                      // throttle and evict for disturbed services
+    policy_weights weights;                           //
+    size_learner_settings sizes;                      //
+    quarantine_settings quarantine;                   //
+    interference_settings interference;               //
+    load_signal_settings signal;                      //
+    relief_settings relief;                           //
+    duration urgentStartsWithin = milliseconds(2400); // from pending to started
+    duration startMargin = milliseconds(900);    // of it, to write and start after room was made
+    duration checkpointFor = seconds(30);        // to checkpoint in an eviction that is not urgent
+    duration provenAfter = seconds(60);          // a task that ran so long proves job and worker
+    duration avoidFor = std::chrono::minutes(2); // a task does not return where it was evicted
+    duration batchPatience = seconds(60);        // wait that doubles the worth of starting batch
+    duration retryAfter = seconds(5);            // a waiting job is tried again without new room
+    duration learnPoolFor = seconds(10); // until known workers bound a pool without configured size
+    double doubt = 0.5; // deviations added to an effect when placing: unknown pairs look worse
+};
+
+// Counters since start.
+struct placer_stats
+{
+    std::uint64_t placed = 0;                   //
+    std::uint64_t raised = 0;                   //
+    std::uint64_t throttled = 0;                //
+    std::uint64_t preemptedForUrgent = 0;       //
+    std::uint64_t preemptedForMemory = 0;       //
+    std::uint64_t preemptedForInterference = 0; //
+    std::uint64_t refusedNeverFits = 0;         //
+    std::uint64_t refusedQuota = 0;             //
+    std::uint64_t refusedQuarantined = 0;       //
+    std::uint64_t staleEvents = 0;              // for a worker that the task is not placed on
+    std::uint64_t lateCancelled = 0;            // tasks announced after their cancellation
+    std::uint64_t droppedSamples = 0;           // doubled, or older than the history
+    std::uint64_t budgetSpent = 0; // evictions for interference that the budget held back
+};
+
+} // namespace zinniabarrow::placement
--- /dev/null
+++ b/libs/placement/preemption.h
@@ -0,0 +1,63 @@
+// Making room: which worker can free enough for a task, and which victims that costs.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "placement/choose.h"
+#include "placement/resources.h"
+#include "placement/task_table.h"
+#include "placement/worker_table.h"
+
+namespace zinniabarrow::placement {
+
+struct room_plan
+{
+    int slot = worker_table::NoSlot;
+    std::vector<task_ref> victims; // may be empty: what is already stopping is enough
+};
+
+class room_maker
+{
+public:
+    room_maker(const worker_table &workers, const task_table &tasks, const worker_chooser &chooser);
+
+    // The worker of the pool on which the request costs the fewest evictions of tasks that rank
+    // after `rank`.
+    std::optional<room_plan> makeRoom(const place_request &request, int rank);
+    // The cheapest victims that free `missing` on the worker; none when they cannot.
+    std::optional<std::vector<task_ref>> chooseVictims(int slot, const resources &missing,
+                                                       int rank) const;
+    // Of tasks whose stop was asked for.
+    resources comingFree(int slot) const;
+    bool mayEvict(const task_ref &task, const ledger_entry &entry, int rank) const;
+
+private:
+    struct evictable_sums
+    {
+        std::uint64_t changes = 0;           // of the worker, when it was counted
+        std::array<resources, Ranks> byRank; // that may be evicted for a task of that rank
+        resources stopping;                  //
+    };
+    struct victim
+    {
+        int rank = 0;
+        bool overReservation = false;
+        time_point startedAt;
+        task_ref task;
+        resources amount;
+    };
+
+    const evictable_sums &sumsOf(int slot);
+    std::vector<victim> victimsOn(int slot, int rank) const;
+    resources missingOn(int slot, const place_request &request);
+
+    const worker_table &m_workers;
+    const task_table &m_tasks;
+    const worker_chooser &m_chooser;
+    std::vector<evictable_sums> m_sums; // by slot
+};
+
+} // namespace zinniabarrow::placement
--- a/libs/placement/resources.cpp
+++ b/libs/placement/resources.cpp
@@ -6,7 +6,7 @@
 #include "base/errors.h"
 #include "base/names.h"
 
-namespace zinniabarrow {
+namespace zinniabarrow::placement {
 
 namespace {
 
@@ -151,6 +151,12 @@
     return task.jobId + "/" + std::to_string(task.taskIndex);
 }
 
+std::string toText(const resources &amount)
+{
+    return std::to_string(amount.millicores) + " millicores, " + std::to_string(amount.bytes)
+           + " bytes, " + std::to_string(amount.accelerators) + " accelerators";
+}
+
 Json::Value toJson(const resources &amount)
 {
     Json::Value value(Json::objectValue);
@@ -227,4 +233,4 @@
             textMember(value, "pool"), resourcesFromJson(memberOf(value, "size"))};
 }
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::placement
--- a/libs/placement/resources.h
+++ b/libs/placement/resources.h
@@ -16,7 +16,7 @@
 
 #include <json/json.h>
 
-namespace zinniabarrow {
+namespace zinniabarrow::placement {
 
 // Integers only: sums of reservations never drift by rounding.
 struct resources
@@ -75,8 +75,9 @@
     }
 };
 
-// "job/index", for reasons and logs.
+// For reasons and logs: "job/index", and the amounts with their units.
 std::string toText(const task_ref &task);
+std::string toText(const resources &amount);
 
 struct task_spec
 {
@@ -113,4 +114,4 @@
 task_spec taskSpecFromJson(const Json::Value &value);
 worker_info workerInfoFromJson(const Json::Value &value);
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::placement
--- a/libs/placement/scheduler.h
+++ b/libs/placement/scheduler.h
@@ -2,10 +2,10 @@
 //
 //   configuration   setPool, setTeam
 //   workers         addWorker, resizeWorker, removeWorker
-//   tasks           taskPending … taskFailed, cancelTasks, cancelJob
+//   tasks           taskPending … taskFailed, cancelTasks, cancelJob, reopenJob
 //   measurements    usageSampled, latencySampled
 //   decisions       plan, explain
-//   watching        stats, ledgerOf
+//   watching        stats, ledgerOf, pendingTasks
 //
 // It does no I/O and takes `now` with each event. One thread at a time.
 //
@@ -16,50 +16,48 @@
 // is ignored and counted: it is late or doubled. Filter by attempt before calling.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
-#include <optional>
+#include <set>
 #include <span>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "placement/actions.h"
+#include "placement/choose.h"
+#include "placement/interference.h"
 #include "placement/ledger.h"
-#include "placement/resources.h"
-
-#include <map>
-#include <set>
-
-namespace zinniabarrow {
-
-struct placer_settings
-{
-    int placeDecisions = 256; // upper bound of one plan() when the caller gives none
-};
+#include "placement/placer_settings.h"
+#include "placement/preemption.h"
+#include "placement/quarantine.h"
+#include "placement/quota.h"
+#include "placement/relief.h"
+#include "placement/size_learner.h"
+#include "placement/task_table.h"
+#include "placement/worker_table.h"
 
-// Counters since start.
-struct placer_stats
-{
-    std::uint64_t placed = 0;
-    std::uint64_t preempted = 0;
-    std::uint64_t throttled = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t staleEvents = 0;
-};
+namespace zinniabarrow::placement {
 
 class placer
 {
 public:
-    explicit placer(placer_settings settings);
+    explicit placer(const placer_settings &settings);
+    placer(const placer &) = delete; // its parts refer to each other
+    placer &operator=(const placer &) = delete;
 
+    // The largest worker that the pool is configured with: what exceeds it is refused at once.
     void setPool(const pool_info &pool, time_point now);
     void setTeam(const team_quota &quota);
 
-    // Also for a worker that is known: brings it back, or changes its place and size.
+    // Also for a worker that is known: brings it back, or changes its size.
     void addWorker(const worker_info &worker, time_point now);
     void resizeWorker(const std::string &worker, const resources &size, time_point now);
     // No new tasks. Its tasks count until each is released, ended or failed.
     void removeWorker(const std::string &worker, time_point now);
 
+    // Known tasks are not queued twice; an edited specification counts for later placements.
     void taskPending(const task_spec &task, time_point now);
     // Takes in a placement that the table already holds, even when it does not fit.
     void taskPlaced(const task_spec &task, const std::string &worker, const resources &reserved,
@@ -73,13 +71,16 @@
     void taskReleased(const task_ref &task, const std::string &worker, time_point now);
     // Finished its work, or was stopped for good.
     void taskEnded(const task_ref &task, const std::string &worker, time_point now);
-    // Ended by itself without finishing: pending again, unless its job is quarantined.
+    // Ended by itself without finishing: pending again, when its job is not quarantined.
     void taskFailed(const task_ref &task, const std::string &worker, const std::string &reason,
                     time_point now);
     // Never placed again. Returns those that hold a worker: stop them, then call taskEnded.
     std::vector<task_ref> cancelTasks(std::span<const task_ref> tasks, time_point now);
     std::vector<task_ref> cancelJob(const std::string &jobId, time_point now);
 
+    // The operators submitted a job of that name anew: its tasks may be pending again.
+    void reopenJob(const std::string &jobId);
+
     void usageSampled(const usage_sample &sample, time_point now);
     void latencySampled(const latency_sample &sample, time_point now);
 
@@ -90,31 +91,114 @@
     std::string explain(const task_ref &task, time_point now) const;
     const placer_stats &stats() const { return m_stats; }
     const ledger *ledgerOf(const std::string &worker) const; // null: not known
-    std::size_t pendingTasks() const { return m_pending.size(); }
+    std::size_t pendingTasks() const { return m_pendingTasks; }
+    const interference_model &interference() const { return m_interference; }
+    // The number under which the interference model knows the class.
+    class_number classNumber(const std::string &jobClass);
 
 private:
-    struct worker_slot
+    // One plan() call.
+    struct plan_run
+    {
+        time_point now;
+        std::size_t most = 0;
+        std::vector<placement_action> actions;
+        // Demands that found no room in this run: while tasks are placed room only shrinks, so what
+        // asks for at least as much is not tried.
+        std::vector<std::pair<std::size_t, resources>> noRoom; // pool and demand
+
+        bool isFull() const { return actions.size() >= most; }
+    };
+    // Where the run stands among the waiting jobs of one team.
+    struct team_cursor
     {
-        worker_info info;
-        ledger book;
-        bool removed = false;
+        std::uint16_t team = 0;
+        pending_queue::team_jobs *jobs = nullptr;
+        std::uint64_t sequence = 0; // of the job
+        std::int32_t fromIndex = 0; // of its waiting tasks
     };
-    struct task_record
+    enum class try_result { Placed, TaskWaits, JobWaits };
+    struct found_task
     {
-        task_spec spec;
-        std::string worker; // empty: pending
-        bool cancelled = false;
+        job_record *job = nullptr;
+        task_record *task = nullptr;
+        explicit operator bool() const { return task != nullptr; }
     };
 
-    task_record *placedOn(const task_ref &task, const std::string &worker);
-    void free(const task_ref &task, task_record &record);
-    void requeue(const task_ref &task, const std::string &worker);
+    // Records (scheduler.cpp).
+    job_record &jobFor(const task_spec &spec);
+    found_task find(const task_ref &task);
+    found_task placedOn(const task_ref &task, const std::string &worker);
+    void enqueue(job_record &job, std::int32_t index, time_point now);
+    void dequeue(job_record &job, std::int32_t index);
+    void occupy(const job_record &job, const task_ref &task, task_record &record, int slot,
+                time_point now);
+    void vacate(const task_ref &task, task_record &record, time_point now);
+    void erase(job_record &job, std::int32_t index);
+    void makeWaiting(const task_ref &task, const std::string &worker, time_point now);
+    void setState(const task_ref &task, int slot, entry_state state);
+    void charge(task_record &record, const resources &amount);
+    void dropHold(task_record &record);
+    bool isCancelled(const task_ref &task);
+
+    // Measurements (scheduler.cpp).
+    void raiseReservation(const task_ref &task, task_record &record, const resources &used);
+    void queueRaises(int slot);
+    void neighbourChanged(int slot, class_number jobClass, double processors, time_point now);
+
+    // Decisions (plan.cpp).
+    void refreshSetAside(time_point now);
+    void refreshProbing(int slot, time_point now);
+    void sendRaises(plan_run &run);
+    void relieveMemory(plan_run &run);
+    void placeWaiting(plan_run &run);
+    void placeRank(plan_run &run, pending_queue::rank_teams &teams);
+    bool advance(plan_run &run, team_cursor &cursor);
+    try_result tryNext(plan_run &run, job_record &job, std::int32_t &fromIndex);
+    bool refuseWhole(plan_run &run, job_record &job);
+    void refuseAll(plan_run &run, job_record &job, error_kind kind, const std::string &reason);
+    bool mustWait(plan_run &run, job_record &job);
+    try_result tryTask(plan_run &run, job_record &job, std::int32_t index);
+    static bool foundNoRoom(const plan_run &run, std::size_t pool, const resources &demand);
+    void place(plan_run &run, job_record &job, std::int32_t index, int slot,
+               const resources &demand);
+    bool placeOnHeldRoom(plan_run &run, job_record &job, std::int32_t index,
+                         const resources &demand);
+    bool holdRoom(plan_run &run, job_record &job, std::int32_t index, const place_request &request);
+    place_request requestFor(const job_record &job, const task_record &record,
+                             const resources &demand, time_point now) const;
+    resources demandOf(const job_record &job) const;
+    void preempt(plan_run &run, int slot, const task_ref &victim, preempt_reason reason,
+                 const task_ref &beneficiary, time_point checkpointBefore);
+
+    // Relief of services (relieve.cpp).
+    void relieveServices(plan_run &run);
+    void relieve(plan_run &run, int slot, const service_watch &service);
+    void recover(plan_run &run, int slot);
+    std::vector<relief_candidate> candidatesOn(int slot, class_number service,
+                                               std::vector<task_ref> &tasks) const;
+    void throttle(plan_run &run, int slot, const task_ref &task, double processors);
+    void acted(int slot, time_point now);
 
     placer_settings m_settings;
     placer_stats m_stats;
-    std::map<std::string, worker_slot> m_workers;
-    std::map<task_ref, task_record> m_tasks;
-    std::set<task_ref> m_pending;
+    task_table m_tasks;
+    pending_queue m_queue;
+    cancel_memory m_cancelled;
+    std::size_t m_pendingTasks = 0;
+    worker_table m_workers;
+    std::unordered_map<std::string, class_number> m_classNumbers;
+    quota_book m_quotas;
+    size_learner m_sizes;
+    quarantine m_quarantine;
+    interference_model m_interference;
+    worker_chooser m_chooser;
+    room_maker m_roomMaker;
+    eviction_budget m_evictions;
+    std::vector<task_ref> m_raises; // reservations that the worker has to be told
+    std::set<int> m_owing;          // slots with a raise that does not fit
+    std::set<int> m_disturbed;      // slots with a raised signal or throttled tasks
+    std::set<int> m_setAside;       // slots that quarantine has set aside
 };
 
-} // namespace zinniabarrow
+} // namespace zinniabarrow::placement
--- /dev/null
+++ b/libs/placement/size_learner.h
@@ -0,0 +1,91 @@
+// Learned sizes: what the tasks of a job class really use, from late usage samples.
+//
+//   quantile_sketch  a quantile of many values in bounded memory
+//   size_learner     one pair of sketches for each job class, and the reservation that follows
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include "base/time.h"
+#include "placement/resources.h"
+
+namespace zinniabarrow::placement {
+
+// Counts in buckets whose edges grow by 2^(1/8): a quantile is at most 9.1% too large, never too
+// small. Old counts fade by halving, so that a class may change.
+class quantile_sketch
+{
+public:
+    // Values below 2^smallestPower share the lowest bucket.
+    explicit quantile_sketch(int smallestPower)
+        : m_smallestPower(smallestPower)
+    { }
+
+    void add(std::int64_t value);
+    // A task's peak rose: its one count moves along.
+    void move(std::int64_t from, std::int64_t to);
+    // Upper edge of the bucket that holds the quantile; 0 while empty.
+    std::int64_t quantile(double portion) const;
+    double count() const { return m_count; }
+
+private:
+    static constexpr int BucketsPerDoubling = 8;
+    static constexpr int Buckets = 24 * BucketsPerDoubling;
+    static constexpr double HalveAt = 4096; // counts
+
+    std::size_t bucketOf(std::int64_t value) const;
+
+    int m_smallestPower;
+    double m_count = 0;
+    std::array<float, Buckets> m_buckets{};
+};
+
+struct size_learner_settings
+{
+    bool learn = true;               // false: declared sizes only
+    double memoryQuantile = 0.98;    // of the tasks' peaks
+    double memoryHeadroom = 1.1;     // factor above the quantile
+    double processorQuantile = 0.9;  // of the samples
+    double processorHeadroom = 1.25; // above 1, so that a limited task can show that it needs more
+    double processorFloor = 0.25;    // of the declared size: never reclaimed below it
+    double raiseAt = 0.9;            // usage over reservation that raises the reservation
+    double raiseHeadroom = 1.2;      // the raised reservation over the usage
+    double minPeaks = 5;             // tasks seen before memory counts as learned
+    double minSamples = 20;          // samples seen before processor time counts as learned
+    std::size_t maxClasses = 512;    // the one unseen for longest is forgotten beyond it
+};
+
+class size_learner
+{
+public:
+    explicit size_learner(const size_learner_settings &settings);
+
+    // `peakBefore`: largest memory seen of this task before, 0 for its first sample.
+    void observe(const std::string &jobClass, std::int64_t peakBefore, const resources &used,
+                 time_point now);
+    // Memory: the larger of declared and learned. Processor: a service keeps what it declared or
+    // more; of a batch task, which can be throttled, what it does not use is reclaimed.
+    resources reservationFor(const task_spec &task) const;
+    // The reservation that `used` asks for; equal to `reserved` while there is enough headroom.
+    resources raisedFor(const resources &reserved, const resources &used) const;
+    std::size_t classes() const { return m_classes.size(); }
+
+private:
+    struct class_sizes
+    {
+        quantile_sketch peaks{20};  // bytes, from 1 MiB
+        quantile_sketch samples{0}; // millicores
+        time_point seenAt;
+    };
+
+    void forgetOldest();
+
+    size_learner_settings m_settings;
+    std::unordered_map<std::string, class_sizes> m_classes;
+};
+
+} // namespace zinniabarrow::placement
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -7,6 +7,7 @@
 #include "section.h"
 
 using namespace zinniabarrow;
+using namespace zinniabarrow::placement;
 using zinniabarrow::tests::section;
 
 namespace {
