--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -1,9 +1,14 @@
-// Placement: the ledger, the learned sizes, quarantine, quotas, interference and the placer.
+// The parts of placement: ledger, learned sizes, quarantine, quotas, interference, relief.
 #include <criterion/criterion.h>
 
 #include "base/errors.h"
+#include "placement/interference.h"
 #include "placement/ledger.h"
-#include "placement/scheduler.h"
+#include "placement/load_signal.h"
+#include "placement/quarantine.h"
+#include "placement/quota.h"
+#include "placement/relief.h"
+#include "placement/size_learner.h"
 #include "section.h"
 
 using namespace zinniabarrow;
@@ -13,6 +18,7 @@
 namespace {
 
 constexpr std::int64_t Gigabyte = 1'000'000'000;
+constexpr time_point Start{std::chrono::hours(1)};
 
 // Whether the call throws error BadRequest whose text names `member`.
 template <typename Call>
@@ -94,3 +100,244 @@
         check(refusesMember("id", [&] { workerInfoFromJson(Json::Value(3)); }));
     });
 }
+
+Test(placement, learnedSizes)
+{
+    size_learner learner{size_learner_settings{}};
+    task_spec task;
+    task.jobClass = "booking";
+    task.declared = {8'000, Gigabyte, 0};
+    section("an unseen class is taken at its word",
+            [&] { check(learner.reservationFor(task) == task.declared); });
+    section("memory follows the peaks of the tasks, not the number of samples", [&] {
+        for (int index = 0; index < 10; ++index) {
+            learner.observe("booking", 0, {1'000, Gigabyte / 2, 0}, Start);
+            learner.observe("booking", Gigabyte / 2, {1'000, 3 * Gigabyte, 0}, Start);
+            for (int sample = 0; sample < 50; ++sample)
+                learner.observe("booking", 3 * Gigabyte, {1'000, Gigabyte / 2, 0}, Start);
+        }
+        const auto bytes = learner.reservationFor(task).bytes;
+        check(bytes >= 3 * Gigabyte && bytes <= 37 * Gigabyte / 10);
+    });
+    section("unused processors of batch are reclaimed, those of a service are not", [&] {
+        check(learner.reservationFor(task).millicores == 2'000); // the floor, a quarter
+        task.kind = task_kind::Service;
+        check(learner.reservationFor(task).millicores == 8'000);
+    });
+    section("a smaller use than declared frees no memory", [&] {
+        task.declared.bytes = 9 * Gigabyte;
+        check(learner.reservationFor(task).bytes == 9 * Gigabyte);
+    });
+    section("a reservation is raised before it is used up", [&] {
+        const resources reserved{1'000, Gigabyte, 0};
+        check(learner.raisedFor(reserved, {4'000, Gigabyte / 2, 0}) == reserved);
+        check(learner.raisedFor(reserved, {0, 95 * Gigabyte / 100, 0}).bytes
+              == 114 * Gigabyte / 100);
+    });
+    section("memory is bounded: the class unseen for longest is forgotten", [&] {
+        for (int index = 0; index < 2'000; ++index)
+            learner.observe("class-" + std::to_string(index), 0, {1, 1, 0},
+                            Start + seconds(index + 1));
+        check(learner.classes() == 512);
+    });
+}
+
+// One worker of ten fails whatever it starts. Jobs would fail there again and again, and would be
+// quarantined for it; instead the worker is set aside, and tries one task after its cool-down.
+Test(placement, quarantinedWorker)
+{
+    quarantine subject{quarantine_settings{}};
+    time_point now = Start;
+    const auto fail = [&](int job, const std::string &worker) {
+        subject.failed("job-" + std::to_string(job), worker, "main", 10, "exit 1", now);
+    };
+    section("three distinct jobs fail on it, one alone does not set it aside", [&] {
+        for (int repeat = 0; repeat < 5; ++repeat)
+            fail(1, "w1");
+        fail(2, "w1");
+        check(subject.workerMayTake("w1", now));
+        fail(3, "w1");
+        check(!subject.workerMayTake("w1", now));
+        check(subject.jobMayStart("job-1", now));
+    });
+    section("tasks that fail while it is set aside do not prolong the stay", [&] {
+        now += seconds(30);
+        for (int job = 4; job < 20; ++job)
+            fail(job, "w1");
+        check(subject.workerMayTake("w1", Start + seconds(120)));
+    });
+    section("one probe at a time; its failure doubles the cool-down", [&] {
+        now = Start + seconds(120);
+        subject.started("job-30", "w1", now);
+        check(!subject.workerMayTake("w1", now));
+        now += seconds(5);
+        fail(30, "w1");
+        check(!subject.workerMayTake("w1", now + seconds(239)));
+        check(subject.workerMayTake("w1", now + seconds(240)));
+        check(subject.jobMayStart("job-30", now));
+    });
+    section("an old task that goes on proves nothing; a new one that succeeds does", [&] {
+        subject.succeeded("job-0", "w1", Start - seconds(1));
+        check(subject.isSetAside("w1"));
+        subject.succeeded("job-0", "w1", now + seconds(240));
+        check(!subject.isSetAside("w1"));
+    });
+}
+
+// A hundred jobs with a broken program arrive at once and fail everywhere. Each worker then looks
+// as if it failed everything; setting them all aside would stop the good jobs too.
+Test(placement, badJobWave)
+{
+    quarantine subject{quarantine_settings{}};
+    time_point now = Start;
+    std::size_t most = 0;
+    for (int round = 0; round < 6; ++round) {
+        for (int job = 0; job < 100; ++job) {
+            const auto name = "bad-" + std::to_string(job);
+            const auto worker = "w" + std::to_string((job + round * 7) % 20);
+            if (subject.jobMayStart(name, now) && subject.workerMayTake(worker, now))
+                subject.failed(name, worker, "main", 20, "missing file", now);
+            most = std::max(most, subject.setAsideWorkers().size());
+        }
+        now += seconds(1);
+    }
+    section("never more than a tenth of the pool is set aside", [&] { check(most == 2); });
+    section("the bad jobs are quarantined, with their reason", [&] {
+        int quarantined = 0;
+        for (int job = 0; job < 100; ++job)
+            quarantined += subject.isQuarantined("bad-" + std::to_string(job)) ? 1 : 0;
+        check(quarantined == 100);
+        check(subject.reasonFor("bad-7", now).find("missing file") != std::string::npos);
+    });
+    section("they return: one task tries again after the cool-down", [&] {
+        now += seconds(120);
+        check(subject.jobMayStart("bad-7", now));
+        subject.started("bad-7", "w3", now);
+        check(!subject.jobMayStart("bad-7", now));
+        subject.succeeded("bad-7", "w3", now);
+        check(subject.jobMayStart("bad-7", now));
+    });
+}
+
+Test(placement, quotas)
+{
+    quota_book book;
+    book.setTotal({100'000, 100 * Gigabyte, 10});
+    book.setQuota({"rink", 1, {}});
+    book.setQuota({"clubs", 2, {20'000, 0, 0}});
+    const auto rink = book.teamNumber("rink");
+    const auto clubs = book.teamNumber("clubs");
+    section("the share is the largest over all dimensions, divided by the weight", [&] {
+        book.charge(rink, {10'000, 30 * Gigabyte, 0});
+        book.charge(clubs, {10'000, 0, 4});
+        check(book.weightedShare(rink) == 0.3);
+        check(book.weightedShare(clubs) == 0.2);
+    });
+    section("a limit holds in the dimension where it is set", [&] {
+        check(book.allows(clubs, {10'000, 90 * Gigabyte, 0}));
+        check(!book.allows(clubs, {10'001, 0, 0}));
+        check(book.impossibleDimension(clubs, {20'001, 0, 0}) == "millicores");
+        check(!book.impossibleDimension(clubs, {20'000, 0, 0}));
+    });
+}
+
+// A quiet task replaces a noisy one; the sample that tells of the noise arrives after the change.
+// If it were explained by who runs now, the quiet class would be blamed and throttled.
+Test(placement, lateSamplesAreAttributed)
+{
+    constexpr class_number Service = 0;
+    constexpr class_number Noisy = 1;
+    constexpr class_number Quiet = 2;
+    interference_model model{interference_settings{}};
+    neighbour_history history;
+    time_point now = Start;
+    for (int round = 0; round < 40; ++round) {
+        history.change(Noisy, 4, now);
+        history.change(Noisy, -4, now + seconds(10));
+        history.change(Quiet, 4, now + seconds(10));
+        const auto measured = now + seconds(5); // beside the noisy task, and it arrives at 15 s
+        model.learn(Service, *history.at(measured), 0.4, measured);
+        const auto calm = now + seconds(12);
+        model.learn(Service, *history.at(calm), -0.4, calm);
+        history.change(Quiet, -4, now + seconds(20));
+        now += seconds(20);
+    }
+    section("the noisy class is blamed, the quiet one is not", [&] {
+        check(model.effect(Service, Noisy).mean > 0.12);
+        check(model.effect(Service, Quiet).mean < 0.03);
+    });
+    section("certainty grows with the samples", [&] {
+        check(model.effect(Service, Noisy).deviation < 0.03);
+        check(model.effect(Service, 9).deviation > 0.03);
+    });
+    section("an unknown pair borrows from the means of its classes", [&] {
+        model.learn(5, std::vector<class_amount>{{Noisy, 4}}, 0.5, now);
+        const double other = model.effect(6, Noisy).mean;
+        check(other > model.effect(6, Quiet).mean);
+        check(other > 0.03);
+    });
+    section("a moment before the history is not guessed", [&] {
+        check(!history.at(Start + seconds(1)));
+        check(history.at(now - seconds(8)));
+    });
+}
+
+Test(placement, relief)
+{
+    const policy_weights tail{0.7, 0.2, 0.1};
+    const policy_weights work{0.2, 0.4, 0.4};
+    const relief_settings settings;
+    std::vector<relief_candidate> tasks{{0, 0.01, 4, 4, true}, {1, 0.2, 4, 4, true}};
+    section("the one that disturbs most is throttled first", [&] {
+        const auto step = chooseRelief(0.5, 16, tasks, tail, settings);
+        check(step && std::get<throttle_relief>(*step).index == 1);
+        check(step && std::get<throttle_relief>(*step).limit == 2);
+    });
+    section("evicted only when throttling has come to its floor", [&] {
+        tasks[0].effect = 0;
+        tasks[1].limit = 1;
+        const auto step = chooseRelief(0.5, 16, tasks, tail, settings);
+        check(step && std::get<evict_relief>(*step).index == 1);
+    });
+    section("a deployment that weighs evictions more does not evict for as little",
+            [&] { check(!chooseRelief(0.5, 16, tasks, work, settings)); });
+    section("a small excess is worth no action at all",
+            [&] { check(!chooseRelief(0.01, 16, tasks, tail, settings)); });
+    section("processors come back where they disturb least, and only if there is room", [&] {
+        tasks = {{0, 0.3, 1, 4, true}, {1, 0.05, 1, 4, true}};
+        const auto step = chooseRecovery(0.2, tasks, settings);
+        check(step && step->index == 1 && step->limit == 2);
+        check(!chooseRecovery(0.01, tasks, settings));
+    });
+    section("the budget refills with time and the number of workers", [&] {
+        eviction_budget budget(2);
+        budget.refill(settings, 8, Start);
+        budget.take();
+        budget.take();
+        check(!budget.mayTake());
+        budget.refill(settings, 8, Start + std::chrono::minutes(31));
+        check(budget.mayTake());
+    });
+}
+
+Test(placement, loadSignal)
+{
+    const load_signal_settings settings;
+    load_signal signal;
+    section("one bad sample does not raise it, a bad stretch does", [&] {
+        for (const double excess : {-0.2, -0.2, 0.6, -0.2, -0.2})
+            signal.add(excess, settings);
+        check(!signal.isRaised());
+        for (int index = 0; index < 4; ++index)
+            signal.add(0.2, settings);
+        check(signal.isRaised());
+    });
+    section("it stays up between the two levels", [&] {
+        for (int index = 0; index < 4; ++index)
+            signal.add(0.05, settings);
+        check(signal.isRaised());
+        for (int index = 0; index < 4; ++index)
+            signal.add(-0.1, settings);
+        check(!signal.isRaised());
+    });
+}
--- /dev/null
+++ b/tests/placer_test.cpp
@@ -0,0 +1,480 @@
+// The placer as a whole: exact sequences of events and the actions that must follow.
+#include <algorithm>
+#include <set>
+
+#include <criterion/criterion.h>
+
+#include "placement/scheduler.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::placement;
+using zinniabarrow::tests::section;
+
+namespace {
+
+constexpr std::int64_t Gigabyte = 1'000'000'000;
+constexpr resources WorkerSize{16'000, 60 * Gigabyte, 0};
+constexpr int Many = 10'000;
+
+task_spec batchTask(const std::string &job, int index, const resources &declared)
+{
+    task_spec task;
+    task.jobId = job;
+    task.taskIndex = index;
+    task.jobClass = job;
+    task.team = "clubs";
+    task.pool = "main";
+    task.declared = declared;
+    return task;
+}
+
+task_spec serviceTask(const std::string &job, int index, const resources &declared)
+{
+    auto task = batchTask(job, index, declared);
+    task.kind = task_kind::Service;
+    return task;
+}
+
+// Workers w0, w1, …: three availability zones, three workers to a rack.
+struct scene
+{
+    placer subject;
+    time_point now{std::chrono::hours(1)};
+    std::vector<placement_action> actions; // of the last plan
+
+    explicit scene(int workers, const placer_settings &settings = {})
+        : subject(settings)
+    {
+        subject.setPool({"main", WorkerSize}, now);
+        for (int index = 0; index < workers; ++index)
+            subject.addWorker(workerInfo(index), now);
+    }
+
+    static worker_info workerInfo(int index)
+    {
+        const char zone = static_cast<char>('a' + index % 3);
+        return {"w" + std::to_string(index), std::string("kartli-") + zone,
+                "r" + std::to_string(index / 9), "main", WorkerSize};
+    }
+
+    void pending(const task_spec &task, int count = 1)
+    {
+        auto next = task;
+        for (int index = 0; index < count; ++index) {
+            next.taskIndex = task.taskIndex + index;
+            subject.taskPending(next, now);
+        }
+    }
+
+    void plan(int most = Many) { actions = subject.plan(now, most); }
+
+    template <typename Action>
+    std::vector<Action> taken() const
+    {
+        std::vector<Action> found;
+        for (const auto &action : actions) {
+            if (const auto *one = std::get_if<Action>(&action))
+                found.push_back(*one);
+        }
+        return found;
+    }
+
+    // Plans, and everything that is placed runs.
+    std::vector<place_action> start()
+    {
+        plan();
+        auto placed = taken<place_action>();
+        for (const auto &each : placed)
+            run(each);
+        return placed;
+    }
+
+    void run(const place_action &placed)
+    {
+        subject.taskSettled(placed.task, placed.worker, placement_outcome::Applied, now);
+        subject.taskRunning(placed.task, placed.worker, now);
+    }
+
+    void latency(const place_action &service, double ofTarget, duration age = seconds(0))
+    {
+        const microseconds target{10'000};
+        const microseconds p99{static_cast<std::int64_t>(ofTarget * 10'000)};
+        subject.latencySampled({service.task, service.worker, p99, target, now - age}, now);
+    }
+};
+
+} // namespace
+
+// The answer of the placing write is lost. The operator sees the task as ambiguous: it may start,
+// so its room must not be given away and it must not be placed again; then the row is read back.
+Test(placer, ambiguousStaysCounted)
+{
+    scene world(1);
+    const auto whole = batchTask("season", 0, WorkerSize);
+    world.pending(whole);
+    world.plan();
+    world.subject.taskSettled(whole.ref(), "w0", placement_outcome::Unknown, world.now);
+    section("neither it nor another task gets the room", [&] {
+        world.pending(batchTask("other", 0, {1'000, 0, 0}));
+        world.now += std::chrono::hours(2);
+        world.plan();
+        check(world.actions.empty());
+        check(world.subject.explain(whole.ref(), world.now).find("ambiguous") != std::string::npos);
+    });
+    section("read back as not written, both are placeable again", [&] {
+        world.subject.taskSettled(whole.ref(), "w0", placement_outcome::NotApplied, world.now);
+        world.plan();
+        check(world.taken<place_action>().size() == 1);
+    });
+}
+
+// A task is asked to stop and the confirmation does not come. It may still run, so the worker would
+// hold more than it has if its room were given away. Late and doubled messages change nothing.
+Test(placer, unconfirmedStopStaysCounted)
+{
+    scene world(2);
+    const auto task = batchTask("season", 0, WorkerSize);
+    world.pending(task);
+    const auto placed = world.start();
+    world.subject.removeWorker(placed[0].worker == "w0" ? "w1" : "w0", world.now);
+    world.subject.taskStopping(task.ref(), placed[0].worker, world.now);
+    world.subject.taskRunning(task.ref(), placed[0].worker, world.now); // sent before the stop
+    world.pending(batchTask("other", 0, {1, 1, 0}));
+    section("its room is not given away", [&] {
+        world.now += std::chrono::hours(2);
+        world.plan();
+        check(world.actions.empty());
+        check(world.subject.ledgerOf(placed[0].worker)->find(task.ref())->state
+              == entry_state::Stopping);
+    });
+    section("a report of another worker does not free it", [&] {
+        world.subject.taskReleased(task.ref(), "w9", world.now);
+        world.plan();
+        check(world.actions.empty());
+        check(world.subject.stats().staleEvents == 1);
+    });
+    section("its confirmation does, once", [&] {
+        world.subject.taskReleased(task.ref(), placed[0].worker, world.now);
+        world.subject.taskReleased(task.ref(), placed[0].worker, world.now);
+        check(world.subject.pendingTasks() == 2);
+    });
+}
+
+Test(placer, spreadAndPack)
+{
+    scene world(12);
+    section("replicas spread over availability zones and racks", [&] {
+        world.pending(serviceTask("tickets", 0, {2'000, Gigabyte, 0}), 6);
+        std::set<std::string> workers;
+        std::map<std::string, int> zones;
+        for (const auto &placed : world.start()) {
+            workers.insert(placed.worker);
+            ++zones[scene::workerInfo(std::stoi(placed.worker.substr(1))).zone];
+        }
+        check(workers.size() == 6);
+        check(zones.size() == 3 && zones["kartli-a"] == 2 && zones["kartli-b"] == 2);
+    });
+    section("batch is packed on few workers", [&] {
+        world.pending(batchTask("season", 0, {2'000, 7 * Gigabyte, 0}), 14);
+        std::set<std::string> workers;
+        for (const auto &placed : world.start())
+            workers.insert(placed.worker);
+        check(workers.size() <= 3);
+    });
+}
+
+Test(placer, refusals)
+{
+    scene world(2);
+    world.subject.setTeam({"clubs", 1, {8'000, 0, 0}});
+    section("what can never fit is refused at once, by name of the limit", [&] {
+        world.pending(batchTask("huge", 0, {1'000, 61 * Gigabyte, 0}), 2);
+        world.plan();
+        const auto refused = world.taken<refuse_action>();
+        require(refused.size() == 2);
+        check(refused[0].kind == error_kind::NeverFits);
+        check(refused[0].reason.find("bytes: 61000000000 declared, 60000000000")
+              != std::string::npos);
+        check(world.subject.pendingTasks() == 0);
+    });
+    section("a task above its team's quota too", [&] {
+        world.pending(batchTask("wide", 0, {9'000, 0, 0}));
+        world.plan();
+        require(world.taken<refuse_action>().size() == 1);
+        check(world.taken<refuse_action>()[0].kind == error_kind::QuotaExceeded);
+    });
+    section("a team at its quota waits, and is told why", [&] {
+        world.pending(batchTask("season", 0, {3'000, 0, 0}), 3);
+        check(world.start().size() == 2);
+        check(world.subject.explain({"season", 2}, world.now).find("quota") != std::string::npos);
+    });
+    section("before the pool's size is known nothing is refused", [&] {
+        placer young{placer_settings{}};
+        young.taskPending(batchTask("huge", 0, {1'000, 61 * Gigabyte, 0}), world.now);
+        check(young.plan(world.now, Many).empty());
+        young.addWorker(scene::workerInfo(0), world.now);
+        check(young.plan(world.now + seconds(9), Many).empty());
+        check(young.plan(world.now + seconds(10), Many).size() == 1);
+    });
+}
+
+// Two teams with weights 1 and 3 have more waiting than fits. One submits first, and would take all
+// the room if the queue were served in the order of arrival.
+Test(placer, teamsShareByWeight)
+{
+    scene world(2);
+    world.subject.setTeam({"clubs", 1, {}});
+    world.subject.setTeam({"families", 3, {}});
+    world.pending(batchTask("season", 0, {1'000, 0, 0}), 100);
+    auto other = batchTask("holds", 0, {1'000, 0, 0});
+    other.team = "families";
+    world.pending(other, 100);
+    int ofClubs = 0;
+    const auto placed = world.start();
+    for (const auto &each : placed)
+        ofClubs += each.task.jobId == "season" ? 1 : 0;
+    section("a quarter and three quarters", [&] {
+        check(placed.size() == 32);
+        check(ofClubs == 8);
+    });
+}
+
+// All workers are full of batch when urgent work arrives. It has 2.4 s: victims are stopped at
+// once, and the room is kept for it. Then a worker does not confirm its stop, and another is taken
+// instead.
+Test(placer, urgentPreemptsBatch)
+{
+    scene world(3);
+    auto watcher = batchTask("watcher", 0, {16'000, Gigabyte, 0});
+    watcher.failover = failover_class::Proof;
+    world.pending(watcher);
+    world.pending(batchTask("season", 0, {8'000, Gigabyte, 0}), 4);
+    check(world.start().size() == 5);
+    auto urgent = batchTask("gate", 0, {8'000, Gigabyte, 0});
+    urgent.priority = task_priority::Urgent;
+    const auto arrived = world.now;
+    world.pending(urgent);
+    world.plan();
+    const auto first = world.taken<preempt_action>();
+    section("one victim, not the lease watcher, and it must be gone in time", [&] {
+        require(first.size() == 1);
+        check(first[0].victim.jobId == "season");
+        check(first[0].checkpointBefore <= arrived + milliseconds(1'500));
+        world.plan();
+        check(world.actions.empty()); // asked once
+    });
+    section("the worker does not confirm: another one makes room", [&] {
+        world.now = first[0].checkpointBefore + milliseconds(300);
+        world.plan();
+        const auto second = world.taken<preempt_action>();
+        require(second.size() == 1);
+        check(second[0].worker != first[0].worker);
+        world.now += milliseconds(200);
+        world.subject.taskReleased(second[0].victim, second[0].worker, world.now);
+    });
+    section("it starts within 2.4 s, and the victim does not take the room back", [&] {
+        world.plan();
+        const auto placed = world.taken<place_action>();
+        require(placed.size() == 1);
+        check(placed[0].task == urgent.ref());
+        check(world.now - arrived <= milliseconds(2'400));
+    });
+    section("room held for it goes back when it is cancelled", [&] {
+        auto next = urgent;
+        next.jobId = "gate-2";
+        world.pending(next);
+        world.plan();
+        const std::vector<task_ref> cancelled{next.ref()};
+        check(world.subject.cancelTasks(cancelled, world.now).empty());
+        world.subject.taskReleased(first[0].victim, first[0].worker, world.now);
+        check(world.start().size() == 1);
+    });
+}
+
+// Thousands of tasks are cancelled at once while some run, some are being placed and some wait, and
+// messages about them arrive late. None may start afterwards.
+Test(placer, cancellationWave)
+{
+    scene world(4);
+    world.pending(batchTask("season", 0, {1'000, Gigabyte, 0}), 5'000);
+    const auto placed = world.start();
+    const auto toStop = world.subject.cancelJob("season", world.now);
+    section("those on a worker are to be stopped, and count until they are", [&] {
+        check(placed.size() == 64 && toStop.size() == 64);
+        world.pending(batchTask("other", 0, {1'000, 0, 0}));
+        world.plan();
+        check(world.actions.empty());
+    });
+    section("no late message brings one back", [&] {
+        world.subject.taskReleased(placed[0].task, placed[0].worker, world.now);
+        world.subject.taskFailed(placed[1].task, placed[1].worker, "killed", world.now);
+        world.subject.taskSettled(placed[2].task, placed[2].worker, placement_outcome::NotApplied,
+                                  world.now);
+        world.pending(batchTask("season", 0, {1'000, Gigabyte, 0}), 5'000);
+        const auto next = world.start();
+        check(next.size() == 1 && next[0].task.jobId == "other");
+        check(world.subject.pendingTasks() == 0);
+    });
+    section("the same name, submitted anew, runs", [&] {
+        world.subject.reopenJob("season");
+        world.pending(batchTask("season", 9'000, {1'000, Gigabyte, 0}));
+        check(world.start().size() == 1);
+    });
+}
+
+// A task uses more memory than it declared. Its reservation is raised while there is headroom, new
+// tasks no longer get that room, and when the worker has none left one batch task goes by policy
+// instead of a random one by the kernel.
+Test(placer, memoryGrowth)
+{
+    scene world(1);
+    auto low = batchTask("low", 0, {1'000, 25 * Gigabyte, 0});
+    low.priority = task_priority::Low;
+    world.pending(low);
+    world.pending(serviceTask("tickets", 0, {1'000, 25 * Gigabyte, 0}));
+    check(world.start().size() == 2);
+    const auto grows = [&](std::int64_t gigabytes) {
+        world.now += seconds(10);
+        world.subject.usageSampled(
+                {{"tickets", 0}, "w0", {500, gigabytes * Gigabyte, 0}, world.now}, world.now);
+        world.plan();
+    };
+    section("the raise is told to the worker", [&] {
+        grows(24);
+        require(world.taken<raise_action>().size() == 1);
+        check(world.taken<raise_action>()[0].reserved.bytes == 288 * Gigabyte / 10);
+    });
+    section("without room the low task is evicted, once", [&] {
+        grows(33);
+        const auto victims = world.taken<preempt_action>();
+        require(victims.size() == 1);
+        check(victims[0].victim == low.ref());
+        check(victims[0].reason == preempt_reason::MemoryPressure);
+        world.plan();
+        check(world.actions.empty());
+    });
+    section("the raise follows when it is gone, and it does not come back at once", [&] {
+        world.subject.taskReleased(low.ref(), "w0", world.now);
+        world.plan();
+        check(world.taken<raise_action>().size() == 1);
+        check(world.taken<place_action>().empty());
+        check(world.subject.ledgerOf("w0")->reserved().bytes >= 39 * Gigabyte);
+    });
+}
+
+// Noisy batch arrives on every worker at once and every service is late. Relief must throttle
+// before it evicts, wait for the effect, and never evict more than the budget, or the wave of noise
+// becomes a wave of evictions with all its lost work.
+Test(placer, noisyWave)
+{
+    placer_settings settings;
+    settings.weights = {0.7, 0.2, 0.1};
+    settings.avoidInterference = false; // the wave is there already
+    scene world(12, settings);
+    world.pending(serviceTask("tickets", 0, {4'000, Gigabyte, 0}), 12);
+    const auto services = world.start();
+    world.pending(batchTask("noisy", 0, {4'000, Gigabyte, 0}), 36);
+    check(world.start().size() == 36);
+    int throttled = 0;
+    int evicted = 0;
+    std::map<std::string, time_point> lastAction;
+    duration shortestPause = std::chrono::hours(1);
+    const auto minutes = [&](int count, double ofTarget) {
+        for (int second = 0; second < count * 60; second += 5) {
+            world.now += seconds(5);
+            for (const auto &service : services)
+                world.latency(service, ofTarget, seconds(5));
+            world.plan();
+            throttled += static_cast<int>(world.taken<throttle_action>().size());
+            for (const auto &action : world.taken<throttle_action>()) {
+                if (lastAction.contains(action.worker))
+                    shortestPause = std::min(shortestPause, world.now - lastAction[action.worker]);
+                lastAction[action.worker] = world.now;
+            }
+            for (const auto &action : world.taken<preempt_action>()) {
+                ++evicted;
+                world.subject.taskReleased(action.victim, action.worker, world.now);
+            }
+        }
+    };
+    section("throttles every noisy task before it evicts any", [&] {
+        minutes(2, 3.0);
+        check(throttled >= 12 && evicted == 0);
+        check(shortestPause >= seconds(20));
+        minutes(10, 3.0);
+        check(throttled >= 72);
+    });
+    section("ten more minutes of noise cost no more evictions than the budget", [&] {
+        minutes(10, 3.0);
+        check(evicted >= 1 && evicted <= 4);
+        check(world.subject.stats().budgetSpent > 0);
+    });
+    section("calm gives the processors back, step by step", [&] {
+        throttled = 0;
+        minutes(1, 0.4);
+        check(throttled <= 12);
+        minutes(20, 0.4);
+        check(throttled > 24);
+    });
+}
+
+// One of twelve workers fails everything it starts, within a second, so that it always has the most
+// room and attracts the next tasks.
+Test(placer, workerThatFailsEverything)
+{
+    scene world(12);
+    for (int job = 0; job < 30; ++job)
+        world.pending(batchTask("job-" + std::to_string(job), 0, {4'000, 4 * Gigabyte, 0}));
+    std::string bad;
+    int failures = 0;
+    for (int second = 0; second < 600; ++second) {
+        world.now += seconds(1);
+        for (const auto &placed : world.start()) {
+            bad = bad.empty() ? placed.worker : bad;
+            if (placed.worker != bad)
+                continue;
+            ++failures;
+            world.subject.taskFailed(placed.task, placed.worker, "disk error", world.now);
+        }
+    }
+    section("it costs a few failures and single probes, and no job is quarantined", [&] {
+        check(failures >= 3 && failures <= 8);
+        check(world.subject.stats().refusedQuarantined == 0);
+        check(world.subject.pendingTasks() == 0);
+    });
+    section("it is taken again when a probe succeeds", [&] {
+        world.pending(batchTask("fill", 0, {4'000, 4 * Gigabyte, 0}), 100);
+        for (int minute = 0; minute < 120; ++minute) {
+            world.now += std::chrono::minutes(1);
+            for (const auto &placed : world.start()) {
+                if (placed.worker == bad)
+                    world.subject.taskEnded(placed.task, placed.worker, world.now);
+            }
+        }
+        check(world.subject.pendingTasks() <= 75);
+    });
+}
+
+Test(placer, badJob)
+{
+    scene world(6);
+    world.pending(batchTask("broken", 0, {1'000, Gigabyte, 0}), 50);
+    int failures = 0;
+    int told = 0;
+    for (int second = 0; second < 100; ++second) {
+        world.now += seconds(1);
+        for (const auto &placed : world.start()) {
+            ++failures;
+            world.subject.taskFailed(placed.task, placed.worker, "no such file", world.now);
+        }
+        told += static_cast<int>(world.taken<refuse_action>().size());
+    }
+    section("it is quarantined once it failed on three workers, and says so once", [&] {
+        check(told == 1);
+        check(failures <= 200);
+        check(world.subject.pendingTasks() == 50); // none is lost
+        check(world.subject.explain({"broken", 0}, world.now).find("no such file")
+              != std::string::npos);
+    });
+}
