--- a/app/config_duty.cpp
+++ b/app/config_duty.cpp
@@ -138,8 +138,8 @@
         const auto status = keeper.statusOf(name, version);
         Json::Value answer(Json::objectValue);
         answer["status"] = toJson(status);
-        answer["follow"] = std::string(
-                nameOf(config::followState(config::folderViewOf(keeper, now), status)));
+        answer["follow"] =
+                std::string(nameOf(config::followState(config::folderViewOf(keeper, now), status)));
         return answer;
     });
 }
@@ -148,9 +148,10 @@
 {
     auto reply = std::make_shared<std::promise<write_result>>();
     auto answer = reply->get_future();
-    const bool queued = m_platform.run([write = std::move(write), reply](platform_client &platform) {
-        reply->set_value(write(platform));
-    });
+    const bool queued =
+            m_platform.run([write = std::move(write), reply](platform_client &platform) {
+                reply->set_value(write(platform));
+            });
     if (!queued || answer.wait_for(ReplyWithin) != std::future_status::ready)
         throw rpc_refusal(std::string(nameOf(error_kind::PlatformUnavailable)),
                           "the platform did not answer: whether the file was written is unknown");
@@ -244,8 +245,8 @@
 void config_duty::perform(const config::write_content &action)
 {
     m_platform.run([this, action](platform_client &platform) {
-        post(config::content_written{action.request,
-                                     platform.putObject(action.name, action.content, std::nullopt)});
+        post(config::content_written{
+                action.request, platform.putObject(action.name, action.content, std::nullopt)});
     });
 }
 
@@ -258,8 +259,9 @@
 
 void config_duty::perform(const config::remove_content &action)
 {
-    m_platform.run(
-            [action](platform_client &platform) { platform.removeObject(action.name, std::nullopt); });
+    m_platform.run([action](platform_client &platform) {
+        platform.removeObject(action.name, std::nullopt);
+    });
 }
 
 void config_duty::perform(const config::read_content &action)
--- a/app/config_duty.h
+++ b/app/config_duty.h
@@ -46,9 +46,9 @@
     Json::Value generationPushed(const Json::Value &parameters); // {report}; answers the own report
     Json::Value content(const Json::Value &parameters);          // {digest}
     Json::Value view();
-    Json::Value fileStatus(const Json::Value &parameters);       // {name, version}
-    Json::Value putFile(const Json::Value &parameters);          // {name, content, version?}
-    Json::Value removeFile(const Json::Value &parameters);       // {name, version?}
+    Json::Value fileStatus(const Json::Value &parameters); // {name, version}
+    Json::Value putFile(const Json::Value &parameters);    // {name, content, version?}
+    Json::Value removeFile(const Json::Value &parameters); // {name, version?}
 
     void stop();
 
--- a/libs/placement/ledger.cpp
+++ b/libs/placement/ledger.cpp
@@ -22,7 +22,7 @@
     return nameOf(StateNames, state);
 }
 
-ledger::ledger(resources size)
+ledger::ledger(const resources &size)
     : m_size(size)
 { }
 
--- a/libs/placement/ledger.h
+++ b/libs/placement/ledger.h
@@ -33,7 +33,8 @@
 class ledger
 {
 public:
-    explicit ledger(resources size = {});
+    ledger() = default;
+    explicit ledger(const resources &size);
 
     // Reserves `amount` when it fits beside everything counted; false leaves the ledger unchanged.
     // A task that already has an entry is not counted twice: true when the amount is the same.
--- a/libs/placement/resources.h
+++ b/libs/placement/resources.h
@@ -75,8 +75,9 @@
     }
 };
 
-// "job/index", for reasons and logs.
+// For reasons and logs: "job/index", and the amounts with their units.
 std::string toText(const task_ref &task);
+std::string toText(const resources &amount);
 
 struct task_spec
 {
