--- a/libs/work/leases.h
+++ b/libs/work/leases.h
@@ -5,12 +5,14 @@
 
 namespace zinniabarrow {
 
+// grantLease must outlast the taking over of a dead owner's shard (ownerLease, margin, a reading
+// and one report), so that the tasks of live agents run on.
 struct lease_settings
 {
-    milliseconds ownerLease{15'000};        // a shard may be taken after this long without renewal
-    milliseconds renewEvery{5'000};         // between two renewals of a shard's row
+    milliseconds ownerLease{6'000};         // a shard may be taken after this long unrenewed
+    milliseconds renewEvery{2'000};         // between two renewals of a shard's row
     milliseconds horizon{1'800'000};        // an owner may grant this long after its last renewal
-    milliseconds grantLease{10'000};        // an agent's lease, from when it sent its report
+    milliseconds grantLease{15'000};        // an agent's lease, from when it sent its report
     milliseconds taskLease{30'000};         // a worker's lease of a task of class Lease, at most
     milliseconds proofTaskLease{3'600'000}; // of class Proof: outlasts any agent's absence
     milliseconds margin{1'000};             // added to each wait for another process's lease
--- a/libs/work/ownership.h
+++ b/libs/work/ownership.h
@@ -89,8 +89,8 @@
 struct ownership_settings
 {
     lease_settings leases;
-    milliseconds scanEvery{2'000};      // between two readings of the shard rows
-    milliseconds stagger{2'000};        // each place down the preference waits this much longer
+    milliseconds scanEvery{1'000};      // between two readings of the shard rows
+    milliseconds stagger{1'000};        // each place down the preference waits this much longer
     milliseconds handOverAfter{60'000}; // a less preferred owner hands over after this long
 };
 
--- /dev/null
+++ b/libs/work/task_records.cpp
@@ -0,0 +1,132 @@
+#include "work/task_records.h"
+
+#include "base/errors.h"
+#include "base/names.h"
+#include "work/json_members.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr name_table<task_state, 8> StateNames = {{
+        {task_state::Pending, "pending"},
+        {task_state::Placed, "placed"},
+        {task_state::Running, "running"},
+        {task_state::Evicting, "evicting"},
+        {task_state::Cancelling, "cancelling"},
+        {task_state::Done, "done"},
+        {task_state::Failed, "failed"},
+        {task_state::Cancelled, "cancelled"},
+}};
+
+// One letter for each stored state: rows hold thousands of them.
+constexpr name_table<task_state, 6> StoredNames = {{
+        {task_state::Pending, "p"},
+        {task_state::Placed, "w"},
+        {task_state::Cancelling, "c"},
+        {task_state::Done, "d"},
+        {task_state::Failed, "f"},
+        {task_state::Cancelled, "x"},
+}};
+
+// Members of a stored record, in order; trailing defaults are left out.
+enum record_member { State, Attempt, Checkpoint, Failures, Worker, Incarnation, Ahead, Members };
+
+Json::Value memberOr(const Json::Value &list, int index, const Json::Value &absent)
+{
+    const auto at = static_cast<Json::ArrayIndex>(index);
+    return at < list.size() ? list[at] : absent;
+}
+
+} // namespace
+
+std::string_view nameOf(task_state state)
+{
+    return nameOf(StateNames, state);
+}
+
+bool occupies(const task_record &record)
+{
+    return record.state == task_state::Placed || record.state == task_state::Cancelling;
+}
+
+bool isOver(const task_record &record)
+{
+    return record.state == task_state::Done || record.state == task_state::Failed
+           || record.state == task_state::Cancelled;
+}
+
+Json::Value toJson(const job_spec &spec)
+{
+    Json::Value value(Json::objectValue);
+    value["id"] = spec.id;
+    value["generation"] = Json::UInt64(spec.generation);
+    value["firstTask"] = spec.firstTask;
+    value["tasks"] = spec.tasks;
+    value["failover"] = std::string(nameOf(spec.failover));
+    value["service"] = spec.service;
+    value["maxFailures"] = spec.maxFailures;
+    value["spec"] = spec.spec;
+    return value;
+}
+
+job_spec jobSpecFromJson(const Json::Value &value)
+{
+    job_spec spec;
+    spec.id = textMember(value, "id");
+    spec.generation = numberMember(value, "generation");
+    spec.firstTask = smallNumberMember(value, "firstTask");
+    spec.tasks = smallNumberMember(value, "tasks");
+    spec.failover = failoverClassFromName(textMember(value, "failover"));
+    spec.service = flagMember(value, "service");
+    spec.maxFailures = smallNumberMember(value, "maxFailures");
+    spec.spec = objectMember(value, "spec");
+    return spec;
+}
+
+Json::Value toJson(const task_record &record)
+{
+    if (record == task_record())
+        return 0;
+    Json::Value list(Json::arrayValue);
+    list.append(std::string(nameOf(StoredNames, record.state)));
+    list.append(record.attempt);
+    list.append(record.checkpoint);
+    list.append(record.failures);
+    if (occupies(record)) {
+        list.append(record.worker);
+        list.append(Json::UInt64(record.incarnation));
+        list.append(record.ahead ? 1 : 0);
+    }
+    const task_record absent;
+    while (list.size() > 2) {
+        const Json::Value &last = list[list.size() - 1];
+        const bool isDefault = last.isString() ? last.asString().empty() : last.asUInt64() == 0;
+        if (!isDefault)
+            break;
+        list.resize(list.size() - 1);
+    }
+    return list;
+}
+
+task_record taskRecordFromJson(const Json::Value &value)
+{
+    task_record record;
+    if (value.isInt() && value.asInt() == 0)
+        return record;
+    if (!value.isArray() || value.size() < 2 || value.size() > Members || !value[0].isString())
+        throw error(error_kind::BadRequest, "a task's record needs a list of 2 to 7 members");
+    const auto state = valueOf(StoredNames, value[State].asString());
+    if (!state)
+        throw error(error_kind::BadRequest, "unknown stored state " + value[State].asString());
+    record.state = *state;
+    record.attempt = value[Attempt].asUInt();
+    record.checkpoint = memberOr(value, Checkpoint, "").asString();
+    record.failures = memberOr(value, Failures, 0).asUInt();
+    record.worker = memberOr(value, Worker, "").asString();
+    record.incarnation = memberOr(value, Incarnation, 0).asUInt64();
+    record.ahead = memberOr(value, Ahead, 0).asUInt() != 0;
+    return record;
+}
+
+} // namespace zinniabarrow
