--- a/libs/config/generation_events.cpp
+++ b/libs/config/generation_events.cpp
@@ -240,6 +240,47 @@
 
 } // namespace
 
+namespace {
+
+struct no_answer_visitor
+{
+    using answer = std::optional<generation_event>;
+    write_result result;
+
+    answer operator()(const read_accepted &action) const
+    {
+        return accepted_read{action.request, false, {}};
+    }
+    answer operator()(const list_folder &action) const
+    {
+        return folder_listed{action.request, false, {}};
+    }
+    answer operator()(const read_files &action) const
+    {
+        return files_read{action.request, false, {}};
+    }
+    answer operator()(const read_content &action) const
+    {
+        return content_read{action.request, false, {}};
+    }
+    answer operator()(const write_content &action) const
+    {
+        return content_written{action.request, result};
+    }
+    answer operator()(const commit_generation &action) const
+    {
+        return generation_committed{action.request, result};
+    }
+    answer operator()(const auto &) const { return std::nullopt; }
+};
+
+} // namespace
+
+std::optional<generation_event> noAnswerTo(const generation_action &action, write_outcome outcome)
+{
+    return std::visit(no_answer_visitor{{outcome, 0, {}}}, action);
+}
+
 Json::Value toJson(const generation_event &event)
 {
     auto value = std::visit([](const auto &each) { return bodyOf(each); }, event);
--- a/libs/config/generation_events.h
+++ b/libs/config/generation_events.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -148,6 +149,10 @@
 
 using generation_actions = std::vector<generation_action>;
 
+// The event for a question that the platform or the peer did not answer, or whose write has this
+// outcome; none for actions that expect no answer.
+std::optional<generation_event> noAnswerTo(const generation_action &action, write_outcome outcome);
+
 // One JSON object with the member "event" or "action": for logs and golden files.
 Json::Value toJson(const generation_event &event);
 generation_event generationEventFromJson(const Json::Value &value); // throws BadRequest
--- a/libs/config/generations.cpp
+++ b/libs/config/generations.cpp
@@ -44,7 +44,7 @@
                                      time_point now)
     : m_settings(std::move(settings))
     , m_random(random)
-    , m_follower(follower_settings{m_settings.process, "entry", m_settings.answerTimeout})
+    , m_follower(follower_settings{m_settings.process, "entry", m_settings.contentTimeout})
     , m_startedAt(now)
     , m_nextRound(now)
     , m_nextPush(now)
--- a/libs/config/generations.h
+++ b/libs/config/generations.h
@@ -25,15 +25,16 @@
 
 struct keeper_settings
 {
-    std::string process;              // id of this entry
-    std::size_t peers = 0;            // other entries that the settings name
-    milliseconds poll{500};           // between two rounds
-    milliseconds answerTimeout{3000}; // of the platform; then the outcome is unknown
-    milliseconds peerWait{2000};      // a newcomer without the table listens this long to peers
-    milliseconds pushAgain{1000};     // between two pushes to processes that lag
-    milliseconds forgetAfter{60'000}; // silence after which a process's report is dropped
-    std::size_t filesPerRead = 32;    // files asked for at once
-    folder_limits limits;             //
+    std::string process;               // id of this entry
+    std::size_t peers = 0;             // other entries that the settings name
+    milliseconds poll{500};            // between two rounds
+    milliseconds answerTimeout{1500};  // of the platform; then the outcome is unknown
+    milliseconds contentTimeout{1000}; // of a content; then the next source is asked
+    milliseconds peerWait{2000};       // a newcomer without the table listens this long to peers
+    milliseconds pushAgain{1000};      // between two pushes to processes that lag
+    milliseconds forgetAfter{60'000};  // silence after which a process's report is dropped
+    std::size_t filesPerRead = 32;     // files asked for at once
+    folder_limits limits;              //
 };
 
 struct keeper_counters
--- /dev/null
+++ b/tests/config_files.h
@@ -0,0 +1,40 @@
+// Files that the tests of the configuration share.
+#pragma once
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "config/folder.h"
+
+namespace zinniabarrow::tests {
+
+inline std::string fileText(const std::filesystem::path &path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+inline std::vector<folder_file> folderAt(const std::string &path)
+{
+    std::vector<folder_file> files;
+    for (const auto &entry : std::filesystem::directory_iterator(path))
+        files.push_back({entry.path().filename().string(), fileText(entry.path())});
+    return files;
+}
+
+// One pool and one team that services and jobs can refer to.
+inline std::string basisFile()
+{
+    return R"({
+  "teams": {"gate": {"quota": {"millicores": 160000, "bytes": 600000}}},
+  "pools": {"rink": {"zones": ["kartli-a"], "workers": 11,
+                     "worker": {"millicores": 16000, "bytes": 60000}}}
+})";
+}
+
+} // namespace zinniabarrow::tests
--- /dev/null
+++ b/tests/folder_test.cpp
@@ -0,0 +1,354 @@
+#include <algorithm>
+
+#include "base/errors.h"
+#include "base/json.h"
+#include "base/random.h"
+#include "config/folder.h"
+#include "config/validate.h"
+#include "config_files.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using zinniabarrow::tests::basisFile;
+using zinniabarrow::tests::folderAt;
+using zinniabarrow::tests::section;
+
+namespace {
+
+using files = std::vector<folder_file>;
+
+folder_check checked(files list)
+{
+    list.push_back({"00-basis.json", basisFile()});
+    return checkFolder(list);
+}
+
+std::string service(const std::string &members)
+{
+    return R"({"services": {"tickets": {)" + members + "}}}";
+}
+
+std::string firstProblem(files list)
+{
+    const auto result = checked(std::move(list));
+    return result.isAcceptable() ? "accepted" : toText(result.problems.front());
+}
+
+const auto Tickets =
+        service(R"("team": "gate", "pool": "rink", "size": {"millicores": 1000, "bytes": 1000})");
+
+} // namespace
+
+Test(folder, merge)
+{
+    section("the later name wins, member by member", [] {
+        const auto result = checked({{"b.json", service(R"("replicas": 3, "port": 80)")},
+                                     {"a.json", Tickets},
+                                     {"c.json", service(R"("replicas": 2)")}});
+        const auto &tickets = result.whole.services.at("tickets");
+        check(tickets.replicas == 2 && tickets.port == 80 && tickets.team == "gate");
+        section("and each value knows its file and line", [&] {
+            check(result.merged.placeOf("/services/tickets/replicas").file == "c.json");
+            check(result.merged.placeOf("/services/tickets/port").file == "b.json");
+            check(result.merged.placeOf("/services/tickets/none").file == "a.json");
+        });
+    });
+    section("arrays are replaced whole", [] {
+        const auto result =
+                checked({{"a.json", R"({"pools": {"rink": {"zones": ["imereti-a"]}}})"}});
+        check(result.whole.pools.at("rink").zones == std::vector<std::string>{"imereti-a"});
+    });
+    section("null deletes a member, an object or a kind", [] {
+        const auto one = checked({{"a.json", Tickets},
+                                  {"b.json", service(R"("replicas": 7)")},
+                                  {"c.json", service(R"("replicas": null)")}});
+        check(one.whole.services.at("tickets").replicas == 1);
+        const auto object =
+                checked({{"a.json", Tickets}, {"b.json", R"({"services": {"tickets": null}})"}});
+        check(object.isAcceptable() && object.whole.services.empty());
+        const auto kind = checked({{"a.json", Tickets}, {"b.json", R"({"services": null})"}});
+        check(kind.isAcceptable() && kind.whole.services.empty());
+        const auto nothing = checked({{"a.json", R"({"jobs": {"absent": null}})"}});
+        check(nothing.isAcceptable());
+    });
+    section("what was deleted starts from nothing when a later file gives it again", [] {
+        const auto again = checked({{"a.json", Tickets},
+                                    {"b.json", R"({"services": {"tickets": null}})"},
+                                    {"c.json", service(R"("replicas": 2)")}});
+        check(again.problems.size() == 3); // team, pool and size are gone
+        check(again.problems.front().file == "c.json");
+    });
+    section("a file without a value left is named with the file that took its place", [] {
+        const auto result = checked({{"a.json", Tickets},
+                                     {"b.json", service(R"("replicas": 2)")},
+                                     {"c.json", service(R"("replicas": 3)")}});
+        check(result.merged.overridden
+              == (std::map<std::string, std::string>{{"b.json", "c.json"}}));
+    });
+    section("other files in the folder are left alone", [] {
+        check(checked({{"README.md", "# no JSON"}, {".a.json.swp", "{"}, {"a.json", Tickets}})
+                      .isAcceptable());
+    });
+}
+
+// An operator sees file, line, what was found and what is allowed, and nothing of the folder is
+// taken up: half an edit in force would be a configuration that nobody wrote.
+Test(folder, validation)
+{
+    section("half a file, an unknown key, a wrong type", [] {
+        check(firstProblem({{"a.json", "{\n\"jobs\": {"}}).starts_with("a.json:2: /: found "));
+        check(firstProblem({{"a.json", "{\n\n\"job\": {}}"}})
+              == "a.json:3: /job: found unknown key \"job\"; allowed: jobs, pools, services, "
+                 "teams");
+        check(firstProblem({{"a.json", service("\n\"replicas\": \"2\"")}})
+              == "a.json:2: /services/tickets/replicas: found \"2\"; allowed: integer from 0 to "
+                 "100000, or null to delete");
+        check(firstProblem({{"a.json", "null"}}).find("/: found null") != std::string::npos);
+        check(firstProblem({{"a.json", R"({"jobs": {"a/b": {}}})"}})
+                      .find("/jobs/a~1b: found the name")
+              != std::string::npos);
+    });
+    section("a member that no file gives", [] {
+        check(firstProblem({{"a.json", service(R"("team": "gate", "pool": "rink")")}})
+                      .starts_with("a.json:1: /services/tickets/size: found nothing; allowed: "));
+    });
+    section("references", [] {
+        check(firstProblem({{"a.json", Tickets}, {"b.json", service("\n\n\"team\": \"gates\"")}})
+              == "b.json:3: /services/tickets/team: found unknown team \"gates\"; allowed: gate");
+        check(firstProblem({{"a.json", Tickets}, {"b.json", R"({"pools": {"rink": null}})"}})
+              == "a.json:1: /services/tickets/pool: found unknown pool \"rink\"; allowed: none, as "
+                 "the folder has no pool");
+    });
+    section("what never fits names its limit", [] {
+        check(firstProblem(
+                      {{"a.json", Tickets}, {"b.json", service(R"("size": {"bytes": 60001})")}})
+              == "b.json:1: /services/tickets/size/bytes: found 60001; allowed: at most 60000, the "
+                 "largest worker of pool rink; it never fits");
+        check(firstProblem({{"a.json", R"({"jobs": {"j": {"team": "gate", "pool": "rink",
+                "size": {"millicores": 1, "bytes": 1, "accelerators": 1}}}})"}})
+                      .find("/size/accelerators: found 1; allowed: at most 0, the largest worker")
+              != std::string::npos);
+        check(firstProblem({{"a.json", Tickets},
+                            {"b.json", R"({"teams": {"gate": {"quota": {"bytes": 999}}}})"}})
+                      .find("allowed: at most 999, the quota of team gate; it never fits")
+              != std::string::npos);
+    });
+    section("sums against the pool and the quota", [] {
+        // 11 workers of 16000 millicores and 60000 bytes; a quota of 160000 millicores.
+        check(firstProblem({{"a.json", Tickets},
+                            {"b.json", service(R"("replicas": 200, "size": {"bytes": 30001})")}})
+              == "b.json:1: /services/tickets/replicas: found 200; allowed: at most 11, which the "
+                 "11 workers of pool rink hold");
+        check(firstProblem({{"a.json", Tickets}, {"b.json", service(R"("replicas": 161)")}})
+                      .find("found 161000 millicores of services up to this one; allowed: at most "
+                            "160000, the quota of team gate")
+              != std::string::npos);
+    });
+    section("of two services that are too much together the later file is refused", [] {
+        const auto half = service(R"("replicas": 100)");
+        auto other = Tickets;
+        other.replace(other.find("tickets"), 7, "holds");
+        auto otherHalf = half;
+        otherHalf.replace(otherHalf.find("tickets"), 7, "holds");
+        check(firstProblem({{"b.json", Tickets},
+                            {"c.json", half},
+                            {"a.json", other},
+                            {"d.json", otherHalf}})
+                      .starts_with("b.json:1: /services/tickets: found 200000 millicores"));
+    });
+    section("absurd numbers do not wrap around", [] {
+        const auto text = firstProblem(
+                {{"a.json", Tickets},
+                 {"b.json", R"({"pools": {"rink": {"worker": {"bytes": 9007199254740992}}},
+                    "services": {"tickets": {"replicas": 100000,
+                    "size": {"bytes": 9007199254740992}}}})"}});
+        check(text != "accepted");
+    });
+    section("limits on files and bytes", [] {
+        folder_limits small;
+        small.maxFileBytes = 10;
+        small.maxFiles = 1;
+        const auto result = checkFolder({{"a.json", Tickets}, {"b.json", "{}"}}, small);
+        check(result.problems.size() == 2 && result.problems[0].file == "a.json");
+    });
+    section("the example folder is accepted and merges as its page says", [] {
+        const auto result = checkFolder(folderAt("examples/folder"));
+        require(result.isAcceptable());
+        check(result.whole.services.at("tickets").replicas == 9);
+        check(result.whole.services.at("tickets").port == 0);
+        check(!result.whole.jobs.contains("old-report"));
+        check(configurationFromJson(toJson(result.whole)) == result.whole);
+    });
+}
+
+namespace {
+
+Json::Value randomValue(random_generator &random, int depth)
+{
+    static const std::vector<std::string> Names = {
+            "services",   "jobs",  "pools",    "teams", "tickets", "rink", "gate",  "size",
+            "millicores", "bytes", "replicas", "zones", "team",    "pool", "quota", "~a/b"};
+    static const std::vector<Json::Value> Leaves = {
+            Json::Value(),     Json::Value(1),      Json::Value(-1),     Json::Value(1e300),
+            Json::Value(true), Json::Value("rink"), Json::Value("gate"), Json::Value("")};
+    const auto kind = pickIndex(random, depth > 0 ? 3 : 1);
+    if (kind == 0)
+        return Leaves[pickIndex(random, Leaves.size())];
+    Json::Value value(kind == 1 ? Json::arrayValue : Json::objectValue);
+    for (auto count = pickIndex(random, 4); count > 0; --count) {
+        if (kind == 1)
+            value.append(randomValue(random, depth - 1));
+        else
+            value[Names[pickIndex(random, Names.size())]] = randomValue(random, depth - 1);
+    }
+    return value;
+}
+
+// A member of a valid folder, at random, is set to a random value; the outcome may be valid or not.
+std::string randomPatch(random_generator &random)
+{
+    static const std::vector<std::string> Pointers = {"services.tickets.replicas",
+                                                      "services.tickets.size.bytes",
+                                                      "services.tickets.team",
+                                                      "services.tickets",
+                                                      "pools.rink.workers",
+                                                      "pools.rink.zones",
+                                                      "pools.rink",
+                                                      "teams.gate.quota.millicores",
+                                                      "teams.gate",
+                                                      "jobs.season-bookings.tasks",
+                                                      "jobs.season-bookings.pool",
+                                                      "services"};
+    Json::Value root(Json::objectValue);
+    for (auto count = 1 + pickIndex(random, 3); count > 0; --count) {
+        const Json::Path path('.' + Pointers[pickIndex(random, Pointers.size())]);
+        try {
+            path.make(root) = pickIndex(random, 2) == 0
+                                      ? Json::Value(static_cast<int>(pickIndex(random, 400)))
+                                      : randomValue(random, 2);
+        } catch (const Json::Exception &) {
+            continue; // the path runs through a value that is no object
+        }
+    }
+    return compactJson(root);
+}
+
+std::string mangled(std::string text, random_generator &random)
+{
+    const auto at = pickIndex(random, text.size() + 1);
+    switch (pickIndex(random, 4)) {
+    case 0:
+        return text.substr(0, at);
+    case 1:
+        return text.insert(at, 1, static_cast<char>(pickIndex(random, 256)));
+    case 2:
+        return text.erase(at, 1 + pickIndex(random, 8));
+    default:
+        return text;
+    }
+}
+
+files randomFolder(random_generator &random)
+{
+    files folder = folderAt("examples/folder");
+    for (auto count = pickIndex(random, 5); count > 0; --count) {
+        auto text = pickIndex(random, 8) == 0 ? compactJson(randomValue(random, 4))
+                                              : randomPatch(random);
+        if (pickIndex(random, 6) == 0)
+            text = mangled(std::move(text), random);
+        folder.push_back({std::string(1, static_cast<char>('5' + pickIndex(random, 5)))
+                                  + std::to_string(count) + ".json",
+                          std::move(text)});
+    }
+    return folder;
+}
+
+// An independent oracle: plain RFC 7396 without places.
+void patchPlainly(Json::Value &target, const Json::Value &change)
+{
+    if (!change.isObject()) {
+        target = change;
+        return;
+    }
+    if (!target.isObject())
+        target = Json::Value(Json::objectValue);
+    for (const auto &name : change.getMemberNames()) {
+        if (change[name].isNull())
+            target.removeMember(name);
+        else
+            patchPlainly(target[name], change[name]);
+    }
+}
+
+Json::Value mergedPlainly(files folder)
+{
+    std::sort(folder.begin(), folder.end(),
+              [](const auto &a, const auto &b) { return a.name < b.name; });
+    Json::Value merged(Json::objectValue);
+    for (const auto &file : folder)
+        patchPlainly(merged, parseJson(file.content));
+    return merged;
+}
+
+// What an accepted whole must fulfil, written again without the code under test.
+bool holdsTogether(const configuration &whole)
+{
+    std::map<std::string, double> poolCores;
+    std::map<std::string, double> teamBytes;
+    for (const auto &[name, spec] : whole.services) {
+        if (!whole.pools.contains(spec.pool) || !whole.teams.contains(spec.team))
+            return false;
+        poolCores[spec.pool] += static_cast<double>(spec.size.millicores * spec.replicas);
+        teamBytes[spec.team] +=
+                static_cast<double>(spec.size.bytes) * static_cast<double>(spec.replicas);
+    }
+    for (const auto &[name, spec] : whole.jobs) {
+        if (!whole.pools.contains(spec.pool) || !whole.teams.contains(spec.team))
+            return false;
+        if (spec.size.bytes > whole.pools.at(spec.pool).worker.bytes)
+            return false;
+    }
+    for (const auto &[name, cores] : poolCores) {
+        const auto &pool = whole.pools.at(name);
+        if (cores > static_cast<double>(pool.worker.millicores * pool.workers))
+            return false;
+    }
+    return std::all_of(teamBytes.begin(), teamBytes.end(), [&](const auto &sum) {
+        return sum.second <= static_cast<double>(whole.teams.at(sum.first).quota.bytes);
+    });
+}
+
+} // namespace
+
+// Operators may write anything at any time. Whatever they write, the check must come to an end
+// with a verdict, and an accepted whole must hold together.
+Test(folder, properties)
+{
+    constexpr int Folders = 4000;
+    int accepted = 0;
+    for (int seed = 0; seed < Folders; ++seed) {
+        random_generator random(static_cast<std::uint64_t>(seed));
+        section("seed " + std::to_string(seed), [&] {
+            auto folder = randomFolder(random);
+            const auto result = checkFolder(folder);
+            for (auto turns = folder.size(); turns > 1; --turns)
+                std::swap(folder[turns - 1], folder[pickIndex(random, turns)]);
+            const auto permuted = checkFolder(folder);
+            check(permuted.problems == result.problems);
+            check(permuted.merged.value == result.merged.value);
+            check(permuted.merged.overridden == result.merged.overridden);
+            for (const auto &problem : result.problems)
+                check(!problem.allowed.empty() && !problem.found.empty());
+            if (!result.isAcceptable())
+                return;
+            ++accepted;
+            check(result.merged.value == mergedPlainly(folder));
+            check(holdsTogether(result.whole));
+            check(configurationFromJson(toJson(result.whole)) == result.whole);
+        });
+    }
+    section("both verdicts are well represented", [&] {
+        check(accepted > Folders / 10 && accepted < Folders * 9 / 10);
+        cr_log_info("%d of %d folders accepted", accepted, Folders);
+    });
+}
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,25 +1,18 @@
-#include <fstream>
-#include <sstream>
+#include <algorithm>
 
 #include "base/errors.h"
 #include "base/json.h"
 #include "config/schema.h"
 #include "config/settings.h"
+#include "config_files.h"
 #include "section.h"
 
 using namespace zinniabarrow;
+using zinniabarrow::tests::fileText;
 using zinniabarrow::tests::section;
 
 namespace {
 
-std::string fileText(const std::string &path)
-{
-    std::ifstream file(path);
-    std::stringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 std::string refusalOf(const std::string &text, bool isEntry = true)
 {
     try {
