--- a/app/request_duty.h
+++ b/app/request_duty.h
@@ -69,8 +69,9 @@
 // What the scheduler has to know of the others.
 struct members_snapshot
 {
-    std::vector<request::announcement> agents; // known ones, silent ones included
-    std::vector<std::string> liveEntries;      // ids, this one included
+    std::vector<request::announcement> agents;         // known ones, silent ones included
+    std::vector<std::string> liveEntries;              // ids, this one included
+    std::map<std::string, std::string> entryAddresses; // rpc address by id, of peers once heard
 };
 
 class request_duty
--- a/tests/config_files.h
+++ b/tests/config_files.h
@@ -11,6 +11,8 @@
 
 namespace zinniabarrow::tests {
 
+using namespace zinniabarrow::config;
+
 inline std::string fileText(const std::filesystem::path &path)
 {
     std::ifstream file(path);
--- a/tests/config_world.h
+++ b/tests/config_world.h
@@ -16,6 +16,8 @@
 
 namespace zinniabarrow::tests {
 
+using namespace zinniabarrow::config;
+
 // What happens to one question or message on its way.
 enum class fault {
     None,
