--- a/libs/request/admission.cpp
+++ b/libs/request/admission.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t IdleTeamsKept = 256;  // bound on team records that hold no request
 constexpr int SmoothingShift = 8;           // weight of a sample: 1/8
 constexpr int HighestPriority = 9;
+constexpr double ClearlyOver = 1.75; // times the fair share of the queue
 
 // A high priority makes a team's time cheaper; it never makes it free, so no team starves.
 double weightOf(int priority)
@@ -154,10 +155,20 @@
     }
     const auto victim = m_waiting.begin() + static_cast<std::ptrdiff_t>(victimOf(largest));
     const std::string id = victim->request.id;
-    const bool alone = m_teams[largest].waiting == static_cast<int>(m_waiting.size());
+    const auto kind = isOverShare(largest) ? error_kind::FairShareExceeded : error_kind::QueueFull;
     --m_teams[largest].waiting;
     m_waiting.erase(victim);
-    refuseRequest(id, alone ? error_kind::QueueFull : error_kind::FairShareExceeded, now);
+    refuseRequest(id, kind, now);
+}
+
+// Clearly over: among equal teams the queue is simply full, and another upstream may have room.
+bool admission::isOverShare(const std::string &team) const
+{
+    const auto waitingTeams = std::count_if(m_teams.begin(), m_teams.end(), [](const auto &entry) {
+        return entry.second.waiting > 0;
+    });
+    const double share = static_cast<double>(m_waiting.size()) / static_cast<double>(waitingTeams);
+    return m_teams.at(team).waiting > share * ClearlyOver;
 }
 
 // The least urgent request of the team: lowest priority, latest deadline, newest.
--- a/libs/request/admission.h
+++ b/libs/request/admission.h
@@ -23,7 +23,7 @@
 {
     int slots = 8;                       // requests the upstream runs at once
     int connections = 64;                // connections the upstream accepts
-    int queueLimit = 48;                 // requests that wait here
+    int queueLimit = 16;                 // requests that wait here
     milliseconds firstServiceTime{20};   // estimate until the first request has finished
     double deadlineMargin = 1.0;         // mean deviations kept free before a deadline
     milliseconds shortestRetryAfter{50}; // bounds of the Retry-After that is handed out
@@ -134,6 +134,7 @@
     void activate(const std::string &team);
     void forgetIdleTeams();
     void shedOne(const std::string &newcomer, time_point now);
+    bool isOverShare(const std::string &team) const;
     std::size_t victimOf(const std::string &team) const;
     std::vector<std::size_t> dispatchOrder() const;
     std::vector<time_point> slotTimes(time_point now) const;
--- a/libs/request/announcement.cpp
+++ b/libs/request/announcement.cpp
@@ -1,6 +1,7 @@
 #include "request/announcement.h"
 
-#include <limits>
+#include <array>
+#include <span>
 
 #include "base/names.h"
 #include "request/json_members.h"
@@ -42,17 +43,35 @@
     return id;
 }
 
-// The members of a heartbeat in their order, under the names they have in an announcement.
+// Messages that are sent all the time are arrays: the same members in a fixed order, without names.
 constexpr std::array HeartbeatMembers{"agentId",  "incarnation", "sequence", "state",
                                       "inFlight", "queued",      "latencyUs"};
+constexpr std::array DigestMembers{"from", "incarnation", "sequence", "since", "upTo", "records"};
+constexpr std::array AckMembers{"from", "incarnation", "upTo"};
+constexpr std::array RecordMembers{"heard",      "agentId",  "address",     "zone",
+                                   "region",     "rack",     "service",     "workerId",
+                                   "workerSize", "slots",    "incarnation", "sequence",
+                                   "state",      "inFlight", "queued",      "latencyUs"};
 
-Json::Value named(const Json::Value &compact)
+using member_names = std::span<const char *const>;
+
+Json::Value packed(const Json::Value &json, member_names names)
 {
-    if (!compact.isArray() || compact.size() != HeartbeatMembers.size())
-        throw error(error_kind::BadRequest, "a heartbeat is an array of 7 values");
+    Json::Value values(Json::arrayValue);
+    for (const char *name : names)
+        values.append(json[name]);
+    return values;
+}
+
+Json::Value unpacked(const Json::Value &values, member_names names, const char *what)
+{
+    if (!values.isArray() || values.size() != names.size()) {
+        throw error(error_kind::BadRequest, std::string(what) + " must be an array of "
+                                                    + std::to_string(names.size()) + " values");
+    }
     Json::Value json(Json::objectValue);
-    for (Json::ArrayIndex i = 0; i < compact.size(); ++i)
-        json[HeartbeatMembers.at(i)] = compact[i];
+    for (Json::ArrayIndex i = 0; i < values.size(); ++i)
+        json[names[i]] = values[i];
     return json;
 }
 
@@ -116,20 +135,18 @@
 
 Json::Value toJson(const heartbeat &message)
 {
-    Json::Value json(Json::arrayValue);
-    json.append(message.agentId);
-    json.append(number(message.incarnation));
-    json.append(number(message.sequence));
-    json.append(std::string(nameOf(message.state)));
-    json.append(message.load.inFlight);
-    json.append(message.load.queued);
-    json.append(Json::Int64(message.load.latency.count()));
-    return json;
+    announcement whole;
+    whole.agentId = message.agentId;
+    whole.incarnation = message.incarnation;
+    whole.sequence = message.sequence;
+    whole.state = message.state;
+    whole.load = message.load;
+    return packed(toJson(whole), HeartbeatMembers);
 }
 
-heartbeat heartbeatFromJson(const Json::Value &json)
+heartbeat heartbeatFromJson(const Json::Value &values)
 {
-    const Json::Value members = named(json);
+    const Json::Value members = unpacked(values, HeartbeatMembers, "a heartbeat");
     heartbeat message;
     message.agentId = idIn(members, "agentId");
     message.incarnation = numberIn(members, "incarnation");
@@ -181,21 +198,24 @@
     for (const auto &record : message.records) {
         Json::Value item = toJson(record.upstream);
         item["heard"] = record.heard;
-        json["records"].append(std::move(item));
+        json["records"].append(packed(item, RecordMembers));
     }
-    return json;
+    return packed(json, DigestMembers);
 }
 
-digest digestFromJson(const Json::Value &json)
+digest digestFromJson(const Json::Value &values)
 {
+    const Json::Value json = unpacked(values, DigestMembers, "a digest");
     digest message;
     message.from = idIn(json, "from");
     message.incarnation = numberIn(json, "incarnation");
     message.sequence = numberIn(json, "sequence");
     message.since = numberIn(json, "since");
     message.upTo = numberIn(json, "upTo");
-    for (const auto &item : arrayIn(json, "records"))
+    for (const auto &record : arrayIn(json, "records")) {
+        const Json::Value item = unpacked(record, RecordMembers, "a record of a digest");
         message.records.push_back({announcementFromJson(item), flagIn(item, "heard")});
+    }
     return message;
 }
 
@@ -205,11 +225,12 @@
     json["from"] = message.from;
     json["incarnation"] = number(message.incarnation);
     json["upTo"] = number(message.upTo);
-    return json;
+    return packed(json, AckMembers);
 }
 
-digest_ack digestAckFromJson(const Json::Value &json)
+digest_ack digestAckFromJson(const Json::Value &values)
 {
+    const Json::Value json = unpacked(values, AckMembers, "a digest's answer");
     return {idIn(json, "from"), numberIn(json, "incarnation"), numberIn(json, "upTo")};
 }
 
--- a/libs/request/announcement.h
+++ b/libs/request/announcement.h
@@ -71,8 +71,8 @@
     upstream_state state = upstream_state::Starting;
     upstream_load load;
 };
-Json::Value toJson(const heartbeat &message); // an array: [id, incarnation, sequence, ...]
-heartbeat heartbeatFromJson(const Json::Value &json);
+Json::Value toJson(const heartbeat &message); // an array, see announcement.cpp
+heartbeat heartbeatFromJson(const Json::Value &values);
 heartbeat heartbeatOf(const announcement &whole);
 
 struct announce_reply
@@ -100,8 +100,8 @@
     std::uint64_t upTo = 0;        // version reached with these records
     std::vector<digest_record> records;
 };
-Json::Value toJson(const digest &message);
-digest digestFromJson(const Json::Value &json);
+Json::Value toJson(const digest &message); // an array
+digest digestFromJson(const Json::Value &values);
 
 struct digest_ack
 {
@@ -109,7 +109,7 @@
     std::uint64_t incarnation = 0; // of the digest's sender, as the receiver saw it
     std::uint64_t upTo = 0;        // version applied; lower than `since` asks for a resync
 };
-Json::Value toJson(const digest_ack &message);
-digest_ack digestAckFromJson(const Json::Value &json);
+Json::Value toJson(const digest_ack &message); // an array
+digest_ack digestAckFromJson(const Json::Value &values);
 
 } // namespace zinniabarrow
--- a/libs/request/membership.cpp
+++ b/libs/request/membership.cpp
@@ -17,9 +17,12 @@
         {leave_reason::NotReady, "not_ready"},
 }};
 
+// An agent takes an entry for unresponsive after a few unanswered answers that were due.
+constexpr std::uint64_t AnsweredEvery = 4;
+
 announce_outcome refusal(error_kind kind, std::uint64_t knownIncarnation, milliseconds period)
 {
-    return {{kind, knownIncarnation, false, period}, {}};
+    return {{kind, knownIncarnation, false, period}, true, {}};
 }
 
 } // namespace
@@ -47,6 +50,7 @@
         return refusal(error_kind::OverCapacity, 0, m_settings.longestPeriod);
     ++m_counters.accepted;
     adopt(*known, message, outcome.changes);
+    const auto promised = known->period;
     noteHeard(*known, now);
     evaluate(*known, outcome.changes, now);
     if (known->isRoutable) {
@@ -54,6 +58,7 @@
                 upstream_reported{message.agentId, message.incarnation, message.load});
     }
     outcome.reply = {std::nullopt, message.incarnation, false, known->period};
+    outcome.replyDue = known->period != promised || message.sequence % AnsweredEvery == 0;
     return outcome;
 }
 
@@ -61,7 +66,7 @@
 {
     const auto found = m_members.find(message.agentId);
     if (found == m_members.end() || found->second.last.incarnation < message.incarnation)
-        return {{std::nullopt, message.incarnation, true, grantedPeriod()}, {}};
+        return {{std::nullopt, message.incarnation, true, grantedPeriod()}, true, {}};
     announcement whole = found->second.last;
     whole.incarnation = message.incarnation;
     whole.sequence = message.sequence;
@@ -116,6 +121,7 @@
 
 void membership::noteHeard(member &known, time_point now)
 {
+    known.interval = known.everHeard ? now - known.heardAt : duration{};
     known.heardAt = now;
     known.everHeard = true;
     if (!known.heard) {
@@ -155,7 +161,9 @@
     // before `since` would never be seen here.
     if (message.since <= sender->applied)
         sender->applied = std::max(sender->applied, message.upTo);
-    outcome.ack = digest_ack{m_settings.entryId, message.incarnation, sender->applied};
+    const bool news = !message.records.empty() || message.since != sender->applied;
+    if (news)
+        outcome.ack = digest_ack{m_settings.entryId, message.incarnation, sender->applied};
     return outcome;
 }
 
@@ -198,8 +206,7 @@
 {
     changes out;
     for (auto &[id, known] : m_members) {
-        const auto silentAfter = known.period * m_settings.missedPeriods;
-        if (known.heard && known.heardAt + silentAfter <= now) {
+        if (known.heard && known.heardAt + silentAfter(known) <= now) {
             known.heard = false;
             --m_heardDirectly;
             touch(known);
@@ -240,10 +247,9 @@
 
 bool membership::isVouched(const member &known, time_point now) const
 {
-    const auto silentAfter = m_settings.digestPeriod * m_settings.missedDigests;
     return std::any_of(known.vouchers.begin(), known.vouchers.end(), [&](const auto &id) {
         const auto found = m_peers.find(id);
-        return found != m_peers.end() && found->second.heardAt + silentAfter > now;
+        return found != m_peers.end() && found->second.heardAt + peerSilentAfter() > now;
     });
 }
 
@@ -260,7 +266,7 @@
     peer *receiver = peerNamed(peerId);
     if (!receiver)
         return std::nullopt;
-    const bool due = !receiver->everSent || receiver->sentAt + m_settings.digestPeriod <= now;
+    const bool due = !receiver->everSent || receiver->sentAt + digestPeriod() <= now;
     const std::uint64_t since = receiver->acked;
     if (!due && m_version <= std::max(receiver->sent, since))
         return std::nullopt;
@@ -349,6 +355,28 @@
     return std::clamp(needed, m_settings.shortestPeriod, m_settings.longestPeriod);
 }
 
+milliseconds membership::digestPeriod() const
+{
+    constexpr std::int64_t Directions = 2;
+    const auto peers = static_cast<std::int64_t>(m_peers.size());
+    const auto bytes = Directions * peers * m_settings.digestBytes;
+    const milliseconds needed(bytes * 1000 / m_settings.digestBytesPerSecond);
+    return std::max(needed, m_settings.shortestDigestPeriod);
+}
+
+// An agent that missed the answer with a shorter period still keeps to its old one: going by the
+// promise alone would take it for silent, and drop a healthy upstream from routing.
+duration membership::silentAfter(const member &known) const
+{
+    const duration interval = std::min<duration>(known.interval, m_settings.longestPeriod);
+    return std::max<duration>(known.period, interval) * m_settings.missedPeriods;
+}
+
+duration membership::peerSilentAfter() const
+{
+    return digestPeriod() * m_settings.missedDigests;
+}
+
 std::vector<std::string> announceTargets(const std::string &agentId,
                                          const std::vector<std::string> &entries, std::size_t count,
                                          const std::set<std::string> &unresponsive)
--- a/libs/request/membership.h
+++ b/libs/request/membership.h
@@ -25,16 +25,18 @@
 
 struct membership_settings
 {
-    std::string entryId;               // of this entry
-    std::uint64_t incarnation = 0;     // of this process, newer ones are higher
-    milliseconds shortestPeriod{1000}; // between heartbeats when upstreams are few
-    milliseconds longestPeriod{10 * 1000};
-    int announceBytes = 75;                   // of one heartbeat as sent, for the period
-    int announceBytesPerSecond = 1500;        // share of the control budget for heartbeats
+    std::string entryId;                      // of this entry
+    std::uint64_t incarnation = 0;            // of this process, newer ones are higher
+    milliseconds shortestPeriod{1000};        // between heartbeats, when agents are few
+    milliseconds longestPeriod{15 * 1000};    // between heartbeats, when they are many
+    int announceBytes = 105;                  // of one heartbeat and its part of an answer, as sent
+    int announceBytesPerSecond = 1300;        // share of the control budget
     int missedPeriods = 3;                    // without a heartbeat, until an agent is silent
-    milliseconds digestPeriod{2000};          // between digests to a peer when nothing changed
+    milliseconds shortestDigestPeriod{1000};  // between digests to a peer without news
+    int digestBytes = 80;                     // of one digest without news, as sent
+    int digestBytesPerSecond = 500;           // share of the control budget, both directions
     int missedDigests = 3;                    // until a peer's word counts no more
-    milliseconds rememberFor{10 * 60 * 1000}; // upstreams that left, to know late messages
+    milliseconds rememberFor{10 * 60 * 1000}; // upstreams that are gone, to know late messages
     std::size_t memberLimit = 4096;           // remembered ones included
     std::size_t peerLimit = 64;
     std::size_t recordsPerDigest = 16; // bound on one digest; the rest follows
@@ -72,12 +74,13 @@
 struct announce_outcome
 {
     announce_reply reply;
+    bool replyDue = true; // false: the agent learns nothing new, a datagram may go unanswered
     std::vector<membership_change> changes;
 };
 
 struct digest_outcome
 {
-    std::optional<digest_ack> ack; // absent: the digest was late, no answer is due
+    std::optional<digest_ack> ack; // absent: no news, or the digest was late
     std::vector<membership_change> changes;
 };
 
@@ -104,9 +107,12 @@
     // What went silent meanwhile. Call it several times in the shortest period.
     std::vector<membership_change> tick(time_point now);
 
-    // The digest that is due for `peer`: at once after a change, else every digestPeriod.
+    // The digest that is due for `peer`: at once after a change, else every digestPeriod().
     std::optional<digest> digestFor(const std::string &peer, time_point now);
 
+    // Between digests to a peer without news; by the number of peers.
+    milliseconds digestPeriod() const;
+
     std::vector<announcement> routable() const;
     std::vector<announcement> known() const; // silent and left ones included
     std::size_t size() const { return m_members.size(); }
@@ -118,6 +124,7 @@
         announcement last;
         time_point heardAt{};           // directly, by this entry
         milliseconds period{};          // promised to the agent
+        duration interval{};            // between its last two heartbeats
         bool heard = false;             // directly, and not silent since
         bool everHeard = false;         // directly, in this incarnation
         std::set<std::string> vouchers; // peers that hear it
@@ -152,6 +159,8 @@
     peer *peerNamed(const std::string &id);
     void forgetVouchesOf(const std::string &peerId);
     milliseconds grantedPeriod() const;
+    duration silentAfter(const member &known) const;
+    duration peerSilentAfter() const;
     void touch(member &known) { known.version = ++m_version; }
 
     membership_settings m_settings;
--- a/libs/request/router.cpp
+++ b/libs/request/router.cpp
@@ -22,6 +22,7 @@
                                                       "least_known_load"};
 
 constexpr int LatencySmoothing = 8; // weight of a sample: 1/8
+constexpr double LoadSmoothing = 8; // weight of a report: 1/8
 
 } // namespace
 
@@ -54,6 +55,8 @@
     joined = upstream{};
     joined.about = about;
     joined.where = localityOf(about);
+    joined.serviceTime = m_settings.firstServiceTime;
+    joined.usualOthers = about.load.inFlight + about.load.queued;
     // With nobody there to compare with, there is no share to start slowly from.
     joined.warmSince = first ? now - m_settings.slowStart : now;
     noteLoad(joined, about.load, now);
@@ -203,15 +206,22 @@
     return m_settings.slowStartShare + (1.0 - m_settings.slowStartShare) * progress;
 }
 
-// Requests for each slot with one more there, as far as this entry knows. What others have sent is
-// only known from reports: the older the report, the less it says.
-double router::knownLoad(const upstream &of, time_point now) const
+// What others have sent, known from reports alone. Within a service time most of a report is out of
+// date, and then the upstream's usual load says more. With a longer life, or with nothing in place
+// of an old report, all entries run after the upstream that last reported little, together, until
+// it refuses and the next one is overrun.
+double router::othersLoad(const upstream &of, time_point now) const
 {
     const std::chrono::duration<double> age = now - of.reportedAt;
-    const std::chrono::duration<double> halfLife = m_settings.loadHalfLife;
-    const double others = of.others * std::exp2(-age / halfLife);
+    const std::chrono::duration<double> halfLife = of.serviceTime;
+    return of.usualOthers + (of.others - of.usualOthers) * std::exp2(-age / halfLife);
+}
+
+// Requests for each slot with one more there, as far as this entry knows.
+double router::knownLoad(const upstream &of, time_point now) const
+{
     const double slots = std::max(1, of.about.slots) * share(of, now);
-    return (of.own + others + 1.0) / slots;
+    return (of.own + othersLoad(of, now) + 1.0) / slots;
 }
 
 void router::attemptStarted(const route &to, time_point)
@@ -252,7 +262,10 @@
 void router::noteLoad(upstream &of, const upstream_load &load, time_point now)
 {
     of.others = std::max(0, load.inFlight + load.queued - of.own);
+    of.usualOthers += (of.others - of.usualOthers) / LoadSmoothing;
     of.reportedAt = now;
+    if (load.latency.count() > 0)
+        of.serviceTime = load.latency;
 }
 
 void router::noteFailure(upstream &of, time_point now)
--- a/libs/request/router.h
+++ b/libs/request/router.h
@@ -27,7 +27,7 @@
     std::string zone;                  // of this entry
     std::string region;                // of this entry
     double spillAt = 1.0;              // known load for each slot above which other zones are asked
-    milliseconds loadHalfLife{500};    // of what an upstream reported
+    milliseconds firstServiceTime{20}; // until an upstream reports one
     milliseconds slowStart{10 * 1000}; // until a newcomer gets its whole share
     double slowStartShare = 0.1;       // at the start
     int failuresToEject = 5;           // in a row
@@ -117,9 +117,11 @@
     {
         announcement about;
         locality where = locality::OwnZone;
-        int own = 0;    // attempts of this entry
-        int others = 0; // reported load that is not this entry's
+        int own = 0;            // attempts of this entry
+        int others = 0;         // reported load that is not this entry's
+        double usualOthers = 0; // moving average of `others`
         time_point reportedAt{};
+        duration serviceTime{};    // reported
         time_point warmSince{};    // slow start counts from here
         time_point backOffUntil{}; // refused for its load
         bool leaving = false;      // said so in an answer
@@ -146,6 +148,7 @@
     upstream *pickBy(least_known_load &, const std::string &service, const candidates &from,
                      time_point now);
     double share(const upstream &of, time_point now) const;
+    double othersLoad(const upstream &of, time_point now) const;
     double knownLoad(const upstream &of, time_point now) const;
     void noteLoad(upstream &of, const upstream_load &load, time_point now);
     void noteFailure(upstream &of, time_point now);
