request: announcer for agents; the membership mesh in virtual time

Cause: the agent needs a decision on what to tell which entry, and CAPACITY needs measured bytes. Change: announcer (targets, repeats, superseded processes), mesh scenario and membership_bench. Answers carry the sequence of the message: an answer to an earlier one no longer counts as the answer to Leaving. Repeated Leaving is accepted, so that its repetition can end.

--- /dev/null
+++ b/bench/membership_bench.cpp
@@ -0,0 +1,138 @@
+// Membership at several sizes in virtual time: bytes for each node, and how long news take.
+//
+//   membership_bench            the tables
+//   membership_bench --benchmark_filter=...   the processor time of the decisions, by size
+#include <algorithm>
+#include <string>
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+#include "base/json.h"
+#include "membership_mesh.h"
+
+using namespace zinniabarrow;
+
+namespace {
+
+constexpr milliseconds Step{100};
+
+mesh_settings sized(int agents, int entries)
+{
+    mesh_settings settings;
+    settings.agents = agents;
+    settings.entries = entries;
+    return settings;
+}
+
+// Milliseconds until `done`, or -1 after two minutes.
+template <typename Condition>
+std::int64_t timeUntil(mesh &nodes, Condition &&done)
+{
+    constexpr milliseconds Limit{120 * 1000};
+    for (milliseconds passed{0}; passed <= Limit; passed += Step) {
+        if (done())
+            return passed.count();
+        nodes.runFor(Step);
+    }
+    return -1;
+}
+
+void printMessageSizes()
+{
+    mesh nodes(sized(790, 15));
+    const auto whole = nodes.agent(789).self();
+    digest idle{mesh::entryName(14), whole.incarnation, 4711, 1580, 1580, {}};
+    digest one = idle;
+    one.records.push_back({whole, true});
+    const digest_ack ack{mesh::entryName(14), whole.incarnation, 1580};
+    const announce_reply reply{4711, std::nullopt, whole.incarnation, false, milliseconds(8506)};
+    const auto print = [](const char *name, const Json::Value &json) {
+        fmt::print("{:<28}{:>5} bytes\n", name, compactJson(json).size());
+    };
+    fmt::print("Messages, without packet headers\n");
+    print("announcement", toJson(whole));
+    print("heartbeat", toJson(heartbeatOf(whole)));
+    print("answer to either", toJson(reply));
+    print("digest without news", toJson(idle));
+    print("digest with one record", toJson(one));
+    print("digest's answer", toJson(ack));
+}
+
+void printRow(int agents, int entries)
+{
+    mesh nodes(sized(agents, entries));
+    constexpr std::int64_t Seconds = 120;
+    const auto known = timeUntil(nodes, [&] {
+        for (int i = 0; i < entries; ++i) {
+            if (nodes.routesAt(i) != agents)
+                return false;
+        }
+        return true;
+    });
+    nodes.runFor(seconds(60));
+    nodes.forgetTraffic();
+    nodes.runFor(seconds(Seconds));
+    std::uint64_t entryBytes = 0;
+    for (int i = 0; i < entries; ++i) {
+        const auto &bytes = nodes.trafficOf(mesh::entryName(i));
+        entryBytes = std::max(entryBytes, bytes.sent + bytes.received);
+    }
+    std::uint64_t agentBytes = 0;
+    for (int i = 0; i < agents; ++i) {
+        const auto &bytes = nodes.trafficOf(mesh::agentName(i));
+        agentBytes = std::max(agentBytes, bytes.sent + bytes.received);
+    }
+    nodes.agent(0).setState(upstream_state::Leaving);
+    const auto leaving = timeUntil(nodes, [&] { return nodes.entriesThatRoute(0) == 0; });
+    nodes.stopAgent(1);
+    const auto silent = timeUntil(nodes, [&] { return nodes.entriesThatRoute(1) == 0; });
+    nodes.stopEntry(0);
+    nodes.startEntry(0);
+    nodes.forgetTraffic();
+    const auto again = timeUntil(nodes, [&] { return nodes.routesAt(0) == agents - 2; });
+    const auto burst = nodes.trafficOf(mesh::entryName(0));
+    fmt::print("{:>7}{:>8}{:>12}{:>12}{:>9}{:>9}{:>9}{:>10}{:>13}\n", agents, entries,
+               entryBytes / Seconds, agentBytes / Seconds, known, leaving, silent, again,
+               burst.sent + burst.received);
+}
+
+void heartbeatOfOne(benchmark::State &state)
+{
+    mesh nodes(sized(static_cast<int>(state.range(0)), 3));
+    nodes.runFor(seconds(20));
+    auto beat = heartbeatOf(nodes.agent(0).self());
+    for (auto _ : state) {
+        ++beat.sequence;
+        benchmark::DoNotOptimize(nodes.entry(0).heard(beat, nodes.now()));
+    }
+}
+BENCHMARK(heartbeatOfOne)->Arg(11)->Arg(790);
+
+void tickOfEntry(benchmark::State &state)
+{
+    mesh nodes(sized(static_cast<int>(state.range(0)), 3));
+    nodes.runFor(seconds(20));
+    for (auto _ : state)
+        benchmark::DoNotOptimize(nodes.entry(0).tick(nodes.now()));
+}
+BENCHMARK(tickOfEntry)->Arg(11)->Arg(790);
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc > 1) {
+        benchmark::Initialize(&argc, argv);
+        benchmark::RunSpecifiedBenchmarks();
+        return 0;
+    }
+    printMessageSizes();
+    fmt::print("\nBytes a second at rest, the busiest node, sent and received; times in ms\n");
+    fmt::print("{:>7}{:>8}{:>12}{:>12}{:>9}{:>9}{:>9}{:>10}{:>13}\n", "agents", "entries",
+               "entry B/s", "agent B/s", "known", "leaving", "silent", "new entry", "its bytes");
+    printRow(11, 3);
+    printRow(79, 5);
+    printRow(790, 15);
+    return 0;
+}
--- /dev/null
+++ b/bench/membership_mesh.h
@@ -0,0 +1,94 @@
+// Agents and entries that exchange the real messages in virtual time, with every byte counted.
+//
+//   mesh_settings   sizes and delays
+//   mesh            runs on step by step; ways can be cut, nodes stopped and started again
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "request/announcer.h"
+#include "request/membership.h"
+
+namespace zinniabarrow {
+
+struct mesh_settings
+{
+    int agents = 11;
+    int entries = 3;
+    milliseconds step{100}; // a message arrives one step after it was sent
+    int packetBytes = 28;   // of the headers of one datagram
+    announcer_settings announce;
+    membership_settings member;
+};
+
+class mesh
+{
+public:
+    explicit mesh(const mesh_settings &settings);
+
+    void runFor(milliseconds time);
+    time_point now() const { return m_now; }
+
+    static std::string agentName(int index) { return "agent-" + std::to_string(index); }
+    static std::string entryName(int index) { return "10.0.9." + std::to_string(index) + ":7000"; }
+
+    membership &entry(int index) { return *m_entries.at(entryName(index)).members; }
+    announcer &agent(int index) { return *m_agents.at(agentName(index)); }
+    bool routes(int entryIndex, int agentIndex) const;
+    int routesAt(int entryIndex) const; // upstreams that this entry may route to
+    int entriesThatRoute(int agentIndex) const;
+
+    // Between two nodes, in both directions.
+    void cut(const std::string &one, const std::string &other);
+    void heal() { m_cut.clear(); }
+
+    void stopAgent(int index);
+    void startAgent(int index); // as a new process with a newer incarnation
+    void stopEntry(int index);
+    void startEntry(int index);
+
+    struct traffic
+    {
+        std::uint64_t sent = 0; // bytes, packet headers included
+        std::uint64_t received = 0;
+        std::uint64_t messages = 0; // both ways
+    };
+    const traffic &trafficOf(const std::string &node) { return m_traffic[node]; }
+    void forgetTraffic() { m_traffic.clear(); }
+
+private:
+    struct entry_node
+    {
+        std::unique_ptr<membership> members;
+        std::set<std::string> routable; // as a router would have it
+    };
+
+    void step();
+    void transfer(const std::string &from, const std::string &to, const Json::Value &message,
+                  std::function<void()> arrive);
+    void announceFrom(const std::string &name, announcer &self);
+    void receive(const std::string &entry, const std::string &agent, const announcer::send &sent);
+    void digestsFrom(const std::string &name, entry_node &self);
+    void receive(const std::string &entry, const digest &message);
+    static void apply(entry_node &at, const std::vector<membership_change> &changes);
+    std::uint64_t nextIncarnation() { return ++m_incarnation; }
+
+    mesh_settings m_settings;
+    time_point m_now{seconds(1000)};
+    std::uint64_t m_incarnation = 1764716400000;
+    std::map<std::string, std::unique_ptr<announcer>> m_agents;
+    std::map<std::string, entry_node> m_entries;
+    std::vector<std::string> m_entryNames;
+    std::set<std::pair<std::string, std::string>> m_cut;
+    std::map<std::string, traffic> m_traffic;
+    std::deque<std::function<void()>> m_arriving;
+};
+
+} // namespace zinniabarrow
--- a/libs/request/announcement.cpp
+++ b/libs/request/announcement.cpp
@@ -166,6 +166,7 @@
     Json::Value json(Json::objectValue);
     if (message.refused)
         json["refused"] = std::string(nameOf(*message.refused));
+    json["sequence"] = number(message.sequence);
     json["knownIncarnation"] = number(message.knownIncarnation);
     json["sendWhole"] = message.sendWhole;
     json["periodMs"] = Json::Int64(message.period.count());
@@ -175,6 +176,7 @@
 announce_reply announceReplyFromJson(const Json::Value &json)
 {
     announce_reply message;
+    message.sequence = numberIn(json, "sequence");
     message.knownIncarnation = numberIn(json, "knownIncarnation");
     message.sendWhole = flagIn(json, "sendWhole");
     message.period = milliseconds(countIn(json, "periodMs"));
--- a/libs/request/announcement.h
+++ b/libs/request/announcement.h
@@ -77,6 +77,7 @@
 
 struct announce_reply
 {
+    std::uint64_t sequence = 0; // of the message that is answered
     std::optional<error_kind> refused;
     std::uint64_t knownIncarnation = 0; // the newest the entry has seen of this agent
     bool sendWhole = false;             // the entry lacks the whole announcement
--- a/libs/request/membership.cpp
+++ b/libs/request/membership.cpp
@@ -17,13 +17,8 @@
         {leave_reason::NotReady, "not_ready"},
 }};
 
-// An agent takes an entry for unresponsive after a few unanswered answers that were due.
-constexpr std::uint64_t AnsweredEvery = 4;
-
-announce_outcome refusal(error_kind kind, std::uint64_t knownIncarnation, milliseconds period)
-{
-    return {{kind, knownIncarnation, false, period}, true, {}};
-}
+// Fewer than announcer_settings::unansweredLimit: the agent must not take this entry for deaf.
+constexpr int AnsweredEvery = 4;
 
 } // namespace
 
@@ -39,15 +34,14 @@
 announce_outcome membership::heard(const announcement &message, time_point now)
 {
     const auto found = m_members.find(message.agentId);
-    if (found != m_members.end() && isLate(found->second, message.incarnation, message.sequence)) {
+    if (found != m_members.end() && isLate(found->second, message)) {
         ++m_counters.late;
-        return refusal(error_kind::StaleIncarnation, found->second.last.incarnation,
-                       grantedPeriod());
+        return refusal(error_kind::StaleIncarnation, message);
     }
     announce_outcome outcome;
     member *known = memberFor(message);
     if (!known)
-        return refusal(error_kind::OverCapacity, 0, m_settings.longestPeriod);
+        return refusal(error_kind::OverCapacity, message);
     ++m_counters.accepted;
     adopt(*known, message, outcome.changes);
     const auto promised = known->period;
@@ -57,16 +51,22 @@
         outcome.changes.emplace_back(
                 upstream_reported{message.agentId, message.incarnation, message.load});
     }
-    outcome.reply = {std::nullopt, message.incarnation, false, known->period};
-    outcome.replyDue = known->period != promised || message.sequence % AnsweredEvery == 0;
+    outcome.reply = {message.sequence, std::nullopt, message.incarnation, false, known->period};
+    outcome.replyDue = known->period != promised || ++known->unanswered >= AnsweredEvery;
+    if (outcome.replyDue)
+        known->unanswered = 0;
     return outcome;
 }
 
 announce_outcome membership::heard(const heartbeat &message, time_point now)
 {
     const auto found = m_members.find(message.agentId);
-    if (found == m_members.end() || found->second.last.incarnation < message.incarnation)
-        return {{std::nullopt, message.incarnation, true, grantedPeriod()}, true, {}};
+    if (found == m_members.end() || found->second.last.incarnation < message.incarnation) {
+        announce_outcome outcome;
+        outcome.reply = {message.sequence, std::nullopt, message.incarnation, true,
+                         grantedPeriod()};
+        return outcome;
+    }
     announcement whole = found->second.last;
     whole.incarnation = message.incarnation;
     whole.sequence = message.sequence;
@@ -75,14 +75,25 @@
     return heard(whole, now);
 }
 
+announce_outcome membership::refusal(error_kind kind, const announcement &message)
+{
+    const auto found = m_members.find(message.agentId);
+    const auto known = found == m_members.end() ? 0 : found->second.last.incarnation;
+    announce_outcome outcome;
+    outcome.reply = {message.sequence, kind, known, false, grantedPeriod()};
+    return outcome;
+}
+
 // A late message of an old incarnation would bring back the address of an instance that is gone;
 // one of an older sequence would take back a Leaving. Both are refused by their numbers alone.
-bool membership::isLate(const member &known, std::uint64_t incarnation,
-                        std::uint64_t sequence) const
+bool membership::isLate(const member &known, const announcement &message) const
 {
-    if (incarnation != known.last.incarnation)
-        return incarnation < known.last.incarnation;
-    return sequence <= known.last.sequence || known.last.state == upstream_state::Leaving;
+    const auto &last = known.last;
+    if (message.incarnation != last.incarnation)
+        return message.incarnation < last.incarnation;
+    const bool goesBack =
+            last.state == upstream_state::Leaving && message.state != upstream_state::Leaving;
+    return message.sequence <= last.sequence || goesBack;
 }
 
 membership::member *membership::memberFor(const announcement &message)
@@ -121,6 +132,11 @@
 
 void membership::noteHeard(member &known, time_point now)
 {
+    if (known.last.state == upstream_state::Leaving) {
+        m_heardDirectly -= known.heard ? 1 : 0;
+        known.heard = false;
+        return;
+    }
     known.interval = known.everHeard ? now - known.heardAt : duration{};
     known.heardAt = now;
     known.everHeard = true;
@@ -178,7 +194,7 @@
     if (!known)
         return;
     const bool isNew = known->last.agentId.empty();
-    if (isNew || !isLate(*known, upstream.incarnation, upstream.sequence))
+    if (isNew || !isLate(*known, upstream))
         adopt(*known, upstream, out);
     if (upstream.incarnation == known->last.incarnation) {
         if (record.heard)
@@ -327,6 +343,7 @@
     }
     if (oldest == m_members.end())
         return false;
+    m_heardDirectly -= oldest->second.heard ? 1 : 0;
     m_members.erase(oldest);
     return true;
 }
--- a/libs/request/membership.h
+++ b/libs/request/membership.h
@@ -125,6 +125,7 @@
         time_point heardAt{};           // directly, by this entry
         milliseconds period{};          // promised to the agent
         duration interval{};            // between its last two heartbeats
+        int unanswered = 0;             // heartbeats since the last answer
         bool heard = false;             // directly, and not silent since
         bool everHeard = false;         // directly, in this incarnation
         std::set<std::string> vouchers; // peers that hear it
@@ -147,7 +148,7 @@
     using changes = std::vector<membership_change>;
 
     member *memberFor(const announcement &message);
-    bool isLate(const member &known, std::uint64_t incarnation, std::uint64_t sequence) const;
+    bool isLate(const member &known, const announcement &message) const;
     void adopt(member &known, const announcement &message, changes &out);
     void noteHeard(member &known, time_point now);
     void applyRecord(const digest_record &record, const std::string &from, changes &out,
@@ -158,6 +159,7 @@
     bool makeRoom();
     peer *peerNamed(const std::string &id);
     void forgetVouchesOf(const std::string &peerId);
+    announce_outcome refusal(error_kind kind, const announcement &message);
     milliseconds grantedPeriod() const;
     duration silentAfter(const member &known) const;
     duration peerSilentAfter() const;
