--- a/libs/request/membership.cpp
+++ b/libs/request/membership.cpp
@@ -17,10 +17,8 @@
         {leave_reason::NotReady, "not_ready"},
 }};
 
-announce_outcome refusal(error_kind kind, std::uint64_t knownIncarnation, milliseconds period)
-{
-    return {{kind, knownIncarnation, false, period}, {}};
-}
+// Fewer than announcer_settings::unansweredLimit: the agent must not take this entry for deaf.
+constexpr int AnsweredEvery = 4;
 
 } // namespace
 
@@ -36,32 +34,39 @@
 announce_outcome membership::heard(const announcement &message, time_point now)
 {
     const auto found = m_members.find(message.agentId);
-    if (found != m_members.end() && isLate(found->second, message.incarnation, message.sequence)) {
+    if (found != m_members.end() && isLate(found->second, message)) {
         ++m_counters.late;
-        return refusal(error_kind::StaleIncarnation, found->second.last.incarnation,
-                       grantedPeriod());
+        return refusal(error_kind::StaleIncarnation, message);
     }
     announce_outcome outcome;
     member *known = memberFor(message);
     if (!known)
-        return refusal(error_kind::OverCapacity, 0, m_settings.longestPeriod);
+        return refusal(error_kind::OverCapacity, message);
     ++m_counters.accepted;
     adopt(*known, message, outcome.changes);
+    const auto promised = known->period;
     noteHeard(*known, now);
     evaluate(*known, outcome.changes, now);
     if (known->isRoutable) {
         outcome.changes.emplace_back(
                 upstream_reported{message.agentId, message.incarnation, message.load});
     }
-    outcome.reply = {std::nullopt, message.incarnation, false, known->period};
+    outcome.reply = {message.sequence, std::nullopt, message.incarnation, false, known->period};
+    outcome.replyDue = known->period != promised || ++known->unanswered >= AnsweredEvery;
+    if (outcome.replyDue)
+        known->unanswered = 0;
     return outcome;
 }
 
 announce_outcome membership::heard(const heartbeat &message, time_point now)
 {
     const auto found = m_members.find(message.agentId);
-    if (found == m_members.end() || found->second.last.incarnation < message.incarnation)
-        return {{std::nullopt, message.incarnation, true, grantedPeriod()}, {}};
+    if (found == m_members.end() || found->second.last.incarnation < message.incarnation) {
+        announce_outcome outcome;
+        outcome.reply = {message.sequence, std::nullopt, message.incarnation, true,
+                         grantedPeriod()};
+        return outcome;
+    }
     announcement whole = found->second.last;
     whole.incarnation = message.incarnation;
     whole.sequence = message.sequence;
@@ -70,14 +75,25 @@
     return heard(whole, now);
 }
 
+announce_outcome membership::refusal(error_kind kind, const announcement &message)
+{
+    const auto found = m_members.find(message.agentId);
+    const auto known = found == m_members.end() ? 0 : found->second.last.incarnation;
+    announce_outcome outcome;
+    outcome.reply = {message.sequence, kind, known, false, grantedPeriod()};
+    return outcome;
+}
+
 // A late message of an old incarnation would bring back the address of an instance that is gone;
 // one of an older sequence would take back a Leaving. Both are refused by their numbers alone.
-bool membership::isLate(const member &known, std::uint64_t incarnation,
-                        std::uint64_t sequence) const
+bool membership::isLate(const member &known, const announcement &message) const
 {
-    if (incarnation != known.last.incarnation)
-        return incarnation < known.last.incarnation;
-    return sequence <= known.last.sequence || known.last.state == upstream_state::Leaving;
+    const auto &last = known.last;
+    if (message.incarnation != last.incarnation)
+        return message.incarnation < last.incarnation;
+    const bool goesBack =
+            last.state == upstream_state::Leaving && message.state != upstream_state::Leaving;
+    return message.sequence <= last.sequence || goesBack;
 }
 
 membership::member *membership::memberFor(const announcement &message)
@@ -116,6 +132,12 @@
 
 void membership::noteHeard(member &known, time_point now)
 {
+    if (known.last.state == upstream_state::Leaving) {
+        m_heardDirectly -= known.heard ? 1 : 0;
+        known.heard = false;
+        return;
+    }
+    known.interval = known.everHeard ? now - known.heardAt : duration{};
     known.heardAt = now;
     known.everHeard = true;
     if (!known.heard) {
@@ -155,7 +177,9 @@
     // before `since` would never be seen here.
     if (message.since <= sender->applied)
         sender->applied = std::max(sender->applied, message.upTo);
-    outcome.ack = digest_ack{m_settings.entryId, message.incarnation, sender->applied};
+    const bool news = !message.records.empty() || message.since != sender->applied;
+    if (news)
+        outcome.ack = digest_ack{m_settings.entryId, message.incarnation, sender->applied};
     return outcome;
 }
 
@@ -170,7 +194,7 @@
     if (!known)
         return;
     const bool isNew = known->last.agentId.empty();
-    if (isNew || !isLate(*known, upstream.incarnation, upstream.sequence))
+    if (isNew || !isLate(*known, upstream))
         adopt(*known, upstream, out);
     if (upstream.incarnation == known->last.incarnation) {
         if (record.heard)
@@ -198,8 +222,7 @@
 {
     changes out;
     for (auto &[id, known] : m_members) {
-        const auto silentAfter = known.period * m_settings.missedPeriods;
-        if (known.heard && known.heardAt + silentAfter <= now) {
+        if (known.heard && known.heardAt + silentAfter(known) <= now) {
             known.heard = false;
             --m_heardDirectly;
             touch(known);
@@ -240,10 +263,9 @@
 
 bool membership::isVouched(const member &known, time_point now) const
 {
-    const auto silentAfter = m_settings.digestPeriod * m_settings.missedDigests;
     return std::any_of(known.vouchers.begin(), known.vouchers.end(), [&](const auto &id) {
         const auto found = m_peers.find(id);
-        return found != m_peers.end() && found->second.heardAt + silentAfter > now;
+        return found != m_peers.end() && found->second.heardAt + peerSilentAfter() > now;
     });
 }
 
@@ -260,7 +282,7 @@
     peer *receiver = peerNamed(peerId);
     if (!receiver)
         return std::nullopt;
-    const bool due = !receiver->everSent || receiver->sentAt + m_settings.digestPeriod <= now;
+    const bool due = !receiver->everSent || receiver->sentAt + digestPeriod() <= now;
     const std::uint64_t since = receiver->acked;
     if (!due && m_version <= std::max(receiver->sent, since))
         return std::nullopt;
@@ -321,6 +343,7 @@
     }
     if (oldest == m_members.end())
         return false;
+    m_heardDirectly -= oldest->second.heard ? 1 : 0;
     m_members.erase(oldest);
     return true;
 }
@@ -349,6 +372,28 @@
     return std::clamp(needed, m_settings.shortestPeriod, m_settings.longestPeriod);
 }
 
+milliseconds membership::digestPeriod() const
+{
+    constexpr std::int64_t Directions = 2;
+    const auto peers = static_cast<std::int64_t>(m_peers.size());
+    const auto bytes = Directions * peers * m_settings.digestBytes;
+    const milliseconds needed(bytes * 1000 / m_settings.digestBytesPerSecond);
+    return std::max(needed, m_settings.shortestDigestPeriod);
+}
+
+// An agent that missed the answer with a shorter period still keeps to its old one: going by the
+// promise alone would take it for silent, and drop a healthy upstream from routing.
+duration membership::silentAfter(const member &known) const
+{
+    const duration interval = std::min<duration>(known.interval, m_settings.longestPeriod);
+    return std::max<duration>(known.period, interval) * m_settings.missedPeriods;
+}
+
+duration membership::peerSilentAfter() const
+{
+    return digestPeriod() * m_settings.missedDigests;
+}
+
 std::vector<std::string> announceTargets(const std::string &agentId,
                                          const std::vector<std::string> &entries, std::size_t count,
                                          const std::set<std::string> &unresponsive)
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -33,7 +33,10 @@
 {
     socket_address address;
     std::string id;
-    milliseconds usageLag{500}; // usage is reported as it was this long ago
+    std::int64_t millicores = 16'000;    // for the trace; nothing is checked against it
+    std::int64_t bytes = 60'000'000'000; // the same
+    std::int64_t accelerators = 0;       // the same
+    milliseconds usageLag{500};          // usage is reported as it was this long ago
 };
 std::unique_ptr<standin> startWorker(const worker_options &options);
 
--- a/standins/worker.cpp
+++ b/standins/worker.cpp
@@ -1,4 +1,7 @@
 // A worker's stand-in: runs tasks under leases, starts whatever it is given, reports usage late.
+//
+// It keeps what docs/design/OWNERSHIP.md asks of a worker: its incarnation, the newest epoch it was
+// told, and the newest attempt of each task that it ran or was told to stop.
 #include <atomic>
 #include <cstdio>
 #include <deque>
@@ -12,39 +15,52 @@
 #include "base/json.h"
 #include "base/json_member.h"
 #include "standins/standin.h"
+#include "work/messages.h"
+#include "work/task_keeper.h"
 
 namespace zinniabarrow::standins {
 
 namespace {
 
 constexpr milliseconds Step{10};
+constexpr std::size_t RememberedListings = 64;
 
-// One attempt of a task, from its start until its end has been forgotten.
+// One attempt of a task, from its start until it is forgotten.
 struct task_run
 {
-    std::string task;
-    std::uint64_t attempt = 0;
-    std::string state = "running"; // running, finished, failed, stopped, lapsed
-    std::int64_t millicores = 0;
-    std::int64_t bytes = 0;
-    std::int64_t accelerators = 0;
-    std::int64_t workMs = 0;       // needed in all; 0: runs until stopped
-    double doneMs = 0;             // progress, from the checkpoint on
-    std::int64_t checkpointMs = 0; // progress at the last checkpoint
-    double share = 1;              // of full speed, below 1 when throttled
+    work::task_attempt attempt;
+    work::failover_class failover = work::failover_class::Lease;
+    Json::Value spec;
+    std::int64_t workMs = 0; // needed in all; 0: runs until stopped
+    double doneMs = 0;       // progress, from the checkpoint on
+    std::string checkpoint;  // progress in ms, as text
+    double share = 1;        // of full speed, below 1 when throttled
     time_point leaseUntil{};
 };
 
+std::int64_t amountOf(const Json::Value &spec, const char *name)
+{
+    return spec.isMember(name) ? spec[name].asInt64() : 0;
+}
+
+work::task_attempt attemptFrom(const Json::Value &body)
+{
+    return {work::taskIdFromText(stringMember(body, "task")),
+            static_cast<std::uint32_t>(countMember(body, "attempt"))};
+}
+
 class worker_standin : public standin
 {
 public:
     explicit worker_standin(const worker_options &options)
         : m_options(options)
-        , m_incarnation(static_cast<std::uint64_t>(
-                  std::chrono::system_clock::now().time_since_epoch().count()))
         , m_server(options.address, {64, 4 * 1024 * 1024},
                    [this](const http_request &request) { return serve(request); })
     {
+        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        m_listing.incarnation = static_cast<std::uint64_t>(
+                std::chrono::duration_cast<milliseconds>(sinceEpoch).count());
+        traceWorker();
         m_server.start();
         m_runner = std::thread([this] { run(); });
     }
@@ -68,22 +84,23 @@
         if (m_unreachable)
             return {503, {}, "{}"};
         const std::lock_guard lock(m_mutex);
-        if (path == "/tasks/start")
-            return start(parseJson(request.body));
-        if (path == "/tasks/renew")
-            return renew(parseJson(request.body));
-        if (path == "/tasks/stop")
-            return stop(parseJson(request.body));
-        if (path == "/tasks/checkpoint")
-            return checkpoint(parseJson(request.body));
-        if (path == "/tasks/throttle")
-            return throttle(parseJson(request.body));
-        if (path == "/tasks/forget")
-            return forget(parseJson(request.body));
-        if (path == "/tasks")
-            return listing();
         if (path == "/usage")
             return usage();
+        const auto body = parseJson(request.body);
+        if (path == "/list")
+            return list(body);
+        if (path == "/start")
+            return start(body);
+        if (path == "/renew")
+            return renew(body);
+        if (path == "/stop")
+            return stop(attemptFrom(body));
+        if (path == "/checkpoint")
+            return checkpoint(attemptFrom(body));
+        if (path == "/throttle")
+            return throttle(body);
+        if (path == "/forget")
+            return forget(attemptFrom(body));
         return {404, {}, "{}"};
     }
 
@@ -98,144 +115,180 @@
         return {200, {}, compactJson(fault)};
     }
 
-    static std::string keyOf(const Json::Value &body)
+    // --- Trace lines go to standard output; the trace checker reads them.
+
+    static void print(Json::Value &line)
     {
-        return stringMember(body, "task") + "#" + std::to_string(countMember(body, "attempt"));
+        line["at_us"] = Json::Int64(monotonic_clock::now().time_since_epoch().count());
+        fmt::print("{}\n", compactJson(line));
+        std::fflush(stdout);
     }
 
-    task_run *find(const Json::Value &body)
+    Json::Value traceSize(const Json::Value &spec) const
     {
-        const auto found = m_runs.find(keyOf(body));
-        return found == m_runs.end() ? nullptr : &found->second;
+        Json::Value size(Json::objectValue);
+        size["millicores"] = Json::Int64(amountOf(spec, "millicores"));
+        size["memoryBytes"] = Json::Int64(amountOf(spec, "bytes"));
+        size["accelerators"] = Json::Int64(amountOf(spec, "accelerators"));
+        return size;
     }
 
-    // Trace lines go to standard output; the trace checker reads them.
-    void trace(const char *event, const task_run &run) const
+    void traceWorker() const
+    {
+        Json::Value line(Json::objectValue);
+        line["event"] = "worker";
+        line["worker"] = m_options.id;
+        line["size"]["millicores"] = Json::Int64(m_options.millicores);
+        line["size"]["memoryBytes"] = Json::Int64(m_options.bytes);
+        line["size"]["accelerators"] = Json::Int64(m_options.accelerators);
+        print(line);
+    }
+
+    void trace(const char *event, const task_run &run, const char *outcome = nullptr) const
     {
         Json::Value line(Json::objectValue);
-        line["at_ms"] = Json::Int64(
-                std::chrono::duration_cast<milliseconds>(monotonic_clock::now().time_since_epoch())
-                        .count());
         line["event"] = event;
         line["worker"] = m_options.id;
-        line["task"] = run.task;
-        line["attempt"] = Json::UInt64(run.attempt);
-        line["progress_ms"] = Json::Int64(run.doneMs);
-        line["checkpoint_ms"] = Json::Int64(run.checkpointMs);
-        line["millicores"] = Json::Int64(run.millicores);
-        line["bytes"] = Json::Int64(run.bytes);
-        line["accelerators"] = Json::Int64(run.accelerators);
-        fmt::print("{}\n", compactJson(line));
-        std::fflush(stdout);
+        line["task"] = work::textOf(run.attempt.task);
+        line["attempt"] = run.attempt.attempt;
+        line["size"] = traceSize(run.spec);
+        line["checkpoint"] = run.checkpoint;
+        if (outcome != nullptr)
+            line["outcome"] = outcome;
+        print(line);
     }
 
-    http_response start(const Json::Value &body)
+    // --- What the agent asks for.
+
+    http_response list(const Json::Value &body)
     {
-        if (find(body) != nullptr) // the same start twice: one run
-            return answer(*find(body));
-        task_run run;
-        run.task = stringMember(body, "task");
-        run.attempt = countMember(body, "attempt");
-        run.millicores = integerMember(body, "millicores");
-        run.bytes = integerMember(body, "bytes");
-        run.accelerators = integerMember(body, "accelerators");
-        run.workMs = integerMember(body, "work_ms");
-        run.checkpointMs = integerMember(body, "checkpoint_ms");
-        run.doneMs = static_cast<double>(run.checkpointMs);
-        run.leaseUntil = monotonic_clock::now() + milliseconds(integerMember(body, "lease_ms"));
-        if (m_failStarts)
-            run.state = "failed";
-        trace(m_failStarts ? "failed" : "started", run);
-        return answer(m_runs[keyOf(body)] = run);
+        m_listing.epoch = std::max(m_listing.epoch, countMember(body, "epoch"));
+        ++m_listing.number;
+        m_listedAt[m_listing.number] = monotonic_clock::now();
+        if (m_listedAt.size() > RememberedListings)
+            m_listedAt.erase(m_listedAt.begin());
+        m_listing.running.clear();
+        for (const auto &[task, run] : m_runs)
+            m_listing.running.push_back({run.attempt, run.checkpoint, run.spec, run.failover});
+        return {200, {}, compactJson(toJson(m_listing))};
     }
 
-    http_response renew(const Json::Value &body)
+    // Leases count from the listing that the agent had seen, so that a late message extends none.
+    time_point listedAt(const Json::Value &body) const
     {
-        const auto until = monotonic_clock::now() + milliseconds(integerMember(body, "lease_ms"));
-        for (const auto &entry : arrayMember(body, "tasks")) {
-            auto *run = find(entry);
-            if (run != nullptr && run->state == "running")
-                run->leaseUntil = std::max(run->leaseUntil, until);
-        }
-        return listing();
+        const auto found = m_listedAt.find(countMember(body, "listing"));
+        return found == m_listedAt.end() ? time_point{} : found->second;
     }
 
-    http_response stop(const Json::Value &body)
+    http_response refuseStart() const
     {
-        auto *run = find(body);
-        if (run == nullptr)
-            return {404, {}, "{}"};
-        if (run->state == "running")
-            end(*run, "stopped");
-        return answer(*run);
+        Json::Value answer(Json::objectValue);
+        answer["listing"] = Json::UInt64(m_listing.number);
+        return {409, {}, compactJson(answer)};
     }
 
-    http_response checkpoint(const Json::Value &body)
+    http_response start(const Json::Value &body)
     {
-        auto *run = find(body);
-        if (run == nullptr)
-            return {404, {}, "{}"};
-        if (run->state == "running") {
-            run->checkpointMs = static_cast<std::int64_t>(run->doneMs);
-            trace("checkpointed", *run);
-        }
-        return answer(*run);
+        const auto attempt = attemptFrom(body);
+        const auto now = monotonic_clock::now();
+        const auto base = listedAt(body);
+        auto &newest = m_newest[attempt.task];
+        if (attempt.attempt <= newest)
+            return refuseStart();
+        if (now >= base + milliseconds(integerMember(body, "start_within_ms")))
+            return {410, {}, "{}"}; // too late: the agent decides anew
+        newest = attempt.attempt;
+        task_run run;
+        run.attempt = attempt;
+        run.failover = work::failoverClassFromName(stringMember(body, "failover"));
+        run.spec = objectMember(body, "spec");
+        run.workMs = amountOf(run.spec, "work_ms");
+        run.checkpoint = stringMember(body, "checkpoint");
+        run.doneMs = std::atof(run.checkpoint.c_str());
+        run.leaseUntil = base + milliseconds(integerMember(body, "lease_ms"));
+        trace(run.checkpoint.empty() ? "started" : "resumed", run);
+        if (m_failStarts)
+            finish(run, work::task_outcome::Failed, "failed to start");
+        else
+            m_runs[attempt.task] = run;
+        return {200, {}, "{}"};
     }
 
-    http_response throttle(const Json::Value &body)
+    http_response renew(const Json::Value &body)
     {
-        auto *run = find(body);
-        if (run == nullptr)
-            return {404, {}, "{}"};
-        run->share = static_cast<double>(integerMember(body, "percent")) / 100;
-        return answer(*run);
+        const auto base = listedAt(body);
+        for (const auto &entry : arrayMember(body, "renewals")) {
+            if (auto *run = find(attemptFrom(entry)))
+                run->leaseUntil = std::max(run->leaseUntil,
+                                           base + milliseconds(integerMember(entry, "lease_ms")));
+        }
+        return {200, {}, "{}"};
     }
 
-    http_response forget(const Json::Value &body)
+    http_response stop(const work::task_attempt &attempt)
     {
-        const auto *run = find(body);
-        if (run != nullptr && run->state != "running")
-            m_runs.erase(keyOf(body));
+        if (const auto *run = find(attempt)) {
+            finish(*run, work::task_outcome::Stopped, "");
+        } else if (attempt.attempt > m_newest[attempt.task]) {
+            // Never there: remembered, so that a start which is still on its way is refused.
+            m_newest[attempt.task] = attempt.attempt;
+            m_listing.finished.push_back({attempt, work::task_outcome::Stopped, "", ""});
+        }
         return {200, {}, "{}"};
     }
 
-    static Json::Value runJson(const task_run &run)
+    http_response checkpoint(const work::task_attempt &attempt)
     {
-        Json::Value json(Json::objectValue);
-        json["task"] = run.task;
-        json["attempt"] = Json::UInt64(run.attempt);
-        json["state"] = run.state;
-        json["checkpoint_ms"] = Json::Int64(run.checkpointMs);
-        json["progress_ms"] = Json::Int64(run.doneMs);
-        return json;
+        if (auto *run = find(attempt)) {
+            run->checkpoint = std::to_string(static_cast<std::int64_t>(run->doneMs));
+            finish(*run, work::task_outcome::Evicted, "");
+        }
+        return {200, {}, "{}"};
     }
 
-    static http_response answer(const task_run &run)
+    http_response throttle(const Json::Value &body)
     {
-        return {200, {}, compactJson(runJson(run))};
+        if (auto *run = find(attemptFrom(body)))
+            run->share = static_cast<double>(integerMember(body, "percent")) / 100;
+        return {200, {}, "{}"};
     }
 
-    http_response listing() const
+    http_response forget(const work::task_attempt &attempt)
     {
-        Json::Value json(Json::objectValue);
-        json["incarnation"] = Json::UInt64(m_incarnation);
-        json["tasks"] = Json::Value(Json::arrayValue);
-        for (const auto &[key, run] : m_runs)
-            json["tasks"].append(runJson(run));
-        return {200, {}, compactJson(json)};
+        std::erase_if(m_listing.finished,
+                      [&](const auto &finished) { return finished.attempt == attempt; });
+        return {200, {}, "{}"};
     }
 
     http_response usage() const
     {
         Json::Value empty(Json::objectValue);
+        empty["age_ms"] = 0;
         empty["tasks"] = Json::Value(Json::arrayValue);
         return {200, {}, compactJson(m_usage.empty() ? empty : m_usage.front())};
     }
 
-    void end(task_run &run, const char *state)
+    // --- Running.
+
+    task_run *find(const work::task_attempt &attempt)
     {
-        run.state = state;
-        trace(state, run);
+        const auto found = m_runs.find(attempt.task);
+        return found != m_runs.end() && found->second.attempt == attempt ? &found->second : nullptr;
+    }
+
+    void finish(const task_run &ended, work::task_outcome outcome, const std::string &detail)
+    {
+        const task_run run = ended; // `ended` may lie in the map
+        m_listing.finished.push_back({run.attempt, outcome, run.checkpoint, detail});
+        m_runs.erase(run.attempt.task);
+        if (outcome == work::task_outcome::Evicted)
+            trace("evicted", run);
+        else if (outcome == work::task_outcome::Succeeded)
+            trace("ended", run, "succeeded");
+        else if (outcome == work::task_outcome::Failed)
+            trace("ended", run, "failed");
+        else
+            trace("stopped", run);
     }
 
     void run()
@@ -245,22 +298,24 @@
             std::this_thread::sleep_for(Step);
             const auto now = monotonic_clock::now();
             const std::lock_guard lock(m_mutex);
-            for (auto &[key, run] : m_runs)
-                advance(run, now, now - last);
+            advance(now, now - last);
             sampleUsage();
             last = now;
         }
     }
 
-    void advance(task_run &run, time_point now, duration passed)
+    void advance(time_point now, duration passed)
     {
-        if (run.state != "running")
-            return;
-        run.doneMs += run.share * static_cast<double>(passed.count()) / 1000;
-        if (run.workMs > 0 && run.doneMs >= static_cast<double>(run.workMs))
-            end(run, "finished");
-        else if (now >= run.leaseUntil)
-            end(run, "lapsed");
+        std::vector<std::pair<work::task_id, work::task_outcome>> over;
+        for (auto &[task, run] : m_runs) {
+            run.doneMs += run.share * static_cast<double>(passed.count()) / 1000;
+            if (run.workMs > 0 && run.doneMs >= static_cast<double>(run.workMs))
+                over.emplace_back(task, work::task_outcome::Succeeded);
+            else if (now >= run.leaseUntil)
+                over.emplace_back(task, work::task_outcome::Lapsed);
+        }
+        for (const auto &[task, outcome] : over)
+            finish(m_runs.at(task), outcome, "");
     }
 
     void sampleUsage()
@@ -268,12 +323,12 @@
         Json::Value sample(Json::objectValue);
         sample["age_ms"] = Json::Int64(m_options.usageLag.count());
         sample["tasks"] = Json::Value(Json::arrayValue);
-        for (const auto &[key, run] : m_runs) {
-            if (run.state != "running")
-                continue;
-            auto entry = runJson(run);
-            entry["millicores"] = Json::Int64(static_cast<double>(run.millicores) * run.share);
-            entry["bytes"] = Json::Int64(run.bytes);
+        for (const auto &[task, run] : m_runs) {
+            Json::Value entry(Json::objectValue);
+            entry["task"] = work::textOf(task);
+            entry["millicores"] =
+                    Json::Int64(static_cast<double>(amountOf(run.spec, "millicores")) * run.share);
+            entry["bytes"] = Json::Int64(amountOf(run.spec, "bytes"));
             sample["tasks"].append(std::move(entry));
         }
         m_usage.push_back(std::move(sample));
@@ -282,9 +337,11 @@
     }
 
     worker_options m_options;
-    std::uint64_t m_incarnation;
     std::mutex m_mutex;
-    std::map<std::string, task_run> m_runs;
+    work::worker_listing m_listing;
+    std::map<std::uint64_t, time_point> m_listedAt; // by number of the listing
+    std::map<work::task_id, task_run> m_runs;
+    std::map<work::task_id, std::uint32_t> m_newest; // attempt
     std::deque<Json::Value> m_usage;
     std::atomic<bool> m_failStarts{false};
     std::atomic<bool> m_unreachable{false};
