--- a/app/agent.cpp
+++ b/app/agent.cpp
@@ -5,6 +5,8 @@
 #include "app/admission_duty.h"
 #include "app/announce_duty.h"
 #include "app/answers.h"
+#include "app/follow_duty.h"
+#include "app/keeper_duty.h"
 #include "app/lanes.h"
 #include "app/process.h"
 #include "app/rpc_endpoint.h"
@@ -29,6 +31,7 @@
         , m_log("agent", settings.id, settings.logLevel)
         , m_sender(m_duties, RpcTimeout, m_metrics)
         , m_admission(m_duties, settings, m_metrics)
+        , m_follow(m_duties, settings, m_sender, m_metrics, m_log)
         , m_endpoint(m_metrics, [this] { return m_ready.load(); })
         , m_server(addressOf(settings.listen), {EntryConnections, settings.maxBodyBytes},
                    [this](const http_request &request) { return serve(request); })
@@ -41,6 +44,8 @@
         m_server.start();
         m_announce.emplace(m_duties, m_settings, m_self, toText(m_server.address()), m_sender,
                            [this] { return m_admission.load(); });
+        m_keeper.emplace(m_duties, m_settings, m_self, toText(m_server.address()), m_sender,
+                         m_metrics, m_log, [this] { return m_admission.load(); });
         m_announce->setState(request::upstream_state::Serving);
         m_ready = true;
         Json::Value fields(Json::objectValue);
@@ -54,16 +59,19 @@
         m_log.info("drain_started");
         m_ready = false;
         m_announce->setState(request::upstream_state::Leaving);
+        m_keeper->setServing(false);
         m_admission.drain();
         const auto giveUpAt = startedAt + m_settings.drain;
         const auto done = [&](time_point now) {
-            return m_admission.drained() && m_announce->acknowledged()
+            return m_admission.drained() && m_announce->leftEverywhere()
                    && now - startedAt >= LeaveAtLeast;
         };
         while (!done(monotonic_clock::now()) && monotonic_clock::now() < giveUpAt)
             std::this_thread::sleep_for(PollEvery);
         m_server.stop();
         m_announce->stop();
+        m_keeper->stop();
+        m_follow.stop();
         m_admission.stop();
         m_sender.stop();
         m_log.info("agent_stopped");
@@ -72,11 +80,25 @@
 private:
     void bindMethods()
     {
-        m_endpoint.methods().bind("cancel", [this](const Json::Value &parameters) {
+        m_endpoint.bind("cancel", [this](const Json::Value &parameters) {
             m_admission.cancel(stringMember(parameters, "id") + "/"
                                + std::to_string(countMember(parameters, "attempt")));
             return Json::Value(Json::objectValue);
         });
+        m_endpoint.bind("generation", [this](const Json::Value &parameters) {
+            return m_follow.generationPushed(parameters);
+        });
+        m_endpoint.bind("grant",
+                        [this](const auto &parameters) { return keeper().grant(parameters); });
+        m_endpoint.bind("throttle",
+                        [this](const auto &parameters) { return keeper().throttle(parameters); });
+    }
+
+    keeper_duty &keeper()
+    {
+        if (!m_ready)
+            throw rpc_refusal(std::string(nameOf(error_kind::Starting)), "try again later");
+        return *m_keeper;
     }
 
     http_response serve(const http_request &request)
@@ -95,9 +117,11 @@
     duty_system m_duties;
     rpc_sender m_sender;
     admission_duty m_admission;
+    follow_duty m_follow;
     std::atomic<bool> m_ready{false};
     rpc_endpoint m_endpoint;
     std::optional<announce_duty> m_announce;
+    std::optional<keeper_duty> m_keeper;
     http_server m_server;
 };
 
--- a/app/announce_duty.cpp
+++ b/app/announce_duty.cpp
@@ -1,6 +1,6 @@
 #include "app/announce_duty.h"
 
-#include <algorithm>
+#include <thread>
 
 #include "base/errors.h"
 
@@ -10,7 +10,33 @@
 
 constexpr std::size_t RingCapacity = 1024;
 constexpr milliseconds TickEvery{20};
-constexpr milliseconds RetryAfterSilence{200};
+
+request::announcement selfOf(const config::agent_settings &settings, const process_identity &self,
+                             const std::string &ownAddress)
+{
+    request::announcement out;
+    out.agentId = settings.id;
+    out.address = ownAddress;
+    out.zone = settings.zone;
+    out.region = settings.region;
+    out.rack = settings.rack;
+    out.service = settings.upstream.service;
+    out.workerId = settings.worker.id;
+    out.workerSize = {settings.worker.size.millicores, settings.worker.size.bytes,
+                      settings.worker.size.accelerators};
+    out.slots = static_cast<int>(settings.upstream.slots);
+    out.incarnation = self.incarnation;
+    return out;
+}
+
+request::announcer_settings announcerSettings(const config::agent_settings &settings)
+{
+    request::announcer_settings out;
+    for (const auto &entry : settings.entries)
+        out.entries.push_back(config::toText(entry));
+    out.firstPeriod = settings.announce;
+    return out;
+}
 
 } // namespace
 
@@ -20,23 +46,8 @@
     : m_settings(settings)
     , m_sender(sender)
     , m_load(std::move(load))
+    , m_announcer(announcerSettings(settings), selfOf(settings, self, ownAddress))
 {
-    m_self.agentId = settings.id;
-    m_self.address = ownAddress;
-    m_self.zone = settings.zone;
-    m_self.region = settings.region;
-    m_self.rack = settings.rack;
-    m_self.service = settings.upstream.service;
-    m_self.workerId = settings.worker.id;
-    m_self.workerSize = {settings.worker.size.millicores, settings.worker.size.bytes,
-                         settings.worker.size.accelerators};
-    m_self.slots = static_cast<int>(settings.upstream.slots);
-    m_self.incarnation = self.incarnation;
-    for (const auto &entry : settings.entries) {
-        entry_target target;
-        target.address = config::toText(entry);
-        m_entries.push_back(target);
-    }
     m_duty = std::make_unique<duty<event>>(
             system, RingCapacity, [this](event &what) { handle(what); }, TickEvery,
             [this] { tick(); });
@@ -46,8 +57,7 @@
 
 void announce_duty::setState(request::upstream_state state)
 {
-    m_acknowledged = false;
-    while (!m_duty->post(state_change{state}))
+    while (!m_duty->post(state))
         std::this_thread::sleep_for(TickEvery);
 }
 
@@ -58,70 +68,43 @@
 
 void announce_duty::handle(event &what)
 {
-    const auto now = monotonic_clock::now();
-    if (const auto *change = std::get_if<state_change>(&what)) {
-        m_self.state = change->state;
-        m_acknowledged = false;
-        for (auto &entry : m_entries) {
-            entry.whole = true;
-            entry.dueAt = now;
-        }
+    if (const auto *state = std::get_if<request::upstream_state>(&what)) {
+        m_announcer.setState(*state);
+        tick();
         return;
     }
     const auto &heard = std::get<reply_heard>(what);
-    auto &entry = m_entries.at(heard.entry);
-    entry.waiting = false;
-    entry.answered = heard.reply.has_value();
-    if (!heard.reply) {
-        entry.whole = true; // it may have been replaced and know nothing
-        entry.dueAt = now + RetryAfterSilence;
-        noteAcknowledged();
-        return;
-    }
+    if (!heard.reply)
+        return; // the announcer repeats, and turns to another entry when one stays silent
     try {
-        const auto reply = request::announceReplyFromJson(*heard.reply);
-        entry.whole = reply.sendWhole || heard.told != m_self.state;
-        entry.acknowledged = heard.told;
-        entry.dueAt = entry.whole ? now : now + std::min(reply.period, m_settings.announce);
+        m_announcer.answered(heard.entry, request::announceReplyFromJson(*heard.reply),
+                             monotonic_clock::now());
     } catch (const error &) {
-        entry.dueAt = now + RetryAfterSilence;
+        return; // the same as no reply
     }
-    noteAcknowledged();
-}
-
-void announce_duty::noteAcknowledged()
-{
-    m_acknowledged = std::all_of(m_entries.begin(), m_entries.end(), [&](const auto &entry) {
-        return entry.acknowledged == m_self.state || (!entry.answered && !entry.waiting);
-    });
+    m_leftEverywhere = m_announcer.leftEverywhere();
+    m_superseded = m_announcer.superseded();
 }
 
 void announce_duty::tick()
 {
-    const auto now = monotonic_clock::now();
-    for (std::size_t index = 0; index < m_entries.size(); ++index) {
-        if (!m_entries[index].waiting && now >= m_entries[index].dueAt)
-            announceTo(index, now);
-    }
+    m_announcer.setLoad(m_load());
+    for (const auto &message : m_announcer.tick(monotonic_clock::now()))
+        send(message);
+    m_leftEverywhere = m_announcer.leftEverywhere();
 }
 
-void announce_duty::announceTo(std::size_t index, time_point now)
+void announce_duty::send(const request::announcer::send &message)
 {
-    auto &entry = m_entries[index];
-    m_self.sequence += 1;
-    m_self.load = m_load();
     Json::Value parameters(Json::objectValue);
-    if (entry.whole)
-        parameters["whole"] = toJson(m_self);
+    if (const auto *whole = std::get_if<request::announcement>(&message.message))
+        parameters["whole"] = toJson(*whole);
     else
-        parameters["beat"] = toJson(request::heartbeatOf(m_self));
-    const auto told = m_self.state;
-    entry.waiting = m_sender.call(entry.address, "announce", parameters,
-                                  [this, index, told](std::optional<Json::Value> reply) {
-                                      m_duty->post(reply_heard{index, told, std::move(reply)});
-                                  });
-    if (!entry.waiting)
-        entry.dueAt = now + RetryAfterSilence;
+        parameters["beat"] = toJson(std::get<request::heartbeat>(message.message));
+    const auto entry = message.entry;
+    m_sender.call(entry, "announce", parameters, [this, entry](std::optional<Json::Value> reply) {
+        m_duty->post(reply_heard{entry, std::move(reply)});
+    });
 }
 
 } // namespace zinniabarrow
--- a/app/announce_duty.h
+++ b/app/announce_duty.h
@@ -9,7 +9,7 @@
 #include "app/lanes.h"
 #include "app/request_duty.h"
 #include "config/settings.h"
-#include "request/announcement.h"
+#include "request/announcer.h"
 #include "runtime/duty.h"
 
 namespace zinniabarrow {
@@ -22,48 +22,33 @@
                   std::function<request::upstream_load()> load);
     ~announce_duty();
 
-    // Leaving goes to every entry at once, and again until each has acknowledged it.
+    // Leaving goes to every entry at once, and again until each has answered or was given up.
     void setState(request::upstream_state state);
-    // Every entry that answers at all has acknowledged the newest state.
-    bool acknowledged() const { return m_acknowledged; }
+    bool leftEverywhere() const { return m_leftEverywhere; }
+    // A newer process announces under this id: this one must stop.
+    bool superseded() const { return m_superseded; }
     void stop();
 
 private:
-    struct state_change
-    {
-        request::upstream_state state;
-    };
     struct reply_heard
     {
-        std::size_t entry;
-        request::upstream_state told;
+        std::string entry;
         std::optional<Json::Value> reply;
     };
-    using event = std::variant<state_change, reply_heard>;
-
-    struct entry_target
-    {
-        std::string address;
-        bool whole = true; // the next message is the whole announcement
-        bool waiting = false;
-        bool answered = false; // its last message
-        request::upstream_state acknowledged = request::upstream_state::Starting;
-        time_point dueAt{};
-    };
+    using event = std::variant<request::upstream_state, reply_heard>;
 
     void handle(event &what);
     void tick();
-    void announceTo(std::size_t index, time_point now);
-    void noteAcknowledged();
+    void send(const request::announcer::send &message);
 
     const config::agent_settings m_settings;
     rpc_sender &m_sender;
     std::function<request::upstream_load()> m_load;
-    std::atomic<bool> m_acknowledged{false};
+    std::atomic<bool> m_leftEverywhere{false};
+    std::atomic<bool> m_superseded{false};
 
     // Touched by the duty's thread alone.
-    request::announcement m_self;
-    std::vector<entry_target> m_entries;
+    request::announcer m_announcer;
 
     std::unique_ptr<duty<event>> m_duty; // last: its thread uses all of the above
 };
--- a/app/config_duty.cpp
+++ b/app/config_duty.cpp
@@ -315,6 +315,7 @@
 {
     Json::Value parameters(Json::objectValue);
     parameters["report"] = toJson(report);
+    parameters["address"] = m_settings.rpc.address + ":" + std::to_string(m_settings.rpc.port);
     m_sender.call(address, "generation", parameters,
                   [this](const std::optional<Json::Value> &answer) {
                       if (!answer)
--- a/app/entry.cpp
+++ b/app/entry.cpp
@@ -2,10 +2,13 @@
 
 #include <thread>
 
+#include "app/config_duty.h"
 #include "app/lanes.h"
 #include "app/process.h"
 #include "app/request_duty.h"
 #include "app/rpc_endpoint.h"
+#include "app/schedule_duty.h"
+#include "base/errors.h"
 #include "base/log.h"
 
 namespace zinniabarrow {
@@ -26,9 +29,19 @@
         , m_log("entry", settings.id, settings.logLevel)
         , m_sender(m_duties, RpcTimeout, m_metrics)
         , m_claims(m_duties, platformAddress(settings), settings.platform.timeout)
+        , m_work(m_duties, platformAddress(settings), settings.platform.timeout)
+        , m_folder(m_duties, platformAddress(settings), settings.platform.timeout)
+        , m_schedule(m_duties, settings, m_self, m_work, m_sender, m_metrics, m_log)
+        , m_configuration(m_duties, settings, m_self, m_folder, m_sender, m_metrics, m_log,
+                          [this](adopted_configuration adopted) {
+                              m_schedule.configurationAdopted(std::move(adopted));
+                          })
         , m_requests(m_duties, settings, m_self, m_claims, m_sender, m_metrics, m_log,
-                     [](const members_snapshot &) {})
-        , m_endpoint(m_metrics, [this] { return m_ready.load(); })
+                     [this](const members_snapshot &members) {
+                         m_configuration.membersChanged(members);
+                         m_schedule.membersChanged(members);
+                     })
+        , m_endpoint(m_metrics, [this] { return m_serving && m_configuration.isReady(); })
         , m_callers(addressOf(settings.listen), {settings.maxConnections, settings.maxBodyBytes},
                     [this](const http_request &request) { return serveCaller(request); })
         , m_processes(addressOf(settings.rpc), {RpcConnections, settings.maxBodyBytes},
@@ -41,7 +54,7 @@
     {
         m_processes.start();
         m_callers.start();
-        m_ready = true;
+        m_serving = true;
         Json::Value fields(Json::objectValue);
         fields["callers"] = toText(m_callers.address());
         fields["rpc"] = toText(m_processes.address());
@@ -52,18 +65,25 @@
     {
         const auto startedAt = monotonic_clock::now();
         m_log.info("drain_started");
-        m_ready = false;
+        m_serving = false;
         m_callers.announceClose(true);
         std::this_thread::sleep_for(UnreadyFirst);
         m_requests.drain();
+        m_schedule.drain();
         const auto giveUpAt = startedAt + m_settings.drain;
-        const auto done = [&] { return m_requests.drained() && m_callers.inFlight() == 0; };
+        const auto done = [&] {
+            return m_requests.drained() && m_schedule.drained() && m_callers.inFlight() == 0;
+        };
         while (!done() && monotonic_clock::now() < giveUpAt)
             std::this_thread::sleep_for(PollEvery);
         m_callers.stop();
         m_processes.stop();
         m_requests.stop();
+        m_schedule.stop();
+        m_configuration.stop();
         m_claims.stop();
+        m_work.stop();
+        m_folder.stop();
         m_sender.stop();
         m_log.info("entry_stopped");
     }
@@ -76,15 +96,41 @@
 
     void bindMethods()
     {
-        auto &methods = m_endpoint.methods();
-        methods.bind("announce", [this](const Json::Value &parameters) {
-            return m_requests.announce(parameters);
+        m_endpoint.bind("announce",
+                        [this](const auto &parameters) { return m_requests.announce(parameters); });
+        m_endpoint.bind("digest",
+                        [this](const auto &parameters) { return m_requests.digest(parameters); });
+        m_endpoint.bind("report",
+                        [this](const auto &parameters) { return m_schedule.report(parameters); });
+        m_endpoint.bind("usage",
+                        [this](const auto &parameters) { return m_schedule.usage(parameters); });
+        m_endpoint.bind("explain",
+                        [this](const auto &parameters) { return m_schedule.explain(parameters); });
+        m_endpoint.bind("generation", [this](const auto &parameters) {
+            return m_configuration.generationPushed(parameters);
         });
-        methods.bind("digest", [this](const Json::Value &parameters) {
-            return m_requests.digest(parameters);
+        m_endpoint.bind("generation_content", [this](const auto &parameters) {
+            return m_configuration.content(parameters);
         });
-        methods.bind("status",
-                     [this](const Json::Value & /*parameters*/) { return m_requests.status(); });
+        m_endpoint.bind("folder_view", [this](const auto &) { return m_configuration.view(); });
+        m_endpoint.bind("file_status", [this](const auto &parameters) {
+            return m_configuration.fileStatus(parameters);
+        });
+        m_endpoint.bind("file_put", [this](const auto &parameters) {
+            return m_configuration.putFile(parameters);
+        });
+        m_endpoint.bind("file_remove", [this](const auto &parameters) {
+            return m_configuration.removeFile(parameters);
+        });
+        m_endpoint.bind("status", [this](const auto &) { return status(); });
+    }
+
+    Json::Value status()
+    {
+        auto status = m_requests.status();
+        status["scheduling"] = m_schedule.status();
+        status["configuration"] = m_configuration.view();
+        return status;
     }
 
     http_response serveCaller(const http_request &request)
@@ -109,8 +155,12 @@
     duty_system m_duties;
     rpc_sender m_sender;
     platform_lane m_claims;
+    platform_lane m_work;
+    platform_lane m_folder;
+    schedule_duty m_schedule;
+    config_duty m_configuration;
     request_duty m_requests;
-    std::atomic<bool> m_ready{false};
+    std::atomic<bool> m_serving{false};
     rpc_endpoint m_endpoint;
     http_server m_callers;
     http_server m_processes;
--- /dev/null
+++ b/app/keeper_duty.cpp
@@ -0,0 +1,318 @@
+#include "app/keeper_duty.h"
+
+#include "base/errors.h"
+#include "base/json.h"
+#include "base/json_member.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr std::size_t RingCapacity = 8192;
+constexpr milliseconds TickEvery{50};
+constexpr milliseconds WorkerTimeout{1000};
+constexpr milliseconds OwnerSilence{2000}; // then every entry is asked for the owner
+constexpr milliseconds UsageEvery{2000};
+constexpr int ConflictStatus = 409;
+
+work::keeper_settings keeperSettings(const config::agent_settings &settings)
+{
+    work::keeper_settings out;
+    out.leases.taskLease = settings.lease.taskLease;
+    out.leases.margin = settings.lease.clockMargin;
+    out.reportEvery = settings.lease.renew;
+    out.listEvery = settings.lease.renew;
+    return out;
+}
+
+Json::Value attemptJson(const work::task_attempt &attempt)
+{
+    Json::Value json(Json::objectValue);
+    json["task"] = work::textOf(attempt.task);
+    json["attempt"] = attempt.attempt;
+    return json;
+}
+
+placement::resources sizeIn(const Json::Value &spec)
+{
+    return {spec["millicores"].asInt64(), spec["bytes"].asInt64(), spec["accelerators"].asInt64()};
+}
+
+} // namespace
+
+keeper_duty::keeper_duty(duty_system &system, const config::agent_settings &settings,
+                         const process_identity &self, const std::string &ownAddress,
+                         rpc_sender &sender, metrics &counters, const logger &log,
+                         std::function<request::upstream_load()> load)
+    : m_settings(settings)
+    , m_ownAddress(ownAddress)
+    , m_sender(sender)
+    , m_metrics(counters)
+    , m_log(log)
+    , m_load(std::move(load))
+    , m_worker({settings.worker.address.address, settings.worker.address.port})
+    , m_keeper(settings.worker.id, self.unique(), keeperSettings(settings),
+               [this](const work::granted_task &task, const Json::Value &spec) {
+                   return fits(task, spec);
+               })
+{
+    m_workerLane = std::make_unique<duty<std::function<void()>>>(
+            system, RingCapacity, [](std::function<void()> &work) { work(); }, duration(0), [] {});
+    m_duty = std::make_unique<duty<event>>(
+            system, RingCapacity, [this](event &what) { handle(what); }, TickEvery,
+            [this] { tick(); });
+}
+
+keeper_duty::~keeper_duty() = default;
+
+void keeper_duty::stop()
+{
+    m_duty->stop();
+    m_workerLane->stop();
+}
+
+Json::Value keeper_duty::grant(const Json::Value &parameters)
+{
+    if (!m_duty->post(
+                work::keeper_event{work::grant_received{work::workerGrantFromJson(parameters)}}))
+        m_metrics.count("ring_full_total", "grant");
+    return Json::Value(Json::objectValue);
+}
+
+Json::Value keeper_duty::throttle(const Json::Value &parameters)
+{
+    m_duty->post(throttle_asked{work::taskIdFromText(stringMember(parameters, "task")),
+                                integerMember(parameters, "millicores")});
+    return Json::Value(Json::objectValue);
+}
+
+// --- On the duty's thread -----------------------------------------------------------------------
+
+void keeper_duty::handle(event &what)
+{
+    if (const auto *input = std::get_if<work::keeper_event>(&what)) {
+        feed(*input);
+    } else if (const auto *answer = std::get_if<report_answered>(&what)) {
+        answered(*answer);
+    } else {
+        const auto &asked = std::get<throttle_asked>(what);
+        for (const auto &running : m_keeper.occupying()) {
+            if (running.attempt.task != asked.task)
+                continue;
+            constexpr std::int64_t Percent = 100;
+            const auto whole = std::max<std::int64_t>(sizeIn(running.spec).millicores, 1);
+            auto body = attemptJson(running.attempt);
+            body["percent"] = Json::Int64(std::min(asked.millicores * Percent / whole, Percent));
+            callWorker("/throttle", body);
+        }
+    }
+}
+
+void keeper_duty::tick()
+{
+    feed(work::keeper_tick{});
+    const auto now = monotonic_clock::now();
+    if (now >= m_usageAt)
+        sendUsage(now);
+}
+
+void keeper_duty::feed(const work::keeper_event &what)
+{
+    for (const auto &action : m_keeper.handle(what, monotonic_clock::now()))
+        std::visit([this](const auto &each) { perform(each); }, action);
+    flushRenewals();
+}
+
+void keeper_duty::callWorker(const std::string &path, const Json::Value &body)
+{
+    const auto text = compactJson(body);
+    const bool queued = m_workerLane->post([this, path, text] {
+        const auto result =
+                m_worker.call({"POST", path, {}, text}, monotonic_clock::now() + WorkerTimeout);
+        if (!std::holds_alternative<http_response>(result))
+            m_metrics.count("worker_calls_failed_total", path.substr(1));
+    });
+    if (!queued)
+        m_metrics.count("ring_full_total", "worker");
+}
+
+void keeper_duty::perform(const work::worker_list &action)
+{
+    Json::Value body(Json::objectValue);
+    body["epoch"] = Json::UInt64(action.epoch);
+    const auto text = compactJson(body);
+    m_workerLane->post([this, text] {
+        const auto result =
+                m_worker.call({"POST", "/list", {}, text}, monotonic_clock::now() + WorkerTimeout);
+        const auto *response = std::get_if<http_response>(&result);
+        if (response == nullptr || response->status != 200) {
+            m_metrics.count("worker_calls_failed_total", "list");
+            return;
+        }
+        try {
+            const auto listing = work::workerListingFromJson(parseJson(response->body));
+            m_duty->post(work::keeper_event{work::listing_received{listing}});
+        } catch (const error &) {
+            m_metrics.count("worker_calls_failed_total", "bad_listing");
+        }
+    });
+}
+
+void keeper_duty::perform(const work::worker_start &action)
+{
+    auto body = attemptJson({action.task.task, action.task.attempt});
+    body["failover"] = std::string(nameOf(action.task.failover));
+    body["checkpoint"] = action.task.checkpoint;
+    body["spec"] = action.spec;
+    body["lease_ms"] = Json::Int64(action.lease.count());
+    body["start_within_ms"] = Json::Int64(action.startWithin.count());
+    body["listing"] = Json::UInt64(action.listing);
+    const work::task_attempt attempt{action.task.task, action.task.attempt};
+    const auto text = compactJson(body);
+    m_workerLane->post([this, attempt, text] {
+        const auto result =
+                m_worker.call({"POST", "/start", {}, text}, monotonic_clock::now() + WorkerTimeout);
+        const auto *response = std::get_if<http_response>(&result);
+        if (response == nullptr) {
+            m_metrics.count("worker_calls_failed_total", "start");
+            return;
+        }
+        if (response->status != ConflictStatus)
+            return;
+        try {
+            const auto listing = countMember(parseJson(response->body), "listing");
+            m_duty->post(work::keeper_event{work::start_refused{attempt, listing}});
+        } catch (const error &) {
+            m_metrics.count("worker_calls_failed_total", "bad_refusal");
+        }
+    });
+}
+
+void keeper_duty::perform(const work::worker_renew &action)
+{
+    m_renewals.push_back(action);
+}
+
+// All renewals of one event refer to the same listing: one call carries them.
+void keeper_duty::flushRenewals()
+{
+    if (m_renewals.empty())
+        return;
+    Json::Value body(Json::objectValue);
+    body["listing"] = Json::UInt64(m_renewals.front().listing);
+    body["renewals"] = Json::Value(Json::arrayValue);
+    for (const auto &renewal : m_renewals) {
+        auto entry = attemptJson(renewal.attempt);
+        entry["lease_ms"] = Json::Int64(renewal.lease.count());
+        body["renewals"].append(std::move(entry));
+    }
+    m_renewals.clear();
+    callWorker("/renew", body);
+}
+
+void keeper_duty::perform(const work::worker_stop &action)
+{
+    callWorker("/stop", attemptJson(action.attempt));
+}
+
+void keeper_duty::perform(const work::worker_checkpoint &action)
+{
+    callWorker("/checkpoint", attemptJson(action.attempt));
+}
+
+void keeper_duty::perform(const work::worker_forget &action)
+{
+    callWorker("/forget", attemptJson(action.attempt));
+}
+
+void keeper_duty::perform(const work::send_report &action)
+{
+    Json::Value parameters(Json::objectValue);
+    parameters["report"] = toJson(action.report);
+    parameters["agent"] = m_ownAddress;
+    parameters["serving"] = m_serving.load();
+    const auto &size = m_settings.worker.size;
+    parameters["worker"] =
+            toJson(placement::worker_info{m_settings.worker.id,
+                                          m_settings.zone,
+                                          m_settings.rack,
+                                          m_settings.worker.pool,
+                                          {size.millicores, size.bytes, size.accelerators}});
+    if (monotonic_clock::now() - m_ownerHeardAt < OwnerSilence) {
+        sendReport(m_owner, parameters);
+        return;
+    }
+    for (std::size_t entry = 0; entry < m_settings.entries.size(); ++entry)
+        sendReport(entry, parameters);
+}
+
+void keeper_duty::sendReport(std::size_t entry, const Json::Value &parameters)
+{
+    m_sender.call(config::toText(m_settings.entries[entry]), "report", parameters,
+                  [this, entry](std::optional<Json::Value> answer) {
+                      m_duty->post(report_answered{entry, std::move(answer)});
+                  });
+}
+
+void keeper_duty::answered(const report_answered &what)
+{
+    if (!what.answer || !(*what.answer)["owner"].asBool()) {
+        if (what.entry == m_owner)
+            m_ownerHeardAt = {}; // it owns the shard no more: ask them all
+        return;
+    }
+    m_owner = what.entry;
+    m_ownerHeardAt = monotonic_clock::now();
+    if (!what.answer->isMember("grant"))
+        return;
+    try {
+        feed(work::grant_received{work::workerGrantFromJson((*what.answer)["grant"])});
+    } catch (const error &) {
+        m_metrics.count("grants_refused_total", "bad_request");
+    }
+}
+
+void keeper_duty::perform(const work::count_keeper &action)
+{
+    m_metrics.count("tasks_kept_total", nameOf(action.reason));
+}
+
+// What the worker measured goes to the owner with its age; the owner attributes it to that time.
+void keeper_duty::sendUsage(time_point now)
+{
+    m_usageAt = now + UsageEvery;
+    if (m_keeper.occupying().empty())
+        return;
+    const auto target = config::toText(m_settings.entries[m_owner]);
+    const auto p99 = m_load().latency;
+    m_workerLane->post([this, target, p99] {
+        const auto result =
+                m_worker.call({"GET", "/usage", {}, {}}, monotonic_clock::now() + WorkerTimeout);
+        const auto *response = std::get_if<http_response>(&result);
+        if (response == nullptr || response->status != 200)
+            return;
+        try {
+            auto parameters = parseJson(response->body);
+            parameters["worker"] = m_settings.worker.id;
+            parameters["service"] = m_settings.upstream.service;
+            parameters["p99_us"] = Json::Int64(p99.count());
+            m_sender.call(target, "usage", parameters, [](const std::optional<Json::Value> &) {});
+        } catch (const error &) {
+            m_metrics.count("worker_calls_failed_total", "bad_usage");
+        }
+    });
+}
+
+// The last check before a start: workers start whatever they are given, whether it fits or not.
+bool keeper_duty::fits(const work::granted_task &task, const Json::Value &spec) const
+{
+    const auto &size = m_settings.worker.size;
+    placement::resources sum = sizeIn(spec);
+    for (const auto &running : m_keeper.occupying()) {
+        if (running.attempt.task != task.task)
+            sum += sizeIn(running.spec);
+    }
+    return sum.fitsIn({size.millicores, size.bytes, size.accelerators});
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/app/keeper_duty.h
@@ -0,0 +1,87 @@
+// The agent's keeper duty: runs the tasks of its worker under the owner's grants, and reports.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "app/lanes.h"
+#include "app/request_duty.h"
+#include "base/log.h"
+#include "config/settings.h"
+#include "placement/resources.h"
+#include "runtime/duty.h"
+#include "runtime/metrics.h"
+#include "work/task_keeper.h"
+
+namespace zinniabarrow {
+
+class keeper_duty
+{
+public:
+    keeper_duty(duty_system &system, const config::agent_settings &settings,
+                const process_identity &self, const std::string &ownAddress, rpc_sender &sender,
+                metrics &counters, const logger &log, std::function<request::upstream_load()> load);
+    ~keeper_duty();
+
+    // JSON-RPC bodies.
+    Json::Value grant(const Json::Value &parameters);
+    Json::Value throttle(const Json::Value &parameters); // {task, millicores}
+
+    void setServing(bool serving) { m_serving = serving; }
+    void stop();
+
+private:
+    struct report_answered
+    {
+        std::size_t entry;
+        std::optional<Json::Value> answer;
+    };
+    struct throttle_asked
+    {
+        work::task_id task;
+        std::int64_t millicores;
+    };
+    using event = std::variant<work::keeper_event, report_answered, throttle_asked>;
+
+    void handle(event &what);
+    void tick();
+    void feed(const work::keeper_event &what);
+    void perform(const work::worker_list &action);
+    void perform(const work::worker_start &action);
+    void perform(const work::worker_renew &action);
+    void perform(const work::worker_stop &action);
+    void perform(const work::worker_checkpoint &action);
+    void perform(const work::worker_forget &action);
+    void perform(const work::send_report &action);
+    void perform(const work::count_keeper &action);
+    void answered(const report_answered &what);
+    void sendReport(std::size_t entry, const Json::Value &parameters);
+    void sendUsage(time_point now);
+    void callWorker(const std::string &path, const Json::Value &body);
+    void flushRenewals();
+    bool fits(const work::granted_task &task, const Json::Value &spec) const;
+
+    const config::agent_settings m_settings;
+    const std::string m_ownAddress;
+    rpc_sender &m_sender;
+    metrics &m_metrics;
+    const logger &m_log;
+    std::function<request::upstream_load()> m_load;
+    std::atomic<bool> m_serving{true};
+    http_pool m_worker;
+
+    // Touched by the duty's thread alone.
+    work::task_keeper m_keeper;
+    std::size_t m_owner = 0;                    // index of the entry that answered as owner
+    time_point m_ownerHeardAt{};                // no answer for long: every entry is asked
+    std::vector<work::worker_renew> m_renewals; // of the event being handled
+    time_point m_usageAt{};
+
+    std::unique_ptr<duty<std::function<void()>>> m_workerLane; // blocking calls to the worker
+    std::unique_ptr<duty<event>> m_duty; // last: its thread uses all of the above
+};
+
+} // namespace zinniabarrow
--- a/app/lanes.cpp
+++ b/app/lanes.cpp
@@ -3,6 +3,7 @@
 #include "base/errors.h"
 #include "base/hash.h"
 #include "rpc/rpc.h"
+#include <fmt/core.h>
 
 namespace zinniabarrow {
 
--- /dev/null
+++ b/app/owned_shard.h
@@ -0,0 +1,84 @@
+// One shard that this entry owns: its task table and its placer, kept in step with each other.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <json/json.h>
+
+#include "app/config_duty.h"
+#include "base/log.h"
+#include "placement/scheduler.h"
+#include "runtime/metrics.h"
+#include "work/task_table.h"
+
+namespace zinniabarrow {
+
+// Where a worker is, as its agent reports it.
+struct worker_place
+{
+    placement::worker_info worker;
+    std::string agentAddress; // ip:port
+    bool serving = true;      // false: it is leaving and takes no new tasks
+};
+
+class owned_shard
+{
+public:
+    owned_shard(const work::table_owner &owner, const std::string &operationPrefix,
+                const work::table_settings &tableSettings,
+                const placement::placer_settings &placerSettings, std::size_t shards,
+                metrics &counters, const logger &log);
+
+    int number() const { return m_owner.shard; }
+    std::uint64_t epoch() const { return m_owner.epoch; }
+
+    // Each returns what the daemon must do at the table and at the agents.
+    std::vector<work::table_action> handle(const work::table_event &event, time_point now);
+    // Brings jobs, teams, pools and workers up to date.
+    std::vector<work::table_action> follow(const adopted_configuration &adopted,
+                                           const std::map<std::string, worker_place> &workers,
+                                           time_point now);
+    // Decides placements; throttles go to `throttles`.
+    std::vector<work::table_action> plan(time_point now,
+                                         std::vector<placement::throttle_action> &throttles);
+
+    void usageSampled(const placement::usage_sample &sample, time_point now);
+    void latencySampled(const std::string &worker, const std::string &service, microseconds p99,
+                        time_point measuredAt, time_point now);
+
+    Json::Value status(time_point now) const;
+    std::string explain(const work::task_id &task, time_point now) const;
+    bool knows(const work::task_id &task) const;
+
+private:
+    void settled(const work::task_settled &change, time_point now);
+    void adopt(time_point now);
+    void acceptJob(const work::job_spec &job, const placement::task_spec &pattern,
+                   std::vector<work::table_action> &actions, time_point now);
+    void cancelMissing(const std::set<std::string> &wanted,
+                       std::vector<work::table_action> &actions, time_point now);
+    void followWorkers(const std::map<std::string, worker_place> &workers, time_point now);
+    std::string jobIdFor(const std::string &name, std::uint64_t generation) const;
+    work::job_spec sliceOf(work::job_spec job) const;
+    void logTask(std::string_view event, const work::task_settled &change) const;
+
+    work::table_owner m_owner;
+    work::task_table m_table;
+    placement::placer m_placer;
+    std::size_t m_shards; // all there are; a job's tasks are split evenly among them
+    metrics &m_metrics;
+    const logger &m_log;
+
+    bool m_adopted = false;          // the placer knows what the table held at takeover
+    std::uint64_t m_generation = 0;  // followed
+    std::set<std::string> m_workers; // the placer may use
+    std::map<std::string, placement::task_spec> m_patterns; // by job id; taskIndex unset
+    std::map<work::task_id, std::uint32_t> m_failures;      // as last seen
+    std::map<std::string, std::string> m_refusals;          // by task, the newest reason
+    std::map<std::string, microseconds> m_latencyTargets;   // by service job id
+};
+
+} // namespace zinniabarrow
--- a/app/request_duty.cpp
+++ b/app/request_duty.cpp
@@ -308,7 +308,7 @@
 
 Json::Value request_duty::digest(const Json::Value &parameters)
 {
-    const auto message = request::digestFromJson(parameters);
+    const auto message = request::digestFromJson(arrayMember(parameters, "digest"));
     return ask([&](auto reply) { return digest_heard{message, reply}; });
 }
 
@@ -577,11 +577,12 @@
         if (!digest)
             continue;
         const auto address = peer.address;
-        const bool queued =
-                m_sender.call(address, "digest", toJson(*digest),
-                              [this, address](std::optional<Json::Value> ack) {
-                                  m_duty->post(digest_answered{address, std::move(ack)});
-                              });
+        Json::Value wrapped(Json::objectValue);
+        wrapped["digest"] = toJson(*digest);
+        const bool queued = m_sender.call(
+                address, "digest", wrapped, [this, address](std::optional<Json::Value> ack) {
+                    m_duty->post(digest_answered{address, std::move(ack)});
+                });
         if (!queued)
             m_metrics.count("digests_failed_total", "ring_full");
     }
--- a/app/rpc_endpoint.cpp
+++ b/app/rpc_endpoint.cpp
@@ -1,5 +1,7 @@
 #include "app/rpc_endpoint.h"
 
+#include "base/errors.h"
+
 namespace zinniabarrow {
 
 rpc_endpoint::rpc_endpoint(metrics &counters, std::function<bool()> ready)
@@ -7,6 +9,17 @@
     , m_ready(std::move(ready))
 { }
 
+void rpc_endpoint::bind(const std::string &name, rpc_server::method body)
+{
+    m_methods.bind(name, [body = std::move(body)](const Json::Value &parameters) {
+        try {
+            return body(parameters);
+        } catch (const error &problem) {
+            throw rpc_refusal(std::string(nameOf(problem.kind())), problem.what());
+        }
+    });
+}
+
 std::optional<http_response> rpc_endpoint::serve(const http_request &request) const
 {
     const auto path = request.path();
--- a/app/rpc_endpoint.h
+++ b/app/rpc_endpoint.h
@@ -15,7 +15,8 @@
 public:
     rpc_endpoint(metrics &counters, std::function<bool()> ready);
 
-    rpc_server &methods() { return m_methods; }
+    // A body that throws error answers with its kind, not as an internal error.
+    void bind(const std::string &name, rpc_server::method body);
 
     // The answer when the request's path is one of the four; else nothing.
     std::optional<http_response> serve(const http_request &request) const;
--- /dev/null
+++ b/app/schedule_duty.cpp
@@ -0,0 +1,397 @@
+#include "app/schedule_duty.h"
+
+#include <algorithm>
+
+#include "base/errors.h"
+#include "base/json_member.h"
+#include "rpc/rpc.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr std::size_t RingCapacity = 32768;
+constexpr milliseconds TickEvery{50};
+constexpr milliseconds ReplyWithin{2000};
+
+work::lease_settings leaseSettings(const config::entry_settings &settings)
+{
+    work::lease_settings leases;
+    leases.horizon = settings.lease;
+    leases.grantLease = settings.agentLease;
+    leases.margin = settings.clockMargin;
+    return leases;
+}
+
+work::ownership_settings ownershipSettings(const config::entry_settings &settings)
+{
+    work::ownership_settings out;
+    out.leases = leaseSettings(settings);
+    return out;
+}
+
+placement::placer_settings placerSettings(const config::entry_settings &settings)
+{
+    placement::placer_settings out;
+    out.weights.tailLatency = settings.weights.tailLatency;
+    out.weights.throughput = settings.weights.throughput;
+    out.weights.evictions = settings.weights.evictions;
+    return out;
+}
+
+std::vector<work::shard_info> shardInfos(std::size_t shards)
+{
+    std::vector<work::shard_info> infos;
+    for (std::size_t shard = 0; shard < shards; ++shard)
+        infos.push_back({static_cast<int>(shard), {}});
+    return infos;
+}
+
+} // namespace
+
+schedule_duty::schedule_duty(duty_system &system, const config::entry_settings &settings,
+                             const process_identity &self, platform_lane &platform,
+                             rpc_sender &sender, metrics &counters, const logger &log)
+    : m_settings(settings)
+    , m_self(self)
+    , m_platform(platform)
+    , m_sender(sender)
+    , m_metrics(counters)
+    , m_log(log)
+    , m_shardInfos(shardInfos(settings.shards))
+    , m_owner({self.id, {}}, self.unique() + "/own", m_shardInfos, ownershipSettings(settings))
+{
+    m_duty = std::make_unique<duty<event>>(
+            system, RingCapacity, [this](event &what) { handle(what); }, TickEvery,
+            [this] { tick(); });
+}
+
+schedule_duty::~schedule_duty() = default;
+
+void schedule_duty::stop()
+{
+    m_duty->stop();
+}
+
+// --- On other threads ---------------------------------------------------------------------------
+
+void schedule_duty::membersChanged(members_snapshot snapshot)
+{
+    m_duty->post(std::move(snapshot)); // the next one follows soon when the ring is full
+}
+
+void schedule_duty::configurationAdopted(adopted_configuration adopted)
+{
+    while (!m_duty->post(adopted))
+        std::this_thread::sleep_for(TickEvery);
+}
+
+template <typename Make>
+Json::Value schedule_duty::ask(Make make)
+{
+    auto reply = std::make_shared<std::promise<Json::Value>>();
+    auto answer = reply->get_future();
+    if (!m_duty->post(make(reply)) || answer.wait_for(ReplyWithin) != std::future_status::ready)
+        throw rpc_refusal(std::string(nameOf(error_kind::Overloaded)), "try again later");
+    try {
+        return answer.get();
+    } catch (const error &problem) {
+        throw rpc_refusal(std::string(nameOf(problem.kind())), problem.what());
+    }
+}
+
+Json::Value schedule_duty::report(const Json::Value &parameters)
+{
+    const auto message = work::agentReportFromJson(objectMember(parameters, "report"));
+    const worker_place place{placement::workerInfoFromJson(objectMember(parameters, "worker")),
+                             stringMember(parameters, "agent"), boolMember(parameters, "serving")};
+    return ask([&](auto reply) { return report_heard{message, place, reply}; });
+}
+
+Json::Value schedule_duty::usage(const Json::Value &parameters)
+{
+    return ask([&](auto reply) { return usage_heard{parameters, reply}; });
+}
+
+Json::Value schedule_duty::status()
+{
+    return ask([](auto reply) { return status_asked{reply}; });
+}
+
+Json::Value schedule_duty::explain(const Json::Value &parameters)
+{
+    const auto task = work::taskIdFromText(stringMember(parameters, "task"));
+    return ask([&](auto reply) { return explain_asked{task, reply}; });
+}
+
+void schedule_duty::drain()
+{
+    while (!m_duty->post(work::release_shards{}))
+        std::this_thread::sleep_for(TickEvery);
+}
+
+// --- On the duty's thread -----------------------------------------------------------------------
+
+void schedule_duty::handle(event &what)
+{
+    std::visit([this](auto &each) { on(each); }, what);
+}
+
+void schedule_duty::on(members_snapshot &what)
+{
+    std::vector<work::entry_info> entries;
+    for (const auto &id : what.liveEntries)
+        entries.push_back({id, {}});
+    feedOwner(work::peers_changed{entries});
+}
+
+void schedule_duty::on(adopted_configuration &what)
+{
+    m_configuration = what;
+}
+
+void schedule_duty::on(work::shard_rows_read &what)
+{
+    feedOwner(what);
+}
+
+void schedule_duty::on(work::shard_write_settled &what)
+{
+    feedOwner(what);
+}
+
+void schedule_duty::on(table_answer &what)
+{
+    const auto shard = m_shards.find(what.shard);
+    if (shard == m_shards.end() || shard->second->epoch() != what.epoch)
+        return; // of a table that was discarded
+    performAll(*shard->second, shard->second->handle(what.answer, monotonic_clock::now()));
+}
+
+void schedule_duty::on(report_heard &what)
+{
+    Json::Value answer(Json::objectValue);
+    auto *shard = shardOf(what.report.worker);
+    answer["owner"] = shard != nullptr;
+    if (shard != nullptr) {
+        m_handling = what.report;
+        m_workers[what.report.worker] = what.place;
+        performAll(*shard,
+                   shard->handle(work::report_received{what.report}, monotonic_clock::now()));
+        m_handling.reset();
+        if (m_replyGrant)
+            answer["grant"] = toJson(*m_replyGrant);
+        m_replyGrant.reset();
+    }
+    what.reply->set_value(answer);
+}
+
+void schedule_duty::on(usage_heard &what)
+{
+    const auto now = monotonic_clock::now();
+    try {
+        const auto worker = stringMember(what.parameters, "worker");
+        const auto measuredAt = now - milliseconds(integerMember(what.parameters, "age_ms"));
+        if (auto *shard = shardOf(worker)) {
+            for (const auto &entry : arrayMember(what.parameters, "tasks")) {
+                const auto task = work::taskIdFromText(stringMember(entry, "task"));
+                placement::usage_sample sample;
+                sample.task = {task.job, static_cast<std::int32_t>(task.index)};
+                sample.worker = worker;
+                sample.used = {integerMember(entry, "millicores"), integerMember(entry, "bytes"),
+                               0};
+                sample.measuredAt = measuredAt;
+                shard->usageSampled(sample, now);
+            }
+            if (what.parameters.isMember("p99_us"))
+                shard->latencySampled(worker, stringMember(what.parameters, "service"),
+                                      microseconds(integerMember(what.parameters, "p99_us")),
+                                      measuredAt, now);
+        }
+        what.reply->set_value(Json::Value(Json::objectValue));
+    } catch (const error &) {
+        m_metrics.count("usage_refused_total", "bad_request");
+        what.reply->set_exception(std::current_exception());
+    }
+}
+
+void schedule_duty::on(status_asked &what)
+{
+    Json::Value status(Json::objectValue);
+    status["generation"] = Json::UInt64(m_configuration.generation);
+    status["shards"] = Json::Value(Json::arrayValue);
+    for (const auto &[number, shard] : m_shards)
+        status["shards"].append(shard->status(monotonic_clock::now()));
+    what.reply->set_value(status);
+}
+
+void schedule_duty::on(explain_asked &what)
+{
+    Json::Value answer(Json::objectValue);
+    for (const auto &[number, shard] : m_shards) {
+        if (shard->knows(what.task))
+            answer["reason"] = shard->explain(what.task, monotonic_clock::now());
+    }
+    what.reply->set_value(answer);
+}
+
+void schedule_duty::on(work::release_shards &what)
+{
+    m_releasing = true;
+    feedOwner(what);
+}
+
+void schedule_duty::tick()
+{
+    feedOwner(work::ownership_tick{});
+    m_drained = m_releasing && m_owner.released();
+    // `handle` may discard a shard: walk over the numbers, not over the map.
+    std::vector<int> numbers;
+    for (const auto &[number, shard] : m_shards)
+        numbers.push_back(number);
+    for (const auto number : numbers) {
+        const auto feed = [&](const work::table_event &input) {
+            const auto found = m_shards.find(number);
+            if (found != m_shards.end())
+                performAll(*found->second, found->second->handle(input, monotonic_clock::now()));
+        };
+        feed(work::horizon_moved{m_owner.mayGrantUntil(number)});
+        feed(work::table_tick{});
+        const auto found = m_shards.find(number);
+        if (found == m_shards.end() || m_releasing)
+            continue;
+        auto &shard = *found->second;
+        performAll(shard, shard.follow(m_configuration, m_workers, monotonic_clock::now()));
+        std::vector<placement::throttle_action> throttles;
+        performAll(shard, shard.plan(monotonic_clock::now(), throttles));
+        for (const auto &action : throttles)
+            throttle(action);
+    }
+}
+
+void schedule_duty::feedOwner(const work::ownership_event &what)
+{
+    for (const auto &action : m_owner.handle(what, monotonic_clock::now()))
+        std::visit([this](const auto &each) { perform(each); }, action);
+}
+
+void schedule_duty::perform(const work::commit_shard &action)
+{
+    m_platform.run([this, action](platform_client &platform) {
+        const auto result = platform.commit(action.transaction);
+        m_duty->post(work::shard_write_settled{action.transaction.operationId, result});
+    });
+}
+
+void schedule_duty::perform(const work::scan_shards & /*action*/)
+{
+    m_platform.run([this](platform_client &platform) {
+        const auto startedAt = monotonic_clock::now();
+        if (const auto reading = platform.read({}, {work::ShardPrefix}))
+            m_duty->post(work::shard_rows_read{reading->rows, startedAt});
+    });
+}
+
+void schedule_duty::perform(const work::became_owner &action)
+{
+    Json::Value fields(Json::objectValue);
+    fields["shard"] = action.shard;
+    fields["epoch"] = Json::UInt64(action.epoch);
+    m_log.info("shard_owned", fields);
+    work::table_settings settings;
+    settings.leases = leaseSettings(m_settings);
+    settings.store.groupRows = m_settings.placement.maxTasksPerCommit;
+    const work::table_owner owner{action.shard, action.epoch, action.shardVersion,
+                                  action.waitForSilentUntil};
+    const auto prefix = m_self.unique() + "/work-" + std::to_string(action.shard) + "-"
+                        + std::to_string(action.epoch);
+    m_shards[action.shard] =
+            std::make_unique<owned_shard>(owner, prefix, settings, placerSettings(m_settings),
+                                          m_settings.shards, m_metrics, m_log);
+}
+
+void schedule_duty::perform(const work::lost_shard &action)
+{
+    Json::Value fields(Json::objectValue);
+    fields["shard"] = action.shard;
+    m_log.info("shard_lost", fields);
+    m_shards.erase(action.shard);
+}
+
+void schedule_duty::performAll(owned_shard &shard, const std::vector<work::table_action> &actions)
+{
+    for (const auto &action : actions) {
+        if (const auto *commit = std::get_if<work::commit_rows>(&action))
+            commitRows(shard, *commit);
+        else if (const auto *read = std::get_if<work::read_rows>(&action))
+            readRows(shard, read->keys, {});
+        else if (const auto *scan = std::get_if<work::scan_rows>(&action))
+            readRows(shard, {}, scan->prefix);
+        else if (const auto *grant = std::get_if<work::send_grant>(&action))
+            sendGrant(grant->grant);
+        else if (std::holds_alternative<work::fenced>(action))
+            m_metrics.count("work_total", "fenced");
+    }
+}
+
+void schedule_duty::commitRows(const owned_shard &shard, const work::commit_rows &action)
+{
+    const auto number = shard.number();
+    const auto epoch = shard.epoch();
+    m_metrics.count("work_rows_total", "written",
+                    static_cast<double>(action.transaction.writes.size()));
+    m_platform.run([this, action, number, epoch](platform_client &platform) {
+        const auto result = platform.commit(action.transaction);
+        m_duty->post(table_answer{number, epoch,
+                                  work::write_settled{action.transaction.operationId, result}});
+    });
+}
+
+void schedule_duty::readRows(const owned_shard &shard, std::vector<std::string> keys,
+                             std::string prefix)
+{
+    const auto number = shard.number();
+    const auto epoch = shard.epoch();
+    m_platform.run([this, keys = std::move(keys), prefix = std::move(prefix), number,
+                    epoch](platform_client &platform) {
+        const std::vector<std::string> prefixes =
+                prefix.empty() ? std::vector<std::string>{} : std::vector<std::string>{prefix};
+        if (const auto reading = platform.read(keys, prefixes))
+            m_duty->post(table_answer{number, epoch, work::rows_read{keys, reading->rows}});
+    });
+}
+
+void schedule_duty::sendGrant(const work::worker_grant &grant)
+{
+    if (m_handling && m_handling->worker == grant.worker && !m_replyGrant) {
+        m_replyGrant = grant;
+        return;
+    }
+    const auto agent = m_workers.find(grant.worker);
+    if (agent == m_workers.end())
+        return;
+    m_sender.call(agent->second.agentAddress, "grant", toJson(grant),
+                  [](const std::optional<Json::Value> &) {});
+}
+
+void schedule_duty::throttle(const placement::throttle_action &action)
+{
+    const auto agent = m_workers.find(action.worker);
+    if (agent == m_workers.end())
+        return;
+    Json::Value parameters(Json::objectValue);
+    parameters["task"] = placement::toText(action.task);
+    parameters["millicores"] = Json::Int64(action.millicores);
+    m_metrics.count("throttles_total", "interference");
+    m_sender.call(agent->second.agentAddress, "throttle", parameters,
+                  [](const std::optional<Json::Value> &) {});
+}
+
+owned_shard *schedule_duty::shardOf(const std::string &worker)
+{
+    const auto number = work::shardOfWorker(worker, {}, m_shardInfos);
+    const auto found = m_shards.find(number);
+    return found == m_shards.end() ? nullptr : found->second.get();
+}
+
+} // namespace zinniabarrow
--- a/bench/membership_mesh.h
+++ b/bench/membership_mesh.h
@@ -18,6 +18,8 @@
 
 namespace zinniabarrow {
 
+using namespace request;
+
 struct mesh_settings
 {
     int agents = 11;
--- a/bench/routing_scenario.cpp
+++ b/bench/routing_scenario.cpp
@@ -12,6 +12,8 @@
 
 namespace zinniabarrow {
 
+using namespace request;
+
 namespace {
 
 const std::string Service = "tickets";
--- a/bench/routing_scenario.h
+++ b/bench/routing_scenario.h
@@ -18,6 +18,8 @@
 
 namespace zinniabarrow {
 
+using namespace request;
+
 struct routing_scenario
 {
     routing_policy policy = two_choices{};
--- a/libs/rpc/rpc.h
+++ b/libs/rpc/rpc.h
@@ -30,7 +30,7 @@
     std::string m_kind;
 };
 
-constexpr int RpcRefused = -32000;  // the method itself refused
+constexpr int RpcRefused = -31000;  // the method itself refused
 constexpr int RpcNoAnswer = -32003; // nothing came back: the call may have run
 
 // Methods by name. Fill it first, then call `handle` from any thread.
--- a/standins/demo.cpp
+++ b/standins/demo.cpp
@@ -2,8 +2,10 @@
 // documentation.
 //
 //   1. start: platform, 11 workers with upstreams and agents, 3 entries, as separate processes
-//   2. load: callers read, hold and buy over all entries, and repeat some purchases elsewhere
-//   3. table: what was asked, answered and refused; exit code 0 only if every promise was kept
+//   2. configuration: a folder with team, pool, service and a season batch is accepted
+//   3. load: callers read, hold and buy over all entries, and repeat some purchases elsewhere
+//   4. batch: its tasks run beside the service, under leases, and finish once
+//   5. table: what was asked, answered and refused; exit code 0 only if every promise was kept
 #include <atomic>
 #include <cstdio>
 #include <map>
@@ -17,6 +19,7 @@
 #include "base/errors.h"
 #include "base/json.h"
 #include "base/random.h"
+#include "standins/batch.h"
 #include "standins/fleet.h"
 
 using namespace zinniabarrow;
@@ -28,6 +31,7 @@
 constexpr unsigned Callers = 24;
 // Bounded: keyed purchases write two rows each, and the platform takes several hundred a second.
 constexpr unsigned RequestsPerSecond = 300;
+constexpr unsigned BatchTasks = 100;
 
 // What one caller's request came to.
 struct load_result
@@ -190,7 +194,15 @@
     return broken;
 }
 
-void printTable(const load_result &result, unsigned broken)
+// What became of the season batch.
+struct batch_result
+{
+    unsigned finished = 0;
+    unsigned evictions = 0;
+    std::vector<work::trace_violation> violations;
+};
+
+void printTable(const load_result &result, unsigned broken, const batch_result &batch)
 {
     fmt::print("\n{:<34}{:>10}\n", "requests", result.asked);
     fmt::print("{:<34}{:>10}\n", "answered whole", result.answered);
@@ -200,6 +212,11 @@
         fmt::print("{:<34}{:>10}\n", "refused: " + reason, count);
     fmt::print("{:<34}{:>10}\n", "answers that were not their own", result.wrongAnswers);
     fmt::print("{:<34}{:>10}\n", "broken promises at the upstreams", broken);
+    fmt::print("{:<34}{:>10}\n", "batch tasks finished", batch.finished);
+    fmt::print("{:<34}{:>10}\n", "evictions", batch.evictions);
+    fmt::print("{:<34}{:>10}\n", "violations in the workers' trace", batch.violations.size());
+    for (const auto &violation : batch.violations)
+        fmt::print("  {}: {}\n", nameOf(violation.kind), violation.detail);
     fmt::print("{:<34}{:>10.1f}\n", "p50 ms", percentile(result.milliseconds, 0.5));
     fmt::print("{:<34}{:>10.1f}\n", "p99 ms", percentile(result.milliseconds, 0.99));
 }
@@ -220,18 +237,33 @@
                 seconds(20)))
         throw error(error_kind::NoUpstream, "not every upstream was announced: read the logs");
 
+    batch_options season;
+    season.tasks = BatchTasks;
+    system.putFolderFile("10-base.json", baseFolder(options));
+    system.putFolderFile("20-season.json", batchFolder(season));
+
     load_result result;
     load_generator load(system, result, requests);
     std::thread runner([&] { load.run(); });
     while (load.done() < requests) {
-        fmt::print("\rrequests {:>6} of {}", std::min(load.done(), requests), requests);
+        const auto states = taskStates(system, season.job);
+        const auto done = states.find("done");
+        fmt::print("\rrequests {:>6} of {}   batch tasks {:>4} of {}",
+                   std::min(load.done(), requests), requests,
+                   done == states.end() ? 0 : done->second, season.tasks);
         std::fflush(stdout);
         std::this_thread::sleep_for(milliseconds(200));
     }
     runner.join();
+    waitUntil([&] { return taskStates(system, season.job)["done"] == BatchTasks; }, seconds(30));
     const unsigned broken = brokenPromises(system, result);
-    printTable(result, broken);
-    const bool whole = result.wrongAnswers == 0 && broken == 0
+    batch_result batch;
+    batch.finished = countTraced(system, "ended", season.job);
+    batch.evictions = countTraced(system, "evicted", season.job);
+    batch.violations = checkFleetTrace(system);
+    printTable(result, broken, batch);
+    const bool whole = batch.finished == BatchTasks && batch.violations.empty()
+                       && result.wrongAnswers == 0 && broken == 0
                        && result.answered + result.toldToComeBack == result.asked;
     fmt::print("\n{}\n", whole ? "every promise was kept" : "FAILED: see the table");
     return whole ? 0 : 1;
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -1,5 +1,6 @@
 #include "standins/fleet.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
@@ -226,9 +227,13 @@
 void fleet::startWorker(unsigned index)
 {
     const auto id = workerId(index);
-    m_traceFiles.push_back(m_scratch + "/" + id + ".out");
+    const auto traceFile = m_scratch + "/" + id + ".out";
+    if (std::find(m_traceFiles.begin(), m_traceFiles.end(), traceFile) == m_traceFiles.end())
+        m_traceFiles.push_back(traceFile); // a restarted worker appends to its file
     m_workers.at(index) = start(id, {m_options.binaries + "/zinniabarrow_standin", "worker",
-                                     "--listen", workerAddress(index), "--id", id});
+                                     "--listen", workerAddress(index), "--id", id, "--millicores",
+                                     std::to_string(m_options.millicores), "--bytes",
+                                     std::to_string(m_options.bytes)});
 }
 
 void fleet::startUpstream(unsigned index)
@@ -372,7 +377,7 @@
         std::string line;
         while (std::getline(file, line)) {
             auto value = parseJson(line);
-            if (value.isMember("task"))
+            if (value.isMember("at_us"))
                 lines.push_back(std::move(value));
         }
     }
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -30,12 +30,16 @@
                                 command);
     TCLAP::ValueArg<unsigned> writes("", "writes", "platform: rows written a second", false, 500,
                                      "rows", command);
+    TCLAP::ValueArg<std::int64_t> millicores("", "millicores", "worker: size in the trace", false,
+                                             16'000, "n", command);
+    TCLAP::ValueArg<std::int64_t> bytes("", "bytes", "worker: size in the trace", false,
+                                        60'000'000'000, "n", command);
     command.parse(count, words);
     const auto address = parseAddress(listen.getValue());
     if (kind == "platform")
         return startPlatform({address, writes.getValue()});
     if (kind == "worker")
-        return startWorker({address, id.getValue()});
+        return startWorker({address, id.getValue(), millicores.getValue(), bytes.getValue()});
     if (kind == "upstream") {
         upstream_options options{address, id.getValue()};
         options.work = milliseconds(workMs.getValue());
