--- a/libs/request/announcer.cpp
+++ b/libs/request/announcer.cpp
@@ -33,6 +33,11 @@
 }
 
 std::vector<std::string> announcer::targets() const
+{
+    return preferred(deaf());
+}
+
+std::vector<std::string> announcer::preferred(const std::set<std::string> &unresponsive) const
 {
     // Only a few entries hear the agent all the time, but one that is cut off from these must not
     // go on sending requests to an upstream that leaves: Leaving is told to all.
@@ -40,7 +45,17 @@
         || m_settings.entries.size() <= m_settings.fewEntries) {
         return m_settings.entries;
     }
-    return announceTargets(m_self.agentId, m_settings.entries, m_settings.count, m_deaf);
+    return announceTargets(m_self.agentId, m_settings.entries, m_settings.count, unresponsive);
+}
+
+std::set<std::string> announcer::deaf() const
+{
+    std::set<std::string> result;
+    for (const auto &[entry, to] : m_listeners) {
+        if (to.deaf)
+            result.insert(entry);
+    }
+    return result;
 }
 
 std::vector<announcer::send> announcer::tick(time_point now)
@@ -48,13 +63,15 @@
     std::vector<send> messages;
     if (m_superseded)
         return messages;
-    m_deaf.clear();
-    for (auto &[entry, to] : m_listeners) {
+    for (auto &[entry, to] : m_listeners)
         noteDeaf(to, now);
-        if (to.deafUntil > now)
-            m_deaf.insert(entry);
-    }
-    for (const auto &entry : targets()) {
+    // A deaf entry is tried now and then beside those that stand in for it. In their place, two
+    // dead entries that are tried in the same moment would leave the agent unheard.
+    const auto standing = targets();
+    std::set<std::string> due(standing.begin(), standing.end());
+    for (const auto &entry : preferred({}))
+        due.insert(entry);
+    for (const auto &entry : due) {
         auto &to = m_listeners[entry];
         const bool done = m_self.state == upstream_state::Leaving && to.knowsWhole;
         if (to.nextAt <= now && !done)
@@ -67,12 +84,9 @@
 // the agent went too, a healthy upstream would leave routing everywhere.
 void announcer::noteDeaf(listener &to, time_point now) const
 {
-    if (!to.everSent || to.deafUntil > now)
-        return;
-    if (to.answeredAt + to.period * m_settings.unansweredLimit > now)
+    if (!to.everSent || to.deaf || to.answeredAt + to.period * m_settings.unansweredLimit > now)
         return;
-    to.deafUntil = now + m_settings.forgiveAfter;
-    to.everSent = false;
+    to.deaf = true;
     to.knowsWhole = false;
 }
 
@@ -87,7 +101,7 @@
         to.nextAt = now + to.period;
         return {entry, heartbeatOf(m_self)};
     }
-    to.nextAt = now + m_settings.repeatWhole;
+    to.nextAt = now + (to.deaf ? m_settings.tryAgainAfter : m_settings.repeatWhole);
     return {entry, m_self};
 }
 
@@ -98,7 +112,7 @@
         return;
     auto &to = found->second;
     to.answeredAt = now;
-    to.deafUntil = time_point{};
+    to.deaf = false;
     if (reply.period.count() > 0)
         to.period = reply.period;
     if (reply.refused == error_kind::StaleIncarnation) {
@@ -138,7 +152,7 @@
 {
     return m_self.state == upstream_state::Leaving
            && std::all_of(m_listeners.begin(), m_listeners.end(), [&](const auto &item) {
-                  return item.second.knowsWhole || m_deaf.contains(item.first);
+                  return item.second.knowsWhole || item.second.deaf;
               });
 }
 
--- a/libs/request/announcer.h
+++ b/libs/request/announcer.h
@@ -21,13 +21,13 @@
 
 struct announcer_settings
 {
-    std::vector<std::string> entries;     // their addresses
-    std::size_t count = 2;                // entries that hear this agent; all when they are few
-    std::size_t fewEntries = 3;           // up to here all of them hear it
-    milliseconds firstPeriod{1000};       // until an entry has named one
-    milliseconds repeatWhole{500};        // of a whole announcement without an answer
-    int unansweredLimit = 6;              // periods without an answer until an entry is replaced
-    milliseconds forgiveAfter{30 * 1000}; // until such an entry is tried again
+    std::vector<std::string> entries;      // their addresses
+    std::size_t count = 2;                 // entries that hear this agent; all when they are few
+    std::size_t fewEntries = 3;            // up to here all of them hear it
+    milliseconds firstPeriod{1000};        // until an entry has named one
+    milliseconds repeatWhole{500};         // of a whole announcement without an answer
+    int unansweredLimit = 6;               // periods without an answer until an entry is replaced
+    milliseconds tryAgainAfter{30 * 1000}; // with such an entry, beside the others
 };
 
 class announcer
@@ -67,19 +67,20 @@
         time_point nextAt{};          // when a message is due
         time_point answeredAt{};      // or first written to
         bool everSent = false;
-        time_point deafUntil{}; // does not answer
+        bool deaf = false; // did not answer, until it does
         milliseconds period{};
     };
 
     send messageFor(const std::string &entry, listener &to, time_point now);
     void noteDeaf(listener &to, time_point now) const;
+    std::set<std::string> deaf() const;
+    std::vector<std::string> preferred(const std::set<std::string> &unresponsive) const;
     void forgetAnswers();
 
     announcer_settings m_settings;
     announcement m_self;
     std::map<std::string, listener> m_listeners; // by entry
-    std::set<std::string> m_deaf;
-    bool m_accepted = false; // by any entry, in this incarnation
+    bool m_accepted = false;                     // by any entry, in this incarnation
     bool m_superseded = false;
 };
 
--- a/libs/request/membership.cpp
+++ b/libs/request/membership.cpp
@@ -389,9 +389,11 @@
     return std::max<duration>(known.period, interval) * m_settings.missedPeriods;
 }
 
+// A peer that died says nothing about the agents it heard. They need some periods to notice and to
+// announce to another entry; dropping them sooner would take healthy upstreams out of routing.
 duration membership::peerSilentAfter() const
 {
-    return digestPeriod() * m_settings.missedDigests;
+    return digestPeriod() * m_settings.missedDigests + grantedPeriod() * m_settings.rehomePeriods;
 }
 
 std::vector<std::string> announceTargets(const std::string &agentId,
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,426 @@
+// Membership: late messages, silence, leaving, partitions, digests, bounds, bytes.
+#include <string>
+
+#include "base/json.h"
+#include "membership_mesh.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using tests::section;
+
+namespace {
+
+constexpr time_point Start{seconds(1000)};
+
+announcement upstream(std::uint64_t incarnation, std::uint64_t sequence,
+                      upstream_state state = upstream_state::Serving)
+{
+    announcement message;
+    message.agentId = "agent-7";
+    message.address = "10.0.0." + std::to_string(incarnation) + ":7100";
+    message.service = "tickets";
+    message.slots = 8;
+    message.incarnation = incarnation;
+    message.sequence = sequence;
+    message.state = state;
+    return message;
+}
+
+membership entryNamed(const std::string &id, std::uint64_t incarnation = 1)
+{
+    membership_settings settings;
+    settings.entryId = id;
+    settings.incarnation = incarnation;
+    return membership(settings);
+}
+
+template <typename Change>
+int countOf(const std::vector<membership_change> &changes)
+{
+    int count = 0;
+    for (const auto &change : changes)
+        count += std::holds_alternative<Change>(change) ? 1 : 0;
+    return count;
+}
+
+leave_reason reasonOf(const std::vector<membership_change> &changes)
+{
+    for (const auto &change : changes) {
+        if (const auto *left = std::get_if<upstream_left>(&change))
+            return left->reason;
+    }
+    throw error(error_kind::Internal, "nobody left");
+}
+
+// One digest from `from` to `to`, with its answer. True when there was one to send.
+bool exchange(membership &from, const std::string &fromId, membership &to, const std::string &toId,
+              time_point now, bool answerLost = false)
+{
+    const auto message = from.digestFor(toId, now);
+    if (!message)
+        return false;
+    const auto outcome = to.heard(digestFromJson(toJson(*message)), now);
+    if (outcome.ack && !answerLost)
+        from.heard(*outcome.ack);
+    return message->from == fromId;
+}
+
+mesh_settings meshOf(int agents, int entries)
+{
+    mesh_settings settings;
+    settings.agents = agents;
+    settings.entries = entries;
+    return settings;
+}
+
+} // namespace
+
+// An agent was replaced. Messages of the old process still arrive, out of order and twice. If one
+// counted, callers would be sent to an address where nobody listens, or to an upstream that leaves.
+Test(membership, lateMessagesChangeNothing)
+{
+    auto entry = entryNamed("e0");
+    entry.heard(upstream(2, 5), Start);
+    const auto refused = [&](const announcement &message) {
+        const auto outcome = entry.heard(message, Start);
+        return outcome.reply.refused == error_kind::StaleIncarnation && outcome.changes.empty()
+               && outcome.reply.knownIncarnation == entry.known().front().incarnation;
+    };
+    section("of an old incarnation", [&] {
+        check(refused(upstream(1, 99)));
+        check(refused(upstream(1, 100, upstream_state::Leaving)));
+    });
+    section("of an old sequence, or doubled", [&] {
+        check(refused(upstream(2, 4, upstream_state::Starting)));
+        check(refused(upstream(2, 5)));
+    });
+    section("serving after leaving", [&] {
+        check(countOf<upstream_left>(
+                      entry.heard(upstream(2, 6, upstream_state::Leaving), Start).changes)
+              == 1);
+        check(refused(upstream(2, 7)));
+        check(entry.routable().empty());
+    });
+    section("while leaving may be said again, so that its repetition ends", [&] {
+        const auto outcome = entry.heard(upstream(2, 8, upstream_state::Leaving), Start);
+        check(!outcome.reply.refused);
+    });
+    section("and a newer incarnation is welcome", [&] {
+        const auto outcome = entry.heard(upstream(3, 1), Start);
+        check(countOf<upstream_joined>(outcome.changes) == 1);
+        check(entry.routable().front().address == "10.0.0.3:7100");
+    });
+    section("it replaces the old one even if that never said that it leaves", [&] {
+        const auto outcome = entry.heard(upstream(4, 1), Start);
+        check(reasonOf(outcome.changes) == leave_reason::Replaced);
+        check(countOf<upstream_joined>(outcome.changes) == 1);
+    });
+}
+
+Test(membership, silence)
+{
+    auto entry = entryNamed("e0");
+    entry.heard(upstream(1, 1), Start);
+    section("an upstream leaves routing three periods after its last message", [&] {
+        check(entry.tick(Start + milliseconds(2999)).empty());
+        const auto changes = entry.tick(Start + milliseconds(3000));
+        check(reasonOf(changes) == leave_reason::Silent);
+    });
+    section("one heartbeat brings it back", [&] {
+        const auto outcome = entry.heard(heartbeatOf(upstream(1, 2)), Start + seconds(10));
+        check(countOf<upstream_joined>(outcome.changes) == 1);
+    });
+    section("the heartbeat of an unknown one asks for the whole announcement", [&] {
+        auto other = entryNamed("e1");
+        const auto outcome = other.heard(heartbeatOf(upstream(1, 3)), Start);
+        check(outcome.reply.sendWhole && other.size() == 0);
+    });
+}
+
+// Entry c is cut off from the agent and from the only entry that hears it. The agent leaves; the
+// news reach c through b, and c sends nothing more there.
+Test(membership, leavingThroughAnyPeer)
+{
+    auto a = entryNamed("a");
+    auto b = entryNamed("b");
+    auto c = entryNamed("c");
+    a.heard(upstream(1, 1), Start);
+    exchange(a, "a", b, "b", Start);
+    exchange(a, "a", c, "c", Start);
+    require(c.routable().size() == 1);
+    const time_point later = Start + milliseconds(100);
+    a.heard(upstream(1, 2, upstream_state::Leaving), later);
+    section("a change is sent at once, not at the next period", [&] {
+        check(exchange(a, "a", b, "b", later));
+        check(b.routable().empty());
+    });
+    section("b passes it on to c", [&] {
+        check(exchange(b, "b", c, "c", later));
+        check(c.routable().empty());
+        check(c.counters().left.at(leave_reason::Left) == 1);
+    });
+    section("and nothing else is said without news", [&] {
+        exchange(b, "b", c, "c", later + seconds(2));
+        const auto idle = b.digestFor("c", later + seconds(4));
+        check(idle && idle->records.empty());
+    });
+}
+
+// Entry b routes to an upstream on the word of a. When a says that the agent went silent, or a
+// itself is heard no more, b stops; when a is replaced, the word of the old process is void.
+Test(membership, wordOfPeers)
+{
+    auto a = entryNamed("a");
+    auto b = entryNamed("b");
+    a.heard(upstream(1, 1), Start);
+    exchange(a, "a", b, "b", Start);
+    section("a hears silence", [&] {
+        a.tick(Start + seconds(3));
+        exchange(a, "a", b, "b", Start + seconds(3));
+        check(b.routable().empty());
+        a.heard(upstream(1, 2), Start + seconds(4));
+        exchange(a, "a", b, "b", Start + seconds(4));
+        check(b.routable().size() == 1);
+    });
+    section("a is silent itself", [&] {
+        const auto limit = 3 * b.digestPeriod() + milliseconds(8000);
+        check(b.tick(Start + seconds(4) + limit - milliseconds(1)).empty());
+        check(reasonOf(b.tick(Start + seconds(4) + limit)) == leave_reason::Silent);
+    });
+    section("a digest without news is enough to count again", [&] {
+        const time_point later = Start + seconds(20);
+        a.heard(upstream(1, 3), later);
+        exchange(a, "a", b, "b", later);
+        b.tick(later);
+        check(b.routable().size() == 1);
+    });
+    section("a new process in the place of a vouches for nothing yet", [&] {
+        auto reborn = entryNamed("a", 2);
+        exchange(reborn, "a", b, "b", Start + seconds(21));
+        b.tick(Start + seconds(21));
+        check(b.routable().empty());
+        const auto late = a.digestFor("b", Start + seconds(40));
+        check(late && !b.heard(*late, Start + seconds(40)).ack);
+        check(b.counters().lateDigests == 1);
+    });
+}
+
+Test(membership, digests)
+{
+    auto a = entryNamed("a");
+    auto b = entryNamed("b");
+    const auto hear = [&](int count) {
+        for (int i = 0; i < count; ++i) {
+            auto message = upstream(1, 1);
+            message.agentId = "agent-" + std::to_string(i);
+            a.heard(message, Start);
+        }
+    };
+    hear(40);
+    section("are bounded, and the rest follows as soon as one is acknowledged", [&] {
+        check(a.digestFor("b", Start)->records.size() == 16);
+        auto receiver = entryNamed("c");
+        int sent = 0;
+        while (exchange(a, "a", receiver, "c", Start))
+            ++sent;
+        check(sent == 3 && receiver.routable().size() == 40);
+    });
+    section("are sent again when the answer was lost", [&] {
+        check(exchange(a, "a", b, "b", Start + seconds(5), true));
+        check(b.routable().size() == 16);
+        while (exchange(a, "a", b, "b", Start + seconds(10))) { }
+        check(b.routable().size() == 40);
+        check(b.counters().lateDigests == 0);
+    });
+    section("start from the beginning for a receiver that was replaced", [&] {
+        auto reborn = entryNamed("b", 2);
+        exchange(a, "a", reborn, "b", Start + seconds(20));
+        while (exchange(a, "a", reborn, "b", Start + seconds(20))) { }
+        check(a.counters().resyncs == 1);
+        check(reborn.routable().size() == 40);
+    });
+}
+
+// Somebody floods the entry with new names. Serving upstreams stay; the flood is refused and
+// counted, and upstreams that are gone make room first.
+Test(membership, bound)
+{
+    membership_settings settings;
+    settings.memberLimit = 2;
+    membership entry(settings);
+    const auto hear = [&](const std::string &id, upstream_state state) {
+        auto message = upstream(1, 1, state);
+        message.agentId = id;
+        return entry.heard(message, Start).reply.refused;
+    };
+    hear("serving", upstream_state::Serving);
+    hear("gone", upstream_state::Leaving);
+    check(!hear("new", upstream_state::Serving));
+    check(hear("flood", upstream_state::Serving) == error_kind::OverCapacity);
+    check(entry.counters().overLimit == 1);
+    check(entry.size() == 2 && entry.routable().size() == 2);
+}
+
+// Two processes for one agent id. The new one was started while the old one was paused; when that
+// wakes up it must give way. A clock that stepped back must not lock a new process out.
+Test(membership, agentsReplaced)
+{
+    auto entry = entryNamed("e0");
+    announcer_settings settings;
+    settings.entries = {"e0"};
+    const auto talk = [&](announcer &agent, time_point now) {
+        for (const auto &sent : agent.tick(now)) {
+            const auto outcome = std::visit(
+                    [&](const auto &message) { return entry.heard(message, now); }, sent.message);
+            agent.answered(sent.entry, outcome.reply, now);
+        }
+    };
+    announcer old(settings, upstream(5, 0));
+    talk(old, Start);
+    announcer fresh(settings, upstream(6, 0));
+    talk(fresh, Start + seconds(10));
+    section("the one that woke up stops announcing", [&] {
+        talk(old, Start + seconds(11));
+        check(old.superseded() && old.tick(Start + seconds(20)).empty());
+        check(entry.known().front().incarnation == 6);
+    });
+    section("a new one with an older clock steps over what is remembered", [&] {
+        announcer behind(settings, upstream(3, 0));
+        talk(behind, Start + seconds(12));
+        talk(behind, Start + seconds(12));
+        check(!behind.superseded() && behind.self().incarnation == 7);
+        check(entry.routable().front().incarnation == 7);
+        talk(fresh, Start + seconds(13));
+        check(fresh.superseded());
+    });
+    section("an answer to an earlier message does not end the repetition of leaving", [&] {
+        announcer leaving(settings, upstream(9, 0));
+        const auto before = leaving.tick(Start);
+        leaving.setState(upstream_state::Leaving);
+        const auto sequence = std::get<announcement>(before.front().message).sequence;
+        leaving.answered("e0", {sequence, std::nullopt, 9, false, milliseconds(1000)}, Start);
+        check(!leaving.leftEverywhere());
+        talk(leaving, Start);
+        check(leaving.leftEverywhere());
+    });
+}
+
+// Real announcers and memberships with every message counted. The operator sees an upstream that
+// leaves without new work within seconds at every entry, also at one that was cut off from it.
+Test(membership, mesh)
+{
+    section("agents and entries find each other from their settings alone", [] {
+        mesh nodes(meshOf(11, 5));
+        nodes.runFor(seconds(5));
+        for (int i = 0; i < 5; ++i)
+            check(nodes.routesAt(i) == 11);
+        section("leaving reaches an entry that is cut off from the agent", [&] {
+            nodes.cut(mesh::agentName(3), mesh::entryName(2));
+            nodes.cut(mesh::agentName(3), mesh::entryName(4));
+            nodes.agent(3).setState(upstream_state::Leaving);
+            nodes.runFor(milliseconds(500));
+            check(nodes.entriesThatRoute(3) == 0);
+            nodes.heal();
+        });
+        section("a killed agent leaves routing everywhere", [&] {
+            nodes.stopAgent(5);
+            nodes.runFor(seconds(5));
+            check(nodes.entriesThatRoute(5) == 0);
+            nodes.startAgent(5);
+            nodes.runFor(seconds(2));
+            check(nodes.entriesThatRoute(5) == 5);
+        });
+        section("a replaced entry knows all again, and nobody else loses one", [&] {
+            nodes.stopEntry(1);
+            nodes.startEntry(1);
+            nodes.runFor(seconds(3));
+            check(nodes.routesAt(1) == 10);
+            check(nodes.routesAt(0) == 10);
+        });
+        section("healthy agents outlive the entries that heard them", [&] {
+            nodes.stopEntry(0);
+            nodes.stopEntry(1);
+            nodes.stopEntry(2);
+            for (int second = 0; second < 90; ++second) {
+                nodes.runFor(seconds(1));
+                require(nodes.routesAt(3) == 10 && nodes.routesAt(4) == 10);
+            }
+        });
+    });
+    section("790 agents and 15 entries keep within 2 KB a second for each node", [] {
+        mesh nodes(meshOf(790, 15));
+        nodes.runFor(seconds(60));
+        nodes.forgetTraffic();
+        nodes.runFor(seconds(60));
+        for (int i = 0; i < 15; ++i) {
+            check(nodes.routesAt(i) == 790);
+            const auto &bytes = nodes.trafficOf(mesh::entryName(i));
+            check(bytes.sent + bytes.received < 60 * 2000);
+        }
+        const auto &bytes = nodes.trafficOf(mesh::agentName(789));
+        check(bytes.sent + bytes.received < 60 * 60);
+        section("leaving is in force everywhere within half a second", [&] {
+            nodes.agent(400).setState(upstream_state::Leaving);
+            nodes.runFor(milliseconds(500));
+            check(nodes.entriesThatRoute(400) == 0);
+        });
+        section("a killed agent is out everywhere within 30 seconds", [&] {
+            nodes.stopAgent(401);
+            nodes.runFor(seconds(30));
+            check(nodes.entriesThatRoute(401) == 0);
+            check(nodes.routesAt(0) == 788);
+        });
+    });
+}
+
+Test(membership, messages)
+{
+    const auto whole = upstream(3, 9);
+    section("survive the way through text", [&] {
+        const auto again = announcementFromJson(parseJson(compactJson(toJson(whole))));
+        check(toJson(again) == toJson(whole));
+        const auto beat = heartbeatOf(whole);
+        check(toJson(heartbeatFromJson(toJson(beat))) == toJson(beat));
+        const announce_reply reply{4, error_kind::StaleIncarnation, 3, false, milliseconds(5)};
+        check(toJson(announceReplyFromJson(toJson(reply))) == toJson(reply));
+        const digest_ack ack{"a", 1, 2};
+        check(toJson(digestAckFromJson(toJson(ack))) == toJson(ack));
+    });
+    section("are refused with the name of a missing or wrong member", [&] {
+        for (const auto &name : toJson(whole).getMemberNames()) {
+            for (const bool missing : {true, false}) {
+                auto json = toJson(whole);
+                json[name] = Json::Value(-1.5);
+                if (missing)
+                    json.removeMember(name);
+                try {
+                    announcementFromJson(json);
+                    check(!"accepted");
+                } catch (const error &problem) {
+                    check(problem.kind() == error_kind::BadRequest);
+                    check(std::string(problem.what()).find(name) != std::string::npos);
+                }
+            }
+        }
+    });
+    section("wrong shapes are refused, not crashed on", [] {
+        for (const char *text : {"[]", "{}", "3", "[1,2,3,4,5,6,7]", "[\"a\",1,1,0,1,[[]]]",
+                                 "[\"a\",1,1,0,1,5]", "[\"a\",-1,1]", "null"}) {
+            const auto json = parseJson(text);
+            int refused = 0;
+            const auto attempt = [&](auto &&parse) {
+                try {
+                    parse(json);
+                } catch (const error &problem) {
+                    refused += problem.kind() == error_kind::BadRequest ? 1 : 0;
+                }
+            };
+            attempt([](const auto &value) { announcementFromJson(value); });
+            attempt([](const auto &value) { heartbeatFromJson(value); });
+            attempt([](const auto &value) { announceReplyFromJson(value); });
+            attempt([](const auto &value) { digestFromJson(value); });
+            attempt([](const auto &value) { digestAckFromJson(value); });
+            check(refused == 5);
+        }
+    });
+}
