--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -3,12 +3,14 @@
 //   routing_bench            all tables
 //   routing_bench --benchmark_filter=...   the processor time of the decisions, by size
 #include <algorithm>
+#include <deque>
 #include <string>
 #include <vector>
 
 #include <benchmark/benchmark.h>
 #include <fmt/format.h>
 
+#include "overload_scenario.h"
 #include "routing_scenario.h"
 
 using namespace zinniabarrow;
@@ -137,6 +139,86 @@
     }
 }
 
+void compareOverload()
+{
+    constexpr double Capacity = 8 / 0.020;
+    constexpr seconds Length{20};
+    fmt::print("\nOne admission, two teams, callers with 200 ms: requests a second\n");
+    fmt::print("{:>6}{:>10}{:>8}{:>10}\n", "load", "in time", "late", "refused");
+    for (const double load : {0.5, 0.8, 1.0, 1.5, 2.0, 4.0, 8.0}) {
+        const auto result =
+                runOverload({{"a", Capacity * load / 2}, {"b", Capacity * load / 2}}, Length);
+        fmt::print("{:>5.0f}%{:>10}{:>8.1f}{:>10}\n", load * 100, result.inTime / Length.count(),
+                   double(result.late) / double(Length.count()), result.refused / Length.count());
+    }
+}
+
+router routerWith(int upstreams, const routing_policy &policy)
+{
+    router_settings settings;
+    settings.zone = "zone-0";
+    settings.region = "kartli";
+    router routes(settings, policy, random_generator(1));
+    for (int i = 0; i < upstreams; ++i) {
+        announcement about;
+        about.agentId = "agent-" + std::to_string(i);
+        about.zone = "zone-" + std::to_string(i % 3);
+        about.region = "kartli";
+        about.service = "tickets";
+        about.slots = 8;
+        about.incarnation = 1;
+        routes.apply(upstream_joined{about}, time_point(seconds(1)));
+    }
+    return routes;
+}
+
+// One attempt: choose, start, end.
+void attemptOf(benchmark::State &state)
+{
+    auto routes = routerWith(static_cast<int>(state.range(0)), two_choices{});
+    const time_point now(seconds(100));
+    for (auto _ : state) {
+        const auto to = std::get<route>(routes.choose("tickets", {}, now));
+        routes.attemptStarted(to, now);
+        routes.attemptEnded({to, attempt_outcome::Answered, milliseconds(20), {}, {}}, now);
+    }
+}
+BENCHMARK(attemptOf)->Arg(11)->Arg(79)->Arg(790);
+
+// One request through an admission whose slots are taken and whose queue holds `waiting`.
+void requestThroughGate(benchmark::State &state)
+{
+    admission gate({});
+    time_point now(seconds(100));
+    const auto arrive = [&](std::uint64_t number) {
+        gate.handle(admission::arrived{std::to_string(number), "tickets",
+                                       "team-" + std::to_string(number % 3), 0, now + seconds(10)},
+                    now);
+    };
+    std::uint64_t next = 0;
+    std::deque<std::string> running;
+    const auto serve = [&](const std::vector<admission::action> &actions) {
+        for (const auto &action : actions) {
+            if (const auto *begun = std::get_if<admission::start>(&action))
+                running.push_back(begun->id);
+        }
+    };
+    const auto slots = admission_settings{}.slots;
+    for (int i = 0; i < slots; ++i) {
+        running.push_back(std::to_string(next));
+        arrive(next++);
+    }
+    for (int i = 0; i < state.range(0); ++i)
+        arrive(next++);
+    for (auto _ : state) {
+        now += milliseconds(2);
+        arrive(next++);
+        serve(gate.handle(admission::finished{running.front(), milliseconds(20)}, now));
+        running.pop_front();
+    }
+}
+BENCHMARK(requestThroughGate)->Arg(0)->Arg(8)->Arg(15);
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -153,5 +235,6 @@
     compareSpill();
     compareFaults();
     compareBackOff();
+    compareOverload();
     return 0;
 }
--- a/libs/request/router.cpp
+++ b/libs/request/router.cpp
@@ -153,10 +153,11 @@
 
 router::upstream *router::pick(const std::string &service, const candidates &from, time_point now)
 {
-    return std::visit([&](auto &policy) { return pickBy(policy, service, from, now); }, m_policy);
+    return std::visit([&](const auto &policy) { return pickBy(policy, service, from, now); },
+                      m_policy);
 }
 
-router::upstream *router::pickBy(two_choices &, const std::string &, const candidates &from,
+router::upstream *router::pickBy(two_choices, const std::string &, const candidates &from,
                                  time_point now)
 {
     const std::size_t first = pickIndex(m_random, from.size());
@@ -168,10 +169,10 @@
                                                                         : from[first];
 }
 
-router::upstream *router::pickBy(round_robin &policy, const std::string &service,
-                                 const candidates &from, time_point now)
+router::upstream *router::pickBy(round_robin, const std::string &service, const candidates &from,
+                                 time_point now)
 {
-    auto &turn = policy.turns[service];
+    auto &turn = m_turns[service];
     for (std::size_t tries = 0; tries < from.size(); ++tries) {
         upstream *next = from[turn++ % from.size()];
         if (pickUnit(m_random) < share(*next, now))
@@ -180,7 +181,7 @@
     return from[turn++ % from.size()];
 }
 
-router::upstream *router::pickBy(least_known_load &, const std::string &, const candidates &from,
+router::upstream *router::pickBy(least_known_load, const std::string &, const candidates &from,
                                  time_point now)
 {
     // Starting at a random place breaks ties evenly.
@@ -297,7 +298,9 @@
 // left would be overrun by the traffic of all.
 bool router::mayEject(const std::string &service) const
 {
-    const int limit = static_cast<int>(upstreams(service) * m_settings.ejectedShare);
+    const int all = upstreams(service);
+    const int share = static_cast<int>(all * m_settings.ejectedShare);
+    const int limit = all > 1 ? std::max(share, 1) : 0;
     return ejected(service) < limit;
 }
 
--- a/libs/request/router.h
+++ b/libs/request/router.h
@@ -31,8 +31,8 @@
     milliseconds slowStart{10 * 1000}; // until a newcomer gets its whole share
     double slowStartShare = 0.1;       // at the start
     int failuresToEject = 5;           // in a row
-    double ejectedShare = 0.3;         // at most, of the upstreams of a service
-    milliseconds coolDown{2000};       // of the first ejection, doubled by each further one
+    double ejectedShare = 0.3; // at most, of a service's upstreams; one may be out if there are two
+    milliseconds coolDown{2000}; // of the first ejection, doubled by each further one
     milliseconds longestCoolDown{60 * 1000};
     milliseconds longestBackOff{20}; // after an upstream refused for its load
 };
@@ -42,9 +42,7 @@
 { };
 // Takes the upstreams in turn.
 struct round_robin
-{
-    std::map<std::string, std::uint64_t> turns; // by service
-};
+{ };
 // Takes the least loaded of all, as far as is known.
 struct least_known_load
 { };
@@ -141,11 +139,11 @@
     candidates eligible(const std::string &service, const std::set<std::string> &excluded,
                         time_point now, bool &anyBackingOff);
     upstream *pick(const std::string &service, const candidates &from, time_point now);
-    upstream *pickBy(two_choices &, const std::string &service, const candidates &from,
+    upstream *pickBy(two_choices, const std::string &service, const candidates &from,
                      time_point now);
-    upstream *pickBy(round_robin &policy, const std::string &service, const candidates &from,
+    upstream *pickBy(round_robin, const std::string &service, const candidates &from,
                      time_point now);
-    upstream *pickBy(least_known_load &, const std::string &service, const candidates &from,
+    upstream *pickBy(least_known_load, const std::string &service, const candidates &from,
                      time_point now);
     double share(const upstream &of, time_point now) const;
     double othersLoad(const upstream &of, time_point now) const;
@@ -164,7 +162,8 @@
     router_counters m_counters;
     std::map<std::string, upstream> m_upstreams; // by agent id
     std::map<std::string, std::set<std::string>> m_byService;
-    std::map<std::string, duration> m_latency; // by service
+    std::map<std::string, duration> m_latency;    // by service
+    std::map<std::string, std::uint64_t> m_turns; // of round_robin, by service
 };
 
 } // namespace zinniabarrow
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -1,13 +1,10 @@
 // Admission in front of one upstream: limits, deadlines, fairness, overload, drain.
 #include <algorithm>
-#include <cmath>
 #include <map>
-#include <queue>
 #include <string>
 #include <vector>
 
-#include "base/random.h"
-#include "request/admission.h"
+#include "overload_scenario.h"
 #include "section.h"
 
 using namespace zinniabarrow;
@@ -67,63 +64,6 @@
 
 constexpr milliseconds Patient{10 * 1000};
 
-struct overload_result
-{
-    int inTime = 0;
-    int late = 0;
-    std::map<std::string, int> inTimeByTeam;
-};
-
-// Poisson arrivals of several teams for `seconds`, exponential service of 20 ms at 8 slots.
-overload_result overload(const std::map<std::string, double> &perSecondByTeam, int length)
-{
-    constexpr milliseconds Timeout{200};
-    struct step
-    {
-        time_point at;
-        std::string id; // of a finished request; empty: the team's next arrival
-        std::string team;
-        bool operator<(const step &other) const { return at > other.at; }
-    };
-    random_generator random(7);
-    const auto draw = [&](double mean) {
-        return duration(1
-                        + static_cast<std::int64_t>(-std::log(1 - pickUnit(random)) * mean * 1e6));
-    };
-    gate_at at;
-    const time_point end = at.now + seconds(length);
-    std::priority_queue<step> steps;
-    std::map<std::string, time_point> deadlines;
-    std::map<std::string, duration> took;
-    overload_result result;
-    for (const auto &[team, rate] : perSecondByTeam)
-        steps.push({at.now + draw(1 / rate), "", team});
-    int number = 0;
-    std::size_t seen = 0;
-    while (!steps.empty() && steps.top().at < end) {
-        const step next = steps.top();
-        steps.pop();
-        at.now = next.at;
-        if (next.id.empty()) {
-            const std::string id = next.team + std::to_string(number++);
-            deadlines[id] = at.now + Timeout;
-            at.arrive(id, Timeout, next.team);
-            steps.push({at.now + draw(1 / perSecondByTeam.at(next.team)), "", next.team});
-        } else {
-            const bool inTime = at.now <= deadlines[next.id];
-            ++(inTime ? result.inTime : result.late);
-            result.inTimeByTeam[next.team] += inTime ? 1 : 0;
-            at.handle(admission::finished{next.id, took[next.id]});
-        }
-        for (; seen < at.started.size(); ++seen) {
-            const auto id = at.started[seen];
-            took[id] = draw(0.020);
-            steps.push({at.now + took[id], id, id.substr(0, id.find_first_of("0123456789"))});
-        }
-    }
-    return result;
-}
-
 } // namespace
 
 Test(admission, limits)
@@ -266,7 +206,7 @@
         check(parents >= 4 && parents <= 7);
     });
     section("seven times the traffic takes nothing from a team within its share", [] {
-        const auto result = overload({{"flood", 1400.0}, {"light", 100.0}}, 20);
+        const auto result = runOverload({{"flood", 1400.0}, {"light", 100.0}}, seconds(20));
         check(result.inTimeByTeam.at("light") > 0.97 * 20 * 100 * 0.95);
         check(result.inTimeByTeam.at("flood") > 20 * 250);
     });
@@ -296,8 +236,8 @@
     constexpr double Capacity = 8 / 0.020;
     constexpr int Seconds = 20;
     for (const double load : {1.5, 2.0, 4.0}) {
-        const auto result =
-                overload({{"a", Capacity * load / 2}, {"b", Capacity * load / 2}}, Seconds);
+        const auto result = runOverload({{"a", Capacity * load / 2}, {"b", Capacity * load / 2}},
+                                        seconds(Seconds));
         section("at load " + std::to_string(load), [&] {
             check(result.inTime > 0.93 * Capacity * Seconds);
             check(result.late < 0.02 * Capacity * Seconds);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -137,6 +137,28 @@
     });
 }
 
+// The entry hears fewer agents and names a shorter period; the answer is lost. The agent goes on in
+// its old rhythm, and callers must not lose a healthy upstream for that.
+Test(membership, lostPeriod)
+{
+    auto entry = entryNamed("e0");
+    const auto hear = [&](int index, std::uint64_t sequence, upstream_state state, time_point now) {
+        auto message = upstream(1, sequence, state);
+        message.agentId = "agent-" + std::to_string(index);
+        return entry.heard(message, now).reply.period;
+    };
+    for (int i = 0; i < 50; ++i)
+        hear(i, 1, upstream_state::Serving, Start);
+    const auto before = hear(0, 2, upstream_state::Serving, Start);
+    require(before > milliseconds(4000));
+    for (int i = 1; i < 50; ++i)
+        hear(i, 2, upstream_state::Leaving, Start);
+    const auto after = hear(0, 3, upstream_state::Serving, Start + before);
+    check(after == milliseconds(1000));
+    check(entry.tick(Start + 2 * before - milliseconds(1)).empty());
+    check(entry.routable().size() == 1);
+}
+
 // Entry c is cut off from the agent and from the only entry that hears it. The agent leaves; the
 // news reach c through b, and c sends nothing more there.
 Test(membership, leavingThroughAnyPeer)
