--- a/libs/work/messages.cpp
+++ b/libs/work/messages.cpp
@@ -69,6 +69,8 @@
     value["failover"] = std::string(nameOf(task.failover));
     if (!task.checkpoint.empty())
         value["checkpoint"] = task.checkpoint;
+    for (const auto &name : task.newerCheckpoints)
+        value["newerCheckpoints"].append(name);
     return value;
 }
 
@@ -79,6 +81,13 @@
     task.attempt = smallNumberMember(value, "attempt");
     task.failover = failoverClassFromName(textMember(value, "failover"));
     task.checkpoint = textMemberOr(value, "checkpoint", "");
+    if (!value.isMember("newerCheckpoints"))
+        return task;
+    for (const auto &name : listMember(value, "newerCheckpoints")) {
+        if (!name.isString())
+            throw error(error_kind::BadRequest, "member \"newerCheckpoints\": needs texts");
+        task.newerCheckpoints.push_back(name.asString());
+    }
     return task;
 }
 
@@ -122,6 +131,11 @@
     return task;
 }
 
+std::string checkpointName(const task_attempt &attempt)
+{
+    return "checkpoint/" + textOf(attempt.task) + "/" + std::to_string(attempt.attempt);
+}
+
 std::string_view nameOf(failover_class failover)
 {
     return nameOf(FailoverNames, failover);
--- a/libs/work/messages.h
+++ b/libs/work/messages.h
@@ -46,6 +46,10 @@
     auto operator<=>(const task_attempt &) const = default;
 };
 
+// Name of the object that holds an attempt's checkpoint. It can be told without the worker, so that
+// a checkpoint is found also if the worker was lost before it could report it.
+std::string checkpointName(const task_attempt &attempt);
+
 // What an agent tells the owner about one attempt.
 enum class task_event_kind {
     Started,
@@ -86,6 +90,8 @@
     std::uint32_t attempt = 0;
     failover_class failover = failover_class::Lease;
     std::string checkpoint; // resume from here; empty: from the start
+    // Of attempts that ended without a report: the first of these that exists is resumed instead.
+    std::vector<std::string> newerCheckpoints;
 };
 
 // The owner's answer to a report, or (replyTo 0) an unasked repeat that extends no lease.
--- a/libs/work/ownership.cpp
+++ b/libs/work/ownership.cpp
@@ -92,7 +92,7 @@
 std::vector<ownership_action> shard_owner::handle(const ownership_event &event, time_point now)
 {
     m_actions.clear();
-    std::visit([&](const auto &one) { handle(one, now); }, event);
+    std::visit([&](const auto &one) { on(one, now); }, event);
     return std::move(m_actions);
 }
 
@@ -118,7 +118,7 @@
                        [](const auto &item) { return !item.second.owned && !item.second.pending; });
 }
 
-void shard_owner::handle(const shard_rows_read &event, time_point now)
+void shard_owner::on(const shard_rows_read &event, time_point now)
 {
     std::map<std::string, const table_row *> rows;
     for (const auto &row : event.rows)
@@ -180,7 +180,7 @@
         lose(state);
 }
 
-void shard_owner::handle(const shard_write_settled &event, time_point now)
+void shard_owner::on(const shard_write_settled &event, time_point now)
 {
     for (auto &[number, state] : m_shards) {
         if (!state.pending || state.pending->transaction.operationId != event.operationId)
@@ -210,12 +210,12 @@
     }
 }
 
-void shard_owner::handle(const peers_changed &event, time_point)
+void shard_owner::on(const peers_changed &event, time_point)
 {
     m_peers = event.entries;
 }
 
-void shard_owner::handle(const ownership_tick &, time_point now)
+void shard_owner::on(const ownership_tick &, time_point now)
 {
     if (now >= m_scanAt) {
         m_scanAt = now + m_settings.scanEvery;
@@ -235,7 +235,7 @@
     }
 }
 
-void shard_owner::handle(const release_shards &, time_point now)
+void shard_owner::on(const release_shards &, time_point now)
 {
     m_releasing = true;
     for (auto &[number, state] : m_shards) {
--- a/libs/work/ownership.h
+++ b/libs/work/ownership.h
@@ -144,11 +144,11 @@
         std::optional<pending_write> pending;
     };
 
-    void handle(const shard_rows_read &event, time_point now);
-    void handle(const shard_write_settled &event, time_point now);
-    void handle(const peers_changed &event, time_point now);
-    void handle(const ownership_tick &event, time_point now);
-    void handle(const release_shards &event, time_point now);
+    void on(const shard_rows_read &event, time_point now);
+    void on(const shard_write_settled &event, time_point now);
+    void on(const peers_changed &event, time_point now);
+    void on(const ownership_tick &event, time_point now);
+    void on(const release_shards &event, time_point now);
     void readShard(shard_state &state, const table_row *row, const table_row *lease,
                    time_point now);
     void settleFromRows(shard_state &state, const table_row *row, const table_row *lease,
--- a/libs/work/task_keeper.cpp
+++ b/libs/work/task_keeper.cpp
@@ -152,7 +152,7 @@
 std::vector<keeper_action> task_keeper::handle(const keeper_event &event, time_point now)
 {
     m_actions.clear();
-    std::visit([&](const auto &one) { handle(one, now); }, event);
+    std::visit([&](const auto &one) { on(one, now); }, event);
     return std::move(m_actions);
 }
 
@@ -166,7 +166,7 @@
     return tasks;
 }
 
-void task_keeper::handle(const grant_received &event, time_point now)
+void task_keeper::on(const grant_received &event, time_point now)
 {
     const worker_grant &grant = event.grant;
     if (m_incarnation == 0 || grant.worker != m_worker)
@@ -301,6 +301,8 @@
 void task_keeper::start(const granted_task &task, const Json::Value &spec, time_point grantEnds)
 {
     kept_task &kept = m_tasks[task.task];
+    if (kept.attempt != task.attempt)
+        kept = kept_task(); // a refusal of an earlier attempt says nothing about this one
     kept.attempt = task.attempt;
     kept.state = kept_state::Starting;
     kept.failover = task.failover;
@@ -325,10 +327,10 @@
     if (kept == m_tasks.end() || kept->second.attempt != attempt.attempt)
         return;
     if (kept->second.state == kept_state::Running)
-        m_actions.emplace_back(worker_checkpoint{attempt});
+        m_actions.emplace_back(worker_checkpoint{attempt, checkpointName(attempt)});
 }
 
-void task_keeper::handle(const listing_received &event, time_point now)
+void task_keeper::on(const listing_received &event, time_point now)
 {
     const worker_listing &listing = event.listing;
     const bool sameLife = listing.incarnation == m_incarnation;
@@ -340,6 +342,9 @@
         takeIncarnation(listing.incarnation);
     m_listing = listing.number;
     m_listingReceivedAt = now;
+    // A new owner can place on this worker and answer its leases once it is told.
+    if (listing.epoch != m_workerEpoch)
+        m_reportAt = std::min(m_reportAt, now + m_settings.eventDelay);
     m_workerEpoch = listing.epoch;
     m_epoch = std::max(m_epoch, listing.epoch);
     for (const auto &finished : listing.finished)
@@ -423,7 +428,7 @@
     }
 }
 
-void task_keeper::handle(const start_refused &event, time_point)
+void task_keeper::on(const start_refused &event, time_point)
 {
     const auto kept = m_tasks.find(event.attempt.task);
     if (kept == m_tasks.end() || kept->second.attempt != event.attempt.attempt)
@@ -431,7 +436,7 @@
     kept->second.refusedAt = std::max<std::uint64_t>(event.listing, 1);
 }
 
-void task_keeper::handle(const keeper_tick &, time_point now)
+void task_keeper::on(const keeper_tick &, time_point now)
 {
     if (now >= m_listAt)
         list(now);
--- a/libs/work/task_keeper.h
+++ b/libs/work/task_keeper.h
@@ -100,9 +100,10 @@
 {
     task_attempt attempt;
 };
-struct worker_checkpoint // checkpoint, then end
+struct worker_checkpoint // checkpoint into this object, then end
 {
     task_attempt attempt;
+    std::string checkpoint;
 };
 struct worker_forget // the outcome is settled in the table
 {
@@ -177,10 +178,10 @@
         std::uint64_t refusedAt = 0; // listing number when the worker refused to start it
     };
 
-    void handle(const grant_received &event, time_point now);
-    void handle(const listing_received &event, time_point now);
-    void handle(const start_refused &event, time_point now);
-    void handle(const keeper_tick &event, time_point now);
+    void on(const grant_received &event, time_point now);
+    void on(const listing_received &event, time_point now);
+    void on(const start_refused &event, time_point now);
+    void on(const keeper_tick &event, time_point now);
     bool accepts(const worker_grant &grant) const;
     void takeEpoch(std::uint64_t epoch, time_point now);
     time_point takeLease(const worker_grant &grant);
--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -62,7 +62,7 @@
     m_pushTo.clear();
     if (m_store.isFenced())
         return {};
-    std::visit([&](const auto &one) { handle(one, now); }, event);
+    std::visit([&](const auto &one) { on(one, now); }, event);
     takeFromStore();
     pushGrants(now);
     return std::move(m_actions);
@@ -129,7 +129,7 @@
 
 // Jobs.
 
-void task_table::handle(const job_accepted &event, time_point now)
+void task_table::on(const job_accepted &event, time_point now)
 {
     const stored_job *known = m_store.job(event.spec.id);
     if (!ready() || (known != nullptr && known->spec.generation >= event.spec.generation))
@@ -162,7 +162,7 @@
     }
 }
 
-void task_table::handle(const cancel_job &event, time_point now)
+void task_table::on(const cancel_job &event, time_point now)
 {
     const stored_job *known = m_store.job(event.job);
     if (known == nullptr || known->cancelled)
@@ -174,7 +174,7 @@
 
 // Placement and eviction.
 
-void task_table::handle(const place_decided &event, time_point now)
+void task_table::on(const place_decided &event, time_point now)
 {
     const bool possible = placeable(event.task) && mayPlaceOn(event.worker);
     const bool full = event.ahead && aheadOn(event.worker) >= m_settings.aheadTasks;
@@ -206,7 +206,7 @@
     return ahead;
 }
 
-void task_table::handle(const evict_decided &event, time_point)
+void task_table::on(const evict_decided &event, time_point)
 {
     const task_record record = m_store.settled(event.task);
     if (record.state != task_state::Placed || m_store.inFlight(event.task))
@@ -217,7 +217,7 @@
 
 // Reports.
 
-void task_table::handle(const report_received &event, time_point now)
+void task_table::on(const report_received &event, time_point now)
 {
     const agent_report &report = event.report;
     if (!ready())
@@ -471,14 +471,32 @@
         grant.checkpoints.push_back(attempt);
     if (soft != nullptr && soft->startedBy == worker.session)
         return;
-    const granted_task granted{task, record.attempt, job->spec.failover, record.checkpoint};
+    const granted_task granted{task, record.attempt, job->spec.failover, record.checkpoint,
+                               newerCheckpoints(task, record)};
     (record.ahead ? grant.backlog : grant.tasks).push_back(granted);
     grant.specs[task.job] = job->spec.spec;
 }
 
+// A worker that was lost after it had made a checkpoint and before it could report it leaves the
+// object behind; resuming from an older one would do that work twice.
+std::vector<std::string> task_table::newerCheckpoints(const task_id &task,
+                                                      const task_record &record)
+{
+    constexpr std::uint32_t Most = 8;
+    std::vector<std::string> names;
+    for (std::uint32_t attempt = record.attempt - 1; attempt > 0 && names.size() < Most;
+         --attempt) {
+        const std::string name = checkpointName({task, attempt});
+        if (name == record.checkpoint)
+            break;
+        names.push_back(name);
+    }
+    return names;
+}
+
 // Silent workers.
 
-void task_table::handle(const table_tick &, time_point now)
+void task_table::on(const table_tick &, time_point now)
 {
     m_store.tick(now);
     if (!ready())
@@ -583,12 +601,12 @@
     return &found->second;
 }
 
-void task_table::handle(const write_settled &event, time_point now)
+void task_table::on(const write_settled &event, time_point now)
 {
     m_store.handle(event, now);
 }
 
-void task_table::handle(const rows_read &event, time_point now)
+void task_table::on(const rows_read &event, time_point now)
 {
     const bool before = ready();
     m_store.handle(event, now);
@@ -613,7 +631,7 @@
     m_tickedAt = now;
 }
 
-void task_table::handle(const horizon_moved &event, time_point)
+void task_table::on(const horizon_moved &event, time_point)
 {
     m_mayGrantUntil = event.until;
 }
--- a/libs/work/task_table.h
+++ b/libs/work/task_table.h
@@ -157,15 +157,15 @@
         bool evicting = false;
     };
 
-    void handle(const job_accepted &event, time_point now);
-    void handle(const cancel_job &event, time_point now);
-    void handle(const place_decided &event, time_point now);
-    void handle(const evict_decided &event, time_point now);
-    void handle(const report_received &event, time_point now);
-    void handle(const write_settled &event, time_point now);
-    void handle(const rows_read &event, time_point now);
-    void handle(const horizon_moved &event, time_point now);
-    void handle(const table_tick &event, time_point now);
+    void on(const job_accepted &event, time_point now);
+    void on(const cancel_job &event, time_point now);
+    void on(const place_decided &event, time_point now);
+    void on(const evict_decided &event, time_point now);
+    void on(const report_received &event, time_point now);
+    void on(const write_settled &event, time_point now);
+    void on(const rows_read &event, time_point now);
+    void on(const horizon_moved &event, time_point now);
+    void on(const table_tick &event, time_point now);
 
     // Jobs.
     void resize(const stored_job &job, time_point now);
@@ -187,6 +187,8 @@
     // Grants.
     void grantTo(const std::string &name, worker_state &worker, time_point now);
     void addTask(worker_grant &grant, const worker_state &worker, const task_id &task) const;
+    static std::vector<std::string> newerCheckpoints(const task_id &task,
+                                                     const task_record &record);
     void pushGrants(time_point now);
 
     // Silent workers.
--- a/libs/work/trace_checker.cpp
+++ b/libs/work/trace_checker.cpp
@@ -60,6 +60,7 @@
         if (kind == "accepted") {
             task.accepted = true;
             task.service = flagMember(event, "service");
+            task.proof = textMember(event, "failover") == nameOf(failover_class::Proof);
         } else if (kind == "placed") {
             task.placements[smallNumberMember(event, "attempt")] = textMember(event, "worker");
         } else if (kind == "started" || kind == "resumed") {
@@ -71,6 +72,11 @@
             task.owedCheckpoint.clear();
             if (task.running)
                 violate(trace_violation_kind::StartedAfterCancel, name + " still runs");
+        } else if (kind == "done") {
+            task.done = true;
+        } else if (kind == "failed") {
+            task.failed = true;
+            task.owedCheckpoint.clear();
         } else if (kind != "checkpointed") {
             violate(trace_violation_kind::BadLine, "unknown event " + kind);
         }
@@ -103,7 +109,7 @@
         violate(trace_violation_kind::AttemptRepeated, text);
     if (task.cancelled)
         violate(trace_violation_kind::StartedAfterCancel, text);
-    if (task.succeeded && !task.service)
+    if (!task.service && (task.done || (task.proof && task.succeeded)))
         violate(trace_violation_kind::StartedAfterEnd, text);
     const auto placement = task.placements.find(attempt);
     if (placement == task.placements.end() || placement->second != worker)
@@ -138,9 +144,8 @@
         task.owedCheckpoint = textMember(event, "checkpoint");
     if (kind != "ended")
         return;
-    const bool succeeded = textMember(event, "outcome") == "succeeded";
-    task.succeeded = task.succeeded || succeeded;
-    task.failed = !succeeded;
+    if (textMember(event, "outcome") == "succeeded")
+        task.succeeded = true;
 }
 
 void trace_checker::use(const std::string &worker, const trace_size &size, int sign)
--- a/libs/work/trace_checker.h
+++ b/libs/work/trace_checker.h
@@ -3,7 +3,7 @@
 //
 // A trace is JSON lines in the order of their effects. Each has "event" and, by event:
 //   worker        worker, size            a new life of the worker: what ran there is gone
-//   accepted      task, service           the system has taken on the task
+//   accepted      task, service, failover the system has taken on the task
 //   placed        task, attempt, worker   the table holds the placement
 //   started       task, attempt, worker, size
 //   resumed       the same and checkpoint
@@ -11,8 +11,12 @@
 //   evicted       the same: checkpointed and no longer running
 //   stopped       task, attempt, worker   no longer running, without a result
 //   ended         task, attempt, worker, outcome ("succeeded" or "failed")
+//   done          task                    the table holds its success
 //   cancelled     task                    the system has said so
-// "size" is {"millicores", "memoryBytes", "accelerators"}; other members are ignored.
+//   failed        task                    the system has given the task up for good
+// A task of failover class "lease" may run again if it had succeeded and its worker fell silent
+// before it could say so; one of class "proof" may not. "size" is {"millicores", "memoryBytes",
+// "accelerators"}; other members are ignored.
 #pragma once
 
 #include <cstdint>
@@ -45,7 +49,7 @@
     StartedAfterEnd, // a task that had succeeded ran again
     StartedAfterCancel,
     NotResumed, // evicted, and nothing after
-    Lost,       // accepted, and neither ended nor cancelled (a service: not running)
+    Lost,       // accepted, and no end of any kind (a service: not running)
 };
 std::string_view nameOf(trace_violation_kind kind);
 
@@ -69,7 +73,9 @@
         bool accepted = false;
         bool service = false;
         bool running = false;
+        bool proof = false;
         bool succeeded = false;
+        bool done = false;
         bool failed = false;
         bool cancelled = false;
         std::string worker;        // where it runs
--- /dev/null
+++ b/tests/work_faults_test.cpp
@@ -0,0 +1,200 @@
+#include <fmt/core.h>
+
+#include "work_model.h"
+
+#include "section.h"
+
+namespace zinniabarrow::tests {
+
+namespace {
+
+constexpr milliseconds FaultLength = seconds(100); // longer than any lease of the model
+const task_id Watcher{"watch", 1};                 // class Proof, never evicted
+
+struct fault
+{
+    std::string name;
+    std::function<void(work_model &, const std::string &worker)> strike;
+    bool mayRestartWatcher = false; // only a restarted instance is proof that it ended
+};
+
+model_entry &ownerOf(work_model &model)
+{
+    model_entry *owner = model.owner();
+    return owner != nullptr ? *owner : model.entries.at("entry-a");
+}
+
+std::vector<fault> allFaults()
+{
+    const auto table = [](table_fault kind) {
+        return [kind](work_model &model, const std::string &) { model.tableFault = kind; };
+    };
+    const auto network = [](network_fault kind) {
+        return [kind](work_model &model, const std::string &) { model.networkFault = kind; };
+    };
+    return {
+            {"table down", table(table_fault::Down)},
+            {"table slow", table(table_fault::Slow)},
+            {"answers lost after the effect", table(table_fault::AnswerLost)},
+            {"messages doubled", network(network_fault::Doubled)},
+            {"messages reordered", network(network_fault::Reordered)},
+            {"messages dropped", network(network_fault::Dropped)},
+            {"worker killed",
+             [](work_model &model, const std::string &worker) {
+                 model.kill(model.workers.at(worker), seconds(30));
+             },
+             true},
+            {"agent killed",
+             [](work_model &model, const std::string &worker) {
+                 model.kill(model.agents.at("agent-" + worker), seconds(5));
+             }},
+            {"entry killed", [](work_model &model,
+                                const std::string &) { model.kill(ownerOf(model), FaultLength); }},
+            {"worker frozen",
+             [](work_model &model, const std::string &worker) {
+                 model.freeze(model.workers.at(worker), FaultLength);
+             }},
+            {"agent frozen",
+             [](work_model &model, const std::string &worker) {
+                 model.freeze(model.agents.at("agent-" + worker), FaultLength);
+             }},
+            {"agent frozen while another takes its place",
+             [](work_model &model, const std::string &worker) {
+                 model.doubleAgent(worker, FaultLength);
+             }},
+            {"entry frozen",
+             [](work_model &model, const std::string &) {
+                 model.freeze(ownerOf(model), FaultLength);
+             }},
+            {"agent cut off from the owner",
+             [](work_model &model, const std::string &worker) {
+                 model.agents.at("agent-" + worker).cutFrom.insert(ownerOf(model).name);
+             }},
+            {"owner cut off from the table",
+             [](work_model &model, const std::string &) { ownerOf(model).cutFrom.insert(""); }},
+            {"entry killed and table down",
+             [](work_model &model, const std::string &) {
+                 model.kill(ownerOf(model), FaultLength);
+                 model.tableFault = table_fault::Down;
+             }},
+            {"entry and worker killed",
+             [](work_model &model, const std::string &worker) {
+                 model.kill(ownerOf(model), FaultLength);
+                 model.kill(model.workers.at(worker), seconds(30));
+             },
+             true},
+    };
+}
+
+void heal(work_model &model)
+{
+    model.tableFault = table_fault::None;
+    model.networkFault = network_fault::None;
+    for (auto &[name, entry] : model.entries)
+        entry.cutFrom.clear();
+    for (auto &[name, agent] : model.agents)
+        agent.cutFrom.clear();
+}
+
+void submitAll(work_model &model)
+{
+    model.submit("hold", 2, failover_class::Lease, true, 0);
+    model.submit("watch", 2, failover_class::Proof, true, 0);
+    model.submit("batch", 4, failover_class::Lease, false, 8);
+    model.submit("match", 2, failover_class::Proof, false, 20);
+    model.submit("season", 4, failover_class::Lease, false, 900);
+    model.submit("census", 2, failover_class::Proof, false, 900);
+}
+
+// One run: all jobs, three evictions, two cancellations; the fault strikes `offset` after the first
+// time that `step` happens, is healed, and everything gets time to finish.
+void runScenario(const std::string &step, const fault &fault, milliseconds offset)
+{
+    work_model model(7);
+    std::string struckWorker;
+    time_point strikeAt = Never;
+    model.onStep = [&](const std::string &name, const std::string &worker) {
+        if (name != step || strikeAt != Never)
+            return;
+        strikeAt = model.now + offset;
+        struckWorker = worker;
+        if (offset.count() == 0)
+            fault.strike(model, worker);
+    };
+    submitAll(model);
+    const auto advance = [&](milliseconds length) {
+        const time_point end = model.now + length;
+        while (model.now < end) {
+            const bool due = offset.count() > 0 && strikeAt != Never && model.now >= strikeAt;
+            if (due && model.now - strikeAt < milliseconds(100))
+                fault.strike(model, struckWorker);
+            if (strikeAt != Never && model.now >= strikeAt + FaultLength)
+                heal(model);
+            model.runFor(milliseconds(100));
+        }
+    };
+    advance(seconds(12));
+    for (const auto &task : {task_id{"watch", 0}, task_id{"hold", 0}, task_id{"match", 0}})
+        model.evict(task);
+    advance(seconds(15));
+    model.cancel("season");
+    model.cancel("census");
+    advance(seconds(350));
+
+    require(strikeAt != Never);
+    const auto violations = model.violations();
+    for (const auto &violation : violations)
+        fmt::print(stderr, "{}: line {}: {} {}\n", sectionName(), violation.line,
+                   nameOf(violation.kind), violation.detail);
+    if (!violations.empty() && getenv("TRACE")) {
+        fmt::print(stderr, "{}", model.trace);
+        exit(1);
+    }
+    check(violations.empty());
+    if (!fault.mayRestartWatcher)
+        check(model.starts(Watcher) == 1);
+}
+
+// Strikes at the step itself (what was decided may not have been sent), and when its writes, its
+// messages and its effect are on their way.
+void strikeAt(const std::string &step)
+{
+    for (const auto &fault : allFaults()) {
+        for (const int offset : {0, 100, 200, 300, 500, 1'000, 2'000}) {
+            if (getenv("ONLY")
+                && (step + " > " + fault.name + " > " + std::to_string(offset)) != getenv("ONLY"))
+                continue;
+            section(step + " > " + fault.name + " > " + std::to_string(offset) + " ms",
+                    [&] { runScenario(step, fault, milliseconds(offset)); });
+        }
+    }
+}
+
+} // namespace
+
+// The operator sees each task run in one place, go on from its checkpoint, and end once, whatever
+// fails at whichever step. Each test strikes one step of a task's life with every fault in turn;
+// the fault lasts longer than any lease, so what was decided before it meets what was decided
+// after.
+Test(work_faults, place)
+{
+    strikeAt("place");
+}
+Test(work_faults, run)
+{
+    strikeAt("run");
+}
+Test(work_faults, evict)
+{
+    strikeAt("evict");
+}
+Test(work_faults, resume)
+{
+    strikeAt("resume");
+}
+Test(work_faults, cancel)
+{
+    strikeAt("cancel");
+}
+
+} // namespace zinniabarrow::tests
--- /dev/null
+++ b/tests/work_model.h
@@ -0,0 +1,821 @@
+// A small model around the cores of libs/work: an in-memory table with faults, workers that keep
+// what docs/design/OWNERSHIP.md asks of them, and a message queue on a virtual clock. What the
+// workers do is written as a trace; the checker reads it at the end of every run.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "base/json.h"
+#include "base/random.h"
+#include "platform/memory_platform.h"
+#include "work/ownership.h"
+#include "work/task_keeper.h"
+#include "work/task_table.h"
+#include "work/trace_checker.h"
+
+namespace zinniabarrow::tests {
+
+enum class table_fault { None, Down, Slow, AnswerLost };
+enum class network_fault { None, Doubled, Reordered, Dropped };
+
+// Every process can be killed (its memory is lost) or frozen (its messages wait, also those that it
+// had decided to send and had not sent yet).
+struct process
+{
+    std::string name;
+    bool alive = true;
+    int life = 1;
+    time_point frozenUntil;
+    time_point restartAt = Never;
+    std::set<std::string> cutFrom; // messages to and from these are lost
+};
+
+struct model_task
+{
+    std::uint32_t attempt = 0;
+    time_point leaseUntil;
+    time_point doneAt;
+    std::string checkpoint;
+    failover_class failover = failover_class::Lease;
+    Json::Value spec;
+};
+
+struct model_worker : process
+{
+    std::uint64_t incarnation = 1;
+    std::uint64_t epoch = 0;
+    std::uint64_t listing = 0;
+    std::map<std::uint64_t, time_point> listedAt;
+    std::map<task_id, std::uint32_t> seen; // newest attempt that ran or was stopped
+    std::map<task_id, model_task> running;
+    std::map<task_attempt, finished_task> finished;
+};
+
+struct model_agent : process
+{
+    std::string worker;
+    std::unique_ptr<task_keeper> keeper;
+};
+
+struct model_entry : process
+{
+    std::unique_ptr<shard_owner> owner;
+    std::unique_ptr<task_table> table;
+    std::map<task_id, std::string> ledger;
+};
+
+// What is measured besides the trace.
+struct model_counts
+{
+    std::map<std::string, int> reasons;
+    std::size_t commits = 0;
+    std::size_t rows = 0;
+    std::size_t rowBytes = 0;
+    std::size_t reads = 0;
+};
+
+class work_model
+{
+public:
+    static constexpr int Slots = 6; // tasks that a worker holds
+
+    explicit work_model(std::uint64_t seed, int size = 3)
+        : m_random(seed)
+    {
+        settings.horizon = seconds(60);
+        for (const auto *name : {"entry-a", "entry-b"})
+            entries[name].name = name;
+        for (int i = 0; i < size; ++i) {
+            const std::string name = "w" + std::to_string(i);
+            workers[name].name = name;
+            agents["agent-" + name].name = "agent-" + name;
+            agents["agent-" + name].worker = name;
+            traceWorker(name);
+        }
+        for (auto &[name, entry] : entries)
+            boot(entry);
+        for (auto &[name, agent] : agents)
+            boot(agent);
+    }
+
+    // Jobs as an operator gives them.
+    void submit(const std::string &job, std::uint32_t tasks, failover_class failover, bool service,
+                int runSeconds)
+    {
+        job_spec spec;
+        spec.id = job;
+        spec.generation = 1;
+        spec.tasks = tasks;
+        spec.failover = failover;
+        spec.service = service;
+        spec.spec["runSeconds"] = runSeconds;
+        m_jobs.push_back(spec);
+        for (std::uint32_t index = 0; index < tasks; ++index) {
+            Json::Value event = traceEvent("accepted", {job, index});
+            event["service"] = service;
+            event["failover"] = std::string(nameOf(failover));
+            write(event);
+        }
+    }
+    void cancel(const std::string &job) { m_cancelled.insert(job); }
+    void evict(const task_id &task) { m_evict.insert(task); }
+
+    void kill(process &target, milliseconds restartAfter)
+    {
+        target.alive = false;
+        target.restartAt = now + restartAfter;
+        if (auto *worker = findIn(workers, target.name))
+            worker->running.clear(); // its next life says so in the trace
+    }
+    void freeze(process &target, milliseconds length) { target.frozenUntil = now + length; }
+
+    // A second agent for a worker whose first one is only paused, and goes on later.
+    void doubleAgent(const std::string &worker, milliseconds length)
+    {
+        freeze(agents.at("agent-" + worker), length);
+        model_agent &second = agents["second-" + worker];
+        second.name = "second-" + worker;
+        second.worker = worker;
+        boot(second);
+    }
+
+    void runUntil(time_point end)
+    {
+        while (now < end) {
+            deliverUntil(now);
+            stepAll();
+            now += Tick;
+        }
+    }
+    void runFor(milliseconds length) { runUntil(now + length); }
+    // Runs until `done`, at most `length`; returns how long it took.
+    milliseconds runUntilTrue(milliseconds length, const std::function<bool()> &done)
+    {
+        const time_point start = now;
+        while (now < start + length && !done())
+            runFor(Tick);
+        return std::chrono::duration_cast<milliseconds>(now - start);
+    }
+
+    model_entry *owner()
+    {
+        for (auto &[name, entry] : entries) {
+            if (entry.alive && entry.owner->owns(0) && entry.table && entry.table->ready()
+                && now >= entry.frozenUntil)
+                return &entry;
+        }
+        return nullptr;
+    }
+    bool runs(const task_id &task) const { return !whereRuns(task).empty(); }
+    std::string whereRuns(const task_id &task) const
+    {
+        for (const auto &[name, worker] : workers) {
+            if (worker.alive && worker.running.contains(task))
+                return name;
+        }
+        return {};
+    }
+    int starts(const task_id &task) const
+    {
+        const auto found = m_starts.find(task);
+        return found == m_starts.end() ? 0 : found->second;
+    }
+
+    std::vector<trace_violation> violations()
+    {
+        traceCancelled();
+        std::istringstream lines(trace);
+        return checkTrace(lines, true);
+    }
+
+    time_point now{seconds(1)};
+    lease_settings settings;
+    memory_platform platform;
+    table_fault tableFault = table_fault::None;
+    network_fault networkFault = network_fault::None;
+    std::map<std::string, model_entry> entries;
+    std::map<std::string, model_agent> agents;
+    std::map<std::string, model_worker> workers;
+    model_counts counts;
+    std::string trace;
+    // Called at each step of a task: "place", "run", "evict", "resume", "cancel", with its worker.
+    std::function<void(const std::string &step, const std::string &worker)> onStep;
+
+private:
+    static constexpr milliseconds Tick{100};
+    static constexpr milliseconds Hop{2};
+
+    struct message
+    {
+        time_point at;
+        std::uint64_t order;
+        std::string from, to;
+        int toLife;
+        std::function<void()> deliver;
+        bool operator<(const message &other) const
+        {
+            return std::tie(other.at, other.order) < std::tie(at, order);
+        }
+    };
+
+    template <typename Map>
+    static typename Map::mapped_type *findIn(Map &map, const std::string &name)
+    {
+        const auto found = map.find(name);
+        return found == map.end() ? nullptr : &found->second;
+    }
+    process *find(const std::string &name)
+    {
+        if (auto *entry = findIn(entries, name))
+            return entry;
+        if (auto *agent = findIn(agents, name))
+            return agent;
+        return findIn(workers, name);
+    }
+
+    // Messages.
+    void post(const std::string &from, const std::string &to, milliseconds delay,
+              std::function<void()> deliver)
+    {
+        process *target = find(to);
+        m_queue.push(
+                {now + delay, ++m_order, from, to, target ? target->life : 0, std::move(deliver)});
+    }
+    // Between processes: subject to the faults of the network.
+    void send(const std::string &from, const std::string &to, const std::function<void()> &deliver)
+    {
+        milliseconds delay = Hop;
+        if (networkFault == network_fault::Dropped && pickIndex(m_random, 3) == 0)
+            return;
+        if (networkFault == network_fault::Reordered)
+            delay = milliseconds(pickIndex(m_random, 3'000));
+        if (networkFault == network_fault::Doubled)
+            post(from, to, delay + milliseconds(pickIndex(m_random, 5'000)), deliver);
+        post(from, to, delay, deliver);
+    }
+    void deliverUntil(time_point end)
+    {
+        while (!m_queue.empty() && m_queue.top().at <= end) {
+            message next = m_queue.top();
+            m_queue.pop();
+            const process *from = find(next.from);
+            const process *to = find(next.to);
+            const time_point thaw = std::max(from ? from->frozenUntil : time_point(),
+                                             to ? to->frozenUntil : time_point());
+            if (thaw > now) {
+                next.at = thaw;
+                m_queue.push(next);
+                continue;
+            }
+            if (to && (!to->alive || to->life != next.toLife))
+                continue;
+            if (from && to && (from->cutFrom.contains(next.to) || to->cutFrom.contains(next.from)))
+                continue;
+            next.deliver();
+        }
+    }
+
+    void stepAll()
+    {
+        for (auto &[name, worker] : workers) {
+            restartIfDue(worker);
+            // A frozen instance runs nothing, and ends lapsed tasks before anything else.
+            if (worker.alive)
+                stepWorker(worker);
+        }
+        for (auto &[name, agent] : agents) {
+            restartIfDue(agent);
+            if (agent.alive && now >= agent.frozenUntil)
+                run(agent, agent.keeper->handle(keeper_tick{}, now));
+        }
+        for (auto &[name, entry] : entries) {
+            restartIfDue(entry);
+            if (entry.alive && now >= entry.frozenUntil)
+                stepEntry(entry);
+        }
+    }
+    template <typename Process>
+    void restartIfDue(Process &target)
+    {
+        if (target.alive || now < target.restartAt)
+            return;
+        target.alive = true;
+        ++target.life;
+        target.restartAt = Never;
+        boot(target);
+    }
+    void boot(model_worker &worker)
+    {
+        const std::uint64_t incarnation = worker.incarnation + 1;
+        const process kept = worker;
+        worker = model_worker();
+        static_cast<process &>(worker) = kept;
+        worker.incarnation = incarnation;
+        traceWorker(worker.name);
+    }
+    void boot(model_agent &agent)
+    {
+        keeper_settings keeper;
+        keeper.leases = settings;
+        agent.keeper = std::make_unique<task_keeper>(
+                agent.worker, agent.name + "#" + std::to_string(agent.life), keeper,
+                [&agent](const granted_task &, const Json::Value &) {
+                    return agent.keeper->occupying().size() < Slots;
+                });
+    }
+    void boot(model_entry &entry)
+    {
+        ownership_settings ownership;
+        ownership.leases = settings;
+        const bool first = entry.name == "entry-a";
+        entry.owner =
+                std::make_unique<shard_owner>(entry_info{entry.name, first ? "zone-a" : "zone-b"},
+                                              entry.name + "#" + std::to_string(entry.life),
+                                              std::vector<shard_info>{{0, "zone-b"}}, ownership);
+        entry.owner->handle(peers_changed{{{"entry-a", "zone-a"}, {"entry-b", "zone-b"}}}, now);
+        entry.table.reset();
+        entry.ledger.clear();
+    }
+
+    // The table. Down: refused. Slow: three seconds each way. AnswerLost: it takes effect, and the
+    // caller only sees its own time-out.
+    void commit(model_entry &entry, const table_transaction &transaction,
+                const std::function<void(const write_result &)> &answer)
+    {
+        const milliseconds delay = tableFault == table_fault::Slow ? seconds(3) : Hop;
+        post(entry.name, "", delay, [this, &entry, transaction, answer, delay] {
+            write_result result{write_outcome::Refused, 0, {}};
+            milliseconds back = delay;
+            if (tableFault != table_fault::Down) {
+                result = platform.commit(transaction);
+                countCommit(transaction, result);
+            }
+            if (tableFault == table_fault::AnswerLost) {
+                result = {write_outcome::Unknown, 0, {}};
+                back = seconds(1);
+            }
+            post("", entry.name, back, [answer, result] { answer(result); });
+        });
+    }
+    void readTable(model_entry &entry, const std::function<std::vector<table_row>()> &read,
+                   const std::function<void(const std::vector<table_row> &)> &answer)
+    {
+        const milliseconds delay = tableFault == table_fault::Slow ? seconds(3) : Hop;
+        post(entry.name, "", delay, [this, &entry, read, answer, delay] {
+            if (tableFault == table_fault::Down)
+                return;
+            ++counts.reads;
+            const auto rows = read();
+            post("", entry.name, delay, [answer, rows] { answer(rows); });
+        });
+    }
+    void countCommit(const table_transaction &transaction, const write_result &result)
+    {
+        if (result.outcome != write_outcome::Applied)
+            return;
+        ++counts.commits;
+        for (const auto &written : transaction.writes) {
+            ++counts.rows;
+            counts.rowBytes += written.value ? compactJson(*written.value).size() : 0;
+            if (written.value && written.key.starts_with("work/0/task/"))
+                traceRow(written.key.substr(12), *written.value);
+        }
+    }
+    // What the table holds is what counts, also if the entry that wrote it never learns of it.
+    void traceRow(const std::string &key, const Json::Value &row)
+    {
+        std::uint32_t index = 0;
+        for (const auto &value : row["tasks"]) {
+            const task_id task{key.substr(0, key.rfind('/')), index++};
+            const task_record record = taskRecordFromJson(value);
+            if (record.state == task_state::Done)
+                write(traceEvent("done", task));
+            if (!occupies(record))
+                continue;
+            Json::Value event = traceEvent("placed", task);
+            event["attempt"] = record.attempt;
+            event["worker"] = record.worker;
+            write(event);
+        }
+    }
+
+    // Entries.
+    void stepEntry(model_entry &entry)
+    {
+        run(entry, entry.owner->handle(ownership_tick{}, now));
+        if (!entry.table)
+            return;
+        feed(entry, horizon_moved{entry.owner->mayGrantUntil(0)});
+        if (entry.table && entry.table->ready())
+            decide(entry);
+        if (entry.table)
+            feed(entry, table_tick{});
+    }
+    void decide(model_entry &entry)
+    {
+        for (const auto &spec : m_jobs) {
+            if (entry.table->job(spec.id) == nullptr && !m_cancelled.contains(spec.id))
+                feed(entry, job_accepted{spec});
+        }
+        for (const auto &job : m_cancelled) {
+            const stored_job *stored = entry.table->job(job);
+            if (stored == nullptr || stored->cancelled)
+                continue;
+            const std::string worker = anyWorkerOf(entry, job);
+            feed(entry, cancel_job{job});
+            step("cancel", worker);
+        }
+        for (const auto &task : std::set<task_id>(m_evict)) {
+            const task_record record = entry.table->find(task);
+            if (record.state != task_state::Running)
+                continue;
+            feed(entry, evict_decided{task});
+            m_evict.erase(task);
+            step("evict", record.worker);
+        }
+        for (const auto &task : entry.table->placeableTasks(20)) {
+            const std::string worker = roomFor(entry);
+            if (worker.empty())
+                break;
+            entry.ledger[task] = worker;
+            const bool resumes = !entry.table->find(task).checkpoint.empty();
+            feed(entry, place_decided{task, worker, false});
+            step(resumes ? "resume" : "place", worker);
+        }
+    }
+    std::string anyWorkerOf(model_entry &entry, const std::string &job)
+    {
+        for (const auto &[task, record] : entry.table->occupying()) {
+            if (task.job == job)
+                return record.worker;
+        }
+        return "w0";
+    }
+    std::string roomFor(model_entry &entry)
+    {
+        for (const auto &[name, worker] : workers) {
+            const auto used = std::count_if(entry.ledger.begin(), entry.ledger.end(),
+                                            [&](const auto &item) { return item.second == name; });
+            if (used < Slots && entry.table->mayPlaceOn(name))
+                return name;
+        }
+        return {};
+    }
+    void step(const std::string &name, const std::string &worker)
+    {
+        if (onStep)
+            onStep(name, worker);
+    }
+    void feed(model_entry &entry, const table_event &event)
+    {
+        if (entry.table)
+            run(entry, entry.table->handle(event, now));
+    }
+    void feedOwner(model_entry &entry, const ownership_event &event)
+    {
+        run(entry, entry.owner->handle(event, now));
+    }
+
+    void run(model_entry &entry, const std::vector<ownership_action> &actions)
+    {
+        for (const auto &action : actions)
+            std::visit([&](const auto &one) { act(entry, one); }, action);
+    }
+    void act(model_entry &entry, const commit_shard &action)
+    {
+        const std::string id = action.transaction.operationId;
+        commit(entry, action.transaction, [this, &entry, id](const write_result &result) {
+            feedOwner(entry, shard_write_settled{id, result});
+        });
+    }
+    void act(model_entry &entry, const scan_shards &)
+    {
+        const time_point started = now;
+        readTable(
+                entry, [this] { return platform.scan(ShardPrefix); },
+                [this, &entry, started](const auto &rows) {
+                    feedOwner(entry, shard_rows_read{rows, started});
+                });
+    }
+    void act(model_entry &entry, const became_owner &action)
+    {
+        table_settings table;
+        table.leases = settings;
+        const std::string prefix =
+                entry.name + "#" + std::to_string(entry.life) + "/" + std::to_string(action.epoch);
+        entry.table = std::make_unique<task_table>(table_owner{action.shard, action.epoch,
+                                                               action.shardVersion,
+                                                               action.waitForSilentUntil},
+                                                   prefix, table);
+        entry.ledger.clear();
+    }
+    void act(model_entry &entry, const lost_shard &)
+    {
+        entry.table.reset();
+        entry.ledger.clear();
+    }
+
+    void run(model_entry &entry, const std::vector<table_action> &actions)
+    {
+        for (const auto &action : actions)
+            std::visit([&](const auto &one) { act(entry, one); }, action);
+    }
+    void act(model_entry &entry, const commit_rows &action)
+    {
+        const std::string id = action.transaction.operationId;
+        commit(entry, action.transaction, [this, &entry, id](const write_result &result) {
+            feed(entry, write_settled{id, result});
+        });
+    }
+    void act(model_entry &entry, const read_rows &action)
+    {
+        const auto keys = action.keys;
+        const auto read = [this, keys] {
+            std::vector<table_row> rows;
+            for (const auto &key : keys) {
+                if (const auto row = platform.read(key))
+                    rows.push_back(*row);
+            }
+            return rows;
+        };
+        readTable(entry, read, [this, &entry, keys](const auto &rows) {
+            feed(entry, rows_read{keys, rows});
+        });
+    }
+    void act(model_entry &entry, const scan_rows &action)
+    {
+        const std::string prefix = action.prefix;
+        readTable(
+                entry, [this, prefix] { return platform.scan(prefix); },
+                [this, &entry](const auto &rows) {
+                    feed(entry, rows_read{{}, rows});
+                    if (entry.table)
+                        for (const auto &[task, record] : entry.table->occupying())
+                            entry.ledger[task] = record.worker;
+                });
+    }
+    void act(model_entry &entry, const send_grant &action)
+    {
+        // Through its text, as between processes.
+        const std::string text = compactJson(toJson(action.grant));
+        for (auto &[name, agent] : agents) {
+            model_agent *target = &agent;
+            if (agent.worker != action.grant.worker)
+                continue;
+            send(entry.name, name, [this, target, text] {
+                const auto grant = workerGrantFromJson(parseJson(text));
+                run(*target, target->keeper->handle(grant_received{grant}, now));
+            });
+        }
+    }
+    void act(model_entry &entry, const task_settled &action)
+    {
+        if (action.change == task_change::Started)
+            step("run", action.worker);
+        if (action.change == task_change::Ended || action.change == task_change::Freed)
+            entry.ledger.erase(action.task);
+        if (action.change == task_change::Reverted) {
+            entry.ledger.erase(action.task);
+            if (!action.worker.empty())
+                entry.ledger[action.task] = action.worker;
+        }
+    }
+    void act(model_entry &, const fenced &) { ++counts.reasons["fenced"]; }
+    void act(model_entry &, const store_count &reason)
+    {
+        ++counts.reasons[std::string(nameOf(reason))];
+    }
+    void act(model_entry &, const table_count &reason)
+    {
+        ++counts.reasons[std::string(nameOf(reason))];
+    }
+
+    // Agents.
+    void run(model_agent &agent, const std::vector<keeper_action> &actions)
+    {
+        model_worker &worker = workers.at(agent.worker);
+        for (const auto &action : actions)
+            std::visit([&](const auto &one) { act(agent, worker, one); }, action);
+    }
+    void act(model_agent &agent, model_worker &, const send_report &action)
+    {
+        const std::string text = compactJson(toJson(action.report));
+        for (auto &[name, entry] : entries) {
+            model_entry *target = &entry;
+            send(agent.name, name, [this, target, text] {
+                feed(*target, report_received{agentReportFromJson(parseJson(text))});
+            });
+        }
+    }
+    void act(model_agent &, model_worker &, const count_keeper &action)
+    {
+        ++counts.reasons[std::string(nameOf(action.reason))];
+    }
+    void act(model_agent &agent, model_worker &worker, const worker_list &action)
+    {
+        send(agent.name, worker.name, [this, &agent, &worker, action] {
+            worker.epoch = std::max(worker.epoch, action.epoch);
+            const std::string text = compactJson(toJson(makeListing(worker)));
+            send(worker.name, agent.name, [this, &agent, text] {
+                run(agent, agent.keeper->handle(
+                                   listing_received{workerListingFromJson(parseJson(text))}, now));
+            });
+        });
+    }
+    void act(model_agent &agent, model_worker &worker, const worker_start &action)
+    {
+        send(agent.name, worker.name, [this, &agent, &worker, action] {
+            if (startOn(worker, action))
+                return;
+            const start_refused refused{{action.task.task, action.task.attempt}, worker.listing};
+            send(worker.name, agent.name,
+                 [this, &agent, refused] { run(agent, agent.keeper->handle(refused, now)); });
+        });
+    }
+    void act(model_agent &agent, model_worker &worker, const worker_renew &action)
+    {
+        send(agent.name, worker.name, [this, &worker, action] {
+            stepWorker(worker); // lapsed tasks end first
+            const auto found = worker.running.find(action.attempt.task);
+            const auto listed = worker.listedAt.find(action.listing);
+            if (found == worker.running.end() || listed == worker.listedAt.end()
+                || found->second.attempt != action.attempt.attempt)
+                return;
+            found->second.leaseUntil =
+                    std::max(found->second.leaseUntil, listed->second + action.lease);
+        });
+    }
+    void act(model_agent &agent, model_worker &worker, const worker_stop &action)
+    {
+        send(agent.name, worker.name, [this, &worker, action] { stopOn(worker, action.attempt); });
+    }
+    void act(model_agent &agent, model_worker &worker, const worker_checkpoint &action)
+    {
+        send(agent.name, worker.name, [this, &worker, action] {
+            const auto found = worker.running.find(action.attempt.task);
+            if (found == worker.running.end() || found->second.attempt != action.attempt.attempt)
+                return;
+            platform.putObject(action.checkpoint, "", std::nullopt);
+            end(worker, action.attempt.task, task_outcome::Evicted, action.checkpoint);
+        });
+    }
+    void act(model_agent &agent, model_worker &worker, const worker_forget &action)
+    {
+        send(agent.name, worker.name, [&worker, action] { worker.finished.erase(action.attempt); });
+    }
+
+    // Workers.
+    void stepWorker(model_worker &worker)
+    {
+        std::vector<std::pair<task_id, task_outcome>> ended;
+        for (const auto &[task, running] : worker.running) {
+            if (now >= running.leaseUntil)
+                ended.emplace_back(task, task_outcome::Lapsed);
+            else if (now >= running.doneAt && now >= worker.frozenUntil)
+                ended.emplace_back(task, task_outcome::Succeeded);
+        }
+        for (const auto &[task, outcome] : ended)
+            end(worker, task, outcome);
+    }
+    worker_listing makeListing(model_worker &worker)
+    {
+        stepWorker(worker);
+        worker_listing listing;
+        listing.number = ++worker.listing;
+        listing.incarnation = worker.incarnation;
+        listing.epoch = worker.epoch;
+        worker.listedAt[worker.listing] = now;
+        for (const auto &[task, running] : worker.running)
+            listing.running.push_back(
+                    {{task, running.attempt}, "", running.spec, running.failover});
+        for (const auto &[attempt, finished] : worker.finished)
+            listing.finished.push_back(finished);
+        return listing;
+    }
+    bool startOn(model_worker &worker, const worker_start &action)
+    {
+        const task_id &task = action.task.task;
+        const auto running = worker.running.find(task);
+        if (running != worker.running.end() && running->second.attempt == action.task.attempt)
+            return true;
+        if (worker.seen[task] >= action.task.attempt)
+            return false;
+        const auto listed = worker.listedAt.find(action.listing);
+        if (listed == worker.listedAt.end() || now >= listed->second + action.startWithin)
+            return true; // too late to start; not refused for ever
+        worker.seen[task] = action.task.attempt;
+        const bool endless = action.spec["runSeconds"].asInt() == 0;
+        const time_point doneAt =
+                endless ? Never : now + seconds(action.spec["runSeconds"].asInt());
+        worker.running[task] = {action.task.attempt,    listed->second + action.lease, doneAt,
+                                action.task.checkpoint, action.task.failover,          action.spec};
+        ++m_starts[task];
+        const std::string checkpoint = newestCheckpoint(action.task);
+        Json::Value event = traceEvent(checkpoint.empty() ? "started" : "resumed", task);
+        event["attempt"] = action.task.attempt;
+        event["worker"] = worker.name;
+        event["checkpoint"] = checkpoint;
+        event["size"] = sizeJson(1);
+        write(event);
+        return true;
+    }
+    std::string newestCheckpoint(const granted_task &task) const
+    {
+        for (const auto &name : task.newerCheckpoints) {
+            if (platform.getObject(name))
+                return name;
+        }
+        return task.checkpoint;
+    }
+    void stopOn(model_worker &worker, const task_attempt &attempt)
+    {
+        const auto running = worker.running.find(attempt.task);
+        if (running != worker.running.end() && running->second.attempt <= attempt.attempt) {
+            end(worker, attempt.task, task_outcome::Stopped);
+            return;
+        }
+        if (worker.seen[attempt.task] > attempt.attempt || worker.finished.contains(attempt))
+            return;
+        worker.seen[attempt.task] = attempt.attempt;
+        worker.finished[attempt] = {attempt, task_outcome::Stopped, "", ""};
+    }
+    void end(model_worker &worker, const task_id &task, task_outcome outcome,
+             std::string checkpoint = {})
+    {
+        const task_attempt attempt{task, worker.running[task].attempt};
+        worker.running.erase(task);
+        const bool evicted = outcome == task_outcome::Evicted;
+        const bool succeeded = outcome == task_outcome::Succeeded;
+        worker.finished[attempt] = {attempt, outcome, evicted ? checkpoint : "", ""};
+        Json::Value event = traceEvent(evicted ? "evicted" : succeeded ? "ended" : "stopped", task);
+        event["attempt"] = attempt.attempt;
+        event["worker"] = worker.name;
+        event["checkpoint"] = checkpoint;
+        event["outcome"] = "succeeded";
+        write(event);
+    }
+
+    // Trace.
+    static Json::Value sizeJson(int slots)
+    {
+        Json::Value size(Json::objectValue);
+        size["millicores"] = slots * 1'000;
+        size["memoryBytes"] = slots;
+        size["accelerators"] = 0;
+        return size;
+    }
+    Json::Value traceEvent(const std::string &kind, const task_id &task) const
+    {
+        Json::Value event(Json::objectValue);
+        event["event"] = kind;
+        event["task"] = textOf(task);
+        return event;
+    }
+    void traceWorker(const std::string &name)
+    {
+        Json::Value event(Json::objectValue);
+        event["event"] = "worker";
+        event["worker"] = name;
+        event["size"] = sizeJson(Slots);
+        write(event);
+    }
+    // What the system answers about cancelled jobs: over, as their rows say or are gone.
+    void traceCancelled()
+    {
+        model_entry *entry = owner();
+        for (const auto &spec : m_jobs) {
+            if (!m_cancelled.contains(spec.id) || entry == nullptr)
+                continue;
+            for (std::uint32_t index = 0; index < spec.tasks; ++index) {
+                const task_id task{spec.id, index};
+                const auto state = entry->table->find(task).state;
+                if (entry->table->job(spec.id) == nullptr || state == task_state::Cancelled)
+                    write(traceEvent("cancelled", task));
+            }
+        }
+    }
+    void write(Json::Value event)
+    {
+        event["atMs"] = Json::Int64(
+                std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count());
+        trace += compactJson(event) + "\n";
+    }
+
+    random_generator m_random;
+    std::priority_queue<message> m_queue;
+    std::uint64_t m_order = 0;
+    std::vector<job_spec> m_jobs;
+    std::set<std::string> m_cancelled;
+    std::set<task_id> m_evict;
+    std::map<task_id, int> m_starts;
+};
+
+} // namespace zinniabarrow::tests
