--- a/libs/config/folder.cpp
+++ b/libs/config/folder.cpp
@@ -235,8 +235,8 @@
 
 const json_schema &folderSchema()
 {
-    static const json_schema Schema{std::string_view(FolderSchemaText)};
-    return Schema;
+    static const json_schema schema{std::string_view(FolderSchemaText)};
+    return schema;
 }
 
 static Json::Value fileDefinition()
@@ -248,8 +248,8 @@
 
 const json_schema &folderFileSchema()
 {
-    static const json_schema Schema{fileDefinition()};
-    return Schema;
+    static const json_schema schema{fileDefinition()};
+    return schema;
 }
 
 } // namespace zinniabarrow
--- a/libs/config/json_text.cpp
+++ b/libs/config/json_text.cpp
@@ -114,13 +114,20 @@
     return pointer;
 }
 
+std::string valueText(const Json::Value &value)
+{
+    if (value.type() == Json::realValue)
+        return fmt::format("{}", value.asDouble());
+    return compactJson(value);
+}
+
 std::string shortText(const Json::Value &value)
 {
     if (value.isObject())
         return fmt::format("an object of {} members", value.size());
     if (value.isArray())
         return fmt::format("an array of {} elements", value.size());
-    auto text = compactJson(value);
+    auto text = valueText(value);
     if (text.size() > LongestShown)
         text = text.substr(0, LongestShown) + "…";
     return text;
--- a/libs/config/json_text.h
+++ b/libs/config/json_text.h
@@ -51,6 +51,9 @@
 // The pointer of a member or an element inside `parent` (RFC 6901).
 std::string childPointer(const std::string &parent, std::string_view name);
 
+// One value on one line; numbers in the shortest form that reads back the same.
+std::string valueText(const Json::Value &value);
+
 // One value on one line, cut to a length that fits a message.
 std::string shortText(const Json::Value &value);
 
--- a/libs/config/operator_view.cpp
+++ b/libs/config/operator_view.cpp
@@ -94,10 +94,11 @@
             fmt::format("generation {} in force at {} ({}), {} other processes, {} lagging\n",
                         view.here.generation, view.here.process,
                         view.isReady ? "ready" : "not ready", view.processes, view.lagging.size());
-    for (const auto &[report, reason, silence] : view.lagging)
+    for (const auto &[report, reason, silence] : view.lagging) {
         table += fmt::format("  {:<24} {:<6} generation {:<8} {:<7} last heard {} ms ago\n",
                              report.process, report.role, report.generation, nameOf(reason),
                              silence.count());
+    }
     table += fmt::format("{:<32} {:>10}  {:<10}  {}\n", "FILE", "VERSION", "STATE", "REASON");
     for (const auto &file : view.files)
         table += fmt::format("{:<32} {:>10}  {:<10}  {}\n", file.name, file.version,
--- a/libs/config/schema.cpp
+++ b/libs/config/schema.cpp
@@ -175,13 +175,43 @@
     std::vector<problem> m_problems;
 };
 
+bool isRequired(const Json::Value &definition, const std::string &name)
+{
+    const auto &names = definition["required"];
+    return std::find(names.begin(), names.end(), Json::Value(name)) != names.end();
+}
+
+void describeRows(std::string &table, const std::string &prefix, const Json::Value &definition);
+
+void describeMember(std::string &table, const std::string &key, const Json::Value &member,
+                    bool isNeeded)
+{
+    if (member["type"] == "object") {
+        describeRows(table, key + '.', member);
+        return;
+    }
+    const auto fallback =
+            isNeeded ? std::string("required") : '`' + valueText(member["default"]) + '`';
+    table += fmt::format("| `{}` | {} | {} | {} |\n", key, allowedBy(member), fallback,
+                         member["description"].asString());
+}
+
+void describeRows(std::string &table, const std::string &prefix, const Json::Value &definition)
+{
+    if (definition["additionalProperties"].isObject())
+        describeMember(table, prefix + "NAME", definition["additionalProperties"], true);
+    const auto &properties = definition["properties"];
+    for (const auto &name : properties.getMemberNames())
+        describeMember(table, prefix + name, properties[name], isRequired(definition, name));
+}
+
 std::string range(const Json::Value &definition)
 {
     std::string text;
     if (definition.isMember("minimum"))
-        text += " from " + compactJson(definition["minimum"]);
+        text += " from " + valueText(definition["minimum"]);
     if (definition.isMember("maximum"))
-        text += " to " + compactJson(definition["maximum"]);
+        text += " to " + valueText(definition["maximum"]);
     return text;
 }
 
@@ -203,7 +233,7 @@
         std::vector<std::string> names;
         for (const auto &name : definition["enum"]) {
             if (!name.isNull())
-                names.push_back(compactJson(name));
+                names.push_back(valueText(name));
         }
         return "one of " + joined(names);
     }
@@ -265,10 +295,11 @@
     const valijson::adapters::JsonCppAdapter target(root);
     if (!validator.validate(m_compiled->schema, target, &results)) {
         const auto place = placeOf("", root);
-        for (const auto &fault : results)
-            problems.push_back({place.file, place.line,
-                                fmt::format("{}", fmt::join(fault.context, "")),
-                                "a value that the schema refuses", fault.description});
+        for (const auto &fault : results) {
+            const auto pointer = fmt::format("{}", fmt::join(fault.context, ""));
+            problems.push_back({place.file, place.line, pointer, "a value that the schema refuses",
+                                fault.description});
+        }
     }
     return problems;
 }
@@ -319,6 +350,13 @@
     return isNullable(definition) ? text + ", or null to delete" : text;
 }
 
+std::string schemaTable(const Json::Value &definition)
+{
+    std::string table = "| key | allowed | default | meaning |\n|---|---|---|---|\n";
+    describeRows(table, "", definition);
+    return table;
+}
+
 bool isName(std::string_view text)
 {
     if (text.empty() || text.size() > LongestName)
--- a/libs/config/schema.h
+++ b/libs/config/schema.h
@@ -54,6 +54,9 @@
 // One line on what a value may be: "an integer from 1 to 65535".
 std::string allowedBy(const Json::Value &definition);
 
+// A Markdown table with a row for each scalar or array below: key, allowed, default, meaning.
+std::string schemaTable(const Json::Value &definition);
+
 // True for 1 to 63 letters, digits, '.', '_' and '-', the first a letter or digit.
 bool isName(std::string_view text);
 
--- a/libs/config/settings.cpp
+++ b/libs/config/settings.cpp
@@ -175,14 +175,14 @@
 
 const json_schema &entrySchema()
 {
-    static const json_schema Schema{std::string_view(EntrySettingsSchemaText)};
-    return Schema;
+    static const json_schema schema{std::string_view(EntrySettingsSchemaText)};
+    return schema;
 }
 
 const json_schema &agentSchema()
 {
-    static const json_schema Schema{std::string_view(AgentSettingsSchemaText)};
-    return Schema;
+    static const json_schema schema{std::string_view(AgentSettingsSchemaText)};
+    return schema;
 }
 
 [[noreturn]] void refuse(const std::vector<problem> &problems)
@@ -218,25 +218,6 @@
     refuse({{text.file(), text.lineOf(value), pointer, found, allowed}});
 }
 
-void describeRow(std::string &table, const std::string &key, const Json::Value &definition,
-                 bool isRequired)
-{
-    if (definition.isMember("properties")) {
-        for (const auto &name : definition["properties"].getMemberNames()) {
-            bool required = false;
-            for (const auto &other : definition["required"])
-                required = required || other.asString() == name;
-            describeRow(table, key.empty() ? name : key + '.' + name,
-                        definition["properties"][name], required);
-        }
-        return;
-    }
-    const auto fallback =
-            isRequired ? std::string("required") : '`' + compactJson(definition["default"]) + '`';
-    table += fmt::format("| `{}` | {} | {} | {} |\n", key, allowedBy(definition), fallback,
-                         definition["description"].asString());
-}
-
 } // namespace
 
 entry_settings entrySettingsFrom(const std::string &fileName, const std::string &text)
@@ -282,11 +263,4 @@
     return agentSchema().definition();
 }
 
-std::string settingsTable(const Json::Value &schema)
-{
-    std::string table = "| key | allowed | default | meaning |\n|---|---|---|---|\n";
-    describeRow(table, "", schema, true);
-    return table;
-}
-
 } // namespace zinniabarrow
--- a/libs/config/settings.h
+++ b/libs/config/settings.h
@@ -139,11 +139,8 @@
 Json::Value toJson(const entry_settings &settings);
 Json::Value toJson(const agent_settings &settings);
 
-// The schemas, which are the single source of the settings page.
+// The schemas; docs/SETTINGS.md is made from them (`schemaTable`).
 const Json::Value &entrySettingsSchema();
 const Json::Value &agentSettingsSchema();
 
-// A Markdown table of every setting: key, type and range, default, meaning.
-std::string settingsTable(const Json::Value &schema);
-
 } // namespace zinniabarrow
--- a/libs/config/validate.cpp
+++ b/libs/config/validate.cpp
@@ -172,10 +172,11 @@
             const auto before = amount;
             amount = cappedSum(amount, all.*dimension.amount);
             const auto most = limit.*dimension.amount;
-            if (before <= most && amount > most)
+            if (before <= most && amount > most) {
                 report(demand.pointer,
                        fmt::format("{} {} of services up to this one", amount, dimension.name),
                        fmt::format("at most {}, {}", most, limitName));
+            }
         }
     }
 
--- /dev/null
+++ b/tests/config_records_test.cpp
@@ -0,0 +1,179 @@
+#include "base/errors.h"
+#include "base/json.h"
+#include "base/random.h"
+#include "config/generation_follower.h"
+#include "config/operator_view.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using zinniabarrow::tests::section;
+
+namespace {
+
+const time_point Start{seconds(1000)};
+
+generation_content contentOf(std::int64_t replicas)
+{
+    generation_content content;
+    content.whole.services["tickets"].replicas = replicas;
+    content.files["tickets.json"] = static_cast<std::uint64_t>(replicas);
+    return content;
+}
+
+report_heard reportOf(const std::string &process, std::uint64_t generation, const std::string &text)
+{
+    return {{process, "entry", generation, digestOf(text)}};
+}
+
+const read_content *questionIn(const generation_actions &actions)
+{
+    return actions.empty() ? nullptr : std::get_if<read_content>(&actions.front());
+}
+
+template <typename Read>
+std::string refusalOf(Read &&read, const std::string &text)
+{
+    try {
+        read(parseJson(text));
+    } catch (const error &refused) {
+        return refused.kind() == error_kind::BadRequest ? refused.what() : "wrong kind";
+    }
+    return "accepted";
+}
+
+folder_view exampleView()
+{
+    folder_view view;
+    view.here = {"entry-1", "entry", 7, "abc-1"};
+    view.isReady = true;
+    view.processes = 3;
+    view.lagging = {{{"agent-02", "agent", 6, "abd-1"}, lag_reason::Behind, milliseconds(120)}};
+    const problem fault{"b.json", 4, "/services/holds/team", "unknown team \"x\"", "gate"};
+    view.files = {{"a.json", 12, file_state::InForce, 7, "", {}},
+                  {"b.json", 15, file_state::Refused, 7, toText(fault), {fault}}};
+    view.problems = {fault};
+    return view;
+}
+
+} // namespace
+
+// A peer answers with a cut content, another with nothing, a third in time. The process must not
+// work by a wrong configuration, and must not give up while someone has the right one.
+Test(config_records, follower)
+{
+    generation_follower agent({"a1", "agent", milliseconds(1000)});
+    const auto text = contentText(contentOf(2));
+    const auto older = contentText(contentOf(1));
+    auto actions = agent.handle(reportOf("e1", 5, text), Start);
+    const auto *question = questionIn(actions);
+    require(question && question->peer == "e1" && question->digest == digestOf(text));
+    const auto first = *question;
+    section("a cut content is not adopted; the next source is asked", [&] {
+        agent.handle(reportOf("e2", 5, text), Start);
+        actions = agent.handle(content_read{first.request, true, text.substr(1)}, Start);
+        question = questionIn(actions);
+        require(question && question->peer == "e2");
+        check(agent.generation() == 0 && agent.counters().badContents == 1);
+    });
+    section("a source that is silent is left after a second", [&] {
+        check(agent.handle(tick{}, Start + milliseconds(900)).empty());
+        check(agent.handle(tick{}, Start + milliseconds(1000)).empty()); // all asked: pause
+        actions = agent.handle(tick{}, Start + milliseconds(2000));
+        question = questionIn(actions);
+        require(question && question->peer == "e1");
+        check(agent.counters().readsFailed == 2);
+    });
+    section("an answer to an older question is ignored, the right one adopted", [&] {
+        check(agent.handle(content_read{first.request, true, text}, Start).empty());
+        actions = agent.handle(content_read{question->request, true, text}, Start);
+        check(actions.size() == 2 && agent.generation() == 5);
+        check(agent.whole()->services.at("tickets").replicas == 2);
+        check(agent.textFor(digestOf(text)) == text && !agent.textFor("other"));
+    });
+    section("lower generations change nothing, whoever names them", [&] {
+        check(agent.handle(reportOf("e3", 4, older), Start).empty());
+        check(agent.offerStored(5, digestOf(older), Start).empty());
+        check(agent.adoptHeld(3, older).empty());
+        check(agent.generation() == 5 && agent.counters().forks == 1);
+    });
+    section("a content that does not parse is not adopted either", [&] {
+        const std::string broken = "{\"configuration\": []}";
+        actions = agent.handle(reportOf("e1", 6, broken), Start);
+        agent.handle(content_read{questionIn(actions)->request, true, broken}, Start);
+        check(agent.generation() == 5 && agent.counters().badContents == 2);
+    });
+}
+
+Test(config_records, messages)
+{
+    section("records come back as they were", [] {
+        const generation_report report{"e1", "entry", 7, "abc"};
+        check(generationReportFromJson(toJson(report)) == report);
+        const auto content = contentOf(3);
+        check(contentText(contentFromText(contentText(content))) == contentText(content));
+        const auto view = exampleView();
+        check(toJson(folderViewFromJson(toJson(view))) == toJson(view));
+    });
+    section("wrong input is refused and names the member", [] {
+        check(refusalOf(generationReportFromJson, R"({"process": "e1", "role": "entry"})")
+              == "member generation is missing");
+        check(refusalOf(generationReportFromJson,
+                        R"({"process": 1, "role": "entry", "generation": 1, "digest": ""})")
+              == "member process: expected text");
+        check(refusalOf(generationReportFromJson,
+                        R"({"process": "", "role": "", "generation": -1, "digest": ""})")
+                      .starts_with("member generation: "));
+        check(refusalOf(acceptedRowFromJson, "[]").starts_with("member generation"));
+        check(refusalOf(acceptedRowFromJson, R"({"generation": 1, "digest": "", "folder": "",
+                "operation_id": "", "previous": [1]})")
+              == "member previous: expected text");
+        check(refusalOf(fileStatusFromJson, R"({"file": "a", "version": 1, "state": "lost"})")
+              == "member state: unknown name lost");
+        check(refusalOf(folderViewFromJson, "{}") == "member lagging must be an array");
+        check(refusalOf(generationEventFromJson, R"({"event": "nothing"})") == "unknown event");
+    });
+    section("mangled messages never do worse than an error", [] {
+        const auto whole = compactJson(toJson(exampleView())) + contentText(contentOf(1));
+        for (std::uint64_t seed = 0; seed < 3000; ++seed) {
+            random_generator random(seed);
+            auto text =
+                    seed % 2 == 0 ? compactJson(toJson(exampleView())) : contentText(contentOf(1));
+            for (auto count = 1 + pickIndex(random, 3); count > 0; --count)
+                text[pickIndex(random, text.size())] = whole[pickIndex(random, whole.size())];
+            refusalOf(folderViewFromJson, seed % 2 == 0 ? text : "{}");
+            refusalOf([&](const Json::Value &) { return contentFromText(text); }, "{}");
+        }
+    });
+}
+
+Test(config_records, operators_view)
+{
+    section("the table for people", [] {
+        const auto table = toTable(exampleView());
+        check(table
+              == "generation 7 in force at entry-1 (ready), 3 other processes, 1 lagging\n"
+                 "  agent-02                 agent  generation 6        behind  last heard 120 ms "
+                 "ago\n"
+                 "FILE                                VERSION  STATE       REASON\n"
+                 "a.json                                   12  in force    \n"
+                 "b.json                                   15  refused     b.json:4: "
+                 "/services/holds/team: found unknown team \"x\"; allowed: gate\n"
+                 "the folder as it stands is refused:\n"
+                 "b.json:4: /services/holds/team: found unknown team \"x\"; allowed: gate\n");
+    });
+    section("how far a file has come", [] {
+        auto view = exampleView();
+        check(followState(view, view.files[0]) == follow_state::Waiting);
+        check(followState(view, view.files[1]) == follow_state::Refused);
+        view.lagging.clear();
+        check(followState(view, view.files[0]) == follow_state::Everywhere);
+    });
+    section("laggards are behind or silent", [] {
+        const std::vector<heard_report> reports{{{"a", "agent", 6, ""}, Start},
+                                                {{"b", "agent", 7, ""}, Start},
+                                                {{"c", "agent", 7, ""}, Start - seconds(4)}};
+        const auto found = laggards(reports, 7, Start);
+        check(found.size() == 2 && found[0].reason == lag_reason::Behind);
+        check(found[1].report.process == "c" && found[1].reason == lag_reason::Silent);
+    });
+}
--- /dev/null
+++ b/tests/config_session_test.cpp
@@ -0,0 +1,121 @@
+// A whole session of one entry as JSON lines: each event in, with the actions that came out. The
+// test replays the events and compares every line to the byte. ZB_WRITE_GOLDEN=1 records it anew.
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include "base/json.h"
+#include "config/generations.h"
+#include "config_files.h"
+#include "config_world.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using zinniabarrow::tests::basisFile;
+using zinniabarrow::tests::config_world;
+using zinniabarrow::tests::fault;
+using zinniabarrow::tests::fileText;
+using zinniabarrow::tests::section;
+using zinniabarrow::tests::world_process;
+
+namespace {
+
+const std::string GoldenPath = "tests/golden/config_session.jsonl";
+constexpr std::uint64_t SessionSeed = 1; // of the first life in config_world
+
+std::string sessionLine(time_point at, const generation_event &event,
+                        const generation_actions &actions)
+{
+    Json::Value line(Json::objectValue);
+    line["at_us"] = Json::Int64(at.time_since_epoch().count());
+    line["event"] = toJson(event);
+    line["actions"] = Json::Value(Json::arrayValue);
+    for (const auto &action : actions)
+        line["actions"].append(toJson(action));
+    return compactJson(line) + '\n';
+}
+
+const std::string Tickets = R"({"services": {"tickets": {"team": "gate", "pool": "rink",
+"replicas": 2, "size": {"millicores": 100, "bytes": 10}}}})";
+
+// Start, an edit, a refused edit and its repair, a lost answer, a conflict, a platform outage.
+std::string recordSession()
+{
+    std::string session;
+    config_world world;
+    world.addEntry("e1", 1);
+    world.addEntry("e2", 1);
+    world.addAgent("a1");
+    world.tap = [&](const world_process &each, const auto &event, const auto &actions) {
+        const bool isIdleTick = std::holds_alternative<tick>(event) && actions.empty();
+        if (each.id == "e1" && !isIdleTick)
+            session += sessionLine(world.now, event, actions);
+    };
+    world.put("00-basis.json", basisFile());
+    world.runFor(milliseconds(800));
+    world.put("tickets.json", Tickets);
+    world.runFor(milliseconds(800));
+    world.put("zz.json", "{\"services\": {\"tickets\": {\"team\": \"nobody\"}}}");
+    world.runFor(milliseconds(800));
+    world.chooseFault = [](const auto &, const generation_action &action, int) {
+        return std::holds_alternative<commit_generation>(action) ? fault::Unsure : fault::None;
+    };
+    world.put("zz.json", "{\"services\": {\"tickets\": {\"replicas\": 3}}}");
+    world.runFor(milliseconds(1200));
+    bool hasRaced = false;
+    world.chooseFault = [&](const world_process &, const generation_action &action, int) {
+        if (!hasRaced && std::holds_alternative<write_content>(action)) {
+            const auto row = world.platform.read(std::string(AcceptedRowKey));
+            world.platform.commit({"race", {}, {{row->key, row->value}}});
+            hasRaced = true;
+        }
+        return fault::None;
+    };
+    world.put("tickets.json", Tickets + "\n");
+    world.runFor(milliseconds(1200));
+    world.isPlatformDown = true;
+    world.runFor(milliseconds(1200));
+    world.isPlatformDown = false;
+    world.remove("zz.json");
+    world.runFor(milliseconds(1200));
+    return session;
+}
+
+std::string replayed(const std::string &session)
+{
+    std::istringstream lines(session);
+    std::string output;
+    std::optional<generation_keeper> keeper;
+    for (std::string text; std::getline(lines, text);) {
+        const auto line = parseJson(text);
+        const time_point at{microseconds(line["at_us"].asInt64())};
+        if (!keeper) {
+            keeper_settings settings;
+            settings.process = "e1";
+            settings.peers = 1;
+            keeper.emplace(settings, random_generator(SessionSeed), at);
+        }
+        const auto event = generationEventFromJson(line["event"]);
+        output += sessionLine(at, event, keeper->handle(event, at));
+    }
+    return output;
+}
+
+} // namespace
+
+Test(config_session, replays_to_the_byte)
+{
+    if (std::getenv("ZB_WRITE_GOLDEN"))
+        std::ofstream(GoldenPath) << recordSession();
+    const auto golden = fileText(GoldenPath);
+    section("the session tells of every turn", [&] {
+        for (const auto *part : {"adopt_generation", "commit_generation", "\"unknown\"",
+                                 "\"conflict\"", "push_generation", "nobody", "\"answered\":false"})
+            check(golden.find(part) != std::string::npos);
+    });
+    section("and replays", [&] {
+        const auto again = replayed(golden);
+        check(again.size() == golden.size());
+        check(again == golden);
+    });
+}
--- a/tests/folder_test.cpp
+++ b/tests/folder_test.cpp
@@ -185,21 +185,21 @@
 
 Json::Value randomValue(random_generator &random, int depth)
 {
-    static const std::vector<std::string> Names = {
+    static const std::vector<std::string> names = {
             "services",   "jobs",  "pools",    "teams", "tickets", "rink", "gate",  "size",
             "millicores", "bytes", "replicas", "zones", "team",    "pool", "quota", "~a/b"};
-    static const std::vector<Json::Value> Leaves = {
+    static const std::vector<Json::Value> leaves = {
             Json::Value(),     Json::Value(1),      Json::Value(-1),     Json::Value(1e300),
             Json::Value(true), Json::Value("rink"), Json::Value("gate"), Json::Value("")};
     const auto kind = pickIndex(random, depth > 0 ? 3 : 1);
     if (kind == 0)
-        return Leaves[pickIndex(random, Leaves.size())];
+        return leaves[pickIndex(random, leaves.size())];
     Json::Value value(kind == 1 ? Json::arrayValue : Json::objectValue);
     for (auto count = pickIndex(random, 4); count > 0; --count) {
         if (kind == 1)
             value.append(randomValue(random, depth - 1));
         else
-            value[Names[pickIndex(random, Names.size())]] = randomValue(random, depth - 1);
+            value[names[pickIndex(random, names.size())]] = randomValue(random, depth - 1);
     }
     return value;
 }
@@ -207,7 +207,7 @@
 // A member of a valid folder, at random, is set to a random value; the outcome may be valid or not.
 std::string randomPatch(random_generator &random)
 {
-    static const std::vector<std::string> Pointers = {"services.tickets.replicas",
+    static const std::vector<std::string> pointers = {"services.tickets.replicas",
                                                       "services.tickets.size.bytes",
                                                       "services.tickets.team",
                                                       "services.tickets",
@@ -221,7 +221,7 @@
                                                       "services"};
     Json::Value root(Json::objectValue);
     for (auto count = 1 + pickIndex(random, 3); count > 0; --count) {
-        const Json::Path path('.' + Pointers[pickIndex(random, Pointers.size())]);
+        const Json::Path path('.' + pointers[pickIndex(random, pointers.size())]);
         try {
             path.make(root) = pickIndex(random, 2) == 0
                                       ? Json::Value(static_cast<int>(pickIndex(random, 400)))
--- a/tests/generations_test.cpp
+++ b/tests/generations_test.cpp
@@ -390,10 +390,12 @@
     world.addEntry("e1");
     world.put("00-basis.json", basisFile());
     constexpr int Files = 1500;
-    for (int i = 0; i < Files; ++i)
-        world.put(fmt::format("job-{:04}.json", i), fmt::format(R"({{"jobs": {{"job-{}":
-{{"team": "gate", "pool": "rink", "size": {{"millicores": 10, "bytes": 10}}}}}}}})",
-                                                                i));
+    for (int i = 0; i < Files; ++i) {
+        const auto job = fmt::format(R"({{"jobs": {{"job-{}": {{"team": "gate", "pool": "rink",
+"size": {{"millicores": 10, "bytes": 10}}}}}}}})",
+                                     i);
+        world.put(fmt::format("job-{:04}.json", i), job);
+    }
     world.runFor(seconds(4));
     section("the row stays small however large the folder is", [&] {
         check(world.entry("e1").generation() == 1);
