--- a/app/owned_shard.cpp
+++ b/app/owned_shard.cpp
@@ -255,6 +255,7 @@
     fields["first_task"] = job.firstTask;
     fields["tasks"] = job.tasks;
     fields["service"] = job.service;
+    fields["failover"] = std::string(nameOf(job.failover));
     fields["at_us"] = Json::Int64(now.time_since_epoch().count());
     m_log.info("job_accepted", fields);
     for (auto &action : handle(work::job_accepted{job}, now))
--- a/standins/batch.cpp
+++ b/standins/batch.cpp
@@ -37,6 +37,7 @@
         line["event"] = "accepted";
         line["task"] = log["job"].asString() + "/" + std::to_string(index);
         line["service"] = log["service"];
+        line["failover"] = log["failover"];
         line["at_us"] = log["at_us"];
         lines.push_back(std::move(line));
     }
@@ -55,6 +56,9 @@
             } else if (log["event"] == "task_placed") {
                 log["event"] = "placed";
                 lines.push_back(std::move(log));
+            } else if (log["event"] == "task_ended") {
+                log["event"] = log["state"]; // done, failed or cancelled
+                lines.push_back(std::move(log));
             }
         }
     }
