Operators' commands: check, status, put, remove, follow, explain, drain, check-trace

Cause: the folder could only be changed behind the system's back, and nothing showed what it does. Every command works against any one entry and names entries that it could not reach. Reports of the generation in force travel with announcements and digests: without them status named all 13 other processes as silent after 3 s although they had adopted the generation.

--- a/app/agent.cpp
+++ b/app/agent.cpp
@@ -25,8 +25,9 @@
 class agent_daemon
 {
 public:
-    explicit agent_daemon(const config::agent_settings &settings)
-        : m_settings(settings)
+    agent_daemon(const config::agent_settings &settings, stop_signals &signals)
+        : m_signals(signals)
+        , m_settings(settings)
         , m_self(identityFor(settings.id))
         , m_log("agent", settings.id, settings.logLevel)
         , m_sender(m_duties, RpcTimeout, m_metrics)
@@ -42,10 +43,11 @@
     void start()
     {
         m_server.start();
-        m_announce.emplace(m_duties, m_settings, m_self, toText(m_server.address()), m_sender,
-                           [this] { return m_admission.load(); });
+        m_announce.emplace(
+                m_duties, m_settings, m_self, toText(m_server.address()), m_sender,
+                [this] { return m_admission.load(); }, [this] { return m_follow.report(); });
         m_keeper.emplace(m_duties, m_settings, m_self, toText(m_server.address()), m_sender,
-                         m_metrics, m_log, [this] { return m_admission.load(); });
+                         m_metrics, [this] { return m_admission.load(); });
         m_announce->setState(request::upstream_state::Serving);
         m_ready = true;
         Json::Value fields(Json::objectValue);
@@ -85,6 +87,10 @@
                                + std::to_string(countMember(parameters, "attempt")));
             return Json::Value(Json::objectValue);
         });
+        m_endpoint.bind("drain", [this](const Json::Value & /*parameters*/) {
+            m_signals.request(); // as if the platform had asked it to stop
+            return Json::Value(Json::objectValue);
+        });
         m_endpoint.bind("generation", [this](const Json::Value &parameters) {
             return m_follow.generationPushed(parameters);
         });
@@ -110,6 +116,7 @@
         return m_admission.serve(request);
     }
 
+    stop_signals &m_signals;
     config::agent_settings m_settings;
     process_identity m_self;
     logger m_log;
@@ -130,7 +137,7 @@
 int runAgent(const config::agent_settings &settings)
 {
     stop_signals signals;
-    agent_daemon daemon(settings);
+    agent_daemon daemon(settings, signals);
     daemon.start();
     signals.wait();
     daemon.drain();
--- a/app/announce_duty.cpp
+++ b/app/announce_duty.cpp
@@ -42,10 +42,12 @@
 
 announce_duty::announce_duty(duty_system &system, const config::agent_settings &settings,
                              const process_identity &self, const std::string &ownAddress,
-                             rpc_sender &sender, std::function<request::upstream_load()> load)
+                             rpc_sender &sender, std::function<request::upstream_load()> load,
+                             std::function<Json::Value()> generationReport)
     : m_settings(settings)
     , m_sender(sender)
     , m_load(std::move(load))
+    , m_generationReport(std::move(generationReport))
     , m_announcer(announcerSettings(settings), selfOf(settings, self, ownAddress))
 {
     m_duty = std::make_unique<duty<event>>(
@@ -101,6 +103,7 @@
         parameters["whole"] = toJson(*whole);
     else
         parameters["beat"] = toJson(std::get<request::heartbeat>(message.message));
+    parameters["config"] = m_generationReport();
     const auto entry = message.entry;
     m_sender.call(entry, "announce", parameters, [this, entry](std::optional<Json::Value> reply) {
         m_duty->post(reply_heard{entry, std::move(reply)});
--- a/app/announce_duty.h
+++ b/app/announce_duty.h
@@ -19,7 +19,8 @@
 public:
     announce_duty(duty_system &system, const config::agent_settings &settings,
                   const process_identity &self, const std::string &ownAddress, rpc_sender &sender,
-                  std::function<request::upstream_load()> load);
+                  std::function<request::upstream_load()> load,
+                  std::function<Json::Value()> generationReport);
     ~announce_duty();
 
     // Leaving goes to every entry at once, and again until each has answered or was given up.
@@ -44,6 +45,7 @@
     const config::agent_settings m_settings;
     rpc_sender &m_sender;
     std::function<request::upstream_load()> m_load;
+    std::function<Json::Value()> m_generationReport;
     std::atomic<bool> m_leftEverywhere{false};
     std::atomic<bool> m_superseded{false};
 
--- a/app/config_duty.cpp
+++ b/app/config_duty.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t RingCapacity = 8192;
 constexpr milliseconds TickEvery{50};
 constexpr milliseconds ReplyWithin{2000};
+// A process that was not heard for so long is named as silent: three of the longest periods
+// between announcements of a fleet of today's size.
+constexpr milliseconds SilentAfter{10'000};
 constexpr std::uint64_t OperationSeedStream = 11;
 
 config::keeper_settings keeperSettings(const config::entry_settings &settings,
@@ -57,6 +60,7 @@
     , m_keeper(keeperSettings(settings, self),
                random_generator(self.incarnation, OperationSeedStream), monotonic_clock::now())
 {
+    m_report = toJson(m_keeper.report());
     m_duty = std::make_unique<duty<event>>(
             system, RingCapacity, [this](event &what) { handle(what); }, TickEvery,
             [this] { feed(config::tick{}); });
@@ -83,6 +87,12 @@
     post(config::report_heard{report});
 }
 
+Json::Value config_duty::report() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_report;
+}
+
 void config_duty::membersChanged(const members_snapshot &snapshot)
 {
     members_known known;
@@ -126,7 +136,7 @@
 Json::Value config_duty::view()
 {
     return ask([](const config::generation_keeper &keeper, time_point now) {
-        return toJson(config::folderViewOf(keeper, now));
+        return toJson(config::folderViewOf(keeper, now, SilentAfter));
     });
 }
 
@@ -138,8 +148,8 @@
         const auto status = keeper.statusOf(name, version);
         Json::Value answer(Json::objectValue);
         answer["status"] = toJson(status);
-        answer["follow"] =
-                std::string(nameOf(config::followState(config::folderViewOf(keeper, now), status)));
+        answer["follow"] = std::string(nameOf(
+                config::followState(config::folderViewOf(keeper, now, SilentAfter), status)));
         return answer;
     });
 }
@@ -294,6 +304,10 @@
     fields["generation"] = Json::UInt64(action.generation);
     fields["digest"] = action.digest;
     m_log.info("generation_in_force", fields);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_report = toJson(m_keeper.report());
+    }
     m_adopted({action.generation, action.whole});
 }
 
--- a/app/config_duty.h
+++ b/app/config_duty.h
@@ -6,6 +6,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <variant>
 
@@ -40,6 +41,7 @@
     std::uint64_t generation() const { return m_generation; }
 
     void hear(const config::generation_report &report);
+    Json::Value report() const; // this entry's own
     void membersChanged(const members_snapshot &snapshot);
 
     // JSON-RPC bodies; they wait for the duty or for the platform.
@@ -91,6 +93,9 @@
     std::atomic<bool> m_ready{false};
     std::atomic<std::uint64_t> m_generation{0};
 
+    mutable std::mutex m_mutex;
+    Json::Value m_report; // under m_mutex
+
     // Touched by the duty's thread alone.
     config::generation_keeper m_keeper;
     std::map<std::string, std::string> m_addresses; // by process id
--- a/app/entry.cpp
+++ b/app/entry.cpp
@@ -36,11 +36,13 @@
                           [this](adopted_configuration adopted) {
                               m_schedule.configurationAdopted(std::move(adopted));
                           })
-        , m_requests(m_duties, settings, m_self, m_claims, m_sender, m_metrics, m_log,
-                     [this](const members_snapshot &members) {
-                         m_configuration.membersChanged(members);
-                         m_schedule.membersChanged(members);
-                     })
+        , m_requests(
+                  m_duties, settings, m_self, m_claims, m_sender, m_metrics, m_log,
+                  [this](const members_snapshot &members) {
+                      m_configuration.membersChanged(members);
+                      m_schedule.membersChanged(members);
+                  },
+                  [this] { return m_configuration.report(); })
         , m_endpoint(m_metrics, [this] { return m_serving && m_configuration.isReady(); })
         , m_callers(addressOf(settings.listen), {settings.maxConnections, settings.maxBodyBytes},
                     [this](const http_request &request) { return serveCaller(request); })
@@ -96,10 +98,14 @@
 
     void bindMethods()
     {
-        m_endpoint.bind("announce",
-                        [this](const auto &parameters) { return m_requests.announce(parameters); });
-        m_endpoint.bind("digest",
-                        [this](const auto &parameters) { return m_requests.digest(parameters); });
+        m_endpoint.bind("announce", [this](const auto &parameters) {
+            hearGeneration(parameters);
+            return m_requests.announce(parameters);
+        });
+        m_endpoint.bind("digest", [this](const auto &parameters) {
+            hearGeneration(parameters);
+            return m_requests.digest(parameters);
+        });
         m_endpoint.bind("report",
                         [this](const auto &parameters) { return m_schedule.report(parameters); });
         m_endpoint.bind("usage",
@@ -125,6 +131,13 @@
         m_endpoint.bind("status", [this](const auto &) { return status(); });
     }
 
+    // Announcements and digests carry the sender's generation.
+    void hearGeneration(const Json::Value &parameters)
+    {
+        if (parameters.isMember("config"))
+            m_configuration.hear(config::generationReportFromJson(parameters["config"]));
+    }
+
     Json::Value status()
     {
         auto status = m_requests.status();
--- a/app/follow_duty.cpp
+++ b/app/follow_duty.cpp
@@ -29,6 +29,7 @@
     , m_log(log)
     , m_follower(followerSettings(settings))
 {
+    m_report = toJson(m_follower.report());
     m_duty = std::make_unique<duty<event>>(
             system, RingCapacity, [this](event &what) { handle(what); }, TickEvery,
             [this] { feed(config::tick{}); });
@@ -75,10 +76,18 @@
             Json::Value fields(Json::objectValue);
             fields["generation"] = Json::UInt64(adopted->generation);
             m_log.info("generation_in_force", fields);
+            const std::lock_guard lock(m_mutex);
+            m_report = toJson(m_follower.report());
         }
     }
 }
 
+Json::Value follow_duty::report() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_report;
+}
+
 // An agent has no business with the object store: whatever the source, an entry is asked.
 void follow_duty::fetch(const config::read_content &action)
 {
--- a/app/follow_duty.h
+++ b/app/follow_duty.h
@@ -4,6 +4,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <variant>
 
@@ -24,6 +25,8 @@
 
     // JSON-RPC body: {report, address}; answers this process's own report.
     Json::Value generationPushed(const Json::Value &parameters);
+    // Goes with every announcement, so that entries know who works by which generation.
+    Json::Value report() const;
     void stop();
 
 private:
@@ -43,6 +46,9 @@
     metrics &m_metrics;
     const logger &m_log;
 
+    mutable std::mutex m_mutex;
+    Json::Value m_report; // under m_mutex
+
     // Touched by the duty's thread alone.
     config::generation_follower m_follower;
     std::map<std::string, std::string> m_addresses; // of entries, by id
--- a/app/keeper_duty.cpp
+++ b/app/keeper_duty.cpp
@@ -42,13 +42,12 @@
 
 keeper_duty::keeper_duty(duty_system &system, const config::agent_settings &settings,
                          const process_identity &self, const std::string &ownAddress,
-                         rpc_sender &sender, metrics &counters, const logger &log,
+                         rpc_sender &sender, metrics &counters,
                          std::function<request::upstream_load()> load)
     : m_settings(settings)
     , m_ownAddress(ownAddress)
     , m_sender(sender)
     , m_metrics(counters)
-    , m_log(log)
     , m_load(std::move(load))
     , m_worker({settings.worker.address.address, settings.worker.address.port})
     , m_keeper(settings.worker.id, self.unique(), keeperSettings(settings),
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -7,6 +7,7 @@
 
 #include "app/agent.h"
 #include "app/entry.h"
+#include "app/operator_commands.h"
 #include "app/process.h"
 #include "base/errors.h"
 
@@ -16,15 +17,28 @@
 
 constexpr const char *Version = "0.1.0";
 
+constexpr const char *Help = R"(usage: zinniabarrow COMMAND [options]
+
+  entry --settings FILE   carry requests, schedule, accept configuration
+  agent --settings FILE   admit to one upstream, run its worker's tasks
+
+for operators (--entry ip:port is the rpc address of any entry):
+  check DIR                               check a folder offline
+  status --entry A                        what the system does
+  put --entry A [--follow] FILE           write a file of the folder
+  remove --entry A [--follow] NAME        remove a file of the folder
+  follow --entry A --version N NAME       wait until it is in force everywhere
+  explain --entry A TASK                  why a task waits, or where it is
+  drain --entry A AGENT                   no new work for its upstream and worker
+  check-trace FILE                        check a trace against the promises
+
+every command has --help; status, put, remove, follow and explain have --json
+exit codes: 0 done, 1 refused or failed, 2 usage
+)";
+
 void printHelp(FILE *to)
 {
-    fmt::print(to,
-               "zinniabarrow {}\n"
-               "usage: zinniabarrow COMMAND [options]\n\n"
-               "  entry --settings FILE   carry requests, schedule, accept configuration\n"
-               "  agent --settings FILE   admit to one upstream, run its worker's tasks\n\n"
-               "exit codes: 0 done, 1 refused or failed, 2 usage\n",
-               Version);
+    fmt::print(to, "zinniabarrow {}\n{}", Version, Help);
 }
 
 std::string settingsFile(const std::string &role, int count, char **words)
@@ -47,6 +61,8 @@
         const auto file = settingsFile(name, count, words);
         return runAgent(config::agentSettingsFrom(file, readTextFile(file)));
     }
+    if (isOperatorCommand(name))
+        return runOperatorCommand(name, count, words);
     if (name == "--help" || name == "help") {
         printHelp(stdout);
         return ExitDone;
--- a/app/process.cpp
+++ b/app/process.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <fstream>
 #include <sstream>
+#include <unistd.h>
 
 #include "base/errors.h"
 
@@ -23,6 +24,11 @@
     sigwait(&m_set, &number);
 }
 
+void stop_signals::request()
+{
+    kill(getpid(), SIGTERM);
+}
+
 process_identity identityFor(const std::string &id)
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
--- a/app/process.h
+++ b/app/process.h
@@ -20,7 +20,8 @@
 {
 public:
     stop_signals();
-    void wait(); // returns at the first of them
+    void wait();    // returns at the first of them
+    void request(); // the same as a signal, from any thread of this process
 
 private:
     sigset_t m_set;
--- a/app/request_duty.cpp
+++ b/app/request_duty.cpp
@@ -167,7 +167,8 @@
 request_duty::request_duty(duty_system &system, const config::entry_settings &settings,
                            const process_identity &self, platform_lane &claims, rpc_sender &sender,
                            metrics &counters, const logger &log,
-                           std::function<void(members_snapshot)> membersChanged)
+                           std::function<void(members_snapshot)> membersChanged,
+                           std::function<Json::Value()> generationReport)
     : m_settings(settings)
     , m_self(self)
     , m_claims(claims)
@@ -175,6 +176,7 @@
     , m_metrics(counters)
     , m_log(log)
     , m_membersChanged(std::move(membersChanged))
+    , m_generationReport(std::move(generationReport))
     , m_membership(membershipSettings(settings, self))
     , m_router(routerSettings(settings), request::two_choices{},
                random_generator(self.incarnation, RouterSeedStream))
@@ -432,6 +434,12 @@
     status["incarnation"] = Json::UInt64(m_self.incarnation);
     status["in_flight"] = Json::UInt64(m_flow.inFlight());
     status["draining"] = m_flow.draining();
+    status["peers"] = Json::Value(Json::arrayValue);
+    for (const auto &peer : m_peers)
+        status["peers"].append(peer.address);
+    status["refusals"] = Json::Value(Json::objectValue);
+    for (const auto &[reason, count] : m_metrics.byReason("refusals_total"))
+        status["refusals"][reason] = count;
     status["upstreams"] = Json::Value(Json::arrayValue);
     for (const auto &upstream : m_membership.routable())
         status["upstreams"].append(toJson(upstream));
@@ -579,6 +587,7 @@
         const auto address = peer.address;
         Json::Value wrapped(Json::objectValue);
         wrapped["digest"] = toJson(*digest);
+        wrapped["config"] = m_generationReport();
         const bool queued = m_sender.call(
                 address, "digest", wrapped, [this, address](std::optional<Json::Value> ack) {
                     m_duty->post(digest_answered{address, std::move(ack)});
--- a/app/request_duty.h
+++ b/app/request_duty.h
@@ -80,7 +80,8 @@
     request_duty(duty_system &system, const config::entry_settings &settings,
                  const process_identity &self, platform_lane &claims, rpc_sender &sender,
                  metrics &counters, const logger &log,
-                 std::function<void(members_snapshot)> membersChanged);
+                 std::function<void(members_snapshot)> membersChanged,
+                 std::function<Json::Value()> generationReport);
     ~request_duty();
 
     // Runs on the caller's HTTP thread until the final answer is there.
@@ -181,6 +182,7 @@
     metrics &m_metrics;
     const logger &m_log;
     std::function<void(members_snapshot)> m_membersChanged;
+    std::function<Json::Value()> m_generationReport; // goes with every digest
     std::atomic<std::uint64_t> m_nextRequest{0};
     std::atomic<bool> m_drained{false};
 
--- a/app/schedule_duty.cpp
+++ b/app/schedule_duty.cpp
@@ -203,10 +203,9 @@
                 sample.measuredAt = measuredAt;
                 shard->usageSampled(sample, now);
             }
-            if (what.parameters.isMember("p99_us"))
-                shard->latencySampled(worker, stringMember(what.parameters, "service"),
-                                      microseconds(integerMember(what.parameters, "p99_us")),
-                                      measuredAt, now);
+            const auto service = stringMember(what.parameters, "service");
+            const microseconds p99(integerMember(what.parameters, "p99_us"));
+            shard->latencySampled(worker, service, p99, measuredAt, now);
         }
         what.reply->set_value(Json::Value(Json::objectValue));
     } catch (const error &) {
--- a/libs/runtime/http.cpp
+++ b/libs/runtime/http.cpp
@@ -75,10 +75,10 @@
 
 bool isFramingHeader(const std::string &name)
 {
-    static const char *const Framing[] = {"Content-Length", "Transfer-Encoding", "Connection",
+    static const char *const framing[] = {"Content-Length", "Transfer-Encoding", "Connection",
                                           "Keep-Alive",     "Content-Type",      "Host"};
-    return std::any_of(std::begin(Framing), std::end(Framing),
-                       [&](const char *framing) { return strcasecmp(name.c_str(), framing) == 0; });
+    return std::any_of(std::begin(framing), std::end(framing),
+                       [&](const char *each) { return strcasecmp(name.c_str(), each) == 0; });
 }
 
 void fillResponse(httplib::Response &to, const http_response &from)
@@ -208,13 +208,12 @@
         server.Patch(".*", all).Delete(".*", all).Options(".*", all);
         server.set_error_handler([](const httplib::Request &, httplib::Response &to) {
             // httplib refused by itself (broken request line, body over the bound): say why.
-            if (to.body.empty() && !to.has_header("Zb-Error"))
-                fillResponse(to, [&] {
-                    auto answer = refusal(to.status == 413 ? error_kind::RequestTooLarge
-                                                           : error_kind::BadRequest);
-                    answer.status = to.status;
-                    return answer;
-                }());
+            if (!to.body.empty() || to.has_header("Zb-Error"))
+                return;
+            const bool tooLarge = to.status == 413;
+            auto answer = refusal(tooLarge ? error_kind::RequestTooLarge : error_kind::BadRequest);
+            answer.status = to.status;
+            fillResponse(to, answer);
         });
         server.set_payload_max_length(limits.bodyBytes);
         server.set_keep_alive_max_count(RequestsPerConnection);
--- a/libs/runtime/metrics.cpp
+++ b/libs/runtime/metrics.cpp
@@ -64,11 +64,12 @@
 {
     const std::lock_guard lock(m_impl->mutex);
     auto &histogram = m_impl->histograms[std::string(name)];
-    if (!histogram)
+    if (!histogram) {
         histogram = &prometheus::BuildHistogram()
                              .Name(prefixed(name))
                              .Register(m_impl->registry)
                              .Add({}, LatencyBuckets);
+    }
     histogram->Observe(value);
 }
 
@@ -79,6 +80,17 @@
     return found == m_impl->byReason.end() ? 0 : found->second->Value();
 }
 
+std::map<std::string, double> metrics::byReason(std::string_view name) const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    std::map<std::string, double> values;
+    for (const auto &[key, counter] : m_impl->byReason) {
+        if (key.first == name)
+            values[key.second] = counter->Value();
+    }
+    return values;
+}
+
 std::string metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_impl->registry.Collect());
--- a/libs/runtime/metrics.h
+++ b/libs/runtime/metrics.h
@@ -1,6 +1,7 @@
 // Metrics: counters by reason, gauges and latency histograms, as Prometheus text.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -21,6 +22,7 @@
     void observeMilliseconds(std::string_view name, double value);
 
     double value(std::string_view name, std::string_view reason) const; // 0 when never counted
+    std::map<std::string, double> byReason(std::string_view name) const;
     std::string text() const;
 
 private:
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -303,19 +303,23 @@
         startEntry(index);
     for (unsigned index = 0; index < m_options.workers; ++index)
         startAgent(index);
-    for (unsigned index = 0; index < m_options.entries; ++index) {
-        const auto ready = [&] {
-            const auto result =
-                    m_pools.to(entryAddress(index))
-                            .call({"GET", "/readyz", {}, {}}, monotonic_clock::now() + CallWithin);
-            const auto *response = std::get_if<http_response>(&result);
-            return response != nullptr && response->status == 200;
-        };
-        if (!waitUntil(ready, StartWithin))
-            throw std::runtime_error("entry " + std::to_string(index)
-                                     + " is not ready: read its log\n"
-                                     + readFile(m_entries.at(index)->errorFile()));
-    }
+    for (unsigned index = 0; index < m_options.entries; ++index)
+        waitForEntry(index);
+}
+
+void fleet::waitForEntry(unsigned index)
+{
+    const auto ready = [&] {
+        const auto result =
+                m_pools.to(entryAddress(index))
+                        .call({"GET", "/readyz", {}, {}}, monotonic_clock::now() + CallWithin);
+        const auto *response = std::get_if<http_response>(&result);
+        return response != nullptr && response->status == 200;
+    };
+    if (waitUntil(ready, StartWithin))
+        return;
+    throw std::runtime_error("entry " + std::to_string(index) + " is not ready: read its log\n"
+                             + readFile(m_entries.at(index)->errorFile()));
 }
 
 void fleet::setFault(const std::string &address, const Json::Value &fault)
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -82,6 +82,7 @@
     void startUpstream(unsigned index);
     void startEntry(unsigned index);
     void startAgent(unsigned index);
+    void waitForEntry(unsigned index); // until it is ready to serve; throws with its log
 
     std::unique_ptr<child_process> &platform() { return m_platform; }
     std::unique_ptr<child_process> &worker(unsigned index) { return m_workers.at(index); }
