delivery: attempt_guard, answer_check, JSON of events and actions; every step against every fault

Cause: at most once has to be shown, not argued. A small world (entries, agents, counting upstreams, table) numbers its messages and hits each with each fault; a further test draws three faults a run. Found and mended by it: a wake-up time that lay in the past for ever (a hot loop while the era was not yet read); a doubled arrival after its answer was handled again (ended ids are remembered now); a claim granted after the deadline (entry frozen in between) was never released, so the key stayed in progress.

--- /dev/null
+++ b/libs/delivery/answer_check.cpp
@@ -0,0 +1,91 @@
+#include "delivery/answer_check.h"
+
+#include <utility>
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr int FirstFinalStatus = 200;
+constexpr int LastStatus = 599;
+constexpr int NoContent = 204;
+constexpr int NotModified = 304;
+
+} // namespace
+
+answer_check::answer_check(std::string requestId, std::string method, answer_limits limits)
+    : m_requestId(std::move(requestId))
+    , m_method(std::move(method))
+    , m_limits(limits)
+{ }
+
+std::optional<error_kind> answer_check::head(const answer_head &head)
+{
+    if (m_failure || m_head)
+        return fail(error_kind::AnswerCut);
+    m_head = head;
+    // A late answer to an earlier request on the same connection would otherwise reach a caller
+    // that never asked for it.
+    if (head.requestId != m_requestId)
+        return fail(error_kind::OutcomeUnknown);
+    if (head.status < FirstFinalStatus || head.status > LastStatus)
+        return fail(error_kind::AnswerCut);
+    if (head.headBytes > m_limits.maxHeadBytes)
+        return fail(error_kind::AnswerTooLarge);
+    if (hasNoBody())
+        return std::nullopt;
+    // Its end can't be told from a cut, so a short answer would pass for a whole one.
+    if (head.framing == body_framing::UntilClose || head.framing == body_framing::Conflicting)
+        return fail(error_kind::AnswerCut);
+    if (head.framing == body_framing::Length && head.declaredBytes > m_limits.maxBodyBytes)
+        return fail(error_kind::AnswerTooLarge);
+    return std::nullopt;
+}
+
+std::optional<error_kind> answer_check::body(std::uint64_t bytes)
+{
+    if (m_failure || !m_head)
+        return fail(error_kind::AnswerCut);
+    m_received += bytes;
+    const auto allowed = hasNoBody()                               ? 0
+                         : m_head->framing == body_framing::Length ? m_head->declaredBytes
+                                                                   : m_limits.maxBodyBytes;
+    if (m_received <= allowed)
+        return std::nullopt;
+    const bool tooLarge = !hasNoBody() && m_head->framing == body_framing::Chunked;
+    return fail(tooLarge ? error_kind::AnswerTooLarge : error_kind::AnswerCut);
+}
+
+std::optional<error_kind> answer_check::end(bool lastChunkSeen)
+{
+    if (m_failure || !m_head)
+        return fail(error_kind::AnswerCut);
+    if (hasNoBody())
+        return std::nullopt;
+    if (m_head->framing == body_framing::Length && m_received != m_head->declaredBytes)
+        return fail(error_kind::AnswerCut);
+    if (m_head->framing == body_framing::Chunked && !lastChunkSeen)
+        return fail(error_kind::AnswerCut);
+    return std::nullopt;
+}
+
+std::optional<error_kind> answer_check::fail(error_kind kind)
+{
+    if (!m_failure)
+        m_failure = kind;
+    return m_failure;
+}
+
+bool answer_check::hasNoBody() const
+{
+    return m_method == "HEAD" || m_head->status == NoContent || m_head->status == NotModified;
+}
+
+attempt_outcome outcomeOf(error_kind failure)
+{
+    if (failure == error_kind::AnswerTooLarge)
+        return attempt_too_large{};
+    return attempt_cut{};
+}
+
+} // namespace zinniabarrow
--- a/libs/delivery/claim_book.cpp
+++ b/libs/delivery/claim_book.cpp
@@ -88,9 +88,11 @@
 void claim_book::abandon(const std::string &requestId, time_point now)
 {
     m_now = now;
-    const auto found = m_rowOf.find(requestId);
-    if (found != m_rowOf.end())
-        drop(std::string(found->second));
+    const auto *claim = find(requestId);
+    if (claim != nullptr && claim->granted)
+        return end(requestId, claim_state::NotRun, std::nullopt);
+    if (claim != nullptr)
+        drop(std::string(m_rowOf.at(requestId)));
     advance();
 }
 
@@ -308,7 +310,9 @@
 
 time_point claim_book::nextWake() const
 {
-    auto wake = std::min(m_nextEraReadAt, m_nextSweepAt);
+    auto wake = m_nextEraReadAt;
+    if (m_era != 0)
+        wake = std::min(wake, std::max(m_nextSweepAt, m_tableDownUntil));
     if (!m_toRead.empty())
         wake = std::min(wake, m_toRead.begin()->first);
     if (!m_giveUps.empty())
--- a/libs/delivery/claim_row.cpp
+++ b/libs/delivery/claim_row.cpp
@@ -6,6 +6,7 @@
 #include "base/hash.h"
 #include "base/names.h"
 #include "delivery/claim_book.h"
+#include "delivery/json_members.h"
 
 namespace zinniabarrow {
 
@@ -20,13 +21,6 @@
         {claim_state::Unknown, "unknown"},
 }};
 
-const Json::Value &member(const Json::Value &value, const char *name, Json::ValueType type)
-{
-    if (!value.isObject() || !value.isMember(name) || !value[name].isConvertibleTo(type))
-        throw error(error_kind::BadRequest, fmt::format("claim row: bad member \"{}\"", name));
-    return value[name];
-}
-
 // Bodies are bytes, JSON strings are text: hexadecimal digits carry any byte.
 std::string toHex(const std::string &bytes)
 {
@@ -81,12 +75,15 @@
 whole_answer wholeAnswerFromJson(const Json::Value &value)
 {
     whole_answer answer;
-    answer.status = member(value, "status", Json::intValue).asInt();
-    answer.bodyBytes = member(value, "body_bytes", Json::uintValue).asUInt64();
-    for (const auto &name : value["headers"].getMemberNames())
-        answer.headers[name] = member(value["headers"], name.c_str(), Json::stringValue).asString();
+    answer.status = static_cast<int>(jsonUnsigned(value, "status"));
+    answer.bodyBytes = jsonUnsigned(value, "body_bytes");
+    if (value.isMember("headers")) {
+        const auto &headers = jsonMember(value, "headers", Json::objectValue);
+        for (const auto &name : headers.getMemberNames())
+            answer.headers[name] = jsonText(headers, name.c_str());
+    }
     if (value.isMember("body"))
-        answer.body = fromHex(member(value, "body", Json::stringValue).asString());
+        answer.body = fromHex(jsonText(value, "body"));
     return answer;
 }
 
@@ -106,17 +103,17 @@
 claim_row claimRowFromJson(const Json::Value &value)
 {
     claim_row row;
-    row.requestId = member(value, "request", Json::stringValue).asString();
-    row.entryId = member(value, "entry", Json::stringValue).asString();
-    const auto hash = member(value, "hash", Json::stringValue).asString();
+    row.requestId = jsonText(value, "request");
+    row.entryId = jsonText(value, "entry");
+    const auto hash = jsonText(value, "hash");
     if (hash.size() != 16 || hash.find_first_not_of("0123456789abcdef") != std::string::npos)
         throw error(error_kind::BadRequest, "claim row: bad member \"hash\"");
     row.requestHash = std::stoull(hash, nullptr, 16);
-    const auto state = valueOf(StateNames, member(value, "state", Json::stringValue).asString());
+    const auto state = valueOf(StateNames, jsonText(value, "state"));
     if (!state)
         throw error(error_kind::BadRequest, "claim row: bad member \"state\"");
     row.state = *state;
-    row.era = member(value, "era", Json::uintValue).asUInt64();
+    row.era = jsonUnsigned(value, "era");
     if (value.isMember("answer"))
         row.answer = wholeAnswerFromJson(value["answer"]);
     return row;
--- a/libs/delivery/request_flow.cpp
+++ b/libs/delivery/request_flow.cpp
@@ -76,7 +76,8 @@
 
 void request_flow::on(const request_arrived &event)
 {
-    if (m_requests.contains(event.id))
+    // Handled again, it could be forwarded to another agent, which has not seen it.
+    if (m_requests.contains(event.id) || m_ended.contains(event.id))
         return count(flow_counter::DoubledEvent);
     count(flow_counter::Arrived);
     if (m_draining)
@@ -222,9 +223,9 @@
 
 void request_flow::choose(live_request &request)
 {
+    request.at = step::Choosing;
     if (request.arrived.deadline <= m_now)
         return deadlinePassed(request);
-    request.at = step::Choosing;
     m_actions.emplace_back(
             choose_upstream{request.arrived.id, request.arrived.service, request.excluded});
 }
@@ -323,6 +324,7 @@
     count(flow_counter::Refused, kind);
     m_actions.emplace_back(answer_caller{
             event.id, refuse_request{kind, executed::No, answerFor(kind).comeBackAfter}});
+    rememberEnded(event.id);
 }
 
 void request_flow::deadlinePassed(live_request &request)
@@ -390,13 +392,24 @@
     }
 }
 
-void request_flow::forget(const std::string &id)
+void request_flow::forget(std::string id)
 {
     const auto found = m_requests.find(id);
     if (found->second.at != step::Answered)
         --m_inFlight;
     m_wakes.erase({found->second.wakeAt, found->first});
     m_requests.erase(found);
+    rememberEnded(id);
+}
+
+void request_flow::rememberEnded(const std::string &id)
+{
+    m_ended.insert(id);
+    m_endedByAge.push_back(id);
+    if (m_endedByAge.size() <= m_settings.maxEnded)
+        return;
+    m_ended.erase(m_endedByAge.front());
+    m_endedByAge.pop_front();
 }
 
 void request_flow::finishDrain()
@@ -408,7 +421,7 @@
         while (!m_requests.empty()) {
             auto &request = m_requests.begin()->second;
             endClaim(request, executed::Unknown);
-            forget(std::string(request.arrived.id));
+            forget(request.arrived.id);
         }
         takeBookOutput();
     }
--- a/libs/delivery/request_flow.h
+++ b/libs/delivery/request_flow.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -24,6 +25,7 @@
 struct flow_settings
 {
     std::size_t maxInFlight = 4096;       // requests; more are refused as Overloaded
+    std::size_t maxEnded = 16'384;        // ids of ended requests that are remembered
     std::uint32_t maxAttempts = 3;        // forwards of one request
     milliseconds minRetryTime{20};        // time left below which no retry starts
     milliseconds maxRequestTime{60'000};  // later deadlines are cut to this
@@ -51,7 +53,8 @@
     // The time by which a flow_tick is due; Never when nothing waits.
     time_point nextWake() const;
 
-    std::size_t inFlight() const { return m_inFlight; } // requests without their answer
+    std::size_t inFlight() const { return m_inFlight; }             // requests without their answer
+    std::size_t openClaims() const { return m_book.openRecords(); } // not settled for good
     bool draining() const { return m_draining; }
 
 private:
@@ -98,7 +101,8 @@
     void endClaim(live_request &request, executed ran);
     void deadlinePassed(live_request &request);
     void waitUntil(live_request &request, time_point when);
-    void forget(const std::string &id);
+    void forget(std::string id); // by value: the id may belong to the request that goes
+    void rememberEnded(const std::string &id);
     void wakeDue();
     void finishDrain();
     void count(flow_counter counter, std::optional<error_kind> kind = std::nullopt,
@@ -110,6 +114,8 @@
     claim_book m_book;
     std::map<std::string, live_request> m_requests;
     std::set<std::pair<time_point, std::string>> m_wakes;
+    std::set<std::string> m_ended;        // ids, so that a doubled event starts nothing
+    std::deque<std::string> m_endedByAge; // the same, oldest first
     std::size_t m_inFlight = 0;
     bool m_draining = false;
     bool m_drainReported = false;
--- /dev/null
+++ b/tests/delivery_world.h
@@ -0,0 +1,338 @@
+// Entries, agents, one upstream behind each, the table and a caller, on a virtual clock. Every
+// message is a numbered step, and a fault may hit any step.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/json.h"
+#include "base/random.h"
+#include "delivery/attempt_guard.h"
+#include "delivery/flow_json.h"
+#include "delivery/request_flow.h"
+#include "platform/memory_platform.h"
+
+namespace zinniabarrow::tests {
+
+enum class fault {
+    None,
+    EntryDies,      // the entry of this step: it and what is under way to it are gone
+    EntryFreezes,   // for three seconds, longer than every deadline here
+    AgentDies,      // all agents are replaced, their upstreams live on
+    AnswerLost,     // the step takes effect, its answer never comes
+    AnswerOfSecond, // a commit is sent twice by the network, the second answer arrives
+    Doubled,        // at once
+    DoubledLate,    // again half a second later
+    TableRefuses,   // for two seconds
+    TableHangs,     // for two seconds: answers are Unknown, nothing applies
+    WriteDelayed,   // a commit is answered Unknown and applies 700 ms later
+    Last
+};
+
+class delivery_world
+{
+public:
+    flow_settings settings;
+    std::map<int, fault> faults;          // by step
+    std::set<std::string> refusing{"a1"}; // agents that are full
+    std::set<std::string> cutting;        // agents whose connections break in the answer
+    memory_platform platform;
+    std::map<std::string, int> runs;   // by request id
+    std::map<std::string, int> runsOf; // by order: the key, or the request without one
+    std::map<std::string, std::vector<refuse_request>> refusals; // by request id
+    std::map<std::string, std::vector<std::string>>
+            answers; // by request id: "passed", "replayed" or the kind
+    std::map<std::string, time_point> answeredAt;
+    std::map<std::string, std::string> entryOf;  // by request id
+    std::map<std::string, std::string> orderOf;  // by request id
+    std::map<std::string, std::uint64_t> counts; // by name of the counter
+    std::map<std::string, time_point> drainedAt; // by entry
+    std::set<std::string> dead;
+    std::uint64_t transactions = 0;
+    std::uint64_t rowsWritten = 0;
+    std::vector<std::string> trace; // JSON lines of entry `traced`
+    std::string traced;
+    int step = 0;
+    time_point now{};
+
+    // The caller sends one try to `entry` at `when`.
+    void send(const std::string &id, const std::string &entry, milliseconds when,
+              const std::string &method, const std::string &key, std::uint64_t bodyHash = 1,
+              milliseconds patience = milliseconds(1000))
+    {
+        entryOf[id] = entry;
+        orderOf[id] = key.empty() ? id : key;
+        post(entry, time_point(when) - now, [=, this](fault) {
+            event(entry, request_arrived{id, "tickets", method, "/hold/" + key, "kartli", key,
+                                         bodyHash, time_point(when) + patience});
+        });
+    }
+
+    void drain(const std::string &entry, milliseconds when)
+    {
+        post(entry, time_point(when) - now, [=, this](fault) { event(entry, flow_drain{}); });
+    }
+
+    void runUntil(milliseconds end)
+    {
+        while (true) {
+            const auto wake = nextWake();
+            const auto next = m_messages.empty() ? Never : m_messages.begin()->first;
+            if (std::min(wake.first, next) > time_point(end))
+                break;
+            const auto last = std::exchange(now, std::max(now, std::min(wake.first, next)));
+            m_sameTime = now == last ? m_sameTime + 1 : 0;
+            if (m_sameTime > 10'000)
+                throw error(error_kind::Internal, "time stands still: a wake that does nothing");
+            if (wake.first < next)
+                event(wake.second, flow_tick{});
+            else
+                deliverNext();
+        }
+        now = time_point(end);
+    }
+
+    request_flow &flow(const std::string &entry)
+    {
+        const auto alive = [this](const std::string &id) { return !dead.contains(id); };
+        return m_flows
+                .try_emplace(
+                        entry, entry, settings, [](error_kind) { return true; }, alive)
+                .first->second;
+    }
+
+private:
+    using effect = std::function<void(fault)>;
+    struct message
+    {
+        std::string entry;
+        effect deliver;
+    };
+
+    void post(const std::string &entry, duration delay, effect deliver)
+    {
+        m_messages.emplace(now + delay, message{entry, std::move(deliver)});
+    }
+
+    bool frozen(const std::string &entry) const
+    {
+        return m_frozenUntil.contains(entry) && now < m_frozenUntil.at(entry);
+    }
+
+    std::pair<time_point, std::string> nextWake()
+    {
+        std::pair<time_point, std::string> first{Never, ""};
+        for (auto &[entry, each] : m_flows) {
+            auto wake = std::max(each.nextWake(), now);
+            if (frozen(entry))
+                wake = std::max(wake, m_frozenUntil.at(entry));
+            if (!dead.contains(entry) && wake < first.first)
+                first = {wake, entry};
+        }
+        return first;
+    }
+
+    void deliverNext()
+    {
+        const auto item = m_messages.begin()->second;
+        m_messages.erase(m_messages.begin());
+        const auto found = faults.find(++step);
+        const auto hit = found == faults.end() ? fault::None : found->second;
+        if (hit == fault::EntryDies)
+            dead.insert(item.entry);
+        if (hit == fault::EntryFreezes)
+            m_frozenUntil[item.entry] = now + seconds(3);
+        if (hit == fault::AgentDies) {
+            m_guards.clear();
+            ++m_incarnation;
+        }
+        if (hit == fault::TableRefuses || hit == fault::TableHangs) {
+            m_tableFault = hit;
+            m_tableBackAt = now + seconds(2);
+        }
+        if (hit == fault::DoubledLate)
+            post(item.entry, milliseconds(500), item.deliver);
+        if (hit == fault::Doubled)
+            item.deliver(hit);
+        item.deliver(hit);
+    }
+
+    void event(const std::string &entry, const flow_event &event)
+    {
+        if (dead.contains(entry))
+            return;
+        if (frozen(entry)) {
+            post(entry, m_frozenUntil.at(entry) - now,
+                 [=, this](fault) { this->event(entry, event); });
+            return;
+        }
+        const auto actions = flow(entry).handle(event, now);
+        if (entry == traced)
+            record(toJson(event, now));
+        for (const auto &action : actions) {
+            if (entry == traced)
+                record(toJson(action, now));
+            std::visit([&](const auto &each) { act(entry, each); }, action);
+        }
+    }
+
+    void record(Json::Value line)
+    {
+        line["at_ms"] = Json::Int64(millisecondsUntil(now, time_point{}));
+        trace.push_back(compactJson(line));
+    }
+
+    void act(const std::string &entry, const choose_upstream &action)
+    {
+        for (const std::string agent : {"a1", "a2"}) {
+            const auto &excluded = action.excluded;
+            if (std::find(excluded.begin(), excluded.end(), agent) == excluded.end())
+                return post(entry, milliseconds(0), [=, this](fault) {
+                    event(entry, upstream_chosen{action.id, agent});
+                });
+        }
+        post(entry, milliseconds(0), [=, this](fault) { event(entry, none_available{action.id}); });
+    }
+
+    void act(const std::string &entry, const forward_request &action)
+    {
+        const auto incarnation = m_incarnation;
+        post(entry, milliseconds(1), [=, this](fault hit) {
+            const auto ended = [=, this](const attempt_outcome &outcome) {
+                const bool lost = hit == fault::AnswerLost || cutting.contains(action.agentId);
+                const attempt_outcome seen = lost ? attempt_outcome(attempt_cut{}) : outcome;
+                post(entry, milliseconds(1), [=, this](fault) {
+                    event(entry, attempt_ended{action.id, action.attempt, seen});
+                });
+            };
+            const auto refused = [&](const guard_refusal &refusal) {
+                ended(attempt_refused{refusal.kind, refusal.ran, true, milliseconds(0)});
+            };
+            // Entry and agent have each their own clock: what travels is the time that remains.
+            const incoming_attempt incoming{
+                    action.id, action.attempt, incarnation, false,
+                    now + milliseconds(millisecondsUntil(action.deadline, now))};
+            if (const auto refusal = guard(action.agentId).arrived(incoming, now))
+                return refused(*refusal);
+            if (refusing.contains(action.agentId)) {
+                guard(action.agentId).ended(action.id, action.attempt, executed::No, now);
+                return refused({error_kind::QueueFull, executed::No});
+            }
+            post(entry, milliseconds(5), [=, this](fault) {
+                if (const auto refusal =
+                            guard(action.agentId).start(action.id, action.attempt, now))
+                    return ended(
+                            attempt_refused{refusal->kind, refusal->ran, true, milliseconds(0)});
+                ++runs[action.id];
+                ++runsOf[orderOf[action.id]];
+                post(entry, milliseconds(20), [=, this](fault) {
+                    guard(action.agentId).ended(action.id, action.attempt, executed::Yes, now);
+                    ended(whole_answer{201, {}, action.id.size(), action.id});
+                });
+            });
+        });
+    }
+
+    void act(const std::string &entry, const cancel_attempt &action)
+    {
+        post(entry, milliseconds(1),
+             [=, this](fault) { guard(action.agentId).cancelled(action.id, action.attempt, now); });
+    }
+
+    void act(const std::string &, const answer_caller &action)
+    {
+        const auto *refusal = std::get_if<refuse_request>(&action.answer);
+        if (refusal != nullptr)
+            refusals[action.id].push_back(*refusal);
+        const bool replayed = std::holds_alternative<replay_answer>(action.answer);
+        answers[action.id].emplace_back(refusal != nullptr ? nameOf(refusal->kind)
+                                        : replayed         ? "replayed"
+                                                           : "passed");
+        answeredAt[action.id] = now;
+    }
+
+    void act(const std::string &entry, const commit_claims &action)
+    {
+        post(entry, milliseconds(1), [=, this](fault hit) {
+            const bool down = now < m_tableBackAt;
+            write_result result;
+            if (down && m_tableFault == fault::TableRefuses)
+                result.outcome = write_outcome::Refused;
+            else if (hit == fault::WriteDelayed)
+                post(entry, milliseconds(700), [=, this](fault) { commit(action.transaction); });
+            else if (!down)
+                result = commit(action.transaction);
+            if (hit == fault::AnswerOfSecond)
+                result = commit(action.transaction);
+            if (hit == fault::AnswerLost)
+                result = write_result{};
+            const bool slow = result.outcome == write_outcome::Unknown;
+            post(entry, milliseconds(slow ? 300 : 1), [=, this](fault) {
+                event(entry, claims_committed{action.transaction.operationId, result});
+            });
+        });
+    }
+
+    write_result commit(const table_transaction &transaction)
+    {
+        ++transactions;
+        const auto result = platform.commit(transaction);
+        if (result.outcome == write_outcome::Applied)
+            rowsWritten += transaction.writes.size();
+        return result;
+    }
+
+    void act(const std::string &entry, const read_claims &action)
+    {
+        answerRead(entry, action.readId, [=, this] {
+            std::vector<table_row> rows;
+            for (const auto &key : action.keys) {
+                if (const auto row = platform.read(key))
+                    rows.push_back(*row);
+            }
+            return rows;
+        });
+    }
+
+    void act(const std::string &entry, const scan_claims &action)
+    {
+        answerRead(entry, action.readId, [=, this] { return platform.scan(action.prefix); });
+    }
+
+    void answerRead(const std::string &entry, const std::string &readId,
+                    const std::function<std::vector<table_row>()> &read)
+    {
+        post(entry, milliseconds(1), [=, this](fault hit) {
+            const bool failed = now < m_tableBackAt || hit == fault::AnswerLost;
+            const claims_read answer{readId, !failed, failed ? std::vector<table_row>() : read()};
+            post(entry, milliseconds(failed ? 300 : 1), [=, this](fault) { event(entry, answer); });
+        });
+    }
+
+    void act(const std::string &, const count_flow &action)
+    {
+        counts[std::string(nameOf(action.counter))] += action.amount;
+    }
+
+    void act(const std::string &entry, const flow_drained &) { drainedAt[entry] = now; }
+
+    attempt_guard &guard(const std::string &agent)
+    {
+        return m_guards.try_emplace(agent, m_incarnation, guard_settings{}).first->second;
+    }
+
+    std::map<std::string, request_flow> m_flows;
+    std::map<std::string, attempt_guard> m_guards;
+    std::multimap<time_point, message> m_messages;
+    std::map<std::string, time_point> m_frozenUntil;
+    std::uint64_t m_incarnation = 1;
+    int m_sameTime = 0; // events without time going on
+    fault m_tableFault = fault::None;
+    time_point m_tableBackAt{};
+};
+
+} // namespace zinniabarrow::tests
