--- a/libs/delivery/attempt_guard.cpp
+++ b/libs/delivery/attempt_guard.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 // Safe for every repeat: says nothing about whether the first copy ran.
-constexpr guard_refusal NotCertain{error_kind::OutcomeUnknown, executed::Unknown};
-constexpr guard_refusal TooLate{error_kind::DeadlinePassed, executed::No};
+constexpr guard_refusal NotCertain{error_kind::OutcomeUnknown, executed::Unknown, false};
+constexpr guard_refusal TooLate{error_kind::DeadlinePassed, executed::No, true};
 
 } // namespace
 
@@ -32,7 +32,7 @@
     } else if (m_seen.size() >= m_settings.maxRemembered) {
         // Full: forgetting one would let its doubled copy start, and a refusal that is not
         // remembered can't promise that a second copy of this one stays out.
-        return guard_refusal{error_kind::Overloaded, executed::Unknown};
+        return guard_refusal{error_kind::Overloaded, executed::Unknown, false};
     }
     auto &seen = m_seen[id];
     seen.attempt = attempt.attempt;
--- a/libs/delivery/attempt_guard.h
+++ b/libs/delivery/attempt_guard.h
@@ -33,10 +33,12 @@
     time_point deadline = Never;   // arrival plus the time that remained
 };
 
+// Becomes the attempt_refused of the entry.
 struct guard_refusal
 {
     error_kind kind = error_kind::OutcomeUnknown;
     executed ran = executed::Unknown;
+    bool ended = false; // nothing of this attempt is running here
 };
 
 // One thread at a time.
--- a/libs/delivery/claim_book.cpp
+++ b/libs/delivery/claim_book.cpp
@@ -19,6 +19,12 @@
     return row.answer && row.answer->body ? row.answer->body->size() : 0;
 }
 
+std::optional<std::uint64_t> eraOf(const Json::Value &value)
+{
+    const bool known = value.isObject() && value["era"].isUInt64();
+    return known ? std::optional(value["era"].asUInt64()) : std::nullopt;
+}
+
 table_transaction removalOf(const std::string &operationId, const std::vector<table_row> &rows)
 {
     table_transaction transaction{operationId, {}, {}};
@@ -48,7 +54,7 @@
     };
     if (auto verdict = fromMemory(request)) {
         m_actions.emplace_back(claim_settled{request.requestId, std::move(*verdict)});
-    } else if (now < m_tableDownUntil) {
+    } else if (m_tableDown) {
         refuse(error_kind::PlatformUnavailable);
     } else if (m_open.size() >= m_settings.maxOpen) {
         refuse(error_kind::Overloaded);
@@ -204,18 +210,17 @@
     m_toCommit.emplace(dueAt, key);
 }
 
-void claim_book::mustRead(const std::string &key, open_claim &claim, time_point dueAt)
+void claim_book::mustRead(const std::string &key, open_claim &claim)
 {
     unschedule(key, claim);
     claim.at = phase::MustRead;
-    claim.dueAt = dueAt;
-    m_toRead.emplace(dueAt, key);
+    m_toRead.insert(key);
 }
 
 void claim_book::unschedule(const std::string &key, const open_claim &claim)
 {
     m_toCommit.erase({claim.dueAt, key});
-    m_toRead.erase({claim.dueAt, key});
+    m_toRead.erase(key);
 }
 
 void claim_book::erase(const std::string &key)
@@ -257,18 +262,18 @@
 
 void claim_book::sendReads()
 {
-    while (!m_toRead.empty() && m_toRead.begin()->first <= m_now) {
-        std::vector<std::string> keys;
-        while (!m_toRead.empty() && keys.size() < m_settings.maxBatch) {
-            const auto key = m_toRead.begin()->second;
-            m_toRead.erase(m_toRead.begin());
-            m_open.at(key).at = phase::Reading;
-            keys.push_back(key);
-        }
-        const auto id = nextId();
-        m_actions.emplace_back(read_claims{id, keys});
-        m_reads[id] = std::move(keys);
+    if (m_tableDown || m_toRead.empty() || m_now < m_nextReadAt)
+        return;
+    std::vector<std::string> keys;
+    while (!m_toRead.empty() && keys.size() < m_settings.maxBatch) {
+        keys.push_back(*m_toRead.begin());
+        m_toRead.erase(m_toRead.begin());
+        m_open.at(keys.back()).at = phase::Reading;
     }
+    const auto id = nextId();
+    m_actions.emplace_back(read_claims{id, keys});
+    m_reads[id] = std::move(keys);
+    m_nextReadAt = m_now + m_settings.commitGap;
 }
 
 // Group commit: what waits when a transaction may go out goes together.
@@ -289,6 +294,11 @@
     m_nextCommitAt = m_now + m_settings.commitGap;
 }
 
+bool claim_book::mayCommit() const
+{
+    return !m_tableDown && m_era != 0 && m_commits.size() < m_settings.maxCommits;
+}
+
 void claim_book::sendCommit(const std::vector<std::string> &keys)
 {
     table_transaction transaction{nextId(), {}, {}};
@@ -297,7 +307,7 @@
     transaction.conditions.push_back({EraKey, m_eraVersion});
     for (const auto &key : keys) {
         auto &claim = m_open.at(key);
-        if (claim.row.era == 0)
+        if (!claim.granted)
             claim.row.era = m_era;
         claim.at = phase::Committing;
         claim.sent = claim.row.state;
@@ -311,13 +321,13 @@
 time_point claim_book::nextWake() const
 {
     auto wake = m_nextEraReadAt;
-    if (m_era != 0)
-        wake = std::min(wake, std::max(m_nextSweepAt, m_tableDownUntil));
-    if (!m_toRead.empty())
-        wake = std::min(wake, m_toRead.begin()->first);
     if (!m_giveUps.empty())
         wake = std::min(wake, m_giveUps.begin()->first);
-    if (!m_toCommit.empty() && m_era != 0 && m_commits.size() < m_settings.maxCommits)
+    if (!m_tableDown && m_era != 0)
+        wake = std::min(wake, m_nextSweepAt);
+    if (!m_tableDown && !m_toRead.empty())
+        wake = std::min(wake, m_nextReadAt);
+    if (mayCommit() && !m_toCommit.empty())
         wake = std::min(wake, std::max(m_toCommit.begin()->first, m_nextCommitAt));
     return wake;
 }
@@ -332,7 +342,7 @@
         const auto keys = std::move(found->second);
         m_commits.erase(found);
         commitEnded(keys, event.result);
-    } else if (!event.operationId.empty() && event.operationId == m_eraCommitId) {
+    } else if (event.operationId == m_eraCommitId) {
         eraCommitted(event.result);
     }
     advance();
@@ -346,8 +356,7 @@
         m_era = 0;
         m_nextEraReadAt = m_now;
     }
-    if (result.outcome == write_outcome::Refused)
-        tableFailed();
+    noteTable(result.outcome);
     if (result.outcome != write_outcome::Applied)
         m_actions.emplace_back(count_flow{flow_counter::ClaimResent, std::nullopt, keys.size()});
     for (const auto &key : keys) {
@@ -362,20 +371,20 @@
             if (eraPassed)
                 queue(key, claim, m_now);
             else
-                mustRead(key, claim, m_now);
+                mustRead(key, claim);
             break;
         case write_outcome::Unknown:
             // The answer is lost, the write may have applied: nothing is forwarded before the
             // row has been read and carries our own request id.
             claim.unsettled = true;
-            mustRead(key, claim, m_now);
+            mustRead(key, claim);
             break;
         case write_outcome::Refused:
-            queue(key, claim, m_tableDownUntil);
+            queue(key, claim, m_now); // goes out when the table is back
             break;
         }
     }
-    if (result.outcome == write_outcome::Refused)
+    if (m_tableDown)
         refuseWaiting();
 }
 
@@ -409,43 +418,41 @@
 void claim_book::read(const claims_read &event, time_point now)
 {
     m_now = now;
+    if (event.readId == m_sweepId)
+        swept(event);
+    else
+        event.succeeded ? tableAnswered() : tableFailed();
+    if (event.readId == m_eraReadId)
+        eraRead(event);
     const auto found = m_reads.find(event.readId);
     if (found != m_reads.end()) {
         const auto keys = std::move(found->second);
         m_reads.erase(found);
-        if (!event.succeeded)
-            readFailed(keys);
-        std::map<std::string, const table_row *> rows;
-        for (const auto &row : event.rows)
-            rows[row.key] = &row;
-        for (const auto &key : event.succeeded ? keys : std::vector<std::string>())
-            resolve(key, rows.contains(key) ? rows.at(key) : nullptr);
-    } else if (!event.readId.empty() && event.readId == m_eraReadId) {
-        m_eraReadId.clear();
-        if (event.succeeded)
-            eraRead(event.rows.empty() ? nullptr : &event.rows.front());
-        else
-            readFailed({});
-    } else if (!event.readId.empty() && event.readId == m_sweepId) {
-        m_sweepId.clear();
-        m_nextSweepAt = m_now + m_settings.sweepGap;
-        if (event.succeeded)
-            swept(event.rows);
+        event.succeeded ? readDone(keys, event.rows) : readFailed(keys);
     }
+    if (m_tableDown)
+        refuseWaiting();
     advance();
 }
 
+void claim_book::readDone(const std::vector<std::string> &keys, const std::vector<table_row> &rows)
+{
+    std::map<std::string, const table_row *> found;
+    for (const auto &row : rows)
+        found[row.key] = &row;
+    for (const auto &key : keys)
+        resolve(key, found.contains(key) ? found.at(key) : nullptr);
+}
+
 void claim_book::readFailed(const std::vector<std::string> &keys)
 {
-    tableFailed();
     for (const auto &key : keys) {
         auto &claim = m_open.at(key);
         answer(claim, claim_refused{error_kind::PlatformUnavailable});
-        mustRead(key, claim, m_tableDownUntil);
+        mustRead(key, claim);
         if (!claim.granted)
             drop(key);
     }
-    refuseWaiting();
 }
 
 void claim_book::resolve(const std::string &key, const table_row *row)
@@ -491,21 +498,37 @@
 
 // --- Outage -------------------------------------------------------------------------------------
 
+void claim_book::tableAnswered()
+{
+    m_tableDown = false;
+}
+
+// While the table is down one small read probes it, however much waits; a single lost answer costs
+// one round trip, since the first probe goes out at once.
 void claim_book::tableFailed()
 {
-    m_tableDownUntil = m_now + m_settings.tableRetry;
-    if (m_nextEraReadAt != Never || (m_eraReadId.empty() && m_eraCommitId.empty()))
-        m_nextEraReadAt =
-                std::max(m_nextEraReadAt == Never ? m_now : m_nextEraReadAt, m_tableDownUntil);
+    const bool underWay = m_nextEraReadAt == Never;
+    if (!underWay)
+        m_nextEraReadAt = m_tableDown ? m_now + m_settings.tableRetry : m_now;
+    m_tableDown = true;
 }
 
-// Claims that wait for their first transaction are refused at once: they have not run, and callers
+void claim_book::noteTable(write_outcome outcome)
+{
+    if (outcome == write_outcome::Refused)
+        tableFailed();
+    else if (outcome != write_outcome::Unknown)
+        tableAnswered();
+}
+
+// Claims that wait to be sent or read back are refused at once: they have not run, and callers
 // learn it now instead of after their patience.
 void claim_book::refuseWaiting()
 {
     std::vector<std::string> keys;
     for (const auto &[key, claim] : m_open) {
-        if (claim.waiting && claim.at == phase::Queued)
+        const bool idle = claim.at == phase::Queued || claim.at == phase::MustRead;
+        if (claim.waiting && idle)
             keys.push_back(key);
     }
     for (const auto &key : keys) {
@@ -525,56 +548,65 @@
     m_actions.emplace_back(read_claims{m_eraReadId, {EraKey}});
 }
 
-void claim_book::eraRead(const table_row *row)
+void claim_book::eraRead(const claims_read &event)
 {
+    m_eraReadId.clear();
+    m_nextEraReadAt = m_now + m_settings.tableRetry;
+    if (!event.succeeded)
+        return;
+    const auto *row = event.rows.empty() ? nullptr : &event.rows.front();
     const auto version = row == nullptr ? 0 : row->version;
-    if (m_era == 0 || version != m_eraVersion) {
-        if (version != m_eraVersion)
-            m_eraSeenAt = m_now;
-        m_eraVersion = version;
-        m_era = row == nullptr ? 0 : row->value["era"].asUInt64();
-    }
+    if (version != m_eraVersion)
+        m_eraSeenAt = m_now;
+    m_eraVersion = version;
+    m_era = row == nullptr ? 0 : eraOf(row->value).value_or(0);
+    m_nextEraReadAt = m_now + m_settings.eraLength / 4;
     // Raised only after it was seen unchanged for its length on one clock, so that the eras never
     // run ahead of time, whoever raises them and whatever was paused.
-    const bool over = m_era == 0 || m_now - m_eraSeenAt >= m_settings.eraLength;
-    if (!over) {
-        m_nextEraReadAt = m_now + m_settings.eraLength / 4;
-        return;
-    }
+    if (m_era == 0 || m_now - m_eraSeenAt >= m_settings.eraLength)
+        raiseEra();
+}
+
+void claim_book::raiseEra()
+{
     Json::Value value(Json::objectValue);
     value["era"] = Json::UInt64(m_era + 1);
+    m_nextEraReadAt = Never;
     m_eraCommitId = nextId();
-    m_actions.emplace_back(commit_claims{{m_eraCommitId, {{EraKey, version}}, {{EraKey, value}}}});
+    m_actions.emplace_back(
+            commit_claims{{m_eraCommitId, {{EraKey, m_eraVersion}}, {{EraKey, value}}}});
 }
 
 void claim_book::eraCommitted(const write_result &result)
 {
     m_eraCommitId.clear();
     m_nextEraReadAt = m_now; // reads back whatever happened
-    if (result.outcome == write_outcome::Refused) {
-        m_nextEraReadAt = Never;
-        readFailed({});
-    }
+    noteTable(result.outcome);
+    if (m_tableDown)
+        refuseWaiting();
 }
 
 void claim_book::sweep()
 {
-    if (m_now < m_nextSweepAt || m_era == 0 || m_now < m_tableDownUntil)
+    if (m_now < m_nextSweepAt || m_era == 0 || m_tableDown)
         return;
     m_nextSweepAt = Never;
     m_sweepId = nextId();
     m_actions.emplace_back(scan_claims{m_sweepId, claimPrefix(m_sweepPrefix)});
 }
 
-void claim_book::swept(const std::vector<table_row> &rows)
+void claim_book::swept(const claims_read &event)
 {
+    m_sweepId.clear();
+    m_nextSweepAt = m_now + m_settings.sweepGap;
     std::vector<table_row> expired;
-    for (const auto &row : rows) {
-        const auto era = row.value["era"].asUInt64();
-        if (era + m_settings.keyLifeEras < m_era && expired.size() < m_settings.maxBatch)
+    for (const auto &row : event.rows) {
+        const auto era = eraOf(row.value);
+        const bool old = era && *era + m_settings.keyLifeEras < m_era;
+        if (old && expired.size() < m_settings.maxBatch)
             expired.push_back(row);
     }
-    if (expired.size() < m_settings.maxBatch)
+    if (event.succeeded && expired.size() < m_settings.maxBatch)
         ++m_sweepPrefix;
     if (expired.empty())
         return;
--- a/libs/delivery/claim_book.h
+++ b/libs/delivery/claim_book.h
@@ -56,7 +56,7 @@
 {
     milliseconds commitGap{20};            // between two transactions of this entry
     milliseconds recordDelay{100};         // a record of an end waits so long for company
-    milliseconds tableRetry{250};          // after a failure, until the table is tried again
+    milliseconds tableRetry{250};          // between two probes of a table that is down
     milliseconds claimPatience{1000};      // a claim not settled by then is refused as not run
     std::size_t maxBatch = 64;             // rows in one transaction
     std::size_t maxCommits = 4;            // transactions in flight
@@ -132,7 +132,6 @@
     std::vector<claim_action> takeActions();
     time_point nextWake() const;
     std::size_t openRecords() const { return m_open.size(); } // not yet settled for good
-    std::size_t keptRecords() const { return m_kept.size(); }
     std::size_t keptBytes() const { return m_keptBytes; }
 
 private:
@@ -149,7 +148,7 @@
         bool granted = false;      // the holder may have forwarded
         bool unsettled = false;    // a transaction without an answer may still apply
         std::uint64_t version = 0; // of the row as last known; 0: absent
-        time_point dueAt{};        // next transaction or read, while Queued or MustRead
+        time_point dueAt{};        // next transaction, while Queued
         time_point giveUpAt{};     // end of patience, while waiting
     };
 
@@ -172,7 +171,7 @@
     void drop(const std::string &key);
     void answer(open_claim &claim, claim_verdict verdict);
     void queue(const std::string &key, open_claim &claim, time_point dueAt);
-    void mustRead(const std::string &key, open_claim &claim, time_point dueAt);
+    void mustRead(const std::string &key, open_claim &claim);
     void unschedule(const std::string &key, const open_claim &claim);
     void erase(const std::string &key);
     void keep(const std::string &key, const claim_row &row);
@@ -183,20 +182,25 @@
     void resolve(const std::string &key, const table_row *row);
     void resolveForeign(const std::string &key, open_claim &claim, const table_row &row);
     void commitEnded(const std::vector<std::string> &keys, const write_result &result);
+    void readDone(const std::vector<std::string> &keys, const std::vector<table_row> &rows);
     void readFailed(const std::vector<std::string> &keys);
+    void tableAnswered();
     void tableFailed();
+    void noteTable(write_outcome outcome);
     void refuseWaiting();
 
     void advance();
     void giveUp();
     void sendCommits();
+    bool mayCommit() const;
     void sendReads();
     void sendCommit(const std::vector<std::string> &keys);
     void watchEra();
-    void eraRead(const table_row *row);
+    void eraRead(const claims_read &event);
+    void raiseEra();
     void eraCommitted(const write_result &result);
     void sweep();
-    void swept(const std::vector<table_row> &rows);
+    void swept(const claims_read &event);
     std::string nextId();
 
     std::string m_entryId;
@@ -205,7 +209,7 @@
     std::map<std::string, open_claim> m_open;   // by row key
     std::map<std::string, std::string> m_rowOf; // row key by request id
     timed_keys m_toCommit;
-    timed_keys m_toRead;
+    std::set<std::string> m_toRead;
     timed_keys m_giveUps;
     std::map<std::string, std::vector<std::string>> m_commits; // row keys by operation id
     std::map<std::string, std::vector<std::string>> m_reads;   // row keys by read id
@@ -214,8 +218,9 @@
     std::size_t m_keptBytes = 0;
     std::uint64_t m_lastId = 0;
     time_point m_nextCommitAt{};
-    time_point m_tableDownUntil{};
-    std::uint64_t m_era = 0; // 0: not known, nothing is committed
+    time_point m_nextReadAt{};
+    bool m_tableDown = false; // since the last failure nothing has succeeded
+    std::uint64_t m_era = 0;  // 0: not known, nothing is committed
     std::uint64_t m_eraVersion = 0;
     time_point m_eraSeenAt{};     // when m_eraVersion was first seen
     time_point m_nextEraReadAt{}; // Never while a read or a raise is under way
--- a/libs/delivery/request_flow.cpp
+++ b/libs/delivery/request_flow.cpp
@@ -51,7 +51,11 @@
     : m_settings(settings)
     , m_permit(std::move(permit))
     , m_book(std::move(entryId), settings.claims, std::move(alive))
-{ }
+{
+    // Two eras after its claim a request must be over, or a repeat would be told so too early.
+    if (settings.claims.eraLength <= settings.maxRequestTime + settings.lateOutcomeTime)
+        throw error(error_kind::BadSettings, "claims.eraLength must exceed the time of a request");
+}
 
 std::vector<flow_action> request_flow::handle(const flow_event &event, time_point now)
 {
--- a/libs/delivery/request_flow.h
+++ b/libs/delivery/request_flow.h
@@ -55,6 +55,7 @@
 
     std::size_t inFlight() const { return m_inFlight; }             // requests without their answer
     std::size_t openClaims() const { return m_book.openRecords(); } // not settled for good
+    std::size_t keptAnswerBytes() const { return m_book.keptBytes(); }
     bool draining() const { return m_draining; }
 
 private:
--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -28,6 +28,7 @@
     for (const auto &[order, count] : world.runsOf)
         cr_expect(mayRepeat || count <= 1, "%s: %s ran %d times", what.c_str(), order.c_str(),
                   count);
+    cr_expect(world.overlapping.empty(), "%s: two attempts at once", what.c_str());
     for (const auto &[id, refusals] : world.refusals) {
         for (const auto &refusal : refusals) {
             const bool truth = refusal.ran != executed::No || world.runs[id] == 0;
--- a/tests/delivery_world.h
+++ b/tests/delivery_world.h
@@ -2,6 +2,7 @@
 // message is a numbered step, and a fault may hit any step.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
@@ -26,6 +27,7 @@
     AnswerLost,     // the step takes effect, its answer never comes
     AnswerOfSecond, // a commit is sent twice by the network, the second answer arrives
     Doubled,        // at once
+    Late,           // three seconds, longer than every deadline here
     DoubledLate,    // again half a second later
     TableRefuses,   // for two seconds
     TableHangs,     // for two seconds: answers are Unknown, nothing applies
@@ -43,10 +45,12 @@
     memory_platform platform;
     std::map<std::string, int> runs;   // by request id
     std::map<std::string, int> runsOf; // by order: the key, or the request without one
+    std::set<std::string> overlapping; // requests that ran twice at once
     std::map<std::string, std::vector<refuse_request>> refusals; // by request id
     std::map<std::string, std::vector<std::string>>
             answers; // by request id: "passed", "replayed" or the kind
     std::map<std::string, time_point> answeredAt;
+    std::map<std::string, time_point> sentAt;
     std::map<std::string, std::string> entryOf;  // by request id
     std::map<std::string, std::string> orderOf;  // by request id
     std::map<std::string, std::uint64_t> counts; // by name of the counter
@@ -65,6 +69,7 @@
               milliseconds patience = milliseconds(1000))
     {
         entryOf[id] = entry;
+        sentAt[id] = time_point(when);
         orderOf[id] = key.empty() ? id : key;
         post(entry, time_point(when) - now, [=, this](fault) {
             event(entry, request_arrived{id, "tickets", method, "/hold/" + key, "kartli", key,
@@ -154,6 +159,8 @@
             m_tableFault = hit;
             m_tableBackAt = now + seconds(2);
         }
+        if (hit == fault::Late)
+            return post(item.entry, seconds(3), item.deliver);
         if (hit == fault::DoubledLate)
             post(item.entry, milliseconds(500), item.deliver);
         if (hit == fault::Doubled)
@@ -188,48 +195,49 @@
 
     void act(const std::string &entry, const choose_upstream &action)
     {
-        for (const std::string agent : {"a1", "a2"}) {
-            const auto &excluded = action.excluded;
-            if (std::find(excluded.begin(), excluded.end(), agent) == excluded.end())
-                return post(entry, milliseconds(0), [=, this](fault) {
-                    event(entry, upstream_chosen{action.id, agent});
-                });
-        }
-        post(entry, milliseconds(0), [=, this](fault) { event(entry, none_available{action.id}); });
+        std::vector<std::string> agents{"a1", "a2"};
+        for (const auto &agent : action.excluded)
+            std::erase(agents, agent);
+        const auto answer = agents.empty() ? flow_event(none_available{action.id})
+                                           : upstream_chosen{action.id, agents.front()};
+        post(entry, milliseconds(0), [=, this](fault) { event(entry, answer); });
     }
 
     void act(const std::string &entry, const forward_request &action)
     {
         const auto incarnation = m_incarnation;
+        const auto remaining = milliseconds(millisecondsUntil(action.deadline, now));
         post(entry, milliseconds(1), [=, this](fault hit) {
             const auto ended = [=, this](const attempt_outcome &outcome) {
-                const bool lost = hit == fault::AnswerLost || cutting.contains(action.agentId);
+                const bool lost = hit == fault::AnswerLost || incarnation != m_incarnation
+                                  || cutting.contains(action.agentId);
                 const attempt_outcome seen = lost ? attempt_outcome(attempt_cut{}) : outcome;
                 post(entry, milliseconds(1), [=, this](fault) {
                     event(entry, attempt_ended{action.id, action.attempt, seen});
                 });
             };
-            const auto refused = [&](const guard_refusal &refusal) {
-                ended(attempt_refused{refusal.kind, refusal.ran, true, milliseconds(0)});
+            const auto refused = [=](const guard_refusal &refusal) {
+                ended(attempt_refused{refusal.kind, refusal.ran, refusal.ended, milliseconds(0)});
             };
             // Entry and agent have each their own clock: what travels is the time that remains.
-            const incoming_attempt incoming{
-                    action.id, action.attempt, incarnation, false,
-                    now + milliseconds(millisecondsUntil(action.deadline, now))};
+            const incoming_attempt incoming{action.id, action.attempt, incarnation, false,
+                                            now + remaining};
             if (const auto refusal = guard(action.agentId).arrived(incoming, now))
                 return refused(*refusal);
             if (refusing.contains(action.agentId)) {
                 guard(action.agentId).ended(action.id, action.attempt, executed::No, now);
-                return refused({error_kind::QueueFull, executed::No});
+                return refused({error_kind::QueueFull, executed::No, true});
             }
             post(entry, milliseconds(5), [=, this](fault) {
                 if (const auto refusal =
                             guard(action.agentId).start(action.id, action.attempt, now))
-                    return ended(
-                            attempt_refused{refusal->kind, refusal->ran, true, milliseconds(0)});
+                    return refused(*refusal);
                 ++runs[action.id];
+                if (++m_running[action.id] > 1)
+                    overlapping.insert(action.id);
                 ++runsOf[orderOf[action.id]];
                 post(entry, milliseconds(20), [=, this](fault) {
+                    --m_running[action.id];
                     guard(action.agentId).ended(action.id, action.attempt, executed::Yes, now);
                     ended(whole_answer{201, {}, action.id.size(), action.id});
                 });
@@ -330,7 +338,8 @@
     std::multimap<time_point, message> m_messages;
     std::map<std::string, time_point> m_frozenUntil;
     std::uint64_t m_incarnation = 1;
-    int m_sameTime = 0; // events without time going on
+    std::map<std::string, int> m_running; // by request id
+    int m_sameTime = 0;                   // events without time going on
     fault m_tableFault = fault::None;
     time_point m_tableBackAt{};
 };
--- /dev/null
+++ b/tests/request_flow_test.cpp
@@ -0,0 +1,210 @@
+// The decisions about one request: when another attempt may start, and which answer is true.
+#include <algorithm>
+
+#include "delivery/request_flow.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using tests::section;
+
+namespace {
+
+constexpr time_point Start{milliseconds(1000)};
+
+// One unkeyed request that has been forwarded to agent a1.
+struct forwarded_request
+{
+    explicit forwarded_request(const std::string &method, bool permit = true)
+        : flow(
+                "e1", {}, [permit](error_kind) { return permit; },
+                [](const auto &) { return true; })
+    {
+        flow.handle(flow_tick{}, Start);
+        flow.handle(request_arrived{"r", "tickets", method, "/hold", "", "", 1,
+                                    Start + milliseconds(500)},
+                    Start);
+        flow.handle(upstream_chosen{"r", "a1"}, Start);
+    }
+
+    std::vector<flow_action> end(const attempt_outcome &outcome, std::uint32_t attempt = 1,
+                                 milliseconds after = milliseconds(10))
+    {
+        return flow.handle(attempt_ended{"r", attempt, outcome}, Start + after);
+    }
+
+    request_flow flow;
+};
+
+template <typename Action>
+const Action *find(const std::vector<flow_action> &actions)
+{
+    const auto found = std::find_if(actions.begin(), actions.end(), [](const auto &action) {
+        return std::holds_alternative<Action>(action);
+    });
+    return found == actions.end() ? nullptr : &std::get<Action>(*found);
+}
+
+const refuse_request *refusalIn(const std::vector<flow_action> &actions)
+{
+    const auto *answer = find<answer_caller>(actions);
+    return answer == nullptr ? nullptr : std::get_if<refuse_request>(&answer->answer);
+}
+
+bool refusedAs(const std::vector<flow_action> &actions, error_kind kind, executed ran)
+{
+    const auto *refusal = refusalIn(actions);
+    return refusal != nullptr && refusal->kind == kind && refusal->ran == ran;
+}
+
+bool retries(const std::string &method, const attempt_outcome &outcome)
+{
+    return find<choose_upstream>(forwarded_request(method).end(outcome)) != nullptr;
+}
+
+attempt_refused refusalOf(error_kind kind, executed ran, bool ended = true)
+{
+    return {kind, ran, ended, milliseconds(0)};
+}
+
+} // namespace
+
+Test(request_flow, retries)
+{
+    section("what certainly did not run is tried elsewhere, whatever the method", [] {
+        for (const auto *method : {"GET", "POST", "PUT"}) {
+            check(retries(method, attempt_unreachable{}));
+            check(retries(method, refusalOf(error_kind::QueueFull, executed::No)));
+        }
+    });
+    section("the agent that refused is not asked again", [] {
+        const auto actions = forwarded_request("POST").end(attempt_unreachable{});
+        check(find<choose_upstream>(actions)->excluded == std::vector<std::string>{"a1"});
+    });
+    section("what may have run is never tried again, unless idempotent and known to have ended",
+            [] {
+                check(!retries("POST", attempt_cut{true}));
+                check(!retries("GET", attempt_cut{false}));
+                check(retries("GET", attempt_cut{true}));
+                check(!retries("POST", refusalOf(error_kind::OutcomeUnknown, executed::Unknown)));
+                check(!retries("PUT", attempt_late{}));
+                check(!retries("PUT", attempt_too_large{}));
+            });
+    section("a refusal whose kind does not mean 'not run' is no proof of it", [] {
+        const auto doubtful = refusalOf(error_kind::AnswerCut, executed::No);
+        check(!retries("POST", doubtful));
+        check(refusedAs(forwarded_request("POST").end(doubtful), error_kind::OutcomeUnknown,
+                        executed::Unknown));
+    });
+    section("no retry without permission, time or attempts left", [] {
+        const auto denied = forwarded_request("POST", false).end(attempt_unreachable{});
+        check(refusedAs(denied, error_kind::UpstreamUnreachable, executed::No));
+        const auto late =
+                forwarded_request("POST").end(attempt_unreachable{}, 1, milliseconds(490));
+        check(refusedAs(late, error_kind::UpstreamUnreachable, executed::No));
+        forwarded_request request("POST");
+        for (std::uint32_t attempt = 1; attempt < 3; ++attempt) {
+            check(find<choose_upstream>(request.end(attempt_unreachable{}, attempt)));
+            request.flow.handle(upstream_chosen{"r", "a"}, Start);
+        }
+        check(refusedAs(request.end(attempt_unreachable{}, 3), error_kind::UpstreamUnreachable,
+                        executed::No));
+    });
+}
+
+// The caller of an idempotent request whose first try was cut is refused by every other agent. The
+// last refusal says "not run", but the first try may have run: the answer must not claim otherwise.
+Test(request_flow, refusal_after_a_try_that_may_have_run)
+{
+    forwarded_request request("PUT");
+    check(find<choose_upstream>(request.end(attempt_cut{true})));
+    request.flow.handle(upstream_chosen{"r", "a2"}, Start);
+    check(find<choose_upstream>(request.end(refusalOf(error_kind::QueueFull, executed::No), 2)));
+    const auto actions = request.flow.handle(none_available{"r"}, Start);
+    check(refusedAs(actions, error_kind::OutcomeUnknown, executed::Unknown));
+}
+
+Test(request_flow, answers)
+{
+    section("a whole answer is passed on, once", [] {
+        forwarded_request request("POST");
+        const auto actions = request.end(whole_answer{201, {}, 2, "ok"});
+        check(std::get<pass_answer>(find<answer_caller>(actions)->answer).status == 201);
+        check(!find<answer_caller>(request.end(whole_answer{201, {}, 2, "ok"})));
+        check(request.flow.inFlight() == 0);
+    });
+    section("an outcome that is not known is answered as such at once", [] {
+        check(refusedAs(forwarded_request("POST").end(attempt_cut{}), error_kind::OutcomeUnknown,
+                        executed::Unknown));
+        check(refusedAs(forwarded_request("GET").end(attempt_cut{}), error_kind::AnswerCut,
+                        executed::Unknown));
+    });
+    section("an answer of an earlier attempt is not the answer", [] {
+        forwarded_request request("POST");
+        request.end(attempt_unreachable{});
+        request.flow.handle(upstream_chosen{"r", "a2"}, Start);
+        check(!find<answer_caller>(request.end(whole_answer{200, {}, 0, ""}, 1)));
+        check(find<answer_caller>(request.end(whole_answer{200, {}, 0, ""}, 2)));
+    });
+    section("at the deadline: the final answer, and a cancel to the agent", [] {
+        forwarded_request request("POST");
+        check(request.flow.nextWake() == Start + milliseconds(500));
+        const auto actions = request.flow.handle(flow_tick{}, Start + milliseconds(500));
+        check(refusedAs(actions, error_kind::AnswerLate, executed::Unknown));
+        check(find<cancel_attempt>(actions)->agentId == "a1");
+    });
+    section("the agent's own Retry-After is kept when it is longer", [] {
+        auto refusal = refusalOf(error_kind::QueueFull, executed::No);
+        refusal.retryAfter = milliseconds(7000);
+        const auto actions = forwarded_request("POST", false).end(refusal);
+        check(refusalIn(actions)->retryAfter == milliseconds(7000));
+    });
+    section("an entry that was paused does not forward after the deadline", [] {
+        request_flow flow(
+                "e1", {}, [](error_kind) { return true; }, [](const auto &) { return 1; });
+        flow.handle(request_arrived{"r", "s", "POST", "/", "", "", 1, Start + milliseconds(5)},
+                    Start);
+        const auto actions = flow.handle(upstream_chosen{"r", "a1"}, Start + seconds(4));
+        check(!find<forward_request>(actions));
+        check(refusedAs(actions, error_kind::DeadlinePassed, executed::No));
+    });
+}
+
+// A planned stop: the caller in flight gets its whole answer, a new one is refused as not run, and
+// the entry says that it is done only after that.
+Test(request_flow, drain)
+{
+    forwarded_request request("POST");
+    check(!find<flow_drained>(request.flow.handle(flow_drain{}, Start)));
+    const auto refused = request.flow.handle(
+            request_arrived{"n", "tickets", "GET", "/", "", "", 1, Start + seconds(1)}, Start);
+    check(refusedAs(refused, error_kind::Draining, executed::No));
+    const auto last = request.end(whole_answer{200, {}, 0, ""});
+    check(find<answer_caller>(last));
+    check(find<flow_drained>(last));
+    check(!find<flow_drained>(request.flow.handle(flow_drain{}, Start)));
+}
+
+Test(request_flow, bounds)
+{
+    section("more than the bound in flight is refused as not run", [] {
+        flow_settings settings;
+        settings.maxInFlight = 1;
+        request_flow flow(
+                "e1", settings, [](error_kind) { return true; }, [](const auto &) { return true; });
+        const request_arrived first{"r1", "s", "GET", "/", "", "", 1, Start + seconds(1)};
+        auto second = first;
+        second.id = "r2";
+        check(!find<answer_caller>(flow.handle(first, Start)));
+        check(refusedAs(flow.handle(second, Start), error_kind::Overloaded, executed::No));
+    });
+    section("settings under which a key could expire during its request are refused", [] {
+        flow_settings settings;
+        settings.claims.eraLength = milliseconds(1000);
+        try {
+            const request_flow flow("e1", settings, {}, {});
+            check(!"accepted");
+        } catch (const error &problem) {
+            check(problem.kind() == error_kind::BadSettings);
+        }
+    });
+}
