placement: joint belief of interference; held room expires; tests for what mutations missed

The filter with variances only blamed the service's own baseline for a steady neighbour and corrected both in the wrong direction when the neighbour went. Change: holds are looked at in each plan and end in time. Baseline and effects are believed jointly, with their covariance, bounded to 32 neighbour classes for each of 256 service classes. A first run of mutations showed 8 safeguards whose loss no test saw; tests were added for them: room held until the rest is free, stops that are coming, cool-down and late samples, blame of a set-aside worker, not returning where evicted, learned sizes capped at the largest worker, doubled samples.

--- a/libs/placement/interference.cpp
+++ b/libs/placement/interference.cpp
@@ -24,7 +24,8 @@
         amounts.erase(found);
 }
 
-double square(double value)
+template <typename Number>
+Number square(Number value)
 {
     return value * value;
 }
@@ -60,65 +61,84 @@
     : m_settings(settings)
 { }
 
-std::uint32_t interference_model::keyOf(class_number service, class_number neighbour)
-{
-    return (std::uint32_t{service} << 16U) | neighbour;
-}
-
-// One step of a Kalman filter that keeps variances only: the residual is shared out by how
-// uncertain each part is and how much of it was there.
 void interference_model::learn(class_number service, std::span<const class_amount> neighbours,
                                double logRatio, time_point measuredAt)
 {
     if (!m_settings.learn)
         return;
-    double residual = logRatio - expected(service, neighbours);
-    auto &base = baselineBelief(service, measuredAt);
-    double total = square(m_settings.noise) + base.variance;
+    auto *belief = beliefOf(service, measuredAt);
+    if (!belief)
+        return;
+    drift(*belief, measuredAt);
+    std::vector<indexed_amount> amounts{{0, 1}};
     for (const auto &neighbour : neighbours) {
-        const auto known = m_pairs.contains(keyOf(service, neighbour.jobClass));
-        if (!known && m_pairs.size() >= m_settings.maxPairs)
-            continue;
-        const auto &pair = pairBelief(service, neighbour.jobClass, measuredAt);
-        total += square(neighbour.processors) * pair.variance;
+        const auto index = indexFor(*belief, neighbour.jobClass, measuredAt);
+        if (index != 0 && neighbour.processors > 0)
+            amounts.push_back({index, neighbour.processors});
     }
-    correct(base, 1, 1 / total, residual);
-    for (const auto &neighbour : neighbours) {
-        const auto found = m_pairs.find(keyOf(service, neighbour.jobClass));
-        if (found == m_pairs.end())
-            continue;
-        const double before = found->second.mean;
-        correct(found->second, neighbour.processors, 1 / total, residual);
-        found->second.mean = std::max(found->second.mean, 0.0); // a neighbour speeds nothing up
-        m_byService[service].sum += found->second.mean - before;
-        m_byNeighbour[neighbour.jobClass].sum += found->second.mean - before;
+    const double residual = logRatio - expected(service, neighbours);
+    correct(*belief, amounts, residual);
+}
+
+// One step of a Kalman filter whose state stands still but for the drift.
+void interference_model::correct(service_belief &belief, const std::vector<indexed_amount> &amounts,
+                                 double residual)
+{
+    const auto size = belief.means.size();
+    std::vector<double> joint(size, 0); // covariance times amounts
+    for (std::size_t row = 0; row < size; ++row) {
+        for (const auto &amount : amounts)
+            joint[row] += covarianceAt(belief, row, amount.index) * amount.amount;
+    }
+    double total = square(m_settings.noise);
+    for (const auto &amount : amounts)
+        total += joint[amount.index] * amount.amount;
+    for (std::size_t row = 0; row < size; ++row) {
+        for (std::size_t column = 0; column < size; ++column)
+            covarianceAt(belief, row, column) -= joint[row] * joint[column] / total;
+    }
+    belief.means[0] += joint[0] / total * residual;
+    for (std::size_t index = 1; index < size; ++index) {
+        const double mean = belief.means[index] + joint[index] / total * residual;
+        setMean(belief, index, std::max(mean, 0.0)); // a neighbour speeds nothing up
     }
 }
 
+void interference_model::setMean(service_belief &belief, std::size_t index, double mean)
+{
+    const double change = mean - belief.means[index];
+    belief.means[index] = mean;
+    belief.effectSum += change;
+    m_byNeighbour[belief.neighbours[index - 1]].sum += change;
+}
+
 effect_estimate interference_model::effect(class_number service, class_number neighbour) const
 {
-    const auto found = m_pairs.find(keyOf(service, neighbour));
-    if (found != m_pairs.end())
-        return {found->second.mean, std::sqrt(found->second.variance)};
-    // The prior counts as one pair of each class.
+    // The prior counts as one pair.
     double sum = m_settings.priorEffect;
     int pairs = 1;
-    const auto add = [&](const auto &means, class_number jobClass) {
-        const auto mean = means.find(jobClass);
-        if (mean == means.end())
-            return;
-        sum += mean->second.sum;
-        pairs += mean->second.pairs;
-    };
-    add(m_byService, service);
-    add(m_byNeighbour, neighbour);
+    const auto found = m_services.find(service);
+    if (found != m_services.end()) {
+        const auto &belief = found->second;
+        if (const auto index = findIndex(belief, neighbour)) {
+            const auto diagonal = index * (m_settings.maxNeighbours + 1) + index;
+            return {belief.means[index], std::sqrt(std::max(belief.covariance[diagonal], 0.0))};
+        }
+        sum += belief.effectSum;
+        pairs += static_cast<int>(belief.neighbours.size());
+    }
+    const auto others = m_byNeighbour.find(neighbour);
+    if (others != m_byNeighbour.end()) {
+        sum += others->second.sum;
+        pairs += others->second.pairs;
+    }
     return {sum / pairs, m_settings.priorDeviation};
 }
 
 double interference_model::baseline(class_number service) const
 {
-    const auto found = m_baselines.find(service);
-    return found == m_baselines.end() ? m_settings.baselineMean : found->second.mean;
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? m_settings.baselineMean : found->second.means[0];
 }
 
 double interference_model::expected(class_number service,
@@ -130,46 +150,90 @@
     return sum;
 }
 
-interference_model::belief &interference_model::pairBelief(class_number service,
-                                                           class_number neighbour, time_point at)
+interference_model::service_belief *interference_model::beliefOf(class_number service,
+                                                                 time_point at)
 {
-    const auto key = keyOf(service, neighbour);
-    const auto found = m_pairs.find(key);
-    if (found != m_pairs.end()) {
-        drift(found->second, at);
-        return found->second;
+    const auto found = m_services.find(service);
+    if (found != m_services.end())
+        return &found->second;
+    if (m_services.size() >= m_settings.maxServices)
+        return nullptr;
+    auto &belief = m_services[service];
+    belief.means.push_back(m_settings.baselineMean);
+    belief.covariance.assign(square(m_settings.maxNeighbours + 1), 0);
+    covarianceAt(belief, 0, 0) = square(m_settings.baselineDeviation);
+    belief.updatedAt = at;
+    return &belief;
+}
+
+// 0 when the class is not among the neighbours.
+std::size_t interference_model::findIndex(const service_belief &belief, class_number neighbour)
+{
+    const auto found = std::find(belief.neighbours.begin(), belief.neighbours.end(), neighbour);
+    if (found == belief.neighbours.end())
+        return 0;
+    return static_cast<std::size_t>(found - belief.neighbours.begin()) + 1;
+}
+
+// A class seen for the first time takes a free place, or that of the one unseen for longest. 0 when
+// all are beside the service in this very sample.
+std::size_t interference_model::indexFor(service_belief &belief, class_number neighbour,
+                                         time_point at)
+{
+    if (const auto known = findIndex(belief, neighbour)) {
+        belief.seenAt[known - 1] = at;
+        return known;
     }
-    const double borrowed = effect(service, neighbour).mean;
-    for (auto *mean : {&m_byService[service], &m_byNeighbour[neighbour]}) {
-        mean->sum += borrowed;
-        ++mean->pairs;
+    if (belief.neighbours.size() < m_settings.maxNeighbours) {
+        belief.neighbours.push_back(neighbour);
+        belief.seenAt.push_back(at);
+        belief.means.push_back(0);
+        forget(belief, belief.neighbours.size(), neighbour);
+        return belief.neighbours.size();
     }
-    return m_pairs[key] = {borrowed, square(m_settings.priorDeviation), at};
+    const auto oldest = std::min_element(belief.seenAt.begin(), belief.seenAt.end());
+    if (oldest == belief.seenAt.end() || *oldest == at)
+        return 0;
+    *oldest = at;
+    const auto index = static_cast<std::size_t>(oldest - belief.seenAt.begin()) + 1;
+    auto &others = m_byNeighbour[belief.neighbours[index - 1]];
+    others.sum -= belief.means[index];
+    --others.pairs;
+    belief.effectSum -= belief.means[index];
+    belief.means[index] = 0;
+    forget(belief, index, neighbour);
+    return index;
 }
 
-interference_model::belief &interference_model::baselineBelief(class_number service, time_point at)
+// Gives the place to `neighbour`, with what can be borrowed and the prior's uncertainty.
+void interference_model::forget(service_belief &belief, std::size_t index, class_number neighbour)
 {
-    const belief fresh{m_settings.baselineMean, square(m_settings.baselineDeviation), at};
-    auto &base = m_baselines.try_emplace(service, fresh).first->second;
-    drift(base, at);
-    return base;
+    const auto others = m_byNeighbour[neighbour];
+    const double borrowed = (m_settings.priorEffect + belief.effectSum + others.sum)
+                            / (static_cast<double>(belief.neighbours.size()) + others.pairs);
+    belief.neighbours[index - 1] = neighbour;
+    ++m_byNeighbour[neighbour].pairs;
+    for (std::size_t other = 0; other < belief.means.size(); ++other) {
+        covarianceAt(belief, index, other) = 0;
+        covarianceAt(belief, other, index) = 0;
+    }
+    covarianceAt(belief, index, index) = square(m_settings.priorDeviation);
+    setMean(belief, index, borrowed);
 }
 
-void interference_model::drift(belief &entry, time_point at) const
+void interference_model::drift(service_belief &belief, time_point at) const
 {
-    if (at <= entry.updatedAt)
+    if (at <= belief.updatedAt)
         return;
     using hours = std::chrono::duration<double, std::ratio<3600>>;
-    const double passed = hours(at - entry.updatedAt).count();
-    entry.variance += square(m_settings.driftPerHour) * passed;
-    entry.updatedAt = at;
-}
-
-void interference_model::correct(belief &entry, double weight, double gain, double residual) const
-{
-    const double share = entry.variance * weight * gain;
-    entry.mean += share * residual;
-    entry.variance *= 1 - share * weight;
+    const double passed = hours(at - belief.updatedAt).count();
+    belief.updatedAt = at;
+    for (std::size_t index = 0; index < belief.means.size(); ++index) {
+        auto &variance = covarianceAt(belief, index, index);
+        const double gained = index == 0 ? m_settings.baselineDrift : m_settings.effectDrift;
+        const double most = index == 0 ? m_settings.baselineDeviation : m_settings.priorDeviation;
+        variance = std::max(variance, std::min(variance + square(gained) * passed, square(most)));
+    }
 }
 
 } // namespace zinniabarrow::placement
--- a/libs/placement/interference.h
+++ b/libs/placement/interference.h
@@ -55,12 +55,14 @@
 {
     bool learn = true;              // false: every pair keeps the prior
     double priorEffect = 0.02;      // log slowdown for each processor, of a pair never seen
-    double priorDeviation = 0.04;   // of the effect
-    double baselineMean = -0.5;     // log of p99 over target when alone, before any sample
+    double priorDeviation = 0.05;   // of the effect
+    double baselineMean = -0.5;     // log(p99 / target) when alone, before any sample
     double baselineDeviation = 0.5; //
     double noise = 0.15;            // deviation of one sample
-    double driftPerHour = 0.02;     // growth of each deviation: effects shift
-    std::size_t maxPairs = 16384;   // pairs kept; beyond it new pairs borrow only
+    double effectDrift = 0.02;      // deviation that an effect gains in an hour: effects shift
+    double baselineDrift = 0.1;     // the same of a baseline: load shifts faster
+    std::size_t maxNeighbours = 32; // classes kept for each service class
+    std::size_t maxServices = 256;  // service classes kept; others keep the prior
 };
 
 struct effect_estimate
@@ -82,31 +84,48 @@
     double baseline(class_number service) const;
     // Expected log(p99 / target).
     double expected(class_number service, std::span<const class_amount> neighbours) const;
-    std::size_t pairs() const { return m_pairs.size(); }
 
 private:
-    struct belief
+    // What is believed of one service class: its baseline and the effects of its neighbours,
+    // jointly. Each alone would not do. Beside a steady neighbour, baseline and effect cannot be
+    // told apart; when the neighbour then goes, only their covariance says that one was too high
+    // because the other was too low.
+    struct service_belief
     {
-        double mean = 0;
-        double variance = 0;
-        time_point updatedAt;
+        std::vector<class_number> neighbours; // of index 1 and up; index 0 is the baseline
+        std::vector<time_point> seenAt;       // of each neighbour
+        std::vector<double> means;            //
+        std::vector<double> covariance;       // rows of maxNeighbours + 1
+        time_point updatedAt;                 //
+        double effectSum = 0;                 // of the means of the neighbours
     };
     struct class_mean
     {
         double sum = 0; // of the means of its pairs
         int pairs = 0;
     };
+    // Amounts by index of the belief.
+    struct indexed_amount
+    {
+        std::size_t index = 0;
+        double amount = 0;
+    };
 
-    static std::uint32_t keyOf(class_number service, class_number neighbour);
-    belief &pairBelief(class_number service, class_number neighbour, time_point at);
-    belief &baselineBelief(class_number service, time_point at);
-    void drift(belief &pair, time_point at) const;
-    void correct(belief &entry, double weight, double gain, double residual) const;
+    service_belief *beliefOf(class_number service, time_point at);
+    std::size_t indexFor(service_belief &belief, class_number neighbour, time_point at);
+    void forget(service_belief &belief, std::size_t index, class_number neighbour);
+    void drift(service_belief &belief, time_point at) const;
+    void correct(service_belief &belief, const std::vector<indexed_amount> &amounts,
+                 double residual);
+    void setMean(service_belief &belief, std::size_t index, double mean);
+    double &covarianceAt(service_belief &belief, std::size_t row, std::size_t column) const
+    {
+        return belief.covariance[row * (m_settings.maxNeighbours + 1) + column];
+    }
+    static std::size_t findIndex(const service_belief &belief, class_number neighbour);
 
     interference_settings m_settings;
-    std::unordered_map<std::uint32_t, belief> m_pairs;
-    std::unordered_map<class_number, belief> m_baselines;
-    std::unordered_map<class_number, class_mean> m_byService;
+    std::unordered_map<class_number, service_belief> m_services;
     std::unordered_map<class_number, class_mean> m_byNeighbour;
 };
 
--- a/libs/placement/plan.cpp
+++ b/libs/placement/plan.cpp
@@ -47,6 +47,7 @@
     sendRaises(run);
     relieveMemory(run);
     placeWaiting(run);
+    expireHolds(run);
     if (m_settings.relieveServices)
         relieveServices(run);
     return std::move(run.actions);
@@ -336,14 +337,35 @@
         place(run, job, index, slot, demand);
         return true;
     }
-    if (takes && run.now < record.nominatedUntil)
-        return false;
-    dropHold(record);
-    record.avoid = slot;
-    record.avoidUntil = run.now + AvoidLateWorker;
+    if (!takes || run.now >= record.nominatedUntil)
+        giveUpHold(record, run.now);
     return false;
 }
 
+void placer::giveUpHold(task_record &record, time_point now)
+{
+    record.avoid = record.nominated;
+    record.avoidUntil = now + AvoidLateWorker;
+    dropHold(record);
+}
+
+// A task that was not tried in time (its team reached its quota, its job was quarantined) must not
+// keep room from others for ever.
+void placer::expireHolds(plan_run &run)
+{
+    for (auto next = m_holds.begin(); next != m_holds.end();) {
+        const auto found = find(*next);
+        const bool holds = found && found.task->nominated != NoWorker;
+        if (holds && run.now < found.task->nominatedUntil) {
+            ++next;
+            continue;
+        }
+        if (holds)
+            giveUpHold(*found.task, run.now);
+        next = m_holds.erase(next);
+    }
+}
+
 bool placer::holdRoom(plan_run &run, job_record &job, std::int32_t index,
                       const place_request &request)
 {
@@ -357,6 +379,7 @@
     for (const auto &victim : plan->victims)
         preempt(run, plan->slot, victim, preempt_reason::UrgentTask, {job.spec.jobId, index},
                 stopBefore);
+    m_holds.insert({job.spec.jobId, index});
     record.nominated = plan->slot;
     record.heldRoom = request.demand;
     record.nominatedUntil = stopBefore + StopGrace;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -1,4 +1,6 @@
 // The parts of placement: ledger, learned sizes, quarantine, quotas, interference, relief.
+#include <cmath>
+
 #include <criterion/criterion.h>
 
 #include "base/errors.h"
@@ -160,6 +162,11 @@
         check(!subject.workerMayTake("w1", now));
         check(subject.jobMayStart("job-1", now));
     });
+    section("what failed there does not count against the jobs", [&] {
+        fail(1, "w2");
+        fail(1, "w3");
+        check(subject.jobMayStart("job-1", now));
+    });
     section("tasks that fail while it is set aside do not prolong the stay", [&] {
         now += seconds(30);
         for (int job = 4; job < 20; ++job)
@@ -241,6 +248,32 @@
     });
 }
 
+// A service has a steady noisy neighbour, then the neighbour goes. While it was there, the noise
+// could not be told from the service's own latency; the change must correct both, in opposite
+// directions.
+Test(placement, steadyNeighbourThatGoes)
+{
+    interference_model model{interference_settings{}};
+    time_point now = Start;
+    const std::vector<class_amount> noisy{{1, 8}};
+    for (int sample = 0; sample < 200; ++sample)
+        model.learn(0, noisy, 2.1, now += seconds(10));
+    const double believed = model.effect(0, 1).mean;
+    for (int sample = 0; sample < 5; ++sample)
+        model.learn(0, {}, -0.3, now += seconds(10));
+    section("the noise is blamed and the service is not", [&] {
+        check(believed < 0.2);
+        check(std::abs(model.effect(0, 1).mean - 0.3) < 0.03);
+        check(std::abs(model.baseline(0) + 0.3) < 0.1);
+    });
+    section("memory is bounded: the neighbour unseen for longest gives its place", [&] {
+        for (class_number other = 2; other < 40; ++other)
+            model.learn(0, std::vector<class_amount>{{other, 1}}, -0.3, now += seconds(10));
+        check(model.effect(0, 1).deviation == interference_settings{}.priorDeviation);
+        check(model.effect(0, 39).deviation < interference_settings{}.priorDeviation);
+    });
+}
+
 // A quiet task replaces a noisy one; the sample that tells of the noise arrives after the change.
 // If it were explained by who runs now, the quiet class would be blamed and throttled.
 Test(placement, lateSamplesAreAttributed)
@@ -260,15 +293,16 @@
         const auto calm = now + seconds(12);
         model.learn(Service, *history.at(calm), -0.4, calm);
         history.change(Quiet, -4, now + seconds(20));
-        now += seconds(20);
+        model.learn(Service, {}, -0.5, now + seconds(21)); // alone
+        now += seconds(24);
     }
     section("the noisy class is blamed, the quiet one is not", [&] {
-        check(model.effect(Service, Noisy).mean > 0.12);
-        check(model.effect(Service, Quiet).mean < 0.03);
+        check(std::abs(model.effect(Service, Noisy).mean - 0.225) < 0.02);
+        check(std::abs(model.effect(Service, Quiet).mean - 0.025) < 0.02);
     });
     section("certainty grows with the samples", [&] {
-        check(model.effect(Service, Noisy).deviation < 0.03);
-        check(model.effect(Service, 9).deviation > 0.03);
+        check(model.effect(Service, Noisy).deviation < 0.02);
+        check(model.effect(Service, 9).deviation == interference_settings{}.priorDeviation);
     });
     section("an unknown pair borrows from the means of its classes", [&] {
         model.learn(5, std::vector<class_amount>{{Noisy, 4}}, 0.5, now);
@@ -278,7 +312,7 @@
     });
     section("a moment before the history is not guessed", [&] {
         check(!history.at(Start + seconds(1)));
-        check(history.at(now - seconds(8)));
+        check(history.at(now - seconds(10)));
     });
 }
 
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -1,5 +1,7 @@
 // The placer as a whole: exact sequences of events and the actions that must follow.
 #include <algorithm>
+#include <cmath>
+#include <map>
 #include <set>
 
 #include <criterion/criterion.h>
@@ -280,14 +282,34 @@
         check(placed[0].task == urgent.ref());
         check(world.now - arrived <= milliseconds(2'400));
     });
+    section("half of the room it needs is not given to others while the rest is on its way", [&] {
+        auto wide = urgent;
+        wide.jobId = "gate-wide";
+        wide.declared.millicores = 16'000;
+        world.pending(wide);
+        world.plan();
+        const auto victims = world.taken<preempt_action>();
+        require(victims.size() == 1); // the other half is the stop that is still unconfirmed
+        check(victims[0].worker == first[0].worker);
+        world.subject.taskReleased(first[0].victim, first[0].worker, world.now);
+        check(world.start().empty());
+        world.subject.taskReleased(victims[0].victim, victims[0].worker, world.now);
+        const auto placed = world.start();
+        require(placed.size() == 1);
+        check(placed[0].task == wide.ref());
+        world.subject.taskEnded(wide.ref(), placed[0].worker, world.now);
+        check(world.start().size() == 2);
+    });
     section("room held for it goes back when it is cancelled", [&] {
         auto next = urgent;
         next.jobId = "gate-2";
         world.pending(next);
         world.plan();
+        const auto victims = world.taken<preempt_action>();
+        require(victims.size() == 1);
         const std::vector<task_ref> cancelled{next.ref()};
         check(world.subject.cancelTasks(cancelled, world.now).empty());
-        world.subject.taskReleased(first[0].victim, first[0].worker, world.now);
+        world.subject.taskReleased(victims[0].victim, victims[0].worker, world.now);
         check(world.start().size() == 1);
     });
 }
@@ -329,11 +351,11 @@
 Test(placer, memoryGrowth)
 {
     scene world(1);
-    auto low = batchTask("low", 0, {1'000, 25 * Gigabyte, 0});
+    auto low = batchTask("low", 0, {1'000, 8 * Gigabyte, 0});
     low.priority = task_priority::Low;
-    world.pending(low);
+    world.pending(low, 3);
     world.pending(serviceTask("tickets", 0, {1'000, 25 * Gigabyte, 0}));
-    check(world.start().size() == 2);
+    check(world.start().size() == 4);
     const auto grows = [&](std::int64_t gigabytes) {
         world.now += seconds(10);
         world.subject.usageSampled(
@@ -345,21 +367,86 @@
         require(world.taken<raise_action>().size() == 1);
         check(world.taken<raise_action>()[0].reserved.bytes == 288 * Gigabyte / 10);
     });
-    section("without room the low task is evicted, once", [&] {
+    section("without room one low task is evicted, once", [&] {
         grows(33);
         const auto victims = world.taken<preempt_action>();
         require(victims.size() == 1);
+        low.taskIndex = victims[0].victim.taskIndex;
         check(victims[0].victim == low.ref());
         check(victims[0].reason == preempt_reason::MemoryPressure);
         world.plan();
         check(world.actions.empty());
     });
-    section("the raise follows when it is gone, and it does not come back at once", [&] {
+    section("the raise follows when it is gone", [&] {
         world.subject.taskReleased(low.ref(), "w0", world.now);
         world.plan();
         check(world.taken<raise_action>().size() == 1);
-        check(world.taken<place_action>().empty());
-        check(world.subject.ledgerOf("w0")->reserved().bytes >= 39 * Gigabyte);
+        check(world.subject.ledgerOf("w0")->reserved().bytes == 556 * Gigabyte / 10);
+    });
+    section("it does not come back to the worker that evicted it, for a while", [&] {
+        world.subject.taskEnded({"low", (low.taskIndex + 1) % 3}, "w0", world.now);
+        world.plan();
+        check(world.actions.empty());
+        world.now += std::chrono::minutes(2);
+        check(world.start().size() == 1);
+    });
+}
+
+// Samples come twice, and a class learns to need more than any worker has.
+Test(placer, samples)
+{
+    scene world(1);
+    world.pending(batchTask("season", 0, {1'000, 30 * Gigabyte, 0}));
+    const auto placed = world.start();
+    const auto sample = [&](int index, std::int64_t gigabytes) {
+        world.subject.usageSampled(
+                {{"season", index}, "w0", {1, gigabytes * Gigabyte, 0}, world.now}, world.now);
+    };
+    section("a doubled sample counts once", [&] {
+        sample(0, 20);
+        sample(0, 20);
+        check(world.subject.stats().droppedSamples == 1);
+    });
+    section("learning never makes impossible what may run as declared", [&] {
+        for (int index = 1; index < 10; ++index) {
+            world.subject.taskEnded({"season", index - 1}, "w0", world.now);
+            world.pending(batchTask("season", index, {1'000, 30 * Gigabyte, 0}));
+            const auto next = world.start();
+            require(next.size() == 1);
+            check(next[0].reserved.bytes <= WorkerSize.bytes);
+            sample(index, 58);
+        }
+    });
+}
+
+// The samples of a worker are 40 s late. After the first throttling all that arrive for a while
+// still show the time before it; acting on them would throttle again and again for the same noise.
+Test(placer, lateSamplesCallForOneAction)
+{
+    placer_settings settings;
+    settings.avoidInterference = false;
+    scene world(1, settings);
+    world.pending(serviceTask("tickets", 0, {4'000, Gigabyte, 0}));
+    const auto service = world.start().at(0);
+    world.pending(batchTask("noisy", 0, {8'000, Gigabyte, 0}));
+    world.start();
+    world.now += seconds(60);
+    int actions = 0;
+    int passed = 0;
+    time_point changed = Never;
+    for (; passed < 60 && actions < 2; ++passed) {
+        world.now += seconds(1);
+        const bool loud = world.now - seconds(40) <= changed;
+        world.latency(service, loud ? 8.0 : 2.5, seconds(40));
+        world.latency(service, loud ? 8.0 : 2.5, seconds(40)); // and twice
+        world.plan();
+        actions += static_cast<int>(world.actions.size());
+        changed = actions == 1 ? std::min(changed, world.now) : changed;
+    }
+    section("the second action waits for samples from after the first", [&] {
+        check(actions == 2);
+        check(passed >= 4 + 40 + 4);
+        check(world.subject.stats().droppedSamples == static_cast<std::uint64_t>(passed));
     });
 }
 
@@ -375,46 +462,57 @@
     world.pending(serviceTask("tickets", 0, {4'000, Gigabyte, 0}), 12);
     const auto services = world.start();
     world.pending(batchTask("noisy", 0, {4'000, Gigabyte, 0}), 36);
-    check(world.start().size() == 36);
+    std::map<task_ref, std::pair<std::string, double>> noisy; // worker and processors
+    for (const auto &placed : world.start())
+        noisy[placed.task] = {placed.worker, 4.0};
+    double noise = 0.3; // log slowdown for each processor
     int throttled = 0;
     int evicted = 0;
     std::map<std::string, time_point> lastAction;
     duration shortestPause = std::chrono::hours(1);
-    const auto minutes = [&](int count, double ofTarget) {
-        for (int second = 0; second < count * 60; second += 5) {
-            world.now += seconds(5);
-            for (const auto &service : services)
-                world.latency(service, ofTarget, seconds(5));
-            world.plan();
-            throttled += static_cast<int>(world.taken<throttle_action>().size());
-            for (const auto &action : world.taken<throttle_action>()) {
-                if (lastAction.contains(action.worker))
-                    shortestPause = std::min(shortestPause, world.now - lastAction[action.worker]);
-                lastAction[action.worker] = world.now;
-            }
-            for (const auto &action : world.taken<preempt_action>()) {
-                ++evicted;
-                world.subject.taskReleased(action.victim, action.worker, world.now);
-            }
+    const auto step = [&] {
+        world.now += seconds(2);
+        for (const auto &service : services) {
+            double load = 0;
+            for (const auto &[task, where] : noisy)
+                load += where.first == service.worker ? where.second : 0;
+            world.latency(service, std::exp(noise * load - 0.3), seconds(1));
         }
+        world.plan();
+        for (const auto &action : world.taken<throttle_action>()) {
+            ++throttled;
+            noisy[action.task].second = static_cast<double>(action.millicores) / 1000;
+            if (lastAction.contains(action.worker))
+                shortestPause = std::min(shortestPause, world.now - lastAction[action.worker]);
+            lastAction[action.worker] = world.now;
+        }
+        for (const auto &action : world.taken<preempt_action>()) {
+            ++evicted;
+            noisy.erase(action.victim);
+            world.subject.taskEnded(action.victim, action.worker, world.now);
+        }
+    };
+    const auto minutes = [&](int count) {
+        for (int index = 0; index < count * 30; ++index)
+            step();
     };
-    section("throttles every noisy task before it evicts any", [&] {
-        minutes(2, 3.0);
-        check(throttled >= 12 && evicted == 0);
+    section("every noisy task is throttled to its floor before any is evicted", [&] {
+        while (evicted == 0 && throttled < 72)
+            step();
+        check(throttled == 72 && evicted == 0);
         check(shortestPause >= seconds(20));
-        minutes(10, 3.0);
-        check(throttled >= 72);
     });
-    section("ten more minutes of noise cost no more evictions than the budget", [&] {
-        minutes(10, 3.0);
-        check(evicted >= 1 && evicted <= 4);
+    section("then no more are evicted than the budget allows", [&] {
+        minutes(20);
+        check(evicted >= 3 && evicted <= 4);
         check(world.subject.stats().budgetSpent > 0);
     });
     section("calm gives the processors back, step by step", [&] {
+        noise = 0;
         throttled = 0;
-        minutes(1, 0.4);
+        minutes(1);
         check(throttled <= 12);
-        minutes(20, 0.4);
+        minutes(20);
         check(throttled > 24);
     });
 }
