--- a/libs/placement/choose.cpp
+++ b/libs/placement/choose.cpp
@@ -1,6 +1,7 @@
 #include "placement/choose.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -13,7 +14,9 @@
 constexpr double SameWorkerCost = 2;
 constexpr double SameZoneCost = 1;
 constexpr double SameRackCost = 0.5;
-constexpr double LoadCost = 0.1;      // of a full worker, for a service
+constexpr double LoadCost = 0.1; // of a full worker, for a service
+constexpr double FirstServiceCost =
+        0.4; // of a worker that has no service yet: batch runs there freely
 constexpr double PackingWeight = 0.2; // of room left over, for batch
 constexpr double SuspectCost = 4;
 constexpr double AcceleratorCost = 1; // of taking a worker with accelerators without need
@@ -96,6 +99,8 @@
         const auto used = worker.info.size - m_workers.room(slot) + request.demand;
         double cost = spreadCost(request, slot) + LoadCost * dominantShare(used, worker.info.size);
         cost += worker.suspect ? SuspectCost : 0;
+        if (m_settings.avoidInterference && worker.services.empty())
+            cost += FirstServiceCost;
         if (m_settings.avoidInterference && cost < lowest) {
             cost += m_settings.weights.tailLatency
                     * (harmFrom(worker, request.jobClass)
@@ -205,7 +210,8 @@
 {
     const double patience = static_cast<double>(m_settings.batchPatience.count());
     const double waited = static_cast<double>(request.waited.count()) / std::max(patience, 1.0);
-    const double worth = dominantShare(request.demand, worker.info.size) * (1 + waited);
+    const double worth =
+            dominantShare(request.demand, worker.info.size) * (1 + std::log2(1 + waited));
     return m_settings.weights.tailLatency * harm <= m_settings.weights.throughput * worth;
 }
 
--- a/libs/placement/plan.cpp
+++ b/libs/placement/plan.cpp
@@ -332,7 +332,7 @@
     const int slot = record.nominated;
     const auto &worker = m_workers.at(slot);
     const bool takes = worker.inService && !worker.setAside;
-    if (takes && demand.fitsIn(worker.book.available() - (worker.held - record.heldRoom))) {
+    if (takes && demand.fitsIn(worker.book.available() - heldBefore(record))) {
         dropHold(record);
         place(run, job, index, slot, demand);
         return true;
@@ -342,6 +342,20 @@
     return false;
 }
 
+// Held on the same worker for tasks that came first. Later holds do not count: their victims may
+// still run, and would keep this task from room that its own have left.
+resources placer::heldBefore(const task_record &record)
+{
+    resources sum;
+    for (const auto &task : m_holds) {
+        const auto other = find(task);
+        if (other && other.task->nominated == record.nominated
+            && other.task->nomination < record.nomination)
+            sum += other.task->heldRoom;
+    }
+    return sum;
+}
+
 void placer::giveUpHold(task_record &record, time_point now)
 {
     record.avoid = record.nominated;
@@ -381,6 +395,7 @@
                 stopBefore);
     m_holds.insert({job.spec.jobId, index});
     record.nominated = plan->slot;
+    record.nomination = ++m_nominations;
     record.heldRoom = request.demand;
     record.nominatedUntil = stopBefore + StopGrace;
     m_workers.at(plan->slot).held += request.demand;
@@ -408,6 +423,7 @@
                      const task_ref &beneficiary, time_point checkpointBefore)
 {
     const auto found = find(victim);
+    found.task->stopsSoon = reason == preempt_reason::UrgentTask;
     setState(victim, slot, entry_state::Stopping);
     if (reason != preempt_reason::UrgentTask) {
         found.task->avoid = slot;
--- a/libs/placement/preemption.cpp
+++ b/libs/placement/preemption.cpp
@@ -37,6 +37,15 @@
     return job->spec.priority != task_priority::Urgent && job->rank > rank;
 }
 
+// A stop that may take a long checkpoint is no room for urgent work.
+bool room_maker::stopsSoon(const task_ref &task, const ledger_entry &entry) const
+{
+    if (entry.state != entry_state::Stopping)
+        return false;
+    const auto *job = m_tasks.findJob(task.jobId);
+    return job && job->tasks.at(task.taskIndex).stopsSoon;
+}
+
 const room_maker::evictable_sums &room_maker::sumsOf(int slot)
 {
     if (m_sums.size() <= static_cast<std::size_t>(slot))
@@ -48,8 +57,8 @@
     sums = {};
     sums.changes = worker.changes;
     for (const auto &[task, entry] : worker.book.entries()) {
-        if (entry.state == entry_state::Stopping)
-            sums.stopping += entry.reserved;
+        if (stopsSoon(task, entry))
+            sums.stoppingSoon += entry.reserved;
         for (int rank = 0; rank < Ranks && mayEvict(task, entry, rank); ++rank)
             sums.byRank.at(static_cast<std::size_t>(rank)) += entry.reserved;
     }
@@ -68,7 +77,7 @@
 
 resources room_maker::missingOn(int slot, const place_request &request)
 {
-    const auto room = m_workers.room(slot) + sumsOf(slot).stopping;
+    const auto room = m_workers.room(slot) + sumsOf(slot).stoppingSoon;
     return positivePart(request.demand - room);
 }
 
--- a/libs/placement/preemption.h
+++ b/libs/placement/preemption.h
@@ -16,7 +16,7 @@
 struct room_plan
 {
     int slot = worker_table::NoSlot;
-    std::vector<task_ref> victims; // may be empty: what is already stopping is enough
+    std::vector<task_ref> victims; // may be empty: what stops soon is enough
 };
 
 class room_maker
@@ -39,7 +39,7 @@
     {
         std::uint64_t changes = 0;           // of the worker, when it was counted
         std::array<resources, Ranks> byRank; // that may be evicted for a task of that rank
-        resources stopping;                  //
+        resources stoppingSoon;              //
     };
     struct victim
     {
@@ -50,6 +50,7 @@
         resources amount;
     };
 
+    bool stopsSoon(const task_ref &task, const ledger_entry &entry) const;
     const evictable_sums &sumsOf(int slot);
     std::vector<victim> victimsOn(int slot, int rank) const;
     resources missingOn(int slot, const place_request &request);
--- a/libs/placement/scheduler.cpp
+++ b/libs/placement/scheduler.cpp
@@ -199,6 +199,7 @@
     record.told = worker.book.find(task)->reserved;
     record.limitMillicores = record.told.millicores;
     record.peakBytes = 0;
+    record.stopsSoon = false;
     record.startedAt = now;
     charge(record, record.told);
     const double expected = m_interference.expected(job.jobClass, worker.history.current());
@@ -382,6 +383,7 @@
         }
         // It may run until its end is confirmed: counted until then.
         found.task->cancelled = true;
+        found.task->stopsSoon = true;
         setState(task, found.task->worker, entry_state::Stopping);
         toStop.push_back(task);
     }
--- a/libs/placement/scheduler.h
+++ b/libs/placement/scheduler.h
@@ -164,6 +164,7 @@
                const resources &demand);
     bool placeOnHeldRoom(plan_run &run, job_record &job, std::int32_t index,
                          const resources &demand);
+    resources heldBefore(const task_record &record);
     void giveUpHold(task_record &record, time_point now);
     void expireHolds(plan_run &run);
     bool holdRoom(plan_run &run, job_record &job, std::int32_t index, const place_request &request);
@@ -198,10 +199,11 @@
     room_maker m_roomMaker;
     eviction_budget m_evictions;
     std::vector<task_ref> m_raises; // reservations that the worker has to be told
-    std::set<task_ref> m_holds;     // tasks for which room is being made
-    std::set<int> m_owing;          // slots with a raise that does not fit
-    std::set<int> m_disturbed;      // slots with a raised signal or throttled tasks
-    std::set<int> m_setAside;       // slots that quarantine has set aside
+    std::uint64_t m_nominations = 0;
+    std::set<task_ref> m_holds; // tasks for which room is being made
+    std::set<int> m_owing;      // slots with a raise that does not fit
+    std::set<int> m_disturbed;  // slots with a raised signal or throttled tasks
+    std::set<int> m_setAside;   // slots that quarantine has set aside
 };
 
 } // namespace zinniabarrow::placement
--- a/libs/placement/task_table.h
+++ b/libs/placement/task_table.h
@@ -28,6 +28,7 @@
 {
     int worker = NoWorker;            // slot of the worker; NoWorker: pending
     bool cancelled = false;           // never placed again
+    bool stopsSoon = false;           // cancelled, or stopped for urgent work: no long checkpoint
     class_number jobClass = 0;        // when it was placed: a job may be edited
     std::uint16_t team = 0;           // whose quota is charged
     resources charged;                // to the quota
@@ -40,6 +41,7 @@
     int nominated = NoWorker;         // slot on which room is being made for it
     resources heldRoom;               // kept free there
     time_point nominatedUntil;        // another worker is tried after it
+    std::uint64_t nomination = 0;     // order in which room was held
     int avoid = NoWorker;             // slot that evicted it, or made no room in time
     time_point avoidUntil;            //
 };
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -356,7 +356,7 @@
 
 Test(placement, loadSignal)
 {
-    const load_signal_settings settings;
+    const load_signal_settings settings{4, 0.1, 0};
     load_signal signal;
     section("one bad sample does not raise it, a bad stretch does", [&] {
         for (const double excess : {-0.2, -0.2, 0.6, -0.2, -0.2})
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -314,6 +314,38 @@
     });
 }
 
+// Two urgent tasks need room on the only worker, one after the other. The first one's victim leaves
+// in time; the second one's still runs, and must not keep the first from starting.
+Test(placer, urgentTasksDoNotBlockEachOther)
+{
+    scene world(1);
+    world.pending(batchTask("season", 0, {8'000, Gigabyte, 0}), 2);
+    world.start();
+    auto urgent = batchTask("gate", 0, {8'000, Gigabyte, 0});
+    urgent.priority = task_priority::Urgent;
+    world.pending(urgent);
+    world.plan();
+    const auto first = world.taken<preempt_action>();
+    world.now += milliseconds(500);
+    urgent.jobId = "earlier-name";
+    world.pending(urgent);
+    world.plan();
+    const auto second = world.taken<preempt_action>();
+    require(first.size() == 1 && second.size() == 1);
+    section("the room of the first victim goes to the first task", [&] {
+        world.subject.taskReleased(first[0].victim, "w0", world.now);
+        const auto placed = world.start();
+        require(placed.size() == 1);
+        check(placed[0].task.jobId == "gate");
+    });
+    section("and that of the second to the second", [&] {
+        world.subject.taskReleased(second[0].victim, "w0", world.now);
+        const auto placed = world.start();
+        require(placed.size() == 1);
+        check(placed[0].task.jobId == "earlier-name");
+    });
+}
+
 // Thousands of tasks are cancelled at once while some run, some are being placed and some wait, and
 // messages about them arrive late. None may start afterwards.
 Test(placer, cancellationWave)
