placement: effects count parts of a worker; slopes of decision time and memory

Change: interference counts parts of the worker's processors; demands that found no room are remembered as minimal ones; a class's quantile is read again only after several samples. Scanning all workers is cheap enough at that size, so there is no index of free capacity.

--- /dev/null
+++ b/bench/placement_slope_bench.cpp
@@ -0,0 +1,206 @@
+// Slopes of the placer: time of decisions and memory, by workers and tasks. Prints one table.
+//
+// Time is of this machine and is read by people; memory is counted in bytes asked of the allocator.
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <new>
+#include <string>
+#include <vector>
+
+#include <fmt/core.h>
+
+#include "base/random.h"
+#include "placement/scheduler.h"
+
+namespace {
+
+std::size_t liveBytes = 0;
+
+// The size of each block is kept in front of it.
+constexpr std::size_t Header = alignof(std::max_align_t);
+
+void *countedAllocate(std::size_t size)
+{
+    auto *block = static_cast<char *>(std::malloc(size + Header));
+    if (!block)
+        throw std::bad_alloc();
+    *reinterpret_cast<std::size_t *>(block) = size;
+    liveBytes += size;
+    return block + Header;
+}
+
+void countedFree(void *pointer) noexcept
+{
+    if (!pointer)
+        return;
+    auto *block = static_cast<char *>(pointer) - Header;
+    liveBytes -= *reinterpret_cast<std::size_t *>(block);
+    std::free(block);
+}
+
+} // namespace
+
+void *operator new(std::size_t size)
+{
+    return countedAllocate(size);
+}
+
+void operator delete(void *pointer) noexcept
+{
+    countedFree(pointer);
+}
+
+void operator delete(void *pointer, std::size_t) noexcept
+{
+    countedFree(pointer);
+}
+
+namespace {
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::placement;
+
+constexpr std::int64_t Gigabyte = 1'000'000'000;
+constexpr int TasksOfJob = 25;
+constexpr int Classes = 40;
+
+double secondsOf(std::chrono::steady_clock::duration passed)
+{
+    return std::chrono::duration<double>(passed).count();
+}
+
+struct slope_run
+{
+    random_generator random{7};
+    placer subject;
+    time_point now{std::chrono::hours(1)};
+    int nextJob = 0;
+    std::vector<place_action> placed;
+
+    explicit slope_run(int workers)
+        : subject(placer_settings{})
+    {
+        subject.setPool({"main", {64'000, 256 * Gigabyte, 4}}, now);
+        for (int index = 0; index < workers; ++index)
+            subject.addWorker({"worker-" + std::to_string(index),
+                               "zone-" + std::to_string(index % 5),
+                               std::to_string(index / 40),
+                               "main",
+                               {64'000, 256 * Gigabyte, index % 2 == 0 ? 4 : 0}},
+                              now);
+    }
+
+    // One job in thirteen is a service, as 1,900 of 24,900 tasks.
+    void submit(int tasks)
+    {
+        for (int made = 0; made < tasks; ++nextJob) {
+            task_spec task;
+            task.jobId = "job-" + std::to_string(nextJob);
+            task.jobClass = "class-" + std::to_string(nextJob % Classes);
+            task.kind = nextJob % 13 == 0 ? task_kind::Service : task_kind::Batch;
+            task.team = "team-" + std::to_string(nextJob % 28);
+            task.pool = "main";
+            const auto size = static_cast<std::int64_t>(pickIndex(random, 10));
+            task.declared = {400 + 100 * size, Gigabyte + size * Gigabyte / 2, 0};
+            for (task.taskIndex = 0; task.taskIndex < TasksOfJob && made < tasks; ++made) {
+                subject.taskPending(task, now);
+                ++task.taskIndex;
+            }
+        }
+    }
+
+    // Returns the number of tasks that were placed.
+    std::size_t plan()
+    {
+        std::size_t count = 0;
+        for (const auto &action : subject.plan(now, 100'000)) {
+            if (const auto *place = std::get_if<place_action>(&action)) {
+                placed.push_back(*place);
+                ++count;
+            } else if (const auto *evicted = std::get_if<preempt_action>(&action)) {
+                subject.taskReleased(evicted->victim, evicted->worker, now);
+                std::erase_if(placed,
+                              [&](const auto &each) { return each.task == evicted->victim; });
+            }
+        }
+        return count;
+    }
+
+    void runAll()
+    {
+        for (const auto &place : placed) {
+            subject.taskSettled(place.task, place.worker, placement_outcome::Applied, now);
+            subject.taskRunning(place.task, place.worker, now);
+        }
+    }
+
+    void sampleAll()
+    {
+        now += seconds(10);
+        for (const auto &place : placed)
+            subject.usageSampled({place.task, place.worker, {300, Gigabyte, 0}, now}, now);
+    }
+
+    // One second at the peak: 210 tasks end, 210 are submitted, in ten plans.
+    double peakSecond()
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        for (int part = 0; part < 10; ++part) {
+            now += milliseconds(100);
+            for (int ended = 0; ended < 21; ++ended) {
+                const auto index = pickIndex(random, placed.size());
+                subject.taskEnded(placed[index].task, placed[index].worker, now);
+                placed[index] = placed.back();
+                placed.pop_back();
+            }
+            submit(21);
+            const auto known = placed.size();
+            plan();
+            for (std::size_t index = known; index < placed.size(); ++index)
+                subject.taskRunning(placed[index].task, placed[index].worker, now);
+        }
+        return secondsOf(std::chrono::steady_clock::now() - begin);
+    }
+};
+
+void measure(int workers, int tasks)
+{
+    const auto bytesBefore = liveBytes;
+    slope_run run(workers);
+    const auto bytesOfWorkers = liveBytes - bytesBefore;
+    run.submit(tasks);
+    run.placed.reserve(static_cast<std::size_t>(tasks) + 64);
+    const auto placedBytes = run.placed.capacity() * sizeof(place_action);
+    const auto begin = std::chrono::steady_clock::now();
+    const auto count = run.plan();
+    const double planSeconds = secondsOf(std::chrono::steady_clock::now() - begin);
+    run.runAll();
+    const auto sampleBegin = std::chrono::steady_clock::now();
+    run.sampleAll();
+    const double sampleSeconds = secondsOf(std::chrono::steady_clock::now() - sampleBegin);
+    const auto bytes = liveBytes - bytesBefore - placedBytes - bytesOfWorkers;
+    double peak = 0;
+    constexpr int PeakSeconds = 5;
+    for (int second = 0; second < PeakSeconds; ++second)
+        peak += run.peakSecond() / PeakSeconds;
+    const auto perTask = 1e6 / static_cast<double>(std::max<std::size_t>(count, 1));
+    fmt::print("{:8} {:8} {:8} {:11.1f} {:12.2f} {:13.2f} {:13} {:12} {:10.1f}\n", workers, tasks,
+               count, planSeconds * perTask, sampleSeconds * perTask, peak * 100,
+               bytesOfWorkers / static_cast<std::size_t>(workers),
+               bytes / static_cast<std::size_t>(tasks), static_cast<double>(bytes) / 1e6);
+}
+
+} // namespace
+
+int main()
+{
+    fmt::print("{:>8} {:>8} {:>8} {:>11} {:>12} {:>13} {:>13} {:>12} {:>10}\n", "workers", "tasks",
+               "placed", "us/decision", "us/sample", "peak % core", "bytes/worker", "bytes/task",
+               "tasks MB");
+    for (const int workers : {100, 200, 400, 790, 1'000, 2'000})
+        measure(workers, workers * 30);
+    for (const int tasks : {1'000, 5'000, 10'000, 25'000})
+        measure(790, tasks);
+    return 0;
+}
--- a/libs/placement/choose.cpp
+++ b/libs/placement/choose.cpp
@@ -24,11 +24,6 @@
 constexpr std::size_t Tightest = 16;  // candidates that are scored in full
 constexpr std::size_t Sampled = 16;   // and others, so that a calm worker with much room is seen
 
-double processorsOf(const resources &amount)
-{
-    return static_cast<double>(amount.millicores) / 1000;
-}
-
 std::string rackKey(const worker_info &info)
 {
     return info.zone + '/' + info.rack;
@@ -103,8 +98,7 @@
             cost += FirstServiceCost;
         if (m_settings.avoidInterference && cost < lowest) {
             cost += m_settings.weights.tailLatency
-                    * (harmFrom(worker, request.jobClass)
-                       + harmTo(worker, request.jobClass, processorsOf(request.demand)));
+                    * (harmFrom(worker, request.jobClass) + harmTo(worker, request));
         }
         if (cost < lowest) {
             lowest = cost;
@@ -124,7 +118,7 @@
         double cost = m_settings.weights.throughput * PackingWeight * packingCost(request, slot);
         cost += worker.suspect ? SuspectCost : 0;
         if (m_settings.avoidInterference) {
-            const double harm = harmTo(worker, request.jobClass, processorsOf(request.demand));
+            const double harm = harmTo(worker, request);
             if (!request.mustStart && !worthStarting(request, worker, harm)) {
                 refusedForHarm = true;
                 continue;
@@ -183,12 +177,13 @@
 }
 
 // What the services there would lose: all of what lies above their targets, little of the rest.
-double worker_chooser::harmTo(const worker_slot &worker, class_number jobClass,
-                              double processors) const
+double worker_chooser::harmTo(const worker_slot &worker, const place_request &request) const
 {
+    const auto whole = static_cast<double>(std::max<std::int64_t>(worker.info.size.millicores, 1));
+    const double part = static_cast<double>(request.demand.millicores) / whole;
     double harm = 0;
     for (const auto &service : worker.services) {
-        const double added = pessimistic(service.jobClass, jobClass) * processors;
+        const double added = pessimistic(service.jobClass, request.jobClass) * part;
         harm += std::max(0.0, service.level + added) - std::max(0.0, service.level);
         harm += HeadroomUse * added;
     }
@@ -198,8 +193,8 @@
 double worker_chooser::harmFrom(const worker_slot &worker, class_number service) const
 {
     double sum = 0;
-    for (const auto &neighbour : worker.history.current())
-        sum += pessimistic(service, neighbour.jobClass) * neighbour.processors;
+    for (const auto &neighbour : partsOf(worker.history.current(), worker.info.size.millicores))
+        sum += pessimistic(service, neighbour.jobClass) * neighbour.part;
     return std::max(0.0, m_interference.baseline(service) + sum) + HeadroomUse * sum;
 }
 
--- a/libs/placement/choose.h
+++ b/libs/placement/choose.h
@@ -64,7 +64,7 @@
     bool fits(const place_request &request, int slot) const;
     std::vector<int> batchCandidates(const place_request &request);
     double packingCost(const place_request &request, int slot) const;
-    double harmTo(const worker_slot &worker, class_number jobClass, double processors) const;
+    double harmTo(const worker_slot &worker, const place_request &request) const;
     double harmFrom(const worker_slot &worker, class_number service) const;
     double pessimistic(class_number service, class_number neighbour) const;
     bool worthStarting(const place_request &request, const worker_slot &worker, double harm) const;
--- a/libs/placement/interference.cpp
+++ b/libs/placement/interference.cpp
@@ -8,19 +8,17 @@
 
 namespace {
 
-constexpr double Negligible = 1e-9; // processors left of a class by rounding
-
-void apply(std::vector<class_amount> &amounts, class_number jobClass, double processors)
+void apply(std::vector<class_millicores> &amounts, class_number jobClass, std::int64_t millicores)
 {
     const auto found = std::find_if(amounts.begin(), amounts.end(), [jobClass](const auto &amount) {
         return amount.jobClass == jobClass;
     });
     if (found == amounts.end()) {
-        amounts.push_back({jobClass, processors});
+        amounts.push_back({jobClass, millicores});
         return;
     }
-    found->processors += processors;
-    if (std::abs(found->processors) < Negligible)
+    found->millicores += millicores;
+    if (found->millicores == 0)
         amounts.erase(found);
 }
 
@@ -32,19 +30,30 @@
 
 } // namespace
 
-void neighbour_history::change(class_number jobClass, double processors, time_point at)
+std::vector<class_part> partsOf(std::span<const class_millicores> amounts,
+                                std::int64_t workerMillicores)
+{
+    const auto whole = static_cast<double>(std::max<std::int64_t>(workerMillicores, 1));
+    std::vector<class_part> parts;
+    parts.reserve(amounts.size());
+    for (const auto &amount : amounts)
+        parts.push_back({amount.jobClass, static_cast<double>(amount.millicores) / whole});
+    return parts;
+}
+
+void neighbour_history::change(class_number jobClass, std::int64_t millicores, time_point at)
 {
-    if (processors == 0)
+    if (millicores == 0)
         return;
-    apply(m_current, jobClass, processors);
-    m_changes.push_back({at, {jobClass, processors}});
+    apply(m_current, jobClass, millicores);
+    m_changes.push_back({at, {jobClass, millicores}});
     if (m_changes.size() > MostChanges) {
         m_knownFrom = m_changes.front().at;
         m_changes.pop_front();
     }
 }
 
-std::optional<std::vector<class_amount>> neighbour_history::at(time_point moment) const
+std::optional<std::vector<class_millicores>> neighbour_history::at(time_point moment) const
 {
     if (moment < m_knownFrom)
         return std::nullopt;
@@ -52,7 +61,7 @@
     for (auto change = m_changes.rbegin(); change != m_changes.rend(); ++change) {
         if (change->at <= moment)
             break;
-        apply(amounts, change->amount.jobClass, -change->amount.processors);
+        apply(amounts, change->amount.jobClass, -change->amount.millicores);
     }
     return amounts;
 }
@@ -61,7 +70,7 @@
     : m_settings(settings)
 { }
 
-void interference_model::learn(class_number service, std::span<const class_amount> neighbours,
+void interference_model::learn(class_number service, std::span<const class_part> neighbours,
                                double logRatio, time_point measuredAt)
 {
     if (!m_settings.learn)
@@ -73,8 +82,8 @@
     std::vector<indexed_amount> amounts{{0, 1}};
     for (const auto &neighbour : neighbours) {
         const auto index = indexFor(*belief, neighbour.jobClass, measuredAt);
-        if (index != 0 && neighbour.processors > 0)
-            amounts.push_back({index, neighbour.processors});
+        if (index != 0 && neighbour.part > 0)
+            amounts.push_back({index, neighbour.part});
     }
     const double residual = logRatio - expected(service, neighbours);
     correct(*belief, amounts, residual);
@@ -142,11 +151,11 @@
 }
 
 double interference_model::expected(class_number service,
-                                    std::span<const class_amount> neighbours) const
+                                    std::span<const class_part> neighbours) const
 {
     double sum = baseline(service);
     for (const auto &neighbour : neighbours)
-        sum += effect(service, neighbour.jobClass).mean * neighbour.processors;
+        sum += effect(service, neighbour.jobClass).mean * neighbour.part;
     return sum;
 }
 
--- a/libs/placement/interference.h
+++ b/libs/placement/interference.h
@@ -3,9 +3,10 @@
 //   neighbour_history   who ran on a worker at a past moment
 //   interference_model  an estimate, with its uncertainty, for each pair of classes
 //
-// The model is log(p99 / target) = baseline(service) + sum over neighbours of effect × processors.
-// A sample arrives late; it is explained by the neighbours at the time when it was measured. Else
-// the task that has just arrived would be blamed for what the one that has left did.
+// The model is log(p99 / target) = baseline(service) + sum over neighbours of effect × part of the
+// worker's processors that it was given. Parts, so that what was learned on a small worker holds on
+// a large one. A sample arrives late; it is explained by the neighbours at the time when it was
+// measured. Else the task that has just arrived would be blamed for what the one that has left did.
 #pragma once
 
 #include <cstddef>
@@ -22,20 +23,29 @@
 
 using class_number = std::uint16_t;
 
-struct class_amount
+struct class_millicores
 {
     class_number jobClass = 0;
-    double processors = 0; // given to all tasks of the class
+    std::int64_t millicores = 0; // given to all tasks of the class
 };
 
+struct class_part
+{
+    class_number jobClass = 0;
+    double part = 0; // of the worker's processors
+};
+
+std::vector<class_part> partsOf(std::span<const class_millicores> amounts,
+                                std::int64_t workerMillicores);
+
 class neighbour_history
 {
 public:
-    // `processors` is negative when a task goes or is throttled.
-    void change(class_number jobClass, double processors, time_point at);
-    const std::vector<class_amount> &current() const { return m_current; }
+    // `millicores` is negative when a task goes or is throttled.
+    void change(class_number jobClass, std::int64_t millicores, time_point at);
+    const std::vector<class_millicores> &current() const { return m_current; }
     // Absent when the moment lies before what is kept: the sample has to be dropped.
-    std::optional<std::vector<class_amount>> at(time_point moment) const;
+    std::optional<std::vector<class_millicores>> at(time_point moment) const;
 
 private:
     static constexpr std::size_t MostChanges = 64;
@@ -43,10 +53,10 @@
     struct change_record
     {
         time_point at;
-        class_amount amount;
+        class_millicores amount;
     };
 
-    std::vector<class_amount> m_current;
+    std::vector<class_millicores> m_current;
     std::deque<change_record> m_changes; // oldest first
     time_point m_knownFrom;              // moments before it cannot be answered
 };
@@ -54,12 +64,12 @@
 struct interference_settings
 {
     bool learn = true;              // false: every pair keeps the prior
-    double priorEffect = 0.02;      // log slowdown for each processor, of a pair never seen
-    double priorDeviation = 0.05;   // of the effect
+    double priorEffect = 0.3;       // log slowdown by a whole worker of a class never seen
+    double priorDeviation = 0.8;    // of the effect
     double baselineMean = -0.5;     // log(p99 / target) when alone, before any sample
     double baselineDeviation = 0.5; //
     double noise = 0.15;            // deviation of one sample
-    double effectDrift = 0.02;      // deviation that an effect gains in an hour: effects shift
+    double effectDrift = 0.3;       // deviation that an effect gains in an hour: effects shift
     double baselineDrift = 0.1;     // the same of a baseline: load shifts faster
     std::size_t maxNeighbours = 32; // classes kept for each service class
     std::size_t maxServices = 256;  // service classes kept; others keep the prior
@@ -67,7 +77,7 @@
 
 struct effect_estimate
 {
-    double mean = 0;      // log slowdown for each processor
+    double mean = 0;      // log slowdown by a whole worker of the neighbour
     double deviation = 0; // standard deviation of the mean
 };
 
@@ -77,13 +87,13 @@
     explicit interference_model(const interference_settings &settings);
 
     // `logRatio`: log(p99 / target) that was measured beside `neighbours`.
-    void learn(class_number service, std::span<const class_amount> neighbours, double logRatio,
+    void learn(class_number service, std::span<const class_part> neighbours, double logRatio,
                time_point measuredAt);
     // A pair never seen borrows from the means of both classes.
     effect_estimate effect(class_number service, class_number neighbour) const;
     double baseline(class_number service) const;
     // Expected log(p99 / target).
-    double expected(class_number service, std::span<const class_amount> neighbours) const;
+    double expected(class_number service, std::span<const class_part> neighbours) const;
 
 private:
     // What is believed of one service class: its baseline and the effects of its neighbours,
--- a/libs/placement/plan.cpp
+++ b/libs/placement/plan.cpp
@@ -248,6 +248,16 @@
     });
 }
 
+void placer::rememberNoRoom(plan_run &run, std::size_t pool, const resources &demand)
+{
+    // Larger ones say nothing more.
+    std::erase_if(run.noRoom, [&](const auto &failed) {
+        return failed.first == pool && demand.fitsIn(failed.second);
+    });
+    if (run.noRoom.size() < MostNoRoom)
+        run.noRoom.emplace_back(pool, demand);
+}
+
 // A learned size never makes a task impossible that could run as declared.
 resources placer::demandOf(const job_record &job) const
 {
@@ -314,8 +324,8 @@
     job.wait = slows ? wait_reason::WouldSlowService : wait_reason::NoRoom;
     if (request.avoid != NoWorker)
         return try_result::TaskWaits; // others of the job may go where this one may not
-    if (!slows && run.noRoom.size() < MostNoRoom)
-        run.noRoom.emplace_back(job.pool, demand);
+    if (!slows)
+        rememberNoRoom(run, job.pool, demand);
     job.blockedAt = m_workers.pool(job.pool).generation;
     job.retryAt = run.now + (preempts ? UrgentRetry : m_settings.retryAfter);
     return try_result::JobWaits;
--- a/libs/placement/relieve.cpp
+++ b/libs/placement/relieve.cpp
@@ -58,7 +58,9 @@
 std::vector<relief_candidate> placer::candidatesOn(int slot, class_number service,
                                                    std::vector<task_ref> &tasks) const
 {
-    const auto &entries = m_workers.at(slot).book.entries();
+    const auto &worker = m_workers.at(slot);
+    const auto &entries = worker.book.entries();
+    const double processors = std::max(processorsOf(worker.info.size.millicores), 1.0);
     for (const auto &[task, entry] : entries) {
         const auto *job = m_tasks.findJob(task.jobId);
         const bool batch =
@@ -71,10 +73,10 @@
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         const auto &record = m_tasks.findJob(tasks[index].jobId)->tasks.at(tasks[index].taskIndex);
         const auto &entry = entries.at(tasks[index]);
-        candidates.push_back({index, m_interference.effect(service, record.jobClass).mean,
-                              processorsOf(record.limitMillicores),
-                              processorsOf(record.told.millicores),
-                              m_roomMaker.mayEvict(tasks[index], entry, BeforeBatch)});
+        candidates.push_back(
+                {index, m_interference.effect(service, record.jobClass).mean / processors,
+                 processorsOf(record.limitMillicores), processorsOf(record.told.millicores),
+                 m_roomMaker.mayEvict(tasks[index], entry, BeforeBatch)});
     }
     return candidates;
 }
@@ -132,7 +134,7 @@
     const auto full = record.told.millicores;
     const auto limit = std::min(full, static_cast<std::int64_t>(processors * 1000));
     worker.throttledTasks += (limit < full ? 1 : 0) - (record.limitMillicores < full ? 1 : 0);
-    neighbourChanged(slot, record.jobClass, processorsOf(limit - record.limitMillicores), run.now);
+    neighbourChanged(slot, record.jobClass, limit - record.limitMillicores, run.now);
     record.limitMillicores = limit;
     run.actions.emplace_back(throttle_action{task, worker.info.id, limit});
     ++m_stats.throttled;
--- a/libs/placement/scheduler.cpp
+++ b/libs/placement/scheduler.cpp
@@ -19,17 +19,13 @@
 // Classes beyond it share the last number: they are placed all the same, only not told apart.
 constexpr class_number MostClasses = 4095;
 
-double processorsOf(std::int64_t millicores)
-{
-    return static_cast<double>(millicores) / 1000;
-}
-
 // A task is not its own neighbour; others of its class are.
-std::vector<class_amount> without(std::vector<class_amount> amounts, const class_amount &itself)
+std::vector<class_millicores> without(std::vector<class_millicores> amounts,
+                                      const class_millicores &itself)
 {
     for (auto &amount : amounts) {
         if (amount.jobClass == itself.jobClass)
-            amount.processors = std::max(0.0, amount.processors - itself.processors);
+            amount.millicores = std::max<std::int64_t>(0, amount.millicores - itself.millicores);
     }
     return amounts;
 }
@@ -179,13 +175,16 @@
     record.heldRoom = {};
 }
 
-void placer::neighbourChanged(int slot, class_number jobClass, double processors, time_point now)
+void placer::neighbourChanged(int slot, class_number jobClass, std::int64_t millicores,
+                              time_point now)
 {
     auto &worker = m_workers.at(slot);
-    worker.history.change(jobClass, processors, now);
+    worker.history.change(jobClass, millicores, now);
+    const std::vector<class_millicores> change{{jobClass, millicores}};
+    const auto part = partsOf(change, worker.info.size.millicores).front().part;
     // Samples are late: until one shows the change, its expected effect is carried forward.
     for (auto &service : worker.services)
-        service.level += m_interference.effect(service.jobClass, jobClass).mean * processors;
+        service.level += m_interference.effect(service.jobClass, jobClass).mean * part;
 }
 
 // The ledger entry exists already; everything else that follows from a task being on a worker.
@@ -202,8 +201,10 @@
     record.stopsSoon = false;
     record.startedAt = now;
     charge(record, record.told);
-    const double expected = m_interference.expected(job.jobClass, worker.history.current());
-    neighbourChanged(slot, record.jobClass, processorsOf(record.limitMillicores), now);
+    const auto whole = worker.info.size.millicores;
+    const double expected =
+            m_interference.expected(job.jobClass, partsOf(worker.history.current(), whole));
+    neighbourChanged(slot, record.jobClass, record.limitMillicores, now);
     if (job.spec.kind == task_kind::Service)
         worker.services.push_back({task, job.jobClass, {}, {}, expected});
     m_workers.roomChanged(slot);
@@ -214,7 +215,7 @@
     const int slot = record.worker;
     auto &worker = m_workers.at(slot);
     std::erase_if(worker.services, [&](const auto &watch) { return watch.task == task; });
-    neighbourChanged(slot, record.jobClass, -processorsOf(record.limitMillicores), now);
+    neighbourChanged(slot, record.jobClass, -record.limitMillicores, now);
     if (record.limitMillicores < record.told.millicores)
         --worker.throttledTasks;
     charge(record, {});
@@ -465,9 +466,10 @@
     watch->measuredAt = sample.measuredAt;
     const double p99 = static_cast<double>(std::max<std::int64_t>(sample.p99.count(), 1));
     const double ratio = std::log(p99 / static_cast<double>(sample.target.count()));
-    const class_amount itself{found.task->jobClass, processorsOf(found.task->limitMillicores)};
-    const auto then = without(*neighbours, itself);
-    const auto today = without(worker.history.current(), itself);
+    const class_millicores itself{found.task->jobClass, found.task->limitMillicores};
+    const auto whole = worker.info.size.millicores;
+    const auto then = partsOf(without(*neighbours, itself), whole);
+    const auto today = partsOf(without(worker.history.current(), itself), whole);
     m_interference.learn(watch->jobClass, then, ratio, sample.measuredAt);
     watch->level = ratio + m_interference.expected(watch->jobClass, today)
                    - m_interference.expected(watch->jobClass, then);
--- a/libs/placement/scheduler.h
+++ b/libs/placement/scheduler.h
@@ -144,7 +144,7 @@
     // Measurements (scheduler.cpp).
     void raiseReservation(const task_ref &task, task_record &record, const resources &used);
     void queueRaises(int slot);
-    void neighbourChanged(int slot, class_number jobClass, double processors, time_point now);
+    void neighbourChanged(int slot, class_number jobClass, std::int64_t millicores, time_point now);
 
     // Decisions (plan.cpp).
     void refreshSetAside(time_point now);
@@ -160,6 +160,7 @@
     bool mustWait(plan_run &run, job_record &job);
     try_result tryTask(plan_run &run, job_record &job, std::int32_t index);
     static bool foundNoRoom(const plan_run &run, std::size_t pool, const resources &demand);
+    static void rememberNoRoom(plan_run &run, std::size_t pool, const resources &demand);
     void place(plan_run &run, job_record &job, std::int32_t index, int slot,
                const resources &demand);
     bool placeOnHeldRoom(plan_run &run, job_record &job, std::int32_t index,
--- a/libs/placement/size_learner.cpp
+++ b/libs/placement/size_learner.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// A sketch of n samples is read again after n/16 changes, or after one while it is small.
+constexpr double ChangesPart = 16;
+
 std::int64_t scaled(std::int64_t amount, double factor)
 {
     return static_cast<std::int64_t>(std::ceil(static_cast<double>(amount) * factor));
@@ -27,6 +30,7 @@
 {
     m_buckets.at(bucketOf(value)) += 1;
     m_count += 1;
+    ++m_changes;
     if (m_count < HalveAt)
         return;
     for (auto &bucket : m_buckets)
@@ -36,6 +40,7 @@
 
 void quantile_sketch::move(std::int64_t from, std::int64_t to)
 {
+    ++m_changes;
     auto &source = m_buckets.at(bucketOf(from));
     const float moved = std::min(source, 1.0F); // a faded count may be below one
     source -= moved;
@@ -86,6 +91,15 @@
     m_classes.erase(oldest);
 }
 
+std::int64_t size_learner::read(const quantile_sketch &sketch, double portion,
+                                cached_quantile &cache)
+{
+    const auto passed = static_cast<double>(sketch.changes() - cache.changes);
+    if (cache.changes == 0 || passed > sketch.count() / ChangesPart)
+        cache = {sketch.quantile(portion), sketch.changes()};
+    return cache.value;
+}
+
 resources size_learner::reservationFor(const task_spec &task) const
 {
     resources amount = task.declared;
@@ -94,12 +108,12 @@
         return amount;
     const auto &sizes = found->second;
     if (sizes.peaks.count() >= m_settings.minPeaks) {
-        const auto peak = sizes.peaks.quantile(m_settings.memoryQuantile);
+        const auto peak = read(sizes.peaks, m_settings.memoryQuantile, sizes.peak);
         amount.bytes = std::max(amount.bytes, scaled(peak, m_settings.memoryHeadroom));
     }
     if (sizes.samples.count() < m_settings.minSamples)
         return amount;
-    const auto learned = scaled(sizes.samples.quantile(m_settings.processorQuantile),
+    const auto learned = scaled(read(sizes.samples, m_settings.processorQuantile, sizes.sample),
                                 m_settings.processorHeadroom);
     if (task.kind == task_kind::Service) {
         amount.millicores = std::max(amount.millicores, learned);
--- a/libs/placement/size_learner.h
+++ b/libs/placement/size_learner.h
@@ -31,6 +31,8 @@
     // Upper edge of the bucket that holds the quantile; 0 while empty.
     std::int64_t quantile(double portion) const;
     double count() const { return m_count; }
+    // Raised by every change.
+    std::uint64_t changes() const { return m_changes; }
 
 private:
     static constexpr int BucketsPerDoubling = 8;
@@ -41,6 +43,7 @@
 
     int m_smallestPower;
     double m_count = 0;
+    std::uint64_t m_changes = 0;
     std::array<float, Buckets> m_buckets{};
 };
 
@@ -75,14 +78,24 @@
     std::size_t classes() const { return m_classes.size(); }
 
 private:
+    // A quantile is read for each decision, and the sketch changes with each sample: it is looked
+    // up again only after several changes.
+    struct cached_quantile
+    {
+        std::int64_t value = 0;
+        std::uint64_t changes = 0; // of the sketch when it was read
+    };
     struct class_sizes
     {
-        quantile_sketch peaks{20};  // bytes, from 1 MiB
-        quantile_sketch samples{0}; // millicores
-        time_point seenAt;
+        quantile_sketch peaks{20};      // bytes, from 1 MiB
+        quantile_sketch samples{0};     // millicores
+        time_point seenAt;              //
+        mutable cached_quantile peak;   //
+        mutable cached_quantile sample; //
     };
 
     void forgetOldest();
+    static std::int64_t read(const quantile_sketch &sketch, double portion, cached_quantile &cache);
 
     size_learner_settings m_settings;
     std::unordered_map<std::string, class_sizes> m_classes;
