--- a/libs/placement/interference.h
+++ b/libs/placement/interference.h
@@ -3,9 +3,10 @@
 //   neighbour_history   who ran on a worker at a past moment
 //   interference_model  an estimate, with its uncertainty, for each pair of classes
 //
-// The model is log(p99 / target) = baseline(service) + sum over neighbours of effect × processors.
-// A sample arrives late; it is explained by the neighbours at the time when it was measured. Else
-// the task that has just arrived would be blamed for what the one that has left did.
+// The model is log(p99 / target) = baseline(service) + sum over neighbours of effect × part of the
+// worker's processors that it was given. Parts, so that what was learned on a small worker holds on
+// a large one. A sample arrives late; it is explained by the neighbours at the time when it was
+// measured. Else the task that has just arrived would be blamed for what the one that has left did.
 #pragma once
 
 #include <cstddef>
@@ -22,20 +23,29 @@
 
 using class_number = std::uint16_t;
 
-struct class_amount
+struct class_millicores
 {
     class_number jobClass = 0;
-    double processors = 0; // given to all tasks of the class
+    std::int64_t millicores = 0; // given to all tasks of the class
 };
 
+struct class_part
+{
+    class_number jobClass = 0;
+    double part = 0; // of the worker's processors
+};
+
+std::vector<class_part> partsOf(std::span<const class_millicores> amounts,
+                                std::int64_t workerMillicores);
+
 class neighbour_history
 {
 public:
-    // `processors` is negative when a task goes or is throttled.
-    void change(class_number jobClass, double processors, time_point at);
-    const std::vector<class_amount> &current() const { return m_current; }
+    // `millicores` is negative when a task goes or is throttled.
+    void change(class_number jobClass, std::int64_t millicores, time_point at);
+    const std::vector<class_millicores> &current() const { return m_current; }
     // Absent when the moment lies before what is kept: the sample has to be dropped.
-    std::optional<std::vector<class_amount>> at(time_point moment) const;
+    std::optional<std::vector<class_millicores>> at(time_point moment) const;
 
 private:
     static constexpr std::size_t MostChanges = 64;
@@ -43,10 +53,10 @@
     struct change_record
     {
         time_point at;
-        class_amount amount;
+        class_millicores amount;
     };
 
-    std::vector<class_amount> m_current;
+    std::vector<class_millicores> m_current;
     std::deque<change_record> m_changes; // oldest first
     time_point m_knownFrom;              // moments before it cannot be answered
 };
@@ -54,18 +64,20 @@
 struct interference_settings
 {
     bool learn = true;              // false: every pair keeps the prior
-    double priorEffect = 0.02;      // log slowdown for each processor, of a pair never seen
-    double priorDeviation = 0.04;   // of the effect
-    double baselineMean = -0.5;     // log of p99 over target when alone, before any sample
+    double priorEffect = 0.3;       // log slowdown by a whole worker of a class never seen
+    double priorDeviation = 0.8;    // of the effect
+    double baselineMean = -0.5;     // log(p99 / target) when alone, before any sample
     double baselineDeviation = 0.5; //
     double noise = 0.15;            // deviation of one sample
-    double driftPerHour = 0.02;     // growth of each deviation: effects shift
-    std::size_t maxPairs = 16384;   // pairs kept; beyond it new pairs borrow only
+    double effectDrift = 0.3;       // deviation that an effect gains in an hour: effects shift
+    double baselineDrift = 0.1;     // the same of a baseline: load shifts faster
+    std::size_t maxNeighbours = 32; // classes kept for each service class
+    std::size_t maxServices = 256;  // service classes kept; others keep the prior
 };
 
 struct effect_estimate
 {
-    double mean = 0;      // log slowdown for each processor
+    double mean = 0;      // log slowdown by a whole worker of the neighbour
     double deviation = 0; // standard deviation of the mean
 };
 
@@ -75,38 +87,55 @@
     explicit interference_model(const interference_settings &settings);
 
     // `logRatio`: log(p99 / target) that was measured beside `neighbours`.
-    void learn(class_number service, std::span<const class_amount> neighbours, double logRatio,
+    void learn(class_number service, std::span<const class_part> neighbours, double logRatio,
                time_point measuredAt);
     // A pair never seen borrows from the means of both classes.
     effect_estimate effect(class_number service, class_number neighbour) const;
     double baseline(class_number service) const;
     // Expected log(p99 / target).
-    double expected(class_number service, std::span<const class_amount> neighbours) const;
-    std::size_t pairs() const { return m_pairs.size(); }
+    double expected(class_number service, std::span<const class_part> neighbours) const;
 
 private:
-    struct belief
+    // What is believed of one service class: its baseline and the effects of its neighbours,
+    // jointly. Each alone would not do. Beside a steady neighbour, baseline and effect cannot be
+    // told apart; when the neighbour then goes, only their covariance says that one was too high
+    // because the other was too low.
+    struct service_belief
     {
-        double mean = 0;
-        double variance = 0;
-        time_point updatedAt;
+        std::vector<class_number> neighbours; // of index 1 and up; index 0 is the baseline
+        std::vector<time_point> seenAt;       // of each neighbour
+        std::vector<double> means;            //
+        std::vector<double> covariance;       // rows of maxNeighbours + 1
+        time_point updatedAt;                 //
+        double effectSum = 0;                 // of the means of the neighbours
     };
     struct class_mean
     {
         double sum = 0; // of the means of its pairs
         int pairs = 0;
     };
+    // Amounts by index of the belief.
+    struct indexed_amount
+    {
+        std::size_t index = 0;
+        double amount = 0;
+    };
 
-    static std::uint32_t keyOf(class_number service, class_number neighbour);
-    belief &pairBelief(class_number service, class_number neighbour, time_point at);
-    belief &baselineBelief(class_number service, time_point at);
-    void drift(belief &pair, time_point at) const;
-    void correct(belief &entry, double weight, double gain, double residual) const;
+    service_belief *beliefOf(class_number service, time_point at);
+    std::size_t indexFor(service_belief &belief, class_number neighbour, time_point at);
+    void forget(service_belief &belief, std::size_t index, class_number neighbour);
+    void drift(service_belief &belief, time_point at) const;
+    void correct(service_belief &belief, const std::vector<indexed_amount> &amounts,
+                 double residual);
+    void setMean(service_belief &belief, std::size_t index, double mean);
+    double &covarianceAt(service_belief &belief, std::size_t row, std::size_t column) const
+    {
+        return belief.covariance[row * (m_settings.maxNeighbours + 1) + column];
+    }
+    static std::size_t findIndex(const service_belief &belief, class_number neighbour);
 
     interference_settings m_settings;
-    std::unordered_map<std::uint32_t, belief> m_pairs;
-    std::unordered_map<class_number, belief> m_baselines;
-    std::unordered_map<class_number, class_mean> m_byService;
+    std::unordered_map<class_number, service_belief> m_services;
     std::unordered_map<class_number, class_mean> m_byNeighbour;
 };
 
--- a/libs/placement/plan.cpp
+++ b/libs/placement/plan.cpp
@@ -47,6 +47,7 @@
     sendRaises(run);
     relieveMemory(run);
     placeWaiting(run);
+    expireHolds(run);
     if (m_settings.relieveServices)
         relieveServices(run);
     return std::move(run.actions);
@@ -247,6 +248,16 @@
     });
 }
 
+void placer::rememberNoRoom(plan_run &run, std::size_t pool, const resources &demand)
+{
+    // Larger ones say nothing more.
+    std::erase_if(run.noRoom, [&](const auto &failed) {
+        return failed.first == pool && demand.fitsIn(failed.second);
+    });
+    if (run.noRoom.size() < MostNoRoom)
+        run.noRoom.emplace_back(pool, demand);
+}
+
 // A learned size never makes a task impossible that could run as declared.
 resources placer::demandOf(const job_record &job) const
 {
@@ -313,8 +324,8 @@
     job.wait = slows ? wait_reason::WouldSlowService : wait_reason::NoRoom;
     if (request.avoid != NoWorker)
         return try_result::TaskWaits; // others of the job may go where this one may not
-    if (!slows && run.noRoom.size() < MostNoRoom)
-        run.noRoom.emplace_back(job.pool, demand);
+    if (!slows)
+        rememberNoRoom(run, job.pool, demand);
     job.blockedAt = m_workers.pool(job.pool).generation;
     job.retryAt = run.now + (preempts ? UrgentRetry : m_settings.retryAfter);
     return try_result::JobWaits;
@@ -331,19 +342,54 @@
     const int slot = record.nominated;
     const auto &worker = m_workers.at(slot);
     const bool takes = worker.inService && !worker.setAside;
-    if (takes && demand.fitsIn(worker.book.available() - (worker.held - record.heldRoom))) {
+    if (takes && demand.fitsIn(worker.book.available() - heldBefore(record))) {
         dropHold(record);
         place(run, job, index, slot, demand);
         return true;
     }
-    if (takes && run.now < record.nominatedUntil)
-        return false;
-    dropHold(record);
-    record.avoid = slot;
-    record.avoidUntil = run.now + AvoidLateWorker;
+    if (!takes || run.now >= record.nominatedUntil)
+        giveUpHold(record, run.now);
     return false;
 }
 
+// Held on the same worker for tasks that came first. Later holds do not count: their victims may
+// still run, and would keep this task from room that its own have left.
+resources placer::heldBefore(const task_record &record)
+{
+    resources sum;
+    for (const auto &task : m_holds) {
+        const auto other = find(task);
+        if (other && other.task->nominated == record.nominated
+            && other.task->nomination < record.nomination)
+            sum += other.task->heldRoom;
+    }
+    return sum;
+}
+
+void placer::giveUpHold(task_record &record, time_point now)
+{
+    record.avoid = record.nominated;
+    record.avoidUntil = now + AvoidLateWorker;
+    dropHold(record);
+}
+
+// A task that was not tried in time (its team reached its quota, its job was quarantined) must not
+// keep room from others for ever.
+void placer::expireHolds(plan_run &run)
+{
+    for (auto next = m_holds.begin(); next != m_holds.end();) {
+        const auto found = find(*next);
+        const bool holds = found && found.task->nominated != NoWorker;
+        if (holds && run.now < found.task->nominatedUntil) {
+            ++next;
+            continue;
+        }
+        if (holds)
+            giveUpHold(*found.task, run.now);
+        next = m_holds.erase(next);
+    }
+}
+
 bool placer::holdRoom(plan_run &run, job_record &job, std::int32_t index,
                       const place_request &request)
 {
@@ -357,7 +403,9 @@
     for (const auto &victim : plan->victims)
         preempt(run, plan->slot, victim, preempt_reason::UrgentTask, {job.spec.jobId, index},
                 stopBefore);
+    m_holds.insert({job.spec.jobId, index});
     record.nominated = plan->slot;
+    record.nomination = ++m_nominations;
     record.heldRoom = request.demand;
     record.nominatedUntil = stopBefore + StopGrace;
     m_workers.at(plan->slot).held += request.demand;
@@ -385,6 +433,7 @@
                      const task_ref &beneficiary, time_point checkpointBefore)
 {
     const auto found = find(victim);
+    found.task->stopsSoon = reason == preempt_reason::UrgentTask;
     setState(victim, slot, entry_state::Stopping);
     if (reason != preempt_reason::UrgentTask) {
         found.task->avoid = slot;
--- a/libs/placement/scheduler.h
+++ b/libs/placement/scheduler.h
@@ -144,7 +144,7 @@
     // Measurements (scheduler.cpp).
     void raiseReservation(const task_ref &task, task_record &record, const resources &used);
     void queueRaises(int slot);
-    void neighbourChanged(int slot, class_number jobClass, double processors, time_point now);
+    void neighbourChanged(int slot, class_number jobClass, std::int64_t millicores, time_point now);
 
     // Decisions (plan.cpp).
     void refreshSetAside(time_point now);
@@ -160,10 +160,14 @@
     bool mustWait(plan_run &run, job_record &job);
     try_result tryTask(plan_run &run, job_record &job, std::int32_t index);
     static bool foundNoRoom(const plan_run &run, std::size_t pool, const resources &demand);
+    static void rememberNoRoom(plan_run &run, std::size_t pool, const resources &demand);
     void place(plan_run &run, job_record &job, std::int32_t index, int slot,
                const resources &demand);
     bool placeOnHeldRoom(plan_run &run, job_record &job, std::int32_t index,
                          const resources &demand);
+    resources heldBefore(const task_record &record);
+    void giveUpHold(task_record &record, time_point now);
+    void expireHolds(plan_run &run);
     bool holdRoom(plan_run &run, job_record &job, std::int32_t index, const place_request &request);
     place_request requestFor(const job_record &job, const task_record &record,
                              const resources &demand, time_point now) const;
@@ -196,9 +200,11 @@
     room_maker m_roomMaker;
     eviction_budget m_evictions;
     std::vector<task_ref> m_raises; // reservations that the worker has to be told
-    std::set<int> m_owing;          // slots with a raise that does not fit
-    std::set<int> m_disturbed;      // slots with a raised signal or throttled tasks
-    std::set<int> m_setAside;       // slots that quarantine has set aside
+    std::uint64_t m_nominations = 0;
+    std::set<task_ref> m_holds; // tasks for which room is being made
+    std::set<int> m_owing;      // slots with a raise that does not fit
+    std::set<int> m_disturbed;  // slots with a raised signal or throttled tasks
+    std::set<int> m_setAside;   // slots that quarantine has set aside
 };
 
 } // namespace zinniabarrow::placement
