--- a/libs/work/task_keeper.cpp
+++ b/libs/work/task_keeper.cpp
@@ -311,7 +311,7 @@
     kept.startUntil = grantEnds;
     const milliseconds within(millisecondsUntil(grantEnds, m_listingReceivedAt));
     const milliseconds lease = leaseToGive(task.failover, grantEnds);
-    m_actions.emplace_back(worker_start{task, spec, lease, within, m_listing});
+    m_actions.emplace_back(worker_start{task, spec, lease, within, m_listing, m_incarnation});
 }
 
 // Also for an attempt that never ran here: an older agent of this worker may still hold its start.
@@ -453,7 +453,8 @@
             continue;
         const milliseconds lease = leaseToGive(kept.failover, m_leaseUntil);
         if (lease.count() > 0)
-            m_actions.emplace_back(worker_renew{{task, kept.attempt}, lease, m_listing});
+            m_actions.emplace_back(
+                    worker_renew{{task, kept.attempt}, lease, m_listing, m_incarnation});
     }
 }
 
--- a/libs/work/task_keeper.h
+++ b/libs/work/task_keeper.h
@@ -86,15 +86,17 @@
 {
     granted_task task;
     Json::Value spec;
-    milliseconds lease{0};       // of the task
-    milliseconds startWithin{0}; // the worker refuses to start it later
-    std::uint64_t listing = 0;   // both count from when the worker made this listing
+    milliseconds lease{0};         // of the task
+    milliseconds startWithin{0};   // the worker refuses to start it later
+    std::uint64_t listing = 0;     // both count from when the worker made this listing
+    std::uint64_t incarnation = 0; // of the worker that made it; any other refuses
 };
 struct worker_renew
 {
     task_attempt attempt;
     milliseconds lease{0}; // counted from when the worker made listing `listing`
     std::uint64_t listing = 0;
+    std::uint64_t incarnation = 0; // of the worker that made it; any other ignores it
 };
 struct worker_stop // also for an attempt that is not there: it must never start later
 {
--- a/libs/work/trace_checker.cpp
+++ b/libs/work/trace_checker.cpp
@@ -74,6 +74,7 @@
                 violate(trace_violation_kind::StartedAfterCancel, name + " still runs");
         } else if (kind == "done") {
             task.done = true;
+            task.succeeded = true;
         } else if (kind == "failed") {
             task.failed = true;
             task.owedCheckpoint.clear();
@@ -92,8 +93,11 @@
     worker.size = sizeOf(event);
     worker.used = trace_size();
     for (auto &[id, task] : m_tasks) {
-        if (task.running && task.worker == name)
-            task.running = false;
+        if (task.worker != name)
+            continue;
+        task.running = false;
+        // An outcome that had not been reported went with the instance.
+        task.succeeded = task.done;
     }
 }
 
--- a/tests/work_faults_test.cpp
+++ b/tests/work_faults_test.cpp
@@ -106,6 +106,19 @@
     model.submit("census", 2, failover_class::Proof, false, 900);
 }
 
+void judge(work_model &model)
+{
+    const auto violations = model.violations();
+    for (const auto &violation : violations)
+        fmt::print(stderr, "{}: line {}: {} {}\n", sectionName(), violation.line,
+                   nameOf(violation.kind), violation.detail);
+    if (!violations.empty() && getenv("TRACE")) {
+        fmt::print(stderr, "{}", model.trace);
+        exit(1);
+    }
+    check(violations.empty());
+}
+
 // One run: all jobs, three evictions, two cancellations; the fault strikes `offset` after the first
 // time that `step` happens, is healed, and everything gets time to finish.
 void runScenario(const std::string &step, const fault &fault, milliseconds offset)
@@ -142,19 +155,40 @@
     advance(seconds(350));
 
     require(strikeAt != Never);
-    const auto violations = model.violations();
-    for (const auto &violation : violations)
-        fmt::print(stderr, "{}: line {}: {} {}\n", sectionName(), violation.line,
-                   nameOf(violation.kind), violation.detail);
-    if (!violations.empty() && getenv("TRACE")) {
-        fmt::print(stderr, "{}", model.trace);
-        exit(1);
-    }
-    check(violations.empty());
+    judge(model);
     if (!fault.mayRestartWatcher)
         check(model.starts(Watcher) == 1);
 }
 
+// Faults of random kind, place, time and length, several at once.
+void runStorm(std::uint64_t seed)
+{
+    random_generator random(seed);
+    work_model model(seed);
+    submitAll(model);
+    const auto faults = allFaults();
+    const std::vector<std::string> tasks = {"watch", "hold", "match"};
+    for (int round = 0; round < 20; ++round) {
+        model.runFor(milliseconds(pickIndex(random, 20'000)));
+        const std::string worker = "w" + std::to_string(pickIndex(random, 3));
+        const auto &one = faults[pickIndex(random, faults.size())];
+        if (getenv("SEED"))
+            fmt::print(stderr, "{} FAULT {} {} {}\n", model.now.time_since_epoch().count() / 1000,
+                       one.name, worker, ownerOf(model).name);
+        one.strike(model, worker);
+        model.evict({tasks[pickIndex(random, tasks.size())], 0});
+        if (round == 10)
+            model.cancel("season");
+        if (round == 15)
+            model.cancel("census");
+        if (pickIndex(random, 3) == 0)
+            heal(model);
+    }
+    heal(model);
+    model.runFor(seconds(400));
+    judge(model);
+}
+
 // Strikes at the step itself (what was decided may not have been sent), and when its writes, its
 // messages and its effect are on their way.
 void strikeAt(const std::string &step)
@@ -197,4 +231,12 @@
     strikeAt("cancel");
 }
 
+Test(work_faults, storms)
+{
+    int first = getenv("SEED") ? atoi(getenv("SEED")) : 1;
+    int last = getenv("LAST") ? atoi(getenv("LAST")) : getenv("SEED") ? first : 400;
+    for (int seed = first; seed <= last; ++seed)
+        section("seed " + std::to_string(seed), [&] { runStorm(seed); });
+}
+
 } // namespace zinniabarrow::tests
--- a/tests/work_model.h
+++ b/tests/work_model.h
@@ -132,8 +132,10 @@
     {
         target.alive = false;
         target.restartAt = now + restartAfter;
-        if (auto *worker = findIn(workers, target.name))
-            worker->running.clear(); // its next life says so in the trace
+        if (auto *worker = findIn(workers, target.name)) {
+            worker->running.clear();
+            traceWorker(target.name);
+        }
     }
     void freeze(process &target, milliseconds length) { target.frozenUntil = now + length; }
 
@@ -647,6 +649,7 @@
             const auto found = worker.running.find(action.attempt.task);
             const auto listed = worker.listedAt.find(action.listing);
             if (found == worker.running.end() || listed == worker.listedAt.end()
+                || action.incarnation != worker.incarnation
                 || found->second.attempt != action.attempt.attempt)
                 return;
             found->second.leaseUntil =
@@ -709,7 +712,8 @@
         if (worker.seen[task] >= action.task.attempt)
             return false;
         const auto listed = worker.listedAt.find(action.listing);
-        if (listed == worker.listedAt.end() || now >= listed->second + action.startWithin)
+        if (listed == worker.listedAt.end() || action.incarnation != worker.incarnation
+            || now >= listed->second + action.startWithin)
             return true; // too late to start; not refused for ever
         worker.seen[task] = action.task.attempt;
         const bool endless = action.spec["runSeconds"].asInt() == 0;
