--- a/libs/work/task_store.cpp
+++ b/libs/work/task_store.cpp
@@ -221,13 +221,14 @@
            && task.index < found->spec.firstTask + found->range;
 }
 
-void task_store::want(const task_id &task, const task_record &record, time_point now)
+void task_store::want(const task_id &task, const task_record &record, time_point now,
+                      bool lazy)
 {
     if (record == effective(task))
         return;
     const row_id row = chunkOf(task);
     m_chunks[row].wanted[task.index] = record;
-    markDirty(row, now);
+    markDirty(row, now + (lazy ? m_settings.lazyWindow : m_settings.groupWindow));
 }
 
 const stored_job *task_store::job(const std::string &id) const
@@ -249,7 +250,7 @@
 void task_store::wantJob(const stored_job &job, time_point now)
 {
     m_jobs[job.spec.id].wanted = job;
-    markDirty({row_kind::Job, job.spec.id, 0}, now);
+    markDirty({row_kind::Job, job.spec.id, 0}, now + m_settings.groupWindow);
 }
 
 std::vector<task_id> task_store::touched() const
@@ -302,17 +303,19 @@
     if (!changed)
         return;
     m_silent.wanted = std::move(workers);
-    markDirty({row_kind::Silent, {}, 0}, now);
+    markDirty({row_kind::Silent, {}, 0}, now + m_settings.groupWindow);
 }
 
 // Transactions.
 
-void task_store::markDirty(const row_id &row, time_point now)
+void task_store::markDirty(const row_id &row, time_point due)
 {
-    if (!m_isDirty.insert(row).second)
+    const auto [known, added] = m_dirty.try_emplace(row, due);
+    if (!added && known->second <= due)
         return;
-    m_dirty.push_back(row);
-    m_dirtySince = std::min(m_dirtySince, now);
+    m_due.erase({known->second, row});
+    known->second = due;
+    m_due.insert({due, row});
 }
 
 void task_store::tick(time_point now)
@@ -347,10 +350,7 @@
 
 void task_store::flush(time_point now)
 {
-    if (m_dirty.empty() || now < m_retryAt)
-        return;
-    const bool windowOver = now - m_dirtySince >= m_settings.groupWindow;
-    if (windowOver || m_dirty.size() >= m_settings.groupRows)
+    if (!m_due.empty() && now >= m_retryAt && now >= m_due.begin()->first)
         send(now);
 }
 
@@ -360,14 +360,20 @@
     table_transaction &transaction = m_transaction->transaction;
     transaction.operationId = m_operationPrefix + "/" + std::to_string(++m_operations);
     transaction.conditions.push_back({shardKey(m_shard), m_shardVersion});
-    // A removal goes alone: the rows of one job, all of them settled.
-    const bool removal = m_dirty.front().kind == row_kind::Removal;
-    while (!m_dirty.empty() && transaction.writes.size() < m_settings.groupRows) {
-        const row_id row = m_dirty.front();
-        if ((row.kind == row_kind::Removal) != removal)
-            break;
-        m_dirty.pop_front();
-        m_isDirty.erase(row);
+    // Rows that are due within the window go along. A removal goes alone: the rows of one job, all of
+    // them settled.
+    const time_point until = now + m_settings.groupWindow;
+    const bool removal = m_due.begin()->second.kind == row_kind::Removal;
+    auto next = m_due.begin();
+    while (next != m_due.end() && next->first <= until
+           && transaction.writes.size() < m_settings.groupRows) {
+        const row_id row = next->second;
+        if ((row.kind == row_kind::Removal) != removal) {
+            ++next;
+            continue;
+        }
+        next = m_due.erase(next);
+        m_dirty.erase(row);
         m_transaction->rows.push_back(row);
         if (removal) {
             addRemoval(row.job);
@@ -375,7 +381,6 @@
         }
         addRow(row);
     }
-    m_dirtySince = m_dirty.empty() ? Never : now;
     if (transaction.writes.empty())
         m_transaction.reset();
     else
@@ -580,7 +585,7 @@
             appliedRow(row, version);
         }
         if (m_jobs.contains(row.job) && drained(row.job))
-            markDirty({row_kind::Removal, row.job, 0}, now);
+            markDirty({row_kind::Removal, row.job, 0}, now + m_settings.lazyWindow);
     }
 }
 
--- a/libs/work/task_store.h
+++ b/libs/work/task_store.h
@@ -10,7 +10,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -27,7 +26,8 @@
 
 struct store_settings
 {
-    milliseconds groupWindow{100}; // changes are collected this long
+    milliseconds groupWindow{100};  // changes are collected this long
+    milliseconds lazyWindow{1'000}; // the same for changes that nobody waits for
     std::size_t groupRows = 50;    // most rows in one transaction
     milliseconds firstRetry{100};  // after a refused or unknown write; doubles each time
     milliseconds lastRetry{5'000};
@@ -111,7 +111,8 @@
     task_record settled(const task_id &task) const;   // as the table holds it
     bool inFlight(const task_id &task) const;         // the two may differ
     bool known(const task_id &task) const;            // in the range of a job
-    void want(const task_id &task, const task_record &record, time_point now);
+    // Lazy: nobody waits for this change.
+    void want(const task_id &task, const task_record &record, time_point now, bool lazy = false);
 
     const stored_job *job(const std::string &id) const; // newest intention
     std::vector<std::string> jobs() const;
@@ -184,7 +185,7 @@
     static task_record view(const task_record &record, const std::optional<stored_job> &job);
 
     // Transactions.
-    void markDirty(const row_id &row, time_point now);
+    void markDirty(const row_id &row, time_point due);
     void flush(time_point now);
     void send(time_point now);
     void addRow(const row_id &row);
@@ -219,9 +220,8 @@
     std::map<std::string, row_state<stored_job>> m_jobs;
     std::map<row_id, chunk_state> m_chunks;
     row_state<silent_set> m_silent;
-    std::deque<row_id> m_dirty; // in the order of their first change
-    std::set<row_id> m_isDirty;
-    time_point m_dirtySince = Never;
+    std::map<row_id, time_point> m_dirty; // when each is due to be sent
+    std::set<std::pair<time_point, row_id>> m_due;
     std::optional<transaction_state> m_transaction;
     int m_failures = 0; // of the table, in a row
     time_point m_failingSince = Never;
--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -8,9 +8,10 @@
 
 namespace {
 
-constexpr name_table<task_change, 5> ChangeNames = {{
+constexpr name_table<task_change, 6> ChangeNames = {{
         {task_change::Placed, "placed"},
         {task_change::Started, "started"},
+        {task_change::Vacated, "vacated"},
         {task_change::Freed, "freed"},
         {task_change::Ended, "ended"},
         {task_change::Reverted, "reverted"},
@@ -312,7 +313,9 @@
         next.checkpoint = event.checkpoint;
         want(event.task, next, now);
     } else {
-        want(event.task, ended(record, event), now);
+        const task_record next = ended(record, event);
+        want(event.task, next, now, next.state == task_state::Done);
+        emit(event.task, task_change::Vacated, next, record.worker);
     }
 }
 
@@ -555,9 +558,9 @@
 
 // Records.
 
-void task_table::want(const task_id &task, const task_record &record, time_point now)
+void task_table::want(const task_id &task, const task_record &record, time_point now, bool lazy)
 {
-    m_store.want(task, record, now);
+    m_store.want(task, record, now, lazy);
     if (occupies(record))
         m_onWorker[record.worker].insert(task);
 }
--- a/libs/work/task_table.h
+++ b/libs/work/task_table.h
@@ -61,10 +61,11 @@
 };
 
 // The placer's ledger follows these. A task counts against its worker from place_decided until
-// Freed, Ended or Reverted.
+// Vacated, Freed, Ended or Reverted.
 enum class task_change {
     Placed,   // the table holds the placement
     Started,  // the agent said that it runs
+    Vacated,  // the agent said that it has ended; Freed or Ended follows once the table holds that
     Freed,    // no longer on the worker; Pending again
     Ended,    // over; `worker` is empty if it was never placed
     Reverted, // a wanted change did not take effect; `state` and `worker` say what holds
@@ -197,7 +198,7 @@
     void declareSilent(const std::string &name, time_point now);
 
     // Records.
-    void want(const task_id &task, const task_record &record, time_point now);
+    void want(const task_id &task, const task_record &record, time_point now, bool lazy = false);
     void index(const task_id &task, const std::string &worker);
     std::vector<task_id> tasksOn(const std::string &worker) const;
     soft_state &softOf(const task_id &task, std::uint32_t attempt);
--- /dev/null
+++ b/tests/work_writes_test.cpp
@@ -0,0 +1,207 @@
+// What the table is asked to write at the peak of task starts, and what other row layouts would ask.
+#include <set>
+
+#include <fmt/core.h>
+
+#include "base/json.h"
+#include "base/random.h"
+#include "platform/memory_platform.h"
+#include "work/ownership.h"
+#include "work/task_table.h"
+
+#include "section.h"
+
+namespace zinniabarrow::tests {
+
+namespace {
+
+constexpr int Workers = 790;
+constexpr int StartsPerSecond = 210;
+constexpr milliseconds Tick{50};
+
+struct write_figures
+{
+    double seconds = 0;
+    std::size_t transactions = 0;
+    std::size_t rows = 0;
+    std::size_t bytes = 0;
+    std::size_t starts = 0;
+    std::size_t changes = 0;        // rows, if each task had one
+    std::size_t changedWorkers = 0; // rows, if each worker had one
+};
+
+// One shard at its part of the peak: jobs of 500 tasks, placed in order, each running 60 to 160 s.
+class peak_shard
+{
+public:
+    explicit peak_shard(int shards)
+        : m_workers(Workers / shards)
+        , m_startsPerTick(static_cast<double>(StartsPerSecond) / shards * 0.05)
+        , m_random(11)
+        , m_table({0, 1, 1, {}}, "op", {})
+    {
+        m_platform.commit({"take", {}, {{shardKey(0), Json::Value(Json::objectValue)}}});
+        feed(rows_read{});
+        feed(horizon_moved{Never});
+    }
+
+    write_figures run()
+    {
+        while (m_now < time_point(seconds(200)))
+            step();
+        m_figures = {};
+        while (m_now < time_point(seconds(260)))
+            step();
+        m_figures.seconds = 60;
+        return m_figures;
+    }
+
+private:
+    struct worker
+    {
+        std::uint64_t sequence = 0;
+        std::uint64_t lastEvent = 0;
+        std::vector<task_event> events;
+    };
+
+    void step()
+    {
+        m_now += Tick;
+        m_due += m_startsPerTick;
+        for (; m_due >= 1; m_due -= 1)
+            place();
+        for (auto it = m_ends.begin(); it != m_ends.end() && it->first <= m_now;) {
+            addEvent(it->second.first, it->second.second, task_event_kind::Succeeded);
+            it = m_ends.erase(it);
+        }
+        const auto tick = static_cast<int>(m_now.time_since_epoch() / Tick);
+        for (int i = 0; i < m_workers; ++i) {
+            if ((tick + i) % 40 == 0) // every two seconds
+                report(i);
+        }
+        feed(table_tick{});
+    }
+    void place()
+    {
+        if (m_next % 500 == 0) {
+            job_spec spec;
+            spec.id = "job" + std::to_string(m_next / 500);
+            spec.generation = 1;
+            spec.tasks = 500;
+            feed(job_accepted{spec});
+        }
+        const task_id task{"job" + std::to_string(m_next / 500), m_next % 500};
+        ++m_next;
+        m_waiting.push_back(task);
+        std::vector<task_id> still;
+        for (const auto &waiting : m_waiting) {
+            if (m_table.placeable(waiting))
+                feed(place_decided{waiting, name(pickIndex(m_random, m_workers)), false});
+            else
+                still.push_back(waiting);
+        }
+        m_waiting = still;
+    }
+    static std::string name(std::size_t index) { return fmt::format("worker-{:03}", index); }
+
+    void report(int index)
+    {
+        const std::string id = name(index);
+        worker &one = m_states[id];
+        feed(report_received{{id, 1, id + "#1", ++one.sequence, 1, one.events}});
+    }
+    void addEvent(const std::string &id, const task_attempt &attempt, task_event_kind kind)
+    {
+        worker &one = m_states[id];
+        one.events.push_back({++one.lastEvent, attempt.task, attempt.attempt, kind, {}, {}});
+    }
+
+    void feed(const table_event &event)
+    {
+        for (const auto &action : m_table.handle(event, m_now))
+            std::visit([&](const auto &one) { act(one); }, action);
+    }
+    template <typename Action>
+    void act(const Action &)
+    { }
+    void act(const commit_rows &action)
+    {
+        ++m_figures.transactions;
+        for (const auto &write : action.transaction.writes) {
+            ++m_figures.rows;
+            m_figures.bytes += compactJson(*write.value).size();
+        }
+        const write_result result = m_platform.commit(action.transaction);
+        m_changed.clear();
+        feed(write_settled{action.transaction.operationId, result});
+        m_figures.changedWorkers += m_changed.size();
+    }
+    void act(const task_settled &action)
+    {
+        if (action.change == task_change::Started || action.change == task_change::Vacated)
+            return;
+        ++m_figures.changes;
+        m_changed.insert(action.worker);
+        if (action.change == task_change::Placed)
+            ++m_figures.starts;
+    }
+    void act(const send_grant &action)
+    {
+        worker &one = m_states[action.grant.worker];
+        std::erase_if(one.events, [&](const auto &event) {
+            return event.number <= action.grant.ackedThrough;
+        });
+        for (const auto &task : action.grant.tasks) {
+            const task_attempt attempt{task.task, task.attempt};
+            if (!m_started.insert(attempt).second)
+                continue;
+            addEvent(action.grant.worker, attempt, task_event_kind::Started);
+            const auto length = seconds(60 + pickIndex(m_random, 100));
+            m_ends.emplace(m_now + length, std::pair{action.grant.worker, attempt});
+        }
+    }
+
+    int m_workers;
+    double m_startsPerTick;
+    double m_due = 0;
+    random_generator m_random;
+    memory_platform m_platform;
+    task_table m_table;
+    time_point m_now;
+    std::uint32_t m_next = 0;
+    std::vector<task_id> m_waiting;
+    std::map<std::string, worker> m_states;
+    std::set<task_attempt> m_started;
+    std::multimap<time_point, std::pair<std::string, task_attempt>> m_ends;
+    std::set<std::string> m_changed;
+    write_figures m_figures;
+};
+
+} // namespace
+
+// At 210 starts (and as many ends) a second with some 23,000 tasks running, the table's several
+// hundred row writes a second must suffice for everyone, whatever the number of shards.
+Test(work_writes, peak)
+{
+    fmt::print(stderr, "| shards | transactions/s | rows/s | rows per start | bytes per row | kB/s |"
+                       " row per worker: rows/s | row per task: rows/s |\n");
+    for (const int shards : { 1, 4, 8, 16 }) {
+        section(std::to_string(shards) + " shards", [&] {
+            const write_figures one = peak_shard(shards).run();
+            const double rate = shards / one.seconds;
+            const double rows = static_cast<double>(one.rows) * rate;
+            const double starts = static_cast<double>(one.starts) * rate;
+            const double bytes = static_cast<double>(one.bytes) * rate;
+            fmt::print(stderr, "| {} | {:.1f} | {:.1f} | {:.2f} | {:.0f} | {:.0f} | {:.1f} | {:.1f} |\n",
+                       shards, static_cast<double>(one.transactions) * rate, rows, rows / starts,
+                       bytes / rows, bytes / 1'000,
+                       static_cast<double>(one.changedWorkers) * rate,
+                       static_cast<double>(one.changes) * rate);
+            check(starts > StartsPerSecond * 0.97);
+            check(rows < 250);
+            check(bytes / rows < 4'000);
+        });
+    }
+}
+
+} // namespace zinniabarrow::tests
