--- a/libs/work/task_store.cpp
+++ b/libs/work/task_store.cpp
@@ -221,8 +221,7 @@
            && task.index < found->spec.firstTask + found->range;
 }
 
-void task_store::want(const task_id &task, const task_record &record, time_point now,
-                      bool lazy)
+void task_store::want(const task_id &task, const task_record &record, time_point now, bool lazy)
 {
     if (record == effective(task))
         return;
@@ -360,8 +359,8 @@
     table_transaction &transaction = m_transaction->transaction;
     transaction.operationId = m_operationPrefix + "/" + std::to_string(++m_operations);
     transaction.conditions.push_back({shardKey(m_shard), m_shardVersion});
-    // Rows that are due within the window go along. A removal goes alone: the rows of one job, all of
-    // them settled.
+    // Rows that are due within the window go along. A removal goes alone: the rows of one job, all
+    // of them settled.
     const time_point until = now + m_settings.groupWindow;
     const bool removal = m_due.begin()->second.kind == row_kind::Removal;
     auto next = m_due.begin();
--- a/libs/work/task_store.h
+++ b/libs/work/task_store.h
@@ -28,8 +28,8 @@
 {
     milliseconds groupWindow{100};  // changes are collected this long
     milliseconds lazyWindow{1'000}; // the same for changes that nobody waits for
-    std::size_t groupRows = 50;    // most rows in one transaction
-    milliseconds firstRetry{100};  // after a refused or unknown write; doubles each time
+    std::size_t groupRows = 50;     // most rows in one transaction
+    milliseconds firstRetry{100};   // after a refused or unknown write; doubles each time
     milliseconds lastRetry{5'000};
     milliseconds downAfter{3'000}; // the table counts as down after failing this long
 };
--- /dev/null
+++ b/tests/work_test.cpp
@@ -0,0 +1,415 @@
+#include <sstream>
+
+#include <fmt/core.h>
+
+#include "base/errors.h"
+#include "base/json.h"
+#include "platform/memory_platform.h"
+#include "work/ownership.h"
+#include "work/task_keeper.h"
+#include "work/task_table.h"
+#include "work/trace_checker.h"
+
+#include "section.h"
+
+namespace zinniabarrow::tests {
+
+namespace {
+
+template <typename Action, typename Actions>
+std::vector<Action> only(const Actions &actions)
+{
+    std::vector<Action> found;
+    for (const auto &action : actions) {
+        if (const auto *one = std::get_if<Action>(&action))
+            found.push_back(*one);
+    }
+    return found;
+}
+
+std::string worker(const std::string &name, int cores)
+{
+    return fmt::format(R"({{"event":"worker","worker":"{}","size":{{"millicores":{},)"
+                       R"("memoryBytes":8,"accelerators":0}}}})",
+                       name, cores * 1'000);
+}
+std::string accepted(const std::string &failover)
+{
+    return fmt::format(R"({{"event":"accepted","task":"j/0","service":false,"failover":"{}"}})",
+                       failover);
+}
+// A line about an attempt of j/0; `checkpoint` where the event has one.
+std::string line(const std::string &event, int attempt, const std::string &on,
+                 const std::string &checkpoint = {})
+{
+    return fmt::format(
+            R"({{"event":"{}","task":"j/0","attempt":{},"worker":"{}","checkpoint":"{}",)"
+            R"("outcome":"succeeded",)"
+            R"("size":{{"millicores":1000,"memoryBytes":1,"accelerators":0}}}})",
+            event, attempt, on, checkpoint);
+}
+
+std::vector<trace_violation_kind> kindsIn(const std::vector<std::string> &lines)
+{
+    std::string text = worker("a", 1) + "\n" + worker("b", 1) + "\n";
+    for (const auto &one : lines)
+        text += one + "\n";
+    std::istringstream stream(text);
+    std::vector<trace_violation_kind> kinds;
+    for (const auto &violation : checkTrace(stream, true))
+        kinds.push_back(violation.kind);
+    return kinds;
+}
+
+// A table of one shard on a platform whose answers the test gives.
+struct table_bench
+{
+    memory_platform platform;
+    task_table table;
+    time_point now{seconds(1)};
+    std::vector<table_action> actions; // of the last event
+
+    explicit table_bench(std::uint64_t epoch = 1, time_point waitForSilentUntil = {})
+        : table({0, epoch, 1, waitForSilentUntil}, "op", {})
+    {
+        platform.commit({"take", {}, {{shardKey(0), Json::Value(Json::objectValue)}}});
+        feed(rows_read{});
+        feed(horizon_moved{Never});
+    }
+    void feed(const table_event &event) { actions = table.handle(event, now); }
+    void submit(const std::string &id, std::uint32_t tasks)
+    {
+        job_spec spec;
+        spec.id = id;
+        spec.generation = 1;
+        spec.tasks = tasks;
+        feed(job_accepted{spec});
+    }
+    void report(const std::string &name, std::uint64_t sequence,
+                std::vector<task_event> events = {})
+    {
+        feed(report_received{{name, 1, "s", sequence, 1, std::move(events)}});
+    }
+    std::optional<table_transaction> nextCommit(milliseconds wait = milliseconds(200))
+    {
+        now += wait;
+        feed(table_tick{});
+        const auto commits = only<commit_rows>(actions);
+        return commits.empty() ? std::nullopt : std::optional(commits.front().transaction);
+    }
+    void settle(const table_transaction &transaction)
+    {
+        feed(write_settled{transaction.operationId, platform.commit(transaction)});
+    }
+    // The answer is lost; `applied`: after the effect.
+    void loseAnswer(const table_transaction &transaction, bool applied)
+    {
+        if (applied)
+            platform.commit(transaction);
+        feed(write_settled{transaction.operationId, {write_outcome::Unknown, 0, {}}});
+    }
+    bool readBack()
+    {
+        now += seconds(10);
+        feed(table_tick{});
+        const auto reads = only<read_rows>(actions);
+        if (reads.empty())
+            return false;
+        rows_read read{reads.front().keys, {}};
+        for (const auto &key : read.keys) {
+            if (const auto row = platform.read(key))
+                read.rows.push_back(*row);
+        }
+        feed(read);
+        return true;
+    }
+};
+
+} // namespace
+
+// The checker guards every other test of faults: it must see each violation that is planted.
+Test(work, trace_checker_sees_each_planted_violation)
+{
+    using kind = trace_violation_kind;
+    const std::vector<std::string> good = {
+            accepted("proof"),       line("placed", 1, "a"),
+            line("started", 1, "a"), line("evicted", 1, "a", "c"),
+            line("placed", 2, "b"),  line("resumed", 2, "b", "c"),
+            line("ended", 2, "b"),
+    };
+    const auto planted = [&](std::size_t keep, const std::vector<std::string> &rest) {
+        std::vector<std::string> lines(good.begin(), good.begin() + static_cast<long>(keep));
+        lines.insert(lines.end(), rest.begin(), rest.end());
+        return kindsIn(lines);
+    };
+    const auto holds = [](const std::vector<kind> &kinds, kind wanted) {
+        return std::find(kinds.begin(), kinds.end(), wanted) != kinds.end();
+    };
+    section("a clean trace has none", [&] { check(planted(7, {}).empty()); });
+    section("two places", [&] {
+        check(holds(planted(3, {line("placed", 2, "b"), line("started", 2, "b")}),
+                    kind::TwoPlaces));
+    });
+    section("an attempt twice", [&] {
+        check(holds(planted(3, {line("stopped", 1, "a"), line("started", 1, "a")}),
+                    kind::AttemptRepeated));
+    });
+    section("started without a placement, or elsewhere", [&] {
+        check(holds(planted(1, {line("started", 1, "a")}), kind::NotPlaced));
+        check(holds(planted(2, {line("started", 1, "b")}), kind::NotPlaced));
+    });
+    section("resumed from elsewhere than its checkpoint",
+            [&] { check(holds(planted(5, {line("started", 2, "b")}), kind::WrongCheckpoint)); });
+    section("never resumed", [&] {
+        const auto kinds = planted(4, {});
+        check(holds(kinds, kind::NotResumed) && holds(kinds, kind::Lost));
+    });
+    section("ran again after its end", [&] {
+        check(holds(planted(7, {line("placed", 3, "a"), line("started", 3, "a")}),
+                    kind::StartedAfterEnd));
+    });
+    section("started after its cancellation", [&] {
+        check(holds(planted(5, {line("cancelled", 1, "b"), line("resumed", 2, "b", "c")}),
+                    kind::StartedAfterCancel));
+        check(holds(planted(6, {line("cancelled", 2, "b")}), kind::StartedAfterCancel));
+    });
+    section("over capacity", [&] {
+        std::string other = line("started", 1, "a");
+        std::string otherPlaced = line("placed", 1, "a");
+        std::string otherAccepted = accepted("proof");
+        for (auto *text : {&other, &otherPlaced, &otherAccepted})
+            text->replace(text->find("j/0"), 3, "k/0");
+        check(holds(planted(3, {otherAccepted, otherPlaced, other}), kind::OverCapacity));
+    });
+    section("a line that is no event", [&] {
+        check(holds(planted(7, {"nonsense"}), kind::BadLine));
+        check(holds(planted(7, {R"({"event":"unheard","task":"j/0"})"}), kind::BadLine));
+    });
+}
+
+Test(work, messages_cross_the_wire_whole)
+{
+    const worker_grant grant{3,
+                             7,
+                             "w1",
+                             2,
+                             "s#1",
+                             9,
+                             milliseconds(1'500),
+                             4,
+                             true,
+                             {{{"team/job", 5}, 2, failover_class::Proof, "c", {"d"}}},
+                             {{{"job", 6}, 1, failover_class::Lease, "", {}}},
+                             {{{"job", 1}, 3}},
+                             {{{"job", 2}, 4}},
+                             {{"job", Json::objectValue}}};
+    const Json::Value sent = toJson(grant);
+    check(toJson(workerGrantFromJson(parseJson(compactJson(sent)))) == sent);
+    const agent_report report{"w1", 2, "s#1",
+                              9,    7, {{1, {"job", 5}, 2, task_event_kind::Evicted, "c", "why"}}};
+    check(toJson(agentReportFromJson(toJson(report))) == toJson(report));
+
+    section("a wrong member is named", [&] {
+        for (const auto &name : sent.getMemberNames()) {
+            Json::Value broken = sent;
+            broken[name] = Json::Value(-1.5);
+            std::string problem;
+            try {
+                workerGrantFromJson(broken);
+            } catch (const error &caught) {
+                problem = caught.what();
+            }
+            check(problem.find(name) != std::string::npos);
+        }
+    });
+}
+
+// A wave of cancellations must not become a wave of writes: one row says that the job is cancelled,
+// and only tasks on a worker need their stop confirmed.
+Test(work, cancelling_thousands_writes_one_row)
+{
+    table_bench bench;
+    bench.submit("wave", 5'000);
+    bench.settle(*bench.nextCommit());
+    bench.report("w", 1);
+    bench.feed(place_decided{{"wave", 7}, "w", false});
+    bench.settle(*bench.nextCommit());
+    bench.feed(cancel_job{"wave"});
+    const auto commit = bench.nextCommit();
+    require(commit.has_value());
+    check(commit->writes.size() == 1);
+    bench.settle(*commit);
+    check(bench.table.placeableTasks(10).empty());
+    check(bench.table.find({"wave", 4'999}).state == task_state::Cancelled);
+
+    section("the placed one is stopped, and its rows go when it has ended", [&] {
+        bench.report("w", 2);
+        const auto grants = only<send_grant>(bench.actions);
+        require(grants.size() == 1);
+        check(grants[0].grant.tasks.empty() && grants[0].grant.stops.size() == 1);
+        bench.report("w", 3, {{1, {"wave", 7}, 1, task_event_kind::Stopped, "", ""}});
+        bench.settle(*bench.nextCommit());
+        bench.settle(*bench.nextCommit(seconds(2)));
+        check(bench.platform.scan("work/").empty());
+        check(bench.table.jobs().empty());
+    });
+}
+
+// The answer to a write is lost. Whether it took effect or not, the placement must be granted once,
+// and never before the table is known to hold it.
+Test(work, a_write_without_an_answer)
+{
+    for (const bool effect : {true, false}) {
+        section(effect ? "after the effect" : "before the effect", [&] {
+            table_bench bench;
+            bench.submit("job", 1);
+            bench.settle(*bench.nextCommit());
+            bench.report("w", 1);
+            bench.feed(place_decided{{"job", 0}, "w", false});
+            const auto commit = bench.nextCommit();
+            bench.loseAnswer(*commit, effect);
+            check(!bench.table.placeable({"job", 0}));
+            bench.report("w", 2);
+            check(only<send_grant>(bench.actions).front().grant.tasks.empty());
+            require(bench.readBack());
+            if (!effect) {
+                const auto again = bench.nextCommit(seconds(10));
+                require(again.has_value());
+                check(again->operationId == commit->operationId);
+                section("a refusal of the repeat says nothing about the first", [&] {
+                    bench.feed(write_settled{again->operationId, {write_outcome::Refused, 0, {}}});
+                    check(!bench.table.placeable({"job", 0}));
+                });
+                bench.platform.commit(*commit); // the first one arrives late after all
+                const auto third = bench.nextCommit(seconds(10));
+                bench.settle(*third);
+                require(bench.readBack());
+            }
+            check(bench.table.find({"job", 0}).attempt == 1);
+            bench.report("w", 3);
+            check(only<send_grant>(bench.actions).front().grant.tasks.size() == 1);
+        });
+    }
+}
+
+// Something else has changed one row of a group. The rest of the group must go on, and the changed
+// row is read again; otherwise one row would hold up all placements for ever.
+Test(work, a_conflict_on_one_row_leaves_the_rest_of_its_group)
+{
+    table_bench bench;
+    bench.submit("good", 1);
+    bench.submit("bad", 1);
+    bench.settle(*bench.nextCommit());
+    bench.report("w", 1);
+    bench.platform.commit(
+            {"other", {}, {{"work/0/task/bad/00000", parseJson(R"({"tasks":[0]})")}}});
+    bench.feed(place_decided{{"good", 0}, "w", false});
+    bench.feed(place_decided{{"bad", 0}, "w", false});
+    bench.settle(*bench.nextCommit());
+    const auto reads = only<read_rows>(bench.actions);
+    require(!reads.empty());
+    rows_read read{reads.front().keys, {}};
+    for (const auto &key : read.keys) {
+        if (const auto row = bench.platform.read(key))
+            read.rows.push_back(*row);
+    }
+    bench.feed(read);
+    const auto settled = only<task_settled>(bench.actions);
+    require(settled.size() == 1);
+    check(settled[0].task.job == "bad" && settled[0].change == task_change::Reverted);
+    bench.settle(*bench.nextCommit());
+    check(bench.table.find({"good", 0}).state == task_state::Placed);
+    check(bench.table.placeable({"bad", 0}));
+
+    section("and a new owner fences the table", [&] {
+        bench.platform.commit({"take", {}, {{shardKey(0), Json::Value(Json::objectValue)}}});
+        bench.feed(place_decided{{"bad", 0}, "w", false});
+        bench.settle(*bench.nextCommit());
+        require(bench.readBack() || !only<read_rows>(bench.actions).empty());
+        check(only<fenced>(bench.actions).size() == 1);
+    });
+}
+
+// A scaled-down service loses its last replicas, and gets them back when it grows again.
+Test(work, a_newer_generation_resizes_a_job)
+{
+    table_bench bench;
+    bench.submit("svc", 3);
+    bench.settle(*bench.nextCommit());
+    job_spec spec = bench.table.job("svc")->spec;
+    spec.generation = 2;
+    spec.tasks = 1;
+    bench.feed(job_accepted{spec});
+    bench.settle(*bench.nextCommit());
+    check(bench.table.placeableTasks(10).size() == 1);
+    spec.generation = 3;
+    spec.tasks = 4;
+    bench.feed(job_accepted{spec});
+    bench.settle(*bench.nextCommit());
+    check(bench.table.placeableTasks(10).size() == 4);
+}
+
+// Whoever owns a shard must not be decided twice; an outage must not look like a dead owner.
+Test(work, ownership_of_a_shard)
+{
+    memory_platform platform;
+    const std::vector<shard_info> shards = {{0, "z1"}};
+    shard_owner a({"a", "z2"}, "a#1", shards, {});
+    shard_owner b({"b", "z2"}, "b#1", shards, {});
+    const std::vector<entry_info> both = {{"a", "z2"}, {"b", "z2"}};
+    time_point now{seconds(1)};
+    // One entry's turn: reads if `reads`, ticks, and commits what it asks for.
+    const auto turn = [&](shard_owner &owner, bool reads, bool commits) {
+        owner.handle(peers_changed{both}, now);
+        if (reads)
+            owner.handle(shard_rows_read{platform.scan(ShardPrefix), now}, now);
+        for (const auto &action : only<commit_shard>(owner.handle(ownership_tick{}, now))) {
+            write_result result{write_outcome::Refused, 0, {}};
+            if (commits)
+                result = platform.commit(action.transaction);
+            owner.handle(shard_write_settled{action.transaction.operationId, result}, now);
+        }
+    };
+    const auto pass = [&](int secondsPassed, const std::function<void()> &body) {
+        for (int i = 0; i < secondsPassed; ++i) {
+            now += seconds(1);
+            body();
+        }
+    };
+    pass(5, [&] { turn(a, true, true), turn(b, true, true); });
+    require(a.owns(0) != b.owns(0));
+    shard_owner &first = a.owns(0) ? a : b;
+    shard_owner &second = a.owns(0) ? b : a;
+
+    section("the table is down: nobody takes over, and the owner may grant", [&] {
+        pass(60, [&] { turn(first, false, false), turn(second, false, false); });
+        turn(second, true, true);
+        check(first.owns(0) && !second.owns(0));
+        check(first.mayGrantUntil(0) > now);
+        pass(5, [&] { turn(first, true, true), turn(second, true, true); });
+        check(first.owns(0) && !second.owns(0));
+    });
+    section("the owner pauses: the other takes over, and the old one cannot renew", [&] {
+        const time_point until = first.mayGrantUntil(0);
+        const time_point start = now;
+        while (!second.owns(0) && now - start < seconds(30))
+            pass(1, [&] { turn(second, true, true); });
+        check(second.owns(0));
+        check(now - start <= seconds(10));
+        check(until > now); // so a silent worker has to be waited for
+        turn(first, false, true);
+        turn(first, true, true);
+        check(!first.owns(0));
+    });
+    section("a planned stop hands over at once", [&] {
+        for (const auto &action : only<commit_shard>(second.handle(release_shards{}, now)))
+            second.handle(shard_write_settled{action.transaction.operationId,
+                                              platform.commit(action.transaction)},
+                          now);
+        check(second.released() && !second.owns(0));
+        pass(4, [&] { turn(first, true, true); });
+        check(first.owns(0));
+    });
+}
+
+} // namespace zinniabarrow::tests
