--- a/tests/work_faults_test.cpp
+++ b/tests/work_faults_test.cpp
@@ -106,6 +106,15 @@
     model.submit("census", 2, failover_class::Proof, false, 900);
 }
 
+void judge(work_model &model)
+{
+    const auto violations = model.violations();
+    for (const auto &violation : violations)
+        fmt::print(stderr, "{}: line {}: {} {}\n", sectionName(), violation.line,
+                   nameOf(violation.kind), violation.detail);
+    check(violations.empty());
+}
+
 // One run: all jobs, three evictions, two cancellations; the fault strikes `offset` after the first
 // time that `step` happens, is healed, and everything gets time to finish.
 void runScenario(const std::string &step, const fault &fault, milliseconds offset)
@@ -142,28 +151,43 @@
     advance(seconds(350));
 
     require(strikeAt != Never);
-    const auto violations = model.violations();
-    for (const auto &violation : violations)
-        fmt::print(stderr, "{}: line {}: {} {}\n", sectionName(), violation.line,
-                   nameOf(violation.kind), violation.detail);
-    if (!violations.empty() && getenv("TRACE")) {
-        fmt::print(stderr, "{}", model.trace);
-        exit(1);
-    }
-    check(violations.empty());
+    judge(model);
     if (!fault.mayRestartWatcher)
         check(model.starts(Watcher) == 1);
 }
 
+// Faults of random kind, place, time and length, several at once.
+void runStorm(std::uint64_t seed)
+{
+    random_generator random(seed);
+    work_model model(seed);
+    submitAll(model);
+    const auto faults = allFaults();
+    const std::vector<std::string> tasks = {"watch", "hold", "match"};
+    for (int round = 0; round < 20; ++round) {
+        model.runFor(milliseconds(pickIndex(random, 20'000)));
+        const std::string worker = "w" + std::to_string(pickIndex(random, 3));
+        const auto &one = faults[pickIndex(random, faults.size())];
+        one.strike(model, worker);
+        model.evict({tasks[pickIndex(random, tasks.size())], 0});
+        if (round == 10)
+            model.cancel("season");
+        if (round == 15)
+            model.cancel("census");
+        if (pickIndex(random, 3) == 0)
+            heal(model);
+    }
+    heal(model);
+    model.runFor(seconds(400));
+    judge(model);
+}
+
 // Strikes at the step itself (what was decided may not have been sent), and when its writes, its
 // messages and its effect are on their way.
 void strikeAt(const std::string &step)
 {
     for (const auto &fault : allFaults()) {
         for (const int offset : {0, 100, 200, 300, 500, 1'000, 2'000}) {
-            if (getenv("ONLY")
-                && (step + " > " + fault.name + " > " + std::to_string(offset)) != getenv("ONLY"))
-                continue;
             section(step + " > " + fault.name + " > " + std::to_string(offset) + " ms",
                     [&] { runScenario(step, fault, milliseconds(offset)); });
         }
@@ -197,4 +221,14 @@
     strikeAt("cancel");
 }
 
+// Several faults at once, at times that nobody thought of. Seeds that once showed a fault of the
+// code stay in the list: 112, a start that outlived its worker's instance and ran on the next one.
+Test(work_faults, storms)
+{
+    constexpr std::uint64_t Seeds = 80;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed)
+        section("seed " + std::to_string(seed), [&] { runStorm(seed); });
+    section("seed 112", [] { runStorm(112); });
+}
+
 } // namespace zinniabarrow::tests
