config: tests for safeguards that no test missed

Change: another content instead of a cut one (digest), a restored row while the folder is refused and a fork with the same folder, late answers to questions given up, sums that wrap and sums against a pool, and agents in config_world hear only what is pushed, as on real processes.

--- a/tests/config_records_test.cpp
+++ b/tests/config_records_test.cpp
@@ -57,7 +57,7 @@
 
 } // namespace
 
-// A peer answers with a cut content, another with nothing, a third in time. The process must not
+// A peer answers with another content, another with nothing, a third in time. The process must not
 // work by a wrong configuration, and must not give up while someone has the right one.
 Test(config_records, follower)
 {
@@ -68,9 +68,9 @@
     const auto *question = questionIn(actions);
     require(question && question->peer == "e1" && question->digest == digestOf(text));
     const auto first = *question;
-    section("a cut content is not adopted; the next source is asked", [&] {
+    section("another content is not adopted; the next source is asked", [&] {
         agent.handle(reportOf("e2", 5, text), Start);
-        actions = agent.handle(content_read{first.request, true, text.substr(1)}, Start);
+        actions = agent.handle(content_read{first.request, true, older}, Start);
         question = questionIn(actions);
         require(question && question->peer == "e2");
         check(agent.generation() == 0 && agent.counters().badContents == 1);
--- a/tests/config_world.h
+++ b/tests/config_world.h
@@ -180,8 +180,10 @@
             if (now < each.nextAnnounce)
                 continue;
             each.nextAnnounce = now + AnnounceEvery;
-            for (const auto &[other, target] : m_processes)
-                send(each, target, each.known().report());
+            for (const auto &[other, target] : m_processes) {
+                if (target.keeper) // agents hear only what is pushed
+                    send(each, target, each.known().report());
+            }
         }
     }
 
--- a/tests/folder_test.cpp
+++ b/tests/folder_test.cpp
@@ -156,13 +156,25 @@
                             {"d.json", otherHalf}})
                       .starts_with("b.json:1: /services/tickets: found 200000 millicores"));
     });
-    section("absurd numbers do not wrap around", [] {
-        const auto text = firstProblem(
-                {{"a.json", Tickets},
-                 {"b.json", R"({"pools": {"rink": {"worker": {"bytes": 9007199254740992}}},
+    section("services that fit alone are too much for the pool together", [] {
+        auto other = Tickets;
+        other.replace(other.find("tickets"), 7, "holds");
+        check(firstProblem({{"a.json", other},
+                            {"b.json", Tickets},
+                            {"c.json", R"({"teams": {"gate": {"quota": {"millicores": 1000000}}},
+                                "services": {"tickets": {"replicas": 100},
+                                             "holds": {"replicas": 100}}})"}})
+                      .starts_with(
+                              "b.json:1: /services/tickets: found 200000 millicores of "
+                              "services up to this one; allowed: at most 176000, the workers"));
+    });
+    section("absurd numbers do not wrap around to small ones", [] {
+        const auto text = firstProblem({{"a.json", Tickets}, {"b.json", R"({
+                    "teams": {"gate": {"quota": {"bytes": 9007199254740992}}},
+                    "pools": {"rink": {"workers": 100000, "worker": {"bytes": 9007199254740992}}},
                     "services": {"tickets": {"replicas": 100000,
-                    "size": {"bytes": 9007199254740992}}}})"}});
-        check(text != "accepted");
+                        "size": {"millicores": 1, "bytes": 9007199254740992}}}})"}});
+        check(text.find("found 9223372036854775807 bytes of services") != std::string::npos);
     });
     section("limits on files and bytes", [] {
         folder_limits small;
--- a/tests/generations_test.cpp
+++ b/tests/generations_test.cpp
@@ -228,6 +228,29 @@
     });
 }
 
+// The platform is slow: an answer comes after its question was given up and asked again. Taken for
+// the answer to the new question, an old listing could pass for the second of two that agree.
+Test(generations, slow_platform)
+{
+    keeper_settings settings;
+    settings.process = "e1";
+    const time_point start{seconds(1000)};
+    generation_keeper keeper(settings, random_generator(1), start);
+    const auto toListing = [&](time_point now) {
+        const auto asked = keeper.handle(tick{}, now);
+        const auto request = std::get<read_accepted>(asked.at(0)).request;
+        const auto actions = keeper.handle(accepted_read{request, true, {}}, now);
+        return std::get<list_folder>(actions.at(0)).request;
+    };
+    const std::vector<stored_object> listing{{std::string(FolderPrefix) + "a.json", "", 1}};
+    const auto first = toListing(start);
+    check(keeper.handle(tick{}, start + seconds(2)).empty()); // given up
+    const auto second = toListing(start + seconds(3));
+    check(keeper.handle(folder_listed{first, true, listing}, start + seconds(3)).empty());
+    check(!keeper.handle(folder_listed{second, true, listing}, start + seconds(3)).empty());
+    check(keeper.counters().platformFailures == 1);
+}
+
 // The entry writes the accepting row, the platform does it, and the answer is lost. The operator
 // must not be told that the edit failed, and the edit must not be made twice: the row is read back.
 Test(generations, lost_answer)
@@ -349,12 +372,25 @@
         check(world.acceptedGeneration() > highest && world.hasConverged());
         check(replicasAt(world, "a1", "tickets") == 5);
     });
+    section("also while the folder as it stands is refused", [&] {
+        world.put("bad.json", service("holds", 1, "nobody"));
+        world.runFor(seconds(1));
+        const auto raised = world.acceptedGeneration();
+        world.platform.commit({"restore", {}, {{row, old}}});
+        world.runFor(seconds(3));
+        check(world.acceptedGeneration() > raised && world.hasConverged());
+        check(replicasAt(world, "a1", "tickets") == 5);
+        world.remove("bad.json");
+        world.runFor(seconds(1));
+    });
     section("also when its number is the same and its content is not", [&] {
         auto fork = old;
         fork["generation"] = Json::UInt64(world.acceptedGeneration());
+        fork["folder"] = world.platform.read(row)->value["folder"];
         world.platform.commit({"restore", {}, {{row, fork}}});
         world.runFor(seconds(3));
-        check(world.hasConverged() && replicasAt(world, "e2", "tickets") == 5);
+        check(world.acceptedGeneration() > fork["generation"].asUInt64() && world.hasConverged());
+        check(replicasAt(world, "e2", "tickets") == 5);
     });
     section("a newcomer waits for its peers before it believes the row", [&] {
         world.platform.commit({"restore", {}, {{row, old}}});
