config: listing of the folder paced by its size; a newcomer waits longer without the table

Cause: every entry listed the whole folder twice a second: at 100 files about 12 KB/s, over the budget of 2 KB/s for control. And two_strikes found that one lost answer at the start of an entry made it ready by its peers' generation while the table already had the next one. Change: the row is read every poll (default 1000 ms, was 500), the folder listed at most at 1 KB/s; the event look_now makes an entry look at once, once in a poll however many ask. Without the table a newcomer uses the whole peerWait. Ruled out: one entry that looks for all, which is a role that must be handed over when it dies.

--- a/libs/config/generation_events.cpp
+++ b/libs/config/generation_events.cpp
@@ -71,6 +71,13 @@
     std::ignore = event;
 }
 
+template <typename Archive>
+void describe(Archive &archive, look_now &event)
+{
+    std::ignore = archive;
+    std::ignore = event;
+}
+
 template <typename Archive>
 void describe(Archive &archive, content_read &event)
 {
@@ -162,8 +169,8 @@
 
 // An event or action by its name, in the order of the variant.
 constexpr std::array EventNames{
-        "tick",          "report_heard", "content_read",    "accepted_read",
-        "folder_listed", "files_read",   "content_written", "generation_committed"};
+        "tick",       "report_heard",    "content_read",         "accepted_read", "folder_listed",
+        "files_read", "content_written", "generation_committed", "look_now"};
 constexpr std::array ActionNames{"read_accepted", "list_folder",       "read_files",
                                  "write_content", "commit_generation", "remove_content",
                                  "read_content",  "adopt_generation",  "push_generation"};
--- a/libs/config/generation_events.h
+++ b/libs/config/generation_events.h
@@ -74,9 +74,13 @@
     write_result result;
 };
 
+// An operator has changed the folder, or asks what became of a file: look at once.
+struct look_now
+{ };
+
 using generation_event =
         std::variant<tick, report_heard, content_read, accepted_read, folder_listed, files_read,
-                     content_written, generation_committed>;
+                     content_written, generation_committed, look_now>;
 
 // --- Actions
 
--- a/libs/config/generations.cpp
+++ b/libs/config/generations.cpp
@@ -58,6 +58,7 @@
         time_point now;
         generation_actions operator()(const tick &) { return keeper.onTick(now); }
         generation_actions operator()(const report_heard &e) { return keeper.onReport(e, now); }
+        generation_actions operator()(const look_now &) { return keeper.onLook(now); }
         generation_actions operator()(const content_read &e)
         {
             return keeper.m_follower.handle(e, now);
@@ -102,6 +103,7 @@
 generation_actions generation_keeper::failRound(time_point now)
 {
     ++m_counters.platformFailures;
+    m_nextList = now;
     return endRound(now + m_settings.poll);
 }
 
@@ -109,6 +111,7 @@
 generation_actions generation_keeper::restartRound(time_point now)
 {
     ++m_counters.listingsChanged;
+    m_nextList = now;
     return endRound(now + m_settings.poll);
 }
 
@@ -126,6 +129,36 @@
     return actions;
 }
 
+// Operators and their scripts may ask often: one look in `poll` is enough for all of them.
+generation_actions generation_keeper::onLook(time_point now)
+{
+    if (now < m_nextLook)
+        return {};
+    m_nextLook = now + m_settings.poll;
+    m_nextList = now;
+    if (m_phase != phase::Idle)
+        return {};
+    return beginRound(now);
+}
+
+bool generation_keeper::isListingDue(time_point now) const
+{
+    return now >= m_nextList || isRowBehind();
+}
+
+// The listing of a large folder, fetched in every round by every entry, would take more of the
+// network than all other control. Larger folders are listed less often; operators' tools say
+// `look_now`.
+void generation_keeper::paceListing(const file_versions &listing, time_point now)
+{
+    constexpr std::size_t BytesBesideName = 40;
+    std::size_t bytes = 0;
+    for (const auto &[name, version] : listing)
+        bytes += FolderPrefix.size() + name.size() + BytesBesideName;
+    const milliseconds pause(1000 * bytes / m_settings.listBytes);
+    m_nextList = now + std::max(pause, m_settings.poll);
+}
+
 generation_actions generation_keeper::beginRound(time_point now)
 {
     ++m_counters.rounds;
@@ -158,7 +191,9 @@
     append(actions, m_follower.offerStored(m_row.generation, m_row.digest, now));
     const bool holdsHighest =
             m_follower.generation() > 0 && m_follower.generation() >= m_highestAtAsking;
-    if (isRowBehind() && holdsHighest) {
+    if (!isListingDue(now)) {
+        append(actions, endRound(now + m_settings.poll));
+    } else if (isRowBehind() && holdsHighest) {
         ++m_counters.raisedAgain;
         const auto folder = digestOf(m_follower.content().files);
         append(actions, propose(*m_follower.textFor(m_follower.digest()), folder, now));
@@ -195,6 +230,7 @@
 generation_actions generation_keeper::listBefore(const file_versions &listing, time_point now)
 {
     m_listing = listing;
+    paceListing(listing, now);
     const auto folder = digestOf(listing);
     const bool isAccepted = m_row.generation > 0 && m_row.folder == folder && !isRowBehind();
     if (isAccepted || (listing.empty() && m_row.generation == 0)) {
@@ -326,6 +362,7 @@
     case write_outcome::Conflict:
         ++m_counters.conflicts;
         m_unsettledOperation.clear();
+        m_nextList = now;
         return endRound(now);
     case write_outcome::Refused:
         m_unsettledOperation.clear();
@@ -333,6 +370,7 @@
     case write_outcome::Unknown:
         // Neither taken as done nor tried again: the next round begins by reading the row back.
         ++m_counters.unknownWrites;
+        m_nextList = now;
         return endRound(now);
     }
     ++m_counters.accepted;
@@ -398,7 +436,9 @@
         return known.second.report.role == "entry";
     });
     const bool haveAllSpoken = static_cast<std::size_t>(entries) >= m_settings.peers;
-    return haveAllSpoken && (m_isRowRead || m_settings.peers > 0);
+    // Without the table the whole wait is used: one lost answer must not pass for an outage, in
+    // which the peers would be all there is to ask.
+    return haveAllSpoken && m_isRowRead;
 }
 
 // A newcomer that served at once would work by nothing, or by a generation that the others have
--- a/libs/config/generations.h
+++ b/libs/config/generations.h
@@ -1,11 +1,11 @@
 // The entry's part in configuration: watches the operators' folder, accepts it as a generation by
 // a conditional write, and keeps the highest accepted generation in force.
 //
-// One round: read the accepted row, list the folder, read the files that changed, list again,
-// validate the whole, write the content, write the row on the condition that it is still as read.
-// Since the row is read before the folder is listed, a row that is still unchanged at the write
-// means that no newer listing was accepted meanwhile: generations follow the folder's own order,
-// whichever entries race.
+// One round: read the accepted row and, where it is time, list the folder, read the files that
+// changed, list again, validate the whole, write the content, write the row on the condition that
+// it is still as read. Since the row is read before the folder is listed, a row that is still
+// unchanged at the write means that no newer listing was accepted meanwhile: generations follow the
+// folder's own order, whichever entries race.
 #pragma once
 
 #include <cstdint>
@@ -27,7 +27,8 @@
 {
     std::string process;               // id of this entry
     std::size_t peers = 0;             // other entries that the settings name
-    milliseconds poll{500};            // between two rounds
+    milliseconds poll{1000};           // between two looks at the accepted row
+    std::size_t listBytes = 1024;      // a second that looking at the folder may cost at most
     milliseconds answerTimeout{1500};  // of the platform; then the outcome is unknown
     milliseconds contentTimeout{1000}; // of a content; then the next source is asked
     milliseconds peerWait{2000};       // a newcomer without the table listens this long to peers
@@ -109,6 +110,7 @@
     };
 
     generation_actions onTick(time_point now);
+    generation_actions onLook(time_point now);
     generation_actions onReport(const report_heard &event, time_point now);
     generation_actions onAccepted(const accepted_read &event, time_point now);
     generation_actions onListed(const folder_listed &event, time_point now);
@@ -124,6 +126,9 @@
     generation_actions propose(std::string text, std::string folder, time_point now);
     generation_actions pushToLaggards(time_point now);
 
+    bool isListingDue(time_point now) const;
+    void paceListing(const file_versions &listing, time_point now);
+
     template <typename Question>
     generation_actions ask(phase next, Question question, time_point now);
     bool isAwaited(phase expected, std::uint64_t request) const;
@@ -149,6 +154,8 @@
     std::uint64_t m_lastRequest = 0;
     time_point m_deadline{};  // of the question being waited for
     time_point m_nextRound{}; //
+    time_point m_nextList{};  // the row is read in every round, the folder listed less often
+    time_point m_nextLook{};  // earliest answer to another `look_now`
     time_point m_nextPush{};  //
 
     bool m_isRowRead = false;            // in this life
--- a/libs/config/settings.h
+++ b/libs/config/settings.h
@@ -83,7 +83,7 @@
     retry_settings retry;                 //
     milliseconds drain{30'000};           // longest wait for requests in flight at a stop
     policy_weights weights;               //
-    milliseconds configPoll{500};         // between two looks at the operators' folder
+    milliseconds configPoll{1000};        // between two looks at the accepted generation
     placement_settings placement;         //
     routing_settings routing;             //
     log_level logLevel = log_level::Info; // lowest level written
--- a/libs/config/settings_schema.cpp
+++ b/libs/config/settings_schema.cpp
@@ -182,10 +182,10 @@
     },
     "config_poll_ms": {
       "type": "integer",
-      "default": 500,
+      "default": 1000,
       "minimum": 50,
       "maximum": 60000,
-      "description": "time between two looks at the operators' folder"
+      "description": "time between two looks at the accepted generation; the folder is listed as often, or less where it is large"
     },
     "placement": {
       "type": "object",
--- a/tests/config_world.h
+++ b/tests/config_world.h
@@ -105,6 +105,9 @@
         platform.removeObject(std::string(FolderPrefix) + name, std::nullopt);
     }
 
+    // An operator's command asks this entry to look.
+    void look(const std::string &id) { deliver(id, process(id).life, look_now{}); }
+
     void after(milliseconds delay, std::function<void()> what)
     {
         m_queue.emplace(now + delay, std::move(what));
