--- a/tests/config_world.h
+++ b/tests/config_world.h
@@ -107,6 +107,9 @@
         platform.removeObject(std::string(FolderPrefix) + name, std::nullopt);
     }
 
+    // An operator's command asks this entry to look.
+    void look(const std::string &id) { deliver(id, process(id).life, look_now{}); }
+
     void after(milliseconds delay, std::function<void()> what)
     {
         m_queue.emplace(now + delay, std::move(what));
@@ -182,8 +185,10 @@
             if (now < each.nextAnnounce)
                 continue;
             each.nextAnnounce = now + AnnounceEvery;
-            for (const auto &[other, target] : m_processes)
-                send(each, target, each.known().report());
+            for (const auto &[other, target] : m_processes) {
+                if (target.keeper) // agents hear only what is pushed
+                    send(each, target, each.known().report());
+            }
         }
     }
 
