--- a/app/keeper_duty.cpp
+++ b/app/keeper_duty.cpp
@@ -166,6 +166,7 @@
     body["lease_ms"] = Json::Int64(action.lease.count());
     body["start_within_ms"] = Json::Int64(action.startWithin.count());
     body["listing"] = Json::UInt64(action.listing);
+    body["incarnation"] = Json::UInt64(action.incarnation);
     const work::task_attempt attempt{action.task.task, action.task.attempt};
     const auto text = compactJson(body);
     m_workerLane->post([this, attempt, text] {
@@ -199,6 +200,7 @@
         return;
     Json::Value body(Json::objectValue);
     body["listing"] = Json::UInt64(m_renewals.front().listing);
+    body["incarnation"] = Json::UInt64(m_renewals.front().incarnation);
     body["renewals"] = Json::Value(Json::arrayValue);
     for (const auto &renewal : m_renewals) {
         auto entry = attemptJson(renewal.attempt);
@@ -216,7 +218,9 @@
 
 void keeper_duty::perform(const work::worker_checkpoint &action)
 {
-    callWorker("/checkpoint", attemptJson(action.attempt));
+    auto body = attemptJson(action.attempt);
+    body["checkpoint"] = action.checkpoint;
+    callWorker("/checkpoint", body);
 }
 
 void keeper_duty::perform(const work::worker_forget &action)
--- a/app/owned_shard.cpp
+++ b/app/owned_shard.cpp
@@ -130,6 +130,8 @@
     case work::task_change::Started:
         m_placer.taskRunning(ref, change.worker, now);
         break;
+    case work::task_change::Vacated:
+        break; // its room is given away once the table holds the end
     case work::task_change::Freed: {
         logTask("task_freed", change);
         const auto failures = m_table.find(change.task).failures;
--- a/standins/worker.cpp
+++ b/standins/worker.cpp
@@ -24,6 +24,7 @@
 
 constexpr milliseconds Step{10};
 constexpr std::size_t RememberedListings = 64;
+constexpr char ProgressMark = '#';
 
 // One attempt of a task, from its start until it is forgotten.
 struct task_run
@@ -33,7 +34,7 @@
     Json::Value spec;
     std::int64_t workMs = 0; // needed in all; 0: runs until stopped
     double doneMs = 0;       // progress, from the checkpoint on
-    std::string checkpoint;  // progress in ms, as text
+    std::string checkpoint;  // object name and progress in ms
     double share = 1;        // of full speed, below 1 when throttled
     time_point leaseUntil{};
 };
@@ -43,6 +44,13 @@
     return spec.isMember(name) ? spec[name].asInt64() : 0;
 }
 
+// Milliseconds done at a checkpoint; none without one.
+double progressIn(const std::string &checkpoint)
+{
+    const auto mark = checkpoint.rfind(ProgressMark);
+    return mark == std::string::npos ? 0 : std::atof(checkpoint.c_str() + mark + 1);
+}
+
 work::task_attempt attemptFrom(const Json::Value &body)
 {
     return {work::taskIdFromText(stringMember(body, "task")),
@@ -96,7 +104,7 @@
         if (path == "/stop")
             return stop(attemptFrom(body));
         if (path == "/checkpoint")
-            return checkpoint(attemptFrom(body));
+            return checkpoint(attemptFrom(body), stringMember(body, "checkpoint"));
         if (path == "/throttle")
             return throttle(body);
         if (path == "/forget")
@@ -191,6 +199,8 @@
     {
         const auto attempt = attemptFrom(body);
         const auto now = monotonic_clock::now();
+        if (countMember(body, "incarnation") != m_listing.incarnation)
+            return {410, {}, "{}"}; // meant for an earlier life of this worker
         const auto base = listedAt(body);
         auto &newest = m_newest[attempt.task];
         if (attempt.attempt <= newest)
@@ -204,7 +214,7 @@
         run.spec = objectMember(body, "spec");
         run.workMs = amountOf(run.spec, "work_ms");
         run.checkpoint = stringMember(body, "checkpoint");
-        run.doneMs = std::atof(run.checkpoint.c_str());
+        run.doneMs = progressIn(run.checkpoint);
         run.leaseUntil = base + milliseconds(integerMember(body, "lease_ms"));
         trace(run.checkpoint.empty() ? "started" : "resumed", run);
         if (m_failStarts)
@@ -216,6 +226,8 @@
 
     http_response renew(const Json::Value &body)
     {
+        if (countMember(body, "incarnation") != m_listing.incarnation)
+            return {410, {}, "{}"};
         const auto base = listedAt(body);
         for (const auto &entry : arrayMember(body, "renewals")) {
             if (auto *run = find(attemptFrom(entry)))
@@ -237,10 +249,12 @@
         return {200, {}, "{}"};
     }
 
-    http_response checkpoint(const work::task_attempt &attempt)
+    // A real worker writes the object; here its name carries the progress.
+    http_response checkpoint(const work::task_attempt &attempt, const std::string &object)
     {
         if (auto *run = find(attempt)) {
-            run->checkpoint = std::to_string(static_cast<std::int64_t>(run->doneMs));
+            run->checkpoint =
+                    object + ProgressMark + std::to_string(static_cast<std::int64_t>(run->doneMs));
             finish(*run, work::task_outcome::Evicted, "");
         }
         return {200, {}, "{}"};
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -8,6 +8,7 @@
 #include "section.h"
 
 using namespace zinniabarrow;
+using namespace zinniabarrow::request;
 using tests::section;
 
 namespace {
--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -6,6 +6,7 @@
 #include "section.h"
 
 using namespace zinniabarrow;
+using namespace zinniabarrow::delivery;
 using tests::delivery_world;
 using tests::fault;
 using tests::section;
--- a/tests/request_session_test.cpp
+++ b/tests/request_session_test.cpp
@@ -5,6 +5,7 @@
 #include "section.h"
 
 using namespace zinniabarrow;
+using namespace zinniabarrow::delivery;
 using tests::section;
 
 Test(request_session, replay)
