Process tests: requests and tasks while processes die, freeze, drain and the table goes away

Cause: the promises were proved on the decision code only. Change: a load generator and a small fleet of real processes; 6 tests of requests (agents and entries killed, frozen, stopped as planned, table down, answers lost, upstreams that cut, refuse, hang, stop during start-up in an outage) and 7 of work (owner killed, owner frozen longer than its lease, agents replaced, worker replaced, table down for 14 s, lost answers, cancellation). Found: the first form of the cut test expected four cuts in eight requests, which routing does not promise; it now compares refusals with the cuts that the stand-ins count, which is stricter (every cut must be seen).

--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -84,6 +84,7 @@
         const std::lock_guard lock(m_mutex);
         Json::Value json(Json::objectValue);
         json["overruns"] = m_overruns;
+        json["cuts"] = Json::Int64(m_cuts);
         json["most_at_once"] = m_mostAtOnce;
         json["operations"] = Json::Value(Json::objectValue);
         for (const auto &[operation, count] : m_executions)
@@ -134,10 +135,12 @@
         echo["body"] = request.body;
         long left = m_cut;
         while (left > 0 && !m_cut.compare_exchange_weak(left, left - 1)) { }
-        if (left > 0)
+        if (left > 0) {
+            ++m_cuts;
             cut(response, compactJson(echo));
-        else
+        } else {
             reply(response, echo);
+        }
     }
 
     upstream_options m_options;
@@ -148,6 +151,7 @@
     unsigned m_overruns = 0;
     std::atomic<long> m_slowMs{0};
     std::atomic<long> m_cut{0};
+    std::atomic<long> m_cuts{0}; // answers that were cut
     std::atomic<bool> m_unavailable{false};
     httplib::Server m_server;
     std::thread m_acceptor;
--- /dev/null
+++ b/tests/fleet_story.h
@@ -0,0 +1,69 @@
+// What the process tests share: a small fleet, a load beside the story, checks of the promises.
+#pragma once
+
+#include <csignal>
+#include <string>
+#include <thread>
+
+#include "section.h"
+#include "standins/batch.h"
+#include "standins/fleet.h"
+#include "standins/load.h"
+
+namespace zinniabarrow::tests {
+
+using namespace zinniabarrow::standins;
+
+constexpr milliseconds SoonEnough{45'000}; // a bound on waits for conditions, not a measurement
+
+inline fleet_options smallFleet()
+{
+    fleet_options options;
+    options.binaries = ZB_BINARIES;
+    options.workers = 4;
+    return options;
+}
+
+// True once every entry routes to `upstreams` upstreams.
+inline bool waitForUpstreams(fleet &system, unsigned upstreams)
+{
+    return waitUntil(
+            [&] {
+                for (unsigned entry = 0; entry < system.options().entries; ++entry) {
+                    if (!system.entry(entry)->running())
+                        continue;
+                    if (system.rpc(entry, "status", Json::objectValue)["upstreams"].size()
+                        != upstreams)
+                        return false;
+                }
+                return true;
+            },
+            SoonEnough);
+}
+
+// Runs the load on a thread of its own while `story` happens.
+template <typename Story>
+void underLoad(fleet &system, const load_options &options, load_result &result, Story &&story)
+{
+    load_generator load(system, options, result);
+    std::thread callers([&] { load.run(); });
+    waitUntil([&] { return load.done() >= options.requests / 6; }, SoonEnough);
+    story();
+    callers.join();
+}
+
+inline void checkPromisesKept(fleet &system, const load_result &result)
+{
+    check(result.wrongAnswers == 0);
+    for (const auto &broken : brokenPromises(system, result))
+        cr_expect(false, "%s: %s", sectionName().c_str(), broken.c_str());
+}
+
+inline void checkTraceClean(const fleet &system)
+{
+    for (const auto &violation : checkFleetTrace(system))
+        cr_expect(false, "%s: %s: %s", sectionName().c_str(),
+                  std::string(nameOf(violation.kind)).c_str(), violation.detail.c_str());
+}
+
+} // namespace zinniabarrow::tests
--- /dev/null
+++ b/tests/process_requests_test.cpp
@@ -0,0 +1,217 @@
+// Requests on real processes while these are killed, frozen, cut off and drained.
+#include "fleet_story.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::tests;
+
+// A caller sees either its own whole answer or a refusal that tells the truth.
+// An agent is killed under load: its requests in flight end as unknown or are retried when they
+// never reached it; another agent is frozen for longer than the silence that takes it out of
+// routing, and wakes with requests whose callers have long had their answer.
+// That suffices because only tries known not to have run are repeated.
+Test(process_requests, agents_die_and_freeze)
+{
+    fleet system(smallFleet());
+    system.startAll();
+    require(waitForUpstreams(system, 4));
+    load_result result;
+    load_options options;
+    options.requests = 900;
+    options.deadline = milliseconds(2000);
+    underLoad(system, options, result, [&] {
+        section("an agent is killed", [&] { system.agent(0)->signal(SIGKILL); });
+        section("another freezes for longer than the silence", [&] {
+            system.agent(1)->signal(SIGSTOP);
+            std::this_thread::sleep_for(milliseconds(3500));
+            system.agent(1)->signal(SIGCONT);
+        });
+        section("the killed one is replaced", [&] { system.startAgent(0); });
+    });
+    section("every promise was kept", [&] { checkPromisesKept(system, result); });
+    section("most requests were answered all the same",
+            [&] { check(result.refusals() * 10 < result.asked); });
+    section("all four are routed to again", [&] { check(waitForUpstreams(system, 4)); });
+}
+
+// A caller of the killed entry sees its connection end; its repeat with the same key at another
+// entry is answered, told to come back, or told that the outcome is unknown, and never runs twice.
+// The entry dies between claim and record; the claim in the table outlives it.
+Test(process_requests, entries_die_and_freeze)
+{
+    fleet system(smallFleet());
+    system.startAll();
+    require(waitForUpstreams(system, 4));
+    load_result result;
+    load_options options;
+    options.requests = 900;
+    options.deadline = milliseconds(2000);
+    underLoad(system, options, result, [&] {
+        section("an entry is killed", [&] { system.entry(0)->signal(SIGKILL); });
+        section("another freezes and wakes", [&] {
+            system.entry(1)->signal(SIGSTOP);
+            std::this_thread::sleep_for(milliseconds(2500));
+            system.entry(1)->signal(SIGCONT);
+        });
+        section("the killed one is replaced and serves again", [&] {
+            system.startEntry(0);
+            system.waitForEntry(0);
+        });
+    });
+    section("every promise was kept", [&] { checkPromisesKept(system, result); });
+}
+
+// A caller never sees a cut answer when an entry or an agent is stopped as planned.
+// SIGTERM comes under load; the process refuses what is new as not run, finishes what is in flight,
+// and exits with 0; a second SIGTERM hurries nothing.
+Test(process_requests, planned_stops)
+{
+    auto options = smallFleet();
+    options.upstreamWorkMs = 100; // so that requests are in flight when the signal comes
+    fleet system(options);
+    system.startAll();
+    require(waitForUpstreams(system, 4));
+    load_result result;
+    load_options callers;
+    callers.requests = 600;
+    callers.perSecond = 100;
+    underLoad(system, callers, result, [&] {
+        section("an entry is stopped, twice", [&] {
+            system.entry(0)->signal(SIGTERM);
+            system.entry(0)->signal(SIGTERM);
+            check(system.entry(0)->waitForExit(SoonEnough) == 0);
+        });
+        section("an agent is stopped", [&] {
+            system.agent(0)->signal(SIGTERM);
+            check(system.agent(0)->waitForExit(SoonEnough) == 0);
+        });
+        section("its upstream gets no new work", [&] {
+            const auto count = [&] {
+                return system.getJson(system.upstreamAddress(0), "/executions")["operations"]
+                        .size();
+            };
+            const auto before = count();
+            std::this_thread::sleep_for(milliseconds(500));
+            check(count() == before);
+        });
+    });
+    section("no request in flight was cut off", [&] {
+        check(result.refusedFor("cut") == 0);
+        check(result.refusedFor("answer_cut") == 0);
+        check(result.refusedFor("outcome_unknown") == 0);
+        check(result.refusedFor("no answer in time") == 0);
+    });
+    section("every promise was kept", [&] { checkPromisesKept(system, result); });
+}
+
+// With the table down a caller's keyed purchase is refused as not run, at once and with a time to
+// come back; reads and unkeyed purchases go on, since nothing durable decides about them.
+Test(process_requests, platform_down)
+{
+    fleet system(smallFleet());
+    system.startAll();
+    require(waitForUpstreams(system, 4));
+    load_result result;
+    load_generator callers(system, {}, result);
+    http_request keyed{"POST", "/tickets/hold", {{"Idempotency-Key", "k1"}}, "seat"};
+    Json::Value fault(Json::objectValue);
+    section("the table goes down", [&] {
+        fault["down"] = true;
+        system.setFault(system.platformAddress(), fault);
+        check(callers.ask(0, {"GET", "/tickets/seats", {}, {}}, "read").empty());
+        check(callers.ask(1, {"POST", "/tickets/hold", {}, "seat"}, "unkeyed").empty());
+        check(callers.ask(2, keyed, "keyed") == "platform_unavailable");
+        check(executionsOf(system).count("keyed") == 0);
+    });
+    section("the table comes back, and the same key runs", [&] {
+        fault["down"] = false;
+        system.setFault(system.platformAddress(), fault);
+        check(waitUntil([&] { return callers.ask(2, keyed, "keyed").empty(); }, SoonEnough));
+        check(executionsOf(system)["keyed"] == 1);
+    });
+    section("a lost answer to the claim is settled by reading back", [&] {
+        Json::Value lose(Json::objectValue);
+        lose["lose_answers"] = 1;
+        system.setFault(system.platformAddress(), lose);
+        keyed.headers["Idempotency-Key"] = "k2";
+        const auto outcome = callers.ask(0, keyed, "lost");
+        check(outcome.empty() || outcome == "platform_unavailable");
+        check(executionsOf(system)["lost"] <= 1);
+    });
+    section("every promise was kept", [&] { checkPromisesKept(system, result); });
+}
+
+// A caller's answer that ends early is an error, never a short success; an upstream that refuses
+// connections costs a retry elsewhere, one that hangs costs its own requests only.
+Test(process_requests, upstreams_cut_refuse_and_hang)
+{
+    fleet system(smallFleet());
+    system.startAll();
+    require(waitForUpstreams(system, 4));
+    load_result result;
+    load_options options;
+    options.deadline = milliseconds(1000);
+    load_generator callers(system, options, result);
+    section("every upstream cuts its next answer", [&] {
+        Json::Value cut(Json::objectValue);
+        cut["cut"] = 1;
+        for (unsigned index = 0; index < 4; ++index)
+            system.setFault(system.upstreamAddress(index), cut);
+        for (unsigned turn = 0; turn < 8; ++turn) {
+            const auto outcome = callers.ask(turn % 3, {"POST", "/tickets/hold", {}, "seat"},
+                                             "cut-" + std::to_string(turn));
+            check(outcome.empty() || outcome == "answer_cut" || outcome == "outcome_unknown");
+        }
+        std::int64_t cuts = 0;
+        cut["cut"] = 0;
+        for (unsigned index = 0; index < 4; ++index) {
+            cuts += system.getJson(system.upstreamAddress(index), "/executions")["cuts"].asInt64();
+            system.setFault(system.upstreamAddress(index), cut);
+        }
+        check(cuts > 0);
+        check(result.refusals() == cuts); // each cut was seen, none passed as whole
+    });
+    section("one upstream refuses connections: others answer", [&] {
+        system.upstream(0)->signal(SIGKILL);
+        system.upstream(0)->waitForExit(SoonEnough);
+        const auto before = result.refusals();
+        for (unsigned turn = 0; turn < 30; ++turn)
+            callers.ask(turn % 3, {"GET", "/tickets/seats", {}, {}},
+                        "refuse-" + std::to_string(turn));
+        check(result.refusals() == before);
+    });
+    section("one upstream hangs: its requests end by their deadline, as unknown", [&] {
+        system.upstream(1)->signal(SIGSTOP);
+        const auto before = result.refusals();
+        for (unsigned turn = 0; turn < 30; ++turn)
+            callers.ask(turn % 3, {"POST", "/tickets/hold", {}, "seat"},
+                        "hang-" + std::to_string(turn));
+        system.upstream(1)->signal(SIGCONT);
+        check(result.refusals() - before <= 20);
+        check(result.refusedFor("no answer in time") == 0);
+    });
+    section("every promise was kept", [&] { checkPromisesKept(system, result); });
+}
+
+// An operator stops an entry that has not started whole, because the platform is down: it exits
+// with 0 and does not wait for the platform.
+Test(process_requests, stop_during_start_and_outage)
+{
+    fleet system(smallFleet());
+    system.startPlatform();
+    Json::Value fault(Json::objectValue);
+    fault["down"] = true;
+    require(waitUntil(
+            [&] {
+                try {
+                    system.setFault(system.platformAddress(), fault);
+                    return true;
+                } catch (const std::runtime_error &) {
+                    return false;
+                }
+            },
+            SoonEnough));
+    system.startEntry(0);
+    std::this_thread::sleep_for(milliseconds(300));
+    system.entry(0)->signal(SIGTERM);
+    check(system.entry(0)->waitForExit(SoonEnough) == 0);
+}
--- /dev/null
+++ b/tests/process_work_test.cpp
@@ -0,0 +1,233 @@
+// Tasks on real processes while owners, agents and workers die and freeze and the table goes away.
+#include "fleet_story.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::tests;
+
+namespace {
+
+// The shards' owner, by index of its entry; the number of entries when there is none.
+unsigned ownerOf(fleet &system)
+{
+    for (unsigned entry = 0; entry < system.options().entries; ++entry) {
+        if (!system.entry(entry)->running())
+            continue;
+        try {
+            const auto status = system.rpc(entry, "status", Json::objectValue);
+            if (!status["scheduling"]["shards"].empty())
+                return entry;
+        } catch (const std::exception &) {
+            continue; // frozen, or just starting
+        }
+    }
+    return system.options().entries;
+}
+
+void startWithBatch(fleet &system, const batch_options &batch)
+{
+    system.startAll();
+    system.putFolderFile("10-base.json", baseFolder(system.options()));
+    system.putFolderFile("20-batch.json", batchFolder(batch));
+    require(waitUntil([&] { return countTraced(system, "started", batch.job) > 0; }, SoonEnough));
+}
+
+bool waitForEnds(const fleet &system, const batch_options &batch)
+{
+    return waitUntil(
+            [&] {
+                return countTraced(system, "ended", batch.job)
+                       == static_cast<unsigned>(batch.tasks);
+            },
+            SoonEnough);
+}
+
+void checkEachEndedOnce(const fleet &system, const batch_options &batch)
+{
+    check(countTraced(system, "ended", batch.job) == static_cast<unsigned>(batch.tasks));
+    checkTraceClean(system);
+}
+
+void setPlatformDown(fleet &system, bool down)
+{
+    Json::Value fault(Json::objectValue);
+    fault["down"] = down;
+    system.setFault(system.platformAddress(), fault);
+}
+
+} // namespace
+
+// An operator sees the batch finish although the entry that owned its shard was killed.
+// Another entry takes the shard once the row was unchanged for the owner's lease; agents attach to
+// the new epoch, so running tasks run on, and those not yet placed are placed by the new owner.
+Test(process_work, owner_killed)
+{
+    fleet system(smallFleet());
+    batch_options batch;
+    batch.tasks = 60;
+    batch.runMs = 1500;
+    startWithBatch(system, batch);
+    const auto owner = ownerOf(system);
+    require(owner < system.options().entries);
+    section("the owner is killed", [&] { system.entry(owner)->signal(SIGKILL); });
+    section("another owns the shard", [&] {
+        check(waitUntil(
+                [&] {
+                    const auto next = ownerOf(system);
+                    return next != owner && next < system.options().entries;
+                },
+                SoonEnough));
+    });
+    section("every task ends once", [&] {
+        check(waitForEnds(system, batch));
+        checkEachEndedOnce(system, batch);
+    });
+}
+
+// The old owner freezes for longer than its lease and wakes believing that it still owns the shard.
+// Its writes fail at the epoch, its grants are refused as stale; no task is given twice.
+Test(process_work, owner_frozen_longer_than_its_lease)
+{
+    fleet system(smallFleet());
+    batch_options batch;
+    batch.tasks = 60;
+    batch.runMs = 1500;
+    startWithBatch(system, batch);
+    const auto owner = ownerOf(system);
+    require(owner < system.options().entries);
+    system.entry(owner)->signal(SIGSTOP);
+    section("another owns the shard", [&] {
+        check(waitUntil(
+                [&] {
+                    const auto next = ownerOf(system);
+                    return next != owner && next < system.options().entries;
+                },
+                SoonEnough));
+    });
+    system.entry(owner)->signal(SIGCONT);
+    section("every task ends once", [&] {
+        check(waitForEnds(system, batch));
+        std::this_thread::sleep_for(milliseconds(1000)); // late grants would show now
+        checkEachEndedOnce(system, batch);
+    });
+}
+
+// The replaced agent lists what its worker runs before it gives anything: tasks run on under their
+// own leases, none is started a second time.
+Test(process_work, agents_killed_and_replaced)
+{
+    fleet system(smallFleet());
+    batch_options batch;
+    batch.tasks = 12;
+    batch.runMs = 6000;
+    startWithBatch(system, batch);
+    require(waitUntil([&] { return countTraced(system, "started", batch.job) == 12; }, SoonEnough));
+    section("every agent is killed and replaced", [&] {
+        for (unsigned index = 0; index < 4; ++index) {
+            system.agent(index)->signal(SIGKILL);
+            system.agent(index)->waitForExit(SoonEnough);
+            system.startAgent(index);
+        }
+    });
+    section("the tasks run on and end once, with one start each", [&] {
+        check(waitForEnds(system, batch));
+        check(countTraced(system, "started", batch.job) == 12);
+        checkEachEndedOnce(system, batch);
+    });
+}
+
+// A worker dies with its tasks and comes back with a newer incarnation: that proves that the old
+// attempts are gone, so they start again without waiting for any lease.
+Test(process_work, worker_killed_and_replaced)
+{
+    fleet system(smallFleet());
+    batch_options batch;
+    batch.tasks = 12;
+    batch.runMs = 4000;
+    startWithBatch(system, batch);
+    require(waitUntil([&] { return countTraced(system, "started", batch.job) == 12; }, SoonEnough));
+    system.worker(0)->signal(SIGKILL);
+    system.worker(0)->waitForExit(SoonEnough);
+    system.startWorker(0);
+    section("what ran there runs again, everything ends once", [&] {
+        check(waitForEnds(system, batch));
+        check(countTraced(system, "started", batch.job) > 12);
+        checkEachEndedOnce(system, batch);
+    });
+}
+
+// The table is down for longer than the owner's and the agents' leases: lease watchers and running
+// batch go on, and the ends are recorded once it is back.
+Test(process_work, table_down)
+{
+    auto options = smallFleet();
+    options.entrySettings["agent_lease_ms"] = 4000;
+    fleet system(options);
+    batch_options watchers;
+    watchers.job = "watch";
+    watchers.tasks = 8;
+    watchers.runMs = 3'600'000;
+    watchers.failover = "proof";
+    startWithBatch(system, watchers);
+    require(waitUntil([&] { return countTraced(system, "started", "watch") == 8; }, SoonEnough));
+    batch_options batch;
+    batch.tasks = 8;
+    batch.runMs = 5000;
+    system.putFolderFile("30-batch.json", batchFolder(batch));
+    require(waitUntil([&] { return countTraced(system, "started", batch.job) == 8; }, SoonEnough));
+    section("the table is down for twice the longest short lease", [&] {
+        setPlatformDown(system, true);
+        std::this_thread::sleep_for(milliseconds(14'000));
+        check(countTraced(system, "started", "watch") == 8);
+        check(countTraced(system, "stopped", "watch") == 0);
+        check(waitForEnds(system, batch));
+    });
+    section("the table comes back: the ends are recorded, nothing ran twice", [&] {
+        setPlatformDown(system, false);
+        check(waitUntil([&] { return taskStates(system, batch.job)["done"] == 8; }, SoonEnough));
+        check(countTraced(system, "started", "watch") == 8);
+        checkEachEndedOnce(system, batch);
+    });
+}
+
+// Answers of the table are lost after their effect while tasks are placed: each write is settled by
+// reading back, no task is placed twice.
+Test(process_work, lost_answers)
+{
+    fleet system(smallFleet());
+    batch_options batch;
+    batch.tasks = 40;
+    batch.runMs = 500;
+    system.startAll();
+    system.putFolderFile("10-base.json", baseFolder(system.options()));
+    Json::Value lose(Json::objectValue);
+    lose["lose_answers"] = 10;
+    system.setFault(system.platformAddress(), lose);
+    system.putFolderFile("20-batch.json", batchFolder(batch));
+    check(waitForEnds(system, batch));
+    checkEachEndedOnce(system, batch);
+}
+
+// A job is removed from the folder while its tasks wait and run: what runs is stopped, what waits
+// never starts.
+Test(process_work, cancelled)
+{
+    fleet system(smallFleet());
+    batch_options batch;
+    batch.tasks = 100;
+    batch.runMs = 3000;
+    startWithBatch(system, batch);
+    system.removeFolderFile("20-batch.json");
+    section("nothing starts once the job's tasks are cancelled", [&] {
+        check(waitUntil(
+                [&] {
+                    const auto states = taskStates(system, batch.job);
+                    return states.count("running") == 0 && states.count("placed") == 0
+                           && states.count("pending") == 0 && states.count("cancelling") == 0;
+                },
+                SoonEnough));
+        const auto started = countTraced(system, "started", batch.job);
+        std::this_thread::sleep_for(milliseconds(1500));
+        check(countTraced(system, "started", batch.job) == started);
+        checkTraceClean(system);
+    });
+}
