--- a/app/main.cpp
+++ b/app/main.cpp
@@ -27,7 +27,7 @@
   status --entry A                        what the system does
   put --entry A [--follow] FILE           write a file of the folder
   remove --entry A [--follow] NAME        remove a file of the folder
-  follow --entry A --version N NAME       wait until it is in force everywhere
+  follow --entry A --file-version N NAME  wait until it is in force everywhere
   explain --entry A TASK                  why a task waits, or where it is
   drain --entry A AGENT                   no new work for its upstream and worker
   check-trace FILE                        check a trace against the promises
--- a/app/operator_commands.cpp
+++ b/app/operator_commands.cpp
@@ -297,8 +297,8 @@
 int follow(int count, char **words)
 {
     command_line line("follow");
-    TCLAP::ValueArg<std::uint64_t> version("", "version", "of the file; 0: its absence", true, 0,
-                                           "version", line.parser());
+    TCLAP::ValueArg<std::uint64_t> version("", "file-version", "of the file; 0: its absence", true,
+                                           0, "version", line.parser());
     TCLAP::ValueArg<int> timeout("", "timeout-ms", "give up after", false, DefaultFollowMs, "ms",
                                  line.parser());
     TCLAP::UnlabeledValueArg<std::string> name("name", "file of the folder", true, "", "NAME",
--- /dev/null
+++ b/tests/process_config_test.cpp
@@ -0,0 +1,180 @@
+// The operators' folder on real processes: add, edit, remove, race, refuse, outage in mid-change.
+#include <fstream>
+
+#include "base/json.h"
+#include "fleet_story.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::tests;
+
+namespace {
+
+constexpr milliseconds InForceWithin{4000}; // the users' bound, from the put's answer
+
+class operator_seat
+{
+public:
+    explicit operator_seat(fleet &system)
+        : m_system(system)
+    { }
+
+    command_result run(unsigned entry, std::vector<std::string> words)
+    {
+        std::vector<std::string> command{m_system.options().binaries + "/zinniabarrow", words[0],
+                                         "--entry", m_system.entryRpcAddress(entry)};
+        command.insert(command.end(), words.begin() + 1, words.end());
+        return runCommand(command, m_system.scratch());
+    }
+
+    std::string file(const std::string &name, const Json::Value &content)
+    {
+        const auto path = m_system.scratch() + "/" + name;
+        std::ofstream(path) << prettyJson(content);
+        return path;
+    }
+
+    command_result put(unsigned entry, const std::string &name, const Json::Value &content)
+    {
+        return run(entry, {"put", "--follow", "--timeout-ms", std::to_string(InForceWithin.count()),
+                           file(name, content)});
+    }
+
+private:
+    fleet &m_system;
+};
+
+std::uint64_t generationAt(fleet &system, unsigned entry)
+{
+    const auto status = system.rpc(entry, "status", Json::objectValue);
+    return status["configuration"]["here"]["generation"].asUInt64();
+}
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+// An operator's edit is in force everywhere within the users' bound, or is refused with file, line
+// and reason and changes nothing; a repaired edit is taken up.
+Test(process_config, edits)
+{
+    fleet system(smallFleet());
+    system.startAll();
+    require(waitForUpstreams(system, 4));
+    operator_seat seat(system);
+    section("a whole folder is accepted", [&] {
+        check(seat.put(0, "10-base.json", baseFolder(system.options())).exitCode == 0);
+        check(generationAt(system, 2) == 1);
+    });
+    section("an edit through another entry is in force everywhere", [&] {
+        const auto result = seat.put(1, "20-batch.json", batchFolder({}));
+        check(result.exitCode == 0);
+        check(contains(result.output, "in force"));
+        for (unsigned entry = 0; entry < 3; ++entry)
+            check(generationAt(system, entry) == 2);
+    });
+    section("an edit that asks too much is refused, the generation stays", [&] {
+        batch_options huge;
+        huge.millicores = 99'000'000;
+        const auto result = seat.put(2, "20-batch.json", batchFolder(huge));
+        check(result.exitCode == 1);
+        check(contains(result.output, "refused"));
+        check(contains(result.output, "20-batch.json:"));
+        check(generationAt(system, 0) == 2);
+    });
+    section("its repair is taken up", [&] {
+        batch_options repaired;
+        repaired.tasks = 41;
+        check(seat.put(0, "20-batch.json", batchFolder(repaired)).exitCode == 0);
+        check(generationAt(system, 1) == 3);
+    });
+    section("a removal is in force everywhere", [&] {
+        check(seat.run(1, {"remove", "--follow", "20-batch.json"}).exitCode == 0);
+        check(generationAt(system, 0) == 4);
+    });
+}
+
+// Two operators write the same file at once: there is one order, one sees `in force`, the other
+// `superseded` (or in force, before it was overtaken), and every entry ends with the same content.
+Test(process_config, race)
+{
+    fleet system(smallFleet());
+    system.startAll();
+    require(waitForUpstreams(system, 4));
+    operator_seat seat(system);
+    require(seat.put(0, "10-base.json", baseFolder(system.options())).exitCode == 0);
+    std::vector<command_result> results(2);
+    std::vector<std::thread> operators;
+    for (unsigned index = 0; index < 2; ++index) {
+        batch_options batch;
+        batch.tasks = static_cast<int>(10 + index);
+        operators.emplace_back([&, index, batch] {
+            const auto name = "20-batch.json";
+            operator_seat own(system);
+            const auto folder = system.scratch() + "/operator-" + std::to_string(index);
+            check(runCommand({"/bin/mkdir", "-p", folder}, folder.substr(0, folder.rfind('/')))
+                          .exitCode
+                  == 0);
+            std::ofstream(folder + "/" + name) << prettyJson(batchFolder(batch));
+            results[index] = own.run(
+                    index, {"put", "--follow", "--timeout-ms", "10000", folder + "/" + name});
+        });
+    }
+    for (auto &each : operators)
+        each.join();
+    section("each is told what became of its file", [&] {
+        unsigned inForce = 0;
+        for (const auto &result : results) {
+            const bool told =
+                    contains(result.output, "in force") || contains(result.output, "superseded");
+            check(told);
+            inForce += contains(result.output, "in force") ? 1 : 0;
+        }
+        check(inForce >= 1);
+    });
+    section("every entry works by the same content", [&] {
+        const auto digestAt = [&](unsigned entry) {
+            return system.rpc(entry, "status", Json::objectValue)["configuration"]["here"]["digest"]
+                    .asString();
+        };
+        check(waitUntil([&] { return digestAt(0) == digestAt(1) && digestAt(1) == digestAt(2); },
+                        SoonEnough));
+    });
+}
+
+// The platform goes away in mid-change and an entry is replaced meanwhile: the accepted generation
+// stays in force everywhere and never falls; the edit is taken up once the platform is back.
+Test(process_config, outage_in_mid_change)
+{
+    fleet system(smallFleet());
+    system.startAll();
+    require(waitForUpstreams(system, 4));
+    operator_seat seat(system);
+    require(seat.put(0, "10-base.json", baseFolder(system.options())).exitCode == 0);
+    Json::Value fault(Json::objectValue);
+    section("the edit is written, then the platform goes down", [&] {
+        system.putFolderFile("20-batch.json", batchFolder({}));
+        fault["down"] = true;
+        system.setFault(system.platformAddress(), fault);
+    });
+    const auto atLeast = generationAt(system, 1);
+    section("an entry replaced during the outage serves by what its peers know", [&] {
+        system.entry(0)->signal(SIGKILL);
+        system.entry(0)->waitForExit(SoonEnough);
+        system.startEntry(0);
+        system.waitForEntry(0);
+        check(generationAt(system, 0) >= atLeast);
+    });
+    section("the platform comes back: the edit is in force at every entry", [&] {
+        fault["down"] = false;
+        system.setFault(system.platformAddress(), fault);
+        check(waitUntil(
+                [&] {
+                    return generationAt(system, 0) == 2 && generationAt(system, 1) == 2
+                           && generationAt(system, 2) == 2;
+                },
+                SoonEnough));
+    });
+}
