--- a/bench/membership_mesh.h
+++ b/bench/membership_mesh.h
@@ -44,6 +44,7 @@
 
     membership &entry(int index) { return *m_entries.at(entryName(index)).members; }
     announcer &agent(int index) { return *m_agents.at(agentName(index)); }
+    const std::vector<std::string> &entryNames() const { return m_entryNames; }
     bool routes(int entryIndex, int agentIndex) const;
     int routesAt(int entryIndex) const; // upstreams that this entry may route to
     int entriesThatRoute(int agentIndex) const;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -392,14 +392,18 @@
             check(nodes.routesAt(0) == 10);
         });
     });
-    section("healthy agents outlive the entries that heard them", [] {
-        mesh nodes(meshOf(11, 5));
+    section("healthy agents outlive the entries that heard them, more than once", [] {
+        mesh nodes(meshOf(11, 4));
         nodes.runFor(seconds(5));
-        for (const int dead : {0, 1, 2})
-            nodes.stopEntry(dead);
-        for (int second = 0; second < 90; ++second) {
+        for (int second = 0; second < 240; ++second) {
+            for (const int dead : {0, 1}) {
+                if (second % 120 == 0)
+                    nodes.stopEntry(dead);
+                if (second % 120 == 60)
+                    nodes.startEntry(dead);
+            }
             nodes.runFor(seconds(1));
-            require(nodes.routesAt(3) == 11 && nodes.routesAt(4) == 11);
+            require(nodes.routesAt(2) == 11 && nodes.routesAt(3) == 11);
         }
     });
     section("one message in ten is lost: no healthy upstream leaves, a leaving one does", [] {
@@ -407,11 +411,17 @@
         settings.lossShare = 0.1;
         mesh nodes(settings);
         nodes.runFor(seconds(10));
+        int replaced = 0; // entries that were taken for dead
         for (int second = 0; second < 300; ++second) {
             nodes.runFor(seconds(1));
+            for (int i = 0; i < 40; ++i) {
+                const auto first = announceTargets(mesh::agentName(i), nodes.entryNames(), 2);
+                replaced += nodes.agent(i).targets() == first ? 0 : 1;
+            }
             for (int i = 0; i < 5; ++i)
                 require(nodes.routesAt(i) == 40);
         }
+        check(replaced == 0);
         for (int i = 0; i < 20; ++i)
             nodes.agent(i).setState(upstream_state::Leaving);
         nodes.runFor(seconds(3));
