--- a/libs/request/admission.cpp
+++ b/libs/request/admission.cpp
@@ -59,7 +59,7 @@
     if (m_draining)
         return refuseRequest(happened.id, error_kind::Draining, now);
     activate(happened.team);
-    m_waiting.push_back({happened, m_order++});
+    m_waiting.push_back(happened);
     ++m_teams[happened.team].waiting;
     if (m_waiting.size() > static_cast<std::size_t>(m_settings.queueLimit))
         plan(now); // a free slot may take one
@@ -86,12 +86,11 @@
 
 void admission::on(const cancelled &happened, time_point)
 {
-    const auto found = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const auto &waiting) {
-        return waiting.request.id == happened.id;
-    });
+    const auto found = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                    [&](const auto &waiting) { return waiting.id == happened.id; });
     if (found == m_waiting.end())
         return;
-    --m_teams[found->request.team].waiting;
+    --m_teams[found->team].waiting;
     m_waiting.erase(found);
     ++m_counters.cancelled;
 }
@@ -112,7 +111,7 @@
 {
     return m_running.contains(id)
            || std::any_of(m_waiting.begin(), m_waiting.end(),
-                          [&](const auto &waiting) { return waiting.request.id == id; });
+                          [&](const auto &waiting) { return waiting.id == id; });
 }
 
 // A team that was idle starts level with the least served one. Without this it would come back with
@@ -154,7 +153,7 @@
             largest = name;
     }
     const auto victim = m_waiting.begin() + static_cast<std::ptrdiff_t>(victimOf(largest));
-    const std::string id = victim->request.id;
+    const std::string id = victim->id;
     const auto kind = isOverShare(largest) ? error_kind::FairShareExceeded : error_kind::QueueFull;
     --m_teams[largest].waiting;
     m_waiting.erase(victim);
@@ -176,14 +175,14 @@
 {
     std::size_t victim = m_waiting.size();
     for (std::size_t i = 0; i < m_waiting.size(); ++i) {
-        const auto &candidate = m_waiting[i].request;
+        const auto &candidate = m_waiting[i];
         if (candidate.team != team)
             continue;
         if (victim == m_waiting.size()) {
             victim = i;
             continue;
         }
-        const auto &current = m_waiting[victim].request;
+        const auto &current = m_waiting[victim];
         if (std::pair(-candidate.priority, candidate.deadline)
             >= std::pair(-current.priority, current.deadline)) {
             victim = i;
@@ -200,13 +199,13 @@
     for (std::size_t i = 0; i < sorted.size(); ++i)
         sorted[i] = i;
     std::stable_sort(sorted.begin(), sorted.end(), [&](std::size_t left, std::size_t right) {
-        const auto &a = m_waiting[left].request;
-        const auto &b = m_waiting[right].request;
+        const auto &a = m_waiting[left];
+        const auto &b = m_waiting[right];
         return std::pair(-a.priority, a.deadline) < std::pair(-b.priority, b.deadline);
     });
     std::map<std::string, std::vector<std::size_t>> byTeam;
     for (auto index = sorted.rbegin(); index != sorted.rend(); ++index)
-        byTeam[m_waiting[*index].request.team].push_back(*index); // the next one at the back
+        byTeam[m_waiting[*index].team].push_back(*index); // the next one at the back
 
     using turn = std::pair<double, std::string>;
     std::priority_queue<turn, std::vector<turn>, std::greater<>> turns;
@@ -217,7 +216,7 @@
         const auto [served, team] = turns.top();
         turns.pop();
         auto &indexes = byTeam[team];
-        const auto &next = m_waiting[indexes.back()].request;
+        const auto &next = m_waiting[indexes.back()];
         order.push_back(indexes.back());
         indexes.pop_back();
         if (!indexes.empty())
@@ -249,60 +248,71 @@
 // refuses those that could not end before their deadline.
 void admission::plan(time_point now)
 {
-    const auto order = dispatchOrder();
     const auto times = slotTimes(now);
     std::priority_queue<time_point, std::vector<time_point>, std::greater<>> slots(times.begin(),
                                                                                    times.end());
-    std::vector<std::size_t> starting;
-    std::vector<std::size_t> refused;
-    for (const std::size_t index : order) {
-        const auto &request = m_waiting[index].request;
-        const auto &known = estimateFor(request.service);
+    std::vector<verdict> verdicts(m_waiting.size(), verdict::Wait);
+    bool anyStarted = false;
+    for (const std::size_t index : dispatchOrder()) {
         const time_point begins = slots.empty() ? Never : slots.top();
-        const duration margin(
-                static_cast<duration::rep>(known.deviation.count() * m_settings.deadlineMargin));
-        // With nothing running, a request goes through whatever was learned. Otherwise one slow
-        // spell could teach a service time above every deadline, and since nothing would run, the
-        // estimate could never come down again.
-        const bool probe = m_running.empty() && starting.empty() && begins == now;
-        const bool inTime = begins != Never && begins + known.mean + margin <= request.deadline;
-        if (!inTime && !(probe && request.deadline > now)) {
-            // No slot is usable only while connections are in doubt: wait until the deadline nears.
-            if (begins != Never || now + known.mean + margin > request.deadline)
-                refused.push_back(index);
+        const bool idle = m_running.empty() && !anyStarted;
+        verdicts[index] = judge(m_waiting[index], begins, idle, now);
+        if (verdicts[index] == verdict::Refuse || slots.empty())
             continue;
-        }
         slots.pop();
-        slots.push(begins + known.mean);
-        if (begins == now)
-            starting.push_back(index);
+        slots.push(begins + estimateFor(m_waiting[index].service).mean);
+        anyStarted = anyStarted || verdicts[index] == verdict::Start;
     }
-    for (const std::size_t index : starting)
-        startWaiting(index, now);
-    for (const std::size_t index : refused) {
-        const auto &request = m_waiting[index].request;
+    settle(verdicts, now);
+}
+
+// `begins`: when its slot is expected to be free, Never if no slot is usable.
+admission::verdict admission::judge(const arrived &request, time_point begins, bool idle,
+                                    time_point now) const
+{
+    const auto &known = estimateFor(request.service);
+    const auto margin = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double, duration::period>(known.deviation)
+            * m_settings.deadlineMargin);
+    const duration needed = known.mean + margin;
+    // Connections in doubt are closed soon: the request waits for that while it still can.
+    if (begins == Never)
+        return now + needed > request.deadline ? verdict::Refuse : verdict::Wait;
+    // With nothing running, a request goes through whatever was learned. Otherwise one slow
+    // spell could teach a service time above every deadline, and since nothing would run, the
+    // estimate could never come down again.
+    const bool probe = idle && begins == now && request.deadline > now;
+    if (begins + needed > request.deadline && !probe)
+        return verdict::Refuse;
+    return begins == now ? verdict::Start : verdict::Wait;
+}
+
+// Starts come before refusals, so that Retry-After counts them as backlog.
+void admission::settle(const std::vector<verdict> &verdicts, time_point now)
+{
+    std::vector<arrived> staying;
+    std::vector<std::string> refused;
+    for (std::size_t i = 0; i < verdicts.size(); ++i) {
+        const auto &request = m_waiting[i];
+        if (verdicts[i] == verdict::Wait) {
+            staying.push_back(m_waiting[i]);
+            continue;
+        }
         --m_teams[request.team].waiting;
+        if (verdicts[i] == verdict::Start)
+            startRequest(request, now);
+        else
+            refused.push_back(request.id);
     }
-    std::vector<std::string> refusedIds;
-    for (const std::size_t index : refused)
-        refusedIds.push_back(m_waiting[index].request.id);
-    std::vector<bool> gone(m_waiting.size(), false);
-    for (const std::size_t index : starting)
-        gone[index] = true;
-    for (const std::size_t index : refused)
-        gone[index] = true;
-    std::size_t position = 0;
-    std::erase_if(m_waiting, [&](const auto &) { return gone[position++]; });
-    for (const auto &id : refusedIds)
+    m_waiting = std::move(staying);
+    for (const auto &id : refused)
         refuseRequest(id, error_kind::DeadlineTooClose, now);
 }
 
-void admission::startWaiting(std::size_t index, time_point now)
+void admission::startRequest(const arrived &request, time_point now)
 {
-    const auto &request = m_waiting[index].request;
     const duration expected = estimateFor(request.service).mean;
     auto &team = m_teams[request.team];
-    --team.waiting;
     ++team.running;
     team.served += chargeOf(expected, request.priority);
     m_running[request.id] = {request.service, request.team, request.priority, now, expected};
@@ -341,7 +351,7 @@
     for (const auto &waiting : m_waiting) {
         const time_point begins = slots.top();
         slots.pop();
-        slots.push(begins + estimateFor(waiting.request.service).mean);
+        slots.push(begins + estimateFor(waiting.service).mean);
     }
     return slots.top() - now;
 }
--- a/libs/request/admission.h
+++ b/libs/request/admission.h
@@ -97,17 +97,13 @@
     const admission_counters &counters() const { return m_counters; }
 
 private:
+    enum class verdict { Wait, Start, Refuse };
     // Mean and mean deviation of the service time, both moving.
     struct estimate
     {
         duration mean{};
         duration deviation{};
     };
-    struct waiting_request
-    {
-        arrived request;
-        std::uint64_t order = 0; // of arrival
-    };
     struct running_request
     {
         std::string service;
@@ -139,7 +135,9 @@
     std::vector<std::size_t> dispatchOrder() const;
     std::vector<time_point> slotTimes(time_point now) const;
     void plan(time_point now);
-    void startWaiting(std::size_t index, time_point now);
+    verdict judge(const arrived &request, time_point begins, bool idle, time_point now) const;
+    void settle(const std::vector<verdict> &verdicts, time_point now);
+    void startRequest(const arrived &request, time_point now);
     void refuseRequest(const std::string &id, error_kind kind, time_point now);
     milliseconds retryAfterFor(error_kind kind, time_point now);
     void learn(const std::string &service, duration took);
@@ -147,15 +145,14 @@
 
     admission_settings m_settings;
     admission_counters m_counters;
-    std::vector<waiting_request> m_waiting; // in the order of arrival
+    std::vector<arrived> m_waiting; // in the order of arrival
     std::map<std::string, running_request> m_running;
     std::map<std::string, team_state> m_teams;
     std::map<std::string, estimate> m_estimates;
     estimate m_overall;
     std::vector<action> m_actions; // of the event being handled
-    std::uint64_t m_order = 0;
-    double m_virtualTime = 0;  // least served time of an active team, never falls
-    time_point m_comeBackAt{}; // place handed out to the last refused request
+    double m_virtualTime = 0;      // least served time of an active team, never falls
+    time_point m_comeBackAt{};     // place handed out to the last refused request
     int m_unusableConnections = 0;
     bool m_draining = false;
 };
