--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -99,6 +99,23 @@
     });
 }
 
+// Entry e1 dies while the upstream runs the order. Nobody is left to record the end, so repeats at
+// e2 must not be told for ever that the order is in progress.
+Test(at_most_once, entry_dies_while_it_runs)
+{
+    for (const bool known : {false, true}) {
+        delivery_world world;
+        world.send("e1/1", "e1", milliseconds(100), "POST", "k");
+        world.runUntil(milliseconds(120));
+        check(world.runsOf["k"] == 1);
+        if (known)
+            world.dead.insert("e1");
+        world.send("e2/2", "e2", milliseconds(121), "POST", "k");
+        world.runUntil(milliseconds(1000));
+        check(world.answers["e2/2"].front() == (known ? "outcome_unknown" : "key_in_progress"));
+    }
+}
+
 // The caller sees one truthful answer to each try. Any step (arrival, claim, its answer, choice,
 // forward, start, answer, record of the end) is hit by any fault: a dying or frozen entry, replaced
 // agents, lost, doubled and late messages, a table that is down, hangs, or applies a write late.
--- a/tests/attempt_test.cpp
+++ b/tests/attempt_test.cpp
@@ -17,12 +17,12 @@
 
 bool isUnknown(const std::optional<guard_refusal> &refusal)
 {
-    return refusal && refusal->ran == executed::Unknown;
+    return refusal && refusal->ran == executed::Unknown && !refusal->ended;
 }
 
 bool isNotRun(const std::optional<guard_refusal> &refusal)
 {
-    return refusal && refusal->ran == executed::No;
+    return refusal && refusal->ran == executed::No && refusal->ended;
 }
 
 } // namespace
--- a/tests/claim_book_test.cpp
+++ b/tests/claim_book_test.cpp
@@ -145,6 +145,38 @@
     }
 }
 
+// The table takes a claim 700 ms late, long after its caller was refused as not run. Left alone the
+// row would say "started" for ever and block the order; it is barred by a row that says "not run".
+Test(claim_book, claim_that_applies_late)
+{
+    delivery_world world;
+    world.refusing.clear();
+    world.send("e1/warm", "e1", milliseconds(100), "POST", "warm");
+    world.runUntil(milliseconds(490));
+    world.faults[world.step + 2] = fault::WriteDelayed; // after the arrival: the commit
+    world.send("e1/1", "e1", milliseconds(500), "POST", "k", 1, milliseconds(200));
+    world.send("e2/2", "e2", milliseconds(3000), "POST", "k");
+    world.runUntil(milliseconds(5000));
+    check(world.answers["e1/1"].front() == "deadline_passed");
+    check(world.answers["e2/2"].front() == "passed");
+    check(world.runsOf["k"] == 1);
+}
+
+// The table does not answer for longer than a claim may wait.
+Test(claim_book, patience)
+{
+    delivery_world world;
+    world.refusing.clear();
+    world.settings.claims.claimPatience = milliseconds(100);
+    world.send("e1/warm", "e1", milliseconds(100), "POST", "warm");
+    world.runUntil(milliseconds(490));
+    world.faults[world.step + 1] = fault::TableHangs;
+    world.send("e1/1", "e1", milliseconds(500), "POST", "k");
+    world.runUntil(milliseconds(5000));
+    check(world.answers["e1/1"].front() == "platform_unavailable");
+    check(latencyPercentile(world, 1) == milliseconds(100));
+}
+
 // Keys live for a stated time and no row stays for ever. Entries raise the era only after they have
 // seen it unchanged for its length, so a row may live longer than stated, never shorter.
 Test(claim_book, life_of_keys)
@@ -172,6 +204,24 @@
     });
 }
 
+// Another entry has raised the era and this one has not seen it. A claim written with the old era
+// would be swept too early, and a late repeat would run again.
+Test(claim_book, era_that_has_passed)
+{
+    delivery_world world;
+    world.refusing.clear();
+    world.send("e1/1", "e1", milliseconds(100), "POST", "k1");
+    world.runUntil(milliseconds(1000));
+    Json::Value raised(Json::objectValue);
+    raised["era"] = 9;
+    world.platform.commit({"other", {}, {{"claim-era", raised}}});
+    world.send("e1/2", "e1", milliseconds(1100), "POST", "k2");
+    world.runUntil(milliseconds(2000));
+    check(world.answers["e1/2"].front() == "passed");
+    const auto row = world.platform.read(claimKey("tickets", "kartli", "k2"));
+    check(claimRowFromJson(row->value).era == 9);
+}
+
 Test(claim_book, memory)
 {
     section("ended requests are bounded by the bytes of their answers", [] {
