--- a/bench/placement_slope_bench.cpp
+++ b/bench/placement_slope_bench.cpp
@@ -82,13 +82,13 @@
         : subject(placer_settings{})
     {
         subject.setPool({"main", {64'000, 256 * Gigabyte, 4}}, now);
-        for (int index = 0; index < workers; ++index)
-            subject.addWorker({"worker-" + std::to_string(index),
-                               "zone-" + std::to_string(index % 5),
-                               std::to_string(index / 40),
-                               "main",
-                               {64'000, 256 * Gigabyte, index % 2 == 0 ? 4 : 0}},
+        for (int index = 0; index < workers; ++index) {
+            const resources size{64'000, 256 * Gigabyte, index % 2 == 0 ? 4 : 0};
+            const auto zone = "zone-" + std::to_string(index % 5);
+            subject.addWorker({"worker-" + std::to_string(index), zone, std::to_string(index / 40),
+                               "main", size},
                               now);
+        }
     }
 
     // One job in thirteen is a service, as 1,900 of 24,900 tasks.
--- a/libs/placement/placer_settings.h
+++ b/libs/placement/placer_settings.h
@@ -37,7 +37,7 @@
     duration batchPatience = seconds(60);        // wait that doubles the worth of starting batch
     duration retryAfter = seconds(5);            // a waiting job is tried again without new room
     duration learnPoolFor = seconds(10); // until known workers bound a pool without configured size
-    double doubt = 1; // deviations added to an effect when placing: unknown pairs look worse
+    double doubt = 0.5; // deviations added to an effect when placing: unknown pairs look worse
 };
 
 // A higher quantile of learned memory costs room that stays empty; a lower one costs evictions when
--- a/libs/placement/resources.h
+++ b/libs/placement/resources.h
@@ -7,12 +7,12 @@
 //   toJson, …FromJson   their form in messages; a wrong member throws error BadRequest
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include <json/json.h>
 
@@ -62,7 +62,11 @@
     std::string jobId;
     std::int32_t taskIndex = 0;
 
-    friend auto operator<=>(const task_ref &, const task_ref &) = default;
+    friend bool operator==(const task_ref &, const task_ref &) = default;
+    friend bool operator<(const task_ref &left, const task_ref &right)
+    {
+        return std::tie(left.jobId, left.taskIndex) < std::tie(right.jobId, right.taskIndex);
+    }
 };
 
 struct task_ref_hash
--- a/tests/placement_property_test.cpp
+++ b/tests/placement_property_test.cpp
@@ -251,15 +251,12 @@
     // Everything that runs ends, so everything that waits must run in the end.
     void drain()
     {
-        for (int index = 0; index < 8; ++index)
-            subject.addWorker({"w" + std::to_string(index),
-                               "zone-0",
-                               "r1",
-                               "main",
-                               {16'000, 60 * Gigabyte, 2}},
-                              now);
-        for (int index = 0; index < 8; ++index)
-            seen.sizes["w" + std::to_string(index)] = {16'000, 60 * Gigabyte, 2};
+        const resources size{16'000, 60 * Gigabyte, 2};
+        for (int index = 0; index < 8; ++index) {
+            const auto id = "w" + std::to_string(index);
+            subject.addWorker({id, "zone-0", "r1", "main", size}, now);
+            seen.sizes[id] = size;
+        }
         for (int round = 0; round < 400 && !seen.tasks.empty(); ++round) {
             now += std::chrono::minutes(2);
             plan();
