--- a/tests/work_model.h
+++ b/tests/work_model.h
@@ -20,6 +20,7 @@
 #include "work/task_keeper.h"
 #include "work/task_table.h"
 #include "work/trace_checker.h"
+#include "work/worker_tasks.h"
 
 namespace zinniabarrow::tests {
 
@@ -38,25 +39,10 @@
     std::set<std::string> cutFrom; // messages to and from these are lost
 };
 
-struct model_task
-{
-    std::uint32_t attempt = 0;
-    time_point leaseUntil;
-    time_point doneAt;
-    std::string checkpoint;
-    failover_class failover = failover_class::Lease;
-    Json::Value spec;
-};
-
 struct model_worker : process
 {
-    std::uint64_t incarnation = 1;
-    std::uint64_t epoch = 0;
-    std::uint64_t listing = 0;
-    std::map<std::uint64_t, time_point> listedAt;
-    std::map<task_id, std::uint32_t> seen; // newest attempt that ran or was stopped
-    std::map<task_id, model_task> running;
-    std::map<task_attempt, finished_task> finished;
+    worker_tasks tasks{1};
+    std::map<task_id, time_point> doneAt;
 };
 
 struct model_agent : process
@@ -133,7 +119,7 @@
         target.alive = false;
         target.restartAt = now + restartAfter;
         if (auto *worker = findIn(workers, target.name)) {
-            worker->running.clear();
+            worker->tasks = worker_tasks(worker->tasks.incarnation() + 1);
             traceWorker(target.name);
         }
     }
@@ -188,7 +174,7 @@
     std::string whereRuns(const task_id &task) const
     {
         for (const auto &[name, worker] : workers) {
-            if (worker.alive && worker.running.contains(task))
+            if (worker.alive && worker.tasks.runs(task))
                 return name;
         }
         return {};
@@ -323,15 +309,7 @@
         target.restartAt = Never;
         boot(target);
     }
-    void boot(model_worker &worker)
-    {
-        const std::uint64_t incarnation = worker.incarnation + 1;
-        const process kept = worker;
-        worker = model_worker();
-        static_cast<process &>(worker) = kept;
-        worker.incarnation = incarnation;
-        traceWorker(worker.name);
-    }
+    void boot(model_worker &worker) { traceWorker(worker.name); }
     void boot(model_agent &agent)
     {
         keeper_settings keeper;
@@ -413,10 +391,7 @@
                 write(traceEvent("done", task));
             if (!occupies(record))
                 continue;
-            Json::Value event = traceEvent("placed", task);
-            event["attempt"] = record.attempt;
-            event["worker"] = record.worker;
-            write(event);
+            traceAttempt("placed", {task, record.attempt}, record.worker);
         }
     }
 
@@ -644,20 +619,24 @@
     void act(model_agent &agent, model_worker &worker, const worker_list &action)
     {
         send(agent.name, worker.name, [this, &agent, &worker, action] {
-            worker.epoch = std::max(worker.epoch, action.epoch);
-            const std::string text = compactJson(toJson(makeListing(worker)));
+            stepWorker(worker);
+            const std::string text = compactJson(toJson(worker.tasks.list(action, now)));
             send(worker.name, agent.name, [this, &agent, text] {
-                run(agent, agent.keeper->handle(
-                                   listing_received{workerListingFromJson(parseJson(text))}, now));
+                const auto listing = workerListingFromJson(parseJson(text));
+                run(agent, agent.keeper->handle(listing_received{listing}, now));
             });
         });
     }
     void act(model_agent &agent, model_worker &worker, const worker_start &action)
     {
         send(agent.name, worker.name, [this, &agent, &worker, action] {
-            if (startOn(worker, action))
+            const task_attempt attempt{action.task.task, action.task.attempt};
+            const start_answer answer = worker.tasks.start(action, now);
+            if (answer == start_answer::Started)
+                begin(worker, action);
+            if (answer != start_answer::Refused)
                 return;
-            const start_refused refused{{action.task.task, action.task.attempt}, worker.listing};
+            const start_refused refused{attempt, worker.tasks.listing()};
             send(worker.name, agent.name,
                  [this, &agent, refused] { run(agent, agent.keeper->handle(refused, now)); });
         });
@@ -666,125 +645,59 @@
     {
         send(agent.name, worker.name, [this, &worker, action] {
             stepWorker(worker); // lapsed tasks end first
-            const auto found = worker.running.find(action.attempt.task);
-            const auto listed = worker.listedAt.find(action.listing);
-            if (found == worker.running.end() || listed == worker.listedAt.end()
-                || action.incarnation != worker.incarnation
-                || found->second.attempt != action.attempt.attempt)
-                return;
-            found->second.leaseUntil =
-                    std::max(found->second.leaseUntil, listed->second + action.lease);
+            worker.tasks.renew(action);
         });
     }
     void act(model_agent &agent, model_worker &worker, const worker_stop &action)
     {
-        send(agent.name, worker.name, [this, &worker, action] { stopOn(worker, action.attempt); });
+        send(agent.name, worker.name, [this, &worker, action] {
+            for (const auto &running : worker.tasks.running()) {
+                if (running.attempt.task == action.attempt.task && worker.tasks.stop(action))
+                    traceAttempt("stopped", running.attempt, worker.name);
+            }
+            worker.tasks.stop(action);
+        });
     }
     void act(model_agent &agent, model_worker &worker, const worker_checkpoint &action)
     {
         send(agent.name, worker.name, [this, &worker, action] {
-            const auto found = worker.running.find(action.attempt.task);
-            if (found == worker.running.end() || found->second.attempt != action.attempt.attempt)
+            if (!worker.tasks.runs(action.attempt))
                 return;
             platform.putObject(action.checkpoint, "", std::nullopt);
-            end(worker, action.attempt.task, task_outcome::Evicted, action.checkpoint);
+            worker.tasks.ended({action.attempt, task_outcome::Evicted, action.checkpoint, {}});
+            traceAttempt("evicted", action.attempt, worker.name, action.checkpoint);
         });
     }
     void act(model_agent &agent, model_worker &worker, const worker_forget &action)
     {
-        send(agent.name, worker.name, [&worker, action] { worker.finished.erase(action.attempt); });
+        send(agent.name, worker.name, [&worker, action] { worker.tasks.forget(action); });
     }
 
     // Workers.
     void stepWorker(model_worker &worker)
     {
-        std::vector<std::pair<task_id, task_outcome>> ended;
-        for (const auto &[task, running] : worker.running) {
-            if (now >= running.leaseUntil)
-                ended.emplace_back(task, task_outcome::Lapsed);
-            else if (now >= running.doneAt && now >= worker.frozenUntil)
-                ended.emplace_back(task, task_outcome::Succeeded);
-        }
-        for (const auto &[task, outcome] : ended)
-            end(worker, task, outcome);
-    }
-    worker_listing makeListing(model_worker &worker)
-    {
-        stepWorker(worker);
-        worker_listing listing;
-        listing.number = ++worker.listing;
-        listing.incarnation = worker.incarnation;
-        listing.epoch = worker.epoch;
-        worker.listedAt[worker.listing] = now;
-        for (const auto &[task, running] : worker.running)
-            listing.running.push_back(
-                    {{task, running.attempt}, "", running.spec, running.failover});
-        for (const auto &[attempt, finished] : worker.finished)
-            listing.finished.push_back(finished);
-        return listing;
-    }
-    bool startOn(model_worker &worker, const worker_start &action)
-    {
-        const task_id &task = action.task.task;
-        const auto running = worker.running.find(task);
-        if (running != worker.running.end() && running->second.attempt == action.task.attempt)
-            return true;
-        if (worker.seen[task] >= action.task.attempt)
-            return false;
-        const auto listed = worker.listedAt.find(action.listing);
-        if (listed == worker.listedAt.end() || action.incarnation != worker.incarnation
-            || now >= listed->second + action.startWithin)
-            return true; // too late to start; not refused for ever
-        worker.seen[task] = action.task.attempt;
-        const bool endless = action.spec["runSeconds"].asInt() == 0;
-        const time_point doneAt =
-                endless ? Never : now + seconds(action.spec["runSeconds"].asInt());
-        worker.running[task] = {action.task.attempt,    listed->second + action.lease, doneAt,
-                                action.task.checkpoint, action.task.failover,          action.spec};
-        ++m_starts[task];
-        const std::string checkpoint = newestCheckpoint(action.task);
-        Json::Value event = traceEvent(checkpoint.empty() ? "started" : "resumed", task);
-        event["attempt"] = action.task.attempt;
-        event["worker"] = worker.name;
-        event["checkpoint"] = checkpoint;
-        event["size"] = sizeJson(1);
-        write(event);
-        return true;
-    }
-    std::string newestCheckpoint(const granted_task &task) const
-    {
-        for (const auto &name : task.newerCheckpoints) {
-            if (platform.getObject(name))
-                return name;
+        for (const auto &attempt : worker.tasks.takeLapsed(now))
+            traceAttempt("stopped", attempt, worker.name);
+        for (const auto &running : worker.tasks.running()) {
+            if (now < worker.doneAt[running.attempt.task] || now < worker.frozenUntil)
+                continue;
+            worker.tasks.ended({running.attempt, task_outcome::Succeeded, {}, {}});
+            traceAttempt("ended", running.attempt, worker.name);
         }
-        return task.checkpoint;
     }
-    void stopOn(model_worker &worker, const task_attempt &attempt)
-    {
-        const auto running = worker.running.find(attempt.task);
-        if (running != worker.running.end() && running->second.attempt <= attempt.attempt) {
-            end(worker, attempt.task, task_outcome::Stopped);
-            return;
+    void begin(model_worker &worker, const worker_start &action)
+    {
+        const task_attempt attempt{action.task.task, action.task.attempt};
+        const int length = action.spec["runSeconds"].asInt();
+        worker.doneAt[attempt.task] = length == 0 ? Never : now + seconds(length);
+        ++m_starts[attempt.task];
+        std::string checkpoint = action.task.checkpoint;
+        for (auto name = action.task.newerCheckpoints.rbegin();
+             name != action.task.newerCheckpoints.rend(); ++name) {
+            if (platform.getObject(*name))
+                checkpoint = *name;
         }
-        if (worker.seen[attempt.task] > attempt.attempt || worker.finished.contains(attempt))
-            return;
-        worker.seen[attempt.task] = attempt.attempt;
-        worker.finished[attempt] = {attempt, task_outcome::Stopped, "", ""};
-    }
-    void end(model_worker &worker, const task_id &task, task_outcome outcome,
-             std::string checkpoint = {})
-    {
-        const task_attempt attempt{task, worker.running[task].attempt};
-        worker.running.erase(task);
-        const bool evicted = outcome == task_outcome::Evicted;
-        const bool succeeded = outcome == task_outcome::Succeeded;
-        worker.finished[attempt] = {attempt, outcome, evicted ? checkpoint : "", ""};
-        Json::Value event = traceEvent(evicted ? "evicted" : succeeded ? "ended" : "stopped", task);
-        event["attempt"] = attempt.attempt;
-        event["worker"] = worker.name;
-        event["checkpoint"] = checkpoint;
-        event["outcome"] = "succeeded";
-        write(event);
+        traceAttempt(checkpoint.empty() ? "started" : "resumed", attempt, worker.name, checkpoint);
     }
 
     // Trace.
@@ -803,6 +716,17 @@
         event["task"] = textOf(task);
         return event;
     }
+    void traceAttempt(const std::string &kind, const task_attempt &attempt,
+                      const std::string &worker, const std::string &checkpoint = {})
+    {
+        Json::Value event = traceEvent(kind, attempt.task);
+        event["attempt"] = attempt.attempt;
+        event["worker"] = worker;
+        event["checkpoint"] = checkpoint;
+        event["outcome"] = "succeeded";
+        event["size"] = sizeJson(1);
+        write(event);
+    }
     void traceWorker(const std::string &name)
     {
         Json::Value event(Json::objectValue);
