--- a/libs/work/messages.h
+++ b/libs/work/messages.h
@@ -7,11 +7,11 @@
 // grant that the network or a paused owner holds back is worth nothing when it arrives.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include <json/json.h>
@@ -31,7 +31,11 @@
     std::string job;
     std::uint32_t index = 0; // within the job
 
-    auto operator<=>(const task_id &) const = default;
+    bool operator==(const task_id &) const = default;
+    bool operator<(const task_id &other) const
+    {
+        return std::tie(job, index) < std::tie(other.job, other.index);
+    }
 };
 
 // "job/index"; the job's own name may hold slashes.
@@ -43,7 +47,11 @@
     task_id task;
     std::uint32_t attempt = 0;
 
-    auto operator<=>(const task_attempt &) const = default;
+    bool operator==(const task_attempt &) const = default;
+    bool operator<(const task_attempt &other) const
+    {
+        return std::tie(task, attempt) < std::tie(other.task, other.attempt);
+    }
 };
 
 // Name of the object that holds an attempt's checkpoint. It can be told without the worker, so that
--- a/libs/work/task_store.cpp
+++ b/libs/work/task_store.cpp
@@ -355,7 +355,7 @@
 
 void task_store::send(time_point now)
 {
-    m_transaction.emplace();
+    m_transaction = transaction_state{};
     table_transaction &transaction = m_transaction->transaction;
     transaction.operationId = m_operationPrefix + "/" + std::to_string(++m_operations);
     transaction.conditions.push_back({shardKey(m_shard), m_shardVersion});
--- a/libs/work/task_store.h
+++ b/libs/work/task_store.h
@@ -8,12 +8,12 @@
 // Changes are collected for a short window and go out as one transaction, one at a time.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -143,7 +143,10 @@
         row_kind kind = row_kind::Job;
         std::string job;
         std::uint32_t chunk = 0;
-        auto operator<=>(const row_id &) const = default;
+        bool operator<(const row_id &other) const
+        {
+            return std::tie(kind, job, chunk) < std::tie(other.kind, other.job, other.chunk);
+        }
     };
     using record_map = std::map<std::uint32_t, task_record>; // by the task's index
 
--- a/tests/work_model.h
+++ b/tests/work_model.h
@@ -457,9 +457,10 @@
     }
     std::string roomFor(model_entry &entry)
     {
-        for (const auto &[name, worker] : workers) {
+        for (const auto &item : workers) {
+            const std::string &name = item.first;
             const auto used = std::count_if(entry.ledger.begin(), entry.ledger.end(),
-                                            [&](const auto &item) { return item.second == name; });
+                                            [&](const auto &held) { return held.second == name; });
             if (used < Slots && entry.table->mayPlaceOn(name))
                 return name;
         }
--- a/tests/work_test.cpp
+++ b/tests/work_test.cpp
@@ -402,10 +402,10 @@
         check(!first.owns(0));
     });
     section("a planned stop hands over at once", [&] {
-        for (const auto &action : only<commit_shard>(second.handle(release_shards{}, now)))
-            second.handle(shard_write_settled{action.transaction.operationId,
-                                              platform.commit(action.transaction)},
-                          now);
+        for (const auto &action : only<commit_shard>(second.handle(release_shards{}, now))) {
+            const write_result result = platform.commit(action.transaction);
+            second.handle(shard_write_settled{action.transaction.operationId, result}, now);
+        }
         check(second.released() && !second.owns(0));
         pass(4, [&] { turn(first, true, true); });
         check(first.owns(0));
