--- a/tests/work_test.cpp
+++ b/tests/work_test.cpp
@@ -9,6 +9,7 @@
 #include "work/task_keeper.h"
 #include "work/task_table.h"
 #include "work/trace_checker.h"
+#include "work/worker_tasks.h"
 
 #include "section.h"
 
@@ -125,6 +126,66 @@
     }
 };
 
+// An agent and its worker, with grants that the test makes.
+struct keeper_bench
+{
+    bool fits = true;
+    task_keeper keeper{"w", "s", {}, [this](const auto &, const auto &) { return fits; }};
+    worker_tasks worker{1};
+    time_point now{seconds(1)};
+    std::vector<keeper_action> actions; // of the last event
+    std::uint64_t reports = 0;          // sent so far
+
+    keeper_bench() { pass(milliseconds(0)); }
+    void feed(const keeper_event &event)
+    {
+        actions = keeper.handle(event, now);
+        reports += only<send_report>(actions).size();
+        for (const auto &action : actions)
+            std::visit([&](const auto &one) { act(one); }, action);
+    }
+    template <typename Action>
+    void act(const Action &)
+    { }
+    void act(const worker_start &action) { worker.start(action, now); }
+    void act(const worker_renew &action) { worker.renew(action); }
+    void act(const worker_stop &action) { worker.stop(action); }
+    // Time passes; the worker is listed and the agent reports at its end.
+    void pass(milliseconds length)
+    {
+        now += length;
+        worker.takeLapsed(now);
+        feed(listing_received{worker.list({keeper.epoch()}, now)});
+        feed(keeper_tick{});
+    }
+    worker_grant grant(std::uint64_t replyTo, std::uint64_t epoch = 1) const
+    {
+        worker_grant made;
+        made.epoch = epoch;
+        made.worker = "w";
+        made.incarnation = 1;
+        made.session = "s";
+        made.replyTo = replyTo;
+        made.lease = lease_settings().grantLease;
+        made.specs["job"] = Json::Value(Json::objectValue);
+        return made;
+    }
+    worker_grant grantTask(std::uint64_t replyTo, std::uint32_t attempt, std::uint64_t epoch = 1,
+                           failover_class failover = failover_class::Lease) const
+    {
+        worker_grant made = grant(replyTo, epoch);
+        made.tasks.push_back({Task, attempt, failover, {}, {}});
+        return made;
+    }
+    bool counted(keeper_count reason) const
+    {
+        const auto counts = only<count_keeper>(actions);
+        return !counts.empty() && counts.front().reason == reason;
+    }
+
+    inline static const task_id Task{"job", 0};
+};
+
 } // namespace
 
 // The checker guards every other test of faults: it must see each violation that is planted.
@@ -349,6 +410,182 @@
     check(bench.table.placeableTasks(10).size() == 4);
 }
 
+// What reaches an agent may be late, doubled, from an owner that was replaced, or meant for another
+// agent or another life of its worker. None of it may start a task that can run elsewhere by now.
+Test(work, an_agent_starts_only_what_holds)
+{
+    section("a superseded owner's grant", [] {
+        keeper_bench bench;
+        bench.feed(grant_received{bench.grant(1, 2)});
+        bench.feed(grant_received{bench.grantTask(1, 1, 1)});
+        check(!bench.worker.runs(bench.Task) && bench.counted(keeper_count::StaleEpoch));
+        section("also after the agent was replaced: the worker keeps the epoch", [&] {
+            bench.pass(seconds(2));
+            bench.keeper =
+                    task_keeper("w", "s", {}, [](const auto &, const auto &) { return true; });
+            bench.pass(seconds(2));
+            bench.feed(grant_received{bench.grantTask(1, 1, 1)});
+            check(!bench.worker.runs(bench.Task));
+        });
+    });
+    section("a grant that was held back, after a newer one extended the agent's lease", [] {
+        keeper_bench bench;
+        const worker_grant late = bench.grantTask(bench.reports, 1);
+        bench.pass(seconds(20));
+        bench.feed(grant_received{bench.grant(bench.reports)});
+        check(bench.keeper.leaseUntil() > bench.now);
+        bench.feed(grant_received{late});
+        check(!bench.worker.runs(bench.Task) && bench.counted(keeper_count::LeaseLapsed));
+    });
+    section("a grant that was held back gives no lease from its arrival", [] {
+        keeper_bench bench;
+        bench.feed(grant_received{bench.grantTask(bench.reports, 1)});
+        const worker_grant late = bench.grant(bench.reports);
+        bench.pass(seconds(10));
+        bench.feed(grant_received{late});
+        bench.pass(seconds(4));
+        check(bench.worker.runs(bench.Task));
+        bench.pass(seconds(2));
+        check(!bench.worker.runs(bench.Task)); // fifteen seconds after the report was sent
+    });
+    section("class Proof outlives the agent's lease", [] {
+        keeper_bench bench;
+        bench.feed(grant_received{bench.grantTask(bench.reports, 1, 1, failover_class::Proof)});
+        bench.pass(seconds(2));
+        bench.pass(seconds(3'000));
+        bench.pass(seconds(3'000));
+        check(bench.worker.runs(bench.Task));
+    });
+    section("an agent that paused between its check and the sending", [] {
+        keeper_bench bench;
+        const auto actions =
+                bench.keeper.handle(grant_received{bench.grantTask(bench.reports, 1)}, bench.now);
+        bench.now += seconds(16);
+        check(bench.worker.start(only<worker_start>(actions).front(), bench.now)
+              == start_answer::TooLate);
+    });
+    section("another session, another incarnation", [] {
+        keeper_bench bench;
+        worker_grant other = bench.grantTask(bench.reports, 1);
+        other.session = "before";
+        bench.feed(grant_received{other});
+        check(bench.counted(keeper_count::OtherSession));
+        other = bench.grantTask(bench.reports, 1);
+        other.incarnation = 2;
+        bench.feed(grant_received{other});
+        check(!bench.worker.runs(bench.Task) && bench.counted(keeper_count::StaleIncarnation));
+    });
+    section("a task that was stopped before it could start", [] {
+        keeper_bench bench;
+        worker_grant stop = bench.grant(bench.reports);
+        stop.stops.push_back({bench.Task, 1});
+        bench.feed(grant_received{stop});
+        bench.feed(grant_received{bench.grantTask(bench.reports, 1)});
+        check(!bench.worker.runs(bench.Task));
+        bench.pass(seconds(2)); // the agent sees that attempt 1 has ended
+        bench.feed(grant_received{bench.grantTask(bench.reports, 2)});
+        check(bench.worker.runs(bench.Task));
+    });
+    section("a task that does not fit is refused for good, under this attempt", [] {
+        keeper_bench bench;
+        bench.fits = false;
+        bench.feed(grant_received{bench.grantTask(bench.reports, 1)});
+        check(bench.counted(keeper_count::OverCapacity));
+        bench.fits = true;
+        bench.pass(seconds(2));
+        const auto reports = only<send_report>(bench.actions);
+        require(reports.size() == 1 && reports[0].report.events.size() == 1);
+        check(reports[0].report.events[0].kind == task_event_kind::Refused);
+        bench.feed(grant_received{bench.grantTask(bench.reports, 1)});
+        check(!bench.worker.runs(bench.Task));
+    });
+    section("a start meant for an earlier life of the instance", [] {
+        keeper_bench bench;
+        const auto actions =
+                bench.keeper.handle(grant_received{bench.grantTask(bench.reports, 1)}, bench.now);
+        worker_tasks next(2);
+        next.list({1}, bench.now);
+        check(next.start(only<worker_start>(actions).front(), bench.now) == start_answer::TooLate);
+    });
+}
+
+// A worker is silent. Its task of class Lease may start elsewhere only when no lease can be left,
+// and the worker gets nothing before the table has taken back that it is silent.
+Test(work, a_silent_worker)
+{
+    const auto place = [](table_bench &bench, const std::string &job, failover_class failover) {
+        job_spec spec;
+        spec.id = job;
+        spec.generation = 1;
+        spec.tasks = 1;
+        spec.failover = failover;
+        bench.feed(job_accepted{spec});
+        bench.settle(*bench.nextCommit());
+        bench.feed(place_decided{{job, 0}, "w", false});
+        bench.settle(*bench.nextCommit());
+    };
+    const auto pass = [](table_bench &bench, int length) {
+        for (int i = 0; i < length; ++i) {
+            if (const auto commit = bench.nextCommit(seconds(1)))
+                bench.settle(*commit);
+        }
+    };
+    table_bench bench;
+    bench.report("w", 1);
+    place(bench, "lease", failover_class::Lease);
+    place(bench, "proof", failover_class::Proof);
+    bench.report("w", 2);
+    pass(bench, 15);
+    check(bench.table.find({"lease", 0}).state == task_state::Placed);
+    pass(bench, 4);
+    check(bench.table.placeable({"lease", 0}));
+    check(bench.table.find({"proof", 0}).state == task_state::Placed);
+
+    section("it is back: no grant before the table says so", [&] {
+        bench.report("w", 3);
+        check(only<send_grant>(bench.actions).empty());
+        check(!bench.table.mayPlaceOn("w"));
+        bench.settle(*bench.nextCommit());
+        bench.report("w", 4);
+        check(only<send_grant>(bench.actions).size() == 1);
+    });
+    section("a newer life of its instance proves that the rest has ended", [&] {
+        bench.feed(report_received{{"w", 2, "t", 1, 1, {}}});
+        bench.settle(*bench.nextCommit());
+        check(bench.table.placeable({"proof", 0}));
+    });
+    section("a success is acknowledged only when the table holds it", [&] {
+        bench.feed(place_decided{{"lease", 0}, "w", false});
+        bench.settle(*bench.nextCommit());
+        const task_event success{1, {"lease", 0}, 2, task_event_kind::Succeeded, "", ""};
+        bench.feed(report_received{{"w", 2, "t", 2, 1, {success}}});
+        check(only<send_grant>(bench.actions).front().grant.ackedThrough == 0);
+        bench.settle(*bench.nextCommit(seconds(2)));
+        bench.feed(report_received{{"w", 2, "t", 3, 1, {success}}});
+        check(only<send_grant>(bench.actions).front().grant.ackedThrough == 1);
+    });
+    section("past its own horizon the owner gives no lease", [&] {
+        bench.feed(horizon_moved{bench.now});
+        bench.feed(report_received{{"w", 2, "t", 4, 1, {}}});
+        check(only<send_grant>(bench.actions).front().grant.lease.count() == 0);
+    });
+    section("a pause of the owner is not the silence of its workers", [] {
+        table_bench paused;
+        paused.report("w", 1);
+        job_spec spec;
+        spec.id = "lease";
+        spec.generation = 1;
+        spec.tasks = 1;
+        paused.feed(job_accepted{spec});
+        paused.settle(*paused.nextCommit());
+        paused.feed(place_decided{{"lease", 0}, "w", false});
+        paused.settle(*paused.nextCommit());
+        check(!paused.nextCommit(seconds(100)).has_value());
+        paused.report("w", 2);
+        check(only<send_grant>(paused.actions).size() == 1);
+    });
+}
+
 // Whoever owns a shard must not be decided twice; an outage must not look like a dead owner.
 Test(work, ownership_of_a_shard)
 {
