Work: a backlog task starts when the placer finds room, or is taken back; index of placeable tasks

placeableTasks() was a walk over every task of every job; it is a set that follows the settled rows. Operation ids of task rows name the epoch: a process that loses a shard and takes it again counts from one, and a row of its first tenure would have passed for a write of the second.

--- a/libs/work/task_keeper.cpp
+++ b/libs/work/task_keeper.cpp
@@ -321,12 +321,13 @@
         m_actions.emplace_back(worker_stop{attempt});
 }
 
+// An attempt that is not here has nothing to checkpoint: it is only told never to start.
 void task_keeper::takeCheckpoint(const task_attempt &attempt)
 {
     const auto kept = m_tasks.find(attempt.task);
-    if (kept == m_tasks.end() || kept->second.attempt != attempt.attempt)
-        return;
-    if (kept->second.state == kept_state::Running)
+    if (kept == m_tasks.end() || kept->second.attempt < attempt.attempt)
+        takeStop(attempt);
+    else if (kept->second.attempt == attempt.attempt && kept->second.state == kept_state::Running)
         m_actions.emplace_back(worker_checkpoint{attempt, checkpointName(attempt)});
 }
 
--- a/libs/work/task_store.cpp
+++ b/libs/work/task_store.cpp
@@ -206,14 +206,19 @@
 
 bool task_store::inFlight(const task_id &task) const
 {
-    const auto job = m_jobs.find(task.job);
-    if (job != m_jobs.end() && (job->second.sent || job->second.wanted))
+    if (jobInFlight(task.job))
         return true;
     const chunk_state *chunk = findChunk(task);
     return chunk != nullptr
            && (chunk->sent.contains(task.index) || chunk->wanted.contains(task.index));
 }
 
+bool task_store::jobInFlight(const std::string &id) const
+{
+    const auto job = m_jobs.find(id);
+    return job != m_jobs.end() && (job->second.sent || job->second.wanted);
+}
+
 bool task_store::known(const task_id &task) const
 {
     const stored_job *found = job(task.job);
@@ -597,10 +602,8 @@
     }
     auto &job = m_jobs[row.job];
     if (row.kind == row_kind::Job) {
-        const bool before = job.settled && job.settled->cancelled;
         job.settled = std::exchange(job.sent, std::nullopt);
-        if (job.settled->cancelled && !before)
-            m_cancelledNow.push_back(row.job);
+        m_settledJobs.push_back(row.job);
         return;
     }
     chunk_state &chunk = m_chunks[row];
@@ -684,6 +687,7 @@
     versionOf(*id) = row.version;
     if (id->kind == row_kind::Job) {
         m_jobs[id->job].settled = storedJobFromJson(row.value);
+        m_settledJobs.push_back(id->job);
         return;
     }
     m_silent.settled.emplace();
--- a/libs/work/task_store.h
+++ b/libs/work/task_store.h
@@ -97,7 +97,7 @@
 {
 public:
     // `shardVersion` of the shard's row: every write is conditional on it. `operationPrefix` is
-    // unique for each process and shard.
+    // unique for each tenure of a shard.
     task_store(int shard, std::uint64_t shardVersion, std::string operationPrefix,
                store_settings settings);
 
@@ -111,6 +111,7 @@
     task_record settled(const task_id &task) const;   // as the table holds it
     bool inFlight(const task_id &task) const;         // the two may differ
     bool known(const task_id &task) const;            // in the range of a job
+    bool jobInFlight(const std::string &id) const;
     // Lazy: nobody waits for this change.
     void want(const task_id &task, const task_record &record, time_point now, bool lazy = false);
 
@@ -131,8 +132,8 @@
 
     std::vector<store_action> takeActions() { return std::exchange(m_actions, {}); }
     std::vector<record_change> takeChanges() { return std::exchange(m_changes, {}); }
-    // Jobs whose cancellation the table now holds.
-    std::vector<std::string> takeCancelled() { return std::exchange(m_cancelledNow, {}); }
+    // Jobs whose row has been written, or loaded.
+    std::vector<std::string> takeSettledJobs() { return std::exchange(m_settledJobs, {}); }
 
 private:
     static constexpr std::uint32_t ChunkTasks = 64;
@@ -231,7 +232,7 @@
     time_point m_retryAt;
     std::vector<store_action> m_actions;
     std::vector<record_change> m_changes;
-    std::vector<std::string> m_cancelledNow;
+    std::vector<std::string> m_settledJobs;
 };
 
 } // namespace zinniabarrow
--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -33,6 +33,13 @@
         {table_count::StrayStopped, "stray_stopped"},
 }};
 
+// A process that loses a shard and takes it again counts its operations from one: without the
+// epoch, a row that its first tenure wrote would pass for one that the second has just written.
+std::string tenurePrefix(const std::string &prefix, const table_owner &owner)
+{
+    return prefix + "/" + std::to_string(owner.shard) + "." + std::to_string(owner.epoch);
+}
+
 bool isEnd(task_event_kind kind)
 {
     return kind != task_event_kind::Started && kind != task_event_kind::Checkpointed;
@@ -54,7 +61,7 @@
                        table_settings settings)
     : m_owner(owner)
     , m_settings(settings)
-    , m_store(owner.shard, owner.shardVersion, operationPrefix, settings.store)
+    , m_store(owner.shard, owner.shardVersion, tenurePrefix(operationPrefix, owner), settings.store)
 { }
 
 std::vector<table_action> task_table::handle(const table_event &event, time_point now)
@@ -88,24 +95,6 @@
            && m_store.settled(task).state == task_state::Pending;
 }
 
-std::vector<task_id> task_table::placeableTasks(std::size_t most) const
-{
-    std::vector<task_id> tasks;
-    for (const auto &id : m_store.jobs()) {
-        const stored_job *job = m_store.job(id);
-        if (job == nullptr || job->cancelled)
-            continue;
-        for (std::uint32_t index = 0; index < job->range; ++index) {
-            const task_id task{id, job->spec.firstTask + index};
-            if (tasks.size() >= most)
-                return tasks;
-            if (placeable(task))
-                tasks.push_back(task);
-        }
-    }
-    return tasks;
-}
-
 std::vector<std::pair<task_id, task_record>> task_table::occupying() const
 {
     std::vector<std::pair<task_id, task_record>> tasks;
@@ -143,6 +132,7 @@
         job.range = std::max(known->range, job.spec.tasks);
     }
     m_store.wantJob(job, now);
+    dropPlaceable(job.spec.id);
     resize(job, now);
 }
 
@@ -171,6 +161,7 @@
     stored_job job = *known;
     job.cancelled = true;
     m_store.wantJob(job, now);
+    dropPlaceable(event.job);
 }
 
 // Placement and eviction.
@@ -216,6 +207,15 @@
     m_pushTo.insert(record.worker);
 }
 
+void task_table::on(const start_ahead_decided &event, time_point)
+{
+    const task_record record = m_store.settled(event.task);
+    if (record.state != task_state::Placed || !record.ahead || m_store.inFlight(event.task))
+        return;
+    softOf(event.task, record.attempt).mayStart = true;
+    m_pushTo.insert(record.worker);
+}
+
 // Reports.
 
 void task_table::on(const report_received &event, time_point now)
@@ -476,7 +476,8 @@
         return;
     const granted_task granted{task, record.attempt, job->spec.failover, record.checkpoint,
                                newerCheckpoints(task, record)};
-    (record.ahead ? grant.backlog : grant.tasks).push_back(granted);
+    const bool ahead = record.ahead && (soft == nullptr || !soft->mayStart);
+    (ahead ? grant.backlog : grant.tasks).push_back(granted);
     grant.specs[task.job] = job->spec.spec;
 }
 
@@ -561,6 +562,7 @@
 void task_table::want(const task_id &task, const task_record &record, time_point now, bool lazy)
 {
     m_store.want(task, record, now, lazy);
+    refreshPlaceable(task);
     if (occupies(record))
         m_onWorker[record.worker].insert(task);
 }
@@ -592,7 +594,7 @@
 {
     soft_state &soft = m_soft[task];
     if (soft.attempt != attempt)
-        soft = {attempt, {}, false};
+        soft = {attempt, {}, false, false};
     return soft;
 }
 
@@ -643,8 +645,8 @@
 {
     for (const auto &change : m_store.takeChanges())
         settle(change);
-    for (const auto &job : m_store.takeCancelled())
-        settleCancelled(job);
+    for (const auto &job : m_store.takeSettledJobs())
+        settleJob(job);
     for (auto &action : m_store.takeActions())
         std::visit([&](auto &one) { m_actions.emplace_back(std::move(one)); }, action);
 }
@@ -653,6 +655,7 @@
 {
     index(change.task, change.before.worker);
     index(change.task, change.after.worker);
+    refreshPlaceable(change.task);
     const task_record &after = change.after;
     if (change.reverted) {
         emit(change.task, task_change::Reverted, after, after.worker);
@@ -674,9 +677,19 @@
         m_soft.erase(change.task);
 }
 
-void task_table::settleCancelled(const std::string &job)
+void task_table::settleJob(const std::string &id)
 {
-    for (const auto &task : m_store.touched(job)) {
+    const stored_job *job = m_store.job(id);
+    if (job == nullptr || m_store.jobInFlight(id))
+        return;
+    if (!job->cancelled) {
+        for (std::uint32_t index = 0; index < job->range; ++index)
+            refreshPlaceable({id, job->spec.firstTask + index});
+        return;
+    }
+    if (!m_cancelled.insert(id).second)
+        return;
+    for (const auto &task : m_store.touched(id)) {
         const task_record record = m_store.settled(task);
         if (occupies(record))
             m_pushTo.insert(record.worker);
@@ -685,6 +698,21 @@
     }
 }
 
+void task_table::refreshPlaceable(const task_id &task)
+{
+    if (placeable(task))
+        m_placeable.insert(task);
+    else
+        m_placeable.erase(task);
+}
+
+void task_table::dropPlaceable(const std::string &job)
+{
+    auto it = m_placeable.lower_bound({job, 0});
+    while (it != m_placeable.end() && it->job == job)
+        it = m_placeable.erase(it);
+}
+
 void task_table::emit(const task_id &task, task_change change, const task_record &record,
                       const std::string &worker)
 {
--- a/libs/work/task_table.h
+++ b/libs/work/task_table.h
@@ -34,9 +34,13 @@
 {
     task_id task;
     std::string worker;
-    bool ahead = false; // backlog: started only while the table is down
+    bool ahead = false; // backlog: started while the table is down, or once start_ahead_decided
 };
-struct evict_decided
+struct evict_decided // checkpoint and free; a task that does not run is only freed
+{
+    task_id task;
+};
+struct start_ahead_decided // there is room now for a task that was placed ahead
 {
     task_id task;
 };
@@ -52,7 +56,7 @@
 { };
 using table_event =
         std::variant<job_accepted, cancel_job, place_decided, evict_decided, report_received,
-                     write_settled, rows_read, horizon_moved, table_tick>;
+                     start_ahead_decided, write_settled, rows_read, horizon_moved, table_tick>;
 
 // Actions; commit_rows, read_rows, scan_rows and fenced come from work/task_store.h.
 struct send_grant
@@ -61,7 +65,8 @@
 };
 
 // The placer's ledger follows these. A task counts against its worker from place_decided until
-// Vacated, Freed, Ended or Reverted.
+// Vacated, Freed, Ended or Reverted; one that was placed ahead only from start_ahead_decided or
+// Started.
 enum class task_change {
     Placed,   // the table holds the placement
     Started,  // the agent said that it runs
@@ -119,7 +124,7 @@
 class task_table
 {
 public:
-    // `operationPrefix` is unique for each process and shard.
+    // `operationPrefix` is unique for each process.
     task_table(table_owner owner, const std::string &operationPrefix, table_settings settings);
 
     std::vector<table_action> handle(const table_event &event, time_point now);
@@ -130,7 +135,7 @@
     task_record find(const task_id &task) const;
     // Settled as Pending, with no write on its way.
     bool placeable(const task_id &task) const;
-    std::vector<task_id> placeableTasks(std::size_t most) const;
+    const std::set<task_id> &placeableTasks() const { return m_placeable; } // by job and index
     // Every task that may run on a worker, settled or not: the ledger after a takeover.
     std::vector<std::pair<task_id, task_record>> occupying() const;
     bool mayPlaceOn(const std::string &worker) const; // attached, and not silent
@@ -156,12 +161,14 @@
         std::uint32_t attempt = 0;
         std::string startedBy; // session that said it runs
         bool evicting = false;
+        bool mayStart = false; // placed ahead, and there is room now
     };
 
     void on(const job_accepted &event, time_point now);
     void on(const cancel_job &event, time_point now);
     void on(const place_decided &event, time_point now);
     void on(const evict_decided &event, time_point now);
+    void on(const start_ahead_decided &event, time_point now);
     void on(const report_received &event, time_point now);
     void on(const write_settled &event, time_point now);
     void on(const rows_read &event, time_point now);
@@ -207,7 +214,9 @@
     void loaded(time_point now);
     void takeFromStore();
     void settle(const record_change &change);
-    void settleCancelled(const std::string &job);
+    void settleJob(const std::string &id);
+    void refreshPlaceable(const task_id &task);
+    void dropPlaceable(const std::string &job);
     void emit(const task_id &task, task_change change, const task_record &record,
               const std::string &worker);
     void count(table_count reason);
@@ -220,7 +229,9 @@
     std::map<std::string, worker_state> m_workers;
     std::map<std::string, std::set<task_id>> m_onWorker; // settled or wanted there
     std::map<task_id, soft_state> m_soft;
-    std::set<std::string> m_pushTo; // workers that get a grant at the end of this event
+    std::set<task_id> m_placeable;
+    std::set<std::string> m_cancelled; // jobs whose cancellation the table holds
+    std::set<std::string> m_pushTo;    // workers that get a grant at the end of this event
     std::vector<table_action> m_actions;
 };
 
--- a/tests/work_model.h
+++ b/tests/work_model.h
@@ -435,7 +435,7 @@
             m_evict.erase(task);
             step("evict", record.worker);
         }
-        for (const auto &task : entry.table->placeableTasks(20)) {
+        for (const auto &task : std::set<task_id>(entry.table->placeableTasks())) {
             std::string worker = roomFor(entry);
             if (worker.empty() && placeAhead)
                 feed(entry, place_decided{task, workers.begin()->first, true});
--- a/tests/work_test.cpp
+++ b/tests/work_test.cpp
@@ -300,7 +300,7 @@
     require(commit.has_value());
     check(commit->writes.size() == 1);
     bench.settle(*commit);
-    check(bench.table.placeableTasks(10).empty());
+    check(bench.table.placeableTasks().empty());
     check(bench.table.find({"wave", 4'999}).state == task_state::Cancelled);
 
     section("the placed one is stopped, and its rows go when it has ended", [&] {
@@ -391,6 +391,41 @@
     });
 }
 
+// A task that was placed ahead waits in the agent's backlog. It starts when the owner finds room,
+// or is taken back; taking it back must not cut off a task that the owner does not yet know to run.
+Test(work, a_task_placed_ahead)
+{
+    table_bench bench;
+    keeper_bench agent;
+    bench.submit("job", 1);
+    bench.settle(*bench.nextCommit());
+    bench.report("w", 1);
+    bench.feed(place_decided{{"job", 0}, "w", true});
+    bench.settle(*bench.nextCommit());
+    const auto grantNow = [&] {
+        bench.report("w", agent.reports);
+        worker_grant grant = only<send_grant>(bench.actions).front().grant;
+        agent.pass(milliseconds(100));
+        agent.feed(grant_received{grant});
+        return grant;
+    };
+    agent.pass(seconds(2));
+    check(grantNow().backlog.size() == 1 && !agent.worker.runs(agent.Task));
+
+    section("is taken back without ever running", [&] {
+        table_bench copy = bench;
+        keeper_bench other;
+        copy.feed(evict_decided{{"job", 0}});
+        other.feed(grant_received{only<send_grant>(copy.actions).front().grant});
+        check(only<worker_stop>(other.actions).size() == 1);
+    });
+    section("starts when there is room", [&] {
+        bench.feed(start_ahead_decided{{"job", 0}});
+        agent.pass(seconds(2));
+        check(grantNow().tasks.size() == 1 && agent.worker.runs(agent.Task));
+    });
+}
+
 // A scaled-down service loses its last replicas, and gets them back when it grows again.
 Test(work, a_newer_generation_resizes_a_job)
 {
@@ -402,12 +437,12 @@
     spec.tasks = 1;
     bench.feed(job_accepted{spec});
     bench.settle(*bench.nextCommit());
-    check(bench.table.placeableTasks(10).size() == 1);
+    check(bench.table.placeableTasks().size() == 1);
     spec.generation = 3;
     spec.tasks = 4;
     bench.feed(job_accepted{spec});
     bench.settle(*bench.nextCommit());
-    check(bench.table.placeableTasks(10).size() == 4);
+    check(bench.table.placeableTasks().size() == 4);
 }
 
 // What reaches an agent may be late, doubled, from an owner that was replaced, or meant for another
@@ -464,6 +499,14 @@
         check(bench.worker.start(only<worker_start>(actions).front(), bench.now)
               == start_answer::TooLate);
     });
+    section("a start that was held back, and is not too late, gains no time by it", [] {
+        keeper_bench bench;
+        const auto actions =
+                bench.keeper.handle(grant_received{bench.grantTask(bench.reports, 1)}, bench.now);
+        bench.worker.start(only<worker_start>(actions).front(), bench.now + seconds(14));
+        check(bench.worker.takeLapsed(bench.now + seconds(14)).empty());
+        check(bench.worker.takeLapsed(bench.now + seconds(15)).size() == 1);
+    });
     section("another session, another incarnation", [] {
         keeper_bench bench;
         worker_grant other = bench.grantTask(bench.reports, 1);
@@ -541,6 +584,10 @@
     check(bench.table.placeable({"lease", 0}));
     check(bench.table.find({"proof", 0}).state == task_state::Placed);
 
+    section("nothing is sent to it meanwhile", [&] {
+        bench.feed(evict_decided{{"proof", 0}});
+        check(only<send_grant>(bench.actions).empty());
+    });
     section("it is back: no grant before the table says so", [&] {
         bench.report("w", 3);
         check(only<send_grant>(bench.actions).empty());
