--- a/tests/work_test.cpp
+++ b/tests/work_test.cpp
@@ -682,9 +682,24 @@
         check(now - start <= seconds(10));
         check(until > now); // so a silent worker has to be waited for
         turn(first, false, true);
+        check(first.mayGrantUntil(0) <= until);
         turn(first, true, true);
         check(!first.owns(0));
     });
+    section("two entries decide to take it at the same moment: one of them gets it", [&] {
+        memory_platform fresh;
+        shard_owner c({"c", "z2"}, "c#1", shards, {});
+        shard_owner d({"d", "z2"}, "d#1", shards, {});
+        for (auto *owner : {&c, &d})
+            owner->handle(shard_rows_read{{}, now}, now);
+        const auto forC = only<commit_shard>(c.handle(ownership_tick{}, now));
+        const auto forD = only<commit_shard>(d.handle(ownership_tick{}, now));
+        require(forC.size() == 1 && forD.size() == 1);
+        const auto &[one, other] = std::pair{forC[0].transaction, forD[0].transaction};
+        c.handle(shard_write_settled{one.operationId, fresh.commit(one)}, now);
+        d.handle(shard_write_settled{other.operationId, fresh.commit(other)}, now);
+        check(c.owns(0) && !d.owns(0));
+    });
     section("a planned stop hands over at once", [&] {
         for (const auto &action : only<commit_shard>(second.handle(release_shards{}, now))) {
             const write_result result = platform.commit(action.transaction);
--- a/tests/work_writes_test.cpp
+++ b/tests/work_writes_test.cpp
@@ -29,6 +29,7 @@
     std::size_t starts = 0;
     std::size_t changes = 0;        // rows, if each task had one
     std::size_t changedWorkers = 0; // rows, if each worker had one
+    std::size_t messageBytes = 0;   // of reports and grants, without their transport
 };
 
 // One shard at its part of the peak: jobs of 500 tasks, placed in order, each running 60 to 160 s.
@@ -109,7 +110,9 @@
     {
         const std::string id = name(index);
         worker &one = m_states[id];
-        feed(report_received{{id, 1, id + "#1", ++one.sequence, 1, one.events}});
+        const agent_report report{id, 1, id + "#1", ++one.sequence, 1, one.events};
+        m_figures.messageBytes += compactJson(toJson(report)).size();
+        feed(report_received{report});
     }
     void addEvent(const std::string &id, const task_attempt &attempt, task_event_kind kind)
     {
@@ -149,6 +152,7 @@
     void act(const send_grant &action)
     {
         worker &one = m_states[action.grant.worker];
+        m_figures.messageBytes += compactJson(toJson(action.grant)).size();
         std::erase_if(one.events,
                       [&](const auto &event) { return event.number <= action.grant.ackedThrough; });
         for (const auto &task : action.grant.tasks) {
@@ -188,13 +192,15 @@
     fmt::print(stderr,
                "| {} shards | {:.1f} transactions/s | {:.1f} rows/s | {:.2f} rows per start |"
                " {:.0f} bytes per row | {:.0f} kB/s | row per worker: {:.1f} rows/s |"
-               " row per task: {:.1f} rows/s |\n",
+               " row per task: {:.1f} rows/s | {:.0f} bytes/s between an agent and its owner |\n",
                shards, static_cast<double>(one.transactions) * rate, rows, rows / starts,
                bytes / rows, bytes / 1'000, static_cast<double>(one.changedWorkers) * rate,
-               static_cast<double>(one.changes) * rate);
+               static_cast<double>(one.changes) * rate,
+               static_cast<double>(one.messageBytes) * rate / Workers);
     check(starts > StartsPerSecond * 0.97);
     check(rows < mostRows);
     check(bytes / rows < 1'300);
+    check(static_cast<double>(one.messageBytes) * rate / Workers < 320);
 }
 
 } // namespace
