config: a newcomer accepts nothing before it has listened to its peers

Cause: with the table restored from an older copy, an entry that had just started gave a generation number a second time, with another content than the one at work elsewhere. Change: no listing, so no acceptance, before peers have spoken or peerWait is over. Seen: generations_test failed in platform_restored before the change and passes after it.

--- a/libs/config/generations.cpp
+++ b/libs/config/generations.cpp
@@ -191,7 +191,9 @@
     append(actions, m_follower.offerStored(m_row.generation, m_row.digest, now));
     const bool holdsHighest =
             m_follower.generation() > 0 && m_follower.generation() >= m_highestAtAsking;
-    if (!isListingDue(now)) {
+    // A newcomer that knows no more than a row restored from an older copy would give a number
+    // anew that another entry already works by; so it accepts nothing before it has listened.
+    if (!hasListened(now) || !isListingDue(now)) {
         append(actions, endRound(now + m_settings.poll));
     } else if (isRowBehind() && holdsHighest) {
         ++m_counters.raisedAgain;
