Agents guard each attempt: doubled, late, misdirected and cancelled forwards do not run

Cause: the agent only knew attempts that waited; a forward that arrived again after its end, or one meant for an earlier life of the agent, would have run. Change: attempt_guard is asked on arrival and right before the start; entries name the agent's incarnation.

--- a/app/admission_duty.cpp
+++ b/app/admission_duty.cpp
@@ -5,6 +5,7 @@
 
 #include "app/answers.h"
 #include "base/errors.h"
+#include "delivery/request_flow.h"
 
 namespace zinniabarrow {
 
@@ -43,6 +44,11 @@
     return out;
 }
 
+std::string keyOf(const std::string &requestId, std::uint32_t attempt)
+{
+    return requestId + "/" + std::to_string(attempt);
+}
+
 error_kind kindOf(call_failure failure)
 {
     switch (failure) {
@@ -62,13 +68,15 @@
 } // namespace
 
 admission_duty::admission_duty(duty_system &system, const config::agent_settings &settings,
-                               metrics &counters, std::function<void()> unreachable)
+                               std::uint64_t incarnation, metrics &counters,
+                               std::function<void()> unreachable)
     : m_settings(settings)
     , m_metrics(counters)
     , m_unreachable(std::move(unreachable))
     , m_upstream({settings.upstream.address.address, settings.upstream.address.port},
                  upstreamLimits(settings))
     , m_admission(admissionSettings(settings))
+    , m_guard(incarnation, {})
 {
     m_duty = std::make_unique<duty<event>>(
             system, RingCapacity, [this](event &what) { handle(what); }, TickEvery,
@@ -81,42 +89,62 @@
 
 http_response admission_duty::serve(const http_request &request)
 {
-    const auto id = request.header(RequestIdHeader);
-    const auto key = id + "/" + request.header(AttemptHeader);
-    const auto remaining = std::atoll(request.header(DeadlineHeader).c_str());
+    const auto now = monotonic_clock::now();
+    delivery::incoming_attempt attempt;
+    attempt.requestId = request.header(RequestIdHeader);
+    attempt.attempt = static_cast<std::uint32_t>(std::atoll(request.header(AttemptHeader).c_str()));
+    attempt.incarnation =
+            static_cast<std::uint64_t>(std::atoll(request.header(IncarnationHeader).c_str()));
+    attempt.idempotent = delivery::isIdempotent(request.method);
+    attempt.deadline = now + milliseconds(std::atoll(request.header(DeadlineHeader).c_str()));
     ++m_inside;
-    http_response response;
-    if (id.empty() || remaining <= 0)
-        response = refusalAnswer(id.empty() ? error_kind::BadRequest : error_kind::DeadlinePassed);
-    else
-        response = admitAndRun(request, key, monotonic_clock::now() + milliseconds(remaining));
-    response.headers[RequestIdHeader] = id;
-    const auto now = load();
-    response.headers[LoadHeader] = std::to_string(now.inFlight) + "," + std::to_string(now.queued);
+    auto response = admitAndRun(request, attempt);
+    response.headers[RequestIdHeader] = attempt.requestId;
+    const auto current = load();
+    response.headers[LoadHeader] =
+            std::to_string(current.inFlight) + "," + std::to_string(current.queued);
     --m_inside;
     return response;
 }
 
-http_response admission_duty::admitAndRun(const http_request &request, const std::string &key,
-                                          time_point deadline)
+http_response admission_duty::admitAndRun(const http_request &request,
+                                          const delivery::incoming_attempt &attempt)
 {
+    const auto key = keyOf(attempt.requestId, attempt.attempt);
     auto decided = std::make_shared<std::promise<verdict>>();
     auto decision = decided->get_future();
-    arrival arriving{{key, request.header(ServiceHeader), request.header(TeamHeader), 0, deadline},
-                     decided};
+    arrival arriving{
+            {key, request.header(ServiceHeader), request.header(TeamHeader), 0, attempt.deadline},
+            attempt,
+            decided};
     if (!m_duty->post(std::move(arriving)))
         return refuse(
                 {key, error_kind::Overloaded, answerFor(error_kind::Overloaded).comeBackAfter});
     const auto chosen = decision.get();
     if (const auto *refusal = std::get_if<request::admission::refuse>(&chosen))
         return refuse(*refusal);
+    if (const auto *refusal = std::get_if<delivery::guard_refusal>(&chosen)) {
+        m_metrics.count("attempts_refused_total", nameOf(refusal->kind));
+        auto response = refusalAnswer(refusal->kind, refusal->ran, milliseconds(0));
+        if (refusal->ended)
+            response.headers[EndedHeader] = "yes";
+        return response;
+    }
     const auto startedAt = monotonic_clock::now();
     // A process that was paused checks again right before the act: the deadline may be over.
-    http_response response = startedAt < deadline ? runAtUpstream(request, deadline)
-                                                  : refusalAnswer(error_kind::DeadlinePassed);
+    http_response response = startedAt < attempt.deadline
+                                     ? runAtUpstream(request, attempt.deadline)
+                                     : refusalAnswer(error_kind::DeadlinePassed);
+    ending over{{key, monotonic_clock::now() - startedAt},
+                attempt.requestId,
+                attempt.attempt,
+                executed::Unknown};
+    if (response.header(ExecutedHeader) == nameOf(executed::No))
+        over.ran = executed::No;
+    else if (response.header(ErrorHeader).empty())
+        over.ran = executed::Yes;
     // A slot that is never given back would be lost: the ring is sized for every connection.
-    const auto took = monotonic_clock::now() - startedAt;
-    while (!m_duty->post(request::admission::finished{key, took}))
+    while (!m_duty->post(over))
         m_metrics.count("ring_full_total", "finished");
     return response;
 }
@@ -146,9 +174,9 @@
     return response;
 }
 
-void admission_duty::cancel(const std::string &key)
+void admission_duty::cancel(const std::string &requestId, std::uint32_t attempt)
 {
-    m_duty->post(request::admission::cancelled{key});
+    m_duty->post(cancelling{requestId, attempt});
 }
 
 void admission_duty::drain()
@@ -175,27 +203,44 @@
 
 void admission_duty::handle(event &what)
 {
-    if (auto *arriving = std::get_if<arrival>(&what)) {
-        // The same attempt twice (a doubled message) must not replace the one that waits.
-        if (!m_waitingFor.emplace(arriving->event.id, arriving->decided).second) {
-            arriving->decided->set_value(request::admission::refuse{
-                    arriving->event.id, error_kind::Conflict, milliseconds(0)});
-            return;
-        }
-        feed(arriving->event);
-    } else if (const auto *finished = std::get_if<request::admission::finished>(&what)) {
-        feed(*finished);
-    } else if (const auto *cancelled = std::get_if<request::admission::cancelled>(&what)) {
-        feed(*cancelled);
-        const auto waiting = m_waitingFor.find(cancelled->id);
-        if (waiting != m_waitingFor.end()) {
-            waiting->second->set_value(request::admission::refuse{
-                    cancelled->id, error_kind::DeadlinePassed, milliseconds(0)});
-            m_waitingFor.erase(waiting);
-        }
-    } else {
-        feed(request::admission::drain_started{});
+    const auto now = monotonic_clock::now();
+    std::visit([&](auto &each) { on(each, now); }, what);
+}
+
+void admission_duty::on(arrival &what, time_point now)
+{
+    // A doubled, late or misdirected forward must not run.
+    if (const auto refusal = m_guard.arrived(what.attempt, now)) {
+        what.decided->set_value(*refusal);
+        return;
     }
+    m_attempts[what.event.id] = {what.attempt, what.decided};
+    feed(what.event);
+}
+
+void admission_duty::on(const ending &what, time_point now)
+{
+    m_guard.ended(what.requestId, what.attempt, what.ran, now);
+    feed(what.event);
+}
+
+void admission_duty::on(const cancelling &what, time_point now)
+{
+    if (!m_guard.cancelled(what.requestId, what.attempt, now))
+        return; // it runs, or was never here: its end decides
+    const auto key = keyOf(what.requestId, what.attempt);
+    feed(request::admission::cancelled{key});
+    const auto waiting = m_attempts.find(key);
+    if (waiting == m_attempts.end())
+        return;
+    waiting->second.decided->set_value(
+            request::admission::refuse{key, error_kind::DeadlinePassed, milliseconds(0)});
+    m_attempts.erase(waiting);
+}
+
+void admission_duty::on(const request::admission::drain_started &what, time_point /*now*/)
+{
+    feed(what);
 }
 
 void admission_duty::tick()
@@ -205,18 +250,33 @@
 
 void admission_duty::feed(const request::admission::event &what)
 {
-    for (const auto &action : m_admission.handle(what, monotonic_clock::now())) {
-        const auto &id =
-                std::visit([](const auto &each) -> const std::string & { return each.id; }, action);
-        const auto waiting = m_waitingFor.find(id);
-        if (waiting == m_waitingFor.end())
-            continue;
-        waiting->second->set_value(action);
-        m_waitingFor.erase(waiting);
-    }
+    const auto now = monotonic_clock::now();
+    for (const auto &action : m_admission.handle(what, now))
+        decide(action, now);
     m_running = m_admission.running();
     m_waiting = m_admission.waiting();
     m_latencyMicroseconds = m_admission.serviceTime(m_settings.upstream.service).count();
 }
 
+void admission_duty::decide(const request::admission::action &action, time_point now)
+{
+    const auto &key =
+            std::visit([](const auto &each) -> const std::string & { return each.id; }, action);
+    const auto found = m_attempts.find(key);
+    if (found == m_attempts.end())
+        return;
+    const auto waiting = found->second;
+    m_attempts.erase(found);
+    const auto &attempt = waiting.attempt;
+    if (const auto *refusal = std::get_if<request::admission::refuse>(&action)) {
+        m_guard.ended(attempt.requestId, attempt.attempt, executed::No, now);
+        waiting.decided->set_value(*refusal);
+    } else if (const auto late = m_guard.start(attempt.requestId, attempt.attempt, now)) {
+        waiting.decided->set_value(*late);
+        feed(request::admission::finished{key, duration(0)}); // gives its slot back
+    } else {
+        waiting.decided->set_value(std::get<request::admission::start>(action));
+    }
+}
+
 } // namespace zinniabarrow
--- a/app/admission_duty.h
+++ b/app/admission_duty.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "config/settings.h"
+#include "delivery/attempt_guard.h"
 #include "request/admission.h"
 #include "request/announcement.h"
 #include "runtime/duty.h"
@@ -20,14 +21,14 @@
 {
 public:
     // `unreachable` is called when the upstream refused a connection.
-    admission_duty(duty_system &system, const config::agent_settings &settings, metrics &counters,
-                   std::function<void()> unreachable);
+    admission_duty(duty_system &system, const config::agent_settings &settings,
+                   std::uint64_t incarnation, metrics &counters, std::function<void()> unreachable);
     ~admission_duty();
 
     // Runs on the HTTP thread of an entry's connection until the request's end.
     http_response serve(const http_request &request);
     // The entry's caller is gone: a request that waits must not start.
-    void cancel(const std::string &key);
+    void cancel(const std::string &requestId, std::uint32_t attempt);
 
     void drain();
     bool drained() const { return m_running == 0 && m_waiting == 0 && m_inside == 0; }
@@ -35,20 +36,43 @@
     void stop();
 
 private:
-    using verdict = std::variant<request::admission::start, request::admission::refuse>;
+    using verdict = std::variant<request::admission::start, request::admission::refuse,
+                                 delivery::guard_refusal>;
     struct arrival
     {
-        request::admission::arrived event;
+        request::admission::arrived event; // its id is the key: request id and attempt
+        delivery::incoming_attempt attempt;
+        std::shared_ptr<std::promise<verdict>> decided;
+    };
+    struct ending
+    {
+        request::admission::finished event;
+        std::string requestId;
+        std::uint32_t attempt = 0;
+        executed ran = executed::Unknown;
+    };
+    struct cancelling
+    {
+        std::string requestId;
+        std::uint32_t attempt = 0;
+    };
+    using event = std::variant<arrival, ending, cancelling, request::admission::drain_started>;
+    struct waiting_attempt
+    {
+        delivery::incoming_attempt attempt;
         std::shared_ptr<std::promise<verdict>> decided;
     };
-    using event = std::variant<arrival, request::admission::finished, request::admission::cancelled,
-                               request::admission::drain_started>;
 
-    http_response admitAndRun(const http_request &request, const std::string &key,
-                              time_point deadline);
+    http_response admitAndRun(const http_request &request,
+                              const delivery::incoming_attempt &attempt);
     http_response runAtUpstream(const http_request &request, time_point deadline);
     http_response refuse(const request::admission::refuse &refusal);
     void handle(event &what);
+    void on(arrival &what, time_point now);
+    void on(const ending &what, time_point now);
+    void on(const cancelling &what, time_point now);
+    void on(const request::admission::drain_started &what, time_point now);
+    void decide(const request::admission::action &action, time_point now);
     void tick();
     void feed(const request::admission::event &what);
 
@@ -63,7 +87,8 @@
 
     // Touched by the duty's thread alone.
     request::admission m_admission;
-    std::map<std::string, std::shared_ptr<std::promise<verdict>>> m_waitingFor; // by request key
+    delivery::attempt_guard m_guard;
+    std::map<std::string, waiting_attempt> m_attempts; // that wait, by key
 
     std::unique_ptr<duty<event>> m_duty; // last: its thread uses all of the above
 };
--- a/app/agent.cpp
+++ b/app/agent.cpp
@@ -32,7 +32,8 @@
         , m_self(identityFor(settings.id))
         , m_log("agent", settings.id, settings.logLevel)
         , m_sender(m_duties, RpcTimeout, m_metrics)
-        , m_admission(m_duties, settings, m_metrics, [this] { m_probe->noteUnreachable(); })
+        , m_admission(m_duties, settings, m_self.incarnation, m_metrics,
+                      [this] { m_probe->noteUnreachable(); })
         , m_follow(m_duties, settings, m_sender, m_metrics, m_log)
         , m_endpoint(m_metrics, [this] { return m_ready.load(); })
         , m_server(addressOf(settings.listen), {EntryConnections, settings.maxBodyBytes},
@@ -100,8 +101,8 @@
     void bindMethods()
     {
         m_endpoint.bind("cancel", [this](const Json::Value &parameters) {
-            m_admission.cancel(stringMember(parameters, "id") + "/"
-                               + std::to_string(countMember(parameters, "attempt")));
+            m_admission.cancel(stringMember(parameters, "id"),
+                               static_cast<std::uint32_t>(countMember(parameters, "attempt")));
             return Json::Value(Json::objectValue);
         });
         m_endpoint.bind("drain", [this](const Json::Value & /*parameters*/) {
--- a/app/answers.h
+++ b/app/answers.h
@@ -9,6 +9,8 @@
 // Headers between caller, entry, agent and upstream.
 constexpr const char *RequestIdHeader = "Zb-Request-Id"; // echoed, so that an answer is matched
 constexpr const char *AttemptHeader = "Zb-Attempt";
+constexpr const char *IncarnationHeader = "Zb-Incarnation"; // of the agent that is meant
+constexpr const char *EndedHeader = "Zb-Ended";             // the attempt is not running any more
 constexpr const char *ServiceHeader = "Zb-Service";
 constexpr const char *TeamHeader = "Zb-Team";
 constexpr const char *DeadlineHeader = "Zb-Deadline-Ms"; // time that remains when it is sent
--- a/app/request_duty.cpp
+++ b/app/request_duty.cpp
@@ -102,7 +102,7 @@
         refused.kind = *kind;
         refused.ran = response.header(ExecutedHeader) == nameOf(executed::No) ? executed::No
                                                                               : executed::Unknown;
-        refused.ended = refused.ran == executed::No;
+        refused.ended = refused.ran == executed::No || response.header(EndedHeader) == "yes";
         refused.retryAfter = milliseconds(std::atoll(response.header("Zb-Retry-After-Ms").c_str()));
         return refused;
     }
@@ -243,6 +243,7 @@
     }
     out.headers[RequestIdHeader] = id;
     out.headers[AttemptHeader] = std::to_string(step.attempt);
+    out.headers[IncarnationHeader] = std::to_string(step.upstream.incarnation);
     out.headers[ServiceHeader] = target.service;
     out.headers[DeadlineHeader] = std::to_string(millisecondsUntil(step.deadline, startedAt));
 
