--- a/libs/work/task_store.cpp
+++ b/libs/work/task_store.cpp
@@ -602,8 +602,9 @@
     }
     auto &job = m_jobs[row.job];
     if (row.kind == row_kind::Job) {
+        const bool before = job.settled && job.settled->cancelled;
         job.settled = std::exchange(job.sent, std::nullopt);
-        m_settledJobs.push_back(row.job);
+        m_settledJobs.push_back({row.job, job.settled->cancelled && !before});
         return;
     }
     chunk_state &chunk = m_chunks[row];
@@ -687,7 +688,7 @@
     versionOf(*id) = row.version;
     if (id->kind == row_kind::Job) {
         m_jobs[id->job].settled = storedJobFromJson(row.value);
-        m_settledJobs.push_back(id->job);
+        m_settledJobs.push_back({id->job, false});
         return;
     }
     m_silent.settled.emplace();
--- a/libs/work/task_store.h
+++ b/libs/work/task_store.h
@@ -93,6 +93,13 @@
     }
 };
 
+// A job whose row has been written or loaded.
+struct settled_job
+{
+    std::string id;
+    bool cancelledNow = false; // by this write
+};
+
 class task_store
 {
 public:
@@ -132,8 +139,7 @@
 
     std::vector<store_action> takeActions() { return std::exchange(m_actions, {}); }
     std::vector<record_change> takeChanges() { return std::exchange(m_changes, {}); }
-    // Jobs whose row has been written, or loaded.
-    std::vector<std::string> takeSettledJobs() { return std::exchange(m_settledJobs, {}); }
+    std::vector<settled_job> takeSettledJobs() { return std::exchange(m_settledJobs, {}); }
 
 private:
     static constexpr std::uint32_t ChunkTasks = 64;
@@ -232,7 +238,7 @@
     time_point m_retryAt;
     std::vector<store_action> m_actions;
     std::vector<record_change> m_changes;
-    std::vector<std::string> m_settledJobs;
+    std::vector<settled_job> m_settledJobs;
 };
 
 } // namespace zinniabarrow
--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -514,6 +514,17 @@
     }
     m_tickedAt = now;
     checkSilent(now);
+    forgetWorkers(now);
+}
+
+// Instances that were replaced under another name.
+void task_table::forgetWorkers(time_point now)
+{
+    std::erase_if(m_workers, [&](const auto &item) {
+        const bool gone = now - item.second.reportedAt > m_settings.leases.horizon
+                          && now > item.second.leaseUntil;
+        return gone && tasksOn(item.first).empty();
+    });
 }
 
 void task_table::checkSilent(time_point now)
@@ -677,8 +688,9 @@
         m_soft.erase(change.task);
 }
 
-void task_table::settleJob(const std::string &id)
+void task_table::settleJob(const settled_job &settled)
 {
+    const std::string &id = settled.id;
     const stored_job *job = m_store.job(id);
     if (job == nullptr || m_store.jobInFlight(id))
         return;
@@ -687,7 +699,7 @@
             refreshPlaceable({id, job->spec.firstTask + index});
         return;
     }
-    if (!m_cancelled.insert(id).second)
+    if (!settled.cancelledNow)
         return;
     for (const auto &task : m_store.touched(id)) {
         const task_record record = m_store.settled(task);
--- a/libs/work/task_table.h
+++ b/libs/work/task_table.h
@@ -201,6 +201,7 @@
 
     // Silent workers.
     void checkSilent(time_point now);
+    void forgetWorkers(time_point now);
     time_point mayHoldLeaseUntil(const std::string &name, const worker_state &worker) const;
     void declareSilent(const std::string &name, time_point now);
 
@@ -214,7 +215,7 @@
     void loaded(time_point now);
     void takeFromStore();
     void settle(const record_change &change);
-    void settleJob(const std::string &id);
+    void settleJob(const settled_job &settled);
     void refreshPlaceable(const task_id &task);
     void dropPlaceable(const std::string &job);
     void emit(const task_id &task, task_change change, const task_record &record,
@@ -230,8 +231,7 @@
     std::map<std::string, std::set<task_id>> m_onWorker; // settled or wanted there
     std::map<task_id, soft_state> m_soft;
     std::set<task_id> m_placeable;
-    std::set<std::string> m_cancelled; // jobs whose cancellation the table holds
-    std::set<std::string> m_pushTo;    // workers that get a grant at the end of this event
+    std::set<std::string> m_pushTo; // workers that get a grant at the end of this event
     std::vector<table_action> m_actions;
 };
 
--- a/tests/work_test.cpp
+++ b/tests/work_test.cpp
@@ -343,6 +343,8 @@
                 });
                 bench.platform.commit(*commit); // the first one arrives late after all
                 const auto third = bench.nextCommit(seconds(10));
+                require(third.has_value());
+                check(third->operationId == commit->operationId);
                 bench.settle(*third);
                 require(bench.readBack());
             }
@@ -665,6 +667,17 @@
     shard_owner &first = a.owns(0) ? a : b;
     shard_owner &second = a.owns(0) ? b : a;
 
+    section("its horizon counts from before the renewal was sent", [&] {
+        pass(2, [&] { turn(second, true, true); });
+        const time_point sent = now;
+        const auto renewals = only<commit_shard>(first.handle(ownership_tick{}, now));
+        require(renewals.size() == 1);
+        now += seconds(4);
+        const table_transaction &renewal = renewals[0].transaction;
+        first.handle(shard_write_settled{renewal.operationId, platform.commit(renewal)}, now);
+        check(first.mayGrantUntil(0) == sent + lease_settings().horizon);
+        pass(2, [&] { turn(first, true, true), turn(second, true, true); });
+    });
     section("the table is down: nobody takes over, and the owner may grant", [&] {
         pass(60, [&] { turn(first, false, false), turn(second, false, false); });
         turn(second, true, true);
