--- a/tests/work_test.cpp
+++ b/tests/work_test.cpp
@@ -355,6 +355,39 @@
     }
 }
 
+// A process loses a shard and takes it again. Its second write of this tenure never reaches the
+// table; the row still carries the second write of its first tenure, which must not pass for it:
+// the success that the agent reported would be acknowledged and lost.
+Test(work, operation_ids_of_two_tenures)
+{
+    table_bench bench;
+    bench.submit("job", 1);
+    bench.settle(*bench.nextCommit());
+    bench.report("w", 1);
+    bench.feed(place_decided{{"job", 0}, "w", false});
+    bench.settle(*bench.nextCommit());
+
+    const write_result taken = bench.platform.commit(
+            {"take again", {}, {{shardKey(0), Json::Value(Json::objectValue)}}});
+    bench.table = task_table({0, 2, taken.sequence, {}}, "op", {});
+    bench.feed(rows_read{{}, bench.platform.scan("work/0/")});
+    bench.feed(horizon_moved{Never});
+    bench.submit("other", 1);
+    bench.settle(*bench.nextCommit());
+    const task_event success{1, {"job", 0}, 1, task_event_kind::Succeeded, "", ""};
+    bench.report("w", 2, {success});
+    const auto commit = bench.nextCommit(seconds(2));
+    require(commit.has_value());
+    bench.loseAnswer(*commit, false);
+    require(bench.readBack());
+    bench.report("w", 3, {success});
+    check(only<send_grant>(bench.actions).front().grant.ackedThrough == 0);
+    const auto again = bench.nextCommit(seconds(10));
+    require(again.has_value());
+    bench.settle(*again);
+    check(bench.table.find({"job", 0}).state == task_state::Done);
+}
+
 // Something else has changed one row of a group. The rest of the group must go on, and the changed
 // row is read again; otherwise one row would hold up all placements for ever.
 Test(work, a_conflict_on_one_row_leaves_the_rest_of_its_group)
@@ -644,6 +677,7 @@
     shard_owner b({"b", "z2"}, "b#1", shards, {});
     const std::vector<entry_info> both = {{"a", "z2"}, {"b", "z2"}};
     time_point now{seconds(1)};
+    std::optional<became_owner> newest;
     // One entry's turn: reads if `reads`, ticks, and commits what it asks for.
     const auto turn = [&](shard_owner &owner, bool reads, bool commits) {
         owner.handle(peers_changed{both}, now);
@@ -653,7 +687,9 @@
             write_result result{write_outcome::Refused, 0, {}};
             if (commits)
                 result = platform.commit(action.transaction);
-            owner.handle(shard_write_settled{action.transaction.operationId, result}, now);
+            const shard_write_settled settled{action.transaction.operationId, result};
+            for (const auto &became : only<became_owner>(owner.handle(settled, now)))
+                newest = became;
         }
     };
     const auto pass = [&](int secondsPassed, const std::function<void()> &body) {
@@ -719,8 +755,12 @@
             second.handle(shard_write_settled{action.transaction.operationId, result}, now);
         }
         check(second.released() && !second.owns(0));
+        const time_point mustWait = newest->waitForSilentUntil;
         pass(4, [&] { turn(first, true, true); });
         check(first.owns(0));
+        // The one before last did not stop as planned: its horizon still runs.
+        check(newest->waitForSilentUntil >= mustWait);
+        check(mustWait > now + seconds(1'000));
     });
 }
 
