delivery: a started row of this entry that it no longer holds is an unknown outcome

Cause: such a row (its record was lost) would have been reported as in progress for the key's life, since the entry itself is alive. Seen with the old rule: claim_book::repeats, key_in_progress.

--- a/libs/delivery/claim_book.cpp
+++ b/libs/delivery/claim_book.cpp
@@ -136,7 +136,8 @@
     if (open != m_open.end()) {
         const auto &row = open->second.row;
         // Until the table has taken it, a release frees nothing: another entry could be refused.
-        if (row.state == claim_state::NotRun)
+        const bool sameBody = row.requestHash == request.requestHash;
+        if (row.state == claim_state::NotRun || (row.state == claim_state::Started && sameBody))
             return claim_refused{error_kind::KeyInProgress};
         return verdictFor(row, request.requestHash);
     }
@@ -156,9 +157,10 @@
         return claim_refused{error_kind::AlreadyExecuted};
     if (row.state == claim_state::Unknown)
         return claim_refused{error_kind::OutcomeUnknown};
-    // Started. An entry that died, or that lost its record of the end, never completes it.
+    // Started. An entry that died, or that lost its record of the end, never completes it; this
+    // entry would still have it open.
     const bool mayEnd =
-            row.entryId == m_entryId || (m_alive(row.entryId) && row.era + MaxStartedEras >= m_era);
+            row.entryId != m_entryId && m_alive(row.entryId) && row.era + MaxStartedEras >= m_era;
     return claim_refused{mayEnd ? error_kind::KeyInProgress : error_kind::OutcomeUnknown};
 }
 
--- a/tests/claim_book_test.cpp
+++ b/tests/claim_book_test.cpp
@@ -127,6 +127,18 @@
         check(world.answers["e2/big"].front() == "already_executed");
         check(world.refusals["e2/big"].front().ran == executed::Yes);
     });
+    section("of a claim that this entry has lost sight of learn that its outcome is unknown", [&] {
+        const auto key = claimKey("tickets", "kartli", "lost");
+        world.send("e2/lost", "e2", milliseconds(2100), "POST", "lost");
+        world.runUntil(milliseconds(2500));
+        auto row = claimRowFromJson(world.platform.read(key)->value);
+        row.entryId = "e1";
+        row.state = claim_state::Started;
+        world.platform.commit({"test", {}, {{key, toJson(row)}}});
+        world.send("e1/lost", "e1", milliseconds(2600), "POST", "lost");
+        world.runUntil(milliseconds(3000));
+        check(world.answers["e1/lost"].front() == "outcome_unknown");
+    });
     section("reading needs no claim", [&] { check(world.answers["e1/get"].front() == "passed"); });
     section("an endless key is refused",
             [&] { check(world.answers["e1/endless"].front() == "bad_request"); });
