--- /dev/null
+++ b/bench/delivery_bench.cpp
@@ -0,0 +1,132 @@
+// Slopes of the delivery library: bytes and processor time for each request.
+#include <malloc.h>
+
+#include <benchmark/benchmark.h>
+#include <fmt/core.h>
+
+#include "delivery/attempt_guard.h"
+#include "delivery/request_flow.h"
+
+using namespace zinniabarrow;
+
+namespace {
+
+double usedBytes()
+{
+    const auto info = mallinfo2();
+    return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+request_arrived requestOf(int number, const std::string &key, time_point now)
+{
+    return {fmt::format("e1.1-{}", number),
+            "tickets",
+            "POST",
+            "/hold",
+            "kartli",
+            key,
+            1,
+            now + seconds(30)};
+}
+
+// Answers every action at once, as an entry with a healthy table and upstream.
+class healthy_entry
+{
+public:
+    void handle(const flow_event &event, time_point now)
+    {
+        for (const auto &action : m_flow.handle(event, now))
+            std::visit([&](const auto &each) { answer(each, now); }, action);
+    }
+
+private:
+    template <typename Action>
+    void answer(const Action &, time_point)
+    { }
+
+    void answer(const commit_claims &action, time_point now)
+    {
+        const write_result applied{write_outcome::Applied, ++m_sequence, {}};
+        handle(claims_committed{action.transaction.operationId, applied}, now);
+    }
+
+    void answer(const read_claims &action, time_point now)
+    {
+        Json::Value era(Json::objectValue);
+        era["era"] = 1;
+        handle(claims_read{action.readId, true, {{"claim-era", era, 1}}}, now);
+    }
+
+    void answer(const choose_upstream &action, time_point now)
+    {
+        handle(upstream_chosen{action.id, "a1"}, now);
+    }
+
+    void answer(const forward_request &action, time_point now)
+    {
+        handle(attempt_ended{action.id, action.attempt, m_answer}, now);
+    }
+
+    whole_answer m_answer{200, {}, 1024, std::string(1024, 'x')};
+    std::uint64_t m_sequence = 1;
+    request_flow m_flow{
+            "e1.1", {}, [](error_kind) { return true; }, [](const std::string &) { return true; }};
+};
+
+void remembered(benchmark::State &state)
+{
+    const auto count = static_cast<int>(state.range(0));
+    for (auto _ : state) {
+        const auto before = usedBytes();
+        attempt_guard guard(1, {});
+        for (int i = 0; i < count; ++i) {
+            const auto id = fmt::format("e1.1-{}", i);
+            guard.arrived({id, 1, 1, false, time_point(seconds(1))}, time_point{});
+            guard.start(id, 1, time_point{});
+            guard.ended(id, 1, executed::Yes, time_point{});
+        }
+        state.counters["bytes_each"] = (usedBytes() - before) / count;
+    }
+    state.SetItemsProcessed(state.iterations() * count);
+}
+
+void inFlight(benchmark::State &state)
+{
+    const auto count = static_cast<int>(state.range(0));
+    for (auto _ : state) {
+        const auto before = usedBytes();
+        request_flow flow(
+                "e1.1", {}, [](error_kind) { return true; },
+                [](const std::string &) { return true; });
+        for (int i = 0; i < count; ++i)
+            flow.handle(requestOf(i, "", time_point{}), time_point{});
+        state.counters["bytes_each"] = (usedBytes() - before) / count;
+    }
+    state.SetItemsProcessed(state.iterations() * count);
+}
+
+// Keyed requests from arrival to the record of their end, 1 KiB of answer kept.
+void keyedAndKept(benchmark::State &state)
+{
+    const auto count = static_cast<int>(state.range(0));
+    for (auto _ : state) {
+        const auto before = usedBytes();
+        healthy_entry entry;
+        time_point now{};
+        for (int i = 0; i < count; ++i) {
+            now += milliseconds(20);
+            entry.handle(requestOf(i, fmt::format("key-{}", i), now), now);
+            entry.handle(flow_tick{}, now + milliseconds(10));
+        }
+        state.counters["bytes_each"] = (usedBytes() - before) / count;
+    }
+    state.SetItemsProcessed(state.iterations() * count);
+}
+
+BENCHMARK(remembered)->Arg(20'000)->Arg(200'000);
+BENCHMARK(inFlight)->Arg(1000)->Arg(4000);
+BENCHMARK(keyedAndKept)->Arg(1000)->Arg(8000);
+
+} // namespace
+
+BENCHMARK_MAIN();
