--- a/tests/claim_book_test.cpp
+++ b/tests/claim_book_test.cpp
@@ -216,6 +216,33 @@
     check(world.runsOf["k"] == 1);
 }
 
+// The entry is stopped while the table is down. The caller has its answer already; the record of
+// the end is still to be written, so that a repeat elsewhere gets it. The entry waits for that, in
+// bounds.
+Test(claim_book, drain_in_an_outage)
+{
+    for (const int waits : {500, 5000}) {
+        delivery_world world;
+        world.refusing.clear();
+        world.settings.drainRecordTime = milliseconds(waits);
+        world.send("e1/1", "e1", milliseconds(100), "POST", "k");
+        world.runUntil(milliseconds(140));
+        check(world.answers["e1/1"].front() == "passed");
+        world.faults[world.step + 1] = fault::TableRefuses; // from 150 on, for two seconds
+        world.drain("e1", milliseconds(150));
+        world.runUntil(milliseconds(10'000));
+        const auto row = world.platform.read(claimKey("tickets", "kartli", "k"));
+        const auto drainedAt = world.drainedAt.at("e1");
+        if (waits == 500) {
+            check(drainedAt == time_point(milliseconds(650)));
+            continue;
+        }
+        check(claimRowFromJson(row->value).state == claim_state::Finished);
+        check(drainedAt >= time_point(milliseconds(2150)));
+        check(drainedAt <= time_point(milliseconds(2500)));
+    }
+}
+
 // The table does not answer for longer than a claim may wait.
 Test(claim_book, patience)
 {
