--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -377,6 +377,66 @@
     });
 }
 
+// A service of low priority is no reason to stop batch work of normal priority.
+Test(placer, preemptionFollowsPriority)
+{
+    scene world(1);
+    world.pending(batchTask("season", 0, WorkerSize));
+    world.start();
+    auto service = serviceTask("reports", 0, {1'000, 0, 0});
+    service.priority = task_priority::Low;
+    world.pending(service);
+    world.plan();
+    section("a low service waits", [&] { check(world.actions.empty()); });
+    section("a normal one does not", [&] {
+        world.pending(serviceTask("tickets", 0, {1'000, 0, 0}));
+        world.plan();
+        check(world.taken<preempt_action>().size() == 1);
+    });
+}
+
+// A class of batch tasks was seen to slow the service on the only worker. Placing more of it there
+// makes gate purchases late; it has to wait, and to say why, but not for ever.
+Test(placer, batchWaitsWhereItWouldSlowAService)
+{
+    placer_settings settings;
+    settings.weights = {0.7, 0.2, 0.1};
+    settings.relieveServices = false;
+    scene world(1, settings);
+    world.pending(serviceTask("tickets", 0, {4'000, Gigabyte, 0}));
+    const auto service = world.start().at(0);
+    for (int round = 0; round < 20; ++round) {
+        world.now += seconds(10);
+        world.pending(batchTask("noisy", round, {2'000, Gigabyte, 0}));
+        const auto noisy = world.start();
+        world.now += seconds(10);
+        world.latency(service, noisy.empty() ? 0.9 : 2.0);
+        for (const auto &placed : noisy)
+            world.subject.taskEnded(placed.task, placed.worker, world.now);
+        world.now += seconds(10);
+        world.latency(service, 0.9);
+    }
+    const auto first = world.now;
+    world.subject.cancelJob("noisy", world.now);
+    auto more = batchTask("more", 0, {2'000, Gigabyte, 0});
+    more.jobClass = "noisy";
+    world.pending(more);
+    world.plan();
+    section("it waits, and says why", [&] {
+        check(world.taken<place_action>().empty());
+        check(world.subject.explain(more.ref(), world.now).find("slow") != std::string::npos);
+    });
+    section("another class does not wait", [&] {
+        world.pending(batchTask("quiet", 0, {500, Gigabyte, 0}));
+        check(world.start().size() == 1);
+    });
+    section("its worth grows while it waits", [&] {
+        while (world.start().empty() && world.now - first < std::chrono::hours(2))
+            world.now += seconds(30);
+        check(world.now - first >= seconds(30) && world.now - first < std::chrono::hours(2));
+    });
+}
+
 // Thousands of tasks are cancelled at once while some run, some are being placed and some wait, and
 // messages about them arrive late. None may start afterwards.
 Test(placer, cancellationWave)
