placement: tasks taken in before their job is known are left alone

Cause: a new owner that adopts the table's tasks with a bare specification makes lease watchers and services look like plain batch, which urgent work may evict. Change: a task whose specification has no pool is neither evicted nor throttled; taskPlaced may be repeated with the whole specification. With the check switched off the new test saw the watcher preempted.

--- a/libs/placement/preemption.cpp
+++ b/libs/placement/preemption.cpp
@@ -32,7 +32,8 @@
     if (entry.state != entry_state::Running && entry.state != entry_state::Placed)
         return false;
     const auto *job = m_tasks.findJob(task.jobId);
-    if (!job || job->spec.kind != task_kind::Batch || job->spec.failover == failover_class::Proof)
+    if (!job || job->spec.pool.empty() || job->spec.kind != task_kind::Batch
+        || job->spec.failover == failover_class::Proof)
         return false;
     return job->spec.priority != task_priority::Urgent && job->rank > rank;
 }
--- a/libs/placement/scheduler.h
+++ b/libs/placement/scheduler.h
@@ -59,7 +59,10 @@
 
     // Known tasks are not queued twice; an edited specification counts for later placements.
     void taskPending(const task_spec &task, time_point now);
-    // Takes in a placement that the table already holds, even when it does not fit.
+    // Takes in a placement that the table already holds, even when it does not fit. Give the whole
+    // specification and what was reserved, not only what was declared; before the job's
+    // configuration is known leave the pool empty, and call it again when it is: until then the
+    // task is never evicted or throttled, and a service is not watched.
     void taskPlaced(const task_spec &task, const std::string &worker, const resources &reserved,
                     entry_state state, time_point now);
     void taskSettled(const task_ref &task, const std::string &worker, placement_outcome outcome,
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -377,6 +377,30 @@
     });
 }
 
+// A new owner takes in what the table holds before it has read the configuration. A lease watcher
+// then looks like any task of batch; evicting it for urgent work would restart it.
+Test(placer, takenInTasksAreNotEvicted)
+{
+    scene world(1);
+    auto watcher = batchTask("watcher", 0, WorkerSize);
+    auto bare = watcher;
+    bare.pool.clear();
+    world.subject.taskPlaced(bare, "w0", WorkerSize, entry_state::Running, world.now);
+    auto urgent = batchTask("gate", 0, {1'000, 0, 0});
+    urgent.priority = task_priority::Urgent;
+    world.pending(urgent);
+    section("left alone while its job is not known", [&] {
+        world.plan();
+        check(world.actions.empty());
+    });
+    section("evicted once it is known to be plain batch", [&] {
+        world.subject.taskPlaced(watcher, "w0", WorkerSize, entry_state::Running, world.now);
+        world.now += seconds(1);
+        world.plan();
+        check(world.taken<preempt_action>().size() == 1);
+    });
+}
+
 // A service of low priority is no reason to stop batch work of normal priority.
 Test(placer, preemptionFollowsPriority)
 {
