--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -346,6 +346,121 @@
     });
 }
 
+// Room is made for an urgent task; before it can start, its team reaches its quota. The task is not
+// tried any more, and the room it holds would stay empty for ever.
+Test(placer, heldRoomExpires)
+{
+    scene world(1);
+    world.subject.setTeam({"gates", 1, {8'000, 0, 0}});
+    world.pending(batchTask("season", 0, {8'000, Gigabyte, 0}), 2);
+    world.start();
+    auto urgent = batchTask("gate", 0, {8'000, Gigabyte, 0});
+    urgent.priority = task_priority::Urgent;
+    urgent.team = "gates";
+    world.pending(urgent);
+    world.plan();
+    const auto victims = world.taken<preempt_action>();
+    require(victims.size() == 1);
+    urgent.jobId = "elsewhere"; // found in the table, on a worker of another scheduler
+    world.subject.taskPlaced(urgent, "w9", urgent.declared, entry_state::Running, world.now);
+    world.subject.taskReleased(victims[0].victim, "w0", world.now);
+    section("at first the room is kept", [&] { check(world.start().empty()); });
+    section("then others get it", [&] {
+        world.now += seconds(3);
+        world.plan();
+        const auto placed = world.start();
+        require(placed.size() == 1);
+        check(placed[0].task == victims[0].victim);
+    });
+    section("and the urgent task goes on waiting, with its reason", [&] {
+        check(world.subject.explain({"gate", 0}, world.now).find("quota") != std::string::npos);
+    });
+}
+
+// A new owner takes in what the table holds before it has read the configuration. A lease watcher
+// then looks like any task of batch; evicting it for urgent work would restart it.
+Test(placer, takenInTasksAreNotEvicted)
+{
+    scene world(1);
+    auto watcher = batchTask("watcher", 0, WorkerSize);
+    auto bare = watcher;
+    bare.pool.clear();
+    world.subject.taskPlaced(bare, "w0", WorkerSize, entry_state::Running, world.now);
+    auto urgent = batchTask("gate", 0, {1'000, 0, 0});
+    urgent.priority = task_priority::Urgent;
+    world.pending(urgent);
+    section("left alone while its job is not known", [&] {
+        world.plan();
+        check(world.actions.empty());
+    });
+    section("evicted once it is known to be plain batch", [&] {
+        world.subject.taskPlaced(watcher, "w0", WorkerSize, entry_state::Running, world.now);
+        world.now += seconds(1);
+        world.plan();
+        check(world.taken<preempt_action>().size() == 1);
+    });
+}
+
+// A service of low priority is no reason to stop batch work of normal priority.
+Test(placer, preemptionFollowsPriority)
+{
+    scene world(1);
+    world.pending(batchTask("season", 0, WorkerSize));
+    world.start();
+    auto service = serviceTask("reports", 0, {1'000, 0, 0});
+    service.priority = task_priority::Low;
+    world.pending(service);
+    world.plan();
+    section("a low service waits", [&] { check(world.actions.empty()); });
+    section("a normal one does not", [&] {
+        world.pending(serviceTask("tickets", 0, {1'000, 0, 0}));
+        world.plan();
+        check(world.taken<preempt_action>().size() == 1);
+    });
+}
+
+// A class of batch tasks was seen to slow the service on the only worker. Placing more of it there
+// makes gate purchases late; it has to wait, and to say why, but not for ever.
+Test(placer, batchWaitsWhereItWouldSlowAService)
+{
+    placer_settings settings;
+    settings.weights = {0.7, 0.2, 0.1};
+    settings.relieveServices = false;
+    scene world(1, settings);
+    world.pending(serviceTask("tickets", 0, {4'000, Gigabyte, 0}));
+    const auto service = world.start().at(0);
+    for (int round = 0; round < 20; ++round) {
+        world.now += seconds(10);
+        world.pending(batchTask("noisy", round, {2'000, Gigabyte, 0}));
+        const auto noisy = world.start();
+        world.now += seconds(10);
+        world.latency(service, noisy.empty() ? 0.9 : 2.0);
+        for (const auto &placed : noisy)
+            world.subject.taskEnded(placed.task, placed.worker, world.now);
+        world.now += seconds(10);
+        world.latency(service, 0.9);
+    }
+    const auto first = world.now;
+    world.subject.cancelJob("noisy", world.now);
+    auto more = batchTask("more", 0, {2'000, Gigabyte, 0});
+    more.jobClass = "noisy";
+    world.pending(more);
+    world.plan();
+    section("it waits, and says why", [&] {
+        check(world.taken<place_action>().empty());
+        check(world.subject.explain(more.ref(), world.now).find("slow") != std::string::npos);
+    });
+    section("another class does not wait", [&] {
+        world.pending(batchTask("quiet", 0, {500, Gigabyte, 0}));
+        check(world.start().size() == 1);
+    });
+    section("its worth grows while it waits", [&] {
+        while (world.start().empty() && world.now - first < std::chrono::hours(2))
+            world.now += seconds(30);
+        check(world.now - first >= seconds(30) && world.now - first < std::chrono::hours(2));
+    });
+}
+
 // Thousands of tasks are cancelled at once while some run, some are being placed and some wait, and
 // messages about them arrive late. None may start afterwards.
 Test(placer, cancellationWave)
