--- a/app/owned_shard.cpp
+++ b/app/owned_shard.cpp
@@ -263,10 +263,13 @@
     for (auto &action : handle(work::job_accepted{job}, now))
         actions.push_back(std::move(action));
     for (auto index = job.firstTask; index < job.firstTask + job.tasks; ++index) {
-        if (m_table.find({job.id, index}).state != work::task_state::Pending)
-            continue;
+        const auto record = m_table.find({job.id, index});
         spec.taskIndex = static_cast<std::int32_t>(index);
-        m_placer.taskPending(spec, now);
+        if (record.state == work::task_state::Pending)
+            m_placer.taskPending(spec, now);
+        else if (work::occupies(record)) // known by its size alone since the takeover
+            m_placer.taskPlaced(spec, record.worker, spec.declared, placement::entry_state::Running,
+                                now);
     }
 }
 
--- a/app/request_duty.cpp
+++ b/app/request_duty.cpp
@@ -40,6 +40,19 @@
     return out;
 }
 
+request::routing_policy routingPolicy(config::routing_policy policy)
+{
+    switch (policy) {
+    case config::routing_policy::RoundRobin:
+        return request::round_robin{};
+    case config::routing_policy::LeastKnownLoad:
+        return request::least_known_load{};
+    case config::routing_policy::TwoChoices:
+        break;
+    }
+    return request::two_choices{};
+}
+
 request::retry_budget_settings budgetSettings(const config::retry_settings &settings)
 {
     request::retry_budget_settings out;
@@ -178,7 +191,7 @@
     , m_membersChanged(std::move(membersChanged))
     , m_generationReport(std::move(generationReport))
     , m_membership(membershipSettings(settings, self))
-    , m_router(routerSettings(settings), request::two_choices{},
+    , m_router(routerSettings(settings), routingPolicy(settings.routing.policy),
                random_generator(self.incarnation, RouterSeedStream))
     , m_flow(
               self.unique(), {}, [this](error_kind kind) { return permitRetry(kind); },
--- a/libs/config/settings.cpp
+++ b/libs/config/settings.cpp
@@ -16,9 +16,10 @@
 
 namespace {
 
-constexpr name_table<routing_policy, 2> RoutingPolicyNames{{
+constexpr name_table<routing_policy, 3> RoutingPolicyNames{{
         {routing_policy::TwoChoices, "two_choices"},
-        {routing_policy::Random, "random"},
+        {routing_policy::RoundRobin, "round_robin"},
+        {routing_policy::LeastKnownLoad, "least_known_load"},
 }};
 
 } // namespace
--- a/libs/config/settings.h
+++ b/libs/config/settings.h
@@ -53,7 +53,7 @@
     milliseconds evictionCoolDown{30'000}; // before the same task may be evicted again
 };
 
-enum class routing_policy { TwoChoices, Random };
+enum class routing_policy { TwoChoices, RoundRobin, LeastKnownLoad };
 std::string_view nameOf(routing_policy policy);
 
 struct routing_settings
@@ -74,7 +74,7 @@
     platform_settings platform;           //
     std::size_t shards = 1;               // the workers are split into; alike on all entries
     milliseconds lease{1'800'000};        // owner's lease on a shard: the horizon of an outage
-    milliseconds agentLease{3000};        // short lease given to agents, without the table
+    milliseconds agentLease{15'000};      // short lease given to agents, without the table
     milliseconds clockMargin{500};        // added wherever another process's lease must be over
     milliseconds announceSilence{3000};   // after which an announcer counts as gone
     std::size_t maxBodyBytes = 1'048'576; // of a caller's request
--- a/libs/config/settings_schema.cpp
+++ b/libs/config/settings_schema.cpp
@@ -86,10 +86,10 @@
     },
     "agent_lease_ms": {
       "type": "integer",
-      "default": 3000,
+      "default": 15000,
       "minimum": 100,
       "maximum": 3600000,
-      "description": "short lease given to agents without the table: a silent worker's tasks start elsewhere after it"
+      "description": "short lease given to agents without the table: a silent worker's tasks start elsewhere after it; keep it above 10000, so that tasks outlast the taking over of a dead owner's shard"
     },
     "clock_margin_ms": {
       "type": "integer",
@@ -248,7 +248,7 @@
       "properties": {
         "policy": {
           "type": "string",
-          "enum": ["two_choices", "random"],
+          "enum": ["two_choices", "round_robin", "least_known_load"],
           "default": "two_choices",
           "description": "how an upstream is chosen"
         },
--- a/tests/process_work_test.cpp
+++ b/tests/process_work_test.cpp
@@ -77,8 +77,9 @@
                 },
                 SoonEnough));
     });
-    section("every task ends once", [&] {
+    section("every task ends once, with one start each", [&] {
         check(waitForEnds(system, batch));
+        check(countTraced(system, "started", batch.job) == 60);
         checkEachEndedOnce(system, batch);
     });
 }
