--- a/libs/request/admission.cpp
+++ b/libs/request/admission.cpp
@@ -251,9 +251,10 @@
     const auto times = slotTimes(now);
     std::priority_queue<time_point, std::vector<time_point>, std::greater<>> slots(times.begin(),
                                                                                    times.end());
+    const auto order = dispatchOrder();
     std::vector<verdict> verdicts(m_waiting.size(), verdict::Wait);
     bool anyStarted = false;
-    for (const std::size_t index : dispatchOrder()) {
+    for (const std::size_t index : order) {
         const time_point begins = slots.empty() ? Never : slots.top();
         const bool idle = m_running.empty() && !anyStarted;
         verdicts[index] = judge(m_waiting[index], begins, idle, now);
@@ -263,7 +264,7 @@
         slots.push(begins + estimateFor(m_waiting[index].service).mean);
         anyStarted = anyStarted || verdicts[index] == verdict::Start;
     }
-    settle(verdicts, now);
+    settle(order, verdicts, now);
 }
 
 // `begins`: when its slot is expected to be free, Never if no slot is usable.
@@ -287,24 +288,24 @@
     return begins == now ? verdict::Start : verdict::Wait;
 }
 
-// Starts come before refusals, so that Retry-After counts them as backlog.
-void admission::settle(const std::vector<verdict> &verdicts, time_point now)
+// Starts come before refusals, so that Retry-After counts them as backlog; both in the order in
+// which slots are given, so that whoever was next gets the first place to come back.
+void admission::settle(const std::vector<std::size_t> &order, const std::vector<verdict> &verdicts,
+                       time_point now)
 {
-    std::vector<arrived> staying;
     std::vector<std::string> refused;
-    for (std::size_t i = 0; i < verdicts.size(); ++i) {
-        const auto &request = m_waiting[i];
-        if (verdicts[i] == verdict::Wait) {
-            staying.push_back(m_waiting[i]);
+    for (const std::size_t index : order) {
+        const auto &request = m_waiting[index];
+        if (verdicts[index] == verdict::Wait)
             continue;
-        }
         --m_teams[request.team].waiting;
-        if (verdicts[i] == verdict::Start)
+        if (verdicts[index] == verdict::Start)
             startRequest(request, now);
         else
             refused.push_back(request.id);
     }
-    m_waiting = std::move(staying);
+    std::size_t position = 0;
+    std::erase_if(m_waiting, [&](const auto &) { return verdicts[position++] != verdict::Wait; });
     for (const auto &id : refused)
         refuseRequest(id, error_kind::DeadlineTooClose, now);
 }
--- a/libs/request/admission.h
+++ b/libs/request/admission.h
@@ -136,7 +136,8 @@
     std::vector<time_point> slotTimes(time_point now) const;
     void plan(time_point now);
     verdict judge(const arrived &request, time_point begins, bool idle, time_point now) const;
-    void settle(const std::vector<verdict> &verdicts, time_point now);
+    void settle(const std::vector<std::size_t> &order, const std::vector<verdict> &verdicts,
+                time_point now);
     void startRequest(const arrived &request, time_point now);
     void refuseRequest(const std::string &id, error_kind kind, time_point now);
     milliseconds retryAfterFor(error_kind kind, time_point now);
