request: a peer's word outlasts the replacement of the slowest-heard entry

Cause: rendezvous hashing gives the 15 entries 85 to 121 of 790 agents; at the two ends the periods differ, and eight periods of the one were barely the seven of the other.

--- a/libs/request/membership.h
+++ b/libs/request/membership.h
@@ -35,7 +35,7 @@
     milliseconds shortestDigestPeriod{1000};  // between digests to a peer without news
     int digestBytes = 80;                     // of one digest without news, as sent
     int digestBytesPerSecond = 500;           // share of the control budget, both directions
-    int rehomePeriods = 8;                    // that agents need to find another entry
+    int rehomePeriods = 10;                   // that agents need to find another entry
     int missedDigests = 3;                    // until a peer's word counts no more
     milliseconds rememberFor{10 * 60 * 1000}; // upstreams that are gone, to know late messages
     std::size_t memberLimit = 4096;           // remembered ones included
