One reader of JSON members, one resources, one failover class

Cause: four libraries each read members of JSON objects in their own way, three had a struct of resources and a failover class, and the daemons translated between them.

--- a/app/keeper_duty.cpp
+++ b/app/keeper_duty.cpp
@@ -33,7 +33,7 @@
     return json;
 }
 
-placement::resources sizeIn(const Json::Value &spec)
+resources sizeIn(const Json::Value &spec)
 {
     return {spec["millicores"].asInt64(), spec["bytes"].asInt64(), spec["accelerators"].asInt64()};
 }
@@ -310,7 +310,7 @@
 bool keeper_duty::fits(const work::granted_task &task, const Json::Value &spec) const
 {
     const auto &size = m_settings.worker.size;
-    placement::resources sum = sizeIn(spec);
+    resources sum = sizeIn(spec);
     for (const auto &running : m_keeper.occupying()) {
         if (running.attempt.task != task.task)
             sum += sizeIn(running.spec);
--- a/app/owned_shard.cpp
+++ b/app/owned_shard.cpp
@@ -19,11 +19,6 @@
     return {task.jobId, static_cast<std::uint32_t>(task.taskIndex)};
 }
 
-placement::resources sizeOf(const config::resources &size)
-{
-    return {size.millicores, size.bytes, size.accelerators};
-}
-
 placement::task_priority priorityOf(config::priority_class priority)
 {
     switch (priority) {
@@ -38,7 +33,7 @@
 }
 
 // What the worker is told of a task.
-Json::Value workerSpec(const config::resources &size, milliseconds workTime)
+Json::Value workerSpec(const resources &size, milliseconds workTime)
 {
     Json::Value spec(Json::objectValue);
     spec["millicores"] = Json::Int64(size.millicores);
@@ -57,19 +52,11 @@
     pattern.team = spec.team;
     pattern.priority = priorityOf(spec.priority);
     pattern.pool = spec.pool;
-    pattern.declared = sizeOf(spec.size);
-    pattern.failover = spec.failover == config::failover_class::Proof
-                               ? placement::failover_class::Proof
-                               : placement::failover_class::Lease;
+    pattern.declared = spec.size;
+    pattern.failover = spec.failover;
     return pattern;
 }
 
-work::failover_class failoverOf(placement::failover_class failover)
-{
-    return failover == placement::failover_class::Proof ? work::failover_class::Proof
-                                                        : work::failover_class::Lease;
-}
-
 } // namespace
 
 owned_shard::owned_shard(const work::table_owner &owner, const std::string &operationPrefix,
@@ -185,9 +172,9 @@
         return actions;
     m_generation = adopted.generation;
     for (const auto &[name, team] : adopted.whole->teams)
-        m_placer.setTeam({name, team.weight, sizeOf(team.quota)});
+        m_placer.setTeam({name, team.weight, team.quota});
     for (const auto &[name, pool] : adopted.whole->pools)
-        m_placer.setPool({name, sizeOf(pool.worker)}, now);
+        m_placer.setPool({name, pool.worker}, now);
     std::set<std::string> wanted;
     for (const auto &[name, service] : adopted.whole->services) {
         work::job_spec job;
@@ -246,7 +233,7 @@
                             std::vector<work::table_action> &actions, time_point now)
 {
     auto job = sliceOf(whole);
-    job.failover = failoverOf(pattern.failover);
+    job.failover = pattern.failover;
     if (job.tasks == 0)
         return;
     auto spec = pattern;
@@ -377,8 +364,8 @@
             continue;
         Json::Value worker(Json::objectValue);
         worker["id"] = id;
-        worker["size"] = toJson(book->size());
-        worker["reserved"] = toJson(book->reserved());
+        worker["size"] = placement::toJson(book->size());
+        worker["reserved"] = placement::toJson(book->reserved());
         worker["tasks"] = Json::UInt64(book->entries().size());
         json["workers"].append(worker);
     }
--- a/app/request_duty.cpp
+++ b/app/request_duty.cpp
@@ -104,6 +104,14 @@
     return load;
 }
 
+// Anything but a clear word is unknown.
+executed executedNamed(const std::string &name)
+{
+    if (name == nameOf(executed::No))
+        return executed::No;
+    return name == nameOf(executed::Yes) ? executed::Yes : executed::Unknown;
+}
+
 delivery::attempt_outcome outcomeOf(const http_response &response, const std::string &id)
 {
     // An answer that names another request belongs to that one: never pass it on.
@@ -113,8 +121,7 @@
     if (kind) {
         delivery::attempt_refused refused;
         refused.kind = *kind;
-        refused.ran = response.header(ExecutedHeader) == nameOf(executed::No) ? executed::No
-                                                                              : executed::Unknown;
+        refused.ran = executedNamed(response.header(ExecutedHeader));
         refused.ended = refused.ran == executed::No || response.header(EndedHeader) == "yes";
         refused.retryAfter = milliseconds(std::atoll(response.header("Zb-Retry-After-Ms").c_str()));
         return refused;
--- a/libs/base/json_member.cpp
+++ b/libs/base/json_member.cpp
@@ -29,6 +29,13 @@
     return value.asString();
 }
 
+std::string stringMemberOr(const Json::Value &object, const char *name, const std::string &absent)
+{
+    if (object.isObject() && !object.isMember(name))
+        return absent;
+    return stringMember(object, name);
+}
+
 std::int64_t integerMember(const Json::Value &object, const char *name)
 {
     const auto &value = member(object, name, "an integer");
@@ -45,6 +52,22 @@
     return value.asUInt64();
 }
 
+std::uint32_t smallCountMember(const Json::Value &object, const char *name)
+{
+    const auto &value = member(object, name, "an integer of 32 bits, zero or above");
+    if (!value.isUInt())
+        refuse(name, "an integer of 32 bits, zero or above");
+    return value.asUInt();
+}
+
+int smallIntegerMember(const Json::Value &object, const char *name)
+{
+    const auto &value = member(object, name, "an integer of zero or above, below 2^31");
+    if (!value.isInt() || value.asInt() < 0)
+        refuse(name, "an integer of zero or above, below 2^31");
+    return value.asInt();
+}
+
 bool boolMember(const Json::Value &object, const char *name)
 {
     const auto &value = member(object, name, "true or false");
--- a/libs/base/json_member.h
+++ b/libs/base/json_member.h
@@ -10,8 +10,11 @@
 
 // Each throws error BadRequest "member 'x': a string is needed" and the like.
 std::string stringMember(const Json::Value &object, const char *name);
+std::string stringMemberOr(const Json::Value &object, const char *name, const std::string &absent);
 std::int64_t integerMember(const Json::Value &object, const char *name);
-std::uint64_t countMember(const Json::Value &object, const char *name); // zero or above
+std::uint64_t countMember(const Json::Value &object, const char *name);      // zero or above
+std::uint32_t smallCountMember(const Json::Value &object, const char *name); // fits 32 bits
+int smallIntegerMember(const Json::Value &object, const char *name); // zero or above, fits an int
 bool boolMember(const Json::Value &object, const char *name);
 const Json::Value &arrayMember(const Json::Value &object, const char *name);
 const Json::Value &objectMember(const Json::Value &object, const char *name);
--- a/libs/config/folder.cpp
+++ b/libs/config/folder.cpp
@@ -12,11 +12,6 @@
 
 namespace {
 
-constexpr name_table<failover_class, 2> FailoverNames{{
-        {failover_class::Lease, "lease"},
-        {failover_class::Proof, "proof"},
-}};
-
 constexpr name_table<priority_class, 3> PriorityNames{{
         {priority_class::Urgent, "urgent"},
         {priority_class::Normal, "normal"},
@@ -25,22 +20,12 @@
 
 } // namespace
 
-std::string_view nameOf(failover_class failover)
-{
-    return nameOf(FailoverNames, failover);
-}
-
 std::string_view nameOf(priority_class priority)
 {
     return nameOf(PriorityNames, priority);
 }
 
 // Found by argument-dependent look-up from fields.h, so not in the unnamed namespace.
-static void fromName(const std::string &name, failover_class &failover)
-{
-    failover = valueNamed(FailoverNames, name);
-}
-
 static void fromName(const std::string &name, priority_class &priority)
 {
     priority = valueNamed(PriorityNames, name);
--- a/libs/config/folder.h
+++ b/libs/config/folder.h
@@ -14,6 +14,7 @@
 
 #include <json/json.h>
 
+#include "base/failover.h"
 #include "base/time.h"
 #include "config/json_text.h"
 #include "config/resources.h"
@@ -21,13 +22,6 @@
 
 namespace zinniabarrow::config {
 
-// When a silent worker's task may start elsewhere.
-enum class failover_class {
-    Lease, // once its leases are over
-    Proof, // only on proof that the old one has ended
-};
-std::string_view nameOf(failover_class failover);
-
 enum class priority_class { Urgent, Normal, Low };
 std::string_view nameOf(priority_class priority);
 
--- a/libs/config/resources.h
+++ b/libs/config/resources.h
@@ -1,18 +1,11 @@
-// Processors, memory and accelerators, in integers.
+// Amounts of resources in settings and in the folder.
 #pragma once
 
-#include <cstdint>
+#include "base/resources.h"
 
-namespace zinniabarrow::config {
-
-struct resources
-{
-    std::int64_t millicores = 0;   // thousandths of a processor
-    std::int64_t bytes = 0;        // of memory
-    std::int64_t accelerators = 0; // whole ones
-    bool operator==(const resources &) const = default;
-};
+namespace zinniabarrow {
 
+// Found by argument-dependent look-up from config/fields.h, so in the namespace of resources.
 template <typename Archive>
 void describe(Archive &archive, resources &size)
 {
@@ -21,4 +14,4 @@
     archive("accelerators", size.accelerators);
 }
 
-} // namespace zinniabarrow::config
+} // namespace zinniabarrow
--- a/libs/delivery/claim_row.cpp
+++ b/libs/delivery/claim_row.cpp
@@ -4,9 +4,9 @@
 #include <fmt/core.h>
 
 #include "base/hash.h"
+#include "base/json_member.h"
 #include "base/names.h"
 #include "delivery/claim_book.h"
-#include "delivery/json_members.h"
 
 namespace zinniabarrow::delivery {
 
@@ -75,15 +75,15 @@
 whole_answer wholeAnswerFromJson(const Json::Value &value)
 {
     whole_answer answer;
-    answer.status = static_cast<int>(jsonUnsigned(value, "status"));
-    answer.bodyBytes = jsonUnsigned(value, "body_bytes");
+    answer.status = static_cast<int>(countMember(value, "status"));
+    answer.bodyBytes = countMember(value, "body_bytes");
     if (value.isMember("headers")) {
-        const auto &headers = jsonMember(value, "headers", Json::objectValue);
+        const auto &headers = objectMember(value, "headers");
         for (const auto &name : headers.getMemberNames())
-            answer.headers[name] = jsonText(headers, name.c_str());
+            answer.headers[name] = stringMember(headers, name.c_str());
     }
     if (value.isMember("body"))
-        answer.body = fromHex(jsonText(value, "body"));
+        answer.body = fromHex(stringMember(value, "body"));
     return answer;
 }
 
@@ -103,17 +103,17 @@
 claim_row claimRowFromJson(const Json::Value &value)
 {
     claim_row row;
-    row.requestId = jsonText(value, "request");
-    row.entryId = jsonText(value, "entry");
-    const auto hash = jsonText(value, "hash");
+    row.requestId = stringMember(value, "request");
+    row.entryId = stringMember(value, "entry");
+    const auto hash = stringMember(value, "hash");
     if (hash.size() != 16 || hash.find_first_not_of("0123456789abcdef") != std::string::npos)
         throw error(error_kind::BadRequest, "claim row: bad member \"hash\"");
     row.requestHash = std::stoull(hash, nullptr, 16);
-    const auto state = valueOf(StateNames, jsonText(value, "state"));
+    const auto state = valueOf(StateNames, stringMember(value, "state"));
     if (!state)
         throw error(error_kind::BadRequest, "claim row: bad member \"state\"");
     row.state = *state;
-    row.era = jsonUnsigned(value, "era");
+    row.era = countMember(value, "era");
     if (value.isMember("answer"))
         row.answer = wholeAnswerFromJson(value["answer"]);
     return row;
--- a/libs/delivery/flow_json.cpp
+++ b/libs/delivery/flow_json.cpp
@@ -1,8 +1,10 @@
 #include "delivery/flow_json.h"
 
+#include <fmt/core.h>
+
+#include "base/json_member.h"
 #include "base/names.h"
 #include "delivery/claim_book.h"
-#include "delivery/json_members.h"
 
 namespace zinniabarrow::delivery {
 
@@ -33,12 +35,12 @@
 
 time_point deadlineFrom(const Json::Value &value, time_point now)
 {
-    return now + milliseconds(jsonUnsigned(value, "deadline_ms"));
+    return now + milliseconds(countMember(value, "deadline_ms"));
 }
 
 error_kind kindFrom(const Json::Value &value)
 {
-    const auto kind = errorKindNamed(jsonText(value, "kind"));
+    const auto kind = errorKindNamed(stringMember(value, "kind"));
     if (!kind)
         throw error(error_kind::BadRequest, "bad member \"kind\"");
     return *kind;
@@ -47,7 +49,7 @@
 template <typename Table>
 auto enumFrom(const Table &table, const Json::Value &value, const char *name)
 {
-    const auto found = valueOf(table, jsonText(value, name));
+    const auto found = valueOf(table, stringMember(value, name));
     if (!found)
         throw error(error_kind::BadRequest, fmt::format("bad member \"{}\"", name));
     return *found;
@@ -112,18 +114,18 @@
 
 attempt_outcome outcomeFrom(const Json::Value &value)
 {
-    const auto name = jsonText(value, "outcome");
+    const auto name = stringMember(value, "outcome");
     if (name == "whole")
         return wholeAnswerFromJson(value);
     if (name == "refused") {
         return attempt_refused{kindFrom(value), enumFrom(ExecutedNames, value, "executed"),
-                               jsonBool(value, "ended"),
-                               milliseconds(jsonUnsigned(value, "retry_after_ms"))};
+                               boolMember(value, "ended"),
+                               milliseconds(countMember(value, "retry_after_ms"))};
     }
     if (name == "unreachable")
         return attempt_unreachable{};
     if (name == "cut")
-        return attempt_cut{jsonBool(value, "ended")};
+        return attempt_cut{boolMember(value, "ended")};
     if (name == "late")
         return attempt_late{};
     if (name == "too_large")
@@ -216,29 +218,30 @@
 request_arrived arrivedFrom(const Json::Value &value, time_point now)
 {
     request_arrived event;
-    event.id = jsonText(value, "id");
-    event.service = jsonText(value, "service");
-    event.method = jsonText(value, "method");
-    event.path = jsonText(value, "path");
-    event.team = jsonText(value, "team");
-    event.idempotencyKey = jsonText(value, "key");
-    event.bodyHash = jsonUnsigned(value, "body_hash");
+    event.id = stringMember(value, "id");
+    event.service = stringMember(value, "service");
+    event.method = stringMember(value, "method");
+    event.path = stringMember(value, "path");
+    event.team = stringMember(value, "team");
+    event.idempotencyKey = stringMember(value, "key");
+    event.bodyHash = countMember(value, "body_hash");
     event.deadline = deadlineFrom(value, now);
     return event;
 }
 
 claims_committed committedFrom(const Json::Value &value)
 {
-    return {jsonText(value, "operation"),
-            {enumFrom(OutcomeNames, value, "outcome"), jsonUnsigned(value, "sequence"),
-             jsonText(value, "conflict_key")}};
+    return {stringMember(value, "operation"),
+            {enumFrom(OutcomeNames, value, "outcome"), countMember(value, "sequence"),
+             stringMember(value, "conflict_key")}};
 }
 
 claims_read readFrom(const Json::Value &value)
 {
-    claims_read event{jsonText(value, "read"), jsonBool(value, "succeeded"), {}};
-    for (const auto &item : jsonMember(value, "rows", Json::arrayValue)) {
-        event.rows.push_back({jsonText(item, "key"), item["value"], jsonUnsigned(item, "version")});
+    claims_read event{stringMember(value, "read"), boolMember(value, "succeeded"), {}};
+    for (const auto &item : arrayMember(value, "rows")) {
+        event.rows.push_back(
+                {stringMember(item, "key"), item["value"], countMember(item, "version")});
     }
     return event;
 }
@@ -386,16 +389,16 @@
 
 flow_event flowEventFromJson(const Json::Value &value, time_point now)
 {
-    const auto name = jsonText(value, "event");
+    const auto name = stringMember(value, "event");
     if (name == "request_arrived")
         return arrivedFrom(value, now);
     if (name == "upstream_chosen")
-        return upstream_chosen{jsonText(value, "id"), jsonText(value, "agent")};
+        return upstream_chosen{stringMember(value, "id"), stringMember(value, "agent")};
     if (name == "none_available")
-        return none_available{jsonText(value, "id"), kindFrom(value)};
+        return none_available{stringMember(value, "id"), kindFrom(value)};
     if (name == "attempt_ended") {
-        return attempt_ended{jsonText(value, "id"),
-                             static_cast<std::uint32_t>(jsonUnsigned(value, "attempt")),
+        return attempt_ended{stringMember(value, "id"),
+                             static_cast<std::uint32_t>(countMember(value, "attempt")),
                              outcomeFrom(value)};
     }
     if (name == "claims_committed")
--- a/libs/placement/resources.cpp
+++ b/libs/placement/resources.cpp
@@ -21,11 +21,6 @@
         {task_priority::Low, "low"},
 }};
 
-constexpr name_table<failover_class, 2> FailoverNames{{
-        {failover_class::Lease, "lease"},
-        {failover_class::Proof, "proof"},
-}};
-
 [[noreturn]] void refuseMember(const char *member, const char *expected)
 {
     throw error(error_kind::BadRequest,
@@ -86,33 +81,6 @@
 
 } // namespace
 
-resources &resources::operator+=(const resources &other)
-{
-    millicores += other.millicores;
-    bytes += other.bytes;
-    accelerators += other.accelerators;
-    return *this;
-}
-
-resources &resources::operator-=(const resources &other)
-{
-    millicores -= other.millicores;
-    bytes -= other.bytes;
-    accelerators -= other.accelerators;
-    return *this;
-}
-
-bool resources::fitsIn(const resources &room) const
-{
-    return millicores <= room.millicores && bytes <= room.bytes
-           && accelerators <= room.accelerators;
-}
-
-bool resources::isNegative() const
-{
-    return millicores < 0 || bytes < 0 || accelerators < 0;
-}
-
 resources largest(const resources &left, const resources &right)
 {
     return {std::max(left.millicores, right.millicores), std::max(left.bytes, right.bytes),
@@ -141,11 +109,6 @@
     return nameOf(PriorityNames, priority);
 }
 
-std::string_view nameOf(failover_class failover)
-{
-    return nameOf(FailoverNames, failover);
-}
-
 std::string toText(const task_ref &task)
 {
     return task.jobId + "/" + std::to_string(task.taskIndex);
@@ -223,7 +186,7 @@
     task.pool = textMember(value, "pool");
     task.declared = resourcesFromJson(memberOf(value, "declared"));
     task.replicas = indexMember(value, "replicas");
-    task.failover = enumMember(value, "failover", FailoverNames);
+    task.failover = failoverClassFromName(textMember(value, "failover"));
     return task;
 }
 
--- a/libs/placement/resources.h
+++ b/libs/placement/resources.h
@@ -16,25 +16,10 @@
 
 #include <json/json.h>
 
-namespace zinniabarrow::placement {
+#include "base/failover.h"
+#include "base/resources.h"
 
-// Integers only: sums of reservations never drift by rounding.
-struct resources
-{
-    std::int64_t millicores = 0;   // thousandths of a processor
-    std::int64_t bytes = 0;        // memory
-    std::int64_t accelerators = 0; // whole devices
-
-    resources &operator+=(const resources &other);
-    resources &operator-=(const resources &other);
-    friend resources operator+(resources left, const resources &right) { return left += right; }
-    friend resources operator-(resources left, const resources &right) { return left -= right; }
-    friend bool operator==(const resources &, const resources &) = default;
-
-    // True when every dimension is at most that of `room`.
-    bool fitsIn(const resources &room) const;
-    bool isNegative() const;
-};
+namespace zinniabarrow::placement {
 
 // The larger of the two in each dimension.
 resources largest(const resources &left, const resources &right);
@@ -47,15 +32,8 @@
 enum class task_kind { Service, Batch };
 enum class task_priority { Urgent, Normal, Low };
 
-// When a task may start elsewhere after its worker fell silent.
-enum class failover_class {
-    Lease, // once the lease has lapsed
-    Proof, // only when it is proven that the old one has ended
-};
-
 std::string_view nameOf(task_kind kind);
 std::string_view nameOf(task_priority priority);
-std::string_view nameOf(failover_class failover);
 
 struct task_ref
 {
--- a/libs/request/announcement.cpp
+++ b/libs/request/announcement.cpp
@@ -3,8 +3,8 @@
 #include <array>
 #include <span>
 
+#include "base/json_member.h"
 #include "base/names.h"
-#include "request/json_members.h"
 
 namespace zinniabarrow::request {
 
@@ -24,7 +24,7 @@
 
 std::uint64_t numberIn(const Json::Value &json, const char *name)
 {
-    return static_cast<std::uint64_t>(countIn(json, name));
+    return static_cast<std::uint64_t>(countMember(json, name));
 }
 
 upstream_state stateNamed(const std::string &name)
@@ -37,7 +37,7 @@
 
 std::string idIn(const Json::Value &json, const char *name)
 {
-    auto id = textIn(json, name);
+    auto id = stringMember(json, name);
     if (id.empty())
         throw error(error_kind::BadRequest, std::string("'") + name + "' must not be empty");
     return id;
@@ -77,8 +77,8 @@
 
 upstream_load loadIn(const Json::Value &json)
 {
-    return {smallCountIn(json, "inFlight"), smallCountIn(json, "queued"),
-            microseconds(countIn(json, "latencyUs"))};
+    return {smallIntegerMember(json, "inFlight"), smallIntegerMember(json, "queued"),
+            microseconds(countMember(json, "latencyUs"))};
 }
 
 } // namespace
@@ -116,19 +116,19 @@
     announcement message;
     message.agentId = idIn(json, "agentId");
     message.address = idIn(json, "address");
-    message.zone = textIn(json, "zone");
-    message.region = textIn(json, "region");
-    message.rack = textIn(json, "rack");
+    message.zone = stringMember(json, "zone");
+    message.region = stringMember(json, "region");
+    message.rack = stringMember(json, "rack");
     message.service = idIn(json, "service");
-    message.workerId = textIn(json, "workerId");
-    const auto &size = objectIn(json, "workerSize");
-    message.workerSize.millicores = countIn(size, "millicores");
-    message.workerSize.memoryBytes = countIn(size, "memoryBytes");
-    message.workerSize.accelerators = countIn(size, "accelerators");
-    message.slots = smallCountIn(json, "slots");
+    message.workerId = stringMember(json, "workerId");
+    const auto &size = objectMember(json, "workerSize");
+    message.workerSize.millicores = countMember(size, "millicores");
+    message.workerSize.memoryBytes = countMember(size, "memoryBytes");
+    message.workerSize.accelerators = countMember(size, "accelerators");
+    message.slots = smallIntegerMember(json, "slots");
     message.incarnation = numberIn(json, "incarnation");
     message.sequence = numberIn(json, "sequence");
-    message.state = stateNamed(textIn(json, "state"));
+    message.state = stateNamed(stringMember(json, "state"));
     message.load = loadIn(json);
     return message;
 }
@@ -151,7 +151,7 @@
     message.agentId = idIn(members, "agentId");
     message.incarnation = numberIn(members, "incarnation");
     message.sequence = numberIn(members, "sequence");
-    message.state = stateNamed(textIn(members, "state"));
+    message.state = stateNamed(stringMember(members, "state"));
     message.load = loadIn(members);
     return message;
 }
@@ -178,10 +178,10 @@
     announce_reply message;
     message.sequence = numberIn(json, "sequence");
     message.knownIncarnation = numberIn(json, "knownIncarnation");
-    message.sendWhole = flagIn(json, "sendWhole");
-    message.period = milliseconds(countIn(json, "periodMs"));
+    message.sendWhole = boolMember(json, "sendWhole");
+    message.period = milliseconds(countMember(json, "periodMs"));
     if (json.isMember("refused")) {
-        message.refused = errorKindNamed(textIn(json, "refused"));
+        message.refused = errorKindNamed(stringMember(json, "refused"));
         if (!message.refused)
             throw error(error_kind::BadRequest, "'refused' must be the name of an error kind");
     }
@@ -214,9 +214,9 @@
     message.sequence = numberIn(json, "sequence");
     message.since = numberIn(json, "since");
     message.upTo = numberIn(json, "upTo");
-    for (const auto &record : arrayIn(json, "records")) {
+    for (const auto &record : arrayMember(json, "records")) {
         const Json::Value item = unpacked(record, RecordMembers, "a record of a digest");
-        message.records.push_back({announcementFromJson(item), flagIn(item, "heard")});
+        message.records.push_back({announcementFromJson(item), boolMember(item, "heard")});
     }
     return message;
 }
--- a/libs/work/messages.cpp
+++ b/libs/work/messages.cpp
@@ -4,18 +4,13 @@
 #include <utility>
 
 #include "base/errors.h"
+#include "base/json_member.h"
 #include "base/names.h"
-#include "work/json_members.h"
 
 namespace zinniabarrow::work {
 
 namespace {
 
-constexpr name_table<failover_class, 2> FailoverNames = {{
-        {failover_class::Lease, "lease"},
-        {failover_class::Proof, "proof"},
-}};
-
 constexpr name_table<task_event_kind, 8> EventNames = {{
         {task_event_kind::Started, "started"},
         {task_event_kind::Checkpointed, "checkpointed"},
@@ -52,12 +47,12 @@
 task_event taskEventFromJson(const Json::Value &value)
 {
     task_event event;
-    event.number = numberMember(value, "number");
-    event.task = taskIdFromText(textMember(value, "task"));
-    event.attempt = smallNumberMember(value, "attempt");
-    event.kind = eventKindFromName(textMember(value, "kind"));
-    event.checkpoint = textMemberOr(value, "checkpoint", "");
-    event.detail = textMemberOr(value, "detail", "");
+    event.number = countMember(value, "number");
+    event.task = taskIdFromText(stringMember(value, "task"));
+    event.attempt = smallCountMember(value, "attempt");
+    event.kind = eventKindFromName(stringMember(value, "kind"));
+    event.checkpoint = stringMemberOr(value, "checkpoint", "");
+    event.detail = stringMemberOr(value, "detail", "");
     return event;
 }
 
@@ -77,13 +72,13 @@
 granted_task grantedTaskFromJson(const Json::Value &value)
 {
     granted_task task;
-    task.task = taskIdFromText(textMember(value, "task"));
-    task.attempt = smallNumberMember(value, "attempt");
-    task.failover = failoverClassFromName(textMember(value, "failover"));
-    task.checkpoint = textMemberOr(value, "checkpoint", "");
+    task.task = taskIdFromText(stringMember(value, "task"));
+    task.attempt = smallCountMember(value, "attempt");
+    task.failover = failoverClassFromName(stringMember(value, "failover"));
+    task.checkpoint = stringMemberOr(value, "checkpoint", "");
     if (!value.isMember("newerCheckpoints"))
         return task;
-    for (const auto &name : listMember(value, "newerCheckpoints")) {
+    for (const auto &name : arrayMember(value, "newerCheckpoints")) {
         if (!name.isString())
             throw error(error_kind::BadRequest, "member \"newerCheckpoints\": needs texts");
         task.newerCheckpoints.push_back(name.asString());
@@ -105,7 +100,7 @@
                                Item (*read)(const Json::Value &))
 {
     std::vector<Item> items;
-    for (const auto &item : listMember(value, name))
+    for (const auto &item : arrayMember(value, name))
         items.push_back(read(item));
     return items;
 }
@@ -136,24 +131,11 @@
     return "checkpoint/" + textOf(attempt.task) + "/" + std::to_string(attempt.attempt);
 }
 
-std::string_view nameOf(failover_class failover)
-{
-    return nameOf(FailoverNames, failover);
-}
-
 std::string_view nameOf(task_event_kind kind)
 {
     return nameOf(EventNames, kind);
 }
 
-failover_class failoverClassFromName(std::string_view name)
-{
-    const auto failover = valueOf(FailoverNames, name);
-    if (!failover)
-        throw error(error_kind::BadRequest, "unknown failover class \"" + std::string(name) + "\"");
-    return *failover;
-}
-
 Json::Value toJson(const task_attempt &attempt)
 {
     Json::Value value(Json::objectValue);
@@ -164,7 +146,7 @@
 
 task_attempt taskAttemptFromJson(const Json::Value &value)
 {
-    return {taskIdFromText(textMember(value, "task")), smallNumberMember(value, "attempt")};
+    return {taskIdFromText(stringMember(value, "task")), smallCountMember(value, "attempt")};
 }
 
 Json::Value toJson(const agent_report &report)
@@ -182,11 +164,11 @@
 agent_report agentReportFromJson(const Json::Value &value)
 {
     agent_report report;
-    report.worker = textMember(value, "worker");
-    report.incarnation = numberMember(value, "incarnation");
-    report.session = textMember(value, "session");
-    report.sequence = numberMember(value, "sequence");
-    report.epoch = numberMember(value, "epoch");
+    report.worker = stringMember(value, "worker");
+    report.incarnation = countMember(value, "incarnation");
+    report.session = stringMember(value, "session");
+    report.sequence = countMember(value, "sequence");
+    report.epoch = countMember(value, "epoch");
     report.events = listFromJson(value, "events", taskEventFromJson);
     return report;
 }
@@ -216,15 +198,15 @@
 worker_grant workerGrantFromJson(const Json::Value &value)
 {
     worker_grant grant;
-    grant.shard = static_cast<int>(smallNumberMember(value, "shard"));
-    grant.epoch = numberMember(value, "epoch");
-    grant.worker = textMember(value, "worker");
-    grant.incarnation = numberMember(value, "incarnation");
-    grant.session = textMember(value, "session");
-    grant.replyTo = numberMember(value, "replyTo");
-    grant.lease = milliseconds(numberMember(value, "leaseMs"));
-    grant.ackedThrough = numberMember(value, "ackedThrough");
-    grant.startAhead = flagMember(value, "startAhead");
+    grant.shard = static_cast<int>(smallCountMember(value, "shard"));
+    grant.epoch = countMember(value, "epoch");
+    grant.worker = stringMember(value, "worker");
+    grant.incarnation = countMember(value, "incarnation");
+    grant.session = stringMember(value, "session");
+    grant.replyTo = countMember(value, "replyTo");
+    grant.lease = milliseconds(countMember(value, "leaseMs"));
+    grant.ackedThrough = countMember(value, "ackedThrough");
+    grant.startAhead = boolMember(value, "startAhead");
     grant.tasks = listFromJson(value, "tasks", grantedTaskFromJson);
     grant.backlog = listFromJson(value, "backlog", grantedTaskFromJson);
     grant.stops = listFromJson(value, "stops", taskAttemptFromJson);
--- a/libs/work/messages.h
+++ b/libs/work/messages.h
@@ -16,16 +16,11 @@
 
 #include <json/json.h>
 
+#include "base/failover.h"
 #include "base/time.h"
 
 namespace zinniabarrow::work {
 
-// When a silent worker's task may start elsewhere (docs/design/OWNERSHIP.md).
-enum class failover_class {
-    Lease, // once every lease that the worker can hold has lapsed
-    Proof, // only on proof that the old attempt has ended
-};
-
 struct task_id
 {
     std::string job;
@@ -121,11 +116,9 @@
     std::map<std::string, Json::Value> specs; // by job, for `tasks` and `backlog`
 };
 
-std::string_view nameOf(failover_class failover);
 std::string_view nameOf(task_event_kind kind);
 
 // Each reader throws error BadRequest that names the bad member.
-failover_class failoverClassFromName(std::string_view name);
 Json::Value toJson(const task_attempt &attempt);
 task_attempt taskAttemptFromJson(const Json::Value &value);
 Json::Value toJson(const agent_report &report);
--- a/libs/work/task_keeper.cpp
+++ b/libs/work/task_keeper.cpp
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "base/errors.h"
+#include "base/json_member.h"
 #include "base/names.h"
-#include "work/json_members.h"
 
 namespace zinniabarrow::work {
 
@@ -68,8 +68,8 @@
 {
     running_task running;
     running.attempt = taskAttemptFromJson(value);
-    running.checkpoint = textMember(value, "checkpoint");
-    running.failover = failoverClassFromName(textMember(value, "failover"));
+    running.checkpoint = stringMember(value, "checkpoint");
+    running.failover = failoverClassFromName(stringMember(value, "failover"));
     running.spec = objectMember(value, "spec");
     return running;
 }
@@ -87,9 +87,9 @@
 {
     finished_task finished;
     finished.attempt = taskAttemptFromJson(value);
-    finished.outcome = taskOutcomeFromName(textMember(value, "outcome"));
-    finished.checkpoint = textMember(value, "checkpoint");
-    finished.detail = textMember(value, "detail");
+    finished.outcome = taskOutcomeFromName(stringMember(value, "outcome"));
+    finished.checkpoint = stringMember(value, "checkpoint");
+    finished.detail = stringMember(value, "detail");
     return finished;
 }
 
@@ -131,12 +131,12 @@
 worker_listing workerListingFromJson(const Json::Value &value)
 {
     worker_listing listing;
-    listing.number = numberMember(value, "number");
-    listing.incarnation = numberMember(value, "incarnation");
-    listing.epoch = numberMember(value, "epoch");
-    for (const auto &running : listMember(value, "running"))
+    listing.number = countMember(value, "number");
+    listing.incarnation = countMember(value, "incarnation");
+    listing.epoch = countMember(value, "epoch");
+    for (const auto &running : arrayMember(value, "running"))
         listing.running.push_back(runningTaskFromJson(running));
-    for (const auto &finished : listMember(value, "finished"))
+    for (const auto &finished : arrayMember(value, "finished"))
         listing.finished.push_back(finishedTaskFromJson(finished));
     return listing;
 }
--- a/libs/work/task_records.cpp
+++ b/libs/work/task_records.cpp
@@ -1,8 +1,8 @@
 #include "work/task_records.h"
 
 #include "base/errors.h"
+#include "base/json_member.h"
 #include "base/names.h"
-#include "work/json_members.h"
 
 namespace zinniabarrow::work {
 
@@ -73,13 +73,13 @@
 job_spec jobSpecFromJson(const Json::Value &value)
 {
     job_spec spec;
-    spec.id = textMember(value, "id");
-    spec.generation = numberMember(value, "generation");
-    spec.firstTask = smallNumberMember(value, "firstTask");
-    spec.tasks = smallNumberMember(value, "tasks");
-    spec.failover = failoverClassFromName(textMember(value, "failover"));
-    spec.service = flagMember(value, "service");
-    spec.maxFailures = smallNumberMember(value, "maxFailures");
+    spec.id = stringMember(value, "id");
+    spec.generation = countMember(value, "generation");
+    spec.firstTask = smallCountMember(value, "firstTask");
+    spec.tasks = smallCountMember(value, "tasks");
+    spec.failover = failoverClassFromName(stringMember(value, "failover"));
+    spec.service = boolMember(value, "service");
+    spec.maxFailures = smallCountMember(value, "maxFailures");
     spec.spec = objectMember(value, "spec");
     return spec;
 }
--- a/libs/work/task_store.cpp
+++ b/libs/work/task_store.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/json_member.h"
 #include "base/names.h"
-#include "work/json_members.h"
 #include "work/ownership.h"
 
 namespace zinniabarrow::work {
@@ -46,8 +46,8 @@
 {
     stored_job job;
     job.spec = jobSpecFromJson(objectMember(value, "job"));
-    job.range = smallNumberMember(value, "range");
-    job.cancelled = flagMember(value, "cancelled");
+    job.range = smallCountMember(value, "range");
+    job.cancelled = boolMember(value, "cancelled");
     return job;
 }
 
@@ -692,7 +692,7 @@
         return;
     }
     m_silent.settled.emplace();
-    for (const auto &worker : listMember(row.value, "workers"))
+    for (const auto &worker : arrayMember(row.value, "workers"))
         m_silent.settled->insert(worker.asString());
 }
 
@@ -703,7 +703,7 @@
     if (found == nullptr)
         return;
     std::uint32_t index = row.chunk * ChunkTasks;
-    for (const auto &value : listMember(found->value, "tasks")) {
+    for (const auto &value : arrayMember(found->value, "tasks")) {
         const task_record record = taskRecordFromJson(value);
         if (record != task_record())
             chunk.settled[index] = record;
--- a/libs/work/trace_checker.cpp
+++ b/libs/work/trace_checker.cpp
@@ -2,8 +2,8 @@
 
 #include "base/errors.h"
 #include "base/json.h"
+#include "base/json_member.h"
 #include "base/names.h"
-#include "work/json_members.h"
 
 namespace zinniabarrow::work {
 
@@ -26,17 +26,17 @@
 {
     const Json::Value &size = objectMember(event, "size");
     trace_size read;
-    read.millicores = static_cast<std::int64_t>(numberMember(size, "millicores"));
-    read.memoryBytes = static_cast<std::int64_t>(numberMember(size, "memoryBytes"));
-    read.accelerators = static_cast<std::int64_t>(numberMember(size, "accelerators"));
+    read.millicores = static_cast<std::int64_t>(countMember(size, "millicores"));
+    read.memoryBytes = static_cast<std::int64_t>(countMember(size, "memoryBytes"));
+    read.accelerators = static_cast<std::int64_t>(countMember(size, "accelerators"));
     return read;
 }
 
 std::string attemptText(const Json::Value &event)
 {
-    return textMember(event, "task") + " attempt "
-           + std::to_string(smallNumberMember(event, "attempt")) + " on "
-           + textMember(event, "worker");
+    return stringMember(event, "task") + " attempt "
+           + std::to_string(smallCountMember(event, "attempt")) + " on "
+           + stringMember(event, "worker");
 }
 
 } // namespace
@@ -50,19 +50,19 @@
 {
     ++m_line;
     try {
-        const std::string kind = textMember(event, "event");
+        const std::string kind = stringMember(event, "event");
         if (kind == "worker") {
             addWorker(event);
             return;
         }
-        const std::string name = textMember(event, "task");
+        const std::string name = stringMember(event, "task");
         task_trace &task = m_tasks[name];
         if (kind == "accepted") {
             task.accepted = true;
-            task.service = flagMember(event, "service");
-            task.proof = textMember(event, "failover") == nameOf(failover_class::Proof);
+            task.service = boolMember(event, "service");
+            task.proof = stringMember(event, "failover") == nameOf(failover_class::Proof);
         } else if (kind == "placed") {
-            task.placements[smallNumberMember(event, "attempt")] = textMember(event, "worker");
+            task.placements[smallCountMember(event, "attempt")] = stringMember(event, "worker");
         } else if (kind == "started" || kind == "resumed") {
             addStart(event, task, name);
         } else if (kind == "evicted" || kind == "stopped" || kind == "ended") {
@@ -88,7 +88,7 @@
 
 void trace_checker::addWorker(const Json::Value &event)
 {
-    const std::string name = textMember(event, "worker");
+    const std::string name = stringMember(event, "worker");
     worker_trace &worker = m_workers[name];
     worker.size = sizeOf(event);
     worker.used = trace_size();
@@ -103,9 +103,9 @@
 
 void trace_checker::addStart(const Json::Value &event, task_trace &task, const std::string &name)
 {
-    const std::string worker = textMember(event, "worker");
-    const std::uint32_t attempt = smallNumberMember(event, "attempt");
-    const std::string checkpoint = textMemberOr(event, "checkpoint", "");
+    const std::string worker = stringMember(event, "worker");
+    const std::uint32_t attempt = smallCountMember(event, "attempt");
+    const std::string checkpoint = stringMemberOr(event, "checkpoint", "");
     const std::string text = attemptText(event);
     if (task.running)
         violate(trace_violation_kind::TwoPlaces, text + ", still on " + task.worker);
@@ -135,9 +135,9 @@
 
 void trace_checker::addStop(const Json::Value &event, task_trace &task)
 {
-    const std::string kind = textMember(event, "event");
-    const bool current = task.running && task.worker == textMember(event, "worker")
-                         && task.attempt == smallNumberMember(event, "attempt");
+    const std::string kind = stringMember(event, "event");
+    const bool current = task.running && task.worker == stringMember(event, "worker")
+                         && task.attempt == smallCountMember(event, "attempt");
     if (!current) {
         violate(trace_violation_kind::BadLine, attemptText(event) + " did not run");
         return;
@@ -145,10 +145,10 @@
     task.running = false;
     use(task.worker, task.size, -1);
     if (kind == "evicted")
-        task.owedCheckpoint = textMember(event, "checkpoint");
+        task.owedCheckpoint = stringMember(event, "checkpoint");
     if (kind != "ended")
         return;
-    if (textMember(event, "outcome") == "succeeded")
+    if (stringMember(event, "outcome") == "succeeded")
         task.succeeded = true;
 }
 
--- a/standins/demo.cpp
+++ b/standins/demo.cpp
@@ -61,7 +61,38 @@
     fmt::print("{:<34}{:>10.1f}\n", "p99 ms", percentile(result.milliseconds, 0.99));
 }
 
-int runDemo(const std::string &binaries, unsigned requests)
+// Times in ms of reads that go one after the other to `address`.
+std::vector<double> timeReads(const std::string &address, const std::string &target)
+{
+    constexpr unsigned Reads = 300;
+    http_pools pools;
+    std::vector<double> times;
+    for (unsigned turn = 0; turn < Reads; ++turn) {
+        const auto startedAt = monotonic_clock::now();
+        const auto result = pools.to(address).call({"GET", target, {}, {}}, startedAt + seconds(5));
+        if (std::holds_alternative<http_response>(result))
+            times.push_back(
+                    std::chrono::duration<double, std::milli>(monotonic_clock::now() - startedAt)
+                            .count());
+    }
+    return times;
+}
+
+// What entry and agent add to a call of an upstream, side by side in this run.
+void printAddedLatency(fleet &system)
+{
+    const auto direct = timeReads(system.upstreamAddress(0), "/seats");
+    const auto carried = timeReads(system.entryAddress(0), "/tickets/seats");
+    const auto row = [](const char *what, const std::vector<double> &times) {
+        fmt::print("{:<34}{:>10.2f}{:>10.2f}\n", what, percentile(times, 0.5),
+                   percentile(times, 0.99));
+    };
+    fmt::print("\n{:<34}{:>10}{:>10}\n", "one read at a time", "p50 ms", "p99 ms");
+    row("straight to an upstream", direct);
+    row("through entry and agent", carried);
+}
+
+int runDemo(const std::string &binaries, unsigned requests, unsigned perSecond)
 {
     fleet_options options;
     options.binaries = binaries;
@@ -85,7 +116,7 @@
     load_result result;
     load_options callers;
     callers.requests = requests;
-    callers.perSecond = RequestsPerSecond;
+    callers.perSecond = perSecond;
     load_generator load(system, callers, result);
     std::thread runner([&] { load.run(); });
     while (load.done() < requests) {
@@ -105,6 +136,7 @@
     batch.evictions = countTraced(system, "evicted", season.job);
     batch.violations = checkFleetTrace(system);
     printTable(result, broken, batch);
+    printAddedLatency(system);
     const bool whole = batch.finished == BatchTasks && batch.violations.empty()
                        && result.wrongAnswers == 0 && broken.empty()
                        && result.answered + result.toldToComeBack == result.asked;
@@ -122,8 +154,10 @@
                                               "DIR", command);
         TCLAP::ValueArg<unsigned> requests("", "requests", "how many to send", false, 4000, "n",
                                            command);
+        TCLAP::ValueArg<unsigned> perSecond("", "per-second", "pace of the requests", false,
+                                            RequestsPerSecond, "n", command);
         command.parse(count, words);
-        return runDemo(binaries.getValue(), requests.getValue());
+        return runDemo(binaries.getValue(), requests.getValue(), perSecond.getValue());
     } catch (const std::exception &problem) {
         fmt::print(stderr, "demo: {}\n", problem.what());
         return 1;
--- a/standins/worker.cpp
+++ b/standins/worker.cpp
@@ -30,7 +30,7 @@
 struct task_run
 {
     work::task_attempt attempt;
-    work::failover_class failover = work::failover_class::Lease;
+    failover_class failover = failover_class::Lease;
     Json::Value spec;
     std::int64_t workMs = 0; // needed in all; 0: runs until stopped
     double doneMs = 0;       // progress, from the checkpoint on
@@ -210,7 +210,7 @@
         newest = attempt.attempt;
         task_run run;
         run.attempt = attempt;
-        run.failover = work::failoverClassFromName(stringMember(body, "failover"));
+        run.failover = failoverClassFromName(stringMember(body, "failover"));
         run.spec = objectMember(body, "spec");
         run.workMs = amountOf(run.spec, "work_ms");
         run.checkpoint = stringMember(body, "checkpoint");
