--- a/app/operator_commands.cpp
+++ b/app/operator_commands.cpp
@@ -104,14 +104,15 @@
                                                  command);
     command.parse(count, words);
     const auto result = config::checkFolder(readFolder(folder.getValue()));
-    if (json.getValue())
+    if (json.getValue()) {
         fmt::print("{}\n", prettyJson(config::problemList(result.problems)));
-    else if (result.isAcceptable())
+    } else if (result.isAcceptable()) {
         fmt::print("acceptable: {} services, {} jobs, {} pools, {} teams\n",
                    result.whole.services.size(), result.whole.jobs.size(),
                    result.whole.pools.size(), result.whole.teams.size());
-    else
+    } else {
         fmt::print("{}\n", config::problemTable(result.problems));
+    }
     return result.isAcceptable() ? ExitDone : ExitFailed;
 }
 
@@ -144,11 +145,12 @@
 {
     fmt::print("\n{:<14}{:<14}{:<22}{:>6}{:>10}{:>8}\n", "UPSTREAM", "SERVICE", "ADDRESS", "SLOTS",
                "RUNNING", "WAITING");
-    for (const auto &upstream : entry["upstreams"])
+    for (const auto &upstream : entry["upstreams"]) {
         fmt::print("{:<14}{:<14}{:<22}{:>6}{:>10}{:>8}\n", upstream["agentId"].asString(),
                    upstream["service"].asString(), upstream["address"].asString(),
                    upstream["slots"].asInt(), upstream["inFlight"].asInt(),
                    upstream["queued"].asInt());
+    }
 }
 
 void printShard(const Json::Value &shard, const std::string &owner)
@@ -181,9 +183,10 @@
             printShard(shard, entry["entry"].asString());
     }
     fmt::print("\n{:<14}{:>10}  {}\n", "ENTRY", "IN FLIGHT", "REFUSED, BY REASON");
-    for (const auto &entry : all.entries)
+    for (const auto &entry : all.entries) {
         fmt::print("{:<14}{:>10}  {}{}\n", entry["entry"].asString(), entry["in_flight"].asUInt(),
                    compactJson(entry["refusals"]), entry["draining"].asBool() ? "  DRAINING" : "");
+    }
     for (const auto &address : all.unreachable)
         fmt::print("could not reach the entry at {}\n", address);
 }
--- a/standins/demo.cpp
+++ b/standins/demo.cpp
@@ -70,10 +70,9 @@
     for (unsigned turn = 0; turn < Reads; ++turn) {
         const auto startedAt = monotonic_clock::now();
         const auto result = pools.to(address).call({"GET", target, {}, {}}, startedAt + seconds(5));
+        const std::chrono::duration<double, std::milli> took = monotonic_clock::now() - startedAt;
         if (std::holds_alternative<http_response>(result))
-            times.push_back(
-                    std::chrono::duration<double, std::milli>(monotonic_clock::now() - startedAt)
-                            .count());
+            times.push_back(took.count());
     }
     return times;
 }
