--- a/libs/config/settings.h
+++ b/libs/config/settings.h
@@ -78,7 +78,7 @@
     milliseconds clockMargin{500};        // added wherever another process's lease must be over
     milliseconds announceSilence{3000};   // after which an announcer counts as gone
     std::size_t maxBodyBytes = 1'048'576; // of a caller's request
-    std::size_t maxConnections = 1024;    // of callers at once
+    std::size_t maxConnections = 256;     // of callers at once; a thread each
     milliseconds requestDeadline{10'000}; // for requests that name none
     retry_settings retry;                 //
     milliseconds drain{30'000};           // longest wait for requests in flight at a stop
--- a/libs/config/settings_schema.cpp
+++ b/libs/config/settings_schema.cpp
@@ -114,7 +114,7 @@
     },
     "max_connections": {
       "type": "integer",
-      "default": 1024,
+      "default": 256,
       "minimum": 1,
       "maximum": 65536,
       "description": "callers' connections at once"
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
+#include <cstring>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
@@ -94,7 +95,7 @@
     posix_spawn_file_actions_destroy(&files);
     posix_spawnattr_destroy(&attributes);
     if (problem != 0)
-        throw std::runtime_error("cannot start " + command[0] + ": build it first");
+        throw std::runtime_error("cannot start " + command[0] + ": " + std::strerror(problem));
 }
 
 child_process::~child_process()
@@ -258,6 +259,7 @@
             settings["peers"].append(entryRpcAddress(peer));
     }
     settings["platform"]["address"] = platformAddress();
+    settings["max_connections"] = 96; // a thread each: many fleets' processes share this machine
     merge(settings, m_options.entrySettings);
     const auto file = writeSettings("entry-" + std::to_string(index), settings);
     m_entries.at(index) =
