One way to ask a duty, one form of refusals, the stand-in worker on work::worker_tasks

Cause: four duties waited for their answers in four copies of the same lines, the HTTP server built its refusals apart from the daemons, and the stand-in worker kept attempts, listings and leases in its own copy of what the library has.

--- a/app/config_duty.cpp
+++ b/app/config_duty.cpp
@@ -106,12 +106,7 @@
 Json::Value
 config_duty::ask(std::function<Json::Value(const config::generation_keeper &, time_point)> how)
 {
-    auto reply = std::make_shared<std::promise<Json::Value>>();
-    auto answer = reply->get_future();
-    if (!m_duty->post(question{std::move(how), reply})
-        || answer.wait_for(ReplyWithin) != std::future_status::ready)
-        throw rpc_refusal(std::string(nameOf(error_kind::Overloaded)), "try again later");
-    return answer.get();
+    return askDuty([&](const reply_promise &reply) { return m_duty->post(question{how, reply}); });
 }
 
 Json::Value config_duty::generationPushed(const Json::Value &parameters)
--- a/app/config_duty.h
+++ b/app/config_duty.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <variant>
 
+#include "app/ask.h"
 #include "app/lanes.h"
 #include "app/request_duty.h"
 #include "base/log.h"
@@ -58,7 +59,7 @@
     struct question
     {
         std::function<Json::Value(const config::generation_keeper &, time_point)> answer;
-        std::shared_ptr<std::promise<Json::Value>> reply;
+        reply_promise reply;
     };
     struct members_known
     {
--- a/app/follow_duty.cpp
+++ b/app/follow_duty.cpp
@@ -10,7 +10,6 @@
 
 constexpr std::size_t RingCapacity = 256;
 constexpr milliseconds TickEvery{250};
-constexpr milliseconds ReplyWithin{1000};
 
 config::follower_settings followerSettings(const config::agent_settings &settings)
 {
@@ -44,13 +43,11 @@
 
 Json::Value follow_duty::generationPushed(const Json::Value &parameters)
 {
-    auto reply = std::make_shared<std::promise<Json::Value>>();
-    auto answer = reply->get_future();
-    pushed told{config::generationReportFromJson(objectMember(parameters, "report")),
-                stringMember(parameters, "address"), reply};
-    if (!m_duty->post(std::move(told)) || answer.wait_for(ReplyWithin) != std::future_status::ready)
-        throw rpc_refusal(std::string(nameOf(error_kind::Overloaded)), "try again later");
-    return answer.get();
+    const auto report = config::generationReportFromJson(objectMember(parameters, "report"));
+    const auto address = stringMember(parameters, "address");
+    return askDuty([&](const reply_promise &reply) {
+        return m_duty->post(pushed{report, address, reply});
+    });
 }
 
 void follow_duty::handle(event &what)
--- a/app/follow_duty.h
+++ b/app/follow_duty.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <variant>
 
+#include "app/ask.h"
 #include "app/lanes.h"
 #include "base/log.h"
 #include "config/generation_follower.h"
@@ -34,7 +35,7 @@
     {
         config::generation_report report;
         std::string address; // of the entry that tells
-        std::shared_ptr<std::promise<Json::Value>> reply;
+        reply_promise reply;
     };
     using event = std::variant<pushed, config::content_read>;
 
--- a/app/request_duty.cpp
+++ b/app/request_duty.cpp
@@ -16,7 +16,6 @@
 constexpr std::size_t RingCapacity = 32768;
 constexpr milliseconds TickEvery{10};
 constexpr milliseconds ShareEvery{500};
-constexpr milliseconds ReplyWithin{2000};
 constexpr std::size_t StoredAnswerBytes = 4096; // larger ones are not kept with a claim
 constexpr std::uint64_t RouterSeedStream = 7;
 
@@ -310,34 +309,24 @@
     return answer;
 }
 
-template <typename Make>
-Json::Value request_duty::ask(Make make)
-{
-    auto reply = std::make_shared<std::promise<Json::Value>>();
-    auto answer = reply->get_future();
-    if (!m_duty->post(make(reply)) || answer.wait_for(ReplyWithin) != std::future_status::ready)
-        throw rpc_refusal(std::string(nameOf(error_kind::Overloaded)), "try again later");
-    try {
-        return answer.get();
-    } catch (const error &problem) {
-        throw rpc_refusal(std::string(nameOf(problem.kind())), problem.what());
-    }
-}
-
 Json::Value request_duty::announce(const Json::Value &parameters)
 {
-    return ask([&](auto reply) { return announced{parameters, reply}; });
+    return askDuty([&](const reply_promise &reply) {
+        return m_duty->post(announced{parameters, reply});
+    });
 }
 
 Json::Value request_duty::digest(const Json::Value &parameters)
 {
     const auto message = request::digestFromJson(arrayMember(parameters, "digest"));
-    return ask([&](auto reply) { return digest_heard{message, reply}; });
+    return askDuty([&](const reply_promise &reply) {
+        return m_duty->post(digest_heard{message, reply});
+    });
 }
 
 Json::Value request_duty::status()
 {
-    return ask([](auto reply) { return status_asked{reply}; });
+    return askDuty([&](const reply_promise &reply) { return m_duty->post(status_asked{reply}); });
 }
 
 void request_duty::drain()
--- a/app/request_duty.h
+++ b/app/request_duty.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <variant>
 
+#include "app/ask.h"
 #include "app/lanes.h"
 #include "base/log.h"
 #include "config/settings.h"
@@ -110,12 +111,12 @@
     struct announced
     {
         Json::Value parameters;
-        std::shared_ptr<std::promise<Json::Value>> reply;
+        reply_promise reply;
     };
     struct digest_heard
     {
         request::digest message;
-        std::shared_ptr<std::promise<Json::Value>> reply;
+        reply_promise reply;
     };
     struct digest_answered
     {
@@ -124,7 +125,7 @@
     };
     struct status_asked
     {
-        std::shared_ptr<std::promise<Json::Value>> reply;
+        reply_promise reply;
     };
     using event = std::variant<arrival, attempt_result, delivery::claims_committed,
                                delivery::claims_read, announced, digest_heard, digest_answered,
@@ -142,9 +143,6 @@
     http_response forwardAndReport(const caller_call &call, const std::string &id,
                                    const forward_step &step);
     http_response finalAnswer(const answer_step &step, const http_response &lastAnswer) const;
-    template <typename Make>
-    Json::Value ask(Make make);
-
     // On the duty's thread.
     void handle(event &what);
     void on(arrival &what, time_point now);
--- a/app/schedule_duty.cpp
+++ b/app/schedule_duty.cpp
@@ -12,7 +12,6 @@
 
 constexpr std::size_t RingCapacity = 32768;
 constexpr milliseconds TickEvery{100};
-constexpr milliseconds ReplyWithin{2000};
 
 work::lease_settings leaseSettings(const config::entry_settings &settings)
 {
@@ -89,42 +88,34 @@
         std::this_thread::sleep_for(TickEvery);
 }
 
-template <typename Make>
-Json::Value schedule_duty::ask(Make make)
-{
-    auto reply = std::make_shared<std::promise<Json::Value>>();
-    auto answer = reply->get_future();
-    if (!m_duty->post(make(reply)) || answer.wait_for(ReplyWithin) != std::future_status::ready)
-        throw rpc_refusal(std::string(nameOf(error_kind::Overloaded)), "try again later");
-    try {
-        return answer.get();
-    } catch (const error &problem) {
-        throw rpc_refusal(std::string(nameOf(problem.kind())), problem.what());
-    }
-}
-
 Json::Value schedule_duty::report(const Json::Value &parameters)
 {
     const auto message = work::agentReportFromJson(objectMember(parameters, "report"));
     const worker_place place{placement::workerInfoFromJson(objectMember(parameters, "worker")),
                              stringMember(parameters, "agent"), boolMember(parameters, "serving")};
-    return ask([&](auto reply) { return report_heard{message, place, reply}; });
+    return askDuty([&](const reply_promise &reply) {
+        return m_duty->post(report_heard{message, place, reply});
+    });
 }
 
 Json::Value schedule_duty::usage(const Json::Value &parameters)
 {
-    return ask([&](auto reply) { return usage_heard{parameters, reply}; });
+    return askDuty([&](const reply_promise &reply) {
+        return m_duty->post(usage_heard{parameters, reply});
+    });
 }
 
 Json::Value schedule_duty::status()
 {
-    return ask([](auto reply) { return status_asked{reply}; });
+    return askDuty([&](const reply_promise &reply) { return m_duty->post(status_asked{reply}); });
 }
 
 Json::Value schedule_duty::explain(const Json::Value &parameters)
 {
     const auto task = work::taskIdFromText(stringMember(parameters, "task"));
-    return ask([&](auto reply) { return explain_asked{task, reply}; });
+    return askDuty([&](const reply_promise &reply) {
+        return m_duty->post(explain_asked{task, reply});
+    });
 }
 
 void schedule_duty::drain()
--- a/app/schedule_duty.h
+++ b/app/schedule_duty.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <variant>
 
+#include "app/ask.h"
 #include "app/config_duty.h"
 #include "app/lanes.h"
 #include "app/owned_shard.h"
@@ -43,7 +44,6 @@
     void stop();
 
 private:
-    using reply_promise = std::shared_ptr<std::promise<Json::Value>>;
     struct report_heard
     {
         work::agent_report report;
@@ -74,9 +74,6 @@
                                work::shard_write_settled, table_answer, report_heard, usage_heard,
                                status_asked, explain_asked, work::release_shards>;
 
-    template <typename Make>
-    Json::Value ask(Make make);
-
     void handle(event &what);
     void on(members_snapshot &what);
     void on(adopted_configuration &what);
--- a/libs/runtime/http.cpp
+++ b/libs/runtime/http.cpp
@@ -14,6 +14,7 @@
 #include <httplib.h>
 
 #include "base/errors.h"
+#include "runtime/refusal.h"
 
 namespace zinniabarrow {
 
@@ -98,19 +99,6 @@
     to.set_content(from.body, type);
 }
 
-http_response refusal(error_kind kind)
-{
-    const auto &row = answerFor(kind);
-    http_response response;
-    response.status = row.httpStatus;
-    response.headers["Zb-Error"] = std::string(row.name);
-    response.headers["Zb-Executed"] = std::string(nameOf(row.ran));
-    if (row.comeBackAfter.count() > 0)
-        response.headers["Retry-After"] = std::to_string((row.comeBackAfter.count() + 999) / 1000);
-    response.body = std::string(R"({"error":")") + std::string(row.name) + "\"}";
-    return response;
-}
-
 } // namespace
 
 bool header_less::operator()(const std::string &left, const std::string &right) const
@@ -211,7 +199,7 @@
     void answer(const httplib::Request &from, httplib::Response &to)
     {
         if (overflowing) {
-            fillResponse(to, refusal(error_kind::Overloaded));
+            fillResponse(to, refusalAnswer(error_kind::Overloaded));
             to.set_header("Connection", "close");
             return;
         }
@@ -219,9 +207,9 @@
         try {
             fillResponse(to, serve(requestOf(from)));
         } catch (const error &problem) {
-            fillResponse(to, refusal(problem.kind()));
+            fillResponse(to, refusalAnswer(problem.kind()));
         } catch (const std::exception &) {
-            fillResponse(to, refusal(error_kind::Internal));
+            fillResponse(to, refusalAnswer(error_kind::Internal));
         }
         if (closing)
             to.set_header("Connection", "close");
@@ -237,10 +225,11 @@
         server.Patch(".*", all).Delete(".*", all).Options(".*", all);
         server.set_error_handler([](const httplib::Request &, httplib::Response &to) {
             // httplib refused by itself (broken request line, body over the bound): say why.
-            if (!to.body.empty() || to.has_header("Zb-Error"))
+            if (!to.body.empty() || to.has_header(ErrorHeader))
                 return;
             const bool tooLarge = to.status == 413;
-            auto answer = refusal(tooLarge ? error_kind::RequestTooLarge : error_kind::BadRequest);
+            auto answer =
+                    refusalAnswer(tooLarge ? error_kind::RequestTooLarge : error_kind::BadRequest);
             answer.status = to.status;
             fillResponse(to, answer);
         });
--- /dev/null
+++ b/libs/runtime/refusal.cpp
@@ -0,0 +1,33 @@
+#include "runtime/refusal.h"
+
+#include "base/json.h"
+
+namespace zinniabarrow {
+
+http_response refusalAnswer(error_kind kind, executed ran, milliseconds retryAfter)
+{
+    const auto &row = answerFor(kind);
+    http_response response;
+    response.status = row.httpStatus;
+    response.headers[ErrorHeader] = std::string(row.name);
+    response.headers[ExecutedHeader] = std::string(nameOf(ran));
+    if (retryAfter.count() > 0) {
+        constexpr milliseconds::rep Second = 1000; // Retry-After counts whole seconds: round up
+        response.headers["Retry-After"] =
+                std::to_string((retryAfter.count() + Second - 1) / Second);
+    }
+    Json::Value body(Json::objectValue);
+    body["error"] = std::string(row.name);
+    body["executed"] = std::string(nameOf(ran));
+    body["retry_after_ms"] = Json::Int64(retryAfter.count());
+    response.body = compactJson(body);
+    return response;
+}
+
+http_response refusalAnswer(error_kind kind)
+{
+    const auto &row = answerFor(kind);
+    return refusalAnswer(kind, row.ran, row.comeBackAfter);
+}
+
+} // namespace zinniabarrow
--- a/standins/worker.cpp
+++ b/standins/worker.cpp
@@ -1,7 +1,6 @@
 // A worker's stand-in: runs tasks under leases, starts whatever it is given, reports usage late.
 //
-// It keeps what docs/design/OWNERSHIP.md asks of a worker: its incarnation, the newest epoch it was
-// told, and the newest attempt of each task that it ran or was told to stop.
+// What docs/design/OWNERSHIP.md asks of a worker is work::worker_tasks.
 #include <atomic>
 #include <cstdio>
 #include <deque>
@@ -16,7 +15,7 @@
 #include "base/json_member.h"
 #include "standins/standin.h"
 #include "work/messages.h"
-#include "work/task_keeper.h"
+#include "work/worker_tasks.h"
 
 namespace zinniabarrow::standins {
 
@@ -24,22 +23,26 @@
 
 constexpr milliseconds Step{10};
 constexpr milliseconds LongestStep{100}; // on a busy machine
-constexpr std::size_t RememberedListings = 64;
 constexpr char ProgressMark = '#';
 
 // One attempt of a task, from its start until it is forgotten.
 struct task_run
 {
     work::task_attempt attempt;
-    failover_class failover = failover_class::Lease;
     Json::Value spec;
     std::int64_t workMs = 0; // needed in all; 0: runs until stopped
     double doneMs = 0;       // progress, from the checkpoint on
     std::string checkpoint;  // object name and progress in ms
     double share = 1;        // of full speed, below 1 when throttled
-    time_point leaseUntil{};
 };
 
+// Rises with every life of the instance.
+std::uint64_t newIncarnation()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(sinceEpoch).count());
+}
+
 std::int64_t amountOf(const Json::Value &spec, const char *name)
 {
     return spec.isMember(name) ? spec[name].asInt64() : 0;
@@ -63,12 +66,10 @@
 public:
     explicit worker_standin(const worker_options &options)
         : m_options(options)
+        , m_tasks(newIncarnation())
         , m_server(options.address, {64, 4 * 1024 * 1024},
                    [this](const http_request &request) { return serve(request); })
     {
-        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-        m_listing.incarnation = static_cast<std::uint64_t>(
-                std::chrono::duration_cast<milliseconds>(sinceEpoch).count());
         traceWorker();
         m_server.start();
         m_runner = std::thread([this] { run(); });
@@ -175,107 +176,92 @@
 
     http_response list(const Json::Value &body)
     {
-        m_listing.epoch = std::max(m_listing.epoch, countMember(body, "epoch"));
-        ++m_listing.number;
-        m_listedAt[m_listing.number] = monotonic_clock::now();
-        if (m_listedAt.size() > RememberedListings)
-            m_listedAt.erase(m_listedAt.begin());
-        m_listing.running.clear();
-        for (const auto &[task, run] : m_runs)
-            m_listing.running.push_back({run.attempt, run.checkpoint, run.spec, run.failover});
-        return {200, {}, compactJson(toJson(m_listing))};
-    }
-
-    // Leases count from the listing that the agent had seen, so that a late message extends none.
-    time_point listedAt(const Json::Value &body) const
-    {
-        const auto found = m_listedAt.find(countMember(body, "listing"));
-        return found == m_listedAt.end() ? time_point{} : found->second;
+        const auto listing = m_tasks.list({countMember(body, "epoch")}, monotonic_clock::now());
+        return {200, {}, compactJson(toJson(listing))};
     }
 
-    http_response refuseStart() const
+    http_response start(const Json::Value &body)
     {
+        work::worker_start request;
+        const auto attempt = attemptFrom(body);
+        request.task.task = attempt.task;
+        request.task.attempt = attempt.attempt;
+        request.task.failover = failoverClassFromName(stringMember(body, "failover"));
+        request.task.checkpoint = stringMember(body, "checkpoint");
+        request.spec = objectMember(body, "spec");
+        request.lease = milliseconds(integerMember(body, "lease_ms"));
+        request.startWithin = milliseconds(integerMember(body, "start_within_ms"));
+        request.listing = countMember(body, "listing");
+        request.incarnation = countMember(body, "incarnation");
+        switch (m_tasks.start(request, monotonic_clock::now())) {
+        case work::start_answer::Started:
+            run(request);
+            return {200, {}, "{}"};
+        case work::start_answer::AlreadyRuns:
+            return {200, {}, "{}"};
+        case work::start_answer::TooLate:
+            return {410, {}, "{}"}; // the agent decides anew
+        case work::start_answer::Refused:
+            break;
+        }
         Json::Value answer(Json::objectValue);
-        answer["listing"] = Json::UInt64(m_listing.number);
+        answer["listing"] = Json::UInt64(m_tasks.listing());
         return {409, {}, compactJson(answer)};
     }
 
-    http_response start(const Json::Value &body)
+    void run(const work::worker_start &request)
     {
-        const auto attempt = attemptFrom(body);
-        const auto now = monotonic_clock::now();
-        if (countMember(body, "incarnation") != m_listing.incarnation)
-            return {410, {}, "{}"}; // meant for an earlier life of this worker
-        const auto base = listedAt(body);
-        auto &newest = m_newest[attempt.task];
-        if (attempt.attempt <= newest)
-            return refuseStart();
-        if (now >= base + milliseconds(integerMember(body, "start_within_ms")))
-            return {410, {}, "{}"}; // too late: the agent decides anew
-        newest = attempt.attempt;
         task_run run;
-        run.attempt = attempt;
-        run.failover = failoverClassFromName(stringMember(body, "failover"));
-        run.spec = objectMember(body, "spec");
+        run.attempt = {request.task.task, request.task.attempt};
+        run.spec = request.spec;
         run.workMs = amountOf(run.spec, "work_ms");
-        run.checkpoint = stringMember(body, "checkpoint");
+        run.checkpoint = request.task.checkpoint;
         run.doneMs = progressIn(run.checkpoint);
-        run.leaseUntil = base + milliseconds(integerMember(body, "lease_ms"));
         trace(run.checkpoint.empty() ? "started" : "resumed", run);
+        m_runs[run.attempt.task] = run;
         if (m_failStarts)
-            finish(run, work::task_outcome::Failed, "failed to start");
-        else
-            m_runs[attempt.task] = run;
-        return {200, {}, "{}"};
+            finish(run.attempt.task, work::task_outcome::Failed, "failed to start");
     }
 
     http_response renew(const Json::Value &body)
     {
-        if (countMember(body, "incarnation") != m_listing.incarnation)
-            return {410, {}, "{}"};
-        const auto base = listedAt(body);
-        for (const auto &entry : arrayMember(body, "renewals")) {
-            if (auto *run = find(attemptFrom(entry)))
-                run->leaseUntil = std::max(run->leaseUntil,
-                                           base + milliseconds(integerMember(entry, "lease_ms")));
-        }
+        for (const auto &entry : arrayMember(body, "renewals"))
+            m_tasks.renew({attemptFrom(entry), milliseconds(integerMember(entry, "lease_ms")),
+                           countMember(body, "listing"), countMember(body, "incarnation")});
         return {200, {}, "{}"};
     }
 
     http_response stop(const work::task_attempt &attempt)
     {
-        if (const auto *run = find(attempt)) {
-            finish(*run, work::task_outcome::Stopped, "");
-        } else if (attempt.attempt > m_newest[attempt.task]) {
-            // Never there: remembered, so that a start which is still on its way is refused.
-            m_newest[attempt.task] = attempt.attempt;
-            m_listing.finished.push_back({attempt, work::task_outcome::Stopped, "", ""});
-        }
+        if (m_tasks.stop({attempt}))
+            end(attempt.task, "stopped", nullptr);
         return {200, {}, "{}"};
     }
 
     // A real worker writes the object; here its name carries the progress.
     http_response checkpoint(const work::task_attempt &attempt, const std::string &object)
     {
-        if (auto *run = find(attempt)) {
-            run->checkpoint =
-                    object + ProgressMark + std::to_string(static_cast<std::int64_t>(run->doneMs));
-            finish(*run, work::task_outcome::Evicted, "");
+        if (m_tasks.runs(attempt)) {
+            auto &run = m_runs.at(attempt.task);
+            run.checkpoint =
+                    object + ProgressMark + std::to_string(static_cast<std::int64_t>(run.doneMs));
+            finish(attempt.task, work::task_outcome::Evicted, "");
         }
         return {200, {}, "{}"};
     }
 
     http_response throttle(const Json::Value &body)
     {
-        if (auto *run = find(attemptFrom(body)))
-            run->share = static_cast<double>(integerMember(body, "percent")) / 100;
+        const auto attempt = attemptFrom(body);
+        if (m_tasks.runs(attempt))
+            m_runs.at(attempt.task).share =
+                    static_cast<double>(integerMember(body, "percent")) / 100;
         return {200, {}, "{}"};
     }
 
     http_response forget(const work::task_attempt &attempt)
     {
-        std::erase_if(m_listing.finished,
-                      [&](const auto &finished) { return finished.attempt == attempt; });
+        m_tasks.forget({attempt});
         return {200, {}, "{}"};
     }
 
@@ -289,25 +275,21 @@
 
     // --- Running.
 
-    task_run *find(const work::task_attempt &attempt)
+    // The task ended by itself or by a checkpoint.
+    void finish(const work::task_id &task, work::task_outcome outcome, const std::string &detail)
     {
-        const auto found = m_runs.find(attempt.task);
-        return found != m_runs.end() && found->second.attempt == attempt ? &found->second : nullptr;
+        const auto &run = m_runs.at(task);
+        m_tasks.ended({run.attempt, outcome, run.checkpoint, detail});
+        if (outcome == work::task_outcome::Evicted)
+            end(task, "evicted", nullptr);
+        else
+            end(task, "ended", outcome == work::task_outcome::Failed ? "failed" : "succeeded");
     }
 
-    void finish(const task_run &ended, work::task_outcome outcome, const std::string &detail)
+    void end(const work::task_id &task, const char *event, const char *outcome)
     {
-        const task_run run = ended; // `ended` may lie in the map
-        m_listing.finished.push_back({run.attempt, outcome, run.checkpoint, detail});
-        m_runs.erase(run.attempt.task);
-        if (outcome == work::task_outcome::Evicted)
-            trace("evicted", run);
-        else if (outcome == work::task_outcome::Succeeded)
-            trace("ended", run, "succeeded");
-        else if (outcome == work::task_outcome::Failed)
-            trace("ended", run, "failed");
-        else
-            trace("stopped", run);
+        trace(event, m_runs.at(task), outcome);
+        m_runs.erase(task);
     }
 
     void run()
@@ -327,13 +309,8 @@
 
     void endLapsed(time_point now)
     {
-        std::vector<work::task_id> lapsed;
-        for (const auto &[task, run] : m_runs) {
-            if (now >= run.leaseUntil)
-                lapsed.push_back(task);
-        }
-        for (const auto &task : lapsed)
-            finish(m_runs.at(task), work::task_outcome::Lapsed, "");
+        for (const auto &attempt : m_tasks.takeLapsed(now))
+            end(attempt.task, "stopped", nullptr);
     }
 
     void advance(time_point now, duration passed)
@@ -346,7 +323,7 @@
                 done.push_back(task);
         }
         for (const auto &task : done)
-            finish(m_runs.at(task), work::task_outcome::Succeeded, "");
+            finish(task, work::task_outcome::Succeeded, "");
     }
 
     void sampleUsage()
@@ -369,10 +346,8 @@
 
     worker_options m_options;
     std::mutex m_mutex;
-    work::worker_listing m_listing;
-    std::map<std::uint64_t, time_point> m_listedAt; // by number of the listing
+    work::worker_tasks m_tasks;
     std::map<work::task_id, task_run> m_runs;
-    std::map<work::task_id, std::uint32_t> m_newest; // attempt
     std::deque<Json::Value> m_usage;
     pause_gate m_pause;
     std::atomic<bool> m_failStarts{false};
--- a/tests/fleet_story.h
+++ b/tests/fleet_story.h
@@ -41,6 +41,13 @@
             SoonEnough);
 }
 
+// Starts everything; returns when every entry routes to every upstream.
+inline void startWhole(fleet &system)
+{
+    system.startAll();
+    require(waitForUpstreams(system, system.options().workers));
+}
+
 // Runs the load on a thread of its own while `story` happens.
 template <typename Story>
 void underLoad(fleet &system, const load_options &options, load_result &result, Story &&story)
--- a/tests/process_config_test.cpp
+++ b/tests/process_config_test.cpp
@@ -61,8 +61,7 @@
 Test(process_config, edits)
 {
     fleet system(smallFleet());
-    system.startAll();
-    require(waitForUpstreams(system, 4));
+    startWhole(system);
     operator_seat seat(system);
     section("a whole folder is accepted", [&] {
         check(seat.put(0, "10-base.json", baseFolder(system.options())).exitCode == 0);
@@ -101,8 +100,7 @@
 Test(process_config, race)
 {
     fleet system(smallFleet());
-    system.startAll();
-    require(waitForUpstreams(system, 4));
+    startWhole(system);
     operator_seat seat(system);
     require(seat.put(0, "10-base.json", baseFolder(system.options())).exitCode == 0);
     std::vector<command_result> results(2);
@@ -149,8 +147,7 @@
 Test(process_config, outage_in_mid_change)
 {
     fleet system(smallFleet());
-    system.startAll();
-    require(waitForUpstreams(system, 4));
+    startWhole(system);
     operator_seat seat(system);
     require(seat.put(0, "10-base.json", baseFolder(system.options())).exitCode == 0);
     Json::Value fault(Json::objectValue);
--- a/tests/process_requests_test.cpp
+++ b/tests/process_requests_test.cpp
@@ -12,8 +12,7 @@
 Test(process_requests, agents_die_and_freeze)
 {
     fleet system(smallFleet());
-    system.startAll();
-    require(waitForUpstreams(system, 4));
+    startWhole(system);
     load_result result;
     load_options options;
     options.requests = 900;
@@ -39,8 +38,7 @@
 Test(process_requests, entries_die_and_freeze)
 {
     fleet system(smallFleet());
-    system.startAll();
-    require(waitForUpstreams(system, 4));
+    startWhole(system);
     load_result result;
     load_options options;
     options.requests = 900;
@@ -68,8 +66,7 @@
     auto options = smallFleet();
     options.upstreamWorkMs = 100; // so that requests are in flight when the signal comes
     fleet system(options);
-    system.startAll();
-    require(waitForUpstreams(system, 4));
+    startWhole(system);
     load_result result;
     load_options callers;
     callers.requests = 600;
@@ -108,8 +105,7 @@
 Test(process_requests, platform_down)
 {
     fleet system(smallFleet());
-    system.startAll();
-    require(waitForUpstreams(system, 4));
+    startWhole(system);
     load_result result;
     load_generator callers(system, {}, result);
     http_request keyed{"POST", "/tickets/hold", {{"Idempotency-Key", "k1"}}, "seat"};
@@ -145,8 +141,7 @@
 Test(process_requests, upstreams_cut_refuse_and_hang)
 {
     fleet system(smallFleet());
-    system.startAll();
-    require(waitForUpstreams(system, 4));
+    startWhole(system);
     load_result result;
     load_options options;
     options.deadline = milliseconds(1000);
--- a/tests/process_work_test.cpp
+++ b/tests/process_work_test.cpp
@@ -23,6 +23,16 @@
     return system.options().entries;
 }
 
+bool waitForOtherOwner(fleet &system, unsigned than)
+{
+    return waitUntil(
+            [&] {
+                const auto next = ownerOf(system);
+                return next != than && next < system.options().entries;
+            },
+            SoonEnough);
+}
+
 void startWithBatch(fleet &system, const batch_options &batch)
 {
     system.startAll();
@@ -69,14 +79,7 @@
     const auto owner = ownerOf(system);
     require(owner < system.options().entries);
     section("the owner is killed", [&] { system.entry(owner)->signal(SIGKILL); });
-    section("another owns the shard", [&] {
-        check(waitUntil(
-                [&] {
-                    const auto next = ownerOf(system);
-                    return next != owner && next < system.options().entries;
-                },
-                SoonEnough));
-    });
+    section("another owns the shard", [&] { check(waitForOtherOwner(system, owner)); });
     section("every task ends once, with one start each", [&] {
         check(waitForEnds(system, batch));
         check(countTraced(system, "started", batch.job) == 60);
@@ -96,14 +99,7 @@
     const auto owner = ownerOf(system);
     require(owner < system.options().entries);
     system.entry(owner)->signal(SIGSTOP);
-    section("another owns the shard", [&] {
-        check(waitUntil(
-                [&] {
-                    const auto next = ownerOf(system);
-                    return next != owner && next < system.options().entries;
-                },
-                SoonEnough));
-    });
+    section("another owns the shard", [&] { check(waitForOtherOwner(system, owner)); });
     system.entry(owner)->signal(SIGCONT);
     section("every task ends once", [&] {
         check(waitForEnds(system, batch));
