An agent that was replaced while it was paused gives way; forwarding apart from the request duty; section indexes

Cause: announcer::superseded was never asked, so a paused agent would have gone on beside its successor.

--- a/app/agent.cpp
+++ b/app/agent.cpp
@@ -47,7 +47,8 @@
         m_server.start();
         m_announce.emplace(
                 m_duties, m_settings, m_self, toText(m_server.address()), m_sender,
-                [this] { return m_admission.load(); }, [this] { return m_follow.report(); });
+                [this] { return m_admission.load(); }, [this] { return m_follow.report(); },
+                [this] { giveWay(); });
         m_keeper.emplace(m_duties, m_settings, m_self, toText(m_server.address()), m_sender,
                          m_metrics, [this] { return m_admission.load(); });
         m_probe.emplace(m_duties, upstreamAddress(), [this](bool up) { upstreamChanged(up); });
@@ -84,6 +85,12 @@
     }
 
 private:
+    void giveWay()
+    {
+        m_log.warn("superseded");
+        m_signals.request();
+    }
+
     socket_address upstreamAddress() const
     {
         return {m_settings.upstream.address.address, m_settings.upstream.address.port};
--- a/app/announce_duty.cpp
+++ b/app/announce_duty.cpp
@@ -43,11 +43,13 @@
 announce_duty::announce_duty(duty_system &system, const config::agent_settings &settings,
                              const process_identity &self, const std::string &ownAddress,
                              rpc_sender &sender, std::function<request::upstream_load()> load,
-                             std::function<Json::Value()> generationReport)
+                             std::function<Json::Value()> generationReport,
+                             std::function<void()> superseded)
     : m_settings(settings)
     , m_sender(sender)
     , m_load(std::move(load))
     , m_generationReport(std::move(generationReport))
+    , m_superseded(std::move(superseded))
     , m_announcer(announcerSettings(settings), selfOf(settings, self, ownAddress))
 {
     m_duty = std::make_unique<duty<event>>(
@@ -85,7 +87,11 @@
         return; // the same as no reply
     }
     m_leftEverywhere = m_announcer.leftEverywhere();
-    m_superseded = m_announcer.superseded();
+    // An agent that was replaced while it was paused must not go on beside its successor.
+    if (m_announcer.superseded() && !m_toldSuperseded) {
+        m_toldSuperseded = true;
+        m_superseded();
+    }
 }
 
 void announce_duty::tick()
--- a/app/announce_duty.h
+++ b/app/announce_duty.h
@@ -20,14 +20,12 @@
     announce_duty(duty_system &system, const config::agent_settings &settings,
                   const process_identity &self, const std::string &ownAddress, rpc_sender &sender,
                   std::function<request::upstream_load()> load,
-                  std::function<Json::Value()> generationReport);
+                  std::function<Json::Value()> generationReport, std::function<void()> superseded);
     ~announce_duty();
 
     // Leaving goes to every entry at once, and again until each has answered or was given up.
     void setState(request::upstream_state state);
     bool leftEverywhere() const { return m_leftEverywhere; }
-    // A newer process announces under this id: this one must stop.
-    bool superseded() const { return m_superseded; }
     void stop();
 
 private:
@@ -47,7 +45,8 @@
     std::function<request::upstream_load()> m_load;
     std::function<Json::Value()> m_generationReport;
     std::atomic<bool> m_leftEverywhere{false};
-    std::atomic<bool> m_superseded{false};
+    std::function<void()> m_superseded; // a newer process announces under this id: stop
+    bool m_toldSuperseded = false;
 
     // Touched by the duty's thread alone.
     request::announcer m_announcer;
--- /dev/null
+++ b/app/forwarding.cpp
@@ -0,0 +1,145 @@
+#include "app/forwarding.h"
+
+#include <cstdlib>
+#include <strings.h>
+
+#include "app/answers.h"
+#include "base/errors.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr std::size_t StoredAnswerBytes = 4096; // larger ones are not kept with a claim
+
+std::optional<request::upstream_load> loadOf(const http_response &response)
+{
+    const auto text = response.header(LoadHeader);
+    const auto comma = text.find(',');
+    if (comma == std::string::npos)
+        return std::nullopt;
+    request::upstream_load load;
+    load.inFlight = std::atoi(text.c_str());
+    load.queued = std::atoi(text.c_str() + comma + 1);
+    return load;
+}
+
+// Anything but a clear word is unknown.
+executed executedNamed(const std::string &name)
+{
+    if (name == nameOf(executed::No))
+        return executed::No;
+    return name == nameOf(executed::Yes) ? executed::Yes : executed::Unknown;
+}
+
+delivery::attempt_outcome outcomeOf(const http_response &response, const std::string &id)
+{
+    // An answer that names another request belongs to that one: never pass it on.
+    if (response.header(RequestIdHeader) != id)
+        return delivery::attempt_cut{};
+    const auto kind = errorKindNamed(response.header(ErrorHeader));
+    if (kind) {
+        delivery::attempt_refused refused;
+        refused.kind = *kind;
+        refused.ran = executedNamed(response.header(ExecutedHeader));
+        refused.ended = refused.ran == executed::No || response.header(EndedHeader) == "yes";
+        refused.retryAfter = milliseconds(std::atoll(response.header("Zb-Retry-After-Ms").c_str()));
+        return refused;
+    }
+    delivery::whole_answer whole;
+    whole.status = response.status;
+    whole.bodyBytes = response.body.size();
+    const auto type = response.header("Content-Type");
+    if (!type.empty())
+        whole.headers["Content-Type"] = type;
+    if (response.body.size() <= StoredAnswerBytes)
+        whole.body = response.body;
+    return whole;
+}
+
+delivery::attempt_outcome outcomeOf(call_failure failure)
+{
+    switch (failure) {
+    case call_failure::NotConnected:
+        return delivery::attempt_unreachable{};
+    case call_failure::Late:
+        return delivery::attempt_late{};
+    case call_failure::TooLarge:
+        return delivery::attempt_too_large{};
+    case call_failure::Cut:
+    case call_failure::Unprovable:
+        break;
+    }
+    return delivery::attempt_cut{};
+}
+
+request::attempt_outcome routingOutcome(const delivery::attempt_outcome &outcome)
+{
+    if (std::holds_alternative<delivery::whole_answer>(outcome))
+        return request::attempt_outcome::Answered;
+    const auto *refused = std::get_if<delivery::attempt_refused>(&outcome);
+    if (refused == nullptr || refused->ran != executed::No
+        || refused->kind == error_kind::UpstreamUnreachable)
+        return request::attempt_outcome::Failed;
+    if (refused->kind == error_kind::Draining || refused->kind == error_kind::Starting)
+        return request::attempt_outcome::Leaving;
+    return request::attempt_outcome::Refused;
+}
+
+http_request requestForAgent(const http_request &from, const std::string &id, std::uint32_t attempt,
+                             const request::route &upstream, milliseconds remaining)
+{
+    const auto target = splitTarget(from.target);
+    http_request out;
+    out.method = from.method;
+    out.target = target.rest;
+    out.body = from.body;
+    for (const auto &[name, value] : from.headers) {
+        if (!isReservedHeader(name) || strcasecmp(name.c_str(), TeamHeader) == 0)
+            out.headers[name] = value;
+    }
+    out.headers[RequestIdHeader] = id;
+    out.headers[AttemptHeader] = std::to_string(attempt);
+    out.headers[IncarnationHeader] = std::to_string(upstream.incarnation);
+    out.headers[ServiceHeader] = target.service;
+    out.headers[DeadlineHeader] = std::to_string(remaining.count());
+    return out;
+}
+
+} // namespace
+
+service_target splitTarget(const std::string &target)
+{
+    const auto end = target.find_first_of("/?", 1);
+    if (end == std::string::npos)
+        return {target.substr(1), "/"};
+    std::string rest = target.substr(end);
+    if (rest.front() == '?')
+        rest.insert(rest.begin(), '/');
+    return {target.substr(1, end - 1), rest};
+}
+
+forwarded_attempt forwarder::send(const http_request &request, const std::string &id,
+                                  std::uint32_t attempt, const request::route &upstream,
+                                  time_point deadline)
+{
+    const auto startedAt = monotonic_clock::now();
+    const milliseconds remaining(millisecondsUntil(deadline, startedAt));
+    const auto result =
+            m_pools.to(upstream.address)
+                    .call(requestForAgent(request, id, attempt, upstream, remaining), deadline);
+    forwarded_attempt sent;
+    sent.routing.upstream = upstream;
+    sent.routing.latency = monotonic_clock::now() - startedAt;
+    if (const auto *response = std::get_if<http_response>(&result)) {
+        sent.answer = *response;
+        sent.outcome = outcomeOf(sent.answer, id);
+        sent.routing.load = loadOf(sent.answer);
+    } else {
+        sent.outcome = outcomeOf(std::get<call_failure>(result));
+    }
+    sent.routing.outcome = routingOutcome(sent.outcome);
+    return sent;
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/app/forwarding.h
@@ -0,0 +1,41 @@
+// Forwarding one attempt of a caller's request to an agent, on the caller's HTTP thread.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "base/time.h"
+#include "delivery/flow_messages.h"
+#include "request/router.h"
+#include "runtime/http.h"
+
+namespace zinniabarrow {
+
+// "/tickets/hold?x" asks service tickets for "/hold?x".
+struct service_target
+{
+    std::string service;
+    std::string rest;
+};
+service_target splitTarget(const std::string &target);
+
+// How an attempt ended, as the request's flow and the router have to know it.
+struct forwarded_attempt
+{
+    delivery::attempt_outcome outcome;
+    request::attempt_ended routing;
+    http_response answer; // meant for the caller only when the outcome is a whole answer
+};
+
+class forwarder
+{
+public:
+    forwarded_attempt send(const http_request &request, const std::string &id,
+                           std::uint32_t attempt, const request::route &upstream,
+                           time_point deadline);
+
+private:
+    http_pools m_pools; // connections to agents
+};
+
+} // namespace zinniabarrow
--- a/app/request_duty.cpp
+++ b/app/request_duty.cpp
@@ -1,3 +1,6 @@
+// Sections: settings of the parts | on HTTP threads | on the duty's thread: events, the flow's
+// actions, membership, what the flow asks back
+
 #include "app/request_duty.h"
 
 #include <algorithm>
@@ -16,7 +19,6 @@
 constexpr std::size_t RingCapacity = 32768;
 constexpr milliseconds TickEvery{10};
 constexpr milliseconds ShareEvery{500};
-constexpr std::size_t StoredAnswerBytes = 4096; // larger ones are not kept with a claim
 constexpr std::uint64_t RouterSeedStream = 7;
 
 request::membership_settings membershipSettings(const config::entry_settings &settings,
@@ -60,24 +62,6 @@
     return out;
 }
 
-// "/tickets/hold?x" asks service tickets for "/hold?x".
-struct service_target
-{
-    std::string service;
-    std::string rest;
-};
-
-service_target splitTarget(const std::string &target)
-{
-    const auto end = target.find_first_of("/?", 1);
-    if (end == std::string::npos)
-        return {target.substr(1), "/"};
-    std::string rest = target.substr(end);
-    if (rest.front() == '?')
-        rest.insert(rest.begin(), '/');
-    return {target.substr(1, end - 1), rest};
-}
-
 milliseconds remainingOf(const http_request &request, milliseconds unset)
 {
     const auto text = request.header(DeadlineHeader);
@@ -91,80 +75,6 @@
     return milliseconds(value);
 }
 
-std::optional<request::upstream_load> loadOf(const http_response &response)
-{
-    const auto text = response.header(LoadHeader);
-    const auto comma = text.find(',');
-    if (comma == std::string::npos)
-        return std::nullopt;
-    request::upstream_load load;
-    load.inFlight = std::atoi(text.c_str());
-    load.queued = std::atoi(text.c_str() + comma + 1);
-    return load;
-}
-
-// Anything but a clear word is unknown.
-executed executedNamed(const std::string &name)
-{
-    if (name == nameOf(executed::No))
-        return executed::No;
-    return name == nameOf(executed::Yes) ? executed::Yes : executed::Unknown;
-}
-
-delivery::attempt_outcome outcomeOf(const http_response &response, const std::string &id)
-{
-    // An answer that names another request belongs to that one: never pass it on.
-    if (response.header(RequestIdHeader) != id)
-        return delivery::attempt_cut{};
-    const auto kind = errorKindNamed(response.header(ErrorHeader));
-    if (kind) {
-        delivery::attempt_refused refused;
-        refused.kind = *kind;
-        refused.ran = executedNamed(response.header(ExecutedHeader));
-        refused.ended = refused.ran == executed::No || response.header(EndedHeader) == "yes";
-        refused.retryAfter = milliseconds(std::atoll(response.header("Zb-Retry-After-Ms").c_str()));
-        return refused;
-    }
-    delivery::whole_answer whole;
-    whole.status = response.status;
-    whole.bodyBytes = response.body.size();
-    const auto type = response.header("Content-Type");
-    if (!type.empty())
-        whole.headers["Content-Type"] = type;
-    if (response.body.size() <= StoredAnswerBytes)
-        whole.body = response.body;
-    return whole;
-}
-
-delivery::attempt_outcome outcomeOf(call_failure failure)
-{
-    switch (failure) {
-    case call_failure::NotConnected:
-        return delivery::attempt_unreachable{};
-    case call_failure::Late:
-        return delivery::attempt_late{};
-    case call_failure::TooLarge:
-        return delivery::attempt_too_large{};
-    case call_failure::Cut:
-    case call_failure::Unprovable:
-        break;
-    }
-    return delivery::attempt_cut{};
-}
-
-request::attempt_outcome routingOutcome(const delivery::attempt_outcome &outcome)
-{
-    if (std::holds_alternative<delivery::whole_answer>(outcome))
-        return request::attempt_outcome::Answered;
-    const auto *refused = std::get_if<delivery::attempt_refused>(&outcome);
-    if (refused == nullptr || refused->ran != executed::No
-        || refused->kind == error_kind::UpstreamUnreachable)
-        return request::attempt_outcome::Failed;
-    if (refused->kind == error_kind::Draining || refused->kind == error_kind::Starting)
-        return request::attempt_outcome::Leaving;
-    return request::attempt_outcome::Refused;
-}
-
 } // namespace
 
 void caller_call::push(call_step step)
@@ -249,43 +159,13 @@
 http_response request_duty::forwardAndReport(const caller_call &call, const std::string &id,
                                              const forward_step &step)
 {
-    static http_pools pools;
-    const auto startedAt = monotonic_clock::now();
-    const auto target = splitTarget(call.request().target);
-    http_request out;
-    out.method = call.request().method;
-    out.target = target.rest;
-    out.body = call.request().body;
-    for (const auto &[name, value] : call.request().headers) {
-        if (!isReservedHeader(name) || strcasecmp(name.c_str(), TeamHeader) == 0)
-            out.headers[name] = value;
-    }
-    out.headers[RequestIdHeader] = id;
-    out.headers[AttemptHeader] = std::to_string(step.attempt);
-    out.headers[IncarnationHeader] = std::to_string(step.upstream.incarnation);
-    out.headers[ServiceHeader] = target.service;
-    out.headers[DeadlineHeader] = std::to_string(millisecondsUntil(step.deadline, startedAt));
-
-    const auto result = pools.to(step.upstream.address).call(out, step.deadline);
-    attempt_result ended;
-    ended.event.id = id;
-    ended.event.attempt = step.attempt;
-    ended.routing.upstream = step.upstream;
-    ended.routing.latency = monotonic_clock::now() - startedAt;
-    http_response answer;
-    if (const auto *response = std::get_if<http_response>(&result)) {
-        answer = *response;
-        ended.event.outcome = outcomeOf(answer, id);
-        ended.routing.load = loadOf(answer);
-    } else {
-        ended.event.outcome = outcomeOf(std::get<call_failure>(result));
-    }
-    ended.routing.outcome = routingOutcome(ended.event.outcome);
+    auto sent = m_forwarder.send(call.request(), id, step.attempt, step.upstream, step.deadline);
+    attempt_result ended{{id, step.attempt, std::move(sent.outcome)}, std::move(sent.routing)};
     // The ring holds more than all requests in flight can post; were it full all the same, the
     // request would end by its deadline.
     if (!m_duty->post(std::move(ended)))
         m_metrics.count("ring_full_total", "attempt_ended");
-    return answer;
+    return std::move(sent.answer);
 }
 
 http_response request_duty::finalAnswer(const answer_step &step,
--- a/app/request_duty.h
+++ b/app/request_duty.h
@@ -13,6 +13,7 @@
 #include <variant>
 
 #include "app/ask.h"
+#include "app/forwarding.h"
 #include "app/lanes.h"
 #include "base/log.h"
 #include "config/settings.h"
@@ -179,6 +180,7 @@
     rpc_sender &m_sender;
     metrics &m_metrics;
     const logger &m_log;
+    forwarder m_forwarder; // used by the HTTP threads
     std::function<void(members_snapshot)> m_membersChanged;
     std::function<Json::Value()> m_generationReport; // goes with every digest
     std::atomic<std::uint64_t> m_nextRequest{0};
--- a/libs/config/generations.cpp
+++ b/libs/config/generations.cpp
@@ -1,3 +1,6 @@
+// Sections: Questions and rounds | Time | One round, step by step | Reports of other processes |
+// For operators
+
 #include "config/generations.h"
 
 #include <algorithm>
@@ -79,6 +82,8 @@
 
 // --- Rounds
 
+// --- Questions and rounds ------------------------------------------------------------------------
+
 template <typename Question>
 generation_actions generation_keeper::ask(phase next, Question question, time_point now)
 {
@@ -115,6 +120,8 @@
     return endRound(now + m_settings.poll);
 }
 
+// --- Time ----------------------------------------------------------------------------------------
+
 generation_actions generation_keeper::onTick(time_point now)
 {
     generation_actions actions;
@@ -166,6 +173,8 @@
     return ask(phase::ReadingRow, read_accepted{}, now);
 }
 
+// --- One round, step by step ---------------------------------------------------------------------
+
 generation_actions generation_keeper::onAccepted(const accepted_read &event, time_point now)
 {
     if (!isAwaited(phase::ReadingRow, event.request))
@@ -394,6 +403,8 @@
 
 // --- Other processes
 
+// --- Reports of other processes ------------------------------------------------------------------
+
 generation_actions generation_keeper::onReport(const report_heard &event, time_point now)
 {
     const auto &process = event.report.process;
@@ -467,6 +478,8 @@
     m_latestListing = listing;
 }
 
+// --- For operators -------------------------------------------------------------------------------
+
 file_status generation_keeper::statusOf(const std::string &name, std::uint64_t version) const
 {
     file_status status;
--- a/libs/delivery/claim_book.cpp
+++ b/libs/delivery/claim_book.cpp
@@ -1,3 +1,6 @@
+// Sections: Claims and their ends | Verdicts and memory | Open records |
+// Time: sending, reading, giving up | Answers of the table | Eras and sweeping
+
 #include "delivery/claim_book.h"
 
 #include <algorithm>
@@ -46,6 +49,8 @@
 
 // --- The holder's side --------------------------------------------------------------------------
 
+// --- Claims and their ends -----------------------------------------------------------------------
+
 void claim_book::claim(const claim_request &request, time_point now)
 {
     m_now = now;
@@ -130,6 +135,8 @@
 
 // --- Memory of this entry -----------------------------------------------------------------------
 
+// --- Verdicts and memory -------------------------------------------------------------------------
+
 std::optional<claim_verdict> claim_book::fromMemory(const claim_request &request) const
 {
     const auto open = m_open.find(request.rowKey);
@@ -204,6 +211,8 @@
 
 // --- Scheduling ---------------------------------------------------------------------------------
 
+// --- Open records --------------------------------------------------------------------------------
+
 void claim_book::queue(const std::string &key, open_claim &claim, time_point dueAt)
 {
     unschedule(key, claim);
@@ -234,6 +243,8 @@
     m_open.erase(key);
 }
 
+// --- Time: sending, reading, giving up -----------------------------------------------------------
+
 void claim_book::tick(time_point now)
 {
     m_now = now;
@@ -340,6 +351,8 @@
 
 // --- The table's answers ------------------------------------------------------------------------
 
+// --- Answers of the table ------------------------------------------------------------------------
+
 void claim_book::committed(const claims_committed &event, time_point now)
 {
     m_now = now;
@@ -545,6 +558,8 @@
 
 // --- Age and sweeping ---------------------------------------------------------------------------
 
+// --- Eras and sweeping ---------------------------------------------------------------------------
+
 void claim_book::watchEra()
 {
     if (m_now < m_nextEraReadAt)
--- a/libs/placement/scheduler.cpp
+++ b/libs/placement/scheduler.cpp
@@ -1,3 +1,5 @@
+// Sections: Configuration and workers | Records | Tasks | Measurements | Watching
+
 #include "placement/scheduler.h"
 
 #include <algorithm>
@@ -54,6 +56,8 @@
     , m_evictions(m_settings.relief.evictionBurst)
 { }
 
+// --- Configuration and workers -------------------------------------------------------------------
+
 void placer::setPool(const pool_info &pool, time_point)
 {
     auto &state = m_workers.pool(m_workers.poolNumber(pool.name));
@@ -106,6 +110,8 @@
     return m_classNumbers.try_emplace(jobClass, static_cast<class_number>(next)).first->second;
 }
 
+// --- Records -------------------------------------------------------------------------------------
+
 job_record &placer::jobFor(const task_spec &spec)
 {
     auto &job = m_tasks.addJob(spec.jobId);
@@ -255,6 +261,8 @@
     return true;
 }
 
+// --- Tasks ---------------------------------------------------------------------------------------
+
 void placer::taskPending(const task_spec &task, time_point now)
 {
     if (isCancelled(task.ref()))
@@ -415,6 +423,8 @@
     return cancelTasks(tasks, now);
 }
 
+// --- Measurements --------------------------------------------------------------------------------
+
 void placer::usageSampled(const usage_sample &sample, time_point now)
 {
     const auto found = placedOn(sample.task, sample.worker);
@@ -493,6 +503,8 @@
     }
 }
 
+// --- Watching ------------------------------------------------------------------------------------
+
 std::string placer::explain(const task_ref &task, time_point now) const
 {
     const auto *job = m_tasks.findJob(task.jobId);
--- a/libs/work/task_keeper.cpp
+++ b/libs/work/task_keeper.cpp
@@ -1,3 +1,5 @@
+// Sections: Events | What a grant brings | What a listing brings | Leases, listings, reports
+
 #include "work/task_keeper.h"
 
 #include <algorithm>
@@ -149,6 +151,8 @@
     , m_fits(std::move(fits))
 { }
 
+// --- Events --------------------------------------------------------------------------------------
+
 std::vector<keeper_action> task_keeper::handle(const keeper_event &event, time_point now)
 {
     m_actions.clear();
@@ -208,6 +212,8 @@
     list(now);
 }
 
+// --- What a grant brings -------------------------------------------------------------------------
+
 // The end of the lease that this grant alone gives, and extends the agent's lease to it.
 time_point task_keeper::takeLease(const worker_grant &grant)
 {
@@ -356,6 +362,8 @@
     renewTasks();
 }
 
+// --- What a listing brings -----------------------------------------------------------------------
+
 // What ran in the worker's earlier life is gone; unacknowledged events of it still count.
 void task_keeper::takeIncarnation(std::uint64_t incarnation)
 {
@@ -445,6 +453,8 @@
         report(now);
 }
 
+// --- Leases, listings, reports -------------------------------------------------------------------
+
 // Class Lease: only while the agent's own lease holds, and never past it. Class Proof: always,
 // since nobody starts such a task elsewhere without proof that this attempt has ended.
 void task_keeper::renewTasks()
--- a/libs/work/task_store.cpp
+++ b/libs/work/task_store.cpp
@@ -1,3 +1,6 @@
+// Sections: Rows and keys | Views: settled, in flight, wanted | Wanting changes | Sending |
+// Answers of the table | Loading after a takeover
+
 #include "work/task_store.h"
 
 #include <algorithm>
@@ -87,6 +90,8 @@
     return "work/" + std::to_string(m_shard) + "/";
 }
 
+// --- Rows and keys -------------------------------------------------------------------------------
+
 std::string task_store::keyOf(const row_id &row) const
 {
     switch (row.kind) {
@@ -165,6 +170,8 @@
 
 // Records.
 
+// --- Views: settled, in flight, wanted -----------------------------------------------------------
+
 task_record task_store::view(const task_record &record, const std::optional<stored_job> &job)
 {
     if (!job || !job->cancelled)
@@ -251,6 +258,8 @@
     return ids;
 }
 
+// --- Wanting changes -----------------------------------------------------------------------------
+
 void task_store::wantJob(const stored_job &job, time_point now)
 {
     m_jobs[job.spec.id].wanted = job;
@@ -322,6 +331,8 @@
     m_due.insert({due, row});
 }
 
+// --- Sending -------------------------------------------------------------------------------------
+
 void task_store::tick(time_point now)
 {
     if (m_fenced)
@@ -452,6 +463,8 @@
     }
 }
 
+// --- Answers of the table ------------------------------------------------------------------------
+
 void task_store::handle(const write_settled &event, time_point now)
 {
     if (m_fenced || !m_transaction || m_transaction->transaction.operationId != event.operationId)
@@ -665,6 +678,8 @@
 
 // Rows that were read.
 
+// --- Loading after a takeover --------------------------------------------------------------------
+
 void task_store::load(const std::vector<table_row> &rows)
 {
     for (const auto &row : rows)
--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -1,3 +1,6 @@
+// Sections: Jobs | Reports of agents | Grants | Silent workers | Records |
+// The store, changes for the ledger
+
 #include "work/task_table.h"
 
 #include <algorithm>
@@ -119,6 +122,8 @@
 
 // Jobs.
 
+// --- Jobs ----------------------------------------------------------------------------------------
+
 void task_table::on(const job_accepted &event, time_point now)
 {
     const stored_job *known = m_store.job(event.spec.id);
@@ -243,6 +248,8 @@
     m_pushTo.insert(report.worker);
 }
 
+// --- Reports of agents ---------------------------------------------------------------------------
+
 bool task_table::accept(const agent_report &report, worker_state &worker, time_point now)
 {
     if (report.incarnation < worker.incarnation) {
@@ -419,6 +426,8 @@
 
 // Grants.
 
+// --- Grants --------------------------------------------------------------------------------------
+
 void task_table::pushGrants(time_point now)
 {
     for (const auto &name : m_pushTo) {
@@ -527,6 +536,8 @@
     });
 }
 
+// --- Silent workers ------------------------------------------------------------------------------
+
 void task_table::checkSilent(time_point now)
 {
     for (const auto &[name, worker] : m_workers) {
@@ -570,6 +581,8 @@
 
 // Records.
 
+// --- Records -------------------------------------------------------------------------------------
+
 void task_table::want(const task_id &task, const task_record &record, time_point now, bool lazy)
 {
     m_store.want(task, record, now, lazy);
@@ -630,6 +643,8 @@
         loaded(now);
 }
 
+// --- The store, changes for the ledger -----------------------------------------------------------
+
 // Workers with tasks are known from the rows. Each gets the time to report first: while the rows
 // were being read, no report could be answered.
 void task_table::loaded(time_point now)
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -27,6 +27,7 @@
 constexpr int WorkerPort = 21000;
 constexpr int UpstreamPort = 22000;
 constexpr int AgentPort = 23000;
+constexpr int TwinAgentPort = 24000;
 constexpr unsigned WorkersPerRack = 3;
 constexpr milliseconds StartWithin{30'000};
 constexpr milliseconds CallWithin{5'000};
@@ -267,7 +268,7 @@
                   {m_options.binaries + "/zinniabarrow", "entry", "--settings", file});
 }
 
-void fleet::startAgent(unsigned index)
+Json::Value fleet::agentSettings(unsigned index) const
 {
     const auto name = "agent-" + std::to_string(index);
     Json::Value settings(Json::objectValue);
@@ -289,11 +290,26 @@
     worker["size"]["millicores"] = Json::Int64(m_options.millicores);
     worker["size"]["bytes"] = Json::Int64(m_options.bytes);
     merge(settings, m_options.agentSettings);
-    const auto file = writeSettings(name, settings);
+    return settings;
+}
+
+void fleet::startAgent(unsigned index)
+{
+    const auto name = "agent-" + std::to_string(index);
+    const auto file = writeSettings(name, agentSettings(index));
     m_agents.at(index) =
             start(name, {m_options.binaries + "/zinniabarrow", "agent", "--settings", file});
 }
 
+std::unique_ptr<child_process> fleet::startTwinAgent(unsigned index) const
+{
+    const auto name = "agent-" + std::to_string(index) + "-twin";
+    auto settings = agentSettings(index);
+    settings["listen"] = listenOn(address(TwinAgentPort + static_cast<int>(index)));
+    const auto file = writeSettings(name, settings);
+    return start(name, {m_options.binaries + "/zinniabarrow", "agent", "--settings", file});
+}
+
 void fleet::startAll()
 {
     startPlatform();
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -82,6 +82,8 @@
     void startUpstream(unsigned index);
     void startEntry(unsigned index);
     void startAgent(unsigned index);
+    // A second agent of the same id for the same upstream and worker, at another port.
+    std::unique_ptr<child_process> startTwinAgent(unsigned index) const;
     void waitForEntry(unsigned index); // until it is ready to serve; throws with its log
 
     std::unique_ptr<child_process> &platform() { return m_platform; }
@@ -115,6 +117,7 @@
 
 private:
     std::string address(int port) const;
+    Json::Value agentSettings(unsigned index) const;
     std::string writeSettings(const std::string &name, const Json::Value &settings) const;
     std::unique_ptr<child_process> start(const std::string &name,
                                          const std::vector<std::string> &command) const;
--- a/tests/process_work_test.cpp
+++ b/tests/process_work_test.cpp
@@ -132,6 +132,32 @@
     });
 }
 
+// An agent is replaced while it is paused, so that two run for one worker and upstream. When the
+// old one wakes, the entries refuse its announcements as of an older incarnation; it stops as
+// planned. Its tasks had one start each, since a worker runs an attempt once, whoever asks.
+Test(process_work, agent_doubled)
+{
+    fleet system(smallFleet());
+    batch_options batch;
+    batch.tasks = 12;
+    batch.runMs = 6000;
+    startWithBatch(system, batch);
+    require(waitUntil([&] { return countTraced(system, "started", batch.job) == 12; }, SoonEnough));
+    system.agent(0)->signal(SIGSTOP);
+    const auto twin = system.startTwinAgent(0);
+    std::this_thread::sleep_for(milliseconds(2500)); // the twin announces and is accepted
+    system.agent(0)->signal(SIGCONT);
+    section("the old one gives way", [&] {
+        check(system.agent(0)->waitForExit(SoonEnough) == 0);
+        check(twin->running());
+    });
+    section("the tasks end once, with one start each", [&] {
+        check(waitForEnds(system, batch));
+        check(countTraced(system, "started", batch.job) == 12);
+        checkEachEndedOnce(system, batch);
+    });
+}
+
 // A worker dies with its tasks and comes back with a newer incarnation: that proves that the old
 // attempts are gone, so they start again without waiting for any lease.
 Test(process_work, worker_killed_and_replaced)
