Documented commands run in a test; settings' defaults as measured; tail latency of the upstream

Cause: status, explain, drain and follow stood in the pages but in no test; the defaults of queue_length (32) and routing.spill (0.8) were not those that the measurements chose (16 and 1.0); the agents sent the mean service time as the 99th percentile, so a disturbed tail would have been seen late.

--- a/app/admission_duty.cpp
+++ b/app/admission_duty.cpp
@@ -1,5 +1,6 @@
 #include "app/admission_duty.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <strings.h>
 
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr std::size_t RingCapacity = 8192;
+constexpr std::size_t TimesForTail = 256; // newest requests that the tail latency is taken from
 constexpr milliseconds TickEvery{20};
 
 request::admission_settings admissionSettings(const config::agent_settings &settings)
@@ -76,6 +78,7 @@
     , m_upstream({settings.upstream.address.address, settings.upstream.address.port},
                  upstreamLimits(settings))
     , m_admission(admissionSettings(settings))
+    , m_newestTimes(TimesForTail)
     , m_guard(incarnation, {})
 {
     m_duty = std::make_unique<duty<event>>(
@@ -221,6 +224,8 @@
 void admission_duty::on(const ending &what, time_point now)
 {
     m_guard.ended(what.requestId, what.attempt, what.ran, now);
+    if (what.ran == executed::Yes)
+        noteTime(what.event.tookTime);
     feed(what.event);
 }
 
@@ -243,6 +248,15 @@
     feed(what);
 }
 
+void admission_duty::noteTime(duration took)
+{
+    m_newestTimes.push_back(took);
+    std::vector<duration> times(m_newestTimes.begin(), m_newestTimes.end());
+    const auto tail = times.begin() + static_cast<std::ptrdiff_t>(times.size() * 99 / 100);
+    std::nth_element(times.begin(), tail, times.end());
+    m_tailMicroseconds = tail->count();
+}
+
 void admission_duty::tick()
 {
     feed(request::admission::tick{});
--- a/app/agent.cpp
+++ b/app/agent.cpp
@@ -50,7 +50,7 @@
                 [this] { return m_admission.load(); }, [this] { return m_follow.report(); },
                 [this] { giveWay(); });
         m_keeper.emplace(m_duties, m_settings, m_self, toText(m_server.address()), m_sender,
-                         m_metrics, [this] { return m_admission.load(); });
+                         m_metrics, [this] { return m_admission.tailLatency(); });
         m_probe.emplace(m_duties, upstreamAddress(), [this](bool up) { upstreamChanged(up); });
         m_started = true;
         m_ready = true;
--- a/app/keeper_duty.cpp
+++ b/app/keeper_duty.cpp
@@ -43,12 +43,12 @@
 keeper_duty::keeper_duty(duty_system &system, const config::agent_settings &settings,
                          const process_identity &self, const std::string &ownAddress,
                          rpc_sender &sender, metrics &counters,
-                         std::function<request::upstream_load()> load)
+                         std::function<microseconds()> tailLatency)
     : m_settings(settings)
     , m_ownAddress(ownAddress)
     , m_sender(sender)
     , m_metrics(counters)
-    , m_load(std::move(load))
+    , m_tailLatency(std::move(tailLatency))
     , m_worker({settings.worker.address.address, settings.worker.address.port})
     , m_keeper(settings.worker.id, self.unique(), keeperSettings(settings),
                [this](const work::granted_task &task, const Json::Value &spec) {
@@ -287,7 +287,7 @@
     if (m_keeper.occupying().empty())
         return;
     const auto target = config::toText(m_settings.entries[m_owner]);
-    const auto p99 = m_load().latency;
+    const auto p99 = m_tailLatency();
     m_workerLane->post([this, target, p99] {
         const auto result =
                 m_worker.call({"GET", "/usage", {}, {}}, monotonic_clock::now() + WorkerTimeout);
--- a/app/keeper_duty.h
+++ b/app/keeper_duty.h
@@ -23,7 +23,7 @@
 public:
     keeper_duty(duty_system &system, const config::agent_settings &settings,
                 const process_identity &self, const std::string &ownAddress, rpc_sender &sender,
-                metrics &counters, std::function<request::upstream_load()> load);
+                metrics &counters, std::function<microseconds()> tailLatency);
     ~keeper_duty();
 
     // JSON-RPC bodies.
@@ -68,7 +68,7 @@
     const std::string m_ownAddress;
     rpc_sender &m_sender;
     metrics &m_metrics;
-    std::function<request::upstream_load()> m_load;
+    std::function<microseconds()> m_tailLatency;
     std::atomic<bool> m_serving{true};
     http_pool m_worker;
 
--- a/libs/config/settings.h
+++ b/libs/config/settings.h
@@ -59,7 +59,7 @@
 struct routing_settings
 {
     routing_policy policy = routing_policy::TwoChoices;
-    double spill = 0.8; // share of the own zone's slots in use above which other zones are used
+    double spill = 1; // share of the own zone's slots in use above which other zones are used
 };
 
 // One entry: carries callers' requests, schedules workers, accepts configuration.
@@ -125,7 +125,7 @@
     worker_settings worker;               //
     milliseconds announce{500};           // between two announcements
     agent_lease_settings lease;           //
-    std::size_t queueLength = 32;         // requests that wait for a slot
+    std::size_t queueLength = 16;         // requests that wait for a slot
     std::size_t maxBodyBytes = 1'048'576; // of a request
     milliseconds drain{30'000};           // longest wait for requests in flight at a stop
     log_level logLevel = log_level::Info; // lowest level written
--- a/libs/config/settings_schema.cpp
+++ b/libs/config/settings_schema.cpp
@@ -254,7 +254,7 @@
         },
         "spill": {
           "type": "number",
-          "default": 0.8,
+          "default": 1,
           "minimum": 0,
           "maximum": 1,
           "description": "share of the own zone's slots in use above which other zones are used"
@@ -410,7 +410,7 @@
     },
     "queue_length": {
       "type": "integer",
-      "default": 32,
+      "default": 16,
       "minimum": 0,
       "maximum": 65536,
       "description": "requests that wait for a slot"
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -42,7 +42,7 @@
 std::unique_ptr<standin> startPlatform(const platform_options &options);
 
 // A worker: runs tasks under leases and starts whatever it is given.
-// POST /fault {"fail_starts": bool, "slow_ms": n, "unreachable": bool}.
+// POST /fault {"fail_starts": bool, "slow_ms": n, "unreachable": bool, "lose_answers": n}.
 struct worker_options
 {
     socket_address address;
--- a/standins/worker.cpp
+++ b/standins/worker.cpp
@@ -94,6 +94,15 @@
             std::this_thread::sleep_for(milliseconds(m_slowMs));
         if (m_unreachable)
             return {503, {}, "{}"};
+        const auto answer = carryOut(request, path);
+        // The effect stands, the answer is dropped.
+        long left = m_loseAnswers;
+        while (left > 0 && !m_loseAnswers.compare_exchange_weak(left, left - 1)) { }
+        return left > 0 ? http_response{500, {}, ""} : answer;
+    }
+
+    http_response carryOut(const http_request &request, const std::string &path)
+    {
         const std::lock_guard lock(m_mutex);
         endLapsed(monotonic_clock::now()); // before anything else, also after a pause
         if (path == "/usage")
@@ -124,6 +133,8 @@
             m_pause.pauseFor(milliseconds(integerMember(fault, "pause_ms")));
         if (fault.isMember("slow_ms"))
             m_slowMs = integerMember(fault, "slow_ms");
+        if (fault.isMember("lose_answers"))
+            m_loseAnswers = integerMember(fault, "lose_answers");
         if (fault.isMember("unreachable"))
             m_unreachable = boolMember(fault, "unreachable");
         return {200, {}, compactJson(fault)};
@@ -353,6 +364,7 @@
     std::atomic<bool> m_failStarts{false};
     std::atomic<bool> m_unreachable{false};
     std::atomic<long> m_slowMs{0};
+    std::atomic<long> m_loseAnswers{0};
     std::atomic<bool> m_stopping{false};
     std::thread m_runner;
     http_server m_server;
--- a/tests/process_config_test.cpp
+++ b/tests/process_config_test.cpp
@@ -175,3 +175,58 @@
                 SoonEnough));
     });
 }
+
+// The operators' pages name these commands: each is run as written there.
+Test(process_config, commands)
+{
+    fleet system(smallFleet());
+    startWhole(system);
+    operator_seat seat(system);
+    batch_options batch;
+    batch.runMs = 60'000;
+    require(seat.put(0, "10-base.json", baseFolder(system.options())).exitCode == 0);
+    section("put prints the version that follow waits for", [&] {
+        const auto put = seat.run(1, {"put", seat.file("20-batch.json", batchFolder(batch))});
+        check(put.exitCode == 0);
+        const auto from = put.output.find("version ") + 8;
+        const auto version = put.output.substr(from, put.output.find(':') - from);
+        const auto followed = seat.run(2, {"follow", "--file-version", version, "20-batch.json"});
+        check(followed.exitCode == 0);
+        check(contains(followed.output, "in force"));
+    });
+    require(waitUntil([&] { return countTraced(system, "started", batch.job) > 0; }, SoonEnough));
+    section("status as a table and as JSON", [&] {
+        const auto table = seat.run(0, {"status"});
+        check(table.exitCode == 0);
+        for (const auto *part : {"20-batch.json", "agent-3", "worker-3", "season@", "entry-2"})
+            check(contains(table.output, part));
+        const auto json = parseJson(seat.run(0, {"status", "--json"}).output);
+        check(json["entries"].size() == 3);
+        check(json["unreachable"].empty());
+    });
+    section("explain says where a task is, and that one is not known", [&] {
+        const auto states = taskStates(system, batch.job);
+        check(!states.empty());
+        std::string job;
+        for (const auto &line : system.workerTrace()) {
+            if (line["event"] == "started" && contains(line["task"].asString(), "season@"))
+                job = line["task"].asString();
+        }
+        const auto known = seat.run(1, {"explain", job});
+        check(known.exitCode == 0);
+        check(contains(known.output, "worker-"));
+        check(seat.run(1, {"explain", "nothing@1/0"}).exitCode == 1);
+    });
+    section("drain takes an agent out", [&] {
+        check(seat.run(2, {"drain", "agent-3"}).exitCode == 0);
+        check(system.agent(3)->waitForExit(SoonEnough) == 0);
+        check(seat.run(2, {"drain", "nobody"}).exitCode == 1);
+    });
+    section("status names an entry that it could not reach", [&] {
+        system.entry(2)->signal(SIGKILL);
+        system.entry(2)->waitForExit(SoonEnough);
+        const auto status = seat.run(0, {"status"});
+        check(status.exitCode == 1);
+        check(contains(status.output, "could not reach the entry at " + system.entryRpcAddress(2)));
+    });
+}
--- a/tests/process_input_test.cpp
+++ b/tests/process_input_test.cpp
@@ -95,6 +95,12 @@
         check(answer.header("Zb-Error") == "request_too_large");
         check(answer.header("Zb-Executed") == "no");
     });
+    section("a header over the size limit", [&] {
+        const auto answer =
+                send(entry, {"GET", "/tickets/seats", {{"X-Long", std::string(20'000, 'x')}}, {}});
+        check(answer.status >= 400 && answer.status < 500);
+        check(answer.header("Zb-Error") == "bad_request");
+    });
     section("a deadline that is no number", [&] {
         const auto answer =
                 send(entry, {"GET", "/tickets/seats", {{"Zb-Deadline-Ms", "soon"}}, {}});
--- a/tests/process_work_test.cpp
+++ b/tests/process_work_test.cpp
@@ -212,8 +212,8 @@
     });
 }
 
-// Answers of the table are lost after their effect while tasks are placed: each write is settled by
-// reading back, no task is placed twice.
+// Answers of the table and of the workers are lost after their effect while tasks are placed and
+// started: each write is settled by reading back, each start by a listing; no task runs twice.
 Test(process_work, lost_answers)
 {
     fleet system(smallFleet());
@@ -225,6 +225,8 @@
     Json::Value lose(Json::objectValue);
     lose["lose_answers"] = 10;
     system.setFault(system.platformAddress(), lose);
+    for (unsigned index = 0; index < 4; ++index)
+        system.setFault(system.workerAddress(index), lose);
     system.putFolderFile("20-batch.json", batchFolder(batch));
     check(waitForEnds(system, batch));
     checkEachEndedOnce(system, batch);
