--- a/tests/process_work_test.cpp
+++ b/tests/process_work_test.cpp
@@ -33,6 +33,24 @@
             SoonEnough);
 }
 
+batch_options batchOf(int tasks, int runMs)
+{
+    batch_options batch;
+    batch.tasks = tasks;
+    batch.runMs = runMs;
+    return batch;
+}
+
+bool waitForStarts(const fleet &system, const batch_options &batch)
+{
+    return waitUntil(
+            [&] {
+                return countTraced(system, "started", batch.job)
+                       == static_cast<unsigned>(batch.tasks);
+            },
+            SoonEnough);
+}
+
 void startWithBatch(fleet &system, const batch_options &batch)
 {
     system.startAll();
@@ -71,10 +89,8 @@
 // the new epoch, so running tasks run on, and those not yet placed are placed by the new owner.
 Test(process_work, owner_killed)
 {
+    const auto batch = batchOf(60, 1500);
     fleet system(smallFleet());
-    batch_options batch;
-    batch.tasks = 60;
-    batch.runMs = 1500;
     startWithBatch(system, batch);
     const auto owner = ownerOf(system);
     require(owner < system.options().entries);
@@ -91,10 +107,8 @@
 // Its writes fail at the epoch, its grants are refused as stale; no task is given twice.
 Test(process_work, owner_frozen_longer_than_its_lease)
 {
+    const auto batch = batchOf(60, 1500);
     fleet system(smallFleet());
-    batch_options batch;
-    batch.tasks = 60;
-    batch.runMs = 1500;
     startWithBatch(system, batch);
     const auto owner = ownerOf(system);
     require(owner < system.options().entries);
@@ -112,12 +126,10 @@
 // own leases, none is started a second time.
 Test(process_work, agents_killed_and_replaced)
 {
+    const auto batch = batchOf(12, 6000);
     fleet system(smallFleet());
-    batch_options batch;
-    batch.tasks = 12;
-    batch.runMs = 6000;
     startWithBatch(system, batch);
-    require(waitUntil([&] { return countTraced(system, "started", batch.job) == 12; }, SoonEnough));
+    require(waitForStarts(system, batch));
     section("every agent is killed and replaced", [&] {
         for (unsigned index = 0; index < 4; ++index) {
             system.agent(index)->signal(SIGKILL);
@@ -137,12 +149,10 @@
 // planned. Its tasks had one start each, since a worker runs an attempt once, whoever asks.
 Test(process_work, agent_doubled)
 {
+    const auto batch = batchOf(12, 6000);
     fleet system(smallFleet());
-    batch_options batch;
-    batch.tasks = 12;
-    batch.runMs = 6000;
     startWithBatch(system, batch);
-    require(waitUntil([&] { return countTraced(system, "started", batch.job) == 12; }, SoonEnough));
+    require(waitForStarts(system, batch));
     system.agent(0)->signal(SIGSTOP);
     const auto twin = system.startTwinAgent(0);
     std::this_thread::sleep_for(milliseconds(2500)); // the twin announces and is accepted
@@ -162,12 +172,10 @@
 // attempts are gone, so they start again without waiting for any lease.
 Test(process_work, worker_killed_and_replaced)
 {
+    const auto batch = batchOf(12, 4000);
     fleet system(smallFleet());
-    batch_options batch;
-    batch.tasks = 12;
-    batch.runMs = 4000;
     startWithBatch(system, batch);
-    require(waitUntil([&] { return countTraced(system, "started", batch.job) == 12; }, SoonEnough));
+    require(waitForStarts(system, batch));
     system.worker(0)->signal(SIGKILL);
     system.worker(0)->waitForExit(SoonEnough);
     system.startWorker(0);
@@ -196,7 +204,7 @@
     batch.tasks = 8;
     batch.runMs = 5000;
     system.putFolderFile("30-batch.json", batchFolder(batch));
-    require(waitUntil([&] { return countTraced(system, "started", batch.job) == 8; }, SoonEnough));
+    require(waitForStarts(system, batch));
     section("the table is down for twice the longest short lease", [&] {
         setPlatformDown(system, true);
         std::this_thread::sleep_for(milliseconds(14'000));
@@ -236,10 +244,8 @@
 // never starts.
 Test(process_work, cancelled)
 {
+    const auto batch = batchOf(100, 3000);
     fleet system(smallFleet());
-    batch_options batch;
-    batch.tasks = 100;
-    batch.runMs = 3000;
     startWithBatch(system, batch);
     system.removeFolderFile("20-batch.json");
     section("nothing starts once the job's tasks are cancelled", [&] {
