Read-through: dead state, a doubled call, and tables that stood twice

Cause: reading the whole change once more showed task patterns that nobody read, a second taskEnded for each finished task (counted as a stale event), settings kept and never used, the names of write outcomes in two tables, the version in two files, and a prefix check that the standard library has. The short form of a transaction in golden sessions shared the name of the platform's form and differs from it: it is sessionJson now. No behaviour meant to change but that counter; the golden files are untouched.

--- a/app/announce_duty.cpp
+++ b/app/announce_duty.cpp
@@ -45,8 +45,7 @@
                              rpc_sender &sender, std::function<request::upstream_load()> load,
                              std::function<Json::Value()> generationReport,
                              std::function<void()> superseded)
-    : m_settings(settings)
-    , m_sender(sender)
+    : m_sender(sender)
     , m_load(std::move(load))
     , m_generationReport(std::move(generationReport))
     , m_superseded(std::move(superseded))
--- a/app/announce_duty.h
+++ b/app/announce_duty.h
@@ -40,7 +40,6 @@
     void tick();
     void send(const request::announcer::send &message);
 
-    const config::agent_settings m_settings;
     rpc_sender &m_sender;
     std::function<request::upstream_load()> m_load;
     std::function<Json::Value()> m_generationReport;
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-constexpr const char *Version = "0.1.0";
-
 constexpr const char *Help = R"(usage: zinniabarrow COMMAND [options]
 
   entry --settings FILE   carry requests, schedule, accept configuration
--- a/app/operator_commands.cpp
+++ b/app/operator_commands.cpp
@@ -27,8 +27,6 @@
 constexpr milliseconds CallWithin{3000};
 constexpr milliseconds PollEvery{100};
 constexpr int DefaultFollowMs = 10'000;
-constexpr const char *Version = "0.1.0";
-
 struct command_entry
 {
     const char *name;
--- a/app/owned_shard.cpp
+++ b/app/owned_shard.cpp
@@ -135,9 +135,7 @@
         m_metrics.count("tasks_ended_total", nameOf(change.state));
         if (change.state == work::task_state::Failed)
             m_placer.taskFailed(ref, change.worker, "failed for good", now);
-        if (change.state == work::task_state::Done)
-            m_placer.taskEnded(ref, change.worker, now);
-        else
+        if (change.state != work::task_state::Done)
             m_placer.cancelTasks(std::vector{ref}, now);
         m_placer.taskEnded(ref, change.worker, now);
         m_failures.erase(change.task);
@@ -238,7 +236,6 @@
         return;
     auto spec = pattern;
     spec.jobId = job.id;
-    m_patterns[job.id] = spec;
     Json::Value fields(Json::objectValue);
     fields["job"] = job.id;
     fields["first_task"] = job.firstTask;
@@ -268,7 +265,6 @@
         if (wanted.count(id) > 0 || job == nullptr || job->cancelled)
             continue;
         m_placer.cancelJob(id, now);
-        m_patterns.erase(id);
         Json::Value fields(Json::objectValue);
         fields["job"] = id;
         m_log.info("job_cancelled", fields);
--- a/app/owned_shard.h
+++ b/app/owned_shard.h
@@ -75,10 +75,9 @@
     bool m_adopted = false;          // the placer knows what the table held at takeover
     std::uint64_t m_generation = 0;  // followed
     std::set<std::string> m_workers; // the placer may use
-    std::map<std::string, placement::task_spec> m_patterns; // by job id; taskIndex unset
-    std::map<work::task_id, std::uint32_t> m_failures;      // as last seen
-    std::map<std::string, std::string> m_refusals;          // by task, the newest reason
-    std::map<std::string, microseconds> m_latencyTargets;   // by service job id
+    std::map<work::task_id, std::uint32_t> m_failures;    // as last seen
+    std::map<std::string, std::string> m_refusals;        // by task, the newest reason
+    std::map<std::string, microseconds> m_latencyTargets; // by service job id
 };
 
 } // namespace zinniabarrow
--- a/app/process.h
+++ b/app/process.h
@@ -9,6 +9,8 @@
 
 namespace zinniabarrow {
 
+constexpr const char *Version = "0.1.0"; // of every subcommand
+
 // Exit codes of every subcommand.
 constexpr int ExitDone = 0;
 constexpr int ExitFailed = 1; // refused or failed
--- a/libs/delivery/flow_json.cpp
+++ b/libs/delivery/flow_json.cpp
@@ -5,18 +5,12 @@
 #include "base/json_member.h"
 #include "base/names.h"
 #include "delivery/claim_book.h"
+#include "platform/platform_json.h"
 
 namespace zinniabarrow::delivery {
 
 namespace {
 
-constexpr name_table<write_outcome, 4> OutcomeNames{{
-        {write_outcome::Applied, "applied"},
-        {write_outcome::Conflict, "conflict"},
-        {write_outcome::Refused, "refused"},
-        {write_outcome::Unknown, "unknown"},
-}};
-
 constexpr name_table<executed, 3> ExecutedNames{{
         {executed::No, "no"},
         {executed::Yes, "yes"},
@@ -182,7 +176,7 @@
     {
         auto value = named("claims_committed");
         value["operation"] = event.operationId;
-        value["outcome"] = text(nameOf(OutcomeNames, event.result.outcome));
+        value["outcome"] = text(nameOf(event.result.outcome));
         value["sequence"] = Json::UInt64(event.result.sequence);
         value["conflict_key"] = event.result.conflictKey;
         return value;
@@ -231,9 +225,7 @@
 
 claims_committed committedFrom(const Json::Value &value)
 {
-    return {stringMember(value, "operation"),
-            {enumFrom(OutcomeNames, value, "outcome"), countMember(value, "sequence"),
-             stringMember(value, "conflict_key")}};
+    return {stringMember(value, "operation"), writeResultFromJson(value)};
 }
 
 claims_read readFrom(const Json::Value &value)
@@ -316,7 +308,7 @@
 
     Json::Value operator()(const commit_claims &action) const
     {
-        auto value = toJson(action.transaction);
+        auto value = sessionJson(action.transaction);
         value["action"] = "commit_claims";
         return value;
     }
@@ -364,7 +356,7 @@
 
 } // namespace
 
-Json::Value toJson(const table_transaction &transaction)
+Json::Value sessionJson(const table_transaction &transaction)
 {
     Json::Value value(Json::objectValue);
     value["operation"] = transaction.operationId;
--- a/libs/delivery/flow_json.h
+++ b/libs/delivery/flow_json.h
@@ -17,6 +17,7 @@
 // {"action": name, ...members}
 Json::Value toJson(const flow_action &action, time_point now);
 
-Json::Value toJson(const table_transaction &transaction);
+// The short form of sessions; the platform's own form is in platform/platform_json.h.
+Json::Value sessionJson(const table_transaction &transaction);
 
 } // namespace zinniabarrow::delivery
--- a/libs/platform/memory_platform.cpp
+++ b/libs/platform/memory_platform.cpp
@@ -11,11 +11,6 @@
     return found == map.end() ? 0 : found->second.version;
 }
 
-bool startsWith(const std::string &text, const std::string &prefix)
-{
-    return text.compare(0, prefix.size(), prefix) == 0;
-}
-
 } // namespace
 
 write_result memory_platform::commit(const table_transaction &transaction)
@@ -46,7 +41,7 @@
 {
     std::vector<table_row> rows;
     for (auto it = m_rows.lower_bound(prefix); it != m_rows.end(); ++it) {
-        if (!startsWith(it->first, prefix))
+        if (!it->first.starts_with(prefix))
             break;
         rows.push_back(it->second);
     }
@@ -83,7 +78,7 @@
 {
     std::vector<stored_object> objects;
     for (auto it = m_objects.lower_bound(prefix); it != m_objects.end(); ++it) {
-        if (!startsWith(it->first, prefix))
+        if (!it->first.starts_with(prefix))
             break;
         objects.push_back(stored_object{it->second.name, {}, it->second.version});
     }
