A repaired file is no longer called refused for the reasons against its predecessor

A follower that asked in between took that for the end. Change: a refusal counts only for the listing that it was judged on. Before: generations_test repair_is_not_refused_for_its_predecessor fails at every event between listing and judgement.

--- a/libs/config/generations.cpp
+++ b/libs/config/generations.cpp
@@ -80,8 +80,6 @@
     return actions;
 }
 
-// --- Rounds
-
 // --- Questions and rounds ------------------------------------------------------------------------
 
 template <typename Question>
@@ -401,8 +399,6 @@
     return fmt::format("{}-{:016x}", m_settings.process, high | m_random());
 }
 
-// --- Other processes
-
 // --- Reports of other processes ------------------------------------------------------------------
 
 generation_actions generation_keeper::onReport(const report_heard &event, time_point now)
@@ -464,8 +460,6 @@
     m_isReady = generation() > 0 || isNewSystem;
 }
 
-// --- Status of files
-
 void generation_keeper::rememberListing(const file_versions &listing)
 {
     const auto &before = m_latestListing ? *m_latestListing : m_follower.content().files;
@@ -501,16 +495,25 @@
     } else if (version > 0 && listed == 0 && versionIn(m_removed, name) >= version) {
         status.state = file_state::Superseded;
         status.reason = "the file was removed";
-    } else if (listed == version && !m_refusal.problems.empty()) {
+    } else if (listed == version && !problems().empty()) {
         return refusedStatus(std::move(status));
     }
     return status;
 }
 
+// A refusal speaks of the folder as it was judged. Until a later listing is judged too, the reasons
+// against the earlier one would be told of its repair.
+const std::vector<problem> &generation_keeper::problems() const
+{
+    static const std::vector<problem> None;
+    const bool isOfLatest = m_latestListing && m_refusal.folder == digestOf(*m_latestListing);
+    return isOfLatest ? m_refusal.problems : None;
+}
+
 file_status generation_keeper::refusedStatus(file_status status) const
 {
     status.state = file_state::Refused;
-    status.problems = m_refusal.problems;
+    status.problems = problems();
     std::stable_partition(status.problems.begin(), status.problems.end(),
                           [&](const problem &problem) { return problem.file == status.name; });
     status.reason = toText(status.problems.front());
--- a/libs/config/generations.h
+++ b/libs/config/generations.h
@@ -76,7 +76,7 @@
     // All files of the folder and of the generation in force.
     std::vector<file_status> files() const;
     // Why the folder as last read is refused; none: it is not.
-    const std::vector<problem> &problems() const { return m_refusal.problems; }
+    const std::vector<problem> &problems() const;
 
 private:
     enum class phase {
--- a/tests/generations_test.cpp
+++ b/tests/generations_test.cpp
@@ -145,6 +145,30 @@
     });
 }
 
+// An operator repairs a refused file and follows it. The entry lists the folder, reads the files,
+// and judges; between the listing and the judgement it still holds the reasons against the file as
+// it was. Told as the repair's, they would say `refused` of a file that is in force a moment later.
+Test(generations, repair_is_not_refused_for_its_predecessor)
+{
+    config_world world;
+    fill(world);
+    world.runFor(seconds(2));
+    world.put("holds.json", service("holds", 1, "nobody"));
+    world.runFor(seconds(2));
+    require(world.entry("e1").counters().refused == 1);
+    const auto repair = world.put("holds.json", service("holds", 1));
+    int asked = 0;
+    world.tap = [&](const world_process &each, const auto &, const auto &) {
+        if (!each.keeper)
+            return;
+        ++asked;
+        check(each.keeper->statusOf("holds.json", repair).state != file_state::Refused);
+    };
+    world.runFor(seconds(3));
+    check(asked > 0);
+    check(stateAt(world, "e1", "holds.json", repair) == file_state::InForce);
+}
+
 // An editor writes half a file, and another one goes on writing while an entry reads. A mixture of
 // both in force would be a configuration that no operator wrote, so nothing is taken up until two
 // listings around the reading agree and all files parse.
