--- a/app/operator_commands.cpp
+++ b/app/operator_commands.cpp
@@ -25,7 +25,7 @@
 namespace {
 
 constexpr milliseconds CallWithin{3000};
-constexpr milliseconds PollEvery{100};
+constexpr milliseconds PollEvery{50};
 constexpr int DefaultFollowMs = 10'000;
 struct command_entry
 {
@@ -238,13 +238,19 @@
     Json::Value parameters(Json::objectValue);
     parameters["name"] = what.name;
     parameters["version"] = Json::UInt64(what.version);
+    const auto startedAt = monotonic_clock::now();
     Json::Value answer;
     while (true) {
         answer = callProcess(what.entry, "file_status", parameters);
         const auto state = answer["follow"].asString();
         if (state != nameOf(config::follow_state::Waiting)) {
+            const bool isEverywhere = state == nameOf(config::follow_state::Everywhere);
+            const auto waited = millisecondsUntil(monotonic_clock::now(), startedAt);
+            answer["waited_ms"] = Json::Int64(waited);
             printFileStatus(answer, what.json);
-            return state == nameOf(config::follow_state::Everywhere) ? ExitDone : ExitFailed;
+            if (isEverywhere && !what.json)
+                fmt::print("in force everywhere after {} ms\n", waited);
+            return isEverywhere ? ExitDone : ExitFailed;
         }
         if (monotonic_clock::now() > what.giveUpAt)
             break;
