--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -245,6 +245,38 @@
     });
 }
 
+// Three jobs are quarantined, each for failures on workers of its own. Long after, when those
+// failures are out of the window, each tries one task again, by chance on the same worker, and
+// fails. That worker has seen three distinct jobs fail, yet they say nothing of it.
+Test(placement, knownBadJobsBlameNoWorker)
+{
+    quarantine subject{quarantine_settings{}};
+    time_point now = Start;
+    const auto fail = [&](int job, const std::string &worker) {
+        subject.failed("bad-" + std::to_string(job), worker, "main", 20, "exit 1", now);
+    };
+    for (int job = 0; job < 3; ++job) {
+        for (int worker = 0; worker < 3; ++worker)
+            fail(job, "w" + std::to_string(job * 3 + worker));
+        require(subject.isQuarantined("bad-" + std::to_string(job)));
+    }
+    now += quarantine_settings{}.window + seconds(1);
+    for (int job = 0; job < 3; ++job) {
+        const auto name = "bad-" + std::to_string(job);
+        require(subject.jobMayStart(name, now));
+        subject.started(name, "good", now);
+        fail(job, "good");
+    }
+    section("the worker goes on taking tasks", [&] {
+        check(!subject.isSetAside("good"));
+        check(subject.workerMayTake("good", now));
+    });
+    section("each job waits twice as long as before", [&] {
+        check(!subject.jobMayStart("bad-0", now + quarantine_settings{}.coolDown));
+        check(subject.jobMayStart("bad-0", now + 2 * quarantine_settings{}.coolDown));
+    });
+}
+
 Test(placement, quotas)
 {
     quota_book book;
