Evictions on real processes; a test that fails leaves no processes behind

Cause: no process test brought an eviction about. And each test that failed left its fleet of some 2,400 threads: after a few, no further fleet could start (33,000 threads counted, 'Resource temporarily unavailable' at once in all five tests of a run). Change: process_evict_test fills four workers with batch and puts urgent work on top: calm, owner killed, agents killed, answers lost, and table down in mid-eviction; each eviction is resumed once from its checkpoint, nothing begins anew, the trace is checked as complete. The fleet starts its processes by fork and exec with a parent-death signal, so the kernel ends them with the test. Ruled out: running clean-up when a test fails (a crash skips it too).

--- a/standins/batch.cpp
+++ b/standins/batch.cpp
@@ -121,7 +121,7 @@
     return states;
 }
 
-std::vector<work::trace_violation> checkFleetTrace(const fleet &system)
+std::vector<work::trace_violation> checkFleetTrace(const fleet &system, bool complete)
 {
     auto lines = system.workerTrace();
     addDecisions(system, lines);
@@ -131,7 +131,7 @@
     work::trace_checker checker;
     for (const auto &line : lines)
         checker.add(line);
-    return checker.finish(false);
+    return checker.finish(complete);
 }
 
 unsigned countTraced(const fleet &system, const std::string &event, const std::string &job)
--- a/standins/batch.h
+++ b/standins/batch.h
@@ -30,7 +30,8 @@
 std::map<std::string, unsigned> taskStates(fleet &system, const std::string &job);
 
 // The workers' traces and the entries' placements in the order of time, checked.
-std::vector<work::trace_violation> checkFleetTrace(const fleet &system);
+// Complete: it was given time to finish, so what has not happened is lost.
+std::vector<work::trace_violation> checkFleetTrace(const fleet &system, bool complete = false);
 // Events of that name in the workers' traces whose task belongs to `job`.
 unsigned countTraced(const fleet &system, const std::string &event, const std::string &job);
 
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -8,9 +8,9 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <spawn.h>
 #include <sstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -71,6 +71,47 @@
 
 } // namespace
 
+namespace {
+
+struct child_start
+{
+    pid_t parent = 0;
+    int report = -1; // written to when the program can't be started
+    const char *outFile = nullptr;
+    const char *errorFile = nullptr;
+};
+
+void openAs(int target, const char *file, int flags)
+{
+    const int opened = open(file, flags, 0644);
+    if (opened >= 0)
+        dup2(opened, target);
+}
+
+// Between fork and exec: calls nothing but what is safe after the fork of a threaded process.
+//
+// A test that fails or crashes ends without its destructors. Its processes would stay, and after a
+// few such tests there would be no threads left to start another fleet with; so the kernel ends
+// them with the test.
+[[noreturn]] void becomeProgram(const child_start &start, char *const *words)
+{
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != start.parent) // it ended before the line above
+        _exit(127);
+    openAs(0, "/dev/null", O_RDONLY);
+    openAs(1, start.outFile, O_WRONLY | O_CREAT | O_APPEND);
+    openAs(2, start.errorFile, O_WRONLY | O_CREAT | O_APPEND);
+    sigset_t none;
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, nullptr);
+    execv(words[0], words);
+    const int problem = errno;
+    const auto written = write(start.report, &problem, sizeof problem);
+    _exit(written > 0 ? 127 : 126);
+}
+
+} // namespace
+
 child_process::child_process(const std::vector<std::string> &command, std::string outFile,
                              std::string errorFile)
     : m_outFile(std::move(outFile))
@@ -80,23 +121,22 @@
     for (const auto &word : command)
         words.push_back(const_cast<char *>(word.c_str()));
     words.push_back(nullptr);
-    posix_spawn_file_actions_t files;
-    posix_spawn_file_actions_init(&files);
-    posix_spawn_file_actions_addopen(&files, 0, "/dev/null", O_RDONLY, 0);
-    const int append = O_WRONLY | O_CREAT | O_APPEND;
-    posix_spawn_file_actions_addopen(&files, 1, m_outFile.c_str(), append, 0644);
-    posix_spawn_file_actions_addopen(&files, 2, m_errorFile.c_str(), append, 0644);
-    posix_spawnattr_t attributes;
-    posix_spawnattr_init(&attributes);
-    sigset_t none;
-    sigemptyset(&none);
-    posix_spawnattr_setsigmask(&attributes, &none);
-    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
-    const int problem = posix_spawn(&m_pid, words[0], &files, &attributes, words.data(), environ);
-    posix_spawn_file_actions_destroy(&files);
-    posix_spawnattr_destroy(&attributes);
-    if (problem != 0)
-        throw std::runtime_error("cannot start " + command[0] + ": " + std::strerror(problem));
+    // The child closes its end when its program starts, or writes why it could not.
+    int report[2];
+    if (pipe2(report, O_CLOEXEC) != 0)
+        throw std::runtime_error("cannot start " + command[0] + ": " + std::strerror(errno));
+    const pid_t parent = getpid();
+    m_pid = fork();
+    if (m_pid == 0)
+        becomeProgram({parent, report[1], m_outFile.c_str(), m_errorFile.c_str()}, words.data());
+    int problem = m_pid < 0 ? errno : 0;
+    close(report[1]);
+    if (problem == 0 && read(report[0], &problem, sizeof problem) > 0)
+        waitpid(m_pid, &m_status, 0);
+    close(report[0]);
+    if (problem == 0)
+        return;
+    throw std::runtime_error("cannot start " + command[0] + ": " + std::strerror(problem));
 }
 
 child_process::~child_process()
--- /dev/null
+++ b/tests/process_evict_test.cpp
@@ -0,0 +1,173 @@
+// Evictions on real processes: urgent work takes the room of batch tasks, which are checkpointed,
+// freed, and go on later from where they were, exactly once, whatever dies or is lost meanwhile.
+#include "fleet_story.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::tests;
+
+namespace {
+
+constexpr int BatchTasks = 24; // with the service they fill the four workers
+constexpr int UrgentTasks = 4; // each as large as three of the batch
+constexpr int BatchRunMs = 5000;
+
+batch_options batchJob()
+{
+    batch_options batch;
+    batch.tasks = BatchTasks;
+    batch.runMs = BatchRunMs;
+    return batch;
+}
+
+batch_options urgentJob()
+{
+    batch_options urgent;
+    urgent.job = "gate";
+    urgent.tasks = UrgentTasks;
+    urgent.runMs = 500;
+    urgent.millicores = 6000;
+    urgent.bytes = 8'000'000'000;
+    urgent.priority = "urgent";
+    return urgent;
+}
+
+// A fleet whose workers are full of running batch tasks.
+void startFull(fleet &system)
+{
+    startWhole(system);
+    system.putFolderFile("10-base.json", baseFolder(system.options()));
+    system.putFolderFile("20-batch.json", batchFolder(batchJob()));
+    require(waitUntil([&] { return countTraced(system, "started", batchJob().job) == BatchTasks; },
+                      SoonEnough));
+}
+
+// Of a team of its own: the batch has used up its own team's quota.
+void putUrgent(fleet &system)
+{
+    auto folder = batchFolder(urgentJob());
+    auto &quota = folder["teams"]["gates"]["quota"];
+    quota["millicores"] = 64'000;
+    quota["bytes"] = Json::Int64(240'000'000'000);
+    folder["jobs"][urgentJob().job]["team"] = "gates";
+    system.putFolderFile("30-gate.json", folder);
+}
+
+bool waitForEviction(const fleet &system)
+{
+    return waitUntil([&] { return countTraced(system, "evicted", batchJob().job) > 0; },
+                     SoonEnough);
+}
+
+void checkAllWentOn(fleet &system)
+{
+    const auto batch = batchJob().job;
+    section("the urgent tasks ran, each once", [&] {
+        check(waitUntil(
+                [&] { return countTraced(system, "ended", urgentJob().job) == UrgentTasks; },
+                SoonEnough));
+        check(countTraced(system, "started", urgentJob().job) == UrgentTasks);
+    });
+    section("every batch task ended once", [&] {
+        check(waitUntil([&] { return countTraced(system, "ended", batch) == BatchTasks; },
+                        SoonEnough));
+        check(waitUntil([&] { return taskStates(system, batch)["done"] == BatchTasks; },
+                        SoonEnough));
+        check(countTraced(system, "ended", batch) == BatchTasks);
+    });
+    section("each eviction was resumed once, from its checkpoint; nothing began anew", [&] {
+        check(countTraced(system, "evicted", batch) > 0);
+        check(countTraced(system, "resumed", batch) == countTraced(system, "evicted", batch));
+        check(countTraced(system, "started", batch) == BatchTasks);
+        for (const auto &violation : checkFleetTrace(system, true))
+            cr_expect(false, "%s: %s: %s", sectionName().c_str(),
+                      std::string(nameOf(violation.kind)).c_str(), violation.detail.c_str());
+    });
+}
+
+void setFaultEverywhere(fleet &system, const Json::Value &fault)
+{
+    system.setFault(system.platformAddress(), fault);
+    for (unsigned index = 0; index < system.options().workers; ++index)
+        system.setFault(system.workerAddress(index), fault);
+}
+
+} // namespace
+
+// A school's gate purchase is urgent and the workers are full. Batch tasks are checkpointed and
+// freed, the urgent tasks start in their room, and the batch goes on from its checkpoints.
+Test(process_evict, urgent_work_takes_room)
+{
+    fleet system(smallFleet());
+    startFull(system);
+    putUrgent(system);
+    checkAllWentOn(system);
+}
+
+// The owner is killed when the first batch task has been evicted. Its successor finds in the table
+// which tasks are evicted, being evicted, or pending: none is resumed twice, none is forgotten.
+Test(process_evict, owner_killed_in_mid_eviction)
+{
+    fleet system(smallFleet());
+    startFull(system);
+    putUrgent(system);
+    require(waitForEviction(system));
+    section("the owner is killed", [&] {
+        for (unsigned entry = 0; entry < system.options().entries; ++entry) {
+            const auto status = system.rpc(entry, "status", Json::objectValue);
+            if (!status["scheduling"]["shards"].empty())
+                system.entry(entry)->signal(SIGKILL);
+        }
+    });
+    checkAllWentOn(system);
+}
+
+// Every agent is killed when the first batch task has been evicted, and replaced. What its worker
+// had checkpointed and ended meanwhile is found in the worker's listing.
+Test(process_evict, agents_killed_in_mid_eviction)
+{
+    fleet system(smallFleet());
+    startFull(system);
+    putUrgent(system);
+    require(waitForEviction(system));
+    section("the agents are killed and replaced", [&] {
+        for (unsigned index = 0; index < system.options().workers; ++index)
+            system.agent(index)->signal(SIGKILL);
+        for (unsigned index = 0; index < system.options().workers; ++index) {
+            system.agent(index)->waitForExit(SoonEnough);
+            system.startAgent(index);
+        }
+    });
+    checkAllWentOn(system);
+}
+
+// The next answers of the table and of every worker are lost after their effect: an evict request
+// that came through is asked again, a write that took effect is read back.
+Test(process_evict, answers_lost_in_mid_eviction)
+{
+    fleet system(smallFleet());
+    startFull(system);
+    Json::Value lose(Json::objectValue);
+    lose["lose_answers"] = 10;
+    setFaultEverywhere(system, lose);
+    putUrgent(system);
+    checkAllWentOn(system);
+}
+
+// The table goes away when the first batch task has been evicted. What was evicted stays so, and is
+// resumed once the table is back.
+Test(process_evict, table_down_in_mid_eviction)
+{
+    fleet system(smallFleet());
+    startFull(system);
+    putUrgent(system);
+    require(waitForEviction(system));
+    Json::Value fault(Json::objectValue);
+    section("the table is down while the eviction is written", [&] {
+        fault["down"] = true;
+        system.setFault(system.platformAddress(), fault);
+        std::this_thread::sleep_for(milliseconds(4000));
+        fault["down"] = false;
+        system.setFault(system.platformAddress(), fault);
+    });
+    checkAllWentOn(system);
+}
