Urgent work evicts in time: evictions no longer dropped, and a team's own batch makes way at its quota

Cause 1: process_evict_test with urgent work of a team at its quota saw no eviction in 7 s although the placer had asked for twelve. task_table dropped evict_decided while any write of the job was on its way; each new generation writes the rows of all jobs, and urgent work arrives with a new generation, so the first evictions for it were always lost, and the placer waited for room that nobody made until its hold ran out. start_ahead_decided had the same check. Cause 2: urgent work of a team whose own batch fills its quota waited for that batch to end, however long it runs: quotas were checked before room. Change: an eviction is dropped only if the task does not stay placed (staysPlaced: a write of the job's row is none that would change that). Urgent work at its team's quota stops as much of the team's own batch, on one worker, as quota and room ask for; victims on their way out and rooms already held count. Ruled out: repeating the decision in the placer (it would not know whether it was lost), evicting other teams' work for a quota.

--- a/libs/placement/plan.cpp
+++ b/libs/placement/plan.cpp
@@ -236,6 +236,8 @@
     job.quarantineTold = job.quarantineTold && m_quarantine.isQuarantined(job.spec.jobId);
     if (!m_quotas.allows(job.team, demandOf(job))) {
         job.wait = wait_reason::TeamLimit;
+        if (job.spec.priority == task_priority::Urgent)
+            makeQuota(run, job);
         return true;
     }
     return job.blockedAt == m_workers.pool(job.pool).generation && run.now < job.retryAt;
@@ -390,27 +392,80 @@
     }
 }
 
+// The team's own batch fills its quota: it could keep its urgent work waiting for hours. The tasks
+// that hold room already, and the victims that have not left yet, count as if both had happened, so
+// that each waiting task stops its own victims once.
+void placer::makeQuota(plan_run &run, job_record &job)
+{
+    std::erase_if(m_quotaVictims, [this](const task_ref &victim) { return !isStopping(victim); });
+    const auto demand = demandOf(job);
+    for (const auto index : job.pending) {
+        const auto &record = job.tasks.at(index);
+        if (record.nominated != NoWorker)
+            continue;
+        const auto excess = m_quotas.excess(job.team, demand + comingToTeam(job.team));
+        const auto request = requestFor(job, record, demand, run.now);
+        const auto plan = m_roomMaker.makeOwnRoom(request, job.rank, job.team, excess);
+        if (!plan)
+            return;
+        m_quotaVictims.insert(m_quotaVictims.end(), plan->victims.begin(), plan->victims.end());
+        holdRoom(run, job, index, request, *plan);
+    }
+}
+
+bool placer::isStopping(const task_ref &task)
+{
+    const auto found = find(task);
+    if (!found || found.task->worker == NoWorker)
+        return false;
+    const auto *entry = m_workers.at(found.task->worker).book.find(task);
+    return entry != nullptr && entry->state == entry_state::Stopping;
+}
+
+// What the team's held rooms will add to what it holds, less what its stopping victims will give
+// back.
+resources placer::comingToTeam(std::uint16_t team)
+{
+    resources sum;
+    for (const auto &task : m_holds) {
+        const auto found = find(task);
+        if (found && found.task->nominated != NoWorker && found.job->team == team)
+            sum += found.task->heldRoom;
+    }
+    for (const auto &victim : m_quotaVictims) {
+        const auto found = find(victim);
+        if (found && found.job->team == team && isStopping(victim))
+            sum -= found.task->charged;
+    }
+    return sum;
+}
+
 bool placer::holdRoom(plan_run &run, job_record &job, std::int32_t index,
                       const place_request &request)
 {
     const auto plan = m_roomMaker.makeRoom(request, job.rank);
-    if (!plan)
-        return false;
+    if (plan)
+        holdRoom(run, job, index, request, *plan);
+    return plan.has_value();
+}
+
+void placer::holdRoom(plan_run &run, job_record &job, std::int32_t index,
+                      const place_request &request, const room_plan &plan)
+{
     auto &record = job.tasks.at(index);
     const auto latest =
             record.pendingSince + m_settings.urgentStartsWithin - m_settings.startMargin;
     const auto stopBefore = std::max(latest, run.now + ShortestStop);
-    for (const auto &victim : plan->victims)
-        preempt(run, plan->slot, victim, preempt_reason::UrgentTask, {job.spec.jobId, index},
+    for (const auto &victim : plan.victims)
+        preempt(run, plan.slot, victim, preempt_reason::UrgentTask, {job.spec.jobId, index},
                 stopBefore);
     m_holds.insert({job.spec.jobId, index});
-    record.nominated = plan->slot;
+    record.nominated = plan.slot;
     record.nomination = ++m_nominations;
     record.heldRoom = request.demand;
     record.nominatedUntil = stopBefore + StopGrace;
-    m_workers.at(plan->slot).held += request.demand;
-    m_workers.roomChanged(plan->slot);
-    return true;
+    m_workers.at(plan.slot).held += request.demand;
+    m_workers.roomChanged(plan.slot);
 }
 
 void placer::place(plan_run &run, job_record &job, std::int32_t index, int slot,
--- a/libs/placement/preemption.cpp
+++ b/libs/placement/preemption.cpp
@@ -116,13 +116,37 @@
     return best;
 }
 
-std::vector<room_maker::victim> room_maker::victimsOn(int slot, int rank) const
+std::optional<room_plan> room_maker::makeOwnRoom(const place_request &request, int rank,
+                                                 std::uint16_t team, const resources &quota)
+{
+    std::optional<room_plan> best;
+    double lowest = 0;
+    for (const int slot : m_workers.pool(request.pool).slots) {
+        if (m_workers.at(slot).setAside || slot == request.avoid)
+            continue;
+        auto victims = chooseVictims(slot, largest(missingOn(slot, request), quota), rank, team);
+        if (!victims)
+            continue;
+        const double cost =
+                static_cast<double>(victims->size()) + m_chooser.spreadCost(request, slot);
+        if (best && cost >= lowest)
+            continue;
+        lowest = cost;
+        best = room_plan{slot, std::move(*victims)};
+    }
+    return best;
+}
+
+std::vector<room_maker::victim> room_maker::victimsOn(int slot, int rank,
+                                                      std::optional<std::uint16_t> team) const
 {
     std::vector<victim> victims;
     for (const auto &[task, entry] : m_workers.at(slot).book.entries()) {
         if (!mayEvict(task, entry, rank))
             continue;
         const auto *job = m_tasks.findJob(task.jobId);
+        if (team && job->team != *team)
+            continue;
         const auto record = job->tasks.find(task.taskIndex);
         victims.push_back({job->rank, entry.wanted != entry.reserved, record->second.startedAt,
                            task, entry.reserved});
@@ -136,10 +160,11 @@
     return victims;
 }
 
-std::optional<std::vector<task_ref>> room_maker::chooseVictims(int slot, const resources &missing,
-                                                               int rank) const
+std::optional<std::vector<task_ref>>
+room_maker::chooseVictims(int slot, const resources &missing, int rank,
+                          std::optional<std::uint16_t> team) const
 {
-    auto victims = victimsOn(slot, rank);
+    auto victims = victimsOn(slot, rank, team);
     resources freed;
     std::size_t used = 0;
     while (used < victims.size() && !missing.fitsIn(freed))
--- a/libs/placement/preemption.h
+++ b/libs/placement/preemption.h
@@ -27,9 +27,15 @@
     // The worker of the pool on which the request costs the fewest evictions of tasks that rank
     // after `rank`.
     std::optional<room_plan> makeRoom(const place_request &request, int rank);
-    // The cheapest victims that free `missing` on the worker; none when they cannot.
-    std::optional<std::vector<task_ref>> chooseVictims(int slot, const resources &missing,
-                                                       int rank) const;
+    // The same for a task whose team lacks `quota`: only the team's own tasks are evicted, and
+    // those of one worker free both the room and the quota.
+    std::optional<room_plan> makeOwnRoom(const place_request &request, int rank, std::uint16_t team,
+                                         const resources &quota);
+    // The cheapest victims that free `missing` on the worker; none when they cannot. Only those of
+    // `team`, if one is given.
+    std::optional<std::vector<task_ref>>
+    chooseVictims(int slot, const resources &missing, int rank,
+                  std::optional<std::uint16_t> team = std::nullopt) const;
     // Of tasks whose stop was asked for.
     resources comingFree(int slot) const;
     bool mayEvict(const task_ref &task, const ledger_entry &entry, int rank) const;
@@ -52,7 +58,7 @@
 
     bool stopsSoon(const task_ref &task, const ledger_entry &entry) const;
     const evictable_sums &sumsOf(int slot);
-    std::vector<victim> victimsOn(int slot, int rank) const;
+    std::vector<victim> victimsOn(int slot, int rank, std::optional<std::uint16_t> team) const;
     resources missingOn(int slot, const place_request &request);
 
     const worker_table &m_workers;
--- a/libs/placement/quota.cpp
+++ b/libs/placement/quota.cpp
@@ -13,6 +13,11 @@
     return limit > 0 && amount > limit;
 }
 
+std::int64_t excessOf(std::int64_t amount, std::int64_t limit)
+{
+    return above(amount, limit) ? amount - limit : 0;
+}
+
 std::optional<std::string> dimensionAbove(const resources &amount, const resources &limit)
 {
     if (above(amount.millicores, limit.millicores))
@@ -57,6 +62,15 @@
     return !dimensionAbove(state.held + amount, state.quota.limit);
 }
 
+resources quota_book::excess(std::size_t team, const resources &amount) const
+{
+    const auto &state = m_teams.at(team);
+    const auto all = state.held + amount;
+    const auto &limit = state.quota.limit;
+    return {excessOf(all.millicores, limit.millicores), excessOf(all.bytes, limit.bytes),
+            excessOf(all.accelerators, limit.accelerators)};
+}
+
 std::optional<std::string> quota_book::impossibleDimension(std::size_t team,
                                                            const resources &amount) const
 {
--- a/libs/placement/quota.h
+++ b/libs/placement/quota.h
@@ -30,6 +30,8 @@
 
     // False when the team would exceed its limit now.
     bool allows(std::size_t team, const resources &amount) const;
+    // What the team would hold above its limit if it were given `amount` now.
+    resources excess(std::size_t team, const resources &amount) const;
     // The name of the dimension in which `amount` alone exceeds the team's limit, if it does.
     std::optional<std::string> impossibleDimension(std::size_t team, const resources &amount) const;
     double weightedShare(std::size_t team) const;
--- a/libs/placement/scheduler.h
+++ b/libs/placement/scheduler.h
@@ -172,6 +172,11 @@
     void giveUpHold(task_record &record, time_point now);
     void expireHolds(plan_run &run);
     bool holdRoom(plan_run &run, job_record &job, std::int32_t index, const place_request &request);
+    void holdRoom(plan_run &run, job_record &job, std::int32_t index, const place_request &request,
+                  const room_plan &plan);
+    void makeQuota(plan_run &run, job_record &job);
+    resources comingToTeam(std::uint16_t team);
+    bool isStopping(const task_ref &task);
     place_request requestFor(const job_record &job, const task_record &record,
                              const resources &demand, time_point now) const;
     resources demandOf(const job_record &job) const;
@@ -204,10 +209,11 @@
     eviction_budget m_evictions;
     std::vector<task_ref> m_raises; // reservations that the worker has to be told
     std::uint64_t m_nominations = 0;
-    std::set<task_ref> m_holds; // tasks for which room is being made
-    std::set<int> m_owing;      // slots with a raise that does not fit
-    std::set<int> m_disturbed;  // slots with a raised signal or throttled tasks
-    std::set<int> m_setAside;   // slots that quarantine has set aside
+    std::set<task_ref> m_holds;           // tasks for which room is being made
+    std::vector<task_ref> m_quotaVictims; // of a team at its quota, for its own urgent work
+    std::set<int> m_owing;                // slots with a raise that does not fit
+    std::set<int> m_disturbed;            // slots with a raised signal or throttled tasks
+    std::set<int> m_setAside;             // slots that quarantine has set aside
 };
 
 } // namespace zinniabarrow::placement
--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -120,8 +120,6 @@
     return found != m_workers.end() && found->second.attached && !m_store.silent(worker);
 }
 
-// Jobs.
-
 // --- Jobs ----------------------------------------------------------------------------------------
 
 void task_table::on(const job_accepted &event, time_point now)
@@ -203,10 +201,20 @@
     return ahead;
 }
 
+// Placed in the table, and no write is on its way that would change that. A write of the job's row
+// is none: each new generation brings one, just when urgent work of that generation needs room.
+bool task_table::staysPlaced(const task_id &task) const
+{
+    const task_record settled = m_store.settled(task);
+    const task_record next = m_store.effective(task);
+    return settled.state == task_state::Placed && next.state == task_state::Placed
+           && settled.attempt == next.attempt;
+}
+
 void task_table::on(const evict_decided &event, time_point)
 {
     const task_record record = m_store.settled(event.task);
-    if (record.state != task_state::Placed || m_store.inFlight(event.task))
+    if (!staysPlaced(event.task))
         return;
     softOf(event.task, record.attempt).evicting = true;
     m_pushTo.insert(record.worker);
@@ -215,7 +223,7 @@
 void task_table::on(const start_ahead_decided &event, time_point)
 {
     const task_record record = m_store.settled(event.task);
-    if (record.state != task_state::Placed || !record.ahead || m_store.inFlight(event.task))
+    if (!staysPlaced(event.task) || !record.ahead)
         return;
     softOf(event.task, record.attempt).mayStart = true;
     m_pushTo.insert(record.worker);
--- a/libs/work/task_table.h
+++ b/libs/work/task_table.h
@@ -211,6 +211,7 @@
     std::vector<task_id> tasksOn(const std::string &worker) const;
     soft_state &softOf(const task_id &task, std::uint32_t attempt);
     const soft_state *findSoft(const task_id &task, std::uint32_t attempt) const;
+    bool staysPlaced(const task_id &task) const;
     std::size_t aheadOn(const std::string &worker) const;
     void loaded(time_point now);
     void takeFromStore();
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -314,6 +314,51 @@
     });
 }
 
+// A team's own batch fills its quota when its urgent work arrives; the workers have room. Waiting
+// for the batch to end could take hours, so as much of the team's own batch stops as the quota
+// asks for, and nobody else's.
+Test(placer, urgentWorkOfATeamAtItsQuota)
+{
+    scene world(2);
+    world.subject.setTeam({"clubs", 1, {16'000, 0, 0}});
+    world.pending(batchTask("season", 0, {4'000, Gigabyte, 0}), 6);
+    auto other = batchTask("matches", 0, {4'000, Gigabyte, 0});
+    other.team = "families";
+    world.pending(other, 2);
+    require(world.start().size() == 6); // four of the season, both matches
+    auto urgent = batchTask("gate", 0, {4'000, Gigabyte, 0});
+    urgent.priority = task_priority::Urgent;
+    const auto arrived = world.now;
+    world.pending(urgent, 2);
+    world.plan();
+    const auto stopped = world.taken<preempt_action>();
+    section("one of its own tasks stops for each, in time", [&] {
+        require(stopped.size() == 2);
+        for (const auto &each : stopped) {
+            check(each.victim.jobId == "season");
+            check(each.checkpointBefore <= arrived + milliseconds(1'500));
+        }
+    });
+    section("no more are asked while these stop, and nothing starts above the quota", [&] {
+        world.now += milliseconds(200);
+        check(world.start().empty());
+        check(world.taken<preempt_action>().empty());
+    });
+    section("the urgent tasks take their places within 2.4 s", [&] {
+        for (const auto &each : stopped)
+            world.subject.taskReleased(each.victim, each.worker, world.now);
+        const auto placed = world.start();
+        require(placed.size() == 2);
+        check(placed[0].task.jobId == "gate" && placed[1].task.jobId == "gate");
+        check(world.now - arrived <= milliseconds(2'400));
+    });
+    section("batch of a team at its quota stops nothing", [&] {
+        world.pending(batchTask("second", 0, {4'000, Gigabyte, 0}));
+        world.plan();
+        check(world.actions.empty());
+    });
+}
+
 // Two urgent tasks need room on the only worker, one after the other. The first one's victim leaves
 // in time; the second one's still runs, and must not keep the first from starting.
 Test(placer, urgentTasksDoNotBlockEachOther)
--- a/tests/process_evict_test.cpp
+++ b/tests/process_evict_test.cpp
@@ -103,6 +103,15 @@
     checkAllWentOn(system);
 }
 
+// The same by a club whose own batch has used up its team's quota: its own tasks make way.
+Test(process_evict, urgent_work_of_a_team_at_its_quota)
+{
+    fleet system(smallFleet());
+    startFull(system);
+    system.putFolderFile("30-gate.json", batchFolder(urgentJob()));
+    checkAllWentOn(system);
+}
+
 // The owner is killed when the first batch task has been evicted. Its successor finds in the table
 // which tasks are evicted, being evicted, or pending: none is resumed twice, none is forgotten.
 Test(process_evict, owner_killed_in_mid_eviction)
--- a/tests/work_test.cpp
+++ b/tests/work_test.cpp
@@ -463,6 +463,34 @@
     });
 }
 
+// Urgent work comes in with a new generation, so the very planning that evicts for it runs while
+// the rows of all jobs are written for that generation. The placer has been promised the room: an
+// eviction that was dropped for the write would leave the urgent work waiting until it gives up.
+Test(work, an_eviction_while_the_jobs_row_is_written)
+{
+    table_bench bench;
+    bench.submit("job", 1);
+    bench.settle(*bench.nextCommit());
+    bench.report("w", 1);
+    bench.feed(place_decided{{"job", 0}, "w", false});
+    bench.settle(*bench.nextCommit());
+    job_spec spec = bench.table.job("job")->spec;
+    spec.generation = 2;
+    bench.feed(job_accepted{spec});
+    const auto written = bench.nextCommit();
+    require(written.has_value());
+    section("it is asked of the agent all the same", [&] {
+        bench.feed(evict_decided{{"job", 0}});
+        bench.report("w", 2);
+        check(only<send_grant>(bench.actions).front().grant.checkpoints.size() == 1);
+    });
+    section("and still after the row is written", [&] {
+        bench.settle(*written);
+        bench.report("w", 3);
+        check(only<send_grant>(bench.actions).front().grant.checkpoints.size() == 1);
+    });
+}
+
 // A scaled-down service loses its last replicas, and gets them back when it grows again.
 Test(work, a_newer_generation_resizes_a_job)
 {
