A golden file of one whole session of work

Cause: the users ask for golden files of whole sessions; requests and configuration had one, work had none.

--- /dev/null
+++ b/tests/work_session_test.cpp
@@ -0,0 +1,33 @@
+// Compares a whole session of work, to the byte, with the one that was read and kept. A changed
+// decision shows as a difference; tests/record_work_session prints the session anew.
+#include <fstream>
+
+#include "section.h"
+#include "work_session.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::tests;
+
+Test(work_session, replay)
+{
+    std::ifstream file(WorkSessionFile);
+    require(file.good());
+    std::vector<std::string> kept;
+    for (std::string line; std::getline(file, line);)
+        kept.push_back(line);
+    std::vector<trace_violation> violations;
+    const auto played = recordWorkSession(&violations);
+    section("no promise is broken on the way", [&] { check(violations.empty()); });
+    section("line by line", [&] {
+        require(played.size() == kept.size());
+        for (std::size_t index = 0; index < kept.size(); ++index)
+            cr_expect_str_eq(played[index].c_str(), kept[index].c_str(), "line %zu", index + 1);
+    });
+    section("the session shows each step", [&] {
+        for (const auto *event : {"started", "evicted", "resumed", "ended", "cancelled"}) {
+            const auto part = std::string("\"event\":\"") + event + "\"";
+            check(std::any_of(kept.begin(), kept.end(),
+                              [&](const auto &line) { return line.find(part) != line.npos; }));
+        }
+    });
+}
