Links that are cut, silent or lose answers, in process tests

Cause: the process tests killed and froze, but cut no links; partitions and half-open connections were shown by the decision code alone. Change: a TCP relay in the test program (standins/link) that the fleet lays between named processes; tests/process_links_test.cpp with four stories. An agent may be reached by another address than it listens on: listen.advertise, an ordinary setting, told in announcements and reports. Settings without a default are shown as 'none' in docs/SETTINGS.md. Ruled out: telling entries apart at the relay by their source address (all are 127.0.0.1 on loopback), so the link to an agent is shared by all entries; those from it are one for each entry.

--- a/app/agent.cpp
+++ b/app/agent.cpp
@@ -46,11 +46,11 @@
     {
         m_server.start();
         m_announce.emplace(
-                m_duties, m_settings, m_self, toText(m_server.address()), m_sender,
+                m_duties, m_settings, m_self, advertised(), m_sender,
                 [this] { return m_admission.load(); }, [this] { return m_follow.report(); },
                 [this] { giveWay(); });
-        m_keeper.emplace(m_duties, m_settings, m_self, toText(m_server.address()), m_sender,
-                         m_metrics, [this] { return m_admission.tailLatency(); });
+        m_keeper.emplace(m_duties, m_settings, m_self, advertised(), m_sender, m_metrics,
+                         [this] { return m_admission.tailLatency(); });
         m_probe.emplace(m_duties, upstreamAddress(), [this](bool up) { upstreamChanged(up); });
         m_started = true;
         m_ready = true;
@@ -91,6 +91,12 @@
         m_signals.request();
     }
 
+    std::string advertised() const
+    {
+        const auto &other = m_settings.listen.advertise;
+        return other ? config::toText(*other) : toText(m_server.address());
+    }
+
     socket_address upstreamAddress() const
     {
         return {m_settings.upstream.address.address, m_settings.upstream.address.port};
--- a/libs/config/fields.h
+++ b/libs/config/fields.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <type_traits>
 #include <vector>
@@ -56,6 +57,15 @@
         }
     }
 
+    // Absent stays empty.
+    template <typename T>
+    void operator()(const char *name, std::optional<T> &member)
+    {
+        if (!m_object.isMember(name))
+            return;
+        (*this)(name, member.emplace());
+    }
+
 private:
     static void read(const Json::Value &value, std::string &member)
     {
@@ -133,6 +143,14 @@
         m_object[name] = written(member);
     }
 
+    // Empty is left out.
+    template <typename T>
+    void operator()(const char *name, const std::optional<T> &member)
+    {
+        if (member)
+            m_object[name] = written(*member);
+    }
+
     Json::Value take() { return std::move(m_object); }
 
 private:
--- a/libs/config/schema.cpp
+++ b/libs/config/schema.cpp
@@ -195,8 +195,9 @@
         describeRows(table, key + '.', member);
         return;
     }
-    const auto fallback =
-            isNeeded ? std::string("required") : '`' + valueText(member["default"]) + '`';
+    std::string fallback = isNeeded ? "required" : "none";
+    if (member.isMember("default"))
+        fallback = '`' + valueText(member["default"]) + '`';
     table += fmt::format("| `{}` | {} | {} | {} |\n", key, allowedBy(member), fallback,
                          member["description"].asString());
 }
--- a/libs/config/settings.cpp
+++ b/libs/config/settings.cpp
@@ -40,6 +40,7 @@
 {
     archive("address", listen.address);
     archive("port", listen.port);
+    archive("advertise", listen.advertise);
 }
 
 template <typename Archive>
--- a/libs/config/settings.h
+++ b/libs/config/settings.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,8 +19,9 @@
 
 struct listen_settings
 {
-    std::string address;    // IP number of this process
-    std::uint16_t port = 0; // 0: any free port
+    std::string address;               // IP number of this process
+    std::uint16_t port = 0;            // 0: any free port
+    std::optional<endpoint> advertise; // told to the others; none: the address above
 };
 
 struct platform_settings
--- a/libs/config/settings_schema.cpp
+++ b/libs/config/settings_schema.cpp
@@ -297,6 +297,11 @@
           "minimum": 0,
           "maximum": 65535,
           "description": "TCP port, for entries: requests and rpc; 0 takes any free one"
+        },
+        "advertise": {
+          "type": "string",
+          "format": "ip:port",
+          "description": "address told to the entries where they reach the agent by another one; when absent, the address it listens on"
         }
       },
       "required": ["address", "port"]
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -28,6 +28,7 @@
 constexpr int UpstreamPort = 22000;
 constexpr int AgentPort = 23000;
 constexpr int TwinAgentPort = 24000;
+constexpr int LinkPort = 25000;
 constexpr unsigned WorkersPerRack = 3;
 constexpr milliseconds StartWithin{30'000};
 constexpr milliseconds CallWithin{5'000};
@@ -152,6 +153,7 @@
     if (mkdtemp(pattern.data()) == nullptr)
         throw std::runtime_error("cannot make a scratch folder: check the temporary directory");
     m_scratch = pattern;
+    layLinks();
 }
 
 fleet::~fleet()
@@ -201,6 +203,34 @@
     return address(AgentPort + static_cast<int>(index));
 }
 
+std::string fleet::addressOf(const std::string &process) const
+{
+    if (process == "platform")
+        return platformAddress();
+    const auto dash = process.find('-');
+    const auto index = static_cast<unsigned>(std::stoul(process.substr(dash + 1)));
+    return process.substr(0, dash) == "entry" ? entryRpcAddress(index) : agentAddress(index);
+}
+
+std::string fleet::addressFor(const std::string &from, const std::string &to) const
+{
+    const auto laid = m_links.find({from, to});
+    return laid == m_links.end() ? addressOf(to) : laid->second->address();
+}
+
+void fleet::layLinks()
+{
+    int port = LinkPort;
+    for (const auto &ends : m_options.links)
+        m_links[ends] = std::make_unique<link>(parseAddress(address(port++)),
+                                               parseAddress(addressOf(ends.to)));
+}
+
+link &fleet::linkBetween(const std::string &from, const std::string &to)
+{
+    return *m_links.at({from, to});
+}
+
 std::string fleet::workerId(unsigned index) const
 {
     return "worker-" + std::to_string(index);
@@ -249,7 +279,8 @@
 void fleet::startEntry(unsigned index)
 {
     Json::Value settings(Json::objectValue);
-    settings["id"] = "entry-" + std::to_string(index);
+    const auto name = "entry-" + std::to_string(index);
+    settings["id"] = name;
     settings["region"] = m_options.region;
     settings["zone"] = m_options.zones[index % m_options.zones.size()];
     settings["listen"] = listenOn(entryAddress(index));
@@ -257,15 +288,14 @@
     settings["peers"] = Json::Value(Json::arrayValue);
     for (unsigned peer = 0; peer < m_options.entries; ++peer) {
         if (peer != index)
-            settings["peers"].append(entryRpcAddress(peer));
+            settings["peers"].append(addressFor(name, "entry-" + std::to_string(peer)));
     }
-    settings["platform"]["address"] = platformAddress();
+    settings["platform"]["address"] = addressFor(name, "platform");
     settings["max_connections"] = 96; // a thread each: many fleets' processes share this machine
     merge(settings, m_options.entrySettings);
-    const auto file = writeSettings("entry-" + std::to_string(index), settings);
+    const auto file = writeSettings(name, settings);
     m_entries.at(index) =
-            start("entry-" + std::to_string(index),
-                  {m_options.binaries + "/zinniabarrow", "entry", "--settings", file});
+            start(name, {m_options.binaries + "/zinniabarrow", "entry", "--settings", file});
 }
 
 Json::Value fleet::agentSettings(unsigned index) const
@@ -277,9 +307,11 @@
     settings["zone"] = m_options.zones[index % m_options.zones.size()];
     settings["rack"] = "rack-" + std::to_string(index / WorkersPerRack);
     settings["listen"] = listenOn(agentAddress(index));
+    if (m_links.count({"entries", name}) > 0)
+        settings["listen"]["advertise"] = addressFor("entries", name);
     settings["entries"] = Json::Value(Json::arrayValue);
     for (unsigned entry = 0; entry < m_options.entries; ++entry)
-        settings["entries"].append(entryRpcAddress(entry));
+        settings["entries"].append(addressFor(name, "entry-" + std::to_string(entry)));
     auto &upstream = settings["upstream"];
     upstream["address"] = upstreamAddress(index);
     upstream["service"] = m_options.service;
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -12,6 +12,7 @@
 
 #include "base/time.h"
 #include "runtime/http.h"
+#include "standins/link.h"
 
 namespace zinniabarrow::standins {
 
@@ -50,6 +51,14 @@
 command_result runCommand(const std::vector<std::string> &command, const std::string &scratch,
                           milliseconds atMost = seconds(20));
 
+// What a link is laid between, in the direction in which connections are made.
+struct link_ends
+{
+    std::string from; // "entry-0", "agent-2", or "entries" for all of them
+    std::string to;   // "entry-1" (its rpc address), "agent-2", "platform"
+    auto operator<=>(const link_ends &) const = default;
+};
+
 struct fleet_options
 {
     std::string binaries; // folder of the programs
@@ -63,6 +72,8 @@
     int upstreamWorkMs = 5;                       // time of one request at the upstream
     Json::Value entrySettings{Json::objectValue}; // merged over the defaults
     Json::Value agentSettings{Json::objectValue}; // merged over the defaults
+    // An agent announces one address, so that the link to it is shared: {"entries", "agent-2"}.
+    std::vector<link_ends> links; // laid before the processes start
 };
 
 // Each role's processes by index. A fleet has a loopback address of its own, so that fleets of
@@ -99,6 +110,8 @@
     std::string entryRpcAddress(unsigned index) const; // for processes and operators
     std::string agentAddress(unsigned index) const;
 
+    link &linkBetween(const std::string &from, const std::string &to);
+
     const fleet_options &options() const { return m_options; }
     const std::string &scratch() const { return m_scratch; }
     std::string workerId(unsigned index) const;
@@ -117,6 +130,10 @@
 
 private:
     std::string address(int port) const;
+    std::string addressOf(const std::string &process) const;
+    // The link's address where one is laid, else the process's own.
+    std::string addressFor(const std::string &from, const std::string &to) const;
+    void layLinks();
     Json::Value agentSettings(unsigned index) const;
     std::string writeSettings(const std::string &name, const Json::Value &settings) const;
     std::unique_ptr<child_process> start(const std::string &name,
@@ -126,6 +143,7 @@
     std::string m_host;
     std::string m_scratch;
     http_pools m_pools;
+    std::map<link_ends, std::unique_ptr<link>> m_links; // outlive the processes
     std::unique_ptr<child_process> m_platform;
     std::vector<std::unique_ptr<child_process>> m_workers;
     std::vector<std::unique_ptr<child_process>> m_upstreams;
--- /dev/null
+++ b/tests/process_links_test.cpp
@@ -0,0 +1,281 @@
+// Requests, tasks and configuration on real processes while links between them are cut, silent or
+// lose answers.
+#include "base/json.h"
+#include "fleet_story.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::tests;
+
+namespace {
+
+// The relay to `agent` and those from it: the agent's whole network.
+std::vector<link_ends> linksOf(const std::string &agent, unsigned entries)
+{
+    std::vector<link_ends> links{{"entries", agent}};
+    for (unsigned entry = 0; entry < entries; ++entry)
+        links.push_back({agent, "entry-" + std::to_string(entry)});
+    return links;
+}
+
+void setAll(fleet &system, link_state state)
+{
+    for (const auto &ends : system.options().links)
+        system.linkBetween(ends.from, ends.to).set(state);
+}
+
+std::uint64_t generationAt(fleet &system, unsigned entry)
+{
+    const auto status = system.rpc(entry, "status", Json::objectValue);
+    return status["configuration"]["here"]["generation"].asUInt64();
+}
+
+std::size_t operationsAt(fleet &system, unsigned upstream)
+{
+    return system.getJson(system.upstreamAddress(upstream), "/executions")["operations"].size();
+}
+
+// Reads at one entry that are answered, of `count`.
+unsigned answeredReads(load_generator &callers, unsigned entry, unsigned count,
+                       const std::string &prefix)
+{
+    unsigned answered = 0;
+    for (unsigned turn = 0; turn < count; ++turn)
+        answered += callers.ask(entry, {"GET", "/tickets/seats", {}, {}},
+                                prefix + "-" + std::to_string(turn))
+                                    .empty()
+                            ? 1
+                            : 0;
+    return answered;
+}
+
+} // namespace
+
+// A caller of an entry that the leaving agent can't reach is served by others, not refused.
+// The link from one agent to entry 0 is cut, that from another silent; both are told to stop.
+// Their Leaving reaches the other entries, whose digests bring it to entry 0: every entry tells
+// every Leaving that it knows.
+Test(process_links, leaving_past_broken_links)
+{
+    auto options = smallFleet();
+    options.links = {{"agent-0", "entry-0"}, {"agent-1", "entry-0"}};
+    options.agentSettings["drain_ms"] = 20'000;            // they wait for entry 0's answer so long
+    options.entrySettings["announce_silence_ms"] = 15'000; // silence alone would come too late
+    fleet system(options);
+    startWhole(system);
+    load_result result;
+    load_generator callers(system, {}, result);
+    section("the links break, the agents are asked to stop", [&] {
+        system.linkBetween("agent-0", "entry-0").set(link_state::Cut);
+        system.linkBetween("agent-1", "entry-0").set(link_state::Silent);
+        system.agent(0)->signal(SIGTERM);
+        system.agent(1)->signal(SIGTERM);
+    });
+    section("every entry routes to the other two while the leaving ones still run", [&] {
+        check(waitForUpstreams(system, 2));
+        check(system.agent(0)->running());
+        check(system.agent(1)->running());
+    });
+    section("no entry sends them anything new", [&] {
+        const auto before = operationsAt(system, 0) + operationsAt(system, 1);
+        for (unsigned entry = 0; entry < 3; ++entry)
+            check(answeredReads(callers, entry, 40, "after-" + std::to_string(entry)) == 40);
+        check(operationsAt(system, 0) + operationsAt(system, 1) == before);
+    });
+    section("every promise was kept", [&] { checkPromisesKept(system, result); });
+}
+
+// Callers of an entry that is cut off from its peers and the table get refusals that tell the
+// truth; a purchase that they repeat at another entry runs once. Entry 0 loses both; a
+// configuration is accepted without it, batch work goes on; then all links pass again and bring
+// what they held back. What entry 0 wrote late fails at the epoch and the rows' versions, and a
+// generation is only ever replaced by a higher one.
+Test(process_links, entry_partitioned_and_healed)
+{
+    auto options = smallFleet();
+    options.links = {{"entry-0", "entry-1"},
+                     {"entry-0", "entry-2"},
+                     {"entry-1", "entry-0"},
+                     {"entry-2", "entry-0"},
+                     {"entry-0", "platform"}};
+    options.entrySettings["lease_ms"] = 6000;
+    options.entrySettings["agent_lease_ms"] = 3000;
+    fleet system(options);
+    startWhole(system);
+    system.putFolderFile("10-base.json", baseFolder(system.options()));
+    batch_options batch;
+    batch.runMs = 1500;
+    system.putFolderFile("20-batch.json", batchFolder(batch));
+    require(waitUntil([&] { return countTraced(system, "started", batch.job) > 0; }, SoonEnough));
+    load_result result;
+    load_options load;
+    load.requests = 1200;
+    load.perSecond = 120;
+    load.deadline = milliseconds(2000);
+    std::uint64_t highest = generationAt(system, 0);
+    underLoad(system, load, result, [&] {
+        section("the entry is partitioned; the others accept a configuration", [&] {
+            setAll(system, link_state::Silent);
+            batch_options more;
+            more.job = "late";
+            more.tasks = 20;
+            const auto before = generationAt(system, 1);
+            system.putFolderFile("30-late.json", batchFolder(more));
+            check(waitUntil(
+                    [&] {
+                        const auto here = generationAt(system, 0);
+                        check(here >= highest);
+                        highest = std::max(highest, here);
+                        return generationAt(system, 1) > before && generationAt(system, 2) > before
+                               && countTraced(system, "started", "late") > 0;
+                    },
+                    SoonEnough));
+        });
+        section("the links heal: the entry catches up", [&] {
+            setAll(system, link_state::Passing);
+            check(waitUntil(
+                    [&] {
+                        const auto here = generationAt(system, 0);
+                        check(here >= highest);
+                        highest = std::max(highest, here);
+                        return here == generationAt(system, 1) && here == generationAt(system, 2);
+                    },
+                    SoonEnough));
+        });
+    });
+    section("it serves keyed purchases again", [&] {
+        load_generator callers(system, {}, result);
+        const http_request keyed{"POST", "/tickets/hold", {{"Idempotency-Key", "healed"}}, "seat"};
+        check(waitUntil([&] { return callers.ask(0, keyed, "healed").empty(); }, SoonEnough));
+    });
+    section("every promise was kept", [&] { checkPromisesKept(system, result); });
+    section("every task ended once", [&] {
+        check(waitUntil(
+                [&] {
+                    return countTraced(system, "ended", batch.job) == 40
+                           && countTraced(system, "ended", "late") == 20;
+                },
+                SoonEnough));
+        checkTraceClean(system);
+    });
+}
+
+// An operator sees batch tasks of a lost instance start elsewhere and lease watchers stay, and
+// never one of them in two places.
+// The agent's whole network goes silent for longer than the short lease while its worker lives.
+// The agent stops the tasks before the lease that it was given is over; the owner counts that lease
+// from the last report, which was sent before. The agent comes back by itself.
+Test(process_links, agent_silent_past_its_lease)
+{
+    auto options = smallFleet();
+    options.links = linksOf("agent-0", 3);
+    options.entrySettings["agent_lease_ms"] = 4000;
+    fleet system(options);
+    startWhole(system);
+    system.putFolderFile("10-base.json", baseFolder(system.options()));
+    batch_options watchers;
+    watchers.job = "watch";
+    watchers.tasks = 8;
+    watchers.runMs = 3'600'000;
+    watchers.failover = "proof";
+    system.putFolderFile("20-watch.json", batchFolder(watchers));
+    batch_options batch;
+    batch.tasks = 12;
+    batch.runMs = 12'000;
+    system.putFolderFile("30-batch.json", batchFolder(batch));
+    require(waitUntil(
+            [&] {
+                return countTraced(system, "started", batch.job) == 12
+                       && countTraced(system, "started", "watch") == 8;
+            },
+            SoonEnough));
+    load_result result;
+    load_generator callers(system, {}, result);
+    section("the agent goes silent; its batch tasks start elsewhere, its watchers do not", [&] {
+        setAll(system, link_state::Silent);
+        check(waitUntil([&] { return countTraced(system, "started", batch.job) > 12; },
+                        SoonEnough));
+        check(countTraced(system, "started", "watch") == 8);
+    });
+    section("requests go to the others", [&] {
+        check(waitForUpstreams(system, 3));
+        const auto before = operationsAt(system, 0);
+        for (unsigned entry = 0; entry < 3; ++entry)
+            check(answeredReads(callers, entry, 20, "others-" + std::to_string(entry)) == 20);
+        check(operationsAt(system, 0) == before);
+    });
+    section("the links heal: it is routed to again", [&] {
+        setAll(system, link_state::Passing);
+        check(waitForUpstreams(system, 4));
+        check(system.agent(0)->running());
+    });
+    section("every batch task ends once, no watcher was started twice", [&] {
+        check(waitUntil([&] { return countTraced(system, "ended", batch.job) == 12; }, SoonEnough));
+        std::this_thread::sleep_for(milliseconds(1000)); // late grants would show now
+        check(countTraced(system, "started", "watch") == 8);
+        checkTraceClean(system);
+    });
+    section("every promise was kept", [&] { checkPromisesKept(system, result); });
+}
+
+// A caller whose purchase ran while its answer was lost on the way hears that it may have run, and
+// the purchase ran once; one that was said not to have run did not run.
+// The links from the entries to all agents lose answers, then go silent, then are cut. Only a
+// connection that was refused shows that nothing was sent; all else is unknown, and is not
+// repeated.
+Test(process_links, answers_lost_on_the_way)
+{
+    auto options = smallFleet();
+    for (unsigned agent = 0; agent < 4; ++agent)
+        options.links.push_back({"entries", "agent-" + std::to_string(agent)});
+    fleet system(options);
+    startWhole(system);
+    load_result result;
+    load_options load;
+    load.deadline = milliseconds(1000);
+    load_generator callers(system, load, result);
+    const auto buy = [&](unsigned entry, const std::string &operation) {
+        return callers.ask(entry, {"POST", "/tickets/hold", {}, "seat"}, operation);
+    };
+    const auto isUnknown = [&](const std::string &reason, const std::string &operation) {
+        return (reason == "answer_late" || reason == "outcome_unknown")
+               && result.mayHaveRun.count(operation) > 0 && result.saidNotRun.count(operation) == 0;
+    };
+    http_request keyed{"POST", "/tickets/hold", {{"Idempotency-Key", "lost"}}, "seat"};
+    section("answers are lost: unknown, and ran once", [&] {
+        setAll(system, link_state::AnswersLost);
+        for (unsigned turn = 0; turn < 6; ++turn) {
+            const auto operation = "lost-" + std::to_string(turn);
+            check(isUnknown(buy(turn % 3, operation), operation));
+        }
+        check(isUnknown(callers.ask(0, keyed, "lost-keyed"), "lost-keyed"));
+        for (unsigned turn = 0; turn < 6; ++turn)
+            check(executionsOf(system)["lost-" + std::to_string(turn)] == 1);
+        check(executionsOf(system)["lost-keyed"] == 1);
+    });
+    section("a repeat of the keyed one elsewhere does not run it again", [&] {
+        setAll(system, link_state::Passing);
+        const auto repeated = callers.ask(1, keyed, "lost-keyed");
+        cr_expect(!repeated.empty(), "the repeat was answered");
+        check(executionsOf(system)["lost-keyed"] == 1);
+    });
+    section("links are silent: unknown, and held-back forwards run at most once", [&] {
+        setAll(system, link_state::Silent);
+        for (unsigned turn = 0; turn < 3; ++turn) {
+            const auto operation = "silent-" + std::to_string(turn);
+            check(isUnknown(buy(turn, operation), operation));
+        }
+        setAll(system, link_state::Passing);
+        check(waitUntil([&] { return buy(0, "after-silence").empty(); }, SoonEnough));
+    });
+    section("links are cut: refused as not run", [&] {
+        setAll(system, link_state::Cut);
+        for (unsigned turn = 0; turn < 6; ++turn)
+            buy(turn % 3, "cut-" + std::to_string(turn));
+        check(result.refusedFor("upstream_unreachable") + result.refusedFor("no_upstream")
+                      + result.refusedFor("retry_budget_spent")
+              > 0);
+        setAll(system, link_state::Passing);
+        check(waitUntil([&] { return buy(1, "after-cut").empty(); }, SoonEnough));
+    });
+    section("every promise was kept", [&] { checkPromisesKept(system, result); });
+}
