--- a/app/entry.cpp
+++ b/app/entry.cpp
@@ -44,11 +44,15 @@
                   },
                   [this] { return m_configuration.report(); })
         , m_endpoint(m_metrics, [this] { return m_serving && m_configuration.isReady(); })
-        , m_callers(addressOf(settings.listen), {settings.maxConnections, settings.maxBodyBytes},
-                    [this](const http_request &request) { return serveCaller(request); })
+        , m_callers(
+                  addressOf(settings.listen), callerLimits(settings),
+                  [this](const http_request &request) { return serveCaller(request); },
+                  [this](connection_event event) { note(event); })
         , m_processes(addressOf(settings.rpc), {RpcConnections, settings.maxBodyBytes},
                       [this](const http_request &request) { return serveProcess(request); })
     {
+        for (const auto event : connectionEvents())
+            m_metrics.count("connections_refused_total", nameOf(event), 0);
         bindMethods();
     }
 
@@ -96,6 +100,24 @@
         return {settings.platform.address.address, settings.platform.address.port};
     }
 
+    static http_server_limits callerLimits(const config::entry_settings &settings)
+    {
+        http_server_limits limits;
+        limits.connections = settings.maxConnections;
+        limits.bodyBytes = settings.maxBodyBytes;
+        limits.perAddress = settings.maxConnectionsPerAddress;
+        limits.readWithin = settings.requestRead;
+        limits.writeWithin = settings.answerWrite;
+        return limits;
+    }
+
+    void note(connection_event event)
+    {
+        m_metrics.count("connections_refused_total", nameOf(event));
+        if (event == connection_event::AllInUse || event == connection_event::AddressShare)
+            m_metrics.count("refusals_total", nameOf(error_kind::Overloaded));
+    }
+
     void bindMethods()
     {
         m_endpoint.bind("announce", [this](const auto &parameters) {
--- a/libs/config/settings.cpp
+++ b/libs/config/settings.cpp
@@ -101,6 +101,9 @@
     archive("announce_silence_ms", entry.announceSilence);
     archive("max_body_bytes", entry.maxBodyBytes);
     archive("max_connections", entry.maxConnections);
+    archive("max_connections_per_address", entry.maxConnectionsPerAddress);
+    archive("request_read_ms", entry.requestRead);
+    archive("answer_write_ms", entry.answerWrite);
     archive("request_deadline_ms", entry.requestDeadline);
     archive("retry", entry.retry);
     archive("drain_ms", entry.drain);
--- a/libs/config/settings_schema.cpp
+++ b/libs/config/settings_schema.cpp
@@ -119,6 +119,27 @@
       "maximum": 65536,
       "description": "callers' connections at once"
     },
+    "max_connections_per_address": {
+      "type": "integer",
+      "default": 0,
+      "minimum": 0,
+      "maximum": 65536,
+      "description": "connections at once from one caller's address; 0 sets no bound, for callers behind a balancer that hides their addresses"
+    },
+    "request_read_ms": {
+      "type": "integer",
+      "default": 10000,
+      "minimum": 100,
+      "maximum": 3600000,
+      "description": "time from a request's first byte until it is whole; then its connection is closed"
+    },
+    "answer_write_ms": {
+      "type": "integer",
+      "default": 30000,
+      "minimum": 100,
+      "maximum": 3600000,
+      "description": "time for a caller to take its whole answer; then its connection is closed"
+    },
     "request_deadline_ms": {
       "type": "integer",
       "default": 10000,
--- a/libs/runtime/http.cpp
+++ b/libs/runtime/http.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <cstring>
@@ -14,6 +15,8 @@
 #include <httplib.h>
 
 #include "base/errors.h"
+#include "base/names.h"
+#include "runtime/http_connection.h"
 #include "runtime/refusal.h"
 
 namespace zinniabarrow {
@@ -21,31 +24,47 @@
 namespace {
 
 constexpr int ListenBacklog = 1024; // httplib's own is 5: bursts of connections would lose SYNs
-constexpr std::size_t OverflowThreads = 4;
+constexpr std::size_t RefusingThreads = 8;
+constexpr std::size_t RefusalsWaiting = 64;
+constexpr milliseconds RefuseWithin{250}; // to read a request only in order to refuse it
 constexpr std::size_t RequestsPerConnection = 1U << 30U;
 
-// Set on the threads that serve connections beyond the bound: they only refuse.
-thread_local bool overflowing = false;
-
-// Runs each connection on a thread of a bounded pool. Connections beyond the bound go to a few
-// threads that refuse at once; without them such a connection would wait in a queue with no answer.
+constexpr name_table<connection_event, 6> ConnectionEventNames{{
+        {connection_event::AllInUse, "all_in_use"},
+        {connection_event::AddressShare, "address_share"},
+        {connection_event::RefusalsFull, "refusals_full"},
+        {connection_event::RequestTooSlow, "request_too_slow"},
+        {connection_event::AnswerNotTaken, "answer_not_taken"},
+        {connection_event::MadeRoom, "made_room"},
+}};
+
+// How the thread that runs a connection has to treat it.
+enum class treatment { Serve, Refuse, Drop };
+thread_local treatment treatAs = treatment::Serve;
+thread_local connection_stream *servedStream = nullptr;
+
+// Runs each connection on a thread of a bounded pool. Connections beyond the bound take the thread
+// of one that stalls, or go to a few threads that refuse at once; without them such a connection
+// would wait in a queue with no answer.
 class bounded_task_queue : public httplib::TaskQueue
 {
 public:
-    explicit bounded_task_queue(std::size_t bound)
+    bounded_task_queue(std::size_t bound, connection_book &book, http_server::observer noteEvent)
         : m_bound(bound)
+        , m_book(book)
+        , m_noteEvent(std::move(noteEvent))
         , m_main(bound)
-        , m_overflow(OverflowThreads)
+        , m_refusing(RefusingThreads)
     { }
 
     void enqueue(std::function<void()> connection) override
     {
         if (m_busy.load() >= m_bound) {
-            m_overflow.enqueue([connection = std::move(connection)] {
-                overflowing = true;
-                connection();
-            });
-            return;
+            if (!m_book.makeRoom(monotonic_clock::now())) {
+                m_noteEvent(connection_event::AllInUse);
+                return refuse(std::move(connection));
+            }
+            m_noteEvent(connection_event::MadeRoom);
         }
         ++m_busy;
         m_main.enqueue([this, connection = std::move(connection)] {
@@ -54,17 +73,113 @@
         });
     }
 
+    // Callers that stall keep a refusing thread too, for a moment. Those beyond a short queue are
+    // closed at once: the refusal of a well-behaved caller must not wait behind them all.
+    void refuse(std::function<void()> connection)
+    {
+        if (m_waiting.load() >= RefusalsWaiting) {
+            m_noteEvent(connection_event::RefusalsFull);
+            runAs(treatment::Drop, connection);
+            return;
+        }
+        ++m_waiting;
+        m_refusing.enqueue([this, connection = std::move(connection)] {
+            runAs(treatment::Refuse, connection);
+            --m_waiting;
+        });
+    }
+
     void shutdown() override
     {
         m_main.shutdown();
-        m_overflow.shutdown();
+        m_refusing.shutdown();
     }
 
 private:
+    static void runAs(treatment how, const std::function<void()> &connection)
+    {
+        treatAs = how;
+        connection();
+        treatAs = treatment::Serve;
+    }
+
     const std::size_t m_bound;
+    connection_book &m_book;
+    http_server::observer m_noteEvent;
     std::atomic<std::size_t> m_busy{0};
+    std::atomic<std::size_t> m_waiting{0}; // to be refused
     httplib::ThreadPool m_main;
-    httplib::ThreadPool m_overflow;
+    httplib::ThreadPool m_refusing;
+};
+
+// cpp-httplib's server with its connections under deadlines and bounds.
+class bounded_server : public httplib::Server
+{
+public:
+    bounded_server(const http_server_limits &limits, http_server::observer noteEvent)
+        : m_limits(limits)
+        , m_refusalLimits(limits)
+        , m_noteEvent(std::move(noteEvent))
+    {
+        m_refusalLimits.readWithin = RefuseWithin;
+        m_refusalLimits.writeWithin = RefuseWithin;
+        new_task_queue = [this] {
+            m_queue = new bounded_task_queue(m_limits.connections, m_book, m_noteEvent);
+            return m_queue; // httplib deletes it when it has stopped
+        };
+    }
+
+private:
+    bool process_and_close_socket(socket_t socket) override // NOLINT(readability-identifier-naming)
+    {
+        if (treatAs == treatment::Serve) {
+            connection_stream stream(socket, m_book, m_limits);
+            std::string address;
+            int port = 0;
+            stream.get_remote_ip_and_port(address, port);
+            if (!m_book.open(socket, address, m_limits.perAddress)) {
+                m_noteEvent(connection_event::AddressShare);
+                m_queue->refuse([this, socket] { process_and_close_socket(socket); });
+                return true;
+            }
+            serveAll(stream);
+            m_book.close(socket);
+        } else if (treatAs == treatment::Refuse) {
+            connection_stream stream(socket, m_book, m_refusalLimits);
+            serveOne(stream, monotonic_clock::now() + RefuseWithin, true);
+        }
+        shutdown(socket, SHUT_RDWR);
+        close(socket);
+        return true;
+    }
+
+    void serveAll(connection_stream &stream)
+    {
+        while (serveOne(stream, monotonic_clock::now() + m_limits.keepAlive, false)) { }
+        if (stream.requestTooSlow())
+            m_noteEvent(connection_event::RequestTooSlow);
+        if (stream.answerNotTaken())
+            m_noteEvent(connection_event::AnswerNotTaken);
+    }
+
+    // False when the connection is over.
+    bool serveOne(connection_stream &stream, time_point deadline, bool last)
+    {
+        const auto closing = [this] { return svr_sock_ == INVALID_SOCKET; };
+        if (!stream.waitForRequest(deadline, closing))
+            return false;
+        bool closed = false;
+        servedStream = &stream;
+        const bool whole = process_request(stream, last, closed, nullptr);
+        servedStream = nullptr;
+        return whole && !closed;
+    }
+
+    const http_server_limits &m_limits;
+    http_server_limits m_refusalLimits;
+    http_server::observer m_noteEvent;
+    connection_book m_book;
+    bounded_task_queue *m_queue = nullptr;
 };
 
 http_request requestOf(const httplib::Request &from)
@@ -101,6 +216,19 @@
 
 } // namespace
 
+std::string_view nameOf(connection_event event)
+{
+    return nameOf(ConnectionEventNames, event);
+}
+
+std::span<const connection_event> connectionEvents()
+{
+    using enum connection_event;
+    static constexpr std::array All{AllInUse,       AddressShare,   RefusalsFull,
+                                    RequestTooSlow, AnswerNotTaken, MadeRoom};
+    return All;
+}
+
 bool header_less::operator()(const std::string &left, const std::string &right) const
 {
     return strcasecmp(left.c_str(), right.c_str()) < 0;
@@ -187,10 +315,18 @@
 
 struct http_server::impl
 {
-    httplib::Server server;
+    impl(socket_address where, http_server_limits bounds, handler handle, observer noteEvent)
+        : address(std::move(where))
+        , limits(bounds)
+        , serve(std::move(handle))
+        , server(
+                  limits, noteEvent ? std::move(noteEvent) : [](connection_event) {})
+    { }
+
     socket_address address;
-    http_server_limits limits;
-    handler serve;
+    const http_server_limits limits;
+    const handler serve;
+    bounded_server server;
     std::thread acceptor;
     std::atomic<std::size_t> inFlight{0};
     std::atomic<bool> closing{false};
@@ -198,7 +334,9 @@
 
     void answer(const httplib::Request &from, httplib::Response &to)
     {
-        if (overflowing) {
+        if (servedStream != nullptr)
+            servedStream->serving();
+        if (treatAs == treatment::Refuse) {
             fillResponse(to, refusalAnswer(error_kind::Overloaded));
             to.set_header("Connection", "close");
             return;
@@ -234,10 +372,9 @@
             fillResponse(to, answer);
         });
         server.set_payload_max_length(limits.bodyBytes);
-        server.set_keep_alive_max_count(RequestsPerConnection);
-        server.set_keep_alive_timeout(limits.keepAlive.count());
+        server.set_keep_alive_max_count(RequestsPerConnection);  // for the Keep-Alive header
+        server.set_keep_alive_timeout(limits.keepAlive.count()); // likewise
         server.set_tcp_nodelay(true);
-        server.new_task_queue = [this] { return new bounded_task_queue(limits.connections); };
         server.set_socket_options([this](socket_t socket) {
             const int on = 1;
             setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -246,12 +383,11 @@
     }
 };
 
-http_server::http_server(socket_address address, http_server_limits limits, handler serve)
-    : m_impl(std::make_unique<impl>())
+http_server::http_server(socket_address address, http_server_limits limits, handler serve,
+                         observer noteEvent)
+    : m_impl(std::make_unique<impl>(std::move(address), limits, std::move(serve),
+                                    std::move(noteEvent)))
 {
-    m_impl->address = std::move(address);
-    m_impl->limits = limits;
-    m_impl->serve = std::move(serve);
     m_impl->configure();
 }
 
--- a/libs/runtime/http.h
+++ b/libs/runtime/http.h
@@ -1,6 +1,6 @@
 // HTTP as the daemons use it: plain requests and responses, a server with a hard bound on
 // connections, and a client pool that says how far a failed call got. cpp-httplib stays in
-// http.cpp.
+// http.cpp and http_connection.cpp.
 #pragma once
 
 #include <atomic>
@@ -10,7 +10,9 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -65,14 +67,32 @@
     std::size_t connections = 128;       // threads, one for each connection
     std::size_t bodyBytes = 1024 * 1024; // a larger request body is answered 413
     seconds keepAlive{5};                // an idle connection is closed after this
+    std::size_t perAddress = 0;          // connections of one caller's address; 0: no bound
+    milliseconds readWithin{10'000};     // a request is whole this long after its first byte
+    milliseconds writeWithin{30'000};    // an answer is taken whole within this
 };
 
+// Connections that the server refused or ended by itself.
+enum class connection_event {
+    AllInUse,       // refused: every thread has a connection
+    AddressShare,   // refused: the caller's address holds as many as it may
+    RefusalsFull,   // closed without an answer: too many wait to be refused
+    RequestTooSlow, // ended: the request was not whole in time
+    AnswerNotTaken, // ended: the caller did not read its answer in time
+    MadeRoom,       // ended: it stalled while others waited for a thread
+};
+std::string_view nameOf(connection_event event);
+std::span<const connection_event> connectionEvents();
+
 class http_server
 {
 public:
     using handler = std::function<http_response(const http_request &)>;
 
-    http_server(socket_address address, http_server_limits limits, handler serve);
+    using observer = std::function<void(connection_event)>; // on the server's threads
+
+    http_server(socket_address address, http_server_limits limits, handler serve,
+                observer noteEvent = {});
     ~http_server();
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
--- /dev/null
+++ b/tests/http_server_test.cpp
@@ -0,0 +1,159 @@
+// The HTTP server against callers that stall: each holds a thread for a bounded time.
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "runtime/http.h"
+#include "section.h"
+#include "stalled_callers.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::tests;
+
+namespace {
+
+constexpr milliseconds SoonEnough{30'000}; // a bound on waits for conditions, not a measurement
+constexpr std::size_t LargeAnswer = 32 * 1024 * 1024; // more than the kernel takes from the server
+
+// A server that counts its events.
+class watched_server
+{
+public:
+    explicit watched_server(http_server_limits limits)
+        : m_server(
+                {"127.0.0.1", 0}, limits,
+                [](const http_request &request) {
+                    http_response response;
+                    response.body = request.path() == "/large" ? std::string(LargeAnswer, 'x')
+                                                               : "whole " + request.body;
+                    return response;
+                },
+                [this](connection_event event) {
+                    const std::lock_guard lock(m_mutex);
+                    ++m_events[event];
+                })
+    {
+        m_server.start();
+    }
+
+    std::string address() const { return toText(m_server.address()); }
+    unsigned count(connection_event event)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_events[event];
+    }
+    bool waitFor(connection_event event, unsigned times)
+    {
+        const auto giveUpAt = monotonic_clock::now() + SoonEnough;
+        while (count(event) < times && monotonic_clock::now() < giveUpAt)
+            std::this_thread::sleep_for(milliseconds(10));
+        return count(event) >= times;
+    }
+    bool answers()
+    {
+        http_pool pool(parseAddress(address()));
+        const auto result =
+                pool.call({"POST", "/hold", {}, "seat"}, monotonic_clock::now() + SoonEnough);
+        const auto *response = std::get_if<http_response>(&result);
+        return response != nullptr && response->status == 200 && response->body == "whole seat";
+    }
+
+private:
+    std::mutex m_mutex;
+    std::map<connection_event, unsigned> m_events;
+    http_server m_server;
+};
+
+http_server_limits fewThreads()
+{
+    http_server_limits limits;
+    limits.connections = 4;
+    limits.readWithin = milliseconds(400);
+    limits.writeWithin = milliseconds(400);
+    return limits;
+}
+
+} // namespace
+
+// A caller that drips its request a byte at a time is closed at the deadline of the whole request.
+// A time limit that starts anew with every byte would never end it: its thread would be gone.
+Test(http_server, dripping_request)
+{
+    watched_server server(fewThreads());
+    stalled_callers callers(server.address());
+    require(callers.open("127.0.0.1", "GET /seats HTTP/1.1\r\nX-Slow: "));
+    unsigned sent = 0;
+    while (callers.stalling() > 0 && sent < 600) {
+        callers.send("x");
+        ++sent;
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    check(callers.stalling() == 0);
+    check(server.waitFor(connection_event::RequestTooSlow, 1));
+    check(server.answers());
+}
+
+// A caller that stops in the middle of its body is told that its request did not run.
+Test(http_server, half_a_body)
+{
+    watched_server server(fewThreads());
+    stalled_callers callers(server.address());
+    require(callers.open("127.0.0.1", "POST /hold HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf"));
+    const auto answer = callers.readToEnd();
+    check(answer.find("Zb-Executed: no") != std::string::npos);
+    check(server.waitFor(connection_event::RequestTooSlow, 1));
+    check(server.answers());
+}
+
+// Callers that never read their answers hold every thread until the answers' deadline, and no
+// longer.
+Test(http_server, answers_not_taken)
+{
+    watched_server server(fewThreads());
+    stalled_callers callers(server.address());
+    for (unsigned caller = 0; caller < 4; ++caller)
+        require(callers.open("127.0.0.1", "GET /large HTTP/1.1\r\n\r\n"));
+    check(server.waitFor(connection_event::AnswerNotTaken, 4));
+    check(server.answers());
+}
+
+// Every thread waits for a caller that stalls; deadlines are far away. A new caller is answered all
+// the same: the one that stalled longest gives way.
+Test(http_server, stalled_callers_give_way)
+{
+    auto limits = fewThreads();
+    limits.readWithin = limits.writeWithin = seconds(3600);
+    watched_server server(limits);
+    stalled_callers callers(server.address());
+    for (unsigned caller = 0; caller < 4; ++caller)
+        require(callers.open("127.0.0.1", "GET /seats HTT"));
+    const auto giveUpAt = monotonic_clock::now() + SoonEnough;
+    bool answered = false;
+    while (!answered && monotonic_clock::now() < giveUpAt)
+        answered = server.answers(); // refused as overloaded until they have stalled long enough
+    check(answered);
+    check(server.count(connection_event::MadeRoom) >= 1);
+}
+
+// One address holds as many connections as it may; one more is refused with a time to come back,
+// another address is served.
+Test(http_server, address_share)
+{
+    auto limits = fewThreads();
+    limits.perAddress = 2;
+    limits.readWithin = seconds(3600);
+    watched_server server(limits);
+    stalled_callers callers(server.address());
+    for (unsigned caller = 0; caller < 2; ++caller)
+        require(callers.open("127.0.0.9", "GET /seats HTT"));
+    section("one more of the same address", [&] {
+        require(callers.open("127.0.0.9", "GET /seats HTTP/1.1\r\n\r\n"));
+        const auto answer = callers.readToEnd();
+        check(answer.find("503") != std::string::npos);
+        check(answer.find("Retry-After: 1") != std::string::npos);
+        check(answer.find("Zb-Executed: no") != std::string::npos);
+        check(server.count(connection_event::AddressShare) == 1);
+    });
+    section("another address", [&] { check(server.answers()); });
+}
