Nothing is placed on a worker whose lease has run out

A worker is written down as silent only when a task of class lease leaves it, and is taken back at its first report, before its next lease; in between it counted as placeable although its lease was over. Change: a worker whose lease has run out gets no tasks before it is granted again. Ruled out: writing down every silent worker (a write for workers that hold nothing).

--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -118,7 +118,8 @@
 bool task_table::mayPlaceOn(const std::string &worker) const
 {
     const auto found = m_workers.find(worker);
-    return found != m_workers.end() && found->second.attached && !m_store.silent(worker);
+    return found != m_workers.end() && found->second.attached && !found->second.overdue
+           && !m_store.silent(worker);
 }
 
 // --- Jobs ----------------------------------------------------------------------------------------
@@ -279,6 +280,7 @@
     }
     // The agent counts from its sending of this report, which was before now.
     worker.leaseUntil = now + safeWait(m_settings.leases.grantLease, m_settings.leases);
+    worker.overdue = false;
     m_pushTo.insert(report.worker);
 }
 
@@ -574,8 +576,9 @@
 
 void task_table::checkSilent(time_point now)
 {
-    for (const auto &[name, worker] : m_workers) {
-        if (now >= mayHoldLeaseUntil(name, worker))
+    for (auto &[name, worker] : m_workers) {
+        worker.overdue = now >= mayHoldLeaseUntil(name, worker);
+        if (worker.overdue)
             declareSilent(name, now);
     }
 }
--- a/libs/work/task_table.h
+++ b/libs/work/task_table.h
@@ -163,6 +163,7 @@
         time_point reportedAt;
         bool attached = false; // its worker has recorded this epoch
         time_point leaseUntil; // it may hold a lease of this owner until then
+        bool overdue = false;  // that is over: nothing is placed on it before it is granted again
         std::uint64_t ackedThrough = 0;
         std::set<task_attempt> strays; // to be stopped
     };
--- a/tests/work_test.cpp
+++ b/tests/work_test.cpp
@@ -463,6 +463,41 @@
     });
 }
 
+// A worker with nothing but a lease watcher goes silent, so nothing of it may start elsewhere and
+// no row says that it is silent. Batch tasks placed there would be freed at the next tick, placed
+// there again, and so on, while other workers stand empty. It gets none until it is granted again.
+Test(work, a_silent_worker_gets_no_tasks)
+{
+    table_bench bench;
+    job_spec watcher;
+    watcher.id = "watch";
+    watcher.generation = 1;
+    watcher.tasks = 1;
+    watcher.failover = failover_class::Proof;
+    bench.feed(job_accepted{watcher});
+    bench.submit("job", 1);
+    bench.settle(*bench.nextCommit());
+    bench.report("w", 1);
+    bench.feed(place_decided{{"watch", 0}, "w", false});
+    bench.settle(*bench.nextCommit());
+    require(bench.table.mayPlaceOn("w"));
+    section("silent for longer than its lease", [&] {
+        for (int tick = 0; tick < 400; ++tick) {
+            bench.now += milliseconds(100);
+            bench.feed(table_tick{});
+        }
+        check(!bench.table.mayPlaceOn("w"));
+        check(bench.table.find({"watch", 0}).worker == "w");
+        bench.feed(place_decided{{"job", 0}, "w", false});
+        check(only<table_count>(bench.actions).front() == table_count::NotPlaceable);
+    });
+    section("it reports again: it is granted, and gets tasks", [&] {
+        bench.report("w", 2);
+        check(only<send_grant>(bench.actions).size() == 1);
+        check(bench.table.mayPlaceOn("w"));
+    });
+}
+
 // An owner carries out generation 5, which brings a job and removes another, and stops. Its
 // successor has not heard of it yet: by generation 4 it would cancel the new job and start the
 // removed one anew under another name. It finds in the table what was carried out, and waits.
