Backlogs: batch tasks placed ahead start while the table is down

Cause: the library could place tasks ahead, and the entry never did, so that no new batch task started during an outage of the platform.

Change: the placer keeps a bounded backlog for each worker (placement.backlog_per_worker, 4; 0 is none). Placed ahead in the table, a task counts neither against its worker nor against its team's quota; plan() counts it when it fits both, and then the owner lets it start without a write. A task that waits behind one worker while another has room is taken back, after 2 s, with that room held for it. An end frees its room in the ledger when the agent reports it, since during an outage the table cannot say so. A new owner counts the backlogs it finds as placed until agents have said which of them run.

Found on the way: a placement that was reverted named no worker, and its room in the placer's ledger was never given back; start_ahead_decided was dropped while another write of the row was on its way.

Ruled out: letting agents decide (startAhead in the grant): they know neither learned sizes nor quotas, and a grant lives no longer than its owner. Charging the quota when placing ahead: a team whose quota equals its pool never got a backlog. Writing each start down: one more write for each task.

--- a/app/owned_shard.cpp
+++ b/app/owned_shard.cpp
@@ -1,6 +1,7 @@
 #include "app/owned_shard.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace zinniabarrow {
 
@@ -65,6 +66,8 @@
                          metrics &counters, const logger &log)
     : m_owner(owner)
     , m_table(owner, operationPrefix, tableSettings)
+    , m_leases(tableSettings.leases)
+    , m_backlogPerWorker(tableSettings.aheadTasks)
     , m_placer(placerSettings)
     , m_shards(shards)
     , m_metrics(counters)
@@ -103,6 +106,8 @@
         }
         m_placer.taskPlaced(spec, record.worker, spec.declared, placement::entry_state::Running,
                             now);
+        if (record.ahead)
+            m_adoptedAhead[task] = now + 2 * work::safeWait(m_leases.grantLease, m_leases);
     }
 }
 
@@ -118,7 +123,10 @@
         m_placer.taskRunning(ref, change.worker, now);
         break;
     case work::task_change::Vacated:
-        break; // its room is given away once the table holds the end
+        // While the table is down nothing else would make room for the backlog.
+        if (change.state == work::task_state::Done)
+            m_placer.taskEnded(ref, change.worker, now);
+        break; // other room is given away once the table holds the end
     case work::task_change::Freed: {
         logTask("task_freed", change);
         const auto failures = m_table.find(change.task).failures;
@@ -141,8 +149,10 @@
         m_failures.erase(change.task);
         break;
     case work::task_change::Reverted:
+        // A pending task names no worker: only the placer knows whose room it had.
         if (change.state == work::task_state::Pending)
-            m_placer.taskSettled(ref, change.worker, placement::placement_outcome::NotApplied, now);
+            m_placer.taskSettled(ref, m_placer.workerOf(ref),
+                                 placement::placement_outcome::NotApplied, now);
         break;
     }
 }
@@ -244,8 +254,7 @@
     fields["failover"] = std::string(nameOf(job.failover));
     fields["at_us"] = Json::Int64(now.time_since_epoch().count());
     m_log.info("job_accepted", fields);
-    for (auto &action : handle(work::job_accepted{job}, now))
-        actions.push_back(std::move(action));
+    feed(work::job_accepted{job}, actions, now);
     for (auto index = job.firstTask; index < job.firstTask + job.tasks; ++index) {
         const auto record = m_table.find({job.id, index});
         spec.taskIndex = static_cast<std::int32_t>(index);
@@ -268,8 +277,7 @@
         Json::Value fields(Json::objectValue);
         fields["job"] = id;
         m_log.info("job_cancelled", fields);
-        for (auto &action : handle(work::cancel_job{id}, now))
-            actions.push_back(std::move(action));
+        feed(work::cancel_job{id}, actions, now);
     }
 }
 
@@ -291,22 +299,16 @@
     std::vector<work::table_action> actions;
     if (!m_adopted)
         return actions;
-    const auto feed = [&](const work::table_event &event) {
-        for (auto &action : handle(event, now))
-            actions.push_back(std::move(action));
-    };
-    for (const auto &decision : m_placer.plan(now, MostDecisions)) {
+    decideAdopted(actions, now);
+    const bool down = m_table.tableDown(now);
+    const auto scope = down ? placement::plan_scope::BacklogOnly : placement::plan_scope::All;
+    for (const auto &decision : m_placer.plan(now, MostDecisions, scope)) {
         if (const auto *place = std::get_if<placement::place_action>(&decision)) {
-            // The table may know better: a write on its way, or a worker that fell silent.
-            if (m_table.placeable(idOf(place->task)) && m_table.mayPlaceOn(place->worker))
-                feed(work::place_decided{idOf(place->task), place->worker, false});
-            else
-                m_placer.taskSettled(place->task, place->worker,
-                                     placement::placement_outcome::NotApplied, now);
+            decide(*place, actions, now);
         } else if (const auto *preempt = std::get_if<placement::preempt_action>(&decision)) {
             m_metrics.count("evictions_total", nameOf(preempt->reason));
             m_placer.taskStopping(preempt->victim, preempt->worker, now);
-            feed(work::evict_decided{idOf(preempt->victim)});
+            feed(work::evict_decided{idOf(preempt->victim)}, actions, now);
         } else if (const auto *throttled = std::get_if<placement::throttle_action>(&decision)) {
             throttles.push_back(*throttled);
         } else if (const auto *refused = std::get_if<placement::refuse_action>(&decision)) {
@@ -314,9 +316,77 @@
             m_refusals[placement::toText(refused->task)] = refused->reason;
         }
     }
+    if (!down)
+        decideBacklog(actions, now);
     return actions;
 }
 
+// Whether an earlier owner let a task of a backlog start is not written. Until it is known the task
+// counts as placed, or the room and the quota that it uses would be given twice. An agent says so
+// of each task that runs in the first report after a grant has named it. One that was not named and
+// answered for within two leases has lapsed, so what nothing was heard of by then waits.
+void owned_shard::decideAdopted(std::vector<work::table_action> &actions, time_point now)
+{
+    for (auto next = m_adoptedAhead.begin(); next != m_adoptedAhead.end();) {
+        auto &[task, waitsFrom] = *next;
+        const auto record = m_table.find(task);
+        const bool open = record.ahead && record.state == work::task_state::Placed;
+        if (open && !m_table.mayPlaceOn(record.worker))
+            waitsFrom = now + 2 * work::safeWait(m_leases.grantLease, m_leases);
+        const bool fits = open && m_placer.isWithinLimits(refOf(task));
+        const bool waits = open && !fits && now >= waitsFrom;
+        if (fits)
+            feed(work::start_ahead_decided{task}, actions, now);
+        if (waits)
+            m_placer.taskWaitsAhead(refOf(task), record.worker, now);
+        next = !open || fits || waits ? m_adoptedAhead.erase(next) : std::next(next);
+    }
+}
+
+void owned_shard::decide(const placement::place_action &action,
+                         std::vector<work::table_action> &actions, time_point now)
+{
+    const auto task = idOf(action.task);
+    const auto record = m_table.find(task);
+    // The table may know better: a write on its way, or a worker that fell silent.
+    if (record.ahead && record.state == work::task_state::Placed
+        && record.worker == action.worker) {
+        m_metrics.count("backlog_total", "started");
+        feed(work::start_ahead_decided{task}, actions, now);
+    } else if (m_table.placeable(task) && m_table.mayPlaceOn(action.worker)) {
+        feed(work::place_decided{task, action.worker, false}, actions, now);
+    } else {
+        m_placer.taskSettled(action.task, action.worker, placement::placement_outcome::NotApplied,
+                             now);
+    }
+}
+
+void owned_shard::decideBacklog(std::vector<work::table_action> &actions, time_point now)
+{
+    const auto backlog = m_placer.planBacklog(now, m_backlogPerWorker);
+    for (const auto &action : backlog.takenBack) {
+        m_metrics.count("backlog_total", "taken_back");
+        feed(work::evict_decided{idOf(action.task)}, actions, now);
+    }
+    for (const auto &action : backlog.placedAhead) {
+        const auto task = idOf(action.task);
+        if (m_table.placeable(task) && m_table.mayPlaceOn(action.worker)) {
+            m_metrics.count("backlog_total", "placed");
+            feed(work::place_decided{task, action.worker, true}, actions, now);
+        } else {
+            m_placer.taskSettled(action.task, action.worker,
+                                 placement::placement_outcome::NotApplied, now);
+        }
+    }
+}
+
+void owned_shard::feed(const work::table_event &event, std::vector<work::table_action> &actions,
+                       time_point now)
+{
+    for (auto &action : handle(event, now))
+        actions.push_back(std::move(action));
+}
+
 void owned_shard::usageSampled(const placement::usage_sample &sample, time_point now)
 {
     m_placer.usageSampled(sample, now);
@@ -363,6 +433,7 @@
         worker["size"] = placement::toJson(book->size());
         worker["reserved"] = placement::toJson(book->reserved());
         worker["tasks"] = Json::UInt64(book->entries().size());
+        worker["backlog"] = Json::UInt64(m_placer.backlogOf(id));
         json["workers"].append(worker);
     }
     json["refused"] = Json::Value(Json::objectValue);
--- a/app/owned_shard.h
+++ b/app/owned_shard.h
@@ -54,6 +54,12 @@
     bool knows(const work::task_id &task) const;
 
 private:
+    void decide(const placement::place_action &action, std::vector<work::table_action> &actions,
+                time_point now);
+    void decideAdopted(std::vector<work::table_action> &actions, time_point now);
+    void decideBacklog(std::vector<work::table_action> &actions, time_point now);
+    void feed(const work::table_event &event, std::vector<work::table_action> &actions,
+              time_point now);
     void settled(const work::task_settled &change, time_point now);
     void adopt(time_point now);
     void acceptJob(const work::job_spec &job, const placement::task_spec &pattern,
@@ -67,14 +73,18 @@
 
     work::table_owner m_owner;
     work::task_table m_table;
+    work::lease_settings m_leases;  //
+    std::size_t m_backlogPerWorker; // tasks placed ahead, at most
     placement::placer m_placer;
     std::size_t m_shards; // all there are; a job's tasks are split evenly among them
     metrics &m_metrics;
     const logger &m_log;
 
-    bool m_adopted = false;          // the placer knows what the table held at takeover
-    std::uint64_t m_generation = 0;  // followed
-    std::set<std::string> m_workers; // the placer may use
+    bool m_adopted = false; // the placer knows what the table held at takeover
+    // Backlogs of an earlier owner, and when a task that nothing was heard of is known to wait.
+    std::map<work::task_id, time_point> m_adoptedAhead;
+    std::uint64_t m_generation = 0;                       // followed
+    std::set<std::string> m_workers;                      // the placer may use
     std::map<work::task_id, std::uint32_t> m_failures;    // as last seen
     std::map<std::string, std::string> m_refusals;        // by task, the newest reason
     std::map<std::string, microseconds> m_latencyTargets; // by service job id
--- a/libs/config/settings.cpp
+++ b/libs/config/settings.cpp
@@ -68,6 +68,7 @@
 void describe(Archive &archive, placement_settings &placement)
 {
     archive("tick_ms", placement.tick);
+    archive("backlog_per_worker", placement.backlogPerWorker);
     archive("max_tasks_per_commit", placement.maxTasksPerCommit);
     archive("size_quantile", placement.sizeQuantile);
     archive("quarantine_workers", placement.quarantineWorkers);
--- a/libs/config/settings.h
+++ b/libs/config/settings.h
@@ -45,6 +45,7 @@
 struct placement_settings
 {
     milliseconds tick{200};                // between two rounds of placement
+    std::size_t backlogPerWorker = 4;      // batch tasks placed ahead; 0: none
     std::size_t maxTasksPerCommit = 64;    // tasks written in one transaction of the table
     double sizeQuantile = 0.95;            // of measured usage that a task is sized by
     std::size_t quarantineWorkers = 3;     // distinct workers a job fails on before it is held
--- a/libs/config/settings_schema.cpp
+++ b/libs/config/settings_schema.cpp
@@ -198,6 +198,13 @@
           "maximum": 60000,
           "description": "time between two rounds of placement"
         },
+        "backlog_per_worker": {
+          "type": "integer",
+          "default": 4,
+          "minimum": 0,
+          "maximum": 64,
+          "description": "batch tasks placed ahead on each worker, so that they can start while the platform is down; 0 places none"
+        },
         "max_tasks_per_commit": {
           "type": "integer",
           "default": 64,
--- a/libs/placement/actions.h
+++ b/libs/placement/actions.h
@@ -68,6 +68,18 @@
     std::string reason;
 };
 
+// Which decisions plan() may take. While the table is down nothing new can be written: only tasks
+// that it already holds on a worker may still be started there.
+enum class plan_scope { All, BacklogOnly };
+
+// Changes of the workers' backlogs. A task that was placed ahead follows with a place_action on
+// the same worker once there is room. One that is taken back follows with taskReleased.
+struct backlog_plan
+{
+    std::vector<place_action> placedAhead;
+    std::vector<place_action> takenBack;
+};
+
 using placement_action =
         std::variant<place_action, raise_action, preempt_action, throttle_action, refuse_action>;
 
--- a/libs/placement/choose.cpp
+++ b/libs/placement/choose.cpp
@@ -61,7 +61,8 @@
 
 bool worker_chooser::fits(const place_request &request, int slot) const
 {
-    return request.demand.fitsIn(m_workers.room(slot)) && slot != request.avoid;
+    const bool asked = request.only == worker_table::NoSlot || slot == request.only;
+    return asked && request.demand.fitsIn(m_workers.room(slot)) && slot != request.avoid;
 }
 
 worker_choice worker_chooser::firstFit(const place_request &request) const
--- a/libs/placement/choose.h
+++ b/libs/placement/choose.h
@@ -34,6 +34,7 @@
     std::size_t pool = 0;              //
     resources demand;                  //
     int avoid = worker_table::NoSlot;  // not this one
+    int only = worker_table::NoSlot;   // no other one
     duration waited{0};                //
     bool mustStart = false;            // urgent: harm orders the workers, but refuses none
     replica_counts replicas;           // of a service
--- a/libs/placement/placer_settings.h
+++ b/libs/placement/placer_settings.h
@@ -36,6 +36,7 @@
     duration avoidFor = std::chrono::minutes(2); // a task does not return where it was evicted
     duration batchPatience = seconds(60);        // wait that doubles the worth of starting batch
     duration retryAfter = seconds(5);            // a waiting job is tried again without new room
+    duration aheadPatience = seconds(2); // a task stays in one worker's backlog at least so long
     duration learnPoolFor = seconds(10); // until known workers bound a pool without configured size
     double doubt = 0.5; // deviations added to an effect when placing: unknown pairs look worse
 };
@@ -53,6 +54,8 @@
 {
     std::uint64_t placed = 0;                   //
     std::uint64_t raised = 0;                   //
+    std::uint64_t placedAhead = 0;              //
+    std::uint64_t takenBack = 0;                // from a backlog
     std::uint64_t throttled = 0;                //
     std::uint64_t preemptedForUrgent = 0;       //
     std::uint64_t preemptedForMemory = 0;       //
--- a/libs/placement/plan.cpp
+++ b/libs/placement/plan.cpp
@@ -37,10 +37,11 @@
 
 } // namespace
 
-std::vector<placement_action> placer::plan(time_point now, int maxDecisions)
+std::vector<placement_action> placer::plan(time_point now, int maxDecisions, plan_scope scope)
 {
     plan_run run;
     run.now = now;
+    run.scope = scope;
     run.most = static_cast<std::size_t>(std::max(maxDecisions, 0));
     m_evictions.refill(m_settings.relief, m_workers.inService(), now);
     refreshSetAside(now);
@@ -119,8 +120,12 @@
 
 void placer::placeWaiting(plan_run &run)
 {
-    for (int rank = 0; rank < Ranks && !run.isFull(); ++rank)
-        placeRank(run, m_queue.rank(rank));
+    for (int rank = 0; rank < Ranks && !run.isFull(); ++rank) {
+        // First: these need no write any more, and go nowhere else.
+        startAhead(run, rank);
+        if (run.scope == plan_scope::All)
+            placeRank(run, m_queue.rank(rank));
+    }
 }
 
 // One task at a time for the team that holds the least of its share, so that a team with thousands
--- a/libs/placement/scheduler.cpp
+++ b/libs/placement/scheduler.cpp
@@ -245,8 +245,10 @@
 {
     const auto jobId = job.spec.jobId;
     const auto found = job.tasks.find(index);
-    if (found != job.tasks.end())
+    if (found != job.tasks.end()) {
         dropHold(found->second);
+        leaveBacklog({jobId, index}, found->second);
+    }
     dequeue(job, index);
     job.tasks.erase(index);
     if (job.tasks.empty())
@@ -277,9 +279,12 @@
 {
     const auto ref = task.ref();
     auto &job = jobFor(task);
+    if (aheadOn(ref, worker))
+        return; // it does not run there yet
     dequeue(job, task.taskIndex);
     auto &record = job.tasks[task.taskIndex];
     dropHold(record);
+    leaveBacklog(ref, record);
     if (record.worker != NoWorker)
         vacate(ref, record, now);
     record.cancelled = m_cancelled.contains(ref);
@@ -304,6 +309,12 @@
 void placer::taskSettled(const task_ref &task, const std::string &worker, placement_outcome outcome,
                          time_point now)
 {
+    if (const auto waits = aheadOn(task, worker)) {
+        waits.task->aheadSettled |= outcome == placement_outcome::Applied;
+        if (outcome == placement_outcome::NotApplied)
+            releaseAhead(task, worker, now);
+        return;
+    }
     const auto found = placedOn(task, worker);
     if (!found)
         return;
@@ -355,6 +366,8 @@
 
 void placer::taskReleased(const task_ref &task, const std::string &worker, time_point now)
 {
+    if (releaseAhead(task, worker, now))
+        return;
     makeWaiting(task, worker, now);
 }
 
@@ -512,6 +525,8 @@
     if (!job || !job->tasks.contains(task.taskIndex))
         return name + " is not known here";
     const auto &record = job->tasks.at(task.taskIndex);
+    if (record.ahead != NoWorker)
+        return name + " waits in the backlog of " + m_workers.at(record.ahead).info.id;
     if (record.worker != NoWorker) {
         const auto &worker = m_workers.at(record.worker);
         return name + " is on " + worker.info.id + ", "
@@ -538,6 +553,16 @@
     return name + " waits";
 }
 
+std::string placer::workerOf(const task_ref &task) const
+{
+    const auto *job = m_tasks.findJob(task.jobId);
+    if (!job || !job->tasks.contains(task.taskIndex))
+        return {};
+    const auto &record = job->tasks.at(task.taskIndex);
+    const int slot = record.worker != NoWorker ? record.worker : record.ahead;
+    return slot == NoWorker ? std::string() : m_workers.at(slot).info.id;
+}
+
 const ledger *placer::ledgerOf(const std::string &worker) const
 {
     const int slot = m_workers.slotOf(worker);
--- a/libs/placement/scheduler.h
+++ b/libs/placement/scheduler.h
@@ -88,7 +88,18 @@
     void latencySampled(const latency_sample &sample, time_point now);
 
     // The next decisions, at most `maxDecisions`. Each is already counted in the ledgers.
-    std::vector<placement_action> plan(time_point now, int maxDecisions);
+    std::vector<placement_action> plan(time_point now, int maxDecisions,
+                                       plan_scope scope = plan_scope::All);
+    // To be called after plan(): batch that still waits is placed ahead, at most `perWorker` tasks
+    // for each worker, and a backlog gives back what other workers have room for now.
+    backlog_plan planBacklog(time_point now, std::size_t perWorker);
+    // A task that was taken in as placed turns out to wait in the worker's backlog.
+    void taskWaitsAhead(const task_ref &task, const std::string &worker, time_point now);
+    // Neither its worker nor its team holds more than it may, this task counted.
+    bool isWithinLimits(const task_ref &task) const;
+    std::size_t backlogOf(const std::string &worker) const;
+    // Where the task is placed, or placed ahead; empty when it waits or is not known.
+    std::string workerOf(const task_ref &task) const;
 
     // Why the task waits, or where it is, in one sentence for operators.
     std::string explain(const task_ref &task, time_point now) const;
@@ -104,6 +115,7 @@
     struct plan_run
     {
         time_point now;
+        plan_scope scope = plan_scope::All;
         std::size_t most = 0;
         std::vector<placement_action> actions;
         // Demands that found no room in this run: while tasks are placed room only shrinks, so what
@@ -178,6 +190,17 @@
     void preempt(plan_run &run, int slot, const task_ref &victim, preempt_reason reason,
                  const task_ref &beneficiary, time_point checkpointBefore);
 
+    // Backlogs (backlog.cpp).
+    void startAhead(plan_run &run, int rank);
+    void placeAhead(backlog_plan &plan, job_record &job, std::size_t perWorker, time_point now);
+    int slotForAhead(const job_record &job, const resources &demand, std::size_t perWorker) const;
+    void takeBack(backlog_plan &plan, time_point now);
+    bool hasToLeave(const job_record &job, task_record &record, time_point now);
+    found_task aheadOn(const task_ref &task, const std::string &worker);
+    void enterBacklog(const task_ref &task, task_record &record, int slot, time_point now);
+    void leaveBacklog(const task_ref &task, task_record &record);
+    bool releaseAhead(const task_ref &task, const std::string &worker, time_point now);
+
     // Relief of services (relieve.cpp).
     void relieveServices(plan_run &run);
     void relieve(plan_run &run, int slot, const service_watch &service);
@@ -204,6 +227,7 @@
     eviction_budget m_evictions;
     std::vector<task_ref> m_raises; // reservations that the worker has to be told
     std::uint64_t m_nominations = 0;
+    std::set<task_ref> m_ahead; // tasks in backlogs
     std::set<task_ref> m_holds; // tasks for which room is being made
     std::set<int> m_owing;      // slots with a raise that does not fit
     std::set<int> m_disturbed;  // slots with a raised signal or throttled tasks
--- a/libs/placement/task_table.h
+++ b/libs/placement/task_table.h
@@ -45,6 +45,9 @@
     std::uint64_t nomination = 0;     // order in which room was held
     int avoid = NoWorker;             // slot that evicted it, or made no room in time
     time_point avoidUntil;            //
+    int ahead = NoWorker;             // slot in whose backlog it is; neither pending nor placed
+    bool aheadSettled = false;        // the table holds it there
+    time_point aheadUntil;            // from then on another worker with room may have it
 };
 
 enum class wait_reason {
--- a/libs/placement/worker_table.cpp
+++ b/libs/placement/worker_table.cpp
@@ -97,7 +97,8 @@
 void worker_table::closeIfUnused(int slot)
 {
     auto &worker = at(slot);
-    if (worker.inService || !worker.book.entries().empty() || worker.held != resources{})
+    if (worker.inService || !worker.book.entries().empty() || worker.held != resources{}
+        || worker.aheadTasks > 0)
         return;
     m_numbers.erase(worker.info.id);
     const auto changes = worker.changes + 1; // goes on rising: what was counted of it is void
--- a/libs/placement/worker_table.h
+++ b/libs/placement/worker_table.h
@@ -37,6 +37,7 @@
     std::vector<service_watch> services; //
     neighbour_history history;           //
     int throttledTasks = 0;              //
+    std::size_t aheadTasks = 0;          // in its backlog
     time_point quietUntil;               // no relief before it
     time_point actedAt;                  // samples measured before it do not count for relief
     time_point raisedAt;                 // last time that a signal was up
--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -196,7 +196,7 @@
     for (const auto &task : tasksOn(worker)) {
         const task_record record = m_store.effective(task);
         const soft_state *soft = findSoft(task, record.attempt);
-        const bool started = soft != nullptr && !soft->startedBy.empty();
+        const bool started = soft != nullptr && (soft->mayStart || !soft->startedBy.empty());
         if (record.ahead && record.worker == worker && !started)
             ++ahead;
     }
@@ -214,8 +214,12 @@
 
 void task_table::on(const start_ahead_decided &event, time_point)
 {
+    // Another write of the row or of its job may be on its way: were the decision dropped then, the
+    // owner's ledger would count a task that never starts.
     const task_record record = m_store.settled(event.task);
-    if (record.state != task_state::Placed || !record.ahead || m_store.inFlight(event.task))
+    const task_record next = m_store.effective(event.task);
+    const bool stays = next.state == task_state::Placed && next.attempt == record.attempt;
+    if (record.state != task_state::Placed || !record.ahead || !stays)
         return;
     softOf(event.task, record.attempt).mayStart = true;
     m_pushTo.insert(record.worker);
@@ -449,7 +453,7 @@
     grant.session = worker.session;
     grant.replyTo = worker.sequence;
     grant.ackedThrough = worker.ackedThrough;
-    grant.startAhead = m_store.down(now);
+    grant.startAhead = m_settings.startAheadWhenDown && m_store.down(now);
     // A successor may already count on the end of this owner's horizon.
     if (now < m_mayGrantUntil)
         grant.lease = m_settings.leases.grantLease;
@@ -486,6 +490,8 @@
     const granted_task granted{task, record.attempt, job->spec.failover, record.checkpoint,
                                newerCheckpoints(task, record)};
     const bool ahead = record.ahead && (soft == nullptr || !soft->mayStart);
+    if (ahead && soft != nullptr && soft->evicting)
+        return; // taken back
     (ahead ? grant.backlog : grant.tasks).push_back(granted);
     grant.specs[task.job] = job->spec.spec;
 }
--- a/libs/work/task_table.h
+++ b/libs/work/task_table.h
@@ -109,7 +109,10 @@
 {
     lease_settings leases;
     store_settings store;
-    std::size_t aheadTasks = 4;   // largest backlog of one worker
+    std::size_t aheadTasks = 4; // largest backlog of one worker
+    // While the table is down an agent starts of its backlog what fits. False: only what
+    // start_ahead_decided names, for an owner whose ledgers and quotas have to count each start.
+    bool startAheadWhenDown = true;
     bool workersKeepEpoch = true; // false: a silent worker is waited for as if it never attached
 };
 
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -539,6 +539,80 @@
     });
 }
 
+// Batch fills the workers and more waits. What is placed ahead must start in the room that an end
+// leaves, also while the table is down and nothing new can be written, and never beyond the
+// worker's size or the team's quota; a backlog must not keep a task from room elsewhere.
+Test(placer, backlog)
+{
+    scene world(1);
+    const auto placeAhead = [&](std::size_t perWorker) {
+        auto plan = world.subject.planBacklog(world.now, perWorker);
+        for (const auto &each : plan.placedAhead)
+            world.subject.taskSettled(each.task, each.worker, placement_outcome::Applied,
+                                      world.now);
+        return plan;
+    };
+    const auto startedInOutage = [&] {
+        world.actions = world.subject.plan(world.now, Many, plan_scope::BacklogOnly);
+        return world.taken<place_action>().size();
+    };
+    const auto end = [&](int index, const std::string &worker) {
+        world.subject.taskEnded({"season", index}, worker, world.now);
+    };
+    const resources quarter{4'000, 8 * Gigabyte, 0};
+    world.pending(batchTask("season", 0, quarter), 8);
+    check(world.start().size() == 4);
+    check(placeAhead(2).placedAhead.size() == 2);
+    check(placeAhead(2).placedAhead.empty());
+    section("one end lets one of them start, no more", [&] {
+        check(startedInOutage() == 0);
+        end(0, "w0");
+        check(startedInOutage() == 1);
+        check(startedInOutage() == 0);
+        check(world.subject.ledgerOf("w0")->reserved().millicores == WorkerSize.millicores);
+    });
+    section("the team's quota holds for the other one", [&] {
+        world.subject.setTeam({"clubs", 1, {12'000, 0, 0}});
+        end(1, "w0");
+        check(startedInOutage() == 0);
+        world.subject.setTeam({"clubs", 1, {}});
+        check(startedInOutage() == 1);
+    });
+    section("a worker that appears gets what waited behind another one", [&] {
+        check(placeAhead(2).placedAhead.size() == 2);
+        world.subject.addWorker(scene::workerInfo(1), world.now);
+        check(placeAhead(2).takenBack.empty());
+        world.now += seconds(3);
+        const auto back = placeAhead(2).takenBack;
+        check(back.size() == 2);
+        check(startedInOutage() == 0); // on their way back
+        for (const auto &each : back)
+            world.subject.taskReleased(each.task, each.worker, world.now);
+        const auto placed = world.start();
+        check(placed.size() == 2 && placed.front().worker == "w1");
+    });
+}
+
+// After a change of owner it is not known which tasks of a backlog the last owner let start.
+// Counted as placed they fill their worker beyond its size: none may start until the sum fits, and
+// one that turns out to wait gives its room back.
+Test(placer, backlogOfAnEarlierOwner)
+{
+    scene world(1);
+    const resources third{5'000, 8 * Gigabyte, 0};
+    for (int index = 0; index < 4; ++index)
+        world.subject.taskPlaced(batchTask("season", index, third), "w0", third,
+                                 entry_state::Running, world.now);
+    check(!world.subject.isWithinLimits({"season", 3}));
+    world.subject.taskWaitsAhead({"season", 3}, "w0", world.now);
+    check(world.subject.backlogOf("w0") == 1);
+    check(world.subject.isWithinLimits({"season", 2}));
+    check(world.start().empty());
+    world.subject.taskEnded({"season", 0}, "w0", world.now);
+    check(world.start().size() == 1);
+    check(world.subject.backlogOf("w0") == 0);
+}
+
 // Samples come twice, and a class learns to need more than any worker has.
 Test(placer, samples)
 {
--- a/tests/process_work_test.cpp
+++ b/tests/process_work_test.cpp
@@ -75,6 +75,20 @@
     checkTraceClean(system);
 }
 
+// Tasks placed ahead on all workers, as their owners tell.
+unsigned backlogs(fleet &system)
+{
+    unsigned tasks = 0;
+    for (unsigned entry = 0; entry < system.options().entries; ++entry) {
+        const auto status = system.rpc(entry, "status", Json::objectValue);
+        for (const auto &shard : status["scheduling"]["shards"]) {
+            for (const auto &worker : shard["workers"])
+                tasks += worker["backlog"].asUInt();
+        }
+    }
+    return tasks;
+}
+
 void setPlatformDown(fleet &system, bool down)
 {
     Json::Value fault(Json::objectValue);
@@ -220,6 +234,39 @@
     });
 }
 
+// Workers are full and more batch waits when the table goes down. Each worker holds a backlog that
+// the table has on it already: as tasks end, the owner starts these without a write, where its
+// ledger has room. Without a backlog nothing starts until the table is back.
+Test(process_work, backlog_while_the_table_is_down)
+{
+    const auto batch = batchOf(60, 3000);
+    const auto startedDuring = [&](unsigned perWorker) {
+        auto options = smallFleet();
+        options.entrySettings["placement"]["backlog_per_worker"] = perWorker;
+        fleet system(options);
+        startWithBatch(system, batch);
+        require(waitUntil([&] { return backlogs(system) == perWorker * options.workers; },
+                          SoonEnough));
+        setPlatformDown(system, true);
+        std::this_thread::sleep_for(milliseconds(1000)); // what was granted before has started
+        const auto before = countTraced(system, "started", batch.job);
+        std::this_thread::sleep_for(milliseconds(9000));
+        const auto started = countTraced(system, "started", batch.job) - before;
+        setPlatformDown(system, false);
+        check(waitUntil([&] { return taskStates(system, batch.job)["done"] == 60; }, SoonEnough));
+        checkEachEndedOnce(system, batch);
+        return started;
+    };
+    section("four for each worker: all of them start during the outage", [&] {
+        const auto started = startedDuring(4);
+        cr_expect(started >= 8, "started %u", started);
+    });
+    section("none: nothing starts during the outage", [&] {
+        const auto started = startedDuring(0);
+        cr_expect(started == 0, "started %u", started);
+    });
+}
+
 // Answers of the table and of the workers are lost after their effect while tasks are placed and
 // started: each write is settled by reading back, each start by a listing; no task runs twice.
 Test(process_work, lost_answers)
