Several shards on processes; a job that is resized keeps its tasks in their shards

Cause: processes were only run with one shard. Read for several, two faults showed: a job's tasks were split into consecutive parts by index, which shift when the job is resized, so that a task was in two shards at once; and a shard whose part shrank to nothing did not follow, so that its replicas ran on.

Change: shard k of n takes every n-th task from the k-th; a task stays in its shard whatever the size. A row spans 64 indexes for each shard, with the tasks of other shards left out (a number for a gap, 0 for a single one, as before), so rows hold as many records as before. A known job is followed to no tasks.

Ruled out: 64-task blocks dealt out to the shards (a service of 11 replicas would be in one shard); remembering each shard's first part (parts of later sizes overlap all the same).

What the process tests of work share moved to fleet_story.h, unchanged.

--- a/app/owned_shard.cpp
+++ b/app/owned_shard.cpp
@@ -226,14 +226,14 @@
     return prefix + std::to_string(generation);
 }
 
-// Shard k of n takes the k-th part of the job's tasks.
+// Shard k of n takes every n-th of the job's tasks, from the k-th. Consecutive parts would shift when
+// the job is resized, and a task would be in two shards at once.
 work::job_spec owned_shard::sliceOf(work::job_spec job) const
 {
     const auto shards = static_cast<std::uint32_t>(m_shards);
-    const auto shard = static_cast<std::uint32_t>(m_owner.shard);
-    const auto first = job.tasks * shard / shards;
-    job.tasks = job.tasks * (shard + 1) / shards - first;
-    job.firstTask = first;
+    job.firstTask = static_cast<std::uint32_t>(m_owner.shard);
+    job.stride = shards;
+    job.tasks = (job.tasks + shards - 1 - job.firstTask) / shards;
     return job;
 }
 
@@ -242,20 +242,22 @@
 {
     auto job = sliceOf(whole);
     job.failover = pattern.failover;
-    if (job.tasks == 0)
-        return;
+    if (job.tasks == 0 && m_table.job(job.id) == nullptr)
+        return; // none of it here; a known job may just have shrunk
     auto spec = pattern;
     spec.jobId = job.id;
     Json::Value fields(Json::objectValue);
     fields["job"] = job.id;
     fields["first_task"] = job.firstTask;
+    fields["stride"] = job.stride;
     fields["tasks"] = job.tasks;
     fields["service"] = job.service;
     fields["failover"] = std::string(nameOf(job.failover));
     fields["at_us"] = Json::Int64(now.time_since_epoch().count());
     m_log.info("job_accepted", fields);
     feed(work::job_accepted{job}, actions, now);
-    for (auto index = job.firstTask; index < job.firstTask + job.tasks; ++index) {
+    for (std::uint32_t position = 0; position < job.tasks; ++position) {
+        const auto index = work::taskIndexAt(job, position);
         const auto record = m_table.find({job.id, index});
         spec.taskIndex = static_cast<std::int32_t>(index);
         if (record.state == work::task_state::Pending)
@@ -416,9 +418,9 @@
     for (const auto &id : m_table.jobs()) {
         const auto *job = m_table.job(id);
         Json::Value states(Json::objectValue);
-        for (auto index = job->spec.firstTask; index < job->spec.firstTask + job->spec.tasks;
-             ++index) {
-            auto &count = states[std::string(nameOf(m_table.find({id, index}).state))];
+        for (std::uint32_t position = 0; position < job->spec.tasks; ++position) {
+            const work::task_id task{id, work::taskIndexAt(job->spec, position)};
+            auto &count = states[std::string(nameOf(m_table.find(task).state))];
             count = count.asUInt() + 1;
         }
         json["jobs"][id] = states;
--- a/app/owned_shard.h
+++ b/app/owned_shard.h
@@ -76,7 +76,7 @@
     work::lease_settings m_leases;  //
     std::size_t m_backlogPerWorker; // tasks placed ahead, at most
     placement::placer m_placer;
-    std::size_t m_shards; // all there are; a job's tasks are split evenly among them
+    std::size_t m_shards; // all there are; a job's tasks are dealt out to them in turn
     metrics &m_metrics;
     const logger &m_log;
 
--- a/app/schedule_duty.cpp
+++ b/app/schedule_duty.cpp
@@ -294,6 +294,7 @@
     work::table_settings settings;
     settings.leases = leaseSettings(m_settings);
     settings.store.groupRows = m_settings.placement.maxTasksPerCommit;
+    settings.store.chunkTasks *= static_cast<std::uint32_t>(m_settings.shards);
     settings.aheadTasks = m_settings.placement.backlogPerWorker;
     settings.startAheadWhenDown = false; // the placer counts each start
     const work::table_owner owner{action.shard, action.epoch, action.shardVersion,
--- a/libs/work/task_records.cpp
+++ b/libs/work/task_records.cpp
@@ -1,5 +1,7 @@
 #include "work/task_records.h"
 
+#include <algorithm>
+
 #include "base/errors.h"
 #include "base/json_member.h"
 #include "base/names.h"
@@ -62,6 +64,7 @@
     value["id"] = spec.id;
     value["generation"] = Json::UInt64(spec.generation);
     value["firstTask"] = spec.firstTask;
+    value["stride"] = spec.stride;
     value["tasks"] = spec.tasks;
     value["failover"] = std::string(nameOf(spec.failover));
     value["service"] = spec.service;
@@ -76,6 +79,7 @@
     spec.id = stringMember(value, "id");
     spec.generation = countMember(value, "generation");
     spec.firstTask = smallCountMember(value, "firstTask");
+    spec.stride = std::max<std::uint32_t>(smallCountMember(value, "stride"), 1);
     spec.tasks = smallCountMember(value, "tasks");
     spec.failover = failoverClassFromName(stringMember(value, "failover"));
     spec.service = boolMember(value, "service");
--- a/libs/work/task_records.h
+++ b/libs/work/task_records.h
@@ -47,13 +47,21 @@
 {
     std::string id; // never used again after the job was removed: attempts start at one again
     std::uint64_t generation = 0;
-    std::uint32_t firstTask = 0; // this shard's range of the job's tasks
+    // This shard's tasks: `tasks` of them, from `firstTask` in steps of `stride`. With the number of
+    // shards as stride a task stays in its shard when the job grows or shrinks.
+    std::uint32_t firstTask = 0;
+    std::uint32_t stride = 1;
     std::uint32_t tasks = 0;
     failover_class failover = failover_class::Lease;
     bool service = false;                // a task that ends is started again
     std::uint32_t maxFailures = 3;       // a batch task fails for good after this many
     Json::Value spec{Json::objectValue}; // handed to the worker unread
 };
+// Index within the job of the shard's task number `position`.
+constexpr std::uint32_t taskIndexAt(const job_spec &spec, std::uint32_t position)
+{
+    return spec.firstTask + position * spec.stride;
+}
 Json::Value toJson(const job_spec &spec);
 job_spec jobSpecFromJson(const Json::Value &value); // throws error BadRequest
 
--- a/libs/work/task_store.cpp
+++ b/libs/work/task_store.cpp
@@ -37,6 +37,12 @@
     return found == records.end() ? nullptr : &found->second;
 }
 
+// Tasks without a record, between two that have one: their number, and 0 for a single one.
+Json::Value skipOf(std::uint32_t tasks)
+{
+    return tasks > 1 ? tasks : 0;
+}
+
 template <typename State>
 auto &newest(State &state)
 {
@@ -122,9 +128,9 @@
     return row_id{row_kind::Chunk, rest.substr(5, slash - 5), chunk};
 }
 
-task_store::row_id task_store::chunkOf(const task_id &task)
+task_store::row_id task_store::chunkOf(const task_id &task) const
 {
-    return {row_kind::Chunk, task.job, task.index / ChunkTasks};
+    return {row_kind::Chunk, task.job, task.index / m_settings.chunkTasks};
 }
 
 const task_store::chunk_state *task_store::findChunk(const task_id &task) const
@@ -159,11 +165,12 @@
     for (const auto &[index, record] : chunk.wanted)
         records[index] = record;
     value["tasks"] = Json::Value(Json::arrayValue);
+    std::uint32_t next = row.chunk * m_settings.chunkTasks;
     for (const auto &[index, record] : records) {
-        const Json::ArrayIndex position = index % ChunkTasks;
-        while (value["tasks"].size() < position)
-            value["tasks"].append(0);
+        if (index > next)
+            value["tasks"].append(skipOf(index - next));
         value["tasks"].append(toJson(record));
+        next = index + 1;
     }
     return value;
 }
@@ -229,8 +236,10 @@
 bool task_store::known(const task_id &task) const
 {
     const stored_job *found = job(task.job);
-    return found != nullptr && task.index >= found->spec.firstTask
-           && task.index < found->spec.firstTask + found->range;
+    if (found == nullptr || task.index < found->spec.firstTask)
+        return false;
+    const auto offset = task.index - found->spec.firstTask;
+    return offset % found->spec.stride == 0 && offset / found->spec.stride < found->range;
 }
 
 void task_store::want(const task_id &task, const task_record &record, time_point now, bool lazy)
@@ -717,8 +726,12 @@
     chunk.settled.clear();
     if (found == nullptr)
         return;
-    std::uint32_t index = row.chunk * ChunkTasks;
+    std::uint32_t index = row.chunk * m_settings.chunkTasks;
     for (const auto &value : arrayMember(found->value, "tasks")) {
+        if (value.isIntegral() && value.asUInt() > 1) {
+            index += value.asUInt();
+            continue;
+        }
         const task_record record = taskRecordFromJson(value);
         if (record != task_record())
             chunk.settled[index] = record;
--- a/libs/work/task_store.h
+++ b/libs/work/task_store.h
@@ -3,7 +3,7 @@
 //
 // Rows, all under "work/<shard>/" and written only under the shard's epoch:
 //   job/<id>             specification, range of tasks, whether the job is cancelled
-//   task/<id>/<chunk>    records of 64 tasks; tasks without a row were never placed
+//   task/<id>/<chunk>    records of 64 tasks; tasks without a record were never placed
 //   silent               workers that were declared silent: no grant until they are removed again
 // Changes are collected for a short window and go out as one transaction, one at a time.
 #pragma once
@@ -29,6 +29,7 @@
     milliseconds groupWindow{100};  // changes are collected this long
     milliseconds lazyWindow{1'000}; // the same for changes that nobody waits for
     std::size_t groupRows = 50;     // most rows in one transaction
+    std::uint32_t chunkTasks = 64;  // indexes in one row: 64 for each step of the jobs' strides
     milliseconds firstRetry{100};   // after a refused or unknown write; doubles each time
     milliseconds lastRetry{5'000};
     milliseconds downAfter{3'000}; // the table counts as down after failing this long
@@ -142,7 +143,6 @@
     std::vector<settled_job> takeSettledJobs() { return std::exchange(m_settledJobs, {}); }
 
 private:
-    static constexpr std::uint32_t ChunkTasks = 64;
     enum class row_kind { Job, Chunk, Silent, Removal };
 
     struct row_id
@@ -190,7 +190,7 @@
     std::optional<row_id> rowOf(const std::string &key) const;
     Json::Value valueOf(const row_id &row) const;
     std::uint64_t &versionOf(const row_id &row);
-    static row_id chunkOf(const task_id &task);
+    row_id chunkOf(const task_id &task) const;
     const chunk_state *findChunk(const task_id &task) const;
     static task_record view(const task_record &record, const std::optional<stored_job> &job);
 
--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -134,6 +134,7 @@
     stored_job job{event.spec, event.spec.tasks, false};
     if (known != nullptr) {
         job.spec.firstTask = known->spec.firstTask;
+        job.spec.stride = known->spec.stride;
         job.range = std::max(known->range, job.spec.tasks);
     }
     m_store.wantJob(job, now);
@@ -144,9 +145,9 @@
 // Tasks past the new size are cancelled; those that an earlier size had cancelled come back.
 void task_table::resize(const stored_job &job, time_point now)
 {
-    const std::uint32_t end = job.spec.firstTask + job.spec.tasks;
-    for (std::uint32_t index = 0; index < job.range; ++index) {
-        const task_id task{job.spec.id, job.spec.firstTask + index};
+    const std::uint32_t end = taskIndexAt(job.spec, job.spec.tasks);
+    for (std::uint32_t position = 0; position < job.range; ++position) {
+        const task_id task{job.spec.id, taskIndexAt(job.spec, position)};
         task_record record = m_store.effective(task);
         if (task.index < end && record.state == task_state::Cancelled)
             record.state = task_state::Pending;
@@ -716,8 +717,8 @@
     if (job == nullptr || m_store.jobInFlight(id))
         return;
     if (!job->cancelled) {
-        for (std::uint32_t index = 0; index < job->range; ++index)
-            refreshPlaceable({id, job->spec.firstTask + index});
+        for (std::uint32_t position = 0; position < job->range; ++position)
+            refreshPlaceable({id, taskIndexAt(job->spec, position)});
         return;
     }
     if (!settled.cancelledNow)
--- a/standins/batch.cpp
+++ b/standins/batch.cpp
@@ -32,7 +32,8 @@
 void addAccepted(const Json::Value &log, std::vector<Json::Value> &lines)
 {
     const auto first = log["first_task"].asUInt();
-    for (unsigned index = first; index < first + log["tasks"].asUInt(); ++index) {
+    for (unsigned position = 0; position < log["tasks"].asUInt(); ++position) {
+        const auto index = first + position * log["stride"].asUInt();
         Json::Value line(Json::objectValue);
         line["event"] = "accepted";
         line["task"] = log["job"].asString() + "/" + std::to_string(index);
--- a/tests/fleet_story.h
+++ b/tests/fleet_story.h
@@ -82,4 +82,53 @@
                   std::string(nameOf(violation.kind)).c_str(), violation.detail.c_str());
 }
 
+inline batch_options batchOf(int tasks, int runMs)
+{
+    batch_options batch;
+    batch.tasks = tasks;
+    batch.runMs = runMs;
+    return batch;
+}
+
+inline bool waitForStarts(const fleet &system, const batch_options &batch)
+{
+    return waitUntil(
+            [&] {
+                return countTraced(system, "started", batch.job)
+                       == static_cast<unsigned>(batch.tasks);
+            },
+            SoonEnough);
+}
+
+inline void startWithBatch(fleet &system, const batch_options &batch)
+{
+    system.startAll();
+    system.putFolderFile("10-base.json", baseFolder(system.options()));
+    system.putFolderFile("20-batch.json", batchFolder(batch));
+    require(waitUntil([&] { return countTraced(system, "started", batch.job) > 0; }, SoonEnough));
+}
+
+inline bool waitForEnds(const fleet &system, const batch_options &batch)
+{
+    return waitUntil(
+            [&] {
+                return countTraced(system, "ended", batch.job)
+                       == static_cast<unsigned>(batch.tasks);
+            },
+            SoonEnough);
+}
+
+inline void checkEachEndedOnce(const fleet &system, const batch_options &batch)
+{
+    check(countTraced(system, "ended", batch.job) == static_cast<unsigned>(batch.tasks));
+    checkTraceClean(system);
+}
+
+inline void setPlatformDown(fleet &system, bool down)
+{
+    Json::Value fault(Json::objectValue);
+    fault["down"] = down;
+    system.setFault(system.platformAddress(), fault);
+}
+
 } // namespace zinniabarrow::tests
--- a/tests/process_work_test.cpp
+++ b/tests/process_work_test.cpp
@@ -33,48 +33,6 @@
             SoonEnough);
 }
 
-batch_options batchOf(int tasks, int runMs)
-{
-    batch_options batch;
-    batch.tasks = tasks;
-    batch.runMs = runMs;
-    return batch;
-}
-
-bool waitForStarts(const fleet &system, const batch_options &batch)
-{
-    return waitUntil(
-            [&] {
-                return countTraced(system, "started", batch.job)
-                       == static_cast<unsigned>(batch.tasks);
-            },
-            SoonEnough);
-}
-
-void startWithBatch(fleet &system, const batch_options &batch)
-{
-    system.startAll();
-    system.putFolderFile("10-base.json", baseFolder(system.options()));
-    system.putFolderFile("20-batch.json", batchFolder(batch));
-    require(waitUntil([&] { return countTraced(system, "started", batch.job) > 0; }, SoonEnough));
-}
-
-bool waitForEnds(const fleet &system, const batch_options &batch)
-{
-    return waitUntil(
-            [&] {
-                return countTraced(system, "ended", batch.job)
-                       == static_cast<unsigned>(batch.tasks);
-            },
-            SoonEnough);
-}
-
-void checkEachEndedOnce(const fleet &system, const batch_options &batch)
-{
-    check(countTraced(system, "ended", batch.job) == static_cast<unsigned>(batch.tasks));
-    checkTraceClean(system);
-}
-
 // Tasks placed ahead on all workers, as their owners tell.
 unsigned backlogs(fleet &system)
 {
@@ -89,13 +47,6 @@
     return tasks;
 }
 
-void setPlatformDown(fleet &system, bool down)
-{
-    Json::Value fault(Json::objectValue);
-    fault["down"] = down;
-    system.setFault(system.platformAddress(), fault);
-}
-
 } // namespace
 
 // An operator sees the batch finish although the entry that owned its shard was killed.
