Team quotas hold over all shards together

Cause: each shard's owner enforced the whole quota for its own shard, so a team could hold its quota times the number of owners.

Change: row quota/<team> holds each shard's part (work/quota_parts). Only the shard's owner changes it, by one write that is conditional on the shard's row and the quota's; the placer may use what is certain: a raise counts once it was read back, a cut before it is sent, a write in doubt as the lower of the two. Parts follow demand; a shard above an equal share yields to one below it that waits, as its tasks end; a rest that fits no task is not kept. With one shard there is no row and nothing changes.

Ruled out: fixed equal parts (sound, but a part smaller than a task never runs it, and pending tasks do not move); parts by share of workers (entries do not see workers come and go at the same time).

--- a/app/owned_shard.cpp
+++ b/app/owned_shard.cpp
@@ -66,6 +66,7 @@
                          metrics &counters, const logger &log)
     : m_owner(owner)
     , m_table(owner, operationPrefix, tableSettings)
+    , m_quotas(owner.shard, owner.shardVersion, operationPrefix, work::quota_settings{shards})
     , m_leases(tableSettings.leases)
     , m_backlogPerWorker(tableSettings.aheadTasks)
     , m_placer(placerSettings)
@@ -77,6 +78,12 @@
 std::vector<work::table_action> owned_shard::handle(const work::table_event &event, time_point now)
 {
     auto actions = m_table.handle(event, now);
+    if (const auto *write = std::get_if<work::write_settled>(&event)) {
+        for (auto &action : m_quotas.handle(*write, now))
+            std::visit([&](auto &one) { actions.emplace_back(std::move(one)); }, action);
+    }
+    if (const auto *rows = std::get_if<work::rows_read>(&event))
+        m_quotas.handle(*rows);
     if (m_table.ready() && !m_adopted)
         adopt(now);
     for (const auto &action : actions) {
@@ -179,8 +186,12 @@
     if (!adopted.whole || adopted.generation <= m_generation)
         return actions;
     m_generation = adopted.generation;
-    for (const auto &[name, team] : adopted.whole->teams)
-        m_placer.setTeam({name, team.weight, team.quota});
+    m_teamLimits.clear();
+    for (const auto &[name, team] : adopted.whole->teams) {
+        m_placer.setTeam({name, team.weight, team.quota, {}});
+        if (team.quota != resources{})
+            m_teamLimits[name] = team.quota;
+    }
     for (const auto &[name, pool] : adopted.whole->pools)
         m_placer.setPool({name, pool.worker}, now);
     std::set<std::string> wanted;
@@ -226,8 +237,8 @@
     return prefix + std::to_string(generation);
 }
 
-// Shard k of n takes every n-th of the job's tasks, from the k-th. Consecutive parts would shift when
-// the job is resized, and a task would be in two shards at once.
+// Shard k of n takes every n-th of the job's tasks, from the k-th. Consecutive parts would shift
+// when the job is resized, and a task would be in two shards at once.
 work::job_spec owned_shard::sliceOf(work::job_spec job) const
 {
     const auto shards = static_cast<std::uint32_t>(m_shards);
@@ -301,6 +312,7 @@
     std::vector<work::table_action> actions;
     if (!m_adopted)
         return actions;
+    shareQuotas(actions, now);
     decideAdopted(actions, now);
     const bool down = m_table.tableDown(now);
     const auto scope = down ? placement::plan_scope::BacklogOnly : placement::plan_scope::All;
@@ -323,6 +335,22 @@
     return actions;
 }
 
+// Before each planning: what is held now decides which part may be yielded.
+void owned_shard::shareQuotas(std::vector<work::table_action> &actions, time_point now)
+{
+    if (m_shards < 2)
+        return;
+    std::map<std::string, work::team_demand> demands;
+    for (const auto &[team, limit] : m_teamLimits) {
+        const auto use = m_placer.useOf(team);
+        demands[team] = {limit, use.held, use.held + use.waiting, use.largest};
+    }
+    for (auto &action : m_quotas.update(demands, now))
+        std::visit([&](auto &one) { actions.emplace_back(std::move(one)); }, action);
+    for (const auto &[team, limit] : m_teamLimits)
+        m_placer.setTeamPart(team, m_quotas.usable(team));
+}
+
 // Whether an earlier owner let a task of a backlog start is not written. Until it is known the task
 // counts as placed, or the room and the quota that it uses would be given twice. An agent says so
 // of each task that runs in the first report after a grant has named it. One that was not named and
--- a/app/owned_shard.h
+++ b/app/owned_shard.h
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "placement/scheduler.h"
 #include "runtime/metrics.h"
+#include "work/quota_parts.h"
 #include "work/task_table.h"
 
 namespace zinniabarrow {
@@ -56,6 +57,7 @@
 private:
     void decide(const placement::place_action &action, std::vector<work::table_action> &actions,
                 time_point now);
+    void shareQuotas(std::vector<work::table_action> &actions, time_point now);
     void decideAdopted(std::vector<work::table_action> &actions, time_point now);
     void decideBacklog(std::vector<work::table_action> &actions, time_point now);
     void feed(const work::table_event &event, std::vector<work::table_action> &actions,
@@ -73,8 +75,10 @@
 
     work::table_owner m_owner;
     work::task_table m_table;
-    work::lease_settings m_leases;  //
-    std::size_t m_backlogPerWorker; // tasks placed ahead, at most
+    work::quota_parts m_quotas;
+    std::map<std::string, resources> m_teamLimits; // by team that has one
+    work::lease_settings m_leases;                 //
+    std::size_t m_backlogPerWorker;                // tasks placed ahead, at most
     placement::placer m_placer;
     std::size_t m_shards; // all there are; a job's tasks are dealt out to them in turn
     metrics &m_metrics;
--- a/libs/placement/actions.h
+++ b/libs/placement/actions.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -120,6 +121,15 @@
     std::string team;
     double weight = 1; // share when teams compete
     resources limit;   // reserved at the same time, at most; 0 in a dimension: no limit there
+    std::optional<resources> part = {}; // of the limit, for this placer; unset: all of it
+};
+
+// What a team holds here, and asks for.
+struct team_use
+{
+    resources held;
+    resources waiting; // sum over its waiting tasks, as far as all workers together could take it
+    resources largest; // of them; 0: none that could be taken
 };
 
 std::string_view nameOf(preempt_reason reason);
--- a/libs/placement/quota.cpp
+++ b/libs/placement/quota.cpp
@@ -38,7 +38,11 @@
 
 void quota_book::setQuota(const team_quota &quota)
 {
-    m_teams.at(teamNumber(quota.team)).quota = quota;
+    auto &known = m_teams.at(teamNumber(quota.team)).quota;
+    const auto part = known.part;
+    known = quota;
+    if (!known.part)
+        known.part = part; // goes on from one configuration to the next
 }
 
 void quota_book::charge(std::size_t team, const resources &amount)
@@ -54,7 +58,18 @@
 bool quota_book::allows(std::size_t team, const resources &amount) const
 {
     const auto &state = m_teams.at(team);
-    return !dimensionAbove(state.held + amount, state.quota.limit);
+    const auto &limit = state.quota.limit;
+    const auto sum = state.held + amount;
+    if (!state.quota.part)
+        return !dimensionAbove(sum, limit);
+    // A part of nothing is none, and not the absence of a limit.
+    const auto fits = [](std::int64_t held, std::int64_t most, std::int64_t part) {
+        return most <= 0 || held <= part;
+    };
+    const auto &part = *state.quota.part;
+    return fits(sum.millicores, limit.millicores, part.millicores)
+           && fits(sum.bytes, limit.bytes, part.bytes)
+           && fits(sum.accelerators, limit.accelerators, part.accelerators);
 }
 
 std::optional<std::string> quota_book::impossibleDimension(std::size_t team,
--- a/libs/placement/quota.h
+++ b/libs/placement/quota.h
@@ -21,6 +21,7 @@
     // A number for the team, known or new; an unknown team has weight 1 and no limit.
     std::size_t teamNumber(const std::string &team);
     void setQuota(const team_quota &quota);
+    void setPart(std::size_t team, const resources &part) { m_teams.at(team).quota.part = part; }
     // The sum of all workers, of which shares are parts.
     void setTotal(const resources &total) { m_total = total; }
     const resources &total() const { return m_total; }
--- a/libs/placement/scheduler.cpp
+++ b/libs/placement/scheduler.cpp
@@ -73,6 +73,44 @@
     m_quotas.setQuota(quota);
 }
 
+void placer::setTeamPart(const std::string &team, const resources &part)
+{
+    m_quotas.setPart(m_quotas.teamNumber(team), part);
+}
+
+team_use placer::useOf(const std::string &team)
+{
+    const auto number = m_quotas.teamNumber(team);
+    team_use use;
+    use.held = m_quotas.heldBy(number);
+    const auto add = [&](const job_record &job, std::size_t tasks) {
+        const auto demand = demandOf(job);
+        const auto count = static_cast<std::int64_t>(tasks);
+        use.waiting +=
+                {demand.millicores * count, demand.bytes * count, demand.accelerators * count};
+        use.largest = largest(use.largest, demand);
+    };
+    for (int rank = 0; rank < Ranks; ++rank) {
+        const auto &teams = m_queue.rank(rank);
+        const auto jobs = teams.find(static_cast<std::uint16_t>(number));
+        if (jobs == teams.end())
+            continue;
+        for (const auto &[sequence, job] : jobs->second)
+            add(*job, job->pending.size());
+    }
+    for (const auto &task : m_ahead) {
+        const auto found = find(task);
+        if (found.job->team == number)
+            add(*found.job, 1);
+    }
+    // What the workers here cannot take would be kept from placers whose workers can.
+    const auto room = largest(m_workers.total() - use.held, resources{});
+    use.waiting = smallest(use.waiting, room);
+    if (!use.largest.fitsIn(room))
+        use.largest = {};
+    return use;
+}
+
 void placer::addWorker(const worker_info &worker, time_point now)
 {
     const int slot = m_workers.open(worker.id);
--- a/libs/placement/scheduler.h
+++ b/libs/placement/scheduler.h
@@ -50,6 +50,9 @@
     // The largest worker that the pool is configured with: what exceeds it is refused at once.
     void setPool(const pool_info &pool, time_point now);
     void setTeam(const team_quota &quota);
+    // Of the team's limit, when several placers share it.
+    void setTeamPart(const std::string &team, const resources &part);
+    team_use useOf(const std::string &team);
 
     // Also for a worker that is known: brings it back, or changes its size.
     void addWorker(const worker_info &worker, time_point now);
--- a/libs/work/task_records.h
+++ b/libs/work/task_records.h
@@ -47,8 +47,8 @@
 {
     std::string id; // never used again after the job was removed: attempts start at one again
     std::uint64_t generation = 0;
-    // This shard's tasks: `tasks` of them, from `firstTask` in steps of `stride`. With the number of
-    // shards as stride a task stays in its shard when the job grows or shrinks.
+    // This shard's tasks: `tasks` of them, from `firstTask` in steps of `stride`. With the number
+    // of shards as stride a task stays in its shard when the job grows or shrinks.
     std::uint32_t firstTask = 0;
     std::uint32_t stride = 1;
     std::uint32_t tasks = 0;
--- a/tests/process_shards_test.cpp
+++ b/tests/process_shards_test.cpp
@@ -69,10 +69,33 @@
     return workers.size();
 }
 
+// Tasks of the job that ran at the same time, by the workers' traces.
+int mostAtOnce(const fleet &system, const std::string &job)
+{
+    std::vector<std::pair<std::int64_t, int>> changes;
+    for (const auto &line : system.workerTrace()) {
+        if (line["task"].asString().compare(0, job.size(), job) != 0)
+            continue;
+        const auto event = line["event"].asString();
+        const bool starts = event == "started" || event == "resumed";
+        const bool stops = event == "ended" || event == "stopped" || event == "evicted";
+        if (starts || stops)
+            changes.emplace_back(line["at_us"].asInt64(), starts ? 1 : -1);
+    }
+    std::sort(changes.begin(), changes.end());
+    int running = 0;
+    int most = 0;
+    for (const auto &[at, change] : changes) {
+        running += change;
+        most = std::max(most, running);
+    }
+    return most;
+}
+
 } // namespace
 
-// An operator sees a batch finish on all workers although an entry that owned some of the shards was
-// killed. Others take its shards; the other shards' owners are not disturbed.
+// An operator sees a batch finish on all workers although an entry that owned some of the shards
+// was killed. Others take its shards; the other shards' owners are not disturbed.
 Test(process_shards, owner_killed)
 {
     const auto batch = batchOf(96, 1500);
@@ -91,8 +114,8 @@
     });
 }
 
-// An owner of some of the shards freezes for longer than its lease, and wakes believing that it still
-// owns them: each shard's epoch refuses it by itself; no task is given twice.
+// An owner of some of the shards freezes for longer than its lease, and wakes believing that it
+// still owns them: each shard's epoch refuses it by itself; no task is given twice.
 Test(process_shards, owner_frozen_longer_than_its_lease)
 {
     const auto batch = batchOf(96, 1500);
@@ -109,8 +132,9 @@
     });
 }
 
-// The platform goes away in the middle of a batch: what runs runs on, each shard's backlog starts as
-// tasks end, and once the table is back the rest follows. No owner changes, since none could renew.
+// The platform goes away in the middle of a batch: what runs runs on, each shard's backlog starts
+// as tasks end, and once the table is back the rest follows. No owner changes, since none could
+// renew.
 Test(process_shards, platform_down)
 {
     const auto batch = batchOf(96, 3000);
@@ -130,9 +154,9 @@
     });
 }
 
-// An operator lets a batch grow while it runs, and then lets it shrink. Each shard follows by itself:
-// a task that changed its shard with the size would run in two, and one that no shard gave up would
-// run although it was taken away.
+// An operator lets a batch grow while it runs, and then lets it shrink. Each shard follows by
+// itself: a task that changed its shard with the size would run in two, and one that no shard gave
+// up would run although it was taken away.
 Test(process_shards, job_resized)
 {
     auto batch = batchOf(10, 2500);
@@ -159,3 +183,35 @@
         checkTraceClean(system);
     });
 }
+
+// A team's quota has room for 8 tasks beside its service, and the workers of all four shards would
+// take
+// 48. However the shards share the quota, and although an owner dies on the way, no more than 8 run
+// at once, and every shard's tasks get their turn.
+Test(process_shards, quota_over_all_shards)
+{
+    const auto batch = batchOf(40, 1000);
+    fleet system(shardedFleet());
+    system.startAll();
+    auto base = baseFolder(system.options());
+    const auto &service = base["services"][system.options().service];
+    auto &quota = base["teams"]["rinks"]["quota"];
+    quota["millicores"] =
+            Json::Int64(service["replicas"].asInt64() * service["size"]["millicores"].asInt64()
+                        + 8 * batch.millicores);
+    system.putFolderFile("10-base.json", base);
+    require(waitUntil([&] { return countTraced(system, "started", system.options().service) == 8; },
+                      SoonEnough));
+    system.putFolderFile("20-batch.json", batchFolder(batch));
+    require(waitUntil([&] { return countTraced(system, "ended", batch.job) >= 8; }, SoonEnough));
+    const auto owner = someOwner(system);
+    section("an owner is killed, others take its shards", [&] {
+        system.entry(owner)->signal(SIGKILL);
+        check(waitForOwnersBut(system, owner));
+    });
+    section("every task ends once, at most 8 at the same time", [&] {
+        check(waitForEnds(system, batch));
+        cr_expect(mostAtOnce(system, batch.job) <= 8, "%d", mostAtOnce(system, batch.job));
+        checkEachEndedOnce(system, batch);
+    });
+}
