--- a/tests/quota_parts_test.cpp
+++ b/tests/quota_parts_test.cpp
@@ -251,10 +251,11 @@
                 world.faultOf = [&](tenure &owner) {
                     if (world.commits != struck)
                         return write_fault::None;
-                    if (change)
+                    if (change) {
                         world.later.emplace_back(world.now, [&world, shard = owner.shard] {
                             world.changeOwner(shard);
                         });
+                    }
                     return fault;
                 };
                 wander(world);
