--- a/app/owned_shard.cpp
+++ b/app/owned_shard.cpp
@@ -185,7 +185,13 @@
     followWorkers(workers, now);
     if (!adopted.whole || adopted.generation <= m_generation)
         return actions;
+    // Taken over before this entry has heard of the newest generation: it comes within seconds.
+    if (adopted.generation < m_table.followed()) {
+        m_metrics.count("work_total", nameOf(work::table_count::StaleGeneration));
+        return actions;
+    }
     m_generation = adopted.generation;
+    feed(work::generation_followed{adopted.generation}, actions, now);
     m_teamLimits.clear();
     for (const auto &[name, team] : adopted.whole->teams) {
         m_placer.setTeam({name, team.weight, team.quota, {}});
--- a/libs/placement/quota.cpp
+++ b/libs/placement/quota.cpp
@@ -13,6 +13,12 @@
     return limit > 0 && amount > limit;
 }
 
+// A part of nothing is none, and not the absence of a limit.
+std::int64_t excessOf(std::int64_t amount, std::int64_t limit, std::int64_t part)
+{
+    return limit > 0 ? std::max<std::int64_t>(amount - part, 0) : 0;
+}
+
 std::optional<std::string> dimensionAbove(const resources &amount, const resources &limit)
 {
     if (above(amount.millicores, limit.millicores))
@@ -56,20 +62,19 @@
 }
 
 bool quota_book::allows(std::size_t team, const resources &amount) const
+{
+    return excess(team, amount) == resources{};
+}
+
+resources quota_book::excess(std::size_t team, const resources &amount) const
 {
     const auto &state = m_teams.at(team);
+    const auto all = state.held + amount;
     const auto &limit = state.quota.limit;
-    const auto sum = state.held + amount;
-    if (!state.quota.part)
-        return !dimensionAbove(sum, limit);
-    // A part of nothing is none, and not the absence of a limit.
-    const auto fits = [](std::int64_t held, std::int64_t most, std::int64_t part) {
-        return most <= 0 || held <= part;
-    };
-    const auto &part = *state.quota.part;
-    return fits(sum.millicores, limit.millicores, part.millicores)
-           && fits(sum.bytes, limit.bytes, part.bytes)
-           && fits(sum.accelerators, limit.accelerators, part.accelerators);
+    const auto part = state.quota.part.value_or(limit);
+    return {excessOf(all.millicores, limit.millicores, part.millicores),
+            excessOf(all.bytes, limit.bytes, part.bytes),
+            excessOf(all.accelerators, limit.accelerators, part.accelerators)};
 }
 
 std::optional<std::string> quota_book::impossibleDimension(std::size_t team,
