--- a/libs/placement/actions.h
+++ b/libs/placement/actions.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -68,6 +69,18 @@
     std::string reason;
 };
 
+// Which decisions plan() may take. While the table is down nothing new can be written: only tasks
+// that it already holds on a worker may still be started there.
+enum class plan_scope { All, BacklogOnly };
+
+// Changes of the workers' backlogs. A task that was placed ahead follows with a place_action on
+// the same worker once there is room. One that is taken back follows with taskReleased.
+struct backlog_plan
+{
+    std::vector<place_action> placedAhead;
+    std::vector<place_action> takenBack;
+};
+
 using placement_action =
         std::variant<place_action, raise_action, preempt_action, throttle_action, refuse_action>;
 
@@ -108,6 +121,15 @@
     std::string team;
     double weight = 1; // share when teams compete
     resources limit;   // reserved at the same time, at most; 0 in a dimension: no limit there
+    std::optional<resources> part = {}; // of the limit, for this placer; unset: all of it
+};
+
+// What a team holds here, and asks for.
+struct team_use
+{
+    resources held;
+    resources waiting; // sum over its waiting tasks, as far as all workers together could take it
+    resources largest; // of them; 0: none that could be taken
 };
 
 std::string_view nameOf(preempt_reason reason);
--- a/libs/placement/quota.cpp
+++ b/libs/placement/quota.cpp
@@ -13,9 +13,10 @@
     return limit > 0 && amount > limit;
 }
 
-std::int64_t excessOf(std::int64_t amount, std::int64_t limit)
+// A part of nothing is none, and not the absence of a limit.
+std::int64_t excessOf(std::int64_t amount, std::int64_t limit, std::int64_t part)
 {
-    return above(amount, limit) ? amount - limit : 0;
+    return limit > 0 ? std::max<std::int64_t>(amount - part, 0) : 0;
 }
 
 std::optional<std::string> dimensionAbove(const resources &amount, const resources &limit)
@@ -43,7 +44,11 @@
 
 void quota_book::setQuota(const team_quota &quota)
 {
-    m_teams.at(teamNumber(quota.team)).quota = quota;
+    auto &known = m_teams.at(teamNumber(quota.team)).quota;
+    const auto part = known.part;
+    known = quota;
+    if (!known.part)
+        known.part = part; // goes on from one configuration to the next
 }
 
 void quota_book::charge(std::size_t team, const resources &amount)
@@ -58,8 +63,7 @@
 
 bool quota_book::allows(std::size_t team, const resources &amount) const
 {
-    const auto &state = m_teams.at(team);
-    return !dimensionAbove(state.held + amount, state.quota.limit);
+    return excess(team, amount) == resources{};
 }
 
 resources quota_book::excess(std::size_t team, const resources &amount) const
@@ -67,8 +71,10 @@
     const auto &state = m_teams.at(team);
     const auto all = state.held + amount;
     const auto &limit = state.quota.limit;
-    return {excessOf(all.millicores, limit.millicores), excessOf(all.bytes, limit.bytes),
-            excessOf(all.accelerators, limit.accelerators)};
+    const auto part = state.quota.part.value_or(limit);
+    return {excessOf(all.millicores, limit.millicores, part.millicores),
+            excessOf(all.bytes, limit.bytes, part.bytes),
+            excessOf(all.accelerators, limit.accelerators, part.accelerators)};
 }
 
 std::optional<std::string> quota_book::impossibleDimension(std::size_t team,
--- a/libs/placement/scheduler.cpp
+++ b/libs/placement/scheduler.cpp
@@ -73,6 +73,44 @@
     m_quotas.setQuota(quota);
 }
 
+void placer::setTeamPart(const std::string &team, const resources &part)
+{
+    m_quotas.setPart(m_quotas.teamNumber(team), part);
+}
+
+team_use placer::useOf(const std::string &team)
+{
+    const auto number = m_quotas.teamNumber(team);
+    team_use use;
+    use.held = m_quotas.heldBy(number);
+    const auto add = [&](const job_record &job, std::size_t tasks) {
+        const auto demand = demandOf(job);
+        const auto count = static_cast<std::int64_t>(tasks);
+        use.waiting +=
+                {demand.millicores * count, demand.bytes * count, demand.accelerators * count};
+        use.largest = largest(use.largest, demand);
+    };
+    for (int rank = 0; rank < Ranks; ++rank) {
+        const auto &teams = m_queue.rank(rank);
+        const auto jobs = teams.find(static_cast<std::uint16_t>(number));
+        if (jobs == teams.end())
+            continue;
+        for (const auto &[sequence, job] : jobs->second)
+            add(*job, job->pending.size());
+    }
+    for (const auto &task : m_ahead) {
+        const auto found = find(task);
+        if (found.job->team == number)
+            add(*found.job, 1);
+    }
+    // What the workers here cannot take would be kept from placers whose workers can.
+    const auto room = largest(m_workers.total() - use.held, resources{});
+    use.waiting = smallest(use.waiting, room);
+    if (!use.largest.fitsIn(room))
+        use.largest = {};
+    return use;
+}
+
 void placer::addWorker(const worker_info &worker, time_point now)
 {
     const int slot = m_workers.open(worker.id);
@@ -245,8 +283,10 @@
 {
     const auto jobId = job.spec.jobId;
     const auto found = job.tasks.find(index);
-    if (found != job.tasks.end())
+    if (found != job.tasks.end()) {
         dropHold(found->second);
+        leaveBacklog({jobId, index}, found->second);
+    }
     dequeue(job, index);
     job.tasks.erase(index);
     if (job.tasks.empty())
@@ -277,9 +317,12 @@
 {
     const auto ref = task.ref();
     auto &job = jobFor(task);
+    if (aheadOn(ref, worker))
+        return; // it does not run there yet
     dequeue(job, task.taskIndex);
     auto &record = job.tasks[task.taskIndex];
     dropHold(record);
+    leaveBacklog(ref, record);
     if (record.worker != NoWorker)
         vacate(ref, record, now);
     record.cancelled = m_cancelled.contains(ref);
@@ -304,6 +347,12 @@
 void placer::taskSettled(const task_ref &task, const std::string &worker, placement_outcome outcome,
                          time_point now)
 {
+    if (const auto waits = aheadOn(task, worker)) {
+        waits.task->aheadSettled |= outcome == placement_outcome::Applied;
+        if (outcome == placement_outcome::NotApplied)
+            releaseAhead(task, worker, now);
+        return;
+    }
     const auto found = placedOn(task, worker);
     if (!found)
         return;
@@ -355,6 +404,8 @@
 
 void placer::taskReleased(const task_ref &task, const std::string &worker, time_point now)
 {
+    if (releaseAhead(task, worker, now))
+        return;
     makeWaiting(task, worker, now);
 }
 
@@ -512,6 +563,8 @@
     if (!job || !job->tasks.contains(task.taskIndex))
         return name + " is not known here";
     const auto &record = job->tasks.at(task.taskIndex);
+    if (record.ahead != NoWorker)
+        return name + " waits in the backlog of " + m_workers.at(record.ahead).info.id;
     if (record.worker != NoWorker) {
         const auto &worker = m_workers.at(record.worker);
         return name + " is on " + worker.info.id + ", "
@@ -538,6 +591,16 @@
     return name + " waits";
 }
 
+std::string placer::workerOf(const task_ref &task) const
+{
+    const auto *job = m_tasks.findJob(task.jobId);
+    if (!job || !job->tasks.contains(task.taskIndex))
+        return {};
+    const auto &record = job->tasks.at(task.taskIndex);
+    const int slot = record.worker != NoWorker ? record.worker : record.ahead;
+    return slot == NoWorker ? std::string() : m_workers.at(slot).info.id;
+}
+
 const ledger *placer::ledgerOf(const std::string &worker) const
 {
     const int slot = m_workers.slotOf(worker);
--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -157,6 +157,7 @@
     stored_job job{event.spec, event.spec.tasks, false};
     if (known != nullptr) {
         job.spec.firstTask = known->spec.firstTask;
+        job.spec.stride = known->spec.stride;
         job.range = std::max(known->range, job.spec.tasks);
     }
     if (known != nullptr && isSameWork(known->spec, job.spec))
@@ -169,9 +170,9 @@
 // Tasks past the new size are cancelled; those that an earlier size had cancelled come back.
 void task_table::resize(const stored_job &job, time_point now)
 {
-    const std::uint32_t end = job.spec.firstTask + job.spec.tasks;
-    for (std::uint32_t index = 0; index < job.range; ++index) {
-        const task_id task{job.spec.id, job.spec.firstTask + index};
+    const std::uint32_t end = taskIndexAt(job.spec, job.spec.tasks);
+    for (std::uint32_t position = 0; position < job.range; ++position) {
+        const task_id task{job.spec.id, taskIndexAt(job.spec, position)};
         task_record record = m_store.effective(task);
         if (task.index < end && record.state == task_state::Cancelled)
             record.state = task_state::Pending;
@@ -221,7 +222,7 @@
     for (const auto &task : tasksOn(worker)) {
         const task_record record = m_store.effective(task);
         const soft_state *soft = findSoft(task, record.attempt);
-        const bool started = soft != nullptr && !soft->startedBy.empty();
+        const bool started = soft != nullptr && (soft->mayStart || !soft->startedBy.empty());
         if (record.ahead && record.worker == worker && !started)
             ++ahead;
     }
@@ -249,6 +250,8 @@
 
 void task_table::on(const start_ahead_decided &event, time_point)
 {
+    // Another write of the row or of its job may be on its way: were the decision dropped then, the
+    // owner's ledger would count a task that never starts.
     const task_record record = m_store.settled(event.task);
     if (!staysPlaced(event.task) || !record.ahead)
         return;
@@ -485,7 +488,7 @@
     grant.session = worker.session;
     grant.replyTo = worker.sequence;
     grant.ackedThrough = worker.ackedThrough;
-    grant.startAhead = m_store.down(now);
+    grant.startAhead = m_settings.startAheadWhenDown && m_store.down(now);
     // A successor may already count on the end of this owner's horizon.
     if (now < m_mayGrantUntil)
         grant.lease = m_settings.leases.grantLease;
@@ -522,6 +525,8 @@
     const granted_task granted{task, record.attempt, job->spec.failover, record.checkpoint,
                                newerCheckpoints(task, record)};
     const bool ahead = record.ahead && (soft == nullptr || !soft->mayStart);
+    if (ahead && soft != nullptr && soft->evicting)
+        return; // taken back
     (ahead ? grant.backlog : grant.tasks).push_back(granted);
     grant.specs[task.job] = job->spec.spec;
 }
@@ -747,8 +752,8 @@
     if (job == nullptr || m_store.jobInFlight(id))
         return;
     if (!job->cancelled) {
-        for (std::uint32_t index = 0; index < job->range; ++index)
-            refreshPlaceable({id, job->spec.firstTask + index});
+        for (std::uint32_t position = 0; position < job->range; ++position)
+            refreshPlaceable({id, taskIndexAt(job->spec, position)});
         return;
     }
     if (!settled.cancelledNow)
