Raised reservations reach the agents, and survive new configurations and takeovers

Cause: the placer raises reservations from usage, but grants carried none of it: the agent's check before a start counted declared sizes. Beside it, two faults in how the shard hands the configuration to its placer: a placed task was adopted anew with its declared size at every accepted generation (the raise was lost while it was not yet running), and a task whose agent had said Started before the new owner knew the configuration never got its pool, so it could not be evicted, throttled or watched.

Change: a grant carries reservations above the declared size, for tasks to start and for those that the agent has not counted yet (numbered; the agent's report tells up to where). The agent counts the larger of declared and reserved; reservations of one attempt only rise, so overtaken grants change nothing. A raise that does not fit kills nothing at the agent: it is not acknowledged, and the owner evicts by its policy. Members are absent when empty and optional when read: processes are replaced one by one. `largest` moved to libs/base.

Ruled out: the whole list in each grant (about 70 bytes for each raised task every 2 s); a ledger with owed raises at the agent (the owner's already has it).

--- a/app/keeper_duty.cpp
+++ b/app/keeper_duty.cpp
@@ -33,11 +33,6 @@
     return json;
 }
 
-resources sizeIn(const Json::Value &spec)
-{
-    return {spec["millicores"].asInt64(), spec["bytes"].asInt64(), spec["accelerators"].asInt64()};
-}
-
 } // namespace
 
 keeper_duty::keeper_duty(duty_system &system, const config::agent_settings &settings,
@@ -51,8 +46,8 @@
     , m_tailLatency(std::move(tailLatency))
     , m_worker({settings.worker.address.address, settings.worker.address.port})
     , m_keeper(settings.worker.id, self.unique(), keeperSettings(settings),
-               [this](const work::granted_task &task, const Json::Value &spec) {
-                   return fits(task, spec);
+               [this](const work::task_id &task, const resources &amount) {
+                   return fits(task, amount);
                })
 {
     m_workerLane = std::make_unique<duty<std::function<void()>>>(
@@ -99,7 +94,7 @@
             if (running.attempt.task != asked.task)
                 continue;
             constexpr std::int64_t Percent = 100;
-            const auto whole = std::max<std::int64_t>(sizeIn(running.spec).millicores, 1);
+            const auto whole = std::max<std::int64_t>(work::declaredIn(running.spec).millicores, 1);
             auto body = attemptJson(running.attempt);
             body["percent"] = Json::Int64(std::min(asked.millicores * Percent / whole, Percent));
             callWorker("/throttle", body);
@@ -307,15 +302,11 @@
 }
 
 // The last check before a start: workers start whatever they are given, whether it fits or not.
-bool keeper_duty::fits(const work::granted_task &task, const Json::Value &spec) const
+bool keeper_duty::fits(const work::task_id &task, const resources &amount) const
 {
     const auto &size = m_settings.worker.size;
-    resources sum = sizeIn(spec);
-    for (const auto &running : m_keeper.occupying()) {
-        if (running.attempt.task != task.task)
-            sum += sizeIn(running.spec);
-    }
-    return sum.fitsIn({size.millicores, size.bytes, size.accelerators});
+    return (m_keeper.occupiedBeside(task) + amount)
+            .fitsIn({size.millicores, size.bytes, size.accelerators});
 }
 
 } // namespace zinniabarrow
--- a/app/keeper_duty.h
+++ b/app/keeper_duty.h
@@ -62,7 +62,7 @@
     void sendUsage(time_point now);
     void callWorker(const std::string &path, const Json::Value &body);
     void flushRenewals();
-    bool fits(const work::granted_task &task, const Json::Value &spec) const;
+    bool fits(const work::task_id &task, const resources &amount) const;
 
     const config::agent_settings m_settings;
     const std::string m_ownAddress;
--- a/app/owned_shard.cpp
+++ b/app/owned_shard.cpp
@@ -32,6 +32,18 @@
     return placement::task_priority::Normal;
 }
 
+bool mayRun(work::task_state state)
+{
+    return state == work::task_state::Placed || state == work::task_state::Running
+           || state == work::task_state::Evicting || state == work::task_state::Cancelling;
+}
+
+placement::entry_state stateOf(work::task_state state)
+{
+    const bool ends = state == work::task_state::Evicting || state == work::task_state::Cancelling;
+    return ends ? placement::entry_state::Stopping : placement::entry_state::Running;
+}
+
 // What the worker is told of a task.
 Json::Value workerSpec(const resources &size, milliseconds workTime)
 {
@@ -97,12 +109,10 @@
         spec.jobId = task.job;
         spec.taskIndex = static_cast<std::int32_t>(task.index);
         if (job != nullptr) {
-            const auto &told = job->spec.spec;
-            spec.declared = {told["millicores"].asInt64(), told["bytes"].asInt64(),
-                             told["accelerators"].asInt64()};
+            spec.declared = work::declaredIn(job->spec.spec);
         }
-        m_placer.taskPlaced(spec, record.worker, spec.declared, placement::entry_state::Running,
-                            now);
+        m_bySizeAlone.insert(task);
+        m_placer.taskPlaced(spec, record.worker, spec.declared, stateOf(record.state), now);
     }
 }
 
@@ -249,14 +259,26 @@
     for (auto index = job.firstTask; index < job.firstTask + job.tasks; ++index) {
         const auto record = m_table.find({job.id, index});
         spec.taskIndex = static_cast<std::int32_t>(index);
-        if (record.state == work::task_state::Pending)
-            m_placer.taskPending(spec, now);
-        else if (work::occupies(record)) // known by its size alone since the takeover
-            m_placer.taskPlaced(spec, record.worker, spec.declared, placement::entry_state::Running,
-                                now);
+        const bool placed = mayRun(record.state);
+        // The agents may have said that it runs before the configuration came: left without its
+        // pool, it would never be evicted, throttled or watched.
+        if (m_bySizeAlone.erase({job.id, index}) > 0 && placed)
+            m_placer.taskPlaced(spec, record.worker, reservedFor(spec, record.worker),
+                                stateOf(record.state), now);
+        else if (placed || record.state == work::task_state::Pending)
+            m_placer.taskPending(spec, now); // a placed one keeps its room, its raises and limits
     }
 }
 
+// As it counts already: the size may have been edited since the task was started.
+resources owned_shard::reservedFor(const placement::task_spec &task,
+                                   const std::string &worker) const
+{
+    const auto *book = m_placer.ledgerOf(worker);
+    const auto *entry = book == nullptr ? nullptr : book->find(task.ref());
+    return entry == nullptr ? task.declared : entry->reserved;
+}
+
 void owned_shard::cancelMissing(const std::set<std::string> &wanted,
                                 std::vector<work::table_action> &actions, time_point now)
 {
@@ -299,10 +321,14 @@
         if (const auto *place = std::get_if<placement::place_action>(&decision)) {
             // The table may know better: a write on its way, or a worker that fell silent.
             if (m_table.placeable(idOf(place->task)) && m_table.mayPlaceOn(place->worker))
-                feed(work::place_decided{idOf(place->task), place->worker, false});
+                feed(work::place_decided{idOf(place->task), place->worker, false,
+                                         aboveDeclared(place->task, place->reserved)});
             else
                 m_placer.taskSettled(place->task, place->worker,
                                      placement::placement_outcome::NotApplied, now);
+        } else if (const auto *raise = std::get_if<placement::raise_action>(&decision)) {
+            m_metrics.count("reservations_raised_total", "usage");
+            feed(work::reservation_raised{idOf(raise->task), raise->reserved});
         } else if (const auto *preempt = std::get_if<placement::preempt_action>(&decision)) {
             m_metrics.count("evictions_total", nameOf(preempt->reason));
             m_placer.taskStopping(preempt->victim, preempt->worker, now);
@@ -317,6 +343,15 @@
     return actions;
 }
 
+// What the agent has to be told: it reads the declared size itself.
+resources owned_shard::aboveDeclared(const placement::task_ref &task,
+                                     const resources &reserved) const
+{
+    const auto *job = m_table.job(task.jobId);
+    const bool declared = job != nullptr && reserved.fitsIn(work::declaredIn(job->spec.spec));
+    return declared ? resources{} : reserved;
+}
+
 void owned_shard::usageSampled(const placement::usage_sample &sample, time_point now)
 {
     m_placer.usageSampled(sample, now);
--- a/app/owned_shard.h
+++ b/app/owned_shard.h
@@ -58,11 +58,13 @@
     void adopt(time_point now);
     void acceptJob(const work::job_spec &job, const placement::task_spec &pattern,
                    std::vector<work::table_action> &actions, time_point now);
+    resources reservedFor(const placement::task_spec &task, const std::string &worker) const;
     void cancelMissing(const std::set<std::string> &wanted,
                        std::vector<work::table_action> &actions, time_point now);
     void followWorkers(const std::map<std::string, worker_place> &workers, time_point now);
     std::string jobIdFor(const std::string &name, std::uint64_t generation) const;
     work::job_spec sliceOf(work::job_spec job) const;
+    resources aboveDeclared(const placement::task_ref &task, const resources &reserved) const;
     void logTask(std::string_view event, const work::task_settled &change) const;
 
     work::table_owner m_owner;
@@ -72,9 +74,10 @@
     metrics &m_metrics;
     const logger &m_log;
 
-    bool m_adopted = false;          // the placer knows what the table held at takeover
-    std::uint64_t m_generation = 0;  // followed
-    std::set<std::string> m_workers; // the placer may use
+    bool m_adopted = false;                // the placer knows what the table held at takeover
+    std::uint64_t m_generation = 0;        // followed
+    std::set<std::string> m_workers;       // the placer may use
+    std::set<work::task_id> m_bySizeAlone; // adopted at takeover, their configuration is not known
     std::map<work::task_id, std::uint32_t> m_failures;    // as last seen
     std::map<std::string, std::string> m_refusals;        // by task, the newest reason
     std::map<std::string, microseconds> m_latencyTargets; // by service job id
--- a/libs/base/resources.cpp
+++ b/libs/base/resources.cpp
@@ -1,5 +1,7 @@
 #include "base/resources.h"
 
+#include <algorithm>
+
 namespace zinniabarrow {
 
 resources &resources::operator+=(const resources &other)
@@ -29,4 +31,10 @@
     return millicores < 0 || bytes < 0 || accelerators < 0;
 }
 
+resources largest(const resources &left, const resources &right)
+{
+    return {std::max(left.millicores, right.millicores), std::max(left.bytes, right.bytes),
+            std::max(left.accelerators, right.accelerators)};
+}
+
 } // namespace zinniabarrow
--- a/libs/base/resources.h
+++ b/libs/base/resources.h
@@ -23,4 +23,7 @@
     bool isNegative() const;
 };
 
+// The larger of the two in each dimension.
+resources largest(const resources &left, const resources &right);
+
 } // namespace zinniabarrow
--- a/libs/placement/resources.cpp
+++ b/libs/placement/resources.cpp
@@ -81,12 +81,6 @@
 
 } // namespace
 
-resources largest(const resources &left, const resources &right)
-{
-    return {std::max(left.millicores, right.millicores), std::max(left.bytes, right.bytes),
-            std::max(left.accelerators, right.accelerators)};
-}
-
 resources smallest(const resources &left, const resources &right)
 {
     return {std::min(left.millicores, right.millicores), std::min(left.bytes, right.bytes),
--- a/libs/placement/resources.h
+++ b/libs/placement/resources.h
@@ -21,8 +21,6 @@
 
 namespace zinniabarrow::placement {
 
-// The larger of the two in each dimension.
-resources largest(const resources &left, const resources &right);
 // The smaller of the two in each dimension.
 resources smallest(const resources &left, const resources &right);
 // The largest quotient of `part` by `whole` over all dimensions; a dimension that `whole` lacks
--- a/libs/work/messages.cpp
+++ b/libs/work/messages.cpp
@@ -86,6 +86,23 @@
     return task;
 }
 
+Json::Value toJson(const task_reservation &reservation)
+{
+    Json::Value value = work::toJson(reservation.attempt);
+    value["millicores"] = Json::Int64(reservation.reserved.millicores);
+    value["bytes"] = Json::Int64(reservation.reserved.bytes);
+    value["accelerators"] = Json::Int64(reservation.reserved.accelerators);
+    return value;
+}
+
+task_reservation taskReservationFromJson(const Json::Value &value)
+{
+    return {taskAttemptFromJson(value),
+            {static_cast<std::int64_t>(countMember(value, "millicores")),
+             static_cast<std::int64_t>(countMember(value, "bytes")),
+             static_cast<std::int64_t>(countMember(value, "accelerators"))}};
+}
+
 template <typename Item>
 Json::Value listToJson(const std::vector<Item> &items)
 {
@@ -158,6 +175,8 @@
     value["sequence"] = Json::UInt64(report.sequence);
     value["epoch"] = Json::UInt64(report.epoch);
     value["events"] = listToJson(report.events);
+    if (report.reservationsTaken > 0)
+        value["reservationsTaken"] = Json::UInt64(report.reservationsTaken);
     return value;
 }
 
@@ -170,6 +189,8 @@
     report.sequence = countMember(value, "sequence");
     report.epoch = countMember(value, "epoch");
     report.events = listFromJson(value, "events", taskEventFromJson);
+    if (value.isMember("reservationsTaken")) // agents of earlier versions take none
+        report.reservationsTaken = countMember(value, "reservationsTaken");
     return report;
 }
 
@@ -192,6 +213,10 @@
     value["specs"] = Json::Value(Json::objectValue);
     for (const auto &[job, spec] : grant.specs)
         value["specs"][job] = spec;
+    if (!grant.reservations.empty())
+        value["reservations"] = listToJson(grant.reservations);
+    if (grant.reservationsThrough > 0)
+        value["reservationsThrough"] = Json::UInt64(grant.reservationsThrough);
     return value;
 }
 
@@ -214,7 +239,17 @@
     const Json::Value &specs = objectMember(value, "specs");
     for (const auto &job : specs.getMemberNames())
         grant.specs[job] = specs[job];
+    // Owners of earlier versions send neither: declared sizes count then.
+    if (value.isMember("reservations"))
+        grant.reservations = listFromJson(value, "reservations", taskReservationFromJson);
+    if (value.isMember("reservationsThrough"))
+        grant.reservationsThrough = countMember(value, "reservationsThrough");
     return grant;
 }
 
+resources declaredIn(const Json::Value &spec)
+{
+    return {spec["millicores"].asInt64(), spec["bytes"].asInt64(), spec["accelerators"].asInt64()};
+}
+
 } // namespace zinniabarrow::work
--- a/libs/work/messages.h
+++ b/libs/work/messages.h
@@ -17,6 +17,7 @@
 #include <json/json.h>
 
 #include "base/failover.h"
+#include "base/resources.h"
 #include "base/time.h"
 
 namespace zinniabarrow::work {
@@ -85,6 +86,14 @@
     std::uint64_t sequence = 0;    // rises with each report of the session
     std::uint64_t epoch = 0;       // newest epoch that the worker itself has recorded
     std::vector<task_event> events;
+    std::uint64_t reservationsTaken = 0; // newest `reservationsThrough` taken under `epoch`
+};
+
+// What the owner's ledger counts for an attempt where that is more than its declared size.
+struct task_reservation
+{
+    task_attempt attempt;
+    resources reserved;
 };
 
 struct granted_task
@@ -112,10 +121,15 @@
     std::vector<granted_task> tasks;
     std::vector<granted_task> backlog; // placed ahead, in order; not to be started yet
     std::vector<task_attempt> stops;
-    std::vector<task_attempt> checkpoints;    // checkpoint, then end
-    std::map<std::string, Json::Value> specs; // by job, for `tasks` and `backlog`
+    std::vector<task_attempt> checkpoints;        // checkpoint, then end
+    std::map<std::string, Json::Value> specs;     // by job, for `tasks` and `backlog`
+    std::vector<task_reservation> reservations{}; // of `tasks`, and what the agent has not taken
+    std::uint64_t reservationsThrough = 0;        // for the agent's next report
 };
 
+// The declared size in what a worker is told of a task.
+resources declaredIn(const Json::Value &spec);
+
 std::string_view nameOf(task_event_kind kind);
 
 // Each reader throws error BadRequest that names the bad member.
--- a/libs/work/task_keeper.cpp
+++ b/libs/work/task_keeper.cpp
@@ -24,7 +24,7 @@
         {task_outcome::Lapsed, "lapsed"},
 }};
 
-constexpr name_table<keeper_count, 8> CountNames = {{
+constexpr name_table<keeper_count, 9> CountNames = {{
         {keeper_count::StaleEpoch, "stale_epoch"},
         {keeper_count::StaleIncarnation, "stale_incarnation"},
         {keeper_count::OtherSession, "other_session"},
@@ -33,6 +33,7 @@
         {keeper_count::OldListing, "old_listing"},
         {keeper_count::OldAttempt, "old_attempt"},
         {keeper_count::AheadStarted, "ahead_started"},
+        {keeper_count::RaiseHeldBack, "raise_held_back"},
 }};
 
 task_event_kind eventOf(task_outcome outcome)
@@ -52,6 +53,15 @@
     return task_event_kind::Lost;
 }
 
+resources reservedIn(const worker_grant &grant, const task_attempt &attempt)
+{
+    for (const auto &reservation : grant.reservations) {
+        if (reservation.attempt == attempt)
+            return reservation.reserved;
+    }
+    return {};
+}
+
 bool isEnd(task_event_kind kind)
 {
     return kind != task_event_kind::Started && kind != task_event_kind::Checkpointed;
@@ -170,6 +180,17 @@
     return tasks;
 }
 
+resources task_keeper::occupiedBeside(const task_id &task) const
+{
+    resources sum;
+    for (const auto &[other, kept] : m_tasks) {
+        const bool counts = kept.state == kept_state::Starting || kept.state == kept_state::Running;
+        if (counts && other != task)
+            sum += largest(declaredIn(kept.spec), kept.reserved);
+    }
+    return sum;
+}
+
 void task_keeper::on(const grant_received &event, time_point now)
 {
     const worker_grant &grant = event.grant;
@@ -188,6 +209,7 @@
     takeAcks(grant.ackedThrough);
     for (const auto &attempt : grant.stops)
         takeStop(attempt);
+    takeReservations(grant); // before anything starts beside the tasks that have grown
     for (const auto &task : grant.tasks)
         takeTask(grant, task, false, grantEnds, now);
     for (const auto &task : grant.backlog)
@@ -239,6 +261,38 @@
     }
 }
 
+// Without it, a start would be checked against declared sizes while the tasks beside it were given
+// more: the worker would start what no longer fits. Reservations of one attempt only rise, so that
+// a grant that was overtaken takes nothing back. One that does not fit, beside a task that the
+// owner has already written off, kills nothing here: it is not acknowledged, so the owner repeats
+// it, and evicts by its policy what has outgrown the worker.
+void task_keeper::takeReservations(const worker_grant &grant)
+{
+    bool whole = true;
+    for (const auto &[attempt, reserved] : grant.reservations) {
+        const auto found = m_tasks.find(attempt.task);
+        if (found == m_tasks.end() || found->second.attempt != attempt.attempt
+            || found->second.state == kept_state::Ended)
+            continue; // about to start (takeTask), or over
+        kept_task &kept = found->second;
+        const resources raised = largest(kept.reserved, reserved);
+        if (raised == kept.reserved)
+            continue;
+        if (m_fits(attempt.task, largest(declaredIn(kept.spec), raised))) {
+            kept.reserved = raised;
+            continue;
+        }
+        whole = false;
+        count(keeper_count::RaiseHeldBack);
+    }
+    if (!whole)
+        return;
+    if (m_reservationsEpoch != grant.epoch)
+        m_reservationsTaken = 0; // another owner numbers anew
+    m_reservationsEpoch = grant.epoch;
+    m_reservationsTaken = std::max(m_reservationsTaken, grant.reservationsThrough);
+}
+
 void task_keeper::takeTask(const worker_grant &grant, const granted_task &task, bool ahead,
                            time_point grantEnds, time_point now)
 {
@@ -253,21 +307,22 @@
         count(keeper_count::LeaseLapsed);
         return;
     }
+    const resources reserved = reservedIn(grant, {task.task, task.attempt});
     if (isStarting(task)) {
-        start(task, spec->second, grantEnds);
+        start(task, spec->second, reserved, grantEnds);
         return;
     }
-    if (m_fits(task, spec->second)) {
+    if (m_fits(task.task, largest(declaredIn(spec->second), reserved))) {
         if (ahead)
             count(keeper_count::AheadStarted);
-        start(task, spec->second, grantEnds);
+        start(task, spec->second, reserved, grantEnds);
         return;
     }
     if (ahead)
         return;
     count(keeper_count::OverCapacity);
     kept_task &kept = m_tasks[task.task];
-    kept = {task.attempt, kept_state::Refusing, task.failover, task.checkpoint, {}, {}, 0};
+    kept = {task.attempt, kept_state::Refusing, task.failover, task.checkpoint, {}, {}, {}, 0};
     m_actions.emplace_back(worker_stop{{task.task, task.attempt}});
 }
 
@@ -304,7 +359,8 @@
     return kept != m_tasks.end() && kept->second.attempt == task.attempt;
 }
 
-void task_keeper::start(const granted_task &task, const Json::Value &spec, time_point grantEnds)
+void task_keeper::start(const granted_task &task, const Json::Value &spec,
+                        const resources &reserved, time_point grantEnds)
 {
     kept_task &kept = m_tasks[task.task];
     if (kept.attempt != task.attempt)
@@ -314,6 +370,7 @@
     kept.failover = task.failover;
     kept.checkpoint = task.checkpoint;
     kept.spec = spec;
+    kept.reserved = largest(kept.reserved, reserved);
     kept.startUntil = grantEnds;
     const milliseconds within(millisecondsUntil(grantEnds, m_listingReceivedAt));
     const milliseconds lease = leaseToGive(task.failover, grantEnds);
@@ -381,6 +438,8 @@
         return;
     }
     const bool news = kept.attempt != running.attempt.attempt || kept.state == kept_state::Starting;
+    if (kept.attempt != running.attempt.attempt)
+        kept.reserved = {}; // of an earlier attempt
     kept.attempt = running.attempt.attempt;
     kept.state = kept_state::Running;
     kept.failover = running.failover;
@@ -490,6 +549,8 @@
 {
     m_reportAt = now + m_settings.reportEvery;
     agent_report report{m_worker, m_incarnation, m_session, ++m_sequence, m_workerEpoch, {}};
+    if (m_reservationsEpoch == m_workerEpoch)
+        report.reservationsTaken = m_reservationsTaken;
     const std::size_t size = std::min(m_events.size(), m_settings.reportEvents);
     report.events.assign(m_events.begin(), m_events.begin() + static_cast<std::ptrdiff_t>(size));
     m_sentAt[m_sequence] = now;
--- a/libs/work/task_keeper.h
+++ b/libs/work/task_keeper.h
@@ -125,6 +125,7 @@
     OldListing,       // a reordered or doubled listing
     OldAttempt,       // a start of an attempt that already ran here
     AheadStarted,     // backlog started while the table was down
+    RaiseHeldBack,    // a raised reservation that does not fit beside what still runs here
 };
 std::string_view nameOf(keeper_count reason);
 struct count_keeper
@@ -143,9 +144,9 @@
     std::size_t reportEvents = 200; // most events in one report
 };
 
-// True if the task with this spec fits beside what the worker runs now (the last check before a
+// True if `amount` for the task fits beside task_keeper::occupiedBeside (the last check before a
 // start; workers start whatever they are given).
-using capacity_check = std::function<bool(const granted_task &task, const Json::Value &spec)>;
+using capacity_check = std::function<bool(const task_id &task, const resources &amount)>;
 
 class task_keeper
 {
@@ -158,6 +159,8 @@
 
     // Tasks that count against the worker's capacity: starting, running, ending.
     std::vector<running_task> occupying() const;
+    // What these hold without `task`: each the larger of its declared and its reserved size.
+    resources occupiedBeside(const task_id &task) const;
     time_point leaseUntil() const { return m_leaseUntil; }
     std::uint64_t epoch() const { return m_epoch; }
     std::size_t unackedEvents() const { return m_events.size(); }
@@ -176,6 +179,7 @@
         failover_class failover = failover_class::Lease;
         std::string checkpoint;
         Json::Value spec;
+        resources reserved;          // by the owner's ledger, where it said more than declared
         time_point startUntil;       // while Starting: the worker refuses it from then on
         std::uint64_t refusedAt = 0; // listing number when the worker refused to start it
     };
@@ -188,11 +192,13 @@
     void takeEpoch(std::uint64_t epoch, time_point now);
     time_point takeLease(const worker_grant &grant);
     void takeAcks(std::uint64_t through);
+    void takeReservations(const worker_grant &grant);
     void takeTask(const worker_grant &grant, const granted_task &task, bool ahead,
                   time_point grantEnds, time_point now);
     bool isKnown(const granted_task &task, time_point now);
     bool isStarting(const granted_task &task) const;
-    void start(const granted_task &task, const Json::Value &spec, time_point grantEnds);
+    void start(const granted_task &task, const Json::Value &spec, const resources &reserved,
+               time_point grantEnds);
     void takeStop(const task_attempt &attempt);
     void takeCheckpoint(const task_attempt &attempt);
     void takeIncarnation(std::uint64_t incarnation);
@@ -225,6 +231,8 @@
     std::uint64_t m_lastEvent = 0;
     std::deque<task_event> m_events; // unacknowledged
     std::map<task_id, kept_task> m_tasks;
+    std::uint64_t m_reservationsEpoch = 0; // of the owner that numbered the next
+    std::uint64_t m_reservationsTaken = 0; // newest that was taken whole
     time_point m_listAt;
     time_point m_reportAt;
     std::vector<keeper_action> m_actions;
--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -188,6 +188,23 @@
     record.incarnation = m_workers[event.worker].incarnation;
     record.ahead = event.ahead;
     want(event.task, record, now);
+    if (event.reserved == resources{})
+        return;
+    soft_state &soft = softOf(event.task, record.attempt);
+    soft.reserved = event.reserved;
+    soft.reservation = ++m_lastReservation;
+}
+
+// Told with the next grant, which follows within a report: nothing waits for it. What may start
+// meanwhile was placed by the ledger that counts the raise already.
+void task_table::on(const reservation_raised &event, time_point)
+{
+    const task_record record = m_store.effective(event.task);
+    if (!occupies(record))
+        return;
+    soft_state &soft = softOf(event.task, record.attempt);
+    soft.reserved = largest(soft.reserved, event.reserved);
+    soft.reservation = ++m_lastReservation;
 }
 
 std::size_t task_table::aheadOn(const std::string &worker) const
@@ -236,6 +253,7 @@
     applyIncarnation(report.worker, report.incarnation, now);
     worker.ackedThrough = ackable(report, worker.ackedThrough);
     worker.attached = report.epoch == m_owner.epoch;
+    worker.reservationsTaken = worker.attached ? report.reservationsTaken : 0;
     if (m_store.silent(report.worker)) {
         // Its tasks may run elsewhere by now, and the table promises that it holds no lease: no
         // grant before the table has taken that back.
@@ -458,6 +476,7 @@
     grant.stops.assign(worker.strays.begin(), worker.strays.end());
     for (const auto &task : tasksOn(name))
         addTask(grant, worker, task);
+    grant.reservationsThrough = m_lastReservation;
     m_actions.emplace_back(send_grant{std::move(grant)});
 }
 
@@ -470,6 +489,8 @@
         || record.incarnation != worker.incarnation)
         return;
     const task_attempt attempt{task, record.attempt};
+    const soft_state *soft = findSoft(task, record.attempt);
+    addReservation(grant, worker, attempt, soft);
     if (record.state == task_state::Cancelling) {
         grant.stops.push_back(attempt);
         return;
@@ -478,7 +499,6 @@
     const stored_job *job = m_store.job(task.job);
     if (!stays || job == nullptr)
         return;
-    const soft_state *soft = findSoft(task, record.attempt);
     if (soft != nullptr && soft->evicting)
         grant.checkpoints.push_back(attempt);
     if (soft != nullptr && soft->startedBy == worker.session)
@@ -490,6 +510,17 @@
     grant.specs[task.job] = job->spec.spec;
 }
 
+// Until the agent says that it counts the raise: a replaced agent starts from declared sizes.
+void task_table::addReservation(worker_grant &grant, const worker_state &worker,
+                                const task_attempt &attempt, const soft_state *soft)
+{
+    if (soft == nullptr || soft->reservation == 0)
+        return;
+    const bool starts = soft->startedBy != worker.session;
+    if (starts || soft->reservation > worker.reservationsTaken)
+        grant.reservations.push_back({attempt, soft->reserved});
+}
+
 // A worker that was lost after it had made a checkpoint and before it could report it leaves the
 // object behind; resuming from an older one would do that work twice.
 std::vector<std::string> task_table::newerCheckpoints(const task_id &task,
@@ -618,7 +649,7 @@
 {
     soft_state &soft = m_soft[task];
     if (soft.attempt != attempt)
-        soft = {attempt, {}, false, false};
+        soft = {attempt, {}, false, false, {}, 0};
     return soft;
 }
 
--- a/libs/work/task_table.h
+++ b/libs/work/task_table.h
@@ -34,7 +34,13 @@
 {
     task_id task;
     std::string worker;
-    bool ahead = false; // backlog: started while the table is down, or once start_ahead_decided
+    bool ahead = false;   // backlog: started while the table is down, or once start_ahead_decided
+    resources reserved{}; // by the placer's ledger, where that is more than declared
+};
+struct reservation_raised // of a task that is placed; its agent has to count it too
+{
+    task_id task;
+    resources reserved;
 };
 struct evict_decided // checkpoint and free; a task that does not run is only freed
 {
@@ -54,9 +60,9 @@
 };
 struct table_tick // every 20 to 100 ms
 { };
-using table_event =
-        std::variant<job_accepted, cancel_job, place_decided, evict_decided, report_received,
-                     start_ahead_decided, write_settled, rows_read, horizon_moved, table_tick>;
+using table_event = std::variant<job_accepted, cancel_job, place_decided, evict_decided,
+                                 report_received, start_ahead_decided, reservation_raised,
+                                 write_settled, rows_read, horizon_moved, table_tick>;
 
 // Actions; commit_rows, read_rows, scan_rows and fenced come from work/task_store.h.
 struct send_grant
@@ -153,7 +159,8 @@
         bool attached = false; // its worker has recorded this epoch
         time_point leaseUntil; // it may hold a lease of this owner until then
         std::uint64_t ackedThrough = 0;
-        std::set<task_attempt> strays; // to be stopped
+        std::set<task_attempt> strays;       // to be stopped
+        std::uint64_t reservationsTaken = 0; // the agent has counted those up to here
     };
 
     struct soft_state // known only to this process
@@ -161,7 +168,9 @@
         std::uint32_t attempt = 0;
         std::string startedBy; // session that said it runs
         bool evicting = false;
-        bool mayStart = false; // placed ahead, and there is room now
+        bool mayStart = false;         // placed ahead, and there is room now
+        resources reserved;            // while `reservation` is set
+        std::uint64_t reservation = 0; // number of its newest raise; 0: declared size
     };
 
     void on(const job_accepted &event, time_point now);
@@ -169,6 +178,7 @@
     void on(const place_decided &event, time_point now);
     void on(const evict_decided &event, time_point now);
     void on(const start_ahead_decided &event, time_point now);
+    void on(const reservation_raised &event, time_point now);
     void on(const report_received &event, time_point now);
     void on(const write_settled &event, time_point now);
     void on(const rows_read &event, time_point now);
@@ -194,6 +204,8 @@
 
     // Grants.
     void grantTo(const std::string &name, worker_state &worker, time_point now);
+    static void addReservation(worker_grant &grant, const worker_state &worker,
+                               const task_attempt &attempt, const soft_state *soft);
     void addTask(worker_grant &grant, const worker_state &worker, const task_id &task) const;
     static std::vector<std::string> newerCheckpoints(const task_id &task,
                                                      const task_record &record);
@@ -230,6 +242,7 @@
     std::map<std::string, worker_state> m_workers;
     std::map<std::string, std::set<task_id>> m_onWorker; // settled or wanted there
     std::map<task_id, soft_state> m_soft;
+    std::uint64_t m_lastReservation = 0; // numbers the raises of this tenure
     std::set<task_id> m_placeable;
     std::set<std::string> m_pushTo; // workers that get a grant at the end of this event
     std::vector<table_action> m_actions;
--- /dev/null
+++ b/tests/shard_world.h
@@ -0,0 +1,232 @@
+// One shard as the entry runs it, with its agents, their workers and the table, on a virtual clock.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "app/owned_shard.h"
+#include "base/random.h"
+#include "platform/memory_platform.h"
+#include "section.h"
+#include "work/ownership.h"
+#include "work/task_keeper.h"
+#include "work/worker_tasks.h"
+
+namespace zinniabarrow::tests {
+
+constexpr std::int64_t Gigabyte = 1'000'000'000;
+
+// A worker and the agent beside it.
+struct shard_host
+{
+    std::string id;
+    resources size;
+    std::unique_ptr<work::task_keeper> keeper;
+    std::unique_ptr<work::worker_tasks> worker;
+    int session = 0;    // raised when the agent is replaced
+    unsigned kills = 0; // running tasks that were stopped without a checkpoint
+    bool alive = true;
+
+    void startAgent()
+    {
+        keeper = std::make_unique<work::task_keeper>(
+                id, id + "#" + std::to_string(++session), work::keeper_settings(),
+                [this](const work::task_id &task, const resources &amount) {
+                    return (keeper->occupiedBeside(task) + amount).fitsIn(size);
+                });
+    }
+};
+
+class shard_world
+{
+public:
+    explicit shard_world(int workers, resources size = {16'000, 60 * Gigabyte, 0})
+    {
+        folder.pools["shared"].worker = size;
+        folder.teams["rinks"];
+        for (int index = 0; index < workers; ++index) {
+            const auto id = "w" + std::to_string(index);
+            auto &host = hosts[id];
+            host.id = id;
+            host.size = size;
+            host.worker = std::make_unique<work::worker_tasks>(1);
+            host.startAgent();
+            m_places[id] = {{id, "kartli-a", "r" + std::to_string(index), "shared", size}, id};
+        }
+        own(1);
+    }
+
+    // Another entry owns the shard; it has not read the configuration yet.
+    void takeOver()
+    {
+        own(++m_epoch);
+        m_adopted = {};
+    }
+
+    // The folder as it stands is accepted as the next generation.
+    void accept()
+    {
+        ++m_generation;
+        m_adopted = {m_generation, std::make_shared<config::configuration>(folder)};
+    }
+
+    void pass(milliseconds length, milliseconds step = milliseconds(200))
+    {
+        for (const auto until = now + length; now < until;) {
+            now += step;
+            for (auto &[id, host] : hosts)
+                tickHost(host);
+            feed(work::table_tick{});
+            perform(owner->follow(m_adopted, m_places, now));
+            std::vector<placement::throttle_action> throttles;
+            perform(owner->plan(now, throttles));
+        }
+    }
+
+    // The worker is lost with its tasks and comes back empty, in a newer life.
+    void replaceWorker(shard_host &host)
+    {
+        host.worker = std::make_unique<work::worker_tasks>(host.worker->incarnation() + 1);
+    }
+
+    std::vector<work::running_task> running(const std::string &job) const
+    {
+        std::vector<work::running_task> found;
+        for (const auto &[id, host] : hosts) {
+            for (const auto &task : host.worker->running()) {
+                if (host.alive && task.attempt.task.job.rfind(job + "@", 0) == 0)
+                    found.push_back(task);
+            }
+        }
+        return found;
+    }
+
+    void sampleUsage(const std::string &worker, const work::task_id &task, std::int64_t bytes)
+    {
+        owner->usageSampled(
+                {{task.job, static_cast<std::int32_t>(task.index)}, worker, {0, bytes, 0}, now},
+                now);
+    }
+
+    // What the owner's ledger counts on the worker.
+    resources reservedByOwner(const std::string &worker) const
+    {
+        const auto status = owner->status(now);
+        for (const auto &entry : status["workers"]) {
+            if (entry["id"] == worker)
+                return placement::resourcesFromJson(entry["reserved"]);
+        }
+        return {};
+    }
+    static resources countedByAgent(const shard_host &host)
+    {
+        return host.keeper->occupiedBeside({});
+    }
+
+    time_point now{std::chrono::hours(1)};
+    config::configuration folder;
+    std::map<std::string, shard_host> hosts;
+    random_generator random{1};
+    double lossPart = 0; // of the grants
+
+    metrics counters;
+    logger log{"test", "shard", log_level::Error};
+    std::unique_ptr<owned_shard> owner;
+
+private:
+    void own(std::uint64_t epoch)
+    {
+        const auto row = m_platform.read(work::shardKey(0));
+        m_platform.commit({"own-" + std::to_string(epoch),
+                           {},
+                           {{work::shardKey(0), Json::Value(Json::objectValue)}}});
+        const work::table_owner tenure{0, epoch, row ? row->version + 1 : 1, {}};
+        owner = std::make_unique<owned_shard>(tenure, "op", work::table_settings(), settings(), 1,
+                                              counters, log);
+        feed(work::rows_read{{}, m_platform.scan("work/0/")});
+        feed(work::horizon_moved{Never});
+    }
+
+    // As the daemon sets them.
+    static placement::placer_settings settings()
+    {
+        placement::placer_settings out;
+        out.sizes.processorFloor = 1.0;
+        return out;
+    }
+
+    void feed(const work::table_event &event) { perform(owner->handle(event, now)); }
+
+    void perform(const std::vector<work::table_action> &actions)
+    {
+        for (const auto &action : actions) {
+            if (const auto *commit = std::get_if<work::commit_rows>(&action))
+                feed(work::write_settled{commit->transaction.operationId,
+                                         m_platform.commit(commit->transaction)});
+            else if (const auto *grant = std::get_if<work::send_grant>(&action))
+                deliver(grant->grant);
+        }
+    }
+
+    void deliver(const work::worker_grant &grant)
+    {
+        auto &host = hosts.at(grant.worker);
+        if (!host.alive || pickUnit(random) < lossPart)
+            return;
+        const auto parsed = work::workerGrantFromJson(toJson(grant)); // as it goes over the wire
+        run(host, host.keeper->handle(work::grant_received{parsed}, now));
+    }
+
+    void tickHost(shard_host &host)
+    {
+        if (!host.alive)
+            return;
+        host.worker->takeLapsed(now);
+        run(host, host.keeper->handle(work::keeper_tick{}, now));
+    }
+
+    void run(shard_host &host, const std::vector<work::keeper_action> &actions)
+    {
+        for (const auto &action : actions)
+            std::visit([&](const auto &one) { act(host, one); }, action);
+    }
+    void act(shard_host &host, const work::worker_list &action)
+    {
+        const auto listing = host.worker->list(action, now);
+        run(host, host.keeper->handle(work::listing_received{listing}, now));
+    }
+    void act(shard_host &host, const work::worker_start &action)
+    {
+        host.worker->start(action, now);
+    }
+    void act(shard_host &host, const work::worker_renew &action) { host.worker->renew(action); }
+    void act(shard_host &host, const work::worker_stop &action)
+    {
+        host.kills += host.worker->stop(action) ? 1 : 0;
+    }
+    void act(shard_host &host, const work::worker_checkpoint &action)
+    {
+        host.worker->ended({action.attempt, work::task_outcome::Evicted, action.checkpoint, {}});
+    }
+    void act(shard_host &host, const work::worker_forget &action) { host.worker->forget(action); }
+    void act(shard_host &, const work::send_report &action)
+    {
+        feed(work::report_received{work::agentReportFromJson(toJson(action.report))});
+    }
+    void act(shard_host &, const work::count_keeper &action)
+    {
+        counters.count("tasks_kept_total", nameOf(action.reason));
+    }
+
+    memory_platform m_platform;
+    std::map<std::string, worker_place> m_places;
+    adopted_configuration m_adopted;
+    std::uint64_t m_generation = 0;
+    std::uint64_t m_epoch = 1;
+};
+
+} // namespace zinniabarrow::tests
--- a/tests/work_model.h
+++ b/tests/work_model.h
@@ -318,7 +318,7 @@
         keeper.leases = settings;
         agent.keeper = std::make_unique<task_keeper>(
                 agent.worker, agent.name + "#" + std::to_string(agent.life), keeper,
-                [&agent](const granted_task &, const Json::Value &) {
+                [&agent](const task_id &, const resources &) {
                     return agent.keeper->occupying().size() < Slots;
                 });
     }
