Interference on real workers, end to end: a noisy task is throttled, the service recovers

Cause: the stand-in workers did not disturb each other, so nothing showed whether late samples reach the placer and throttles reach the worker. On the way they had faults: the tail latency was that of the newest 256 answers, however old, stamped with the age of the worker's usage; no answers counted as a latency of zero; requests that got no answer in time did not count; a throttle was sent once, lost with its message, unknown to a replaced agent, and left on the worker for ever when the owner changed; a usage sample of an earlier attempt counted for the next one.

Change: the stand-in worker tells the noise of its tasks (fault "noise"), the upstream on its instance serves slower by it. The agent samples the last 2 s of answers with their own age (request/latency_window); grants name every limit, so that they are repeated, learned again and lifted; samples of an earlier attempt are dropped for the new one. Entries log and count throttles.

Ruled out: a `noise` member in the operators' schema (nothing of the product needs it).

--- a/app/admission_duty.cpp
+++ b/app/admission_duty.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::size_t RingCapacity = 8192;
-constexpr std::size_t TimesForTail = 256; // newest requests that the tail latency is taken from
+constexpr seconds TailWindow{2}; // answers that the tail latency is taken from
 constexpr milliseconds TickEvery{20};
 
 request::admission_settings admissionSettings(const config::agent_settings &settings)
@@ -77,8 +77,8 @@
     , m_unreachable(std::move(unreachable))
     , m_upstream({settings.upstream.address.address, settings.upstream.address.port},
                  upstreamLimits(settings))
+    , m_newestTimes(TailWindow)
     , m_admission(admissionSettings(settings))
-    , m_newestTimes(TimesForTail)
     , m_guard(incarnation, {})
 {
     m_duty = std::make_unique<duty<event>>(
@@ -146,6 +146,7 @@
         over.ran = executed::No;
     else if (response.header(ErrorHeader).empty())
         over.ran = executed::Yes;
+    over.late = response.header(ErrorHeader) == nameOf(error_kind::AnswerLate);
     // A slot that is never given back would be lost: the ring is sized for every connection.
     while (!m_duty->post(over))
         m_metrics.count("ring_full_total", "finished");
@@ -197,6 +198,12 @@
     return load;
 }
 
+std::optional<request::latency_reading> admission_duty::tailLatency() const
+{
+    const std::lock_guard lock(m_timesMutex);
+    return m_newestTimes.read(monotonic_clock::now());
+}
+
 void admission_duty::stop()
 {
     m_duty->stop();
@@ -224,8 +231,9 @@
 void admission_duty::on(const ending &what, time_point now)
 {
     m_guard.ended(what.requestId, what.attempt, what.ran, now);
-    if (what.ran == executed::Yes)
-        noteTime(what.event.tookTime);
+    // One that was late took at least so long: an upstream that answers nothing in time is slow.
+    if (what.ran == executed::Yes || what.late)
+        noteTime(what.event.tookTime, now);
     feed(what.event);
 }
 
@@ -248,13 +256,10 @@
     feed(what);
 }
 
-void admission_duty::noteTime(duration took)
+void admission_duty::noteTime(duration took, time_point now)
 {
-    m_newestTimes.push_back(took);
-    std::vector<duration> times(m_newestTimes.begin(), m_newestTimes.end());
-    const auto tail = times.begin() + static_cast<std::ptrdiff_t>(times.size() * 99 / 100);
-    std::nth_element(times.begin(), tail, times.end());
-    m_tailMicroseconds = tail->count();
+    const std::lock_guard lock(m_timesMutex);
+    m_newestTimes.add(took, now);
 }
 
 void admission_duty::tick()
--- a/app/admission_duty.h
+++ b/app/admission_duty.h
@@ -4,15 +4,16 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 #include <variant>
 
-#include <boost/circular_buffer.hpp>
-
 #include "config/settings.h"
 #include "delivery/attempt_guard.h"
 #include "request/admission.h"
 #include "request/announcement.h"
+#include "request/latency_window.h"
 #include "runtime/duty.h"
 #include "runtime/http.h"
 #include "runtime/metrics.h"
@@ -35,8 +36,8 @@
     void drain();
     bool drained() const { return m_running == 0 && m_waiting == 0 && m_inside == 0; }
     request::upstream_load load() const;
-    // 99th percentile of the upstream's newest answers; zero while there are none.
-    microseconds tailLatency() const { return microseconds(m_tailMicroseconds); }
+    // Of the upstream's newest answers; absent while there are none.
+    std::optional<request::latency_reading> tailLatency() const;
     void stop();
 
 private:
@@ -54,6 +55,7 @@
         std::string requestId;
         std::uint32_t attempt = 0;
         executed ran = executed::Unknown;
+        bool late = false; // no answer by the deadline
     };
     struct cancelling
     {
@@ -76,7 +78,7 @@
     void on(const ending &what, time_point now);
     void on(const cancelling &what, time_point now);
     void on(const request::admission::drain_started &what, time_point now);
-    void noteTime(duration took);
+    void noteTime(duration took, time_point now);
     void decide(const request::admission::action &action, time_point now);
     void tick();
     void feed(const request::admission::event &what);
@@ -89,11 +91,11 @@
     std::atomic<int> m_waiting{0};
     std::atomic<int> m_inside{0}; // requests between their arrival and their answer
     std::atomic<std::int64_t> m_latencyMicroseconds{0};
-    std::atomic<std::int64_t> m_tailMicroseconds{0};
+    mutable std::mutex m_timesMutex; // of the next
+    request::latency_window m_newestTimes;
 
     // Touched by the duty's thread alone.
     request::admission m_admission;
-    boost::circular_buffer<duration> m_newestTimes; // of requests at the upstream
     delivery::attempt_guard m_guard;
     std::map<std::string, waiting_attempt> m_attempts; // that wait, by key
 
--- a/app/keeper_duty.cpp
+++ b/app/keeper_duty.cpp
@@ -37,8 +37,7 @@
 
 keeper_duty::keeper_duty(duty_system &system, const config::agent_settings &settings,
                          const process_identity &self, const std::string &ownAddress,
-                         rpc_sender &sender, metrics &counters,
-                         std::function<microseconds()> tailLatency)
+                         rpc_sender &sender, metrics &counters, latency_source tailLatency)
     : m_settings(settings)
     , m_ownAddress(ownAddress)
     , m_sender(sender)
@@ -91,17 +90,33 @@
     } else {
         const auto &asked = std::get<throttle_asked>(what);
         for (const auto &running : m_keeper.occupying()) {
-            if (running.attempt.task != asked.task)
-                continue;
-            constexpr std::int64_t Percent = 100;
-            const auto whole = std::max<std::int64_t>(work::declaredIn(running.spec).millicores, 1);
-            auto body = attemptJson(running.attempt);
-            body["percent"] = Json::Int64(std::min(asked.millicores * Percent / whole, Percent));
-            callWorker("/throttle", body);
+            if (running.attempt.task == asked.task)
+                limitWorker(running.attempt, asked.millicores);
         }
     }
 }
 
+void keeper_duty::perform(const work::worker_limit &action)
+{
+    limitWorker(action.attempt, action.millicores);
+}
+
+void keeper_duty::limitWorker(const work::task_attempt &attempt, std::int64_t millicores)
+{
+    constexpr std::int64_t Percent = 100;
+    for (const auto &running : m_keeper.occupying()) {
+        if (running.attempt != attempt)
+            continue;
+        const auto whole = std::max<std::int64_t>(work::declaredIn(running.spec).millicores, 1);
+        const auto part = std::min(millicores * Percent / whole, Percent);
+        auto body = attemptJson(attempt);
+        body["percent"] = Json::Int64(millicores == 0 ? Percent : part);
+        callWorker("/throttle", body, [this, attempt] {
+            m_duty->post(work::keeper_event{work::limit_unsettled{attempt}});
+        });
+    }
+}
+
 void keeper_duty::tick()
 {
     feed(work::keeper_tick{});
@@ -117,14 +132,18 @@
     flushRenewals();
 }
 
-void keeper_duty::callWorker(const std::string &path, const Json::Value &body)
+void keeper_duty::callWorker(const std::string &path, const Json::Value &body,
+                             std::function<void()> failed)
 {
     const auto text = compactJson(body);
-    const bool queued = m_workerLane->post([this, path, text] {
+    const bool queued = m_workerLane->post([this, path, text, failed] {
         const auto result =
                 m_worker.call({"POST", path, {}, text}, monotonic_clock::now() + WorkerTimeout);
-        if (!std::holds_alternative<http_response>(result))
+        const auto *response = std::get_if<http_response>(&result);
+        if (response == nullptr)
             m_metrics.count("worker_calls_failed_total", path.substr(1));
+        if (failed && (response == nullptr || response->status != 200))
+            failed();
     });
     if (!queued)
         m_metrics.count("ring_full_total", "worker");
@@ -282,8 +301,8 @@
     if (m_keeper.occupying().empty())
         return;
     const auto target = config::toText(m_settings.entries[m_owner]);
-    const auto p99 = m_tailLatency();
-    m_workerLane->post([this, target, p99] {
+    const auto latency = m_tailLatency();
+    m_workerLane->post([this, target, latency] {
         const auto result =
                 m_worker.call({"GET", "/usage", {}, {}}, monotonic_clock::now() + WorkerTimeout);
         const auto *response = std::get_if<http_response>(&result);
@@ -293,7 +312,12 @@
             auto parameters = parseJson(response->body);
             parameters["worker"] = m_settings.worker.id;
             parameters["service"] = m_settings.upstream.service;
-            parameters["p99_us"] = Json::Int64(p99.count());
+            parameters["p99_us"] = Json::Int64(latency ? latency->p99.count() : 0);
+            if (latency)
+                parameters["p99_age_ms"] =
+                        Json::Int64(std::chrono::duration_cast<milliseconds>(monotonic_clock::now()
+                                                                             - latency->measuredAt)
+                                            .count());
             m_sender.call(target, "usage", parameters, [](const std::optional<Json::Value> &) {});
         } catch (const error &) {
             m_metrics.count("worker_calls_failed_total", "bad_usage");
--- a/app/keeper_duty.h
+++ b/app/keeper_duty.h
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "config/settings.h"
 #include "placement/resources.h"
+#include "request/latency_window.h"
 #include "runtime/duty.h"
 #include "runtime/metrics.h"
 #include "work/task_keeper.h"
@@ -21,14 +22,17 @@
 class keeper_duty
 {
 public:
+    using latency_source = std::function<std::optional<request::latency_reading>()>;
+
     keeper_duty(duty_system &system, const config::agent_settings &settings,
                 const process_identity &self, const std::string &ownAddress, rpc_sender &sender,
-                metrics &counters, std::function<microseconds()> tailLatency);
+                metrics &counters, latency_source tailLatency);
     ~keeper_duty();
 
     // JSON-RPC bodies.
     Json::Value grant(const Json::Value &parameters);
-    Json::Value throttle(const Json::Value &parameters); // {task, millicores}
+    // {task, millicores}, from owners of earlier versions; others name limits in their grants.
+    Json::Value throttle(const Json::Value &parameters);
 
     void setServing(bool serving) { m_serving = serving; }
     void stop();
@@ -54,13 +58,16 @@
     void perform(const work::worker_renew &action);
     void perform(const work::worker_stop &action);
     void perform(const work::worker_checkpoint &action);
+    void perform(const work::worker_limit &action);
     void perform(const work::worker_forget &action);
     void perform(const work::send_report &action);
     void perform(const work::count_keeper &action);
     void answered(const report_answered &what);
     void sendReport(std::size_t entry, const Json::Value &parameters);
     void sendUsage(time_point now);
-    void callWorker(const std::string &path, const Json::Value &body);
+    void callWorker(const std::string &path, const Json::Value &body,
+                    std::function<void()> failed = {});
+    void limitWorker(const work::task_attempt &attempt, std::int64_t millicores);
     void flushRenewals();
     bool fits(const work::task_id &task, const resources &amount) const;
 
@@ -68,7 +75,7 @@
     const std::string m_ownAddress;
     rpc_sender &m_sender;
     metrics &m_metrics;
-    std::function<microseconds()> m_tailLatency;
+    latency_source m_tailLatency;
     std::atomic<bool> m_serving{true};
     http_pool m_worker;
 
--- a/app/owned_shard.cpp
+++ b/app/owned_shard.cpp
@@ -307,8 +307,7 @@
     }
 }
 
-std::vector<work::table_action>
-owned_shard::plan(time_point now, std::vector<placement::throttle_action> &throttles)
+std::vector<work::table_action> owned_shard::plan(time_point now)
 {
     std::vector<work::table_action> actions;
     if (!m_adopted)
@@ -334,7 +333,7 @@
             m_placer.taskStopping(preempt->victim, preempt->worker, now);
             feed(work::evict_decided{idOf(preempt->victim)});
         } else if (const auto *throttled = std::get_if<placement::throttle_action>(&decision)) {
-            throttles.push_back(*throttled);
+            feed(limitFor(*throttled));
         } else if (const auto *refused = std::get_if<placement::refuse_action>(&decision)) {
             m_metrics.count("tasks_refused_total", nameOf(refused->kind));
             m_refusals[placement::toText(refused->task)] = refused->reason;
@@ -343,6 +342,20 @@
     return actions;
 }
 
+work::limit_decided owned_shard::limitFor(const placement::throttle_action &action)
+{
+    const auto *book = m_placer.ledgerOf(action.worker);
+    const auto *entry = book == nullptr ? nullptr : book->find(action.task);
+    const bool lifted = entry == nullptr || action.millicores >= entry->reserved.millicores;
+    m_metrics.count("throttles_total", lifted ? "lifted" : "interference");
+    Json::Value fields(Json::objectValue);
+    fields["task"] = placement::toText(action.task);
+    fields["worker"] = action.worker;
+    fields["millicores"] = Json::Int64(action.millicores);
+    m_log.info(lifted ? "throttle_lifted" : "task_throttled", fields);
+    return {idOf(action.task), lifted ? 0 : action.millicores};
+}
+
 // What the agent has to be told: it reads the declared size itself.
 resources owned_shard::aboveDeclared(const placement::task_ref &task,
                                      const resources &reserved) const
@@ -360,6 +373,8 @@
 void owned_shard::latencySampled(const std::string &worker, const std::string &service,
                                  microseconds p99, time_point measuredAt, time_point now)
 {
+    if (p99.count() <= 0)
+        return; // no answers: that is no measurement, least of all of a very quick service
     const auto prefix = service + GenerationMark;
     for (const auto &[task, record] : m_table.occupying()) {
         const auto target = m_latencyTargets.find(task.job);
--- a/app/owned_shard.h
+++ b/app/owned_shard.h
@@ -41,9 +41,8 @@
     std::vector<work::table_action> follow(const adopted_configuration &adopted,
                                            const std::map<std::string, worker_place> &workers,
                                            time_point now);
-    // Decides placements; throttles go to `throttles`.
-    std::vector<work::table_action> plan(time_point now,
-                                         std::vector<placement::throttle_action> &throttles);
+    // Decides placements, evictions and throttles.
+    std::vector<work::table_action> plan(time_point now);
 
     void usageSampled(const placement::usage_sample &sample, time_point now);
     void latencySampled(const std::string &worker, const std::string &service, microseconds p99,
@@ -64,6 +63,7 @@
     void followWorkers(const std::map<std::string, worker_place> &workers, time_point now);
     std::string jobIdFor(const std::string &name, std::uint64_t generation) const;
     work::job_spec sliceOf(work::job_spec job) const;
+    work::limit_decided limitFor(const placement::throttle_action &action);
     resources aboveDeclared(const placement::task_ref &task, const resources &reserved) const;
     void logTask(std::string_view event, const work::task_settled &change) const;
 
--- a/app/schedule_duty.cpp
+++ b/app/schedule_duty.cpp
@@ -199,7 +199,13 @@
             }
             const auto service = stringMember(what.parameters, "service");
             const microseconds p99(integerMember(what.parameters, "p99_us"));
-            shard->latencySampled(worker, service, p99, measuredAt, now);
+            // Requests and usage are not measured together; agents of earlier versions gave one
+            // age.
+            const bool own = what.parameters.isMember("p99_age_ms");
+            const auto servedAt =
+                    own ? now - milliseconds(integerMember(what.parameters, "p99_age_ms"))
+                        : measuredAt;
+            shard->latencySampled(worker, service, p99, servedAt, now);
         }
         what.reply->set_value(Json::Value(Json::objectValue));
     } catch (const error &) {
@@ -255,10 +261,7 @@
             continue;
         auto &shard = *found->second;
         performAll(shard, shard.follow(m_configuration, m_workers, monotonic_clock::now()));
-        std::vector<placement::throttle_action> throttles;
-        performAll(shard, shard.plan(monotonic_clock::now(), throttles));
-        for (const auto &action : throttles)
-            throttle(action);
+        performAll(shard, shard.plan(monotonic_clock::now()));
     }
 }
 
@@ -367,19 +370,6 @@
                   [](const std::optional<Json::Value> &) {});
 }
 
-void schedule_duty::throttle(const placement::throttle_action &action)
-{
-    const auto agent = m_workers.find(action.worker);
-    if (agent == m_workers.end())
-        return;
-    Json::Value parameters(Json::objectValue);
-    parameters["task"] = placement::toText(action.task);
-    parameters["millicores"] = Json::Int64(action.millicores);
-    m_metrics.count("throttles_total", "interference");
-    m_sender.call(agent->second.agentAddress, "throttle", parameters,
-                  [](const std::optional<Json::Value> &) {});
-}
-
 owned_shard *schedule_duty::shardOf(const std::string &worker)
 {
     const auto number = work::shardOfWorker(worker, {}, m_shardInfos);
--- a/app/schedule_duty.h
+++ b/app/schedule_duty.h
@@ -96,7 +96,6 @@
     void commitRows(const owned_shard &shard, const work::commit_rows &action);
     void readRows(const owned_shard &shard, std::vector<std::string> keys, std::string prefix);
     void sendGrant(const work::worker_grant &grant);
-    void throttle(const placement::throttle_action &action);
     owned_shard *shardOf(const std::string &worker);
 
     const config::entry_settings m_settings;
--- a/libs/placement/scheduler.cpp
+++ b/libs/placement/scheduler.cpp
@@ -430,7 +430,12 @@
     const auto found = placedOn(sample.task, sample.worker);
     if (!found)
         return;
-    if (sample.measuredAt <= found.task->sampledAt) {
+    // Late: it may be of an earlier attempt that ran on the same worker. That one's peak is still
+    // what the job was seen to use, but not what this attempt uses.
+    const bool earlier = sample.measuredAt < found.task->startedAt;
+    if (earlier)
+        found.job->usage.peakBytes = std::max(found.job->usage.peakBytes, sample.used.bytes);
+    if (earlier || sample.measuredAt <= found.task->sampledAt) {
         ++m_stats.droppedSamples;
         return;
     }
--- a/libs/work/messages.cpp
+++ b/libs/work/messages.cpp
@@ -103,6 +103,19 @@
              static_cast<std::int64_t>(countMember(value, "accelerators"))}};
 }
 
+Json::Value toJson(const task_limit &limit)
+{
+    Json::Value value = work::toJson(limit.attempt);
+    value["millicores"] = Json::Int64(limit.millicores);
+    return value;
+}
+
+task_limit taskLimitFromJson(const Json::Value &value)
+{
+    return {taskAttemptFromJson(value),
+            static_cast<std::int64_t>(countMember(value, "millicores"))};
+}
+
 template <typename Item>
 Json::Value listToJson(const std::vector<Item> &items)
 {
@@ -217,6 +230,8 @@
         value["reservations"] = listToJson(grant.reservations);
     if (grant.reservationsThrough > 0)
         value["reservationsThrough"] = Json::UInt64(grant.reservationsThrough);
+    if (grant.limits)
+        value["limits"] = listToJson(*grant.limits);
     return value;
 }
 
@@ -244,6 +259,8 @@
         grant.reservations = listFromJson(value, "reservations", taskReservationFromJson);
     if (value.isMember("reservationsThrough"))
         grant.reservationsThrough = countMember(value, "reservationsThrough");
+    if (value.isMember("limits"))
+        grant.limits = listFromJson(value, "limits", taskLimitFromJson);
     return grant;
 }
 
--- a/libs/work/messages.h
+++ b/libs/work/messages.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -96,6 +97,13 @@
     resources reserved;
 };
 
+// Processor time that a running task may use, below its reservation: it disturbs a service.
+struct task_limit
+{
+    task_attempt attempt;
+    std::int64_t millicores = 0;
+};
+
 struct granted_task
 {
     task_id task;
@@ -125,6 +133,9 @@
     std::map<std::string, Json::Value> specs;     // by job, for `tasks` and `backlog`
     std::vector<task_reservation> reservations{}; // of `tasks`, and what the agent has not taken
     std::uint64_t reservationsThrough = 0;        // for the agent's next report
+    // All there are: what is not named runs without a limit. Absent from owners of earlier
+    // versions.
+    std::optional<std::vector<task_limit>> limits{};
 };
 
 // The declared size in what a worker is told of a task.
--- a/libs/work/task_keeper.cpp
+++ b/libs/work/task_keeper.cpp
@@ -216,6 +216,8 @@
         takeTask(grant, task, true, grantEnds, now);
     for (const auto &attempt : grant.checkpoints)
         takeCheckpoint(attempt);
+    if (grant.limits)
+        takeLimits(*grant.limits);
 }
 
 // A superseded owner may still be alive and send: its tasks may by now run elsewhere.
@@ -293,6 +295,32 @@
     m_reservationsTaken = std::max(m_reservationsTaken, grant.reservationsThrough);
 }
 
+// Each grant names every limit, so a lost one is repeated, an agent that was replaced learns them
+// again, and those of a former owner, which its successor does not know, are lifted. Told once, a
+// task could stay throttled for the rest of its life, or a noisy one at full speed.
+void task_keeper::takeLimits(const std::vector<task_limit> &limits)
+{
+    std::map<task_attempt, std::int64_t> wanted;
+    for (const auto &limit : limits)
+        wanted[limit.attempt] = limit.millicores;
+    for (auto &[task, kept] : m_tasks) {
+        const task_attempt attempt{task, kept.attempt};
+        const auto found = wanted.find(attempt);
+        const std::int64_t limit = found == wanted.end() ? 0 : found->second;
+        if (kept.state != kept_state::Running || kept.limit == limit)
+            continue;
+        kept.limit = limit;
+        m_actions.emplace_back(worker_limit{attempt, limit});
+    }
+}
+
+void task_keeper::on(const limit_unsettled &event, time_point)
+{
+    const auto kept = m_tasks.find(event.attempt.task);
+    if (kept != m_tasks.end() && kept->second.attempt == event.attempt.attempt)
+        kept->second.limit = UnknownLimit; // told again with the next grant
+}
+
 void task_keeper::takeTask(const worker_grant &grant, const granted_task &task, bool ahead,
                            time_point grantEnds, time_point now)
 {
@@ -322,7 +350,7 @@
         return;
     count(keeper_count::OverCapacity);
     kept_task &kept = m_tasks[task.task];
-    kept = {task.attempt, kept_state::Refusing, task.failover, task.checkpoint, {}, {}, {}, 0};
+    kept = {task.attempt, kept_state::Refusing, task.failover, task.checkpoint, {}, {}, {}, 0, 0};
     m_actions.emplace_back(worker_stop{{task.task, task.attempt}});
 }
 
@@ -371,6 +399,7 @@
     kept.checkpoint = task.checkpoint;
     kept.spec = spec;
     kept.reserved = largest(kept.reserved, reserved);
+    kept.limit = 0; // the worker starts it without one
     kept.startUntil = grantEnds;
     const milliseconds within(millisecondsUntil(grantEnds, m_listingReceivedAt));
     const milliseconds lease = leaseToGive(task.failover, grantEnds);
@@ -438,8 +467,10 @@
         return;
     }
     const bool news = kept.attempt != running.attempt.attempt || kept.state == kept_state::Starting;
-    if (kept.attempt != running.attempt.attempt)
-        kept.reserved = {}; // of an earlier attempt
+    if (kept.attempt != running.attempt.attempt) { // what is known is of an earlier attempt
+        kept.reserved = {};
+        kept.limit = UnknownLimit;
+    }
     kept.attempt = running.attempt.attempt;
     kept.state = kept_state::Running;
     kept.failover = running.failover;
--- a/libs/work/task_keeper.h
+++ b/libs/work/task_keeper.h
@@ -72,9 +72,14 @@
     task_attempt attempt;
     std::uint64_t listing = 0; // newest listing that the worker had made when it refused
 };
+struct limit_unsettled // the worker's answer to a worker_limit is missing
+{
+    task_attempt attempt;
+};
 struct keeper_tick
 { };
-using keeper_event = std::variant<grant_received, listing_received, start_refused, keeper_tick>;
+using keeper_event =
+        std::variant<grant_received, listing_received, start_refused, limit_unsettled, keeper_tick>;
 
 // Actions on the worker. Each is idempotent and is asked again until a listing shows its effect. A
 // lost answer to any but worker_list changes nothing.
@@ -107,6 +112,11 @@
     task_attempt attempt;
     std::string checkpoint;
 };
+struct worker_limit // of processor time; 0: none any more. Listings do not show it: limit_unsettled
+{
+    task_attempt attempt;
+    std::int64_t millicores = 0;
+};
 struct worker_forget // the outcome is settled in the table
 {
     task_attempt attempt;
@@ -132,8 +142,9 @@
 {
     keeper_count reason;
 };
-using keeper_action = std::variant<worker_list, worker_start, worker_renew, worker_stop,
-                                   worker_checkpoint, worker_forget, send_report, count_keeper>;
+using keeper_action =
+        std::variant<worker_list, worker_start, worker_renew, worker_stop, worker_checkpoint,
+                     worker_limit, worker_forget, send_report, count_keeper>;
 
 struct keeper_settings
 {
@@ -172,6 +183,7 @@
         Running,  // a listing showed it
         Ended,    // a listing showed its end; the event is not acknowledged yet
     };
+    static constexpr std::int64_t UnknownLimit = -1; // an earlier agent may have told one
     struct kept_task
     {
         std::uint32_t attempt = 0;
@@ -182,17 +194,20 @@
         resources reserved;          // by the owner's ledger, where it said more than declared
         time_point startUntil;       // while Starting: the worker refuses it from then on
         std::uint64_t refusedAt = 0; // listing number when the worker refused to start it
+        std::int64_t limit = UnknownLimit; // that the worker was told; 0: none
     };
 
     void on(const grant_received &event, time_point now);
     void on(const listing_received &event, time_point now);
     void on(const start_refused &event, time_point now);
+    void on(const limit_unsettled &event, time_point now);
     void on(const keeper_tick &event, time_point now);
     bool accepts(const worker_grant &grant) const;
     void takeEpoch(std::uint64_t epoch, time_point now);
     time_point takeLease(const worker_grant &grant);
     void takeAcks(std::uint64_t through);
     void takeReservations(const worker_grant &grant);
+    void takeLimits(const std::vector<task_limit> &limits);
     void takeTask(const worker_grant &grant, const granted_task &task, bool ahead,
                   time_point grantEnds, time_point now);
     bool isKnown(const granted_task &task, time_point now);
--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -238,6 +238,15 @@
     m_pushTo.insert(record.worker);
 }
 
+void task_table::on(const limit_decided &event, time_point)
+{
+    const task_record record = m_store.effective(event.task);
+    if (!occupies(record))
+        return;
+    softOf(event.task, record.attempt).limit = event.millicores;
+    m_pushTo.insert(record.worker);
+}
+
 // Reports.
 
 void task_table::on(const report_received &event, time_point now)
@@ -474,6 +483,7 @@
     else
         count(table_count::HorizonPassed);
     grant.stops.assign(worker.strays.begin(), worker.strays.end());
+    grant.limits.emplace();
     for (const auto &task : tasksOn(name))
         addTask(grant, worker, task);
     grant.reservationsThrough = m_lastReservation;
@@ -491,6 +501,8 @@
     const task_attempt attempt{task, record.attempt};
     const soft_state *soft = findSoft(task, record.attempt);
     addReservation(grant, worker, attempt, soft);
+    if (soft != nullptr && soft->limit > 0)
+        grant.limits->push_back({attempt, soft->limit});
     if (record.state == task_state::Cancelling) {
         grant.stops.push_back(attempt);
         return;
@@ -649,7 +661,7 @@
 {
     soft_state &soft = m_soft[task];
     if (soft.attempt != attempt)
-        soft = {attempt, {}, false, false, {}, 0};
+        soft = {attempt, {}, false, false, {}, 0, 0};
     return soft;
 }
 
--- a/libs/work/task_table.h
+++ b/libs/work/task_table.h
@@ -60,9 +60,15 @@
 };
 struct table_tick // every 20 to 100 ms
 { };
-using table_event = std::variant<job_accepted, cancel_job, place_decided, evict_decided,
-                                 report_received, start_ahead_decided, reservation_raised,
-                                 write_settled, rows_read, horizon_moved, table_tick>;
+struct limit_decided // of the processor time of a task that runs; 0: lifted
+{
+    task_id task;
+    std::int64_t millicores = 0;
+};
+using table_event =
+        std::variant<job_accepted, cancel_job, place_decided, evict_decided, report_received,
+                     start_ahead_decided, reservation_raised, limit_decided, write_settled,
+                     rows_read, horizon_moved, table_tick>;
 
 // Actions; commit_rows, read_rows, scan_rows and fenced come from work/task_store.h.
 struct send_grant
@@ -171,6 +177,7 @@
         bool mayStart = false;         // placed ahead, and there is room now
         resources reserved;            // while `reservation` is set
         std::uint64_t reservation = 0; // number of its newest raise; 0: declared size
+        std::int64_t limit = 0;        // millicores; 0: none
     };
 
     void on(const job_accepted &event, time_point now);
@@ -179,6 +186,7 @@
     void on(const evict_decided &event, time_point now);
     void on(const start_ahead_decided &event, time_point now);
     void on(const reservation_raised &event, time_point now);
+    void on(const limit_decided &event, time_point now);
     void on(const report_received &event, time_point now);
     void on(const write_settled &event, time_point now);
     void on(const rows_read &event, time_point now);
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -241,9 +241,17 @@
 void fleet::startUpstream(unsigned index)
 {
     const auto id = "upstream-" + std::to_string(index);
-    m_upstreams.at(index) = start(id, {m_options.binaries + "/zinniabarrow_standin", "upstream",
-                                       "--listen", upstreamAddress(index), "--id", id, "--work-ms",
-                                       std::to_string(m_options.upstreamWorkMs)});
+    std::vector<std::string> command = {m_options.binaries + "/zinniabarrow_standin",
+                                        "upstream",
+                                        "--listen",
+                                        upstreamAddress(index),
+                                        "--id",
+                                        id,
+                                        "--work-ms",
+                                        std::to_string(m_options.upstreamWorkMs)};
+    if (m_options.disturbing)
+        command.insert(command.end(), {"--worker", workerAddress(index)});
+    m_upstreams.at(index) = start(id, command);
 }
 
 void fleet::startEntry(unsigned index)
@@ -348,14 +356,19 @@
         throw std::runtime_error("no answer from the stand-in at " + address);
 }
 
-Json::Value fleet::getJson(const std::string &address, const std::string &target)
+std::string fleet::getText(const std::string &address, const std::string &target)
 {
     const auto result =
             m_pools.to(address).call({"GET", target, {}, {}}, monotonic_clock::now() + CallWithin);
     const auto *response = std::get_if<http_response>(&result);
     if (response == nullptr)
         throw std::runtime_error("no answer from " + address + target);
-    return parseJson(response->body);
+    return response->body;
+}
+
+Json::Value fleet::getJson(const std::string &address, const std::string &target)
+{
+    return parseJson(getText(address, target));
 }
 
 void fleet::putFolderFile(const std::string &name, const Json::Value &content)
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -58,9 +58,10 @@
     std::string region = "kartli";
     std::vector<std::string> zones = {"kartli-a", "imereti-a", "kartli-b"};
     std::string service = "tickets";
-    std::int64_t millicores = 16'000;             // of each worker
-    std::int64_t bytes = 60'000'000'000;          // of each worker
-    int upstreamWorkMs = 5;                       // time of one request at the upstream
+    std::int64_t millicores = 16'000;    // of each worker
+    std::int64_t bytes = 60'000'000'000; // of each worker
+    int upstreamWorkMs = 5;              // time of one request at the upstream
+    bool disturbing = false; // an instance's tasks slow its upstream (worker's fault "noise")
     Json::Value entrySettings{Json::objectValue}; // merged over the defaults
     Json::Value agentSettings{Json::objectValue}; // merged over the defaults
 };
@@ -105,6 +106,7 @@
 
     // Calls a stand-in's fault route. Throws when it does not answer.
     void setFault(const std::string &address, const Json::Value &fault);
+    std::string getText(const std::string &address, const std::string &target);
     Json::Value getJson(const std::string &address, const std::string &target);
     // Puts a file into the configuration folder, straight in the platform's store.
     void putFolderFile(const std::string &name, const Json::Value &content);
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -34,6 +34,8 @@
                                              16'000, "n", command);
     TCLAP::ValueArg<std::int64_t> bytes("", "bytes", "worker: size in the trace", false,
                                         60'000'000'000, "n", command);
+    TCLAP::ValueArg<std::string> worker("", "worker", "upstream: worker on the same instance",
+                                        false, "", "ip:port", command);
     command.parse(count, words);
     const auto address = parseAddress(listen.getValue());
     if (kind == "platform")
@@ -43,6 +45,8 @@
     if (kind == "upstream") {
         upstream_options options{address, id.getValue()};
         options.work = milliseconds(workMs.getValue());
+        if (!worker.getValue().empty())
+            options.worker = parseAddress(worker.getValue());
         return startUpstream(options);
     }
     return nullptr;
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "runtime/http.h"
@@ -42,7 +43,9 @@
 std::unique_ptr<standin> startPlatform(const platform_options &options);
 
 // A worker: runs tasks under leases and starts whatever it is given.
-// POST /fault {"fail_starts": bool, "slow_ms": n, "unreachable": bool, "lose_answers": n}.
+// POST /fault {"fail_starts": bool, "slow_ms": n, "unreachable": bool, "lose_answers": n,
+// "noise": {job: x}}: each running task of that job slows the instance's upstream by x times its
+// service time, by less when it is throttled. GET /noise tells the sum.
 struct worker_options
 {
     socket_address address;
@@ -55,14 +58,16 @@
 std::unique_ptr<standin> startWorker(const worker_options &options);
 
 // An upstream: `slots` requests at a time, `connections` at most, echoes the request it was sent.
-// POST /fault {"slow_ms": n, "cut": n, "unavailable": bool}: cut ends the next n answers midway.
+// POST /fault {"slow_ms": n, "cut": n, "unavailable": bool, "target_ms": n}: cut ends the next n
+// answers midway; target_ms begins to count anew how many answers took longer.
 struct upstream_options
 {
     socket_address address;
     std::string id;
     unsigned slots = 8;
     unsigned connections = 64;
-    milliseconds work{5}; // time one request takes
+    milliseconds work{5};                   // time one request takes
+    std::optional<socket_address> worker{}; // on the same instance: its tasks' noise slows this one
 };
 std::unique_ptr<standin> startUpstream(const upstream_options &options);
 
--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr milliseconds NoiseEvery{50};
+constexpr milliseconds NoiseTimeout{1000};
 constexpr std::size_t RequestsPerConnection = 1U << 30U;
 
 class upstream_standin : public standin
@@ -38,12 +40,17 @@
         else if (!m_server.bind_to_port(address.address, address.port))
             throw error(error_kind::BadSettings, "cannot listen on " + toText(address));
         m_acceptor = std::thread([this] { m_server.listen_after_bind(); });
+        if (m_options.worker)
+            m_listener = std::thread([this] { hearNoise(); });
     }
 
     ~upstream_standin() override
     {
+        m_stopping = true;
         m_server.stop();
         m_acceptor.join();
+        if (m_listener.joinable())
+            m_listener.join();
     }
 
     socket_address address() const override { return m_options.address; }
@@ -74,6 +81,11 @@
             m_pause.pauseFor(milliseconds(integerMember(fault, "pause_ms")));
         if (fault.isMember("slow_ms"))
             m_slowMs = integerMember(fault, "slow_ms");
+        if (fault.isMember("target_ms")) {
+            m_target = milliseconds(integerMember(fault, "target_ms"));
+            m_withinTarget = 0;
+            m_beyondTarget = 0;
+        }
         if (fault.isMember("cut"))
             m_cut = integerMember(fault, "cut");
         if (fault.isMember("unavailable"))
@@ -89,6 +101,8 @@
         json["overruns"] = m_overruns;
         json["cuts"] = Json::Int64(m_cuts);
         json["most_at_once"] = m_mostAtOnce;
+        json["within_target"] = m_withinTarget.load();
+        json["beyond_target"] = m_beyondTarget.load();
         json["operations"] = Json::Value(Json::objectValue);
         for (const auto &[operation, count] : m_executions)
             json["operations"][operation] = count;
@@ -111,6 +125,25 @@
         --m_atOnce;
     }
 
+    // By what the instance's tasks do, not as measured: it repeats on a busy machine too.
+    milliseconds serviceTime() const
+    {
+        const auto work = static_cast<double>(m_options.work.count()) * (1 + m_noise);
+        return milliseconds(static_cast<std::int64_t>(work) + m_slowMs);
+    }
+
+    void hearNoise()
+    {
+        http_pool worker(*m_options.worker);
+        for (; !m_stopping; std::this_thread::sleep_for(NoiseEvery)) {
+            const auto result =
+                    worker.call({"GET", "/noise", {}, {}}, monotonic_clock::now() + NoiseTimeout);
+            const auto *response = std::get_if<http_response>(&result);
+            if (response != nullptr && response->status == 200)
+                m_noise = parseJson(response->body)["noise"].asDouble();
+        }
+    }
+
     // Declares the whole length, sends half of it, and ends the connection.
     static void cut(httplib::Response &response, const std::string &body)
     {
@@ -128,7 +161,9 @@
     {
         const auto operation = request.get_header_value("Operation");
         enter(operation);
-        std::this_thread::sleep_for(m_options.work + milliseconds(m_slowMs));
+        const auto time = serviceTime();
+        ++(time <= m_target.load() ? m_withinTarget : m_beyondTarget);
+        std::this_thread::sleep_for(time);
         leave();
         Json::Value echo(Json::objectValue);
         echo["upstream"] = m_options.id;
@@ -152,6 +187,11 @@
     unsigned m_atOnce = 0;
     unsigned m_mostAtOnce = 0;
     unsigned m_overruns = 0;
+    std::atomic<bool> m_stopping{false};
+    std::atomic<double> m_noise{0}; // part of the service time that comes on top
+    std::atomic<milliseconds> m_target{milliseconds(0)};
+    std::atomic<unsigned> m_withinTarget{0}; // answers since the target was set
+    std::atomic<unsigned> m_beyondTarget{0};
     std::atomic<long> m_slowMs{0};
     std::atomic<long> m_cut{0};
     std::atomic<long> m_cuts{0}; // answers that were cut
@@ -159,6 +199,7 @@
     std::atomic<bool> m_unavailable{false};
     httplib::Server m_server;
     std::thread m_acceptor;
+    std::thread m_listener;
 };
 
 } // namespace
--- a/standins/worker.cpp
+++ b/standins/worker.cpp
@@ -55,6 +55,12 @@
     return mark == std::string::npos ? 0 : std::atof(checkpoint.c_str() + mark + 1);
 }
 
+// The operators' name of the job, without its generation.
+std::string jobNameOf(const work::task_id &task)
+{
+    return task.job.substr(0, task.job.find('@'));
+}
+
 work::task_attempt attemptFrom(const Json::Value &body)
 {
     return {work::taskIdFromText(stringMember(body, "task")),
@@ -107,6 +113,8 @@
         endLapsed(monotonic_clock::now()); // before anything else, also after a pause
         if (path == "/usage")
             return usage();
+        if (path == "/noise")
+            return noise();
         const auto body = parseJson(request.body);
         if (path == "/list")
             return list(body);
@@ -137,6 +145,10 @@
             m_loseAnswers = integerMember(fault, "lose_answers");
         if (fault.isMember("unreachable"))
             m_unreachable = boolMember(fault, "unreachable");
+        if (fault.isMember("noise")) {
+            const std::lock_guard lock(m_mutex);
+            m_noiseOf = objectMember(fault, "noise");
+        }
         return {200, {}, compactJson(fault)};
     }
 
@@ -264,12 +276,31 @@
     http_response throttle(const Json::Value &body)
     {
         const auto attempt = attemptFrom(body);
-        if (m_tasks.runs(attempt))
-            m_runs.at(attempt.task).share =
-                    static_cast<double>(integerMember(body, "percent")) / 100;
+        if (!m_tasks.runs(attempt))
+            return {200, {}, "{}"};
+        auto &run = m_runs.at(attempt.task);
+        const auto share = static_cast<double>(integerMember(body, "percent")) / 100;
+        if (share < run.share)
+            ++m_throttles[jobNameOf(attempt.task)];
+        run.share = share;
         return {200, {}, "{}"};
     }
 
+    // What the running tasks do to the upstream on this instance, less where they are throttled;
+    // and how often each job's tasks were.
+    http_response noise() const
+    {
+        double sum = 0;
+        for (const auto &[task, run] : m_runs)
+            sum += run.share * m_noiseOf.get(jobNameOf(task), 0).asDouble();
+        Json::Value answer(Json::objectValue);
+        answer["noise"] = sum;
+        answer["throttles"] = Json::Value(Json::objectValue);
+        for (const auto &[job, count] : m_throttles)
+            answer["throttles"][job] = count;
+        return {200, {}, compactJson(answer)};
+    }
+
     http_response forget(const work::task_attempt &attempt)
     {
         m_tasks.forget({attempt});
@@ -360,6 +391,8 @@
     work::worker_tasks m_tasks;
     std::map<work::task_id, task_run> m_runs;
     std::deque<Json::Value> m_usage;
+    Json::Value m_noiseOf{Json::objectValue};    // by job
+    std::map<std::string, unsigned> m_throttles; // by job: tasks that were slowed down
     pause_gate m_pause;
     std::atomic<bool> m_failStarts{false};
     std::atomic<bool> m_unreachable{false};
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "overload_scenario.h"
+#include "request/latency_window.h"
 #include "section.h"
 
 using namespace zinniabarrow;
@@ -278,3 +279,27 @@
     check(at.started.size() == 12);
     check(at.gate.drained());
 }
+
+// A service is slow for a while; then its callers go away. What the agent reports must be of the
+// newest answers alone, and nothing when there are none: else an hour of old figures would be told
+// as new, and the neighbours that have nothing to do with it would be throttled.
+Test(admission, latencyWindowForgets)
+{
+    latency_window window(seconds(2));
+    time_point now{seconds(100)};
+    check(!window.read(now));
+    section("the tail, measured when it was served", [&] {
+        for (int i = 0; i < 100; ++i)
+            window.add(milliseconds(i < 98 ? 20 : 400), now);
+        const auto reading = window.read(now + seconds(1));
+        require(reading.has_value());
+        check(reading->p99 == milliseconds(400));
+        check(reading->measuredAt < now && reading->measuredAt > now - milliseconds(100));
+    });
+    section("new answers push old ones out", [&] {
+        now += seconds(3);
+        window.add(milliseconds(20), now);
+        check(window.read(now)->p99 == milliseconds(20));
+    });
+    section("without new ones there is no reading", [&] { check(!window.read(now + seconds(3))); });
+}
--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -554,6 +554,16 @@
         sample(0, 20);
         check(world.subject.stats().droppedSamples == 1);
     });
+    section("one that an earlier attempt left behind says nothing of this one", [&] {
+        world.subject.taskReleased({"season", 0}, "w0", world.now);
+        world.now += seconds(10);
+        require(world.start().size() == 1);
+        world.subject.usageSampled(
+                {{"season", 0}, "w0", {1, 50 * Gigabyte, 0}, world.now - seconds(5)}, world.now);
+        check(world.subject.stats().droppedSamples == 2);
+        world.plan();
+        check(world.taken<raise_action>().empty());
+    });
     section("learning never makes impossible what may run as declared", [&] {
         for (int index = 1; index < 10; ++index) {
             world.subject.taskEnded({"season", index - 1}, "w0", world.now);
--- /dev/null
+++ b/tests/process_interference_test.cpp
@@ -0,0 +1,185 @@
+// Noisy batch beside a service, on real processes: the stand-in workers slow the upstreams of their
+// instances by the noise of the tasks that they run.
+#include <atomic>
+
+#include "fleet_story.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::tests;
+
+namespace {
+
+constexpr unsigned Workers = 3;
+constexpr int TargetMs = 200;
+constexpr int WorkMs = 100;        // alone; 250 beside one noisy task, 175 beside a throttled one
+constexpr double Noise = 1.5;      // of one task
+constexpr unsigned Answers = 120;  // that are counted for a share
+constexpr unsigned PerSecond = 36; // over all upstreams: two thirds of one's slots at its slowest
+
+fleet_options disturbedFleet()
+{
+    auto options = smallFleet();
+    options.workers = Workers;
+    options.upstreamWorkMs = WorkMs;
+    options.disturbing = true;
+    // Mtkvari's: seat holds cannot wait.
+    auto &weights = options.entrySettings["weights"];
+    weights["tail_latency"] = 0.7;
+    weights["throughput"] = 0.2;
+    weights["evictions"] = 0.1;
+    return options;
+}
+
+Json::Value folderWithTarget(const fleet_options &options)
+{
+    auto folder = baseFolder(options);
+    folder["services"][options.service]["latency_target_ms"] = TargetMs;
+    return folder;
+}
+
+// Requests at a steady rate until destroyed.
+class steady_load
+{
+public:
+    explicit steady_load(fleet &system)
+        : m_system(system)
+        , m_thread([this] { run(); })
+    { }
+    ~steady_load()
+    {
+        m_stopping = true;
+        m_thread.join();
+    }
+    load_result &result() { return m_result; }
+
+private:
+    void run()
+    {
+        load_options options;
+        options.requests = PerSecond;
+        options.perSecond = PerSecond;
+        for (unsigned round = 0; !m_stopping; ++round) {
+            options.prefix = "round-" + std::to_string(round);
+            load_generator(m_system, options, m_result).run();
+        }
+    }
+
+    fleet &m_system;
+    load_result m_result;
+    std::atomic<bool> m_stopping{false};
+    std::thread m_thread; // last: uses all of the above
+};
+
+unsigned throttlesOf(fleet &system, const std::string &job)
+{
+    unsigned sum = 0;
+    for (unsigned index = 0; index < Workers; ++index)
+        sum += system.getJson(system.workerAddress(index), "/noise")["throttles"][job].asUInt();
+    return sum;
+}
+
+double noiseOn(fleet &system, unsigned index)
+{
+    return system.getJson(system.workerAddress(index), "/noise")["noise"].asDouble();
+}
+
+// The worker that makes the most noise.
+unsigned noisiest(fleet &system)
+{
+    unsigned most = 0;
+    for (unsigned index = 1; index < Workers; ++index)
+        most = noiseOn(system, index) > noiseOn(system, most) ? index : most;
+    return most;
+}
+
+struct answer_counts
+{
+    unsigned within = 0; // the target, by the upstream's own service time
+    unsigned beyond = 0;
+};
+
+// Counts anew, until the upstream has answered enough.
+answer_counts countAnswers(fleet &system, unsigned index)
+{
+    Json::Value target(Json::objectValue);
+    target["target_ms"] = TargetMs;
+    system.setFault(system.upstreamAddress(index), target);
+    answer_counts counts;
+    check(waitUntil(
+            [&] {
+                const auto told = system.getJson(system.upstreamAddress(index), "/executions");
+                counts = {told["within_target"].asUInt(), told["beyond_target"].asUInt()};
+                return counts.within + counts.beyond >= Answers;
+            },
+            SoonEnough));
+    return counts;
+}
+
+double evictionsByEntries(fleet &system, const std::string &reason)
+{
+    double sum = 0;
+    const auto wanted = "zinniabarrow_evictions_total{reason=\"" + reason + "\"} ";
+    for (unsigned entry = 0; entry < system.options().entries; ++entry) {
+        const auto text = system.getText(system.entryRpcAddress(entry), "/metrics");
+        const auto found = text.find(wanted);
+        if (found != std::string::npos)
+            sum += std::atof(text.c_str() + found + wanted.size());
+    }
+    return sum;
+}
+
+batch_options batchOf(const std::string &job, int tasks, std::int64_t millicores)
+{
+    batch_options batch;
+    batch.job = job;
+    batch.tasks = tasks;
+    batch.runMs = 3'600'000;
+    batch.millicores = millicores;
+    return batch;
+}
+
+} // namespace
+
+// Callers see their seat holds take two and a half times as long once a noisy batch task shares the
+// upstream's instance. Its agent measures that late and tells the owner, which attributes it to the
+// class that came, and throttles its task and no other. Throttled to a half, the service is below
+// its target again; nothing had to be evicted.
+Test(process_interference, noisy_batch_is_throttled)
+{
+    fleet system(disturbedFleet());
+    startWhole(system);
+    Json::Value noise(Json::objectValue);
+    noise["noise"]["noisy"] = Noise;
+    for (unsigned index = 0; index < Workers; ++index)
+        system.setFault(system.workerAddress(index), noise);
+    system.putFolderFile("10-base.json", folderWithTarget(system.options()));
+    system.putFolderFile("20-quiet.json", batchFolder(batchOf("quiet", Workers, 2000)));
+    steady_load load(system);
+    section("beside quiet batch alone the service meets its target", [&] {
+        require(waitUntil([&] { return countTraced(system, "started", "quiet") == Workers; },
+                          SoonEnough));
+        require(waitUntil([&] { return countTraced(system, "started", "tickets") == Workers; },
+                          SoonEnough));
+        for (unsigned index = 0; index < Workers; ++index)
+            check(countAnswers(system, index).beyond == 0);
+    });
+    system.putFolderFile("30-noisy.json", batchFolder(batchOf("noisy", 1, 8000)));
+    require(waitUntil([&] { return countTraced(system, "started", "noisy") == 1; }, SoonEnough));
+    const auto disturbed = noisiest(system);
+    section("the noisy task is throttled", [&] {
+        check(noiseOn(system, disturbed) > 0);
+        check(waitUntil([&] { return throttlesOf(system, "noisy") > 0; }, SoonEnough));
+    });
+    section("the service is below its target again", [&] {
+        const auto counts = countAnswers(system, disturbed);
+        check(counts.within * 20 >= (counts.within + counts.beyond) * 19);
+        check(noiseOn(system, disturbed) < Noise);
+    });
+    section("quiet batch was left alone, and nothing was evicted", [&] {
+        check(throttlesOf(system, "quiet") == 0);
+        check(evictionsByEntries(system, "interference") <= 3); // the budget's burst
+        check(countTraced(system, "evicted", "quiet") == 0);
+        checkTraceClean(system);
+    });
+    section("every caller got its own answer", [&] { check(load.result().wrongAnswers == 0); });
+}
--- a/tests/shard_test.cpp
+++ b/tests/shard_test.cpp
@@ -144,6 +144,57 @@
     check(world.hosts.at("w0").kills == 0);
 }
 
+// A noisy batch task is throttled for the service beside it. The worker does not hear it, its agent
+// is replaced, the owner dies. The next grant names every limit, so that the task is neither left
+// at full speed nor throttled for the rest of its life by an owner that nobody remembers.
+Test(shard, limits_reach_the_worker_and_are_lifted)
+{
+    shard_world world(1);
+    auto &host = world.hosts.at("w0");
+    auto &service = world.folder.services["tickets"];
+    service.team = "rinks";
+    service.pool = "shared";
+    service.size = {4000, 8 * Gigabyte, 0};
+    world.accept();
+    const auto samples = [&](int count, double ofTarget) {
+        for (int sample = 0; sample < count; ++sample) {
+            world.pass(seconds(2));
+            world.sampleLatency("w0", "tickets", ofTarget);
+        }
+    };
+    samples(10, 0.5);
+    world.folder.jobs["noisy"] = batchJob(1, {8000, 8 * Gigabyte, 0});
+    world.accept();
+    world.pass(seconds(2));
+    require(world.running("noisy").size() == 1);
+    const auto attempt = world.running("noisy")[0].attempt;
+    world.lossPart = 0.7;
+    host.limitsToLose = 2;
+    samples(6, 1.5);
+    world.lossPart = 0;
+    world.pass(seconds(6));
+    section("told again until the worker has heard it", [&] {
+        check(world.counters.value("throttles_total", "interference") == 1);
+        check(host.limits[attempt] == 4000);
+    });
+    section("a replaced agent tells it again", [&] {
+        host.limits.clear();
+        host.startAgent();
+        world.pass(seconds(6));
+        check(host.limits[attempt] == 4000);
+    });
+    section("no answers are no measurement: they lift nothing", [&] {
+        samples(100, 0);
+        check(world.counters.value("throttles_total", "lifted") == 0);
+    });
+    section("a new owner, which knows of no limit, lifts it", [&] {
+        world.takeOver();
+        world.pass(seconds(6));
+        check(host.limits[attempt] == 0);
+        check(host.worker->runs(attempt));
+    });
+}
+
 // Processes are replaced one by one: an agent of the new version beside an owner of the old one
 // reads grants without reservations, and the other way round reports without an acknowledgement.
 Test(shard, messages_of_earlier_versions_are_read)
--- a/tests/shard_world.h
+++ b/tests/shard_world.h
@@ -30,6 +30,8 @@
     int session = 0;    // raised when the agent is replaced
     unsigned kills = 0; // running tasks that were stopped without a checkpoint
     bool alive = true;
+    int limitsToLose = 0;                              // calls that the worker does not hear
+    std::map<work::task_attempt, std::int64_t> limits; // that the worker was told; 0: lifted
 
     void startAgent()
     {
@@ -82,8 +84,7 @@
                 tickHost(host);
             feed(work::table_tick{});
             perform(owner->follow(m_adopted, m_places, now));
-            std::vector<placement::throttle_action> throttles;
-            perform(owner->plan(now, throttles));
+            perform(owner->plan(now));
         }
     }
 
@@ -112,6 +113,15 @@
                 now);
     }
 
+    // Of the service beside the worker, in parts of its target; 0: it had no answers.
+    void sampleLatency(const std::string &worker, const std::string &service, double ofTarget)
+    {
+        const microseconds target = folder.services.at(service).latencyTarget;
+        const auto p99 = static_cast<double>(target.count()) * ofTarget;
+        owner->latencySampled(worker, service, microseconds(static_cast<std::int64_t>(p99)), now,
+                              now);
+    }
+
     // What the owner's ledger counts on the worker.
     resources reservedByOwner(const std::string &worker) const
     {
@@ -156,6 +166,7 @@
     {
         placement::placer_settings out;
         out.sizes.processorFloor = 1.0;
+        out.weights = {0.7, 0.2, 0.1}; // Mtkvari's
         return out;
     }
 
@@ -213,6 +224,13 @@
         host.worker->ended({action.attempt, work::task_outcome::Evicted, action.checkpoint, {}});
     }
     void act(shard_host &host, const work::worker_forget &action) { host.worker->forget(action); }
+    void act(shard_host &host, const work::worker_limit &action)
+    {
+        if (host.limitsToLose > 0 && host.limitsToLose-- > 0)
+            run(host, host.keeper->handle(work::limit_unsettled{action.attempt}, now));
+        else
+            host.limits[action.attempt] = action.millicores;
+    }
     void act(shard_host &, const work::send_report &action)
     {
         feed(work::report_received{work::agentReportFromJson(toJson(action.report))});
--- a/tests/work_model.h
+++ b/tests/work_model.h
@@ -619,6 +619,7 @@
     {
         ++counts.reasons[std::string(nameOf(action.reason))];
     }
+    void act(model_agent &, model_worker &, const worker_limit &) { }
     void act(model_agent &agent, model_worker &worker, const worker_list &action)
     {
         send(agent.name, worker.name, [this, &agent, &worker, action] {
