--- a/app/keeper_duty.cpp
+++ b/app/keeper_duty.cpp
@@ -313,11 +313,11 @@
             parameters["worker"] = m_settings.worker.id;
             parameters["service"] = m_settings.upstream.service;
             parameters["p99_us"] = Json::Int64(latency ? latency->p99.count() : 0);
-            if (latency)
+            if (latency) {
+                const auto age = monotonic_clock::now() - latency->measuredAt;
                 parameters["p99_age_ms"] =
-                        Json::Int64(std::chrono::duration_cast<milliseconds>(monotonic_clock::now()
-                                                                             - latency->measuredAt)
-                                            .count());
+                        Json::Int64(std::chrono::duration_cast<milliseconds>(age).count());
+            }
             m_sender.call(target, "usage", parameters, [](const std::optional<Json::Value> &) {});
         } catch (const error &) {
             m_metrics.count("worker_calls_failed_total", "bad_usage");
--- a/app/owned_shard.cpp
+++ b/app/owned_shard.cpp
@@ -262,11 +262,12 @@
         const bool placed = mayRun(record.state);
         // The agents may have said that it runs before the configuration came: left without its
         // pool, it would never be evicted, throttled or watched.
-        if (m_bySizeAlone.erase({job.id, index}) > 0 && placed)
+        if (m_bySizeAlone.erase({job.id, index}) > 0 && placed) {
             m_placer.taskPlaced(spec, record.worker, reservedFor(spec, record.worker),
                                 stateOf(record.state), now);
-        else if (placed || record.state == work::task_state::Pending)
+        } else if (placed || record.state == work::task_state::Pending) {
             m_placer.taskPending(spec, now); // a placed one keeps its room, its raises and limits
+        }
     }
 }
 
@@ -319,12 +320,13 @@
     for (const auto &decision : m_placer.plan(now, MostDecisions)) {
         if (const auto *place = std::get_if<placement::place_action>(&decision)) {
             // The table may know better: a write on its way, or a worker that fell silent.
-            if (m_table.placeable(idOf(place->task)) && m_table.mayPlaceOn(place->worker))
+            if (m_table.placeable(idOf(place->task)) && m_table.mayPlaceOn(place->worker)) {
                 feed(work::place_decided{idOf(place->task), place->worker, false,
                                          aboveDeclared(place->task, place->reserved)});
-            else
+            } else {
                 m_placer.taskSettled(place->task, place->worker,
                                      placement::placement_outcome::NotApplied, now);
+            }
         } else if (const auto *raise = std::get_if<placement::raise_action>(&decision)) {
             m_metrics.count("reservations_raised_total", "usage");
             feed(work::reservation_raised{idOf(raise->task), raise->reserved});
--- a/libs/placement/relief.cpp
+++ b/libs/placement/relief.cpp
@@ -37,8 +37,11 @@
 {
     using hours = std::chrono::duration<double, std::ratio<3600>>;
     const double passed = m_refilledAt ? hours(now - *m_refilledAt).count() : 0;
-    const double refilled = passed * settings.evictionsPerWorkerHour * static_cast<double>(workers);
-    m_tokens = std::min(settings.evictionBurst, m_tokens + refilled);
+    constexpr double MinutesPerHour = 60;
+    const double rate = std::min(settings.evictionsPerWorkerHour * static_cast<double>(workers),
+                                 settings.evictionsPerMinute * MinutesPerHour);
+    const double most = std::min(settings.evictionBurst, settings.evictionsPerMinute);
+    m_tokens = std::min(most, m_tokens + passed * rate);
     m_refilledAt = now;
 }
 
--- a/libs/placement/relief.h
+++ b/libs/placement/relief.h
@@ -36,6 +36,7 @@
     duration recoverAfter = std::chrono::seconds(120); // calm time before a limit is lifted a step
     double evictionsPerWorkerHour = 0.25; // refill of the budget, for each worker of the pool
     double evictionBurst = 3;             // most evictions at once
+    double evictionsPerMinute = 6;        // at most, however many workers; 0: none
 };
 
 class eviction_budget
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -403,6 +403,20 @@
         budget.refill(settings, 8, Start + std::chrono::minutes(31));
         check(budget.mayTake());
     });
+    section("the operators' limit holds however many workers there are", [&] {
+        relief_settings limited;
+        limited.evictionsPerMinute = 1;
+        eviction_budget budget(limited.evictionBurst);
+        for (int minute = 0; minute < 3; ++minute) {
+            budget.refill(limited, 10'000, Start + std::chrono::minutes(minute));
+            check(budget.mayTake());
+            budget.take();
+            check(!budget.mayTake());
+        }
+        limited.evictionsPerMinute = 0;
+        budget.refill(limited, 10'000, Start + std::chrono::hours(24));
+        check(!budget.mayTake());
+    });
 }
 
 Test(placement, loadSignal)
--- a/tests/shard_world.h
+++ b/tests/shard_world.h
@@ -175,11 +175,13 @@
     void perform(const std::vector<work::table_action> &actions)
     {
         for (const auto &action : actions) {
-            if (const auto *commit = std::get_if<work::commit_rows>(&action))
-                feed(work::write_settled{commit->transaction.operationId,
-                                         m_platform.commit(commit->transaction)});
-            else if (const auto *grant = std::get_if<work::send_grant>(&action))
+            if (const auto *commit = std::get_if<work::commit_rows>(&action)) {
+                const auto &transaction = commit->transaction;
+                const auto result = m_platform.commit(transaction);
+                feed(work::write_settled{transaction.operationId, result});
+            } else if (const auto *grant = std::get_if<work::send_grant>(&action)) {
                 deliver(grant->grant);
+            }
         }
     }
 
