--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -20,12 +20,13 @@
         {task_change::Reverted, "reverted"},
 }};
 
-constexpr name_table<table_count, 13> CountNames = {{
+constexpr name_table<table_count, 14> CountNames = {{
         {table_count::StaleIncarnation, "stale_incarnation"},
         {table_count::StaleSession, "stale_session"},
         {table_count::StaleReport, "stale_report"},
         {table_count::StaleEvent, "stale_event"},
         {table_count::NewerEpoch, "newer_epoch"},
+        {table_count::StaleGeneration, "stale_generation"},
         {table_count::NotPlaceable, "not_placeable"},
         {table_count::BacklogFull, "backlog_full"},
         {table_count::HorizonPassed, "horizon_passed"},
@@ -120,22 +121,45 @@
     return found != m_workers.end() && found->second.attached && !m_store.silent(worker);
 }
 
-// Jobs.
-
 // --- Jobs ----------------------------------------------------------------------------------------
 
+void task_table::on(const generation_followed &event, time_point now)
+{
+    if (ready())
+        m_store.wantFollowed(event.generation, now);
+}
+
+namespace {
+
+// All but the generation that it was last written for. Writing every job for every generation
+// would take most of the platform's writes: a change concerns one job, as a rule.
+bool isSameWork(const job_spec &left, const job_spec &right)
+{
+    return left.firstTask == right.firstTask && left.tasks == right.tasks
+           && left.failover == right.failover && left.service == right.service
+           && left.maxFailures == right.maxFailures && left.spec == right.spec;
+}
+
+} // namespace
+
 void task_table::on(const job_accepted &event, time_point now)
 {
-    const stored_job *known = m_store.job(event.spec.id);
-    if (!ready() || (known != nullptr && known->spec.generation >= event.spec.generation))
+    if (!ready())
+        return;
+    if (event.spec.generation < m_store.followed()) {
+        count(table_count::StaleGeneration);
         return;
-    if (known != nullptr && known->cancelled)
+    }
+    const stored_job *known = m_store.job(event.spec.id);
+    if (known != nullptr && (known->cancelled || known->spec.generation >= event.spec.generation))
         return;
     stored_job job{event.spec, event.spec.tasks, false};
     if (known != nullptr) {
         job.spec.firstTask = known->spec.firstTask;
         job.range = std::max(known->range, job.spec.tasks);
     }
+    if (known != nullptr && isSameWork(known->spec, job.spec))
+        return;
     m_store.wantJob(job, now);
     dropPlaceable(job.spec.id);
     resize(job, now);
@@ -220,10 +244,20 @@
     return ahead;
 }
 
+// Placed in the table, and no write is on its way that would change that. A write of the job's row
+// is none: a new generation brings one, just when urgent work of that generation needs room.
+bool task_table::staysPlaced(const task_id &task) const
+{
+    const task_record settled = m_store.settled(task);
+    const task_record next = m_store.effective(task);
+    return settled.state == task_state::Placed && next.state == task_state::Placed
+           && settled.attempt == next.attempt;
+}
+
 void task_table::on(const evict_decided &event, time_point)
 {
     const task_record record = m_store.settled(event.task);
-    if (record.state != task_state::Placed || m_store.inFlight(event.task))
+    if (!staysPlaced(event.task))
         return;
     softOf(event.task, record.attempt).evicting = true;
     m_pushTo.insert(record.worker);
@@ -232,7 +266,7 @@
 void task_table::on(const start_ahead_decided &event, time_point)
 {
     const task_record record = m_store.settled(event.task);
-    if (record.state != task_state::Placed || !record.ahead || m_store.inFlight(event.task))
+    if (!staysPlaced(event.task) || !record.ahead)
         return;
     softOf(event.task, record.attempt).mayStart = true;
     m_pushTo.insert(record.worker);
