--- a/app/owned_shard.cpp
+++ b/app/owned_shard.cpp
@@ -33,6 +33,18 @@
     return placement::task_priority::Normal;
 }
 
+bool mayRun(work::task_state state)
+{
+    return state == work::task_state::Placed || state == work::task_state::Running
+           || state == work::task_state::Evicting || state == work::task_state::Cancelling;
+}
+
+placement::entry_state stateOf(work::task_state state)
+{
+    const bool ends = state == work::task_state::Evicting || state == work::task_state::Cancelling;
+    return ends ? placement::entry_state::Stopping : placement::entry_state::Running;
+}
+
 // What the worker is told of a task.
 Json::Value workerSpec(const resources &size, milliseconds workTime)
 {
@@ -107,12 +119,10 @@
         spec.jobId = task.job;
         spec.taskIndex = static_cast<std::int32_t>(task.index);
         if (job != nullptr) {
-            const auto &told = job->spec.spec;
-            spec.declared = {told["millicores"].asInt64(), told["bytes"].asInt64(),
-                             told["accelerators"].asInt64()};
+            spec.declared = work::declaredIn(job->spec.spec);
         }
-        m_placer.taskPlaced(spec, record.worker, spec.declared, placement::entry_state::Running,
-                            now);
+        m_bySizeAlone.insert(task);
+        m_placer.taskPlaced(spec, record.worker, spec.declared, stateOf(record.state), now);
         if (record.ahead)
             m_adoptedAhead[task] = now + 2 * work::safeWait(m_leases.grantLease, m_leases);
     }
@@ -277,14 +287,27 @@
         const auto index = work::taskIndexAt(job, position);
         const auto record = m_table.find({job.id, index});
         spec.taskIndex = static_cast<std::int32_t>(index);
-        if (record.state == work::task_state::Pending)
-            m_placer.taskPending(spec, now);
-        else if (work::occupies(record)) // known by its size alone since the takeover
-            m_placer.taskPlaced(spec, record.worker, spec.declared, placement::entry_state::Running,
-                                now);
+        const bool placed = mayRun(record.state);
+        // The agents may have said that it runs before the configuration came: left without its
+        // pool, it would never be evicted, throttled or watched.
+        if (m_bySizeAlone.erase({job.id, index}) > 0 && placed) {
+            m_placer.taskPlaced(spec, record.worker, reservedFor(spec, record.worker),
+                                stateOf(record.state), now);
+        } else if (placed || record.state == work::task_state::Pending) {
+            m_placer.taskPending(spec, now); // a placed one keeps its room, its raises and limits
+        }
     }
 }
 
+// As it counts already: the size may have been edited since the task was started.
+resources owned_shard::reservedFor(const placement::task_spec &task,
+                                   const std::string &worker) const
+{
+    const auto *book = m_placer.ledgerOf(worker);
+    const auto *entry = book == nullptr ? nullptr : book->find(task.ref());
+    return entry == nullptr ? task.declared : entry->reserved;
+}
+
 void owned_shard::cancelMissing(const std::set<std::string> &wanted,
                                 std::vector<work::table_action> &actions, time_point now)
 {
@@ -312,8 +335,7 @@
     }
 }
 
-std::vector<work::table_action>
-owned_shard::plan(time_point now, std::vector<placement::throttle_action> &throttles)
+std::vector<work::table_action> owned_shard::plan(time_point now)
 {
     std::vector<work::table_action> actions;
     if (!m_adopted)
@@ -325,12 +347,15 @@
     for (const auto &decision : m_placer.plan(now, MostDecisions, scope)) {
         if (const auto *place = std::get_if<placement::place_action>(&decision)) {
             decide(*place, actions, now);
+        } else if (const auto *raise = std::get_if<placement::raise_action>(&decision)) {
+            m_metrics.count("reservations_raised_total", "usage");
+            feed(work::reservation_raised{idOf(raise->task), raise->reserved}, actions, now);
         } else if (const auto *preempt = std::get_if<placement::preempt_action>(&decision)) {
             m_metrics.count("evictions_total", nameOf(preempt->reason));
             m_placer.taskStopping(preempt->victim, preempt->worker, now);
             feed(work::evict_decided{idOf(preempt->victim)}, actions, now);
         } else if (const auto *throttled = std::get_if<placement::throttle_action>(&decision)) {
-            throttles.push_back(*throttled);
+            feed(limitFor(*throttled), actions, now);
         } else if (const auto *refused = std::get_if<placement::refuse_action>(&decision)) {
             m_metrics.count("tasks_refused_total", nameOf(refused->kind));
             m_refusals[placement::toText(refused->task)] = refused->reason;
@@ -389,8 +414,13 @@
         && record.worker == action.worker) {
         m_metrics.count("backlog_total", "started");
         feed(work::start_ahead_decided{task}, actions, now);
+        const auto above = aboveDeclared(action.task, action.reserved);
+        if (above != resources{})
+            feed(work::reservation_raised{task, above}, actions, now);
     } else if (m_table.placeable(task) && m_table.mayPlaceOn(action.worker)) {
-        feed(work::place_decided{task, action.worker, false}, actions, now);
+        feed(work::place_decided{task, action.worker, false,
+                                 aboveDeclared(action.task, action.reserved)},
+             actions, now);
     } else {
         m_placer.taskSettled(action.task, action.worker, placement::placement_outcome::NotApplied,
                              now);
@@ -408,7 +438,7 @@
         const auto task = idOf(action.task);
         if (m_table.placeable(task) && m_table.mayPlaceOn(action.worker)) {
             m_metrics.count("backlog_total", "placed");
-            feed(work::place_decided{task, action.worker, true}, actions, now);
+            feed(work::place_decided{task, action.worker, true, {}}, actions, now);
         } else {
             m_placer.taskSettled(action.task, action.worker,
                                  placement::placement_outcome::NotApplied, now);
@@ -423,6 +453,29 @@
         actions.push_back(std::move(action));
 }
 
+work::limit_decided owned_shard::limitFor(const placement::throttle_action &action)
+{
+    const auto *book = m_placer.ledgerOf(action.worker);
+    const auto *entry = book == nullptr ? nullptr : book->find(action.task);
+    const bool lifted = entry == nullptr || action.millicores >= entry->reserved.millicores;
+    m_metrics.count("throttles_total", lifted ? "lifted" : "interference");
+    Json::Value fields(Json::objectValue);
+    fields["task"] = placement::toText(action.task);
+    fields["worker"] = action.worker;
+    fields["millicores"] = Json::Int64(action.millicores);
+    m_log.info(lifted ? "throttle_lifted" : "task_throttled", fields);
+    return {idOf(action.task), lifted ? 0 : action.millicores};
+}
+
+// What the agent has to be told: it reads the declared size itself.
+resources owned_shard::aboveDeclared(const placement::task_ref &task,
+                                     const resources &reserved) const
+{
+    const auto *job = m_table.job(task.jobId);
+    const bool declared = job != nullptr && reserved.fitsIn(work::declaredIn(job->spec.spec));
+    return declared ? resources{} : reserved;
+}
+
 void owned_shard::usageSampled(const placement::usage_sample &sample, time_point now)
 {
     m_placer.usageSampled(sample, now);
@@ -431,6 +484,8 @@
 void owned_shard::latencySampled(const std::string &worker, const std::string &service,
                                  microseconds p99, time_point measuredAt, time_point now)
 {
+    if (p99.count() <= 0)
+        return; // no answers: that is no measurement, least of all of a very quick service
     const auto prefix = service + GenerationMark;
     for (const auto &[task, record] : m_table.occupying()) {
         const auto target = m_latencyTargets.find(task.job);
--- a/app/owned_shard.h
+++ b/app/owned_shard.h
@@ -42,9 +42,8 @@
     std::vector<work::table_action> follow(const adopted_configuration &adopted,
                                            const std::map<std::string, worker_place> &workers,
                                            time_point now);
-    // Decides placements; throttles go to `throttles`.
-    std::vector<work::table_action> plan(time_point now,
-                                         std::vector<placement::throttle_action> &throttles);
+    // Decides placements, evictions and throttles.
+    std::vector<work::table_action> plan(time_point now);
 
     void usageSampled(const placement::usage_sample &sample, time_point now);
     void latencySampled(const std::string &worker, const std::string &service, microseconds p99,
@@ -66,11 +65,14 @@
     void adopt(time_point now);
     void acceptJob(const work::job_spec &job, const placement::task_spec &pattern,
                    std::vector<work::table_action> &actions, time_point now);
+    resources reservedFor(const placement::task_spec &task, const std::string &worker) const;
     void cancelMissing(const std::set<std::string> &wanted,
                        std::vector<work::table_action> &actions, time_point now);
     void followWorkers(const std::map<std::string, worker_place> &workers, time_point now);
     std::string jobIdFor(const std::string &name, std::uint64_t generation) const;
     work::job_spec sliceOf(work::job_spec job) const;
+    work::limit_decided limitFor(const placement::throttle_action &action);
+    resources aboveDeclared(const placement::task_ref &task, const resources &reserved) const;
     void logTask(std::string_view event, const work::task_settled &change) const;
 
     work::table_owner m_owner;
@@ -87,8 +89,9 @@
     bool m_adopted = false; // the placer knows what the table held at takeover
     // Backlogs of an earlier owner, and when a task that nothing was heard of is known to wait.
     std::map<work::task_id, time_point> m_adoptedAhead;
-    std::uint64_t m_generation = 0;                       // followed
-    std::set<std::string> m_workers;                      // the placer may use
+    std::uint64_t m_generation = 0;        // followed
+    std::set<std::string> m_workers;       // the placer may use
+    std::set<work::task_id> m_bySizeAlone; // adopted at takeover, their configuration is not known
     std::map<work::task_id, std::uint32_t> m_failures;    // as last seen
     std::map<std::string, std::string> m_refusals;        // by task, the newest reason
     std::map<std::string, microseconds> m_latencyTargets; // by service job id
--- a/app/schedule_duty.cpp
+++ b/app/schedule_duty.cpp
@@ -35,6 +35,9 @@
     out.weights.tailLatency = settings.weights.tailLatency;
     out.weights.throughput = settings.weights.throughput;
     out.weights.evictions = settings.weights.evictions;
+    out.quarantine.jobWorkers = settings.placement.quarantineWorkers;
+    out.quarantine.workerJobs = settings.placement.setAsideJobs;
+    out.relief.evictionsPerMinute = static_cast<double>(settings.placement.evictionsPerMinute);
     // Agents count what their worker was told, the declared size: with smaller reservations of
     // processors here, they would refuse starts. Memory is only ever reserved above it.
     out.sizes.processorFloor = 1.0;
@@ -199,7 +202,13 @@
             }
             const auto service = stringMember(what.parameters, "service");
             const microseconds p99(integerMember(what.parameters, "p99_us"));
-            shard->latencySampled(worker, service, p99, measuredAt, now);
+            // Requests and usage are not measured together; agents of earlier versions gave one
+            // age.
+            const bool own = what.parameters.isMember("p99_age_ms");
+            const auto servedAt =
+                    own ? now - milliseconds(integerMember(what.parameters, "p99_age_ms"))
+                        : measuredAt;
+            shard->latencySampled(worker, service, p99, servedAt, now);
         }
         what.reply->set_value(Json::Value(Json::objectValue));
     } catch (const error &) {
@@ -255,10 +264,7 @@
             continue;
         auto &shard = *found->second;
         performAll(shard, shard.follow(m_configuration, m_workers, monotonic_clock::now()));
-        std::vector<placement::throttle_action> throttles;
-        performAll(shard, shard.plan(monotonic_clock::now(), throttles));
-        for (const auto &action : throttles)
-            throttle(action);
+        performAll(shard, shard.plan(monotonic_clock::now()));
     }
 }
 
@@ -370,19 +376,6 @@
                   [](const std::optional<Json::Value> &) {});
 }
 
-void schedule_duty::throttle(const placement::throttle_action &action)
-{
-    const auto agent = m_workers.find(action.worker);
-    if (agent == m_workers.end())
-        return;
-    Json::Value parameters(Json::objectValue);
-    parameters["task"] = placement::toText(action.task);
-    parameters["millicores"] = Json::Int64(action.millicores);
-    m_metrics.count("throttles_total", "interference");
-    m_sender.call(agent->second.agentAddress, "throttle", parameters,
-                  [](const std::optional<Json::Value> &) {});
-}
-
 owned_shard *schedule_duty::shardOf(const std::string &worker)
 {
     const auto number = work::shardOfWorker(worker, {}, m_shardInfos);
--- a/tests/work_model.h
+++ b/tests/work_model.h
@@ -318,7 +318,7 @@
         keeper.leases = settings;
         agent.keeper = std::make_unique<task_keeper>(
                 agent.worker, agent.name + "#" + std::to_string(agent.life), keeper,
-                [&agent](const granted_task &, const Json::Value &) {
+                [&agent](const task_id &, const resources &) {
                     return agent.keeper->occupying().size() < Slots;
                 });
     }
@@ -619,6 +619,7 @@
     {
         ++counts.reasons[std::string(nameOf(action.reason))];
     }
+    void act(model_agent &, model_worker &, const worker_limit &) { }
     void act(model_agent &agent, model_worker &worker, const worker_list &action)
     {
         send(agent.name, worker.name, [this, &agent, &worker, action] {
