--- a/app/admission_duty.cpp
+++ b/app/admission_duty.cpp
@@ -29,6 +29,7 @@
 {
     http_pool_limits limits;
     limits.idleConnections = settings.upstream.slots;
+    limits.answerBytes = settings.maxAnswerBytes;
     return limits;
 }
 
@@ -61,7 +62,6 @@
     case call_failure::TooLarge:
         return error_kind::AnswerTooLarge;
     case call_failure::Cut:
-    case call_failure::Unprovable:
         break;
     }
     return error_kind::AnswerCut;
@@ -138,24 +138,42 @@
     http_response response = startedAt < attempt.deadline
                                      ? runAtUpstream(request, attempt.deadline)
                                      : refusalAnswer(error_kind::DeadlinePassed);
-    ending over{{key, monotonic_clock::now() - startedAt},
+    ending over{{key, duration(0)},
                 attempt.requestId,
                 attempt.attempt,
-                executed::Unknown};
+                executed::Unknown,
+                monotonic_clock::now() - startedAt};
+    if (response.stream) {
+        // The upstream works until its last byte has come: the slot is held as long.
+        response.stream->observeEnd([this, over, startedAt](body_end end) mutable {
+            if (end)
+                m_metrics.count("streams_cut_total", nameOf(*end));
+            else
+                over.ran = executed::Yes;
+            reportEnd(over, startedAt);
+        });
+        return response;
+    }
     if (response.header(ExecutedHeader) == nameOf(executed::No))
         over.ran = executed::No;
     else if (response.header(ErrorHeader).empty())
         over.ran = executed::Yes;
+    reportEnd(over, startedAt);
+    return response;
+}
+
+void admission_duty::reportEnd(ending over, time_point startedAt)
+{
+    over.event.tookTime = monotonic_clock::now() - startedAt;
     // A slot that is never given back would be lost: the ring is sized for every connection.
     while (!m_duty->post(over))
         m_metrics.count("ring_full_total", "finished");
-    return response;
 }
 
 http_response admission_duty::runAtUpstream(const http_request &request, time_point deadline)
 {
     const auto id = request.header(RequestIdHeader);
-    const auto result = m_upstream.call(requestForUpstream(request, id), deadline);
+    const auto result = m_upstream.open(requestForUpstream(request, id), deadline, {}, m_receivers);
     if (const auto *failure = std::get_if<call_failure>(&result)) {
         const auto kind = kindOf(*failure);
         m_metrics.count("upstream_failures_total", nameOf(kind));
@@ -199,6 +217,7 @@
 
 void admission_duty::stop()
 {
+    m_receivers.stop();
     m_duty->stop();
 }
 
@@ -225,7 +244,7 @@
 {
     m_guard.ended(what.requestId, what.attempt, what.ran, now);
     if (what.ran == executed::Yes)
-        noteTime(what.event.tookTime);
+        noteTime(what.answeredAfter);
     feed(what.event);
 }
 
--- a/app/admission_duty.h
+++ b/app/admission_duty.h
@@ -54,6 +54,7 @@
         std::string requestId;
         std::uint32_t attempt = 0;
         executed ran = executed::Unknown;
+        duration answeredAfter{0}; // until the answer, or its first part, was there
     };
     struct cancelling
     {
@@ -70,6 +71,7 @@
     http_response admitAndRun(const http_request &request,
                               const delivery::incoming_attempt &attempt);
     http_response runAtUpstream(const http_request &request, time_point deadline);
+    void reportEnd(ending over, time_point startedAt);
     http_response refuse(const request::admission::refuse &refusal);
     void handle(event &what);
     void on(arrival &what, time_point now);
@@ -97,7 +99,8 @@
     delivery::attempt_guard m_guard;
     std::map<std::string, waiting_attempt> m_attempts; // that wait, by key
 
-    std::unique_ptr<duty<event>> m_duty; // last: its thread uses all of the above
+    std::unique_ptr<duty<event>> m_duty; // its thread uses all of the above
+    receivers m_receivers;               // last: its threads post to the duty
 };
 
 } // namespace zinniabarrow
--- a/app/agent.cpp
+++ b/app/agent.cpp
@@ -70,7 +70,7 @@
         m_admission.drain();
         const auto giveUpAt = startedAt + m_settings.drain;
         const auto done = [&](time_point now) {
-            return m_admission.drained() && m_announce->leftEverywhere()
+            return m_admission.drained() && m_server.inFlight() == 0 && m_announce->leftEverywhere()
                    && now - startedAt >= LeaveAtLeast;
         };
         while (!done(monotonic_clock::now()) && monotonic_clock::now() < giveUpAt)
--- a/app/forwarding.cpp
+++ b/app/forwarding.cpp
@@ -32,11 +32,8 @@
     return name == nameOf(executed::Yes) ? executed::Yes : executed::Unknown;
 }
 
-delivery::attempt_outcome outcomeOf(const http_response &response, const std::string &id)
+delivery::attempt_outcome outcomeOf(const http_response &response)
 {
-    // An answer that names another request belongs to that one: never pass it on.
-    if (response.header(RequestIdHeader) != id)
-        return delivery::attempt_cut{};
     const auto kind = errorKindNamed(response.header(ErrorHeader));
     if (kind) {
         delivery::attempt_refused refused;
@@ -52,7 +49,7 @@
     const auto type = response.header("Content-Type");
     if (!type.empty())
         whole.headers["Content-Type"] = type;
-    if (response.body.size() <= StoredAnswerBytes)
+    if (!response.stream && response.body.size() <= StoredAnswerBytes)
         whole.body = response.body;
     return whole;
 }
@@ -67,7 +64,6 @@
     case call_failure::TooLarge:
         return delivery::attempt_too_large{};
     case call_failure::Cut:
-    case call_failure::Unprovable:
         break;
     }
     return delivery::attempt_cut{};
@@ -106,6 +102,13 @@
     return out;
 }
 
+http_pool_limits limitsFor(std::size_t maxAnswerBytes)
+{
+    http_pool_limits limits;
+    limits.answerBytes = maxAnswerBytes;
+    return limits;
+}
+
 } // namespace
 
 service_target splitTarget(const std::string &target)
@@ -119,22 +122,40 @@
     return {target.substr(1, end - 1), rest};
 }
 
+forwarded_attempt endOfStream(forwarded_attempt begun, body_end end)
+{
+    begun.answer = {};
+    if (!end)
+        return begun;
+    begun.outcome = delivery::outcomeOf(*end);
+    // A caller that went away says nothing about the upstream.
+    if (*end != error_kind::OutcomeUnknown)
+        begun.routing.outcome = request::attempt_outcome::Failed;
+    return begun;
+}
+
+forwarder::forwarder(std::size_t maxAnswerBytes)
+    : m_pools(limitsFor(maxAnswerBytes))
+{ }
+
 forwarded_attempt forwarder::send(const http_request &request, const std::string &id,
                                   std::uint32_t attempt, const request::route &upstream,
-                                  time_point deadline)
+                                  time_point deadline, receivers &threads)
 {
     const auto startedAt = monotonic_clock::now();
     const milliseconds remaining(millisecondsUntil(deadline, startedAt));
-    const auto result =
-            m_pools.to(upstream.address)
-                    .call(requestForAgent(request, id, attempt, upstream, remaining), deadline);
+    const auto result = m_pools.to(upstream.address)
+                                .open(requestForAgent(request, id, attempt, upstream, remaining),
+                                      deadline, {RequestIdHeader, id}, threads);
     forwarded_attempt sent;
     sent.routing.upstream = upstream;
     sent.routing.latency = monotonic_clock::now() - startedAt;
     if (const auto *response = std::get_if<http_response>(&result)) {
         sent.answer = *response;
-        sent.outcome = outcomeOf(sent.answer, id);
+        sent.outcome = outcomeOf(sent.answer);
         sent.routing.load = loadOf(sent.answer);
+        if (!std::holds_alternative<delivery::whole_answer>(sent.outcome))
+            sent.answer.stream.reset(); // a refusal is never passed on as it is
     } else {
         sent.outcome = outcomeOf(std::get<call_failure>(result));
     }
--- a/app/forwarding.h
+++ b/app/forwarding.h
@@ -22,17 +22,23 @@
 // How an attempt ended, as the request's flow and the router have to know it.
 struct forwarded_attempt
 {
-    delivery::attempt_outcome outcome;
+    delivery::attempt_outcome outcome; // of a streamed answer: once its rest has come whole
     request::attempt_ended routing;
     http_response answer; // meant for the caller only when the outcome is a whole answer
 };
 
+// How a streamed answer's attempt ended, once its receiving has.
+forwarded_attempt endOfStream(forwarded_attempt begun, body_end end);
+
 class forwarder
 {
 public:
+    explicit forwarder(std::size_t maxAnswerBytes);
+
+    // A large answer comes with its stream, received on a thread of `threads`.
     forwarded_attempt send(const http_request &request, const std::string &id,
                            std::uint32_t attempt, const request::route &upstream,
-                           time_point deadline);
+                           time_point deadline, receivers &threads);
 
 private:
     http_pools m_pools; // connections to agents
--- a/app/request_duty.cpp
+++ b/app/request_duty.cpp
@@ -104,6 +104,7 @@
     , m_sender(sender)
     , m_metrics(counters)
     , m_log(log)
+    , m_forwarder(settings.maxAnswerBytes)
     , m_membersChanged(std::move(membersChanged))
     , m_generationReport(std::move(generationReport))
     , m_membership(membershipSettings(settings, self))
@@ -159,13 +160,37 @@
 http_response request_duty::forwardAndReport(const caller_call &call, const std::string &id,
                                              const forward_step &step)
 {
-    auto sent = m_forwarder.send(call.request(), id, step.attempt, step.upstream, step.deadline);
-    attempt_result ended{{id, step.attempt, std::move(sent.outcome)}, std::move(sent.routing)};
+    auto sent = m_forwarder.send(call.request(), id, step.attempt, step.upstream, step.deadline,
+                                 m_receivers);
+    auto answer = sent.answer;
+    if (answer.stream)
+        reportStream(id, step.attempt, std::move(sent));
+    else
+        reportEnd(id, step.attempt, std::move(sent));
+    return answer;
+}
+
+// The end is reported by whichever thread sees the receiving end; always after the begin.
+void request_duty::reportStream(const std::string &id, std::uint32_t attempt,
+                                forwarded_attempt begun)
+{
+    if (!m_duty->post(delivery::answer_begun{id, attempt, begun.answer.status}))
+        m_metrics.count("ring_full_total", "answer_begun");
+    const auto stream = std::move(begun.answer.stream);
+    stream->observeEnd([this, id, attempt, begun = std::move(begun)](body_end end) {
+        if (end)
+            m_metrics.count("streams_cut_total", nameOf(*end));
+        reportEnd(id, attempt, endOfStream(begun, end));
+    });
+}
+
+void request_duty::reportEnd(const std::string &id, std::uint32_t attempt, forwarded_attempt sent)
+{
+    attempt_result ended{{id, attempt, std::move(sent.outcome)}, std::move(sent.routing)};
     // The ring holds more than all requests in flight can post; were it full all the same, the
     // request would end by its deadline.
     if (!m_duty->post(std::move(ended)))
         m_metrics.count("ring_full_total", "attempt_ended");
-    return std::move(sent.answer);
 }
 
 http_response request_duty::finalAnswer(const answer_step &step,
@@ -217,6 +242,7 @@
 
 void request_duty::stop()
 {
+    m_receivers.stop();
     m_duty->stop();
 }
 
@@ -241,6 +267,11 @@
     feed(what.event, now);
 }
 
+void request_duty::on(delivery::answer_begun &what, time_point now)
+{
+    feed(what, now);
+}
+
 void request_duty::on(attempt_result &what, time_point now)
 {
     m_router.attemptEnded(what.routing, now);
--- a/app/request_duty.h
+++ b/app/request_duty.h
@@ -128,9 +128,9 @@
     {
         reply_promise reply;
     };
-    using event = std::variant<arrival, attempt_result, delivery::claims_committed,
-                               delivery::claims_read, announced, digest_heard, digest_answered,
-                               status_asked, delivery::flow_drain>;
+    using event = std::variant<arrival, delivery::answer_begun, attempt_result,
+                               delivery::claims_committed, delivery::claims_read, announced,
+                               digest_heard, digest_answered, status_asked, delivery::flow_drain>;
 
     struct peer_entry
     {
@@ -143,10 +143,13 @@
     // On HTTP threads.
     http_response forwardAndReport(const caller_call &call, const std::string &id,
                                    const forward_step &step);
+    void reportStream(const std::string &id, std::uint32_t attempt, forwarded_attempt begun);
+    void reportEnd(const std::string &id, std::uint32_t attempt, forwarded_attempt sent);
     http_response finalAnswer(const answer_step &step, const http_response &lastAnswer) const;
     // On the duty's thread.
     void handle(event &what);
     void on(arrival &what, time_point now);
+    void on(delivery::answer_begun &what, time_point now);
     void on(attempt_result &what, time_point now);
     void on(delivery::claims_committed &what, time_point now);
     void on(delivery::claims_read &what, time_point now);
@@ -199,7 +202,8 @@
     time_point m_now{};         // of the event being handled
     time_point m_shareAt{};
 
-    std::unique_ptr<duty<event>> m_duty; // last: its thread uses all of the above
+    std::unique_ptr<duty<event>> m_duty; // its thread uses all of the above
+    receivers m_receivers;               // last: its threads post to the duty
 };
 
 } // namespace zinniabarrow
--- a/include/zinniabarrow/zinniabarrow.h
+++ b/include/zinniabarrow/zinniabarrow.h
@@ -5,6 +5,7 @@
 #pragma once
 
 // Everyone's: time, errors and their answers, names, hashing, random numbers.
+#include "base/answer_check.h"
 #include "base/errors.h"
 #include "base/hash.h"
 #include "base/names.h"
@@ -23,7 +24,6 @@
 #include "request/router.h"
 
 // Delivery: the life of one caller's request, at most once.
-#include "delivery/answer_check.h"
 #include "delivery/attempt_guard.h"
 #include "delivery/claim_book.h"
 #include "delivery/request_flow.h"
--- a/libs/delivery/answer_check.cpp
+++ b/libs/base/answer_check.cpp
@@ -1,8 +1,8 @@
-#include "delivery/answer_check.h"
+#include "base/answer_check.h"
 
 #include <utility>
 
-namespace zinniabarrow::delivery {
+namespace zinniabarrow {
 
 namespace {
 
@@ -81,11 +81,4 @@
     return m_method == "HEAD" || m_head->status == NoContent || m_head->status == NotModified;
 }
 
-attempt_outcome outcomeOf(error_kind failure)
-{
-    if (failure == error_kind::AnswerTooLarge)
-        return attempt_too_large{};
-    return attempt_cut{};
-}
-
-} // namespace zinniabarrow::delivery
+} // namespace zinniabarrow
--- a/libs/delivery/answer_check.h
+++ b/libs/base/answer_check.h
@@ -2,6 +2,8 @@
 //
 //   answer_head    what the head of an answer declares
 //   answer_check   fed with head, body bytes and end; nothing else may call an answer whole
+//
+// http_pool feeds it for every answer that a daemon receives.
 #pragma once
 
 #include <cstdint>
@@ -9,9 +11,8 @@
 #include <string>
 
 #include "base/errors.h"
-#include "delivery/flow_messages.h"
 
-namespace zinniabarrow::delivery {
+namespace zinniabarrow {
 
 enum class body_framing {
     Length,     // Content-Length
@@ -23,7 +24,7 @@
 struct answer_head
 {
     int status = 0;
-    std::string requestId; // echoed by the agent
+    std::string requestId; // echoed by the agent; empty where no echo is asked for
     body_framing framing = body_framing::UntilClose;
     std::uint64_t declaredBytes = 0; // for Length
     std::uint64_t headBytes = 0;
@@ -61,7 +62,4 @@
     std::optional<error_kind> m_failure;
 };
 
-// The end of an attempt whose answer was not whole.
-attempt_outcome outcomeOf(error_kind failure);
-
-} // namespace zinniabarrow::delivery
+} // namespace zinniabarrow
--- a/libs/config/settings.cpp
+++ b/libs/config/settings.cpp
@@ -99,6 +99,7 @@
     archive("clock_margin_ms", entry.clockMargin);
     archive("announce_silence_ms", entry.announceSilence);
     archive("max_body_bytes", entry.maxBodyBytes);
+    archive("max_answer_bytes", entry.maxAnswerBytes);
     archive("max_connections", entry.maxConnections);
     archive("request_deadline_ms", entry.requestDeadline);
     archive("retry", entry.retry);
@@ -151,6 +152,7 @@
     archive("lease", agent.lease);
     archive("queue_length", agent.queueLength);
     archive("max_body_bytes", agent.maxBodyBytes);
+    archive("max_answer_bytes", agent.maxAnswerBytes);
     archive("drain_ms", agent.drain);
     archive("log_level", agent.logLevel);
 }
--- a/libs/config/settings.h
+++ b/libs/config/settings.h
@@ -65,28 +65,29 @@
 // One entry: carries callers' requests, schedules workers, accepts configuration.
 struct entry_settings
 {
-    std::string id;                       // unique among all processes
-    std::string region;                   //
-    std::string zone;                     // availability zone
-    listen_settings listen;               // for callers
-    listen_settings rpc;                  // for entries and agents
-    std::vector<endpoint> peers;          // rpc addresses of the other entries; none
-    platform_settings platform;           //
-    std::size_t shards = 1;               // the workers are split into; alike on all entries
-    milliseconds lease{1'800'000};        // owner's lease on a shard: the horizon of an outage
-    milliseconds agentLease{15'000};      // short lease given to agents, without the table
-    milliseconds clockMargin{500};        // added wherever another process's lease must be over
-    milliseconds announceSilence{3000};   // after which an announcer counts as gone
-    std::size_t maxBodyBytes = 1'048'576; // of a caller's request
-    std::size_t maxConnections = 256;     // of callers at once; a thread each
-    milliseconds requestDeadline{10'000}; // for requests that name none
-    retry_settings retry;                 //
-    milliseconds drain{30'000};           // longest wait for requests in flight at a stop
-    policy_weights weights;               //
-    milliseconds configPoll{1000};        // between two looks at the accepted generation
-    placement_settings placement;         //
-    routing_settings routing;             //
-    log_level logLevel = log_level::Info; // lowest level written
+    std::string id;                          // unique among all processes
+    std::string region;                      //
+    std::string zone;                        // availability zone
+    listen_settings listen;                  // for callers
+    listen_settings rpc;                     // for entries and agents
+    std::vector<endpoint> peers;             // rpc addresses of the other entries; none
+    platform_settings platform;              //
+    std::size_t shards = 1;                  // the workers are split into; alike on all entries
+    milliseconds lease{1'800'000};           // owner's lease on a shard: the horizon of an outage
+    milliseconds agentLease{15'000};         // short lease given to agents, without the table
+    milliseconds clockMargin{500};           // added wherever another process's lease must be over
+    milliseconds announceSilence{3000};      // after which an announcer counts as gone
+    std::size_t maxBodyBytes = 1'048'576;    // of a caller's request
+    std::size_t maxAnswerBytes = 67'108'864; // of an answer; large ones are streamed
+    std::size_t maxConnections = 256;        // of callers at once; a thread each
+    milliseconds requestDeadline{10'000};    // for requests that name none
+    retry_settings retry;                    //
+    milliseconds drain{30'000};              // longest wait for requests in flight at a stop
+    policy_weights weights;                  //
+    milliseconds configPoll{1000};           // between two looks at the accepted generation
+    placement_settings placement;            //
+    routing_settings routing;                //
+    log_level logLevel = log_level::Info;    // lowest level written
 };
 
 struct upstream_settings
@@ -115,20 +116,21 @@
 // One agent: admits requests to its upstream, runs the tasks of its worker, announces both.
 struct agent_settings
 {
-    std::string id;                       // unique among all processes
-    std::string region;                   //
-    std::string zone;                     // availability zone
-    std::string rack;                     //
-    listen_settings listen;               // for entries: requests and rpc
-    std::vector<endpoint> entries;        // their rpc addresses; one or more
-    upstream_settings upstream;           //
-    worker_settings worker;               //
-    milliseconds announce{500};           // between two announcements
-    agent_lease_settings lease;           //
-    std::size_t queueLength = 16;         // requests that wait for a slot
-    std::size_t maxBodyBytes = 1'048'576; // of a request
-    milliseconds drain{30'000};           // longest wait for requests in flight at a stop
-    log_level logLevel = log_level::Info; // lowest level written
+    std::string id;                          // unique among all processes
+    std::string region;                      //
+    std::string zone;                        // availability zone
+    std::string rack;                        //
+    listen_settings listen;                  // for entries: requests and rpc
+    std::vector<endpoint> entries;           // their rpc addresses; one or more
+    upstream_settings upstream;              //
+    worker_settings worker;                  //
+    milliseconds announce{500};              // between two announcements
+    agent_lease_settings lease;              //
+    std::size_t queueLength = 16;            // requests that wait for a slot
+    std::size_t maxBodyBytes = 1'048'576;    // of a request
+    std::size_t maxAnswerBytes = 67'108'864; // of an answer; large ones are streamed
+    milliseconds drain{30'000};              // longest wait for requests in flight at a stop
+    log_level logLevel = log_level::Info;    // lowest level written
 };
 
 // Throw error BadSettings; its text has a line for each fault: file, line, what was found and what
--- a/libs/config/settings_schema.cpp
+++ b/libs/config/settings_schema.cpp
@@ -112,6 +112,13 @@
       "maximum": 67108864,
       "description": "largest body of a caller's request"
     },
+    "max_answer_bytes": {
+      "type": "integer",
+      "default": 67108864,
+      "minimum": 65536,
+      "maximum": 1099511627776,
+      "description": "largest body of an answer; one above 65536 is streamed"
+    },
     "max_connections": {
       "type": "integer",
       "default": 256,
@@ -422,6 +429,13 @@
       "maximum": 67108864,
       "description": "largest body of a request"
     },
+    "max_answer_bytes": {
+      "type": "integer",
+      "default": 67108864,
+      "minimum": 65536,
+      "maximum": 1099511627776,
+      "description": "largest body of an answer; one above 65536 is streamed"
+    },
     "drain_ms": {
       "type": "integer",
       "default": 30000,
--- a/libs/delivery/flow_json.cpp
+++ b/libs/delivery/flow_json.cpp
@@ -163,6 +163,15 @@
         return value;
     }
 
+    Json::Value operator()(const answer_begun &event) const
+    {
+        auto value = named("answer_begun");
+        value["id"] = event.id;
+        value["attempt"] = event.attempt;
+        value["status"] = event.status;
+        return value;
+    }
+
     Json::Value operator()(const attempt_ended &event) const
     {
         auto value = std::visit([](const auto &each) { return outcomeJson(each); }, event.outcome);
@@ -388,6 +397,11 @@
         return upstream_chosen{stringMember(value, "id"), stringMember(value, "agent")};
     if (name == "none_available")
         return none_available{stringMember(value, "id"), kindFrom(value)};
+    if (name == "answer_begun") {
+        return answer_begun{stringMember(value, "id"),
+                            static_cast<std::uint32_t>(countMember(value, "attempt")),
+                            static_cast<int>(countMember(value, "status"))};
+    }
     if (name == "attempt_ended") {
         return attempt_ended{stringMember(value, "id"),
                              static_cast<std::uint32_t>(countMember(value, "attempt")),
--- a/libs/delivery/flow_messages.cpp
+++ b/libs/delivery/flow_messages.cpp
@@ -6,9 +6,11 @@
 
 namespace {
 
-constexpr name_table<flow_counter, 12> CounterNames{{
+constexpr name_table<flow_counter, 14> CounterNames{{
         {flow_counter::Arrived, "arrived"},
         {flow_counter::Passed, "passed"},
+        {flow_counter::Streamed, "streamed"},
+        {flow_counter::StreamCut, "stream_cut"},
         {flow_counter::Replayed, "replayed"},
         {flow_counter::Refused, "refused"},
         {flow_counter::Retried, "retried"},
@@ -23,6 +25,13 @@
 
 } // namespace
 
+attempt_outcome outcomeOf(error_kind failure)
+{
+    if (failure == error_kind::AnswerTooLarge)
+        return attempt_too_large{};
+    return attempt_cut{};
+}
+
 std::string_view nameOf(flow_counter counter)
 {
     return nameOf(CounterNames, counter);
--- a/libs/delivery/flow_messages.h
+++ b/libs/delivery/flow_messages.h
@@ -1,7 +1,7 @@
 // What goes into and comes out of request_flow: plain events and actions.
 //
-//   events    request_arrived, upstream_chosen, none_available, attempt_ended, claims_committed,
-//             claims_read, flow_tick, flow_drain
+//   events    request_arrived, upstream_chosen, none_available, answer_begun, attempt_ended,
+//             claims_committed, claims_read, flow_tick, flow_drain
 //   actions   choose_upstream, forward_request, cancel_attempt, answer_caller, commit_claims,
 //             read_claims, scan_claims, count_flow, flow_drained
 #pragma once
@@ -88,6 +88,18 @@
 using attempt_outcome = std::variant<whole_answer, attempt_refused, attempt_unreachable,
                                      attempt_cut, attempt_late, attempt_too_large>;
 
+// The end of an attempt whose answer was not whole.
+attempt_outcome outcomeOf(error_kind failure);
+
+// A whole head and the first part of a body that is too large to be kept have come: they may be
+// passed on now. Followed by attempt_ended once the body has ended.
+struct answer_begun
+{
+    std::string id;
+    std::uint32_t attempt = 0; // as given by forward_request
+    int status = 200;
+};
+
 struct attempt_ended
 {
     std::string id;
@@ -118,8 +130,9 @@
 struct flow_drain
 { };
 
-using flow_event = std::variant<request_arrived, upstream_chosen, none_available, attempt_ended,
-                                claims_committed, claims_read, flow_tick, flow_drain>;
+using flow_event =
+        std::variant<request_arrived, upstream_chosen, none_available, answer_begun, attempt_ended,
+                     claims_committed, claims_read, flow_tick, flow_drain>;
 
 // --- Actions ------------------------------------------------------------------------------------
 
@@ -148,7 +161,7 @@
     std::string agentId;
 };
 
-// Pass on the whole answer of this attempt.
+// Pass on the answer of this attempt: whole, or as it arrives after answer_begun.
 struct pass_answer
 {
     std::uint32_t attempt = 0;
@@ -201,6 +214,8 @@
 enum class flow_counter {
     Arrived,      // requests taken in
     Passed,       // whole answers passed on
+    Streamed,     // answers of which a first part was passed on
+    StreamCut,    // of these, those that did not come whole: the caller's connection was cut
     Replayed,     // answered from a stored answer
     Refused,      // answered with an error kind; by kind
     Retried,      // another attempt; by the kind that ended the one before
--- a/libs/delivery/request_flow.cpp
+++ b/libs/delivery/request_flow.cpp
@@ -133,6 +133,23 @@
     refuse(*request, certain ? event.kind : error_kind::NoUpstream, executed::No);
 }
 
+void request_flow::on(const answer_begun &event)
+{
+    auto *request = find(event.id, step::Forwarded);
+    if (request == nullptr)
+        return;
+    if (request->attempt != event.attempt)
+        return count(flow_counter::StaleEvent);
+    if (request->arrived.deadline <= m_now)
+        return deadlinePassed(*request);
+    // From here on there is no retry: the caller has the first bytes. The claim stays open until
+    // the body has ended, so that a repeat meanwhile learns that the key is in progress.
+    count(flow_counter::Streamed);
+    m_actions.emplace_back(answer_caller{event.id, pass_answer{event.attempt, event.status}});
+    request->at = step::Streaming;
+    waitUntil(*request, request->arrived.deadline + m_settings.lateOutcomeTime);
+}
+
 void request_flow::on(const attempt_ended &event)
 {
     const auto found = m_requests.find(event.id);
@@ -141,6 +158,8 @@
         || found->second.at == step::Choosing)
         return count(flow_counter::StaleEvent);
     auto &request = found->second;
+    if (request.at == step::Streaming)
+        return settleStreamed(request, event.outcome);
     if (request.at == step::Answered)
         return settleLate(request, event.outcome);
     std::visit([&](const auto &outcome) { ended(request, outcome); }, event.outcome);
@@ -353,6 +372,16 @@
     waitUntil(request, m_now + m_settings.lateOutcomeTime);
 }
 
+// The body has ended: whole, and the claim records that it ran, or cut. A cut says nothing about
+// the request, so that a repeat of the key learns `outcome_unknown` and never runs.
+void request_flow::settleStreamed(live_request &request, const attempt_outcome &outcome)
+{
+    const bool whole = std::holds_alternative<whole_answer>(outcome);
+    count(whole ? flow_counter::Passed : flow_counter::StreamCut);
+    endClaim(request, whole ? executed::Yes : executed::Unknown);
+    forget(request.arrived.id);
+}
+
 // The caller has its answer; what became of the attempt still settles the claim.
 void request_flow::settleLate(live_request &request, const attempt_outcome &outcome)
 {
@@ -387,7 +416,7 @@
 {
     while (!m_wakes.empty() && m_wakes.begin()->first <= m_now) {
         auto &request = m_requests.at(m_wakes.begin()->second);
-        if (request.at != step::Answered) {
+        if (request.at != step::Answered && request.at != step::Streaming) {
             deadlinePassed(request);
             continue;
         }
--- a/libs/delivery/request_flow.h
+++ b/libs/delivery/request_flow.h
@@ -53,13 +53,13 @@
     // The time by which a flow_tick is due; Never when nothing waits.
     time_point nextWake() const;
 
-    std::size_t inFlight() const { return m_inFlight; }             // requests without their answer
+    std::size_t inFlight() const { return m_inFlight; } // requests without their whole answer
     std::size_t openClaims() const { return m_book.openRecords(); } // not settled for good
     std::size_t keptAnswerBytes() const { return m_book.keptBytes(); }
     bool draining() const { return m_draining; }
 
 private:
-    enum class step { Claiming, Choosing, Forwarded, Answered };
+    enum class step { Claiming, Choosing, Forwarded, Streaming, Answered };
 
     struct live_request
     {
@@ -77,6 +77,7 @@
     void on(const request_arrived &event);
     void on(const upstream_chosen &event);
     void on(const none_available &event);
+    void on(const answer_begun &event);
     void on(const attempt_ended &event);
     void on(const claims_committed &event);
     void on(const claims_read &event);
@@ -90,6 +91,7 @@
     void ended(live_request &request, const attempt_late &outcome);
     void ended(live_request &request, const attempt_too_large &outcome);
 
+    void settleStreamed(live_request &request, const attempt_outcome &outcome);
     void settleLate(live_request &request, const attempt_outcome &outcome);
     void claimSettled(const claim_settled &settled);
     void takeBookOutput();
--- /dev/null
+++ b/libs/runtime/body_stream.cpp
@@ -0,0 +1,141 @@
+#include "runtime/body_stream.h"
+
+#include <utility>
+
+namespace zinniabarrow {
+
+body_ring::body_ring(time_point deadline)
+    : m_deadline(deadline)
+{ }
+
+bool body_ring::start(std::function<void()> interrupt)
+{
+    const std::lock_guard lock(m_mutex);
+    m_interrupt = std::move(interrupt);
+    return !m_stopped;
+}
+
+void body_ring::detach()
+{
+    const std::lock_guard lock(m_mutex);
+    m_interrupt = nullptr;
+}
+
+body_end body_ring::push(const char *data, std::size_t size)
+{
+    std::unique_lock lock(m_mutex);
+    const auto hasRoom = [&] {
+        return m_stopped || m_bytes == 0 || m_bytes + size <= StreamRingBytes;
+    };
+    // A caller that reads slowly slows the upstream; one that does not read at all must not keep
+    // the upstream's slot for longer than the request may take.
+    if (!m_changed.wait_until(lock, m_deadline, hasRoom))
+        failLocked(error_kind::AnswerLate);
+    if (m_stopped)
+        return m_end;
+    m_bytes += size;
+    m_chunks.emplace_back(data, size);
+    m_changed.notify_all();
+    return std::nullopt;
+}
+
+void body_ring::finish(body_end end)
+{
+    end_observer observer;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_finished = true;
+        if (!m_end)
+            m_end = end;
+        end = m_end;
+        observer = std::exchange(m_observer, nullptr);
+        m_changed.notify_all();
+    }
+    if (observer)
+        observer(end);
+}
+
+bool body_ring::waitForEnd(std::size_t bytes)
+{
+    std::unique_lock lock(m_mutex);
+    const auto decided = [&] { return m_finished || m_stopped || m_bytes > bytes; };
+    if (!m_changed.wait_until(lock, m_deadline, decided))
+        failLocked(error_kind::AnswerLate);
+    if (!m_finished && !m_stopped)
+        return false;
+    return m_end || m_bytes <= bytes; // whole, but larger than that: streamed like the others
+}
+
+std::string body_ring::take()
+{
+    std::unique_lock lock(m_mutex);
+    const auto ready = [&] { return m_finished || m_stopped || m_bytes > 0; };
+    if (!m_changed.wait_until(lock, m_deadline, ready))
+        failLocked(error_kind::AnswerLate);
+    std::string part;
+    const auto fits = [&] {
+        return part.empty() || part.size() + m_chunks.front().size() <= StreamPartBytes;
+    };
+    while (!m_chunks.empty() && fits()) {
+        part += m_chunks.front();
+        m_chunks.pop_front();
+    }
+    m_bytes -= part.size();
+    m_changed.notify_all();
+    return part;
+}
+
+body_end body_ring::end() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_end;
+}
+
+void body_ring::abandon()
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_finished)
+        failLocked(error_kind::OutcomeUnknown);
+    m_chunks.clear();
+    m_bytes = 0;
+}
+
+void body_ring::observeEnd(end_observer observer)
+{
+    std::unique_lock lock(m_mutex);
+    if (!m_finished) {
+        m_observer = std::move(observer);
+        return;
+    }
+    const auto end = m_end;
+    lock.unlock();
+    observer(end);
+}
+
+// Without the interrupt a receiver would stay in its read, and keep a connection that nobody wants,
+// until the peer sends or closes.
+void body_ring::failLocked(error_kind kind)
+{
+    if (!m_end)
+        m_end = kind;
+    m_stopped = true;
+    if (m_interrupt)
+        m_interrupt();
+    m_changed.notify_all();
+}
+
+body_reader::body_reader(std::shared_ptr<body_ring> ring)
+    : m_ring(std::move(ring))
+{ }
+
+body_reader::~body_reader()
+{
+    m_ring->abandon();
+}
+
+void body_reader::observeEnd(body_ring::end_observer observer)
+{
+    m_ring->observeEnd(std::move(observer));
+}
+
+} // namespace zinniabarrow
--- a/libs/runtime/http.cpp
+++ b/libs/runtime/http.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 #include <httplib.h>
 
@@ -22,6 +23,10 @@
 
 constexpr int ListenBacklog = 1024; // httplib's own is 5: bursts of connections would lose SYNs
 constexpr std::size_t OverflowThreads = 4;
+// The kernel's own would grow to several MiB for each connection, and hold a large answer that its
+// caller does not take. 256 KiB carry 40 MB/s over a way of 3 ms.
+constexpr int SocketBufferBytes = 256 * 1024;
+constexpr seconds SendStall{10}; // a peer that takes nothing for so long is cut off
 constexpr std::size_t RequestsPerConnection = 1U << 30U;
 
 // Set on the threads that serve connections beyond the bound: they only refuse.
@@ -67,6 +72,19 @@
     httplib::ThreadPool m_overflow;
 };
 
+// httplib would cut ranges out of the answer and compress it by itself, on top of what the upstream
+// made of these headers: the caller would get another body than its answer's.
+void leaveToUpstream(httplib::Request &request)
+{
+    request.ranges.clear();
+    request.headers.erase("Accept-Encoding");
+}
+
+void boundBuffer(socket_t socket, int option)
+{
+    setsockopt(socket, SOL_SOCKET, option, &SocketBufferBytes, sizeof SocketBufferBytes);
+}
+
 http_request requestOf(const httplib::Request &from)
 {
     http_request request;
@@ -86,7 +104,38 @@
                        [&](const char *each) { return strcasecmp(name.c_str(), each) == 0; });
 }
 
-void fillResponse(httplib::Response &to, const http_response &from)
+// httplib asks for the body part by part. False ends the connection without the declared length or
+// the last chunk, so that the caller sees an error and never a short success.
+bool sendPart(body_reader &stream, httplib::DataSink &sink, bool chunked)
+{
+    const auto part = stream.take();
+    if (!part.empty())
+        return sink.write(part.data(), part.size());
+    if (!chunked || stream.end())
+        return false;
+    sink.done();
+    return true;
+}
+
+// `held` lives until the body has been sent.
+void streamResponse(httplib::Response &to, const http_response &from, const std::string &type,
+                    const std::shared_ptr<void> &held)
+{
+    const auto stream = from.stream;
+    if (from.streamBytes) {
+        to.set_content_provider(*from.streamBytes, type,
+                                [stream, held](std::size_t, std::size_t, httplib::DataSink &sink) {
+                                    return sendPart(*stream, sink, false);
+                                });
+        return;
+    }
+    to.set_chunked_content_provider(type, [stream, held](std::size_t, httplib::DataSink &sink) {
+        return sendPart(*stream, sink, true);
+    });
+}
+
+void fillResponse(httplib::Response &to, const http_response &from,
+                  const std::shared_ptr<void> &held = nullptr)
 {
     to.status = from.status;
     for (const auto &[name, value] : from.headers) {
@@ -96,7 +145,10 @@
     std::string type = from.header("Content-Type");
     if (type.empty())
         type = "application/json";
-    to.set_content(from.body, type);
+    if (from.stream)
+        streamResponse(to, from, type, held);
+    else
+        to.set_content(from.body, type);
 }
 
 } // namespace
@@ -203,9 +255,11 @@
             to.set_header("Connection", "close");
             return;
         }
+        // Until the last byte of a streamed body: a planned stop waits for it.
         ++inFlight;
+        const std::shared_ptr<void> held(nullptr, [this](void *) { --inFlight; });
         try {
-            fillResponse(to, serve(requestOf(from)));
+            fillResponse(to, serve(requestOf(from)), held);
         } catch (const error &problem) {
             fillResponse(to, refusalAnswer(problem.kind()));
         } catch (const std::exception &) {
@@ -213,13 +267,13 @@
         }
         if (closing)
             to.set_header("Connection", "close");
-        --inFlight;
     }
 
     void configure()
     {
         const auto all = [this](const httplib::Request &from, httplib::Response &to) {
             answer(from, to);
+            leaveToUpstream(const_cast<httplib::Request &>(from)); // made non-const by httplib
         };
         server.Get(".*", all).Post(".*", all).Put(".*", all);
         server.Patch(".*", all).Delete(".*", all).Options(".*", all);
@@ -236,11 +290,13 @@
         server.set_payload_max_length(limits.bodyBytes);
         server.set_keep_alive_max_count(RequestsPerConnection);
         server.set_keep_alive_timeout(limits.keepAlive.count());
+        server.set_write_timeout(SendStall.count());
         server.set_tcp_nodelay(true);
         server.new_task_queue = [this] { return new bounded_task_queue(limits.connections); };
         server.set_socket_options([this](socket_t socket) {
             const int on = 1;
             setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+            boundBuffer(socket, SO_SNDBUF); // connections inherit it
             listener = socket;
         });
     }
@@ -313,6 +369,7 @@
         client.set_decompress(false);
         client.set_url_encode(false);
         client.set_follow_location(false);
+        client.set_socket_options([](socket_t socket) { boundBuffer(socket, SO_RCVBUF); });
     }
 
     httplib::ClientImpl client;
@@ -335,12 +392,20 @@
         m_idle.pop_back();
         // A connection idle for as long as the server's keep-alive may be closed by the server just
         // as the request is sent: the outcome would be unknown for nothing.
-        if (now - candidate->usedAt < m_limits.idleAtMost)
+        if (now - candidate->usedAt < m_limits.idleAtMost && isSilent(*candidate))
             return candidate;
     }
     return std::make_unique<connection>(m_peer);
 }
 
+// Bytes beyond the length that the last answer declared would be read as the next one's: a caller
+// would get what belongs to another. The end of the connection shows here as well.
+bool http_pool::isSilent(const connection &link)
+{
+    pollfd waiting{link.client.socket(), POLLIN, 0};
+    return poll(&waiting, 1, 0) == 0;
+}
+
 void http_pool::giveBack(std::unique_ptr<connection> link)
 {
     link->usedAt = monotonic_clock::now();
@@ -351,14 +416,6 @@
 
 namespace {
 
-struct received_answer
-{
-    std::string body;
-    bool tooLarge = false;
-    bool late = false;
-    bool framed = true; // a length or chunks: a cut would be seen
-};
-
 httplib::Request outgoing(const http_request &request)
 {
     httplib::Request out;
@@ -372,71 +429,195 @@
     return out;
 }
 
-bool hasNoBody(const std::string &method, int status)
+body_framing framingOf(const httplib::Response &from, std::uint64_t &declaredBytes)
 {
-    return method == "HEAD" || status == 204 || status == 304;
+    const auto lengths = from.get_header_value_count("Content-Length");
+    const auto encodings = from.get_header_value_count("Transfer-Encoding");
+    if (lengths + encodings > 1)
+        return body_framing::Conflicting;
+    if (encodings == 1) {
+        const auto encoding = from.get_header_value("Transfer-Encoding");
+        return strcasecmp(encoding.c_str(), "chunked") == 0 ? body_framing::Chunked
+                                                            : body_framing::UntilClose;
+    }
+    if (lengths == 0)
+        return body_framing::UntilClose;
+    const auto text = from.get_header_value("Content-Length");
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), declaredBytes);
+    const bool number = read.ec == std::errc() && read.ptr == text.data() + text.size();
+    return number ? body_framing::Length : body_framing::Conflicting;
 }
 
-call_failure failureOf(httplib::Error error, const received_answer &received)
+answer_head headOf(const httplib::Response &from, const std::string &echoHeader)
 {
-    if (received.tooLarge)
-        return call_failure::TooLarge;
-    if (received.late)
-        return call_failure::Late;
-    if (error == httplib::Error::Connection)
+    answer_head head;
+    head.status = from.status;
+    if (!echoHeader.empty())
+        head.requestId = from.get_header_value(echoHeader);
+    head.framing = framingOf(from, head.declaredBytes);
+    constexpr std::size_t Separators = 4; // ": " and the end of the line
+    for (const auto &[name, value] : from.headers)
+        head.headBytes += name.size() + value.size() + Separators;
+    return head;
+}
+
+call_failure failureOf(error_kind kind)
+{
+    switch (kind) {
+    case error_kind::UpstreamUnreachable:
         return call_failure::NotConnected;
-    return call_failure::Cut;
+    case error_kind::AnswerLate:
+        return call_failure::Late;
+    case error_kind::AnswerTooLarge:
+        return call_failure::TooLarge;
+    default:
+        return call_failure::Cut;
+    }
 }
 
 } // namespace
 
-call_result http_pool::call(const http_request &request, time_point deadline)
+// What httplib reports of one answer goes through here: answer_check decides, the sink gets the
+// body.
+struct http_pool::intake
+{
+    using body_sink = std::function<std::optional<error_kind>(const char *, std::size_t)>;
+
+    intake(const http_request &request, answer_echo echo, const http_pool_limits &limits,
+           body_sink bytesTo)
+        : echoHeader(std::move(echo.header))
+        , answer(std::move(echo.value), request.method,
+                 {answer_limits{}.maxHeadBytes, limits.answerBytes})
+        , sink(std::move(bytesTo))
+    { }
+
+    bool takeHead(const httplib::Response &from)
+    {
+        const auto head = headOf(from, echoHeader);
+        response.status = from.status;
+        for (const auto &[name, value] : from.headers)
+            response.headers[name] = value;
+        if (head.framing == body_framing::Length)
+            response.streamBytes = head.declaredBytes;
+        headSeen = true;
+        failure = answer.head(head);
+        return !failure;
+    }
+
+    bool takeBody(const char *data, std::size_t size)
+    {
+        failure = answer.body(size);
+        if (!failure)
+            failure = sink(data, size);
+        return !failure;
+    }
+
+    std::optional<error_kind> end(bool received, httplib::Error problem, time_point deadline)
+    {
+        if (failure)
+            return failure;
+        if (received)
+            return answer.end(true);
+        if (problem == httplib::Error::Connection)
+            return error_kind::UpstreamUnreachable;
+        if (problem == httplib::Error::Read && monotonic_clock::now() >= deadline)
+            return error_kind::AnswerLate;
+        return answer.end(false).value_or(error_kind::AnswerCut);
+    }
+
+    std::string echoHeader;
+    answer_check answer;
+    body_sink sink;
+    http_response response; // head, once seen
+    bool headSeen = false;
+    body_ring *ring = nullptr; // whose reader may interrupt the receiving
+    std::optional<error_kind> failure;
+};
+
+std::optional<error_kind> http_pool::receive(const http_request &request, time_point deadline,
+                                             intake &into)
 {
     const auto now = monotonic_clock::now();
     if (deadline <= now)
-        return call_failure::NotConnected;
+        return error_kind::UpstreamUnreachable;
     const auto left = std::chrono::duration_cast<microseconds>(deadline - now);
     auto link = take();
     link->client.set_connection_timeout(std::min<microseconds>(left, m_limits.connectTimeout));
     link->client.set_read_timeout(left);
     link->client.set_write_timeout(left);
-
-    received_answer received;
     auto out = outgoing(request);
-    out.response_handler = [&](const httplib::Response &head) {
-        received.framed =
-                head.has_header("Content-Length")
-                || strcasecmp(head.get_header_value("Transfer-Encoding").c_str(), "chunked") == 0
-                || hasNoBody(request.method, head.status);
-        return received.framed;
-    };
+    out.response_handler = [&](const httplib::Response &head) { return into.takeHead(head); };
     out.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
-        received.tooLarge = received.body.size() + size > m_limits.answerBytes;
-        // The read timeout restarts with every byte: an answer that drips needs this check.
-        received.late = monotonic_clock::now() > deadline;
-        if (received.tooLarge || received.late)
-            return false;
-        received.body.append(data, size);
-        return true;
+        return into.takeBody(data, size);
     };
-
     httplib::Response in;
-    auto error = httplib::Error::Success;
-    const bool sent = link->client.send(out, in, error);
-    if (!received.framed)
-        return call_failure::Unprovable;
-    if (!sent) {
-        if (error == httplib::Error::Read && monotonic_clock::now() >= deadline)
-            return call_failure::Late;
-        return failureOf(error, received);
-    }
-    http_response response;
-    response.status = in.status;
-    for (const auto &[name, value] : in.headers)
-        response.headers[name] = value;
-    response.body = std::move(received.body);
-    if (strcasecmp(response.header("Connection").c_str(), "close") != 0)
+    auto problem = httplib::Error::Success;
+    if (into.ring != nullptr && !into.ring->start([&] { link->client.stop(); }))
+        return error_kind::UpstreamUnreachable; // nobody waits any more: not a byte is sent
+    const bool received = link->client.send(out, in, problem);
+    if (received && !into.headSeen) // httplib shows the head of an answer without a body only here
+        into.takeHead(in);
+    auto end = into.end(received, problem, deadline);
+    if (into.ring != nullptr)
+        into.ring->detach(); // the next user of the connection must not be interrupted
+    // A connection whose answer was not whole is in doubt: it goes with `link`.
+    if (!end && strcasecmp(into.response.header("Connection").c_str(), "close") != 0)
         giveBack(std::move(link));
+    return end;
+}
+
+call_result http_pool::call(const http_request &request, time_point deadline)
+{
+    std::string body;
+    intake into(request, {}, m_limits,
+                [&](const char *data, std::size_t size) -> std::optional<error_kind> {
+                    // The read timeout restarts with every byte: an answer that drips needs this.
+                    if (monotonic_clock::now() > deadline)
+                        return error_kind::AnswerLate;
+                    body.append(data, size);
+                    return std::nullopt;
+                });
+    if (const auto failed = receive(request, deadline, into))
+        return failureOf(*failed);
+    into.response.streamBytes.reset();
+    into.response.body = std::move(body);
+    return std::move(into.response);
+}
+
+call_result http_pool::open(http_request request, time_point deadline, answer_echo echo,
+                            receivers &threads)
+{
+    if (deadline <= monotonic_clock::now())
+        return call_failure::NotConnected;
+    const auto ring = std::make_shared<body_ring>(deadline);
+    const auto head = std::make_shared<http_response>(); // written before the ring's first byte
+    threads.run([this, ring, head, deadline, request = std::move(request),
+                 echo = std::move(echo)]() mutable {
+        intake into(request, std::move(echo), m_limits, nullptr);
+        into.ring = ring.get();
+        bool shown = false;
+        into.sink = [&](const char *data, std::size_t size) {
+            if (!std::exchange(shown, true))
+                *head = into.response;
+            return ring->push(data, size);
+        };
+        const auto end = receive(request, deadline, into);
+        if (!shown)
+            *head = std::move(into.response);
+        ring->finish(end);
+    });
+    const auto reader = std::make_shared<body_reader>(ring);
+    const bool ended = ring->waitForEnd(WholeAnswerBytes);
+    if (ended && ring->end())
+        return failureOf(*ring->end());
+    auto response = *head;
+    if (!ended) {
+        response.stream = reader;
+        return response;
+    }
+    response.streamBytes.reset();
+    for (auto part = ring->take(); !part.empty(); part = ring->take())
+        response.body += part;
     return response;
 }
 
--- a/libs/runtime/http.h
+++ b/libs/runtime/http.h
@@ -10,11 +10,15 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "base/answer_check.h"
 #include "base/time.h"
+#include "runtime/body_stream.h"
+#include "runtime/receivers.h"
 
 namespace zinniabarrow {
 
@@ -43,6 +47,8 @@
     int status = 200;
     http_headers headers;
     std::string body;
+    std::shared_ptr<body_reader> stream = nullptr; // the body while it arrives; null: in `body`
+    std::optional<std::uint64_t> streamBytes = {}; // its declared length; none: chunked
 
     std::string header(const std::string &name) const;
 };
@@ -93,20 +99,29 @@
 // How far a call got that brought no whole answer.
 enum class call_failure {
     NotConnected, // nothing was sent
-    Cut,          // sent, and the connection ended before the whole answer
+    Cut,          // sent, and no answer came that answer_check could prove whole
     Late,         // sent, and the deadline passed
     TooLarge,     // the answer exceeds the bound
-    Unprovable,   // the answer declares no length: a cut would go unseen
 };
 
 using call_result = std::variant<http_response, call_failure>;
 
+// An answer with a larger body is streamed by http_pool::open.
+constexpr std::size_t WholeAnswerBytes = 64 * 1024;
+
+// The header that the answer has to echo, so that one of an earlier request is never passed on.
+struct answer_echo
+{
+    std::string header; // empty: no echo is asked for
+    std::string value;
+};
+
 struct http_pool_limits
 {
     std::size_t idleConnections = 64; // kept for reuse
     milliseconds idleAtMost{2500};    // below the servers' keep-alive, see http.cpp
     milliseconds connectTimeout{500};
-    std::size_t answerBytes = 8 * 1024 * 1024;
+    std::size_t answerBytes = 8 * 1024 * 1024; // body of an answer, held whole or streamed
 };
 
 // Connections to one peer. Each call has a connection of its own; one in doubt is dropped.
@@ -118,11 +133,20 @@
     http_pool(const http_pool &) = delete;
     http_pool &operator=(const http_pool &) = delete;
 
+    // The whole answer.
     call_result call(const http_request &request, time_point deadline);
+    // The same up to WholeAnswerBytes; of a larger answer the head and a stream. The answer comes
+    // in on a thread of `threads`, which must not outlive the pool.
+    call_result open(http_request request, time_point deadline, answer_echo echo,
+                     receivers &threads);
 
 private:
     struct connection;
+    struct intake;
+    std::optional<error_kind> receive(const http_request &request, time_point deadline,
+                                      intake &into);
     std::unique_ptr<connection> take();
+    static bool isSilent(const connection &link);
     void giveBack(std::unique_ptr<connection> link);
 
     socket_address m_peer;
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -113,6 +113,21 @@
         kill(m_pid, number);
 }
 
+std::size_t child_process::peakMemoryBytes() const
+{
+    constexpr std::size_t Kibibyte = 1024;
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    std::string word;
+    while (status >> word) {
+        if (word == "VmHWM:") {
+            std::size_t kibibytes = 0;
+            status >> kibibytes;
+            return kibibytes * Kibibyte;
+        }
+    }
+    throw std::runtime_error("the process is gone: read " + m_errorFile);
+}
+
 bool child_process::running()
 {
     if (!m_ended && waitpid(m_pid, &m_status, WNOHANG) == m_pid)
--- a/standins/load.cpp
+++ b/standins/load.cpp
@@ -36,7 +36,6 @@
     case call_failure::TooLarge:
         return "too large";
     case call_failure::Cut:
-    case call_failure::Unprovable:
         break;
     }
     return "cut";
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -55,7 +55,9 @@
 std::unique_ptr<standin> startWorker(const worker_options &options);
 
 // An upstream: `slots` requests at a time, `connections` at most, echoes the request it was sent.
-// POST /fault {"slow_ms": n, "cut": n, "unavailable": bool}: cut ends the next n answers midway.
+// GET /large?bytes=n answers n pattern bytes; &framing=chunked without a length; &extra=n sends n
+// bytes more than it declares. POST /fault {"slow_ms": n, "cut": n, "unavailable": bool}: cut ends
+// the next n answers midway.
 struct upstream_options
 {
     socket_address address;
@@ -66,4 +68,7 @@
 };
 std::unique_ptr<standin> startUpstream(const upstream_options &options);
 
+// Bytes `offset` to `offset + size` of the body of /large.
+std::string patternBytes(std::uint64_t offset, std::size_t size);
+
 } // namespace zinniabarrow::standins
--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <mutex>
 #include <thread>
+#include <utility>
 
 #include <httplib.h>
 
@@ -18,6 +19,13 @@
 namespace {
 
 constexpr std::size_t RequestsPerConnection = 1U << 30U;
+constexpr std::size_t PartBytes = 64 * 1024; // of a large body, at a time
+constexpr int SlowReaders = 60;              // seconds until one is given up
+
+std::uint64_t numberOf(const httplib::Request &request, const char *name)
+{
+    return request.has_param(name) ? std::stoull(request.get_param_value(name)) : 0;
+}
 
 class upstream_standin : public standin
 {
@@ -31,6 +39,7 @@
         m_server.Get(".*", all).Post(".*", all).Put(".*", all).Delete(".*", all);
         m_server.set_keep_alive_max_count(RequestsPerConnection);
         m_server.set_tcp_nodelay(true);
+        m_server.set_write_timeout(SlowReaders);
         m_server.new_task_queue = [this] { return new httplib::ThreadPool(m_options.connections); };
         auto &address = m_options.address;
         if (address.port == 0)
@@ -60,7 +69,10 @@
             response.status = 503;
             return;
         }
-        runInSlot(request, response);
+        if (request.path == "/large")
+            serveLarge(request, response);
+        else
+            runInSlot(request, response);
     }
 
     static void reply(httplib::Response &response, const Json::Value &body)
@@ -88,6 +100,7 @@
         Json::Value json(Json::objectValue);
         json["overruns"] = m_overruns;
         json["cuts"] = Json::Int64(m_cuts);
+        json["at_once"] = m_atOnce;
         json["most_at_once"] = m_mostAtOnce;
         json["operations"] = Json::Value(Json::objectValue);
         for (const auto &[operation, count] : m_executions)
@@ -136,14 +149,74 @@
         echo["method"] = request.method;
         echo["target"] = request.target;
         echo["body"] = request.body;
+        if (takeCut())
+            cut(response, compactJson(echo));
+        else
+            reply(response, echo);
+    }
+
+    // True for the next answers of those that a fault has asked to cut.
+    bool takeCut()
+    {
         long left = m_cut;
         while (left > 0 && !m_cut.compare_exchange_weak(left, left - 1)) { }
-        if (left > 0) {
+        if (left > 0)
             ++m_cuts;
-            cut(response, compactJson(echo));
-        } else {
-            reply(response, echo);
+        return left > 0;
+    }
+
+    // Holds its slot until the last part goes out, or the connection is gone.
+    struct slot_holder
+    {
+        explicit slot_holder(upstream_standin &of)
+            : owner(of)
+        { }
+        ~slot_holder() { leave(); }
+        void leave()
+        {
+            if (!std::exchange(left, true))
+                owner.leave();
+        }
+
+        upstream_standin &owner;
+        bool left = false;
+    };
+
+    void serveLarge(const httplib::Request &request, httplib::Response &response)
+    {
+        enter(request.get_header_value("Operation"));
+        const auto slot = std::make_shared<slot_holder>(*this);
+        std::this_thread::sleep_for(m_options.work + milliseconds(m_slowMs));
+        const auto bytes = numberOf(request, "bytes");
+        const auto extra = numberOf(request, "extra");
+        const auto cutAt = takeCut() ? bytes / 2 : bytes;
+        const auto sendNext = [=](std::size_t offset, std::uint64_t atMost,
+                                  httplib::DataSink &sink) {
+            if (offset >= cutAt && cutAt < bytes)
+                return false;
+            const auto size = std::min({std::uint64_t(PartBytes), atMost, cutAt - offset});
+            const bool last = offset + size == bytes;
+            if (last)
+                slot->leave();
+            const auto part = patternBytes(offset, size + (last ? extra : 0));
+            return sink.write(part.data(), part.size());
+        };
+        if (request.get_param_value("framing") != "chunked") {
+            response.set_content_provider(
+                    bytes, "application/octet-stream",
+                    [=](std::size_t offset, std::size_t length, httplib::DataSink &sink) {
+                        return sendNext(offset, length, sink);
+                    });
+            return;
         }
+        response.set_chunked_content_provider("application/octet-stream",
+                                              [=](std::size_t offset, httplib::DataSink &sink) {
+                                                  if (!sendNext(offset, bytes, sink))
+                                                      return false;
+                                                  if (offset + PartBytes >= bytes)
+                                                      sink.done();
+                                                  return true;
+                                              });
     }
 
     upstream_options m_options;
@@ -163,6 +236,18 @@
 
 } // namespace
 
+std::string patternBytes(std::uint64_t offset, std::size_t size)
+{
+    constexpr std::uint64_t Letters = 26;
+    constexpr std::uint64_t Line = 64; // each line of letters begins with another one
+    std::string bytes(size, '\0');
+    for (std::size_t at = 0; at < size; ++at) {
+        const auto position = offset + at;
+        bytes[at] = static_cast<char>('a' + (position + position / Line * 7) % Letters);
+    }
+    return bytes;
+}
+
 std::unique_ptr<standin> startUpstream(const upstream_options &options)
 {
     return std::make_unique<upstream_standin>(options);
--- a/tests/attempt_test.cpp
+++ b/tests/attempt_test.cpp
@@ -1,6 +1,7 @@
 // The agent's memory of attempts, and the proof that an answer is whole.
-#include "delivery/answer_check.h"
+#include "base/answer_check.h"
 #include "delivery/attempt_guard.h"
+#include "delivery/flow_messages.h"
 #include "section.h"
 
 using namespace zinniabarrow;
--- /dev/null
+++ b/tests/body_stream_test.cpp
@@ -0,0 +1,132 @@
+// The ring between the thread that receives a large body and the one that sends it on.
+#include <atomic>
+#include <thread>
+
+#include "runtime/body_stream.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using tests::section;
+
+namespace {
+
+constexpr std::size_t PartBytes = 16 * 1024;
+
+time_point soon()
+{
+    return monotonic_clock::now() + milliseconds(50);
+}
+
+time_point muchLater()
+{
+    return monotonic_clock::now() + seconds(60);
+}
+
+body_end pushParts(body_ring &ring, std::size_t parts)
+{
+    const std::string part(PartBytes, 'x');
+    for (std::size_t index = 0; index < parts; ++index) {
+        if (const auto stopped = ring.push(part.data(), part.size()))
+            return stopped;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+// A large answer is read more slowly than it arrives. The reader gets every byte, and the receiver
+// never holds more than the ring.
+Test(body_ring, bounded)
+{
+    constexpr std::size_t Parts = 1000;
+    body_ring ring(muchLater());
+    std::atomic<std::size_t> pushed{0};
+    std::thread receiver([&] {
+        const std::string part(PartBytes, 'x');
+        for (std::size_t index = 0; index < Parts; ++index) {
+            ring.push(part.data(), part.size());
+            pushed += PartBytes;
+        }
+        ring.finish(std::nullopt);
+    });
+    section("the first part is passed on before the end",
+            [&] { check(!ring.waitForEnd(4 * PartBytes)); });
+    std::size_t taken = 0;
+    for (auto part = ring.take(); !part.empty(); part = ring.take()) {
+        check(part.size() <= StreamPartBytes);
+        check(pushed <= taken + StreamRingBytes + 2 * StreamPartBytes);
+        taken += part.size();
+    }
+    receiver.join();
+    check(taken == Parts * PartBytes);
+    check(!ring.end());
+}
+
+// A caller stops reading. The receiver waits for room until the deadline and no longer: after it
+// the connection and the upstream's slot behind it are free.
+Test(body_ring, late)
+{
+    section("nobody reads", [] {
+        body_ring ring(soon());
+        bool interrupted = false;
+        check(ring.start([&] { interrupted = true; }));
+        check(pushParts(ring, StreamRingBytes / PartBytes + 1) == error_kind::AnswerLate);
+        check(interrupted);
+    });
+    section("nothing comes: the receiver is interrupted in its read", [] {
+        body_ring ring(soon());
+        std::atomic<bool> interrupted{false};
+        ring.start([&] { interrupted = true; });
+        check(ring.waitForEnd(PartBytes));
+        check(interrupted);
+        check(ring.end() == error_kind::AnswerLate);
+    });
+    section("a receiver that starts too late sends nothing", [] {
+        body_ring ring(soon());
+        ring.waitForEnd(PartBytes);
+        check(!ring.start([] {}));
+    });
+}
+
+// A caller goes away, or the upstream's connection breaks. Whoever is left learns it, once.
+Test(body_ring, ends)
+{
+    section("the reader lets go: the receiver stops", [] {
+        const auto ring = std::make_shared<body_ring>(muchLater());
+        int interrupts = 0;
+        ring->start([&] { ++interrupts; });
+        pushParts(*ring, 1);
+        body_reader{ring};
+        check(interrupts == 1);
+        check(pushParts(*ring, 1) == error_kind::OutcomeUnknown);
+    });
+    section("after detach the connection belongs to another: no interrupt", [] {
+        const auto ring = std::make_shared<body_ring>(muchLater());
+        int interrupts = 0;
+        ring->start([&] { ++interrupts; });
+        ring->detach();
+        body_reader{ring};
+        check(interrupts == 0);
+    });
+    section("a cut is seen after the bytes before it", [] {
+        body_ring ring(muchLater());
+        pushParts(ring, 1);
+        ring.finish(error_kind::AnswerCut);
+        check(ring.take().size() == PartBytes);
+        check(ring.take().empty());
+        check(ring.end() == error_kind::AnswerCut);
+    });
+    section("the end is told once, whether it came before or after the question", [] {
+        for (const bool before : {false, true}) {
+            body_ring ring(muchLater());
+            int told = 0;
+            const auto ask = [&] { ring.observeEnd([&](body_end end) { told += end ? 100 : 1; }); };
+            if (!before)
+                ask();
+            ring.finish(std::nullopt);
+            if (before)
+                ask();
+            check(told == 1);
+        }
+    });
+}
--- /dev/null
+++ b/tests/process_stream_test.cpp
@@ -0,0 +1,337 @@
+// Large answers on real processes: whole or seen to be cut, within a stated bound on memory.
+#include <atomic>
+#include <sstream>
+
+#include "fleet_story.h"
+#include "standins/standin.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::tests;
+
+namespace {
+
+constexpr std::uint64_t MiB = 1024 * 1024;
+constexpr std::uint64_t LargeBytes = 32 * MiB;
+constexpr milliseconds LongDeadline{50'000}; // below the longest that an entry allows
+
+fleet_options onePath()
+{
+    auto options = smallFleet();
+    options.entries = 1;
+    options.workers = 1;
+    options.upstreamWorkMs = 1;
+    options.entrySettings["max_answer_bytes"] = Json::UInt64(256 * MiB);
+    options.agentSettings["max_answer_bytes"] = Json::UInt64(256 * MiB);
+    return options;
+}
+
+std::string large(std::uint64_t bytes, const std::string &more = {})
+{
+    return "/tickets/large?bytes=" + std::to_string(bytes) + more;
+}
+
+struct received
+{
+    std::string failure; // empty: the answer came whole
+    http_response head;
+    std::uint64_t bytes = 0;
+    bool equal = true; // to the pattern, as far as it came
+};
+
+// A caller that reads large answers part by part and compares them on the way.
+class large_caller
+{
+public:
+    explicit large_caller(fleet &system)
+        : m_pool(parseAddress(system.entryAddress(0)), limits())
+    { }
+
+    received fetch(http_request request, milliseconds deadline = LongDeadline,
+                   const std::function<void(std::uint64_t)> &afterPart = {})
+    {
+        request.headers["Zb-Deadline-Ms"] = std::to_string(deadline.count());
+        const auto until = monotonic_clock::now() + deadline + seconds(5);
+        const auto result = m_pool.open(std::move(request), until, {}, m_threads);
+        received got;
+        if (!std::holds_alternative<http_response>(result)) {
+            got.failure = "no answer";
+            return got;
+        }
+        got.head = std::get<http_response>(result);
+        if (!got.head.stream) {
+            got.bytes = got.head.body.size();
+            got.equal = got.head.body == patternBytes(0, got.bytes);
+            got.failure = got.head.header("Zb-Error");
+            return got;
+        }
+        for (auto part = got.head.stream->take(); !part.empty(); part = got.head.stream->take()) {
+            got.equal = got.equal && part == patternBytes(got.bytes, part.size());
+            got.bytes += part.size();
+            if (afterPart)
+                afterPart(got.bytes);
+        }
+        if (const auto end = got.head.stream->end())
+            got.failure = nameOf(*end);
+        got.head.stream.reset();
+        return got;
+    }
+
+private:
+    static http_pool_limits limits()
+    {
+        http_pool_limits limits;
+        limits.answerBytes = 512 * MiB;
+        return limits;
+    }
+
+    http_pool m_pool;
+    receivers m_threads;
+};
+
+http_request get(const std::string &target)
+{
+    return {"GET", target, {}, {}};
+}
+
+http_request purchase(const std::string &target, const std::string &key)
+{
+    return {"POST", target, {{"Idempotency-Key", key}, {"Operation", key}}, "seat"};
+}
+
+bool isWhole(const received &got, std::uint64_t bytes)
+{
+    return got.failure.empty() && got.head.status == 200 && got.bytes == bytes && got.equal;
+}
+
+// The value of a counter at the entry; 0 while it has not been counted.
+double counterAt(fleet &system, const std::string &name)
+{
+    http_pool pool(parseAddress(system.entryAddress(0)));
+    const auto result = pool.call(get("/metrics"), monotonic_clock::now() + seconds(5));
+    std::istringstream lines(std::get<http_response>(result).body);
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (line.rfind(name + " ", 0) == 0)
+            return std::stod(line.substr(name.size() + 1));
+    }
+    return 0;
+}
+
+} // namespace
+
+// A caller gets an answer of 32 MiB whole and equal, with the length that the upstream declared or
+// in chunks when it declared none. A keyed purchase with such an answer ran once; its repeat learns
+// that, since the answer is too large to be kept. One above the setting is refused, not cut short.
+Test(process_stream, whole)
+{
+    auto options = onePath();
+    options.entrySettings["max_answer_bytes"] = Json::UInt64(LargeBytes);
+    fleet system(options);
+    startWhole(system);
+    large_caller caller(system);
+    section("with a declared length", [&] {
+        const auto got = caller.fetch(get(large(LargeBytes)));
+        check(isWhole(got, LargeBytes));
+        check(got.head.header("Content-Length") == std::to_string(LargeBytes));
+        check(got.head.header("Zb-Executed") == "yes");
+    });
+    section("in chunks", [&] {
+        const auto got = caller.fetch(get(large(LargeBytes, "&framing=chunked")));
+        check(isWhole(got, LargeBytes));
+        check(got.head.header("Transfer-Encoding") == "chunked");
+    });
+    section("around the size from which answers are streamed", [&] {
+        for (const auto bytes : {WholeAnswerBytes - 1, WholeAnswerBytes, WholeAnswerBytes + 1}) {
+            const auto got = caller.fetch(get(large(bytes)));
+            check(isWhole(got, bytes));
+        }
+    });
+    section("a range and an encoding are the upstream's to heed", [&] {
+        auto request = get(large(MiB));
+        request.headers["Range"] = "bytes=10-19";
+        request.headers["Accept-Encoding"] = "gzip";
+        const auto got = caller.fetch(request);
+        check(got.head.status == 206);
+        check(got.head.header("Content-Range") == "bytes 10-19/1048576");
+        check(got.head.header("Content-Encoding").empty());
+        check(got.head.body == patternBytes(10, 10));
+    });
+    section("a keyed purchase runs once, and its repeat is told so", [&] {
+        const auto request = purchase(large(LargeBytes), "once");
+        check(isWhole(caller.fetch(request), LargeBytes));
+        check(caller.fetch(request).failure == "already_executed");
+        check(executionsOf(system)["once"] == 1);
+    });
+    section("above the bound nothing is passed on", [&] {
+        const auto got = caller.fetch(get(large(LargeBytes + 1)));
+        check(got.failure == "answer_too_large");
+        check(got.head.header("Zb-Executed") == "yes");
+    });
+}
+
+// A caller whose large answer is cut midway sees an error, never a short success.
+// The upstream ends its connection after half of the body; agent and entry have passed on bytes by
+// then, so that no retry is possible; each cuts its own connection without the rest.
+// That suffices because neither the declared length nor the last chunk ever comes.
+Test(process_stream, cut_midway)
+{
+    fleet system(onePath());
+    startWhole(system);
+    large_caller caller(system);
+    const auto cutNext = [&] {
+        Json::Value fault(Json::objectValue);
+        fault["cut"] = 1;
+        system.setFault(system.upstreamAddress(0), fault);
+    };
+    unsigned cuts = 0;
+    for (const auto *framing : {"", "&framing=chunked"}) {
+        section(std::string("cut") + framing, [&] {
+            cutNext();
+            const auto got = caller.fetch(get(large(LargeBytes, framing)));
+            check(got.failure == "answer_cut");
+            check(got.equal);
+            check(got.bytes <= LargeBytes / 2);
+            ++cuts;
+            check(waitUntil(
+                    [&] {
+                        return counterAt(system,
+                                         R"(zinniabarrow_flow_stream_cut_total{reason="all"})")
+                               == cuts;
+                    },
+                    SoonEnough));
+        });
+    }
+    section("a keyed purchase that was cut never runs again", [&] {
+        cutNext();
+        const auto request = purchase(large(LargeBytes), "cut");
+        check(caller.fetch(request).failure == "answer_cut");
+        std::string repeated;
+        check(waitUntil(
+                [&] {
+                    repeated = caller.fetch(request).failure;
+                    return repeated != "key_in_progress";
+                },
+                SoonEnough));
+        check(repeated == "outcome_unknown");
+        check(executionsOf(system)["cut"] == 1);
+    });
+    section("the next answer is whole",
+            [&] { check(isWhole(caller.fetch(get(large(LargeBytes))), LargeBytes)); });
+}
+
+// A caller gets its own answer although the upstream sends more than it declares.
+// The surplus lies in the connection when the agent uses it for the next request, whose answer it
+// would seem to be. A connection with bytes before its request is dropped.
+Test(process_stream, false_length)
+{
+    fleet system(onePath());
+    startWhole(system);
+    large_caller caller(system);
+    load_result result;
+    load_generator callers(system, {}, result);
+    for (unsigned turn = 0; turn < 10; ++turn) {
+        section("turn " + std::to_string(turn), [&] {
+            check(isWhole(caller.fetch(get(large(MiB, "&extra=100"))), MiB));
+            check(callers.ask(0, get("/tickets/seats"), "after-" + std::to_string(turn)).empty());
+        });
+    }
+    section("every promise was kept", [&] { checkPromisesKept(system, result); });
+}
+
+// Eight callers read answers of 32 MiB at once. Entry and agent hold at most the ring and one part
+// of each; held whole, these answers would be 256 MiB in each process.
+Test(process_stream, bounded_memory)
+{
+    constexpr unsigned Callers = 8;
+    constexpr std::size_t HeldBytes = StreamRingBytes + 2 * StreamPartBytes; // of one answer
+    constexpr std::size_t Slack = 8 * MiB; // threads, their allocator's arenas
+    fleet system(onePath());
+    startWhole(system);
+    std::vector<std::unique_ptr<large_caller>> callers;
+    for (unsigned index = 0; index < Callers; ++index)
+        callers.push_back(std::make_unique<large_caller>(system));
+    const auto entryBefore = system.entry(0)->peakMemoryBytes();
+    const auto agentBefore = system.agent(0)->peakMemoryBytes();
+    std::atomic<unsigned> whole{0};
+    std::vector<std::thread> threads;
+    for (auto &caller : callers) {
+        threads.emplace_back([&] {
+            if (isWhole(caller->fetch(get(large(LargeBytes))), LargeBytes))
+                ++whole;
+        });
+    }
+    for (auto &thread : threads)
+        thread.join();
+    const auto entryGrown = system.entry(0)->peakMemoryBytes() - entryBefore;
+    const auto agentGrown = system.agent(0)->peakMemoryBytes() - agentBefore;
+    cr_log_warn("grown: entry %zu KiB, agent %zu KiB", entryGrown / 1024, agentGrown / 1024);
+    check(whole == Callers);
+    cr_expect(entryGrown <= Callers * HeldBytes + Slack, "the entry grew by %zu", entryGrown);
+    cr_expect(agentGrown <= Callers * HeldBytes + Slack, "the agent grew by %zu", agentGrown);
+}
+
+// A caller that reads slowly slows its own answer and no other caller's.
+// More large answers are asked for than the upstream has slots: the agent holds a slot until its
+// body has ended, so that the upstream never has more than it declared. A caller that stops reading
+// loses its answer at its deadline, and the slot is free again.
+Test(process_stream, slow_readers)
+{
+    constexpr unsigned Slots = 8;
+    constexpr unsigned Askers = 12;
+    fleet system(onePath());
+    startWhole(system);
+    load_result result;
+    load_generator others(system, {}, result);
+    section("others are answered while one reader pauses", [&] {
+        large_caller caller(system);
+        unsigned answered = 0;
+        const auto got = caller.fetch(get(large(LargeBytes)), LongDeadline, [&](std::uint64_t) {
+            if (answered < 20)
+                answered += others.ask(0, get("/tickets/seats"), "beside").empty() ? 1 : 0;
+        });
+        check(isWhole(got, LargeBytes));
+        check(answered == 20);
+    });
+    section("never more than the upstream's slots", [&] {
+        std::atomic<unsigned> whole{0};
+        std::vector<std::thread> threads;
+        for (unsigned index = 0; index < Askers; ++index) {
+            threads.emplace_back([&] {
+                large_caller caller(system);
+                const auto got = caller.fetch(get(large(LargeBytes)));
+                if (isWhole(got, LargeBytes))
+                    ++whole;
+            });
+        }
+        for (auto &thread : threads)
+            thread.join();
+        check(whole == Askers);
+        check(system.getJson(system.upstreamAddress(0), "/executions")["overruns"].asUInt() == 0);
+    });
+    section("readers that stop lose their answers at the deadline, not the slots", [&] {
+        std::atomic<unsigned> cut{0};
+        std::atomic<bool> released{false};
+        std::vector<std::thread> threads;
+        for (unsigned index = 0; index < Slots; ++index) {
+            threads.emplace_back([&] {
+                large_caller caller(system);
+                const auto got = caller.fetch(
+                        get(large(LargeBytes)), milliseconds(1500), [&](std::uint64_t) {
+                            waitUntil([&] { return released.load(); }, SoonEnough);
+                        });
+                if (!got.failure.empty())
+                    ++cut;
+            });
+        }
+        const auto atOnce = [&] {
+            return system.getJson(system.upstreamAddress(0), "/executions")["at_once"].asUInt();
+        };
+        check(waitUntil([&] { return atOnce() == Slots; }, SoonEnough));
+        check(waitUntil([&] { return atOnce() == 0; }, SoonEnough));
+        check(others.ask(0, get("/tickets/seats"), "again").empty());
+        released = true;
+        for (auto &thread : threads)
+            thread.join();
+        check(cut == Slots);
+    });
+}
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -209,3 +209,56 @@
         }
     });
 }
+
+// A caller has the first bytes of a large answer when its connection breaks further up. There is no
+// other attempt and no second answer, and the drain waits for the end of the body.
+Test(request_flow, streamed_answers)
+{
+    const auto begin = [](forwarded_request &request, std::uint32_t attempt = 1,
+                          milliseconds after = milliseconds(10)) {
+        return request.flow.handle(answer_begun{"r", attempt, 200}, Start + after);
+    };
+    section("the head is passed on once, and the request stays in flight", [&] {
+        forwarded_request request("GET");
+        const auto actions = begin(request);
+        check(find<answer_caller>(actions) != nullptr && refusalIn(actions) == nullptr);
+        check(find<answer_caller>(begin(request)) == nullptr);
+        check(request.flow.inFlight() == 1);
+    });
+    section("no outcome leads to another attempt or answer", [&] {
+        for (const attempt_outcome &outcome :
+             {attempt_outcome(attempt_cut{true}), attempt_outcome(attempt_unreachable{}),
+              attempt_outcome(refusalOf(error_kind::QueueFull, executed::No)),
+              attempt_outcome(whole_answer{})}) {
+            forwarded_request request("GET");
+            begin(request);
+            const auto actions = request.end(outcome);
+            check(find<choose_upstream>(actions) == nullptr);
+            check(find<answer_caller>(actions) == nullptr);
+            check(request.flow.inFlight() == 0);
+        }
+    });
+    section("one that begins after the deadline is refused as late", [&] {
+        forwarded_request request("POST");
+        const auto actions = begin(request, 1, milliseconds(501));
+        check(refusedAs(actions, error_kind::AnswerLate, executed::Unknown));
+    });
+    section("one of an earlier attempt is not passed on", [&] {
+        forwarded_request request("POST");
+        request.end(attempt_unreachable{});
+        request.flow.handle(upstream_chosen{"r", "a2"}, Start + milliseconds(20));
+        check(find<answer_caller>(begin(request, 1, milliseconds(30))) == nullptr);
+        check(find<answer_caller>(begin(request, 2, milliseconds(30))) != nullptr);
+    });
+    section("a drain waits for the end of the body, but not for ever", [&] {
+        forwarded_request request("GET");
+        begin(request);
+        check(find<flow_drained>(request.flow.handle(flow_drain{}, Start + milliseconds(20)))
+              == nullptr);
+        check(find<flow_drained>(request.end(whole_answer{}, 1, milliseconds(30))) != nullptr);
+        forwarded_request lost("GET");
+        begin(lost);
+        lost.flow.handle(flow_drain{}, Start + milliseconds(20));
+        check(find<flow_drained>(lost.flow.handle(flow_tick{}, Start + seconds(60))) != nullptr);
+    });
+}
