At most once with streamed answers, under every fault

Cause: the flow's new event had been tested by itself, not against lost, late and doubled messages.

Change: delivery_world can make answers large (head first, end 40 ms later); at_most_once_test runs an order with such answers without faults, with a cut midway, and with every step hit by every fault.

Ruled out: keeping the first 4 KiB of a large answer with the claim: a replay of a part is no answer.

--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -58,9 +58,10 @@
 }
 
 void runFaults(const std::string &method, const std::string &key,
-               const std::map<int, fault> &faults, const std::string &what)
+               const std::map<int, fault> &faults, const std::string &what, bool streaming = false)
 {
     delivery_world world;
+    world.streaming = streaming;
     world.faults = faults;
     if (key.empty())
         world.send("e1/r0", "e1", milliseconds(100), method, key);
@@ -72,9 +73,10 @@
         checkProgress(world, what, faults.begin()->second);
 }
 
-int stepsOf(const std::string &method)
+int stepsOf(const std::string &method, bool streaming = false)
 {
     delivery_world world;
+    world.streaming = streaming;
     sendOrder(world, method, "k");
     world.runUntil(milliseconds(2500));
     return world.step;
@@ -152,3 +154,45 @@
         runFaults("POST", "k", faults, fmt::format("seed {}", seed));
     }
 }
+
+// The order's answer is large: the caller has its first part before the body has ended, and then
+// any message is hit by any fault. No repeat runs the order again; while the body is under way the
+// key is in progress, after it the repeat learns that the order ran, or that nobody knows.
+Test(at_most_once, streamed_answers)
+{
+    section("without faults", [] {
+        delivery_world world;
+        world.streaming = true;
+        sendOrder(world, "POST", "k");
+        world.runUntil(milliseconds(60'000));
+        check(world.runsOf["k"] == 1);
+        check(world.answers["e1/r0"] == std::vector<std::string>{"passed"});
+        check(world.answers["e2/r1"].front() == "key_in_progress");
+        for (const auto *id : {"e1/r2", "e2/r3", "e1/r4", "e2/r5"})
+            check(world.answers[id].front() == "already_executed");
+    });
+    section("cut midway: nobody knows, at either entry", [] {
+        delivery_world world;
+        world.streaming = true;
+        world.refusing.clear();
+        world.cutting = {"a1"};
+        sendOrder(world, "POST", "k");
+        world.runUntil(milliseconds(60'000));
+        check(world.runsOf["k"] == 1);
+        check(world.answers["e1/r0"] == std::vector<std::string>{"passed"});
+        for (const auto *id : {"e1/r2", "e2/r3", "e1/r4", "e2/r5"})
+            check(world.answers[id].front() == "outcome_unknown");
+    });
+    section("every step and fault", [] {
+        const auto steps = stepsOf("POST", true);
+        check(steps > 40);
+        for (const std::string method : {"POST", "PUT"}) {
+            for (int step = 1; step <= steps; ++step) {
+                for (int kind = 1; kind < static_cast<int>(fault::Last); ++kind) {
+                    runFaults(method, "k", {{step, static_cast<fault>(kind)}},
+                              fmt::format("{} step {} fault {}", method, step, kind), true);
+                }
+            }
+        }
+    });
+}
--- a/tests/delivery_world.h
+++ b/tests/delivery_world.h
@@ -44,6 +44,7 @@
     std::map<int, fault> faults;          // by step
     std::set<std::string> refusing{"a1"}; // agents that are full
     std::set<std::string> cutting;        // agents whose connections break in the answer
+    bool streaming = false;               // answers are large: their head comes before their end
     memory_platform platform;
     std::map<std::string, int> runs;   // by request id
     std::map<std::string, int> runsOf; // by order: the key, or the request without one
@@ -240,6 +241,8 @@
                     overlapping.insert(action.id);
                 ++runsOf[orderOf[action.id]];
                 post(entry, milliseconds(20), [=, this](fault) {
+                    if (streaming)
+                        return stream(entry, action, ended);
                     --m_running[action.id];
                     guard(action.agentId).ended(action.id, action.attempt, executed::Yes, now);
                     ended(whole_answer{201, {}, action.id.size(), action.id});
@@ -248,6 +251,20 @@
         });
     }
 
+    // The head and the first part at once, the end of the body 40 ms later.
+    template <typename Ended>
+    void stream(const std::string &entry, const forward_request &action, const Ended &ended)
+    {
+        post(entry, milliseconds(1), [=, this](fault) {
+            event(entry, answer_begun{action.id, action.attempt, 201});
+        });
+        post(entry, milliseconds(40), [=, this](fault) {
+            --m_running[action.id];
+            guard(action.agentId).ended(action.id, action.attempt, executed::Yes, now);
+            ended(whole_answer{201, {}, 1U << 20U, std::nullopt});
+        });
+    }
+
     void act(const std::string &entry, const cancel_attempt &action)
     {
         post(entry, milliseconds(1),
