Receiving an answer wakes its waiter once

Cause: the first part of a small answer woke the waiting thread, which had nothing to do yet; and threads were woken under the lock that they need.

Change: a push wakes the reader only once more bytes are there than it waits for; wakes come after the lock is released.

Ruled out: none of the two wakes can go without leaving httplib's push interface.

--- a/libs/runtime/body_stream.cpp
+++ b/libs/runtime/body_stream.cpp
@@ -35,7 +35,11 @@
         return m_end;
     m_bytes += size;
     m_chunks.emplace_back(data, size);
-    m_changed.notify_all();
+    // The parts of an answer that will be whole wake nobody: its end does, once.
+    const bool wanted = m_bytes > m_wantedBytes;
+    lock.unlock();
+    if (wanted)
+        m_changed.notify_all();
     return std::nullopt;
 }
 
@@ -49,8 +53,8 @@
             m_end = end;
         end = m_end;
         observer = std::exchange(m_observer, nullptr);
-        m_changed.notify_all();
     }
+    m_changed.notify_all();
     if (observer)
         observer(end);
 }
@@ -58,6 +62,7 @@
 bool body_ring::waitForEnd(std::size_t bytes)
 {
     std::unique_lock lock(m_mutex);
+    m_wantedBytes = bytes;
     const auto decided = [&] { return m_finished || m_stopped || m_bytes > bytes; };
     if (!m_changed.wait_until(lock, m_deadline, decided))
         failLocked(error_kind::AnswerLate);
@@ -69,6 +74,7 @@
 std::string body_ring::take()
 {
     std::unique_lock lock(m_mutex);
+    m_wantedBytes = 0;
     const auto ready = [&] { return m_finished || m_stopped || m_bytes > 0; };
     if (!m_changed.wait_until(lock, m_deadline, ready))
         failLocked(error_kind::AnswerLate);
--- a/libs/runtime/body_stream.h
+++ b/libs/runtime/body_stream.h
@@ -60,10 +60,11 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     std::deque<std::string> m_chunks;
-    std::size_t m_bytes = 0; // in m_chunks
-    bool m_finished = false; // by the receiver
-    bool m_stopped = false;  // abandoned or late: the receiver has to end
-    body_end m_end;          // the first reason stays
+    std::size_t m_bytes = 0;       // in m_chunks
+    std::size_t m_wantedBytes = 0; // the reader waits for more than these
+    bool m_finished = false;       // by the receiver
+    bool m_stopped = false;        // abandoned or late: the receiver has to end
+    body_end m_end;                // the first reason stays
     std::function<void()> m_interrupt;
     end_observer m_observer;
 };
--- a/libs/runtime/receivers.cpp
+++ b/libs/runtime/receivers.cpp
@@ -23,13 +23,15 @@
 
 void receivers::run(std::function<void()> job)
 {
-    const std::lock_guard lock(m_mutex);
-    m_jobs.push_back(std::move(job));
-    if (m_idle > 0)
-        --m_idle;
-    else
-        m_threads.emplace_back([this] { work(); });
-    m_changed.notify_one();
+    {
+        const std::lock_guard lock(m_mutex);
+        m_jobs.push_back(std::move(job));
+        if (m_idle > 0)
+            --m_idle;
+        else
+            m_threads.emplace_back([this] { work(); });
+    }
+    m_changed.notify_one(); // unlocked, so that the thread that wakes does not wait at once again
 }
 
 void receivers::work()
--- a/tests/body_stream_test.cpp
+++ b/tests/body_stream_test.cpp
@@ -96,7 +96,7 @@
         int interrupts = 0;
         ring->start([&] { ++interrupts; });
         pushParts(*ring, 1);
-        body_reader{ring};
+        std::make_unique<body_reader>(ring).reset();
         check(interrupts == 1);
         check(pushParts(*ring, 1) == error_kind::OutcomeUnknown);
     });
@@ -105,7 +105,7 @@
         int interrupts = 0;
         ring->start([&] { ++interrupts; });
         ring->detach();
-        body_reader{ring};
+        std::make_unique<body_reader>(ring).reset();
         check(interrupts == 0);
     });
     section("a cut is seen after the bytes before it", [] {
