--- a/app/request_duty.cpp
+++ b/app/request_duty.cpp
@@ -423,6 +423,9 @@
 {
     if (const auto *refusal = std::get_if<delivery::refuse_request>(&action.answer))
         m_metrics.count("refusals_total", nameOf(refusal->kind));
+    else if (const auto *passed = std::get_if<delivery::pass_answer>(&action.answer);
+             passed != nullptr && passed->streaming)
+        m_metrics.count("answers_total", "streamed");
     else
         m_metrics.count("answers_total", "whole");
     m_calls.at(action.id)->push(answer_step{action.answer});
--- a/libs/delivery/flow_json.cpp
+++ b/libs/delivery/flow_json.cpp
@@ -292,7 +292,7 @@
     Json::Value operator()(const pass_answer &answer) const
     {
         Json::Value value(Json::objectValue);
-        value["answer"] = "passed";
+        value["answer"] = answer.streaming ? "streaming" : "passed";
         value["attempt"] = answer.attempt;
         value["status"] = answer.status;
         return value;
--- a/libs/delivery/flow_messages.h
+++ b/libs/delivery/flow_messages.h
@@ -166,6 +166,7 @@
 {
     std::uint32_t attempt = 0;
     int status = 200;
+    bool streaming = false; // the end of its body is still to come
 };
 
 // Answer from the record of the first run, marked as a replay.
--- a/libs/delivery/request_flow.cpp
+++ b/libs/delivery/request_flow.cpp
@@ -145,7 +145,7 @@
     // From here on there is no retry: the caller has the first bytes. The claim stays open until
     // the body has ended, so that a repeat meanwhile learns that the key is in progress.
     count(flow_counter::Streamed);
-    m_actions.emplace_back(answer_caller{event.id, pass_answer{event.attempt, event.status}});
+    m_actions.emplace_back(answer_caller{event.id, pass_answer{event.attempt, event.status, true}});
     request->at = step::Streaming;
     waitUntil(*request, request->arrived.deadline + m_settings.lateOutcomeTime);
 }
@@ -317,7 +317,7 @@
 {
     count(flow_counter::Passed);
     m_actions.emplace_back(
-            answer_caller{request.arrived.id, pass_answer{request.attempt, answer.status}});
+            answer_caller{request.arrived.id, pass_answer{request.attempt, answer.status, false}});
     if (request.claimed)
         m_book.finished(request.arrived.id, answer, m_now);
     forget(request.arrived.id);
--- a/tests/process_stream_test.cpp
+++ b/tests/process_stream_test.cpp
@@ -1,6 +1,7 @@
 // Large answers on real processes: whole or seen to be cut, within a stated bound on memory.
 #include <atomic>
 #include <sstream>
+#include <utility>
 
 #include "fleet_story.h"
 #include "standins/standin.h"
@@ -335,3 +336,32 @@
         check(cut == Slots);
     });
 }
+
+// A caller that is in the middle of a large answer gets it whole when the agent, and then the
+// entry, on its way is stopped as planned. httplib ends every body that is being sent once its
+// server stops: the processes wait for the last byte before they stop it, and then exit with 0.
+Test(process_stream, planned_stops)
+{
+    const auto stopDuring = [](const std::string &what, auto &&processOf) {
+        section(what, [&] {
+            fleet system(onePath());
+            startWhole(system);
+            large_caller caller(system);
+            auto &process = processOf(system);
+            bool stopped = false;
+            const auto got = caller.fetch(get(large(LargeBytes)), LongDeadline, [&](std::uint64_t) {
+                if (std::exchange(stopped, true))
+                    return;
+                process->signal(SIGTERM);
+                std::this_thread::sleep_for(milliseconds(3000)); // room to stop too early
+                check(process->running());
+            });
+            check(isWhole(got, LargeBytes));
+            check(process->waitForExit(SoonEnough) == 0);
+        });
+    };
+    stopDuring(
+            "the agent", [](fleet & system) -> auto & { return system.agent(0); });
+    stopDuring(
+            "the entry", [](fleet & system) -> auto & { return system.entry(0); });
+}
