A planned stop with the rest of an answer in the entry's ring

Cause: no test showed that a body counts as in flight until its last byte has gone.

Change: callers pause on answers of rising size until one no longer fits in the buffers on the way; that one is read, the entry is stopped, and the others still get their rest.

The agent's wait for its connections has the same cause and no test of its own.

--- a/tests/process_stream_test.cpp
+++ b/tests/process_stream_test.cpp
@@ -89,6 +89,47 @@
     receivers m_threads;
 };
 
+// A caller that takes the first part of a large answer and waits for finish().
+class paused_caller
+{
+public:
+    paused_caller(fleet &system, std::uint64_t bytes)
+        : m_caller(system)
+        , m_thread([this, bytes] { read(bytes); })
+    { }
+    ~paused_caller() { finish(); }
+    paused_caller(const paused_caller &) = delete;
+    paused_caller &operator=(const paused_caller &) = delete;
+
+    bool begun() const { return m_begun; }
+    // Reads the rest; true when the answer was whole.
+    bool finish()
+    {
+        m_released = true;
+        if (m_thread.joinable())
+            m_thread.join();
+        return m_whole;
+    }
+
+private:
+    void read(std::uint64_t bytes)
+    {
+        const auto got =
+                m_caller.fetch({"GET", large(bytes), {}, {}}, LongDeadline, [this](std::uint64_t) {
+                    m_begun = true;
+                    waitUntil([this] { return m_released.load(); }, SoonEnough);
+                });
+        m_begun = true;
+        m_whole = got.failure.empty() && got.bytes == bytes && got.equal;
+    }
+
+    large_caller m_caller;
+    std::atomic<bool> m_begun{false};
+    std::atomic<bool> m_released{false};
+    std::atomic<bool> m_whole{false};
+    std::thread m_thread; // last: it uses all of the above
+};
+
 http_request get(const std::string &target)
 {
     return {"GET", target, {}, {}};
@@ -365,3 +406,38 @@
     stopDuring(
             "the entry", [](fleet & system) -> auto & { return system.entry(0); });
 }
+
+// The entry has received a large answer whole, and its caller has taken only a part of it, when the
+// entry is stopped as planned. Nothing decides about the request any more, so only the connection's
+// own count of requests in flight keeps the process until the last byte has gone.
+Test(process_stream, planned_stop_with_the_rest_in_the_ring)
+{
+    constexpr std::uint64_t Step = 128 * 1024; // half of a ring: some answer ends within it
+    constexpr unsigned Most = 32;
+    fleet system(onePath());
+    startWhole(system);
+    std::vector<std::unique_ptr<paused_caller>> callers;
+    const auto received = [&] {
+        return system.rpc(0, "status", Json::objectValue)["in_flight"].asUInt() == 0;
+    };
+    bool held = true; // by the buffers on the way and the entry's ring, whole
+    for (unsigned index = 1; held && index <= Most; ++index) {
+        callers.push_back(std::make_unique<paused_caller>(system, index * Step));
+        check(waitUntil([&] { return callers.back()->begun(); }, SoonEnough));
+        held = waitUntil(received, milliseconds(500));
+    }
+    section("an answer larger than all that lies on the way is read to its end", [&] {
+        require(!held);
+        check(callers.back()->finish());
+        callers.pop_back();
+        check(waitUntil(received, SoonEnough));
+    });
+    section("the entry is stopped while the others' rest is in its ring", [&] {
+        system.entry(0)->signal(SIGTERM);
+        std::this_thread::sleep_for(milliseconds(2000)); // room to stop too early
+        check(system.entry(0)->running());
+        for (auto &caller : callers)
+            check(caller->finish());
+        check(system.entry(0)->waitForExit(SoonEnough) == 0);
+    });
+}
