Thread check covers the ring of a streamed body and its threads

Cause: the new ring and the threads that receive ran under the thread sanitizer in a trial only.

Change: thread_check sends 600 bodies through rings with threads that are used again; a third of the readers let go midway. Nothing of its other checks changed.

--- a/tests/thread_check.cpp
+++ b/tests/thread_check.cpp
@@ -8,7 +8,9 @@
 #include <fmt/core.h>
 
 #include "base/bounded_ring.h"
+#include "runtime/body_stream.h"
 #include "runtime/metrics.h"
+#include "runtime/receivers.h"
 
 using namespace zinniabarrow;
 
@@ -93,12 +95,64 @@
     check(counters.value("refusals_total", "queue_full") == Writers * 500, "no count is lost");
 }
 
+// Sends one body through a ring; every third reader lets go midway. True when the bytes are right.
+bool streamOne(receivers &threads, int number, std::atomic<int> &ends)
+{
+    constexpr std::size_t Chunk = 4096;
+    constexpr std::size_t Chunks = 300;
+    const bool letsGo = number % 3 == 0;
+    const auto ring = std::make_shared<body_ring>(monotonic_clock::now() + seconds(60));
+    threads.run([ring] {
+        body_end end;
+        const std::string chunk(Chunk, 'x');
+        if (ring->start([] {})) {
+            for (std::size_t index = 0; index < Chunks && !end; ++index)
+                end = ring->push(chunk.data(), chunk.size());
+        }
+        ring->detach();
+        ring->finish(end);
+    });
+    body_reader reader(ring);
+    ring->waitForEnd(Chunk);
+    reader.observeEnd([&](body_end) { ++ends; });
+    std::size_t bytes = 0;
+    for (auto part = reader.take(); !part.empty(); part = reader.take()) {
+        bytes += part.size();
+        if (letsGo && bytes > Chunk)
+            return true;
+    }
+    return bytes == Chunk * Chunks && !reader.end();
+}
+
+// A receiving and a sending thread for each body, and threads that are used again.
+void bodiesComeWholeAndEndOnce()
+{
+    constexpr int Bodies = 150;
+    std::atomic<int> whole{0};
+    std::atomic<int> ends{0};
+    {
+        receivers threads;
+        std::vector<std::thread> readers;
+        for (int reader = 0; reader < Writers; ++reader) {
+            readers.emplace_back([&] {
+                for (int number = 0; number < Bodies; ++number)
+                    whole += streamOne(threads, number, ends) ? 1 : 0;
+            });
+        }
+        for (auto &reader : readers)
+            reader.join();
+    }
+    check(whole == Writers * Bodies, "every body that is read to its end is whole");
+    check(ends == Writers * Bodies, "every end is told once");
+}
+
 } // namespace
 
 int main()
 {
     ringKeepsWhatItTook();
     metricsCountFromAllThreads();
+    bodiesComeWholeAndEndOnce();
     fmt::print("{} passed, {} failed\n", passed, failed);
     return failed == 0 ? 0 : 1;
 }
