--- a/tests/process_stream_test.cpp
+++ b/tests/process_stream_test.cpp
@@ -3,6 +3,8 @@
 #include <sstream>
 #include <utility>
 
+#include <fmt/core.h>
+
 #include "fleet_story.h"
 #include "standins/standin.h"
 
@@ -306,7 +308,7 @@
         thread.join();
     const auto entryGrown = system.entry(0)->peakMemoryBytes() - entryBefore;
     const auto agentGrown = system.agent(0)->peakMemoryBytes() - agentBefore;
-    cr_log_warn("grown: entry %zu KiB, agent %zu KiB", entryGrown / 1024, agentGrown / 1024);
+    fmt::print("grown: entry {} bytes, agent {} bytes\n", entryGrown, agentGrown);
     check(whole == Callers);
     cr_expect(entryGrown <= Callers * HeldBytes + Slack, "the entry grew by %zu", entryGrown);
     cr_expect(agentGrown <= Callers * HeldBytes + Slack, "the agent grew by %zu", agentGrown);
