--- a/libs/config/settings.h
+++ b/libs/config/settings.h
@@ -80,6 +80,7 @@
     milliseconds agentLease{15'000};          // short lease given to agents, without the table
     milliseconds clockMargin{500};            // added wherever another process's lease must be over
     milliseconds announceSilence{3000};       // after which an announcer counts as gone
+    std::size_t maxAnswerBytes = 67'108'864;  // of an answer; large ones are streamed
     std::size_t maxBodyBytes = 1'048'576;     // of a caller's request
     std::size_t maxConnections = 256;         // of callers at once; a thread each
     std::size_t maxConnectionsPerAddress = 0; // of one caller's address; 0: no bound
@@ -121,20 +122,21 @@
 // One agent: admits requests to its upstream, runs the tasks of its worker, announces both.
 struct agent_settings
 {
-    std::string id;                       // unique among all processes
-    std::string region;                   //
-    std::string zone;                     // availability zone
-    std::string rack;                     //
-    listen_settings listen;               // for entries: requests and rpc
-    std::vector<endpoint> entries;        // their rpc addresses; one or more
-    upstream_settings upstream;           //
-    worker_settings worker;               //
-    milliseconds announce{500};           // between two announcements
-    agent_lease_settings lease;           //
-    std::size_t queueLength = 16;         // requests that wait for a slot
-    std::size_t maxBodyBytes = 1'048'576; // of a request
-    milliseconds drain{30'000};           // longest wait for requests in flight at a stop
-    log_level logLevel = log_level::Info; // lowest level written
+    std::string id;                          // unique among all processes
+    std::string region;                      //
+    std::string zone;                        // availability zone
+    std::string rack;                        //
+    listen_settings listen;                  // for entries: requests and rpc
+    std::vector<endpoint> entries;           // their rpc addresses; one or more
+    upstream_settings upstream;              //
+    worker_settings worker;                  //
+    milliseconds announce{500};              // between two announcements
+    agent_lease_settings lease;              //
+    std::size_t queueLength = 16;            // requests that wait for a slot
+    std::size_t maxBodyBytes = 1'048'576;    // of a request
+    std::size_t maxAnswerBytes = 67'108'864; // of an answer; large ones are streamed
+    milliseconds drain{30'000};              // longest wait for requests in flight at a stop
+    log_level logLevel = log_level::Info;    // lowest level written
 };
 
 // Throw error BadSettings; its text has a line for each fault: file, line, what was found and what
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -58,8 +58,10 @@
 std::unique_ptr<standin> startWorker(const worker_options &options);
 
 // An upstream: `slots` requests at a time, `connections` at most, echoes the request it was sent.
-// POST /fault {"slow_ms": n, "cut": n, "unavailable": bool, "target_ms": n}: cut ends the next n
-// answers midway; target_ms begins to count anew how many answers took longer.
+// GET /large?bytes=n answers n pattern bytes; &framing=chunked without a length; &extra=n sends n
+// bytes more than it declares. POST /fault {"slow_ms": n, "cut": n, "unavailable": bool,
+// "target_ms": n}: cut ends the next n answers midway; target_ms begins to count anew how many
+// answers took longer.
 struct upstream_options
 {
     socket_address address;
@@ -71,4 +73,7 @@
 };
 std::unique_ptr<standin> startUpstream(const upstream_options &options);
 
+// Bytes `offset` to `offset + size` of the body of /large.
+std::string patternBytes(std::uint64_t offset, std::size_t size);
+
 } // namespace zinniabarrow::standins
