Control's bytes are counted at both ends by kind and direction; the demo measures a fleet at rest

Cause: the cost of control was worked out (JSON measured, HTTP estimated at 400 bytes a call), and processor time at rest was read off a profile. What to bring down first could not be seen. Ruled out: counting at the socket (httplib's streams are not ours); TCP/IP heads (not seen by a process).

--- a/app/lanes.cpp
+++ b/app/lanes.cpp
@@ -70,8 +70,9 @@
         const auto *response = std::get_if<http_response>(&result);
         if (response == nullptr || response->status != 200)
             throw std::runtime_error("no answer from " + message.target);
-        m_metrics.count("control_bytes_total", message.method,
-                        static_cast<double>(text.size() + response->body.size()));
+        m_metrics.countControlBytes(message.method, byte_direction::Sent, response->requestBytes);
+        m_metrics.countControlBytes(message.method, byte_direction::Received,
+                                    receivedBytes(*response));
         return response->body;
     };
     std::optional<Json::Value> result;
--- a/app/rpc_endpoint.cpp
+++ b/app/rpc_endpoint.cpp
@@ -4,6 +4,13 @@
 
 namespace zinniabarrow {
 
+namespace {
+
+// Method that the call on this thread named; what is no call counts as "broken".
+thread_local std::string calledMethod;
+
+} // namespace
+
 rpc_endpoint::rpc_endpoint(metrics &counters, std::function<bool()> ready)
     : m_metrics(counters)
     , m_ready(std::move(ready))
@@ -18,7 +25,8 @@
 
 void rpc_endpoint::bind(const std::string &name, rpc_server::method body)
 {
-    m_methods.bind(name, [body = std::move(body)](const Json::Value &parameters) {
+    m_methods.bind(name, [name, body = std::move(body)](const Json::Value &parameters) {
+        calledMethod = name;
         try {
             return body(parameters);
         } catch (const error &problem) {
@@ -27,11 +35,20 @@
     });
 }
 
+http_response rpc_endpoint::answerCall(const http_request &request) const
+{
+    calledMethod = "broken";
+    http_response answer{200, {}, m_methods.handle(request.body)};
+    m_metrics.countControlBytes(calledMethod, byte_direction::Received, receivedBytes(request));
+    m_metrics.countControlBytes(calledMethod, byte_direction::Sent, sentBytes(answer));
+    return answer;
+}
+
 std::optional<http_response> rpc_endpoint::serve(const http_request &request) const
 {
     const auto path = request.path();
     if (path == "/rpc")
-        return http_response{200, {}, m_methods.handle(request.body)};
+        return answerCall(request);
     if (path == "/metrics")
         return http_response{
                 200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()};
--- a/app/rpc_endpoint.h
+++ b/app/rpc_endpoint.h
@@ -22,6 +22,8 @@
     std::optional<http_response> serve(const http_request &request) const;
 
 private:
+    http_response answerCall(const http_request &request) const;
+
     metrics &m_metrics;
     std::function<bool()> m_ready;
     rpc_server m_methods;
--- a/libs/runtime/http.cpp
+++ b/libs/runtime/http.cpp
@@ -133,6 +133,55 @@
     return {};
 }
 
+namespace {
+
+constexpr std::size_t LineEnd = 2; // CR LF
+constexpr std::size_t HeaderExtra = std::string_view(": ").size() + LineEnd;
+constexpr std::string_view Version = "HTTP/1.1";
+constexpr std::string_view StatusLine = "HTTP/1.1 200 OK\r\n";
+
+template <typename Headers>
+std::size_t headerBytes(const Headers &headers)
+{
+    std::size_t bytes = LineEnd; // the empty line
+    for (const auto &[name, value] : headers) {
+        // httplib puts the connection's ends among the headers; they were never sent.
+        if (name.starts_with("REMOTE_") || name.starts_with("LOCAL_"))
+            continue;
+        bytes += name.size() + value.size() + HeaderExtra;
+    }
+    return bytes;
+}
+
+std::size_t requestLineBytes(const std::string &method, const std::string &target)
+{
+    return method.size() + 1 + target.size() + 1 + Version.size() + LineEnd;
+}
+
+} // namespace
+
+std::size_t receivedBytes(const http_request &request)
+{
+    return requestLineBytes(request.method, request.target) + headerBytes(request.headers)
+           + request.body.size();
+}
+
+// With the headers that httplib adds to an answer on a connection that stays open.
+std::size_t sentBytes(const http_response &answer)
+{
+    http_headers headers = answer.headers;
+    headers["Content-Length"] = std::to_string(answer.body.size());
+    headers["Content-Type"] = "application/json";
+    headers["Keep-Alive"] = "timeout=" + std::to_string(http_server_limits().keepAlive.count())
+                            + ", max=" + std::to_string(RequestsPerConnection);
+    return StatusLine.size() + headerBytes(headers) + answer.body.size();
+}
+
+std::size_t receivedBytes(const http_response &answer)
+{
+    return StatusLine.size() + headerBytes(answer.headers) + answer.body.size();
+}
+
 std::string http_response::header(const std::string &name) const
 {
     const auto found = headers.find(name);
@@ -435,6 +484,8 @@
     for (const auto &[name, value] : in.headers)
         response.headers[name] = value;
     response.body = std::move(received.body);
+    response.requestBytes =
+            requestLineBytes(out.method, out.path) + headerBytes(out.headers) + out.body.size();
     if (strcasecmp(response.header("Connection").c_str(), "close") != 0)
         giveBack(std::move(link));
     return response;
--- a/libs/runtime/http.h
+++ b/libs/runtime/http.h
@@ -43,10 +43,17 @@
     int status = 200;
     http_headers headers;
     std::string body;
+    std::size_t requestBytes = 0; // by http_pool: of the whole request, its head included
 
     std::string header(const std::string &name) const;
 };
 
+// Bytes on the wire, heads included, TCP/IP not, of calls that are answered 200: of a request that
+// a server took in, of the JSON answer that it gives, and of an answer that a client took in.
+std::size_t receivedBytes(const http_request &request);
+std::size_t sentBytes(const http_response &answer);
+std::size_t receivedBytes(const http_response &answer);
+
 struct socket_address
 {
     std::string address = "127.0.0.1"; // IP number
--- a/libs/runtime/metrics.cpp
+++ b/libs/runtime/metrics.cpp
@@ -9,6 +9,8 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include "base/names.h"
+
 namespace zinniabarrow {
 
 namespace {
@@ -16,6 +18,13 @@
 const prometheus::Histogram::BucketBoundaries LatencyBuckets{0.5, 1,   2,   5,    10,   20,  50,
                                                              100, 200, 500, 1000, 2000, 5000};
 
+constexpr std::string_view ControlBytes = "control_bytes_total";
+
+constexpr name_table<byte_direction, 2> DirectionNames = {{
+        {byte_direction::Sent, "sent"},
+        {byte_direction::Received, "received"},
+}};
+
 std::string prefixed(std::string_view name)
 {
     return "zinniabarrow_" + std::string(name);
@@ -31,8 +40,22 @@
     std::map<std::string, prometheus::Gauge *> gauges;
     std::map<std::string, prometheus::Histogram *> histograms;
     std::map<std::pair<std::string, std::string>, prometheus::Counter *> byReason;
+    std::map<std::pair<std::string, byte_direction>, prometheus::Counter *> bytes; // by kind
+
+    prometheus::Family<prometheus::Counter> &family(std::string_view name)
+    {
+        auto &found = counters[std::string(name)];
+        if (!found)
+            found = &prometheus::BuildCounter().Name(prefixed(name)).Register(registry);
+        return *found;
+    }
 };
 
+std::string_view nameOf(byte_direction direction)
+{
+    return nameOf(DirectionNames, direction);
+}
+
 metrics::metrics()
     : m_impl(std::make_unique<impl>())
 { }
@@ -42,15 +65,23 @@
 void metrics::count(std::string_view name, std::string_view reason, double by)
 {
     const std::lock_guard lock(m_impl->mutex);
-    auto &family = m_impl->counters[std::string(name)];
-    if (!family)
-        family = &prometheus::BuildCounter().Name(prefixed(name)).Register(m_impl->registry);
     auto &counter = m_impl->byReason[{std::string(name), std::string(reason)}];
     if (!counter)
-        counter = &family->Add({{"reason", std::string(reason)}});
+        counter = &m_impl->family(name).Add({{"reason", std::string(reason)}});
     counter->Increment(by);
 }
 
+void metrics::countControlBytes(std::string_view kind, byte_direction direction, std::size_t bytes)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    auto &counter = m_impl->bytes[{std::string(kind), direction}];
+    if (!counter)
+        counter = &m_impl->family(ControlBytes)
+                           .Add({{"kind", std::string(kind)},
+                                 {"direction", std::string(nameOf(direction))}});
+    counter->Increment(static_cast<double>(bytes));
+}
+
 void metrics::set(std::string_view name, double value)
 {
     const std::lock_guard lock(m_impl->mutex);
@@ -80,6 +111,13 @@
     return found == m_impl->byReason.end() ? 0 : found->second->Value();
 }
 
+double metrics::controlBytes(std::string_view kind, byte_direction direction) const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    const auto found = m_impl->bytes.find({std::string(kind), direction});
+    return found == m_impl->bytes.end() ? 0 : found->second->Value();
+}
+
 std::map<std::string, double> metrics::byReason(std::string_view name) const
 {
     const std::lock_guard lock(m_impl->mutex);
--- a/libs/runtime/metrics.h
+++ b/libs/runtime/metrics.h
@@ -1,6 +1,7 @@
 // Metrics: counters by reason, gauges and latency histograms, as Prometheus text.
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -8,6 +9,12 @@
 
 namespace zinniabarrow {
 
+enum class byte_direction {
+    Sent,
+    Received,
+};
+std::string_view nameOf(byte_direction direction);
+
 class metrics
 {
 public:
@@ -18,10 +25,13 @@
 
     // Safe from several threads. `reason` becomes a label of that name.
     void count(std::string_view name, std::string_view reason, double by = 1);
+    // control_bytes_total by kind of message and direction, HTTP heads included, TCP/IP not.
+    void countControlBytes(std::string_view kind, byte_direction direction, std::size_t bytes);
     void set(std::string_view name, double value);
     void observeMilliseconds(std::string_view name, double value);
 
     double value(std::string_view name, std::string_view reason) const; // 0 when never counted
+    double controlBytes(std::string_view kind, byte_direction direction) const;
     std::map<std::string, double> byReason(std::string_view name) const;
     std::string text() const;
 
--- a/standins/demo.cpp
+++ b/standins/demo.cpp
@@ -16,6 +16,7 @@
 #include "base/errors.h"
 #include "standins/batch.h"
 #include "standins/fleet.h"
+#include "standins/idle.h"
 #include "standins/load.h"
 
 using namespace zinniabarrow;
@@ -91,6 +92,33 @@
     row("through entry and agent", carried);
 }
 
+// Starts the fleet, with its batch job running where `tasks` is not 0, and lets it be.
+int runIdle(const std::string &binaries, seconds watched, unsigned tasks)
+{
+    fleet_options options;
+    options.binaries = binaries;
+    fleet system(options);
+    system.startAll();
+    system.putFolderFile("10-base.json", baseFolder(options));
+    batch_options lasting;
+    lasting.tasks = tasks;
+    lasting.runMs = 600'000;
+    lasting.millicores = 400;
+    lasting.bytes = 1'000'000'000;
+    if (tasks > 0)
+        system.putFolderFile("20-lasting.json", batchFolder(lasting));
+    const auto allRun = [&] {
+        return tasks == 0 || taskStates(system, lasting.job)["running"] == tasks;
+    };
+    if (!waitUntil(allRun, seconds(30)))
+        throw error(error_kind::Internal, "not every task runs: read the logs");
+    std::this_thread::sleep_for(seconds(5)); // the first announcements are over
+    fmt::print("{} workers, {} entries, {} tasks, {} s\n", options.workers, options.entries, tasks,
+               watched.count());
+    printIdleCost(system, watched);
+    return 0;
+}
+
 int runDemo(const std::string &binaries, unsigned requests, unsigned perSecond)
 {
     fleet_options options;
@@ -155,7 +183,13 @@
                                            command);
         TCLAP::ValueArg<unsigned> perSecond("", "per-second", "pace of the requests", false,
                                             RequestsPerSecond, "n", command);
+        TCLAP::ValueArg<unsigned> idle("", "idle", "only watch an idle fleet for so many seconds",
+                                       false, 0, "s", command);
+        TCLAP::ValueArg<unsigned> tasks("", "tasks", "batch tasks that run in the idle fleet",
+                                        false, 0, "n", command);
         command.parse(count, words);
+        if (idle.getValue() > 0)
+            return runIdle(binaries.getValue(), seconds(idle.getValue()), tasks.getValue());
         return runDemo(binaries.getValue(), requests.getValue(), perSecond.getValue());
     } catch (const std::exception &problem) {
         fmt::print(stderr, "demo: {}\n", problem.what());
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -27,6 +27,7 @@
     child_process &operator=(const child_process &) = delete;
 
     void signal(int number) const;
+    pid_t id() const { return m_pid; }
     bool running();                       // reaps it when it has ended
     int waitForExit(milliseconds atMost); // exit code; -1 when still running then
     const std::string &outFile() const { return m_outFile; }
