Agents report four times less often while they are answered, and tell only of usage that changed

Change: reports every lease.report_ms (4 s, at most a third of the owner's lease), every renew_ms without an answer or with events to settle. Usage: changes beyond 5% (50 millicores, 16 MiB at least), ended tasks, whole every 30 s, after a lost answer, for another owner; the owner puts the whole together and takes nothing from before a gap, nor a doubled or late report. The generation is left out of heartbeats for 4 s once answered. All of it is additions to objects: old and new processes understand each other. Ruled out: longer reports throughout (an owner's death and one lost message outlast the agent's lease); usage every 4 s (memory that outgrows its size must be seen soon); leaving worker and agent out of reports (an older owner needs them); a longer announce_silence_ms (a silent upstream stays longer). Tests changed: work_model runs its agents with 4 s, so that faults and takeover are struck as shipped.

--- a/app/announce_duty.cpp
+++ b/app/announce_duty.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::size_t RingCapacity = 1024;
 constexpr milliseconds TickEvery{100};
+constexpr milliseconds RepeatReport{4000}; // two may be lost before operators are told of silence
 
 request::announcement selfOf(const config::agent_settings &settings, const process_identity &self,
                              const std::string &ownAddress)
@@ -43,13 +44,14 @@
 announce_duty::announce_duty(duty_system &system, const config::agent_settings &settings,
                              const process_identity &self, const std::string &ownAddress,
                              rpc_sender &sender, std::function<request::upstream_load()> load,
-                             std::function<Json::Value()> generationReport,
+                             std::function<config::generation_report()> generationReport,
                              std::function<void()> superseded)
     : m_sender(sender)
     , m_load(std::move(load))
     , m_generationReport(std::move(generationReport))
     , m_superseded(std::move(superseded))
     , m_announcer(announcerSettings(settings), selfOf(settings, self, ownAddress))
+    , m_reports(RepeatReport)
 {
     m_duty = std::make_unique<duty<event>>(
             system, RingCapacity, [this](event &what) { handle(what); }, TickEvery,
@@ -80,8 +82,7 @@
     if (!heard.reply)
         return; // the announcer repeats, and turns to another entry when one stays silent
     try {
-        m_announcer.answered(heard.entry, request::announceReplyFromJson(*heard.reply),
-                             monotonic_clock::now());
+        answered(heard);
     } catch (const error &) {
         return; // the same as no reply
     }
@@ -93,6 +94,17 @@
     }
 }
 
+void announce_duty::answered(const reply_heard &heard)
+{
+    const auto now = monotonic_clock::now();
+    const auto reply = request::announceReplyFromJson(*heard.reply);
+    m_announcer.answered(heard.entry, reply, now);
+    if (reply.sendWhole)
+        m_reports.startAgain(heard.entry); // it was replaced, and knows no generations either
+    else if (heard.told)
+        m_reports.answered(heard.entry, *heard.told, now);
+}
+
 void announce_duty::tick()
 {
     m_announcer.setLoad(m_load());
@@ -108,11 +120,16 @@
         parameters["whole"] = toJson(*whole);
     else
         parameters["beat"] = toJson(std::get<request::heartbeat>(message.message));
-    parameters["config"] = m_generationReport();
     const auto entry = message.entry;
-    m_sender.call(entry, "announce", parameters, [this, entry](std::optional<Json::Value> reply) {
-        m_duty->post(reply_heard{entry, std::move(reply)});
-    });
+    std::optional<config::generation_report> told = m_generationReport();
+    if (m_reports.isDue(entry, *told, monotonic_clock::now()))
+        parameters["config"] = toJson(*told);
+    else
+        told.reset();
+    m_sender.call(entry, "announce", parameters,
+                  [this, entry, told](std::optional<Json::Value> reply) {
+                      m_duty->post(reply_heard{entry, told, std::move(reply)});
+                  });
 }
 
 } // namespace zinniabarrow
--- a/app/announce_duty.h
+++ b/app/announce_duty.h
@@ -8,6 +8,7 @@
 
 #include "app/lanes.h"
 #include "app/request_duty.h"
+#include "config/report_pace.h"
 #include "config/settings.h"
 #include "request/announcer.h"
 #include "runtime/duty.h"
@@ -20,7 +21,8 @@
     announce_duty(duty_system &system, const config::agent_settings &settings,
                   const process_identity &self, const std::string &ownAddress, rpc_sender &sender,
                   std::function<request::upstream_load()> load,
-                  std::function<Json::Value()> generationReport, std::function<void()> superseded);
+                  std::function<config::generation_report()> generationReport,
+                  std::function<void()> superseded);
     ~announce_duty();
 
     // Leaving goes to every entry at once, and again until each has answered or was given up.
@@ -32,23 +34,26 @@
     struct reply_heard
     {
         std::string entry;
+        std::optional<config::generation_report> told; // by the message that is answered
         std::optional<Json::Value> reply;
     };
     using event = std::variant<request::upstream_state, reply_heard>;
 
     void handle(event &what);
     void tick();
+    void answered(const reply_heard &heard);
     void send(const request::announcer::send &message);
 
     rpc_sender &m_sender;
     std::function<request::upstream_load()> m_load;
-    std::function<Json::Value()> m_generationReport;
+    std::function<config::generation_report()> m_generationReport;
     std::atomic<bool> m_leftEverywhere{false};
     std::function<void()> m_superseded; // a newer process announces under this id: stop
     bool m_toldSuperseded = false;
 
     // Touched by the duty's thread alone.
     request::announcer m_announcer;
+    config::report_pace m_reports;
 
     std::unique_ptr<duty<event>> m_duty; // last: its thread uses all of the above
 };
--- a/app/follow_duty.cpp
+++ b/app/follow_duty.cpp
@@ -28,7 +28,7 @@
     , m_log(log)
     , m_follower(followerSettings(settings))
 {
-    m_report = toJson(m_follower.report());
+    m_report = m_follower.report();
     m_duty = std::make_unique<duty<event>>(
             system, RingCapacity, [this](event &what) { handle(what); }, TickEvery,
             [this] { feed(config::tick{}); });
@@ -74,12 +74,12 @@
             fields["generation"] = Json::UInt64(adopted->generation);
             m_log.info("generation_in_force", fields);
             const std::lock_guard lock(m_mutex);
-            m_report = toJson(m_follower.report());
+            m_report = m_follower.report();
         }
     }
 }
 
-Json::Value follow_duty::report() const
+config::generation_report follow_duty::report() const
 {
     const std::lock_guard lock(m_mutex);
     return m_report;
--- a/app/follow_duty.h
+++ b/app/follow_duty.h
@@ -27,7 +27,7 @@
     // JSON-RPC body: {report, address}; answers this process's own report.
     Json::Value generationPushed(const Json::Value &parameters);
     // Goes with every announcement, so that entries know who works by which generation.
-    Json::Value report() const;
+    config::generation_report report() const;
     void stop();
 
 private:
@@ -48,7 +48,7 @@
     const logger &m_log;
 
     mutable std::mutex m_mutex;
-    Json::Value m_report; // under m_mutex
+    config::generation_report m_report; // under m_mutex
 
     // Touched by the duty's thread alone.
     config::generation_follower m_follower;
--- a/app/keeper_duty.cpp
+++ b/app/keeper_duty.cpp
@@ -11,7 +11,8 @@
 constexpr std::size_t RingCapacity = 8192;
 constexpr milliseconds TickEvery{100};
 constexpr milliseconds WorkerTimeout{1000};
-constexpr milliseconds OwnerSilence{2000}; // then every entry is asked for the owner
+constexpr milliseconds OwnerSilence{
+        2000}; // after a report was due: every entry is asked for the owner
 constexpr milliseconds UsageEvery{2000};
 constexpr int ConflictStatus = 409;
 
@@ -20,7 +21,8 @@
     work::keeper_settings out;
     out.leases.taskLease = settings.lease.taskLease;
     out.leases.margin = settings.lease.clockMargin;
-    out.reportEvery = settings.lease.renew;
+    out.reportEvery = std::max(settings.lease.report, settings.lease.renew);
+    out.repeatEvery = settings.lease.renew;
     out.listEvery = settings.lease.renew;
     return out;
 }
@@ -54,6 +56,7 @@
                [this](const work::granted_task &task, const Json::Value &spec) {
                    return fits(task, spec);
                })
+    , m_usage(self.unique(), {})
 {
     m_workerLane = std::make_unique<duty<std::function<void()>>>(
             system, RingCapacity, [](std::function<void()> &work) { work(); }, duration(0), [] {});
@@ -89,21 +92,28 @@
 
 void keeper_duty::handle(event &what)
 {
-    if (const auto *input = std::get_if<work::keeper_event>(&what)) {
+    if (const auto *input = std::get_if<work::keeper_event>(&what))
         feed(*input);
-    } else if (const auto *answer = std::get_if<report_answered>(&what)) {
+    else if (const auto *answer = std::get_if<report_answered>(&what))
         answered(*answer);
-    } else {
-        const auto &asked = std::get<throttle_asked>(what);
-        for (const auto &running : m_keeper.occupying()) {
-            if (running.attempt.task != asked.task)
-                continue;
-            constexpr std::int64_t Percent = 100;
-            const auto whole = std::max<std::int64_t>(sizeIn(running.spec).millicores, 1);
-            auto body = attemptJson(running.attempt);
-            body["percent"] = Json::Int64(std::min(asked.millicores * Percent / whole, Percent));
-            callWorker("/throttle", body);
-        }
+    else if (const auto *asked = std::get_if<throttle_asked>(&what))
+        throttle(*asked);
+    else if (const auto *measured = std::get_if<usage_measured>(&what))
+        sendUsage(*measured);
+    else
+        m_usage.startAgain();
+}
+
+void keeper_duty::throttle(const throttle_asked &what)
+{
+    constexpr std::int64_t Percent = 100;
+    for (const auto &running : m_keeper.occupying()) {
+        if (running.attempt.task != what.task)
+            continue;
+        const auto whole = std::max<std::int64_t>(sizeIn(running.spec).millicores, 1);
+        auto body = attemptJson(running.attempt);
+        body["percent"] = Json::Int64(std::min(what.millicores * Percent / whole, Percent));
+        callWorker("/throttle", body);
     }
 }
 
@@ -112,7 +122,7 @@
     feed(work::keeper_tick{});
     const auto now = monotonic_clock::now();
     if (now >= m_usageAt)
-        sendUsage(now);
+        askUsage(now);
 }
 
 void keeper_duty::feed(const work::keeper_event &what)
@@ -241,7 +251,7 @@
                                           m_settings.rack,
                                           m_settings.worker.pool,
                                           {size.millicores, size.bytes, size.accelerators}});
-    if (monotonic_clock::now() - m_ownerHeardAt < OwnerSilence) {
+    if (monotonic_clock::now() < m_askOwnerUntil) {
         sendReport(m_owner, parameters);
         return;
     }
@@ -261,11 +271,11 @@
 {
     if (!what.answer || !(*what.answer)["owner"].asBool()) {
         if (what.entry == m_owner)
-            m_ownerHeardAt = {}; // it owns the shard no more: ask them all
+            m_askOwnerUntil = {}; // it owns the shard no more: ask them all
         return;
     }
     m_owner = what.entry;
-    m_ownerHeardAt = monotonic_clock::now();
+    m_askOwnerUntil = monotonic_clock::now() + m_settings.lease.report + OwnerSilence;
     if (!what.answer->isMember("grant"))
         return;
     try {
@@ -280,32 +290,52 @@
     m_metrics.count("tasks_kept_total", nameOf(action.reason));
 }
 
-// What the worker measured goes to the owner with its age; the owner attributes it to that time.
-void keeper_duty::sendUsage(time_point now)
+void keeper_duty::askUsage(time_point now)
 {
     m_usageAt = now + UsageEvery;
     if (m_keeper.occupying().empty())
         return;
-    const auto target = config::toText(m_settings.entries[m_owner]);
-    const auto p99 = m_tailLatency();
-    m_workerLane->post([this, target, p99] {
-        const auto result =
-                m_worker.call({"GET", "/usage", {}, {}}, monotonic_clock::now() + WorkerTimeout);
+    m_workerLane->post([this] {
+        const auto askedAt = monotonic_clock::now();
+        const auto result = m_worker.call({"GET", "/usage", {}, {}}, askedAt + WorkerTimeout);
         const auto *response = std::get_if<http_response>(&result);
         if (response == nullptr || response->status != 200)
             return;
         try {
-            auto parameters = parseJson(response->body);
-            parameters["worker"] = m_settings.worker.id;
-            parameters["service"] = m_settings.upstream.service;
-            parameters["p99_us"] = Json::Int64(p99.count());
-            m_sender.call(target, "usage", parameters, [](const std::optional<Json::Value> &) {});
+            m_duty->post(usage_measured{parseJson(response->body), askedAt});
         } catch (const error &) {
             m_metrics.count("worker_calls_failed_total", "bad_usage");
         }
     });
 }
 
+// What the worker measured goes to the owner with its age; the owner attributes it to that time.
+void keeper_duty::sendUsage(const usage_measured &what)
+{
+    try {
+        const auto now = monotonic_clock::now();
+        const auto measured = work::usageReportFromJson(what.answer);
+        if (m_usageOwner != m_owner)
+            m_usage.startAgain();
+        m_usageOwner = m_owner;
+        Json::Value parameters(Json::objectValue);
+        addToJson(parameters, m_usage.next(measured.tasks, now));
+        const auto age = milliseconds(integerMember(what.answer, "age_ms"))
+                         + std::chrono::duration_cast<milliseconds>(now - what.askedAt);
+        parameters["age_ms"] = Json::Int64(age.count());
+        parameters["worker"] = m_settings.worker.id;
+        parameters["service"] = m_settings.upstream.service;
+        parameters["p99_us"] = Json::Int64(m_tailLatency().count());
+        m_sender.call(config::toText(m_settings.entries[m_owner]), "usage", parameters,
+                      [this](const std::optional<Json::Value> &answer) {
+                          if (!answer)
+                              m_duty->post(usage_unanswered{});
+                      });
+    } catch (const error &) {
+        m_metrics.count("worker_calls_failed_total", "bad_usage");
+    }
+}
+
 // The last check before a start: workers start whatever they are given, whether it fits or not.
 bool keeper_duty::fits(const work::granted_task &task, const Json::Value &spec) const
 {
--- a/app/keeper_duty.h
+++ b/app/keeper_duty.h
@@ -15,6 +15,7 @@
 #include "runtime/duty.h"
 #include "runtime/metrics.h"
 #include "work/task_keeper.h"
+#include "work/usage.h"
 
 namespace zinniabarrow {
 
@@ -44,7 +45,15 @@
         work::task_id task;
         std::int64_t millicores;
     };
-    using event = std::variant<work::keeper_event, report_answered, throttle_asked>;
+    struct usage_measured
+    {
+        Json::Value answer; // of the worker
+        time_point askedAt;
+    };
+    struct usage_unanswered // by the owner
+    { };
+    using event = std::variant<work::keeper_event, report_answered, throttle_asked, usage_measured,
+                               usage_unanswered>;
 
     void handle(event &what);
     void tick();
@@ -59,7 +68,9 @@
     void perform(const work::count_keeper &action);
     void answered(const report_answered &what);
     void sendReport(std::size_t entry, const Json::Value &parameters);
-    void sendUsage(time_point now);
+    void throttle(const throttle_asked &what);
+    void askUsage(time_point now);
+    void sendUsage(const usage_measured &what);
     void callWorker(const std::string &path, const Json::Value &body);
     void flushRenewals();
     bool fits(const work::granted_task &task, const Json::Value &spec) const;
@@ -75,9 +86,11 @@
     // Touched by the duty's thread alone.
     work::task_keeper m_keeper;
     std::size_t m_owner = 0;                    // index of the entry that answered as owner
-    time_point m_ownerHeardAt{};                // no answer for long: every entry is asked
+    time_point m_askOwnerUntil{};               // then every entry is asked
     std::vector<work::worker_renew> m_renewals; // of the event being handled
     time_point m_usageAt{};
+    work::usage_reporter m_usage;
+    std::size_t m_usageOwner = 0; // entry that was sent the last report of usage
 
     std::unique_ptr<duty<std::function<void()>>> m_workerLane; // blocking calls to the worker
     std::unique_ptr<duty<event>> m_duty; // last: its thread uses all of the above
--- a/app/schedule_duty.cpp
+++ b/app/schedule_duty.cpp
@@ -186,14 +186,16 @@
     try {
         const auto worker = stringMember(what.parameters, "worker");
         const auto measuredAt = now - milliseconds(integerMember(what.parameters, "age_ms"));
-        if (auto *shard = shardOf(worker)) {
-            for (const auto &entry : arrayMember(what.parameters, "tasks")) {
-                const auto task = work::taskIdFromText(stringMember(entry, "task"));
+        const auto report = work::usageReportFromJson(what.parameters);
+        auto *shard = shardOf(worker);
+        if (shard == nullptr)
+            m_usage.forget(worker);
+        else if (const auto usage = m_usage.take(worker, report)) {
+            for (const auto &[task, used] : *usage) {
                 placement::usage_sample sample;
                 sample.task = {task.job, static_cast<std::int32_t>(task.index)};
                 sample.worker = worker;
-                sample.used = {integerMember(entry, "millicores"), integerMember(entry, "bytes"),
-                               0};
+                sample.used = {used.millicores, used.bytes, 0};
                 sample.measuredAt = measuredAt;
                 shard->usageSampled(sample, now);
             }
--- a/app/schedule_duty.h
+++ b/app/schedule_duty.h
@@ -19,6 +19,7 @@
 #include "runtime/duty.h"
 #include "runtime/metrics.h"
 #include "work/ownership.h"
+#include "work/usage.h"
 
 namespace zinniabarrow {
 
@@ -112,6 +113,7 @@
     work::shard_owner m_owner;
     std::map<int, std::unique_ptr<owned_shard>> m_shards;
     std::map<std::string, worker_place> m_workers; // by worker id
+    work::usage_book m_usage;                      // of the workers of the own shards
     adopted_configuration m_configuration;
     std::optional<work::worker_grant> m_replyGrant; // to the report being handled
     std::optional<work::agent_report> m_handling;   // the report being handled
--- a/libs/config/settings.cpp
+++ b/libs/config/settings.cpp
@@ -134,6 +134,7 @@
     archive("clock_margin_ms", lease.clockMargin);
     archive("task_lease_ms", lease.taskLease);
     archive("renew_ms", lease.renew);
+    archive("report_ms", lease.report);
 }
 
 template <typename Archive>
--- a/libs/config/settings.h
+++ b/libs/config/settings.h
@@ -110,6 +110,7 @@
     milliseconds clockMargin{500};  // stop this long before a lease from the owner ends
     milliseconds taskLease{10'000}; // given to the worker for each task; outlasts an agent restart
     milliseconds renew{1000};       // between two renewals of the tasks' leases
+    milliseconds report{4000};      // between two reports that the owner answers
 };
 
 // One agent: admits requests to its upstream, runs the tasks of its worker, announces both.
--- a/libs/config/settings_schema.cpp
+++ b/libs/config/settings_schema.cpp
@@ -399,6 +399,13 @@
           "maximum": 3600000,
           "description": "lease given to the worker for each task; it outlasts a restart of the agent"
         },
+        "report_ms": {
+          "type": "integer",
+          "default": 4000,
+          "minimum": 50,
+          "maximum": 3600000,
+          "description": "time between two reports that the owner answers, at most a third of the lease it gives; without an answer renew_ms"
+        },
         "renew_ms": {
           "type": "integer",
           "default": 1000,
--- a/libs/work/task_keeper.cpp
+++ b/libs/work/task_keeper.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t RememberedReports = 64;
+constexpr int ReportsPerLease = 3; // two may be lost before the agent's lease lapses
 
 constexpr name_table<task_outcome, 5> OutcomeNames = {{
         {task_outcome::Succeeded, "succeeded"},
@@ -186,6 +187,7 @@
     takeEpoch(grant.epoch, now);
     const time_point grantEnds = takeLease(grant);
     takeAcks(grant.ackedThrough);
+    takeAnswer(grant);
     for (const auto &attempt : grant.stops)
         takeStop(attempt);
     for (const auto &task : grant.tasks)
@@ -225,6 +227,20 @@
     return ends;
 }
 
+// An answered report is followed by the next one late: reports are the larger part of what control
+// costs. Without an answer they go on quickly: were the longer period kept, a successor of a dead
+// owner would first be heard after the agent's lease, and the tasks of a live agent would lapse.
+void task_keeper::takeAnswer(const worker_grant &grant)
+{
+    if (grant.replyTo != m_sequence || !m_events.empty())
+        return;
+    const auto sent = m_sentAt.find(grant.replyTo);
+    if (sent == m_sentAt.end())
+        return;
+    const auto period = std::min(m_settings.reportEvery, grant.lease / ReportsPerLease);
+    m_reportAt = sent->second + std::max(m_settings.repeatEvery, period);
+}
+
 void task_keeper::takeAcks(std::uint64_t through)
 {
     while (!m_events.empty() && m_events.front().number <= through) {
@@ -488,7 +504,7 @@
 
 void task_keeper::report(time_point now)
 {
-    m_reportAt = now + m_settings.reportEvery;
+    m_reportAt = now + m_settings.repeatEvery;
     agent_report report{m_worker, m_incarnation, m_session, ++m_sequence, m_workerEpoch, {}};
     const std::size_t size = std::min(m_events.size(), m_settings.reportEvents);
     report.events.assign(m_events.begin(), m_events.begin() + static_cast<std::ptrdiff_t>(size));
--- a/libs/work/task_keeper.h
+++ b/libs/work/task_keeper.h
@@ -137,7 +137,8 @@
 struct keeper_settings
 {
     lease_settings leases;
-    milliseconds reportEvery{2'000};
+    milliseconds reportEvery{2'000}; // while the owner answers; less where its lease is short
+    milliseconds repeatEvery{1'000}; // of a report without an answer, or with unsettled events
     milliseconds listEvery{1'000};
     milliseconds eventDelay{100};   // a new event is reported after this, with others
     std::size_t reportEvents = 200; // most events in one report
@@ -187,6 +188,7 @@
     bool accepts(const worker_grant &grant) const;
     void takeEpoch(std::uint64_t epoch, time_point now);
     time_point takeLease(const worker_grant &grant);
+    void takeAnswer(const worker_grant &grant);
     void takeAcks(std::uint64_t through);
     void takeTask(const worker_grant &grant, const granted_task &task, bool ahead,
                   time_point grantEnds, time_point now);
--- a/tests/config_records_test.cpp
+++ b/tests/config_records_test.cpp
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "config/generation_follower.h"
 #include "config/operator_view.h"
+#include "config/report_pace.h"
 #include "section.h"
 
 using namespace zinniabarrow;
@@ -178,3 +179,31 @@
         check(found[1].report.process == "c" && found[1].reason == lag_reason::Silent);
     });
 }
+
+// An operator waits for a change to be in force everywhere. An agent tells its generation with its
+// heartbeats, and leaves it out once it is known; were it left out before the entry had it, or for
+// longer than entries remember, the agent would look behind or silent.
+Test(config_records, when_a_generation_is_told)
+{
+    report_pace pace(seconds(4));
+    const generation_report first{"agent", "agent", 3, "d3"};
+    const generation_report second{"agent", "agent", 4, "d4"};
+    const time_point start(seconds(100));
+    section("with every message until one is answered", [&] {
+        check(pace.isDue("e1", first, start) && pace.isDue("e1", first, start + seconds(1)));
+        pace.answered("e1", first, start);
+        check(!pace.isDue("e1", first, start + milliseconds(3'999)));
+        check(pace.isDue("e2", first, start));
+    });
+    section("again after a while", [&] { check(pace.isDue("e1", first, start + seconds(4))); });
+    section("at once when it has changed, also if the answer to an older one comes late", [&] {
+        check(pace.isDue("e1", second, start));
+        pace.answered("e1", first, start + seconds(1));
+        check(pace.isDue("e1", second, start + seconds(1)));
+    });
+    section("at once to an entry that was replaced", [&] {
+        pace.answered("e1", second, start);
+        pace.startAgain("e1");
+        check(pace.isDue("e1", second, start));
+    });
+}
--- /dev/null
+++ b/tests/usage_test.cpp
@@ -0,0 +1,149 @@
+// Usage of tasks from agent to owner: bytes, and what lost, doubled and reordered reports change.
+#include <cstdio>
+
+#include "base/json.h"
+#include "base/random.h"
+#include "section.h"
+#include "work/usage.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::tests;
+using namespace zinniabarrow::work;
+
+namespace {
+
+constexpr std::int64_t Megabyte = 1 << 20;
+
+usage_by_task tasksOf(std::uint32_t count)
+{
+    usage_by_task usage;
+    for (std::uint32_t index = 0; index < count; ++index)
+        usage[{"season@3", index}] = {400 + index, (900 + index) * Megabyte};
+    return usage;
+}
+
+std::size_t bytesOf(const usage_report &report)
+{
+    Json::Value message(Json::objectValue);
+    addToJson(message, report);
+    return compactJson(message).size();
+}
+
+usage_report overTheWire(const usage_report &report)
+{
+    Json::Value message(Json::objectValue);
+    addToJson(message, report);
+    return usageReportFromJson(parseJson(compactJson(message)));
+}
+
+bool near(const usage_by_task &left, const usage_by_task &right, const usage_settings &settings)
+{
+    if (left.size() != right.size())
+        return false;
+    for (const auto &[task, usage] : left) {
+        const auto other = right.find(task);
+        if (other == right.end()
+            || std::abs(usage.bytes - other->second.bytes)
+                       > std::max<std::int64_t>(settings.bytes, usage.bytes / 16)
+            || std::abs(usage.millicores - other->second.millicores)
+                       > std::max<std::int64_t>(settings.millicores, usage.millicores / 16))
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+// Regression bound of the control budget: 32 tasks whose usage barely moves, a minute of reports.
+Test(usage, bytes_of_32_tasks)
+{
+    usage_reporter reporter("agent-1#1", {});
+    std::size_t whole = 0;
+    std::size_t sum = 0;
+    for (int report = 0; report < 30; ++report) {
+        auto usage = tasksOf(32);
+        usage[{"season@3", 0}].millicores += report % 2 * 100; // one of them does move
+        const auto bytes = bytesOf(reporter.next(usage, time_point(seconds(2 * report))));
+        whole = std::max(whole, bytes);
+        sum += bytes;
+    }
+    std::fprintf(stderr, "| 32 tasks | whole %zu B | 30 reports in a minute: %.0f B/s |\n", whole,
+                 static_cast<double>(sum) / 60);
+    check(whole < 2'200);
+    check(sum / 60 < 150);
+}
+
+// An owner that places by usage must not see a task at its old size because one message was lost,
+// nor back at it because one came twice or late. Reports of changes are struck at every place, and
+// after the next whole report the owner knows what the worker measured.
+Test(usage, lost_doubled_and_reordered)
+{
+    const usage_settings settings;
+    random_generator random(7, 1);
+    for (int run = 0; run < 300; ++run) {
+        usage_reporter reporter("s", settings);
+        usage_book book;
+        auto measured = tasksOf(4);
+        std::vector<usage_report> onTheWay;
+        for (int turn = 0; turn < 40; ++turn) {
+            const time_point now(seconds(2 * turn));
+            measured[{"season@3", static_cast<std::uint32_t>(pickIndex(random, 6))}] = {
+                    static_cast<std::int64_t>(pickIndex(random, 4'000)),
+                    static_cast<std::int64_t>(pickIndex(random, 4'000)) * Megabyte};
+            if (pickIndex(random, 8) == 0)
+                measured.erase(measured.begin());
+            onTheWay.push_back(overTheWire(reporter.next(measured, now)));
+            const auto fate = pickIndex(random, 5);
+            if (fate == 0)
+                onTheWay.pop_back(); // lost
+            else if (fate == 1 && onTheWay.size() > 1)
+                std::swap(onTheWay.back(), onTheWay[onTheWay.size() - 2]);
+            if (fate == 2 || onTheWay.empty())
+                continue; // late: arrives with the next
+            const auto doubled = onTheWay;
+            for (const auto &report : doubled) {
+                const auto known = book.take("w", report);
+                // Nothing that the owner is told is older than the report that tells it.
+                if (known && report.sequence == static_cast<std::uint64_t>(turn) + 1) {
+                    for (const auto &[task, usage] : *known)
+                        check(measured.contains(task)
+                              && near({{task, usage}}, {{task, measured[task]}}, settings));
+                }
+                check(!book.take("w", report));
+            }
+            onTheWay.clear();
+        }
+        reporter.startAgain();
+        const auto healed = book.take("w", reporter.next(measured, time_point(seconds(100))));
+        check(healed && near(*healed, measured, settings));
+    }
+}
+
+// Processes are replaced one by one, so that an agent and its owner may be of different releases.
+Test(usage, releases_side_by_side)
+{
+    section("an older agent's reports are whole, however often they come", [] {
+        usage_book book;
+        const auto message = parseJson(
+                R"({"tasks":[{"task":"a/0","millicores":5,"bytes":7}],"worker":"w","age_ms":3})");
+        const usage_by_task expected{{{"a", 0}, {5, 7}}};
+        check(book.take("w", usageReportFromJson(message)) == expected);
+        check(book.take("w", usageReportFromJson(message)) == expected);
+    });
+    section("an older owner finds what it reads in a report of changes", [] {
+        usage_reporter reporter("s", {});
+        reporter.next(tasksOf(2), time_point(seconds(0)));
+        Json::Value message(Json::objectValue);
+        addToJson(message, reporter.next(tasksOf(3), time_point(seconds(2))));
+        check(message["tasks"].isArray() && message["tasks"].size() == 1);
+        check(message["tasks"][0]["task"].asString() == "season@3/2");
+    });
+    section("a replaced agent starts anew, whatever its predecessor counted", [] {
+        usage_book book;
+        usage_reporter before("s1", {});
+        for (int report = 0; report < 5; ++report)
+            book.take("w", before.next(tasksOf(4), time_point(seconds(2 * report))));
+        usage_reporter after("s2", {});
+        check(book.take("w", after.next(tasksOf(2), time_point(seconds(20)))) == tasksOf(2));
+    });
+}
--- a/tests/work_model.h
+++ b/tests/work_model.h
@@ -316,6 +316,7 @@
     {
         keeper_settings keeper;
         keeper.leases = settings;
+        keeper.reportEvery = seconds(4); // as the agent's settings have it
         agent.keeper = std::make_unique<task_keeper>(
                 agent.worker, agent.name + "#" + std::to_string(agent.life), keeper,
                 [&agent](const granted_task &, const Json::Value &) {
--- a/tests/work_test.cpp
+++ b/tests/work_test.cpp
@@ -589,6 +589,51 @@
     });
 }
 
+// A report is dear, so an agent that is answered sends few. But the owner may die, and its
+// successor's first answer must come before the agent's lease of 15 s is over, or the seat holds of
+// a live worker would end: unanswered reports follow each other quickly, and so do those with
+// events to settle.
+Test(work, reports_are_few_while_they_are_answered)
+{
+    keeper_settings settings;
+    settings.reportEvery = seconds(4);
+    const auto reportsIn = [&](milliseconds length, milliseconds lease, auto &&answers) {
+        keeper_bench bench;
+        bench.keeper =
+                task_keeper("w", "s", settings, [](const auto &, const auto &) { return true; });
+        bench.reports = 0;
+        for (milliseconds passed{0}; passed < length; passed += milliseconds(100)) {
+            const auto before = bench.reports;
+            bench.pass(milliseconds(100));
+            auto grant = bench.grant(bench.reports);
+            grant.lease = lease;
+            if (bench.reports > before && answers(grant))
+                bench.feed(grant_received{grant});
+        }
+        return bench.reports;
+    };
+    const auto always = [](worker_grant &) { return true; };
+    constexpr std::uint64_t EpochReport = 1; // tells at once that the worker has the epoch
+    section("answered: one in four seconds",
+            [&] { check(reportsIn(seconds(60), seconds(15), always) == 15 + EpochReport); });
+    section("unanswered: one a second", [&] {
+        check(reportsIn(seconds(60), seconds(15), [](worker_grant &) { return false; }) == 60);
+    });
+    section("answers to an earlier report show nothing", [&] {
+        const auto late = [](worker_grant &grant) { return --grant.replyTo > 0; };
+        check(reportsIn(seconds(60), seconds(15), late) == 60 + EpochReport);
+    });
+    section("a short lease: three in its time",
+            [&] { check(reportsIn(seconds(60), seconds(6), always) == 30 + EpochReport); });
+    section("a task that was refused is told within the delay, and each second until settled", [&] {
+        const auto tell = [](worker_grant &grant) {
+            grant.tasks.push_back({keeper_bench::Task, 1, failover_class::Lease, {}, {}});
+            return true;
+        };
+        check(reportsIn(seconds(10), seconds(15), tell) == 10 + EpochReport);
+    });
+}
+
 // A worker is silent. Its task of class Lease may start elsewhere only when no lease can be left,
 // and the worker gets nothing before the table has taken back that it is silent.
 Test(work, a_silent_worker)
