An agent takes its part of the configuration, not the whole

An agent works by none of it but its own service and pool. Change: generation_content with scope (service, pool) and have answers the slice with its digest, or only the digest where the agent has that slice. The report still names generation and digest of the whole: the entry answers only for a generation that it works by. Without a scope, and from an older entry, the whole; an agent takes both. An agent that holds a slice gives nobody content. Ruled out: a method of its own (an older entry would refuse it; unknown members it ignores); no content at all at agents (what they come to use would need the protocol again). Tests: content_slice_test: bytes at 1,000 and 10,000 jobs, generation rises without a change of the slice, lost, late, cut and mixed-up answers, older processes. Conclusion: agents no longer grow with the folder; entries still read the whole.

--- a/app/config_duty.cpp
+++ b/app/config_duty.cpp
@@ -1,5 +1,7 @@
 #include "app/config_duty.h"
 
+#include "config/content_slice.h"
+
 #include "base/errors.h"
 #include "base/json_member.h"
 #include "platform/platform_json.h"
@@ -119,12 +121,8 @@
 
 Json::Value config_duty::content(const Json::Value &parameters)
 {
-    const auto digest = stringMember(parameters, "digest");
-    return ask([digest](const config::generation_keeper &keeper, time_point) {
-        Json::Value answer(Json::objectValue);
-        if (const auto text = keeper.follower().textFor(digest))
-            answer["content"] = *text;
-        return answer;
+    return ask([parameters](const config::generation_keeper &keeper, time_point) {
+        return contentAnswer(keeper.follower(), parameters);
     });
 }
 
@@ -281,14 +279,10 @@
         });
         return;
     }
-    Json::Value parameters(Json::objectValue);
-    parameters["digest"] = action.digest;
     const auto request = action.request;
-    m_sender.call(m_addresses[action.peer], "generation_content", parameters,
+    m_sender.call(m_addresses[action.peer], "generation_content", toJson(action),
                   [this, request](const std::optional<Json::Value> &answer) {
-                      const bool found = answer && (*answer)["content"].isString();
-                      post(config::content_read{request, found,
-                                                found ? (*answer)["content"].asString() : ""});
+                      post(config::contentReadFromJson(request, answer));
                   });
 }
 
--- a/app/follow_duty.cpp
+++ b/app/follow_duty.cpp
@@ -2,6 +2,7 @@
 
 #include "base/errors.h"
 #include "base/json_member.h"
+#include "config/content_slice.h"
 #include "rpc/rpc.h"
 
 namespace zinniabarrow {
@@ -16,6 +17,7 @@
     config::follower_settings out;
     out.process = settings.id;
     out.role = "agent";
+    out.scope = config::content_scope{settings.upstream.service, settings.worker.pool};
     return out;
 }
 
@@ -90,14 +92,10 @@
 {
     const auto known = m_addresses.find(action.peer);
     const auto address = known == m_addresses.end() ? m_lastAddress : known->second;
-    Json::Value parameters(Json::objectValue);
-    parameters["digest"] = action.digest;
     const auto request = action.request;
-    m_sender.call(address, "generation_content", parameters,
+    m_sender.call(address, "generation_content", toJson(action),
                   [this, request](const std::optional<Json::Value> &answer) {
-                      const bool found = answer && (*answer)["content"].isString();
-                      m_duty->post(config::content_read{
-                              request, found, found ? (*answer)["content"].asString() : ""});
+                      m_duty->post(config::contentReadFromJson(request, answer));
                   });
 }
 
--- a/libs/config/generation_events.h
+++ b/libs/config/generation_events.h
@@ -34,6 +34,8 @@
     std::uint64_t request = 0;
     bool isFound = false; // false also when the source could not be reached
     std::string content;
+    // Not empty: `content` is the slice with this digest, or empty where the asker has it.
+    std::string sliceDigest{};
 };
 
 // Answer to `read_accepted`.
@@ -123,6 +125,13 @@
     std::string name;
 };
 
+// The part of a content that an agent works by.
+struct content_scope
+{
+    std::string service; // of its upstream
+    std::string pool;    // of its worker
+};
+
 // Get the content with this digest: from the object store (MergedPrefix + digest) where `peer` is
 // empty, else from the process `peer`.
 struct read_content
@@ -130,6 +139,8 @@
     std::uint64_t request = 0;
     std::string digest;
     std::string peer;
+    std::optional<content_scope> scope{}; // enough where the peer knows slices
+    std::string have{};                   // digest of the slice that is in force here
 };
 
 // This process works by this generation from now on.
--- a/libs/config/generation_follower.cpp
+++ b/libs/config/generation_follower.cpp
@@ -41,10 +41,16 @@
     if (generation <= m_generation)
         return {};
     m_content = std::make_shared<generation_content>(contentFromText(text));
+    m_text = text;
+    m_sliceDigest.clear();
+    return adopt(generation, digestOf(text));
+}
+
+generation_actions generation_follower::adopt(std::uint64_t generation, const std::string &digest)
+{
     m_generation = generation;
     m_highest = std::max(m_highest, generation);
-    m_digest = digestOf(text);
-    m_text = text;
+    m_digest = digest;
     if (m_fetch && m_fetch->generation <= generation)
         m_fetch.reset();
     ++m_counters.adopted;
@@ -63,7 +69,7 @@
 
 std::optional<std::string> generation_follower::textFor(const std::string &digest) const
 {
-    if (m_generation == 0 || digest != m_digest)
+    if (m_generation == 0 || digest != m_digest || m_text.empty())
         return std::nullopt;
     return m_text;
 }
@@ -105,7 +111,7 @@
     ++wanted.next;
     wanted.request = ++m_lastRequest;
     wanted.deadline = now + m_settings.readTimeout;
-    return {read_content{wanted.request, wanted.digest, source}};
+    return {read_content{wanted.request, wanted.digest, source, m_settings.scope, m_sliceDigest}};
 }
 
 // The next source is asked at once, but after a whole round of failures only after a pause: all
@@ -122,21 +128,49 @@
 {
     if (!m_fetch || answer.request != m_fetch->request)
         return {};
-    // A cut or mixed-up content under the right name would put a wrong configuration in force at
-    // this process alone; its digest shows it, and the next source is asked.
-    if (answer.isFound && digestOf(answer.content) == m_fetch->digest) {
+    if (answer.isFound) {
         try {
-            return adoptHeld(m_fetch->generation, answer.content);
-        } catch (const error &) {
-            ++m_counters.badContents;
+            const auto taken =
+                    answer.sliceDigest.empty() ? takeWhole(answer.content) : takeSlice(answer);
+            if (taken)
+                return *taken;
+        } catch (const error &) { // does not parse
         }
-    } else if (answer.isFound) {
         ++m_counters.badContents;
     }
     giveUpSource(now);
     return checkTime(now);
 }
 
+// A cut or mixed-up content under the right name would put a wrong configuration in force at this
+// process alone; its digest shows it, and the next source is asked.
+std::optional<generation_actions> generation_follower::takeWhole(const std::string &text)
+{
+    if (digestOf(text) != m_fetch->digest)
+        return std::nullopt;
+    return adoptHeld(m_fetch->generation, text);
+}
+
+// The digest of the whole can't be checked by its slice: the source answers only for a generation
+// that it works by, and the slice's own digest shows a cut. "You have it" is believed only for the
+// very slice in force here: a newcomer would otherwise work by nothing and report the generation.
+std::optional<generation_actions> generation_follower::takeSlice(const content_read &answer)
+{
+    if (!m_settings.scope)
+        return std::nullopt;
+    if (m_fetch->generation <= m_generation)
+        return generation_actions();
+    const bool hasIt = answer.content.empty() && answer.sliceDigest == m_sliceDigest;
+    if (!hasIt) {
+        if (digestOf(answer.content) != answer.sliceDigest)
+            return std::nullopt;
+        m_content = std::make_shared<generation_content>(contentFromText(answer.content));
+        m_text.clear();
+        m_sliceDigest = answer.sliceDigest;
+    }
+    return adopt(m_fetch->generation, m_fetch->digest);
+}
+
 generation_actions generation_follower::checkTime(time_point now)
 {
     if (!m_fetch || now < m_fetch->deadline)
--- a/libs/config/generation_follower.h
+++ b/libs/config/generation_follower.h
@@ -15,9 +15,10 @@
 
 struct follower_settings
 {
-    std::string process;            // id of this process
-    std::string role;               // "entry" or "agent"
-    milliseconds readTimeout{1000}; // then the next source is asked
+    std::string process;                  // id of this process
+    std::string role;                     // "entry" or "agent"
+    milliseconds readTimeout{1000};       // then the next source is asked
+    std::optional<content_scope> scope{}; // of an agent: a slice is enough
 };
 
 struct follower_counters
@@ -51,7 +52,7 @@
     generation_report report() const;
     const follower_counters &counters() const { return m_counters; }
 
-    // For a peer that asks; empty unless it is the content in force.
+    // For a peer that asks; empty unless it is the whole content in force.
     std::optional<std::string> textFor(const std::string &digest) const;
 
 private:
@@ -70,6 +71,9 @@
     generation_actions offer(std::uint64_t generation, const std::string &digest,
                              const std::string &source, time_point now);
     generation_actions take(const content_read &answer, time_point now);
+    generation_actions adopt(std::uint64_t generation, const std::string &digest);
+    std::optional<generation_actions> takeWhole(const std::string &text);
+    std::optional<generation_actions> takeSlice(const content_read &answer);
     generation_actions askNext(time_point now);
     generation_actions checkTime(time_point now);
     void giveUpSource(time_point now);
@@ -78,7 +82,8 @@
     std::uint64_t m_generation = 0;
     std::uint64_t m_highest = 0;
     std::string m_digest;
-    std::string m_text;
+    std::string m_text;        // empty where a slice is in force
+    std::string m_sliceDigest; // empty where the whole is in force
     std::shared_ptr<const generation_content> m_content;
     std::optional<fetch> m_fetch;
     std::uint64_t m_lastRequest = 0;
