A broken question for a content is refused before it reaches the configuration duty

Cause: since slices, generation_content read its parameters on the duty's thread: a question without a digest threw there and ended the duty, so that no generation came into force any more at that entry. Seen by process_input_test (requests_and_messages: no answer in 2 s in place of bad_request). Change: readContentFromJson on the HTTP thread; the duty is given a typed question. Ruled out: catching in the duty (every other question is read before it, too).

--- a/app/config_duty.cpp
+++ b/app/config_duty.cpp
@@ -121,8 +121,9 @@
 
 Json::Value config_duty::content(const Json::Value &parameters)
 {
-    return ask([parameters](const config::generation_keeper &keeper, time_point) {
-        return contentAnswer(keeper.follower(), parameters);
+    const auto wanted = config::readContentFromJson(parameters);
+    return ask([wanted](const config::generation_keeper &keeper, time_point) {
+        return contentAnswer(keeper.follower(), wanted);
     });
 }
 
--- a/libs/config/content_slice.cpp
+++ b/libs/config/content_slice.cpp
@@ -38,22 +38,32 @@
     return value;
 }
 
-Json::Value contentAnswer(const generation_follower &source, const Json::Value &question)
+read_content readContentFromJson(const Json::Value &value)
+{
+    read_content question;
+    question.digest = stringMember(value, "digest");
+    if (!value.isMember("scope"))
+        return question;
+    const auto &scope = objectMember(value, "scope");
+    question.scope = content_scope{stringMember(scope, "service"), stringMember(scope, "pool")};
+    question.have = stringMemberOr(value, "have", "");
+    return question;
+}
+
+Json::Value contentAnswer(const generation_follower &source, const read_content &question)
 {
     Json::Value answer(Json::objectValue);
-    const auto text = source.textFor(stringMember(question, "digest"));
+    const auto text = source.textFor(question.digest);
     if (!text)
         return answer;
-    if (!question.isMember("scope")) {
+    if (!question.scope) {
         answer["content"] = *text;
         return answer;
     }
-    const auto &scope = objectMember(question, "scope");
-    const auto slice = contentText(sliceOf(
-            source.content(), {stringMember(scope, "service"), stringMember(scope, "pool")}));
+    const auto slice = contentText(sliceOf(source.content(), *question.scope));
     const auto digest = digestOf(slice);
     answer["slice_digest"] = digest;
-    if (stringMemberOr(question, "have", "") != digest)
+    if (question.have != digest)
         answer["slice"] = slice;
     return answer;
 }
--- a/libs/config/content_slice.h
+++ b/libs/config/content_slice.h
@@ -22,8 +22,10 @@
 // {digest, scope?, have?}: what a process asks for, and the answer of one that works by that
 // generation: {content}, {slice, slice_digest}, {slice_digest} when the asker has it, or {} when it
 // works by another generation.
+// The reader throws error BadRequest: call it before the question reaches a duty.
 Json::Value toJson(const read_content &question);
-Json::Value contentAnswer(const generation_follower &source, const Json::Value &question);
+read_content readContentFromJson(const Json::Value &value);
+Json::Value contentAnswer(const generation_follower &source, const read_content &question);
 
 // The answer as an event; nothing when none came.
 content_read contentReadFromJson(std::uint64_t request, const std::optional<Json::Value> &answer);
--- a/tests/content_slice_test.cpp
+++ b/tests/content_slice_test.cpp
@@ -1,6 +1,7 @@
 // An agent's part of the configuration: bytes a change, and what lost, late and older answers do.
 #include <cstdio>
 
+#include "base/errors.h"
 #include "base/json.h"
 #include "config/content_slice.h"
 #include "config/generation_follower.h"
@@ -58,7 +59,7 @@
                      std::size_t &bytes)
 {
     const auto asked = compactJson(toJson(question));
-    const auto answered = compactJson(contentAnswer(entry, parseJson(asked)));
+    const auto answered = compactJson(contentAnswer(entry, readContentFromJson(parseJson(asked))));
     bytes += asked.size() + answered.size();
     return contentReadFromJson(question.request, parseJson(answered));
 }
@@ -185,3 +186,22 @@
         check(!agent.textFor(entry.follower.digest()));
     });
 }
+
+// A question is read before it reaches the entry's configuration duty: a broken one that threw
+// there would end the duty, and no configuration would come into force any more.
+Test(content_slice, broken_questions)
+{
+    for (const auto *text : {R"({})", R"({"digest":7})", R"({"digest":"d","scope":"tickets"})",
+                             R"({"digest":"d","scope":{"service":"tickets"}})",
+                             R"({"digest":"d","scope":{"service":"tickets","pool":1}})"}) {
+        section(text, [&] {
+            bool isRefused = false;
+            try {
+                readContentFromJson(parseJson(text));
+            } catch (const zinniabarrow::error &problem) {
+                isRefused = problem.kind() == error_kind::BadRequest;
+            }
+            check(isRefused);
+        });
+    }
+}
