A new life of a worker is reported at once

Cause: with reports every 4 s, the owner heard up to 4 s late that a worker's instance was replaced, and only that proves that its proof tasks have ended. Ruled out: a shorter period for all reports.

--- a/libs/work/task_keeper.cpp
+++ b/libs/work/task_keeper.cpp
@@ -392,6 +392,8 @@
     m_tasks.clear();
     m_leaseUntil = time_point();
     m_sentAt.clear();
+    // The owner waits for it: only a newer life proves that what ran in the old one has ended.
+    m_reportAt = time_point();
 }
 
 void task_keeper::takeRunning(const running_task &running, time_point now)
