--- a/app/follow_duty.cpp
+++ b/app/follow_duty.cpp
@@ -2,6 +2,7 @@
 
 #include "base/errors.h"
 #include "base/json_member.h"
+#include "config/content_slice.h"
 #include "rpc/rpc.h"
 
 namespace zinniabarrow {
@@ -16,6 +17,7 @@
     config::follower_settings out;
     out.process = settings.id;
     out.role = "agent";
+    out.scope = config::content_scope{settings.upstream.service, settings.worker.pool};
     return out;
 }
 
@@ -28,7 +30,7 @@
     , m_log(log)
     , m_follower(followerSettings(settings))
 {
-    m_report = toJson(m_follower.report());
+    m_report = m_follower.report();
     m_duty = std::make_unique<duty<event>>(
             system, RingCapacity, [this](event &what) { handle(what); }, TickEvery,
             [this] { feed(config::tick{}); });
@@ -74,12 +76,12 @@
             fields["generation"] = Json::UInt64(adopted->generation);
             m_log.info("generation_in_force", fields);
             const std::lock_guard lock(m_mutex);
-            m_report = toJson(m_follower.report());
+            m_report = m_follower.report();
         }
     }
 }
 
-Json::Value follow_duty::report() const
+config::generation_report follow_duty::report() const
 {
     const std::lock_guard lock(m_mutex);
     return m_report;
@@ -90,14 +92,10 @@
 {
     const auto known = m_addresses.find(action.peer);
     const auto address = known == m_addresses.end() ? m_lastAddress : known->second;
-    Json::Value parameters(Json::objectValue);
-    parameters["digest"] = action.digest;
     const auto request = action.request;
-    m_sender.call(address, "generation_content", parameters,
+    m_sender.call(address, "generation_content", toJson(action),
                   [this, request](const std::optional<Json::Value> &answer) {
-                      const bool found = answer && (*answer)["content"].isString();
-                      m_duty->post(config::content_read{
-                              request, found, found ? (*answer)["content"].asString() : ""});
+                      m_duty->post(config::contentReadFromJson(request, answer));
                   });
 }
 
--- a/app/keeper_duty.cpp
+++ b/app/keeper_duty.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 constexpr std::size_t RingCapacity = 8192;
-constexpr milliseconds TickEvery{100};
 constexpr milliseconds WorkerTimeout{1000};
-constexpr milliseconds OwnerSilence{2000}; // then every entry is asked for the owner
+constexpr milliseconds OwnerSilence{
+        2000}; // after a report was due: every entry is asked for the owner
 constexpr milliseconds UsageEvery{2000};
 constexpr int ConflictStatus = 409;
 
@@ -20,7 +20,8 @@
     work::keeper_settings out;
     out.leases.taskLease = settings.lease.taskLease;
     out.leases.margin = settings.lease.clockMargin;
-    out.reportEvery = settings.lease.renew;
+    out.reportEvery = std::max(settings.lease.report, settings.lease.renew);
+    out.repeatEvery = settings.lease.renew;
     out.listEvery = settings.lease.renew;
     return out;
 }
@@ -48,12 +49,14 @@
                [this](const work::task_id &task, const resources &amount) {
                    return fits(task, amount);
                })
+    , m_usage(self.unique(), {})
 {
     m_workerLane = std::make_unique<duty<std::function<void()>>>(
             system, RingCapacity, [](std::function<void()> &work) { work(); }, duration(0), [] {});
     m_duty = std::make_unique<duty<event>>(
-            system, RingCapacity, [this](event &what) { handle(what); }, TickEvery,
-            [this] { tick(); });
+            system, RingCapacity, [this](event &what) { handle(what); },
+            tick_plan{[this] { return std::min(m_keeper.nextTick(), m_usageAt); },
+                      [this] { tick(); }});
 }
 
 keeper_duty::~keeper_duty() = default;
@@ -83,16 +86,23 @@
 
 void keeper_duty::handle(event &what)
 {
-    if (const auto *input = std::get_if<work::keeper_event>(&what)) {
+    if (const auto *input = std::get_if<work::keeper_event>(&what))
         feed(*input);
-    } else if (const auto *answer = std::get_if<report_answered>(&what)) {
+    else if (const auto *answer = std::get_if<report_answered>(&what))
         answered(*answer);
-    } else {
-        const auto &asked = std::get<throttle_asked>(what);
-        for (const auto &running : m_keeper.occupying()) {
-            if (running.attempt.task == asked.task)
-                limitWorker(running.attempt, asked.millicores);
-        }
+    else if (const auto *asked = std::get_if<throttle_asked>(&what))
+        throttle(*asked);
+    else if (const auto *measured = std::get_if<usage_measured>(&what))
+        sendUsage(*measured);
+    else
+        m_usage.startAgain();
+}
+
+void keeper_duty::throttle(const throttle_asked &what)
+{
+    for (const auto &running : m_keeper.occupying()) {
+        if (running.attempt.task == what.task)
+            limitWorker(running.attempt, what.millicores);
     }
 }
 
@@ -122,7 +132,7 @@
     feed(work::keeper_tick{});
     const auto now = monotonic_clock::now();
     if (now >= m_usageAt)
-        sendUsage(now);
+        askUsage(now);
 }
 
 void keeper_duty::feed(const work::keeper_event &what)
@@ -255,7 +265,7 @@
                                           m_settings.rack,
                                           m_settings.worker.pool,
                                           {size.millicores, size.bytes, size.accelerators}});
-    if (monotonic_clock::now() - m_ownerHeardAt < OwnerSilence) {
+    if (monotonic_clock::now() < m_askOwnerUntil) {
         sendReport(m_owner, parameters);
         return;
     }
@@ -275,11 +285,11 @@
 {
     if (!what.answer || !(*what.answer)["owner"].asBool()) {
         if (what.entry == m_owner)
-            m_ownerHeardAt = {}; // it owns the shard no more: ask them all
+            m_askOwnerUntil = {}; // it owns the shard no more: ask them all
         return;
     }
     m_owner = what.entry;
-    m_ownerHeardAt = monotonic_clock::now();
+    m_askOwnerUntil = monotonic_clock::now() + m_settings.lease.report + OwnerSilence;
     if (!what.answer->isMember("grant"))
         return;
     try {
@@ -294,37 +304,58 @@
     m_metrics.count("tasks_kept_total", nameOf(action.reason));
 }
 
-// What the worker measured goes to the owner with its age; the owner attributes it to that time.
-void keeper_duty::sendUsage(time_point now)
+void keeper_duty::askUsage(time_point now)
 {
     m_usageAt = now + UsageEvery;
     if (m_keeper.occupying().empty())
         return;
-    const auto target = config::toText(m_settings.entries[m_owner]);
-    const auto latency = m_tailLatency();
-    m_workerLane->post([this, target, latency] {
-        const auto result =
-                m_worker.call({"GET", "/usage", {}, {}}, monotonic_clock::now() + WorkerTimeout);
+    m_workerLane->post([this] {
+        const auto askedAt = monotonic_clock::now();
+        const auto result = m_worker.call({"GET", "/usage", {}, {}}, askedAt + WorkerTimeout);
         const auto *response = std::get_if<http_response>(&result);
         if (response == nullptr || response->status != 200)
             return;
         try {
-            auto parameters = parseJson(response->body);
-            parameters["worker"] = m_settings.worker.id;
-            parameters["service"] = m_settings.upstream.service;
-            parameters["p99_us"] = Json::Int64(latency ? latency->p99.count() : 0);
-            if (latency) {
-                const auto age = monotonic_clock::now() - latency->measuredAt;
-                parameters["p99_age_ms"] =
-                        Json::Int64(std::chrono::duration_cast<milliseconds>(age).count());
-            }
-            m_sender.call(target, "usage", parameters, [](const std::optional<Json::Value> &) {});
+            m_duty->post(usage_measured{parseJson(response->body), askedAt});
         } catch (const error &) {
             m_metrics.count("worker_calls_failed_total", "bad_usage");
         }
     });
 }
 
+// What the worker measured goes to the owner with its age; the owner attributes it to that time.
+void keeper_duty::sendUsage(const usage_measured &what)
+{
+    try {
+        const auto now = monotonic_clock::now();
+        const auto measured = work::usageReportFromJson(what.answer);
+        if (m_usageOwner != m_owner)
+            m_usage.startAgain();
+        m_usageOwner = m_owner;
+        Json::Value parameters(Json::objectValue);
+        addToJson(parameters, m_usage.next(measured.tasks, now));
+        const auto age = milliseconds(integerMember(what.answer, "age_ms"))
+                         + std::chrono::duration_cast<milliseconds>(now - what.askedAt);
+        parameters["age_ms"] = Json::Int64(age.count());
+        parameters["worker"] = m_settings.worker.id;
+        parameters["service"] = m_settings.upstream.service;
+        const auto latency = m_tailLatency();
+        parameters["p99_us"] = Json::Int64(latency ? latency->p99.count() : 0);
+        if (latency) {
+            const auto latencyAge =
+                    std::chrono::duration_cast<milliseconds>(now - latency->measuredAt);
+            parameters["p99_age_ms"] = Json::Int64(latencyAge.count());
+        }
+        m_sender.call(config::toText(m_settings.entries[m_owner]), "usage", parameters,
+                      [this](const std::optional<Json::Value> &answer) {
+                          if (!answer)
+                              m_duty->post(usage_unanswered{});
+                      });
+    } catch (const error &) {
+        m_metrics.count("worker_calls_failed_total", "bad_usage");
+    }
+}
+
 // The last check before a start: workers start whatever they are given, whether it fits or not.
 bool keeper_duty::fits(const work::task_id &task, const resources &amount) const
 {
--- a/libs/runtime/http.h
+++ b/libs/runtime/http.h
@@ -51,10 +51,17 @@
     std::string body;
     std::shared_ptr<body_reader> stream = nullptr; // the body while it arrives; null: in `body`
     std::optional<std::uint64_t> streamBytes = {}; // its declared length; none: chunked
+    std::size_t requestBytes = 0; // by http_pool: of the whole request, its head included
 
     std::string header(const std::string &name) const;
 };
 
+// Bytes on the wire, heads included, TCP/IP not, of calls that are answered 200: of a request that
+// a server took in, of the JSON answer that it gives, and of an answer that a client took in.
+std::size_t receivedBytes(const http_request &request);
+std::size_t sentBytes(const http_response &answer);
+std::size_t receivedBytes(const http_response &answer);
+
 struct socket_address
 {
     std::string address = "127.0.0.1"; // IP number
--- a/libs/work/task_keeper.cpp
+++ b/libs/work/task_keeper.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t RememberedReports = 64;
+constexpr int ReportsPerLease = 3; // two may be lost before the agent's lease lapses
 
 constexpr name_table<task_outcome, 5> OutcomeNames = {{
         {task_outcome::Succeeded, "succeeded"},
@@ -170,6 +171,11 @@
     return std::move(m_actions);
 }
 
+time_point task_keeper::nextTick() const
+{
+    return m_incarnation == 0 ? m_listAt : std::min(m_listAt, m_reportAt);
+}
+
 std::vector<running_task> task_keeper::occupying() const
 {
     std::vector<running_task> tasks;
@@ -207,6 +213,7 @@
     takeEpoch(grant.epoch, now);
     const time_point grantEnds = takeLease(grant);
     takeAcks(grant.ackedThrough);
+    takeAnswer(grant);
     for (const auto &attempt : grant.stops)
         takeStop(attempt);
     takeReservations(grant); // before anything starts beside the tasks that have grown
@@ -249,6 +256,20 @@
     return ends;
 }
 
+// An answered report is followed by the next one late: reports are the larger part of what control
+// costs. Without an answer they go on quickly: were the longer period kept, a successor of a dead
+// owner would first be heard after the agent's lease, and the tasks of a live agent would lapse.
+void task_keeper::takeAnswer(const worker_grant &grant)
+{
+    if (grant.replyTo != m_sequence || !m_events.empty())
+        return;
+    const auto sent = m_sentAt.find(grant.replyTo);
+    if (sent == m_sentAt.end())
+        return;
+    const auto period = std::min(m_settings.reportEvery, grant.lease / ReportsPerLease);
+    m_reportAt = sent->second + std::max(m_settings.repeatEvery, period);
+}
+
 void task_keeper::takeAcks(std::uint64_t through)
 {
     while (!m_events.empty() && m_events.front().number <= through) {
@@ -457,6 +478,8 @@
     m_tasks.clear();
     m_leaseUntil = time_point();
     m_sentAt.clear();
+    // The owner waits for it: only a newer life proves that what ran in the old one has ended.
+    m_reportAt = time_point();
 }
 
 void task_keeper::takeRunning(const running_task &running, time_point now)
@@ -578,7 +601,7 @@
 
 void task_keeper::report(time_point now)
 {
-    m_reportAt = now + m_settings.reportEvery;
+    m_reportAt = now + m_settings.repeatEvery;
     agent_report report{m_worker, m_incarnation, m_session, ++m_sequence, m_workerEpoch, {}};
     if (m_reservationsEpoch == m_workerEpoch)
         report.reservationsTaken = m_reservationsTaken;
--- a/libs/work/task_keeper.h
+++ b/libs/work/task_keeper.h
@@ -149,7 +149,8 @@
 struct keeper_settings
 {
     lease_settings leases;
-    milliseconds reportEvery{2'000};
+    milliseconds reportEvery{2'000}; // while the owner answers; less where its lease is short
+    milliseconds repeatEvery{1'000}; // of a report without an answer, or with unsettled events
     milliseconds listEvery{1'000};
     milliseconds eventDelay{100};   // a new event is reported after this, with others
     std::size_t reportEvents = 200; // most events in one report
@@ -168,6 +169,8 @@
 
     std::vector<keeper_action> handle(const keeper_event &event, time_point now);
 
+    time_point nextTick() const; // when keeper_tick has something to do
+
     // Tasks that count against the worker's capacity: starting, running, ending.
     std::vector<running_task> occupying() const;
     // What these hold without `task`: each the larger of its declared and its reserved size.
@@ -205,6 +208,7 @@
     bool accepts(const worker_grant &grant) const;
     void takeEpoch(std::uint64_t epoch, time_point now);
     time_point takeLease(const worker_grant &grant);
+    void takeAnswer(const worker_grant &grant);
     void takeAcks(std::uint64_t through);
     void takeReservations(const worker_grant &grant);
     void takeLimits(const std::vector<task_limit> &limits);
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -28,7 +28,8 @@
     child_process &operator=(const child_process &) = delete;
 
     void signal(int number) const;
-    std::size_t peakMemoryBytes() const;  // resident, since its start
+    std::size_t peakMemoryBytes() const; // resident, since its start
+    pid_t id() const { return m_pid; }
     bool running();                       // reaps it when it has ended
     int waitForExit(milliseconds atMost); // exit code; -1 when still running then
     const std::string &outFile() const { return m_outFile; }
