Settings that did nothing take effect or are gone

Cause: placement.tick_ms, size_quantile and eviction_cool_down_ms were checked and never read. An operator who sets them would believe in an effect that is not there.

--- a/app/schedule_duty.cpp
+++ b/app/schedule_duty.cpp
@@ -247,6 +247,11 @@
 
 void schedule_duty::tick()
 {
+    // Half a tick early: a tick that comes a little sooner than the last must not cost a round.
+    const auto now = monotonic_clock::now();
+    const bool isPlanDue = now + TickEvery / 2 >= m_planAt;
+    if (isPlanDue)
+        m_planAt = now + m_settings.placement.tick;
     feedOwner(work::ownership_tick{});
     m_drained = m_releasing && m_owner.released();
     // `handle` may discard a shard: walk over the numbers, not over the map.
@@ -266,7 +271,8 @@
             continue;
         auto &shard = *found->second;
         performAll(shard, shard.follow(m_configuration, m_workers, monotonic_clock::now()));
-        performAll(shard, shard.plan(monotonic_clock::now()));
+        if (isPlanDue)
+            performAll(shard, shard.plan(monotonic_clock::now()));
     }
 }
 
--- a/app/schedule_duty.h
+++ b/app/schedule_duty.h
@@ -117,6 +117,7 @@
     std::optional<work::worker_grant> m_replyGrant; // to the report being handled
     std::optional<work::agent_report> m_handling;   // the report being handled
     bool m_releasing = false;
+    time_point m_planAt{}; // next round of placement
 
     std::unique_ptr<duty<event>> m_duty; // last: its thread uses all of the above
 };
--- a/libs/config/generations.cpp
+++ b/libs/config/generations.cpp
@@ -505,9 +505,9 @@
 // against the earlier one would be told of its repair.
 const std::vector<problem> &generation_keeper::problems() const
 {
-    static const std::vector<problem> None;
+    static const std::vector<problem> none;
     const bool isOfLatest = m_latestListing && m_refusal.folder == digestOf(*m_latestListing);
-    return isOfLatest ? m_refusal.problems : None;
+    return isOfLatest ? m_refusal.problems : none;
 }
 
 file_status generation_keeper::refusedStatus(file_status status) const
--- a/libs/config/settings.cpp
+++ b/libs/config/settings.cpp
@@ -71,11 +71,9 @@
     archive("tick_ms", placement.tick);
     archive("backlog_per_worker", placement.backlogPerWorker);
     archive("max_tasks_per_commit", placement.maxTasksPerCommit);
-    archive("size_quantile", placement.sizeQuantile);
     archive("quarantine_workers", placement.quarantineWorkers);
     archive("set_aside_jobs", placement.setAsideJobs);
     archive("evictions_per_minute", placement.evictionsPerMinute);
-    archive("eviction_cool_down_ms", placement.evictionCoolDown);
 }
 
 template <typename Archive>
--- a/libs/config/settings.h
+++ b/libs/config/settings.h
@@ -46,14 +46,12 @@
 
 struct placement_settings
 {
-    milliseconds tick{200};                // between two rounds of placement
-    std::size_t backlogPerWorker = 4;      // batch tasks placed ahead; 0: none
-    std::size_t maxTasksPerCommit = 64;    // tasks written in one transaction of the table
-    double sizeQuantile = 0.95;            // of measured usage that a task is sized by
-    std::size_t quarantineWorkers = 3;     // distinct workers a job fails on before it is held
-    std::size_t setAsideJobs = 3;          // distinct jobs that fail on a worker before it is left
-    std::size_t evictionsPerMinute = 6;    // by one entry, for interference
-    milliseconds evictionCoolDown{30'000}; // before the same task may be evicted again
+    milliseconds tick{100};             // between two rounds of placement
+    std::size_t backlogPerWorker = 4;   // batch tasks placed ahead; 0: none
+    std::size_t maxTasksPerCommit = 64; // tasks written in one transaction of the table
+    std::size_t quarantineWorkers = 3;  // distinct workers a job fails on before it is held
+    std::size_t setAsideJobs = 3;       // distinct jobs that fail on a worker before it is left
+    std::size_t evictionsPerMinute = 6; // by one entry, for interference
 };
 
 enum class routing_policy { TwoChoices, RoundRobin, LeastKnownLoad };
--- a/libs/config/settings_schema.cpp
+++ b/libs/config/settings_schema.cpp
@@ -221,7 +221,7 @@
       "properties": {
         "tick_ms": {
           "type": "integer",
-          "default": 200,
+          "default": 100,
           "minimum": 10,
           "maximum": 60000,
           "description": "time between two rounds of placement"
@@ -240,13 +240,6 @@
           "maximum": 1024,
           "description": "tasks written in one transaction of the table"
         },
-        "size_quantile": {
-          "type": "number",
-          "default": 0.95,
-          "minimum": 0.5,
-          "maximum": 1,
-          "description": "quantile of measured usage that a task is sized by"
-        },
         "quarantine_workers": {
           "type": "integer",
           "default": 3,
@@ -267,13 +260,6 @@
           "minimum": 0,
           "maximum": 10000,
           "description": "evictions for interference by one entry"
-        },
-        "eviction_cool_down_ms": {
-          "type": "integer",
-          "default": 30000,
-          "minimum": 0,
-          "maximum": 86400000,
-          "description": "time before the same task may be evicted again"
         }
       }
     },
