--- a/include/zinniabarrow/zinniabarrow.h
+++ b/include/zinniabarrow/zinniabarrow.h
@@ -19,6 +19,7 @@
 // Requests: who may be routed to, which one to choose, when to retry, what to let through.
 #include "request/admission.h"
 #include "request/announcer.h"
+#include "request/latency_window.h"
 #include "request/membership.h"
 #include "request/retry_budget.h"
 #include "request/router.h"
@@ -32,13 +33,16 @@
 #include "placement/ledger.h"
 #include "placement/scheduler.h"
 
-// Work: who decides for which workers, and tasks that run once.
+// Work: who decides for which workers, tasks that run once, quotas over all shards.
 #include "work/ownership.h"
+#include "work/quota_parts.h"
 #include "work/task_keeper.h"
 #include "work/task_table.h"
 #include "work/trace_checker.h"
+#include "work/usage.h"
 
-// Configuration: the operators' folder as generations that only rise.
+// Configuration: the operators' folder as generations that only rise, and an agent's slice of it.
+#include "config/content_slice.h"
 #include "config/generation_follower.h"
 #include "config/generations.h"
 #include "config/validate.h"
