The test of a killed worker kills one that runs tasks of the batch

Cause: process_work_test worker_killed_and_replaced failed once in 6 runs (seen under load): it killed worker 0 and asked for a second start of something, but which workers take the 12 tasks varies, and worker 0 may have none.

--- a/tests/process_work_test.cpp
+++ b/tests/process_work_test.cpp
@@ -47,6 +47,21 @@
     return tasks;
 }
 
+// A worker on which a task of the batch has started, by index.
+unsigned workerThatStarted(const fleet &system, const batch_options &batch)
+{
+    for (const auto &line : system.workerTrace()) {
+        if (line["event"] != "started" || !line["task"].asString().starts_with(batch.job + "@"))
+            continue;
+        for (unsigned index = 0; index < system.options().workers; ++index) {
+            if (line["worker"] == system.workerId(index))
+                return index;
+        }
+    }
+    cr_assert_fail("no task has started");
+    return 0;
+}
+
 } // namespace
 
 // An operator sees the batch finish although the entry that owned its shard was killed.
@@ -141,9 +156,10 @@
     fleet system(smallFleet());
     startWithBatch(system, batch);
     require(waitForStarts(system, batch));
-    system.worker(0)->signal(SIGKILL);
-    system.worker(0)->waitForExit(SoonEnough);
-    system.startWorker(0);
+    const auto victim = workerThatStarted(system, batch);
+    system.worker(victim)->signal(SIGKILL);
+    system.worker(victim)->waitForExit(SoonEnough);
+    system.startWorker(victim);
     section("what ran there runs again, everything ends once", [&] {
         check(waitForEnds(system, batch));
         check(countTraced(system, "started", batch.job) > 12);
