One weighing of rooms that evictions make; one beginning of the stories of mid-eviction

makeRoom and makeOwnRoom kept the cheapest plan in two copies of the same lines, and three stories of process_evict_test began alike. No behaviour meant to change. placer_test 22 of 22, placement_test 12 of 12, property and policy tests green.

--- a/libs/placement/preemption.cpp
+++ b/libs/placement/preemption.cpp
@@ -99,42 +99,36 @@
     const auto examined = std::min(Examined, able.size());
     std::partial_sort(able.begin(), able.begin() + static_cast<std::ptrdiff_t>(examined),
                       able.end());
-    std::optional<room_plan> best;
-    double lowest = 0;
+    cheapest_room best;
     for (std::size_t index = 0; index < examined; ++index) {
         const int slot = able[index].second;
-        auto victims = chooseVictims(slot, missingOn(slot, request), rank);
-        if (!victims)
-            continue;
-        const double cost =
-                static_cast<double>(victims->size()) + m_chooser.spreadCost(request, slot);
-        if (best && cost >= lowest)
-            continue;
-        lowest = cost;
-        best = room_plan{slot, std::move(*victims)};
+        consider(best, request, slot, chooseVictims(slot, missingOn(slot, request), rank));
     }
-    return best;
+    return best.plan;
+}
+
+// Each victim costs one, and so does leaving the spread of a service's replicas.
+void room_maker::consider(cheapest_room &best, const place_request &request, int slot,
+                          std::optional<std::vector<task_ref>> victims) const
+{
+    if (!victims)
+        return;
+    const double cost = static_cast<double>(victims->size()) + m_chooser.spreadCost(request, slot);
+    if (!best.plan || cost < best.cost)
+        best = {cost, room_plan{slot, std::move(*victims)}};
 }
 
 std::optional<room_plan> room_maker::makeOwnRoom(const place_request &request, int rank,
                                                  std::uint16_t team, const resources &quota)
 {
-    std::optional<room_plan> best;
-    double lowest = 0;
+    cheapest_room best;
     for (const int slot : m_workers.pool(request.pool).slots) {
         if (m_workers.at(slot).setAside || slot == request.avoid)
             continue;
-        auto victims = chooseVictims(slot, largest(missingOn(slot, request), quota), rank, team);
-        if (!victims)
-            continue;
-        const double cost =
-                static_cast<double>(victims->size()) + m_chooser.spreadCost(request, slot);
-        if (best && cost >= lowest)
-            continue;
-        lowest = cost;
-        best = room_plan{slot, std::move(*victims)};
+        const auto missing = largest(missingOn(slot, request), quota);
+        consider(best, request, slot, chooseVictims(slot, missing, rank, team));
     }
-    return best;
+    return best.plan;
 }
 
 std::vector<room_maker::victim> room_maker::victimsOn(int slot, int rank,
--- a/libs/placement/preemption.h
+++ b/libs/placement/preemption.h
@@ -56,6 +56,14 @@
         resources amount;
     };
 
+    struct cheapest_room
+    {
+        double cost = 0;
+        std::optional<room_plan> plan;
+    };
+
+    void consider(cheapest_room &best, const place_request &request, int slot,
+                  std::optional<std::vector<task_ref>> victims) const;
     bool stopsSoon(const task_ref &task, const ledger_entry &entry) const;
     const evictable_sums &sumsOf(int slot);
     std::vector<victim> victimsOn(int slot, int rank, std::optional<std::uint16_t> team) const;
--- a/tests/process_evict_test.cpp
+++ b/tests/process_evict_test.cpp
@@ -52,10 +52,13 @@
     system.putFolderFile("30-gate.json", folder);
 }
 
-bool waitForEviction(const fleet &system)
+// Returns when the first batch task has been evicted for the urgent ones, and others are about to.
+void startMidEviction(fleet &system)
 {
-    return waitUntil([&] { return countTraced(system, "evicted", batchJob().job) > 0; },
-                     SoonEnough);
+    startFull(system);
+    putUrgent(system);
+    require(waitUntil([&] { return countTraced(system, "evicted", batchJob().job) > 0; },
+                      SoonEnough));
 }
 
 void checkAllWentOn(fleet &system)
@@ -117,9 +120,7 @@
 Test(process_evict, owner_killed_in_mid_eviction)
 {
     fleet system(smallFleet());
-    startFull(system);
-    putUrgent(system);
-    require(waitForEviction(system));
+    startMidEviction(system);
     section("the owner is killed", [&] {
         for (unsigned entry = 0; entry < system.options().entries; ++entry) {
             const auto status = system.rpc(entry, "status", Json::objectValue);
@@ -135,9 +136,7 @@
 Test(process_evict, agents_killed_in_mid_eviction)
 {
     fleet system(smallFleet());
-    startFull(system);
-    putUrgent(system);
-    require(waitForEviction(system));
+    startMidEviction(system);
     section("the agents are killed and replaced", [&] {
         for (unsigned index = 0; index < system.options().workers; ++index)
             system.agent(index)->signal(SIGKILL);
@@ -167,9 +166,7 @@
 Test(process_evict, table_down_in_mid_eviction)
 {
     fleet system(smallFleet());
-    startFull(system);
-    putUrgent(system);
-    require(waitForEviction(system));
+    startMidEviction(system);
     Json::Value fault(Json::objectValue);
     section("the table is down while the eviction is written", [&] {
         fault["down"] = true;
