--- a/cmake/zb.cmake
+++ b/cmake/zb.cmake
@@ -35,13 +35,15 @@
   target_link_libraries(${NAME} PRIVATE zb_flags ${ARG_DEPS} benchmark::benchmark)
 endfunction()
 
-# zb_process_test(NAME): a test that starts the daemons; alone, so that others do not starve it.
+# zb_process_test(NAME [ARGS word...]): a test that starts the daemons; alone, so that others do not
+# starve it.
 function(zb_process_test NAME)
+  cmake_parse_arguments(ARG "" "" "ARGS" ${ARGN})
   add_executable(${NAME} ${NAME}.cpp)
   target_link_libraries(${NAME} PRIVATE zb_flags zb_standins PkgConfig::CRITERION)
   target_compile_definitions(${NAME} PRIVATE ZB_BINARIES="${CMAKE_RUNTIME_OUTPUT_DIRECTORY}"
                                              ZB_SOURCES="${PROJECT_SOURCE_DIR}")
   add_dependencies(${NAME} zinniabarrow zinniabarrow_standin)
-  add_test(NAME ${NAME} COMMAND ${NAME} -j1 WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
+  add_test(NAME ${NAME} COMMAND ${NAME} -j1 ${ARG_ARGS} WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
   set_tests_properties(${NAME} PROPERTIES TIMEOUT 400 RUN_SERIAL ON)
 endfunction()
