A reader that has every declared byte no longer makes a whole answer an unknown outcome

The sending thread takes the last byte, is done and lets go of the ring before the receiving thread has noted the end; letting go before the end counted as a caller that went away. Ruled out: the repeat coming while the end is recorded (it would be told key_in_progress; the trace of the trial says outcome_unknown). Change: the ring knows the declared length; a reader that took all of it is done, and how the answer ended is the receiver's to say.

--- a/libs/runtime/body_stream.cpp
+++ b/libs/runtime/body_stream.cpp
@@ -15,6 +15,12 @@
     return !m_stopped;
 }
 
+void body_ring::expect(std::optional<std::uint64_t> bytes)
+{
+    const std::lock_guard lock(m_mutex);
+    m_declared = bytes;
+}
+
 void body_ring::detach()
 {
     const std::lock_guard lock(m_mutex);
@@ -87,6 +93,7 @@
         m_chunks.pop_front();
     }
     m_bytes -= part.size();
+    m_taken += part.size();
     m_changed.notify_all();
     return part;
 }
@@ -100,7 +107,11 @@
 void body_ring::abandon()
 {
     const std::lock_guard lock(m_mutex);
-    if (!m_finished)
+    // A reader that has taken every declared byte is done, often a moment before the receiver has
+    // noted that the last byte was the last. Taken for one that went away, it would make a whole
+    // answer an unknown outcome; how the answer ended is the receiver's to say.
+    const bool hasAll = m_declared && m_taken == *m_declared;
+    if (!m_finished && !hasAll)
         failLocked(error_kind::OutcomeUnknown);
     m_chunks.clear();
     m_bytes = 0;
--- a/libs/runtime/body_stream.h
+++ b/libs/runtime/body_stream.h
@@ -7,6 +7,7 @@
 
 #include <condition_variable>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -37,6 +38,7 @@
     // --- The receiver's side. `interrupt` makes a receiver that waits for bytes come back; it is
     // never called after detach(). False: nobody wants the answer any more.
     bool start(std::function<void()> interrupt);
+    void expect(std::optional<std::uint64_t> bytes); // as the head declares them; before push()
     // Waits for room until the deadline. An error: the body is late or not wanted any more.
     body_end push(const char *data, std::size_t size);
     void detach(); // no interrupt from here on
@@ -60,7 +62,9 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     std::deque<std::string> m_chunks;
-    std::size_t m_bytes = 0;       // in m_chunks
+    std::size_t m_bytes = 0;   // in m_chunks
+    std::uint64_t m_taken = 0; // by the reader
+    std::optional<std::uint64_t> m_declared;
     std::size_t m_wantedBytes = 0; // the reader waits for more than these
     bool m_finished = false;       // by the receiver
     bool m_stopped = false;        // abandoned or late: the receiver has to end
--- a/libs/runtime/http.cpp
+++ b/libs/runtime/http.cpp
@@ -782,8 +782,10 @@
         into.ring = ring.get();
         bool shown = false;
         into.sink = [&](const char *data, std::size_t size) {
-            if (!std::exchange(shown, true))
+            if (!std::exchange(shown, true)) {
                 *head = into.response;
+                ring->expect(into.response.streamBytes);
+            }
             return ring->push(data, size);
         };
         const auto end = receive(request, deadline, into);
--- a/tests/body_stream_test.cpp
+++ b/tests/body_stream_test.cpp
@@ -130,3 +130,28 @@
         }
     });
 }
+
+// The caller has the last declared byte and its connection's thread is done, before the receiving
+// thread has noted the end. The purchase ran and its answer was whole: a repeat that is told that
+// the outcome is unknown would send the caller to ask the rink.
+Test(body_ring, reader_done_before_the_receiver)
+{
+    const auto endAfter = [](std::size_t takes) {
+        body_ring ring(muchLater());
+        ring.expect(2 * PartBytes);
+        body_end told = error_kind::NoUpstream;
+        ring.observeEnd([&](body_end end) { told = end; });
+        const std::string part(PartBytes, 'x');
+        for (std::size_t index = 0; index < 2; ++index) {
+            ring.push(part.data(), part.size());
+            if (index < takes)
+                ring.take();
+        }
+        ring.abandon();
+        ring.finish(std::nullopt);
+        return told;
+    };
+    section("with every declared byte: as the receiver says, whole",
+            [&] { check(!endAfter(2).has_value()); });
+    section("with less, it went away", [&] { check(endAfter(1) == error_kind::OutcomeUnknown); });
+}
