--- a/app/owned_shard.cpp
+++ b/app/owned_shard.cpp
@@ -535,7 +535,7 @@
 
 bool owned_shard::knows(const work::task_id &task) const
 {
-    return m_table.job(task.job) != nullptr;
+    return m_table.knows(task);
 }
 
 std::string owned_shard::explain(const work::task_id &task, time_point now) const
--- a/libs/work/task_table.h
+++ b/libs/work/task_table.h
@@ -160,6 +160,7 @@
     const std::set<task_id> &placeableTasks() const { return m_placeable; } // by job and index
     // Every task that may run on a worker, settled or not: the ledger after a takeover.
     std::vector<std::pair<task_id, task_record>> occupying() const;
+    bool knows(const task_id &task) const { return m_store.known(task); } // one of this shard's
     bool mayPlaceOn(const std::string &worker) const; // attached, and not silent
     std::vector<std::string> jobs() const { return m_store.jobs(); }
     const stored_job *job(const std::string &id) const { return m_store.job(id); }
--- a/tests/work_test.cpp
+++ b/tests/work_test.cpp
@@ -463,6 +463,24 @@
     });
 }
 
+// An operator asks an entry that owns several shards why a task waits. All of them know the job;
+// the one that the task belongs to has to answer, or the reason is that of a shard that never had
+// it.
+Test(work, a_task_is_known_to_its_own_shard_alone)
+{
+    table_bench bench;
+    job_spec spec;
+    spec.id = "job";
+    spec.generation = 1;
+    spec.firstTask = 1;
+    spec.stride = 4;
+    spec.tasks = 2;
+    bench.feed(job_accepted{spec});
+    check(bench.table.knows({"job", 1}) && bench.table.knows({"job", 5}));
+    check(!bench.table.knows({"job", 0}) && !bench.table.knows({"job", 2}));
+    check(!bench.table.knows({"job", 9}) && !bench.table.knows({"other", 1}));
+}
+
 // A worker with nothing but a lease watcher goes silent, so nothing of it may start elsewhere and
 // no row says that it is silent. Batch tasks placed there would be freed at the next tick, placed
 // there again, and so on, while other workers stand empty. It gets none until it is granted again.
