Read-through: whole answers moved, one digest for each listing, jobs compared by all their members

Change: the answer is moved (a streamed head has no body to copy); the digest is kept with the listing; job_spec compares by default, its generation apart.

--- a/app/keeper_duty.cpp
+++ b/app/keeper_duty.cpp
@@ -10,8 +10,8 @@
 
 constexpr std::size_t RingCapacity = 8192;
 constexpr milliseconds WorkerTimeout{1000};
-constexpr milliseconds OwnerSilence{
-        2000}; // after a report was due: every entry is asked for the owner
+// After a report was due: every entry is asked for the owner.
+constexpr milliseconds OwnerSilence{2000};
 constexpr milliseconds UsageEvery{2000};
 constexpr int ConflictStatus = 409;
 
--- a/app/request_duty.cpp
+++ b/app/request_duty.cpp
@@ -164,11 +164,13 @@
 {
     auto sent = m_forwarder.send(call.request(), id, step.attempt, step.upstream, step.deadline,
                                  m_receivers);
-    auto answer = sent.answer;
-    if (answer.stream)
+    if (sent.answer.stream) {
+        auto head = sent.answer; // its body is still to come
         reportStream(id, step.attempt, std::move(sent));
-    else
-        reportEnd(id, step.attempt, std::move(sent));
+        return head;
+    }
+    auto answer = std::move(sent.answer);
+    reportEnd(id, step.attempt, std::move(sent));
     return answer;
 }
 
--- a/libs/config/generations.cpp
+++ b/libs/config/generations.cpp
@@ -470,6 +470,7 @@
             m_removed[name] = version;
     }
     m_latestListing = listing;
+    m_latestFolder = digestOf(listing);
 }
 
 // --- For operators -------------------------------------------------------------------------------
@@ -506,8 +507,7 @@
 const std::vector<problem> &generation_keeper::problems() const
 {
     static const std::vector<problem> none;
-    const bool isOfLatest = m_latestListing && m_refusal.folder == digestOf(*m_latestListing);
-    return isOfLatest ? m_refusal.problems : none;
+    return m_refusal.folder == m_latestFolder ? m_refusal.problems : none;
 }
 
 file_status generation_keeper::refusedStatus(file_status status) const
--- a/libs/config/generations.h
+++ b/libs/config/generations.h
@@ -165,7 +165,8 @@
     std::string m_unsettledOperation;    // a write whose answer was lost
     file_versions m_listing;             // of this round
     std::optional<file_versions> m_latestListing;
-    file_versions m_removed; // last versions of files that have left the folder
+    std::string m_latestFolder; // its digest
+    file_versions m_removed;    // last versions of files that have left the folder
     std::map<std::string, cached_file> m_cache;
     refusal m_refusal;
     std::optional<proposal> m_proposal;
--- a/libs/work/task_records.h
+++ b/libs/work/task_records.h
@@ -56,6 +56,8 @@
     bool service = false;                // a task that ends is started again
     std::uint32_t maxFailures = 3;       // a batch task fails for good after this many
     Json::Value spec{Json::objectValue}; // handed to the worker unread
+
+    bool operator==(const job_spec &) const = default;
 };
 // Index within the job of the shard's task number `position`.
 constexpr std::uint32_t taskIndexAt(const job_spec &spec, std::uint32_t position)
--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -134,11 +134,10 @@
 
 // All but the generation that it was last written for. Writing every job for every generation
 // would take most of the platform's writes: a change concerns one job, as a rule.
-bool isSameWork(const job_spec &left, const job_spec &right)
+bool isSameWork(job_spec left, const job_spec &right)
 {
-    return left.firstTask == right.firstTask && left.tasks == right.tasks
-           && left.failover == right.failover && left.service == right.service
-           && left.maxFailures == right.maxFailures && left.spec == right.spec;
+    left.generation = right.generation;
+    return left == right;
 }
 
 } // namespace
--- a/tests/process_shards_test.cpp
+++ b/tests/process_shards_test.cpp
@@ -184,8 +184,7 @@
     });
 }
 
-// A team's quota has room for 8 tasks beside its service, and the workers of all four shards would
-// take
+// A team's quota has room for 8 tasks beside its service; the workers of all four shards would take
 // 48. However the shards share the quota, and although an owner dies on the way, no more than 8 run
 // at once, and every shard's tasks get their turn.
 Test(process_shards, quota_over_all_shards)
