--- /dev/null
+++ b/app/entry_directory.cpp
@@ -0,0 +1,101 @@
+#include "app/entry_directory.h"
+
+#include "base/hash.h"
+#include "base/json.h"
+#include "base/json_member.h"
+
+namespace zinniabarrow {
+
+std::string toText(const entry_row &row)
+{
+    Json::Value value(Json::objectValue);
+    value["incarnation"] = Json::Int64(row.incarnation);
+    value["internal"] = row.internal;
+    value["callers"] = row.callers;
+    return compactJson(value);
+}
+
+entry_row entryRowFrom(const std::string &text)
+{
+    const auto value = parseJson(text);
+    return {integerMember(value, "incarnation"), stringMember(value, "internal"),
+            stringMember(value, "callers")};
+}
+
+entry_directory::entry_directory(std::string self, time_point startedAt)
+    : m_self(std::move(self))
+    , m_startedAt(startedAt)
+{ }
+
+void entry_directory::seen(const std::string &entry, const entry_row &row)
+{
+    if (entry == m_self)
+        return;
+    auto &known = m_entries[entry];
+    if (row.incarnation < known.row.incarnation)
+        return;
+    if (row.incarnation > known.row.incarnation)
+        known.leaving = false;
+    known.row = row;
+}
+
+void entry_directory::heard(const std::string &entry, std::int64_t incarnation, bool leaving,
+                            time_point now)
+{
+    const auto found = m_entries.find(entry);
+    if (found == m_entries.end() || incarnation < found->second.row.incarnation)
+        return;
+    found->second.row.incarnation = incarnation;
+    found->second.heardAt = now;
+    found->second.leaving = leaving;
+}
+
+void entry_directory::gone(const std::string &entry)
+{
+    m_entries.erase(entry);
+}
+
+const known_entry *entry_directory::find(const std::string &entry) const
+{
+    const auto found = m_entries.find(entry);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+bool entry_directory::lives(const std::string &entry, time_point now) const
+{
+    const auto *known = find(entry);
+    return known != nullptr && !known->leaving && now - known->heardAt < SilentAfter;
+}
+
+std::vector<std::string> entry_directory::others(time_point now) const
+{
+    std::vector<std::string> addresses;
+    for (const auto &[name, known] : m_entries) {
+        if (lives(name, now))
+            addresses.push_back(known.row.internal);
+    }
+    return addresses;
+}
+
+std::optional<std::string> entry_directory::heirOf(const std::string &job,
+                                                   const jobs::owner_id &owner,
+                                                   const jobs::owner_id &self, time_point now) const
+{
+    if (owner.entry == self.entry)
+        return owner.incarnation == self.incarnation ? std::nullopt : std::optional(self.entry);
+    if (lives(owner.entry, now)) {
+        // An entry that lives anew takes back what its earlier life owned.
+        return std::nullopt;
+    }
+    // Nobody is judged before there was time to hear of everybody.
+    if (now - m_startedAt < SilentAfter)
+        return std::nullopt;
+    std::vector<std::string> candidates{self.entry};
+    for (const auto &[name, known] : m_entries) {
+        if (lives(name, now))
+            candidates.push_back(name);
+    }
+    return rendezvousOrder(job, candidates).front();
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/app/entry_directory.h
@@ -0,0 +1,60 @@
+// The entries of the system: which there are, where, and which of them live.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "jobs/model.h"
+
+namespace zinniabarrow {
+
+// An entry as its row in the platform's store tells it.
+struct entry_row
+{
+    std::int64_t incarnation = 0; // rises with each life
+    std::string internal;         // "ip:port" for the system's own processes
+    std::string callers;          // "ip:port" for callers
+};
+std::string toText(const entry_row &row);
+entry_row entryRowFrom(const std::string &text); // throws error BadRequest
+
+struct known_entry
+{
+    entry_row row;
+    time_point heardAt{};
+    bool leaving = false; // a planned stop: its jobs go to others at once
+};
+
+class entry_directory
+{
+public:
+    // An entry that is silent for longer is taken as gone: its jobs go to others. A false alarm
+    // costs a write a job, since rows change owner only under a condition; three calls in a row
+    // have to fail.
+    static constexpr milliseconds SilentAfter{1600};
+
+    explicit entry_directory(std::string self, time_point startedAt);
+
+    void seen(const std::string &entry, const entry_row &row);
+    void heard(const std::string &entry, std::int64_t incarnation, bool leaving, time_point now);
+    void gone(const std::string &entry);
+
+    const known_entry *find(const std::string &entry) const;
+    const std::map<std::string, known_entry> &entries() const { return m_entries; }
+    bool lives(const std::string &entry, time_point now) const;
+    std::vector<std::string> others(time_point now) const; // internal addresses, live ones
+    // The entry that should take over a job of `owner`; none: the owner lives.
+    std::optional<std::string> heirOf(const std::string &job, const jobs::owner_id &owner,
+                                      const jobs::owner_id &self, time_point now) const;
+
+private:
+    std::string m_self;
+    time_point m_startedAt;
+    std::map<std::string, known_entry> m_entries; // without itself
+};
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/app/job_agent.cpp
@@ -0,0 +1,641 @@
+#include "app/job_agent.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+
+#include "app/entry_directory.h"
+#include "app/job_tables.h"
+#include "app/process.h"
+#include "app/row_store.h"
+#include "base/errors.h"
+#include "base/json.h"
+#include "base/json_member.h"
+#include "jobs/lease.h"
+#include "jobs/run_table.h"
+#include "net/http_listener.h"
+#include "platform/worker_wire.h"
+
+namespace zinniabarrow {
+
+using namespace jobs;
+using net::responder;
+using net::suspendAwareNow;
+using platform_wire::worker_announcement;
+
+namespace {
+
+constexpr milliseconds LookWait{1000}; // the worker answers a look earlier when a run ends
+constexpr milliseconds LookTimeout{1600};
+constexpr milliseconds LookRetry{150};
+constexpr milliseconds LookAgain{40};    // while ends are not acknowledged: a look returns at once
+constexpr milliseconds HoldLength{5000}; // a look is lost now and then, an agent is back within 2 s
+constexpr milliseconds StartWithin{1500}; // a start call takes effect within this, or never
+constexpr milliseconds CallTimeout{1000};
+constexpr milliseconds ReportEvery{1000};
+constexpr milliseconds ReportTimeout{2000}; // an entry answers once the ends are stored
+constexpr milliseconds DueEvery{100};
+constexpr milliseconds FeedWait{1000};
+constexpr milliseconds FeedRetry{300};
+constexpr milliseconds WorkerSilent{1700}; // looks fail: nothing new is started
+constexpr milliseconds LogFlushEvery{100};
+
+std::int64_t asMs(duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+// A worker's clock may be slow by 2%.
+duration slowClock(duration span)
+{
+    return span + span / 50;
+}
+
+class agent_process
+{
+public:
+    explicit agent_process(job_agent_settings settings)
+        : m_settings(std::move(settings))
+        , m_log("agent", m_settings.id)
+        , m_caller(m_loop)
+        , m_store(
+                  m_loop, m_caller, m_settings.store, [this] { return relays(); }, m_metrics, m_log)
+        , m_internal(m_loop, m_settings.internal, {},
+                     [this](http_request request, responder respond) {
+                         serveInternal(std::move(request), std::move(respond));
+                     })
+        , m_workers(m_loop, m_settings.workers, {},
+                    [this](const http_request &request, const responder &respond) {
+                        serveWorker(request, respond);
+                    })
+    { }
+
+    void run()
+    {
+        m_loop.onStopSignal([this] { m_loop.stop(); });
+        m_log.note("started", {{"internal", toText(m_settings.internal)}});
+        m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
+        m_loop.every(DueEvery, [this] { act(); });
+        m_loop.every(ReportEvery, [this] { reportAll(); });
+        m_loop.every(RenewEvery, [this] { renew(); });
+        readEntries();
+        establish("process_start");
+        m_loop.run();
+        m_log.note("stopped", {});
+        m_log.flush();
+    }
+
+private:
+    // --- The lease. `establish` takes a new fence; the epoch follows once it is known that nothing
+    // of an earlier epoch runs.
+
+    void establish(const char *why)
+    {
+        m_holding = false;
+        m_table.setEpoch(0);
+        ++m_establishing;
+        m_log.note("lease_sought", {{"why", why}});
+        readLease(m_establishing);
+    }
+
+    void readLease(int attempt)
+    {
+        m_store.read(LeasesTable, m_settings.id, "", "",
+                     [this, attempt](const std::optional<row_page> &page) {
+                         if (attempt != m_establishing)
+                             return;
+                         if (!page)
+                             return m_loop.after(LookRetry,
+                                                 [this, attempt] { readLease(attempt); });
+                         lease_row lease;
+                         std::int64_t version = 0;
+                         if (!page->rows.empty()) {
+                             lease = leaseFrom(page->rows.front().value);
+                             version = page->rows.front().version;
+                         }
+                         ++lease.fence;
+                         writeLease(lease, version, [this, attempt] {
+                             if (attempt != m_establishing)
+                                 return;
+                             m_holding = true;
+                             m_fresh = true;
+                             look();
+                         });
+                     });
+    }
+
+    void writeLease(lease_row next, std::int64_t version, std::function<void()> then)
+    {
+        const auto sentAt = suspendAwareNow();
+        ++next.renewals;
+        next.write = m_settings.id + ":" + std::to_string(next.fence) + ":"
+                     + std::to_string(next.renewals);
+        const auto name = leaseRow(m_settings.id);
+        m_writing = true;
+        m_store.commit(
+                {{{name, version}}, {{name, toText(next), 0, false}}, {}},
+                [this, next, sentAt, then = std::move(then)](const row_store::outcome &outcome) {
+                    m_writing = false;
+                    const auto written = writtenVersion(outcome, next.write);
+                    if (!written)
+                        return establish("lease_taken");
+                    m_lease = next;
+                    m_leaseVersion = *written;
+                    // Counted from before the write was sent: the watcher counts from when
+                    // it read it.
+                    m_leaseUntil = sentAt + LeaseLength;
+                    then();
+                });
+    }
+
+    static std::optional<std::int64_t> writtenVersion(const row_store::outcome &outcome,
+                                                      const std::string &write)
+    {
+        if (const auto *done = std::get_if<committed>(&outcome))
+            return done->version;
+        const auto &rows = std::get<conflicting>(outcome).rows;
+        if (rows.empty())
+            return std::nullopt;
+        try {
+            if (leaseFrom(rows.front().value).write == write)
+                return rows.front().version;
+        } catch (const error &) {
+            return std::nullopt; // somebody else's row: the lease is sought anew
+        }
+        return std::nullopt;
+    }
+
+    void renew()
+    {
+        if (m_holding && !m_writing)
+            writeLease(m_lease, m_leaseVersion, [] {});
+    }
+
+    // Begins a new epoch: what was placed before has ended for certain.
+    void beginEpoch(const std::string &life)
+    {
+        auto next = m_lease;
+        if (!next.ended || next.life.empty())
+            ++next.epoch;
+        next.life = life;
+        next.ended = false;
+        m_holding = false;
+        writeLease(next, m_leaseVersion, [this] {
+            m_holding = true;
+            m_fresh = false;
+            m_table.setEpoch(m_lease.epoch);
+            m_log.note("epoch_begun", {{"epoch", m_lease.epoch}, {"life", m_lease.life}});
+            reportAll();
+            look();
+        });
+    }
+
+    // --- Looking at the worker.
+
+    std::int64_t workerClockAt(time_point at) const { return m_clockMs + asMs(at - m_clockReadAt); }
+
+    void look()
+    {
+        if (!m_holding || m_looking)
+            return;
+        m_looking = true;
+        const auto now = suspendAwareNow();
+        std::optional<std::int64_t> deadline;
+        if (m_clockMs > 0 && now < m_leaseUntil) {
+            const auto until = std::min<time_point>(m_leaseUntil, now + HoldLength);
+            deadline = workerClockAt(until);
+            m_heldUntil = std::max(m_heldUntil, until);
+        }
+        // Without a clock to count from, the first look only reads it.
+        const auto wait = m_clockMs > 0 ? asMs(LookWait) : 0;
+        auto request = platform_wire::holdRequest(m_life.id, deadline, m_lease.fence,
+                                                  m_table.lastSeen(), wait);
+        if (m_life.id.empty())
+            request.headers.clear();
+        m_caller.call(m_settings.worker, std::move(request), LookTimeout,
+                      [this, fence = m_lease.fence](const call_result &result) {
+                          m_looking = false;
+                          looked(result, fence);
+                      });
+    }
+
+    void looked(const call_result &result, std::int64_t fence)
+    {
+        if (!m_holding)
+            return;
+        if (fence != m_lease.fence)
+            return look(); // asked before the lease was established anew
+        const auto now = suspendAwareNow();
+        const auto seen = platform_wire::holdResult(result);
+        if (!seen) {
+            if (platform_wire::isOtherLife(result))
+                return lifeEnded("other_life");
+            judgeSilence(now);
+            return m_loop.after(LookRetry, [this] { look(); });
+        }
+        if (m_life.bornMs != 0 && seen->bornMs != 0 && seen->bornMs != m_life.bornMs) {
+            m_life.bornMs = seen->bornMs;
+            return lifeEnded("born_anew");
+        }
+        if (seen->bornMs != 0)
+            m_life.bornMs = seen->bornMs;
+        m_clockMs = seen->listing.clockMs;
+        m_clockReadAt = now;
+        m_seenAt = now;
+        const auto endsBefore = m_table.endsSeen();
+        m_table.look(seen->listing, now);
+        const bool news = m_table.endsSeen() != endsBefore;
+        settleEpoch();
+        act();
+        if (news)
+            reportAll();
+        const bool unacknowledged = !seen->listing.ended.empty();
+        if (unacknowledged && !news)
+            m_loop.after(LookAgain, [this] { look(); });
+        else
+            look();
+    }
+
+    std::string lifeName() const { return std::to_string(m_life.bornMs); }
+
+    // After `establish`: the same life as the lease row tells keeps its runs; in another one, or
+    // after a watcher ended the epoch, all that runs is stopped before the new epoch begins.
+    void settleEpoch()
+    {
+        if (!m_fresh || m_life.bornMs == 0)
+            return;
+        if (!m_lease.ended && m_lease.life == lifeName()) {
+            m_fresh = false;
+            m_table.setEpoch(m_lease.epoch);
+            m_log.note("epoch_resumed", {{"epoch", m_lease.epoch}});
+            return reportAll();
+        }
+        m_table.stopAll(suspendAwareNow());
+        if (m_table.running() == 0)
+            beginEpoch(lifeName());
+    }
+
+    void lifeEnded(const char *why)
+    {
+        m_log.note("worker_life_ended", {{"why", why}, {"worker", m_life.id}});
+        m_metrics.count("worker_lives_ended_total", why);
+        m_table.clear();
+        m_clockMs = 0;
+        m_heldUntil = {};
+        establish(why);
+    }
+
+    // A worker that answers nothing ends all it runs when the last lease that it was given is over.
+    void judgeSilence(time_point now)
+    {
+        if (m_fresh || m_heldUntil == time_point{} || m_table.running() == 0)
+            return;
+        const auto margin = LeaseMargin;
+        if (now < m_heldUntil + slowClock(HoldLength) - HoldLength + margin)
+            return;
+        m_log.note("worker_silent", {{"runs", m_table.running()}});
+        m_metrics.count("worker_lives_ended_total", "silent");
+        m_table.clear();
+        m_heldUntil = {};
+        beginEpoch(lifeName());
+    }
+
+    // --- The worker's announcements.
+
+    void serveWorker(const http_request &request, const responder &respond)
+    {
+        if (const auto left = platform_wire::departureFrom(request)) {
+            respond({200, {}, ""});
+            if (*left == m_life.id)
+                departed();
+            return;
+        }
+        const auto told = platform_wire::announcementFrom(request);
+        // What can't be read names no worker to use, and the answer tells its sender so.
+        if (!told)
+            return respond({400, {}, R"({"error":"bad_request"})"});
+        respond({200, {}, ""});
+        if (told->service == m_settings.service)
+            announced(*told);
+    }
+
+    void announced(const worker_announcement &told)
+    {
+        const bool sameLife =
+                told.id == m_life.id
+                && (told.bornMs == 0 || m_life.bornMs == 0 || told.bornMs == m_life.bornMs);
+        if (sameLife && told.sequence <= m_told.sequence)
+            return; // overtaken by a newer one
+        // Held up on its way from a life that has ended since.
+        if (!sameLife && told.bornMs != 0 && told.bornMs < m_life.bornMs)
+            return;
+        const bool first = m_life.id.empty();
+        const bool readinessChanged = told.leaving != m_told.leaving || !m_present;
+        m_told = told;
+        m_present = true;
+        if (!sameLife && (!first || (m_life.bornMs != 0 && told.bornMs != m_life.bornMs))) {
+            m_life = {told.id, told.bornMs};
+            return lifeEnded("announced_anew");
+        }
+        m_life = {told.id, told.bornMs != 0 ? told.bornMs : m_life.bornMs};
+        if (readinessChanged) {
+            m_log.note("worker_announced",
+                       {{"worker", told.id}, {"leaving", told.leaving ? "yes" : "no"}});
+            reportAll();
+        }
+    }
+
+    void departed()
+    {
+        m_log.note("worker_departed", {{"worker", m_life.id}});
+        m_present = false;
+        m_table.clear();
+        m_heldUntil = {};
+        if (m_holding && !m_writing && !m_fresh)
+            beginEpoch("");
+        else
+            establish("departed");
+    }
+
+    bool accepting() const
+    {
+        const auto now = suspendAwareNow();
+        return m_present && !m_told.leaving && !m_fresh && m_holding && m_clockMs > 0
+               && now - m_seenAt < WorkerSilent && now < m_leaseUntil;
+    }
+
+    // --- Orders of entries.
+
+    void serveInternal(http_request request, responder respond)
+    {
+        const auto path = request.path();
+        if (path == "/metrics")
+            return respond({200, {{"Content-Type", "text/plain"}}, m_metrics.text()});
+        if (path.starts_with(StoreRelayPath))
+            return m_store.relay(std::move(request), std::move(respond));
+        if (path != "/v1/orders")
+            return respond({404, {}, R"({"error":"unknown_path"})"});
+        try {
+            respond({200, {}, takeOrders(orderBatchFrom(request.body))});
+        } catch (const error &problem) {
+            m_log.note("call_unreadable", {{"path", path}, {"why", problem.what()}});
+            return respond({400, {}, R"({"error":"bad_request"})"});
+        }
+        act();
+    }
+
+    std::string takeOrders(const order_batch &batch)
+    {
+        const auto now = suspendAwareNow();
+        m_table.setWorker(m_told.capacity, accepting());
+        std::vector<order_answer> answers;
+        for (const auto &order : batch.orders) {
+            const bool start = order.kind == order_kind::Start;
+            // A worker that can't be asked now may be again in a moment.
+            if (start && m_present && !m_told.leaving && !accepting()) {
+                answers.push_back({order.task, order.run, order_outcome::NotReady});
+                continue;
+            }
+            answers.push_back(m_table.take(order, batch.owner, now));
+            const auto &answer = answers.back();
+            m_metrics.count("orders_total", nameOf(answer.outcome));
+            if (answer.outcome != order_outcome::Accepted)
+                m_log.note("order_refused", {{"task", toText(order.task)},
+                                             {"run", order.run},
+                                             {"outcome", nameOf(answer.outcome)}});
+        }
+        return toText(answers);
+    }
+
+    // Carries out what is due.
+    void act()
+    {
+        const auto now = suspendAwareNow();
+        for (const auto &action : m_table.due(now, now < m_leaseUntil && m_clockMs > 0))
+            std::visit([this](const auto &one) { carryOut(one); }, action);
+    }
+
+    void carryOut(const start_run &start)
+    {
+        // Read here and not before: a process that was frozen since would start on a lease that
+        // has run out, while the task runs elsewhere. Frozen after this line, the call's own
+        // deadline stops it.
+        const auto now = suspendAwareNow();
+        const auto until = std::min<time_point>(m_leaseUntil, now + StartWithin);
+        if (now >= until)
+            return;
+        const auto deadline = workerClockAt(until);
+        m_heldUntil = std::max(m_heldUntil, until);
+        m_table.startCalled(start.task, start.run, deadline);
+        m_caller.call(m_settings.worker,
+                      platform_wire::startRequest(m_life.id, start, deadline, m_lease.fence),
+                      CallTimeout,
+                      [this, task = start.task, run = start.run](const call_result &result) {
+                          started(task, run, result);
+                      });
+    }
+
+    void started(const task_id &task, int run, const call_result &result)
+    {
+        const auto answer = platform_wire::startResult(result);
+        if (answer != start_answer::Started) {
+            const auto *response = std::get_if<http_response>(&result);
+            m_metrics.count("starts_not_confirmed_total",
+                            answer == start_answer::Refused ? "refused" : "unanswered");
+            m_log.note("start_not_confirmed", {{"task", toText(task)},
+                                               {"run", run},
+                                               {"status", response ? response->status : 0},
+                                               {"answer", response ? response->body : "none"}});
+        }
+        const auto endsBefore = m_table.endsSeen();
+        m_table.startAnswered(task, run, answer, suspendAwareNow());
+        if (m_table.endsSeen() != endsBefore)
+            reportAll();
+    }
+
+    void carryOut(const stop_run &stop)
+    {
+        m_caller.call(m_settings.worker, platform_wire::stopRequest(m_life.id, stop, m_lease.fence),
+                      CallTimeout, [this](const call_result &result) {
+                          if (!std::holds_alternative<http_response>(result))
+                              m_metrics.count("stops_not_confirmed_total", "unanswered");
+                      });
+    }
+
+    // --- Reports to entries.
+
+    struct entry_link
+    {
+        std::string address;
+        bool out = false;   // a report has no answer yet
+        bool again = false; // something changed meanwhile
+    };
+
+    void reportAll()
+    {
+        for (auto &[name, link] : m_entries)
+            report(name, link);
+    }
+
+    void report(const std::string &entry, entry_link &link)
+    {
+        if (link.out) {
+            link.again = true;
+            return;
+        }
+        link.out = true;
+        link.again = false;
+        worker_report told;
+        told.worker = m_settings.id;
+        told.address = toText(m_settings.internal);
+        told.agentLife = m_lease.fence;
+        told.epoch = m_table.epoch();
+        told.service = m_settings.service;
+        told.zone = m_settings.zone;
+        told.kind = m_told.kind;
+        told.rack = m_told.rack;
+        told.accepting = accepting();
+        told.capacity = m_told.capacity;
+        told.used = m_table.used();
+        told.fillMillicores = m_table.fillMillicores();
+        told.ends = m_table.endsFor(entry);
+        told.progress = m_table.progressFor(entry);
+        http_request request;
+        request.method = "POST";
+        request.target = "/v1/report";
+        request.body = toText(told);
+        m_caller.call(link.address, std::move(request), ReportTimeout,
+                      [this, entry](const call_result &result) { reported(entry, result); });
+    }
+
+    void reported(const std::string &entry, const call_result &result)
+    {
+        const auto found = m_entries.find(entry);
+        if (found == m_entries.end())
+            return;
+        auto &link = found->second;
+        link.out = false;
+        const auto *answer = std::get_if<http_response>(&result);
+        if (answer == nullptr || answer->status != 200) {
+            m_metrics.count("reports_unanswered_total", "entry_silent");
+            m_table.ownerSilent(entry);
+            return; // the next turn reports again
+        }
+        try {
+            takeAcknowledgements(parseJson(answer->body));
+        } catch (const error &problem) {
+            m_log.note("answer_unreadable", {{"entry", entry}, {"why", problem.what()}});
+        }
+        if (link.again)
+            report(entry, link);
+    }
+
+    void takeAcknowledgements(const Json::Value &answer)
+    {
+        const auto now = suspendAwareNow();
+        for (const auto &row : arrayMember(answer, "acknowledged")) {
+            const auto task = taskIdFrom(row[0].asString());
+            if (task)
+                m_table.acknowledged(*task, row[1].asInt(), now);
+        }
+    }
+
+    // --- Entries.
+
+    std::vector<std::string> relays() const
+    {
+        std::vector<std::string> addresses;
+        for (const auto &[name, link] : m_entries)
+            addresses.push_back(link.address);
+        return addresses;
+    }
+
+    void readEntries()
+    {
+        m_store.readAll(EntriesTable, "", [this](const std::optional<row_page> &page) {
+            if (!page)
+                return m_loop.after(FeedRetry, [this] { readEntries(); });
+            takeEntries(page->rows);
+            feedEntries(page->version);
+        });
+    }
+
+    void feedEntries(std::int64_t after)
+    {
+        m_store.feed(EntriesTable, after, FeedWait,
+                     [this, after](const std::optional<feed_page> &page) {
+                         if (!page)
+                             return m_loop.after(FeedRetry, [this, after] { feedEntries(after); });
+                         if (page->historyGone)
+                             return readEntries();
+                         takeEntries(page->rows);
+                         feedEntries(page->version);
+                     });
+    }
+
+    void takeEntries(const std::vector<row> &rows)
+    {
+        for (const auto &one : rows) {
+            if (one.removed) {
+                m_entries.erase(one.name.key);
+                continue;
+            }
+            try {
+                m_entries[one.name.key].address = entryRowFrom(one.value).internal;
+            } catch (const error &problem) {
+                m_log.note("entry_row_unreadable",
+                           {{"entry", one.name.key}, {"why", problem.what()}});
+            }
+        }
+        if (!rows.empty())
+            reportAll();
+    }
+
+    struct worker_life
+    {
+        std::string id;
+        std::int64_t bornMs = 0;
+    };
+
+    job_agent_settings m_settings;
+    net::event_loop m_loop;
+    event_log m_log;
+    metrics m_metrics;
+    net::http_caller m_caller;
+    row_store m_store;
+    run_table m_table;
+    std::map<std::string, entry_link> m_entries;
+
+    worker_announcement m_told; // newest announcement of the present life
+    worker_life m_life;
+    bool m_present = false; // announced, and not departed
+
+    lease_row m_lease;
+    std::int64_t m_leaseVersion = 0;
+    time_point m_leaseUntil{}; // nothing is started or held beyond
+    time_point m_heldUntil{};  // the worker was told to let runs go on until then, at most
+    int m_establishing = 0;
+    bool m_holding = false; // the fence is written
+    bool m_writing = false; // a write of the lease is out
+    bool m_fresh = true;    // the epoch is not settled since the fence was written
+
+    std::int64_t m_clockMs = 0; // the worker's clock,
+    time_point m_clockReadAt{}; // read then
+    time_point m_seenAt{};      // last look that was answered
+    bool m_looking = false;
+
+    net::http_listener m_internal;
+    net::http_listener m_workers;
+};
+
+} // namespace
+
+int runJobAgent(const job_agent_settings &settings)
+{
+    agent_process process(settings);
+    process.run();
+    return ExitDone;
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/app/job_entry.cpp
@@ -0,0 +1,966 @@
+#include "app/job_entry.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+
+#include "app/entry_directory.h"
+#include "app/job_tables.h"
+#include "app/job_view.h"
+#include "app/process.h"
+#include "app/row_store.h"
+#include "base/errors.h"
+#include "base/json.h"
+#include "base/json_member.h"
+#include "jobs/job_book.h"
+#include "jobs/lease.h"
+#include "net/http_listener.h"
+#include "platform/caller_wire.h"
+#include "platform/store_wire.h"
+
+namespace zinniabarrow {
+
+using namespace jobs;
+using net::responder;
+using net::suspendAwareNow;
+
+namespace {
+
+constexpr milliseconds PlanEvery{100}; // beside each event: repeats of orders, tasks that wait
+constexpr milliseconds PingEvery{400}; // four pings within the time after which one is gone
+constexpr milliseconds PingTimeout{500};
+constexpr milliseconds FeedWait{1000};     // a feed that went silent is noticed soon after
+constexpr milliseconds JobsFeedPause{250}; // joins the changes of many jobs into one answer
+constexpr milliseconds FeedRetry{200};
+constexpr milliseconds TakeoverEvery{250};
+constexpr milliseconds WatchEvery{700};    // looks at the lease of a silent worker
+constexpr milliseconds SilentWorker{3000}; // three reports were missed
+constexpr milliseconds OrderTimeout{600};  // an agent answers without asking its worker
+constexpr milliseconds PeerTimeout{350};
+constexpr milliseconds AnswerWithin{2600}; // below the callers' usual patience of 3 s
+constexpr milliseconds ReportWithin{1500};
+constexpr milliseconds DrainAtMost{4000}; // below the 6 s after which a process is killed
+constexpr milliseconds LogFlushEvery{100};
+constexpr milliseconds KeepFinal{180'000};      // callers may ask for 120 s
+constexpr milliseconds StoreSilentAtMost{2500}; // then this entry is not ready
+constexpr std::int64_t RetryAfterSeconds = 1;
+
+std::int64_t wallMs()
+{
+    return std::chrono::duration_cast<milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+}
+
+http_response refusal(int status, const char *reason)
+{
+    http_response answer{status, {}, std::string(R"({"error":")") + reason + "\"}"};
+    if (status == 429 || status == 503)
+        answer.headers["Retry-After"] = std::to_string(RetryAfterSeconds);
+    return answer;
+}
+
+class entry_process
+{
+public:
+    explicit entry_process(job_entry_settings settings)
+        : m_settings(std::move(settings))
+        , m_log("entry", m_settings.id)
+        , m_caller(m_loop)
+        , m_store(
+                  m_loop, m_caller, m_settings.store,
+                  [this] { return m_directory.others(suspendAwareNow()); }, m_metrics, m_log)
+        , m_startedAt(suspendAwareNow())
+        , m_directory(m_settings.id, m_startedAt)
+        , m_internal(m_loop, m_settings.internal, internalLimits(),
+                     [this](http_request request, responder respond) {
+                         serveInternal(request, std::move(respond));
+                     })
+        , m_ready(m_loop, m_settings.ready, {},
+                  [this](const http_request & /*request*/, const responder &respond) {
+                      respond({isReady() ? 200 : 503, {}, ""});
+                  })
+        , m_callers(m_loop, m_settings.callers, {},
+                    [this](http_request request, responder respond) {
+                        serveCaller(std::move(request), std::move(respond));
+                    })
+    { }
+
+    void run()
+    {
+        m_loop.onStopSignal([this] { drain(); });
+        m_log.note("started", {{"internal", toText(m_settings.internal)}});
+        m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
+        enter();
+        followConfiguration();
+        m_loop.run();
+        m_log.note("stopped", {});
+        m_log.flush();
+    }
+
+private:
+    static net::listener_limits internalLimits()
+    {
+        net::listener_limits limits;
+        limits.bodyBytes = 4 * 1024 * 1024; // a report after a long outage
+        return limits;
+    }
+
+    // --- Start: a new incarnation, the other entries, all jobs.
+
+    void enter()
+    {
+        m_store.read(EntriesTable, "", m_settings.id, m_settings.id + "\x01",
+                     [this](const std::optional<row_page> &page) {
+                         if (!page)
+                             return m_loop.after(FeedRetry, [this] { enter(); });
+                         takeIncarnation(*page);
+                     });
+    }
+
+    void takeIncarnation(const row_page &page)
+    {
+        entry_row mine{1, toText(m_settings.internal), toText(m_settings.callers)};
+        std::int64_t version = 0;
+        if (!page.rows.empty()) {
+            version = page.rows.front().version;
+            mine.incarnation = entryRowFrom(page.rows.front().value).incarnation + 1;
+        }
+        const auto name = entryRow(m_settings.id);
+        m_store.commit({{{name, version}}, {{name, toText(mine), 0, false}}, {}},
+                       [this, mine](const row_store::outcome &outcome) {
+                           // Also when an earlier try took effect: one more incarnation does no
+                           // harm, one used twice would.
+                           if (!std::holds_alternative<committed>(outcome))
+                               return enter();
+                           begin(mine);
+                       });
+    }
+
+    void begin(const entry_row &mine)
+    {
+        m_self = {m_settings.id, mine.incarnation};
+        m_row = mine;
+        m_book.emplace(m_self, m_pool);
+        m_log.note("incarnation", {{"incarnation", mine.incarnation}});
+        readEntries();
+        readJobs();
+        m_loop.every(PingEvery, [this] { pingAll(); });
+        m_loop.every(PlanEvery, [this] { pump(); });
+        m_loop.every(TakeoverEvery, [this] { takeOver(); });
+        m_loop.every(WatchEvery, [this] { watchSilentWorkers(); });
+    }
+
+    // --- What the store tells: configuration, entries, jobs.
+
+    void followConfiguration()
+    {
+        m_store.readAll(platform_wire::ConfigurationRow.table, "",
+                        [this](const std::optional<row_page> &page) {
+                            if (!page)
+                                return m_loop.after(FeedRetry, [this] { followConfiguration(); });
+                            for (const auto &one : page->rows)
+                                takeConfiguration(one);
+                            feedConfiguration(page->version);
+                        });
+    }
+
+    void feedConfiguration(std::int64_t after)
+    {
+        m_store.feed(platform_wire::ConfigurationRow.table, after, FeedWait,
+                     [this, after](const std::optional<feed_page> &page) {
+                         if (!page)
+                             return m_loop.after(FeedRetry,
+                                                 [this, after] { feedConfiguration(after); });
+                         if (page->historyGone)
+                             return followConfiguration();
+                         for (const auto &one : page->rows)
+                             takeConfiguration(one);
+                         feedConfiguration(page->version);
+                     });
+    }
+
+    void takeConfiguration(const row &one)
+    {
+        if (one.name != platform_wire::ConfigurationRow || one.removed)
+            return;
+        try {
+            auto next = platform_wire::configurationFrom(one.value);
+            // Never back: a request that one version allowed must not meet an older one.
+            if (m_configuration && next.version <= m_configuration->version)
+                return;
+            m_log.note("configuration",
+                       {{"version", next.version}, {"routes", next.routes.size()}});
+            m_configuration = std::move(next);
+        } catch (const error &problem) {
+            m_log.note("configuration_unreadable", {{"why", problem.what()}});
+        }
+    }
+
+    void readEntries()
+    {
+        m_store.readAll(EntriesTable, "", [this](const std::optional<row_page> &page) {
+            if (!page)
+                return m_loop.after(FeedRetry, [this] { readEntries(); });
+            takeEntries(page->rows);
+            feedEntries(page->version);
+        });
+    }
+
+    void feedEntries(std::int64_t after)
+    {
+        m_store.feed(EntriesTable, after, FeedWait,
+                     [this, after](const std::optional<feed_page> &page) {
+                         if (!page)
+                             return m_loop.after(FeedRetry, [this, after] { feedEntries(after); });
+                         if (page->historyGone)
+                             return readEntries();
+                         takeEntries(page->rows);
+                         feedEntries(page->version);
+                     });
+    }
+
+    void takeEntries(const std::vector<row> &rows)
+    {
+        for (const auto &one : rows) {
+            if (one.removed) {
+                m_directory.gone(one.name.key);
+                continue;
+            }
+            try {
+                m_directory.seen(one.name.key, entryRowFrom(one.value));
+            } catch (const error &problem) {
+                m_log.note("entry_row_unreadable",
+                           {{"entry", one.name.key}, {"why", problem.what()}});
+            }
+        }
+        pingAll();
+    }
+
+    // All parts at once; changes since the first reading come with the feed.
+    void readJobs()
+    {
+        auto left = std::make_shared<unsigned>(JobParts);
+        auto from = std::make_shared<std::int64_t>(0);
+        auto failed = std::make_shared<bool>(false);
+        for (unsigned part = 0; part < JobParts; ++part) {
+            m_store.readAll(JobsTable, partName(part),
+                            [this, left, from, failed](const std::optional<row_page> &page) {
+                                if (page)
+                                    takeJobs(page->rows);
+                                if (page && (*from == 0 || page->version < *from))
+                                    *from = page->version;
+                                *failed = *failed || !page;
+                                if (--*left > 0)
+                                    return;
+                                if (*failed)
+                                    return m_loop.after(FeedRetry, [this] { readJobs(); });
+                                jobsRead(*from);
+                            });
+        }
+    }
+
+    void jobsRead(std::int64_t from)
+    {
+        if (!m_jobsKnown)
+            m_log.note("jobs_read", {{"jobs", m_view.jobs().size()}});
+        m_jobsKnown = true;
+        takeOver();
+        feedJobs(from);
+    }
+
+    void feedJobs(std::int64_t after)
+    {
+        m_store.feed(
+                JobsTable, after, FeedWait, [this, after](const std::optional<feed_page> &page) {
+                    if (!page)
+                        return m_loop.after(FeedRetry, [this, after] { feedJobs(after); });
+                    if (page->historyGone) {
+                        m_log.note("history_gone", {{"table", JobsTable}});
+                        return readJobs();
+                    }
+                    takeJobs(page->rows);
+                    m_loop.after(JobsFeedPause, [this, next = page->version] { feedJobs(next); });
+                });
+    }
+
+    void takeJobs(const std::vector<row> &rows)
+    {
+        const auto now = suspendAwareNow();
+        for (const auto &one : rows) {
+            if (one.removed) {
+                m_view.removed(one.name.key);
+                m_book->forget(one.name.key);
+                continue;
+            }
+            try {
+                m_view.seen(one.name.key, one.value, one.version, now);
+                if (m_book->owns(one.name.key))
+                    m_book->rowSeen(one.name.key, recordFrom(one.value), one.version);
+            } catch (const error &problem) {
+                m_log.note("job_row_unreadable", {{"job", one.name.key}, {"why", problem.what()}});
+            }
+        }
+        pumpSoon();
+    }
+
+    // --- Other entries.
+
+    Json::Value selfDescription() const
+    {
+        Json::Value value(Json::objectValue);
+        value["entry"] = m_settings.id;
+        value["row"] = toText(m_row);
+        value["leaving"] = m_leaving;
+        return value;
+    }
+
+    void takeDescription(const std::string &text)
+    {
+        const auto value = parseJson(text);
+        const auto name = stringMember(value, "entry");
+        const auto row = entryRowFrom(stringMember(value, "row"));
+        m_directory.seen(name, row);
+        m_directory.heard(name, row.incarnation, boolMember(value, "leaving"), suspendAwareNow());
+    }
+
+    void pingAll()
+    {
+        for (const auto &[name, known] : m_directory.entries()) {
+            http_request ping;
+            ping.method = "POST";
+            ping.target = "/v1/ping";
+            ping.body = compactJson(selfDescription());
+            m_caller.call(known.row.internal, std::move(ping), PingTimeout,
+                          [this](const call_result &result) {
+                              const auto *answer = std::get_if<http_response>(&result);
+                              if (answer == nullptr || answer->status != 200)
+                                  return;
+                              try {
+                                  takeDescription(answer->body);
+                              } catch (const error &problem) {
+                                  m_log.note("ping_unreadable", {{"why", problem.what()}});
+                              }
+                          });
+        }
+    }
+
+    // Jobs whose owner is gone, or was an earlier life of this entry.
+    void takeOver()
+    {
+        if (!m_jobsKnown || m_leaving)
+            return;
+        const auto now = suspendAwareNow();
+        for (const auto &[id, known] : m_view.jobs()) {
+            if (isFinal(known.state) || m_book->owns(id) || m_adopting.contains(id))
+                continue;
+            const auto heir = m_directory.heirOf(id, known.owner, m_self, now);
+            if (heir && *heir == m_settings.id)
+                adopt(id);
+        }
+        removeOldRows(now);
+    }
+
+    void adopt(const std::string &id)
+    {
+        m_adopting.insert(id);
+        m_store.read(PayloadsTable, partOf(id), id, id + "\x01",
+                     [this, id](const std::optional<row_page> &page) {
+                         m_adopting.erase(id);
+                         const auto *known = m_view.find(id);
+                         if (!page || page->rows.empty() || known == nullptr
+                             || isFinal(known->state))
+                             return; // the next look at all jobs tries again
+                         m_book->adopt(id, recordFrom(known->content), known->version,
+                                       page->rows.front().value);
+                         m_metrics.count("jobs_adopted_total", "owner_gone");
+                         pumpSoon();
+                     });
+    }
+
+    // Rows of jobs that ended long ago, each by the entry that owned it last.
+    void removeOldRows(time_point now)
+    {
+        std::vector<std::string> old;
+        for (const auto &[id, known] : m_view.jobs()) {
+            if (known.finalAt != time_point{} && now - known.finalAt > KeepFinal
+                && known.owner.entry == m_settings.id)
+                old.push_back(id);
+        }
+        for (const auto &id : old) {
+            m_book->forget(id);
+            m_view.removed(id);
+            m_store.commit({{}, {}, {jobRow(id), payloadRow(id)}}, [](const row_store::outcome
+                                                                              & /*ignored: the rows
+                                                      are gone or will be found by the next
+                                                      life*/) {});
+        }
+    }
+
+    // --- Decisions of the book are carried out.
+
+    void pumpSoon()
+    {
+        if (std::exchange(m_pumping, true))
+            return;
+        m_loop.post([this] { pump(); });
+    }
+
+    void pump()
+    {
+        m_pumping = false;
+        if (!m_book)
+            return;
+        m_book->plan(suspendAwareNow(), wallMs());
+        std::map<std::string, std::vector<run_order>> orders;
+        for (auto &action : m_book->takeActions()) {
+            std::visit([&](auto &one) { carryOut(one, orders); }, action);
+        }
+        for (auto &[worker, batch] : orders)
+            sendOrders(worker, std::move(batch));
+    }
+
+    using orders_by_worker = std::map<std::string, std::vector<run_order>>;
+
+    void carryOut(write_row &write, orders_by_worker & /*orders*/)
+    {
+        const auto name = jobRow(write.job);
+        row_transaction transaction;
+        transaction.expected.push_back({name, write.expectedVersion});
+        transaction.set.push_back({name, std::move(write.content), 0, false});
+        if (write.payload)
+            transaction.set.push_back({payloadRow(write.job), std::move(*write.payload), 0, false});
+        m_store.commit(std::move(transaction),
+                       [this, id = write.job](const row_store::outcome &outcome) {
+                           rowOutcome(id, outcome);
+                       });
+    }
+
+    void rowOutcome(const std::string &id, const row_store::outcome &outcome)
+    {
+        if (const auto *done = std::get_if<committed>(&outcome)) {
+            m_book->rowWritten(id, done->version);
+            return pumpSoon();
+        }
+        const auto &rows = std::get<conflicting>(outcome).rows;
+        m_metrics.count("job_write_conflicts_total", "row_changed");
+        try {
+            if (rows.empty())
+                m_book->rowConflict(id, 0, std::nullopt);
+            else
+                m_book->rowConflict(id, rows.front().version, rows.front().value);
+        } catch (const error &problem) {
+            m_log.note("job_row_unreadable", {{"job", id}, {"why", problem.what()}});
+        }
+        pumpSoon();
+    }
+
+    void carryOut(give_order &order, orders_by_worker &orders)
+    {
+        orders[order.worker].push_back(std::move(order.order));
+    }
+
+    void carryOut(stored &action, orders_by_worker & /*orders*/) { resolve(action.token, true); }
+    void carryOut(disowned &action, orders_by_worker & /*orders*/) { resolve(action.token, false); }
+
+    void carryOut(noted &action, orders_by_worker & /*orders*/)
+    {
+        m_metrics.count("job_events_total", action.event);
+        m_log.note(action.event, {{"job", action.job}, {"detail", action.detail}});
+    }
+
+    std::int64_t newToken(std::function<void(bool)> done)
+    {
+        const auto token = m_nextToken++;
+        m_tokens.emplace(token, std::move(done));
+        return token;
+    }
+
+    void resolve(std::int64_t token, bool isStored)
+    {
+        auto found = m_tokens.extract(token);
+        if (!found.empty())
+            found.mapped()(isStored);
+    }
+
+    void sendOrders(const std::string &worker, std::vector<run_order> orders)
+    {
+        const auto *view = m_pool.find(worker);
+        const auto unanswered = [this, worker](const std::vector<run_order> &batch) {
+            for (const auto &order : batch)
+                m_book->orderUnanswered(worker, order.task, order.run, suspendAwareNow());
+        };
+        if (view == nullptr)
+            return unanswered(
+                    orders); // not heard of since the start; its agent reports each second
+        http_request request;
+        request.method = "POST";
+        request.target = "/v1/orders";
+        request.body = toText(order_batch{m_settings.id, toText(m_settings.internal), orders});
+        m_caller.call(
+                view->last.address, std::move(request), OrderTimeout,
+                [this, worker, unanswered, orders = std::move(orders)](const call_result &result) {
+                    const auto *answer = std::get_if<http_response>(&result);
+                    if (answer == nullptr || answer->status != 200) {
+                        m_metrics.count("orders_unanswered_total", "agent_silent");
+                        return unanswered(orders);
+                    }
+                    for (const auto &one : orderAnswersFrom(answer->body)) {
+                        m_metrics.count("orders_total", nameOf(one.outcome));
+                        m_book->orderAnswered(worker, one, suspendAwareNow());
+                    }
+                    pumpSoon();
+                });
+    }
+
+    // --- Workers that nobody hears of.
+
+    void watchSilentWorkers()
+    {
+        if (!m_jobsKnown)
+            return;
+        const auto now = suspendAwareNow();
+        for (const auto &worker : m_book->busyWorkers()) {
+            const auto *view = m_pool.find(worker);
+            const auto heardAt = view == nullptr ? m_startedAt : view->heardAt;
+            if (now - heardAt < SilentWorker) {
+                m_watch.forget(worker);
+                continue;
+            }
+            lookAtLease(worker);
+        }
+    }
+
+    void lookAtLease(const std::string &worker)
+    {
+        m_store.read(LeasesTable, worker, "", "",
+                     [this, worker](const std::optional<row_page> &page) {
+                         if (!page || page->rows.empty())
+                             return;
+                         try {
+                             const auto &one = page->rows.front();
+                             judgeLease(worker, leaseFrom(one.value), one.version);
+                         } catch (const error &problem) {
+                             m_log.note("lease_row_unreadable",
+                                        {{"worker", worker}, {"why", problem.what()}});
+                         }
+                     });
+    }
+
+    void judgeLease(const std::string &worker, const lease_row &lease, std::int64_t version)
+    {
+        const auto now = suspendAwareNow();
+        // Another entry has ended the epoch, or the worker lives anew.
+        m_book->workerRenewed(worker, lease.epoch, now);
+        pumpSoon();
+        if (!m_watch.observe(worker, version, now))
+            return;
+        auto next = lease;
+        ++next.epoch;
+        next.ended = true;
+        const auto name = leaseRow(worker);
+        m_watch.forget(worker);
+        m_store.commit(
+                {{{name, version}}, {{name, toText(next), 0, false}}, {}},
+                [this, worker, next](const row_store::outcome &outcome) {
+                    if (!std::holds_alternative<committed>(outcome))
+                        return; // it was renewed, or another entry was faster
+                    m_log.note("worker_lease_ended", {{"worker", worker}, {"epoch", next.epoch}});
+                    m_metrics.count("worker_leases_ended_total", "silent");
+                    m_book->workerRenewed(worker, next.epoch, suspendAwareNow());
+                    pumpSoon();
+                });
+    }
+
+    // --- Calls of other processes of the system.
+
+    void serveInternal(http_request &request, responder respond)
+    {
+        const auto path = request.path();
+        if (path == "/metrics")
+            return respond({200, {{"Content-Type", "text/plain"}}, m_metrics.text()});
+        if (path.starts_with(StoreRelayPath))
+            return m_store.relay(std::move(request), std::move(respond));
+        if (!m_book)
+            return respond(refusal(503, "starting"));
+        try {
+            if (path == "/v1/ping") {
+                takeDescription(request.body);
+                return respond({200, {}, compactJson(selfDescription())});
+            }
+            if (path == "/v1/report")
+                return takeReport(reportFrom(request.body), std::move(respond));
+            if (path.starts_with("/v1/jobs/"))
+                return serveOwned(request, path.substr(std::string("/v1/jobs/").size()),
+                                  std::move(respond));
+        } catch (const error &problem) {
+            m_log.note("call_unreadable", {{"path", path}, {"why", problem.what()}});
+            return respond(refusal(400, "bad_request"));
+        }
+        respond(refusal(404, "unknown_path"));
+    }
+
+    struct open_report
+    {
+        responder respond;
+        std::vector<run_end> acknowledged;
+        std::size_t open = 0;
+        bool answered = false;
+    };
+
+    void takeReport(const worker_report &report, responder respond)
+    {
+        const auto now = suspendAwareNow();
+        const auto *before = m_pool.find(report.worker);
+        if (before == nullptr || before->last.epoch != report.epoch)
+            m_log.note("worker_seen", {{"worker", report.worker},
+                                       {"epoch", report.epoch},
+                                       {"accepting", report.accepting ? "yes" : "no"}});
+        if (m_pool.update(report, now) && report.epoch > 0)
+            m_book->workerRenewed(report.worker, report.epoch, now);
+        for (const auto &progress : report.progress)
+            m_book->progressed(report.worker, progress);
+        auto state = std::make_shared<open_report>();
+        state->respond = std::move(respond);
+        state->open = report.ends.size();
+        for (const auto &end : report.ends)
+            takeEnd(report.worker, end, state);
+        if (state->open == 0)
+            answerReport(*state);
+        else
+            m_loop.after(ReportWithin, [state] { answerReport(*state); });
+        pumpSoon();
+    }
+
+    void takeEnd(const std::string &worker, const run_end &end,
+                 const std::shared_ptr<open_report> &state)
+    {
+        const auto token = newToken([state, end](bool isStored) {
+            if (isStored)
+                state->acknowledged.push_back(end);
+            if (--state->open == 0)
+                answerReport(*state);
+        });
+        if (m_book->runEnded(worker, end, suspendAwareNow(), token))
+            return;
+        // Not owned here. The end of a job that is over needs no owner any more.
+        const auto *known = m_view.find(end.task.job);
+        resolve(token, known != nullptr && isFinal(known->state));
+    }
+
+    static void answerReport(open_report &state)
+    {
+        if (std::exchange(state.answered, true))
+            return;
+        Json::Value value(Json::objectValue);
+        value["acknowledged"] = Json::Value(Json::arrayValue);
+        for (const auto &end : state.acknowledged) {
+            Json::Value row(Json::arrayValue);
+            row.append(toText(end.task));
+            row.append(end.run);
+            value["acknowledged"].append(std::move(row));
+        }
+        state.respond({200, {}, compactJson(value)});
+    }
+
+    // Another entry asks for a job that this one owns.
+    void serveOwned(const http_request &request, const std::string &id, responder respond)
+    {
+        if (!m_book->owns(id))
+            return respond(refusal(404, "not_owned"));
+        if (request.method == "DELETE")
+            return cancelOwned(id, std::move(respond));
+        respond({200, {}, platform_wire::stateBody(m_book->storedState(id))});
+    }
+
+    // --- Callers.
+
+    bool isReady() const
+    {
+        return m_configuration && m_jobsKnown && !m_leaving
+               && suspendAwareNow() - m_store.lastAnswerAt() < StoreSilentAtMost;
+    }
+
+    void serveCaller(http_request request, responder respond)
+    {
+        if (!m_configuration)
+            return respond(counted(503, "no_configuration"));
+        const auto target = routeFor(*m_configuration, request.header("Host"), request.path());
+        if (!target)
+            return respond(counted(404, "unknown_queue"));
+        if (!m_book || !m_jobsKnown)
+            return respond(counted(503, "starting"));
+        const auto &policy = target->route->policy;
+        if (target->job.empty() && request.method == "GET")
+            return respond({200, {}, platform_wire::waitingBody(m_view.waitingIn(policy.queue))});
+        if (target->job.empty())
+            return respond(counted(400, "no_job_id"));
+        if (request.method == "POST")
+            return submit(target->job, policy, std::move(request), std::move(respond));
+        if (request.method == "GET")
+            return showState(target->job, std::move(respond));
+        if (request.method == "DELETE")
+            return cancel(target->job, std::move(respond));
+        respond(counted(405, "unknown_method"));
+    }
+
+    http_response counted(int status, const char *reason)
+    {
+        m_metrics.count("refusals_total", reason);
+        return refusal(status, reason);
+    }
+
+    void submit(const std::string &id, const queue_policy &policy, http_request request,
+                responder respond)
+    {
+        const auto *known = m_view.find(id);
+        if (known != nullptr)
+            return respond({200, {}, platform_wire::stateBody(known->state)});
+        if (m_leaving)
+            return passOn(std::move(request), std::move(respond));
+        // Nothing can be stored now: said at once, before anything was tried.
+        if (!m_store.reachable())
+            return respond(logged(id, counted(503, "store_unreachable")));
+        job_spec spec;
+        try {
+            spec = platform_wire::jobFrom(request.body);
+        } catch (const error &problem) {
+            m_log.note("job_refused", {{"job", id}, {"why", problem.what()}});
+            return respond(counted(400, "bad_request"));
+        }
+        auto answer = onceWithin(AnswerWithin, std::move(respond));
+        const auto token = newToken([this, id, answer, at = suspendAwareNow()](bool /*isStored*/) {
+            // Not stored by this entry means that another one has the job already.
+            m_metrics.observeMilliseconds("acceptance_milliseconds", millisecondsSince(at));
+            answer({200, {}, ""});
+            (void)id;
+        });
+        if (m_book->owns(id))
+            m_book->whenStored(id, token);
+        else {
+            m_log.note("job_submitted", {{"job", id}, {"queue", policy.queue}});
+            m_book->submit(id, spec, policy, wallMs(), suspendAwareNow(), token);
+        }
+        pumpSoon();
+    }
+
+    static double millisecondsSince(time_point at)
+    {
+        return std::chrono::duration<double, std::milli>(suspendAwareNow() - at).count();
+    }
+
+    http_response logged(const std::string &id, http_response answer)
+    {
+        m_log.note("job_refused", {{"job", id}, {"status", answer.status}, {"why", answer.body}});
+        return answer;
+    }
+
+    // Whoever answers first; at the end of `within` the outcome is unknown, and 504 says so.
+    responder onceWithin(milliseconds within, responder respond)
+    {
+        auto open = std::make_shared<responder>(std::move(respond));
+        const auto answer = [open](http_response response) {
+            if (*open)
+                std::exchange(*open, nullptr)(std::move(response));
+        };
+        m_loop.after(within, [this, answer, open] {
+            if (*open)
+                answer(counted(504, "outcome_unknown"));
+        });
+        return answer;
+    }
+
+    // A leaving entry accepts nothing: an entry that stays gets the request as it is.
+    void passOn(http_request request, responder respond)
+    {
+        const auto now = suspendAwareNow();
+        for (const auto &[name, known] : m_directory.entries()) {
+            if (!m_directory.lives(name, now))
+                continue;
+            m_metrics.count("requests_passed_on_total", "leaving");
+            return m_caller.call(known.row.callers, std::move(request), AnswerWithin,
+                                 [this, respond](call_result result) {
+                                     if (auto *answer = std::get_if<http_response>(&result)) {
+                                         answer->headers.erase("Connection");
+                                         answer->headers.erase("Content-Length");
+                                         return respond(std::move(*answer));
+                                     }
+                                     const bool sent = std::get<call_failure>(result)
+                                                       != call_failure::NotConnected;
+                                     respond(sent ? counted(504, "outcome_unknown")
+                                                  : counted(503, "leaving"));
+                                 });
+        }
+        respond(counted(503, "leaving"));
+    }
+
+    void showState(const std::string &id, responder respond)
+    {
+        if (m_book->owns(id))
+            return respond({200, {}, platform_wire::stateBody(m_book->storedState(id))});
+        const auto *known = m_view.find(id);
+        if (known != nullptr && isFinal(known->state))
+            return respond({200, {}, platform_wire::stateBody(known->state)});
+        const auto *owner = known == nullptr ? nullptr : m_directory.find(known->owner.entry);
+        if (owner == nullptr || !m_directory.lives(known->owner.entry, suspendAwareNow()))
+            return showStoredState(id, std::move(respond));
+        http_request request;
+        request.target = "/v1/jobs/" + id;
+        m_caller.call(owner->row.internal, std::move(request), PeerTimeout,
+                      [this, id, respond](call_result result) {
+                          auto *answer = std::get_if<http_response>(&result);
+                          if (answer != nullptr && answer->status == 200)
+                              return respond({200, {}, std::move(answer->body)});
+                          showStoredState(id, respond);
+                      });
+    }
+
+    void showStoredState(const std::string &id, responder respond)
+    {
+        readJob(id, [this, id, respond](const std::optional<row_page> &page) {
+            if (page && page->rows.empty() && !m_book->owns(id))
+                return respond({410, {}, R"({"error":"unknown_job"})"});
+            const auto *known = m_view.find(id);
+            if (known != nullptr)
+                return respond({200, {}, platform_wire::stateBody(known->state)});
+            // It may exist: no answer says otherwise.
+            respond(counted(503, "store_unreachable"));
+        });
+    }
+
+    void readJob(const std::string &id, row_store::read_done done)
+    {
+        m_store.read(JobsTable, partOf(id), id, id + "\x01",
+                     [this, done = std::move(done)](const std::optional<row_page> &page) {
+                         if (page)
+                             takeJobs(page->rows);
+                         done(page);
+                     });
+    }
+
+    void cancel(const std::string &id, responder respond)
+    {
+        auto answer = onceWithin(AnswerWithin, std::move(respond));
+        if (m_book->owns(id))
+            return cancelOwned(id, answer);
+        const auto *known = m_view.find(id);
+        const auto *owner = known == nullptr ? nullptr : m_directory.find(known->owner.entry);
+        if (owner == nullptr || !m_directory.lives(known->owner.entry, suspendAwareNow()))
+            return cancelInStore(id, answer);
+        http_request request;
+        request.method = "DELETE";
+        request.target = "/v1/jobs/" + id;
+        m_caller.call(owner->row.internal, std::move(request), PeerTimeout,
+                      [this, id, answer](const call_result &result) {
+                          const auto *response = std::get_if<http_response>(&result);
+                          if (response != nullptr && response->status == 200)
+                              return answer({200, {}, ""});
+                          cancelInStore(id, answer);
+                      });
+    }
+
+    void cancelOwned(const std::string &id, const responder &respond)
+    {
+        const auto token = newToken([this, id, respond](bool isStored) {
+            if (isStored)
+                return respond({200, {}, ""});
+            cancelInStore(id, respond);
+        });
+        m_book->cancel(id, token);
+        pumpSoon();
+    }
+
+    // The owner can't be asked: the row itself says that the job is cancelled, and the owner, or
+    // the entry that takes over, reads it there.
+    void cancelInStore(const std::string &id, const responder &respond)
+    {
+        readJob(id, [this, id, respond](const std::optional<row_page> &page) {
+            if (!page)
+                return respond(counted(503, "store_unreachable"));
+            if (page->rows.empty())
+                return respond({410, {}, R"({"error":"unknown_job"})"});
+            const auto &one = page->rows.front();
+            auto record = recordFrom(one.value);
+            if (isFinal(record.state()))
+                return respond({200, {}, ""});
+            record.cancelled = true;
+            record.write = m_settings.id + ":cancel:" + std::to_string(m_nextToken++);
+            m_store.commit(
+                    {{{one.name, one.version}}, {{one.name, toText(record), 0, false}}, {}},
+                    [this, id, respond, write = record.write](const row_store::outcome &outcome) {
+                        if (wasWritten(outcome, write))
+                            return respond({200, {}, ""});
+                        cancelInStore(id, respond);
+                    });
+        });
+    }
+
+    static bool wasWritten(const row_store::outcome &outcome, const std::string &write)
+    {
+        if (std::holds_alternative<committed>(outcome))
+            return true;
+        const auto &rows = std::get<conflicting>(outcome).rows;
+        return !rows.empty() && recordFrom(rows.front().value).write == write;
+    }
+
+    // --- Planned stop.
+
+    void drain()
+    {
+        m_leaving = true;
+        m_log.note("drain_started", {{"owned", m_book ? m_book->ownedUnfinished() : 0}});
+        m_callers.announceClose(true);
+        if (m_book)
+            pingAll(); // the others take the jobs over at once
+        m_drainUntil = suspendAwareNow() + DrainAtMost;
+        drainOn();
+    }
+
+    void drainOn()
+    {
+        const bool empty =
+                !m_book || m_book->ownedUnfinished() == 0 || m_directory.entries().empty();
+        const bool idle = m_callers.inFlight() == 0 && m_internal.inFlight() == 0;
+        if ((empty && idle) || suspendAwareNow() >= m_drainUntil)
+            return m_loop.stop();
+        m_loop.after(milliseconds(50), [this] { drainOn(); });
+    }
+
+    job_entry_settings m_settings;
+    net::event_loop m_loop;
+    event_log m_log;
+    metrics m_metrics;
+    net::http_caller m_caller;
+    row_store m_store;
+    time_point m_startedAt;
+    entry_directory m_directory;
+    entry_row m_row;
+    owner_id m_self;
+    std::optional<queue_configuration> m_configuration;
+    job_view m_view;
+    worker_pool m_pool;
+    std::optional<job_book> m_book;
+    lease_watch m_watch;
+    std::set<std::string> m_adopting;
+    std::map<std::int64_t, std::function<void(bool)>> m_tokens;
+    std::int64_t m_nextToken = 1;
+    bool m_jobsKnown = false;
+    bool m_pumping = false;
+    bool m_leaving = false;
+    time_point m_drainUntil{};
+    net::http_listener m_internal;
+    net::http_listener m_ready;
+    net::http_listener m_callers;
+};
+
+} // namespace
+
+int runJobEntry(const job_entry_settings &settings)
+{
+    entry_process process(settings);
+    process.run();
+    return ExitDone;
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/app/job_settings.h
@@ -0,0 +1,36 @@
+// Settings of the two daemons that serve jobs, as the platform fills them into our template.
+#pragma once
+
+#include <string>
+
+#include "runtime/http.h"
+
+namespace zinniabarrow {
+
+struct job_entry_settings
+{
+    std::string id;          // name of the machine
+    std::string zone;        // availability zone
+    socket_address callers;  // where callers come in
+    socket_address ready;    // where the balancer asks for readiness
+    socket_address internal; // for the system's own processes, and metrics
+    std::string store;       // "ip:port" of the platform's store
+};
+
+struct job_agent_settings
+{
+    std::string id;
+    std::string zone;
+    socket_address workers; // where the worker announces itself
+    socket_address internal;
+    std::string worker;  // "ip:port" of the worker
+    std::string service; // of the worker
+    std::string store;
+};
+
+// Throw error BadSettings that names the file and the member. Unknown members are ignored: the
+// platform may fill in more than this version knows.
+job_entry_settings jobEntrySettingsFrom(const std::string &file, const std::string &text);
+job_agent_settings jobAgentSettingsFrom(const std::string &file, const std::string &text);
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/app/job_tables.h
@@ -0,0 +1,51 @@
+// The tables in the platform's store that jobs live in, and where a job's rows lie.
+#pragma once
+
+#include <string>
+
+#include <fmt/core.h>
+
+#include "base/hash.h"
+#include "jobs/rows.h"
+
+namespace zinniabarrow {
+
+constexpr const char *JobsTable = "jobs";         // the records
+constexpr const char *PayloadsTable = "payloads"; // written once, with the first record
+constexpr const char *EntriesTable = "entries";   // one row for each entry
+constexpr const char *LeasesTable = "leases";     // one row for each worker
+
+// A part carries 200 transactions a second one after another; 16 carry all that the store takes.
+constexpr unsigned JobParts = 16;
+
+inline std::string partName(unsigned number)
+{
+    return fmt::format("p{:02}", number);
+}
+
+inline std::string partOf(const std::string &job)
+{
+    return partName(static_cast<unsigned>(stableHash(job) % JobParts));
+}
+
+inline jobs::row_name jobRow(const std::string &job)
+{
+    return {JobsTable, partOf(job), job};
+}
+
+inline jobs::row_name payloadRow(const std::string &job)
+{
+    return {PayloadsTable, partOf(job), job};
+}
+
+inline jobs::row_name leaseRow(const std::string &worker)
+{
+    return {LeasesTable, worker, worker};
+}
+
+inline jobs::row_name entryRow(const std::string &entry)
+{
+    return {EntriesTable, "", entry};
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/app/job_view.h
@@ -0,0 +1,44 @@
+// What an entry knows of all jobs, its own and the others': a copy of the platform's rows, kept
+// fresh by their feed. It answers callers, counts waiting jobs and shows what to take over.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/time.h"
+#include "jobs/model.h"
+
+namespace zinniabarrow {
+
+struct known_job
+{
+    std::int64_t version = 0;
+    jobs::owner_id owner;
+    jobs::job_state state = jobs::job_state::Queued;
+    std::string queue;
+    std::string content; // of the row, while the job is not final
+    time_point finalAt{};
+};
+
+class job_view
+{
+public:
+    // Rows of older versions than the known one are ignored: readings overtake each other.
+    const known_job *seen(const std::string &job, const std::string &content, std::int64_t version,
+                          time_point now);
+    void removed(const std::string &job);
+    void clear() { m_jobs.clear(); }
+
+    const known_job *find(const std::string &job) const;
+    const std::map<std::string, known_job> &jobs() const { return m_jobs; }
+    std::size_t waitingIn(const std::string &queue) const; // accepted, none of their tasks placed
+
+private:
+    std::map<std::string, known_job> m_jobs;
+};
+
+} // namespace zinniabarrow
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -7,6 +7,8 @@
 
 #include "app/agent.h"
 #include "app/entry.h"
+#include "app/job_agent.h"
+#include "app/job_entry.h"
 #include "app/operator_commands.h"
 #include "app/process.h"
 #include "base/errors.h"
@@ -19,6 +21,8 @@
 
   entry --settings FILE   carry requests, schedule, accept configuration
   agent --settings FILE   admit to one upstream, run its worker's tasks
+  job-entry --settings FILE   take callers' jobs and place their tasks
+  job-agent --settings FILE   run tasks of callers' jobs on one worker
 
 for operators (--entry ip:port is the rpc address of any entry):
   check DIR                               check a folder offline
@@ -59,6 +63,14 @@
         const auto file = settingsFile(name, count, words);
         return runAgent(config::agentSettingsFrom(file, readTextFile(file)));
     }
+    if (name == "job-entry") {
+        const auto file = settingsFile(name, count, words);
+        return runJobEntry(jobEntrySettingsFrom(file, readTextFile(file)));
+    }
+    if (name == "job-agent") {
+        const auto file = settingsFile(name, count, words);
+        return runJobAgent(jobAgentSettingsFrom(file, readTextFile(file)));
+    }
     if (isOperatorCommand(name))
         return runOperatorCommand(name, count, words);
     if (name == "--help" || name == "help") {
--- /dev/null
+++ b/app/row_store.h
@@ -0,0 +1,74 @@
+// The one client of the platform's store: repeats a write until its outcome is known, and goes by
+// way of another process when the store turns this machine away.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "jobs/rows.h"
+#include "net/http_caller.h"
+#include "runtime/metrics.h"
+
+namespace zinniabarrow {
+
+// The path under which a process passes calls on to the store for another.
+constexpr const char *StoreRelayPath = "/v1/store";
+
+class row_store
+{
+public:
+    using outcome = std::variant<jobs::committed, jobs::conflicting>;
+    using commit_done = std::function<void(outcome)>;
+    using read_done = std::function<void(std::optional<jobs::row_page>)>;
+    using feed_done = std::function<void(std::optional<jobs::feed_page>)>;
+    using relay_list = std::function<std::vector<std::string>()>;
+
+    // `relays` names the internal addresses of processes that may reach the store.
+    row_store(net::event_loop &loop, net::http_caller &caller, std::string address,
+              relay_list relays, metrics &numbers, event_log &log);
+
+    // Repeats the very same write until it is known to have taken effect or to be void. An answer
+    // that was lost shows as `conflicting` with the writer's own row.
+    void commit(jobs::row_transaction transaction, commit_done done);
+    // None: nobody could be asked; the caller asks again.
+    void read(const std::string &table, const std::string &part, const std::string &from,
+              const std::string &to, read_done done);
+    // All rows of a part, page after page.
+    void readAll(const std::string &table, const std::string &part, read_done done);
+    void feed(const std::string &table, std::int64_t after, milliseconds wait, feed_done done);
+
+    // Passes a call of another process on; never further than to the store itself.
+    void relay(http_request request, std::function<void(http_response)> respond);
+
+    bool reachable() const { return m_reachable; }
+    time_point lastAnswerAt() const { return m_lastAnswerAt; }
+
+private:
+    void send(http_request request, duration extra, net::http_caller::call_done done);
+    void sendTo(const std::string &peer, bool direct, http_request request, duration within,
+                net::http_caller::call_done done);
+    void tryCommit(std::shared_ptr<jobs::row_transaction> transaction, duration pause,
+                   commit_done done);
+    void readPages(std::string table, std::string part, std::string from,
+                   std::shared_ptr<jobs::row_page> sofar, read_done done);
+    void noteAnswer(bool direct, const call_result &result, duration took);
+    duration timeout() const;
+
+    net::event_loop &m_loop;
+    net::http_caller &m_caller;
+    std::string m_address;
+    relay_list m_relays;
+    metrics &m_metrics;
+    event_log &m_log;
+    double m_usualMs = 12;     // answer time, moving average
+    time_point m_directFrom{}; // the store itself is not asked before
+    std::size_t m_nextRelay = 0;
+    bool m_reachable = true;
+    time_point m_lastAnswerAt{};
+};
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/libs/jobs/job_book.cpp
@@ -0,0 +1,682 @@
+#include "jobs/job_book.h"
+
+#include <algorithm>
+
+#include <fmt/core.h>
+
+#include "base/errors.h"
+
+namespace zinniabarrow::jobs {
+
+namespace {
+
+std::string describe(const task_id &task, int run, const std::string &worker)
+{
+    return fmt::format("{} run {} on {}", toText(task), run, worker);
+}
+
+run_traits traitsOf(const step_spec &step)
+{
+    return {step.size, step.fills, step.lasting, step.image, step.targetMs};
+}
+
+} // namespace
+
+job_book::job_book(owner_id self, worker_pool &workers, const book_settings &settings)
+    : m_self(std::move(self))
+    , m_workers(workers)
+    , m_settings(settings)
+{ }
+
+template <typename Visit>
+void job_book::eachTask(const std::string &id, owned_job &job, Visit visit)
+{
+    for (std::size_t occurrence = 0; occurrence < job.record.tasks.size(); ++occurrence) {
+        auto &steps = job.record.tasks[occurrence];
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            for (std::size_t index = 0; index < steps[step].size(); ++index) {
+                const task_id task{id, static_cast<int>(occurrence), static_cast<int>(step),
+                                   static_cast<int>(index)};
+                visit(task, steps[step][index]);
+            }
+        }
+    }
+}
+
+// --- callers
+
+bool job_book::owns(const std::string &job) const
+{
+    return m_jobs.contains(job);
+}
+
+void job_book::submit(const std::string &id, const job_spec &spec, const queue_policy &policy,
+                      std::int64_t wallMs, time_point now, std::int64_t token)
+{
+    auto &job = m_jobs[id];
+    job.record = newRecord(spec, policy, wallMs);
+    job.payload = spec.payload;
+    job.waiting.push_back({token, job.revision});
+    m_touched.insert(id);
+    m_waiting.insert(id);
+    // Placed before the first write: acceptance and first placement are one transaction.
+    placeWaiting(id, job, now, wallMs);
+}
+
+void job_book::whenStored(const std::string &id, std::int64_t token)
+{
+    auto &job = m_jobs.at(id);
+    job.waiting.push_back({token, job.revision});
+    settle(job);
+}
+
+void job_book::cancel(const std::string &id, std::int64_t token)
+{
+    auto &job = m_jobs.at(id);
+    if (!isFinal(job.record.state())) {
+        job.record.cancelled = true;
+        changed(id, job);
+        stopAll(id, job);
+        note("job_cancelled", id, "asked by its caller");
+    }
+    whenStored(id, token);
+}
+
+job_state job_book::storedState(const std::string &id) const
+{
+    return m_jobs.at(id).storedState;
+}
+
+const job_record *job_book::record(const std::string &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second.record;
+}
+
+// --- the store
+
+void job_book::rowWritten(const std::string &id, std::int64_t version)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end())
+        return;
+    auto &job = found->second;
+    job.version = version;
+    job.storedRevision = job.outRevision;
+    job.outRevision = 0;
+    job.storedState = job.outState;
+    job.payloadStored = true;
+    m_touched.insert(id);
+    settle(job);
+}
+
+void job_book::rowConflict(const std::string &id, std::int64_t version,
+                           const std::optional<std::string> &content)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end())
+        return;
+    auto &job = found->second;
+    std::optional<job_record> row;
+    if (content)
+        row = recordFrom(*content);
+    // An earlier try of this very write took effect and its answer was lost.
+    if (row && row->write == job.outWrite)
+        return rowWritten(id, version);
+    if (!row || row->owner != m_self) {
+        note("job_disowned", id, row ? "owner is " + row->owner.entry : "its row is gone");
+        return drop(id);
+    }
+    job.outRevision = 0;
+    job.version = version;
+    takeCancel(id, job, *row);
+    changed(id, job);
+}
+
+void job_book::rowSeen(const std::string &id, const job_record &record, std::int64_t version)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end())
+        return;
+    auto &job = found->second;
+    if (job.outRevision != 0 || version <= job.version)
+        return; // an own write, or one that the write that is out will run into
+    if (record.owner != m_self) {
+        note("job_disowned", id, "owner is " + record.owner.entry);
+        return drop(id);
+    }
+    job.version = version;
+    takeCancel(id, job, record);
+}
+
+// A cancel that another entry wrote on the owner's behalf.
+void job_book::takeCancel(const std::string &id, owned_job &job, const job_record &row)
+{
+    if (!row.cancelled || isFinal(job.record.state()))
+        return;
+    job.record.cancelled = true;
+    changed(id, job);
+    stopAll(id, job);
+    note("job_cancelled", id, "written by another entry");
+}
+
+void job_book::adopt(const std::string &id, const job_record &record, std::int64_t version,
+                     const std::string &payload)
+{
+    if (m_jobs.contains(id))
+        return;
+    auto &job = m_jobs[id];
+    job.record = record;
+    job.payload = payload;
+    job.payloadStored = true;
+    job.version = version;
+    job.storedState = record.state();
+    m_touched.insert(id);
+    m_waiting.insert(id);
+    const bool over = record.cancelled || record.failed;
+    eachTask(id, job, [&](const task_id &task, task_state &state) {
+        for (const auto &where : state.placements) {
+            if (over)
+                job.stops[{task, where.run}] = {where.worker, job.revision, false, {}};
+            else
+                job.starts[{task, where.run}] = {where.worker, job.revision, false, {}};
+        }
+    });
+    m_ordering.insert(id);
+    note("job_adopted", id, "owner was " + record.owner.entry);
+}
+
+void job_book::forget(const std::string &id)
+{
+    if (m_jobs.contains(id))
+        drop(id);
+}
+
+// --- workers
+
+bool job_book::runEnded(const std::string &worker, const run_end &end, time_point now,
+                        std::int64_t token)
+{
+    const auto found = m_jobs.find(end.task.job);
+    if (found == m_jobs.end())
+        return false;
+    const auto &id = found->first;
+    auto &job = found->second;
+    auto *task = job.record.find(end.task);
+    const bool isPlaced = task != nullptr && isPlacedOn(*task, worker, end.run);
+    if (isPlaced)
+        endPlacedRun(id, job, worker, end, now);
+    job.waiting.push_back({token, job.revision});
+    settle(job);
+    return true;
+}
+
+bool job_book::isPlacedOn(const task_state &task, const std::string &worker, int run)
+{
+    return std::any_of(task.placements.begin(), task.placements.end(), [&](const auto &where) {
+        return where.worker == worker && where.run == run;
+    });
+}
+
+void job_book::endPlacedRun(const std::string &id, owned_job &job, const std::string &worker,
+                            const run_end &end, time_point now)
+{
+    auto &task = *job.record.find(end.task);
+    const auto &step = job.record.steps[static_cast<std::size_t>(end.task.step)];
+    m_workers.noteEnd(worker, end.how, slownessOf(job, end, step, now), now);
+    removePlacement(job, end.task, end.run);
+    if (!end.checkpoint.empty())
+        task.checkpoint = end.checkpoint;
+    changed(id, job);
+    if (end.how == end_kind::Done && !step.lasting)
+        finishTask(id, job, end.task, step);
+    if (end.how == end_kind::Failed)
+        countFailure(id, job, worker, end, step);
+    if (end.how != end_kind::Done)
+        note("run_ended", id,
+             fmt::format("{}: {}", describe(end.task, end.run, worker), nameOf(end.how)));
+    if (isFinal(job.record.state()))
+        note("job_ended", id, std::string(nameOf(job.record.state())));
+}
+
+double job_book::slownessOf(owned_job &job, const run_end &end, const step_spec &step,
+                            time_point now)
+{
+    const auto started = job.startedAt.find({end.task, end.run});
+    if (started == job.startedAt.end() || step.estimateMs <= 0 || step.lasting)
+        return 0;
+    const auto took = std::chrono::duration_cast<milliseconds>(now - started->second).count();
+    job.startedAt.erase(started);
+    return static_cast<double>(took) / static_cast<double>(step.estimateMs);
+}
+
+void job_book::finishTask(const std::string &id, owned_job &job, const task_id &task,
+                          const step_spec &step)
+{
+    auto &inStep = job.record.tasks[static_cast<std::size_t>(task.occurrence)]
+                                   [static_cast<std::size_t>(task.step)];
+    // One member's end stands for its whole gang.
+    const int first = step.gang ? 0 : task.index;
+    const int last = step.gang ? step.count - 1 : task.index;
+    for (int index = first; index <= last; ++index) {
+        auto &member = inStep[static_cast<std::size_t>(index)];
+        member.done = true;
+        const task_id name{id, task.occurrence, task.step, index};
+        if (!step.gang)
+            stopCopies(job, name, member);
+        member.placements.clear();
+    }
+    m_ordering.insert(id);
+}
+
+// Copies that lost the race are told to stop; nobody waits for them any more.
+void job_book::stopCopies(owned_job &job, const task_id &task, const task_state &state)
+{
+    for (const auto &copy : state.placements) {
+        job.starts.erase({task, copy.run});
+        job.stops[{task, copy.run}] = {copy.worker, job.revision, false, {}};
+    }
+}
+
+void job_book::countFailure(const std::string &id, owned_job &job, const std::string &worker,
+                            const run_end &end, const step_spec &step)
+{
+    auto &task = *job.record.find(end.task);
+    ++task.failures;
+    auto &failedOn = job.failedOn[end.task];
+    failedOn.push_back(worker);
+    // Only the newest: a task that fails now and then everywhere must not run out of workers.
+    constexpr std::size_t AvoidedWorkers = 2;
+    if (failedOn.size() > AvoidedWorkers)
+        failedOn.erase(failedOn.begin());
+    if (step.lasting || task.failures < job.record.policy.maxAttempts)
+        return;
+    job.record.failed = true;
+    stopAll(id, job);
+    note("job_failed", id, fmt::format("{} failed {} times", toText(end.task), task.failures));
+}
+
+void job_book::progressed(const std::string & /*worker*/, const run_progress &progress)
+{
+    const auto found = m_jobs.find(progress.task.job);
+    if (found == m_jobs.end())
+        return;
+    auto *task = found->second.record.find(progress.task);
+    if (task == nullptr || task->done || task->checkpoint == progress.checkpoint)
+        return;
+    task->checkpoint = progress.checkpoint;
+    changed(found->first, found->second);
+}
+
+void job_book::orderAnswered(const std::string &worker, const order_answer &answer, time_point now)
+{
+    const auto found = m_jobs.find(answer.task.job);
+    if (found == m_jobs.end())
+        return;
+    const auto &id = found->first;
+    auto &job = found->second;
+    const std::pair key{answer.task, answer.run};
+    if (answer.outcome == order_outcome::NotReady)
+        return orderUnanswered(worker, answer.task, answer.run, now);
+    if (job.starts.erase(key) > 0 && answer.outcome == order_outcome::Accepted)
+        job.startedAt[key] = now;
+    job.stops.erase(key);
+    if (!neverStarts(answer.outcome))
+        return;
+    auto *task = job.record.find(answer.task);
+    if (task == nullptr || !isPlacedOn(*task, worker, answer.run))
+        return;
+    removePlacement(job, answer.task, answer.run);
+    changed(id, job);
+    note("order_refused", id,
+         fmt::format("{}: {}", describe(answer.task, answer.run, worker), nameOf(answer.outcome)));
+}
+
+void job_book::orderUnanswered(const std::string &worker, const task_id &task, int run,
+                               time_point now)
+{
+    const auto found = m_jobs.find(task.job);
+    if (found == m_jobs.end())
+        return;
+    const auto again = [&](auto &orders) {
+        const auto order = orders.find({task, run});
+        if (order == orders.end() || order->second.worker != worker)
+            return;
+        order->second.out = false;
+        order->second.repeatAt = now + m_settings.repeatOrder;
+    };
+    again(found->second.starts);
+    again(found->second.stops);
+    m_ordering.insert(found->first);
+}
+
+void job_book::workerRenewed(const std::string &worker, std::int64_t epoch, time_point now)
+{
+    for (auto &[id, job] : m_jobs) {
+        const bool over = job.record.cancelled || job.record.failed;
+        bool removed = false;
+        eachTask(id, job, [&](const task_id &task, task_state &state) {
+            for (const auto &where : state.placements) {
+                if (where.worker != worker)
+                    continue;
+                const std::pair key{task, where.run};
+                removed = removed || where.epoch < epoch;
+                auto &orders = over ? job.stops : job.starts;
+                orders[key] = {worker, job.revision, false, now};
+            }
+            std::erase_if(state.placements, [&](const placement &where) {
+                if (where.worker != worker || where.epoch >= epoch)
+                    return false;
+                job.starts.erase({task, where.run});
+                job.stops.erase({task, where.run});
+                job.startedAt.erase({task, where.run});
+                return true;
+            });
+        });
+        m_ordering.insert(id);
+        if (!removed)
+            continue;
+        changed(id, job);
+        note("worker_renewed", id, fmt::format("runs on {} before epoch {} ended", worker, epoch));
+    }
+}
+
+std::set<std::string> job_book::busyWorkers() const
+{
+    std::set<std::string> workers;
+    for (const auto &[id, job] : m_jobs) {
+        for (const auto &inOccurrence : job.record.tasks) {
+            for (const auto &inStep : inOccurrence) {
+                for (const auto &task : inStep) {
+                    for (const auto &where : task.placements)
+                        workers.insert(where.worker);
+                }
+            }
+        }
+    }
+    return workers;
+}
+
+// --- time
+
+void job_book::plan(time_point now, std::int64_t wallMs)
+{
+    std::vector<std::string> order(m_waiting.begin(), m_waiting.end());
+    std::stable_sort(order.begin(), order.end(), [this](const auto &left, const auto &right) {
+        const auto &one = m_jobs.at(left).record;
+        const auto &other = m_jobs.at(right).record;
+        if (one.policy.priority != other.policy.priority)
+            return one.policy.priority < other.policy.priority;
+        return one.acceptedAtMs < other.acceptedAtMs;
+    });
+    for (const auto &id : order)
+        placeWaiting(id, m_jobs.at(id), now, wallMs);
+    const auto touched = std::move(m_touched);
+    m_touched.clear();
+    for (const auto &id : touched) {
+        const auto found = m_jobs.find(id);
+        if (found != m_jobs.end())
+            writeIfDue(id, found->second);
+    }
+    const auto ordering = m_ordering;
+    for (const auto &id : ordering) {
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end() || !giveDueOrders(id, found->second, now))
+            m_ordering.erase(id);
+    }
+}
+
+std::vector<book_action> job_book::takeActions()
+{
+    auto actions = std::move(m_actions);
+    m_actions.clear();
+    return actions;
+}
+
+std::vector<std::string> job_book::ownedJobs() const
+{
+    std::vector<std::string> jobs;
+    for (const auto &[id, job] : m_jobs)
+        jobs.push_back(id);
+    return jobs;
+}
+
+std::size_t job_book::ownedUnfinished() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_jobs.begin(), m_jobs.end(),
+                          [](const auto &entry) { return !isFinal(entry.second.storedState); }));
+}
+
+// --- inside
+
+void job_book::changed(const std::string &id, owned_job &job)
+{
+    ++job.revision;
+    m_touched.insert(id);
+    m_waiting.insert(id);
+}
+
+void job_book::writeIfDue(const std::string &id, owned_job &job)
+{
+    if (job.outRevision != 0 || job.storedRevision >= job.revision)
+        return;
+    job.record.owner = m_self;
+    job.outWrite = fmt::format("{}:{}:{}", m_self.entry, m_self.incarnation, m_nextWrite++);
+    job.record.write = job.outWrite;
+    job.outRevision = job.revision;
+    job.outState = job.record.state();
+    write_row write{id, job.version, toText(job.record), std::nullopt};
+    if (!job.payloadStored)
+        write.payload = job.payload;
+    m_actions.emplace_back(std::move(write));
+}
+
+void job_book::settle(owned_job &job)
+{
+    std::erase_if(job.waiting, [&](const waiting_token &waiting) {
+        if (waiting.revision > job.storedRevision)
+            return false;
+        m_actions.emplace_back(stored{waiting.token});
+        return true;
+    });
+}
+
+void job_book::drop(const std::string &id)
+{
+    const auto found = m_jobs.find(id);
+    for (const auto &waiting : found->second.waiting)
+        m_actions.emplace_back(disowned{waiting.token, id});
+    m_jobs.erase(found);
+    m_waiting.erase(id);
+    m_touched.erase(id);
+    m_ordering.erase(id);
+}
+
+run_order job_book::startOrder(const owned_job &job, const task_id &task,
+                               const placement &where) const
+{
+    run_order order;
+    order.task = task;
+    order.run = where.run;
+    order.epoch = where.epoch;
+    order.payload = job.payload;
+    order.checkpoint = job.record.find(task)->checkpoint;
+    order.traits = traitsOf(job.record.steps[static_cast<std::size_t>(task.step)]);
+    return order;
+}
+
+// True while some order of the job still has no answer.
+bool job_book::giveDueOrders(const std::string &id, owned_job &job, time_point now)
+{
+    const auto isDue = [&](const pending_order &order) {
+        return !order.out && order.revision <= job.storedRevision && order.repeatAt <= now;
+    };
+    for (auto &[key, order] : job.starts) {
+        if (!isDue(order))
+            continue;
+        const auto *task = job.record.find(key.first);
+        for (const auto &where : task->placements) {
+            if (where.run != key.second)
+                continue;
+            order.out = true;
+            m_actions.emplace_back(give_order{where.worker, startOrder(job, key.first, where)});
+        }
+    }
+    for (auto &[key, order] : job.stops) {
+        if (!isDue(order))
+            continue;
+        order.out = true;
+        run_order stop;
+        stop.kind = order_kind::Stop;
+        stop.task = key.first;
+        stop.run = key.second;
+        m_actions.emplace_back(give_order{order.worker, std::move(stop)});
+    }
+    (void)id;
+    return !job.starts.empty() || !job.stops.empty();
+}
+
+void job_book::stopAll(const std::string &id, owned_job &job)
+{
+    job.starts.clear();
+    eachTask(id, job, [&](const task_id &task, const task_state &state) {
+        for (const auto &where : state.placements)
+            job.stops[{task, where.run}] = {where.worker, job.revision, false, {}};
+    });
+    m_ordering.insert(id);
+}
+
+void job_book::removePlacement(owned_job &job, const task_id &task, int run)
+{
+    std::erase_if(job.record.find(task)->placements,
+                  [&](const placement &where) { return where.run == run; });
+    job.starts.erase({task, run});
+    job.stops.erase({task, run});
+}
+
+void job_book::placeWaiting(const std::string &id, owned_job &job, time_point now,
+                            std::int64_t wallMs)
+{
+    if (isFinal(job.record.state())) {
+        m_waiting.erase(id);
+        return;
+    }
+    bool waits = false;
+    for (std::size_t occurrence = 0; occurrence < job.record.tasks.size(); ++occurrence) {
+        const auto number = static_cast<std::int64_t>(occurrence);
+        if (job.record.occurrences > 0
+            && wallMs < job.record.firstDueMs + number * job.record.intervalMs) {
+            waits = true;
+            continue;
+        }
+        for (std::size_t step = 0; step < job.record.steps.size(); ++step) {
+            if (job.record.stepReady(static_cast<int>(occurrence), static_cast<int>(step)))
+                waits = placeStep(id, job, static_cast<int>(occurrence), static_cast<int>(step),
+                                  now)
+                        || waits;
+        }
+    }
+    if (!waits)
+        m_waiting.erase(id);
+}
+
+// True when some task of the step still waits for a worker.
+bool job_book::placeStep(const std::string &id, owned_job &job, int occurrence, int stepIndex,
+                         time_point now)
+{
+    const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
+    if (step.gang)
+        return placeGang(id, job, occurrence, stepIndex, now);
+    bool waits = false;
+    for (int index = 0; index < step.count; ++index) {
+        const task_id task{id, occurrence, stepIndex, index};
+        auto &state = *job.record.find(task);
+        if (!state.isWaiting())
+            continue;
+        const auto worker =
+                m_workers.choose(job.record.policy.service, step, avoidedBy(job, task, step), now);
+        if (!worker) {
+            waits = true;
+            if (step.mostPerWorker == 0)
+                break; // its twins find no room either
+            continue;
+        }
+        place(id, job, task, step, *worker, state.lastRun + 1);
+    }
+    return waits;
+}
+
+// All members or none: a member that runs alone holds its worker for nothing.
+bool job_book::placeGang(const std::string &id, owned_job &job, int occurrence, int stepIndex,
+                         time_point now)
+{
+    const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
+    auto &members = job.record.tasks[static_cast<std::size_t>(occurrence)]
+                                    [static_cast<std::size_t>(stepIndex)];
+    int run = 1;
+    for (const auto &member : members) {
+        if (!member.isWaiting())
+            return false; // done, or the last members of an earlier run are still there
+        run = std::max(run, member.lastRun + 1);
+    }
+    auto trial = m_workers;
+    std::vector<std::string> picks;
+    for (int index = 0; index < step.count; ++index) {
+        const auto worker = trial.choose(job.record.policy.service, step, {}, now);
+        if (!worker)
+            return true;
+        trial.reserve(*worker, step);
+        picks.push_back(*worker);
+    }
+    // The latest saved progress of any member holds for all of them.
+    std::string checkpoint;
+    for (const auto &member : members)
+        checkpoint = std::max(checkpoint, member.checkpoint);
+    for (int index = 0; index < step.count; ++index) {
+        members[static_cast<std::size_t>(index)].checkpoint = checkpoint;
+        place(id, job, {id, occurrence, stepIndex, index}, step,
+              picks[static_cast<std::size_t>(index)], run);
+    }
+    return false;
+}
+
+void job_book::place(const std::string &id, owned_job &job, const task_id &task,
+                     const step_spec &step, const std::string &worker, int run)
+{
+    auto &state = *job.record.find(task);
+    state.lastRun = run;
+    state.placements.push_back({worker, m_workers.find(worker)->last.epoch, run});
+    m_workers.reserve(worker, step);
+    changed(id, job);
+    job.starts[{task, run}] = {worker, job.revision, false, {}};
+    m_ordering.insert(id);
+}
+
+std::vector<std::string> job_book::avoidedBy(const owned_job &job, const task_id &task,
+                                             const step_spec &step) const
+{
+    std::vector<std::string> avoid;
+    const auto failed = job.failedOn.find(task);
+    if (failed != job.failedOn.end())
+        avoid = failed->second;
+    if (step.mostPerWorker == 0)
+        return avoid;
+    std::map<std::string, int> perWorker;
+    const auto &inStep = job.record.tasks[static_cast<std::size_t>(task.occurrence)]
+                                         [static_cast<std::size_t>(task.step)];
+    for (const auto &other : inStep) {
+        for (const auto &where : other.placements) {
+            if (++perWorker[where.worker] >= step.mostPerWorker)
+                avoid.push_back(where.worker);
+        }
+    }
+    return avoid;
+}
+
+void job_book::note(std::string event, const std::string &job, std::string detail)
+{
+    m_actions.emplace_back(noted{std::move(event), job, std::move(detail)});
+}
+
+} // namespace zinniabarrow::jobs
--- /dev/null
+++ b/libs/jobs/job_book.h
@@ -0,0 +1,192 @@
+// The jobs that an entry owns: where their tasks run, what is written of them, what is ordered.
+// Decisions only: events go in with the time, actions come out.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/time.h"
+#include "jobs/messages.h"
+#include "jobs/model.h"
+#include "jobs/worker_pool.h"
+
+namespace zinniabarrow::jobs {
+
+// Write the job's row on the condition that it still has `expectedVersion`; 0: that there is none.
+// One write of a job is out at a time, and it is repeated unchanged until its outcome is known.
+struct write_row
+{
+    std::string job;
+    std::int64_t expectedVersion = 0;
+    std::string content;
+    std::optional<std::string> payload; // with the first write: the row of the payload
+};
+
+struct give_order
+{
+    std::string worker;
+    run_order order;
+};
+
+// What `token` waited for is in the platform's store.
+struct stored
+{
+    std::int64_t token = 0;
+};
+
+// The job belongs to another entry now, or is gone: ask there.
+struct disowned
+{
+    std::int64_t token = 0;
+    std::string job;
+};
+
+// A decision for the log, with what decided it.
+struct noted
+{
+    std::string event; // of the closed table in docs/OPERATIONS.md
+    std::string job;
+    std::string detail;
+};
+
+using book_action = std::variant<write_row, give_order, stored, disowned, noted>;
+
+struct book_settings
+{
+    // An order without an answer is given again after this: an agent answers in milliseconds, and
+    // the same order twice is one start.
+    milliseconds repeatOrder{300};
+};
+
+class job_book
+{
+public:
+    job_book(owner_id self, worker_pool &workers, const book_settings &settings = {});
+
+    // --- callers
+    bool owns(const std::string &job) const;
+    // Hands a new job in; `token` is stored with the acceptance.
+    void submit(const std::string &job, const job_spec &spec, const queue_policy &policy,
+                std::int64_t wallMs, time_point now, std::int64_t token);
+    // Waits until the present state of an owned job is in the store.
+    void whenStored(const std::string &job, std::int64_t token);
+    void cancel(const std::string &job, std::int64_t token);
+    job_state storedState(const std::string &job) const; // of an owned job, as the store has it
+    const job_record *record(const std::string &job) const;
+
+    // --- the store
+    void rowWritten(const std::string &job, std::int64_t version);
+    // The row differs from what was expected; nothing: it is gone.
+    void rowConflict(const std::string &job, std::int64_t version,
+                     const std::optional<std::string> &content);
+    // Takes a job over whose owner is gone.
+    void adopt(const std::string &job, const job_record &record, std::int64_t version,
+               const std::string &payload);
+    // A row was changed by another writer, as the store's feed shows.
+    void rowSeen(const std::string &job, const job_record &record, std::int64_t version);
+    void forget(const std::string &job); // the row was removed
+
+    // --- workers
+    // An end as the agent reported it; `token` is stored when the end is.
+    // False: the job is not owned here.
+    bool runEnded(const std::string &worker, const run_end &end, time_point now,
+                  std::int64_t token);
+    void progressed(const std::string &worker, const run_progress &progress);
+    void orderAnswered(const std::string &worker, const order_answer &answer, time_point now);
+    void orderUnanswered(const std::string &worker, const task_id &task, int run, time_point now);
+    // The agent lives anew, or the worker does: placements of older epochs have ended, orders of
+    // the present one are given again.
+    void workerRenewed(const std::string &worker, std::int64_t epoch, time_point now);
+    // Workers where owned tasks are placed.
+    std::set<std::string> busyWorkers() const;
+
+    // --- time
+    void plan(time_point now, std::int64_t wallMs);
+    std::vector<book_action> takeActions();
+
+    std::size_t ownedUnfinished() const;
+    std::vector<std::string> ownedJobs() const;
+
+private:
+    struct waiting_token
+    {
+        std::int64_t token = 0;
+        std::int64_t revision = 0; // is stored when this revision is
+    };
+
+    struct pending_order
+    {
+        std::string worker;
+        std::int64_t revision = 0; // given once this revision is stored
+        bool out = false;          // given, no answer yet
+        time_point repeatAt{};
+    };
+
+    struct owned_job
+    {
+        job_record record;
+        std::string payload;
+        bool payloadStored = false;
+        std::int64_t version = 0;  // of the row, as last known
+        std::int64_t revision = 1; // of the record in memory
+        std::int64_t storedRevision = 0;
+        std::int64_t outRevision = 0; // of the write that is out; 0: none
+        std::string outWrite;         // its name
+        job_state outState = job_state::Queued;
+        job_state storedState = job_state::Queued;
+        std::vector<waiting_token> waiting;
+        std::map<std::pair<task_id, int>, pending_order> starts;
+        std::map<std::pair<task_id, int>, pending_order> stops;
+        std::map<std::pair<task_id, int>, time_point> startedAt; // when the start was accepted
+        std::map<task_id, std::vector<std::string>> failedOn;    // workers
+    };
+
+    template <typename Visit>
+    void eachTask(const std::string &id, owned_job &job, Visit visit);
+    void changed(const std::string &id, owned_job &job);
+    void writeIfDue(const std::string &id, owned_job &job);
+    void settle(owned_job &job);
+    void drop(const std::string &id);
+    void takeCancel(const std::string &id, owned_job &job, const job_record &row);
+    void endPlacedRun(const std::string &id, owned_job &job, const std::string &worker,
+                      const run_end &end, time_point now);
+    static double slownessOf(owned_job &job, const run_end &end, const step_spec &step,
+                             time_point now);
+    void finishTask(const std::string &id, owned_job &job, const task_id &task,
+                    const step_spec &step);
+    static void stopCopies(owned_job &job, const task_id &task, const task_state &state);
+    void countFailure(const std::string &id, owned_job &job, const std::string &worker,
+                      const run_end &end, const step_spec &step);
+    bool giveDueOrders(const std::string &id, owned_job &job, time_point now);
+    run_order startOrder(const owned_job &job, const task_id &task, const placement &where) const;
+    void stopAll(const std::string &id, owned_job &job);
+    static void removePlacement(owned_job &job, const task_id &task, int run);
+    static bool isPlacedOn(const task_state &task, const std::string &worker, int run);
+    void placeWaiting(const std::string &id, owned_job &job, time_point now, std::int64_t wallMs);
+    bool placeStep(const std::string &id, owned_job &job, int occurrence, int stepIndex,
+                   time_point now);
+    bool placeGang(const std::string &id, owned_job &job, int occurrence, int stepIndex,
+                   time_point now);
+    void place(const std::string &id, owned_job &job, const task_id &task, const step_spec &step,
+               const std::string &worker, int run);
+    std::vector<std::string> avoidedBy(const owned_job &job, const task_id &task,
+                                       const step_spec &step) const;
+    void note(std::string event, const std::string &job, std::string detail);
+
+    owner_id m_self;
+    worker_pool &m_workers;
+    book_settings m_settings;
+    std::map<std::string, owned_job> m_jobs;
+    std::set<std::string> m_waiting;  // jobs of which a task may be placed
+    std::set<std::string> m_touched;  // changed since the last plan
+    std::set<std::string> m_ordering; // with orders that have no answer yet
+    std::int64_t m_nextWrite = 1;
+    std::vector<book_action> m_actions;
+};
+
+} // namespace zinniabarrow::jobs
--- /dev/null
+++ b/libs/jobs/messages.cpp
@@ -0,0 +1,245 @@
+#include "jobs/messages.h"
+
+#include "base/errors.h"
+#include "base/json.h"
+#include "base/json_member.h"
+#include "base/names.h"
+
+namespace zinniabarrow::jobs {
+
+namespace {
+
+constexpr name_table<order_kind, 2> OrderNames{{
+        {order_kind::Start, "start"},
+        {order_kind::Stop, "stop"},
+}};
+
+constexpr name_table<order_outcome, 6> OutcomeNames{{
+        {order_outcome::Accepted, "accepted"},
+        {order_outcome::NoRoom, "no_room"},
+        {order_outcome::Draining, "draining"},
+        {order_outcome::WrongEpoch, "wrong_epoch"},
+        {order_outcome::Superseded, "superseded"},
+        {order_outcome::NotReady, "not_ready"},
+}};
+
+constexpr name_table<end_kind, 7> EndNames{{
+        {end_kind::Done, "done"},
+        {end_kind::Failed, "failed"},
+        {end_kind::Stopped, "stopped"},
+        {end_kind::Lapsed, "lapsed"},
+        {end_kind::Broken, "broken"},
+        {end_kind::Alone, "alone"},
+        {end_kind::NeverStarted, "never_started"},
+}};
+
+template <typename Enum, std::size_t Size>
+Enum named(const name_table<Enum, Size> &table, const std::string &name)
+{
+    const auto value = valueOf(table, name);
+    if (!value)
+        throw error(error_kind::BadRequest, "unknown name " + name);
+    return *value;
+}
+
+task_id taskMember(const Json::Value &object)
+{
+    const auto text = stringMember(object, "task");
+    const auto task = taskIdFrom(text);
+    if (!task)
+        throw error(error_kind::BadRequest, "not the name of a task: " + text);
+    return *task;
+}
+
+Json::Value toJson(const task_size &size)
+{
+    Json::Value value(Json::objectValue);
+    value["millicores"] = Json::Int64(size.millicores);
+    value["memory_mb"] = Json::Int64(size.memoryMb);
+    value["accelerators"] = Json::Int64(size.accelerators);
+    return value;
+}
+
+task_size sizeFrom(const Json::Value &value)
+{
+    return {integerMember(value, "millicores"), integerMember(value, "memory_mb"),
+            integerMember(value, "accelerators")};
+}
+
+Json::Value toJson(const run_order &order)
+{
+    Json::Value value(Json::objectValue);
+    value["kind"] = std::string(nameOf(OrderNames, order.kind));
+    value["task"] = toText(order.task);
+    value["run"] = order.run;
+    value["epoch"] = Json::Int64(order.epoch);
+    if (order.kind == order_kind::Stop)
+        return value;
+    value["payload"] = order.payload;
+    value["checkpoint"] = order.checkpoint;
+    value["size"] = toJson(order.traits.size);
+    value["fills"] = order.traits.fills;
+    value["lasting"] = order.traits.lasting;
+    value["image"] = order.traits.image;
+    value["target_ms"] = Json::Int64(order.traits.targetMs);
+    return value;
+}
+
+run_order orderFrom(const Json::Value &value)
+{
+    run_order order;
+    order.kind = named(OrderNames, stringMember(value, "kind"));
+    order.task = taskMember(value);
+    order.run = smallIntegerMember(value, "run");
+    order.epoch = integerMember(value, "epoch");
+    if (order.kind == order_kind::Stop)
+        return order;
+    order.payload = stringMember(value, "payload");
+    order.checkpoint = stringMember(value, "checkpoint");
+    order.traits.size = sizeFrom(objectMember(value, "size"));
+    order.traits.fills = boolMember(value, "fills");
+    order.traits.lasting = boolMember(value, "lasting");
+    order.traits.image = stringMember(value, "image");
+    order.traits.targetMs = integerMember(value, "target_ms");
+    return order;
+}
+
+Json::Value toJson(const run_end &end)
+{
+    Json::Value value(Json::objectValue);
+    value["number"] = Json::Int64(end.number);
+    value["task"] = toText(end.task);
+    value["run"] = end.run;
+    value["how"] = std::string(nameOf(end.how));
+    value["checkpoint"] = end.checkpoint;
+    return value;
+}
+
+run_end endFrom(const Json::Value &value)
+{
+    return {integerMember(value, "number"), taskMember(value), smallIntegerMember(value, "run"),
+            named(EndNames, stringMember(value, "how")), stringMember(value, "checkpoint")};
+}
+
+} // namespace
+
+std::string_view nameOf(order_outcome outcome)
+{
+    return nameOf(OutcomeNames, outcome);
+}
+
+bool neverStarts(order_outcome outcome)
+{
+    return outcome != order_outcome::Accepted && outcome != order_outcome::NotReady;
+}
+
+std::string_view nameOf(end_kind how)
+{
+    return nameOf(EndNames, how);
+}
+
+std::optional<end_kind> endKindNamed(std::string_view name)
+{
+    return valueOf(EndNames, name);
+}
+
+std::string toText(const order_batch &batch)
+{
+    Json::Value value(Json::objectValue);
+    value["owner"] = batch.owner;
+    value["owner_address"] = batch.ownerAddress;
+    value["orders"] = Json::Value(Json::arrayValue);
+    for (const auto &order : batch.orders)
+        value["orders"].append(toJson(order));
+    return compactJson(value);
+}
+
+order_batch orderBatchFrom(const std::string &text)
+{
+    const auto value = parseJson(text);
+    order_batch batch;
+    batch.owner = stringMember(value, "owner");
+    batch.ownerAddress = stringMember(value, "owner_address");
+    for (const auto &order : arrayMember(value, "orders"))
+        batch.orders.push_back(orderFrom(order));
+    return batch;
+}
+
+std::string toText(const std::vector<order_answer> &answers)
+{
+    Json::Value value(Json::objectValue);
+    value["answers"] = Json::Value(Json::arrayValue);
+    for (const auto &answer : answers) {
+        Json::Value row(Json::objectValue);
+        row["task"] = toText(answer.task);
+        row["run"] = answer.run;
+        row["outcome"] = std::string(nameOf(answer.outcome));
+        value["answers"].append(std::move(row));
+    }
+    return compactJson(value);
+}
+
+std::vector<order_answer> orderAnswersFrom(const std::string &text)
+{
+    const auto value = parseJson(text);
+    std::vector<order_answer> answers;
+    for (const auto &row : arrayMember(value, "answers"))
+        answers.push_back({taskMember(row), smallIntegerMember(row, "run"),
+                           named(OutcomeNames, stringMember(row, "outcome"))});
+    return answers;
+}
+
+std::string toText(const worker_report &report)
+{
+    Json::Value value(Json::objectValue);
+    value["worker"] = report.worker;
+    value["address"] = report.address;
+    value["agent_life"] = Json::Int64(report.agentLife);
+    value["epoch"] = Json::Int64(report.epoch);
+    value["service"] = report.service;
+    value["zone"] = report.zone;
+    value["kind"] = report.kind;
+    value["rack"] = report.rack;
+    value["accepting"] = report.accepting;
+    value["capacity"] = toJson(report.capacity);
+    value["used"] = toJson(report.used);
+    value["fill_millicores"] = Json::Int64(report.fillMillicores);
+    value["ends"] = Json::Value(Json::arrayValue);
+    for (const auto &end : report.ends)
+        value["ends"].append(toJson(end));
+    value["progress"] = Json::Value(Json::arrayValue);
+    for (const auto &progress : report.progress) {
+        Json::Value row(Json::objectValue);
+        row["task"] = toText(progress.task);
+        row["run"] = progress.run;
+        row["checkpoint"] = progress.checkpoint;
+        value["progress"].append(std::move(row));
+    }
+    return compactJson(value);
+}
+
+worker_report reportFrom(const std::string &text)
+{
+    const auto value = parseJson(text);
+    worker_report report;
+    report.worker = stringMember(value, "worker");
+    report.address = stringMember(value, "address");
+    report.agentLife = integerMember(value, "agent_life");
+    report.epoch = integerMember(value, "epoch");
+    report.service = stringMember(value, "service");
+    report.zone = stringMember(value, "zone");
+    report.kind = stringMember(value, "kind");
+    report.rack = stringMember(value, "rack");
+    report.accepting = boolMember(value, "accepting");
+    report.capacity = sizeFrom(objectMember(value, "capacity"));
+    report.used = sizeFrom(objectMember(value, "used"));
+    report.fillMillicores = integerMember(value, "fill_millicores");
+    for (const auto &end : arrayMember(value, "ends"))
+        report.ends.push_back(endFrom(end));
+    for (const auto &row : arrayMember(value, "progress"))
+        report.progress.push_back(
+                {taskMember(row), smallIntegerMember(row, "run"), stringMember(row, "checkpoint")});
+    return report;
+}
+
+} // namespace zinniabarrow::jobs
--- /dev/null
+++ b/libs/jobs/messages.h
@@ -0,0 +1,114 @@
+// What entries and agents tell each other of runs: orders one way, reports the other. JSON.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <json/json.h>
+
+#include "jobs/model.h"
+
+namespace zinniabarrow::jobs {
+
+enum class order_kind {
+    Start, // see that this run is there; the same order twice is one start
+    Stop,  // see that this run ends, or never begins
+};
+
+// What a task asks of the worker beside its payload.
+struct run_traits
+{
+    task_size size;
+    bool fills = false; // millicores are not counted against the worker
+    bool lasting = false;
+    std::string image;
+    std::int64_t targetMs = 0; // ms; 0: none
+};
+
+struct run_order
+{
+    order_kind kind = order_kind::Start;
+    task_id task;
+    int run = 0;
+    std::int64_t epoch = 0; // of the worker, as placed
+    // Of a start only:
+    std::string payload;
+    std::string checkpoint;
+    run_traits traits;
+};
+
+enum class order_outcome {
+    Accepted,   // it is there, or is being started or stopped
+    NoRoom,     // not started, and it never will be
+    Draining,   // the same: the worker is leaving
+    WrongEpoch, // the same: placed in another life of the worker
+    Superseded, // the same: that run was stopped or refused before
+    NotReady,   // nothing was done; ask again
+};
+std::string_view nameOf(order_outcome outcome);
+bool neverStarts(order_outcome outcome);
+
+struct order_answer
+{
+    task_id task;
+    int run = 0;
+    order_outcome outcome = order_outcome::NotReady;
+};
+
+struct order_batch
+{
+    std::string owner;        // entry's name
+    std::string ownerAddress; // where its reports go
+    std::vector<run_order> orders;
+};
+
+enum class end_kind { Done, Failed, Stopped, Lapsed, Broken, Alone, NeverStarted };
+std::string_view nameOf(end_kind how);
+std::optional<end_kind> endKindNamed(std::string_view name);
+
+struct run_end
+{
+    std::int64_t number = 0; // of the worker's list; 0: the worker never listed it
+    task_id task;
+    int run = 0;
+    end_kind how = end_kind::Done;
+    std::string checkpoint;
+};
+
+// A newer checkpoint of a run that goes on.
+struct run_progress
+{
+    task_id task;
+    int run = 0;
+    std::string checkpoint;
+};
+
+// What an agent says of its worker. `ends` are repeated until they are acknowledged.
+struct worker_report
+{
+    std::string worker;         // name of its machine
+    std::string address;        // of the agent
+    std::int64_t agentLife = 0; // changes when the agent starts anew
+    std::int64_t epoch = 0;     // of the worker; 0: not known yet
+    std::string service;
+    std::string zone;
+    std::string kind;
+    std::string rack;
+    bool accepting = false; // takes new runs
+    task_size capacity;
+    task_size used;                  // by what runs, starts or is being stopped
+    std::int64_t fillMillicores = 0; // asked by runs that fill
+    std::vector<run_end> ends;
+    std::vector<run_progress> progress;
+};
+
+std::string toText(const order_batch &batch);
+order_batch orderBatchFrom(const std::string &text); // throws error BadRequest
+std::string toText(const std::vector<order_answer> &answers);
+std::vector<order_answer> orderAnswersFrom(const std::string &text);
+std::string toText(const worker_report &report);
+worker_report reportFrom(const std::string &text);
+
+} // namespace zinniabarrow::jobs
--- /dev/null
+++ b/libs/jobs/rows.h
@@ -0,0 +1,71 @@
+// The platform's store as jobs use it: rows in tables, changed under conditions.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace zinniabarrow::jobs {
+
+struct row_name
+{
+    std::string table;
+    std::string part; // rows of one part change together
+    std::string key;
+
+    friend auto operator<=>(const row_name &, const row_name &) = default;
+};
+
+struct row
+{
+    row_name name;
+    std::string value;
+    std::int64_t version = 0;
+    bool removed = false; // in a feed: the row is gone
+};
+
+struct row_expectation
+{
+    row_name name;
+    std::int64_t version = 0; // 0: there is no such row
+};
+
+// All of it or nothing; one part.
+struct row_transaction
+{
+    std::vector<row_expectation> expected;
+    std::vector<row> set; // name and value
+    std::vector<row_name> remove;
+};
+
+struct committed
+{
+    std::int64_t version = 0;
+};
+struct conflicting
+{
+    std::vector<row> rows; // as they are, of those that were expected; a missing one is left out
+};
+struct not_done // the store refused, and nothing was written
+{ };
+struct in_doubt // no answer: it may have been written, or may be yet
+{ };
+using commit_result = std::variant<committed, conflicting, not_done, in_doubt>;
+
+struct row_page
+{
+    std::vector<row> rows;
+    bool more = false;
+    std::int64_t version = 0; // of the whole store when it was read
+};
+
+struct feed_page
+{
+    std::vector<row> rows;
+    std::int64_t version = 0; // to continue from
+    bool historyGone = false; // read everything anew
+};
+
+} // namespace zinniabarrow::jobs
--- /dev/null
+++ b/libs/jobs/run_table.cpp
@@ -0,0 +1,316 @@
+#include "jobs/run_table.h"
+
+#include <algorithm>
+
+#include "jobs/worker_pool.h"
+
+namespace zinniabarrow::jobs {
+
+run_table::run_table(const run_table_settings &settings)
+    : m_settings(settings)
+{ }
+
+void run_table::setWorker(const task_size &capacity, bool accepting)
+{
+    m_capacity = capacity;
+    m_accepting = accepting;
+}
+
+void run_table::setEpoch(std::int64_t epoch)
+{
+    m_epoch = epoch;
+}
+
+void run_table::clear()
+{
+    m_runs.clear();
+    m_highestEnd = 0;
+    m_epoch = 0;
+}
+
+order_answer run_table::take(const run_order &order, const std::string &owner, time_point now)
+{
+    return order.kind == order_kind::Start ? start(order, owner, now) : stop(order, owner, now);
+}
+
+order_answer run_table::start(const run_order &order, const std::string &owner, time_point now)
+{
+    const run_key key{order.task, order.run};
+    const auto answer = [&](order_outcome outcome) {
+        return order_answer{order.task, order.run, outcome};
+    };
+    if (m_epoch == 0)
+        return answer(order_outcome::NotReady);
+    const auto known = m_runs.find(key);
+    if (known != m_runs.end()) {
+        known->second.claimed = true;
+        known->second.owner = owner;
+        known->second.traits = order.traits;
+        return answer(order_outcome::Accepted);
+    }
+    // An order of an earlier epoch comes from an owner that was away: its task runs elsewhere by
+    // now, and starting it here would run it twice.
+    if (order.epoch != m_epoch) {
+        refuse(key, now);
+        return answer(order_outcome::WrongEpoch);
+    }
+    if (refused(key))
+        return answer(order_outcome::Superseded);
+    if (!m_accepting) {
+        refuse(key, now);
+        return answer(order_outcome::Draining);
+    }
+    if (!complete())
+        return answer(order_outcome::NotReady);
+    if (!hasRoom(order)) {
+        refuse(key, now);
+        return answer(order_outcome::NoRoom);
+    }
+    auto &entry = m_runs[key];
+    entry.traits = order.traits;
+    entry.claimed = true;
+    entry.owner = owner;
+    entry.payload = order.payload;
+    entry.checkpoint = order.checkpoint;
+    return answer(order_outcome::Accepted);
+}
+
+order_answer run_table::stop(const run_order &order, const std::string &owner, time_point now)
+{
+    const run_key key{order.task, order.run};
+    const auto known = m_runs.find(key);
+    if (m_epoch == 0)
+        return {order.task, order.run, order_outcome::NotReady};
+    if (known == m_runs.end()) {
+        refuse(key, now);
+        return {order.task, order.run, order_outcome::Superseded};
+    }
+    auto &entry = known->second;
+    entry.owner = owner;
+    entry.claimed = true;
+    if (entry.phase != run_phase::Ended && entry.phase != run_phase::Stopping) {
+        entry.phase = run_phase::Stopping;
+        entry.repeatAt = now;
+    }
+    return {order.task, order.run, order_outcome::Accepted};
+}
+
+void run_table::startCalled(const task_id &task, int run, std::int64_t deadlineMs)
+{
+    const auto known = m_runs.find({task, run});
+    if (known == m_runs.end())
+        return;
+    known->second.startUntilMs = std::max(known->second.startUntilMs, deadlineMs);
+    ++known->second.startCalls;
+}
+
+void run_table::startAnswered(const task_id &task, int run, start_answer answer, time_point now)
+{
+    const auto known = m_runs.find({task, run});
+    if (known == m_runs.end() || known->second.phase != run_phase::Starting)
+        return;
+    auto &entry = known->second;
+    if (answer == start_answer::Started)
+        entry.phase = run_phase::Running;
+    if (answer == start_answer::Refused && entry.startCalls <= 1) {
+        neverStarted(known->first, entry);
+    }
+    // An earlier call without an answer may have started it, or may still. Only the worker's own
+    // list, read after the calls' deadlines, says that it never ran.
+    if (answer == start_answer::Refused)
+        entry.repeatAt = Never;
+    if (answer == start_answer::Unhealthy)
+        entry.repeatAt = now + m_settings.repeatStart;
+}
+
+void run_table::look(const run_listing &listing, time_point now)
+{
+    for (const auto &listed : listing.running) {
+        const run_key key{listed.task, listed.run};
+        const auto known = m_runs.find(key);
+        if (known == m_runs.end() && refused(key))
+            continue; // read before its end was noted here
+        auto &entry = m_runs[key];
+        if (known == m_runs.end())
+            entry.claimUntil = now + m_settings.claimWithin;
+        if (entry.phase == run_phase::Starting)
+            entry.phase = run_phase::Running;
+        entry.checkpoint = listed.checkpoint;
+    }
+    for (const auto &end : listing.ended)
+        ended(end, now);
+    for (auto &[key, entry] : m_runs) {
+        const bool unseen = entry.phase == run_phase::Starting
+                            || (entry.phase == run_phase::Stopping && entry.startUntilMs > 0);
+        if (!unseen || entry.startUntilMs == 0 || listing.clockMs <= entry.startUntilMs)
+            continue;
+        const bool runs = std::any_of(
+                listing.running.begin(), listing.running.end(), [&](const listed_run &listed) {
+                    return listed.task == key.first && listed.run == key.second;
+                });
+        if (runs) {
+            entry.startUntilMs = 0;
+            continue;
+        }
+        neverStarted(key, entry);
+    }
+}
+
+void run_table::neverStarted(const run_key &key, run_entry &entry)
+{
+    entry.phase = run_phase::Ended;
+    entry.end = {0, key.first, key.second, end_kind::NeverStarted, ""};
+    ++m_endsSeen;
+}
+
+void run_table::stopAll(time_point now)
+{
+    for (auto &[key, entry] : m_runs) {
+        if (entry.phase == run_phase::Ended || entry.phase == run_phase::Stopping)
+            continue;
+        entry.phase = run_phase::Stopping;
+        entry.repeatAt = now;
+    }
+}
+
+void run_table::ownerSilent(const std::string &owner)
+{
+    for (auto &[key, entry] : m_runs) {
+        if (entry.owner == owner)
+            entry.owner.clear();
+    }
+}
+
+void run_table::ended(const run_end &end, time_point now)
+{
+    const run_key key{end.task, end.run};
+    m_highestEnd = std::max(m_highestEnd, end.number);
+    const auto known = m_runs.find(key);
+    if (known == m_runs.end() && refused(key))
+        return; // acknowledged before: the worker will forget it with the next look
+    auto &entry = m_runs[key];
+    if (entry.phase != run_phase::Ended)
+        ++m_endsSeen;
+    entry.phase = run_phase::Ended;
+    entry.end = end;
+    refuse(key, now);
+}
+
+void run_table::acknowledged(const task_id &task, int run, time_point now)
+{
+    const auto known = m_runs.find({task, run});
+    if (known == m_runs.end() || known->second.phase != run_phase::Ended)
+        return;
+    refuse(known->first, now);
+    m_runs.erase(known);
+}
+
+std::vector<run_action> run_table::due(time_point now, bool mayStart)
+{
+    std::vector<run_action> actions;
+    for (auto &[key, entry] : m_runs) {
+        if (!entry.claimed && entry.phase == run_phase::Running && now >= entry.claimUntil) {
+            entry.phase = run_phase::Stopping;
+            entry.repeatAt = now;
+        }
+        if (entry.repeatAt > now)
+            continue;
+        if (entry.phase == run_phase::Starting && mayStart) {
+            entry.repeatAt = now + m_settings.repeatStart;
+            actions.emplace_back(start_run{key.first, key.second, entry.payload, entry.checkpoint});
+        }
+        if (entry.phase == run_phase::Stopping) {
+            entry.repeatAt = now + m_settings.repeatStop;
+            actions.emplace_back(stop_run{key.first, key.second});
+        }
+    }
+    std::erase_if(m_refused, [&](const auto &entry) { return entry.second.keepUntil <= now; });
+    return actions;
+}
+
+std::int64_t run_table::lastSeen() const
+{
+    auto lowest = m_highestEnd + 1;
+    for (const auto &[key, entry] : m_runs) {
+        if (entry.phase == run_phase::Ended && entry.end.number > 0)
+            lowest = std::min(lowest, entry.end.number);
+    }
+    return lowest - 1;
+}
+
+task_size run_table::used() const
+{
+    task_size sum;
+    for (const auto &[key, entry] : m_runs) {
+        if (entry.phase != run_phase::Ended)
+            sum += countedSize(entry.traits.size, entry.traits.fills);
+    }
+    return sum;
+}
+
+std::int64_t run_table::fillMillicores() const
+{
+    std::int64_t sum = 0;
+    for (const auto &[key, entry] : m_runs) {
+        if (entry.phase != run_phase::Ended && entry.traits.fills)
+            sum += entry.traits.size.millicores;
+    }
+    return sum;
+}
+
+bool run_table::complete() const
+{
+    return std::all_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
+        return entry.second.claimed || entry.second.phase == run_phase::Ended;
+    });
+}
+
+std::size_t run_table::running() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_runs.begin(), m_runs.end(), [](const auto &entry) {
+                return entry.second.phase != run_phase::Ended;
+            }));
+}
+
+std::vector<run_end> run_table::endsFor(const std::string &owner) const
+{
+    std::vector<run_end> ends;
+    for (const auto &[key, entry] : m_runs) {
+        if (entry.phase == run_phase::Ended && (entry.owner.empty() || entry.owner == owner))
+            ends.push_back(entry.end);
+    }
+    return ends;
+}
+
+std::vector<run_progress> run_table::progressFor(const std::string &owner) const
+{
+    std::vector<run_progress> progress;
+    for (const auto &[key, entry] : m_runs) {
+        if (entry.phase == run_phase::Running && entry.owner == owner && !entry.checkpoint.empty())
+            progress.push_back({key.first, key.second, entry.checkpoint});
+    }
+    return progress;
+}
+
+void run_table::refuse(const run_key &key, time_point now)
+{
+    auto &last = m_refused[key.first];
+    last.upTo = std::max(last.upTo, key.second);
+    last.keepUntil = now + m_settings.keepRefusals;
+}
+
+bool run_table::refused(const run_key &key) const
+{
+    const auto found = m_refused.find(key.first);
+    return found != m_refused.end() && found->second.upTo >= key.second;
+}
+
+bool run_table::hasRoom(const run_order &order) const
+{
+    auto sum = used();
+    sum += countedSize(order.traits.size, order.traits.fills);
+    return sum.fitsInto(m_capacity);
+}
+
+} // namespace zinniabarrow::jobs
--- /dev/null
+++ b/libs/jobs/run_table.h
@@ -0,0 +1,146 @@
+// What runs on one worker, as its agent knows it: the last check before anything is started there.
+// Decisions only.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/time.h"
+#include "jobs/messages.h"
+
+namespace zinniabarrow::jobs {
+
+struct start_run
+{
+    task_id task;
+    int run = 0;
+    std::string payload;
+    std::string checkpoint;
+};
+
+struct stop_run
+{
+    task_id task;
+    int run = 0;
+};
+
+using run_action = std::variant<start_run, stop_run>;
+
+enum class start_answer {
+    Started,    // it is there
+    Refused,    // the worker will never start it by this call
+    Unhealthy,  // nothing was done
+    Unanswered, // it may start, up to the call's own deadline
+};
+
+struct listed_run
+{
+    task_id task;
+    int run = 0;
+    std::string checkpoint;
+    std::int64_t measured = 0; // tail latency in ms, or millicores in use
+};
+
+// One look at the worker: all that runs, and the ends that were not forgotten.
+struct run_listing
+{
+    std::int64_t clockMs = 0; // the worker's clock
+    std::vector<listed_run> running;
+    std::vector<run_end> ended;
+};
+
+struct run_table_settings
+{
+    milliseconds repeatStart{250}; // a worker answers within a few ms; the same start twice is one
+    milliseconds repeatStop{600};
+    // Runs of an agent's earlier life that no entry claims are stopped: entries give their orders
+    // again as soon as they hear of the new life, and take jobs over within about two seconds.
+    milliseconds claimWithin{8000};
+    milliseconds keepRefusals{60'000}; // longer than any order can be on its way
+};
+
+class run_table
+{
+public:
+    explicit run_table(const run_table_settings &settings = {});
+
+    void setWorker(const task_size &capacity, bool accepting);
+    void setEpoch(std::int64_t epoch); // 0: none, nothing is started
+    // The worker lives anew: nothing of before runs, its ends are gone.
+    void clear();
+
+    order_answer take(const run_order &order, const std::string &owner, time_point now);
+    // `deadlineMs`: the worker's clock up to which the call could take effect.
+    void startCalled(const task_id &task, int run, std::int64_t deadlineMs);
+    void startAnswered(const task_id &task, int run, start_answer answer, time_point now);
+    void look(const run_listing &listing, time_point now);
+    // The end is in the platform's store.
+    void acknowledged(const task_id &task, int run, time_point now);
+
+    // What is due: starts and stops that have no answer, unclaimed runs. Without a lease nothing
+    // is started.
+    std::vector<run_action> due(time_point now, bool mayStart);
+    void stopAll(time_point now); // what runs belongs to an epoch that has ended
+    // The entry does not answer: its ends are told to all, until another one gives orders.
+    void ownerSilent(const std::string &owner);
+
+    std::int64_t epoch() const { return m_epoch; }
+    std::size_t endsSeen() const { return m_endsSeen; } // counts ends that were news
+    std::int64_t lastSeen() const; // ends up to here may be forgotten by the worker
+    task_size used() const;
+    std::int64_t fillMillicores() const;
+    bool complete() const; // every run is claimed, so the worker's room is known
+    std::size_t running() const;
+    // Ends that `owner` (or nobody known) has not acknowledged.
+    std::vector<run_end> endsFor(const std::string &owner) const;
+    std::vector<run_progress> progressFor(const std::string &owner) const;
+
+private:
+    enum class run_phase { Starting, Running, Stopping, Ended };
+
+    struct run_entry
+    {
+        run_traits traits;
+        bool claimed = false;
+        std::string owner; // entry that last gave an order for it
+        std::string payload;
+        std::string checkpoint;
+        run_phase phase = run_phase::Starting;
+        std::int64_t startUntilMs = 0; // worker's clock: no start call takes effect later
+        int startCalls = 0;
+        time_point repeatAt{};
+        time_point claimUntil{};
+        run_end end;
+    };
+    using run_key = std::pair<task_id, int>;
+
+    order_answer start(const run_order &order, const std::string &owner, time_point now);
+    order_answer stop(const run_order &order, const std::string &owner, time_point now);
+    void ended(const run_end &end, time_point now);
+    void neverStarted(const run_key &key, run_entry &entry);
+    void refuse(const run_key &key, time_point now);
+    bool refused(const run_key &key) const;
+    bool hasRoom(const run_order &order) const;
+
+    struct refusal
+    {
+        int upTo = 0; // run
+        time_point keepUntil{};
+    };
+
+    run_table_settings m_settings;
+    task_size m_capacity;
+    bool m_accepting = false;
+    std::int64_t m_epoch = 0;
+    std::map<run_key, run_entry> m_runs;
+    std::map<task_id, refusal> m_refused;
+    std::int64_t m_highestEnd = 0;
+    std::size_t m_endsSeen = 0;
+};
+
+} // namespace zinniabarrow::jobs
--- /dev/null
+++ b/libs/jobs/worker_pool.cpp
@@ -0,0 +1,132 @@
+#include "jobs/worker_pool.h"
+
+#include <algorithm>
+
+namespace zinniabarrow::jobs {
+
+task_size countedSize(const task_size &size, bool fills)
+{
+    auto counted = size;
+    if (fills)
+        counted.millicores = 0;
+    return counted;
+}
+
+worker_pool::worker_pool(const pool_settings &settings)
+    : m_settings(settings)
+{ }
+
+bool worker_pool::update(const worker_report &report, time_point now)
+{
+    auto &view = m_workers[report.worker];
+    const bool newLife = view.last.agentLife != report.agentLife || view.last.epoch != report.epoch;
+    view.last = report;
+    view.last.ends.clear();
+    view.last.progress.clear();
+    view.heardAt = now;
+    return newLife;
+}
+
+const worker_view *worker_pool::find(const std::string &worker) const
+{
+    const auto found = m_workers.find(worker);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+std::vector<std::string> worker_pool::silentSince(time_point before) const
+{
+    std::vector<std::string> silent;
+    for (const auto &[name, view] : m_workers) {
+        if (view.heardAt < before)
+            silent.push_back(name);
+    }
+    return silent;
+}
+
+void worker_pool::noteEnd(const std::string &worker, end_kind how, double slowness, time_point now)
+{
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end())
+        return;
+    auto &view = found->second;
+    constexpr double Weight = 0.2; // of the newest: about the last five runs count
+    if (how == end_kind::Done) {
+        view.failuresInRow = 0;
+        if (slowness > 0)
+            view.slowness += Weight * (slowness - view.slowness);
+    }
+    if (how == end_kind::Failed && ++view.failuresInRow >= m_settings.failuresInRow)
+        view.setAsideUntil = now + m_settings.setAside;
+}
+
+bool worker_pool::isCandidate(const worker_view &view, const std::string &service,
+                              const step_spec &step, time_point now) const
+{
+    const auto &last = view.last;
+    if (!last.accepting || last.epoch == 0 || last.service != service)
+        return false;
+    if (now - view.heardAt > m_settings.silentAfter || now < view.setAsideUntil)
+        return false;
+    if (!step.requiredLabel.empty() && step.requiredLabel != last.kind
+        && step.requiredLabel != last.rack)
+        return false;
+    auto room = last.capacity;
+    room -= last.used;
+    return countedSize(step.size, step.fills).fitsInto(room);
+}
+
+// Higher is better: the share of the processor that stays free, less what makes the run slow.
+double worker_pool::score(const worker_view &view, const step_spec &step)
+{
+    const auto &last = view.last;
+    const auto capacity = std::max<std::int64_t>(1, last.capacity.millicores);
+    const auto busy = last.used.millicores + last.fillMillicores + step.size.millicores;
+    double score = 1.0 - static_cast<double>(busy) / static_cast<double>(capacity);
+    if (!step.dataRack.empty() && step.dataRack != last.rack)
+        score -= 0.5; // a task far from its data takes half as long again
+    score -= 0.25 * std::max(0.0, view.slowness - 1.3); // estimates alone are off by a fifth
+    return score;
+}
+
+std::optional<std::string> worker_pool::choose(const std::string &service, const step_spec &step,
+                                               const std::vector<std::string> &avoid,
+                                               time_point now) const
+{
+    const worker_view *best = nullptr;
+    double bestScore = 0;
+    for (const auto &[name, view] : m_workers) {
+        if (!isCandidate(view, service, step, now))
+            continue;
+        if (std::find(avoid.begin(), avoid.end(), name) != avoid.end())
+            continue;
+        const auto candidate = score(view, step);
+        if (best != nullptr && candidate <= bestScore)
+            continue;
+        best = &view;
+        bestScore = candidate;
+    }
+    if (best == nullptr)
+        return std::nullopt;
+    return best->last.worker;
+}
+
+void worker_pool::reserve(const std::string &worker, const step_spec &step)
+{
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end())
+        return;
+    found->second.last.used += countedSize(step.size, step.fills);
+    if (step.fills)
+        found->second.last.fillMillicores += step.size.millicores;
+}
+
+bool worker_pool::couldEverFit(const std::string &service, const step_spec &step) const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
+        const auto &last = entry.second.last;
+        return last.service == service
+               && countedSize(step.size, step.fills).fitsInto(last.capacity);
+    });
+}
+
+} // namespace zinniabarrow::jobs
--- /dev/null
+++ b/libs/jobs/worker_pool.h
@@ -0,0 +1,69 @@
+// What an entry believes of the workers, and which of them a task goes to.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "jobs/messages.h"
+
+namespace zinniabarrow::jobs {
+
+struct worker_view
+{
+    worker_report last;         // newest report, without ends; `used` grows with own placements
+    time_point heardAt{};       // when the report came
+    int failuresInRow = 0;      // runs that failed since one was done
+    time_point setAsideUntil{}; // gets no work before
+    double slowness = 1;        // run time against estimate, moving average
+};
+
+struct pool_settings
+{
+    // A worker whose agent is silent for longer gets no new work: reports come every second.
+    milliseconds silentAfter{2500};
+    // A worker that fails this many runs one after the other gets no work for a while: poisoned
+    // tasks are a few per cent, so four in a row by chance are rare.
+    int failuresInRow = 4;
+    milliseconds setAside{6000};
+};
+
+class worker_pool
+{
+public:
+    explicit worker_pool(const pool_settings &settings = {});
+
+    // True when the agent or the worker has begun a new life since the last report.
+    bool update(const worker_report &report, time_point now);
+    const worker_view *find(const std::string &worker) const;
+    std::vector<std::string> silentSince(time_point before) const; // not heard since then
+
+    // How a run ended there, and how long it took against its estimate; 0: not known.
+    void noteEnd(const std::string &worker, end_kind how, double slowness, time_point now);
+
+    // The worker for one task of `step`; none: nobody has room now. `avoid` are workers where this
+    // task may not go.
+    std::optional<std::string> choose(const std::string &service, const step_spec &step,
+                                      const std::vector<std::string> &avoid, time_point now) const;
+    // Counts a placement until the next report shows it.
+    void reserve(const std::string &worker, const step_spec &step);
+
+    // Could any worker that was heard of hold such a task when it is empty?
+    bool couldEverFit(const std::string &service, const step_spec &step) const;
+    std::size_t size() const { return m_workers.size(); }
+
+private:
+    bool isCandidate(const worker_view &view, const std::string &service, const step_spec &step,
+                     time_point now) const;
+    static double score(const worker_view &view, const step_spec &step);
+
+    pool_settings m_settings;
+    std::map<std::string, worker_view> m_workers;
+};
+
+// What of a step's size counts against a worker's capacity.
+task_size countedSize(const task_size &size, bool fills);
+
+} // namespace zinniabarrow::jobs
--- /dev/null
+++ b/libs/net/event_loop.cpp
@@ -0,0 +1,75 @@
+#include "net/event_loop.h"
+
+#include <csignal>
+#include <ctime>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "net/event_loop_impl.h"
+
+namespace zinniabarrow::net {
+
+namespace asio = boost::asio;
+
+time_point suspendAwareNow()
+{
+    timespec reading{};
+    clock_gettime(CLOCK_BOOTTIME, &reading);
+    return time_point(std::chrono::duration_cast<duration>(
+            std::chrono::seconds(reading.tv_sec) + std::chrono::nanoseconds(reading.tv_nsec)));
+}
+
+event_loop::event_loop()
+    : m_impl(std::make_unique<impl>())
+{ }
+
+event_loop::~event_loop() = default;
+
+void event_loop::run()
+{
+    const auto work = asio::make_work_guard(m_impl->io);
+    m_impl->io.run();
+}
+
+void event_loop::stop()
+{
+    m_impl->io.stop();
+}
+
+void event_loop::post(std::function<void()> work)
+{
+    asio::post(m_impl->io, std::move(work));
+}
+
+void event_loop::after(duration delay, std::function<void()> work)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_impl->io, delay);
+    timer->async_wait([timer, work = std::move(work)](const boost::system::error_code &failure) {
+        if (!failure)
+            work();
+    });
+}
+
+void event_loop::every(duration period, std::function<void()> work)
+{
+    after(period, [this, period, work = std::move(work)]() mutable {
+        work();
+        every(period, std::move(work));
+    });
+}
+
+void event_loop::onStopSignal(std::function<void()> work)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);
+    m_impl->signals.add(SIGTERM);
+    m_impl->signals.add(SIGINT);
+    m_impl->signals.async_wait([work = std::move(work)](const auto &failure, int) {
+        if (!failure)
+            work();
+    });
+}
+
+} // namespace zinniabarrow::net
--- /dev/null
+++ b/libs/net/event_loop.h
@@ -0,0 +1,40 @@
+// One thread's event loop: timers, work posted from outside, and signals. What runs on it must not
+// block. Boost.Asio stays in the .cpp files.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "base/time.h"
+
+namespace zinniabarrow::net {
+
+// Monotonic time that goes on while the machine is suspended: leases that others hold against this
+// process run out meanwhile, and std::chrono::steady_clock would not show it.
+time_point suspendAwareNow();
+
+class event_loop
+{
+public:
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop &) = delete;
+    event_loop &operator=(const event_loop &) = delete;
+
+    void run();  // returns after stop()
+    void stop(); // from any callback
+    void post(std::function<void()> work);
+    void after(duration delay, std::function<void()> work);
+    // Repeats until the loop stops; the next turn is counted from the end of the last.
+    void every(duration period, std::function<void()> work);
+    // SIGTERM and SIGINT; SIGPIPE and SIGHUP are ignored.
+    void onStopSignal(std::function<void()> work);
+
+    struct impl;
+    impl &internals() { return *m_impl; }
+
+private:
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace zinniabarrow::net
--- /dev/null
+++ b/libs/net/http_caller.cpp
@@ -0,0 +1,226 @@
+#include "net/http_caller.h"
+
+#include <list>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include "net/event_loop_impl.h"
+
+namespace zinniabarrow::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+struct kept_connection
+{
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    time_point idleSince{};
+};
+
+} // namespace
+
+struct http_caller::shared_state
+{
+    shared_state(event_loop &eventLoop, const caller_limits &bounds)
+        : loop(eventLoop)
+        , limits(bounds)
+    { }
+
+    event_loop &loop;
+    caller_limits limits;
+    std::map<std::string, std::list<std::unique_ptr<kept_connection>>> idle;
+
+    std::unique_ptr<kept_connection> take(const std::string &peer)
+    {
+        auto &pool = idle[peer];
+        const auto now = suspendAwareNow();
+        while (!pool.empty()) {
+            auto link = std::move(pool.back());
+            pool.pop_back();
+            if (now - link->idleSince < limits.idleAtMost && isSilent(*link))
+                return link;
+        }
+        return nullptr;
+    }
+
+    // A connection that carries bytes or an end before its next request is not used again: the
+    // bytes would be taken for the answer of that request.
+    static bool isSilent(kept_connection &link)
+    {
+        auto &socket = link.stream.socket();
+        beast::error_code failure;
+        char byte = 0;
+        socket.non_blocking(true, failure);
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
+        return failure == asio::error::would_block;
+    }
+
+    void giveBack(const std::string &peer, std::unique_ptr<kept_connection> link)
+    {
+        auto &pool = idle[peer];
+        if (pool.size() >= limits.idlePerPeer)
+            return;
+        link->idleSince = suspendAwareNow();
+        link->stream.expires_never();
+        pool.push_back(std::move(link));
+    }
+};
+
+namespace {
+
+class pending_call : public std::enable_shared_from_this<pending_call>
+{
+public:
+    pending_call(std::shared_ptr<http_caller::shared_state> state, std::string peer,
+                 const http_request &request, duration within, http_caller::call_done done)
+        : m_state(std::move(state))
+        , m_peer(std::move(peer))
+        , m_deadline(std::chrono::steady_clock::now() + within)
+        , m_done(std::move(done))
+    {
+        m_request.version(11);
+        m_request.method_string(request.method);
+        m_request.target(request.target);
+        for (const auto &[name, value] : request.headers)
+            m_request.set(name, value);
+        if (m_request.find(http::field::host) == m_request.end())
+            m_request.set(http::field::host, m_peer);
+        if (!request.body.empty() && m_request.find(http::field::content_type) == m_request.end())
+            m_request.set(http::field::content_type, "application/json");
+        m_request.body() = request.body;
+        m_request.keep_alive(true);
+        m_request.prepare_payload();
+    }
+
+    void start()
+    {
+        m_link = m_state->take(m_peer);
+        if (m_link) {
+            send();
+            return;
+        }
+        connect();
+    }
+
+private:
+    void connect()
+    {
+        m_link = std::make_unique<kept_connection>(
+                kept_connection{beast::tcp_stream(m_state->loop.internals().io), {}, {}});
+        socket_address address;
+        try {
+            address = parseAddress(m_peer);
+        } catch (const std::exception &) {
+            return finish(call_failure::NotConnected);
+        }
+        beast::error_code badAddress;
+        const auto ip = asio::ip::make_address(address.address, badAddress);
+        if (badAddress)
+            return finish(call_failure::NotConnected);
+        const auto connectUntil = std::min(m_deadline, std::chrono::steady_clock::now()
+                                                               + m_state->limits.connectWithin);
+        m_link->stream.expires_at(connectUntil);
+        auto self = shared_from_this();
+        m_link->stream.async_connect(
+                tcp::endpoint(ip, static_cast<unsigned short>(address.port)),
+                [self](const beast::error_code &failure) { self->connected(failure); });
+    }
+
+    void connected(const beast::error_code &failure)
+    {
+        if (failure)
+            return finish(call_failure::NotConnected);
+        beast::error_code ignored; // without it requests are only slower
+        m_link->stream.socket().set_option(tcp::no_delay(true), ignored);
+        send();
+    }
+
+    void send()
+    {
+        m_link->stream.expires_at(m_deadline);
+        auto self = shared_from_this();
+        http::async_write(
+                m_link->stream, m_request,
+                [self](const beast::error_code &failure, std::size_t) { self->sent(failure); });
+    }
+
+    void sent(const beast::error_code &failure)
+    {
+        if (failure)
+            return finish(failureOf(failure));
+        m_parser.emplace();
+        m_parser->body_limit(m_state->limits.answerBytes);
+        auto self = shared_from_this();
+        http::async_read(
+                m_link->stream, m_link->buffer, *m_parser,
+                [self](const beast::error_code &problem, std::size_t) { self->received(problem); });
+    }
+
+    void received(const beast::error_code &failure)
+    {
+        if (failure)
+            return finish(failureOf(failure));
+        auto message = m_parser->release();
+        http_response answer;
+        answer.status = static_cast<int>(message.result_int());
+        for (const auto &field : message)
+            answer.headers[std::string(field.name_string())] = std::string(field.value());
+        answer.body = std::move(message.body());
+        if (message.keep_alive())
+            m_state->giveBack(m_peer, std::move(m_link));
+        finish(std::move(answer));
+    }
+
+    static call_failure failureOf(const beast::error_code &failure)
+    {
+        if (failure == beast::error::timeout)
+            return call_failure::Late;
+        if (failure == http::error::body_limit)
+            return call_failure::TooLarge;
+        return call_failure::Cut;
+    }
+
+    void finish(call_result result)
+    {
+        m_link.reset();
+        // From the loop, never from inside call(): the caller's own state is whole by then.
+        m_state->loop.post([done = std::move(m_done), result = std::move(result)]() mutable {
+            done(std::move(result));
+        });
+    }
+
+    std::shared_ptr<http_caller::shared_state> m_state;
+    std::string m_peer;
+    std::chrono::steady_clock::time_point m_deadline;
+    http_caller::call_done m_done;
+    std::unique_ptr<kept_connection> m_link;
+    http::request<http::string_body> m_request;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+};
+
+} // namespace
+
+http_caller::http_caller(event_loop &loop, const caller_limits &limits)
+    : m_state(std::make_shared<shared_state>(loop, limits))
+{ }
+
+http_caller::~http_caller() = default;
+
+void http_caller::call(const std::string &peer, http_request request, duration within,
+                       call_done done)
+{
+    std::make_shared<pending_call>(m_state, peer, request, within, std::move(done))->start();
+}
+
+} // namespace zinniabarrow::net
--- /dev/null
+++ b/libs/net/http_caller.h
@@ -0,0 +1,42 @@
+// An HTTP/1.1 client on the event loop: one pool of kept connections for each peer; each call has a
+// connection of its own until it is answered, and one in doubt is dropped.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/event_loop.h"
+#include "runtime/http.h"
+
+namespace zinniabarrow::net {
+
+struct caller_limits
+{
+    std::size_t idlePerPeer = 4;               // kept for reuse
+    milliseconds idleAtMost{20'000};           // below the listeners' own limit
+    milliseconds connectWithin{400};           // then NotConnected
+    std::size_t answerBytes = 4 * 1024 * 1024; // a larger answer ends the call as TooLarge
+};
+
+class http_caller
+{
+public:
+    using call_done = std::function<void(call_result)>;
+
+    explicit http_caller(event_loop &loop, const caller_limits &limits = {});
+    ~http_caller();
+    http_caller(const http_caller &) = delete;
+    http_caller &operator=(const http_caller &) = delete;
+
+    // `done` is called once, from the loop. NotConnected: nothing was sent.
+    void call(const std::string &peer, http_request request, duration within, call_done done);
+
+    struct shared_state;
+
+private:
+    std::shared_ptr<shared_state> m_state;
+};
+
+} // namespace zinniabarrow::net
--- /dev/null
+++ b/libs/net/http_listener.cpp
@@ -0,0 +1,199 @@
+#include "net/http_listener.h"
+
+#include <optional>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include "base/errors.h"
+#include "net/event_loop_impl.h"
+
+namespace zinniabarrow::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+struct http_listener::shared_state
+{
+    shared_state(event_loop &eventLoop, const listener_limits &bounds, handler handle)
+        : loop(eventLoop)
+        , limits(bounds)
+        , serve(std::move(handle))
+        , acceptor(eventLoop.internals().io)
+    { }
+
+    event_loop &loop;
+    listener_limits limits;
+    handler serve;
+    tcp::acceptor acceptor;
+    std::size_t connections = 0;
+    std::size_t inFlight = 0;
+    bool closing = false;
+};
+
+namespace {
+
+// A caller that breaks off during a burst of connections must not make others wait for a SYN that
+// is sent again after a second.
+constexpr int Backlog = 1024;
+
+class connection : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(tcp::socket socket, std::shared_ptr<http_listener::shared_state> state)
+        : m_stream(std::move(socket))
+        , m_state(std::move(state))
+    {
+        ++m_state->connections;
+    }
+    ~connection() { --m_state->connections; }
+    connection(const connection &) = delete;
+    connection &operator=(const connection &) = delete;
+
+    void read()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(m_state->limits.bodyBytes);
+        m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.headerBytes));
+        m_stream.expires_after(m_state->limits.idleAtMost);
+        auto self = shared_from_this();
+        http::async_read(m_stream, m_buffer, *m_parser,
+                         [self](const beast::error_code &failure, std::size_t) {
+                             self->requestRead(failure);
+                         });
+    }
+
+private:
+    void requestRead(const beast::error_code &failure)
+    {
+        if (failure == http::error::body_limit) {
+            m_keepAlive = false;
+            return write({413, {}, R"({"error":"request_too_large"})"});
+        }
+        if (failure)
+            return; // closed or malformed: the socket goes with this object
+        auto message = m_parser->release();
+        m_keepAlive = message.keep_alive();
+        http_request request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto &field : message)
+            request.headers[std::string(field.name_string())] = std::string(field.value());
+        request.body = std::move(message.body());
+        m_stream.expires_never();
+        ++m_state->inFlight;
+        auto self = shared_from_this();
+        m_state->serve(std::move(request),
+                       [self](http_response answer) { self->answered(std::move(answer)); });
+    }
+
+    void answered(http_response answer)
+    {
+        --m_state->inFlight;
+        write(std::move(answer));
+    }
+
+    void write(http_response answer)
+    {
+        m_answer.emplace();
+        m_answer->version(11);
+        m_answer->result(static_cast<unsigned>(answer.status));
+        for (const auto &[name, value] : answer.headers)
+            m_answer->set(name, value);
+        if (!answer.body.empty() && answer.headers.find("Content-Type") == answer.headers.end())
+            m_answer->set(http::field::content_type, "application/json");
+        m_answer->body() = std::move(answer.body);
+        const bool keep = m_keepAlive && !m_state->closing;
+        m_answer->keep_alive(keep);
+        m_answer->prepare_payload();
+        m_stream.expires_after(m_state->limits.writeWithin);
+        auto self = shared_from_this();
+        http::async_write(m_stream, *m_answer,
+                          [self, keep](const beast::error_code &failure, std::size_t) {
+                              self->written(failure, keep);
+                          });
+    }
+
+    void written(const beast::error_code &failure, bool keep)
+    {
+        m_answer.reset();
+        if (failure)
+            return;
+        if (!keep) {
+            beast::error_code ignored; // the peer may have closed first; nothing is left to send
+            m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+            return;
+        }
+        read();
+    }
+
+    beast::tcp_stream m_stream;
+    std::shared_ptr<http_listener::shared_state> m_state;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::optional<http::response<http::string_body>> m_answer;
+    bool m_keepAlive = true;
+};
+
+void acceptNext(const std::shared_ptr<http_listener::shared_state> &state)
+{
+    state->acceptor.async_accept([state](const beast::error_code &failure, tcp::socket socket) {
+        if (failure == asio::error::operation_aborted)
+            return;
+        if (!failure && state->connections < state->limits.connections) {
+            beast::error_code ignored; // without it answers are only slower
+            socket.set_option(tcp::no_delay(true), ignored);
+            std::make_shared<connection>(std::move(socket), state)->read();
+        }
+        acceptNext(state);
+    });
+}
+
+} // namespace
+
+http_listener::http_listener(event_loop &loop, const socket_address &address,
+                             const listener_limits &limits, handler serve)
+    : m_state(std::make_shared<shared_state>(loop, limits, std::move(serve)))
+{
+    try {
+        const tcp::endpoint where(asio::ip::make_address(address.address),
+                                  static_cast<unsigned short>(address.port));
+        m_state->acceptor.open(where.protocol());
+        m_state->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_state->acceptor.bind(where);
+        m_state->acceptor.listen(Backlog);
+    } catch (const boost::system::system_error &problem) {
+        throw error(error_kind::BadSettings,
+                    "cannot listen at " + toText(address) + ": " + problem.what());
+    }
+    acceptNext(m_state);
+}
+
+http_listener::~http_listener()
+{
+    beast::error_code ignored; // closing a listening socket has no failure that matters
+    m_state->acceptor.close(ignored);
+}
+
+void http_listener::announceClose(bool closing)
+{
+    m_state->closing = closing;
+}
+
+std::size_t http_listener::inFlight() const
+{
+    return m_state->inFlight;
+}
+
+socket_address http_listener::address() const
+{
+    const auto where = m_state->acceptor.local_endpoint();
+    return {where.address().to_string(), where.port()};
+}
+
+} // namespace zinniabarrow::net
--- /dev/null
+++ b/libs/net/http_listener.h
@@ -0,0 +1,48 @@
+// An HTTP/1.1 server on the event loop: any number of open connections without a thread each; an
+// idle connection costs nothing until bytes come.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include "net/event_loop.h"
+#include "runtime/http.h"
+
+namespace zinniabarrow::net {
+
+struct listener_limits
+{
+    std::size_t bodyBytes = 256 * 1024;  // a larger request is answered 413
+    std::size_t headerBytes = 16 * 1024; // a larger head ends the connection
+    std::size_t connections = 1500;      // beyond: closed at once, so that descriptors remain
+    milliseconds readWithin{10'000};     // a request is whole this long after the one before
+    milliseconds idleAtMost{60'000};     // between requests
+    milliseconds writeWithin{10'000};    // an answer is taken whole within this
+};
+
+using responder = std::function<void(http_response)>; // called once, at any later time
+
+class http_listener
+{
+public:
+    using handler = std::function<void(http_request, responder)>;
+
+    // Listens at once. Throws error BadSettings when the address is taken.
+    http_listener(event_loop &loop, const socket_address &address, const listener_limits &limits,
+                  handler serve);
+    ~http_listener();
+    http_listener(const http_listener &) = delete;
+    http_listener &operator=(const http_listener &) = delete;
+
+    void announceClose(bool closing); // answers carry "Connection: close" from now on
+    std::size_t inFlight() const;     // requests read and not yet answered whole
+    socket_address address() const;
+
+    struct shared_state;
+
+private:
+    std::shared_ptr<shared_state> m_state;
+};
+
+} // namespace zinniabarrow::net
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -497,7 +497,7 @@
     for (const auto &name : m_traceFiles) {
         std::ifstream file(name);
         std::string line;
-        while (std::getline(file, line)) {
+        while (std::getline(file, line) && !file.eof()) { // at eof: a line that is being written
             auto value = parseJson(line);
             if (value.isMember("at_us"))
                 lines.push_back(std::move(value));
--- a/standins/worker.cpp
+++ b/standins/worker.cpp
@@ -157,8 +157,11 @@
     static void print(Json::Value &line)
     {
         line["at_us"] = Json::Int64(monotonic_clock::now().time_since_epoch().count());
-        fmt::print("{}\n", compactJson(line));
-        std::fflush(stdout);
+        const auto text = compactJson(line) + "\n";
+        // One write for each line: stdio splits a line at the end of its buffer, and a reader then
+        // sees half of it, for good when the worker is killed in between.
+        if (::write(STDOUT_FILENO, text.data(), text.size()) != static_cast<ssize_t>(text.size()))
+            throw error(error_kind::Internal, "the trace could not be written whole");
     }
 
     Json::Value traceSize(const Json::Value &spec) const
