Runs that fill give way to runs that serve

Change: a pacer in the agent lowers the pace of all that fills while a tail is near its target, and raises it slowly; what fills and what serves are placed apart while there is room.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -27,6 +27,7 @@
 namespace {
 
 constexpr milliseconds LookWait{1000}; // the worker answers a look earlier when a run ends
+constexpr milliseconds LookWaitServing{250}; // latencies are measured over half a second
 constexpr milliseconds LookTimeout{1600};
 constexpr milliseconds LookRetry{150};
 constexpr milliseconds LookAgain{40};    // while ends are not acknowledged: a look returns at once
@@ -208,7 +209,8 @@
             m_heldUntil = std::max(m_heldUntil, until);
         }
         // Without a clock to count from, the first look only reads it.
-        const auto wait = m_clockMs > 0 ? asMs(LookWait) : 0;
+        const auto longest = m_table.servingNow().empty() ? LookWait : LookWaitServing;
+        const auto wait = m_clockMs > 0 ? asMs(longest) : 0;
         auto request = platform_wire::holdRequest(m_life.id, deadline, m_lease.fence,
                                                   m_table.lastSeen(), wait);
         if (m_life.id.empty())
@@ -248,6 +250,7 @@
         const bool news = m_table.endsSeen() != endsBefore;
         settleEpoch();
         act();
+        pace(now);
         if (news)
             reportAll();
         const bool unacknowledged = !seen->listing.ended.empty();
@@ -463,6 +466,25 @@
                       });
     }
 
+    void pace(time_point now)
+    {
+        const auto before = m_pacer.level();
+        const auto changes = m_pacer.look(m_table.servingNow(), m_table.fillingNow(), now);
+        if (m_pacer.level() != before)
+            m_log.note("pace_changed", {{"from", before}, {"to", m_pacer.level()}});
+        for (const auto &change : changes) {
+            m_metrics.count("paces_total", change.percent < 100 ? "slowed" : "full");
+            m_caller.call(m_settings.worker,
+                          platform_wire::paceRequest(m_life.id, change.task, change.run,
+                                                     change.percent, m_lease.fence),
+                          CallTimeout, [this, change](const call_result &result) {
+                              const auto *answer = std::get_if<http_response>(&result);
+                              if (answer != nullptr && answer->status == 200)
+                                  m_pacer.confirmed(change);
+                          });
+        }
+    }
+
     // --- Reports to entries.
 
     struct entry_link
@@ -499,6 +521,8 @@
         told.capacity = m_told.capacity;
         told.used = m_table.used();
         told.fillMillicores = m_table.fillMillicores();
+        told.servingRuns = static_cast<int>(m_table.servingNow().size());
+        told.pace = m_pacer.level();
         told.ends = m_table.endsFor(entry);
         told.progress = m_table.progressFor(entry);
         http_request request;
@@ -536,8 +560,10 @@
         const auto now = suspendAwareNow();
         for (const auto &row : arrayMember(answer, "acknowledged")) {
             const auto task = taskIdFrom(row[0].asString());
-            if (task)
-                m_table.acknowledged(*task, row[1].asInt(), now);
+            if (!task)
+                continue;
+            m_table.acknowledged(*task, row[1].asInt(), now);
+            m_pacer.forget(*task, row[1].asInt());
         }
     }
 
@@ -605,6 +631,7 @@
     net::http_caller m_caller;
     row_store m_store;
     run_table m_table;
+    pacer m_pacer;
     std::map<std::string, entry_link> m_entries;
 
     worker_announcement m_told; // newest announcement of the present life
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -204,6 +204,8 @@
     value["capacity"] = toJson(report.capacity);
     value["used"] = toJson(report.used);
     value["fill_millicores"] = Json::Int64(report.fillMillicores);
+    value["serving_runs"] = report.servingRuns;
+    value["pace"] = report.pace;
     value["ends"] = Json::Value(Json::arrayValue);
     for (const auto &end : report.ends)
         value["ends"].append(toJson(end));
@@ -234,6 +236,8 @@
     report.capacity = sizeFrom(objectMember(value, "capacity"));
     report.used = sizeFrom(objectMember(value, "used"));
     report.fillMillicores = integerMember(value, "fill_millicores");
+    report.servingRuns = smallIntegerMember(value, "serving_runs");
+    report.pace = smallIntegerMember(value, "pace");
     for (const auto &end : arrayMember(value, "ends"))
         report.ends.push_back(endFrom(end));
     for (const auto &row : arrayMember(value, "progress"))
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -100,6 +100,8 @@
     task_size capacity;
     task_size used;                  // by what runs, starts or is being stopped
     std::int64_t fillMillicores = 0; // asked by runs that fill
+    int servingRuns = 0;       // runs with a target for their latency
+    int pace = 100;            // per cent, at which runs that fill may work beside them
     std::vector<run_end> ends;
     std::vector<run_progress> progress;
 };
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -136,6 +136,7 @@
         if (entry.phase == run_phase::Starting)
             entry.phase = run_phase::Running;
         entry.checkpoint = listed.checkpoint;
+        entry.measured = listed.measured;
     }
     for (const auto &end : listing.ended)
         ended(end, now);
@@ -273,6 +274,26 @@
             }));
 }
 
+std::vector<serving_sample> run_table::servingNow() const
+{
+    std::vector<serving_sample> samples;
+    for (const auto &[key, entry] : m_runs) {
+        if (entry.phase == run_phase::Running && entry.traits.targetMs > 0)
+            samples.push_back({entry.traits.image, entry.measured, entry.traits.targetMs});
+    }
+    return samples;
+}
+
+std::vector<filling_run> run_table::fillingNow() const
+{
+    std::vector<filling_run> runs;
+    for (const auto &[key, entry] : m_runs) {
+        if (entry.phase == run_phase::Running && entry.traits.fills)
+            runs.push_back({key.first, key.second, entry.traits.image});
+    }
+    return runs;
+}
+
 std::vector<run_end> run_table::endsFor(const std::string &owner) const
 {
     std::vector<run_end> ends;
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -12,6 +12,7 @@
 
 #include "base/time.h"
 #include "jobs/messages.h"
+#include "jobs/pacer.h"
 
 namespace zinniabarrow::jobs {
 
@@ -96,6 +97,8 @@
     std::int64_t fillMillicores() const;
     bool complete() const; // every run is claimed, so the worker's room is known
     std::size_t running() const;
+    std::vector<serving_sample> servingNow() const; // as last looked at
+    std::vector<filling_run> fillingNow() const;
     // Ends that `owner` (or nobody known) has not acknowledged.
     std::vector<run_end> endsFor(const std::string &owner) const;
     std::vector<run_progress> progressFor(const std::string &owner) const;
@@ -111,6 +114,7 @@
         std::string payload;
         std::string checkpoint;
         run_phase phase = run_phase::Starting;
+        std::int64_t measured = 0; // as listed
         std::int64_t startUntilMs = 0; // worker's clock: no start call takes effect later
         int startCalls = 0;
         time_point repeatAt{};
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -75,16 +75,25 @@
     return countedSize(step.size, step.fills).fitsInto(room);
 }
 
-// Higher is better: the share of the processor that stays free, less what makes the run slow.
+// Higher is better: the share of the processor that stays free, less what makes the run slow or
+// its neighbours late.
 double worker_pool::score(const worker_view &view, const step_spec &step)
 {
     const auto &last = view.last;
-    const auto capacity = std::max<std::int64_t>(1, last.capacity.millicores);
+    const auto capacity = static_cast<double>(std::max<std::int64_t>(1, last.capacity.millicores));
     const auto busy = last.used.millicores + last.fillMillicores + step.size.millicores;
-    double score = 1.0 - static_cast<double>(busy) / static_cast<double>(capacity);
+    double score = 1.0 - static_cast<double>(busy) / capacity;
     if (!step.dataRack.empty() && step.dataRack != last.rack)
         score -= 0.5; // a task far from its data takes half as long again
     score -= 0.25 * std::max(0.0, view.slowness - 1.3); // estimates alone are off by a fifth
+    // What fills and what serves are kept on different workers as long as there is room: beside a
+    // task that serves, one that fills is slowed down or does harm.
+    constexpr double Apart = 0.6; // of a worker that lies idle
+    if (step.fills && last.servingRuns > 0)
+        score -= Apart + (100 - last.pace) / 100.0;
+    if (step.targetMs > 0)
+        score += (last.servingRuns > 0 ? Apart : 0.0)
+                 - static_cast<double>(last.fillMillicores) / capacity;
     return score;
 }
 
@@ -118,6 +127,8 @@
     found->second.last.used += countedSize(step.size, step.fills);
     if (step.fills)
         found->second.last.fillMillicores += step.size.millicores;
+    if (step.targetMs > 0)
+        ++found->second.last.servingRuns;
 }
 
 bool worker_pool::couldEverFit(const std::string &service, const step_spec &step) const
