--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -39,6 +39,7 @@
 constexpr milliseconds DueEvery{100};
 constexpr milliseconds FeedWait{1000};
 constexpr milliseconds FeedRetry{300};
+constexpr milliseconds SampleEvery{500};  // what the worker tells covers half a second
 constexpr milliseconds WorkerSilent{1700}; // looks fail: nothing new is started
 constexpr milliseconds LogFlushEvery{100};
 
@@ -78,7 +79,10 @@
         m_log.note("started", {{"internal", toText(m_settings.internal)}});
         m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
         m_loop.every(DueEvery, [this] { act(); });
-        m_loop.every(ReportEvery, [this] { reportAll(); });
+        m_loop.every(ReportEvery, [this] {
+            reportAll();
+            m_samples.clear();
+        });
         m_loop.every(RenewEvery, [this] { renew(); });
         readEntries();
         establish("process_start");
@@ -468,10 +472,14 @@
 
     void pace(time_point now)
     {
-        const auto before = m_pacer.level();
-        const auto changes = m_pacer.look(m_table.servingNow(), m_table.fillingNow(), now);
-        if (m_pacer.level() != before)
-            m_log.note("pace_changed", {{"from", before}, {"to", m_pacer.level()}});
+        const auto serving = m_table.servingNow();
+        const auto filling = m_table.fillingNow();
+        if (now >= m_sampleFrom) {
+            m_sampleFrom = now + SampleEvery;
+            for (auto &sample : m_pacer.samples(serving, filling))
+                m_samples.push_back(std::move(sample));
+        }
+        const auto changes = m_pacer.look(serving, filling, now);
         for (const auto &change : changes) {
             m_metrics.count("paces_total", change.percent < 100 ? "slowed" : "full");
             m_caller.call(m_settings.worker,
@@ -521,8 +529,10 @@
         told.capacity = m_told.capacity;
         told.used = m_table.used();
         told.fillMillicores = m_table.fillMillicores();
-        told.servingRuns = static_cast<int>(m_table.servingNow().size());
-        told.pace = m_pacer.level();
+        for (const auto &run : m_table.servingNow())
+            ++told.serving[run.image];
+        told.filling = m_pacer.amounts(m_table.fillingNow());
+        told.samples = m_samples;
         told.ends = m_table.endsFor(entry);
         told.progress = m_table.progressFor(entry);
         http_request request;
@@ -547,7 +557,7 @@
             return; // the next turn reports again
         }
         try {
-            takeAcknowledgements(parseJson(answer->body));
+            takeAnswer(reportAnswerFrom(answer->body));
         } catch (const error &problem) {
             m_log.note("answer_unreadable", {{"entry", entry}, {"why", problem.what()}});
         }
@@ -555,16 +565,15 @@
             report(entry, link);
     }
 
-    void takeAcknowledgements(const Json::Value &answer)
+    void takeAnswer(report_answer answer)
     {
         const auto now = suspendAwareNow();
-        for (const auto &row : arrayMember(answer, "acknowledged")) {
-            const auto task = taskIdFrom(row[0].asString());
-            if (!task)
-                continue;
-            m_table.acknowledged(*task, row[1].asInt(), now);
-            m_pacer.forget(*task, row[1].asInt());
+        for (const auto &[task, run] : answer.acknowledged) {
+            m_table.acknowledged(task, run, now);
+            m_pacer.forget(task, run);
         }
+        if (!answer.presses.empty())
+            m_pacer.setPresses(std::move(answer.presses));
     }
 
     // --- Entries.
@@ -632,6 +641,8 @@
     row_store m_store;
     run_table m_table;
     pacer m_pacer;
+    std::vector<disturbance_sample> m_samples; // since the last regular report
+    time_point m_sampleFrom{};
     std::map<std::string, entry_link> m_entries;
 
     worker_announcement m_told; // newest announcement of the present life
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -604,7 +604,7 @@
     struct open_report
     {
         responder respond;
-        std::vector<run_end> acknowledged;
+        report_answer answer;
         std::size_t open = 0;
         bool answered = false;
     };
@@ -624,6 +624,10 @@
         auto state = std::make_shared<open_report>();
         state->respond = std::move(respond);
         state->open = report.ends.size();
+        for (const auto &sample : report.samples)
+            m_pool.disturbance().learn(sample);
+        if (!report.samples.empty())
+            state->answer.presses = m_pool.disturbance().table();
         for (const auto &end : report.ends)
             takeEnd(report.worker, end, state);
         if (state->open == 0)
@@ -638,7 +642,7 @@
     {
         const auto token = newToken([state, end](bool isStored) {
             if (isStored)
-                state->acknowledged.push_back(end);
+                state->answer.acknowledged.emplace_back(end.task, end.run);
             if (--state->open == 0)
                 answerReport(*state);
         });
@@ -653,15 +657,7 @@
     {
         if (std::exchange(state.answered, true))
             return;
-        Json::Value value(Json::objectValue);
-        value["acknowledged"] = Json::Value(Json::arrayValue);
-        for (const auto &end : state.acknowledged) {
-            Json::Value row(Json::arrayValue);
-            row.append(toText(end.task));
-            row.append(end.run);
-            value["acknowledged"].append(std::move(row));
-        }
-        state.respond({200, {}, compactJson(value)});
+        state.respond({200, {}, toText(state.answer)});
     }
 
     // Another entry asks for a job that this one owns.
--- /dev/null
+++ b/libs/jobs/disturbance.h
@@ -0,0 +1,81 @@
+// How much runs that fill slow down runs that serve beside them, learned from late and noisy
+// measurements. A tail latency rises like that of a queue: slowly at first, then without bound. So it is
+// turned into the load of such a queue, where neighbours add up:
+//   load = 1 - floor / tail = base(serving) + sum over runs that fill of press(serving, filling) x pace
+// with the floor as the lowest tail seen of the image. Sums of tails themselves were tried on the same
+// measurements: one stalled sample outweighs a hundred others, and harmless neighbours are blamed.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace zinniabarrow::jobs {
+
+// One measurement of a serving image on one worker.
+struct disturbance_sample
+{
+    std::string image;
+    std::int64_t tailMs = 0;
+    std::int64_t targetMs = 0;
+    std::map<std::string, double> fills; // by image: runs x pace, pace 0 to 1
+};
+
+struct image_presses
+{
+    double floorMs = 0;                    // the lowest tail, less a tenth; 0: never measured
+    std::map<std::string, double> presses; // load for a run of that image at full pace
+};
+using press_table = std::map<std::string, image_presses>; // by serving image
+
+// The load that a tail stands for, 0 to below 1.
+double loadOf(double tailMs, double floorMs);
+
+struct disturbance_settings
+{
+    double priorPress = 0.06;    // of a pair never seen: half of the pairs are near 0, the others
+                                 // between 0.1 and 0.3
+    double priorDeviation = 0.15;
+    double priorBase = 0.4;
+    double baseDeviation = 0.2;
+    double noise = 0.15;         // deviation of one sample: own load swings by half
+    double forget = 0.998;       // a sample's weight fades within about 500 of its image
+    std::size_t mostImages = 64; // of each kind; others keep the prior
+};
+
+class disturbance_model
+{
+public:
+    explicit disturbance_model(const disturbance_settings &settings = {});
+
+    void learn(const disturbance_sample &sample);
+    double press(const std::string &serving, const std::string &filling) const;
+    double base(const std::string &serving) const;
+    // The load at which the image is at its target.
+    double limit(const std::string &serving) const;
+    press_table table() const;
+
+private:
+    // Recursive least squares over the base and the images seen beside this one, jointly: runs that
+    // come and go together can't be told apart until one of them is seen without the other.
+    struct belief
+    {
+        std::vector<std::string> names; // of index 1 and up; index 0 is the base
+        std::vector<double> means;
+        std::vector<std::vector<double>> covariance;
+        double floorMs = 0;
+        double targetMs = 0;
+    };
+
+    belief &beliefOf(const std::string &serving);
+    static void noteFloor(belief &about, const disturbance_sample &sample);
+    std::size_t indexOf(belief &about, const std::string &filling);
+    void correct(belief &about, const std::vector<double> &amounts, double load) const;
+
+    disturbance_settings m_settings;
+    std::map<std::string, belief> m_beliefs;
+};
+
+} // namespace zinniabarrow::jobs
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -1,5 +1,7 @@
 #include "jobs/messages.h"
 
+#include <cmath>
+
 #include "base/errors.h"
 #include "base/json.h"
 #include "base/json_member.h"
@@ -82,6 +84,7 @@
     value["lasting"] = order.traits.lasting;
     value["image"] = order.traits.image;
     value["target_ms"] = Json::Int64(order.traits.targetMs);
+    value["may_lose_ms"] = Json::Int64(order.traits.mayLoseMs);
     return value;
 }
 
@@ -101,6 +104,7 @@
     order.traits.lasting = boolMember(value, "lasting");
     order.traits.image = stringMember(value, "image");
     order.traits.targetMs = integerMember(value, "target_ms");
+    order.traits.mayLoseMs = integerMember(value, "may_lose_ms");
     return order;
 }
 
@@ -121,6 +125,35 @@
             named(EndNames, stringMember(value, "how")), stringMember(value, "checkpoint")};
 }
 
+std::map<std::string, double> amountsFrom(const Json::Value &object)
+{
+    std::map<std::string, double> amounts;
+    for (const auto &name : object.getMemberNames()) {
+        if (!object[name].isNumeric())
+            throw error(error_kind::BadRequest, "member '" + name + "': a number is needed");
+        amounts[name] = object[name].asDouble();
+    }
+    return amounts;
+}
+
+Json::Value toJson(const disturbance_sample &sample)
+{
+    Json::Value value(Json::objectValue);
+    value["image"] = sample.image;
+    value["tail_ms"] = Json::Int64(sample.tailMs);
+    value["target_ms"] = Json::Int64(sample.targetMs);
+    value["fills"] = Json::Value(Json::objectValue);
+    for (const auto &[image, amount] : sample.fills)
+        value["fills"][image] = amount;
+    return value;
+}
+
+disturbance_sample sampleFrom(const Json::Value &value)
+{
+    return {stringMember(value, "image"), integerMember(value, "tail_ms"),
+            integerMember(value, "target_ms"), amountsFrom(objectMember(value, "fills"))};
+}
+
 } // namespace
 
 std::string_view nameOf(order_outcome outcome)
@@ -143,6 +176,41 @@
     return valueOf(EndNames, name);
 }
 
+std::string toText(const report_answer &answer)
+{
+    Json::Value value(Json::objectValue);
+    value["acknowledged"] = Json::Value(Json::arrayValue);
+    for (const auto &[task, run] : answer.acknowledged) {
+        Json::Value row(Json::objectValue);
+        row["task"] = toText(task);
+        row["run"] = run;
+        value["acknowledged"].append(std::move(row));
+    }
+    value["presses"] = Json::Value(Json::objectValue);
+    for (const auto &[serving, row] : answer.presses) {
+        value["presses"][serving]["floor_ms"] = row.floorMs;
+        value["presses"][serving]["by"] = Json::Value(Json::objectValue);
+        for (const auto &[filling, press] : row.presses)
+            value["presses"][serving]["by"][filling] = std::round(press * 1000) / 1000;
+    }
+    return compactJson(value);
+}
+
+report_answer reportAnswerFrom(const std::string &text)
+{
+    const auto value = parseJson(text);
+    report_answer answer;
+    for (const auto &row : arrayMember(value, "acknowledged"))
+        answer.acknowledged.emplace_back(taskMember(row), smallIntegerMember(row, "run"));
+    const auto &presses = objectMember(value, "presses");
+    for (const auto &serving : presses.getMemberNames()) {
+        const auto &row = objectMember(presses, serving.c_str());
+        answer.presses[serving] = {row["floor_ms"].asDouble(),
+                                   amountsFrom(objectMember(row, "by"))};
+    }
+    return answer;
+}
+
 std::string toText(const order_batch &batch)
 {
     Json::Value value(Json::objectValue);
@@ -204,8 +272,12 @@
     value["capacity"] = toJson(report.capacity);
     value["used"] = toJson(report.used);
     value["fill_millicores"] = Json::Int64(report.fillMillicores);
-    value["serving_runs"] = report.servingRuns;
-    value["pace"] = report.pace;
+    for (const auto &[image, runs] : report.serving)
+        value["serving"][image] = runs;
+    for (const auto &[image, amount] : report.filling)
+        value["filling"][image] = amount;
+    for (const auto &sample : report.samples)
+        value["samples"].append(toJson(sample));
     value["ends"] = Json::Value(Json::arrayValue);
     for (const auto &end : report.ends)
         value["ends"].append(toJson(end));
@@ -236,8 +308,17 @@
     report.capacity = sizeFrom(objectMember(value, "capacity"));
     report.used = sizeFrom(objectMember(value, "used"));
     report.fillMillicores = integerMember(value, "fill_millicores");
-    report.servingRuns = smallIntegerMember(value, "serving_runs");
-    report.pace = smallIntegerMember(value, "pace");
+    if (value.isMember("serving")) {
+        const auto &serving = objectMember(value, "serving");
+        for (const auto &image : serving.getMemberNames())
+            report.serving[image] = smallIntegerMember(serving, image.c_str());
+    }
+    if (value.isMember("filling"))
+        report.filling = amountsFrom(objectMember(value, "filling"));
+    if (value.isMember("samples")) {
+        for (const auto &sample : arrayMember(value, "samples"))
+            report.samples.push_back(sampleFrom(sample));
+    }
     for (const auto &end : arrayMember(value, "ends"))
         report.ends.push_back(endFrom(end));
     for (const auto &row : arrayMember(value, "progress"))
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -2,12 +2,14 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include <json/json.h>
 
+#include "jobs/disturbance.h"
 #include "jobs/model.h"
 
 namespace zinniabarrow::jobs {
@@ -25,6 +27,7 @@
     bool lasting = false;
     std::string image;
     std::int64_t targetMs = 0; // ms; 0: none
+    std::int64_t mayLoseMs = 0; // of a run that fills: how long it may stand still and be in time
 };
 
 struct run_order
@@ -100,12 +103,22 @@
     task_size capacity;
     task_size used;                  // by what runs, starts or is being stopped
     std::int64_t fillMillicores = 0; // asked by runs that fill
-    int servingRuns = 0;       // runs with a target for their latency
-    int pace = 100;            // per cent, at which runs that fill may work beside them
+    std::map<std::string, int> serving;    // by image: runs with a target for their latency
+    std::map<std::string, double> filling; // by image: runs x pace, of runs that fill
+    std::vector<disturbance_sample> samples; // since the last regular report
     std::vector<run_end> ends;
     std::vector<run_progress> progress;
 };
 
+// What an entry answers to a report.
+struct report_answer
+{
+    std::vector<std::pair<task_id, int>> acknowledged; // ends that are in the store
+    press_table presses; // as learned from all workers; empty: nothing new
+};
+
+std::string toText(const report_answer &answer);
+report_answer reportAnswerFrom(const std::string &text);
 std::string toText(const order_batch &batch);
 order_batch orderBatchFrom(const std::string &text); // throws error BadRequest
 std::string toText(const std::vector<order_answer> &answers);
--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -132,6 +132,15 @@
     job_state state() const;
 };
 
+// Times of a job by its estimates, in ms from when it was accepted (or came due).
+struct job_timing
+{
+    std::int64_t chainMs = 0;      // the longest chain of steps
+    std::int64_t objectiveMs = 0;  // users are served in time up to here
+    std::vector<std::int64_t> stepEndMs; // by step: its end, with the slack shared along the chain
+};
+job_timing timingOf(const job_record &record);
+
 // The record of a job that has just been handed in.
 job_record newRecord(const job_spec &spec, const queue_policy &policy, std::int64_t acceptedAtMs);
 
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -77,24 +77,43 @@
 
 // Higher is better: the share of the processor that stays free, less what makes the run slow or
 // its neighbours late.
-double worker_pool::score(const worker_view &view, const step_spec &step)
+double worker_pool::score(const worker_view &view, const step_spec &step) const
 {
     const auto &last = view.last;
     const auto capacity = static_cast<double>(std::max<std::int64_t>(1, last.capacity.millicores));
     const auto busy = last.used.millicores + last.fillMillicores + step.size.millicores;
-    double score = 1.0 - static_cast<double>(busy) / capacity;
+    const double share = static_cast<double>(busy) / capacity;
+    // Below its size a worker runs everything at full speed; above, what fills shares what is left.
+    constexpr double Full = 0.85; // sizes are declared roughly
+    constexpr double Crowded = 4; // a run at half speed is worse than one that harms its neighbours
+    double score = -0.2 * share - Crowded * std::max(0.0, share - Full);
     if (!step.dataRack.empty() && step.dataRack != last.rack)
         score -= 0.5; // a task far from its data takes half as long again
     score -= 0.25 * std::max(0.0, view.slowness - 1.3); // estimates alone are off by a fifth
-    // What fills and what serves are kept on different workers as long as there is room: beside a
-    // task that serves, one that fills is slowed down or does harm.
-    constexpr double Apart = 0.6; // of a worker that lies idle
-    if (step.fills && last.servingRuns > 0)
-        score -= Apart + (100 - last.pace) / 100.0;
+    return score - harm(view, step);
+}
+
+// How much the placement is expected to push serving runs over their target, theirs or its own.
+double worker_pool::harm(const worker_view &view, const step_spec &step) const
+{
+    constexpr double Weight = 0.15; // for each run far over its target
+    constexpr double FarOver = 0.25; // load
+    const auto excess = [&](const std::string &serving, double more) {
+        double load = m_disturbance.base(serving) + more;
+        for (const auto &[filling, amount] : view.last.filling)
+            load += m_disturbance.press(serving, filling) * amount;
+        return std::clamp((load - m_disturbance.limit(serving)) / FarOver + 0.5, 0.0, 1.5);
+    };
+    double sum = 0;
+    if (step.fills) {
+        for (const auto &[serving, runs] : view.last.serving) {
+            const auto more = m_disturbance.press(serving, step.image);
+            sum += runs * (excess(serving, more) - excess(serving, 0));
+        }
+    }
     if (step.targetMs > 0)
-        score += (last.servingRuns > 0 ? Apart : 0.0)
-                 - static_cast<double>(last.fillMillicores) / capacity;
-    return score;
+        sum += excess(step.image, 0);
+    return Weight * sum;
 }
 
 std::optional<std::string> worker_pool::choose(const std::string &service, const step_spec &step,
@@ -125,10 +144,12 @@
     if (found == m_workers.end())
         return;
     found->second.last.used += countedSize(step.size, step.fills);
-    if (step.fills)
+    if (step.fills) {
         found->second.last.fillMillicores += step.size.millicores;
+        found->second.last.filling[step.image] += 1;
+    }
     if (step.targetMs > 0)
-        ++found->second.last.servingRuns;
+        ++found->second.last.serving[step.image];
 }
 
 bool worker_pool::couldEverFit(const std::string &service, const step_spec &step) const
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -50,6 +50,8 @@
     // Counts a placement until the next report shows it.
     void reserve(const std::string &worker, const step_spec &step);
 
+    disturbance_model &disturbance() { return m_disturbance; }
+
     // Could any worker that was heard of hold such a task when it is empty?
     bool couldEverFit(const std::string &service, const step_spec &step) const;
     std::size_t size() const { return m_workers.size(); }
@@ -57,10 +59,12 @@
 private:
     bool isCandidate(const worker_view &view, const std::string &service, const step_spec &step,
                      time_point now) const;
-    static double score(const worker_view &view, const step_spec &step);
+    double score(const worker_view &view, const step_spec &step) const;
+    double harm(const worker_view &view, const step_spec &step) const;
 
     pool_settings m_settings;
     std::map<std::string, worker_view> m_workers;
+    disturbance_model m_disturbance;
 };
 
 // What of a step's size counts against a worker's capacity.
