--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -401,7 +401,6 @@
 
 void job_book::plan(time_point now, std::int64_t wallMs)
 {
-    m_wallMs = wallMs;
     std::vector<std::string> order(m_waiting.begin(), m_waiting.end());
     std::stable_sort(order.begin(), order.end(), [this](const auto &left, const auto &right) {
         const auto &one = m_jobs.at(left).record;
@@ -505,13 +504,6 @@
     order.checkpoint = job.record.find(task)->checkpoint;
     const auto &step = job.record.steps[static_cast<std::size_t>(task.step)];
     order.traits = traitsOf(step);
-    if (step.fills) {
-        constexpr std::int64_t Percent = 70; // of the slack: estimates are off by a fifth
-        const auto due = job.record.acceptedAtMs
-                         + timingOf(job.record).stepEndMs[static_cast<std::size_t>(task.step)];
-        order.traits.mayLoseMs =
-                std::max<std::int64_t>(0, (due - m_wallMs - step.estimateMs) * Percent / 100);
-    }
     return order;
 }
 
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -186,7 +186,6 @@
     std::set<std::string> m_touched;  // changed since the last plan
     std::set<std::string> m_ordering; // with orders that have no answer yet
     std::int64_t m_nextWrite = 1;
-    std::int64_t m_wallMs = 0; // as of the last plan
     std::vector<book_action> m_actions;
 };
 
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -84,7 +84,6 @@
     value["lasting"] = order.traits.lasting;
     value["image"] = order.traits.image;
     value["target_ms"] = Json::Int64(order.traits.targetMs);
-    value["may_lose_ms"] = Json::Int64(order.traits.mayLoseMs);
     return value;
 }
 
@@ -104,7 +103,6 @@
     order.traits.lasting = boolMember(value, "lasting");
     order.traits.image = stringMember(value, "image");
     order.traits.targetMs = integerMember(value, "target_ms");
-    order.traits.mayLoseMs = integerMember(value, "may_lose_ms");
     return order;
 }
 
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -27,7 +27,6 @@
     bool lasting = false;
     std::string image;
     std::int64_t targetMs = 0; // ms; 0: none
-    std::int64_t mayLoseMs = 0; // of a run that fills: how long it may stand still and be in time
 };
 
 struct run_order
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -279,7 +279,8 @@
     std::vector<serving_sample> samples;
     for (const auto &[key, entry] : m_runs) {
         if (entry.phase == run_phase::Running && entry.traits.targetMs > 0)
-            samples.push_back({entry.traits.image, entry.measured, entry.traits.targetMs});
+            samples.push_back({key.first, key.second, entry.traits.image, entry.measured,
+                               entry.traits.targetMs});
     }
     return samples;
 }
@@ -289,7 +290,7 @@
     std::vector<filling_run> runs;
     for (const auto &[key, entry] : m_runs) {
         if (entry.phase == run_phase::Running && entry.traits.fills)
-            runs.push_back({key.first, key.second, entry.traits.image, entry.traits.mayLoseMs});
+            runs.push_back({key.first, key.second, entry.traits.image});
     }
     return runs;
 }
