A worker that is gone for good is found out, also by an agent that starts anew

Cause: starts that were repeated to a dead worker put off the end of its lease for ever, and an agent that started beside a dead worker waited for a first look. Change: no starts while looks fail; the lease of an earlier life ends by the clock.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -60,7 +60,7 @@
     explicit agent_process(job_agent_settings settings)
         : m_settings(std::move(settings))
         , m_log("agent", m_settings.id)
-        , m_caller(m_loop)
+        , m_caller(m_loop, callerLimits())
         , m_store(
                   m_loop, m_caller, m_settings.store, [this] { return relays(); }, m_metrics, m_log)
         , m_internal(m_loop, m_settings.internal, {},
@@ -85,6 +85,8 @@
         });
         m_loop.every(RenewEvery, [this] { renew(); });
         readEntries();
+        // An earlier life of this agent may have let runs go on for as long.
+        m_heldUntil = suspendAwareNow() + LeaseLength;
         establish("process_start");
         m_loop.run();
         m_log.note("stopped", {});
@@ -92,6 +94,14 @@
     }
 
 private:
+    // A step's starts go out together, and each new connection to a worker costs it time.
+    static net::caller_limits callerLimits()
+    {
+        net::caller_limits limits;
+        limits.idlePerPeer = 16;
+        return limits;
+    }
+
     // --- The lease. `establish` takes a new fence; the epoch follows once it is known that nothing
     // of an earlier epoch runs.
 
@@ -296,10 +306,9 @@
     // A worker that answers nothing ends all it runs when the last lease that it was given is over.
     void judgeSilence(time_point now)
     {
-        if (m_fresh || m_heldUntil == time_point{} || m_table.running() == 0)
+        if (m_heldUntil == time_point{} || (!m_fresh && m_table.running() == 0))
             return;
-        const auto margin = LeaseMargin;
-        if (now < m_heldUntil + slowClock(HoldLength) - HoldLength + margin)
+        if (now < m_heldUntil + slowClock(LeaseLength) - LeaseLength + LeaseMargin)
             return;
         m_log.note("worker_silent", {{"runs", m_table.running()}});
         m_metrics.count("worker_lives_ended_total", "silent");
@@ -419,7 +428,11 @@
     void act()
     {
         const auto now = suspendAwareNow();
-        for (const auto &action : m_table.due(now, now < m_leaseUntil && m_clockMs > 0))
+        // A worker that answers nothing is not told to start anything: each such call would put off
+        // the time from which all that it runs has ended for certain.
+        const bool mayStart =
+                now < m_leaseUntil && m_clockMs > 0 && now - m_seenAt < WorkerSilent;
+        for (const auto &action : m_table.due(now, mayStart))
             std::visit([this](const auto &one) { carryOut(one); }, action);
     }
 
