--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -542,9 +542,11 @@
         told.capacity = m_told.capacity;
         told.used = m_table.used();
         told.fillMillicores = m_table.fillMillicores();
+        const auto filling = m_table.fillingNow();
         for (const auto &run : m_table.servingNow())
-            ++told.serving[run.image];
-        told.filling = m_pacer.amounts(m_table.fillingNow());
+            told.serving.push_back({run.image, m_pacer.roomOf(run, filling)});
+        for (const auto &run : filling)
+            told.filling[run.image] += run.declared;
         told.samples = m_samples;
         told.ends = m_table.endsFor(entry);
         told.progress = m_table.progressFor(entry);
--- a/libs/jobs/disturbance.h
+++ b/libs/jobs/disturbance.h
@@ -1,8 +1,9 @@
 // How much runs that fill slow down runs that serve beside them, learned from late and noisy
 // measurements. A tail latency rises like that of a queue: slowly at first, then without bound. So it is
 // turned into the load of such a queue, where neighbours add up:
-//   load = 1 - floor / tail = base(serving) + sum over runs that fill of press(serving, filling) x pace
-// with the floor as the lowest tail seen of the image. Sums of tails themselves were tried on the same
+//   load = 1 - floor / tail = base(serving) + sum over runs that fill of press(serving, filling) x cores
+// with the floor as the lowest tail seen of the image and the cores that the runs have in use: of ten
+// runs that share the cores of two, each does a fifth of the harm. Sums of tails themselves were tried on the same
 // measurements: one stalled sample outweighs a hundred others, and harmless neighbours are blamed.
 #pragma once
 
@@ -20,13 +21,13 @@
     std::string image;
     std::int64_t tailMs = 0;
     std::int64_t targetMs = 0;
-    std::map<std::string, double> fills; // by image: runs x pace, pace 0 to 1
+    std::map<std::string, double> fills; // by image: cores in use
 };
 
 struct image_presses
 {
     double floorMs = 0;                    // the lowest tail, less a tenth; 0: never measured
-    std::map<std::string, double> presses; // load for a run of that image at full pace
+    std::map<std::string, double> presses; // load for each core in use by that image
 };
 using press_table = std::map<std::string, image_presses>; // by serving image
 
@@ -35,10 +36,10 @@
 
 struct disturbance_settings
 {
-    double priorPress = 0.06;    // of a pair never seen: half of the pairs are near 0, the others
-                                 // between 0.1 and 0.3
-    double priorDeviation = 0.15;
-    double priorBase = 0.4;
+    double priorPress = 0.03;   // of a pair never seen: half of the pairs are near 0, the others
+                                // between 0.03 and 0.07
+    double priorDeviation = 0.04;
+    double priorBase = 0.5;
     double baseDeviation = 0.2;
     double noise = 0.15;         // deviation of one sample: own load swings by half
     double forget = 0.998;       // a sample's weight fades within about 500 of its image
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -270,8 +270,12 @@
     value["capacity"] = toJson(report.capacity);
     value["used"] = toJson(report.used);
     value["fill_millicores"] = Json::Int64(report.fillMillicores);
-    for (const auto &[image, runs] : report.serving)
-        value["serving"][image] = runs;
+    for (const auto &run : report.serving) {
+        Json::Value row(Json::objectValue);
+        row["image"] = run.image;
+        row["room"] = std::round(run.room * 1000) / 1000;
+        value["serving"].append(std::move(row));
+    }
     for (const auto &[image, amount] : report.filling)
         value["filling"][image] = amount;
     for (const auto &sample : report.samples)
@@ -307,9 +311,8 @@
     report.used = sizeFrom(objectMember(value, "used"));
     report.fillMillicores = integerMember(value, "fill_millicores");
     if (value.isMember("serving")) {
-        const auto &serving = objectMember(value, "serving");
-        for (const auto &image : serving.getMemberNames())
-            report.serving[image] = smallIntegerMember(serving, image.c_str());
+        for (const auto &row : arrayMember(value, "serving"))
+            report.serving.push_back({stringMember(row, "image"), row["room"].asDouble()});
     }
     if (value.isMember("filling"))
         report.filling = amountsFrom(objectMember(value, "filling"));
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -87,6 +87,13 @@
     std::string checkpoint;
 };
 
+// A serving run: how much load its neighbours may add before it is over its target.
+struct serving_room
+{
+    std::string image;
+    double room = 0; // load, below zero: it is over
+};
+
 // What an agent says of its worker. `ends` are repeated until they are acknowledged.
 struct worker_report
 {
@@ -102,8 +109,8 @@
     task_size capacity;
     task_size used;                  // by what runs, starts or is being stopped
     std::int64_t fillMillicores = 0; // asked by runs that fill
-    std::map<std::string, int> serving;    // by image: runs with a target for their latency
-    std::map<std::string, double> filling; // by image: runs x pace, of runs that fill
+    std::vector<serving_room> serving;     // runs with a target for their latency
+    std::map<std::string, double> filling; // by image: cores asked for by runs that fill
     std::vector<disturbance_sample> samples; // since the last regular report
     std::vector<run_end> ends;
     std::vector<run_progress> progress;
--- a/libs/jobs/pacer.cpp
+++ b/libs/jobs/pacer.cpp
@@ -1,6 +1,8 @@
 #include "jobs/pacer.h"
 
 #include <algorithm>
+#include <cstdlib>
+#include <numeric>
 
 namespace zinniabarrow::jobs {
 
@@ -21,14 +23,14 @@
 int pacer::paceOf(const filling_run &run) const
 {
     const auto told = m_told.find({run.task, run.run});
-    return told == m_told.end() ? 100 : told->second;
+    return told == m_told.end() ? 100 : told->second.percent;
 }
 
 std::map<std::string, double> pacer::amounts(const std::vector<filling_run> &filling) const
 {
     std::map<std::string, double> sums;
     for (const auto &run : filling)
-        sums[run.image] += paceOf(run) / 100.0;
+        sums[run.image] += run.cores;
     return sums;
 }
 
@@ -82,24 +84,85 @@
         if (kind != relief::None)
             relieved.push_back(sample.image);
     }
+    std::vector<int> paces(filling.size(), 100);
+    for (const auto &sample : serving) {
+        if (sample.targetMs > 0 && sample.tailMs > 0)
+            limit(sample, filling, paces);
+    }
     std::vector<pace_run> changes;
-    for (const auto &run : filling) {
+    for (std::size_t index = 0; index < filling.size(); ++index) {
+        const auto &run = filling[index];
         const bool harms = std::any_of(relieved.begin(), relieved.end(), [&](const auto &image) {
             return press(image, run.image) >= m_settings.harmless;
         });
-        const int next = harms || stopAll ? 0 : 100;
-        const auto [told, isNew] = m_told.try_emplace({run.task, run.run}, 100);
-        if (told->second != next)
+        auto &told = m_told[{run.task, run.run}];
+        const int next = harms || stopAll ? 0 : bounded(paces[index], told, now);
+        if (told.percent != next)
             changes.push_back({run.task, run.run, next});
     }
     return changes;
 }
 
+double pacer::floorOf(const serving_sample &sample) const
+{
+    const auto row = m_presses.find(sample.image);
+    if (row == m_presses.end() || row->second.floorMs <= 0)
+        return m_settings.unknownFloor * static_cast<double>(sample.targetMs);
+    return row->second.floorMs;
+}
+
+double pacer::roomOf(const serving_sample &sample, const std::vector<filling_run> &filling) const
+{
+    const double floor = floorOf(sample);
+    // What the presses don't explain of the measurement counts as the run's own load.
+    double own = loadOf(static_cast<double>(sample.tailMs), floor);
+    for (const auto &run : filling)
+        own -= press(sample.image, run.image) * run.cores;
+    return loadOf(m_settings.aim * static_cast<double>(sample.targetMs), floor)
+           - std::max(0.0, own);
+}
+
+// Lowers `paces` until the tail is expected at the aim.
+void pacer::limit(const serving_sample &sample, const std::vector<filling_run> &filling,
+                  std::vector<int> &paces) const
+{
+    double room = roomOf(sample, filling);
+    std::vector<std::size_t> order(filling.size());
+    std::iota(order.begin(), order.end(), 0);
+    // The least harmful first: as many runs as possible keep their pace.
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+        return press(sample.image, filling[left].image) < press(sample.image, filling[right].image);
+    });
+    for (const auto index : order) {
+        const auto &run = filling[index];
+        const double harm = press(sample.image, run.image);
+        if (harm < m_settings.harmless)
+            continue;
+        // At full pace it would use what it uses now, grown by its pace; at most what it asks for.
+        const double pace = std::max(1, paceOf(run)) / 100.0;
+        const double full = std::min(run.declared, std::max(run.cores / pace, run.declared / 4));
+        const int most = std::clamp(static_cast<int>(100 * room / (harm * full)), 0, 100);
+        paces[index] = std::min(paces[index], most);
+        room -= harm * full * paces[index] / 100.0;
+    }
+}
+
+int pacer::bounded(int wanted, told_pace &told, time_point now) const
+{
+    const int next = std::max(m_settings.lowest, wanted);
+    if (next < told.percent)
+        told.raiseFrom = now + m_settings.raiseEvery;
+    if (next > told.percent && now < told.raiseFrom)
+        return told.percent;
+    const bool small = std::abs(next - told.percent) < m_settings.step && next < 100;
+    return small ? told.percent : next;
+}
+
 void pacer::confirmed(const pace_run &pace)
 {
     const auto told = m_told.find({pace.task, pace.run});
     if (told != m_told.end())
-        told->second = pace.percent;
+        told->second.percent = pace.percent;
 }
 
 void pacer::forget(const task_id &task, int run)
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -290,7 +290,9 @@
     std::vector<filling_run> runs;
     for (const auto &[key, entry] : m_runs) {
         if (entry.phase == run_phase::Running && entry.traits.fills)
-            runs.push_back({key.first, key.second, entry.traits.image});
+            runs.push_back({key.first, key.second, entry.traits.image,
+                            static_cast<double>(entry.measured) / 1000,
+                            static_cast<double>(entry.traits.size.millicores) / 1000});
     }
     return runs;
 }
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -93,26 +93,33 @@
     return score - harm(view, step);
 }
 
-// How much the placement is expected to push serving runs over their target, theirs or its own.
+// How much more the placement is expected to push serving runs over their target, theirs or its own.
 double worker_pool::harm(const worker_view &view, const step_spec &step) const
 {
-    constexpr double Weight = 0.15; // for each run far over its target
-    constexpr double FarOver = 0.25; // load
-    const auto excess = [&](const std::string &serving, double more) {
-        double load = m_disturbance.base(serving) + more;
+    constexpr double Weight = 0.2;   // for each run far over its target
+    constexpr double FarOver = 0.15; // load
+    const double cores = static_cast<double>(step.size.millicores) / 1000;
+    const auto pressOn = [&](const std::string &serving) {
+        double load = 0;
         for (const auto &[filling, amount] : view.last.filling)
             load += m_disturbance.press(serving, filling) * amount;
-        return std::clamp((load - m_disturbance.limit(serving)) / FarOver + 0.5, 0.0, 1.5);
+        return load;
+    };
+    const auto excess = [](double load, double room) {
+        return std::clamp((load - room) / FarOver + 0.3, 0.0, 1.3);
     };
     double sum = 0;
     if (step.fills) {
-        for (const auto &[serving, runs] : view.last.serving) {
-            const auto more = m_disturbance.press(serving, step.image);
-            sum += runs * (excess(serving, more) - excess(serving, 0));
+        for (const auto &run : view.last.serving) {
+            const double before = pressOn(run.image);
+            const double more = m_disturbance.press(run.image, step.image) * cores;
+            sum += excess(before + more, run.room) - excess(before, run.room);
         }
     }
-    if (step.targetMs > 0)
-        sum += excess(step.image, 0);
+    if (step.targetMs > 0) {
+        const double own = m_disturbance.limit(step.image) - m_disturbance.base(step.image);
+        sum += excess(pressOn(step.image), own);
+    }
     return Weight * sum;
 }
 
@@ -146,10 +153,13 @@
     found->second.last.used += countedSize(step.size, step.fills);
     if (step.fills) {
         found->second.last.fillMillicores += step.size.millicores;
-        found->second.last.filling[step.image] += 1;
+        found->second.last.filling[step.image] +=
+                static_cast<double>(step.size.millicores) / 1000;
+    }
+    if (step.targetMs > 0) {
+        const auto room = m_disturbance.limit(step.image) - m_disturbance.base(step.image);
+        found->second.last.serving.push_back({step.image, room});
     }
-    if (step.targetMs > 0)
-        ++found->second.last.serving[step.image];
 }
 
 bool worker_pool::couldEverFit(const std::string &service, const step_spec &step) const
