--- a/libs/jobs/pacer.h
+++ b/libs/jobs/pacer.h
@@ -55,7 +55,7 @@
     double harmless = 0.008;      // load for a core, below which a run is left alone
     double unknownFloor = 0.17;   // of the target, of an image that was never measured
     double aim = 0.9;             // of the target
-    int lowest = 45;              // per cent
+    int lowest = 100;             // per cent
     int step = 10;                // per cent; smaller changes are not worth a call
     milliseconds raiseEvery{600}; // a sample covers half a second, and a pace takes 100 ms
 };
