--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -26,9 +26,9 @@
 
 namespace {
 
-constexpr milliseconds LookWait{1000}; // the worker answers a look earlier when a run ends
+constexpr milliseconds LookWait{1000};       // the worker answers a look earlier when a run ends
 constexpr milliseconds LookWaitServing{250}; // latencies are measured over half a second
-constexpr milliseconds LookTimeout{1600};
+constexpr milliseconds LookTimeout{700};     // beyond the wait; a worker answers within a few ms
 constexpr milliseconds LookRetry{150};
 constexpr milliseconds LookAgain{40};    // while ends are not acknowledged: a look returns at once
 constexpr milliseconds HoldLength{5000}; // a look is lost now and then, an agent is back within 2 s
@@ -39,7 +39,8 @@
 constexpr milliseconds DueEvery{100};
 constexpr milliseconds FeedWait{1000};
 constexpr milliseconds FeedRetry{300};
-constexpr milliseconds SampleEvery{500};  // what the worker tells covers half a second
+constexpr milliseconds StopMargin{150};    // beyond the time that the worker needs for a stop
+constexpr milliseconds SampleEvery{500};   // what the worker tells covers half a second
 constexpr milliseconds WorkerSilent{1700}; // looks fail: nothing new is started
 constexpr milliseconds LogFlushEvery{100};
 
@@ -217,7 +218,9 @@
         m_looking = true;
         const auto now = suspendAwareNow();
         std::optional<std::int64_t> deadline;
-        if (m_clockMs > 0 && now < m_leaseUntil) {
+        // A worker that answers nothing is only looked at: each call that may have reached it would
+        // put off the time from which all that it runs has ended for certain.
+        if (m_clockMs > 0 && now < m_leaseUntil && now - m_seenAt < WorkerSilent) {
             const auto until = std::min<time_point>(m_leaseUntil, now + HoldLength);
             deadline = workerClockAt(until);
             m_heldUntil = std::max(m_heldUntil, until);
@@ -229,7 +232,7 @@
                                                   m_table.lastSeen(), wait);
         if (m_life.id.empty())
             request.headers.clear();
-        m_caller.call(m_settings.worker, std::move(request), LookTimeout,
+        m_caller.call(m_settings.worker, std::move(request), milliseconds(wait) + LookTimeout,
                       [this, fence = m_lease.fence](const call_result &result) {
                           m_looking = false;
                           looked(result, fence);
@@ -247,6 +250,9 @@
         if (!seen) {
             if (platform_wire::isOtherLife(result))
                 return lifeEnded("other_life");
+            const auto *failure = std::get_if<call_failure>(&result);
+            if (m_departing && failure != nullptr && *failure == call_failure::NotConnected)
+                return departureConfirmed();
             judgeSilence(now);
             return m_loop.after(LookRetry, [this] { look(); });
         }
@@ -284,6 +290,9 @@
             return;
         if (!m_lease.ended && m_lease.life == lifeName()) {
             m_fresh = false;
+            // A run that an earlier life of this agent told to stop is in neither list until it has
+            // ended, and takes room all the while.
+            m_startFrom = suspendAwareNow() + m_settings.stopWithin + StopMargin;
             m_table.setEpoch(m_lease.epoch);
             m_log.note("epoch_resumed", {{"epoch", m_lease.epoch}});
             return reportAll();
@@ -350,6 +359,7 @@
         const bool readinessChanged = told.leaving != m_told.leaving || !m_present;
         m_told = told;
         m_present = true;
+        m_departing = false;
         if (!sameLife && (!first || (m_life.bornMs != 0 && told.bornMs != m_life.bornMs))) {
             m_life = {told.id, told.bornMs};
             return lifeEnded("announced_anew");
@@ -366,6 +376,15 @@
     {
         m_log.note("worker_departed", {{"worker", m_life.id}});
         m_present = false;
+        // The message may be of an earlier life under the same id, held up on its way: only a
+        // worker that refuses connections by now has ended all that it ran.
+        m_departing = true;
+    }
+
+    void departureConfirmed()
+    {
+        m_log.note("worker_gone", {{"worker", m_life.id}, {"runs", m_table.running()}});
+        m_departing = false;
         m_table.clear();
         m_heldUntil = {};
         if (m_holding && !m_writing && !m_fresh)
@@ -377,8 +396,8 @@
     bool accepting() const
     {
         const auto now = suspendAwareNow();
-        return m_present && !m_told.leaving && !m_fresh && m_holding && m_clockMs > 0
-               && now - m_seenAt < WorkerSilent && now < m_leaseUntil;
+        return now >= m_startFrom && m_present && !m_told.leaving && !m_fresh && m_holding
+               && m_clockMs > 0 && now - m_seenAt < WorkerSilent && now < m_leaseUntil;
     }
 
     // --- Orders of entries.
@@ -430,8 +449,7 @@
         const auto now = suspendAwareNow();
         // A worker that answers nothing is not told to start anything: each such call would put off
         // the time from which all that it runs has ended for certain.
-        const bool mayStart =
-                now < m_leaseUntil && m_clockMs > 0 && now - m_seenAt < WorkerSilent;
+        const bool mayStart = now < m_leaseUntil && m_clockMs > 0 && now - m_seenAt < WorkerSilent;
         for (const auto &action : m_table.due(now, mayStart))
             std::visit([this](const auto &one) { carryOut(one); }, action);
     }
@@ -662,7 +680,8 @@
 
     worker_announcement m_told; // newest announcement of the present life
     worker_life m_life;
-    bool m_present = false; // announced, and not departed
+    bool m_present = false;   // announced, and not departed
+    bool m_departing = false; // said to end, and not yet seen gone
 
     lease_row m_lease;
     std::int64_t m_leaseVersion = 0;
@@ -676,6 +695,7 @@
     std::int64_t m_clockMs = 0; // the worker's clock,
     time_point m_clockReadAt{}; // read then
     time_point m_seenAt{};      // last look that was answered
+    time_point m_startFrom{};   // nothing is started before
     bool m_looking = false;
 
     net::http_listener m_internal;
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -391,10 +391,11 @@
         for (const auto &id : old) {
             m_book->forget(id);
             m_view.removed(id);
-            m_store.commit({{}, {}, {jobRow(id), payloadRow(id)}}, [](const row_store::outcome
-                                                                              & /*ignored: the rows
-                                                      are gone or will be found by the next
-                                                      life*/) {});
+            m_store.commit({{}, {}, {jobRow(id), payloadRow(id)}},
+                           [](const row_store::outcome
+                                      & /*ignored: the rows
+              are gone or will be found by the next
+              life*/) {});
         }
     }
 
--- a/app/job_settings.cpp
+++ b/app/job_settings.cpp
@@ -57,6 +57,7 @@
         settings.internal = parseAddress(needed(value, "internal"));
         settings.worker = addressMember(value, "worker");
         settings.service = needed(value, "service");
+        settings.stopWithin = milliseconds(integerMember(value, "stop_within_ms"));
         settings.store = addressMember(value, "store");
         return settings;
     });
--- a/app/job_settings.h
+++ b/app/job_settings.h
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "base/time.h"
 #include "runtime/http.h"
 
 namespace zinniabarrow {
@@ -26,6 +27,7 @@
     std::string worker;  // "ip:port" of the worker
     std::string service; // of the worker
     std::string store;
+    milliseconds stopWithin{900}; // a run that is told to stop has ended by then
 };
 
 // Throw error BadSettings that names the file and the member. Unknown members are ignored: the
--- a/libs/jobs/disturbance.h
+++ b/libs/jobs/disturbance.h
@@ -1,10 +1,12 @@
 // How much runs that fill slow down runs that serve beside them, learned from late and noisy
-// measurements. A tail latency rises like that of a queue: slowly at first, then without bound. So it is
-// turned into the load of such a queue, where neighbours add up:
-//   load = 1 - floor / tail = base(serving) + sum over runs that fill of press(serving, filling) x cores
-// with the floor as the lowest tail seen of the image and the cores that the runs have in use: of ten
-// runs that share the cores of two, each does a fifth of the harm. Sums of tails themselves were tried on the same
-// measurements: one stalled sample outweighs a hundred others, and harmless neighbours are blamed.
+// measurements. A tail latency rises like that of a queue: slowly at first, then without bound. So
+// it is turned into the load of such a queue, where neighbours add up:
+//   load = 1 - floor / tail = base(serving) + sum over runs that fill of press(serving, filling) x
+//   cores
+// with the floor as the lowest tail seen of the image and the cores that the runs have in use: of
+// ten runs that share the cores of two, each does a fifth of the harm. Sums of tails themselves
+// were tried on the same measurements: one stalled sample outweighs a hundred others, and harmless
+// neighbours are blamed.
 #pragma once
 
 #include <cstddef>
@@ -36,8 +38,8 @@
 
 struct disturbance_settings
 {
-    double priorPress = 0.03;   // of a pair never seen: half of the pairs are near 0, the others
-                                // between 0.03 and 0.07
+    double priorPress = 0.03; // of a pair never seen: half of the pairs are near 0, the others
+                              // between 0.03 and 0.07
     double priorDeviation = 0.04;
     double priorBase = 0.5;
     double baseDeviation = 0.2;
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -107,10 +107,10 @@
     std::string rack;
     bool accepting = false; // takes new runs
     task_size capacity;
-    task_size used;                  // by what runs, starts or is being stopped
-    std::int64_t fillMillicores = 0; // asked by runs that fill
-    std::vector<serving_room> serving;     // runs with a target for their latency
-    std::map<std::string, double> filling; // by image: cores asked for by runs that fill
+    task_size used;                          // by what runs, starts or is being stopped
+    std::int64_t fillMillicores = 0;         // asked by runs that fill
+    std::vector<serving_room> serving;       // runs with a target for their latency
+    std::map<std::string, double> filling;   // by image: cores asked for by runs that fill
     std::vector<disturbance_sample> samples; // since the last regular report
     std::vector<run_end> ends;
     std::vector<run_progress> progress;
--- a/libs/jobs/model.cpp
+++ b/libs/jobs/model.cpp
@@ -160,12 +160,12 @@
         chainTo.push_back(before + step.estimateMs);
         timing.chainMs = std::max(timing.chainMs, chainTo.back());
     }
-    timing.objectiveMs = static_cast<std::int64_t>(record.policy.stretch
-                                                   * static_cast<double>(timing.chainMs))
-                         + record.policy.targetLatencyMs;
+    timing.objectiveMs =
+            static_cast<std::int64_t>(record.policy.stretch * static_cast<double>(timing.chainMs))
+            + record.policy.targetLatencyMs;
     for (const auto chain : chainTo)
-        timing.stepEndMs.push_back(
-                timing.chainMs > 0 ? timing.objectiveMs * chain / timing.chainMs : 0);
+        timing.stepEndMs.push_back(timing.chainMs > 0 ? timing.objectiveMs * chain / timing.chainMs
+                                                      : 0);
     return timing;
 }
 
--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -135,8 +135,8 @@
 // Times of a job by its estimates, in ms from when it was accepted (or came due).
 struct job_timing
 {
-    std::int64_t chainMs = 0;      // the longest chain of steps
-    std::int64_t objectiveMs = 0;  // users are served in time up to here
+    std::int64_t chainMs = 0;            // the longest chain of steps
+    std::int64_t objectiveMs = 0;        // users are served in time up to here
     std::vector<std::int64_t> stepEndMs; // by step: its end, with the slack shared along the chain
 };
 job_timing timingOf(const job_record &record);
--- a/libs/jobs/pacer.cpp
+++ b/libs/jobs/pacer.cpp
@@ -1,8 +1,6 @@
 #include "jobs/pacer.h"
 
 #include <algorithm>
-#include <cstdlib>
-#include <numeric>
 
 namespace zinniabarrow::jobs {
 
@@ -20,12 +18,6 @@
     return found == presses.end() ? m_settings.unknownPress : found->second;
 }
 
-int pacer::paceOf(const filling_run &run) const
-{
-    const auto told = m_told.find({run.task, run.run});
-    return told == m_told.end() ? 100 : told->second.percent;
-}
-
 std::map<std::string, double> pacer::amounts(const std::vector<filling_run> &filling) const
 {
     std::map<std::string, double> sums;
@@ -52,52 +44,35 @@
     return found;
 }
 
-pacer::relief pacer::needed(const serving_sample &sample, time_point now)
+bool pacer::needsRelief(const serving_sample &sample, time_point now)
 {
     const run_key key{sample.task, sample.run};
     if (sample.targetMs <= 0 || sample.tailMs <= sample.targetMs) {
         m_late.erase(key);
-        return relief::None;
+        return false;
     }
     auto &late = m_late.try_emplace(key, late_run{now, {}}).first->second;
-    if (late.stoppedAt == time_point{}) {
-        if (now - late.countFrom < m_settings.lateAtMost)
-            return relief::None;
-        late.stoppedAt = now;
+    if (now < late.stopUntil || now - late.countFrom >= m_settings.lateAtMost) {
+        if (now >= late.stopUntil) {
+            late.stopUntil = now + m_settings.stopFor;
+            late.countFrom = late.stopUntil;
+        }
+        return true;
     }
-    if (now - late.stoppedAt < m_settings.helpsWithin)
-        return relief::FromHarmful;
-    if (now - late.stoppedAt < m_settings.stopAtMost)
-        return relief::FromAll;
-    late = {now, {}};
-    return relief::None;
+    return false;
 }
 
 std::vector<pace_run> pacer::look(const std::vector<serving_sample> &serving,
                                   const std::vector<filling_run> &filling, time_point now)
 {
-    bool stopAll = false;
-    std::vector<std::string> relieved; // serving images
-    for (const auto &sample : serving) {
-        const auto kind = needed(sample, now);
-        stopAll = stopAll || kind == relief::FromAll;
-        if (kind != relief::None)
-            relieved.push_back(sample.image);
-    }
-    std::vector<int> paces(filling.size(), 100);
-    for (const auto &sample : serving) {
-        if (sample.targetMs > 0 && sample.tailMs > 0)
-            limit(sample, filling, paces);
-    }
+    bool standStill = false;
+    for (const auto &sample : serving)
+        standStill = needsRelief(sample, now) || standStill;
     std::vector<pace_run> changes;
-    for (std::size_t index = 0; index < filling.size(); ++index) {
-        const auto &run = filling[index];
-        const bool harms = std::any_of(relieved.begin(), relieved.end(), [&](const auto &image) {
-            return press(image, run.image) >= m_settings.harmless;
-        });
-        auto &told = m_told[{run.task, run.run}];
-        const int next = harms || stopAll ? 0 : bounded(paces[index], told, now);
-        if (told.percent != next)
+    for (const auto &run : filling) {
+        const int next = standStill ? 0 : 100;
+        const auto told = m_told.try_emplace({run.task, run.run}, 100).first;
+        if (told->second != next)
             changes.push_back({run.task, run.run, next});
     }
     return changes;
@@ -122,47 +97,11 @@
            - std::max(0.0, own);
 }
 
-// Lowers `paces` until the tail is expected at the aim.
-void pacer::limit(const serving_sample &sample, const std::vector<filling_run> &filling,
-                  std::vector<int> &paces) const
-{
-    double room = roomOf(sample, filling);
-    std::vector<std::size_t> order(filling.size());
-    std::iota(order.begin(), order.end(), 0);
-    // The least harmful first: as many runs as possible keep their pace.
-    std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
-        return press(sample.image, filling[left].image) < press(sample.image, filling[right].image);
-    });
-    for (const auto index : order) {
-        const auto &run = filling[index];
-        const double harm = press(sample.image, run.image);
-        if (harm < m_settings.harmless)
-            continue;
-        // At full pace it would use what it uses now, grown by its pace; at most what it asks for.
-        const double pace = std::max(1, paceOf(run)) / 100.0;
-        const double full = std::min(run.declared, std::max(run.cores / pace, run.declared / 4));
-        const int most = std::clamp(static_cast<int>(100 * room / (harm * full)), 0, 100);
-        paces[index] = std::min(paces[index], most);
-        room -= harm * full * paces[index] / 100.0;
-    }
-}
-
-int pacer::bounded(int wanted, told_pace &told, time_point now) const
-{
-    const int next = std::max(m_settings.lowest, wanted);
-    if (next < told.percent)
-        told.raiseFrom = now + m_settings.raiseEvery;
-    if (next > told.percent && now < told.raiseFrom)
-        return told.percent;
-    const bool small = std::abs(next - told.percent) < m_settings.step && next < 100;
-    return small ? told.percent : next;
-}
-
 void pacer::confirmed(const pace_run &pace)
 {
     const auto told = m_told.find({pace.task, pace.run});
     if (told != m_told.end())
-        told->second.percent = pace.percent;
+        told->second = pace.percent;
 }
 
 void pacer::forget(const task_id &task, int run)
--- a/libs/jobs/pacer.h
+++ b/libs/jobs/pacer.h
@@ -1,8 +1,9 @@
-// How fast runs that fill may work beside runs that serve. Below the target a press does no harm, so a
-// run gives way just so far that its neighbours stay there, and never below about half its pace: a job
-// has about twice its time, and a run that is slowed further piles up with those that come after it and
-// does the same harm for longer. Where that is not enough, runs are late for a moment, and then what
-// harms them stands still. One worker; decisions only.
+// When runs that fill stand still beside runs that serve. Slowing a run down spreads the harm that
+// it does over a longer time and lessens none of it, while its job comes late and piles up with
+// those that follow. So what fills works at full pace, and only where a serving run was over its
+// target for a while on end does all of it stand still for a moment. (Stopping just the images that
+// were learned to harm was tried: what was learned is wrong now and then, and the run stayed late.)
+// One worker; decisions only.
 #pragma once
 
 #include <cstdint>
@@ -32,7 +33,7 @@
     int run = 0;
     std::string image;
     double cores = 0;    // in use, over the last half second
-    double declared = 0; // cores it asks for
+    double declared = 0; // that it asks for
 };
 
 struct pace_run
@@ -44,20 +45,12 @@
 
 struct pacer_settings
 {
-    // Users bear a late answer or two, and not seconds of them on end: a stop shows within a second
-    // (a pace takes 100 ms, a sample covers half a second), so a run is late for three at most.
+    // Users bear a late answer or two, and not seconds of them on end.
     milliseconds lateAtMost{2200};
-    // A stop of the runs that are known to harm has shown by then; if it did not help, all that fill
-    // stop: what was learned of their images may be wrong.
-    milliseconds helpsWithin{800};
-    milliseconds stopAtMost{2000}; // a run that is still late then is late by its own load
-    double unknownPress = 0.03;   // load for a core, of a pair that was never measured
-    double harmless = 0.008;      // load for a core, below which a run is left alone
-    double unknownFloor = 0.17;   // of the target, of an image that was never measured
-    double aim = 0.9;             // of the target
-    int lowest = 100;             // per cent
-    int step = 10;                // per cent; smaller changes are not worth a call
-    milliseconds raiseEvery{600}; // a sample covers half a second, and a pace takes 100 ms
+    milliseconds stopFor{500};  // a pace takes 100 ms, and queues drain within some 100 ms more
+    double unknownPress = 0.03; // load for a core, of a pair that was never measured
+    double unknownFloor = 0.17; // of the target, of an image that was never measured
+    double aim = 0.9;           // of the target: the room that is told ends there
 };
 
 class pacer
@@ -83,29 +76,18 @@
 
     struct late_run
     {
-        time_point countFrom{};     // late on end since, or since its last relief
-        time_point stoppedAt = {};  // what harms it stands still since; none: it works
-    };
-
-    struct told_pace
-    {
-        int percent = 100;
-        time_point raiseFrom{};
+        time_point countFrom{};    // late on end since, or since its last relief
+        time_point stopUntil = {}; // what harms it stands still up to then
     };
 
     double press(const std::string &serving, const std::string &filling) const;
     double floorOf(const serving_sample &sample) const;
-    void limit(const serving_sample &sample, const std::vector<filling_run> &filling,
-               std::vector<int> &paces) const;
-    int bounded(int wanted, told_pace &told, time_point now) const;
-    int paceOf(const filling_run &run) const;
-    enum class relief { None, FromHarmful, FromAll };
-    relief needed(const serving_sample &sample, time_point now);
+    bool needsRelief(const serving_sample &sample, time_point now);
 
     pacer_settings m_settings;
     press_table m_presses;
     std::map<run_key, late_run> m_late; // serving runs over their target
-    std::map<run_key, told_pace> m_told; // the worker's pace of each run that fills
+    std::map<run_key, int> m_told;      // the worker's pace of each run that fills, per cent
 };
 
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -114,7 +114,7 @@
         std::string payload;
         std::string checkpoint;
         run_phase phase = run_phase::Starting;
-        std::int64_t measured = 0; // as listed
+        std::int64_t measured = 0;     // as listed
         std::int64_t startUntilMs = 0; // worker's clock: no start call takes effect later
         int startCalls = 0;
         time_point repeatAt{};
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -81,10 +81,12 @@
 {
     const auto &last = view.last;
     const auto capacity = static_cast<double>(std::max<std::int64_t>(1, last.capacity.millicores));
-    const auto busy = last.used.millicores + last.fillMillicores + step.size.millicores;
-    const double share = static_cast<double>(busy) / capacity;
+    // What serves has about half of its size in use, and what fills works with the rest.
+    constexpr double InUse = 0.5;
+    const auto asked = static_cast<double>(last.fillMillicores + step.size.millicores);
+    const double share = (InUse * static_cast<double>(last.used.millicores) + asked) / capacity;
     // Below its size a worker runs everything at full speed; above, what fills shares what is left.
-    constexpr double Full = 0.85; // sizes are declared roughly
+    constexpr double Full = 0.9;  // sizes are declared roughly
     constexpr double Crowded = 4; // a run at half speed is worse than one that harms its neighbours
     double score = -0.2 * share - Crowded * std::max(0.0, share - Full);
     if (!step.dataRack.empty() && step.dataRack != last.rack)
@@ -93,7 +95,8 @@
     return score - harm(view, step);
 }
 
-// How much more the placement is expected to push serving runs over their target, theirs or its own.
+// How much more the placement is expected to push serving runs over their target, theirs or its
+// own.
 double worker_pool::harm(const worker_view &view, const step_spec &step) const
 {
     constexpr double Weight = 0.2;   // for each run far over its target
@@ -153,8 +156,7 @@
     found->second.last.used += countedSize(step.size, step.fills);
     if (step.fills) {
         found->second.last.fillMillicores += step.size.millicores;
-        found->second.last.filling[step.image] +=
-                static_cast<double>(step.size.millicores) / 1000;
+        found->second.last.filling[step.image] += static_cast<double>(step.size.millicores) / 1000;
     }
     if (step.targetMs > 0) {
         const auto room = m_disturbance.limit(step.image) - m_disturbance.base(step.image);
