A stop does not claim a run whose size is not known

The stop marked the run as known, with a size of zero, and starts were let in beside it. Found by writing the agent's ledger beside the worker's list: one run of size 0 at the time of the start. Ruled out: stops of the earlier life that are in no list (waited for now), late starts (fenced).

--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -87,7 +87,8 @@
     }
     auto &entry = known->second;
     entry.owner = owner;
-    entry.claimed = true;
+    // A stop tells no sizes: the run stays unclaimed, and nothing is started beside it before it
+    // has ended. Otherwise a run that an earlier life of the agent started would count as nothing.
     if (entry.phase != run_phase::Ended && entry.phase != run_phase::Stopping) {
         entry.phase = run_phase::Stopping;
         entry.repeatAt = now;
