Tests of the agent's ledger, the owned jobs and the adapter; a body that is no object is a clear error

Two faults that the tests found: a body such as [] threw an error of the JSON library, which nobody caught, and would have ended the process; a task that had failed on every worker of a small service was placed nowhere, since workers where it had failed were ruled out for good.

--- a/app/entry_directory.cpp
+++ b/app/entry_directory.cpp
@@ -17,7 +17,7 @@
 
 entry_row entryRowFrom(const std::string &text)
 {
-    const auto value = parseJson(text);
+    const auto value = parseJsonObject(text);
     return {integerMember(value, "incarnation"), stringMember(value, "internal"),
             stringMember(value, "callers")};
 }
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -318,7 +318,7 @@
 
     void takeDescription(const std::string &text)
     {
-        const auto value = parseJson(text);
+        const auto value = parseJsonObject(text);
         const auto name = stringMember(value, "entry");
         const auto row = entryRowFrom(stringMember(value, "row"));
         m_directory.seen(name, row);
--- a/app/job_settings.cpp
+++ b/app/job_settings.cpp
@@ -12,7 +12,7 @@
 auto checked(const std::string &file, const std::string &text, Read readSettings)
 {
     try {
-        return readSettings(parseJson(text));
+        return readSettings(parseJsonObject(text));
     } catch (const error &problem) {
         throw error(error_kind::BadSettings, file + ": " + problem.what());
     }
--- a/libs/base/json.cpp
+++ b/libs/base/json.cpp
@@ -24,6 +24,14 @@
     return value;
 }
 
+Json::Value parseJsonObject(std::string_view text)
+{
+    auto value = parseJson(text);
+    if (!value.isObject())
+        throw error(error_kind::BadRequest, "an object is needed");
+    return value;
+}
+
 std::string compactJson(const Json::Value &value)
 {
     Json::StreamWriterBuilder builder;
--- a/libs/base/json.h
+++ b/libs/base/json.h
@@ -12,6 +12,9 @@
 // BadRequest that names the line.
 Json::Value parseJson(std::string_view text);
 
+// The same, and throws BadRequest when the value is not an object.
+Json::Value parseJsonObject(std::string_view text);
+
 // One line, keys in order, no trailing newline.
 std::string compactJson(const Json::Value &value);
 
--- a/libs/base/json_member.cpp
+++ b/libs/base/json_member.cpp
@@ -68,6 +68,14 @@
     return value.asInt();
 }
 
+double numberMember(const Json::Value &object, const char *name)
+{
+    const auto &value = member(object, name, "a number");
+    if (!value.isNumeric())
+        refuse(name, "a number");
+    return value.asDouble();
+}
+
 bool boolMember(const Json::Value &object, const char *name)
 {
     const auto &value = member(object, name, "true or false");
--- a/libs/base/json_member.h
+++ b/libs/base/json_member.h
@@ -15,6 +15,7 @@
 std::uint64_t countMember(const Json::Value &object, const char *name);      // zero or above
 std::uint32_t smallCountMember(const Json::Value &object, const char *name); // fits 32 bits
 int smallIntegerMember(const Json::Value &object, const char *name); // zero or above, fits an int
+double numberMember(const Json::Value &object, const char *name);    // any finite number
 bool boolMember(const Json::Value &object, const char *name);
 const Json::Value &arrayMember(const Json::Value &object, const char *name);
 const Json::Value &objectMember(const Json::Value &object, const char *name);
--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -595,8 +595,7 @@
         auto &state = *job.record.find(task);
         if (!state.isWaiting())
             continue;
-        const auto worker =
-                m_workers.choose(job.record.policy.service, step, avoidedBy(job, task, step), now);
+        const auto worker = chooseFor(job, task, step, now);
         if (!worker) {
             waits = true;
             if (step.mostPerWorker == 0)
@@ -654,25 +653,38 @@
     m_ordering.insert(id);
 }
 
-std::vector<std::string> job_book::avoidedBy(const owned_job &job, const task_id &task,
-                                             const step_spec &step) const
+// A worker for the task: not one where it has just failed, as long as there is another.
+std::optional<std::string> job_book::chooseFor(const owned_job &job, const task_id &task,
+                                               const step_spec &step, time_point now) const
 {
-    std::vector<std::string> avoid;
+    const auto &service = job.record.policy.service;
+    const auto full = fullOf(job, task, step);
+    auto avoid = full;
     const auto failed = job.failedOn.find(task);
-    if (failed != job.failedOn.end())
-        avoid = failed->second;
+    if (failed == job.failedOn.end())
+        return m_workers.choose(service, step, full, now);
+    avoid.insert(avoid.end(), failed->second.begin(), failed->second.end());
+    const auto elsewhere = m_workers.choose(service, step, avoid, now);
+    return elsewhere ? elsewhere : m_workers.choose(service, step, full, now);
+}
+
+// Workers that run as many tasks of the step as they may.
+std::vector<std::string> job_book::fullOf(const owned_job &job, const task_id &task,
+                                          const step_spec &step)
+{
+    std::vector<std::string> full;
     if (step.mostPerWorker == 0)
-        return avoid;
+        return full;
     std::map<std::string, int> perWorker;
     const auto &inStep = job.record.tasks[static_cast<std::size_t>(task.occurrence)]
                                          [static_cast<std::size_t>(task.step)];
     for (const auto &other : inStep) {
         for (const auto &where : other.placements) {
             if (++perWorker[where.worker] >= step.mostPerWorker)
-                avoid.push_back(where.worker);
+                full.push_back(where.worker);
         }
     }
-    return avoid;
+    return full;
 }
 
 void job_book::note(std::string event, const std::string &job, std::string detail)
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -174,8 +174,10 @@
                    time_point now);
     void place(const std::string &id, owned_job &job, const task_id &task, const step_spec &step,
                const std::string &worker, int run);
-    std::vector<std::string> avoidedBy(const owned_job &job, const task_id &task,
-                                       const step_spec &step) const;
+    std::optional<std::string> chooseFor(const owned_job &job, const task_id &task,
+                                         const step_spec &step, time_point now) const;
+    static std::vector<std::string> fullOf(const owned_job &job, const task_id &task,
+                                           const step_spec &step);
     void note(std::string event, const std::string &job, std::string detail);
 
     owner_id m_self;
--- a/libs/jobs/lease.cpp
+++ b/libs/jobs/lease.cpp
@@ -19,7 +19,7 @@
 
 lease_row leaseFrom(const std::string &text)
 {
-    const auto value = parseJson(text);
+    const auto value = parseJsonObject(text);
     return {integerMember(value, "epoch"),    integerMember(value, "fence"),
             integerMember(value, "renewals"), stringMember(value, "life"),
             boolMember(value, "ended"),       stringMember(value, "write")};
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -196,14 +196,14 @@
 
 report_answer reportAnswerFrom(const std::string &text)
 {
-    const auto value = parseJson(text);
+    const auto value = parseJsonObject(text);
     report_answer answer;
     for (const auto &row : arrayMember(value, "acknowledged"))
         answer.acknowledged.emplace_back(taskMember(row), smallIntegerMember(row, "run"));
     const auto &presses = objectMember(value, "presses");
     for (const auto &serving : presses.getMemberNames()) {
         const auto &row = objectMember(presses, serving.c_str());
-        answer.presses[serving] = {row["floor_ms"].asDouble(),
+        answer.presses[serving] = {numberMember(row, "floor_ms"),
                                    amountsFrom(objectMember(row, "by"))};
     }
     return answer;
@@ -222,7 +222,7 @@
 
 order_batch orderBatchFrom(const std::string &text)
 {
-    const auto value = parseJson(text);
+    const auto value = parseJsonObject(text);
     order_batch batch;
     batch.owner = stringMember(value, "owner");
     batch.ownerAddress = stringMember(value, "owner_address");
@@ -247,7 +247,7 @@
 
 std::vector<order_answer> orderAnswersFrom(const std::string &text)
 {
-    const auto value = parseJson(text);
+    const auto value = parseJsonObject(text);
     std::vector<order_answer> answers;
     for (const auto &row : arrayMember(value, "answers"))
         answers.push_back({taskMember(row), smallIntegerMember(row, "run"),
@@ -296,7 +296,7 @@
 
 worker_report reportFrom(const std::string &text)
 {
-    const auto value = parseJson(text);
+    const auto value = parseJsonObject(text);
     worker_report report;
     report.worker = stringMember(value, "worker");
     report.address = stringMember(value, "address");
@@ -312,7 +312,7 @@
     report.fillMillicores = integerMember(value, "fill_millicores");
     if (value.isMember("serving")) {
         for (const auto &row : arrayMember(value, "serving"))
-            report.serving.push_back({stringMember(row, "image"), row["room"].asDouble()});
+            report.serving.push_back({stringMember(row, "image"), numberMember(row, "room")});
     }
     if (value.isMember("filling"))
         report.filling = amountsFrom(objectMember(value, "filling"));
--- a/libs/jobs/record.cpp
+++ b/libs/jobs/record.cpp
@@ -186,8 +186,8 @@
 job_record recordFrom(const std::string &text)
 {
     try {
-        const auto value = parseJson(text);
-        if (!value.isObject() || number(value, "v") != RecordVersion)
+        const auto value = parseJsonObject(text);
+        if (number(value, "v") != RecordVersion)
             throw error(error_kind::BadRequest, "a job's record of another version");
         job_record record;
         record.owner = {jobs::text(value, "o"), number(value, "i")};
--- /dev/null
+++ b/tests/job_book_test.cpp
@@ -0,0 +1,342 @@
+// The jobs that an entry owns: steps in order, one run at a time, and what holds when a write, an
+// order, a worker or the entry itself is lost.
+#include <criterion/criterion.h>
+
+#include "base/errors.h"
+#include "jobs/job_book.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::jobs;
+using zinniabarrow::tests::section;
+
+namespace {
+
+const owner_id Self{"entry-a", 1};
+const owner_id Other{"entry-b", 4};
+
+struct scene
+{
+    worker_pool workers;
+    job_book book{Self, workers};
+    time_point now{std::chrono::hours(1)};
+    std::int64_t version = 100;
+    std::vector<write_row> writes;
+    std::vector<give_order> orders;
+    std::vector<std::int64_t> storedTokens;
+    std::vector<std::int64_t> disownedTokens;
+
+    scene()
+    {
+        hear("w1");
+        hear("w2");
+    }
+
+    void hear(const std::string &worker, std::int64_t epoch = 1)
+    {
+        worker_report report;
+        report.worker = worker;
+        report.epoch = epoch;
+        report.service = "tickets";
+        report.accepting = true;
+        report.capacity = {16'000, 64'000, 0};
+        workers.update(report, now);
+    }
+
+    static job_spec twoSteps()
+    {
+        job_spec spec;
+        spec.payload = "hold seat 7";
+        step_spec first;
+        first.count = 2;
+        first.size = {500, 100, 0};
+        first.estimateMs = 600;
+        step_spec second = first;
+        second.count = 1;
+        second.after = {0};
+        spec.steps = {first, second};
+        return spec;
+    }
+
+    void submit(const job_spec &spec = twoSteps(), std::int64_t token = 1)
+    {
+        queue_policy policy;
+        policy.queue = "holds";
+        policy.service = "tickets";
+        policy.maxAttempts = 2;
+        book.submit("j", spec, policy, 1000, now, token);
+        turn();
+    }
+
+    // Plans, and takes what is to be done.
+    void turn()
+    {
+        book.plan(now, 1000);
+        for (auto &action : book.takeActions()) {
+            if (auto *write = std::get_if<write_row>(&action))
+                writes.push_back(*write);
+            else if (auto *order = std::get_if<give_order>(&action))
+                orders.push_back(*order);
+            else if (auto *done = std::get_if<stored>(&action))
+                storedTokens.push_back(done->token);
+            else if (auto *lost = std::get_if<disowned>(&action))
+                disownedTokens.push_back(lost->token);
+        }
+    }
+
+    void written()
+    {
+        book.rowWritten("j", ++version);
+        turn();
+    }
+
+    void accept(const give_order &order)
+    {
+        book.orderAnswered(order.worker,
+                           {order.order.task, order.order.run, order_outcome::Accepted}, now);
+    }
+
+    void end(const give_order &order, end_kind how, std::int64_t token = 50)
+    {
+        book.runEnded(order.worker, {1, order.order.task, order.order.run, how, ""}, now, token);
+        turn();
+    }
+};
+
+} // namespace
+
+Test(job_book, a_job_of_two_steps)
+{
+    scene on;
+    on.submit();
+    section("acceptance and first placement are one write, and no order goes out before", [&] {
+        require(on.writes.size() == 1);
+        check(on.writes[0].expectedVersion == 0);
+        check(on.writes[0].payload == "hold seat 7");
+        check(on.orders.empty());
+        check(on.storedTokens.empty());
+    });
+    section("once it is stored, the caller is answered and the first step starts", [&] {
+        on.written();
+        check(on.storedTokens == std::vector<std::int64_t>{1});
+        require(on.orders.size() == 2);
+        check(on.book.storedState("j") == job_state::Running);
+    });
+    section("the second step is placed with the last end of the first", [&] {
+        for (const auto &order : std::vector(on.orders)) {
+            on.accept(order);
+            on.end(order, end_kind::Done);
+        }
+        on.written();
+        on.written();
+        require(on.orders.size() == 3);
+        check(on.orders[2].order.task.step == 1);
+    });
+    section("it is shown as completed when its last end is stored, not before", [&] {
+        on.accept(on.orders[2]);
+        on.end(on.orders[2], end_kind::Done);
+        check(on.book.storedState("j") == job_state::Running);
+        on.written();
+        check(on.book.storedState("j") == job_state::Completed);
+    });
+}
+
+// A caller hands its job in twice, at two entries. The second entry's write fails on the row of the
+// first: it answers that the job is accepted, and starts nothing.
+Test(job_book, handed_in_at_two_entries)
+{
+    scene on;
+    on.submit();
+    auto row = newRecord(scene::twoSteps(), {}, 1000);
+    row.owner = Other;
+    row.write = "entry-b:4:1";
+    on.book.rowConflict("j", 7, toText(row));
+    on.turn();
+    check(on.disownedTokens == std::vector<std::int64_t>{1});
+    check(!on.book.owns("j"));
+    check(on.orders.empty());
+}
+
+// The answer to the write is lost, and its repetition finds the row as the first try left it.
+Test(job_book, lost_answer_to_a_write)
+{
+    scene on;
+    on.submit();
+    on.book.rowConflict("j", 7, on.writes[0].content);
+    on.turn();
+    check(on.storedTokens == std::vector<std::int64_t>{1});
+    check(on.orders.size() == 2);
+}
+
+// Another entry cancels the job in its row while the owner can't be asked. The owner finds it when
+// its next write fails, keeps the job, and stops what runs.
+Test(job_book, cancelled_by_another_entry)
+{
+    scene on;
+    on.submit();
+    on.written();
+    for (const auto &order : std::vector(on.orders))
+        on.accept(order);
+    on.end(on.orders[0], end_kind::Done);
+    auto row = recordFrom(on.writes[0].content);
+    row.cancelled = true;
+    row.write = "entry-b:cancel:1";
+    on.orders.clear();
+    on.book.rowConflict("j", 107, toText(row));
+    on.turn();
+    require(on.writes.back().expectedVersion == 107);
+    on.written();
+    check(on.book.storedState("j") == job_state::Cancelled);
+    require(on.orders.size() == 1);
+    check(on.orders[0].order.kind == order_kind::Stop);
+}
+
+// A worker's lease ran out. What was placed there has ended for certain and starts elsewhere, with
+// a higher run number; what was placed in the new epoch stays.
+Test(job_book, worker_lost)
+{
+    scene on;
+    on.submit();
+    on.written();
+    for (const auto &order : std::vector(on.orders))
+        on.accept(order);
+    const auto lost = on.orders[0];
+    on.orders.clear();
+    on.now += std::chrono::seconds(20);
+    on.hear(lost.worker == "w1" ? "w2" : "w1");
+    on.book.workerRenewed(lost.worker, 2, on.now);
+    on.turn();
+    on.written();
+    require(!on.orders.empty());
+    for (const auto &order : on.orders) {
+        check(order.worker != lost.worker || order.order.epoch == 2);
+        check(order.order.run == 2);
+    }
+}
+
+Test(job_book, an_order_without_an_answer_is_given_again)
+{
+    scene on;
+    on.submit();
+    on.written();
+    const auto first = on.orders[0];
+    on.book.orderUnanswered(first.worker, first.order.task, first.order.run, on.now);
+    on.orders.clear();
+    on.turn();
+    check(on.orders.empty());
+    on.now += milliseconds(301);
+    on.turn();
+    require(on.orders.size() == 1);
+    check(on.orders[0].order.run == first.order.run); // the same run: it is one start
+    check(on.orders[0].worker == first.worker);
+}
+
+Test(job_book, failures)
+{
+    section("a task that fails too often fails its job, and the others stop", [] {
+        scene on;
+        on.submit();
+        on.written();
+        for (const auto &order : std::vector(on.orders))
+            on.accept(order);
+        const auto task = on.orders[0].order.task;
+        on.end(on.orders[0], end_kind::Failed);
+        on.written();
+        require(on.orders.size() == 3);
+        check(on.orders[2].order.run == 2);
+        check(on.orders[2].worker != on.orders[0].worker);
+        on.accept(on.orders[2]);
+        on.end(on.orders[2], end_kind::Failed);
+        on.written();
+        check(on.book.storedState("j") == job_state::Failed);
+        require(on.orders.size() == 4);
+        check(on.orders[3].order.kind == order_kind::Stop);
+        check(on.orders[3].order.task != task);
+    });
+    section("a task that lasts is started again however it ends", [] {
+        scene on;
+        auto spec = scene::twoSteps();
+        spec.steps.resize(1);
+        spec.steps[0].count = 1;
+        spec.steps[0].lasting = true;
+        on.submit(spec);
+        on.written();
+        for (const auto how : {end_kind::Failed, end_kind::Failed, end_kind::Done}) {
+            const auto last = on.orders.back();
+            on.accept(last);
+            on.end(last, how);
+            on.written();
+            check(on.orders.back().order.run == last.order.run + 1);
+        }
+    });
+}
+
+Test(job_book, at_most_so_many_on_one_worker)
+{
+    scene on;
+    auto spec = scene::twoSteps();
+    spec.steps[0].count = 5;
+    spec.steps[0].mostPerWorker = 2;
+    on.submit(spec);
+    on.written();
+    std::map<std::string, int> perWorker;
+    for (const auto &order : on.orders)
+        ++perWorker[order.worker];
+    check(on.orders.size() == 4);
+    check(perWorker["w1"] == 2);
+    check(perWorker["w2"] == 2);
+}
+
+Test(job_book, a_gang_starts_whole_or_not_at_all)
+{
+    scene on;
+    auto spec = scene::twoSteps();
+    spec.steps.resize(1);
+    spec.steps[0].gang = true;
+    spec.steps[0].count = 3;
+    spec.steps[0].size = {12'000, 100, 0};
+    on.submit(spec);
+    on.written();
+    check(on.orders.empty());
+    on.hear("w3");
+    on.turn();
+    on.written();
+    check(on.orders.size() == 3);
+}
+
+Test(job_book, records_survive_the_store)
+{
+    scene on;
+    on.submit();
+    const auto row = recordFrom(on.writes[0].content);
+    check(row.owner == Self);
+    check(toText(row) == on.writes[0].content);
+    section("a record of another version is refused", [] {
+        cr_expect_throw(recordFrom(R"({"v":2})"), error);
+        cr_expect_throw(recordFrom("not JSON"), error);
+        cr_expect_throw(recordFrom(R"({"v":1,"o":[]})"), error);
+    });
+    section("an entry that takes over gives the same orders again", [&] {
+        scene heir;
+        heir.book.adopt("j", row, 101, "hold seat 7");
+        heir.turn();
+        require(heir.writes.size() == 1);
+        check(heir.writes[0].expectedVersion == 101);
+        check(heir.orders.empty()); // not before the job is its own
+        heir.written();
+        check(heir.orders.size() == 2);
+        check(heir.orders[0].order.run == 1);
+    });
+}
+
+Test(job_book, bad_jobs_are_refused_with_the_reason)
+{
+    auto spec = scene::twoSteps();
+    spec.steps[0].after = {1};
+    cr_expect_throw(checkSpec(spec), error);
+    spec = scene::twoSteps();
+    spec.steps[1].count = 0;
+    cr_expect_throw(checkSpec(spec), error);
+    spec.steps.clear();
+    cr_expect_throw(checkSpec(spec), error);
+}
--- /dev/null
+++ b/tests/job_platform_test.cpp
@@ -0,0 +1,237 @@
+// What the platform's adapter makes of its messages, good and bad, and the parts around it: leases,
+// the entries that live, the pace of what fills, the log.
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <criterion/criterion.h>
+
+#include "app/entry_directory.h"
+#include "base/errors.h"
+#include "base/event_log.h"
+#include "jobs/lease.h"
+#include "jobs/pacer.h"
+#include "platform/caller_wire.h"
+#include "platform/store_wire.h"
+#include "platform/worker_wire.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::jobs;
+using namespace zinniabarrow::platform_wire;
+using zinniabarrow::tests::section;
+
+namespace {
+
+http_request announcement(const std::string &body)
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/-/instances/i-7/heartbeat";
+    request.body = body;
+    return request;
+}
+
+const char *GoodAnnouncement =
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,)"
+        R"("state":"ready","cold-remaining-ms":0,"capacity":{"cpu":16000,"mem-mb":32768,"gpu":0},)"
+        R"("labels":["a","r1-3"],"clock-ms":482113,"seq":4,"born":17})";
+
+call_result answer(int status, const std::string &body)
+{
+    return http_response{status, {}, body};
+}
+
+} // namespace
+
+Test(job_platform, announcements)
+{
+    section("a good one", [] {
+        const auto told = announcementFrom(announcement(GoodAnnouncement));
+        require(told.has_value());
+        check(told->id == "i-7");
+        check(told->capacity == (task_size{16'000, 32'768, 0}));
+        check(told->rack == "r1-3");
+        check(told->bornMs == 17);
+    });
+    section("one by another writer names no worker", [] {
+        check(!announcementFrom(announcement("\xff\x00{")));
+        check(!announcementFrom(announcement("[]")));
+        check(!announcementFrom(announcement(R"({"service":7})")));
+        std::string unknownState = GoodAnnouncement;
+        unknownState.replace(unknownState.find("ready"), 5, "dozes");
+        check(!announcementFrom(announcement(unknownState)));
+    });
+}
+
+Test(job_platform, the_store)
+{
+    section("values of any length survive their encoding", [] {
+        for (const std::string value : {"", "a", "ab", "abc", "abcd"}) {
+            row_transaction one;
+            one.set.push_back({{"t", "p", "k"}, value, 0, false});
+            const auto body = commitRequest(one).body;
+            const auto from = body.find("\"value\":\"") + 9;
+            const auto encoded = body.substr(from, body.find('"', from) - from);
+            const auto page = rowsResult(answer(
+                    200, R"({"rows":[{"table":"t","part":"p","key":"k","ver":3,"value":")" + encoded
+                                 + R"("}],"more-pages":false,"ver":9,"now-ms":1})"));
+            require(page.has_value() && page->rows.size() == 1);
+            check(page->rows[0].value == value);
+        }
+    });
+    section("an answer that is lost or can't be read leaves a write in doubt", [] {
+        check(std::holds_alternative<in_doubt>(commitResult(call_failure::Late)));
+        check(std::holds_alternative<in_doubt>(commitResult(call_failure::Cut)));
+        check(std::holds_alternative<in_doubt>(commitResult(answer(200, "{"))));
+        check(std::holds_alternative<in_doubt>(commitResult(answer(502, ""))));
+    });
+    section("a refusal does not", [] {
+        check(std::holds_alternative<not_done>(commitResult(call_failure::NotConnected)));
+        check(std::holds_alternative<not_done>(commitResult(answer(503, ""))));
+        check(std::holds_alternative<not_done>(commitResult(answer(429, ""))));
+    });
+    section("one row that can't be read hides no other", [] {
+        const auto page =
+                rowsResult(answer(200, R"({"rows":[{"table":"t","key":"bad","value":"*","ver":1},)"
+                                       R"({"table":"t","key":"good","value":"YQ==","ver":2}],)"
+                                       R"("more-pages":false,"ver":9})"));
+        require(page.has_value() && page->rows.size() == 1);
+        check(page->rows[0].name.key == "good");
+    });
+    section("history that is gone asks for everything anew", [] {
+        const auto page = feedResult(answer(410, ""));
+        check(page.has_value() && page->historyGone);
+        check(!feedResult(answer(503, "")).has_value());
+    });
+}
+
+Test(job_platform, jobs_of_callers)
+{
+    const auto spec =
+            jobFrom(R"({"spec":"x","steps":[{"count":4,"cpu":500,"mem-mb":256,"estimate-ms":900,)"
+                    R"("affinity":"r1-3"},{"count":20,"cpu":2000,"after":[0],"checkpointing":true,)"
+                    R"("anti-affinity":2,"long-running":true,"target-ms":150,"may-miss":1}]})");
+    check(spec.steps.size() == 2);
+    check(spec.steps[0].dataRack == "r1-3");
+    check(spec.steps[1].mostPerWorker == 2);
+    check(spec.steps[1].lasting && spec.steps[1].targetMs == 150);
+    cr_expect_throw(jobFrom("{"), error);
+    cr_expect_throw(jobFrom(R"({"steps":[]})"), error);
+    cr_expect_throw(jobFrom(R"({"steps":[{"count":"4"}]})"), error);
+    cr_expect_throw(jobFrom(R"({"steps":[{"count":1,"after":[0]}]})"), error);
+}
+
+Test(job_platform, answers_of_a_worker)
+{
+    check(startResult(answer(200, "{}")) == start_answer::Started);
+    check(startResult(answer(409, R"({"reason":"late"})")) == start_answer::Refused);
+    check(startResult(answer(503, "")) == start_answer::Unhealthy);
+    check(startResult(call_failure::Late) == start_answer::Unanswered);
+    check(startResult(call_failure::Cut) == start_answer::Unanswered);
+    const auto looked = holdResult(
+            answer(200, R"({"clock-ms":5,"born":9,"running":[["j.0.1.17",2,"c",41,25],["?"]],)"
+                        R"("ended":[[58,"j.0.1.9",1,"done",""],[59,"j.0.1.9",1,"?",""]]})"));
+    require(looked.has_value());
+    check(looked->listing.running.size() == 1);
+    check(looked->listing.running[0].measured == 25);
+    check(looked->listing.ended.size() == 1);
+    check(!holdResult(answer(200, "[]")).has_value());
+}
+
+// An entry watches the lease of a worker that nobody hears of. It may take the lease only when the
+// row was unchanged for the whole lease and margin on its own clock.
+Test(job_platform, leases)
+{
+    lease_watch watch;
+    time_point now{std::chrono::hours(1)};
+    check(!watch.observe("w", 5, now));
+    now += LeaseLength;
+    check(!watch.observe("w", 5, now)); // a slow clock and the way here are not counted yet
+    check(!watch.observe("w", 6, now)); // renewed
+    now += LeaseLength + LeaseMargin;
+    check(!watch.observe("w", 6, now));
+    now += milliseconds(200);
+    check(watch.observe("w", 6, now));
+    const lease_row row{4, 7, 12, "17", true, "w:7:12"};
+    check(toText(leaseFrom(toText(row))) == toText(row));
+    cr_expect_throw(leaseFrom("{}"), error);
+}
+
+// A job's owner dies. Exactly one of the entries that live takes the job over, and none does before
+// there was time to hear of everybody.
+Test(job_platform, heirs)
+{
+    const time_point start{std::chrono::hours(1)};
+    entry_directory atA("a", start);
+    entry_directory atB("b", start);
+    const owner_id dead{"c", 1};
+    atA.seen("b", {1, "10.0.0.2:1", "10.0.0.2:2"});
+    atB.seen("a", {1, "10.0.0.1:1", "10.0.0.1:2"});
+    check(!atA.heirOf("j", dead, {"a", 1}, start + milliseconds(500)));
+    const auto now = start + milliseconds(3000);
+    atA.heard("b", 1, false, now);
+    atB.heard("a", 1, false, now);
+    for (const std::string job : {"j1", "j2", "j3", "j4"})
+        check(atA.heirOf(job, dead, {"a", 1}, now) == atB.heirOf(job, dead, {"b", 1}, now));
+    section("an entry takes back what its earlier life owned", [&] {
+        check(atA.heirOf("j", {"a", 1}, {"a", 2}, now) == "a");
+        check(!atA.heirOf("j", {"a", 2}, {"a", 2}, now));
+    });
+    section("what a leaving entry owns goes to others at once", [&] {
+        check(!atA.heirOf("j", {"b", 1}, {"a", 1}, now));
+        atA.heard("b", 1, true, now);
+        check(atA.heirOf("j", {"b", 1}, {"a", 1}, now) == "a");
+    });
+}
+
+// Users of a serving run wait longer than its target because of what fills beside it. All that
+// fills stands still for a moment, and goes on by itself also when the tail stays high.
+Test(job_platform, what_fills_gives_way_for_a_moment)
+{
+    pacer subject;
+    time_point now{std::chrono::hours(1)};
+    const filling_run filling{{"f", 0, 0, 0}, 1, "press", 2, 2};
+    const auto look = [&](std::int64_t tailMs) {
+        return subject.look({{{"s", 0, 0, 0}, 1, "site", tailMs, 150}}, {filling}, now);
+    };
+    check(look(400).empty());
+    now += milliseconds(2199);
+    check(look(400).empty());
+    now += milliseconds(1);
+    const auto stopped = look(400);
+    require(stopped.size() == 1);
+    check(stopped[0].percent == 0);
+    subject.confirmed(stopped[0]);
+    now += milliseconds(500);
+    const auto again = look(400);
+    require(again.size() == 1);
+    check(again[0].percent == 100);
+    subject.confirmed(again[0]);
+    section("a run that was in time meanwhile is counted anew", [&] {
+        now += milliseconds(2000);
+        check(look(100).empty());
+        now += milliseconds(500);
+        check(look(400).empty());
+    });
+}
+
+// An operator's log reader stops reading. The process goes on; lines are dropped and counted.
+Test(job_platform, a_log_reader_that_stops)
+{
+    int ends[2];
+    require(::pipe(ends) == 0);
+    const int before = ::dup(STDOUT_FILENO);
+    ::dup2(ends[1], STDOUT_FILENO);
+    {
+        event_log log("entry", "e", {1'000'000, 300'000});
+        for (int line = 0; line < 10'000; ++line) {
+            log.note("job_submitted", {{"job", "j"}, {"queue", std::string(50, 'q')}});
+            log.flush();
+        }
+        check(log.dropped() > 0);
+    }
+    ::dup2(before, STDOUT_FILENO);
+    ::close(ends[0]);
+    ::close(ends[1]);
+    ::close(before);
+}
--- /dev/null
+++ b/tests/run_table_test.cpp
@@ -0,0 +1,200 @@
+// The agent's ledger: what may be started on a worker, and what is known after a crash, a lost
+// answer or a freeze.
+#include <criterion/criterion.h>
+
+#include "jobs/run_table.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::jobs;
+using zinniabarrow::tests::section;
+
+namespace {
+
+constexpr std::int64_t Epoch = 3;
+
+struct scene
+{
+    run_table table;
+    time_point now{std::chrono::hours(1)};
+
+    scene()
+    {
+        table.setWorker({4000, 8000, 0}, true);
+        table.setEpoch(Epoch);
+    }
+
+    static run_order order(int index, int run = 1, std::int64_t millicores = 1000)
+    {
+        run_order made;
+        made.task = {"job", 0, 0, index};
+        made.run = run;
+        made.epoch = Epoch;
+        made.traits.size = {millicores, 1000, 0};
+        return made;
+    }
+
+    order_outcome give(const run_order &made, const std::string &owner = "entry-a")
+    {
+        return table.take(made, owner, now).outcome;
+    }
+
+    static run_order stopOf(run_order made)
+    {
+        made.kind = order_kind::Stop;
+        return made;
+    }
+
+    static run_listing listing(const std::vector<run_order> &running, std::int64_t clockMs = 1000)
+    {
+        run_listing seen;
+        seen.clockMs = clockMs;
+        for (const auto &one : running)
+            seen.running.push_back({one.task, one.run, "", 0});
+        return seen;
+    }
+};
+
+} // namespace
+
+Test(run_table, capacity)
+{
+    section("a worker is given as much as it holds", [] {
+        scene on;
+        for (int index = 0; index < 4; ++index)
+            check(on.give(scene::order(index)) == order_outcome::Accepted);
+        check(on.give(scene::order(4)) == order_outcome::NoRoom);
+        section("a run that is being stopped still takes its room", [&] {
+            check(on.give(scene::stopOf(scene::order(0))) == order_outcome::Accepted);
+            check(on.give(scene::order(5)) == order_outcome::NoRoom);
+        });
+        section("its room is free when its end is listed", [&] {
+            run_listing seen;
+            seen.ended.push_back({1, scene::order(0).task, 1, end_kind::Stopped, ""});
+            on.table.look(seen, on.now);
+            check(on.give(scene::order(6)) == order_outcome::Accepted);
+        });
+    });
+    section("what fills takes memory and no processors", [] {
+        scene on;
+        auto filling = scene::order(0, 1, 9000);
+        filling.traits.fills = true;
+        check(on.give(filling) == order_outcome::Accepted);
+        check(on.table.used() == (task_size{0, 1000, 0}));
+        check(on.table.fillMillicores() == 9000);
+    });
+}
+
+// A caller sees nothing, an operator a worker that is given more than it has: the agent is killed,
+// its next life reads a run from the worker's list, and the first order for it is a stop, since its
+// job was cancelled. A stop tells no size; counted as nothing, the run would share its room.
+Test(run_table, stop_of_a_run_of_an_earlier_life)
+{
+    scene on;
+    const auto earlier = scene::order(9);
+    on.table.look(scene::listing({earlier}), on.now);
+    section("its size is not known, so nothing is started",
+            [&] { check(on.give(scene::order(0)) == order_outcome::NotReady); });
+    section("a stop does not change that", [&] {
+        check(on.give(scene::stopOf(earlier)) == order_outcome::Accepted);
+        check(on.give(scene::order(0)) == order_outcome::NotReady);
+    });
+    section("its end does", [&] {
+        run_listing seen;
+        seen.ended.push_back({1, earlier.task, 1, end_kind::Stopped, ""});
+        on.table.look(seen, on.now);
+        check(on.give(scene::order(0)) == order_outcome::Accepted);
+    });
+}
+
+// The caller's job runs once. An entry that was frozen wakes and gives an order that was placed
+// before the worker's lease ran out; the task runs elsewhere by now.
+Test(run_table, orders_of_another_epoch)
+{
+    scene on;
+    auto old = scene::order(0);
+    old.epoch = Epoch - 1;
+    check(on.give(old) == order_outcome::WrongEpoch);
+    section("also when the same run comes again with the present epoch",
+            [&] { check(on.give(scene::order(0)) == order_outcome::Superseded); });
+    section("a newer run of the task is another matter",
+            [&] { check(on.give(scene::order(0, 2)) == order_outcome::Accepted); });
+}
+
+// The answer to a start is lost. The run may begin up to the call's own deadline on the worker's
+// clock; until then it counts as there, and the owner must not place the task elsewhere.
+Test(run_table, unanswered_start)
+{
+    scene on;
+    const auto made = scene::order(0);
+    on.give(made);
+    check(on.table.due(on.now, true).size() == 1);
+    on.table.startCalled(made.task, 1, 2500);
+    on.table.startAnswered(made.task, 1, start_answer::Unanswered, on.now);
+    section("it takes room", [&] { check(on.table.used().millicores == 1000); });
+    section("it is asked for again", [&] {
+        on.now += milliseconds(300);
+        check(on.table.due(on.now, true).size() == 1);
+        on.table.startCalled(made.task, 1, 2800);
+    });
+    section("a refusal of the second call says nothing of the first", [&] {
+        on.table.startAnswered(made.task, 1, start_answer::Refused, on.now);
+        check(on.table.endsFor("entry-a").empty());
+    });
+    section("a list read before the deadline proves nothing", [&] {
+        on.table.look(scene::listing({}, 2700), on.now);
+        check(on.table.endsFor("entry-a").empty());
+    });
+    section("one read after it proves that it never started", [&] {
+        on.table.look(scene::listing({}, 2801), on.now);
+        const auto ends = on.table.endsFor("entry-a");
+        require(ends.size() == 1);
+        check(ends[0].how == end_kind::NeverStarted);
+        check(on.give(made) == order_outcome::Accepted); // it is known, and its end is told
+    });
+    section("once that is stored, the same order is refused for good", [&] {
+        on.table.acknowledged(made.task, 1, on.now);
+        check(on.give(made) == order_outcome::Superseded);
+    });
+}
+
+Test(run_table, ends_are_forgotten_in_order)
+{
+    scene on;
+    run_listing seen;
+    for (int number = 1; number <= 3; ++number) {
+        on.give(scene::order(number));
+        seen.ended.push_back({number, scene::order(number).task, 1, end_kind::Done, ""});
+    }
+    on.table.look(seen, on.now);
+    section("none before it is stored", [&] { check(on.table.lastSeen() == 0); });
+    section("a gap keeps those after it", [&] {
+        on.table.acknowledged(scene::order(2).task, 1, on.now);
+        check(on.table.lastSeen() == 0);
+        on.table.acknowledged(scene::order(1).task, 1, on.now);
+        check(on.table.lastSeen() == 2);
+    });
+    section("a list that is older brings none back", [&] {
+        on.table.look(seen, on.now);
+        check(on.table.endsFor("entry-a").size() == 1);
+    });
+}
+
+Test(run_table, runs_that_nobody_claims_are_stopped)
+{
+    scene on;
+    on.table.look(scene::listing({scene::order(0)}), on.now);
+    check(on.table.due(on.now, true).empty());
+    on.now += milliseconds(8001);
+    const auto actions = on.table.due(on.now, true);
+    require(actions.size() == 1);
+    check(std::holds_alternative<stop_run>(actions[0]));
+}
+
+Test(run_table, without_a_lease_nothing_is_started)
+{
+    scene on;
+    on.give(scene::order(0));
+    check(on.table.due(on.now, false).empty());
+    check(on.table.due(on.now, true).size() == 1);
+}
