--- a/libs/jobs/pacer.cpp
+++ b/libs/jobs/pacer.cpp
@@ -47,18 +47,31 @@
 bool pacer::needsRelief(const serving_sample &sample, time_point now)
 {
     const run_key key{sample.task, sample.run};
-    if (sample.targetMs <= 0 || sample.tailMs <= sample.targetMs) {
-        m_late.erase(key);
+    const bool isLate = sample.targetMs > 0 && sample.tailMs > sample.targetMs;
+    const auto known = m_late.find(key);
+    if (known == m_late.end()) {
+        if (isLate)
+            m_late.emplace(key, late_run{now, {}});
         return false;
     }
-    auto &late = m_late.try_emplace(key, late_run{now, {}}).first->second;
-    if (now < late.stopUntil || now - late.countFrom >= m_settings.lateAtMost) {
-        if (now >= late.stopUntil) {
-            late.stopUntil = now + m_settings.stopFor;
-            late.countFrom = late.stopUntil;
+    auto &late = known->second;
+    if (late.stoppedAt == time_point{}) {
+        if (!isLate) {
+            m_late.erase(known);
+            return false;
         }
+        if (now - late.countFrom < m_settings.lateAtMost)
+            return false;
+        late.stoppedAt = now;
         return true;
     }
+    const auto stopped = now - late.stoppedAt;
+    if (stopped < m_settings.shortestStop || (isLate && stopped < m_settings.longestStop))
+        return true;
+    if (isLate)
+        late = {now, {}};
+    else
+        m_late.erase(known);
     return false;
 }
 
--- a/libs/jobs/pacer.h
+++ b/libs/jobs/pacer.h
@@ -47,7 +47,10 @@
 {
     // Users bear a late answer or two, and not seconds of them on end.
     milliseconds lateAtMost{2200};
-    milliseconds stopFor{500};  // a pace takes 100 ms, and queues drain within some 100 ms more
+    // A stop ends when a sample shows that it helped: they lag by half a second. A run that is
+    // still late after the longest stop is late by its own load.
+    milliseconds shortestStop{400};
+    milliseconds longestStop{1300};
     double unknownPress = 0.03; // load for a core, of a pair that was never measured
     double unknownFloor = 0.17; // of the target, of an image that was never measured
     double aim = 0.9;           // of the target: the room that is told ends there
@@ -77,7 +80,7 @@
     struct late_run
     {
         time_point countFrom{};    // late on end since, or since its last relief
-        time_point stopUntil = {}; // what harms it stands still up to then
+        time_point stoppedAt = {}; // what fills stands still since; none: it works
     };
 
     double press(const std::string &serving, const std::string &filling) const;
--- a/tests/job_platform_test.cpp
+++ b/tests/job_platform_test.cpp
@@ -202,7 +202,9 @@
     require(stopped.size() == 1);
     check(stopped[0].percent == 0);
     subject.confirmed(stopped[0]);
-    now += milliseconds(500);
+    now += milliseconds(1299);
+    check(look(400).empty());
+    now += milliseconds(1);
     const auto again = look(400);
     require(again.size() == 1);
     check(again[0].percent == 100);
@@ -210,8 +212,17 @@
     section("a run that was in time meanwhile is counted anew", [&] {
         now += milliseconds(2000);
         check(look(100).empty());
-        now += milliseconds(500);
-        check(look(400).empty());
+        now += milliseconds(2300);
+        check(look(400).empty()); // late since now
+        now += milliseconds(2200);
+        check(look(400).size() == 1);
+    });
+    section("a stop ends early when a sample shows that it helped", [&] {
+        subject.confirmed({filling.task, filling.run, 0});
+        now += milliseconds(399);
+        check(look(100).empty());
+        now += milliseconds(1);
+        check(look(100).size() == 1);
     });
 }
 
