--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -435,10 +435,11 @@
             answers.push_back(m_table.take(order, batch.owner, now));
             const auto &answer = answers.back();
             m_metrics.count("orders_total", nameOf(answer.outcome));
-            if (answer.outcome != order_outcome::Accepted)
+            if (answer.outcome != order_outcome::Accepted) {
                 m_log.note("order_refused", {{"task", toText(order.task)},
                                              {"run", order.run},
                                              {"outcome", nameOf(answer.outcome)}});
+            }
         }
         return toText(answers);
     }
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -614,10 +614,11 @@
     {
         const auto now = suspendAwareNow();
         const auto *before = m_pool.find(report.worker);
-        if (before == nullptr || before->last.epoch != report.epoch)
+        if (before == nullptr || before->last.epoch != report.epoch) {
             m_log.note("worker_seen", {{"worker", report.worker},
                                        {"epoch", report.epoch},
                                        {"accepting", report.accepting ? "yes" : "no"}});
+        }
         if (m_pool.update(report, now) && report.epoch > 0)
             m_book->workerRenewed(report.worker, report.epoch, now);
         for (const auto &progress : report.progress)
@@ -667,7 +668,7 @@
         if (!m_book->owns(id))
             return respond(refusal(404, "not_owned"));
         if (request.method == "DELETE")
-            return cancelOwned(id, std::move(respond));
+            return cancelOwned(id, respond);
         respond({200, {}, platform_wire::stateBody(m_book->storedState(id))});
     }
 
--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -352,35 +352,42 @@
 
 void job_book::workerRenewed(const std::string &worker, std::int64_t epoch, time_point now)
 {
-    for (auto &[id, job] : m_jobs) {
-        const bool over = job.record.cancelled || job.record.failed;
-        bool removed = false;
-        eachTask(id, job, [&](const task_id &task, task_state &state) {
-            for (const auto &where : state.placements) {
-                if (where.worker != worker)
-                    continue;
-                const std::pair key{task, where.run};
-                removed = removed || where.epoch < epoch;
-                auto &orders = over ? job.stops : job.starts;
-                orders[key] = {worker, job.revision, false, now};
-            }
-            std::erase_if(state.placements, [&](const placement &where) {
-                if (where.worker != worker || where.epoch >= epoch)
-                    return false;
-                job.starts.erase({task, where.run});
-                job.stops.erase({task, where.run});
-                job.startedAt.erase({task, where.run});
-                return true;
-            });
-        });
+    for (auto &entry : m_jobs) {
+        const auto &id = entry.first;
         m_ordering.insert(id);
-        if (!removed)
+        if (!renewIn(id, entry.second, worker, epoch, now))
             continue;
-        changed(id, job);
+        changed(id, entry.second);
         note("worker_renewed", id, fmt::format("runs on {} before epoch {} ended", worker, epoch));
     }
 }
 
+// True when a placement has ended.
+bool job_book::renewIn(const std::string &id, owned_job &job, const std::string &worker,
+                       std::int64_t epoch, time_point now)
+{
+    const bool over = job.record.cancelled || job.record.failed;
+    bool ended = false;
+    eachTask(id, job, [&](const task_id &task, task_state &state) {
+        std::erase_if(state.placements, [&](const placement &where) {
+            if (where.worker != worker)
+                return false;
+            const std::pair key{task, where.run};
+            if (where.epoch >= epoch) {
+                auto &orders = over ? job.stops : job.starts;
+                orders[key] = {worker, job.revision, false, now};
+                return false;
+            }
+            ended = true;
+            job.starts.erase(key);
+            job.stops.erase(key);
+            job.startedAt.erase(key);
+            return true;
+        });
+    });
+    return ended;
+}
+
 std::set<std::string> job_book::busyWorkers() const
 {
     std::set<std::string> workers;
@@ -572,10 +579,10 @@
             continue;
         }
         for (std::size_t step = 0; step < job.record.steps.size(); ++step) {
-            if (job.record.stepReady(static_cast<int>(occurrence), static_cast<int>(step)))
-                waits = placeStep(id, job, static_cast<int>(occurrence), static_cast<int>(step),
-                                  now)
-                        || waits;
+            const auto at = static_cast<int>(occurrence);
+            const auto which = static_cast<int>(step);
+            if (job.record.stepReady(at, which))
+                waits = placeStep(id, job, at, which, now) || waits;
         }
     }
     if (!waits)
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -174,6 +174,8 @@
                    time_point now);
     void place(const std::string &id, owned_job &job, const task_id &task, const step_spec &step,
                const std::string &worker, int run);
+    bool renewIn(const std::string &id, owned_job &job, const std::string &worker,
+                 std::int64_t epoch, time_point now);
     std::optional<std::string> chooseFor(const owned_job &job, const task_id &task,
                                          const step_spec &step, time_point now) const;
     static std::vector<std::string> fullOf(const owned_job &job, const task_id &task,
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -6,6 +6,22 @@
 
 namespace zinniabarrow::jobs {
 
+namespace {
+
+bool isListed(const run_listing &listing, const task_id &task, int run)
+{
+    return std::any_of(listing.running.begin(), listing.running.end(), [&](const auto &listed) {
+        return listed.task == task && listed.run == run;
+    });
+}
+
+double coresOf(std::int64_t millicores)
+{
+    return static_cast<double>(millicores) / 1000;
+}
+
+} // namespace
+
 run_table::run_table(const run_table_settings &settings)
     : m_settings(settings)
 { }
@@ -146,10 +162,7 @@
                             || (entry.phase == run_phase::Stopping && entry.startUntilMs > 0);
         if (!unseen || entry.startUntilMs == 0 || listing.clockMs <= entry.startUntilMs)
             continue;
-        const bool runs = std::any_of(
-                listing.running.begin(), listing.running.end(), [&](const listed_run &listed) {
-                    return listed.task == key.first && listed.run == key.second;
-                });
+        const bool runs = isListed(listing, key.first, key.second);
         if (runs) {
             entry.startUntilMs = 0;
             continue;
@@ -290,10 +303,11 @@
 {
     std::vector<filling_run> runs;
     for (const auto &[key, entry] : m_runs) {
-        if (entry.phase == run_phase::Running && entry.traits.fills)
-            runs.push_back({key.first, key.second, entry.traits.image,
-                            static_cast<double>(entry.measured) / 1000,
-                            static_cast<double>(entry.traits.size.millicores) / 1000});
+        if (entry.phase != run_phase::Running || !entry.traits.fills)
+            continue;
+        const auto declared = coresOf(entry.traits.size.millicores);
+        runs.push_back(
+                {key.first, key.second, entry.traits.image, coresOf(entry.measured), declared});
     }
     return runs;
 }
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -70,21 +70,33 @@
     if (!step.requiredLabel.empty() && step.requiredLabel != last.kind
         && step.requiredLabel != last.rack)
         return false;
+    // Beyond, runs that fill only slow each other down: jobs that wait in order come in time more
+    // often than jobs that all run at a fraction of their pace.
+    constexpr double MostShare = 0.95;
+    if (step.fills && last.fillMillicores > 0 && shareWith(view, step) > MostShare)
+        return false;
     auto room = last.capacity;
     room -= last.used;
     return countedSize(step.size, step.fills).fitsInto(room);
 }
 
-// Higher is better: the share of the processor that stays free, less what makes the run slow or
-// its neighbours late.
-double worker_pool::score(const worker_view &view, const step_spec &step) const
+// The share of the worker's processors that would be in use.
+double worker_pool::shareWith(const worker_view &view, const step_spec &step)
 {
     const auto &last = view.last;
     const auto capacity = static_cast<double>(std::max<std::int64_t>(1, last.capacity.millicores));
     // What serves has about half of its size in use, and what fills works with the rest.
     constexpr double InUse = 0.5;
     const auto asked = static_cast<double>(last.fillMillicores + step.size.millicores);
-    const double share = (InUse * static_cast<double>(last.used.millicores) + asked) / capacity;
+    return (InUse * static_cast<double>(last.used.millicores) + asked) / capacity;
+}
+
+// Higher is better: the share of the processor that stays free, less what makes the run slow or
+// its neighbours late.
+double worker_pool::score(const worker_view &view, const step_spec &step) const
+{
+    const auto &last = view.last;
+    const double share = shareWith(view, step);
     // Below its size a worker runs everything at full speed; above, what fills shares what is left.
     constexpr double Full = 0.9;  // sizes are declared roughly
     constexpr double Crowded = 4; // a run at half speed is worse than one that harms its neighbours
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -59,6 +59,7 @@
 private:
     bool isCandidate(const worker_view &view, const std::string &service, const step_spec &step,
                      time_point now) const;
+    static double shareWith(const worker_view &view, const step_spec &step);
     double score(const worker_view &view, const step_spec &step) const;
     double harm(const worker_view &view, const step_spec &step) const;
 
