--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -353,7 +353,7 @@
             return;
         const auto now = suspendAwareNow();
         for (const auto &[id, known] : m_view.jobs()) {
-            if (isFinal(known.state) || m_book->owns(id) || m_adopting.contains(id))
+            if (!known.needsOwner || m_book->owns(id) || m_adopting.contains(id))
                 continue;
             const auto heir = m_directory.heirOf(id, known.owner, m_self, now);
             if (heir && *heir == m_settings.id)
@@ -369,8 +369,7 @@
                      [this, id](const std::optional<row_page> &page) {
                          m_adopting.erase(id);
                          const auto *known = m_view.find(id);
-                         if (!page || page->rows.empty() || known == nullptr
-                             || isFinal(known->state))
+                         if (!page || page->rows.empty() || known == nullptr || !known->needsOwner)
                              return; // the next look at all jobs tries again
                          m_book->adopt(id, recordFrom(known->content), known->version,
                                        page->rows.front().value);
--- a/app/job_view.cpp
+++ b/app/job_view.cpp
@@ -15,9 +15,9 @@
     known.owner = record.owner;
     known.queue = record.policy.queue;
     known.state = record.state();
-    const bool over = jobs::isFinal(known.state);
-    known.content = over ? std::string() : content;
-    if (over && known.finalAt == time_point{})
+    known.needsOwner = record.needsOwner();
+    known.content = known.needsOwner ? content : std::string();
+    if (!known.needsOwner && known.finalAt == time_point{})
         known.finalAt = now;
     return &known;
 }
--- a/app/job_view.h
+++ b/app/job_view.h
@@ -20,7 +20,8 @@
     jobs::owner_id owner;
     jobs::job_state state = jobs::job_state::Queued;
     std::string queue;
-    std::string content; // of the row, while the job is not final
+    bool needsOwner = true;
+    std::string content; // of the row, while the job needs an owner
     time_point finalAt{};
 };
 
--- a/libs/jobs/model.cpp
+++ b/libs/jobs/model.cpp
@@ -149,24 +149,18 @@
     return begun ? job_state::Running : job_state::Queued;
 }
 
-job_timing timingOf(const job_record &record)
-{
-    job_timing timing;
-    std::vector<std::int64_t> chainTo; // by step: the longest chain that ends with it
-    for (const auto &step : record.steps) {
-        std::int64_t before = 0;
-        for (const int earlier : step.after)
-            before = std::max(before, chainTo[static_cast<std::size_t>(earlier)]);
-        chainTo.push_back(before + step.estimateMs);
-        timing.chainMs = std::max(timing.chainMs, chainTo.back());
+bool job_record::needsOwner() const
+{
+    if (!isFinal(state()))
+        return true;
+    for (const auto &inOccurrence : tasks) {
+        for (const auto &inStep : inOccurrence) {
+            if (std::any_of(inStep.begin(), inStep.end(),
+                            [](const task_state &task) { return !task.placements.empty(); }))
+                return true;
+        }
     }
-    timing.objectiveMs =
-            static_cast<std::int64_t>(record.policy.stretch * static_cast<double>(timing.chainMs))
-            + record.policy.targetLatencyMs;
-    for (const auto chain : chainTo)
-        timing.stepEndMs.push_back(timing.chainMs > 0 ? timing.objectiveMs * chain / timing.chainMs
-                                                      : 0);
-    return timing;
+    return false;
 }
 
 job_record newRecord(const job_spec &spec, const queue_policy &policy, std::int64_t acceptedAtMs)
--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -130,17 +130,11 @@
     bool stepDone(int occurrence, int step) const;
     bool stepReady(int occurrence, int step) const; // all steps before it are done
     job_state state() const;
+    // Somebody has to act on the job: it is not over, or runs of it are still placed. A job that
+    // was cancelled and lost its owner in the same moment would otherwise run on.
+    bool needsOwner() const;
 };
 
-// Times of a job by its estimates, in ms from when it was accepted (or came due).
-struct job_timing
-{
-    std::int64_t chainMs = 0;            // the longest chain of steps
-    std::int64_t objectiveMs = 0;        // users are served in time up to here
-    std::vector<std::int64_t> stepEndMs; // by step: its end, with the slack shared along the chain
-};
-job_timing timingOf(const job_record &record);
-
 // The record of a job that has just been handed in.
 job_record newRecord(const job_spec &spec, const queue_policy &policy, std::int64_t acceptedAtMs);
 
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -33,16 +33,6 @@
     return found == m_workers.end() ? nullptr : &found->second;
 }
 
-std::vector<std::string> worker_pool::silentSince(time_point before) const
-{
-    std::vector<std::string> silent;
-    for (const auto &[name, view] : m_workers) {
-        if (view.heardAt < before)
-            silent.push_back(name);
-    }
-    return silent;
-}
-
 void worker_pool::noteEnd(const std::string &worker, end_kind how, double slowness, time_point now)
 {
     const auto found = m_workers.find(worker);
@@ -176,13 +166,4 @@
     }
 }
 
-bool worker_pool::couldEverFit(const std::string &service, const step_spec &step) const
-{
-    return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
-        const auto &last = entry.second.last;
-        return last.service == service
-               && countedSize(step.size, step.fills).fitsInto(last.capacity);
-    });
-}
-
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -38,7 +38,6 @@
     // True when the agent or the worker has begun a new life since the last report.
     bool update(const worker_report &report, time_point now);
     const worker_view *find(const std::string &worker) const;
-    std::vector<std::string> silentSince(time_point before) const; // not heard since then
 
     // How a run ended there, and how long it took against its estimate; 0: not known.
     void noteEnd(const std::string &worker, end_kind how, double slowness, time_point now);
@@ -52,10 +51,6 @@
 
     disturbance_model &disturbance() { return m_disturbance; }
 
-    // Could any worker that was heard of hold such a task when it is empty?
-    bool couldEverFit(const std::string &service, const step_spec &step) const;
-    std::size_t size() const { return m_workers.size(); }
-
 private:
     bool isCandidate(const worker_view &view, const std::string &service, const step_spec &step,
                      time_point now) const;
--- a/libs/net/http_caller.cpp
+++ b/libs/net/http_caller.cpp
@@ -194,6 +194,11 @@
     void finish(call_result result)
     {
         m_link.reset();
+        // Connections can go silent for good without a reset: those that were kept beside this one
+        // may have, too, and each would cost a call its whole time.
+        const auto *failure = std::get_if<call_failure>(&result);
+        if (failure != nullptr && *failure != call_failure::NotConnected)
+            m_state->idle.erase(m_peer);
         // From the loop, never from inside call(): the caller's own state is whole by then.
         m_state->loop.post([done = std::move(m_done), result = std::move(result)]() mutable {
             done(std::move(result));
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -329,6 +329,34 @@
     });
 }
 
+// A caller cancels its job, and the owner dies right after the cancel was stored, before it told
+// the workers. The job is over, and its runs go on: it still needs an owner, and the heir stops
+// them.
+Test(job_book, owner_dies_right_after_a_cancel)
+{
+    scene on;
+    on.submit();
+    on.written();
+    on.book.cancel("j", 2);
+    on.turn();
+    const auto row = recordFrom(on.writes.back().content);
+    check(row.state() == job_state::Cancelled);
+    check(row.needsOwner());
+    scene heir;
+    heir.book.adopt("j", row, 102, "hold seat 7");
+    heir.turn();
+    heir.written();
+    require(heir.orders.size() == 2);
+    check(heir.orders[0].order.kind == order_kind::Stop);
+    section("once its runs have ended, it needs none", [&] {
+        for (const auto &order : std::vector(heir.orders))
+            heir.end(order, end_kind::Stopped);
+        heir.written();
+        check(!recordFrom(heir.writes.back().content).needsOwner());
+        check(heir.book.ownedUnfinished() == 0);
+    });
+}
+
 Test(job_book, bad_jobs_are_refused_with_the_reason)
 {
     auto spec = scene::twoSteps();
