The whole path of callers' jobs on real processes: entries and agents killed, the store's answers lost, the store away, a planned stop

standins/job_site is the users' platform in one process: a store of rows and workers that run tasks under leases; it notes a task that runs twice, starts after it was done, or takes a worker beyond its size.

--- /dev/null
+++ b/standins/job_site.h
@@ -0,0 +1,44 @@
+// The users' platform as jobs meet it: a store of rows and workers that run tasks under leases, in
+// this process on a thread of its own. It notes what it sees, and what it should never have seen.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "runtime/http.h"
+
+namespace zinniabarrow::standins {
+
+struct job_site_options
+{
+    socket_address store;
+    std::vector<socket_address> workers;
+    std::vector<socket_address> agents; // where each worker announces itself
+    std::int64_t millicores = 4000;     // of each worker
+    milliseconds work{300};             // each task
+};
+
+class job_site
+{
+public:
+    explicit job_site(const job_site_options &options);
+    ~job_site();
+    job_site(const job_site &) = delete;
+    job_site &operator=(const job_site &) = delete;
+
+    void loseAnswers(int writes);      // the next writes take effect, their answers are lost
+    void turnAway(bool all);           // the store answers 503 and does nothing
+    void workLasts(milliseconds work); // of tasks that start from now on
+    int starts() const;                // that began a run
+    int done() const;                  // runs that ended so
+    std::vector<std::string> violations() const;
+
+    struct impl;
+
+private:
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace zinniabarrow::standins
--- /dev/null
+++ b/tests/process_jobs_test.cpp
@@ -0,0 +1,310 @@
+// Callers' jobs on real processes: two entries and two agents beside the stand-in of the platform.
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <unistd.h>
+
+#include <fmt/core.h>
+
+#include "base/json.h"
+#include "section.h"
+#include "standins/fleet.h"
+#include "standins/job_site.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::standins;
+using zinniabarrow::tests::section;
+
+namespace {
+
+constexpr milliseconds SoonEnough{45'000}; // a bound on waits for conditions, not a measurement
+constexpr int InternalPort = 7720;
+constexpr int CallersPort = 8161;
+constexpr int ReadyPort = 8167;
+constexpr int WorkersPort = 8166;
+
+// Addresses of the loopback network of this test process alone, so that fixed ports are free.
+std::string address(int number)
+{
+    const int pid = getpid();
+    return fmt::format("127.{}.{}.{}", 64 + (pid >> 14) % 64, (pid >> 7) % 128,
+                       (pid % 128) + 128 * (number % 2));
+}
+
+std::string at(int process, int port)
+{
+    // Two hosts, and a range of ports for each process on them.
+    return fmt::format("{}:{}", address(process), port + 20 * (process / 2));
+}
+
+class system_under_test
+{
+public:
+    system_under_test()
+        : m_scratch(std::filesystem::temp_directory_path() / fmt::format("zb-jobs-{}", getpid()))
+        , m_site({parseAddress(at(0, 9000)),
+                  {parseAddress(at(0, 9001)), parseAddress(at(0, 9002))},
+                  {parseAddress(at(4, WorkersPort)), parseAddress(at(5, WorkersPort))}})
+    {
+        std::filesystem::create_directories(m_scratch);
+        putConfiguration();
+        for (int index = 0; index < 2; ++index) {
+            startEntry(index);
+            startAgent(index);
+        }
+        for (int index = 0; index < 2; ++index)
+            require(waitUntil([&] { return isReady(index); }, SoonEnough));
+    }
+
+    ~system_under_test()
+    {
+        m_processes.clear();
+        std::filesystem::remove_all(m_scratch);
+    }
+
+    job_site &site() { return m_site; }
+    child_process &entry(int index) { return *m_processes.at(fmt::format("entry-{}", index)); }
+    child_process &agent(int index) { return *m_processes.at(fmt::format("agent-{}", index)); }
+
+    void startEntry(int index)
+    {
+        const int process = 2 + index;
+        start(fmt::format("entry-{}", index), "job-entry",
+              fmt::format(R"({{"id":"entry-{}","zone":"z","callers":"{}","ready":"{}",)"
+                          R"("internal":"{}","store":"{}"}})",
+                          index, at(process, CallersPort), at(process, ReadyPort),
+                          at(process, InternalPort), at(0, 9000)));
+    }
+
+    void startAgent(int index)
+    {
+        const int process = 4 + index;
+        start(fmt::format("agent-{}", index), "job-agent",
+              fmt::format(R"({{"id":"agent-{}","zone":"z","workers":"{}","internal":"{}",)"
+                          R"("worker":"{}","service":"tickets","stop_within_ms":100,)"
+                          R"("store":"{}"}})",
+                          index, at(process, WorkersPort), at(process, InternalPort),
+                          at(0, 9001 + index), at(0, 9000)));
+    }
+
+    std::optional<http_response> call(int entry, const std::string &method, const std::string &job,
+                                      const std::string &body = "")
+    {
+        http_request request;
+        request.method = method;
+        request.target = "/holds/" + job;
+        request.body = body;
+        http_pool pool(parseAddress(at(2 + entry, CallersPort)));
+        const auto result = pool.call(request, monotonic_clock::now() + seconds(4));
+        const auto *answer = std::get_if<http_response>(&result);
+        return answer == nullptr ? std::nullopt : std::optional(*answer);
+    }
+
+    // Hands the job in until it is accepted, as a caller does.
+    bool handIn(int entry, const std::string &job)
+    {
+        const std::string body =
+                R"({"spec":"seat","steps":[{"count":4,"cpu":1000,"mem-mb":100,"estimate-ms":300},)"
+                R"({"count":2,"cpu":1000,"mem-mb":100,"estimate-ms":300,"after":[0]}]})";
+        return waitUntil(
+                [&] {
+                    const auto answer = call(entry, "POST", job, body);
+                    return answer && answer->status == 200;
+                },
+                SoonEnough);
+    }
+
+    bool reaches(int entry, const std::string &job, const std::string &state)
+    {
+        return waitUntil(
+                [&] {
+                    const auto answer = call(entry, "GET", job);
+                    return answer && answer->body.find(state) != std::string::npos;
+                },
+                SoonEnough);
+    }
+
+private:
+    void putConfiguration()
+    {
+        // One route for the host name of each entry: the pool sends its peer's.
+        std::string routes;
+        for (const int process : {2, 3})
+            routes += fmt::format(R"({}{{"name":"r{}","host":"{}","prefix":"/holds/",)"
+                                  R"("service":"tickets","max-attempts":2,"stretch":1.5}})",
+                                  routes.empty() ? "" : ",", process, address(process));
+        const auto text = R"({"version":7,"routes":[)" + routes + "]}";
+        http_request request;
+        request.method = "POST";
+        request.target = "/-/rows-tx";
+        Json::Value row(Json::objectValue);
+        row["table"] = "op";
+        row["part"] = "";
+        row["key"] = "config";
+        row["value"] = base64(text);
+        Json::Value body(Json::objectValue);
+        body["set-keys"].append(row);
+        request.body = compactJson(body);
+        http_pool pool(parseAddress(at(0, 9000)));
+        pool.call(request, monotonic_clock::now() + seconds(5));
+    }
+
+    static std::string base64(const std::string &text)
+    {
+        constexpr const char *Letters =
+                "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+        std::string result;
+        for (std::size_t from = 0; from < text.size(); from += 3) {
+            unsigned value = 0;
+            for (std::size_t index = from; index < from + 3; ++index)
+                value = value << 8
+                        | (index < text.size() ? static_cast<unsigned char>(text[index]) : 0U);
+            for (std::size_t letter = 0; letter < 4; ++letter) {
+                const bool padding = letter > text.size() - from;
+                result += padding ? '=' : Letters[value >> (18 - 6 * letter) & 63];
+            }
+        }
+        return result;
+    }
+
+    bool isReady(int entry)
+    {
+        http_request request;
+        request.target = "/-/ready";
+        http_pool pool(parseAddress(at(2 + entry, ReadyPort)));
+        const auto result = pool.call(request, monotonic_clock::now() + seconds(1));
+        const auto *answer = std::get_if<http_response>(&result);
+        return answer != nullptr && answer->status == 200;
+    }
+
+    void start(const std::string &name, const std::string &role, const std::string &settings)
+    {
+        m_processes.erase(name);
+        const auto file = (m_scratch / (name + ".json")).string();
+        std::ofstream(file) << settings;
+        m_processes[name] = std::make_unique<child_process>(
+                std::vector<std::string>{std::string(ZB_BINARIES) + "/zinniabarrow", role,
+                                         "--settings", file},
+                (m_scratch / (name + ".out")).string(), (m_scratch / (name + ".err")).string());
+    }
+
+    std::filesystem::path m_scratch;
+    job_site m_site;
+    std::map<std::string, std::unique_ptr<child_process>> m_processes;
+};
+
+void checkNothingWrong(const system_under_test &, const job_site &site)
+{
+    for (const auto &violation : site.violations())
+        cr_expect_fail("%s", violation.c_str());
+}
+
+constexpr int TasksOfAJob = 6;
+
+} // namespace
+
+Test(process_jobs, the_whole_path)
+{
+    system_under_test on;
+    section("a job is accepted, runs step by step, and is shown as completed at any entry", [&] {
+        require(on.handIn(0, "aaaa000000000001"));
+        check(on.reaches(0, "aaaa000000000001", "completed"));
+        check(on.reaches(1, "aaaa000000000001", "completed"));
+        check(on.site().done() == TasksOfAJob);
+        check(on.site().starts() == TasksOfAJob);
+    });
+    section("the same id again is the same job", [&] {
+        require(on.handIn(1, "aaaa000000000001"));
+        check(on.site().starts() == TasksOfAJob);
+    });
+    section("bad input gets a clear answer", [&] {
+        check(on.call(0, "POST", "aaaa000000000002", "{")->status == 400);
+        check(on.call(0, "GET", "aaaa000000000003")->status == 410);
+        check(on.call(0, "GET", "")->body == R"({"waiting":0})");
+    });
+    section("a cancelled job stops", [&] {
+        on.site().workLasts(milliseconds(60'000));
+        require(on.handIn(0, "aaaa000000000004"));
+        check(on.call(1, "DELETE", "aaaa000000000004")->status == 200);
+        check(on.reaches(1, "aaaa000000000004", "cancelled"));
+    });
+    checkNothingWrong(on, on.site());
+}
+
+// Callers see their jobs completed, each task run once. The owner of the jobs is killed while their
+// first steps run; the other entry hears nothing of it any more, takes the jobs over by their rows
+// and gives the same orders again, which start nothing anew.
+Test(process_jobs, owner_killed)
+{
+    system_under_test on;
+    on.site().workLasts(milliseconds(1500));
+    for (const std::string job : {"bbbb000000000001", "bbbb000000000002"})
+        require(on.handIn(0, job));
+    on.entry(0).signal(SIGKILL);
+    for (const std::string job : {"bbbb000000000001", "bbbb000000000002"})
+        check(on.reaches(1, job, "completed"));
+    check(on.site().starts() == 2 * TasksOfAJob);
+    checkNothingWrong(on, on.site());
+}
+
+// The caller sees its job completed, each task run once. An agent is killed while it runs tasks,
+// and a new one starts: it reads what runs from its worker before it starts anything.
+Test(process_jobs, agent_killed)
+{
+    system_under_test on;
+    on.site().workLasts(milliseconds(2500));
+    require(on.handIn(0, "cccc000000000001"));
+    require(waitUntil([&] { return on.site().starts() == 4; }, SoonEnough));
+    on.agent(0).signal(SIGKILL);
+    on.startAgent(0);
+    check(on.reaches(0, "cccc000000000001", "completed"));
+    check(on.site().starts() == TasksOfAJob);
+    checkNothingWrong(on, on.site());
+}
+
+// The caller sees its job accepted and completed. The answers to writes are lost after they took
+// effect; the entry repeats the very same write, finds its own row and goes on.
+Test(process_jobs, answers_of_the_store_lost)
+{
+    system_under_test on;
+    on.site().loseAnswers(3);
+    require(on.handIn(0, "dddd000000000001"));
+    on.site().loseAnswers(2);
+    check(on.reaches(1, "dddd000000000001", "completed"));
+    check(on.site().starts() == TasksOfAJob);
+    checkNothingWrong(on, on.site());
+}
+
+// A caller that comes while the store is away is refused, at once; what was accepted before goes on
+// once it is back.
+Test(process_jobs, store_away)
+{
+    system_under_test on;
+    require(on.handIn(0, "eeee000000000001"));
+    on.site().turnAway(true);
+    require(waitUntil(
+            [&] {
+                const auto answer = on.call(0, "POST", "eeee000000000002",
+                                            R"({"spec":"","steps":[{"count":1}]})");
+                return answer && answer->status == 503 && !answer->header("Retry-After").empty();
+            },
+            SoonEnough));
+    on.site().turnAway(false);
+    check(on.reaches(0, "eeee000000000001", "completed"));
+    checkNothingWrong(on, on.site());
+}
+
+// An entry is stopped as planned while it owns a job: the other one takes the job over at once, and
+// the process ends by itself.
+Test(process_jobs, planned_stop)
+{
+    system_under_test on;
+    on.site().workLasts(milliseconds(1500));
+    require(on.handIn(0, "ffff000000000001"));
+    on.entry(0).signal(SIGTERM);
+    check(on.entry(0).waitForExit(SoonEnough) == 0);
+    check(on.reaches(1, "ffff000000000001", "completed"));
+    check(on.site().starts() == TasksOfAJob);
+    checkNothingWrong(on, on.site());
+}
