A callback that throws ends alone

Cause: found in reading the diff. An answer of a peer that can't be read threw out of the event loop and would have ended the process with all the jobs that it owns. Change: the loop goes on, counts and logs it. Test: job_platform a_callback_that_throws.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -89,7 +89,10 @@
         // An earlier life of this agent may have let runs go on for as long.
         m_heldUntil = suspendAwareNow() + LeaseLength;
         establish("process_start");
-        m_loop.run();
+        m_loop.run([this](const std::exception &problem) {
+            m_metrics.count("callbacks_failed_total", "exception");
+            m_log.note("callback_failed", {{"why", problem.what()}});
+        });
         m_log.note("stopped", {});
         m_log.flush();
     }
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -94,7 +94,10 @@
         m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
         enter();
         followConfiguration();
-        m_loop.run();
+        m_loop.run([this](const std::exception &problem) {
+            m_metrics.count("callbacks_failed_total", "exception");
+            m_log.note("callback_failed", {{"why", problem.what()}});
+        });
         m_log.note("stopped", {});
         m_log.flush();
     }
--- a/libs/net/event_loop.cpp
+++ b/libs/net/event_loop.cpp
@@ -27,10 +27,16 @@
 
 event_loop::~event_loop() = default;
 
-void event_loop::run()
+void event_loop::run(const std::function<void(const std::exception &)> &failed)
 {
     const auto work = asio::make_work_guard(m_impl->io);
-    m_impl->io.run();
+    while (!m_impl->io.stopped()) {
+        try {
+            m_impl->io.run();
+        } catch (const std::exception &problem) {
+            failed(problem);
+        }
+    }
 }
 
 void event_loop::stop()
--- a/libs/net/event_loop.h
+++ b/libs/net/event_loop.h
@@ -2,6 +2,7 @@
 // block. Boost.Asio stays in the .cpp files.
 #pragma once
 
+#include <exception>
 #include <functional>
 #include <memory>
 
@@ -21,7 +22,9 @@
     event_loop(const event_loop &) = delete;
     event_loop &operator=(const event_loop &) = delete;
 
-    void run();  // returns after stop()
+    // Returns after stop(). A callback that throws ends, and nothing else: one message that can't
+    // be read must not take the process, and all that it owns, with it. `failed` hears of it.
+    void run(const std::function<void(const std::exception &)> &failed);
     void stop(); // from any callback
     void post(std::function<void()> work);
     void after(duration delay, std::function<void()> work);
--- a/standins/job_site.cpp
+++ b/standins/job_site.cpp
@@ -324,7 +324,12 @@
             const auto agent = toText(options.agents[index]);
             loop.every(milliseconds(200), [this, worker, agent] { announce(*worker, agent); });
         }
-        thread = std::thread([this] { loop.run(); });
+        thread = std::thread([this] {
+            loop.run([this](const std::exception &problem) {
+                const std::lock_guard lock(record.mutex);
+                record.violations.emplace_back(problem.what());
+            });
+        });
     }
 
     ~impl()
--- a/tests/job_platform_test.cpp
+++ b/tests/job_platform_test.cpp
@@ -10,6 +10,7 @@
 #include "base/event_log.h"
 #include "jobs/lease.h"
 #include "jobs/pacer.h"
+#include "net/event_loop.h"
 #include "platform/caller_wire.h"
 #include "platform/store_wire.h"
 #include "platform/worker_wire.h"
@@ -226,6 +227,23 @@
     });
 }
 
+// A peer sends what nobody foresaw, and the code that handles it throws. Other callers are served
+// on.
+Test(job_platform, a_callback_that_throws)
+{
+    net::event_loop loop;
+    std::string heard;
+    bool wentOn = false;
+    loop.post([] { throw error(error_kind::BadRequest, "unforeseen"); });
+    loop.post([&] {
+        wentOn = true;
+        loop.stop();
+    });
+    loop.run([&](const std::exception &problem) { heard = problem.what(); });
+    check(wentOn);
+    check(heard.find("unforeseen") != std::string::npos);
+}
+
 // An operator's log reader stops reading. The process goes on; lines are dropped and counted.
 Test(job_platform, a_log_reader_that_stops)
 {
