--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -130,10 +130,11 @@
     {
         // One route for the host name of each entry: the pool sends its peer's.
         std::string routes;
-        for (const int process : {2, 3})
+        for (const int process : {2, 3}) {
             routes += fmt::format(R"({}{{"name":"r{}","host":"{}","prefix":"/holds/",)"
                                   R"("service":"tickets","max-attempts":2,"stretch":1.5}})",
                                   routes.empty() ? "" : ",", process, address(process));
+        }
         const auto text = R"({"version":7,"routes":[)" + routes + "]}";
         http_request request;
         request.method = "POST";
