--- a/standins/job_site.cpp
+++ b/standins/job_site.cpp
@@ -169,6 +169,19 @@
         return look(body["last-seen"].asInt64());
     }
 
+    // Runs whose work is over, and all of them once the lease is.
+    void expire()
+    {
+        const auto running = m_running;
+        for (const auto &[task, state] : running) {
+            if (state.endsAt <= clockMs())
+                end(task, "done");
+            else if (m_heldUntil < clockMs())
+                end(task, "lapsed");
+        }
+    }
+
+    bool silent = false;
     std::string id() const { return m_id; }
     std::int64_t born() const { return m_born; }
     std::int64_t millicores() const { return m_millicores; }
@@ -254,18 +267,6 @@
         m_record.ended.insert(task);
     }
 
-    // Runs whose work is over, and all of them once the lease is.
-    void expire()
-    {
-        const auto running = m_running;
-        for (const auto &[task, state] : running) {
-            if (state.endsAt <= clockMs())
-                end(task, "done");
-            else if (m_heldUntil < clockMs())
-                end(task, "lapsed");
-        }
-    }
-
     http_response look(std::int64_t lastSeen)
     {
         std::erase_if(m_ended, [&](const auto &row) { return row[0].asInt64() <= lastSeen; });
@@ -319,10 +320,15 @@
             listeners.push_back(std::make_unique<net::http_listener>(
                     loop, options.workers[index], net::listener_limits{},
                     [this, worker](const http_request &request, const responder &respond) {
-                        respond(worker->serve(request, work));
+                        if (!worker->silent)
+                            respond(worker->serve(request, work));
                     }));
             const auto agent = toText(options.agents[index]);
-            loop.every(milliseconds(200), [this, worker, agent] { announce(*worker, agent); });
+            loop.every(milliseconds(200), [this, worker, agent] {
+                worker->expire();
+                if (!worker->silent)
+                    announce(*worker, agent);
+            });
         }
         thread = std::thread([this] {
             loop.run([this](const std::exception &problem) {
@@ -403,6 +409,11 @@
     m_impl->loop.post([this, all] { m_impl->store.turnAway(all); });
 }
 
+void job_site::silence(std::size_t worker)
+{
+    m_impl->loop.post([this, worker] { m_impl->workers.at(worker)->silent = true; });
+}
+
 void job_site::workLasts(milliseconds work)
 {
     m_impl->loop.post([this, work] { m_impl->work = work; });
--- a/standins/job_site.h
+++ b/standins/job_site.h
@@ -30,6 +30,7 @@
 
     void loseAnswers(int writes);      // the next writes take effect, their answers are lost
     void turnAway(bool all);           // the store answers 503 and does nothing
+    void silence(std::size_t worker);  // it runs on and answers nothing any more
     void workLasts(milliseconds work); // of tasks that start from now on
     int starts() const;                // that began a run
     int done() const;                  // runs that ended so
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -264,6 +264,21 @@
     checkNothingWrong(on, on.site());
 }
 
+// The caller's tasks start elsewhere. A worker falls silent and runs on: its agent starts nothing
+// there any more, and nothing that it tries may put off the time from which the worker's runs have
+// ended for certain. Only then do they start on the other worker.
+Test(process_jobs, worker_silent)
+{
+    system_under_test on;
+    on.site().workLasts(milliseconds(60'000));
+    require(on.handIn(0, "abab000000000001"));
+    require(waitUntil([&] { return on.site().starts() == 4; }, SoonEnough));
+    on.site().silence(0);
+    // As many as were placed there, which is two at least.
+    check(waitUntil([&] { return on.site().starts() >= 6; }, SoonEnough));
+    checkNothingWrong(on, on.site());
+}
+
 // The caller sees its job accepted and completed. The answers to writes are lost after they took
 // effect; the entry repeats the very same write, finds its own row and goes on.
 Test(process_jobs, answers_of_the_store_lost)
