What fills waits at most 2.5 s for a worker where it harms nobody

A step that waits with room elsewhere may have nothing running for 3 s, which callers would take for lost.

--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -613,13 +613,19 @@
                                          [static_cast<std::size_t>(stepIndex)];
     auto left = static_cast<int>(std::count_if(
             inStep.begin(), inStep.end(), [](const auto &state) { return state.isWaiting(); }));
+    auto &since = job.waitingSince.try_emplace({occurrence, stepIndex}, now).first->second;
+    if (left == 0)
+        since = now;
+    placement_wish wish;
+    wish.patient = now - since < m_settings.patience;
     bool waits = false;
     for (int index = 0; index < step.count; ++index) {
         const task_id task{id, occurrence, stepIndex, index};
         auto &state = *job.record.find(task);
         if (!state.isWaiting())
             continue;
-        const auto worker = chooseFor(job, task, step, now, left--);
+        wish.together = left--;
+        const auto worker = chooseFor(job, task, step, now, wish);
         if (!worker) {
             waits = true;
             if (step.mostPerWorker == 0)
@@ -680,17 +686,17 @@
 // A worker for the task: not one where it has just failed, as long as there is another.
 std::optional<std::string> job_book::chooseFor(const owned_job &job, const task_id &task,
                                                const step_spec &step, time_point now,
-                                               int together) const
+                                               const placement_wish &wish) const
 {
     const auto &service = job.record.policy.service;
     const auto full = fullOf(job, task, step);
     auto avoid = full;
     const auto failed = job.failedOn.find(task);
     if (failed == job.failedOn.end())
-        return m_workers.choose(service, step, full, now, together);
+        return m_workers.choose(service, step, full, now, wish);
     avoid.insert(avoid.end(), failed->second.begin(), failed->second.end());
-    const auto elsewhere = m_workers.choose(service, step, avoid, now, together);
-    return elsewhere ? elsewhere : m_workers.choose(service, step, full, now, together);
+    const auto elsewhere = m_workers.choose(service, step, avoid, now, wish);
+    return elsewhere ? elsewhere : m_workers.choose(service, step, full, now, wish);
 }
 
 // Workers that run as many tasks of the step as they may.
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -61,6 +61,8 @@
     // An order without an answer is given again after this: an agent answers in milliseconds, and
     // the same order twice is one start.
     milliseconds repeatOrder{300};
+    // What fills waits so long for a worker where it harms nobody.
+    milliseconds patience{2500};
 };
 
 class job_book
@@ -144,6 +146,7 @@
         std::map<std::pair<task_id, int>, pending_order> stops;
         std::map<std::pair<task_id, int>, time_point> startedAt; // when the start was accepted
         std::map<task_id, std::vector<std::string>> failedOn;    // workers
+        std::map<std::pair<int, int>, time_point> waitingSince;  // by occurrence and step
     };
 
     template <typename Visit>
@@ -179,7 +182,8 @@
     bool renewIn(const std::string &id, owned_job &job, const std::string &worker,
                  std::int64_t epoch, time_point now);
     std::optional<std::string> chooseFor(const owned_job &job, const task_id &task,
-                                         const step_spec &step, time_point now, int together) const;
+                                         const step_spec &step, time_point now,
+                                         const placement_wish &wish) const;
     static std::vector<std::string> fullOf(const owned_job &job, const task_id &task,
                                            const step_spec &step);
     void note(std::string event, const std::string &job, std::string detail);
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -50,7 +50,7 @@
 }
 
 bool worker_pool::isCandidate(const worker_view &view, const std::string &service,
-                              const step_spec &step, time_point now) const
+                              const step_spec &step, bool patient, time_point now) const
 {
     const auto &last = view.last;
     if (!last.accepting || last.epoch == 0 || last.service != service)
@@ -69,7 +69,7 @@
     // answer can't be made good. 0.3 was measured as alike on one deployment and worse on the
     // other.
     constexpr double MostLateRuns = 0.1;
-    if (step.fills && lateRuns(view, step) > MostLateRuns)
+    if (step.fills && patient && lateRuns(view, step) > MostLateRuns)
         return false;
     auto room = last.capacity;
     room -= last.used;
@@ -161,16 +161,16 @@
 
 std::optional<std::string> worker_pool::choose(const std::string &service, const step_spec &step,
                                                const std::vector<std::string> &avoid,
-                                               time_point now, int together) const
+                                               time_point now, const placement_wish &wish) const
 {
     const worker_view *best = nullptr;
     double bestScore = 0;
     for (const auto &[name, view] : m_workers) {
-        if (!isCandidate(view, service, step, now))
+        if (!isCandidate(view, service, step, wish.patient, now))
             continue;
         if (std::find(avoid.begin(), avoid.end(), name) != avoid.end())
             continue;
-        const auto candidate = score(view, step, together);
+        const auto candidate = score(view, step, wish.together);
         if (best != nullptr && candidate <= bestScore)
             continue;
         best = &view;
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -30,6 +30,12 @@
     milliseconds setAside{6000};
 };
 
+struct placement_wish
+{
+    int together = 1;    // tasks of the step that wait, this one included
+    bool patient = true; // waits rather than make runs that serve late
+};
+
 class worker_pool
 {
 public:
@@ -43,10 +49,10 @@
     void noteEnd(const std::string &worker, end_kind how, double slowness, time_point now);
 
     // The worker for one task of `step`; none: nobody has room now. `avoid` are workers where this
-    // task may not go; `together` counts the tasks of the step that wait, this one included.
+    // task may not go.
     std::optional<std::string> choose(const std::string &service, const step_spec &step,
                                       const std::vector<std::string> &avoid, time_point now,
-                                      int together = 1) const;
+                                      const placement_wish &wish = {}) const;
     // Counts a placement until the next report shows it.
     void reserve(const std::string &worker, const step_spec &step);
 
@@ -54,7 +60,7 @@
 
 private:
     bool isCandidate(const worker_view &view, const std::string &service, const step_spec &step,
-                     time_point now) const;
+                     bool patient, time_point now) const;
     static double shareWith(const worker_view &view, const step_spec &step);
     double score(const worker_view &view, const step_spec &step, int together) const;
     static double servingScore(const worker_view &view, const step_spec &step, int together);
--- a/tests/worker_pool_test.cpp
+++ b/tests/worker_pool_test.cpp
@@ -48,7 +48,7 @@
 
 std::string placed(worker_pool &pool, const step_spec &step, int together = 1)
 {
-    const auto worker = pool.choose("tickets", step, {}, Now, together);
+    const auto worker = pool.choose("tickets", step, {}, Now, {together, true});
     if (!worker)
         return "none";
     pool.reserve(*worker, step);
