Following a table stands once; callers come back after 2 s in an outage

Following a table of the store (read all, then its changes, all anew when history is gone) stood three times in the entry and once in the agent: table_follower. The agent's 'the worker answers' has one name.

Refusals while the store is away carry Retry-After 2 after the first second: with 1, callers have used up their four retries before an outage of 4 to 9 s ends.

A job handed to another entry has a line of its own under its id.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -9,6 +9,7 @@
 #include "app/job_tables.h"
 #include "app/process.h"
 #include "app/row_store.h"
+#include "app/table_follower.h"
 #include "base/errors.h"
 #include "base/json.h"
 #include "base/json_member.h"
@@ -37,8 +38,6 @@
 constexpr milliseconds ReportEvery{1000};
 constexpr milliseconds ReportTimeout{2000}; // an entry answers once the ends are stored
 constexpr milliseconds DueEvery{100};
-constexpr milliseconds FeedWait{1000};
-constexpr milliseconds FeedRetry{300};
 constexpr milliseconds StopMargin{150};    // beyond the time that the worker needs for a stop
 constexpr milliseconds SampleEvery{500};   // what the worker tells covers half a second
 constexpr milliseconds WorkerSilent{1700}; // looks fail: nothing new is started
@@ -64,6 +63,8 @@
         , m_caller(m_loop, callerLimits())
         , m_store(
                   m_loop, m_caller, m_settings.store, [this] { return relays(); }, m_metrics, m_log)
+        , m_entriesTable(m_loop, m_store, m_log, {EntriesTable},
+                         [this](const auto &rows) { takeEntries(rows); })
         , m_internal(m_loop, m_settings.internal, {},
                      [this](http_request request, responder respond) {
                          serveInternal(std::move(request), std::move(respond));
@@ -85,7 +86,7 @@
             m_samples.clear();
         });
         m_loop.every(RenewEvery, [this] { renew(); });
-        readEntries();
+        m_entriesTable.start();
         // An earlier life of this agent may have let runs go on for as long.
         m_heldUntil = suspendAwareNow() + LeaseLength;
         establish("process_start");
@@ -214,6 +215,8 @@
 
     std::int64_t workerClockAt(time_point at) const { return m_clockMs + asMs(at - m_clockReadAt); }
 
+    bool workerAnswers(time_point now) const { return now - m_seenAt < WorkerSilent; }
+
     void look()
     {
         if (!m_holding || m_looking)
@@ -223,7 +226,7 @@
         std::optional<std::int64_t> deadline;
         // A worker that answers nothing is only looked at: each call that may have reached it would
         // put off the time from which all that it runs has ended for certain.
-        if (m_clockMs > 0 && now < m_leaseUntil && now - m_seenAt < WorkerSilent) {
+        if (m_clockMs > 0 && now < m_leaseUntil && workerAnswers(now)) {
             const auto until = std::min<time_point>(m_leaseUntil, now + HoldLength);
             deadline = workerClockAt(until);
             m_heldUntil = std::max(m_heldUntil, until);
@@ -400,7 +403,7 @@
     {
         const auto now = suspendAwareNow();
         return now >= m_startFrom && m_present && !m_told.leaving && !m_fresh && m_holding
-               && m_clockMs > 0 && now - m_seenAt < WorkerSilent && now < m_leaseUntil;
+               && m_clockMs > 0 && workerAnswers(now) && now < m_leaseUntil;
     }
 
     // --- Orders of entries.
@@ -453,7 +456,7 @@
         const auto now = suspendAwareNow();
         // A worker that answers nothing is not told to start anything: each such call would put off
         // the time from which all that it runs has ended for certain.
-        const bool mayStart = now < m_leaseUntil && m_clockMs > 0 && now - m_seenAt < WorkerSilent;
+        const bool mayStart = now < m_leaseUntil && m_clockMs > 0 && workerAnswers(now);
         for (const auto &action : m_table.due(now, mayStart))
             std::visit([this](const auto &one) { carryOut(one); }, action);
     }
@@ -623,29 +626,6 @@
         return addresses;
     }
 
-    void readEntries()
-    {
-        m_store.readAll(EntriesTable, "", [this](const std::optional<row_page> &page) {
-            if (!page)
-                return m_loop.after(FeedRetry, [this] { readEntries(); });
-            takeEntries(page->rows);
-            feedEntries(page->version);
-        });
-    }
-
-    void feedEntries(std::int64_t after)
-    {
-        m_store.feed(EntriesTable, after, FeedWait,
-                     [this, after](const std::optional<feed_page> &page) {
-                         if (!page)
-                             return m_loop.after(FeedRetry, [this, after] { feedEntries(after); });
-                         if (page->historyGone)
-                             return readEntries();
-                         takeEntries(page->rows);
-                         feedEntries(page->version);
-                     });
-    }
-
     void takeEntries(const std::vector<row> &rows)
     {
         for (const auto &one : rows) {
@@ -676,6 +656,7 @@
     metrics m_metrics;
     net::http_caller m_caller;
     row_store m_store;
+    table_follower m_entriesTable;
     run_table m_table;
     pacer m_pacer;
     std::vector<disturbance_sample> m_samples; // since the last regular report
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -10,9 +10,11 @@
 #include "app/job_view.h"
 #include "app/process.h"
 #include "app/row_store.h"
+#include "app/table_follower.h"
 #include "base/errors.h"
 #include "base/json.h"
 #include "base/json_member.h"
+#include "jobs/come_back.h"
 #include "jobs/job_book.h"
 #include "jobs/lease.h"
 #include "net/http_listener.h"
@@ -30,9 +32,8 @@
 constexpr milliseconds PlanEvery{100}; // beside each event: repeats of orders, tasks that wait
 constexpr milliseconds PingEvery{400}; // four pings within the time after which one is gone
 constexpr milliseconds PingTimeout{500};
-constexpr milliseconds FeedWait{1000};     // a feed that went silent is noticed soon after
 constexpr milliseconds JobsFeedPause{250}; // joins the changes of many jobs into one answer
-constexpr milliseconds FeedRetry{200};
+constexpr milliseconds StoreRetry{200};
 constexpr milliseconds TakeoverEvery{250};
 constexpr milliseconds WatchEvery{700};    // looks at the lease of a silent worker
 constexpr milliseconds SilentWorker{3000}; // three reports were missed
@@ -44,7 +45,7 @@
 constexpr milliseconds LogFlushEvery{100};
 constexpr milliseconds KeepFinal{180'000};      // callers may ask for 120 s
 constexpr milliseconds StoreSilentAtMost{2500}; // then this entry is not ready
-constexpr std::int64_t RetryAfterSeconds = 1;
+constexpr seconds StartsWithin{1};              // an entry has read all jobs by then
 
 std::int64_t wallMs()
 {
@@ -53,11 +54,11 @@
             .count();
 }
 
-http_response refusal(int status, const char *reason)
+http_response refusal(int status, const char *reason, seconds comeBack = StartsWithin)
 {
     http_response answer{status, {}, std::string(R"({"error":")") + reason + "\"}"};
     if (status == 429 || status == 503)
-        answer.headers["Retry-After"] = std::to_string(RetryAfterSeconds);
+        answer.headers["Retry-After"] = std::to_string(comeBack.count());
     return answer;
 }
 
@@ -71,6 +72,13 @@
         , m_store(
                   m_loop, m_caller, m_settings.store,
                   [this] { return m_directory.others(suspendAwareNow()); }, m_metrics, m_log)
+        , m_configurationTable(m_loop, m_store, m_log, {platform_wire::ConfigurationRow.table},
+                               [this](const auto &rows) { takeConfigurations(rows); })
+        , m_entriesTable(m_loop, m_store, m_log, {EntriesTable},
+                         [this](const auto &rows) { takeEntries(rows); })
+        , m_jobsTable(
+                  m_loop, m_store, m_log, {JobsTable, jobParts(), JobsFeedPause},
+                  [this](const auto &rows) { takeJobs(rows); }, [this] { allJobsRead(); })
         , m_startedAt(suspendAwareNow())
         , m_directory(m_settings.id, m_startedAt)
         , m_internal(m_loop, m_settings.internal, internalLimits(),
@@ -93,7 +101,7 @@
         m_log.note("started", {{"internal", toText(m_settings.internal)}});
         m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
         enter();
-        followConfiguration();
+        m_configurationTable.start();
         m_loop.run([this](const std::exception &problem) {
             m_metrics.count("callbacks_failed_total", "exception");
             m_log.note("callback_failed", {{"why", problem.what()}});
@@ -117,7 +125,7 @@
         m_store.read(EntriesTable, "", m_settings.id, m_settings.id + "\x01",
                      [this](const std::optional<row_page> &page) {
                          if (!page)
-                             return m_loop.after(FeedRetry, [this] { enter(); });
+                             return m_loop.after(StoreRetry, [this] { enter(); });
                          takeIncarnation(*page);
                      });
     }
@@ -147,8 +155,8 @@
         m_row = mine;
         m_book.emplace(m_self, m_pool);
         m_log.note("incarnation", {{"incarnation", mine.incarnation}});
-        readEntries();
-        readJobs();
+        m_entriesTable.start();
+        m_jobsTable.start();
         m_loop.every(PingEvery, [this] { pingAll(); });
         m_loop.every(PlanEvery, [this] { pump(); });
         m_loop.every(TakeoverEvery, [this] { takeOver(); });
@@ -157,31 +165,10 @@
 
     // --- What the store tells: configuration, entries, jobs.
 
-    void followConfiguration()
+    void takeConfigurations(const std::vector<row> &rows)
     {
-        m_store.readAll(platform_wire::ConfigurationRow.table, "",
-                        [this](const std::optional<row_page> &page) {
-                            if (!page)
-                                return m_loop.after(FeedRetry, [this] { followConfiguration(); });
-                            for (const auto &one : page->rows)
-                                takeConfiguration(one);
-                            feedConfiguration(page->version);
-                        });
-    }
-
-    void feedConfiguration(std::int64_t after)
-    {
-        m_store.feed(platform_wire::ConfigurationRow.table, after, FeedWait,
-                     [this, after](const std::optional<feed_page> &page) {
-                         if (!page)
-                             return m_loop.after(FeedRetry,
-                                                 [this, after] { feedConfiguration(after); });
-                         if (page->historyGone)
-                             return followConfiguration();
-                         for (const auto &one : page->rows)
-                             takeConfiguration(one);
-                         feedConfiguration(page->version);
-                     });
+        for (const auto &one : rows)
+            takeConfiguration(one);
     }
 
     void takeConfiguration(const row &one)
@@ -201,29 +188,6 @@
         }
     }
 
-    void readEntries()
-    {
-        m_store.readAll(EntriesTable, "", [this](const std::optional<row_page> &page) {
-            if (!page)
-                return m_loop.after(FeedRetry, [this] { readEntries(); });
-            takeEntries(page->rows);
-            feedEntries(page->version);
-        });
-    }
-
-    void feedEntries(std::int64_t after)
-    {
-        m_store.feed(EntriesTable, after, FeedWait,
-                     [this, after](const std::optional<feed_page> &page) {
-                         if (!page)
-                             return m_loop.after(FeedRetry, [this, after] { feedEntries(after); });
-                         if (page->historyGone)
-                             return readEntries();
-                         takeEntries(page->rows);
-                         feedEntries(page->version);
-                     });
-    }
-
     void takeEntries(const std::vector<row> &rows)
     {
         for (const auto &one : rows) {
@@ -241,51 +205,12 @@
         pingAll();
     }
 
-    // All parts at once; changes since the first reading come with the feed.
-    void readJobs()
-    {
-        auto left = std::make_shared<unsigned>(JobParts);
-        auto from = std::make_shared<std::int64_t>(0);
-        auto failed = std::make_shared<bool>(false);
-        for (unsigned part = 0; part < JobParts; ++part) {
-            m_store.readAll(JobsTable, partName(part),
-                            [this, left, from, failed](const std::optional<row_page> &page) {
-                                if (page)
-                                    takeJobs(page->rows);
-                                if (page && (*from == 0 || page->version < *from))
-                                    *from = page->version;
-                                *failed = *failed || !page;
-                                if (--*left > 0)
-                                    return;
-                                if (*failed)
-                                    return m_loop.after(FeedRetry, [this] { readJobs(); });
-                                jobsRead(*from);
-                            });
-        }
-    }
-
-    void jobsRead(std::int64_t from)
+    void allJobsRead()
     {
         if (!m_jobsKnown)
             m_log.note("jobs_read", {{"jobs", m_view.jobs().size()}});
         m_jobsKnown = true;
         takeOver();
-        feedJobs(from);
-    }
-
-    void feedJobs(std::int64_t after)
-    {
-        m_store.feed(
-                JobsTable, after, FeedWait, [this, after](const std::optional<feed_page> &page) {
-                    if (!page)
-                        return m_loop.after(FeedRetry, [this, after] { feedJobs(after); });
-                    if (page->historyGone) {
-                        m_log.note("history_gone", {{"table", JobsTable}});
-                        return readJobs();
-                    }
-                    takeJobs(page->rows);
-                    m_loop.after(JobsFeedPause, [this, next = page->version] { feedJobs(next); });
-                });
     }
 
     void takeJobs(const std::vector<row> &rows)
@@ -707,10 +632,16 @@
         respond(counted(405, "unknown_method"));
     }
 
-    http_response counted(int status, const char *reason)
+    http_response counted(int status, const char *reason, seconds comeBack = StartsWithin)
     {
         m_metrics.count("refusals_total", reason);
-        return refusal(status, reason);
+        return refusal(status, reason, comeBack);
+    }
+
+    http_response storeUnreachable()
+    {
+        return counted(503, "store_unreachable",
+                       comeBackAfter(suspendAwareNow() - m_store.lastAnswerAt()));
     }
 
     void submit(const std::string &id, const queue_policy &policy, http_request request,
@@ -723,7 +654,7 @@
             return passOn(std::move(request), std::move(respond));
         // Nothing can be stored now: said at once, before anything was tried.
         if (!m_store.reachable())
-            return respond(logged(id, counted(503, "store_unreachable")));
+            return respond(logged(id, storeUnreachable()));
         job_spec spec;
         try {
             spec = platform_wire::jobFrom(request.body);
@@ -765,9 +696,14 @@
         request.target = "/v1/jobs/" + id;
         request.body = toText(handed_job{newRecord(spec, policy, wallMs()), spec.payload});
         m_caller.call(m_directory.find(placer)->row.internal, std::move(request), PeerTimeout,
-                      [this, id, spec, policy, respond = std::move(respond)](call_result result) {
+                      [this, placer, id, spec, policy,
+                       respond = std::move(respond)](const call_result &result) {
                           const auto *answer = std::get_if<http_response>(&result);
-                          if (answer != nullptr && answer->status == 200)
+                          const bool taken = answer != nullptr && answer->status == 200;
+                          m_log.note(
+                                  "job_handed_over",
+                                  {{"job", id}, {"to", placer}, {"taken", taken ? "yes" : "no"}});
+                          if (taken)
                               return respond({200, {}, ""});
                           // Also when it may have been taken there: the row of a job is written
                           // once, and whoever comes second learns that it is there.
@@ -866,7 +802,7 @@
             if (known != nullptr)
                 return respond({200, {}, platform_wire::stateBody(known->state)});
             // It may exist: no answer says otherwise.
-            respond(counted(503, "store_unreachable"));
+            respond(storeUnreachable());
         });
     }
 
@@ -918,7 +854,7 @@
     {
         readJob(id, [this, id, respond](const std::optional<row_page> &page) {
             if (!page)
-                return respond(counted(503, "store_unreachable"));
+                return respond(storeUnreachable());
             if (page->rows.empty())
                 return respond({410, {}, R"({"error":"unknown_job"})"});
             const auto &one = page->rows.front();
@@ -974,6 +910,9 @@
     metrics m_metrics;
     net::http_caller m_caller;
     row_store m_store;
+    table_follower m_configurationTable;
+    table_follower m_entriesTable;
+    table_follower m_jobsTable;
     time_point m_startedAt;
     entry_directory m_directory;
     entry_row m_row;
--- a/app/job_tables.h
+++ b/app/job_tables.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include <fmt/core.h>
 
@@ -23,6 +24,14 @@
     return fmt::format("p{:02}", number);
 }
 
+inline std::vector<std::string> jobParts()
+{
+    std::vector<std::string> names;
+    for (unsigned number = 0; number < JobParts; ++number)
+        names.push_back(partName(number));
+    return names;
+}
+
 inline std::string partOf(const std::string &job)
 {
     return partName(static_cast<unsigned>(stableHash(job) % JobParts));
