--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -15,6 +15,8 @@
     return fmt::format("{} run {} on {}", toText(task), run, worker);
 }
 
+constexpr double MostlyFree = 0.55; // of a service's processors: a little over half
+
 run_traits traitsOf(const step_spec &step)
 {
     return {step.size, step.fills, step.lasting, step.image, step.targetMs};
@@ -617,7 +619,8 @@
     if (left == 0)
         since = now;
     placement_wish wish;
-    wish.patient = now - since < m_settings.patience;
+    const bool crowded = m_workers.usedShare(job.record.policy.service, now) > MostlyFree;
+    wish.patient = now - since < (crowded ? m_settings.patience : m_settings.patienceBesideRoom);
     bool waits = false;
     for (int index = 0; index < step.count; ++index) {
         const task_id task{id, occurrence, stepIndex, index};
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -181,6 +181,21 @@
     return best->last.worker;
 }
 
+double worker_pool::usedShare(const std::string &service, time_point now) const
+{
+    task_size used;
+    task_size capacity;
+    for (const auto &[name, view] : m_workers) {
+        if (view.last.service != service || now - view.heardAt > m_settings.silentAfter)
+            continue;
+        used += view.last.used;
+        capacity += view.last.capacity;
+    }
+    if (capacity.millicores <= 0)
+        return 1;
+    return static_cast<double>(used.millicores) / static_cast<double>(capacity.millicores);
+}
+
 void worker_pool::reserve(const std::string &worker, const step_spec &step)
 {
     const auto found = m_workers.find(worker);
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -53,6 +53,9 @@
     std::optional<std::string> choose(const std::string &service, const step_spec &step,
                                       const std::vector<std::string> &avoid, time_point now,
                                       const placement_wish &wish = {}) const;
+    // The part of the service's processors that is in use or reserved, of workers that are heard
+    // of; what fills is not counted. 0 to 1.
+    double usedShare(const std::string &service, time_point now) const;
     // Counts a placement until the next report shows it.
     void reserve(const std::string &worker, const step_spec &step);
 
--- a/standins/job_site.cpp
+++ b/standins/job_site.cpp
@@ -42,6 +42,11 @@
     std::vector<std::string> violations;
 };
 
+std::string nameOfWorker(std::size_t index)
+{
+    return "i-" + std::to_string(index);
+}
+
 class store_standin
 {
 public:
@@ -314,7 +319,7 @@
                     serveStore(request, std::move(respond), 20);
                 }));
         for (std::size_t index = 0; index < options.workers.size(); ++index) {
-            workers.push_back(std::make_unique<worker_standin>("i-" + std::to_string(index),
+            workers.push_back(std::make_unique<worker_standin>(nameOfWorker(index),
                                                                options.millicores, record));
             auto *worker = workers.back().get();
             listeners.push_back(std::make_unique<net::http_listener>(
@@ -425,6 +430,20 @@
     return m_impl->record.starts;
 }
 
+std::size_t job_site::busiestWorker() const
+{
+    const std::lock_guard lock(m_impl->record.mutex);
+    std::map<std::string, int> runs;
+    for (const auto &[task, worker] : m_impl->record.runningAt)
+        ++runs[worker];
+    std::size_t busiest = 0;
+    for (std::size_t index = 0; index < m_impl->workers.size(); ++index) {
+        if (runs[nameOfWorker(index)] > runs[nameOfWorker(busiest)])
+            busiest = index;
+    }
+    return busiest;
+}
+
 int job_site::done() const
 {
     const std::lock_guard lock(m_impl->record.mutex);
--- a/standins/job_site.h
+++ b/standins/job_site.h
@@ -34,6 +34,7 @@
     void workLasts(milliseconds work); // of tasks that start from now on
     int starts() const;                // that began a run
     int done() const;                  // runs that ended so
+    std::size_t busiestWorker() const; // where most runs are
     std::vector<std::string> violations() const;
 
     struct impl;
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -368,3 +368,122 @@
     spec.steps.clear();
     cr_expect_throw(checkSpec(spec), error);
 }
+
+namespace {
+
+// Both workers serve an image near its target; `press` presses on it.
+void makeHarmful(scene &on, std::int64_t usedMillicores)
+{
+    for (int turn = 0; turn < 200; ++turn) {
+        const double cores = turn % 2 == 0 ? 0.0 : 4.0;
+        const auto tail = static_cast<std::int64_t>(25 / (1 - 0.4 - 0.06 * cores));
+        on.workers.disturbance().learn({"site", tail, 150, {{"press", cores}}});
+    }
+    for (const char *name : {"w1", "w2"}) {
+        worker_report report;
+        report.worker = name;
+        report.epoch = 1;
+        report.service = "tickets";
+        report.accepting = true;
+        report.capacity = {16'000, 64'000, 0};
+        report.used = {usedMillicores, 0, 0};
+        report.serving = {{"site", 0.0}};
+        on.workers.update(report, on.now);
+    }
+}
+
+job_spec fillingJob()
+{
+    job_spec spec;
+    step_spec step;
+    step.size = {2000, 100, 0};
+    step.fills = true;
+    step.image = "press";
+    step.estimateMs = 2000;
+    spec.steps = {step};
+    return spec;
+}
+
+bool placedAfter(scene &on, milliseconds wait, std::int64_t usedMillicores)
+{
+    on.now += wait;
+    makeHarmful(on, usedMillicores);
+    on.turn();
+    return !on.book.busyWorkers().empty();
+}
+
+} // namespace
+
+// A batch job waits while every worker would make users of a service late, since it has time and
+// they have none; but not for good: where most of the service is free its caller takes a job of
+// which nothing runs for 3 s for lost, and where it is full it is still done in the end.
+Test(job_book, what_fills_waits_for_a_worker_where_it_harms_nobody)
+{
+    section("most of the service is free", [] {
+        scene on;
+        makeHarmful(on, 4000);
+        on.submit(fillingJob());
+        check(on.book.busyWorkers().empty());
+        check(!placedAfter(on, milliseconds(2499), 4000));
+        check(placedAfter(on, milliseconds(1), 4000));
+    });
+    section("most of it is in use", [] {
+        scene on;
+        makeHarmful(on, 12'000);
+        on.submit(fillingJob());
+        check(!placedAfter(on, milliseconds(9999), 12'000));
+        check(placedAfter(on, milliseconds(1), 12'000));
+    });
+}
+
+// Users of a service meet one worker's trouble and not all of them at once: a task that has served
+// for a while and fails goes back to where its twins are; one that fails at once goes elsewhere.
+Test(job_book, a_lasting_task_that_fails_goes_back)
+{
+    const auto homeAfter = [](milliseconds served) {
+        scene on;
+        job_spec spec;
+        step_spec step;
+        step.count = 2;
+        step.size = {3000, 100, 0};
+        step.lasting = true;
+        step.image = "site";
+        step.targetMs = 150;
+        spec.steps = {step};
+        on.submit(spec);
+        on.written();
+        require(on.orders.size() == 2);
+        check(on.orders[0].worker == on.orders[1].worker);
+        for (const auto &order : std::vector<give_order>(on.orders))
+            on.accept(order);
+        on.now += served;
+        for (const char *name : {"w1", "w2"})
+            on.hear(name);
+        const auto first = on.orders[0];
+        on.end(first, end_kind::Failed);
+        on.written();
+        require(on.orders.size() == 3);
+        return on.orders[2].worker == first.worker;
+    };
+    check(homeAfter(milliseconds(5000)));
+    check(!homeAfter(milliseconds(1000)));
+}
+
+// A job on its way to the entry that places it arrives as it was handed in.
+Test(job_book, a_job_handed_over)
+{
+    const auto spec = scene::twoSteps();
+    queue_policy policy;
+    policy.queue = "holds";
+    policy.service = "tickets";
+    policy.stretch = 1.5;
+    const auto arrived =
+            handedJobFrom(toText(handed_job{newRecord(spec, policy, 1000), spec.payload}));
+    const auto there = specOf(arrived);
+    check(there.payload == spec.payload);
+    check(there.steps.size() == 2 && there.steps[1].after == spec.steps[1].after);
+    check(arrived.record.policy.stretch == 1.5);
+    check(arrived.record.acceptedAtMs == 1000);
+    cr_expect_throw(handedJobFrom("{}"), error);
+    cr_expect_throw(handedJobFrom("nothing"), error);
+}
--- a/tests/job_platform_test.cpp
+++ b/tests/job_platform_test.cpp
@@ -8,6 +8,7 @@
 #include "app/entry_directory.h"
 #include "base/errors.h"
 #include "base/event_log.h"
+#include "jobs/come_back.h"
 #include "jobs/lease.h"
 #include "jobs/pacer.h"
 #include "net/event_loop.h"
@@ -185,6 +186,32 @@
     });
 }
 
+// Entries that agree on who lives hand tasks that last to the same one of them.
+Test(job_platform, one_entry_places_what_lasts)
+{
+    const time_point now{std::chrono::hours(1)};
+    entry_directory atA("a", now);
+    entry_directory atB("b", now);
+    atA.seen("b", {1, "10.0.0.2:1", "10.0.0.2:2"});
+    atB.seen("a", {1, "10.0.0.1:1", "10.0.0.1:2"});
+    check(atA.placerOf("tickets", now) == "a"); // nothing was heard of b yet
+    atA.heard("b", 1, false, now);
+    atB.heard("a", 1, false, now);
+    const auto placer = atA.placerOf("tickets", now);
+    check(placer == atB.placerOf("tickets", now));
+    const auto later = now + entry_directory::SilentAfter;
+    check((placer == "a" ? atB : atA).placerOf("tickets", later) != placer);
+}
+
+// Callers that were refused in an outage of 4 to 9 s have four tries left: those are not used up
+// before it ends.
+Test(job_platform, callers_come_back_after_an_outage)
+{
+    check(comeBackAfter(milliseconds(600)) == seconds(1));
+    check(comeBackAfter(milliseconds(999)) == seconds(1));
+    check(comeBackAfter(milliseconds(1000)) == seconds(2));
+}
+
 // Users of a serving run wait longer than its target because of what fills beside it. All that
 // fills stands still for a moment, and goes on by itself also when the tail stays high.
 Test(job_platform, what_fills_gives_way_for_a_moment)
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -233,6 +233,31 @@
     checkNothingWrong(on, on.site());
 }
 
+// A service handed in at any entry runs, also when the entry that places all services is frozen:
+// the one that the caller reached hears nothing of it for a moment and accepts the job itself. Both
+// entries are frozen in turn, so that one of the two is the placer.
+Test(process_jobs, a_service_whose_placer_is_frozen)
+{
+    const std::string service = R"({"spec":"","steps":[{"count":2,"cpu":1000,"mem-mb":100,)"
+                                R"("long-running":true,"image":"site","target-ms":150}]})";
+    system_under_test on;
+    on.site().workLasts(milliseconds(600'000));
+    int running = 0;
+    for (const int frozen : {0, 1}) {
+        section(fmt::format("entry {} is frozen", frozen), [&] {
+            const auto job = fmt::format("abcd00000000000{}", frozen);
+            on.entry(frozen).signal(SIGSTOP);
+            const auto answer = on.call(1 - frozen, "POST", job, service);
+            check(answer && answer->status == 200);
+            on.entry(frozen).signal(SIGCONT);
+            running += 2;
+            check(waitUntil([&] { return on.site().starts() == running; }, SoonEnough));
+            check(on.reaches(frozen, job, "running"));
+        });
+    }
+    checkNothingWrong(on, on.site());
+}
+
 // Callers see their jobs completed, each task run once. The owner of the jobs is killed while their
 // first steps run; the other entry hears nothing of it any more, takes the jobs over by their rows
 // and gives the same orders again, which start nothing anew.
@@ -273,7 +298,7 @@
     on.site().workLasts(milliseconds(60'000));
     require(on.handIn(0, "abab000000000001"));
     require(waitUntil([&] { return on.site().starts() == 4; }, SoonEnough));
-    on.site().silence(0);
+    on.site().silence(on.site().busiestWorker());
     // As many as were placed there, which is two at least.
     check(waitUntil([&] { return on.site().starts() >= 6; }, SoonEnough));
     checkNothingWrong(on, on.site());
@@ -301,8 +326,9 @@
     on.site().turnAway(true);
     require(waitUntil(
             [&] {
+                // As large as the stand-in takes every task to be.
                 const auto answer = on.call(0, "POST", "eeee000000000002",
-                                            R"({"spec":"","steps":[{"count":1}]})");
+                                            R"({"spec":"","steps":[{"count":1,"cpu":1000}]})");
                 return answer && answer->status == 503 && !answer->header("Retry-After").empty();
             },
             SoonEnough));
--- a/tests/process_links_test.cpp
+++ b/tests/process_links_test.cpp
@@ -1,5 +1,7 @@
 // Requests, tasks and configuration on real processes while links between them are cut, silent or
 // lose answers.
+#include <fmt/core.h>
+
 #include "base/json.h"
 #include "fleet_story.h"
 #include "stalled_callers.h"
@@ -9,6 +11,13 @@
 
 namespace {
 
+// What the workers did, for a failure that shows now and then.
+void printTrace(const fleet &system)
+{
+    for (const auto &event : system.workerTrace())
+        fmt::print(stderr, "{}\n", compactJson(event));
+}
+
 // The relay to `agent` and those from it: the agent's whole network.
 std::vector<link_ends> linksOf(const std::string &agent, unsigned entries)
 {
@@ -300,7 +309,10 @@
     });
     section("every task ends once, with one start each", [&] {
         check(waitUntil([&] { return countTraced(system, "ended", batch.job) == 16; }, SoonEnough));
-        check(countTraced(system, "started", batch.job) == 16);
+        const auto starts = countTraced(system, "started", batch.job);
+        check(starts == 16);
+        if (starts != 16)
+            printTrace(system);
         checkTraceClean(system);
     });
     section("every entry still routes to every upstream",
