Lines that tell apart why a worker's tasks wait: looks that fail, the lease beside a departure, a silent worker's lease as read

Callers saw tasks of a worker that had left wait 13 s. Whether its agent had not learned of it, had not written it, or the entries had not acted could not be told from the lines there were: nothing was said of looks that fail, of a write of the lease that was out when the worker was gone, of what an agent held when it stopped, or of when an entry began to watch a lease.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -94,7 +94,10 @@
             m_metrics.count("callbacks_failed_total", "exception");
             m_log.note("callback_failed", {{"why", problem.what()}});
         });
-        m_log.note("stopped", {});
+        m_log.note("stopped", {{"epoch", m_table.epoch()},
+                               {"runs", m_table.running()},
+                               {"worker", m_present ? "present" : "absent"},
+                               {"lease_write_out", m_writing ? "yes" : "no"}});
         m_log.flush();
     }
 
@@ -253,6 +256,7 @@
             return look(); // asked before the lease was established anew
         const auto now = suspendAwareNow();
         const auto seen = platform_wire::holdResult(result);
+        noteAnswering(seen.has_value(), result);
         if (!seen) {
             if (platform_wire::isOtherLife(result))
                 return lifeEnded("other_life");
@@ -286,6 +290,20 @@
             look();
     }
 
+    // One line when looks begin to fail and one when they are answered again.
+    void noteAnswering(bool answered, const call_result &result)
+    {
+        if (answered == m_lookAnswered)
+            return;
+        m_lookAnswered = answered;
+        if (answered)
+            return m_log.note("worker_answers", {{"worker", m_life.id}});
+        const auto *failure = std::get_if<call_failure>(&result);
+        m_log.note("worker_unanswering", {{"worker", m_life.id},
+                                          {"why", failure ? nameOf(*failure) : "refused"},
+                                          {"runs", m_table.running()}});
+    }
+
     std::string lifeName() const { return std::to_string(m_life.bornMs); }
 
     // After `establish`: the same life as the lease row tells keeps its runs; in another one, or
@@ -389,7 +407,11 @@
 
     void departureConfirmed()
     {
-        m_log.note("worker_gone", {{"worker", m_life.id}, {"runs", m_table.running()}});
+        // What is known of the lease tells whether the end of the epoch can be written at once.
+        m_log.note("worker_gone", {{"worker", m_life.id},
+                                   {"runs", m_table.running()},
+                                   {"lease_write_out", m_writing ? "yes" : "no"},
+                                   {"lease", m_holding ? "held" : "sought"}});
         m_departing = false;
         m_table.clear();
         m_heldUntil = {};
@@ -682,6 +704,7 @@
     time_point m_seenAt{};      // last look that was answered
     time_point m_startFrom{};   // nothing is started before
     bool m_looking = false;
+    bool m_lookAnswered = false; // the last one
 
     net::http_listener m_internal;
     net::http_listener m_workers;
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -454,8 +454,12 @@
             const auto heardAt = view == nullptr ? m_startedAt : view->heardAt;
             if (now - heardAt < SilentWorker) {
                 m_watch.forget(worker);
+                m_unheard.erase(worker);
                 continue;
             }
+            if (m_unheard.insert(worker).second)
+                m_log.note("worker_unheard",
+                           {{"worker", worker}, {"silent_ms", millisecondsOf(now - heardAt)}});
             lookAtLease(worker);
         }
     }
@@ -482,7 +486,12 @@
         // Another entry has ended the epoch, or the worker lives anew.
         m_book->workerRenewed(worker, lease.epoch, now);
         pumpSoon();
-        if (!m_watch.observe(worker, version, now))
+        const bool over = m_watch.observe(worker, version, now);
+        m_log.note("worker_lease_read", {{"worker", worker},
+                                         {"epoch", lease.epoch},
+                                         {"renewals", lease.renewals},
+                                         {"over", over ? "yes" : "no"}});
+        if (!over)
             return;
         auto next = lease;
         ++next.epoch;
@@ -727,6 +736,11 @@
         return std::chrono::duration<double, std::milli>(suspendAwareNow() - at).count();
     }
 
+    static std::int64_t millisecondsOf(duration span)
+    {
+        return std::chrono::duration_cast<milliseconds>(span).count();
+    }
+
     http_response logged(const std::string &id, http_response answer)
     {
         m_log.note("job_refused", {{"job", id}, {"status", answer.status}, {"why", answer.body}});
@@ -922,6 +936,7 @@
     worker_pool m_pool;
     std::optional<job_book> m_book;
     lease_watch m_watch;
+    std::set<std::string> m_unheard; // workers with placements, as last looked at
     std::set<std::string> m_adopting;
     std::map<std::int64_t, std::function<void(bool)>> m_tokens;
     std::int64_t m_nextToken = 1;
--- a/libs/runtime/http.cpp
+++ b/libs/runtime/http.cpp
@@ -33,6 +33,13 @@
 constexpr milliseconds RefuseWithin{250}; // to read a request only in order to refuse it
 constexpr std::size_t RequestsPerConnection = 1U << 30U;
 
+constexpr name_table<call_failure, 4> CallFailureNames{{
+        {call_failure::NotConnected, "not_connected"},
+        {call_failure::Cut, "cut"},
+        {call_failure::Late, "late"},
+        {call_failure::TooLarge, "too_large"},
+}};
+
 constexpr name_table<connection_event, 6> ConnectionEventNames{{
         {connection_event::AllInUse, "all_in_use"},
         {connection_event::AddressShare, "address_share"},
@@ -272,6 +279,11 @@
     return nameOf(ConnectionEventNames, event);
 }
 
+std::string_view nameOf(call_failure failure)
+{
+    return nameOf(CallFailureNames, failure);
+}
+
 std::span<const connection_event> connectionEvents()
 {
     using enum connection_event;
--- a/libs/runtime/http.h
+++ b/libs/runtime/http.h
@@ -130,6 +130,7 @@
     Late,         // sent, and the deadline passed
     TooLarge,     // the answer exceeds the bound
 };
+std::string_view nameOf(call_failure failure);
 
 using call_result = std::variant<http_response, call_failure>;
 
