Two tests that fail: a worker leaves while its lease is renewed, and its agent is stopped right after

Callers saw tasks that last stand still after their worker had left, with room for them. The stand-in's worker can leave now; processes that it starts no longer inherit its listening sockets, which went on listening after a worker had gone.

--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -94,6 +94,8 @@
 // A test that fails or crashes ends without its destructors. Its processes would stay, and after a
 // few such tests there would be no threads left to start another fleet with; so the kernel ends
 // them with the test.
+constexpr unsigned FirstInherited = 3; // after standard input, output and error
+
 [[noreturn]] void becomeProgram(const child_start &start, char *const *words)
 {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -105,6 +107,8 @@
     sigset_t none;
     sigemptyset(&none);
     sigprocmask(SIG_SETMASK, &none, nullptr);
+    // A socket that listens here would go on listening in the child after it was closed here.
+    close_range(FirstInherited, ~0U, CLOSE_RANGE_CLOEXEC);
     execv(words[0], words);
     const int problem = errno;
     const auto written = write(start.report, &problem, sizeof problem);
--- a/standins/job_site.cpp
+++ b/standins/job_site.cpp
@@ -9,10 +9,13 @@
 
 #include <fmt/core.h>
 
+#include "app/job_tables.h"
 #include "base/json.h"
 #include "base/json_member.h"
+#include "jobs/lease.h"
 #include "net/http_caller.h"
 #include "net/http_listener.h"
+#include "platform/store_wire.h"
 
 namespace zinniabarrow::standins {
 
@@ -40,8 +43,12 @@
     std::map<std::string, std::string> runningAt; // task to worker
     std::set<std::string> ended;                  // tasks that were done
     std::vector<std::string> violations;
+    std::map<std::string, std::int64_t> leaseEpochs;
 };
 
+// Longer than an agent needs to find its worker gone.
+constexpr milliseconds HoldLeaseAnswers{800};
+
 std::string nameOfWorker(std::size_t index)
 {
     return "i-" + std::to_string(index);
@@ -186,7 +193,17 @@
         }
     }
 
+    // Its process is gone, and all that ran in it.
+    void depart()
+    {
+        gone = true;
+        m_running.clear();
+        const std::lock_guard lock(m_record.mutex);
+        std::erase_if(m_record.runningAt, [&](const auto &at) { return at.second == m_id; });
+    }
+
     bool silent = false;
+    bool gone = false;
     std::string id() const { return m_id; }
     std::int64_t born() const { return m_born; }
     std::int64_t millicores() const { return m_millicores; }
@@ -325,15 +342,16 @@
             listeners.push_back(std::make_unique<net::http_listener>(
                     loop, options.workers[index], net::listener_limits{},
                     [this, worker](const http_request &request, const responder &respond) {
-                        if (!worker->silent)
+                        if (!worker->silent && !worker->gone)
                             respond(worker->serve(request, work));
                     }));
             const auto agent = toText(options.agents[index]);
             loop.every(milliseconds(200), [this, worker, agent] {
                 worker->expire();
-                if (!worker->silent)
+                if (!worker->silent && !worker->gone)
                     announce(*worker, agent);
             });
+            agents.push_back(agent);
         }
         thread = std::thread([this] {
             loop.run([this](const std::exception &problem) {
@@ -362,8 +380,66 @@
         }
         bool loseAnswer = false;
         auto answer = store.serve(request, loseAnswer);
-        if (!loseAnswer)
-            respond(std::move(answer));
+        const auto lease = leaseIn(request);
+        if (lease && answer.status == 200)
+            noteLease(*lease);
+        if (lease && lease->key == departingLease) {
+            departingLease.clear();
+            heldLease = lease->key;
+            heldUntil = suspendAwareNow() + HoldLeaseAnswers;
+            depart(departing);
+        }
+        if (loseAnswer)
+            return;
+        const auto now = suspendAwareNow();
+        if (lease && lease->key == heldLease && now < heldUntil) {
+            loop.after(heldUntil - now, [respond = std::move(respond), answer = std::move(answer)] {
+                respond(answer);
+            });
+            return;
+        }
+        respond(std::move(answer));
+    }
+
+    // The row of a lease that a call writes.
+    struct written_lease
+    {
+        std::string key;
+        std::int64_t epoch = 0;
+    };
+
+    static std::optional<written_lease> leaseIn(const http_request &request)
+    {
+        if (request.path() != "/-/rows-tx")
+            return std::nullopt;
+        Json::Value rows(Json::objectValue);
+        rows["rows"] = parseJson(request.body)["set-keys"];
+        rows["more-pages"] = false;
+        rows["ver"] = 0;
+        const auto page = platform_wire::rowsResult(json(200, rows));
+        if (!page || page->rows.empty() || page->rows.front().name.table != LeasesTable)
+            return std::nullopt;
+        const auto &lease = page->rows.front();
+        return written_lease{lease.name.key, jobs::leaseFrom(lease.value).epoch};
+    }
+
+    void noteLease(const written_lease &lease)
+    {
+        const std::lock_guard lock(record.mutex);
+        record.leaseEpochs[lease.key] = lease.epoch;
+    }
+
+    void depart(std::size_t index)
+    {
+        auto &worker = *workers.at(index);
+        worker.depart();
+        listeners.at(1 + index).reset();
+        http_request request;
+        request.method = "POST";
+        request.target = "/-/instances/" + worker.id() + "/deregister";
+        request.body = "{}";
+        caller.call(agents.at(index), std::move(request), milliseconds(500),
+                    [](const call_result & /*an agent that is down looks for itself*/) {});
     }
 
     void announce(const worker_standin &worker, const std::string &agent)
@@ -394,7 +470,12 @@
     store_standin store;
     std::vector<std::unique_ptr<worker_standin>> workers;
     std::vector<std::unique_ptr<net::http_listener>> listeners;
+    std::vector<std::string> agents; // where each worker announces itself
     int sequence = 0;
+    std::size_t departing = 0;  // worker that goes
+    std::string departingLease; // when this lease is written next; empty: none does
+    std::string heldLease;      // answers to writes of it are held,
+    time_point heldUntil{};     // until then
     std::thread thread;
 };
 
@@ -419,6 +500,26 @@
     m_impl->loop.post([this, worker] { m_impl->workers.at(worker)->silent = true; });
 }
 
+void job_site::depart(std::size_t worker)
+{
+    m_impl->loop.post([this, worker] { m_impl->depart(worker); });
+}
+
+void job_site::departAtRenewal(std::size_t worker, const std::string &lease)
+{
+    m_impl->loop.post([this, worker, lease] {
+        m_impl->departing = worker;
+        m_impl->departingLease = lease;
+    });
+}
+
+std::int64_t job_site::leaseEpoch(const std::string &lease) const
+{
+    const std::lock_guard lock(m_impl->record.mutex);
+    const auto found = m_impl->record.leaseEpochs.find(lease);
+    return found == m_impl->record.leaseEpochs.end() ? 0 : found->second;
+}
+
 void job_site::workLasts(milliseconds work)
 {
     m_impl->loop.post([this, work] { m_impl->work = work; });
@@ -430,15 +531,20 @@
     return m_impl->record.starts;
 }
 
-std::size_t job_site::busiestWorker() const
+int job_site::runsOn(std::size_t worker) const
 {
     const std::lock_guard lock(m_impl->record.mutex);
-    std::map<std::string, int> runs;
-    for (const auto &[task, worker] : m_impl->record.runningAt)
-        ++runs[worker];
+    const auto &runs = m_impl->record.runningAt;
+    return static_cast<int>(std::count_if(runs.begin(), runs.end(), [&](const auto &run) {
+        return run.second == nameOfWorker(worker);
+    }));
+}
+
+std::size_t job_site::busiestWorker() const
+{
     std::size_t busiest = 0;
     for (std::size_t index = 0; index < m_impl->workers.size(); ++index) {
-        if (runs[nameOfWorker(index)] > runs[nameOfWorker(busiest)])
+        if (runsOn(index) > runsOn(busiest))
             busiest = index;
     }
     return busiest;
--- a/standins/job_site.h
+++ b/standins/job_site.h
@@ -28,12 +28,19 @@
     job_site(const job_site &) = delete;
     job_site &operator=(const job_site &) = delete;
 
-    void loseAnswers(int writes);      // the next writes take effect, their answers are lost
-    void turnAway(bool all);           // the store answers 503 and does nothing
-    void silence(std::size_t worker);  // it runs on and answers nothing any more
-    void workLasts(milliseconds work); // of tasks that start from now on
-    int starts() const;                // that began a run
-    int done() const;                  // runs that ended so
+    void loseAnswers(int writes);     // the next writes take effect, their answers are lost
+    void turnAway(bool all);          // the store answers 503 and does nothing
+    void silence(std::size_t worker); // it runs on and answers nothing any more
+    // Its process is gone: what ran there has ended, nothing listens, its agent is told.
+    void depart(std::size_t worker);
+    // The same at the moment at which that worker's lease, of this key, is written next; the
+    // answers to writes of it come only after a while.
+    void departAtRenewal(std::size_t worker, const std::string &lease);
+    std::int64_t leaseEpoch(const std::string &lease) const; // as stored; 0: there is no such row
+    void workLasts(milliseconds work);                       // of tasks that start from now on
+    int starts() const;                                      // that began a run
+    int done() const;                                        // runs that ended so
+    int runsOn(std::size_t worker) const;
     std::size_t busiestWorker() const; // where most runs are
     std::vector<std::string> violations() const;
 
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -115,6 +115,42 @@
                 SoonEnough);
     }
 
+    // A service: tasks that run until their job is cancelled, and run again however they end.
+    bool handInService(int entry, const std::string &job)
+    {
+        const auto answer = call(entry, "POST", job,
+                                 R"({"spec":"","steps":[{"count":2,"cpu":1000,"mem-mb":100,)"
+                                 R"("long-running":true,"image":"site","target-ms":150}]})");
+        return answer && answer->status == 200;
+    }
+
+    // A worker with tasks that last leaves at the moment at which its lease is renewed.
+    struct departure
+    {
+        int worker = 0;
+        int runs = 0;           // that ran there
+        std::int64_t epoch = 0; // of its lease
+    };
+    departure leaveDuringRenewal(const std::string &job)
+    {
+        site().workLasts(milliseconds(600'000));
+        require(handInService(0, job));
+        require(waitUntil([&] { return site().starts() == 2; }, SoonEnough));
+        const auto worker = site().busiestWorker();
+        const auto lease = fmt::format("agent-{}", worker);
+        const departure left{static_cast<int>(worker), site().runsOn(worker),
+                             site().leaseEpoch(lease)};
+        site().departAtRenewal(worker, lease);
+        return left;
+    }
+
+    bool agentSaid(int index, const std::string &event)
+    {
+        std::ifstream lines(agent(index).outFile());
+        const std::string text{std::istreambuf_iterator<char>(lines), {}};
+        return text.find(fmt::format(R"("event":"{}")", event)) != std::string::npos;
+    }
+
     bool reaches(int entry, const std::string &job, const std::string &state)
     {
         return waitUntil(
@@ -238,8 +274,6 @@
 // entries are frozen in turn, so that one of the two is the placer.
 Test(process_jobs, a_service_whose_placer_is_frozen)
 {
-    const std::string service = R"({"spec":"","steps":[{"count":2,"cpu":1000,"mem-mb":100,)"
-                                R"("long-running":true,"image":"site","target-ms":150}]})";
     system_under_test on;
     on.site().workLasts(milliseconds(600'000));
     int running = 0;
@@ -247,8 +281,7 @@
         section(fmt::format("entry {} is frozen", frozen), [&] {
             const auto job = fmt::format("abcd00000000000{}", frozen);
             on.entry(frozen).signal(SIGSTOP);
-            const auto answer = on.call(1 - frozen, "POST", job, service);
-            check(answer && answer->status == 200);
+            check(on.handInService(1 - frozen, job));
             on.entry(frozen).signal(SIGCONT);
             running += 2;
             check(waitUntil([&] { return on.site().starts() == running; }, SoonEnough));
@@ -304,6 +337,36 @@
     checkNothingWrong(on, on.site());
 }
 
+// The caller sees two tasks that last stand still for seconds, with room for them on another
+// worker. Their worker leaves as planned while a renewal of its lease is out; its agent finds it
+// gone and can't end the epoch, as the row is being written. It seeks its lease anew and waits for
+// a look that shows what runs, at a worker that is no longer there.
+Test(process_jobs, worker_leaves_while_its_lease_is_renewed)
+{
+    system_under_test on;
+    const auto left = on.leaveDuringRenewal("acac000000000001");
+    check(waitUntil([&] { return on.site().starts() == 2 + left.runs; }, SoonEnough));
+    // That it left was known: nobody waited for the end of a lease.
+    on.agent(left.worker).signal(SIGTERM); // its last lines are written by then
+    check(on.agent(left.worker).waitForExit(SoonEnough) == 0);
+    check(!on.agentSaid(left.worker, "worker_silent"));
+    checkNothingWrong(on, on.site());
+}
+
+// The caller sees the same for longer: the agent is stopped as planned, with its worker, before it
+// has written that all that ran there has ended. Then the entries know nothing but the lease.
+Test(process_jobs, agent_stops_after_its_worker_left)
+{
+    system_under_test on;
+    const auto left = on.leaveDuringRenewal("acac000000000002");
+    require(waitUntil([&] { return on.agentSaid(left.worker, "worker_gone"); }, SoonEnough));
+    on.agent(left.worker).signal(SIGTERM);
+    check(on.agent(left.worker).waitForExit(SoonEnough) == 0);
+    check(on.site().leaseEpoch(fmt::format("agent-{}", left.worker)) > left.epoch);
+    check(waitUntil([&] { return on.site().starts() == 2 + left.runs; }, SoonEnough));
+    checkNothingWrong(on, on.site());
+}
+
 // The caller sees its job accepted and completed. The answers to writes are lost after they took
 // effect; the entry repeats the very same write, finds its own row and goes on.
 Test(process_jobs, answers_of_the_store_lost)
