What an agent knows of its worker's end is kept until it is written

Callers saw tasks that last stand still for seconds after their worker had left (9.1 s on the stand-ins; for the end of the lease, 12 to 13 s, once the agent is stopped). Cause: the end of an epoch was written only when no write of the lease was out; otherwise the agent took a new fence and then waited for a look, which a worker that is gone never answers. The same way lost it when the write that said so was void, and when a new life fell silent before its first look (then for ever: that is bounded now by the longest lease a worker grants).

Now libs/jobs/worker_lease decides which writes are due, without I/O: the end is a fact that stays until it is in the row, and a fence that is taken meanwhile, or a row that was taken, only puts it off. Ruled out: a look that hung (worker_gone was said 0.15 s after the departure) and reports that were lost (the row itself had not changed).

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -15,6 +15,7 @@
 #include "base/json_member.h"
 #include "jobs/lease.h"
 #include "jobs/run_table.h"
+#include "jobs/worker_lease.h"
 #include "net/http_listener.h"
 #include "platform/worker_wire.h"
 
@@ -33,7 +34,8 @@
 constexpr milliseconds LookRetry{150};
 constexpr milliseconds LookAgain{40};    // while ends are not acknowledged: a look returns at once
 constexpr milliseconds HoldLength{5000}; // a look is lost now and then, an agent is back within 2 s
-constexpr milliseconds StartWithin{1500}; // a start call takes effect within this, or never
+constexpr milliseconds LongestHold{10'000}; // no worker lets runs go on for longer by one call
+constexpr milliseconds StartWithin{1500};   // a start call takes effect within this, or never
 constexpr milliseconds CallTimeout{1000};
 constexpr milliseconds ReportEvery{1000};
 constexpr milliseconds ReportTimeout{2000}; // an entry answers once the ends are stored
@@ -65,6 +67,7 @@
                   m_loop, m_caller, m_settings.store, [this] { return relays(); }, m_metrics, m_log)
         , m_entriesTable(m_loop, m_store, m_log, {EntriesTable},
                          [this](const auto &rows) { takeEntries(rows); })
+        , m_lease(m_settings.id)
         , m_internal(m_loop, m_settings.internal, {},
                      [this](http_request request, responder respond) {
                          serveInternal(std::move(request), std::move(respond));
@@ -85,11 +88,14 @@
             reportAll();
             m_samples.clear();
         });
-        m_loop.every(RenewEvery, [this] { renew(); });
+        m_loop.every(RenewEvery, [this] {
+            m_lease.renew(suspendAwareNow());
+            carryOutLease();
+        });
         m_entriesTable.start();
         // An earlier life of this agent may have let runs go on for as long.
         m_heldUntil = suspendAwareNow() + LeaseLength;
-        establish("process_start");
+        seekLease("process_start");
         m_loop.run([this](const std::exception &problem) {
             m_metrics.count("callbacks_failed_total", "exception");
             m_log.note("callback_failed", {{"why", problem.what()}});
@@ -97,7 +103,7 @@
         m_log.note("stopped", {{"epoch", m_table.epoch()},
                                {"runs", m_table.running()},
                                {"worker", m_present ? "present" : "absent"},
-                               {"lease_write_out", m_writing ? "yes" : "no"}});
+                               {"lease_write_out", m_lease.writeOut() ? "yes" : "no"}});
         m_log.flush();
     }
 
@@ -110,68 +116,79 @@
         return limits;
     }
 
-    // --- The lease. `establish` takes a new fence; the epoch follows once it is known that nothing
-    // of an earlier epoch runs.
+    // --- The lease.
 
-    void establish(const char *why)
+    // A new fence voids the orders of before. The epoch follows once it is known what of an earlier
+    // one still runs.
+    void seekLease(const char *why)
     {
-        m_holding = false;
-        m_table.setEpoch(0);
-        ++m_establishing;
         m_log.note("lease_sought", {{"why", why}});
-        readLease(m_establishing);
+        m_table.setEpoch(0);
+        m_lease.seek();
+        carryOutLease();
+    }
+
+    // Nothing of any earlier epoch runs any more: what was placed here may go elsewhere.
+    void allEnded(const std::string &nextLife)
+    {
+        m_table.clear();
+        m_lease.allEnded(nextLife, suspendAwareNow());
+        carryOutLease();
+    }
+
+    void carryOutLease()
+    {
+        for (const auto &action : m_lease.takeActions())
+            std::visit([this](const auto &one) { carryOut(one); }, action);
     }
 
-    void readLease(int attempt)
+    void carryOut(const read_lease & /*action*/)
     {
         m_store.read(LeasesTable, m_settings.id, "", "",
-                     [this, attempt](const std::optional<row_page> &page) {
-                         if (attempt != m_establishing)
-                             return;
+                     [this](const std::optional<row_page> &page) {
                          if (!page)
-                             return m_loop.after(LookRetry,
-                                                 [this, attempt] { readLease(attempt); });
-                         lease_row lease;
-                         std::int64_t version = 0;
-                         if (!page->rows.empty()) {
-                             lease = leaseFrom(page->rows.front().value);
-                             version = page->rows.front().version;
-                         }
-                         ++lease.fence;
-                         writeLease(lease, version, [this, attempt] {
-                             if (attempt != m_establishing)
-                                 return;
-                             m_holding = true;
-                             m_fresh = true;
-                             look();
-                         });
+                             return m_loop.after(LookRetry, [this] { carryOut(read_lease{}); });
+                         leaseRead(*page);
                      });
     }
 
-    void writeLease(lease_row next, std::int64_t version, std::function<void()> then)
+    void leaseRead(const row_page &page)
+    {
+        const auto now = suspendAwareNow();
+        if (page.rows.empty()) {
+            m_lease.rowRead(std::nullopt, 0, now);
+        } else {
+            const auto &one = page.rows.front();
+            m_lease.rowRead(leaseFrom(one.value), one.version, now);
+        }
+        carryOutLease();
+    }
+
+    void carryOut(const write_lease &action)
     {
-        const auto sentAt = suspendAwareNow();
-        ++next.renewals;
-        next.write = m_settings.id + ":" + std::to_string(next.fence) + ":"
-                     + std::to_string(next.renewals);
         const auto name = leaseRow(m_settings.id);
-        m_writing = true;
         m_store.commit(
-                {{{name, version}}, {{name, toText(next), 0, false}}, {}},
-                [this, next, sentAt, then = std::move(then)](const row_store::outcome &outcome) {
-                    m_writing = false;
-                    const auto written = writtenVersion(outcome, next.write);
-                    if (!written)
-                        return establish("lease_taken");
-                    m_lease = next;
-                    m_leaseVersion = *written;
-                    // Counted from before the write was sent: the watcher counts from when
-                    // it read it.
-                    m_leaseUntil = sentAt + LeaseLength;
-                    then();
+                {{{name, action.expectedVersion}}, {{name, toText(action.row), 0, false}}, {}},
+                [this, write = action.row.write](const row_store::outcome &outcome) {
+                    leaseWritten(write, outcome);
                 });
     }
 
+    void leaseWritten(const std::string &write, const row_store::outcome &outcome)
+    {
+        const bool heldBefore = m_lease.holdsFence();
+        if (const auto version = writtenVersion(outcome, write)) {
+            m_lease.rowWritten(*version, suspendAwareNow());
+        } else {
+            m_log.note("lease_sought", {{"why", "lease_taken"}});
+            m_table.setEpoch(0);
+            m_lease.rowTaken();
+        }
+        carryOutLease();
+        if (m_lease.holdsFence() && !heldBefore)
+            look();
+    }
+
     static std::optional<std::int64_t> writtenVersion(const row_store::outcome &outcome,
                                                       const std::string &write)
     {
@@ -189,29 +206,21 @@
         return std::nullopt;
     }
 
-    void renew()
+    void carryOut(const epoch_settled &action)
     {
-        if (m_holding && !m_writing)
-            writeLease(m_lease, m_leaseVersion, [] {});
-    }
-
-    // Begins a new epoch: what was placed before has ended for certain.
-    void beginEpoch(const std::string &life)
-    {
-        auto next = m_lease;
-        if (!next.ended || next.life.empty())
-            ++next.epoch;
-        next.life = life;
-        next.ended = false;
-        m_holding = false;
-        writeLease(next, m_leaseVersion, [this] {
-            m_holding = true;
-            m_fresh = false;
-            m_table.setEpoch(m_lease.epoch);
-            m_log.note("epoch_begun", {{"epoch", m_lease.epoch}, {"life", m_lease.life}});
-            reportAll();
-            look();
-        });
+        m_table.setEpoch(action.epoch);
+        m_log.note(action.begun ? "epoch_begun" : "epoch_resumed",
+                   {{"epoch", action.epoch}, {"life", m_lease.life()}});
+        const auto now = suspendAwareNow();
+        if (action.begun) {
+            // Nothing runs; a look that is out may still extend what is started from now on.
+            m_heldUntil = now + HoldLength;
+        } else {
+            // A run that an earlier life of this agent told to stop is in neither list until it
+            // has ended, and takes room all the while.
+            m_startFrom = now + m_settings.stopWithin + StopMargin;
+        }
+        reportAll();
     }
 
     // --- Looking at the worker.
@@ -222,27 +231,27 @@
 
     void look()
     {
-        if (!m_holding || m_looking)
+        if (!m_lease.holdsFence() || m_looking)
             return;
         m_looking = true;
         const auto now = suspendAwareNow();
         std::optional<std::int64_t> deadline;
         // A worker that answers nothing is only looked at: each call that may have reached it would
         // put off the time from which all that it runs has ended for certain.
-        if (m_clockMs > 0 && now < m_leaseUntil && workerAnswers(now)) {
-            const auto until = std::min<time_point>(m_leaseUntil, now + HoldLength);
+        if (m_clockMs > 0 && now < m_lease.until() && workerAnswers(now)) {
+            const auto until = std::min<time_point>(m_lease.until(), now + HoldLength);
             deadline = workerClockAt(until);
             m_heldUntil = std::max(m_heldUntil, until);
         }
         // Without a clock to count from, the first look only reads it.
         const auto longest = m_table.servingNow().empty() ? LookWait : LookWaitServing;
         const auto wait = m_clockMs > 0 ? asMs(longest) : 0;
-        auto request = platform_wire::holdRequest(m_life.id, deadline, m_lease.fence,
+        auto request = platform_wire::holdRequest(m_life.id, deadline, m_lease.fence(),
                                                   m_table.lastSeen(), wait);
         if (m_life.id.empty())
             request.headers.clear();
         m_caller.call(m_settings.worker, std::move(request), milliseconds(wait) + LookTimeout,
-                      [this, fence = m_lease.fence](const call_result &result) {
+                      [this, fence = m_lease.fence()](const call_result &result) {
                           m_looking = false;
                           looked(result, fence);
                       });
@@ -250,10 +259,10 @@
 
     void looked(const call_result &result, std::int64_t fence)
     {
-        if (!m_holding)
-            return;
-        if (fence != m_lease.fence)
-            return look(); // asked before the lease was established anew
+        if (!m_lease.holdsFence())
+            return; // looks again once it does
+        if (fence != m_lease.fence())
+            return look(); // asked before the present fence was taken
         const auto now = suspendAwareNow();
         const auto seen = platform_wire::holdResult(result);
         noteAnswering(seen.has_value(), result);
@@ -278,7 +287,7 @@
         const auto endsBefore = m_table.endsSeen();
         m_table.look(seen->listing, now);
         const bool news = m_table.endsSeen() != endsBefore;
-        settleEpoch();
+        settleEpoch(now);
         act();
         pace(now);
         if (news)
@@ -306,24 +315,15 @@
 
     std::string lifeName() const { return std::to_string(m_life.bornMs); }
 
-    // After `establish`: the same life as the lease row tells keeps its runs; in another one, or
+    // With a new fence: the same life as the lease's row tells keeps its runs; in another one, or
     // after a watcher ended the epoch, all that runs is stopped before the new epoch begins.
-    void settleEpoch()
+    void settleEpoch(time_point now)
     {
-        if (!m_fresh || m_life.bornMs == 0)
+        if (m_life.bornMs == 0)
             return;
-        if (!m_lease.ended && m_lease.life == lifeName()) {
-            m_fresh = false;
-            // A run that an earlier life of this agent told to stop is in neither list until it has
-            // ended, and takes room all the while.
-            m_startFrom = suspendAwareNow() + m_settings.stopWithin + StopMargin;
-            m_table.setEpoch(m_lease.epoch);
-            m_log.note("epoch_resumed", {{"epoch", m_lease.epoch}});
-            return reportAll();
-        }
-        m_table.stopAll(suspendAwareNow());
-        if (m_table.running() == 0)
-            beginEpoch(lifeName());
+        if (m_lease.seen(lifeName(), m_table.running(), now))
+            m_table.stopAll(now);
+        carryOutLease();
     }
 
     void lifeEnded(const char *why)
@@ -332,22 +332,23 @@
         m_metrics.count("worker_lives_ended_total", why);
         m_table.clear();
         m_clockMs = 0;
-        m_heldUntil = {};
-        establish(why);
+        // A start of the earlier life that was never answered may still take effect in the new
+        // one, until this one's fence is known there.
+        m_heldUntil = suspendAwareNow() + LongestHold;
+        seekLease(why);
     }
 
     // A worker that answers nothing ends all it runs when the last lease that it was given is over.
     void judgeSilence(time_point now)
     {
-        if (m_heldUntil == time_point{} || (!m_fresh && m_table.running() == 0))
+        if (m_heldUntil == time_point{} || (m_lease.settled() && m_table.running() == 0))
             return;
         if (now < m_heldUntil + slowClock(LeaseLength) - LeaseLength + LeaseMargin)
             return;
         m_log.note("worker_silent", {{"runs", m_table.running()}});
         m_metrics.count("worker_lives_ended_total", "silent");
-        m_table.clear();
         m_heldUntil = {};
-        beginEpoch(lifeName());
+        allEnded(lifeName());
     }
 
     // --- The worker's announcements.
@@ -410,22 +411,18 @@
         // What is known of the lease tells whether the end of the epoch can be written at once.
         m_log.note("worker_gone", {{"worker", m_life.id},
                                    {"runs", m_table.running()},
-                                   {"lease_write_out", m_writing ? "yes" : "no"},
-                                   {"lease", m_holding ? "held" : "sought"}});
+                                   {"lease_write_out", m_lease.writeOut() ? "yes" : "no"},
+                                   {"lease", m_lease.holdsFence() ? "held" : "sought"}});
         m_departing = false;
-        m_table.clear();
         m_heldUntil = {};
-        if (m_holding && !m_writing && !m_fresh)
-            beginEpoch("");
-        else
-            establish("departed");
+        allEnded("");
     }
 
     bool accepting() const
     {
         const auto now = suspendAwareNow();
-        return now >= m_startFrom && m_present && !m_told.leaving && !m_fresh && m_holding
-               && m_clockMs > 0 && workerAnswers(now) && now < m_leaseUntil;
+        return now >= m_startFrom && m_present && !m_told.leaving && m_lease.settled()
+               && m_clockMs > 0 && workerAnswers(now) && now < m_lease.until();
     }
 
     // --- Orders of entries.
@@ -478,7 +475,7 @@
         const auto now = suspendAwareNow();
         // A worker that answers nothing is not told to start anything: each such call would put off
         // the time from which all that it runs has ended for certain.
-        const bool mayStart = now < m_leaseUntil && m_clockMs > 0 && workerAnswers(now);
+        const bool mayStart = now < m_lease.until() && m_clockMs > 0 && workerAnswers(now);
         for (const auto &action : m_table.due(now, mayStart))
             std::visit([this](const auto &one) { carryOut(one); }, action);
     }
@@ -489,14 +486,14 @@
         // has run out, while the task runs elsewhere. Frozen after this line, the call's own
         // deadline stops it.
         const auto now = suspendAwareNow();
-        const auto until = std::min<time_point>(m_leaseUntil, now + StartWithin);
+        const auto until = std::min<time_point>(m_lease.until(), now + StartWithin);
         if (now >= until)
             return;
         const auto deadline = workerClockAt(until);
         m_heldUntil = std::max(m_heldUntil, until);
         m_table.startCalled(start.task, start.run, deadline);
         m_caller.call(m_settings.worker,
-                      platform_wire::startRequest(m_life.id, start, deadline, m_lease.fence),
+                      platform_wire::startRequest(m_life.id, start, deadline, m_lease.fence()),
                       CallTimeout,
                       [this, task = start.task, run = start.run](const call_result &result) {
                           started(task, run, result);
@@ -523,8 +520,9 @@
 
     void carryOut(const stop_run &stop)
     {
-        m_caller.call(m_settings.worker, platform_wire::stopRequest(m_life.id, stop, m_lease.fence),
-                      CallTimeout, [this](const call_result &result) {
+        m_caller.call(m_settings.worker,
+                      platform_wire::stopRequest(m_life.id, stop, m_lease.fence()), CallTimeout,
+                      [this](const call_result &result) {
                           if (!std::holds_alternative<http_response>(result))
                               m_metrics.count("stops_not_confirmed_total", "unanswered");
                       });
@@ -544,7 +542,7 @@
             m_metrics.count("paces_total", change.percent < 100 ? "slowed" : "full");
             m_caller.call(m_settings.worker,
                           platform_wire::paceRequest(m_life.id, change.task, change.run,
-                                                     change.percent, m_lease.fence),
+                                                     change.percent, m_lease.fence()),
                           CallTimeout, [this, change](const call_result &result) {
                               const auto *answer = std::get_if<http_response>(&result);
                               if (answer != nullptr && answer->status == 200)
@@ -579,7 +577,7 @@
         worker_report told;
         told.worker = m_settings.id;
         told.address = toText(m_settings.internal);
-        told.agentLife = m_lease.fence;
+        told.agentLife = m_lease.fence();
         told.epoch = m_table.epoch();
         told.service = m_settings.service;
         told.zone = m_settings.zone;
@@ -690,14 +688,8 @@
     bool m_present = false;   // announced, and not departed
     bool m_departing = false; // said to end, and not yet seen gone
 
-    lease_row m_lease;
-    std::int64_t m_leaseVersion = 0;
-    time_point m_leaseUntil{}; // nothing is started or held beyond
-    time_point m_heldUntil{};  // the worker was told to let runs go on until then, at most
-    int m_establishing = 0;
-    bool m_holding = false; // the fence is written
-    bool m_writing = false; // a write of the lease is out
-    bool m_fresh = true;    // the epoch is not settled since the fence was written
+    worker_lease m_lease;
+    time_point m_heldUntil{}; // the worker was told to let runs go on until then, at most
 
     std::int64_t m_clockMs = 0; // the worker's clock,
     time_point m_clockReadAt{}; // read then
--- /dev/null
+++ b/libs/jobs/worker_lease.cpp
@@ -0,0 +1,119 @@
+#include "jobs/worker_lease.h"
+
+#include <utility>
+
+#include <fmt/core.h>
+
+namespace zinniabarrow::jobs {
+
+worker_lease::worker_lease(std::string agent)
+    : m_agent(std::move(agent))
+{ }
+
+void worker_lease::seek()
+{
+    m_settled = false;
+    m_phase = lease_phase::Reading;
+    // The outcome of the write that is out would be taken for that of the next one.
+    m_sought = m_out.has_value();
+    if (!m_sought)
+        m_actions.emplace_back(read_lease{});
+}
+
+void worker_lease::renew(time_point now)
+{
+    if (m_phase == lease_phase::Held && !m_out)
+        write(m_row, false, now);
+}
+
+void worker_lease::rowRead(const std::optional<lease_row> &row, std::int64_t version,
+                           time_point now)
+{
+    if (m_phase != lease_phase::Reading || m_out)
+        return;
+    m_version = row ? version : 0;
+    auto next = row.value_or(lease_row());
+    ++next.fence;
+    m_phase = lease_phase::TakingFence;
+    write(std::move(next), false, now);
+}
+
+void worker_lease::rowWritten(std::int64_t version, time_point now)
+{
+    if (!m_out)
+        return;
+    const auto done = std::move(*m_out);
+    m_out.reset();
+    m_row = done.row;
+    m_version = version;
+    // Counted from before the write was sent: a watcher counts from when it read it.
+    m_until = done.sentAt + LeaseLength;
+    if (done.beginsEpoch && !m_ended && !m_sought) {
+        m_settled = true;
+        m_actions.emplace_back(epoch_settled{m_row.epoch, true});
+    }
+    if (std::exchange(m_sought, false)) {
+        m_actions.emplace_back(read_lease{});
+        return;
+    }
+    m_phase = lease_phase::Held;
+    beginEpochIfDue(now);
+}
+
+void worker_lease::rowTaken()
+{
+    if (!m_out)
+        return;
+    if (m_out->beginsEpoch && !m_ended)
+        m_ended = m_out->row.life;
+    m_out.reset();
+    seek();
+}
+
+bool worker_lease::seen(const std::string &life, std::size_t running, time_point now)
+{
+    if (m_phase != lease_phase::Held || m_settled || owesEnd())
+        return false;
+    if (!m_row.ended && m_row.life == life) {
+        m_settled = true;
+        m_actions.emplace_back(epoch_settled{m_row.epoch, false});
+        return false;
+    }
+    if (running > 0)
+        return true;
+    allEnded(life, now);
+    return false;
+}
+
+void worker_lease::allEnded(const std::string &life, time_point now)
+{
+    m_settled = false;
+    m_ended = life;
+    beginEpochIfDue(now);
+}
+
+void worker_lease::beginEpochIfDue(time_point now)
+{
+    if (!m_ended || m_out || m_phase != lease_phase::Held)
+        return;
+    auto next = m_row;
+    ++next.epoch;
+    next.life = *std::exchange(m_ended, std::nullopt);
+    next.ended = false;
+    write(std::move(next), true, now);
+}
+
+void worker_lease::write(lease_row next, bool beginsEpoch, time_point now)
+{
+    ++next.renewals;
+    next.write = fmt::format("{}:{}:{}", m_agent, next.fence, next.renewals);
+    m_out = out_write{next, now, beginsEpoch};
+    m_actions.emplace_back(write_lease{std::move(next), m_version});
+}
+
+std::vector<lease_action> worker_lease::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+} // namespace zinniabarrow::jobs
--- /dev/null
+++ b/libs/jobs/worker_lease.h
@@ -0,0 +1,101 @@
+// The lease of a worker as its agent holds it: which writes of the row are due, and under which
+// epoch tasks may start. Decisions only.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/time.h"
+#include "jobs/lease.h"
+
+namespace zinniabarrow::jobs {
+
+struct read_lease // and tell `rowRead`
+{ };
+
+// Repeated unchanged until its outcome is known; then `rowWritten` or `rowTaken`.
+struct write_lease
+{
+    lease_row row;
+    std::int64_t expectedVersion = 0; // 0: there is no such row
+};
+
+// Tasks may start under this epoch from now on.
+struct epoch_settled
+{
+    std::int64_t epoch = 0;
+    bool begun = false; // anew; what was placed under earlier ones has ended
+};
+
+using lease_action = std::variant<read_lease, write_lease, epoch_settled>;
+
+class worker_lease
+{
+public:
+    explicit worker_lease(std::string agent);
+
+    // A new life of the agent, or of its worker: orders of before are void once the next fence is
+    // written.
+    void seek();
+    void renew(time_point now); // the time for it has come
+
+    // --- what became of the actions
+    void rowRead(const std::optional<lease_row> &row, std::int64_t version, time_point now);
+    void rowWritten(std::int64_t version, time_point now);
+    void rowTaken(); // by somebody else
+
+    // --- the worker
+    // It answered: `life` runs `running` tasks. True: all of them have to be stopped, as they
+    // belong to an epoch that is over.
+    bool seen(const std::string &life, std::size_t running, time_point now);
+    // All that ran has ended for certain. `life` is the one that comes next, empty: none yet.
+    void allEnded(const std::string &life, time_point now);
+
+    bool holdsFence() const { return m_phase == lease_phase::Held; }
+    bool settled() const { return m_settled; } // tasks may start under the epoch
+    // The end of the epoch is known here alone: without it in the row, what was placed on the
+    // worker waits for the end of the lease.
+    bool owesEnd() const { return m_ended.has_value() || (m_out && m_out->beginsEpoch); }
+    bool writeOut() const { return m_out.has_value(); }
+    std::int64_t epoch() const { return m_row.epoch; }
+    std::int64_t fence() const { return m_row.fence; }
+    const std::string &life() const { return m_row.life; }
+    time_point until() const { return m_until; } // nothing is started or held beyond
+
+    std::vector<lease_action> takeActions();
+
+private:
+    enum class lease_phase {
+        Reading,     // the row is being read
+        TakingFence, // the next fence is being written
+        Held,
+    };
+
+    struct out_write
+    {
+        lease_row row;
+        time_point sentAt{};
+        bool beginsEpoch = false;
+    };
+
+    void write(lease_row next, bool beginsEpoch, time_point now);
+    void beginEpochIfDue(time_point now);
+
+    std::string m_agent;
+    lease_phase m_phase = lease_phase::Reading;
+    lease_row m_row; // as last written here
+    std::int64_t m_version = 0;
+    std::optional<out_write> m_out;
+    // The life to come, once all of before has ended. Kept until it is in the row: a write that is
+    // out, or a row that was taken, only puts it off.
+    std::optional<std::string> m_ended;
+    bool m_settled = false;
+    bool m_sought = false; // again, while a write is out: its outcome is waited for
+    time_point m_until{};
+    std::vector<lease_action> m_actions;
+};
+
+} // namespace zinniabarrow::jobs
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -337,10 +337,11 @@
     checkNothingWrong(on, on.site());
 }
 
-// The caller sees two tasks that last stand still for seconds, with room for them on another
-// worker. Their worker leaves as planned while a renewal of its lease is out; its agent finds it
-// gone and can't end the epoch, as the row is being written. It seeks its lease anew and waits for
-// a look that shows what runs, at a worker that is no longer there.
+// The caller sees two tasks that last stand still for seconds, with room for them on another worker.
+// Their worker leaves as planned while a renewal of its lease is out; its agent finds it gone, and
+// what it knows can't be written yet. Kept until the row is free, it frees the tasks at once; an
+// agent that sought its lease anew instead waited for a look at a worker that was no longer there:
+// its lines were worker_gone with a write out, then lease_sought, and 7 s later worker_silent.
 Test(process_jobs, worker_leaves_while_its_lease_is_renewed)
 {
     system_under_test on;
