An agent that is stopped stays until it has given back a lease that nobody else can

Callers saw tasks that last stand still for 12 to 13 s: their worker had left, and its agent was stopped a second later, as planned, before the row said that all that ran there has ended. Cause: SIGTERM ended an agent at once, whatever it owed. Now it stays, at most 5 s of the 6 s that it has, while its worker is leaving, while the end of an epoch is not written, and until the entries have answered a report with the new epoch (1 s at most). Where its worker goes on it stops at once as before: its next life resumes what runs.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -44,6 +44,8 @@
 constexpr milliseconds SampleEvery{500};   // what the worker tells covers half a second
 constexpr milliseconds WorkerSilent{1700}; // looks fail: nothing new is started
 constexpr milliseconds LogFlushEvery{100};
+constexpr milliseconds TellWithin{1000};  // a report is answered within some ms, repeated each 1 s
+constexpr milliseconds LeaveWithin{5000}; // below the 6 s after which a process is killed
 
 std::int64_t asMs(duration span)
 {
@@ -80,7 +82,7 @@
 
     void run()
     {
-        m_loop.onStopSignal([this] { m_loop.stop(); });
+        m_loop.onStopSignal([this] { leave(); });
         m_log.note("started", {{"internal", toText(m_settings.internal)}});
         m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
         m_loop.every(DueEvery, [this] { act(); });
@@ -213,6 +215,7 @@
                    {{"epoch", action.epoch}, {"life", m_lease.life()}});
         const auto now = suspendAwareNow();
         if (action.begun) {
+            m_tellUntil = now + TellWithin;
             // Nothing runs; a look that is out may still extend what is started from now on.
             m_heldUntil = now + HoldLength;
         } else {
@@ -556,8 +559,9 @@
     struct entry_link
     {
         std::string address;
-        bool out = false;   // a report has no answer yet
-        bool again = false; // something changed meanwhile
+        std::int64_t toldEpoch = 0; // it answered a report with this epoch
+        bool out = false;           // a report has no answer yet
+        bool again = false;         // something changed meanwhile
     };
 
     void reportAll()
@@ -600,10 +604,12 @@
         request.target = "/v1/report";
         request.body = toText(told);
         m_caller.call(link.address, std::move(request), ReportTimeout,
-                      [this, entry](const call_result &result) { reported(entry, result); });
+                      [this, entry, epoch = told.epoch](const call_result &result) {
+                          reported(entry, epoch, result);
+                      });
     }
 
-    void reported(const std::string &entry, const call_result &result)
+    void reported(const std::string &entry, std::int64_t epoch, const call_result &result)
     {
         const auto found = m_entries.find(entry);
         if (found == m_entries.end())
@@ -616,6 +622,7 @@
             m_table.ownerSilent(entry);
             return; // the next turn reports again
         }
+        link.toldEpoch = std::max(link.toldEpoch, epoch);
         try {
             takeAnswer(reportAnswerFrom(answer->body));
         } catch (const error &problem) {
@@ -664,6 +671,42 @@
             reportAll();
     }
 
+    // --- Planned stop.
+
+    void leave()
+    {
+        m_leaveUntil = suspendAwareNow() + LeaveWithin;
+        m_log.note("drain_started", {{"runs", m_table.running()},
+                                     {"worker", m_told.leaving ? "leaving" : "staying"},
+                                     {"stays", hasToStay() ? "yes" : "no"}});
+        leaveOn();
+    }
+
+    void leaveOn()
+    {
+        if (!hasToStay() || suspendAwareNow() >= m_leaveUntil)
+            return m_loop.stop();
+        m_loop.after(LookRetry, [this] { leaveOn(); });
+    }
+
+    // The next life of an agent goes on with what runs. But a worker that leaves takes its agent's
+    // instance with it: nobody else will ever know that all that ran there has ended, and what was
+    // placed there would wait for the end of the lease.
+    bool hasToStay() const
+    {
+        const bool workerLeaves = m_departing || (m_present && m_told.leaving);
+        return workerLeaves || m_lease.owesEnd() || entriesWaitForEpoch();
+    }
+
+    bool entriesWaitForEpoch() const
+    {
+        const auto epoch = m_table.epoch();
+        return suspendAwareNow() < m_tellUntil
+               && std::any_of(m_entries.begin(), m_entries.end(), [epoch](const auto &entry) {
+                      return entry.second.toldEpoch < epoch;
+                  });
+    }
+
     struct worker_life
     {
         std::string id;
@@ -687,6 +730,8 @@
     worker_life m_life;
     bool m_present = false;   // announced, and not departed
     bool m_departing = false; // said to end, and not yet seen gone
+    time_point m_tellUntil{}; // entries have answered a report with the present epoch by then
+    time_point m_leaveUntil{};
 
     worker_lease m_lease;
     time_point m_heldUntil{}; // the worker was told to let runs go on until then, at most
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -337,11 +337,12 @@
     checkNothingWrong(on, on.site());
 }
 
-// The caller sees two tasks that last stand still for seconds, with room for them on another worker.
-// Their worker leaves as planned while a renewal of its lease is out; its agent finds it gone, and
-// what it knows can't be written yet. Kept until the row is free, it frees the tasks at once; an
-// agent that sought its lease anew instead waited for a look at a worker that was no longer there:
-// its lines were worker_gone with a write out, then lease_sought, and 7 s later worker_silent.
+// The caller sees two tasks that last stand still for seconds, with room for them on another
+// worker. Their worker leaves as planned while a renewal of its lease is out; its agent finds it
+// gone, and what it knows can't be written yet. Kept until the row is free, it frees the tasks at
+// once; an agent that sought its lease anew instead waited for a look at a worker that was no
+// longer there: its lines were worker_gone with a write out, then lease_sought, and 7 s later
+// worker_silent.
 Test(process_jobs, worker_leaves_while_its_lease_is_renewed)
 {
     system_under_test on;
@@ -354,8 +355,10 @@
     checkNothingWrong(on, on.site());
 }
 
-// The caller sees the same for longer: the agent is stopped as planned, with its worker, before it
-// has written that all that ran there has ended. Then the entries know nothing but the lease.
+// The caller sees the same for 12 s: the agent is stopped as planned right after its worker left,
+// and before the row says that all that ran there has ended. Nobody else can know; the entries
+// hear nothing for 3 s and then wait for the end of the lease. An agent that stopped at once said
+// stopped with a write out, and the row's epoch was as before.
 Test(process_jobs, agent_stops_after_its_worker_left)
 {
     system_under_test on;
