A test that fails: each life of a watcher counts a silent worker's lease anew

Callers saw a task that lasts run again only 14 s after its worker had left. An entry counts the lease of a worker from when it first read the row, 3 s after the last report; a life of it that begins later starts again.

--- a/tests/job_platform_test.cpp
+++ b/tests/job_platform_test.cpp
@@ -159,6 +159,20 @@
     cr_expect_throw(leaseFrom("{}"), error);
 }
 
+// Callers see tasks that last stand still for 14 s and more. A worker and its agent are gone at
+// once, and all entries are killed some seconds later: each life of a watcher counts the whole
+// lease anew from when it first read the row, though nobody can have renewed it since.
+Test(job_platform, lease_read_by_a_watcher_that_lives_anew)
+{
+    const time_point gone{std::chrono::hours(1)};
+    lease_watch before;
+    check(!before.observe("w", 5, gone + seconds(3)));
+    lease_watch after; // entries were killed and live anew
+    check(!after.observe("w", 5, gone + seconds(6)));
+    // Callers take such a task for lost 9 s after its last run.
+    check(after.observe("w", 5, gone + seconds(9)));
+}
+
 // A job's owner dies. Exactly one of the entries that live takes the job over, and none does before
 // there was time to hear of everybody.
 Test(job_platform, heirs)
