The end of a worker's lease is told by the store's clock, the same for each life of each watcher

Callers saw a task that lasts run again only 14 s after its worker had left: with its agent gone as well, an entry waited 3 s of silence and then a whole lease, 8.86 s counted on its own clock from its first reading of the row; an entry that lived anew began again. The row now says until when runs may go on by the store's steady clock, which its answers tell; an agent takes the latest that this clock can show when it sends a renewal, so that the row never tells an end too early. A watcher looks when the lease may be over and no sooner than 1.5 s otherwise (before: each 0.7 s), and tells the end within the same moment whenever it began. Rows without the end are judged as before.

A watcher's write names itself now: it kept the agent's name before, whose repeated renewal would have taken it for its own. Ruled out: a report with each renewal (50% more reports for a slow entry), reports carrying the row's version (lost with the entry).

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -52,12 +52,6 @@
     return std::chrono::duration_cast<milliseconds>(span).count();
 }
 
-// A worker's clock may be slow by 2%.
-duration slowClock(duration span)
-{
-    return span + span / 50;
-}
-
 class agent_process
 {
 public:
@@ -147,9 +141,10 @@
     void carryOut(const read_lease & /*action*/)
     {
         m_store.read(LeasesTable, m_settings.id, "", "",
-                     [this](const std::optional<row_page> &page) {
+                     [this, sentAt = suspendAwareNow()](const std::optional<row_page> &page) {
                          if (!page)
                              return m_loop.after(LookRetry, [this] { carryOut(read_lease{}); });
+                         m_lease.storeTold(page->storeMs, sentAt, suspendAwareNow());
                          leaseRead(*page);
                      });
     }
@@ -171,7 +166,10 @@
         const auto name = leaseRow(m_settings.id);
         m_store.commit(
                 {{{name, action.expectedVersion}}, {{name, toText(action.row), 0, false}}, {}},
-                [this, write = action.row.write](const row_store::outcome &outcome) {
+                [this, write = action.row.write,
+                 sentAt = suspendAwareNow()](const row_store::outcome &outcome) {
+                    if (const auto *done = std::get_if<committed>(&outcome))
+                        m_lease.storeTold(done->storeMs, sentAt, suspendAwareNow());
                     leaseWritten(write, outcome);
                 });
     }
@@ -346,7 +344,7 @@
     {
         if (m_heldUntil == time_point{} || (m_lease.settled() && m_table.running() == 0))
             return;
-        if (now < m_heldUntil + slowClock(LeaseLength) - LeaseLength + LeaseMargin)
+        if (now < m_heldUntil + onSlowClock(LongestHold) - LongestHold + LeaseMargin)
             return;
         m_log.note("worker_silent", {{"runs", m_table.running()}});
         m_metrics.count("worker_lives_ended_total", "silent");
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include <fmt/core.h>
+
 #include "app/entry_directory.h"
 #include "app/job_tables.h"
 #include "app/job_view.h"
@@ -35,9 +37,10 @@
 constexpr milliseconds JobsFeedPause{250}; // joins the changes of many jobs into one answer
 constexpr milliseconds StoreRetry{200};
 constexpr milliseconds TakeoverEvery{250};
-constexpr milliseconds WatchEvery{700};    // looks at the lease of a silent worker
-constexpr milliseconds SilentWorker{3000}; // three reports were missed
-constexpr milliseconds OrderTimeout{600};  // an agent answers without asking its worker
+constexpr milliseconds WatchEvery{700};     // for workers that fell silent
+constexpr milliseconds SilentWorker{3000};  // three reports were missed
+constexpr milliseconds LeaseLookRetry{500}; // after one that told nothing
+constexpr milliseconds OrderTimeout{600};   // an agent answers without asking its worker
 constexpr milliseconds PeerTimeout{350};
 constexpr milliseconds AnswerWithin{2600}; // below the callers' usual patience of 3 s
 constexpr milliseconds ReportWithin{1500};
@@ -449,63 +452,89 @@
         if (!m_jobsKnown)
             return;
         const auto now = suspendAwareNow();
+        std::set<std::string> unheard;
         for (const auto &worker : m_book->busyWorkers()) {
             const auto *view = m_pool.find(worker);
             const auto heardAt = view == nullptr ? m_startedAt : view->heardAt;
             if (now - heardAt < SilentWorker) {
                 m_watch.forget(worker);
-                m_unheard.erase(worker);
                 continue;
             }
-            if (m_unheard.insert(worker).second)
-                m_log.note("worker_unheard",
-                           {{"worker", worker}, {"silent_ms", millisecondsOf(now - heardAt)}});
-            lookAtLease(worker);
+            unheard.insert(worker);
+            if (m_unheard.contains(worker))
+                continue; // looked at already, again when its lease may be over
+            m_log.note("worker_unheard",
+                       {{"worker", worker}, {"silent_ms", millisecondsOf(now - heardAt)}});
+            m_loop.post([this, worker] { lookAtLease(worker); });
         }
+        m_unheard = std::move(unheard);
+    }
+
+    void lookAtLeaseAt(const std::string &worker, time_point at)
+    {
+        const auto wait = std::max<duration>(at - suspendAwareNow(), duration(0));
+        m_loop.after(wait, [this, worker] { lookAtLease(worker); });
+    }
+
+    void lookAtLeaseAgain(const std::string &worker)
+    {
+        lookAtLeaseAt(worker, suspendAwareNow() + LeaseLookRetry);
     }
 
     void lookAtLease(const std::string &worker)
     {
+        if (!m_unheard.contains(worker))
+            return;
         m_store.read(LeasesTable, worker, "", "",
                      [this, worker](const std::optional<row_page> &page) {
                          if (!page || page->rows.empty())
-                             return;
+                             return lookAtLeaseAgain(worker);
                          try {
                              const auto &one = page->rows.front();
-                             judgeLease(worker, leaseFrom(one.value), one.version);
+                             judgeLease(worker, leaseFrom(one.value), one.version, page->storeMs);
                          } catch (const error &problem) {
                              m_log.note("lease_row_unreadable",
                                         {{"worker", worker}, {"why", problem.what()}});
+                             lookAtLeaseAgain(worker);
                          }
                      });
     }
 
-    void judgeLease(const std::string &worker, const lease_row &lease, std::int64_t version)
+    void judgeLease(const std::string &worker, const lease_row &lease, std::int64_t version,
+                    std::int64_t storeMs)
     {
         const auto now = suspendAwareNow();
         // Another entry has ended the epoch, or the worker lives anew.
         m_book->workerRenewed(worker, lease.epoch, now);
         pumpSoon();
-        const bool over = m_watch.observe(worker, version, now);
+        const auto verdict = m_watch.observe(worker, lease, version, storeMs, now);
         m_log.note("worker_lease_read", {{"worker", worker},
                                          {"epoch", lease.epoch},
                                          {"renewals", lease.renewals},
-                                         {"over", over ? "yes" : "no"}});
-        if (!over)
-            return;
+                                         {"over", verdict.over ? "yes" : "no"}});
+        if (!verdict.over)
+            return lookAtLeaseAt(worker, verdict.lookAgainAt);
+        endLease(worker, lease, version);
+    }
+
+    void endLease(const std::string &worker, const lease_row &lease, std::int64_t version)
+    {
         auto next = lease;
         ++next.epoch;
         next.ended = true;
+        next.write = fmt::format("{}:{}:ends", m_settings.id, version);
         const auto name = leaseRow(worker);
-        m_watch.forget(worker);
         m_store.commit(
                 {{{name, version}}, {{name, toText(next), 0, false}}, {}},
                 [this, worker, next](const row_store::outcome &outcome) {
+                    // Renewed, ended by another entry, or by an earlier try of this very write: the
+                    // row tells.
                     if (!std::holds_alternative<committed>(outcome))
-                        return; // it was renewed, or another entry was faster
+                        return lookAtLeaseAgain(worker);
                     m_log.note("worker_lease_ended", {{"worker", worker}, {"epoch", next.epoch}});
                     m_metrics.count("worker_leases_ended_total", "silent");
                     m_book->workerRenewed(worker, next.epoch, suspendAwareNow());
+                    m_unheard.erase(worker);
                     pumpSoon();
                 });
     }
--- a/libs/jobs/lease.cpp
+++ b/libs/jobs/lease.cpp
@@ -1,5 +1,8 @@
 #include "jobs/lease.h"
 
+#include <algorithm>
+#include <chrono>
+
 #include "base/json.h"
 #include "base/json_member.h"
 
@@ -14,26 +17,68 @@
     value["life"] = row.life;
     value["ended"] = row.ended;
     value["write"] = row.write;
+    value["ends_at_ms"] = Json::Int64(row.endsAtMs);
     return compactJson(value);
 }
 
 lease_row leaseFrom(const std::string &text)
 {
     const auto value = parseJsonObject(text);
-    return {integerMember(value, "epoch"),    integerMember(value, "fence"),
-            integerMember(value, "renewals"), stringMember(value, "life"),
-            boolMember(value, "ended"),       stringMember(value, "write")};
+    lease_row row{integerMember(value, "epoch"),    integerMember(value, "fence"),
+                  integerMember(value, "renewals"), stringMember(value, "life"),
+                  boolMember(value, "ended"),       stringMember(value, "write")};
+    if (value.isMember("ends_at_ms")) // agents of the release before don't tell it
+        row.endsAtMs = integerMember(value, "ends_at_ms");
+    return row;
+}
+
+namespace {
+
+std::int64_t inMs(time_point at)
+{
+    return std::chrono::duration_cast<milliseconds>(at.time_since_epoch()).count();
+}
+
+// Beyond the end that a row tells, or a whole lease.
+constexpr milliseconds Slack = onSlowClock(LeaseLength) - LeaseLength + LeaseMargin;
+
+} // namespace
+
+void store_clock::told(std::int64_t storeMs, time_point sentAt, time_point now)
+{
+    if (storeMs == 0)
+        return;
+    // The store read its clock after the call was sent: a call that took long tells less. Of all
+    // answers the tightest counts.
+    const auto ahead = storeMs - inMs(sentAt);
+    if (m_aheadMs && *m_aheadMs + driftUntil(now) <= ahead)
+        return;
+    m_aheadMs = ahead;
+    m_toldAt = now;
+}
+
+std::int64_t store_clock::latestAt(time_point at) const
+{
+    return m_aheadMs ? inMs(at) + *m_aheadMs + driftUntil(at) : 0;
+}
+
+// No two clocks run at one rate.
+std::int64_t store_clock::driftUntil(time_point at) const
+{
+    constexpr int PerMille = 1;
+    return std::max<std::int64_t>(0, inMs(at) - inMs(m_toldAt)) * PerMille / 1000;
 }
 
-bool lease_watch::observe(const std::string &worker, std::int64_t version, time_point now)
+lease_verdict lease_watch::observe(const std::string &worker, const lease_row &row,
+                                   std::int64_t version, std::int64_t storeMs, time_point now)
 {
     auto &last = m_seen[worker];
-    if (last.version != version) {
-        last.version = version;
-        last.endsAt = now + LeaseLength + LeaseLength / 50 + LeaseMargin;
-        return false;
-    }
-    return now >= last.endsAt;
+    if (last.version != version)
+        last = {version, now + LeaseLength + Slack};
+    auto endsAt = last.endsAt;
+    if (row.endsAtMs != 0 && storeMs != 0)
+        endsAt = std::min(endsAt, now + milliseconds(row.endsAtMs - storeMs) + Slack);
+    return {now >= endsAt, std::min(endsAt, now + RenewEvery)};
 }
 
 void lease_watch::forget(const std::string &worker)
--- a/libs/jobs/rows.h
+++ b/libs/jobs/rows.h
@@ -43,6 +43,7 @@
 struct committed
 {
     std::int64_t version = 0;
+    std::int64_t storeMs = 0; // the store's own steady clock; 0: not told
 };
 struct conflicting
 {
@@ -59,6 +60,7 @@
     std::vector<row> rows;
     bool more = false;
     std::int64_t version = 0; // of the whole store when it was read
+    std::int64_t storeMs = 0; // the store's own steady clock then; 0: not told
 };
 
 struct feed_page
--- a/libs/jobs/worker_lease.cpp
+++ b/libs/jobs/worker_lease.cpp
@@ -26,6 +26,11 @@
         write(m_row, false, now);
 }
 
+void worker_lease::storeTold(std::int64_t storeMs, time_point sentAt, time_point now)
+{
+    m_storeClock.told(storeMs, sentAt, now);
+}
+
 void worker_lease::rowRead(const std::optional<lease_row> &row, std::int64_t version,
                            time_point now)
 {
@@ -46,7 +51,7 @@
     m_out.reset();
     m_row = done.row;
     m_version = version;
-    // Counted from before the write was sent: a watcher counts from when it read it.
+    // Counted from before the write was sent, as the row tells it to watchers.
     m_until = done.sentAt + LeaseLength;
     if (done.beginsEpoch && !m_ended && !m_sought) {
         m_settled = true;
@@ -107,6 +112,8 @@
 {
     ++next.renewals;
     next.write = fmt::format("{}:{}:{}", m_agent, next.fence, next.renewals);
+    const auto storeMs = m_storeClock.latestAt(now);
+    next.endsAtMs = storeMs == 0 ? 0 : storeMs + LeaseLength.count();
     m_out = out_write{next, now, beginsEpoch};
     m_actions.emplace_back(write_lease{std::move(next), m_version});
 }
--- a/libs/jobs/worker_lease.h
+++ b/libs/jobs/worker_lease.h
@@ -42,6 +42,9 @@
     void seek();
     void renew(time_point now); // the time for it has come
 
+    // Any answer of the store tells its clock.
+    void storeTold(std::int64_t storeMs, time_point sentAt, time_point now);
+
     // --- what became of the actions
     void rowRead(const std::optional<lease_row> &row, std::int64_t version, time_point now);
     void rowWritten(std::int64_t version, time_point now);
@@ -85,6 +88,7 @@
     void beginEpochIfDue(time_point now);
 
     std::string m_agent;
+    store_clock m_storeClock;
     lease_phase m_phase = lease_phase::Reading;
     lease_row m_row; // as last written here
     std::int64_t m_version = 0;
--- a/tests/job_platform_test.cpp
+++ b/tests/job_platform_test.cpp
@@ -140,37 +140,112 @@
     check(!holdResult(answer(200, "[]")).has_value());
 }
 
-// An entry watches the lease of a worker that nobody hears of. It may take the lease only when the
-// row was unchanged for the whole lease and margin on its own clock.
+// An entry watches the lease of a worker that nobody hears of. Without the store's clock it may
+// take the lease only when the row was unchanged for the whole lease and margin on its own clock.
 Test(job_platform, leases)
 {
     lease_watch watch;
     time_point now{std::chrono::hours(1)};
-    check(!watch.observe("w", 5, now));
+    const lease_row untimed{4, 7, 12, "17", false, "w:7:12"};
+    const auto over = [&](std::int64_t version) {
+        return watch.observe("w", untimed, version, 0, now).over;
+    };
+    check(!over(5));
     now += LeaseLength;
-    check(!watch.observe("w", 5, now)); // a slow clock and the way here are not counted yet
-    check(!watch.observe("w", 6, now)); // renewed
+    check(!over(5)); // a slow clock and the way here are not counted yet
+    check(!over(6)); // renewed
     now += LeaseLength + LeaseMargin;
-    check(!watch.observe("w", 6, now));
+    check(!over(6));
     now += milliseconds(200);
-    check(watch.observe("w", 6, now));
-    const lease_row row{4, 7, 12, "17", true, "w:7:12"};
+    check(over(6));
+    const lease_row row{4, 7, 12, "17", true, "w:7:12", 99};
     check(toText(leaseFrom(toText(row))) == toText(row));
     cr_expect_throw(leaseFrom("{}"), error);
+    section("the row of an agent of the release before", [] {
+        const auto before = leaseFrom(R"({"epoch":4,"fence":7,"renewals":12,"life":"17",)"
+                                      R"("ended":false,"write":"w:7:12"})");
+        check(before.endsAtMs == 0);
+    });
 }
 
 // Callers see tasks that last stand still for 14 s and more. A worker and its agent are gone at
-// once, and all entries are killed some seconds later: each life of a watcher counts the whole
-// lease anew from when it first read the row, though nobody can have renewed it since.
+// once, and all entries are killed some seconds later: each life of a watcher counted the whole
+// lease anew from when it first read the row, though nobody could have renewed it since. The row
+// tells its end by the store's clock, which every life of every watcher reads alike.
 Test(job_platform, lease_read_by_a_watcher_that_lives_anew)
 {
+    constexpr std::int64_t GoneMs = 5'000'000; // store's clock
     const time_point gone{std::chrono::hours(1)};
+    lease_row row{4, 7, 12, "17", false, "w:7:12", GoneMs + LeaseLength.count()};
+    const auto over = [&](lease_watch &watch, milliseconds after) {
+        return watch.observe("w", row, 5, GoneMs + after.count(), gone + after).over;
+    };
     lease_watch before;
-    check(!before.observe("w", 5, gone + seconds(3)));
+    check(!over(before, seconds(3)));
     lease_watch after; // entries were killed and live anew
-    check(!after.observe("w", 5, gone + seconds(6)));
-    // Callers take such a task for lost 9 s after its last run.
-    check(after.observe("w", 5, gone + seconds(9)));
+    check(!over(after, seconds(6)));
+    check(over(after, LostAfter));
+    section("never while a run may go on", [&] {
+        lease_watch early;
+        check(!over(early, LeaseLength + LeaseMargin));
+        check(!over(early, onSlowClock(LeaseLength)));
+    });
+}
+
+// Callers take a task that lasts for lost when nothing ran it for 9 s. The worst order: its agent
+// renews the lease, and both lose power at once. The entries hear nothing, and each look at the
+// lease says when the next one is worth its while.
+Test(job_platform, a_worker_and_its_agent_are_gone)
+{
+    constexpr std::int64_t RenewedMs = 5'000'000; // store's clock
+    constexpr milliseconds NoticedAtMost{3700};   // three reports missed, then the next turn
+    constexpr milliseconds StartsWithin{300};     // a write, a placement and its order
+    const time_point renewed{std::chrono::hours(1)};
+    const lease_row row{4, 7, 12, "17", false, "w:7:12", RenewedMs + LeaseLength.count()};
+    lease_watch watch;
+    auto now = renewed + NoticedAtMost;
+    int looks = 0;
+    for (;; ++looks) {
+        const auto storeMs = RenewedMs + (now - renewed) / milliseconds(1);
+        const auto verdict = watch.observe("w", row, 5, storeMs, now);
+        if (verdict.over)
+            break;
+        require(verdict.lookAgainAt > now);
+        now = verdict.lookAgainAt;
+    }
+    check(now + StartsWithin < renewed + LostAfter);
+    check(looks <= 5);
+}
+
+// What an agent takes for the store's clock is never behind it: a row that told an end too early
+// would let a task run in two places.
+Test(job_platform, the_stores_clock)
+{
+    const time_point start{std::chrono::hours(1)};
+    store_clock clock;
+    check(clock.latestAt(start) == 0);
+    section("it was read after the call was sent, nobody knows when", [&] {
+        clock.told(5000, start, start + seconds(1));
+        check(clock.latestAt(start) == 5000);
+        check(clock.latestAt(start + seconds(1)) == 6000);
+    });
+    section("a quicker answer tells more, a slower one nothing", [&] {
+        clock.told(6700, start + seconds(2), start + milliseconds(2010));
+        check(clock.latestAt(start + seconds(2)) == 6700);
+        clock.told(8900, start + seconds(3), start + seconds(5));
+        check(clock.latestAt(start + milliseconds(2010)) == 6710);
+    });
+    section("an old answer counts for less with time, as clocks drift", [&] {
+        const auto later = start + milliseconds(1'002'010);
+        check(clock.latestAt(later) == 6710 + 1'000'000 + 1000);
+        clock.told(1'007'000, later, later);
+        check(clock.latestAt(later) == 1'007'000);
+    });
+    section("an answer that doesn't tell it changes nothing", [&] {
+        store_clock untold;
+        untold.told(0, start, start);
+        check(untold.latestAt(start) == 0);
+    });
 }
 
 // A job's owner dies. Exactly one of the entries that live takes the job over, and none does before
--- a/tests/worker_lease_test.cpp
+++ b/tests/worker_lease_test.cpp
@@ -203,6 +203,16 @@
         on.answerWrite();
         check(on.lease.until() == sentAt + LeaseLength);
     });
+    section("and told in the row by the store's clock", [&] {
+        check(on.row->endsAtMs == 0); // it was never told
+        on.lease.storeTold(70'000, on.now, on.now);
+        on.now += RenewEvery;
+        on.lease.renew(on.now);
+        on.carryOut();
+        const auto exact = 70'000 + (RenewEvery + LeaseLength).count();
+        check(on.row->endsAtMs >= exact);     // never too early,
+        check(on.row->endsAtMs <= exact + 2); // and late by the drift of clocks alone
+    });
     section("a renewal whose outcome is not known extends nothing", [&] {
         const auto before = on.lease.until();
         on.now += RenewEvery;
