--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -16,6 +16,7 @@
 #include "jobs/lease.h"
 #include "jobs/run_table.h"
 #include "jobs/worker_lease.h"
+#include "jobs/worker_silence.h"
 #include "net/http_listener.h"
 #include "platform/worker_wire.h"
 
@@ -32,17 +33,13 @@
 constexpr milliseconds LookWaitServing{250}; // latencies are measured over half a second
 constexpr milliseconds LookTimeout{700};     // beyond the wait; a worker answers within a few ms
 constexpr milliseconds LookRetry{150};
-constexpr milliseconds LookAgain{40};    // while ends are not acknowledged: a look returns at once
-constexpr milliseconds HoldLength{5000}; // a look is lost now and then, an agent is back within 2 s
-constexpr milliseconds LongestHold{10'000}; // no worker lets runs go on for longer by one call
-constexpr milliseconds StartWithin{1500};   // a start call takes effect within this, or never
+constexpr milliseconds LookAgain{40}; // while ends are not acknowledged: a look returns at once
 constexpr milliseconds CallTimeout{1000};
 constexpr milliseconds ReportEvery{1000};
 constexpr milliseconds ReportTimeout{2000}; // an entry answers once the ends are stored
 constexpr milliseconds DueEvery{100};
-constexpr milliseconds StopMargin{150};    // beyond the time that the worker needs for a stop
-constexpr milliseconds SampleEvery{500};   // what the worker tells covers half a second
-constexpr milliseconds WorkerSilent{1700}; // looks fail: nothing new is started
+constexpr milliseconds StopMargin{150};  // beyond the time that the worker needs for a stop
+constexpr milliseconds SampleEvery{500}; // what the worker tells covers half a second
 constexpr milliseconds LogFlushEvery{100};
 constexpr milliseconds TellWithin{1000};  // a report is answered within some ms, repeated each 1 s
 constexpr milliseconds LeaveWithin{5000}; // below the 6 s after which a process is killed
@@ -89,8 +86,6 @@
             carryOutLease();
         });
         m_entriesTable.start();
-        // An earlier life of this agent may have let runs go on for as long.
-        m_heldUntil = suspendAwareNow() + LeaseLength;
         seekLease("process_start");
         m_loop.run([this](const std::exception &problem) {
             m_metrics.count("callbacks_failed_total", "exception");
@@ -128,6 +123,7 @@
     void allEnded(const std::string &nextLife)
     {
         m_table.clear();
+        m_silence.allEnded();
         m_lease.allEnded(nextLife, suspendAwareNow());
         carryOutLease();
     }
@@ -214,8 +210,7 @@
         const auto now = suspendAwareNow();
         if (action.begun) {
             m_tellUntil = now + TellWithin;
-            // Nothing runs; a look that is out may still extend what is started from now on.
-            m_heldUntil = now + HoldLength;
+            m_silence.epochBegun(now);
         } else {
             // A run that an earlier life of this agent told to stop is in neither list until it
             // has ended, and takes room all the while.
@@ -228,8 +223,6 @@
 
     std::int64_t workerClockAt(time_point at) const { return m_clockMs + asMs(at - m_clockReadAt); }
 
-    bool workerAnswers(time_point now) const { return now - m_seenAt < WorkerSilent; }
-
     void look()
     {
         if (!m_lease.holdsFence() || m_looking)
@@ -239,10 +232,10 @@
         std::optional<std::int64_t> deadline;
         // A worker that answers nothing is only looked at: each call that may have reached it would
         // put off the time from which all that it runs has ended for certain.
-        if (m_clockMs > 0 && now < m_lease.until() && workerAnswers(now)) {
+        if (m_clockMs > 0 && now < m_lease.until() && m_silence.answers(now)) {
             const auto until = std::min<time_point>(m_lease.until(), now + HoldLength);
             deadline = workerClockAt(until);
-            m_heldUntil = std::max(m_heldUntil, until);
+            m_silence.held(until);
         }
         // Without a clock to count from, the first look only reads it.
         const auto longest = m_table.servingNow().empty() ? LookWait : LookWaitServing;
@@ -267,6 +260,7 @@
         const auto now = suspendAwareNow();
         const auto seen = platform_wire::holdResult(result);
         noteAnswering(seen.has_value(), result);
+        m_silence.looked(seen.has_value(), now);
         if (!seen) {
             if (platform_wire::isOtherLife(result))
                 return lifeEnded("other_life");
@@ -284,7 +278,6 @@
             m_life.bornMs = seen->bornMs;
         m_clockMs = seen->listing.clockMs;
         m_clockReadAt = now;
-        m_seenAt = now;
         const auto endsBefore = m_table.endsSeen();
         m_table.look(seen->listing, now);
         const bool news = m_table.endsSeen() != endsBefore;
@@ -303,9 +296,8 @@
     // One line when looks begin to fail and one when they are answered again.
     void noteAnswering(bool answered, const call_result &result)
     {
-        if (answered == m_lookAnswered)
+        if (answered == m_silence.answered())
             return;
-        m_lookAnswered = answered;
         if (answered)
             return m_log.note("worker_answers", {{"worker", m_life.id}});
         const auto *failure = std::get_if<call_failure>(&result);
@@ -333,22 +325,17 @@
         m_metrics.count("worker_lives_ended_total", why);
         m_table.clear();
         m_clockMs = 0;
-        // A start of the earlier life that was never answered may still take effect in the new
-        // one, until this one's fence is known there.
-        m_heldUntil = suspendAwareNow() + LongestHold;
+        m_silence.lifeBegun(suspendAwareNow());
         seekLease(why);
     }
 
     // A worker that answers nothing ends all it runs when the last lease that it was given is over.
     void judgeSilence(time_point now)
     {
-        if (m_heldUntil == time_point{} || (m_lease.settled() && m_table.running() == 0))
-            return;
-        if (now < m_heldUntil + onSlowClock(LongestHold) - LongestHold + LeaseMargin)
+        if (!m_silence.nothingRuns(now) || (m_lease.settled() && m_table.running() == 0))
             return;
         m_log.note("worker_silent", {{"runs", m_table.running()}});
         m_metrics.count("worker_lives_ended_total", "silent");
-        m_heldUntil = {};
         allEnded(lifeName());
     }
 
@@ -415,17 +402,19 @@
                                    {"lease_write_out", m_lease.writeOut() ? "yes" : "no"},
                                    {"lease", m_lease.holdsFence() ? "held" : "sought"}});
         m_departing = false;
-        m_heldUntil = {};
         allEnded("");
     }
 
-    bool accepting() const
+    start_readiness readiness() const
     {
         const auto now = suspendAwareNow();
-        return now >= m_startFrom && m_present && !m_told.leaving && m_lease.settled()
-               && m_clockMs > 0 && workerAnswers(now) && now < m_lease.until();
+        const bool leased =
+                now >= m_startFrom && m_lease.settled() && m_clockMs > 0 && now < m_lease.until();
+        return readinessOf({m_present, m_told.leaving, leased}, m_silence, now);
     }
 
+    bool accepting() const { return readiness() == start_readiness::Open; }
+
     // --- Orders of entries.
 
     void serveInternal(http_request request, responder respond)
@@ -449,15 +438,9 @@
     std::string takeOrders(const order_batch &batch)
     {
         const auto now = suspendAwareNow();
-        m_table.setWorker(m_told.capacity, accepting());
+        m_table.setWorker(m_told.capacity, readiness());
         std::vector<order_answer> answers;
         for (const auto &order : batch.orders) {
-            const bool start = order.kind == order_kind::Start;
-            // A worker that can't be asked now may be again in a moment.
-            if (start && m_present && !m_told.leaving && !accepting()) {
-                answers.push_back({order.task, order.run, order_outcome::NotReady});
-                continue;
-            }
             answers.push_back(m_table.take(order, batch.owner, now));
             const auto &answer = answers.back();
             m_metrics.count("orders_total", nameOf(answer.outcome));
@@ -476,7 +459,7 @@
         const auto now = suspendAwareNow();
         // A worker that answers nothing is not told to start anything: each such call would put off
         // the time from which all that it runs has ended for certain.
-        const bool mayStart = now < m_lease.until() && m_clockMs > 0 && workerAnswers(now);
+        const bool mayStart = now < m_lease.until() && m_clockMs > 0 && m_silence.answers(now);
         for (const auto &action : m_table.due(now, mayStart))
             std::visit([this](const auto &one) { carryOut(one); }, action);
     }
@@ -491,7 +474,7 @@
         if (now >= until)
             return;
         const auto deadline = workerClockAt(until);
-        m_heldUntil = std::max(m_heldUntil, until);
+        m_silence.held(until);
         m_table.startCalled(start.task, start.run, deadline);
         m_caller.call(m_settings.worker,
                       platform_wire::startRequest(m_life.id, start, deadline, m_lease.fence()),
@@ -732,14 +715,12 @@
     time_point m_leaveUntil{};
 
     worker_lease m_lease;
-    time_point m_heldUntil{}; // the worker was told to let runs go on until then, at most
+    worker_silence m_silence{suspendAwareNow()};
 
     std::int64_t m_clockMs = 0; // the worker's clock,
     time_point m_clockReadAt{}; // read then
-    time_point m_seenAt{};      // last look that was answered
     time_point m_startFrom{};   // nothing is started before
     bool m_looking = false;
-    bool m_lookAnswered = false; // the last one
 
     net::http_listener m_internal;
     net::http_listener m_workers;
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -26,10 +26,10 @@
     : m_settings(settings)
 { }
 
-void run_table::setWorker(const task_size &capacity, bool accepting)
+void run_table::setWorker(const task_size &capacity, start_readiness readiness)
 {
     m_capacity = capacity;
-    m_accepting = accepting;
+    m_readiness = readiness;
 }
 
 void run_table::setEpoch(std::int64_t epoch)
@@ -72,11 +72,11 @@
     }
     if (refused(key))
         return answer(order_outcome::Superseded);
-    if (!m_accepting) {
+    if (m_readiness == start_readiness::Closed) {
         refuse(key, now);
         return answer(order_outcome::Draining);
     }
-    if (!complete())
+    if (m_readiness == start_readiness::Later || !complete())
         return answer(order_outcome::NotReady);
     if (!hasRoom(order)) {
         refuse(key, now);
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -32,6 +32,13 @@
 
 using run_action = std::variant<start_run, stop_run>;
 
+// Whether new runs may be started on the worker.
+enum class start_readiness {
+    Open,
+    Later,  // in a moment perhaps: the order is given again
+    Closed, // not any more: the order goes elsewhere
+};
+
 enum class start_answer {
     Started,    // it is there
     Refused,    // the worker will never start it by this call
@@ -70,7 +77,7 @@
 public:
     explicit run_table(const run_table_settings &settings = {});
 
-    void setWorker(const task_size &capacity, bool accepting);
+    void setWorker(const task_size &capacity, start_readiness readiness);
     void setEpoch(std::int64_t epoch); // 0: none, nothing is started
     // The worker lives anew: nothing of before runs, its ends are gone.
     void clear();
@@ -139,7 +146,7 @@
 
     run_table_settings m_settings;
     task_size m_capacity;
-    bool m_accepting = false;
+    start_readiness m_readiness = start_readiness::Later;
     std::int64_t m_epoch = 0;
     std::map<run_key, run_entry> m_runs;
     std::map<task_id, refusal> m_refused;
--- /dev/null
+++ b/libs/jobs/worker_silence.cpp
@@ -0,0 +1,63 @@
+#include "jobs/worker_silence.h"
+
+#include <algorithm>
+
+namespace zinniabarrow::jobs {
+
+worker_silence::worker_silence(time_point now)
+    : m_heldUntil(now + LeaseLength)
+{ }
+
+void worker_silence::held(time_point until)
+{
+    m_heldUntil = std::max(m_heldUntil, until);
+}
+
+void worker_silence::lifeBegun(time_point now)
+{
+    m_heldUntil = now + LongestHold;
+}
+
+void worker_silence::epochBegun(time_point now)
+{
+    m_heldUntil = now + HoldLength;
+}
+
+void worker_silence::allEnded()
+{
+    m_heldUntil = {};
+}
+
+void worker_silence::looked(bool answered, time_point now)
+{
+    m_answered = answered;
+    if (answered)
+        m_seenAt = now;
+}
+
+bool worker_silence::answers(time_point now) const
+{
+    return now - m_seenAt < WorkerSilent;
+}
+
+bool worker_silence::isSilent(time_point now) const
+{
+    // An agent that was frozen has no answer either, and asks again at once.
+    return !m_answered && !answers(now);
+}
+
+bool worker_silence::nothingRuns(time_point now) const
+{
+    constexpr milliseconds Slack = onSlowClock(LongestHold) - LongestHold + LeaseMargin;
+    return m_heldUntil != time_point{} && now >= m_heldUntil + Slack;
+}
+
+start_readiness readinessOf(const worker_standing &standing, const worker_silence &silence,
+                            time_point now)
+{
+    if (!standing.present || standing.leaving)
+        return start_readiness::Closed;
+    return standing.leased && silence.answers(now) ? start_readiness::Open : start_readiness::Later;
+}
+
+} // namespace zinniabarrow::jobs
--- /dev/null
+++ b/libs/jobs/worker_silence.h
@@ -0,0 +1,53 @@
+// For how long a worker that answers nothing may still run what its agent gave it. Decisions only.
+#pragma once
+
+#include "base/time.h"
+#include "jobs/lease.h"
+#include "jobs/run_table.h"
+
+namespace zinniabarrow::jobs {
+
+constexpr milliseconds HoldLength{5000}; // a look is lost now and then, an agent is back within 2 s
+constexpr milliseconds LongestHold{10'000}; // no worker lets runs go on for longer by one call
+constexpr milliseconds StartWithin{1500};   // a start call takes effect within this, or never
+constexpr milliseconds WorkerSilent{1700};  // looks fail: nothing new is started
+
+class worker_silence
+{
+public:
+    // An agent that lives anew knows nothing of the calls of its earlier life.
+    explicit worker_silence(time_point now);
+
+    // A call that may reach the worker lets runs go on until then.
+    void held(time_point until);
+    // A start of the worker's earlier life that was never answered may still take effect in the
+    // new one, until the next fence is known there.
+    void lifeBegun(time_point now);
+    // Nothing runs; a look that is out may still extend what is started from now on.
+    void epochBegun(time_point now);
+    void allEnded();
+    void looked(bool answered, time_point now);
+
+    bool answered() const { return m_answered; } // the last look
+    bool answers(time_point now) const;          // lately
+    bool isSilent(time_point now) const;         // looks have failed for a while
+    // All that the worker was given has ended for certain, though it doesn't say so.
+    bool nothingRuns(time_point now) const;
+
+private:
+    time_point m_heldUntil{}; // at most; 0: nothing is held
+    time_point m_seenAt{};    // last look that was answered
+    bool m_answered = false;  // the last one
+};
+
+// What else decides whether a worker may be given runs.
+struct worker_standing
+{
+    bool present = false; // announced, and not departed
+    bool leaving = false; // by its own word
+    bool leased = false;  // the lease is held and settled, the worker's clock is known
+};
+start_readiness readinessOf(const worker_standing &standing, const worker_silence &silence,
+                            time_point now);
+
+} // namespace zinniabarrow::jobs
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -20,7 +20,7 @@
 
     scene()
     {
-        table.setWorker({4000, 8000, 0}, true);
+        table.setWorker({4000, 8000, 0}, start_readiness::Open);
         table.setEpoch(Epoch);
     }
 
