An agent that lives anew waits for the longest hold, not for a whole lease

Callers saw tasks that last stand still for 11 s: their worker was lost and its agent killed in the same moment. The agent was back 2 s later, heard nothing, and waited until a lease from its start was over (10.4 s after the loss, 9 s is the bound), since an earlier life of it may have let runs go on. No call lets them go on for more than 5 s, nor takes effect as a start after 1.5 s, both on the worker's own clock: 7.9 s after the loss now, margins included. worker_lost_and_agent_killed_at_once was red and passes. Ruled out: taking a refused connection as proof, as a link can be cut so that it refuses.

--- a/libs/jobs/worker_silence.cpp
+++ b/libs/jobs/worker_silence.cpp
@@ -5,7 +5,7 @@
 namespace zinniabarrow::jobs {
 
 worker_silence::worker_silence(time_point now)
-    : m_heldUntil(now + LeaseLength)
+    : m_heldUntil(now + HoldLength)
 { }
 
 void worker_silence::held(time_point until)
--- a/libs/jobs/worker_silence.h
+++ b/libs/jobs/worker_silence.h
@@ -15,7 +15,9 @@
 class worker_silence
 {
 public:
-    // An agent that lives anew knows nothing of the calls of its earlier life.
+    // An agent that lives anew knows nothing of the calls of its earlier life, but that each let
+    // runs go on for a HoldLength at most. A whole lease would keep the tasks of a worker that was
+    // lost with it from starting elsewhere beyond LostAfter.
     explicit worker_silence(time_point now);
 
     // A call that may reach the worker lets runs go on until then.
