Orders for a worker that answers nothing are refused, so that their tasks go elsewhere

Callers saw a task wait for as long as the agent of a lost worker lived. The task was placed on the worker within the 1.7 s in which it could still be taken for sound; nothing ran there, so nothing's end would end the placement, and the agent answered "not yet" to the same order each 0.3 s. Looks that have failed for 1.7 s refuse it now for good; an agent that was frozen, whose last look was answered, still puts it off. order_for_a_worker_that_is_lost was red and passes; process_jobs_test passes.

--- a/libs/jobs/worker_silence.cpp
+++ b/libs/jobs/worker_silence.cpp
@@ -55,7 +55,9 @@
 start_readiness readinessOf(const worker_standing &standing, const worker_silence &silence,
                             time_point now)
 {
-    if (!standing.present || standing.leaving)
+    // A lost worker may have nothing whose end would end a placement on it: an order that was put
+    // off would be repeated for as long as the agent lives. Refused, its task goes elsewhere.
+    if (!standing.present || standing.leaving || silence.isSilent(now))
         return start_readiness::Closed;
     return standing.leased && silence.answers(now) ? start_readiness::Open : start_readiness::Later;
 }
