--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -7,15 +7,14 @@
 
 #include "app/entry_directory.h"
 #include "app/job_tables.h"
+#include "app/lease_keeper.h"
 #include "app/process.h"
 #include "app/row_store.h"
 #include "app/table_follower.h"
 #include "base/errors.h"
 #include "base/json.h"
 #include "base/json_member.h"
-#include "jobs/lease.h"
 #include "jobs/run_table.h"
-#include "jobs/worker_lease.h"
 #include "jobs/worker_silence.h"
 #include "net/http_listener.h"
 #include "platform/worker_wire.h"
@@ -60,7 +59,7 @@
                   m_loop, m_caller, m_settings.store, [this] { return relays(); }, m_metrics, m_log)
         , m_entriesTable(m_loop, m_store, m_log, {EntriesTable},
                          [this](const auto &rows) { takeEntries(rows); })
-        , m_lease(m_settings.id)
+        , m_keeper(m_loop, m_store, m_log, m_settings.id, leaseListeners())
         , m_internal(m_loop, m_settings.internal, {},
                      [this](http_request request, responder respond) {
                          serveInternal(std::move(request), std::move(respond));
@@ -81,12 +80,9 @@
             reportAll();
             m_samples.clear();
         });
-        m_loop.every(RenewEvery, [this] {
-            m_lease.renew(suspendAwareNow());
-            carryOutLease();
-        });
+        m_loop.every(RenewEvery, [this] { m_keeper.renew(); });
         m_entriesTable.start();
-        seekLease("process_start");
+        m_keeper.seek("process_start");
         m_loop.run([this](const std::exception &problem) {
             m_metrics.count("callbacks_failed_total", "exception");
             m_log.note("callback_failed", {{"why", problem.what()}});
@@ -94,7 +90,7 @@
         m_log.note("stopped", {{"epoch", m_table.epoch()},
                                {"runs", m_table.running()},
                                {"worker", m_present ? "present" : "absent"},
-                               {"lease_write_out", m_lease.writeOut() ? "yes" : "no"}});
+                               {"lease_write_out", lease().writeOut() ? "yes" : "no"}});
         m_log.flush();
     }
 
@@ -109,106 +105,17 @@
 
     // --- The lease.
 
-    // A new fence voids the orders of before. The epoch follows once it is known what of an earlier
-    // one still runs.
-    void seekLease(const char *why)
-    {
-        m_log.note("lease_sought", {{"why", why}});
-        m_table.setEpoch(0);
-        m_lease.seek();
-        carryOutLease();
-    }
-
-    // Nothing of any earlier epoch runs any more: what was placed here may go elsewhere.
-    void allEnded(const std::string &nextLife)
-    {
-        m_table.clear();
-        m_silence.allEnded();
-        m_lease.allEnded(nextLife, suspendAwareNow());
-        carryOutLease();
-    }
-
-    void carryOutLease()
+    lease_keeper::listeners leaseListeners()
     {
-        for (const auto &action : m_lease.takeActions())
-            std::visit([this](const auto &one) { carryOut(one); }, action);
-    }
-
-    void carryOut(const read_lease & /*action*/)
-    {
-        m_store.read(LeasesTable, m_settings.id, "", "",
-                     [this, sentAt = suspendAwareNow()](const std::optional<row_page> &page) {
-                         if (!page)
-                             return m_loop.after(LookRetry, [this] { carryOut(read_lease{}); });
-                         m_lease.storeTold(page->storeMs, sentAt, suspendAwareNow());
-                         leaseRead(*page);
-                     });
+        return {[this] { m_table.setEpoch(0); },
+                [this](const epoch_settled &epoch) { epochSettled(epoch); }, [this] { look(); }};
     }
 
-    void leaseRead(const row_page &page)
+    void epochSettled(const epoch_settled &settled)
     {
+        m_table.setEpoch(settled.epoch);
         const auto now = suspendAwareNow();
-        if (page.rows.empty()) {
-            m_lease.rowRead(std::nullopt, 0, now);
-        } else {
-            const auto &one = page.rows.front();
-            m_lease.rowRead(leaseFrom(one.value), one.version, now);
-        }
-        carryOutLease();
-    }
-
-    void carryOut(const write_lease &action)
-    {
-        const auto name = leaseRow(m_settings.id);
-        m_store.commit(
-                {{{name, action.expectedVersion}}, {{name, toText(action.row), 0, false}}, {}},
-                [this, write = action.row.write,
-                 sentAt = suspendAwareNow()](const row_store::outcome &outcome) {
-                    if (const auto *done = std::get_if<committed>(&outcome))
-                        m_lease.storeTold(done->storeMs, sentAt, suspendAwareNow());
-                    leaseWritten(write, outcome);
-                });
-    }
-
-    void leaseWritten(const std::string &write, const row_store::outcome &outcome)
-    {
-        const bool heldBefore = m_lease.holdsFence();
-        if (const auto version = writtenVersion(outcome, write)) {
-            m_lease.rowWritten(*version, suspendAwareNow());
-        } else {
-            m_log.note("lease_sought", {{"why", "lease_taken"}});
-            m_table.setEpoch(0);
-            m_lease.rowTaken();
-        }
-        carryOutLease();
-        if (m_lease.holdsFence() && !heldBefore)
-            look();
-    }
-
-    static std::optional<std::int64_t> writtenVersion(const row_store::outcome &outcome,
-                                                      const std::string &write)
-    {
-        if (const auto *done = std::get_if<committed>(&outcome))
-            return done->version;
-        const auto &rows = std::get<conflicting>(outcome).rows;
-        if (rows.empty())
-            return std::nullopt;
-        try {
-            if (leaseFrom(rows.front().value).write == write)
-                return rows.front().version;
-        } catch (const error &) {
-            return std::nullopt; // somebody else's row: the lease is sought anew
-        }
-        return std::nullopt;
-    }
-
-    void carryOut(const epoch_settled &action)
-    {
-        m_table.setEpoch(action.epoch);
-        m_log.note(action.begun ? "epoch_begun" : "epoch_resumed",
-                   {{"epoch", action.epoch}, {"life", m_lease.life()}});
-        const auto now = suspendAwareNow();
-        if (action.begun) {
+        if (settled.begun) {
             m_tellUntil = now + TellWithin;
             m_silence.epochBegun(now);
         } else {
@@ -219,33 +126,43 @@
         reportAll();
     }
 
+    // Nothing of any earlier epoch runs any more: what was placed here may go elsewhere.
+    void allEnded(const std::string &nextLife)
+    {
+        m_table.clear();
+        m_silence.allEnded();
+        m_keeper.allEnded(nextLife);
+    }
+
+    const worker_lease &lease() const { return m_keeper.lease(); }
+
     // --- Looking at the worker.
 
     std::int64_t workerClockAt(time_point at) const { return m_clockMs + asMs(at - m_clockReadAt); }
 
     void look()
     {
-        if (!m_lease.holdsFence() || m_looking)
+        if (!lease().holdsFence() || m_looking)
             return;
         m_looking = true;
         const auto now = suspendAwareNow();
         std::optional<std::int64_t> deadline;
         // A worker that answers nothing is only looked at: each call that may have reached it would
         // put off the time from which all that it runs has ended for certain.
-        if (m_clockMs > 0 && now < m_lease.until() && m_silence.answers(now)) {
-            const auto until = std::min<time_point>(m_lease.until(), now + HoldLength);
+        if (m_clockMs > 0 && now < lease().until() && m_silence.answers(now)) {
+            const auto until = std::min<time_point>(lease().until(), now + HoldLength);
             deadline = workerClockAt(until);
             m_silence.held(until);
         }
         // Without a clock to count from, the first look only reads it.
         const auto longest = m_table.servingNow().empty() ? LookWait : LookWaitServing;
         const auto wait = m_clockMs > 0 ? asMs(longest) : 0;
-        auto request = platform_wire::holdRequest(m_life.id, deadline, m_lease.fence(),
+        auto request = platform_wire::holdRequest(m_life.id, deadline, lease().fence(),
                                                   m_table.lastSeen(), wait);
         if (m_life.id.empty())
             request.headers.clear();
         m_caller.call(m_settings.worker, std::move(request), milliseconds(wait) + LookTimeout,
-                      [this, fence = m_lease.fence()](const call_result &result) {
+                      [this, fence = lease().fence()](const call_result &result) {
                           m_looking = false;
                           looked(result, fence);
                       });
@@ -253,9 +170,9 @@
 
     void looked(const call_result &result, std::int64_t fence)
     {
-        if (!m_lease.holdsFence())
+        if (!lease().holdsFence())
             return; // looks again once it does
-        if (fence != m_lease.fence())
+        if (fence != lease().fence())
             return look(); // asked before the present fence was taken
         const auto now = suspendAwareNow();
         const auto seen = platform_wire::holdResult(result);
@@ -314,9 +231,8 @@
     {
         if (m_life.bornMs == 0)
             return;
-        if (m_lease.seen(lifeName(), m_table.running(), now))
+        if (m_keeper.seen(lifeName(), m_table.running()))
             m_table.stopAll(now);
-        carryOutLease();
     }
 
     void lifeEnded(const char *why)
@@ -326,13 +242,13 @@
         m_table.clear();
         m_clockMs = 0;
         m_silence.lifeBegun(suspendAwareNow());
-        seekLease(why);
+        m_keeper.seek(why);
     }
 
     // A worker that answers nothing ends all it runs when the last lease that it was given is over.
     void judgeSilence(time_point now)
     {
-        if (!m_silence.nothingRuns(now) || (m_lease.settled() && m_table.running() == 0))
+        if (!m_silence.nothingRuns(now) || (lease().settled() && m_table.running() == 0))
             return;
         m_log.note("worker_silent", {{"runs", m_table.running()}});
         m_metrics.count("worker_lives_ended_total", "silent");
@@ -399,8 +315,8 @@
         // What is known of the lease tells whether the end of the epoch can be written at once.
         m_log.note("worker_gone", {{"worker", m_life.id},
                                    {"runs", m_table.running()},
-                                   {"lease_write_out", m_lease.writeOut() ? "yes" : "no"},
-                                   {"lease", m_lease.holdsFence() ? "held" : "sought"}});
+                                   {"lease_write_out", lease().writeOut() ? "yes" : "no"},
+                                   {"lease", lease().holdsFence() ? "held" : "sought"}});
         m_departing = false;
         allEnded("");
     }
@@ -409,7 +325,7 @@
     {
         const auto now = suspendAwareNow();
         const bool leased =
-                now >= m_startFrom && m_lease.settled() && m_clockMs > 0 && now < m_lease.until();
+                now >= m_startFrom && lease().settled() && m_clockMs > 0 && now < lease().until();
         return readinessOf({m_present, m_told.leaving, leased}, m_silence, now);
     }
 
@@ -459,7 +375,7 @@
         const auto now = suspendAwareNow();
         // A worker that answers nothing is not told to start anything: each such call would put off
         // the time from which all that it runs has ended for certain.
-        const bool mayStart = now < m_lease.until() && m_clockMs > 0 && m_silence.answers(now);
+        const bool mayStart = now < lease().until() && m_clockMs > 0 && m_silence.answers(now);
         for (const auto &action : m_table.due(now, mayStart))
             std::visit([this](const auto &one) { carryOut(one); }, action);
     }
@@ -470,14 +386,14 @@
         // has run out, while the task runs elsewhere. Frozen after this line, the call's own
         // deadline stops it.
         const auto now = suspendAwareNow();
-        const auto until = std::min<time_point>(m_lease.until(), now + StartWithin);
+        const auto until = std::min<time_point>(lease().until(), now + StartWithin);
         if (now >= until)
             return;
         const auto deadline = workerClockAt(until);
         m_silence.held(until);
         m_table.startCalled(start.task, start.run, deadline);
         m_caller.call(m_settings.worker,
-                      platform_wire::startRequest(m_life.id, start, deadline, m_lease.fence()),
+                      platform_wire::startRequest(m_life.id, start, deadline, lease().fence()),
                       CallTimeout,
                       [this, task = start.task, run = start.run](const call_result &result) {
                           started(task, run, result);
@@ -505,7 +421,7 @@
     void carryOut(const stop_run &stop)
     {
         m_caller.call(m_settings.worker,
-                      platform_wire::stopRequest(m_life.id, stop, m_lease.fence()), CallTimeout,
+                      platform_wire::stopRequest(m_life.id, stop, lease().fence()), CallTimeout,
                       [this](const call_result &result) {
                           if (!std::holds_alternative<http_response>(result))
                               m_metrics.count("stops_not_confirmed_total", "unanswered");
@@ -526,7 +442,7 @@
             m_metrics.count("paces_total", change.percent < 100 ? "slowed" : "full");
             m_caller.call(m_settings.worker,
                           platform_wire::paceRequest(m_life.id, change.task, change.run,
-                                                     change.percent, m_lease.fence()),
+                                                     change.percent, lease().fence()),
                           CallTimeout, [this, change](const call_result &result) {
                               const auto *answer = std::get_if<http_response>(&result);
                               if (answer != nullptr && answer->status == 200)
@@ -562,7 +478,7 @@
         worker_report told;
         told.worker = m_settings.id;
         told.address = toText(m_settings.internal);
-        told.agentLife = m_lease.fence();
+        told.agentLife = lease().fence();
         told.epoch = m_table.epoch();
         told.service = m_settings.service;
         told.zone = m_settings.zone;
@@ -676,7 +592,7 @@
     bool hasToStay() const
     {
         const bool workerLeaves = m_departing || (m_present && m_told.leaving);
-        return workerLeaves || m_lease.owesEnd() || entriesWaitForEpoch();
+        return workerLeaves || lease().owesEnd() || entriesWaitForEpoch();
     }
 
     bool entriesWaitForEpoch() const
@@ -714,7 +630,7 @@
     time_point m_tellUntil{}; // entries have answered a report with the present epoch by then
     time_point m_leaveUntil{};
 
-    worker_lease m_lease;
+    lease_keeper m_keeper;
     worker_silence m_silence{suspendAwareNow()};
 
     std::int64_t m_clockMs = 0; // the worker's clock,
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -5,11 +5,10 @@
 #include <set>
 #include <utility>
 
-#include <fmt/core.h>
-
 #include "app/entry_directory.h"
 #include "app/job_tables.h"
 #include "app/job_view.h"
+#include "app/lease_watcher.h"
 #include "app/process.h"
 #include "app/row_store.h"
 #include "app/table_follower.h"
@@ -18,7 +17,6 @@
 #include "base/json_member.h"
 #include "jobs/come_back.h"
 #include "jobs/job_book.h"
-#include "jobs/lease.h"
 #include "net/http_listener.h"
 #include "platform/caller_wire.h"
 #include "platform/store_wire.h"
@@ -37,10 +35,9 @@
 constexpr milliseconds JobsFeedPause{250}; // joins the changes of many jobs into one answer
 constexpr milliseconds StoreRetry{200};
 constexpr milliseconds TakeoverEvery{250};
-constexpr milliseconds WatchEvery{700};     // for workers that fell silent
-constexpr milliseconds SilentWorker{3000};  // three reports were missed
-constexpr milliseconds LeaseLookRetry{500}; // after one that told nothing
-constexpr milliseconds OrderTimeout{600};   // an agent answers without asking its worker
+constexpr milliseconds WatchEvery{700};    // for workers that fell silent
+constexpr milliseconds SilentWorker{3000}; // three reports were missed
+constexpr milliseconds OrderTimeout{600};  // an agent answers without asking its worker
 constexpr milliseconds PeerTimeout{350};
 constexpr milliseconds AnswerWithin{2600}; // below the callers' usual patience of 3 s
 constexpr milliseconds ReportWithin{1500};
@@ -84,6 +81,8 @@
                   [this](const auto &rows) { takeJobs(rows); }, [this] { allJobsRead(); })
         , m_startedAt(suspendAwareNow())
         , m_directory(m_settings.id, m_startedAt)
+        , m_leases(m_loop, m_store, m_metrics, m_log, m_settings.id,
+                   [this](const auto &worker, auto epoch) { takeEpoch(worker, epoch); })
         , m_internal(m_loop, m_settings.internal, internalLimits(),
                      [this](http_request request, responder respond) {
                          serveInternal(request, std::move(respond));
@@ -452,91 +451,20 @@
         if (!m_jobsKnown)
             return;
         const auto now = suspendAwareNow();
-        std::set<std::string> unheard;
+        std::map<std::string, time_point> silent;
         for (const auto &worker : m_book->busyWorkers()) {
             const auto *view = m_pool.find(worker);
             const auto heardAt = view == nullptr ? m_startedAt : view->heardAt;
-            if (now - heardAt < SilentWorker) {
-                m_watch.forget(worker);
-                continue;
-            }
-            unheard.insert(worker);
-            if (m_unheard.contains(worker))
-                continue; // looked at already, again when its lease may be over
-            m_log.note("worker_unheard",
-                       {{"worker", worker}, {"silent_ms", millisecondsOf(now - heardAt)}});
-            m_loop.post([this, worker] { lookAtLease(worker); });
+            if (now - heardAt >= SilentWorker)
+                silent.emplace(worker, heardAt);
         }
-        m_unheard = std::move(unheard);
-    }
-
-    void lookAtLeaseAt(const std::string &worker, time_point at)
-    {
-        const auto wait = std::max<duration>(at - suspendAwareNow(), duration(0));
-        m_loop.after(wait, [this, worker] { lookAtLease(worker); });
-    }
-
-    void lookAtLeaseAgain(const std::string &worker)
-    {
-        lookAtLeaseAt(worker, suspendAwareNow() + LeaseLookRetry);
-    }
-
-    void lookAtLease(const std::string &worker)
-    {
-        if (!m_unheard.contains(worker))
-            return;
-        m_store.read(LeasesTable, worker, "", "",
-                     [this, worker](const std::optional<row_page> &page) {
-                         if (!page || page->rows.empty())
-                             return lookAtLeaseAgain(worker);
-                         try {
-                             const auto &one = page->rows.front();
-                             judgeLease(worker, leaseFrom(one.value), one.version, page->storeMs);
-                         } catch (const error &problem) {
-                             m_log.note("lease_row_unreadable",
-                                        {{"worker", worker}, {"why", problem.what()}});
-                             lookAtLeaseAgain(worker);
-                         }
-                     });
+        m_leases.watch(silent);
     }
 
-    void judgeLease(const std::string &worker, const lease_row &lease, std::int64_t version,
-                    std::int64_t storeMs)
+    void takeEpoch(const std::string &worker, std::int64_t epoch)
     {
-        const auto now = suspendAwareNow();
-        // Another entry has ended the epoch, or the worker lives anew.
-        m_book->workerRenewed(worker, lease.epoch, now);
+        m_book->workerRenewed(worker, epoch, suspendAwareNow());
         pumpSoon();
-        const auto verdict = m_watch.observe(worker, lease, version, storeMs, now);
-        m_log.note("worker_lease_read", {{"worker", worker},
-                                         {"epoch", lease.epoch},
-                                         {"renewals", lease.renewals},
-                                         {"over", verdict.over ? "yes" : "no"}});
-        if (!verdict.over)
-            return lookAtLeaseAt(worker, verdict.lookAgainAt);
-        endLease(worker, lease, version);
-    }
-
-    void endLease(const std::string &worker, const lease_row &lease, std::int64_t version)
-    {
-        auto next = lease;
-        ++next.epoch;
-        next.ended = true;
-        next.write = fmt::format("{}:{}:ends", m_settings.id, version);
-        const auto name = leaseRow(worker);
-        m_store.commit(
-                {{{name, version}}, {{name, toText(next), 0, false}}, {}},
-                [this, worker, next](const row_store::outcome &outcome) {
-                    // Renewed, ended by another entry, or by an earlier try of this very write: the
-                    // row tells.
-                    if (!std::holds_alternative<committed>(outcome))
-                        return lookAtLeaseAgain(worker);
-                    m_log.note("worker_lease_ended", {{"worker", worker}, {"epoch", next.epoch}});
-                    m_metrics.count("worker_leases_ended_total", "silent");
-                    m_book->workerRenewed(worker, next.epoch, suspendAwareNow());
-                    m_unheard.erase(worker);
-                    pumpSoon();
-                });
     }
 
     // --- Calls of other processes of the system.
@@ -765,11 +693,6 @@
         return std::chrono::duration<double, std::milli>(suspendAwareNow() - at).count();
     }
 
-    static std::int64_t millisecondsOf(duration span)
-    {
-        return std::chrono::duration_cast<milliseconds>(span).count();
-    }
-
     http_response logged(const std::string &id, http_response answer)
     {
         m_log.note("job_refused", {{"job", id}, {"status", answer.status}, {"why", answer.body}});
@@ -964,8 +887,7 @@
     job_view m_view;
     worker_pool m_pool;
     std::optional<job_book> m_book;
-    lease_watch m_watch;
-    std::set<std::string> m_unheard; // workers with placements, as last looked at
+    lease_watcher m_leases;
     std::set<std::string> m_adopting;
     std::map<std::int64_t, std::function<void(bool)>> m_tokens;
     std::int64_t m_nextToken = 1;
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -144,9 +144,11 @@
         return left;
     }
 
-    bool agentSaid(int index, const std::string &event)
+    bool agentSaid(int index, const std::string &event) { return said("agent", index, event); }
+
+    bool said(const std::string &role, int index, const std::string &event)
     {
-        std::ifstream lines(agent(index).outFile());
+        std::ifstream lines(m_processes.at(fmt::format("{}-{}", role, index))->outFile());
         const std::string text{std::istreambuf_iterator<char>(lines), {}};
         return text.find(fmt::format(R"("event":"{}")", event)) != std::string::npos;
     }
@@ -371,6 +373,31 @@
     checkNothingWrong(on, on.site());
 }
 
+// The caller's two tasks run again on the other worker. Their worker is lost with its agent, and
+// all entries are killed while they wait for the end of its lease: what they had counted is gone,
+// the row tells the end to their next lives.
+Test(process_jobs, worker_agent_and_entries_lost)
+{
+    system_under_test on;
+    on.site().workLasts(milliseconds(600'000));
+    require(on.handInService(0, "acac000000000003"));
+    require(waitUntil([&] { return on.site().starts() == 2; }, SoonEnough));
+    const auto worker = on.site().busiestWorker();
+    const int runs = on.site().runsOn(worker);
+    const auto epoch = on.site().leaseEpoch(fmt::format("agent-{}", worker));
+    on.agent(static_cast<int>(worker)).signal(SIGKILL);
+    on.site().depart(worker);
+    const auto watched = [&](int entry) { return on.said("entry", entry, "worker_lease_read"); };
+    require(waitUntil([&] { return watched(0) || watched(1); }, SoonEnough));
+    for (const int entry : {0, 1})
+        on.entry(entry).signal(SIGKILL);
+    for (const int entry : {0, 1})
+        on.startEntry(entry);
+    check(waitUntil([&] { return on.site().starts() == 2 + runs; }, SoonEnough));
+    check(on.site().leaseEpoch(fmt::format("agent-{}", worker)) == epoch + 1);
+    checkNothingWrong(on, on.site());
+}
+
 // The caller sees its job accepted and completed. The answers to writes are lost after they took
 // effect; the entry repeats the very same write, finds its own row and goes on.
 Test(process_jobs, answers_of_the_store_lost)
