--- a/tests/job_platform_test.cpp
+++ b/tests/job_platform_test.cpp
@@ -380,3 +380,16 @@
     ::close(ends[1]);
     ::close(before);
 }
+
+// An answer that proves the store's clock to be later than the estimate allows (it was
+// restarted elsewhere, or clocks drift more than is assumed) is passed over: each later row tells
+// an end that is too early by as much, for as long as the agent lives.
+Test(job_platform, the_stores_clock_is_ahead_of_its_estimate)
+{
+    const time_point start{std::chrono::hours(1)};
+    store_clock clock;
+    clock.told(5000, start, start);
+    const auto later = start + seconds(1);
+    clock.told(9000, later, later); // 6000 was the latest that it could show
+    check(clock.latestAt(later) >= 9000);
+}
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -198,3 +198,19 @@
     check(on.table.due(on.now, false).empty());
     check(on.table.due(on.now, true).size() == 1);
 }
+
+// A task waits for as long as its agent lives: its order was accepted, but the process was
+// frozen before it called the worker, and the epoch has ended meanwhile. All that runs is to stop
+// first; nothing was ever called, so no end is ever listed, and the run counts as running for good.
+Test(run_table, stopped_before_it_was_called)
+{
+    scene on;
+    require(on.give(scene::order(0)) == order_outcome::Accepted);
+    section("as its epoch has ended", [&] { on.table.stopAll(on.now); });
+    for (int look = 1; look <= 100; ++look) {
+        on.now += seconds(1);
+        on.table.due(on.now, false);
+        on.table.look(scene::listing({}, 1000 + 1000 * look), on.now);
+    }
+    check(on.table.running() == 0);
+}
--- a/tests/worker_lease_test.cpp
+++ b/tests/worker_lease_test.cpp
@@ -221,3 +221,60 @@
         check(on.lease.until() == before);
     });
 }
+
+// Callers see a task run in two places, or all tasks of a worker stopped when its agent is
+// restarted. The end of the worker's life "a" is known but not yet written (a renewal is out, the
+// store is slow or away); meanwhile the worker lives anew as "b" and a new fence is sought. Once
+// the fence is written the end goes into the row at once, and tasks may start under its epoch,
+// before "b" was looked at: a late start of before, which only a call with the new fence keeps out
+// there, may still take effect, and the row never tells "b".
+Test(worker_lease, worker_lives_anew_while_its_end_is_not_written)
+{
+    for (const std::string owed : {"", "a"}) { // it left, or was silent
+        section(owed.empty() ? "it left" : "it was silent", [&] {
+            scene on;
+            on.begin();
+            on.lease.renew(on.now);
+            on.carryOut(false);
+            require(on.out.has_value());
+            on.lease.allEnded(owed, on.now);
+            on.lease.seek(); // "b" was announced
+            on.answerWrite();
+            on.carryOut();
+            require(on.lease.holdsFence());
+            check(!on.lease.settled()); // "b" has not been seen
+            check(!on.lease.seen("b", 0, on.now));
+            on.carryOut();
+            check(on.lease.settled());
+            check(on.row->life == "b");
+            section("the next life of the agent goes on with what runs", [&] {
+                on.lease.seek();
+                on.carryOut();
+                check(!on.lease.seen("b", 3, on.now)); // true: stops them all
+            });
+        });
+    }
+}
+
+// An agent is killed while its first write is out; that write takes effect later. Its next
+// life read the row before: its own write bears the same name, so that it takes the other one for
+// its own, and the end that the row tells is earlier than the one it counts with.
+Test(worker_lease, writes_of_two_lives_of_the_agent)
+{
+    scene on;
+    on.begin();
+    const auto firstWrite = [&] {
+        worker_lease life{"agent"};
+        life.storeTold(70'000 + (on.now - time_point{std::chrono::hours(1)}) / milliseconds(1),
+                       on.now, on.now);
+        life.seek();
+        life.takeActions();
+        life.rowRead(on.row, on.version, on.now);
+        return std::get<write_lease>(life.takeActions().front());
+    };
+    const auto killed = firstWrite();
+    on.now += seconds(2);
+    const auto next = firstWrite();
+    require(killed.row.endsAtMs < next.row.endsAtMs);
+    check(killed.row.write != next.row.write);
+}
