A worker's new life is looked at before tasks start in it, also when the end of the last one is still owed

Callers would see a task in two places, or all tasks of a worker stopped when its agent is restarted: the end of a life was known and not written, the worker lived anew meanwhile, and once the new fence was written the end went into the row with tasks allowed at once. A late start of before, kept out only by a call with the new fence, could take effect beside them; and the row never told the new life.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -117,7 +117,8 @@
         const auto now = suspendAwareNow();
         if (settled.begun) {
             m_tellUntil = now + TellWithin;
-            m_silence.epochBegun(now);
+            if (lease().settled())
+                m_silence.epochBegun(now);
         } else {
             // A run that an earlier life of this agent told to stop is in neither list until it
             // has ended, and takes room all the while.
--- a/libs/jobs/worker_lease.cpp
+++ b/libs/jobs/worker_lease.cpp
@@ -6,6 +6,12 @@
 
 namespace zinniabarrow::jobs {
 
+namespace {
+
+const std::string NoLife; // nobody is there, or it is not known who
+
+} // namespace
+
 worker_lease::worker_lease(std::string agent)
     : m_agent(std::move(agent))
 { }
@@ -14,6 +20,9 @@
 {
     m_settled = false;
     m_phase = lease_phase::Reading;
+    // The end stays to be written. Which life comes next is for a look with the new fence to tell.
+    if (m_ended)
+        m_ended = NoLife;
     // The outcome of the write that is out would be taken for that of the next one.
     m_sought = m_out.has_value();
     if (!m_sought)
@@ -54,7 +63,9 @@
     // Counted from before the write was sent, as the row tells it to watchers.
     m_until = done.sentAt + LeaseLength;
     if (done.beginsEpoch && !m_ended && !m_sought) {
-        m_settled = true;
+        // Without a life the row tells the end alone. A life is looked at before tasks start in it:
+        // a late start of before, which only the new fence keeps out there, may have taken effect.
+        m_settled = m_row.life != NoLife;
         m_actions.emplace_back(epoch_settled{m_row.epoch, true});
     }
     if (std::exchange(m_sought, false)) {
@@ -70,7 +81,7 @@
     if (!m_out)
         return;
     if (m_out->beginsEpoch && !m_ended)
-        m_ended = m_out->row.life;
+        m_ended = NoLife;
     m_out.reset();
     seek();
 }
--- a/libs/jobs/worker_lease.h
+++ b/libs/jobs/worker_lease.h
@@ -23,11 +23,12 @@
     std::int64_t expectedVersion = 0; // 0: there is no such row
 };
 
-// Tasks may start under this epoch from now on.
+// The row has this epoch: what was placed under earlier ones has ended. Tasks may start under it
+// once `settled`.
 struct epoch_settled
 {
     std::int64_t epoch = 0;
-    bool begun = false; // anew; what was placed under earlier ones has ended
+    bool begun = false; // anew
 };
 
 using lease_action = std::variant<read_lease, write_lease, epoch_settled>;
--- a/tests/worker_lease_test.cpp
+++ b/tests/worker_lease_test.cpp
@@ -86,6 +86,7 @@
             check(on.begun == (std::vector<std::int64_t>{2, 3}));
             check(on.row->life.empty());
             check(!on.lease.owesEnd());
+            check(!on.lease.settled()); // nobody is there to start anything
         });
     }
 }
