A write of a lease is named by the end that it tells

Callers could see a task in two places: an agent was killed with its first write out, which took effect late; its next life wrote the same fence, took the other write for its own by its name, and counted with a later end than the row tells watchers. writes_of_two_lives_of_the_agent was red and passes.

--- a/libs/jobs/worker_lease.cpp
+++ b/libs/jobs/worker_lease.cpp
@@ -122,9 +122,12 @@
 void worker_lease::write(lease_row next, bool beginsEpoch, time_point now)
 {
     ++next.renewals;
-    next.write = fmt::format("{}:{}:{}", m_agent, next.fence, next.renewals);
     const auto storeMs = m_storeClock.latestAt(now);
     next.endsAtMs = storeMs == 0 ? 0 : storeMs + LeaseLength.count();
+    // Two lives of an agent may write the same fence, and the earlier one's write take effect
+    // late: taken for the later one's, the row would tell an earlier end than its agent counts
+    // with.
+    next.write = fmt::format("{}:{}:{}:{}", m_agent, next.fence, next.renewals, next.endsAtMs);
     m_out = out_write{next, now, beginsEpoch};
     m_actions.emplace_back(write_lease{std::move(next), m_version});
 }
