A run that its worker was never told of ends where it is stopped

Callers saw a task wait for as long as its agent lived: its order was accepted, the agent was frozen before it called the worker, and the epoch was over when it woke. All that runs stops before the next epoch begins; of a run that was never called no end is ever listed. stopped_before_it_was_called was red and passes.

--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -105,10 +105,7 @@
     entry.owner = owner;
     // A stop tells no sizes: the run stays unclaimed, and nothing is started beside it before it
     // has ended. Otherwise a run that an earlier life of the agent started would count as nothing.
-    if (entry.phase != run_phase::Ended && entry.phase != run_phase::Stopping) {
-        entry.phase = run_phase::Stopping;
-        entry.repeatAt = now;
-    }
+    stopEntry(key, entry, now);
     return {order.task, order.run, order_outcome::Accepted};
 }
 
@@ -181,13 +178,22 @@
 void run_table::stopAll(time_point now)
 {
     for (auto &[key, entry] : m_runs) {
-        if (entry.phase == run_phase::Ended || entry.phase == run_phase::Stopping)
-            continue;
-        entry.phase = run_phase::Stopping;
-        entry.repeatAt = now;
+        stopEntry(key, entry, now);
     }
 }
 
+// A run that the worker was never told of is in neither of its lists, ever: told to stop, it would
+// count as running for good, and the next epoch, which begins once nothing runs, never would.
+void run_table::stopEntry(const run_key &key, run_entry &entry, time_point now)
+{
+    if (entry.phase == run_phase::Ended || entry.phase == run_phase::Stopping)
+        return;
+    if (entry.phase == run_phase::Starting && entry.startCalls == 0)
+        return neverStarted(key, entry);
+    entry.phase = run_phase::Stopping;
+    entry.repeatAt = now;
+}
+
 void run_table::ownerSilent(const std::string &owner)
 {
     for (auto &[key, entry] : m_runs) {
