An answer that shows the store's clock ahead of its estimate replaces the estimate

Callers could see a task in two places: with a store's clock that runs ahead, each row of a lease told an end that was too early by as much, for as long as its agent lived. the_stores_clock_is_ahead_of_its_estimate was red and passes.

--- a/libs/jobs/lease.cpp
+++ b/libs/jobs/lease.cpp
@@ -51,7 +51,10 @@
     // The store read its clock after the call was sent: a call that took long tells less. Of all
     // answers the tightest counts.
     const auto ahead = storeMs - inMs(sentAt);
-    if (m_aheadMs && *m_aheadMs + driftUntil(now) <= ahead)
+    // One that shows it to be later than was thought possible proves the estimate wrong: kept, each
+    // later row would tell an end that is too early.
+    const bool disproved = storeMs > latestAt(now);
+    if (m_aheadMs && !disproved && *m_aheadMs + driftUntil(now) <= ahead)
         return;
     m_aheadMs = ahead;
     m_toldAt = now;
