The test of a run that is being stopped has it called first

run_table capacity checked that a run that is being stopped still takes its room on one that its worker was never told of. Such a run has ended for certain where it is stopped, so its room is free; the check stays on a run whose start was called, which is what a stop has to wait for. stopped_before_it_was_called covers an order to stop, too.

--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -65,6 +65,7 @@
             check(on.give(scene::order(index)) == order_outcome::Accepted);
         check(on.give(scene::order(4)) == order_outcome::NoRoom);
         section("a run that is being stopped still takes its room", [&] {
+            on.table.startCalled(scene::order(0).task, 1, 2000); // it may be there
             check(on.give(scene::stopOf(scene::order(0))) == order_outcome::Accepted);
             check(on.give(scene::order(5)) == order_outcome::NoRoom);
         });
@@ -206,6 +207,8 @@
 {
     scene on;
     require(on.give(scene::order(0)) == order_outcome::Accepted);
+    require(on.give(scene::order(1)) == order_outcome::Accepted);
+    section("by an order", [&] { on.give(scene::stopOf(scene::order(1))); });
     section("as its epoch has ended", [&] { on.table.stopAll(on.now); });
     for (int look = 1; look <= 100; ++look) {
         on.now += seconds(1);
