--- a/tests/work_takeover_test.cpp
+++ b/tests/work_takeover_test.cpp
@@ -136,6 +136,24 @@
     });
 }
 
+// A seat hold ran on a worker that is gone; the agent of that worker lives and reports. The owner
+// took each report for a sign of the worker, and left the hold there until the worker came back, if
+// ever. The agent must fall silent for a worker that it has not heard for as long as a task's
+// lease: by then the hold has ended there, as nobody renews it. The watcher waits for the next life
+// all the same.
+Test(work_takeover, a_worker_is_gone_and_its_agent_lives)
+{
+    work_model model(1);
+    settle(model);
+    const std::string worker = model.whereRuns(Hold);
+    require(model.whereRuns(Watch) == worker);
+    const auto result = measure(
+            model, [&] { model.kill(model.workers.at(worker), seconds(150)); }, seconds(200));
+    print("worker gone for 150 s, agent alive", result);
+    check(result.lease > seconds(0) && result.lease <= seconds(50));
+    check(result.holdStarts == 2 && result.watchStarts == 2);
+}
+
 // The table is down for twice the longest lease. While the horizon lasts nothing stops at all; then
 // the agents' leases lapse and tasks of class Lease end, but no task of class Proof is restarted.
 Test(work_takeover, long_outage)
