A write of a shard's row that another owner has made void is given up at the reading that shows it

Callers would see the tasks of a shard stand still for ever. Cause: an entry that read another owner's row while its own write was out did not compare that write with it, as the write was not in doubt yet, and took the row over as the state read last. The failed answer came after; from then on only a further change of the row ended the write, which was repeated each second. If the other entry died before its next renewal there was none: the shard was never taken, nor did this entry finish a planned stop before its drain limit (30 s by the settings). It is the order of events of every owner that was paused: the reading goes out ahead of the renewal.

Now a write keeps the versions it needs, and any reading past them ends it. Ruled out: that a copy of it takes effect later, as versions only rise and overtaken readings are dropped before.

Unit tests, before and after: work_waits/a_write_that_another_owner_has_made_void failed in all three sections; it passes. work_test 17 of 17, work_faults_test 6 of 6 (595 runs and 81 storms), work_takeover_test as before.

--- a/libs/work/ownership.cpp
+++ b/libs/work/ownership.cpp
@@ -134,23 +134,24 @@
     }
 }
 
-// A write in doubt is settled by its operation id in the rows. Not found and the versions still as
-// they were: the write may be on its way, so exactly the same write goes out again; its conditions
-// let one copy at most take effect.
+// A write is settled by its operation id in the rows. Not found and the versions still as it needs
+// them: it may be on its way, so exactly the same write goes out again; its conditions let one copy
+// at most take effect. Not found and a version has moved: it never will. That is judged by the
+// write's own conditions, and whether or not it is in doubt yet: the reading that shows the other
+// owner's write may come before the answer, and no later one need differ from it. Measured against
+// what was read last, the write would go out for ever, and the shard be neither taken nor let go.
 void shard_owner::settleFromRows(shard_state &state, const table_row *row, const table_row *lease,
                                  time_point now)
 {
     if (!state.pending)
         return;
-    pending_write &write = *state.pending;
+    const pending_write &write = *state.pending;
     const table_row *written = write.kind == pending_write::purpose::Renew ? lease : row;
     if (writtenBy(written, write.transaction.operationId)) {
         applied(state, written->version, now);
         return;
     }
-    if (!write.inDoubt)
-        return;
-    if (versionOf(row) != state.rowVersion || versionOf(lease) != state.leaseVersion)
+    if (versionOf(row) != write.rowVersion || versionOf(lease) != write.leaseVersion)
         state.pending.reset();
 }
 
@@ -333,9 +334,11 @@
 {
     write.sentAt = now;
     write.transaction.operationId = m_operationPrefix + "/" + std::to_string(++m_operations);
+    write.rowVersion = state.rowVersion;
+    write.leaseVersion = state.leaseVersion;
     const int shard = state.info.shard;
-    write.transaction.conditions = {{shardKey(shard), state.rowVersion},
-                                    {shardLeaseKey(shard), state.leaseVersion}};
+    write.transaction.conditions = {{shardKey(shard), write.rowVersion},
+                                    {shardLeaseKey(shard), write.leaseVersion}};
     for (auto &row : write.transaction.writes)
         (*row.value)["op"] = write.transaction.operationId;
     m_actions.emplace_back(commit_shard{write.transaction});
--- a/libs/work/ownership.h
+++ b/libs/work/ownership.h
@@ -116,11 +116,13 @@
     {
         enum class purpose { Take, Renew, Release } kind = purpose::Take;
         table_transaction transaction;
-        time_point sentAt;             // decided then: before its first sending
-        time_point retryAt = Never;    // sent again then
-        time_point waitForSilentUntil; // for Take
-        std::uint64_t epoch = 0;       // for Take
-        bool inDoubt = false;          // may have taken effect, or may still do so
+        std::uint64_t rowVersion = 0;   // takes effect on this version alone,
+        std::uint64_t leaseVersion = 0; // and on this one of the lease
+        time_point sentAt;              // decided then: before its first sending
+        time_point retryAt = Never;     // sent again then
+        time_point waitForSilentUntil;  // for Take
+        std::uint64_t epoch = 0;        // for Take
+        bool inDoubt = false;           // may have taken effect, or may still do so
     };
 
     struct shard_state
