An eviction of a task whose placement is still being written is kept, and asked of its agent

Callers would see urgent work wait until its deadline has passed. Cause: the owner's table dropped an eviction while the write that places the task was out (about 0.1 s at rest, as long as an answer takes when the platform is slow). The placer had been promised the room and counts the task as stopping from then on, so that nobody decides it again; and it evicts the youngest task first, so that the task placed a moment ago is its first choice.

Now the eviction is noted for the attempt that is being placed, and goes out with the grant that follows the write. A placement that has no effect takes the note with it: the next one has the same number. Ruled out: an eviction of a task that is leaving already, which is dropped as before, since its end frees the room.

Unit tests, before and after: work_waits/an_eviction_while_the_placement_is_written failed in two of three sections; it passes. work_test 17 of 17, work_faults_test 6 of 6, shard_test 5 of 5, work_session_test 1 of 1.

--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -213,6 +213,7 @@
     record.incarnation = m_workers[event.worker].incarnation;
     record.ahead = event.ahead;
     want(event.task, record, now);
+    m_soft.erase(event.task); // of a placement under this number that had no effect
     if (event.reserved == resources{})
         return;
     soft_state &soft = softOf(event.task, record.attempt);
@@ -255,13 +256,15 @@
            && settled.attempt == next.attempt;
 }
 
+// Also while the write that places it is out: the placer evicts the youngest first, and counts it
+// as stopping from now on. Nobody would decide it again, and urgent work would wait for its room.
 void task_table::on(const evict_decided &event, time_point)
 {
-    const task_record record = m_store.settled(event.task);
-    if (!staysPlaced(event.task))
-        return;
-    softOf(event.task, record.attempt).evicting = true;
-    m_pushTo.insert(record.worker);
+    const task_record next = m_store.effective(event.task);
+    if (next.state != task_state::Placed)
+        return; // it leaves as it is
+    softOf(event.task, next.attempt).evicting = true;
+    m_pushTo.insert(next.worker);
 }
 
 void task_table::on(const start_ahead_decided &event, time_point)
