An agent is silent for a worker that it has not listed for as long as a task's lease

Callers would see tasks stand still, and new ones join them, on a worker that is gone while its agent lives: each report of the agent renewed its lease with the owner, which took it for a sign of the worker. Only a newer life of the worker ended that; a worker that never comes back kept them for ever.

By then nobody has renewed the tasks of class Lease there, and they have ended; the owner's rule for a silent worker moves them. Class Proof waits for the next life, as before. The first listing is reported at once. Ruled out: to let the owner judge the age of listings, which needs another member in each report.

--- a/libs/work/task_keeper.cpp
+++ b/libs/work/task_keeper.cpp
@@ -454,8 +454,11 @@
     }
     if (!sameLife)
         takeIncarnation(listing.incarnation);
+    if (!speaksForWorker(now))
+        m_reportAt = now; // the owner has heard nothing since
     m_listing = listing.number;
     m_listingReceivedAt = now;
+    m_tasksLapseAt = now + m_settings.leases.taskLease;
     // A new owner can place on this worker and answer its leases once it is told.
     if (listing.epoch != m_workerEpoch)
         m_reportAt = std::min(m_reportAt, now + m_settings.eventDelay);
@@ -562,8 +565,12 @@
 {
     if (now >= m_listAt)
         list(now);
-    if (m_incarnation != 0 && now >= m_reportAt)
+    if (m_incarnation == 0 || now < m_reportAt)
+        return;
+    if (speaksForWorker(now))
         report(now);
+    else
+        m_reportAt = now + m_settings.repeatEvery;
 }
 
 // --- Leases, listings, reports -------------------------------------------------------------------
@@ -599,6 +606,15 @@
     m_actions.emplace_back(worker_list{m_epoch});
 }
 
+// The owner takes a report for a sign of the worker. If this agent, which is well, went on to
+// report for a worker that is gone, the tasks there would never start elsewhere, and others would
+// join them. Once it was not listed for as long as a task's lease, what it ran of class Lease has
+// ended: silence costs nothing any more. Ends that are not acknowledged are told all the same.
+bool task_keeper::speaksForWorker(time_point now) const
+{
+    return now < m_tasksLapseAt || !m_events.empty();
+}
+
 void task_keeper::report(time_point now)
 {
     m_reportAt = now + m_settings.repeatEvery;
--- a/libs/work/task_keeper.h
+++ b/libs/work/task_keeper.h
@@ -226,6 +226,7 @@
     void settleMissing(const worker_listing &listing, time_point now);
     void renewTasks();
     void list(time_point now);
+    bool speaksForWorker(time_point now) const;
     void report(time_point now);
     void addEvent(const task_attempt &attempt, task_event_kind kind, time_point now,
                   const std::string &checkpoint = {}, const std::string &detail = {});
@@ -244,6 +245,7 @@
     std::uint64_t m_workerEpoch = 0; // newest that the worker has recorded
     std::uint64_t m_listing = 0;
     time_point m_listingReceivedAt;
+    time_point m_tasksLapseAt; // of class Lease, unless the worker is listed before
     time_point m_leaseUntil;
     std::uint64_t m_sequence = 0;
     std::map<std::uint64_t, time_point> m_sentAt; // of the newest reports
