A write whose answer never comes is in doubt after 10 s, not waited for

Callers would see the tasks of a shard stand still for ever, or a team's part of a quota stay as it was. Cause: the owner of a shard sends each write once and waits for its answer. The lane to the platform refuses work when it is full, and nobody looked at that: 4,096 calls are held, one reading a second goes in, and a platform that answers nothing takes each for a whole second, so that an outage of an hour or more could fill it. A full ring drops answers the same way.

Now all three (shard rows, tasks, quota parts) take a write without an answer for one whose answer was lost, which they could settle already; and a write that the lane refuses is answered as refused at once, as the claims' are. A call to a worker that is refused so is taken as failed too, as a throttle would be told never again. Ruled out: a repeat that takes effect twice, as it is the same transaction on the same versions.

Not run: a lane that is full, in the daemon itself.

--- a/app/keeper_duty.cpp
+++ b/app/keeper_duty.cpp
@@ -155,8 +155,11 @@
         if (failed && (response == nullptr || response->status != 200))
             failed();
     });
-    if (!queued)
-        m_metrics.count("ring_full_total", "worker");
+    if (queued)
+        return;
+    m_metrics.count("ring_full_total", "worker");
+    if (failed) // without it a task would stay throttled, or at full speed, for good
+        failed();
 }
 
 void keeper_duty::perform(const work::worker_list &action)
--- a/app/schedule_duty.cpp
+++ b/app/schedule_duty.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t RingCapacity = 32768;
 constexpr milliseconds TickEvery{100};
+const write_result NotSent{write_outcome::Refused, 0, {}}; // the lane to the platform is full
 
 work::lease_settings leaseSettings(const config::entry_settings &settings)
 {
@@ -284,10 +285,12 @@
 
 void schedule_duty::perform(const work::commit_shard &action)
 {
-    m_platform.run([this, action](platform_client &platform) {
+    const bool queued = m_platform.run([this, action](platform_client &platform) {
         const auto result = platform.commit(action.transaction);
         m_duty->post(work::shard_write_settled{action.transaction.operationId, result});
     });
+    if (!queued)
+        m_duty->post(work::shard_write_settled{action.transaction.operationId, NotSent});
 }
 
 void schedule_duty::perform(const work::scan_shards & /*action*/)
@@ -350,11 +353,15 @@
     const auto epoch = shard.epoch();
     m_metrics.count("work_rows_total", "written",
                     static_cast<double>(action.transaction.writes.size()));
-    m_platform.run([this, action, number, epoch](platform_client &platform) {
-        const auto result = platform.commit(action.transaction);
-        m_duty->post(table_answer{number, epoch,
-                                  work::write_settled{action.transaction.operationId, result}});
+    const auto answer = [this, id = action.transaction.operationId, number,
+                         epoch](const write_result &result) {
+        m_duty->post(table_answer{number, epoch, work::write_settled{id, result}});
+    };
+    const bool queued = m_platform.run([action, answer](platform_client &platform) {
+        answer(platform.commit(action.transaction));
     });
+    if (!queued)
+        answer(NotSent);
 }
 
 void schedule_duty::readRows(const owned_shard &shard, std::vector<std::string> keys,
--- a/cmake/zb.cmake
+++ b/cmake/zb.cmake
@@ -18,7 +18,8 @@
   target_link_libraries(zb_${NAME} PUBLIC zb_flags ${ARG_DEPS})
 endfunction()
 
-# zb_test(NAME [DEPS lib...]): tests/NAME.cpp as one Criterion program and one CTest entry.
+# zb_test(NAME [DEPS lib...] [ARGS word...]): tests/NAME.cpp as one Criterion program and one CTest
+# entry.
 function(zb_test NAME)
   cmake_parse_arguments(ARG "" "" "DEPS;ARGS" ${ARGN})
   add_executable(${NAME} ${NAME}.cpp)
--- a/libs/work/leases.h
+++ b/libs/work/leases.h
@@ -19,6 +19,10 @@
     std::int64_t driftPpm = 500;            // largest difference in rate of two clocks
 };
 
+// A write that has no answer by then gets none: the lane to the platform was full, or the ring of
+// whoever waits for it. It is in doubt from then on, like one whose answer was lost on its way.
+constexpr milliseconds AnswerWithin{10'000};
+
 // How long one process waits to be sure that a lease of length `lease` has ended in another one.
 constexpr milliseconds safeWait(milliseconds lease, const lease_settings &settings)
 {
--- a/libs/work/ownership.cpp
+++ b/libs/work/ownership.cpp
@@ -225,7 +225,8 @@
     for (auto &[number, state] : m_shards) {
         if (state.pending) {
             if (now >= state.pending->retryAt) {
-                state.pending->retryAt = Never;
+                state.pending->inDoubt = true;
+                state.pending->retryAt = now + AnswerWithin;
                 m_actions.emplace_back(commit_shard{state.pending->transaction});
             }
         } else if (state.owned) {
@@ -333,6 +334,7 @@
 void shard_owner::send(shard_state &state, pending_write write, time_point now)
 {
     write.sentAt = now;
+    write.retryAt = now + AnswerWithin;
     write.transaction.operationId = m_operationPrefix + "/" + std::to_string(++m_operations);
     write.rowVersion = state.rowVersion;
     write.leaseVersion = state.leaseVersion;
--- a/libs/work/quota_parts.cpp
+++ b/libs/work/quota_parts.cpp
@@ -80,6 +80,8 @@
                 limited(smaller(larger(demand.held, demand.wanted), demand.limit), demand.limit);
         team.demand.unit = limited(demand.unit, demand.limit);
         team.yields = now >= team.yieldAt && othersWait(team);
+        if (!team.operation.empty() && now >= team.answerBy)
+            doubt(name, team, now);
         if (team.known && !team.stale && team.operation.empty() && now >= team.writeAt)
             decide(name, team, now);
     }
@@ -218,6 +220,7 @@
     team.operation = transaction.operationId;
     team.sent = part;
     team.writeAt = now + m_settings.retryAfter;
+    team.answerBy = now + AnswerWithin;
     m_actions.emplace_back(commit_rows{std::move(transaction)});
 }
 
@@ -227,23 +230,27 @@
     for (auto &[name, team] : m_teams) {
         if (team.operation.empty() || team.operation != event.operationId)
             continue;
-        team.operation.clear();
         if (event.result.outcome == write_outcome::Refused)
-            break;
-        // Applied as well: the row is read, so that there is one way in which parts become known.
-        // Until a newer version was seen, a copy of the write may still take effect.
-        team.doubted = smaller(team.doubted.value_or(team.sent), team.sent);
-        if (event.result.outcome == write_outcome::Unknown)
-            team.writeAt = now + m_settings.readEvery;
-        else
-            team.writeAt = now;
-        m_actions.emplace_back(read_rows{{keyOf(name)}});
-        team.stale = true;
+            team.operation.clear();
+        else if (event.result.outcome == write_outcome::Unknown)
+            doubt(name, team, now + m_settings.readEvery);
+        else // Applied as well: there is one way in which parts become known
+            doubt(name, team, now);
         break;
     }
     return std::exchange(m_actions, {});
 }
 
+// The row is read. Until a newer version was seen, a copy of the write may still take effect.
+void quota_parts::doubt(const std::string &name, team_state &team, time_point writeAt)
+{
+    team.operation.clear();
+    team.doubted = smaller(team.doubted.value_or(team.sent), team.sent);
+    team.writeAt = writeAt;
+    m_actions.emplace_back(read_rows{{keyOf(name)}});
+    team.stale = true;
+}
+
 void quota_parts::handle(const rows_read &event)
 {
     for (const auto &key : event.keys) {
--- a/libs/work/quota_parts.h
+++ b/libs/work/quota_parts.h
@@ -68,6 +68,7 @@
         std::set<int> waiting;            // shards that ask for more than they got
         std::string operation;            // of the write on its way; empty: none
         resources sent;                   // part in it
+        time_point answerBy;              // in doubt from then on
         std::optional<resources> doubted; // lowest part in writes that may still take effect
         time_point writeAt;               // not before
         time_point keepUntil;             // an unused part
@@ -87,6 +88,7 @@
     bool othersWait(const team_state &team) const;
     void write(const std::string &name, team_state &team, const resources &part, bool waits,
                time_point now);
+    void doubt(const std::string &name, team_state &team, time_point writeAt);
 
     int m_shard;
     std::uint64_t m_shardVersion;
--- a/libs/work/task_store.cpp
+++ b/libs/work/task_store.cpp
@@ -393,7 +393,8 @@
             keys.push_back(condition.key);
         m_actions.emplace_back(read_rows{std::move(keys)});
     } else {
-        m_transaction->nextAt = Never;
+        m_transaction->inDoubt = true;
+        m_transaction->nextAt = now + AnswerWithin;
         m_actions.emplace_back(store_count::CommitResent);
         m_actions.emplace_back(commit_rows{m_transaction->transaction});
     }
@@ -408,6 +409,7 @@
 void task_store::send(time_point now)
 {
     m_transaction = transaction_state{};
+    m_transaction->nextAt = now + AnswerWithin;
     table_transaction &transaction = m_transaction->transaction;
     transaction.operationId = m_operationPrefix + "/" + std::to_string(++m_operations);
     transaction.conditions.push_back({shardKey(m_shard), m_shardVersion});
--- a/libs/work/task_store.h
+++ b/libs/work/task_store.h
@@ -186,7 +186,7 @@
         std::vector<row_id> rows;
         bool inDoubt = false;      // a copy may have taken effect, or may still do so
         bool settling = false;     // waits for its rows to be read back
-        time_point nextAt = Never; // of the next sending or reading
+        time_point nextAt = Never; // of the next sending or reading, if no answer comes before
     };
 
     // Keys and values of rows.
