A test that fails: a worker that had left is back under its name, and its agent never looks at it

Callers see a job wait for ever beside a worker that runs nothing. An agent that finds its worker gone writes the end of the epoch and keeps its fence all the while; looks go on when a fence is newly held, so none goes out any more. Only an announcement of another birth seeks the lease anew; one that tells no birth, or the same life, does not.

--- a/standins/job_site.cpp
+++ b/standins/job_site.cpp
@@ -202,8 +202,18 @@
         std::erase_if(m_record.runningAt, [&](const auto &at) { return at.second == m_id; });
     }
 
+    void comeBack()
+    {
+        gone = false;
+        tellsBirth = false;
+        m_born = clockMs();
+        m_fence = 0;
+        m_heldUntil = 0;
+    }
+
     bool silent = false;
     bool gone = false;
+    bool tellsBirth = true; // in its announcements
     std::string id() const { return m_id; }
     std::int64_t born() const { return m_born; }
     std::int64_t millicores() const { return m_millicores; }
@@ -339,12 +349,8 @@
             workers.push_back(std::make_unique<worker_standin>(nameOfWorker(index),
                                                                options.millicores, record));
             auto *worker = workers.back().get();
-            listeners.push_back(std::make_unique<net::http_listener>(
-                    loop, options.workers[index], net::listener_limits{},
-                    [this, worker](const http_request &request, const responder &respond) {
-                        if (!worker->silent && !worker->gone)
-                            respond(worker->serve(request, work));
-                    }));
+            addresses.push_back(options.workers[index]);
+            listeners.push_back(listenFor(index));
             const auto agent = toText(options.agents[index]);
             loop.every(milliseconds(200), [this, worker, agent] {
                 worker->expire();
@@ -367,6 +373,17 @@
         thread.join();
     }
 
+    std::unique_ptr<net::http_listener> listenFor(std::size_t index)
+    {
+        auto *worker = workers.at(index).get();
+        return std::make_unique<net::http_listener>(
+                loop, addresses.at(index), net::listener_limits{},
+                [this, worker](const http_request &request, const responder &respond) {
+                    if (!worker->silent && !worker->gone)
+                        respond(worker->serve(request, work));
+                });
+    }
+
     // A feed waits for a change, in steps of 50 ms.
     void serveStore(const http_request &request, responder respond, int stepsLeft)
     {
@@ -442,6 +459,12 @@
                     [](const call_result & /*an agent that is down looks for itself*/) {});
     }
 
+    void comeBack(std::size_t index)
+    {
+        workers.at(index)->comeBack();
+        listeners.at(1 + index) = listenFor(index);
+    }
+
     void announce(const worker_standin &worker, const std::string &agent)
     {
         Json::Value body(Json::objectValue);
@@ -449,7 +472,8 @@
         body["address"] = "127.0.0.1:1";
         body["zone"] = "kartli-a";
         body["state"] = "ready";
-        body["born"] = Json::Int64(worker.born());
+        if (worker.tellsBirth)
+            body["born"] = Json::Int64(worker.born());
         body["seq"] = ++sequence;
         body["capacity"]["cpu"] = Json::Int64(worker.millicores());
         body["capacity"]["mem-mb"] = 64'000;
@@ -470,7 +494,8 @@
     store_standin store;
     std::vector<std::unique_ptr<worker_standin>> workers;
     std::vector<std::unique_ptr<net::http_listener>> listeners;
-    std::vector<std::string> agents; // where each worker announces itself
+    std::vector<socket_address> addresses; // where each worker listens
+    std::vector<std::string> agents;       // where each worker announces itself
     int sequence = 0;
     std::size_t departing = 0;  // worker that goes
     std::string departingLease; // when this lease is written next; empty: none does
@@ -505,6 +530,11 @@
     m_impl->loop.post([this, worker] { m_impl->depart(worker); });
 }
 
+void job_site::comeBack(std::size_t worker)
+{
+    m_impl->loop.post([this, worker] { m_impl->comeBack(worker); });
+}
+
 void job_site::departAtRenewal(std::size_t worker, const std::string &lease)
 {
     m_impl->loop.post([this, worker, lease] {
--- a/standins/job_site.h
+++ b/standins/job_site.h
@@ -36,6 +36,8 @@
     // The same at the moment at which that worker's lease, of this key, is written next; the
     // answers to writes of it come only after a while.
     void departAtRenewal(std::size_t worker, const std::string &lease);
+    // One that had gone lives anew under its name; only looks at it tell when it was born.
+    void comeBack(std::size_t worker);
     std::int64_t leaseEpoch(const std::string &lease) const; // as stored; 0: there is no such row
     void workLasts(milliseconds work);                       // of tasks that start from now on
     int starts() const;                                      // that began a run
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -368,6 +368,24 @@
     checkNothingWrong(on, on.site());
 }
 
+// The caller sees its job wait for ever, with a worker that runs nothing. The worker had left as
+// planned, and its agent had written the end of its epoch; it is back under its name, and its
+// announcements tell no birth. Nothing but a look tells its agent that it lives anew.
+Test(process_jobs, worker_is_back_under_its_name)
+{
+    system_under_test on;
+    require(on.handIn(0, "abab000000000001"));
+    require(on.reaches(0, "abab000000000001", "completed"));
+    const auto epoch = on.site().leaseEpoch("agent-0");
+    on.site().depart(0);
+    on.site().depart(1);
+    require(waitUntil([&] { return on.site().leaseEpoch("agent-0") > epoch; }, SoonEnough));
+    on.site().comeBack(0);
+    require(on.handIn(0, "abab000000000002"));
+    check(on.reaches(0, "abab000000000002", "completed"));
+    checkNothingWrong(on, on.site());
+}
+
 // The caller sees its job accepted and completed. The answers to writes are lost after they took
 // effect; the entry repeats the very same write, finds its own row and goes on.
 Test(process_jobs, answers_of_the_store_lost)
