A test that fails: the next life of a worker announces itself before the end of the last one is written

Callers would see every task of a healthy worker stopped and begun anew once its agent is replaced. The end of the old life, kept while a write is out, is written as an epoch of no life, and counts as settled: the life that was seen since is never written, and an agent that starts afresh takes what runs for another life's. Needs a write of the lease that is out for as long as it takes the next worker to announce itself.

--- a/tests/worker_lease_test.cpp
+++ b/tests/worker_lease_test.cpp
@@ -211,3 +211,29 @@
         check(on.lease.until() == before);
     });
 }
+
+// Callers see all tasks of a healthy worker stopped and begun anew elsewhere, when its agent is
+// replaced. The worker before it left while a write was out, for as long as the store was slow;
+// this one announced itself meanwhile. The epoch that ends the old one has to name the life that
+// runs.
+Test(worker_lease, the_next_life_is_there_before_the_end_is_written)
+{
+    scene on;
+    on.begin();
+    on.lease.renew(on.now);
+    on.carryOut(false);
+    on.lease.allEnded("", on.now);
+    on.lease.seek();
+    on.answerWrite();
+    on.carryOut();
+    check(!on.lease.seen("b", 0, on.now));
+    on.carryOut();
+    check(on.lease.settled());
+    check(on.row->life == "b");
+    section("an agent that is replaced lets its tasks run on", [&] {
+        on.lease = worker_lease("agent");
+        on.lease.seek();
+        on.carryOut();
+        check(!on.lease.seen("b", 3, on.now));
+    });
+}
