Looks go on after a worker has left

Callers saw a job wait for ever beside a worker that had room: it had left and was back under its name, and its agent never looked at it again, as the look that found it gone was the last. worker_is_back_under_its_name was red (46 s, to its bound) and passes.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -184,7 +184,7 @@
                 return lifeEnded("other_life");
             const auto *failure = std::get_if<call_failure>(&result);
             if (m_departing && failure != nullptr && *failure == call_failure::NotConnected)
-                return departureConfirmed();
+                departureConfirmed();
             judgeSilence(now);
             return m_loop.after(LookRetry, [this] { look(); });
         }
@@ -319,7 +319,8 @@
                                    {"lease_write_out", lease().writeOut() ? "yes" : "no"},
                                    {"lease", lease().holdsFence() ? "held" : "sought"}});
         m_departing = false;
-        allEnded("");
+        m_clockMs = 0;
+        allEnded(""); // and looks go on: a worker that lives anew may tell so in no other way
     }
 
     start_readiness readiness() const
