An announcement that was held up does not take back a worker's departure

Callers saw tasks that last stand still for 7 s: their worker had left and said so, its last announcement came in 50 ms later, and cleared what its agent knew. Only an answer of the worker, half a second after it said that it ends, does so now (worker_stayed); a departure also counts for an agent that has heard no announcement yet. last_announcement_after_the_departure was red (7.8 s) and passes. Open: a departure of an earlier life of the same name, held up, together with connections that fail at that moment would still be taken for an end.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -40,6 +40,7 @@
 constexpr milliseconds StopMargin{150};  // beyond the time that the worker needs for a stop
 constexpr milliseconds SampleEvery{500}; // what the worker tells covers half a second
 constexpr milliseconds LogFlushEvery{100};
+constexpr milliseconds GoneWithin{500};   // a worker ends some ms after it said so
 constexpr milliseconds TellWithin{1000};  // a report is answered within some ms, repeated each 1 s
 constexpr milliseconds LeaveWithin{5000}; // below the 6 s after which a process is killed
 
@@ -163,13 +164,13 @@
         if (m_life.id.empty())
             request.headers.clear();
         m_caller.call(m_settings.worker, std::move(request), milliseconds(wait) + LookTimeout,
-                      [this, fence = lease().fence()](const call_result &result) {
+                      [this, fence = lease().fence(), now](const call_result &result) {
                           m_looking = false;
-                          looked(result, fence);
+                          looked(result, fence, now);
                       });
     }
 
-    void looked(const call_result &result, std::int64_t fence)
+    void looked(const call_result &result, std::int64_t fence, time_point sentAt)
     {
         if (!lease().holdsFence())
             return; // looks again once it does
@@ -194,6 +195,8 @@
         }
         if (seen->bornMs != 0)
             m_life.bornMs = seen->bornMs;
+        if (m_departing && sentAt >= m_goneBy)
+            stayed();
         m_clockMs = seen->listing.clockMs;
         m_clockReadAt = now;
         const auto endsBefore = m_table.endsSeen();
@@ -262,7 +265,7 @@
     {
         if (const auto left = platform_wire::departureFrom(request)) {
             respond({200, {}, ""});
-            if (*left == m_life.id)
+            if (m_life.id.empty() || *left == m_life.id)
                 departed();
             return;
         }
@@ -285,6 +288,10 @@
         // Held up on its way from a life that has ended since.
         if (!sameLife && told.bornMs != 0 && told.bornMs < m_life.bornMs)
             return;
+        // Held up, it would take back what is known of a worker that has left: only an answer says
+        // that it goes on.
+        if (sameLife && m_departing)
+            return;
         const bool first = m_life.id.empty();
         const bool readinessChanged = told.leaving != m_told.leaving || !m_present;
         m_told = told;
@@ -309,6 +316,16 @@
         // The message may be of an earlier life under the same id, held up on its way: only a
         // worker that refuses connections by now has ended all that it ran.
         m_departing = true;
+        m_goneBy = suspendAwareNow() + GoneWithin;
+    }
+
+    // It answers long after it said that it ends: the message was of an earlier life.
+    void stayed()
+    {
+        m_log.note("worker_stayed", {{"worker", m_life.id}});
+        m_departing = false;
+        m_present = true;
+        reportAll();
     }
 
     void departureConfirmed()
@@ -629,6 +646,7 @@
     worker_life m_life;
     bool m_present = false;   // announced, and not departed
     bool m_departing = false; // said to end, and not yet seen gone
+    time_point m_goneBy{};    // it ends before, if it has said so itself
     time_point m_tellUntil{}; // entries have answered a report with the present epoch by then
     time_point m_leaveUntil{};
 
