Renewals beside a worker that answers nothing tell the end of what it holds

Nothing can run there for longer than the last call let it, 5 s at most. After two looks in a row that failed each renewal tells that end and no later one, the agent itself counts with it from the moment it is sent, and once it is over nothing is renewed; a worker that answers again has a whole lease at once. An agent that is stopped leaves such a renewal behind. renewals_beside_a_worker_that_answers_nothing was red and passes. Ruled out: no renewal after one failed look, as one is lost now and then.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -40,8 +40,10 @@
 constexpr milliseconds StopMargin{150};  // beyond the time that the worker needs for a stop
 constexpr milliseconds SampleEvery{500}; // what the worker tells covers half a second
 constexpr milliseconds LogFlushEvery{100};
-constexpr milliseconds GoneWithin{500};   // a worker ends some ms after it said so
-constexpr milliseconds TellWithin{1000};  // a report is answered within some ms, repeated each 1 s
+constexpr milliseconds GoneWithin{500};  // a worker ends some ms after it said so
+constexpr milliseconds TellWithin{1000}; // a report is answered within some ms, repeated each 1 s
+constexpr milliseconds GoWithin{300};    // the last write takes some 15 ms
+constexpr milliseconds GoStep{10};
 constexpr milliseconds LeaveWithin{5000}; // below the 6 s after which a process is killed
 
 std::int64_t asMs(duration span)
@@ -81,7 +83,7 @@
             reportAll();
             m_samples.clear();
         });
-        m_loop.every(RenewEvery, [this] { m_keeper.renew(); });
+        m_loop.every(RenewEvery, [this] { m_keeper.renew(m_silence.heldWithoutAnswer()); });
         m_entriesTable.start();
         m_keeper.seek("process_start");
         m_loop.run([this](const std::exception &problem) {
@@ -179,7 +181,10 @@
         const auto now = suspendAwareNow();
         const auto seen = platform_wire::holdResult(result);
         noteAnswering(seen.has_value(), result);
+        const bool heardAgain = seen && m_silence.heldWithoutAnswer();
         m_silence.looked(seen.has_value(), now);
+        if (heardAgain)
+            m_keeper.renew(); // the last renewals were for what had been held
         if (!seen) {
             if (platform_wire::isOtherLife(result))
                 return lifeEnded("other_life");
@@ -600,9 +605,25 @@
 
     void leaveOn()
     {
-        if (!hasToStay() || suspendAwareNow() >= m_leaveUntil)
+        const auto now = suspendAwareNow();
+        if (hasToStay() && now < m_leaveUntil) {
+            m_loop.after(LookRetry, [this] { leaveOn(); });
+            return;
+        }
+        m_goUntil = now + GoWithin;
+        go();
+    }
+
+    // The row tells the end of what is held: an agent that never comes back keeps its worker's
+    // tasks from starting elsewhere for no longer. Its next life renews the lease.
+    void go()
+    {
+        const auto held = m_silence.heldUntil();
+        if (held && !lease().writeOut() && !std::exchange(m_gaveBack, true))
+            m_keeper.renew(held);
+        if (!lease().writeOut() || suspendAwareNow() >= m_goUntil)
             return m_loop.stop();
-        m_loop.after(LookRetry, [this] { leaveOn(); });
+        m_loop.after(GoStep, [this] { go(); });
     }
 
     // The next life of an agent goes on with what runs. But a worker that leaves takes its agent's
@@ -649,6 +670,8 @@
     time_point m_goneBy{};    // it ends before, if it has said so itself
     time_point m_tellUntil{}; // entries have answered a report with the present epoch by then
     time_point m_leaveUntil{};
+    time_point m_goUntil{};
+    bool m_gaveBack = false; // the last renewal was sent
 
     lease_keeper m_keeper;
     worker_silence m_silence{suspendAwareNow()};
--- a/app/lease_keeper.cpp
+++ b/app/lease_keeper.cpp
@@ -53,9 +53,9 @@
     carryOut();
 }
 
-void lease_keeper::renew()
+void lease_keeper::renew(std::optional<time_point> heldUntil)
 {
-    m_lease.renew(suspendAwareNow());
+    m_lease.renew(suspendAwareNow(), heldUntil);
     carryOut();
 }
 
--- a/app/lease_keeper.h
+++ b/app/lease_keeper.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "app/row_store.h"
@@ -29,7 +30,7 @@
     // Takes a new fence, which voids the orders of before. The epoch follows once it is known what
     // of an earlier one still runs.
     void seek(const char *why);
-    void renew();
+    void renew(std::optional<time_point> heldUntil = std::nullopt);
     // See jobs::worker_lease.
     bool seen(const std::string &life, std::size_t running);
     void allEnded(const std::string &nextLife);
--- a/libs/jobs/worker_lease.cpp
+++ b/libs/jobs/worker_lease.cpp
@@ -1,5 +1,6 @@
 #include "jobs/worker_lease.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/core.h>
@@ -29,10 +30,17 @@
         m_actions.emplace_back(read_lease{});
 }
 
-void worker_lease::renew(time_point now, std::optional<time_point> /*heldUntil*/)
+void worker_lease::renew(time_point now, std::optional<time_point> heldUntil)
 {
-    if (m_phase == lease_phase::Held && !m_out)
-        write(m_row, false, now);
+    if (m_phase != lease_phase::Held || m_out)
+        return;
+    // A whole lease beside a lost worker would put off the start of its tasks elsewhere.
+    if (heldUntil && *heldUntil <= now)
+        return;
+    // At once, as the row may tell the shorter end before this agent knows that it does.
+    if (heldUntil)
+        m_until = std::min(m_until, *heldUntil);
+    write(m_row, false, now, heldUntil);
 }
 
 void worker_lease::storeTold(std::int64_t storeMs, time_point sentAt, time_point now)
@@ -61,7 +69,7 @@
     m_row = done.row;
     m_version = version;
     // Counted from before the write was sent, as the row tells it to watchers.
-    m_until = done.sentAt + LeaseLength;
+    m_until = done.until;
     if (done.beginsEpoch && !m_ended && !m_sought) {
         // Without a life the row tells the end alone. A life is looked at before tasks start in it:
         // a late start of before, which only the new fence keeps out there, may have taken effect.
@@ -119,16 +127,18 @@
     write(std::move(next), true, now);
 }
 
-void worker_lease::write(lease_row next, bool beginsEpoch, time_point now)
+void worker_lease::write(lease_row next, bool beginsEpoch, time_point now,
+                         std::optional<time_point> heldUntil)
 {
+    const auto until = std::min<time_point>(now + LeaseLength, heldUntil.value_or(Never));
     ++next.renewals;
     const auto storeMs = m_storeClock.latestAt(now);
-    next.endsAtMs = storeMs == 0 ? 0 : storeMs + LeaseLength.count();
+    next.endsAtMs = storeMs == 0 ? 0 : storeMs + (until - now) / milliseconds(1);
     // Two lives of an agent may write the same fence, and the earlier one's write take effect
     // late: taken for the later one's, the row would tell an earlier end than its agent counts
     // with.
     next.write = fmt::format("{}:{}:{}:{}", m_agent, next.fence, next.renewals, next.endsAtMs);
-    m_out = out_write{next, now, beginsEpoch};
+    m_out = out_write{next, until, beginsEpoch};
     m_actions.emplace_back(write_lease{std::move(next), m_version});
 }
 
--- a/libs/jobs/worker_lease.h
+++ b/libs/jobs/worker_lease.h
@@ -83,11 +83,12 @@
     struct out_write
     {
         lease_row row;
-        time_point sentAt{};
+        time_point until{}; // runs may go on, once it is written
         bool beginsEpoch = false;
     };
 
-    void write(lease_row next, bool beginsEpoch, time_point now);
+    void write(lease_row next, bool beginsEpoch, time_point now,
+               std::optional<time_point> heldUntil = std::nullopt);
     void beginEpochIfDue(time_point now);
 
     std::string m_agent;
--- a/libs/jobs/worker_silence.cpp
+++ b/libs/jobs/worker_silence.cpp
@@ -31,6 +31,7 @@
 void worker_silence::looked(bool answered, time_point now)
 {
     m_answered = answered;
+    m_failedInRow = answered ? 0 : m_failedInRow + 1;
     if (answered)
         m_seenAt = now;
 }
@@ -46,6 +47,17 @@
     return !m_answered && !answers(now);
 }
 
+std::optional<time_point> worker_silence::heldUntil() const
+{
+    return m_heldUntil == time_point{} ? std::nullopt : std::optional(m_heldUntil);
+}
+
+std::optional<time_point> worker_silence::heldWithoutAnswer() const
+{
+    constexpr int LooksLost = 2; // one is lost now and then
+    return m_failedInRow < LooksLost ? std::nullopt : heldUntil();
+}
+
 bool worker_silence::nothingRuns(time_point now) const
 {
     constexpr milliseconds Slack = onSlowClock(LongestHold) - LongestHold + LeaseMargin;
--- a/libs/jobs/worker_silence.h
+++ b/libs/jobs/worker_silence.h
@@ -1,6 +1,8 @@
 // For how long a worker that answers nothing may still run what its agent gave it. Decisions only.
 #pragma once
 
+#include <optional>
+
 #include "base/time.h"
 #include "jobs/lease.h"
 #include "jobs/run_table.h"
@@ -33,6 +35,10 @@
     bool answered() const { return m_answered; } // the last look
     bool answers(time_point now) const;          // lately
     bool isSilent(time_point now) const;         // looks have failed for a while
+    // Until when the worker lets runs go on at most; none: nothing is held.
+    std::optional<time_point> heldUntil() const;
+    // The same of a worker that lets looks fail; none of one that answers.
+    std::optional<time_point> heldWithoutAnswer() const;
     // All that the worker was given has ended for certain, though it doesn't say so.
     bool nothingRuns(time_point now) const;
 
@@ -40,6 +46,7 @@
     time_point m_heldUntil{}; // at most; 0: nothing is held
     time_point m_seenAt{};    // last look that was answered
     bool m_answered = false;  // the last one
+    int m_failedInRow = 0;    // looks
 };
 
 // What else decides whether a worker may be given runs.
