A lease that was ended is not ended again

Callers saw nothing; an agent that is back lost its write to each watcher, and epochs jumped. a_lease_that_has_been_ended was red and passes.

--- a/libs/jobs/lease.cpp
+++ b/libs/jobs/lease.cpp
@@ -75,6 +75,8 @@
 lease_verdict lease_watch::observe(const std::string &worker, const lease_row &row,
                                    std::int64_t version, std::int64_t storeMs, time_point now)
 {
+    if (row.ended)
+        return {false, now + RenewEvery}; // its agent begins anew
     auto &last = m_seen[worker];
     if (last.version != version)
         last = {version, now + LeaseLength + Slack};
