A timer that repeats goes on after a turn that fails

Callers would wait for good for whatever a process does each second, as one exception ended renewals, reports or the watch over silent workers while the process went on. No exception that occurs in practice is known. a_timer_whose_callback_throws was red and passes.

--- a/libs/net/event_loop.cpp
+++ b/libs/net/event_loop.cpp
@@ -61,7 +61,14 @@
 void event_loop::every(duration period, std::function<void()> work)
 {
     after(period, [this, period, work = std::move(work)]() mutable {
-        work();
+        // Renewals and reports go on after a turn that fails: who waits for them would wait for
+        // good.
+        try {
+            work();
+        } catch (...) {
+            every(period, std::move(work));
+            throw;
+        }
         every(period, std::move(work));
     });
 }
