Test that fails: a new owner hears a worker's samples before it knows the worker's size

Seen: an entry that has taken a shard over knows from the table what runs on a worker, and knows the worker only when its agent has reported.

--- a/tests/placer_test.cpp
+++ b/tests/placer_test.cpp
@@ -531,6 +531,58 @@
     });
 }
 
+// An entry takes a shard over and reads from the table what runs there; the agent has not reported
+// yet, so the worker's size is unknown. Were it taken for nothing, each task would press like
+// thousands of workers: batch would wait for minutes beside replicas that answer nobody, and a
+// sample of that time would teach that the noisiest class slows nothing.
+Test(placer, tasksAreKnownBeforeTheirWorker)
+{
+    placer_settings settings;
+    settings.weights = {0.7, 0.2, 0.1};
+    settings.relieveServices = false;
+    const auto noisy = batchTask("noisy", 0, {4'000, Gigabyte, 0});
+    const auto takenOver = [&](scene &world, int replicas) {
+        for (int index = 0; index < replicas; ++index) {
+            const auto service = serviceTask("tickets", index, {4'000, Gigabyte, 0});
+            world.subject.taskPlaced(service, "w0", service.declared, entry_state::Running,
+                                     world.now);
+        }
+        world.subject.taskPlaced(noisy, "w0", noisy.declared, entry_state::Running, world.now);
+        world.now += seconds(2);
+    };
+    const place_action service{{"tickets", 0}, "w0", {}};
+    section("beside replicas that answer nobody batch starts at once", [&] {
+        scene world(0, settings);
+        takenOver(world, 2);
+        world.subject.addWorker(scene::workerInfo(0), world.now);
+        world.pending(batchTask("season", 0, {1'000, Gigabyte, 0}));
+        check(world.start().size() == 1);
+    });
+    section("a sample before the worker is known teaches nothing", [&] {
+        scene world(0, settings);
+        takenOver(world, 1);
+        world.latency(service, 2.0);
+        check(world.subject.stats().droppedSamples == 1);
+        world.subject.addWorker(scene::workerInfo(0), world.now);
+        const auto tickets = world.subject.classNumber("tickets");
+        const auto effect =
+                world.subject.interference().effect(tickets, world.subject.classNumber("noisy"));
+        check(effect.mean == settings.interference.priorEffect);
+        check(effect.deviation == settings.interference.priorDeviation);
+    });
+    section("batch waits where the next sample shows a service late", [&] {
+        scene world(0, settings);
+        takenOver(world, 1);
+        world.latency(service, 2.0);
+        world.subject.addWorker(scene::workerInfo(0), world.now);
+        world.now += seconds(2);
+        world.latency(service, 2.0);
+        world.pending(batchTask("noisy", 1, {4'000, Gigabyte, 0}));
+        world.plan();
+        check(world.taken<place_action>().empty());
+    });
+}
+
 // Thousands of tasks are cancelled at once while some run, some are being placed and some wait, and
 // messages about them arrive late. None may start afterwards.
 Test(placer, cancellationWave)
