A new owner weighs batch by its workers' sizes, not before it knows them

Cause: a new owner takes in what the table says is placed before the worker's agent has reported. The placer took the size of such a worker for one millicore, so each neighbour counted as thousands of workers and the services' levels rose by hundreds; nothing brought them down once the size was known, since a service that answers nobody sends no samples. A sample that came in that time was explained by the same parts: the model learned an effect of about nothing, and was sure of it. Change: without a size there are no parts; levels follow the size when it is told or changes; a sample of a worker without a size is dropped and counted. The rule of (a never measured service holds no batch back) stays, its comment no longer names the level as the target; it had hidden the first half and not the second. Ruled out: a wait that ends nowhere: a waiting job is tried again every 5 s at the latest.

--- a/libs/placement/choose.cpp
+++ b/libs/placement/choose.cpp
@@ -185,9 +185,8 @@
     double harm = 0;
     for (const auto &service : worker.services) {
         const double added = pessimistic(service.jobClass, request.jobClass) * part;
-        // A service that has answered nobody here has nobody to slow: its level is a mere guess, at
-        // the target, by which every neighbour would do harm. On a shard with one worker batch
-        // would wait beside idle replicas.
+        // A service that has answered nobody here has nobody to slow: its level is a mere guess. On
+        // a shard with one worker batch would wait beside idle replicas.
         if (service.measuredAt != time_point{})
             harm += std::max(0.0, service.level + added) - std::max(0.0, service.level);
         harm += HeadroomUse * added;
--- a/libs/placement/interference.cpp
+++ b/libs/placement/interference.cpp
@@ -33,8 +33,10 @@
 std::vector<class_part> partsOf(std::span<const class_millicores> amounts,
                                 std::int64_t workerMillicores)
 {
-    const auto whole = static_cast<double>(std::max<std::int64_t>(workerMillicores, 1));
     std::vector<class_part> parts;
+    if (workerMillicores <= 0)
+        return parts;
+    const auto whole = static_cast<double>(workerMillicores);
     parts.reserve(amounts.size());
     for (const auto &amount : amounts)
         parts.push_back({amount.jobClass, static_cast<double>(amount.millicores) / whole});
--- a/libs/placement/interference.h
+++ b/libs/placement/interference.h
@@ -35,6 +35,7 @@
     double part = 0; // of the worker's processors
 };
 
+// None while the worker's size is not known.
 std::vector<class_part> partsOf(std::span<const class_millicores> amounts,
                                 std::int64_t workerMillicores);
 
--- a/libs/placement/placer_settings.h
+++ b/libs/placement/placer_settings.h
@@ -66,8 +66,8 @@
     std::uint64_t refusedQuarantined = 0;       //
     std::uint64_t staleEvents = 0;              // for a worker that the task is not placed on
     std::uint64_t lateCancelled = 0;            // tasks announced after their cancellation
-    std::uint64_t droppedSamples = 0;           // doubled, or older than the history
-    std::uint64_t budgetSpent = 0; // evictions for interference that the budget held back
+    std::uint64_t droppedSamples = 0; // doubled, older than the history, of an unsized worker
+    std::uint64_t budgetSpent = 0;    // evictions for interference that the budget held back
 };
 
 } // namespace zinniabarrow::placement
--- a/libs/placement/scheduler.cpp
+++ b/libs/placement/scheduler.cpp
@@ -114,7 +114,9 @@
 void placer::addWorker(const worker_info &worker, time_point now)
 {
     const int slot = m_workers.open(worker.id);
+    const auto before = m_workers.at(slot).info.size.millicores;
     m_workers.setInfo(slot, worker, now);
+    carryLevels(slot, before);
     m_quotas.setTotal(m_workers.total());
 }
 
@@ -123,7 +125,9 @@
     const int slot = m_workers.slotOf(worker);
     if (slot == worker_table::NoSlot)
         return;
+    const auto before = m_workers.at(slot).info.size.millicores;
     m_workers.resize(slot, size);
+    carryLevels(slot, before);
     m_quotas.setTotal(m_workers.total());
 }
 
@@ -232,10 +236,27 @@
     auto &worker = m_workers.at(slot);
     worker.history.change(jobClass, millicores, now);
     const std::vector<class_millicores> change{{jobClass, millicores}};
-    const auto part = partsOf(change, worker.info.size.millicores).front().part;
     // Samples are late: until one shows the change, its expected effect is carried forward.
-    for (auto &service : worker.services)
-        service.level += m_interference.effect(service.jobClass, jobClass).mean * part;
+    for (const auto &part : partsOf(change, worker.info.size.millicores)) {
+        for (auto &service : worker.services)
+            service.level += m_interference.effect(service.jobClass, jobClass).mean * part.part;
+    }
+}
+
+// A new owner learns from the table what runs on a worker, and its size when its agent reports. The
+// levels rest on the parts of the worker that the neighbours hold: left as they were counted
+// before, batch would wait beside services that nothing slows.
+void placer::carryLevels(int slot, std::int64_t millicoresBefore)
+{
+    auto &worker = m_workers.at(slot);
+    const auto whole = worker.info.size.millicores;
+    for (auto &service : worker.services) {
+        const class_millicores itself{service.jobClass, find(service.task).task->limitMillicores};
+        const auto others = without(worker.history.current(), itself);
+        service.level +=
+                m_interference.expected(service.jobClass, partsOf(others, whole))
+                - m_interference.expected(service.jobClass, partsOf(others, millicoresBefore));
+    }
 }
 
 // The ledger entry exists already; everything else that follows from a task being on a worker.
@@ -536,7 +557,9 @@
     auto &worker = m_workers.at(slot);
     auto *watch = worker.watchOf(sample.task);
     auto neighbours = worker.history.at(sample.measuredAt);
-    if (!watch || !neighbours || sample.measuredAt <= watch->measuredAt
+    // Of a worker of unknown size it cannot be said how much its neighbours press.
+    const bool sized = worker.info.size.millicores > 0;
+    if (!watch || !neighbours || !sized || sample.measuredAt <= watch->measuredAt
         || sample.target.count() <= 0) {
         ++m_stats.droppedSamples;
         return;
--- a/libs/placement/scheduler.h
+++ b/libs/placement/scheduler.h
@@ -163,6 +163,7 @@
     void raiseReservation(const task_ref &task, task_record &record, const resources &used);
     void queueRaises(int slot);
     void neighbourChanged(int slot, class_number jobClass, std::int64_t millicores, time_point now);
+    void carryLevels(int slot, std::int64_t millicoresBefore);
 
     // Decisions (plan.cpp).
     void refreshSetAside(time_point now);
