Test that fails: calls to an owner that answers wait behind calls to silent processes

Seen: lanes_test silent_targets_hold_no_other_back, every run (12 s); the test is new, and stands for process_links_test silent_entry_costs_no_lease: in its failures the agent whose tasks lapsed was one whose addresses of all three entries share one of the sender's four threads.

--- /dev/null
+++ b/tests/lanes_test.cpp
@@ -0,0 +1,104 @@
+// Calls to other processes while some of these do not answer. Waits are on conditions, bounds on
+// counts.
+#include <atomic>
+#include <string>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "app/lanes.h"
+#include "rpc/rpc.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::tests;
+
+namespace {
+
+constexpr milliseconds Timeout{500};       // of a call
+constexpr milliseconds SoonEnough{60'000}; // a bound on waits for conditions, not a measurement
+constexpr unsigned Processes = 8;          // that are silent, and as many that answer
+constexpr unsigned CallsToEach = 8;        // of the silent ones
+
+template <typename Condition>
+bool waitFor(Condition holds)
+{
+    const auto giveUpAt = monotonic_clock::now() + SoonEnough;
+    while (!holds() && monotonic_clock::now() < giveUpAt)
+        std::this_thread::sleep_for(milliseconds(5));
+    return holds();
+}
+
+// One port under several addresses, as so many processes.
+std::string addressOf(unsigned index, int port)
+{
+    return "127.0.0." + std::to_string(index + 1) + ":" + std::to_string(port);
+}
+
+// Takes connections in and never answers.
+class silent_port
+{
+public:
+    silent_port()
+        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in any{};
+        any.sin_family = AF_INET;
+        auto *name = reinterpret_cast<sockaddr *>(&any);
+        socklen_t size = sizeof any;
+        const bool listens = ::bind(m_socket, name, size) == 0 && ::listen(m_socket, 1024) == 0
+                             && ::getsockname(m_socket, name, &size) == 0;
+        require(listens);
+        m_port = ntohs(any.sin_port);
+    }
+    ~silent_port() { ::close(m_socket); }
+    silent_port(const silent_port &) = delete;
+    silent_port &operator=(const silent_port &) = delete;
+
+    int port() const { return m_port; }
+
+private:
+    int m_socket;
+    int m_port = 0;
+};
+
+} // namespace
+
+// An agent calls entries that do not answer, each call in vain for as long as the timeout is. Were
+// its calls to the shard's owner to wait behind these, its report would come after its short lease:
+// its tasks would stop although the owner answers at once.
+Test(lanes, silent_targets_hold_no_other_back)
+{
+    rpc_server methods;
+    methods.bind("report", [](const Json::Value &parameters) { return parameters; });
+    http_server answering({"0.0.0.0", 0}, {}, [&](const http_request &request) {
+        return http_response{200, {}, methods.handle(request.body)};
+    });
+    answering.start();
+    const silent_port silent;
+    duty_system system;
+    metrics counters;
+    std::atomic<unsigned> answered{0};
+    std::atomic<unsigned> inVain{0};
+    rpc_sender sender(system, Timeout, counters);
+    const auto count = [&](const std::optional<Json::Value> &result) {
+        ++(result ? answered : inVain);
+    };
+    for (unsigned call = 0; call < CallsToEach; ++call) {
+        for (unsigned index = 0; index < Processes; ++index)
+            sender.call(addressOf(index, silent.port()), "report", Json::objectValue, count);
+    }
+    section("those that answer are heard while most calls to the silent ones wait", [&] {
+        for (unsigned index = 0; index < Processes; ++index)
+            sender.call(addressOf(index, answering.address().port), "report", Json::objectValue,
+                        count);
+        check(waitFor([&] { return answered == Processes; }));
+        check(inVain < Processes * CallsToEach / 2);
+    });
+    section("every call comes back", [&] {
+        check(waitFor([&] { return answered + inVain == Processes * (CallsToEach + 1); }));
+        check(answered == Processes);
+    });
+}
