Processes that do not answer hold no call to others back

Seen: process_links_test silent_entry_costs_no_lease: the tasks of one worker stop and start again elsewhere or there while two entries that own nothing are silent; their owner answers all the time. Cause: the sender dealt targets to its four threads by a hash of the address. Where an agent's three entries shared a thread, each call to a silent one (every 500 ms while it is announced to whole, 500 ms until it is given up) stood before the reports to the owner; the queue grew faster than it was worked off, and the short lease of 4 s ran out. The addresses differ from run to run, so did the result: one agent in 16 is hit. Change: any thread takes any call (send_queue); calls to one target keep their order and go out one at a time, and targets that did not answer last time hold at most three of the four threads. What waits is bounded in all as before, and for each target. Ruled out: the test's counting (one write for each trace line, a half written line is not counted, a file is appended to and read from its start each time, and the starts are counted after all ends); load alone. Left: a process whose many targets fall silent at once spends one timeout for each on any thread, until it knows.

--- a/app/lanes.h
+++ b/app/lanes.h
@@ -3,12 +3,14 @@
 
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include <json/json.h>
 
+#include "app/send_queue.h"
 #include "base/time.h"
 #include "runtime/duty.h"
 #include "runtime/http.h"
@@ -36,8 +38,8 @@
     std::unique_ptr<duty<job>> m_duty;
 };
 
-// Calls JSON-RPC methods of other processes. Calls to one target keep their order; a target that
-// does not answer delays only the targets of its own thread.
+// Calls JSON-RPC methods of other processes. Calls to one target keep their order; targets that do
+// not answer delay no others (send_queue).
 class rpc_sender
 {
 public:
@@ -46,27 +48,26 @@
     rpc_sender(duty_system &system, milliseconds timeout, metrics &counters);
     ~rpc_sender();
 
-    // `done` runs on the sender's thread; it only posts to a ring. False when the ring is full:
-    // `done` will not run.
+    // `done` runs on the sender's thread; it only posts to a ring. False when too many calls wait,
+    // or the sender was stopped: `done` will not run.
     bool call(const std::string &target, const std::string &method, const Json::Value &parameters,
               answer done);
     void stop();
 
 private:
-    struct outgoing
-    {
-        std::string target;
-        std::string method;
-        Json::Value parameters;
-        answer done;
-    };
-
-    void send(outgoing &message);
+    void drain(std::size_t thread);
+    std::optional<rpc_call> takeOrRest(std::size_t thread);
+    void wakeOne();
+    bool send(const rpc_call &message);
 
     milliseconds m_timeout;
     metrics &m_metrics;
     http_pools m_pools;
-    std::vector<std::unique_ptr<duty<outgoing>>> m_threads;
+    std::mutex m_mutex; // of the queue and of who rests
+    send_queue m_queue;
+    std::vector<std::size_t> m_resting; // threads, to be woken
+    bool m_stopped = false;
+    std::vector<std::unique_ptr<duty_thread>> m_threads;
 };
 
 } // namespace zinniabarrow
