--- a/tests/lanes_test.cpp
+++ b/tests/lanes_test.cpp
@@ -102,3 +102,16 @@
         check(answered == Processes);
     });
 }
+
+// A duty asks a process whose address it does not know yet, and has to hear that nothing came.
+Test(lanes, a_call_without_an_address_fails)
+{
+    duty_system system;
+    metrics counters;
+    std::atomic<unsigned> inVain{0};
+    rpc_sender sender(system, Timeout, counters);
+    const auto count = [&](const std::optional<Json::Value> &result) { inVain += result ? 0 : 1; };
+    sender.call("", "generation_content", Json::objectValue, count);
+    sender.call("", "generation_content", Json::objectValue, count);
+    check(waitFor([&] { return inVain == 2; }));
+}
--- a/tests/send_queue_test.cpp
+++ b/tests/send_queue_test.cpp
@@ -99,3 +99,18 @@
     check(taken(queue) == "gone beat");
     check(queue.push(callTo("third")));
 }
+
+// A duty asks a process whose address it does not know yet. The call has to go out, and to fail:
+// were it taken for no call at all, nothing behind it would go out any more.
+Test(send_queue, a_call_without_an_address_goes_out)
+{
+    send_queue queue({2, 8, 16});
+    queue.push(callTo(""));
+    queue.push(callTo("owner"));
+    check(queue.mayTake());
+    check(taken(queue) == " beat");
+    queue.settled("", false);
+    check(taken(queue) == "owner beat");
+    queue.push(callTo(""));
+    check(taken(queue) == " beat");
+}
