A call without an address goes out, and fails

Seen: with one queue for all targets, entries now and then sent nothing any more: peers heard of no agent, or an entry did not become ready. Cause: send_queue named the next target by its text and took the empty one for none. Duties do call processes whose address they don't know yet (config_duty asks a peer for a generation's content by an address that it has not heard); such a call stayed the oldest for ever, and everything behind it. Before there was one queue such a call failed at once. Change: the next target is a pointer; null says that there is none.

--- a/app/send_queue.cpp
+++ b/app/send_queue.cpp
@@ -20,23 +20,23 @@
     return true;
 }
 
-// The target whose call has waited longest, of those that may have a thread; empty: none.
-std::string send_queue::next() const
+// The target whose call has waited longest, of those that may have a thread; null: none.
+const std::string *send_queue::next() const
 {
     const auto forSilent = std::max<std::size_t>(m_limits.threads, 2) - 1;
     const bool silentToo = !m_silent.empty() && m_silentInFlight < forSilent;
     if (m_ready.empty())
-        return silentToo ? m_silent.begin()->second : std::string();
+        return silentToo ? &m_silent.begin()->second : nullptr;
     const bool silentFirst = silentToo && m_silent.begin()->first < m_ready.begin()->first;
-    return silentFirst ? m_silent.begin()->second : m_ready.begin()->second;
+    return silentFirst ? &m_silent.begin()->second : &m_ready.begin()->second;
 }
 
 std::optional<rpc_call> send_queue::take()
 {
-    const auto target = next();
-    if (target.empty())
+    const auto *target = next();
+    if (target == nullptr)
         return std::nullopt;
-    auto &state = m_targets.at(target);
+    auto &state = m_targets.at(*target);
     auto first = std::move(state.waiting.front());
     state.waiting.pop_front();
     --m_waiting;
--- a/app/send_queue.h
+++ b/app/send_queue.h
@@ -44,7 +44,7 @@
     bool push(rpc_call call);
     // None while no waiting call may go out. Each one that is taken has to be settled.
     std::optional<rpc_call> take();
-    bool mayTake() const { return !next().empty(); }
+    bool mayTake() const { return next() != nullptr; }
     void settled(const std::string &target, bool answered);
 
 private:
@@ -63,7 +63,7 @@
     using ready_targets = std::map<std::uint64_t, std::string>;
 
     ready_targets &readyAs(const target_state &state) { return state.silent ? m_silent : m_ready; }
-    std::string next() const;
+    const std::string *next() const;
 
     send_queue_limits m_limits;
     std::map<std::string, target_state> m_targets;
