--- a/tests/lanes_test.cpp
+++ b/tests/lanes_test.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -115,3 +116,36 @@
     sender.call("", "generation_content", Json::objectValue, count);
     check(waitFor([&] { return inVain == 2; }));
 }
+
+// Duties call from threads of their own while the sender's threads go to rest and wake. A wake that
+// is lost would leave a call lying until another one comes, and its caller without an answer.
+Test(lanes, every_call_comes_back)
+{
+    constexpr unsigned Callers = 4;
+    constexpr unsigned Calls = 400;
+    rpc_server methods;
+    methods.bind("report", [](const Json::Value &parameters) { return parameters; });
+    http_server answering({"0.0.0.0", 0}, {}, [&](const http_request &request) {
+        return http_response{200, {}, methods.handle(request.body)};
+    });
+    answering.start();
+    duty_system system;
+    metrics counters;
+    std::atomic<unsigned> back{0};
+    rpc_sender sender(system, SoonEnough, counters);
+    std::vector<std::thread> callers;
+    for (unsigned caller = 0; caller < Callers; ++caller) {
+        callers.emplace_back([&, caller] {
+            for (unsigned call = 0; call < Calls; ++call) {
+                const auto before = back.load();
+                sender.call(addressOf((caller + call) % Processes, answering.address().port),
+                            "report", Json::objectValue, [&](const auto &) { ++back; });
+                if (call % Callers == caller) // so that some calls find all threads at rest
+                    waitFor([&] { return back > before; });
+            }
+        });
+    }
+    for (auto &caller : callers)
+        caller.join();
+    check(waitFor([&] { return back == Callers * Calls; }));
+}
