A test that fails: a large answer of the store is cut off and asked for again from its first byte

Callers saw an entry answer from an old configuration for seconds after a version with many routes. The stand-in sends an answer of 350 KB late in the feed's wait, and one of 1.26 MB over 2 s: the client cuts both off at its fixed time, and the follower asks again (2 answers begun, none taken, on every run). Beside it a row of 5 MB, which is taken.

--- a/cmake/zb.cmake
+++ b/cmake/zb.cmake
@@ -18,12 +18,12 @@
   target_link_libraries(zb_${NAME} PUBLIC zb_flags ${ARG_DEPS})
 endfunction()
 
-# zb_test(NAME [DEPS lib...]): tests/NAME.cpp as one Criterion program and one CTest entry.
+# zb_test(NAME [DEPS lib...] [ARGS word...]): tests/NAME.cpp as one Criterion program and one CTest entry.
 function(zb_test NAME)
-  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "DEPS;ARGS" ${ARGN})
   add_executable(${NAME} ${NAME}.cpp)
   target_link_libraries(${NAME} PRIVATE zb_flags ${ARG_DEPS} PkgConfig::CRITERION)
-  add_test(NAME ${NAME} COMMAND ${NAME} -j4
+  add_test(NAME ${NAME} COMMAND ${NAME} -j4 ${ARG_ARGS}
            WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
   set_tests_properties(${NAME} PROPERTIES TIMEOUT 300)
 endfunction()
--- /dev/null
+++ b/tests/large_rows_test.cpp
@@ -0,0 +1,204 @@
+// Rows of the platform's store that are large for the link of the instance that follows them.
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <fmt/core.h>
+
+#include "app/row_store.h"
+#include "app/table_follower.h"
+#include "base/event_log.h"
+#include "net/event_loop.h"
+#include "net/http_caller.h"
+#include "runtime/metrics.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using zinniabarrow::tests::section;
+
+namespace {
+
+// How the store's stand-in sends the answer of a feed.
+struct slow_link
+{
+    milliseconds quiet{0}; // from the request to the first byte
+    int parts = 1;         // of the answer, of the same size
+    milliseconds betweenParts{0};
+    std::size_t valueBytes = 0; // of the row, in base64
+};
+
+// A store with one row, which is told by each feed that asks for changes. Serves one connection
+// after another, as the follower opens them.
+class store_behind_a_link
+{
+public:
+    explicit store_behind_a_link(const slow_link &link)
+        : m_link(link)
+        , m_listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof address;
+        require(::bind(m_listener, reinterpret_cast<sockaddr *>(&address), length) == 0);
+        require(::listen(m_listener, 16) == 0);
+        ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &length);
+        m_port = ntohs(address.sin_port);
+        m_thread = std::thread([this] { serveAll(); });
+    }
+
+    ~store_behind_a_link()
+    {
+        ::shutdown(m_listener, SHUT_RDWR);
+        m_thread.join();
+        ::close(m_listener);
+    }
+
+    store_behind_a_link(const store_behind_a_link &) = delete;
+    store_behind_a_link &operator=(const store_behind_a_link &) = delete;
+
+    std::string address() const { return fmt::format("127.0.0.1:{}", m_port); }
+    int feedsAnswered() const { return m_feeds; }
+
+private:
+    void serveAll()
+    {
+        for (;;) {
+            const int connection = ::accept(m_listener, nullptr, nullptr);
+            if (connection < 0)
+                return;
+            while (serveOne(connection))
+                continue;
+            ::close(connection);
+        }
+    }
+
+    bool serveOne(int connection)
+    {
+        std::string request;
+        char byte = 0;
+        while (!request.ends_with("\r\n\r\n")) {
+            if (::recv(connection, &byte, 1, 0) != 1)
+                return false;
+            request += byte;
+        }
+        if (!request.starts_with("GET /-/rows-feed"))
+            return send(connection, head(EmptyTable.size()) + EmptyTable);
+        ++m_feeds;
+        std::this_thread::sleep_for(m_link.quiet);
+        return sendSlowly(connection, feedBody());
+    }
+
+    std::string feedBody() const
+    {
+        return R"({"rows":[{"table":"op","part":"","key":"config","value":")"
+               + std::string(m_link.valueBytes, 'A') + R"(","ver":2}],"ver":2,"now-ms":1})";
+    }
+
+    bool sendSlowly(int connection, const std::string &body) const
+    {
+        const auto answer = head(body.size()) + body;
+        const auto size = answer.size() / static_cast<std::size_t>(m_link.parts) + 1;
+        for (std::size_t from = 0; from < answer.size(); from += size) {
+            if (from > 0)
+                std::this_thread::sleep_for(m_link.betweenParts);
+            if (!send(connection, answer.substr(from, size)))
+                return false;
+        }
+        return true;
+    }
+
+    static std::string head(std::size_t bytes)
+    {
+        return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", bytes);
+    }
+
+    static bool send(int connection, const std::string &bytes)
+    {
+        for (std::size_t from = 0; from < bytes.size();) {
+            const auto sent =
+                    ::send(connection, bytes.data() + from, bytes.size() - from, MSG_NOSIGNAL);
+            if (sent <= 0)
+                return false;
+            from += static_cast<std::size_t>(sent);
+        }
+        return true;
+    }
+
+    inline static const std::string EmptyTable = R"({"rows":[],"more-pages":false,"ver":1})";
+
+    slow_link m_link;
+    int m_listener;
+    int m_port = 0;
+    std::atomic<int> m_feeds{0};
+    std::thread m_thread;
+};
+
+struct followed
+{
+    std::size_t bytes = 0; // of the row, as it was taken; 0: it never was
+    int feeds = 0;         // that the store began to answer until then
+};
+
+// Follows the table until its row was taken, or until the store has answered `mostFeeds`.
+followed follow(const slow_link &link, int mostFeeds)
+{
+    store_behind_a_link store(link);
+    net::event_loop loop;
+    net::http_caller caller(loop);
+    metrics numbers;
+    event_log log("entry", "e");
+    row_store client(
+            loop, caller, store.address(), [] { return std::vector<std::string>{}; }, numbers, log);
+    followed result;
+    table_follower follower(loop, client, log, {"op"}, [&](const std::vector<jobs::row> &rows) {
+        if (rows.empty())
+            return;
+        result.bytes = rows.back().value.size();
+        loop.stop();
+    });
+    follower.start();
+    loop.every(milliseconds(10), [&] {
+        if (store.feedsAnswered() > mostFeeds)
+            loop.stop();
+    });
+    loop.run([](const std::exception &) {});
+    result.feeds = store.feedsAnswered();
+    return result;
+}
+
+} // namespace
+
+// An entry behind a slow link goes on answering from an old configuration. A version with many
+// routes is acknowledged, and the feed that waited for it begins to answer late in its wait. The
+// answer takes longer than what is left of the call's time; it is cut off, asked for again from its
+// first byte, and cut off again, for as long as the link is as busy.
+Test(large_rows, an_answer_whose_bytes_keep_coming_is_read_once)
+{
+    section("it begins late in the wait", [] {
+        const auto seen = follow({milliseconds(900), 12, milliseconds(60), 350'000}, 1);
+        check(seen.bytes == 262'500);
+        check(seen.feeds == 1);
+    });
+    section("it lasts longer than any answer of the usual size", [] {
+        const auto seen = follow({milliseconds(0), 40, milliseconds(50), 1'260'000}, 1);
+        check(seen.bytes == 945'000);
+        check(seen.feeds == 1);
+    });
+}
+
+// The configuration of a fleet outgrows the largest answer that the client of the store takes: each
+// reading is refused, and the entry never learns a version again.
+Test(large_rows, a_configuration_of_20000_routes_is_taken)
+{
+    const auto seen = follow({milliseconds(0), 1, milliseconds(0), 5'080'000}, 1);
+    check(seen.bytes == 3'810'000);
+    check(seen.feeds == 1);
+}
