A front learns a large configuration in one transfer, and says 503 rather than 404 while it is behind

Callers saw 404 on one entry for queues of a version that was acknowledged 4.6 to 9.2 s before, while the balancer was told that all is well.

Cause, as tests show it: an answer of the store was cut off at a fixed time (150 ms to 1.5 s beside the feed's wait), however large it was, and asked for again from its first byte. Reading it cost a call of the system for each 512 bytes (9,966 calls for a row of 5 MB), its base64 and text were read by slow means, and each request looked at every route. Nothing told an entry that others had a newer version, and any answer of the store counted as being up to date.

Pings tell the version in force. An entry that hears of a newer one, or sees the head of an answer that carries changes, says 503 where it would have said 404, and after 0.8 s refuses everything and is not ready. One that nothing has confirmed for 3.5 s isn't ready either. The limit of answers' bodies holds now (16 MiB for the store): Beast 1.74 forgets it when head and body come in one read. A feed beyond it is read anew page by page.

Ruled out: the answer's size limit as the cause (it did not hold). Not ruled out: an entry without processor left; the smallest have 0.069 cores, and entries use 0.08 in the mean on the large deployments.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = g++ cmake ninja-build pkg-config ccache clang-format clang-tidy valgrind \
 	libcaf-dev libboost-dev libjsonrpccpp-dev libmicrohttpd-dev libcurl4-openssl-dev \
 	libjsoncpp-dev libvalijson-dev libcpp-httplib-dev prometheus-cpp-dev libtclap-dev libfmt-dev \
-	libcriterion-dev libbenchmark-dev libxxhash-dev libpcg-cpp-dev
+	rapidjson-dev libcriterion-dev libbenchmark-dev libxxhash-dev libpcg-cpp-dev
 SOURCES = $(shell git ls-files -co --exclude-standard '*.cpp' '*.h')
 
 .PHONY: all deps demo test format check-format lint bench clean
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -15,10 +15,12 @@
 #include "base/json.h"
 #include "base/json_member.h"
 #include "jobs/come_back.h"
+#include "jobs/configuration_watch.h"
 #include "jobs/job_book.h"
 #include "jobs/lease.h"
 #include "net/http_listener.h"
 #include "platform/caller_wire.h"
+#include "platform/configuration_wire.h"
 #include "platform/store_wire.h"
 
 namespace zinniabarrow {
@@ -72,8 +74,12 @@
         , m_store(
                   m_loop, m_caller, m_settings.store,
                   [this] { return m_directory.others(suspendAwareNow()); }, m_metrics, m_log)
-        , m_configurationTable(m_loop, m_store, m_log, {platform_wire::ConfigurationRow.table},
-                               [this](const auto &rows) { takeConfigurations(rows); })
+        , m_configurationTable(
+                  m_loop, m_store, m_log, {platform_wire::ConfigurationRow.table},
+                  [this](const auto &rows) { takeConfigurations(rows); }, [] {},
+                  [this](const follow_progress &progress) {
+                      std::visit([this](const auto &what) { heedConfiguration(what); }, progress);
+                  })
         , m_entriesTable(m_loop, m_store, m_log, {EntriesTable},
                          [this](const auto &rows) { takeEntries(rows); })
         , m_jobsTable(
@@ -165,29 +171,74 @@
 
     // --- What the store tells: configuration, entries, jobs.
 
+    void heedConfiguration(const feed_answer_begun &head)
+    {
+        const auto now = suspendAwareNow();
+        if (head.bytes > configuration_watch::EmptyAnswerBytes)
+            m_configurationBegunAt = now;
+        m_configurationWatch.answerBegun(head.bytes, now);
+    }
+
+    void heedConfiguration(const all_changes_taken &taken)
+    {
+        m_configurationWatch.answerRead(taken.askedAt);
+    }
+
+    // Only the newest row that can be read is worked through: one that is overtaken would hold up
+    // the others, and callers meanwhile.
     void takeConfigurations(const std::vector<row> &rows)
     {
-        for (const auto &one : rows)
-            takeConfiguration(one);
+        for (auto one = rows.rbegin(); one != rows.rend(); ++one) {
+            if (one->name == platform_wire::ConfigurationRow && !one->removed
+                && takeConfiguration(*one))
+                return;
+        }
     }
 
-    void takeConfiguration(const row &one)
+    // No: it can't be read.
+    bool takeConfiguration(const row &one)
     {
-        if (one.name != platform_wire::ConfigurationRow || one.removed)
-            return;
+        if (one.version > 0 && one.version <= m_configurationRow)
+            return true; // read before: all of the table is read anew when its history is gone
         try {
-            auto next = platform_wire::configurationFrom(one.value);
+            const auto startedAt = suspendAwareNow();
+            queue_table next(platform_wire::configurationFrom(one.value));
+            m_configurationRow = one.version;
             // Never back: a request that one version allowed must not meet an older one.
-            if (m_configuration && next.version <= m_configuration->version)
-                return;
-            m_log.note("configuration",
-                       {{"version", next.version}, {"routes", next.routes.size()}});
-            m_configuration = std::move(next);
+            if (m_configuration && next.version() <= m_configuration->version())
+                return true;
+            m_configuration.emplace(std::move(next));
+            m_configurationWatch.taken(m_configuration->version());
+            noteConfiguration(one.value.size(), startedAt);
+            return true;
         } catch (const error &problem) {
             m_log.note("configuration_unreadable", {{"why", problem.what()}});
+            return false;
         }
     }
 
+    void noteConfiguration(std::size_t bytes, time_point startedAt)
+    {
+        const auto begunAt = std::exchange(m_configurationBegunAt, std::nullopt);
+        m_log.note("configuration",
+                   {{"version", m_configuration->version()},
+                    {"routes", m_configuration->size()},
+                    {"bytes", bytes},
+                    {"read_ms", millisecondsOf(startedAt - begunAt.value_or(startedAt))},
+                    {"parse_ms", millisecondsOf(suspendAwareNow() - startedAt)}});
+    }
+
+    // Said when it changes, not with each request.
+    configuration_standing standing()
+    {
+        const auto result = m_configurationWatch.standing(suspendAwareNow());
+        const bool outdated = result == configuration_standing::Outdated;
+        if (outdated != std::exchange(m_outdated, outdated))
+            m_log.note(outdated ? "configuration_outdated" : "configuration_caught_up",
+                       {{"version", m_configuration ? m_configuration->version() : 0}});
+        return result;
+    }
+
     void takeEntries(const std::vector<row> &rows)
     {
         for (const auto &one : rows) {
@@ -241,6 +292,7 @@
         value["entry"] = m_settings.id;
         value["row"] = toText(m_row);
         value["leaving"] = m_leaving;
+        value["configuration"] = Json::Int64(m_configuration ? m_configuration->version() : 0);
         return value;
     }
 
@@ -251,6 +303,8 @@
         const auto row = entryRowFrom(stringMember(value, "row"));
         m_directory.seen(name, row);
         m_directory.heard(name, row.incarnation, boolMember(value, "leaving"), suspendAwareNow());
+        if (value.isMember("configuration"))
+            m_configurationWatch.heardOf(integerMember(value, "configuration"), suspendAwareNow());
     }
 
     void pingAll()
@@ -612,19 +666,26 @@
 
     // --- Callers.
 
-    bool isReady() const
+    bool isReady()
     {
-        return m_configuration && m_jobsKnown && !m_leaving
-               && suspendAwareNow() - m_store.lastAnswerAt() < StoreSilentAtMost;
+        const auto now = suspendAwareNow();
+        return m_configuration && standing() != configuration_standing::Outdated
+               && m_configurationWatch.isConfirmed(now) && m_jobsKnown && !m_leaving
+               && now - m_store.lastAnswerAt() < StoreSilentAtMost;
     }
 
     void serveCaller(http_request request, responder respond)
     {
         if (!m_configuration)
             return respond(counted(503, "no_configuration"));
-        const auto target = routeFor(*m_configuration, request.header("Host"), request.path());
+        const auto known = standing();
+        if (known == configuration_standing::Outdated)
+            return respond(counted(503, "configuration_outdated"));
+        const auto target = m_configuration->find(request.header("Host"), request.path());
         if (!target)
-            return respond(counted(404, "unknown_queue"));
+            return respond(known == configuration_standing::Doubtful
+                                   ? counted(503, "queue_perhaps_newer")
+                                   : counted(404, "unknown_queue"));
         if (!m_book || !m_jobsKnown)
             return respond(counted(503, "starting"));
         const auto &policy = target->route->policy;
@@ -931,7 +992,11 @@
     entry_directory m_directory;
     entry_row m_row;
     owner_id m_self;
-    std::optional<queue_configuration> m_configuration;
+    std::optional<queue_table> m_configuration;
+    std::int64_t m_configurationRow = 0; // the store's version of the row that was read last
+    std::optional<time_point> m_configurationBegunAt; // its last answer with changes
+    configuration_watch m_configurationWatch;
+    bool m_outdated = false; // as last asked
     job_view m_view;
     worker_pool m_pool;
     std::optional<job_book> m_book;
--- a/app/row_store.cpp
+++ b/app/row_store.cpp
@@ -21,6 +21,14 @@
 constexpr milliseconds FirstPause{40}; // before a write is repeated; doubles
 constexpr milliseconds LongestPause{500};
 constexpr milliseconds RelayExtra{150}; // for the hop
+// Between two parts of an answer; a link that is lost for longer has lost the answer.
+constexpr milliseconds LongestStall{1500};
+// For the rest of an answer once it has begun. What takes longer has left the store's history.
+constexpr milliseconds WholeAnswer{20'000};
+// One row of 60,000 routes, or the changes of some 20 s on the largest fleet.
+constexpr std::size_t LargestAnswer = 16 * 1024 * 1024;
+
+void nobodyAsks(std::uint64_t /*bytes*/) { }
 
 bool turnedAway(const call_result &result)
 {
@@ -94,30 +102,39 @@
 }
 
 void row_store::sendTo(const std::string &peer, bool direct, http_request request, duration within,
-                       net::http_caller::call_done done)
+                       answer_begun begun, net::http_caller::call_done done)
 {
     const auto sentAt = net::suspendAwareNow();
     const bool waits = within > timeout() + RelayExtra; // a feed's answer time says nothing
-    m_caller.call(peer, std::move(request), within,
-                  [this, direct, sentAt, waits, done = std::move(done)](call_result result) {
-                      const auto took =
-                              waits ? duration(milliseconds(5)) : net::suspendAwareNow() - sentAt;
-                      noteAnswer(direct, result, took);
+    // Until the answer begins: how long the rest takes is a matter of its size and of the link.
+    auto took = std::make_shared<duration>(milliseconds(5));
+    net::large_call how{{within, LongestStall, within + WholeAnswer}, LargestAnswer};
+    how.begun = [sentAt, waits, took, begun = std::move(begun)](std::uint64_t bytes) {
+        if (!waits)
+            *took = net::suspendAwareNow() - sentAt;
+        begun(bytes);
+    };
+    m_caller.call(peer, std::move(request), std::move(how),
+                  [this, direct, took, done = std::move(done)](call_result result) {
+                      noteAnswer(direct, result, *took);
                       done(std::move(result));
                   });
 }
 
 // One try, by the way that seems to work.
-void row_store::send(http_request request, duration extra, net::http_caller::call_done done)
+void row_store::send(http_request request, duration extra, answer_begun begun,
+                     net::http_caller::call_done done)
 {
     const auto relays = m_relays();
     const bool direct = relays.empty() || net::suspendAwareNow() >= m_directFrom;
     if (direct)
-        return sendTo(m_address, true, std::move(request), timeout() + extra, std::move(done));
+        return sendTo(m_address, true, std::move(request), timeout() + extra, std::move(begun),
+                      std::move(done));
     const auto &peer = relays[m_nextRelay++ % relays.size()];
     m_metrics.count("store_calls_relayed_total", "sent");
     request.target = StoreRelayPath + request.target;
-    sendTo(peer, false, std::move(request), timeout() + extra + RelayExtra, std::move(done));
+    sendTo(peer, false, std::move(request), timeout() + extra + RelayExtra, std::move(begun),
+           std::move(done));
 }
 
 void row_store::commit(row_transaction transaction, commit_done done)
@@ -129,7 +146,7 @@
 void row_store::tryCommit(std::shared_ptr<row_transaction> transaction, duration pause,
                           commit_done done)
 {
-    send(platform_wire::commitRequest(*transaction), {},
+    send(platform_wire::commitRequest(*transaction), {}, nobodyAsks,
          [this, transaction, pause, done = std::move(done)](const call_result &result) mutable {
              const auto written = platform_wire::commitResult(result);
              if (const auto *yes = std::get_if<committed>(&written))
@@ -148,13 +165,14 @@
                      const std::string &to, read_done done)
 {
     const auto request = platform_wire::rowsRequest(table, part, from, to);
-    send(request, {}, [this, request, done = std::move(done)](const call_result &result) {
-        if (auto page = platform_wire::rowsResult(result))
-            return done(std::move(page));
-        // Once more, by the other way where there is one.
-        send(request, {},
-             [done](const call_result &second) { done(platform_wire::rowsResult(second)); });
-    });
+    send(request, {}, nobodyAsks,
+         [this, request, done = std::move(done)](const call_result &result) {
+             if (auto page = platform_wire::rowsResult(result))
+                 return done(std::move(page));
+             // Once more, by the other way where there is one.
+             send(request, {}, nobodyAsks,
+                  [done](const call_result &second) { done(platform_wire::rowsResult(second)); });
+         });
 }
 
 void row_store::readAll(const std::string &table, const std::string &part, read_done done)
@@ -182,10 +200,13 @@
 }
 
 void row_store::feed(const std::string &table, std::int64_t after, milliseconds wait,
-                     feed_done done)
+                     answer_begun begun, feed_done done)
 {
-    send(platform_wire::feedRequest(table, after, wait.count()), wait,
+    send(platform_wire::feedRequest(table, after, wait.count()), wait, std::move(begun),
          [done = std::move(done)](const call_result &result) {
+             const auto *failure = std::get_if<call_failure>(&result);
+             if (failure != nullptr && *failure == call_failure::TooLarge)
+                 return done(feed_page{{}, 0, true});
              done(platform_wire::feedResult(result));
          });
 }
@@ -196,7 +217,7 @@
     request.headers.clear();
     m_metrics.count("store_calls_relayed_total", "carried");
     // As long as any caller waits: a feed holds its answer for up to a second.
-    sendTo(m_address, true, std::move(request), LongestTimeout + milliseconds(1000),
+    sendTo(m_address, true, std::move(request), LongestTimeout + milliseconds(1000), nobodyAsks,
            [respond = std::move(respond)](call_result result) {
                if (auto *answer = std::get_if<http_response>(&result)) {
                    answer->headers.clear();
--- a/app/row_store.h
+++ b/app/row_store.h
@@ -25,6 +25,7 @@
     using commit_done = std::function<void(outcome)>;
     using read_done = std::function<void(std::optional<jobs::row_page>)>;
     using feed_done = std::function<void(std::optional<jobs::feed_page>)>;
+    using answer_begun = std::function<void(std::uint64_t bytes)>; // of its body, where declared
     using relay_list = std::function<std::vector<std::string>()>;
 
     // `relays` names the internal addresses of processes that may reach the store.
@@ -39,7 +40,9 @@
               const std::string &to, read_done done);
     // All rows of a part, page after page.
     void readAll(const std::string &table, const std::string &part, read_done done);
-    void feed(const std::string &table, std::int64_t after, milliseconds wait, feed_done done);
+    // An answer that is too large to be taken asks for everything anew, page by page.
+    void feed(const std::string &table, std::int64_t after, milliseconds wait, answer_begun begun,
+              feed_done done);
 
     // Passes a call of another process on; never further than to the store itself.
     void relay(http_request request, std::function<void(http_response)> respond);
@@ -48,9 +51,10 @@
     time_point lastAnswerAt() const { return m_lastAnswerAt; }
 
 private:
-    void send(http_request request, duration extra, net::http_caller::call_done done);
+    void send(http_request request, duration extra, answer_begun begun,
+              net::http_caller::call_done done);
     void sendTo(const std::string &peer, bool direct, http_request request, duration within,
-                net::http_caller::call_done done);
+                answer_begun begun, net::http_caller::call_done done);
     void tryCommit(std::shared_ptr<jobs::row_transaction> transaction, duration pause,
                    commit_done done);
     void readPages(std::string table, std::string part, std::string from,
--- a/app/table_follower.h
+++ b/app/table_follower.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "app/row_store.h"
@@ -23,9 +24,21 @@
     milliseconds pause{0}; // after each answer with changes: joins many into the next one
 };
 
+// How the following goes on, for those who have to know whether they are behind.
+struct feed_answer_begun // an answer to the feed begins; large where it carries changes
+{
+    std::uint64_t bytes = 0;
+};
+struct all_changes_taken // all that had changed before it was asked for is known
+{
+    time_point askedAt{};
+};
+using follow_progress = std::variant<feed_answer_begun, all_changes_taken>;
+
 class table_follower
 {
 public:
+    using heed_progress = std::function<void(const follow_progress &)>;
     using take_rows = std::function<void(const std::vector<jobs::row> &)>;
     using all_read = std::function<void()>;
 
@@ -33,7 +46,8 @@
     // versions tell. `complete` is called after each reading of the whole table.
     table_follower(
             net::event_loop &loop, row_store &store, event_log &log, followed_table what,
-            take_rows take, all_read complete = [] {});
+            take_rows take, all_read complete = [] {},
+            heed_progress progress = [](const follow_progress &) {});
 
     void start();
 
@@ -43,11 +57,13 @@
     {
         std::size_t left = 0;  // parts without an answer
         std::int64_t from = 0; // the oldest version that a part was read at
+        time_point askedAt{};
         bool failed = false;
     };
 
     void partRead(reading &all, const std::optional<jobs::row_page> &page);
     void feed(std::int64_t after);
+    void takeFeed(const jobs::feed_page &page, time_point askedAt);
 
     net::event_loop &m_loop;
     row_store &m_store;
@@ -55,6 +71,7 @@
     followed_table m_what;
     take_rows m_take;
     all_read m_complete;
+    heed_progress m_progress;
 };
 
 } // namespace zinniabarrow
--- a/libs/jobs/queues.cpp
+++ b/libs/jobs/queues.cpp
@@ -1,21 +1,44 @@
 #include "jobs/queues.h"
 
+#include <functional>
+#include <set>
+#include <utility>
+
 namespace zinniabarrow::jobs {
 
-std::optional<routed> routeFor(const queue_configuration &configuration, const std::string &host,
-                               const std::string &path)
+namespace {
+
+constexpr char AfterHost = '\n'; // in no host
+
+} // namespace
+
+queue_table::queue_table(queue_configuration configuration)
+    : m_version(configuration.version)
+    , m_routes(std::move(configuration.routes))
+{
+    std::set<std::size_t, std::greater<>> lengths;
+    m_byPrefix.reserve(m_routes.size());
+    for (std::size_t index = 0; index < m_routes.size(); ++index) {
+        const auto &route = m_routes[index];
+        m_byPrefix.emplace(route.host + AfterHost + route.prefix, index);
+        lengths.insert(route.prefix.size());
+    }
+    m_lengths.assign(lengths.begin(), lengths.end());
+}
+
+std::optional<routed> queue_table::find(const std::string &host, const std::string &path) const
 {
-    const auto name = host.substr(0, host.find(':')); // a port may follow
-    const queue_route *best = nullptr;
-    for (const auto &route : configuration.routes) {
-        if (route.host != name || !path.starts_with(route.prefix))
+    auto key = host.substr(0, host.find(':')) + AfterHost; // a port may follow
+    const auto hostSize = key.size();
+    for (const auto length : m_lengths) {
+        if (length > path.size())
             continue;
-        if (best == nullptr || route.prefix.size() > best->prefix.size())
-            best = &route;
+        key.resize(hostSize);
+        key.append(path, 0, length);
+        if (const auto found = m_byPrefix.find(key); found != m_byPrefix.end())
+            return routed{&m_routes[found->second], path.substr(length)};
     }
-    if (best == nullptr)
-        return std::nullopt;
-    return routed{best, path.substr(best->prefix.size())};
+    return std::nullopt;
 }
 
 } // namespace zinniabarrow::jobs
--- a/libs/net/http_caller.cpp
+++ b/libs/net/http_caller.cpp
@@ -21,6 +21,14 @@
 
 namespace {
 
+constexpr std::size_t ReadAtOnce = 64 * 1024; // bytes of an answer
+constexpr std::size_t KeptBuffer = 4 * 1024;  // bytes beside an idle connection
+
+std::chrono::steady_clock::time_point steadyTime(time_point at)
+{
+    return std::chrono::steady_clock::time_point(at.time_since_epoch());
+}
+
 struct kept_connection
 {
     beast::tcp_stream stream;
@@ -71,6 +79,8 @@
         auto &pool = idle[peer];
         if (pool.size() >= limits.idlePerPeer)
             return;
+        if (link->buffer.capacity() > KeptBuffer)
+            link->buffer.shrink_to_fit(); // memory of a large answer
         link->idleSince = suspendAwareNow();
         link->stream.expires_never();
         pool.push_back(std::move(link));
@@ -83,10 +93,11 @@
 {
 public:
     pending_call(std::shared_ptr<http_caller::shared_state> state, std::string peer,
-                 const http_request &request, duration within, http_caller::call_done done)
+                 const http_request &request, large_call how, http_caller::call_done done)
         : m_state(std::move(state))
         , m_peer(std::move(peer))
-        , m_deadline(std::chrono::steady_clock::now() + within)
+        , m_how(std::move(how))
+        , m_deadline(m_how.patience, monotonic_clock::now())
         , m_done(std::move(done))
     {
         m_request.version(11);
@@ -128,9 +139,9 @@
         const auto ip = asio::ip::make_address(address.address, badAddress);
         if (badAddress)
             return finish(call_failure::NotConnected);
-        const auto connectUntil = std::min(m_deadline, std::chrono::steady_clock::now()
-                                                               + m_state->limits.connectWithin);
-        m_link->stream.expires_at(connectUntil);
+        const auto connectUntil = std::min(m_deadline.lateAt(),
+                                           monotonic_clock::now() + m_state->limits.connectWithin);
+        m_link->stream.expires_at(steadyTime(connectUntil));
         auto self = shared_from_this();
         m_link->stream.async_connect(
                 tcp::endpoint(ip, static_cast<unsigned short>(address.port)),
@@ -148,7 +159,7 @@
 
     void send()
     {
-        m_link->stream.expires_at(m_deadline);
+        m_link->stream.expires_at(steadyTime(m_deadline.lateAt()));
         auto self = shared_from_this();
         http::async_write(
                 m_link->stream, m_request,
@@ -160,17 +171,44 @@
         if (failure)
             return finish(failureOf(failure));
         m_parser.emplace();
-        m_parser->body_limit(m_state->limits.answerBytes);
+        m_parser->body_limit(m_how.answerBytes);
+        receive();
+    }
+
+    void receive()
+    {
+        m_link->stream.expires_at(steadyTime(m_deadline.lateAt()));
         auto self = shared_from_this();
-        http::async_read(
+        http::async_read_some(
                 m_link->stream, m_link->buffer, *m_parser,
-                [self](const beast::error_code &problem, std::size_t) { self->received(problem); });
+                [self](const beast::error_code &problem, std::size_t) { self->partCame(problem); });
     }
 
-    void received(const beast::error_code &failure)
+    void partCame(const beast::error_code &failure)
     {
         if (failure)
             return finish(failureOf(failure));
+        m_deadline.partCame(monotonic_clock::now());
+        if (m_parser->is_header_done() && !std::exchange(m_begun, true)) {
+            makeRoom();
+            m_how.begun(m_parser->content_length().value_or(0));
+        }
+        if (m_parser->is_done())
+            return received();
+        receive();
+    }
+
+    // Without it a large body is read in pieces of the buffer's first size, half a kilobyte, each
+    // with a call of the system.
+    void makeRoom()
+    {
+        const auto left = m_parser->content_length_remaining();
+        if (left && *left > 0)
+            m_link->buffer.reserve(std::min<std::size_t>(*left, ReadAtOnce));
+    }
+
+    void received()
+    {
         auto message = m_parser->release();
         http_response answer;
         answer.status = static_cast<int>(message.result_int());
@@ -207,7 +245,9 @@
 
     std::shared_ptr<http_caller::shared_state> m_state;
     std::string m_peer;
-    std::chrono::steady_clock::time_point m_deadline;
+    large_call m_how;
+    answer_deadline m_deadline;
+    bool m_begun = false;
     http_caller::call_done m_done;
     std::unique_ptr<kept_connection> m_link;
     http::request<http::string_body> m_request;
@@ -225,7 +265,15 @@
 void http_caller::call(const std::string &peer, http_request request, duration within,
                        call_done done)
 {
-    std::make_shared<pending_call>(m_state, peer, request, within, std::move(done))->start();
+    call(peer, std::move(request),
+         large_call{{within, within, within}, m_state->limits.answerBytes}, std::move(done));
+}
+
+void http_caller::call(const std::string &peer, http_request request, large_call how,
+                       call_done done)
+{
+    std::make_shared<pending_call>(m_state, peer, request, std::move(how), std::move(done))
+            ->start();
 }
 
 } // namespace zinniabarrow::net
--- a/libs/net/http_caller.h
+++ b/libs/net/http_caller.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
+#include "net/answer_deadline.h"
 #include "net/event_loop.h"
 #include "runtime/http.h"
 
@@ -20,6 +22,15 @@
     std::size_t answerBytes = 4 * 1024 * 1024; // a larger answer ends the call as TooLarge
 };
 
+// A call whose answer may be large.
+struct large_call
+{
+    call_patience patience;
+    std::size_t answerBytes = 0; // in place of the limit of all calls
+    // The head of the answer has come, with the size of the body; 0: not declared.
+    std::function<void(std::uint64_t bytes)> begun = [](std::uint64_t) {};
+};
+
 class http_caller
 {
 public:
@@ -32,6 +43,7 @@
 
     // `done` is called once, from the loop. NotConnected: nothing was sent.
     void call(const std::string &peer, http_request request, duration within, call_done done);
+    void call(const std::string &peer, http_request request, large_call how, call_done done);
 
     struct shared_state;
 
--- /dev/null
+++ b/tests/configuration_follow_test.cpp
@@ -0,0 +1,242 @@
+// How an entry learns a configuration, however large it has grown, and what it says meanwhile.
+#include <cstdlib>
+#include <new>
+#include <string>
+
+#include <criterion/criterion.h>
+#include <fmt/core.h>
+
+#include "jobs/configuration_watch.h"
+#include "jobs/queues.h"
+#include "net/answer_deadline.h"
+#include "platform/configuration_wire.h"
+#include "platform/store_wire.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::jobs;
+using zinniabarrow::tests::section;
+
+namespace {
+
+std::size_t allocatedBytes = 0;
+
+} // namespace
+
+void *operator new(std::size_t bytes)
+{
+    allocatedBytes += bytes;
+    if (void *block = std::malloc(bytes))
+        return block;
+    throw std::bad_alloc();
+}
+
+void operator delete(void *block) noexcept
+{
+    std::free(block);
+}
+
+void operator delete(void *block, std::size_t /*bytes*/) noexcept
+{
+    std::free(block);
+}
+
+namespace {
+
+constexpr time_point Start{std::chrono::hours(1)};
+
+std::string configurationOf(int routes)
+{
+    std::string text = R"({"version":7,"routes":[)";
+    for (int index = 0; index < routes; ++index) {
+        text += fmt::format(
+                R"({}{{"name":"r-{:07}","host":"host{}.example","prefix":"/queue{}/","kind":"unsafe",)"
+                R"("timeout-ms":3000,"target-latency-ms":2500,"priority":1,"service":"placement",)"
+                R"("max-attempts":3,"stretch":2.2}})",
+                index == 0 ? "" : ",", index, index % 3, index);
+    }
+    return text + R"(],"services":[],"limits":{}})";
+}
+
+queue_table tableOf(int routes)
+{
+    return queue_table(platform_wire::configurationFrom(configurationOf(routes)));
+}
+
+std::string feedWith(const std::string &value)
+{
+    row_transaction one;
+    one.set.push_back({platform_wire::ConfigurationRow, value, 0, false});
+    const auto body = platform_wire::commitRequest(one).body;
+    const auto from = body.find("\"value\":\"") + 9;
+    return R"({"rows":[{"table":"op","part":"","key":"config","ver":3,"value":")"
+           + body.substr(from, body.find('"', from) - from) + R"("}],"ver":9,"now-ms":1})";
+}
+
+// The slowest instances that carry callers.
+constexpr double LinkBytesPerSecond = 10e6 / 8;
+constexpr double CoreShare = 0.069;
+// Of a whole core, for one route: 26,000 instructions for the answer, its base64, the route and its
+// place in the table, five a nanosecond.
+constexpr double WorkPerRouteUs = 5;
+
+struct learning
+{
+    bool inTime = true; // no call of it was late
+    double seconds = 0; // from the first byte of the answer until the version is in force
+};
+
+// The answer comes over the link in parts of 64 KB, the first at the very end of the feed's wait.
+learning learn(int routes)
+{
+    const auto bytes = static_cast<double>(feedWith(configurationOf(routes)).size());
+    constexpr double Part = 65536;
+    const auto waits = milliseconds(1150);
+    net::answer_deadline deadline({waits, milliseconds(1500), waits + seconds(20)}, Start);
+    const auto begun = Start + waits - milliseconds(1);
+    learning result;
+    double sent = 0;
+    while (sent < bytes) {
+        sent = std::min(bytes, sent + Part);
+        const auto at = begun
+                        + microseconds(static_cast<std::int64_t>((sent - std::min(sent, Part))
+                                                                 / LinkBytesPerSecond * 1e6));
+        result.inTime = result.inTime && at <= deadline.lateAt();
+        deadline.partCame(at);
+    }
+    result.seconds = bytes / LinkBytesPerSecond + routes * WorkPerRouteUs / 1e6 / CoreShare;
+    return result;
+}
+
+} // namespace
+
+// The slowest instance takes a new version of each size that the fleet may grow to. While it is
+// busy with it, others must not take it as gone, which they do after 1.6 s of silence.
+Test(configuration_follow, on_the_slowest_instance)
+{
+    struct bound
+    {
+        int routes;
+        double seconds;
+    };
+    for (const auto &[routes, bound] : {bound{1400, 0.6}, bound{5000, 1.8}, bound{20'000, 7.0}}) {
+        const auto learned = learn(routes);
+        section(fmt::format("{} routes: {:.2f} s", routes, learned.seconds), [&] {
+            check(learned.inTime);
+            check(learned.seconds < bound);
+            check(routes * WorkPerRouteUs / 1e6 / CoreShare < 1.6);
+        });
+    }
+}
+
+// Work that grows faster than the routes shows as memory that does: copies of the table, trees of
+// text beside it.
+Test(configuration_follow, work_is_linear_in_the_routes)
+{
+    const auto perRoute = [](int routes) {
+        const auto body = feedWith(configurationOf(routes));
+        const call_result result = http_response{200, {}, body};
+        const auto before = allocatedBytes;
+        const auto page = platform_wire::feedResult(result);
+        const queue_table table(platform_wire::configurationFrom(page->rows.at(0).value));
+        check(table.size() == static_cast<std::size_t>(routes));
+        return static_cast<double>(allocatedBytes - before) / routes;
+    };
+    const auto small = perRoute(1400);
+    check(perRoute(5000) < small * 1.5);
+    check(perRoute(20'000) < small * 1.5);
+    section("and a request costs the same in any table", [] {
+        const auto table = tableOf(20'000);
+        check(table.prefixLengths() <= 5);
+        const auto before = allocatedBytes;
+        check(table.find("host1.example:80", "/queue4/5c0e7a21d94b36f8").has_value());
+        check(allocatedBytes - before < 256);
+    });
+}
+
+Test(configuration_follow, the_longest_prefix_is_the_queue)
+{
+    const queue_table table(
+            {7, {{"a", "/x/", {}}, {"a", "/x/y/", {}}, {"b", "/", {}}, {"a", "/x/", {}}}});
+    check(table.find("a", "/x/y/job")->job == "job");
+    check(table.find("a:80", "/x/yy")->job == "yy");
+    check(table.find("b", "/x/y/job")->job == "x/y/job");
+    check(!table.find("a", "/x"));
+    check(!table.find("c", "/x/"));
+}
+
+Test(configuration_follow, what_operators_wrote)
+{
+    const auto read = platform_wire::configurationFrom(configurationOf(2));
+    require(read.routes.size() == 2);
+    check(read.version == 7);
+    check(read.routes[1].policy.queue == "r-0000001");
+    check(read.routes[1].policy.maxAttempts == 3);
+    check(read.routes[1].policy.stretch == 2.2);
+    section("what can't be read is passed over", [] {
+        for (const auto *text : {"{", "[]", R"({"version":"7","routes":[]})", R"({"version":7})",
+                                 R"({"version":7,"routes":[7]})", "\xff",
+                                 R"({"version":7,"routes":[{"host":"a","prefix":"/"}]})",
+                                 R"({"version":7,"routes":[]} x)"}) {
+            cr_expect_throw(platform_wire::configurationFrom(text), error);
+        }
+    });
+}
+
+// A version is acknowledged, and the other entries work by it. This one is still reading it, and
+// told callers for seconds that a queue of the new version does not exist, or ran one that was
+// dropped.
+Test(configuration_follow, an_entry_that_is_behind_does_not_answer_from_an_old_version)
+{
+    configuration_watch watch;
+    auto now = Start;
+    check(watch.standing(now) == configuration_standing::Doubtful); // nothing was read yet
+    watch.taken(7);
+    watch.answerRead(now);
+    check(watch.standing(now) == configuration_standing::Current);
+    section("another entry has a newer one", [&] {
+        watch.heardOf(6, now);
+        watch.heardOf(7, now);
+        check(watch.standing(now) == configuration_standing::Current);
+        watch.heardOf(9, now);
+        check(watch.standing(now) == configuration_standing::Doubtful);
+        now += configuration_watch::UnreadAtMost;
+        watch.heardOf(9, now); // again, with each ping
+        watch.answerRead(now);
+        check(watch.standing(now) == configuration_standing::Doubtful);
+        check(watch.standing(now + milliseconds(1)) == configuration_standing::Outdated);
+        watch.taken(8);
+        check(watch.standing(now + milliseconds(1)) == configuration_standing::Outdated);
+        watch.taken(9);
+        check(watch.standing(now) == configuration_standing::Current);
+    });
+    section("an answer with changes begins, and breaks off", [&] {
+        watch.answerBegun(60, now); // none
+        check(watch.standing(now) == configuration_standing::Current);
+        watch.answerBegun(350'000, now);
+        check(watch.standing(now) == configuration_standing::Doubtful);
+        now += configuration_watch::UnreadAtMost + milliseconds(1);
+        watch.answerBegun(350'000, now);
+        check(watch.standing(now) == configuration_standing::Outdated);
+        watch.answerRead(now);
+        check(watch.standing(now) == configuration_standing::Current);
+    });
+    section("nothing confirms it any more", [&] {
+        now += configuration_watch::UnconfirmedAtMost;
+        check(watch.isConfirmed(now));
+        now += milliseconds(1);
+        check(!watch.isConfirmed(now));
+        check(watch.standing(now) == configuration_standing::Doubtful);
+    });
+}
+
+// A peer that sends a byte now and then must not hold a call for ever.
+Test(configuration_follow, an_answer_is_late_when_it_stalls_or_never_ends)
+{
+    net::answer_deadline deadline({milliseconds(150), milliseconds(1500), seconds(20)}, Start);
+    check(deadline.lateAt() == Start + milliseconds(150));
+    deadline.partCame(Start + milliseconds(140));
+    check(deadline.lateAt() == Start + milliseconds(1640));
+    deadline.partCame(Start + seconds(19));
+    check(deadline.lateAt() == Start + seconds(20));
+}
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -48,7 +48,7 @@
                   {parseAddress(at(4, WorkersPort)), parseAddress(at(5, WorkersPort))}})
     {
         std::filesystem::create_directories(m_scratch);
-        putConfiguration();
+        putConfiguration(7);
         for (int index = 0; index < 2; ++index) {
             startEntry(index);
             startAgent(index);
@@ -161,8 +161,34 @@
                 SoonEnough);
     }
 
-private:
-    void putConfiguration()
+    bool isReady(int entry)
+    {
+        http_request request;
+        request.target = "/-/ready";
+        http_pool pool(parseAddress(at(2 + entry, ReadyPort)));
+        const auto result = pool.call(request, monotonic_clock::now() + seconds(1));
+        const auto *answer = std::get_if<http_response>(&result);
+        return answer != nullptr && answer->status == 200;
+    }
+
+    // Entry 1 tells entry 0 by which version it works.
+    void tellOfConfiguration(int version)
+    {
+        Json::Value told(Json::objectValue);
+        told["entry"] = "entry-1";
+        told["row"] = fmt::format(R"({{"incarnation":1,"internal":"{}","callers":"{}"}})",
+                                  at(3, InternalPort), at(3, CallersPort));
+        told["leaving"] = false;
+        told["configuration"] = version;
+        http_request request;
+        request.method = "POST";
+        request.target = "/v1/ping";
+        request.body = compactJson(told);
+        http_pool pool(parseAddress(at(2, InternalPort)));
+        pool.call(request, monotonic_clock::now() + seconds(5));
+    }
+
+    void putConfiguration(int version)
     {
         // One route for the host name of each entry: the pool sends its peer's.
         std::string routes;
@@ -171,7 +197,7 @@
                                   R"("service":"tickets","max-attempts":2,"stretch":1.5}})",
                                   routes.empty() ? "" : ",", process, address(process));
         }
-        const auto text = R"({"version":7,"routes":[)" + routes + "]}";
+        const auto text = fmt::format(R"({{"version":{},"routes":[{}]}})", version, routes);
         http_request request;
         request.method = "POST";
         request.target = "/-/rows-tx";
@@ -187,6 +213,7 @@
         pool.call(request, monotonic_clock::now() + seconds(5));
     }
 
+private:
     static std::string base64(const std::string &text)
     {
         constexpr const char *Letters =
@@ -205,16 +232,6 @@
         return result;
     }
 
-    bool isReady(int entry)
-    {
-        http_request request;
-        request.target = "/-/ready";
-        http_pool pool(parseAddress(at(2 + entry, ReadyPort)));
-        const auto result = pool.call(request, monotonic_clock::now() + seconds(1));
-        const auto *answer = std::get_if<http_response>(&result);
-        return answer != nullptr && answer->status == 200;
-    }
-
     void start(const std::string &name, const std::string &role, const std::string &settings)
     {
         m_processes.erase(name);
@@ -269,6 +286,28 @@
     checkNothingWrong(on, on.site());
 }
 
+// A new version is acknowledged, and one entry, on a slow link, reads it for seconds. Callers there
+// were told that a queue of the new version does not exist, and the balancer that all is well. It
+// hears from the others that they work by a newer version, and says so.
+Test(process_jobs, an_entry_that_is_behind)
+{
+    system_under_test on;
+    check(on.call(0, "GET", "")->status == 200);
+    on.tellOfConfiguration(9);
+    section("callers are refused, and none is told that a queue does not exist", [&] {
+        require(waitUntil([&] { return on.call(0, "GET", "")->status == 503; }, SoonEnough));
+        check(on.call(0, "GET", "")->header("Retry-After") == "1");
+        check(!on.isReady(0));
+        check(on.isReady(1));
+    });
+    section("until it has the version", [&] {
+        on.putConfiguration(9);
+        require(waitUntil([&] { return on.isReady(0); }, SoonEnough));
+        check(on.call(0, "GET", "")->status == 200);
+    });
+    checkNothingWrong(on, on.site());
+}
+
 // A service handed in at any entry runs, also when the entry that places all services is frozen:
 // the one that the caller reached hears nothing of it for a moment and accepts the job itself. Both
 // entries are frozen in turn, so that one of the two is the placer.
@@ -337,11 +376,12 @@
     checkNothingWrong(on, on.site());
 }
 
-// The caller sees two tasks that last stand still for seconds, with room for them on another worker.
-// Their worker leaves as planned while a renewal of its lease is out; its agent finds it gone, and
-// what it knows can't be written yet. Kept until the row is free, it frees the tasks at once; an
-// agent that sought its lease anew instead waited for a look at a worker that was no longer there:
-// its lines were worker_gone with a write out, then lease_sought, and 7 s later worker_silent.
+// The caller sees two tasks that last stand still for seconds, with room for them on another
+// worker. Their worker leaves as planned while a renewal of its lease is out; its agent finds it
+// gone, and what it knows can't be written yet. Kept until the row is free, it frees the tasks at
+// once; an agent that sought its lease anew instead waited for a look at a worker that was no
+// longer there: its lines were worker_gone with a write out, then lease_sought, and 7 s later
+// worker_silent.
 Test(process_jobs, worker_leaves_while_its_lease_is_renewed)
 {
     system_under_test on;
