Bodies of requests are read in a few calls of the system, as answers are

Entries with the least processor read each agent's report and each call of another entry in pieces of half a kilobyte, the first size of Beast's buffer.

--- a/libs/net/http_caller.cpp
+++ b/libs/net/http_caller.cpp
@@ -21,9 +21,6 @@
 
 namespace {
 
-constexpr std::size_t ReadAtOnce = 64 * 1024; // bytes of an answer
-constexpr std::size_t KeptBuffer = 4 * 1024;  // bytes beside an idle connection
-
 std::chrono::steady_clock::time_point steadyTime(time_point at)
 {
     return std::chrono::steady_clock::time_point(at.time_since_epoch());
--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -1,5 +1,6 @@
 #include "net/http_listener.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -41,7 +42,6 @@
 // A caller that breaks off during a burst of connections must not make others wait for a SYN that
 // is sent again after a second.
 constexpr int Backlog = 1024;
-
 class connection : public std::enable_shared_from_this<connection>
 {
 public:
@@ -62,13 +62,28 @@
         m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.headerBytes));
         m_stream.expires_after(m_state->limits.idleAtMost);
         auto self = shared_from_this();
+        http::async_read_header(
+                m_stream, m_buffer, *m_parser,
+                [self](const beast::error_code &failure, std::size_t) { self->headRead(failure); });
+    }
+
+private:
+    // The body is read in as few calls of the system as it needs: without room for it in the
+    // buffer, each takes half a kilobyte.
+    void headRead(const beast::error_code &failure)
+    {
+        if (failure || m_parser->is_done())
+            return requestRead(failure);
+        const auto left = m_parser->content_length_remaining();
+        if (left && *left > 0)
+            m_buffer.reserve(std::min<std::size_t>(*left, ReadAtOnce));
+        auto self = shared_from_this();
         http::async_read(m_stream, m_buffer, *m_parser,
-                         [self](const beast::error_code &failure, std::size_t) {
-                             self->requestRead(failure);
+                         [self](const beast::error_code &problem, std::size_t) {
+                             self->requestRead(problem);
                          });
     }
 
-private:
     void requestRead(const beast::error_code &failure)
     {
         if (failure == http::error::body_limit) {
@@ -85,6 +100,8 @@
         for (const auto &field : message)
             request.headers[std::string(field.name_string())] = std::string(field.value());
         request.body = std::move(message.body());
+        if (m_buffer.capacity() > KeptBuffer)
+            m_buffer.shrink_to_fit(); // memory of a large request
         m_stream.expires_never();
         ++m_state->inFlight;
         auto self = shared_from_this();
