--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -219,6 +219,11 @@
         }
     }
 
+    static std::int64_t millisecondsOf(duration span)
+    {
+        return std::chrono::duration_cast<milliseconds>(span).count();
+    }
+
     void noteConfiguration(std::size_t bytes, time_point startedAt)
     {
         const auto begunAt = std::exchange(m_configurationBegunAt, std::nullopt);
