A test that fails: entries are replaced one after the other while a worker is silent

Callers would see a seat hold wait on a worker that is gone for as long as entries are replaced, and once more after: each new owner of the shard waits the whole lease anew, from its own start. The second section strikes hand-overs and workers that are cut off for a while at random: nothing may run twice.

--- a/tests/work_takeover_test.cpp
+++ b/tests/work_takeover_test.cpp
@@ -154,6 +154,70 @@
     check(result.holdStarts == 2 && result.watchStarts == 2);
 }
 
+// A worker and its agent are gone, and the entries are replaced one after the other, as at a
+// release: each new owner knows no more than the rows tell it. A parent whose seat hold ran on that
+// worker must not wait anew with each of them: what the one before had waited for already is known
+// to it.
+Test(work_takeover, entries_are_replaced_while_a_worker_is_silent)
+{
+    const auto replaceOwner = [](work_model &model) {
+        auto *owner = model.owner();
+        if (owner == nullptr)
+            return;
+        model.release(*owner);
+        model.runFor(seconds(1));
+        model.kill(*owner, seconds(1));
+    };
+    section("its task waits little longer than with one owner", [&] {
+        work_model model(1);
+        settle(model);
+        const time_point start = model.now;
+        model.cutOff(model.whereRuns(Hold));
+        milliseconds waited{0};
+        const auto pass = [&](milliseconds length) {
+            const auto moved = [&] { return model.starts(Hold) == 2; };
+            if (waited.count() > 0)
+                return model.runFor(length);
+            model.runUntilTrue(length, moved);
+            if (moved())
+                waited = std::chrono::duration_cast<milliseconds>(model.now - start);
+        };
+        for (int replaced = 0; replaced < 3; ++replaced) {
+            pass(seconds(9));
+            replaceOwner(model);
+        }
+        pass(seconds(60));
+        fmt::print(stderr, "| worker silent, three owners replaced | {} |\n", seconds1(waited));
+        check(waited > seconds(0) && waited <= seconds(22));
+        check(model.violations().empty());
+    });
+    section("nothing runs twice, whoever was heard last by whom", [&] {
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            work_model model(seed);
+            settle(model);
+            random_generator random(seed);
+            for (int step = 0; step < 12; ++step) {
+                const auto worker = fmt::format("w{}", pickIndex(random, 3));
+                if (pickIndex(random, 2) == 0)
+                    model.cutOff(worker);
+                model.runFor(milliseconds(pickIndex(random, 20'000)));
+                if (pickIndex(random, 2) == 0)
+                    replaceOwner(model);
+                model.runFor(milliseconds(pickIndex(random, 10'000)));
+                for (auto &[name, agent] : model.agents)
+                    agent.cutFrom.clear();
+            }
+            model.runFor(seconds(200));
+            const auto violations = model.violations();
+            for (const auto &violation : violations)
+                fmt::print(stderr, "seed {}: {} {}\n", seed, nameOf(violation.kind),
+                           violation.detail);
+            check(violations.empty());
+            check(model.starts(Watch) == 1);
+        }
+    });
+}
+
 // The table is down for twice the longest lease. While the horizon lasts nothing stops at all; then
 // the agents' leases lapse and tasks of class Lease end, but no task of class Proof is restarted.
 Test(work_takeover, long_outage)
