An owner that hands a shard over tells how long its quiet workers may still hold a lease

Callers would see a seat hold wait on a worker that is gone for as long as entries are replaced, and a whole lease after the last of them. Cause: a new owner counts the wait for each worker from when it has read the tables, as it can't know what its predecessor heard; on a planned stop the predecessor knows, and did not say.

Now the row that hands a shard over names the workers with tasks that were not heard of for half a lease, and the time that is left for each; the next owner goes on from there. A worker that is not named is waited for as before, and so is every one after an owner that died. Ruled out: to hand over what was heard of all workers, which would make the row as large as the shard.

Not run: process tests of the first generation.

--- a/app/owned_shard.h
+++ b/app/owned_shard.h
@@ -49,6 +49,7 @@
     void latencySampled(const std::string &worker, const std::string &service, microseconds p99,
                         time_point measuredAt, time_point now);
 
+    work::quiet_workers quietWorkers(time_point now) const { return m_table.quietWorkers(now); }
     Json::Value status(time_point now) const;
     std::string explain(const work::task_id &task, time_point now) const;
     bool knows(const work::task_id &task) const;
--- a/app/schedule_duty.cpp
+++ b/app/schedule_duty.cpp
@@ -243,6 +243,7 @@
 void schedule_duty::on(work::release_shards &what)
 {
     m_releasing = true;
+    what.quiet = quietWorkers();
     feedOwner(what);
 }
 
@@ -253,7 +254,7 @@
     const bool isPlanDue = now + TickEvery / 2 >= m_planAt;
     if (isPlanDue)
         m_planAt = now + m_settings.placement.tick;
-    feedOwner(work::ownership_tick{});
+    feedOwner(work::ownership_tick{quietWorkers()});
     m_drained = m_releasing && m_owner.released();
     // `handle` may discard a shard: walk over the numbers, not over the map.
     std::vector<int> numbers;
@@ -277,6 +278,14 @@
     }
 }
 
+std::map<int, work::quiet_workers> schedule_duty::quietWorkers() const
+{
+    std::map<int, work::quiet_workers> quiet;
+    for (const auto &[number, shard] : m_shards)
+        quiet[number] = shard->quietWorkers(monotonic_clock::now());
+    return quiet;
+}
+
 void schedule_duty::feedOwner(const work::ownership_event &what)
 {
     for (const auto &action : m_owner.handle(what, monotonic_clock::now()))
@@ -315,7 +324,7 @@
     settings.aheadTasks = m_settings.placement.backlogPerWorker;
     settings.startAheadWhenDown = false; // the placer counts each start
     const work::table_owner owner{action.shard, action.epoch, action.shardVersion,
-                                  action.waitForSilentUntil};
+                                  action.waitForSilentUntil, action.quiet};
     const auto prefix = m_self.unique() + "/work-" + std::to_string(action.shard) + "-"
                         + std::to_string(action.epoch);
     m_shards[action.shard] =
--- a/app/schedule_duty.h
+++ b/app/schedule_duty.h
@@ -88,6 +88,7 @@
     void on(work::release_shards &what);
     void tick();
 
+    std::map<int, work::quiet_workers> quietWorkers() const;
     void feedOwner(const work::ownership_event &what);
     void perform(const work::commit_shard &action);
     void perform(const work::scan_shards &action);
--- a/libs/work/leases.h
+++ b/libs/work/leases.h
@@ -1,6 +1,9 @@
 // Lease lengths that all parts of the scheduler share, and the allowance for unequal clocks.
 #pragma once
 
+#include <map>
+#include <string>
+
 #include "base/time.h"
 
 namespace zinniabarrow::work {
@@ -23,6 +26,9 @@
 // whoever waits for it. It is in doubt from then on, like one whose answer was lost on its way.
 constexpr milliseconds AnswerWithin{10'000};
 
+// Workers that an owner has not heard of for a while, and until when each may hold a lease.
+using quiet_workers = std::map<std::string, time_point>;
+
 // How long one process waits to be sure that a lease of length `lease` has ended in another one.
 constexpr milliseconds safeWait(milliseconds lease, const lease_settings &settings)
 {
--- a/libs/work/ownership.cpp
+++ b/libs/work/ownership.cpp
@@ -23,6 +23,13 @@
     return found == rows.end() ? nullptr : found->second;
 }
 
+const quiet_workers &quietIn(const std::map<int, quiet_workers> &byShard, int shard)
+{
+    static const quiet_workers none;
+    const auto found = byShard.find(shard);
+    return found == byShard.end() ? none : found->second;
+}
+
 std::uint64_t versionOf(const table_row *row)
 {
     return row == nullptr ? 0 : row->version;
@@ -175,8 +182,7 @@
     state.rowVersion = versionOf(row);
     state.leaseVersion = versionOf(lease);
     state.epoch = row->value["epoch"].asUInt64();
-    state.freed = row->value["freed"].asBool();
-    state.silentWait = milliseconds(row->value["silentWaitMs"].asInt64());
+    takeHandedOver(state, row->value);
     if (state.owned && ownerChanged)
         lose(state);
 }
@@ -216,7 +222,7 @@
     m_peers = event.entries;
 }
 
-void shard_owner::on(const ownership_tick &, time_point now)
+void shard_owner::on(const ownership_tick &event, time_point now)
 {
     if (now >= m_scanAt) {
         m_scanAt = now + m_settings.scanEvery;
@@ -230,23 +236,23 @@
                 m_actions.emplace_back(commit_shard{state.pending->transaction});
             }
         } else if (state.owned) {
-            tickOwned(state, now);
+            tickOwned(state, quietIn(event.quiet, number), now);
         } else if (!m_releasing) {
             tickFree(state, now);
         }
     }
 }
 
-void shard_owner::on(const release_shards &, time_point now)
+void shard_owner::on(const release_shards &event, time_point now)
 {
     m_releasing = true;
     for (auto &[number, state] : m_shards) {
         if (state.owned && !state.pending)
-            release(state, now);
+            release(state, quietIn(event.quiet, number), now);
     }
 }
 
-void shard_owner::tickOwned(shard_state &state, time_point now)
+void shard_owner::tickOwned(shard_state &state, const quiet_workers &quiet, time_point now)
 {
     const bool preferred = rankFor(state) == 0;
     if (preferred)
@@ -255,7 +261,7 @@
         state.lessPreferredSince = now;
     const bool handOver = !preferred && now - state.lessPreferredSince >= m_settings.handOverAfter;
     if (m_releasing || handOver)
-        release(state, now);
+        release(state, quiet, now);
     else if (now >= state.renewAt)
         renew(state, now);
 }
@@ -296,6 +302,7 @@
     write.kind = pending_write::purpose::Take;
     write.epoch = state.epoch + 1;
     write.waitForSilentUntil = silentUntil(state);
+    write.quiet = quietOf(state);
     Json::Value row(Json::objectValue);
     row["owner"] = m_self.id;
     row["epoch"] = Json::UInt64(write.epoch);
@@ -314,7 +321,27 @@
     send(state, std::move(write), now);
 }
 
-void shard_owner::release(shard_state &state, time_point now)
+// What the row says of the last owner's workers, if that has handed the shard over.
+void shard_owner::takeHandedOver(shard_state &state, const Json::Value &row)
+{
+    state.freed = row["freed"].asBool();
+    state.silentWait = milliseconds(row["silentWaitMs"].asInt64());
+    state.quiet.clear();
+    const auto &quiet = row["quietMs"];
+    for (const auto &worker : quiet.isObject() ? quiet.getMemberNames() : Json::Value::Members())
+        state.quiet[worker] = milliseconds(quiet[worker].asInt64());
+}
+
+// Counted from when this entry saw the row: the last owner counted from before it wrote it.
+quiet_workers shard_owner::quietOf(const shard_state &state)
+{
+    quiet_workers quiet;
+    for (const auto &[worker, left] : state.quiet)
+        quiet[worker] = state.changedAt + left;
+    return quiet;
+}
+
+void shard_owner::release(shard_state &state, const quiet_workers &quiet, time_point now)
 {
     pending_write write;
     write.kind = pending_write::purpose::Release;
@@ -326,6 +353,10 @@
     row["silentWaitMs"] = Json::Int64(millisecondsUntil(state.waitForSilentUntil, now) + 1);
     if (state.waitForSilentUntil <= now)
         row["silentWaitMs"] = 0;
+    // Each owner that is replaced would otherwise have its successor wait anew for workers that
+    // were gone long before, and their tasks with them: entries are replaced one after the other.
+    for (const auto &[worker, until] : quiet)
+        row["quietMs"][worker] = Json::Int64(until > now ? millisecondsUntil(until, now) + 1 : 0);
     write.transaction.writes.push_back({shardKey(state.info.shard), row});
     lose(state);
     send(state, std::move(write), now);
@@ -359,13 +390,14 @@
         state.leaseVersion = version;
         state.epoch = write.epoch;
         state.freed = false;
+        state.quiet.clear();
         state.owned = true;
         state.lessPreferredSince = Never;
         state.waitForSilentUntil = write.waitForSilentUntil;
         state.grantUntil = write.sentAt + m_settings.leases.horizon;
         state.renewAt = write.sentAt + m_settings.leases.renewEvery;
         m_actions.emplace_back(became_owner{state.info.shard, state.epoch, state.rowVersion,
-                                            state.waitForSilentUntil});
+                                            state.waitForSilentUntil, write.quiet});
         break;
     case pending_write::purpose::Renew:
         // Counted from before the write was sent: a watcher saw its effect later than that.
@@ -375,9 +407,7 @@
         break;
     case pending_write::purpose::Release:
         state.rowVersion = version;
-        state.freed = true;
-        state.silentWait =
-                milliseconds((*write.transaction.writes.front().value)["silentWaitMs"].asInt64());
+        takeHandedOver(state, *write.transaction.writes.front().value);
         break;
     }
 }
--- a/libs/work/ownership.h
+++ b/libs/work/ownership.h
@@ -59,10 +59,16 @@
 {
     std::vector<entry_info> entries; // live ones, this one included
 };
+// Both carry what the shards' tables tell at this very moment, by shard: of a worker that was heard
+// since, a shard that is handed over would name too early an end.
 struct ownership_tick
-{ };
+{
+    std::map<int, quiet_workers> quiet;
+};
 struct release_shards // planned stop: hands over everything it holds
-{ };
+{
+    std::map<int, quiet_workers> quiet;
+};
 using ownership_event = std::variant<shard_rows_read, shard_write_settled, peers_changed,
                                      ownership_tick, release_shards>;
 
@@ -79,6 +85,7 @@
     std::uint64_t epoch = 0;
     std::uint64_t shardVersion = 0; // of `shard/<n>`: each write of the owner is conditional on it
     time_point waitForSilentUntil;  // a worker that has not attached may hold a lease until then
+    quiet_workers quiet;            // but these only until then, as the last owner told
 };
 struct lost_shard
 {
@@ -121,6 +128,7 @@
         time_point sentAt;              // decided then: before its first sending
         time_point retryAt = Never;     // sent again then
         time_point waitForSilentUntil;  // for Take
+        quiet_workers quiet;            // for Take
         std::uint64_t epoch = 0;        // for Take
         bool inDoubt = false;           // may have taken effect, or may still do so
     };
@@ -134,8 +142,9 @@
         std::uint64_t epoch = 0;
         bool freed = false;         // handed over by its last owner
         milliseconds silentWait{0}; // what its last owner still had to wait, when freed
-        time_point changedAt;       // the versions were first seen then
-        time_point watchedSince;    // unchanged since then, without a gap in the readings
+        std::map<std::string, milliseconds> quiet; // and for these workers
+        time_point changedAt;                      // the versions were first seen then
+        time_point watchedSince; // unchanged since then, without a gap in the readings
         std::optional<time_point> readAt;
         // While owned.
         bool owned = false;
@@ -156,11 +165,13 @@
     void settleFromRows(shard_state &state, const table_row *row, const table_row *lease,
                         time_point now);
     void applied(shard_state &state, std::uint64_t version, time_point now);
-    void tickOwned(shard_state &state, time_point now);
+    void tickOwned(shard_state &state, const quiet_workers &quiet, time_point now);
     void tickFree(shard_state &state, time_point now);
     void take(shard_state &state, time_point now);
     void renew(shard_state &state, time_point now);
-    void release(shard_state &state, time_point now);
+    void release(shard_state &state, const quiet_workers &quiet, time_point now);
+    static void takeHandedOver(shard_state &state, const Json::Value &row);
+    static quiet_workers quietOf(const shard_state &state);
     void lose(shard_state &state);
     void send(shard_state &state, pending_write write, time_point now);
     time_point mayTakeAt(const shard_state &state) const;
--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -122,6 +122,18 @@
            && !m_store.silent(worker);
 }
 
+quiet_workers task_table::quietWorkers(time_point now) const
+{
+    quiet_workers quiet;
+    for (const auto &[name, worker] : m_workers) {
+        // An agent reports at least three times within its lease.
+        const bool heard = now - worker.reportedAt < m_settings.leases.grantLease / 2;
+        if (!heard && !tasksOn(name).empty())
+            quiet[name] = mayHoldLeaseUntil(name, worker);
+    }
+    return quiet;
+}
+
 // --- Jobs ----------------------------------------------------------------------------------------
 
 void task_table::on(const generation_followed &event, time_point now)
@@ -635,13 +647,16 @@
 
 // No lease of the worker or of its tasks ends later (docs/design/OWNERSHIP.md). A worker that has
 // recorded this epoch takes no lease of an earlier owner; one that the earlier owner had written
-// down as silent held none.
+// down as silent held none, and one that it had not heard of when it handed the shard over no
+// longer than it said then, whoever granted it.
 time_point task_table::mayHoldLeaseUntil(const std::string &name, const worker_state &worker) const
 {
     const bool attached = worker.attached && m_settings.workersKeepEpoch;
     if (attached || m_store.silentSettled(name))
         return worker.leaseUntil;
-    return std::max(worker.leaseUntil, m_owner.waitForSilentUntil);
+    const auto told = m_owner.quiet.find(name);
+    const bool known = told != m_owner.quiet.end();
+    return std::max(worker.leaseUntil, known ? told->second : m_owner.waitForSilentUntil);
 }
 
 // Class Lease may start elsewhere. Class Proof stays until the worker or a newer incarnation of it
@@ -743,7 +758,10 @@
         m_onWorker[record.worker].insert(task);
         worker_state &worker = m_workers[record.worker];
         worker.incarnation = std::max(worker.incarnation, record.incarnation);
-        if (!m_store.silentSettled(record.worker))
+        // Of these the last owner has waited for a part already.
+        if (m_owner.quiet.contains(record.worker))
+            worker.leaseUntil = m_owner.quiet.at(record.worker);
+        else if (!m_store.silentSettled(record.worker))
             worker.leaseUntil = now + safeWait(m_settings.leases.grantLease, m_settings.leases);
     }
     m_tickedAt = now;
--- a/libs/work/task_table.h
+++ b/libs/work/task_table.h
@@ -141,6 +141,7 @@
     std::uint64_t epoch = 0;
     std::uint64_t shardVersion = 0;
     time_point waitForSilentUntil;
+    quiet_workers quiet{};
 };
 
 class task_table
@@ -162,6 +163,8 @@
     std::vector<std::pair<task_id, task_record>> occupying() const;
     bool knows(const task_id &task) const { return m_store.known(task); } // one of this shard's
     bool mayPlaceOn(const std::string &worker) const; // attached, and not silent
+    // With tasks, and not heard of for longer than any agent is that is well.
+    quiet_workers quietWorkers(time_point now) const;
     std::vector<std::string> jobs() const { return m_store.jobs(); }
     const stored_job *job(const std::string &id) const { return m_store.job(id); }
     // The newest generation that an owner of this shard has carried out. An owner whose own
--- a/tests/work_bench.h
+++ b/tests/work_bench.h
@@ -37,7 +37,7 @@
     std::vector<table_action> actions; // of the last event
 
     explicit table_bench(std::uint64_t epoch = 1, time_point waitForSilentUntil = {})
-        : table({0, epoch, 1, waitForSilentUntil}, "op", {})
+        : table({0, epoch, 1, waitForSilentUntil, {}}, "op", {})
     {
         platform.commit({"take", {}, {{shardKey(0), Json::Value(Json::objectValue)}}});
         feed(rows_read{});
--- a/tests/work_model.h
+++ b/tests/work_model.h
@@ -127,7 +127,7 @@
     }
     void freeze(process &target, milliseconds length) { target.frozenUntil = now + length; }
 
-    void release(model_entry &entry) { feedOwner(entry, release_shards{}); }
+    void release(model_entry &entry) { feedOwner(entry, release_shards{quietWorkers(entry)}); }
     // The instance and its agent reach nobody else any more.
     void cutOff(const std::string &worker)
     {
@@ -407,7 +407,7 @@
                 peers.entries.push_back({name, zoneOf(name)});
         }
         feedOwner(entry, peers);
-        feedOwner(entry, ownership_tick{});
+        feedOwner(entry, ownership_tick{quietWorkers(entry)});
         if (!entry.table)
             return;
         feed(entry, horizon_moved{entry.owner->mayGrantUntil(0)});
@@ -479,6 +479,12 @@
         if (entry.table)
             run(entry, entry.table->handle(event, now));
     }
+    std::map<int, quiet_workers> quietWorkers(const model_entry &entry) const
+    {
+        if (!entry.table)
+            return {};
+        return {{0, entry.table->quietWorkers(now)}};
+    }
     void feedOwner(model_entry &entry, const ownership_event &event)
     {
         run(entry, entry.owner->handle(event, now));
@@ -511,10 +517,10 @@
         table.leases = settings;
         const std::string prefix =
                 entry.name + "#" + std::to_string(entry.life) + "/" + std::to_string(action.epoch);
-        entry.table = std::make_unique<task_table>(table_owner{action.shard, action.epoch,
-                                                               action.shardVersion,
-                                                               action.waitForSilentUntil},
-                                                   prefix, table);
+        entry.table = std::make_unique<task_table>(
+                table_owner{action.shard, action.epoch, action.shardVersion,
+                            action.waitForSilentUntil, action.quiet},
+                prefix, table);
         entry.ledger.clear();
     }
     void act(model_entry &entry, const lost_shard &)
--- a/tests/work_test.cpp
+++ b/tests/work_test.cpp
@@ -406,7 +406,7 @@
         first.settle(*commit);
     });
     section("the successor knows, and refuses what is older", [&] {
-        task_table successor({0, 2, 1, {}}, "other", {});
+        task_table successor({0, 2, 1, {}, {}}, "other", {});
         successor.handle(rows_read{{}, first.platform.scan("work/0/")}, first.now);
         check(successor.followed() == 6);
         job_spec spec;
