--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -337,11 +337,12 @@
     checkNothingWrong(on, on.site());
 }
 
-// The caller sees two tasks that last stand still for seconds, with room for them on another worker.
-// Their worker leaves as planned while a renewal of its lease is out; its agent finds it gone, and
-// what it knows can't be written yet. Kept until the row is free, it frees the tasks at once; an
-// agent that sought its lease anew instead waited for a look at a worker that was no longer there:
-// its lines were worker_gone with a write out, then lease_sought, and 7 s later worker_silent.
+// The caller sees two tasks that last stand still for seconds, with room for them on another
+// worker. Their worker leaves as planned while a renewal of its lease is out; its agent finds it
+// gone, and what it knows can't be written yet. Kept until the row is free, it frees the tasks at
+// once; an agent that sought its lease anew instead waited for a look at a worker that was no
+// longer there: its lines were worker_gone with a write out, then lease_sought, and 7 s later
+// worker_silent.
 Test(process_jobs, worker_leaves_while_its_lease_is_renewed)
 {
     system_under_test on;
@@ -368,6 +369,31 @@
     checkNothingWrong(on, on.site());
 }
 
+// A caller cancels its job and is told that it is cancelled, and then no entry lives any more that
+// could tell the agents: the owner was frozen before, and the one that wrote the cancel for it
+// dies. What runs would run on as long as the agents renew their leases, which needs no entry. So
+// agents learn of cancels from the store, where each is written before it is acknowledged.
+Test(process_jobs, no_entry_is_left_after_a_cancel)
+{
+    system_under_test on;
+    on.site().workLasts(milliseconds(600'000));
+    require(on.handIn(0, "adad000000000001"));
+    require(waitUntil([&] { return on.site().starts() == 4; }, SoonEnough));
+    on.entry(0).signal(SIGSTOP);
+    require(on.call(1, "DELETE", "adad000000000001")->status == 200);
+    on.entry(1).signal(SIGKILL);
+    section("its tasks are stopped nevertheless", [&] {
+        check(waitUntil([&] { return on.site().runsOn(0) + on.site().runsOn(1) == 0; },
+                        SoonEnough));
+    });
+    section("the owner wakes and starts none of them again", [&] {
+        on.entry(0).signal(SIGCONT);
+        check(on.reaches(0, "adad000000000001", "cancelled"));
+        check(on.site().starts() == 4);
+    });
+    checkNothingWrong(on, on.site());
+}
+
 // The caller sees its job accepted and completed. The answers to writes are lost after they took
 // effect; the entry repeats the very same write, finds its own row and goes on.
 Test(process_jobs, answers_of_the_store_lost)
