A cancel reaches every agent: answers settle their own order, and agents read cancels in the store

Callers saw tasks of cancelled jobs start or run on after the cancel was acknowledged. Found besides by a test that plants them: no entry left to tell the agents, an agent that hears no entry, an agent that lives anew before the start of a frozen owner arrives.

Change: answers name the kind of their order. A cancel writes a row of the table cancels in its own transaction; agents follow it, stop and refuse by it, and accept nothing before they have read it. A start that was stopped before the worker was asked ends with the next look; it held its room for good.

Ruled out by cancel_test (twelve plantings, each also with agents that hear only entries where these suffice): the acceptance being written, a takeover under way, stops that overtake starts, start calls without an answer.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -43,6 +43,7 @@
 constexpr milliseconds StopMargin{150};    // beyond the time that the worker needs for a stop
 constexpr milliseconds SampleEvery{500};   // what the worker tells covers half a second
 constexpr milliseconds WorkerSilent{1700}; // looks fail: nothing new is started
+constexpr milliseconds CancelsPause{1000}; // joins cancels into one answer; they hold within 3 s
 constexpr milliseconds LogFlushEvery{100};
 
 std::int64_t asMs(duration span)
@@ -67,6 +68,9 @@
                   m_loop, m_caller, m_settings.store, [this] { return relays(); }, m_metrics, m_log)
         , m_entriesTable(m_loop, m_store, m_log, {EntriesTable},
                          [this](const auto &rows) { takeEntries(rows); })
+        , m_cancelsTable(
+                  m_loop, m_store, m_log, {CancelsTable, jobParts(), CancelsPause},
+                  [this](const auto &rows) { takeCancels(rows); }, [this] { m_cancelsRead = true; })
         , m_lease(m_settings.id)
         , m_internal(m_loop, m_settings.internal, {},
                      [this](http_request request, responder respond) {
@@ -93,6 +97,7 @@
             carryOutLease();
         });
         m_entriesTable.start();
+        m_cancelsTable.start();
         // An earlier life of this agent may have let runs go on for as long.
         m_heldUntil = suspendAwareNow() + LeaseLength;
         seekLease("process_start");
@@ -421,8 +426,8 @@
     bool accepting() const
     {
         const auto now = suspendAwareNow();
-        return now >= m_startFrom && m_present && !m_told.leaving && m_lease.settled()
-               && m_clockMs > 0 && workerAnswers(now) && now < m_lease.until();
+        return m_cancelsRead && now >= m_startFrom && m_present && !m_told.leaving
+               && m_lease.settled() && m_clockMs > 0 && workerAnswers(now) && now < m_lease.until();
     }
 
     // --- Orders of entries.
@@ -636,6 +641,21 @@
             m_pacer.setPresses(std::move(answer.presses));
     }
 
+    // --- Cancelled jobs, as the store has them.
+
+    void takeCancels(const std::vector<row> &rows)
+    {
+        const auto now = suspendAwareNow();
+        for (const auto &one : rows) {
+            if (one.removed)
+                continue; // the job is over for long
+            const int runs = m_table.cancelled(one.name.key, now);
+            if (runs > 0)
+                m_log.note("job_cancelled", {{"job", one.name.key}, {"runs", runs}});
+        }
+        act();
+    }
+
     // --- Entries.
 
     std::vector<std::string> relays() const
@@ -677,6 +697,7 @@
     net::http_caller m_caller;
     row_store m_store;
     table_follower m_entriesTable;
+    table_follower m_cancelsTable;
     run_table m_table;
     pacer m_pacer;
     std::vector<disturbance_sample> m_samples; // since the last regular report
@@ -685,8 +706,9 @@
 
     worker_announcement m_told; // newest announcement of the present life
     worker_life m_life;
-    bool m_present = false;   // announced, and not departed
-    bool m_departing = false; // said to end, and not yet seen gone
+    bool m_cancelsRead = false; // an order that was held up may be of a job that was cancelled
+    bool m_present = false;     // announced, and not departed
+    bool m_departing = false;   // said to end, and not yet seen gone
 
     worker_lease m_lease;
     time_point m_heldUntil{}; // the worker was told to let runs go on until then, at most
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -318,7 +318,7 @@
         for (const auto &id : old) {
             m_book->forget(id);
             m_view.removed(id);
-            m_store.commit({{}, {}, {jobRow(id), payloadRow(id)}},
+            m_store.commit({{}, {}, {jobRow(id), payloadRow(id), cancelRow(id)}},
                            [](const row_store::outcome
                                       & /*ignored: the rows
               are gone or will be found by the next
@@ -359,12 +359,17 @@
         transaction.set.push_back({name, std::move(write.content), 0, false});
         if (write.payload)
             transaction.set.push_back({payloadRow(write.job), std::move(*write.payload), 0, false});
+        if (write.cancels)
+            transaction.set.push_back(cancelNotice(write.job));
         m_store.commit(std::move(transaction),
                        [this, id = write.job](const row_store::outcome &outcome) {
                            rowOutcome(id, outcome);
                        });
     }
 
+    // Its key says all.
+    static row cancelNotice(const std::string &id) { return {cancelRow(id), "{}", 0, false}; }
+
     void rowOutcome(const std::string &id, const row_store::outcome &outcome)
     {
         if (const auto *done = std::get_if<committed>(&outcome)) {
@@ -878,7 +883,9 @@
             record.cancelled = true;
             record.write = m_settings.id + ":cancel:" + std::to_string(m_nextToken++);
             m_store.commit(
-                    {{{one.name, one.version}}, {{one.name, toText(record), 0, false}}, {}},
+                    {{{one.name, one.version}},
+                     {{one.name, toText(record), 0, false}, cancelNotice(id)},
+                     {}},
                     [this, id, respond, write = record.write](const row_store::outcome &outcome) {
                         if (wasWritten(outcome, write))
                             return respond({200, {}, ""});
--- a/app/job_tables.h
+++ b/app/job_tables.h
@@ -13,8 +13,11 @@
 
 constexpr const char *JobsTable = "jobs";         // the records
 constexpr const char *PayloadsTable = "payloads"; // written once, with the first record
-constexpr const char *EntriesTable = "entries";   // one row for each entry
-constexpr const char *LeasesTable = "leases";     // one row for each worker
+// One row for each cancelled job, written in the transaction that cancels it. Agents follow it, so
+// that a cancel holds where no entry can tell of it.
+constexpr const char *CancelsTable = "cancels";
+constexpr const char *EntriesTable = "entries"; // one row for each entry
+constexpr const char *LeasesTable = "leases";   // one row for each worker
 
 // A part carries 200 transactions a second one after another; 16 carry all that the store takes.
 constexpr unsigned JobParts = 16;
@@ -47,6 +50,11 @@
     return {PayloadsTable, partOf(job), job};
 }
 
+inline jobs::row_name cancelRow(const std::string &job)
+{
+    return {CancelsTable, partOf(job), job};
+}
+
 inline jobs::row_name leaseRow(const std::string &worker)
 {
     return {LeasesTable, worker, worker};
--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -108,6 +108,7 @@
     job.outRevision = 0;
     job.storedState = job.outState;
     job.payloadStored = true;
+    job.cancelStored = job.storedState == job_state::Cancelled;
     m_touched.insert(id);
     settle(job);
 }
@@ -156,6 +157,7 @@
 {
     if (!row.cancelled || isFinal(job.record.state()))
         return;
+    job.cancelStored = true;
     job.record.cancelled = true;
     changed(id, job);
     stopAll(id, job);
@@ -171,6 +173,7 @@
     job.record = record;
     job.payload = payload;
     job.payloadStored = true;
+    job.cancelStored = record.cancelled;
     job.version = version;
     job.storedState = record.state();
     m_touched.insert(id);
@@ -333,9 +336,12 @@
     const std::pair key{answer.task, answer.run};
     if (answer.outcome == order_outcome::NotReady)
         return orderUnanswered(worker, answer.task, answer.run, now);
-    if (job.starts.erase(key) > 0 && answer.outcome == order_outcome::Accepted)
+    // Each answer settles its own order only. A start's answer that took the stop away, while that
+    // waited for the write of the cancel, would leave the run to itself.
+    if (answer.kind == order_kind::Stop)
+        job.stops.erase(key);
+    else if (job.starts.erase(key) > 0 && answer.outcome == order_outcome::Accepted)
         job.startedAt[key] = now;
-    job.stops.erase(key);
     if (!neverStarts(answer.outcome))
         return;
     auto *task = job.record.find(answer.task);
@@ -491,6 +497,7 @@
     write_row write{id, job.version, toText(job.record), std::nullopt};
     if (!job.payloadStored)
         write.payload = job.payload;
+    write.cancels = job.record.cancelled && !job.cancelStored;
     m_actions.emplace_back(std::move(write));
 }
 
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -25,6 +25,7 @@
     std::int64_t expectedVersion = 0;
     std::string content;
     std::optional<std::string> payload; // with the first write: the row of the payload
+    bool cancels = false; // in the same transaction: the row from which agents learn of the cancel
 };
 
 struct give_order
@@ -136,6 +137,7 @@
         job_record record;
         std::string payload;
         bool payloadStored = false;
+        bool cancelStored = false; // the row for the agents
         std::int64_t version = 0;  // of the row, as last known
         std::int64_t revision = 1; // of the record in memory
         std::int64_t storedRevision = 0;
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -240,6 +240,7 @@
         row["task"] = toText(answer.task);
         row["run"] = answer.run;
         row["outcome"] = std::string(nameOf(answer.outcome));
+        row["kind"] = std::string(nameOf(OrderNames, answer.kind));
         value["answers"].append(std::move(row));
     }
     return compactJson(value);
@@ -249,9 +250,11 @@
 {
     const auto value = parseJsonObject(text);
     std::vector<order_answer> answers;
-    for (const auto &row : arrayMember(value, "answers"))
+    for (const auto &row : arrayMember(value, "answers")) {
         answers.push_back({taskMember(row), smallIntegerMember(row, "run"),
-                           named(OutcomeNames, stringMember(row, "outcome"))});
+                           named(OutcomeNames, stringMember(row, "outcome")),
+                           named(OrderNames, stringMember(row, "kind"))});
+    }
     return answers;
 }
 
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -57,6 +57,7 @@
     task_id task;
     int run = 0;
     order_outcome outcome = order_outcome::NotReady;
+    order_kind kind = order_kind::Start; // of the order: a run may have one of each out
 };
 
 struct order_batch
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -70,7 +70,7 @@
         refuse(key, now);
         return answer(order_outcome::WrongEpoch);
     }
-    if (refused(key))
+    if (refused(key) || isCancelled(order.task.job))
         return answer(order_outcome::Superseded);
     if (!m_accepting) {
         refuse(key, now);
@@ -94,22 +94,47 @@
 order_answer run_table::stop(const run_order &order, const std::string &owner, time_point now)
 {
     const run_key key{order.task, order.run};
+    const auto answer = [&](order_outcome outcome) {
+        return order_answer{order.task, order.run, outcome, order_kind::Stop};
+    };
     const auto known = m_runs.find(key);
     if (m_epoch == 0)
-        return {order.task, order.run, order_outcome::NotReady};
+        return answer(order_outcome::NotReady);
     if (known == m_runs.end()) {
         refuse(key, now);
-        return {order.task, order.run, order_outcome::Superseded};
+        return answer(order_outcome::Superseded);
     }
     auto &entry = known->second;
     entry.owner = owner;
     // A stop tells no sizes: the run stays unclaimed, and nothing is started beside it before it
     // has ended. Otherwise a run that an earlier life of the agent started would count as nothing.
-    if (entry.phase != run_phase::Ended && entry.phase != run_phase::Stopping) {
-        entry.phase = run_phase::Stopping;
-        entry.repeatAt = now;
+    beginStop(entry, now);
+    return answer(order_outcome::Accepted);
+}
+
+int run_table::cancelled(const std::string &job, time_point now)
+{
+    m_cancelled[job] = now + m_settings.keepCancels;
+    int stopped = 0;
+    const task_id first{job, 0, 0, 0};
+    for (auto at = m_runs.lower_bound({first, 0}); at != m_runs.end(); ++at) {
+        auto &[key, entry] = *at;
+        if (key.first.job != job)
+            break;
+        if (entry.phase == run_phase::Ended || entry.phase == run_phase::Stopping)
+            continue;
+        beginStop(entry, now);
+        ++stopped;
     }
-    return {order.task, order.run, order_outcome::Accepted};
+    return stopped;
+}
+
+void run_table::beginStop(run_entry &entry, time_point now)
+{
+    if (entry.phase == run_phase::Ended || entry.phase == run_phase::Stopping)
+        return;
+    entry.phase = run_phase::Stopping;
+    entry.repeatAt = now;
 }
 
 void run_table::startCalled(const task_id &task, int run, std::int64_t deadlineMs)
@@ -152,12 +177,20 @@
             entry.claimUntil = now + m_settings.claimWithin;
         if (entry.phase == run_phase::Starting)
             entry.phase = run_phase::Running;
+        entry.listed = true;
         entry.checkpoint = listed.checkpoint;
         entry.measured = listed.measured;
+        if (isCancelled(key.first.job))
+            beginStop(entry, now);
     }
     for (const auto &end : listing.ended)
         ended(end, now);
     for (auto &[key, entry] : m_runs) {
+        // Stopped before the worker was asked to start it: no list will ever tell of its end.
+        if (entry.phase == run_phase::Stopping && entry.startCalls == 0 && !entry.listed) {
+            neverStarted(key, entry);
+            continue;
+        }
         const bool unseen = entry.phase == run_phase::Starting
                             || (entry.phase == run_phase::Stopping && entry.startUntilMs > 0);
         if (!unseen || entry.startUntilMs == 0 || listing.clockMs <= entry.startUntilMs)
@@ -180,12 +213,8 @@
 
 void run_table::stopAll(time_point now)
 {
-    for (auto &[key, entry] : m_runs) {
-        if (entry.phase == run_phase::Ended || entry.phase == run_phase::Stopping)
-            continue;
-        entry.phase = run_phase::Stopping;
-        entry.repeatAt = now;
-    }
+    for (auto &[key, entry] : m_runs)
+        beginStop(entry, now);
 }
 
 void run_table::ownerSilent(const std::string &owner)
@@ -240,6 +269,7 @@
         }
     }
     std::erase_if(m_refused, [&](const auto &entry) { return entry.second.keepUntil <= now; });
+    std::erase_if(m_cancelled, [&](const auto &entry) { return entry.second <= now; });
     return actions;
 }
 
@@ -345,6 +375,11 @@
     return found != m_refused.end() && found->second.upTo >= key.second;
 }
 
+bool run_table::isCancelled(const std::string &job) const
+{
+    return m_cancelled.contains(job);
+}
+
 bool run_table::hasRoom(const run_order &order) const
 {
     auto sum = used();
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -63,6 +63,7 @@
     // again as soon as they hear of the new life, and take jobs over within about two seconds.
     milliseconds claimWithin{8000};
     milliseconds keepRefusals{60'000}; // longer than any order can be on its way
+    milliseconds keepCancels{180'000}; // as long as entries keep the rows of jobs that are over
 };
 
 class run_table
@@ -76,6 +77,9 @@
     void clear();
 
     order_answer take(const run_order &order, const std::string &owner, time_point now);
+    // No run of the job starts any more, and all that are here are stopped; how many these are.
+    // Orders alone would not do: the owner may have died, or not reach this agent.
+    int cancelled(const std::string &job, time_point now);
     // `deadlineMs`: the worker's clock up to which the call could take effect.
     void startCalled(const task_id &task, int run, std::int64_t deadlineMs);
     void startAnswered(const task_id &task, int run, start_answer answer, time_point now);
@@ -117,6 +121,7 @@
         std::int64_t measured = 0;     // as listed
         std::int64_t startUntilMs = 0; // worker's clock: no start call takes effect later
         int startCalls = 0;
+        bool listed = false; // by the worker, as running
         time_point repeatAt{};
         time_point claimUntil{};
         run_end end;
@@ -125,10 +130,12 @@
 
     order_answer start(const run_order &order, const std::string &owner, time_point now);
     order_answer stop(const run_order &order, const std::string &owner, time_point now);
+    static void beginStop(run_entry &entry, time_point now);
     void ended(const run_end &end, time_point now);
     void neverStarted(const run_key &key, run_entry &entry);
     void refuse(const run_key &key, time_point now);
     bool refused(const run_key &key) const;
+    bool isCancelled(const std::string &job) const;
     bool hasRoom(const run_order &order) const;
 
     struct refusal
@@ -143,6 +150,7 @@
     std::int64_t m_epoch = 0;
     std::map<run_key, run_entry> m_runs;
     std::map<task_id, refusal> m_refused;
+    std::map<std::string, time_point> m_cancelled; // job, and until when it is remembered
     std::int64_t m_highestEnd = 0;
     std::size_t m_endsSeen = 0;
 };
--- a/standins/job_site.cpp
+++ b/standins/job_site.cpp
@@ -44,6 +44,7 @@
     std::set<std::string> ended;                  // tasks that were done
     std::vector<std::string> violations;
     std::map<std::string, std::int64_t> leaseEpochs;
+    std::set<std::string> cancels; // jobs that agents read as cancelled
 };
 
 // Longer than an agent needs to find its worker gone.
@@ -383,6 +384,8 @@
         const auto lease = leaseIn(request);
         if (lease && answer.status == 200)
             noteLease(*lease);
+        if (request.path() == "/-/rows-tx" && answer.status == 200)
+            noteCancels(request);
         if (lease && lease->key == departingLease) {
             departingLease.clear();
             heldLease = lease->key;
@@ -429,6 +432,16 @@
         record.leaseEpochs[lease.key] = lease.epoch;
     }
 
+    void noteCancels(const http_request &request)
+    {
+        const auto body = parseJson(request.body);
+        const std::lock_guard lock(record.mutex);
+        for (const auto &row : body["set-keys"]) {
+            if (row["table"].asString() == CancelsTable)
+                record.cancels.insert(row["key"].asString());
+        }
+    }
+
     void depart(std::size_t index)
     {
         auto &worker = *workers.at(index);
@@ -513,6 +526,12 @@
     });
 }
 
+bool job_site::agentsReadCancelOf(const std::string &job) const
+{
+    const std::lock_guard lock(m_impl->record.mutex);
+    return m_impl->record.cancels.contains(job);
+}
+
 std::int64_t job_site::leaseEpoch(const std::string &lease) const
 {
     const std::lock_guard lock(m_impl->record.mutex);
--- a/standins/job_site.h
+++ b/standins/job_site.h
@@ -36,6 +36,7 @@
     // The same at the moment at which that worker's lease, of this key, is written next; the
     // answers to writes of it come only after a while.
     void departAtRenewal(std::size_t worker, const std::string &lease);
+    bool agentsReadCancelOf(const std::string &job) const;   // its row is written
     std::int64_t leaseEpoch(const std::string &lease) const; // as stored; 0: there is no such row
     void workLasts(milliseconds work);                       // of tasks that start from now on
     int starts() const;                                      // that began a run
--- a/tests/cancel_test.cpp
+++ b/tests/cancel_test.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds Watched{12'000};   // longer than anything that is on its way
 constexpr milliseconds TakeoverAfter{1600};
 constexpr milliseconds ReportEvery{1000};
+constexpr milliseconds FollowTakes{300}; // from a row of the store to the agents that follow it
 constexpr std::int64_t Epoch = 1;
 const std::string Job = "j";
 
@@ -83,18 +84,27 @@
     std::optional<std::string> row;
     std::int64_t version = 0;
     std::string payload;
+    bool cancelStored = false; // the row that agents follow,
+    bool agentsFollow = true;  // if they reach the store
     time_point cancelledAt{};
 
     scene()
     {
-        for (const char *name : {"w1", "w2"}) {
-            auto &table = agents[name].table;
-            table.setWorker({16'000, 64'000, 0}, true);
-            table.setEpoch(Epoch);
-        }
+        for (const char *name : {"w1", "w2"})
+            begin(agents[name]);
         hear();
     }
 
+    // A life of the agent: it reads the cancels before it accepts anything.
+    void begin(agent_model &agent) const
+    {
+        agent.table = run_table();
+        agent.table.setWorker({16'000, 64'000, 0}, true);
+        agent.table.setEpoch(Epoch);
+        if (cancelStored)
+            agent.table.cancelled(Job, now);
+    }
+
     void hear()
     {
         for (const auto &entry : agents) {
@@ -122,6 +132,13 @@
         first.book.submit(Job, spec, policy, 1000, now, 1);
     }
 
+    void submitAndRun()
+    {
+        submit();
+        run(milliseconds(500));
+        check(runningTasks() == 3);
+    }
+
     void after(milliseconds span, std::function<void()> happen)
     {
         events.push_back({now + span, std::move(happen)});
@@ -175,6 +192,8 @@
             ++version;
             if (write.payload)
                 payload = *write.payload;
+            if (write.cancels)
+                storeCancel();
         }
         if (!entry.lives)
             return;
@@ -184,6 +203,17 @@
             entry.book.rowConflict(Job, version, row);
     }
 
+    void storeCancel()
+    {
+        cancelStored = agentsFollow;
+        if (!agentsFollow)
+            return;
+        after(FollowTakes, [this] {
+            for (auto &entry : agents)
+                entry.second.table.cancelled(Job, now);
+        });
+    }
+
     void send(entry_model &entry, const give_order &given)
     {
         after(entry.orderTakes, [this, &entry, given] {
@@ -302,6 +332,7 @@
         record.write = "entry-c:cancel:1";
         row = toText(record);
         ++version;
+        storeCancel();
         cancelledAt = now;
     }
 
@@ -311,6 +342,12 @@
         entry.ordersLost = true;
     }
 
+    void cutOff(bool all)
+    {
+        for (auto &entry : agents)
+            entry.second.cutOff = all;
+    }
+
     void takeOver()
     {
         if (recordFrom(*row).needsOwner())
@@ -340,113 +377,162 @@
     }
 };
 
+// What happens around a cancel, up to its acknowledgement and right after it.
+struct planting
+{
+    const char *title;
+    bool entriesSuffice; // also when the agents don't hear of cancels from the store
+    void (*happens)(scene &);
+};
+
+const planting Plantings[] = {
+        {"nothing else happens", true,
+         [](scene &on) {
+             on.submitAndRun();
+             on.cancelAtOwner();
+         }},
+        {"its owner dies right after the acknowledgement", true,
+         [](scene &on) {
+             on.submitAndRun();
+             on.cancelAtOwner();
+             scene::die(on.first);
+             on.after(TakeoverAfter, [&on] { on.takeOver(); });
+         }},
+        {"all entries die right after it", false,
+         [](scene &on) {
+             on.submitAndRun();
+             on.cancelAtOwner();
+             scene::die(on.first);
+             scene::die(on.second);
+         }},
+        {"the agents hear no entry", false,
+         [](scene &on) {
+             on.submitAndRun();
+             on.cutOff(true);
+             on.cancelAtOwner();
+         }},
+        {"the agents hear no entry for a second", true,
+         [](scene &on) {
+             on.submitAndRun();
+             on.cutOff(true);
+             on.after(milliseconds(1200), [&on] { on.cutOff(false); });
+             on.cancelAtOwner();
+         }},
+        {"the owner can't be asked, and writes beside the cancel", true,
+         [](scene &on) {
+             on.submitAndRun();
+             on.first.writeTakes = milliseconds(400);
+             on.first.book.progressed("w1", {{Job, 0, 0, 0}, 1, "0001"});
+             on.run(milliseconds(100));
+             on.cancelInRow();
+         }},
+        {"the answers to its starts come while the cancel is written", true,
+         [](scene &on) {
+             on.first.answerTakes = milliseconds(300);
+             on.submit();
+             on.run(milliseconds(250));
+             check(on.runningTasks() == 3);
+             on.first.writeTakes = milliseconds(600);
+             on.cancelAtOwner();
+         }},
+        {"its starts are overtaken by its stops", true,
+         [](scene &on) {
+             on.first.orderTakes = milliseconds(500);
+             on.submit();
+             on.run(milliseconds(200));
+             on.first.orderTakes = milliseconds(50);
+             on.cancelAtOwner();
+         }},
+        {"its starts arrive at agents that live anew, from an owner that was frozen", false,
+         [](scene &on) {
+             on.first.orderTakes = milliseconds(5000);
+             on.submit();
+             on.run(milliseconds(200));
+             on.cancelInRow();
+             on.first.lives = false;
+             on.takeOver();
+             on.run(milliseconds(2000));
+             for (auto &entry : on.agents)
+                 on.begin(entry.second);
+         }},
+        {"its row is written for the first time while the cancel arrives", true,
+         [](scene &on) {
+             on.first.writeTakes = milliseconds(400);
+             on.submit();
+             on.run(milliseconds(100));
+             on.cancelAtOwner();
+             check(on.runningTasks() == 0); // it was cancelled before its first start was due
+         }},
+        {"a takeover is under way, and the cancel is written into the row", true,
+         [](scene &on) {
+             on.submitAndRun();
+             on.first.lives = false;
+             on.second.writeTakes = milliseconds(400);
+             on.takeOver();
+             on.run(milliseconds(100));
+             on.cancelInRow();
+             on.after(milliseconds(800), [&on] { on.takeOver(); });
+         }},
+        {"start calls have no answer, and take effect late", true,
+         [](scene &on) {
+             for (auto &entry : on.agents) {
+                 entry.second.startTakesEffect = milliseconds(1400);
+                 entry.second.startsAreAnswered = false;
+             }
+             on.submit();
+             on.run(milliseconds(200));
+             on.cancelAtOwner();
+         }},
+};
+
 } // namespace
 
 // A caller cancels its job and is told that it is cancelled. Whatever was on its way then, each
-// task that is started later than the bound, or runs on, is work that nobody asked for.
+// task that is started later than the bound, or runs on, is work that nobody asked for. Entries
+// and agents stop it independently of each other, so both ways are tried alone where one suffices.
 Test(cancel, holds_at_every_agent)
 {
-    section("nothing else happens", [] {
-        scene on;
-        on.submit();
-        on.run(milliseconds(500));
-        check(on.runningTasks() == 3);
-        on.cancelAtOwner();
-        on.checkHolds();
-    });
-    section("its owner dies right after the acknowledgement", [] {
-        scene on;
-        on.submit();
-        on.run(milliseconds(500));
-        on.cancelAtOwner();
-        scene::die(on.first);
-        on.after(TakeoverAfter, [&] { on.takeOver(); });
-        on.checkHolds();
-    });
-    section("all entries die right after it", [] {
-        scene on;
-        on.submit();
-        on.run(milliseconds(500));
-        on.cancelAtOwner();
-        scene::die(on.first);
-        scene::die(on.second);
-        on.checkHolds();
-    });
-    section("an agent hears no entry", [] {
-        scene on;
-        on.submit();
-        on.run(milliseconds(500));
-        on.agents.at("w1").cutOff = true;
-        on.agents.at("w2").cutOff = true;
-        on.cancelAtOwner();
-        on.checkHolds();
-    });
-    section("the answers to its starts are still on their way", [] {
-        scene on;
-        on.first.answerTakes = milliseconds(300);
-        on.submit();
-        on.run(milliseconds(250));
-        check(on.runningTasks() == 3);
-        on.first.writeTakes = milliseconds(600);
-        on.cancelAtOwner();
-        on.checkHolds();
-    });
-    section("its starts are overtaken by its stops", [] {
-        scene on;
-        on.first.orderTakes = milliseconds(500);
-        on.submit();
-        on.run(milliseconds(200));
-        on.first.orderTakes = milliseconds(50);
-        on.cancelAtOwner();
-        on.checkHolds();
-        check(on.agents.at("w1").worker.starts + on.agents.at("w2").worker.starts == 0);
-    });
-    section("its starts arrive at agents that live anew, after an owner was frozen", [] {
-        scene on;
-        on.first.orderTakes = milliseconds(5000);
-        on.submit();
-        on.run(milliseconds(200));
-        on.cancelInRow();
-        on.first.lives = false;
-        on.takeOver();
-        on.run(milliseconds(2000));
-        for (auto &entry : on.agents) {
-            auto &table = entry.second.table;
-            table = run_table();
-            table.setWorker({16'000, 64'000, 0}, true);
-            table.setEpoch(Epoch);
-        }
-        on.checkHolds();
-    });
-    section("its row is written for the first time while the cancel arrives", [] {
-        scene on;
-        on.first.writeTakes = milliseconds(400);
-        on.submit();
-        on.run(milliseconds(100));
-        on.cancelAtOwner();
-        on.checkHolds();
-    });
-    section("a takeover is under way, and the cancel is written into the row", [] {
-        scene on;
-        on.submit();
-        on.run(milliseconds(500));
-        on.first.lives = false;
-        on.second.writeTakes = milliseconds(400);
-        on.takeOver();
-        on.run(milliseconds(100));
-        on.cancelInRow();
-        on.after(milliseconds(800), [&] { on.takeOver(); });
-        on.checkHolds();
-    });
-    section("start calls have no answer, and take effect late", [] {
-        scene on;
-        for (auto &entry : on.agents) {
-            entry.second.startTakesEffect = milliseconds(1400);
-            entry.second.startsAreAnswered = false;
-        }
-        on.submit();
-        on.run(milliseconds(200));
-        on.cancelAtOwner();
-        on.checkHolds();
-    });
+    for (const auto &planted : Plantings) {
+        section(planted.title, [&] {
+            scene on;
+            planted.happens(on);
+            on.checkHolds();
+        });
+    }
+}
+
+Test(cancel, holds_where_agents_hear_only_entries)
+{
+    for (const auto &planted : Plantings) {
+        if (!planted.entriesSuffice)
+            continue;
+        section(planted.title, [&] {
+            scene on;
+            on.agentsFollow = false;
+            planted.happens(on);
+            on.checkHolds();
+        });
+    }
+}
+
+// An agent whose worker does not answer for a moment has accepted a start and not called it yet.
+// The cancel stops it; no list of the worker will ever name it, so its end is known by that.
+Test(cancel, a_start_that_never_went_out_takes_no_room)
+{
+    scene on;
+    auto &table = on.agents.at("w1").table;
+    run_order order;
+    order.task = {Job, 0, 0, 0};
+    order.run = 1;
+    order.epoch = Epoch;
+    order.traits.size = {1000, 100, 0};
+    check(table.take(order, "entry-a", on.now).outcome == order_outcome::Accepted);
+    check(table.used().millicores == 1000);
+    table.cancelled(Job, on.now);
+    table.look({}, on.now);
+    check(table.used().millicores == 0);
+    check(table.due(on.now, true).empty());
+    const auto ends = table.endsFor("entry-a");
+    require(ends.size() == 1);
+    check(ends[0].how == end_kind::NeverStarted);
 }
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -266,6 +266,13 @@
         check(on.call(1, "DELETE", "aaaa000000000004")->status == 200);
         check(on.reaches(1, "aaaa000000000004", "cancelled"));
     });
+    // An owner that dies right after the answer has told no agent: they read it in the store.
+    section("agents can read of a cancel as soon as it is acknowledged, by whomever", [&] {
+        check(on.site().agentsReadCancelOf("aaaa000000000004"));
+        require(on.handIn(0, "aaaa000000000005"));
+        check(on.call(0, "DELETE", "aaaa000000000005")->status == 200);
+        check(on.site().agentsReadCancelOf("aaaa000000000005"));
+    });
     checkNothingWrong(on, on.site());
 }
 
