Test that fails: an entry that is stopped as planned closes connections without an answer

Callers saw requests that an entry had taken 3.8 and 4.0 s after its planned stop began end without an answer. The trace: the entry drains for 4 s while it still owns jobs, then its loop stops with requests open; on small entries, whose loop is behind by up to seconds, also with requests read late.

--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -3,6 +3,7 @@
 #include <filesystem>
 #include <fstream>
 #include <optional>
+#include <thread>
 #include <unistd.h>
 
 #include <fmt/core.h>
@@ -447,3 +448,22 @@
     check(on.site().starts() == TasksOfAJob);
     checkNothingWrong(on, on.site());
 }
+
+// A caller's request to an entry that is stopped as planned is cut off without an answer, so it
+// knows nothing and may not try again. Its entry leaves while the store is away: a cancel that came
+// two seconds into the stop waits for its write, and the process ends before that wait does.
+Test(process_jobs, planned_stop_answers_what_is_open)
+{
+    system_under_test on;
+    on.site().workLasts(milliseconds(60'000));
+    require(on.handIn(0, "ffff000000000002"));
+    on.site().turnAway(true);
+    on.entry(0).signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(2500));
+    const auto answer = on.call(0, "DELETE", "ffff000000000002");
+    check(answer.has_value());
+    check(answer && answer->status == 504); // the cancel may take effect yet
+    on.site().turnAway(false);
+    check(on.entry(0).waitForExit(SoonEnough) == 0);
+    checkNothingWrong(on, on.site());
+}
