--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -37,8 +37,9 @@
 constexpr milliseconds ReportEvery{1000};
 constexpr milliseconds ReportTimeout{2000}; // an entry answers once the ends are stored
 constexpr milliseconds DueEvery{100};
-constexpr milliseconds StopMargin{150};  // beyond the time that the worker needs for a stop
-constexpr milliseconds SampleEvery{500}; // what the worker tells covers half a second
+constexpr milliseconds StopMargin{150};    // beyond the time that the worker needs for a stop
+constexpr milliseconds SampleEvery{500};   // what the worker tells covers half a second
+constexpr milliseconds CancelsPause{1000}; // joins cancels into one answer; they hold within 3 s
 constexpr milliseconds LogFlushEvery{100};
 constexpr milliseconds GoneWithin{500};  // a worker ends some ms after it said so
 constexpr milliseconds TellWithin{1000}; // a report is answered within some ms, repeated each 1 s
@@ -62,6 +63,9 @@
                   m_loop, m_caller, m_settings.store, [this] { return relays(); }, m_metrics, m_log)
         , m_entriesTable(m_loop, m_store, m_log, {EntriesTable},
                          [this](const auto &rows) { takeEntries(rows); })
+        , m_cancelsTable(
+                  m_loop, m_store, m_log, {CancelsTable, jobParts(), CancelsPause},
+                  [this](const auto &rows) { takeCancels(rows); }, [this] { m_cancelsRead = true; })
         , m_keeper(m_loop, m_store, m_log, m_settings.id, leaseListeners())
         , m_internal(m_loop, m_settings.internal, {},
                      [this](http_request request, responder respond) {
@@ -85,6 +89,7 @@
         });
         m_loop.every(RenewEvery, [this] { m_keeper.renew(m_silence.heldWithoutAnswer()); });
         m_entriesTable.start();
+        m_cancelsTable.start();
         m_keeper.seek("process_start");
         m_loop.run([this](const std::exception &problem) {
             m_metrics.count("callbacks_failed_total", "exception");
@@ -348,8 +353,8 @@
     start_readiness readiness() const
     {
         const auto now = suspendAwareNow();
-        const bool leased =
-                now >= m_startFrom && lease().settled() && m_clockMs > 0 && now < lease().until();
+        const bool leased = m_cancelsRead && now >= m_startFrom && lease().settled()
+                            && m_clockMs > 0 && now < lease().until();
         return readinessOf({m_present, m_told.leaving, leased}, m_silence, now);
     }
 
@@ -564,6 +569,21 @@
             m_pacer.setPresses(std::move(answer.presses));
     }
 
+    // --- Cancelled jobs, as the store has them.
+
+    void takeCancels(const std::vector<row> &rows)
+    {
+        const auto now = suspendAwareNow();
+        for (const auto &one : rows) {
+            if (one.removed)
+                continue; // the job is over for long
+            const int runs = m_table.cancelled(one.name.key, now);
+            if (runs > 0)
+                m_log.note("job_cancelled", {{"job", one.name.key}, {"runs", runs}});
+        }
+        act();
+    }
+
     // --- Entries.
 
     std::vector<std::string> relays() const
@@ -657,6 +677,7 @@
     net::http_caller m_caller;
     row_store m_store;
     table_follower m_entriesTable;
+    table_follower m_cancelsTable;
     run_table m_table;
     pacer m_pacer;
     std::vector<disturbance_sample> m_samples; // since the last regular report
@@ -665,10 +686,11 @@
 
     worker_announcement m_told; // newest announcement of the present life
     worker_life m_life;
-    bool m_present = false;   // announced, and not departed
-    bool m_departing = false; // said to end, and not yet seen gone
-    time_point m_goneBy{};    // it ends before, if it has said so itself
-    time_point m_tellUntil{}; // entries have answered a report with the present epoch by then
+    bool m_cancelsRead = false; // an order that was held up may be of a job that was cancelled
+    bool m_present = false;     // announced, and not departed
+    bool m_departing = false;   // said to end, and not yet seen gone
+    time_point m_goneBy{};      // it ends before, if it has said so itself
+    time_point m_tellUntil{};   // entries have answered a report with the present epoch by then
     time_point m_leaveUntil{};
     time_point m_goUntil{};
     bool m_gaveBack = false; // the last renewal was sent
--- a/standins/job_site.h
+++ b/standins/job_site.h
@@ -39,6 +39,7 @@
     void departAtRenewal(std::size_t worker, const std::string &lease);
     // One that had gone lives anew under its name; only looks at it tell when it was born.
     void comeBack(std::size_t worker);
+    bool agentsReadCancelOf(const std::string &job) const;   // its row is written
     std::int64_t leaseEpoch(const std::string &lease) const; // as stored; 0: there is no such row
     void workLasts(milliseconds work);                       // of tasks that start from now on
     int starts() const;                                      // that began a run
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -3,6 +3,7 @@
 #include <filesystem>
 #include <fstream>
 #include <optional>
+#include <thread>
 #include <unistd.h>
 
 #include <fmt/core.h>
@@ -285,6 +286,13 @@
         check(on.call(1, "DELETE", "aaaa000000000004")->status == 200);
         check(on.reaches(1, "aaaa000000000004", "cancelled"));
     });
+    // An owner that dies right after the answer has told no agent: they read it in the store.
+    section("agents can read of a cancel as soon as it is acknowledged, by whomever", [&] {
+        check(on.site().agentsReadCancelOf("aaaa000000000004"));
+        require(on.handIn(0, "aaaa000000000005"));
+        check(on.call(0, "DELETE", "aaaa000000000005")->status == 200);
+        check(on.site().agentsReadCancelOf("aaaa000000000005"));
+    });
     checkNothingWrong(on, on.site());
 }
 
@@ -475,6 +483,31 @@
     checkNothingWrong(on, on.site());
 }
 
+// A caller cancels its job and is told that it is cancelled, and then no entry lives any more that
+// could tell the agents: the owner was frozen before, and the one that wrote the cancel for it
+// dies. What runs would run on as long as the agents renew their leases, which needs no entry. So
+// agents learn of cancels from the store, where each is written before it is acknowledged.
+Test(process_jobs, no_entry_is_left_after_a_cancel)
+{
+    system_under_test on;
+    on.site().workLasts(milliseconds(600'000));
+    require(on.handIn(0, "adad000000000001"));
+    require(waitUntil([&] { return on.site().starts() == 4; }, SoonEnough));
+    on.entry(0).signal(SIGSTOP);
+    require(on.call(1, "DELETE", "adad000000000001")->status == 200);
+    on.entry(1).signal(SIGKILL);
+    section("its tasks are stopped nevertheless", [&] {
+        check(waitUntil([&] { return on.site().runsOn(0) + on.site().runsOn(1) == 0; },
+                        SoonEnough));
+    });
+    section("the owner wakes and starts none of them again", [&] {
+        on.entry(0).signal(SIGCONT);
+        check(on.reaches(0, "adad000000000001", "cancelled"));
+        check(on.site().starts() == 4);
+    });
+    checkNothingWrong(on, on.site());
+}
+
 // The caller sees its job accepted and completed. The answers to writes are lost after they took
 // effect; the entry repeats the very same write, finds its own row and goes on.
 Test(process_jobs, answers_of_the_store_lost)
@@ -521,3 +554,22 @@
     check(on.site().starts() == TasksOfAJob);
     checkNothingWrong(on, on.site());
 }
+
+// A caller's request to an entry that is stopped as planned is cut off without an answer, so it
+// knows nothing and may not try again. Its entry leaves while the store is away: a cancel that came
+// two seconds into the stop waits for its write, and the process ends before that wait does.
+Test(process_jobs, planned_stop_answers_what_is_open)
+{
+    system_under_test on;
+    on.site().workLasts(milliseconds(60'000));
+    require(on.handIn(0, "ffff000000000002"));
+    on.site().turnAway(true);
+    on.entry(0).signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(2500));
+    const auto answer = on.call(0, "DELETE", "ffff000000000002");
+    check(answer.has_value());
+    check(answer && answer->status == 504); // the cancel may take effect yet
+    on.site().turnAway(false);
+    check(on.entry(0).waitForExit(SoonEnough) == 0);
+    checkNothingWrong(on, on.site());
+}
