A planned stop answers what is open before the process ends

Callers saw connections closed without an answer 4 s into an entry's planned stop. Cause: while jobs were still owned the loop ended after 4 s whatever was open, though a wait for the store or another entry may last 2.6 s.

Change: a leaving entry bounds each wait by what is left of the stop and refuses late requests at once; it ends when no caller's request was open for 0.2 s, after 5.2 s at the latest (it is killed after 6 s).

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -41,7 +41,9 @@
 constexpr milliseconds PeerTimeout{350};
 constexpr milliseconds AnswerWithin{2600}; // below the callers' usual patience of 3 s
 constexpr milliseconds ReportWithin{1500};
-constexpr milliseconds DrainAtMost{4000}; // below the 6 s after which a process is killed
+constexpr milliseconds DrainAtMost{4000};    // then the others take over what is still owned
+constexpr milliseconds StopWithin{5200};     // below the 6 s after which a process is killed
+constexpr milliseconds QuietBeforeStop{200}; // requests that have arrived are read within this
 constexpr milliseconds LogFlushEvery{100};
 constexpr milliseconds KeepFinal{180'000};      // callers may ask for 120 s
 constexpr milliseconds StoreSilentAtMost{2500}; // then this entry is not ready
@@ -755,6 +757,9 @@
     // Whoever answers first; at the end of `within` the outcome is unknown, and 504 says so.
     responder onceWithin(milliseconds within, responder respond)
     {
+        // A process that leaves answers before it ends.
+        if (m_leaving)
+            within = std::min(within, std::max(QuietBeforeStop, untilDrained()));
         auto open = std::make_shared<responder>(std::move(respond));
         const auto answer = [open](http_response response) {
             if (*open)
@@ -767,15 +772,23 @@
         return answer;
     }
 
+    milliseconds untilDrained() const
+    {
+        return std::chrono::duration_cast<milliseconds>(m_drainUntil - suspendAwareNow());
+    }
+
     // A leaving entry accepts nothing: an entry that stays gets the request as it is.
     void passOn(http_request request, responder respond)
     {
         const auto now = suspendAwareNow();
+        const auto within = std::min(AnswerWithin, untilDrained());
         for (const auto &[name, known] : m_directory.entries()) {
+            if (within < PeerTimeout)
+                break; // no time is left to hear what became of it
             if (!m_directory.lives(name, now))
                 continue;
             m_metrics.count("requests_passed_on_total", "leaving");
-            return m_caller.call(known.row.callers, std::move(request), AnswerWithin,
+            return m_caller.call(known.row.callers, std::move(request), within,
                                  [this, respond](call_result result) {
                                      if (auto *answer = std::get_if<http_response>(&result)) {
                                          answer->headers.erase("Connection");
@@ -907,11 +920,13 @@
     void drain()
     {
         m_leaving = true;
+        m_drainUntil = suspendAwareNow() + DrainAtMost;
+        m_stopBy = suspendAwareNow() + StopWithin;
+        m_quietFrom = suspendAwareNow();
         m_log.note("drain_started", {{"owned", m_book ? m_book->ownedUnfinished() : 0}});
         m_callers.announceClose(true);
         if (m_book)
             pingAll(); // the others take the jobs over at once
-        m_drainUntil = suspendAwareNow() + DrainAtMost;
         drainOn();
     }
 
@@ -919,8 +934,13 @@
     {
         const bool empty =
                 !m_book || m_book->ownedUnfinished() == 0 || m_directory.entries().empty();
-        const bool idle = m_callers.inFlight() == 0 && m_internal.inFlight() == 0;
-        if ((empty && idle) || suspendAwareNow() >= m_drainUntil)
+        const auto now = suspendAwareNow();
+        if (m_callers.inFlight() > 0)
+            m_quietFrom = now;
+        const bool done = (empty && m_internal.inFlight() == 0) || now >= m_drainUntil;
+        // A request that was read and gets no answer tells its caller nothing, not even whether it
+        // may try again.
+        if ((done && now - m_quietFrom >= QuietBeforeStop) || now >= m_stopBy)
             return m_loop.stop();
         m_loop.after(milliseconds(50), [this] { drainOn(); });
     }
@@ -950,7 +970,9 @@
     bool m_jobsKnown = false;
     bool m_pumping = false;
     bool m_leaving = false;
-    time_point m_drainUntil{};
+    time_point m_drainUntil{}; // owned jobs are handed on
+    time_point m_stopBy{};     // the process ends, whatever is open
+    time_point m_quietFrom{};  // no caller's request has been open since
     net::http_listener m_internal;
     net::http_listener m_ready;
     net::http_listener m_callers;
