An owner that was overtaken does not acknowledge the end of a run that it does not know

An agent whose owner is silent tells its ends to all entries; one that had been overtaken and had not heard of it took the end of a later owner's run for one that was settled before, and acknowledged it. The end was then in no row, and the heir placed the task again. A run with a higher number than the record ever gave is not acknowledged now. an_end_of_a_run_that_another_owner_placed failed and passes.

--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -208,6 +208,10 @@
     const auto &id = found->first;
     auto &job = found->second;
     auto *task = job.record.find(end.task);
+    // A later owner placed it, and this one has not heard of that yet: acknowledged here, the end
+    // would be in no row, and the task would run again.
+    if (task != nullptr && end.run > task->lastRun)
+        return false;
     const bool isPlaced = task != nullptr && isPlacedOn(*task, worker, end.run);
     if (isPlaced)
         endPlacedRun(id, job, worker, end, now);
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -214,6 +214,30 @@
     }
 }
 
+// Callers see a task run again after it was done. An owner was overtaken and has not heard of it:
+// the new owner placed the task and is gone, so that the agent tells its end to all. The old
+// owner's record has no such run. Acknowledged by it, the end is forgotten for good, and is in no
+// row.
+Test(job_book, an_end_of_a_run_that_another_owner_placed)
+{
+    scene on;
+    on.submit();
+    on.written();
+    const auto first = on.orders[0].order.task;
+    const task_id second{first.job, first.occurrence, 1, 0};
+    section("is not acknowledged: the run is not known here yet", [&] {
+        check(!on.book.runEnded("w2", {3, second, 1, end_kind::Done, ""}, on.now, 50));
+        on.turn();
+        check(on.storedTokens == std::vector<std::int64_t>{1}); // of the acceptance
+    });
+    section("one of a run that was told before is, once more", [&] {
+        on.end(on.orders[0], end_kind::Done, 51);
+        on.written();
+        on.end(on.orders[0], end_kind::Done, 52);
+        check(on.storedTokens == (std::vector<std::int64_t>{1, 51, 52}));
+    });
+}
+
 Test(job_book, an_order_without_an_answer_is_given_again)
 {
     scene on;
