--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -37,10 +37,14 @@
 constexpr milliseconds ReportEvery{1000};
 constexpr milliseconds ReportTimeout{2000}; // an entry answers once the ends are stored
 constexpr milliseconds DueEvery{100};
-constexpr milliseconds StopMargin{150};  // beyond the time that the worker needs for a stop
-constexpr milliseconds SampleEvery{500}; // what the worker tells covers half a second
+constexpr milliseconds StopMargin{150};    // beyond the time that the worker needs for a stop
+constexpr milliseconds SampleEvery{500};   // what the worker tells covers half a second
+constexpr milliseconds CancelsPause{1000}; // joins cancels into one answer; they hold within 3 s
 constexpr milliseconds LogFlushEvery{100};
-constexpr milliseconds TellWithin{1000};  // a report is answered within some ms, repeated each 1 s
+constexpr milliseconds GoneWithin{500};  // a worker ends some ms after it said so
+constexpr milliseconds TellWithin{1000}; // a report is answered within some ms, repeated each 1 s
+constexpr milliseconds GoWithin{300};    // the last write takes some 15 ms
+constexpr milliseconds GoStep{10};
 constexpr milliseconds LeaveWithin{5000}; // below the 6 s after which a process is killed
 
 std::int64_t asMs(duration span)
@@ -59,6 +63,9 @@
                   m_loop, m_caller, m_settings.store, [this] { return relays(); }, m_metrics, m_log)
         , m_entriesTable(m_loop, m_store, m_log, {EntriesTable},
                          [this](const auto &rows) { takeEntries(rows); })
+        , m_cancelsTable(
+                  m_loop, m_store, m_log, {CancelsTable, jobParts(), CancelsPause},
+                  [this](const auto &rows) { takeCancels(rows); }, [this] { m_cancelsRead = true; })
         , m_keeper(m_loop, m_store, m_log, m_settings.id, leaseListeners())
         , m_internal(m_loop, m_settings.internal, {},
                      [this](http_request request, responder respond) {
@@ -80,8 +87,9 @@
             reportAll();
             m_samples.clear();
         });
-        m_loop.every(RenewEvery, [this] { m_keeper.renew(); });
+        m_loop.every(RenewEvery, [this] { m_keeper.renew(m_silence.heldWithoutAnswer()); });
         m_entriesTable.start();
+        m_cancelsTable.start();
         m_keeper.seek("process_start");
         m_loop.run([this](const std::exception &problem) {
             m_metrics.count("callbacks_failed_total", "exception");
@@ -163,13 +171,13 @@
         if (m_life.id.empty())
             request.headers.clear();
         m_caller.call(m_settings.worker, std::move(request), milliseconds(wait) + LookTimeout,
-                      [this, fence = lease().fence()](const call_result &result) {
+                      [this, fence = lease().fence(), now](const call_result &result) {
                           m_looking = false;
-                          looked(result, fence);
+                          looked(result, fence, now);
                       });
     }
 
-    void looked(const call_result &result, std::int64_t fence)
+    void looked(const call_result &result, std::int64_t fence, time_point sentAt)
     {
         if (!lease().holdsFence())
             return; // looks again once it does
@@ -178,13 +186,16 @@
         const auto now = suspendAwareNow();
         const auto seen = platform_wire::holdResult(result);
         noteAnswering(seen.has_value(), result);
+        const bool heardAgain = seen && m_silence.heldWithoutAnswer();
         m_silence.looked(seen.has_value(), now);
+        if (heardAgain)
+            m_keeper.renew(); // the last renewals were for what had been held
         if (!seen) {
             if (platform_wire::isOtherLife(result))
                 return lifeEnded("other_life");
             const auto *failure = std::get_if<call_failure>(&result);
             if (m_departing && failure != nullptr && *failure == call_failure::NotConnected)
-                return departureConfirmed();
+                departureConfirmed();
             judgeSilence(now);
             return m_loop.after(LookRetry, [this] { look(); });
         }
@@ -194,6 +205,8 @@
         }
         if (seen->bornMs != 0)
             m_life.bornMs = seen->bornMs;
+        if (m_departing && sentAt >= m_goneBy)
+            stayed();
         m_clockMs = seen->listing.clockMs;
         m_clockReadAt = now;
         const auto endsBefore = m_table.endsSeen();
@@ -262,7 +275,7 @@
     {
         if (const auto left = platform_wire::departureFrom(request)) {
             respond({200, {}, ""});
-            if (*left == m_life.id)
+            if (m_life.id.empty() || *left == m_life.id)
                 departed();
             return;
         }
@@ -285,6 +298,10 @@
         // Held up on its way from a life that has ended since.
         if (!sameLife && told.bornMs != 0 && told.bornMs < m_life.bornMs)
             return;
+        // Held up, it would take back what is known of a worker that has left: only an answer says
+        // that it goes on.
+        if (sameLife && m_departing)
+            return;
         const bool first = m_life.id.empty();
         const bool readinessChanged = told.leaving != m_told.leaving || !m_present;
         m_told = told;
@@ -309,6 +326,16 @@
         // The message may be of an earlier life under the same id, held up on its way: only a
         // worker that refuses connections by now has ended all that it ran.
         m_departing = true;
+        m_goneBy = suspendAwareNow() + GoneWithin;
+    }
+
+    // It answers long after it said that it ends: the message was of an earlier life.
+    void stayed()
+    {
+        m_log.note("worker_stayed", {{"worker", m_life.id}});
+        m_departing = false;
+        m_present = true;
+        reportAll();
     }
 
     void departureConfirmed()
@@ -319,14 +346,15 @@
                                    {"lease_write_out", lease().writeOut() ? "yes" : "no"},
                                    {"lease", lease().holdsFence() ? "held" : "sought"}});
         m_departing = false;
-        allEnded("");
+        m_clockMs = 0;
+        allEnded(""); // and looks go on: a worker that lives anew may tell so in no other way
     }
 
     start_readiness readiness() const
     {
         const auto now = suspendAwareNow();
-        const bool leased =
-                now >= m_startFrom && lease().settled() && m_clockMs > 0 && now < lease().until();
+        const bool leased = m_cancelsRead && now >= m_startFrom && lease().settled()
+                            && m_clockMs > 0 && now < lease().until();
         return readinessOf({m_present, m_told.leaving, leased}, m_silence, now);
     }
 
@@ -541,6 +569,21 @@
             m_pacer.setPresses(std::move(answer.presses));
     }
 
+    // --- Cancelled jobs, as the store has them.
+
+    void takeCancels(const std::vector<row> &rows)
+    {
+        const auto now = suspendAwareNow();
+        for (const auto &one : rows) {
+            if (one.removed)
+                continue; // the job is over for long
+            const int runs = m_table.cancelled(one.name.key, now);
+            if (runs > 0)
+                m_log.note("job_cancelled", {{"job", one.name.key}, {"runs", runs}});
+        }
+        act();
+    }
+
     // --- Entries.
 
     std::vector<std::string> relays() const
@@ -582,9 +625,25 @@
 
     void leaveOn()
     {
-        if (!hasToStay() || suspendAwareNow() >= m_leaveUntil)
+        const auto now = suspendAwareNow();
+        if (hasToStay() && now < m_leaveUntil) {
+            m_loop.after(LookRetry, [this] { leaveOn(); });
+            return;
+        }
+        m_goUntil = now + GoWithin;
+        go();
+    }
+
+    // The row tells the end of what is held: an agent that never comes back keeps its worker's
+    // tasks from starting elsewhere for no longer. Its next life renews the lease.
+    void go()
+    {
+        const auto held = m_silence.heldUntil();
+        if (held && !lease().writeOut() && !std::exchange(m_gaveBack, true))
+            m_keeper.renew(held);
+        if (!lease().writeOut() || suspendAwareNow() >= m_goUntil)
             return m_loop.stop();
-        m_loop.after(LookRetry, [this] { leaveOn(); });
+        m_loop.after(GoStep, [this] { go(); });
     }
 
     // The next life of an agent goes on with what runs. But a worker that leaves takes its agent's
@@ -618,6 +677,7 @@
     net::http_caller m_caller;
     row_store m_store;
     table_follower m_entriesTable;
+    table_follower m_cancelsTable;
     run_table m_table;
     pacer m_pacer;
     std::vector<disturbance_sample> m_samples; // since the last regular report
@@ -626,10 +686,14 @@
 
     worker_announcement m_told; // newest announcement of the present life
     worker_life m_life;
-    bool m_present = false;   // announced, and not departed
-    bool m_departing = false; // said to end, and not yet seen gone
-    time_point m_tellUntil{}; // entries have answered a report with the present epoch by then
+    bool m_cancelsRead = false; // an order that was held up may be of a job that was cancelled
+    bool m_present = false;     // announced, and not departed
+    bool m_departing = false;   // said to end, and not yet seen gone
+    time_point m_goneBy{};      // it ends before, if it has said so itself
+    time_point m_tellUntil{};   // entries have answered a report with the present epoch by then
     time_point m_leaveUntil{};
+    time_point m_goUntil{};
+    bool m_gaveBack = false; // the last renewal was sent
 
     lease_keeper m_keeper;
     worker_silence m_silence{suspendAwareNow()};
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -16,9 +16,11 @@
 #include "base/json.h"
 #include "base/json_member.h"
 #include "jobs/come_back.h"
+#include "jobs/configuration_watch.h"
 #include "jobs/job_book.h"
 #include "net/http_listener.h"
 #include "platform/caller_wire.h"
+#include "platform/configuration_wire.h"
 #include "platform/store_wire.h"
 
 namespace zinniabarrow {
@@ -41,7 +43,9 @@
 constexpr milliseconds PeerTimeout{350};
 constexpr milliseconds AnswerWithin{2600}; // below the callers' usual patience of 3 s
 constexpr milliseconds ReportWithin{1500};
-constexpr milliseconds DrainAtMost{4000}; // below the 6 s after which a process is killed
+constexpr milliseconds DrainAtMost{4000};    // then the others take over what is still owned
+constexpr milliseconds StopWithin{5200};     // below the 6 s after which a process is killed
+constexpr milliseconds QuietBeforeStop{200}; // requests that have arrived are read within this
 constexpr milliseconds LogFlushEvery{100};
 constexpr milliseconds KeepFinal{180'000};      // callers may ask for 120 s
 constexpr milliseconds StoreSilentAtMost{2500}; // then this entry is not ready
@@ -72,8 +76,12 @@
         , m_store(
                   m_loop, m_caller, m_settings.store,
                   [this] { return m_directory.others(suspendAwareNow()); }, m_metrics, m_log)
-        , m_configurationTable(m_loop, m_store, m_log, {platform_wire::ConfigurationRow.table},
-                               [this](const auto &rows) { takeConfigurations(rows); })
+        , m_configurationTable(
+                  m_loop, m_store, m_log, {platform_wire::ConfigurationRow.table},
+                  [this](const auto &rows) { takeConfigurations(rows); }, [] {},
+                  [this](const follow_progress &progress) {
+                      std::visit([this](const auto &what) { heedConfiguration(what); }, progress);
+                  })
         , m_entriesTable(m_loop, m_store, m_log, {EntriesTable},
                          [this](const auto &rows) { takeEntries(rows); })
         , m_jobsTable(
@@ -167,29 +175,79 @@
 
     // --- What the store tells: configuration, entries, jobs.
 
+    void heedConfiguration(const feed_answer_begun &head)
+    {
+        const auto now = suspendAwareNow();
+        if (head.bytes > configuration_watch::EmptyAnswerBytes)
+            m_configurationBegunAt = now;
+        m_configurationWatch.answerBegun(head.bytes, now);
+    }
+
+    void heedConfiguration(const all_changes_taken &taken)
+    {
+        m_configurationWatch.answerRead(taken.askedAt);
+    }
+
+    // Only the newest row that can be read is worked through: one that is overtaken would hold up
+    // the others, and callers meanwhile.
     void takeConfigurations(const std::vector<row> &rows)
     {
-        for (const auto &one : rows)
-            takeConfiguration(one);
+        for (auto one = rows.rbegin(); one != rows.rend(); ++one) {
+            if (one->name == platform_wire::ConfigurationRow && !one->removed
+                && takeConfiguration(*one))
+                return;
+        }
     }
 
-    void takeConfiguration(const row &one)
+    // No: it can't be read.
+    bool takeConfiguration(const row &one)
     {
-        if (one.name != platform_wire::ConfigurationRow || one.removed)
-            return;
+        if (one.version > 0 && one.version <= m_configurationRow)
+            return true; // read before: all of the table is read anew when its history is gone
         try {
-            auto next = platform_wire::configurationFrom(one.value);
+            const auto startedAt = suspendAwareNow();
+            queue_table next(platform_wire::configurationFrom(one.value));
+            m_configurationRow = one.version;
             // Never back: a request that one version allowed must not meet an older one.
-            if (m_configuration && next.version <= m_configuration->version)
-                return;
-            m_log.note("configuration",
-                       {{"version", next.version}, {"routes", next.routes.size()}});
-            m_configuration = std::move(next);
+            if (m_configuration && next.version() <= m_configuration->version())
+                return true;
+            m_configuration.emplace(std::move(next));
+            m_configurationWatch.taken(m_configuration->version());
+            noteConfiguration(one.value.size(), startedAt);
+            return true;
         } catch (const error &problem) {
             m_log.note("configuration_unreadable", {{"why", problem.what()}});
+            return false;
         }
     }
 
+    static std::int64_t millisecondsOf(duration span)
+    {
+        return std::chrono::duration_cast<milliseconds>(span).count();
+    }
+
+    void noteConfiguration(std::size_t bytes, time_point startedAt)
+    {
+        const auto begunAt = std::exchange(m_configurationBegunAt, std::nullopt);
+        m_log.note("configuration",
+                   {{"version", m_configuration->version()},
+                    {"routes", m_configuration->size()},
+                    {"bytes", bytes},
+                    {"read_ms", millisecondsOf(startedAt - begunAt.value_or(startedAt))},
+                    {"parse_ms", millisecondsOf(suspendAwareNow() - startedAt)}});
+    }
+
+    // Said when it changes, not with each request.
+    configuration_standing standing()
+    {
+        const auto result = m_configurationWatch.standing(suspendAwareNow());
+        const bool outdated = result == configuration_standing::Outdated;
+        if (outdated != std::exchange(m_outdated, outdated))
+            m_log.note(outdated ? "configuration_outdated" : "configuration_caught_up",
+                       {{"version", m_configuration ? m_configuration->version() : 0}});
+        return result;
+    }
+
     void takeEntries(const std::vector<row> &rows)
     {
         for (const auto &one : rows) {
@@ -243,6 +301,7 @@
         value["entry"] = m_settings.id;
         value["row"] = toText(m_row);
         value["leaving"] = m_leaving;
+        value["configuration"] = Json::Int64(m_configuration ? m_configuration->version() : 0);
         return value;
     }
 
@@ -253,6 +312,8 @@
         const auto row = entryRowFrom(stringMember(value, "row"));
         m_directory.seen(name, row);
         m_directory.heard(name, row.incarnation, boolMember(value, "leaving"), suspendAwareNow());
+        if (value.isMember("configuration"))
+            m_configurationWatch.heardOf(integerMember(value, "configuration"), suspendAwareNow());
     }
 
     void pingAll()
@@ -320,7 +381,7 @@
         for (const auto &id : old) {
             m_book->forget(id);
             m_view.removed(id);
-            m_store.commit({{}, {}, {jobRow(id), payloadRow(id)}},
+            m_store.commit({{}, {}, {jobRow(id), payloadRow(id), cancelRow(id)}},
                            [](const row_store::outcome
                                       & /*ignored: the rows
               are gone or will be found by the next
@@ -361,12 +422,17 @@
         transaction.set.push_back({name, std::move(write.content), 0, false});
         if (write.payload)
             transaction.set.push_back({payloadRow(write.job), std::move(*write.payload), 0, false});
+        if (write.cancels)
+            transaction.set.push_back(cancelNotice(write.job));
         m_store.commit(std::move(transaction),
                        [this, id = write.job](const row_store::outcome &outcome) {
                            rowOutcome(id, outcome);
                        });
     }
 
+    // Its key says all.
+    static row cancelNotice(const std::string &id) { return {cancelRow(id), "{}", 0, false}; }
+
     void rowOutcome(const std::string &id, const row_store::outcome &outcome)
     {
         if (const auto *done = std::get_if<committed>(&outcome)) {
@@ -569,17 +635,24 @@
 
     // --- Callers.
 
-    bool isReady() const
+    bool isReady()
     {
-        return m_configuration && m_jobsKnown && !m_leaving
-               && suspendAwareNow() - m_store.lastAnswerAt() < StoreSilentAtMost;
+        const auto now = suspendAwareNow();
+        return m_configuration && standing() != configuration_standing::Outdated
+               && m_configurationWatch.isConfirmed(now) && m_jobsKnown && !m_leaving
+               && now - m_store.lastAnswerAt() < StoreSilentAtMost;
     }
 
     void serveCaller(http_request request, responder respond)
     {
         if (!m_configuration)
             return respond(counted(503, "no_configuration"));
-        const auto target = routeFor(*m_configuration, request.header("Host"), request.path());
+        const auto known = standing();
+        if (known == configuration_standing::Outdated)
+            return respond(counted(503, "configuration_outdated"));
+        const auto target = m_configuration->find(request.header("Host"), request.path());
+        if (!target && known == configuration_standing::Doubtful)
+            return respond(counted(503, "queue_perhaps_newer"));
         if (!target)
             return respond(counted(404, "unknown_queue"));
         if (!m_book || !m_jobsKnown)
@@ -702,6 +775,9 @@
     // Whoever answers first; at the end of `within` the outcome is unknown, and 504 says so.
     responder onceWithin(milliseconds within, responder respond)
     {
+        // A process that leaves answers before it ends.
+        if (m_leaving)
+            within = std::min(within, std::max(QuietBeforeStop, untilDrained()));
         auto open = std::make_shared<responder>(std::move(respond));
         const auto answer = [open](http_response response) {
             if (*open)
@@ -714,15 +790,23 @@
         return answer;
     }
 
+    milliseconds untilDrained() const
+    {
+        return std::chrono::duration_cast<milliseconds>(m_drainUntil - suspendAwareNow());
+    }
+
     // A leaving entry accepts nothing: an entry that stays gets the request as it is.
     void passOn(http_request request, responder respond)
     {
         const auto now = suspendAwareNow();
+        const auto within = std::min(AnswerWithin, untilDrained());
         for (const auto &[name, known] : m_directory.entries()) {
+            if (within < PeerTimeout)
+                break; // no time is left to hear what became of it
             if (!m_directory.lives(name, now))
                 continue;
             m_metrics.count("requests_passed_on_total", "leaving");
-            return m_caller.call(known.row.callers, std::move(request), AnswerWithin,
+            return m_caller.call(known.row.callers, std::move(request), within,
                                  [this, respond](call_result result) {
                                      if (auto *answer = std::get_if<http_response>(&result)) {
                                          answer->headers.erase("Connection");
@@ -830,7 +914,9 @@
             record.cancelled = true;
             record.write = m_settings.id + ":cancel:" + std::to_string(m_nextToken++);
             m_store.commit(
-                    {{{one.name, one.version}}, {{one.name, toText(record), 0, false}}, {}},
+                    {{{one.name, one.version}},
+                     {{one.name, toText(record), 0, false}, cancelNotice(id)},
+                     {}},
                     [this, id, respond, write = record.write](const row_store::outcome &outcome) {
                         if (wasWritten(outcome, write))
                             return respond({200, {}, ""});
@@ -852,11 +938,13 @@
     void drain()
     {
         m_leaving = true;
+        m_drainUntil = suspendAwareNow() + DrainAtMost;
+        m_stopBy = suspendAwareNow() + StopWithin;
+        m_quietFrom = suspendAwareNow();
         m_log.note("drain_started", {{"owned", m_book ? m_book->ownedUnfinished() : 0}});
         m_callers.announceClose(true);
         if (m_book)
             pingAll(); // the others take the jobs over at once
-        m_drainUntil = suspendAwareNow() + DrainAtMost;
         drainOn();
     }
 
@@ -864,8 +952,13 @@
     {
         const bool empty =
                 !m_book || m_book->ownedUnfinished() == 0 || m_directory.entries().empty();
-        const bool idle = m_callers.inFlight() == 0 && m_internal.inFlight() == 0;
-        if ((empty && idle) || suspendAwareNow() >= m_drainUntil)
+        const auto now = suspendAwareNow();
+        if (m_callers.inFlight() > 0)
+            m_quietFrom = now;
+        const bool done = (empty && m_internal.inFlight() == 0) || now >= m_drainUntil;
+        // A request that was read and gets no answer tells its caller nothing, not even whether it
+        // may try again.
+        if ((done && now - m_quietFrom >= QuietBeforeStop) || now >= m_stopBy)
             return m_loop.stop();
         m_loop.after(milliseconds(50), [this] { drainOn(); });
     }
@@ -883,7 +976,11 @@
     entry_directory m_directory;
     entry_row m_row;
     owner_id m_self;
-    std::optional<queue_configuration> m_configuration;
+    std::optional<queue_table> m_configuration;
+    std::int64_t m_configurationRow = 0; // the store's version of the row that was read last
+    std::optional<time_point> m_configurationBegunAt; // its last answer with changes
+    configuration_watch m_configurationWatch;
+    bool m_outdated = false; // as last asked
     job_view m_view;
     worker_pool m_pool;
     std::optional<job_book> m_book;
@@ -894,7 +991,9 @@
     bool m_jobsKnown = false;
     bool m_pumping = false;
     bool m_leaving = false;
-    time_point m_drainUntil{};
+    time_point m_drainUntil{}; // owned jobs are handed on
+    time_point m_stopBy{};     // the process ends, whatever is open
+    time_point m_quietFrom{};  // no caller's request has been open since
     net::http_listener m_internal;
     net::http_listener m_ready;
     net::http_listener m_callers;
--- a/app/schedule_duty.cpp
+++ b/app/schedule_duty.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t RingCapacity = 32768;
 constexpr milliseconds TickEvery{100};
+const write_result NotSent{write_outcome::Refused, 0, {}}; // the lane to the platform is full
 
 work::lease_settings leaseSettings(const config::entry_settings &settings)
 {
@@ -242,6 +243,7 @@
 void schedule_duty::on(work::release_shards &what)
 {
     m_releasing = true;
+    what.quiet = quietWorkers();
     feedOwner(what);
 }
 
@@ -252,7 +254,7 @@
     const bool isPlanDue = now + TickEvery / 2 >= m_planAt;
     if (isPlanDue)
         m_planAt = now + m_settings.placement.tick;
-    feedOwner(work::ownership_tick{});
+    feedOwner(work::ownership_tick{quietWorkers()});
     m_drained = m_releasing && m_owner.released();
     // `handle` may discard a shard: walk over the numbers, not over the map.
     std::vector<int> numbers;
@@ -276,6 +278,14 @@
     }
 }
 
+std::map<int, work::quiet_workers> schedule_duty::quietWorkers() const
+{
+    std::map<int, work::quiet_workers> quiet;
+    for (const auto &[number, shard] : m_shards)
+        quiet[number] = shard->quietWorkers(monotonic_clock::now());
+    return quiet;
+}
+
 void schedule_duty::feedOwner(const work::ownership_event &what)
 {
     for (const auto &action : m_owner.handle(what, monotonic_clock::now()))
@@ -284,10 +294,12 @@
 
 void schedule_duty::perform(const work::commit_shard &action)
 {
-    m_platform.run([this, action](platform_client &platform) {
+    const bool queued = m_platform.run([this, action](platform_client &platform) {
         const auto result = platform.commit(action.transaction);
         m_duty->post(work::shard_write_settled{action.transaction.operationId, result});
     });
+    if (!queued)
+        m_duty->post(work::shard_write_settled{action.transaction.operationId, NotSent});
 }
 
 void schedule_duty::perform(const work::scan_shards & /*action*/)
@@ -312,7 +324,7 @@
     settings.aheadTasks = m_settings.placement.backlogPerWorker;
     settings.startAheadWhenDown = false; // the placer counts each start
     const work::table_owner owner{action.shard, action.epoch, action.shardVersion,
-                                  action.waitForSilentUntil};
+                                  action.waitForSilentUntil, action.quiet};
     const auto prefix = m_self.unique() + "/work-" + std::to_string(action.shard) + "-"
                         + std::to_string(action.epoch);
     m_shards[action.shard] =
@@ -350,11 +362,15 @@
     const auto epoch = shard.epoch();
     m_metrics.count("work_rows_total", "written",
                     static_cast<double>(action.transaction.writes.size()));
-    m_platform.run([this, action, number, epoch](platform_client &platform) {
-        const auto result = platform.commit(action.transaction);
-        m_duty->post(table_answer{number, epoch,
-                                  work::write_settled{action.transaction.operationId, result}});
+    const auto answer = [this, id = action.transaction.operationId, number,
+                         epoch](const write_result &result) {
+        m_duty->post(table_answer{number, epoch, work::write_settled{id, result}});
+    };
+    const bool queued = m_platform.run([action, answer](platform_client &platform) {
+        answer(platform.commit(action.transaction));
     });
+    if (!queued)
+        answer(NotSent);
 }
 
 void schedule_duty::readRows(const owned_shard &shard, std::vector<std::string> keys,
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -70,7 +70,7 @@
         refuse(key, now);
         return answer(order_outcome::WrongEpoch);
     }
-    if (refused(key))
+    if (refused(key) || isCancelled(order.task.job))
         return answer(order_outcome::Superseded);
     if (m_readiness == start_readiness::Closed) {
         refuse(key, now);
@@ -94,19 +94,39 @@
 order_answer run_table::stop(const run_order &order, const std::string &owner, time_point now)
 {
     const run_key key{order.task, order.run};
+    const auto answer = [&](order_outcome outcome) {
+        return order_answer{order.task, order.run, outcome, order_kind::Stop};
+    };
     const auto known = m_runs.find(key);
     if (m_epoch == 0)
-        return {order.task, order.run, order_outcome::NotReady};
+        return answer(order_outcome::NotReady);
     if (known == m_runs.end()) {
         refuse(key, now);
-        return {order.task, order.run, order_outcome::Superseded};
+        return answer(order_outcome::Superseded);
     }
     auto &entry = known->second;
     entry.owner = owner;
     // A stop tells no sizes: the run stays unclaimed, and nothing is started beside it before it
     // has ended. Otherwise a run that an earlier life of the agent started would count as nothing.
     stopEntry(key, entry, now);
-    return {order.task, order.run, order_outcome::Accepted};
+    return answer(order_outcome::Accepted);
+}
+
+int run_table::cancelled(const std::string &job, time_point now)
+{
+    m_cancelled[job] = now + m_settings.keepCancels;
+    int stopped = 0;
+    const task_id first{job, 0, 0, 0};
+    for (auto at = m_runs.lower_bound({first, 0}); at != m_runs.end(); ++at) {
+        auto &[key, entry] = *at;
+        if (key.first.job != job)
+            break;
+        if (entry.phase == run_phase::Ended || entry.phase == run_phase::Stopping)
+            continue;
+        stopEntry(key, entry, now);
+        ++stopped;
+    }
+    return stopped;
 }
 
 void run_table::startCalled(const task_id &task, int run, std::int64_t deadlineMs)
@@ -151,6 +171,8 @@
             entry.phase = run_phase::Running;
         entry.checkpoint = listed.checkpoint;
         entry.measured = listed.measured;
+        if (isCancelled(key.first.job))
+            stopEntry(key, entry, now);
     }
     for (const auto &end : listing.ended)
         ended(end, now);
@@ -246,6 +268,7 @@
         }
     }
     std::erase_if(m_refused, [&](const auto &entry) { return entry.second.keepUntil <= now; });
+    std::erase_if(m_cancelled, [&](const auto &entry) { return entry.second <= now; });
     return actions;
 }
 
@@ -351,6 +374,11 @@
     return found != m_refused.end() && found->second.upTo >= key.second;
 }
 
+bool run_table::isCancelled(const std::string &job) const
+{
+    return m_cancelled.contains(job);
+}
+
 bool run_table::hasRoom(const run_order &order) const
 {
     auto sum = used();
--- a/libs/jobs/worker_lease.h
+++ b/libs/jobs/worker_lease.h
@@ -41,7 +41,9 @@
     // A new life of the agent, or of its worker: orders of before are void once the next fence is
     // written.
     void seek();
-    void renew(time_point now); // the time for it has come
+    // The time for it has come. `heldUntil`: the worker answers nothing, and was told to let runs
+    // go on until then.
+    void renew(time_point now, std::optional<time_point> heldUntil = std::nullopt);
 
     // Any answer of the store tells its clock.
     void storeTold(std::int64_t storeMs, time_point sentAt, time_point now);
@@ -81,11 +83,12 @@
     struct out_write
     {
         lease_row row;
-        time_point sentAt{};
+        time_point until{}; // runs may go on, once it is written
         bool beginsEpoch = false;
     };
 
-    void write(lease_row next, bool beginsEpoch, time_point now);
+    void write(lease_row next, bool beginsEpoch, time_point now,
+               std::optional<time_point> heldUntil = std::nullopt);
     void beginEpochIfDue(time_point now);
 
     std::string m_agent;
--- a/libs/work/task_table.cpp
+++ b/libs/work/task_table.cpp
@@ -122,6 +122,18 @@
            && !m_store.silent(worker);
 }
 
+quiet_workers task_table::quietWorkers(time_point now) const
+{
+    quiet_workers quiet;
+    for (const auto &[name, worker] : m_workers) {
+        // An agent reports at least three times within its lease.
+        const bool heard = now - worker.reportedAt < m_settings.leases.grantLease / 2;
+        if (!heard && !tasksOn(name).empty())
+            quiet[name] = mayHoldLeaseUntil(name, worker);
+    }
+    return quiet;
+}
+
 // --- Jobs ----------------------------------------------------------------------------------------
 
 void task_table::on(const generation_followed &event, time_point now)
@@ -213,6 +225,7 @@
     record.incarnation = m_workers[event.worker].incarnation;
     record.ahead = event.ahead;
     want(event.task, record, now);
+    m_soft.erase(event.task); // of a placement under this number that had no effect
     if (event.reserved == resources{})
         return;
     soft_state &soft = softOf(event.task, record.attempt);
@@ -255,13 +268,15 @@
            && settled.attempt == next.attempt;
 }
 
+// Also while the write that places it is out: the placer evicts the youngest first, and counts it
+// as stopping from now on. Nobody would decide it again, and urgent work would wait for its room.
 void task_table::on(const evict_decided &event, time_point)
 {
-    const task_record record = m_store.settled(event.task);
-    if (!staysPlaced(event.task))
-        return;
-    softOf(event.task, record.attempt).evicting = true;
-    m_pushTo.insert(record.worker);
+    const task_record next = m_store.effective(event.task);
+    if (next.state != task_state::Placed)
+        return; // it leaves as it is
+    softOf(event.task, next.attempt).evicting = true;
+    m_pushTo.insert(next.worker);
 }
 
 void task_table::on(const start_ahead_decided &event, time_point)
@@ -632,13 +647,16 @@
 
 // No lease of the worker or of its tasks ends later (docs/design/OWNERSHIP.md). A worker that has
 // recorded this epoch takes no lease of an earlier owner; one that the earlier owner had written
-// down as silent held none.
+// down as silent held none, and one that it had not heard of when it handed the shard over no
+// longer than it said then, whoever granted it.
 time_point task_table::mayHoldLeaseUntil(const std::string &name, const worker_state &worker) const
 {
     const bool attached = worker.attached && m_settings.workersKeepEpoch;
     if (attached || m_store.silentSettled(name))
         return worker.leaseUntil;
-    return std::max(worker.leaseUntil, m_owner.waitForSilentUntil);
+    const auto told = m_owner.quiet.find(name);
+    const bool known = told != m_owner.quiet.end();
+    return std::max(worker.leaseUntil, known ? told->second : m_owner.waitForSilentUntil);
 }
 
 // Class Lease may start elsewhere. Class Proof stays until the worker or a newer incarnation of it
@@ -740,7 +758,10 @@
         m_onWorker[record.worker].insert(task);
         worker_state &worker = m_workers[record.worker];
         worker.incarnation = std::max(worker.incarnation, record.incarnation);
-        if (!m_store.silentSettled(record.worker))
+        // Of these the last owner has waited for a part already.
+        if (m_owner.quiet.contains(record.worker))
+            worker.leaseUntil = m_owner.quiet.at(record.worker);
+        else if (!m_store.silentSettled(record.worker))
             worker.leaseUntil = now + safeWait(m_settings.leases.grantLease, m_settings.leases);
     }
     m_tickedAt = now;
--- a/standins/job_site.cpp
+++ b/standins/job_site.cpp
@@ -44,6 +44,7 @@
     std::set<std::string> ended;                  // tasks that were done
     std::vector<std::string> violations;
     std::map<std::string, std::int64_t> leaseEpochs;
+    std::set<std::string> cancels; // jobs that agents read as cancelled
 };
 
 // Longer than an agent needs to find its worker gone.
@@ -202,8 +203,18 @@
         std::erase_if(m_record.runningAt, [&](const auto &at) { return at.second == m_id; });
     }
 
+    void comeBack()
+    {
+        gone = false;
+        tellsBirth = false;
+        m_born = clockMs();
+        m_fence = 0;
+        m_heldUntil = 0;
+    }
+
     bool silent = false;
     bool gone = false;
+    bool tellsBirth = true; // in its announcements
     std::string id() const { return m_id; }
     std::int64_t born() const { return m_born; }
     std::int64_t millicores() const { return m_millicores; }
@@ -339,12 +350,8 @@
             workers.push_back(std::make_unique<worker_standin>(nameOfWorker(index),
                                                                options.millicores, record));
             auto *worker = workers.back().get();
-            listeners.push_back(std::make_unique<net::http_listener>(
-                    loop, options.workers[index], net::listener_limits{},
-                    [this, worker](const http_request &request, const responder &respond) {
-                        if (!worker->silent && !worker->gone)
-                            respond(worker->serve(request, work));
-                    }));
+            addresses.push_back(options.workers[index]);
+            listeners.push_back(listenFor(index));
             const auto agent = toText(options.agents[index]);
             loop.every(milliseconds(200), [this, worker, agent] {
                 worker->expire();
@@ -367,6 +374,17 @@
         thread.join();
     }
 
+    std::unique_ptr<net::http_listener> listenFor(std::size_t index)
+    {
+        auto *worker = workers.at(index).get();
+        return std::make_unique<net::http_listener>(
+                loop, addresses.at(index), net::listener_limits{},
+                [this, worker](const http_request &request, const responder &respond) {
+                    if (!worker->silent && !worker->gone)
+                        respond(worker->serve(request, work));
+                });
+    }
+
     // A feed waits for a change, in steps of 50 ms.
     void serveStore(const http_request &request, responder respond, int stepsLeft)
     {
@@ -383,6 +401,8 @@
         const auto lease = leaseIn(request);
         if (lease && answer.status == 200)
             noteLease(*lease);
+        if (request.path() == "/-/rows-tx" && answer.status == 200)
+            noteCancels(request);
         if (lease && lease->key == departingLease) {
             departingLease.clear();
             heldLease = lease->key;
@@ -429,6 +449,16 @@
         record.leaseEpochs[lease.key] = lease.epoch;
     }
 
+    void noteCancels(const http_request &request)
+    {
+        const auto body = parseJson(request.body);
+        const std::lock_guard lock(record.mutex);
+        for (const auto &row : body["set-keys"]) {
+            if (row["table"].asString() == CancelsTable)
+                record.cancels.insert(row["key"].asString());
+        }
+    }
+
     void depart(std::size_t index)
     {
         auto &worker = *workers.at(index);
@@ -442,6 +472,20 @@
                     [](const call_result & /*an agent that is down looks for itself*/) {});
     }
 
+    // It has gone, and its last announcement comes in after its departure.
+    void departOvertaken(std::size_t index)
+    {
+        depart(index);
+        loop.after(milliseconds(50),
+                   [this, index] { announce(*workers.at(index), agents.at(index)); });
+    }
+
+    void comeBack(std::size_t index)
+    {
+        workers.at(index)->comeBack();
+        listeners.at(1 + index) = listenFor(index);
+    }
+
     void announce(const worker_standin &worker, const std::string &agent)
     {
         Json::Value body(Json::objectValue);
@@ -449,7 +493,8 @@
         body["address"] = "127.0.0.1:1";
         body["zone"] = "kartli-a";
         body["state"] = "ready";
-        body["born"] = Json::Int64(worker.born());
+        if (worker.tellsBirth)
+            body["born"] = Json::Int64(worker.born());
         body["seq"] = ++sequence;
         body["capacity"]["cpu"] = Json::Int64(worker.millicores());
         body["capacity"]["mem-mb"] = 64'000;
@@ -470,7 +515,8 @@
     store_standin store;
     std::vector<std::unique_ptr<worker_standin>> workers;
     std::vector<std::unique_ptr<net::http_listener>> listeners;
-    std::vector<std::string> agents; // where each worker announces itself
+    std::vector<socket_address> addresses; // where each worker listens
+    std::vector<std::string> agents;       // where each worker announces itself
     int sequence = 0;
     std::size_t departing = 0;  // worker that goes
     std::string departingLease; // when this lease is written next; empty: none does
@@ -505,6 +551,16 @@
     m_impl->loop.post([this, worker] { m_impl->depart(worker); });
 }
 
+void job_site::comeBack(std::size_t worker)
+{
+    m_impl->loop.post([this, worker] { m_impl->comeBack(worker); });
+}
+
+void job_site::departOvertaken(std::size_t worker)
+{
+    m_impl->loop.post([this, worker] { m_impl->departOvertaken(worker); });
+}
+
 void job_site::departAtRenewal(std::size_t worker, const std::string &lease)
 {
     m_impl->loop.post([this, worker, lease] {
@@ -513,6 +569,12 @@
     });
 }
 
+bool job_site::agentsReadCancelOf(const std::string &job) const
+{
+    const std::lock_guard lock(m_impl->record.mutex);
+    return m_impl->record.cancels.contains(job);
+}
+
 std::int64_t job_site::leaseEpoch(const std::string &lease) const
 {
     const std::lock_guard lock(m_impl->record.mutex);
--- a/standins/job_site.h
+++ b/standins/job_site.h
@@ -33,9 +33,13 @@
     void silence(std::size_t worker); // it runs on and answers nothing any more
     // Its process is gone: what ran there has ended, nothing listens, its agent is told.
     void depart(std::size_t worker);
+    void departOvertaken(std::size_t worker); // its last announcement comes in after its departure
     // The same at the moment at which that worker's lease, of this key, is written next; the
     // answers to writes of it come only after a while.
     void departAtRenewal(std::size_t worker, const std::string &lease);
+    // One that had gone lives anew under its name; only looks at it tell when it was born.
+    void comeBack(std::size_t worker);
+    bool agentsReadCancelOf(const std::string &job) const;   // its row is written
     std::int64_t leaseEpoch(const std::string &lease) const; // as stored; 0: there is no such row
     void workLasts(milliseconds work);                       // of tasks that start from now on
     int starts() const;                                      // that began a run
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -3,6 +3,7 @@
 #include <filesystem>
 #include <fstream>
 #include <optional>
+#include <thread>
 #include <unistd.h>
 
 #include <fmt/core.h>
@@ -48,7 +49,7 @@
                   {parseAddress(at(4, WorkersPort)), parseAddress(at(5, WorkersPort))}})
     {
         std::filesystem::create_directories(m_scratch);
-        putConfiguration();
+        putConfiguration(7);
         for (int index = 0; index < 2; ++index) {
             startEntry(index);
             startAgent(index);
@@ -163,8 +164,34 @@
                 SoonEnough);
     }
 
-private:
-    void putConfiguration()
+    bool isReady(int entry)
+    {
+        http_request request;
+        request.target = "/-/ready";
+        http_pool pool(parseAddress(at(2 + entry, ReadyPort)));
+        const auto result = pool.call(request, monotonic_clock::now() + seconds(1));
+        const auto *answer = std::get_if<http_response>(&result);
+        return answer != nullptr && answer->status == 200;
+    }
+
+    // Entry 1 tells entry 0 by which version it works.
+    void tellOfConfiguration(int version)
+    {
+        Json::Value told(Json::objectValue);
+        told["entry"] = "entry-1";
+        told["row"] = fmt::format(R"({{"incarnation":1,"internal":"{}","callers":"{}"}})",
+                                  at(3, InternalPort), at(3, CallersPort));
+        told["leaving"] = false;
+        told["configuration"] = version;
+        http_request request;
+        request.method = "POST";
+        request.target = "/v1/ping";
+        request.body = compactJson(told);
+        http_pool pool(parseAddress(at(2, InternalPort)));
+        pool.call(request, monotonic_clock::now() + seconds(5));
+    }
+
+    void putConfiguration(int version)
     {
         // One route for the host name of each entry: the pool sends its peer's.
         std::string routes;
@@ -173,7 +200,7 @@
                                   R"("service":"tickets","max-attempts":2,"stretch":1.5}})",
                                   routes.empty() ? "" : ",", process, address(process));
         }
-        const auto text = R"({"version":7,"routes":[)" + routes + "]}";
+        const auto text = fmt::format(R"({{"version":{},"routes":[{}]}})", version, routes);
         http_request request;
         request.method = "POST";
         request.target = "/-/rows-tx";
@@ -189,6 +216,7 @@
         pool.call(request, monotonic_clock::now() + seconds(5));
     }
 
+private:
     static std::string base64(const std::string &text)
     {
         constexpr const char *Letters =
@@ -207,16 +235,6 @@
         return result;
     }
 
-    bool isReady(int entry)
-    {
-        http_request request;
-        request.target = "/-/ready";
-        http_pool pool(parseAddress(at(2 + entry, ReadyPort)));
-        const auto result = pool.call(request, monotonic_clock::now() + seconds(1));
-        const auto *answer = std::get_if<http_response>(&result);
-        return answer != nullptr && answer->status == 200;
-    }
-
     void start(const std::string &name, const std::string &role, const std::string &settings)
     {
         m_processes.erase(name);
@@ -268,6 +286,35 @@
         check(on.call(1, "DELETE", "aaaa000000000004")->status == 200);
         check(on.reaches(1, "aaaa000000000004", "cancelled"));
     });
+    // An owner that dies right after the answer has told no agent: they read it in the store.
+    section("agents can read of a cancel as soon as it is acknowledged, by whomever", [&] {
+        check(on.site().agentsReadCancelOf("aaaa000000000004"));
+        require(on.handIn(0, "aaaa000000000005"));
+        check(on.call(0, "DELETE", "aaaa000000000005")->status == 200);
+        check(on.site().agentsReadCancelOf("aaaa000000000005"));
+    });
+    checkNothingWrong(on, on.site());
+}
+
+// A new version is acknowledged, and one entry, on a slow link, reads it for seconds. Callers there
+// were told that a queue of the new version does not exist, and the balancer that all is well. It
+// hears from the others that they work by a newer version, and says so.
+Test(process_jobs, an_entry_that_is_behind)
+{
+    system_under_test on;
+    check(on.call(0, "GET", "")->status == 200);
+    on.tellOfConfiguration(9);
+    section("callers are refused, and none is told that a queue does not exist", [&] {
+        require(waitUntil([&] { return on.call(0, "GET", "")->status == 503; }, SoonEnough));
+        check(on.call(0, "GET", "")->header("Retry-After") == "1");
+        check(!on.isReady(0));
+        check(on.isReady(1));
+    });
+    section("until it has the version", [&] {
+        on.putConfiguration(9);
+        require(waitUntil([&] { return on.isReady(0); }, SoonEnough));
+        check(on.call(0, "GET", "")->status == 200);
+    });
     checkNothingWrong(on, on.site());
 }
 
@@ -398,6 +445,69 @@
     checkNothingWrong(on, on.site());
 }
 
+// The caller sees its job wait for ever, with a worker that runs nothing. The worker had left as
+// planned, and its agent had written the end of its epoch; it is back under its name, and its
+// announcements tell no birth. Nothing but a look tells its agent that it lives anew.
+Test(process_jobs, worker_is_back_under_its_name)
+{
+    system_under_test on;
+    require(on.handIn(0, "abab000000000001"));
+    require(on.reaches(0, "abab000000000001", "completed"));
+    const auto epoch = on.site().leaseEpoch("agent-0");
+    on.site().depart(0);
+    on.site().depart(1);
+    require(waitUntil([&] { return on.site().leaseEpoch("agent-0") > epoch; }, SoonEnough));
+    on.site().comeBack(0);
+    require(on.handIn(0, "abab000000000002"));
+    check(on.reaches(0, "abab000000000002", "completed"));
+    checkNothingWrong(on, on.site());
+}
+
+// Callers see tasks that last stand still for 7 s. Their worker has left and said so; its last
+// announcement was held up and comes in 50 ms later. It must not take back what its agent knows:
+// only an answer of the worker itself says that it goes on.
+Test(process_jobs, last_announcement_after_the_departure)
+{
+    system_under_test on;
+    on.site().workLasts(milliseconds(600'000));
+    require(on.handInService(0, "adad000000000002"));
+    require(waitUntil([&] { return on.site().starts() == 2; }, SoonEnough));
+    const auto worker = on.site().busiestWorker();
+    const auto index = static_cast<int>(worker);
+    const int runs = on.site().runsOn(worker);
+    on.site().departOvertaken(worker);
+    check(waitUntil([&] { return on.site().starts() == 2 + runs; }, SoonEnough));
+    on.agent(index).signal(SIGTERM);
+    check(on.agent(index).waitForExit(SoonEnough) == 0);
+    check(!on.agentSaid(index, "worker_silent"));
+    checkNothingWrong(on, on.site());
+}
+
+// A caller cancels its job and is told that it is cancelled, and then no entry lives any more that
+// could tell the agents: the owner was frozen before, and the one that wrote the cancel for it
+// dies. What runs would run on as long as the agents renew their leases, which needs no entry. So
+// agents learn of cancels from the store, where each is written before it is acknowledged.
+Test(process_jobs, no_entry_is_left_after_a_cancel)
+{
+    system_under_test on;
+    on.site().workLasts(milliseconds(600'000));
+    require(on.handIn(0, "adad000000000001"));
+    require(waitUntil([&] { return on.site().starts() == 4; }, SoonEnough));
+    on.entry(0).signal(SIGSTOP);
+    require(on.call(1, "DELETE", "adad000000000001")->status == 200);
+    on.entry(1).signal(SIGKILL);
+    section("its tasks are stopped nevertheless", [&] {
+        check(waitUntil([&] { return on.site().runsOn(0) + on.site().runsOn(1) == 0; },
+                        SoonEnough));
+    });
+    section("the owner wakes and starts none of them again", [&] {
+        on.entry(0).signal(SIGCONT);
+        check(on.reaches(0, "adad000000000001", "cancelled"));
+        check(on.site().starts() == 4);
+    });
+    checkNothingWrong(on, on.site());
+}
+
 // The caller sees its job accepted and completed. The answers to writes are lost after they took
 // effect; the entry repeats the very same write, finds its own row and goes on.
 Test(process_jobs, answers_of_the_store_lost)
@@ -444,3 +554,22 @@
     check(on.site().starts() == TasksOfAJob);
     checkNothingWrong(on, on.site());
 }
+
+// A caller's request to an entry that is stopped as planned is cut off without an answer, so it
+// knows nothing and may not try again. Its entry leaves while the store is away: a cancel that came
+// two seconds into the stop waits for its write, and the process ends before that wait does.
+Test(process_jobs, planned_stop_answers_what_is_open)
+{
+    system_under_test on;
+    on.site().workLasts(milliseconds(60'000));
+    require(on.handIn(0, "ffff000000000002"));
+    on.site().turnAway(true);
+    on.entry(0).signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(2500));
+    const auto answer = on.call(0, "DELETE", "ffff000000000002");
+    check(answer.has_value());
+    check(answer && answer->status == 504); // the cancel may take effect yet
+    on.site().turnAway(false);
+    check(on.entry(0).waitForExit(SoonEnough) == 0);
+    checkNothingWrong(on, on.site());
+}
--- a/tests/worker_lease_test.cpp
+++ b/tests/worker_lease_test.cpp
@@ -279,3 +279,61 @@
     require(killed.row.endsAtMs < next.row.endsAtMs);
     check(killed.row.write != next.row.write);
 }
+
+// Callers see all tasks of a healthy worker stopped and begun anew elsewhere, when its agent is
+// replaced. The worker before it left while a write was out, for as long as the store was slow;
+// this one announced itself meanwhile. The epoch that ends the old one has to name the life that
+// runs.
+Test(worker_lease, the_next_life_is_there_before_the_end_is_written)
+{
+    scene on;
+    on.begin();
+    on.lease.renew(on.now);
+    on.carryOut(false);
+    on.lease.allEnded("", on.now);
+    on.lease.seek();
+    on.answerWrite();
+    on.carryOut();
+    check(!on.lease.seen("b", 0, on.now));
+    on.carryOut();
+    check(on.lease.settled());
+    check(on.row->life == "b");
+    section("an agent that is replaced lets its tasks run on", [&] {
+        on.lease = worker_lease("agent");
+        on.lease.seek();
+        on.carryOut();
+        check(!on.lease.seen("b", 3, on.now));
+    });
+}
+
+// Callers see tasks that last stand still for 14 s. Their worker is lost without a word, its agent
+// goes on for a while and is stopped: each renewal told an end that is a whole lease away, though
+// nothing can run there for longer than the last call let it.
+Test(worker_lease, renewals_beside_a_worker_that_answers_nothing)
+{
+    scene on;
+    on.begin();
+    on.lease.storeTold(70'000, on.now, on.now);
+    const auto held = on.now + seconds(5);
+    section("the row tells the end of what was held", [&] {
+        on.now += seconds(1);
+        on.lease.renew(on.now, held);
+        on.carryOut(false);
+        check(on.lease.until() <= held); // as soon as it is sent: it may take effect at any time
+        on.answerWrite();
+        check(on.lease.until() == held);
+        check(on.row->endsAtMs >= 75'000);
+        check(on.row->endsAtMs <= 75'002);
+    });
+    section("once that is over there is nothing to renew", [&] {
+        on.now = held;
+        on.lease.renew(on.now, held);
+        on.carryOut(false);
+        check(!on.out.has_value());
+    });
+    section("a worker that answers again has a whole lease", [&] {
+        on.lease.renew(on.now);
+        on.carryOut();
+        check(on.lease.until() == on.now + LeaseLength);
+    });
+}
