--- a/app/entry_directory.cpp
+++ b/app/entry_directory.cpp
@@ -78,13 +78,18 @@
 }
 
 std::string entry_directory::placerOf(const std::string &service, time_point now) const
+{
+    return firstLiving(service, now);
+}
+
+std::string entry_directory::firstLiving(const std::string &key, time_point now) const
 {
     std::vector<std::string> candidates{m_self};
     for (const auto &[name, known] : m_entries) {
         if (lives(name, now))
             candidates.push_back(name);
     }
-    return rendezvousOrder(service, candidates).front();
+    return rendezvousOrder(key, candidates).front();
 }
 
 std::optional<std::string> entry_directory::heirOf(const std::string &job,
@@ -100,12 +105,7 @@
     // Nobody is judged before there was time to hear of everybody.
     if (now - m_startedAt < SilentAfter)
         return std::nullopt;
-    std::vector<std::string> candidates{self.entry};
-    for (const auto &[name, known] : m_entries) {
-        if (lives(name, now))
-            candidates.push_back(name);
-    }
-    return rendezvousOrder(job, candidates).front();
+    return firstLiving(job, now);
 }
 
 } // namespace zinniabarrow
--- a/app/entry_directory.h
+++ b/app/entry_directory.h
@@ -55,6 +55,9 @@
                                       const jobs::owner_id &self, time_point now) const;
 
 private:
+    // The same at all entries that agree on who lives.
+    std::string firstLiving(const std::string &key, time_point now) const;
+
     std::string m_self;
     time_point m_startedAt;
     std::map<std::string, known_entry> m_entries; // without itself
--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -47,11 +47,6 @@
 constexpr milliseconds GoStep{10};
 constexpr milliseconds LeaveWithin{5000}; // below the 6 s after which a process is killed
 
-std::int64_t asMs(duration span)
-{
-    return std::chrono::duration_cast<milliseconds>(span).count();
-}
-
 class agent_process
 {
 public:
@@ -147,7 +142,10 @@
 
     // --- Looking at the worker.
 
-    std::int64_t workerClockAt(time_point at) const { return m_clockMs + asMs(at - m_clockReadAt); }
+    std::int64_t workerClockAt(time_point at) const
+    {
+        return m_clockMs + millisecondsIn(at - m_clockReadAt);
+    }
 
     void look()
     {
@@ -165,7 +163,7 @@
         }
         // Without a clock to count from, the first look only reads it.
         const auto longest = m_table.servingNow().empty() ? LookWait : LookWaitServing;
-        const auto wait = m_clockMs > 0 ? asMs(longest) : 0;
+        const auto wait = m_clockMs > 0 ? millisecondsIn(longest) : 0;
         auto request = platform_wire::holdRequest(m_life.id, deadline, lease().fence(),
                                                   m_table.lastSeen(), wait);
         if (m_life.id.empty())
--- a/app/lease_watcher.cpp
+++ b/app/lease_watcher.cpp
@@ -42,8 +42,8 @@
     for (const auto &[worker, since] : silent) {
         if (!m_watched.insert(worker).second)
             continue; // looked at already, and again when its lease may be over
-        const auto silentMs = std::chrono::duration_cast<milliseconds>(now - since).count();
-        m_log.note("worker_unheard", {{"worker", worker}, {"silent_ms", silentMs}});
+        m_log.note("worker_unheard",
+                   {{"worker", worker}, {"silent_ms", millisecondsIn(now - since)}});
         lookAt(worker, now);
     }
 }
--- a/app/row_store.cpp
+++ b/app/row_store.cpp
@@ -37,21 +37,11 @@
            || answer->status == 502;
 }
 
-const char *wordFor(const call_result &result)
+std::string_view wordFor(const call_result &result)
 {
     if (const auto *answer = std::get_if<http_response>(&result))
         return answer->status == 429 ? "turned_away_429" : "turned_away_503";
-    switch (std::get<call_failure>(result)) {
-    case call_failure::NotConnected:
-        return "not_connected";
-    case call_failure::Cut:
-        return "cut";
-    case call_failure::Late:
-        return "late";
-    case call_failure::TooLarge:
-        return "too_large";
-    }
-    return "unknown";
+    return nameOf(std::get<call_failure>(result));
 }
 
 } // namespace
--- a/libs/base/time.h
+++ b/libs/base/time.h
@@ -33,12 +33,18 @@
 
 constexpr time_point Never = time_point::max();
 
+// Whole milliseconds, rounded towards zero.
+constexpr std::int64_t millisecondsIn(duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
 // Milliseconds from `now` until `deadline`, rounded down, never below zero.
 constexpr std::int64_t millisecondsUntil(time_point deadline, time_point now)
 {
     if (deadline <= now)
         return 0;
-    return std::chrono::duration_cast<milliseconds>(deadline - now).count();
+    return millisecondsIn(deadline - now);
 }
 
 } // namespace zinniabarrow
--- a/libs/jobs/lease.cpp
+++ b/libs/jobs/lease.cpp
@@ -36,11 +36,11 @@
 
 std::int64_t inMs(time_point at)
 {
-    return std::chrono::duration_cast<milliseconds>(at.time_since_epoch()).count();
+    return millisecondsIn(at.time_since_epoch());
 }
 
 // Beyond the end that a row tells, or a whole lease.
-constexpr milliseconds Slack = onSlowClock(LeaseLength) - LeaseLength + LeaseMargin;
+constexpr milliseconds Slack = slackOf(LeaseLength);
 
 } // namespace
 
--- a/libs/jobs/lease.h
+++ b/libs/jobs/lease.h
@@ -30,6 +30,12 @@
     return span + span / 50;
 }
 
+// How long after `span`, as its holder counts it, it is over for certain.
+constexpr milliseconds slackOf(milliseconds span)
+{
+    return onSlowClock(span) - span + LeaseMargin;
+}
+
 struct lease_row
 {
     std::int64_t epoch = 1; // of the worker: rises when all that ran there has ended for certain
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -121,10 +121,7 @@
         auto &[key, entry] = *at;
         if (key.first.job != job)
             break;
-        if (entry.phase == run_phase::Ended || entry.phase == run_phase::Stopping)
-            continue;
-        stopEntry(key, entry, now);
-        ++stopped;
+        stopped += stopEntry(key, entry, now) ? 1 : 0;
     }
     return stopped;
 }
@@ -199,21 +196,23 @@
 
 void run_table::stopAll(time_point now)
 {
-    for (auto &[key, entry] : m_runs) {
+    for (auto &[key, entry] : m_runs)
         stopEntry(key, entry, now);
-    }
 }
 
 // A run that the worker was never told of is in neither of its lists, ever: told to stop, it would
 // count as running for good, and the next epoch, which begins once nothing runs, never would.
-void run_table::stopEntry(const run_key &key, run_entry &entry, time_point now)
+bool run_table::stopEntry(const run_key &key, run_entry &entry, time_point now)
 {
     if (entry.phase == run_phase::Ended || entry.phase == run_phase::Stopping)
-        return;
-    if (entry.phase == run_phase::Starting && entry.startCalls == 0)
-        return neverStarted(key, entry);
+        return false;
+    if (entry.phase == run_phase::Starting && entry.startCalls == 0) {
+        neverStarted(key, entry);
+        return true;
+    }
     entry.phase = run_phase::Stopping;
     entry.repeatAt = now;
+    return true;
 }
 
 void run_table::ownerSilent(const std::string &owner)
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -137,7 +137,8 @@
     order_answer start(const run_order &order, const std::string &owner, time_point now);
     order_answer stop(const run_order &order, const std::string &owner, time_point now);
     void ended(const run_end &end, time_point now);
-    void stopEntry(const run_key &key, run_entry &entry, time_point now);
+    // False: it is stopped already.
+    bool stopEntry(const run_key &key, run_entry &entry, time_point now);
     void neverStarted(const run_key &key, run_entry &entry);
     void refuse(const run_key &key, time_point now);
     bool refused(const run_key &key) const;
--- a/libs/jobs/worker_lease.cpp
+++ b/libs/jobs/worker_lease.cpp
@@ -133,7 +133,7 @@
     const auto until = std::min<time_point>(now + LeaseLength, heldUntil.value_or(Never));
     ++next.renewals;
     const auto storeMs = m_storeClock.latestAt(now);
-    next.endsAtMs = storeMs == 0 ? 0 : storeMs + (until - now) / milliseconds(1);
+    next.endsAtMs = storeMs == 0 ? 0 : storeMs + millisecondsIn(until - now);
     // Two lives of an agent may write the same fence, and the earlier one's write take effect
     // late: taken for the later one's, the row would tell an earlier end than its agent counts
     // with.
--- a/libs/jobs/worker_silence.cpp
+++ b/libs/jobs/worker_silence.cpp
@@ -60,8 +60,7 @@
 
 bool worker_silence::nothingRuns(time_point now) const
 {
-    constexpr milliseconds Slack = onSlowClock(LongestHold) - LongestHold + LeaseMargin;
-    return m_heldUntil != time_point{} && now >= m_heldUntil + Slack;
+    return m_heldUntil != time_point{} && now >= m_heldUntil + slackOf(LongestHold);
 }
 
 start_readiness readinessOf(const worker_standing &standing, const worker_silence &silence,
--- a/libs/net/event_loop_impl.h
+++ b/libs/net/event_loop_impl.h
@@ -1,6 +1,7 @@
 // The Asio side of event_loop, for the other files of this library only.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 
 #include <boost/asio/io_context.hpp>
@@ -14,6 +15,24 @@
 constexpr std::size_t ReadAtOnce = 64 * 1024;
 constexpr std::size_t KeptBuffer = 4 * 1024;
 
+// Once the head is read. Without room for it a large body is read in pieces of the buffer's first
+// size, half a kilobyte, each with a call of the system.
+template <typename Buffer, typename Parser>
+void makeRoomForBody(Buffer &buffer, const Parser &parser)
+{
+    const auto left = parser.content_length_remaining();
+    if (left && *left > 0)
+        buffer.reserve(std::min<std::size_t>(*left, ReadAtOnce));
+}
+
+// An idle connection does not keep the memory of a large message.
+template <typename Buffer>
+void dropLargeRoom(Buffer &buffer)
+{
+    if (buffer.capacity() > KeptBuffer)
+        buffer.shrink_to_fit();
+}
+
 struct event_loop::impl
 {
     boost::asio::io_context io{1}; // one thread: no locks inside
--- a/libs/net/http_caller.cpp
+++ b/libs/net/http_caller.cpp
@@ -76,8 +76,7 @@
         auto &pool = idle[peer];
         if (pool.size() >= limits.idlePerPeer)
             return;
-        if (link->buffer.capacity() > KeptBuffer)
-            link->buffer.shrink_to_fit(); // memory of a large answer
+        dropLargeRoom(link->buffer);
         link->idleSince = suspendAwareNow();
         link->stream.expires_never();
         pool.push_back(std::move(link));
@@ -187,7 +186,7 @@
             return finish(failureOf(failure));
         m_deadline.partCame(monotonic_clock::now());
         if (m_parser->is_header_done() && !std::exchange(m_begun, true)) {
-            makeRoom();
+            makeRoomForBody(m_link->buffer, *m_parser);
             m_how.begun(m_parser->content_length().value_or(0));
         }
         if (m_parser->is_done())
@@ -195,15 +194,6 @@
         receive();
     }
 
-    // Without it a large body is read in pieces of the buffer's first size, half a kilobyte, each
-    // with a call of the system.
-    void makeRoom()
-    {
-        const auto left = m_parser->content_length_remaining();
-        if (left && *left > 0)
-            m_link->buffer.reserve(std::min<std::size_t>(*left, ReadAtOnce));
-    }
-
     void received()
     {
         auto message = m_parser->release();
--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -1,6 +1,5 @@
 #include "net/http_listener.h"
 
-#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -42,6 +41,7 @@
 // A caller that breaks off during a burst of connections must not make others wait for a SYN that
 // is sent again after a second.
 constexpr int Backlog = 1024;
+
 class connection : public std::enable_shared_from_this<connection>
 {
 public:
@@ -68,15 +68,11 @@
     }
 
 private:
-    // The body is read in as few calls of the system as it needs: without room for it in the
-    // buffer, each takes half a kilobyte.
     void headRead(const beast::error_code &failure)
     {
         if (failure || m_parser->is_done())
             return requestRead(failure);
-        const auto left = m_parser->content_length_remaining();
-        if (left && *left > 0)
-            m_buffer.reserve(std::min<std::size_t>(*left, ReadAtOnce));
+        makeRoomForBody(m_buffer, *m_parser);
         auto self = shared_from_this();
         http::async_read(m_stream, m_buffer, *m_parser,
                          [self](const beast::error_code &problem, std::size_t) {
@@ -100,8 +96,7 @@
         for (const auto &field : message)
             request.headers[std::string(field.name_string())] = std::string(field.value());
         request.body = std::move(message.body());
-        if (m_buffer.capacity() > KeptBuffer)
-            m_buffer.shrink_to_fit(); // memory of a large request
+        dropLargeRoom(m_buffer);
         m_stream.expires_never();
         ++m_state->inFlight;
         auto self = shared_from_this();
