An entry's configuration stands apart from it

The moments of a planned stop are counted from one reading of the clock. No other change of behaviour.

--- /dev/null
+++ b/app/configuration_follower.cpp
@@ -0,0 +1,116 @@
+#include "app/configuration_follower.h"
+
+#include <utility>
+#include <variant>
+
+#include "base/errors.h"
+#include "platform/configuration_wire.h"
+#include "platform/store_wire.h"
+
+namespace zinniabarrow {
+
+using namespace jobs;
+using net::suspendAwareNow;
+
+configuration_follower::configuration_follower(net::event_loop &loop, row_store &store,
+                                               event_log &log)
+    : m_log(log)
+    , m_table(
+              loop, store, log, {platform_wire::ConfigurationRow.table},
+              [this](const auto &rows) { takeRows(rows); }, [] {},
+              [this](const follow_progress &progress) {
+                  std::visit([this](const auto &what) { heed(what); }, progress);
+              })
+{ }
+
+void configuration_follower::start()
+{
+    m_table.start();
+}
+
+void configuration_follower::heardOf(std::int64_t version)
+{
+    m_watch.heardOf(version, suspendAwareNow());
+}
+
+const queue_table *configuration_follower::queues() const
+{
+    return m_queues ? &*m_queues : nullptr;
+}
+
+std::int64_t configuration_follower::version() const
+{
+    return m_queues ? m_queues->version() : 0;
+}
+
+bool configuration_follower::isConfirmed() const
+{
+    return m_watch.isConfirmed(suspendAwareNow());
+}
+
+configuration_standing configuration_follower::standing()
+{
+    const auto result = m_watch.standing(suspendAwareNow());
+    const bool outdated = result == configuration_standing::Outdated;
+    if (outdated != std::exchange(m_outdated, outdated))
+        m_log.note(outdated ? "configuration_outdated" : "configuration_caught_up",
+                   {{"version", version()}});
+    return result;
+}
+
+void configuration_follower::heed(const feed_answer_begun &head)
+{
+    const auto now = suspendAwareNow();
+    if (head.bytes > configuration_watch::EmptyAnswerBytes)
+        m_answerFrom = now;
+    m_watch.answerBegun(head.bytes, now);
+}
+
+void configuration_follower::heed(const all_changes_taken &taken)
+{
+    m_watch.answerRead(taken.askedAt);
+}
+
+// Only the newest row that can be read is worked through: one that is overtaken would hold up the
+// others, and callers meanwhile.
+void configuration_follower::takeRows(const std::vector<row> &rows)
+{
+    for (auto one = rows.rbegin(); one != rows.rend(); ++one) {
+        if (one->name == platform_wire::ConfigurationRow && !one->removed && takeRow(*one))
+            return;
+    }
+}
+
+// No: it can't be read.
+bool configuration_follower::takeRow(const row &row)
+{
+    if (row.version > 0 && row.version <= m_rowVersion)
+        return true; // read before: all of the table is read anew when its history is gone
+    try {
+        const auto startedAt = suspendAwareNow();
+        queue_table next(platform_wire::configurationFrom(row.value));
+        m_rowVersion = row.version;
+        // Never back: a request that one version allowed must not meet an older one.
+        if (m_queues && next.version() <= m_queues->version())
+            return true;
+        m_queues.emplace(std::move(next));
+        m_watch.taken(m_queues->version());
+        note(row.value.size(), startedAt);
+        return true;
+    } catch (const error &problem) {
+        m_log.note("configuration_unreadable", {{"why", problem.what()}});
+        return false;
+    }
+}
+
+void configuration_follower::note(std::size_t bytes, time_point startedAt)
+{
+    const auto from = std::exchange(m_answerFrom, std::nullopt);
+    m_log.note("configuration", {{"version", m_queues->version()},
+                                 {"routes", m_queues->size()},
+                                 {"bytes", bytes},
+                                 {"read_ms", millisecondsIn(startedAt - from.value_or(startedAt))},
+                                 {"parse_ms", millisecondsIn(suspendAwareNow() - startedAt)}});
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/app/configuration_follower.h
@@ -0,0 +1,49 @@
+// The configuration that an entry works by: follows its row in the platform's store, and tells
+// whether a newer one may be there.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "app/row_store.h"
+#include "app/table_follower.h"
+#include "base/event_log.h"
+#include "jobs/configuration_watch.h"
+#include "jobs/queues.h"
+#include "net/event_loop.h"
+
+namespace zinniabarrow {
+
+class configuration_follower
+{
+public:
+    configuration_follower(net::event_loop &loop, row_store &store, event_log &log);
+
+    void start();
+    void heardOf(std::int64_t version); // another entry works by it
+
+    const jobs::queue_table *queues() const; // null: none was read yet
+    std::int64_t version() const;            // 0: none
+    bool isConfirmed() const;                // lately, as the newest
+    // Says in the log when the configuration becomes outdated, and when it no longer is.
+    jobs::configuration_standing standing();
+
+private:
+    void heed(const feed_answer_begun &head);
+    void heed(const all_changes_taken &taken);
+    void takeRows(const std::vector<jobs::row> &rows);
+    bool takeRow(const jobs::row &row);
+    void note(std::size_t bytes, time_point startedAt);
+
+    event_log &m_log;
+    table_follower m_table;
+    std::optional<jobs::queue_table> m_queues;
+    std::int64_t m_rowVersion = 0;          // the store's, of the row that was read last
+    std::optional<time_point> m_answerFrom; // when the last answer with changes began
+    jobs::configuration_watch m_watch;
+    bool m_outdated = false; // as last asked
+};
+
+} // namespace zinniabarrow
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "app/configuration_follower.h"
 #include "app/entry_directory.h"
 #include "app/job_tables.h"
 #include "app/job_view.h"
@@ -16,12 +17,9 @@
 #include "base/json.h"
 #include "base/json_member.h"
 #include "jobs/come_back.h"
-#include "jobs/configuration_watch.h"
 #include "jobs/job_book.h"
 #include "net/http_listener.h"
 #include "platform/caller_wire.h"
-#include "platform/configuration_wire.h"
-#include "platform/store_wire.h"
 
 namespace zinniabarrow {
 
@@ -76,12 +74,7 @@
         , m_store(
                   m_loop, m_caller, m_settings.store,
                   [this] { return m_directory.others(suspendAwareNow()); }, m_metrics, m_log)
-        , m_configurationTable(
-                  m_loop, m_store, m_log, {platform_wire::ConfigurationRow.table},
-                  [this](const auto &rows) { takeConfigurations(rows); }, [] {},
-                  [this](const follow_progress &progress) {
-                      std::visit([this](const auto &what) { heedConfiguration(what); }, progress);
-                  })
+        , m_configuration(m_loop, m_store, m_log)
         , m_entriesTable(m_loop, m_store, m_log, {EntriesTable},
                          [this](const auto &rows) { takeEntries(rows); })
         , m_jobsTable(
@@ -111,7 +104,7 @@
         m_log.note("started", {{"internal", toText(m_settings.internal)}});
         m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
         enter();
-        m_configurationTable.start();
+        m_configuration.start();
         m_loop.run([this](const std::exception &problem) {
             m_metrics.count("callbacks_failed_total", "exception");
             m_log.note("callback_failed", {{"why", problem.what()}});
@@ -173,80 +166,7 @@
         m_loop.every(WatchEvery, [this] { watchSilentWorkers(); });
     }
 
-    // --- What the store tells: configuration, entries, jobs.
-
-    void heedConfiguration(const feed_answer_begun &head)
-    {
-        const auto now = suspendAwareNow();
-        if (head.bytes > configuration_watch::EmptyAnswerBytes)
-            m_configurationBegunAt = now;
-        m_configurationWatch.answerBegun(head.bytes, now);
-    }
-
-    void heedConfiguration(const all_changes_taken &taken)
-    {
-        m_configurationWatch.answerRead(taken.askedAt);
-    }
-
-    // Only the newest row that can be read is worked through: one that is overtaken would hold up
-    // the others, and callers meanwhile.
-    void takeConfigurations(const std::vector<row> &rows)
-    {
-        for (auto one = rows.rbegin(); one != rows.rend(); ++one) {
-            if (one->name == platform_wire::ConfigurationRow && !one->removed
-                && takeConfiguration(*one))
-                return;
-        }
-    }
-
-    // No: it can't be read.
-    bool takeConfiguration(const row &one)
-    {
-        if (one.version > 0 && one.version <= m_configurationRow)
-            return true; // read before: all of the table is read anew when its history is gone
-        try {
-            const auto startedAt = suspendAwareNow();
-            queue_table next(platform_wire::configurationFrom(one.value));
-            m_configurationRow = one.version;
-            // Never back: a request that one version allowed must not meet an older one.
-            if (m_configuration && next.version() <= m_configuration->version())
-                return true;
-            m_configuration.emplace(std::move(next));
-            m_configurationWatch.taken(m_configuration->version());
-            noteConfiguration(one.value.size(), startedAt);
-            return true;
-        } catch (const error &problem) {
-            m_log.note("configuration_unreadable", {{"why", problem.what()}});
-            return false;
-        }
-    }
-
-    static std::int64_t millisecondsOf(duration span)
-    {
-        return std::chrono::duration_cast<milliseconds>(span).count();
-    }
-
-    void noteConfiguration(std::size_t bytes, time_point startedAt)
-    {
-        const auto begunAt = std::exchange(m_configurationBegunAt, std::nullopt);
-        m_log.note("configuration",
-                   {{"version", m_configuration->version()},
-                    {"routes", m_configuration->size()},
-                    {"bytes", bytes},
-                    {"read_ms", millisecondsOf(startedAt - begunAt.value_or(startedAt))},
-                    {"parse_ms", millisecondsOf(suspendAwareNow() - startedAt)}});
-    }
-
-    // Said when it changes, not with each request.
-    configuration_standing standing()
-    {
-        const auto result = m_configurationWatch.standing(suspendAwareNow());
-        const bool outdated = result == configuration_standing::Outdated;
-        if (outdated != std::exchange(m_outdated, outdated))
-            m_log.note(outdated ? "configuration_outdated" : "configuration_caught_up",
-                       {{"version", m_configuration ? m_configuration->version() : 0}});
-        return result;
-    }
+    // --- What the store tells: entries, jobs.
 
     void takeEntries(const std::vector<row> &rows)
     {
@@ -301,7 +221,7 @@
         value["entry"] = m_settings.id;
         value["row"] = toText(m_row);
         value["leaving"] = m_leaving;
-        value["configuration"] = Json::Int64(m_configuration ? m_configuration->version() : 0);
+        value["configuration"] = Json::Int64(m_configuration.version());
         return value;
     }
 
@@ -313,7 +233,7 @@
         m_directory.seen(name, row);
         m_directory.heard(name, row.incarnation, boolMember(value, "leaving"), suspendAwareNow());
         if (value.isMember("configuration"))
-            m_configurationWatch.heardOf(integerMember(value, "configuration"), suspendAwareNow());
+            m_configuration.heardOf(integerMember(value, "configuration"));
     }
 
     void pingAll()
@@ -637,20 +557,21 @@
 
     bool isReady()
     {
-        const auto now = suspendAwareNow();
-        return m_configuration && standing() != configuration_standing::Outdated
-               && m_configurationWatch.isConfirmed(now) && m_jobsKnown && !m_leaving
-               && now - m_store.lastAnswerAt() < StoreSilentAtMost;
+        return m_configuration.queues() != nullptr
+               && m_configuration.standing() != configuration_standing::Outdated
+               && m_configuration.isConfirmed() && m_jobsKnown && !m_leaving
+               && suspendAwareNow() - m_store.lastAnswerAt() < StoreSilentAtMost;
     }
 
     void serveCaller(http_request request, responder respond)
     {
-        if (!m_configuration)
+        const auto *queues = m_configuration.queues();
+        if (queues == nullptr)
             return respond(counted(503, "no_configuration"));
-        const auto known = standing();
+        const auto known = m_configuration.standing();
         if (known == configuration_standing::Outdated)
             return respond(counted(503, "configuration_outdated"));
-        const auto target = m_configuration->find(request.header("Host"), request.path());
+        const auto target = queues->find(request.header("Host"), request.path());
         if (!target && known == configuration_standing::Doubtful)
             return respond(counted(503, "queue_perhaps_newer"));
         if (!target)
@@ -938,9 +859,10 @@
     void drain()
     {
         m_leaving = true;
-        m_drainUntil = suspendAwareNow() + DrainAtMost;
-        m_stopBy = suspendAwareNow() + StopWithin;
-        m_quietFrom = suspendAwareNow();
+        const auto now = suspendAwareNow();
+        m_drainUntil = now + DrainAtMost;
+        m_stopBy = now + StopWithin;
+        m_quietFrom = now;
         m_log.note("drain_started", {{"owned", m_book ? m_book->ownedUnfinished() : 0}});
         m_callers.announceClose(true);
         if (m_book)
@@ -969,18 +891,13 @@
     metrics m_metrics;
     net::http_caller m_caller;
     row_store m_store;
-    table_follower m_configurationTable;
+    configuration_follower m_configuration;
     table_follower m_entriesTable;
     table_follower m_jobsTable;
     time_point m_startedAt;
     entry_directory m_directory;
     entry_row m_row;
     owner_id m_self;
-    std::optional<queue_table> m_configuration;
-    std::int64_t m_configurationRow = 0; // the store's version of the row that was read last
-    std::optional<time_point> m_configurationBegunAt; // its last answer with changes
-    configuration_watch m_configurationWatch;
-    bool m_outdated = false; // as last asked
     job_view m_view;
     worker_pool m_pool;
     std::optional<job_book> m_book;
