The tests of a departure check that it met a write of the lease, and share their set-up

worker_leaves_while_its_lease_is_renewed and agent_stops_after_its_worker_left could pass without the order of events that they are about, on a machine that is slow enough: the agent's line worker_gone now has to say that a write was out.

--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -125,33 +125,50 @@
         return answer && answer->status == 200;
     }
 
-    // A worker with tasks that last leaves at the moment at which its lease is renewed.
-    struct departure
+    // The worker where a service's two tasks run, or most of them.
+    struct serving_worker
     {
         int worker = 0;
-        int runs = 0;           // that ran there
+        int runs = 0;           // that run there
         std::int64_t epoch = 0; // of its lease
+        std::string lease;
     };
-    departure leaveDuringRenewal(const std::string &job)
+    serving_worker serve(const std::string &job)
     {
         site().workLasts(milliseconds(600'000));
         require(handInService(0, job));
         require(waitUntil([&] { return site().starts() == 2; }, SoonEnough));
         const auto worker = site().busiestWorker();
         const auto lease = fmt::format("agent-{}", worker);
-        const departure left{static_cast<int>(worker), site().runsOn(worker),
-                             site().leaseEpoch(lease)};
-        site().departAtRenewal(worker, lease);
+        return {static_cast<int>(worker), site().runsOn(worker), site().leaseEpoch(lease), lease};
+    }
+
+    // It leaves at the moment at which its lease is renewed.
+    serving_worker leaveDuringRenewal(const std::string &job)
+    {
+        const auto left = serve(job);
+        site().departAtRenewal(static_cast<std::size_t>(left.worker), left.lease);
         return left;
     }
 
     bool agentSaid(int index, const std::string &event) { return said("agent", index, event); }
 
     bool said(const std::string &role, int index, const std::string &event)
+    {
+        return wrote(role, index, fmt::format(R"("event":"{}")", event));
+    }
+
+    // The order of events that the tests of a departure are about did come about.
+    bool agentFoundItGoneDuringAWrite(int index)
+    {
+        return wrote("agent", index, R"("lease_write_out":"yes","lease":)");
+    }
+
+    bool wrote(const std::string &role, int index, const std::string &words)
     {
         std::ifstream lines(m_processes.at(fmt::format("{}-{}", role, index))->outFile());
         const std::string text{std::istreambuf_iterator<char>(lines), {}};
-        return text.find(fmt::format(R"("event":"{}")", event)) != std::string::npos;
+        return text.find(words) != std::string::npos;
     }
 
     bool reaches(int entry, const std::string &job, const std::string &state)
@@ -401,6 +418,7 @@
     on.agent(left.worker).signal(SIGTERM); // its last lines are written by then
     check(on.agent(left.worker).waitForExit(SoonEnough) == 0);
     check(!on.agentSaid(left.worker, "worker_silent"));
+    check(on.agentFoundItGoneDuringAWrite(left.worker));
     checkNothingWrong(on, on.site());
 }
 
@@ -415,7 +433,8 @@
     require(waitUntil([&] { return on.agentSaid(left.worker, "worker_gone"); }, SoonEnough));
     on.agent(left.worker).signal(SIGTERM);
     check(on.agent(left.worker).waitForExit(SoonEnough) == 0);
-    check(on.site().leaseEpoch(fmt::format("agent-{}", left.worker)) > left.epoch);
+    check(on.site().leaseEpoch(left.lease) > left.epoch);
+    check(on.agentFoundItGoneDuringAWrite(left.worker));
     check(waitUntil([&] { return on.site().starts() == 2 + left.runs; }, SoonEnough));
     checkNothingWrong(on, on.site());
 }
@@ -426,22 +445,17 @@
 Test(process_jobs, worker_agent_and_entries_lost)
 {
     system_under_test on;
-    on.site().workLasts(milliseconds(600'000));
-    require(on.handInService(0, "acac000000000003"));
-    require(waitUntil([&] { return on.site().starts() == 2; }, SoonEnough));
-    const auto worker = on.site().busiestWorker();
-    const int runs = on.site().runsOn(worker);
-    const auto epoch = on.site().leaseEpoch(fmt::format("agent-{}", worker));
-    on.agent(static_cast<int>(worker)).signal(SIGKILL);
-    on.site().depart(worker);
+    const auto lost = on.serve("acac000000000003");
+    on.agent(lost.worker).signal(SIGKILL);
+    on.site().depart(static_cast<std::size_t>(lost.worker));
     const auto watched = [&](int entry) { return on.said("entry", entry, "worker_lease_read"); };
     require(waitUntil([&] { return watched(0) || watched(1); }, SoonEnough));
     for (const int entry : {0, 1})
         on.entry(entry).signal(SIGKILL);
     for (const int entry : {0, 1})
         on.startEntry(entry);
-    check(waitUntil([&] { return on.site().starts() == 2 + runs; }, SoonEnough));
-    check(on.site().leaseEpoch(fmt::format("agent-{}", worker)) == epoch + 1);
+    check(waitUntil([&] { return on.site().starts() == 2 + lost.runs; }, SoonEnough));
+    check(on.site().leaseEpoch(lost.lease) == lost.epoch + 1);
     checkNothingWrong(on, on.site());
 }
 
@@ -469,17 +483,12 @@
 Test(process_jobs, last_announcement_after_the_departure)
 {
     system_under_test on;
-    on.site().workLasts(milliseconds(600'000));
-    require(on.handInService(0, "adad000000000002"));
-    require(waitUntil([&] { return on.site().starts() == 2; }, SoonEnough));
-    const auto worker = on.site().busiestWorker();
-    const auto index = static_cast<int>(worker);
-    const int runs = on.site().runsOn(worker);
-    on.site().departOvertaken(worker);
-    check(waitUntil([&] { return on.site().starts() == 2 + runs; }, SoonEnough));
-    on.agent(index).signal(SIGTERM);
-    check(on.agent(index).waitForExit(SoonEnough) == 0);
-    check(!on.agentSaid(index, "worker_silent"));
+    const auto left = on.serve("adad000000000002");
+    on.site().departOvertaken(static_cast<std::size_t>(left.worker));
+    check(waitUntil([&] { return on.site().starts() == 2 + left.runs; }, SoonEnough));
+    on.agent(left.worker).signal(SIGTERM);
+    check(on.agent(left.worker).waitForExit(SoonEnough) == 0);
+    check(!on.agentSaid(left.worker, "worker_silent"));
     checkNothingWrong(on, on.site());
 }
 
