--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -330,9 +330,12 @@
     report.used = sizeFrom(objectMember(value, "used"));
     report.fillMillicores = integerMember(value, "fill_millicores");
     if (value.isMember("serving")) {
-        for (const auto &row : arrayMember(value, "serving"))
-            report.serving.push_back({stringMember(row, "image"), numberMember(row, "room"),
-                                      stringMember(row, "job")});
+        for (const auto &row : arrayMember(value, "serving")) {
+            serving_room run{stringMember(row, "image"), numberMember(row, "room")};
+            if (row.isMember("job")) // agents of the release before don't tell it
+                run.job = stringMember(row, "job");
+            report.serving.push_back(std::move(run));
+        }
     }
     if (value.isMember("filling"))
         report.filling = amountsFrom(objectMember(value, "filling"));
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -92,8 +92,8 @@
 struct serving_room
 {
     std::string image;
-    double room = 0; // load, below zero: it is over
-    std::string job = {};
+    double room = 0;      // load, below zero: it is over
+    std::string job = {}; // empty: not told
 };
 
 // What an agent says of its worker. `ends` are repeated until they are acknowledged.
--- a/tests/worker_pool_test.cpp
+++ b/tests/worker_pool_test.cpp
@@ -1,6 +1,8 @@
 // Which worker a task goes to, when runs that fill press on runs that serve.
 #include <criterion/criterion.h>
 
+#include "base/json.h"
+#include "base/json_member.h"
 #include "jobs/worker_pool.h"
 #include "section.h"
 
@@ -166,3 +168,27 @@
         check(placedImpatiently() == "two-jobs");
     });
 }
+
+// A report and what it says of the runs that serve survive the way to an entry, also from an agent
+// of the release before, which names no jobs and tells no changes: refused, its worker would count
+// as silent all through a rolling release.
+Test(worker_pool, reports_are_read)
+{
+    auto report = besideOf("w1", {{"site", 0.25, "a"}});
+    report.samples = {
+            {"site", 40, 150, {{"heavy", 2.0}}, disturbance_change{0.002, {{"heavy", -1.0}}}}};
+    section("as written", [&] {
+        const auto read = reportFrom(toText(report));
+        check(read.serving.front().job == "a");
+        check(read.samples.front().change->inverseFall == 0.002);
+        check(read.samples.front().change->fills.at("heavy") == -1.0);
+    });
+    section("without jobs and changes", [&] {
+        auto text = parseJsonObject(toText(report));
+        text["serving"][0].removeMember("job");
+        text["samples"][0].removeMember("inverse_fall");
+        const auto read = reportFrom(compactJson(text));
+        check(read.serving.front().job.empty());
+        check(!read.samples.front().change);
+    });
+}
