Which jobs are late on a worker is worked out once a report, not for each placement

For each candidate and job a placement looked at all runs of all workers: work that grows with the square of the fleet, at fronts with a tenth of a core.

--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -24,6 +24,7 @@
     view.last.ends.clear();
     view.last.progress.clear();
     view.heardAt = now;
+    view.lateJobs = lateJobsOf(view);
     return newLife;
 }
 
@@ -170,17 +171,21 @@
     return load;
 }
 
-bool worker_pool::isLateElsewhere(const worker_view &view, const std::string &job) const
+std::set<std::string> worker_pool::lateJobsOf(const worker_view &view) const
 {
     constexpr double Clearly = 0.05; // load
-    const auto isLateRun = [&](const worker_view &other, const serving_room &run) {
-        return run.job == job && loadBeside(other, run) > run.room + Clearly;
-    };
-    return !job.empty() && std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
-        const auto &other = entry.second;
-        return &other != &view
-               && std::any_of(other.last.serving.begin(), other.last.serving.end(),
-                              [&](const auto &run) { return isLateRun(other, run); });
+    std::set<std::string> late;
+    for (const auto &run : view.last.serving) {
+        if (!run.job.empty() && loadBeside(view, run) > run.room + Clearly)
+            late.insert(run.job);
+    }
+    return late;
+}
+
+bool worker_pool::isLateElsewhere(const worker_view &view, const std::string &job) const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
+        return &entry.second != &view && entry.second.lateJobs.contains(job);
     });
 }
 
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,11 +14,12 @@
 
 struct worker_view
 {
-    worker_report last;         // newest report, without ends; `used` grows with own placements
-    time_point heardAt{};       // when the report came
-    int failuresInRow = 0;      // runs that failed since one was done
-    time_point setAsideUntil{}; // gets no work before
-    double slowness = 1;        // run time against estimate, moving average
+    worker_report last;             // newest report, without ends; `used` grows with own placements
+    time_point heardAt{};           // when the report came
+    std::set<std::string> lateJobs; // that have a task here over its target, by the report
+    int failuresInRow = 0;          // runs that failed since one was done
+    time_point setAsideUntil{};     // gets no work before
+    double slowness = 1;            // run time against estimate, moving average
 };
 
 struct pool_settings
@@ -70,6 +72,7 @@
     static int fitting(const worker_view &view, const step_spec &step, int together);
     double lateJobs(const worker_view &view, const step_spec &step) const;
     double loadBeside(const worker_view &view, const serving_room &run) const;
+    std::set<std::string> lateJobsOf(const worker_view &view) const;
     bool isLateElsewhere(const worker_view &view, const std::string &job) const;
 
     pool_settings m_settings;
