--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -69,7 +69,7 @@
     // What fills waits for a worker where it harms nobody: its objective leaves it time, and a late
     // answer can't be made good.
     constexpr double MostLateJobs = 0.15;
-    if (step.fills && patient && lateJobs(view, step) > MostLateJobs)
+    if (step.fills && patient && expectedLateJobs(view, step) > MostLateJobs)
         return false;
     auto room = last.capacity;
     room -= last.used;
@@ -103,7 +103,7 @@
         score -= 0.5; // a task far from its data takes half as long again
     score -= 0.25 * std::max(0.0, view.slowness - 1.3); // estimates alone are off by a fifth
     constexpr double LateJob = 4; // as much as the whole worker's processors over again
-    return score - LateJob * lateJobs(view, step);
+    return score - LateJob * expectedLateJobs(view, step);
 }
 
 // Runs that serve are gathered on few workers, those of one job and one image together, so that
@@ -140,7 +140,7 @@
 // How many serving jobs the placement of a run that fills is expected to make late, or to keep
 // late. Users of a job meet each of its tasks, so that one late task spoils the job, and a second
 // one adds little.
-double worker_pool::lateJobs(const worker_view &view, const step_spec &step) const
+double worker_pool::expectedLateJobs(const worker_view &view, const step_spec &step) const
 {
     if (!step.fills)
         return 0;
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -70,7 +70,7 @@
     double score(const worker_view &view, const step_spec &step, int together) const;
     static double servingScore(const worker_view &view, const step_spec &step, int together);
     static int fitting(const worker_view &view, const step_spec &step, int together);
-    double lateJobs(const worker_view &view, const step_spec &step) const;
+    double expectedLateJobs(const worker_view &view, const step_spec &step) const;
     double loadBeside(const worker_view &view, const serving_room &run) const;
     std::set<std::string> lateJobsOf(const worker_view &view) const;
     bool isLateElsewhere(const worker_view &view, const std::string &job) const;
--- a/tests/disturbance_test.cpp
+++ b/tests/disturbance_test.cpp
@@ -28,6 +28,14 @@
     return number % 2 == 0;
 }
 
+// The load of a serving run beside what fills.
+double withPresses(double load, const std::map<std::string, double> &fills)
+{
+    for (const auto &[image, cores] : fills)
+        load += (isHeavy(std::stoi(image.substr(5))) ? Heavy : 0) * cores;
+    return load;
+}
+
 // One worker with a serving image beside runs that come and go, measured each half second.
 class measured_worker
 {
@@ -46,8 +54,7 @@
             changeNeighbours();
         // Its own load swings by half within 20 s.
         double load = 0.4 * (1 + 0.5 * std::sin(m_turn / 40.0 * 2 * M_PI));
-        for (const auto &[image, cores] : m_fills)
-            load += (isHeavy(std::stoi(image.substr(5))) ? Heavy : 0) * cores;
+        load = withPresses(load, m_fills);
         std::normal_distribution<double> noise(0, 0.03);
         load += noise(m_random);
         const double tail = load >= 0.98 ? LongestTailMs : FloorMs / (1 - std::max(0.0, load));
@@ -168,8 +175,7 @@
                 m_fills[fillName(static_cast<int>(m_random() % Fills))] = 3.5;
         }
         double load = own;
-        for (const auto &[image, cores] : m_fills)
-            load += (isHeavy(std::stoi(image.substr(5))) ? Heavy : 0) * cores;
+        load = withPresses(load, m_fills);
         std::normal_distribution<double> noise(0, 0.02);
         const double tail = FloorMs / (1 - std::min(0.97, load + noise(m_random)));
         disturbance_sample sample{"serving", static_cast<std::int64_t>(tail), 150, m_fills};
