What the end of a process cuts off is in its last line, and how far its loop is behind

An entry's last line said only that it stopped. For a connection that closed without an answer it could not be told whether its request was never read, read and not worked through, or answered with the answer not yet out. The line now counts callers' connections by what they are at, and tells how late timers fired; requests that a leaving entry passes on or refuses are named. No logic is changed. The look into a socket that the caller had stands once.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -109,7 +109,7 @@
             m_metrics.count("callbacks_failed_total", "exception");
             m_log.note("callback_failed", {{"why", problem.what()}});
         });
-        m_log.note("stopped", {});
+        noteStopped();
         m_log.flush();
     }
 
@@ -727,6 +727,7 @@
             if (!m_directory.lives(name, now))
                 continue;
             m_metrics.count("requests_passed_on_total", "leaving");
+            m_log.note("request_passed_on", {{"path", request.path()}, {"to", name}});
             return m_caller.call(known.row.callers, std::move(request), within,
                                  [this, respond](call_result result) {
                                      if (auto *answer = std::get_if<http_response>(&result)) {
@@ -740,6 +741,7 @@
                                                   : counted(503, "leaving"));
                                  });
         }
+        m_log.note("request_refused", {{"path", request.path()}, {"why", "leaving"}});
         respond(counted(503, "leaving"));
     }
 
@@ -856,6 +858,20 @@
 
     // --- Planned stop.
 
+    // What the end of the process cuts off, and how far behind it was.
+    void noteStopped()
+    {
+        const auto callers = m_callers.activity();
+        const auto internal = m_internal.activity();
+        m_log.note("stopped", {{"callers_unread", callers.unread},
+                               {"callers_reading", callers.reading},
+                               {"callers_answering", callers.answering},
+                               {"callers_writing", callers.writing},
+                               {"callers_idle", callers.idle},
+                               {"internal_answering", internal.answering},
+                               {"late_ms", millisecondsIn(m_loop.lateness())}});
+    }
+
     void drain()
     {
         m_leaving = true;
@@ -863,7 +879,8 @@
         m_drainUntil = now + DrainAtMost;
         m_stopBy = now + StopWithin;
         m_quietFrom = now;
-        m_log.note("drain_started", {{"owned", m_book ? m_book->ownedUnfinished() : 0}});
+        m_log.note("drain_started", {{"owned", m_book ? m_book->ownedUnfinished() : 0},
+                                     {"late_ms", millisecondsIn(m_loop.lateness())}});
         m_callers.announceClose(true);
         if (m_book)
             pingAll(); // the others take the jobs over at once
--- a/libs/net/event_loop.cpp
+++ b/libs/net/event_loop.cpp
@@ -52,12 +52,20 @@
 void event_loop::after(duration delay, std::function<void()> work)
 {
     auto timer = std::make_shared<asio::steady_timer>(m_impl->io, delay);
-    timer->async_wait([timer, work = std::move(work)](const boost::system::error_code &failure) {
-        if (!failure)
-            work();
+    const auto due = suspendAwareNow() + delay;
+    timer->async_wait([this, timer, due, work = std::move(work)](const auto &failure) {
+        if (failure)
+            return;
+        m_impl->lateness.fired(due, suspendAwareNow());
+        work();
     });
 }
 
+duration event_loop::lateness() const
+{
+    return m_impl->lateness.worst(suspendAwareNow());
+}
+
 void event_loop::every(duration period, std::function<void()> work)
 {
     after(period, [this, period, work = std::move(work)]() mutable {
--- a/libs/net/event_loop.h
+++ b/libs/net/event_loop.h
@@ -30,6 +30,8 @@
     void after(duration delay, std::function<void()> work);
     // Repeats until the loop stops; the next turn is counted from the end of the last.
     void every(duration period, std::function<void()> work);
+    // How late timers fired, at most, over the last seconds: how far the loop is behind.
+    duration lateness() const;
     // SIGTERM and SIGINT; SIGPIPE and SIGHUP are ignored.
     void onStopSignal(std::function<void()> work);
 
--- a/libs/net/event_loop_impl.h
+++ b/libs/net/event_loop_impl.h
@@ -8,6 +8,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "net/event_loop.h"
+#include "net/loop_lateness.h"
 
 namespace zinniabarrow::net {
 
@@ -37,6 +38,7 @@
 {
     boost::asio::io_context io{1}; // one thread: no locks inside
     boost::asio::signal_set signals{io};
+    loop_lateness lateness;
 };
 
 } // namespace zinniabarrow::net
--- a/libs/net/http_caller.cpp
+++ b/libs/net/http_caller.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http.hpp>
 
 #include "net/event_loop_impl.h"
+#include "net/socket_peek.h"
 
 namespace zinniabarrow::net {
 
@@ -53,24 +54,15 @@
         while (!pool.empty()) {
             auto link = std::move(pool.back());
             pool.pop_back();
-            if (now - link->idleSince < limits.idleAtMost && isSilent(*link))
+            // A connection that carries bytes or an end before its next request is not used again:
+            // the bytes would be taken for the answer of that request.
+            const bool silent = peek(link->stream.socket()) == socket_peek::Nothing;
+            if (now - link->idleSince < limits.idleAtMost && silent)
                 return link;
         }
         return nullptr;
     }
 
-    // A connection that carries bytes or an end before its next request is not used again: the
-    // bytes would be taken for the answer of that request.
-    static bool isSilent(kept_connection &link)
-    {
-        auto &socket = link.stream.socket();
-        beast::error_code failure;
-        char byte = 0;
-        socket.non_blocking(true, failure);
-        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
-        return failure == asio::error::would_block;
-    }
-
     void giveBack(const std::string &peer, std::unique_ptr<kept_connection> link)
     {
         auto &pool = idle[peer];
--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -1,5 +1,6 @@
 #include "net/http_listener.h"
 
+#include <list>
 #include <optional>
 #include <utility>
 
@@ -10,6 +11,7 @@
 
 #include "base/errors.h"
 #include "net/event_loop_impl.h"
+#include "net/socket_peek.h"
 
 namespace zinniabarrow::net {
 
@@ -18,6 +20,12 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+namespace {
+
+class connection;
+
+} // namespace
+
 struct http_listener::shared_state
 {
     shared_state(event_loop &eventLoop, const listener_limits &bounds, handler handle)
@@ -31,7 +39,7 @@
     listener_limits limits;
     handler serve;
     tcp::acceptor acceptor;
-    std::size_t connections = 0;
+    std::list<connection *> open;
     std::size_t inFlight = 0;
     bool closing = false;
 };
@@ -42,6 +50,8 @@
 // is sent again after a second.
 constexpr int Backlog = 1024;
 
+enum class connection_phase { Idle, Reading, Answering, Writing };
+
 class connection : public std::enable_shared_from_this<connection>
 {
 public:
@@ -49,14 +59,23 @@
         : m_stream(std::move(socket))
         , m_state(std::move(state))
     {
-        ++m_state->connections;
+        m_place = m_state->open.insert(m_state->open.end(), this);
     }
-    ~connection() { --m_state->connections; }
+    ~connection() { m_state->open.erase(m_place); }
     connection(const connection &) = delete;
     connection &operator=(const connection &) = delete;
 
+    connection_phase phase() const
+    {
+        // A head that came in part stays in the buffer.
+        const bool begun = m_buffer.size() > 0;
+        return m_phase == connection_phase::Idle && begun ? connection_phase::Reading : m_phase;
+    }
+    bool hasUnreadBytes() { return peek(m_stream.socket()) == socket_peek::Bytes; }
+
     void read()
     {
+        m_phase = connection_phase::Idle;
         m_parser.emplace();
         m_parser->body_limit(m_state->limits.bodyBytes);
         m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.headerBytes));
@@ -72,6 +91,7 @@
     {
         if (failure || m_parser->is_done())
             return requestRead(failure);
+        m_phase = connection_phase::Reading;
         makeRoomForBody(m_buffer, *m_parser);
         auto self = shared_from_this();
         http::async_read(m_stream, m_buffer, *m_parser,
@@ -99,6 +119,7 @@
         dropLargeRoom(m_buffer);
         m_stream.expires_never();
         ++m_state->inFlight;
+        m_phase = connection_phase::Answering;
         auto self = shared_from_this();
         m_state->serve(std::move(request),
                        [self](http_response answer) { self->answered(std::move(answer)); });
@@ -112,6 +133,7 @@
 
     void write(http_response answer)
     {
+        m_phase = connection_phase::Writing;
         m_answer.emplace();
         m_answer->version(11);
         m_answer->result(static_cast<unsigned>(answer.status));
@@ -149,6 +171,8 @@
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::optional<http::response<http::string_body>> m_answer;
+    std::list<connection *>::iterator m_place;
+    connection_phase m_phase = connection_phase::Idle;
     bool m_keepAlive = true;
 };
 
@@ -157,7 +181,7 @@
     state->acceptor.async_accept([state](const beast::error_code &failure, tcp::socket socket) {
         if (failure == asio::error::operation_aborted)
             return;
-        if (!failure && state->connections < state->limits.connections) {
+        if (!failure && state->open.size() < state->limits.connections) {
             beast::error_code ignored; // without it answers are only slower
             socket.set_option(tcp::no_delay(true), ignored);
             std::make_shared<connection>(std::move(socket), state)->read();
@@ -202,6 +226,29 @@
     return m_state->inFlight;
 }
 
+listener_activity http_listener::activity() const
+{
+    listener_activity seen;
+    for (auto *one : m_state->open) {
+        switch (one->phase()) {
+        case connection_phase::Idle:
+            ++seen.idle;
+            seen.unread += one->hasUnreadBytes() ? 1 : 0;
+            break;
+        case connection_phase::Reading:
+            ++seen.reading;
+            break;
+        case connection_phase::Answering:
+            ++seen.answering;
+            break;
+        case connection_phase::Writing:
+            ++seen.writing;
+            break;
+        }
+    }
+    return seen;
+}
+
 socket_address http_listener::address() const
 {
     const auto where = m_state->acceptor.local_endpoint();
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -21,6 +21,16 @@
     milliseconds writeWithin{10'000};    // an answer is taken whole within this
 };
 
+// What the open connections are at, at one moment.
+struct listener_activity
+{
+    std::size_t idle = 0;      // nothing of a next request was read
+    std::size_t unread = 0;    // of the idle ones: bytes wait in the socket
+    std::size_t reading = 0;   // a request was read in part
+    std::size_t answering = 0; // a request is whole and has no answer yet
+    std::size_t writing = 0;   // an answer isn't out
+};
+
 using responder = std::function<void(http_response)>; // called once, at any later time
 
 class http_listener
@@ -36,7 +46,8 @@
     http_listener &operator=(const http_listener &) = delete;
 
     void announceClose(bool closing); // answers carry "Connection: close" from now on
-    std::size_t inFlight() const;     // requests read and not yet answered whole
+    std::size_t inFlight() const;     // requests read and not yet answered
+    listener_activity activity() const;
     socket_address address() const;
 
     struct shared_state;
--- /dev/null
+++ b/tests/loop_lateness_test.cpp
@@ -0,0 +1,28 @@
+// How far behind an event loop counts as being.
+#include <criterion/criterion.h>
+
+#include "net/loop_lateness.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using zinniabarrow::net::loop_lateness;
+using zinniabarrow::tests::section;
+
+Test(loop_lateness, worst_of_the_last_seconds)
+{
+    const time_point start{seconds(1000)};
+    loop_lateness lateness;
+    section("nothing fired yet", [&] { check(lateness.worst(start) == duration{}); });
+    section("the worst counts, not the last", [&] {
+        lateness.fired(start, start + milliseconds(300));
+        lateness.fired(start + milliseconds(350), start + milliseconds(360));
+        check(lateness.worst(start + milliseconds(400)) == milliseconds(300));
+    });
+    section("it is forgotten after two windows at most", [&] {
+        check(lateness.worst(start + milliseconds(1400)) == milliseconds(300));
+        lateness.fired(start + milliseconds(1500), start + milliseconds(1520));
+        check(lateness.worst(start + milliseconds(2600)) == milliseconds(20));
+    });
+    section("a loop at which nothing fired for long is not behind",
+            [&] { check(lateness.worst(start + seconds(60)) == duration{}); });
+}
