A test of requests that reach a leaving entry which is behind fails

An entry is told to stop, stands still from 2.5 to 4.7 s after that, and finds requests in its sockets when it goes on: 8 on connections that were kept open and 4 on ones that wait to be accepted.

--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -9,12 +9,15 @@
 #include <fmt/core.h>
 
 #include "base/json.h"
+#include "kept_caller.h"
 #include "section.h"
 #include "standins/fleet.h"
 #include "standins/job_site.h"
 
 using namespace zinniabarrow;
 using namespace zinniabarrow::standins;
+using zinniabarrow::tests::kept_caller;
+using zinniabarrow::tests::request_fate;
 using zinniabarrow::tests::section;
 
 namespace {
@@ -89,6 +92,8 @@
                           at(0, 9001 + index), at(0, 9000)));
     }
 
+    std::string callersAddress(int entry) const { return at(2 + entry, CallersPort); }
+
     std::optional<http_response> call(int entry, const std::string &method, const std::string &job,
                                       const std::string &body = "")
     {
@@ -582,3 +587,49 @@
     check(on.entry(0).waitForExit(SoonEnough) == 0);
     checkNothingWrong(on, on.site());
 }
+
+// A caller sends a request to an entry that has been leaving for seconds, and its connection is
+// closed without an answer. The entry was behind at the moment at which it judged whether anything
+// was open: what had arrived stood in its sockets, or was read and not worked through.
+Test(process_jobs, requests_that_reach_a_leaving_entry_which_is_behind)
+{
+    system_under_test on;
+    on.site().workLasts(milliseconds(600'000));
+    require(on.handIn(0, "ffff000000000003"));
+    std::vector<std::unique_ptr<kept_caller>> callers;
+    const auto connectMore = [&](int count) {
+        for (int each = 0; each < count; ++each) {
+            callers.push_back(std::make_unique<kept_caller>(on.callersAddress(0)));
+            require(callers.back()->isOpen());
+        }
+    };
+    connectMore(8);
+    for (const auto &caller : callers) {
+        require(caller->send("GET", "/holds/"));
+        require(caller->readAnswer() == 200);
+    }
+    on.site().turnAway(true); // nobody can take its jobs over: the stop lasts its whole time
+    on.entry(0).signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(2500));
+    section("it stands still until its jobs need not be waited for any more", [&] {
+        on.entry(0).signal(SIGSTOP);
+        connectMore(4); // these wait to be accepted
+        int number = 0;
+        for (const auto &caller : callers) {
+            require(caller->isOpen());
+            require(caller->send("POST", fmt::format("/holds/fffe{:012}", number++),
+                                 R"({"spec":"","steps":[{"count":1,"cpu":1000}]})"));
+        }
+        std::this_thread::sleep_for(milliseconds(2200));
+        on.entry(0).signal(SIGCONT);
+    });
+    section("each request is answered all the same", [&] {
+        int cutOff = 0;
+        for (const auto &caller : callers)
+            cutOff += caller->fate() == request_fate::CutOff ? 1 : 0;
+        check(cutOff == 0);
+    });
+    check(on.entry(0).waitForExit(SoonEnough) == 0);
+    on.site().turnAway(false);
+    checkNothingWrong(on, on.site());
+}
