A planned stop ends each connection by itself, and the process once none is left

What callers saw: a connection closed without an answer 0.3 to 0.5 s after their request, sent 2.8 to 4.1 s after their entry was told to stop.

Cause: the entry ended when no request had been open for 0.2 s, counted from the moment at which a request is worked through. An entry that is behind has requests in its sockets, among connections that wait to be accepted, or read with their callbacks queued behind the timer that looks; it counted none of them. Its answers counted as given before their bytes were out.

Now quiet is not judged at all. When nothing is owned any more the listener drains: it accepts what waits and no more, cancels the read of each connection that waits for a request, and the outcome of that read tells whether anything was taken from the socket; a connection with nothing ends, any other ends with its answer. The process ends when none is left. What can't be answered in time gets 504, what comes later 503, before the kill at 6 s; a step is taken early by as much as the loop's timers are late, up to 0.5 s, since a loop that stood still once is not behind by that much again.

Ruled out: a longer time of quiet, which an entry that is further behind outlasts; closing idle connections by what a peek shows, since bytes may have been taken from the socket by a read whose callback has not run.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -10,6 +10,7 @@
 #include "app/job_tables.h"
 #include "app/job_view.h"
 #include "app/lease_watcher.h"
+#include "app/planned_stop.h"
 #include "app/process.h"
 #include "app/row_store.h"
 #include "app/table_follower.h"
@@ -41,9 +42,7 @@
 constexpr milliseconds PeerTimeout{350};
 constexpr milliseconds AnswerWithin{2600}; // below the callers' usual patience of 3 s
 constexpr milliseconds ReportWithin{1500};
-constexpr milliseconds DrainAtMost{4000};    // then the others take over what is still owned
-constexpr milliseconds StopWithin{5200};     // below the 6 s after which a process is killed
-constexpr milliseconds QuietBeforeStop{200}; // requests that have arrived are read within this
+constexpr milliseconds StopLookEvery{50};
 constexpr milliseconds LogFlushEvery{100};
 constexpr milliseconds KeepFinal{180'000};      // callers may ask for 120 s
 constexpr milliseconds StoreSilentAtMost{2500}; // then this entry is not ready
@@ -220,7 +219,7 @@
         Json::Value value(Json::objectValue);
         value["entry"] = m_settings.id;
         value["row"] = toText(m_row);
-        value["leaving"] = m_leaving;
+        value["leaving"] = isLeaving();
         value["configuration"] = Json::Int64(m_configuration.version());
         return value;
     }
@@ -260,7 +259,7 @@
     // Jobs whose owner is gone, or was an earlier life of this entry.
     void takeOver()
     {
-        if (!m_jobsKnown || m_leaving)
+        if (!m_jobsKnown || isLeaving())
             return;
         const auto now = suspendAwareNow();
         for (const auto &[id, known] : m_view.jobs()) {
@@ -460,6 +459,8 @@
         const auto path = request.path();
         if (path == "/metrics")
             return respond({200, {{"Content-Type", "text/plain"}}, m_metrics.text()});
+        if (hasGivenUp())
+            return respond(refusal(503, "leaving"));
         if (path.starts_with(StoreRelayPath))
             return m_store.relay(std::move(request), std::move(respond));
         if (!m_book)
@@ -559,12 +560,14 @@
     {
         return m_configuration.queues() != nullptr
                && m_configuration.standing() != configuration_standing::Outdated
-               && m_configuration.isConfirmed() && m_jobsKnown && !m_leaving
+               && m_configuration.isConfirmed() && m_jobsKnown && !isLeaving()
                && suspendAwareNow() - m_store.lastAnswerAt() < StoreSilentAtMost;
     }
 
     void serveCaller(http_request request, responder respond)
     {
+        if (hasGivenUp())
+            return refuseLeaving(request, respond);
         const auto *queues = m_configuration.queues();
         if (queues == nullptr)
             return respond(counted(503, "no_configuration"));
@@ -610,7 +613,7 @@
         const auto *known = m_view.find(id);
         if (known != nullptr)
             return respond({200, {}, platform_wire::stateBody(known->state)});
-        if (m_leaving)
+        if (isLeaving())
             return passOn(std::move(request), std::move(respond));
         // Nothing can be stored now: said at once, before anything was tried.
         if (!m_store.reachable())
@@ -676,7 +679,7 @@
     {
         if (m_view.find(id) != nullptr)
             return respond({200, {}, ""});
-        if (!m_jobsKnown || m_leaving || !m_store.reachable())
+        if (!m_jobsKnown || isLeaving() || !m_store.reachable())
             return respond(refusal(503, "not_now"));
         const auto job = handedJobFrom(body);
         accept(id, specOf(job), job.record.policy, std::move(respond));
@@ -696,9 +699,6 @@
     // Whoever answers first; at the end of `within` the outcome is unknown, and 504 says so.
     responder onceWithin(milliseconds within, responder respond)
     {
-        // A process that leaves answers before it ends.
-        if (m_leaving)
-            within = std::min(within, std::max(QuietBeforeStop, untilDrained()));
         auto open = std::make_shared<responder>(std::move(respond));
         const auto answer = [open](http_response response) {
             if (*open)
@@ -711,16 +711,11 @@
         return answer;
     }
 
-    milliseconds untilDrained() const
-    {
-        return std::chrono::duration_cast<milliseconds>(m_drainUntil - suspendAwareNow());
-    }
-
     // A leaving entry accepts nothing: an entry that stays gets the request as it is.
     void passOn(http_request request, responder respond)
     {
         const auto now = suspendAwareNow();
-        const auto within = std::min(AnswerWithin, untilDrained());
+        const auto within = std::min<duration>(AnswerWithin, m_stop->answersBy() - now);
         for (const auto &[name, known] : m_directory.entries()) {
             if (within < PeerTimeout)
                 break; // no time is left to hear what became of it
@@ -741,6 +736,11 @@
                                                   : counted(503, "leaving"));
                                  });
         }
+        refuseLeaving(request, respond);
+    }
+
+    void refuseLeaving(const http_request &request, const responder &respond)
+    {
         m_log.note("request_refused", {{"path", request.path()}, {"why", "leaving"}});
         respond(counted(503, "leaving"));
     }
@@ -858,6 +858,9 @@
 
     // --- Planned stop.
 
+    bool isLeaving() const { return m_stop.has_value(); }
+    bool hasGivenUp() const { return m_stop && m_stop->hasGivenUp(); }
+
     // What the end of the process cuts off, and how far behind it was.
     void noteStopped()
     {
@@ -874,14 +877,10 @@
 
     void drain()
     {
-        m_leaving = true;
-        const auto now = suspendAwareNow();
-        m_drainUntil = now + DrainAtMost;
-        m_stopBy = now + StopWithin;
-        m_quietFrom = now;
+        m_stop.emplace(suspendAwareNow());
         m_log.note("drain_started", {{"owned", m_book ? m_book->ownedUnfinished() : 0},
                                      {"late_ms", millisecondsIn(m_loop.lateness())}});
-        m_callers.announceClose(true);
+        m_callers.announceClose();
         if (m_book)
             pingAll(); // the others take the jobs over at once
         drainOn();
@@ -889,17 +888,42 @@
 
     void drainOn()
     {
-        const bool empty =
-                !m_book || m_book->ownedUnfinished() == 0 || m_directory.entries().empty();
-        const auto now = suspendAwareNow();
-        if (m_callers.inFlight() > 0)
-            m_quietFrom = now;
-        const bool done = (empty && m_internal.inFlight() == 0) || now >= m_drainUntil;
-        // A request that was read and gets no answer tells its caller nothing, not even whether it
-        // may try again.
-        if ((done && now - m_quietFrom >= QuietBeforeStop) || now >= m_stopBy)
-            return m_loop.stop();
-        m_loop.after(milliseconds(50), [this] { drainOn(); });
+        const bool heirs = m_book && !m_directory.entries().empty();
+        const stop_needs needs{heirs && m_book->ownedUnfinished() > 0,
+                               !m_callers.drained() || !m_internal.drained()};
+        const auto step = m_stop->look(needs, m_loop.lateness(), suspendAwareNow());
+        if (step != m_stopStep)
+            carryOut(step);
+        if (step != stop_step::End)
+            m_loop.after(StopLookEvery, [this] { drainOn(); });
+    }
+
+    void carryOut(stop_step step)
+    {
+        m_stopStep = step;
+        const auto callers = m_callers.activity();
+        m_log.note("stop_step", {{"step", nameOf(step)},
+                                 {"owned", m_book ? m_book->ownedUnfinished() : 0},
+                                 {"callers_idle", callers.idle},
+                                 {"callers_reading", callers.reading},
+                                 {"callers_answering", callers.answering},
+                                 {"callers_writing", callers.writing},
+                                 {"late_ms", millisecondsIn(m_loop.lateness())}});
+        switch (step) {
+        case stop_step::HandOver:
+            break;
+        case stop_step::Finish:
+            m_callers.drain();
+            m_internal.drain();
+            break;
+        case stop_step::GiveUp:
+            m_callers.answerAll(counted(504, "outcome_unknown"));
+            m_internal.answerAll(refusal(504, "outcome_unknown"));
+            break;
+        case stop_step::End:
+            m_loop.stop();
+            break;
+        }
     }
 
     job_entry_settings m_settings;
@@ -924,10 +948,8 @@
     std::int64_t m_nextToken = 1;
     bool m_jobsKnown = false;
     bool m_pumping = false;
-    bool m_leaving = false;
-    time_point m_drainUntil{}; // owned jobs are handed on
-    time_point m_stopBy{};     // the process ends, whatever is open
-    time_point m_quietFrom{};  // no caller's request has been open since
+    std::optional<planned_stop> m_stop;
+    stop_step m_stopStep = stop_step::HandOver; // that was carried out
     net::http_listener m_internal;
     net::http_listener m_ready;
     net::http_listener m_callers;
--- /dev/null
+++ b/app/planned_stop.cpp
@@ -0,0 +1,55 @@
+#include "app/planned_stop.h"
+
+#include <algorithm>
+
+#include "base/names.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+constexpr name_table<stop_step, 4> StepNames{{
+        {stop_step::HandOver, "hand_over"},
+        {stop_step::Finish, "finish"},
+        {stop_step::GiveUp, "give_up"},
+        {stop_step::End, "end"},
+}};
+
+} // namespace
+
+std::string_view nameOf(stop_step step)
+{
+    return nameOf(StepNames, step);
+}
+
+planned_stop::planned_stop(time_point begunAt)
+    : m_handOverBy(begunAt + HandOverWithin)
+    , m_giveUpAt(begunAt + GiveUpAfter)
+    , m_endBy(begunAt + EndWithin)
+{ }
+
+stop_step planned_stop::look(const stop_needs &needs, duration lateness, time_point now)
+{
+    const auto nextLook = now + std::min<duration>(lateness, LatestLook);
+    switch (m_step) {
+    case stop_step::HandOver:
+        if (!needs.owns || nextLook >= m_handOverBy)
+            m_step = stop_step::Finish;
+        break;
+    case stop_step::Finish:
+        if (!needs.answering)
+            m_step = stop_step::End;
+        else if (nextLook >= m_giveUpAt)
+            m_step = stop_step::GiveUp;
+        break;
+    case stop_step::GiveUp:
+        if (!needs.answering || nextLook >= m_endBy)
+            m_step = stop_step::End;
+        break;
+    case stop_step::End:
+        break;
+    }
+    return m_step;
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/app/planned_stop.h
@@ -0,0 +1,53 @@
+// The steps of a process that was told to stop, from the signal to its end. Decides, does nothing.
+#pragma once
+
+#include <string_view>
+
+#include "base/time.h"
+
+namespace zinniabarrow {
+
+enum class stop_step {
+    HandOver, // others take over what this process owns; requests are taken as they come
+    Finish,   // no new connections; what has come on the open ones is answered
+    GiveUp,   // what has no answer yet is told that its outcome is unknown
+    End,      // the process ends, whatever is open
+};
+
+std::string_view nameOf(stop_step step);
+
+// What there is still to do.
+struct stop_needs
+{
+    bool owns = false;      // something that others should take over
+    bool answering = false; // connections are open
+};
+
+class planned_stop
+{
+public:
+    // A killed process cuts off everything: all steps are over 6 s after the signal.
+    static constexpr milliseconds HandOverWithin{4000};
+    static constexpr milliseconds GiveUpAfter{5200};
+    static constexpr milliseconds EndWithin{5700};
+    // A loop that was held up once is not behind by that much again.
+    static constexpr milliseconds LatestLook{500};
+
+    explicit planned_stop(time_point begunAt);
+
+    // One step further at most. `lateness`: of the next look, if it is as late as the ones before;
+    // a step that can't wait for it is taken now.
+    stop_step look(const stop_needs &needs, duration lateness, time_point now);
+
+    // What is asked of others for a caller is not waited for any longer.
+    time_point answersBy() const { return m_giveUpAt; }
+    bool hasGivenUp() const { return m_step >= stop_step::GiveUp; }
+
+private:
+    stop_step m_step = stop_step::HandOver;
+    time_point m_handOverBy;
+    time_point m_giveUpAt;
+    time_point m_endBy;
+};
+
+} // namespace zinniabarrow
--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -41,7 +41,8 @@
     tcp::acceptor acceptor;
     std::list<connection *> open;
     std::size_t inFlight = 0;
-    bool closing = false;
+    bool closing = false;  // each connection ends with its next answer
+    bool draining = false; // and those that wait for a request end at once
 };
 
 namespace {
@@ -50,7 +51,7 @@
 // is sent again after a second.
 constexpr int Backlog = 1024;
 
-enum class connection_phase { Idle, Reading, Answering, Writing };
+enum class connection_phase { Idle, Reading, Answering, Writing, Ended };
 
 class connection : public std::enable_shared_from_this<connection>
 {
@@ -61,7 +62,7 @@
     {
         m_place = m_state->open.insert(m_state->open.end(), this);
     }
-    ~connection() { m_state->open.erase(m_place); }
+    ~connection() { end(); }
     connection(const connection &) = delete;
     connection &operator=(const connection &) = delete;
 
@@ -79,6 +80,33 @@
         m_parser.emplace();
         m_parser->body_limit(m_state->limits.bodyBytes);
         m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.headerBytes));
+        readHead();
+    }
+
+    // Bytes may have been taken from the socket for a read whose callback waits its turn: only the
+    // outcome of the read tells, and a read that is cancelled has taken none.
+    void endIfIdle()
+    {
+        beast::error_code ignored; // no read is out on a broken connection
+        if (m_phase == connection_phase::Idle)
+            m_stream.socket().cancel(ignored);
+    }
+
+    void answerNow(const http_response &answer) { answered(m_exchange, answer); }
+
+private:
+    void end()
+    {
+        if (m_phase == connection_phase::Ended)
+            return;
+        m_phase = connection_phase::Ended;
+        m_state->open.erase(m_place);
+        beast::error_code ignored; // nothing is left to send
+        m_stream.socket().close(ignored);
+    }
+
+    void readHead()
+    {
         m_stream.expires_after(m_state->limits.idleAtMost);
         auto self = shared_from_this();
         http::async_read_header(
@@ -86,9 +114,10 @@
                 [self](const beast::error_code &failure, std::size_t) { self->headRead(failure); });
     }
 
-private:
     void headRead(const beast::error_code &failure)
     {
+        if (failure == asio::error::operation_aborted && m_state->draining)
+            return readCancelled();
         if (failure || m_parser->is_done())
             return requestRead(failure);
         m_phase = connection_phase::Reading;
@@ -100,6 +129,15 @@
                          });
     }
 
+    void readCancelled()
+    {
+        if (m_phase == connection_phase::Ended)
+            return;
+        if (m_buffer.size() == 0 && peek(m_stream.socket()) != socket_peek::Bytes)
+            return end();
+        readHead();
+    }
+
     void requestRead(const beast::error_code &failure)
     {
         if (failure == http::error::body_limit) {
@@ -107,7 +145,7 @@
             return write({413, {}, R"({"error":"request_too_large"})"});
         }
         if (failure)
-            return; // closed or malformed: the socket goes with this object
+            return end(); // closed or malformed
         auto message = m_parser->release();
         m_keepAlive = message.keep_alive();
         http_request request;
@@ -121,12 +159,16 @@
         ++m_state->inFlight;
         m_phase = connection_phase::Answering;
         auto self = shared_from_this();
-        m_state->serve(std::move(request),
-                       [self](http_response answer) { self->answered(std::move(answer)); });
+        m_state->serve(std::move(request), [self, exchange = ++m_exchange](http_response answer) {
+            self->answered(exchange, std::move(answer));
+        });
     }
 
-    void answered(http_response answer)
+    // Ignores all but the first answer to the present request.
+    void answered(std::uint64_t exchange, http_response answer)
     {
+        if (exchange != m_exchange || m_phase != connection_phase::Answering)
+            return;
         --m_state->inFlight;
         write(std::move(answer));
     }
@@ -157,11 +199,11 @@
     {
         m_answer.reset();
         if (failure)
-            return;
+            return end();
         if (!keep) {
             beast::error_code ignored; // the peer may have closed first; nothing is left to send
             m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-            return;
+            return end();
         }
         read();
     }
@@ -173,20 +215,44 @@
     std::optional<http::response<http::string_body>> m_answer;
     std::list<connection *>::iterator m_place;
     connection_phase m_phase = connection_phase::Idle;
+    std::uint64_t m_exchange = 0; // number of the present request
     bool m_keepAlive = true;
 };
 
+void take(tcp::socket socket, const std::shared_ptr<http_listener::shared_state> &state)
+{
+    if (state->open.size() >= state->limits.connections)
+        return;
+    beast::error_code ignored; // without it answers are only slower
+    socket.set_option(tcp::no_delay(true), ignored);
+    const auto taken = std::make_shared<connection>(std::move(socket), state);
+    taken->read();
+    if (state->draining)
+        taken->endIfIdle();
+}
+
+// Connections that were made and wait to be accepted; those that come later are refused.
+void takeLast(const std::shared_ptr<http_listener::shared_state> &state)
+{
+    beast::error_code failure;
+    state->acceptor.non_blocking(true, failure);
+    while (!failure) {
+        auto socket = state->acceptor.accept(failure);
+        if (!failure)
+            take(std::move(socket), state);
+    }
+    state->acceptor.close(failure);
+}
+
 void acceptNext(const std::shared_ptr<http_listener::shared_state> &state)
 {
     state->acceptor.async_accept([state](const beast::error_code &failure, tcp::socket socket) {
-        if (failure == asio::error::operation_aborted)
-            return;
-        if (!failure && state->open.size() < state->limits.connections) {
-            beast::error_code ignored; // without it answers are only slower
-            socket.set_option(tcp::no_delay(true), ignored);
-            std::make_shared<connection>(std::move(socket), state)->read();
-        }
-        acceptNext(state);
+        if (!failure)
+            take(std::move(socket), state);
+        if (state->draining && state->acceptor.is_open())
+            return takeLast(state);
+        if (state->acceptor.is_open())
+            acceptNext(state);
     });
 }
 
@@ -216,9 +282,30 @@
     m_state->acceptor.close(ignored);
 }
 
-void http_listener::announceClose(bool closing)
+void http_listener::announceClose()
 {
-    m_state->closing = closing;
+    m_state->closing = true;
+}
+
+void http_listener::drain()
+{
+    m_state->closing = true;
+    m_state->draining = true;
+    beast::error_code ignored; // no accept is out on a broken socket
+    m_state->acceptor.cancel(ignored);
+    for (auto *one : m_state->open)
+        one->endIfIdle();
+}
+
+bool http_listener::drained() const
+{
+    return m_state->draining && !m_state->acceptor.is_open() && m_state->open.empty();
+}
+
+void http_listener::answerAll(const http_response &answer)
+{
+    for (auto *one : m_state->open)
+        one->answerNow(answer);
 }
 
 std::size_t http_listener::inFlight() const
@@ -244,6 +331,8 @@
         case connection_phase::Writing:
             ++seen.writing;
             break;
+        case connection_phase::Ended:
+            break;
         }
     }
     return seen;
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -45,8 +45,13 @@
     http_listener(const http_listener &) = delete;
     http_listener &operator=(const http_listener &) = delete;
 
-    void announceClose(bool closing); // answers carry "Connection: close" from now on
-    std::size_t inFlight() const;     // requests read and not yet answered
+    void announceClose(); // answers carry "Connection: close" from now on
+    // Takes no more connections than those that wait to be accepted. Each ends once what has come
+    // on it is answered: at once where nothing has.
+    void drain();
+    bool drained() const;                        // after drain(): no connection is open any more
+    void answerAll(const http_response &answer); // each request that has no answer yet
+    std::size_t inFlight() const;                // requests read and not yet answered
     listener_activity activity() const;
     socket_address address() const;
 
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -1,15 +1,20 @@
-// The server on the event loop: what becomes of large requests.
+// The server on the event loop: what becomes of large requests, and of those that come as it ends.
+#include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <criterion/criterion.h>
 
+#include "kept_caller.h"
 #include "net/event_loop.h"
 #include "net/http_caller.h"
 #include "net/http_listener.h"
 #include "section.h"
 
 using namespace zinniabarrow;
+using zinniabarrow::tests::kept_caller;
+using zinniabarrow::tests::request_fate;
 using zinniabarrow::tests::section;
 
 namespace {
@@ -45,6 +50,61 @@
     return result;
 }
 
+// A server that is told to drain while its callers are at different points.
+class draining_server
+{
+public:
+    draining_server()
+        : m_listener(m_loop, {"127.0.0.1", 0}, {},
+                     [this](const http_request &request, net::responder respond) {
+                         if (request.target == "/slow")
+                             m_open.push_back(std::move(respond));
+                         else
+                             respond({200, {}, "done"});
+                     })
+    { }
+
+    std::string address() const { return toText(m_listener.address()); }
+    net::http_listener &listener() { return m_listener; }
+    std::vector<net::responder> &open() { return m_open; } // of requests for /slow
+
+    // Runs `then` as one callback, as soon as `condition` holds: nothing is read in between.
+    using predicate = std::function<bool()>;
+    void when(predicate condition, std::function<void()> then)
+    {
+        m_loop.after(milliseconds(1),
+                     [this, condition = std::move(condition), then = std::move(then)]() mutable {
+                         if (condition())
+                             return then();
+                         when(std::move(condition), std::move(then));
+                     });
+    }
+    void whenIdle(std::size_t connections, std::function<void()> then)
+    {
+        when([this, connections] { return m_listener.activity().idle == connections; },
+             std::move(then));
+    }
+
+    // True when it has drained; false when it does not for long.
+    bool runUntilDrained()
+    {
+        bool drained = false;
+        when([this] { return m_listener.drained(); },
+             [&] {
+                 drained = true;
+                 m_loop.stop();
+             });
+        m_loop.after(seconds(20), [this] { m_loop.stop(); });
+        m_loop.run([](const std::exception &) {});
+        return drained;
+    }
+
+private:
+    net::event_loop m_loop;
+    std::vector<net::responder> m_open;
+    net::http_listener m_listener;
+};
+
 } // namespace
 
 // A caller sends a body that is larger than the limit, and its first bytes come together with the
@@ -63,3 +123,92 @@
         check(seen.status == 413);
     });
 }
+
+// A caller's connection is closed without an answer. What was asked when the process judged that
+// nothing is open had arrived before, and wasn't read or wasn't worked through.
+Test(http_listener, requests_that_came_before_it_drains)
+{
+    section("on an idle connection, in its socket", [] {
+        draining_server server;
+        kept_caller caller(server.address());
+        server.whenIdle(1, [&] {
+            caller.send("POST", "/quick", "body");
+            server.listener().drain();
+        });
+        check(server.runUntilDrained());
+        check(caller.readAnswer() == 200);
+    });
+    section("on a connection that waits to be accepted", [] {
+        draining_server server;
+        std::optional<kept_caller> caller;
+        server.whenIdle(0, [&] {
+            caller.emplace(server.address());
+            caller->send("POST", "/quick", "body");
+            server.listener().drain();
+        });
+        check(server.runUntilDrained());
+        check(caller->readAnswer() == 200);
+    });
+    section("in part, and the rest comes later", [] {
+        draining_server server;
+        kept_caller caller(server.address());
+        server.whenIdle(1, [&] {
+            caller.sendText("POST /quick HTTP/1.1\r\nContent-Le");
+            server.listener().drain();
+            server.when([&] { return server.listener().activity().reading == 1; },
+                        [&] { caller.sendText("ngth: 4\r\n\r\nbody"); });
+        });
+        check(server.runUntilDrained());
+        check(caller.readAnswer() == 200);
+    });
+    section("and whose answer takes its time", [] {
+        draining_server server;
+        kept_caller caller(server.address());
+        caller.send("POST", "/slow");
+        server.when([&] { return server.open().size() == 1; },
+                    [&] {
+                        server.listener().drain();
+                        server.when([&] { return !server.listener().drained(); },
+                                    [&] {
+                                        server.open()[0]({200, {}, "done"});
+                                    });
+                    });
+        check(server.runUntilDrained());
+        check(caller.readAnswer() == 200);
+    });
+}
+
+// Callers wait for their whole time on a connection that nobody reads any more.
+Test(http_listener, drained)
+{
+    section("idle connections end, and new ones are refused", [] {
+        draining_server server;
+        const auto address = server.address();
+        kept_caller quiet(address);
+        kept_caller served(address);
+        served.send("GET", "/quick");
+        server.when([&] { return !served.isOpen(); }, // its answer has come
+                    [&] {
+                        check(served.readAnswer() == 200);
+                        server.whenIdle(2, [&] { server.listener().drain(); });
+                    });
+        check(server.runUntilDrained());
+        check(!quiet.isOpen());
+        check(!served.isOpen());
+        check(!kept_caller(address).isOpen());
+    });
+    section("a request that is given up gets one answer", [] {
+        draining_server server;
+        kept_caller caller(server.address());
+        caller.send("POST", "/slow");
+        server.when([&] { return server.open().size() == 1; },
+                    [&] {
+                        server.listener().drain();
+                        server.listener().answerAll({504, {}, ""});
+                        server.open()[0]({200, {}, "too late"});
+                    });
+        check(server.runUntilDrained());
+        check(caller.readAnswer() == 504);
+        check(caller.fate() == request_fate::CutOff);
+    });
+}
