Requests about jobs stand apart from the entry's process

What callers and other entries ask about jobs is a class of its own, with what it works on given to its constructor; what waits for a write of the book stands once.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -7,6 +7,7 @@
 
 #include "app/configuration_follower.h"
 #include "app/entry_directory.h"
+#include "app/job_requests.h"
 #include "app/job_tables.h"
 #include "app/job_view.h"
 #include "app/lease_watcher.h"
@@ -17,10 +18,8 @@
 #include "base/errors.h"
 #include "base/json.h"
 #include "base/json_member.h"
-#include "jobs/come_back.h"
 #include "jobs/job_book.h"
 #include "net/http_listener.h"
-#include "platform/caller_wire.h"
 
 namespace zinniabarrow {
 
@@ -39,29 +38,11 @@
 constexpr milliseconds WatchEvery{700};    // for workers that fell silent
 constexpr milliseconds SilentWorker{3000}; // three reports were missed
 constexpr milliseconds OrderTimeout{600};  // an agent answers without asking its worker
-constexpr milliseconds PeerTimeout{350};
-constexpr milliseconds AnswerWithin{2600}; // below the callers' usual patience of 3 s
 constexpr milliseconds ReportWithin{1500};
 constexpr milliseconds StopLookEvery{50};
 constexpr milliseconds LogFlushEvery{100};
 constexpr milliseconds KeepFinal{180'000};      // callers may ask for 120 s
 constexpr milliseconds StoreSilentAtMost{2500}; // then this entry is not ready
-constexpr seconds StartsWithin{1};              // an entry has read all jobs by then
-
-std::int64_t wallMs()
-{
-    return std::chrono::duration_cast<milliseconds>(
-                   std::chrono::system_clock::now().time_since_epoch())
-            .count();
-}
-
-http_response refusal(int status, const char *reason, seconds comeBack = StartsWithin)
-{
-    http_response answer{status, {}, std::string(R"({"error":")") + reason + "\"}"};
-    if (status == 429 || status == 503)
-        answer.headers["Retry-After"] = std::to_string(comeBack.count());
-    return answer;
-}
 
 class entry_process
 {
@@ -83,6 +64,9 @@
         , m_directory(m_settings.id, m_startedAt)
         , m_leases(m_loop, m_store, m_metrics, m_log, m_settings.id,
                    [this](const auto &worker, auto epoch) { takeEpoch(worker, epoch); })
+        , m_requests(m_settings.id, requestParts(),
+                     {[this] { return m_jobsKnown; }, [this](const auto &rows) { takeJobs(rows); },
+                      [this] { pumpSoon(); }})
         , m_internal(m_loop, m_settings.internal, internalLimits(),
                      [this](http_request request, responder respond) {
                          serveInternal(request, std::move(respond));
@@ -93,7 +77,7 @@
                   })
         , m_callers(m_loop, m_settings.callers, {},
                     [this](http_request request, responder respond) {
-                        serveCaller(std::move(request), std::move(respond));
+                        m_requests.serve(std::move(request), std::move(respond));
                     })
     { }
 
@@ -120,6 +104,12 @@
         return limits;
     }
 
+    job_requests_parts requestParts()
+    {
+        return {m_loop, m_caller, m_store, m_configuration, m_directory, m_view,
+                m_book, m_waits,  m_stop,  m_metrics,       m_log};
+    }
+
     // --- Start: a new incarnation, the other entries, all jobs.
 
     void enter()
@@ -349,9 +339,6 @@
                        });
     }
 
-    // Its key says all.
-    static row cancelNotice(const std::string &id) { return {cancelRow(id), "{}", 0, false}; }
-
     void rowOutcome(const std::string &id, const row_store::outcome &outcome)
     {
         if (const auto *done = std::get_if<committed>(&outcome)) {
@@ -376,27 +363,19 @@
         orders[order.worker].push_back(std::move(order.order));
     }
 
-    void carryOut(stored &action, orders_by_worker & /*orders*/) { resolve(action.token, true); }
-    void carryOut(disowned &action, orders_by_worker & /*orders*/) { resolve(action.token, false); }
-
-    void carryOut(noted &action, orders_by_worker & /*orders*/)
+    void carryOut(stored &action, orders_by_worker & /*orders*/)
     {
-        m_metrics.count("job_events_total", action.event);
-        m_log.note(action.event, {{"job", action.job}, {"detail", action.detail}});
+        m_waits.resolve(action.token, true);
     }
-
-    std::int64_t newToken(std::function<void(bool)> done)
+    void carryOut(disowned &action, orders_by_worker & /*orders*/)
     {
-        const auto token = m_nextToken++;
-        m_tokens.emplace(token, std::move(done));
-        return token;
+        m_waits.resolve(action.token, false);
     }
 
-    void resolve(std::int64_t token, bool isStored)
+    void carryOut(noted &action, orders_by_worker & /*orders*/)
     {
-        auto found = m_tokens.extract(token);
-        if (!found.empty())
-            found.mapped()(isStored);
+        m_metrics.count("job_events_total", action.event);
+        m_log.note(action.event, {{"job", action.job}, {"detail", action.detail}});
     }
 
     void sendOrders(const std::string &worker, std::vector<run_order> orders)
@@ -473,8 +452,8 @@
             if (path == "/v1/report")
                 return takeReport(reportFrom(request.body), std::move(respond));
             if (path.starts_with("/v1/jobs/"))
-                return serveOwned(request, path.substr(std::string("/v1/jobs/").size()),
-                                  std::move(respond));
+                return m_requests.serveOwned(request, path.substr(std::string("/v1/jobs/").size()),
+                                             std::move(respond));
         } catch (const error &problem) {
             m_log.note("call_unreadable", {{"path", path}, {"why", problem.what()}});
             return respond(refusal(400, "bad_request"));
@@ -522,7 +501,7 @@
     void takeEnd(const std::string &worker, const run_end &end,
                  const std::shared_ptr<open_report> &state)
     {
-        const auto token = newToken([state, end](bool isStored) {
+        const auto token = m_waits.add([state, end](bool isStored) {
             if (isStored)
                 state->answer.acknowledged.emplace_back(end.task, end.run);
             if (--state->open == 0)
@@ -532,7 +511,7 @@
             return;
         // Not owned here. The end of a job that is over needs no owner any more.
         const auto *known = m_view.find(end.task.job);
-        resolve(token, known != nullptr && isFinal(known->state));
+        m_waits.resolve(token, known != nullptr && isFinal(known->state));
     }
 
     static void answerReport(open_report &state)
@@ -542,19 +521,7 @@
         state.respond({200, {}, toText(state.answer)});
     }
 
-    // Another entry asks for a job that this one owns, or hands one over.
-    void serveOwned(const http_request &request, const std::string &id, responder respond)
-    {
-        if (request.method == "POST")
-            return takeHandedOver(id, request.body, std::move(respond));
-        if (!m_book->owns(id))
-            return respond(refusal(404, "not_owned"));
-        if (request.method == "DELETE")
-            return cancelOwned(id, respond);
-        respond({200, {}, platform_wire::stateBody(m_book->storedState(id))});
-    }
-
-    // --- Callers.
+    // --- The balancer.
 
     bool isReady()
     {
@@ -564,298 +531,6 @@
                && suspendAwareNow() - m_store.lastAnswerAt() < StoreSilentAtMost;
     }
 
-    void serveCaller(http_request request, responder respond)
-    {
-        if (hasGivenUp())
-            return refuseLeaving(request, respond);
-        const auto *queues = m_configuration.queues();
-        if (queues == nullptr)
-            return respond(counted(503, "no_configuration"));
-        const auto known = m_configuration.standing();
-        if (known == configuration_standing::Outdated)
-            return respond(counted(503, "configuration_outdated"));
-        const auto target = queues->find(request.header("Host"), request.path());
-        if (!target && known == configuration_standing::Doubtful)
-            return respond(counted(503, "queue_perhaps_newer"));
-        if (!target)
-            return respond(counted(404, "unknown_queue"));
-        if (!m_book || !m_jobsKnown)
-            return respond(counted(503, "starting"));
-        const auto &policy = target->route->policy;
-        if (target->job.empty() && request.method == "GET")
-            return respond({200, {}, platform_wire::waitingBody(m_view.waitingIn(policy.queue))});
-        if (target->job.empty())
-            return respond(counted(400, "no_job_id"));
-        if (request.method == "POST")
-            return submit(target->job, policy, std::move(request), std::move(respond));
-        if (request.method == "GET")
-            return showState(target->job, std::move(respond));
-        if (request.method == "DELETE")
-            return cancel(target->job, std::move(respond));
-        respond(counted(405, "unknown_method"));
-    }
-
-    http_response counted(int status, const char *reason, seconds comeBack = StartsWithin)
-    {
-        m_metrics.count("refusals_total", reason);
-        return refusal(status, reason, comeBack);
-    }
-
-    http_response storeUnreachable()
-    {
-        return counted(503, "store_unreachable",
-                       comeBackAfter(suspendAwareNow() - m_store.lastAnswerAt()));
-    }
-
-    void submit(const std::string &id, const queue_policy &policy, http_request request,
-                responder respond)
-    {
-        const auto *known = m_view.find(id);
-        if (known != nullptr)
-            return respond({200, {}, platform_wire::stateBody(known->state)});
-        if (isLeaving())
-            return passOn(std::move(request), std::move(respond));
-        // Nothing can be stored now: said at once, before anything was tried.
-        if (!m_store.reachable())
-            return respond(logged(id, storeUnreachable()));
-        job_spec spec;
-        try {
-            spec = platform_wire::jobFrom(request.body);
-        } catch (const error &problem) {
-            m_log.note("job_refused", {{"job", id}, {"why", problem.what()}});
-            return respond(counted(400, "bad_request"));
-        }
-        const auto placer = m_directory.placerOf(policy.service, suspendAwareNow());
-        if (spec.hasLastingStep() && placer != m_settings.id && !m_book->owns(id))
-            return handOver(placer, id, spec, policy, std::move(respond));
-        accept(id, spec, policy, std::move(respond));
-    }
-
-    void accept(const std::string &id, const job_spec &spec, const queue_policy &policy,
-                responder respond)
-    {
-        auto answer = onceWithin(AnswerWithin, std::move(respond));
-        const auto token = newToken([this, answer, at = suspendAwareNow()](bool /*isStored*/) {
-            // Not stored by this entry means that another one has the job already.
-            m_metrics.observeMilliseconds("acceptance_milliseconds", millisecondsSince(at));
-            answer({200, {}, ""});
-        });
-        if (m_book->owns(id))
-            m_book->whenStored(id, token);
-        else {
-            m_log.note("job_submitted", {{"job", id}, {"queue", policy.queue}});
-            m_book->submit(id, spec, policy, wallMs(), suspendAwareNow(), token);
-        }
-        pumpSoon();
-    }
-
-    // Tasks that last are placed by one entry, which sees them all: several that place at the same
-    // moment take the same rooms, are refused, and scatter each job over many workers.
-    void handOver(const std::string &placer, const std::string &id, const job_spec &spec,
-                  const queue_policy &policy, responder respond)
-    {
-        http_request request;
-        request.method = "POST";
-        request.target = "/v1/jobs/" + id;
-        request.body = toText(handed_job{newRecord(spec, policy, wallMs()), spec.payload});
-        m_caller.call(m_directory.find(placer)->row.internal, std::move(request), PeerTimeout,
-                      [this, placer, id, spec, policy,
-                       respond = std::move(respond)](const call_result &result) {
-                          const auto *answer = std::get_if<http_response>(&result);
-                          const bool taken = answer != nullptr && answer->status == 200;
-                          m_log.note(
-                                  "job_handed_over",
-                                  {{"job", id}, {"to", placer}, {"taken", taken ? "yes" : "no"}});
-                          if (taken)
-                              return respond({200, {}, ""});
-                          // Also when it may have been taken there: the row of a job is written
-                          // once, and whoever comes second learns that it is there.
-                          m_metrics.count("jobs_not_handed_over_total", "placer_silent");
-                          accept(id, spec, policy, respond);
-                      });
-    }
-
-    void takeHandedOver(const std::string &id, const std::string &body, responder respond)
-    {
-        if (m_view.find(id) != nullptr)
-            return respond({200, {}, ""});
-        if (!m_jobsKnown || isLeaving() || !m_store.reachable())
-            return respond(refusal(503, "not_now"));
-        const auto job = handedJobFrom(body);
-        accept(id, specOf(job), job.record.policy, std::move(respond));
-    }
-
-    static double millisecondsSince(time_point at)
-    {
-        return std::chrono::duration<double, std::milli>(suspendAwareNow() - at).count();
-    }
-
-    http_response logged(const std::string &id, http_response answer)
-    {
-        m_log.note("job_refused", {{"job", id}, {"status", answer.status}, {"why", answer.body}});
-        return answer;
-    }
-
-    // Whoever answers first; at the end of `within` the outcome is unknown, and 504 says so.
-    responder onceWithin(milliseconds within, responder respond)
-    {
-        auto open = std::make_shared<responder>(std::move(respond));
-        const auto answer = [open](http_response response) {
-            if (*open)
-                std::exchange(*open, nullptr)(std::move(response));
-        };
-        m_loop.after(within, [this, answer, open] {
-            if (*open)
-                answer(counted(504, "outcome_unknown"));
-        });
-        return answer;
-    }
-
-    // A leaving entry accepts nothing: an entry that stays gets the request as it is.
-    void passOn(http_request request, responder respond)
-    {
-        const auto now = suspendAwareNow();
-        const auto within = std::min<duration>(AnswerWithin, m_stop->answersBy() - now);
-        for (const auto &[name, known] : m_directory.entries()) {
-            if (within < PeerTimeout)
-                break; // no time is left to hear what became of it
-            if (!m_directory.lives(name, now))
-                continue;
-            m_metrics.count("requests_passed_on_total", "leaving");
-            m_log.note("request_passed_on", {{"path", request.path()}, {"to", name}});
-            return m_caller.call(known.row.callers, std::move(request), within,
-                                 [this, respond](call_result result) {
-                                     if (auto *answer = std::get_if<http_response>(&result)) {
-                                         answer->headers.erase("Connection");
-                                         answer->headers.erase("Content-Length");
-                                         return respond(std::move(*answer));
-                                     }
-                                     const bool sent = std::get<call_failure>(result)
-                                                       != call_failure::NotConnected;
-                                     respond(sent ? counted(504, "outcome_unknown")
-                                                  : counted(503, "leaving"));
-                                 });
-        }
-        refuseLeaving(request, respond);
-    }
-
-    void refuseLeaving(const http_request &request, const responder &respond)
-    {
-        m_log.note("request_refused", {{"path", request.path()}, {"why", "leaving"}});
-        respond(counted(503, "leaving"));
-    }
-
-    void showState(const std::string &id, responder respond)
-    {
-        if (m_book->owns(id))
-            return respond({200, {}, platform_wire::stateBody(m_book->storedState(id))});
-        const auto *known = m_view.find(id);
-        if (known != nullptr && isFinal(known->state))
-            return respond({200, {}, platform_wire::stateBody(known->state)});
-        const auto *owner = known == nullptr ? nullptr : m_directory.find(known->owner.entry);
-        if (owner == nullptr || !m_directory.lives(known->owner.entry, suspendAwareNow()))
-            return showStoredState(id, std::move(respond));
-        http_request request;
-        request.target = "/v1/jobs/" + id;
-        m_caller.call(owner->row.internal, std::move(request), PeerTimeout,
-                      [this, id, respond](call_result result) {
-                          auto *answer = std::get_if<http_response>(&result);
-                          if (answer != nullptr && answer->status == 200)
-                              return respond({200, {}, std::move(answer->body)});
-                          showStoredState(id, respond);
-                      });
-    }
-
-    void showStoredState(const std::string &id, responder respond)
-    {
-        readJob(id, [this, id, respond](const std::optional<row_page> &page) {
-            if (page && page->rows.empty() && !m_book->owns(id))
-                return respond({410, {}, R"({"error":"unknown_job"})"});
-            const auto *known = m_view.find(id);
-            if (known != nullptr)
-                return respond({200, {}, platform_wire::stateBody(known->state)});
-            // It may exist: no answer says otherwise.
-            respond(storeUnreachable());
-        });
-    }
-
-    void readJob(const std::string &id, row_store::read_done done)
-    {
-        m_store.read(JobsTable, partOf(id), id, id + "\x01",
-                     [this, done = std::move(done)](const std::optional<row_page> &page) {
-                         if (page)
-                             takeJobs(page->rows);
-                         done(page);
-                     });
-    }
-
-    void cancel(const std::string &id, responder respond)
-    {
-        auto answer = onceWithin(AnswerWithin, std::move(respond));
-        if (m_book->owns(id))
-            return cancelOwned(id, answer);
-        const auto *known = m_view.find(id);
-        const auto *owner = known == nullptr ? nullptr : m_directory.find(known->owner.entry);
-        if (owner == nullptr || !m_directory.lives(known->owner.entry, suspendAwareNow()))
-            return cancelInStore(id, answer);
-        http_request request;
-        request.method = "DELETE";
-        request.target = "/v1/jobs/" + id;
-        m_caller.call(owner->row.internal, std::move(request), PeerTimeout,
-                      [this, id, answer](const call_result &result) {
-                          const auto *response = std::get_if<http_response>(&result);
-                          if (response != nullptr && response->status == 200)
-                              return answer({200, {}, ""});
-                          cancelInStore(id, answer);
-                      });
-    }
-
-    void cancelOwned(const std::string &id, const responder &respond)
-    {
-        const auto token = newToken([this, id, respond](bool isStored) {
-            if (isStored)
-                return respond({200, {}, ""});
-            cancelInStore(id, respond);
-        });
-        m_book->cancel(id, token);
-        pumpSoon();
-    }
-
-    // The owner can't be asked: the row itself says that the job is cancelled, and the owner, or
-    // the entry that takes over, reads it there.
-    void cancelInStore(const std::string &id, const responder &respond)
-    {
-        readJob(id, [this, id, respond](const std::optional<row_page> &page) {
-            if (!page)
-                return respond(storeUnreachable());
-            if (page->rows.empty())
-                return respond({410, {}, R"({"error":"unknown_job"})"});
-            const auto &one = page->rows.front();
-            auto record = recordFrom(one.value);
-            if (isFinal(record.state()))
-                return respond({200, {}, ""});
-            record.cancelled = true;
-            record.write = m_settings.id + ":cancel:" + std::to_string(m_nextToken++);
-            m_store.commit(
-                    {{{one.name, one.version}},
-                     {{one.name, toText(record), 0, false}, cancelNotice(id)},
-                     {}},
-                    [this, id, respond, write = record.write](const row_store::outcome &outcome) {
-                        if (wasWritten(outcome, write))
-                            return respond({200, {}, ""});
-                        cancelInStore(id, respond);
-                    });
-        });
-    }
-
-    static bool wasWritten(const row_store::outcome &outcome, const std::string &write)
-    {
-        if (std::holds_alternative<committed>(outcome))
-            return true;
-        const auto &rows = std::get<conflicting>(outcome).rows;
-        return !rows.empty() && recordFrom(rows.front().value).write == write;
-    }
-
     // --- Planned stop.
 
     bool isLeaving() const { return m_stop.has_value(); }
@@ -917,7 +592,7 @@
             m_internal.drain();
             break;
         case stop_step::GiveUp:
-            m_callers.answerAll(counted(504, "outcome_unknown"));
+            m_callers.answerAll(m_requests.counted(504, "outcome_unknown"));
             m_internal.answerAll(refusal(504, "outcome_unknown"));
             break;
         case stop_step::End:
@@ -944,12 +619,12 @@
     std::optional<job_book> m_book;
     lease_watcher m_leases;
     std::set<std::string> m_adopting;
-    std::map<std::int64_t, std::function<void(bool)>> m_tokens;
-    std::int64_t m_nextToken = 1;
+    write_waits m_waits;
     bool m_jobsKnown = false;
     bool m_pumping = false;
     std::optional<planned_stop> m_stop;
     stop_step m_stopStep = stop_step::HandOver; // that was carried out
+    job_requests m_requests;
     net::http_listener m_internal;
     net::http_listener m_ready;
     net::http_listener m_callers;
--- /dev/null
+++ b/app/job_requests.cpp
@@ -0,0 +1,367 @@
+#include "app/job_requests.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "app/job_tables.h"
+#include "base/errors.h"
+#include "jobs/come_back.h"
+#include "jobs/messages.h"
+#include "platform/caller_wire.h"
+
+namespace zinniabarrow {
+
+using namespace jobs;
+using net::responder;
+using net::suspendAwareNow;
+
+namespace {
+
+constexpr milliseconds PeerTimeout{350};
+constexpr milliseconds AnswerWithin{2600}; // below the callers' usual patience of 3 s
+
+double millisecondsSince(time_point at)
+{
+    return std::chrono::duration<double, std::milli>(suspendAwareNow() - at).count();
+}
+
+bool wasWritten(const row_store::outcome &outcome, const std::string &write)
+{
+    if (std::holds_alternative<committed>(outcome))
+        return true;
+    const auto &rows = std::get<conflicting>(outcome).rows;
+    return !rows.empty() && recordFrom(rows.front().value).write == write;
+}
+
+} // namespace
+
+std::int64_t wallMs()
+{
+    return std::chrono::duration_cast<milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+}
+
+http_response refusal(int status, const char *reason, seconds comeBack)
+{
+    http_response answer{status, {}, std::string(R"({"error":")") + reason + "\"}"};
+    if (status == 429 || status == 503)
+        answer.headers["Retry-After"] = std::to_string(comeBack.count());
+    return answer;
+}
+
+job_requests::job_requests(std::string self, const job_requests_parts &parts, hooks callbacks)
+    : m_self(std::move(self))
+    , m_loop(parts.loop)
+    , m_caller(parts.caller)
+    , m_store(parts.store)
+    , m_configuration(parts.configuration)
+    , m_directory(parts.directory)
+    , m_view(parts.view)
+    , m_book(parts.book)
+    , m_waits(parts.waits)
+    , m_stop(parts.stop)
+    , m_metrics(parts.numbers)
+    , m_log(parts.log)
+    , m_hooks(std::move(callbacks))
+{ }
+
+bool job_requests::isLeaving() const
+{
+    return m_stop.has_value();
+}
+
+bool job_requests::hasGivenUp() const
+{
+    return m_stop && m_stop->hasGivenUp();
+}
+
+void job_requests::serve(http_request request, responder respond)
+{
+    if (hasGivenUp())
+        return refuseLeaving(request, respond);
+    const auto *queues = m_configuration.queues();
+    if (queues == nullptr)
+        return respond(counted(503, "no_configuration"));
+    const auto known = m_configuration.standing();
+    if (known == configuration_standing::Outdated)
+        return respond(counted(503, "configuration_outdated"));
+    const auto target = queues->find(request.header("Host"), request.path());
+    if (!target && known == configuration_standing::Doubtful)
+        return respond(counted(503, "queue_perhaps_newer"));
+    if (!target)
+        return respond(counted(404, "unknown_queue"));
+    if (!m_book || !m_hooks.jobsKnown())
+        return respond(counted(503, "starting"));
+    const auto &policy = target->route->policy;
+    if (target->job.empty() && request.method == "GET")
+        return respond({200, {}, platform_wire::waitingBody(m_view.waitingIn(policy.queue))});
+    if (target->job.empty())
+        return respond(counted(400, "no_job_id"));
+    if (request.method == "POST")
+        return submit(target->job, policy, std::move(request), std::move(respond));
+    if (request.method == "GET")
+        return showState(target->job, std::move(respond));
+    if (request.method == "DELETE")
+        return cancel(target->job, std::move(respond));
+    respond(counted(405, "unknown_method"));
+}
+
+http_response job_requests::counted(int status, const char *reason, seconds comeBack)
+{
+    m_metrics.count("refusals_total", reason);
+    return refusal(status, reason, comeBack);
+}
+
+http_response job_requests::storeUnreachable()
+{
+    return counted(503, "store_unreachable",
+                   comeBackAfter(suspendAwareNow() - m_store.lastAnswerAt()));
+}
+
+void job_requests::submit(const std::string &id, const queue_policy &policy, http_request request,
+                          responder respond)
+{
+    const auto *known = m_view.find(id);
+    if (known != nullptr)
+        return respond({200, {}, platform_wire::stateBody(known->state)});
+    if (isLeaving())
+        return passOn(std::move(request), std::move(respond));
+    // Nothing can be stored now: said at once, before anything was tried.
+    if (!m_store.reachable())
+        return respond(logged(id, storeUnreachable()));
+    job_spec spec;
+    try {
+        spec = platform_wire::jobFrom(request.body);
+    } catch (const error &problem) {
+        m_log.note("job_refused", {{"job", id}, {"why", problem.what()}});
+        return respond(counted(400, "bad_request"));
+    }
+    const auto placer = m_directory.placerOf(policy.service, suspendAwareNow());
+    if (spec.hasLastingStep() && placer != m_self && !m_book->owns(id))
+        return handOver(placer, id, spec, policy, std::move(respond));
+    accept(id, spec, policy, std::move(respond));
+}
+
+void job_requests::accept(const std::string &id, const job_spec &spec, const queue_policy &policy,
+                          responder respond)
+{
+    auto answer = onceWithin(AnswerWithin, std::move(respond));
+    const auto token = m_waits.add([this, answer, at = suspendAwareNow()](bool /*isStored*/) {
+        // Not stored by this entry means that another one has the job already.
+        m_metrics.observeMilliseconds("acceptance_milliseconds", millisecondsSince(at));
+        answer({200, {}, ""});
+    });
+    if (m_book->owns(id))
+        m_book->whenStored(id, token);
+    else {
+        m_log.note("job_submitted", {{"job", id}, {"queue", policy.queue}});
+        m_book->submit(id, spec, policy, wallMs(), suspendAwareNow(), token);
+    }
+    m_hooks.changed();
+}
+
+// Tasks that last are placed by one entry, which sees them all: several that place at the same
+// moment take the same rooms, are refused, and scatter each job over many workers.
+void job_requests::handOver(const std::string &placer, const std::string &id, const job_spec &spec,
+                            const queue_policy &policy, responder respond)
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/v1/jobs/" + id;
+    request.body = toText(handed_job{newRecord(spec, policy, wallMs()), spec.payload});
+    m_caller.call(m_directory.find(placer)->row.internal, std::move(request), PeerTimeout,
+                  [this, placer, id, spec, policy,
+                   respond = std::move(respond)](const call_result &result) {
+                      const auto *answer = std::get_if<http_response>(&result);
+                      const bool taken = answer != nullptr && answer->status == 200;
+                      m_log.note("job_handed_over",
+                                 {{"job", id}, {"to", placer}, {"taken", taken ? "yes" : "no"}});
+                      if (taken)
+                          return respond({200, {}, ""});
+                      // Also when it may have been taken there: the row of a job is written
+                      // once, and whoever comes second learns that it is there.
+                      m_metrics.count("jobs_not_handed_over_total", "placer_silent");
+                      accept(id, spec, policy, respond);
+                  });
+}
+
+void job_requests::takeHandedOver(const std::string &id, const std::string &body, responder respond)
+{
+    if (m_view.find(id) != nullptr)
+        return respond({200, {}, ""});
+    if (!m_hooks.jobsKnown() || isLeaving() || !m_store.reachable())
+        return respond(refusal(503, "not_now"));
+    const auto job = handedJobFrom(body);
+    accept(id, specOf(job), job.record.policy, std::move(respond));
+}
+
+http_response job_requests::logged(const std::string &id, http_response answer)
+{
+    m_log.note("job_refused", {{"job", id}, {"status", answer.status}, {"why", answer.body}});
+    return answer;
+}
+
+// Whoever answers first; at the end of `within` the outcome is unknown, and 504 says so.
+responder job_requests::onceWithin(milliseconds within, responder respond)
+{
+    auto open = std::make_shared<responder>(std::move(respond));
+    const auto answer = [open](http_response response) {
+        if (*open)
+            std::exchange(*open, nullptr)(std::move(response));
+    };
+    m_loop.after(within, [this, answer, open] {
+        if (*open)
+            answer(counted(504, "outcome_unknown"));
+    });
+    return answer;
+}
+
+// A leaving entry accepts nothing: an entry that stays gets the request as it is.
+void job_requests::passOn(http_request request, responder respond)
+{
+    const auto now = suspendAwareNow();
+    const auto within = std::min<duration>(AnswerWithin, m_stop->answersBy() - now);
+    for (const auto &[name, known] : m_directory.entries()) {
+        if (within < PeerTimeout)
+            break; // no time is left to hear what became of it
+        if (!m_directory.lives(name, now))
+            continue;
+        m_metrics.count("requests_passed_on_total", "leaving");
+        m_log.note("request_passed_on", {{"path", request.path()}, {"to", name}});
+        return m_caller.call(
+                known.row.callers, std::move(request), within, [this, respond](call_result result) {
+                    if (auto *answer = std::get_if<http_response>(&result)) {
+                        answer->headers.erase("Connection");
+                        answer->headers.erase("Content-Length");
+                        return respond(std::move(*answer));
+                    }
+                    const bool sent = std::get<call_failure>(result) != call_failure::NotConnected;
+                    respond(sent ? counted(504, "outcome_unknown") : counted(503, "leaving"));
+                });
+    }
+    refuseLeaving(request, respond);
+}
+
+void job_requests::refuseLeaving(const http_request &request, const responder &respond)
+{
+    m_log.note("request_refused", {{"path", request.path()}, {"why", "leaving"}});
+    respond(counted(503, "leaving"));
+}
+
+void job_requests::showState(const std::string &id, responder respond)
+{
+    if (m_book->owns(id))
+        return respond({200, {}, platform_wire::stateBody(m_book->storedState(id))});
+    const auto *known = m_view.find(id);
+    if (known != nullptr && isFinal(known->state))
+        return respond({200, {}, platform_wire::stateBody(known->state)});
+    const auto *owner = known == nullptr ? nullptr : m_directory.find(known->owner.entry);
+    if (owner == nullptr || !m_directory.lives(known->owner.entry, suspendAwareNow()))
+        return showStoredState(id, std::move(respond));
+    http_request request;
+    request.target = "/v1/jobs/" + id;
+    m_caller.call(owner->row.internal, std::move(request), PeerTimeout,
+                  [this, id, respond](call_result result) {
+                      auto *answer = std::get_if<http_response>(&result);
+                      if (answer != nullptr && answer->status == 200)
+                          return respond({200, {}, std::move(answer->body)});
+                      showStoredState(id, respond);
+                  });
+}
+
+void job_requests::showStoredState(const std::string &id, responder respond)
+{
+    readJob(id, [this, id, respond](const std::optional<row_page> &page) {
+        if (page && page->rows.empty() && !m_book->owns(id))
+            return respond({410, {}, R"({"error":"unknown_job"})"});
+        const auto *known = m_view.find(id);
+        if (known != nullptr)
+            return respond({200, {}, platform_wire::stateBody(known->state)});
+        // It may exist: no answer says otherwise.
+        respond(storeUnreachable());
+    });
+}
+
+void job_requests::readJob(const std::string &id, row_store::read_done done)
+{
+    m_store.read(JobsTable, partOf(id), id, id + "\x01",
+                 [this, done = std::move(done)](const std::optional<row_page> &page) {
+                     if (page)
+                         m_hooks.rowsRead(page->rows);
+                     done(page);
+                 });
+}
+
+void job_requests::cancel(const std::string &id, responder respond)
+{
+    auto answer = onceWithin(AnswerWithin, std::move(respond));
+    if (m_book->owns(id))
+        return cancelOwned(id, answer);
+    const auto *known = m_view.find(id);
+    const auto *owner = known == nullptr ? nullptr : m_directory.find(known->owner.entry);
+    if (owner == nullptr || !m_directory.lives(known->owner.entry, suspendAwareNow()))
+        return cancelInStore(id, answer);
+    http_request request;
+    request.method = "DELETE";
+    request.target = "/v1/jobs/" + id;
+    m_caller.call(owner->row.internal, std::move(request), PeerTimeout,
+                  [this, id, answer](const call_result &result) {
+                      const auto *response = std::get_if<http_response>(&result);
+                      if (response != nullptr && response->status == 200)
+                          return answer({200, {}, ""});
+                      cancelInStore(id, answer);
+                  });
+}
+
+void job_requests::cancelOwned(const std::string &id, const responder &respond)
+{
+    const auto token = m_waits.add([this, id, respond](bool isStored) {
+        if (isStored)
+            return respond({200, {}, ""});
+        cancelInStore(id, respond);
+    });
+    m_book->cancel(id, token);
+    m_hooks.changed();
+}
+
+// The owner can't be asked: the row itself says that the job is cancelled, and the owner, or
+// the entry that takes over, reads it there.
+void job_requests::cancelInStore(const std::string &id, const responder &respond)
+{
+    readJob(id, [this, id, respond](const std::optional<row_page> &page) {
+        if (!page)
+            return respond(storeUnreachable());
+        if (page->rows.empty())
+            return respond({410, {}, R"({"error":"unknown_job"})"});
+        const auto &one = page->rows.front();
+        auto record = recordFrom(one.value);
+        if (isFinal(record.state()))
+            return respond({200, {}, ""});
+        record.cancelled = true;
+        record.write = m_self + ":cancel:" + std::to_string(m_nextCancel++);
+        m_store.commit(
+                {{{one.name, one.version}},
+                 {{one.name, toText(record), 0, false}, cancelNotice(id)},
+                 {}},
+                [this, id, respond, write = record.write](const row_store::outcome &outcome) {
+                    if (wasWritten(outcome, write))
+                        return respond({200, {}, ""});
+                    cancelInStore(id, respond);
+                });
+    });
+}
+
+void job_requests::serveOwned(const http_request &request, const std::string &id, responder respond)
+{
+    if (request.method == "POST")
+        return takeHandedOver(id, request.body, std::move(respond));
+    if (!m_book->owns(id))
+        return respond(refusal(404, "not_owned"));
+    if (request.method == "DELETE")
+        return cancelOwned(id, respond);
+    respond({200, {}, platform_wire::stateBody(m_book->storedState(id))});
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/app/job_requests.h
@@ -0,0 +1,104 @@
+// The requests about jobs that callers send to an entry, and those about the jobs that it owns that
+// other entries send.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "app/configuration_follower.h"
+#include "app/entry_directory.h"
+#include "app/job_view.h"
+#include "app/planned_stop.h"
+#include "app/row_store.h"
+#include "app/write_waits.h"
+#include "base/event_log.h"
+#include "jobs/job_book.h"
+#include "net/http_caller.h"
+#include "net/http_listener.h"
+#include "runtime/metrics.h"
+
+namespace zinniabarrow {
+
+constexpr seconds ComeBackSoon{1}; // an entry has read all jobs by then
+
+std::int64_t wallMs(); // since 1970
+
+// A refusal with its reason; 429 and 503 say when to come back.
+http_response refusal(int status, const char *reason, seconds comeBack = ComeBackSoon);
+
+// What an entry consists of, as far as its requests need it; all of it outlives them.
+struct job_requests_parts
+{
+    net::event_loop &loop;
+    net::http_caller &caller;
+    row_store &store;
+    configuration_follower &configuration;
+    entry_directory &directory;
+    job_view &view;
+    std::optional<jobs::job_book> &book; // none before this life of the entry has begun
+    write_waits &waits;
+    const std::optional<planned_stop> &stop; // none before the signal
+    metrics &numbers;
+    event_log &log;
+};
+
+class job_requests
+{
+public:
+    struct hooks
+    {
+        std::function<bool()> jobsKnown;                              // all were read
+        std::function<void(const std::vector<jobs::row> &)> rowsRead; // of jobs, from the store
+        std::function<void()> changed;                                // the book has decisions
+    };
+
+    job_requests(std::string self, const job_requests_parts &parts, hooks callbacks);
+
+    void serve(http_request request, net::responder respond); // of a caller
+    // Of another entry: asks for a job that this one owns, or hands one over.
+    void serveOwned(const http_request &request, const std::string &id, net::responder respond);
+
+    http_response counted(int status, const char *reason, seconds comeBack = ComeBackSoon);
+
+private:
+    bool isLeaving() const;
+    bool hasGivenUp() const;
+    http_response storeUnreachable();
+    void submit(const std::string &id, const jobs::queue_policy &policy, http_request request,
+                net::responder respond);
+    void accept(const std::string &id, const jobs::job_spec &spec, const jobs::queue_policy &policy,
+                net::responder respond);
+    void handOver(const std::string &placer, const std::string &id, const jobs::job_spec &spec,
+                  const jobs::queue_policy &policy, net::responder respond);
+    void takeHandedOver(const std::string &id, const std::string &body, net::responder respond);
+    http_response logged(const std::string &id, http_response answer);
+    net::responder onceWithin(milliseconds within, net::responder respond);
+    void passOn(http_request request, net::responder respond);
+    void refuseLeaving(const http_request &request, const net::responder &respond);
+    void showState(const std::string &id, net::responder respond);
+    void showStoredState(const std::string &id, net::responder respond);
+    void readJob(const std::string &id, row_store::read_done done);
+    void cancel(const std::string &id, net::responder respond);
+    void cancelOwned(const std::string &id, const net::responder &respond);
+    void cancelInStore(const std::string &id, const net::responder &respond);
+
+    std::string m_self;
+    net::event_loop &m_loop;
+    net::http_caller &m_caller;
+    row_store &m_store;
+    configuration_follower &m_configuration;
+    entry_directory &m_directory;
+    job_view &m_view;
+    std::optional<jobs::job_book> &m_book;
+    write_waits &m_waits;
+    const std::optional<planned_stop> &m_stop;
+    metrics &m_metrics;
+    event_log &m_log;
+    hooks m_hooks;
+    std::int64_t m_nextCancel = 1;
+};
+
+} // namespace zinniabarrow
--- a/app/job_tables.h
+++ b/app/job_tables.h
@@ -55,6 +55,12 @@
     return {CancelsTable, partOf(job), job};
 }
 
+// Tells agents that the job is cancelled; its key says all.
+inline jobs::row cancelNotice(const std::string &job)
+{
+    return {cancelRow(job), "{}", 0, false};
+}
+
 inline jobs::row_name leaseRow(const std::string &worker)
 {
     return {LeasesTable, worker, worker};
