A leaving entry passes each request to another entry by its own order, and to the next if that one has not run it

While all entries are stopped in turn, each leaving one passed every request to the first living entry by name, one of the smallest, and answered 503 when that one had just closed its port or was leaving too. Now requests spread, and up to three others are tried as long as the request is known not to have run. entry_directory_test whom_requests_are_passed_to; process_jobs_test 17 of 17.

--- a/app/entry_directory.cpp
+++ b/app/entry_directory.cpp
@@ -70,10 +70,8 @@
 std::vector<std::string> entry_directory::others(time_point now) const
 {
     std::vector<std::string> addresses;
-    for (const auto &[name, known] : m_entries) {
-        if (lives(name, now))
-            addresses.push_back(known.row.internal);
-    }
+    for (const auto &name : living(now))
+        addresses.push_back(find(name)->row.internal);
     return addresses;
 }
 
@@ -84,12 +82,24 @@
 
 std::string entry_directory::firstLiving(const std::string &key, time_point now) const
 {
-    std::vector<std::string> candidates{m_self};
+    auto candidates = living(now);
+    candidates.push_back(m_self);
+    return rendezvousOrder(key, candidates).front();
+}
+
+std::vector<std::string> entry_directory::livingFor(const std::string &key, time_point now) const
+{
+    return rendezvousOrder(key, living(now));
+}
+
+std::vector<std::string> entry_directory::living(time_point now) const
+{
+    std::vector<std::string> names;
     for (const auto &[name, known] : m_entries) {
         if (lives(name, now))
-            candidates.push_back(name);
+            names.push_back(name);
     }
-    return rendezvousOrder(key, candidates).front();
+    return names;
 }
 
 std::optional<std::string> entry_directory::heirOf(const std::string &job,
--- a/app/entry_directory.h
+++ b/app/entry_directory.h
@@ -47,6 +47,9 @@
     const std::map<std::string, known_entry> &entries() const { return m_entries; }
     bool lives(const std::string &entry, time_point now) const;
     std::vector<std::string> others(time_point now) const; // internal addresses, live ones
+    // Living entries other than this one, in an order that differs by key: who passes work on
+    // spreads it so.
+    std::vector<std::string> livingFor(const std::string &key, time_point now) const;
     // The entry that places what all entries should place as one; the same at all of them as long
     // as they agree on who lives.
     std::string placerOf(const std::string &service, time_point now) const;
@@ -55,6 +58,7 @@
                                       const jobs::owner_id &self, time_point now) const;
 
 private:
+    std::vector<std::string> living(time_point now) const;
     // The same at all entries that agree on who lives.
     std::string firstLiving(const std::string &key, time_point now) const;
 
--- a/app/job_requests.cpp
+++ b/app/job_requests.cpp
@@ -19,8 +19,17 @@
 namespace {
 
 constexpr milliseconds PeerTimeout{350};
+constexpr std::size_t PassOnTries = 3;     // beyond, the others are in the same state
 constexpr milliseconds AnswerWithin{2600}; // below the callers' usual patience of 3 s
 
+// Nothing was sent, or the other one says so.
+bool wasNotRun(const call_result &result)
+{
+    if (const auto *answer = std::get_if<http_response>(&result))
+        return answer->status == 503;
+    return std::get<call_failure>(result) == call_failure::NotConnected;
+}
+
 double millisecondsSince(time_point at)
 {
     return std::chrono::duration<double, std::milli>(suspendAwareNow() - at).count();
@@ -221,27 +230,38 @@
 // A leaving entry accepts nothing: an entry that stays gets the request as it is.
 void job_requests::passOn(http_request request, responder respond)
 {
-    const auto now = suspendAwareNow();
-    const auto within = std::min<duration>(AnswerWithin, m_stop->answersBy() - now);
-    for (const auto &[name, known] : m_directory.entries()) {
-        if (within < PeerTimeout)
-            break; // no time is left to hear what became of it
-        if (!m_directory.lives(name, now))
-            continue;
-        m_metrics.count("requests_passed_on_total", "leaving");
-        m_log.note("request_passed_on", {{"path", request.path()}, {"to", name}});
-        return m_caller.call(
-                known.row.callers, std::move(request), within, [this, respond](call_result result) {
-                    if (auto *answer = std::get_if<http_response>(&result)) {
-                        answer->headers.erase("Connection");
-                        answer->headers.erase("Content-Length");
-                        return respond(std::move(*answer));
-                    }
-                    const bool sent = std::get<call_failure>(result) != call_failure::NotConnected;
-                    respond(sent ? counted(504, "outcome_unknown") : counted(503, "leaving"));
-                });
-    }
-    refuseLeaving(request, respond);
+    auto others = m_directory.livingFor(request.path(), suspendAwareNow());
+    if (others.size() > PassOnTries)
+        others.resize(PassOnTries);
+    passOnTo(std::move(others), std::move(request), std::move(respond));
+}
+
+// To the first of them that takes it; the others have not run it then.
+void job_requests::passOnTo(std::vector<std::string> others, http_request request,
+                            responder respond)
+{
+    const auto within = std::min<duration>(AnswerWithin, m_stop->answersBy() - suspendAwareNow());
+    const auto *next = others.empty() ? nullptr : m_directory.find(others.front());
+    // Without an other, or without the time to hear what became of it.
+    if (next == nullptr || within < PeerTimeout)
+        return refuseLeaving(request, respond);
+    m_metrics.count("requests_passed_on_total", "leaving");
+    m_log.note("request_passed_on", {{"path", request.path()}, {"to", others.front()}});
+    others.erase(others.begin());
+    auto copy = request;
+    m_caller.call(next->row.callers, std::move(copy), within,
+                  [this, others = std::move(others), request = std::move(request),
+                   respond = std::move(respond)](call_result result) mutable {
+                      if (wasNotRun(result))
+                          return passOnTo(std::move(others), std::move(request),
+                                          std::move(respond));
+                      auto *answer = std::get_if<http_response>(&result);
+                      if (answer == nullptr)
+                          return respond(counted(504, "outcome_unknown"));
+                      answer->headers.erase("Connection");
+                      answer->headers.erase("Content-Length");
+                      respond(std::move(*answer));
+                  });
 }
 
 void job_requests::refuseLeaving(const http_request &request, const responder &respond)
--- a/app/job_requests.h
+++ b/app/job_requests.h
@@ -77,6 +77,7 @@
     http_response logged(const std::string &id, http_response answer);
     net::responder onceWithin(milliseconds within, net::responder respond);
     void passOn(http_request request, net::responder respond);
+    void passOnTo(std::vector<std::string> others, http_request request, net::responder respond);
     void refuseLeaving(const http_request &request, const net::responder &respond);
     void showState(const std::string &id, net::responder respond);
     void showStoredState(const std::string &id, net::responder respond);
