--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -564,7 +564,7 @@
     void drainOn()
     {
         const bool heirs = m_book && !m_directory.entries().empty();
-        const stop_needs needs{heirs && m_book->ownedUnfinished() > 0,
+        const stop_needs needs{heirs && m_book->ownedUnfinished() > 0, m_callers.inFlight() > 0,
                                !m_callers.drained() || !m_internal.drained()};
         const auto step = m_stop->look(needs, m_loop.lateness(), suspendAwareNow());
         if (step != m_stopStep)
--- a/app/planned_stop.cpp
+++ b/app/planned_stop.cpp
@@ -33,17 +33,18 @@
     const auto nextLook = now + std::min<duration>(lateness, LatestLook);
     switch (m_step) {
     case stop_step::HandOver:
-        if (!needs.owns || nextLook >= m_handOverBy)
+        // New callers are refused from the next step on: not while others are answered anyway.
+        if ((!needs.owns && !needs.requestsOpen) || nextLook >= m_handOverBy)
             m_step = stop_step::Finish;
         break;
     case stop_step::Finish:
-        if (!needs.answering)
+        if (!needs.connectionsOpen)
             m_step = stop_step::End;
         else if (nextLook >= m_giveUpAt)
             m_step = stop_step::GiveUp;
         break;
     case stop_step::GiveUp:
-        if (!needs.answering || nextLook >= m_endBy)
+        if (!needs.connectionsOpen || nextLook >= m_endBy)
             m_step = stop_step::End;
         break;
     case stop_step::End:
--- a/app/planned_stop.h
+++ b/app/planned_stop.h
@@ -8,7 +8,7 @@
 namespace zinniabarrow {
 
 enum class stop_step {
-    HandOver, // others take over what this process owns; requests are taken as they come
+    HandOver, // others take over what this process owns, and requests are taken as they come
     Finish,   // no new connections; what has come on the open ones is answered
     GiveUp,   // what has no answer yet is told that its outcome is unknown
     End,      // the process ends, whatever is open
@@ -19,8 +19,9 @@
 // What there is still to do.
 struct stop_needs
 {
-    bool owns = false;      // something that others should take over
-    bool answering = false; // connections are open
+    bool owns = false;            // something that others should take over
+    bool requestsOpen = false;    // of callers, without an answer
+    bool connectionsOpen = false; // on which requests may stand, also unread
 };
 
 class planned_stop
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -13,8 +13,9 @@
 
 const time_point Begun{seconds(1000)};
 constexpr stop_needs Nothing{};
-constexpr stop_needs Owns{true, true};
-constexpr stop_needs Answers{false, true};
+constexpr stop_needs Owns{true, false, true};
+constexpr stop_needs Answers{false, true, true};
+constexpr stop_needs Connected{false, false, true};
 
 // The step at which a stop with these needs is at this time, looked at each 50 ms, each look late
 // by that much.
@@ -35,12 +36,16 @@
         check(stepAt(milliseconds(3900), Owns) == stop_step::HandOver);
         check(stepAt(milliseconds(4000), Owns) == stop_step::Finish);
     });
+    section("so are open requests answered, while new callers are still taken", [] {
+        check(stepAt(milliseconds(3900), Answers) == stop_step::HandOver);
+        check(stepAt(milliseconds(0), Connected) == stop_step::Finish);
+    });
     section("with nothing to do it is over at the second look", [] {
         check(stepAt(milliseconds(0), Nothing) == stop_step::Finish);
         check(stepAt(milliseconds(50), Nothing) == stop_step::End);
     });
     section("what was read is answered, however long that takes, while there is time", [] {
-        check(stepAt(milliseconds(100), Answers) == stop_step::Finish);
+        check(stepAt(milliseconds(100), Connected) == stop_step::Finish);
         check(stepAt(milliseconds(5150), Answers) == stop_step::Finish);
     });
     section("then it is given up, with time for the answers to go out", [] {
