A connection whose answer was on its way out as the drain began ends with it

Cause: whether a connection is kept is said in the head of the answer, before the drain; once written, the connection read on, and nothing ended it any more. Internal connections were not told to close at all before the drain.

An accept that fails since its peer has gone no longer ends the accepting of the last connections.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -556,6 +556,7 @@
         m_log.note("drain_started", {{"owned", m_book ? m_book->ownedUnfinished() : 0},
                                      {"late_ms", millisecondsIn(m_loop.lateness())}});
         m_callers.announceClose();
+        m_internal.announceClose();
         if (m_book)
             pingAll(); // the others take the jobs over at once
         drainOn();
--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -81,6 +81,10 @@
         m_parser->body_limit(m_state->limits.bodyBytes);
         m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.headerBytes));
         readHead();
+        // An answer that was on its way out as the drain began may have promised to keep the
+        // connection.
+        if (m_state->draining)
+            endIfIdle();
     }
 
     // Bytes may have been taken from the socket for a read whose callback waits its turn: only the
@@ -225,10 +229,7 @@
         return;
     beast::error_code ignored; // without it answers are only slower
     socket.set_option(tcp::no_delay(true), ignored);
-    const auto taken = std::make_shared<connection>(std::move(socket), state);
-    taken->read();
-    if (state->draining)
-        taken->endIfIdle();
+    std::make_shared<connection>(std::move(socket), state)->read();
 }
 
 // Connections that were made and wait to be accepted; those that come later are refused.
@@ -236,11 +237,11 @@
 {
     beast::error_code failure;
     state->acceptor.non_blocking(true, failure);
-    while (!failure) {
+    do {
         auto socket = state->acceptor.accept(failure);
         if (!failure)
             take(std::move(socket), state);
-    }
+    } while (!failure || failure == asio::error::connection_aborted);
     state->acceptor.close(failure);
 }
 
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -161,6 +161,20 @@
         check(server.runUntilDrained());
         check(caller.readAnswer() == 200);
     });
+    section("after an answer that promised to keep the connection and isn't out yet", [] {
+        draining_server server;
+        kept_caller caller(server.address());
+        caller.send("POST", "/slow");
+        server.when([&] { return server.open().size() == 1; },
+                    [&] {
+                        caller.send("POST", "/quick", "body");
+                        server.open()[0]({200, {}, "done"});
+                        server.listener().drain();
+                    });
+        check(server.runUntilDrained());
+        check(caller.readAnswer() == 200);
+        check(caller.readAnswer() == 200);
+    });
     section("and whose answer takes its time", [] {
         draining_server server;
         kept_caller caller(server.address());
@@ -197,6 +211,18 @@
         check(!served.isOpen());
         check(!kept_caller(address).isOpen());
     });
+    section("one whose answer was on its way out ends as well", [] {
+        draining_server server;
+        kept_caller caller(server.address());
+        caller.send("POST", "/slow");
+        server.when([&] { return server.open().size() == 1; },
+                    [&] {
+                        server.open()[0]({200, {}, "done"});
+                        server.listener().drain();
+                    });
+        check(server.runUntilDrained());
+        check(caller.readAnswer() == 200);
+    });
     section("a request that is given up gets one answer", [] {
         draining_server server;
         kept_caller caller(server.address());
--- a/tests/kept_caller.h
+++ b/tests/kept_caller.h
@@ -61,30 +61,34 @@
     // The status of the next answer, if it comes whole.
     std::optional<int> readAnswer()
     {
-        std::string text;
-        while (!isWhole(text)) {
+        while (answerBytes() == 0) {
             const auto more = readSome();
             if (more.empty())
                 return std::nullopt;
-            text += more;
+            m_read += more;
         }
         constexpr std::size_t StatusAt = 9; // after "HTTP/1.1 "
-        return std::stoi(text.substr(StatusAt, 3));
+        const int status = std::stoi(m_read.substr(StatusAt, 3));
+        m_read.erase(0, answerBytes());
+        return status;
     }
 
     request_fate fate() { return readAnswer() ? request_fate::Answered : request_fate::CutOff; }
 
 private:
-    static bool isWhole(const std::string &text)
+    // Of the first answer that was read; 0 while it isn't whole.
+    std::size_t answerBytes() const
     {
-        const auto headEnds = text.find("\r\n\r\n");
+        constexpr std::string_view HeadEnd = "\r\n\r\n";
+        const auto headEnds = m_read.find(HeadEnd);
         if (headEnds == std::string::npos)
-            return false;
+            return 0;
         constexpr std::string_view Field = "Content-Length: ";
-        const auto field = text.find(Field);
-        const auto length =
-                field == std::string::npos ? 0 : std::stoul(text.substr(field + Field.size()));
-        return text.size() >= headEnds + 4 + length;
+        const auto field = m_read.find(Field);
+        const bool hasBody = field < headEnds;
+        const auto length = hasBody ? std::stoul(m_read.substr(field + Field.size())) : 0;
+        const auto bytes = headEnds + HeadEnd.size() + length;
+        return m_read.size() >= bytes ? bytes : 0;
     }
 
     // Empty: the connection is over, or nothing came for long.
@@ -102,6 +106,7 @@
     std::string m_server;
     int m_socket;
     bool m_connected = false;
+    std::string m_read; // beyond the answers that were taken
 };
 
 } // namespace zinniabarrow::tests
