The steps of a planned stop count from when the signal may have come

Steps counted from the callback of the signal, and the loop's lateness did not know of timers that had come due and not fired yet.

Lateness now covers timers that are overdue, and the stop counts from the callback's time less that, by 2 s at most: a loop that stood still for longer would have no time for any step.

--- a/app/planned_stop.cpp
+++ b/app/planned_stop.cpp
@@ -22,11 +22,13 @@
     return nameOf(StepNames, step);
 }
 
-planned_stop::planned_stop(time_point begunAt)
-    : m_handOverBy(begunAt + HandOverWithin)
-    , m_giveUpAt(begunAt + GiveUpAfter)
-    , m_endBy(begunAt + EndWithin)
-{ }
+planned_stop::planned_stop(time_point heardAt, duration lateness)
+{
+    const auto begunAt = heardAt - std::clamp<duration>(lateness, {}, LatestSignal);
+    m_handOverBy = begunAt + HandOverWithin;
+    m_giveUpAt = begunAt + GiveUpAfter;
+    m_endBy = begunAt + EndWithin;
+}
 
 stop_step planned_stop::look(const stop_needs &needs, duration lateness, time_point now)
 {
@@ -44,7 +46,7 @@
             m_step = stop_step::GiveUp;
         break;
     case stop_step::GiveUp:
-        if (!needs.connectionsOpen || nextLook >= m_endBy)
+        if (!needs.connectionsOpen || now >= m_endBy)
             m_step = stop_step::End;
         break;
     case stop_step::End:
--- a/app/planned_stop.h
+++ b/app/planned_stop.h
@@ -34,10 +34,13 @@
     // A loop that was held up once is not behind by that much again.
     static constexpr milliseconds LatestLook{500};
 
-    explicit planned_stop(time_point begunAt);
+    // A signal waits for a loop that is behind, by up to its lateness.
+    static constexpr milliseconds LatestSignal{2000};
+
+    planned_stop(time_point heardAt, duration lateness);
 
     // One step further at most. `lateness`: of the next look, if it is as late as the ones before;
-    // a step that can't wait for it is taken now.
+    // a step that can't wait for it is taken now, but for the last one.
     stop_step look(const stop_needs &needs, duration lateness, time_point now);
 
     // What is asked of others for a caller is not waited for any longer.
--- a/libs/net/event_loop.cpp
+++ b/libs/net/event_loop.cpp
@@ -53,6 +53,7 @@
 {
     auto timer = std::make_shared<asio::steady_timer>(m_impl->io, delay);
     const auto due = suspendAwareNow() + delay;
+    m_impl->lateness.armed(due);
     timer->async_wait([this, timer, due, work = std::move(work)](const auto &failure) {
         if (failure)
             return;
--- a/libs/net/loop_lateness.h
+++ b/libs/net/loop_lateness.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <set>
 
 #include "base/time.h"
 
@@ -12,16 +13,21 @@
 public:
     static constexpr milliseconds Window{1000}; // a look covers the present one and the one before
 
+    void armed(time_point due) { m_pending.insert(due); }
+
     void fired(time_point due, time_point now)
     {
+        m_pending.erase(m_pending.find(due));
         turn(now);
         m_worst = std::max(m_worst, now - due);
     }
 
+    // Of those that fired lately, and of those that should have and did not yet.
     duration worst(time_point now)
     {
         turn(now);
-        return std::max(m_worst, m_worstBefore);
+        const auto overdue = m_pending.empty() ? duration{} : now - *m_pending.begin();
+        return std::max({m_worst, m_worstBefore, overdue});
     }
 
 private:
@@ -34,6 +40,7 @@
         m_turnsAt = now + Window;
     }
 
+    std::multiset<time_point> m_pending; // due times
     time_point m_turnsAt{};
     duration m_worst{};
     duration m_worstBefore{};
