--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -594,7 +594,7 @@
             break;
         case stop_step::GiveUp:
             m_callers.answerAll(m_requests.counted(504, "outcome_unknown"));
-            m_internal.answerAll(refusal(504, "outcome_unknown"));
+            m_internal.answerAll(refusal(502, "outcome_unknown")); // as a relayed call says it
             break;
         case stop_step::End:
             m_loop.stop();
