A job whose write is out is not refused, and a known one is shown until the end

What callers would see: a job handed in while the store goes away ends as 504, the second try as 503, which says that it never runs, and it runs when the write takes effect. process_jobs_test a_job_whose_write_is_out_is_not_refused failed before (503), passes since. A leaving entry told the same to repeats of jobs that it was writing, and in its last second to repeats of jobs that it knows as accepted. Found in review. Two entries that leave and haven't heard of each other no longer pass a request to and fro.

--- a/app/job_requests.cpp
+++ b/app/job_requests.cpp
@@ -19,8 +19,9 @@
 namespace {
 
 constexpr milliseconds PeerTimeout{350};
-constexpr std::size_t PassOnTries = 3;     // beyond, the others are in the same state
-constexpr milliseconds AnswerWithin{2600}; // below the callers' usual patience of 3 s
+constexpr const char *PassedOnHeader = "Zb-Passed-On"; // by which entry
+constexpr std::size_t PassOnTries = 3;                 // beyond, the others are in the same state
+constexpr milliseconds AnswerWithin{2600};             // below the callers' usual patience of 3 s
 
 // Nothing was sent, or the other one says so.
 bool wasNotRun(const call_result &result)
@@ -88,8 +89,6 @@
 
 void job_requests::serve(http_request request, responder respond)
 {
-    if (hasGivenUp())
-        return refuseLeaving(request, respond);
     const auto *queues = m_configuration.queues();
     if (queues == nullptr)
         return respond(counted(503, "no_configuration"));
@@ -103,6 +102,8 @@
         return respond(counted(404, "unknown_queue"));
     if (!m_book || !m_hooks.jobsKnown())
         return respond(counted(503, "starting"));
+    if (hasGivenUp())
+        return answerAtOnce(request, target->job, respond);
     const auto &policy = target->route->policy;
     if (target->job.empty() && request.method == "GET")
         return respond({200, {}, platform_wire::waitingBody(m_view.waitingIn(policy.queue))});
@@ -135,6 +136,9 @@
     const auto *known = m_view.find(id);
     if (known != nullptr)
         return respond({200, {}, platform_wire::stateBody(known->state)});
+    // Handed in before, and its write is out: it can't be refused any more.
+    if (m_book->owns(id))
+        return accept(id, {}, policy, std::move(respond));
     if (isLeaving())
         return passOn(std::move(request), std::move(respond));
     // Nothing can be stored now: said at once, before anything was tried.
@@ -148,7 +152,7 @@
         return respond(counted(400, "bad_request"));
     }
     const auto placer = m_directory.placerOf(policy.service, suspendAwareNow());
-    if (spec.hasLastingStep() && placer != m_self && !m_book->owns(id))
+    if (spec.hasLastingStep() && placer != m_self)
         return handOver(placer, id, spec, policy, std::move(respond));
     accept(id, spec, policy, std::move(respond));
 }
@@ -230,6 +234,10 @@
 // A leaving entry accepts nothing: an entry that stays gets the request as it is.
 void job_requests::passOn(http_request request, responder respond)
 {
+    // Two that leave and have not heard of each other would pass it to and fro.
+    if (!request.header(PassedOnHeader).empty())
+        return refuseLeaving(request, respond);
+    request.headers[PassedOnHeader] = m_self;
     auto others = m_directory.livingFor(request.path(), suspendAwareNow());
     if (others.size() > PassOnTries)
         others.resize(PassOnTries);
@@ -264,6 +272,18 @@
                   });
 }
 
+// With what is known here, for the time in which a leaving entry can wait for nothing any more.
+void job_requests::answerAtOnce(const http_request &request, const std::string &id,
+                                const responder &respond)
+{
+    const auto *known = m_view.find(id);
+    if (known != nullptr && request.method != "DELETE")
+        return respond({200, {}, platform_wire::stateBody(known->state)});
+    if (m_book->owns(id))
+        return respond(counted(504, "outcome_unknown"));
+    refuseLeaving(request, respond);
+}
+
 void job_requests::refuseLeaving(const http_request &request, const responder &respond)
 {
     m_log.note("request_refused", {{"path", request.path()}, {"why", "leaving"}});
--- a/app/job_requests.h
+++ b/app/job_requests.h
@@ -78,6 +78,8 @@
     net::responder onceWithin(milliseconds within, net::responder respond);
     void passOn(http_request request, net::responder respond);
     void passOnTo(std::vector<std::string> others, http_request request, net::responder respond);
+    void answerAtOnce(const http_request &request, const std::string &id,
+                      const net::responder &respond);
     void refuseLeaving(const http_request &request, const net::responder &respond);
     void showState(const std::string &id, net::responder respond);
     void showStoredState(const std::string &id, net::responder respond);
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -633,3 +633,28 @@
     on.site().turnAway(false);
     checkNothingWrong(on, on.site());
 }
+
+// A caller is told that its job never runs, and it runs. The store went away while the job was
+// being written, so the first try ended with its outcome unknown; the second one was refused since
+// the store can't be reached, though the first write may yet take effect.
+Test(process_jobs, a_job_whose_write_is_out_is_not_refused)
+{
+    system_under_test on;
+    const std::string body = R"({"spec":"","steps":[{"count":1,"cpu":1000}]})";
+    std::string job;
+    std::optional<http_response> first;
+    // The store has to go away while it still counts as reachable.
+    for (int number = 1; number < 6 && !(first && first->status == 504); ++number) {
+        on.site().turnAway(false);
+        require(on.handIn(0, fmt::format("efef00000000000{}", number)));
+        job = fmt::format("eeee10000000000{}", number);
+        on.site().turnAway(true);
+        first = on.call(0, "POST", job, body);
+    }
+    require(first && first->status == 504);
+    const auto second = on.call(0, "POST", job, body);
+    check(second && second->status == 504);
+    on.site().turnAway(false);
+    check(on.reaches(0, job, "completed"));
+    checkNothingWrong(on, on.site());
+}
