The test of an absent store asks with a new job each time

It handed the same job in again until it was refused. That refusal was untrue: the first try was taken while the store still counted as reachable, and its write may take effect, so the entry no longer gives it. Each try is a new job now, and the one that was refused must not be known at any entry afterwards, which the test did not look at before.

--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -535,23 +535,29 @@
     checkNothingWrong(on, on.site());
 }
 
-// A caller that comes while the store is away is refused, at once; what was accepted before goes on
-// once it is back.
+// A caller that comes while the store is away is refused, at once, and its job never runs; what was
+// accepted before goes on once it is back.
 Test(process_jobs, store_away)
 {
     system_under_test on;
     require(on.handIn(0, "eeee000000000001"));
     on.site().turnAway(true);
+    // Until the entry knows that the store is away, it takes jobs whose outcome is unknown then.
+    std::string refused;
+    int number = 0;
     require(waitUntil(
             [&] {
+                refused = fmt::format("eeee{:012}", 100 + number++);
                 // As large as the stand-in takes every task to be.
-                const auto answer = on.call(0, "POST", "eeee000000000002",
+                const auto answer = on.call(0, "POST", refused,
                                             R"({"spec":"","steps":[{"count":1,"cpu":1000}]})");
                 return answer && answer->status == 503 && !answer->header("Retry-After").empty();
             },
             SoonEnough));
     on.site().turnAway(false);
     check(on.reaches(0, "eeee000000000001", "completed"));
+    for (const int entry : {0, 1})
+        check(on.call(entry, "GET", refused)->status == 410);
     checkNothingWrong(on, on.site());
 }
 
