An entry that finishes its stop waits for callers' requests, not for those of other processes

With the store slow the last step waited for reports and relayed calls, up to 0.9 s after the 4 s of the hand-over, with the port closed. Other processes repeat their calls: they are answered 502 as the step begins, which is true of whatever they asked for.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -438,7 +438,7 @@
         const auto path = request.path();
         if (path == "/metrics")
             return respond({200, {{"Content-Type", "text/plain"}}, m_metrics.text()});
-        if (hasGivenUp())
+        if (m_stopStep != stop_step::HandOver)
             return respond(refusal(503, "leaving"));
         if (path.starts_with(StoreRelayPath))
             return m_store.relay(std::move(request), std::move(respond));
@@ -534,7 +534,6 @@
     // --- Planned stop.
 
     bool isLeaving() const { return m_stop.has_value(); }
-    bool hasGivenUp() const { return m_stop && m_stop->hasGivenUp(); }
 
     // What the end of the process cuts off, and how far behind it was.
     void noteStopped()
@@ -590,11 +589,12 @@
             break;
         case stop_step::Finish:
             m_callers.drain();
+            // Other processes repeat what they asked for; callers would wait for it to end.
             m_internal.drain();
+            m_internal.answerAll(refusal(502, "leaving"));
             break;
         case stop_step::GiveUp:
             m_callers.answerAll(m_requests.counted(504, "outcome_unknown"));
-            m_internal.answerAll(refusal(502, "outcome_unknown")); // as a relayed call says it
             break;
         case stop_step::End:
             m_loop.stop();
