A connection whose answer goes out as its listener drains ends too

What callers saw: nothing yet; the stop of an idle entry lasted until its last step, 5.7 s, and then cut off a connection whose caller thought it open.

Cause: whether an answer says that the connection closes is settled as its writing begins. When the drain came before it was out, the connection went back to waiting for a request, and nobody cancelled that read any more: the listener never was drained.

Now each wait for a request that begins in a drain is ended at once, as those that had begun before are.

Evidence: http_listener_test drained, section "a connection whose answer is on its way out", did not drain within its 20 s before and does since.

--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -81,6 +81,8 @@
         m_parser->body_limit(m_state->limits.bodyBytes);
         m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.headerBytes));
         readHead();
+        if (m_state->draining) // since its last answer was begun, or before it was accepted
+            endIfIdle();
     }
 
     // Bytes may have been taken from the socket for a read whose callback waits its turn: only the
@@ -225,10 +227,7 @@
         return;
     beast::error_code ignored; // without it answers are only slower
     socket.set_option(tcp::no_delay(true), ignored);
-    const auto taken = std::make_shared<connection>(std::move(socket), state);
-    taken->read();
-    if (state->draining)
-        taken->endIfIdle();
+    std::make_shared<connection>(std::move(socket), state)->read();
 }
 
 // Connections that were made and wait to be accepted; those that come later are refused.
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -197,6 +197,18 @@
         check(!served.isOpen());
         check(!kept_caller(address).isOpen());
     });
+    section("a connection whose answer is on its way out, and does not say that it closes", [] {
+        draining_server server;
+        kept_caller caller(server.address());
+        caller.send("POST", "/slow");
+        server.when([&] { return server.open().size() == 1; },
+                    [&] {
+                        server.open()[0]({200, {}, "done"});
+                        server.listener().drain();
+                    });
+        check(server.runUntilDrained());
+        check(caller.readAnswer() == 200);
+    });
     section("a request that is given up gets one answer", [] {
         draining_server server;
         kept_caller caller(server.address());
