An agent's planned stop answers what has reached it before it ends

What entries saw: an order, or a call of the store by way of an agent, ended without an answer as the agent was told to stop.

The agent ended as soon as the last write of its lease was out or 0.3 s were over, and its two listeners were cut off, with what they had read or had not read yet.

Now it takes the steps of planned_stop: with nothing more to stay for, both listeners drain beside the last write. After 0.3 s calls of the store whose outcome is open get 502, which their callers repeat, later ones 503, and the process ends once no connection is left, within 5.7 s in any case. With nothing open it ends at the second look, 10 ms after the first.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -8,6 +8,7 @@
 #include "app/entry_directory.h"
 #include "app/job_tables.h"
 #include "app/lease_keeper.h"
+#include "app/planned_stop.h"
 #include "app/process.h"
 #include "app/row_store.h"
 #include "app/table_follower.h"
@@ -45,7 +46,8 @@
 constexpr milliseconds TellWithin{1000}; // a report is answered within some ms, repeated each 1 s
 constexpr milliseconds GoWithin{300};    // the last write takes some 15 ms
 constexpr milliseconds GoStep{10};
-constexpr milliseconds LeaveWithin{5000}; // below the 6 s after which a process is killed
+constexpr milliseconds LeaveWithin{5000};
+constexpr stop_times StopTimes{LeaveWithin, GoWithin, LeaveWithin + GoWithin, milliseconds(5700)};
 
 class agent_process
 {
@@ -365,6 +367,8 @@
         const auto path = request.path();
         if (path == "/metrics")
             return respond({200, {{"Content-Type", "text/plain"}}, m_metrics.text()});
+        if (path.starts_with(StoreRelayPath) && hasGivenUp())
+            return respond({503, {}, ""}); // nothing was done
         if (path.starts_with(StoreRelayPath))
             return m_store.relay(std::move(request), std::move(respond));
         if (path != "/v1/orders")
@@ -612,36 +616,61 @@
 
     // --- Planned stop.
 
+    bool hasGivenUp() const { return m_stop && m_stop->hasGivenUp(); }
+
     void leave()
     {
-        m_leaveUntil = suspendAwareNow() + LeaveWithin;
+        m_stop.emplace(suspendAwareNow(), StopTimes);
         m_log.note("drain_started", {{"runs", m_table.running()},
                                      {"worker", m_told.leaving ? "leaving" : "staying"},
                                      {"stays", hasToStay() ? "yes" : "no"}});
+        m_internal.announceClose();
+        m_workers.announceClose();
         leaveOn();
     }
 
     void leaveOn()
     {
-        const auto now = suspendAwareNow();
-        if (hasToStay() && now < m_leaveUntil) {
-            m_loop.after(LookRetry, [this] { leaveOn(); });
-            return;
+        if (m_stopStep == stop_step::Finish)
+            giveBack();
+        const bool open = !m_internal.drained() || !m_workers.drained();
+        const bool writes = lease().writeOut() && !hasGivenUp();
+        const auto step =
+                m_stop->look({hasToStay(), open || writes}, m_loop.lateness(), suspendAwareNow());
+        if (step != m_stopStep)
+            carryOut(step);
+        if (step != stop_step::End)
+            m_loop.after(step == stop_step::HandOver ? LookRetry : GoStep, [this] { leaveOn(); });
+    }
+
+    void carryOut(stop_step step)
+    {
+        m_stopStep = step;
+        switch (step) {
+        case stop_step::HandOver:
+            break;
+        case stop_step::Finish:
+            giveBack();
+            m_internal.drain();
+            m_workers.drain();
+            break;
+        case stop_step::GiveUp:
+            // Calls of the store that are relayed: they may have been carried out.
+            m_internal.answerAll({502, {}, ""});
+            break;
+        case stop_step::End:
+            m_loop.stop();
+            break;
         }
-        m_goUntil = now + GoWithin;
-        go();
     }
 
     // The row tells the end of what is held: an agent that never comes back keeps its worker's
     // tasks from starting elsewhere for no longer. Its next life renews the lease.
-    void go()
+    void giveBack()
     {
         const auto held = m_silence.heldUntil();
         if (held && !lease().writeOut() && !std::exchange(m_gaveBack, true))
             m_keeper.renew(held);
-        if (!lease().writeOut() || suspendAwareNow() >= m_goUntil)
-            return m_loop.stop();
-        m_loop.after(GoStep, [this] { go(); });
     }
 
     // The next life of an agent goes on with what runs. But a worker that leaves takes its agent's
@@ -689,9 +718,9 @@
     bool m_departing = false;   // said to end, and not yet seen gone
     time_point m_goneBy{};      // it ends before, if it has said so itself
     time_point m_tellUntil{};   // entries have answered a report with the present epoch by then
-    time_point m_leaveUntil{};
-    time_point m_goUntil{};
-    bool m_gaveBack = false; // the last renewal was sent
+    std::optional<planned_stop> m_stop;
+    stop_step m_stopStep = stop_step::HandOver; // that was carried out
+    bool m_gaveBack = false;                    // the last renewal was sent
 
     lease_keeper m_keeper;
     worker_silence m_silence{suspendAwareNow()};
--- a/app/planned_stop.cpp
+++ b/app/planned_stop.cpp
@@ -22,10 +22,11 @@
     return nameOf(StepNames, step);
 }
 
-planned_stop::planned_stop(time_point begunAt)
-    : m_handOverBy(begunAt + HandOverWithin)
-    , m_giveUpAt(begunAt + GiveUpAfter)
-    , m_endBy(begunAt + EndWithin)
+planned_stop::planned_stop(time_point begunAt, const stop_times &times)
+    : m_finishWithin(times.finishWithin)
+    , m_handOverBy(begunAt + times.handOverWithin)
+    , m_giveUpAt(begunAt + times.giveUpAfter)
+    , m_endBy(begunAt + times.endWithin)
 { }
 
 stop_step planned_stop::look(const stop_needs &needs, duration lateness, time_point now)
@@ -33,8 +34,10 @@
     const auto nextLook = now + std::min<duration>(lateness, LatestLook);
     switch (m_step) {
     case stop_step::HandOver:
-        if (!needs.owns || nextLook >= m_handOverBy)
+        if (!needs.owns || nextLook >= m_handOverBy) {
             m_step = stop_step::Finish;
+            m_giveUpAt = std::min<time_point>(m_giveUpAt, now + m_finishWithin);
+        }
         break;
     case stop_step::Finish:
         if (!needs.answering)
--- a/app/planned_stop.h
+++ b/app/planned_stop.h
@@ -23,17 +23,22 @@
     bool answering = false; // connections are open
 };
 
+// A killed process cuts off everything: all steps are over 6 s after the signal.
+struct stop_times
+{
+    milliseconds handOverWithin{4000};
+    milliseconds finishWithin{5200}; // counted from the end of the handing over
+    milliseconds giveUpAfter{5200};  // however long that lasted
+    milliseconds endWithin{5700};
+};
+
 class planned_stop
 {
 public:
-    // A killed process cuts off everything: all steps are over 6 s after the signal.
-    static constexpr milliseconds HandOverWithin{4000};
-    static constexpr milliseconds GiveUpAfter{5200};
-    static constexpr milliseconds EndWithin{5700};
     // A loop that was held up once is not behind by that much again.
     static constexpr milliseconds LatestLook{500};
 
-    explicit planned_stop(time_point begunAt);
+    explicit planned_stop(time_point begunAt, const stop_times &times = {});
 
     // One step further at most. `lateness`: of the next look, if it is as late as the ones before;
     // a step that can't wait for it is taken now.
@@ -45,6 +50,7 @@
 
 private:
     stop_step m_step = stop_step::HandOver;
+    milliseconds m_finishWithin;
     time_point m_handOverBy;
     time_point m_giveUpAt;
     time_point m_endBy;
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -48,6 +48,16 @@
         check(stepAt(milliseconds(5650), Answers) == stop_step::GiveUp);
         check(stepAt(milliseconds(5700), Answers) == stop_step::End);
     });
+    section("the time to finish may be shorter, counted from the end of handing over", [] {
+        const stop_times times{milliseconds(5000), milliseconds(300), milliseconds(5300),
+                               milliseconds(5700)};
+        const auto handedOver = Begun + seconds(1);
+        planned_stop stop(Begun, times);
+        check(stop.look(Owns, {}, handedOver - milliseconds(10)) == stop_step::HandOver);
+        check(stop.look(Answers, {}, handedOver) == stop_step::Finish);
+        check(stop.look(Answers, {}, handedOver + milliseconds(290)) == stop_step::Finish);
+        check(stop.look(Answers, {}, handedOver + milliseconds(300)) == stop_step::GiveUp);
+    });
     section("names, for the log", [] { check(nameOf(stop_step::GiveUp) == "give_up"); });
 }
 
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -1,4 +1,5 @@
 // Callers' jobs on real processes: two entries and two agents beside the stand-in of the platform.
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -93,6 +94,9 @@
     }
 
     std::string callersAddress(int entry) const { return at(2 + entry, CallersPort); }
+    std::string entryInternalAddress(int entry) const { return at(2 + entry, InternalPort); }
+    std::string agentInternalAddress(int agent) const { return at(4 + agent, InternalPort); }
+    std::string agentWorkersAddress(int agent) const { return at(4 + agent, WorkersPort); }
 
     std::optional<http_response> call(int entry, const std::string &method, const std::string &job,
                                       const std::string &body = "")
@@ -176,6 +180,17 @@
         return text.find(words) != std::string::npos;
     }
 
+    // It has passed a call of the store on.
+    bool agentRelays(int agent)
+    {
+        http_request request;
+        request.target = "/metrics";
+        http_pool pool(parseAddress(agentInternalAddress(agent)));
+        const auto result = pool.call(request, monotonic_clock::now() + seconds(1));
+        const auto *answer = std::get_if<http_response>(&result);
+        return answer != nullptr && answer->body.find(R"("carried")") != std::string::npos;
+    }
+
     bool reaches(int entry, const std::string &job, const std::string &state)
     {
         return waitUntil(
@@ -273,6 +288,52 @@
     std::map<std::string, std::unique_ptr<child_process>> m_processes;
 };
 
+// Callers whose requests reach a process while it stands still.
+class waiting_callers
+{
+public:
+    explicit waiting_callers(std::string server)
+        : m_server(std::move(server))
+    { }
+
+    // One connection each, that the process accepts before anything is sent on it.
+    void connect(int count)
+    {
+        for (int each = 0; each < count; ++each)
+            m_callers.push_back(std::make_unique<kept_caller>(m_server));
+    }
+    int open() const
+    {
+        return static_cast<int>(std::count_if(m_callers.begin(), m_callers.end(),
+                                              [](const auto &each) { return each->isOpen(); }));
+    }
+    void forgetClosed()
+    {
+        std::erase_if(m_callers, [](const auto &each) { return !each->isOpen(); });
+    }
+    void send(const std::string &method, const std::string &path, const std::string &body = "")
+    {
+        for (const auto &each : m_callers)
+            require(each->send(method, path, body));
+    }
+    int cutOff() const
+    {
+        return static_cast<int>(
+                std::count_if(m_callers.begin(), m_callers.end(), [](const auto &each) {
+                    return each->fate() == request_fate::CutOff;
+                }));
+    }
+
+private:
+    std::string m_server;
+    std::vector<std::unique_ptr<kept_caller>> m_callers;
+};
+
+bool accepts(const std::string &server)
+{
+    return waitUntil([&] { return kept_caller(server).isOpen(); }, SoonEnough);
+}
+
 void checkNothingWrong(const system_under_test &, const job_site &site)
 {
     for (const auto &violation : site.violations())
@@ -633,3 +694,75 @@
     on.site().turnAway(false);
     checkNothingWrong(on, on.site());
 }
+
+// An entry's order, or an announcement of the worker, ends without an answer. Its agent was told to
+// stop and was behind, and its listeners were cut off: what had come stood in sockets, or on
+// connections that wait to be accepted.
+Test(process_jobs, requests_that_reach_a_leaving_agent_which_is_behind)
+{
+    system_under_test on;
+    constexpr int Callers = 8; // of each kind
+    const auto connectTo = [&](waiting_callers &orders, waiting_callers &announcements) {
+        orders.connect(Callers);
+        announcements.connect(Callers);
+    };
+    // On those connections that the agent has not closed by then.
+    const auto send = [](waiting_callers &orders, waiting_callers &announcements) {
+        orders.forgetClosed();
+        orders.send("POST", "/v1/orders", "{}");
+        announcements.forgetClosed();
+        announcements.send("POST", "/-/instances/i-9/heartbeat", "{}");
+    };
+    for (const int agent : {0, 1}) {
+        require(accepts(on.agentInternalAddress(agent)));
+        require(accepts(on.agentWorkersAddress(agent)));
+    }
+    section("it stands still as it is told to stop", [&] {
+        waiting_callers orders(on.agentInternalAddress(0));
+        waiting_callers announcements(on.agentWorkersAddress(0));
+        connectTo(orders, announcements);
+        on.agent(0).signal(SIGSTOP);
+        connectTo(orders, announcements);
+        require(orders.open() + announcements.open() == 4 * Callers);
+        send(orders, announcements);
+        on.agent(0).signal(SIGTERM);
+        on.agent(0).signal(SIGCONT);
+        check(orders.cutOff() + announcements.cutOff() == 0);
+        check(on.agent(0).waitForExit(SoonEnough) == 0);
+    });
+    section("it stands still until the last write of its lease is not waited for any more", [&] {
+        waiting_callers orders(on.agentInternalAddress(1));
+        waiting_callers announcements(on.agentWorkersAddress(1));
+        connectTo(orders, announcements);
+        on.site().turnAway(true);
+        std::this_thread::sleep_for(milliseconds(2000)); // a renewal is out, and stays so
+        on.agent(1).signal(SIGTERM);
+        std::this_thread::sleep_for(milliseconds(100));
+        on.agent(1).signal(SIGSTOP);
+        connectTo(orders, announcements);
+        send(orders, announcements);
+        std::this_thread::sleep_for(milliseconds(1000));
+        on.agent(1).signal(SIGCONT);
+        check(orders.cutOff() + announcements.cutOff() == 0);
+        check(on.agent(1).waitForExit(SoonEnough) == 0);
+    });
+    on.site().turnAway(false);
+    checkNothingWrong(on, on.site());
+}
+
+// An entry that can't reach the store writes by way of an agent, and the connection ends without an
+// answer. The agent is told to stop while the store has the call: 502 tells that it may have been
+// carried out, and the entry repeats the very same write by another way.
+Test(process_jobs, a_leaving_agent_has_relayed_a_call)
+{
+    system_under_test on;
+    require(accepts(on.agentInternalAddress(0)));
+    kept_caller caller(on.agentInternalAddress(0));
+    constexpr const char *Feed = "/v1/store/-/rows-feed?table=op&after=1000000&wait-ms=1000";
+    require(caller.send("GET", Feed)); // is held for a second
+    require(waitUntil([&] { return on.agentRelays(0); }, SoonEnough));
+    on.agent(0).signal(SIGTERM);
+    check(caller.readAnswer() == 502);
+    check(on.agent(0).waitForExit(SoonEnough) == 0);
+    checkNothingWrong(on, on.site());
+}
