The threaded HTTP server answers what had come before it stopped

Cause: two, both judged by what had been handled. Closing the listening socket cuts off connections that were made and wait to be accepted. And a thread that came to its connection only after that, or after the end of the idle time, ended it without looking for a request in its socket.

Now the listening socket is closed once no connection waits at it, after 1,000 looks at most, counted in looks since a process that stood still has looked at nothing meanwhile; and a connection ends idle only when its socket is empty.

Evidence: http_server_test requests_that_came_before_it_stopped, both sections, failed 10 of 10 runs before and passes 10 of 10. The process test that comes with it, an entry and an agent that stand still at their stop, passed before too (5 runs): there the threads that read ran before the one that stops.

Not mended: http_server_test address_share fails in some runs on a busy machine (2 of 25 before, 1 of 25 since, load about 40), in a way that fits an order of its three connections that it doesn't wait for; not traced.

--- a/libs/runtime/http.cpp
+++ b/libs/runtime/http.cpp
@@ -32,6 +32,10 @@
 constexpr std::size_t RefusalsWaiting = 64;
 constexpr milliseconds RefuseWithin{250}; // to read a request only in order to refuse it
 constexpr std::size_t RequestsPerConnection = 1U << 30U;
+// Before the listening socket is closed. Looks and not a time: a process that stood still has
+// looked at nothing meanwhile.
+constexpr int LooksForWaiting = 1000;
+constexpr milliseconds LookForWaitingEvery{1};
 
 constexpr name_table<call_failure, 4> CallFailureNames{{
         {call_failure::NotConnected, "not_connected"},
@@ -467,6 +471,17 @@
             to.set_header("Connection", "close");
     }
 
+    // Closing the listening socket cuts off connections that were made and wait to be accepted.
+    void letWaitingIn() const
+    {
+        for (int looks = 0; looks < LooksForWaiting; ++looks) {
+            pollfd waiting{listener, POLLIN, 0};
+            if (poll(&waiting, 1, 0) != 1)
+                return;
+            std::this_thread::sleep_for(LookForWaitingEvery);
+        }
+    }
+
     void configure()
     {
         const auto all = [this](const httplib::Request &from, httplib::Response &to) {
@@ -535,6 +550,7 @@
     if (!m_impl->acceptor.joinable())
         return;
     m_impl->closing = true;
+    m_impl->letWaitingIn();
     m_impl->server.stop();
     m_impl->acceptor.join();
 }
--- a/libs/runtime/http.h
+++ b/libs/runtime/http.h
@@ -112,7 +112,8 @@
 
     // Binds and serves on threads of its own. Throws error BadSettings when the address is taken.
     void start();
-    // Stops accepting, finishes what is in flight, returns when every connection is closed.
+    // Stops accepting, answers what has come by then, also on connections that wait to be accepted;
+    // returns when every connection is closed.
     void stop();
     void announceClose(bool closing); // answers carry "Connection: close" from now on
     socket_address address() const;
--- a/libs/runtime/http_connection.h
+++ b/libs/runtime/http_connection.h
@@ -103,11 +103,12 @@
     while (m_from == m_to && !closing()) {
         const auto now = monotonic_clock::now();
         if (now >= deadline)
-            return false;
+            break;
         if (waitFor(POLLIN, std::min<time_point>(deadline, now + LookEvery)))
             break;
     }
-    if (closing())
+    // What has come is read, whatever this thread was late for.
+    if (m_from == m_to && !waitFor(POLLIN, monotonic_clock::now()))
         return false;
     enter(connection_phase::Reading);
     m_readUntil = monotonic_clock::now() + m_limits.readWithin;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -1,9 +1,12 @@
 // The HTTP server against callers that stall: each holds a thread for a bounded time.
 #include <atomic>
+#include <condition_variable>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 
+#include "kept_caller.h"
 #include "runtime/http.h"
 #include "section.h"
 #include "stalled_callers.h"
@@ -65,6 +68,64 @@
     http_server m_server;
 };
 
+// A server whose thread that reports an event goes on only when it is let go: it is behind.
+class server_behind
+{
+public:
+    server_behind(http_server_limits limits, connection_event heldAt)
+        : m_heldAt(heldAt)
+        , m_server(
+                  {"127.0.0.1", 0}, limits, [](const http_request &) { return http_response{}; },
+                  [this](connection_event event) { hold(event); })
+    {
+        m_server.start();
+    }
+    ~server_behind() { letGo(); }
+
+    std::string address() const { return toText(m_server.address()); }
+    bool waitUntilHeld()
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, SoonEnough, [this] { return m_held; });
+    }
+    // Stops it on a thread of its own.
+    void beginStop()
+    {
+        m_stopping.emplace([this] { m_server.stop(); });
+        std::this_thread::sleep_for(milliseconds(200)); // it has begun to, or nearly always has
+    }
+    void endStop()
+    {
+        letGo();
+        m_stopping->join();
+    }
+
+private:
+    void hold(connection_event event)
+    {
+        std::unique_lock lock(m_mutex);
+        if (event != m_heldAt)
+            return;
+        m_held = true;
+        m_changed.notify_all();
+        m_changed.wait(lock, [this] { return m_letGo; });
+    }
+    void letGo()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_letGo = true;
+        m_changed.notify_all();
+    }
+
+    const connection_event m_heldAt;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_held = false;
+    bool m_letGo = false;
+    http_server m_server;
+    std::optional<std::thread> m_stopping;
+};
+
 http_server_limits fewThreads()
 {
     http_server_limits limits;
@@ -157,3 +218,38 @@
     });
     section("another address", [&] { check(server.answers()); });
 }
+
+// A caller's connection is closed without an answer. Its request had reached the server before it
+// stopped, and the thread that was to take it was behind.
+Test(http_server, requests_that_came_before_it_stopped)
+{
+    section("on connections that wait to be accepted", [] {
+        auto limits = fewThreads();
+        limits.connections = 1;
+        server_behind server(limits, connection_event::AllInUse);
+        kept_caller first(server.address());
+        require(first.send("GET", "/seats"));
+        require(first.readAnswer() == 200);
+        kept_caller second(server.address()); // the thread that accepts is held by it
+        require(server.waitUntilHeld());
+        kept_caller third(server.address());
+        require(third.send("GET", "/seats"));
+        server.beginStop();
+        server.endStop();
+        check(third.fate() == request_fate::Answered);
+    });
+    section("in the socket of a connection", [] {
+        auto limits = fewThreads();
+        limits.perAddress = 1;
+        server_behind server(limits, connection_event::AddressShare);
+        kept_caller first(server.address());
+        require(first.send("GET", "/seats"));
+        require(first.readAnswer() == 200);
+        kept_caller second(server.address());
+        require(second.send("GET", "/seats"));
+        require(server.waitUntilHeld());
+        server.beginStop();
+        server.endStop();
+        check(second.fate() == request_fate::Answered);
+    });
+}
--- a/tests/process_requests_test.cpp
+++ b/tests/process_requests_test.cpp
@@ -1,5 +1,6 @@
 // Requests on real processes while these are killed, frozen, cut off and drained.
 #include "fleet_story.h"
+#include "kept_caller.h"
 
 using namespace zinniabarrow;
 using namespace zinniabarrow::tests;
@@ -100,6 +101,47 @@
     section("every promise was kept", [&] { checkPromisesKept(system, result); });
 }
 
+// A caller's connection, or an entry's, is closed without an answer, so that nobody knows whether
+// the request ran. The process was told to stop and was behind as its last request was answered:
+// the next ones stood in its sockets, or on connections that wait to be accepted.
+Test(process_requests, requests_that_reach_a_leaving_process_which_is_behind)
+{
+    fleet system(smallFleet());
+    startWhole(system);
+    const auto stopBehind = [](child_process &process, const std::string &address,
+                               const std::string &path) {
+        std::vector<std::unique_ptr<kept_caller>> callers;
+        const auto connectMore = [&] {
+            for (int each = 0; each < 8; ++each) {
+                callers.push_back(std::make_unique<kept_caller>(address));
+                require(callers.back()->isOpen());
+            }
+        };
+        connectMore();
+        for (const auto &caller : callers) {
+            require(caller->send("GET", path));
+            require(caller->readAnswer().has_value());
+        }
+        process.signal(SIGTERM);
+        std::this_thread::sleep_for(milliseconds(300));
+        process.signal(SIGSTOP);
+        connectMore(); // these wait to be accepted
+        for (const auto &caller : callers)
+            require(caller->send("GET", path));
+        std::this_thread::sleep_for(milliseconds(1000));
+        process.signal(SIGCONT);
+        int cutOff = 0;
+        for (const auto &caller : callers)
+            cutOff += caller->fate() == request_fate::CutOff ? 1 : 0;
+        check(cutOff == 0);
+        check(process.waitForExit(SoonEnough) == 0);
+    };
+    section("an entry",
+            [&] { stopBehind(*system.entry(0), system.entryAddress(0), "/tickets/seats"); });
+    section("an agent",
+            [&] { stopBehind(*system.agent(0), system.agentAddress(0), "/tickets/seats"); });
+}
+
 // With the table down a caller's keyed purchase is refused as not run, at once and with a time to
 // come back; reads and unkeyed purchases go on, since nothing durable decides about them.
 Test(process_requests, platform_down)
