A stop signal is heard before anything listens

What callers saw: an entry or agent that is stopped in its first moment dies of the signal, and cuts off whoever had connected.

Cause: both listened from their construction on, and heard of signals only in run().

Now an event loop with a stop hears of signals from its own construction on, and what listens is constructed after it.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -54,6 +54,7 @@
 public:
     explicit agent_process(job_agent_settings settings)
         : m_settings(std::move(settings))
+        , m_loop([this] { leave(); })
         , m_log("agent", m_settings.id)
         , m_caller(m_loop, callerLimits())
         , m_store(
@@ -76,7 +77,6 @@
 
     void run()
     {
-        m_loop.onStopSignal([this] { leave(); });
         m_log.note("started", {{"internal", toText(m_settings.internal)}});
         m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
         m_loop.every(DueEvery, [this] { act(); });
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -68,6 +68,7 @@
 public:
     explicit entry_process(job_entry_settings settings)
         : m_settings(std::move(settings))
+        , m_loop([this] { drain(); })
         , m_log("entry", m_settings.id)
         , m_caller(m_loop)
         , m_store(
@@ -99,7 +100,6 @@
 
     void run()
     {
-        m_loop.onStopSignal([this] { drain(); });
         m_log.note("started", {{"internal", toText(m_settings.internal)}});
         m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
         enter();
--- a/libs/net/event_loop.cpp
+++ b/libs/net/event_loop.cpp
@@ -25,6 +25,19 @@
     : m_impl(std::make_unique<impl>())
 { }
 
+event_loop::event_loop(std::function<void()> onStop)
+    : event_loop()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);
+    m_impl->signals.add(SIGTERM);
+    m_impl->signals.add(SIGINT);
+    m_impl->signals.async_wait([onStop = std::move(onStop)](const auto &failure, int) {
+        if (!failure)
+            onStop();
+    });
+}
+
 event_loop::~event_loop() = default;
 
 void event_loop::run(const std::function<void(const std::exception &)> &failed)
@@ -81,16 +94,4 @@
     });
 }
 
-void event_loop::onStopSignal(std::function<void()> work)
-{
-    std::signal(SIGPIPE, SIG_IGN);
-    std::signal(SIGHUP, SIG_IGN);
-    m_impl->signals.add(SIGTERM);
-    m_impl->signals.add(SIGINT);
-    m_impl->signals.async_wait([work = std::move(work)](const auto &failure, int) {
-        if (!failure)
-            work();
-    });
-}
-
 } // namespace zinniabarrow::net
--- a/libs/net/event_loop.h
+++ b/libs/net/event_loop.h
@@ -18,6 +18,10 @@
 {
 public:
     event_loop();
+    // `onStop` runs on the loop at the first SIGTERM or SIGINT from here on, also one that comes
+    // before run(); SIGPIPE and SIGHUP are ignored. What listens is made after its loop: a signal
+    // that nobody hears of would end the process with connections open.
+    explicit event_loop(std::function<void()> onStop);
     ~event_loop();
     event_loop(const event_loop &) = delete;
     event_loop &operator=(const event_loop &) = delete;
@@ -32,8 +36,6 @@
     void every(duration period, std::function<void()> work);
     // How late timers fired, at most, over the last seconds: how far the loop is behind.
     duration lateness() const;
-    // SIGTERM and SIGINT; SIGPIPE and SIGHUP are ignored.
-    void onStopSignal(std::function<void()> work);
 
     struct impl;
     impl &internals() { return *m_impl; }
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -766,3 +766,128 @@
     check(on.agent(0).waitForExit(SoonEnough) == 0);
     checkNothingWrong(on, on.site());
 }
+
+// A caller's connection is closed without an answer. Its entry was told to stop as it had only
+// begun: it has no incarnation or configuration yet, knows no jobs, or is not yet in its loop.
+Test(process_jobs, an_entry_that_has_only_begun_is_stopped)
+{
+    system_under_test on;
+    const auto stopWithRequests = [&] {
+        waiting_callers callers(on.callersAddress(0));
+        callers.connect(4);
+        on.entry(0).signal(SIGSTOP);
+        callers.connect(4);
+        callers.send("GET", "/holds/");
+        on.entry(0).signal(SIGTERM);
+        on.entry(0).signal(SIGCONT);
+        check(callers.cutOff() == 0);
+        check(on.entry(0).waitForExit(SoonEnough) == 0);
+    };
+    section("as soon as it accepts connections", [&] {
+        on.startEntry(0);
+        require(accepts(on.callersAddress(0)));
+        stopWithRequests();
+    });
+    for (const int ms : {10, 40, 100, 250}) {
+        section(fmt::format("{} ms later", ms), [&] {
+            on.startEntry(0);
+            require(accepts(on.callersAddress(0)));
+            std::this_thread::sleep_for(milliseconds(ms));
+            stopWithRequests();
+        });
+    }
+    section("while the store is away, before its incarnation", [&] {
+        on.site().turnAway(true);
+        on.startEntry(0);
+        require(accepts(on.callersAddress(0)));
+        std::this_thread::sleep_for(milliseconds(300));
+        stopWithRequests();
+        on.site().turnAway(false);
+    });
+    checkNothingWrong(on, on.site());
+}
+
+// The process dies of its signal, and whoever had connected is cut off: it listened before it heard
+// of signals.
+Test(process_jobs, a_stop_in_the_first_moment)
+{
+    system_under_test on;
+    // Looks without a pause: the moment is short.
+    const auto awaitListening = [](const std::string &address) {
+        const auto giveUpAt = monotonic_clock::now() + SoonEnough;
+        while (!kept_caller(address).isOpen())
+            require(monotonic_clock::now() < giveUpAt);
+    };
+    constexpr int Lives = 10;
+    for (int life = 0; life < Lives; ++life) {
+        section("of an entry", [&] {
+            on.startEntry(0);
+            awaitListening(on.entryInternalAddress(0));
+            on.entry(0).signal(SIGTERM);
+            check(on.entry(0).waitForExit(SoonEnough) == 0);
+        });
+        section("of an agent", [&] {
+            on.startAgent(0);
+            awaitListening(on.agentInternalAddress(0));
+            on.agent(0).signal(SIGTERM);
+            check(on.agent(0).waitForExit(SoonEnough) == 0);
+        });
+    }
+    checkNothingWrong(on, on.site());
+}
+
+// A caller's connection is closed without an answer because of something that comes beside the
+// first signal: a second one, a hang-up, writes whose answers do not come.
+Test(process_jobs, stops_with_other_trouble)
+{
+    system_under_test on;
+    constexpr const char *Job = R"({"spec":"","steps":[{"count":1,"cpu":1000}]})";
+    section("more signals come, and the process is behind", [&] {
+        waiting_callers callers(on.callersAddress(0));
+        callers.connect(4);
+        on.entry(0).signal(SIGSTOP);
+        callers.connect(4);
+        callers.send("GET", "/holds/");
+        on.entry(0).signal(SIGTERM);
+        on.entry(0).signal(SIGHUP);
+        on.entry(0).signal(SIGTERM);
+        on.entry(0).signal(SIGCONT);
+        on.entry(0).signal(SIGTERM);
+        on.entry(0).signal(SIGHUP);
+        check(callers.cutOff() == 0);
+        check(on.entry(0).waitForExit(SoonEnough) == 0);
+    });
+    section("answers of the store are lost", [&] {
+        on.startEntry(0);
+        require(waitUntil([&] { return on.isReady(0); }, SoonEnough));
+        waiting_callers callers(on.callersAddress(0));
+        callers.connect(8);
+        on.site().loseAnswers(40);
+        callers.send("POST", "/holds/fffd000000000001", Job);
+        on.entry(0).signal(SIGTERM);
+        check(callers.cutOff() == 0);
+        check(on.entry(0).waitForExit(SoonEnough) == 0);
+        on.site().loseAnswers(0);
+    });
+    checkNothingWrong(on, on.site());
+}
+
+// Connections beyond what an entry holds are closed as they come; those that it holds are answered
+// all the same when it is told to stop amid them.
+Test(process_jobs, planned_stop_amid_more_connections_than_it_holds)
+{
+    constexpr int Held = 1500;
+    system_under_test on;
+    waiting_callers callers(on.callersAddress(0));
+    callers.connect(Held + 100);
+    require(waitUntil([&] { return callers.open() <= Held; }, SoonEnough));
+    check(callers.open() == Held);
+    callers.forgetClosed();
+    on.entry(0).signal(SIGSTOP);
+    callers.send("GET", "/holds/");
+    on.entry(0).signal(SIGTERM);
+    on.entry(0).signal(SIGCONT);
+    check(callers.cutOff() == 0);
+    check(on.entry(0).waitForExit(SoonEnough) == 0);
+    checkNothingWrong(on, on.site());
+}
