A request at the end of the idle time is read and answered

What callers saw: a connection closed without an answer, when their request came some 60 s after the one before.

Cause: one time limit, counted from the last answer, covered both the wait for a request and the whole request, and its end closed the socket, whatever had come: a request whose rest was on its way, or, in a server that was behind, one that stood in the socket. readWithin was used nowhere.

Now the end of the idle time cancels the wait as a drain does: the connection ends if nothing has come, and a request that has begun gets readWithin.

--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -59,6 +60,7 @@
     connection(tcp::socket socket, std::shared_ptr<http_listener::shared_state> state)
         : m_stream(std::move(socket))
         , m_state(std::move(state))
+        , m_patience(m_stream.get_executor())
     {
         m_place = m_state->open.insert(m_state->open.end(), this);
     }
@@ -80,6 +82,8 @@
         m_parser.emplace();
         m_parser->body_limit(m_state->limits.bodyBytes);
         m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.headerBytes));
+        m_stream.expires_never();
+        waitAtMost(m_state->limits.idleAtMost, &connection::idleTooLong);
         readHead();
         if (m_state->draining) // since its last answer was begun, or before it was accepted
             endIfIdle();
@@ -102,14 +106,32 @@
         if (m_phase == connection_phase::Ended)
             return;
         m_phase = connection_phase::Ended;
+        m_patience.cancel();
         m_state->open.erase(m_place);
         beast::error_code ignored; // nothing is left to send
         m_stream.socket().close(ignored);
     }
 
+    // A request that has begun, or that has come and was not read yet, is still taken.
+    void idleTooLong()
+    {
+        waitAtMost(m_state->limits.readWithin, &connection::end);
+        endIfIdle();
+    }
+
+    // The stream's own time limit closes the socket, whatever has come meanwhile.
+    void waitAtMost(milliseconds time, void (connection::*then)())
+    {
+        m_patience.expires_after(time);
+        m_patience.async_wait([weak = weak_from_this(), then](const beast::error_code &failure) {
+            const auto self = weak.lock();
+            if (!failure && self)
+                (*self.*then)();
+        });
+    }
+
     void readHead()
     {
-        m_stream.expires_after(m_state->limits.idleAtMost);
         auto self = shared_from_this();
         http::async_read_header(
                 m_stream, m_buffer, *m_parser,
@@ -118,11 +140,12 @@
 
     void headRead(const beast::error_code &failure)
     {
-        if (failure == asio::error::operation_aborted && m_state->draining)
+        if (failure == asio::error::operation_aborted)
             return readCancelled();
         if (failure || m_parser->is_done())
             return requestRead(failure);
         m_phase = connection_phase::Reading;
+        waitAtMost(m_state->limits.readWithin, &connection::end);
         makeRoomForBody(m_buffer, *m_parser);
         auto self = shared_from_this();
         http::async_read(m_stream, m_buffer, *m_parser,
@@ -142,6 +165,7 @@
 
     void requestRead(const beast::error_code &failure)
     {
+        m_patience.cancel();
         if (failure == http::error::body_limit) {
             m_keepAlive = false;
             return write({413, {}, R"({"error":"request_too_large"})"});
@@ -157,7 +181,6 @@
             request.headers[std::string(field.name_string())] = std::string(field.value());
         request.body = std::move(message.body());
         dropLargeRoom(m_buffer);
-        m_stream.expires_never();
         ++m_state->inFlight;
         m_phase = connection_phase::Answering;
         auto self = shared_from_this();
@@ -212,6 +235,7 @@
 
     beast::tcp_stream m_stream;
     std::shared_ptr<http_listener::shared_state> m_state;
+    asio::steady_timer m_patience; // with the peer, until its request is whole
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::optional<http::response<http::string_body>> m_answer;
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -16,8 +16,8 @@
     std::size_t bodyBytes = 256 * 1024;  // a larger request is answered 413
     std::size_t headerBytes = 16 * 1024; // a larger head ends the connection
     std::size_t connections = 1500;      // beyond: closed at once, so that descriptors remain
-    milliseconds readWithin{10'000};     // a request is whole this long after the one before
-    milliseconds idleAtMost{60'000};     // between requests
+    milliseconds readWithin{10'000};     // a request is whole this long after its head
+    milliseconds idleAtMost{60'000};     // between requests; one that has begun gets readWithin
     milliseconds writeWithin{10'000};    // an answer is taken whole within this
 };
 
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -1,7 +1,9 @@
 // The server on the event loop: what becomes of large requests, and of those that come as it ends.
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -54,8 +56,8 @@
 class draining_server
 {
 public:
-    draining_server()
-        : m_listener(m_loop, {"127.0.0.1", 0}, {},
+    explicit draining_server(const net::listener_limits &limits = {})
+        : m_listener(m_loop, {"127.0.0.1", 0}, limits,
                      [this](const http_request &request, net::responder respond) {
                          if (request.target == "/slow")
                              m_open.push_back(std::move(respond));
@@ -79,6 +81,7 @@
                          when(std::move(condition), std::move(then));
                      });
     }
+    void after(duration delay, std::function<void()> then) { m_loop.after(delay, std::move(then)); }
     void whenIdle(std::size_t connections, std::function<void()> then)
     {
         when([this, connections] { return m_listener.activity().idle == connections; },
@@ -224,3 +227,59 @@
         check(caller.fate() == request_fate::CutOff);
     });
 }
+
+// A caller's connection is closed without an answer, at the end of the time for which it may be
+// idle: its request had begun to come before, or the server was behind and had not read it.
+Test(http_listener, requests_at_the_end_of_the_idle_time)
+{
+    net::listener_limits limits;
+    limits.idleAtMost = milliseconds(1000);
+    const auto past = limits.idleAtMost + milliseconds(100);
+    section("the rest of one comes after it", [&] {
+        for (const std::string part : {"POST /quick HTTP/1.1\r\nContent-Le",
+                                       "POST /quick HTTP/1.1\r\nContent-Length: 4\r\n\r\nbo"}) {
+            const std::string whole = "POST /quick HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody";
+            draining_server server(limits);
+            kept_caller caller(server.address());
+            caller.sendText(part);
+            server.when([&] { return server.listener().activity().reading == 1; },
+                        [&] {
+                            server.after(past, [&] {
+                                caller.sendText(whole.substr(part.size()));
+                                server.when([&] { return !caller.isOpen(); },
+                                            [&] { server.listener().drain(); });
+                            });
+                        });
+            check(server.runUntilDrained());
+            check(caller.readAnswer() == 200);
+        }
+    });
+    section("it came while the server stood still", [&] {
+        draining_server server(limits);
+        std::vector<std::unique_ptr<kept_caller>> callers;
+        constexpr int Callers = 200; // more than the loop takes from the system at once
+        for (int each = 0; each < Callers; ++each)
+            callers.push_back(std::make_unique<kept_caller>(server.address()));
+        server.whenIdle(Callers, [&] {
+            std::this_thread::sleep_for(past);
+            for (const auto &each : callers)
+                each->send("POST", "/quick", "body");
+            server.after(past, [&] { server.listener().drain(); });
+        });
+        check(server.runUntilDrained());
+        int cutOff = 0;
+        for (const auto &each : callers)
+            cutOff += each->fate() == request_fate::CutOff ? 1 : 0;
+        check(cutOff == 0);
+    });
+    section("a caller that sends nothing, or no more, is closed", [&] {
+        limits.readWithin = milliseconds(200);
+        draining_server server(limits);
+        kept_caller quiet(server.address());
+        kept_caller half(server.address());
+        half.sendText("POST /quick HTTP/1.1\r\nContent-Le");
+        server.when([&] { return !quiet.isOpen() && !half.isOpen(); },
+                    [&] { server.listener().drain(); });
+        check(server.runUntilDrained());
+    });
+}
