--- a/app/planned_stop.cpp
+++ b/app/planned_stop.cpp
@@ -22,12 +22,13 @@
     return nameOf(StepNames, step);
 }
 
-planned_stop::planned_stop(time_point heardAt, duration overdue)
+planned_stop::planned_stop(time_point heardAt, duration overdue, const stop_times &times)
+    : m_times(times)
 {
     const auto begunAt = heardAt - std::min<duration>(overdue, LatestSignal);
-    m_handOverBy = begunAt + HandOverWithin;
-    m_giveUpAt = begunAt + GiveUpAfter;
-    m_endBy = begunAt + EndWithin;
+    m_handOverBy = begunAt + times.handOverWithin;
+    m_giveUpAt = begunAt + times.giveUpAfter;
+    m_endBy = begunAt + times.endWithin;
 }
 
 stop_step planned_stop::look(const stop_needs &needs, duration lateness, time_point now)
@@ -36,8 +37,10 @@
     switch (m_step) {
     case stop_step::HandOver:
         // New callers are refused from the next step on: not while others are answered anyway.
-        if ((!needs.owns && !needs.requestsOpen) || nextLook >= m_handOverBy)
+        if ((!needs.owns && !needs.requestsOpen) || nextLook >= m_handOverBy) {
             m_step = stop_step::Finish;
+            m_giveUpAt = std::min<time_point>(m_giveUpAt, now + m_times.finishWithin);
+        }
         break;
     case stop_step::Finish:
         if (!needs.connectionsOpen)
--- a/app/planned_stop.h
+++ b/app/planned_stop.h
@@ -24,13 +24,18 @@
     bool connectionsOpen = false; // on which requests may stand, also unread
 };
 
+// A killed process cuts off everything: all steps are over 6 s after the signal.
+struct stop_times
+{
+    milliseconds handOverWithin{4000};
+    milliseconds finishWithin{5200}; // counted from the end of the handing over
+    milliseconds giveUpAfter{5200};  // however long that lasted
+    milliseconds endWithin{5700};
+};
+
 class planned_stop
 {
 public:
-    // A killed process cuts off everything: all steps are over 6 s after the signal.
-    static constexpr milliseconds HandOverWithin{4000};
-    static constexpr milliseconds GiveUpAfter{5200};
-    static constexpr milliseconds EndWithin{5700};
     // A loop that was held up once is not behind by that much again.
     static constexpr milliseconds LatestLook{500};
 
@@ -38,7 +43,7 @@
     static constexpr milliseconds LatestSignal{2000};
 
     // `overdue`: how long the signal may have waited for the loop.
-    planned_stop(time_point heardAt, duration overdue);
+    planned_stop(time_point heardAt, duration overdue, const stop_times &times = {});
 
     // One step further at most. `lateness`: of the next look, if it is as late as the ones before;
     // a step that can't wait for it is taken now, but for the last one.
@@ -50,6 +55,7 @@
 
 private:
     stop_step m_step = stop_step::HandOver;
+    stop_times m_times;
     time_point m_handOverBy;
     time_point m_giveUpAt;
     time_point m_endBy;
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -1,4 +1,5 @@
 // Callers' jobs on real processes: two entries and two agents beside the stand-in of the platform.
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -93,6 +94,9 @@
     }
 
     std::string callersAddress(int entry) const { return at(2 + entry, CallersPort); }
+    std::string entryInternalAddress(int entry) const { return at(2 + entry, InternalPort); }
+    std::string agentInternalAddress(int agent) const { return at(4 + agent, InternalPort); }
+    std::string agentWorkersAddress(int agent) const { return at(4 + agent, WorkersPort); }
 
     std::optional<http_response> call(int entry, const std::string &method, const std::string &job,
                                       const std::string &body = "")
@@ -176,6 +180,17 @@
         return text.find(words) != std::string::npos;
     }
 
+    // It has passed a call of the store on.
+    bool agentRelays(int agent)
+    {
+        http_request request;
+        request.target = "/metrics";
+        http_pool pool(parseAddress(agentInternalAddress(agent)));
+        const auto result = pool.call(request, monotonic_clock::now() + seconds(1));
+        const auto *answer = std::get_if<http_response>(&result);
+        return answer != nullptr && answer->body.find(R"("carried")") != std::string::npos;
+    }
+
     bool reaches(int entry, const std::string &job, const std::string &state)
     {
         return waitUntil(
@@ -273,6 +288,52 @@
     std::map<std::string, std::unique_ptr<child_process>> m_processes;
 };
 
+// Callers whose requests reach a process while it stands still.
+class waiting_callers
+{
+public:
+    explicit waiting_callers(std::string server)
+        : m_server(std::move(server))
+    { }
+
+    // One connection each, that the process accepts before anything is sent on it.
+    void connect(int count)
+    {
+        for (int each = 0; each < count; ++each)
+            m_callers.push_back(std::make_unique<kept_caller>(m_server));
+    }
+    int open() const
+    {
+        return static_cast<int>(std::count_if(m_callers.begin(), m_callers.end(),
+                                              [](const auto &each) { return each->isOpen(); }));
+    }
+    void forgetClosed()
+    {
+        std::erase_if(m_callers, [](const auto &each) { return !each->isOpen(); });
+    }
+    void send(const std::string &method, const std::string &path, const std::string &body = "")
+    {
+        for (const auto &each : m_callers)
+            require(each->send(method, path, body));
+    }
+    int cutOff() const
+    {
+        return static_cast<int>(
+                std::count_if(m_callers.begin(), m_callers.end(), [](const auto &each) {
+                    return each->fate() == request_fate::CutOff;
+                }));
+    }
+
+private:
+    std::string m_server;
+    std::vector<std::unique_ptr<kept_caller>> m_callers;
+};
+
+bool accepts(const std::string &server)
+{
+    return waitUntil([&] { return kept_caller(server).isOpen(); }, SoonEnough);
+}
+
 void checkNothingWrong(const system_under_test &, const job_site &site)
 {
     for (const auto &violation : site.violations())
@@ -664,3 +725,200 @@
     check(on.reaches(0, job, "completed"));
     checkNothingWrong(on, on.site());
 }
+
+// An entry's order, or an announcement of the worker, ends without an answer. Its agent was told to
+// stop and was behind, and its listeners were cut off: what had come stood in sockets, or on
+// connections that wait to be accepted.
+Test(process_jobs, requests_that_reach_a_leaving_agent_which_is_behind)
+{
+    system_under_test on;
+    constexpr int Callers = 8; // of each kind
+    const auto connectTo = [&](waiting_callers &orders, waiting_callers &announcements) {
+        orders.connect(Callers);
+        announcements.connect(Callers);
+    };
+    // On those connections that the agent has not closed by then.
+    const auto send = [](waiting_callers &orders, waiting_callers &announcements) {
+        orders.forgetClosed();
+        orders.send("POST", "/v1/orders", "{}");
+        announcements.forgetClosed();
+        announcements.send("POST", "/-/instances/i-9/heartbeat", "{}");
+    };
+    for (const int agent : {0, 1}) {
+        require(accepts(on.agentInternalAddress(agent)));
+        require(accepts(on.agentWorkersAddress(agent)));
+    }
+    section("it stands still as it is told to stop", [&] {
+        waiting_callers orders(on.agentInternalAddress(0));
+        waiting_callers announcements(on.agentWorkersAddress(0));
+        connectTo(orders, announcements);
+        on.agent(0).signal(SIGSTOP);
+        connectTo(orders, announcements);
+        require(orders.open() + announcements.open() == 4 * Callers);
+        send(orders, announcements);
+        on.agent(0).signal(SIGTERM);
+        on.agent(0).signal(SIGCONT);
+        check(orders.cutOff() + announcements.cutOff() == 0);
+        check(on.agent(0).waitForExit(SoonEnough) == 0);
+    });
+    section("it stands still until the last write of its lease is not waited for any more", [&] {
+        waiting_callers orders(on.agentInternalAddress(1));
+        waiting_callers announcements(on.agentWorkersAddress(1));
+        connectTo(orders, announcements);
+        on.site().turnAway(true);
+        std::this_thread::sleep_for(milliseconds(2000)); // a renewal is out, and stays so
+        on.agent(1).signal(SIGTERM);
+        std::this_thread::sleep_for(milliseconds(100));
+        on.agent(1).signal(SIGSTOP);
+        connectTo(orders, announcements);
+        send(orders, announcements);
+        std::this_thread::sleep_for(milliseconds(1000));
+        on.agent(1).signal(SIGCONT);
+        check(orders.cutOff() + announcements.cutOff() == 0);
+        check(on.agent(1).waitForExit(SoonEnough) == 0);
+    });
+    on.site().turnAway(false);
+    checkNothingWrong(on, on.site());
+}
+
+// An entry that can't reach the store writes by way of an agent, and the connection ends without an
+// answer. The agent is told to stop while the store has the call: 502 tells that it may have been
+// carried out, and the entry repeats the very same write by another way.
+Test(process_jobs, a_leaving_agent_has_relayed_a_call)
+{
+    system_under_test on;
+    require(accepts(on.agentInternalAddress(0)));
+    kept_caller caller(on.agentInternalAddress(0));
+    constexpr const char *Feed = "/v1/store/-/rows-feed?table=op&after=1000000&wait-ms=1000";
+    require(caller.send("GET", Feed)); // is held for a second
+    require(waitUntil([&] { return on.agentRelays(0); }, SoonEnough));
+    on.agent(0).signal(SIGTERM);
+    check(caller.readAnswer() == 502);
+    check(on.agent(0).waitForExit(SoonEnough) == 0);
+    checkNothingWrong(on, on.site());
+}
+
+// A caller's connection is closed without an answer. Its entry was told to stop as it had only
+// begun: it has no incarnation or configuration yet, knows no jobs, or is not yet in its loop.
+Test(process_jobs, an_entry_that_has_only_begun_is_stopped)
+{
+    system_under_test on;
+    const auto stopWithRequests = [&] {
+        waiting_callers callers(on.callersAddress(0));
+        callers.connect(4);
+        on.entry(0).signal(SIGSTOP);
+        callers.connect(4);
+        callers.send("GET", "/holds/");
+        on.entry(0).signal(SIGTERM);
+        on.entry(0).signal(SIGCONT);
+        check(callers.cutOff() == 0);
+        check(on.entry(0).waitForExit(SoonEnough) == 0);
+    };
+    section("as soon as it accepts connections", [&] {
+        on.startEntry(0);
+        require(accepts(on.callersAddress(0)));
+        stopWithRequests();
+    });
+    for (const int ms : {10, 40, 100, 250}) {
+        section(fmt::format("{} ms later", ms), [&] {
+            on.startEntry(0);
+            require(accepts(on.callersAddress(0)));
+            std::this_thread::sleep_for(milliseconds(ms));
+            stopWithRequests();
+        });
+    }
+    section("while the store is away, before its incarnation", [&] {
+        on.site().turnAway(true);
+        on.startEntry(0);
+        require(accepts(on.callersAddress(0)));
+        std::this_thread::sleep_for(milliseconds(300));
+        stopWithRequests();
+        on.site().turnAway(false);
+    });
+    checkNothingWrong(on, on.site());
+}
+
+// The process dies of its signal, and whoever had connected is cut off: it listened before it heard
+// of signals.
+Test(process_jobs, a_stop_in_the_first_moment)
+{
+    system_under_test on;
+    // Looks without a pause: the moment is short.
+    const auto awaitListening = [](const std::string &address) {
+        const auto giveUpAt = monotonic_clock::now() + SoonEnough;
+        while (!kept_caller(address).isOpen())
+            require(monotonic_clock::now() < giveUpAt);
+    };
+    constexpr int Lives = 10;
+    for (int life = 0; life < Lives; ++life) {
+        section("of an entry", [&] {
+            on.startEntry(0);
+            awaitListening(on.entryInternalAddress(0));
+            on.entry(0).signal(SIGTERM);
+            check(on.entry(0).waitForExit(SoonEnough) == 0);
+        });
+        section("of an agent", [&] {
+            on.startAgent(0);
+            awaitListening(on.agentInternalAddress(0));
+            on.agent(0).signal(SIGTERM);
+            check(on.agent(0).waitForExit(SoonEnough) == 0);
+        });
+    }
+    checkNothingWrong(on, on.site());
+}
+
+// A caller's connection is closed without an answer because of something that comes beside the
+// first signal: a second one, a hang-up, writes whose answers do not come.
+Test(process_jobs, stops_with_other_trouble)
+{
+    system_under_test on;
+    constexpr const char *Job = R"({"spec":"","steps":[{"count":1,"cpu":1000}]})";
+    section("more signals come, and the process is behind", [&] {
+        waiting_callers callers(on.callersAddress(0));
+        callers.connect(4);
+        on.entry(0).signal(SIGSTOP);
+        callers.connect(4);
+        callers.send("GET", "/holds/");
+        on.entry(0).signal(SIGTERM);
+        on.entry(0).signal(SIGHUP);
+        on.entry(0).signal(SIGTERM);
+        on.entry(0).signal(SIGCONT);
+        on.entry(0).signal(SIGTERM);
+        on.entry(0).signal(SIGHUP);
+        check(callers.cutOff() == 0);
+        check(on.entry(0).waitForExit(SoonEnough) == 0);
+    });
+    section("answers of the store are lost", [&] {
+        on.startEntry(0);
+        require(waitUntil([&] { return on.isReady(0); }, SoonEnough));
+        waiting_callers callers(on.callersAddress(0));
+        callers.connect(8);
+        on.site().loseAnswers(40);
+        callers.send("POST", "/holds/fffd000000000001", Job);
+        on.entry(0).signal(SIGTERM);
+        check(callers.cutOff() == 0);
+        check(on.entry(0).waitForExit(SoonEnough) == 0);
+        on.site().loseAnswers(0);
+    });
+    checkNothingWrong(on, on.site());
+}
+
+// Connections beyond what an entry holds are closed as they come; those that it holds are answered
+// all the same when it is told to stop amid them.
+Test(process_jobs, planned_stop_amid_more_connections_than_it_holds)
+{
+    constexpr int Held = 1500;
+    system_under_test on;
+    waiting_callers callers(on.callersAddress(0));
+    callers.connect(Held + 100);
+    require(waitUntil([&] { return callers.open() <= Held; }, SoonEnough));
+    check(callers.open() == Held);
+    callers.forgetClosed();
+    on.entry(0).signal(SIGSTOP);
+    callers.send("GET", "/holds/");
+    on.entry(0).signal(SIGTERM);
+    on.entry(0).signal(SIGCONT);
+    check(callers.cutOff() == 0);
+    check(on.entry(0).waitForExit(SoonEnough) == 0);
+    checkNothingWrong(on, on.site());
+}
