A connection that drains isn't taken for idle when only its request line was read

What callers saw: on an entry that was stopped as planned, a request that comes in parts lost its connection before the rest could be sent, in good order and without an answer; the entry's own lines showed it as idle.

Cause: the parser takes a whole request line from the buffer as it comes. With a part that ends there the buffer is empty, which was read as "nothing has come".

Change: whether a head was begun is asked of the buffer and of the parser. The same for the counts of connections in `stop_step` and `stopped`.

Ruled out: a race with the end of an idle connection. The connections were seen open for 20 ms and more after the part, and closed with nothing unread.

--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -68,9 +68,8 @@
 
     connection_phase phase() const
     {
-        // A head that came in part stays in the buffer.
-        const bool begun = m_buffer.size() > 0;
-        return m_phase == connection_phase::Idle && begun ? connection_phase::Reading : m_phase;
+        return m_phase == connection_phase::Idle && headBegun() ? connection_phase::Reading
+                                                                : m_phase;
     }
     bool hasUnreadBytes() { return peek(m_stream.socket()) == socket_peek::Bytes; }
 
@@ -105,6 +104,9 @@
         m_stream.socket().close(ignored);
     }
 
+    // A head that came in part stays in the buffer, but for a whole request line, which is parsed.
+    bool headBegun() const { return m_buffer.size() > 0 || m_parser->got_some(); }
+
     void readHead()
     {
         m_stream.expires_after(m_state->limits.idleAtMost);
@@ -133,7 +135,7 @@
     {
         if (m_phase == connection_phase::Ended)
             return;
-        if (m_buffer.size() == 0 && peek(m_stream.socket()) != socket_peek::Bytes)
+        if (!headBegun() && peek(m_stream.socket()) != socket_peek::Bytes)
             return end();
         readHead();
     }
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -161,6 +161,20 @@
         check(server.runUntilDrained());
         check(caller.readAnswer() == 200);
     });
+    // The parser had taken the line, and its buffer was empty as if nothing had come.
+    section("with its request line alone read", [] {
+        draining_server server;
+        kept_caller caller(server.address());
+        caller.sendText("GET /quick HTTP/1.1\r\n");
+        server.when([&] { return server.listener().activity().reading == 1; },
+                    [&] {
+                        server.listener().drain();
+                        server.when([] { return true; },
+                                    [&] { caller.sendText("Content-Length: 0\r\n\r\n"); });
+                    });
+        check(server.runUntilDrained());
+        check(caller.readAnswer() == 200);
+    });
     section("and whose answer takes its time", [] {
         draining_server server;
         kept_caller caller(server.address());
