--- /dev/null
+++ b/tests/job_system.h
@@ -0,0 +1,292 @@
+// Two entries and two agents as real processes beside the stand-in of the platform.
+#pragma once
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+#include <fmt/core.h>
+
+#include "base/json.h"
+#include "section.h"
+#include "standins/fleet.h"
+#include "standins/job_site.h"
+
+namespace zinniabarrow::tests {
+
+using standins::child_process;
+using standins::job_site;
+using standins::waitUntil;
+
+inline constexpr milliseconds SoonEnough{
+        45'000}; // a bound on waits for conditions, not a measurement
+inline constexpr int InternalPort = 7720;
+inline constexpr int CallersPort = 8161;
+inline constexpr int ReadyPort = 8167;
+inline constexpr int WorkersPort = 8166;
+
+// Addresses of the loopback network of this test process alone, so that fixed ports are free.
+inline std::string address(int number)
+{
+    const int pid = getpid();
+    return fmt::format("127.{}.{}.{}", 64 + (pid >> 14) % 64, (pid >> 7) % 128,
+                       (pid % 128) + 128 * (number % 2));
+}
+
+inline std::string at(int process, int port)
+{
+    // Two hosts, and a range of ports for each process on them.
+    return fmt::format("{}:{}", address(process), port + 20 * (process / 2));
+}
+
+class system_under_test
+{
+public:
+    system_under_test()
+        : m_scratch(std::filesystem::temp_directory_path() / fmt::format("zb-jobs-{}", getpid()))
+        , m_site({parseAddress(at(0, 9000)),
+                  {parseAddress(at(0, 9001)), parseAddress(at(0, 9002))},
+                  {parseAddress(at(4, WorkersPort)), parseAddress(at(5, WorkersPort))}})
+    {
+        std::filesystem::create_directories(m_scratch);
+        putConfiguration(7);
+        for (int index = 0; index < 2; ++index) {
+            startEntry(index);
+            startAgent(index);
+        }
+        for (int index = 0; index < 2; ++index)
+            require(waitUntil([&] { return isReady(index); }, SoonEnough));
+    }
+
+    ~system_under_test()
+    {
+        m_processes.clear();
+        std::filesystem::remove_all(m_scratch);
+    }
+
+    job_site &site() { return m_site; }
+    child_process &entry(int index) { return *m_processes.at(fmt::format("entry-{}", index)); }
+    child_process &agent(int index) { return *m_processes.at(fmt::format("agent-{}", index)); }
+
+    void startEntry(int index)
+    {
+        const int process = 2 + index;
+        start(fmt::format("entry-{}", index), "job-entry",
+              fmt::format(R"({{"id":"entry-{}","zone":"z","callers":"{}","ready":"{}",)"
+                          R"("internal":"{}","store":"{}"}})",
+                          index, at(process, CallersPort), at(process, ReadyPort),
+                          at(process, InternalPort), at(0, 9000)));
+    }
+
+    void startAgent(int index)
+    {
+        const int process = 4 + index;
+        start(fmt::format("agent-{}", index), "job-agent",
+              fmt::format(R"({{"id":"agent-{}","zone":"z","workers":"{}","internal":"{}",)"
+                          R"("worker":"{}","service":"tickets","stop_within_ms":100,)"
+                          R"("store":"{}"}})",
+                          index, at(process, WorkersPort), at(process, InternalPort),
+                          at(0, 9001 + index), at(0, 9000)));
+    }
+
+    std::string callersAddress(int entry) const { return at(2 + entry, CallersPort); }
+
+    std::optional<http_response> call(int entry, const std::string &method, const std::string &job,
+                                      const std::string &body = "")
+    {
+        http_request request;
+        request.method = method;
+        request.target = "/holds/" + job;
+        request.body = body;
+        http_pool pool(parseAddress(at(2 + entry, CallersPort)));
+        const auto result = pool.call(request, monotonic_clock::now() + seconds(4));
+        const auto *answer = std::get_if<http_response>(&result);
+        return answer == nullptr ? std::nullopt : std::optional(*answer);
+    }
+
+    // Hands the job in until it is accepted, as a caller does.
+    bool handIn(int entry, const std::string &job)
+    {
+        const std::string body =
+                R"({"spec":"seat","steps":[{"count":4,"cpu":1000,"mem-mb":100,"estimate-ms":300},)"
+                R"({"count":2,"cpu":1000,"mem-mb":100,"estimate-ms":300,"after":[0]}]})";
+        return waitUntil(
+                [&] {
+                    const auto answer = call(entry, "POST", job, body);
+                    return answer && answer->status == 200;
+                },
+                SoonEnough);
+    }
+
+    // A service: tasks that run until their job is cancelled, and run again however they end.
+    bool handInService(int entry, const std::string &job)
+    {
+        const auto answer = call(entry, "POST", job,
+                                 R"({"spec":"","steps":[{"count":2,"cpu":1000,"mem-mb":100,)"
+                                 R"("long-running":true,"image":"site","target-ms":150}]})");
+        return answer && answer->status == 200;
+    }
+
+    // The worker where a service's two tasks run, or most of them.
+    struct serving_worker
+    {
+        int worker = 0;
+        int runs = 0;           // that run there
+        std::int64_t epoch = 0; // of its lease
+        std::string lease;
+    };
+    serving_worker serve(const std::string &job)
+    {
+        site().workLasts(milliseconds(600'000));
+        require(handInService(0, job));
+        require(waitUntil([&] { return site().starts() == 2; }, SoonEnough));
+        const auto worker = site().busiestWorker();
+        const auto lease = fmt::format("agent-{}", worker);
+        return {static_cast<int>(worker), site().runsOn(worker), site().leaseEpoch(lease), lease};
+    }
+
+    // It leaves at the moment at which its lease is renewed.
+    serving_worker leaveDuringRenewal(const std::string &job)
+    {
+        const auto left = serve(job);
+        site().departAtRenewal(static_cast<std::size_t>(left.worker), left.lease);
+        return left;
+    }
+
+    bool agentSaid(int index, const std::string &event) { return said("agent", index, event); }
+
+    bool said(const std::string &role, int index, const std::string &event)
+    {
+        return wrote(role, index, fmt::format(R"("event":"{}")", event));
+    }
+
+    // The order of events that the tests of a departure are about did come about.
+    bool agentFoundItGoneDuringAWrite(int index)
+    {
+        return wrote("agent", index, R"("lease_write_out":"yes","lease":)");
+    }
+
+    bool wrote(const std::string &role, int index, const std::string &words)
+    {
+        return written(role, index).find(words) != std::string::npos;
+    }
+
+    // All that its lives have written, from a place on.
+    std::string written(const std::string &role, int index, std::size_t from = 0)
+    {
+        std::ifstream lines(m_processes.at(fmt::format("{}-{}", role, index))->outFile());
+        lines.seekg(static_cast<std::streamoff>(from));
+        return {std::istreambuf_iterator<char>(lines), {}};
+    }
+
+    const std::filesystem::path &scratch() const { return m_scratch; }
+
+    bool reaches(int entry, const std::string &job, const std::string &state)
+    {
+        return waitUntil(
+                [&] {
+                    const auto answer = call(entry, "GET", job);
+                    return answer && answer->body.find(state) != std::string::npos;
+                },
+                SoonEnough);
+    }
+
+    bool isReady(int entry)
+    {
+        http_request request;
+        request.target = "/-/ready";
+        http_pool pool(parseAddress(at(2 + entry, ReadyPort)));
+        const auto result = pool.call(request, monotonic_clock::now() + seconds(1));
+        const auto *answer = std::get_if<http_response>(&result);
+        return answer != nullptr && answer->status == 200;
+    }
+
+    // Entry 1 tells entry 0 by which version it works.
+    void tellOfConfiguration(int version)
+    {
+        Json::Value told(Json::objectValue);
+        told["entry"] = "entry-1";
+        told["row"] = fmt::format(R"({{"incarnation":1,"internal":"{}","callers":"{}"}})",
+                                  at(3, InternalPort), at(3, CallersPort));
+        told["leaving"] = false;
+        told["configuration"] = version;
+        http_request request;
+        request.method = "POST";
+        request.target = "/v1/ping";
+        request.body = compactJson(told);
+        http_pool pool(parseAddress(at(2, InternalPort)));
+        pool.call(request, monotonic_clock::now() + seconds(5));
+    }
+
+    void putConfiguration(int version)
+    {
+        // One route for the host name of each entry: the pool sends its peer's.
+        std::string routes;
+        for (const int process : {2, 3}) {
+            routes += fmt::format(R"({}{{"name":"r{}","host":"{}","prefix":"/holds/",)"
+                                  R"("service":"tickets","max-attempts":2,"stretch":1.5}})",
+                                  routes.empty() ? "" : ",", process, address(process));
+        }
+        const auto text = fmt::format(R"({{"version":{},"routes":[{}]}})", version, routes);
+        http_request request;
+        request.method = "POST";
+        request.target = "/-/rows-tx";
+        Json::Value row(Json::objectValue);
+        row["table"] = "op";
+        row["part"] = "";
+        row["key"] = "config";
+        row["value"] = base64(text);
+        Json::Value body(Json::objectValue);
+        body["set-keys"].append(row);
+        request.body = compactJson(body);
+        http_pool pool(parseAddress(at(0, 9000)));
+        pool.call(request, monotonic_clock::now() + seconds(5));
+    }
+
+private:
+    static std::string base64(const std::string &text)
+    {
+        constexpr const char *Letters =
+                "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+        std::string result;
+        for (std::size_t from = 0; from < text.size(); from += 3) {
+            unsigned value = 0;
+            for (std::size_t index = from; index < from + 3; ++index)
+                value = value << 8
+                        | (index < text.size() ? static_cast<unsigned char>(text[index]) : 0U);
+            for (std::size_t letter = 0; letter < 4; ++letter) {
+                const bool padding = letter > text.size() - from;
+                result += padding ? '=' : Letters[value >> (18 - 6 * letter) & 63];
+            }
+        }
+        return result;
+    }
+
+    void start(const std::string &name, const std::string &role, const std::string &settings)
+    {
+        m_processes.erase(name);
+        const auto file = (m_scratch / (name + ".json")).string();
+        std::ofstream(file) << settings;
+        m_processes[name] = std::make_unique<child_process>(
+                std::vector<std::string>{std::string(ZB_BINARIES) + "/zinniabarrow", role,
+                                         "--settings", file},
+                (m_scratch / (name + ".out")).string(), (m_scratch / (name + ".err")).string());
+    }
+
+    std::filesystem::path m_scratch;
+    job_site m_site;
+    std::map<std::string, std::unique_ptr<child_process>> m_processes;
+};
+
+inline void checkNothingWrong(const system_under_test &, const job_site &site)
+{
+    for (const auto &violation : site.violations())
+        cr_expect_fail("%s", violation.c_str());
+}
+
+} // namespace zinniabarrow::tests
--- a/tests/kept_caller.h
+++ b/tests/kept_caller.h
@@ -7,6 +7,7 @@
 #include <poll.h>
 #include <string>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 #include "runtime/http.h"
@@ -36,21 +37,43 @@
     kept_caller(const kept_caller &) = delete;
     kept_caller &operator=(const kept_caller &) = delete;
 
-    // The process has not closed the connection, and no bytes wait here.
+    // The process has not closed the connection nor said that it will, and no bytes wait here.
     bool isOpen() const
     {
         char byte = 0;
-        return m_connected && recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+        return m_connected && !m_closeAnnounced
+               && recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
                && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
+    bool staysOpenFor(milliseconds span)
+    {
+        const auto end = monotonic_clock::now() + span;
+        for (auto now = monotonic_clock::now(); isOpen(); now = monotonic_clock::now()) {
+            m_seenOpenAt = now;
+            if (now >= end)
+                return true;
+            std::this_thread::sleep_for(LookEvery);
+        }
+        return false;
+    }
+    // The process closed it and had read all that had arrived: it is reset otherwise.
+    bool isEndedInOrder() const
+    {
+        char byte = 0;
+        return recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    }
+
     bool send(const std::string &method, const std::string &path, const std::string &body = "")
+    {
+        return sendText(requestText(method, path, body));
+    }
+    std::string requestText(const std::string &method, const std::string &path,
+                            const std::string &body) const
     {
         const auto host = m_server.substr(0, m_server.find(':'));
-        const std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + host
-                                 + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
-                                 + body;
-        return sendText(text);
+        return method + " " + path + " HTTP/1.1\r\nHost: " + host
+               + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
     bool sendText(const std::string &text)
     {
@@ -61,16 +84,20 @@
     // The status of the next answer, if it comes whole.
     std::optional<int> readAnswer()
     {
-        std::string text;
-        while (!isWhole(text)) {
+        m_answer.clear();
+        while (!isWhole(m_answer)) {
             const auto more = readSome();
             if (more.empty())
                 return std::nullopt;
-            text += more;
+            m_answer += more;
         }
+        m_closeAnnounced = m_answer.find("\r\nConnection: close\r\n") != std::string::npos;
         constexpr std::size_t StatusAt = 9; // after "HTTP/1.1 "
-        return std::stoi(text.substr(StatusAt, 3));
+        return std::stoi(m_answer.substr(StatusAt, 3));
     }
+    const std::string &answerText() const { return m_answer; } // the last one, as far as it came
+    // The last moment, in a wait for an answer or staysOpenFor(), at which it was not over.
+    time_point seenOpenAt() const { return m_seenOpenAt; }
 
     request_fate fate() { return readAnswer() ? request_fate::Answered : request_fate::CutOff; }
 
@@ -90,18 +117,29 @@
     // Empty: the connection is over, or nothing came for long.
     std::string readSome()
     {
-        constexpr int PatienceMs = 20'000;
+        constexpr milliseconds Patience{20'000};
         char piece[4096];
         pollfd waiting{m_socket, POLLIN, 0};
-        if (poll(&waiting, 1, PatienceMs) != 1)
-            return {};
+        const auto giveUpAt = monotonic_clock::now() + Patience;
+        for (auto now = monotonic_clock::now();
+             poll(&waiting, 1, static_cast<int>(LookEvery.count())) == 0;
+             now = monotonic_clock::now()) {
+            m_seenOpenAt = now;
+            if (now > giveUpAt)
+                return {};
+        }
         const auto got = recv(m_socket, piece, sizeof piece, 0);
         return got <= 0 ? std::string{} : std::string(piece, static_cast<std::size_t>(got));
     }
 
+    static constexpr milliseconds LookEvery{5};
+
     std::string m_server;
     int m_socket;
     bool m_connected = false;
+    bool m_closeAnnounced = false; // by the last answer
+    std::string m_answer;
+    time_point m_seenOpenAt{};
 };
 
 } // namespace zinniabarrow::tests
