Agents ask one entry in turn for the table of presses

Each entry wrote the whole table (every serving image by every filling one) into the answer to each report with samples, of each agent, each second and at each change. All entries learn it from the same samples, so an agent now asks one of them at a regular report, the next one a second later. Agents that don't say whether they ask get it for their samples as before; entries that don't know the question answer as before.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -14,6 +14,7 @@
 #include "base/errors.h"
 #include "base/json.h"
 #include "base/json_member.h"
+#include "jobs/press_turn.h"
 #include "jobs/run_table.h"
 #include "jobs/worker_silence.h"
 #include "net/http_listener.h"
@@ -78,10 +79,7 @@
         m_log.note("started", {{"internal", toText(m_settings.internal)}});
         m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
         m_loop.every(DueEvery, [this] { act(); });
-        m_loop.every(ReportEvery, [this] {
-            reportAll();
-            m_samples.clear();
-        });
+        m_loop.every(ReportEvery, [this] { reportRegularly(); });
         m_loop.every(RenewEvery, [this] { m_keeper.renew(m_silence.heldWithoutAnswer()); });
         m_entriesTable.start();
         m_cancelsTable.start();
@@ -488,6 +486,22 @@
         bool again = false;         // something changed meanwhile
     };
 
+    // Presses matter to runs that serve: where there are none, nothing was measured.
+    void reportRegularly()
+    {
+        m_pressesFrom = m_samples.empty() ? std::string() : m_pressTurn.next(entryNames());
+        reportAll();
+        m_samples.clear();
+    }
+
+    std::vector<std::string> entryNames() const
+    {
+        std::vector<std::string> names;
+        for (const auto &[name, link] : m_entries)
+            names.push_back(name);
+        return names;
+    }
+
     void reportAll()
     {
         for (auto &[name, link] : m_entries)
@@ -521,6 +535,9 @@
         for (const auto &run : filling)
             told.filling[run.image] += run.declared;
         told.samples = m_samples;
+        told.wantsPresses = entry == m_pressesFrom;
+        if (told.wantsPresses)
+            m_pressesFrom.clear();
         told.ends = m_table.endsFor(entry);
         told.progress = m_table.progressFor(entry);
         http_request request;
@@ -680,6 +697,8 @@
     pacer m_pacer;
     std::vector<disturbance_sample> m_samples; // since the last regular report
     time_point m_sampleFrom{};
+    press_turn m_pressTurn{m_settings.id};
+    std::string m_pressesFrom; // the entry that its next report asks; empty: none
     std::map<std::string, entry_link> m_entries;
 
     worker_announcement m_told; // newest announcement of the present life
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -508,7 +508,7 @@
         state->open = report.ends.size();
         for (const auto &sample : report.samples)
             m_pool.disturbance().learn(sample);
-        if (!report.samples.empty())
+        if (report.wantsPresses)
             state->answer.presses = m_pool.disturbance().table();
         for (const auto &end : report.ends)
             takeEnd(report.worker, end, state);
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -299,6 +299,7 @@
     value["filling"] = toJson(report.filling);
     for (const auto &sample : report.samples)
         value["samples"].append(toJson(sample));
+    value["wants_presses"] = report.wantsPresses;
     value["ends"] = Json::Value(Json::arrayValue);
     for (const auto &end : report.ends)
         value["ends"].append(toJson(end));
@@ -343,6 +344,9 @@
         for (const auto &sample : arrayMember(value, "samples"))
             report.samples.push_back(sampleFrom(sample));
     }
+    // Agents of the release before don't ask: they take the table for their samples.
+    report.wantsPresses = value.isMember("wants_presses") ? boolMember(value, "wants_presses")
+                                                          : !report.samples.empty();
     for (const auto &end : arrayMember(value, "ends"))
         report.ends.push_back(endFrom(end));
     for (const auto &row : arrayMember(value, "progress"))
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -114,6 +114,7 @@
     std::vector<serving_room> serving;       // runs with a target for their latency
     std::map<std::string, double> filling;   // by image: cores asked for by runs that fill
     std::vector<disturbance_sample> samples; // since the last regular report
+    bool wantsPresses = false;               // asks for the table of presses
     std::vector<run_end> ends;
     std::vector<run_progress> progress;
 };
@@ -122,7 +123,7 @@
 struct report_answer
 {
     std::vector<std::pair<task_id, int>> acknowledged; // ends that are in the store
-    press_table presses; // as learned from all workers; empty: nothing new
+    press_table presses; // as learned from all workers; empty: not asked for, or nothing learned
 };
 
 std::string toText(const report_answer &answer);
--- /dev/null
+++ b/tests/report_load_test.cpp
@@ -0,0 +1,148 @@
+// What reports and their answers cost an entry that has many workers.
+#include <map>
+#include <set>
+
+#include <criterion/criterion.h>
+
+#include "jobs/messages.h"
+#include "jobs/press_turn.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::jobs;
+using zinniabarrow::tests::section;
+
+namespace {
+
+constexpr int Workers = 76;
+
+std::vector<std::string> entries(int count)
+{
+    std::vector<std::string> names;
+    for (int number = 0; number < count; ++number)
+        names.push_back("entry-" + std::to_string(number));
+    return names;
+}
+
+std::string workerNamed(int number)
+{
+    return "worker-" + std::to_string(number);
+}
+
+// As a deployment with 10 images that serve and 18 that fill comes to learn it.
+press_table learnedTable()
+{
+    press_table table;
+    for (int serving = 0; serving < 10; ++serving) {
+        auto &row = table["serving-" + std::to_string(serving)];
+        row.floorMs = 25;
+        for (int filling = 0; filling < 18; ++filling)
+            row.presses["filling-" + std::to_string(filling)] = 0.031;
+    }
+    return table;
+}
+
+worker_report reportOf(const std::string &worker)
+{
+    worker_report report;
+    report.worker = worker;
+    report.epoch = 1;
+    report.samples.push_back({"serving-1", 40, 150, {{"filling-1", 2.5}}, std::nullopt});
+    return report;
+}
+
+// What an entry sends for one report, as it reads it.
+std::size_t answerBytes(const std::string &report, const press_table &table)
+{
+    report_answer answer;
+    if (reportFrom(report).wantsPresses)
+        answer.presses = table;
+    return toText(answer).size();
+}
+
+} // namespace
+
+// An entry with a small share of a processor wrote the whole table in the answer to each report of
+// each worker, and had no time left for its callers.
+Test(report_load, the_table_of_presses_for_many_workers)
+{
+    const auto names = entries(14);
+    const auto table = learnedTable();
+    report_answer whole;
+    whole.presses = table;
+    const auto tableBytes = toText(whole).size();
+    std::map<std::string, std::size_t> sent; // by entry
+    for (int number = 0; number < Workers; ++number) {
+        press_turn turn(workerNamed(number));
+        for (std::size_t second = 0; second < names.size(); ++second) {
+            const auto asked = turn.next(names);
+            for (const auto &entry : names) {
+                auto report = reportOf(workerNamed(number));
+                report.wantsPresses = entry == asked;
+                sent[entry] += answerBytes(toText(report), table);
+            }
+        }
+    }
+
+    section("over as many seconds as there are entries, each sends each worker one table", [&] {
+        const std::size_t reports = Workers * names.size();
+        for (const auto &[entry, bytes] : sent)
+            cr_assert_leq(bytes, Workers * tableBytes + reports * toText(report_answer{}).size());
+    });
+
+    section("and no second brings one entry the workers of many", [&] {
+        std::map<std::string, int> first;
+        for (int number = 0; number < Workers; ++number)
+            ++first[press_turn(workerNamed(number)).next(names)];
+        for (const auto &[entry, workers] : first)
+            cr_assert_leq(workers, 3 * Workers / 14, "%s: %d", entry.c_str(), workers);
+    });
+}
+
+Test(report_load, each_entry_is_asked_in_turn)
+{
+    press_turn turn(workerNamed(1));
+
+    section("without entries none", [&] { cr_assert(turn.next({}).empty()); });
+
+    section("one entry is asked each time", [&] {
+        cr_assert_eq(turn.next(entries(1)), "entry-0");
+        cr_assert_eq(turn.next(entries(1)), "entry-0");
+    });
+
+    section("of several each comes once before any comes again", [&] {
+        std::set<std::string> asked;
+        for (int second = 0; second < 5; ++second)
+            asked.insert(turn.next(entries(5)));
+        cr_assert_eq(asked.size(), 5U);
+    });
+}
+
+// Entries are replaced before agents, and agents before entries.
+Test(report_load, agents_and_entries_of_two_releases)
+{
+    auto report = reportOf("worker-1");
+    auto text = toText(report);
+    const std::string member = R"(,"wants_presses":false)";
+
+    section("an agent that does not ask gets no table",
+            [&] { cr_assert_not(reportFrom(text).wantsPresses); });
+
+    section("one that asks gets it", [&] {
+        report.wantsPresses = true;
+        cr_assert(reportFrom(toText(report)).wantsPresses);
+    });
+
+    section("an agent of the release before says nothing, and gets it for its samples", [&] {
+        text.erase(text.find(member), member.size());
+        cr_assert(reportFrom(text).wantsPresses);
+    });
+
+    section("as ever not without samples", [&] {
+        report.samples.clear();
+        report.wantsPresses = false;
+        text = toText(report);
+        text.erase(text.find(member), member.size());
+        cr_assert_not(reportFrom(text).wantsPresses);
+    });
+}
