Reports of workers are read without a tree of JsonCpp values

It is read with large_json as rows are; what is accepted and refused stays: every member that is needed, its type, nothing after the text.

--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -117,12 +117,6 @@
     return value;
 }
 
-run_end endFrom(const Json::Value &value)
-{
-    return {integerMember(value, "number"), taskMember(value), smallIntegerMember(value, "run"),
-            named(EndNames, stringMember(value, "how")), stringMember(value, "checkpoint")};
-}
-
 std::map<std::string, double> amountsFrom(const Json::Value &object)
 {
     std::map<std::string, double> amounts;
@@ -156,18 +150,6 @@
     return value;
 }
 
-disturbance_sample sampleFrom(const Json::Value &value)
-{
-    disturbance_sample sample{stringMember(value, "image"), integerMember(value, "tail_ms"),
-                              integerMember(value, "target_ms"),
-                              amountsFrom(objectMember(value, "fills"))};
-    if (value.isMember("inverse_fall")) {
-        sample.change = disturbance_change{numberMember(value, "inverse_fall"),
-                                           amountsFrom(objectMember(value, "fill_changes"))};
-    }
-    return sample;
-}
-
 } // namespace
 
 std::string_view nameOf(order_outcome outcome)
@@ -314,45 +296,4 @@
     return compactJson(value);
 }
 
-worker_report reportFrom(const std::string &text)
-{
-    const auto value = parseJsonObject(text);
-    worker_report report;
-    report.worker = stringMember(value, "worker");
-    report.address = stringMember(value, "address");
-    report.agentLife = integerMember(value, "agent_life");
-    report.epoch = integerMember(value, "epoch");
-    report.service = stringMember(value, "service");
-    report.zone = stringMember(value, "zone");
-    report.kind = stringMember(value, "kind");
-    report.rack = stringMember(value, "rack");
-    report.accepting = boolMember(value, "accepting");
-    report.capacity = sizeFrom(objectMember(value, "capacity"));
-    report.used = sizeFrom(objectMember(value, "used"));
-    report.fillMillicores = integerMember(value, "fill_millicores");
-    if (value.isMember("serving")) {
-        for (const auto &row : arrayMember(value, "serving")) {
-            serving_room run{stringMember(row, "image"), numberMember(row, "room")};
-            if (row.isMember("job")) // agents of the release before don't tell it
-                run.job = stringMember(row, "job");
-            report.serving.push_back(std::move(run));
-        }
-    }
-    if (value.isMember("filling"))
-        report.filling = amountsFrom(objectMember(value, "filling"));
-    if (value.isMember("samples")) {
-        for (const auto &sample : arrayMember(value, "samples"))
-            report.samples.push_back(sampleFrom(sample));
-    }
-    // Agents of the release before don't ask: they take the table for their samples.
-    report.wantsPresses = value.isMember("wants_presses") ? boolMember(value, "wants_presses")
-                                                          : !report.samples.empty();
-    for (const auto &end : arrayMember(value, "ends"))
-        report.ends.push_back(endFrom(end));
-    for (const auto &row : arrayMember(value, "progress"))
-        report.progress.push_back(
-                {taskMember(row), smallIntegerMember(row, "run"), stringMember(row, "checkpoint")});
-    return report;
-}
-
 } // namespace zinniabarrow::jobs
--- /dev/null
+++ b/libs/jobs/report_text.cpp
@@ -0,0 +1,141 @@
+// Reads the report of a worker: an entry takes one of each worker each second and more, which makes
+// it the text that entries read most.
+#include "base/errors.h"
+#include "base/large_json.h"
+#include "jobs/messages.h"
+
+namespace zinniabarrow::jobs {
+
+namespace {
+
+using large_json::value;
+
+const value &member(const value &object, const char *name)
+{
+    const auto *found = large_json::find(object, name);
+    if (found == nullptr)
+        throw error(error_kind::BadRequest, std::string("a report without ") + name);
+    return *found;
+}
+
+bool flag(const value &object, const char *name)
+{
+    const auto &found = member(object, name);
+    if (!found.IsBool())
+        throw error(error_kind::BadRequest, std::string(name) + ": true or false is needed");
+    return found.GetBool();
+}
+
+double real(const value &object, const char *name)
+{
+    member(object, name);
+    return large_json::realOr(object, name, 0);
+}
+
+int count(const value &object, const char *name)
+{
+    member(object, name);
+    return large_json::countOr0(object, name);
+}
+
+task_id taskOf(const value &object)
+{
+    const auto text = large_json::text(object, "task");
+    const auto task = taskIdFrom(text);
+    if (!task)
+        throw error(error_kind::BadRequest, "not the name of a task: " + text);
+    return *task;
+}
+
+task_size sizeFrom(const value &object)
+{
+    return {large_json::number(object, "millicores"), large_json::number(object, "memory_mb"),
+            large_json::number(object, "accelerators")};
+}
+
+std::map<std::string, double> amountsFrom(const value &object)
+{
+    if (!object.IsObject())
+        throw error(error_kind::BadRequest, "amounts are an object");
+    std::map<std::string, double> amounts;
+    for (const auto &[name, amount] : object.GetObject()) {
+        if (!amount.IsNumber())
+            throw error(error_kind::BadRequest, "amounts are numbers");
+        amounts[large_json::asText(name)] = amount.GetDouble();
+    }
+    return amounts;
+}
+
+serving_room servingFrom(const value &row)
+{
+    // Agents of the release before don't tell the job.
+    return {large_json::text(row, "image"), real(row, "room"), large_json::textOrNone(row, "job")};
+}
+
+disturbance_sample sampleFrom(const value &row)
+{
+    disturbance_sample sample{large_json::text(row, "image"), large_json::number(row, "tail_ms"),
+                              large_json::number(row, "target_ms"),
+                              amountsFrom(member(row, "fills"))};
+    if (large_json::find(row, "inverse_fall") != nullptr) {
+        sample.change = disturbance_change{real(row, "inverse_fall"),
+                                           amountsFrom(member(row, "fill_changes"))};
+    }
+    return sample;
+}
+
+run_end endFrom(const value &row)
+{
+    const auto name = large_json::text(row, "how");
+    const auto how = endKindNamed(name);
+    if (!how)
+        throw error(error_kind::BadRequest, "unknown name " + name);
+    return {large_json::number(row, "number"), taskOf(row), count(row, "run"), *how,
+            large_json::text(row, "checkpoint")};
+}
+
+run_progress progressFrom(const value &row)
+{
+    return {taskOf(row), count(row, "run"), large_json::text(row, "checkpoint")};
+}
+
+// Agents of the release before don't say whether they ask: they take the table for their samples.
+bool wantsPresses(const value &report, const std::vector<disturbance_sample> &samples)
+{
+    if (large_json::find(report, "wants_presses") == nullptr)
+        return !samples.empty();
+    return flag(report, "wants_presses");
+}
+
+} // namespace
+
+worker_report reportFrom(const std::string &text)
+{
+    using namespace large_json;
+    const auto value = parseObject(text);
+    worker_report report;
+    report.worker = large_json::text(value, "worker");
+    report.address = large_json::text(value, "address");
+    report.agentLife = number(value, "agent_life");
+    report.epoch = number(value, "epoch");
+    report.service = large_json::text(value, "service");
+    report.zone = large_json::text(value, "zone");
+    report.kind = large_json::text(value, "kind");
+    report.rack = large_json::text(value, "rack");
+    report.accepting = flag(value, "accepting");
+    report.capacity = sizeFrom(member(value, "capacity"));
+    report.used = sizeFrom(member(value, "used"));
+    report.fillMillicores = number(value, "fill_millicores");
+    forEach(value, "serving", [&](const auto &row) { report.serving.push_back(servingFrom(row)); });
+    if (const auto *filling = find(value, "filling"))
+        report.filling = amountsFrom(*filling);
+    forEach(value, "samples", [&](const auto &row) { report.samples.push_back(sampleFrom(row)); });
+    report.wantsPresses = wantsPresses(value, report.samples);
+    for (const auto &row : array(value, "ends").GetArray())
+        report.ends.push_back(endFrom(row));
+    for (const auto &row : array(value, "progress").GetArray())
+        report.progress.push_back(progressFrom(row));
+    return report;
+}
+
+} // namespace zinniabarrow::jobs
--- a/tests/report_load_test.cpp
+++ b/tests/report_load_test.cpp
@@ -4,6 +4,8 @@
 
 #include <criterion/criterion.h>
 
+#include "base/errors.h"
+#include "base/json.h"
 #include "jobs/messages.h"
 #include "jobs/press_turn.h"
 #include "section.h"
@@ -146,3 +148,59 @@
         cr_assert_not(reportFrom(text).wantsPresses);
     });
 }
+
+// What a worker with many runs tells comes through whole, and what can't be read is refused whole.
+Test(report_load, a_report_is_read_as_it_was_written)
+{
+    auto report = reportOf("worker-1");
+    report.address = "10.0.0.1:7641";
+    report.agentLife = 3;
+    report.accepting = true;
+    report.capacity = {16'000, 64'000, 2};
+    report.used = {9000, 30'000, 1};
+    report.fillMillicores = 5250;
+    report.serving = {{"serving-1", 0.351, "job-1"}, {"serving-2", -1, "job-2"}};
+    report.filling = {{"filling-1", 1.75}, {"filling-2", 2}};
+    report.samples.push_back({"serving-2", 80, 150, {}, disturbance_change{0.0125, {{"x", -1.5}}}});
+    report.wantsPresses = true;
+    report.ends = {{7, {"job-1", 0, 1, 2}, 4, end_kind::Failed, "half"}};
+    report.progress = {{{"job-2", 1, 0, 0}, 1, "a \"quarter\"\n"}};
+
+    section("every member, by its text", [&] {
+        const auto read = reportFrom(toText(report));
+        cr_assert_eq(toText(read), toText(report));
+        cr_assert_eq(read.ends.front().how, end_kind::Failed);
+        cr_assert_eq(read.serving.back().room, -1);
+    });
+
+    section("without any of its members it is refused or read as one of the release before", [&] {
+        const std::set<std::string> optional{"serving", "filling", "samples", "wants_presses"};
+        const auto whole = parseJsonObject(toText(report));
+        for (const auto &name : whole.getMemberNames()) {
+            auto less = whole;
+            less.removeMember(name);
+            bool read = true;
+            try {
+                reportFrom(compactJson(less));
+            } catch (const error &) {
+                read = false;
+            }
+            cr_assert_eq(read, optional.contains(name), "%s", name.c_str());
+        }
+    });
+
+    section("a member of another type is refused", [&] {
+        const auto whole = parseJsonObject(toText(report));
+        for (const auto &name : whole.getMemberNames()) {
+            auto other = whole;
+            other[name] = Json::Value(Json::nullValue);
+            cr_assert_throw(reportFrom(compactJson(other)), error, "%s", name.c_str());
+        }
+    });
+
+    section("a text that ends early, or goes on, is refused", [&] {
+        const auto text = toText(report);
+        cr_assert_throw(reportFrom(text.substr(0, text.size() / 2)), error);
+        cr_assert_throw(reportFrom(text + "{}"), error);
+    });
+}
