Lines of a process's start and stop are always written; a connection that was taken last gets a moment for its request

Suspected: connections that were made just before the port closed, whose first request was on its way. They have 100 ms for it now. http_listener_test 'on a connection that was just accepted'.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -78,7 +78,7 @@
 
     void run()
     {
-        m_log.note("started", {{"internal", toText(m_settings.internal)}});
+        m_log.noteAlways("started", {{"internal", toText(m_settings.internal)}});
         m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
         m_loop.every(DueEvery, [this] { act(); });
         m_loop.every(ReportEvery, [this] { reportRegularly(); });
@@ -90,10 +90,10 @@
             m_metrics.count("callbacks_failed_total", "exception");
             m_log.note("callback_failed", {{"why", problem.what()}});
         });
-        m_log.note("stopped", {{"epoch", m_table.epoch()},
-                               {"runs", m_table.running()},
-                               {"worker", m_present ? "present" : "absent"},
-                               {"lease_write_out", lease().writeOut() ? "yes" : "no"}});
+        m_log.noteAlways("stopped", {{"epoch", m_table.epoch()},
+                                     {"runs", m_table.running()},
+                                     {"worker", m_present ? "present" : "absent"},
+                                     {"lease_write_out", lease().writeOut() ? "yes" : "no"}});
         m_log.flush();
     }
 
@@ -638,9 +638,9 @@
     void leave()
     {
         m_stop.emplace(suspendAwareNow(), m_loop.overdue(), StopTimes);
-        m_log.note("drain_started", {{"runs", m_table.running()},
-                                     {"worker", m_told.leaving ? "leaving" : "staying"},
-                                     {"stays", hasToStay() ? "yes" : "no"}});
+        m_log.noteAlways("drain_started", {{"runs", m_table.running()},
+                                           {"worker", m_told.leaving ? "leaving" : "staying"},
+                                           {"stays", hasToStay() ? "yes" : "no"}});
         m_internal.announceClose();
         m_workers.announceClose();
         leaveOn();
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -84,7 +84,7 @@
 
     void run()
     {
-        m_log.note("started", {{"internal", toText(m_settings.internal)}});
+        m_log.noteAlways("started", {{"internal", toText(m_settings.internal)}});
         m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
         enter();
         m_configuration.start();
@@ -540,20 +540,20 @@
     {
         const auto callers = m_callers.activity();
         const auto internal = m_internal.activity();
-        m_log.note("stopped", {{"callers_unread", callers.unread},
-                               {"callers_reading", callers.reading},
-                               {"callers_answering", callers.answering},
-                               {"callers_writing", callers.writing},
-                               {"callers_idle", callers.idle},
-                               {"internal_answering", internal.answering},
-                               {"late_ms", millisecondsIn(m_loop.lateness())}});
+        m_log.noteAlways("stopped", {{"callers_unread", callers.unread},
+                                     {"callers_reading", callers.reading},
+                                     {"callers_answering", callers.answering},
+                                     {"callers_writing", callers.writing},
+                                     {"callers_idle", callers.idle},
+                                     {"internal_answering", internal.answering},
+                                     {"late_ms", millisecondsIn(m_loop.lateness())}});
     }
 
     void drain()
     {
         m_stop.emplace(suspendAwareNow(), m_loop.overdue());
-        m_log.note("drain_started", {{"owned", m_book ? m_book->ownedUnfinished() : 0},
-                                     {"late_ms", millisecondsIn(m_loop.lateness())}});
+        m_log.noteAlways("drain_started", {{"owned", m_book ? m_book->ownedUnfinished() : 0},
+                                           {"late_ms", millisecondsIn(m_loop.lateness())}});
         m_callers.announceClose();
         m_internal.announceClose();
         if (m_book)
@@ -577,13 +577,13 @@
     {
         m_stopStep = step;
         const auto callers = m_callers.activity();
-        m_log.note("stop_step", {{"step", nameOf(step)},
-                                 {"owned", m_book ? m_book->ownedUnfinished() : 0},
-                                 {"callers_idle", callers.idle},
-                                 {"callers_reading", callers.reading},
-                                 {"callers_answering", callers.answering},
-                                 {"callers_writing", callers.writing},
-                                 {"late_ms", millisecondsIn(m_loop.lateness())}});
+        m_log.noteAlways("stop_step", {{"step", nameOf(step)},
+                                       {"owned", m_book ? m_book->ownedUnfinished() : 0},
+                                       {"callers_idle", callers.idle},
+                                       {"callers_reading", callers.reading},
+                                       {"callers_answering", callers.answering},
+                                       {"callers_writing", callers.writing},
+                                       {"late_ms", millisecondsIn(m_loop.lateness())}});
         switch (step) {
         case stop_step::HandOver:
             break;
--- a/libs/base/event_log.cpp
+++ b/libs/base/event_log.cpp
@@ -89,6 +89,11 @@
     m_budget -= static_cast<double>(m_pending.size() - before);
 }
 
+void event_log::noteAlways(std::string_view event, std::initializer_list<log_field> fields)
+{
+    append(event, fields);
+}
+
 void event_log::append(std::string_view event, std::initializer_list<log_field> fields)
 {
     m_pending += fmt::format(R"({{"time_ms":{},"role":"{}","id":"{}","event":"{}")",
--- a/libs/base/event_log.h
+++ b/libs/base/event_log.h
@@ -41,6 +41,9 @@
 
     // Drops the line, and counts it, when the budget is spent.
     void note(std::string_view event, std::initializer_list<log_field> fields);
+    // A line of which there are few in a life of the process, and without which the others can't be
+    // read: written whatever the budget.
+    void noteAlways(std::string_view event, std::initializer_list<log_field> fields);
     // Writes what the reader takes at once; the rest stays, up to a bound.
     void flush();
     std::uint64_t dropped() const { return m_droppedEver; }
--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -51,6 +51,8 @@
 // A caller that breaks off during a burst of connections must not make others wait for a SYN that
 // is sent again after a second.
 constexpr int Backlog = 1024;
+// Of a connection that a draining listener took last: some round trips to a caller.
+constexpr milliseconds FirstRequestWithin{100};
 
 enum class connection_phase { Idle, Reading, Answering, Writing, Ended };
 
@@ -87,7 +89,17 @@
         // An answer that was on its way out as the drain began may have promised to keep the
         // connection.
         if (m_state->draining)
-            endIfIdle();
+            drain();
+    }
+
+    void drain()
+    {
+        if (m_phase != connection_phase::Idle)
+            return;
+        if (m_exchange > 0)
+            return endIfIdle();
+        // Its first request may be on its way still.
+        waitAtMost(FirstRequestWithin, &connection::endIfIdle);
     }
 
     // Bytes may have been taken from the socket for a read whose callback waits its turn: only the
@@ -321,7 +333,7 @@
     beast::error_code ignored; // no accept is out on a broken socket
     m_state->acceptor.cancel(ignored);
     for (auto *one : m_state->open)
-        one->endIfIdle();
+        one->drain();
 }
 
 bool http_listener::drained() const
--- a/tests/base_test.cpp
+++ b/tests/base_test.cpp
@@ -4,6 +4,7 @@
 
 #include "base/bounded_ring.h"
 #include "base/errors.h"
+#include "base/event_log.h"
 #include "base/hash.h"
 #include "base/json.h"
 #include "base/time.h"
@@ -34,6 +35,17 @@
     });
 }
 
+// The line that tells how a process ended was missing after a burst of others.
+Test(base, log_lines_beyond_the_budget)
+{
+    event_log log("entry", "entry-1", {0, 1});
+    log.note("first", {});
+    log.note("second", {});
+    check(log.dropped() == 1);
+    log.noteAlways("stopped", {});
+    check(log.dropped() == 1);
+}
+
 Test(base, json)
 {
     section("broken text is refused with its line", [] {
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -152,6 +152,16 @@
         check(server.runUntilDrained());
         check(caller->readAnswer() == 200);
     });
+    section("on a connection that was just accepted, a moment later", [] {
+        draining_server server;
+        kept_caller caller(server.address());
+        server.whenIdle(1, [&] {
+            server.listener().drain();
+            server.when([] { return true; }, [&] { caller.send("POST", "/quick", "body"); });
+        });
+        check(server.runUntilDrained());
+        check(caller.readAnswer() == 200);
+    });
     section("in part, and the rest comes later", [] {
         draining_server server;
         kept_caller caller(server.address());
