A job whose orders were all refused counts as waiting

What callers saw: a queue was said to have 1 or 2 jobs waiting while 5 to 12 had waited for 5 s.

A job counts as waiting until one of its tasks has ended a run, or one order has stood in all its rows for 2 s; callers are promised a count at most 2 s old. job_view_test jobs_that_wait. The state that a job is shown with is unchanged.

--- a/app/job_requests.cpp
+++ b/app/job_requests.cpp
@@ -106,7 +106,10 @@
         return answerAtOnce(request, target->job, respond);
     const auto &policy = target->route->policy;
     if (target->job.empty() && request.method == "GET")
-        return respond({200, {}, platform_wire::waitingBody(m_view.waitingIn(policy.queue))});
+        return respond(
+                {200,
+                 {},
+                 platform_wire::waitingBody(m_view.waitingIn(policy.queue, suspendAwareNow()))});
     if (target->job.empty())
         return respond(counted(400, "no_job_id"));
     if (request.method == "POST")
--- a/app/job_view.h
+++ b/app/job_view.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "jobs/model.h"
@@ -23,6 +24,10 @@
     bool needsOwner = true;
     std::string content; // of the row, while the job needs an owner
     time_point finalAt{};
+    bool begun = false; // a task of it has started for certain
+    // Orders that were in every row since that time: one that is refused leaves the next row.
+    std::vector<jobs::given_order> ordered;
+    time_point orderedSince{};
 };
 
 class job_view
@@ -36,9 +41,15 @@
 
     const known_job *find(const std::string &job) const;
     const std::map<std::string, known_job> &jobs() const { return m_jobs; }
-    std::size_t waitingIn(const std::string &queue) const; // accepted, none of their tasks placed
+    // Accepted jobs none of whose tasks has started, as far as is known; those that started within
+    // WaitingAge may still count.
+    std::size_t waitingIn(const std::string &queue, time_point now) const;
+
+    static constexpr milliseconds WaitingAge{2000};
 
 private:
+    static void noteOrders(known_job &known, const jobs::job_record &record, time_point now);
+
     std::map<std::string, known_job> m_jobs;
 };
 
--- a/libs/jobs/model.cpp
+++ b/libs/jobs/model.cpp
@@ -149,6 +149,37 @@
     return begun ? job_state::Running : job_state::Queued;
 }
 
+std::vector<given_order> job_record::givenOrders() const
+{
+    std::vector<given_order> orders;
+    for (std::size_t occurrence = 0; occurrence < tasks.size(); ++occurrence) {
+        for (std::size_t step = 0; step < tasks[occurrence].size(); ++step) {
+            const auto &inStep = tasks[occurrence][step];
+            for (std::size_t index = 0; index < inStep.size(); ++index) {
+                for (const auto &where : inStep[index].placements)
+                    orders.push_back({static_cast<int>(occurrence), static_cast<int>(step),
+                                      static_cast<int>(index), where.run});
+            }
+        }
+    }
+    std::sort(orders.begin(), orders.end()); // copies of a task may be in any order
+    return orders;
+}
+
+bool job_record::hasEndedRuns() const
+{
+    const auto hasRun = [](const task_state &task) {
+        return task.done || task.failures > 0 || !task.checkpoint.empty();
+    };
+    for (const auto &inOccurrence : tasks) {
+        for (const auto &inStep : inOccurrence) {
+            if (std::any_of(inStep.begin(), inStep.end(), hasRun))
+                return true;
+        }
+    }
+    return false;
+}
+
 bool job_record::needsOwner() const
 {
     if (!isFinal(state()))
--- /dev/null
+++ b/tests/job_view_test.cpp
@@ -0,0 +1,91 @@
+// What an entry knows of all jobs: how many of a queue wait.
+#include <criterion/criterion.h>
+
+#include "app/job_view.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::jobs;
+using zinniabarrow::tests::section;
+
+namespace {
+
+const time_point Start{seconds(1000)};
+
+class one_job
+{
+public:
+    one_job()
+    {
+        job_spec spec;
+        spec.steps.resize(1);
+        spec.steps[0].count = 2;
+        m_record = newRecord(spec, {"queue", "service"}, 0);
+        m_record.owner = {"entry", 1};
+    }
+
+    task_state &task(int index) { return m_record.tasks[0][0][static_cast<std::size_t>(index)]; }
+    void order(int index, int run)
+    {
+        task(index).lastRun = run;
+        task(index).placements = {{"worker", 1, run}};
+    }
+    void refuse(int index) { task(index).placements.clear(); }
+    // Its row is read.
+    void seen(milliseconds at) { m_view.seen("job", toText(m_record), ++m_version, Start + at); }
+    std::size_t waiting(milliseconds at) const { return m_view.waitingIn("queue", Start + at); }
+
+private:
+    job_view m_view;
+    job_record m_record;
+    std::int64_t m_version = 0;
+};
+
+} // namespace
+
+// Callers are told that hardly any job waits while none of theirs has begun. Workers had no room:
+// each order was refused and given again, and an order that was given once counted as a start.
+Test(job_view, jobs_that_wait)
+{
+    section("one that was accepted waits", [] {
+        one_job job;
+        job.seen(milliseconds(0));
+        check(job.waiting(milliseconds(9000)) == 1);
+    });
+    section("so does one whose orders are refused and given again, for however long", [] {
+        one_job job;
+        for (int run = 1; run < 60; ++run) {
+            job.order(0, run);
+            job.seen(milliseconds(run * 200));
+            check(job.waiting(milliseconds(run * 200 + 50)) == 1);
+            job.refuse(0);
+            job.seen(milliseconds(run * 200 + 100));
+            check(job.waiting(milliseconds(run * 200 + 150)) == 1);
+        }
+    });
+    section("an order that stands has started", [] {
+        one_job job;
+        job.order(0, 1);
+        job.seen(milliseconds(0));
+        check(job.waiting(milliseconds(1900)) == 1);
+        check(job.waiting(milliseconds(2100)) == 0);
+    });
+    section("also beside others that are refused", [] {
+        one_job job;
+        job.order(0, 1);
+        for (int run = 1; run < 20; ++run) {
+            job.order(1, run);
+            job.seen(milliseconds(run * 200));
+        }
+        check(job.waiting(milliseconds(3900)) == 0);
+    });
+    section("a task that has ended has started, and it stays so", [] {
+        one_job job;
+        job.task(0).done = true;
+        job.seen(milliseconds(0));
+        check(job.waiting(milliseconds(10)) == 0);
+        job.task(0).done = false;
+        job.seen(milliseconds(20));
+        check(job.waiting(milliseconds(30)) == 0);
+    });
+}
