--- a/app/job_requests.cpp
+++ b/app/job_requests.cpp
@@ -105,11 +105,10 @@
     if (hasGivenUp())
         return answerAtOnce(request, target->job, respond);
     const auto &policy = target->route->policy;
-    if (target->job.empty() && request.method == "GET")
-        return respond(
-                {200,
-                 {},
-                 platform_wire::waitingBody(m_view.waitingIn(policy.queue, suspendAwareNow()))});
+    if (target->job.empty() && request.method == "GET") {
+        const auto waiting = m_view.waitingIn(policy.queue, suspendAwareNow());
+        return respond({200, {}, platform_wire::waitingBody(waiting)});
+    }
     if (target->job.empty())
         return respond(counted(400, "no_job_id"));
     if (request.method == "POST")
