The log says why a task is not placed, and which order has no answer

tasks_unplaced: each 2 s, how many tasks of a step wait and how many workers are unfit for which reason (worker_pool::unfitFor replaces the yes or no of isCandidate; what is chosen is unchanged). order_unanswered: each 2 s, the order of a run that nothing settles. orders_unanswered: how a call with orders failed.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -398,6 +398,11 @@
                     const auto *answer = std::get_if<http_response>(&result);
                     if (answer == nullptr || answer->status != 200) {
                         m_metrics.count("orders_unanswered_total", "agent_silent");
+                        const auto *failure = std::get_if<call_failure>(&result);
+                        m_log.note("orders_unanswered",
+                                   {{"worker", worker},
+                                    {"orders", orders.size()},
+                                    {"why", failure ? nameOf(*failure) : "refused"}});
                         return unanswered(orders);
                     }
                     for (const auto &one : orderAnswersFrom(answer->body)) {
--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -16,6 +16,12 @@
     return fmt::format("{} run {} on {}", toText(task), run, worker);
 }
 
+int waitingIn(const std::vector<task_state> &step)
+{
+    return static_cast<int>(std::count_if(step.begin(), step.end(),
+                                          [](const auto &task) { return task.isWaiting(); }));
+}
+
 constexpr double MostlyFree = 0.55; // of a service's processors: a little over half
 
 run_traits traitsOf(const step_spec &step)
@@ -564,7 +570,6 @@
         stop.run = key.second;
         m_actions.emplace_back(give_order{order.worker, std::move(stop)});
     }
-    (void)id;
     return !job.starts.empty() || !job.stops.empty();
 }
 
@@ -597,6 +602,7 @@
     for (std::size_t occurrence = 0; occurrence < job.record.tasks.size(); ++occurrence) {
         const auto number = static_cast<std::int64_t>(occurrence);
         if (job.record.occurrences > 0
+            tellUnanswered(id, key.first, key.second, order, now);
             && wallMs < job.record.firstDueMs + number * job.record.intervalMs) {
             waits = true;
             continue;
@@ -604,6 +610,7 @@
         for (std::size_t step = 0; step < job.record.steps.size(); ++step) {
             const auto at = static_cast<int>(occurrence);
             const auto which = static_cast<int>(step);
+        tellUnanswered(id, key.first, key.second, order, now);
             if (job.record.stepReady(at, which))
                 waits = placeStep(id, job, at, which, now) || waits;
         }
@@ -614,6 +621,21 @@
 
 // True when some task of the step still waits for a worker.
 bool job_book::placeStep(const std::string &id, owned_job &job, int occurrence, int stepIndex,
+void job_book::tellUnanswered(const std::string &id, const task_id &task, int run,
+                              pending_order &order, time_point now)
+{
+    if (order.givenAt == time_point{}) {
+        order.givenAt = now;
+        order.tellAt = now + m_settings.tellWaits;
+    }
+    if (now < order.tellAt)
+        return;
+    order.tellAt = now + m_settings.tellWaits;
+    note("order_unanswered", id,
+         fmt::format("{}: for {} ms", describe(task, run, order.worker),
+                     millisecondsIn(now - order.givenAt)));
+}
+
                          time_point now)
 {
     const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
@@ -621,8 +643,7 @@
         return placeGang(id, job, occurrence, stepIndex, now);
     const auto &inStep = job.record.tasks[static_cast<std::size_t>(occurrence)]
                                          [static_cast<std::size_t>(stepIndex)];
-    auto left = static_cast<int>(std::count_if(
-            inStep.begin(), inStep.end(), [](const auto &state) { return state.isWaiting(); }));
+    auto left = waitingIn(inStep);
     auto &since = job.waitingSince.try_emplace({occurrence, stepIndex}, now).first->second;
     if (left == 0)
         since = now;
@@ -691,9 +712,29 @@
     m_workers.reserve(worker, step);
     changed(id, job);
     job.starts[{task, run}] = {worker, job.revision, false, {}};
+    tellUnplaced(id, job, occurrence, stepIndex, waitingIn(inStep), wish, now);
     m_ordering.insert(id);
 }
 
+void job_book::tellUnplaced(const std::string &id, owned_job &job, int occurrence, int stepIndex,
+                            int tasks, const placement_wish &wish, time_point now)
+{
+    const std::pair key{occurrence, stepIndex};
+    if (tasks == 0) {
+        job.unplaced.erase(key);
+        return;
+    }
+    auto &waiting = job.unplaced.try_emplace(key, now, now + m_settings.tellWaits).first->second;
+    if (now < waiting.tellAt)
+        return;
+    waiting.tellAt = now + m_settings.tellWaits;
+    const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
+    note("tasks_unplaced", id,
+         fmt::format("{} of step {}.{} for {} ms: {}", tasks, occurrence, stepIndex,
+                     millisecondsIn(now - waiting.since),
+                     m_workers.whyNobody(job.record.policy.service, step, now, wish)));
+}
+
 // A worker for the task: not one where it has just failed, as long as there is another.
 std::optional<std::string> job_book::chooseFor(const owned_job &job, const task_id &task,
                                                const step_spec &step, time_point now,
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -67,6 +67,8 @@
     // nothing runs for 3 s for lost where most of the service is free.
     milliseconds patience{60'000};
     milliseconds patienceBesideRoom{2500};
+    // What waits for a worker, or for the answer to an order, is told in the log this often.
+    milliseconds tellWaits{2000};
 };
 
 class job_book
@@ -131,6 +133,14 @@
         std::int64_t revision = 0; // given once this revision is stored
         bool out = false;          // given, no answer yet
         time_point repeatAt{};
+        time_point givenAt{}; // first
+        time_point tellAt{};  // the log, that there is no answer
+    };
+
+    struct waiting_step
+    {
+        time_point since{};
+        time_point tellAt{}; // the log, why no worker is found
     };
 
     struct owned_job
@@ -152,6 +162,7 @@
         std::map<std::pair<task_id, int>, time_point> startedAt; // when the start was accepted
         std::map<task_id, std::vector<std::string>> failedOn;    // workers
         std::map<std::pair<int, int>, time_point> waitingSince;  // by occurrence and step
+        std::map<std::pair<int, int>, waiting_step> unplaced;    // the same
     };
 
     template <typename Visit>
@@ -192,6 +203,10 @@
     static std::vector<std::string> fullOf(const owned_job &job, const task_id &task,
                                            const step_spec &step);
     void note(std::string event, const std::string &job, std::string detail);
+    void tellUnplaced(const std::string &id, owned_job &job, int occurrence, int stepIndex,
+                      int tasks, const placement_wish &wish, time_point now);
+    void tellUnanswered(const std::string &id, const task_id &task, int run, pending_order &order,
+                        time_point now);
 
     owner_id m_self;
     worker_pool &m_workers;
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -2,8 +2,33 @@
 
 #include <algorithm>
 
+#include <fmt/core.h>
+
+#include "base/names.h"
+
 namespace zinniabarrow::jobs {
 
+namespace {
+
+constexpr name_table<unfit, 9> UnfitNames{{
+        {unfit::No, "fit"},
+        {unfit::OtherService, "other_service"},
+        {unfit::NotAccepting, "not_accepting"},
+        {unfit::Silent, "silent"},
+        {unfit::SetAside, "set_aside"},
+        {unfit::OtherLabel, "other_label"},
+        {unfit::Full, "full"},
+        {unfit::MakesLate, "makes_late"},
+        {unfit::NoRoom, "no_room"},
+}};
+
+} // namespace
+
+std::string_view nameOf(unfit why)
+{
+    return nameOf(UnfitNames, why);
+}
+
 task_size countedSize(const task_size &size, bool fills)
 {
     auto counted = size;
@@ -50,30 +75,34 @@
         view.setAsideUntil = now + m_settings.setAside;
 }
 
-bool worker_pool::isCandidate(const worker_view &view, const std::string &service,
-                              const step_spec &step, bool patient, time_point now) const
+unfit worker_pool::unfitFor(const worker_view &view, const std::string &service,
+                            const step_spec &step, bool patient, time_point now) const
 {
     const auto &last = view.last;
-    if (!last.accepting || last.epoch == 0 || last.service != service)
-        return false;
-    if (now - view.heardAt > m_settings.silentAfter || now < view.setAsideUntil)
-        return false;
+    if (last.service != service)
+        return unfit::OtherService;
+    if (!last.accepting || last.epoch == 0)
+        return unfit::NotAccepting;
+    if (now - view.heardAt > m_settings.silentAfter)
+        return unfit::Silent;
+    if (now < view.setAsideUntil)
+        return unfit::SetAside;
     if (!step.requiredLabel.empty() && step.requiredLabel != last.kind
         && step.requiredLabel != last.rack)
-        return false;
+        return unfit::OtherLabel;
     // Beyond, runs that fill only slow each other down: jobs that wait in order come in time more
     // often than jobs that all run at a fraction of their pace.
     constexpr double MostShare = 0.95;
     if (step.fills && last.fillMillicores > 0 && shareWith(view, step) > MostShare)
-        return false;
+        return unfit::Full;
     // What fills waits for a worker where it harms nobody: its objective leaves it time, and a late
     // answer can't be made good.
     constexpr double MostLateJobs = 0.15;
     if (step.fills && patient && expectedLateJobs(view, step) > MostLateJobs)
-        return false;
+        return unfit::MakesLate;
     auto room = last.capacity;
     room -= last.used;
-    return countedSize(step.size, step.fills).fitsInto(room);
+    return countedSize(step.size, step.fills).fitsInto(room) ? unfit::No : unfit::NoRoom;
 }
 
 // The share of the worker's processors that would be in use.
@@ -196,7 +225,7 @@
     const worker_view *best = nullptr;
     double bestScore = 0;
     for (const auto &[name, view] : m_workers) {
-        if (!isCandidate(view, service, step, wish.patient, now))
+        if (unfitFor(view, service, step, wish.patient, now) != unfit::No)
             continue;
         if (std::find(avoid.begin(), avoid.end(), name) != avoid.end())
             continue;
@@ -211,6 +240,20 @@
     return best->last.worker;
 }
 
+std::string worker_pool::whyNobody(const std::string &service, const step_spec &step,
+                                   time_point now, const placement_wish &wish) const
+{
+    std::map<unfit, int> counts;
+    for (const auto &[name, view] : m_workers)
+        ++counts[unfitFor(view, service, step, wish.patient, now)];
+    std::string text;
+    for (const auto &[why, count] : counts) {
+        if (why != unfit::OtherService)
+            text += fmt::format("{}{} {}", text.empty() ? "" : ", ", count, nameOf(why));
+    }
+    return text.empty() ? "no worker" : text;
+}
+
 double worker_pool::usedShare(const std::string &service, time_point now) const
 {
     task_size used;
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/time.h"
@@ -32,6 +33,20 @@
     milliseconds setAside{6000};
 };
 
+// Why a worker takes no task of a step now.
+enum class unfit {
+    No,
+    OtherService,
+    NotAccepting,
+    Silent,
+    SetAside,
+    OtherLabel,
+    Full,
+    MakesLate,
+    NoRoom
+};
+std::string_view nameOf(unfit why);
+
 struct placement_wish
 {
     int together = 1;    // tasks of the step that wait, this one included
@@ -55,6 +70,10 @@
     std::optional<std::string> choose(const std::string &service, const step_spec &step,
                                       const std::vector<std::string> &avoid, time_point now,
                                       const placement_wish &wish = {}) const;
+    // For the log, where `choose` finds nobody: how many of the service's workers are unfit, and
+    // why.
+    std::string whyNobody(const std::string &service, const step_spec &step, time_point now,
+                          const placement_wish &wish = {}) const;
     // The part of the service's processors that is in use or reserved, of workers that are heard
     // of; what fills is not counted. 0 to 1.
     double usedShare(const std::string &service, time_point now) const;
@@ -64,8 +83,8 @@
     disturbance_model &disturbance() { return m_disturbance; }
 
 private:
-    bool isCandidate(const worker_view &view, const std::string &service, const step_spec &step,
-                     bool patient, time_point now) const;
+    unfit unfitFor(const worker_view &view, const std::string &service, const step_spec &step,
+                   bool patient, time_point now) const;
     static double shareWith(const worker_view &view, const step_spec &step);
     double score(const worker_view &view, const step_spec &step, int together) const;
     static double servingScore(const worker_view &view, const step_spec &step, int together);
