An end that is told again to the next owner of a job is acknowledged

An owner that took the job over refused the end of its run 2 as that of a later owner, as long as the job lasted, and with it no later end of that worker was forgotten. A task that is done never runs again: such an end is acknowledged.

--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -216,8 +216,8 @@
     auto &job = found->second;
     auto *task = job.record.find(end.task);
     // A later owner placed it, and this one has not heard of that yet: acknowledged here, the end
-    // would be in no row, and the task would run again.
-    if (task != nullptr && end.run > task->lastRun)
+    // would be in no row, and the task would run again. One that is done never does.
+    if (task != nullptr && !task->done && end.run > task->lastRun)
         return false;
     const bool isPlaced = task != nullptr && isPlacedOn(*task, worker, end.run);
     if (isPlaced)
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -238,6 +238,26 @@
     });
 }
 
+// Its agent tells the end again when the acknowledgement was lost: refused for good, it and all
+// later ends of that worker would never be forgotten.
+Test(job_book, an_end_told_again_to_the_next_owner)
+{
+    scene on;
+    on.submit();
+    on.written();
+    const auto task = on.orders[0].order.task;
+    on.book.orderAnswered(on.orders[0].worker, {task, 1, order_outcome::NoRoom}, on.now);
+    on.turn();
+    on.written();
+    const auto again = on.orders.back();
+    require(again.order.run == 2);
+    on.accept(again);
+    on.end(again, end_kind::Done, 50);
+    scene heir;
+    heir.book.adopt("j", recordFrom(toText(*on.book.record("j"))), 7, "hold seat 7");
+    check(heir.book.runEnded(again.worker, {1, task, 2, end_kind::Done, ""}, heir.now, 60));
+}
+
 Test(job_book, an_order_without_an_answer_is_given_again)
 {
     scene on;
