The end of a run of an epoch before counts, and is acknowledged once it is in the row

Cause, shown in the book: when a worker begins an epoch, placements of earlier ones are taken off; an end of such a run that came in later, or in the very report that told the epoch (the epoch was handed to the book first), found no placement, changed nothing and was acknowledged: its worker forgot it, and the task was placed again. An end that failed was lost as an attempt. Evidence: job_book_test an_end_of_a_run_of_an_epoch_before. Why it works: runs that were over with their epoch stay in the row as unheard, until their end comes; done ends the task whatever was placed since and stops that run, failed counts once (also with the next owner), and the acknowledgement waits for the row. Reports hand over their ends before their epoch. Gangs stop members of other runs, too. Ruled out: refusing such ends (their worker would keep them for good, and all later ones). run_ended_late tells this case in a log, run_ended_again an end that was told twice.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -483,8 +483,7 @@
                                        {"epoch", report.epoch},
                                        {"accepting", report.accepting ? "yes" : "no"}});
         }
-        if (m_pool.update(report, now) && report.epoch > 0)
-            m_book->workerRenewed(report.worker, report.epoch, now);
+        const bool livesAnew = m_pool.update(report, now) && report.epoch > 0;
         for (const auto &progress : report.progress)
             m_book->progressed(report.worker, progress);
         auto state = std::make_shared<open_report>();
@@ -496,6 +495,9 @@
             state->answer.presses = m_pool.disturbance().table();
         for (const auto &end : report.ends)
             takeEnd(report.worker, end, state);
+        // After the ends: those of the epoch before end their own placements.
+        if (livesAnew)
+            m_book->workerRenewed(report.worker, report.epoch, now);
         if (state->open == 0)
             answerReport(*state);
         else
--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -22,6 +22,15 @@
                                           [](const auto &task) { return task.isWaiting(); }));
 }
 
+// Only the newest: the end of a run that is older than so many others comes no more.
+void noteUnheard(task_state &task, int run)
+{
+    constexpr std::size_t MostUnheard = 4;
+    task.unheard.push_back(run);
+    if (task.unheard.size() > MostUnheard)
+        task.unheard.erase(task.unheard.begin());
+}
+
 constexpr double MostlyFree = 0.55; // of a service's processors: a little over half
 
 run_traits traitsOf(const step_spec &step)
@@ -219,9 +228,10 @@
     // would be in no row, and the task would run again. One that is done never does.
     if (task != nullptr && !task->done && end.run > task->lastRun)
         return false;
-    const bool isPlaced = task != nullptr && isPlacedOn(*task, worker, end.run);
-    if (isPlaced)
+    if (task != nullptr && isPlacedOn(*task, worker, end.run))
         endPlacedRun(id, job, worker, end, now);
+    else if (task != nullptr && !task->done && !isFinal(job.record.state()))
+        endUnheardRun(id, job, worker, end);
     job.waiting.push_back({token, job.revision});
     settle(job);
     return true;
@@ -246,7 +256,7 @@
         task.checkpoint = end.checkpoint;
     changed(id, job);
     if (end.how == end_kind::Done && !step.lasting)
-        finishTask(id, job, end.task, step);
+        finishTask(id, job, end.task, end.run, step);
     if (end.how == end_kind::Failed)
         countFailure(id, job, worker, end, step, ran);
     if (end.how != end_kind::Done)
@@ -256,6 +266,31 @@
         note("job_ended", id, std::string(nameOf(job.record.state())));
 }
 
+// The end of a run whose placement is gone. Acknowledged, its worker forgets it: what it says has
+// to be in the row by then, or a task that is done runs again.
+void job_book::endUnheardRun(const std::string &id, owned_job &job, const std::string &worker,
+                             const run_end &end)
+{
+    auto &task = *job.record.find(end.task);
+    const auto &step = job.record.steps[static_cast<std::size_t>(end.task.step)];
+    const bool isNews = std::erase(task.unheard, end.run) > 0;
+    const bool finishes = end.how == end_kind::Done && !step.lasting;
+    note(finishes || isNews ? "run_ended_late" : "run_ended_again", id,
+         fmt::format("{}: {}; newest run {}", describe(end.task, end.run, worker), nameOf(end.how),
+                     task.lastRun));
+    if (!finishes && !isNews)
+        return;
+    if (!end.checkpoint.empty() && end.run == task.lastRun)
+        task.checkpoint = end.checkpoint;
+    changed(id, job);
+    if (finishes)
+        finishTask(id, job, end.task, end.run, step);
+    else if (end.how == end_kind::Failed)
+        countFailure(id, job, worker, end, step, std::nullopt);
+    if (isFinal(job.record.state()))
+        note("job_ended", id, std::string(nameOf(job.record.state())));
+}
+
 // How long the run took; none: this entry did not see its start.
 std::optional<milliseconds> job_book::takeRunTime(owned_job &job, const run_end &end,
                                                   time_point now)
@@ -273,7 +308,7 @@
     return static_cast<double>(ran->count()) / static_cast<double>(step.estimateMs);
 }
 
-void job_book::finishTask(const std::string &id, owned_job &job, const task_id &task,
+void job_book::finishTask(const std::string &id, owned_job &job, const task_id &task, int run,
                           const step_spec &step)
 {
     auto &inStep = job.record.tasks[static_cast<std::size_t>(task.occurrence)]
@@ -285,17 +320,21 @@
         auto &member = inStep[static_cast<std::size_t>(index)];
         member.done = true;
         const task_id name{id, task.occurrence, task.step, index};
-        if (!step.gang)
-            stopCopies(job, name, member);
+        stopCopies(job, name, member, run);
         member.placements.clear();
+        member.unheard.clear();
     }
     m_ordering.insert(id);
 }
 
-// Copies that lost the race are told to stop; nobody waits for them any more.
-void job_book::stopCopies(owned_job &job, const task_id &task, const task_state &state)
+// Copies that lost the race are told to stop; nobody waits for them any more. Members of a gang end
+// together, those of the same run by themselves.
+void job_book::stopCopies(owned_job &job, const task_id &task, const task_state &state,
+                          int endedRun)
 {
     for (const auto &copy : state.placements) {
+        if (copy.run == endedRun)
+            continue;
         job.starts.erase({task, copy.run});
         job.stops[{task, copy.run}] = {copy.worker, job.revision, false, {}};
     }
@@ -414,6 +453,7 @@
             job.starts.erase(key);
             job.stops.erase(key);
             job.startedAt.erase(key);
+            noteUnheard(state, where.run);
             return true;
         });
     });
@@ -557,6 +597,7 @@
             if (where.run != key.second)
                 continue;
             order.out = true;
+            tellUnanswered(id, key.first, key.second, order, now);
             m_actions.emplace_back(give_order{where.worker, startOrder(job, key.first, where)});
         }
     }
@@ -564,6 +605,7 @@
         if (!isDue(order))
             continue;
         order.out = true;
+        tellUnanswered(id, key.first, key.second, order, now);
         run_order stop;
         stop.kind = order_kind::Stop;
         stop.task = key.first;
@@ -573,6 +615,21 @@
     return !job.starts.empty() || !job.stops.empty();
 }
 
+void job_book::tellUnanswered(const std::string &id, const task_id &task, int run,
+                              pending_order &order, time_point now)
+{
+    if (order.givenAt == time_point{}) {
+        order.givenAt = now;
+        order.tellAt = now + m_settings.tellWaits;
+    }
+    if (now < order.tellAt)
+        return;
+    order.tellAt = now + m_settings.tellWaits;
+    note("order_unanswered", id,
+         fmt::format("{}: for {} ms", describe(task, run, order.worker),
+                     millisecondsIn(now - order.givenAt)));
+}
+
 void job_book::stopAll(const std::string &id, owned_job &job)
 {
     job.starts.clear();
@@ -602,7 +659,6 @@
     for (std::size_t occurrence = 0; occurrence < job.record.tasks.size(); ++occurrence) {
         const auto number = static_cast<std::int64_t>(occurrence);
         if (job.record.occurrences > 0
-            tellUnanswered(id, key.first, key.second, order, now);
             && wallMs < job.record.firstDueMs + number * job.record.intervalMs) {
             waits = true;
             continue;
@@ -610,7 +666,6 @@
         for (std::size_t step = 0; step < job.record.steps.size(); ++step) {
             const auto at = static_cast<int>(occurrence);
             const auto which = static_cast<int>(step);
-        tellUnanswered(id, key.first, key.second, order, now);
             if (job.record.stepReady(at, which))
                 waits = placeStep(id, job, at, which, now) || waits;
         }
@@ -621,21 +676,6 @@
 
 // True when some task of the step still waits for a worker.
 bool job_book::placeStep(const std::string &id, owned_job &job, int occurrence, int stepIndex,
-void job_book::tellUnanswered(const std::string &id, const task_id &task, int run,
-                              pending_order &order, time_point now)
-{
-    if (order.givenAt == time_point{}) {
-        order.givenAt = now;
-        order.tellAt = now + m_settings.tellWaits;
-    }
-    if (now < order.tellAt)
-        return;
-    order.tellAt = now + m_settings.tellWaits;
-    note("order_unanswered", id,
-         fmt::format("{}: for {} ms", describe(task, run, order.worker),
-                     millisecondsIn(now - order.givenAt)));
-}
-
                          time_point now)
 {
     const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
@@ -666,9 +706,29 @@
         }
         place(id, job, task, step, *worker, state.lastRun + 1);
     }
+    tellUnplaced(id, job, occurrence, stepIndex, waitingIn(inStep), wish, now);
     return waits;
 }
 
+void job_book::tellUnplaced(const std::string &id, owned_job &job, int occurrence, int stepIndex,
+                            int tasks, const placement_wish &wish, time_point now)
+{
+    const std::pair key{occurrence, stepIndex};
+    if (tasks == 0) {
+        job.unplaced.erase(key);
+        return;
+    }
+    auto &waiting = job.unplaced.try_emplace(key, now, now + m_settings.tellWaits).first->second;
+    if (now < waiting.tellAt)
+        return;
+    waiting.tellAt = now + m_settings.tellWaits;
+    const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
+    note("tasks_unplaced", id,
+         fmt::format("{} of step {}.{} for {} ms: {}", tasks, occurrence, stepIndex,
+                     millisecondsIn(now - waiting.since),
+                     m_workers.whyNobody(job.record.policy.service, step, now, wish)));
+}
+
 // All members or none: a member that runs alone holds its worker for nothing.
 bool job_book::placeGang(const std::string &id, owned_job &job, int occurrence, int stepIndex,
                          time_point now)
@@ -712,29 +772,9 @@
     m_workers.reserve(worker, step);
     changed(id, job);
     job.starts[{task, run}] = {worker, job.revision, false, {}};
-    tellUnplaced(id, job, occurrence, stepIndex, waitingIn(inStep), wish, now);
     m_ordering.insert(id);
 }
 
-void job_book::tellUnplaced(const std::string &id, owned_job &job, int occurrence, int stepIndex,
-                            int tasks, const placement_wish &wish, time_point now)
-{
-    const std::pair key{occurrence, stepIndex};
-    if (tasks == 0) {
-        job.unplaced.erase(key);
-        return;
-    }
-    auto &waiting = job.unplaced.try_emplace(key, now, now + m_settings.tellWaits).first->second;
-    if (now < waiting.tellAt)
-        return;
-    waiting.tellAt = now + m_settings.tellWaits;
-    const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
-    note("tasks_unplaced", id,
-         fmt::format("{} of step {}.{} for {} ms: {}", tasks, occurrence, stepIndex,
-                     millisecondsIn(now - waiting.since),
-                     m_workers.whyNobody(job.record.policy.service, step, now, wish)));
-}
-
 // A worker for the task: not one where it has just failed, as long as there is another.
 std::optional<std::string> job_book::chooseFor(const owned_job &job, const task_id &task,
                                                const step_spec &step, time_point now,
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -174,12 +174,15 @@
     void takeCancel(const std::string &id, owned_job &job, const job_record &row);
     void endPlacedRun(const std::string &id, owned_job &job, const std::string &worker,
                       const run_end &end, time_point now);
+    void endUnheardRun(const std::string &id, owned_job &job, const std::string &worker,
+                       const run_end &end);
     static std::optional<milliseconds> takeRunTime(owned_job &job, const run_end &end,
                                                    time_point now);
     static double slownessOf(const std::optional<milliseconds> &ran, const step_spec &step);
-    void finishTask(const std::string &id, owned_job &job, const task_id &task,
+    void finishTask(const std::string &id, owned_job &job, const task_id &task, int run,
                     const step_spec &step);
-    static void stopCopies(owned_job &job, const task_id &task, const task_state &state);
+    static void stopCopies(owned_job &job, const task_id &task, const task_state &state,
+                           int endedRun);
     void countFailure(const std::string &id, owned_job &job, const std::string &worker,
                       const run_end &end, const step_spec &step,
                       const std::optional<milliseconds> &ran);
@@ -200,13 +203,13 @@
     std::optional<std::string> chooseFor(const owned_job &job, const task_id &task,
                                          const step_spec &step, time_point now,
                                          const placement_wish &wish) const;
-    static std::vector<std::string> fullOf(const owned_job &job, const task_id &task,
-                                           const step_spec &step);
-    void note(std::string event, const std::string &job, std::string detail);
     void tellUnplaced(const std::string &id, owned_job &job, int occurrence, int stepIndex,
                       int tasks, const placement_wish &wish, time_point now);
     void tellUnanswered(const std::string &id, const task_id &task, int run, pending_order &order,
                         time_point now);
+    static std::vector<std::string> fullOf(const owned_job &job, const task_id &task,
+                                           const step_spec &step);
+    void note(std::string event, const std::string &job, std::string detail);
 
     owner_id m_self;
     worker_pool &m_workers;
--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -93,6 +93,9 @@
     int failures = 0; // runs that ended through a fault
     std::string checkpoint;
     std::vector<placement> placements; // more than one: copies
+    // Runs that were over with their worker's epoch, and whose own end was never told: the end may
+    // still come, and each counts once.
+    std::vector<int> unheard;
 
     bool isWaiting() const { return !done && placements.empty(); }
 };
--- a/libs/jobs/record.cpp
+++ b/libs/jobs/record.cpp
@@ -98,6 +98,8 @@
         row.append(where.run);
         value["p"].append(std::move(row));
     }
+    for (const int run : task.unheard)
+        value["u"].append(run);
     return value;
 }
 
@@ -122,6 +124,7 @@
     task.failures = countOr0(value, "f");
     task.checkpoint = textOrNone(value, "k");
     forEach(value, "p", [&](const auto &row) { task.placements.push_back(placementFrom(row)); });
+    forEach(value, "u", [&](const auto &run) { task.unheard.push_back(asCount(run)); });
     return task;
 }
 
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -1,5 +1,7 @@
 // The jobs that an entry owns: steps in order, one run at a time, and what holds when a write, an
 // order, a worker or the entry itself is lost.
+#include <algorithm>
+
 #include <criterion/criterion.h>
 
 #include "base/errors.h"
@@ -96,6 +98,14 @@
                            {order.order.task, order.order.run, order_outcome::Accepted}, now);
     }
 
+    std::size_t startsOf(const task_id &task) const
+    {
+        return static_cast<std::size_t>(
+                std::count_if(orders.begin(), orders.end(), [&](const auto &one) {
+                    return one.order.kind == order_kind::Start && one.order.task == task;
+                }));
+    }
+
     void end(const give_order &order, end_kind how, std::int64_t token = 50)
     {
         book.runEnded(order.worker, {1, order.order.task, order.order.run, how, ""}, now, token);
@@ -238,6 +248,105 @@
     });
 }
 
+// A worker that leaves as planned, or whose agent takes its lease anew, begins an epoch although
+// nothing of before has lapsed: an end that comes in after it is the only one that will ever come.
+Test(job_book, an_end_of_a_run_of_an_epoch_before)
+{
+    section("done before its task is placed anew: the task is over", [] {
+        scene on;
+        on.submit();
+        on.written();
+        const auto order = on.orders[0];
+        on.accept(order);
+        on.hear(order.worker, 2);
+        on.book.workerRenewed(order.worker, 2, on.now);
+        on.end(order, end_kind::Done, 50);
+        on.written();
+        on.written();
+        check(on.book.record("j")->find(order.order.task)->done);
+        check(on.storedTokens == (std::vector<std::int64_t>{1, 50}));
+        check(on.startsOf(order.order.task) == 1);
+    });
+    section("done after its task was placed anew: the newer run is stopped", [] {
+        scene on;
+        on.submit();
+        on.written();
+        const auto order = on.orders[0];
+        on.accept(order);
+        on.hear(order.worker, 2);
+        on.book.workerRenewed(order.worker, 2, on.now);
+        on.turn();
+        on.written();
+        require(on.startsOf(order.order.task) == 2);
+        on.end(order, end_kind::Done, 50);
+        check(on.storedTokens == std::vector<std::int64_t>{1}); // not before it is in the row
+        on.written();
+        on.written();
+        check(on.book.record("j")->find(order.order.task)->done);
+        check(on.storedTokens == (std::vector<std::int64_t>{1, 50}));
+        check(on.startsOf(order.order.task) == 2);
+        require(on.orders.back().order.kind == order_kind::Stop);
+        check(on.orders.back().order.task == order.order.task);
+        check(on.orders.back().order.run == 2);
+    });
+    section("failed: the attempt counts, once, also with the owner that comes next", [] {
+        scene on;
+        on.submit();
+        on.written();
+        const auto order = on.orders[0];
+        const auto task = order.order.task;
+        on.accept(order);
+        on.book.workerRenewed(order.worker, 2, on.now);
+        on.turn();
+        on.written();
+        const auto before = *on.book.record("j");
+        on.end(order, end_kind::Failed, 50);
+        on.end(order, end_kind::Failed, 51);
+        on.written();
+        check(on.book.record("j")->find(task)->failures == 1);
+        check(on.storedTokens == (std::vector<std::int64_t>{1, 50, 51}));
+        scene heir;
+        heir.book.adopt("j", recordFrom(toText(before)), 7, "hold seat 7");
+        heir.end(order, end_kind::Failed, 60);
+        check(heir.book.record("j")->find(task)->failures == 1);
+        heir.end(order, end_kind::Failed, 61);
+        check(heir.book.record("j")->find(task)->failures == 1);
+        scene last;
+        last.book.adopt("j", recordFrom(toText(*heir.book.record("j"))), 9, "hold seat 7");
+        last.end(order, end_kind::Failed, 70);
+        check(last.book.record("j")->find(task)->failures == 1);
+    });
+    section("of a gang, by one member: the whole gang is over", [] {
+        scene on;
+        auto spec = scene::twoSteps();
+        spec.steps[0].gang = true;
+        on.submit(spec);
+        on.written();
+        const auto order = on.orders[0];
+        for (const auto &one : std::vector(on.orders))
+            on.accept(one);
+        on.book.workerRenewed(order.worker, 2, on.now);
+        on.end(order, end_kind::Done, 50);
+        check(on.book.record("j")->stepDone(0, 0));
+    });
+    section("of a task that lasts, done means that it has to run again", [] {
+        scene on;
+        auto spec = scene::twoSteps();
+        spec.steps.pop_back();
+        spec.steps[0].lasting = true;
+        on.submit(spec);
+        on.written();
+        const auto order = on.orders[0];
+        on.accept(order);
+        on.book.workerRenewed(order.worker, 2, on.now);
+        on.end(order, end_kind::Done, 50);
+        check(!on.book.record("j")->find(order.order.task)->done);
+        on.written();
+        on.written();
+        check(on.startsOf(order.order.task) == 2);
+    });
+}
+
 // Its agent tells the end again when the acknowledgement was lost: refused for good, it and all
 // later ends of that worker would never be forgotten.
 Test(job_book, an_end_told_again_to_the_next_owner)
