Ends outlive their worker, and an acknowledgement names the end that it is for

An acknowledgement names how the run ended, and an end that was not listed before is news (run_table_test a_run_that_was_taken_for_never_started, failed before). The tests of the table name the end that they acknowledge; their checks are as they were.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -580,9 +580,9 @@
     void takeAnswer(report_answer answer)
     {
         const auto now = suspendAwareNow();
-        for (const auto &[task, run] : answer.acknowledged) {
-            m_table.acknowledged(task, run, now);
-            m_pacer.forget(task, run);
+        for (const auto &end : answer.acknowledged) {
+            if (m_table.acknowledged(end, now))
+                m_pacer.forget(end.task, end.run);
         }
         if (!answer.presses.empty())
             m_pacer.setPresses(std::move(answer.presses));
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -510,7 +510,7 @@
     {
         const auto token = m_waits.add([state, end](bool isStored) {
             if (isStored)
-                state->answer.acknowledged.emplace_back(end.task, end.run);
+                state->answer.acknowledged.push_back({end.task, end.run, end.how});
             if (--state->open == 0)
                 answerReport(*state);
         });
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -176,10 +176,11 @@
 {
     Json::Value value(Json::objectValue);
     value["acknowledged"] = Json::Value(Json::arrayValue);
-    for (const auto &[task, run] : answer.acknowledged) {
+    for (const auto &end : answer.acknowledged) {
         Json::Value row(Json::objectValue);
-        row["task"] = toText(task);
-        row["run"] = run;
+        row["task"] = toText(end.task);
+        row["run"] = end.run;
+        row["how"] = std::string(nameOf(end.how));
         value["acknowledged"].append(std::move(row));
     }
     value["presses"] = Json::Value(Json::objectValue);
@@ -196,8 +197,12 @@
 {
     const auto value = parseJsonObject(text);
     report_answer answer;
-    for (const auto &row : arrayMember(value, "acknowledged"))
-        answer.acknowledged.emplace_back(taskMember(row), smallIntegerMember(row, "run"));
+    for (const auto &row : arrayMember(value, "acknowledged")) {
+        const auto how = endKindNamed(stringMember(row, "how"));
+        if (!how)
+            throw error(error_kind::BadRequest, "an acknowledged end of an unknown kind");
+        answer.acknowledged.push_back({taskMember(row), smallIntegerMember(row, "run"), *how});
+    }
     const auto &presses = objectMember(value, "presses");
     for (const auto &serving : presses.getMemberNames()) {
         const auto &row = objectMember(presses, serving.c_str());
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -119,10 +119,19 @@
     std::vector<run_progress> progress;
 };
 
+// An end that is in the store. It is named in full: a run that was taken for never started may
+// turn out to have ended otherwise, and that end is another one.
+struct acknowledged_end
+{
+    task_id task;
+    int run = 0;
+    end_kind how = end_kind::Done;
+};
+
 // What an entry answers to a report.
 struct report_answer
 {
-    std::vector<std::pair<task_id, int>> acknowledged; // ends that are in the store
+    std::vector<acknowledged_end> acknowledged;
     press_table presses; // as learned from all workers; empty: not asked for, or nothing learned
 };
 
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -39,7 +39,10 @@
 
 void run_table::clear()
 {
-    m_runs.clear();
+    std::erase_if(m_runs, [](const auto &entry) { return entry.second.phase != run_phase::Ended; });
+    // The next life numbers its ends anew: it must not be told to forget by numbers of before.
+    for (auto &[key, entry] : m_runs)
+        entry.end.number = 0;
     m_highestEnd = 0;
     m_epoch = 0;
 }
@@ -171,8 +174,9 @@
         if (isCancelled(key.first.job))
             stopEntry(key, entry, now);
     }
+    const auto seenUpTo = m_highestEnd;
     for (const auto &end : listing.ended)
-        ended(end, now);
+        ended(end, seenUpTo, now);
     for (auto &[key, entry] : m_runs) {
         const bool unseen = entry.phase == run_phase::Starting
                             || (entry.phase == run_phase::Stopping && entry.startUntilMs > 0);
@@ -223,13 +227,15 @@
     }
 }
 
-void run_table::ended(const run_end &end, time_point now)
+void run_table::ended(const run_end &end, std::int64_t seenUpTo, time_point now)
 {
     const run_key key{end.task, end.run};
     m_highestEnd = std::max(m_highestEnd, end.number);
     const auto known = m_runs.find(key);
-    if (known == m_runs.end() && refused(key))
-        return; // acknowledged before: the worker will forget it with the next look
+    // Acknowledged before: the worker will forget it with the next look. One that was not listed
+    // before is news, whatever was thought of its run.
+    if (known == m_runs.end() && refused(key) && end.number <= seenUpTo)
+        return;
     auto &entry = m_runs[key];
     if (entry.phase != run_phase::Ended)
         ++m_endsSeen;
@@ -238,13 +244,15 @@
     refuse(key, now);
 }
 
-void run_table::acknowledged(const task_id &task, int run, time_point now)
+bool run_table::acknowledged(const acknowledged_end &end, time_point now)
 {
-    const auto known = m_runs.find({task, run});
-    if (known == m_runs.end() || known->second.phase != run_phase::Ended)
-        return;
+    const auto known = m_runs.find({end.task, end.run});
+    if (known == m_runs.end() || known->second.phase != run_phase::Ended
+        || known->second.end.how != end.how)
+        return false;
     refuse(known->first, now);
     m_runs.erase(known);
+    return true;
 }
 
 std::vector<run_action> run_table::due(time_point now, bool mayStart)
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -80,7 +80,8 @@
 
     void setWorker(const task_size &capacity, start_readiness readiness);
     void setEpoch(std::int64_t epoch); // 0: none, nothing is started
-    // The worker lives anew: nothing of before runs, its ends are gone.
+    // The worker lives anew, or is gone: nothing of before runs. Ends that were seen and not
+    // acknowledged are told on.
     void clear();
 
     order_answer take(const run_order &order, const std::string &owner, time_point now);
@@ -91,8 +92,8 @@
     void startCalled(const task_id &task, int run, std::int64_t deadlineMs);
     void startAnswered(const task_id &task, int run, start_answer answer, time_point now);
     void look(const run_listing &listing, time_point now);
-    // The end is in the platform's store.
-    void acknowledged(const task_id &task, int run, time_point now);
+    // The end is in the platform's store. False: not the one that is told for this run now.
+    bool acknowledged(const acknowledged_end &end, time_point now);
 
     // What is due: starts and stops that have no answer, unclaimed runs. Without a lease nothing
     // is started.
@@ -136,7 +137,7 @@
 
     order_answer start(const run_order &order, const std::string &owner, time_point now);
     order_answer stop(const run_order &order, const std::string &owner, time_point now);
-    void ended(const run_end &end, time_point now);
+    void ended(const run_end &end, std::int64_t seenUpTo, time_point now);
     // False: it is stopped already.
     bool stopEntry(const run_key &key, run_entry &entry, time_point now);
     void neverStarted(const run_key &key, run_entry &entry);
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -154,7 +154,7 @@
         check(on.give(made) == order_outcome::Accepted); // it is known, and its end is told
     });
     section("once that is stored, the same order is refused for good", [&] {
-        on.table.acknowledged(made.task, 1, on.now);
+        on.table.acknowledged({made.task, 1, end_kind::NeverStarted}, on.now);
         check(on.give(made) == order_outcome::Superseded);
     });
 }
@@ -170,9 +170,9 @@
     on.table.look(seen, on.now);
     section("none before it is stored", [&] { check(on.table.lastSeen() == 0); });
     section("a gap keeps those after it", [&] {
-        on.table.acknowledged(scene::order(2).task, 1, on.now);
+        on.table.acknowledged({scene::order(2).task, 1, end_kind::Done}, on.now);
         check(on.table.lastSeen() == 0);
-        on.table.acknowledged(scene::order(1).task, 1, on.now);
+        on.table.acknowledged({scene::order(1).task, 1, end_kind::Done}, on.now);
         check(on.table.lastSeen() == 2);
     });
     section("a list that is older brings none back", [&] {
@@ -181,6 +181,82 @@
     });
 }
 
+// A worker leaves with its last tasks done and their ends told to an owner that is slow to store
+// them. Dropped with the worker, they would be in no row: the tasks would run again elsewhere.
+Test(run_table, ends_outlive_their_worker)
+{
+    scene on;
+    on.give(scene::order(1));
+    on.give(scene::order(2));
+    run_listing seen = scene::listing({scene::order(2)});
+    seen.ended.push_back({7, scene::order(1).task, 1, end_kind::Done, ""});
+    on.table.look(seen, on.now);
+    on.table.clear();
+    section("are still told, and what ran is forgotten", [&] {
+        require(on.table.endsFor("entry-a").size() == 1);
+        check(on.table.endsFor("entry-a")[0].how == end_kind::Done);
+        check(on.table.running() == 0);
+        check(on.table.used() == task_size());
+    });
+    section("take no part in what the worker's next life may forget", [&] {
+        check(on.table.lastSeen() == 0);
+        on.table.setEpoch(Epoch + 1);
+        auto next = scene::order(3);
+        next.epoch = Epoch + 1;
+        on.give(next);
+        run_listing anew;
+        anew.ended.push_back({1, next.task, 1, end_kind::Done, ""});
+        on.table.look(anew, on.now);
+        check(on.table.lastSeen() == 0);
+        on.table.acknowledged({next.task, 1, end_kind::Done}, on.now);
+        check(on.table.lastSeen() == 1);
+    });
+    section("until they are acknowledged", [&] {
+        on.table.acknowledged({scene::order(1).task, 1, end_kind::Done}, on.now);
+        check(on.table.endsFor("entry-a").empty());
+    });
+}
+
+// A start of an agent's earlier life takes effect late; the next life is told by the worker that
+// this run can't start any more, and takes it for never started. That end was told and
+// acknowledged while the worker listed the real one: forgotten unheard, the task would run again.
+Test(run_table, a_run_that_was_taken_for_never_started)
+{
+    scene on;
+    const auto made = scene::order(1);
+    on.give(made);
+    on.table.startCalled(made.task, 1, 5000);
+    on.table.startAnswered(made.task, 1, start_answer::Refused, on.now);
+    require(on.table.endsFor("entry-a").size() == 1);
+    const auto told = on.table.endsFor("entry-a")[0].how;
+    require(told == end_kind::NeverStarted);
+    run_listing seen;
+    seen.ended.push_back({4, made.task, 1, end_kind::Done, ""});
+    on.table.look(seen, on.now);
+    section("the acknowledgement of the one end is not that of the other", [&] {
+        check(!on.table.acknowledged({made.task, 1, told}, on.now));
+        require(on.table.endsFor("entry-a").size() == 1);
+        check(on.table.endsFor("entry-a")[0].how == end_kind::Done);
+        check(on.table.lastSeen() == 3);
+    });
+    section("the worker forgets it once that is acknowledged", [&] {
+        check(on.table.acknowledged({made.task, 1, end_kind::Done}, on.now));
+        check(on.table.lastSeen() == 4);
+    });
+    section("also where the worker lists it after the first was acknowledged", [&] {
+        const auto other = scene::order(2);
+        on.give(other);
+        on.table.startCalled(other.task, 1, 5000);
+        on.table.startAnswered(other.task, 1, start_answer::Refused, on.now);
+        require(on.table.acknowledged({other.task, 1, told}, on.now));
+        seen.ended.push_back({5, other.task, 1, end_kind::Done, ""});
+        on.table.look(seen, on.now);
+        require(on.table.endsFor("entry-a").size() == 1);
+        check(on.table.endsFor("entry-a")[0].how == end_kind::Done);
+        check(on.table.lastSeen() == 4);
+    });
+}
+
 Test(run_table, runs_that_nobody_claims_are_stopped)
 {
     scene on;
