A job waits until a worker has begun a task of it

Cause: an entry counted a job as begun once the same order had stood in its row for two seconds. An order of an agent that is slow, unanswered or leaving stands there without a run. Now the worker's word counts: an order asks its agent to tell the start, the agent tells it with its reports until the owner has answered one, and the owner puts it into the job's row, with the next write or by itself after 0.8 s (at most one write more for each job). Ends count too, but for those of runs that never started. An estimate that errs counts a job as waiting a little longer, not as begun. Tests: job_view_test jobs_that_wait, run_table_test starts_that_an_owner_asks_for, job_book_test that_a_job_has_begun_is_in_its_row.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -544,17 +544,20 @@
             m_pressesFrom.clear();
         told.ends = m_table.endsFor(entry);
         told.progress = m_table.progressFor(entry);
+        told.started = m_table.startedFor(entry);
         http_request request;
         request.method = "POST";
         request.target = "/v1/report";
         request.body = toText(told);
         m_caller.call(link.address, std::move(request), ReportTimeout,
-                      [this, entry, epoch = told.epoch](const call_result &result) {
-                          reported(entry, epoch, result);
+                      [this, entry, epoch = told.epoch,
+                       started = std::move(told.started)](const call_result &result) {
+                          reported(entry, epoch, started, result);
                       });
     }
 
-    void reported(const std::string &entry, std::int64_t epoch, const call_result &result)
+    void reported(const std::string &entry, std::int64_t epoch,
+                  const std::vector<started_run> &started, const call_result &result)
     {
         const auto found = m_entries.find(entry);
         if (found == m_entries.end())
@@ -568,6 +571,7 @@
             return; // the next turn reports again
         }
         link.toldEpoch = std::max(link.toldEpoch, epoch);
+        m_table.startsTold(started);
         try {
             takeAnswer(reportAnswerFrom(answer->body));
         } catch (const error &problem) {
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -486,6 +486,8 @@
         const bool livesAnew = m_pool.update(report, now) && report.epoch > 0;
         for (const auto &progress : report.progress)
             m_book->progressed(report.worker, progress);
+        for (const auto &run : report.started)
+            m_book->runStarted(run, now);
         auto state = std::make_shared<open_report>();
         state->respond = std::move(respond);
         state->open = report.ends.size();
--- a/app/job_requests.cpp
+++ b/app/job_requests.cpp
@@ -106,7 +106,7 @@
         return answerAtOnce(request, target->job, respond);
     const auto &policy = target->route->policy;
     if (target->job.empty() && request.method == "GET") {
-        const auto waiting = m_view.waitingIn(policy.queue, suspendAwareNow());
+        const auto waiting = m_view.waitingIn(policy.queue);
         return respond({200, {}, platform_wire::waitingBody(waiting)});
     }
     if (target->job.empty())
--- a/app/job_view.h
+++ b/app/job_view.h
@@ -24,10 +24,7 @@
     bool needsOwner = true;
     std::string content; // of the row, while the job needs an owner
     time_point finalAt{};
-    bool begun = false; // a task of it has started for certain
-    // Orders that were in every row since that time: one that is refused leaves the next row.
-    std::vector<jobs::given_order> ordered;
-    time_point orderedSince{};
+    bool begun = false; // a worker has begun a task of it
 };
 
 class job_view
@@ -41,15 +38,10 @@
 
     const known_job *find(const std::string &job) const;
     const std::map<std::string, known_job> &jobs() const { return m_jobs; }
-    // Accepted jobs none of whose tasks has started, as far as is known; those that started within
-    // WaitingAge may still count.
-    std::size_t waitingIn(const std::string &queue, time_point now) const;
-
-    static constexpr milliseconds WaitingAge{2000};
+    // Accepted jobs none of whose tasks has begun, as far as their owners know.
+    std::size_t waitingIn(const std::string &queue) const;
 
 private:
-    static void noteOrders(known_job &known, const jobs::job_record &record, time_point now);
-
     std::map<std::string, known_job> m_jobs;
 };
 
--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job_book.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/core.h>
 
@@ -231,7 +232,7 @@
     if (task != nullptr && isPlacedOn(*task, worker, end.run))
         endPlacedRun(id, job, worker, end, now);
     else if (task != nullptr && !task->done && !isFinal(job.record.state()))
-        endUnheardRun(id, job, worker, end);
+        endUnheardRun(id, job, worker, end, now);
     job.waiting.push_back({token, job.revision});
     settle(job);
     return true;
@@ -252,6 +253,8 @@
     const auto ran = takeRunTime(job, end, now);
     m_workers.noteEnd(worker, end.how, slownessOf(ran, step), now);
     removePlacement(job, end.task, end.run);
+    if (end.how != end_kind::NeverStarted)
+        noteBegun(id, job, now);
     if (!end.checkpoint.empty())
         task.checkpoint = end.checkpoint;
     changed(id, job);
@@ -269,7 +272,7 @@
 // The end of a run whose placement is gone. Acknowledged, its worker forgets it: what it says has
 // to be in the row by then, or a task that is done runs again.
 void job_book::endUnheardRun(const std::string &id, owned_job &job, const std::string &worker,
-                             const run_end &end)
+                             const run_end &end, time_point now)
 {
     auto &task = *job.record.find(end.task);
     const auto &step = job.record.steps[static_cast<std::size_t>(end.task.step)];
@@ -278,6 +281,8 @@
     note(finishes || isNews ? "run_ended_late" : "run_ended_again", id,
          fmt::format("{}: {}; newest run {}", describe(end.task, end.run, worker), nameOf(end.how),
                      task.lastRun));
+    if (end.how != end_kind::NeverStarted)
+        noteBegun(id, job, now);
     if (!finishes && !isNews)
         return;
     if (!end.checkpoint.empty() && end.run == task.lastRun)
@@ -376,6 +381,33 @@
     changed(found->first, found->second);
 }
 
+void job_book::runStarted(const started_run &run, time_point now)
+{
+    const auto found = m_jobs.find(run.task.job);
+    if (found != m_jobs.end() && found->second.record.find(run.task) != nullptr)
+        noteBegun(found->first, found->second, now);
+}
+
+// Callers count the jobs that wait by their rows, at any entry.
+void job_book::noteBegun(const std::string &id, owned_job &job, time_point now)
+{
+    if (std::exchange(job.record.begun, true))
+        return;
+    m_begun.emplace(id, now + m_settings.joinBegun);
+}
+
+void job_book::writeBegun(time_point now)
+{
+    std::erase_if(m_begun, [&](const auto &entry) {
+        if (now < entry.second)
+            return false;
+        const auto found = m_jobs.find(entry.first);
+        if (found != m_jobs.end())
+            changed(found->first, found->second);
+        return true;
+    });
+}
+
 void job_book::orderAnswered(const std::string &worker, const order_answer &answer, time_point now)
 {
     const auto found = m_jobs.find(answer.task.job);
@@ -486,6 +518,7 @@
     std::sort(order.begin(), order.end());
     for (const auto &[urgency, id] : order)
         placeWaiting(id, m_jobs.at(id), now, wallMs);
+    writeBegun(now);
     const auto touched = std::move(m_touched);
     m_touched.clear();
     for (const auto &id : touched) {
@@ -541,6 +574,7 @@
     job.record.write = job.outWrite;
     job.outRevision = job.revision;
     job.outState = job.record.state();
+    m_begun.erase(id);
     write_row write{id, job.version, toText(job.record), std::nullopt};
     if (!job.payloadStored)
         write.payload = job.payload;
@@ -567,6 +601,7 @@
     m_waiting.erase(id);
     m_touched.erase(id);
     m_ordering.erase(id);
+    m_begun.erase(id);
 }
 
 run_order job_book::startOrder(const owned_job &job, const task_id &task,
@@ -580,6 +615,7 @@
     order.checkpoint = job.record.find(task)->checkpoint;
     const auto &step = job.record.steps[static_cast<std::size_t>(task.step)];
     order.traits = traitsOf(step);
+    order.tellsStart = !job.record.begun;
     return order;
 }
 
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -67,6 +67,8 @@
     // nothing runs for 3 s for lost where most of the service is free.
     milliseconds patience{60'000};
     milliseconds patienceBesideRoom{2500};
+    // That a job has begun is written with its next change, or by itself after this long.
+    milliseconds joinBegun{800};
     // What waits for a worker, or for the answer to an order, is told in the log this often.
     milliseconds tellWaits{2000};
 };
@@ -105,6 +107,7 @@
     bool runEnded(const std::string &worker, const run_end &end, time_point now,
                   std::int64_t token);
     void progressed(const std::string &worker, const run_progress &progress);
+    void runStarted(const started_run &run, time_point now);
     void orderAnswered(const std::string &worker, const order_answer &answer, time_point now);
     void orderUnanswered(const std::string &worker, const task_id &task, int run, time_point now);
     // The agent lives anew, or the worker does: placements of older epochs have ended, orders of
@@ -168,6 +171,8 @@
     template <typename Visit>
     void eachTask(const std::string &id, owned_job &job, Visit visit);
     void changed(const std::string &id, owned_job &job);
+    void noteBegun(const std::string &id, owned_job &job, time_point now);
+    void writeBegun(time_point now);
     void writeIfDue(const std::string &id, owned_job &job);
     void settle(owned_job &job);
     void drop(const std::string &id);
@@ -175,7 +180,7 @@
     void endPlacedRun(const std::string &id, owned_job &job, const std::string &worker,
                       const run_end &end, time_point now);
     void endUnheardRun(const std::string &id, owned_job &job, const std::string &worker,
-                       const run_end &end);
+                       const run_end &end, time_point now);
     static std::optional<milliseconds> takeRunTime(owned_job &job, const run_end &end,
                                                    time_point now);
     static double slownessOf(const std::optional<milliseconds> &ran, const step_spec &step);
@@ -215,9 +220,10 @@
     worker_pool &m_workers;
     book_settings m_settings;
     std::map<std::string, owned_job> m_jobs;
-    std::set<std::string> m_waiting;  // jobs of which a task may be placed
-    std::set<std::string> m_touched;  // changed since the last plan
-    std::set<std::string> m_ordering; // with orders that have no answer yet
+    std::set<std::string> m_waiting;           // jobs of which a task may be placed
+    std::set<std::string> m_touched;           // changed since the last plan
+    std::set<std::string> m_ordering;          // with orders that have no answer yet
+    std::map<std::string, time_point> m_begun; // jobs whose rows don't say so yet; write it then
     std::int64_t m_nextWrite = 1;
     std::vector<book_action> m_actions;
 };
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -84,6 +84,7 @@
     value["lasting"] = order.traits.lasting;
     value["image"] = order.traits.image;
     value["target_ms"] = Json::Int64(order.traits.targetMs);
+    value["tells_start"] = order.tellsStart;
     return value;
 }
 
@@ -103,6 +104,7 @@
     order.traits.lasting = boolMember(value, "lasting");
     order.traits.image = stringMember(value, "image");
     order.traits.targetMs = integerMember(value, "target_ms");
+    order.tellsStart = boolMember(value, "tells_start");
     return order;
 }
 
@@ -298,6 +300,12 @@
         row["checkpoint"] = progress.checkpoint;
         value["progress"].append(std::move(row));
     }
+    for (const auto &started : report.started) {
+        Json::Value row(Json::objectValue);
+        row["task"] = toText(started.task);
+        row["run"] = started.run;
+        value["started"].append(std::move(row));
+    }
     return compactJson(value);
 }
 
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -39,6 +39,7 @@
     std::string payload;
     std::string checkpoint;
     run_traits traits;
+    bool tellsStart = false; // the agent reports when its worker runs it
 };
 
 enum class order_outcome {
@@ -88,6 +89,13 @@
     std::string checkpoint;
 };
 
+// A run that its worker has begun.
+struct started_run
+{
+    task_id task;
+    int run = 0;
+};
+
 // A serving run: how much load its neighbours may add before it is over its target.
 struct serving_room
 {
@@ -117,6 +125,7 @@
     bool wantsPresses = false;               // asks for the table of presses
     std::vector<run_end> ends;
     std::vector<run_progress> progress;
+    std::vector<started_run> started; // repeated until the report is answered
 };
 
 // An end that is in the store. It is named in full: a run that was taken for never started may
--- a/libs/jobs/model.cpp
+++ b/libs/jobs/model.cpp
@@ -134,36 +134,19 @@
         return job_state::Cancelled;
     if (failed)
         return job_state::Failed;
-    bool begun = false;
+    bool placed = false;
     bool completed = true;
     for (const auto &inOccurrence : tasks) {
         for (const auto &inStep : inOccurrence) {
             for (const auto &task : inStep) {
-                begun = begun || task.lastRun > 0;
+                placed = placed || task.lastRun > 0;
                 completed = completed && task.done;
             }
         }
     }
     if (completed)
         return job_state::Completed;
-    return begun ? job_state::Running : job_state::Queued;
-}
-
-std::vector<given_order> job_record::givenOrders() const
-{
-    std::vector<given_order> orders;
-    for (std::size_t occurrence = 0; occurrence < tasks.size(); ++occurrence) {
-        for (std::size_t step = 0; step < tasks[occurrence].size(); ++step) {
-            const auto &inStep = tasks[occurrence][step];
-            for (std::size_t index = 0; index < inStep.size(); ++index) {
-                for (const auto &where : inStep[index].placements)
-                    orders.push_back({static_cast<int>(occurrence), static_cast<int>(step),
-                                      static_cast<int>(index), where.run});
-            }
-        }
-    }
-    std::sort(orders.begin(), orders.end()); // copies of a task may be in any order
-    return orders;
+    return placed ? job_state::Running : job_state::Queued;
 }
 
 bool job_record::hasEndedRuns() const
--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -115,17 +115,6 @@
 
 using occurrence_tasks = std::vector<std::vector<task_state>>; // by step, by index
 
-// A start that was ordered, of a task of a known job.
-struct given_order
-{
-    int occurrence = 0;
-    int step = 0;
-    int index = 0;
-    int run = 0;
-
-    friend auto operator<=>(const given_order &, const given_order &) = default;
-};
-
 // The part of a job that changes, as it lies in the platform's store.
 struct job_record
 {
@@ -139,12 +128,12 @@
     std::int64_t acceptedAtMs = 0; // Unix ms
     bool cancelled = false;
     bool failed = false;
+    bool begun = false; // a worker has begun a run of some task
     std::vector<occurrence_tasks> tasks;
 
-    task_state *find(const task_id &task);        // null: no such task
-    std::vector<given_order> givenOrders() const; // of the present placements, in order
-    bool hasEndedRuns() const;                    // a task has certainly run
+    task_state *find(const task_id &task); // null: no such task
     const task_state *find(const task_id &task) const;
+    bool hasEndedRuns() const; // a task has certainly run
     bool stepDone(int occurrence, int step) const;
     bool stepReady(int occurrence, int step) const; // all steps before it are done
     job_state state() const;
--- a/libs/jobs/record.cpp
+++ b/libs/jobs/record.cpp
@@ -181,6 +181,7 @@
     put(value, "at", record.acceptedAtMs);
     putFlag(value, "cx", record.cancelled);
     putFlag(value, "fx", record.failed);
+    putFlag(value, "bg", record.begun);
     for (const auto &inOccurrence : record.tasks) {
         Json::Value steps(Json::arrayValue);
         for (const auto &inStep : inOccurrence) {
@@ -212,6 +213,7 @@
     record.acceptedAtMs = numberOr0(value, "at");
     record.cancelled = find(value, "cx") != nullptr;
     record.failed = find(value, "fx") != nullptr;
+    record.begun = find(value, "bg") != nullptr;
     forEach(value, "t", [&](const auto &steps) { record.tasks.push_back(occurrenceFrom(steps)); });
     for (const auto &steps : record.tasks) {
         if (steps.size() != record.steps.size())
--- a/libs/jobs/report_text.cpp
+++ b/libs/jobs/report_text.cpp
@@ -135,6 +135,9 @@
         report.ends.push_back(endFrom(row));
     for (const auto &row : array(value, "progress").GetArray())
         report.progress.push_back(progressFrom(row));
+    forEach(value, "started", [&](const auto &row) {
+        report.started.push_back({taskOf(row), count(row, "run")});
+    });
     return report;
 }
 
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -65,6 +65,7 @@
         known->second.claimed = true;
         known->second.owner = owner;
         known->second.traits = order.traits;
+        known->second.tellsStart = order.tellsStart;
         return answer(order_outcome::Accepted);
     }
     // An order of an earlier epoch comes from an owner that was away: its task runs elsewhere by
@@ -91,6 +92,7 @@
     entry.owner = owner;
     entry.payload = order.payload;
     entry.checkpoint = order.checkpoint;
+    entry.tellsStart = order.tellsStart;
     return answer(order_outcome::Accepted);
 }
 
@@ -368,6 +370,25 @@
     return progress;
 }
 
+std::vector<started_run> run_table::startedFor(const std::string &owner) const
+{
+    std::vector<started_run> runs;
+    for (const auto &[key, entry] : m_runs) {
+        if (entry.tellsStart && entry.phase == run_phase::Running && entry.owner == owner)
+            runs.push_back({key.first, key.second});
+    }
+    return runs;
+}
+
+void run_table::startsTold(const std::vector<started_run> &runs)
+{
+    for (const auto &run : runs) {
+        const auto known = m_runs.find({run.task, run.run});
+        if (known != m_runs.end())
+            known->second.tellsStart = false;
+    }
+}
+
 void run_table::refuse(const run_key &key, time_point now)
 {
     auto &last = m_refused[key.first];
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -114,6 +114,9 @@
     // Ends that `owner` (or nobody known) has not acknowledged.
     std::vector<run_end> endsFor(const std::string &owner) const;
     std::vector<run_progress> progressFor(const std::string &owner) const;
+    // Runs whose start `owner` wants to hear of; `startsTold` once it has.
+    std::vector<started_run> startedFor(const std::string &owner) const;
+    void startsTold(const std::vector<started_run> &runs);
 
 private:
     enum class run_phase { Starting, Running, Stopping, Ended };
@@ -122,7 +125,8 @@
     {
         run_traits traits;
         bool claimed = false;
-        std::string owner; // entry that last gave an order for it
+        bool tellsStart = false; // its owner asks for it and has not heard of it yet
+        std::string owner;       // entry that last gave an order for it
         std::string payload;
         std::string checkpoint;
         run_phase phase = run_phase::Starting;
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -367,6 +367,58 @@
     check(heir.book.runEnded(again.worker, {1, task, 2, end_kind::Done, ""}, heir.now, 60));
 }
 
+// Callers count the jobs that wait by the rows of all owners. What an agent said of a start was
+// known to the owner alone.
+Test(job_book, that_a_job_has_begun_is_in_its_row)
+{
+    scene on;
+    on.submit();
+    on.written();
+    const auto order = on.orders[0];
+    const auto begunInRow = [&] { return recordFrom(on.writes.back().content).begun; };
+    section("not by an order, nor by its acceptance", [&] {
+        check(order.order.tellsStart);
+        on.accept(order);
+        on.now += milliseconds(5000);
+        on.turn();
+        check(!begunInRow());
+    });
+    section("by the word of a worker, with the next write or soon by itself", [&] {
+        on.book.runStarted({order.order.task, 1}, on.now);
+        on.turn();
+        check(on.writes.size() == 1);
+        on.now += milliseconds(801);
+        on.turn();
+        require(on.writes.size() == 2);
+        check(begunInRow());
+        on.written();
+    });
+    section("once", [&] {
+        on.book.runStarted({order.order.task, 1}, on.now);
+        on.now += milliseconds(801);
+        on.turn();
+        check(on.writes.size() == 2);
+    });
+    section("by an end, but for one of a run that never started", [] {
+        scene other;
+        other.submit();
+        other.written();
+        other.end(other.orders[0], end_kind::NeverStarted);
+        check(!recordFrom(other.writes.back().content).begun);
+        other.written();
+        other.end(other.orders[1], end_kind::Stopped);
+        check(recordFrom(other.writes.back().content).begun);
+    });
+    section("an owner that takes it over asks for no more", [&] {
+        scene heir;
+        heir.book.adopt("j", recordFrom(on.writes.back().content), 7, "hold seat 7");
+        heir.turn();
+        heir.written();
+        require(!heir.orders.empty());
+        check(!heir.orders[0].order.tellsStart);
+    });
+}
+
 Test(job_book, an_order_without_an_answer_is_given_again)
 {
     scene on;
--- a/tests/job_view_test.cpp
+++ b/tests/job_view_test.cpp
@@ -31,9 +31,10 @@
         task(index).placements = {{"worker", 1, run}};
     }
     void refuse(int index) { task(index).placements.clear(); }
+    void begin() { m_record.begun = true; }
     // Its row is read.
     void seen(milliseconds at) { m_view.seen("job", toText(m_record), ++m_version, Start + at); }
-    std::size_t waiting(milliseconds at) const { return m_view.waitingIn("queue", Start + at); }
+    std::size_t waiting() const { return m_view.waitingIn("queue"); }
 
 private:
     job_view m_view;
@@ -43,49 +44,55 @@
 
 } // namespace
 
-// Callers are told that hardly any job waits while none of theirs has begun. Workers had no room:
-// each order was refused and given again, and an order that was given once counted as a start.
+// Callers are told that hardly any job waits while none of theirs has begun. Workers had no room,
+// were leaving, or carried orders out late: an order that was given counted as a start, once it had
+// stood in the row for a while. A worker's own word counts now.
 Test(job_view, jobs_that_wait)
 {
     section("one that was accepted waits", [] {
         one_job job;
         job.seen(milliseconds(0));
-        check(job.waiting(milliseconds(9000)) == 1);
+        check(job.waiting() == 1);
     });
     section("so does one whose orders are refused and given again, for however long", [] {
         one_job job;
         for (int run = 1; run < 60; ++run) {
             job.order(0, run);
             job.seen(milliseconds(run * 200));
-            check(job.waiting(milliseconds(run * 200 + 50)) == 1);
+            check(job.waiting() == 1);
             job.refuse(0);
             job.seen(milliseconds(run * 200 + 100));
-            check(job.waiting(milliseconds(run * 200 + 150)) == 1);
+            check(job.waiting() == 1);
         }
     });
-    section("an order that stands has started", [] {
+    section("so does one whose order stands, until a worker has begun it", [] {
         one_job job;
-        job.order(0, 1);
-        job.seen(milliseconds(0));
-        check(job.waiting(milliseconds(1900)) == 1);
-        check(job.waiting(milliseconds(2100)) == 0);
+        for (int at = 0; at < 9000; at += 1000) {
+            job.order(0, 1);
+            job.seen(milliseconds(at));
+            check(job.waiting() == 1);
+        }
+        job.begin();
+        job.seen(milliseconds(9000));
+        check(job.waiting() == 0);
     });
-    section("also beside others that are refused", [] {
+    section("one that has begun waits no more beside orders that are refused", [] {
         one_job job;
         job.order(0, 1);
+        job.begin();
         for (int run = 1; run < 20; ++run) {
             job.order(1, run);
             job.seen(milliseconds(run * 200));
+            check(job.waiting() == 0);
         }
-        check(job.waiting(milliseconds(3900)) == 0);
     });
     section("a task that has ended has started, and it stays so", [] {
         one_job job;
         job.task(0).done = true;
         job.seen(milliseconds(0));
-        check(job.waiting(milliseconds(10)) == 0);
+        check(job.waiting() == 0);
         job.task(0).done = false;
         job.seen(milliseconds(20));
-        check(job.waiting(milliseconds(30)) == 0);
+        check(job.waiting() == 0);
     });
 }
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -257,6 +257,37 @@
     });
 }
 
+// Callers count the jobs that wait. An agent takes an order at once and its worker may begin it
+// seconds later: only what the worker was seen to run has started.
+Test(run_table, starts_that_an_owner_asks_for)
+{
+    scene on;
+    auto made = scene::order(1);
+    made.tellsStart = true;
+    on.give(made);
+    on.give(scene::order(2));
+    check(on.table.due(on.now, true).size() == 2);
+    on.table.startCalled(made.task, 1, 5000);
+    section("not while its call has no answer", [&] {
+        on.table.startAnswered(made.task, 1, start_answer::Unanswered, on.now);
+        check(on.table.startedFor("entry-a").empty());
+    });
+    section("once the worker lists it, until that was told, to its owner alone", [&] {
+        on.table.look(scene::listing({made, scene::order(2)}), on.now);
+        check(on.table.startedFor("entry-b").empty());
+        const auto started = on.table.startedFor("entry-a");
+        require(started.size() == 1);
+        check(started[0].task == made.task);
+        check(on.table.startedFor("entry-a").size() == 1);
+        on.table.startsTold(started);
+        check(on.table.startedFor("entry-a").empty());
+    });
+    section("again to an owner that takes the job over and has not heard of it", [&] {
+        check(on.give(made, "entry-b") == order_outcome::Accepted);
+        check(on.table.startedFor("entry-b").size() == 1);
+    });
+}
+
 Test(run_table, runs_that_nobody_claims_are_stopped)
 {
     scene on;
