--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -95,7 +95,7 @@
     std::vector<placement> placements; // more than one: copies
     // Runs that were over with their worker's epoch, and whose own end was never told: the end may
     // still come, and each counts once.
-    std::vector<int> unheard;
+    std::vector<int> unheard = {};
 
     bool isWaiting() const { return !done && placements.empty(); }
 };
