The agents that fall silent are those of workers with tasks

Explains the known failure process_links agent_silent_past_its_lease: no batch task started elsewhere within 45 s of the agent's silence. Cause: the test silenced agent 0, and placement fills two of the four workers with the batch's twelve tasks; which two is open. Nothing could start elsewhere. The test now silences the agents of two workers, the one with most batch tasks and the one with most watchers, and asks for both before the silence. Its checks stay as they were (more than 12 starts within the same bound, 8 watchers started, requests to the others only, each batch task ends once, the trace clean); they hold for two lost workers instead of one.

--- a/standins/batch.cpp
+++ b/standins/batch.cpp
@@ -135,13 +135,23 @@
     return checker.finish(complete);
 }
 
+std::map<std::string, unsigned> tracedByWorker(const fleet &system, const std::string &event,
+                                               const std::string &job)
+{
+    std::map<std::string, unsigned> counts;
+    for (const auto &line : system.workerTrace()) {
+        if (line["event"] == event && belongsTo(line, job))
+            ++counts[line["worker"].asString()];
+    }
+    return counts;
+}
+
 unsigned countTraced(const fleet &system, const std::string &event, const std::string &job)
 {
-    const auto lines = system.workerTrace();
-    return static_cast<unsigned>(
-            std::count_if(lines.begin(), lines.end(), [&](const Json::Value &line) {
-                return line["event"] == event && belongsTo(line, job);
-            }));
+    unsigned sum = 0;
+    for (const auto &[worker, count] : tracedByWorker(system, event, job))
+        sum += count;
+    return sum;
 }
 
 } // namespace zinniabarrow::standins
--- a/standins/batch.h
+++ b/standins/batch.h
@@ -34,5 +34,8 @@
 std::vector<work::trace_violation> checkFleetTrace(const fleet &system, bool complete = false);
 // Events of that name in the workers' traces whose task belongs to `job`.
 unsigned countTraced(const fleet &system, const std::string &event, const std::string &job);
+// The same by worker.
+std::map<std::string, unsigned> tracedByWorker(const fleet &system, const std::string &event,
+                                               const std::string &job);
 
 } // namespace zinniabarrow::standins
--- a/tests/process_links_test.cpp
+++ b/tests/process_links_test.cpp
@@ -1,5 +1,7 @@
 // Requests, tasks and configuration on real processes while links between them are cut, silent or
 // lose answers.
+#include <set>
+
 #include <fmt/core.h>
 
 #include "base/json.h"
@@ -33,6 +35,27 @@
         system.linkBetween(ends.from, ends.to).set(state);
 }
 
+void setAgents(fleet &system, const std::set<unsigned> &agents, link_state state)
+{
+    for (const auto agent : agents) {
+        for (const auto &ends : linksOf("agent-" + std::to_string(agent), system.options().entries))
+            system.linkBetween(ends.from, ends.to).set(state);
+    }
+}
+
+// Of all workers the one with most tasks of the job.
+unsigned busiestWorker(const fleet &system, const std::string &job)
+{
+    auto started = tracedByWorker(system, "started", job);
+    unsigned busiest = 0;
+    for (unsigned worker = 1; worker < system.options().workers; ++worker) {
+        if (started[system.workerId(worker)] > started[system.workerId(busiest)])
+            busiest = worker;
+    }
+    require(started[system.workerId(busiest)] > 0);
+    return busiest;
+}
+
 std::uint64_t generationAt(fleet &system, unsigned entry)
 {
     const auto status = system.rpc(entry, "status", Json::objectValue);
@@ -44,6 +67,14 @@
     return system.getJson(system.upstreamAddress(upstream), "/executions")["operations"].size();
 }
 
+std::size_t operationsAt(fleet &system, const std::set<unsigned> &upstreams)
+{
+    std::size_t sum = 0;
+    for (const auto upstream : upstreams)
+        sum += operationsAt(system, upstream);
+    return sum;
+}
+
 // Reads at one entry that are answered, of `count`.
 unsigned answeredReads(load_generator &callers, unsigned entry, unsigned count,
                        const std::string &prefix)
@@ -219,13 +250,19 @@
 
 // An operator sees batch tasks of a lost instance start elsewhere and lease watchers stay, and
 // never one of them in two places.
-// The agent's whole network goes silent for longer than the short lease while its worker lives.
-// The agent stops the tasks before the lease that it was given is over; the owner counts that lease
-// from the last report, which was sent before. The agent comes back by itself.
+// Placement fills some workers with the batch and others with the watchers, and which ones is open:
+// the agents that fall silent are those of a worker with batch tasks, or there would be nothing to
+// start elsewhere, and of one with watchers, or there would be nothing to stay.
+// Their whole network goes silent for longer than the short lease while their workers live.
+// The agents stop the tasks before the lease that they were given is over; the owner counts that
+// lease from the last report, which was sent before. The agents come back by themselves.
 Test(process_links, agent_silent_past_its_lease)
 {
     auto options = smallFleet();
-    options.links = linksOf("agent-0", 3);
+    for (unsigned agent = 0; agent < options.workers; ++agent) {
+        const auto links = linksOf("agent-" + std::to_string(agent), options.entries);
+        options.links.insert(options.links.end(), links.begin(), links.end());
+    }
     options.entrySettings["agent_lease_ms"] = 4000;
     fleet system(options);
     startWhole(system);
@@ -246,25 +283,29 @@
                        && countTraced(system, "started", "watch") == 8;
             },
             SoonEnough));
+    const std::set<unsigned> silent{busiestWorker(system, batch.job),
+                                    busiestWorker(system, "watch")};
+    const auto others = options.workers - static_cast<unsigned>(silent.size());
     load_result result;
     load_generator callers(system, {}, result);
-    section("the agent goes silent; its batch tasks start elsewhere, its watchers do not", [&] {
-        setAll(system, link_state::Silent);
+    section("the agents go silent; their batch tasks start elsewhere, their watchers do not", [&] {
+        setAgents(system, silent, link_state::Silent);
         check(waitUntil([&] { return countTraced(system, "started", batch.job) > 12; },
                         SoonEnough));
         check(countTraced(system, "started", "watch") == 8);
     });
     section("requests go to the others", [&] {
-        check(waitForUpstreams(system, 3));
-        const auto before = operationsAt(system, 0);
+        check(waitForUpstreams(system, others));
+        const auto before = operationsAt(system, silent);
         for (unsigned entry = 0; entry < 3; ++entry)
             check(answeredReads(callers, entry, 20, "others-" + std::to_string(entry)) == 20);
-        check(operationsAt(system, 0) == before);
+        check(operationsAt(system, silent) == before);
     });
     section("the links heal: it is routed to again", [&] {
-        setAll(system, link_state::Passing);
+        setAgents(system, silent, link_state::Passing);
         check(waitForUpstreams(system, 4));
-        check(system.agent(0)->running());
+        for (const auto agent : silent)
+            check(system.agent(agent)->running());
     });
     section("every batch task ends once, no watcher was started twice", [&] {
         check(waitUntil([&] { return countTraced(system, "ended", batch.job) == 12; }, SoonEnough));
