Threads for connections are started when they are needed

What was seen: with 144 processes and more on one machine an entry ended at its start with 'terminate called after throwing an instance of std::system_error, Resource temporarily unavailable', and no line said why. Cause: each listener started a thread for every connection that it may ever have, in the thread that accepts; one that the system refused ended the process. In a run of the demo an entry had 266 threads and an agent 218. Where the system gives no thread, the connection is refused as not run (connections_refused_total no_thread), and what runs goes on. Whether the process tests that fail beside load had this cause is not shown.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -1,6 +1,8 @@
 // zinniabarrow: one binary with a subcommand for each role and for operators.
 #include <cstdio>
+#include <cstdlib>
 #include <string>
+#include <system_error>
 
 #include <fmt/core.h>
 #include <tclap/CmdLine.h>
@@ -104,5 +106,9 @@
     } catch (const error &problem) {
         fmt::print(stderr, "{}\n", problem.what());
         return ExitFailed;
+    } catch (const std::system_error &problem) {
+        // Threads that were started may wait for others that never will be: no destructor runs.
+        fmt::print(stderr, "the system refused a resource: {}\n", problem.what());
+        std::_Exit(ExitFailed);
     }
 }
--- /dev/null
+++ b/libs/runtime/growing_pool.h
@@ -0,0 +1,48 @@
+// A pool of threads that starts one only for work that no idle thread can take.
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace zinniabarrow {
+
+class growing_pool
+{
+public:
+    using work = std::function<void()>;
+    using thread_starter = std::function<std::thread(work)>; // throws std::system_error
+
+    explicit growing_pool(std::size_t most, thread_starter start = startThread);
+    ~growing_pool();
+    growing_pool(const growing_pool &) = delete;
+    growing_pool &operator=(const growing_pool &) = delete;
+
+    // False: no thread is free, and the system starts no more. The work is not kept.
+    bool enqueue(work what);
+    // Returns when all that was enqueued is done.
+    void shutdown();
+
+    std::size_t threads();
+
+    static std::thread startThread(work loop);
+
+private:
+    void run();
+    bool grow();
+
+    const std::size_t m_most;
+    thread_starter m_start;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<work> m_waiting;
+    std::vector<std::thread> m_threads;
+    std::size_t m_idle = 0;
+    bool m_closing = false;
+};
+
+} // namespace zinniabarrow
--- a/libs/runtime/http.cpp
+++ b/libs/runtime/http.cpp
@@ -17,6 +17,7 @@
 
 #include "base/errors.h"
 #include "base/names.h"
+#include "runtime/growing_pool.h"
 #include "runtime/http_connection.h"
 #include "runtime/refusal.h"
 
@@ -44,8 +45,9 @@
         {call_failure::TooLarge, "too_large"},
 }};
 
-constexpr name_table<connection_event, 6> ConnectionEventNames{{
+constexpr name_table<connection_event, 7> ConnectionEventNames{{
         {connection_event::AllInUse, "all_in_use"},
+        {connection_event::NoThread, "no_thread"},
         {connection_event::AddressShare, "address_share"},
         {connection_event::RefusalsFull, "refusals_full"},
         {connection_event::RequestTooSlow, "request_too_slow"},
@@ -82,10 +84,15 @@
             m_noteEvent(connection_event::MadeRoom);
         }
         ++m_busy;
-        m_main.enqueue([this, connection = std::move(connection)] {
+        const bool taken = m_main.enqueue([this, connection] {
             connection();
             --m_busy;
         });
+        if (taken)
+            return;
+        --m_busy;
+        m_noteEvent(connection_event::NoThread);
+        refuse(std::move(connection));
     }
 
     // Callers that stall keep a refusing thread too, for a moment. Those beyond a short queue are
@@ -98,10 +105,15 @@
             return;
         }
         ++m_waiting;
-        m_refusing.enqueue([this, connection = std::move(connection)] {
+        const bool taken = m_refusing.enqueue([this, connection] {
             runAs(treatment::Refuse, connection);
             --m_waiting;
         });
+        if (taken)
+            return;
+        --m_waiting;
+        m_noteEvent(connection_event::RefusalsFull);
+        runAs(treatment::Drop, connection);
     }
 
     void shutdown() override
@@ -123,8 +135,8 @@
     http_server::observer m_noteEvent;
     std::atomic<std::size_t> m_busy{0};
     std::atomic<std::size_t> m_waiting{0}; // to be refused
-    httplib::ThreadPool m_main;
-    httplib::ThreadPool m_refusing;
+    growing_pool m_main;
+    growing_pool m_refusing;
 };
 
 // cpp-httplib's server with its connections under deadlines and bounds.
@@ -291,7 +303,7 @@
 std::span<const connection_event> connectionEvents()
 {
     using enum connection_event;
-    static constexpr std::array All{AllInUse,       AddressShare,   RefusalsFull,
+    static constexpr std::array All{AllInUse,       NoThread,       AddressShare, RefusalsFull,
                                     RequestTooSlow, AnswerNotTaken, MadeRoom};
     return All;
 }
