--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -754,7 +754,8 @@
         job.unplaced.erase(key);
         return;
     }
-    auto &waiting = job.unplaced.try_emplace(key, now, now + m_settings.tellWaits).first->second;
+    const waiting_step begins{now, now + m_settings.tellWaits};
+    auto &waiting = job.unplaced.try_emplace(key, begins).first->second;
     if (now < waiting.tellAt)
         return;
     waiting.tellAt = now + m_settings.tellWaits;
