Threads for connections are started a few ahead of their use

Cause: on a machine that is busy a thread that is started waits for a processor much longer than one that is woken, and each first request on a connection had to wait for one.

--- a/libs/runtime/growing_pool.cpp
+++ b/libs/runtime/growing_pool.cpp
@@ -5,10 +5,14 @@
 
 namespace zinniabarrow {
 
-growing_pool::growing_pool(std::size_t most, thread_starter start)
+growing_pool::growing_pool(std::size_t most, std::size_t spare, thread_starter start)
     : m_most(most)
+    , m_spare(spare)
     , m_start(std::move(start))
-{ }
+{
+    const std::lock_guard lock(m_mutex);
+    growAhead();
+}
 
 growing_pool::~growing_pool()
 {
@@ -18,15 +22,24 @@
 bool growing_pool::enqueue(work what)
 {
     const std::lock_guard lock(m_mutex);
-    // Each idle thread has its share of what waits before.
-    const bool taken = m_waiting.size() < m_idle;
-    if (!taken && m_threads.size() < m_most && !grow())
+    if (!hasFree(1) && m_threads.size() < m_most && !grow())
         return false;
     m_waiting.push_back(std::move(what));
     m_changed.notify_one();
+    growAhead();
     return true;
 }
 
+bool growing_pool::hasFree(std::size_t count) const
+{
+    return m_threads.size() >= m_busy + m_waiting.size() + count;
+}
+
+void growing_pool::growAhead()
+{
+    while (!hasFree(m_spare) && m_threads.size() < m_most && grow()) { }
+}
+
 bool growing_pool::grow()
 {
     try {
@@ -65,17 +78,17 @@
 {
     std::unique_lock lock(m_mutex);
     while (true) {
-        ++m_idle;
         m_changed.wait(lock, [this] { return m_closing || !m_waiting.empty(); });
-        --m_idle;
         if (m_waiting.empty())
             return;
         auto what = std::move(m_waiting.front());
         m_waiting.pop_front();
+        ++m_busy;
         lock.unlock();
         what();
-        what = nullptr; // before it counts as idle: what the work holds is free by then
+        what = nullptr; // before it counts as free: what the work holds is gone by then
         lock.lock();
+        --m_busy;
     }
 }
 
--- a/libs/runtime/growing_pool.h
+++ b/libs/runtime/growing_pool.h
@@ -1,4 +1,4 @@
-// A pool of threads that starts one only for work that no idle thread can take.
+// A pool of threads that starts more only as they come into use, a few ahead.
 #pragma once
 
 #include <condition_variable>
@@ -17,7 +17,9 @@
     using work = std::function<void()>;
     using thread_starter = std::function<std::thread(work)>; // throws std::system_error
 
-    explicit growing_pool(std::size_t most, thread_starter start = startThread);
+    // `spare` threads are free where the bound allows it: on a machine that is busy a new thread
+    // waits for a processor much longer than one that is woken.
+    growing_pool(std::size_t most, std::size_t spare, thread_starter start = startThread);
     ~growing_pool();
     growing_pool(const growing_pool &) = delete;
     growing_pool &operator=(const growing_pool &) = delete;
@@ -34,14 +36,17 @@
 private:
     void run();
     bool grow();
+    void growAhead();
+    bool hasFree(std::size_t count) const; // beyond what waits
 
     const std::size_t m_most;
+    const std::size_t m_spare;
     thread_starter m_start;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::deque<work> m_waiting;
     std::vector<std::thread> m_threads;
-    std::size_t m_idle = 0;
+    std::size_t m_busy = 0; // threads that work
     bool m_closing = false;
 };
 
--- a/libs/runtime/http.cpp
+++ b/libs/runtime/http.cpp
@@ -29,6 +29,7 @@
 // The kernel's own would grow to several MiB for each connection, and hold a large answer that its
 // caller does not take. 256 KiB carry 40 MB/s over a way of 3 ms.
 constexpr int SocketBufferBytes = 256 * 1024;
+constexpr std::size_t SpareThreads = 16;
 constexpr std::size_t RefusingThreads = 8;
 constexpr std::size_t RefusalsWaiting = 64;
 constexpr milliseconds RefuseWithin{250}; // to read a request only in order to refuse it
@@ -70,8 +71,8 @@
         : m_bound(bound)
         , m_book(book)
         , m_noteEvent(std::move(noteEvent))
-        , m_main(bound)
-        , m_refusing(RefusingThreads)
+        , m_main(bound, SpareThreads)
+        , m_refusing(RefusingThreads, 1)
     { }
 
     void enqueue(std::function<void()> connection) override
--- a/tests/growing_pool_test.cpp
+++ b/tests/growing_pool_test.cpp
@@ -15,18 +15,22 @@
 // processes on a machine one could start none, and ended without a line.
 Test(growing_pool, threads_as_they_are_needed)
 {
-    growing_pool pool(3);
+    growing_pool pool(3, 1);
     std::promise<void> open;
     const auto opened = open.get_future().share();
     std::atomic<int> done{0};
-    section("none at first", [&] { check(pool.threads() == 0); });
-    section("one for each piece of work that runs, up to the bound", [&] {
-        for (int count = 0; count < 5; ++count) {
-            check(pool.enqueue([&, opened] {
-                opened.wait();
-                ++done;
-            }));
-        }
+    const auto wait = [&, opened] {
+        opened.wait();
+        ++done;
+    };
+    section("the spare ones at first", [&] { check(pool.threads() == 1); });
+    section("one ahead of what runs", [&] {
+        check(pool.enqueue(wait));
+        check(pool.threads() == 2);
+    });
+    section("up to the bound", [&] {
+        for (int count = 0; count < 4; ++count)
+            check(pool.enqueue(wait));
         check(pool.threads() == 3);
     });
     section("all that was enqueued is done at the end", [&] {
@@ -40,7 +44,7 @@
 Test(growing_pool, a_system_that_starts_no_more_threads)
 {
     int left = 1;
-    growing_pool pool(3, [&](growing_pool::work loop) {
+    growing_pool pool(3, 0, [&](growing_pool::work loop) {
         if (left-- <= 0)
             throw std::system_error(
                     std::make_error_code(std::errc::resource_unavailable_try_again));
