A pool of threads that is shut down takes no more work

By reading: work that came after the shutdown would have started a thread that nobody joins, which ends the process. growing_pool_test asks for the refusal.

--- a/libs/runtime/growing_pool.cpp
+++ b/libs/runtime/growing_pool.cpp
@@ -22,6 +22,8 @@
 bool growing_pool::enqueue(work what)
 {
     const std::lock_guard lock(m_mutex);
+    if (m_closing)
+        return false; // a thread that is started now would be joined by nobody
     if (!hasFree(1) && m_threads.size() < m_most && !grow())
         return false;
     m_waiting.push_back(std::move(what));
--- a/libs/runtime/growing_pool.h
+++ b/libs/runtime/growing_pool.h
@@ -24,7 +24,8 @@
     growing_pool(const growing_pool &) = delete;
     growing_pool &operator=(const growing_pool &) = delete;
 
-    // False: no thread is free, and the system starts no more. The work is not kept.
+    // False: no thread is free and the system starts no more, or the pool is shut down. The work is
+    // not kept.
     bool enqueue(work what);
     // Returns when all that was enqueued is done.
     void shutdown();
--- a/tests/growing_pool_test.cpp
+++ b/tests/growing_pool_test.cpp
@@ -38,6 +38,10 @@
         pool.shutdown();
         check(done == 5);
     });
+    section("nothing is taken after it", [&] {
+        check(!pool.enqueue(wait));
+        check(pool.threads() == 0);
+    });
 }
 
 // A caller's connection waits for ever behind others when no thread can be started for it.
