Threads for connections: taken back

With threads that are started as they come into use, a burst of 300 connections is counted against the bound of 96 before the threads have looked at any of them. lanes_test had shown another loss before, and 16 threads ahead mended only that one.

--- a/libs/runtime/http.cpp
+++ b/libs/runtime/http.cpp
@@ -17,7 +17,6 @@
 
 #include "base/errors.h"
 #include "base/names.h"
-#include "runtime/growing_pool.h"
 #include "runtime/http_connection.h"
 #include "runtime/refusal.h"
 
@@ -29,7 +28,6 @@
 // The kernel's own would grow to several MiB for each connection, and hold a large answer that its
 // caller does not take. 256 KiB carry 40 MB/s over a way of 3 ms.
 constexpr int SocketBufferBytes = 256 * 1024;
-constexpr std::size_t SpareThreads = 16;
 constexpr std::size_t RefusingThreads = 8;
 constexpr std::size_t RefusalsWaiting = 64;
 constexpr milliseconds RefuseWithin{250}; // to read a request only in order to refuse it
@@ -46,9 +44,8 @@
         {call_failure::TooLarge, "too_large"},
 }};
 
-constexpr name_table<connection_event, 7> ConnectionEventNames{{
+constexpr name_table<connection_event, 6> ConnectionEventNames{{
         {connection_event::AllInUse, "all_in_use"},
-        {connection_event::NoThread, "no_thread"},
         {connection_event::AddressShare, "address_share"},
         {connection_event::RefusalsFull, "refusals_full"},
         {connection_event::RequestTooSlow, "request_too_slow"},
@@ -71,8 +68,8 @@
         : m_bound(bound)
         , m_book(book)
         , m_noteEvent(std::move(noteEvent))
-        , m_main(bound, SpareThreads)
-        , m_refusing(RefusingThreads, 1)
+        , m_main(bound)
+        , m_refusing(RefusingThreads)
     { }
 
     void enqueue(std::function<void()> connection) override
@@ -85,15 +82,10 @@
             m_noteEvent(connection_event::MadeRoom);
         }
         ++m_busy;
-        const bool taken = m_main.enqueue([this, connection] {
+        m_main.enqueue([this, connection = std::move(connection)] {
             connection();
             --m_busy;
         });
-        if (taken)
-            return;
-        --m_busy;
-        m_noteEvent(connection_event::NoThread);
-        refuse(std::move(connection));
     }
 
     // Callers that stall keep a refusing thread too, for a moment. Those beyond a short queue are
@@ -106,15 +98,10 @@
             return;
         }
         ++m_waiting;
-        const bool taken = m_refusing.enqueue([this, connection] {
+        m_refusing.enqueue([this, connection = std::move(connection)] {
             runAs(treatment::Refuse, connection);
             --m_waiting;
         });
-        if (taken)
-            return;
-        --m_waiting;
-        m_noteEvent(connection_event::RefusalsFull);
-        runAs(treatment::Drop, connection);
     }
 
     void shutdown() override
@@ -136,8 +123,8 @@
     http_server::observer m_noteEvent;
     std::atomic<std::size_t> m_busy{0};
     std::atomic<std::size_t> m_waiting{0}; // to be refused
-    growing_pool m_main;
-    growing_pool m_refusing;
+    httplib::ThreadPool m_main;
+    httplib::ThreadPool m_refusing;
 };
 
 // cpp-httplib's server with its connections under deadlines and bounds.
@@ -304,7 +291,7 @@
 std::span<const connection_event> connectionEvents()
 {
     using enum connection_event;
-    static constexpr std::array All{AllInUse,       NoThread,       AddressShare, RefusalsFull,
+    static constexpr std::array All{AllInUse,       AddressShare,   RefusalsFull,
                                     RequestTooSlow, AnswerNotTaken, MadeRoom};
     return All;
 }
--- a/libs/runtime/http.h
+++ b/libs/runtime/http.h
@@ -77,7 +77,7 @@
 
 struct http_server_limits
 {
-    std::size_t connections = 128;       // one thread for each, started when it is needed
+    std::size_t connections = 128;       // threads, one for each connection
     std::size_t bodyBytes = 1024 * 1024; // a larger request body is answered 413
     seconds keepAlive{5};                // an idle connection is closed after this
     std::size_t perAddress = 0;          // connections of one caller's address; 0: no bound
@@ -88,7 +88,6 @@
 // Connections that the server refused or ended by itself.
 enum class connection_event {
     AllInUse,       // refused: every thread has a connection
-    NoThread,       // refused: the system starts no more threads
     AddressShare,   // refused: the caller's address holds as many as it may
     RefusalsFull,   // closed without an answer: too many wait to be refused
     RequestTooSlow, // ended: the request was not whole in time
