The log says what a lasting job lacks, and which resource a task waits for

Callers of one service get less than those of another, and nothing told its tasks that wait from those that are late or placed and not at work; no_room named no resource, and not whether runs that end by themselves or runs that last are in the way. tasks_unplaced names processors, memory or accelerators, counts workers that the step's own spread rules out apart, and how many have room beside what lasts; job_underserved tells, each 2 s, of each owned lasting job the tasks asked for, placed, at work and late. Reports tell the part of a worker's room that is used by runs that last, and which serving run is over its target; a report of the release before is read without them. No decision changes.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -532,10 +532,12 @@
         told.accepting = accepting();
         told.capacity = m_told.capacity;
         told.used = m_table.used();
+        told.lasting = m_table.lasting();
         told.fillMillicores = m_table.fillMillicores();
         const auto filling = m_table.fillingNow();
         for (const auto &run : m_table.servingNow())
-            told.serving.push_back({run.image, m_pacer.roomOf(run, filling), run.task.job});
+            told.serving.push_back({run.image, m_pacer.roomOf(run, filling), run.task.job,
+                                    run.tailMs > run.targetMs});
         for (const auto &run : filling)
             told.filling[run.image] += run.declared;
         told.samples = m_samples;
--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -32,6 +32,30 @@
         task.unheard.erase(task.unheard.begin());
 }
 
+// The tasks of a job that run until it is cancelled.
+struct lasting_tasks
+{
+    int asked = 0;
+    int placed = 0;
+    int withTarget = 0; // of those asked
+};
+
+lasting_tasks lastingTasks(const job_record &record)
+{
+    lasting_tasks count;
+    for (const auto &occurrence : record.tasks) {
+        for (std::size_t index = 0; index < record.steps.size(); ++index) {
+            const auto &step = record.steps[index];
+            if (!step.lasting)
+                continue;
+            count.asked += step.count;
+            count.placed += step.count - waitingIn(occurrence[index]);
+            count.withTarget += step.targetMs > 0 ? step.count : 0;
+        }
+    }
+    return count;
+}
+
 constexpr double MostlyFree = 0.55; // of a service's processors: a little over half
 
 run_traits traitsOf(const step_spec &step)
@@ -518,6 +542,7 @@
     std::sort(order.begin(), order.end());
     for (const auto &[urgency, id] : order)
         placeWaiting(id, m_jobs.at(id), now, wallMs);
+    tellUnderserved(now);
     writeBegun(now);
     const auto touched = std::move(m_touched);
     m_touched.clear();
@@ -760,10 +785,33 @@
         return;
     waiting.tellAt = now + m_settings.tellWaits;
     const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
+    const auto full = fullOf(job, {id, occurrence, stepIndex, 0}, step);
     note("tasks_unplaced", id,
          fmt::format("{} of step {}.{} for {} ms: {}", tasks, occurrence, stepIndex,
                      millisecondsIn(now - waiting.since),
-                     m_workers.whyNobody(job.record.policy.service, step, now, wish)));
+                     m_workers.whyNobody(job.record.policy.service, step, full, now, wish)));
+}
+
+// Jobs that last and lack something: tasks without a worker, tasks that are placed and not at work,
+// or tasks that are late, which tells why callers get less of one job than of another.
+void job_book::tellUnderserved(time_point now)
+{
+    if (now < m_tellServedAt)
+        return;
+    m_tellServedAt = now + m_settings.tellWaits;
+    const auto counts = m_workers.servingByJob(now);
+    for (const auto &[id, job] : m_jobs) {
+        const auto wanted = lastingTasks(job.record);
+        if (wanted.asked == 0 || isFinal(job.record.state()))
+            continue;
+        const auto found = counts.find(id);
+        const auto seen = found == counts.end() ? serving_count{} : found->second;
+        if (wanted.placed == wanted.asked && seen.atWork >= wanted.withTarget && seen.late == 0)
+            continue;
+        note("job_underserved", id,
+             fmt::format("{} tasks that last, {} placed, {} of {} with a target at work, {} late",
+                         wanted.asked, wanted.placed, seen.atWork, wanted.withTarget, seen.late));
+    }
 }
 
 // All members or none: a member that runs alone holds its worker for nothing.
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -210,6 +210,7 @@
                                          const placement_wish &wish) const;
     void tellUnplaced(const std::string &id, owned_job &job, int occurrence, int stepIndex,
                       int tasks, const placement_wish &wish, time_point now);
+    void tellUnderserved(time_point now);
     void tellUnanswered(const std::string &id, const task_id &task, int run, pending_order &order,
                         time_point now);
     static std::vector<std::string> fullOf(const owned_job &job, const task_id &task,
@@ -223,6 +224,7 @@
     std::set<std::string> m_waiting;           // jobs of which a task may be placed
     std::set<std::string> m_touched;           // changed since the last plan
     std::set<std::string> m_ordering;          // with orders that have no answer yet
+    time_point m_tellServedAt{};               // the log, which jobs are not served in full
     std::map<std::string, time_point> m_begun; // jobs whose rows don't say so yet; write it then
     std::int64_t m_nextWrite = 1;
     std::vector<book_action> m_actions;
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -277,12 +277,14 @@
     value["accepting"] = report.accepting;
     value["capacity"] = toJson(report.capacity);
     value["used"] = toJson(report.used);
+    value["lasting"] = toJson(report.lasting);
     value["fill_millicores"] = Json::Int64(report.fillMillicores);
     for (const auto &run : report.serving) {
         Json::Value row(Json::objectValue);
         row["image"] = run.image;
         row["room"] = std::round(run.room * 1000) / 1000;
         row["job"] = run.job;
+        row["late"] = run.late;
         value["serving"].append(std::move(row));
     }
     value["filling"] = toJson(report.filling);
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -102,6 +102,7 @@
     std::string image;
     double room = 0;      // load, below zero: it is over
     std::string job = {}; // empty: not told
+    bool late = false;    // over its target, as last measured
 };
 
 // What an agent says of its worker. `ends` are repeated until they are acknowledged.
@@ -118,6 +119,7 @@
     bool accepting = false; // takes new runs
     task_size capacity;
     task_size used;                          // by what runs, starts or is being stopped
+    task_size lasting;                       // of it, by runs that last
     std::int64_t fillMillicores = 0;         // asked by runs that fill
     std::vector<serving_room> serving;       // runs with a target for their latency
     std::map<std::string, double> filling;   // by image: cores asked for by runs that fill
--- a/libs/jobs/report_text.cpp
+++ b/libs/jobs/report_text.cpp
@@ -68,8 +68,16 @@
 
 serving_room servingFrom(const value &row)
 {
-    // Agents of the release before don't tell the job.
-    return {large_json::text(row, "image"), real(row, "room"), large_json::textOrNone(row, "job")};
+    // Agents of the release before tell neither the job nor whether it is late.
+    return {large_json::text(row, "image"), real(row, "room"), large_json::textOrNone(row, "job"),
+            large_json::find(row, "late") != nullptr && flag(row, "late")};
+}
+
+// Agents of the release before don't tell it: then none of the worker's room comes free by itself.
+task_size lastingIn(const value &report, const task_size &used)
+{
+    const auto *lasting = large_json::find(report, "lasting");
+    return lasting == nullptr ? used : sizeFrom(*lasting);
 }
 
 disturbance_sample sampleFrom(const value &row)
@@ -125,6 +133,7 @@
     report.accepting = flag(value, "accepting");
     report.capacity = sizeFrom(member(value, "capacity"));
     report.used = sizeFrom(member(value, "used"));
+    report.lasting = lastingIn(value, report.used);
     report.fillMillicores = number(value, "fill_millicores");
     forEach(value, "serving", [&](const auto &row) { report.serving.push_back(servingFrom(row)); });
     if (const auto *filling = find(value, "filling"))
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -301,6 +301,16 @@
     return sum;
 }
 
+task_size run_table::lasting() const
+{
+    task_size sum;
+    for (const auto &[key, entry] : m_runs) {
+        if (entry.phase != run_phase::Ended && entry.traits.lasting)
+            sum += countedSize(entry.traits.size, entry.traits.fills);
+    }
+    return sum;
+}
+
 std::int64_t run_table::fillMillicores() const
 {
     std::int64_t sum = 0;
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -106,6 +106,7 @@
     std::size_t endsSeen() const { return m_endsSeen; } // counts ends that were news
     std::int64_t lastSeen() const; // ends up to here may be forgotten by the worker
     task_size used() const;
+    task_size lasting() const; // of it, by runs that last
     std::int64_t fillMillicores() const;
     bool complete() const; // every run is claimed, so the worker's room is known
     std::size_t running() const;
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr name_table<unfit, 9> UnfitNames{{
+constexpr name_table<unfit, 12> UnfitNames{{
         {unfit::No, "fit"},
         {unfit::OtherService, "other_service"},
         {unfit::NotAccepting, "not_accepting"},
@@ -19,7 +19,10 @@
         {unfit::OtherLabel, "other_label"},
         {unfit::Full, "full"},
         {unfit::MakesLate, "makes_late"},
-        {unfit::NoRoom, "no_room"},
+        {unfit::Avoided, "avoided"},
+        {unfit::NoProcessors, "no_processors"},
+        {unfit::NoMemory, "no_memory"},
+        {unfit::NoAccelerators, "no_accelerators"},
 }};
 
 } // namespace
@@ -100,9 +103,24 @@
     constexpr double MostLateJobs = 0.15;
     if (step.fills && patient && expectedLateJobs(view, step) > MostLateJobs)
         return unfit::MakesLate;
-    auto room = last.capacity;
-    room -= last.used;
-    return countedSize(step.size, step.fills).fitsInto(room) ? unfit::No : unfit::NoRoom;
+    return roomFor(countedSize(step.size, step.fills), last.capacity, last.used);
+}
+
+unfit worker_pool::roomFor(const task_size &size, const task_size &capacity, const task_size &used)
+{
+    if (used.millicores + size.millicores > capacity.millicores)
+        return unfit::NoProcessors;
+    if (used.memoryMb + size.memoryMb > capacity.memoryMb)
+        return unfit::NoMemory;
+    if (used.accelerators + size.accelerators > capacity.accelerators)
+        return unfit::NoAccelerators;
+    return unfit::No;
+}
+
+bool worker_pool::hasRoomBesideLasting(const worker_view &view, const step_spec &step)
+{
+    return roomFor(countedSize(step.size, step.fills), view.last.capacity, view.last.lasting)
+           == unfit::No;
 }
 
 // The share of the worker's processors that would be in use.
@@ -241,17 +259,44 @@
 }
 
 std::string worker_pool::whyNobody(const std::string &service, const step_spec &step,
-                                   time_point now, const placement_wish &wish) const
+                                   const std::vector<std::string> &avoid, time_point now,
+                                   const placement_wish &wish) const
 {
     std::map<unfit, int> counts;
-    for (const auto &[name, view] : m_workers)
-        ++counts[unfitFor(view, service, step, wish.patient, now)];
+    int besideLasting = 0;
+    for (const auto &[name, view] : m_workers) {
+        auto why = unfitFor(view, service, step, wish.patient, now);
+        if (why == unfit::OtherService)
+            continue;
+        if (why == unfit::No && std::find(avoid.begin(), avoid.end(), name) != avoid.end())
+            why = unfit::Avoided;
+        ++counts[why];
+        if (why == unfit::NoProcessors || why == unfit::NoMemory || why == unfit::NoAccelerators)
+            besideLasting += hasRoomBesideLasting(view, step) ? 1 : 0;
+    }
+    if (counts.empty())
+        return "no worker";
     std::string text;
-    for (const auto &[why, count] : counts) {
-        if (why != unfit::OtherService)
-            text += fmt::format("{}{} {}", text.empty() ? "" : ", ", count, nameOf(why));
+    for (const auto &[why, count] : counts)
+        text += fmt::format("{} {}, ", count, nameOf(why));
+    return text + fmt::format("{} with room beside what lasts", besideLasting);
+}
+
+std::map<std::string, serving_count> worker_pool::servingByJob(time_point now) const
+{
+    std::map<std::string, serving_count> jobs;
+    for (const auto &[name, view] : m_workers) {
+        if (now - view.heardAt > m_settings.silentAfter)
+            continue;
+        for (const auto &run : view.last.serving) {
+            if (run.job.empty())
+                continue;
+            auto &job = jobs[run.job];
+            ++job.atWork;
+            job.late += run.late ? 1 : 0;
+        }
     }
-    return text.empty() ? "no worker" : text;
+    return jobs;
 }
 
 double worker_pool::usedShare(const std::string &service, time_point now) const
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -43,10 +43,20 @@
     OtherLabel,
     Full,
     MakesLate,
-    NoRoom
+    Avoided, // as many tasks of the step as it may have, or the task failed there
+    NoProcessors,
+    NoMemory,
+    NoAccelerators
 };
 std::string_view nameOf(unfit why);
 
+// The runs of a job that serve, by the workers' reports.
+struct serving_count
+{
+    int atWork = 0;
+    int late = 0; // of them, over their target
+};
+
 struct placement_wish
 {
     int together = 1;    // tasks of the step that wait, this one included
@@ -71,9 +81,12 @@
                                       const std::vector<std::string> &avoid, time_point now,
                                       const placement_wish &wish = {}) const;
     // For the log, where `choose` finds nobody: how many of the service's workers are unfit, and
-    // why.
-    std::string whyNobody(const std::string &service, const step_spec &step, time_point now,
+    // why; and how many would have room without the runs that end by themselves.
+    std::string whyNobody(const std::string &service, const step_spec &step,
+                          const std::vector<std::string> &avoid, time_point now,
                           const placement_wish &wish = {}) const;
+    // By job, of workers that are heard of. A job without targets is not told of.
+    std::map<std::string, serving_count> servingByJob(time_point now) const;
     // The part of the service's processors that is in use or reserved, of workers that are heard
     // of; what fills is not counted. 0 to 1.
     double usedShare(const std::string &service, time_point now) const;
@@ -85,6 +98,8 @@
 private:
     unfit unfitFor(const worker_view &view, const std::string &service, const step_spec &step,
                    bool patient, time_point now) const;
+    static unfit roomFor(const task_size &size, const task_size &capacity, const task_size &used);
+    static bool hasRoomBesideLasting(const worker_view &view, const step_spec &step);
     static double shareWith(const worker_view &view, const step_spec &step);
     double score(const worker_view &view, const step_spec &step, int together) const;
     static double servingScore(const worker_view &view, const step_spec &step, int together);
--- a/tests/report_load_test.cpp
+++ b/tests/report_load_test.cpp
@@ -158,8 +158,9 @@
     report.accepting = true;
     report.capacity = {16'000, 64'000, 2};
     report.used = {9000, 30'000, 1};
+    report.lasting = {4000, 16'000, 0};
     report.fillMillicores = 5250;
-    report.serving = {{"serving-1", 0.351, "job-1"}, {"serving-2", -1, "job-2"}};
+    report.serving = {{"serving-1", 0.351, "job-1"}, {"serving-2", -1, "job-2", true}};
     report.filling = {{"filling-1", 1.75}, {"filling-2", 2}};
     report.samples.push_back({"serving-2", 80, 150, {}, disturbance_change{0.0125, {{"x", -1.5}}}});
     report.wantsPresses = true;
@@ -174,7 +175,8 @@
     });
 
     section("without any of its members it is refused or read as one of the release before", [&] {
-        const std::set<std::string> optional{"serving", "filling", "samples", "wants_presses"};
+        const std::set<std::string> optional{"serving", "filling", "samples", "wants_presses",
+                                             "lasting"};
         const auto whole = parseJsonObject(toText(report));
         for (const auto &name : whole.getMemberNames()) {
             auto less = whole;
--- a/tests/worker_pool_test.cpp
+++ b/tests/worker_pool_test.cpp
@@ -174,21 +174,66 @@
 // as silent all through a rolling release.
 Test(worker_pool, reports_are_read)
 {
-    auto report = besideOf("w1", {{"site", 0.25, "a"}});
+    auto report = besideOf("w1", {{"site", 0.25, "a", true}});
+    report.lasting = {9 * Cores, 18'000, 0};
     report.samples = {
             {"site", 40, 150, {{"heavy", 2.0}}, disturbance_change{0.002, {{"heavy", -1.0}}}}};
     section("as written", [&] {
         const auto read = reportFrom(toText(report));
         check(read.serving.front().job == "a");
+        check(read.serving.front().late);
+        check(read.lasting == report.lasting);
         check(read.samples.front().change->inverseFall == 0.002);
         check(read.samples.front().change->fills.at("heavy") == -1.0);
     });
     section("without jobs and changes", [&] {
         auto text = parseJsonObject(toText(report));
         text["serving"][0].removeMember("job");
+        text["serving"][0].removeMember("late");
+        text.removeMember("lasting");
         text["samples"][0].removeMember("inverse_fall");
         const auto read = reportFrom(compactJson(text));
         check(read.serving.front().job.empty());
+        check(!read.serving.front().late);
+        check(read.lasting == read.used);
         check(!read.samples.front().change);
     });
 }
+
+// Operators are told of a service that lacks tasks although all are at work, or of none although
+// some are late.
+Test(worker_pool, runs_that_serve_are_counted_by_job)
+{
+    worker_pool pool;
+    pool.update(besideOf("w1", {{"site", 0.25, "a"}, {"site", -0.1, "a", true}}), Now);
+    pool.update(besideOf("w2", {{"site", 0.25, "b"}, {"site", 0.25, "a"}}), Now);
+    section("over all workers, late ones too", [&] {
+        const auto jobs = pool.servingByJob(Now);
+        check(jobs.size() == 2);
+        check(jobs.at("a").atWork == 3);
+        check(jobs.at("a").late == 1);
+        check(jobs.at("b").late == 0);
+    });
+    section("not those of a worker that nobody hears of",
+            [&] { check(pool.servingByJob(Now + seconds(3)).empty()); });
+}
+
+// An operator is told that a task has no room, and not which: a worker is bought where memory
+// lacks.
+Test(worker_pool, the_log_names_what_is_short)
+{
+    worker_pool pool;
+    auto lasting = reportOf("lasting");
+    lasting.used = {15 * Cores, 24'000, 0};
+    lasting.lasting = lasting.used;
+    auto ending = reportOf("ending");
+    ending.used = {15 * Cores, 24'000, 0};
+    ending.lasting = {8 * Cores, 12'000, 0};
+    auto memory = reportOf("memory");
+    memory.used = {8 * Cores, 63'000, 0};
+    memory.lasting = memory.used;
+    for (const auto &report : {lasting, ending, memory, reportOf("avoided")})
+        pool.update(report, Now);
+    check(pool.whyNobody("tickets", servingStep("site", 1), {"avoided"}, Now)
+          == "1 avoided, 2 no_processors, 1 no_memory, 1 with room beside what lasts");
+}
