--- a/tests/lasting_jobs_test.cpp
+++ b/tests/lasting_jobs_test.cpp
@@ -66,6 +66,9 @@
     }
 };
 
+// The rules' bound for a task that lasts, with room for it twice over.
+constexpr milliseconds PlacedWithin{3000};
+
 } // namespace
 
 // Operators see that callers of one service get less than others and can't tell whether its tasks
@@ -101,3 +104,14 @@
         check(lines.back().ends_with(": 8 no_processors, 0 with room beside what lasts"));
     });
 }
+
+// Guards against large tasks that last and never get a worker: each gap that opens is too small for
+// them, and goes to the next short task.
+Test(lasting_jobs, large_tasks_get_room_among_small_ones)
+{
+    busy_site on;
+    on.world.submit(0, "large-service", lastingStep(6, 4 * Cores));
+    on.advance(PlacedWithin);
+    cr_expect(on.world.atWork("large-service") == 6, "%d of 6 tasks at work",
+              on.world.atWork("large-service"));
+}
