Room is kept at a worker for a task that lasts and found none

Cause: a task went only where all of its room was free at one moment. Where short tasks take each gap as it opens, such a moment never comes for a large one, in whatever order the owner plans: other owners place too.

An order of a task that lasts (of the first priority, no gang) may wait at its worker: the agent counts its size from then on, so that nothing else takes the room, and starts it once ends have left it. It is chosen where the least of what ends by itself has to end, and never where what lasts is in the way.

Ruled out: the order of jobs in one book (three owners in the test).

--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -629,8 +629,8 @@
     m_begun.erase(id);
 }
 
-run_order job_book::startOrder(const owned_job &job, const task_id &task,
-                               const placement &where) const
+run_order job_book::startOrder(const owned_job &job, const task_id &task, const placement &where,
+                               bool waits) const
 {
     run_order order;
     order.task = task;
@@ -641,6 +641,7 @@
     const auto &step = job.record.steps[static_cast<std::size_t>(task.step)];
     order.traits = traitsOf(step);
     order.tellsStart = !job.record.begun;
+    order.waits = waits;
     return order;
 }
 
@@ -659,7 +660,8 @@
                 continue;
             order.out = true;
             tellUnanswered(id, key.first, key.second, order, now);
-            m_actions.emplace_back(give_order{where.worker, startOrder(job, key.first, where)});
+            m_actions.emplace_back(
+                    give_order{where.worker, startOrder(job, key.first, where, order.waits)});
         }
     }
     for (auto &[key, order] : job.stops) {
@@ -759,13 +761,17 @@
             continue;
         wish.together = left--;
         const auto worker = chooseFor(job, task, step, now, wish);
-        if (!worker) {
-            waits = true;
-            if (step.mostPerWorker == 0)
-                break; // its twins find no room either
+        if (worker) {
+            place(id, job, task, step, *worker, state.lastRun + 1);
+            continue;
+        }
+        if (const auto later = chooseToWaitFor(job, task, step, now)) {
+            place(id, job, task, step, *later, state.lastRun + 1, true);
             continue;
         }
-        place(id, job, task, step, *worker, state.lastRun + 1);
+        waits = true;
+        if (step.mostPerWorker == 0)
+            break; // its twins find no room either
     }
     tellUnplaced(id, job, occurrence, stepIndex, waitingIn(inStep), wish, now);
     return waits;
@@ -849,17 +855,31 @@
 }
 
 void job_book::place(const std::string &id, owned_job &job, const task_id &task,
-                     const step_spec &step, const std::string &worker, int run)
+                     const step_spec &step, const std::string &worker, int run, bool waits)
 {
     auto &state = *job.record.find(task);
     state.lastRun = run;
     state.placements.push_back({worker, m_workers.find(worker)->last.epoch, run});
     m_workers.reserve(worker, step);
     changed(id, job);
-    job.starts[{task, run}] = {worker, job.revision, false, {}};
+    auto &start = job.starts[{task, run}];
+    start = {worker, job.revision, false, {}};
+    start.waits = waits;
     m_ordering.insert(id);
 }
 
+// Where room is kept for a task that nobody has room for: gaps that open by themselves are small
+// and go to small tasks at once, so that a large one would wait as long as these come. Only tasks
+// that last, and of the first priority: no others may take room from those that end.
+std::optional<std::string> job_book::chooseToWaitFor(const owned_job &job, const task_id &task,
+                                                     const step_spec &step, time_point now) const
+{
+    constexpr int FirstPriority = 0;
+    if (!step.lasting || step.gang || job.record.policy.priority != FirstPriority)
+        return std::nullopt;
+    return m_workers.chooseToWait(job.record.policy.service, step, fullOf(job, task, step), now);
+}
+
 // A worker for the task: not one where it has just failed, as long as there is another.
 std::optional<std::string> job_book::chooseFor(const owned_job &job, const task_id &task,
                                                const step_spec &step, time_point now,
--- a/tests/lasting_jobs_test.cpp
+++ b/tests/lasting_jobs_test.cpp
@@ -115,3 +115,53 @@
     cr_expect(on.world.atWork("large-service") == 6, "%d of 6 tasks at work",
               on.world.atWork("large-service"));
 }
+
+// Guards against room that is kept where it can't come free in time, while another worker has it.
+Test(lasting_jobs, a_task_that_waits_in_vain_goes_elsewhere)
+{
+    placement_world world(2);
+    for (int number = 0; number < 2; ++number)
+        world.addWorker({16 * Cores, 64'000, 0});
+    world.advance(seconds(1));
+    auto longStep = shortStep(2);
+    longStep.size.millicores = 14 * Cores;
+    world.submit(0, "long-a", longStep, seconds(60));
+    world.submit(0, "service", lastingStep(2, 4 * Cores));
+    world.advance(seconds(5));
+    check(world.atWork("service") == 0);
+    section("with a worker that joins both tasks are at work in time", [&] {
+        world.addWorker({16 * Cores, 64'000, 0});
+        world.advance(PlacedWithin);
+        check(world.atWork("service") == 2);
+    });
+}
+
+// Guards against jobs of less priority that take the room from those that come first.
+Test(lasting_jobs, less_priority_keeps_no_room)
+{
+    busy_site on;
+    constexpr int Last = 2;
+    on.world.submit(0, "large-service", lastingStep(6, 4 * Cores), {}, Last);
+    on.advance(PlacedWithin);
+    check(on.world.atWork("large-service") == 0);
+}
+
+// Guards against room that stays lost to short tasks after the job for which it was kept is gone.
+Test(lasting_jobs, room_of_a_cancelled_job_is_given_back)
+{
+    busy_site on;
+    const auto shortTasks = [&] {
+        int count = 0;
+        for (int number = 0; number < on.handedIn; ++number)
+            count += on.world.atWork(fmt::format("short-{}", number));
+        return count;
+    };
+    on.advance(seconds(2));
+    const int before = shortTasks();
+    on.world.submit(0, "large-service", lastingStep(6, 5 * Cores));
+    on.advance(milliseconds(200));
+    on.world.cancel(0, "large-service");
+    on.advance(seconds(2));
+    check(on.world.atWork("large-service") == 0);
+    check(shortTasks() >= before - 2); // of 96
+}
