Where what fills does harm, jobs that were served less than others are spared

Cause: harm was counted by jobs, and one that is late elsewhere counted 0.3: a job of many tasks is nearly always late somewhere, so all that fills was sent to it, and what it had lost already did not count. The class: a policy that looks at the moment alone picks the same loser each time.

Each entry keeps, from the reports that it has anyway, what each job was served over about 20 s (service_history); in the choice between workers a job that is below the average counts whole. How long what fills waits for a worker does not follow from that.

--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -58,6 +58,8 @@
     view.last.progress.clear();
     view.heardAt = now;
     view.lateJobs = lateJobsOf(view);
+    if (m_service.due(now))
+        m_service.note(servingByJob(now), now);
     return newLife;
 }
 
@@ -106,7 +108,7 @@
     // What fills waits for a worker where it harms nobody: its objective leaves it time, and a late
     // answer can't be made good.
     constexpr double MostLateJobs = 0.15;
-    if (step.fills && patient && expectedLateJobs(view, step) > MostLateJobs)
+    if (step.fills && patient && lateJobsExpected(view, step) > MostLateJobs)
         return unfit::MakesLate;
     return roomFor(countedSize(step.size, step.fills), last.capacity, last.used);
 }
@@ -155,7 +157,7 @@
         score -= 0.5; // a task far from its data takes half as long again
     score -= 0.25 * std::max(0.0, view.slowness - 1.3); // estimates alone are off by a fifth
     constexpr double LateJob = 4; // as much as the whole worker's processors over again
-    return score - LateJob * expectedLateJobs(view, step);
+    return score - LateJob * harmExpected(view, step);
 }
 
 // Runs that serve are gathered on few workers, those of one job and one image together, so that
@@ -189,18 +191,19 @@
     return step.mostPerWorker > 0 ? std::min(tasks, step.mostPerWorker) : tasks;
 }
 
-// How many serving jobs the placement of a run that fills is expected to make late, or to keep
+// By job, how likely the placement of a run that fills makes it late on this worker, or keeps it
 // late. Users of a job meet each of its tasks, so that one late task spoils the job, and a second
 // one adds little.
-double worker_pool::expectedLateJobs(const worker_view &view, const step_spec &step) const
+std::map<std::string, double> worker_pool::expectedLate(const worker_view &view,
+                                                        const step_spec &step) const
 {
+    std::map<std::string, double> jobs;
     if (!step.fills)
-        return 0;
+        return jobs;
     // Between surely in time and surely late: own loads swing while the run works.
     constexpr double Uncertain = 0.2; // load
     constexpr double Counts = 0.05;   // load: a run that adds less is in part to blame
     const double cores = static_cast<double>(step.size.millicores) / 1000;
-    std::map<std::string, double> jobs;
     for (const auto &run : view.last.serving) {
         const double more = m_disturbance.press(run.image, step.image) * cores;
         const double load = loadBeside(view, run) + more;
@@ -208,13 +211,38 @@
         auto &worst = jobs[run.job];
         worst = std::max(worst, late * std::min(1.0, more / Counts));
     }
-    constexpr double Spoilt = 0.3; // what is left to lose of a job that is late elsewhere
+    return jobs;
+}
+
+double worker_pool::lateJobsExpected(const worker_view &view, const step_spec &step) const
+{
+    double sum = 0;
+    for (const auto &[job, late] : expectedLate(view, step)) {
+        if (late > 0)
+            sum += late * leftToLose(view, job);
+    }
+    return sum;
+}
+
+// Decides between workers. A job that was served less than others counts whole here: a job of many
+// tasks is late somewhere nearly always, and would else be sent all that fills. How long what fills
+// waits for a worker does not follow from that, since the harm that is done stays as much.
+double worker_pool::harmExpected(const worker_view &view, const step_spec &step) const
+{
     double sum = 0;
-    for (const auto &[job, late] : jobs)
-        sum += late > 0 && isLateElsewhere(view, job) ? Spoilt * late : late;
+    for (const auto &[job, late] : expectedLate(view, step)) {
+        if (late > 0)
+            sum += late * (m_service.isBehind(job) ? 1 : leftToLose(view, job));
+    }
     return sum;
 }
 
+double worker_pool::leftToLose(const worker_view &view, const std::string &job) const
+{
+    constexpr double Spoilt = 0.3; // what is left to lose of a job that is late elsewhere
+    return isLateElsewhere(view, job) ? Spoilt : 1;
+}
+
 double worker_pool::loadBeside(const worker_view &view, const serving_room &run) const
 {
     double load = 0;
@@ -327,9 +355,9 @@
     return text + fmt::format("{} with room beside what lasts", besideLasting);
 }
 
-std::map<std::string, serving_count> worker_pool::servingByJob(time_point now) const
+serving_counts worker_pool::servingByJob(time_point now) const
 {
-    std::map<std::string, serving_count> jobs;
+    serving_counts jobs;
     for (const auto &[name, view] : m_workers) {
         if (now - view.heardAt > m_settings.silentAfter)
             continue;
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "jobs/messages.h"
+#include "jobs/service_history.h"
 
 namespace zinniabarrow::jobs {
 
@@ -50,13 +51,6 @@
 };
 std::string_view nameOf(unfit why);
 
-// The runs of a job that serve, by the workers' reports.
-struct serving_count
-{
-    int atWork = 0;
-    int late = 0; // of them, over their target
-};
-
 struct placement_wish
 {
     int together = 1;    // tasks of the step that wait, this one included
@@ -91,7 +85,7 @@
                           const std::vector<std::string> &avoid, time_point now,
                           const placement_wish &wish = {}) const;
     // By job, of workers that are heard of. A job without targets is not told of.
-    std::map<std::string, serving_count> servingByJob(time_point now) const;
+    serving_counts servingByJob(time_point now) const;
     // The part of the service's processors that is in use or reserved, of workers that are heard
     // of; what fills is not counted. 0 to 1.
     double usedShare(const std::string &service, time_point now) const;
@@ -110,7 +104,11 @@
     double score(const worker_view &view, const step_spec &step, int together) const;
     static double servingScore(const worker_view &view, const step_spec &step, int together);
     static int fitting(const worker_view &view, const step_spec &step, int together);
-    double expectedLateJobs(const worker_view &view, const step_spec &step) const;
+    std::map<std::string, double> expectedLate(const worker_view &view,
+                                               const step_spec &step) const;
+    double lateJobsExpected(const worker_view &view, const step_spec &step) const;
+    double harmExpected(const worker_view &view, const step_spec &step) const;
+    double leftToLose(const worker_view &view, const std::string &job) const;
     double loadBeside(const worker_view &view, const serving_room &run) const;
     std::set<std::string> lateJobsOf(const worker_view &view) const;
     bool isLateElsewhere(const worker_view &view, const std::string &job) const;
@@ -118,6 +116,7 @@
     pool_settings m_settings;
     std::map<std::string, worker_view> m_workers;
     disturbance_model m_disturbance;
+    service_history m_service;
 };
 
 // What of a step's size counts against a worker's capacity.
--- a/tests/worker_pool_test.cpp
+++ b/tests/worker_pool_test.cpp
@@ -169,6 +169,32 @@
     });
 }
 
+// A job of many tasks is nearly always late somewhere. Were harm to it as good as free for that,
+// all that fills would go to it, and its users would have less than half of what others have.
+Test(worker_pool, a_job_that_has_had_less_is_spared)
+{
+    worker_pool pool;
+    teach(pool, "site", "heavy", 0.06);
+    auto crowded = besideOf("crowded", {{"site", 0, "wide", true}});
+    crowded.filling = {{"heavy", 8}};
+    crowded.accepting = false;
+    const auto placedAt = [&](time_point now) {
+        pool.update(crowded, now);
+        pool.update(besideOf("narrow", {{"site", 0, "narrow"}}), now);
+        pool.update(besideOf("wide", {{"site", 0, "wide"}, {"site", 0, "wide"}}), now);
+        auto step = fillingStep("heavy");
+        return pool.choose("tickets", step, {}, now, {1, false}).value_or("none");
+    };
+    section("first the one that is late elsewhere is harmed",
+            [&] { check(placedAt(Now) == "wide"); });
+    section("and no more once it has had less than others", [&] {
+        std::string last;
+        for (int second = 1; second <= 5; ++second)
+            last = placedAt(Now + seconds(second));
+        check(last == "narrow");
+    });
+}
+
 // A report and what it says of the runs that serve survive the way to an entry, also from an agent
 // of the release before, which names no jobs and tells no changes: refused, its worker would count
 // as silent all through a rolling release.
