--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -219,6 +219,7 @@
                         time_point now);
     static std::vector<std::string> fullOf(const owned_job &job, const task_id &task,
                                            const step_spec &step);
+    static std::string describe(const task_id &task, int run, const std::string &worker);
     void note(std::string event, const std::string &job, std::string detail);
 
     owner_id m_self;
--- a/libs/jobs/model.cpp
+++ b/libs/jobs/model.cpp
@@ -89,6 +89,12 @@
     return nameOf(StateNames, state);
 }
 
+int waitingIn(const std::vector<task_state> &step)
+{
+    return static_cast<int>(std::count_if(step.begin(), step.end(),
+                                          [](const auto &task) { return task.isWaiting(); }));
+}
+
 bool isFinal(job_state state)
 {
     return state == job_state::Completed || state == job_state::Failed
--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -100,6 +100,8 @@
     bool isWaiting() const { return !done && placements.empty(); }
 };
 
+int waitingIn(const std::vector<task_state> &step); // tasks that no worker has
+
 enum class job_state { Queued, Running, Completed, Failed, Cancelled };
 std::string_view nameOf(job_state state);
 bool isFinal(job_state state);
