A run that lasts and fills counts for its memory alone while it waits for room

Found by reading: the room given to waiting runs subtracted and added the declared processors of a run that fills, which nothing else counts. Test: run_table_room_test of_what_lasts_and_fills. Beside it an include that the linter found unused.

--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -15,6 +15,11 @@
     });
 }
 
+task_size countedSize(const run_traits &traits)
+{
+    return jobs::countedSize(traits.size, traits.fills);
+}
+
 double coresOf(std::int64_t millicores)
 {
     return static_cast<double>(millicores) / 1000;
@@ -300,7 +305,7 @@
     task_size sum;
     for (const auto &[key, entry] : m_runs) {
         if (entry.phase != run_phase::Ended)
-            sum += countedSize(entry.traits.size, entry.traits.fills);
+            sum += countedSize(entry.traits);
     }
     return sum;
 }
@@ -310,7 +315,7 @@
     task_size sum;
     for (const auto &[key, entry] : m_runs) {
         if (entry.phase != run_phase::Ended && entry.traits.lasting)
-            sum += countedSize(entry.traits.size, entry.traits.fills);
+            sum += countedSize(entry.traits);
     }
     return sum;
 }
@@ -424,14 +429,14 @@
 bool run_table::hasRoom(const run_order &order) const
 {
     auto sum = used();
-    sum += countedSize(order.traits.size, order.traits.fills);
+    sum += countedSize(order.traits);
     return sum.fitsInto(m_capacity);
 }
 
 bool run_table::hasRoomBesideLasting(const run_order &order) const
 {
     auto sum = lasting();
-    sum += countedSize(order.traits.size, order.traits.fills);
+    sum += countedSize(order.traits);
     return sum.fitsInto(m_capacity);
 }
 
@@ -459,11 +464,11 @@
         return;
     auto taken = used();
     for (const auto &at : waiting)
-        taken -= at->second.traits.size;
+        taken -= countedSize(at->second.traits);
     bool open = mayStart && m_readiness == start_readiness::Open;
     for (const auto &at : waiting) {
         auto &entry = at->second;
-        taken += entry.traits.size;
+        taken += countedSize(entry.traits);
         open = open && taken.fitsInto(m_capacity);
         if (open)
             entry.roomUntil = Never;
--- a/tests/harm_shared_test.cpp
+++ b/tests/harm_shared_test.cpp
@@ -11,11 +11,9 @@
 #include <fmt/core.h>
 
 #include "jobs/worker_pool.h"
-#include "section.h"
 
 using namespace zinniabarrow;
 using namespace zinniabarrow::jobs;
-using zinniabarrow::tests::section;
 
 namespace {
 
--- a/tests/run_table_room_test.cpp
+++ b/tests/run_table_room_test.cpp
@@ -153,6 +153,21 @@
     });
 }
 
+// Guards against room counted twice or not at all for a run that asks for memory alone.
+Test(run_table_room, of_what_lasts_and_fills)
+{
+    full_worker on;
+    auto order = full_worker::lasting("a");
+    order.traits.fills = true;
+    order.traits.size.memoryMb = 5000;
+    check(on.give(order) == order_outcome::Accepted);
+    check(on.table.used() == (task_size{4000, 9000, 0}));
+    check(on.started().empty());
+    on.endShort(0);
+    check(on.started() == job_names{"a"});
+    check(on.table.used() == (task_size{3000, 8000, 0}));
+}
+
 // Guards against a start on a worker that leaves, under a lease that is over, or of a job that was
 // cancelled while the run waited.
 Test(run_table_room, not_started_after_all)
