--- a/libs/jobs/job_book_placing.cpp
+++ b/libs/jobs/job_book_placing.cpp
@@ -135,7 +135,11 @@
     constexpr int FirstPriority = 0;
     if (!step.lasting || step.gang || job.record.policy.priority != FirstPriority)
         return std::nullopt;
-    return m_workers.chooseToWait(job.record.policy.service, step, fullOf(job, task, step), now);
+    auto avoid = fullOf(job, task, step);
+    const auto failed = job.failedOn.find(task);
+    if (failed != job.failedOn.end())
+        avoid.insert(avoid.end(), failed->second.begin(), failed->second.end());
+    return m_workers.chooseToWait(job.record.policy.service, step, avoid, now);
 }
 
 // A worker for the task: not one where it has just failed, as long as there is another.
