--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -692,3 +692,42 @@
     cr_expect_throw(handedJobFrom("{}"), error);
     cr_expect_throw(handedJobFrom("nothing"), error);
 }
+
+// Guards against a task that fails on a worker, and waits for room to fail there again.
+Test(job_book, a_task_does_not_wait_where_it_failed)
+{
+    scene on;
+    for (const char *name : {"w1", "w2"}) {
+        auto full = on.workers.find(name)->last;
+        full.used = {15'000, 1000, 0};
+        full.lasting = {2000, 500, 0};
+        on.workers.update(full, on.now);
+    }
+    job_spec service;
+    service.steps.resize(1);
+    service.steps[0].size = {4000, 100, 0};
+    service.steps[0].lasting = true;
+    on.submit(service);
+    on.written();
+    require(on.orders.size() == 1);
+    section("without room anywhere its order may wait at a worker",
+            [&] { check(on.orders[0].order.waits); });
+    section("after a failure there at the other one", [&] {
+        on.accept(on.orders[0]);
+        on.end(on.orders[0], end_kind::Failed);
+        on.written();
+        require(on.orders.size() == 2);
+        check(on.orders[1].worker != on.orders[0].worker);
+        check(on.orders[1].order.waits);
+    });
+    section("and where nobody else has room in time it waits for one that has", [&] {
+        on.accept(on.orders[1]);
+        on.end(on.orders[1], end_kind::Failed);
+        on.written();
+        check(on.orders.size() == 2);
+        on.hear("w1");
+        on.turn();
+        on.written();
+        check(on.orders.size() == 3);
+    });
+}
