--- a/tests/placement_world.h
+++ b/tests/placement_world.h
@@ -36,24 +36,18 @@
 
     // Its tasks that end do so after `runsFor`.
     void submit(int owner, const std::string &job, const jobs::step_spec &step,
-                milliseconds runsFor = {}, int priority = 0)
+                milliseconds runsFor = {})
     {
         jobs::job_spec spec;
         spec.steps = {step};
         jobs::queue_policy policy;
         policy.service = "tickets";
         policy.stretch = 2;
-        policy.priority = priority;
         m_runsFor[job] = runsFor;
         m_owners[static_cast<std::size_t>(owner)]->book.submit(job, spec, policy, wallMs(), m_now,
                                                                m_nextToken++);
     }
 
-    void cancel(int owner, const std::string &job)
-    {
-        m_owners[static_cast<std::size_t>(owner)]->book.cancel(job, m_nextToken++);
-    }
-
     void advance(milliseconds time)
     {
         const auto until = m_now + time;
@@ -61,7 +55,6 @@
             step();
     }
 
-    time_point now() const { return m_now; }
     // Tasks of the job that a worker has begun and that have not ended.
     int atWork(const std::string &job) const
     {
