Harm that is none is left out once, and a test keeps no counts that nobody reads

Read once more: lateJobsExpected and harmExpected both passed over jobs that are not made late, which expectedLate can leave out itself; harm_shared_test kept a count and an image that nothing used; the comment of unfit::Avoided named one of its callers' reasons. Behaviour and assertions stay as they were.

--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -208,6 +208,8 @@
         const double more = m_disturbance.press(run.image, step.image) * cores;
         const double load = loadBeside(view, run) + more;
         const double late = std::clamp((load - run.room) / Uncertain + 0.5, 0.0, 1.0);
+        if (late <= 0 || more <= 0)
+            continue;
         auto &worst = jobs[run.job];
         worst = std::max(worst, late * std::min(1.0, more / Counts));
     }
@@ -217,10 +219,8 @@
 double worker_pool::lateJobsExpected(const worker_view &view, const step_spec &step) const
 {
     double sum = 0;
-    for (const auto &[job, late] : expectedLate(view, step)) {
-        if (late > 0)
-            sum += late * leftToLose(view, job);
-    }
+    for (const auto &[job, late] : expectedLate(view, step))
+        sum += late * leftToLose(view, job);
     return sum;
 }
 
@@ -230,10 +230,8 @@
 double worker_pool::harmExpected(const worker_view &view, const step_spec &step) const
 {
     double sum = 0;
-    for (const auto &[job, late] : expectedLate(view, step)) {
-        if (late > 0)
-            sum += late * (m_service.isBehind(job) ? 1 : leftToLose(view, job));
-    }
+    for (const auto &[job, late] : expectedLate(view, step))
+        sum += late * (m_service.isBehind(job) ? 1 : leftToLose(view, job));
     return sum;
 }
 
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -44,7 +44,7 @@
     OtherLabel,
     Full,
     MakesLate,
-    Avoided, // as many tasks of the step as it may have, or the task failed there
+    Avoided, // the caller rules it out
     NoProcessors,
     NoMemory,
     NoAccelerators
--- a/tests/harm_shared_test.cpp
+++ b/tests/harm_shared_test.cpp
@@ -24,7 +24,6 @@
 struct filling
 {
     std::string worker;
-    std::string image;
     time_point endsAt{};
 };
 
@@ -61,7 +60,6 @@
         return std::accumulate(m_served.begin(), m_served.end(), 0.0) / m_counted
                / static_cast<double>(Widths.size());
     }
-    std::size_t placedRuns() const { return m_placed; }
 
 private:
     static std::string workerNamed(int number) { return fmt::format("w{}", number); }
@@ -120,8 +118,7 @@
             if (!worker)
                 continue;
             m_pool.reserve(*worker, step);
-            m_filling.push_back({*worker, "heavy", m_now + milliseconds(1000 + below(2000))});
-            ++m_placed;
+            m_filling.push_back({*worker, m_now + milliseconds(1000 + below(2000))});
         }
     }
 
@@ -147,7 +144,6 @@
     std::vector<filling> m_filling;
     std::array<double, Widths.size()> m_served{};
     int m_counted = 0;
-    std::size_t m_placed = 0;
 };
 
 } // namespace
