A report says of a serving run only where it is late

Each report of each worker to each entry told late: false for every run in time, which the reader takes from the absence. Read as before: worker_pool_test reports_are_read, report_load_test.

--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -284,7 +284,8 @@
         row["image"] = run.image;
         row["room"] = std::round(run.room * 1000) / 1000;
         row["job"] = run.job;
-        row["late"] = run.late;
+        if (run.late)
+            row["late"] = true;
         value["serving"].append(std::move(row));
     }
     value["filling"] = toJson(report.filling);
--- a/libs/jobs/report_text.cpp
+++ b/libs/jobs/report_text.cpp
@@ -68,7 +68,7 @@
 
 serving_room servingFrom(const value &row)
 {
-    // Agents of the release before tell neither the job nor whether it is late.
+    // Agents of the release before don't tell the job. Only a run that is late says so.
     return {large_json::text(row, "image"), real(row, "room"), large_json::textOrNone(row, "job"),
             large_json::find(row, "late") != nullptr && flag(row, "late")};
 }
