A start names the life of the agent it was placed on

What callers saw: a task ran twice at once, or again after it was done. Cause: a life of an agent tells that a run never starts (no room, turned away, stopped before it was called), and its task is placed anew. That word is kept in the memory of that life. The next one, in the same epoch of the worker, takes an order of that run as news: an order that is given late by an owner that was frozen and overtaken, or that was held up on its way. Why it works: the life stands in the placement and so in the row; no owner, heir or late message can order that run in the name of another life. What a life doesn't know and wasn't placed in it, it refuses, whatever it has forgotten. What runs is known from the worker's list and is claimed as before. Rows and orders of the release before name no life and are taken as before; it reads these rows (the lives stand beside the placements).

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -117,6 +117,7 @@
     void epochSettled(const epoch_settled &settled)
     {
         m_table.setEpoch(settled.epoch);
+        m_table.setLife(lease().fence());
         const auto now = suspendAwareNow();
         if (settled.begun) {
             m_tellUntil = now + TellWithin;
--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -599,6 +599,7 @@
     order.task = task;
     order.run = where.run;
     order.epoch = where.epoch;
+    order.agentLife = where.agentLife;
     order.payload = job.payload;
     order.checkpoint = job.record.find(task)->checkpoint;
     const auto &step = job.record.steps[static_cast<std::size_t>(task.step)];
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -16,12 +16,13 @@
         {order_kind::Stop, "stop"},
 }};
 
-constexpr name_table<order_outcome, 6> OutcomeNames{{
+constexpr name_table<order_outcome, 7> OutcomeNames{{
         {order_outcome::Accepted, "accepted"},
         {order_outcome::NoRoom, "no_room"},
         {order_outcome::Draining, "draining"},
         {order_outcome::WrongEpoch, "wrong_epoch"},
         {order_outcome::Superseded, "superseded"},
+        {order_outcome::OtherLife, "other_life"},
         {order_outcome::NotReady, "not_ready"},
 }};
 
@@ -77,6 +78,7 @@
     value["epoch"] = Json::Int64(order.epoch);
     if (order.kind == order_kind::Stop)
         return value;
+    value["agent_life"] = Json::Int64(order.agentLife);
     value["payload"] = order.payload;
     value["checkpoint"] = order.checkpoint;
     value["size"] = toJson(order.traits.size);
@@ -97,6 +99,9 @@
     order.epoch = integerMember(value, "epoch");
     if (order.kind == order_kind::Stop)
         return order;
+    // Entries of the release before don't tell it.
+    if (value.isMember("agent_life"))
+        order.agentLife = integerMember(value, "agent_life");
     order.payload = stringMember(value, "payload");
     order.checkpoint = stringMember(value, "checkpoint");
     order.traits.size = sizeFrom(objectMember(value, "size"));
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -36,6 +36,7 @@
     int run = 0;
     std::int64_t epoch = 0; // of the worker, as placed
     // Of a start only:
+    std::int64_t agentLife = 0; // of the agent, as placed; 0: not told
     std::string payload;
     std::string checkpoint;
     run_traits traits;
@@ -48,6 +49,7 @@
     Draining,   // the same: the worker is leaving
     WrongEpoch, // the same: placed in another life of the worker
     Superseded, // the same: that run was stopped or refused before
+    OtherLife,  // the same: placed in another life of the agent, and not known to this one
     NotReady,   // nothing was done; ask again
 };
 std::string_view nameOf(order_outcome outcome);
--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -84,6 +84,7 @@
     std::string worker;
     std::int64_t epoch = 0;
     int run = 0;
+    std::int64_t agentLife = 0; // of the worker's agent, as it was placed; 0: not told
 };
 
 struct task_state
--- a/libs/jobs/record.cpp
+++ b/libs/jobs/record.cpp
@@ -80,6 +80,15 @@
     return step;
 }
 
+Json::Value toJson(const placement &where)
+{
+    Json::Value row(Json::arrayValue);
+    row.append(where.worker);
+    row.append(Json::Int64(where.epoch));
+    row.append(where.run);
+    return row;
+}
+
 // A task that never started is 0, one that is done 1; any other is an object.
 Json::Value toJson(const task_state &task)
 {
@@ -91,12 +100,10 @@
     put(value, "r", task.lastRun);
     put(value, "f", task.failures);
     put(value, "k", task.checkpoint);
+    // The agents' lives stand beside the placements, whose three members the release before counts.
     for (const auto &where : task.placements) {
-        Json::Value row(Json::arrayValue);
-        row.append(where.worker);
-        row.append(Json::Int64(where.epoch));
-        row.append(where.run);
-        value["p"].append(std::move(row));
+        value["p"].append(toJson(where));
+        value["l"].append(Json::Int64(where.agentLife));
     }
     for (const int run : task.unheard)
         value["u"].append(run);
@@ -124,6 +131,11 @@
     task.failures = countOr0(value, "f");
     task.checkpoint = textOrNone(value, "k");
     forEach(value, "p", [&](const auto &row) { task.placements.push_back(placementFrom(row)); });
+    std::size_t at = 0;
+    forEach(value, "l", [&](const auto &life) {
+        if (at < task.placements.size())
+            task.placements[at++].agentLife = asNumber(life);
+    });
     forEach(value, "u", [&](const auto &run) { task.unheard.push_back(asCount(run)); });
     return task;
 }
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -42,6 +42,11 @@
     m_epoch = epoch;
 }
 
+void run_table::setLife(std::int64_t life)
+{
+    m_life = life;
+}
+
 void run_table::clear()
 {
     std::erase_if(m_runs, [](const auto &entry) { return entry.second.phase != run_phase::Ended; });
@@ -81,6 +86,12 @@
     }
     if (refused(key) || isCancelled(order.task.job))
         return answer(order_outcome::Superseded);
+    // An earlier life of this agent may have told that the run never starts, and its task may run
+    // elsewhere by now. That is forgotten here, while an order can be on its way for seconds.
+    if (order.agentLife != 0 && order.agentLife != m_life) {
+        refuse(key, now);
+        return answer(order_outcome::OtherLife);
+    }
     if (m_readiness == start_readiness::Closed) {
         refuse(key, now);
         return answer(order_outcome::Draining);
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -80,6 +80,7 @@
 
     void setWorker(const task_size &capacity, start_readiness readiness);
     void setEpoch(std::int64_t epoch); // 0: none, nothing is started
+    void setLife(std::int64_t life);   // of this agent, as its reports tell it
     // The worker lives anew, or is gone: nothing of before runs. Ends that were seen and not
     // acknowledged are told on.
     void clear();
@@ -161,6 +162,7 @@
     task_size m_capacity;
     start_readiness m_readiness = start_readiness::Later;
     std::int64_t m_epoch = 0;
+    std::int64_t m_life = 0;
     std::map<run_key, run_entry> m_runs;
     std::map<task_id, refusal> m_refused;
     std::map<std::string, time_point> m_cancelled; // job, and until when it is remembered
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -347,6 +347,43 @@
     });
 }
 
+// A task runs twice at once: an order to an agent that has been replaced meanwhile.
+Test(job_book, a_start_names_the_life_of_the_agent_it_was_placed_on)
+{
+    scene on;
+    for (const char *name : {"w1", "w2"}) {
+        auto report = on.workers.find(name)->last;
+        report.agentLife = 7;
+        on.workers.update(report, on.now);
+    }
+    on.submit();
+    on.written();
+    check(on.orders[0].order.agentLife == 7);
+    section("also when it is given again to the next life", [&] {
+        const auto &worker = on.orders[0].worker;
+        auto report = on.workers.find(worker)->last;
+        report.agentLife = 8;
+        on.workers.update(report, on.now);
+        on.orders.clear();
+        on.book.workerRenewed(worker, 1, on.now);
+        on.turn();
+        require(!on.orders.empty());
+        check(on.orders[0].order.agentLife == 7);
+    });
+    section("also by an heir", [&] {
+        scene heir;
+        heir.book.adopt("j", recordFrom(on.writes.back().content), 102, "hold seat 7");
+        heir.turn();
+        heir.written();
+        require(heir.orders.size() == 2);
+        check(heir.orders[0].order.agentLife == 7);
+    });
+    section("on the wire too", [&] {
+        const auto sent = orderBatchFrom(toText(order_batch{"a", "b", {on.orders[0].order}}));
+        check(sent.orders[0].agentLife == 7);
+    });
+}
+
 // Its agent tells the end again when the acknowledgement was lost: refused for good, it and all
 // later ends of that worker would never be forgotten.
 Test(job_book, an_end_told_again_to_the_next_owner)
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -122,6 +122,35 @@
             [&] { check(on.give(scene::order(0, 2)) == order_outcome::Accepted); });
 }
 
+// A task runs twice at once: a life of the agent tells that its run never starts, and is killed.
+// Its task is placed anew while an order of the first run is still on its way to the next life.
+Test(run_table, an_order_from_before_the_agents_life)
+{
+    const auto placedIn = [](std::int64_t life, int run) {
+        auto made = scene::order(0, run);
+        made.agentLife = life;
+        return made;
+    };
+    scene on;
+    on.table.setLife(8);
+    section("a run that is not known here never starts", [&] {
+        check(on.give(placedIn(7, 1)) == order_outcome::OtherLife);
+        check(neverStarts(order_outcome::OtherLife));
+        check(on.table.due(on.now, true).empty());
+    });
+    section("nor does an order that names no life start it after that",
+            [&] { check(on.give(scene::order(0, 1)) == order_outcome::Superseded); });
+    section("one that was placed in this life does",
+            [&] { check(on.give(placedIn(8, 2)) == order_outcome::Accepted); });
+    section("one that the worker runs is claimed, whichever life started it", [&] {
+        on.table.look(scene::listing({scene::order(1)}), on.now);
+        auto claim = scene::order(1);
+        claim.agentLife = 7;
+        check(on.give(claim) == order_outcome::Accepted);
+        check(on.table.complete());
+    });
+}
+
 // The answer to a start is lost. The run may begin up to the call's own deadline on the worker's
 // clock; until then it counts as there, and the owner must not place the task elsewhere.
 Test(run_table, unanswered_start)
