A run is refused where its agent knows a newer one of the same task

What callers saw: a task ran twice at once, on one worker. An order of its run 1 was held up, and its agent had been given run 2. Evidence: run_table_test an_order_that_was_overtaken_by_that_of_a_newer_run fails without it.

--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -84,7 +84,7 @@
         refuse(key, now);
         return answer(order_outcome::WrongEpoch);
     }
-    if (refused(key) || isCancelled(order.task.job))
+    if (refused(key) || isCancelled(order.task.job) || hasNewerRun(key))
         return answer(order_outcome::Superseded);
     // An earlier life of this agent may have told that the run never starts, and its task may run
     // elsewhere by now. That is forgotten here, while an order can be on its way for seconds.
@@ -428,6 +428,12 @@
     return found != m_refused.end() && found->second.upTo >= key.second;
 }
 
+bool run_table::hasNewerRun(const run_key &key) const
+{
+    const auto next = m_runs.upper_bound(key);
+    return next != m_runs.end() && next->first.first == key.first;
+}
+
 bool run_table::isCancelled(const std::string &job) const
 {
     return m_cancelled.contains(job);
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -149,6 +149,7 @@
     void neverStarted(const run_key &key, run_entry &entry);
     void refuse(const run_key &key, time_point now);
     bool refused(const run_key &key) const;
+    bool hasNewerRun(const run_key &key) const; // of the same task
     bool isCancelled(const std::string &job) const;
     bool hasRoom(const run_order &order) const;
 
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -151,6 +151,21 @@
     });
 }
 
+// A task runs twice at once: an order of its run 1 was held up, and its agent has been given run 2.
+Test(run_table, an_order_that_was_overtaken_by_that_of_a_newer_run)
+{
+    scene on;
+    require(on.give(scene::order(0, 2)) == order_outcome::Accepted);
+    check(on.give(scene::order(0, 1)) == order_outcome::Superseded);
+    check(on.table.due(on.now, true).size() == 1);
+    section("also once the newer run is there", [&] {
+        on.table.startAnswered(scene::order(0).task, 2, start_answer::Started, on.now);
+        check(on.give(scene::order(0, 1)) == order_outcome::Superseded);
+    });
+    section("another task of the job is another matter",
+            [&] { check(on.give(scene::order(1, 1)) == order_outcome::Accepted); });
+}
+
 // The answer to a start is lost. The run may begin up to the call's own deadline on the worker's
 // clock; until then it counts as there, and the owner must not place the task elsewhere.
 Test(run_table, unanswered_start)
