A start that was accepted is called for 700 ms and then told as never started

What callers saw: a task started seconds after it was done and its job was shown as completed. Cause: an agent repeated an accepted start for as long as it lived, whoever owned the job by then and whether anybody could still be heard. A run that was accepted while its worker turned starts away began when the worker was well again, though its task was done by another run meanwhile. Why it works: the agent itself gives up, so nothing has to reach it. The end is told once no call can take effect, and the task goes elsewhere (job_book_test a_run_that_never_started_goes_elsewhere). An order given again renews the time. Weighed: renewing it by reports (each second: too coarse); by the row alone (does not reach an agent that is cut off).

--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -249,6 +249,8 @@
         finishTask(id, job, end.task, end.run, step);
     if (end.how == end_kind::Failed)
         countFailure(id, job, worker, end, step, ran);
+    if (end.how == end_kind::NeverStarted)
+        avoid(job, end.task, worker);
     if (end.how != end_kind::Done)
         note("run_ended", id,
              fmt::format("{}: {}", describe(end.task, end.run, worker), nameOf(end.how)));
@@ -343,12 +345,7 @@
             5000}; // a worker that fails all it starts does so at once
     if (step.lasting && ran && *ran >= ServedForAWhile)
         return;
-    auto &failedOn = job.failedOn[end.task];
-    failedOn.push_back(worker);
-    // Only the newest: a task that fails now and then everywhere must not run out of workers.
-    constexpr std::size_t AvoidedWorkers = 2;
-    if (failedOn.size() > AvoidedWorkers)
-        failedOn.erase(failedOn.begin());
+    avoid(job, end.task, worker);
     if (step.lasting || task.failures < job.record.policy.maxAttempts)
         return;
     job.record.failed = true;
@@ -356,6 +353,17 @@
     note("job_failed", id, fmt::format("{} failed {} times", toText(end.task), task.failures));
 }
 
+// For the next runs of the task.
+void job_book::avoid(owned_job &job, const task_id &task, const std::string &worker)
+{
+    auto &avoided = job.avoided[task];
+    avoided.push_back(worker);
+    // Only the newest: a task that fails now and then everywhere must not run out of workers.
+    constexpr std::size_t AvoidedWorkers = 2;
+    if (avoided.size() > AvoidedWorkers)
+        avoided.erase(avoided.begin());
+}
+
 void job_book::progressed(const std::string & /*worker*/, const run_progress &progress)
 {
     const auto found = m_jobs.find(progress.task.job);
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -163,7 +163,7 @@
         std::map<std::pair<task_id, int>, pending_order> starts;
         std::map<std::pair<task_id, int>, pending_order> stops;
         std::map<std::pair<task_id, int>, time_point> startedAt; // when the start was accepted
-        std::map<task_id, std::vector<std::string>> failedOn;    // workers
+        std::map<task_id, std::vector<std::string>> avoided;     // workers
         std::map<std::pair<int, int>, time_point> waitingSince;  // by occurrence and step
         std::map<std::pair<int, int>, waiting_step> unplaced;    // the same
     };
@@ -194,6 +194,7 @@
     bool giveDueOrders(const std::string &id, owned_job &job, time_point now);
     run_order startOrder(const owned_job &job, const task_id &task, const placement &where) const;
     void stopAll(const std::string &id, owned_job &job);
+    static void avoid(owned_job &job, const task_id &task, const std::string &worker);
     static void removePlacement(owned_job &job, const task_id &task, int run);
     static bool isPlacedOn(const task_state &task, const std::string &worker, int run);
     void placeWaiting(const std::string &id, owned_job &job, time_point now, std::int64_t wallMs);
--- a/libs/jobs/job_book_placing.cpp
+++ b/libs/jobs/job_book_placing.cpp
@@ -129,10 +129,10 @@
     const auto &service = job.record.policy.service;
     const auto full = fullOf(job, task, step);
     auto avoid = full;
-    const auto failed = job.failedOn.find(task);
-    if (failed == job.failedOn.end())
+    const auto avoided = job.avoided.find(task);
+    if (avoided == job.avoided.end())
         return m_workers.choose(service, step, full, now, wish);
-    avoid.insert(avoid.end(), failed->second.begin(), failed->second.end());
+    avoid.insert(avoid.end(), avoided->second.begin(), avoided->second.end());
     const auto elsewhere = m_workers.choose(service, step, avoid, now, wish);
     return elsewhere ? elsewhere : m_workers.choose(service, step, full, now, wish);
 }
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -76,6 +76,7 @@
         known->second.owner = owner;
         known->second.traits = order.traits;
         known->second.tellsStart = order.tellsStart;
+        known->second.startBy = now + m_settings.startWithin;
         return answer(order_outcome::Accepted);
     }
     // An order of an earlier epoch comes from an owner that was away: its task runs elsewhere by
@@ -109,6 +110,7 @@
     entry.payload = order.payload;
     entry.checkpoint = order.checkpoint;
     entry.tellsStart = order.tellsStart;
+    entry.startBy = now + m_settings.startWithin;
     return answer(order_outcome::Accepted);
 }
 
@@ -153,7 +155,7 @@
     if (known == m_runs.end())
         return;
     known->second.startUntilMs = std::max(known->second.startUntilMs, deadlineMs);
-    ++known->second.startCalls;
+    ++known->second.openCalls;
 }
 
 void run_table::startAnswered(const task_id &task, int run, start_answer answer, time_point now)
@@ -164,13 +166,15 @@
     auto &entry = known->second;
     if (answer == start_answer::Started)
         entry.phase = run_phase::Running;
-    if (answer == start_answer::Refused && entry.startCalls <= 1) {
-        neverStarted(known->first, entry);
-    }
-    // An earlier call without an answer may have started it, or may still. Only the worker's own
+    if (answer == start_answer::Refused || answer == start_answer::Unhealthy)
+        --entry.openCalls;
+    // Another call without an answer may have started it, or may still. Only the worker's own
     // list, read after the calls' deadlines, says that it never ran.
-    if (answer == start_answer::Refused)
+    if (answer == start_answer::Refused) {
         entry.repeatAt = Never;
+        if (entry.openCalls == 0)
+            neverStarted(known->first, entry);
+    }
     if (answer == start_answer::Unhealthy)
         entry.repeatAt = now + m_settings.repeatStart;
 }
@@ -216,6 +220,14 @@
     ++m_endsSeen;
 }
 
+// No call may still take effect, or the worker's list will tell what became of the last.
+void run_table::giveUpStart(const run_key &key, run_entry &entry)
+{
+    entry.repeatAt = Never;
+    if (entry.openCalls == 0)
+        neverStarted(key, entry);
+}
+
 void run_table::stopAll(time_point now)
 {
     for (auto &[key, entry] : m_runs)
@@ -228,7 +240,7 @@
 {
     if (entry.phase == run_phase::Ended || entry.phase == run_phase::Stopping)
         return false;
-    if (entry.phase == run_phase::Starting && entry.startCalls == 0) {
+    if (entry.phase == run_phase::Starting && entry.openCalls == 0) {
         neverStarted(key, entry);
         return true;
     }
@@ -283,7 +295,9 @@
         }
         if (entry.repeatAt > now)
             continue;
-        if (entry.phase == run_phase::Starting && mayStart) {
+        if (entry.phase == run_phase::Starting && now >= entry.startBy)
+            giveUpStart(key, entry);
+        else if (entry.phase == run_phase::Starting && mayStart) {
             entry.repeatAt = now + m_settings.repeatStart;
             actions.emplace_back(start_run{key.first, key.second, entry.payload, entry.checkpoint});
         }
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -66,6 +66,9 @@
 {
     milliseconds repeatStart{250}; // a worker answers within a few ms; the same start twice is one
     milliseconds repeatStop{600};
+    // A start that was accepted is called no later: its task may be done by now, and whoever gave
+    // the order be gone. Below the second within which a start after that counts for none.
+    milliseconds startWithin{700};
     // Runs of an agent's earlier life that no entry claims are stopped: entries give their orders
     // again as soon as they hear of the new life, and take jobs over within about two seconds.
     milliseconds claimWithin{8000};
@@ -134,7 +137,8 @@
         run_phase phase = run_phase::Starting;
         std::int64_t measured = 0;     // as listed
         std::int64_t startUntilMs = 0; // worker's clock: no start call takes effect later
-        int startCalls = 0;
+        int openCalls = 0;             // start calls that may take effect, or have
+        time_point startBy{};          // no start is called later
         time_point repeatAt{};
         time_point claimUntil{};
         run_end end;
@@ -147,6 +151,7 @@
     // False: it is stopped already.
     bool stopEntry(const run_key &key, run_entry &entry, time_point now);
     void neverStarted(const run_key &key, run_entry &entry);
+    void giveUpStart(const run_key &key, run_entry &entry);
     void refuse(const run_key &key, time_point now);
     bool refused(const run_key &key) const;
     bool hasNewerRun(const run_key &key) const; // of the same task
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -384,6 +384,23 @@
     });
 }
 
+// A worker that turns starts away has the most room of all: what it did not start goes elsewhere.
+Test(job_book, a_run_that_never_started_goes_elsewhere)
+{
+    scene on;
+    on.submit();
+    on.written();
+    const auto first = on.orders[0];
+    on.accept(first);
+    on.end(first, end_kind::NeverStarted);
+    on.written();
+    const auto again = on.orders.back();
+    check(again.order.task == first.order.task);
+    check(again.order.run == 2);
+    check(again.worker != first.worker);
+    check(on.book.record("j")->find(first.order.task)->failures == 0);
+}
+
 // Its agent tells the end again when the acknowledgement was lost: refused for good, it and all
 // later ends of that worker would never be forgotten.
 Test(job_book, an_end_told_again_to_the_next_owner)
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -166,6 +166,67 @@
             [&] { check(on.give(scene::order(1, 1)) == order_outcome::Accepted); });
 }
 
+// A task starts seconds after it was done: its worker turned the start away for a while, and
+// whoever gave the order and could have stopped it was gone.
+Test(run_table, a_start_that_its_worker_turns_away)
+{
+    const auto turnedAway = [](scene &on) {
+        on.table.startCalled(scene::order(0).task, 1, 5000);
+        on.table.startAnswered(scene::order(0).task, 1, start_answer::Unhealthy, on.now);
+    };
+    // Calls until `span` is over; how many.
+    const auto callsFor = [&](scene &on, milliseconds span) {
+        int calls = 0;
+        for (const auto until = on.now + span; on.now < until; on.now += milliseconds(50)) {
+            for (const auto &action : on.table.due(on.now, true)) {
+                check(std::holds_alternative<start_run>(action));
+                turnedAway(on);
+                ++calls;
+            }
+        }
+        return calls;
+    };
+    section("is called again for less than a second, and told as never started", [&] {
+        scene on;
+        on.give(scene::order(0));
+        check(callsFor(on, milliseconds(750)) == 3);
+        check(callsFor(on, milliseconds(60'000)) == 0);
+        const auto ends = on.table.endsFor("entry-a");
+        require(ends.size() == 1);
+        check(ends[0].how == end_kind::NeverStarted);
+        check(on.table.used() == task_size());
+    });
+    section("for longer by the word of its owner", [&] {
+        scene on;
+        on.give(scene::order(0));
+        callsFor(on, milliseconds(500));
+        on.give(scene::order(0));
+        check(callsFor(on, milliseconds(60'000)) == 3);
+    });
+    section("one of whose calls has no answer is told once the list was read after it", [&] {
+        scene on;
+        on.give(scene::order(0));
+        check(on.table.due(on.now, true).size() == 1);
+        on.table.startCalled(scene::order(0).task, 1, 2500);
+        on.now += milliseconds(701);
+        check(on.table.due(on.now, true).empty());
+        on.table.startAnswered(scene::order(0).task, 1, start_answer::Unanswered, on.now);
+        on.now += milliseconds(60'000);
+        check(on.table.due(on.now, true).empty());
+        check(on.table.endsFor("entry-a").empty());
+        on.table.look(scene::listing({}, 2501), on.now);
+        check(on.table.endsFor("entry-a").size() == 1);
+    });
+    section("one that may not be called for want of a lease is given up like it", [&] {
+        scene on;
+        on.give(scene::order(0));
+        check(on.table.due(on.now, false).empty());
+        on.now += milliseconds(701);
+        check(on.table.due(on.now, true).empty());
+        check(on.table.endsFor("entry-a").size() == 1);
+    });
+}
+
 // The answer to a start is lost. The run may begin up to the call's own deadline on the worker's
 // clock; until then it counts as there, and the owner must not place the task elsewhere.
 Test(run_table, unanswered_start)
