Runs whose task is done stay in the row until they have ended

What callers saw: a task started, or ran on, after it was done. Cause: with the end of one run the others of its task were taken off the row, and their stops lived in the memory of the owner alone. Killed, cut off, frozen or gone as planned before a stop arrived, it left nobody who knew of them; a job that was completed had no owner at all. Why it works: they are treated as runs of a cancelled job are: placed until their end, their refusal or their worker's next epoch is in the row; an heir stops them, also where the job is over.

--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -182,14 +182,10 @@
     job.storedState = record.state();
     m_touched.insert(id);
     m_waiting.insert(id);
-    const bool over = record.cancelled || record.failed;
-    eachTask(id, job, [&](const task_id &task, task_state &state) {
-        for (const auto &where : state.placements) {
-            if (over)
-                job.stops[{task, where.run}] = {where.worker, job.revision, false, {}};
-            else
-                job.starts[{task, where.run}] = {where.worker, job.revision, false, {}};
-        }
+    eachTask(id, job, [&](const task_id &task, const task_state &state) {
+        auto &orders = record.isNeeded(state) ? job.starts : job.stops;
+        for (const auto &where : state.placements)
+            orders[{task, where.run}] = {where.worker, job.revision, false, {}};
     });
     m_ordering.insert(id);
     note("job_adopted", id, "owner was " + record.owner.entry);
@@ -217,7 +213,7 @@
     if (task != nullptr && !task->done && end.run > task->lastRun)
         return false;
     if (task != nullptr && isPlacedOn(*task, worker, end.run))
-        endPlacedRun(id, job, worker, end, now);
+        task->done ? endNeedlessRun(id, job, worker, end) : endPlacedRun(id, job, worker, end, now);
     else if (task != nullptr && !task->done && !isFinal(job.record.state()))
         endUnheardRun(id, job, worker, end, now);
     job.waiting.push_back({token, job.revision});
@@ -258,6 +254,17 @@
         note("job_ended", id, std::string(nameOf(job.record.state())));
 }
 
+// Its task was done by another run, and whatever became of this one changes nothing.
+void job_book::endNeedlessRun(const std::string &id, owned_job &job, const std::string &worker,
+                              const run_end &end)
+{
+    removePlacement(job, end.task, end.run);
+    job.startedAt.erase({end.task, end.run});
+    changed(id, job);
+    note("needless_run_ended", id,
+         fmt::format("{}: {}", describe(end.task, end.run, worker), nameOf(end.how)));
+}
+
 // The end of a run whose placement is gone. Acknowledged, its worker forgets it: what it says has
 // to be in the row by then, or a task that is done runs again.
 void job_book::endUnheardRun(const std::string &id, owned_job &job, const std::string &worker,
@@ -313,24 +320,22 @@
     for (int index = first; index <= last; ++index) {
         auto &member = inStep[static_cast<std::size_t>(index)];
         member.done = true;
-        const task_id name{id, task.occurrence, task.step, index};
-        stopCopies(job, name, member, run);
-        member.placements.clear();
         member.unheard.clear();
+        const task_id name{id, task.occurrence, task.step, index};
+        // Members of a gang end together, those of the same run by themselves.
+        removePlacement(job, name, run);
+        stopNeedless(job, name, member);
     }
     m_ordering.insert(id);
 }
 
-// Copies that lost the race are told to stop; nobody waits for them any more. Members of a gang end
-// together, those of the same run by themselves.
-void job_book::stopCopies(owned_job &job, const task_id &task, const task_state &state,
-                          int endedRun)
+// Other runs of a task that is done stay placed until they have ended. Known to this owner's memory
+// alone, one that was accepted and has not begun would start once the owner is gone.
+void job_book::stopNeedless(owned_job &job, const task_id &task, const task_state &state)
 {
-    for (const auto &copy : state.placements) {
-        if (copy.run == endedRun)
-            continue;
-        job.starts.erase({task, copy.run});
-        job.stops[{task, copy.run}] = {copy.worker, job.revision, false, {}};
+    for (const auto &where : state.placements) {
+        job.starts.erase({task, where.run});
+        job.stops[{task, where.run}] = {where.worker, job.revision, false, {}};
     }
 }
 
@@ -464,7 +469,6 @@
 bool job_book::renewIn(const std::string &id, owned_job &job, const std::string &worker,
                        std::int64_t epoch, time_point now)
 {
-    const bool over = job.record.cancelled || job.record.failed;
     bool ended = false;
     eachTask(id, job, [&](const task_id &task, task_state &state) {
         std::erase_if(state.placements, [&](const placement &where) {
@@ -472,7 +476,7 @@
                 return false;
             const std::pair key{task, where.run};
             if (where.epoch >= epoch) {
-                auto &orders = over ? job.stops : job.starts;
+                auto &orders = job.record.isNeeded(state) ? job.starts : job.stops;
                 orders[key] = {worker, job.revision, false, now};
                 return false;
             }
@@ -480,7 +484,8 @@
             job.starts.erase(key);
             job.stops.erase(key);
             job.startedAt.erase(key);
-            noteUnheard(state, where.run);
+            if (!state.done)
+                noteUnheard(state, where.run);
             return true;
         });
     });
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -179,6 +179,8 @@
     void takeCancel(const std::string &id, owned_job &job, const job_record &row);
     void endPlacedRun(const std::string &id, owned_job &job, const std::string &worker,
                       const run_end &end, time_point now);
+    void endNeedlessRun(const std::string &id, owned_job &job, const std::string &worker,
+                        const run_end &end);
     void endUnheardRun(const std::string &id, owned_job &job, const std::string &worker,
                        const run_end &end, time_point now);
     static std::optional<milliseconds> takeRunTime(owned_job &job, const run_end &end,
@@ -186,8 +188,7 @@
     static double slownessOf(const std::optional<milliseconds> &ran, const step_spec &step);
     void finishTask(const std::string &id, owned_job &job, const task_id &task, int run,
                     const step_spec &step);
-    static void stopCopies(owned_job &job, const task_id &task, const task_state &state,
-                           int endedRun);
+    static void stopNeedless(owned_job &job, const task_id &task, const task_state &state);
     void countFailure(const std::string &id, owned_job &job, const std::string &worker,
                       const run_end &end, const step_spec &step,
                       const std::optional<milliseconds> &ran);
--- a/libs/jobs/model.cpp
+++ b/libs/jobs/model.cpp
@@ -169,6 +169,11 @@
     return false;
 }
 
+bool job_record::isNeeded(const task_state &task) const
+{
+    return !cancelled && !failed && !task.done;
+}
+
 bool job_record::needsOwner() const
 {
     if (!isFinal(state()))
--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -93,7 +93,8 @@
     int lastRun = 0;  // the newest run number given
     int failures = 0; // runs that ended through a fault
     std::string checkpoint;
-    std::vector<placement> placements; // more than one: copies
+    std::vector<placement>
+            placements; // more than one: copies; of a task that is done: to be stopped
     // Runs that were over with their worker's epoch, and whose own end was never told: the end may
     // still come, and each counts once.
     std::vector<int> unheard = {};
@@ -136,7 +137,8 @@
 
     task_state *find(const task_id &task); // null: no such task
     const task_state *find(const task_id &task) const;
-    bool hasEndedRuns() const; // a task has certainly run
+    bool hasEndedRuns() const;                   // a task has certainly run
+    bool isNeeded(const task_state &task) const; // a run of it may start, or go on
     bool stepDone(int occurrence, int step) const;
     bool stepReady(int occurrence, int step) const; // all steps before it are done
     job_state state() const;
--- a/libs/jobs/record.cpp
+++ b/libs/jobs/record.cpp
@@ -118,6 +118,43 @@
     return {large_json::asText(row[0]), large_json::asNumber(row[1]), large_json::asCount(row[2])};
 }
 
+void takeNeedlessRun(const large_json::value &row, job_record &record)
+{
+    constexpr rapidjson::SizeType Members = 7;
+    if (!row.IsArray() || row.Size() != Members)
+        throw error(error_kind::BadRequest, "a job's record: a needless run has seven members");
+    auto *task = record.find({"", large_json::asCount(row[3]), large_json::asCount(row[4]),
+                              large_json::asCount(row[5])});
+    if (task == nullptr || !task->done)
+        throw error(error_kind::BadRequest, "a job's record: a needless run of no task done");
+    task->placements.push_back({large_json::asText(row[0]), large_json::asNumber(row[1]),
+                                large_json::asCount(row[2]), large_json::asNumber(row[6])});
+}
+
+// Runs of tasks that are done, to be stopped. They stand apart: a task that is done is 1 to the
+// release before, too, which leaves these out when it writes the row.
+Json::Value needlessRuns(const std::vector<occurrence_tasks> &tasks)
+{
+    Json::Value rows(Json::arrayValue);
+    for (std::size_t occurrence = 0; occurrence < tasks.size(); ++occurrence) {
+        for (std::size_t step = 0; step < tasks[occurrence].size(); ++step) {
+            const auto &inStep = tasks[occurrence][step];
+            for (std::size_t index = 0; index < inStep.size(); ++index) {
+                for (const auto &where : inStep[index].placements) {
+                    if (!inStep[index].done)
+                        continue;
+                    Json::Value row = toJson(where);
+                    for (const auto member : {occurrence, step, index})
+                        row.append(Json::UInt64(member));
+                    row.append(Json::Int64(where.agentLife));
+                    rows.append(std::move(row));
+                }
+            }
+        }
+    }
+    return rows;
+}
+
 task_state taskFrom(const large_json::value &value)
 {
     using namespace large_json;
@@ -204,6 +241,9 @@
         }
         value["t"].append(std::move(steps));
     }
+    auto needless = needlessRuns(record.tasks);
+    if (!needless.empty())
+        value["x"] = std::move(needless);
     return compactJson(value);
 }
 
@@ -231,6 +271,7 @@
         if (steps.size() != record.steps.size())
             throw error(error_kind::BadRequest, "a job's record whose steps don't agree");
     }
+    forEach(value, "x", [&](const auto &row) { takeNeedlessRun(row, record); });
     return record;
 }
 
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -347,6 +347,99 @@
     });
 }
 
+// A task starts seconds after it was done. A newer run of it was accepted by an agent; the stop of
+// it was known to the memory of one owner, which dies.
+Test(job_book, a_newer_run_of_a_task_that_is_done)
+{
+    // Run 1 is over with its epoch, run 2 is accepted; then run 1 turns out to be done.
+    const auto doneBesideNewerRun = [](scene &on, const job_spec &spec) {
+        on.submit(spec);
+        on.written();
+        const auto first = on.orders[0];
+        on.accept(first);
+        on.book.workerRenewed(first.worker, 2, on.now);
+        on.turn();
+        on.written();
+        const auto newer = on.orders.back();
+        require(newer.order.task == first.order.task);
+        require(newer.order.run == 2);
+        on.accept(newer);
+        on.end(first, end_kind::Done, 50);
+        on.written();
+        return newer;
+    };
+    auto single = scene::twoSteps();
+    single.steps.pop_back();
+    single.steps[0].count = 1;
+    const auto stopsOf = [](const scene &on, const give_order &run) {
+        return std::count_if(on.orders.begin(), on.orders.end(), [&](const auto &one) {
+            return one.order.kind == order_kind::Stop && one.order.task == run.order.task
+                   && one.order.run == run.order.run && one.worker == run.worker;
+        });
+    };
+    section("stays in the row, and an heir stops it and starts nothing", [&] {
+        scene on;
+        const auto newer = doneBesideNewerRun(on, scene::twoSteps());
+        const auto row = recordFrom(on.writes.back().content);
+        check(row.find(newer.order.task)->done);
+        scene heir;
+        heir.book.adopt("j", row, 102, "hold seat 7");
+        heir.turn();
+        heir.written();
+        check(stopsOf(heir, newer) == 1);
+        check(heir.startsOf(newer.order.task) == 0);
+    });
+    section("also of a job that is completed: it still needs an owner", [&] {
+        scene on;
+        const auto newer = doneBesideNewerRun(on, single);
+        check(on.book.storedState("j") == job_state::Completed);
+        const auto row = recordFrom(on.writes.back().content);
+        check(row.state() == job_state::Completed);
+        check(row.needsOwner());
+        scene heir;
+        heir.book.adopt("j", row, 102, "hold seat 7");
+        heir.turn();
+        heir.written();
+        check(stopsOf(heir, newer) == 1);
+        section("until it has ended, which changes nothing else", [&] {
+            heir.end(newer, end_kind::Failed, 60);
+            heir.written();
+            const auto last = recordFrom(heir.writes.back().content);
+            check(!last.needsOwner());
+            check(last.state() == job_state::Completed);
+            check(heir.storedTokens == std::vector<std::int64_t>{60});
+        });
+    });
+    section("until it was refused, or its worker has begun an epoch", [&] {
+        scene on;
+        const auto newer = doneBesideNewerRun(on, single);
+        on.book.orderAnswered(newer.worker,
+                              {newer.order.task, 2, order_outcome::Superseded, order_kind::Stop},
+                              on.now);
+        on.turn();
+        check(!recordFrom(on.writes.back().content).needsOwner());
+        scene other;
+        const auto lost = doneBesideNewerRun(other, single);
+        other.book.workerRenewed(lost.worker, 3, other.now);
+        other.turn();
+        check(!recordFrom(other.writes.back().content).needsOwner());
+    });
+    section("is given its stop again by an owner whose agent lives anew", [&] {
+        scene on;
+        const auto newer = doneBesideNewerRun(on, single);
+        on.orders.clear();
+        on.book.workerRenewed(newer.worker, newer.order.epoch, on.now);
+        on.turn();
+        check(stopsOf(on, newer) == 1);
+        check(on.startsOf(newer.order.task) == 0);
+    });
+    section("the row tells the release before no more than that the task is done", [&] {
+        scene on;
+        doneBesideNewerRun(on, single);
+        check(on.writes.back().content.find(R"("t":[[[1]]])") != std::string::npos);
+    });
+}
+
 // A task runs twice at once: an order to an agent that has been replaced meanwhile.
 Test(job_book, a_start_names_the_life_of_the_agent_it_was_placed_on)
 {
