--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -183,6 +183,8 @@
                         const run_end &end);
     void endUnheardRun(const std::string &id, owned_job &job, const std::string &worker,
                        const run_end &end, time_point now);
+    void applyEnd(const std::string &id, owned_job &job, const std::string &worker,
+                  const run_end &end, const std::optional<milliseconds> &ran);
     static std::optional<milliseconds> takeRunTime(owned_job &job, const run_end &end,
                                                    time_point now);
     static double slownessOf(const std::optional<milliseconds> &ran, const step_spec &step);
