A run that was refused and is listed as running is stopped

It was passed over without a word: it would have run on in nobody's books. By reading; run_table_test a_run_that_was_refused_and_is_listed fails without it.

--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -1,6 +1,7 @@
 #include "jobs/run_table.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "jobs/worker_pool.h"
 
@@ -184,8 +185,10 @@
     for (const auto &listed : listing.running) {
         const run_key key{listed.task, listed.run};
         const auto known = m_runs.find(key);
-        if (known == m_runs.end() && refused(key))
-            continue; // read before its end was noted here
+        if (known == m_runs.end() && refused(key)) {
+            m_strays.insert(key);
+            continue;
+        }
         auto &entry = m_runs[key];
         if (known == m_runs.end())
             entry.claimUntil = now + m_settings.claimWithin;
@@ -288,6 +291,10 @@
 std::vector<run_action> run_table::due(time_point now, bool mayStart)
 {
     std::vector<run_action> actions;
+    // Told again as long as they are listed: in the ledger they would count as running for good if
+    // they had ended meanwhile.
+    for (const auto &[task, run] : std::exchange(m_strays, {}))
+        actions.emplace_back(stop_run{task, run});
     for (auto &[key, entry] : m_runs) {
         if (!entry.claimed && entry.phase == run_phase::Running && now >= entry.claimUntil) {
             entry.phase = run_phase::Stopping;
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -171,6 +171,7 @@
     std::int64_t m_life = 0;
     std::map<run_key, run_entry> m_runs;
     std::map<task_id, refusal> m_refused;
+    std::set<run_key> m_strays;                    // listed as running, though refused here
     std::map<std::string, time_point> m_cancelled; // job, and until when it is remembered
     std::int64_t m_highestEnd = 0;
     std::size_t m_endsSeen = 0;
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -393,6 +393,31 @@
     });
 }
 
+// A run that was told as never started runs all the same, in nobody's books, beside the next run.
+Test(run_table, a_run_that_was_refused_and_is_listed)
+{
+    scene on;
+    const auto made = scene::order(0);
+    on.give(scene::stopOf(made));
+    require(on.give(made) == order_outcome::Superseded);
+    on.table.look(scene::listing({made}), on.now);
+    section("is stopped, each time that it is seen", [&] {
+        const auto actions = on.table.due(on.now, true);
+        require(actions.size() == 1);
+        check(std::holds_alternative<stop_run>(actions[0]));
+        check(on.table.due(on.now, true).empty());
+        on.table.look(scene::listing({made}), on.now);
+        check(on.table.due(on.now, true).size() == 1);
+    });
+    section("and its end is told", [&] {
+        run_listing seen;
+        seen.ended.push_back({1, made.task, 1, end_kind::Done, ""});
+        on.table.look(seen, on.now);
+        check(on.table.endsFor("entry-a").size() == 1);
+        check(on.table.due(on.now, true).empty());
+    });
+}
+
 Test(run_table, runs_that_nobody_claims_are_stopped)
 {
     scene on;
