An end that was told to an entry which does not own its job goes to all

What callers saw: a job stands still for good. An owner that was overtaken lives on and gives an order once more before it hears of that. The agent takes it for the owner of that run; the end is told to it alone, it answers without acknowledging, and the heir waits. Why it works: the answer to a report names the ends of others' jobs, and the agent tells these to all.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -576,7 +576,7 @@
         link.toldEpoch = std::max(link.toldEpoch, epoch);
         m_table.startsTold(started);
         try {
-            takeAnswer(reportAnswerFrom(answer->body));
+            takeAnswer(entry, reportAnswerFrom(answer->body));
         } catch (const error &problem) {
             m_log.note("answer_unreadable", {{"entry", entry}, {"why", problem.what()}});
         }
@@ -584,13 +584,15 @@
             report(entry, link);
     }
 
-    void takeAnswer(report_answer answer)
+    void takeAnswer(const std::string &entry, report_answer answer)
     {
         const auto now = suspendAwareNow();
         for (const auto &end : answer.acknowledged) {
             if (m_table.acknowledged(end, now))
                 m_pacer.forget(end.task, end.run);
         }
+        for (const auto &end : answer.notOwned)
+            m_table.notOwned(end, entry);
         if (!answer.presses.empty())
             m_pacer.setPresses(std::move(answer.presses));
     }
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -511,8 +511,9 @@
                  const std::shared_ptr<open_report> &state)
     {
         const auto token = m_waits.add([state, end](bool isStored) {
-            if (isStored)
-                state->answer.acknowledged.push_back({end.task, end.run, end.how});
+            auto &answer = state->answer;
+            auto &ends = isStored ? answer.acknowledged : answer.notOwned;
+            ends.push_back({end.task, end.run, end.how});
             if (--state->open == 0)
                 answerReport(*state);
         });
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -143,6 +143,31 @@
     return value;
 }
 
+Json::Value toJson(const std::vector<acknowledged_end> &ends)
+{
+    Json::Value rows(Json::arrayValue);
+    for (const auto &end : ends) {
+        Json::Value row(Json::objectValue);
+        row["task"] = toText(end.task);
+        row["run"] = end.run;
+        row["how"] = std::string(nameOf(end.how));
+        rows.append(std::move(row));
+    }
+    return rows;
+}
+
+std::vector<acknowledged_end> answeredEndsFrom(const Json::Value &rows)
+{
+    std::vector<acknowledged_end> ends;
+    for (const auto &row : rows) {
+        const auto how = endKindNamed(stringMember(row, "how"));
+        if (!how)
+            throw error(error_kind::BadRequest, "an answered end of an unknown kind");
+        ends.push_back({taskMember(row), smallIntegerMember(row, "run"), *how});
+    }
+    return ends;
+}
+
 Json::Value toJson(const disturbance_sample &sample)
 {
     Json::Value value(Json::objectValue);
@@ -182,14 +207,9 @@
 std::string toText(const report_answer &answer)
 {
     Json::Value value(Json::objectValue);
-    value["acknowledged"] = Json::Value(Json::arrayValue);
-    for (const auto &end : answer.acknowledged) {
-        Json::Value row(Json::objectValue);
-        row["task"] = toText(end.task);
-        row["run"] = end.run;
-        row["how"] = std::string(nameOf(end.how));
-        value["acknowledged"].append(std::move(row));
-    }
+    value["acknowledged"] = toJson(answer.acknowledged);
+    if (!answer.notOwned.empty())
+        value["not_owned"] = toJson(answer.notOwned);
     value["presses"] = Json::Value(Json::objectValue);
     for (const auto &[serving, row] : answer.presses) {
         value["presses"][serving]["floor_ms"] = row.floorMs;
@@ -204,12 +224,10 @@
 {
     const auto value = parseJsonObject(text);
     report_answer answer;
-    for (const auto &row : arrayMember(value, "acknowledged")) {
-        const auto how = endKindNamed(stringMember(row, "how"));
-        if (!how)
-            throw error(error_kind::BadRequest, "an acknowledged end of an unknown kind");
-        answer.acknowledged.push_back({taskMember(row), smallIntegerMember(row, "run"), *how});
-    }
+    answer.acknowledged = answeredEndsFrom(arrayMember(value, "acknowledged"));
+    // Entries of the release before don't tell it.
+    if (value.isMember("not_owned"))
+        answer.notOwned = answeredEndsFrom(arrayMember(value, "not_owned"));
     const auto &presses = objectMember(value, "presses");
     for (const auto &serving : presses.getMemberNames()) {
         const auto &row = objectMember(presses, serving.c_str());
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -132,7 +132,7 @@
     std::vector<started_run> started; // repeated until the report is answered
 };
 
-// An end that is in the store. It is named in full: a run that was taken for never started may
+// An end that an entry answers for. It is named in full: a run that was taken for never started may
 // turn out to have ended otherwise, and that end is another one.
 struct acknowledged_end
 {
@@ -145,6 +145,7 @@
 struct report_answer
 {
     std::vector<acknowledged_end> acknowledged;
+    std::vector<acknowledged_end> notOwned; // the job belongs to another entry
     press_table presses; // as learned from all workers; empty: not asked for, or nothing learned
 };
 
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -288,6 +288,13 @@
     return true;
 }
 
+void run_table::notOwned(const acknowledged_end &end, const std::string &owner)
+{
+    const auto known = m_runs.find({end.task, end.run});
+    if (known != m_runs.end() && known->second.owner == owner)
+        known->second.owner.clear();
+}
+
 std::vector<run_action> run_table::due(time_point now, bool mayStart)
 {
     std::vector<run_action> actions;
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -99,6 +99,9 @@
     // The end is in the platform's store. False: not the one that is told for this run now.
     bool acknowledged(const acknowledged_end &end, time_point now);
 
+    // `owner` was told the end, and says that the job is another entry's: all are told.
+    void notOwned(const acknowledged_end &end, const std::string &owner);
+
     // What is due: starts and stops that have no answer, unclaimed runs. Without a lease nothing
     // is started.
     std::vector<run_action> due(time_point now, bool mayStart);
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -418,6 +418,40 @@
     });
 }
 
+// A job stands still for good: its owner was overtaken, lives on, and gave an order once more
+// before it had heard of that. The run's end was told to it alone, and its heir waited.
+Test(run_table, an_end_told_to_an_entry_that_does_not_own_its_job)
+{
+    scene on;
+    const auto made = scene::order(0);
+    on.give(made, "heir");
+    on.give(made, "overtaken");
+    run_listing seen;
+    seen.ended.push_back({1, made.task, 1, end_kind::Done, ""});
+    on.table.look(seen, on.now);
+    require(on.table.endsFor("overtaken").size() == 1);
+    require(on.table.endsFor("heir").empty());
+    const acknowledged_end end{made.task, 1, end_kind::Done};
+    section("goes to all once that entry has said so", [&] {
+        on.table.notOwned(end, "overtaken");
+        check(on.table.endsFor("heir").size() == 1);
+        check(on.table.endsFor("overtaken").size() == 1);
+    });
+    section("the word of an entry that has been followed by another changes nothing", [&] {
+        on.give(made, "heir");
+        on.table.notOwned(end, "overtaken");
+        check(on.table.endsFor("overtaken").empty());
+        check(on.table.endsFor("heir").size() == 1);
+    });
+    section("the answer says so on the wire, and says no more than before else", [&] {
+        const auto heard = reportAnswerFrom(toText(report_answer{{}, {end}, {}}));
+        require(heard.notOwned.size() == 1);
+        check(heard.notOwned[0].task == made.task);
+        check(heard.acknowledged.empty());
+        check(toText(report_answer{}).find("not_owned") == std::string::npos);
+    });
+}
+
 Test(run_table, runs_that_nobody_claims_are_stopped)
 {
     scene on;
