The end of a run of a job that is over goes to its owner where it has one

An entry that does not own a job that is over acknowledged all ends of its runs. The owner, which waits for the end of what is being stopped, never heard of it, and the job was never off its books.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -519,9 +519,9 @@
         });
         if (m_book->runEnded(worker, end, suspendAwareNow(), token))
             return;
-        // Not owned here. The end of a job that is over needs no owner any more.
+        // Not owned here. A job that is over may still wait for the end of what is being stopped.
         const auto *known = m_view.find(end.task.job);
-        m_waits.resolve(token, known != nullptr && isFinal(known->state));
+        m_waits.resolve(token, known != nullptr && !known->needsOwner);
     }
 
     static void answerReport(open_report &state)
