A run that is being stopped is not taken for one that never started

What operators saw: more on a worker than it holds; a task that runs twice at once. While a worker stops a run it may be in neither of its lists. Where the start had just been called, its end was told and its room given away. Why it works: once a run was seen to have started, only the list of ends tells what became of it.

--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -9,13 +9,6 @@
 
 namespace {
 
-bool isListed(const run_listing &listing, const task_id &task, int run)
-{
-    return std::any_of(listing.running.begin(), listing.running.end(), [&](const auto &listed) {
-        return listed.task == task && listed.run == run;
-    });
-}
-
 task_size countedSize(const run_traits &traits)
 {
     return jobs::countedSize(traits.size, traits.fills);
@@ -165,8 +158,10 @@
     if (known == m_runs.end() || known->second.phase != run_phase::Starting)
         return;
     auto &entry = known->second;
-    if (answer == start_answer::Started)
+    if (answer == start_answer::Started) {
         entry.phase = run_phase::Running;
+        entry.startUntilMs = 0;
+    }
     if (answer == start_answer::Refused || answer == start_answer::Unhealthy)
         --entry.openCalls;
     // Another call without an answer may have started it, or may still. Only the worker's own
@@ -194,6 +189,7 @@
             entry.claimUntil = now + m_settings.claimWithin;
         if (entry.phase == run_phase::Starting)
             entry.phase = run_phase::Running;
+        entry.startUntilMs = 0; // what comes of it is in the list of ends
         entry.checkpoint = listed.checkpoint;
         entry.measured = listed.measured;
         if (isCancelled(key.first.job))
@@ -205,14 +201,8 @@
     for (auto &[key, entry] : m_runs) {
         const bool unseen = entry.phase == run_phase::Starting
                             || (entry.phase == run_phase::Stopping && entry.startUntilMs > 0);
-        if (!unseen || entry.startUntilMs == 0 || listing.clockMs <= entry.startUntilMs)
-            continue;
-        const bool runs = isListed(listing, key.first, key.second);
-        if (runs) {
-            entry.startUntilMs = 0;
-            continue;
-        }
-        neverStarted(key, entry);
+        if (unseen && entry.startUntilMs > 0 && listing.clockMs > entry.startUntilMs)
+            neverStarted(key, entry);
     }
 }
 
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -452,6 +452,40 @@
     });
 }
 
+// A worker is given more than it holds, and a task runs twice at once: a run that is being stopped
+// is in neither list for a while, and was told as never started where it had just been called.
+Test(run_table, a_run_that_is_being_stopped)
+{
+    scene on;
+    const auto made = scene::order(0);
+    on.give(made);
+    on.table.startCalled(made.task, 1, 2000);
+    const auto stopped = [&] {
+        on.give(scene::stopOf(made));
+        on.table.look(scene::listing({}, 2600), on.now);
+        check(on.table.endsFor("entry-a").empty());
+        check(on.table.used() == (task_size{1000, 1000, 0}));
+    };
+    section("takes its room until its end is listed", [&] {
+        on.table.startAnswered(made.task, 1, start_answer::Started, on.now);
+        stopped();
+    });
+    section("also where the list told that it had started", [&] {
+        scene other;
+        std::swap(on, other);
+        on.give(made);
+        on.table.startCalled(made.task, 1, 2000);
+        on.table.look(scene::listing({made}, 1500), on.now);
+        stopped();
+    });
+    section("and then it is free", [&] {
+        run_listing seen;
+        seen.ended.push_back({1, made.task, 1, end_kind::Stopped, ""});
+        on.table.look(seen, on.now);
+        check(on.table.used() == task_size());
+    });
+}
+
 Test(run_table, runs_that_nobody_claims_are_stopped)
 {
     scene on;
