A gang is stopped where one of its members never starts

The others waited for it until their worker ended them (3 to 4 s), and the gang went back to the worker that had turned it away. job_book_test a_gang_of_which_a_member_never_starts fails without it.

--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -197,6 +197,8 @@
     bool giveDueOrders(const std::string &id, owned_job &job, time_point now);
     run_order startOrder(const owned_job &job, const task_id &task, const placement &where) const;
     void stopAll(const std::string &id, owned_job &job);
+    static void notStarted(owned_job &job, const std::string &worker, const task_id &task, int run);
+    static void stopPlaced(owned_job &job, const task_id &task, const placement &where);
     static void avoid(owned_job &job, const task_id &task, const std::string &worker);
     static void removePlacement(owned_job &job, const task_id &task, int run);
     static bool isPlacedOn(const task_state &task, const std::string &worker, int run);
@@ -209,9 +211,9 @@
                const std::string &worker, int run);
     bool renewIn(const std::string &id, owned_job &job, const std::string &worker,
                  std::int64_t epoch, time_point now);
-    std::optional<std::string> chooseFor(const owned_job &job, const task_id &task,
-                                         const step_spec &step, time_point now,
-                                         const placement_wish &wish) const;
+    static std::optional<std::string> chooseFor(const worker_pool &workers, const owned_job &job,
+                                                const task_id &task, const step_spec &step,
+                                                time_point now, const placement_wish &wish = {});
     void tellUnplaced(const std::string &id, owned_job &job, int occurrence, int stepIndex,
                       int tasks, const placement_wish &wish, time_point now);
     void tellUnderserved(time_point now);
--- a/libs/jobs/job_book_ends.cpp
+++ b/libs/jobs/job_book_ends.cpp
@@ -43,7 +43,7 @@
     if (!end.checkpoint.empty())
         task.checkpoint = end.checkpoint;
     if (end.how == end_kind::NeverStarted)
-        avoid(job, end.task, worker);
+        notStarted(job, worker, end.task, end.run);
     if (end.how != end_kind::Done)
         note("run_ended", id,
              fmt::format("{}: {}", describe(end.task, end.run, worker), nameOf(end.how)));
@@ -137,10 +137,14 @@
 // alone, one that was accepted and has not begun would start once the owner is gone.
 void job_book::stopNeedless(owned_job &job, const task_id &task, const task_state &state)
 {
-    for (const auto &where : state.placements) {
-        job.starts.erase({task, where.run});
-        job.stops[{task, where.run}] = {where.worker, job.revision, false, {}};
-    }
+    for (const auto &where : state.placements)
+        stopPlaced(job, task, where);
+}
+
+void job_book::stopPlaced(owned_job &job, const task_id &task, const placement &where)
+{
+    job.starts.erase({task, where.run});
+    job.stops[{task, where.run}] = {where.worker, job.revision, false, {}};
 }
 
 void job_book::countFailure(const std::string &id, owned_job &job, const std::string &worker,
@@ -162,6 +166,22 @@
     note("job_failed", id, fmt::format("{} failed {} times", toText(end.task), task.failures));
 }
 
+// The run never starts there. The other members of its gang would wait for it in vain.
+void job_book::notStarted(owned_job &job, const std::string &worker, const task_id &task, int run)
+{
+    avoid(job, task, worker);
+    const auto &step = job.record.steps[static_cast<std::size_t>(task.step)];
+    if (!step.gang)
+        return;
+    for (int index = 0; index < step.count; ++index) {
+        const task_id member{task.job, task.occurrence, task.step, index};
+        for (const auto &where : job.record.find(member)->placements) {
+            if (where.run == run)
+                stopPlaced(job, member, where);
+        }
+    }
+}
+
 // For the next runs of the task.
 void job_book::avoid(owned_job &job, const task_id &task, const std::string &worker)
 {
--- a/libs/jobs/job_book_placing.cpp
+++ b/libs/jobs/job_book_placing.cpp
@@ -61,7 +61,7 @@
         if (!state.isWaiting())
             continue;
         wish.together = left--;
-        const auto worker = chooseFor(job, task, step, now, wish);
+        const auto worker = chooseFor(m_workers, job, task, step, now, wish);
         if (!worker) {
             waits = true;
             if (step.mostPerWorker == 0)
@@ -90,7 +90,7 @@
     auto trial = m_workers;
     std::vector<std::string> picks;
     for (int index = 0; index < step.count; ++index) {
-        const auto worker = trial.choose(job.record.policy.service, step, {}, now);
+        const auto worker = chooseFor(trial, job, {id, occurrence, stepIndex, index}, step, now);
         if (!worker)
             return true;
         trial.reserve(*worker, step);
@@ -122,19 +122,19 @@
 }
 
 // A worker for the task: not one where it has just failed, as long as there is another.
-std::optional<std::string> job_book::chooseFor(const owned_job &job, const task_id &task,
-                                               const step_spec &step, time_point now,
-                                               const placement_wish &wish) const
+std::optional<std::string> job_book::chooseFor(const worker_pool &workers, const owned_job &job,
+                                               const task_id &task, const step_spec &step,
+                                               time_point now, const placement_wish &wish)
 {
     const auto &service = job.record.policy.service;
     const auto full = fullOf(job, task, step);
     auto avoid = full;
     const auto avoided = job.avoided.find(task);
     if (avoided == job.avoided.end())
-        return m_workers.choose(service, step, full, now, wish);
+        return workers.choose(service, step, full, now, wish);
     avoid.insert(avoid.end(), avoided->second.begin(), avoided->second.end());
-    const auto elsewhere = m_workers.choose(service, step, avoid, now, wish);
-    return elsewhere ? elsewhere : m_workers.choose(service, step, full, now, wish);
+    const auto elsewhere = workers.choose(service, step, avoid, now, wish);
+    return elsewhere ? elsewhere : workers.choose(service, step, full, now, wish);
 }
 
 // Workers that run as many tasks of the step as they may.
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -494,6 +494,54 @@
     check(on.book.record("j")->find(first.order.task)->failures == 0);
 }
 
+// The others wait for the one that is missing until their worker ends them, and their room with
+// them.
+Test(job_book, a_gang_of_which_a_member_never_starts)
+{
+    auto pair = scene::twoSteps();
+    pair.steps.pop_back();
+    pair.steps[0].gang = true;
+    const auto stopsOf = [](const scene &on, const task_id &task) {
+        return std::count_if(on.orders.begin(), on.orders.end(), [&](const auto &one) {
+            return one.order.kind == order_kind::Stop && one.order.task == task;
+        });
+    };
+    section("given up by its agent: the others are stopped, and it goes elsewhere", [&] {
+        scene on;
+        on.submit(pair);
+        on.written();
+        require(on.orders.size() == 2);
+        const auto first = on.orders[0];
+        const auto second = on.orders[1];
+        on.accept(first);
+        on.accept(second);
+        on.end(first, end_kind::NeverStarted);
+        on.written();
+        check(stopsOf(on, second.order.task) == 1);
+        check(on.startsOf(first.order.task) == 1); // not before the others have ended
+        on.end(second, end_kind::Stopped);
+        on.written();
+        on.written();
+        require(on.startsOf(first.order.task) == 2);
+        const auto again = std::find_if(on.orders.begin(), on.orders.end(), [&](const auto &one) {
+            return one.order.task == first.order.task && one.order.run == 2;
+        });
+        check(again->worker != first.worker);
+    });
+    section("refused: the same", [&] {
+        scene on;
+        on.submit(pair);
+        on.written();
+        const auto first = on.orders[0];
+        const auto second = on.orders[1];
+        on.accept(second);
+        on.book.orderAnswered(first.worker, {first.order.task, 1, order_outcome::NoRoom}, on.now);
+        on.turn();
+        on.written();
+        check(stopsOf(on, second.order.task) == 1);
+    });
+}
+
 // Its agent tells the end again when the acknowledgement was lost: refused for good, it and all
 // later ends of that worker would never be forgotten.
 Test(job_book, an_end_told_again_to_the_next_owner)
