What ended without its worker is told at once

Runs that never started, as the agent gave them up or a stop came first, waited for the regular report, up to a second. The agent counts what it has told in one place now.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -208,14 +208,11 @@
             stayed();
         m_clockMs = seen->listing.clockMs;
         m_clockReadAt = now;
-        const auto endsBefore = m_table.endsSeen();
         m_table.look(seen->listing, now);
-        const bool news = m_table.endsSeen() != endsBefore;
+        const bool news = m_table.endsSeen() != m_endsTold;
         settleEpoch(now);
         act();
         pace(now);
-        if (news)
-            reportAll();
         const bool unacknowledged = !seen->listing.ended.empty();
         if (unacknowledged && !news)
             m_loop.after(LookAgain, [this] { look(); });
@@ -399,7 +396,7 @@
         return toText(answers);
     }
 
-    // Carries out what is due.
+    // Carries out what is due, and tells what has ended without the worker.
     void act()
     {
         const auto now = suspendAwareNow();
@@ -408,6 +405,8 @@
         const bool mayStart = now < lease().until() && m_clockMs > 0 && m_silence.answers(now);
         for (const auto &action : m_table.due(now, mayStart))
             std::visit([this](const auto &one) { carryOut(one); }, action);
+        if (std::exchange(m_endsTold, m_table.endsSeen()) != m_table.endsSeen())
+            reportAll();
     }
 
     void carryOut(const start_run &start)
@@ -442,10 +441,8 @@
                                                {"status", response ? response->status : 0},
                                                {"answer", response ? response->body : "none"}});
         }
-        const auto endsBefore = m_table.endsSeen();
         m_table.startAnswered(task, run, answer, suspendAwareNow());
-        if (m_table.endsSeen() != endsBefore)
-            reportAll();
+        act();
     }
 
     void carryOut(const stop_run &stop)
@@ -753,6 +750,8 @@
     lease_keeper m_keeper;
     worker_silence m_silence{suspendAwareNow()};
 
+    std::size_t m_endsTold = 0; // of those seen by the ledger
+
     std::int64_t m_clockMs = 0; // the worker's clock,
     time_point m_clockReadAt{}; // read then
     time_point m_startFrom{};   // nothing is started before
