A run of an earlier life of the agent is refused once nothing is being stopped

The agent says "not ready" until its worker's time for a stop is over, as before. And an entry passes over reports of a life that was followed by another: what it placed by them was refused again and again. run_table_test an_order_from_before_the_agents_life, worker_pool_test a_report_of_an_agents_earlier_life.

--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -81,18 +81,18 @@
     }
     if (refused(key) || isCancelled(order.task.job) || hasNewerRun(key))
         return answer(order_outcome::Superseded);
-    // An earlier life of this agent may have told that the run never starts, and its task may run
-    // elsewhere by now. That is forgotten here, while an order can be on its way for seconds.
-    if (order.agentLife != 0 && order.agentLife != m_life) {
-        refuse(key, now);
-        return answer(order_outcome::OtherLife);
-    }
     if (m_readiness == start_readiness::Closed) {
         refuse(key, now);
         return answer(order_outcome::Draining);
     }
     if (m_readiness == start_readiness::Later || !complete())
         return answer(order_outcome::NotReady);
+    // An earlier life of this agent may have told that the run never starts, and its task may run
+    // elsewhere by now. That is forgotten here, while an order can be on its way for seconds.
+    if (order.agentLife != 0 && order.agentLife != m_life) {
+        refuse(key, now);
+        return answer(order_outcome::OtherLife);
+    }
     if (!hasRoom(order)) {
         refuse(key, now);
         return answer(order_outcome::NoRoom);
@@ -163,7 +163,7 @@
         entry.startUntilMs = 0;
     }
     if (answer == start_answer::Refused || answer == start_answer::Unhealthy)
-        --entry.openCalls;
+        entry.openCalls = std::max(0, entry.openCalls - 1);
     // Another call without an answer may have started it, or may still. Only the worker's own
     // list, read after the calls' deadlines, says that it never ran.
     if (answer == start_answer::Refused) {
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -52,6 +52,9 @@
 bool worker_pool::update(const worker_report &report, time_point now)
 {
     auto &view = m_workers[report.worker];
+    // Held up on its way from a life that was followed by another: what is placed by it is refused.
+    if (report.agentLife != 0 && report.agentLife < view.last.agentLife)
+        return false;
     const bool newLife = view.last.agentLife != report.agentLife || view.last.epoch != report.epoch;
     view.last = report;
     view.last.ends.clear();
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -138,6 +138,14 @@
         check(neverStarts(order_outcome::OtherLife));
         check(on.table.due(on.now, true).empty());
     });
+    section("not told before what the earlier life stopped has ended for certain", [&] {
+        auto other = scene::order(5);
+        other.agentLife = 7;
+        on.table.setWorker({4000, 8000, 0}, start_readiness::Later);
+        check(on.give(other) == order_outcome::NotReady);
+        on.table.setWorker({4000, 8000, 0}, start_readiness::Open);
+        check(on.give(other) == order_outcome::OtherLife);
+    });
     section("nor does an order that names no life start it after that",
             [&] { check(on.give(scene::order(0, 1)) == order_outcome::Superseded); });
     section("one that was placed in this life does",
--- a/tests/worker_pool_test.cpp
+++ b/tests/worker_pool_test.cpp
@@ -74,6 +74,29 @@
 // Users of a service are late wherever one of its tasks has a neighbour that harms it. A service
 // whose tasks are spread over all workers is harmed by everything; gathered on one, what fills goes
 // elsewhere.
+// Each placement by a report of a life that is over is refused: a task would be placed there again
+// and again.
+Test(worker_pool, a_report_of_an_agents_earlier_life)
+{
+    worker_pool workers;
+    const time_point now{std::chrono::hours(1)};
+    worker_report report;
+    report.worker = "w1";
+    report.epoch = 3;
+    report.agentLife = 8;
+    check(workers.update(report, now));
+    auto earlier = report;
+    earlier.agentLife = 7;
+    earlier.accepting = true;
+    check(!workers.update(earlier, now));
+    check(workers.find("w1")->last.agentLife == 8);
+    check(!workers.find("w1")->last.accepting);
+    section("one of an agent that has no fence yet counts", [&] {
+        earlier.agentLife = 0;
+        check(workers.update(earlier, now));
+    });
+}
+
 Test(worker_pool, tasks_that_serve_are_gathered)
 {
     worker_pool pool;
