A start takes effect within 900 ms of its acceptance, or never

The 700 ms bounded the call, and each call had 1.5 s to take effect. The call's own deadline ends 200 ms after the last moment at which it may be made, and a process that was frozen in between looks at that moment again.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -36,6 +36,7 @@
 constexpr milliseconds LookRetry{150};
 constexpr milliseconds LookAgain{40}; // while ends are not acknowledged: a look returns at once
 constexpr milliseconds CallTimeout{1000};
+constexpr milliseconds StartTakes{200}; // a worker starts a task within a few ms
 constexpr milliseconds ReportEvery{1000};
 constexpr milliseconds ReportTimeout{2000}; // an entry answers once the ends are stored
 constexpr milliseconds DueEvery{100};
@@ -415,9 +416,10 @@
         // has run out, while the task runs elsewhere. Frozen after this line, the call's own
         // deadline stops it.
         const auto now = suspendAwareNow();
-        const auto until = std::min<time_point>(lease().until(), now + StartWithin);
-        if (now >= until)
+        if (now >= std::min(lease().until(), start.callBy))
             return;
+        const auto until =
+                std::min({lease().until(), start.callBy + StartTakes, now + StartWithin});
         const auto deadline = workerClockAt(until);
         m_silence.held(until);
         m_table.startCalled(start.task, start.run, deadline);
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -303,7 +303,8 @@
             giveUpStart(key, entry);
         else if (entry.phase == run_phase::Starting && mayStart) {
             entry.repeatAt = now + m_settings.repeatStart;
-            actions.emplace_back(start_run{key.first, key.second, entry.payload, entry.checkpoint});
+            actions.emplace_back(start_run{key.first, key.second, entry.payload, entry.checkpoint,
+                                           entry.startBy});
         }
         if (entry.phase == run_phase::Stopping) {
             entry.repeatAt = now + m_settings.repeatStop;
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -22,6 +22,7 @@
     int run = 0;
     std::string payload;
     std::string checkpoint;
+    time_point callBy{}; // not called later
 };
 
 struct stop_run
