--- a/tests/order_of_events_test.cpp
+++ b/tests/order_of_events_test.cpp
@@ -171,11 +171,10 @@
 } // namespace
 
 // A newer run was accepted and not begun when the older one's `done` came, and whoever was to stop
-// the newer run is lost with what it knew.
+// the newer run is lost with what it knew. The job goes on:
 Test(order_of_events, late_end_and_nothing_is_lost)
 {
-    section("the job goes on", [] { playLateEnd(twoSteps(), {}); });
-    section("the job is over", [] { playLateEnd(oneTask(), {}); });
+    section("the owner stops the newer run", [] { playLateEnd(twoSteps(), {}); });
 }
 
 Test(order_of_events, late_end_and_the_owner_dies)
@@ -200,9 +199,13 @@
 
 Test(order_of_events, late_end_and_the_owner_hands_over)
 {
-    section("as the row says done",
+    section("with all others in touch",
             [] { playLateEnd(twoSteps(), [](late_end &on) { on.model.leave(*on.owner); }); });
-    section("with the stop lost on its way", [] {
+}
+
+Test(order_of_events, late_end_and_the_owner_hands_over_beside_a_lost_stop)
+{
+    section("the heir has to give the stop again", [] {
         playLateEnd(twoSteps(), [](late_end &on) {
             on.model.leave(*on.owner);
             on.model.cutOff(*on.secondAt, milliseconds(900));
@@ -210,29 +213,39 @@
     });
 }
 
+// The same, and the job is over with it: nobody takes it over.
+Test(order_of_events, late_end_of_a_job_that_is_over)
+{
+    section("the owner stops the newer run", [] { playLateEnd(oneTask(), {}); });
+}
+
 Test(order_of_events, late_end_of_a_job_that_is_over_and_its_owner_dies)
 {
-    section("nobody owns it",
+    section("as the row says done",
             [] { playLateEnd(oneTask(), [](late_end &on) { on.model.kill(*on.owner); }); });
 }
 
 Test(order_of_events, late_end_of_a_job_that_is_over_and_its_owner_is_cut_off)
 {
-    section("nobody else owns it",
+    section("as the row says done",
             [] { playLateEnd(oneTask(), [](late_end &on) { on.model.cutOff(*on.owner, Away); }); });
 }
 
 Test(order_of_events, late_end_of_a_job_that_is_over_and_its_owner_is_frozen)
 {
-    section("nobody else owns it",
+    section("as the row says done",
             [] { playLateEnd(oneTask(), [](late_end &on) { on.model.freeze(*on.owner, Away); }); });
 }
 
 Test(order_of_events, late_end_of_a_job_that_is_over_and_its_owner_leaves)
 {
-    section("at once",
+    section("with all others in touch",
             [] { playLateEnd(oneTask(), [](late_end &on) { on.model.leave(*on.owner); }); });
-    section("with the stop lost on its way", [] {
+}
+
+Test(order_of_events, late_end_of_a_job_that_is_over_and_its_owner_leaves_beside_a_lost_stop)
+{
+    section("nobody gives the stop again", [] {
         playLateEnd(oneTask(), [](late_end &on) {
             on.model.leave(*on.owner);
             on.model.cutOff(*on.secondAt, milliseconds(900));
@@ -248,16 +261,16 @@
     });
 }
 
-Test(order_of_events, late_end_and_the_agent_of_a_job_that_is_over_is_cut_off)
+Test(order_of_events, late_end_of_a_job_that_is_over_and_the_agent_is_cut_off)
 {
     section("from all entries", [] {
         playLateEnd(oneTask(), [](late_end &on) { on.model.cutOff(*on.secondAt, Away); });
     });
 }
 
-Test(order_of_events, late_end_and_the_agent_is_cut_off_from_all)
+Test(order_of_events, late_end_and_the_agent_is_cut_off_from_the_store_as_well)
 {
-    section("and its worker recovers within its lease", [] {
+    section("its worker takes starts again within the lease", [] {
         playLateEnd(twoSteps(), [](late_end &on) { on.model.cutOffFromAll(*on.secondAt, Away); });
     });
 }
@@ -285,25 +298,48 @@
     });
 }
 
-// The stop was carried out by a life of the agent that is over, and the start arrives after it.
-Test(order_of_events, a_start_that_is_held_up_past_the_life_that_stopped_it)
+namespace {
+
+// The stop of run 2 is settled in one life of its agent, and a start of it arrives in the next.
+void playStartAfterStop(bool acceptedBefore)
 {
-    section("its task is done", [] {
-        late_end scene(twoSteps());
-        bool isHeldUp = false;
-        scene.model.holdUpOrder = [&](const give_order &given) -> std::optional<milliseconds> {
-            if (given.order.kind != order_kind::Start || given.order.task != Task
-                || given.order.run != 2 || std::exchange(isHeldUp, true))
-                return std::nullopt;
+    late_end scene(twoSteps());
+    bool isHeldUp = false;
+    scene.model.holdUpOrder = [&](const give_order &given) -> std::optional<milliseconds> {
+        if (given.order.kind != order_kind::Start || given.order.task != Task
+            || given.order.run != 2)
+            return std::nullopt;
+        scene.secondAt = &scene.model.agent(scene.model.indexOf(given.worker));
+        if (!std::exchange(isHeldUp, true))
             return milliseconds(6000);
-        };
-        scene.atDone = [](late_end &on) {
-            on.model.after(milliseconds(300), [&on] { on.model.kill(*on.secondAt); });
-            on.model.after(milliseconds(600), [&on] { on.model.beginAgentLife(*on.secondAt); });
-        };
-        scene.play();
-        check(isHeldUp);
-    });
+        return acceptedBefore ? std::nullopt : std::optional(milliseconds(60'000));
+    };
+    scene.atDone = [](late_end &on) {
+        on.model.after(milliseconds(2000), [&on] { on.model.kill(*on.secondAt); });
+        on.model.after(milliseconds(2300), [&on] { on.model.beginAgentLife(*on.secondAt); });
+    };
+    int arrived = 0;
+    scene.model.onOrderTaken = [&](const give_order &given, const order_answer &answer) {
+        if (scene.isDone && given.order.kind == order_kind::Start && given.order.task == Task)
+            ++arrived;
+        if (answer.outcome == order_outcome::Accepted)
+            scene.accepted(given);
+    };
+    scene.play();
+    check(arrived == 1);
+}
+
+} // namespace
+
+Test(order_of_events, a_start_held_up_past_the_life_that_stopped_it_at_its_worker)
+{
+    section("the worker remembers the stop", [] { playStartAfterStop(true); });
+}
+
+// A run that the agent had not heard of when it was told to stop it: only that life remembers.
+Test(order_of_events, a_start_held_up_past_the_life_that_was_told_to_stop_it)
+{
+    section("the worker was told nothing", [] { playStartAfterStop(false); });
 }
 
 namespace {
@@ -312,14 +348,14 @@
 // placed. The held-up order arrives `arrivesAfter` it was given.
 struct held_up_order
 {
-    explicit held_up_order(int workers)
+    explicit held_up_order(int workers, milliseconds heldUp = milliseconds(4500))
         : model(3, workers, [](const task_id &, int) { return run_plan{milliseconds(8000)}; })
     {
-        model.holdUpOrder = [this](const give_order &given) -> std::optional<milliseconds> {
+        model.holdUpOrder = [this, heldUp](const give_order &given) -> std::optional<milliseconds> {
             if (given.order.run != 1 || std::exchange(isHeldUp, true))
                 return std::nullopt;
             agent = &model.agent(model.indexOf(given.worker));
-            return milliseconds(4500);
+            return heldUp;
         };
         model.onOrderTaken = [this](const give_order &given, const order_answer &answer) {
             if (given.order.run == 1)
@@ -376,7 +412,10 @@
         scene.model.worker(scene.model.indexOf(scene.agent->name)).refuseNext();
         require(scene.model.runUntil([&] { return !scene.answers.empty(); }, milliseconds(3000)));
         require(scene.answers == std::vector{order_outcome::Accepted});
+        scene.loseRoom(); // so that run 2 goes elsewhere
         scene.untilStarted();
+        check(scene.model.worker(scene.model.indexOf(scene.agent->name)).runsOf(Task).empty());
+        scene.regainRoom();
         scene.liveAnew();
         scene.model.run(Watched);
         check(scene.answers.size() == 2);
@@ -397,7 +436,7 @@
     });
 }
 
-// The next life knows the newer run, from its order or from the worker's list.
+// Two runs of a task on one worker: an agent knows the newer run, from its order or from the list.
 Test(order_of_events, an_order_of_an_older_run_where_a_newer_one_is_known)
 {
     section("in the life that refused the older one", [] {
@@ -410,7 +449,11 @@
         check(scene.answers.back() == order_outcome::Superseded);
         checkRules(scene.model);
     });
-    section("in the next life", [] {
+}
+
+Test(order_of_events, an_order_of_an_older_run_where_the_next_life_knows_a_newer_one)
+{
+    section("the newer one runs on that very worker", [] {
         held_up_order scene(1);
         scene.loseRoom();
         scene.model.run(milliseconds(1500));
@@ -425,15 +468,54 @@
 
 Test(order_of_events, an_order_held_up_past_its_epoch)
 {
-    section("its epoch tells it", [] {
-        held_up_order scene(2);
+    section("the epoch that it names tells it, in the next life as well", [] {
+        held_up_order scene(2, milliseconds(10'500));
         scene.model.cutOffFromAll(*scene.agent, milliseconds(7500));
-        scene.model.holdUpOrder = {};
+        require(scene.model.runUntil([&] { return scene.model.rules().starts() == 1; },
+                                     milliseconds(8000)));
+        scene.model.run(milliseconds(2500));
+        scene.liveAnew();
         scene.model.run(Watched);
+        check(scene.answers == std::vector{order_outcome::WrongEpoch});
         checkRules(scene.model);
     });
 }
 
+// An owner that was frozen gives, as it thaws, an order that its heir gave before: refused then,
+// and its task ran elsewhere.
+Test(order_of_events, an_order_of_an_owner_that_thaws)
+{
+    section("after the life of the agent that refused it", [] {
+        order_model model(3, 2, [](const task_id &, int) { return run_plan{milliseconds(600)}; });
+        model.run(Settled);
+        modelled_entry *owner = nullptr;
+        modelled_agent *agent = nullptr;
+        model.onRowStored = [&](modelled_entry &entry, const std::string &,
+                                const job_record &record) {
+            if (std::exchange(owner, &entry) != nullptr)
+                return;
+            agent = &model.agent(model.indexOf(record.find(Task)->placements.front().worker));
+            agent->capacity = {100, 100, 0};
+            model.freeze(entry, milliseconds(7000));
+            model.onRowStored = {};
+        };
+        std::vector<order_outcome> answers; // to orders of run 1
+        model.onOrderTaken = [&](const give_order &given, const order_answer &answer) {
+            if (given.order.run == 1)
+                answers.push_back(answer.outcome);
+        };
+        model.submit(Job, oneTask());
+        require(model.runUntil([&] { return model.rules().isDone(Task); }, milliseconds(5000)));
+        require(answers == std::vector{order_outcome::NoRoom});
+        agent->capacity = {16'000, 64'000, 0};
+        model.kill(*agent);
+        model.after(milliseconds(200), [&] { model.beginAgentLife(*agent); });
+        model.run(Watched);
+        check(answers.size() == 2);
+        checkRules(model);
+    });
+}
+
 // An end told to an owner that another one has overtaken meanwhile.
 Test(order_of_events, an_end_told_late_to_an_owner_that_was_overtaken)
 {
