--- a/tests/order_model.h
+++ b/tests/order_model.h
@@ -16,7 +16,6 @@
 #include <fmt/core.h>
 
 #include "jobs/job_book.h"
-#include "jobs/rows.h"
 #include "jobs/run_table.h"
 #include "modelled_worker.h"
 #include "run_rules.h"
@@ -50,6 +49,14 @@
     return {};
 }
 
+// A row of a job, as committed.
+struct job_row
+{
+    std::int64_t version = 0; // 0: there is none
+    std::string content;
+    std::shared_ptr<const jobs::job_record> record;
+};
+
 struct modelled_entry
 {
     std::string name;
@@ -62,7 +69,7 @@
     std::unique_ptr<jobs::job_book> book;
     std::map<std::int64_t, std::function<void(bool)>> waits;
     std::int64_t nextToken = 1;
-    std::map<std::string, jobs::row> view;
+    std::map<std::string, job_row> view;
     std::map<std::string, time_point> heard; // other entries
 };
 
@@ -93,8 +100,9 @@
 {
 public:
     order_model(int entries, int workers, run_planner planner,
-                passage_source passages = promptPassage)
+                passage_source passages = promptPassage, bool keepsTrace = true)
         : m_passages(std::move(passages))
+        , m_keepsTrace(keepsTrace)
     {
         for (int at = 0; at < workers; ++at) {
             const auto name = fmt::format("w{}", at + 1);
@@ -147,7 +155,7 @@
     {
         if (!std::exchange(entry.lives, false))
             return;
-        say(fmt::format("{} is killed", entry.name));
+        say("{} is killed", entry.name);
     }
 
     void beginEntryLife(modelled_entry &entry)
@@ -160,17 +168,18 @@
                 jobs::owner_id{entry.name, ++entry.incarnation}, *entry.pool);
         entry.waits.clear();
         entry.view = m_rows;
+        std::erase_if(entry.view, [](const auto &one) { return one.second.version == 0; });
         entry.heard.clear();
         for (const auto &other : m_entries)
             entry.heard[other->name] = m_now;
-        say(fmt::format("{} lives, incarnation {}", entry.name, entry.incarnation));
+        say("{} lives, incarnation {}", entry.name, entry.incarnation);
         tick(entry, entry.incarnation);
     }
 
     void cutOff(modelled_entry &entry, milliseconds span)
     {
         entry.cutOffUntil = m_now + span;
-        say(fmt::format("{} is cut off for {} ms", entry.name, span.count()));
+        say("{} is cut off for {} ms", entry.name, span.count());
     }
 
     void freeze(modelled_entry &entry, milliseconds span)
@@ -178,7 +187,7 @@
         if (!entry.lives)
             return;
         entry.frozenUntil = m_now + span;
-        say(fmt::format("{} is frozen for {} ms", entry.name, span.count()));
+        say("{} is frozen for {} ms", entry.name, span.count());
     }
 
     // A planned stop: the others take its jobs over, and it ends once it owns none that isn't over.
@@ -186,7 +195,7 @@
     {
         if (!entry.lives || std::exchange(entry.leaving, true))
             return;
-        say(fmt::format("{} leaves as planned", entry.name));
+        say("{} leaves as planned", entry.name);
         leaveOn(entry, entry.incarnation);
     }
 
@@ -194,7 +203,7 @@
     {
         if (!std::exchange(agent.lives, false))
             return;
-        say(fmt::format("agent of {} is killed", agent.name));
+        say("agent of {} is killed", agent.name);
     }
 
     void beginAgentLife(modelled_agent &agent)
@@ -206,7 +215,7 @@
         agent.fenceSeen = false;
         agent.table = jobs::run_table();
         tellLife(agent);
-        say(fmt::format("agent of {} lives, life {}", agent.name, agent.fence));
+        say("agent of {} lives, life {}", agent.name, agent.fence);
         look(agent, agent.life);
         reportRegularly(agent, agent.life);
     }
@@ -214,33 +223,33 @@
     void cutOff(modelled_agent &agent, milliseconds span)
     {
         agent.cutOffUntil = m_now + span;
-        say(fmt::format("agent of {} is cut off from entries for {} ms", agent.name, span.count()));
+        say("agent of {} is cut off from entries for {} ms", agent.name, span.count());
     }
 
     void cutOffLink(const modelled_agent &agent, const modelled_entry &entry, milliseconds span)
     {
         m_links[{agent.name, entry.name}] = m_now + span;
-        say(fmt::format("agent of {} and {} are cut off from each other for {} ms", agent.name,
-                        entry.name, span.count()));
+        say("agent of {} and {} are cut off from each other for {} ms", agent.name, entry.name,
+            span.count());
     }
 
     void cutOffFromAll(modelled_agent &agent, milliseconds span)
     {
         cutOff(agent, span);
         agent.storeCutOffUntil = m_now + span;
-        say(fmt::format("agent of {} is cut off from the store as well", agent.name));
+        say("agent of {} is cut off from the store as well", agent.name);
     }
 
     void stopStore(milliseconds span)
     {
         m_storeDownUntil = m_now + span;
-        say(fmt::format("the store is down for {} ms", span.count()));
+        say("the store is down for {} ms", span.count());
     }
 
     void turnAway(modelled_worker &worker, milliseconds span)
     {
         worker.turnAwayUntil(m_now + span);
-        say(fmt::format("{} turns starts away for {} ms", worker.name(), span.count()));
+        say("{} turns starts away for {} ms", worker.name(), span.count());
     }
 
     void after(milliseconds span, std::function<void()> happen)
@@ -288,24 +297,19 @@
         }
         return nullptr;
     }
-    std::optional<jobs::job_record> record(const std::string &job) const
-    {
-        const auto found = m_rows.find(job);
-        if (found == m_rows.end())
-            return std::nullopt;
-        return jobs::recordFrom(found->second.value);
-    }
     std::size_t jobsOver() const
     {
-        std::size_t over = 0;
-        for (const auto &[job, row] : m_rows)
-            over += jobs::isFinal(jobs::recordFrom(row.value).state()) ? 1 : 0;
-        return over;
+        return static_cast<std::size_t>(std::count_if(m_rows.begin(), m_rows.end(), [](auto &one) {
+            return one.second.record && jobs::isFinal(one.second.record->state());
+        }));
     }
     const std::vector<std::string> &trace() const { return m_trace; }
-    void say(const std::string &what)
+    template <typename... Words>
+    void say(fmt::format_string<Words...> text, Words &&...words)
     {
-        m_trace.push_back(fmt::format("{:>7} {}", clockOf(m_now) - clockOf(m_begin), what));
+        if (m_keepsTrace)
+            m_trace.push_back(fmt::format("{:>7} {}", clockOf(m_now) - clockOf(m_begin),
+                                          fmt::format(text, std::forward<Words>(words)...)));
     }
 
 private:
@@ -445,9 +449,8 @@
         for (const auto &[job, row] : entry.view) {
             if (entry.book->owns(job))
                 continue;
-            const auto record = jobs::recordFrom(row.value);
-            if (record.needsOwner() && isGone(entry, record.owner))
-                entry.book->adopt(job, record, row.version, "payload");
+            if (row.record->needsOwner() && isGone(entry, row.record->owner))
+                entry.book->adopt(job, *row.record, row.version, "payload");
         }
     }
 
@@ -458,7 +461,7 @@
                 if (entry.book->ownedUnfinished() > 0 && spent < LeavesWithin)
                     return leaveOn(entry, incarnation, spent + Tick);
                 entry.lives = false;
-                say(fmt::format("{} has ended", entry.name));
+                say("{} has ended", entry.name);
             });
         });
     }
@@ -489,7 +492,7 @@
 
     void carryOut(modelled_entry &entry, const jobs::noted &line)
     {
-        say(fmt::format("{} notes {} {} {}", entry.name, line.event, line.job, line.detail));
+        say("{} notes {} {} {}", entry.name, line.event, line.job, line.detail);
     }
 
     static void resolve(modelled_entry &entry, std::int64_t token, bool isStored)
@@ -528,18 +531,19 @@
     {
         commitRow(write.job, write.content);
         const auto tasks = write.content.find("\"t\":");
-        say(fmt::format("row {} by {}: {}", write.job, entry.name,
-                        tasks == std::string::npos ? "" : write.content.substr(tasks)));
+        say("row {} by {}: {}", write.job, entry.name,
+            tasks == std::string::npos ? "" : write.content.substr(tasks));
         if (onRowStored)
-            onRowStored(entry, write.job, jobs::recordFrom(write.content));
+            onRowStored(entry, write.job, *m_rows[write.job].record);
     }
 
     void commitRow(const std::string &job, const std::string &content)
     {
         auto &row = m_rows[job];
-        row.value = content;
+        row.content = content;
+        row.record = std::make_shared<const jobs::job_record>(jobs::recordFrom(content));
         row.version = ++m_version;
-        m_rules.stored(job, jobs::recordFrom(content), m_now);
+        m_rules.stored(job, *row.record, m_now);
         for (auto &entry : m_entries)
             feed(*entry, entry->incarnation, job, row);
     }
@@ -558,14 +562,14 @@
                 else if (row.version == 0)
                     entry.book->rowConflict(write.job, 0, std::nullopt);
                 else
-                    entry.book->rowConflict(write.job, row.version, row.value);
+                    entry.book->rowConflict(write.job, row.version, row.content);
                 pump(entry);
             });
         });
     }
 
     void feed(modelled_entry &entry, std::int64_t incarnation, const std::string &job,
-              const jobs::row &row)
+              const job_row &row)
     {
         after(m_passages(way::Feed).takes, [this, &entry, incarnation, job, row] {
             if (!reachesStore(entry)) {
@@ -577,14 +581,14 @@
         });
     }
 
-    void rowSeen(modelled_entry &entry, const std::string &job, const jobs::row &row)
+    void rowSeen(modelled_entry &entry, const std::string &job, const job_row &row)
     {
         auto &known = entry.view[job];
         if (known.version >= row.version)
             return;
         known = row;
         if (entry.book->owns(job))
-            entry.book->rowSeen(job, jobs::recordFrom(row.value), row.version);
+            entry.book->rowSeen(job, *row.record, row.version);
         pump(entry);
     }
 
@@ -606,7 +610,7 @@
     {
         lease.isOver = true;
         ++lease.epoch;
-        say(fmt::format("{} has epoch {}", worker, lease.epoch));
+        say("{} has epoch {}", worker, lease.epoch);
         for (auto &entry : m_entries)
             tellEpoch(*entry, entry->incarnation, worker, lease.epoch);
     }
@@ -660,10 +664,9 @@
             return;
         agent.table.setWorker(agent.capacity, readinessOf(agent));
         const auto answer = agent.table.take(given.order, entry.name, m_now);
-        say(fmt::format("agent of {} takes {} of {} run {} from {}: {}", agent.name,
-                        given.order.kind == jobs::order_kind::Start ? "start" : "stop",
-                        toText(given.order.task), given.order.run, entry.name,
-                        nameOf(answer.outcome)));
+        say("agent of {} takes {} of {} run {} from {}: {}", agent.name,
+            given.order.kind == jobs::order_kind::Start ? "start" : "stop",
+            toText(given.order.task), given.order.run, entry.name, nameOf(answer.outcome));
         act(agent);
         if (onOrderTaken)
             onOrderTaken(given, answer);
@@ -788,8 +791,8 @@
         bool begun = false;
         const auto answer = worker.start(start, deadline, fence, m_now, begun);
         if (begun) {
-            say(fmt::format("{} STARTS {} run {}{}", agent.name, toText(start.task), start.run,
-                            late ? ", late" : ""));
+            say("{} STARTS {} run {}{}", agent.name, toText(start.task), start.run,
+                late ? ", late" : "");
             m_rules.started(start.task, start.run, m_workers, late, m_now);
         }
         const auto back = m_passages(way::StartAnswer);
@@ -818,7 +821,7 @@
             return;
         after(there.takes, [this, &agent, stop, fence = agent.fence] {
             if (m_workers[indexOf(agent.name)]->stop(stop, fence, m_now))
-                say(fmt::format("{} stops {} run {}", agent.name, toText(stop.task), stop.run));
+                say("{} stops {} run {}", agent.name, toText(stop.task), stop.run);
         });
     }
 
@@ -904,8 +907,7 @@
             return;
         const auto known = entry.view.find(end.task.job);
         resolve(entry, token,
-                known != entry.view.end()
-                        && jobs::isFinal(jobs::recordFrom(known->second.value).state()));
+                known != entry.view.end() && jobs::isFinal(known->second.record->state()));
     }
 
     void acknowledge(modelled_entry &entry, modelled_agent &agent, int life,
@@ -921,6 +923,7 @@
     }
 
     passage_source m_passages;
+    bool m_keepsTrace = true;
     time_point m_begin{std::chrono::hours(1)};
     time_point m_now{m_begin};
     std::priority_queue<event, std::vector<event>, later> m_events;
@@ -928,7 +931,7 @@
     std::vector<std::unique_ptr<modelled_entry>> m_entries;
     std::vector<std::unique_ptr<modelled_agent>> m_agents;
     std::vector<std::unique_ptr<modelled_worker>> m_workers;
-    std::map<std::string, jobs::row> m_rows;
+    std::map<std::string, job_row> m_rows;
     std::map<std::string, modelled_lease> m_leases;
     std::map<std::pair<std::string, std::string>, time_point> m_links; // agent and entry: cut until
     std::int64_t m_version = 0;
--- /dev/null
+++ b/tests/order_search.cpp
@@ -0,0 +1,100 @@
+// Searches seeded orders of events for one that runs a task twice. Exit codes: 0 none breaks the
+// rule, 1 some do, 2 usage.
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <fmt/core.h>
+#include <tclap/CmdLine.h>
+
+#include "order_search.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::tests;
+
+namespace {
+
+constexpr int ExitDone = 0;
+constexpr int ExitFailed = 1;
+constexpr int ExitUsage = 2;
+
+struct seed_range
+{
+    std::uint64_t first = 0;
+    std::uint64_t last = 0;
+};
+
+// "7" or "1-40".
+seed_range rangeFrom(const std::string &text)
+{
+    const auto dash = text.find('-');
+    const auto first = std::stoull(text.substr(0, dash));
+    const auto last = dash == std::string::npos ? first : std::stoull(text.substr(dash + 1));
+    return {first, last};
+}
+
+struct search_sum
+{
+    std::vector<std::uint64_t> broken;
+    std::uint64_t seeds = 0;
+    std::int64_t starts = 0;
+    std::size_t jobsOver = 0;
+};
+
+void printTrace(std::uint64_t seed)
+{
+    const auto again = order_search(seed, true).run();
+    for (const auto &line : again.trace)
+        fmt::print("    {}\n", line);
+}
+
+void searchSeed(std::uint64_t seed, bool printsTrace, search_sum &sum)
+{
+    const auto result = order_search(seed, false).run();
+    ++sum.seeds;
+    sum.starts += result.starts;
+    sum.jobsOver += result.jobsOver;
+    if (printsTrace)
+        printTrace(seed);
+    if (result.broken.empty())
+        return;
+    sum.broken.push_back(seed);
+    for (const auto &rule : result.broken)
+        fmt::print("seed {}: {}\n", seed, rule);
+}
+
+int search(const std::vector<std::string> &ranges, bool printsTrace)
+{
+    search_sum sum;
+    for (const auto &text : ranges) {
+        const auto range = rangeFrom(text);
+        for (auto seed = range.first; seed <= range.last; ++seed)
+            searchSeed(seed, printsTrace, sum);
+    }
+    fmt::print("{} seeds, {} broken, {} starts, {} jobs over\n", sum.seeds, sum.broken.size(),
+               sum.starts, sum.jobsOver);
+    return sum.broken.empty() ? ExitDone : ExitFailed;
+}
+
+} // namespace
+
+int main(int count, char **words)
+{
+    try {
+        TCLAP::CmdLine command("order_search", ' ', "1");
+        command.setExceptionHandling(false);
+        TCLAP::MultiArg<std::string> seeds("", "seeds", "seeds to run", true, "A-B", command);
+        TCLAP::SwitchArg trace("", "trace", "prints what happened in each", command);
+        command.parse(count, words);
+        return search(seeds.getValue(), trace.getValue());
+    } catch (const TCLAP::ExitException &exit) {
+        return exit.getExitStatus() == 0 ? ExitDone : ExitUsage;
+    } catch (const TCLAP::ArgException &problem) {
+        fmt::print(stderr, "{} {}\n", problem.error(), problem.argId());
+        return ExitUsage;
+    } catch (const std::logic_error &problem) {
+        fmt::print(stderr, "not a range of seeds: {}\n", problem.what());
+        return ExitUsage;
+    }
+}
--- /dev/null
+++ b/tests/order_search.h
@@ -0,0 +1,240 @@
+// A seeded order of events on the modelled site: faults, delays and losses are drawn from the seed,
+// and the rule on doubled work is checked at each start.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <fmt/core.h>
+
+#include "base/random.h"
+#include "order_model.h"
+
+namespace zinniabarrow::tests {
+
+enum class fault {
+    None,
+    EntryKilled,
+    EntryCutOff,
+    EntryFrozen,
+    EntryLeaves,
+    AgentKilled,
+    AgentCutOff,
+    AgentCutOffFromAll,
+    StoreStopped,
+    StartsTurnedAway,
+    StartRefused,
+    RoomTaken,
+};
+constexpr std::size_t FaultKinds = 12;
+
+struct search_result
+{
+    std::vector<std::string> broken;
+    std::vector<std::string> trace;
+    int starts = 0;
+    std::size_t jobsOver = 0;
+};
+
+class order_search
+{
+public:
+    order_search(std::uint64_t seed, bool keepsTrace)
+        : m_random(seed)
+        , m_model(
+                  Entries, Workers, [this](const auto &, int) { return drawRun(); },
+                  [this](way what) { return drawPassage(what); }, keepsTrace)
+    {
+        for (auto &weight : m_weights)
+            weight = between(0, 3);
+    }
+
+    search_result run()
+    {
+        for (int job = 0; job < Jobs; ++job)
+            m_model.after(milliseconds(1500 + job * between(100, 500)),
+                          [this, job] { m_model.submit(fmt::format("j{}", job), drawJob()); });
+        drawFaults();
+        for (milliseconds spent{}; spent < Length && m_model.rules().broken().empty();
+             spent += FaultEvery)
+            m_model.run(FaultEvery);
+        return {m_model.rules().broken(), m_model.trace(), m_model.rules().starts(),
+                m_model.jobsOver()};
+    }
+
+private:
+    static constexpr int Entries = 3;
+    static constexpr int Workers = 3;
+    static constexpr int Jobs = 40;
+    static constexpr milliseconds Length{25'000};
+    static constexpr milliseconds FaultEvery{250};
+
+    int between(int lowest, int highest)
+    {
+        return lowest
+               + static_cast<int>(
+                       pickIndex(m_random, static_cast<std::size_t>(highest - lowest + 1)));
+    }
+    bool inPercent(int percent) { return between(1, 100) <= percent; }
+    milliseconds span(int lowest, int highest) { return milliseconds(between(lowest, highest)); }
+
+    run_plan drawRun()
+    {
+        const auto how = inPercent(90) ? jobs::end_kind::Done : jobs::end_kind::Failed;
+        return {span(100, 900), how};
+    }
+
+    static jobs::job_spec drawJob()
+    {
+        jobs::job_spec spec;
+        spec.payload = "payload";
+        jobs::step_spec first;
+        first.count = 3;
+        first.size = {500, 100, 0};
+        first.estimateMs = 600;
+        auto second = first;
+        second.count = 2;
+        second.after = {0};
+        spec.steps = {first, second};
+        return spec;
+    }
+
+    // How often, in per cent, something on its way is lost or slow, and how slow.
+    struct odds
+    {
+        int lost = 0;
+        int slow = 0;
+        int slowest = 0; // ms
+        int heldUp = 0;  // for seconds
+    };
+
+    static odds oddsOf(way what)
+    {
+        switch (what) {
+        case way::Order:
+            return {3, 10, 700, 2};
+        case way::OrderAnswer:
+            return {5, 10, 300, 0};
+        case way::Report:
+            return {3, 10, 800, 0};
+        case way::ReportAnswer:
+            return {3, 10, 300, 0};
+        case way::Start:
+            return {2, 12, 1400, 0};
+        case way::StartAnswer:
+            return {4, 5, 300, 0};
+        case way::Stop:
+            return {3, 10, 300, 0};
+        case way::Look:
+            return {3, 5, 100, 0};
+        case way::Write:
+            return {5, 10, 200, 0};
+        case way::WriteAnswer:
+            return {8, 10, 100, 0};
+        case way::Feed:
+            return {0, 50, 60, 0};
+        }
+        return {};
+    }
+
+    passage drawPassage(way what)
+    {
+        const auto chances = oddsOf(what);
+        if (inPercent(chances.lost))
+            return {milliseconds(0), true};
+        if (inPercent(chances.heldUp))
+            return {span(1000, 6000), false};
+        if (inPercent(chances.slow))
+            return {span(10, chances.slowest), false};
+        return {span(1, 4), false};
+    }
+
+    void drawFaults()
+    {
+        m_model.after(FaultEvery, [this] {
+            if (m_model.now() >= m_begin + milliseconds(1000)) {
+                revive();
+                plant(drawFault());
+            }
+            drawFaults();
+        });
+    }
+
+    fault drawFault()
+    {
+        int sum = 0;
+        for (const auto weight : m_weights)
+            sum += weight;
+        auto at = between(0, sum);
+        for (std::size_t which = 0; which < FaultKinds; ++which) {
+            at -= m_weights[which];
+            if (at < 0)
+                return static_cast<fault>(which);
+        }
+        return fault::None;
+    }
+
+    void revive()
+    {
+        for (std::size_t at = 0; at < Entries; ++at) {
+            if (!m_model.entry(at).lives && inPercent(20))
+                m_model.beginEntryLife(m_model.entry(at));
+        }
+        for (std::size_t at = 0; at < Workers; ++at) {
+            if (!m_model.agent(at).lives && inPercent(25))
+                m_model.beginAgentLife(m_model.agent(at));
+        }
+    }
+
+    modelled_entry &anyEntry() { return m_model.entry(pickIndex(m_random, Entries)); }
+    modelled_agent &anyAgent() { return m_model.agent(pickIndex(m_random, Workers)); }
+    modelled_worker &anyWorker() { return m_model.worker(pickIndex(m_random, Workers)); }
+
+    void plant(fault what)
+    {
+        switch (what) {
+        case fault::None:
+            return;
+        case fault::EntryKilled:
+            return m_model.kill(anyEntry());
+        case fault::EntryCutOff:
+            return m_model.cutOff(anyEntry(), span(200, 4000));
+        case fault::EntryFrozen:
+            return m_model.freeze(anyEntry(), span(200, 5000));
+        case fault::EntryLeaves:
+            return m_model.leave(anyEntry());
+        case fault::AgentKilled:
+            return m_model.kill(anyAgent());
+        case fault::AgentCutOff:
+            return m_model.cutOff(anyAgent(), span(200, 4000));
+        case fault::AgentCutOffFromAll:
+            return m_model.cutOffFromAll(anyAgent(), span(4000, 9000));
+        case fault::StoreStopped:
+            return m_model.stopStore(span(100, 4000));
+        case fault::StartsTurnedAway:
+            return m_model.turnAway(anyWorker(), span(200, 4000));
+        case fault::StartRefused:
+            return anyWorker().refuseNext();
+        case fault::RoomTaken:
+            return takeRoom();
+        }
+    }
+
+    void takeRoom()
+    {
+        auto &agent = anyAgent();
+        agent.capacity = {1000, 1000, 0};
+        m_model.after(span(200, 3000), [&agent] { agent.capacity = {16'000, 64'000, 0}; });
+    }
+
+    random_generator m_random;
+    order_model m_model;
+    time_point m_begin{m_model.now()};
+    std::array<int, FaultKinds> m_weights{}; // drawn: each seed has faults of its own
+};
+
+} // namespace zinniabarrow::tests
