--- a/tests/order_of_events_test.cpp
+++ b/tests/order_of_events_test.cpp
@@ -466,6 +466,28 @@
     });
 }
 
+// The other way round: the older run, accepted by a life that doesn't know its refusal, is there
+// when the newer one's order comes.
+Test(order_of_events, an_order_of_a_newer_run_where_an_older_one_is_known)
+{
+    section("both are for the same worker", [] {
+        held_up_order scene(1);
+        const auto passes = scene.model.now() + milliseconds(5000);
+        scene.model.holdUpOrder = [&, first = scene.model.holdUpOrder](const give_order &given) {
+            const bool isLost = given.order.run == 2 && scene.model.now() < passes;
+            return isLost ? std::optional(milliseconds(60'000)) : first(given);
+        };
+        scene.loseRoom();
+        scene.model.run(milliseconds(1500));
+        scene.regainRoom();
+        scene.model.run(milliseconds(800));
+        scene.liveAnew();
+        scene.model.run(Watched);
+        require(scene.answers.size() == 2);
+        checkRules(scene.model);
+    });
+}
+
 Test(order_of_events, an_order_held_up_past_its_epoch)
 {
     section("the epoch that it names tells it, in the next life as well", [] {
@@ -516,6 +538,31 @@
     });
 }
 
+// An owner that was frozen with an order unanswered, and was overtaken, repeats it as it thaws. Its
+// heir's stop reached nobody and was lost with the heir.
+Test(order_of_events, a_start_of_an_overtaken_owner_that_thaws)
+{
+    section("its task is done and its job is over", [] {
+        late_end scene(oneTask());
+        scene.model.holdUpOrder = [&](const give_order &given) -> std::optional<milliseconds> {
+            if (given.order.run == 1 || scene.secondAt != nullptr)
+                return std::nullopt;
+            scene.secondAt = &scene.model.agent(scene.model.indexOf(given.worker));
+            scene.model.kill(*scene.secondAt);
+            // Its next try is due as it thaws, before it has read that it was overtaken.
+            scene.model.after(milliseconds(900), [&] {
+                scene.model.freeze(*scene.model.ownerOf(Job), milliseconds(7000));
+            });
+            return std::nullopt;
+        };
+        scene.atDone = [](late_end &on) {
+            on.model.leave(*on.owner);
+            on.model.after(milliseconds(500), [&on] { on.model.beginAgentLife(*on.secondAt); });
+        };
+        scene.play();
+    });
+}
+
 // An end told to an owner that another one has overtaken meanwhile.
 Test(order_of_events, an_end_told_late_to_an_owner_that_was_overtaken)
 {
