An agent stays for the ends of a worker that is gone

What callers saw: tasks ran again after they were done. A worker left with its last tasks done; their ends were known to its agent alone, which waited for the end of the lease to be in the store but not for these, and ended as planned. Why it works: such ends hold up a planned stop for up to 5 s like the end of an epoch does.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -704,7 +704,8 @@
     bool hasToStay() const
     {
         const bool workerLeaves = m_departing || (m_present && m_told.leaving);
-        return workerLeaves || lease().owesEnd() || entriesWaitForEpoch();
+        return workerLeaves || lease().owesEnd() || entriesWaitForEpoch()
+               || m_table.hasEndsOfTheGone();
     }
 
     bool entriesWaitForEpoch() const
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -66,6 +66,8 @@
         return answer(order_outcome::NotReady);
     const auto known = m_runs.find(key);
     if (known != m_runs.end()) {
+        if (known->second.phase == run_phase::Ended && known->second.owner != owner)
+            ++m_endsSeen; // news to this owner
         known->second.claimed = true;
         known->second.owner = owner;
         known->second.traits = order.traits;
@@ -371,6 +373,15 @@
             }));
 }
 
+bool run_table::hasEndsOfTheGone() const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
+        const auto &run = entry.second;
+        return run.phase == run_phase::Ended && run.end.number == 0
+               && run.end.how != end_kind::NeverStarted;
+    });
+}
+
 std::vector<serving_sample> run_table::servingNow() const
 {
     std::vector<serving_sample> samples;
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -118,6 +118,8 @@
     std::int64_t fillMillicores() const;
     bool complete() const; // every run is claimed, so the worker's room is known
     std::size_t running() const;
+    // Ends of a worker that is gone, not acknowledged: no other process will ever tell them.
+    bool hasEndsOfTheGone() const;
     std::vector<serving_sample> servingNow() const; // as last looked at
     std::vector<filling_run> fillingNow() const;
     // Ends that `owner` (or nobody known) has not acknowledged.
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -305,6 +305,8 @@
     seen.ended.push_back({7, scene::order(1).task, 1, end_kind::Done, ""});
     on.table.look(seen, on.now);
     on.table.clear();
+    section("keep their agent, as nobody else will tell them",
+            [&] { check(on.table.hasEndsOfTheGone()); });
     section("are still told, and what ran is forgotten", [&] {
         require(on.table.endsFor("entry-a").size() == 1);
         check(on.table.endsFor("entry-a")[0].how == end_kind::Done);
@@ -327,6 +329,7 @@
     section("until they are acknowledged", [&] {
         on.table.acknowledged({scene::order(1).task, 1, end_kind::Done}, on.now);
         check(on.table.endsFor("entry-a").empty());
+        check(!on.table.hasEndsOfTheGone());
     });
 }
 
