--- a/tests/order_model.h
+++ b/tests/order_model.h
@@ -686,7 +686,7 @@
     // --- agents
 
     // What a life of an agent is told of itself before it takes anything.
-    static void tellLife(modelled_agent & /*agent*/) { }
+    static void tellLife(modelled_agent &agent) { agent.table.setLife(agent.fence); }
 
     jobs::start_readiness readinessOf(const modelled_agent &agent) const
     {
@@ -702,6 +702,7 @@
         auto &lease = m_leases[agent.name];
         if (agent.leaseEpoch != 0 && agent.leaseEpoch != lease.epoch) {
             ++agent.fence;
+            tellLife(agent);
             agent.fenceSeen = false;
             agent.leaseEpoch = 0;
             agent.table.setEpoch(0);
