A lease that is looked at gives no order again

Cause: an owner that was frozen for over 3 s wakes and has heard of no worker. Its lease watch reads their rows, and for each of them, the epoch unchanged, the book gave the starts of all placements again, before it read that another entry had taken the jobs over. An agent took the entry of the last order for the owner and told it alone how the run ended; it answered and took note of nothing.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -432,7 +432,7 @@
 
     void takeEpoch(const std::string &worker, std::int64_t epoch)
     {
-        m_book->workerRenewed(worker, epoch, suspendAwareNow());
+        m_book->epochSeen(worker, epoch);
         pumpSoon();
     }
 
--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -287,31 +287,31 @@
 
 void job_book::workerRenewed(const std::string &worker, std::int64_t epoch, time_point now)
 {
-    for (auto &entry : m_jobs) {
-        const auto &id = entry.first;
-        m_ordering.insert(id);
-        if (!renewIn(id, entry.second, worker, epoch, now))
+    epochSeen(worker, epoch);
+    for (auto &[id, job] : m_jobs)
+        orderAgain(id, job, worker, now);
+}
+
+void job_book::epochSeen(const std::string &worker, std::int64_t epoch)
+{
+    for (auto &[id, job] : m_jobs) {
+        if (!endEarlierEpochs(id, job, worker, epoch))
             continue;
-        changed(id, entry.second);
+        changed(id, job);
         note("worker_renewed", id, fmt::format("runs on {} before epoch {} ended", worker, epoch));
     }
 }
 
 // True when a placement has ended.
-bool job_book::renewIn(const std::string &id, owned_job &job, const std::string &worker,
-                       std::int64_t epoch, time_point now)
+bool job_book::endEarlierEpochs(const std::string &id, owned_job &job, const std::string &worker,
+                                std::int64_t epoch)
 {
     bool ended = false;
     eachTask(id, job, [&](const task_id &task, task_state &state) {
         std::erase_if(state.placements, [&](const placement &where) {
-            if (where.worker != worker)
+            if (where.worker != worker || where.epoch >= epoch)
                 return false;
             const std::pair key{task, where.run};
-            if (where.epoch >= epoch) {
-                auto &orders = job.record.isNeeded(state) ? job.starts : job.stops;
-                orders[key] = {worker, job.revision, false, now};
-                return false;
-            }
             ended = true;
             job.starts.erase(key);
             job.stops.erase(key);
@@ -324,6 +324,19 @@
     return ended;
 }
 
+void job_book::orderAgain(const std::string &id, owned_job &job, const std::string &worker,
+                          time_point now)
+{
+    eachTask(id, job, [&](const task_id &task, const task_state &state) {
+        auto &orders = job.record.isNeeded(state) ? job.starts : job.stops;
+        for (const auto &where : state.placements) {
+            if (where.worker == worker)
+                orders[{task, where.run}] = {worker, job.revision, false, now};
+        }
+    });
+    m_ordering.insert(id);
+}
+
 std::set<std::string> job_book::busyWorkers() const
 {
     std::set<std::string> workers;
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -113,6 +113,10 @@
     // The agent lives anew, or the worker does: placements of older epochs have ended, orders of
     // the present one are given again.
     void workerRenewed(const std::string &worker, std::int64_t epoch, time_point now);
+    // The worker's lease is known to be of that epoch: placements of older ones have ended. No
+    // order is given again: an owner that was frozen looks at leases before it hears that it was
+    // overtaken.
+    void epochSeen(const std::string &worker, std::int64_t epoch);
     // Workers where owned tasks are placed.
     std::set<std::string> busyWorkers() const;
 
@@ -209,8 +213,10 @@
                    time_point now);
     void place(const std::string &id, owned_job &job, const task_id &task, const step_spec &step,
                const std::string &worker, int run);
-    bool renewIn(const std::string &id, owned_job &job, const std::string &worker,
-                 std::int64_t epoch, time_point now);
+    bool endEarlierEpochs(const std::string &id, owned_job &job, const std::string &worker,
+                          std::int64_t epoch);
+    void orderAgain(const std::string &id, owned_job &job, const std::string &worker,
+                    time_point now);
     static std::optional<std::string> chooseFor(const worker_pool &workers, const owned_job &job,
                                                 const task_id &task, const step_spec &step,
                                                 time_point now, const placement_wish &wish = {});
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -6,6 +6,7 @@
 
 #include "base/errors.h"
 #include "jobs/job_book.h"
+#include "jobs/run_table.h"
 #include "section.h"
 
 using namespace zinniabarrow;
@@ -542,6 +543,27 @@
     });
 }
 
+// An owner that was frozen looks at the leases of workers that it has not heard of, before it reads
+// that its jobs are another entry's: orders that it gave then took their runs from the owner.
+Test(job_book, a_lease_that_is_looked_at_gives_no_order_again)
+{
+    scene on;
+    on.submit();
+    on.written();
+    for (const auto &order : std::vector(on.orders))
+        on.accept(order);
+    on.orders.clear();
+    on.book.epochSeen("w1", 1);
+    on.book.epochSeen("w2", 1);
+    on.turn();
+    check(on.orders.empty());
+    section("a later epoch ends what was placed before it", [&] {
+        on.book.epochSeen("w1", 2);
+        on.turn();
+        check(!on.book.busyWorkers().contains("w1") || on.writes.size() > 1);
+    });
+}
+
 // Its agent tells the end again when the acknowledgement was lost: refused for good, it and all
 // later ends of that worker would never be forgotten.
 Test(job_book, an_end_told_again_to_the_next_owner)
@@ -887,3 +909,69 @@
     cr_expect_throw(handedJobFrom("{}"), error);
     cr_expect_throw(handedJobFrom("nothing"), error);
 }
+
+// A task that lasts stands still for good. Its owner is frozen before it reads the answer
+// to its order; another entry takes the job over and gives the order, too. Awake again, the owner
+// before repeats the order, and only then reads that the job is another one's. The agent takes it
+// for the owner, and tells it alone how the run ended.
+Test(job_book, an_owner_that_was_frozen_orders_again)
+{
+    run_table agent;
+    agent.setWorker({16'000, 64'000, 0}, start_readiness::Open);
+    agent.setEpoch(1);
+    scene frozen;
+    auto spec = scene::twoSteps();
+    spec.steps.resize(1);
+    spec.steps[0].count = 1;
+    spec.steps[0].lasting = true;
+    frozen.submit(spec);
+    frozen.written();
+    require(frozen.orders.size() == 1);
+    const auto order = frozen.orders[0];
+    agent.take(order.order, Self.entry, frozen.now);
+
+    scene heir;
+    job_book heirs{Other, heir.workers};
+    heirs.adopt("j", recordFrom(frozen.writes[0].content), frozen.version, spec.payload);
+    heirs.plan(heir.now, 1000);
+    const auto adopted = std::get<write_row>(heirs.takeActions().back());
+    heirs.rowWritten("j", frozen.version + 1);
+    heirs.plan(heir.now, 1000);
+    const auto again = std::get<give_order>(heirs.takeActions().back());
+    heirs.orderAnswered(order.worker, agent.take(again.order, Other.entry, heir.now), heir.now);
+
+    section("the owner before gives its order once more, and reads the row after that", [&] {
+        frozen.book.orderUnanswered(order.worker, order.order.task, 1, frozen.now);
+        frozen.now += milliseconds(301);
+        frozen.turn();
+        require(frozen.orders.size() == 2);
+        check(agent.take(frozen.orders[1].order, Self.entry, frozen.now).outcome
+              == order_outcome::Accepted);
+        frozen.book.rowSeen("j", recordFrom(adopted.content), frozen.version + 1);
+        check(!frozen.book.owns("j"));
+    });
+    section("the run fails, and the owner before takes no note of it", [&] {
+        run_listing seen;
+        seen.clockMs = 1000;
+        seen.ended = {{1, order.order.task, 1, end_kind::Failed, ""}};
+        agent.look(seen, frozen.now);
+        const auto told = agent.endsFor(Self.entry);
+        require(told.size() == 1);
+        check(!frozen.book.runEnded(order.worker, told[0], frozen.now, 50));
+        check(agent.notOwned({told[0].task, 1, told[0].how}, Self.entry));
+    });
+    section("the owner hears of it with the next report, and the task runs again", [&] {
+        const auto told = agent.endsFor(Other.entry);
+        require(told.size() == 1);
+        check(heirs.runEnded(order.worker, told[0], heir.now, 51));
+        heirs.plan(heir.now, 1000);
+        heirs.takeActions();
+        heirs.rowWritten("j", frozen.version + 2);
+        heirs.plan(heir.now, 1000);
+        const auto actions = heirs.takeActions();
+        check(std::any_of(actions.begin(), actions.end(), [](const auto &action) {
+            const auto *given = std::get_if<give_order>(&action);
+            return given != nullptr && given->order.run == 2;
+        }));
+    });
+}
