Stops that overtake the answer to a start, gangs that obey a stop, names

A run that was stopped before the answer to its start came could still be told as never started while its worker stopped it (run_table_test a_run_that_is_being_stopped, the section on it). Members of a gang that were stopped for another one made their worker avoided and were stopped anew. A start's own 1.5 s are gone: the time up to which it is called bounds it. The table's life of the agent is named so.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -118,7 +118,7 @@
     void epochSettled(const epoch_settled &settled)
     {
         m_table.setEpoch(settled.epoch);
-        m_table.setLife(lease().fence());
+        m_table.setAgentLife(lease().fence());
         const auto now = suspendAwareNow();
         if (settled.begun) {
             m_tellUntil = now + TellWithin;
@@ -397,7 +397,7 @@
         return toText(answers);
     }
 
-    // Carries out what is due, and tells what has ended without the worker.
+    // Carries out what is due, and tells ends that are news.
     void act()
     {
         const auto now = suspendAwareNow();
@@ -418,8 +418,7 @@
         const auto now = suspendAwareNow();
         if (now >= std::min(lease().until(), start.callBy))
             return;
-        const auto until =
-                std::min({lease().until(), start.callBy + StartTakes, now + StartWithin});
+        const auto until = std::min<time_point>(lease().until(), start.callBy + StartTakes);
         const auto deadline = workerClockAt(until);
         m_silence.held(until);
         m_table.startCalled(start.task, start.run, deadline);
@@ -590,8 +589,11 @@
             if (m_table.acknowledged(end, now))
                 m_pacer.forget(end.task, end.run);
         }
+        bool news = false;
         for (const auto &end : answer.notOwned)
-            m_table.notOwned(end, entry);
+            news = m_table.notOwned(end, entry) || news;
+        if (news)
+            reportAll();
         if (!answer.presses.empty())
             m_pacer.setPresses(std::move(answer.presses));
     }
@@ -753,7 +755,7 @@
     lease_keeper m_keeper;
     worker_silence m_silence{suspendAwareNow()};
 
-    std::size_t m_endsTold = 0; // of those seen by the ledger
+    std::size_t m_endsTold = 0; // of `m_table.endsSeen()`
 
     std::int64_t m_clockMs = 0; // the worker's clock,
     time_point m_clockReadAt{}; // read then
--- a/libs/jobs/job_book_ends.cpp
+++ b/libs/jobs/job_book_ends.cpp
@@ -169,17 +169,24 @@
 // The run never starts there. The other members of its gang would wait for it in vain.
 void job_book::notStarted(owned_job &job, const std::string &worker, const task_id &task, int run)
 {
-    avoid(job, task, worker);
     const auto &step = job.record.steps[static_cast<std::size_t>(task.step)];
     if (!step.gang)
-        return;
+        return avoid(job, task, worker);
+    std::vector<std::pair<task_id, placement>> others;
     for (int index = 0; index < step.count; ++index) {
         const task_id member{task.job, task.occurrence, task.step, index};
         for (const auto &where : job.record.find(member)->placements) {
             if (where.run == run)
-                stopPlaced(job, member, where);
+                others.emplace_back(member, where);
         }
     }
+    // With another member gone already this one was stopped for that, through no fault of its
+    // worker.
+    if (static_cast<int>(others.size()) < step.count - 1)
+        return;
+    avoid(job, task, worker);
+    for (const auto &[member, where] : others)
+        stopPlaced(job, member, where);
 }
 
 // For the next runs of the task.
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -36,9 +36,9 @@
     m_epoch = epoch;
 }
 
-void run_table::setLife(std::int64_t life)
+void run_table::setAgentLife(std::int64_t life)
 {
-    m_life = life;
+    m_agentLife = life;
 }
 
 void run_table::clear()
@@ -91,7 +91,7 @@
         return answer(order_outcome::NotReady);
     // An earlier life of this agent may have told that the run never starts, and its task may run
     // elsewhere by now. That is forgotten here, while an order can be on its way for seconds.
-    if (order.agentLife != 0 && order.agentLife != m_life) {
+    if (order.agentLife != 0 && order.agentLife != m_agentLife) {
         refuse(key, now);
         return answer(order_outcome::OtherLife);
     }
@@ -157,13 +157,15 @@
 void run_table::startAnswered(const task_id &task, int run, start_answer answer, time_point now)
 {
     const auto known = m_runs.find({task, run});
-    if (known == m_runs.end() || known->second.phase != run_phase::Starting)
+    if (known == m_runs.end())
         return;
     auto &entry = known->second;
-    if (answer == start_answer::Started) {
+    if (answer == start_answer::Started)
+        entry.startUntilMs = 0; // also of one that is being stopped: its end will be listed
+    if (entry.phase != run_phase::Starting)
+        return;
+    if (answer == start_answer::Started)
         entry.phase = run_phase::Running;
-        entry.startUntilMs = 0;
-    }
     if (answer == start_answer::Refused || answer == start_answer::Unhealthy)
         entry.openCalls = std::max(0, entry.openCalls - 1);
     // Another call without an answer may have started it, or may still. Only the worker's own
@@ -280,18 +282,20 @@
     return true;
 }
 
-void run_table::notOwned(const acknowledged_end &end, const std::string &owner)
+bool run_table::notOwned(const acknowledged_end &end, const std::string &owner)
 {
     const auto known = m_runs.find({end.task, end.run});
-    if (known != m_runs.end() && known->second.owner == owner)
-        known->second.owner.clear();
+    if (known == m_runs.end() || known->second.owner != owner)
+        return false;
+    known->second.owner.clear();
+    return true;
 }
 
 std::vector<run_action> run_table::due(time_point now, bool mayStart)
 {
     std::vector<run_action> actions;
-    // Told again as long as they are listed: in the ledger they would count as running for good if
-    // they had ended meanwhile.
+    // Told again as long as they are listed: with an entry here they would count as running for
+    // good if they had ended meanwhile.
     for (const auto &[task, run] : std::exchange(m_strays, {}))
         actions.emplace_back(stop_run{task, run});
     for (auto &[key, entry] : m_runs) {
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -68,7 +68,7 @@
     milliseconds repeatStart{250}; // a worker answers within a few ms; the same start twice is one
     milliseconds repeatStop{600};
     // A start that was accepted is called no later: its task may be done by now, and whoever gave
-    // the order be gone. Below the second within which a start after that counts for none.
+    // the order be gone. Callers count a start over a second after that as doubled work.
     milliseconds startWithin{700};
     // Runs of an agent's earlier life that no entry claims are stopped: entries give their orders
     // again as soon as they hear of the new life, and take jobs over within about two seconds.
@@ -83,8 +83,8 @@
     explicit run_table(const run_table_settings &settings = {});
 
     void setWorker(const task_size &capacity, start_readiness readiness);
-    void setEpoch(std::int64_t epoch); // 0: none, nothing is started
-    void setLife(std::int64_t life);   // of this agent, as its reports tell it
+    void setEpoch(std::int64_t epoch);    // 0: none, nothing is started
+    void setAgentLife(std::int64_t life); // as reports tell it
     // The worker lives anew, or is gone: nothing of before runs. Ends that were seen and not
     // acknowledged are told on.
     void clear();
@@ -100,8 +100,9 @@
     // The end is in the platform's store. False: not the one that is told for this run now.
     bool acknowledged(const acknowledged_end &end, time_point now);
 
-    // `owner` was told the end, and says that the job is another entry's: all are told.
-    void notOwned(const acknowledged_end &end, const std::string &owner);
+    // `owner` was told the end, and says that the job is another entry's: all are told. False: that
+    // is so already.
+    bool notOwned(const acknowledged_end &end, const std::string &owner);
 
     // What is due: starts and stops that have no answer, unclaimed runs. Without a lease nothing
     // is started.
@@ -119,7 +120,7 @@
     bool complete() const; // every run is claimed, so the worker's room is known
     std::size_t running() const;
     // Ends of a worker that is gone, not acknowledged: no other process will ever tell them.
-    bool hasEndsOfTheGone() const;
+    bool hasEndsOfTheGone() const;                  // `clear` takes their numbers
     std::vector<serving_sample> servingNow() const; // as last looked at
     std::vector<filling_run> fillingNow() const;
     // Ends that `owner` (or nobody known) has not acknowledged.
@@ -174,7 +175,7 @@
     task_size m_capacity;
     start_readiness m_readiness = start_readiness::Later;
     std::int64_t m_epoch = 0;
-    std::int64_t m_life = 0;
+    std::int64_t m_agentLife = 0;
     std::map<run_key, run_entry> m_runs;
     std::map<task_id, refusal> m_refused;
     std::set<run_key> m_strays;                    // listed as running, though refused here
--- a/libs/jobs/worker_silence.h
+++ b/libs/jobs/worker_silence.h
@@ -11,7 +11,6 @@
 
 constexpr milliseconds HoldLength{5000}; // a look is lost now and then, an agent is back within 2 s
 constexpr milliseconds LongestHold{10'000}; // no worker lets runs go on for longer by one call
-constexpr milliseconds StartWithin{1500};   // a start call takes effect within this, or never
 constexpr milliseconds WorkerSilent{1700};  // looks fail: nothing new is started
 
 class worker_silence
--- a/tests/order_model.h
+++ b/tests/order_model.h
@@ -686,7 +686,7 @@
     // --- agents
 
     // What a life of an agent is told of itself before it takes anything.
-    static void tellLife(modelled_agent &agent) { agent.table.setLife(agent.fence); }
+    static void tellLife(modelled_agent &agent) { agent.table.setAgentLife(agent.fence); }
 
     jobs::start_readiness readinessOf(const modelled_agent &agent) const
     {
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -132,7 +132,7 @@
         return made;
     };
     scene on;
-    on.table.setLife(8);
+    on.table.setAgentLife(8);
     section("a run that is not known here never starts", [&] {
         check(on.give(placedIn(7, 1)) == order_outcome::OtherLife);
         check(neverStarts(order_outcome::OtherLife));
@@ -444,13 +444,14 @@
     require(on.table.endsFor("heir").empty());
     const acknowledged_end end{made.task, 1, end_kind::Done};
     section("goes to all once that entry has said so", [&] {
-        on.table.notOwned(end, "overtaken");
+        check(on.table.notOwned(end, "overtaken"));
         check(on.table.endsFor("heir").size() == 1);
         check(on.table.endsFor("overtaken").size() == 1);
+        check(!on.table.notOwned(end, "overtaken"));
     });
     section("the word of an entry that has been followed by another changes nothing", [&] {
         on.give(made, "heir");
-        on.table.notOwned(end, "overtaken");
+        check(!on.table.notOwned(end, "overtaken"));
         check(on.table.endsFor("overtaken").empty());
         check(on.table.endsFor("heir").size() == 1);
     });
@@ -481,6 +482,15 @@
         on.table.startAnswered(made.task, 1, start_answer::Started, on.now);
         stopped();
     });
+    section("also where the stop came before the answer to its start", [&] {
+        scene other;
+        std::swap(on, other);
+        on.give(made);
+        on.table.startCalled(made.task, 1, 2000);
+        on.give(scene::stopOf(made));
+        on.table.startAnswered(made.task, 1, start_answer::Started, on.now);
+        stopped();
+    });
     section("also where the list told that it had started", [&] {
         scene other;
         std::swap(on, other);
