--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -261,7 +261,8 @@
         return;
     removePlacement(job, answer.task, answer.run);
     changed(id, job);
-    if (answer.kind == order_kind::Start && job.record.isNeeded(*task))
+    const auto &step = job.record.steps[static_cast<std::size_t>(answer.task.step)];
+    if (step.gang && answer.kind == order_kind::Start && job.record.isNeeded(*task))
         notStarted(job, worker, answer.task, answer.run);
     note("order_refused", id,
          fmt::format("{}: {}", describe(answer.task, answer.run, worker), nameOf(answer.outcome)));
