--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -203,9 +203,9 @@
     for (const auto &end : listing.ended)
         ended(end, seenUpTo, now);
     for (auto &[key, entry] : m_runs) {
-        const bool unseen = entry.phase == run_phase::Starting
-                            || (entry.phase == run_phase::Stopping && entry.startUntilMs > 0);
-        if (unseen && entry.startUntilMs > 0 && listing.clockMs > entry.startUntilMs)
+        const bool mayStart =
+                entry.phase == run_phase::Starting || entry.phase == run_phase::Stopping;
+        if (mayStart && entry.startUntilMs > 0 && listing.clockMs > entry.startUntilMs)
             neverStarted(key, entry);
     }
 }
