A caller beyond its address's share takes no thread from others

Cause: a connection counted against the server's bound as it was accepted, and its address's share was looked at by the thread that took it. On a busy machine these are behind: 300 opened at once fill a bound of 256 while 32 are held. Change: the thread that accepts looks at the share first, and counts a connection once a thread is taken for it. Ruled out: stalled connections that keep their threads (32 are held at most). lanes_test passes; not touched: how many threads there are.

--- a/libs/runtime/http.cpp
+++ b/libs/runtime/http.cpp
@@ -54,7 +54,7 @@
 }};
 
 // How the thread that runs a connection has to treat it.
-enum class treatment { Serve, Refuse, Drop };
+enum class treatment { Admit, Serve, Refuse, Drop };
 thread_local treatment treatAs = treatment::Serve;
 thread_local connection_stream *servedStream = nullptr;
 
@@ -72,16 +72,28 @@
         , m_refusing(RefusingThreads)
     { }
 
-    void enqueue(std::function<void()> connection) override
+    // On the thread that accepts. Whose connection it is decides first: counted before that, those
+    // beyond their address's share would leave no thread to others until threads had looked at
+    // them.
+    void enqueue(std::function<void()> connection) override { runAs(treatment::Admit, connection); }
+
+    // False: every thread has a connection, and none of them stalls.
+    bool takeThread()
     {
         if (m_busy.load() >= m_bound) {
             if (!m_book.makeRoom(monotonic_clock::now())) {
                 m_noteEvent(connection_event::AllInUse);
-                return refuse(std::move(connection));
+                return false;
             }
             m_noteEvent(connection_event::MadeRoom);
         }
         ++m_busy;
+        return true;
+    }
+
+    // On the thread that was taken for it.
+    void serve(std::function<void()> connection)
+    {
         m_main.enqueue([this, connection = std::move(connection)] {
             connection();
             --m_busy;
@@ -147,16 +159,10 @@
 private:
     bool process_and_close_socket(socket_t socket) override // NOLINT(readability-identifier-naming)
     {
+        if (treatAs == treatment::Admit)
+            return admit(socket);
         if (treatAs == treatment::Serve) {
             connection_stream stream(socket, m_book, m_limits);
-            std::string address;
-            int port = 0;
-            stream.get_remote_ip_and_port(address, port);
-            if (!m_book.open(socket, address, m_limits.perAddress)) {
-                m_noteEvent(connection_event::AddressShare);
-                m_queue->refuse([this, socket] { process_and_close_socket(socket); });
-                return true;
-            }
             serveAll(stream);
             m_book.close(socket);
         } else if (treatAs == treatment::Refuse) {
@@ -168,6 +174,24 @@
         return true;
     }
 
+    bool admit(socket_t socket)
+    {
+        const auto run = [this, socket] { process_and_close_socket(socket); };
+        std::string address;
+        int port = 0;
+        connection_stream(socket, m_book, m_limits).get_remote_ip_and_port(address, port);
+        if (!m_book.hasShare(address, m_limits.perAddress)) {
+            m_noteEvent(connection_event::AddressShare);
+            m_queue->refuse(run);
+        } else if (!m_queue->takeThread()) {
+            m_queue->refuse(run);
+        } else {
+            m_book.open(socket, address);
+            m_queue->serve(run);
+        }
+        return true;
+    }
+
     void serveAll(connection_stream &stream)
     {
         while (serveOne(stream, monotonic_clock::now() + m_limits.keepAlive, false)) { }
--- a/libs/runtime/http_connection.cpp
+++ b/libs/runtime/http_connection.cpp
@@ -46,14 +46,18 @@
 
 } // namespace
 
-bool connection_book::open(socket_t socket, const std::string &address, std::size_t perAddress)
+bool connection_book::hasShare(const std::string &address, std::size_t perAddress)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto counted = m_perAddress.find(address);
+    return perAddress == 0 || counted == m_perAddress.end() || counted->second < perAddress;
+}
+
+void connection_book::open(socket_t socket, const std::string &address)
 {
     const std::lock_guard lock(m_mutex);
-    if (perAddress > 0 && m_perAddress[address] >= perAddress)
-        return false;
     ++m_perAddress[address];
     m_held[socket] = {address, connection_phase::Idle, monotonic_clock::now(), false};
-    return true;
 }
 
 void connection_book::close(socket_t socket)
--- a/libs/runtime/http_connection.h
+++ b/libs/runtime/http_connection.h
@@ -24,12 +24,13 @@
     Writing, // the answer is going out
 };
 
-// All connections that have a thread, by socket.
+// All connections that have a thread, or were given one, by socket.
 class connection_book
 {
 public:
     // False: the caller's address holds `perAddress` connections already; 0 sets no bound.
-    bool open(socket_t socket, const std::string &address, std::size_t perAddress);
+    bool hasShare(const std::string &address, std::size_t perAddress);
+    void open(socket_t socket, const std::string &address);
     void close(socket_t socket); // before the socket is closed: its number is used again
     void enter(socket_t socket, connection_phase phase); // also on progress in the same phase
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -224,6 +224,29 @@
     section("another address", [&] { check(server.answers()); });
 }
 
+// Callers beyond their address's share leave no thread to others until a thread has looked at them.
+Test(http_server, address_share_before_threads)
+{
+    auto limits = fewThreads();
+    limits.connections = 2;
+    limits.perAddress = 1;
+    limits.readWithin = seconds(3600);
+    watched_server server(limits);
+    stalled_callers callers(server.address());
+    for (const auto *address : {"127.0.0.9", "127.0.0.10"}) {
+        require(callers.open(address, ""));
+        require(callers.exchange("GET /seats HTTP/1.1\r\n\r\n", "whole "));
+        require(callers.send("GET /seats HTT"));
+    }
+    section("with all threads in use, one more of the same address is refused for its share", [&] {
+        require(callers.open("127.0.0.9", "GET /seats HTTP/1.1\r\n\r\n"));
+        check(callers.readToEnd().find("503") != std::string::npos);
+        check(server.count(connection_event::AddressShare) == 1);
+        check(server.count(connection_event::AllInUse) == 0);
+        check(server.count(connection_event::MadeRoom) == 0);
+    });
+}
+
 // A caller's connection is closed without an answer. Its request had reached the server before it
 // stopped, and the thread that was to take it was behind.
 Test(http_server, requests_that_came_before_it_stopped)
