A start that its agent puts off for two seconds goes elsewhere

What callers see: a task stands still while other workers have room (LOST for one that lasts). Nothing was done, so the owner gave the order again, to the same agent, until it was taken; the task stayed placed there. Change: put off for 2 s, the run is stopped there, and placed elsewhere once the agent has said that it never starts. It stays placed until then, since a try that had no answer may have arrived. A gang goes with all of its members. New event start_put_off.

--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -246,8 +246,10 @@
     const auto &id = found->first;
     auto &job = found->second;
     const std::pair key{answer.task, answer.run};
-    if (answer.outcome == order_outcome::NotReady)
-        return orderUnanswered(worker, answer.task, answer.run, now);
+    if (answer.outcome == order_outcome::NotReady) {
+        orderUnanswered(worker, answer.task, answer.run, now);
+        return moveIfPutOff(id, job, answer, now);
+    }
     // Each answer settles its own order only. A start's answer that took the stop away, while that
     // waited for the write of the cancel, would leave the run to itself.
     if (answer.kind == order_kind::Stop)
@@ -268,6 +270,23 @@
          fmt::format("{}: {}", describe(answer.task, answer.run, worker), nameOf(answer.outcome)));
 }
 
+// Nobody knows which of the tries has arrived: only an agent that was told to stop the run never
+// starts it, and until it says so the task stays placed there.
+void job_book::moveIfPutOff(const std::string &id, owned_job &job, const order_answer &answer,
+                            time_point now)
+{
+    const auto order = job.starts.find({answer.task, answer.run});
+    if (answer.kind != order_kind::Start || order == job.starts.end()
+        || now < order->second.putOffUntil)
+        return;
+    const auto worker = order->second.worker;
+    note("start_put_off", id, describe(answer.task, answer.run, worker));
+    avoid(job, answer.task, worker);
+    for (const auto &[task, where] : startedWith(job, answer.task, answer.run))
+        stopPlaced(job, task, where);
+    m_ordering.insert(id);
+}
+
 void job_book::orderUnanswered(const std::string &worker, const task_id &task, int run,
                                time_point now)
 {
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -658,6 +658,69 @@
     check(on.orders[0].worker == first.worker);
 }
 
+// A task stands still while another worker has room: the agent that it was placed on puts its start
+// off for seconds, since it knows of runs that nobody claims.
+Test(job_book, a_start_that_is_put_off_goes_elsewhere)
+{
+    auto alone = scene::twoSteps();
+    alone.steps.pop_back();
+    alone.steps[0].count = 1;
+    const auto answerTo = [](scene &on, const give_order &given, order_outcome outcome) {
+        const auto &order = given.order;
+        on.book.orderAnswered(given.worker, {order.task, order.run, outcome, order.kind}, on.now);
+        on.turn();
+    };
+    const auto putOffFor = [&](scene &on, milliseconds span) {
+        for (const auto until = on.now + span; on.now < until;) {
+            answerTo(on, on.orders.back(), order_outcome::NotReady);
+            on.now += milliseconds(400);
+            on.turn();
+        }
+    };
+    section("it is given again for a while", [&] {
+        scene on;
+        on.submit(alone);
+        on.written();
+        putOffFor(on, milliseconds(1600));
+        check(on.orders.size() > 2);
+        check(on.startsOf(on.orders[0].order.task) == on.orders.size());
+    });
+    section("then it is stopped there, and once it never starts, starts elsewhere", [&] {
+        scene on;
+        on.submit(alone);
+        on.written();
+        const auto first = on.orders[0];
+        putOffFor(on, milliseconds(2800));
+        require(on.orders.back().order.kind == order_kind::Stop);
+        check(on.orders.back().worker == first.worker);
+        on.orders.erase(on.orders.begin(), on.orders.end() - 1);
+        check(on.startsOf(first.order.task) == 0);
+        for (const char *name : {"w1", "w2"})
+            on.hear(name);
+        answerTo(on, on.orders.back(), order_outcome::Superseded);
+        on.written();
+        require(on.startsOf(first.order.task) == 1);
+        check(on.orders.back().worker != first.worker);
+        check(on.orders.back().order.run == 2);
+    });
+    section("a gang goes with all of its members", [&] {
+        auto pair = alone;
+        pair.steps[0].count = 2;
+        pair.steps[0].gang = true;
+        scene on;
+        on.submit(pair);
+        on.written();
+        require(on.orders.size() == 2);
+        const auto second = on.orders[0];
+        on.accept(second);
+        putOffFor(on, milliseconds(2800));
+        const auto stopped = std::any_of(on.orders.begin(), on.orders.end(), [&](const auto &one) {
+            return one.order.kind == order_kind::Stop && one.order.task == second.order.task;
+        });
+        check(stopped);
+    });
+}
+
 Test(job_book, failures)
 {
     section("a task that fails too often fails its job, and the others stop", [] {
