An order to start says until when it holds, on the agent's clock

Callers saw a task that was done run again, a purchase twice. A start held up on its way for over a second, within one life of its agent, was accepted after its task was done, while the stop that had overtaken it was lost. Cause: an agent took an order as it came, however long it had been on its way, and counted the 700 ms of its calls from then.

Each report of an agent tells its clock. The entry counts on from the reading since it came, 4% slow, since either clock may be off by 2%: a lower bound of the agent's clock, whatever time the report took. Of the readings of one life the one that says most counts, so a slow report refuses no prompt orders. An order of a start names the deadline, 700 ms after it is given. Past it an agent answers `overdue`, starts nothing and remembers nothing: the task stays placed, and the owner gives the order again if it still wants the run. An overdue order of a known run claims it and extends nothing. An order of a placement in a life of the agent that the entry has not heard of yet is past its deadline: it only claims. Entries and agents of the release before tell no clock and no deadline; such an order is taken as before.

Evidence: order_of_events_test plants it. In the model each life of an agent has its own clock, and an entry sends no order to an agent whose address it does not know, as the daemon does. Ruled out: refusing the run for good. It is safe too, but each slow order would cost a write and a new place. Counting from the newest report alone: one slow report would refuse the orders of a second.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -524,6 +524,7 @@
         told.address = toText(m_settings.internal);
         told.agentLife = lease().fence();
         told.epoch = m_table.epoch();
+        told.clockMs = millisecondsIn(suspendAwareNow().time_since_epoch());
         told.service = m_settings.service;
         told.zone = m_settings.zone;
         told.kind = m_told.kind;
--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -246,7 +246,7 @@
     const auto &id = found->first;
     auto &job = found->second;
     const std::pair key{answer.task, answer.run};
-    if (answer.outcome == order_outcome::NotReady)
+    if (isGivenAgain(answer.outcome))
         return orderUnanswered(worker, answer.task, answer.run, now);
     // Each answer settles its own order only. A start's answer that took the stop away, while that
     // waited for the write of the cancel, would leave the run to itself.
@@ -451,14 +451,15 @@
     m_begun.erase(id);
 }
 
-run_order job_book::startOrder(const owned_job &job, const task_id &task,
-                               const placement &where) const
+run_order job_book::startOrder(const owned_job &job, const task_id &task, const placement &where,
+                               time_point now) const
 {
     run_order order;
     order.task = task;
     order.run = where.run;
     order.epoch = where.epoch;
     order.agentLife = where.agentLife;
+    order.holdsUntilMs = m_workers.orderHoldsUntil(where.worker, where.agentLife, now);
     order.payload = job.payload;
     order.checkpoint = job.record.find(task)->checkpoint;
     const auto &step = job.record.steps[static_cast<std::size_t>(task.step)];
@@ -482,7 +483,8 @@
                 continue;
             order.out = true;
             tellUnanswered(id, key.first, key.second, order, now);
-            m_actions.emplace_back(give_order{where.worker, startOrder(job, key.first, where)});
+            m_actions.emplace_back(
+                    give_order{where.worker, startOrder(job, key.first, where, now)});
         }
     }
     for (auto &[key, order] : job.stops) {
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -199,7 +199,8 @@
                       const run_end &end, const step_spec &step,
                       const std::optional<milliseconds> &ran);
     bool giveDueOrders(const std::string &id, owned_job &job, time_point now);
-    run_order startOrder(const owned_job &job, const task_id &task, const placement &where) const;
+    run_order startOrder(const owned_job &job, const task_id &task, const placement &where,
+                         time_point now) const;
     void stopAll(const std::string &id, owned_job &job);
     static void notStarted(owned_job &job, const std::string &worker, const task_id &task, int run);
     static void stopPlaced(owned_job &job, const task_id &task, const placement &where);
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -16,7 +16,7 @@
         {order_kind::Stop, "stop"},
 }};
 
-constexpr name_table<order_outcome, 7> OutcomeNames{{
+constexpr name_table<order_outcome, 8> OutcomeNames{{
         {order_outcome::Accepted, "accepted"},
         {order_outcome::NoRoom, "no_room"},
         {order_outcome::Draining, "draining"},
@@ -24,6 +24,7 @@
         {order_outcome::Superseded, "superseded"},
         {order_outcome::OtherLife, "other_life"},
         {order_outcome::NotReady, "not_ready"},
+        {order_outcome::Overdue, "overdue"},
 }};
 
 constexpr name_table<end_kind, 7> EndNames{{
@@ -79,6 +80,7 @@
     if (order.kind == order_kind::Stop)
         return value;
     value["agent_life"] = Json::Int64(order.agentLife);
+    value["holds_until_ms"] = Json::Int64(order.holdsUntilMs);
     value["payload"] = order.payload;
     value["checkpoint"] = order.checkpoint;
     value["size"] = toJson(order.traits.size);
@@ -99,9 +101,11 @@
     order.epoch = integerMember(value, "epoch");
     if (order.kind == order_kind::Stop)
         return order;
-    // Entries of the release before don't tell it.
+    // Entries of the release before don't tell these.
     if (value.isMember("agent_life"))
         order.agentLife = integerMember(value, "agent_life");
+    if (value.isMember("holds_until_ms"))
+        order.holdsUntilMs = integerMember(value, "holds_until_ms");
     order.payload = stringMember(value, "payload");
     order.checkpoint = stringMember(value, "checkpoint");
     order.traits.size = sizeFrom(objectMember(value, "size"));
@@ -189,9 +193,14 @@
     return nameOf(OutcomeNames, outcome);
 }
 
+bool isGivenAgain(order_outcome outcome)
+{
+    return outcome == order_outcome::NotReady || outcome == order_outcome::Overdue;
+}
+
 bool neverStarts(order_outcome outcome)
 {
-    return outcome != order_outcome::Accepted && outcome != order_outcome::NotReady;
+    return outcome != order_outcome::Accepted && !isGivenAgain(outcome);
 }
 
 std::string_view nameOf(end_kind how)
@@ -293,6 +302,7 @@
     value["address"] = report.address;
     value["agent_life"] = Json::Int64(report.agentLife);
     value["epoch"] = Json::Int64(report.epoch);
+    value["clock_ms"] = Json::Int64(report.clockMs);
     value["service"] = report.service;
     value["zone"] = report.zone;
     value["kind"] = report.kind;
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -36,7 +36,8 @@
     int run = 0;
     std::int64_t epoch = 0; // of the worker, as placed
     // Of a start only:
-    std::int64_t agentLife = 0; // of the agent, as placed; 0: not told
+    std::int64_t agentLife = 0;    // of the agent, as placed; 0: not told
+    std::int64_t holdsUntilMs = 0; // agent's clock: started by this order no later; 0: not told
     std::string payload;
     std::string checkpoint;
     run_traits traits;
@@ -51,8 +52,10 @@
     Superseded, // the same: that run was stopped or refused before
     OtherLife,  // the same: placed in another life of the agent, and not known to this one
     NotReady,   // nothing was done; ask again
+    Overdue,    // the same: on its way for longer than the order holds
 };
 std::string_view nameOf(order_outcome outcome);
+bool isGivenAgain(order_outcome outcome);
 bool neverStarts(order_outcome outcome);
 
 struct order_answer
@@ -114,6 +117,7 @@
     std::string address;        // of the agent
     std::int64_t agentLife = 0; // changes when the agent starts anew
     std::int64_t epoch = 0;     // of the worker; 0: not known yet
+    std::int64_t clockMs = 0;   // of the agent, monotonic in its life; 0: not told
     std::string service;
     std::string zone;
     std::string kind;
--- a/libs/jobs/report_text.cpp
+++ b/libs/jobs/report_text.cpp
@@ -126,6 +126,9 @@
     report.address = large_json::text(value, "address");
     report.agentLife = number(value, "agent_life");
     report.epoch = number(value, "epoch");
+    // Agents of the release before don't tell it.
+    if (find(value, "clock_ms") != nullptr)
+        report.clockMs = number(value, "clock_ms");
     report.service = large_json::text(value, "service");
     report.zone = large_json::text(value, "zone");
     report.kind = large_json::text(value, "kind");
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -72,7 +72,7 @@
         known->second.owner = owner;
         known->second.traits = order.traits;
         known->second.tellsStart = order.tellsStart;
-        known->second.startBy = now + m_settings.startWithin;
+        known->second.startBy = std::max(known->second.startBy, startBy(order, now));
         return answer(order_outcome::Accepted);
     }
     // An order of an earlier epoch comes from an owner that was away: its task runs elsewhere by
@@ -95,6 +95,9 @@
         refuse(key, now);
         return answer(order_outcome::OtherLife);
     }
+    // Nothing is remembered: the same run is started by an order that comes in time.
+    if (startBy(order, now) <= now)
+        return answer(order_outcome::Overdue);
     if (!hasRoom(order)) {
         refuse(key, now);
         return answer(order_outcome::NoRoom);
@@ -106,10 +109,18 @@
     entry.payload = order.payload;
     entry.checkpoint = order.checkpoint;
     entry.tellsStart = order.tellsStart;
-    entry.startBy = now + m_settings.startWithin;
+    entry.startBy = startBy(order, now);
     return answer(order_outcome::Accepted);
 }
 
+time_point run_table::startBy(const run_order &order, time_point now) const
+{
+    const auto latest = now + m_settings.startWithin;
+    if (order.holdsUntilMs == 0)
+        return latest;
+    return std::min<time_point>(latest, time_point(milliseconds(order.holdsUntilMs)));
+}
+
 order_answer run_table::stop(const run_order &order, const std::string &owner, time_point now)
 {
     const run_key key{order.task, order.run};
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -67,8 +67,9 @@
 {
     milliseconds repeatStart{250}; // a worker answers within a few ms; the same start twice is one
     milliseconds repeatStop{600};
-    // A start that was accepted is called no later: its task may be done by now, and whoever gave
-    // the order be gone. Callers count a start over a second after that as doubled work.
+    // A start that was accepted is called no later, nor after its order's own deadline: its task
+    // may be done by now, and whoever gave the order be gone. Callers count a start over a second
+    // after that as doubled work.
     milliseconds startWithin{700};
     // Runs of an agent's earlier life that no entry claims are stopped: entries give their orders
     // again as soon as they hear of the new life, and take jobs over within about two seconds.
@@ -154,6 +155,7 @@
 
     order_answer start(const run_order &order, const std::string &owner, time_point now);
     order_answer stop(const run_order &order, const std::string &owner, time_point now);
+    time_point startBy(const run_order &order, time_point now) const;
     void ended(const run_end &end, std::int64_t seenUpTo, time_point now);
     // False: it is stopped already.
     bool stopEntry(const run_key &key, run_entry &entry, time_point now);
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -25,6 +25,9 @@
         {unfit::NoAccelerators, "no_accelerators"},
 }};
 
+// Of an agent's clock: before any order.
+constexpr std::int64_t LongPast = 1;
+
 bool lacksRoom(unfit why)
 {
     return why == unfit::NoProcessors || why == unfit::NoMemory || why == unfit::NoAccelerators;
@@ -56,6 +59,7 @@
     if (report.agentLife != 0 && report.agentLife < view.last.agentLife)
         return false;
     const bool newLife = view.last.agentLife != report.agentLife || view.last.epoch != report.epoch;
+    noteClock(view, report, now);
     view.last = report;
     view.last.ends.clear();
     view.last.progress.clear();
@@ -66,6 +70,29 @@
     return newLife;
 }
 
+// Of all readings the one counts that says most: a report that was slow to come takes nothing back.
+void worker_pool::noteClock(worker_view &view, const worker_report &report, time_point now)
+{
+    if (report.clockMs == 0 || report.agentLife != view.last.agentLife)
+        view.clock.reset();
+    if (report.clockMs == 0)
+        return;
+    if (!view.clock || view.clock->atLeast(now) < report.clockMs)
+        view.clock = agent_clock{report.clockMs, now};
+}
+
+std::int64_t worker_pool::orderHoldsUntil(const std::string &worker, std::int64_t agentLife,
+                                          time_point now) const
+{
+    const auto *view = find(worker);
+    if (view == nullptr || !view->clock)
+        return 0;
+    // The clock of that life is not known yet: the order claims a run that is there, no more.
+    if (view->last.agentLife < agentLife)
+        return LongPast;
+    return view->clock->atLeast(now) + m_settings.orderHolds.count();
+}
+
 const worker_view *worker_pool::find(const std::string &worker) const
 {
     const auto found = m_workers.find(worker);
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "jobs/agent_clock.h"
 #include "jobs/messages.h"
 #include "jobs/service_history.h"
 
@@ -16,18 +17,22 @@
 
 struct worker_view
 {
-    worker_report last;             // newest report, without ends; `used` grows with own placements
-    time_point heardAt{};           // when the report came
-    std::set<std::string> lateJobs; // that have a task here over its target, by the report
-    int failuresInRow = 0;          // runs that failed since one was done
-    time_point setAsideUntil{};     // gets no work before
-    double slowness = 1;            // run time against estimate, moving average
+    worker_report last;   // newest report, without ends; `used` grows with own placements
+    time_point heardAt{}; // when the report came
+    std::optional<agent_clock> clock; // of the agent's present life
+    std::set<std::string> lateJobs;   // that have a task here over its target, by the report
+    int failuresInRow = 0;            // runs that failed since one was done
+    time_point setAsideUntil{};       // gets no work before
+    double slowness = 1;              // run time against estimate, moving average
 };
 
 struct pool_settings
 {
     // A worker whose agent is silent for longer gets no new work: reports come every second.
     milliseconds silentAfter{2500};
+    // An order that comes later starts nothing: its task may be done by now, and the stop that
+    // overtook it be lost. Answers are waited for a little less.
+    milliseconds orderHolds{700};
     // A worker that fails this many runs one after the other gets no work for a while: poisoned
     // tasks are a few per cent, so four in a row by chance are rare.
     int failuresInRow = 4;
@@ -65,6 +70,9 @@
     // True when the agent or the worker has begun a new life since the last report.
     bool update(const worker_report &report, time_point now);
     const worker_view *find(const std::string &worker) const;
+    // The deadline of a start order that is given now, on the agent's clock; 0: it tells none.
+    std::int64_t orderHoldsUntil(const std::string &worker, std::int64_t agentLife,
+                                 time_point now) const;
 
     // How a run ended there, and how long it took against its estimate; 0: not known.
     void noteEnd(const std::string &worker, end_kind how, double slowness, time_point now);
@@ -90,6 +98,7 @@
     disturbance_model &disturbance() { return m_disturbance; }
 
 private:
+    static void noteClock(worker_view &view, const worker_report &report, time_point now);
     unfit unfitFor(const worker_view &view, const std::string &service, const step_spec &step,
                    bool patient, time_point now) const;
     static unfit roomFor(const task_size &size, const task_size &capacity, const task_size &used);
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -478,6 +478,44 @@
     });
 }
 
+// A task that is done runs again: its start was held up, and the stop that overtook it was lost.
+Test(job_book, a_start_says_until_when_it_holds)
+{
+    scene on;
+    for (const char *name : {"w1", "w2"}) {
+        auto report = on.workers.find(name)->last;
+        report.clockMs = 5000;
+        on.workers.update(report, on.now);
+    }
+    on.submit();
+    on.written();
+    const auto first = on.orders[0];
+    section("on the agent's clock", [&] {
+        check(first.order.holdsUntilMs > 5000);
+        check(first.order.holdsUntilMs < 6000);
+    });
+    section("on the wire too", [&] {
+        const auto sent = orderBatchFrom(toText(order_batch{"a", "b", {first.order}}));
+        check(sent.orders[0].holdsUntilMs == first.order.holdsUntilMs);
+        auto report = on.workers.find("w1")->last;
+        check(reportFrom(toText(report)).clockMs == 5000);
+    });
+    section("and so do answers", [] {
+        const order_answer answer{{"j", 0, 0, 0}, 1, order_outcome::Overdue};
+        check(orderAnswersFrom(toText({answer}))[0].outcome == order_outcome::Overdue);
+    });
+    section("overdue, the same run is ordered again and holds for longer", [&] {
+        on.orders.clear();
+        on.book.orderAnswered(first.worker, {first.order.task, 1, order_outcome::Overdue}, on.now);
+        on.now += milliseconds(400);
+        on.turn();
+        require(on.orders.size() == 1);
+        check(on.orders[0].worker == first.worker);
+        check(on.orders[0].order.run == 1);
+        check(on.orders[0].order.holdsUntilMs > first.order.holdsUntilMs);
+    });
+}
+
 // A worker that turns starts away has the most room of all: what it did not start goes elsewhere.
 Test(job_book, a_run_that_never_started_goes_elsewhere)
 {
--- a/tests/order_model.h
+++ b/tests/order_model.h
@@ -637,6 +637,9 @@
 
     void send(modelled_entry &entry, const jobs::give_order &given)
     {
+        if (entry.pool->find(given.worker) == nullptr) // its agent's address is not known
+            return entry.book->orderUnanswered(given.worker, given.order.task, given.order.run,
+                                               m_now);
         auto there = m_passages(way::Order);
         if (const auto held = holdUpOrder ? holdUpOrder(given) : std::nullopt)
             there.takes = *held;
@@ -663,7 +666,7 @@
         if (!agent.lives || !isLinked(agent, entry))
             return;
         agent.table.setWorker(agent.capacity, readinessOf(agent));
-        const auto answer = agent.table.take(given.order, entry.name, m_now);
+        const auto answer = agent.table.take(onModelClock(agent, given.order), entry.name, m_now);
         say("agent of {} takes {} of {} run {} from {}: {}", agent.name,
             given.order.kind == jobs::order_kind::Start ? "start" : "stop",
             toText(given.order.task), given.order.run, entry.name, nameOf(answer.outcome));
@@ -685,6 +688,20 @@
 
     // --- agents
 
+    // Each life of an agent has a clock of its own.
+    static std::int64_t clockOffset(const modelled_agent &agent)
+    {
+        constexpr std::int64_t Apart = 7'000'000;
+        return agent.life % 2 == 0 ? Apart * agent.life : -Apart / (agent.life + 2);
+    }
+
+    static jobs::run_order onModelClock(const modelled_agent &agent, jobs::run_order order)
+    {
+        if (order.holdsUntilMs != 0)
+            order.holdsUntilMs -= clockOffset(agent);
+        return order;
+    }
+
     // What a life of an agent is told of itself before it takes anything.
     static void tellLife(modelled_agent &agent) { agent.table.setAgentLife(agent.fence); }
 
@@ -850,6 +867,7 @@
         told.worker = agent.name;
         told.agentLife = agent.fence;
         told.epoch = agent.table.epoch();
+        told.clockMs = clockOf(m_now) + clockOffset(agent);
         told.service = "tickets";
         told.accepting = readinessOf(agent) == jobs::start_readiness::Open;
         told.capacity = agent.capacity;
--- a/tests/order_of_events_test.cpp
+++ b/tests/order_of_events_test.cpp
@@ -436,6 +436,51 @@
     });
 }
 
+// A task that is done runs again: its start was held up, and the stop that overtook it was lost.
+Test(order_of_events, a_start_held_up_within_one_life_while_its_stop_is_lost)
+{
+    order_model model(3, 2, firstShortOthersLong);
+    modelled_agent *firstAt = nullptr;
+    modelled_agent *secondAt = nullptr;
+    std::vector<order_outcome> afterDone;
+    model.holdUpOrder = [&](const give_order &given) -> std::optional<milliseconds> {
+        if (given.order.task != Task || given.order.run != 2)
+            return std::nullopt;
+        if (given.order.kind == order_kind::Stop)
+            return milliseconds(60'000);
+        if (secondAt == nullptr) {
+            secondAt = &model.agent(model.indexOf(given.worker));
+            model.cutOff(*secondAt, milliseconds(20'000));
+        }
+        return milliseconds(2500);
+    };
+    model.onOrderTaken = [&](const give_order &given, const order_answer &answer) {
+        if (given.order.task == Task && given.order.run == 1)
+            firstAt = &model.agent(model.indexOf(given.worker));
+        if (given.order.task == Task && given.order.run == 2 && model.rules().isDone(Task))
+            afterDone.push_back(answer.outcome);
+    };
+    bool isDone = false;
+    model.onRowStored = [&](modelled_entry &, const std::string &, const job_record &) {
+        if (model.rules().isDone(Task) && !std::exchange(isDone, true))
+            model.cutOff(*secondAt, milliseconds(1300));
+    };
+    model.run(Settled);
+    model.submit(Job, twoSteps());
+    require(model.runUntil([&] { return model.rules().starts() == 1; }, milliseconds(3000)));
+    model.cutOffFromAll(*firstAt, milliseconds(9000));
+    require(model.runUntil([&] { return secondAt != nullptr; }, milliseconds(8500)));
+    check(!model.rules().isDone(Task));
+    require(model.runUntil([&] { return isDone; }, milliseconds(10'000)));
+    section("it arrives in the life of the agent that it was placed in", [&] {
+        model.run(Watched);
+        require(!afterDone.empty());
+        for (const auto outcome : afterDone)
+            check(outcome == order_outcome::Overdue);
+        checkRules(model);
+    });
+}
+
 // Two runs of a task on one worker: an agent knows the newer run, from its order or from the list.
 Test(order_of_events, an_order_of_an_older_run_where_a_newer_one_is_known)
 {
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -159,6 +159,62 @@
     });
 }
 
+// A task that is done runs again: its start was held up, and the stop that overtook it was lost.
+Test(run_table, an_order_that_was_held_up_for_longer_than_it_holds)
+{
+    const auto clockOf = [](time_point at) { return millisecondsIn(at.time_since_epoch()); };
+    scene on;
+    auto order = scene::order(0);
+    order.holdsUntilMs = clockOf(on.now + milliseconds(300));
+    const auto deadline = on.now + milliseconds(300);
+    section("it starts nothing from its deadline on", [&] {
+        on.now = deadline;
+        check(on.give(order) == order_outcome::Overdue);
+        check(on.table.due(on.now, true).empty());
+        check(on.table.endsSeen() == 0);
+    });
+    section("the run is not refused for good", [&] {
+        check(!neverStarts(order_outcome::Overdue));
+        check(isGivenAgain(order_outcome::Overdue));
+        auto again = order;
+        again.holdsUntilMs = clockOf(on.now + milliseconds(300));
+        check(on.give(again) == order_outcome::Accepted);
+    });
+    section("the start is called up to the deadline of the order that came in time", [&] {
+        const auto actions = on.table.due(on.now, true);
+        require(actions.size() == 1);
+        check(std::get<start_run>(actions[0]).callBy == on.now + milliseconds(300));
+    });
+    section("the first order, coming again, claims the run and changes no deadline", [&] {
+        on.table.startAnswered(order.task, 1, start_answer::Unhealthy, on.now);
+        on.now += milliseconds(250);
+        check(on.give(order, "entry-b") == order_outcome::Accepted);
+        check(on.table.due(on.now, true).size() == 1);
+        on.now += milliseconds(50);
+        on.table.startAnswered(order.task, 1, start_answer::Unhealthy, on.now);
+        on.now += milliseconds(250);
+        check(on.table.due(on.now, true).empty());
+        check(on.table.endsFor("entry-b").size() == 1);
+    });
+    section("one that tells no deadline is taken as it comes",
+            [&] { check(on.give(scene::order(1)) == order_outcome::Accepted); });
+    section("one that holds for long is called no longer for that", [&] {
+        scene other;
+        auto longer = scene::order(2);
+        longer.holdsUntilMs = clockOf(other.now + milliseconds(60'000));
+        require(other.give(longer) == order_outcome::Accepted);
+        const auto actions = other.table.due(other.now, true);
+        require(actions.size() == 1);
+        check(std::get<start_run>(actions[0]).callBy == other.now + milliseconds(700));
+    });
+    section("a run that was stopped stays refused, however late its order", [&] {
+        scene other;
+        require(other.give(scene::stopOf(order)) == order_outcome::Superseded);
+        other.now = deadline;
+        check(other.give(order) == order_outcome::Superseded);
+    });
+}
+
 // A task runs twice at once: an order of its run 1 was held up, and its agent has been given run 2.
 Test(run_table, an_order_that_was_overtaken_by_that_of_a_newer_run)
 {
--- a/tests/worker_pool_test.cpp
+++ b/tests/worker_pool_test.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::int64_t Cores = 1000; // millicores
+constexpr std::int64_t Life = 8;     // of an agent
 
 const time_point Now{std::chrono::hours(1)};
 
@@ -97,6 +98,54 @@
     });
 }
 
+// A task that is done runs again: an order that holds for too long on the agent's clock.
+Test(worker_pool, how_long_an_order_holds)
+{
+    constexpr std::int64_t Clock = 50'000;
+    constexpr std::int64_t Holds = 700;
+    worker_pool workers;
+    auto report = reportOf("w1");
+    report.agentLife = Life;
+    const auto told = [&](std::int64_t clockMs, milliseconds after) {
+        report.clockMs = clockMs;
+        workers.update(report, Now + after);
+    };
+    const auto holdsUntil = [&](milliseconds after, std::int64_t life = Life) {
+        return workers.orderHoldsUntil("w1", life, Now + after);
+    };
+    section("an agent that tells no clock is given no deadline", [&] {
+        check(holdsUntil({}) == 0);
+        told(0, {});
+        check(holdsUntil({}) == 0);
+    });
+    section("counted from the reading, as if the report had come at once", [&] {
+        told(Clock, {});
+        check(holdsUntil({}) == Clock + Holds);
+    });
+    section("on as the slower of two clocks that are off", [&] {
+        check(holdsUntil(milliseconds(500)) == Clock + 500 - 20 + Holds);
+        check(holdsUntil(milliseconds(1000)) == Clock + 1000 - 40 + Holds);
+    });
+    section("a report that was slow to come takes nothing back", [&] {
+        told(Clock + 200, milliseconds(1000));
+        check(holdsUntil(milliseconds(1000)) == Clock + 1000 - 40 + Holds);
+    });
+    section("a prompt one tells more", [&] {
+        told(Clock + 2000, milliseconds(2000));
+        check(holdsUntil(milliseconds(2000)) == Clock + 2000 + Holds);
+    });
+    section("each life has its own clock", [&] {
+        report.agentLife = Life + 1;
+        told(900, milliseconds(3000));
+        check(holdsUntil(milliseconds(3000), Life + 1) == 900 + Holds);
+        check(holdsUntil(milliseconds(3000), Life) == 900 + Holds);
+    });
+    section("a task of a life not heard of yet is claimed there, not started", [&] {
+        const auto deadline = holdsUntil(milliseconds(3000), Life + 2);
+        check(deadline > 0 && deadline < 900);
+    });
+}
+
 Test(worker_pool, tasks_that_serve_are_gathered)
 {
     worker_pool pool;
