--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -34,21 +34,6 @@
     , m_settings(settings)
 { }
 
-template <typename Visit>
-void job_book::eachTask(const std::string &id, owned_job &job, Visit visit)
-{
-    for (std::size_t occurrence = 0; occurrence < job.record.tasks.size(); ++occurrence) {
-        auto &steps = job.record.tasks[occurrence];
-        for (std::size_t step = 0; step < steps.size(); ++step) {
-            for (std::size_t index = 0; index < steps[step].size(); ++index) {
-                const task_id task{id, static_cast<int>(occurrence), static_cast<int>(step),
-                                   static_cast<int>(index)};
-                visit(task, steps[step][index]);
-            }
-        }
-    }
-}
-
 // --- callers
 
 bool job_book::owns(const std::string &job) const
@@ -238,7 +223,8 @@
     });
 }
 
-void job_book::orderAnswered(const std::string &worker, const order_answer &answer, time_point now)
+void job_book::orderAnswered(const std::string &worker, const order_answer &answer, time_point now,
+                             std::int64_t agentLife)
 {
     const auto found = m_jobs.find(answer.task.job);
     if (found == m_jobs.end())
@@ -246,6 +232,10 @@
     const auto &id = found->first;
     auto &job = found->second;
     const std::pair key{answer.task, answer.run};
+    // The life that answered is over, and took what it was told along. An owner that was frozen
+    // reads what came meanwhile in any order.
+    if (!isOfThePresentLife(worker, agentLife))
+        return orderUnanswered(worker, answer.task, answer.run, now);
     if (isGivenAgain(answer.outcome)) {
         orderUnanswered(worker, answer.task, answer.run, now);
         return moveIfPutOff(id, job, answer, now);
@@ -287,6 +277,12 @@
     m_ordering.insert(id);
 }
 
+bool job_book::isOfThePresentLife(const std::string &worker, std::int64_t agentLife) const
+{
+    const auto *view = m_workers.find(worker);
+    return agentLife == 0 || view == nullptr || view->last.agentLife == agentLife;
+}
+
 void job_book::orderUnanswered(const std::string &worker, const task_id &task, int run,
                                time_point now)
 {
@@ -384,6 +380,7 @@
     for (const auto &[urgency, id] : order)
         placeWaiting(id, m_jobs.at(id), now, wallMs);
     tellUnderserved(now);
+    tellStanding(now, wallMs);
     writeBegun(now);
     const auto touched = std::move(m_touched);
     m_touched.clear();
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -13,6 +13,7 @@
 #include "base/time.h"
 #include "jobs/messages.h"
 #include "jobs/model.h"
+#include "jobs/standing_task.h"
 #include "jobs/worker_pool.h"
 
 namespace zinniabarrow::jobs {
@@ -74,6 +75,11 @@
     milliseconds joinBegun{800};
     // What waits for a worker, or for the answer to an order, is told in the log this often.
     milliseconds tellWaits{2000};
+    // A task that lasts and isn't known to be at work for so long stands still; callers count from
+    // 6 s on. Told in the log again and again.
+    milliseconds standsStill{6000};
+    milliseconds tellStanding{4000};
+    milliseconds lookStanding{1000};
 };
 
 class job_book
@@ -111,7 +117,9 @@
                   std::int64_t token);
     void progressed(const std::string &worker, const run_progress &progress);
     void runStarted(const started_run &run, time_point now);
-    void orderAnswered(const std::string &worker, const order_answer &answer, time_point now);
+    // `agentLife`: of the agent, by its reports as the order was sent; 0: not told.
+    void orderAnswered(const std::string &worker, const order_answer &answer, time_point now,
+                       std::int64_t agentLife = 0);
     void orderUnanswered(const std::string &worker, const task_id &task, int run, time_point now);
     // The agent lives anew, or the worker does: placements of older epochs have ended, orders of
     // the present one are given again.
@@ -174,6 +182,7 @@
         std::map<task_id, std::vector<std::string>> avoided;     // workers
         std::map<std::pair<int, int>, time_point> waitingSince;  // by occurrence and step
         std::map<std::pair<int, int>, waiting_step> unplaced;    // the same
+        std::map<task_id, standing_task> standing;               // tasks that last
     };
 
     template <typename Visit>
@@ -228,6 +237,7 @@
                const std::string &worker, int run);
     bool endEarlierEpochs(const std::string &id, owned_job &job, const std::string &worker,
                           std::int64_t epoch);
+    bool isOfThePresentLife(const std::string &worker, std::int64_t agentLife) const;
     void orderAgain(const std::string &id, owned_job &job, const std::string &worker,
                     time_point now);
     static std::optional<std::string> chooseFor(const worker_pool &workers, const owned_job &job,
@@ -236,6 +246,16 @@
     void tellUnplaced(const std::string &id, owned_job &job, int occurrence, int stepIndex,
                       int tasks, const placement_wish &wish, time_point now);
     void tellUnderserved(time_point now);
+    void tellStanding(time_point now, std::int64_t wallMs);
+    void tellStandingTask(owned_job &job, const task_id &task, const task_state &state,
+                          time_point now);
+    static bool mayRun(const owned_job &job, const task_id &task, std::int64_t wallMs);
+    std::optional<standing_reason> whyStanding(const owned_job &job, const task_id &task,
+                                               const task_state &state, time_point now) const;
+    std::string describeStanding(const owned_job &job, const task_id &task, const task_state &state,
+                                 standing_reason why, time_point now) const;
+    int servingAt(const std::string &id, const std::string &worker) const;
+    static int placedAt(const owned_job &job, const std::string &worker);
     void tellUnanswered(const std::string &id, const task_id &task, int run, pending_order &order,
                         time_point now);
     static std::vector<std::string> fullOf(const owned_job &job, const task_id &task,
@@ -251,9 +271,25 @@
     std::set<std::string> m_touched;           // changed since the last plan
     std::set<std::string> m_ordering;          // with orders that have no answer yet
     time_point m_tellServedAt{};               // the log, which jobs are not served in full
+    time_point m_lookStandingAt{};             // for tasks that stand still
     std::map<std::string, time_point> m_begun; // jobs whose rows don't say so yet; write it then
     std::int64_t m_nextWrite = 1;
     std::vector<book_action> m_actions;
 };
 
+template <typename Visit>
+void job_book::eachTask(const std::string &id, owned_job &job, Visit visit)
+{
+    for (std::size_t occurrence = 0; occurrence < job.record.tasks.size(); ++occurrence) {
+        auto &steps = job.record.tasks[occurrence];
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            for (std::size_t index = 0; index < steps[step].size(); ++index) {
+                const task_id task{id, static_cast<int>(occurrence), static_cast<int>(step),
+                                   static_cast<int>(index)};
+                visit(task, steps[step][index]);
+            }
+        }
+    }
+}
+
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -70,6 +70,7 @@
     // True when the agent or the worker has begun a new life since the last report.
     bool update(const worker_report &report, time_point now);
     const worker_view *find(const std::string &worker) const;
+    bool isHeard(const std::string &worker, time_point now) const; // its agent, of late
     // The deadline of a start order that is given now, on the agent's clock; 0: it tells none.
     std::int64_t orderHoldsUntil(const std::string &worker, std::int64_t agentLife,
                                  time_point now) const;
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -1,6 +1,7 @@
 // The jobs that an entry owns: steps in order, one run at a time, and what holds when a write, an
 // order, a worker or the entry itself is lost.
 #include <algorithm>
+#include <utility>
 
 #include <criterion/criterion.h>
 
@@ -28,6 +29,7 @@
     std::vector<give_order> orders;
     std::vector<std::int64_t> storedTokens;
     std::vector<std::int64_t> disownedTokens;
+    std::vector<noted> notes;
 
     scene()
     {
@@ -35,10 +37,11 @@
         hear("w2");
     }
 
-    void hear(const std::string &worker, std::int64_t epoch = 1)
+    void hear(const std::string &worker, std::int64_t epoch = 1, std::int64_t agentLife = 0)
     {
         worker_report report;
         report.worker = worker;
+        report.agentLife = agentLife;
         report.epoch = epoch;
         report.service = "tickets";
         report.accepting = true;
@@ -84,6 +87,8 @@
                 storedTokens.push_back(done->token);
             else if (auto *lost = std::get_if<disowned>(&action))
                 disownedTokens.push_back(lost->token);
+            else if (auto *line = std::get_if<noted>(&action))
+                notes.push_back(*line);
         }
     }
 
@@ -1081,3 +1086,232 @@
         }));
     });
 }
+
+namespace {
+
+// A job with one task that lasts and has a target, beside a worker that reports each second.
+struct standing_scene : scene
+{
+    bool reports = true;
+    bool hasRoom = true;
+    bool answers = true;
+    int atWork = 0;
+    std::int64_t epoch = 1;
+
+    standing_scene()
+    {
+        auto spec = twoSteps();
+        spec.steps.resize(1);
+        spec.steps[0].count = 1;
+        spec.steps[0].lasting = true;
+        spec.steps[0].image = "keeper";
+        spec.steps[0].targetMs = 50;
+        report();
+        submit(spec);
+    }
+
+    void report()
+    {
+        worker_report told;
+        told.worker = "w1";
+        told.epoch = epoch;
+        told.service = "tickets";
+        told.accepting = true;
+        told.capacity = {hasRoom ? 16'000 : 100, 64'000, 0};
+        told.serving.assign(static_cast<std::size_t>(atWork), {"keeper", 1, "j"});
+        workers.update(told, now);
+    }
+
+    void pass(seconds span)
+    {
+        for (seconds spent{}; spent < span; spent += seconds(1)) {
+            now += seconds(1);
+            if (reports)
+                report();
+            turn();
+            answerOrders();
+        }
+    }
+
+    void answerOrders()
+    {
+        const auto given = std::exchange(orders, {});
+        for (const auto &order : given) {
+            if (answers)
+                accept(order);
+            else
+                book.orderUnanswered(order.worker, order.order.task, order.order.run, now);
+        }
+    }
+
+    void begin()
+    {
+        written();
+        answerOrders();
+    }
+
+    std::vector<std::string> lines()
+    {
+        std::vector<std::string> told;
+        for (const auto &line : std::exchange(notes, {})) {
+            if (line.event == "task_stands_still")
+                told.push_back(line.detail);
+        }
+        return told;
+    }
+};
+
+} // namespace
+
+// A task that is placed and does not run was in no line of its owner.
+Test(job_book, tasks_that_stand_still_are_told)
+{
+    section("not one that its worker shows at work", [] {
+        standing_scene on;
+        on.begin();
+        on.atWork = 1;
+        on.pass(seconds(20));
+        check(on.lines().empty());
+    });
+    section("accepted, and its worker shows no run of the job", [] {
+        standing_scene on;
+        on.begin();
+        on.pass(seconds(5));
+        check(on.lines().empty());
+        on.pass(seconds(1));
+        const auto lines = on.lines();
+        require(lines.size() == 1);
+        check(lines[0].ends_with(
+                "ms: not_at_work, run 1 on w1, epoch 1, 0 of 1 of its job at work there"));
+        section("again while that lasts, and no longer", [&] {
+            on.pass(seconds(8));
+            check(on.lines().size() == 2);
+            on.atWork = 1;
+            on.pass(seconds(20));
+            check(on.lines().empty());
+        });
+        section("anew, from when it was seen last", [&] {
+            on.atWork = 0;
+            on.pass(seconds(5));
+            check(on.lines().empty());
+            on.pass(seconds(1));
+            check(on.lines().size() == 1);
+        });
+    });
+    const auto only = [](standing_scene &on) {
+        const auto lines = on.lines();
+        return lines.size() == 1 ? lines[0] : std::string();
+    };
+    section("its start has no answer", [&] {
+        standing_scene on;
+        on.answers = false;
+        on.begin();
+        on.pass(seconds(8));
+        check(only(on).ends_with("ms: start_unanswered, run 1 on w1, epoch 1"));
+    });
+    section("its placement is not stored", [&] {
+        standing_scene on;
+        on.pass(seconds(8));
+        check(only(on).ends_with("ms: not_stored, run 1 on w1, epoch 1"));
+    });
+    section("its worker is not heard of", [&] {
+        standing_scene on;
+        on.begin();
+        on.atWork = 1;
+        on.pass(seconds(2));
+        on.reports = false;
+        on.pass(seconds(10));
+        check(only(on).ends_with("ms: worker_unheard, run 1 on w1, epoch 1"));
+    });
+    section("it was placed before the epoch that its worker has", [&] {
+        standing_scene on;
+        on.begin();
+        on.epoch = 2;
+        on.pass(seconds(8));
+        check(only(on).ends_with("ms: earlier_epoch, run 1 on w1, epoch 1"));
+    });
+    section("no worker is found, and why", [&] {
+        standing_scene on;
+        on.begin();
+        on.hasRoom = false;
+        on.now += seconds(3); // the other worker is silent
+        on.report();
+        on.book.runEnded("w1", {1, {"j", 0, 0, 0}, 1, end_kind::Failed, ""}, on.now, 50);
+        on.pass(seconds(5));
+        const auto line = only(on);
+        check(line.find("ms: no_worker, after run 1; ") != std::string::npos);
+        check(line.find("1 no_processors") != std::string::npos);
+    });
+    section("not one of a job that is cancelled", [] {
+        standing_scene on;
+        on.begin();
+        on.book.cancel("j", 60);
+        on.pass(seconds(10));
+        check(on.lines().empty());
+    });
+}
+
+// An owner that was frozen heard of an agent's new life before the answer of the life before.
+Test(job_book, an_answer_of_the_agents_life_before)
+{
+    const auto ordered = [](scene &on) {
+        on.hear("w1", 1, 1);
+        auto spec = scene::twoSteps();
+        spec.steps.resize(1);
+        spec.steps[0].count = 1;
+        spec.steps[0].lasting = true;
+        on.submit(spec);
+        on.written();
+        require(on.orders.size() == 1);
+    };
+    const auto hearNewLife = [](scene &on) {
+        on.hear("w1", 1, 2);
+        on.book.workerRenewed("w1", 1, on.now);
+        on.turn();
+        require(on.orders.size() == 2);
+    };
+    const auto answerOfBefore = [](scene &on, order_outcome outcome) {
+        const auto &order = on.orders[0].order;
+        on.book.orderAnswered("w1", {order.task, order.run, outcome, order.kind}, on.now, 1);
+    };
+    const auto isGivenAgain = [](scene &on) {
+        on.book.orderUnanswered("w1", on.orders[1].order.task, 1, on.now);
+        on.now += milliseconds(301);
+        on.turn();
+        return on.orders.size() == 3;
+    };
+    section("accepted: the start is given until the present life has answered", [&] {
+        scene on;
+        ordered(on);
+        hearNewLife(on);
+        answerOfBefore(on, order_outcome::Accepted);
+        require(isGivenAgain(on));
+        on.book.orderAnswered("w1", {on.orders[2].order.task, 1, order_outcome::Accepted}, on.now,
+                              2);
+        on.now += seconds(2);
+        on.turn();
+        check(on.orders.size() == 3);
+    });
+    section("refused: the present life is asked", [&] {
+        scene on;
+        ordered(on);
+        hearNewLife(on);
+        answerOfBefore(on, order_outcome::NoRoom);
+        require(isGivenAgain(on));
+        check(on.orders[2].order.run == 1);
+    });
+    section("a stop, accepted: the same", [&] {
+        scene on;
+        ordered(on);
+        on.accept(on.orders[0]);
+        on.book.cancel("j", 60);
+        on.orders.clear();
+        on.turn();
+        on.written();
+        require(on.orders.size() == 1);
+        hearNewLife(on);
+        answerOfBefore(on, order_outcome::Accepted);
+        require(isGivenAgain(on));
+        check(on.orders[2].order.kind == order_kind::Stop);
+    });
+}
