An answer of an agent's earlier life settles no order of the present one

Callers saw, on a deployment, a task that is to last and doesn't run; the report has its name and no time.

An answer to a start was on its way as the agent died and lived anew. The owner heard the new life's report first, and had the start to give again, or had given it and was told `not_ready`. Then the old answer took the start for accepted, and nobody gave it again: the task counted as placed, no agent knew of the run, and its worker's epoch went on, so that nothing ended the placement. An owner that was frozen wakes with both to read, in any order. A refusal, and a stop's answer, settled their orders in the same way.

An answer now comes with the life of the agent that its order was sent to, as the agent's reports told it then. One of another life than the present is taken for none: the order is given again after 300 ms, and an order that the present life has taken already is answered as accepted once more.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -392,25 +392,25 @@
         request.method = "POST";
         request.target = "/v1/orders";
         request.body = toText(order_batch{m_settings.id, toText(m_settings.internal), orders});
-        m_caller.call(
-                view->last.address, std::move(request), OrderTimeout,
-                [this, worker, unanswered, orders = std::move(orders)](const call_result &result) {
-                    const auto *answer = std::get_if<http_response>(&result);
-                    if (answer == nullptr || answer->status != 200) {
-                        m_metrics.count("orders_unanswered_total", "agent_silent");
-                        const auto *failure = std::get_if<call_failure>(&result);
-                        m_log.note("orders_unanswered",
-                                   {{"worker", worker},
-                                    {"orders", orders.size()},
-                                    {"why", failure ? nameOf(*failure) : "refused"}});
-                        return unanswered(orders);
-                    }
-                    for (const auto &one : orderAnswersFrom(answer->body)) {
-                        m_metrics.count("orders_total", nameOf(one.outcome));
-                        m_book->orderAnswered(worker, one, suspendAwareNow());
-                    }
-                    pumpSoon();
-                });
+        m_caller.call(view->last.address, std::move(request), OrderTimeout,
+                      [this, worker, unanswered, orders = std::move(orders),
+                       agentLife = view->last.agentLife](const call_result &result) {
+                          const auto *answer = std::get_if<http_response>(&result);
+                          if (answer == nullptr || answer->status != 200) {
+                              m_metrics.count("orders_unanswered_total", "agent_silent");
+                              const auto *failure = std::get_if<call_failure>(&result);
+                              m_log.note("orders_unanswered",
+                                         {{"worker", worker},
+                                          {"orders", orders.size()},
+                                          {"why", failure ? nameOf(*failure) : "refused"}});
+                              return unanswered(orders);
+                          }
+                          for (const auto &one : orderAnswersFrom(answer->body)) {
+                              m_metrics.count("orders_total", nameOf(one.outcome));
+                              m_book->orderAnswered(worker, one, suspendAwareNow(), agentLife);
+                          }
+                          pumpSoon();
+                      });
     }
 
     // --- Workers that nobody hears of.
--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -223,7 +223,8 @@
     });
 }
 
-void job_book::orderAnswered(const std::string &worker, const order_answer &answer, time_point now)
+void job_book::orderAnswered(const std::string &worker, const order_answer &answer, time_point now,
+                             std::int64_t agentLife)
 {
     const auto found = m_jobs.find(answer.task.job);
     if (found == m_jobs.end())
@@ -231,7 +232,9 @@
     const auto &id = found->first;
     auto &job = found->second;
     const std::pair key{answer.task, answer.run};
-    if (answer.outcome == order_outcome::NotReady)
+    // The life that answered is over, and took what it was told along. An owner that was frozen
+    // reads what came meanwhile in any order.
+    if (answer.outcome == order_outcome::NotReady || !isOfThePresentLife(worker, agentLife))
         return orderUnanswered(worker, answer.task, answer.run, now);
     // Each answer settles its own order only. A start's answer that took the stop away, while that
     // waited for the write of the cancel, would leave the run to itself.
@@ -253,6 +256,12 @@
          fmt::format("{}: {}", describe(answer.task, answer.run, worker), nameOf(answer.outcome)));
 }
 
+bool job_book::isOfThePresentLife(const std::string &worker, std::int64_t agentLife) const
+{
+    const auto *view = m_workers.find(worker);
+    return agentLife == 0 || view == nullptr || view->last.agentLife == agentLife;
+}
+
 void job_book::orderUnanswered(const std::string &worker, const task_id &task, int run,
                                time_point now)
 {
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -114,7 +114,9 @@
                   std::int64_t token);
     void progressed(const std::string &worker, const run_progress &progress);
     void runStarted(const started_run &run, time_point now);
-    void orderAnswered(const std::string &worker, const order_answer &answer, time_point now);
+    // `agentLife`: of the agent, by its reports as the order was sent; 0: not told.
+    void orderAnswered(const std::string &worker, const order_answer &answer, time_point now,
+                       std::int64_t agentLife = 0);
     void orderUnanswered(const std::string &worker, const task_id &task, int run, time_point now);
     // The agent lives anew, or the worker does: placements of older epochs have ended, orders of
     // the present one are given again.
@@ -222,6 +224,7 @@
                const std::string &worker, int run);
     bool endEarlierEpochs(const std::string &id, owned_job &job, const std::string &worker,
                           std::int64_t epoch);
+    bool isOfThePresentLife(const std::string &worker, std::int64_t agentLife) const;
     void orderAgain(const std::string &id, owned_job &job, const std::string &worker,
                     time_point now);
     static std::optional<std::string> chooseFor(const worker_pool &workers, const owned_job &job,
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -37,10 +37,11 @@
         hear("w2");
     }
 
-    void hear(const std::string &worker, std::int64_t epoch = 1)
+    void hear(const std::string &worker, std::int64_t epoch = 1, std::int64_t agentLife = 0)
     {
         worker_report report;
         report.worker = worker;
+        report.agentLife = agentLife;
         report.epoch = epoch;
         report.service = "tickets";
         report.accepting = true;
@@ -1148,3 +1149,68 @@
         check(on.lines().empty());
     });
 }
+
+// An owner that was frozen heard of an agent's new life before the answer of the life before.
+Test(job_book, an_answer_of_the_agents_life_before)
+{
+    const auto ordered = [](scene &on) {
+        on.hear("w1", 1, 1);
+        auto spec = scene::twoSteps();
+        spec.steps.resize(1);
+        spec.steps[0].count = 1;
+        spec.steps[0].lasting = true;
+        on.submit(spec);
+        on.written();
+        require(on.orders.size() == 1);
+    };
+    const auto hearNewLife = [](scene &on) {
+        on.hear("w1", 1, 2);
+        on.book.workerRenewed("w1", 1, on.now);
+        on.turn();
+        require(on.orders.size() == 2);
+    };
+    const auto answerOfBefore = [](scene &on, order_outcome outcome) {
+        const auto &order = on.orders[0].order;
+        on.book.orderAnswered("w1", {order.task, order.run, outcome, order.kind}, on.now, 1);
+    };
+    const auto isGivenAgain = [](scene &on) {
+        on.book.orderUnanswered("w1", on.orders[1].order.task, 1, on.now);
+        on.now += milliseconds(301);
+        on.turn();
+        return on.orders.size() == 3;
+    };
+    section("accepted: the start is given until the present life has answered", [&] {
+        scene on;
+        ordered(on);
+        hearNewLife(on);
+        answerOfBefore(on, order_outcome::Accepted);
+        require(isGivenAgain(on));
+        on.book.orderAnswered("w1", {on.orders[2].order.task, 1, order_outcome::Accepted}, on.now,
+                              2);
+        on.now += seconds(2);
+        on.turn();
+        check(on.orders.size() == 3);
+    });
+    section("refused: the present life is asked", [&] {
+        scene on;
+        ordered(on);
+        hearNewLife(on);
+        answerOfBefore(on, order_outcome::NoRoom);
+        require(isGivenAgain(on));
+        check(on.orders[2].order.run == 1);
+    });
+    section("a stop, accepted: the same", [&] {
+        scene on;
+        ordered(on);
+        on.accept(on.orders[0]);
+        on.book.cancel("j", 60);
+        on.orders.clear();
+        on.turn();
+        on.written();
+        require(on.orders.size() == 1);
+        hearNewLife(on);
+        answerOfBefore(on, order_outcome::Accepted);
+        require(isGivenAgain(on));
+        check(on.orders[2].order.kind == order_kind::Stop);
+    });
+}
