A search for tasks that stand still once all is well

Orders of events were searched for what runs twice alone. Nothing looked for a task that is to last and does not run, which callers saw.

Entries look at the leases of silent workers themselves and answer for ends of jobs that are another's, as the daemons do. Then all are revived and well; 5 s later the calm begins. 10 and 14 s into it a task that lasts and hasn't run for 6 s breaks the rule, and so does a job that isn't over of which nothing has run for 3 s.

--- a/tests/modelled_worker.h
+++ b/tests/modelled_worker.h
@@ -44,6 +44,20 @@
     void turnAwayUntil(time_point until) { m_turnsAwayUntil = until; }
     // The next start is answered 409, `room`.
     void refuseNext() { m_refusesNext = true; }
+    void refuseNoMore() { m_refusesNext = false; }
+
+    // Under the same name: nothing of before runs or is listed, and ends are counted anew.
+    void bootAnew()
+    {
+        m_running.clear();
+        m_ended.clear();
+        m_highest.clear();
+        m_nextEnd = 1;
+        m_fence = 0;
+        m_deadlineMs = 0;
+        ++m_life;
+    }
+    int life() const { return m_life; }
 
     // True in `begun` when the call has begun a run.
     jobs::start_answer start(const jobs::start_run &order, std::int64_t deadlineMs,
@@ -132,6 +146,14 @@
         return runs;
     }
 
+    std::vector<jobs::task_id> atWork() const
+    {
+        std::vector<jobs::task_id> tasks;
+        for (const auto &[key, run] : m_running)
+            tasks.push_back(key.first);
+        return tasks;
+    }
+
 private:
     struct present_run
     {
@@ -176,6 +198,7 @@
     std::int64_t m_deadlineMs = 0;
     time_point m_turnsAwayUntil{};
     bool m_refusesNext = false;
+    int m_life = 1;
 };
 
 } // namespace zinniabarrow::tests
--- a/tests/order_model.h
+++ b/tests/order_model.h
@@ -34,7 +34,8 @@
     Look,
     Write,
     WriteAnswer,
-    Feed
+    Feed,
+    Thaw, // what came while a process was frozen is worked through in any order
 };
 
 struct passage
@@ -57,6 +58,10 @@
     std::shared_ptr<const jobs::job_record> record;
 };
 
+// Of the first kind, entries are told of each epoch and never say whose a job isn't. Fuller, they
+// look at the lease of a worker that is silent, and answer for each end, as the daemons do.
+enum class model_kind { First, Fuller };
+
 struct modelled_entry
 {
     std::string name;
@@ -71,6 +76,10 @@
     std::int64_t nextToken = 1;
     std::map<std::string, job_row> view;
     std::map<std::string, time_point> heard; // other entries
+    time_point beganAt{};
+    time_point lookAtLeasesAt{};
+    bool freezesAsWritten = false; // as the next answer to a write is on its way
+    milliseconds freezesFor{};
 };
 
 struct modelled_agent
@@ -78,6 +87,10 @@
     std::string name; // of its worker
     bool lives = false;
     int life = 0;
+    time_point frozenUntil{};
+    bool leaving = false;   // its worker, which says so
+    int workerLife = 1;     // that it knows of
+    bool owesEpoch = false; // the end of that life is not in the store yet
     std::int64_t fence = 0;
     std::int64_t leaseEpoch = 0; // that it holds; 0: none
     time_point leaseUntil{};
@@ -100,9 +113,11 @@
 {
 public:
     order_model(int entries, int workers, run_planner planner,
-                passage_source passages = promptPassage, bool keepsTrace = true)
+                passage_source passages = promptPassage, bool keepsTrace = true,
+                model_kind kind = model_kind::First)
         : m_passages(std::move(passages))
         , m_keepsTrace(keepsTrace)
+        , m_kind(kind)
     {
         for (int at = 0; at < workers; ++at) {
             const auto name = fmt::format("w{}", at + 1);
@@ -167,6 +182,7 @@
         entry.book = std::make_unique<jobs::job_book>(
                 jobs::owner_id{entry.name, ++entry.incarnation}, *entry.pool);
         entry.waits.clear();
+        entry.beganAt = m_now;
         entry.view = m_rows;
         std::erase_if(entry.view, [](const auto &one) { return one.second.version == 0; });
         entry.heard.clear();
@@ -209,6 +225,8 @@
     void beginAgentLife(modelled_agent &agent)
     {
         agent.lives = true;
+        agent.frozenUntil = {};
+        seeWorkerLife(agent);
         ++agent.life;
         ++agent.fence;
         agent.leaseEpoch = 0;
@@ -240,6 +258,63 @@
         say("agent of {} is cut off from the store as well", agent.name);
     }
 
+    void freeze(modelled_agent &agent, milliseconds span)
+    {
+        if (!agent.lives)
+            return;
+        agent.frozenUntil = m_now + span;
+        say("agent of {} is frozen for {} ms", agent.name, span.count());
+    }
+
+    void freezeAsWritten(modelled_entry &entry, milliseconds span)
+    {
+        entry.freezesAsWritten = true;
+        entry.freezesFor = span;
+    }
+
+    void bootAnew(modelled_worker &worker)
+    {
+        worker.bootAnew();
+        agentOf(worker.name()).leaving = false;
+        say("{} lives anew", worker.name());
+    }
+
+    // It takes no new runs, and is gone after `drains`; another life follows after `away`.
+    void leave(modelled_worker &worker, milliseconds drains, milliseconds away)
+    {
+        agentOf(worker.name()).leaving = true;
+        say("{} leaves", worker.name());
+        after(drains, [this, &worker, away] {
+            if (m_isWell)
+                return;
+            kill(agentOf(worker.name()));
+            worker.bootAnew();
+            worker.turnAwayUntil(m_now + away);
+            say("{} is gone for {} ms", worker.name(), away.count());
+        });
+        after(drains + away, [this, &worker] { agentOf(worker.name()).leaving = false; });
+    }
+
+    // No more trouble: all live, are reached and well from now on, and nothing is slow or lost.
+    // What is frozen thaws in its time.
+    void endTrouble()
+    {
+        m_isWell = true;
+        m_passages = promptPassage;
+        holdUpOrder = nullptr;
+        m_storeDownUntil = {};
+        m_links.clear();
+        for (auto &worker : m_workers) {
+            worker->turnAwayUntil({});
+            worker->refuseNoMore();
+        }
+        for (auto &agent : m_agents)
+            endTrouble(*agent);
+        for (auto &entry : m_entries)
+            endTrouble(*entry);
+        say("no more trouble");
+    }
+
     void stopStore(milliseconds span)
     {
         m_storeDownUntil = m_now + span;
@@ -280,6 +355,7 @@
 
     time_point now() const { return m_now; }
     const run_rules &rules() const { return m_rules; }
+    const std::map<std::string, job_row> &rows() const { return m_rows; }
     modelled_entry &entry(std::size_t at) { return *m_entries.at(at); }
     modelled_agent &agent(std::size_t at) { return *m_agents.at(at); }
     modelled_worker &worker(std::size_t at) { return *m_workers.at(at); }
@@ -326,6 +402,8 @@
     static constexpr milliseconds WriteRetry{300};
     static constexpr milliseconds SilentAfter{1600};
     static constexpr milliseconds LeavesWithin{3000};
+    static constexpr milliseconds LookAtLeasesEvery{700};
+    static constexpr milliseconds SilentWorker{3000};
 
     struct event
     {
@@ -377,12 +455,50 @@
             return;
         if (!isFrozen(entry))
             return happen();
-        after(std::chrono::ceil<milliseconds>(entry.frozenUntil - m_now),
+        after(std::chrono::ceil<milliseconds>(entry.frozenUntil - m_now) + thawTakes(),
               [this, &entry, incarnation, happen = std::move(happen)]() mutable {
                   atEntry(entry, incarnation, std::move(happen));
               });
     }
 
+    milliseconds thawTakes()
+    {
+        return m_kind == model_kind::First ? milliseconds(0) : m_passages(way::Thaw).takes;
+    }
+
+    // The same of an agent.
+    void atAgent(modelled_agent &agent, int life, std::function<void()> happen)
+    {
+        if (!agent.lives || agent.life != life)
+            return;
+        if (m_now >= agent.frozenUntil)
+            return happen();
+        after(std::chrono::ceil<milliseconds>(agent.frozenUntil - m_now) + thawTakes(),
+              [this, &agent, life, happen = std::move(happen)]() mutable {
+                  atAgent(agent, life, std::move(happen));
+              });
+    }
+
+    void endTrouble(modelled_agent &agent)
+    {
+        agent.cutOffUntil = {};
+        agent.storeCutOffUntil = {};
+        agent.leaving = false;
+        agent.capacity = {16'000, 64'000, 0};
+        if (!agent.lives)
+            beginAgentLife(agent);
+    }
+
+    void endTrouble(modelled_entry &entry)
+    {
+        entry.cutOffUntil = {};
+        entry.freezesAsWritten = false;
+        if (entry.leaving)
+            kill(entry);
+        if (!entry.lives)
+            beginEntryLife(entry);
+    }
+
     // --- entries
 
     void tick(modelled_entry &entry, std::int64_t incarnation)
@@ -391,6 +507,7 @@
             atEntry(entry, incarnation, [this, &entry, incarnation] {
                 hearOthers(entry);
                 takeOver(entry);
+                lookAtLeases(entry);
                 pump(entry);
                 tick(entry, incarnation);
             });
@@ -454,6 +571,20 @@
         }
     }
 
+    // Of workers that nobody has heard of for a while.
+    void lookAtLeases(modelled_entry &entry)
+    {
+        if (m_kind == model_kind::First || m_now < entry.lookAtLeasesAt || !reachesStore(entry))
+            return;
+        entry.lookAtLeasesAt = m_now + LookAtLeasesEvery;
+        for (const auto &worker : entry.book->busyWorkers()) {
+            const auto *view = entry.pool->find(worker);
+            const auto heardAt = view == nullptr ? entry.beganAt : view->heardAt;
+            if (m_now - heardAt >= SilentWorker)
+                entry.book->epochSeen(worker, m_leases[worker].epoch);
+        }
+    }
+
     void leaveOn(modelled_entry &entry, std::int64_t incarnation, milliseconds spent = {})
     {
         after(Tick, [this, &entry, incarnation, spent] {
@@ -515,6 +646,8 @@
             const bool holds = m_rows[write.job].version == write.expectedVersion;
             if (holds)
                 commitBy(entry, write);
+            if (std::exchange(entry.freezesAsWritten, false))
+                freeze(entry, entry.freezesFor);
             answerWrite(entry, incarnation, write, holds);
         });
     }
@@ -611,6 +744,8 @@
         lease.isOver = true;
         ++lease.epoch;
         say("{} has epoch {}", worker, lease.epoch);
+        if (m_kind == model_kind::Fuller)
+            return;
         for (auto &entry : m_entries)
             tellEpoch(*entry, entry->incarnation, worker, lease.epoch);
     }
@@ -642,8 +777,9 @@
             there.takes = *held;
         const auto heard = std::make_shared<bool>(false);
         if (!there.isLost) {
-            after(there.takes, [this, &entry, given, heard, incarnation = entry.incarnation] {
-                arrive(entry, incarnation, given, heard);
+            after(there.takes, [this, &entry, given, heard, incarnation = entry.incarnation,
+                                agentLife = lifeTold(entry, given.worker)] {
+                arrive(entry, incarnation, given, agentLife, heard);
             });
         }
         after(OrderTimeout, [this, &entry, given, heard, incarnation = entry.incarnation] {
@@ -656,12 +792,28 @@
         });
     }
 
+    // Of the agent, by its reports.
+    static std::int64_t lifeTold(const modelled_entry &entry, const std::string &worker)
+    {
+        const auto *view = entry.pool->find(worker);
+        return view == nullptr ? 0 : view->last.agentLife;
+    }
+
     void arrive(modelled_entry &entry, std::int64_t incarnation, const jobs::give_order &given,
-                const std::shared_ptr<bool> &heard)
+                std::int64_t agentLife, const std::shared_ptr<bool> &heard)
     {
         auto &agent = agentOf(given.worker);
-        if (!agent.lives || !isLinked(agent, entry))
+        if (!isLinked(agent, entry))
             return;
+        atAgent(agent, agent.life, [this, &entry, &agent, incarnation, given, agentLife, heard] {
+            takeOrder(entry, agent, incarnation, given, agentLife, heard);
+        });
+    }
+
+    void takeOrder(modelled_entry &entry, modelled_agent &agent, std::int64_t incarnation,
+                   const jobs::give_order &given, std::int64_t agentLife,
+                   const std::shared_ptr<bool> &heard)
+    {
         agent.table.setWorker(agent.capacity, readinessOf(agent));
         const auto answer = agent.table.take(given.order, entry.name, m_now);
         say("agent of {} takes {} of {} run {} from {}: {}", agent.name,
@@ -673,11 +825,11 @@
         const auto back = m_passages(way::OrderAnswer);
         if (back.isLost)
             return;
-        after(back.takes, [this, &entry, incarnation, given, answer, heard] {
-            atEntry(entry, incarnation, [this, &entry, given, answer, heard] {
+        after(back.takes, [this, &entry, incarnation, given, answer, agentLife, heard] {
+            atEntry(entry, incarnation, [this, &entry, given, answer, agentLife, heard] {
                 if (std::exchange(*heard, true))
                     return;
-                entry.book->orderAnswered(given.worker, answer, m_now);
+                entry.book->orderAnswered(given.worker, answer, m_now, agentLife);
                 pump(entry);
             });
         });
@@ -690,6 +842,8 @@
 
     jobs::start_readiness readinessOf(const modelled_agent &agent) const
     {
+        if (agent.leaving)
+            return jobs::start_readiness::Closed;
         const bool isOpen = agent.table.epoch() > 0 && m_now < agent.leaseUntil;
         return isOpen ? jobs::start_readiness::Open : jobs::start_readiness::Later;
     }
@@ -700,6 +854,8 @@
         if (!reachesStore(agent))
             return;
         auto &lease = m_leases[agent.name];
+        if (agent.owesEpoch && !endedWithLife(agent, lease))
+            return;
         if (agent.leaseEpoch != 0 && agent.leaseEpoch != lease.epoch) {
             ++agent.fence;
             tellLife(agent);
@@ -718,17 +874,46 @@
         agent.leaseUntil = lease.until;
     }
 
+    // False: what the worker's new life was told to start by orders of before has to end first.
+    bool endedWithLife(modelled_agent &agent, modelled_lease &lease)
+    {
+        if (!agent.fenceSeen)
+            return false;
+        if (agent.table.running() > 0) {
+            agent.table.stopAll(m_now);
+            return false;
+        }
+        agent.owesEpoch = false;
+        endEpoch(agent.name, lease);
+        return true;
+    }
+
     void look(modelled_agent &agent, int life)
     {
         after(LookEvery, [this, &agent, life] {
-            if (!agent.lives || agent.life != life)
-                return;
-            keepLease(agent);
-            readList(agent, life);
-            look(agent, life);
+            atAgent(agent, life, [this, &agent, life] {
+                keepLease(agent);
+                readList(agent, life);
+                look(agent, life);
+            });
         });
     }
 
+    // Its worker lives anew: what ran there has ended, and the epoch with it.
+    void seeWorkerLife(modelled_agent &agent)
+    {
+        const auto life = m_workers[indexOf(agent.name)]->life();
+        if (std::exchange(agent.workerLife, life) == life)
+            return;
+        say("agent of {} knows that its worker lives anew", agent.name);
+        agent.table.clear();
+        ++agent.fence;
+        tellLife(agent);
+        agent.fenceSeen = false;
+        agent.leaseEpoch = 0;
+        agent.owesEpoch = true;
+    }
+
     void readList(modelled_agent &agent, int life)
     {
         auto &worker = *m_workers[indexOf(agent.name)];
@@ -739,14 +924,19 @@
         const auto back = m_passages(way::Look);
         if (!listing || back.isLost)
             return;
-        after(back.takes, [this, &agent, life, listing = *listing, fence = agent.fence] {
-            if (agent.lives && agent.life == life && agent.fence == fence)
-                looked(agent, listing);
+        after(back.takes, [this, &agent, life, listing = *listing, fence = agent.fence,
+                           workerLife = worker.life()] {
+            atAgent(agent, life, [this, &agent, listing, fence, workerLife] {
+                if (agent.fence == fence)
+                    looked(agent, listing, workerLife);
+            });
         });
     }
 
-    void looked(modelled_agent &agent, const jobs::run_listing &listing)
+    void looked(modelled_agent &agent, const jobs::run_listing &listing, int workerLife)
     {
+        if (workerLife != agent.workerLife)
+            return seeWorkerLife(agent);
         const auto before = agent.table.endsSeen();
         agent.fenceSeen = true;
         agent.table.look(listing, m_now);
@@ -775,8 +965,11 @@
         if (!there.isLost) {
             const bool late = there.takes >= LateFrom;
             after(there.takes,
-                  [this, &agent, life, start, deadline, late, heard, fence = agent.fence] {
-                      startAt(agent, life, start, deadline, fence, late, heard);
+                  [this, &agent, life, start, deadline, late, heard, fence = agent.fence,
+                   workerLife = m_workers[indexOf(agent.name)]->life()] {
+                      // A connection ends with the worker's life.
+                      if (m_workers[indexOf(agent.name)]->life() == workerLife)
+                          startAt(agent, life, start, deadline, fence, late, heard);
                   });
         }
         after(CallTimeout, [this, &agent, life, start, heard] {
@@ -807,12 +1000,14 @@
     void startHeard(modelled_agent &agent, int life, const jobs::start_run &start,
                     jobs::start_answer answer, const std::shared_ptr<bool> &heard)
     {
-        if (std::exchange(*heard, true) || !agent.lives || agent.life != life)
+        if (std::exchange(*heard, true))
             return;
-        const auto before = agent.table.endsSeen();
-        agent.table.startAnswered(start.task, start.run, answer, m_now);
-        if (agent.table.endsSeen() != before)
-            reportAll(agent);
+        atAgent(agent, life, [this, &agent, start, answer] {
+            const auto before = agent.table.endsSeen();
+            agent.table.startAnswered(start.task, start.run, answer, m_now);
+            if (agent.table.endsSeen() != before)
+                reportAll(agent);
+        });
     }
 
     void carryOut(modelled_agent &agent, const jobs::stop_run &stop)
@@ -820,8 +1015,10 @@
         const auto there = m_passages(way::Stop);
         if (there.isLost)
             return;
-        after(there.takes, [this, &agent, stop, fence = agent.fence] {
-            if (m_workers[indexOf(agent.name)]->stop(stop, fence, m_now))
+        after(there.takes, [this, &agent, stop, fence = agent.fence,
+                            workerLife = m_workers[indexOf(agent.name)]->life()] {
+            auto &worker = *m_workers[indexOf(agent.name)];
+            if (worker.life() == workerLife && worker.stop(stop, fence, m_now))
                 say("{} stops {} run {}", agent.name, toText(stop.task), stop.run);
         });
     }
@@ -831,10 +1028,10 @@
     void reportRegularly(modelled_agent &agent, int life)
     {
         after(ReportEvery, [this, &agent, life] {
-            if (!agent.lives || agent.life != life)
-                return;
-            reportAll(agent);
-            reportRegularly(agent, life);
+            atAgent(agent, life, [this, &agent, life] {
+                reportAll(agent);
+                reportRegularly(agent, life);
+            });
         });
     }
 
@@ -903,12 +1100,34 @@
         entry.waits[token] = [this, &entry, &agent, life, end, inTime](bool isStored) {
             if (isStored && inTime)
                 acknowledge(entry, agent, life, end);
+            if (!isStored && inTime && m_kind == model_kind::Fuller)
+                sayNotOwned(entry, agent, life, end);
         };
         if (entry.book->runEnded(agent.name, end, m_now, token))
             return;
         const auto known = entry.view.find(end.task.job);
-        resolve(entry, token,
-                known != entry.view.end() && jobs::isFinal(known->second.record->state()));
+        resolve(entry, token, known != entry.view.end() && isSettled(*known->second.record));
+    }
+
+    bool isSettled(const jobs::job_record &record) const
+    {
+        return m_kind == model_kind::First ? jobs::isFinal(record.state()) : !record.needsOwner();
+    }
+
+    void sayNotOwned(modelled_entry &entry, modelled_agent &agent, int life,
+                     const jobs::run_end &end)
+    {
+        const auto back = m_passages(way::ReportAnswer);
+        if (back.isLost)
+            return;
+        after(back.takes, [this, &entry, &agent, life, end] {
+            if (!isLinked(agent, entry))
+                return;
+            atAgent(agent, life, [this, &entry, &agent, end] {
+                if (agent.table.notOwned({end.task, end.run, end.how}, entry.name))
+                    reportAll(agent);
+            });
+        });
     }
 
     void acknowledge(modelled_entry &entry, modelled_agent &agent, int life,
@@ -918,13 +1137,17 @@
         if (back.isLost)
             return;
         after(back.takes, [this, &entry, &agent, life, end] {
-            if (agent.lives && agent.life == life && isLinked(agent, entry))
+            if (!isLinked(agent, entry))
+                return;
+            atAgent(agent, life, [this, &agent, end] {
                 agent.table.acknowledged({end.task, end.run, end.how}, m_now);
+            });
         });
     }
 
     passage_source m_passages;
     bool m_keepsTrace = true;
+    model_kind m_kind = model_kind::First;
     time_point m_begin{std::chrono::hours(1)};
     time_point m_now{m_begin};
     std::priority_queue<event, std::vector<event>, later> m_events;
@@ -937,6 +1160,7 @@
     std::map<std::pair<std::string, std::string>, time_point> m_links; // agent and entry: cut until
     std::int64_t m_version = 0;
     time_point m_storeDownUntil{};
+    bool m_isWell = false; // no more trouble
     run_rules m_rules;
     std::vector<std::string> m_trace;
 };
--- a/tests/order_search.cpp
+++ b/tests/order_search.cpp
@@ -1,4 +1,5 @@
-// Searches seeded orders of events for one that runs a task twice. Exit codes: 0 none breaks the
+// Searches seeded orders of events for one that runs a task twice, or in which a task stands still
+// though all is well. Exit codes: 0 none breaks the
 // rule, 1 some do, 2 usage.
 #include <cstdint>
 #include <string>
@@ -42,21 +43,21 @@
     std::size_t jobsOver = 0;
 };
 
-void printTrace(std::uint64_t seed)
+void printTrace(std::uint64_t seed, search_kind kind)
 {
-    const auto again = order_search(seed, true).run();
+    const auto again = order_search(seed, true, kind).run();
     for (const auto &line : again.trace)
         fmt::print("    {}\n", line);
 }
 
-void searchSeed(std::uint64_t seed, bool printsTrace, search_sum &sum)
+void searchSeed(std::uint64_t seed, search_kind kind, bool printsTrace, search_sum &sum)
 {
-    const auto result = order_search(seed, false).run();
+    const auto result = order_search(seed, false, kind).run();
     ++sum.seeds;
     sum.starts += result.starts;
     sum.jobsOver += result.jobsOver;
     if (printsTrace)
-        printTrace(seed);
+        printTrace(seed, kind);
     if (result.broken.empty())
         return;
     sum.broken.push_back(seed);
@@ -64,13 +65,13 @@
         fmt::print("seed {}: {}\n", seed, rule);
 }
 
-int search(const std::vector<std::string> &ranges, bool printsTrace)
+int search(const std::vector<std::string> &ranges, search_kind kind, bool printsTrace)
 {
     search_sum sum;
     for (const auto &text : ranges) {
         const auto range = rangeFrom(text);
         for (auto seed = range.first; seed <= range.last; ++seed)
-            searchSeed(seed, printsTrace, sum);
+            searchSeed(seed, kind, printsTrace, sum);
     }
     fmt::print("{} seeds, {} broken, {} starts, {} jobs over\n", sum.seeds, sum.broken.size(),
                sum.starts, sum.jobsOver);
@@ -86,8 +87,10 @@
         command.setExceptionHandling(false);
         TCLAP::MultiArg<std::string> seeds("", "seeds", "seeds to run", true, "A-B", command);
         TCLAP::SwitchArg trace("", "trace", "prints what happened in each", command);
+        TCLAP::SwitchArg standing("", "standing", "looks for tasks that stand still", command);
         command.parse(count, words);
-        return search(seeds.getValue(), trace.getValue());
+        const auto kind = standing.getValue() ? search_kind::Standing : search_kind::Doubled;
+        return search(seeds.getValue(), kind, trace.getValue());
     } catch (const TCLAP::ExitException &exit) {
         return exit.getExitStatus() == 0 ? ExitDone : ExitUsage;
     } catch (const TCLAP::ArgException &problem) {
--- a/tests/order_search.h
+++ b/tests/order_search.h
@@ -1,5 +1,6 @@
 // A seeded order of events on the modelled site: faults, delays and losses are drawn from the seed,
-// and the rule on doubled work is checked at each start.
+// and the rule on doubled work is checked at each start. A search for tasks that stand still has
+// tasks that last and more kinds of trouble, and lets all be well at the end.
 #pragma once
 
 #include <array>
@@ -13,6 +14,7 @@
 
 #include "base/random.h"
 #include "order_model.h"
+#include "standing_rules.h"
 
 namespace zinniabarrow::tests {
 
@@ -29,8 +31,17 @@
     StartsTurnedAway,
     StartRefused,
     RoomTaken,
+    // In a search for tasks that stand still only:
+    AgentFrozen,
+    EntryFrozenAsWritten,
+    LinkCut,
+    WorkerLeaves,
+    WorkerBootsAnew,
 };
-constexpr std::size_t FaultKinds = 12;
+constexpr std::size_t FirstFaultKinds = 12;
+constexpr std::size_t FaultKinds = 17;
+
+enum class search_kind { Doubled, Standing };
 
 struct search_result
 {
@@ -43,14 +54,17 @@
 class order_search
 {
 public:
-    order_search(std::uint64_t seed, bool keepsTrace)
-        : m_random(seed)
+    order_search(std::uint64_t seed, bool keepsTrace, search_kind kind = search_kind::Doubled)
+        : m_kind(kind)
+        , m_random(seed)
         , m_model(
-                  Entries, Workers, [this](const auto &, int) { return drawRun(); },
-                  [this](way what) { return drawPassage(what); }, keepsTrace)
+                  Entries, Workers, [this](const auto &task, int) { return drawRun(task); },
+                  [this](way what) { return drawPassage(what); }, keepsTrace,
+                  kind == search_kind::Doubled ? model_kind::First : model_kind::Fuller)
     {
-        for (auto &weight : m_weights)
-            weight = between(0, 3);
+        const auto kinds = kind == search_kind::Doubled ? FirstFaultKinds : FaultKinds;
+        for (std::size_t which = 0; which < kinds; ++which)
+            m_weights[which] = between(0, 3);
         m_holdsUpOrders = between(0, 1) == 1;
         m_model.say("orders are {}held up", m_holdsUpOrders ? "" : "not ");
     }
@@ -60,15 +74,68 @@
         for (int job = 0; job < Jobs; ++job)
             m_model.after(milliseconds(1500 + job * between(100, 500)),
                           [this, job] { m_model.submit(fmt::format("j{}", job), drawJob()); });
+        if (m_kind == search_kind::Standing)
+            submitLasting();
         drawFaults();
         for (milliseconds spent{}; spent < Length && m_model.rules().broken().empty();
              spent += FaultEvery)
             m_model.run(FaultEvery);
-        return {m_model.rules().broken(), m_model.trace(), m_model.rules().starts(),
-                m_model.jobsOver()};
+        if (m_kind == search_kind::Standing)
+            calmDown();
+        return {broken(), m_model.trace(), m_model.rules().starts(), m_model.jobsOver()};
     }
 
 private:
+    std::vector<std::string> broken() const
+    {
+        auto all = m_model.rules().broken();
+        const auto &standing = m_standing.broken();
+        all.insert(all.end(), standing.begin(), standing.end());
+        return all;
+    }
+
+    void submitLasting()
+    {
+        for (int job = 0; job < LastingJobs; ++job)
+            m_model.after(milliseconds(1500 + job * between(100, 2000)),
+                          [this, job] { m_model.submit(lastingName(job), lastingJob()); });
+    }
+
+    static std::string lastingName(int job) { return fmt::format("lasts{}", job); }
+
+    static jobs::job_spec lastingJob()
+    {
+        auto spec = drawJob();
+        spec.steps.resize(1);
+        spec.steps[0].count = 2;
+        spec.steps[0].lasting = true;
+        return spec;
+    }
+
+    // A task that lasts has to run within 10 s of calm, and a while later too.
+    void calmDown()
+    {
+        m_isCalm = true;
+        m_model.endTrouble();
+        lookFor(LongestFreeze);
+        m_model.say("calm");
+        lookFor(milliseconds(10'000));
+        m_standing.judge(m_model);
+        lookFor(milliseconds(4000));
+        m_standing.judge(m_model);
+    }
+
+    void lookFor(milliseconds span)
+    {
+        constexpr milliseconds LookEvery{50};
+        for (milliseconds spent{}; spent < span; spent += LookEvery) {
+            m_model.run(LookEvery);
+            m_standing.look(m_model);
+        }
+    }
+
+    static constexpr int LastingJobs = 6;
+    static constexpr milliseconds LongestFreeze{5000};
     static constexpr int Entries = 3;
     static constexpr int Workers = 3;
     static constexpr int Jobs = 40;
@@ -84,12 +151,22 @@
     bool inPercent(int percent) { return between(1, 100) <= percent; }
     milliseconds span(int lowest, int highest) { return milliseconds(between(lowest, highest)); }
 
-    run_plan drawRun()
+    run_plan drawRun(const jobs::task_id &task)
     {
+        if (task.job.starts_with("lasts"))
+            return drawLastingRun();
         const auto how = inPercent(90) ? jobs::end_kind::Done : jobs::end_kind::Failed;
         return {span(100, 900), how};
     }
 
+    run_plan drawLastingRun()
+    {
+        if (m_isCalm)
+            return {milliseconds(60'000), jobs::end_kind::Done};
+        const auto how = inPercent(50) ? jobs::end_kind::Done : jobs::end_kind::Failed;
+        return {span(300, 15'000), how};
+    }
+
     static jobs::job_spec drawJob()
     {
         jobs::job_spec spec;
@@ -139,6 +216,8 @@
             return {8, 10, 100, 0};
         case way::Feed:
             return {0, 50, 60, 0};
+        case way::Thaw:
+            return {0, 50, 20, 0};
         }
         return {};
     }
@@ -158,6 +237,8 @@
     void drawFaults()
     {
         m_model.after(FaultEvery, [this] {
+            if (m_isCalm)
+                return;
             if (m_model.now() >= m_begin + milliseconds(1000)) {
                 revive();
                 plant(drawFault());
@@ -223,6 +304,16 @@
             return anyWorker().refuseNext();
         case fault::RoomTaken:
             return takeRoom();
+        case fault::AgentFrozen:
+            return m_model.freeze(anyAgent(), span(200, 5000));
+        case fault::EntryFrozenAsWritten:
+            return m_model.freezeAsWritten(anyEntry(), span(200, 5000));
+        case fault::LinkCut:
+            return m_model.cutOffLink(anyAgent(), anyEntry(), span(200, 5000));
+        case fault::WorkerLeaves:
+            return m_model.leave(anyWorker(), span(200, 3000), span(200, 3000));
+        case fault::WorkerBootsAnew:
+            return m_model.bootAnew(anyWorker());
         }
     }
 
@@ -233,8 +324,11 @@
         m_model.after(span(200, 3000), [&agent] { agent.capacity = {16'000, 64'000, 0}; });
     }
 
+    search_kind m_kind;
     random_generator m_random;
     order_model m_model;
+    standing_rules m_standing;
+    bool m_isCalm = false;
     time_point m_begin{m_model.now()};
     std::array<int, FaultKinds> m_weights{}; // drawn: each seed has faults of its own
     bool m_holdsUpOrders = false;            // for seconds, past the lives that they were for
