The course of a completed job is told in the log

Operators saw that a job came late, and not why: whether it was begun with too little time to spare, its steps took longer than their estimates, or its tasks waited for workers.

job_course tells it in one line, by the owner that began the job.

--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -365,6 +365,7 @@
     for (const auto &[urgency, id] : order)
         placeWaiting(id, m_jobs.at(id), now, wallMs);
     tellUnderserved(now);
+    tellEnded(wallMs);
     writeBegun(now);
     const auto touched = std::move(m_touched);
     m_touched.clear();
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -150,6 +150,14 @@
         time_point tellAt{}; // the log, why no worker is found
     };
 
+    // How the job's time went, as far as this owner saw it.
+    struct job_course
+    {
+        std::optional<std::int64_t> firstAtMs; // Unix ms: its first task got a worker
+        std::int64_t spareAtFirstMs = 0;       // the time to spare then
+        std::int64_t unplacedMs = 0;           // in all, steps had tasks without a worker
+    };
+
     struct owned_job
     {
         job_record record;
@@ -170,6 +178,7 @@
         std::map<task_id, std::vector<std::string>> avoided;     // workers
         std::map<std::pair<int, int>, time_point> waitingSince;  // by occurrence and step
         std::map<std::pair<int, int>, waiting_step> unplaced;    // the same
+        job_course course;
     };
 
     template <typename Visit>
@@ -223,6 +232,7 @@
     void tellUnplaced(const std::string &id, owned_job &job, int occurrence, int stepIndex,
                       int tasks, const placement_wish &wish, time_point now);
     void tellUnderserved(time_point now);
+    void tellEnded(std::int64_t wallMs);
     void tellUnanswered(const std::string &id, const task_id &task, int run, pending_order &order,
                         time_point now);
     static std::vector<std::string> fullOf(const owned_job &job, const task_id &task,
@@ -236,6 +246,7 @@
     std::map<std::string, owned_job> m_jobs;
     std::set<std::string> m_waiting;           // jobs of which a task may be placed
     std::set<std::string> m_touched;           // changed since the last plan
+    std::vector<std::string> m_completed;      // the log is not told of their course yet
     std::set<std::string> m_ordering;          // with orders that have no answer yet
     time_point m_tellServedAt{};               // the log, which jobs are not served in full
     std::map<std::string, time_point> m_begun; // jobs whose rows don't say so yet; write it then
--- a/libs/jobs/job_book_ends.cpp
+++ b/libs/jobs/job_book_ends.cpp
@@ -92,6 +92,8 @@
         finishTask(id, job, end.task, end.run, step);
     if (end.how == end_kind::Failed)
         countFailure(id, job, worker, end, step, ran);
+    if (job.record.state() == job_state::Completed)
+        m_completed.push_back(id);
     if (isFinal(job.record.state()))
         note("job_ended", id, std::string(nameOf(job.record.state())));
 }
--- a/libs/jobs/job_book_placing.cpp
+++ b/libs/jobs/job_book_placing.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "jobs/job_book.h"
+#include "jobs/urgency.h"
 
 namespace zinniabarrow::jobs {
 
@@ -36,6 +37,10 @@
     }
     if (!waits)
         m_waiting.erase(id);
+    if (!job.record.begun && !job.course.firstAtMs && !job.starts.empty()) {
+        job.course.firstAtMs = wallMs;
+        job.course.spareAtFirstMs = timeToSpareMs(job.record, wallMs);
+    }
 }
 
 // True when some task of the step still waits for a worker.
--- a/libs/jobs/job_book_telling.cpp
+++ b/libs/jobs/job_book_telling.cpp
@@ -4,6 +4,7 @@
 #include <fmt/core.h>
 
 #include "jobs/job_book.h"
+#include "jobs/urgency.h"
 
 namespace zinniabarrow::jobs {
 
@@ -45,7 +46,9 @@
 {
     const std::pair key{occurrence, stepIndex};
     if (tasks == 0) {
-        job.unplaced.erase(key);
+        const auto waited = job.unplaced.extract(key);
+        if (!waited.empty())
+            job.course.unplacedMs += millisecondsIn(now - waited.mapped().since);
         return;
     }
     const waiting_step begins{now, now + m_settings.tellWaits};
@@ -83,6 +86,26 @@
     }
 }
 
+// Where the time of a job went: it began with too little to spare, its steps took longer than their
+// estimates, or its tasks waited for workers.
+void job_book::tellEnded(std::int64_t wallMs)
+{
+    for (const auto &id : std::exchange(m_completed, {})) {
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end() || !found->second.course.firstAtMs)
+            continue; // begun by an earlier owner
+        const auto &record = found->second.record;
+        const auto &course = found->second.course;
+        const auto left = timeToSpareMs(record, wallMs);
+        note("job_course", id,
+             fmt::format("{} by {} ms; first worker after {} ms with {} ms to spare, completed {} "
+                         "ms later; chain estimated {} ms, {} ms without workers",
+                         left < 0 ? "late" : "in time", left < 0 ? -left : left,
+                         *course.firstAtMs - record.acceptedAtMs, course.spareAtFirstMs,
+                         wallMs - *course.firstAtMs, estimatedMs(record), course.unplacedMs));
+    }
+}
+
 void job_book::tellUnanswered(const std::string &id, const task_id &task, int run,
                               pending_order &order, time_point now)
 {
--- a/libs/jobs/urgency.cpp
+++ b/libs/jobs/urgency.cpp
@@ -43,12 +43,17 @@
 
 } // namespace
 
+std::int64_t estimatedMs(const job_record &record)
+{
+    return longestChainMs(record, std::nullopt);
+}
+
 std::int64_t timeToSpareMs(const job_record &record, std::int64_t wallMs)
 {
     const int occurrence = firstOpenOccurrence(record);
     const auto from = record.occurrences > 0 ? record.firstDueMs + occurrence * record.intervalMs
                                              : record.acceptedAtMs;
-    const auto chain = static_cast<double>(longestChainMs(record, std::nullopt));
+    const auto chain = static_cast<double>(estimatedMs(record));
     const auto objective = static_cast<std::int64_t>(record.policy.stretch * chain)
                            + record.policy.targetLatencyMs;
     return from + objective - longestChainMs(record, occurrence) - wallMs;
--- a/libs/jobs/urgency.h
+++ b/libs/jobs/urgency.h
@@ -28,4 +28,7 @@
 // zero: it can't.
 std::int64_t timeToSpareMs(const job_record &record, std::int64_t wallMs);
 
+// How long the job takes by the estimates of its steps, its longest chain, ms.
+std::int64_t estimatedMs(const job_record &record);
+
 } // namespace zinniabarrow::jobs
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -28,6 +28,8 @@
     std::vector<give_order> orders;
     std::vector<std::int64_t> storedTokens;
     std::vector<std::int64_t> disownedTokens;
+    std::vector<noted> notes;
+    std::int64_t wallMs = 1000;
 
     scene()
     {
@@ -67,14 +69,14 @@
         policy.queue = "holds";
         policy.service = "tickets";
         policy.maxAttempts = 2;
-        book.submit("j", spec, policy, 1000, now, token);
+        book.submit("j", spec, policy, wallMs, now, token);
         turn();
     }
 
     // Plans, and takes what is to be done.
     void turn()
     {
-        book.plan(now, 1000);
+        book.plan(now, wallMs);
         for (auto &action : book.takeActions()) {
             if (auto *write = std::get_if<write_row>(&action))
                 writes.push_back(*write);
@@ -84,6 +86,8 @@
                 storedTokens.push_back(done->token);
             else if (auto *lost = std::get_if<disowned>(&action))
                 disownedTokens.push_back(lost->token);
+            else if (auto *told = std::get_if<noted>(&action))
+                notes.push_back(*told);
         }
     }
 
@@ -99,6 +103,20 @@
                            {order.order.task, order.order.run, order_outcome::Accepted}, now);
     }
 
+    void pass(milliseconds time)
+    {
+        now += time;
+        wallMs += time.count();
+        turn();
+    }
+
+    std::string toldOf(const std::string &event) const
+    {
+        const auto found = std::find_if(notes.begin(), notes.end(),
+                                        [&](const auto &one) { return one.event == event; });
+        return found == notes.end() ? "" : found->detail;
+    }
+
     std::size_t startsOf(const task_id &task) const
     {
         return static_cast<std::size_t>(
@@ -152,6 +170,31 @@
     });
 }
 
+// Guards against a late job of which nobody can tell whether it waited or ran too long.
+Test(job_book, the_course_of_a_late_job_is_told)
+{
+    scene on;
+    on.submit();
+    on.written();
+    section("nothing is told of a job that is not completed", [&] {
+        on.pass(milliseconds(700));
+        check(on.toldOf("job_course").empty());
+    });
+    section("then the log has its lateness, what it could spare, and what its steps took", [&] {
+        for (std::size_t index = 0; index < 3; ++index) {
+            require(on.orders.size() > index);
+            on.accept(on.orders[index]);
+            on.pass(milliseconds(400));
+            on.end(on.orders[index], end_kind::Done);
+            on.written();
+            on.written();
+        }
+        check(on.toldOf("job_course")
+              == "late by 700 ms; first worker after 0 ms with 0 ms to spare, completed 1900 ms "
+                 "later; chain estimated 1200 ms, 0 ms without workers");
+    });
+}
+
 // A caller hands its job in twice, at two entries. The second entry's write fails on the row of the
 // first: it answers that the job is accepted, and starts nothing.
 Test(job_book, handed_in_at_two_entries)
