Known red: in overload few jobs are in time, in a model without network

The test plays 90 s of jobs on 40 places, 1.15 times what these can do; steps end with their slowest task, at 1.3 to 1.5 times the estimate. Bound: as large a share in time as where jobs that can't be in time by what their steps really take come last.

--- /dev/null
+++ b/tests/overload_order_test.cpp
@@ -0,0 +1,192 @@
+// Jobs that ask for a little more than the workers can bear, in the order in which they get
+// workers, over a minute and a half of virtual time.
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include "jobs/urgency.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::jobs;
+
+namespace {
+
+constexpr int Places = 40;              // tasks that work at a time
+constexpr std::int64_t LastMs = 90'000; // the last job comes in
+constexpr std::int64_t TurnMs = 50;
+constexpr std::int64_t AskedPerMs = 46; // ms of tasks: 1.15 of what the places can do
+
+struct working_task
+{
+    std::size_t job = 0;
+    int step = 0;
+    int index = 0;
+    std::int64_t endsAtMs = 0;
+};
+
+struct model_job
+{
+    job_record record;
+    std::vector<std::vector<std::int64_t>> tookMs; // by step and task, as they really take
+    bool over = false;
+};
+
+// Longest real time of what is left, tasks without a worker in full.
+std::int64_t reallyLeftMs(const model_job &job)
+{
+    std::int64_t left = 0;
+    for (std::size_t step = 0; step < job.tookMs.size(); ++step) {
+        if (!job.record.stepDone(0, static_cast<int>(step)))
+            left += *std::max_element(job.tookMs[step].begin(), job.tookMs[step].end());
+    }
+    return left;
+}
+
+class crowded_places
+{
+public:
+    explicit crowded_places(unsigned seed)
+        : m_random(seed)
+    { }
+
+    // With what really happens known: jobs that can't be in time come last, the others by the time
+    // that they have to spare.
+    double inTimeWithHindsight()
+    {
+        return play([](const model_job &job, std::int64_t now) {
+            const auto end = job.record.acceptedAtMs + objectiveMs(job);
+            const bool lost = now + reallyLeftMs(job) > end;
+            return std::pair(lost, timeToSpareMs(job.record, now));
+        });
+    }
+    double inTime()
+    {
+        return play([](const model_job &job, std::int64_t now) {
+            return std::pair(false, urgencyOf(job.record, now));
+        });
+    }
+
+private:
+    static std::int64_t objectiveMs(const model_job &job)
+    {
+        return static_cast<std::int64_t>(job.record.policy.stretch
+                                         * static_cast<double>(estimatedMs(job.record)))
+               + job.record.policy.targetLatencyMs;
+    }
+    std::int64_t between(std::int64_t low, std::int64_t high)
+    {
+        return std::uniform_int_distribution<std::int64_t>(low, high)(m_random);
+    }
+
+    // Steps take 1.3 to 1.5 times their estimates, their tasks not all the same.
+    void handIn(std::int64_t now)
+    {
+        job_spec spec;
+        model_job job;
+        const auto steps = between(1, 3);
+        for (int index = 0; index < steps; ++index) {
+            step_spec step;
+            step.count = static_cast<int>(between(2, 16));
+            step.size = {1000, 100, 0};
+            step.estimateMs = between(600, 2400);
+            if (index > 0)
+                step.after = {index - 1};
+            spec.steps.push_back(step);
+            const auto slowest = step.estimateMs * between(130, 150) / 100;
+            auto &took = job.tookMs.emplace_back();
+            for (int task = 0; task < step.count; ++task) {
+                took.push_back(slowest * between(70, 100) / 100);
+                m_askedMs += took.back();
+            }
+        }
+        queue_policy policy;
+        policy.stretch = 2;
+        policy.targetLatencyMs = 1000;
+        job.record = newRecord(spec, policy, now);
+        m_jobs.push_back(std::move(job));
+    }
+
+    void endTasks(std::int64_t now)
+    {
+        std::erase_if(m_working, [&](const working_task &run) {
+            if (run.endsAtMs > now)
+                return false;
+            auto &job = m_jobs[run.job];
+            auto &task = *job.record.find({"", 0, run.step, run.index});
+            task.placements.clear();
+            task.done = true;
+            if (job.record.state() == job_state::Completed) {
+                job.over = true;
+                m_inTime += run.endsAtMs <= job.record.acceptedAtMs + objectiveMs(job) ? 1 : 0;
+            }
+            return true;
+        });
+    }
+
+    template <typename Order>
+    void startTasks(std::int64_t now, Order order)
+    {
+        std::vector<std::pair<decltype(order(m_jobs[0], now)), std::size_t>> waiting;
+        for (std::size_t index = 0; index < m_jobs.size(); ++index) {
+            if (!m_jobs[index].over)
+                waiting.emplace_back(order(m_jobs[index], now), index);
+        }
+        std::sort(waiting.begin(), waiting.end());
+        for (const auto &[urgency, index] : waiting)
+            startTasksOf(index, now);
+    }
+
+    void startTasksOf(std::size_t number, std::int64_t now)
+    {
+        auto &job = m_jobs[number];
+        for (int step = 0; step < static_cast<int>(job.tookMs.size()); ++step) {
+            if (!job.record.stepReady(0, step))
+                continue;
+            const auto &took = job.tookMs[static_cast<std::size_t>(step)];
+            for (int index = 0; index < static_cast<int>(took.size()); ++index) {
+                auto &task = *job.record.find({"", 0, step, index});
+                if (!task.isWaiting() || m_working.size() >= Places)
+                    continue;
+                task.placements.push_back({"w", 1, 1, 0});
+                m_working.push_back(
+                        {number, step, index, now + took[static_cast<std::size_t>(index)]});
+            }
+        }
+    }
+
+    template <typename Order>
+    double play(Order order)
+    {
+        for (std::int64_t now = 0; now < LastMs + 60'000; now += TurnMs) {
+            while (now < LastMs && m_askedMs < AskedPerMs * now)
+                handIn(now);
+            endTasks(now);
+            startTasks(now, order);
+        }
+        return static_cast<double>(m_inTime) / static_cast<double>(m_jobs.size());
+    }
+
+    std::mt19937 m_random;
+    std::vector<model_job> m_jobs;
+    std::vector<working_task> m_working;
+    std::int64_t m_askedMs = 0;
+    int m_inTime = 0;
+};
+
+} // namespace
+
+// Guards against room that goes to parts of many jobs at a time, so that none of them is in time.
+Test(overload_order, as_many_in_time_as_when_lost_jobs_come_last)
+{
+    constexpr unsigned Seeds = 20;
+    double share = 0;
+    double known = 0;
+    for (unsigned seed = 1; seed <= Seeds; ++seed) {
+        share += crowded_places(seed).inTime() / Seeds;
+        known += crowded_places(seed).inTimeWithHindsight() / Seeds;
+    }
+    cr_expect(share >= known, "%.3f in time, %.3f with lost jobs last", share, known);
+}
