--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -381,6 +381,7 @@
         placeWaiting(id, m_jobs.at(id), now, wallMs);
     tellUnderserved(now);
     tellStanding(now, wallMs);
+    tellEnded(wallMs);
     writeBegun(now);
     const auto touched = std::move(m_touched);
     m_touched.clear();
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -162,6 +162,14 @@
         time_point tellAt{}; // the log, why no worker is found
     };
 
+    // How the job's time went, as far as this owner saw it.
+    struct job_course
+    {
+        std::optional<std::int64_t> firstAtMs; // Unix ms: its first task got a worker
+        std::int64_t spareAtFirstMs = 0;       // the time to spare then
+        std::int64_t unplacedMs = 0;           // in all, steps had tasks without a worker
+    };
+
     struct owned_job
     {
         job_record record;
@@ -183,6 +191,7 @@
         std::map<std::pair<int, int>, time_point> waitingSince;  // by occurrence and step
         std::map<std::pair<int, int>, waiting_step> unplaced;    // the same
         std::map<task_id, standing_task> standing;               // tasks that last
+        job_course course;
     };
 
     template <typename Visit>
@@ -256,6 +265,7 @@
                                  standing_reason why, time_point now) const;
     int servingAt(const std::string &id, const std::string &worker) const;
     static int placedAt(const owned_job &job, const std::string &worker);
+    void tellEnded(std::int64_t wallMs);
     void tellUnanswered(const std::string &id, const task_id &task, int run, pending_order &order,
                         time_point now);
     static std::vector<std::string> fullOf(const owned_job &job, const task_id &task,
@@ -269,6 +279,7 @@
     std::map<std::string, owned_job> m_jobs;
     std::set<std::string> m_waiting;           // jobs of which a task may be placed
     std::set<std::string> m_touched;           // changed since the last plan
+    std::vector<std::string> m_completed;      // the log is not told of their course yet
     std::set<std::string> m_ordering;          // with orders that have no answer yet
     time_point m_tellServedAt{};               // the log, which jobs are not served in full
     time_point m_lookStandingAt{};             // for tasks that stand still
