Taken back: a start that is put off goes elsewhere

Put off for 2 s, such a run, or its whole gang, would have been stopped, for certain where the store is away as the agent begins its life.

--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -234,12 +234,8 @@
     const std::pair key{answer.task, answer.run};
     // The life that answered is over, and took what it was told along. An owner that was frozen
     // reads what came meanwhile in any order.
-    if (!isOfThePresentLife(worker, agentLife))
+    if (isGivenAgain(answer.outcome) || !isOfThePresentLife(worker, agentLife))
         return orderUnanswered(worker, answer.task, answer.run, now);
-    if (isGivenAgain(answer.outcome)) {
-        orderUnanswered(worker, answer.task, answer.run, now);
-        return moveIfPutOff(id, job, answer, now);
-    }
     // Each answer settles its own order only. A start's answer that took the stop away, while that
     // waited for the write of the cancel, would leave the run to itself.
     if (answer.kind == order_kind::Stop)
@@ -260,23 +256,6 @@
          fmt::format("{}: {}", describe(answer.task, answer.run, worker), nameOf(answer.outcome)));
 }
 
-// Nobody knows which of the tries has arrived: only an agent that was told to stop the run never
-// starts it, and until it says so the task stays placed there.
-void job_book::moveIfPutOff(const std::string &id, owned_job &job, const order_answer &answer,
-                            time_point now)
-{
-    const auto order = job.starts.find({answer.task, answer.run});
-    if (answer.kind != order_kind::Start || order == job.starts.end()
-        || now < order->second.putOffUntil)
-        return;
-    const auto worker = order->second.worker;
-    note("start_put_off", id, describe(answer.task, answer.run, worker));
-    avoid(job, answer.task, worker);
-    for (const auto &[task, where] : startedWith(job, answer.task, answer.run))
-        stopPlaced(job, task, where);
-    m_ordering.insert(id);
-}
-
 bool job_book::isOfThePresentLife(const std::string &worker, std::int64_t agentLife) const
 {
     const auto *view = m_workers.find(worker);
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -63,9 +63,6 @@
     // An order without an answer is given again after this: an agent answers in milliseconds, and
     // the same order twice is one start.
     milliseconds repeatOrder{300};
-    // A start that its agent puts off goes elsewhere then: an agent that lives anew is ready within
-    // a second, unless it knows of runs that nobody claims.
-    milliseconds putOffAtMost{2000};
     // What fills waits so long for a worker where it harms nobody. A job that has waited this long
     // is late for certain, and must not make others late for that. Callers take a job of which
     // nothing runs for 3 s for lost where most of the service is free.
@@ -151,9 +148,8 @@
         std::int64_t revision = 0; // given once this revision is stored
         bool out = false;          // given, no answer yet
         time_point repeatAt{};
-        time_point givenAt{};           // first
-        time_point tellAt{};            // the log, that there is no answer
-        time_point putOffUntil = Never; // a start that its agent puts off goes elsewhere then
+        time_point givenAt{}; // first
+        time_point tellAt{};  // the log, that there is no answer
     };
 
     struct waiting_step
@@ -226,14 +222,6 @@
     void stopAll(const std::string &id, owned_job &job);
     static void notStarted(owned_job &job, const std::string &worker, const task_id &task, int run);
     static void stopPlaced(owned_job &job, const task_id &task, const placement &where);
-    struct placed_task
-    {
-        task_id task;
-        placement where;
-    };
-    static std::vector<placed_task> startedWith(owned_job &job, const task_id &task, int run);
-    void moveIfPutOff(const std::string &id, owned_job &job, const order_answer &answer,
-                      time_point now);
     static void avoid(owned_job &job, const task_id &task, const std::string &worker);
     static void removePlacement(owned_job &job, const task_id &task, int run);
     static bool isPlacedOn(const task_state &task, const std::string &worker, int run);
--- a/libs/jobs/job_book_ends.cpp
+++ b/libs/jobs/job_book_ends.cpp
@@ -168,31 +168,20 @@
     note("job_failed", id, fmt::format("{} failed {} times", toText(end.task), task.failures));
 }
 
-// The run as it is placed: of a gang all members that are.
-std::vector<job_book::placed_task> job_book::startedWith(owned_job &job, const task_id &task,
-                                                         int run)
+// The run never starts there. The other members of its gang would wait for it in vain.
+void job_book::notStarted(owned_job &job, const std::string &worker, const task_id &task, int run)
 {
     const auto &step = job.record.steps[static_cast<std::size_t>(task.step)];
-    std::vector<placed_task> found;
+    if (!step.gang)
+        return avoid(job, task, worker);
+    std::vector<std::pair<task_id, placement>> others;
     for (int index = 0; index < step.count; ++index) {
-        if (!step.gang && index != task.index)
-            continue;
         const task_id member{task.job, task.occurrence, task.step, index};
         for (const auto &where : job.record.find(member)->placements) {
             if (where.run == run)
-                found.push_back({member, where});
+                others.emplace_back(member, where);
         }
     }
-    return found;
-}
-
-// The run never starts there. The other members of its gang would wait for it in vain.
-void job_book::notStarted(owned_job &job, const std::string &worker, const task_id &task, int run)
-{
-    const auto &step = job.record.steps[static_cast<std::size_t>(task.step)];
-    if (!step.gang)
-        return avoid(job, task, worker);
-    const auto others = startedWith(job, task, run);
     // With another member gone already this one was stopped for that, through no fault of its
     // worker.
     if (static_cast<int>(others.size()) < step.count - 1)
--- a/libs/jobs/job_book_telling.cpp
+++ b/libs/jobs/job_book_telling.cpp
@@ -112,7 +112,6 @@
     if (order.givenAt == time_point{}) {
         order.givenAt = now;
         order.tellAt = now + m_settings.tellWaits;
-        order.putOffUntil = now + m_settings.putOffAtMost;
     }
     if (now < order.tellAt)
         return;
