A stop of a run that is not known waits for what the life before was stopping

What callers could see: a task runs twice at once. Its next life is given the stop again, knows nothing of the run, which is in neither list until it has ended, and answered that it never starts: the task went elsewhere while its run was still ending. Starts already wait for that time. Change: until the agent may start runs the stop of a run that it doesn't know is answered "not ready" and remembered, and is given again. Evidence: run_table_test a_stop_again_while_the_earlier_lifes_stops_may_last failed before. A worker that leaves is answered as before: open.

--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -132,7 +132,9 @@
         return answer(order_outcome::NotReady);
     if (known == m_runs.end()) {
         refuse(key, now);
-        return answer(order_outcome::Superseded);
+        // What an earlier life of this agent was stopping may be there yet, in neither list.
+        const bool mayBeThere = m_readiness == start_readiness::Later;
+        return answer(mayBeThere ? order_outcome::NotReady : order_outcome::Superseded);
     }
     auto &entry = known->second;
     entry.owner = owner;
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -110,6 +110,22 @@
 
 // The caller's job runs once. An entry that was frozen wakes and gives an order that was placed
 // before the worker's lease ran out; the task runs elsewhere by now.
+// A task runs twice: an earlier life of the agent had told the worker to stop its run, which is in
+// neither list until it has ended, and the next life said that it never starts.
+Test(run_table, a_stop_again_while_the_earlier_lifes_stops_may_last)
+{
+    scene on;
+    on.table.setWorker({4000, 8000, 0}, start_readiness::Later);
+    section("the stop is given again until they are over",
+            [&] { check(on.give(scene::stopOf(scene::order(0))) == order_outcome::NotReady); });
+    section("nothing starts by an order that it has overtaken", [&] {
+        on.table.setWorker({4000, 8000, 0}, start_readiness::Open);
+        check(on.give(scene::order(0)) == order_outcome::Superseded);
+    });
+    section("then the run is gone",
+            [&] { check(on.give(scene::stopOf(scene::order(0))) == order_outcome::Superseded); });
+}
+
 Test(run_table, orders_of_another_epoch)
 {
     scene on;
