A member of a gang that is being stopped is not started again beside that

What callers could see: a gang whose member never starts takes longer to go elsewhere, and a run is started for nothing. Evidence: job_book_test an_order_to_stop_goes_to_the_next_life_alone failed before.

--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -323,10 +323,13 @@
                           time_point now)
 {
     eachTask(id, job, [&](const task_id &task, const task_state &state) {
-        auto &orders = job.record.isNeeded(state) ? job.starts : job.stops;
         for (const auto &where : state.placements) {
-            if (where.worker == worker)
-                orders[{task, where.run}] = {worker, job.revision, false, now};
+            if (where.worker != worker)
+                continue;
+            const std::pair key{task, where.run};
+            // One that is being stopped is not started beside that: its gang misses a member.
+            const bool mayRun = job.record.isNeeded(state) && !job.stops.contains(key);
+            (mayRun ? job.starts : job.stops)[key] = {worker, job.revision, false, now};
         }
     });
     m_ordering.insert(id);
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -626,6 +626,30 @@
     });
 }
 
+// A gang that misses a member is being stopped, and an agent's new life would start one again.
+Test(job_book, an_order_to_stop_goes_to_the_next_life_alone)
+{
+    auto pair = scene::twoSteps();
+    pair.steps.pop_back();
+    pair.steps[0].gang = true;
+    scene on;
+    on.submit(pair);
+    on.written();
+    require(on.orders.size() == 2);
+    const auto first = on.orders[0];
+    const auto second = on.orders[1];
+    on.accept(first);
+    on.accept(second);
+    on.end(first, end_kind::NeverStarted);
+    on.written();
+    on.orders.clear();
+    on.book.workerRenewed(second.worker, 1, on.now);
+    on.turn();
+    check(on.startsOf(second.order.task) == 0);
+    require(on.orders.size() == 1);
+    check(on.orders[0].order.kind == order_kind::Stop);
+}
+
 // An owner that was frozen looks at the leases of workers that it has not heard of, before it reads
 // that its jobs are another entry's: orders that it gave then took their runs from the owner.
 Test(job_book, a_lease_that_is_looked_at_gives_no_order_again)
