Progress counts for the run that is placed

What callers see: work that was saved is done again. Evidence: job_book_test progress_of_an_earlier_run failed before.

--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -184,7 +184,7 @@
 
 // --- workers
 
-void job_book::progressed(const std::string & /*worker*/, const run_progress &progress)
+void job_book::progressed(const std::string &worker, const run_progress &progress)
 {
     const auto found = m_jobs.find(progress.task.job);
     if (found == m_jobs.end())
@@ -192,6 +192,9 @@
     auto *task = found->second.record.find(progress.task);
     if (task == nullptr || task->done || task->checkpoint == progress.checkpoint)
         return;
+    // A report that was held up tells of a run whose end is known, and of less than that one saved.
+    if (!isPlacedOn(*task, worker, progress.run))
+        return;
     task->checkpoint = progress.checkpoint;
     changed(found->first, found->second);
 }
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -650,6 +650,33 @@
     check(on.orders[0].order.kind == order_kind::Stop);
 }
 
+// Work that was saved is done again: a report that was held up tells what an earlier run had saved.
+Test(job_book, progress_of_an_earlier_run)
+{
+    scene on;
+    on.submit();
+    on.written();
+    const auto first = on.orders[0];
+    on.accept(first);
+    on.book.progressed(first.worker, {first.order.task, 1, "half"});
+    on.end(first, end_kind::Failed);
+    on.written();
+    on.written();
+    const auto checkpoint = [&] { return on.book.record("j")->find(first.order.task)->checkpoint; };
+    const auto again = std::find_if(on.orders.begin(), on.orders.end(), [&](const auto &one) {
+        return one.order.task == first.order.task && one.order.run == 2;
+    });
+    require(again != on.orders.end());
+    section("what the run that is placed has saved counts", [&] {
+        on.book.progressed(again->worker, {first.order.task, 2, "more"});
+        check(checkpoint() == "more");
+    });
+    section("what one before had saved does not", [&] {
+        on.book.progressed(first.worker, {first.order.task, 1, "half"});
+        check(checkpoint() == "more");
+    });
+}
+
 // An owner that was frozen looks at the leases of workers that it has not heard of, before it reads
 // that its jobs are another entry's: orders that it gave then took their runs from the owner.
 Test(job_book, a_lease_that_is_looked_at_gives_no_order_again)
