An answer to an order always names the life that it was sent to

The parameter had a default that turned the look at lives off: left out by a caller, nothing would have told. Interface only; tests without lives say 0.

--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -116,7 +116,7 @@
     void runStarted(const started_run &run, time_point now);
     // `agentLife`: of the agent, by its reports as the order was sent; 0: not told.
     void orderAnswered(const std::string &worker, const order_answer &answer, time_point now,
-                       std::int64_t agentLife = 0);
+                       std::int64_t agentLife);
     void orderUnanswered(const std::string &worker, const task_id &task, int run, time_point now);
     // The agent lives anew, or the worker does: placements of older epochs have ended, orders of
     // the present one are given again.
--- a/tests/cancel_test.cpp
+++ b/tests/cancel_test.cpp
@@ -223,7 +223,7 @@
             const auto answer = agent.table.take(given.order, entry.self.entry, now);
             after(entry.answerTakes, [this, &entry, given, answer] {
                 if (entry.lives)
-                    entry.book.orderAnswered(given.worker, answer, now);
+                    entry.book.orderAnswered(given.worker, answer, now, 0);
             });
         });
     }
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -102,7 +102,7 @@
     void accept(const give_order &order)
     {
         book.orderAnswered(order.worker,
-                           {order.order.task, order.order.run, order_outcome::Accepted}, now);
+                           {order.order.task, order.order.run, order_outcome::Accepted}, now, 0);
     }
 
     void pass(milliseconds time)
@@ -461,7 +461,7 @@
         const auto newer = doneBesideNewerRun(on, single);
         on.book.orderAnswered(newer.worker,
                               {newer.order.task, 2, order_outcome::Superseded, order_kind::Stop},
-                              on.now);
+                              on.now, 0);
         on.turn();
         check(!recordFrom(on.writes.back().content).needsOwner());
         scene other;
@@ -551,7 +551,8 @@
     });
     section("overdue, the same run is ordered again and holds for longer", [&] {
         on.orders.clear();
-        on.book.orderAnswered(first.worker, {first.order.task, 1, order_outcome::Overdue}, on.now);
+        on.book.orderAnswered(first.worker, {first.order.task, 1, order_outcome::Overdue}, on.now,
+                              0);
         on.now += milliseconds(400);
         on.turn();
         require(on.orders.size() == 1);
@@ -619,7 +620,8 @@
         const auto first = on.orders[0];
         const auto second = on.orders[1];
         on.accept(second);
-        on.book.orderAnswered(first.worker, {first.order.task, 1, order_outcome::NoRoom}, on.now);
+        on.book.orderAnswered(first.worker, {first.order.task, 1, order_outcome::NoRoom}, on.now,
+                              0);
         on.turn();
         on.written();
         check(stopsOf(on, second.order.task) == 1);
@@ -711,7 +713,7 @@
     on.submit();
     on.written();
     const auto task = on.orders[0].order.task;
-    on.book.orderAnswered(on.orders[0].worker, {task, 1, order_outcome::NoRoom}, on.now);
+    on.book.orderAnswered(on.orders[0].worker, {task, 1, order_outcome::NoRoom}, on.now, 0);
     on.turn();
     on.written();
     const auto again = on.orders.back();
@@ -802,7 +804,8 @@
     alone.steps[0].count = 1;
     const auto answerTo = [](scene &on, const give_order &given, order_outcome outcome) {
         const auto &order = given.order;
-        on.book.orderAnswered(given.worker, {order.task, order.run, outcome, order.kind}, on.now);
+        on.book.orderAnswered(given.worker, {order.task, order.run, outcome, order.kind}, on.now,
+                              0);
         on.turn();
     };
     const auto putOffFor = [&](scene &on, milliseconds span) {
@@ -1141,7 +1144,7 @@
     heirs.rowWritten("j", frozen.version + 1);
     heirs.plan(heir.now, 1000);
     const auto again = std::get<give_order>(heirs.takeActions().back());
-    heirs.orderAnswered(order.worker, agent.take(again.order, Other.entry, heir.now), heir.now);
+    heirs.orderAnswered(order.worker, agent.take(again.order, Other.entry, heir.now), heir.now, 0);
 
     section("the owner before gives its order once more, and reads the row after that", [&] {
         frozen.book.orderUnanswered(order.worker, order.order.task, 1, frozen.now);
--- a/tests/placement_world.h
+++ b/tests/placement_world.h
@@ -234,7 +234,7 @@
     {
         auto &on = m_workers.at(order.worker);
         on.table.setWorker(on.capacity, jobs::start_readiness::Open);
-        by.book.orderAnswered(order.worker, on.table.take(order.order, by.name, m_now), m_now);
+        by.book.orderAnswered(order.worker, on.table.take(order.order, by.name, m_now), m_now, 0);
     }
     void carryOut(owning_entry &by, const jobs::stored &done)
     {
