A process test of orders that an agent reads late

The agents stand still for 1.5 s while a job comes: they refuse its starts as overdue, are given them again, and each task runs once.

--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -176,6 +176,32 @@
     checkNothingWrong(on, on.site());
 }
 
+// A task that is done runs again: an agent that was frozen starts what it was told long before.
+Test(process_jobs, orders_that_an_agent_reads_late)
+{
+    system_under_test on;
+    on.site().workLasts(milliseconds(200));
+    require(on.handIn(0, "cdcd000000000001"));
+    require(on.reaches(0, "cdcd000000000001", "completed")); // workers are known
+    for (int index = 0; index < 2; ++index)
+        on.agent(index).signal(SIGSTOP);
+    require(on.handIn(0, "cdcd000000000002"));
+    std::this_thread::sleep_for(milliseconds(1500)); // longer than an order holds
+    for (int index = 0; index < 2; ++index)
+        on.agent(index).signal(SIGCONT);
+    section("they start nothing", [&] {
+        const auto isOverdue = [&](int index) {
+            return on.wrote("agent", index, R"("outcome":"overdue")");
+        };
+        check(waitUntil([&] { return isOverdue(0) || isOverdue(1); }, SoonEnough));
+    });
+    section("and are given again", [&] {
+        check(on.reaches(0, "cdcd000000000002", "completed"));
+        check(on.site().starts() == 2 * TasksOfAJob);
+        checkNothingWrong(on, on.site());
+    });
+}
+
 // The caller's tasks start elsewhere. A worker falls silent and runs on: its agent starts nothing
 // there any more, and nothing that it tries may put off the time from which the worker's runs have
 // ended for certain. Only then do they start on the other worker.
