--- a/tests/order_search.cpp
+++ b/tests/order_search.cpp
@@ -1,6 +1,5 @@
 // Searches seeded orders of events for one that runs a task twice, or in which a task stands still
-// though all is well. Exit codes: 0 none breaks the
-// rule, 1 some do, 2 usage.
+// though all is well. Exit codes: 0 none breaks the rule, 1 some do, 2 usage.
 #include <cstdint>
 #include <string>
 #include <utility>
