An order that its agent's answer leaves out, or can't be read in, is given again

An answer to orders that could not be read ended in the loop's last resort: its orders stayed out, and one that is out is not given again before its agent begins a new life. So it was with an order of the batch that the answer did not name.

What an answer settles is a decision of its own now, without I/O: each order of a batch is answered or unanswered, whatever came back, and an answer to what was not asked settles nothing. order_outcomes_test plays whole, missing, refused, unreadable and partial answers; the code before had no place where this could be asked. job_entry keeps the sending alone.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -11,6 +11,7 @@
 #include "app/job_tables.h"
 #include "app/job_view.h"
 #include "app/lease_watcher.h"
+#include "app/order_outcomes.h"
 #include "app/planned_stop.h"
 #include "app/process.h"
 #include "app/row_store.h"
@@ -381,38 +382,43 @@
     void sendOrders(const std::string &worker, std::vector<run_order> orders)
     {
         const auto *view = m_pool.find(worker);
-        const auto unanswered = [this, worker](const std::vector<run_order> &batch) {
-            for (const auto &order : batch)
-                m_book->orderUnanswered(worker, order.task, order.run, suspendAwareNow());
-        };
-        if (view == nullptr)
-            return unanswered(
-                    orders); // not heard of since the start; its agent reports each second
+        if (view == nullptr) // not heard of since the start; its agent reports each second
+            return ordersUnanswered(worker, orders);
         http_request request;
         request.method = "POST";
         request.target = "/v1/orders";
         request.body = toText(order_batch{m_settings.id, toText(m_settings.internal), orders});
         m_caller.call(view->last.address, std::move(request), OrderTimeout,
-                      [this, worker, unanswered, orders = std::move(orders),
+                      [this, worker, orders = std::move(orders),
                        agentLife = view->last.agentLife](const call_result &result) {
-                          const auto *answer = std::get_if<http_response>(&result);
-                          if (answer == nullptr || answer->status != 200) {
-                              m_metrics.count("orders_unanswered_total", "agent_silent");
-                              const auto *failure = std::get_if<call_failure>(&result);
-                              m_log.note("orders_unanswered",
-                                         {{"worker", worker},
-                                          {"orders", orders.size()},
-                                          {"why", failure ? nameOf(*failure) : "refused"}});
-                              return unanswered(orders);
-                          }
-                          for (const auto &one : orderAnswersFrom(answer->body)) {
-                              m_metrics.count("orders_total", nameOf(one.outcome));
-                              m_book->orderAnswered(worker, one, suspendAwareNow(), agentLife);
-                          }
-                          pumpSoon();
+                          ordersAnswered(worker, outcomesOf(orders, result), agentLife);
                       });
     }
 
+    void ordersAnswered(const std::string &worker, const order_outcomes &outcomes,
+                        std::int64_t agentLife)
+    {
+        for (const auto &one : outcomes.answered) {
+            m_metrics.count("orders_total", nameOf(one.outcome));
+            m_book->orderAnswered(worker, one, suspendAwareNow(), agentLife);
+        }
+        if (!outcomes.unanswered.empty()) {
+            m_metrics.count("orders_unanswered_total", "agent_silent");
+            m_log.note("orders_unanswered", {{"worker", worker},
+                                             {"orders", outcomes.unanswered.size()},
+                                             {"why", outcomes.why}});
+            ordersUnanswered(worker, outcomes.unanswered);
+        }
+        if (!outcomes.answered.empty())
+            pumpSoon();
+    }
+
+    void ordersUnanswered(const std::string &worker, const std::vector<run_order> &orders)
+    {
+        for (const auto &order : orders)
+            m_book->orderUnanswered(worker, order.task, order.run, suspendAwareNow());
+    }
+
     // --- Workers that nobody hears of.
 
     void watchSilentWorkers()
--- /dev/null
+++ b/app/order_outcomes.cpp
@@ -0,0 +1,57 @@
+#include "app/order_outcomes.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/errors.h"
+
+namespace zinniabarrow {
+
+namespace {
+
+bool isAnswerTo(const jobs::order_answer &answer, const jobs::run_order &order)
+{
+    return answer.task == order.task && answer.run == order.run && answer.kind == order.kind;
+}
+
+// Empty where the result holds no readable answer; `why` says what it holds instead.
+std::vector<jobs::order_answer> readAnswers(const call_result &result, std::string &why)
+{
+    if (const auto *failure = std::get_if<call_failure>(&result)) {
+        why = nameOf(*failure);
+        return {};
+    }
+    const auto &response = std::get<http_response>(result);
+    if (response.status != 200) {
+        why = "refused";
+        return {};
+    }
+    try {
+        return jobs::orderAnswersFrom(response.body);
+    } catch (const error & /*says where in the text, which nobody needs*/) {
+        why = "unreadable";
+        return {};
+    }
+}
+
+} // namespace
+
+order_outcomes outcomesOf(std::vector<jobs::run_order> batch, const call_result &result)
+{
+    order_outcomes outcomes;
+    const auto answers = readAnswers(result, outcomes.why);
+    for (auto &order : batch) {
+        const auto answer = std::find_if(answers.begin(), answers.end(), [&order](const auto &one) {
+            return isAnswerTo(one, order);
+        });
+        if (answer != answers.end())
+            outcomes.answered.push_back(*answer);
+        else
+            outcomes.unanswered.push_back(std::move(order));
+    }
+    if (!outcomes.unanswered.empty() && outcomes.why.empty())
+        outcomes.why = "left_out";
+    return outcomes;
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/tests/order_outcomes_test.cpp
@@ -0,0 +1,79 @@
+// What an answer to a batch of orders settles, whatever comes back.
+#include <criterion/criterion.h>
+
+#include "app/order_outcomes.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::jobs;
+using zinniabarrow::tests::section;
+
+namespace {
+
+run_order orderOf(int index, order_kind kind = order_kind::Start)
+{
+    run_order made;
+    made.task = {"job", 0, 0, index};
+    made.run = 1;
+    made.kind = kind;
+    return made;
+}
+
+order_answer answerTo(const run_order &order)
+{
+    return {order.task, order.run, order_outcome::Accepted, order.kind};
+}
+
+call_result answered(const std::vector<order_answer> &answers)
+{
+    return http_response{200, {}, toText(answers)};
+}
+
+} // namespace
+
+// An order that stays out for good: its task counts as placed and stands still, and its room is
+// taken, until its agent begins a new life.
+Test(order_outcomes, each_order_is_answered_or_given_again)
+{
+    const std::vector<run_order> batch{orderOf(0), orderOf(1), orderOf(1, order_kind::Stop)};
+    section("a whole answer settles all", [&] {
+        const auto outcomes = outcomesOf(
+                batch, answered({answerTo(batch[2]), answerTo(batch[0]), answerTo(batch[1])}));
+        check(outcomes.answered.size() == 3);
+        check(outcomes.unanswered.empty());
+        check(outcomes.why.empty());
+    });
+    section("no answer, or a refusal of the whole, settles none", [&] {
+        const auto late = outcomesOf(batch, call_failure::Late);
+        check(late.answered.empty());
+        check(late.unanswered.size() == 3);
+        check(late.why == "late");
+        const auto refused = outcomesOf(batch, http_response{503, {}, "{}"});
+        check(refused.unanswered.size() == 3);
+        check(refused.why == "refused");
+    });
+    section("so does an answer that can't be read", [&] {
+        for (const std::string body : {"", "{", "{}", R"({"answers":[{"task":7}]})"}) {
+            const auto outcomes = outcomesOf(batch, http_response{200, {}, body});
+            check(outcomes.answered.empty());
+            check(outcomes.unanswered.size() == 3);
+            check(outcomes.why == "unreadable");
+        }
+    });
+    section("an order that the answer leaves out is given again, the others are settled", [&] {
+        const auto outcomes = outcomesOf(batch, answered({answerTo(batch[1])}));
+        require(outcomes.answered.size() == 1);
+        check(outcomes.answered[0].task == batch[1].task);
+        check(outcomes.answered[0].kind == order_kind::Start);
+        require(outcomes.unanswered.size() == 2);
+        check(outcomes.unanswered[1].kind == order_kind::Stop);
+        check(outcomes.why == "left_out");
+    });
+    section("an answer to what was not asked settles nothing", [&] {
+        const auto outcomes = outcomesOf(
+                {batch[0]},
+                answered({answerTo(orderOf(5)), answerTo(batch[0]), answerTo(batch[0])}));
+        check(outcomes.answered.size() == 1);
+        check(outcomes.unanswered.empty());
+    });
+}
