A report that is lost once does not end the progress of its runs

What callers see: a long task starts from nothing after the loss of its worker, though it had saved its progress for minutes; a job that has begun is shown as waiting.

Cause: one report without an answer within 2 s cleared the owner of each run that the entry had ordered, so that the ends go to all entries. With it went what only an owner hears, progress and starts: until that entry's next order for the run, and a run that is at work needs none. Now the run keeps its owner and notes beside it that its end goes to all.

Ruled out: that an entry which lost the job is told in the heir's place: the heir orders all it took over, which makes it the owner, as before.

--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -51,6 +51,17 @@
     m_epoch = 0;
 }
 
+void run_table::run_entry::belongsTo(const std::string &entry)
+{
+    owner = entry;
+    endToAll = false;
+}
+
+bool run_table::run_entry::endGoesTo(const std::string &entry) const
+{
+    return owner.empty() || endToAll || owner == entry;
+}
+
 order_answer run_table::take(const run_order &order, const std::string &owner, time_point now)
 {
     return order.kind == order_kind::Start ? start(order, owner, now) : stop(order, owner, now);
@@ -69,7 +80,7 @@
         if (known->second.phase == run_phase::Ended && known->second.owner != owner)
             ++m_endsSeen; // news to this owner
         known->second.claimed = true;
-        known->second.owner = owner;
+        known->second.belongsTo(owner);
         known->second.traits = order.traits;
         known->second.tellsStart = order.tellsStart;
         known->second.startBy = std::max(known->second.startBy, startBy(order, now));
@@ -105,7 +116,7 @@
     auto &entry = m_runs[key];
     entry.traits = order.traits;
     entry.claimed = true;
-    entry.owner = owner;
+    entry.belongsTo(owner);
     entry.payload = order.payload;
     entry.checkpoint = order.checkpoint;
     entry.tellsStart = order.tellsStart;
@@ -137,7 +148,7 @@
         return answer(mayBeThere ? order_outcome::NotReady : order_outcome::Superseded);
     }
     auto &entry = known->second;
-    entry.owner = owner;
+    entry.belongsTo(owner);
     // A stop tells no sizes: the run stays unclaimed, and nothing is started beside it before it
     // has ended. Otherwise a run that an earlier life of the agent started would count as nothing.
     stopEntry(key, entry, now);
@@ -263,7 +274,7 @@
 {
     for (auto &[key, entry] : m_runs) {
         if (entry.owner == owner)
-            entry.owner.clear();
+            entry.endToAll = true;
     }
 }
 
@@ -300,8 +311,7 @@
     const auto known = m_runs.find({end.task, end.run});
     if (known == m_runs.end() || known->second.owner != owner)
         return false;
-    known->second.owner.clear();
-    return true;
+    return !std::exchange(known->second.endToAll, true);
 }
 
 std::vector<run_action> run_table::due(time_point now, bool mayStart)
@@ -427,7 +437,7 @@
 {
     std::vector<run_end> ends;
     for (const auto &[key, entry] : m_runs) {
-        if (entry.phase == run_phase::Ended && (entry.owner.empty() || entry.owner == owner))
+        if (entry.phase == run_phase::Ended && entry.endGoesTo(owner))
             ends.push_back(entry.end);
     }
     return ends;
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -109,7 +109,7 @@
     // is started.
     std::vector<run_action> due(time_point now, bool mayStart);
     void stopAll(time_point now); // what runs belongs to an epoch that has ended
-    // The entry does not answer: its ends are told to all, until another one gives orders.
+    // The entry does not answer: its ends are told to all, until an entry gives orders for them.
     void ownerSilent(const std::string &owner);
 
     std::int64_t epoch() const { return m_epoch; }
@@ -139,7 +139,8 @@
         run_traits traits;
         bool claimed = false;
         bool tellsStart = false; // its owner asks for it and has not heard of it yet
-        std::string owner;       // entry that last gave an order for it
+        std::string owner;       // entry that last gave an order for it; empty: none has
+        bool endToAll = false;   // that entry did not answer, or owns the job no more
         std::string payload;
         std::string checkpoint;
         run_phase phase = run_phase::Starting;
@@ -150,6 +151,9 @@
         time_point repeatAt{};
         time_point claimUntil{};
         run_end end;
+
+        void belongsTo(const std::string &entry);
+        bool endGoesTo(const std::string &entry) const;
     };
     using run_key = std::pair<task_id, int>;
 
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -476,6 +476,39 @@
     });
 }
 
+// A report is lost once, and from then on its owner hears neither that the task has begun nor how
+// far it got: the job counts as waiting, and a run that is lost later begins from nothing.
+Test(run_table, a_report_that_its_owner_does_not_answer)
+{
+    scene on;
+    auto made = scene::order(0);
+    made.tellsStart = true;
+    on.give(made);
+    auto seen = scene::listing({made});
+    seen.running[0].checkpoint = "half";
+    on.table.look(seen, on.now);
+    require(on.table.progressFor("entry-a").size() == 1);
+    on.table.ownerSilent("entry-a");
+    section("start and progress are still the owner's to hear", [&] {
+        check(on.table.startedFor("entry-a").size() == 1);
+        require(on.table.progressFor("entry-a").size() == 1);
+        check(on.table.progressFor("entry-a")[0].checkpoint == "half");
+        check(on.table.progressFor("entry-b").empty());
+    });
+    run_listing over;
+    over.ended.push_back({1, made.task, 1, end_kind::Done, ""});
+    on.table.look(over, on.now);
+    section("its end goes to all", [&] {
+        check(on.table.endsFor("entry-a").size() == 1);
+        check(on.table.endsFor("entry-b").size() == 1);
+    });
+    section("until an entry claims the run", [&] {
+        on.give(made, "entry-b");
+        check(on.table.endsFor("entry-a").empty());
+        check(on.table.endsFor("entry-b").size() == 1);
+    });
+}
+
 // A run that was told as never started runs all the same, in nobody's books, beside the next run.
 Test(run_table, a_run_that_was_refused_and_is_listed)
 {
