The start of a run is told to its owner, not to the one before

A report to an entry was out when another entry took the job over and asked for the start; the answer of the first one took the question of the second one for answered. An answer counts now for the runs that are its entry's. run_table_test starts_that_an_owner_asks_for has the case, and fails without the check.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -573,7 +573,7 @@
             return; // the next turn reports again
         }
         link.toldEpoch = std::max(link.toldEpoch, epoch);
-        m_table.startsTold(started);
+        m_table.startsTold(started, entry);
         try {
             takeAnswer(entry, reportAnswerFrom(answer->body));
         } catch (const error &problem) {
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -463,11 +463,11 @@
     return runs;
 }
 
-void run_table::startsTold(const std::vector<started_run> &runs)
+void run_table::startsTold(const std::vector<started_run> &runs, const std::string &owner)
 {
     for (const auto &run : runs) {
         const auto known = m_runs.find({run.task, run.run});
-        if (known != m_runs.end())
+        if (known != m_runs.end() && known->second.owner == owner)
             known->second.tellsStart = false;
     }
 }
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -129,7 +129,7 @@
     std::vector<run_progress> progressFor(const std::string &owner) const;
     // Runs whose start `owner` wants to hear of; `startsTold` once it has.
     std::vector<started_run> startedFor(const std::string &owner) const;
-    void startsTold(const std::vector<started_run> &runs);
+    void startsTold(const std::vector<started_run> &runs, const std::string &owner);
 
 private:
     enum class run_phase { Starting, Running, Stopping, Ended };
--- a/tests/order_model.h
+++ b/tests/order_model.h
@@ -1107,7 +1107,7 @@
         if (livesAnew)
             entry.book->workerRenewed(told.worker, told.epoch, m_now);
         if (inTime && agent.lives && agent.life == life)
-            agent.table.startsTold(told.started);
+            agent.table.startsTold(told.started, entry.name);
         pump(entry);
     }
 
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -467,13 +467,17 @@
         require(started.size() == 1);
         check(started[0].task == made.task);
         check(on.table.startedFor("entry-a").size() == 1);
-        on.table.startsTold(started);
+        on.table.startsTold(started, "entry-a");
         check(on.table.startedFor("entry-a").empty());
     });
     section("again to an owner that takes the job over and has not heard of it", [&] {
         check(on.give(made, "entry-b") == order_outcome::Accepted);
         check(on.table.startedFor("entry-b").size() == 1);
     });
+    section("the late word of the owner before it changes nothing", [&] {
+        on.table.startsTold({{made.task, 1}}, "entry-a");
+        check(on.table.startedFor("entry-b").size() == 1);
+    });
 }
 
 // A report is lost once, and from then on its owner hears neither that the task has begun nor how
