Only a refused connection confirms that a worker is gone

What callers could see: a task runs twice. A worker's word that it ends may be of its earlier life, held up on its way, and was taken as confirmed by any connect that failed, also by one that was only not made within 400 ms: behind a cut, or where the agent itself was slow. What ran there was placed elsewhere at once, and ran on.

A call tells now whether nobody listens (refused) or nothing is known of the other side (not_connected). Who asks only whether a request may have arrived asks that, in one place.

A worker whose machine is gone without a word to connects is confirmed by its silence, as one that says nothing before it goes.

--- a/app/admission_duty.cpp
+++ b/app/admission_duty.cpp
@@ -56,6 +56,7 @@
 {
     switch (failure) {
     case call_failure::NotConnected:
+    case call_failure::Refused:
         return error_kind::UpstreamUnreachable;
     case call_failure::Late:
         return error_kind::AnswerLate;
--- a/app/forwarding.cpp
+++ b/app/forwarding.cpp
@@ -58,6 +58,7 @@
 {
     switch (failure) {
     case call_failure::NotConnected:
+    case call_failure::Refused:
         return delivery::attempt_unreachable{};
     case call_failure::Late:
         return delivery::attempt_late{};
--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -12,6 +12,7 @@
 #include "app/process.h"
 #include "app/row_store.h"
 #include "app/table_follower.h"
+#include "app/worker_presence.h"
 #include "base/errors.h"
 #include "base/json.h"
 #include "base/json_member.h"
@@ -44,7 +45,6 @@
 constexpr milliseconds SampleEvery{500};   // what the worker tells covers half a second
 constexpr milliseconds CancelsPause{1000}; // joins cancels into one answer; they hold within 3 s
 constexpr milliseconds LogFlushEvery{100};
-constexpr milliseconds GoneWithin{500};  // a worker ends some ms after it said so
 constexpr milliseconds TellWithin{1000}; // a report is answered within some ms, repeated each 1 s
 constexpr milliseconds GoWithin{300};    // the last write takes some 15 ms
 constexpr milliseconds GoStep{10};
@@ -93,7 +93,7 @@
         });
         m_log.noteAlways("stopped", {{"epoch", m_table.epoch()},
                                      {"runs", m_table.running()},
-                                     {"worker", m_present ? "present" : "absent"},
+                                     {"worker", m_worker.isPresent() ? "present" : "absent"},
                                      {"lease_write_out", lease().writeOut() ? "yes" : "no"}});
         m_log.flush();
     }
@@ -166,9 +166,9 @@
         // Without a clock to count from, the first look only reads it.
         const auto longest = m_table.servingNow().empty() ? LookWait : LookWaitServing;
         const auto wait = m_clockMs > 0 ? millisecondsIn(longest) : 0;
-        auto request = platform_wire::holdRequest(m_life.id, deadline, lease().fence(),
+        auto request = platform_wire::holdRequest(m_worker.id(), deadline, lease().fence(),
                                                   m_table.lastSeen(), wait);
-        if (m_life.id.empty())
+        if (m_worker.id().empty())
             request.headers.clear();
         m_caller.call(m_settings.worker, std::move(request), milliseconds(wait) + LookTimeout,
                       [this, fence = lease().fence(), now](const call_result &result) {
@@ -194,18 +194,15 @@
             if (platform_wire::isOtherLife(result))
                 return lifeEnded("other_life");
             const auto *failure = std::get_if<call_failure>(&result);
-            if (m_departing && failure != nullptr && *failure == call_failure::NotConnected)
+            if (failure != nullptr && m_worker.isGoneBy(*failure))
                 departureConfirmed();
             judgeSilence(now);
             return m_loop.after(LookRetry, [this] { look(); });
         }
-        if (m_life.bornMs != 0 && seen->bornMs != 0 && seen->bornMs != m_life.bornMs) {
-            m_life.bornMs = seen->bornMs;
+        const auto life = m_worker.answered(seen->bornMs, sentAt);
+        if (life == worker_presence::look::OtherLife)
             return lifeEnded("born_anew");
-        }
-        if (seen->bornMs != 0)
-            m_life.bornMs = seen->bornMs;
-        if (m_departing && sentAt >= m_goneBy)
+        if (life == worker_presence::look::Stayed)
             stayed();
         m_clockMs = seen->listing.clockMs;
         m_clockReadAt = now;
@@ -227,28 +224,26 @@
         if (answered == m_silence.answered())
             return;
         if (answered)
-            return m_log.note("worker_answers", {{"worker", m_life.id}});
+            return m_log.note("worker_answers", {{"worker", m_worker.id()}});
         const auto *failure = std::get_if<call_failure>(&result);
-        m_log.note("worker_unanswering", {{"worker", m_life.id},
+        m_log.note("worker_unanswering", {{"worker", m_worker.id()},
                                           {"why", failure ? nameOf(*failure) : "refused"},
                                           {"runs", m_table.running()}});
     }
 
-    std::string lifeName() const { return std::to_string(m_life.bornMs); }
-
     // With a new fence: the same life as the lease's row tells keeps its runs; in another one, or
     // after a watcher ended the epoch, all that runs is stopped before the new epoch begins.
     void settleEpoch(time_point now)
     {
-        if (m_life.bornMs == 0)
+        if (!m_worker.isBorn())
             return;
-        if (m_keeper.seen(lifeName(), m_table.running()))
+        if (m_keeper.seen(m_worker.lifeName(), m_table.running()))
             m_table.stopAll(now);
     }
 
     void lifeEnded(const char *why)
     {
-        m_log.note("worker_life_ended", {{"why", why}, {"worker", m_life.id}});
+        m_log.note("worker_life_ended", {{"why", why}, {"worker", m_worker.id()}});
         m_metrics.count("worker_lives_ended_total", why);
         m_table.clear();
         m_clockMs = 0;
@@ -263,7 +258,7 @@
             return;
         m_log.note("worker_silent", {{"runs", m_table.running()}});
         m_metrics.count("worker_lives_ended_total", "silent");
-        allEnded(lifeName());
+        allEnded(m_worker.lifeName());
     }
 
     // --- The worker's announcements.
@@ -272,8 +267,8 @@
     {
         if (const auto left = platform_wire::departureFrom(request)) {
             respond({200, {}, ""});
-            if (m_life.id.empty() || *left == m_life.id)
-                departed();
+            if (m_worker.departed(*left, suspendAwareNow()))
+                m_log.note("worker_departed", {{"worker", m_worker.id()}});
             return;
         }
         const auto told = platform_wire::announcementFrom(request);
@@ -287,62 +282,33 @@
 
     void announced(const worker_announcement &told)
     {
-        const bool sameLife =
-                told.id == m_life.id
-                && (told.bornMs == 0 || m_life.bornMs == 0 || told.bornMs == m_life.bornMs);
-        if (sameLife && told.sequence <= m_told.sequence)
-            return; // overtaken by a newer one
-        // Held up on its way from a life that has ended since.
-        if (!sameLife && told.bornMs != 0 && told.bornMs < m_life.bornMs)
-            return;
-        // Held up, it would take back what is known of a worker that has left: only an answer says
-        // that it goes on.
-        if (sameLife && m_departing)
-            return;
-        const bool first = m_life.id.empty();
-        const bool readinessChanged = told.leaving != m_told.leaving || !m_present;
-        m_told = told;
-        m_present = true;
-        m_departing = false;
-        if (!sameLife && (!first || (m_life.bornMs != 0 && told.bornMs != m_life.bornMs))) {
-            m_life = {told.id, told.bornMs};
-            return lifeEnded("announced_anew");
-        }
-        m_life = {told.id, told.bornMs != 0 ? told.bornMs : m_life.bornMs};
-        if (readinessChanged) {
+        switch (m_worker.announced(told)) {
+        case worker_presence::news::None:
+            break;
+        case worker_presence::news::OtherLife:
+            lifeEnded("announced_anew");
+            break;
+        case worker_presence::news::Readiness:
             m_log.note("worker_announced",
                        {{"worker", told.id}, {"leaving", told.leaving ? "yes" : "no"}});
             reportAll();
+            break;
         }
     }
 
-    void departed()
-    {
-        m_log.note("worker_departed", {{"worker", m_life.id}});
-        m_present = false;
-        // The message may be of an earlier life under the same id, held up on its way: only a
-        // worker that refuses connections by now has ended all that it ran.
-        m_departing = true;
-        m_goneBy = suspendAwareNow() + GoneWithin;
-    }
-
-    // It answers long after it said that it ends: the message was of an earlier life.
     void stayed()
     {
-        m_log.note("worker_stayed", {{"worker", m_life.id}});
-        m_departing = false;
-        m_present = true;
+        m_log.note("worker_stayed", {{"worker", m_worker.id()}});
         reportAll();
     }
 
     void departureConfirmed()
     {
         // What is known of the lease tells whether the end of the epoch can be written at once.
-        m_log.note("worker_gone", {{"worker", m_life.id},
+        m_log.note("worker_gone", {{"worker", m_worker.id()},
                                    {"runs", m_table.running()},
                                    {"lease_write_out", lease().writeOut() ? "yes" : "no"},
                                    {"lease", lease().holdsFence() ? "held" : "sought"}});
-        m_departing = false;
         m_clockMs = 0;
         allEnded(""); // and looks go on: a worker that lives anew may tell so in no other way
     }
@@ -352,7 +318,7 @@
         const auto now = suspendAwareNow();
         const bool leased = m_cancelsRead && now >= m_startFrom && lease().settled()
                             && m_clockMs > 0 && now < lease().until();
-        return readinessOf({m_present, m_told.leaving, leased}, m_silence, now);
+        return readinessOf({m_worker.isPresent(), m_worker.isLeaving(), leased}, m_silence, now);
     }
 
     bool accepting() const { return readiness() == start_readiness::Open; }
@@ -382,7 +348,7 @@
     std::string takeOrders(const order_batch &batch)
     {
         const auto now = suspendAwareNow();
-        m_table.setWorker(m_told.capacity, readiness());
+        m_table.setWorker(m_worker.told().capacity, readiness());
         std::vector<order_answer> answers;
         for (const auto &order : batch.orders) {
             answers.push_back(m_table.take(order, batch.owner, now));
@@ -423,7 +389,7 @@
         m_silence.held(until);
         m_table.startCalled(start.task, start.run, deadline);
         m_caller.call(m_settings.worker,
-                      platform_wire::startRequest(m_life.id, start, deadline, lease().fence()),
+                      platform_wire::startRequest(m_worker.id(), start, deadline, lease().fence()),
                       CallTimeout,
                       [this, task = start.task, run = start.run](const call_result &result) {
                           started(task, run, result);
@@ -449,7 +415,7 @@
     void carryOut(const stop_run &stop)
     {
         m_caller.call(m_settings.worker,
-                      platform_wire::stopRequest(m_life.id, stop, lease().fence()), CallTimeout,
+                      platform_wire::stopRequest(m_worker.id(), stop, lease().fence()), CallTimeout,
                       [this](const call_result &result) {
                           if (!std::holds_alternative<http_response>(result))
                               m_metrics.count("stops_not_confirmed_total", "unanswered");
@@ -469,7 +435,7 @@
         for (const auto &change : changes) {
             m_metrics.count("paces_total", change.percent < 100 ? "slowed" : "full");
             m_caller.call(m_settings.worker,
-                          platform_wire::paceRequest(m_life.id, change.task, change.run,
+                          platform_wire::paceRequest(m_worker.id(), change.task, change.run,
                                                      change.percent, lease().fence()),
                           CallTimeout, [this, change](const call_result &result) {
                               const auto *answer = std::get_if<http_response>(&result);
@@ -527,10 +493,10 @@
         told.clockMs = millisecondsIn(suspendAwareNow().time_since_epoch());
         told.service = m_settings.service;
         told.zone = m_settings.zone;
-        told.kind = m_told.kind;
-        told.rack = m_told.rack;
+        told.kind = m_worker.told().kind;
+        told.rack = m_worker.told().rack;
         told.accepting = accepting();
-        told.capacity = m_told.capacity;
+        told.capacity = m_worker.told().capacity;
         told.used = m_table.used();
         told.lasting = m_table.lasting();
         told.fillMillicores = m_table.fillMillicores();
@@ -650,7 +616,7 @@
     {
         m_stop.emplace(suspendAwareNow(), m_loop.overdue(), StopTimes);
         m_log.noteAlways("drain_started", {{"runs", m_table.running()},
-                                           {"worker", m_told.leaving ? "leaving" : "staying"},
+                                           {"worker", m_worker.isLeaving() ? "leaving" : "staying"},
                                            {"stays", hasToStay() ? "yes" : "no"}});
         m_internal.announceClose();
         m_workers.announceClose();
@@ -706,8 +672,7 @@
     // placed there would wait for the end of the lease.
     bool hasToStay() const
     {
-        const bool workerLeaves = m_departing || (m_present && m_told.leaving);
-        return workerLeaves || lease().owesEnd() || entriesWaitForEpoch()
+        return m_worker.goesAway() || lease().owesEnd() || entriesWaitForEpoch()
                || m_table.hasEndsOfTheGone();
     }
 
@@ -720,12 +685,6 @@
                   });
     }
 
-    struct worker_life
-    {
-        std::string id;
-        std::int64_t bornMs = 0;
-    };
-
     job_agent_settings m_settings;
     net::event_loop m_loop;
     event_log m_log;
@@ -742,12 +701,8 @@
     std::string m_pressesFrom; // the entry that its next report asks; empty: none
     std::map<std::string, entry_link> m_entries;
 
-    worker_announcement m_told; // newest announcement of the present life
-    worker_life m_life;
+    worker_presence m_worker;
     bool m_cancelsRead = false; // an order that was held up may be of a job that was cancelled
-    bool m_present = false;     // announced, and not departed
-    bool m_departing = false;   // said to end, and not yet seen gone
-    time_point m_goneBy{};      // it ends before, if it has said so itself
     time_point m_tellUntil{};   // entries have answered a report with the present epoch by then
     std::optional<planned_stop> m_stop;
     stop_step m_stopStep = stop_step::HandOver; // that was carried out
--- a/app/job_requests.cpp
+++ b/app/job_requests.cpp
@@ -28,7 +28,7 @@
 {
     if (const auto *answer = std::get_if<http_response>(&result))
         return answer->status == 503;
-    return std::get<call_failure>(result) == call_failure::NotConnected;
+    return !mayHaveArrived(std::get<call_failure>(result));
 }
 
 double millisecondsSince(time_point at)
--- a/app/row_store.cpp
+++ b/app/row_store.cpp
@@ -214,7 +214,7 @@
                    return respond(std::move(*answer));
                }
                // 503 says that nothing was done, 502 that it may have been.
-               const bool sent = std::get<call_failure>(result) != call_failure::NotConnected;
+               const bool sent = mayHaveArrived(std::get<call_failure>(result));
                respond({sent ? 502 : 503, {}, ""});
            });
 }
--- a/libs/net/http_caller.cpp
+++ b/libs/net/http_caller.cpp
@@ -138,6 +138,8 @@
 
     void connected(const beast::error_code &failure)
     {
+        if (failure == asio::error::connection_refused)
+            return finish(call_failure::Refused);
         if (failure)
             return finish(call_failure::NotConnected);
         beast::error_code ignored; // without it requests are only slower
@@ -214,7 +216,7 @@
         // Connections can go silent for good without a reset: those that were kept beside this one
         // may have, too, and each would cost a call its whole time.
         const auto *failure = std::get_if<call_failure>(&result);
-        if (failure != nullptr && *failure != call_failure::NotConnected)
+        if (failure != nullptr && mayHaveArrived(*failure))
             m_state->idle.erase(m_peer);
         // From the loop, never from inside call(): the caller's own state is whole by then.
         m_state->loop.post([done = std::move(m_done), result = std::move(result)]() mutable {
--- a/libs/net/http_caller.h
+++ b/libs/net/http_caller.h
@@ -41,7 +41,7 @@
     http_caller(const http_caller &) = delete;
     http_caller &operator=(const http_caller &) = delete;
 
-    // `done` is called once, from the loop. NotConnected: nothing was sent.
+    // `done` is called once, from the loop.
     void call(const std::string &peer, http_request request, duration within, call_done done);
     void call(const std::string &peer, http_request request, large_call how, call_done done);
 
--- a/libs/runtime/http.cpp
+++ b/libs/runtime/http.cpp
@@ -37,8 +37,9 @@
 constexpr int LooksForWaiting = 1000;
 constexpr milliseconds LookForWaitingEvery{1};
 
-constexpr name_table<call_failure, 4> CallFailureNames{{
+constexpr name_table<call_failure, 5> CallFailureNames{{
         {call_failure::NotConnected, "not_connected"},
+        {call_failure::Refused, "refused"},
         {call_failure::Cut, "cut"},
         {call_failure::Late, "late"},
         {call_failure::TooLarge, "too_large"},
@@ -312,6 +313,11 @@
     return nameOf(CallFailureNames, failure);
 }
 
+bool mayHaveArrived(call_failure failure)
+{
+    return failure != call_failure::NotConnected && failure != call_failure::Refused;
+}
+
 std::span<const connection_event> connectionEvents()
 {
     using enum connection_event;
--- a/libs/runtime/http.h
+++ b/libs/runtime/http.h
@@ -127,11 +127,14 @@
 // How far a call got that brought no whole answer.
 enum class call_failure {
     NotConnected, // nothing was sent
+    Refused,      // the same: nobody listens there any more
     Cut,          // sent, and no answer came that answer_check could prove whole
     Late,         // sent, and the deadline passed
     TooLarge,     // the answer exceeds the bound
 };
 std::string_view nameOf(call_failure failure);
+// False: the other side knows nothing of the request.
+bool mayHaveArrived(call_failure failure);
 
 using call_result = std::variant<http_response, call_failure>;
 
--- a/libs/runtime/platform_client.cpp
+++ b/libs/runtime/platform_client.cpp
@@ -44,7 +44,7 @@
 write_result platform_client::writeOutcome(const call_result &result) const
 {
     if (const auto *failure = std::get_if<call_failure>(&result)) {
-        const bool sent = *failure != call_failure::NotConnected;
+        const bool sent = mayHaveArrived(*failure);
         return {sent ? write_outcome::Unknown : write_outcome::Refused, 0, {}};
     }
     const auto &response = std::get<http_response>(result);
--- a/standins/load.cpp
+++ b/standins/load.cpp
@@ -30,6 +30,7 @@
 {
     switch (failure) {
     case call_failure::NotConnected:
+    case call_failure::Refused:
         return "not connected";
     case call_failure::Late:
         return "no answer in time";
@@ -123,7 +124,7 @@
     if (request.method == "POST")
         m_result.nonIdempotent.insert(operation);
     if (const auto *failure = std::get_if<call_failure>(&result)) {
-        if (*failure == call_failure::NotConnected)
+        if (!mayHaveArrived(*failure))
             m_result.saidNotRun.insert(operation);
         else
             m_result.mayHaveRun.insert(operation);
