Readers that stop have a deadline that a busy machine does not make too close

process_stream_test slow_readers: its eight readers had 1.5 s, and took for granted that an answer of 32 MiB takes less. They have 8 s now.

--- a/tests/process_stream_test.cpp
+++ b/tests/process_stream_test.cpp
@@ -322,6 +322,8 @@
 {
     constexpr unsigned Slots = 8;
     constexpr unsigned Askers = 12;
+    // Well beyond what one answer takes beside the others: callers with less are refused.
+    constexpr milliseconds StoppedDeadline{8000};
     fleet system(onePath());
     startWhole(system);
     load_result result;
@@ -359,8 +361,8 @@
         for (unsigned index = 0; index < Slots; ++index) {
             threads.emplace_back([&] {
                 large_caller caller(system);
-                const auto got = caller.fetch(
-                        get(large(LargeBytes)), milliseconds(1500), [&](std::uint64_t) {
+                const auto got =
+                        caller.fetch(get(large(LargeBytes)), StoppedDeadline, [&](std::uint64_t) {
                             waitUntil([&] { return released.load(); }, SoonEnough);
                         });
                 if (!got.failure.empty())
