Nothing more is started in a zone that operators empty

Cause: it was not built. They also say so in each answer to a report of an agent there, and the agent refuses what it is ordered to start: an order may have been on its way for long, or come from an owner that does not know. Refused, its task goes elsewhere. An agent takes an entry's word for 2.5 s, and an entry whose reading is old gives none, so that the zone is open again soon after the row is gone, also where its removal fell into forgotten history (a reading of all rows tells). What runs there runs on. Agents report the zone that their worker announces.

Ruled out: agents that follow the rows themselves, as each would read every configuration.

--- a/app/configuration_follower.cpp
+++ b/app/configuration_follower.cpp
@@ -3,6 +3,8 @@
 #include <utility>
 #include <variant>
 
+#include <fmt/ranges.h>
+
 #include "base/errors.h"
 #include "platform/configuration_wire.h"
 #include "platform/store_wire.h"
@@ -17,7 +19,7 @@
     : m_log(log)
     , m_table(
               loop, store, log, {platform_wire::ConfigurationRow.table},
-              [this](const auto &rows) { takeRows(rows); }, [] {},
+              [this](const auto &rows) { takeRows(rows); }, [this] { allRead(); },
               [this](const follow_progress &progress) {
                   std::visit([this](const auto &what) { heed(what); }, progress);
               })
@@ -71,10 +73,37 @@
     m_watch.answerRead(taken.askedAt);
 }
 
+void configuration_follower::allRead()
+{
+    const auto before = m_evacuated.zones();
+    m_evacuated.allRead();
+    noteZones(before);
+}
+
+void configuration_follower::takeZones(const std::vector<row> &rows)
+{
+    std::vector<zone_row> zones;
+    for (const auto &one : rows) {
+        if (auto zone = platform_wire::evacuatedZone(one.name))
+            zones.push_back({std::move(*zone), one.removed});
+    }
+    const auto before = m_evacuated.zones();
+    m_evacuated.changed(zones);
+    noteZones(before);
+}
+
+void configuration_follower::noteZones(const std::set<std::string> &before)
+{
+    if (before != m_evacuated.zones())
+        m_log.note("zones_evacuated",
+                   {{"zones", fmt::format("{}", fmt::join(m_evacuated.zones(), " "))}});
+}
+
 // Only the newest row that can be read is worked through: one that is overtaken would hold up the
 // others, and callers meanwhile.
 void configuration_follower::takeRows(const std::vector<row> &rows)
 {
+    takeZones(rows);
     for (auto one = rows.rbegin(); one != rows.rend(); ++one) {
         if (one->name == platform_wire::ConfigurationRow && !one->removed && takeRow(*one))
             return;
--- a/app/configuration_follower.h
+++ b/app/configuration_follower.h
@@ -1,16 +1,19 @@
-// The configuration that an entry works by: follows its row in the platform's store, and tells
-// whether a newer one may be there.
+// What operators put into the platform's store: the configuration that an entry works by, and
+// whether a newer one may be there; the zones that they empty.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "app/row_store.h"
 #include "app/table_follower.h"
 #include "base/event_log.h"
 #include "jobs/configuration_watch.h"
+#include "jobs/evacuations.h"
 #include "jobs/queues.h"
 #include "net/event_loop.h"
 
@@ -27,6 +30,7 @@
     const jobs::queue_table *queues() const; // null: none was read yet
     std::int64_t version() const;            // 0: none
     bool isConfirmed() const;                // lately, as the newest
+    const jobs::evacuated_zones &evacuated() const { return m_evacuated; }
     // Says in the log when the configuration becomes outdated, and when it no longer is.
     jobs::configuration_standing standing();
 
@@ -34,12 +38,16 @@
     void heed(const feed_answer_begun &head);
     void heed(const all_changes_taken &taken);
     void takeRows(const std::vector<jobs::row> &rows);
+    void allRead();
     bool takeRow(const jobs::row &row);
+    void takeZones(const std::vector<jobs::row> &rows);
+    void noteZones(const std::set<std::string> &before);
     void note(std::size_t bytes, time_point startedAt);
 
     event_log &m_log;
     table_follower m_table;
     std::optional<jobs::queue_table> m_queues;
+    jobs::evacuated_zones m_evacuated;
     std::int64_t m_rowVersion = 0;          // the store's, of the row that was read last
     std::optional<time_point> m_answerFrom; // when the last answer with changes began
     jobs::configuration_watch m_watch;
--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -16,6 +16,7 @@
 #include "base/errors.h"
 #include "base/json.h"
 #include "base/json_member.h"
+#include "jobs/evacuations.h"
 #include "jobs/press_turn.h"
 #include "jobs/run_table.h"
 #include "jobs/worker_silence.h"
@@ -318,7 +319,9 @@
         const auto now = suspendAwareNow();
         const bool leased = m_cancelsRead && now >= m_startFrom && lease().settled()
                             && m_clockMs > 0 && now < lease().until();
-        return readinessOf({m_worker.isPresent(), m_worker.isLeaving(), leased}, m_silence, now);
+        return readinessOf(
+                {m_worker.isPresent(), m_worker.isLeaving(), leased, m_evacuation.holds(now)},
+                m_silence, now);
     }
 
     bool accepting() const { return readiness() == start_readiness::Open; }
@@ -492,7 +495,7 @@
         told.epoch = m_table.epoch();
         told.clockMs = millisecondsIn(suspendAwareNow().time_since_epoch());
         told.service = m_settings.service;
-        told.zone = m_settings.zone;
+        told.zone = m_worker.told().zone;
         told.kind = m_worker.told().kind;
         told.rack = m_worker.told().rack;
         told.accepting = accepting();
@@ -561,10 +564,20 @@
             news = m_table.notOwned(end, entry) || news;
         if (news)
             reportAll();
+        if (answer.zoneEvacuated)
+            takeEvacuation(now);
         if (!answer.presses.empty())
             m_pacer.setPresses(std::move(answer.presses));
     }
 
+    void takeEvacuation(time_point now)
+    {
+        const bool news = !m_evacuation.holds(now);
+        m_evacuation.heard(now);
+        if (news)
+            m_log.note("zone_evacuated", {{"zone", m_worker.told().zone}});
+    }
+
     // --- Cancelled jobs, as the store has them.
 
     void takeCancels(const std::vector<row> &rows)
@@ -702,6 +715,7 @@
     std::map<std::string, entry_link> m_entries;
 
     worker_presence m_worker;
+    evacuation_notice m_evacuation;
     bool m_cancelsRead = false; // an order that was held up may be of a job that was cancelled
     time_point m_tellUntil{};   // entries have answered a report with the present epoch by then
     std::optional<planned_stop> m_stop;
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -313,6 +313,7 @@
         m_pumping = false;
         if (!m_book)
             return;
+        m_pool.setEvacuated(m_configuration.evacuated().zones());
         m_book->plan(suspendAwareNow(), wallMs());
         std::map<std::string, std::vector<run_order>> orders;
         for (auto &action : m_book->takeActions()) {
@@ -499,6 +500,9 @@
         state->open = report.ends.size();
         for (const auto &sample : report.samples)
             m_pool.disturbance().learn(sample);
+        // From an old reading it would go on after the zone is taken back.
+        state->answer.zoneEvacuated =
+                m_configuration.isConfirmed() && m_configuration.evacuated().contains(report.zone);
         if (report.wantsPresses)
             state->answer.presses = m_pool.disturbance().table();
         for (const auto &end : report.ends)
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -226,6 +226,8 @@
         for (const auto &[filling, press] : row.presses)
             value["presses"][serving]["by"][filling] = std::round(press * 1000) / 1000;
     }
+    if (answer.zoneEvacuated)
+        value["zone_evacuated"] = true;
     return compactJson(value);
 }
 
@@ -243,6 +245,8 @@
         answer.presses[serving] = {numberMember(row, "floor_ms"),
                                    amountsFrom(objectMember(row, "by"))};
     }
+    if (value.isMember("zone_evacuated"))
+        answer.zoneEvacuated = boolMember(value, "zone_evacuated");
     return answer;
 }
 
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -151,6 +151,7 @@
     std::vector<acknowledged_end> acknowledged;
     std::vector<acknowledged_end> notOwned; // the job belongs to another entry
     press_table presses; // as learned from all workers; empty: not asked for, or nothing learned
+    bool zoneEvacuated = false; // of the worker: nothing more is started there
 };
 
 std::string toText(const report_answer &answer);
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -10,10 +10,11 @@
 
 namespace {
 
-constexpr name_table<unfit, 12> UnfitNames{{
+constexpr name_table<unfit, 13> UnfitNames{{
         {unfit::No, "fit"},
         {unfit::OtherService, "other_service"},
         {unfit::NotAccepting, "not_accepting"},
+        {unfit::Evacuated, "evacuated"},
         {unfit::Silent, "silent"},
         {unfit::SetAside, "set_aside"},
         {unfit::OtherLabel, "other_label"},
@@ -129,6 +130,8 @@
         return unfit::OtherService;
     if (!last.accepting || last.epoch == 0)
         return unfit::NotAccepting;
+    if (m_evacuated.contains(last.zone))
+        return unfit::Evacuated;
     if (now - view.heardAt > m_settings.silentAfter)
         return unfit::Silent;
     if (now < view.setAsideUntil)
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
@@ -44,6 +45,7 @@
     No,
     OtherService,
     NotAccepting,
+    Evacuated, // its zone is
     Silent,
     SetAside,
     OtherLabel,
@@ -75,6 +77,9 @@
     std::int64_t orderHoldsUntil(const std::string &worker, std::int64_t agentLife,
                                  time_point now) const;
 
+    // Zones in which nothing more is started.
+    void setEvacuated(std::set<std::string> zones) { m_evacuated = std::move(zones); }
+
     // How a run ended there, and how long it took against its estimate; 0: not known.
     void noteEnd(const std::string &worker, end_kind how, double slowness, time_point now);
 
@@ -119,6 +124,7 @@
 
     pool_settings m_settings;
     std::map<std::string, worker_view> m_workers;
+    std::set<std::string> m_evacuated;
     disturbance_model m_disturbance;
     service_history m_service;
 };
--- a/libs/jobs/worker_silence.cpp
+++ b/libs/jobs/worker_silence.cpp
@@ -70,7 +70,9 @@
     // off would be repeated for as long as the agent lives. Refused, its task goes elsewhere.
     if (!standing.present || standing.leaving || silence.isSilent(now))
         return start_readiness::Closed;
-    return standing.leased && silence.answers(now) ? start_readiness::Open : start_readiness::Later;
+    if (!standing.leased || !silence.answers(now))
+        return start_readiness::Later;
+    return standing.evacuated ? start_readiness::Closed : start_readiness::Open;
 }
 
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/worker_silence.h
+++ b/libs/jobs/worker_silence.h
@@ -51,9 +51,10 @@
 // What else decides whether a worker may be given runs.
 struct worker_standing
 {
-    bool present = false; // announced, and not departed
-    bool leaving = false; // by its own word
-    bool leased = false;  // the lease is held and settled, the worker's clock is known
+    bool present = false;   // announced, and not departed
+    bool leaving = false;   // by its own word
+    bool leased = false;    // the lease is held and settled, the worker's clock is known
+    bool evacuated = false; // its zone is
 };
 start_readiness readinessOf(const worker_standing &standing, const worker_silence &silence,
                             time_point now);
--- /dev/null
+++ b/tests/evacuation_test.cpp
@@ -0,0 +1,115 @@
+// A zone that operators empty: who knows of it, and what is started there.
+#include <criterion/criterion.h>
+
+#include "jobs/evacuations.h"
+#include "jobs/messages.h"
+#include "jobs/worker_pool.h"
+#include "jobs/worker_silence.h"
+#include "platform/store_wire.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::jobs;
+using zinniabarrow::tests::section;
+
+namespace {
+
+const time_point Now{std::chrono::hours(1)};
+
+worker_report reportOf(const std::string &worker, const std::string &zone)
+{
+    worker_report report;
+    report.worker = worker;
+    report.epoch = 1;
+    report.service = "tickets";
+    report.zone = zone;
+    report.accepting = true;
+    report.capacity = {16'000, 64'000, 0};
+    return report;
+}
+
+step_spec oneTask()
+{
+    step_spec step;
+    step.size = {1000, 1000, 0};
+    return step;
+}
+
+} // namespace
+
+// Tasks start in a zone that operators have emptied, seconds after they were told that it is.
+Test(evacuation, no_task_is_placed_there)
+{
+    worker_pool pool;
+    pool.update(reportOf("a-1", "a"), Now);
+    pool.update(reportOf("b-1", "b"), Now);
+    section("while it lasts, other zones take all", [&] {
+        pool.setEvacuated({"a"});
+        for (int task = 0; task < 10; ++task)
+            check(pool.choose("tickets", oneTask(), {}, Now) == "b-1");
+        pool.setEvacuated({"a", "b"});
+        check(!pool.choose("tickets", oneTask(), {}, Now));
+        check(pool.whyNobody("tickets", oneTask(), {}, Now).find("2 evacuated")
+              != std::string::npos);
+    });
+    section("taken back, it is a zone like the others", [&] {
+        pool.setEvacuated({"b"});
+        check(pool.choose("tickets", oneTask(), {}, Now) == "a-1");
+    });
+}
+
+Test(evacuation, what_entries_read)
+{
+    evacuated_zones known;
+    known.changed({{"a"}, {"b"}, {"a", true}});
+    check(known.zones() == std::set<std::string>{"b"});
+    section("changes of other rows change nothing", [&] {
+        known.changed({});
+        check(known.contains("b"));
+    });
+    section("a reading of all tells of what was removed unseen", [&] {
+        known.changed({{"c"}});
+        known.allRead();
+        check(known.zones() == std::set<std::string>{"c"});
+        known.changed({});
+        known.allRead();
+        check(known.zones().empty());
+    });
+    section("rows of operators that are about something else are none of them", [] {
+        using platform_wire::evacuatedZone;
+        check(evacuatedZone({"op", "", "evacuate/ee-north-c"}) == "ee-north-c");
+        check(!evacuatedZone({"op", "", "evacuate/"}));
+        check(!evacuatedZone({"op", "", "config"}));
+        check(!evacuatedZone({"op", "", "wave/evacuate/1"}));
+        check(!evacuatedZone({"status", "", "evacuate/a"}));
+    });
+}
+
+// An order that was on its way for long, or whose owner does not know of the evacuation, starts a
+// task there all the same.
+Test(evacuation, an_agent_starts_nothing_once_it_was_told)
+{
+    worker_silence silence(Now);
+    silence.looked(true, Now);
+    worker_standing standing{true, false, true, true};
+    section("what may start else is refused, for its owner to place it elsewhere",
+            [&] { check(readinessOf(standing, silence, Now) == start_readiness::Closed); });
+    section("before all is known of the worker nothing is refused for good", [&] {
+        standing.leased = false;
+        check(readinessOf(standing, silence, Now) == start_readiness::Later);
+    });
+    section("it holds while entries say so", [] {
+        evacuation_notice notice;
+        check(!notice.holds(Now));
+        notice.heard(Now);
+        check(notice.holds(Now + evacuation_notice::HoldsFor - milliseconds(1)));
+        check(!notice.holds(Now + evacuation_notice::HoldsFor));
+    });
+    section("they say so in their answers, which other releases read", [] {
+        report_answer answer;
+        check(toText(answer).find("evacuated") == std::string::npos);
+        check(!reportAnswerFrom(toText(answer)).zoneEvacuated);
+        answer.zoneEvacuated = true;
+        check(reportAnswerFrom(toText(answer)).zoneEvacuated);
+    });
+}
