The reports of an agent to entries have a module of their own

app/job_agent.cpp was one class of 734 lines with several duties. app/entry_reports sends the reports and takes their answers; which entry may be sent one now, and which still wait for an epoch, is decided without I/O in app/entry_links, with a test (there was none). A report that is out is followed by one more where something changed meanwhile, as before. 577 lines remain.

No change of behaviour is meant: code was moved as it stood.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -5,7 +5,7 @@
 #include <set>
 #include <utility>
 
-#include "app/entry_directory.h"
+#include "app/entry_reports.h"
 #include "app/job_tables.h"
 #include "app/lease_keeper.h"
 #include "app/planned_stop.h"
@@ -16,7 +16,7 @@
 #include "base/errors.h"
 #include "base/json.h"
 #include "base/json_member.h"
-#include "jobs/press_turn.h"
+#include "jobs/pacer.h"
 #include "jobs/run_table.h"
 #include "jobs/worker_silence.h"
 #include "net/http_listener.h"
@@ -39,14 +39,12 @@
 constexpr milliseconds CallTimeout{1000};
 constexpr milliseconds StartTakes{200}; // a worker starts a task within a few ms
 constexpr milliseconds ReportEvery{1000};
-constexpr milliseconds ReportTimeout{2000}; // an entry answers once the ends are stored
 constexpr milliseconds DueEvery{100};
 constexpr milliseconds StopMargin{150};    // beyond the time that the worker needs for a stop
 constexpr milliseconds SampleEvery{500};   // what the worker tells covers half a second
 constexpr milliseconds CancelsPause{1000}; // joins cancels into one answer; they hold within 3 s
 constexpr milliseconds LogFlushEvery{100};
-constexpr milliseconds TellWithin{1000}; // a report is answered within some ms, repeated each 1 s
-constexpr milliseconds GoWithin{300};    // the last write takes some 15 ms
+constexpr milliseconds GoWithin{300}; // the last write takes some 15 ms
 constexpr milliseconds GoStep{10};
 constexpr milliseconds LeaveWithin{5000};
 constexpr stop_times StopTimes{LeaveWithin, GoWithin, LeaveWithin + GoWithin, milliseconds(5700)};
@@ -60,13 +58,15 @@
         , m_log("agent", m_settings.id)
         , m_caller(m_loop, callerLimits())
         , m_store(
-                  m_loop, m_caller, m_settings.store, [this] { return relays(); }, m_metrics, m_log)
+                  m_loop, m_caller, m_settings.store, [this] { return m_reports.relays(); },
+                  m_metrics, m_log)
         , m_entriesTable(m_loop, m_store, m_log, {EntriesTable},
-                         [this](const auto &rows) { takeEntries(rows); })
+                         [this](const auto &rows) { m_reports.takeEntries(rows); })
         , m_cancelsTable(
                   m_loop, m_store, m_log, {CancelsTable, jobParts(), CancelsPause},
                   [this](const auto &rows) { takeCancels(rows); }, [this] { m_cancelsRead = true; })
         , m_keeper(m_loop, m_store, m_log, m_settings.id, leaseListeners())
+        , m_reports(reportsParts(), [this] { return accepting(); })
         , m_internal(m_loop, m_settings.internal, {},
                      [this](http_request request, responder respond) {
                          serveInternal(std::move(request), std::move(respond));
@@ -82,7 +82,7 @@
         m_log.noteAlways("started", {{"internal", toText(m_settings.internal)}});
         m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
         m_loop.every(DueEvery, [this] { act(); });
-        m_loop.every(ReportEvery, [this] { reportRegularly(); });
+        m_loop.every(ReportEvery, [this] { m_reports.reportRegularly(); });
         m_loop.every(RenewEvery, [this] { m_keeper.renew(m_silence.heldWithoutAnswer()); });
         m_entriesTable.start();
         m_cancelsTable.start();
@@ -107,6 +107,11 @@
         return limits;
     }
 
+    entry_reports_parts reportsParts()
+    {
+        return {m_settings, m_caller, m_keeper, m_worker, m_table, m_pacer, m_metrics, m_log};
+    }
+
     // --- The lease.
 
     lease_keeper::listeners leaseListeners()
@@ -121,7 +126,7 @@
         m_table.setAgentLife(lease().fence());
         const auto now = suspendAwareNow();
         if (settled.begun) {
-            m_tellUntil = now + TellWithin;
+            m_reports.epochBegun(now);
             if (lease().settled())
                 m_silence.epochBegun(now);
         } else {
@@ -129,7 +134,7 @@
             // has ended, and takes room all the while.
             m_startFrom = now + m_settings.stopWithin + StopMargin;
         }
-        reportAll();
+        m_reports.reportAll();
     }
 
     // Nothing of any earlier epoch runs any more: what was placed here may go elsewhere.
@@ -291,7 +296,7 @@
         case worker_presence::news::Readiness:
             m_log.note("worker_announced",
                        {{"worker", told.id}, {"leaving", told.leaving ? "yes" : "no"}});
-            reportAll();
+            m_reports.reportAll();
             break;
         }
     }
@@ -299,7 +304,7 @@
     void stayed()
     {
         m_log.note("worker_stayed", {{"worker", m_worker.id()}});
-        reportAll();
+        m_reports.reportAll();
     }
 
     void departureConfirmed()
@@ -373,7 +378,7 @@
         for (const auto &action : m_table.due(now, mayStart))
             std::visit([this](const auto &one) { carryOut(one); }, action);
         if (std::exchange(m_endsTold, m_table.endsSeen()) != m_table.endsSeen())
-            reportAll();
+            m_reports.reportAll();
     }
 
     void carryOut(const start_run &start)
@@ -428,8 +433,7 @@
         const auto filling = m_table.fillingNow();
         if (now >= m_sampleFrom) {
             m_sampleFrom = now + SampleEvery;
-            for (auto &sample : m_pacer.takeSamples(serving, filling))
-                m_samples.push_back(std::move(sample));
+            m_reports.add(m_pacer.takeSamples(serving, filling));
         }
         const auto changes = m_pacer.look(serving, filling, now);
         for (const auto &change : changes) {
@@ -445,126 +449,6 @@
         }
     }
 
-    // --- Reports to entries.
-
-    struct entry_link
-    {
-        std::string address;
-        std::int64_t toldEpoch = 0; // it answered a report with this epoch
-        bool out = false;           // a report has no answer yet
-        bool again = false;         // something changed meanwhile
-    };
-
-    // Presses matter to runs that serve: where there are none, nothing was measured.
-    void reportRegularly()
-    {
-        m_pressesFrom = m_samples.empty() ? std::string() : m_pressTurn.next(entryNames());
-        reportAll();
-        m_samples.clear();
-    }
-
-    std::vector<std::string> entryNames() const
-    {
-        std::vector<std::string> names;
-        for (const auto &[name, link] : m_entries)
-            names.push_back(name);
-        return names;
-    }
-
-    void reportAll()
-    {
-        for (auto &[name, link] : m_entries)
-            report(name, link);
-    }
-
-    void report(const std::string &entry, entry_link &link)
-    {
-        if (link.out) {
-            link.again = true;
-            return;
-        }
-        link.out = true;
-        link.again = false;
-        worker_report told;
-        told.worker = m_settings.id;
-        told.address = toText(m_settings.internal);
-        told.agentLife = lease().fence();
-        told.epoch = m_table.epoch();
-        told.clockMs = millisecondsIn(suspendAwareNow().time_since_epoch());
-        told.service = m_settings.service;
-        told.zone = m_settings.zone;
-        told.kind = m_worker.told().kind;
-        told.rack = m_worker.told().rack;
-        told.accepting = accepting();
-        told.capacity = m_worker.told().capacity;
-        told.used = m_table.used();
-        told.lasting = m_table.lasting();
-        told.fillMillicores = m_table.fillMillicores();
-        const auto filling = m_table.fillingNow();
-        for (const auto &run : m_table.servingNow())
-            told.serving.push_back({run.image, m_pacer.roomOf(run, filling), run.task.job,
-                                    run.tailMs > run.targetMs});
-        for (const auto &run : filling)
-            told.filling[run.image] += run.declared;
-        told.samples = m_samples;
-        told.wantsPresses = entry == m_pressesFrom;
-        if (told.wantsPresses)
-            m_pressesFrom.clear();
-        told.ends = m_table.endsFor(entry);
-        told.progress = m_table.progressFor(entry);
-        told.started = m_table.startedFor(entry);
-        http_request request;
-        request.method = "POST";
-        request.target = "/v1/report";
-        request.body = toText(told);
-        m_caller.call(link.address, std::move(request), ReportTimeout,
-                      [this, entry, epoch = told.epoch,
-                       started = std::move(told.started)](const call_result &result) {
-                          reported(entry, epoch, started, result);
-                      });
-    }
-
-    void reported(const std::string &entry, std::int64_t epoch,
-                  const std::vector<started_run> &started, const call_result &result)
-    {
-        const auto found = m_entries.find(entry);
-        if (found == m_entries.end())
-            return;
-        auto &link = found->second;
-        link.out = false;
-        const auto *answer = std::get_if<http_response>(&result);
-        if (answer == nullptr || answer->status != 200) {
-            m_metrics.count("reports_unanswered_total", "entry_silent");
-            m_table.ownerSilent(entry);
-            return; // the next turn reports again
-        }
-        link.toldEpoch = std::max(link.toldEpoch, epoch);
-        m_table.startsTold(started, entry);
-        try {
-            takeAnswer(entry, reportAnswerFrom(answer->body));
-        } catch (const error &problem) {
-            m_log.note("answer_unreadable", {{"entry", entry}, {"why", problem.what()}});
-        }
-        if (link.again)
-            report(entry, link);
-    }
-
-    void takeAnswer(const std::string &entry, report_answer answer)
-    {
-        const auto now = suspendAwareNow();
-        for (const auto &end : answer.acknowledged) {
-            if (m_table.acknowledged(end, now))
-                m_pacer.forget(end.task, end.run);
-        }
-        bool news = false;
-        for (const auto &end : answer.notOwned)
-            news = m_table.notOwned(end, entry) || news;
-        if (news)
-            reportAll();
-        if (!answer.presses.empty())
-            m_pacer.setPresses(std::move(answer.presses));
-    }
-
     // --- Cancelled jobs, as the store has them.
 
     void takeCancels(const std::vector<row> &rows)
@@ -580,34 +464,6 @@
         act();
     }
 
-    // --- Entries.
-
-    std::vector<std::string> relays() const
-    {
-        std::vector<std::string> addresses;
-        for (const auto &[name, link] : m_entries)
-            addresses.push_back(link.address);
-        return addresses;
-    }
-
-    void takeEntries(const std::vector<row> &rows)
-    {
-        for (const auto &one : rows) {
-            if (one.removed) {
-                m_entries.erase(one.name.key);
-                continue;
-            }
-            try {
-                m_entries[one.name.key].address = entryRowFrom(one.value).internal;
-            } catch (const error &problem) {
-                m_log.note("entry_row_unreadable",
-                           {{"entry", one.name.key}, {"why", problem.what()}});
-            }
-        }
-        if (!rows.empty())
-            reportAll();
-    }
-
     // --- Planned stop.
 
     bool hasGivenUp() const { return m_stop && m_stop->hasGivenUp(); }
@@ -672,17 +528,8 @@
     // placed there would wait for the end of the lease.
     bool hasToStay() const
     {
-        return m_worker.goesAway() || lease().owesEnd() || entriesWaitForEpoch()
-               || m_table.hasEndsOfTheGone();
-    }
-
-    bool entriesWaitForEpoch() const
-    {
-        const auto epoch = m_table.epoch();
-        return suspendAwareNow() < m_tellUntil
-               && std::any_of(m_entries.begin(), m_entries.end(), [epoch](const auto &entry) {
-                      return entry.second.toldEpoch < epoch;
-                  });
+        return m_worker.goesAway() || lease().owesEnd()
+               || m_reports.entriesWaitForEpoch(suspendAwareNow()) || m_table.hasEndsOfTheGone();
     }
 
     job_agent_settings m_settings;
@@ -695,20 +542,16 @@
     table_follower m_cancelsTable;
     run_table m_table;
     pacer m_pacer;
-    std::vector<disturbance_sample> m_samples; // since the last regular report
     time_point m_sampleFrom{};
-    press_turn m_pressTurn{m_settings.id};
-    std::string m_pressesFrom; // the entry that its next report asks; empty: none
-    std::map<std::string, entry_link> m_entries;
 
     worker_presence m_worker;
     bool m_cancelsRead = false; // an order that was held up may be of a job that was cancelled
-    time_point m_tellUntil{};   // entries have answered a report with the present epoch by then
     std::optional<planned_stop> m_stop;
     stop_step m_stopStep = stop_step::HandOver; // that was carried out
     bool m_gaveBack = false;                    // the last renewal was sent
 
     lease_keeper m_keeper;
+    entry_reports m_reports;
     worker_silence m_silence{suspendAwareNow()};
 
     std::size_t m_endsTold = 0; // of `m_table.endsSeen()`
