The two walks through the steps of a planned stop are one

The entry and the agent each kept the stop, the step that was carried out last and the timer of the next look. app/stop_walk does that for both; what a step means stays with each of them. The order of a look is kept: in the step Finish an agent gives its lease back before it tells its needs, the step is noted before it is carried out, and the loop stops after the last one. The decisions are those of planned_stop, which is untouched.

No change of behaviour is meant: code was moved as it stood.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -8,9 +8,9 @@
 #include "app/entry_reports.h"
 #include "app/job_tables.h"
 #include "app/lease_keeper.h"
-#include "app/planned_stop.h"
 #include "app/process.h"
 #include "app/row_store.h"
+#include "app/stop_walk.h"
 #include "app/table_follower.h"
 #include "app/worker_presence.h"
 #include "base/errors.h"
@@ -45,8 +45,8 @@
 constexpr milliseconds CancelsPause{1000}; // joins cancels into one answer; they hold within 3 s
 constexpr milliseconds LogFlushEvery{100};
 constexpr milliseconds GoWithin{300}; // the last write takes some 15 ms
-constexpr milliseconds GoStep{10};
 constexpr milliseconds LeaveWithin{5000};
+constexpr stop_pauses StopPauses{milliseconds(150), milliseconds(10)};
 constexpr stop_times StopTimes{LeaveWithin, GoWithin, LeaveWithin + GoWithin, milliseconds(5700)};
 
 class agent_process
@@ -54,7 +54,7 @@
 public:
     explicit agent_process(job_agent_settings settings)
         : m_settings(std::move(settings))
-        , m_loop([this] { leave(); })
+        , m_loop([this] { m_stop.begin(); })
         , m_log("agent", m_settings.id)
         , m_caller(m_loop, callerLimits())
         , m_store(
@@ -65,6 +65,7 @@
         , m_cancelsTable(
                   m_loop, m_store, m_log, {CancelsTable, jobParts(), CancelsPause},
                   [this](const auto &rows) { takeCancels(rows); }, [this] { m_cancelsRead = true; })
+        , m_stop(m_loop, StopPauses, StopTimes, stopHooks())
         , m_keeper(m_loop, m_store, m_log, m_settings.id, leaseListeners())
         , m_reports(reportsParts(), [this] { return accepting(); })
         , m_internal(m_loop, m_settings.internal, {},
@@ -335,7 +336,7 @@
         const auto path = request.path();
         if (path == "/metrics")
             return respond({200, {{"Content-Type", "text/plain"}}, m_metrics.text()});
-        if (path.starts_with(StoreRelayPath) && hasGivenUp())
+        if (path.starts_with(StoreRelayPath) && m_stop.hasGivenUp())
             return respond({503, {}, ""}); // nothing was done
         if (path.starts_with(StoreRelayPath))
             return m_store.relay(std::move(request), std::move(respond));
@@ -466,39 +467,33 @@
 
     // --- Planned stop.
 
-    bool hasGivenUp() const { return m_stop && m_stop->hasGivenUp(); }
+    stop_walk::hooks stopHooks()
+    {
+        return {[this] { leave(); }, [this] { return stopNeeds(); },
+                [this](stop_step step) { carryOut(step); }};
+    }
 
     void leave()
     {
-        m_stop.emplace(suspendAwareNow(), m_loop.overdue(), StopTimes);
         m_log.noteAlways("drain_started", {{"runs", m_table.running()},
                                            {"worker", m_worker.isLeaving() ? "leaving" : "staying"},
                                            {"stays", hasToStay() ? "yes" : "no"}});
         m_internal.announceClose();
         m_workers.announceClose();
-        leaveOn();
     }
 
-    void leaveOn()
+    stop_needs stopNeeds()
     {
-        if (m_stopStep == stop_step::Finish)
+        if (m_stop.step() == stop_step::Finish)
             giveBack();
         const bool open = !m_internal.drained() || !m_workers.drained();
-        const bool writes = lease().writeOut() && !hasGivenUp();
-        const auto step = m_stop->look({hasToStay(), false, open || writes}, m_loop.lateness(),
-                                       suspendAwareNow());
-        if (step != m_stopStep)
-            carryOut(step);
-        if (step != stop_step::End)
-            m_loop.after(step == stop_step::HandOver ? LookRetry : GoStep, [this] { leaveOn(); });
+        const bool writes = lease().writeOut() && !m_stop.hasGivenUp();
+        return {hasToStay(), false, open || writes};
     }
 
     void carryOut(stop_step step)
     {
-        m_stopStep = step;
         switch (step) {
-        case stop_step::HandOver:
-            break;
         case stop_step::Finish:
             giveBack();
             m_internal.drain();
@@ -508,8 +503,8 @@
             // Calls of the store that are relayed: they may have been carried out.
             m_internal.answerAll({502, {}, ""});
             break;
+        case stop_step::HandOver:
         case stop_step::End:
-            m_loop.stop();
             break;
         }
     }
@@ -546,9 +541,8 @@
 
     worker_presence m_worker;
     bool m_cancelsRead = false; // an order that was held up may be of a job that was cancelled
-    std::optional<planned_stop> m_stop;
-    stop_step m_stopStep = stop_step::HandOver; // that was carried out
-    bool m_gaveBack = false;                    // the last renewal was sent
+    stop_walk m_stop;
+    bool m_gaveBack = false; // the last renewal was sent
 
     lease_keeper m_keeper;
     entry_reports m_reports;
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -12,9 +12,9 @@
 #include "app/job_view.h"
 #include "app/lease_watcher.h"
 #include "app/order_outcomes.h"
-#include "app/planned_stop.h"
 #include "app/process.h"
 #include "app/row_store.h"
+#include "app/stop_walk.h"
 #include "app/table_follower.h"
 #include "base/errors.h"
 #include "base/json.h"
@@ -40,7 +40,7 @@
 constexpr milliseconds SilentWorker{3000}; // three reports were missed
 constexpr milliseconds OrderTimeout{600};  // an agent answers without asking its worker
 constexpr milliseconds ReportWithin{1500};
-constexpr milliseconds StopLookEvery{50};
+constexpr stop_pauses StopPauses{milliseconds(50), milliseconds(50)};
 constexpr milliseconds LogFlushEvery{100};
 constexpr milliseconds KeepFinal{180'000};      // callers may ask for 120 s
 constexpr milliseconds StoreSilentAtMost{2500}; // then this entry is not ready
@@ -50,7 +50,7 @@
 public:
     explicit entry_process(job_entry_settings settings)
         : m_settings(std::move(settings))
-        , m_loop([this] { drain(); })
+        , m_loop([this] { m_stop.begin(); })
         , m_log("entry", m_settings.id)
         , m_caller(m_loop)
         , m_store(
@@ -66,6 +66,7 @@
         , m_directory(m_settings.id, m_startedAt)
         , m_leases(m_loop, m_store, m_metrics, m_log, m_settings.id,
                    [this](const auto &worker, auto epoch) { takeEpoch(worker, epoch); })
+        , m_stop(m_loop, StopPauses, {}, stopHooks())
         , m_requests(m_settings.id, requestParts(),
                      {[this] { return m_jobsKnown; }, [this](const auto &rows) { takeJobs(rows); },
                       [this] { pumpSoon(); }})
@@ -107,8 +108,8 @@
 
     job_requests_parts requestParts()
     {
-        return {m_loop, m_caller, m_store, m_configuration, m_directory, m_view,
-                m_book, m_waits,  m_stop,  m_metrics,       m_log};
+        return {m_loop, m_caller, m_store,       m_configuration, m_directory, m_view,
+                m_book, m_waits,  m_stop.plan(), m_metrics,       m_log};
     }
 
     // --- Start: a new incarnation, the other entries, all jobs.
@@ -449,7 +450,7 @@
         const auto path = request.path();
         if (path == "/metrics")
             return respond({200, {{"Content-Type", "text/plain"}}, m_metrics.text()});
-        if (m_stopStep != stop_step::HandOver)
+        if (m_stop.step() != stop_step::HandOver)
             return respond(refusal(503, "leaving"));
         if (path.starts_with(StoreRelayPath))
             return m_store.relay(std::move(request), std::move(respond));
@@ -549,7 +550,13 @@
 
     // --- Planned stop.
 
-    bool isLeaving() const { return m_stop.has_value(); }
+    stop_walk::hooks stopHooks()
+    {
+        return {[this] { leave(); }, [this] { return stopNeeds(); },
+                [this](stop_step step) { carryOut(step); }};
+    }
+
+    bool isLeaving() const { return m_stop.isLeaving(); }
 
     // What the end of the process cuts off, and how far behind it was.
     void noteStopped()
@@ -565,33 +572,25 @@
                                      {"late_ms", millisecondsIn(m_loop.lateness())}});
     }
 
-    void drain()
+    void leave()
     {
-        m_stop.emplace(suspendAwareNow(), m_loop.overdue());
         m_log.noteAlways("drain_started", {{"owned", m_book ? m_book->ownedUnfinished() : 0},
                                            {"late_ms", millisecondsIn(m_loop.lateness())}});
         m_callers.announceClose();
         m_internal.announceClose();
         if (m_book)
             pingAll(); // the others take the jobs over at once
-        drainOn();
     }
 
-    void drainOn()
+    stop_needs stopNeeds() const
     {
         const bool heirs = m_book && !m_directory.entries().empty();
-        const stop_needs needs{heirs && m_book->ownedUnfinished() > 0, m_callers.inFlight() > 0,
-                               !m_callers.drained() || !m_internal.drained()};
-        const auto step = m_stop->look(needs, m_loop.lateness(), suspendAwareNow());
-        if (step != m_stopStep)
-            carryOut(step);
-        if (step != stop_step::End)
-            m_loop.after(StopLookEvery, [this] { drainOn(); });
+        return {heirs && m_book->ownedUnfinished() > 0, m_callers.inFlight() > 0,
+                !m_callers.drained() || !m_internal.drained()};
     }
 
     void carryOut(stop_step step)
     {
-        m_stopStep = step;
         const auto callers = m_callers.activity();
         m_log.noteAlways("stop_step", {{"step", nameOf(step)},
                                        {"owned", m_book ? m_book->ownedUnfinished() : 0},
@@ -601,8 +600,6 @@
                                        {"callers_writing", callers.writing},
                                        {"late_ms", millisecondsIn(m_loop.lateness())}});
         switch (step) {
-        case stop_step::HandOver:
-            break;
         case stop_step::Finish:
             m_callers.drain();
             // Other processes repeat what they asked for; callers would wait for it to end.
@@ -612,8 +609,8 @@
         case stop_step::GiveUp:
             m_callers.answerAll(m_requests.counted(504, "outcome_unknown"));
             break;
+        case stop_step::HandOver:
         case stop_step::End:
-            m_loop.stop();
             break;
         }
     }
@@ -639,8 +636,7 @@
     write_waits m_waits;
     bool m_jobsKnown = false;
     bool m_pumping = false;
-    std::optional<planned_stop> m_stop;
-    stop_step m_stopStep = stop_step::HandOver; // that was carried out
+    stop_walk m_stop;
     job_requests m_requests;
     net::http_listener m_internal;
     net::http_listener m_ready;
