--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <set>
 #include <utility>
 
 #include "app/entry_reports.h"
@@ -12,10 +11,10 @@
 #include "app/row_store.h"
 #include "app/stop_walk.h"
 #include "app/table_follower.h"
+#include "app/worker_calls.h"
+#include "app/worker_clock.h"
 #include "app/worker_presence.h"
 #include "base/errors.h"
-#include "base/json.h"
-#include "base/json_member.h"
 #include "jobs/pacer.h"
 #include "jobs/run_table.h"
 #include "jobs/worker_silence.h"
@@ -36,12 +35,9 @@
 constexpr milliseconds LookTimeout{700};     // beyond the wait; a worker answers within a few ms
 constexpr milliseconds LookRetry{150};
 constexpr milliseconds LookAgain{40}; // while ends are not acknowledged: a look returns at once
-constexpr milliseconds CallTimeout{1000};
-constexpr milliseconds StartTakes{200}; // a worker starts a task within a few ms
 constexpr milliseconds ReportEvery{1000};
 constexpr milliseconds DueEvery{100};
 constexpr milliseconds StopMargin{150};    // beyond the time that the worker needs for a stop
-constexpr milliseconds SampleEvery{500};   // what the worker tells covers half a second
 constexpr milliseconds CancelsPause{1000}; // joins cancels into one answer; they hold within 3 s
 constexpr milliseconds LogFlushEvery{100};
 constexpr milliseconds GoWithin{300}; // the last write takes some 15 ms
@@ -67,7 +63,9 @@
                   [this](const auto &rows) { takeCancels(rows); }, [this] { m_cancelsRead = true; })
         , m_stop(m_loop, StopPauses, StopTimes, stopHooks())
         , m_keeper(m_loop, m_store, m_log, m_settings.id, leaseListeners())
-        , m_reports(reportsParts(), [this] { return accepting(); })
+        , m_reports(reportsParts(), [this] { return readiness() == start_readiness::Open; })
+        , m_calls(callsParts(),
+                  {[this] { act(); }, [this](auto samples) { m_reports.add(std::move(samples)); }})
         , m_internal(m_loop, m_settings.internal, {},
                      [this](http_request request, responder respond) {
                          serveInternal(std::move(request), std::move(respond));
@@ -113,6 +111,12 @@
         return {m_settings, m_caller, m_keeper, m_worker, m_table, m_pacer, m_metrics, m_log};
     }
 
+    worker_calls_parts callsParts()
+    {
+        return {m_settings.worker, m_caller, m_keeper, m_worker,  m_clock,
+                m_silence,         m_table,  m_pacer,  m_metrics, m_log};
+    }
+
     // --- The lease.
 
     lease_keeper::listeners leaseListeners()
@@ -150,11 +154,6 @@
 
     // --- Looking at the worker.
 
-    std::int64_t workerClockAt(time_point at) const
-    {
-        return m_clockMs + millisecondsIn(at - m_clockReadAt);
-    }
-
     void look()
     {
         if (!lease().holdsFence() || m_looking)
@@ -164,14 +163,14 @@
         std::optional<std::int64_t> deadline;
         // A worker that answers nothing is only looked at: each call that may have reached it would
         // put off the time from which all that it runs has ended for certain.
-        if (m_clockMs > 0 && now < lease().until() && m_silence.answers(now)) {
+        if (m_clock.isKnown() && now < lease().until() && m_silence.answers(now)) {
             const auto until = std::min<time_point>(lease().until(), now + HoldLength);
-            deadline = workerClockAt(until);
+            deadline = m_clock.at(until);
             m_silence.held(until);
         }
         // Without a clock to count from, the first look only reads it.
         const auto longest = m_table.servingNow().empty() ? LookWait : LookWaitServing;
-        const auto wait = m_clockMs > 0 ? millisecondsIn(longest) : 0;
+        const auto wait = m_clock.isKnown() ? millisecondsIn(longest) : 0;
         auto request = platform_wire::holdRequest(m_worker.id(), deadline, lease().fence(),
                                                   m_table.lastSeen(), wait);
         if (m_worker.id().empty())
@@ -210,13 +209,12 @@
             return lifeEnded("born_anew");
         if (life == worker_presence::look::Stayed)
             stayed();
-        m_clockMs = seen->listing.clockMs;
-        m_clockReadAt = now;
+        m_clock.read(seen->listing.clockMs, now);
         m_table.look(seen->listing, now);
         const bool news = m_table.endsSeen() != m_endsTold;
         settleEpoch(now);
         act();
-        pace(now);
+        m_calls.pace(now);
         const bool unacknowledged = !seen->listing.ended.empty();
         if (unacknowledged && !news)
             m_loop.after(LookAgain, [this] { look(); });
@@ -252,7 +250,7 @@
         m_log.note("worker_life_ended", {{"why", why}, {"worker", m_worker.id()}});
         m_metrics.count("worker_lives_ended_total", why);
         m_table.clear();
-        m_clockMs = 0;
+        m_clock.forget();
         m_silence.lifeBegun(suspendAwareNow());
         m_keeper.seek(why);
     }
@@ -315,7 +313,7 @@
                                    {"runs", m_table.running()},
                                    {"lease_write_out", lease().writeOut() ? "yes" : "no"},
                                    {"lease", lease().holdsFence() ? "held" : "sought"}});
-        m_clockMs = 0;
+        m_clock.forget();
         allEnded(""); // and looks go on: a worker that lives anew may tell so in no other way
     }
 
@@ -323,12 +321,10 @@
     {
         const auto now = suspendAwareNow();
         const bool leased = m_cancelsRead && now >= m_startFrom && lease().settled()
-                            && m_clockMs > 0 && now < lease().until();
+                            && m_clock.isKnown() && now < lease().until();
         return readinessOf({m_worker.isPresent(), m_worker.isLeaving(), leased}, m_silence, now);
     }
 
-    bool accepting() const { return readiness() == start_readiness::Open; }
-
     // --- Orders of entries.
 
     void serveInternal(http_request request, responder respond)
@@ -375,81 +371,13 @@
         const auto now = suspendAwareNow();
         // A worker that answers nothing is not told to start anything: each such call would put off
         // the time from which all that it runs has ended for certain.
-        const bool mayStart = now < lease().until() && m_clockMs > 0 && m_silence.answers(now);
+        const bool mayStart = now < lease().until() && m_clock.isKnown() && m_silence.answers(now);
         for (const auto &action : m_table.due(now, mayStart))
-            std::visit([this](const auto &one) { carryOut(one); }, action);
+            std::visit([this](const auto &one) { m_calls.carryOut(one); }, action);
         if (std::exchange(m_endsTold, m_table.endsSeen()) != m_table.endsSeen())
             m_reports.reportAll();
     }
 
-    void carryOut(const start_run &start)
-    {
-        // Read here and not before: a process that was frozen since would start on a lease that
-        // has run out, while the task runs elsewhere. Frozen after this line, the call's own
-        // deadline stops it.
-        const auto now = suspendAwareNow();
-        if (now >= std::min(lease().until(), start.callBy))
-            return;
-        const auto until = std::min<time_point>(lease().until(), start.callBy + StartTakes);
-        const auto deadline = workerClockAt(until);
-        m_silence.held(until);
-        m_table.startCalled(start.task, start.run, deadline);
-        m_caller.call(m_settings.worker,
-                      platform_wire::startRequest(m_worker.id(), start, deadline, lease().fence()),
-                      CallTimeout,
-                      [this, task = start.task, run = start.run](const call_result &result) {
-                          started(task, run, result);
-                      });
-    }
-
-    void started(const task_id &task, int run, const call_result &result)
-    {
-        const auto answer = platform_wire::startResult(result);
-        if (answer != start_answer::Started) {
-            const auto *response = std::get_if<http_response>(&result);
-            m_metrics.count("starts_not_confirmed_total",
-                            answer == start_answer::Refused ? "refused" : "unanswered");
-            m_log.note("start_not_confirmed", {{"task", toText(task)},
-                                               {"run", run},
-                                               {"status", response ? response->status : 0},
-                                               {"answer", response ? response->body : "none"}});
-        }
-        m_table.startAnswered(task, run, answer, suspendAwareNow());
-        act();
-    }
-
-    void carryOut(const stop_run &stop)
-    {
-        m_caller.call(m_settings.worker,
-                      platform_wire::stopRequest(m_worker.id(), stop, lease().fence()), CallTimeout,
-                      [this](const call_result &result) {
-                          if (!std::holds_alternative<http_response>(result))
-                              m_metrics.count("stops_not_confirmed_total", "unanswered");
-                      });
-    }
-
-    void pace(time_point now)
-    {
-        const auto serving = m_table.servingNow();
-        const auto filling = m_table.fillingNow();
-        if (now >= m_sampleFrom) {
-            m_sampleFrom = now + SampleEvery;
-            m_reports.add(m_pacer.takeSamples(serving, filling));
-        }
-        const auto changes = m_pacer.look(serving, filling, now);
-        for (const auto &change : changes) {
-            m_metrics.count("paces_total", change.percent < 100 ? "slowed" : "full");
-            m_caller.call(m_settings.worker,
-                          platform_wire::paceRequest(m_worker.id(), change.task, change.run,
-                                                     change.percent, lease().fence()),
-                          CallTimeout, [this, change](const call_result &result) {
-                              const auto *answer = std::get_if<http_response>(&result);
-                              if (answer != nullptr && answer->status == 200)
-                                  m_pacer.confirmed(change);
-                          });
-        }
-    }
-
     // --- Cancelled jobs, as the store has them.
 
     void takeCancels(const std::vector<row> &rows)
@@ -537,9 +465,9 @@
     table_follower m_cancelsTable;
     run_table m_table;
     pacer m_pacer;
-    time_point m_sampleFrom{};
 
     worker_presence m_worker;
+    worker_clock m_clock;
     bool m_cancelsRead = false; // an order that was held up may be of a job that was cancelled
     stop_walk m_stop;
     bool m_gaveBack = false; // the last renewal was sent
@@ -547,12 +475,11 @@
     lease_keeper m_keeper;
     entry_reports m_reports;
     worker_silence m_silence{suspendAwareNow()};
+    worker_calls m_calls;
 
     std::size_t m_endsTold = 0; // of `m_table.endsSeen()`
 
-    std::int64_t m_clockMs = 0; // the worker's clock,
-    time_point m_clockReadAt{}; // read then
-    time_point m_startFrom{};   // nothing is started before
+    time_point m_startFrom{}; // nothing is started before
     bool m_looking = false;
 
     net::http_listener m_internal;
--- /dev/null
+++ b/app/worker_calls.cpp
@@ -0,0 +1,102 @@
+#include "app/worker_calls.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "net/event_loop.h"
+#include "platform/worker_wire.h"
+
+namespace zinniabarrow {
+
+using namespace jobs;
+using net::suspendAwareNow;
+
+namespace {
+
+constexpr milliseconds CallTimeout{1000};
+constexpr milliseconds StartTakes{200};  // a worker starts a task within a few ms
+constexpr milliseconds SampleEvery{500}; // what the worker tells covers half a second
+
+} // namespace
+
+worker_calls::worker_calls(const worker_calls_parts &parts, hooks callbacks)
+    : m_address(parts.address)
+    , m_caller(parts.caller)
+    , m_keeper(parts.keeper)
+    , m_worker(parts.worker)
+    , m_clock(parts.clock)
+    , m_silence(parts.silence)
+    , m_table(parts.table)
+    , m_pacer(parts.pacer)
+    , m_metrics(parts.numbers)
+    , m_log(parts.log)
+    , m_hooks(std::move(callbacks))
+{ }
+
+void worker_calls::carryOut(const start_run &start)
+{
+    // Read here and not before: a process that was frozen since would start on a lease that
+    // has run out, while the task runs elsewhere. Frozen after this line, the call's own
+    // deadline stops it.
+    const auto now = suspendAwareNow();
+    if (now >= std::min(lease().until(), start.callBy))
+        return;
+    const auto until = std::min<time_point>(lease().until(), start.callBy + StartTakes);
+    const auto deadline = m_clock.at(until);
+    m_silence.held(until);
+    m_table.startCalled(start.task, start.run, deadline);
+    m_caller.call(
+            m_address, platform_wire::startRequest(m_worker.id(), start, deadline, lease().fence()),
+            CallTimeout, [this, task = start.task, run = start.run](const call_result &result) {
+                started(task, run, result);
+            });
+}
+
+void worker_calls::started(const task_id &task, int run, const call_result &result)
+{
+    const auto answer = platform_wire::startResult(result);
+    if (answer != start_answer::Started) {
+        const auto *response = std::get_if<http_response>(&result);
+        m_metrics.count("starts_not_confirmed_total",
+                        answer == start_answer::Refused ? "refused" : "unanswered");
+        m_log.note("start_not_confirmed", {{"task", toText(task)},
+                                           {"run", run},
+                                           {"status", response ? response->status : 0},
+                                           {"answer", response ? response->body : "none"}});
+    }
+    m_table.startAnswered(task, run, answer, suspendAwareNow());
+    m_hooks.changed();
+}
+
+void worker_calls::carryOut(const stop_run &stop)
+{
+    m_caller.call(m_address, platform_wire::stopRequest(m_worker.id(), stop, lease().fence()),
+                  CallTimeout, [this](const call_result &result) {
+                      if (!std::holds_alternative<http_response>(result))
+                          m_metrics.count("stops_not_confirmed_total", "unanswered");
+                  });
+}
+
+void worker_calls::pace(time_point now)
+{
+    const auto serving = m_table.servingNow();
+    const auto filling = m_table.fillingNow();
+    if (now >= m_sampleFrom) {
+        m_sampleFrom = now + SampleEvery;
+        m_hooks.measured(m_pacer.takeSamples(serving, filling));
+    }
+    const auto changes = m_pacer.look(serving, filling, now);
+    for (const auto &change : changes) {
+        m_metrics.count("paces_total", change.percent < 100 ? "slowed" : "full");
+        m_caller.call(m_address,
+                      platform_wire::paceRequest(m_worker.id(), change.task, change.run,
+                                                 change.percent, lease().fence()),
+                      CallTimeout, [this, change](const call_result &result) {
+                          const auto *answer = std::get_if<http_response>(&result);
+                          if (answer != nullptr && answer->status == 200)
+                              m_pacer.confirmed(change);
+                      });
+    }
+}
+
+} // namespace zinniabarrow
--- /dev/null
+++ b/app/worker_calls.h
@@ -0,0 +1,70 @@
+// The calls of an agent that change what its worker runs: starts, stops and paces.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "app/lease_keeper.h"
+#include "app/worker_clock.h"
+#include "app/worker_presence.h"
+#include "base/event_log.h"
+#include "jobs/disturbance.h"
+#include "jobs/pacer.h"
+#include "jobs/run_table.h"
+#include "jobs/worker_silence.h"
+#include "net/http_caller.h"
+#include "runtime/metrics.h"
+
+namespace zinniabarrow {
+
+// What an agent consists of, as far as these calls need it; all of it outlives them.
+struct worker_calls_parts
+{
+    const std::string &address; // of the worker, "ip:port"
+    net::http_caller &caller;
+    const lease_keeper &keeper;
+    const worker_presence &worker;
+    const worker_clock &clock;
+    jobs::worker_silence &silence;
+    jobs::run_table &table;
+    jobs::pacer &pacer;
+    metrics &numbers;
+    event_log &log;
+};
+
+class worker_calls
+{
+public:
+    struct hooks
+    {
+        std::function<void()> changed; // the table may have actions that are due
+        std::function<void(std::vector<jobs::disturbance_sample>)> measured;
+    };
+
+    worker_calls(const worker_calls_parts &parts, hooks callbacks);
+
+    void carryOut(const jobs::start_run &start);
+    void carryOut(const jobs::stop_run &stop);
+    void pace(time_point now); // after each look at the worker
+
+private:
+    void started(const jobs::task_id &task, int run, const call_result &result);
+
+    const jobs::worker_lease &lease() const { return m_keeper.lease(); }
+
+    const std::string &m_address;
+    net::http_caller &m_caller;
+    const lease_keeper &m_keeper;
+    const worker_presence &m_worker;
+    const worker_clock &m_clock;
+    jobs::worker_silence &m_silence;
+    jobs::run_table &m_table;
+    jobs::pacer &m_pacer;
+    metrics &m_metrics;
+    event_log &m_log;
+    hooks m_hooks;
+    time_point m_sampleFrom{};
+};
+
+} // namespace zinniabarrow
