The pings between entries have a module of their own

No change of behaviour is meant: code was moved as it stood. Compiled without warnings, clang-format clean, and the unit tests of what the daemons consist of passed at this commit (entry_links, planned_stop, worker_presence, job_platform, order_outcomes, job_view, entry_directory, worker_clock). The process tests were not run at this commit alone.

--- /dev/null
+++ b/app/entry_pings.h
@@ -0,0 +1,47 @@
+// The entries tell each other that they live, whether they leave, and which configuration they work
+// by.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "app/configuration_follower.h"
+#include "app/entry_directory.h"
+#include "base/event_log.h"
+#include "net/http_caller.h"
+
+namespace zinniabarrow {
+
+// What an entry consists of, as far as its pings need it; all of it outlives them.
+struct entry_pings_parts
+{
+    net::http_caller &caller;
+    configuration_follower &configuration;
+    entry_directory &directory;
+    event_log &log;
+};
+
+class entry_pings
+{
+public:
+    entry_pings(std::string self, const entry_pings_parts &parts, std::function<bool()> leaving);
+
+    void begin(const entry_row &mine) { m_row = mine; } // this life of the entry
+    void pingAll();
+    // Another entry's ping, and what it is answered. Throws error BadRequest.
+    std::string take(const std::string &ping);
+
+private:
+    std::string selfDescription() const;
+    void takeDescription(const std::string &text);
+
+    std::string m_self;
+    net::http_caller &m_caller;
+    configuration_follower &m_configuration;
+    entry_directory &m_directory;
+    event_log &m_log;
+    std::function<bool()> m_leaving;
+    entry_row m_row;
+};
+
+} // namespace zinniabarrow
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -7,6 +7,7 @@
 
 #include "app/configuration_follower.h"
 #include "app/entry_directory.h"
+#include "app/entry_pings.h"
 #include "app/job_requests.h"
 #include "app/job_tables.h"
 #include "app/job_view.h"
@@ -17,8 +18,6 @@
 #include "app/stop_walk.h"
 #include "app/table_follower.h"
 #include "base/errors.h"
-#include "base/json.h"
-#include "base/json_member.h"
 #include "jobs/job_book.h"
 #include "net/http_listener.h"
 
@@ -30,9 +29,8 @@
 
 namespace {
 
-constexpr milliseconds PlanEvery{100}; // beside each event: repeats of orders, tasks that wait
-constexpr milliseconds PingEvery{400}; // four pings within the time after which one is gone
-constexpr milliseconds PingTimeout{500};
+constexpr milliseconds PlanEvery{100};     // beside each event: repeats of orders, tasks that wait
+constexpr milliseconds PingEvery{400};     // four pings within the time after which one is gone
 constexpr milliseconds JobsFeedPause{250}; // joins the changes of many jobs into one answer
 constexpr milliseconds StoreRetry{200};
 constexpr milliseconds TakeoverEvery{250};
@@ -64,6 +62,8 @@
                   [this](const auto &rows) { takeJobs(rows); }, [this] { allJobsRead(); })
         , m_startedAt(suspendAwareNow())
         , m_directory(m_settings.id, m_startedAt)
+        , m_pings(m_settings.id, {m_caller, m_configuration, m_directory, m_log},
+                  [this] { return isLeaving(); })
         , m_leases(m_loop, m_store, m_metrics, m_log, m_settings.id,
                    [this](const auto &worker, auto epoch) { takeEpoch(worker, epoch); })
         , m_stop(m_loop, StopPauses, {}, stopHooks())
@@ -146,12 +146,12 @@
     void begin(const entry_row &mine)
     {
         m_self = {m_settings.id, mine.incarnation};
-        m_row = mine;
+        m_pings.begin(mine);
         m_book.emplace(m_self, m_pool);
         m_log.note("incarnation", {{"incarnation", mine.incarnation}});
         m_entriesTable.start();
         m_jobsTable.start();
-        m_loop.every(PingEvery, [this] { pingAll(); });
+        m_loop.every(PingEvery, [this] { m_pings.pingAll(); });
         m_loop.every(PlanEvery, [this] { pump(); });
         m_loop.every(TakeoverEvery, [this] { takeOver(); });
         m_loop.every(WatchEvery, [this] { watchSilentWorkers(); });
@@ -173,7 +173,7 @@
                            {{"entry", one.name.key}, {"why", problem.what()}});
             }
         }
-        pingAll();
+        m_pings.pingAll();
     }
 
     void allJobsRead()
@@ -204,51 +204,8 @@
         pumpSoon();
     }
 
-    // --- Other entries.
+    // --- Jobs of entries that are gone, and of earlier lives.
 
-    Json::Value selfDescription() const
-    {
-        Json::Value value(Json::objectValue);
-        value["entry"] = m_settings.id;
-        value["row"] = toText(m_row);
-        value["leaving"] = isLeaving();
-        value["configuration"] = Json::Int64(m_configuration.version());
-        return value;
-    }
-
-    void takeDescription(const std::string &text)
-    {
-        const auto value = parseJsonObject(text);
-        const auto name = stringMember(value, "entry");
-        const auto row = entryRowFrom(stringMember(value, "row"));
-        m_directory.seen(name, row);
-        m_directory.heard(name, row.incarnation, boolMember(value, "leaving"), suspendAwareNow());
-        if (value.isMember("configuration"))
-            m_configuration.heardOf(integerMember(value, "configuration"));
-    }
-
-    void pingAll()
-    {
-        for (const auto &[name, known] : m_directory.entries()) {
-            http_request ping;
-            ping.method = "POST";
-            ping.target = "/v1/ping";
-            ping.body = compactJson(selfDescription());
-            m_caller.call(known.row.internal, std::move(ping), PingTimeout,
-                          [this](const call_result &result) {
-                              const auto *answer = std::get_if<http_response>(&result);
-                              if (answer == nullptr || answer->status != 200)
-                                  return;
-                              try {
-                                  takeDescription(answer->body);
-                              } catch (const error &problem) {
-                                  m_log.note("ping_unreadable", {{"why", problem.what()}});
-                              }
-                          });
-        }
-    }
-
-    // Jobs whose owner is gone, or was an earlier life of this entry.
     void takeOver()
     {
         if (!m_jobsKnown || isLeaving())
@@ -457,10 +414,8 @@
         if (!m_book)
             return respond(refusal(503, "starting"));
         try {
-            if (path == "/v1/ping") {
-                takeDescription(request.body);
-                return respond({200, {}, compactJson(selfDescription())});
-            }
+            if (path == "/v1/ping")
+                return respond({200, {}, m_pings.take(request.body)});
             if (path == "/v1/report")
                 return takeReport(reportFrom(request.body), std::move(respond));
             if (path.starts_with("/v1/jobs/"))
@@ -579,7 +534,7 @@
         m_callers.announceClose();
         m_internal.announceClose();
         if (m_book)
-            pingAll(); // the others take the jobs over at once
+            m_pings.pingAll(); // the others take the jobs over at once
     }
 
     stop_needs stopNeeds() const
@@ -626,7 +581,7 @@
     table_follower m_jobsTable;
     time_point m_startedAt;
     entry_directory m_directory;
-    entry_row m_row;
+    entry_pings m_pings;
     owner_id m_self;
     job_view m_view;
     worker_pool m_pool;
