The taking over of jobs has a module of its own

No change of behaviour is meant: code was moved as it stood. Compiled without warnings, clang-format clean, and the unit tests of what the daemons consist of passed at this commit (entry_links, planned_stop, worker_presence, job_platform, order_outcomes, job_view, entry_directory, worker_clock). The process tests were not run at this commit alone.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <set>
 #include <utility>
 
 #include "app/configuration_follower.h"
@@ -10,6 +9,7 @@
 #include "app/entry_pings.h"
 #include "app/job_requests.h"
 #include "app/job_tables.h"
+#include "app/job_takeover.h"
 #include "app/job_view.h"
 #include "app/lease_watcher.h"
 #include "app/order_outcomes.h"
@@ -40,7 +40,6 @@
 constexpr milliseconds ReportWithin{1500};
 constexpr stop_pauses StopPauses{milliseconds(50), milliseconds(50)};
 constexpr milliseconds LogFlushEvery{100};
-constexpr milliseconds KeepFinal{180'000};      // callers may ask for 120 s
 constexpr milliseconds StoreSilentAtMost{2500}; // then this entry is not ready
 
 class entry_process
@@ -64,6 +63,7 @@
         , m_directory(m_settings.id, m_startedAt)
         , m_pings(m_settings.id, {m_caller, m_configuration, m_directory, m_log},
                   [this] { return isLeaving(); })
+        , m_takeover({m_store, m_directory, m_view, m_book, m_metrics}, [this] { pumpSoon(); })
         , m_leases(m_loop, m_store, m_metrics, m_log, m_settings.id,
                    [this](const auto &worker, auto epoch) { takeEpoch(worker, epoch); })
         , m_stop(m_loop, StopPauses, {}, stopHooks())
@@ -204,57 +204,10 @@
         pumpSoon();
     }
 
-    // --- Jobs of entries that are gone, and of earlier lives.
-
     void takeOver()
     {
-        if (!m_jobsKnown || isLeaving())
-            return;
-        const auto now = suspendAwareNow();
-        for (const auto &[id, known] : m_view.jobs()) {
-            if (!known.needsOwner || m_book->owns(id) || m_adopting.contains(id))
-                continue;
-            const auto heir = m_directory.heirOf(id, known.owner, m_self, now);
-            if (heir && *heir == m_settings.id)
-                adopt(id);
-        }
-        removeOldRows(now);
-    }
-
-    void adopt(const std::string &id)
-    {
-        m_adopting.insert(id);
-        m_store.read(PayloadsTable, partOf(id), id, id + "\x01",
-                     [this, id](const std::optional<row_page> &page) {
-                         m_adopting.erase(id);
-                         const auto *known = m_view.find(id);
-                         if (!page || page->rows.empty() || known == nullptr || !known->needsOwner)
-                             return; // the next look at all jobs tries again
-                         m_book->adopt(id, recordFrom(known->content), known->version,
-                                       page->rows.front().value);
-                         m_metrics.count("jobs_adopted_total", "owner_gone");
-                         pumpSoon();
-                     });
-    }
-
-    // Rows of jobs that ended long ago, each by the entry that owned it last.
-    void removeOldRows(time_point now)
-    {
-        std::vector<std::string> old;
-        for (const auto &[id, known] : m_view.jobs()) {
-            if (known.finalAt != time_point{} && now - known.finalAt > KeepFinal
-                && known.owner.entry == m_settings.id)
-                old.push_back(id);
-        }
-        for (const auto &id : old) {
-            m_book->forget(id);
-            m_view.removed(id);
-            m_store.commit({{}, {}, {jobRow(id), payloadRow(id), cancelRow(id)}},
-                           [](const row_store::outcome
-                                      & /*ignored: the rows
-              are gone or will be found by the next
-              life*/) {});
-        }
+        if (m_jobsKnown && !isLeaving())
+            m_takeover.look(m_self);
     }
 
     // --- Decisions of the book are carried out.
@@ -586,8 +539,8 @@
     job_view m_view;
     worker_pool m_pool;
     std::optional<job_book> m_book;
+    job_takeover m_takeover;
     lease_watcher m_leases;
-    std::set<std::string> m_adopting;
     write_waits m_waits;
     bool m_jobsKnown = false;
     bool m_pumping = false;
--- /dev/null
+++ b/app/job_takeover.h
@@ -0,0 +1,50 @@
+// Takes over the jobs of entries that are gone and of this entry's earlier lives, and removes the
+// rows of jobs that ended long ago.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "app/entry_directory.h"
+#include "app/job_view.h"
+#include "app/row_store.h"
+#include "jobs/job_book.h"
+#include "runtime/metrics.h"
+
+namespace zinniabarrow {
+
+// What an entry consists of, as far as this duty needs it; all of it outlives the duty.
+struct job_takeover_parts
+{
+    row_store &store;
+    entry_directory &directory;
+    job_view &view;
+    std::optional<jobs::job_book> &book; // there is one before the first look
+    metrics &numbers;
+};
+
+class job_takeover
+{
+public:
+    // `changed`: the book has decisions.
+    job_takeover(const job_takeover_parts &parts, std::function<void()> changed);
+
+    // At all jobs, by this life of the entry, once all were read.
+    void look(const jobs::owner_id &self);
+
+private:
+    void adopt(const std::string &id);
+    void removeOldRows(const std::string &self, time_point now);
+
+    row_store &m_store;
+    entry_directory &m_directory;
+    job_view &m_view;
+    std::optional<jobs::job_book> &m_book;
+    metrics &m_metrics;
+    std::function<void()> m_changed;
+    std::set<std::string> m_adopting;
+};
+
+} // namespace zinniabarrow
