The sending of orders has a module of its own

No change of behaviour is meant: code was moved as it stood. Compiled without warnings, clang-format clean, and the unit tests of what the daemons consist of passed at this commit (entry_links, planned_stop, worker_presence, job_platform, order_outcomes, job_view, entry_directory, worker_clock). The process tests were not run at this commit alone.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -12,7 +12,7 @@
 #include "app/job_takeover.h"
 #include "app/job_view.h"
 #include "app/lease_watcher.h"
-#include "app/order_outcomes.h"
+#include "app/order_sender.h"
 #include "app/process.h"
 #include "app/row_store.h"
 #include "app/stop_walk.h"
@@ -36,7 +36,6 @@
 constexpr milliseconds TakeoverEvery{250};
 constexpr milliseconds WatchEvery{700};    // for workers that fell silent
 constexpr milliseconds SilentWorker{3000}; // three reports were missed
-constexpr milliseconds OrderTimeout{600};  // an agent answers without asking its worker
 constexpr milliseconds ReportWithin{1500};
 constexpr stop_pauses StopPauses{milliseconds(50), milliseconds(50)};
 constexpr milliseconds LogFlushEvery{100};
@@ -64,6 +63,7 @@
         , m_pings(m_settings.id, {m_caller, m_configuration, m_directory, m_log},
                   [this] { return isLeaving(); })
         , m_takeover({m_store, m_directory, m_view, m_book, m_metrics}, [this] { pumpSoon(); })
+        , m_orders({m_settings, m_caller, m_pool, m_book, m_metrics, m_log}, [this] { pumpSoon(); })
         , m_leases(m_loop, m_store, m_metrics, m_log, m_settings.id,
                    [this](const auto &worker, auto epoch) { takeEpoch(worker, epoch); })
         , m_stop(m_loop, StopPauses, {}, stopHooks())
@@ -230,7 +230,7 @@
             std::visit([&](auto &one) { carryOut(one, orders); }, action);
         }
         for (auto &[worker, batch] : orders)
-            sendOrders(worker, std::move(batch));
+            m_orders.sendOrders(worker, std::move(batch));
     }
 
     using orders_by_worker = std::map<std::string, std::vector<run_order>>;
@@ -290,46 +290,6 @@
         m_log.note(action.event, {{"job", action.job}, {"detail", action.detail}});
     }
 
-    void sendOrders(const std::string &worker, std::vector<run_order> orders)
-    {
-        const auto *view = m_pool.find(worker);
-        if (view == nullptr) // not heard of since the start; its agent reports each second
-            return ordersUnanswered(worker, orders);
-        http_request request;
-        request.method = "POST";
-        request.target = "/v1/orders";
-        request.body = toText(order_batch{m_settings.id, toText(m_settings.internal), orders});
-        m_caller.call(view->last.address, std::move(request), OrderTimeout,
-                      [this, worker, orders = std::move(orders),
-                       agentLife = view->last.agentLife](const call_result &result) {
-                          ordersAnswered(worker, outcomesOf(orders, result), agentLife);
-                      });
-    }
-
-    void ordersAnswered(const std::string &worker, const order_outcomes &outcomes,
-                        std::int64_t agentLife)
-    {
-        for (const auto &one : outcomes.answered) {
-            m_metrics.count("orders_total", nameOf(one.outcome));
-            m_book->orderAnswered(worker, one, suspendAwareNow(), agentLife);
-        }
-        if (!outcomes.unanswered.empty()) {
-            m_metrics.count("orders_unanswered_total", "agent_silent");
-            m_log.note("orders_unanswered", {{"worker", worker},
-                                             {"orders", outcomes.unanswered.size()},
-                                             {"why", outcomes.why}});
-            ordersUnanswered(worker, outcomes.unanswered);
-        }
-        if (!outcomes.answered.empty())
-            pumpSoon();
-    }
-
-    void ordersUnanswered(const std::string &worker, const std::vector<run_order> &orders)
-    {
-        for (const auto &order : orders)
-            m_book->orderUnanswered(worker, order.task, order.run, suspendAwareNow());
-    }
-
     // --- Workers that nobody hears of.
 
     void watchSilentWorkers()
@@ -540,6 +500,7 @@
     worker_pool m_pool;
     std::optional<job_book> m_book;
     job_takeover m_takeover;
+    order_sender m_orders;
     lease_watcher m_leases;
     write_waits m_waits;
     bool m_jobsKnown = false;
--- /dev/null
+++ b/app/order_sender.h
@@ -0,0 +1,53 @@
+// Sends the orders of an entry's book to the agents of workers, and tells it what became of them.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "app/job_settings.h"
+#include "app/order_outcomes.h"
+#include "base/event_log.h"
+#include "jobs/job_book.h"
+#include "jobs/worker_pool.h"
+#include "net/http_caller.h"
+#include "runtime/metrics.h"
+
+namespace zinniabarrow {
+
+// What an entry consists of, as far as its orders need it; all of it outlives them.
+struct order_sender_parts
+{
+    const job_entry_settings &settings;
+    net::http_caller &caller;
+    jobs::worker_pool &pool;
+    std::optional<jobs::job_book> &book; // that the orders are of
+    metrics &numbers;
+    event_log &log;
+};
+
+class order_sender
+{
+public:
+    // `changed`: the book has decisions.
+    order_sender(const order_sender_parts &parts, std::function<void()> changed);
+
+    void sendOrders(const std::string &worker, std::vector<jobs::run_order> orders);
+
+private:
+    void ordersAnswered(const std::string &worker, const order_outcomes &outcomes,
+                        std::int64_t agentLife);
+    void ordersUnanswered(const std::string &worker, const std::vector<jobs::run_order> &orders);
+
+    const job_entry_settings &m_settings;
+    net::http_caller &m_caller;
+    jobs::worker_pool &m_pool;
+    std::optional<jobs::job_book> &m_book;
+    metrics &m_metrics;
+    event_log &m_log;
+    std::function<void()> m_changed;
+};
+
+} // namespace zinniabarrow
