The beginning of an entry's life has a module of its own

Left where they are: reports that wait for their rows and the 15 lines that watch silent workers.

No change of behaviour is meant: code was moved as it stood. Compiled without warnings, clang-format clean, and the unit tests of what the daemons consist of passed at this commit (entry_links, planned_stop, worker_presence, job_platform, order_outcomes, job_view, entry_directory, worker_clock). The process tests were not run at this commit alone.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -6,6 +6,7 @@
 
 #include "app/configuration_follower.h"
 #include "app/entry_directory.h"
+#include "app/entry_life.h"
 #include "app/entry_pings.h"
 #include "app/job_requests.h"
 #include "app/job_tables.h"
@@ -32,7 +33,6 @@
 constexpr milliseconds PlanEvery{100};     // beside each event: repeats of orders, tasks that wait
 constexpr milliseconds PingEvery{400};     // four pings within the time after which one is gone
 constexpr milliseconds JobsFeedPause{250}; // joins the changes of many jobs into one answer
-constexpr milliseconds StoreRetry{200};
 constexpr milliseconds TakeoverEvery{250};
 constexpr milliseconds WatchEvery{700};    // for workers that fell silent
 constexpr milliseconds SilentWorker{3000}; // three reports were missed
@@ -52,6 +52,7 @@
         , m_store(
                   m_loop, m_caller, m_settings.store,
                   [this] { return m_directory.others(suspendAwareNow()); }, m_metrics, m_log)
+        , m_life(m_loop, m_store, m_settings, [this](const auto &mine) { begin(mine); })
         , m_configuration(m_loop, m_store, m_log)
         , m_entriesTable(m_loop, m_store, m_log, {EntriesTable},
                          [this](const auto &rows) { takeEntries(rows); })
@@ -88,7 +89,7 @@
     {
         m_log.noteAlways("started", {{"internal", toText(m_settings.internal)}});
         m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
-        enter();
+        m_life.enter();
         m_configuration.start();
         m_loop.run([this](const std::exception &problem) {
             m_metrics.count("callbacks_failed_total", "exception");
@@ -114,35 +115,6 @@
 
     // --- Start: a new incarnation, the other entries, all jobs.
 
-    void enter()
-    {
-        m_store.read(EntriesTable, "", m_settings.id, m_settings.id + "\x01",
-                     [this](const std::optional<row_page> &page) {
-                         if (!page)
-                             return m_loop.after(StoreRetry, [this] { enter(); });
-                         takeIncarnation(*page);
-                     });
-    }
-
-    void takeIncarnation(const row_page &page)
-    {
-        entry_row mine{1, toText(m_settings.internal), toText(m_settings.callers)};
-        std::int64_t version = 0;
-        if (!page.rows.empty()) {
-            version = page.rows.front().version;
-            mine.incarnation = entryRowFrom(page.rows.front().value).incarnation + 1;
-        }
-        const auto name = entryRow(m_settings.id);
-        m_store.commit({{{name, version}}, {{name, toText(mine), 0, false}}, {}},
-                       [this, mine](const row_store::outcome &outcome) {
-                           // Also when an earlier try took effect: one more incarnation does no
-                           // harm, one used twice would.
-                           if (!std::holds_alternative<committed>(outcome))
-                               return enter();
-                           begin(mine);
-                       });
-    }
-
     void begin(const entry_row &mine)
     {
         m_self = {m_settings.id, mine.incarnation};
@@ -489,6 +461,7 @@
     metrics m_metrics;
     net::http_caller m_caller;
     row_store m_store;
+    entry_life m_life;
     configuration_follower m_configuration;
     table_follower m_entriesTable;
     table_follower m_jobsTable;
