Twins in the tests of jobs are shared

Setups and models that stood twice are one: a report heard again with a change (job_book_test), an end that is listed (run_table_test), a process that is killed or frozen and one part of an answer to a report (order_model.h), and, in tests/taught_pool.h, the report of an open worker and what a pool is taught (harm_shared_test, worker_pool_test; 400 and 200 turns as before). A comment in worker_pool_test that had come to stand above another test is back above its own.

--- a/tests/harm_shared_test.cpp
+++ b/tests/harm_shared_test.cpp
@@ -10,14 +10,14 @@
 #include <criterion/criterion.h>
 #include <fmt/core.h>
 
-#include "jobs/worker_pool.h"
+#include "taught_pool.h"
 
 using namespace zinniabarrow;
 using namespace zinniabarrow::jobs;
+using namespace zinniabarrow::tests;
 
 namespace {
 
-constexpr std::int64_t Cores = 1000; // millicores
 constexpr int Workers = 24;
 constexpr std::array<int, 10> Widths{2, 3, 4, 4, 6, 6, 8, 10, 16, 24};
 
@@ -33,7 +33,7 @@
     explicit shared_workers(unsigned seed)
         : m_random(seed)
     {
-        teach();
+        teach(m_pool, "site", "heavy", Press, 400);
         for (std::size_t job = 0; job < Widths.size(); ++job) {
             for (int task = 0; task < Widths[job]; ++task)
                 m_workers[workerNamed(below(Workers))].push_back(
@@ -69,27 +69,11 @@
         return std::uniform_real_distribution<double>(low, high)(m_random);
     }
 
-    void teach()
-    {
-        constexpr double FloorMs = 25;
-        for (int turn = 0; turn < 400; ++turn) {
-            const double cores = turn % 2 == 0 ? 0.0 : 4.0;
-            const double load = 0.4 + Press * cores;
-            const auto tail = static_cast<std::int64_t>(FloorMs / (1 - load));
-            m_pool.disturbance().learn({"site", tail, 150, {{"heavy", cores}}});
-        }
-    }
-
     // Own loads of the runs swing.
     void report(const std::string &worker)
     {
         auto &serving = m_workers[worker];
-        worker_report told;
-        told.worker = worker;
-        told.epoch = 1;
-        told.service = "tickets";
-        told.accepting = true;
-        told.capacity = {16 * Cores, 64'000, 0};
+        auto told = openReport(worker);
         told.used = {static_cast<std::int64_t>(serving.size()) * 2 * Cores, 1000, 0};
         double cores = 0;
         for (const auto &run : m_filling)
--- a/tests/job_book_test.cpp
+++ b/tests/job_book_test.cpp
@@ -50,6 +50,21 @@
         workers.update(report, now);
     }
 
+    // The last report of a worker once more, with a change.
+    template <typename Change>
+    void hearAgain(const std::string &worker, Change change)
+    {
+        auto report = workers.find(worker)->last;
+        change(report);
+        workers.update(report, now);
+    }
+    template <typename Change>
+    void hearAgainOfAll(Change change)
+    {
+        for (const char *worker : {"w1", "w2"})
+            hearAgain(worker, change);
+    }
+
     static job_spec twoSteps()
     {
         job_spec spec;
@@ -490,19 +505,13 @@
 Test(job_book, a_start_names_the_life_of_the_agent_it_was_placed_on)
 {
     scene on;
-    for (const char *name : {"w1", "w2"}) {
-        auto report = on.workers.find(name)->last;
-        report.agentLife = 7;
-        on.workers.update(report, on.now);
-    }
+    on.hearAgainOfAll([](auto &report) { report.agentLife = 7; });
     on.submit();
     on.written();
     check(on.orders[0].order.agentLife == 7);
     section("also when it is given again to the next life", [&] {
         const auto &worker = on.orders[0].worker;
-        auto report = on.workers.find(worker)->last;
-        report.agentLife = 8;
-        on.workers.update(report, on.now);
+        on.hearAgain(worker, [](auto &report) { report.agentLife = 8; });
         on.orders.clear();
         on.book.workerRenewed(worker, 1, on.now);
         on.turn();
@@ -527,11 +536,7 @@
 Test(job_book, a_start_says_until_when_it_holds)
 {
     scene on;
-    for (const char *name : {"w1", "w2"}) {
-        auto report = on.workers.find(name)->last;
-        report.clockMs = 5000;
-        on.workers.update(report, on.now);
-    }
+    on.hearAgainOfAll([](auto &report) { report.clockMs = 5000; });
     on.submit();
     on.written();
     const auto first = on.orders[0];
--- a/tests/order_model.h
+++ b/tests/order_model.h
@@ -166,12 +166,7 @@
         commitRow(id, toText(record));
     }
 
-    void kill(modelled_entry &entry)
-    {
-        if (!std::exchange(entry.lives, false))
-            return;
-        say("{} is killed", entry.name);
-    }
+    void kill(modelled_entry &entry) { killAs(entry.name, entry); }
 
     void beginEntryLife(modelled_entry &entry)
     {
@@ -198,13 +193,7 @@
         say("{} is cut off for {} ms", entry.name, span.count());
     }
 
-    void freeze(modelled_entry &entry, milliseconds span)
-    {
-        if (!entry.lives)
-            return;
-        entry.frozenUntil = m_now + span;
-        say("{} is frozen for {} ms", entry.name, span.count());
-    }
+    void freeze(modelled_entry &entry, milliseconds span) { freezeAs(entry.name, entry, span); }
 
     // A planned stop: the others take its jobs over, and it ends once it owns none that isn't over.
     void leave(modelled_entry &entry)
@@ -215,12 +204,7 @@
         leaveOn(entry, entry.incarnation);
     }
 
-    void kill(modelled_agent &agent)
-    {
-        if (!std::exchange(agent.lives, false))
-            return;
-        say("agent of {} is killed", agent.name);
-    }
+    void kill(modelled_agent &agent) { killAs("agent of " + agent.name, agent); }
 
     void beginAgentLife(modelled_agent &agent)
     {
@@ -260,10 +244,7 @@
 
     void freeze(modelled_agent &agent, milliseconds span)
     {
-        if (!agent.lives)
-            return;
-        agent.frozenUntil = m_now + span;
-        say("agent of {} is frozen for {} ms", agent.name, span.count());
+        freezeAs("agent of " + agent.name, agent, span);
     }
 
     void freezeAsWritten(modelled_entry &entry, milliseconds span)
@@ -441,6 +422,23 @@
     {
         return storeUp() && m_now >= agent.storeCutOffUntil;
     }
+
+    template <typename modelled_process>
+    void killAs(const std::string &name, modelled_process &process)
+    {
+        if (std::exchange(process.lives, false))
+            say("{} is killed", name);
+    }
+
+    template <typename modelled_process>
+    void freezeAs(const std::string &name, modelled_process &process, milliseconds span)
+    {
+        if (!process.lives)
+            return;
+        process.frozenUntil = m_now + span;
+        say("{} is frozen for {} ms", name, span.count());
+    }
+
     bool isLinked(const modelled_agent &agent, const modelled_entry &entry) const
     {
         const auto link = m_links.find({agent.name, entry.name});
@@ -1135,31 +1133,30 @@
     void sayNotOwned(modelled_entry &entry, modelled_agent &agent, int life,
                      const jobs::run_end &end)
     {
-        const auto back = m_passages(way::ReportAnswer);
-        if (back.isLost)
-            return;
-        after(back.takes, [this, &entry, &agent, life, end] {
-            if (!isLinked(agent, entry))
-                return;
-            atAgent(agent, life, [this, &entry, &agent, end] {
-                if (agent.table.notOwned({end.task, end.run, end.how}, entry.name))
-                    reportAll(agent);
-            });
+        answerReport(entry, agent, life, [this, &entry, &agent, end] {
+            if (agent.table.notOwned({end.task, end.run, end.how}, entry.name))
+                reportAll(agent);
         });
     }
 
     void acknowledge(modelled_entry &entry, modelled_agent &agent, int life,
                      const jobs::run_end &end)
+    {
+        answerReport(entry, agent, life, [this, &agent, end] {
+            agent.table.acknowledged({end.task, end.run, end.how}, m_now);
+        });
+    }
+
+    // What the agent's life does with one part of an entry's answer to its report.
+    void answerReport(const modelled_entry &entry, modelled_agent &agent, int life,
+                      std::function<void()> take)
     {
         const auto back = m_passages(way::ReportAnswer);
         if (back.isLost)
             return;
-        after(back.takes, [this, &entry, &agent, life, end] {
-            if (!isLinked(agent, entry))
-                return;
-            atAgent(agent, life, [this, &agent, end] {
-                agent.table.acknowledged({end.task, end.run, end.how}, m_now);
-            });
+        after(back.takes, [this, &entry, &agent, life, take = std::move(take)] {
+            if (isLinked(agent, entry))
+                atAgent(agent, life, take);
         });
     }
 
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -45,6 +45,14 @@
         return made;
     }
 
+    // The worker lists the run's end as its first one, and nothing that runs.
+    void listEnd(const run_order &made, end_kind how = end_kind::Done)
+    {
+        run_listing seen;
+        seen.ended.push_back({1, made.task, made.run, how, ""});
+        table.look(seen, now);
+    }
+
     static run_listing listing(const std::vector<run_order> &running, std::int64_t clockMs = 1000)
     {
         run_listing seen;
@@ -101,9 +109,7 @@
         check(on.give(scene::order(0)) == order_outcome::NotReady);
     });
     section("its end does", [&] {
-        run_listing seen;
-        seen.ended.push_back({1, earlier.task, 1, end_kind::Stopped, ""});
-        on.table.look(seen, on.now);
+        on.listEnd(earlier, end_kind::Stopped);
         check(on.give(scene::order(0)) == order_outcome::Accepted);
     });
 }
@@ -499,9 +505,7 @@
         check(on.table.progressFor("entry-a")[0].checkpoint == "half");
         check(on.table.progressFor("entry-b").empty());
     });
-    run_listing over;
-    over.ended.push_back({1, made.task, 1, end_kind::Done, ""});
-    on.table.look(over, on.now);
+    on.listEnd(made);
     section("its end goes to all", [&] {
         check(on.table.endsFor("entry-a").size() == 1);
         check(on.table.endsFor("entry-b").size() == 1);
@@ -530,9 +534,7 @@
         check(on.table.due(on.now, true).size() == 1);
     });
     section("and its end is told", [&] {
-        run_listing seen;
-        seen.ended.push_back({1, made.task, 1, end_kind::Done, ""});
-        on.table.look(seen, on.now);
+        on.listEnd(made);
         check(on.table.endsFor("entry-a").size() == 1);
         check(on.table.due(on.now, true).empty());
     });
@@ -546,9 +548,7 @@
     const auto made = scene::order(0);
     on.give(made, "heir");
     on.give(made, "overtaken");
-    run_listing seen;
-    seen.ended.push_back({1, made.task, 1, end_kind::Done, ""});
-    on.table.look(seen, on.now);
+    on.listEnd(made);
     require(on.table.endsFor("overtaken").size() == 1);
     require(on.table.endsFor("heir").empty());
     const acknowledged_end end{made.task, 1, end_kind::Done};
@@ -609,9 +609,7 @@
         stopped();
     });
     section("and then it is free", [&] {
-        run_listing seen;
-        seen.ended.push_back({1, made.task, 1, end_kind::Stopped, ""});
-        on.table.look(seen, on.now);
+        on.listEnd(made, end_kind::Stopped);
         check(on.table.used() == task_size());
     });
 }
--- a/tests/worker_pool_test.cpp
+++ b/tests/worker_pool_test.cpp
@@ -3,31 +3,19 @@
 
 #include "base/json.h"
 #include "base/json_member.h"
-#include "jobs/worker_pool.h"
 #include "section.h"
+#include "taught_pool.h"
 
 using namespace zinniabarrow;
 using namespace zinniabarrow::jobs;
-using zinniabarrow::tests::section;
+using namespace zinniabarrow::tests;
 
 namespace {
 
-constexpr std::int64_t Cores = 1000; // millicores
-constexpr std::int64_t Life = 8;     // of an agent
+constexpr std::int64_t Life = 8; // of an agent
 
 const time_point Now{std::chrono::hours(1)};
 
-worker_report reportOf(const std::string &worker)
-{
-    worker_report report;
-    report.worker = worker;
-    report.epoch = 1;
-    report.service = "tickets";
-    report.accepting = true;
-    report.capacity = {16 * Cores, 64'000, 0};
-    return report;
-}
-
 step_spec servingStep(const std::string &image, int count)
 {
     step_spec step;
@@ -58,23 +46,8 @@
     return *worker;
 }
 
-// Teaches that `filling` presses on `serving` by `press` for each core.
-void teach(worker_pool &pool, const std::string &serving, const std::string &filling, double press)
-{
-    constexpr double FloorMs = 25;
-    for (int turn = 0; turn < 200; ++turn) {
-        const double cores = turn % 2 == 0 ? 0.0 : 4.0;
-        const double load = 0.4 + press * cores;
-        const auto tail = static_cast<std::int64_t>(FloorMs / (1 - load));
-        pool.disturbance().learn({serving, tail, 150, {{filling, cores}}});
-    }
-}
-
 } // namespace
 
-// Users of a service are late wherever one of its tasks has a neighbour that harms it. A service
-// whose tasks are spread over all workers is harmed by everything; gathered on one, what fills goes
-// elsewhere.
 // Each placement by a report of a life that is over is refused: a task would be placed there again
 // and again.
 Test(worker_pool, a_report_of_an_agents_earlier_life)
@@ -104,7 +77,7 @@
     constexpr std::int64_t Clock = 50'000;
     constexpr std::int64_t Holds = 700;
     worker_pool workers;
-    auto report = reportOf("w1");
+    auto report = openReport("w1");
     report.agentLife = Life;
     const auto told = [&](std::int64_t clockMs, milliseconds after) {
         report.clockMs = clockMs;
@@ -146,11 +119,14 @@
     });
 }
 
+// Users of a service are late wherever one of its tasks has a neighbour that harms it. A service
+// whose tasks are spread over all workers is harmed by everything; gathered on one, what fills goes
+// elsewhere.
 Test(worker_pool, tasks_that_serve_are_gathered)
 {
     worker_pool pool;
     for (const char *name : {"w1", "w2", "w3", "w4"})
-        pool.update(reportOf(name), Now);
+        pool.update(openReport(name), Now);
     const auto first = servingStep("site", 4);
     const auto home = placed(pool, first, 4);
     section("a job's tasks are on one worker", [&] {
@@ -175,7 +151,7 @@
     worker_pool pool;
     teach(pool, "site", "heavy", 0.06);
     teach(pool, "site", "light", 0.0);
-    auto busy = reportOf("busy");
+    auto busy = openReport("busy");
     busy.used = {12 * Cores, 24'000, 0};
     busy.serving = {{"site", 0.1}, {"site", 0.1}};
     pool.update(busy, Now);
@@ -206,7 +182,7 @@
 
 worker_report besideOf(const std::string &worker, std::vector<serving_room> serving)
 {
-    auto report = reportOf(worker);
+    auto report = openReport(worker);
     report.used = {12 * Cores, 24'000, 0};
     report.serving = std::move(serving);
     return report;
@@ -321,16 +297,16 @@
 Test(worker_pool, the_log_names_what_is_short)
 {
     worker_pool pool;
-    auto lasting = reportOf("lasting");
+    auto lasting = openReport("lasting");
     lasting.used = {15 * Cores, 24'000, 0};
     lasting.lasting = lasting.used;
-    auto ending = reportOf("ending");
+    auto ending = openReport("ending");
     ending.used = {15 * Cores, 24'000, 0};
     ending.lasting = {8 * Cores, 12'000, 0};
-    auto memory = reportOf("memory");
+    auto memory = openReport("memory");
     memory.used = {8 * Cores, 63'000, 0};
     memory.lasting = memory.used;
-    for (const auto &report : {lasting, ending, memory, reportOf("avoided")})
+    for (const auto &report : {lasting, ending, memory, openReport("avoided")})
         pool.update(report, Now);
     check(pool.whyNobody("tickets", servingStep("site", 1), {"avoided"}, Now)
           == "1 avoided, 2 no_processors, 1 no_memory, 1 with room beside what lasts");
