--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -2,22 +2,20 @@
 
 #include <algorithm>
 #include <chrono>
-#include <set>
 #include <utility>
 
-#include "app/entry_directory.h"
+#include "app/entry_reports.h"
 #include "app/job_tables.h"
 #include "app/lease_keeper.h"
-#include "app/planned_stop.h"
 #include "app/process.h"
 #include "app/row_store.h"
+#include "app/stop_walk.h"
 #include "app/table_follower.h"
+#include "app/worker_calls.h"
+#include "app/worker_clock.h"
 #include "app/worker_presence.h"
 #include "base/errors.h"
-#include "base/json.h"
-#include "base/json_member.h"
-#include "jobs/evacuations.h"
-#include "jobs/press_turn.h"
+#include "jobs/pacer.h"
 #include "jobs/run_table.h"
 #include "jobs/worker_silence.h"
 #include "net/http_listener.h"
@@ -37,19 +35,14 @@
 constexpr milliseconds LookTimeout{700};     // beyond the wait; a worker answers within a few ms
 constexpr milliseconds LookRetry{150};
 constexpr milliseconds LookAgain{40}; // while ends are not acknowledged: a look returns at once
-constexpr milliseconds CallTimeout{1000};
-constexpr milliseconds StartTakes{200}; // a worker starts a task within a few ms
 constexpr milliseconds ReportEvery{1000};
-constexpr milliseconds ReportTimeout{2000}; // an entry answers once the ends are stored
 constexpr milliseconds DueEvery{100};
 constexpr milliseconds StopMargin{150};    // beyond the time that the worker needs for a stop
-constexpr milliseconds SampleEvery{500};   // what the worker tells covers half a second
 constexpr milliseconds CancelsPause{1000}; // joins cancels into one answer; they hold within 3 s
 constexpr milliseconds LogFlushEvery{100};
-constexpr milliseconds TellWithin{1000}; // a report is answered within some ms, repeated each 1 s
-constexpr milliseconds GoWithin{300};    // the last write takes some 15 ms
-constexpr milliseconds GoStep{10};
+constexpr milliseconds GoWithin{300}; // the last write takes some 15 ms
 constexpr milliseconds LeaveWithin{5000};
+constexpr stop_pauses StopPauses{milliseconds(150), milliseconds(10)};
 constexpr stop_times StopTimes{LeaveWithin, GoWithin, LeaveWithin + GoWithin, milliseconds(5700)};
 
 class agent_process
@@ -57,17 +50,22 @@
 public:
     explicit agent_process(job_agent_settings settings)
         : m_settings(std::move(settings))
-        , m_loop([this] { leave(); })
+        , m_loop([this] { m_stop.begin(); })
         , m_log("agent", m_settings.id)
         , m_caller(m_loop, callerLimits())
         , m_store(
-                  m_loop, m_caller, m_settings.store, [this] { return relays(); }, m_metrics, m_log)
+                  m_loop, m_caller, m_settings.store, [this] { return m_reports.relays(); },
+                  m_metrics, m_log)
         , m_entriesTable(m_loop, m_store, m_log, {EntriesTable},
-                         [this](const auto &rows) { takeEntries(rows); })
+                         [this](const auto &rows) { m_reports.takeEntries(rows); })
         , m_cancelsTable(
                   m_loop, m_store, m_log, {CancelsTable, jobParts(), CancelsPause},
                   [this](const auto &rows) { takeCancels(rows); }, [this] { m_cancelsRead = true; })
+        , m_stop(m_loop, StopPauses, StopTimes, stopHooks())
         , m_keeper(m_loop, m_store, m_log, m_settings.id, leaseListeners())
+        , m_reports(reportsParts(), [this] { return readiness() == start_readiness::Open; })
+        , m_calls(callsParts(),
+                  {[this] { act(); }, [this](auto samples) { m_reports.add(std::move(samples)); }})
         , m_internal(m_loop, m_settings.internal, {},
                      [this](http_request request, responder respond) {
                          serveInternal(std::move(request), std::move(respond));
@@ -83,7 +81,7 @@
         m_log.noteAlways("started", {{"internal", toText(m_settings.internal)}});
         m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
         m_loop.every(DueEvery, [this] { act(); });
-        m_loop.every(ReportEvery, [this] { reportRegularly(); });
+        m_loop.every(ReportEvery, [this] { m_reports.reportRegularly(); });
         m_loop.every(RenewEvery, [this] { m_keeper.renew(m_silence.heldWithoutAnswer()); });
         m_entriesTable.start();
         m_cancelsTable.start();
@@ -108,6 +106,17 @@
         return limits;
     }
 
+    entry_reports_parts reportsParts()
+    {
+        return {m_settings, m_caller, m_keeper, m_worker, m_table, m_pacer, m_metrics, m_log};
+    }
+
+    worker_calls_parts callsParts()
+    {
+        return {m_settings.worker, m_caller, m_keeper, m_worker,  m_clock,
+                m_silence,         m_table,  m_pacer,  m_metrics, m_log};
+    }
+
     // --- The lease.
 
     lease_keeper::listeners leaseListeners()
@@ -122,7 +131,7 @@
         m_table.setAgentLife(lease().fence());
         const auto now = suspendAwareNow();
         if (settled.begun) {
-            m_tellUntil = now + TellWithin;
+            m_reports.epochBegun(now);
             if (lease().settled())
                 m_silence.epochBegun(now);
         } else {
@@ -130,7 +139,7 @@
             // has ended, and takes room all the while.
             m_startFrom = now + m_settings.stopWithin + StopMargin;
         }
-        reportAll();
+        m_reports.reportAll();
     }
 
     // Nothing of any earlier epoch runs any more: what was placed here may go elsewhere.
@@ -145,11 +154,6 @@
 
     // --- Looking at the worker.
 
-    std::int64_t workerClockAt(time_point at) const
-    {
-        return m_clockMs + millisecondsIn(at - m_clockReadAt);
-    }
-
     void look()
     {
         if (!lease().holdsFence() || m_looking)
@@ -159,14 +163,14 @@
         std::optional<std::int64_t> deadline;
         // A worker that answers nothing is only looked at: each call that may have reached it would
         // put off the time from which all that it runs has ended for certain.
-        if (m_clockMs > 0 && now < lease().until() && m_silence.answers(now)) {
+        if (m_clock.isKnown() && now < lease().until() && m_silence.answers(now)) {
             const auto until = std::min<time_point>(lease().until(), now + HoldLength);
-            deadline = workerClockAt(until);
+            deadline = m_clock.at(until);
             m_silence.held(until);
         }
         // Without a clock to count from, the first look only reads it.
         const auto longest = m_table.servingNow().empty() ? LookWait : LookWaitServing;
-        const auto wait = m_clockMs > 0 ? millisecondsIn(longest) : 0;
+        const auto wait = m_clock.isKnown() ? millisecondsIn(longest) : 0;
         auto request = platform_wire::holdRequest(m_worker.id(), deadline, lease().fence(),
                                                   m_table.lastSeen(), wait);
         if (m_worker.id().empty())
@@ -205,13 +209,12 @@
             return lifeEnded("born_anew");
         if (life == worker_presence::look::Stayed)
             stayed();
-        m_clockMs = seen->listing.clockMs;
-        m_clockReadAt = now;
+        m_clock.read(seen->listing.clockMs, now);
         m_table.look(seen->listing, now);
         const bool news = m_table.endsSeen() != m_endsTold;
         settleEpoch(now);
         act();
-        pace(now);
+        m_calls.pace(now);
         const bool unacknowledged = !seen->listing.ended.empty();
         if (unacknowledged && !news)
             m_loop.after(LookAgain, [this] { look(); });
@@ -247,7 +250,7 @@
         m_log.note("worker_life_ended", {{"why", why}, {"worker", m_worker.id()}});
         m_metrics.count("worker_lives_ended_total", why);
         m_table.clear();
-        m_clockMs = 0;
+        m_clock.forget();
         m_silence.lifeBegun(suspendAwareNow());
         m_keeper.seek(why);
     }
@@ -292,7 +295,7 @@
         case worker_presence::news::Readiness:
             m_log.note("worker_announced",
                        {{"worker", told.id}, {"leaving", told.leaving ? "yes" : "no"}});
-            reportAll();
+            m_reports.reportAll();
             break;
         }
     }
@@ -300,7 +303,7 @@
     void stayed()
     {
         m_log.note("worker_stayed", {{"worker", m_worker.id()}});
-        reportAll();
+        m_reports.reportAll();
     }
 
     void departureConfirmed()
@@ -310,7 +313,7 @@
                                    {"runs", m_table.running()},
                                    {"lease_write_out", lease().writeOut() ? "yes" : "no"},
                                    {"lease", lease().holdsFence() ? "held" : "sought"}});
-        m_clockMs = 0;
+        m_clock.forget();
         allEnded(""); // and looks go on: a worker that lives anew may tell so in no other way
     }
 
@@ -318,14 +321,12 @@
     {
         const auto now = suspendAwareNow();
         const bool leased = m_cancelsRead && now >= m_startFrom && lease().settled()
-                            && m_clockMs > 0 && now < lease().until();
-        return readinessOf(
-                {m_worker.isPresent(), m_worker.isLeaving(), leased, m_evacuation.holds(now)},
-                m_silence, now);
+                            && m_clock.isKnown() && now < lease().until();
+        return readinessOf({m_worker.isPresent(), m_worker.isLeaving(), leased,
+                            m_reports.isZoneEvacuated(now)},
+                           m_silence, now);
     }
 
-    bool accepting() const { return readiness() == start_readiness::Open; }
-
     // --- Orders of entries.
 
     void serveInternal(http_request request, responder respond)
@@ -333,7 +334,7 @@
         const auto path = request.path();
         if (path == "/metrics")
             return respond({200, {{"Content-Type", "text/plain"}}, m_metrics.text()});
-        if (path.starts_with(StoreRelayPath) && hasGivenUp())
+        if (path.starts_with(StoreRelayPath) && m_stop.hasGivenUp())
             return respond({503, {}, ""}); // nothing was done
         if (path.starts_with(StoreRelayPath))
             return m_store.relay(std::move(request), std::move(respond));
@@ -372,210 +373,11 @@
         const auto now = suspendAwareNow();
         // A worker that answers nothing is not told to start anything: each such call would put off
         // the time from which all that it runs has ended for certain.
-        const bool mayStart = now < lease().until() && m_clockMs > 0 && m_silence.answers(now);
+        const bool mayStart = now < lease().until() && m_clock.isKnown() && m_silence.answers(now);
         for (const auto &action : m_table.due(now, mayStart))
-            std::visit([this](const auto &one) { carryOut(one); }, action);
+            std::visit([this](const auto &one) { m_calls.carryOut(one); }, action);
         if (std::exchange(m_endsTold, m_table.endsSeen()) != m_table.endsSeen())
-            reportAll();
-    }
-
-    void carryOut(const start_run &start)
-    {
-        // Read here and not before: a process that was frozen since would start on a lease that
-        // has run out, while the task runs elsewhere. Frozen after this line, the call's own
-        // deadline stops it.
-        const auto now = suspendAwareNow();
-        if (now >= std::min(lease().until(), start.callBy))
-            return;
-        const auto until = std::min<time_point>(lease().until(), start.callBy + StartTakes);
-        const auto deadline = workerClockAt(until);
-        m_silence.held(until);
-        m_table.startCalled(start.task, start.run, deadline);
-        m_caller.call(m_settings.worker,
-                      platform_wire::startRequest(m_worker.id(), start, deadline, lease().fence()),
-                      CallTimeout,
-                      [this, task = start.task, run = start.run](const call_result &result) {
-                          started(task, run, result);
-                      });
-    }
-
-    void started(const task_id &task, int run, const call_result &result)
-    {
-        const auto answer = platform_wire::startResult(result);
-        if (answer != start_answer::Started) {
-            const auto *response = std::get_if<http_response>(&result);
-            m_metrics.count("starts_not_confirmed_total",
-                            answer == start_answer::Refused ? "refused" : "unanswered");
-            m_log.note("start_not_confirmed", {{"task", toText(task)},
-                                               {"run", run},
-                                               {"status", response ? response->status : 0},
-                                               {"answer", response ? response->body : "none"}});
-        }
-        m_table.startAnswered(task, run, answer, suspendAwareNow());
-        act();
-    }
-
-    void carryOut(const stop_run &stop)
-    {
-        m_caller.call(m_settings.worker,
-                      platform_wire::stopRequest(m_worker.id(), stop, lease().fence()), CallTimeout,
-                      [this](const call_result &result) {
-                          if (!std::holds_alternative<http_response>(result))
-                              m_metrics.count("stops_not_confirmed_total", "unanswered");
-                      });
-    }
-
-    void pace(time_point now)
-    {
-        const auto serving = m_table.servingNow();
-        const auto filling = m_table.fillingNow();
-        if (now >= m_sampleFrom) {
-            m_sampleFrom = now + SampleEvery;
-            for (auto &sample : m_pacer.takeSamples(serving, filling))
-                m_samples.push_back(std::move(sample));
-        }
-        const auto changes = m_pacer.look(serving, filling, now);
-        for (const auto &change : changes) {
-            m_metrics.count("paces_total", change.percent < 100 ? "slowed" : "full");
-            m_caller.call(m_settings.worker,
-                          platform_wire::paceRequest(m_worker.id(), change.task, change.run,
-                                                     change.percent, lease().fence()),
-                          CallTimeout, [this, change](const call_result &result) {
-                              const auto *answer = std::get_if<http_response>(&result);
-                              if (answer != nullptr && answer->status == 200)
-                                  m_pacer.confirmed(change);
-                          });
-        }
-    }
-
-    // --- Reports to entries.
-
-    struct entry_link
-    {
-        std::string address;
-        std::int64_t toldEpoch = 0; // it answered a report with this epoch
-        bool out = false;           // a report has no answer yet
-        bool again = false;         // something changed meanwhile
-    };
-
-    // Presses matter to runs that serve: where there are none, nothing was measured.
-    void reportRegularly()
-    {
-        m_pressesFrom = m_samples.empty() ? std::string() : m_pressTurn.next(entryNames());
-        reportAll();
-        m_samples.clear();
-    }
-
-    std::vector<std::string> entryNames() const
-    {
-        std::vector<std::string> names;
-        for (const auto &[name, link] : m_entries)
-            names.push_back(name);
-        return names;
-    }
-
-    void reportAll()
-    {
-        for (auto &[name, link] : m_entries)
-            report(name, link);
-    }
-
-    void report(const std::string &entry, entry_link &link)
-    {
-        if (link.out) {
-            link.again = true;
-            return;
-        }
-        link.out = true;
-        link.again = false;
-        worker_report told;
-        told.worker = m_settings.id;
-        told.address = toText(m_settings.internal);
-        told.agentLife = lease().fence();
-        told.epoch = m_table.epoch();
-        told.clockMs = millisecondsIn(suspendAwareNow().time_since_epoch());
-        told.service = m_settings.service;
-        told.zone = m_worker.told().zone;
-        told.kind = m_worker.told().kind;
-        told.rack = m_worker.told().rack;
-        told.accepting = accepting();
-        told.capacity = m_worker.told().capacity;
-        told.used = m_table.used();
-        told.lasting = m_table.lasting();
-        told.fillMillicores = m_table.fillMillicores();
-        const auto filling = m_table.fillingNow();
-        for (const auto &run : m_table.servingNow())
-            told.serving.push_back({run.image, m_pacer.roomOf(run, filling), run.task.job,
-                                    run.tailMs > run.targetMs});
-        for (const auto &run : filling)
-            told.filling[run.image] += run.declared;
-        told.samples = m_samples;
-        told.wantsPresses = entry == m_pressesFrom;
-        if (told.wantsPresses)
-            m_pressesFrom.clear();
-        told.ends = m_table.endsFor(entry);
-        told.progress = m_table.progressFor(entry);
-        told.started = m_table.startedFor(entry);
-        http_request request;
-        request.method = "POST";
-        request.target = "/v1/report";
-        request.body = toText(told);
-        m_caller.call(link.address, std::move(request), ReportTimeout,
-                      [this, entry, epoch = told.epoch,
-                       started = std::move(told.started)](const call_result &result) {
-                          reported(entry, epoch, started, result);
-                      });
-    }
-
-    void reported(const std::string &entry, std::int64_t epoch,
-                  const std::vector<started_run> &started, const call_result &result)
-    {
-        const auto found = m_entries.find(entry);
-        if (found == m_entries.end())
-            return;
-        auto &link = found->second;
-        link.out = false;
-        const auto *answer = std::get_if<http_response>(&result);
-        if (answer == nullptr || answer->status != 200) {
-            m_metrics.count("reports_unanswered_total", "entry_silent");
-            m_table.ownerSilent(entry);
-            return; // the next turn reports again
-        }
-        link.toldEpoch = std::max(link.toldEpoch, epoch);
-        m_table.startsTold(started, entry);
-        try {
-            takeAnswer(entry, reportAnswerFrom(answer->body));
-        } catch (const error &problem) {
-            m_log.note("answer_unreadable", {{"entry", entry}, {"why", problem.what()}});
-        }
-        if (link.again)
-            report(entry, link);
-    }
-
-    void takeAnswer(const std::string &entry, report_answer answer)
-    {
-        const auto now = suspendAwareNow();
-        for (const auto &end : answer.acknowledged) {
-            if (m_table.acknowledged(end, now))
-                m_pacer.forget(end.task, end.run);
-        }
-        bool news = false;
-        for (const auto &end : answer.notOwned)
-            news = m_table.notOwned(end, entry) || news;
-        if (news)
-            reportAll();
-        if (answer.zoneEvacuated)
-            takeEvacuation(now);
-        if (!answer.presses.empty())
-            m_pacer.setPresses(std::move(answer.presses));
-    }
-
-    void takeEvacuation(time_point now)
-    {
-        const bool news = !m_evacuation.holds(now);
-        m_evacuation.heard(now);
-        if (news)
-            m_log.note("zone_evacuated", {{"zone", m_worker.told().zone}});
+            m_reports.reportAll();
     }
 
     // --- Cancelled jobs, as the store has them.
@@ -593,69 +395,35 @@
         act();
     }
 
-    // --- Entries.
-
-    std::vector<std::string> relays() const
-    {
-        std::vector<std::string> addresses;
-        for (const auto &[name, link] : m_entries)
-            addresses.push_back(link.address);
-        return addresses;
-    }
+    // --- Planned stop.
 
-    void takeEntries(const std::vector<row> &rows)
+    stop_walk::hooks stopHooks()
     {
-        for (const auto &one : rows) {
-            if (one.removed) {
-                m_entries.erase(one.name.key);
-                continue;
-            }
-            try {
-                m_entries[one.name.key].address = entryRowFrom(one.value).internal;
-            } catch (const error &problem) {
-                m_log.note("entry_row_unreadable",
-                           {{"entry", one.name.key}, {"why", problem.what()}});
-            }
-        }
-        if (!rows.empty())
-            reportAll();
+        return {[this] { leave(); }, [this] { return stopNeeds(); },
+                [this](stop_step step) { carryOut(step); }};
     }
 
-    // --- Planned stop.
-
-    bool hasGivenUp() const { return m_stop && m_stop->hasGivenUp(); }
-
     void leave()
     {
-        m_stop.emplace(suspendAwareNow(), m_loop.overdue(), StopTimes);
         m_log.noteAlways("drain_started", {{"runs", m_table.running()},
                                            {"worker", m_worker.isLeaving() ? "leaving" : "staying"},
                                            {"stays", hasToStay() ? "yes" : "no"}});
         m_internal.announceClose();
         m_workers.announceClose();
-        leaveOn();
     }
 
-    void leaveOn()
+    stop_needs stopNeeds()
     {
-        if (m_stopStep == stop_step::Finish)
+        if (m_stop.step() == stop_step::Finish)
             giveBack();
         const bool open = !m_internal.drained() || !m_workers.drained();
-        const bool writes = lease().writeOut() && !hasGivenUp();
-        const auto step = m_stop->look({hasToStay(), false, open || writes}, m_loop.lateness(),
-                                       suspendAwareNow());
-        if (step != m_stopStep)
-            carryOut(step);
-        if (step != stop_step::End)
-            m_loop.after(step == stop_step::HandOver ? LookRetry : GoStep, [this] { leaveOn(); });
+        const bool writes = lease().writeOut() && !m_stop.hasGivenUp();
+        return {hasToStay(), false, open || writes};
     }
 
     void carryOut(stop_step step)
     {
-        m_stopStep = step;
         switch (step) {
-        case stop_step::HandOver:
-            break;
         case stop_step::Finish:
             giveBack();
             m_internal.drain();
@@ -665,8 +433,8 @@
             // Calls of the store that are relayed: they may have been carried out.
             m_internal.answerAll({502, {}, ""});
             break;
+        case stop_step::HandOver:
         case stop_step::End:
-            m_loop.stop();
             break;
         }
     }
@@ -685,17 +453,8 @@
     // placed there would wait for the end of the lease.
     bool hasToStay() const
     {
-        return m_worker.goesAway() || lease().owesEnd() || entriesWaitForEpoch()
-               || m_table.hasEndsOfTheGone();
-    }
-
-    bool entriesWaitForEpoch() const
-    {
-        const auto epoch = m_table.epoch();
-        return suspendAwareNow() < m_tellUntil
-               && std::any_of(m_entries.begin(), m_entries.end(), [epoch](const auto &entry) {
-                      return entry.second.toldEpoch < epoch;
-                  });
+        return m_worker.goesAway() || lease().owesEnd()
+               || m_reports.entriesWaitForEpoch(suspendAwareNow()) || m_table.hasEndsOfTheGone();
     }
 
     job_agent_settings m_settings;
@@ -708,28 +467,21 @@
     table_follower m_cancelsTable;
     run_table m_table;
     pacer m_pacer;
-    std::vector<disturbance_sample> m_samples; // since the last regular report
-    time_point m_sampleFrom{};
-    press_turn m_pressTurn{m_settings.id};
-    std::string m_pressesFrom; // the entry that its next report asks; empty: none
-    std::map<std::string, entry_link> m_entries;
 
     worker_presence m_worker;
-    evacuation_notice m_evacuation;
+    worker_clock m_clock;
     bool m_cancelsRead = false; // an order that was held up may be of a job that was cancelled
-    time_point m_tellUntil{};   // entries have answered a report with the present epoch by then
-    std::optional<planned_stop> m_stop;
-    stop_step m_stopStep = stop_step::HandOver; // that was carried out
-    bool m_gaveBack = false;                    // the last renewal was sent
+    stop_walk m_stop;
+    bool m_gaveBack = false; // the last renewal was sent
 
     lease_keeper m_keeper;
+    entry_reports m_reports;
     worker_silence m_silence{suspendAwareNow()};
+    worker_calls m_calls;
 
     std::size_t m_endsTold = 0; // of `m_table.endsSeen()`
 
-    std::int64_t m_clockMs = 0; // the worker's clock,
-    time_point m_clockReadAt{}; // read then
-    time_point m_startFrom{};   // nothing is started before
+    time_point m_startFrom{}; // nothing is started before
     bool m_looking = false;
 
     net::http_listener m_internal;
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -2,23 +2,23 @@
 
 #include <algorithm>
 #include <chrono>
-#include <set>
 #include <utility>
 
 #include "app/configuration_follower.h"
 #include "app/entry_directory.h"
+#include "app/entry_life.h"
+#include "app/entry_pings.h"
 #include "app/job_requests.h"
 #include "app/job_tables.h"
+#include "app/job_takeover.h"
 #include "app/job_view.h"
 #include "app/lease_watcher.h"
-#include "app/order_outcomes.h"
-#include "app/planned_stop.h"
+#include "app/order_sender.h"
 #include "app/process.h"
 #include "app/row_store.h"
+#include "app/stop_walk.h"
 #include "app/table_follower.h"
 #include "base/errors.h"
-#include "base/json.h"
-#include "base/json_member.h"
 #include "jobs/job_book.h"
 #include "net/http_listener.h"
 
@@ -30,19 +30,15 @@
 
 namespace {
 
-constexpr milliseconds PlanEvery{100}; // beside each event: repeats of orders, tasks that wait
-constexpr milliseconds PingEvery{400}; // four pings within the time after which one is gone
-constexpr milliseconds PingTimeout{500};
+constexpr milliseconds PlanEvery{100};     // beside each event: repeats of orders, tasks that wait
+constexpr milliseconds PingEvery{400};     // four pings within the time after which one is gone
 constexpr milliseconds JobsFeedPause{250}; // joins the changes of many jobs into one answer
-constexpr milliseconds StoreRetry{200};
 constexpr milliseconds TakeoverEvery{250};
 constexpr milliseconds WatchEvery{700};    // for workers that fell silent
 constexpr milliseconds SilentWorker{3000}; // three reports were missed
-constexpr milliseconds OrderTimeout{600};  // an agent answers without asking its worker
 constexpr milliseconds ReportWithin{1500};
-constexpr milliseconds StopLookEvery{50};
+constexpr stop_pauses StopPauses{milliseconds(50), milliseconds(50)};
 constexpr milliseconds LogFlushEvery{100};
-constexpr milliseconds KeepFinal{180'000};      // callers may ask for 120 s
 constexpr milliseconds StoreSilentAtMost{2500}; // then this entry is not ready
 
 class entry_process
@@ -50,12 +46,13 @@
 public:
     explicit entry_process(job_entry_settings settings)
         : m_settings(std::move(settings))
-        , m_loop([this] { drain(); })
+        , m_loop([this] { m_stop.begin(); })
         , m_log("entry", m_settings.id)
         , m_caller(m_loop)
         , m_store(
                   m_loop, m_caller, m_settings.store,
                   [this] { return m_directory.others(suspendAwareNow()); }, m_metrics, m_log)
+        , m_life(m_loop, m_store, m_settings, [this](const auto &mine) { begin(mine); })
         , m_configuration(m_loop, m_store, m_log)
         , m_entriesTable(m_loop, m_store, m_log, {EntriesTable},
                          [this](const auto &rows) { takeEntries(rows); })
@@ -64,8 +61,13 @@
                   [this](const auto &rows) { takeJobs(rows); }, [this] { allJobsRead(); })
         , m_startedAt(suspendAwareNow())
         , m_directory(m_settings.id, m_startedAt)
+        , m_pings(m_settings.id, {m_caller, m_configuration, m_directory, m_log},
+                  [this] { return isLeaving(); })
+        , m_takeover({m_store, m_directory, m_view, m_book, m_metrics}, [this] { pumpSoon(); })
+        , m_orders({m_settings, m_caller, m_pool, m_book, m_metrics, m_log}, [this] { pumpSoon(); })
         , m_leases(m_loop, m_store, m_metrics, m_log, m_settings.id,
                    [this](const auto &worker, auto epoch) { takeEpoch(worker, epoch); })
+        , m_stop(m_loop, StopPauses, {}, stopHooks())
         , m_requests(m_settings.id, requestParts(),
                      {[this] { return m_jobsKnown; }, [this](const auto &rows) { takeJobs(rows); },
                       [this] { pumpSoon(); }})
@@ -87,7 +89,7 @@
     {
         m_log.noteAlways("started", {{"internal", toText(m_settings.internal)}});
         m_loop.every(LogFlushEvery, [this] { m_log.flush(); });
-        enter();
+        m_life.enter();
         m_configuration.start();
         m_loop.run([this](const std::exception &problem) {
             m_metrics.count("callbacks_failed_total", "exception");
@@ -107,50 +109,21 @@
 
     job_requests_parts requestParts()
     {
-        return {m_loop, m_caller, m_store, m_configuration, m_directory, m_view,
-                m_book, m_waits,  m_stop,  m_metrics,       m_log};
+        return {m_loop, m_caller, m_store,       m_configuration, m_directory, m_view,
+                m_book, m_waits,  m_stop.plan(), m_metrics,       m_log};
     }
 
     // --- Start: a new incarnation, the other entries, all jobs.
 
-    void enter()
-    {
-        m_store.read(EntriesTable, "", m_settings.id, m_settings.id + "\x01",
-                     [this](const std::optional<row_page> &page) {
-                         if (!page)
-                             return m_loop.after(StoreRetry, [this] { enter(); });
-                         takeIncarnation(*page);
-                     });
-    }
-
-    void takeIncarnation(const row_page &page)
-    {
-        entry_row mine{1, toText(m_settings.internal), toText(m_settings.callers)};
-        std::int64_t version = 0;
-        if (!page.rows.empty()) {
-            version = page.rows.front().version;
-            mine.incarnation = entryRowFrom(page.rows.front().value).incarnation + 1;
-        }
-        const auto name = entryRow(m_settings.id);
-        m_store.commit({{{name, version}}, {{name, toText(mine), 0, false}}, {}},
-                       [this, mine](const row_store::outcome &outcome) {
-                           // Also when an earlier try took effect: one more incarnation does no
-                           // harm, one used twice would.
-                           if (!std::holds_alternative<committed>(outcome))
-                               return enter();
-                           begin(mine);
-                       });
-    }
-
     void begin(const entry_row &mine)
     {
         m_self = {m_settings.id, mine.incarnation};
-        m_row = mine;
+        m_pings.begin(mine);
         m_book.emplace(m_self, m_pool);
         m_log.note("incarnation", {{"incarnation", mine.incarnation}});
         m_entriesTable.start();
         m_jobsTable.start();
-        m_loop.every(PingEvery, [this] { pingAll(); });
+        m_loop.every(PingEvery, [this] { m_pings.pingAll(); });
         m_loop.every(PlanEvery, [this] { pump(); });
         m_loop.every(TakeoverEvery, [this] { takeOver(); });
         m_loop.every(WatchEvery, [this] { watchSilentWorkers(); });
@@ -172,7 +145,7 @@
                            {{"entry", one.name.key}, {"why", problem.what()}});
             }
         }
-        pingAll();
+        m_pings.pingAll();
     }
 
     void allJobsRead()
@@ -203,100 +176,10 @@
         pumpSoon();
     }
 
-    // --- Other entries.
-
-    Json::Value selfDescription() const
-    {
-        Json::Value value(Json::objectValue);
-        value["entry"] = m_settings.id;
-        value["row"] = toText(m_row);
-        value["leaving"] = isLeaving();
-        value["configuration"] = Json::Int64(m_configuration.version());
-        return value;
-    }
-
-    void takeDescription(const std::string &text)
-    {
-        const auto value = parseJsonObject(text);
-        const auto name = stringMember(value, "entry");
-        const auto row = entryRowFrom(stringMember(value, "row"));
-        m_directory.seen(name, row);
-        m_directory.heard(name, row.incarnation, boolMember(value, "leaving"), suspendAwareNow());
-        if (value.isMember("configuration"))
-            m_configuration.heardOf(integerMember(value, "configuration"));
-    }
-
-    void pingAll()
-    {
-        for (const auto &[name, known] : m_directory.entries()) {
-            http_request ping;
-            ping.method = "POST";
-            ping.target = "/v1/ping";
-            ping.body = compactJson(selfDescription());
-            m_caller.call(known.row.internal, std::move(ping), PingTimeout,
-                          [this](const call_result &result) {
-                              const auto *answer = std::get_if<http_response>(&result);
-                              if (answer == nullptr || answer->status != 200)
-                                  return;
-                              try {
-                                  takeDescription(answer->body);
-                              } catch (const error &problem) {
-                                  m_log.note("ping_unreadable", {{"why", problem.what()}});
-                              }
-                          });
-        }
-    }
-
-    // Jobs whose owner is gone, or was an earlier life of this entry.
     void takeOver()
     {
-        if (!m_jobsKnown || isLeaving())
-            return;
-        const auto now = suspendAwareNow();
-        for (const auto &[id, known] : m_view.jobs()) {
-            if (!known.needsOwner || m_book->owns(id) || m_adopting.contains(id))
-                continue;
-            const auto heir = m_directory.heirOf(id, known.owner, m_self, now);
-            if (heir && *heir == m_settings.id)
-                adopt(id);
-        }
-        removeOldRows(now);
-    }
-
-    void adopt(const std::string &id)
-    {
-        m_adopting.insert(id);
-        m_store.read(PayloadsTable, partOf(id), id, id + "\x01",
-                     [this, id](const std::optional<row_page> &page) {
-                         m_adopting.erase(id);
-                         const auto *known = m_view.find(id);
-                         if (!page || page->rows.empty() || known == nullptr || !known->needsOwner)
-                             return; // the next look at all jobs tries again
-                         m_book->adopt(id, recordFrom(known->content), known->version,
-                                       page->rows.front().value);
-                         m_metrics.count("jobs_adopted_total", "owner_gone");
-                         pumpSoon();
-                     });
-    }
-
-    // Rows of jobs that ended long ago, each by the entry that owned it last.
-    void removeOldRows(time_point now)
-    {
-        std::vector<std::string> old;
-        for (const auto &[id, known] : m_view.jobs()) {
-            if (known.finalAt != time_point{} && now - known.finalAt > KeepFinal
-                && known.owner.entry == m_settings.id)
-                old.push_back(id);
-        }
-        for (const auto &id : old) {
-            m_book->forget(id);
-            m_view.removed(id);
-            m_store.commit({{}, {}, {jobRow(id), payloadRow(id), cancelRow(id)}},
-                           [](const row_store::outcome
-                                      & /*ignored: the rows
-              are gone or will be found by the next
-              life*/) {});
-        }
+        if (m_jobsKnown && !isLeaving())
+            m_takeover.look(m_self);
     }
 
     // --- Decisions of the book are carried out.
@@ -320,7 +203,7 @@
             std::visit([&](auto &one) { carryOut(one, orders); }, action);
         }
         for (auto &[worker, batch] : orders)
-            sendOrders(worker, std::move(batch));
+            m_orders.sendOrders(worker, std::move(batch));
     }
 
     using orders_by_worker = std::map<std::string, std::vector<run_order>>;
@@ -380,46 +263,6 @@
         m_log.note(action.event, {{"job", action.job}, {"detail", action.detail}});
     }
 
-    void sendOrders(const std::string &worker, std::vector<run_order> orders)
-    {
-        const auto *view = m_pool.find(worker);
-        if (view == nullptr) // not heard of since the start; its agent reports each second
-            return ordersUnanswered(worker, orders);
-        http_request request;
-        request.method = "POST";
-        request.target = "/v1/orders";
-        request.body = toText(order_batch{m_settings.id, toText(m_settings.internal), orders});
-        m_caller.call(view->last.address, std::move(request), OrderTimeout,
-                      [this, worker, orders = std::move(orders),
-                       agentLife = view->last.agentLife](const call_result &result) {
-                          ordersAnswered(worker, outcomesOf(orders, result), agentLife);
-                      });
-    }
-
-    void ordersAnswered(const std::string &worker, const order_outcomes &outcomes,
-                        std::int64_t agentLife)
-    {
-        for (const auto &one : outcomes.answered) {
-            m_metrics.count("orders_total", nameOf(one.outcome));
-            m_book->orderAnswered(worker, one, suspendAwareNow(), agentLife);
-        }
-        if (!outcomes.unanswered.empty()) {
-            m_metrics.count("orders_unanswered_total", "agent_silent");
-            m_log.note("orders_unanswered", {{"worker", worker},
-                                             {"orders", outcomes.unanswered.size()},
-                                             {"why", outcomes.why}});
-            ordersUnanswered(worker, outcomes.unanswered);
-        }
-        if (!outcomes.answered.empty())
-            pumpSoon();
-    }
-
-    void ordersUnanswered(const std::string &worker, const std::vector<run_order> &orders)
-    {
-        for (const auto &order : orders)
-            m_book->orderUnanswered(worker, order.task, order.run, suspendAwareNow());
-    }
-
     // --- Workers that nobody hears of.
 
     void watchSilentWorkers()
@@ -450,17 +293,15 @@
         const auto path = request.path();
         if (path == "/metrics")
             return respond({200, {{"Content-Type", "text/plain"}}, m_metrics.text()});
-        if (m_stopStep != stop_step::HandOver)
+        if (m_stop.step() != stop_step::HandOver)
             return respond(refusal(503, "leaving"));
         if (path.starts_with(StoreRelayPath))
             return m_store.relay(std::move(request), std::move(respond));
         if (!m_book)
             return respond(refusal(503, "starting"));
         try {
-            if (path == "/v1/ping") {
-                takeDescription(request.body);
-                return respond({200, {}, compactJson(selfDescription())});
-            }
+            if (path == "/v1/ping")
+                return respond({200, {}, m_pings.take(request.body)});
             if (path == "/v1/report")
                 return takeReport(reportFrom(request.body), std::move(respond));
             if (path.starts_with("/v1/jobs/"))
@@ -553,7 +394,13 @@
 
     // --- Planned stop.
 
-    bool isLeaving() const { return m_stop.has_value(); }
+    stop_walk::hooks stopHooks()
+    {
+        return {[this] { leave(); }, [this] { return stopNeeds(); },
+                [this](stop_step step) { carryOut(step); }};
+    }
+
+    bool isLeaving() const { return m_stop.isLeaving(); }
 
     // What the end of the process cuts off, and how far behind it was.
     void noteStopped()
@@ -569,33 +416,25 @@
                                      {"late_ms", millisecondsIn(m_loop.lateness())}});
     }
 
-    void drain()
+    void leave()
     {
-        m_stop.emplace(suspendAwareNow(), m_loop.overdue());
         m_log.noteAlways("drain_started", {{"owned", m_book ? m_book->ownedUnfinished() : 0},
                                            {"late_ms", millisecondsIn(m_loop.lateness())}});
         m_callers.announceClose();
         m_internal.announceClose();
         if (m_book)
-            pingAll(); // the others take the jobs over at once
-        drainOn();
+            m_pings.pingAll(); // the others take the jobs over at once
     }
 
-    void drainOn()
+    stop_needs stopNeeds() const
     {
         const bool heirs = m_book && !m_directory.entries().empty();
-        const stop_needs needs{heirs && m_book->ownedUnfinished() > 0, m_callers.inFlight() > 0,
-                               !m_callers.drained() || !m_internal.drained()};
-        const auto step = m_stop->look(needs, m_loop.lateness(), suspendAwareNow());
-        if (step != m_stopStep)
-            carryOut(step);
-        if (step != stop_step::End)
-            m_loop.after(StopLookEvery, [this] { drainOn(); });
+        return {heirs && m_book->ownedUnfinished() > 0, m_callers.inFlight() > 0,
+                !m_callers.drained() || !m_internal.drained()};
     }
 
     void carryOut(stop_step step)
     {
-        m_stopStep = step;
         const auto callers = m_callers.activity();
         m_log.noteAlways("stop_step", {{"step", nameOf(step)},
                                        {"owned", m_book ? m_book->ownedUnfinished() : 0},
@@ -605,8 +444,6 @@
                                        {"callers_writing", callers.writing},
                                        {"late_ms", millisecondsIn(m_loop.lateness())}});
         switch (step) {
-        case stop_step::HandOver:
-            break;
         case stop_step::Finish:
             m_callers.drain();
             // Other processes repeat what they asked for; callers would wait for it to end.
@@ -616,8 +453,8 @@
         case stop_step::GiveUp:
             m_callers.answerAll(m_requests.counted(504, "outcome_unknown"));
             break;
+        case stop_step::HandOver:
         case stop_step::End:
-            m_loop.stop();
             break;
         }
     }
@@ -628,23 +465,24 @@
     metrics m_metrics;
     net::http_caller m_caller;
     row_store m_store;
+    entry_life m_life;
     configuration_follower m_configuration;
     table_follower m_entriesTable;
     table_follower m_jobsTable;
     time_point m_startedAt;
     entry_directory m_directory;
-    entry_row m_row;
+    entry_pings m_pings;
     owner_id m_self;
     job_view m_view;
     worker_pool m_pool;
     std::optional<job_book> m_book;
+    job_takeover m_takeover;
+    order_sender m_orders;
     lease_watcher m_leases;
-    std::set<std::string> m_adopting;
     write_waits m_waits;
     bool m_jobsKnown = false;
     bool m_pumping = false;
-    std::optional<planned_stop> m_stop;
-    stop_step m_stopStep = stop_step::HandOver; // that was carried out
+    stop_walk m_stop;
     job_requests m_requests;
     net::http_listener m_internal;
     net::http_listener m_ready;
