A worker's next life is heard from its first word on

Cause: the agent's look sees the new life, each 150 ms, before its first announcement does, and took over its birth alone. The count of announcements, which starts anew with each life, stayed that of the life before, so the new one's were dropped as overtaken; so did what the life before had said of leaving. Why tests missed it: the stand-in counts announcements over all lives.

--- a/app/worker_presence.cpp
+++ b/app/worker_presence.cpp
@@ -55,8 +55,10 @@
     const bool otherLife = m_bornMs != 0 && bornMs != 0 && bornMs != m_bornMs;
     if (bornMs != 0)
         m_bornMs = bornMs;
-    if (otherLife)
+    if (otherLife) {
+        forgetWords();
         return look::OtherLife;
+    }
     // It answers long after it said that it ends: the message was of an earlier life.
     if (!m_departing || sentAt < m_goneBy)
         return look::SameLife;
@@ -65,6 +67,15 @@
     return look::Stayed;
 }
 
+// Each life counts its announcements anew, and neither leaves nor departs by the word of another.
+void worker_presence::forgetWords()
+{
+    m_told.sequence = 0;
+    m_told.leaving = false;
+    m_present = false;
+    m_departing = false;
+}
+
 bool worker_presence::isGoneBy(call_failure failure)
 {
     // A connect that has only timed out tells of the way to the worker, which may run on.
--- a/app/worker_presence.h
+++ b/app/worker_presence.h
@@ -37,6 +37,8 @@
     const platform_wire::worker_announcement &told() const { return m_told; }
 
 private:
+    void forgetWords(); // of the life before
+
     platform_wire::worker_announcement m_told; // newest announcement of the present life
     std::string m_id;
     std::int64_t m_bornMs = 0;
--- a/tests/worker_presence_test.cpp
+++ b/tests/worker_presence_test.cpp
@@ -108,3 +108,42 @@
         check(on.worker.answered(Born + 5, on.now) == look::SameLife);
     });
 }
+
+// A worker that is back under its id is not used, or goes on getting starts as it drains: a look
+// saw the new life first, and its announcements were taken for overtaken ones of the old.
+Test(worker_presence, a_next_life_that_a_look_sees_first)
+{
+    scene on;
+    auto draining = saying(40);
+    draining.leaving = true;
+    section("that it drains is heard", [] {
+        scene crashed;
+        check(crashed.worker.announced(saying(40)) == news::None);
+        check(crashed.worker.answered(Born + 5, crashed.now) == look::OtherLife);
+        auto next = saying(12, Born + 5);
+        next.leaving = true;
+        check(crashed.worker.announced(next) == news::Readiness);
+        check(crashed.worker.isLeaving());
+    });
+    section("drained, gone and back, it is there again", [&] {
+        auto worker = on.worker;
+        worker.announced(draining);
+        require(worker.departed("worker", on.now));
+        require(worker.isGoneBy(call_failure::Refused));
+        check(worker.answered(Born + 5, on.now + milliseconds(2000)) == look::OtherLife);
+        worker.announced(saying(1, Born + 5));
+        check(worker.isPresent());
+        check(!worker.isLeaving());
+    });
+    section("so it is when it was back before a look had failed", [&] {
+        auto worker = on.worker;
+        worker.announced(draining);
+        require(worker.departed("worker", on.now));
+        check(worker.answered(Born + 5, on.now + milliseconds(100)) == look::OtherLife);
+        worker.announced(saying(1, Born + 5));
+        worker.answered(Born + 5, on.now + milliseconds(600));
+        worker.announced(saying(2, Born + 5));
+        check(worker.isPresent());
+        check(!worker.isLeaving());
+    });
+}
