A cut answer teaches what its upstream had taken by then

What is not whole teaches now what it took at least, where that is more than is known. admission_test callersThatReadSlowly has the case (the review saw it fail).

--- a/libs/request/admission.cpp
+++ b/libs/request/admission.cpp
@@ -80,10 +80,11 @@
     auto &team = m_teams[ended.team];
     --team.running;
     team.served += chargeOf(happened.tookTime - ended.charged, ended.priority);
-    // A caller that reads slowly says nothing of its service, and one that stops before the end
-    // leaves open how long the rest would have taken.
-    if (happened.whole || happened.callerTime == duration(0))
-        learn(ended.service, happened.tookTime - happened.callerTime);
+    // A caller that reads slowly says nothing of its service. An answer that was cut shows only
+    // that the whole would have taken longer.
+    const auto own = happened.tookTime - happened.callerTime;
+    if (happened.whole || own > estimateFor(ended.service).mean)
+        learn(ended.service, own);
     forgetIdleTeams();
 }
 
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -211,6 +211,15 @@
         auto gate = afterAnswers(milliseconds(9000), milliseconds(1000), true);
         check(!takesShortDeadlines(gate));
     });
+    section("nor is a cut answer's, but what its upstream took until then is", [&] {
+        auto gate = afterAnswers(milliseconds(20), milliseconds(0), true);
+        for (int index = 0; index < 20; ++index) {
+            const auto id = "cut" + std::to_string(index);
+            gate.arrive(id, Patient);
+            gate.finish(id, milliseconds(9000), milliseconds(1), false);
+        }
+        check(!takesShortDeadlines(gate));
+    });
     section("an answer that its caller left teaches no shorter time than it would have had", [&] {
         auto gate = afterAnswers(milliseconds(4000), milliseconds(0), true);
         for (int index = 0; index < 20; ++index) {
