--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -57,6 +57,11 @@
     endToAll = false;
 }
 
+bool run_table::run_entry::isToldOnlyTo(const std::string &entry) const
+{
+    return owner == entry && !endToAll;
+}
+
 bool run_table::run_entry::endGoesTo(const std::string &entry) const
 {
     return owner.empty() || endToAll || owner == entry;
@@ -77,7 +82,7 @@
         return answer(order_outcome::NotReady);
     const auto known = m_runs.find(key);
     if (known != m_runs.end()) {
-        if (known->second.phase == run_phase::Ended && known->second.owner != owner)
+        if (known->second.phase == run_phase::Ended && !known->second.isToldOnlyTo(owner))
             ++m_endsSeen; // news to this owner
         known->second.claimed = true;
         known->second.belongsTo(owner);
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -154,6 +154,7 @@
 
         void belongsTo(const std::string &entry);
         bool endGoesTo(const std::string &entry) const;
+        bool isToldOnlyTo(const std::string &entry) const;
     };
     using run_key = std::pair<task_id, int>;
 
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -510,6 +510,12 @@
         check(on.table.endsFor("entry-a").size() == 1);
         check(on.table.endsFor("entry-b").size() == 1);
     });
+    section("at once to an entry that is back under its name, and knows nothing of it", [&] {
+        const auto told = on.table.endsSeen();
+        on.give(made, "entry-a");
+        check(on.table.endsSeen() > told);
+        on.table.ownerSilent("entry-a");
+    });
     section("until an entry claims the run", [&] {
         on.give(made, "entry-b");
         check(on.table.endsFor("entry-a").empty());
