--- a/app/entry_reports.cpp
+++ b/app/entry_reports.cpp
@@ -174,8 +174,10 @@
 {
     const bool news = !m_evacuation.holds(now);
     m_evacuation.heard(now);
-    if (news)
-        m_log.note("zone_evacuated", {{"zone", m_worker.told().zone}});
+    if (!news)
+        return;
+    m_log.note("zone_evacuated", {{"zone", m_worker.told().zone}});
+    reportAll(); // entries that don't know it would place here until the next turn
 }
 
 } // namespace zinniabarrow
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -128,10 +128,10 @@
     const auto &last = view.last;
     if (last.service != service)
         return unfit::OtherService;
-    if (!last.accepting || last.epoch == 0)
-        return unfit::NotAccepting;
     if (m_evacuated.contains(last.zone))
         return unfit::Evacuated;
+    if (!last.accepting || last.epoch == 0)
+        return unfit::NotAccepting;
     if (now - view.heardAt > m_settings.silentAfter)
         return unfit::Silent;
     if (now < view.setAsideUntil)
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -52,6 +52,15 @@
         check(pool.whyNobody("tickets", oneTask(), {}, Now).find("2 evacuated")
               != std::string::npos);
     });
+    section("that is the reason told, also once its agents accept nothing", [&] {
+        worker_pool other;
+        auto report = reportOf("a-1", "a");
+        report.accepting = false;
+        other.update(report, Now);
+        other.setEvacuated({"a"});
+        check(other.whyNobody("tickets", oneTask(), {}, Now).find("1 evacuated")
+              != std::string::npos);
+    });
     section("taken back, it is a zone like the others", [&] {
         pool.setEvacuated({"b"});
         check(pool.choose("tickets", oneTask(), {}, Now) == "a-1");
