What an owner has placed counts until its agent has answered

What callers saw: tasks are placed and refused with no_room again and again, with room elsewhere.

Cause, by the book on a virtual clock: an entry counts what it places until the worker's next report. A placement goes to the store first and is ordered after that, and a worker whose tasks end reports many times a second, so that the report that comes next knows nothing of the placement, and the same room is given away again and again.

The book counts anew, with each report, what it has placed there and its agent has not answered yet. Not what it adopted or gives again to an agent's new life: those runs may be in the report already. An order that its agent has taken, with the answer on its way, counts twice for milliseconds.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -490,6 +490,7 @@
                                        {"accepting", report.accepting ? "yes" : "no"}});
         }
         const bool livesAnew = m_pool.update(report, now) && report.epoch > 0;
+        m_book->workerTold(report.worker);
         for (const auto &progress : report.progress)
             m_book->progressed(report.worker, progress);
         for (const auto &run : report.started)
--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -252,7 +252,7 @@
         return;
     removePlacement(job, answer.task, answer.run);
     changed(id, job);
-    const auto &step = job.record.steps[static_cast<std::size_t>(answer.task.step)];
+    const auto &step = stepOf(job, answer.task);
     if (step.gang && answer.kind == order_kind::Start && job.record.isNeeded(*task))
         notStarted(job, worker, answer.task, answer.run);
     note("order_refused", id,
@@ -283,6 +283,24 @@
     m_ordering.insert(found->first);
 }
 
+void job_book::workerTold(const std::string &worker)
+{
+    for (const auto &id : m_ordering) {
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end())
+            continue;
+        for (const auto &[key, order] : found->second.starts) {
+            if (order.reserves && order.worker == worker)
+                m_workers.reserve(worker, stepOf(found->second, key.first));
+        }
+    }
+}
+
+const step_spec &job_book::stepOf(const owned_job &job, const task_id &task)
+{
+    return job.record.steps[static_cast<std::size_t>(task.step)];
+}
+
 void job_book::workerRenewed(const std::string &worker, std::int64_t epoch, time_point now)
 {
     epochSeen(worker, epoch);
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -118,6 +118,8 @@
     void orderAnswered(const std::string &worker, const order_answer &answer, time_point now,
                        std::int64_t agentLife);
     void orderUnanswered(const std::string &worker, const task_id &task, int run, time_point now);
+    // The pool has a new report of the worker, which does not count what is on its way there.
+    void workerTold(const std::string &worker);
     // The agent lives anew, or the worker does: placements of older epochs have ended, orders of
     // the present one are given again.
     void workerRenewed(const std::string &worker, std::int64_t epoch, time_point now);
@@ -148,8 +150,9 @@
         std::int64_t revision = 0; // given once this revision is stored
         bool out = false;          // given, no answer yet
         time_point repeatAt{};
-        time_point givenAt{}; // first
-        time_point tellAt{};  // the log, that there is no answer
+        time_point givenAt{};  // first
+        time_point tellAt{};   // the log, that there is no answer
+        bool reserves = false; // its worker may not count it yet
     };
 
     struct waiting_step
@@ -224,6 +227,7 @@
     static void stopPlaced(owned_job &job, const task_id &task, const placement &where);
     static void avoid(owned_job &job, const task_id &task, const std::string &worker);
     static void removePlacement(owned_job &job, const task_id &task, int run);
+    static const step_spec &stepOf(const owned_job &job, const task_id &task);
     static bool isPlacedOn(const task_state &task, const std::string &worker, int run);
     void placeWaiting(const std::string &id, owned_job &job, time_point now, std::int64_t wallMs);
     bool placeStep(const std::string &id, owned_job &job, int occurrence, int stepIndex,
--- a/libs/jobs/job_book_placing.cpp
+++ b/libs/jobs/job_book_placing.cpp
@@ -122,7 +122,9 @@
     state.placements.push_back({worker, told.epoch, run, told.agentLife});
     m_workers.reserve(worker, step);
     changed(id, job);
-    job.starts[{task, run}] = {worker, job.revision, false, {}};
+    auto &order = job.starts[{task, run}];
+    order = {worker, job.revision, false, {}};
+    order.reserves = true;
     m_ordering.insert(id);
 }
 
--- a/tests/busy_site.h
+++ b/tests/busy_site.h
@@ -38,10 +38,13 @@
 // rest.
 struct busy_site
 {
-    placement_world world{Owners};
+    int owners = Owners;
+    placement_world world;
     int handedIn = 0;
 
-    busy_site()
+    explicit busy_site(int entries = Owners, const world_delays &delays = {})
+        : owners(entries)
+        , world(entries, delays)
     {
         for (int number = 0; number < Workers; ++number)
             world.addWorker({16 * Cores, 64'000, 0});
@@ -56,7 +59,7 @@
     {
         constexpr milliseconds Every{40};
         for (milliseconds passed{0}; passed < time; passed += Every) {
-            world.submit(handedIn % Owners, fmt::format("short-{}", handedIn), shortStep(9),
+            world.submit(handedIn % owners, fmt::format("short-{}", handedIn), shortStep(9),
                          ShortRun);
             ++handedIn;
             world.advance(Every);
--- a/tests/order_model.h
+++ b/tests/order_model.h
@@ -1099,6 +1099,7 @@
                     const jobs::worker_report &told, const std::shared_ptr<bool> &answered)
     {
         const bool livesAnew = entry.pool->update(told, m_now) && told.epoch > 0;
+        entry.book->workerTold(told.worker);
         for (const auto &run : told.started)
             entry.book->runStarted(run, m_now);
         const bool inTime = !std::exchange(*answered, true);
--- a/tests/placement_world.h
+++ b/tests/placement_world.h
@@ -1,8 +1,10 @@
 // Owners of jobs and the agents of workers around the real decisions, on a virtual clock and
-// without a network: orders and writes are answered at once, reports come each second.
+// without a network. Unless a test says otherwise orders, writes and reports take no time. Reports
+// come each second and as runs end.
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -17,10 +19,19 @@
 
 namespace zinniabarrow::tests {
 
+// One way each.
+struct world_delays
+{
+    milliseconds write{0}; // until its outcome is known
+    milliseconds order{0};
+    milliseconds report{0};
+};
+
 class placement_world
 {
 public:
-    explicit placement_world(int owners)
+    explicit placement_world(int owners, const world_delays &delays = {})
+        : m_delays(delays)
     {
         for (int number = 0; number < owners; ++number)
             m_owners.push_back(std::make_unique<owning_entry>(fmt::format("entry-{}", number)));
@@ -66,6 +77,18 @@
         }
         return count;
     }
+    // Of all tasks of the job, as their owner knows it.
+    int highestRun(const std::string &job) const
+    {
+        int highest = 0;
+        for (const auto &one : m_owners) {
+            if (!one->book.owns(job))
+                continue;
+            for (const auto &task : one->book.record(job)->tasks.at(0).at(0))
+                highest = std::max(highest, task.lastRun);
+        }
+        return highest;
+    }
     const std::vector<jobs::noted> &notes() const { return m_notes; }
 
     static constexpr milliseconds Step{10};
@@ -105,9 +128,23 @@
 
     std::int64_t wallMs() const { return millisecondsIn(m_now.time_since_epoch()); }
 
+    void later(milliseconds span, std::function<void()> happen)
+    {
+        if (span == milliseconds(0))
+            return happen();
+        m_onTheWay.emplace(m_now + span, std::move(happen));
+    }
+
+    void arrive()
+    {
+        while (!m_onTheWay.empty() && m_onTheWay.begin()->first <= m_now)
+            m_onTheWay.extract(m_onTheWay.begin()).mapped()();
+    }
+
     void step()
     {
         m_now += Step;
+        arrive();
         for (auto &[name, one] : m_workers) {
             endDue(one);
             startDue(one);
@@ -205,12 +242,21 @@
         told.used = on.table.used();
         told.lasting = on.table.lasting();
         for (auto &one : m_owners) {
-            one->pool.update(told, m_now);
-            for (const auto &end : on.table.endsFor(one->name)) {
-                const auto token = m_nextToken++;
-                one->ends[token] = {name, {end.task, end.run, end.how}};
-                one->book.runEnded(name, end, m_now, token);
-            }
+            later(m_delays.report, [this, &by = *one, told, ends = on.table.endsFor(one->name)] {
+                takeReport(by, told, ends);
+            });
+        }
+    }
+
+    void takeReport(owning_entry &by, const jobs::worker_report &told,
+                    const std::vector<jobs::run_end> &ends)
+    {
+        by.pool.update(told, m_now);
+        by.book.workerTold(told.worker);
+        for (const auto &end : ends) {
+            const auto token = m_nextToken++;
+            by.ends[token] = {told.worker, {end.task, end.run, end.how}};
+            by.book.runEnded(told.worker, end, m_now, token);
         }
     }
 
@@ -228,13 +274,18 @@
 
     void carryOut(owning_entry &by, jobs::write_row &write)
     {
-        by.book.rowWritten(write.job, ++by.version);
+        later(m_delays.write, [&by, job = write.job] { by.book.rowWritten(job, ++by.version); });
     }
     void carryOut(owning_entry &by, jobs::give_order &order)
     {
-        auto &on = m_workers.at(order.worker);
-        on.table.setWorker(on.capacity, jobs::start_readiness::Open);
-        by.book.orderAnswered(order.worker, on.table.take(order.order, by.name, m_now), m_now, 0);
+        later(m_delays.order, [this, &by, given = std::move(order)] {
+            auto &on = m_workers.at(given.worker);
+            on.table.setWorker(on.capacity, jobs::start_readiness::Open);
+            const auto answer = on.table.take(given.order, by.name, m_now);
+            later(m_delays.order, [this, &by, worker = given.worker, answer] {
+                by.book.orderAnswered(worker, answer, m_now, 0);
+            });
+        });
     }
     void carryOut(owning_entry &by, const jobs::stored &done)
     {
@@ -246,7 +297,9 @@
     { }
     void carryOut(owning_entry & /*by*/, jobs::noted &line) { m_notes.push_back(std::move(line)); }
 
+    world_delays m_delays;
     time_point m_now{std::chrono::hours(1)};
+    std::multimap<time_point, std::function<void()>> m_onTheWay; // by when it comes
     std::vector<std::unique_ptr<owning_entry>> m_owners;
     std::map<std::string, modelled_worker> m_workers;
     std::map<std::string, milliseconds> m_runsFor; // by job
--- /dev/null
+++ b/tests/room_on_the_way_test.cpp
@@ -0,0 +1,149 @@
+// Owners that share workers: writes, orders and reports take their time, so that what each knows of
+// the room is a little old.
+#include <algorithm>
+#include <random>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include "busy_site.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using namespace zinniabarrow::tests;
+
+namespace {
+
+constexpr unsigned Seeds = 10;
+constexpr int LastingJobs = 8;
+constexpr int TasksOfEach = 2;
+constexpr world_delays Delays{milliseconds(40), milliseconds(10), milliseconds(10)};
+constexpr milliseconds Turn{10};
+
+// What happened from when the jobs that last came.
+struct told_by_notes
+{
+    int placed = 0;         // short tasks handed in
+    int refused = 0;        // orders, for want of room
+    int refusedLasting = 0; // of these of tasks that last
+    int lastingAtWork = 0;
+    int highestLastingRun = 0;
+
+    told_by_notes &operator+=(const told_by_notes &other)
+    {
+        placed += other.placed;
+        refused += other.refused;
+        refusedLasting += other.refusedLasting;
+        lastingAtWork += other.lastingAtWork;
+        highestLastingRun = std::max(highestLastingRun, other.highestLastingRun);
+        return *this;
+    }
+};
+
+std::string lastingJob(int number)
+{
+    return fmt::format("lasting-{}", number);
+}
+
+class many_owners
+{
+public:
+    // `load`: the share of the workers' processors that short tasks ask for.
+    many_owners(int owners, double load, unsigned seed)
+        : m_owners(owners)
+        , m_load(load)
+        , m_random(seed)
+        , m_world(owners, Delays)
+    {
+        for (int number = 0; number < Workers; ++number)
+            m_world.addWorker({16 * Cores, 64'000, 0});
+        m_world.advance(seconds(1));
+    }
+
+    told_by_notes play()
+    {
+        advance(seconds(2));
+        m_handedIn = 0;
+        const auto notesBefore = m_world.notes().size();
+        for (int number = 0; number < LastingJobs; ++number)
+            m_world.submit(anyOwner(), lastingJob(number), lastingStep(TasksOfEach, 2 * Cores));
+        advance(seconds(3));
+        told_by_notes told;
+        told.placed = m_handedIn;
+        for (auto at = notesBefore; at < m_world.notes().size(); ++at)
+            count(m_world.notes()[at], told);
+        for (int number = 0; number < LastingJobs; ++number) {
+            told.lastingAtWork += m_world.atWork(lastingJob(number));
+            told.highestLastingRun =
+                    std::max(told.highestLastingRun, m_world.highestRun(lastingJob(number)));
+        }
+        return told;
+    }
+
+private:
+    int between(int low, int high)
+    {
+        return std::uniform_int_distribution<int>(low, high)(m_random);
+    }
+    int anyOwner() { return between(0, m_owners - 1); }
+
+    void advance(milliseconds time)
+    {
+        constexpr double Places = Workers * 16 * 2; // for short tasks, half a core each
+        const auto perTurn = m_load * Places * static_cast<double>(Turn.count())
+                             / static_cast<double>(ShortRun.count());
+        for (milliseconds passed{0}; passed < time; passed += Turn) {
+            for (m_owed += perTurn; m_owed > 0;)
+                handIn();
+            m_world.advance(Turn);
+        }
+    }
+
+    void handIn()
+    {
+        const int tasks = between(1, 10);
+        const auto half = static_cast<int>(ShortRun.count() / 2);
+        m_world.submit(anyOwner(), fmt::format("short-{}", m_jobs++), shortStep(tasks),
+                       milliseconds(between(half, 3 * half)));
+        m_owed -= tasks;
+        m_handedIn += tasks;
+    }
+
+    static void count(const jobs::noted &line, told_by_notes &told)
+    {
+        if (line.event != "order_refused" || !line.detail.ends_with("no_room"))
+            return;
+        ++told.refused;
+        told.refusedLasting += line.job.starts_with("lasting") ? 1 : 0;
+    }
+
+    int m_owners;
+    double m_load;
+    std::mt19937 m_random;
+    placement_world m_world;
+    double m_owed = 0; // short tasks
+    int m_jobs = 0;
+    int m_handedIn = 0;
+};
+
+told_by_notes playOf(int owners, double load)
+{
+    told_by_notes told;
+    for (unsigned seed = 1; seed <= Seeds; ++seed)
+        told += many_owners(owners, load, seed).play();
+    return told;
+}
+
+constexpr int AllLasting = static_cast<int>(Seeds) * LastingJobs * TasksOfEach;
+
+} // namespace
+
+// Guards against an owner that forgets what it has placed and its agent has not heard of yet as
+// soon as that agent reports anything.
+Test(room_on_the_way, what_an_owner_has_placed_counts_until_its_agent_answers)
+{
+    const auto told = playOf(1, 0.7);
+    section("the only owner is never refused", [&] { check(told.refused == 0); });
+    section("and all that lasts is at work", [&] { check(told.lastingAtWork == AllLasting); });
+    section("with its first run", [&] { check(told.highestLastingRun == 1); });
+}
