A refusal for want of room holds until the worker's next report

An entry that was refused for want of room gave the same worker the next task as large, by a view that it had just been told to be wrong.

The pool keeps the sizes that an agent had no room for, and sends none as large or larger there before its next report. No change on the wire. tasks_unplaced tells such workers as `refused`, with those that lack room.

room_on_the_way_test a_refusal_holds_until_the_next_report.

--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -253,6 +253,8 @@
     removePlacement(job, answer.task, answer.run);
     changed(id, job);
     const auto &step = stepOf(job, answer.task);
+    if (answer.outcome == order_outcome::NoRoom)
+        m_workers.noteNoRoom(worker, step);
     if (step.gang && answer.kind == order_kind::Start && job.record.isNeeded(*task))
         notStarted(job, worker, answer.task, answer.run);
     note("order_refused", id,
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr name_table<unfit, 12> UnfitNames{{
+constexpr name_table<unfit, 13> UnfitNames{{
         {unfit::No, "fit"},
         {unfit::OtherService, "other_service"},
         {unfit::NotAccepting, "not_accepting"},
@@ -20,6 +20,7 @@
         {unfit::Full, "full"},
         {unfit::MakesLate, "makes_late"},
         {unfit::Avoided, "avoided"},
+        {unfit::Refused, "refused"},
         {unfit::NoProcessors, "no_processors"},
         {unfit::NoMemory, "no_memory"},
         {unfit::NoAccelerators, "no_accelerators"},
@@ -30,7 +31,8 @@
 
 bool lacksRoom(unfit why)
 {
-    return why == unfit::NoProcessors || why == unfit::NoMemory || why == unfit::NoAccelerators;
+    return why == unfit::Refused || why == unfit::NoProcessors || why == unfit::NoMemory
+           || why == unfit::NoAccelerators;
 }
 
 } // namespace
@@ -63,6 +65,7 @@
     view.last = report;
     view.last.ends.clear();
     view.last.progress.clear();
+    view.refused.clear();
     view.heardAt = now;
     view.lateJobs = lateJobsOf(view);
     if (m_service.due(now))
@@ -146,7 +149,15 @@
     constexpr double MostLateJobs = 0.15;
     if (step.fills && patient && lateJobsExpected(view, step) > MostLateJobs)
         return unfit::MakesLate;
-    return roomFor(countedSize(step.size, step.fills), last.capacity, last.used);
+    const auto size = countedSize(step.size, step.fills);
+    const auto room = roomFor(size, last.capacity, last.used);
+    return room == unfit::No && wasRefused(view, size) ? unfit::Refused : room;
+}
+
+bool worker_pool::wasRefused(const worker_view &view, const task_size &size)
+{
+    return std::any_of(view.refused.begin(), view.refused.end(),
+                       [&](const auto &refused) { return refused.fitsInto(size); });
 }
 
 unfit worker_pool::roomFor(const task_size &size, const task_size &capacity, const task_size &used)
@@ -400,4 +411,11 @@
     }
 }
 
+void worker_pool::noteNoRoom(const std::string &worker, const step_spec &step)
+{
+    const auto found = m_workers.find(worker);
+    if (found != m_workers.end())
+        found->second.refused.push_back(countedSize(step.size, step.fills));
+}
+
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -20,6 +20,7 @@
     worker_report last;   // newest report, without ends; `used` grows with own placements
     time_point heardAt{}; // when the report came
     std::optional<agent_clock> clock; // of the agent's present life
+    std::vector<task_size> refused;   // since the report: sizes that its agent had no room for
     std::set<std::string> lateJobs;   // that have a task here over its target, by the report
     int failuresInRow = 0;            // runs that failed since one was done
     time_point setAsideUntil{};       // gets no work before
@@ -50,6 +51,7 @@
     Full,
     MakesLate,
     Avoided, // the caller rules it out
+    Refused, // its agent had no room for as much since its last report
     NoProcessors,
     NoMemory,
     NoAccelerators
@@ -95,6 +97,8 @@
     double usedShare(const std::string &service, time_point now) const;
     // Counts a placement until the next report shows it.
     void reserve(const std::string &worker, const step_spec &step);
+    // The agent refused such a task: until its next report none as large goes there.
+    void noteNoRoom(const std::string &worker, const step_spec &step);
 
     disturbance_model &disturbance() { return m_disturbance; }
 
@@ -103,6 +107,7 @@
     unfit unfitFor(const worker_view &view, const std::string &service, const step_spec &step,
                    bool patient, time_point now) const;
     static unfit roomFor(const task_size &size, const task_size &capacity, const task_size &used);
+    static bool wasRefused(const worker_view &view, const task_size &size);
     static bool hasRoomBesideLasting(const worker_view &view, const step_spec &step);
     static double shareWith(const worker_view &view, const step_spec &step);
     double score(const worker_view &view, const step_spec &step, int together) const;
--- a/tests/room_on_the_way_test.cpp
+++ b/tests/room_on_the_way_test.cpp
@@ -147,3 +147,35 @@
     section("and all that lasts is at work", [&] { check(told.lastingAtWork == AllLasting); });
     section("with its first run", [&] { check(told.highestLastingRun == 1); });
 }
+
+// Guards against orders for a worker that has just said to have no room.
+Test(room_on_the_way, a_refusal_holds_until_the_next_report)
+{
+    time_point now{std::chrono::hours(1)};
+    jobs::worker_report report;
+    report.worker = "w1";
+    report.epoch = 1;
+    report.service = "tickets";
+    report.accepting = true;
+    report.capacity = {16 * Cores, 64'000, 0};
+    jobs::worker_pool pool;
+    pool.update(report, now);
+    const auto choose = [&](const jobs::step_spec &step) {
+        return pool.choose("tickets", step, {}, now).has_value();
+    };
+    pool.noteNoRoom("w1", lastingStep(1, 2 * Cores));
+
+    section("neither for the same size nor for a larger one", [&] {
+        check(!choose(lastingStep(1, 2 * Cores)));
+        check(!choose(lastingStep(1, 3 * Cores)));
+    });
+    section("a smaller one may fit", [&] { check(choose(lastingStep(1, Cores))); });
+    section("the log tells it", [&] {
+        check(pool.whyNobody("tickets", lastingStep(1, 2 * Cores), {}, now)
+                      .starts_with("1 refused, "));
+    });
+    section("the next report is newer", [&] {
+        pool.update(report, now);
+        check(choose(lastingStep(1, 2 * Cores)));
+    });
+}
