Entries that hear the same of the workers don't all choose the same one

Entries hear of the workers at the same time, and each took the one that was best by however little: one task went there, the others were refused, with room elsewhere.

Between workers whose scores differ by less than 0.05 (a quarter of a worker's processors) the task and its run decide. Larger reasons decide as before: distance from data 0.5, a job made late 4.

--- a/libs/jobs/job_book_placing.cpp
+++ b/libs/jobs/job_book_placing.cpp
@@ -2,6 +2,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/core.h>
+
+#include "base/hash.h"
 #include "jobs/job_book.h"
 #include "jobs/urgency.h"
 
@@ -11,6 +14,12 @@
 
 constexpr double MostlyFree = 0.55; // of a service's processors: a little over half
 
+// Another one for each run: a task that was refused tries its luck elsewhere.
+std::uint64_t spreadOf(const task_id &task, int run)
+{
+    return stableHash(fmt::format("{} {}", toText(task), run));
+}
+
 } // namespace
 
 void job_book::placeWaiting(const std::string &id, owned_job &job, time_point now,
@@ -66,6 +75,7 @@
         if (!state.isWaiting())
             continue;
         wish.together = left--;
+        wish.spread = spreadOf(task, state.lastRun + 1);
         const auto worker = chooseFor(m_workers, job, task, step, now, wish);
         if (!worker) {
             waits = true;
@@ -95,7 +105,10 @@
     auto trial = m_workers;
     std::vector<std::string> picks;
     for (int index = 0; index < step.count; ++index) {
-        const auto worker = chooseFor(trial, job, {id, occurrence, stepIndex, index}, step, now);
+        const task_id task{id, occurrence, stepIndex, index};
+        placement_wish wish;
+        wish.spread = spreadOf(task, run);
+        const auto worker = chooseFor(trial, job, task, step, now, wish);
         if (!worker)
             return true;
         trial.reserve(*worker, step);
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/core.h>
 
+#include "base/hash.h"
 #include "base/names.h"
 
 namespace zinniabarrow::jobs {
@@ -29,6 +30,20 @@
 // Of an agent's clock: before any order.
 constexpr std::int64_t LongPast = 1;
 
+// Entries hear the same of the workers at the same time. Where all take the worker that is best by
+// little, all but the first are refused. Less than any single reason for or against a worker.
+double spreadOf(const std::string &worker, std::uint64_t spread)
+{
+    constexpr double Amount = 0.05; // a quarter of a worker's processors
+    constexpr std::uint64_t Parts = 1024;
+    if (spread == 0)
+        return 0;
+    auto mixed = stableHash(worker) ^ (spread * 0x9e3779b97f4a7c15ULL);
+    mixed = (mixed ^ (mixed >> 31)) * 0xbf58476d1ce4e5b9ULL;
+    mixed ^= mixed >> 29;
+    return Amount * static_cast<double>(mixed % Parts) / static_cast<double>(Parts);
+}
+
 bool lacksRoom(unfit why)
 {
     return why == unfit::Refused || why == unfit::NoProcessors || why == unfit::NoMemory
@@ -325,7 +340,7 @@
             continue;
         if (std::find(avoid.begin(), avoid.end(), name) != avoid.end())
             continue;
-        const auto candidate = score(view, step, wish.together);
+        const auto candidate = score(view, step, wish.together) + spreadOf(name, wish.spread);
         if (best != nullptr && candidate <= bestScore)
             continue;
         best = &view;
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -1,6 +1,7 @@
 // What an entry believes of the workers, and which of them a task goes to.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -60,8 +61,9 @@
 
 struct placement_wish
 {
-    int together = 1;    // tasks of the step that wait, this one included
-    bool patient = true; // waits rather than make runs that serve late
+    int together = 1;         // tasks of the step that wait, this one included
+    bool patient = true;      // waits rather than make runs that serve late
+    std::uint64_t spread = 0; // decides between workers that fit about as well; 0: the best
 };
 
 class worker_pool
--- a/tests/room_on_the_way_test.cpp
+++ b/tests/room_on_the_way_test.cpp
@@ -148,6 +148,22 @@
     section("with its first run", [&] { check(told.highestLastingRun == 1); });
 }
 
+// Guards against owners that all take the same worker, and are refused again and again though
+// others have room.
+Test(room_on_the_way, owners_seldom_meet_while_half_of_the_room_is_free)
+{
+    const auto told = playOf(17, 0.5);
+    section("one order in twenty is refused at most", [&] {
+        cr_expect(told.refused * 20 <= told.placed, "%d of %d", told.refused, told.placed);
+    });
+    section("one in five of those of tasks that last", [&] {
+        cr_expect(told.refusedLasting * 5 <= AllLasting, "%d of %d", told.refusedLasting,
+                  AllLasting);
+    });
+    section("and all that lasts is at work",
+            [&] { cr_expect(told.lastingAtWork == AllLasting, "%d", told.lastingAtWork); });
+}
+
 // Guards against orders for a worker that has just said to have no room.
 Test(room_on_the_way, a_refusal_holds_until_the_next_report)
 {
