--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -4,13 +4,14 @@
 
 #include <fmt/core.h>
 
+#include "base/hash.h"
 #include "base/names.h"
 
 namespace zinniabarrow::jobs {
 
 namespace {
 
-constexpr name_table<unfit, 13> UnfitNames{{
+constexpr name_table<unfit, 14> UnfitNames{{
         {unfit::No, "fit"},
         {unfit::OtherService, "other_service"},
         {unfit::NotAccepting, "not_accepting"},
@@ -21,6 +22,7 @@
         {unfit::Full, "full"},
         {unfit::MakesLate, "makes_late"},
         {unfit::Avoided, "avoided"},
+        {unfit::Refused, "refused"},
         {unfit::NoProcessors, "no_processors"},
         {unfit::NoMemory, "no_memory"},
         {unfit::NoAccelerators, "no_accelerators"},
@@ -29,9 +31,24 @@
 // Of an agent's clock: before any order.
 constexpr std::int64_t LongPast = 1;
 
+// Entries hear the same of the workers at the same time. Where all take the worker that is best by
+// little, all but the first are refused. Less than any single reason for or against a worker.
+double spreadOf(const std::string &worker, std::uint64_t spread)
+{
+    constexpr double Amount = 0.05; // a quarter of a worker's processors
+    constexpr std::uint64_t Parts = 1024;
+    if (spread == 0)
+        return 0;
+    auto mixed = stableHash(worker) ^ (spread * 0x9e3779b97f4a7c15ULL);
+    mixed = (mixed ^ (mixed >> 31)) * 0xbf58476d1ce4e5b9ULL;
+    mixed ^= mixed >> 29;
+    return Amount * static_cast<double>(mixed % Parts) / static_cast<double>(Parts);
+}
+
 bool lacksRoom(unfit why)
 {
-    return why == unfit::NoProcessors || why == unfit::NoMemory || why == unfit::NoAccelerators;
+    return why == unfit::Refused || why == unfit::NoProcessors || why == unfit::NoMemory
+           || why == unfit::NoAccelerators;
 }
 
 } // namespace
@@ -64,6 +81,7 @@
     view.last = report;
     view.last.ends.clear();
     view.last.progress.clear();
+    view.refused.clear();
     view.heardAt = now;
     view.lateJobs = lateJobsOf(view);
     if (m_service.due(now))
@@ -149,7 +167,15 @@
     constexpr double MostLateJobs = 0.15;
     if (step.fills && patient && lateJobsExpected(view, step) > MostLateJobs)
         return unfit::MakesLate;
-    return roomFor(countedSize(step.size, step.fills), last.capacity, last.used);
+    const auto size = countedSize(step.size, step.fills);
+    const auto room = roomFor(size, last.capacity, last.used);
+    return room == unfit::No && wasRefused(view, size) ? unfit::Refused : room;
+}
+
+bool worker_pool::wasRefused(const worker_view &view, const task_size &size)
+{
+    return std::any_of(view.refused.begin(), view.refused.end(),
+                       [&](const auto &refused) { return refused.fitsInto(size); });
 }
 
 unfit worker_pool::roomFor(const task_size &size, const task_size &capacity, const task_size &used)
@@ -317,7 +343,7 @@
             continue;
         if (std::find(avoid.begin(), avoid.end(), name) != avoid.end())
             continue;
-        const auto candidate = score(view, step, wish.together);
+        const auto candidate = score(view, step, wish.together) + spreadOf(name, wish.spread);
         if (best != nullptr && candidate <= bestScore)
             continue;
         best = &view;
@@ -403,4 +429,11 @@
     }
 }
 
+void worker_pool::noteNoRoom(const std::string &worker, const step_spec &step)
+{
+    const auto found = m_workers.find(worker);
+    if (found != m_workers.end())
+        found->second.refused.push_back(countedSize(step.size, step.fills));
+}
+
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -1,6 +1,7 @@
 // What an entry believes of the workers, and which of them a task goes to.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -21,6 +22,7 @@
     worker_report last;   // newest report, without ends; `used` grows with own placements
     time_point heardAt{}; // when the report came
     std::optional<agent_clock> clock; // of the agent's present life
+    std::vector<task_size> refused;   // since the report: sizes that its agent had no room for
     std::set<std::string> lateJobs;   // that have a task here over its target, by the report
     int failuresInRow = 0;            // runs that failed since one was done
     time_point setAsideUntil{};       // gets no work before
@@ -52,6 +54,7 @@
     Full,
     MakesLate,
     Avoided, // the caller rules it out
+    Refused, // its agent had no room for as much since its last report
     NoProcessors,
     NoMemory,
     NoAccelerators
@@ -60,8 +63,9 @@
 
 struct placement_wish
 {
-    int together = 1;    // tasks of the step that wait, this one included
-    bool patient = true; // waits rather than make runs that serve late
+    int together = 1;         // tasks of the step that wait, this one included
+    bool patient = true;      // waits rather than make runs that serve late
+    std::uint64_t spread = 0; // decides between workers that fit about as well; 0: the best
 };
 
 class worker_pool
@@ -100,6 +104,8 @@
     double usedShare(const std::string &service, time_point now) const;
     // Counts a placement until the next report shows it.
     void reserve(const std::string &worker, const step_spec &step);
+    // The agent refused such a task: until its next report none as large goes there.
+    void noteNoRoom(const std::string &worker, const step_spec &step);
 
     disturbance_model &disturbance() { return m_disturbance; }
 
@@ -108,6 +114,7 @@
     unfit unfitFor(const worker_view &view, const std::string &service, const step_spec &step,
                    bool patient, time_point now) const;
     static unfit roomFor(const task_size &size, const task_size &capacity, const task_size &used);
+    static bool wasRefused(const worker_view &view, const task_size &size);
     static bool hasRoomBesideLasting(const worker_view &view, const step_spec &step);
     static double shareWith(const worker_view &view, const step_spec &step);
     double score(const worker_view &view, const step_spec &step, int together) const;
