cancel_test asks which worker has the task

"The owner can't be asked, and writes beside the cancel" told progress from w1, as the first of two equal workers had the first task. Which of them has it is open now, and progress of a run that isn't there plants nothing: the case failed (lines 372, 374). It asks the worker that runs the task, and ends if none does. Nothing is asked less.

--- a/tests/cancel_test.cpp
+++ b/tests/cancel_test.cpp
@@ -362,6 +362,15 @@
         return sum;
     }
 
+    std::string workerOf(const task_id &task) const
+    {
+        const auto found = std::find_if(agents.begin(), agents.end(), [&](const auto &entry) {
+            return entry.second.worker.running.contains({task, 1});
+        });
+        require(found != agents.end());
+        return found->first;
+    }
+
     // From the end of the bound on, nothing of the job runs and nothing starts.
     void checkHolds()
     {
@@ -422,7 +431,8 @@
          [](scene &on) {
              on.submitAndRun();
              on.first.writeTakes = milliseconds(400);
-             on.first.book.progressed("w1", {{Job, 0, 0, 0}, 1, "0001"});
+             const task_id task{Job, 0, 0, 0};
+             on.first.book.progressed(on.workerOf(task), {task, 1, "0001"});
              on.run(milliseconds(100));
              on.cancelInRow();
          }},
