--- a/standins/job_site.cpp
+++ b/standins/job_site.cpp
@@ -71,15 +71,7 @@
 
     void loseAnswers(int writes) { m_loseAnswers = writes; }
     void turnAway(bool all) { m_turnAway = all; }
-    bool feedIsDue(const http_request &request) const
-    {
-        for (const auto &[name, row] : m_rows) {
-            if (name.starts_with(request.query("table") + "|")
-                && row["ver"].asInt64() > std::stoll(request.query("after")))
-                return true;
-        }
-        return false;
-    }
+    bool feedIsDue(const http_request &request) const { return !changes(request).empty(); }
 
 private:
     static std::string nameOf(const Json::Value &row)
@@ -105,9 +97,14 @@
         for (auto row : body["set-keys"]) {
             row["ver"] = Json::Int64(m_version);
             m_rows[nameOf(row)] = row;
+            m_removed.erase(nameOf(row));
         }
-        for (const auto &row : body["remove"])
+        for (auto row : body["remove"]) {
+            row["ver"] = Json::Int64(m_version);
+            row["removed"] = true;
             m_rows.erase(nameOf(row));
+            m_removed[nameOf(row)] = row;
+        }
         loseAnswer = m_loseAnswers > 0 && m_loseAnswers-- > 0;
         return json(200, versioned());
     }
@@ -142,16 +139,26 @@
     http_response feed(const http_request &request) const
     {
         auto answer = versioned();
-        answer["rows"] = Json::Value(Json::arrayValue);
-        for (const auto &[name, row] : m_rows) {
-            if (name.starts_with(request.query("table") + "|")
-                && row["ver"].asInt64() > std::stoll(request.query("after")))
-                answer["rows"].append(row);
-        }
+        answer["rows"] = changes(request);
         return json(200, answer);
     }
 
+    Json::Value changes(const http_request &request) const
+    {
+        const auto prefix = request.query("table") + "|";
+        const auto after = std::stoll(request.query("after"));
+        Json::Value rows(Json::arrayValue);
+        for (const auto *kept : {&m_rows, &m_removed}) {
+            for (const auto &[name, row] : *kept) {
+                if (name.starts_with(prefix) && row["ver"].asInt64() > after)
+                    rows.append(row);
+            }
+        }
+        return rows;
+    }
+
     std::map<std::string, Json::Value> m_rows;
+    std::map<std::string, Json::Value> m_removed; // the feed tells them
     std::int64_t m_version = 1;
     int m_loseAnswers = 0;
     bool m_turnAway = false;
@@ -483,6 +490,7 @@
     void comeBack(std::size_t index)
     {
         workers.at(index)->comeBack();
+        announced.erase(workers.at(index)->id());
         listeners.at(1 + index) = listenFor(index);
     }
 
@@ -495,7 +503,7 @@
         body["state"] = "ready";
         if (worker.tellsBirth)
             body["born"] = Json::Int64(worker.born());
-        body["seq"] = ++sequence;
+        body["seq"] = ++announced[worker.id()];
         body["capacity"]["cpu"] = Json::Int64(worker.millicores());
         body["capacity"]["mem-mb"] = 64'000;
         body["labels"].append("a");
@@ -517,7 +525,7 @@
     std::vector<std::unique_ptr<net::http_listener>> listeners;
     std::vector<socket_address> addresses; // where each worker listens
     std::vector<std::string> agents;       // where each worker announces itself
-    int sequence = 0;
+    std::map<std::string, int> announced; // times, by worker, in its present life
     std::size_t departing = 0;  // worker that goes
     std::string departingLease; // when this lease is written next; empty: none does
     std::string heldLease;      // answers to writes of it are held,
--- a/tests/job_system.h
+++ b/tests/job_system.h
@@ -247,22 +247,44 @@
                                   routes.empty() ? "" : ",", process, address(process));
         }
         const auto text = fmt::format(R"({{"version":{},"routes":[{}]}})", version, routes);
-        http_request request;
-        request.method = "POST";
-        request.target = "/-/rows-tx";
+        auto row = operatorsRow("config");
+        row["value"] = base64(text);
+        writeAsOperator("set-keys", row);
+    }
+
+    void emptyZone(const std::string &zone)
+    {
+        auto row = operatorsRow("evacuate/" + zone);
+        row["value"] = base64("{}");
+        writeAsOperator("set-keys", row);
+    }
+    void takeZoneBack(const std::string &zone)
+    {
+        writeAsOperator("remove", operatorsRow("evacuate/" + zone));
+    }
+
+private:
+    static Json::Value operatorsRow(const std::string &key)
+    {
         Json::Value row(Json::objectValue);
         row["table"] = "op";
         row["part"] = "";
-        row["key"] = "config";
-        row["value"] = base64(text);
+        row["key"] = key;
+        return row;
+    }
+
+    static void writeAsOperator(const char *how, const Json::Value &row)
+    {
+        http_request request;
+        request.method = "POST";
+        request.target = "/-/rows-tx";
         Json::Value body(Json::objectValue);
-        body["set-keys"].append(row);
+        body[how].append(row);
         request.body = compactJson(body);
         http_pool pool(parseAddress(at(0, 9000)));
         pool.call(request, monotonic_clock::now() + seconds(5));
     }
 
-private:
     static std::string base64(const std::string &text)
     {
         constexpr const char *Letters =
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -306,6 +306,28 @@
     checkNothingWrong(on, on.site());
 }
 
+// Operators empty a zone, and tasks go on being started there. Every worker is in it: a job that
+// comes meanwhile waits, and runs once the zone is taken back.
+Test(process_jobs, a_zone_that_is_emptied)
+{
+    system_under_test on;
+    on.emptyZone("kartli-a");
+    section("agents hear of it through the entries", [&] {
+        for (const int agent : {0, 1})
+            check(waitUntil([&] { return on.agentSaid(agent, "zone_evacuated"); }, SoonEnough));
+    });
+    require(on.handIn(0, "abab000000000003"));
+    section("a job waits, and its owner says for which reason", [&] {
+        check(waitUntil([&] { return on.wrote("entry", 0, "2 evacuated"); }, SoonEnough));
+        check(on.site().starts() == 0);
+    });
+    section("it runs once the zone is taken back", [&] {
+        on.takeZoneBack("kartli-a");
+        check(on.reaches(0, "abab000000000003", "completed"));
+    });
+    checkNothingWrong(on, on.site());
+}
+
 // A caller cancels its job and is told that it is cancelled, and then no entry lives any more that
 // could tell the agents: the owner was frozen before, and the one that wrote the cancel for it
 // dies. What runs would run on as long as the agents renew their leases, which needs no entry. So
