What has ended, or was given long ago, takes no room at its worker any more

A report that was dropped as one of an earlier life counted all starts once more. A start whose answer was lost counted twice for as long as answers were late. A refusal shut a worker whose newer report had overtaken it.

Starts on their way are kept by worker, counted after ends and epochs, and for 700 ms from when they were given, since an order holds no longer. A refusal holds only for the report by which the order was given.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -332,7 +332,6 @@
                                        {"accepting", report.accepting ? "yes" : "no"}});
         }
         const bool livesAnew = m_pool.update(report, now) && report.epoch > 0;
-        m_book->workerTold(report.worker);
         for (const auto &progress : report.progress)
             m_book->progressed(report.worker, progress);
         for (const auto &run : report.started)
@@ -352,6 +351,8 @@
         // After the ends: those of the epoch before end their own placements.
         if (livesAnew)
             m_book->workerRenewed(report.worker, report.epoch, now);
+        if (m_pool.find(report.worker)->last.agentLife == report.agentLife)
+            m_book->workerTold(report.worker, now);
         if (state->open == 0)
             answerReport(*state);
         else
--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -235,6 +235,8 @@
     const auto &id = found->first;
     auto &job = found->second;
     const std::pair key{answer.task, answer.run};
+    const auto order = job.starts.find(key);
+    const auto givenBy = order == job.starts.end() ? time_point{} : order->second.heardAt;
     // The life that answered is over, and took what it was told along. An owner that was frozen
     // reads what came meanwhile in any order.
     if (isGivenAgain(answer.outcome) || !isOfThePresentLife(worker, agentLife))
@@ -254,7 +256,7 @@
     changed(id, job);
     const auto &step = stepOf(job, answer.task);
     if (answer.outcome == order_outcome::NoRoom)
-        m_workers.noteNoRoom(worker, step);
+        m_workers.noteNoRoom(worker, step, givenBy);
     if (step.gang && answer.kind == order_kind::Start && job.record.isNeeded(*task))
         notStarted(job, worker, answer.task, answer.run);
     note("order_refused", id,
@@ -285,17 +287,30 @@
     m_ordering.insert(found->first);
 }
 
-void job_book::workerTold(const std::string &worker)
+void job_book::workerTold(const std::string &worker, time_point now)
 {
-    for (const auto &id : m_ordering) {
-        const auto found = m_jobs.find(id);
-        if (found == m_jobs.end())
-            continue;
-        for (const auto &[key, order] : found->second.starts) {
-            if (order.reserves && order.worker == worker)
-                m_workers.reserve(worker, stepOf(found->second, key.first));
-        }
-    }
+    const auto found = m_onTheWay.find(worker);
+    if (found == m_onTheWay.end())
+        return;
+    auto &starts = found->second;
+    std::erase_if(starts, [&](const auto &start) { return !isOnTheWay(worker, start, now); });
+    for (const auto &[task, run] : starts)
+        m_workers.reserve(worker, stepOf(m_jobs.at(task.job), task));
+    if (starts.empty())
+        m_onTheWay.erase(found);
+}
+
+bool job_book::isOnTheWay(const std::string &worker, const std::pair<task_id, int> &start,
+                          time_point now) const
+{
+    const auto job = m_jobs.find(start.first.job);
+    if (job == m_jobs.end())
+        return false;
+    const auto order = job->second.starts.find(start);
+    if (order == job->second.starts.end() || order->second.worker != worker)
+        return false;
+    const auto givenAt = order->second.givenAt;
+    return givenAt == time_point{} || now - givenAt < m_settings.onTheWay;
 }
 
 const step_spec &job_book::stepOf(const owned_job &job, const task_id &task)
@@ -353,6 +368,9 @@
             // One that is being stopped is not started beside that: its gang misses a member.
             const bool mayRun = job.record.isNeeded(state) && !job.stops.contains(key);
             (mayRun ? job.starts : job.stops)[key] = {worker, job.revision, false, now};
+            // What runs there is in the report already.
+            if (const auto placed = m_onTheWay.find(worker); placed != m_onTheWay.end())
+                placed->second.erase(key);
         }
     });
     m_ordering.insert(id);
@@ -490,6 +508,12 @@
     return order;
 }
 
+time_point job_book::heardOf(const std::string &worker) const
+{
+    const auto *view = m_workers.find(worker);
+    return view == nullptr ? time_point{} : view->heardAt;
+}
+
 // True while some order of the job still has no answer.
 bool job_book::giveDueOrders(const std::string &id, owned_job &job, time_point now)
 {
@@ -504,6 +528,7 @@
             if (where.run != key.second)
                 continue;
             order.out = true;
+            order.heardAt = heardOf(where.worker);
             tellUnanswered(id, key.first, key.second, order, now);
             m_actions.emplace_back(
                     give_order{where.worker, startOrder(job, key.first, where, now)});
--- a/libs/jobs/job_book.h
+++ b/libs/jobs/job_book.h
@@ -63,6 +63,8 @@
     // An order without an answer is given again after this: an agent answers in milliseconds, and
     // the same order twice is one start.
     milliseconds repeatOrder{300};
+    // A start that was given so long ago is in its worker's reports, or takes no effect any more.
+    milliseconds onTheWay{700};
     // What fills waits so long for a worker where it harms nobody. A job that has waited this long
     // is late for certain, and must not make others late for that. Callers take a job of which
     // nothing runs for 3 s for lost where most of the service is free.
@@ -118,8 +120,9 @@
     void orderAnswered(const std::string &worker, const order_answer &answer, time_point now,
                        std::int64_t agentLife);
     void orderUnanswered(const std::string &worker, const task_id &task, int run, time_point now);
-    // The pool has a new report of the worker, which does not count what is on its way there.
-    void workerTold(const std::string &worker);
+    // The pool has a new report of the worker, which does not count what is on its way there. After
+    // the ends that came with it, and after `workerRenewed`: what they end takes no room.
+    void workerTold(const std::string &worker, time_point now);
     // The agent lives anew, or the worker does: placements of older epochs have ended, orders of
     // the present one are given again.
     void workerRenewed(const std::string &worker, std::int64_t epoch, time_point now);
@@ -150,9 +153,9 @@
         std::int64_t revision = 0; // given once this revision is stored
         bool out = false;          // given, no answer yet
         time_point repeatAt{};
-        time_point givenAt{};  // first
-        time_point tellAt{};   // the log, that there is no answer
-        bool reserves = false; // its worker may not count it yet
+        time_point givenAt{}; // first
+        time_point tellAt{};  // the log, that there is no answer
+        time_point heardAt{}; // the report of its worker that it was last given by
     };
 
     struct waiting_step
@@ -227,6 +230,9 @@
     static void stopPlaced(owned_job &job, const task_id &task, const placement &where);
     static void avoid(owned_job &job, const task_id &task, const std::string &worker);
     static void removePlacement(owned_job &job, const task_id &task, int run);
+    time_point heardOf(const std::string &worker) const;
+    bool isOnTheWay(const std::string &worker, const std::pair<task_id, int> &start,
+                    time_point now) const;
     static const step_spec &stepOf(const owned_job &job, const task_id &task);
     static bool isPlacedOn(const task_state &task, const std::string &worker, int run);
     void placeWaiting(const std::string &id, owned_job &job, time_point now, std::int64_t wallMs);
@@ -269,10 +275,13 @@
     worker_pool &m_workers;
     book_settings m_settings;
     std::map<std::string, owned_job> m_jobs;
-    std::set<std::string> m_waiting;           // jobs of which a task may be placed
-    std::set<std::string> m_touched;           // changed since the last plan
-    std::vector<std::string> m_completed;      // the log is not told of their course yet
-    std::set<std::string> m_ordering;          // with orders that have no answer yet
+    std::set<std::string> m_waiting;      // jobs of which a task may be placed
+    std::set<std::string> m_touched;      // changed since the last plan
+    std::vector<std::string> m_completed; // the log is not told of their course yet
+    std::set<std::string> m_ordering;     // with orders that have no answer yet
+    // By worker: starts that it may not count yet. Those that were settled meanwhile are left out
+    // as its next report comes.
+    std::map<std::string, std::set<std::pair<task_id, int>>> m_onTheWay;
     time_point m_tellServedAt{};               // the log, which jobs are not served in full
     time_point m_lookStandingAt{};             // for tasks that stand still
     std::map<std::string, time_point> m_begun; // jobs whose rows don't say so yet; write it then
--- a/libs/jobs/job_book_placing.cpp
+++ b/libs/jobs/job_book_placing.cpp
@@ -135,9 +135,8 @@
     state.placements.push_back({worker, told.epoch, run, told.agentLife});
     m_workers.reserve(worker, step);
     changed(id, job);
-    auto &order = job.starts[{task, run}];
-    order = {worker, job.revision, false, {}};
-    order.reserves = true;
+    job.starts[{task, run}] = {worker, job.revision, false, {}};
+    m_onTheWay[worker].emplace(task, run);
     m_ordering.insert(id);
 }
 
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -429,10 +429,11 @@
     }
 }
 
-void worker_pool::noteNoRoom(const std::string &worker, const step_spec &step)
+void worker_pool::noteNoRoom(const std::string &worker, const step_spec &step,
+                             time_point reportCame)
 {
     const auto found = m_workers.find(worker);
-    if (found != m_workers.end())
+    if (found != m_workers.end() && found->second.heardAt == reportCame)
         found->second.refused.push_back(countedSize(step.size, step.fills));
 }
 
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -104,8 +104,9 @@
     double usedShare(const std::string &service, time_point now) const;
     // Counts a placement until the next report shows it.
     void reserve(const std::string &worker, const step_spec &step);
-    // The agent refused such a task: until its next report none as large goes there.
-    void noteNoRoom(const std::string &worker, const step_spec &step);
+    // The agent refused such a task, which was sent there by the report that came then: until its
+    // next report none as large goes there. A report that has come since knows better.
+    void noteNoRoom(const std::string &worker, const step_spec &step, time_point reportCame);
 
     disturbance_model &disturbance() { return m_disturbance; }
 
--- a/tests/order_model.h
+++ b/tests/order_model.h
@@ -1097,7 +1097,6 @@
                     const jobs::worker_report &told, const std::shared_ptr<bool> &answered)
     {
         const bool livesAnew = entry.pool->update(told, m_now) && told.epoch > 0;
-        entry.book->workerTold(told.worker);
         for (const auto &run : told.started)
             entry.book->runStarted(run, m_now);
         const bool inTime = !std::exchange(*answered, true);
@@ -1105,6 +1104,8 @@
             takeEnd(entry, agent, life, end, inTime);
         if (livesAnew)
             entry.book->workerRenewed(told.worker, told.epoch, m_now);
+        if (entry.pool->find(told.worker)->last.agentLife == told.agentLife)
+            entry.book->workerTold(told.worker, m_now);
         if (inTime && agent.lives && agent.life == life)
             agent.table.startsTold(told.started, entry.name);
         pump(entry);
--- a/tests/placement_world.h
+++ b/tests/placement_world.h
@@ -252,12 +252,12 @@
                     const std::vector<jobs::run_end> &ends)
     {
         by.pool.update(told, m_now);
-        by.book.workerTold(told.worker);
         for (const auto &end : ends) {
             const auto token = m_nextToken++;
             by.ends[token] = {told.worker, {end.task, end.run, end.how}};
             by.book.runEnded(told.worker, end, m_now, token);
         }
+        by.book.workerTold(told.worker, m_now);
     }
 
     // Plans until nothing is left to be done: writes and orders are answered at once.
--- a/tests/room_on_the_way_test.cpp
+++ b/tests/room_on_the_way_test.cpp
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include "busy_site.h"
+#include "jobs/job_book.h"
 #include "section.h"
 
 using namespace zinniabarrow;
@@ -179,7 +180,7 @@
     const auto choose = [&](const jobs::step_spec &step) {
         return pool.choose("tickets", step, {}, now).has_value();
     };
-    pool.noteNoRoom("w1", lastingStep(1, 2 * Cores));
+    pool.noteNoRoom("w1", lastingStep(1, 2 * Cores), pool.find("w1")->heardAt);
 
     section("neither for the same size nor for a larger one", [&] {
         check(!choose(lastingStep(1, 2 * Cores)));
@@ -191,7 +192,114 @@
                       .starts_with("1 refused, "));
     });
     section("the next report is newer", [&] {
+        now += milliseconds(10);
         pool.update(report, now);
         check(choose(lastingStep(1, 2 * Cores)));
     });
+    section("so is one that has overtaken the refusal", [&] {
+        pool.noteNoRoom("w1", lastingStep(1, 2 * Cores), now - milliseconds(10));
+        check(choose(lastingStep(1, 2 * Cores)));
+    });
+}
+
+namespace {
+
+// One owner and one worker, by hand.
+struct one_worker
+{
+    jobs::worker_pool pool;
+    jobs::job_book book{{"entry-a", 1}, pool};
+    time_point now{std::chrono::hours(1)};
+    std::vector<jobs::give_order> orders;
+    std::vector<std::string> unwritten;
+    std::int64_t version = 1;
+
+    one_worker()
+    {
+        takeReport(report());
+        jobs::job_spec spec;
+        spec.steps = {shortStep(8)};
+        spec.steps[0].fills = false;
+        spec.steps[0].size = {2 * Cores, 100, 0};
+        jobs::queue_policy policy;
+        policy.service = "tickets";
+        book.submit("job", spec, policy, 1000, now, 1);
+        turn();
+        for (const auto &id : std::exchange(unwritten, {}))
+            book.rowWritten(id, ++version);
+        turn();
+        require(orders.size() == 8);
+        require(used() == 16 * Cores);
+    }
+
+    static jobs::worker_report report(std::int64_t epoch = 1, std::int64_t agentLife = 5)
+    {
+        jobs::worker_report told;
+        told.worker = "w1";
+        told.agentLife = agentLife;
+        told.epoch = epoch;
+        told.service = "tickets";
+        told.accepting = true;
+        told.capacity = {16 * Cores, 64'000, 0};
+        return told;
+    }
+
+    // In the order in which an entry takes it.
+    void takeReport(const jobs::worker_report &told)
+    {
+        const bool livesAnew = pool.update(told, now) && told.epoch > 0;
+        for (const auto &end : told.ends)
+            book.runEnded(told.worker, end, now, 1);
+        if (livesAnew)
+            book.workerRenewed(told.worker, told.epoch, now);
+        book.workerTold(told.worker, now);
+    }
+
+    void turn()
+    {
+        book.plan(now, 1000);
+        for (auto &action : book.takeActions()) {
+            if (auto *order = std::get_if<jobs::give_order>(&action))
+                orders.push_back(*order);
+            if (auto *write = std::get_if<jobs::write_row>(&action))
+                unwritten.push_back(write->job);
+        }
+    }
+
+    std::int64_t used() const { return pool.find("w1")->last.used.millicores; }
+};
+
+} // namespace
+
+// Guards against an empty worker that counts as full: of what has ended, or is counted twice.
+Test(room_on_the_way, what_no_longer_is_on_its_way_takes_no_room)
+{
+    section("until it is answered it does", [] {
+        one_worker on;
+        on.takeReport(one_worker::report());
+        check(on.used() == 16 * Cores);
+    });
+    section("a new epoch has ended what was placed by the old one", [] {
+        one_worker on;
+        on.takeReport(one_worker::report(2));
+        check(on.used() == 0);
+    });
+    section("so does an end that comes before the answer", [] {
+        one_worker on;
+        auto told = one_worker::report();
+        for (const auto &order : on.orders)
+            told.ends.push_back({1, order.order.task, order.order.run, jobs::end_kind::Done, ""});
+        on.takeReport(told);
+        check(on.used() == 0);
+    });
+    section("given long ago, it is in the report or starts no more", [] {
+        one_worker on;
+        on.now += seconds(1);
+        auto told = one_worker::report();
+        told.used = {16 * Cores, 800, 0};
+        for (int round = 0; round < 3; ++round) {
+            on.takeReport(told);
+            check(on.used() == 16 * Cores);
+        }
+    });
 }
