--- a/standins/job_site.cpp
+++ b/standins/job_site.cpp
@@ -525,11 +525,11 @@
     std::vector<std::unique_ptr<net::http_listener>> listeners;
     std::vector<socket_address> addresses; // where each worker listens
     std::vector<std::string> agents;       // where each worker announces itself
-    std::map<std::string, int> announced; // times, by worker, in its present life
-    std::size_t departing = 0;  // worker that goes
-    std::string departingLease; // when this lease is written next; empty: none does
-    std::string heldLease;      // answers to writes of it are held,
-    time_point heldUntil{};     // until then
+    std::map<std::string, int> announced;  // times, by worker, in its present life
+    std::size_t departing = 0;             // worker that goes
+    std::string departingLease;            // when this lease is written next; empty: none does
+    std::string heldLease;                 // answers to writes of it are held,
+    time_point heldUntil{};                // until then
     std::thread thread;
 };
 
