--- a/libs/jobs/job_book.cpp
+++ b/libs/jobs/job_book.cpp
@@ -502,7 +502,7 @@
     order.holdsUntilMs = m_workers.orderHoldsUntil(where.worker, where.agentLife, now);
     order.payload = job.payload;
     order.checkpoint = job.record.find(task)->checkpoint;
-    const auto &step = job.record.steps[static_cast<std::size_t>(task.step)];
+    const auto &step = stepOf(job, task);
     order.traits = traitsOf(step);
     order.tellsStart = !job.record.begun;
     return order;
--- a/libs/jobs/job_book_ends.cpp
+++ b/libs/jobs/job_book_ends.cpp
@@ -34,7 +34,7 @@
                             const run_end &end, time_point now)
 {
     auto &task = *job.record.find(end.task);
-    const auto &step = job.record.steps[static_cast<std::size_t>(end.task.step)];
+    const auto &step = stepOf(job, end.task);
     const auto ran = takeRunTime(job, end, now);
     m_workers.noteEnd(worker, end.how, slownessOf(ran, step), now);
     removePlacement(job, end.task, end.run);
@@ -67,7 +67,7 @@
                              const run_end &end, time_point now)
 {
     auto &task = *job.record.find(end.task);
-    const auto &step = job.record.steps[static_cast<std::size_t>(end.task.step)];
+    const auto &step = stepOf(job, end.task);
     const bool isNews = std::erase(task.unheard, end.run) > 0;
     const bool finishes = end.how == end_kind::Done && !step.lasting;
     note(finishes || isNews ? "run_ended_late" : "run_ended_again", id,
@@ -86,7 +86,7 @@
 void job_book::applyEnd(const std::string &id, owned_job &job, const std::string &worker,
                         const run_end &end, const std::optional<milliseconds> &ran)
 {
-    const auto &step = job.record.steps[static_cast<std::size_t>(end.task.step)];
+    const auto &step = stepOf(job, end.task);
     changed(id, job);
     if (end.how == end_kind::Done && !step.lasting)
         finishTask(id, job, end.task, end.run, step);
@@ -171,7 +171,7 @@
 // The run never starts there. The other members of its gang would wait for it in vain.
 void job_book::notStarted(owned_job &job, const std::string &worker, const task_id &task, int run)
 {
-    const auto &step = job.record.steps[static_cast<std::size_t>(task.step)];
+    const auto &step = stepOf(job, task);
     if (!step.gang)
         return avoid(job, task, worker);
     std::vector<std::pair<task_id, placement>> others;
--- a/libs/jobs/job_book_standing.cpp
+++ b/libs/jobs/job_book_standing.cpp
@@ -45,7 +45,7 @@
         return standing_reason::WorkerUnheard;
     if (where.epoch < m_workers.find(where.worker)->last.epoch)
         return standing_reason::EarlierEpoch;
-    const auto &step = job.record.steps[static_cast<std::size_t>(task.step)];
+    const auto &step = stepOf(job, task);
     const bool isTold = step.targetMs > 0; // reports tell of no others
     if (isTold && servingAt(task.job, where.worker) < placedAt(job, where.worker))
         return standing_reason::NotAtWork;
@@ -128,7 +128,7 @@
                                        time_point now) const
 {
     if (why == standing_reason::NoWorker) {
-        const auto &step = job.record.steps[static_cast<std::size_t>(task.step)];
+        const auto &step = stepOf(job, task);
         return fmt::format(
                 "{}, after run {}; {}", nameOf(why), state.lastRun,
                 m_workers.whyNobody(job.record.policy.service, step, fullOf(job, task, step), now));
