The daemons of jobs count their traffic by kind of message

Cause: an entry's link is full on the large deployment, and nothing told by what. Change: http_client and http_listener tell an observer each exchange's bytes; traffic_meter adds them up by kind for metrics and the log line 'traffic'.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -11,6 +11,7 @@
 #include "app/shutdown_driver.h"
 #include "app/store_client.h"
 #include "app/table_follower.h"
+#include "app/traffic_meter.h"
 #include "app/worker_calls.h"
 #include "app/worker_clock.h"
 #include "app/worker_presence.h"
@@ -42,6 +43,7 @@
 // Lets one answer of the store contain many cancellations; they have to take effect within 3 s.
 constexpr milliseconds CancelsBatchDelay{1000};
 constexpr milliseconds LogFlushInterval{100};
+constexpr milliseconds TrafficLogInterval{10'000};
 constexpr milliseconds FinishLimit{300}; // the final write of the lease takes about 15 ms
 // Time limit for telling the entries, and writing to the lease row, that the runs of a leaving
 // worker have ended.
@@ -58,7 +60,7 @@
         : m_settings(std::move(settings))
         , m_loop([this] { m_shutdown.begin(); })
         , m_log("agent", m_settings.id)
-        , m_client(m_loop, clientLimits())
+        , m_client(m_loop, clientLimits(), m_traffic.observer(traffic_kind::Worker))
         , m_store(
                   m_loop, m_client, m_settings.storeAddress,
                   [this] { return m_reportSender.relayAddresses(); }, m_metrics, m_log)
@@ -75,20 +77,25 @@
         , m_workerCalls(workerCallsDependencies(),
                         {[this] { executeDueActions(); },
                          [this](auto samples) { m_reportSender.addSamples(std::move(samples)); }})
-        , m_internalListener(m_loop, m_settings.internalAddress, {},
-                             [this](http_request request, responder respond) {
-                                 serveInternal(std::move(request), std::move(respond));
-                             })
-        , m_workerListener(m_loop, m_settings.announcementsAddress, {},
-                           [this](const http_request &request, const responder &respond) {
-                               serveWorker(request, respond);
-                           })
+        , m_internalListener(
+                  m_loop, m_settings.internalAddress, {},
+                  [this](http_request request, responder respond) {
+                      serveInternal(std::move(request), std::move(respond));
+                  },
+                  m_traffic.observer(traffic_kind::Other))
+        , m_workerListener(
+                  m_loop, m_settings.announcementsAddress, {},
+                  [this](const http_request &request, const responder &respond) {
+                      serveWorker(request, respond);
+                  },
+                  m_traffic.observer(traffic_kind::Worker))
     { }
 
     void run()
     {
         m_log.writeAlways("started", {{"internal", toText(m_settings.internalAddress)}});
         m_loop.runEvery(LogFlushInterval, [this] { m_log.flush(); });
+        m_loop.runEvery(TrafficLogInterval, [this] { logTraffic(); });
         m_loop.runEvery(ActionInterval, [this] { executeDueActions(); });
         m_loop.runEvery(ReportInterval, [this] { m_reportSender.sendPeriodicReports(); });
         m_loop.runEvery(LeaseRenewInterval,
@@ -109,6 +116,20 @@
     }
 
 private:
+    std::string metricsText()
+    {
+        m_traffic.publish(m_metrics);
+        return m_metrics.text();
+    }
+
+    void logTraffic()
+    {
+        m_log.writeEvent("traffic", {{"largest", nameOf(m_traffic.largestKind())},
+                                     {"bytes_by_kind", m_traffic.summary()},
+                                     {"sent_bytes", m_traffic.sentBytes()},
+                                     {"received_bytes", m_traffic.receivedBytes()}});
+    }
+
     // All tasks of a job's step are started at the same time, and each new connection costs the
     // worker time, so many idle connections are kept.
     static net::client_limits clientLimits()
@@ -370,7 +391,7 @@
     {
         const auto path = request.path();
         if (path == "/metrics")
-            return respond({200, {{"Content-Type", "text/plain"}}, m_metrics.text()});
+            return respond({200, {{"Content-Type", "text/plain"}}, metricsText()});
         if (path.starts_with(StoreRelayPath) && m_shutdown.hasGivenUp())
             return respond({503, {}, ""}); // 503: the call was not executed
         if (path.starts_with(StoreRelayPath))
@@ -506,6 +527,7 @@
     net::event_loop m_loop;
     event_log m_log;
     metrics m_metrics;
+    traffic_meter m_traffic;
     net::http_client m_client;
     store_client m_store;
     table_follower m_entriesFollower;
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -18,6 +18,7 @@
 #include "app/shutdown_driver.h"
 #include "app/store_client.h"
 #include "app/table_follower.h"
+#include "app/traffic_meter.h"
 #include "base/errors.h"
 #include "jobs/job_controller.h"
 #include "net/http_listener.h"
@@ -42,6 +43,7 @@
 constexpr milliseconds ReportAnswerTimeout{1500};
 constexpr shutdown_poll_intervals ShutdownIntervals{milliseconds(50), milliseconds(50)};
 constexpr milliseconds LogFlushInterval{100};
+constexpr milliseconds TrafficLogInterval{10'000};
 // An entry that had no answer of the store for this long is not ready.
 constexpr milliseconds MaxStoreSilence{2500};
 
@@ -53,7 +55,7 @@
         : m_settings(std::move(settings))
         , m_loop([this] { m_shutdown.begin(); })
         , m_log("entry", m_settings.id)
-        , m_client(m_loop)
+        , m_client(m_loop, {}, m_traffic.observer(traffic_kind::Caller))
         , m_store(
                   m_loop, m_client, m_settings.storeAddress,
                   [this] { return m_directory.liveInternalAddresses(suspendAwareNow()); },
@@ -80,24 +82,29 @@
         , m_requests(m_settings.id, requestDependencies(),
                      {[this] { return m_areJobsKnown; },
                       [this](const auto &rows) { applyJobRows(rows); }, [this] { schedulePlan(); }})
-        , m_internalListener(m_loop, m_settings.internalAddress, internalLimits(),
-                             [this](http_request request, responder respond) {
-                                 serveInternal(request, std::move(respond));
-                             })
+        , m_internalListener(
+                  m_loop, m_settings.internalAddress, internalLimits(),
+                  [this](http_request request, responder respond) {
+                      serveInternal(request, std::move(respond));
+                  },
+                  m_traffic.observer(traffic_kind::Other))
         , m_readinessListener(m_loop, m_settings.readinessAddress, {},
                               [this](const http_request & /*request*/, const responder &respond) {
                                   respond({isReady() ? 200 : 503, {}, ""});
                               })
-        , m_callerListener(m_loop, m_settings.callersAddress, {},
-                           [this](http_request request, responder respond) {
-                               m_requests.serve(std::move(request), std::move(respond));
-                           })
+        , m_callerListener(
+                  m_loop, m_settings.callersAddress, {},
+                  [this](http_request request, responder respond) {
+                      m_requests.serve(std::move(request), std::move(respond));
+                  },
+                  m_traffic.observer(traffic_kind::Caller))
     { }
 
     void run()
     {
         m_log.writeAlways("started", {{"internal", toText(m_settings.internalAddress)}});
         m_loop.runEvery(LogFlushInterval, [this] { m_log.flush(); });
+        m_loop.runEvery(TrafficLogInterval, [this] { logTraffic(); });
         m_registration.registerEntry();
         m_configuration.start();
         m_loop.run([this](const std::exception &problem) {
@@ -109,6 +116,20 @@
     }
 
 private:
+    std::string metricsText()
+    {
+        m_traffic.publish(m_metrics);
+        return m_metrics.text();
+    }
+
+    void logTraffic()
+    {
+        m_log.writeEvent("traffic", {{"largest", nameOf(m_traffic.largestKind())},
+                                     {"bytes_by_kind", m_traffic.summary()},
+                                     {"sent_bytes", m_traffic.sentBytes()},
+                                     {"received_bytes", m_traffic.receivedBytes()}});
+    }
+
     static net::listener_limits internalLimits()
     {
         net::listener_limits limits;
@@ -305,7 +326,7 @@
     {
         const auto path = request.path();
         if (path == "/metrics")
-            return respond({200, {{"Content-Type", "text/plain"}}, m_metrics.text()});
+            return respond({200, {{"Content-Type", "text/plain"}}, metricsText()});
         if (m_shutdown.step() != shutdown_step::HandOver)
             return respond(makeRefusal(503, "leaving"));
         if (path.starts_with(StoreRelayPath))
@@ -486,6 +507,7 @@
     net::event_loop m_loop;
     event_log m_log;
     metrics m_metrics;
+    traffic_meter m_traffic;
     net::http_client m_client;
     store_client m_store;
     entry_registration m_registration;
--- a/libs/net/http_client.cpp
+++ b/libs/net/http_client.cpp
@@ -38,13 +38,16 @@
 
 struct http_client::shared_state
 {
-    shared_state(event_loop &eventLoop, const client_limits &clientLimits)
+    shared_state(event_loop &eventLoop, const client_limits &clientLimits,
+                 exchange_observer exchangeObserver)
         : loop(eventLoop)
         , limits(clientLimits)
+        , observer(std::move(exchangeObserver))
     { }
 
     event_loop &loop;
     client_limits limits;
+    exchange_observer observer;
     std::map<std::string, std::list<std::unique_ptr<pooled_connection>>> idle;
 
     std::unique_ptr<pooled_connection> takeConnection(const std::string &peer)
@@ -156,7 +159,8 @@
         m_connection->stream.expires_at(steadyTime(m_deadline.currentDeadline()));
         auto self = shared_from_this();
         http::async_write(m_connection->stream, m_request,
-                          [self](const beast::error_code &failure, std::size_t) {
+                          [self](const beast::error_code &failure, std::size_t bytes) {
+                              self->m_sentBytes += bytes;
                               self->handleSent(failure);
                           });
     }
@@ -175,7 +179,8 @@
         m_connection->stream.expires_at(steadyTime(m_deadline.currentDeadline()));
         auto self = shared_from_this();
         http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
-                              [self](const beast::error_code &problem, std::size_t) {
+                              [self](const beast::error_code &problem, std::size_t bytes) {
+                                  self->m_receivedBytes += bytes;
                                   self->handlePart(problem);
                               });
     }
@@ -216,9 +221,17 @@
         return call_failure::IncompleteAnswer;
     }
 
+    void notifyObserver() const
+    {
+        const auto target = m_request.target();
+        if (m_state->observer && m_sentBytes > 0)
+            m_state->observer({{target.data(), target.size()}, m_sentBytes, m_receivedBytes});
+    }
+
     void finish(call_result result)
     {
         m_connection.reset();
+        notifyObserver();
         // Connections can stop working without a reset. The other idle connections to this peer may
         // be affected too, and each of them would cost a call its whole deadline.
         const auto *failure = std::get_if<call_failure>(&result);
@@ -236,6 +249,8 @@
     large_call_options m_options;
     answer_deadline m_deadline;
     bool m_isHeadReceived = false;
+    std::size_t m_sentBytes = 0;
+    std::size_t m_receivedBytes = 0;
     http_client::call_callback m_callback;
     std::unique_ptr<pooled_connection> m_connection;
     http::request<http::string_body> m_request;
@@ -244,8 +259,8 @@
 
 } // namespace
 
-http_client::http_client(event_loop &loop, const client_limits &limits)
-    : m_state(std::make_shared<shared_state>(loop, limits))
+http_client::http_client(event_loop &loop, const client_limits &limits, exchange_observer observer)
+    : m_state(std::make_shared<shared_state>(loop, limits, std::move(observer)))
 { }
 
 http_client::~http_client() = default;
--- a/libs/net/http_client.h
+++ b/libs/net/http_client.h
@@ -12,6 +12,7 @@
 
 #include "net/answer_deadline.h"
 #include "net/event_loop.h"
+#include "net/exchange.h"
 #include "runtime/http.h"
 
 namespace zinniabarrow::net {
@@ -43,7 +44,9 @@
 public:
     using call_callback = std::function<void(call_result)>;
 
-    explicit http_client(event_loop &loop, const client_limits &limits = {});
+    // `observer` is told each call that used a connection.
+    explicit http_client(event_loop &loop, const client_limits &limits = {},
+                         exchange_observer observer = {});
     ~http_client();
     http_client(const http_client &) = delete;
     http_client &operator=(const http_client &) = delete;
--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -30,16 +30,18 @@
 struct http_listener::shared_state
 {
     shared_state(event_loop &eventLoop, const listener_limits &listenerLimits,
-                 handler requestHandler)
+                 handler requestHandler, exchange_observer exchangeObserver)
         : loop(eventLoop)
         , limits(listenerLimits)
         , serve(std::move(requestHandler))
+        , observer(std::move(exchangeObserver))
         , acceptor(eventLoop.internals().io)
     { }
 
     event_loop &loop;
     listener_limits limits;
     handler serve;
+    exchange_observer observer;
     tcp::acceptor acceptor;
     std::list<connection *> connections;
     std::size_t inFlight = 0;
@@ -82,6 +84,7 @@
     void readNextRequest()
     {
         m_phase = connection_phase::Idle;
+        m_receivedBytes = 0;
         m_parser.emplace();
         m_parser->body_limit(m_state->limits.maxRequestBytes);
         m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.maxHeadBytes));
@@ -157,7 +160,8 @@
     {
         auto self = shared_from_this();
         http::async_read_header(m_stream, m_buffer, *m_parser,
-                                [self](const beast::error_code &failure, std::size_t) {
+                                [self](const beast::error_code &failure, std::size_t bytes) {
+                                    self->m_receivedBytes += bytes;
                                     self->handleHead(failure);
                                 });
     }
@@ -173,7 +177,8 @@
         reserveBodyBuffer(m_buffer, *m_parser);
         auto self = shared_from_this();
         http::async_read(m_stream, m_buffer, *m_parser,
-                         [self](const beast::error_code &problem, std::size_t) {
+                         [self](const beast::error_code &problem, std::size_t bytes) {
+                             self->m_receivedBytes += bytes;
                              self->handleRequest(problem);
                          });
     }
@@ -201,6 +206,7 @@
         http_request request;
         request.method = std::string(message.method_string());
         request.target = std::string(message.target());
+        m_target = request.target;
         for (const auto &field : message)
             request.headers[std::string(field.name_string())] = std::string(field.value());
         request.body = std::move(message.body());
@@ -239,10 +245,13 @@
         m_answer->prepare_payload();
         m_stream.expires_after(m_state->limits.writeTimeout);
         auto self = shared_from_this();
-        http::async_write(m_stream, *m_answer,
-                          [self, shouldKeepOpen](const beast::error_code &failure, std::size_t) {
-                              self->handleWritten(failure, shouldKeepOpen);
-                          });
+        http::async_write(
+                m_stream, *m_answer,
+                [self, shouldKeepOpen](const beast::error_code &failure, std::size_t bytes) {
+                    if (self->m_state->observer)
+                        self->m_state->observer({self->m_target, bytes, self->m_receivedBytes});
+                    self->handleWritten(failure, shouldKeepOpen);
+                });
     }
 
     void handleWritten(const beast::error_code &failure, bool shouldKeepOpen)
@@ -268,6 +277,8 @@
     connection_phase m_phase = connection_phase::Idle;
     std::uint64_t m_requestNumber = 0; // number of the current request on this connection
     bool m_keepAlive = true;
+    std::string m_target;            // of the current request
+    std::size_t m_receivedBytes = 0; // of the current request
 };
 
 void startConnection(tcp::socket socket, const std::shared_ptr<http_listener::shared_state> &state)
@@ -307,8 +318,9 @@
 } // namespace
 
 http_listener::http_listener(event_loop &loop, const socket_address &address,
-                             const listener_limits &limits, handler serve)
-    : m_state(std::make_shared<shared_state>(loop, limits, std::move(serve)))
+                             const listener_limits &limits, handler serve,
+                             exchange_observer observer)
+    : m_state(std::make_shared<shared_state>(loop, limits, std::move(serve), std::move(observer)))
 {
     try {
         const tcp::endpoint listenEndpoint(asio::ip::make_address(address.address),
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "net/event_loop.h"
+#include "net/exchange.h"
 #include "runtime/http.h"
 
 namespace zinniabarrow::net {
@@ -42,9 +43,10 @@
 public:
     using handler = std::function<void(http_request, responder)>;
 
-    // Starts listening immediately. Throws error BadSettings when the address is in use.
+    // Starts listening immediately. Throws error BadSettings when the address is in use. `observer`
+    // is told each answered request.
     http_listener(event_loop &loop, const socket_address &address, const listener_limits &limits,
-                  handler serve);
+                  handler serve, exchange_observer observer = {});
     ~http_listener();
     http_listener(const http_listener &) = delete;
     http_listener &operator=(const http_listener &) = delete;
