Entries follow summaries of jobs in place of their records

Change: the owner stores a short summary in the transaction of the record, only when it has changed; the feed carries summaries. A takeover reads the record, and only goes on if it still is of the owner that is gone.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -66,7 +66,7 @@
         , m_entriesFollower(m_loop, m_store, m_log, {EntriesTable},
                             [this](const auto &rows) { updateEntries(rows); })
         , m_jobsFollower(
-                  m_loop, m_store, m_log, {JobsTable, jobPartitions(), JobsBatchDelay},
+                  m_loop, m_store, m_log, {SummariesTable, jobPartitions(), JobsBatchDelay},
                   [this](const auto &rows) { applyJobRows(rows); }, [this] { handleAllJobsRead(); })
         , m_startedAt(suspendAwareNow())
         , m_directory(m_settings.id, m_startedAt)
@@ -187,6 +187,13 @@
         takeOver();
     }
 
+    // The feed carries summaries; callers' questions also read records.
+    static job_summary summaryIn(const row &jobRow)
+    {
+        return jobRow.name.table == SummariesTable ? summaryFrom(jobRow.value)
+                                                   : summaryOf(recordFrom(jobRow.value));
+    }
+
     void applyJobRows(const std::vector<row> &rows)
     {
         const auto now = suspendAwareNow();
@@ -197,10 +204,10 @@
                 continue;
             }
             try {
-                m_view.applyRow(changedRow.name.key, changedRow.value, changedRow.version, now);
+                const auto summary = summaryIn(changedRow);
+                m_view.update(changedRow.name.key, summary, changedRow.version, now);
                 if (m_jobController->owns(changedRow.name.key))
-                    m_jobController->rowChanged(changedRow.name.key, recordFrom(changedRow.value),
-                                                changedRow.version);
+                    m_jobController->rowChanged(changedRow.name.key, summary, changedRow.version);
             } catch (const error &problem) {
                 m_log.writeEvent("job_row_unreadable",
                                  {{"job", changedRow.name.key}, {"why", problem.what()}});
@@ -247,6 +254,9 @@
         row_transaction transaction;
         transaction.expected.push_back({name, write.expectedVersion});
         transaction.set.push_back({name, std::move(write.content), 0, false});
+        if (write.summary)
+            transaction.set.push_back(
+                    {summaryRowName(write.job), std::move(*write.summary), 0, false});
         if (write.payload)
             transaction.set.push_back(
                     {payloadRowName(write.job), std::move(*write.payload), 0, false});
@@ -412,7 +422,7 @@
         // This entry does not own the job. A job that is over may still have runs that are being
         // stopped; their ends are acknowledged.
         const auto *known = m_view.find(end.task.job);
-        m_writeCallbacks.resolve(token, known != nullptr && !known->needsOwner);
+        m_writeCallbacks.resolve(token, known != nullptr && !known->summary.needsOwner);
     }
 
     static void answerReport(pending_report &pendingReport)
--- a/app/job_requests.cpp
+++ b/app/job_requests.cpp
@@ -141,7 +141,7 @@
 {
     const auto *known = m_view.find(id);
     if (known != nullptr)
-        return respond({200, {}, platform_wire::makeStateBody(known->state)});
+        return respond({200, {}, platform_wire::makeStateBody(known->summary.state)});
     // Submitted before, and its row is being written: the job can't be refused any more.
     if (m_jobController->owns(id))
         return accept(id, {}, policy, std::move(respond));
@@ -292,7 +292,7 @@
 {
     const auto *known = m_view.find(id);
     if (known != nullptr && request.method != "DELETE")
-        return respond({200, {}, platform_wire::makeStateBody(known->state)});
+        return respond({200, {}, platform_wire::makeStateBody(known->summary.state)});
     if (m_jobController->owns(id))
         return respond(countedRefusal(504, "outcome_unknown"));
     refuseAsLeaving(request, respond);
@@ -309,10 +309,10 @@
     if (m_jobController->owns(id))
         return respond({200, {}, platform_wire::makeStateBody(m_jobController->storedState(id))});
     const auto *known = m_view.find(id);
-    if (known != nullptr && isFinal(known->state))
-        return respond({200, {}, platform_wire::makeStateBody(known->state)});
-    const auto *owner = known == nullptr ? nullptr : m_directory.find(known->owner.entry);
-    if (owner == nullptr || !m_directory.isAlive(known->owner.entry, suspendAwareNow()))
+    if (known != nullptr && isFinal(known->summary.state))
+        return respond({200, {}, platform_wire::makeStateBody(known->summary.state)});
+    const auto *owner = known == nullptr ? nullptr : m_directory.find(known->summary.owner.entry);
+    if (owner == nullptr || !m_directory.isAlive(known->summary.owner.entry, suspendAwareNow()))
         return answerStoredState(id, std::move(respond));
     http_request request;
     request.target = "/v1/jobs/" + id;
@@ -332,7 +332,7 @@
             return respond({410, {}, R"({"error":"unknown_job"})"});
         const auto *known = m_view.find(id);
         if (known != nullptr)
-            return respond({200, {}, platform_wire::makeStateBody(known->state)});
+            return respond({200, {}, platform_wire::makeStateBody(known->summary.state)});
         // The store did not answer, so the job may exist.
         respond(storeUnreachableRefusal());
     });
@@ -354,8 +354,8 @@
     if (m_jobController->owns(id))
         return cancelOwned(id, answer);
     const auto *known = m_view.find(id);
-    const auto *owner = known == nullptr ? nullptr : m_directory.find(known->owner.entry);
-    if (owner == nullptr || !m_directory.isAlive(known->owner.entry, suspendAwareNow()))
+    const auto *owner = known == nullptr ? nullptr : m_directory.find(known->summary.owner.entry);
+    if (owner == nullptr || !m_directory.isAlive(known->summary.owner.entry, suspendAwareNow()))
         return cancelInStore(id, answer);
     http_request request;
     request.method = "DELETE";
@@ -396,7 +396,9 @@
         record.cancelled = true;
         record.writeId = m_self + ":cancel:" + std::to_string(m_nextCancel++);
         m_store.commit({{{storedRow.name, storedRow.version}},
-                        {{storedRow.name, toText(record), 0, false}, newCancelRow(id)},
+                        {{storedRow.name, toText(record), 0, false},
+                         {summaryRowName(id), toText(summaryOf(record)), 0, false},
+                         newCancelRow(id)},
                         {}},
                        [this, id, respond,
                         write = record.writeId](const store_client::commit_outcome &outcome) {
--- a/app/job_tables.h
+++ b/app/job_tables.h
@@ -11,7 +11,9 @@
 
 namespace zinniabarrow {
 
-constexpr const char *JobsTable = "jobs";         // job records
+constexpr const char *JobsTable = "jobs"; // job records, read when a job is taken over
+// One row per job, a job_summary. Entries follow this table.
+constexpr const char *SummariesTable = "job_summaries";
 constexpr const char *PayloadsTable = "payloads"; // written once, with the job's first record
 // One row per cancelled job, written in the transaction that cancels the job. Agents follow this
 // table, so a cancellation takes effect even when no entry is left to tell them about it.
@@ -46,6 +48,11 @@
     return {JobsTable, partitionOfJob(job), job};
 }
 
+inline jobs::row_name summaryRowName(const std::string &job)
+{
+    return {SummariesTable, partitionOfJob(job), job};
+}
+
 inline jobs::row_name payloadRowName(const std::string &job)
 {
     return {PayloadsTable, partitionOfJob(job), job};
--- a/app/job_takeover.cpp
+++ b/app/job_takeover.cpp
@@ -32,26 +32,43 @@
 {
     const auto now = suspendAwareNow();
     for (const auto &[id, known] : m_view.jobs()) {
-        if (!known.needsOwner || m_jobController->owns(id) || m_adoptionsInProgress.contains(id))
+        if (!known.summary.needsOwner || m_jobController->owns(id)
+            || m_adoptionsInProgress.contains(id))
             continue;
-        const auto successor = m_directory.successorOf(id, known.owner, self, now);
+        const auto successor = m_directory.successorOf(id, known.summary.owner, self, now);
         if (successor && *successor == self.entry)
-            adopt(id);
+            adopt(id, known.summary.owner);
     }
     removeOldRows(self.entry, now);
 }
 
-void job_takeover::adopt(const std::string &id)
+void job_takeover::adopt(const std::string &id, const owner_id &formerOwner)
 {
     m_adoptionsInProgress.insert(id);
+    m_store.read(JobsTable, partitionOfJob(id), id, id + "\x01",
+                 [this, id, formerOwner](const std::optional<row_page> &page) {
+                     if (!page || page->rows.empty()) {
+                         m_adoptionsInProgress.erase(id); // the next scan tries again
+                         return;
+                     }
+                     adoptRow(page->rows.front(), formerOwner);
+                 });
+}
+
+void job_takeover::adoptRow(const row &jobRow, const owner_id &formerOwner)
+{
+    const auto &id = jobRow.name.key;
     m_store.read(PayloadsTable, partitionOfJob(id), id, id + "\x01",
-                 [this, id](const std::optional<row_page> &page) {
+                 [this, id, jobRow, formerOwner](const std::optional<row_page> &page) {
                      m_adoptionsInProgress.erase(id);
-                     const auto *known = m_view.find(id);
-                     if (!page || page->rows.empty() || known == nullptr || !known->needsOwner)
-                         return; // the next scan tries again
-                     m_jobController->adopt(id, recordFrom(known->content), known->version,
-                                            page->rows.front().value);
+                     if (!page || page->rows.empty())
+                         return;
+                     const auto record = recordFrom(jobRow.value);
+                     // The summary that led here may be older than the record: another entry may
+                     // own the job by now, and must not lose it.
+                     if (record.owner != formerOwner || !record.needsOwner())
+                         return;
+                     m_jobController->adopt(id, record, jobRow.version, page->rows.front().value);
                      m_metrics.count("jobs_adopted_total", "owner_gone");
                      m_onActionsReady();
                  });
@@ -64,17 +81,20 @@
     std::vector<std::string> expired;
     for (const auto &[id, known] : m_view.jobs()) {
         if (known.endedAt != time_point{} && now - known.endedAt > FinalRowRetention
-            && known.owner.entry == self)
+            && known.summary.owner.entry == self)
             expired.push_back(id);
     }
     for (const auto &id : expired) {
         m_jobController->rowRemoved(id);
         m_view.removeJob(id);
-        m_store.commit({{}, {}, {jobRowName(id), payloadRowName(id), cancelRowName(id)}},
-                       [](const store_client::commit_outcome & /*outcome*/) {
-                           // If the rows could not be removed, the entry's next incarnation finds
-                           // them.
-                       });
+        m_store.commit(
+                {{},
+                 {},
+                 {jobRowName(id), summaryRowName(id), payloadRowName(id), cancelRowName(id)}},
+                [](const store_client::commit_outcome & /*outcome*/) {
+                    // If the rows could not be removed, the entry's next incarnation finds
+                    // them.
+                });
     }
 }
 
--- a/app/job_takeover.h
+++ b/app/job_takeover.h
@@ -38,8 +38,9 @@
     void scan(const jobs::owner_id &self);
 
 private:
-    // Reads the job's payload, then makes this entry's job_controller the owner.
-    void adopt(const std::string &id);
+    // Reads the job's record and payload, then makes this entry's job_controller the owner.
+    void adopt(const std::string &id, const jobs::owner_id &formerOwner);
+    void adoptRow(const jobs::row &jobRow, const jobs::owner_id &formerOwner);
     void removeOldRows(const std::string &self, time_point now);
 
     store_client &m_store;
--- a/app/job_view.cpp
+++ b/app/job_view.cpp
@@ -4,23 +4,20 @@
 
 namespace zinniabarrow {
 
-const known_job *job_view::applyRow(const std::string &job, const std::string &content,
-                                    std::int64_t version, time_point now)
+using jobs::job_summary;
+
+void job_view::update(const std::string &job, const job_summary &summary, std::int64_t version,
+                      time_point now)
 {
     auto &known = m_jobs[job];
     if (version <= known.version)
-        return &known;
-    const auto record = jobs::recordFrom(content);
+        return;
+    const bool hadBegun = known.summary.hasBegun;
     known.version = version;
-    known.owner = record.owner;
-    known.queue = record.policy.queue;
-    known.state = record.state();
-    known.needsOwner = record.needsOwner();
-    known.content = known.needsOwner ? content : std::string();
-    known.hasBegun = known.hasBegun || record.hasStarted || record.hasRunAnyTask();
-    if (!known.needsOwner && known.endedAt == time_point{})
+    known.summary = summary;
+    known.summary.hasBegun = hadBegun || summary.hasBegun;
+    if (!summary.needsOwner && known.endedAt == time_point{})
         known.endedAt = now;
-    return &known;
 }
 
 void job_view::removeJob(const std::string &job)
@@ -38,7 +35,7 @@
 {
     return static_cast<std::size_t>(
             std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto &entry) {
-                const auto &job = entry.second;
+                const auto &job = entry.second.summary;
                 return job.queue == queue && !jobs::isFinal(job.state) && !job.hasBegun;
             }));
 }
--- a/app/job_view.h
+++ b/app/job_view.h
@@ -1,6 +1,6 @@
-// An entry's copy of all job rows in the platform's store, its own jobs' and the other entries',
-// kept up to date by the store's feed. It is used to answer callers, to count waiting jobs and to
-// find jobs to take over.
+// An entry's copy of the summaries of all jobs in the platform's store, its own and the other
+// entries', kept up to date by the store's feed. It is used to answer callers, to count waiting
+// jobs and to find jobs to take over.
 #pragma once
 
 #include <cstddef>
@@ -12,31 +12,24 @@
 #include <vector>
 
 #include "base/time.h"
-#include "jobs/model.h"
+#include "jobs/job_summary.h"
 
 namespace zinniabarrow {
 
-// What is kept of a job's row.
 struct known_job
 {
-    std::int64_t version = 0;
-    jobs::owner_id owner;
-    jobs::job_state state = jobs::job_state::Queued;
-    std::string queue;
-    bool needsOwner = true; // as job_record::needsOwner()
-    std::string content;    // value of the row; empty once the job needs no owner
-    time_point endedAt{};   // when the job was first seen without need of an owner; 0: not yet
-    bool hasBegun = false;  // a worker has started one of its tasks
+    std::int64_t version = 0; // of the transaction that wrote the summary
+    jobs::job_summary summary;
+    time_point endedAt{}; // when the job was first seen without need of an owner; 0: not yet
 };
 
 class job_view
 {
 public:
-    // Returns what is now known of the job. Rows that are no newer than the known one are ignored,
-    // because reads can overtake each other. Throws error BadRequest if the content can't be
-    // parsed.
-    const known_job *applyRow(const std::string &job, const std::string &content,
-                              std::int64_t version, time_point now);
+    // Ignores summaries that are no newer than the known one, because reads can overtake each
+    // other.
+    void update(const std::string &job, const jobs::job_summary &summary, std::int64_t version,
+                time_point now);
     void removeJob(const std::string &job);
     void clear() { m_jobs.clear(); }
 
--- a/libs/jobs/job_controller.cpp
+++ b/libs/jobs/job_controller.cpp
@@ -99,6 +99,7 @@
     job.storedRevision = job.inFlightRevision;
     job.inFlightRevision = 0;
     job.storedState = job.inFlightState;
+    job.storedSummary = job.inFlightSummary;
     job.payloadStored = true;
     job.cancelRowStored = job.storedState == job_state::Cancelled;
     m_changedJobs.insert(id);
@@ -124,11 +125,12 @@
     }
     job.inFlightRevision = 0;
     job.version = version;
-    applyCancel(id, job, *row);
+    job.storedSummary.clear();
+    applyCancel(id, job, row->cancelled);
     markChanged(id, job);
 }
 
-void job_controller::rowChanged(const std::string &id, const job_record &record,
+void job_controller::rowChanged(const std::string &id, const job_summary &summary,
                                 std::int64_t version)
 {
     const auto found = m_jobs.find(id);
@@ -137,18 +139,19 @@
     auto &job = found->second;
     if (job.inFlightRevision != 0 || version <= job.version)
         return; // this entry's own write, or a change that the write in flight will conflict with
-    if (record.owner != m_self) {
-        addLog("job_disowned", id, "owner is " + record.owner.entry);
+    if (summary.owner != m_self) {
+        addLog("job_disowned", id, "owner is " + summary.owner.entry);
         return dropJob(id);
     }
     job.version = version;
-    applyCancel(id, job, record);
+    job.storedSummary.clear();
+    applyCancel(id, job, summary.state == job_state::Cancelled);
 }
 
 // Applies a cancel that another entry wrote to the row on the owner's behalf.
-void job_controller::applyCancel(const std::string &id, owned_job &job, const job_record &row)
+void job_controller::applyCancel(const std::string &id, owned_job &job, bool isCancelled)
 {
-    if (!row.cancelled || isFinal(job.record.state()))
+    if (!isCancelled || isFinal(job.record.state()))
         return;
     job.cancelRowStored = true;
     job.record.cancelled = true;
@@ -479,9 +482,12 @@
     job.inFlightRevision = job.revision;
     job.inFlightState = job.record.state();
     m_startedWriteDueAt.erase(id);
-    write_row write{id, job.version, toText(job.record), std::nullopt};
+    write_row write{id, job.version, toText(job.record), std::nullopt, std::nullopt};
     if (!job.payloadStored)
         write.payload = job.payload;
+    job.inFlightSummary = toText(summaryOf(job.record));
+    if (job.inFlightSummary != job.storedSummary)
+        write.summary = job.inFlightSummary;
     write.writesCancelRow = job.record.cancelled && !job.cancelRowStored;
     m_actions.emplace_back(std::move(write));
 }
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "jobs/job_summary.h"
 #include "jobs/messages.h"
 #include "jobs/model.h"
 #include "jobs/stall_timer.h"
@@ -34,6 +35,8 @@
     std::int64_t expectedVersion = 0;
     std::string content;
     std::optional<std::string> payload; // with the first write: content of the payload's row
+    // Content of the summary's row, in the same transaction; none: it is stored already.
+    std::optional<std::string> summary;
     // Also write, in the same transaction, the row from which agents learn that the job is
     // cancelled.
     bool writesCancelRow = false;
@@ -131,8 +134,8 @@
     // Takes over a job after this entry has found that its owner is gone.
     void adopt(const std::string &job, const job_record &record, std::int64_t version,
                const std::string &payload);
-    // Another writer changed the row, according to the store's change feed.
-    void rowChanged(const std::string &job, const job_record &record, std::int64_t version);
+    // Another writer changed the row: the store's feed or a read has this summary of it.
+    void rowChanged(const std::string &job, const job_summary &summary, std::int64_t version);
     void rowRemoved(const std::string &job);
 
     // --- events of workers
@@ -224,6 +227,8 @@
         std::string inFlightWriteId;       // id of the write in flight
         job_state inFlightState = job_state::Queued;
         job_state storedState = job_state::Queued;
+        std::string inFlightSummary; // of the write in flight
+        std::string storedSummary;   // content of the summary's row; empty: unknown
         std::vector<waiting_token> waitingTokens;
         std::map<std::pair<task_id, int>, pending_order> startOrders;
         std::map<std::pair<task_id, int>, pending_order> stopOrders;
@@ -249,7 +254,7 @@
     void writeIfDue(const std::string &id, owned_job &job);
     void notifyStored(owned_job &job);
     void dropJob(const std::string &id);
-    void applyCancel(const std::string &id, owned_job &job, const job_record &row);
+    void applyCancel(const std::string &id, owned_job &job, bool isCancelled);
     // Handles the end of a placed run whose task is not done.
     void endPlacedRun(const std::string &id, owned_job &job, const std::string &worker,
                       const run_end &end, time_point now);
--- a/libs/jobs/model.cpp
+++ b/libs/jobs/model.cpp
@@ -89,6 +89,11 @@
     return nameOf(StateNames, state);
 }
 
+std::optional<job_state> jobStateNamed(std::string_view name)
+{
+    return valueOf(StateNames, name);
+}
+
 int countWaiting(const std::vector<task_state> &step)
 {
     return static_cast<int>(std::count_if(step.begin(), step.end(),
--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -120,6 +120,7 @@
 // State of a job, as its caller is told.
 enum class job_state { Queued, Running, Completed, Failed, Cancelled };
 std::string_view nameOf(job_state state);
+std::optional<job_state> jobStateNamed(std::string_view name);
 bool isFinal(job_state state);
 
 // One incarnation of an entry: a restarted entry is a different owner.
--- a/tests/cluster_simulation.h
+++ b/tests/cluster_simulation.h
@@ -758,7 +758,7 @@
             return;
         knownRow = row;
         if (entry.controller->owns(job))
-            entry.controller->rowChanged(job, *row.record, row.version);
+            entry.controller->rowChanged(job, summaryOf(*row.record), row.version);
         planAndExecute(entry);
     }
 
--- a/tests/job_controller_test.cpp
+++ b/tests/job_controller_test.cpp
@@ -1199,7 +1199,7 @@
         require(oldOwner.orders.size() == 2);
         check(agent.handleOrder(oldOwner.orders[1].order, Self.entry, oldOwner.now).outcome
               == order_outcome::Accepted);
-        oldOwner.controller.rowChanged("j", recordFrom(takeoverWrite.content),
+        oldOwner.controller.rowChanged("j", summaryOf(recordFrom(takeoverWrite.content)),
                                        oldOwner.version + 1);
         check(!oldOwner.controller.owns("j"));
     });
--- a/tests/job_view_test.cpp
+++ b/tests/job_view_test.cpp
@@ -39,7 +39,7 @@
     // Writes the job's row and lets the view read it.
     void applyRow(milliseconds atMs)
     {
-        m_view.applyRow("job", toText(m_record), ++m_version, Start + atMs);
+        m_view.update("job", summaryFrom(toText(summaryOf(m_record))), ++m_version, Start + atMs);
     }
     std::size_t waitingCount() const { return m_view.countWaiting("queue"); }
 
