Ends of runs are reported to their owners and the worker's home only

Change: entries tell in their answers whether they are the worker's home (first by rendezvous among the live ones). Ends go at once to the owner and the home. An entry prefers its home workers by a bonus below the weight of an overcommitment, so that old views collide less.

--- a/app/entry_directory.cpp
+++ b/app/entry_directory.cpp
@@ -80,6 +80,11 @@
     return preferredLiveEntry(service, now);
 }
 
+std::string entry_directory::homeOf(const std::string &worker, time_point now) const
+{
+    return preferredLiveEntry(worker, now);
+}
+
 std::string entry_directory::preferredLiveEntry(const std::string &key, time_point now) const
 {
     auto candidates = liveEntries(now);
--- a/app/entry_directory.h
+++ b/app/entry_directory.h
@@ -61,6 +61,9 @@
     // The one entry that places all long-running tasks of a service. All entries choose the same
     // one while they agree on which entries are alive.
     std::string placerOf(const std::string &service, time_point now) const;
+    // The entry that prefers this worker when it places tasks. Entries that prefer different
+    // workers rarely choose the same free capacity at the same moment.
+    std::string homeOf(const std::string &worker, time_point now) const;
     // The entry that should take over a job of `owner`; `self` is this entry. An entry takes over
     // the jobs of its own earlier incarnation. None if the owner is alive, or if this entry has not
     // run long enough to judge that.
--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -437,7 +437,7 @@
             std::visit([this](const auto &typedAction) { m_workerCalls.execute(typedAction); },
                        action);
         if (std::exchange(m_reportedEndCount, m_runTable.newEndCount()) != m_runTable.newEndCount())
-            m_reportSender.sendReports();
+            m_reportSender.sendEnds();
     }
 
     // --- Cancelled jobs, read from the store.
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -377,6 +377,8 @@
                                              {"accepting", report.isAccepting ? "yes" : "no"}});
         }
         const bool isNewIncarnation = m_pool.update(report, now) && report.epoch > 0;
+        const bool isHome = m_directory.homeOf(report.worker, now) == m_self.entry;
+        m_pool.setHome(report.worker, isHome);
         for (const auto &progress : report.progress)
             m_jobController->checkpointReported(report.worker, progress);
         for (const auto &run : report.started)
@@ -384,6 +386,7 @@
         auto pendingReport = std::make_shared<pending_report>();
         pendingReport->respond = std::move(respond);
         pendingReport->pendingEnds = report.ends.size();
+        pendingReport->answer.isHome = isHome;
         for (const auto &sample : report.samples)
             m_pool.interferenceEstimator().learn(sample);
         // An outdated list of evacuated zones could still contain a zone that is back in use.
--- a/app/report_sender.cpp
+++ b/app/report_sender.cpp
@@ -73,6 +73,16 @@
         sendReport(name);
 }
 
+// The others learn of the free capacity by the next periodic report. A report to each entry at each
+// end would cost every entry as much as all tasks of the fleet, whoever owns them.
+void report_sender::sendEnds()
+{
+    for (const auto &name : m_targets.names()) {
+        if (m_targets.isHome(name) || m_runTable.hasEndsFor(name))
+            sendReport(name);
+    }
+}
+
 void report_sender::addSamples(std::vector<interference_sample> samples)
 {
     for (auto &sample : samples)
@@ -164,6 +174,7 @@
 void report_sender::handleAnswer(const std::string &entry, report_answer answer)
 {
     const auto now = suspendAwareNow();
+    m_targets.setHome(entry, answer.isHome);
     for (const auto &end : answer.acknowledged) {
         if (m_runTable.acknowledgeEnd(end, now))
             m_throttleController.forget(end.task, end.run);
@@ -172,7 +183,7 @@
     for (const auto &end : answer.notOwned)
         hasMoreRecipients = m_runTable.noteNotOwned(end, entry) || hasMoreRecipients;
     if (hasMoreRecipients)
-        sendReports();
+        sendEnds();
     if (answer.zoneEvacuated)
         handleEvacuation(now);
     if (!answer.interference.empty())
--- a/app/report_sender.h
+++ b/app/report_sender.h
@@ -53,8 +53,10 @@
     std::vector<std::string> relayAddresses() const;
 
     void sendPeriodicReports(); // called every second
-    // Called when a run has ended, or the worker's epoch or readiness has changed.
+    // Called when the worker's epoch or readiness has changed: all entries learn of it at once.
     void sendReports();
+    // Called when a run has ended: only the entries that have to know it at once get a report.
+    void sendEnds();
     // The interference samples go into each report up to and including the next periodic ones, so
     // an entry that gets several reports until then gets them several times.
     void addSamples(std::vector<jobs::interference_sample> samples);
--- a/app/report_targets.cpp
+++ b/app/report_targets.cpp
@@ -59,6 +59,19 @@
     return true;
 }
 
+void report_targets::setHome(const std::string &entry, bool isHome)
+{
+    const auto found = m_targets.find(entry);
+    if (found != m_targets.end())
+        found->second.isHome = isHome;
+}
+
+bool report_targets::isHome(const std::string &entry) const
+{
+    const auto found = m_targets.find(entry);
+    return found != m_targets.end() && found->second.isHome;
+}
+
 void report_targets::acknowledgeEpoch(const std::string &entry, std::int64_t epoch)
 {
     auto &target = m_targets.at(entry);
--- a/app/report_targets.h
+++ b/app/report_targets.h
@@ -25,6 +25,9 @@
     bool tryBeginReport(const std::string &entry);
     // The report in flight was answered or has failed. False if the entry has been removed.
     bool endReport(const std::string &entry);
+    // Whether the entry's last answer said that it is the worker's home; see report_answer.
+    void setHome(const std::string &entry, bool isHome);
+    bool isHome(const std::string &entry) const;
     // The entry has answered a report that carried this epoch.
     void acknowledgeEpoch(const std::string &entry, std::int64_t epoch);
     // Whether a report was requested while another one was in flight.
@@ -39,6 +42,7 @@
         std::int64_t acknowledgedEpoch = 0; // highest epoch in an answered report
         bool isReportInFlight = false;      // a report is not answered yet
         bool needsAnother = false;          // requested while a report was in flight
+        bool isHome = false;
     };
 
     std::map<std::string, report_target> m_targets;
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -229,6 +229,8 @@
         for (const auto &[bestEffortImage, load] : row.loadsPerCore)
             value["presses"][serving]["by"][bestEffortImage] = std::round(load * 1000) / 1000;
     }
+    if (answer.isHome)
+        value["home"] = true;
     if (answer.zoneEvacuated)
         value["zone_evacuated"] = true;
     return compactJson(value);
@@ -248,6 +250,9 @@
         answer.interference[serving] = {numberMember(row, "floor_ms"),
                                         amountsFrom(objectMember(row, "by"))};
     }
+    // Entries of the previous release don't send it.
+    if (value.isMember("home"))
+        answer.isHome = boolMember(value, "home");
     if (value.isMember("zone_evacuated"))
         answer.zoneEvacuated = boolMember(value, "zone_evacuated");
     return answer;
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -162,6 +162,9 @@
     std::vector<run_end_id> notOwned;     // the job belongs to another entry
     // What the entry has learned from all workers; empty: not requested, or nothing learned yet.
     interference_table interference;
+    // The entry is the worker's home, the one that prefers it when it places tasks: the agent
+    // reports each end of a run to it at once, whoever owns the run.
+    bool isHome = false;
     bool zoneEvacuated = false; // operators evacuate the worker's zone: nothing more starts there
 };
 
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -449,6 +449,13 @@
     return runs;
 }
 
+bool run_table::hasEndsFor(const std::string &owner) const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [&](const auto &entry) {
+        return entry.second.phase == run_phase::Ended && entry.second.reportsEndTo(owner);
+    });
+}
+
 std::vector<run_end> run_table::endsFor(const std::string &owner) const
 {
     std::vector<run_end> ends;
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -170,6 +170,8 @@
     // Runs with a latency target, and their tail latencies by the last listing.
     std::vector<serving_sample> servingSamples() const;
     std::vector<best_effort_run> bestEffortRuns() const;
+    // Whether endsFor(owner) lists any.
+    bool hasEndsFor(const std::string &owner) const;
     // Unacknowledged ends to report to `owner`: of its own runs, and of runs without a known owner.
     std::vector<run_end> endsFor(const std::string &owner) const;
     // Checkpoints of active runs to report to `owner`, which owns them.
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -243,6 +243,10 @@
         score -= 0.5; // a task on another rack than its data takes half as long again
     // A slowdown up to 1.3 may come from the estimates alone, which are off by a fifth.
     score -= 0.25 * std::max(0.0, view.slowdown - 1.3);
+    // Other entries place on other workers by views that are up to a report's interval old. Half
+    // of a worker's processors in use weigh less, an overcommitted worker weighs more.
+    constexpr double HomeBonus = 0.15;
+    score += view.isHome ? HomeBonus : 0;
     constexpr double LateJobPenalty = 4; // as much as an overcommitment by all processors
     return score - LateJobPenalty * latenessCost(view, step);
 }
@@ -393,6 +397,13 @@
     return best->lastReport.worker;
 }
 
+void worker_pool::setHome(const std::string &worker, bool isHome)
+{
+    const auto found = m_workers.find(worker);
+    if (found != m_workers.end())
+        found->second.isHome = isHome;
+}
+
 std::string worker_pool::describeUnfitWorkers(const std::string &service, const step_spec &step,
                                               const std::vector<std::string> &avoid, time_point now,
                                               const placement_preferences &preferences) const
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -36,6 +36,7 @@
     // Late jobs: those with a serving run here that is expected to miss its latency target, as its
     // best-effort neighbours add more load than its headroom in the report.
     std::set<std::string> lateJobs;
+    bool isHome = false;           // this entry prefers the worker; see report_answer
     int consecutiveFailures = 0;   // failed runs since the last one that was done
     time_point quarantinedUntil{}; // no task is placed here before
     double slowdown = 1;           // actual run time over estimated run time, moving average
@@ -107,6 +108,9 @@
     std::int64_t startDeadlineFor(const std::string &worker, std::int64_t agentIncarnation,
                                   time_point now) const;
 
+    // Whether this entry is the worker's home. Ignored for unknown workers.
+    void setHome(const std::string &worker, bool isHome);
+
     // Sets the zones in which no more runs are started; see evacuations.h.
     void setEvacuatedZones(std::set<std::string> zones) { m_evacuatedZones = std::move(zones); }
 
--- a/tests/entry_directory_test.cpp
+++ b/tests/entry_directory_test.cpp
@@ -1,4 +1,5 @@
 // Tests of entry_directory: which entries are alive, and which of them gets forwarded work.
+#include <map>
 #include <set>
 
 #include <criterion/criterion.h>
@@ -54,3 +55,28 @@
         check(!placers.contains("entry-a"));
     });
 }
+
+// Guards against entries that choose the same free capacity at the same moment: each worker has one
+// home, and the homes are spread over the entries.
+Test(entry_directory, homes_of_workers)
+{
+    auto directory = directoryOfFourOthers();
+    std::map<std::string, int> workersByHome;
+    for (int number = 0; number < 100; ++number)
+        ++workersByHome[directory.homeOf("worker-" + std::to_string(number), Now)];
+    section("each live entry is the home of some workers, this one included", [&] {
+        check(workersByHome.size() == 5);
+        for (const auto &[entry, workers] : workersByHome)
+            check(workers >= 8 && workers <= 35);
+    });
+    section("only the workers of an entry that is gone change their home", [&] {
+        const auto later = Now + entry_directory::HeartbeatTimeout;
+        for (const auto *name : {"entry-a", "entry-b", "entry-c"})
+            directory.recordHeartbeat(name, 1, false, later);
+        for (int number = 0; number < 100; ++number) {
+            const auto worker = "worker-" + std::to_string(number);
+            const auto before = directory.homeOf(worker, Now);
+            check(before == "entry-d" || directory.homeOf(worker, later) == before);
+        }
+    });
+}
--- a/tests/report_targets_test.cpp
+++ b/tests/report_targets_test.cpp
@@ -89,3 +89,22 @@
         check(!targets.isEpochUnacknowledged(2));
     });
 }
+
+// Guards against ends of runs that reach every entry at once: only a worker's home needs to know
+// each of them.
+Test(report_targets, the_home_of_the_worker)
+{
+    auto targets = twoEntries();
+    check(!targets.isHome("entry-a"));
+    targets.setHome("entry-a", true);
+    check(targets.isHome("entry-a"));
+    check(!targets.isHome("entry-b"));
+    section("an entry's next answer may say otherwise", [&] {
+        targets.setHome("entry-a", false);
+        check(!targets.isHome("entry-a"));
+    });
+    section("an unknown entry is no home", [&] {
+        targets.setHome("entry-x", true);
+        check(!targets.isHome("entry-x"));
+    });
+}
