Strong entries place tasks, the others hand jobs over

Cause: of 55 entries 40 have 0.069 cores and a tenth of the link. Each got the reports of all 240 workers, pinged all others and owned jobs: 0.0759 cores in the mean, more than a small one has. Change: each entry tells its processor time in its row (settings processor_share and cores). Those with less than a quarter of the strongest live one's hand new jobs over, are no homes and no successors, ping placers alone, and get reports each fifth second. Once all strong ones are gone they are placers, and judge nobody for another 1.6 s.

--- a/app/entry_directory.cpp
+++ b/app/entry_directory.cpp
@@ -1,5 +1,7 @@
 #include "app/entry_directory.h"
 
+#include <algorithm>
+
 #include "base/hash.h"
 #include "base/json.h"
 #include "base/json_member.h"
@@ -12,18 +14,25 @@
     value["incarnation"] = Json::Int64(row.incarnation);
     value["internal"] = row.internalAddress;
     value["callers"] = row.callersAddress;
+    if (row.millicores > 0)
+        value["millicores"] = Json::Int64(row.millicores);
     return compactJson(value);
 }
 
 entry_row entryRowFrom(const std::string &text)
 {
     const auto value = parseJsonObject(text);
-    return {integerMember(value, "incarnation"), stringMember(value, "internal"),
-            stringMember(value, "callers")};
+    entry_row row{integerMember(value, "incarnation"), stringMember(value, "internal"),
+                  stringMember(value, "callers")};
+    // Entries of the previous release don't write it.
+    if (value.isMember("millicores"))
+        row.millicores = integerMember(value, "millicores");
+    return row;
 }
 
-entry_directory::entry_directory(std::string self, time_point startedAt)
+entry_directory::entry_directory(std::string self, time_point startedAt, std::int64_t millicores)
     : m_self(std::move(self))
+    , m_millicores(millicores)
     , m_startedAt(startedAt)
 { }
 
@@ -87,15 +96,60 @@
 
 std::string entry_directory::preferredLiveEntry(const std::string &key, time_point now) const
 {
-    auto candidates = liveEntries(now);
-    candidates.push_back(m_self);
-    return rendezvousOrder(key, candidates).front();
+    return rendezvousOrder(key, livePlacers(now)).front();
+}
+
+std::int64_t entry_directory::minPlacerMillicores(time_point now) const
+{
+    // An entry with less has hardly any time left after the reports of a fleet that needs the
+    // strongest one.
+    constexpr std::int64_t StrongestToLeast = 4;
+    auto strongest = m_millicores;
+    for (const auto &name : liveEntries(now))
+        strongest = std::max(strongest, find(name)->row.millicores);
+    return strongest / StrongestToLeast;
+}
+
+bool entry_directory::isPlacer(time_point now) const
+{
+    return m_millicores == 0 || m_millicores >= minPlacerMillicores(now);
+}
+
+std::vector<std::string> entry_directory::livePlacers(time_point now) const
+{
+    const auto least = minPlacerMillicores(now);
+    std::vector<std::string> placers;
+    for (const auto &name : liveEntries(now)) {
+        const auto millicores = find(name)->row.millicores;
+        if (millicores == 0 || millicores >= least)
+            placers.push_back(name);
+    }
+    if (m_millicores == 0 || m_millicores >= least)
+        placers.push_back(m_self);
+    return placers;
+}
+
+std::vector<std::string> entry_directory::placersFor(const std::string &key, time_point now) const
+{
+    auto placers = rendezvousOrder(key, livePlacers(now));
+    std::erase(placers, m_self);
+    return placers;
+}
+
+// While both entries look like placers or neither is known to be alive, both ping.
+bool entry_directory::shouldPing(const std::string &entry, time_point now) const
+{
+    const auto *known = find(entry);
+    if (known == nullptr)
+        return false;
+    const auto millicores = known->row.millicores;
+    return millicores == 0 || millicores >= minPlacerMillicores(now);
 }
 
-std::vector<std::string> entry_directory::liveEntriesFor(const std::string &key,
-                                                         time_point now) const
+void entry_directory::recordRole(time_point now)
 {
-    return rendezvousOrder(key, liveEntries(now));
+    if (!isPlacer(now))
+        m_lastNoPlacerAt = now;
 }
 
 std::vector<std::string> entry_directory::liveEntries(time_point now) const
@@ -119,8 +173,9 @@
         // Also if it has restarted: then it takes over the jobs of its own earlier incarnation.
         return std::nullopt;
     }
-    // After this entry's start, no other one counts as dead before it had time to send a heartbeat.
-    if (now - m_startedAt < HeartbeatTimeout)
+    // After this entry's start, or since it has become a placer, no other one counts as dead before
+    // it had time to send a heartbeat.
+    if (now - std::max(m_startedAt, m_lastNoPlacerAt) < HeartbeatTimeout)
         return std::nullopt;
     return preferredLiveEntry(job, now);
 }
--- a/app/entry_pings.cpp
+++ b/app/entry_pings.cpp
@@ -57,7 +57,11 @@
 
 void entry_pings::pingAll()
 {
+    const auto now = suspendAwareNow();
+    m_directory.recordRole(now);
     for (const auto &[name, known] : m_directory.entries()) {
+        if (!m_directory.shouldPing(name, now))
+            continue;
         http_request ping;
         ping.method = "POST";
         ping.target = "/v1/ping";
--- a/app/entry_pings.h
+++ b/app/entry_pings.h
@@ -31,8 +31,9 @@
 
     // The row of this incarnation of the entry, to be sent in pings. Set before the first ping.
     void setOwnRow(const entry_row &ownRow) { m_ownRow = ownRow; }
-    // Sends a ping to each other entry in the directory, alive or not, and applies the answers when
-    // they arrive. Called periodically, and at once when the directory or isLeaving has changed.
+    // Sends a ping to each entry that entry_directory::shouldPing() names, alive or not, and
+    // applies the answers when they arrive. Called periodically, and at once when the directory or
+    // isLeaving has changed.
     void pingAll();
     // Applies another entry's ping and returns the body of the answer. Throws error BadRequest.
     std::string handlePing(const std::string &ping);
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -69,7 +69,7 @@
                   m_loop, m_store, m_log, {SummariesTable, jobPartitions(), JobsBatchDelay},
                   [this](const auto &rows) { applyJobRows(rows); }, [this] { handleAllJobsRead(); })
         , m_startedAt(suspendAwareNow())
-        , m_directory(m_settings.id, m_startedAt)
+        , m_directory(m_settings.id, m_startedAt, m_settings.millicores)
         , m_pings(m_settings.id, {m_client, m_configuration, m_directory, m_log},
                   [this] { return isLeaving(); })
         , m_takeover({m_store, m_directory, m_view, m_jobController, m_metrics},
@@ -155,6 +155,7 @@
         m_entriesFollower.start();
         m_jobsFollower.start();
         m_loop.runEvery(PingInterval, [this] { m_pings.pingAll(); });
+        m_loop.runEvery(PingInterval, [this] { logRole(); });
         m_loop.runEvery(PlanInterval, [this] { planAndExecute(); });
         m_loop.runEvery(TakeoverInterval, [this] { takeOver(); });
         m_loop.runEvery(LeaseWatchInterval, [this] { watchSilentWorkers(); });
@@ -179,6 +180,17 @@
         m_pings.pingAll();
     }
 
+    // Logs the first role and each change.
+    void logRole()
+    {
+        const bool isPlacer = m_directory.isPlacer(suspendAwareNow());
+        if (m_wasPlacer == isPlacer)
+            return;
+        m_wasPlacer = isPlacer;
+        m_log.writeEvent("role", {{"placer", isPlacer ? "yes" : "no"},
+                                  {"millicores", m_settings.millicores}});
+    }
+
     void handleAllJobsRead()
     {
         if (!m_areJobsKnown)
@@ -387,6 +399,8 @@
         pendingReport->respond = std::move(respond);
         pendingReport->pendingEnds = report.ends.size();
         pendingReport->answer.isHome = isHome;
+        pendingReport->answer.wantsReports =
+                m_directory.isPlacer(now) || m_jobController->unfinishedJobCount() > 0;
         for (const auto &sample : report.samples)
             m_pool.interferenceEstimator().learn(sample);
         // An outdated list of evacuated zones could still contain a zone that is back in use.
@@ -539,6 +553,7 @@
     lease_watcher m_leaseWatcher;
     write_callbacks m_writeCallbacks;
     bool m_areJobsKnown = false;
+    std::optional<bool> m_wasPlacer; // at the last logRole(); empty: not called yet
     bool m_isPlanScheduled = false;
     shutdown_driver m_shutdown;
     job_requests m_requests;
--- a/app/job_requests.cpp
+++ b/app/job_requests.cpp
@@ -22,6 +22,8 @@
 constexpr const char *ForwardedHeader = "Zb-Passed-On"; // the entry that forwarded the request
 // When this many entries could not take a request, the others are probably in the same state.
 constexpr std::size_t MaxForwardAttempts = 3;
+// A second placer has most probably not died at the same moment as the first.
+constexpr std::size_t MaxPlacerAttempts = 2;
 constexpr milliseconds AnswerTimeout{2600}; // below the callers' usual timeout of 3 s
 
 // Whether the call was certainly not executed: it was not sent, or the other process says so by
@@ -157,10 +159,24 @@
         m_log.writeEvent("job_refused", {{"job", id}, {"why", problem.what()}});
         return respond(countedRefusal(400, "bad_request"));
     }
-    const auto placer = m_directory.placerOf(policy.service, suspendAwareNow());
-    if (spec.hasLongRunningStep() && placer != m_self)
-        return handOver(placer, id, spec, policy, std::move(respond));
-    accept(id, spec, policy, std::move(respond));
+    handOver(placersOf(id, spec, policy), id, spec, policy, std::move(respond));
+}
+
+// The entries to which the job is handed, in the order in which they are tried; empty: none.
+std::vector<std::string> job_requests::placersOf(const std::string &id, const job_spec &spec,
+                                                 const queue_policy &policy) const
+{
+    const auto now = suspendAwareNow();
+    if (spec.hasLongRunningStep()) {
+        auto placer = m_directory.placerOf(policy.service, now);
+        return placer == m_self ? std::vector<std::string>{} : std::vector{std::move(placer)};
+    }
+    if (m_directory.isPlacer(now))
+        return {};
+    auto placers = m_directory.placersFor(id, now);
+    if (placers.size() > MaxPlacerAttempts)
+        placers.resize(MaxPlacerAttempts);
+    return placers;
 }
 
 void job_requests::accept(const std::string &id, const job_spec &spec, const queue_policy &policy,
@@ -184,16 +200,22 @@
 
 // Jobs with long-running tasks are handed to one entry, which places all such tasks. If several
 // entries placed them at the same time, they would choose the same free capacity, some of their
-// orders would be refused, and each job would be scattered over many workers.
-void job_requests::handOver(const std::string &placer, const std::string &id, const job_spec &spec,
-                            const queue_policy &policy, responder respond)
+// orders would be refused, and each job would be scattered over many workers. An entry that is no
+// placer hands all jobs over. Without a placer that takes the job, this entry accepts it.
+void job_requests::handOver(std::vector<std::string> placers, const std::string &id,
+                            const job_spec &spec, const queue_policy &policy, responder respond)
 {
+    const auto *next = placers.empty() ? nullptr : m_directory.find(placers.front());
+    if (next == nullptr)
+        return accept(id, spec, policy, std::move(respond));
+    const auto placer = placers.front();
+    placers.erase(placers.begin());
     http_request request;
     request.method = "POST";
     request.target = "/v1/jobs/" + id;
     request.body = toText(forwarded_job{newRecord(spec, policy, wallClockMs()), spec.payload});
-    m_client.call(m_directory.find(placer)->row.internalAddress, std::move(request), PeerTimeout,
-                  [this, placer, id, spec, policy,
+    m_client.call(next->row.internalAddress, std::move(request), PeerTimeout,
+                  [this, placer, placers = std::move(placers), id, spec, policy,
                    respond = std::move(respond)](const call_result &result) {
                       const auto *answer = std::get_if<http_response>(&result);
                       const bool isTaken = answer != nullptr && answer->status == 200;
@@ -205,7 +227,7 @@
                       // This is safe even if the placer may have accepted the job: a job's row is
                       // created only once, and the second entry to try finds the existing row.
                       m_metrics.count("jobs_not_handed_over_total", "placer_silent");
-                      accept(id, spec, policy, respond);
+                      handOver(placers, id, spec, policy, respond);
                   });
 }
 
@@ -250,7 +272,7 @@
     if (!request.header(ForwardedHeader).empty())
         return refuseAsLeaving(request, respond);
     request.headers[ForwardedHeader] = m_self;
-    auto candidates = m_directory.liveEntriesFor(request.path(), suspendAwareNow());
+    auto candidates = m_directory.placersFor(request.path(), suspendAwareNow());
     if (candidates.size() > MaxForwardAttempts)
         candidates.resize(MaxForwardAttempts);
     tryForward(std::move(candidates), std::move(request), std::move(respond));
--- a/app/job_requests.h
+++ b/app/job_requests.h
@@ -81,9 +81,12 @@
                 net::responder respond);
     void accept(const std::string &id, const jobs::job_spec &spec, const jobs::queue_policy &policy,
                 net::responder respond);
-    // `placer`: the entry that places long-running tasks.
-    void handOver(const std::string &placer, const std::string &id, const jobs::job_spec &spec,
-                  const jobs::queue_policy &policy, net::responder respond);
+    std::vector<std::string> placersOf(const std::string &id, const jobs::job_spec &spec,
+                                       const jobs::queue_policy &policy) const;
+    // Hands the job to the first of the placers that takes it; accepts it if there is none.
+    void handOver(std::vector<std::string> placers, const std::string &id,
+                  const jobs::job_spec &spec, const jobs::queue_policy &policy,
+                  net::responder respond);
     void acceptHandedOver(const std::string &id, const std::string &body, net::responder respond);
     // Writes the refusal to the log and returns it.
     http_response logRefusal(const std::string &id, http_response answer);
--- a/app/job_settings.cpp
+++ b/app/job_settings.cpp
@@ -1,5 +1,7 @@
 #include "app/job_settings.h"
 
+#include <cmath>
+
 #include "base/errors.h"
 #include "base/json.h"
 #include "base/json_member.h"
@@ -27,6 +29,20 @@
     return text;
 }
 
+// The processor time of an instance, from the share of each core and the number of cores; both are
+// optional and count as 1 when absent.
+std::int64_t millicoresFrom(const Json::Value &object)
+{
+    const auto factor = [&object](const char *name) {
+        return object.isMember(name) ? numberMember(object, name) : 1.0;
+    };
+    const auto millicores = std::llround(1000 * factor("processor_share") * factor("cores"));
+    if (millicores <= 0)
+        throw error(error_kind::BadSettings,
+                    "members 'processor_share' and 'cores' must be above 0");
+    return millicores;
+}
+
 std::string addressMember(const Json::Value &object, const char *name)
 {
     return toText(parseAddress(requiredString(object, name)));
@@ -44,6 +60,7 @@
         settings.readinessAddress = parseAddress(requiredString(value, "ready"));
         settings.internalAddress = parseAddress(requiredString(value, "internal"));
         settings.storeAddress = addressMember(value, "store");
+        settings.millicores = millicoresFrom(value);
         return settings;
     });
 }
--- a/app/report_sender.cpp
+++ b/app/report_sender.cpp
@@ -61,9 +61,10 @@
 // such runs, and the table is not requested.
 void report_sender::sendPeriodicReports()
 {
-    m_tableSource =
-            m_samples.empty() ? std::string() : m_tableSourceRotation.next(m_targets.names());
-    sendReports();
+    const auto recipients = m_targets.namesForRound(m_round++);
+    m_tableSource = m_samples.empty() ? std::string() : m_tableSourceRotation.next(recipients);
+    for (const auto &name : recipients)
+        sendReport(name);
     m_samples.clear();
 }
 
@@ -175,6 +176,7 @@
 {
     const auto now = suspendAwareNow();
     m_targets.setHome(entry, answer.isHome);
+    m_targets.setWantsReports(entry, answer.wantsReports);
     for (const auto &end : answer.acknowledged) {
         if (m_runTable.acknowledgeEnd(end, now))
             m_throttleController.forget(end.task, end.run);
--- a/app/report_sender.h
+++ b/app/report_sender.h
@@ -88,6 +88,7 @@
     event_log &m_log;
     std::function<bool()> m_isAccepting;
     report_targets m_targets;
+    std::uint64_t m_round = 0;                        // number of the next periodic reports
     std::vector<jobs::interference_sample> m_samples; // since the last periodic report
     jobs::table_source_rotation m_tableSourceRotation;
     // The entry that is asked for the interference table in the next report to it; empty: none.
--- a/app/report_targets.cpp
+++ b/app/report_targets.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/hash.h"
+
 namespace zinniabarrow {
 
 void report_targets::setAddress(const std::string &entry, const std::string &address)
@@ -59,6 +61,25 @@
     return true;
 }
 
+std::vector<std::string> report_targets::namesForRound(std::uint64_t round) const
+{
+    constexpr std::uint64_t SeldomInterval =
+            5; // rounds between reports to an entry that wants none
+    std::vector<std::string> names;
+    for (const auto &[name, target] : m_targets) {
+        if (target.wantsReports || (round + stableHash(name)) % SeldomInterval == 0)
+            names.push_back(name);
+    }
+    return names;
+}
+
+void report_targets::setWantsReports(const std::string &entry, bool wantsReports)
+{
+    const auto found = m_targets.find(entry);
+    if (found != m_targets.end())
+        found->second.wantsReports = wantsReports;
+}
+
 void report_targets::setHome(const std::string &entry, bool isHome)
 {
     const auto found = m_targets.find(entry);
--- a/app/report_targets.h
+++ b/app/report_targets.h
@@ -16,6 +16,9 @@
     void removeEntry(const std::string &entry);
 
     std::vector<std::string> names() const; // sorted
+    // The entries that get the periodic report number `round`: those that want reports, and of the
+    // others a fifth, each in its turn.
+    std::vector<std::string> namesForRound(std::uint64_t round) const;
     std::vector<std::string> addresses() const;
     // Throws std::out_of_range if the entry is unknown.
     const std::string &addressOf(const std::string &entry) const;
@@ -25,7 +28,9 @@
     bool tryBeginReport(const std::string &entry);
     // The report in flight was answered or has failed. False if the entry has been removed.
     bool endReport(const std::string &entry);
-    // Whether the entry's last answer said that it is the worker's home; see report_answer.
+    // What the entry's last answer said: see report_answer. An entry that has not answered yet
+    // wants reports.
+    void setWantsReports(const std::string &entry, bool wantsReports);
     void setHome(const std::string &entry, bool isHome);
     bool isHome(const std::string &entry) const;
     // The entry has answered a report that carried this epoch.
@@ -43,6 +48,7 @@
         bool isReportInFlight = false;      // a report is not answered yet
         bool needsAnother = false;          // requested while a report was in flight
         bool isHome = false;
+        bool wantsReports = true;
     };
 
     std::map<std::string, report_target> m_targets;
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -231,6 +231,8 @@
     }
     if (answer.isHome)
         value["home"] = true;
+    if (!answer.wantsReports)
+        value["seldom"] = true;
     if (answer.zoneEvacuated)
         value["zone_evacuated"] = true;
     return compactJson(value);
@@ -253,6 +255,8 @@
     // Entries of the previous release don't send it.
     if (value.isMember("home"))
         answer.isHome = boolMember(value, "home");
+    if (value.isMember("seldom"))
+        answer.wantsReports = !boolMember(value, "seldom");
     if (value.isMember("zone_evacuated"))
         answer.zoneEvacuated = boolMember(value, "zone_evacuated");
     return answer;
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -165,6 +165,9 @@
     // The entry is the worker's home, the one that prefers it when it places tasks: the agent
     // reports each end of a run to it at once, whoever owns the run.
     bool isHome = false;
+    // False: the entry places no tasks at present. It gets a report only now and then, so that it
+    // can say when that has changed.
+    bool wantsReports = true;
     bool zoneEvacuated = false; // operators evacuate the worker's zone: nothing more starts there
 };
 
--- a/tests/job_feed_test.cpp
+++ b/tests/job_feed_test.cpp
@@ -108,7 +108,8 @@
         for (const auto *text :
              {"", "[]", R"({"v":2,"o":"e","i":1,"s":"queued","q":"a"})",
               R"({"v":1,"o":"e","i":1,"s":"asleep","q":"a"})", R"({"v":1,"i":1,"s":"queued"})",
-              R"({"v":1,"o":"e","i":"1","s":"queued","q":"a"})"})
+              R"({"v":1,"o":"e","i":"1","s":"queued","q":"a"})"}) {
             cr_assert_throw(summaryFrom(text), error);
+        }
     });
 }
--- /dev/null
+++ b/tests/job_settings_test.cpp
@@ -0,0 +1,38 @@
+// Tests the settings of job-entry: the processor time of its instance.
+#include "app/job_settings.h"
+
+#include <criterion/criterion.h>
+
+#include "base/errors.h"
+#include "section.h"
+
+using namespace zinniabarrow;
+using zinniabarrow::tests::section;
+
+namespace {
+
+job_entry_settings settingsWith(const std::string &members)
+{
+    return jobEntrySettingsFrom("local.json", R"({"id":"e1","zone":"z","callers":"127.0.0.1:1",)"
+                                              R"("ready":"127.0.0.1:2","internal":"127.0.0.1:3",)"
+                                              R"("store":"127.0.0.1:4")"
+                                                      + members + "}");
+}
+
+} // namespace
+
+// Guards against an entry that others take for stronger than it is, or that does not start because
+// of a setting that it could do without.
+Test(job_settings, processor_time)
+{
+    section("it is the share of a core times the cores", [] {
+        cr_assert_eq(settingsWith(R"(,"processor_share":0.069,"cores":2)").millicores, 138);
+    });
+    section("a whole core where nothing is said",
+            [] { cr_assert_eq(settingsWith("").millicores, 1000); });
+    section("values that make no sense are refused", [] {
+        cr_assert_throw(settingsWith(R"(,"processor_share":0)"), error);
+        cr_assert_throw(settingsWith(R"(,"cores":-1)"), error);
+        cr_assert_throw(settingsWith(R"(,"cores":"two")"), error);
+    });
+}
--- a/tests/report_targets_test.cpp
+++ b/tests/report_targets_test.cpp
@@ -1,4 +1,5 @@
 // Tests of report_targets: which entries an agent may send a report to, and when.
+#include <set>
 #include <string>
 #include <vector>
 
@@ -108,3 +109,30 @@
         check(!targets.isHome("entry-x"));
     });
 }
+
+// Guards against a processor that periodic reports use up at entries that place no tasks, and
+// against one that becomes a placer and never hears from the workers.
+Test(report_targets, entries_that_place_no_tasks)
+{
+    report_targets targets;
+    for (int number = 0; number < 55; ++number) {
+        const auto name = "entry-" + std::to_string(number);
+        targets.setAddress(name, name + ":1");
+    }
+    section("an entry that has not answered yet gets each report",
+            [&] { check(targets.namesForRound(0).size() == 55); });
+    for (int number = 15; number < 55; ++number)
+        targets.setWantsReports("entry-" + std::to_string(number), false);
+    section("in a round the others and about a fifth of these get one", [&] {
+        for (std::uint64_t round = 0; round < 10; ++round)
+            check(targets.namesForRound(round).size() <= 15 + 16);
+    });
+    section("within five rounds each gets one", [&] {
+        std::set<std::string> reached;
+        for (std::uint64_t round = 7; round < 12; ++round) {
+            for (const auto &name : targets.namesForRound(round))
+                reached.insert(name);
+        }
+        check(reached.size() == 55);
+    });
+}
