--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -14,6 +14,18 @@
 
 constexpr double MostlyUsedShare = 0.55; // of a service's processors, see maxInterferenceWait
 
+bool hasPlacements(const job_record &record)
+{
+    for (const auto &steps : record.tasks) {
+        for (const auto &tasks : steps) {
+            if (std::any_of(tasks.begin(), tasks.end(),
+                            [](const auto &task) { return !task.placements.empty(); }))
+                return true;
+        }
+    }
+    return false;
+}
+
 // A different seed for each run, so that a task that was refused tends to try another worker.
 std::uint64_t tieBreakSeedOf(const task_id &task, int run)
 {
@@ -72,6 +84,10 @@
     preferences.avoidsInterference =
             now - waitStart < (isMostlyUsed ? m_settings.maxInterferenceWait
                                             : m_settings.maxInterferenceWaitWhenIdle);
+    // Callers take a job for lost when none of its tasks runs although the service has room. Jobs
+    // that are late wait behind the others, so one run at a time keeps such a job alive.
+    const bool mayOvercommit =
+            !isMostlyUsed && now - waitStart >= m_settings.maxInterferenceWaitWhenIdle;
     bool hasWaitingTasks = false;
     for (int index = 0; index < step.count; ++index) {
         const task_id task{id, occurrence, stepIndex, index};
@@ -80,6 +96,7 @@
             continue;
         preferences.waitingTasks = unplacedTasks--;
         preferences.tieBreakSeed = tieBreakSeedOf(task, state.lastRun + 1);
+        preferences.mayOvercommit = mayOvercommit && !hasPlacements(job.record);
         const auto worker = chooseWorkerFor(m_workers, job, task, step, now, preferences);
         if (!worker) {
             hasWaitingTasks = true;
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -152,7 +152,8 @@
 }
 
 unfit_reason worker_pool::unfitReasonOf(const worker_view &view, const std::string &service,
-                                        const step_spec &step, bool avoidsInterference,
+                                        const step_spec &step,
+                                        const placement_preferences &preferences,
                                         time_point now) const
 {
     const auto &latest = view.lastReport;
@@ -172,13 +173,13 @@
     // Above this share, best-effort runs only slow each other down: more jobs are on time when they
     // wait and run one after another than when all run at a fraction of full speed.
     constexpr double MaxProcessorShare = 0.95;
-    if (step.isBestEffort && latest.bestEffortMillicores > 0
+    if (step.isBestEffort && !preferences.mayOvercommit && latest.bestEffortMillicores > 0
         && processorShareWith(view, step) > MaxProcessorShare)
         return unfit_reason::BestEffortFull;
     // A best-effort task waits for a worker on which it causes no lateness: its objective leaves it
     // time, while nothing makes up for a late response to a user.
     constexpr double MaxExpectedLateJobs = 0.15;
-    if (step.isBestEffort && avoidsInterference
+    if (step.isBestEffort && preferences.avoidsInterference
         && expectedLateJobs(view, step) > MaxExpectedLateJobs)
         return unfit_reason::WouldCauseLateness;
     const auto size = reservedSize(step.size, step.isBestEffort);
@@ -380,8 +381,7 @@
     const worker_view *best = nullptr;
     double bestScore = 0;
     for (const auto &[name, view] : m_workers) {
-        if (unfitReasonOf(view, service, step, preferences.avoidsInterference, now)
-            != unfit_reason::None)
+        if (unfitReasonOf(view, service, step, preferences, now) != unfit_reason::None)
             continue;
         if (std::find(avoid.begin(), avoid.end(), name) != avoid.end())
             continue;
@@ -411,7 +411,7 @@
     std::map<unfit_reason, int> counts;
     int roomBesideLongRunning = 0;
     for (const auto &[name, view] : m_workers) {
-        auto reason = unfitReasonOf(view, service, step, preferences.avoidsInterference, now);
+        auto reason = unfitReasonOf(view, service, step, preferences, now);
         if (reason == unfit_reason::ServiceMismatch)
             continue;
         if (reason == unfit_reason::None
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -36,7 +36,7 @@
     // Late jobs: those with a serving run here that is expected to miss its latency target, as its
     // best-effort neighbours add more load than its headroom in the report.
     std::set<std::string> lateJobs;
-    bool isHome = false;           // this entry prefers the worker; see report_answer
+    bool isHome = false;           // this entry prefers the worker; see entry_directory::homeOf()
     int consecutiveFailures = 0;   // failed runs since the last one that was done
     time_point quarantinedUntil{}; // no task is placed here before
     double slowdown = 1;           // actual run time over estimated run time, moving average
@@ -86,6 +86,8 @@
     // Whether a best-effort task is left waiting rather than make serving runs exceed their latency
     // targets.
     bool avoidsInterference = true;
+    // Whether a best-effort task may go where best-effort runs already use all processors.
+    bool mayOvercommit = false;
     // Randomizes the choice between workers of nearly equal score; 0: takes the best one.
     std::uint64_t tieBreakSeed = 0;
 };
@@ -99,6 +101,7 @@
     // since the last report.
     bool update(const worker_report &report, time_point now);
     const worker_view *find(const std::string &worker) const;
+    std::size_t workerCount() const { return m_workers.size(); } // that have ever reported
     // Whether its agent has reported within `reportTimeout`.
     bool isReporting(const std::string &worker, time_point now) const;
     // Deadline of a start order that is sent now, by the clock of the agent, ms; 0: the agent's
@@ -149,7 +152,7 @@
 private:
     static void updateClock(worker_view &view, const worker_report &report, time_point now);
     unfit_reason unfitReasonOf(const worker_view &view, const std::string &service,
-                               const step_spec &step, bool avoidsInterference,
+                               const step_spec &step, const placement_preferences &preferences,
                                time_point now) const;
     static unfit_reason lackingResource(const task_size &size, const task_size &capacity,
                                         const task_size &used);
