--- a/app/entry_directory.cpp
+++ b/app/entry_directory.cpp
@@ -136,7 +136,6 @@
     return placers;
 }
 
-// While both entries look like placers or neither is known to be alive, both ping.
 bool entry_directory::shouldPing(const std::string &entry, time_point now) const
 {
     const auto *known = find(entry);
--- a/app/report_targets.cpp
+++ b/app/report_targets.cpp
@@ -71,8 +71,7 @@
 
 std::vector<std::string> report_targets::namesForRound(std::uint64_t round) const
 {
-    constexpr std::uint64_t SeldomInterval =
-            5; // rounds between reports to an entry that wants none
+    constexpr std::uint64_t SeldomInterval = 5; // rounds
     std::vector<std::string> names;
     for (const auto &[name, target] : m_targets) {
         if (target.wantsReports || (round + stableHash(name)) % SeldomInterval == 0)
