--- a/app/job_requests.h
+++ b/app/job_requests.h
@@ -66,7 +66,8 @@
     // the store if the owner is gone or does not answer.
     void serve(http_request request, net::responder respond);
     // Another entry's request: about a job that this entry owns (GET, DELETE), or to hand a new job
-    // with long-running tasks over to it (POST). One entry places all such tasks of a service.
+    // over to it (POST): one with long-running tasks, which one entry places for a service, or any
+    // job of an entry that is no placer.
     void serveOwnedJob(const http_request &request, const std::string &id, net::responder respond);
 
     // Like makeRefusal(), and counts the refusal in the metrics.
--- a/app/report_sender.h
+++ b/app/report_sender.h
@@ -1,7 +1,7 @@
-// Sends reports about an agent's worker to all entries and applies their answers: which ends of
-// runs an entry has stored, and which belong to jobs that it doesn't own, the evacuation of the
-// zone, and the interference table (how much images slow each other down; see
-// jobs/interference_estimator.h). Used by the agent.
+// Sends reports about an agent's worker to the entries that want them, now and then to the others,
+// and applies their answers: which ends of runs an entry has stored, and which belong to jobs that
+// it doesn't own, the evacuation of the zone, and the interference table (how much images slow each
+// other down; see jobs/interference_estimator.h). Used by the agent.
 #pragma once
 
 #include <cstdint>
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -117,8 +117,8 @@
     bool isLate = false;  // the run missed its target in the last measurement
 };
 
-// An agent's report on its worker, sent to each entry at least once a second. `ends` are repeated
-// until they are acknowledged.
+// An agent's report on its worker, sent at least once a second to each entry that wants reports,
+// and every few seconds to the others. `ends` are repeated until they are acknowledged.
 struct worker_report
 {
     std::string worker;  // agent's id, by which entries name the worker
