Comments in the field's terms; the answer to a report is made in a function of its own

Cause: read as a newcomer, comments said 'told', 'heard', 'taken for lost' where the field has terms, and handleReport had grown to two jobs. Change: comments; makeAnswer split from handleReport, same calls, samples learned before the interference table is copied, as before. No check and no bound changed. Result: built, six test programs of these parts and the format pass.

--- a/app/entry_directory.cpp
+++ b/app/entry_directory.cpp
@@ -101,8 +101,7 @@
 
 std::int64_t entry_directory::minPlacerMillicores(time_point now) const
 {
-    // An entry with less has hardly any time left after the reports of a fleet that needs the
-    // strongest one.
+    // With less, the workers' reports leave an entry too little processor time for callers.
     constexpr std::int64_t StrongestToLeast = 4;
     auto strongest = m_millicores;
     for (const auto &name : liveEntries(now))
--- a/app/entry_directory.h
+++ b/app/entry_directory.h
@@ -23,7 +23,7 @@
     std::int64_t incarnation = 0; // higher after each restart
     std::string internalAddress;  // "ip:port" for zinniabarrow's own processes
     std::string callersAddress;   // "ip:port" for callers
-    std::int64_t millicores = 0;  // processor time of its instance, 1/1000 core; 0: not told
+    std::int64_t millicores = 0;  // processor capacity of its instance, 1/1000 core; 0: unknown
 };
 std::string toText(const entry_row &row);
 entry_row entryRowFrom(const std::string &text); // throws error BadRequest
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -372,6 +372,22 @@
         bool isAnswered = false;
     };
 
+    // The answer without the ends of runs, which are added as they are stored.
+    report_answer makeAnswer(const worker_report &report, bool isHome, time_point now)
+    {
+        report_answer answer;
+        if (!isHome)
+            answer.minReportInterval = reportInterval(m_pool.workerCount(), m_settings.millicores);
+        answer.wantsReports =
+                m_directory.isPlacer(now) || m_jobController->unfinishedJobCount() > 0;
+        // An outdated list of evacuated zones could still contain a zone that is back in use.
+        answer.zoneEvacuated = m_configuration.isConfirmed()
+                               && m_configuration.evacuatedZones().contains(report.zone);
+        if (report.wantsInterferenceTable)
+            answer.interference = m_pool.interferenceEstimator().table();
+        return answer;
+    }
+
     void handleReport(const worker_report &report, responder respond)
     {
         const auto now = suspendAwareNow();
@@ -391,19 +407,9 @@
         auto pendingReport = std::make_shared<pending_report>();
         pendingReport->respond = std::move(respond);
         pendingReport->pendingEnds = report.ends.size();
-        if (!isHome)
-            pendingReport->answer.minReportInterval =
-                    reportInterval(m_pool.workerCount(), m_settings.millicores);
-        pendingReport->answer.wantsReports =
-                m_directory.isPlacer(now) || m_jobController->unfinishedJobCount() > 0;
         for (const auto &sample : report.samples)
             m_pool.interferenceEstimator().learn(sample);
-        // An outdated list of evacuated zones could still contain a zone that is back in use.
-        pendingReport->answer.zoneEvacuated =
-                m_configuration.isConfirmed()
-                && m_configuration.evacuatedZones().contains(report.zone);
-        if (report.wantsInterferenceTable)
-            pendingReport->answer.interference = m_pool.interferenceEstimator().table();
+        pendingReport->answer = makeAnswer(report, isHome, now);
         for (const auto &end : report.ends)
             handleEnd(report.worker, end, pendingReport);
         // Called after the ends above have been handled, which end their own placements:
--- a/app/job_settings.h
+++ b/app/job_settings.h
@@ -18,7 +18,7 @@
     socket_address
             internalAddress;  // listens here for zinniabarrow's own processes, and serves metrics
     std::string storeAddress; // "ip:port" of the platform's store
-    std::int64_t millicores = 1000; // processor time that the instance gives, 1/1000 core
+    std::int64_t millicores = 1000; // processor capacity of the instance, 1/1000 core
 };
 
 struct job_agent_settings
--- a/app/report_targets.h
+++ b/app/report_targets.h
@@ -25,7 +25,7 @@
     // Throws std::out_of_range if the entry is unknown.
     const std::string &addressOf(const std::string &entry) const;
 
-    // Whether the entry wants a report now that tells it of nothing but free capacity.
+    // Whether the entry wants a report now that only updates the worker's free capacity.
     bool isReportDue(const std::string &entry, time_point now) const;
     // True if a report may be sent to the entry now; it then counts as in flight. False if the
     // entry is unknown, or if a report is in flight; in that case needsAnotherReport() is set.
--- a/app/traffic_meter.h
+++ b/app/traffic_meter.h
@@ -1,6 +1,6 @@
-// Counts the traffic of a job-entry or job-agent by kind of message, so that an operator sees on
-// what a process spends its link. Order of calls: observe() for each exchange, publish() now and
-// then.
+// Counts the traffic of a job-entry or job-agent by kind of message, so that an operator sees
+// which messages use a process's bandwidth. Order of calls: observe() for each exchange, publish()
+// now and then.
 #pragma once
 
 #include <array>
--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -84,8 +84,8 @@
     preferences.avoidsInterference =
             now - waitStart < (isMostlyUsed ? m_settings.maxInterferenceWait
                                             : m_settings.maxInterferenceWaitWhenIdle);
-    // Callers take a job for lost when none of its tasks runs although the service has room. Jobs
-    // that are late wait behind the others, so one run at a time keeps such a job alive.
+    // Jobs that are certain to be late are placed last. Without this rule such a job could wait
+    // without any run although most of the service's processors are unreserved.
     const bool mayOvercommit =
             !isMostlyUsed && now - waitStart >= m_settings.maxInterferenceWaitWhenIdle;
     bool hasWaitingTasks = false;
--- a/libs/jobs/job_summary.h
+++ b/libs/jobs/job_summary.h
@@ -1,7 +1,7 @@
-// What each entry knows of every job: enough to answer callers, to count waiting jobs and to find
-// jobs without an owner. An owner stores a job's summary in a row of its own, in the transaction
-// that writes the record, and only when it has changed. So the other entries read a few short rows
-// for each job, whatever its number of tasks.
+// The part of a job's state that all entries follow. It suffices to answer callers, to count
+// waiting jobs and to find jobs without an owner. An owner stores a job's summary in a row of its
+// own, in the transaction that writes the record, and only when it has changed. So the other
+// entries read a few short rows for each job, whatever its number of tasks.
 #pragma once
 
 #include <string>
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -163,9 +163,9 @@
     std::vector<run_end_id> notOwned;     // the job belongs to another entry
     // What the entry has learned from all workers; empty: not requested, or nothing learned yet.
     interference_table interference;
-    // When a run of another owner ends, the agent reports the free capacity to this entry if the
-    // last report is at least this old; 0: always. 0 from the worker's home, the entry that prefers
-    // it when it places tasks.
+    // When a run of another owner ends, the agent sends this entry a report only if the previous
+    // one is at least this old. 0, which the worker's home sends (see entry_directory::homeOf()):
+    // always.
     milliseconds minReportInterval{0};
     // False: the entry places no tasks at present. It gets a report only now and then, so that it
     // can say when that has changed.
--- a/libs/jobs/report_interval.h
+++ b/libs/jobs/report_interval.h
@@ -1,4 +1,4 @@
-// How often an entry wants reports that tell it of nothing but free capacity.
+// How often an entry wants reports that only update a worker's free capacity.
 #pragma once
 
 #include <cstddef>
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -244,8 +244,8 @@
         score -= 0.5; // a task on another rack than its data takes half as long again
     // A slowdown up to 1.3 may come from the estimates alone, which are off by a fifth.
     score -= 0.25 * std::max(0.0, view.slowdown - 1.3);
-    // Other entries place on other workers by views that are up to a report's interval old. Half
-    // of a worker's processors in use weigh less, an overcommitted worker weighs more.
+    // Reduces the number of entries that choose the same free capacity before they receive each
+    // other's placements in a report. Smaller than the penalty of an overcommitted worker.
     constexpr double HomeBonus = 0.15;
     score += view.isHome ? HomeBonus : 0;
     constexpr double LateJobPenalty = 4; // as much as an overcommitment by all processors
--- a/libs/net/exchange.h
+++ b/libs/net/exchange.h
@@ -1,4 +1,4 @@
-// A call and its answer as http_client and http_listener tell them to an observer, which counts the
+// A call and its answer as http_client and http_listener pass them to an observer, which counts the
 // bytes of a process's traffic.
 #pragma once
 
--- a/libs/net/http_client.h
+++ b/libs/net/http_client.h
@@ -44,7 +44,7 @@
 public:
     using call_callback = std::function<void(call_result)>;
 
-    // `observer` is told each call that used a connection.
+    // `observer` is called once for each call that used a connection.
     explicit http_client(event_loop &loop, const client_limits &limits = {},
                          exchange_observer observer = {});
     ~http_client();
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -44,7 +44,7 @@
     using handler = std::function<void(http_request, responder)>;
 
     // Starts listening immediately. Throws error BadSettings when the address is in use. `observer`
-    // is told each answered request.
+    // is called once for each answered request.
     http_listener(event_loop &loop, const socket_address &address, const listener_limits &limits,
                   handler serve, exchange_observer observer = {});
     ~http_listener();
--- a/tests/best_effort_backlog_test.cpp
+++ b/tests/best_effort_backlog_test.cpp
@@ -63,11 +63,11 @@
 
 } // namespace
 
-// Guards against LOST: a job that was late waited behind all others for 34 s without a run, while
-// by reserved processors most of the service was free.
+// Guards against jobs that callers report as lost: a late job waited for 34 s without a run while
+// most of the service's processors were unreserved.
 Test(best_effort_backlog, a_job_without_runs_while_best_effort_runs_use_all_processors)
 {
-    section("on a service that is mostly free, it gets one run before callers take it for lost",
+    section("on a service that is mostly free, it gets one run before callers report it as lost",
             [] {
                 backlog_behind_best_effort_runs backlog(0);
                 cr_assert_eq(backlog.placedAfter(milliseconds(2000)), 0);
--- a/tests/report_targets_test.cpp
+++ b/tests/report_targets_test.cpp
@@ -95,7 +95,7 @@
 }
 
 // Guards against a processor that periodic reports use up at entries that place no tasks, and
-// against one that becomes a placer and never hears from the workers.
+// against one that becomes a placer and never receives the workers' reports.
 Test(report_targets, entries_that_place_no_tasks)
 {
     report_targets targets;
