Search: long-running tasks that wait beside free capacity

The searches compared no owner's view with the workers: in the standing search workers are never full, so that a task that waits for want of room, and room that an owner holds in vain, did not occur.

--- a/tests/cluster_simulation.h
+++ b/tests/cluster_simulation.h
@@ -182,6 +182,17 @@
         }
     }
 
+    // The owner cancels the job; does nothing when no entry owns it.
+    void cancel(const std::string &id)
+    {
+        auto *owner = ownerOf(id);
+        if (owner == nullptr || !isReachable(*owner))
+            return;
+        addToTrace("{} cancels {}", owner->name, id);
+        owner->controller->cancel(id, owner->nextToken++);
+        planAndExecute(*owner);
+    }
+
     // Commits a row that no entry has written, owned by an entry that doesn't exist.
     void insertRow(const std::string &id, jobs::job_record record)
     {
--- a/tests/order_search.cpp
+++ b/tests/order_search.cpp
@@ -1,5 +1,6 @@
-// Searches seeded orders of events for one in which a task runs twice, or in which a task stalls
-// although all faults have ended. Exit codes: 0 no violation, 1 some seeds failed, 2 usage error.
+// Searches seeded orders of events for one in which a task runs twice, or, although all faults have
+// ended, a task stalls or waits beside free capacity. Exit codes: 0 no violation, 1 some seeds
+// failed, 2 usage error.
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -87,9 +88,14 @@
         TCLAP::MultiArg<std::string> seeds("", "seeds", "seeds to run", true, "A-B", command);
         TCLAP::SwitchArg trace("", "trace", "print the events of each seed", command);
         TCLAP::SwitchArg searchesStalls("", "standing", "search for stalled tasks", command);
+        TCLAP::SwitchArg searchesHeldRoom("", "room", "search for free capacity that isn't used",
+                                          command);
         command.parse(argumentCount, arguments);
-        const auto kind =
-                searchesStalls.getValue() ? search_kind::StalledTasks : search_kind::DuplicateRuns;
+        if (searchesStalls.getValue() && searchesHeldRoom.getValue())
+            throw TCLAP::ArgException("give one of --standing and --room");
+        const auto kind = searchesHeldRoom.getValue() ? search_kind::HeldRoom
+                          : searchesStalls.getValue() ? search_kind::StalledTasks
+                                                      : search_kind::DuplicateRuns;
         return search(seeds.getValue(), kind, trace.getValue());
     } catch (const TCLAP::ExitException &exit) {
         return exit.getExitStatus() == 0 ? ExitDone : ExitUsage;
--- a/tests/order_search.h
+++ b/tests/order_search.h
@@ -1,7 +1,8 @@
 // A seeded sequence of events in the simulated cluster: faults, delays and losses are drawn from
 // the seed. At each start of a run the rule against duplicate work is checked: no two runs of a
 // task at the same time, and no start of a task that is done. A search for stalled tasks adds
-// long-running tasks and more kinds of faults, and ends all faults before it checks for stalls.
+// long-running tasks and more kinds of faults, and ends all faults before it checks for stalls. A
+// search for held room does the same with tasks that compete for the workers' capacity.
 #pragma once
 
 #include <array>
@@ -15,6 +16,7 @@
 
 #include "base/random.h"
 #include "cluster_simulation.h"
+#include "held_room_checker.h"
 #include "stall_checker.h"
 
 namespace zinniabarrow::tests {
@@ -33,7 +35,7 @@
     StartsRejected, // the worker answers all starts with 429 for a while
     StartRefused,   // the worker answers its next start with 409
     CapacityReduced,
-    // Only in a search for stalled tasks:
+    // Not in a search for duplicate runs:
     AgentFrozen,
     EntryFrozenOnCommit,
     LinkCut,
@@ -43,8 +45,8 @@
 constexpr std::size_t BasicFaultKindCount = 12; // None to CapacityReduced
 constexpr std::size_t FaultKindCount = 17;      // all
 
-// What a search looks for.
-enum class search_kind { DuplicateRuns, StalledTasks };
+// What a search looks for. HeldRoom: long-running tasks that wait beside free capacity.
+enum class search_kind { DuplicateRuns, StalledTasks, HeldRoom };
 
 // What one search has seen.
 struct search_result
@@ -73,16 +75,17 @@
             m_weights[index] = randomBetween(0, 3);
         m_delaysOrders = randomBetween(0, 1) == 1;
         m_simulation.addToTrace("orders are {}delayed by seconds", m_delaysOrders ? "" : "not ");
+        if (m_kind == search_kind::HeldRoom)
+            m_maxShortTasks = randomBetween(0, 2) * randomBetween(1, 6);
     }
 
     search_result run()
     {
         for (int job = 0; job < JobCount; ++job) {
-            m_simulation.schedule(milliseconds(1500 + job * randomBetween(100, 500)), [this, job] {
-                m_simulation.submit(fmt::format("j{}", job), shortJob());
-            });
+            m_simulation.schedule(milliseconds(1500 + job * randomBetween(100, 500)),
+                                  [this, job] { submitShort(fmt::format("j{}", job)); });
         }
-        if (m_kind == search_kind::StalledTasks)
+        if (m_kind != search_kind::DuplicateRuns)
             submitLongRunning();
         scheduleFaults();
         for (milliseconds elapsed{};
@@ -91,6 +94,8 @@
             m_simulation.run(FaultInterval);
         if (m_kind == search_kind::StalledTasks)
             checkForStalls();
+        if (m_kind == search_kind::HeldRoom)
+            checkForHeldRoom();
         return {violations(), m_simulation.trace(), m_simulation.runChecker().startCount(),
                 m_simulation.finishedJobCount()};
     }
@@ -101,18 +106,31 @@
         auto found = m_simulation.runChecker().violations();
         const auto &stalls = m_stallChecker.violations();
         found.insert(found.end(), stalls.begin(), stalls.end());
+        const auto &heldRoom = m_heldRoomChecker.violations();
+        found.insert(found.end(), heldRoom.begin(), heldRoom.end());
         return found;
     }
 
     void submitLongRunning()
     {
         for (int job = 0; job < LongRunningJobCount; ++job) {
-            m_simulation.schedule(milliseconds(1500 + job * randomBetween(100, 2000)), [this, job] {
-                m_simulation.submit(longRunningJobName(job), longRunningJob());
-            });
+            m_simulation.schedule(milliseconds(1500 + job * randomBetween(100, 2000)),
+                                  [this, job] { submitLongRunning(job); });
         }
     }
 
+    void submitLongRunning(int job)
+    {
+        m_simulation.submit(longRunningJobName(job), m_kind == search_kind::HeldRoom
+                                                             ? drawLargeLongRunningJob()
+                                                             : longRunningJob());
+    }
+
+    void submitShort(const std::string &name)
+    {
+        m_simulation.submit(name, m_kind == search_kind::HeldRoom ? drawShortJob() : shortJob());
+    }
+
     static std::string longRunningJobName(int job) { return fmt::format("lasts{}", job); }
 
     static jobs::job_spec longRunningJob()
@@ -124,6 +142,55 @@
         return spec;
     }
 
+    // All jobs of this kind together ask for about as much as the workers have.
+    jobs::job_spec drawLargeLongRunningJob()
+    {
+        constexpr std::array<std::int64_t, 4> Sizes{1000, 2000, 4000, 7000}; // millicores
+        auto spec = longRunningJob();
+        spec.steps[0].count = randomBetween(1, 3);
+        spec.steps[0].size.millicores = Sizes.at(drawIndex(m_random, Sizes.size()));
+        spec.steps[0].maxPerWorker = randomBetween(0, 1);
+        return spec;
+    }
+
+    jobs::job_spec drawShortJob()
+    {
+        auto spec = shortJob();
+        spec.steps[0].count = 1 + m_maxShortTasks * randomBetween(1, 3);
+        spec.steps[0].size.millicores = 500 * randomBetween(1, 4);
+        return spec;
+    }
+
+    // Ends all faults. Then jobs are still submitted and cancelled, so that capacity becomes free
+    // and is asked for while the check is made.
+    void checkForHeldRoom()
+    {
+        constexpr milliseconds ObserveInterval{50};
+        constexpr milliseconds ObservationTime{18'000};
+        m_areFaultsOver = true;
+        m_simulation.clearFaults();
+        m_simulation.run(MaxFreeze);
+        m_simulation.addToTrace("all freezes are over");
+        scheduleDemand(0);
+        for (milliseconds elapsed{}; elapsed < ObservationTime; elapsed += ObserveInterval) {
+            m_simulation.run(ObserveInterval);
+            m_heldRoomChecker.observe(m_simulation);
+        }
+    }
+
+    void scheduleDemand(int round)
+    {
+        m_simulation.schedule(DemandInterval, [this, round] {
+            if (drawChance(50))
+                submitShort(fmt::format("late-j{}", round));
+            if (drawChance(10))
+                submitLongRunning(LongRunningJobCount + round);
+            if (drawChance(10))
+                m_simulation.cancel(longRunningJobName(randomBetween(0, LongRunningJobCount - 1)));
+            scheduleDemand(round + 1);
+        });
+    }
+
     // Checks for stalls 10 s after the last freeze is over, and again 4 s later.
     void checkForStalls()
     {
@@ -148,6 +215,7 @@
 
     static constexpr int LongRunningJobCount = 6;
     static constexpr milliseconds MaxFreeze{5000};
+    static constexpr milliseconds DemandInterval{400};
     static constexpr int EntryCount = 3;
     static constexpr int WorkerCount = 3;
     static constexpr int JobCount = 40;
@@ -349,12 +417,14 @@
     random_generator m_random;
     cluster_simulation m_simulation;
     stall_checker m_stallChecker;
+    held_room_checker m_heldRoomChecker;
     bool m_areFaultsOver = false;
     time_point m_startTime{m_simulation.now()};
     std::array<int, FaultKindCount> m_weights{}; // by fault; drawn, so each seed has its own mix
     // Whether some orders are delayed by seconds, and may arrive after the agent's incarnation
     // ended.
     bool m_delaysOrders = false;
+    int m_maxShortTasks = 0; // scales the first step of short jobs in a search for held room
 };
 
 } // namespace zinniabarrow::tests
