tasks_unplaced: free processors for best-effort tasks too

What operators saw: "28 full, 33 makes_late, ... free beside long-running runs 0 in sum, 0 at most", as though the service had no processor left.

Cause: the figure was summed over workers that lack a resource. A best-effort task reserves no processors, so it mostly waits at workers that lack none: `full` or `makes_late`. These were left out.

Change: workers with these two reasons count in the sum and in the most. "with room beside long-running runs" counts as before.

--- a/libs/jobs/worker_pool_log.cpp
+++ b/libs/jobs/worker_pool_log.cpp
@@ -35,6 +35,12 @@
            || reason == unfit_reason::NoMemory || reason == unfit_reason::NoAccelerators;
 }
 
+// A best-effort task reserves no processors: what keeps it waiting may be its neighbours instead.
+bool isLeftWaiting(unfit_reason reason)
+{
+    return reason == unfit_reason::BestEffortFull || reason == unfit_reason::WouldCauseLateness;
+}
+
 // Processors, in millicores, that workers have free if only their long-running runs count.
 struct free_processors
 {
@@ -73,10 +79,10 @@
             && std::find(avoid.begin(), avoid.end(), name) != avoid.end())
             reason = unfit_reason::Avoided;
         ++counts[reason];
-        if (!lacksRoom(reason))
-            continue;
-        roomBesideLongRunning += hasRoomBesideLongRunning(view, step) ? 1 : 0;
-        freeBesideLongRunning.add(view);
+        if (lacksRoom(reason) && hasRoomBesideLongRunning(view, step))
+            ++roomBesideLongRunning;
+        if (lacksRoom(reason) || isLeftWaiting(reason))
+            freeBesideLongRunning.add(view);
     }
     if (counts.empty())
         return "the service has no worker";
--- a/tests/worker_pool_test.cpp
+++ b/tests/worker_pool_test.cpp
@@ -361,6 +361,28 @@
              "millicores asked for, free beside long-running runs 17000 in sum, 8000 at most");
 }
 
+// Guards against telling operators that no processors are free for best-effort tasks which wait
+// because they would slow each other down or make serving runs late: those workers do have room.
+Test(worker_pool, the_log_counts_free_processors_for_best_effort_tasks)
+{
+    worker_pool pool;
+    trainInterference(pool, "site", "heavy", 0.06);
+    auto full = acceptingReport("full");
+    full.used = {8 * MillicoresPerCore, 16'000, 0};
+    full.usedByLongRunning = full.used;
+    full.bestEffortMillicores = 12 * MillicoresPerCore;
+    auto sensitive = reportWithServing("sensitive", {{"site", 0.1, "a"}, {"site", 0.1, "b"}});
+    sensitive.usedByLongRunning = sensitive.used;
+    auto fullMemory = acceptingReport("memory");
+    fullMemory.used = {10 * MillicoresPerCore, 63'000, 0};
+    fullMemory.usedByLongRunning = fullMemory.used;
+    for (const auto &report : {full, sensitive, fullMemory, acceptingReport("avoided")})
+        pool.update(report, Now);
+    check(pool.describeUnfitWorkers("tickets", bestEffortStep("heavy"), {"avoided"}, Now)
+          == "1 full, 1 makes_late, 1 avoided, 1 no_memory, 0 with room beside long-running runs; "
+             "2000 millicores asked for, free beside long-running runs 18000 in sum, 8000 at most");
+}
+
 // Guards against late services of which operators cannot tell whether their neighbours were placed
 // there knowingly or by a wrong estimate of the interference.
 Test(worker_pool, the_log_says_what_was_estimated_beside_late_runs)
