Log: how many long-running tasks are due, and which moves would make room

Cause: the lines tell that a long-running task waits, and neither of how many that should be running, nor whether scattered gaps could be joined by a run of the same owner. So no share of waiting time can be given.

The count looks at processors and at what keeps tasks of a step apart, not at memory and labels; it walks owned long-running runs once for each line, and only where the gaps would hold the task in sum and none does alone. Decisions are unchanged.

The whole suite was not run by me.

--- a/libs/jobs/job_controller.cpp
+++ b/libs/jobs/job_controller.cpp
@@ -422,6 +422,7 @@
     for (const auto &[urgency, id] : byUrgency)
         placeWaitingTasks(id, m_jobs.at(id), now, wallMs);
     logUnderservedJobs(now);
+    logLongRunningTasks(now, wallMs);
     logStalledTasks(now, wallMs);
     logCompletedJobs(wallMs);
     writeStartedJobs(now);
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -310,6 +310,15 @@
                           int tasks, const placement_preferences &preferences, time_point now);
     // Logs long-running jobs with tasks that are unplaced, not running, or late.
     void logUnderservedJobs(time_point now);
+    // Logs how many long-running tasks should be running, and how many of them have a worker.
+    void logLongRunningTasks(time_point now, std::int64_t wallMs);
+    // Owned long-running runs, each of which could move to another worker and thereby leave room
+    // for a task of the step. 0 if a worker has room already, or if all gaps together have none.
+    int countMovesThatMakeRoom(const std::string &service, const step_spec &step,
+                               const std::vector<std::string> &avoid, time_point now);
+    int countMovableRuns(const std::string &id, owned_job &job,
+                         const std::map<std::string, std::int64_t> &gaps,
+                         std::int64_t neededMillicores);
     void logStalledTasks(time_point now, std::int64_t wallMs);
     void logIfStalled(owned_job &job, const task_id &task, const task_state &state, time_point now);
     static bool shouldBeRunning(const owned_job &job, const task_id &task, std::int64_t wallMs);
@@ -340,6 +349,7 @@
     // meanwhile are removed when the worker's next report arrives.
     std::map<std::string, std::set<std::pair<task_id, int>>> m_startsInFlight;
     time_point m_nextUnderservedLogAt{}; // when underserved jobs are logged next
+    time_point m_nextLongRunningLogAt{}; // when long-running tasks are counted in the log next
     time_point m_nextStallCheckAt{};     // when tasks are checked for stalls next
     // Jobs whose row does not show yet that they have started, and when that is to be written.
     std::map<std::string, time_point> m_startedWriteDueAt;
--- a/libs/jobs/job_controller_log.cpp
+++ b/libs/jobs/job_controller_log.cpp
@@ -1,4 +1,5 @@
 // Log lines for operators about owned jobs that wait or are underserved.
+#include <algorithm>
 #include <utility>
 
 #include <fmt/core.h>
@@ -71,11 +72,88 @@
     waiting.nextLogAt = now + m_settings.waitLogInterval;
     const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
     const auto full = workersAtTaskLimit(job, {id, occurrence, stepIndex, 0}, step);
-    addLog("tasks_unplaced", id,
-           fmt::format("{} tasks of step {}.{} unplaced for {} ms: {}", tasks, occurrence,
-                       stepIndex, millisecondsIn(now - waiting.since),
-                       m_workers.describeUnfitWorkers(job.record.policy.service, step, full, now,
-                                                      preferences)));
+    const auto &service = job.record.policy.service;
+    auto text = fmt::format("{} {}tasks of step {}.{} unplaced for {} ms: {}", tasks,
+                            step.isLongRunning ? "long-running " : "", occurrence, stepIndex,
+                            millisecondsIn(now - waiting.since),
+                            m_workers.describeUnfitWorkers(service, step, full, now, preferences));
+    if (step.isLongRunning)
+        text += fmt::format("; {} owned runs could make room by a move",
+                            countMovesThatMakeRoom(service, step, full, now));
+    addLog("tasks_unplaced", id, text);
+}
+
+int job_controller::countMovesThatMakeRoom(const std::string &service, const step_spec &step,
+                                           const std::vector<std::string> &avoid, time_point now)
+{
+    auto gaps = m_workers.gapsBesideLongRunning(service, step, now);
+    for (const auto &worker : avoid)
+        gaps.erase(worker);
+    const auto needed = step.size.millicores;
+    std::int64_t sum = 0;
+    for (const auto &[worker, gap] : gaps) {
+        if (gap >= needed)
+            return 0;
+        sum += gap;
+    }
+    if (sum < needed)
+        return 0;
+    int moves = 0;
+    for (auto &[id, job] : m_jobs) {
+        const bool isOfService = job.record.policy.service == service;
+        if (isOfService && countLongRunningTasks(job.record).placed > 0)
+            moves += countMovableRuns(id, job, gaps, needed);
+    }
+    return moves;
+}
+
+int job_controller::countMovableRuns(const std::string &id, owned_job &job,
+                                     const std::map<std::string, std::int64_t> &gaps,
+                                     std::int64_t neededMillicores)
+{
+    int moves = 0;
+    forEachTask(id, job, [&](const task_id &task, const task_state &state) {
+        const auto &step = stepOf(job, task);
+        if (!step.isLongRunning || state.placements.empty())
+            return;
+        const auto from = gaps.find(state.placements.back().worker);
+        if (from == gaps.end() || from->second + step.size.millicores < neededMillicores)
+            return;
+        const auto full = workersAtTaskLimit(job, task, step);
+        const auto fits = [&](const auto &gap) {
+            return gap.first != from->first && gap.second >= step.size.millicores
+                   && std::find(full.begin(), full.end(), gap.first) == full.end();
+        };
+        moves += std::any_of(gaps.begin(), gaps.end(), fits) ? 1 : 0;
+    });
+    return moves;
+}
+
+// The lines about unplaced tasks tell how long tasks wait; this one tells of how many tasks.
+void job_controller::logLongRunningTasks(time_point now, std::int64_t wallMs)
+{
+    if (now < m_nextLongRunningLogAt)
+        return;
+    m_nextLongRunningLogAt = now + m_settings.waitLogInterval;
+    int due = 0;
+    int placed = 0;
+    std::int64_t dueMillicores = 0;
+    for (auto &[id, job] : m_jobs) {
+        if (isFinal(job.record.state()) || countLongRunningTasks(job.record).requested == 0)
+            continue;
+        forEachTask(id, job, [&, &owned = job](const task_id &task, const task_state &state) {
+            if (!shouldBeRunning(owned, task, wallMs))
+                return;
+            ++due;
+            placed += state.isWaiting() ? 0 : 1;
+            dueMillicores += stepOf(owned, task).size.millicores;
+        });
+    }
+    if (due > 0) {
+        addLog("long_running_tasks", {},
+               fmt::format("{} due, {} placed, {} millicores asked for", due, placed,
+                           dueMillicores));
+    }
 }
 
 // Logs long-running jobs that are not served in full: tasks without a worker, placed tasks that do
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -133,6 +133,10 @@
     std::string describeUnfitWorkers(const std::string &service, const step_spec &step,
                                      const std::vector<std::string> &avoid, time_point now,
                                      const placement_preferences &preferences = {}) const;
+    // Millicores that each worker has free if only its long-running runs count, of the workers that
+    // could take a task of the step if they had room for it.
+    std::map<std::string, std::int64_t>
+    gapsBesideLongRunning(const std::string &service, const step_spec &step, time_point now) const;
     // For the log: the worker of each late serving run of the job, with the run's headroom and the
     // load that its best-effort neighbours are estimated to add. Empty: none is late.
     std::string describeLateRuns(const std::string &job, time_point now) const;
--- a/libs/jobs/worker_pool_log.cpp
+++ b/libs/jobs/worker_pool_log.cpp
@@ -41,6 +41,13 @@
     return reason == unfit_reason::BestEffortFull || reason == unfit_reason::WouldCauseLateness;
 }
 
+std::int64_t gapBesideLongRunning(const worker_view &view)
+{
+    const auto &latest = view.lastReport;
+    return std::max<std::int64_t>(0,
+                                  latest.capacity.millicores - latest.usedByLongRunning.millicores);
+}
+
 // Processors, in millicores, that workers have free if only their long-running runs count.
 struct free_processors
 {
@@ -49,9 +56,7 @@
 
     void add(const worker_view &view)
     {
-        const auto &latest = view.lastReport;
-        const auto free = std::max<std::int64_t>(0, latest.capacity.millicores
-                                                            - latest.usedByLongRunning.millicores);
+        const auto free = gapBesideLongRunning(view);
         sum += free;
         most = std::max(most, free);
     }
@@ -96,6 +101,19 @@
                          freeBesideLongRunning.most);
 }
 
+std::map<std::string, std::int64_t> worker_pool::gapsBesideLongRunning(const std::string &service,
+                                                                       const step_spec &step,
+                                                                       time_point now) const
+{
+    std::map<std::string, std::int64_t> gaps;
+    for (const auto &[name, view] : m_workers) {
+        const auto reason = unfitReasonOf(view, service, step, {}, now);
+        if (reason == unfit_reason::None || lacksRoom(reason))
+            gaps.emplace(name, gapBesideLongRunning(view));
+    }
+    return gaps;
+}
+
 std::string worker_pool::describeLateRuns(const std::string &job, time_point now) const
 {
     constexpr int MaxRuns = 8; // bounds the length of a log line
