Quarantine: long-running runs that have served don't count as failures

What callers may see: a long-running task that failed after it had served doesn't run again for 6 s, with room for it on its worker. Cause: a worker is quarantined after four failed runs in a row, and a row ends with a run that is done. The choice between workers already took such a failure for no fault of the worker; the quarantine didn't. Now a run that has served for 5 s ends the row, however it ended.

--- a/libs/jobs/job_controller_ends.cpp
+++ b/libs/jobs/job_controller_ends.cpp
@@ -1,5 +1,6 @@
 // Applies reported ends of runs to the jobs that an entry owns.
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include <fmt/core.h>
@@ -8,6 +9,17 @@
 
 namespace zinniabarrow::jobs {
 
+namespace {
+
+// Whether the run served for a while. Its worker is not at fault then, however the run ended.
+bool hasServed(const step_spec &step, const std::optional<milliseconds> &runDuration)
+{
+    constexpr milliseconds MinServingTime{5000}; // a faulty worker fails its runs at once
+    return step.isLongRunning && runDuration && *runDuration >= MinServingTime;
+}
+
+} // namespace
+
 bool job_controller::runEnded(const std::string &worker, const run_end &end, time_point now,
                               std::int64_t token)
 {
@@ -37,7 +49,10 @@
     auto &task = *job.record.find(end.task);
     const auto &step = stepOf(job, end.task);
     const auto runDuration = takeRunDuration(job, end, now);
-    m_workers.recordRunEnd(worker, end.endKind, slowdownOf(runDuration, step), now);
+    if (hasServed(step, runDuration))
+        m_workers.recordServedRun(worker);
+    else
+        m_workers.recordRunEnd(worker, end.endKind, slowdownOf(runDuration, step), now);
     removePlacement(job, end.task, end.run);
     if (end.endKind != end_kind::NeverStarted)
         markStarted(id, job, now);
@@ -159,10 +174,8 @@
 {
     auto &task = *job.record.find(end.task);
     ++task.failures;
-    // When a long-running task fails after it has served for a while, its worker is not at fault.
-    // Its next run may go there again, where the other tasks of its job are.
-    constexpr milliseconds MinServingTime{5000}; // a faulty worker fails its runs at once
-    if (step.isLongRunning && runDuration && *runDuration >= MinServingTime)
+    // The next run may go to the same worker again, where the other tasks of the job are.
+    if (hasServed(step, runDuration))
         return;
     avoidWorker(job, end.task, worker);
     if (step.isLongRunning || task.failures < job.record.policy.maxAttempts)
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -120,6 +120,13 @@
         view.quarantinedUntil = now + m_settings.quarantineTime;
 }
 
+void worker_pool::recordServedRun(const std::string &worker)
+{
+    const auto found = m_workers.find(worker);
+    if (found != m_workers.end())
+        found->second.consecutiveFailures = 0;
+}
+
 unfit_reason worker_pool::unfitReasonOf(const worker_view &view, const std::string &service,
                                         const step_spec &step,
                                         const placement_preferences &preferences,
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -37,7 +37,7 @@
     // best-effort neighbours add more load than its headroom in the report.
     std::set<std::string> lateJobs;
     bool isHome = false;           // this entry prefers the worker; see entry_directory::homeOf()
-    int consecutiveFailures = 0;   // failed runs since the last one that was done
+    int consecutiveFailures = 0;   // failed runs since the last one that was done or served
     time_point quarantinedUntil{}; // no task is placed here before
     double slowdown = 1;           // actual run time over estimated run time, moving average
 };
@@ -121,6 +121,10 @@
     // 0: unknown.
     void recordRunEnd(const std::string &worker, end_kind endKind, double slowdown, time_point now);
 
+    // Records that a long-running run served for a while on the worker, however it ended: the
+    // worker is not faulty.
+    void recordServedRun(const std::string &worker);
+
     // Chooses the worker for one task of `step`; none: no worker can take it now. `avoid` lists
     // workers that are excluded.
     std::optional<std::string> chooseWorker(const std::string &service, const step_spec &step,
--- a/tests/job_controller_test.cpp
+++ b/tests/job_controller_test.cpp
@@ -1140,6 +1140,57 @@
     check(!returnsAfter(milliseconds(1000)));
 }
 
+// Guards against a worker that is quarantined because its long-running tasks fail now and then.
+// None of them ever ends as done, so the failures of a whole day count as failures in a row. The
+// failed task then waits for the end of the quarantine, although its worker has room for it and no
+// other worker has.
+Test(job_controller, a_worker_whose_long_running_tasks_fail_after_serving)
+{
+    constexpr milliseconds Served{10'000};
+    constexpr milliseconds AtOnce{500};
+    const auto submitToOnlyWorker = [](test_fixture &fixture) {
+        auto spec = test_fixture::twoSteps();
+        spec.steps.resize(1);
+        spec.steps[0].count = 1;
+        spec.steps[0].isLongRunning = true;
+        fixture.stopAccepting("w2");
+        fixture.submitJob(spec);
+        fixture.confirmWrite();
+    };
+    // Returns whether the task starts again.
+    const auto failAfter = [](test_fixture &fixture, milliseconds servingTime) {
+        const auto last = fixture.orders.back();
+        fixture.acceptOrder(last);
+        fixture.now += servingTime;
+        fixture.receiveReports("w1");
+        fixture.endRun(last, end_kind::Failed);
+        fixture.confirmWrite();
+        return fixture.orders.back().order.run == last.order.run + 1;
+    };
+    section("it is not quarantined for them", [&] {
+        test_fixture fixture;
+        submitToOnlyWorker(fixture);
+        for (int failure = 0; failure < 6; ++failure)
+            check(failAfter(fixture, Served));
+    });
+    section("a run that has served ends the row of failures", [&] {
+        test_fixture fixture;
+        submitToOnlyWorker(fixture);
+        for (int failure = 0; failure < 3; ++failure)
+            check(failAfter(fixture, AtOnce));
+        check(failAfter(fixture, Served));
+        for (int failure = 0; failure < 3; ++failure)
+            check(failAfter(fixture, AtOnce));
+    });
+    section("it is quarantined when they fail at once", [&] {
+        test_fixture fixture;
+        submitToOnlyWorker(fixture);
+        for (int failure = 0; failure < 3; ++failure)
+            check(failAfter(fixture, AtOnce));
+        check(!failAfter(fixture, AtOnce));
+    });
+}
+
 // A job that is forwarded to the entry that will own it arrives as it was submitted.
 Test(job_controller, a_forwarded_job)
 {
