Quarantine: a long-running task goes there when no other worker has room

What callers may see: a long-running task doesn't run for 6 s and more, with room for it. Cause: on a full service the only room is on a worker that its owner has quarantined, as four runs of other tasks failed there in a row; each further failure prolongs that by 6 s, and no exception was made. Short tasks are still kept away, since few of their runs may fail. A long-running task may be started any number of times: it prefers other workers, then goes to the quarantined one, unless it has failed there itself; then it waits until the quarantine ends, so that a worker that fails all of its runs isn't tried again and again.

--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -163,7 +163,8 @@
 }
 
 // Chooses a worker for the task, and takes one on which it has recently failed only when no other
-// one can take it.
+// one can take it. A long-running task then also goes to a quarantined worker, unless it has failed
+// there itself: it may be started again any number of times, and the worker may well be sound.
 std::optional<std::string> job_controller::chooseWorkerFor(const worker_pool &workers,
                                                            const owned_job &job,
                                                            const task_id &task,
@@ -174,12 +175,17 @@
     const auto fullWorkers = workersAtTaskLimit(job, task, step);
     auto avoid = fullWorkers;
     const auto avoided = job.avoidedWorkers.find(task);
-    if (avoided == job.avoidedWorkers.end())
-        return workers.chooseWorker(service, step, fullWorkers, now, preferences);
-    avoid.insert(avoid.end(), avoided->second.begin(), avoided->second.end());
-    const auto otherWorker = workers.chooseWorker(service, step, avoid, now, preferences);
-    return otherWorker ? otherWorker
-                       : workers.chooseWorker(service, step, fullWorkers, now, preferences);
+    const bool avoidsAny = avoided != job.avoidedWorkers.end();
+    if (avoidsAny)
+        avoid.insert(avoid.end(), avoided->second.begin(), avoided->second.end());
+    auto worker = workers.chooseWorker(service, step, avoid, now, preferences);
+    if (!worker && avoidsAny)
+        worker = workers.chooseWorker(service, step, fullWorkers, now, preferences);
+    if (worker || !step.isLongRunning)
+        return worker;
+    auto widerPreferences = preferences;
+    widerPreferences.mayUseQuarantined = true;
+    return workers.chooseWorker(service, step, avoid, now, widerPreferences);
 }
 
 // Workers that have as many tasks of the step as `maxPerWorker` allows.
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -141,7 +141,7 @@
         return unfit_reason::NotAccepting;
     if (now - view.lastReportAt > m_settings.reportTimeout)
         return unfit_reason::Silent;
-    if (now < view.quarantinedUntil)
+    if (now < view.quarantinedUntil && !preferences.mayUseQuarantined)
         return unfit_reason::Quarantined;
     if (!step.requiredLabel.empty() && step.requiredLabel != latest.kind
         && step.requiredLabel != latest.rack)
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -36,10 +36,12 @@
     // Late jobs: those with a serving run here that is expected to miss its latency target, as its
     // best-effort neighbours add more load than its headroom in the report.
     std::set<std::string> lateJobs;
-    bool isHome = false;           // this entry prefers the worker; see entry_directory::homeOf()
-    int consecutiveFailures = 0;   // failed runs since the last one that was done or served
-    time_point quarantinedUntil{}; // no task is placed here before
-    double slowdown = 1;           // actual run time over estimated run time, moving average
+    bool isHome = false;         // this entry prefers the worker; see entry_directory::homeOf()
+    int consecutiveFailures = 0; // failed runs since the last one that was done or served
+    // Before, a task is placed here only if its preferences say that it may go to a quarantined
+    // worker.
+    time_point quarantinedUntil{};
+    double slowdown = 1; // actual run time over estimated run time, moving average
 };
 
 struct pool_settings
@@ -90,6 +92,8 @@
     bool mayOvercommit = false;
     // Randomizes the choice between workers of nearly equal score; 0: takes the best one.
     std::uint64_t tieBreakSeed = 0;
+    // Whether the task may go to a quarantined worker.
+    bool mayUseQuarantined = false;
 };
 
 class worker_pool
--- a/tests/job_controller_test.cpp
+++ b/tests/job_controller_test.cpp
@@ -1191,6 +1191,69 @@
     });
 }
 
+// Guards against a long-running task that waits beside free capacity: the only worker with room for
+// it is quarantined because the runs of another job failed there, for 6 s and again for each
+// further failure.
+Test(job_controller, a_long_running_task_beside_a_quarantined_worker)
+{
+    const auto oneTask = [](bool isLongRunning) {
+        auto spec = test_fixture::twoSteps();
+        spec.steps.resize(1);
+        spec.steps[0].count = 1;
+        spec.steps[0].isLongRunning = isLongRunning;
+        return spec;
+    };
+    const auto quarantine = [](test_fixture &fixture, const std::string &worker) {
+        for (int failure = 0; failure < 4; ++failure)
+            fixture.workers.recordRunEnd(worker, end_kind::Failed, 0, fixture.now);
+    };
+    const auto fill = [](test_fixture &fixture, const std::string &worker) {
+        fixture.repeatReport(worker, [](auto &report) { report.used = report.capacity; });
+    };
+    section("it starts there when no other worker has room", [&] {
+        test_fixture fixture;
+        quarantine(fixture, "w1");
+        fill(fixture, "w2");
+        fixture.submitJob(oneTask(true));
+        fixture.confirmWrite();
+        require(fixture.orders.size() == 1);
+        check(fixture.orders[0].worker == "w1");
+    });
+    section("it starts on another worker that has room", [&] {
+        test_fixture fixture;
+        quarantine(fixture, "w1");
+        fixture.submitJob(oneTask(true));
+        fixture.confirmWrite();
+        require(fixture.orders.size() == 1);
+        check(fixture.orders[0].worker == "w2");
+    });
+    section("a short task, of which few runs may fail, waits", [&] {
+        test_fixture fixture;
+        quarantine(fixture, "w1");
+        fill(fixture, "w2");
+        fixture.submitJob(oneTask(false));
+        fixture.confirmWrite();
+        check(fixture.orders.empty());
+    });
+    section("a task whose own run failed there at once waits until the quarantine ends", [&] {
+        test_fixture fixture;
+        quarantine(fixture, "w1");
+        fill(fixture, "w2");
+        fixture.submitJob(oneTask(true));
+        fixture.confirmWrite();
+        require(fixture.orders.size() == 1);
+        fixture.acceptOrder(fixture.orders[0]);
+        fixture.endRun(fixture.orders[0], end_kind::Failed);
+        fixture.confirmWrite();
+        check(fixture.orders.size() == 1);
+        fixture.now += milliseconds(6000);
+        fixture.receiveReports("w1");
+        fixture.tick();
+        fixture.confirmWrite();
+        check(fixture.orders.size() == 2);
+    });
+}
+
 // A job that is forwarded to the entry that will own it arrives as it was submitted.
 Test(job_controller, a_forwarded_job)
 {
