Quarantine: failures of long ago don't count

What callers see: a long-running task has no run for 6 s more, with room for it. Cause: failures in a row counted without an end in time; only a run that is done, or has served, ended the row. After one disturbance each single failure, however late, quarantined the worker again. Now a failure counts as the next in a row only within 12 s of the one before: longer than a quarantine, so that a worker that fails its first run after it is quarantined again.

worker_pool_test one_failure_long_after_others_quarantines_no_worker failed before in its second section (12 of 13) and passes (13 of 13).

--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -115,8 +115,14 @@
         if (slowdown > 0)
             view.slowdown += NewestRunWeight * (slowdown - view.slowdown);
     }
-    if (endKind == end_kind::Failed
-        && ++view.consecutiveFailures >= m_settings.maxConsecutiveFailures)
+    if (endKind != end_kind::Failed)
+        return;
+    // Long-running runs are never done. On a worker that has only these, nothing else would end the
+    // row, and each single failure of the day would quarantine it.
+    if (now - view.lastFailureAt > m_settings.failureMemory)
+        view.consecutiveFailures = 0;
+    view.lastFailureAt = now;
+    if (++view.consecutiveFailures >= m_settings.maxConsecutiveFailures)
         view.quarantinedUntil = now + m_settings.quarantineTime;
 }
 
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -38,6 +38,7 @@
     std::set<std::string> lateJobs;
     bool isHome = false;         // this entry prefers the worker; see entry_directory::homeOf()
     int consecutiveFailures = 0; // failed runs since the last one that was done or served
+    time_point lastFailureAt{};  // when the latest of them ended
     // Before, a task is placed here only if its preferences say that it may go to a quarantined
     // worker.
     time_point quarantinedUntil{};
@@ -58,6 +59,10 @@
     // cent of tasks fail wherever they run, so four failures in a row rarely happen by chance.
     int maxConsecutiveFailures = 4;
     milliseconds quarantineTime{6000};
+    // Failures count as in a row only if each comes within this time of the one before. It is
+    // longer than a quarantine: a faulty worker that fails the first run after it is quarantined
+    // again.
+    milliseconds failureMemory{12'000};
 };
 
 // Why a worker can take no task of a step at present. Counted in the log by `describeUnfitWorkers`.
--- a/tests/worker_pool_test.cpp
+++ b/tests/worker_pool_test.cpp
@@ -49,6 +49,26 @@
 
 } // namespace
 
+// Guards against a long-running task that waits beside free capacity: the worker is quarantined for
+// a single failure, as failures of long ago still count.
+Test(worker_pool, one_failure_long_after_others_quarantines_no_worker)
+{
+    worker_pool pool;
+    const auto step = servingStep("site", 1);
+    const auto fail = [&](time_point now) {
+        pool.update(acceptingReport("w1"), now);
+        pool.recordRunEnd("w1", end_kind::Failed, 0, now);
+    };
+    for (int run = 0; run < 4; ++run)
+        fail(Now);
+    section("failures in a row quarantine it",
+            [&] { check(!pool.chooseWorker("tickets", step, {}, Now + seconds(1), {})); });
+    const auto later = Now + std::chrono::minutes(10);
+    fail(later);
+    section("one failure much later does not",
+            [&] { check(pool.chooseWorker("tickets", step, {}, later, {}) == "w1"); });
+}
+
 // Guards against placing a task again and again by a delayed report of an agent's previous
 // incarnation: the agent refuses each of these placements.
 Test(worker_pool, a_report_of_an_earlier_agent_incarnation)
