Quarantine: a waiting sibling doesn't keep a long-running task from the only room

What callers see: a long-running task waits beside free capacity. Cause: planning left the other tasks of a step untried once one had found no worker, as all ask for the same; since a long-running task may go to a quarantined worker unless its own run has failed there, that no longer holds.

--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -100,7 +100,7 @@
         const auto worker = chooseWorkerFor(m_workers, job, task, step, now, preferences);
         if (!worker) {
             hasWaitingTasks = true;
-            if (step.maxPerWorker == 0)
+            if (step.maxPerWorker == 0 && !step.isLongRunning)
                 break; // the other tasks are of the same size and find no worker either
             continue;
         }
--- a/tests/job_controller_test.cpp
+++ b/tests/job_controller_test.cpp
@@ -1254,6 +1254,35 @@
     });
 }
 
+// Guards against a long-running task that waits beside free capacity because a sibling waits too:
+// the sibling must not go to the quarantined worker, as its own run failed there; the task may.
+Test(job_controller, a_sibling_of_a_task_that_failed_on_a_quarantined_worker)
+{
+    auto spec = test_fixture::twoSteps();
+    spec.steps.resize(1);
+    spec.steps[0].count = 2;
+    spec.steps[0].isLongRunning = true;
+    test_fixture fixture;
+    fixture.repeatReport("w2", [](auto &report) { report.used = report.capacity; });
+    // There is room for one task only.
+    fixture.repeatReport("w1", [](auto &report) { report.used.millicores = 15'500; });
+    fixture.submitJob(spec);
+    fixture.confirmWrite();
+    require(fixture.orders.size() == 1);
+    require(fixture.orders[0].order.task.index == 0);
+    fixture.acceptOrder(fixture.orders[0]);
+    for (int failure = 0; failure < 4; ++failure)
+        fixture.workers.recordRunEnd("w1", end_kind::Failed, 0, fixture.now);
+    fixture.repeatReport("w1", [](auto &report) { report.used = {}; });
+    fixture.endRun(fixture.orders[0], end_kind::Failed);
+    fixture.confirmWrite();
+    fixture.advance(milliseconds(100));
+    fixture.confirmWrite();
+    require(fixture.orders.size() == 2);
+    check(fixture.orders[1].order.task.index == 1);
+    check(fixture.orders[1].worker == "w1");
+}
+
 // A job that is forwarded to the entry that will own it arrives as it was submitted.
 Test(job_controller, a_forwarded_job)
 {
