Quarantine: a task pauses after its own failure, and failures don't prolong a quarantine

And a task whose run had never started there was kept away without a limit in time. A run that never started doesn't count as service any more, however long ago it was accepted.

--- a/libs/jobs/job_controller_ends.cpp
+++ b/libs/jobs/job_controller_ends.cpp
@@ -49,10 +49,14 @@
     auto &task = *job.record.find(end.task);
     const auto &step = stepOf(job, end.task);
     const auto runDuration = takeRunDuration(job, end, now);
-    if (hasServed(step, runDuration))
+    const bool isEndOfService = hasServed(step, runDuration);
+    if (end.endKind == end_kind::Failed && isEndOfService)
         m_workers.recordServedRun(worker);
     else
         m_workers.recordRunEnd(worker, end.endKind, slowdownOf(runDuration, step), now);
+    const bool hasFailedAtOnce = end.endKind == end_kind::Failed && !isEndOfService;
+    if (step.isLongRunning && (hasFailedAtOnce || end.endKind == end_kind::NeverStarted))
+        job.noQuarantineBefore[end.task] = now + m_settings.quarantineRetryDelay;
     removePlacement(job, end.task, end.run);
     if (end.endKind != end_kind::NeverStarted)
         markStarted(id, job, now);
--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -162,9 +162,10 @@
     m_jobsWithOrders.insert(id);
 }
 
-// Chooses a worker for the task, and takes one on which it has recently failed only when no other
-// one can take it. A long-running task then also goes to a quarantined worker, unless it has failed
-// there itself: it may be started again any number of times, and the worker may well be sound.
+// Chooses a worker for the task: one on which it has not failed recently; otherwise any that can
+// take it; as a last resort, for a long-running task, a quarantined one. Such a task may be started
+// any number of times, and the worker may well be sound. After a failure of its own it pauses, so
+// that it isn't started again and again on workers that are not.
 std::optional<std::string> job_controller::chooseWorkerFor(const worker_pool &workers,
                                                            const owned_job &job,
                                                            const task_id &task,
@@ -181,11 +182,13 @@
     auto worker = workers.chooseWorker(service, step, avoid, now, preferences);
     if (!worker && avoidsAny)
         worker = workers.chooseWorker(service, step, fullWorkers, now, preferences);
-    if (worker || !step.isLongRunning)
+    const auto pause = job.noQuarantineBefore.find(task);
+    const bool isPausing = pause != job.noQuarantineBefore.end() && now < pause->second;
+    if (worker || !step.isLongRunning || isPausing)
         return worker;
-    auto widerPreferences = preferences;
-    widerPreferences.mayUseQuarantined = true;
-    return workers.chooseWorker(service, step, avoid, now, widerPreferences);
+    auto lastResort = preferences;
+    lastResort.mayUseQuarantined = true;
+    return workers.chooseWorker(service, step, fullWorkers, now, lastResort);
 }
 
 // Workers that have as many tasks of the step as `maxPerWorker` allows.
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -122,7 +122,10 @@
     if (now - view.lastFailureAt > m_settings.failureMemory)
         view.consecutiveFailures = 0;
     view.lastFailureAt = now;
-    if (++view.consecutiveFailures >= m_settings.maxConsecutiveFailures)
+    // Failures during a quarantine don't prolong it: long-running tasks may be tried there, and one
+    // that fails each time would keep all other tasks away for good.
+    if (++view.consecutiveFailures >= m_settings.maxConsecutiveFailures
+        && now >= view.quarantinedUntil)
         view.quarantinedUntil = now + m_settings.quarantineTime;
 }
 
