Agents: no new runs until all runs are claimed

What callers may see: after the restart of an agent a long-running task waits for up to 8.9 s, with room for it elsewhere. Cause: an agent that finds runs of which nobody has claimed the size answers each start with not_ready, and reported meanwhile that it accepts runs; as these runs counted as nothing, its worker looked emptier than any other and drew more starts. Now it reports that it accepts none until all are claimed, and at once when they are; and a start that was placed in the agent's earlier incarnation is refused for good, so that its task goes elsewhere, also while runs are unclaimed.

run_table_test unclaimed_runs_keep_new_tasks_away failed before in its section on the earlier incarnation (1 of 21) and passes (21 of 21).

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -73,7 +73,7 @@
         , m_shutdown(m_loop, ShutdownIntervals, ShutdownLimits, shutdownHooks())
         , m_leaseKeeper(m_loop, m_store, m_log, m_settings.id, leaseCallbacks())
         , m_reportSender(reportSenderDependencies(),
-                         [this] { return readiness() == start_readiness::Ready; })
+                         [this] { return m_runTable.acceptsStarts(readiness()); })
         , m_workerCalls(workerCallsDependencies(),
                         {[this] { executeDueActions(); },
                          [this](auto samples) { m_reportSender.addSamples(std::move(samples)); }})
@@ -430,6 +430,10 @@
                        action);
         if (std::exchange(m_reportedEndCount, m_runTable.newEndCount()) != m_runTable.newEndCount())
             m_reportSender.sendEnds();
+        // Entries place nothing here until a report says that all runs are claimed.
+        const bool areAllRunsClaimed = m_runTable.allRunsClaimed();
+        if (!std::exchange(m_wereAllRunsClaimed, areAllRunsClaimed) && areAllRunsClaimed)
+            m_reportSender.sendReports();
     }
 
     // --- Cancelled jobs, read from the store.
@@ -532,6 +536,7 @@
     // Until the cancellations are read, nothing is started: a delayed order could start a task of
     // a cancelled job.
     bool m_areCancelsRead = false;
+    bool m_wereAllRunsClaimed = true; // when the table's due actions were last executed
     shutdown_driver m_shutdown;
     bool m_isFinalRenewalSent = false; // see sendFinalRenewal()
 
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -106,15 +106,18 @@
         rememberRefusal(key, now);
         return answer(order_outcome::Draining);
     }
-    if (m_readiness == start_readiness::RetryLater || !allRunsClaimed())
+    if (m_readiness == start_readiness::RetryLater)
         return answer(order_outcome::NotReady);
     // An earlier incarnation of this agent may have reported that the run never starts, so that its
     // task may run elsewhere by now. This incarnation doesn't know of that report, and an order can
-    // be in transit for seconds.
+    // be in transit for seconds. Such a run never starts here, so its task need not wait until all
+    // runs are claimed.
     if (order.agentIncarnation != 0 && order.agentIncarnation != m_agentIncarnation) {
         rememberRefusal(key, now);
         return answer(order_outcome::WrongAgentIncarnation);
     }
+    if (!allRunsClaimed())
+        return answer(order_outcome::NotReady);
     // No refusal is remembered: an order for the same run that arrives in time starts it.
     if (startDeadline(order, now) <= now)
         return answer(order_outcome::DeadlineExceeded);
@@ -407,6 +410,11 @@
     });
 }
 
+bool run_table::acceptsStarts(start_readiness readiness) const
+{
+    return readiness == start_readiness::Ready && allRunsClaimed();
+}
+
 std::size_t run_table::activeRunCount() const
 {
     return static_cast<std::size_t>(
--- a/tests/cluster_simulation.h
+++ b/tests/cluster_simulation.h
@@ -1145,7 +1145,7 @@
         statusReport.epoch = agent.table.epoch();
         statusReport.clockMs = clockOf(m_now) + clockOffsetMs(agent);
         statusReport.service = "tickets";
-        statusReport.isAccepting = readinessOf(agent) == jobs::start_readiness::Ready;
+        statusReport.isAccepting = agent.table.acceptsStarts(readinessOf(agent));
         statusReport.capacity = agent.capacity;
         statusReport.used = agent.table.used();
         statusReport.ends = agent.table.endsFor(entry);
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -662,6 +662,47 @@
     check(std::holds_alternative<stop_run>(actions[0]));
 }
 
+// Guards against a task that waits beside free capacity after its agent was restarted. Runs that
+// nobody has claimed block all starts there, for up to the claim timeout and the stops. Meanwhile
+// the agent reported that it accepts runs, and its worker looked empty, since the sizes of these
+// runs are unknown; so owners placed tasks there and repeated the orders in vain.
+Test(run_table, unclaimed_runs_keep_new_tasks_away)
+{
+    constexpr auto Ready = start_readiness::Ready;
+    table_fixture fixture;
+    fixture.table.setAgentIncarnation(8);
+    const auto earlier = table_fixture::order(9);
+    fixture.table.applyListing(table_fixture::listing({earlier}), fixture.now);
+    section("no starts are accepted", [&] { check(!fixture.table.acceptsStarts(Ready)); });
+    section("a run that was placed in an earlier incarnation may start elsewhere at once", [&] {
+        auto placedBefore = table_fixture::order(0);
+        placedBefore.agentIncarnation = 7;
+        check(fixture.giveOrder(placedBefore) == order_outcome::WrongAgentIncarnation);
+    });
+    section("not before the stops of the earlier incarnation are over", [&] {
+        auto placedBefore = table_fixture::order(1);
+        placedBefore.agentIncarnation = 7;
+        fixture.table.setWorkerState({4000, 8000, 0}, start_readiness::RetryLater);
+        check(fixture.giveOrder(placedBefore) == order_outcome::NotReady);
+        fixture.table.setWorkerState({4000, 8000, 0}, Ready);
+    });
+    section("a run placed in this incarnation waits", [&] {
+        auto placedNow = table_fixture::order(2);
+        placedNow.agentIncarnation = 8;
+        check(fixture.giveOrder(placedNow) == order_outcome::NotReady);
+    });
+    section("a claim by an order of the earlier incarnation is accepted", [&] {
+        auto claim = earlier;
+        claim.agentIncarnation = 7;
+        check(fixture.giveOrder(claim) == order_outcome::Accepted);
+    });
+    section("then starts are accepted if the worker is ready", [&] {
+        check(fixture.table.acceptsStarts(Ready));
+        check(!fixture.table.acceptsStarts(start_readiness::RetryLater));
+        check(!fixture.table.acceptsStarts(start_readiness::Unavailable));
+    });
+}
+
 Test(run_table, without_a_lease_nothing_is_started)
 {
     table_fixture fixture;
