Quarantine: tasks of a step are tried again only where one pauses; comments

Since a sibling may go where a pausing task may not, planning tried each waiting task of a long-running step, two choices of a worker each. It stops again at the first one that doesn't pause: all others find no worker either.

--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -311,6 +311,8 @@
     chooseWorkerFor(const worker_pool &workers, const owned_job &job, const task_id &task,
                     const step_spec &step, time_point now,
                     const placement_preferences &preferences = {});
+    // Whether the task must not go to a quarantined worker yet.
+    static bool isKeptFromQuarantine(const owned_job &job, const task_id &task, time_point now);
     void logUnplacedTasks(const std::string &id, owned_job &job, int occurrence, int stepIndex,
                           int tasks, const placement_preferences &preferences, time_point now);
     // Logs long-running jobs with tasks that are unplaced, not running, or late.
--- a/libs/jobs/job_controller_ends.cpp
+++ b/libs/jobs/job_controller_ends.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-// Whether the run served for a while. Its worker is not at fault then, however the run ended.
+// Whether the run was at work for a while. If it failed after that, its worker is not at fault.
 bool hasServed(const step_spec &step, const std::optional<milliseconds> &runDuration)
 {
     constexpr milliseconds MinServingTime{5000}; // a faulty worker fails its runs at once
--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -100,8 +100,10 @@
         const auto worker = chooseWorkerFor(m_workers, job, task, step, now, preferences);
         if (!worker) {
             hasWaitingTasks = true;
-            if (step.maxPerWorker == 0 && !step.isLongRunning)
-                break; // the other tasks are of the same size and find no worker either
+            // The other tasks are of the same size and find no worker either, unless they may go
+            // where this one may not.
+            if (step.maxPerWorker == 0 && !isKeptFromQuarantine(job, task, now))
+                break;
             continue;
         }
         placeTask(id, job, task, step, *worker, state.lastRun + 1);
@@ -182,15 +184,19 @@
     auto worker = workers.chooseWorker(service, step, avoid, now, preferences);
     if (!worker && avoidsAny)
         worker = workers.chooseWorker(service, step, fullWorkers, now, preferences);
-    const auto pause = job.noQuarantineBefore.find(task);
-    const bool isPausing = pause != job.noQuarantineBefore.end() && now < pause->second;
-    if (worker || !step.isLongRunning || isPausing)
+    if (worker || !step.isLongRunning || isKeptFromQuarantine(job, task, now))
         return worker;
     auto lastResort = preferences;
     lastResort.mayUseQuarantined = true;
     return workers.chooseWorker(service, step, fullWorkers, now, lastResort);
 }
 
+bool job_controller::isKeptFromQuarantine(const owned_job &job, const task_id &task, time_point now)
+{
+    const auto found = job.noQuarantineBefore.find(task);
+    return found != job.noQuarantineBefore.end() && now < found->second;
+}
+
 // Workers that have as many tasks of the step as `maxPerWorker` allows.
 std::vector<std::string>
 job_controller::workersAtTaskLimit(const owned_job &job, const task_id &task, const step_spec &step)
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -36,13 +36,11 @@
     // Late jobs: those with a serving run here that is expected to miss its latency target, as its
     // best-effort neighbours add more load than its headroom in the report.
     std::set<std::string> lateJobs;
-    bool isHome = false;         // this entry prefers the worker; see entry_directory::homeOf()
-    int consecutiveFailures = 0; // failed runs since the last one that was done or served
-    time_point lastFailureAt{};  // when the latest of them ended
-    // Before, a task is placed here only if its preferences say that it may go to a quarantined
-    // worker.
-    time_point quarantinedUntil{};
-    double slowdown = 1; // actual run time over estimated run time, moving average
+    bool isHome = false;           // this entry prefers the worker; see entry_directory::homeOf()
+    int consecutiveFailures = 0;   // failed runs since the last one that was done or served
+    time_point lastFailureAt{};    // when the latest of them ended
+    time_point quarantinedUntil{}; // before, a task is placed here only as a last resort
+    double slowdown = 1;           // actual run time over estimated run time, moving average
 };
 
 struct pool_settings
@@ -97,7 +95,7 @@
     bool mayOvercommit = false;
     // Randomizes the choice between workers of nearly equal score; 0: takes the best one.
     std::uint64_t tieBreakSeed = 0;
-    // Whether the task may go to a quarantined worker.
+    // Whether the task may go to a quarantined worker: as a last resort, if no other can take it.
     bool mayUseQuarantined = false;
 };
 
@@ -130,8 +128,8 @@
     // 0: unknown.
     void recordRunEnd(const std::string &worker, end_kind endKind, double slowdown, time_point now);
 
-    // Records that a long-running run served for a while on the worker, however it ended: the
-    // worker is not faulty.
+    // Records that a long-running run failed after it had been at work for a while: the worker is
+    // not faulty.
     void recordServedRun(const std::string &worker);
 
     // Chooses the worker for one task of `step`; none: no worker can take it now. `avoid` lists
