Comments of the model of scattered gaps in the field's terms; names of two members

Read as by a newcomer: comments that said what the code does in words of their own, a header without the order of its calls, mayMoveOthers (now mayMoveOtherOwnersRuns) and noQuarantineBefore (quarantineRetryAt), and the reason for the length of quarantineRetryDelay.

--- a/bench/scattered_gaps_bench.cpp
+++ b/bench/scattered_gaps_bench.cpp
@@ -57,7 +57,7 @@
     if (policy.maxMoves == 0)
         return "none | any";
     return fmt::format("{}{} | {}", Moves[policy.maxMoves],
-                       policy.mayMoveOthers ? ", of any owner" : "", policy.owners);
+                       policy.mayMoveOtherOwnersRuns ? ", of any owner" : "", policy.owners);
 }
 
 std::string meanAndError(const std::vector<double> &values)
@@ -118,12 +118,12 @@
         policy.maxMoves = 0;
         policies.push_back(policy);
         for (const int owners : options.owners) {
-            for (const auto &[maxMoves, mayMoveOthers] :
+            for (const auto &[maxMoves, mayMoveOtherOwnersRuns] :
                  {std::pair{1, false}, {1, true}, {2, false}}) {
                 policy.owners = owners;
                 policy.maxMoves = maxMoves;
-                policy.mayMoveOthers = mayMoveOthers;
-                if (owners > 1 || !mayMoveOthers)
+                policy.mayMoveOtherOwnersRuns = mayMoveOtherOwnersRuns;
+                if (owners > 1 || !mayMoveOtherOwnersRuns)
                     policies.push_back(policy);
             }
         }
--- a/bench/scattered_gaps_model.cpp
+++ b/bench/scattered_gaps_model.cpp
@@ -326,8 +326,8 @@
     m_placement = best;
 }
 
-// Places the tasks that have no worker, if need be where two moves make room, and returns how many
-// find none.
+// Places the tasks that have no worker, and moves up to two runs for each that fits on none.
+// Returns the number of tasks that are still without a worker.
 std::size_t gap_model::placeInOrder(const std::vector<std::pair<double, int>> &tasks)
 {
     std::size_t waiting = 0;
@@ -344,7 +344,8 @@
     return waiting;
 }
 
-// Any runs move, at once. Returns the worker that has room then.
+// Moves up to two runs of any owner without delay or standstill. Returns the worker whose free
+// processors then suffice for the task; none: no such move was found.
 std::optional<int> gap_model::makeRoomFor(int task)
 {
     const auto moves = findMoves(m_placement, task, {m_now, 1, true, 2});
@@ -373,14 +374,16 @@
         || m_now < m_nextSearch[index(job)] || m_now < m_busyUntil[index(ownerOf(task))]
         || m_placement.freeInSum() < m_placement.sizeOf(task))
         return;
-    const auto moves = findMoves(
-            m_placement, task, {m_now, m_policy.owners, m_policy.mayMoveOthers, m_policy.maxMoves});
+    const auto moves =
+            findMoves(m_placement, task,
+                      {m_now, m_policy.owners, m_policy.mayMoveOtherOwnersRuns, m_policy.maxMoves});
     m_nextSearch[index(job)] = m_now + SearchInterval;
     if (!moves.empty())
         carryOut(moves, task);
 }
 
-// One move after the other. The worker that the last one leaves holds the room for the task.
+// Carries the moves out one after the other, each with its standstill. The processors that the last
+// one frees are reserved for the waiting task, which starts when all moves are over.
 void gap_model::carryOut(const std::vector<task_move> &moves, int waitingTask)
 {
     double startsAt = m_now;
@@ -420,7 +423,8 @@
             m_result.taskSeconds += TickSeconds;
             m_result.waitingSeconds += isWaiting ? TickSeconds : 0;
             m_result.standstillSeconds += !isWaiting && task.standsStill(m_now) ? TickSeconds : 0;
-            // A task that a worker holds room for waits because of gaps that were scattered.
+            // A task for which processors are reserved waits for moves, so for scattered
+            // processors.
             m_result.scatteredSeconds += isWaiting && task.worker >= 0 ? TickSeconds : 0;
             if (task.worker < 0)
                 unplacedSizes.push_back(m_placement.sizeOf(number));
--- a/bench/scattered_gaps_model.h
+++ b/bench/scattered_gaps_model.h
@@ -1,9 +1,14 @@
-// A seeded simulation, without network, of long-running tasks that wait for a worker although the
-// processors that are free in sum would hold them. It compares how tasks are placed, and what a
-// bounded move of one run brings: a task that has waited some seconds gets the room that one run of
-// one worker leaves when it moves to another worker. Used by scattered_gaps_bench and
-// scattered_gaps_test. Every owner knows all workers at all times; interference, reports and
-// answers that are lost are left out.
+// A seeded simulation, without network, of long-running tasks that wait for a worker although
+// enough processors are free on all workers together. It compares placement algorithms, and
+// measures the effect of a limited migration: when a task has waited for some seconds, one run
+// moves to another worker, and the task starts on the worker that this run has left. Used by
+// scattered_gaps_bench and scattered_gaps_test.
+//
+//   makeTrace   the jobs and the absences of workers (scattered_gaps_trace.h)
+//   runGaps     the result of one policy on this trace
+//
+// Owners see the present state of all workers. Not simulated: interference, delayed reports, lost
+// messages.
 #pragma once
 
 #include <string_view>
@@ -24,12 +29,12 @@
 struct gap_policy
 {
     gap_fit fit = gap_fit::Scored;
-    int maxMoves = 0;           // runs moved for one task, 0 to 2
-    int owners = 1;             // job j belongs to owner j % owners
-    bool mayMoveOthers = false; // a task may also get the room of runs of other owners
-    double waitBeforeMove = 3;  // seconds that a task waits before a run is moved for it
-    double standstill = 1.5;    // seconds that a run stands still when it is moved
-    double moveInterval = 60;   // seconds until a run may be moved again
+    int maxMoves = 0;                    // runs moved for one task, 0 to 2
+    int owners = 1;                      // job j belongs to owner j % owners
+    bool mayMoveOtherOwnersRuns = false; // not only runs of the waiting task's owner
+    double waitBeforeMove = 3;           // seconds that a task waits before a run is moved for it
+    double standstill = 1.5;             // seconds that a run stands still when it is moved
+    double moveInterval = 60;            // seconds until a run may be moved again
 };
 
 struct move_record
@@ -48,11 +53,11 @@
 {
     double taskSeconds = 0;       // asked for
     double waitingSeconds = 0;    // without a running worker
-    double scatteredSeconds = 0;  // of these: held by the processors free in sum, all at a time
+    double scatteredSeconds = 0;  // of these: the sum of all free processors would suffice
     double standstillSeconds = 0; // lost by runs that were moved
     double measuredSeconds = 0;
     int countedMoves = 0;           // since warmUp
-    int limitViolations = 0;        // times at which a worker was found overfull
+    int limitViolations = 0;        // ticks at which a worker exceeded its capacity or a task limit
     std::vector<move_record> moves; // all of them
 
     double waitingShare() const { return waitingSeconds / taskSeconds; }
--- a/bench/scattered_gaps_placement.cpp
+++ b/bench/scattered_gaps_placement.cpp
@@ -149,7 +149,7 @@
     const bool isOwn =
             task.job % m_scope.owners == m_placement.task(m_waitingTask).job % m_scope.owners;
     return task.isRunning(m_scope.now) && m_scope.now >= task.movableAt
-           && (isOwn || m_scope.mayMoveOthers);
+           && (isOwn || m_scope.mayMoveOtherOwnersRuns);
 }
 
 bool move_search::mayMoveTo(int run, int target) const
@@ -223,7 +223,7 @@
         if (candidate.free + m_placement.sizeOf(second) < size || !mayMove(second)
             || sum >= m_bestSum)
             continue;
-        // The first worker's gap is part of the room that is made there.
+        // The free processors of `wanted.from` are needed for the waiting task itself.
         if (const auto secondTarget = tightestTarget(second, wanted.from))
             consider({{second, target, *secondTarget}, wanted});
     }
--- a/bench/scattered_gaps_placement.h
+++ b/bench/scattered_gaps_placement.h
@@ -1,4 +1,5 @@
-// Which task of scattered_gaps_model is on which worker, and the search for a move that makes room.
+// The tasks on each worker in scattered_gaps_model, and the search for runs to move so that a
+// waiting task fits on a worker.
 #pragma once
 
 #include <cstdint>
@@ -13,7 +14,7 @@
     int job = 0;
     int worker = -1;                 // -1: none
     double waitsSince = 0;           // seconds
-    double startsAt = 0;             // seconds; before, the worker holds room for it
+    double startsAt = 0;             // seconds; before, its processors are only reserved
     double movableAt = 0;            // seconds; not moved before
     double stillFrom = 0;            // seconds; start of its last move
     double stillUntil = 0;           // seconds; end of its last move
@@ -71,14 +72,15 @@
 // Which runs may be moved for a task.
 struct move_scope
 {
-    double now = 0;             // seconds
-    int owners = 1;             // job j belongs to owner j % owners
-    bool mayMoveOthers = false; // also runs of jobs of other owners
-    int maxMoves = 1;           // 1 or 2: a second run makes room for the first
+    double now = 0;                      // seconds
+    int owners = 1;                      // job j belongs to owner j % owners
+    bool mayMoveOtherOwnersRuns = false; // not only runs of the waiting task's owner
+    int maxMoves = 1; // 1 or 2; with 2, the first move frees processors for the second one
 };
 
-// The moves that make room for the waiting task, those with the fewest millicores, in the order in
-// which they are carried out; the last one frees the worker for the task. Empty: none found.
+// Returns the moves after which the waiting task fits on the worker that the last one leaves, in
+// the order in which they are carried out: one move if possible, and the fewest millicores. Empty:
+// none found.
 std::vector<task_move> findMoves(const gap_placement &placement, int waitingTask,
                                  const move_scope &scope);
 
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -92,8 +92,9 @@
     // its own lateness does not justify making others late.
     milliseconds maxInterferenceWait{60'000};
     milliseconds maxInterferenceWaitWhenIdle{2500};
-    // A long-running task that failed at once, or never started, goes to a quarantined worker only
-    // after this time. Callers count the outage of such a task from 6 s on.
+    // A long-running task whose run failed at once, or never started, is kept from quarantined
+    // workers for this time: long enough not to be started again and again on a faulty one, and
+    // shorter than the 6 s after which callers count the outage of such a task.
     milliseconds quarantineRetryDelay{3000};
     // That a job has started is written with its next change, or by a write of its own after this
     // time.
@@ -239,8 +240,8 @@
         // duration is counted from then.
         std::map<std::pair<task_id, int>, time_point> startAcceptedAt;
         std::map<task_id, std::vector<std::string>> avoidedWorkers; // newest last
-        // Long-running tasks that may not be placed on a quarantined worker before.
-        std::map<task_id, time_point> noQuarantineBefore;
+        // By long-running task: when it may be placed on a quarantined worker again.
+        std::map<task_id, time_point> quarantineRetryAt;
         // By occurrence and step: when planning last found no waiting task of the step, or first
         // considered the step. The interference wait is counted from then.
         std::map<std::pair<int, int>, time_point> waitingSince;
--- a/libs/jobs/job_controller_ends.cpp
+++ b/libs/jobs/job_controller_ends.cpp
@@ -56,7 +56,7 @@
         m_workers.recordRunEnd(worker, end.endKind, slowdownOf(runDuration, step), now);
     const bool hasFailedAtOnce = end.endKind == end_kind::Failed && !isEndOfService;
     if (step.isLongRunning && (hasFailedAtOnce || end.endKind == end_kind::NeverStarted))
-        job.noQuarantineBefore[end.task] = now + m_settings.quarantineRetryDelay;
+        job.quarantineRetryAt[end.task] = now + m_settings.quarantineRetryDelay;
     removePlacement(job, end.task, end.run);
     if (end.endKind != end_kind::NeverStarted)
         markStarted(id, job, now);
--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -193,8 +193,8 @@
 
 bool job_controller::isKeptFromQuarantine(const owned_job &job, const task_id &task, time_point now)
 {
-    const auto found = job.noQuarantineBefore.find(task);
-    return found != job.noQuarantineBefore.end() && now < found->second;
+    const auto found = job.quarantineRetryAt.find(task);
+    return found != job.quarantineRetryAt.end() && now < found->second;
 }
 
 // Workers that have as many tasks of the step as `maxPerWorker` allows.
