Actors run nothing before their owner is complete

A loop of such starts (three entries and four agents, two loops at a time, load 20) failed in 3 of 240: an entry had ended with a segmentation fault in pthread_mutex_lock of address 0.

Cause: an actor's thread began in the constructor, before its owner had assigned the pointer to it. A delay of 10 ms before the first tick stood for "the owner is complete by then". Where the owner's thread got no processor for longer, a tick's answer was posted by way of the null pointer, and the daemon ended.

Change: start(), called as the last step of the owner's constructor; nothing runs before, and events posted before are handled after it. A wake-up while start() runs isn't lost. stop() doesn't clear the handle any more that others may still wake.

--- a/app/admission_actor.cpp
+++ b/app/admission_actor.cpp
@@ -85,6 +85,7 @@
     m_actor = std::make_unique<event_actor<event>>(
             system, RingCapacity, [this](event &newEvent) { handle(newEvent); },
             tick_schedule{[this] { return nextTick(); }, [this] { tick(); }});
+    m_actor->start();
 }
 
 admission_actor::~admission_actor() = default;
--- a/app/announcement_actor.cpp
+++ b/app/announcement_actor.cpp
@@ -59,6 +59,7 @@
     m_actor = std::make_unique<event_actor<event>>(
             system, RingCapacity, [this](event &newEvent) { handle(newEvent); }, TickInterval,
             [this] { tick(); });
+    m_actor->start();
 }
 
 announcement_actor::~announcement_actor() = default;
--- a/app/config_actor.cpp
+++ b/app/config_actor.cpp
@@ -66,6 +66,7 @@
     m_actor = std::make_unique<event_actor<event>>(
             system, RingCapacity, [this](event &newEvent) { handle(newEvent); }, TickInterval,
             [this] { feed(config::tick{}); });
+    m_actor->start();
 }
 
 config_actor::~config_actor() = default;
--- a/app/config_follower_actor.cpp
+++ b/app/config_follower_actor.cpp
@@ -36,6 +36,7 @@
     m_actor = std::make_unique<event_actor<event>>(
             system, RingCapacity, [this](event &newEvent) { handle(newEvent); }, TickInterval,
             [this] { feed(config::tick{}); });
+    m_actor->start();
 }
 
 config_follower_actor::~config_follower_actor() = default;
--- a/app/outbound_calls.cpp
+++ b/app/outbound_calls.cpp
@@ -20,7 +20,9 @@
     , m_actor(std::make_unique<event_actor<platform_call>>(
               system, CallCapacity, [this](platform_call &platformCall) { platformCall(m_client); },
               NoTick, [] {}))
-{ }
+{
+    m_actor->start();
+}
 
 platform_executor::~platform_executor() = default;
 
@@ -44,6 +46,7 @@
         m_idleThreads.push_back(index);
         m_threads.push_back(std::make_unique<actor_thread>(
                 system, [this, index] { sendQueuedCalls(index); }, periodicTicks(NoTick, {})));
+        m_threads.back()->start();
     }
 }
 
--- a/app/request_actor.cpp
+++ b/app/request_actor.cpp
@@ -122,6 +122,7 @@
     m_actor = std::make_unique<event_actor<event>>(
             system, RingCapacity, [this](event &newEvent) { handle(newEvent); },
             tick_schedule{[this] { return nextTick(); }, [this] { tick(); }});
+    m_actor->start();
 }
 
 request_actor::~request_actor() = default;
--- a/app/scheduling_actor.cpp
+++ b/app/scheduling_actor.cpp
@@ -72,6 +72,7 @@
     m_actor = std::make_unique<event_actor<event>>(
             system, RingCapacity, [this](event &newEvent) { handle(newEvent); }, TickInterval,
             [this] { tick(); });
+    m_actor->start();
 }
 
 scheduling_actor::~scheduling_actor() = default;
--- a/app/supervisor_actor.cpp
+++ b/app/supervisor_actor.cpp
@@ -60,6 +60,8 @@
             system, RingCapacity, [this](event &newEvent) { handle(newEvent); },
             tick_schedule{[this] { return std::min(m_supervisor.nextTick(), m_nextUsageAt); },
                           [this] { tick(); }});
+    m_workerCalls->start();
+    m_actor->start();
 }
 
 supervisor_actor::~supervisor_actor() = default;
--- a/app/upstream_probe.cpp
+++ b/app/upstream_probe.cpp
@@ -17,6 +17,7 @@
     m_thread = std::make_unique<actor_thread>(
             system, [this] { m_onChanged(false); },
             tick_schedule{[this] { return m_isUp ? Never : m_nextProbeAt; }, [this] { probe(); }});
+    m_thread->start();
 }
 
 upstream_probe::~upstream_probe() = default;
--- a/libs/runtime/event_actor.cpp
+++ b/libs/runtime/event_actor.cpp
@@ -68,7 +68,7 @@
     // would cost more than that one tick.
     void armTimer(caf::event_based_actor *self)
     {
-        const auto dueAt = std::max(ticks.nextTickAt(), ticksAllowedFrom);
+        const auto dueAt = ticks.nextTickAt();
         if (dueAt >= timerDueAt)
             return;
         timerDueAt = dueAt;
@@ -79,19 +79,16 @@
     // Lower limit of the delay: a tick that does not move its deadline forward would otherwise use
     // a whole core.
     static constexpr milliseconds MinTimerDelay{1};
-    // Delays the first tick: the object that owns the actor is still being constructed when the
-    // thread starts.
-    static constexpr milliseconds FirstTickDelay{10};
 
     caf::actor_system &system;
     std::function<void()> drain;
     tick_schedule ticks;
     std::atomic<bool> isWakePending{false};
+    std::atomic<bool> isStarted{false};
     std::atomic<bool> isStopped{false};
-    caf::actor actor;
+    caf::actor actor; // assigned before isStarted is set, and read only while that is set
 
     // Used by the actor's thread only.
-    const time_point ticksAllowedFrom = monotonic_clock::now() + FirstTickDelay;
     time_point timerDueAt = Never;
     std::uint64_t newestTimerNumber = 0;
 };
@@ -115,9 +112,6 @@
 {
     m_impl->drain = std::move(drain);
     m_impl->ticks = std::move(ticks);
-    impl *state = m_impl.get();
-    m_impl->actor = m_impl->system.spawn<caf::detached>(
-            [state](caf::event_based_actor *self) { return state->behaviour(self); });
 }
 
 actor_thread::~actor_thread()
@@ -125,20 +119,30 @@
     stop();
 }
 
+void actor_thread::start()
+{
+    impl *state = m_impl.get();
+    m_impl->actor = m_impl->system.spawn<caf::detached>(
+            [state](caf::event_based_actor *self) { return state->behaviour(self); });
+    m_impl->isStarted.store(true);
+    // A wake() until now, also one by the new thread itself, could not be sent.
+    if (m_impl->isWakePending.load())
+        caf::anon_send(m_impl->actor, wake_atom::value);
+}
+
 void actor_thread::wake()
 {
-    if (!m_impl->isWakePending.exchange(true))
+    if (!m_impl->isWakePending.exchange(true) && m_impl->isStarted.load())
         caf::anon_send(m_impl->actor, wake_atom::value);
 }
 
 void actor_thread::stop()
 {
-    if (m_impl->isStopped.exchange(true))
+    if (!m_impl->isStarted.load() || m_impl->isStopped.exchange(true))
         return;
     caf::scoped_actor self(m_impl->system);
     self->send_exit(m_impl->actor, caf::exit_reason::user_shutdown);
     self->wait_for(m_impl->actor);
-    m_impl->actor = nullptr;
 }
 
 } // namespace zinniabarrow
--- a/libs/runtime/event_actor.h
+++ b/libs/runtime/event_actor.h
@@ -1,5 +1,7 @@
 // Actors that handle events one at a time. Each has its own thread (a detached actor of CAF, the
 // C++ Actor Framework) and a bounded queue of events.
+//
+// Order of calls: construct, start(), stop(). Nothing runs before start().
 #pragma once
 
 #include <atomic>
@@ -44,6 +46,10 @@
 
 // The thread of an actor: runs `drain`, which handles all queued events, after each wake(), and
 // `ticks.tick` when the time that `ticks.nextTickAt` returned has come.
+//
+// The thread begins in start(), which the owner calls once the object that the callbacks use is
+// complete. A thread that began in the constructor could use a pointer to this actor that its
+// owner has not assigned yet, and end the process.
 class actor_thread
 {
 public:
@@ -52,8 +58,10 @@
     actor_thread(const actor_thread &) = delete;
     actor_thread &operator=(const actor_thread &) = delete;
 
-    void wake(); // thread-safe; calls before the next drain are merged into one
-    void stop(); // returns when the thread has ended; may be called twice
+    void start(); // once
+    void
+    wake(); // thread-safe, also before start(); calls before the next drain are merged into one
+    void stop(); // returns when the thread has ended; may be called twice, and without start()
 
 private:
     struct impl;
@@ -83,9 +91,11 @@
                   system, [this] { drain(); }, std::move(ticks))
     { }
 
+    void start() { m_thread.start(); }
+
     // Thread-safe. Returns false when the queue is full; the code that posts must then refuse the
-    // work and count it. After stop(), events are still queued while there is room, but not
-    // handled.
+    // work and count it. Events that are posted before start() are handled after it. After stop(),
+    // events are still queued while there is room, but not handled.
     bool post(Event event)
     {
         if (!m_ring.push(std::move(event)))
