Fleet of the tests: says which daemons have ended

A fleet that never became complete failed with "entry 0 did not become ready" and an empty log, or with no reason at all; that a daemon had crashed was seen only in the kernel's log. The message now lists the daemons that have ended, with their exit codes.

--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -438,10 +438,28 @@
     };
     if (waitUntil(ready, StartTimeout))
         return;
-    throw std::runtime_error("entry " + std::to_string(index) + " did not become ready; its log:\n"
+    throw std::runtime_error("entry " + std::to_string(index)
+                             + " did not become ready; ended: " + describeEnded() + "; its log:\n"
                              + readFile(m_entries.at(index)->errorFile()));
 }
 
+std::string fleet::describeEnded()
+{
+    std::string text;
+    const auto addEnded = [&](const std::string &role, auto &processes) {
+        for (std::size_t index = 0; index < processes.size(); ++index) {
+            if (processes[index] == nullptr || processes[index]->isRunning())
+                continue;
+            text += text.empty() ? "" : ", ";
+            text += role + "-" + std::to_string(index) + ": "
+                    + std::to_string(processes[index]->waitForExit(milliseconds(0)));
+        }
+    };
+    addEnded("entry", m_entries);
+    addEnded("agent", m_agents);
+    return text.empty() ? "none" : text;
+}
+
 void fleet::setFault(const std::string &address, const Json::Value &fault)
 {
     const auto result = m_pools.poolFor(address).call({"POST", "/fault", {}, compactJson(fault)},
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -113,7 +113,10 @@
     void startAgent(unsigned index);
     // Starts a second agent on another port, with the id, upstream and worker of agent `index`.
     std::unique_ptr<child_process> startDuplicateAgent(unsigned index) const;
-    void waitForEntry(unsigned index); // until it is ready; on timeout throws with its log
+    // Waits until it is ready; on timeout throws with its log and describeEnded().
+    void waitForEntry(unsigned index);
+    // The daemons that have ended, with their exit codes: "entry-0: 139" (128 + signal 11).
+    std::string describeEnded();
 
     // The processes; empty before the start. A test resets a pointer to kill the process.
     std::unique_ptr<child_process> &platform() { return m_platform; }
--- a/tests/fleet_scenario.h
+++ b/tests/fleet_scenario.h
@@ -46,7 +46,9 @@
 inline void startAndWait(fleet &system)
 {
     system.startAll();
-    require(waitForUpstreams(system, system.options().workers));
+    if (!waitForUpstreams(system, system.options().workers))
+        cr_assert_fail("not all upstreams are known to all entries; daemons that have ended: %s",
+                       system.describeEnded().c_str());
 }
 
 // Runs `scenario` once a sixth of the requests is completed, while another thread goes on sending
