An entry that begins to place tasks asks for the reports it lacks

An entry that places nothing gets a report of each worker in one round of five, and agents learned only by the answer to the next one that it places tasks now.

The entry remembers which workers' agents it told so, and calls them once it wants reports: a call of orders without any order. An agent sends reports from its next round on to an entry that calls it. An entry that always places asks nobody.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -15,6 +15,7 @@
 #include "app/lease_watcher.h"
 #include "app/order_sender.h"
 #include "app/process.h"
+#include "app/report_requests.h"
 #include "app/shutdown_driver.h"
 #include "app/store_client.h"
 #include "app/table_follower.h"
@@ -38,6 +39,7 @@
 constexpr milliseconds PingInterval{400};   // four pings within entry_directory::HeartbeatTimeout
 constexpr milliseconds JobsBatchDelay{250}; // lets one answer contain the changes of many jobs
 constexpr milliseconds TakeoverInterval{250};
+constexpr milliseconds ReportRequestInterval{100};
 constexpr milliseconds LeaseWatchInterval{700};   // checks for workers without reports
 constexpr milliseconds WorkerReportTimeout{3000}; // three reports in a row were missed
 // After this time a report is answered without the ends of runs that are not stored yet.
@@ -151,6 +153,7 @@
         m_loop.runEvery(PingInterval, [this] { logRole(); });
         m_loop.runEvery(PlanInterval, [this] { planAndExecute(); });
         m_loop.runEvery(TakeoverInterval, [this] { takeOver(); });
+        m_loop.runEvery(ReportRequestInterval, [this] { requestReports(); });
         m_loop.runEvery(LeaseWatchInterval, [this] { watchSilentWorkers(); });
     }
 
@@ -378,8 +381,7 @@
         report_answer answer;
         if (!isHome)
             answer.minReportInterval = reportInterval(m_pool.workerCount(), m_settings.millicores);
-        answer.wantsReports =
-                m_directory.isPlacer(now) || m_jobController->unfinishedJobCount() > 0;
+        answer.wantsReports = wantsReports(now);
         // An outdated list of evacuated zones could still contain a zone that is back in use.
         answer.zoneEvacuated = m_configuration.isConfirmed()
                                && m_configuration.evacuatedZones().contains(report.zone);
@@ -388,6 +390,25 @@
         return answer;
     }
 
+    bool wantsReports(time_point now) const
+    {
+        return m_directory.isPlacer(now) || m_jobController->unfinishedJobCount() > 0;
+    }
+
+    // Agents that still take this entry for one that places no tasks are sent a call without
+    // orders.
+    void requestReports()
+    {
+        const auto now = suspendAwareNow();
+        if (!wantsReports(now) || isLeaving())
+            return;
+        const auto limit = affordableReports(ReportRequestInterval, m_settings.millicores);
+        for (const auto &worker : m_reportRequests.takeDue(limit, now)) {
+            m_metrics.count("reports_requested_total", "seldom");
+            m_orderSender.sendOrders(worker, {});
+        }
+    }
+
     void handleReport(const worker_report &report, responder respond)
     {
         const auto now = suspendAwareNow();
@@ -410,6 +431,7 @@
         for (const auto &sample : report.samples)
             m_pool.interferenceEstimator().learn(sample);
         pendingReport->answer = makeAnswer(report, isHome, now);
+        m_reportRequests.recordReport(report.worker, pendingReport->answer.wantsReports, now);
         for (const auto &end : report.ends)
             handleEnd(report.worker, end, pendingReport);
         // Called after the ends above have been handled, which end their own placements:
@@ -551,6 +573,7 @@
     std::optional<job_controller> m_jobController;
     job_takeover m_takeover;
     order_sender m_orderSender;
+    report_requests m_reportRequests;
     lease_watcher m_leaseWatcher;
     write_callbacks m_writeCallbacks;
     bool m_areJobsKnown = false;
--- /dev/null
+++ b/app/report_requests.h
@@ -0,0 +1,35 @@
+// The agents that an entry asks for reports. An entry that places no tasks gets reports only now
+// and then, see report_targets.h. Once it begins to place tasks, agents would learn of that by the
+// answers to their next reports, seconds later; so the entry asks them. Sends nothing itself.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace zinniabarrow {
+
+class report_requests
+{
+public:
+    // The worker's agent has reported; the answer says whether this entry wants reports.
+    void recordReport(const std::string &worker, bool wantsReports, time_point now);
+    // The workers whose agents are to be asked now, those first that have been due for the longest,
+    // at most `limit`. To be called only while this entry wants reports.
+    std::vector<std::string> takeDue(std::size_t limit, time_point now);
+
+private:
+    // A worker whose agent may still report only now and then.
+    struct seldom_reporter
+    {
+        time_point askAt{};
+        time_point forgetAt{};
+    };
+
+    std::map<std::string, seldom_reporter> m_reporters;
+};
+
+} // namespace zinniabarrow
--- a/app/report_sender.cpp
+++ b/app/report_sender.cpp
@@ -68,6 +68,11 @@
     m_samples.clear();
 }
 
+void report_sender::requestReports(const std::string &entry)
+{
+    m_targets.requestReports(entry);
+}
+
 void report_sender::sendReports()
 {
     for (const auto &name : m_targets.names())
--- a/app/report_targets.cpp
+++ b/app/report_targets.cpp
@@ -87,6 +87,16 @@
         found->second.wantsReports = wantsReports;
 }
 
+void report_targets::requestReports(const std::string &entry)
+{
+    const auto found = m_targets.find(entry);
+    if (found == m_targets.end() || found->second.wantsReports)
+        return;
+    found->second.wantsReports = true;
+    if (found->second.isReportInFlight)
+        found->second.needsAnother = true;
+}
+
 void report_targets::setMinReportInterval(const std::string &entry, milliseconds interval)
 {
     const auto found = m_targets.find(entry);
--- a/app/report_targets.h
+++ b/app/report_targets.h
@@ -36,6 +36,9 @@
     // wants reports.
     void setWantsReports(const std::string &entry, bool wantsReports);
     void setMinReportInterval(const std::string &entry, milliseconds interval);
+    // The entry has asked for reports, by any call to the agent. An answer to a report that is in
+    // flight may say otherwise and be outdated, so another report follows it.
+    void requestReports(const std::string &entry);
     // The entry has answered a report that carried this epoch.
     void acknowledgeEpoch(const std::string &entry, std::int64_t epoch);
     // Whether a report was requested while another one was in flight.
--- a/tests/report_targets_test.cpp
+++ b/tests/report_targets_test.cpp
@@ -121,6 +121,42 @@
     });
 }
 
+// Guards against an owner of jobs that learns seconds late of freed room, because agents still take
+// it for an entry that places no tasks.
+Test(report_targets, an_entry_asks_for_reports)
+{
+    report_targets targets;
+    targets.setAddress("entry-a", "a:1");
+    targets.setWantsReports("entry-a", false);
+    section("it gets each periodic report, and hears of freed room at once", [&] {
+        targets.requestReports("entry-a");
+        for (std::uint64_t round = 0; round < 5; ++round)
+            check(targets.namesForRound(round).size() == 1);
+        check(targets.isReportDue("entry-a", Now));
+    });
+    section("an answer that was on its way and says otherwise is followed by a report", [&] {
+        targets.setWantsReports("entry-a", false);
+        check(targets.tryBeginReport("entry-a", Now));
+        targets.requestReports("entry-a");
+        check(targets.endReport("entry-a"));
+        targets.setWantsReports("entry-a", false);
+        check(targets.needsAnotherReport("entry-a"));
+    });
+    section("one that is unknown gets none", [&] {
+        targets.requestReports("entry-b");
+        check(targets.names().size() == 1);
+    });
+}
+
+// Guards against a weak entry that asks all agents of a large fleet at once, and answers nobody
+// meanwhile.
+Test(report_targets, requests_for_reports_that_an_entry_can_afford)
+{
+    check(jobs::affordableReports(milliseconds(100), 60) == 50);
+    check(jobs::affordableReports(milliseconds(100), 0) == 833);
+    check(jobs::affordableReports(milliseconds(1), 1) == 1);
+}
+
 // Guards against two things at once: entries of a small fleet that place by views of a second ago,
 // and ends of all runs of a large fleet that reach every entry.
 Test(report_targets, free_capacity_told_to_entries_without_ends)
