An entry that has restarted gets each report until it says otherwise

An agent sends a report to each entry at once when its row changes. An entry that starts answers 503 until it has its incarnation, and agents kept from its former life that it wants no reports: the next one came in the fifth round, and an entry that knows no worker can't ask for one. What an entry wants is now forgotten when its row changes. Red before: report_targets_test an_entry_that_has_restarted (0 of 1 names in four of five rounds).

--- a/app/report_targets.cpp
+++ b/app/report_targets.cpp
@@ -8,7 +8,9 @@
 
 void report_targets::setAddress(const std::string &entry, const std::string &address)
 {
-    m_targets[entry].address = address;
+    auto &target = m_targets[entry];
+    target.address = address;
+    target.wantsReports = true;
 }
 
 void report_targets::removeEntry(const std::string &entry)
--- a/app/report_targets.h
+++ b/app/report_targets.h
@@ -14,6 +14,7 @@
 class report_targets
 {
 public:
+    // The entry has started, perhaps anew: it wants reports until an answer says otherwise.
     void setAddress(const std::string &entry, const std::string &address);
     void removeEntry(const std::string &entry);
 
--- a/tests/report_targets_test.cpp
+++ b/tests/report_targets_test.cpp
@@ -148,6 +148,18 @@
     });
 }
 
+// Guards against an entry that has restarted and knows no worker for seconds, as its former life
+// wanted no reports and the first one came before it was ready.
+Test(report_targets, an_entry_that_has_restarted)
+{
+    report_targets targets;
+    targets.setAddress("entry-a", "a:1");
+    targets.setWantsReports("entry-a", false);
+    targets.setAddress("entry-a", "a:1");
+    for (std::uint64_t round = 0; round < 5; ++round)
+        check(targets.namesForRound(round).size() == 1);
+}
+
 // Guards against a weak entry that asks all agents of a large fleet at once, and answers nobody
 // meanwhile.
 Test(report_targets, requests_for_reports_that_an_entry_can_afford)
