A change during a report that fails reaches the entry in the next round

What happened while a report to an entry was in flight went with the next one. If that one failed, an entry that places nothing got it in the fifth round, up to 5 s later: free room for a task it still owns, or that a worker accepts again. Now it goes in the next round, once. Red before: report_targets_test a_change_during_a_report_that_fails (in the next round no name, where one is due).

--- a/app/report_targets.cpp
+++ b/app/report_targets.cpp
@@ -76,7 +76,8 @@
     constexpr std::uint64_t SeldomInterval = 5; // rounds
     std::vector<std::string> names;
     for (const auto &[name, target] : m_targets) {
-        if (target.wantsReports || (round + stableHash(name)) % SeldomInterval == 0)
+        const bool isOverdue = target.needsAnother && !target.isReportInFlight;
+        if (target.wantsReports || isOverdue || (round + stableHash(name)) % SeldomInterval == 0)
             names.push_back(name);
     }
     return names;
--- a/app/report_targets.h
+++ b/app/report_targets.h
@@ -19,8 +19,8 @@
     void removeEntry(const std::string &entry);
 
     std::vector<std::string> names() const; // sorted
-    // The entries that get the periodic report number `round`: those that want reports, and of the
-    // others a fifth, each in its turn.
+    // The entries that get the periodic report number `round`: those that want reports, those that
+    // need another one as the last has failed, and of the others a fifth, each in its turn.
     std::vector<std::string> namesForRound(std::uint64_t round) const;
     std::vector<std::string> addresses() const;
     // Throws std::out_of_range if the entry is unknown.
--- a/tests/report_targets_test.cpp
+++ b/tests/report_targets_test.cpp
@@ -160,6 +160,30 @@
         check(targets.namesForRound(round).size() == 1);
 }
 
+// Guards against a change that an entry learns seconds late, because it came while a report was in
+// flight that failed.
+Test(report_targets, a_change_during_a_report_that_fails)
+{
+    report_targets targets;
+    targets.setAddress("entry-a", "a:1");
+    targets.setWantsReports("entry-a", false);
+    check(targets.tryBeginReport("entry-a", Now));
+    check(!targets.tryBeginReport("entry-a", Now));
+    check(targets.endReport("entry-a"));
+    section("goes to the entry in the next round", [&] {
+        for (std::uint64_t round = 0; round < 5; ++round)
+            check(targets.namesForRound(round).size() == 1);
+    });
+    section("once", [&] {
+        check(targets.tryBeginReport("entry-a", Now));
+        check(targets.endReport("entry-a"));
+        std::size_t reports = 0;
+        for (std::uint64_t round = 0; round < 5; ++round)
+            reports += targets.namesForRound(round).size();
+        check(reports == 1);
+    });
+}
+
 // Guards against a weak entry that asks all agents of a large fleet at once, and answers nobody
 // meanwhile.
 Test(report_targets, requests_for_reports_that_an_entry_can_afford)
