--- a/tests/job_system.h
+++ b/tests/job_system.h
@@ -77,15 +77,16 @@
     child_process &entry(int index) { return *m_processes.at(fmt::format("entry-{}", index)); }
     child_process &agent(int index) { return *m_processes.at(fmt::format("agent-{}", index)); }
 
-    void startEntry(int index)
+    // `processorShare`: of one core.
+    void startEntry(int index, double processorShare = 1)
     {
         const int process = 2 + index;
         start(fmt::format("entry-{}", index), "job-entry",
               fmt::format(R"({{"id":"entry-{}","zone":"z","callers":"{}","ready":"{}",)"
-                          R"("internal":"{}","store":"{}"}})",
+                          R"("internal":"{}","store":"{}","processor_share":{}}})",
                           index, processAddress(process, CallersPort),
                           processAddress(process, ReadyPort), processAddress(process, InternalPort),
-                          processAddress(0, 9000)));
+                          processAddress(0, 9000), processorShare));
     }
 
     void startAgent(int index)
@@ -216,12 +217,13 @@
     // Whether the agent has relayed a call to the store.
     bool hasAgentRelayed(int agent)
     {
-        http_request request;
-        request.target = "/metrics";
-        http_pool pool(parseAddress(agentInternalAddress(agent)));
-        const auto result = pool.call(request, monotonic_clock::now() + seconds(1));
-        const auto *answer = std::get_if<http_response>(&result);
-        return answer != nullptr && answer->body.find(R"("carried")") != std::string::npos;
+        return metricsContain(agentInternalAddress(agent), R"("carried")");
+    }
+
+    // Whether the entry has asked agents for reports.
+    bool hasRequestedReports(int entry)
+    {
+        return metricsContain(entryInternalAddress(entry), "reports_requested_total");
     }
 
     bool reachesState(int entry, const std::string &job, const std::string &state)
@@ -288,6 +290,16 @@
     }
 
 private:
+    static bool metricsContain(const std::string &address, const std::string &fragment)
+    {
+        http_request request;
+        request.target = "/metrics";
+        http_pool pool(parseAddress(address));
+        const auto result = pool.call(request, monotonic_clock::now() + seconds(1));
+        const auto *answer = std::get_if<http_response>(&result);
+        return answer != nullptr && answer->body.find(fragment) != std::string::npos;
+    }
+
     static Json::Value operatorRow(const std::string &key)
     {
         Json::Value row(Json::objectValue);
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -166,6 +166,27 @@
     checkNoViolations(system, system.platform());
 }
 
+// Guards against an entry that waits seconds for the reports of workers once it alone is left to
+// place tasks.
+Test(process_jobs, only_placer_killed)
+{
+    system_under_test system;
+    system.entry(1).signal(SIGKILL);
+    system.startEntry(1, 0.2);
+    section("an entry with little processor time places nothing beside a stronger one", [&] {
+        const auto isNoPlacer = [&] { return system.logContains("entry", 1, R"("placer":"no")"); };
+        require(waitUntil(isNoPlacer, WaitLimit));
+        check(!system.hasRequestedReports(1));
+    });
+    section("once that is gone, it asks for reports, and runs jobs", [&] {
+        system.entry(0).signal(SIGKILL);
+        check(waitUntil([&] { return system.hasRequestedReports(1); }, WaitLimit));
+        require(system.submit(1, "cdcd000000000001"));
+        check(system.reachesState(1, "cdcd000000000001", "completed"));
+    });
+    checkNoViolations(system, system.platform());
+}
+
 // An agent is killed while its worker runs tasks, and a new one starts. The new one must read from
 // the worker which runs are active before it starts anything. The job completes, and each task runs
 // once.
