Entries log when a worker is quarantined, for how long and why

What operators see: tasks wait, tasks_unplaced counts a worker as set_aside, and no line tells since when, until when, or which runs failed there. Cause: worker_pool sets the time of the quarantine and tells nobody. Now recordRunEnd says that one begins, and the owner writes worker_quarantined: worker, milliseconds, failures in the row, and the task and run that failed last; job_events_total counts it like all events of the owner. At most one line in 6 s for each worker, as failures don't prolong a quarantine; the log's budget bounds the rest. The fields of the decision are unchanged.

--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -342,6 +342,9 @@
     // Workers that have as many tasks of the step as step_spec::maxPerWorker allows.
     static std::vector<std::string> workersAtTaskLimit(const owned_job &job, const task_id &task,
                                                        const step_spec &step);
+    // Logs that a quarantine of the worker has begun with the failure of this run.
+    void logQuarantine(const std::string &id, const std::string &worker, const run_end &failure,
+                       time_point now);
     static std::string describeRun(const task_id &task, int run, const std::string &worker);
     void addLog(std::string event, const std::string &job, std::string detail);
 
--- a/libs/jobs/job_controller_ends.cpp
+++ b/libs/jobs/job_controller_ends.cpp
@@ -52,8 +52,8 @@
     const bool isEndOfService = hasServed(step, runDuration);
     if (end.endKind == end_kind::Failed && isEndOfService)
         m_workers.recordServedRun(worker);
-    else
-        m_workers.recordRunEnd(worker, end.endKind, slowdownOf(runDuration, step), now);
+    else if (m_workers.recordRunEnd(worker, end.endKind, slowdownOf(runDuration, step), now))
+        logQuarantine(id, worker, end, now);
     const bool hasFailedAtOnce = end.endKind == end_kind::Failed && !isEndOfService;
     if (step.isLongRunning && (hasFailedAtOnce || end.endKind == end_kind::NeverStarted))
         job.quarantineRetryAt[end.task] = now + m_settings.quarantineRetryDelay;
--- a/libs/jobs/job_controller_log.cpp
+++ b/libs/jobs/job_controller_log.cpp
@@ -222,6 +222,16 @@
                        millisecondsIn(now - order.firstSentAt)));
 }
 
+void job_controller::logQuarantine(const std::string &id, const std::string &worker,
+                                   const run_end &failure, time_point now)
+{
+    const auto &view = *m_workers.find(worker);
+    addLog("worker_quarantined", id,
+           fmt::format("{} for {} ms, {} failures in a row, the last one of {} run {}", worker,
+                       millisecondsIn(view.quarantinedUntil - now), view.consecutiveFailures,
+                       toText(failure.task), failure.run));
+}
+
 void job_controller::addLog(std::string event, const std::string &job, std::string detail)
 {
     m_actions.emplace_back(log_event{std::move(event), job, std::move(detail)});
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -101,12 +101,12 @@
     return view != nullptr && now - view->lastReportAt <= m_settings.reportTimeout;
 }
 
-void worker_pool::recordRunEnd(const std::string &worker, end_kind endKind, double slowdown,
+bool worker_pool::recordRunEnd(const std::string &worker, end_kind endKind, double slowdown,
                                time_point now)
 {
     const auto found = m_workers.find(worker);
     if (found == m_workers.end())
-        return;
+        return false;
     auto &view = found->second;
     // Weight of the newest run: about the last five runs count.
     constexpr double NewestRunWeight = 0.2;
@@ -116,7 +116,7 @@
             view.slowdown += NewestRunWeight * (slowdown - view.slowdown);
     }
     if (endKind != end_kind::Failed)
-        return;
+        return false;
     // Long-running runs are never done. On a worker that has only these, nothing else would end the
     // row, and each single failure of the day would quarantine it.
     if (now - view.lastFailureAt > m_settings.failureMemory)
@@ -124,9 +124,11 @@
     view.lastFailureAt = now;
     // Failures during a quarantine don't prolong it: long-running tasks may be tried there, and one
     // that fails each time would keep all other tasks away for good.
-    if (++view.consecutiveFailures >= m_settings.maxConsecutiveFailures
-        && now >= view.quarantinedUntil)
-        view.quarantinedUntil = now + m_settings.quarantineTime;
+    if (++view.consecutiveFailures < m_settings.maxConsecutiveFailures
+        || now < view.quarantinedUntil)
+        return false;
+    view.quarantinedUntil = now + m_settings.quarantineTime;
+    return true;
 }
 
 void worker_pool::recordServedRun(const std::string &worker)
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -125,8 +125,8 @@
     void setEvacuatedZones(std::set<std::string> zones) { m_evacuatedZones = std::move(zones); }
 
     // Records how a run ended on the worker. `slowdown` is its actual run time over its estimate;
-    // 0: unknown.
-    void recordRunEnd(const std::string &worker, end_kind endKind, double slowdown, time_point now);
+    // 0: unknown. Returns true when a quarantine begins.
+    bool recordRunEnd(const std::string &worker, end_kind endKind, double slowdown, time_point now);
 
     // Records that a long-running run failed after it had been at work for a while: the worker is
     // not faulty.
--- a/tests/job_controller_test.cpp
+++ b/tests/job_controller_test.cpp
@@ -1191,6 +1191,48 @@
     });
 }
 
+// Guards against a worker that gets no tasks although no line says so: without it, an operator sees
+// waiting tasks beside free capacity and no reason for it.
+Test(job_controller, a_quarantine_is_logged)
+{
+    auto spec = test_fixture::twoSteps();
+    spec.steps.resize(1);
+    spec.steps[0].count = 6;
+    spec.steps[0].isLongRunning = true;
+    test_fixture fixture;
+    fixture.stopAccepting("w2");
+    fixture.submitJob(spec);
+    fixture.confirmWrite();
+    const auto orders = fixture.orders;
+    require(orders.size() == 6);
+    for (std::size_t run = 0; run < 5; ++run)
+        fixture.acceptOrder(orders[run]);
+    const auto countLines = [&] {
+        return std::count_if(fixture.logEvents.begin(), fixture.logEvents.end(),
+                             [](const auto &line) { return line.event == "worker_quarantined"; });
+    };
+    section("not before its runs have failed too often", [&] {
+        for (std::size_t run = 0; run < 3; ++run)
+            fixture.endRun(orders[run], end_kind::Failed);
+        check(countLines() == 0);
+    });
+    section("once it begins, with its duration and its reason", [&] {
+        fixture.endRun(orders[3], end_kind::Failed);
+        check(fixture.logDetailOf("worker_quarantined")
+              == "w1 for 6000 ms, 4 failures in a row, the last one of j.0.0.3 run 1");
+    });
+    section("not again for failures while it lasts", [&] {
+        fixture.endRun(orders[4], end_kind::Failed);
+        check(countLines() == 1);
+    });
+    section("again when a failure after its end begins another one", [&] {
+        fixture.now += milliseconds(6000);
+        fixture.acceptOrder(orders[5]);
+        fixture.endRun(orders[5], end_kind::Failed);
+        check(countLines() == 2);
+    });
+}
+
 // Guards against a long-running task that waits beside free capacity: the only worker with room for
 // it is quarantined because the runs of another job failed there, for 6 s and again for each
 // further failure.
