A run keeps its first start when its agent's next incarnation takes it over

What callers may see: on a full service a long-running task waits beside its worker after a single failure. Cause: the owner sends its start orders again to an agent's next incarnation, which claims the runs, and took the answer for a new start. So a run that had served for minutes and failed within 5 s of such a claim counted as one that fails at once: towards a quarantine of its worker, for the pause of its task, and against the worker in the next choice. Now the first answer counts. The run time of short tasks, by which workers are compared, is counted from there as well.

Not changed: an owner that has taken a job over does not know when its runs began, and counts them from its own claim.

--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -236,8 +236,8 @@
         std::vector<waiting_token> waitingTokens;
         std::map<std::pair<task_id, int>, pending_order> startOrders;
         std::map<std::pair<task_id, int>, pending_order> stopOrders;
-        // When this entry received the answer that the agent accepted the start order. The run's
-        // duration is counted from then.
+        // When this entry first received the answer that the agent accepted the start order. The
+        // run's duration is counted from then, also if the agent's next incarnation takes it over.
         std::map<std::pair<task_id, int>, time_point> startAcceptedAt;
         std::map<task_id, std::vector<std::string>> avoidedWorkers; // newest last
         // By long-running task: when it may be placed on a quarantined worker again.
--- a/libs/jobs/job_controller_orders.cpp
+++ b/libs/jobs/job_controller_orders.cpp
@@ -50,7 +50,7 @@
     if (answer.kind == order_kind::Stop)
         job.stopOrders.erase(key);
     else if (job.startOrders.erase(key) > 0 && answer.outcome == order_outcome::Accepted)
-        job.startAcceptedAt[key] = now;
+        job.startAcceptedAt.try_emplace(key, now);
     if (!isPermanentRefusal(answer.outcome))
         return;
     auto *task = job.record.find(answer.task);
--- a/tests/job_controller_test.cpp
+++ b/tests/job_controller_test.cpp
@@ -1182,6 +1182,18 @@
         for (int failure = 0; failure < 3; ++failure)
             check(failAfter(fixture, AtOnce));
     });
+    section("a run that its agent's next incarnation takes over has served since its start", [&] {
+        test_fixture fixture;
+        submitToOnlyWorker(fixture);
+        for (int failure = 0; failure < 3; ++failure)
+            check(failAfter(fixture, AtOnce));
+        fixture.acceptOrder(fixture.orders.back());
+        fixture.now += Served;
+        fixture.receiveReports("w1", 1, 2);
+        fixture.controller.workerRestarted("w1", 1, fixture.now);
+        fixture.tick();
+        check(failAfter(fixture, AtOnce));
+    });
     section("it is quarantined when they fail at once", [&] {
         test_fixture fixture;
         submitToOnlyWorker(fixture);
