Agents refuse a start beside unclaimed runs for good if it was placed in their incarnation

What callers may see: a task waits for up to 8 s beside free capacity elsewhere, as its agent answers not_ready while nobody has claimed all runs of its worker. Such a run, if it isn't in the table, was never accepted by this incarnation, and no other can have started it; so the agent refuses it for good (no_room) and remembers that, as it does for want of room.

--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -116,12 +116,16 @@
         rememberRefusal(key, now);
         return answer(order_outcome::WrongAgentIncarnation);
     }
-    if (!allRunsClaimed())
+    // Free capacity is unknown until all runs are claimed. A run that was placed in this
+    // incarnation and isn't in the table has not started, so its task need not wait here; without
+    // the incarnation that isn't certain.
+    const bool isCapacityKnown = allRunsClaimed();
+    if (!isCapacityKnown && order.agentIncarnation == 0)
         return answer(order_outcome::NotReady);
     // No refusal is remembered: an order for the same run that arrives in time starts it.
     if (startDeadline(order, now) <= now)
         return answer(order_outcome::DeadlineExceeded);
-    if (!hasRoom(order)) {
+    if (!isCapacityKnown || !hasRoom(order)) {
         rememberRefusal(key, now);
         return answer(order_outcome::NoRoom);
     }
