Agents: an answer older than an entry's request for reports is ignored

Found in review: where an agent already took an entry for one that wants reports, a request during a report in flight changed nothing, and the answer to that report, decided before the entry began to place tasks, said that it wants none. The next report came in the fifth round, or 2.5 s later by the entry's next request. Now an answer that says so is ignored if the entry has asked since its report was begun.

--- a/app/report_targets.cpp
+++ b/app/report_targets.cpp
@@ -58,6 +58,7 @@
     }
     target.isReportInFlight = true;
     target.needsAnother = false;
+    target.hasRequestedSinceBegun = false;
     target.lastBegunAt = now;
     return true;
 }
@@ -86,18 +87,24 @@
 void report_targets::setWantsReports(const std::string &entry, bool wantsReports)
 {
     const auto found = m_targets.find(entry);
-    if (found != m_targets.end())
+    if (found == m_targets.end())
+        return;
+    const bool isOutdated = !wantsReports && found->second.hasRequestedSinceBegun;
+    if (!isOutdated)
         found->second.wantsReports = wantsReports;
 }
 
 void report_targets::requestReports(const std::string &entry)
 {
     const auto found = m_targets.find(entry);
-    if (found == m_targets.end() || found->second.wantsReports)
+    if (found == m_targets.end())
         return;
-    found->second.wantsReports = true;
-    if (found->second.isReportInFlight)
-        found->second.needsAnother = true;
+    auto &target = found->second;
+    target.hasRequestedSinceBegun = target.isReportInFlight;
+    if (target.wantsReports)
+        return;
+    target.wantsReports = true;
+    target.needsAnother = target.needsAnother || target.isReportInFlight;
 }
 
 void report_targets::setMinReportInterval(const std::string &entry, milliseconds interval)
--- a/app/report_targets.h
+++ b/app/report_targets.h
@@ -38,7 +38,7 @@
     void setWantsReports(const std::string &entry, bool wantsReports);
     void setMinReportInterval(const std::string &entry, milliseconds interval);
     // The entry has asked for reports, by any call to the agent. An answer to a report that is in
-    // flight may say otherwise and be outdated, so another report follows it.
+    // flight may be older and say otherwise: that is ignored.
     void requestReports(const std::string &entry);
     // The entry has answered a report that carried this epoch.
     void acknowledgeEpoch(const std::string &entry, std::int64_t epoch);
@@ -51,9 +51,10 @@
     struct report_target
     {
         std::string address;
-        std::int64_t acknowledgedEpoch = 0; // highest epoch in an answered report
-        bool isReportInFlight = false;      // a report is not answered yet
-        bool needsAnother = false;          // requested while a report was in flight
+        std::int64_t acknowledgedEpoch = 0;  // highest epoch in an answered report
+        bool isReportInFlight = false;       // a report is not answered yet
+        bool needsAnother = false;           // requested while a report was in flight
+        bool hasRequestedSinceBegun = false; // the entry asked since the report in flight was begun
         milliseconds minReportInterval{0};
         bool wantsReports = true;
         time_point lastBegunAt{}; // when the last report was begun
--- a/tests/report_targets_test.cpp
+++ b/tests/report_targets_test.cpp
@@ -142,6 +142,21 @@
         targets.setWantsReports("entry-a", false);
         check(targets.needsAnotherReport("entry-a"));
     });
+    section("also if it wanted reports when it asked", [&] {
+        check(targets.tryBeginReport("entry-a", Now));
+        targets.setWantsReports("entry-a", true);
+        targets.requestReports("entry-a");
+        check(targets.endReport("entry-a"));
+        targets.setWantsReports("entry-a", false);
+        for (std::uint64_t round = 0; round < 5; ++round)
+            check(targets.namesForRound(round).size() == 1);
+    });
+    section("an answer to a later report counts", [&] {
+        check(targets.tryBeginReport("entry-a", Now));
+        check(targets.endReport("entry-a"));
+        targets.setWantsReports("entry-a", false);
+        check(!targets.isReportDue("entry-a", Now));
+    });
     section("one that is unknown gets none", [&] {
         targets.requestReports("entry-b");
         check(targets.names().size() == 1);
