--- a/libs/jobs/report_interval.h
+++ b/libs/jobs/report_interval.h
@@ -13,8 +13,8 @@
 // core; 0 counts as one core.
 milliseconds reportInterval(std::size_t workers, std::int64_t millicores);
 
-// How many reports, or requests for them, take half of the entry's processor time for that long; at
-// least one.
+// How many requests for reports take half of the entry's processor time within `time`, at the cost
+// of a report each; at least one. The reports that follow aren't counted.
 std::size_t affordableReports(milliseconds time, std::int64_t millicores);
 
 } // namespace zinniabarrow::jobs
--- a/libs/runtime/event_actor.h
+++ b/libs/runtime/event_actor.h
@@ -48,8 +48,7 @@
 // `ticks.tick` when the time that `ticks.nextTickAt` returned has come.
 //
 // The thread begins in start(), which the owner calls once the object that the callbacks use is
-// complete. A thread that began in the constructor could use a pointer to this actor that its
-// owner has not assigned yet, and end the process.
+// complete: they may use a pointer to this actor that is assigned only after its constructor.
 class actor_thread
 {
 public:
@@ -59,9 +58,10 @@
     actor_thread &operator=(const actor_thread &) = delete;
 
     void start(); // once
-    void
-    wake(); // thread-safe, also before start(); calls before the next drain are merged into one
-    void stop(); // returns when the thread has ended; may be called twice, and without start()
+    // Thread-safe, also before start(). Calls before the next drain are merged into one.
+    void wake();
+    // Returns when the thread has ended. May be called twice, and without start().
+    void stop();
 
 private:
     struct impl;
--- a/tests/event_actor_test.cpp
+++ b/tests/event_actor_test.cpp
@@ -82,8 +82,8 @@
     overdueActor.stop();
 }
 
-// A daemon that used an actor before its owner had assigned it ended as it started, so that its
-// fleet was never complete.
+// Guards against a daemon that crashes as it starts, because an actor's thread uses a pointer to
+// the actor that its owner has not assigned yet.
 Test(actor, nothing_runs_before_start)
 {
     actor_runtime system;
@@ -113,7 +113,8 @@
     });
 }
 
-// An actor that posts to itself as it starts must not wait for the next event to handle that one.
+// Guards against an event that an actor posts to itself as it starts and that waits for the next
+// one to be handled.
 Test(actor, events_posted_while_it_starts_are_handled)
 {
     actor_runtime system;
