Names and comments of report requests: who asks, who notes it, what takeDue does

Change: askForReports in the entry, noteReportRequest in the agent; the label of reports_requested_total is begins_to_place; comments.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -402,7 +402,7 @@
     std::string acceptOrders(const order_batch &batch)
     {
         const auto now = suspendAwareNow();
-        m_reportSender.requestReports(batch.owner);
+        m_reportSender.noteReportRequest(batch.owner);
         m_runTable.setWorkerState(m_workerPresence.lastAnnouncement().capacity, readiness());
         std::vector<order_answer> answers;
         for (const auto &order : batch.orders) {
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -153,7 +153,7 @@
         m_loop.runEvery(PingInterval, [this] { logRole(); });
         m_loop.runEvery(PlanInterval, [this] { planAndExecute(); });
         m_loop.runEvery(TakeoverInterval, [this] { takeOver(); });
-        m_loop.runEvery(ReportRequestInterval, [this] { requestReports(); });
+        m_loop.runEvery(ReportRequestInterval, [this] { askForReports(); });
         m_loop.runEvery(LeaseWatchInterval, [this] { watchSilentWorkers(); });
     }
 
@@ -397,14 +397,14 @@
 
     // Agents that still take this entry for one that places no tasks are sent a call without
     // orders.
-    void requestReports()
+    void askForReports()
     {
         const auto now = suspendAwareNow();
         if (!wantsReports(now) || isLeaving())
             return;
         const auto limit = affordableReports(ReportRequestInterval, m_settings.millicores);
         for (const auto &worker : m_reportRequests.takeDue(limit, now)) {
-            m_metrics.count("reports_requested_total", "seldom");
+            m_metrics.count("reports_requested_total", "begins_to_place");
             m_orderSender.sendOrders(worker, {});
         }
     }
--- a/app/report_requests.h
+++ b/app/report_requests.h
@@ -17,8 +17,9 @@
 public:
     // The worker's agent has reported; the answer says whether this entry wants reports.
     void recordReport(const std::string &worker, bool wantsReports, time_point now);
-    // The workers whose agents are to be asked now, those first that have been due for the longest,
-    // at most `limit`. To be called only while this entry wants reports.
+    // Returns the workers whose agents are to be asked now, at most `limit`, those first that have
+    // been due for the longest. Each is due again a while later, until its agent reports in each
+    // round or has been silent for long. To be called only while this entry wants reports.
     std::vector<std::string> takeDue(std::size_t limit, time_point now);
 
 private:
--- a/app/report_sender.cpp
+++ b/app/report_sender.cpp
@@ -68,9 +68,9 @@
     m_samples.clear();
 }
 
-void report_sender::requestReports(const std::string &entry)
+void report_sender::noteReportRequest(const std::string &entry)
 {
-    m_targets.requestReports(entry);
+    m_targets.noteReportRequest(entry);
 }
 
 void report_sender::sendReports()
--- a/app/report_sender.h
+++ b/app/report_sender.h
@@ -55,7 +55,7 @@
     void sendPeriodicReports(); // called every second
     // Called when the entry has sent orders, or a call without any: it wants reports, and gets them
     // from the next round on.
-    void requestReports(const std::string &entry);
+    void noteReportRequest(const std::string &entry);
     // Called when the worker's epoch or readiness has changed: all entries learn of it at once.
     void sendReports();
     // Called when a run has ended: only the entries that have to know it at once get a report.
--- a/app/report_targets.cpp
+++ b/app/report_targets.cpp
@@ -94,7 +94,7 @@
         found->second.wantsReports = wantsReports;
 }
 
-void report_targets::requestReports(const std::string &entry)
+void report_targets::noteReportRequest(const std::string &entry)
 {
     const auto found = m_targets.find(entry);
     if (found == m_targets.end())
--- a/app/report_targets.h
+++ b/app/report_targets.h
@@ -39,7 +39,7 @@
     void setMinReportInterval(const std::string &entry, milliseconds interval);
     // The entry has asked for reports, by any call to the agent. An answer to a report that is in
     // flight may be older and say otherwise: that is ignored.
-    void requestReports(const std::string &entry);
+    void noteReportRequest(const std::string &entry);
     // The entry has answered a report that carried this epoch.
     void acknowledgeEpoch(const std::string &entry, std::int64_t epoch);
     // Whether a report was requested while another one was in flight.
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -47,8 +47,8 @@
 
 enum class order_outcome {
     Accepted,              // the run exists, or is being started or stopped
-    NoRoom,                // refused for good: the worker lacks free capacity, or isn't known to
-                           // have any while runs on it are unclaimed
+    NoRoom,                // refused for good: the worker lacks free capacity, or it is unknown
+                           // as runs on it are unclaimed
     Draining,              // refused for good: the worker is leaving
     WrongEpoch,            // refused for good: placed in another epoch of the worker
     Superseded,            // refused for good: the run was stopped or refused before
--- a/tests/report_requests_test.cpp
+++ b/tests/report_requests_test.cpp
@@ -91,7 +91,7 @@
     {
         if (agent.askedAt && m_now >= *agent.askedAt) {
             agent.askedAt.reset();
-            agent.targets.requestReports(Entry);
+            agent.targets.noteReportRequest(Entry);
         }
         if (agent.answerAt != time_point{} && m_now >= agent.answerAt)
             finishReport(agent);
--- a/tests/report_targets_test.cpp
+++ b/tests/report_targets_test.cpp
@@ -129,7 +129,7 @@
     targets.setAddress("entry-a", "a:1");
     targets.setWantsReports("entry-a", false);
     section("it gets each periodic report, and hears of freed room at once", [&] {
-        targets.requestReports("entry-a");
+        targets.noteReportRequest("entry-a");
         for (std::uint64_t round = 0; round < 5; ++round)
             check(targets.namesForRound(round).size() == 1);
         check(targets.isReportDue("entry-a", Now));
@@ -137,7 +137,7 @@
     section("an answer that was on its way and says otherwise is followed by a report", [&] {
         targets.setWantsReports("entry-a", false);
         check(targets.tryBeginReport("entry-a", Now));
-        targets.requestReports("entry-a");
+        targets.noteReportRequest("entry-a");
         check(targets.endReport("entry-a"));
         targets.setWantsReports("entry-a", false);
         check(targets.needsAnotherReport("entry-a"));
@@ -145,7 +145,7 @@
     section("also if it wanted reports when it asked", [&] {
         check(targets.tryBeginReport("entry-a", Now));
         targets.setWantsReports("entry-a", true);
-        targets.requestReports("entry-a");
+        targets.noteReportRequest("entry-a");
         check(targets.endReport("entry-a"));
         targets.setWantsReports("entry-a", false);
         for (std::uint64_t round = 0; round < 5; ++round)
@@ -158,7 +158,7 @@
         check(!targets.isReportDue("entry-a", Now));
     });
     section("one that is unknown gets none", [&] {
-        targets.requestReports("entry-b");
+        targets.noteReportRequest("entry-b");
         check(targets.names().size() == 1);
     });
 }
