Comments of report requests, actors and the run table in the field's terms

Cause: a reader who doesn't know the work stopped at figures of speech (an agent that knows, looks emptier, while there is room), and the header of report_requests didn't say the order of calls. Change: comments, and the title of one section of a test. Result: the six product files are the same without comments (compared after stripping them).

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -395,8 +395,8 @@
         return m_directory.isPlacer(now) || m_jobController->unfinishedJobCount() > 0;
     }
 
-    // Agents that still take this entry for one that places no tasks are sent a call without
-    // orders.
+    // Calls the agents that report to this entry only in some rounds, as it placed no tasks before.
+    // The call contains no orders.
     void askForReports()
     {
         const auto now = suspendAwareNow();
--- a/app/order_sender.h
+++ b/app/order_sender.h
@@ -37,8 +37,8 @@
                  std::function<void()> onActionsReady);
 
     // Sends the orders in one call to the worker's agent. Those without an answer are reported to
-    // the controller as unanswered. A call without orders only tells the agent that this entry
-    // wants reports.
+    // the controller as unanswered. A call without orders requests reports, see
+    // report_requests.h.
     void sendOrders(const std::string &worker, std::vector<jobs::run_order> orders);
 
 private:
--- a/app/report_requests.cpp
+++ b/app/report_requests.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-// Longer than an agent that knows takes for its next report: it sends one a second.
+// Longer than the interval of one second at which an agent reports once it has received a request.
 constexpr milliseconds RequestRepeatInterval{1500};
-// A worker without a report for this long is taken for gone. If its agent comes back, it reports
-// unasked.
+// A worker without a report for this long counts as removed: its agent gets no more requests. An
+// agent that starts again reports without one.
 constexpr milliseconds SilenceLimit{60'000};
 
 } // namespace
@@ -24,7 +24,8 @@
     const auto found = m_reporters.find(worker);
     if (found == m_reporters.end())
         return;
-    // Only an agent that reports in each round is known to have received an answer or a request.
+    // A report this soon after the last request or report shows that the agent reports in each
+    // round.
     if (now < found->second.askAt)
         m_reporters.erase(found);
     else
--- a/app/report_requests.h
+++ b/app/report_requests.h
@@ -1,6 +1,8 @@
-// The agents that an entry asks for reports. An entry that places no tasks gets reports only now
-// and then, see report_targets.h. Once it begins to place tasks, agents would learn of that by the
-// answers to their next reports, seconds later; so the entry asks them. Sends nothing itself.
+// Decides which agents an entry requests reports from. An entry that places no tasks gets a report
+// only in some rounds, see report_targets.h. When it begins to place tasks, an agent would learn of
+// that from the answer to its next report, up to five rounds later. Sends nothing itself.
+//
+// Order of calls: recordReport() for each report, takeDue() at a fixed interval.
 #pragma once
 
 #include <cstddef>
@@ -23,7 +25,7 @@
     std::vector<std::string> takeDue(std::size_t limit, time_point now);
 
 private:
-    // A worker whose agent may still report only now and then.
+    // A worker whose agent may report only in some rounds.
     struct seldom_reporter
     {
         time_point askAt{};
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -164,8 +164,8 @@
     // only the orders that claim runs give their sizes.
     bool allRunsClaimed() const;
     // Whether the worker may be given runs now. False while runs are unclaimed: start orders would
-    // be refused, and without the sizes of these runs the worker looks emptier to entries than it
-    // is. Orders that claim runs are accepted all the same.
+    // be refused, and entries overestimate the worker's free capacity, as the sizes of these runs
+    // are unknown. Orders that claim runs are accepted all the same.
     bool acceptsStarts(start_readiness readiness) const;
     std::size_t activeRunCount() const; // runs that have not ended
     // There are unacknowledged ends of a worker that is gone. No other process can report them, so
--- a/libs/runtime/event_actor.h
+++ b/libs/runtime/event_actor.h
@@ -95,7 +95,7 @@
 
     // Thread-safe. Returns false when the queue is full; the code that posts must then refuse the
     // work and count it. Events that are posted before start() are handled after it. After stop(),
-    // events are still queued while there is room, but not handled.
+    // events are queued up to the capacity, and not handled.
     bool post(Event event)
     {
         if (!m_ring.push(std::move(event)))
--- a/tests/report_targets_test.cpp
+++ b/tests/report_targets_test.cpp
@@ -121,14 +121,14 @@
     });
 }
 
-// Guards against an owner of jobs that learns seconds late of freed room, because agents still take
-// it for an entry that places no tasks.
+// Guards against an owner of jobs that learns seconds late of free capacity, because agents
+// still treat it as an entry that places no tasks.
 Test(report_targets, an_entry_asks_for_reports)
 {
     report_targets targets;
     targets.setAddress("entry-a", "a:1");
     targets.setWantsReports("entry-a", false);
-    section("it gets each periodic report, and hears of freed room at once", [&] {
+    section("it gets each periodic report, and learns of free capacity at once", [&] {
         targets.noteReportRequest("entry-a");
         for (std::uint64_t round = 0; round < 5; ++round)
             check(targets.namesForRound(round).size() == 1);
@@ -163,8 +163,8 @@
     });
 }
 
-// Guards against an entry that has restarted and knows no worker for seconds, as its former life
-// wanted no reports and the first one came before it was ready.
+// Guards against an entry that has restarted and knows no worker for seconds, as its earlier
+// incarnation wanted no reports and the first one arrived before it was ready.
 Test(report_targets, an_entry_that_has_restarted)
 {
     report_targets targets;
