Settings: optional scheduling decisions, all off; a header for learned run times

Cause: the parts for hard load are built side by side and are to take effect only where the settings of an entry ask for them. Change: member 'scheduling' of an entry's settings with four switches, passed to the job_controller; an unknown name or another value is refused by its name. run_times as an interface: it answers with the estimate. Result: no behaviour changes; job_settings_test scheduling_features.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -145,7 +145,9 @@
     {
         m_self = {m_settings.id, ownRow.incarnation};
         m_pings.setOwnRow(ownRow);
-        m_jobController.emplace(m_self, m_pool);
+        controller_settings settings;
+        settings.features = m_settings.scheduling;
+        m_jobController.emplace(m_self, m_pool, settings);
         m_log.writeEvent("incarnation", {{"incarnation", ownRow.incarnation}});
         m_entriesFollower.start();
         m_jobsFollower.start();
--- a/app/job_settings.cpp
+++ b/app/job_settings.cpp
@@ -1,6 +1,9 @@
 #include "app/job_settings.h"
 
+#include <algorithm>
+#include <array>
 #include <cmath>
+#include <utility>
 
 #include "base/errors.h"
 #include "base/json.h"
@@ -48,6 +51,39 @@
     return toText(parseAddress(requiredString(object, name)));
 }
 
+using jobs::scheduling_features;
+
+constexpr std::array<std::pair<const char *, bool scheduling_features::*>, 4> FeatureMembers{{
+        {"learned_run_times", &scheduling_features::learnsRunTimes},
+        {"weighed_waits", &scheduling_features::weighsWaits},
+        {"shared_slack", &scheduling_features::sharesSlack},
+        {"speculative_copies", &scheduling_features::copiesSlowTasks},
+}};
+
+// Unlike the other members, these are not filled in by the platform: one that is unknown is a
+// mistake, and would otherwise leave a feature off without a word.
+scheduling_features schedulingFrom(const Json::Value &object)
+{
+    scheduling_features features;
+    if (!object.isMember("scheduling"))
+        return features;
+    const auto &members = object["scheduling"];
+    if (!members.isObject())
+        throw error(error_kind::BadSettings, "member 'scheduling' is not an object");
+    for (const auto &name : members.getMemberNames()) {
+        const auto known =
+                std::find_if(FeatureMembers.begin(), FeatureMembers.end(),
+                             [&name](const auto &feature) { return name == feature.first; });
+        if (known == FeatureMembers.end())
+            throw error(error_kind::BadSettings, "member 'scheduling." + name + "' is unknown");
+        if (!members[name].isBool())
+            throw error(error_kind::BadSettings,
+                        "member 'scheduling." + name + "' is not true or false");
+        features.*known->second = members[name].asBool();
+    }
+    return features;
+}
+
 } // namespace
 
 job_entry_settings jobEntrySettingsFrom(const std::string &file, const std::string &text)
@@ -61,6 +97,7 @@
         settings.internalAddress = parseAddress(requiredString(value, "internal"));
         settings.storeAddress = addressMember(value, "store");
         settings.millicores = millicoresFrom(value);
+        settings.scheduling = schedulingFrom(value);
         return settings;
     });
 }
--- a/app/job_settings.h
+++ b/app/job_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/time.h"
+#include "jobs/scheduling_features.h"
 #include "runtime/http.h"
 
 namespace zinniabarrow {
@@ -18,7 +19,8 @@
     socket_address
             internalAddress;  // listens here for zinniabarrow's own processes, and serves metrics
     std::string storeAddress; // "ip:port" of the platform's store
-    std::int64_t millicores = 1000; // processor capacity of the instance, 1/1000 core
+    std::int64_t millicores = 1000;       // processor capacity of the instance, 1/1000 core
+    jobs::scheduling_features scheduling; // member "scheduling"; absent: all off
 };
 
 struct job_agent_settings
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -21,6 +21,8 @@
 #include "jobs/job_summary.h"
 #include "jobs/messages.h"
 #include "jobs/model.h"
+#include "jobs/run_times.h"
+#include "jobs/scheduling_features.h"
 #include "jobs/stall_timer.h"
 #include "jobs/worker_pool.h"
 
@@ -107,6 +109,7 @@
     milliseconds stallThreshold{6000};
     milliseconds stallLogInterval{4000};
     milliseconds stallCheckInterval{1000};
+    scheduling_features features;
 };
 
 class job_controller
@@ -180,6 +183,8 @@
     // Returns the actions decided since the last call, for the caller to carry out.
     std::vector<controller_action> takeActions();
 
+    run_times &runTimes() { return m_runTimes; } // of the runs that this entry has seen
+
     std::size_t unfinishedJobCount() const; // owned jobs whose stored state is not final
     std::vector<std::string> ownedJobs() const;
 
@@ -351,6 +356,7 @@
     owner_id m_self;
     worker_pool &m_workers;
     controller_settings m_settings;
+    run_times m_runTimes;
     std::map<std::string, owned_job> m_jobs;
     std::set<std::string> m_waitingJobs;      // jobs that may have a task to place
     std::set<std::string> m_changedJobs;      // jobs that changed since the last call of `plan`
--- a/tests/job_settings_test.cpp
+++ b/tests/job_settings_test.cpp
@@ -36,3 +36,35 @@
         cr_assert_throw(settingsWith(R"(,"cores":"two")"), error);
     });
 }
+
+// Guards against a feature that stays off, or goes on, because of a slip in the settings.
+Test(job_settings, scheduling_features)
+{
+    section("all are off where nothing is said", [] {
+        const auto features = settingsWith("").scheduling;
+        cr_assert_not(features.learnsRunTimes || features.weighsWaits || features.sharesSlack
+                      || features.copiesSlowTasks);
+    });
+    section("each is switched on by its name", [] {
+        const auto features =
+                settingsWith(R"(,"scheduling":{"weighed_waits":true,"shared_slack":false})")
+                        .scheduling;
+        cr_assert(features.weighsWaits);
+        cr_assert_not(features.sharesSlack);
+    });
+    section("unknown names and other values are refused by name", [] {
+        const auto problemOf = [](const std::string &members) -> std::string {
+            try {
+                settingsWith(members);
+            } catch (const error &problem) {
+                return problem.what();
+            }
+            return "";
+        };
+        cr_assert(problemOf(R"(,"scheduling":{"weighted":true})").find("scheduling.weighted")
+                  != std::string::npos);
+        cr_assert(problemOf(R"(,"scheduling":{"weighed_waits":1})").find("scheduling.weighed_waits")
+                  != std::string::npos);
+        cr_assert(problemOf(R"(,"scheduling":true)").find("'scheduling'") != std::string::npos);
+    });
+}
