Calls of the store are counted by purpose and outcome

Change: store_meter counts each try of a call by its purpose, from the tables of its rows, and its outcome, with the bytes of bodies: store_calls_total{purpose,outcome}, store_bytes_total{purpose, direction}, and a line store_calls each 10 s beside traffic. Writes of job rows are told apart: the first, those that change the summary, those that don't, cancels, removals. A call passed on for another process is counted by its sender with its purpose, and by the carrier as relay.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -95,7 +95,10 @@
     {
         m_log.writeAlways("started", {{"internal", toText(m_settings.internalAddress)}});
         m_loop.runEvery(LogFlushInterval, [this] { m_log.flush(); });
-        m_loop.runEvery(TrafficLogInterval, [this] { m_traffic.writeTo(m_log); });
+        m_loop.runEvery(TrafficLogInterval, [this] {
+            m_traffic.writeTo(m_log);
+            m_store.meter().writeTo(m_log);
+        });
         m_loop.runEvery(ActionInterval, [this] { executeDueActions(); });
         m_loop.runEvery(ReportInterval, [this] { m_reportSender.sendPeriodicReports(); });
         m_loop.runEvery(LeaseRenewInterval,
@@ -119,6 +122,7 @@
     std::string metricsText()
     {
         m_traffic.publish(m_metrics);
+        m_store.meter().publish(m_metrics);
         return m_metrics.text();
     }
 
--- a/app/store_client.cpp
+++ b/app/store_client.cpp
@@ -95,7 +95,7 @@
     }
 }
 
-void store_client::sendTo(const std::string &peer, bool isDirect, http_request request,
+void store_client::sendTo(const std::string &peer, bool isDirect, store_request call,
                           duration callTimeout, answer_begun_callback onAnswerBegun,
                           net::http_client::call_callback done)
 {
@@ -112,26 +112,31 @@
             *answerTime = net::suspendAwareNow() - sentAt;
         onAnswerBegun(bytes);
     };
-    m_client.call(peer, std::move(request), std::move(limits),
-                  [this, isDirect, answerTime, done = std::move(done)](call_result result) {
+    const auto sentBytes = call.request.target.size() + call.request.body.size();
+    m_client.call(peer, std::move(call.request), std::move(limits),
+                  [this, isDirect, answerTime, sentBytes, purpose = call.purpose,
+                   done = std::move(done)](call_result result) {
+                      const auto *answer = std::get_if<http_response>(&result);
+                      m_meter.record(purpose, storeOutcomeOf(result), sentBytes,
+                                     answer == nullptr ? 0 : answer->body.size());
                       recordAnswer(isDirect, result, *answerTime);
                       done(std::move(result));
                   });
 }
 
 // One try, directly or through a relay, whichever is expected to work.
-void store_client::send(http_request request, duration extraTimeout,
+void store_client::send(store_request call, duration extraTimeout,
                         answer_begun_callback onAnswerBegun, net::http_client::call_callback done)
 {
     const auto relays = m_relays();
     const bool isDirect = relays.empty() || net::suspendAwareNow() >= m_avoidDirectUntil;
     if (isDirect)
-        return sendTo(m_address, true, std::move(request), timeout() + extraTimeout,
+        return sendTo(m_address, true, std::move(call), timeout() + extraTimeout,
                       std::move(onAnswerBegun), std::move(done));
     const auto &peer = relays[m_nextRelay++ % relays.size()];
     m_metrics.count("store_calls_relayed_total", "sent");
-    request.target = StoreRelayPath + request.target;
-    sendTo(peer, false, std::move(request), timeout() + extraTimeout + RelayAllowance,
+    call.request.target = StoreRelayPath + call.request.target;
+    sendTo(peer, false, std::move(call), timeout() + extraTimeout + RelayAllowance,
            std::move(onAnswerBegun), std::move(done));
 }
 
@@ -144,7 +149,8 @@
 void store_client::tryCommit(std::shared_ptr<row_transaction> transaction, duration backoff,
                              commit_callback done)
 {
-    send(platform_wire::makeCommitRequest(*transaction), {}, ignoreAnswerBegun,
+    send({purposeOf(*transaction), platform_wire::makeCommitRequest(*transaction)}, {},
+         ignoreAnswerBegun,
          [this, transaction, backoff, done = std::move(done)](const call_result &result) mutable {
              const auto parsed = platform_wire::parseCommitResult(result);
              if (const auto *success = std::get_if<committed>(&parsed))
@@ -163,7 +169,8 @@
 void store_client::read(const std::string &table, const std::string &partition,
                         const std::string &from, const std::string &to, read_callback done)
 {
-    const auto request = platform_wire::makeRowsRequest(table, partition, from, to);
+    const store_request request{purposeOfRead(table),
+                                platform_wire::makeRowsRequest(table, partition, from, to)};
     send(request, {}, ignoreAnswerBegun,
          [this, request, done = std::move(done)](const call_result &result) {
              if (auto page = platform_wire::parseRowsResult(result))
@@ -204,8 +211,8 @@
 void store_client::pollFeed(const std::string &table, std::int64_t after, milliseconds wait,
                             answer_begun_callback onAnswerBegun, feed_callback done)
 {
-    send(platform_wire::makeFeedRequest(table, after, wait.count()), wait, std::move(onAnswerBegun),
-         [done = std::move(done)](const call_result &result) {
+    send({purposeOfRead(table), platform_wire::makeFeedRequest(table, after, wait.count())}, wait,
+         std::move(onAnswerBegun), [done = std::move(done)](const call_result &result) {
              const auto *failure = std::get_if<call_failure>(&result);
              if (failure != nullptr && *failure == call_failure::TooLarge)
                  return done(feed_page{{}, 0, true});
@@ -219,7 +226,8 @@
     request.headers.clear();
     m_metrics.count("store_calls_relayed_total", "carried");
     // Enough for any call: the store holds the answer of a feed for up to a second.
-    sendTo(m_address, true, std::move(request), MaxTimeout + milliseconds(1000), ignoreAnswerBegun,
+    sendTo(m_address, true, {store_purpose::Relay, std::move(request)},
+           MaxTimeout + milliseconds(1000), ignoreAnswerBegun,
            [respond = std::move(respond)](call_result result) {
                if (auto *answer = std::get_if<http_response>(&result)) {
                    answer->headers.clear();
--- a/app/store_client.h
+++ b/app/store_client.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "app/store_meter.h"
 #include "base/event_log.h"
 #include "jobs/rows.h"
 #include "net/http_client.h"
@@ -53,14 +54,23 @@
     // Relays another process's call. It goes directly to the store, never through a further relay.
     void relay(http_request request, std::function<void(http_response)> respond);
 
+    store_meter &meter() { return m_meter; } // of all calls, by purpose and outcome
+
     // False once calls have failed for more than 500 ms.
     bool isReachable() const { return m_isReachable; }
     time_point lastAnswerAt() const { return m_lastAnswerAt; }
 
 private:
-    void send(http_request request, duration extraTimeout, answer_begun_callback onAnswerBegun,
+    // A request to the store and what it is for.
+    struct store_request
+    {
+        store_purpose purpose = store_purpose::Other;
+        http_request request;
+    };
+
+    void send(store_request call, duration extraTimeout, answer_begun_callback onAnswerBegun,
               net::http_client::call_callback done);
-    void sendTo(const std::string &peer, bool isDirect, http_request request, duration callTimeout,
+    void sendTo(const std::string &peer, bool isDirect, store_request call, duration callTimeout,
                 answer_begun_callback onAnswerBegun, net::http_client::call_callback done);
     void tryCommit(std::shared_ptr<jobs::row_transaction> transaction, duration backoff,
                    commit_callback done);
@@ -75,6 +85,7 @@
     relay_provider m_relays;
     metrics &m_metrics;
     event_log &m_log;
+    store_meter m_meter;
     double m_averageAnswerMs = 12;   // moving average of answer times, in ms
     time_point m_avoidDirectUntil{}; // until then calls go through a relay, if there is one
     std::size_t m_nextRelay = 0;
--- a/libs/runtime/metrics.cpp
+++ b/libs/runtime/metrics.cpp
@@ -19,6 +19,8 @@
                                                              100, 200, 500, 1000, 2000, 5000};
 
 constexpr std::string_view ControlBytes = "control_bytes_total";
+constexpr std::string_view StoreCalls = "store_calls_total";
+constexpr std::string_view StoreBytes = "store_bytes_total";
 
 constexpr name_table<byte_direction, 2> DirectionNames = {{
         {byte_direction::Sent, "sent"},
@@ -42,6 +44,10 @@
     std::map<std::pair<std::string, std::string>, prometheus::Counter *> countersByReason;
     std::map<std::pair<std::string, byte_direction>, prometheus::Counter *>
             controlBytesCounters; // by kind and direction
+    std::map<std::pair<std::string, std::string>, prometheus::Counter *>
+            storeCallsCounters; // by purpose and outcome
+    std::map<std::pair<std::string, byte_direction>, prometheus::Counter *>
+            storeBytesCounters; // by purpose and direction
 
     prometheus::Family<prometheus::Counter> &family(std::string_view name)
     {
@@ -84,6 +90,34 @@
     counter->Increment(static_cast<double>(bytes));
 }
 
+void metrics::countStoreCalls(std::string_view purpose, std::string_view outcome,
+                              std::uint64_t calls)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    auto &counter = m_impl->storeCallsCounters[{std::string(purpose), std::string(outcome)}];
+    if (!counter) {
+        counter = &m_impl->family(StoreCalls)
+                           .Add({{"purpose", std::string(purpose)},
+                                 {"outcome", std::string(outcome)}});
+    }
+    counter->Increment(static_cast<double>(calls));
+}
+
+void metrics::countStoreBytes(std::string_view purpose, byte_direction direction,
+                              std::uint64_t bytes)
+{
+    if (bytes == 0)
+        return;
+    const std::lock_guard lock(m_impl->mutex);
+    auto &counter = m_impl->storeBytesCounters[{std::string(purpose), direction}];
+    if (!counter) {
+        counter = &m_impl->family(StoreBytes)
+                           .Add({{"purpose", std::string(purpose)},
+                                 {"direction", std::string(nameOf(direction))}});
+    }
+    counter->Increment(static_cast<double>(bytes));
+}
+
 void metrics::setGauge(std::string_view name, double value)
 {
     const std::lock_guard lock(m_impl->mutex);
@@ -120,6 +154,21 @@
     return found == m_impl->controlBytesCounters.end() ? 0 : found->second->Value();
 }
 
+double metrics::storeCalls(std::string_view purpose, std::string_view outcome) const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    const auto found =
+            m_impl->storeCallsCounters.find({std::string(purpose), std::string(outcome)});
+    return found == m_impl->storeCallsCounters.end() ? 0 : found->second->Value();
+}
+
+double metrics::storeBytes(std::string_view purpose, byte_direction direction) const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    const auto found = m_impl->storeBytesCounters.find({std::string(purpose), direction});
+    return found == m_impl->storeBytesCounters.end() ? 0 : found->second->Value();
+}
+
 std::map<std::string, double> metrics::countsByReason(std::string_view name) const
 {
     const std::lock_guard lock(m_impl->mutex);
