--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -21,6 +21,7 @@
 #include "jobs/job_summary.h"
 #include "jobs/messages.h"
 #include "jobs/model.h"
+#include "jobs/run_course.h"
 #include "jobs/run_times.h"
 #include "jobs/scheduling_features.h"
 #include "jobs/stall_timer.h"
@@ -255,6 +256,7 @@
         std::map<std::pair<int, int>, waiting_step> unplacedSteps;
         std::map<task_id, stall_timer> stalls; // of long-running tasks
         job_timeline timeline;
+        run_course course; // of its runs, for the log
     };
 
     template <typename Visit>
@@ -307,7 +309,7 @@
     bool placeGang(const std::string &id, owned_job &job, int occurrence, int stepIndex,
                    time_point now);
     void placeTask(const std::string &id, owned_job &job, const task_id &task,
-                   const step_spec &step, const std::string &worker, int run);
+                   const step_spec &step, const std::string &worker, int run, time_point now);
     bool endPlacementsBefore(const std::string &id, owned_job &job, const std::string &worker,
                              std::int64_t epoch);
     bool isCurrentIncarnation(const std::string &worker, std::int64_t agentIncarnation) const;
@@ -342,6 +344,10 @@
     int countReported(const std::string &id, const std::string &worker) const;
     static int countPlaced(const owned_job &job, const std::string &worker);
     void logCompletedJobs(std::int64_t wallMs);
+    // Logs the run that follows a failed one, once its agent has accepted it.
+    void logFollowedFailure(const std::string &id, owned_job &job, const std::string &worker,
+                            const order_answer &answer, time_point now);
+    static void noteStepDone(owned_job &job, const task_id &task, time_point now);
     void logIfUnanswered(const std::string &id, const task_id &task, int run, pending_order &order,
                          time_point now);
     // Workers that have as many tasks of the step as step_spec::maxPerWorker allows.
--- a/libs/jobs/job_controller_ends.cpp
+++ b/libs/jobs/job_controller_ends.cpp
@@ -67,7 +67,11 @@
     if (end.endKind != end_kind::Done)
         addLog("run_ended", id,
                fmt::format("{}: {}", describeRun(end.task, end.run, worker), nameOf(end.endKind)));
+    if (end.endKind == end_kind::Failed)
+        job.course.failed(end.task, worker, now);
     applyRunEnd(id, job, worker, end, runDuration);
+    if (end.endKind == end_kind::Done && !step.isLongRunning)
+        noteStepDone(job, end.task, now);
 }
 
 // The task was done by another run, so the outcome of this one changes nothing.
--- a/libs/jobs/job_controller_log.cpp
+++ b/libs/jobs/job_controller_log.cpp
@@ -204,9 +204,34 @@
                        *jobTimeline.firstPlacedAtMs - record.acceptedAtMs,
                        jobTimeline.slackAtFirstPlacementMs, wallMs - *jobTimeline.firstPlacedAtMs,
                        estimatedCriticalPathMs(record), jobTimeline.unplacedMs));
+        addLog("job_runs", id, found->second.course.summary());
     }
 }
 
+void job_controller::logFollowedFailure(const std::string &id, owned_job &job,
+                                        const std::string &worker, const order_answer &answer,
+                                        time_point now)
+{
+    const auto followed = job.course.accepted(answer.task, now);
+    if (!followed)
+        return;
+    addLog("failure_followed", id,
+           fmt::format("{} after a failed run on {}: placed {} ms after it was known, accepted {} "
+                       "ms after it",
+                       describeRun(answer.task, answer.run, worker), followed->failedOn,
+                       followed->placed.count(), followed->accepted.count()));
+}
+
+void job_controller::noteStepDone(owned_job &job, const task_id &task, time_point now)
+{
+    const auto &stepTasks = job.record.tasks[static_cast<std::size_t>(task.occurrence)]
+                                            [static_cast<std::size_t>(task.step)];
+    const bool isDone = std::all_of(stepTasks.begin(), stepTasks.end(),
+                                    [](const auto &other) { return other.done; });
+    if (isDone)
+        job.course.stepDone(task, stepOf(job, task).estimateMs, now);
+}
+
 void job_controller::logIfUnanswered(const std::string &id, const task_id &task, int run,
                                      pending_order &order, time_point now)
 {
--- a/libs/jobs/job_controller_orders.cpp
+++ b/libs/jobs/job_controller_orders.cpp
@@ -47,10 +47,12 @@
         return orderUnanswered(worker, answer.task, answer.run, now);
     // An answer settles only the order that it answers. If the answer to a start also removed the
     // stop, which may still wait for the write of the cancel, the run would never be stopped.
-    if (answer.kind == order_kind::Stop)
+    if (answer.kind == order_kind::Stop) {
         job.stopOrders.erase(key);
-    else if (job.startOrders.erase(key) > 0 && answer.outcome == order_outcome::Accepted)
+    } else if (job.startOrders.erase(key) > 0 && answer.outcome == order_outcome::Accepted) {
         job.startAcceptedAt.try_emplace(key, now);
+        logFollowedFailure(id, job, worker, answer, now);
+    }
     if (!isPermanentRefusal(answer.outcome))
         return;
     auto *task = job.record.find(answer.task);
@@ -58,6 +60,7 @@
         return;
     removePlacement(job, answer.task, answer.run);
     markChanged(id, job);
+    job.course.refused(answer.task);
     const auto &step = stepOf(job, answer.task);
     if (answer.outcome == order_outcome::NoRoom)
         m_workers.recordRefusal(worker, step, orderReportAt);
--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -70,6 +70,7 @@
                                time_point now)
 {
     const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
+    job.course.stepReady(occurrence, stepIndex, now);
     if (step.isGang)
         return placeGang(id, job, occurrence, stepIndex, now);
     const auto &stepTasks = job.record.tasks[static_cast<std::size_t>(occurrence)]
@@ -106,7 +107,7 @@
                 break;
             continue;
         }
-        placeTask(id, job, task, step, *worker, state.lastRun + 1);
+        placeTask(id, job, task, step, *worker, state.lastRun + 1, now);
     }
     logUnplacedTasks(id, job, occurrence, stepIndex, countWaiting(stepTasks), preferences, now);
     return hasWaitingTasks;
@@ -145,19 +146,21 @@
     for (int index = 0; index < step.count; ++index) {
         members[static_cast<std::size_t>(index)].checkpoint = checkpoint;
         placeTask(id, job, {id, occurrence, stepIndex, index}, step,
-                  chosenWorkers[static_cast<std::size_t>(index)], run);
+                  chosenWorkers[static_cast<std::size_t>(index)], run, now);
     }
     return false;
 }
 
 void job_controller::placeTask(const std::string &id, owned_job &job, const task_id &task,
-                               const step_spec &step, const std::string &worker, int run)
+                               const step_spec &step, const std::string &worker, int run,
+                               time_point now)
 {
     auto &state = *job.record.find(task);
     state.lastRun = run;
     const auto &workerReport = m_workers.find(worker)->lastReport;
     state.placements.push_back({worker, workerReport.epoch, run, workerReport.agentIncarnation});
     m_workers.reserve(worker, step);
+    job.course.placed(task, now);
     markChanged(id, job);
     job.startOrders[{task, run}] = {worker, job.revision, false, {}};
     m_startsInFlight[worker].emplace(task, run);
