Run times are learned by kind and by the step's own tasks; slack by them

Cause: slack, urgency, lateness for certain and a worker's slowness use estimates as declared, which are off by half and more in some deployments. The step's own tasks that are done outweigh the kind. slackMs() and urgencyOf() have overloads that take run_times; a job is late for certain only if it is so at the quickest and at the slowest tenth. A worker's slowdown is the median of its runs against what was expected of them, and is taken out of what the kind learns; best-effort runs keep what sharing costs them. `job_course` names the learned path beside the estimated one. With the setting off nothing changes.

--- a/libs/jobs/job_controller.cpp
+++ b/libs/jobs/job_controller.cpp
@@ -242,8 +242,13 @@
 void job_controller::plan(time_point now, std::int64_t wallMs)
 {
     std::vector<std::pair<job_urgency, std::string>> byUrgency;
-    for (const auto &id : m_waitingJobs)
-        byUrgency.emplace_back(urgencyOf(m_jobs.at(id).record, wallMs), id);
+    for (const auto &id : m_waitingJobs) {
+        const auto &record = m_jobs.at(id).record;
+        byUrgency.emplace_back(m_settings.features.learnsRunTimes
+                                       ? urgencyOf(record, wallMs, m_runTimes)
+                                       : urgencyOf(record, wallMs),
+                               id);
+    }
     std::sort(byUrgency.begin(), byUrgency.end());
     for (const auto &[urgency, id] : byUrgency)
         placeWaitingTasks(id, m_jobs.at(id), now, wallMs);
@@ -291,6 +296,12 @@
 
 // --- implementation
 
+std::int64_t job_controller::slackOf(const job_record &record, std::int64_t wallMs) const
+{
+    return m_settings.features.learnsRunTimes ? slackMs(record, wallMs, m_runTimes)
+                                              : slackMs(record, wallMs);
+}
+
 void job_controller::markChanged(const std::string &id, owned_job &job)
 {
     ++job.revision;
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -220,7 +220,8 @@
         std::optional<std::int64_t> firstPlacedAtMs;
         // Slack at that time: how long the job could still wait and meet its objective, ms.
         std::int64_t slackAtFirstPlacementMs = 0;
-        std::int64_t unplacedMs = 0; // total time during which steps had tasks without a worker
+        std::int64_t learnedPathMs = 0; // expected time until completion then, if it is learned
+        std::int64_t unplacedMs = 0;    // total time during which steps had tasks without a worker
     };
 
     struct owned_job
@@ -279,6 +280,10 @@
                      const run_end &end, const std::optional<milliseconds> &runDuration);
     static std::optional<milliseconds> takeRunDuration(owned_job &job, const run_end &end,
                                                        time_point now);
+    // Learns from the end of a run, if the entry learns run times.
+    void learnRunTime(owned_job &job, const std::string &worker, const run_end &end,
+                      const std::optional<milliseconds> &runDuration);
+    std::int64_t slackOf(const job_record &record, std::int64_t wallMs) const;
     static double slowdownOf(const std::optional<milliseconds> &runDuration, const step_spec &step);
     void finishTask(const std::string &id, owned_job &job, const task_id &task, int run,
                     const step_spec &step);
--- a/libs/jobs/job_controller_ends.cpp
+++ b/libs/jobs/job_controller_ends.cpp
@@ -1,11 +1,13 @@
 // Applies reported ends of runs to the jobs that an entry owns.
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <utility>
 
 #include <fmt/core.h>
 
 #include "jobs/job_controller.h"
+#include "jobs/urgency.h"
 
 namespace zinniabarrow::jobs {
 
@@ -50,13 +52,15 @@
     const auto &step = stepOf(job, end.task);
     const auto runDuration = takeRunDuration(job, end, now);
     const bool isEndOfService = hasServed(step, runDuration);
+    const auto slowdown = m_settings.features.learnsRunTimes ? 0 : slowdownOf(runDuration, step);
     if (end.endKind == end_kind::Failed && isEndOfService)
         m_workers.recordServedRun(worker);
-    else if (m_workers.recordRunEnd(worker, end.endKind, slowdownOf(runDuration, step), now))
+    else if (m_workers.recordRunEnd(worker, end.endKind, slowdown, now))
         logQuarantine(id, worker, end, now);
     const bool hasFailedAtOnce = end.endKind == end_kind::Failed && !isEndOfService;
     if (step.isLongRunning && (hasFailedAtOnce || end.endKind == end_kind::NeverStarted))
         job.quarantineRetryAt[end.task] = now + m_settings.quarantineRetryDelay;
+    learnRunTime(job, worker, end, runDuration);
     removePlacement(job, end.task, end.run);
     if (end.endKind != end_kind::NeverStarted)
         markStarted(id, job, now);
@@ -110,6 +114,9 @@
     markChanged(id, job);
     if (end.endKind == end_kind::Done && !step.isLongRunning)
         finishTask(id, job, end.task, end.run, step);
+    if (m_settings.features.learnsRunTimes && end.endKind == end_kind::Done
+        && job.record.isStepDone(end.task.occurrence, end.task.step))
+        m_runTimes.recordStepDone(stepContextOf(job.record, end.task.occurrence, end.task.step));
     if (end.endKind == end_kind::Failed)
         countFailure(id, job, worker, end, step, runDuration);
     if (job.record.state() == job_state::Completed)
@@ -128,6 +135,32 @@
     return std::chrono::duration_cast<milliseconds>(now - started.mapped());
 }
 
+// A run that began at a checkpoint tells nothing of the whole task's time. What a slow worker adds
+// is left out of run times; what other best-effort runs take from a best-effort run is a part of
+// them.
+void job_controller::learnRunTime(owned_job &job, const std::string &worker, const run_end &end,
+                                  const std::optional<milliseconds> &runDuration)
+{
+    const auto &step = stepOf(job, end.task);
+    if (!m_settings.features.learnsRunTimes || !runDuration || step.isLongRunning)
+        return;
+    const auto context = stepContextOf(job.record, end.task.occurrence, end.task.step);
+    if (end.endKind == end_kind::Failed)
+        m_runTimes.recordFailed(context, *runDuration);
+    auto &task = *job.record.find(end.task);
+    const bool isResumed = end.run > 1 && !task.checkpoint.empty();
+    if (end.endKind != end_kind::Done || isResumed)
+        return;
+    const auto durationMs = static_cast<double>(std::max<std::int64_t>(1, runDuration->count()));
+    const auto expectedMs = m_runTimes.quantileMs(context, 0.5);
+    if (expectedMs > 0)
+        m_workers.recordRunTime(worker, durationMs / static_cast<double>(expectedMs),
+                                step.isBestEffort);
+    const double slowdown = step.isBestEffort ? 1 : m_workers.slowdownAmongPeers(worker);
+    task.runTimeMs = std::max<std::int64_t>(1, std::llround(durationMs / slowdown));
+    m_runTimes.recordDone(context, milliseconds(task.runTimeMs));
+}
+
 double job_controller::slowdownOf(const std::optional<milliseconds> &runDuration,
                                   const step_spec &step)
 {
--- a/libs/jobs/job_controller_log.cpp
+++ b/libs/jobs/job_controller_log.cpp
@@ -194,16 +194,19 @@
             continue; // started by an earlier owner
         const auto &record = found->second.record;
         const auto &jobTimeline = found->second.timeline;
-        const auto slackAtEndMs = slackMs(record, wallMs);
+        const auto slackAtEndMs = slackOf(record, wallMs);
+        const auto learnedPath = m_settings.features.learnsRunTimes
+                                         ? fmt::format(", learned {} ms", jobTimeline.learnedPathMs)
+                                         : "";
         addLog("job_course", id,
                fmt::format(
                        "{} by {} ms; first placed after {} ms with {} ms of slack, completed {} "
-                       "ms later; critical path estimated at {} ms, {} ms with unplaced tasks",
+                       "ms later; critical path estimated at {} ms{}, {} ms with unplaced tasks",
                        slackAtEndMs < 0 ? "late" : "on time",
                        slackAtEndMs < 0 ? -slackAtEndMs : slackAtEndMs,
                        *jobTimeline.firstPlacedAtMs - record.acceptedAtMs,
                        jobTimeline.slackAtFirstPlacementMs, wallMs - *jobTimeline.firstPlacedAtMs,
-                       estimatedCriticalPathMs(record), jobTimeline.unplacedMs));
+                       estimatedCriticalPathMs(record), learnedPath, jobTimeline.unplacedMs));
     }
 }
 
--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -61,7 +61,9 @@
         m_waitingJobs.erase(id);
     if (!job.record.hasStarted && !job.timeline.firstPlacedAtMs && !job.startOrders.empty()) {
         job.timeline.firstPlacedAtMs = wallMs;
-        job.timeline.slackAtFirstPlacementMs = slackMs(job.record, wallMs);
+        job.timeline.slackAtFirstPlacementMs = slackOf(job.record, wallMs);
+        if (m_settings.features.learnsRunTimes)
+            job.timeline.learnedPathMs = remainingPathMs(job.record, m_runTimes);
     }
 }
 
--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -111,6 +111,9 @@
     // Runs that ended with their worker's epoch but whose end was never reported, the newest few.
     // The report may still arrive; then it is applied, a failure only once.
     std::vector<int> unreportedRuns = {};
+    // How long the run took that has done the task, on a sound worker, ms; 0: not known. Not
+    // stored.
+    std::int64_t runTimeMs = 0;
 
     bool isWaiting() const { return !done && placements.empty(); }
 };
--- a/libs/jobs/urgency.h
+++ b/libs/jobs/urgency.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "jobs/model.h"
+#include "jobs/run_times.h"
 
 namespace zinniabarrow::jobs {
 
@@ -24,12 +25,23 @@
 
 // `wallMs` is the present Unix time, ms.
 job_urgency urgencyOf(const job_record &record, std::int64_t wallMs);
+// By learned run times. Late: it misses its objective whether its steps take as long as the
+// quickest or as the slowest tenth of their kinds.
+job_urgency urgencyOf(const job_record &record, std::int64_t wallMs, const run_times &times);
 
 // How long the job can wait and still meet its objective, by the estimates of its steps, ms.
 // Negative: it can't meet it.
 std::int64_t slackMs(const job_record &record, std::int64_t wallMs);
+// By the median of learned run times, in the objective as well, which counts the real work.
+std::int64_t slackMs(const job_record &record, std::int64_t wallMs, const run_times &times);
 
 // Estimated run time of the longest chain of dependent steps, ms.
 std::int64_t estimatedCriticalPathMs(const job_record &record);
+// How long the steps that are not done are expected to take, by the median of learned run times, in
+// the first occurrence that isn't done, ms.
+std::int64_t remainingPathMs(const job_record &record, const run_times &times);
+
+// What the record tells of a step: its estimate, and the run times of some tasks that are done.
+step_context stepContextOf(const job_record &record, int occurrence, int step);
 
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -131,6 +131,39 @@
     return true;
 }
 
+void worker_pool::recordRunTime(const std::string &worker, double ratioToExpected,
+                                bool isBestEffort)
+{
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end())
+        return;
+    auto &view = found->second;
+    constexpr std::size_t MinRuns = 3; // fewer may have been long tasks
+    view.runTimeRatios.add(ratioToExpected);
+    if (!isBestEffort)
+        view.reservedRatios.add(ratioToExpected);
+    if (view.runTimeRatios.size() >= MinRuns)
+        view.slowdown = view.runTimeRatios.median();
+}
+
+double worker_pool::slowdownAmongPeers(const std::string &worker) const
+{
+    constexpr std::size_t MinRuns = 5;
+    constexpr double NoticeableSlowdown = 1.3; // less may be chance
+    const auto *view = find(worker);
+    if (view == nullptr || view->reservedRatios.size() < MinRuns)
+        return 1;
+    std::vector<double> peers;
+    for (const auto &[name, peer] : m_workers) {
+        if (peer.reservedRatios.size() >= MinRuns)
+            peers.push_back(peer.reservedRatios.median());
+    }
+    const auto middle = peers.begin() + static_cast<std::ptrdiff_t>(peers.size() / 2);
+    std::nth_element(peers.begin(), middle, peers.end());
+    const double slowdown = view->reservedRatios.median() / std::max(*middle, 1e-3);
+    return slowdown > NoticeableSlowdown ? slowdown : 1;
+}
+
 void worker_pool::recordServedRun(const std::string &worker)
 {
     const auto found = m_workers.find(worker);
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -18,6 +18,7 @@
 #include "base/time.h"
 #include "jobs/agent_clock.h"
 #include "jobs/messages.h"
+#include "jobs/recent_ratios.h"
 #include "jobs/service_history.h"
 
 namespace zinniabarrow::jobs {
@@ -40,7 +41,11 @@
     int consecutiveFailures = 0;   // failed runs since the last one that was done or served
     time_point lastFailureAt{};    // when the latest of them ended
     time_point quarantinedUntil{}; // before, a task is placed here only as a last resort
-    double slowdown = 1;           // actual run time over estimated run time, moving average
+    // Actual run time over estimated run time, moving average. Where run times are learned: over
+    // the expected run time, median.
+    double slowdown = 1;
+    recent_ratios runTimeRatios;  // actual over expected run time of all runs
+    recent_ratios reservedRatios; // the same of runs that reserve their processors
 };
 
 struct pool_settings
@@ -128,6 +133,12 @@
     // 0: unknown. Returns true when a quarantine begins.
     bool recordRunEnd(const std::string &worker, end_kind endKind, double slowdown, time_point now);
 
+    // Records how long a run took, as a ratio to what was expected of its step.
+    void recordRunTime(const std::string &worker, double ratioToExpected, bool isBestEffort);
+    // How much longer than on other workers runs take on this one, by those that reserve their
+    // processors; 1: not noticeably longer, or not known.
+    double slowdownAmongPeers(const std::string &worker) const;
+
     // Records that a long-running run failed after it had been at work for a while: the worker is
     // not faulty.
     void recordServedRun(const std::string &worker);
