A daemon whose address is in use ends

Cause: start() throws after the actors have started. Change: entry and agent stop all threads in the order of a planned stop before they are destroyed; drain() does the same.

--- a/app/agent.cpp
+++ b/app/agent.cpp
@@ -44,6 +44,11 @@
         bindMethods();
     }
 
+    // As in the entry: start() may throw while actors are at work.
+    ~agent_daemon() { stopThreads(); }
+    agent_daemon(const agent_daemon &) = delete;
+    agent_daemon &operator=(const agent_daemon &) = delete;
+
     void start()
     {
         m_server.start();
@@ -78,16 +83,26 @@
         };
         while (!isDone(monotonic_clock::now()) && monotonic_clock::now() < drainDeadline)
             std::this_thread::sleep_for(PollInterval);
+        stopThreads();
+        m_log.info("agent_stopped");
+    }
+
+private:
+    // Those that post to others stop before these. May be called again.
+    void stopThreads()
+    {
+        if (m_probe)
+            m_probe->stop();
         m_server.stop();
-        m_announcements->stop();
-        m_supervisor->stop();
+        if (m_announcements)
+            m_announcements->stop();
+        if (m_supervisor)
+            m_supervisor->stop();
         m_configFollower.stop();
         m_admission.stop();
         m_sender.stop();
-        m_log.info("agent_stopped");
     }
 
-private:
     void stopSuperseded()
     {
         m_log.warn("superseded");
--- a/app/entry.cpp
+++ b/app/entry.cpp
@@ -58,6 +58,12 @@
         bindMethods();
     }
 
+    // If start() throws, the actors are already at work. Destroyed one by one, a part that is gone
+    // would still be called by the threads of others, and the process would hang.
+    ~entry_daemon() { stopThreads(); }
+    entry_daemon(const entry_daemon &) = delete;
+    entry_daemon &operator=(const entry_daemon &) = delete;
+
     void start()
     {
         m_rpcServer.start();
@@ -85,6 +91,14 @@
         };
         while (!isDone() && monotonic_clock::now() < drainDeadline)
             std::this_thread::sleep_for(PollInterval);
+        stopThreads();
+        m_log.info("entry_stopped");
+    }
+
+private:
+    // Those that post to others stop before these. May be called again.
+    void stopThreads()
+    {
         m_callerServer.stop();
         m_rpcServer.stop();
         m_requests.stop();
@@ -94,10 +108,8 @@
         m_workPlatform.stop();
         m_folderPlatform.stop();
         m_sender.stop();
-        m_log.info("entry_stopped");
     }
 
-private:
     static socket_address platformAddress(const config::entry_settings &settings)
     {
         return {settings.platform.address.address, settings.platform.address.port};
--- a/tests/process_input_test.cpp
+++ b/tests/process_input_test.cpp
@@ -146,3 +146,22 @@
         check(send(entry, {"GET", "/readyz", {}, {}}).status == 200);
     });
 }
+
+// Guards against a daemon that neither serves nor ends when another process has its address: its
+// threads still called parts that were gone.
+Test(process_input, address_in_use)
+{
+    fleet system(smallFleet());
+    startAndWait(system);
+    constexpr int StartCount = 10;
+    for (const auto *role : {"entry", "agent"}) {
+        section(std::string("a second ") + role + " with the same settings says so and ends", [&] {
+            const auto file = system.scratchFolder() + "/" + role + "-0.json";
+            for (int start = 0; start < StartCount; ++start) {
+                const auto result = zinniabarrowCommand(system, {role, "--settings", file});
+                check(result.exitCode == 1);
+                check(contains(result.errors, "cannot listen"));
+            }
+        });
+    }
+}
