Run times: estimates are calibrated by a line per kind, not by a ratio

Change: a regression of the logarithms by kind (slope 1 until something else is seen), and the histogram of what is left; a kind of which too little was seen is taken for its queue. Sums are stored as whole units.

--- a/libs/jobs/ratio_histogram.cpp
+++ b/libs/jobs/ratio_histogram.cpp
@@ -7,10 +7,14 @@
 
 namespace {
 
+// Bucket borders lie beside 1, not at it: ratios near 1 are the most frequent.
+constexpr double Offset = 0.5; // bucket widths
+
 std::size_t bucketOf(double ratio)
 {
     const auto position = std::floor(ratio_histogram::BucketsPerOctave
-                                     * (std::log2(ratio) - ratio_histogram::MinOctave));
+                                             * (std::log2(ratio) - ratio_histogram::MinOctave)
+                                     + Offset);
     constexpr auto Last = static_cast<double>(ratio_histogram::BucketCount - 1);
     return static_cast<std::size_t>(std::clamp(position, 0.0, Last));
 }
@@ -64,7 +68,7 @@
         below += m_buckets[number];
     }
     const double within = std::clamp((wanted - below) / m_buckets[last], 0.0, 1.0);
-    return std::exp2(MinOctave + (static_cast<double>(last) + within) / BucketsPerOctave);
+    return std::exp2(MinOctave + (static_cast<double>(last) + within - Offset) / BucketsPerOctave);
 }
 
 void ratio_histogram::scaleTo(double weight)
--- a/libs/jobs/run_times.cpp
+++ b/libs/jobs/run_times.cpp
@@ -10,9 +10,15 @@
 
 // Weight, in steps, from which a kind's observations stand for its estimates.
 constexpr double MinWeight = 4;
-// A kind weighs as much as this many tasks of the step itself that are done: within a step, run
-// times vary by about half of what estimates are off by.
+// A kind weighs as much as this many tasks of the step itself that are done: within a step, the
+// logarithms of run times vary by half of what they vary by for one estimate.
 constexpr double KindWeight = 0.25;
+constexpr double Median = 0.5;
+
+bool hasCalibration(const run_time_profile &seen)
+{
+    return seen.calibration.weight() >= MinWeight;
+}
 
 double medianOf(std::vector<std::int64_t> values)
 {
@@ -21,10 +27,9 @@
     return static_cast<double>(std::max<std::int64_t>(1, *middle));
 }
 
-double ratioOf(milliseconds duration, std::int64_t estimateMs)
+double countOf(milliseconds duration)
 {
-    return static_cast<double>(std::max<std::int64_t>(1, duration.count()))
-           / static_cast<double>(estimateMs);
+    return static_cast<double>(std::max<std::int64_t>(1, duration.count()));
 }
 
 double weightOf(const step_context &step)
@@ -49,34 +54,12 @@
     limitKinds(profiles);
 }
 
-// Median run time of the step's tasks, ms.
-double typicalMs(const run_time_profile *profile, const step_context &step)
-{
-    const double byKind = static_cast<double>(step.estimateMs)
-                          * (profile == nullptr ? 1 : profile->toEstimate.quantile(0.5));
-    if (step.siblingsMs.empty())
-        return byKind;
-    const auto siblings = medianOf(step.siblingsMs);
-    if (byKind <= 0)
-        return siblings;
-    const auto count = static_cast<double>(step.siblingsMs.size());
-    const double siblingWeight = count / (count + KindWeight);
-    return std::exp(siblingWeight * std::log(siblings) + (1 - siblingWeight) * std::log(byKind));
-}
-
-// Run time of one task over the median of its step's.
-double withinStep(const run_time_profile *profile, double share)
-{
-    return profile == nullptr || profile->toStep.weight() < MinWeight
-                   ? 1
-                   : profile->toStep.quantile(share);
-}
-
 } // namespace
 
 void run_time_profile::merge(const run_time_profile &other)
 {
-    toEstimate.merge(other.toEstimate);
+    calibration.merge(other.calibration);
+    toExpected.merge(other.toExpected);
     toStep.merge(other.toStep);
     failures.merge(other.failures);
     countEnds(other.done, other.failed);
@@ -94,6 +77,17 @@
     failed /= excess;
 }
 
+template <typename HasEnough>
+const run_time_profile *run_times::find(const run_kind &kind, HasEnough hasEnough) const
+{
+    for (const auto &candidate : {kind, run_kind{kind.queue, ""}}) {
+        const auto found = m_profiles.find(candidate);
+        if (found != m_profiles.end() && hasEnough(found->second))
+            return &found->second;
+    }
+    return nullptr;
+}
+
 template <typename Observe>
 void run_times::record(const run_kind &kind, Observe observe)
 {
@@ -101,6 +95,11 @@
         auto &profile = (*profiles)[kind];
         profile.lastUse = m_nextUse;
         observe(profile);
+        if (!kind.image.empty()) {
+            auto &queue = (*profiles)[{kind.queue, ""}];
+            queue.lastUse = m_nextUse;
+            observe(queue);
+        }
         limitKinds(*profiles);
     }
     ++m_nextUse;
@@ -110,9 +109,14 @@
 {
     if (step.estimateMs <= 0)
         return;
+    const bool isCalibrated = find(step.kind, hasCalibration) != nullptr;
+    const double expectedMs = calibratedMs(step);
+    const double weight = weightOf(step);
     record(step.kind, [&](auto &profile) {
-        profile.toEstimate.add(ratioOf(duration, step.estimateMs), weightOf(step));
-        profile.countEnds(weightOf(step), 0);
+        if (isCalibrated)
+            profile.toExpected.add(countOf(duration) / expectedMs, weight);
+        profile.calibration.add(static_cast<double>(step.estimateMs), countOf(duration), weight);
+        profile.countEnds(weight, 0);
     });
 }
 
@@ -124,8 +128,7 @@
     const double weight = 1.0 / static_cast<double>(step.siblingsMs.size());
     record(step.kind, [&](auto &profile) {
         for (const auto siblingMs : step.siblingsMs)
-            profile.toStep.add(static_cast<double>(std::max<std::int64_t>(1, siblingMs)) / median,
-                               weight);
+            profile.toStep.add(countOf(milliseconds(siblingMs)) / median, weight);
     });
 }
 
@@ -133,55 +136,78 @@
 {
     if (step.estimateMs <= 0)
         return;
+    const double expectedMs = typicalMs(step);
     record(step.kind, [&](auto &profile) {
-        profile.failures.add(ratioOf(duration, step.estimateMs), weightOf(step));
+        profile.failures.add(countOf(duration) / expectedMs, weightOf(step));
         profile.countEnds(0, weightOf(step));
     });
 }
 
 std::int64_t run_times::quantileMs(const step_context &step, double share) const
 {
-    const auto *profile = find(step.kind);
-    if (!step.siblingsMs.empty())
-        return std::llround(typicalMs(profile, step) * withinStep(profile, share));
-    if (profile == nullptr)
-        return step.estimateMs;
-    return std::llround(static_cast<double>(step.estimateMs) * profile->toEstimate.quantile(share));
+    if (step.siblingsMs.empty())
+        return std::llround(calibratedMs(step) * byKind(step.kind, share));
+    return std::llround(typicalMs(step) * withinStep(step.kind, share));
 }
 
 // All tasks of the step share its typical run time; within the step, they vary independently. So
 // the quantile is taken of the former, and the latter is that of the longest of them.
 std::int64_t run_times::stepMs(const step_context &step, double share) const
 {
-    const auto *profile = find(step.kind);
-    const double longest = withinStep(profile, std::pow(0.5, weightOf(step)));
-    const double typical =
-            step.siblingsMs.empty() && profile != nullptr
-                    ? static_cast<double>(step.estimateMs) * profile->toEstimate.quantile(share)
-                    : typicalMs(profile, step);
+    const double typical = step.siblingsMs.empty() ? calibratedMs(step) * byKind(step.kind, share)
+                                                   : typicalMs(step);
+    const double longest = withinStep(step.kind, std::pow(Median, weightOf(step)));
     return std::llround(typical * std::max(1.0, longest));
 }
 
 double run_times::failureShare(const run_kind &kind) const
 {
-    const auto *profile = find(kind);
+    const auto *profile =
+            find(kind, [](const auto &seen) { return seen.done + seen.failed >= MinWeight; });
     return profile == nullptr ? 0 : profile->failed / (profile->done + profile->failed);
 }
 
 std::int64_t run_times::failureDelayMs(const step_context &step) const
 {
-    const auto *profile = find(step.kind);
-    if (profile == nullptr || profile->failures.weight() < 1)
-        return 0;
-    return std::llround(static_cast<double>(step.estimateMs) * profile->failures.quantile(0.5));
+    const auto *profile =
+            find(step.kind, [](const auto &seen) { return seen.failures.weight() >= 1; });
+    return profile == nullptr ? 0
+                              : std::llround(typicalMs(step) * profile->failures.quantile(Median));
+}
+
+double run_times::calibratedMs(const step_context &step) const
+{
+    const auto estimateMs = static_cast<double>(step.estimateMs);
+    const auto *profile = find(step.kind, hasCalibration);
+    return profile == nullptr || step.estimateMs <= 0 ? estimateMs
+                                                      : profile->calibration.predict(estimateMs);
+}
+
+double run_times::typicalMs(const step_context &step) const
+{
+    const double kindMs = calibratedMs(step) * byKind(step.kind, Median);
+    if (step.siblingsMs.empty())
+        return kindMs;
+    const auto siblingsMs = medianOf(step.siblingsMs);
+    if (kindMs <= 0)
+        return siblingsMs;
+    const auto count = static_cast<double>(step.siblingsMs.size());
+    const double weight = count / (count + KindWeight);
+    return std::exp(weight * std::log(siblingsMs) + (1 - weight) * std::log(kindMs));
+}
+
+double run_times::byKind(const run_kind &kind, double share) const
+{
+    const auto *profile =
+            find(kind, [](const auto &seen) { return seen.toExpected.weight() >= MinWeight; });
+    return profile == nullptr ? 1 : profile->toExpected.quantile(share);
 }
 
-const run_time_profile *run_times::find(const run_kind &kind) const
+double run_times::withinStep(const run_kind &kind, double share) const
 {
-    const auto found = m_profiles.find(kind);
-    const bool isKnown =
-            found != m_profiles.end() && found->second.toEstimate.weight() >= MinWeight;
-    return isKnown ? &found->second : nullptr;
+    const auto *profile =
+            find(kind, [](const auto &seen) { return seen.toStep.weight() >= MinWeight; });
+    return profile == nullptr ? 1 : profile->toStep.quantile(share);
 }
 
 const run_time_profiles &run_times::newsToStore()
--- a/libs/jobs/run_times.h
+++ b/libs/jobs/run_times.h
@@ -1,9 +1,10 @@
-// Learns how long runs really take, as a ratio to the estimates of their steps.
+// Learns how long runs really take for the estimates of their steps.
 //
 // Call recordDone() for each run that was done, recordStepDone() once all tasks of a step are, and
 // recordFailed() for each run that failed; quantileMs() and stepMs() to ask for run times. Until
 // enough runs of a kind were seen, the estimate is the answer. A step's tasks that are done tell
-// much more of the others than the kind does: they share the error of the estimate.
+// much more of the others than the kind does: they share the error of the estimate. A kind of which
+// too little was seen is taken for its queue.
 //
 // Entries share what they learned in one row (app/run_time_store.h): newsToStore() and
 // newsStored() or newsNotStored() for a write, adopt() for the row as it is stored.
@@ -16,6 +17,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "jobs/log_regression.h"
 #include "jobs/ratio_histogram.h"
 
 namespace zinniabarrow::jobs {
@@ -42,9 +44,10 @@
 // has: the tasks of one step say little more about the estimates of others than one of them does.
 struct run_time_profile
 {
-    ratio_histogram toEstimate; // run time over estimate
+    log_regression calibration; // from estimate to run time, both in ms
+    ratio_histogram toExpected; // run time over what the calibration gave for its estimate
     ratio_histogram toStep;     // run time over the median of its step's tasks
-    ratio_histogram failures;   // time until a run failed over the estimate
+    ratio_histogram failures;   // time until a run failed over its expected run time
     double done = 0;            // runs of late, weighed like observations
     double failed = 0;          // the same
     std::int64_t lastUse = 0;   // sequence number of the latest observation
@@ -96,7 +99,18 @@
 private:
     template <typename Observe>
     void record(const run_kind &kind, Observe observe);
-    const run_time_profile *find(const run_kind &kind) const; // null: too little was seen
+    // The profile of the kind, or of its queue, that has been seen often enough to tell; null:
+    // none.
+    template <typename HasEnough>
+    const run_time_profile *find(const run_kind &kind, HasEnough hasEnough) const;
+    // What the step's estimate stands for, by its kind, ms.
+    double calibratedMs(const step_context &step) const;
+    // Median run time of the step's tasks, ms.
+    double typicalMs(const step_context &step) const;
+    // Quantile of the run time of a task over calibratedMs().
+    double byKind(const run_kind &kind, double share) const;
+    // Quantile of the run time of a task over the median of its step.
+    double withinStep(const run_kind &kind, double share) const;
 
     run_time_profiles m_profiles;     // all that is known
     run_time_profiles m_news;         // the part of it that isn't in the row
--- a/libs/jobs/run_times_text.cpp
+++ b/libs/jobs/run_times_text.cpp
@@ -71,6 +71,39 @@
     return histogram;
 }
 
+// Whole units of the moments: they are small numbers, which must stay exact enough for a slope.
+constexpr double MomentUnit = 1e-4;
+
+Json::Value toJson(const log_regression &calibration)
+{
+    Json::Value units(Json::arrayValue);
+    const auto &sums = calibration.sums();
+    for (const double sum : {sums.weight, sums.meanX, sums.meanY, sums.xx, sums.xy})
+        units.append(Json::Int64(std::llround(sum / MomentUnit)));
+    return units;
+}
+
+double momentFrom(const large_json::value &element, double least, double most)
+{
+    const double sum = MomentUnit * static_cast<double>(large_json::asNumber(element));
+    if (sum < least || sum > most)
+        refuse("calibration out of range");
+    return sum;
+}
+
+log_regression calibrationFrom(const large_json::value &profile)
+{
+    const auto &units = large_json::array(profile, "c");
+    constexpr rapidjson::SizeType MomentCount = 5;
+    if (units.Size() != MomentCount)
+        refuse("calibration of unknown form");
+    constexpr double MaxLog = 40;      // of a time in ms; 2^53 ms is less
+    constexpr double MaxSum = 300'000; // ratio_histogram::MaxWeight times a square of MaxLog
+    return log_regression({momentFrom(units[0], 0, ratio_histogram::MaxWeight + 1),
+                           momentFrom(units[1], 0, MaxLog), momentFrom(units[2], 0, MaxLog),
+                           momentFrom(units[3], 0, MaxSum), momentFrom(units[4], -MaxSum, MaxSum)});
+}
+
 std::string nameFrom(const large_json::value &profile, const char *member)
 {
     auto name = large_json::text(profile, member);
@@ -90,7 +123,8 @@
 run_time_profile profileFrom(const large_json::value &value)
 {
     run_time_profile profile;
-    profile.toEstimate = histogramFrom(value, "e");
+    profile.calibration = calibrationFrom(value);
+    profile.toExpected = histogramFrom(value, "e");
     profile.toStep = histogramFrom(value, "s");
     profile.failures = histogramFrom(value, "f");
     profile.done = weightFrom(required(value, "dn"));
@@ -113,7 +147,8 @@
         Json::Value value(Json::objectValue);
         value["q"] = kind.queue;
         value["i"] = kind.image;
-        value["e"] = toJson(profile.toEstimate);
+        value["c"] = toJson(profile.calibration);
+        value["e"] = toJson(profile.toExpected);
         value["s"] = toJson(profile.toStep);
         value["f"] = toJson(profile.failures);
         value["dn"] = toUnits(profile.done);
