Run times are shared by entries in a row of the store, and outlive them

Cause: what an entry has learned is lost with its process, and each entry sees a part of the runs. Entries that place no tasks read it once. Only where learned_run_times is on. The calls themselves are not tested yet.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -16,6 +16,7 @@
 #include "app/order_sender.h"
 #include "app/process.h"
 #include "app/report_requests.h"
+#include "app/run_time_store.h"
 #include "app/shutdown_driver.h"
 #include "app/store_client.h"
 #include "app/table_follower.h"
@@ -148,6 +149,8 @@
         controller_settings settings;
         settings.features = m_settings.scheduling;
         m_jobController.emplace(m_self, m_pool, settings);
+        if (settings.features.learnsRunTimes)
+            shareRunTimes();
         m_log.writeEvent("incarnation", {{"incarnation", ownRow.incarnation}});
         m_entriesFollower.start();
         m_jobsFollower.start();
@@ -159,6 +162,14 @@
         m_loop.runEvery(LeaseWatchInterval, [this] { watchSilentWorkers(); });
     }
 
+    void shareRunTimes()
+    {
+        m_runTimeStore.emplace(m_loop, m_store, m_metrics, m_log, m_settings.id,
+                               m_jobController->runTimes(),
+                               [this] { return m_directory.isPlacer(suspendAwareNow()); });
+        m_runTimeStore->start();
+    }
+
     // --- Rows from the store: entries, jobs.
 
     void updateEntries(const std::vector<row> &rows)
@@ -573,6 +584,7 @@
     job_view m_view;
     worker_pool m_pool;
     std::optional<job_controller> m_jobController;
+    std::optional<run_time_store> m_runTimeStore; // empty: run times are not learned
     job_takeover m_takeover;
     order_sender m_orderSender;
     report_requests m_reportRequests;
--- a/app/job_tables.h
+++ b/app/job_tables.h
@@ -18,8 +18,9 @@
 // One row per cancelled job, written in the transaction that cancels the job. Agents follow this
 // table, so a cancellation takes effect even when no entry is left to tell them about it.
 constexpr const char *CancelsTable = "cancels";
-constexpr const char *EntriesTable = "entries"; // one row per entry
-constexpr const char *LeasesTable = "leases";   // one row per worker, under its agent's id
+constexpr const char *EntriesTable = "entries";    // one row per entry
+constexpr const char *LeasesTable = "leases";      // one row per worker, under its agent's id
+constexpr const char *RunTimesTable = "run_times"; // one row: learned run times, shared by entries
 
 // Number of partitions that jobs are spread over. A partition executes one transaction after
 // another, 200 per second; 16 partitions together reach the limit of the store.
@@ -80,4 +81,9 @@
     return {EntriesTable, "", entry};
 }
 
+inline jobs::row_name runTimesRowName()
+{
+    return {RunTimesTable, "", "all"};
+}
+
 } // namespace zinniabarrow
