--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -22,6 +22,7 @@
 #include "app/table_follower.h"
 #include "app/traffic_meter.h"
 #include "base/errors.h"
+#include "base/hash.h"
 #include "jobs/job_controller.h"
 #include "jobs/report_interval.h"
 #include "net/http_listener.h"
@@ -162,12 +163,31 @@
         m_loop.runEvery(LeaseWatchInterval, [this] { watchSilentWorkers(); });
     }
 
+    // Entries that start together take turns, so that their writes seldom conflict. One that places
+    // no tasks reads the row only now.
     void shareRunTimes()
     {
-        m_runTimeStore.emplace(m_loop, m_store, m_metrics, m_log, m_settings.id,
-                               m_jobController->runTimes(),
-                               [this] { return m_directory.isPlacer(suspendAwareNow()); });
-        m_runTimeStore->start();
+        const auto name = runTimesRowName();
+        m_runTimeStore.emplace(run_time_store::store_calls{
+                                       [this, name](auto done) {
+                                           m_store.read(name.table, name.partition, "", "",
+                                                        std::move(done));
+                                       },
+                                       [this](auto transaction, auto done) {
+                                           m_store.commit(std::move(transaction), std::move(done));
+                                       }},
+                               m_metrics, m_log, m_jobController->runTimes());
+        m_runTimeStore->sync();
+        const auto turn =
+                milliseconds(stableHash(m_settings.id)
+                             % static_cast<std::uint64_t>(run_time_store::RoundInterval.count()));
+        m_loop.runAfter(turn, [this] {
+            m_loop.runEvery(run_time_store::RoundInterval, [this] {
+                if (m_directory.isPlacer(suspendAwareNow())
+                    || m_jobController->runTimes().hasNews())
+                    m_runTimeStore->sync();
+            });
+        });
     }
 
     // --- Rows from the store: entries, jobs.
--- a/app/run_time_store.cpp
+++ b/app/run_time_store.cpp
@@ -4,53 +4,24 @@
 
 #include "app/job_tables.h"
 #include "base/errors.h"
-#include "base/hash.h"
 
 namespace zinniabarrow {
 
 using namespace jobs;
 
-namespace {
-
-// A kind's run times change over minutes; what was seen in a shorter time would be lost with all
-// entries at once only.
-constexpr milliseconds RoundInterval{10'000};
-
-} // namespace
-
-run_time_store::run_time_store(net::event_loop &loop, store_client &store, metrics &counters,
-                               event_log &log, std::string self, run_times &times,
-                               std::function<bool()> isPlacer)
-    : m_loop(loop)
-    , m_store(store)
+run_time_store::run_time_store(store_calls calls, metrics &counters, event_log &log,
+                               run_times &times)
+    : m_calls(std::move(calls))
     , m_metrics(counters)
     , m_log(log)
-    , m_self(std::move(self))
     , m_times(times)
-    , m_isPlacer(std::move(isPlacer))
 { }
 
-// Entries that start together take turns, so that their writes seldom conflict.
-void run_time_store::start()
-{
-    beginRound();
-    const auto turn =
-            milliseconds(stableHash(m_self) % static_cast<std::uint64_t>(RoundInterval.count()));
-    m_loop.runAfter(turn, [this] {
-        m_loop.runEvery(RoundInterval, [this] {
-            if (m_isPlacer() || m_times.hasNews())
-                beginRound();
-        });
-    });
-}
-
-void run_time_store::beginRound()
+void run_time_store::sync()
 {
     if (std::exchange(m_isBusy, true))
         return;
-    const auto name = runTimesRowName();
-    m_store.read(name.table, name.partition, "", "",
-                 [this](const std::optional<row_page> &page) { handleRead(page); });
+    m_calls.readRow([this](const std::optional<row_page> &page) { handleRead(page); });
 }
 
 void run_time_store::handleRead(const std::optional<row_page> &page)
@@ -90,7 +61,7 @@
     m_isBusy = true;
     const auto name = runTimesRowName();
     const auto text = toText(m_times.newsToStore());
-    m_store.commit({{{name, m_version}}, {{name, text, 0, false}}, {}},
+    m_calls.commit({{{name, m_version}}, {{name, text, 0, false}}, {}},
                    [this, text](const store_client::commit_outcome &outcome) {
                        handleWritten(outcome, text);
                    });
