Learned time of a step: the last of its tasks, with runs that are likely to fail

Change: if a step's tasks more likely than not have a failed run, its time includes one, by the kind's median delay of a failure. What remains of a step counts the tasks that are not done.

--- a/libs/jobs/run_times.cpp
+++ b/libs/jobs/run_times.cpp
@@ -40,11 +40,12 @@
 // Forgets the kinds that were seen least recently.
 void limitKinds(run_time_profiles &profiles)
 {
-    while (profiles.size() > run_times::MaxKinds)
+    while (profiles.size() > run_times::MaxKinds) {
         profiles.erase(std::min_element(profiles.begin(), profiles.end(),
                                         [](const auto &one, const auto &other) {
                                             return one.second.lastUse < other.second.lastUse;
                                         }));
+    }
 }
 
 void mergeInto(run_time_profiles &profiles, const run_time_profiles &added)
@@ -156,8 +157,7 @@
 {
     const double typical = step.siblingsMs.empty() ? calibratedMs(step) * byKind(step.kind, share)
                                                    : typicalMs(step);
-    const double longest = withinStep(step.kind, std::pow(Median, weightOf(step)));
-    return std::llround(typical * std::max(1.0, longest));
+    return std::llround(typical * lastOfStep(step));
 }
 
 double run_times::failureShare(const run_kind &kind) const
@@ -169,12 +169,16 @@
 
 std::int64_t run_times::failureDelayMs(const step_context &step) const
 {
-    const auto *profile =
-            find(step.kind, [](const auto &seen) { return seen.failures.weight() >= 1; });
+    const auto *profile = findFailures(step.kind);
     return profile == nullptr ? 0
                               : std::llround(typicalMs(step) * profile->failures.quantile(Median));
 }
 
+const run_time_profile *run_times::findFailures(const run_kind &kind) const
+{
+    return find(kind, [](const auto &seen) { return seen.failures.weight() >= 1; });
+}
+
 double run_times::calibratedMs(const step_context &step) const
 {
     const auto estimateMs = static_cast<double>(step.estimateMs);
@@ -210,6 +214,16 @@
     return profile == nullptr ? 1 : profile->toStep.quantile(share);
 }
 
+double run_times::lastOfStep(const step_context &step) const
+{
+    const double longest = std::max(1.0, withinStep(step.kind, std::pow(Median, weightOf(step))));
+    const auto *failing = findFailures(step.kind);
+    const double noneFails = std::pow(1 - failureShare(step.kind), std::max(1, step.tasks));
+    if (failing == nullptr || noneFails > Median)
+        return longest;
+    return std::max(longest, 1 + failing->failures.quantile(Median)); // fails once, and runs again
+}
+
 const run_time_profiles &run_times::newsToStore()
 {
     mergeInto(m_newsInFlight, m_news);
--- a/libs/jobs/run_times.h
+++ b/libs/jobs/run_times.h
@@ -78,7 +78,8 @@
 
     // The run time that the given share of runs, 0 to 1, is expected not to exceed, ms.
     std::int64_t quantileMs(const step_context &step, double share) const;
-    // The same for the time until all tasks of the step are done that run side by side, ms.
+    // The same for the time until all tasks of the step are done that run side by side, with the
+    // runs that are likely to fail, ms.
     std::int64_t stepMs(const step_context &step, double share) const;
     // Share of the runs of a kind that fail, 0 to 1; 0 until enough were seen.
     double failureShare(const run_kind &kind) const;
@@ -111,6 +112,9 @@
     double byKind(const run_kind &kind, double share) const;
     // Quantile of the run time of a task over the median of its step.
     double withinStep(const run_kind &kind, double share) const;
+    // Time until the last task of a step is done over the median of its run times, as a median.
+    double lastOfStep(const step_context &step) const;
+    const run_time_profile *findFailures(const run_kind &kind) const;
 
     run_time_profiles m_profiles;     // all that is known
     run_time_profiles m_news;         // the part of it that isn't in the row
--- a/libs/jobs/urgency.cpp
+++ b/libs/jobs/urgency.cpp
@@ -76,11 +76,21 @@
     return *std::min_element(context.siblingsMs.begin(), context.siblingsMs.end());
 }
 
+int unfinishedTasks(const job_record &record, int occurrence, int step)
+{
+    const auto &tasks =
+            record.tasks[static_cast<std::size_t>(occurrence)][static_cast<std::size_t>(step)];
+    return static_cast<int>(
+            std::count_if(tasks.begin(), tasks.end(), [](const auto &task) { return !task.done; }));
+}
+
 std::int64_t remainingPathMs(const job_record &record, int occurrence, const run_times &times,
                              double share)
 {
     return longestChainMs(record, occurrence, [&](int step) {
-        return times.stepMs(stepContextOf(record, occurrence, step), share);
+        auto context = stepContextOf(record, occurrence, step);
+        context.tasks = unfinishedTasks(record, occurrence, step);
+        return times.stepMs(context, share);
     });
 }
 
--- a/tests/run_times_test.cpp
+++ b/tests/run_times_test.cpp
@@ -199,6 +199,10 @@
     }
     check(std::abs(times.failureShare(Compile) - 0.2) < 0.01);
     check(isNear(times.failureDelayMs(stepOf()), 250));
+    section("a step of many tasks probably runs one of them again", [&] {
+        check(isNear(times.stepMs(stepOf({}, 10), 0.5), 1250));
+        check(isNear(times.stepMs(stepOf({}, 2), 0.5), 1000));
+    });
 }
 
 // More kinds than an entry remembers, as when each job names an image of its own.
