--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -16,11 +16,13 @@
 #include "app/order_sender.h"
 #include "app/process.h"
 #include "app/report_requests.h"
+#include "app/run_time_store.h"
 #include "app/shutdown_driver.h"
 #include "app/store_client.h"
 #include "app/table_follower.h"
 #include "app/traffic_meter.h"
 #include "base/errors.h"
+#include "base/hash.h"
 #include "jobs/job_controller.h"
 #include "jobs/report_interval.h"
 #include "net/http_listener.h"
@@ -152,6 +154,8 @@
         controller_settings settings;
         settings.features = m_settings.scheduling;
         m_jobController.emplace(m_self, m_pool, settings);
+        if (settings.features.learnsRunTimes)
+            shareRunTimes();
         m_log.writeEvent("incarnation", {{"incarnation", ownRow.incarnation}});
         m_entriesFollower.start();
         m_jobsFollower.start();
@@ -163,6 +167,33 @@
         m_loop.runEvery(LeaseWatchInterval, [this] { watchSilentWorkers(); });
     }
 
+    // Entries that start together take turns, so that their writes seldom conflict. One that places
+    // no tasks reads the row only now.
+    void shareRunTimes()
+    {
+        const auto name = runTimesRowName();
+        m_runTimeStore.emplace(run_time_store::store_calls{
+                                       [this, name](auto done) {
+                                           m_store.read(name.table, name.partition, "", "",
+                                                        std::move(done));
+                                       },
+                                       [this](auto transaction, auto done) {
+                                           m_store.commit(std::move(transaction), std::move(done));
+                                       }},
+                               m_metrics, m_log, m_jobController->runTimes());
+        m_runTimeStore->sync();
+        const auto turn =
+                milliseconds(stableHash(m_settings.id)
+                             % static_cast<std::uint64_t>(run_time_store::RoundInterval.count()));
+        m_loop.runAfter(turn, [this] {
+            m_loop.runEvery(run_time_store::RoundInterval, [this] {
+                if (m_directory.isPlacer(suspendAwareNow())
+                    || m_jobController->runTimes().hasNews())
+                    m_runTimeStore->sync();
+            });
+        });
+    }
+
     // --- Rows from the store: entries, jobs.
 
     void updateEntries(const std::vector<row> &rows)
@@ -577,6 +608,7 @@
     job_view m_view;
     worker_pool m_pool;
     std::optional<job_controller> m_jobController;
+    std::optional<run_time_store> m_runTimeStore; // empty: run times are not learned
     job_takeover m_takeover;
     order_sender m_orderSender;
     report_requests m_reportRequests;
