Best-effort runs with slack yield to serving runs before the pause of all

Cause: a worker pauses all best-effort runs after a serving run was late for 2.2 s, whoever causes it and whatever slack their jobs have; until then all work at full speed. Change (with the entry's setting shared_slack; off, nothing changes): start orders tell how long a best-effort run may stand still in all, answers to reports tell changes, and the agent slows the runs that add most load and have most slack left, by as much as brings the load below the headroom.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -389,6 +389,7 @@
                                && m_configuration.evacuatedZones().contains(report.zone);
         if (report.wantsInterferenceTable)
             answer.interference = m_pool.interferenceEstimator().table();
+        answer.slack = m_jobController->changedSlack(report.worker, now, wallClockMs());
         return answer;
     }
 
--- a/app/report_sender.cpp
+++ b/app/report_sender.cpp
@@ -192,6 +192,10 @@
         hasMoreRecipients = m_runTable.noteNotOwned(end, entry) || hasMoreRecipients;
     if (hasMoreRecipients)
         sendEnds();
+    for (const auto &slack : answer.slack) {
+        if (!m_runTable.setSlack(slack, entry))
+            m_metrics.count("slack_ignored_total", "not_owner");
+    }
     if (answer.zoneEvacuated)
         handleEvacuation(now);
     if (!answer.interference.empty())
--- a/app/worker_calls.cpp
+++ b/app/worker_calls.cpp
@@ -16,6 +16,7 @@
 constexpr milliseconds CallTimeout{1000};
 constexpr milliseconds StartAllowance{200}; // a worker starts a task within a few ms
 constexpr milliseconds SampleInterval{500}; // the worker's measurements cover half a second
+constexpr milliseconds SlowedLogInterval{3000};
 
 } // namespace
 
@@ -88,6 +89,9 @@
     if (now >= m_nextSampleAt) {
         m_nextSampleAt = now + SampleInterval;
         m_hooks.samplesTaken(m_throttleController.takeSamples(serving, bestEffort));
+        const auto excesses = m_throttleController.spendSlack(serving, bestEffort, now);
+        countLostTimes();
+        logSlowedRuns(excesses, bestEffort, now);
     }
     const auto changes = m_throttleController.decideSpeeds(serving, bestEffort, now);
     for (const auto &change : changes) {
@@ -103,4 +107,45 @@
     }
 }
 
+void worker_calls::countLostTimes()
+{
+    for (const auto &[reason, lost] : m_throttleController.takeLostTimes())
+        m_metrics.count("slowed_run_seconds_total", nameOf(reason),
+                        std::chrono::duration<double>(lost).count());
+}
+
+void worker_calls::logSlowedRuns(const std::vector<headroom_excess> &excesses,
+                                 const std::vector<best_effort_run> &bestEffort, time_point now)
+{
+    if (now < m_nextSlowedLogAt)
+        return;
+    int slowed = 0;
+    const best_effort_run *slowest = nullptr;
+    for (const auto &run : bestEffort) {
+        const int percent = m_throttleController.slackPercent(run.task, run.run);
+        slowed += percent < 100 ? 1 : 0;
+        if (percent < 100
+            && (slowest == nullptr
+                || percent < m_throttleController.slackPercent(slowest->task, slowest->run)))
+            slowest = &run;
+    }
+    if (slowest == nullptr)
+        return;
+    m_nextSlowedLogAt = now + SlowedLogInterval;
+    double excess = 0;
+    for (const auto &serving : excesses)
+        excess = std::max(excess, serving.excess);
+    m_log.writeEvent("run_slowed",
+                     {{"why", nameOf(slowing_reason::Slack)},
+                      {"runs", slowed},
+                      {"of", bestEffort.size()},
+                      {"serving", excesses.size()},
+                      {"excess_percent", static_cast<std::int64_t>(100 * excess)},
+                      {"task", toText(slowest->task)},
+                      {"image", slowest->image},
+                      {"percent", m_throttleController.slackPercent(slowest->task, slowest->run)},
+                      {"slack_left_ms",
+                       m_throttleController.slackLeft(slowest->task, slowest->run).count()}});
+}
+
 } // namespace zinniabarrow
--- a/app/worker_calls.h
+++ b/app/worker_calls.h
@@ -53,6 +53,10 @@
 private:
     void handleStartResult(const jobs::task_id &task, int run, const call_result &result);
 
+    void countLostTimes();
+    void logSlowedRuns(const std::vector<jobs::headroom_excess> &excesses,
+                       const std::vector<jobs::best_effort_run> &bestEffort, time_point now);
+
     const jobs::worker_lease &lease() const { return m_leaseKeeper.lease(); }
 
     const std::string &m_address;
@@ -67,6 +71,7 @@
     event_log &m_log;
     hooks m_hooks;
     time_point m_nextSampleAt{};
+    time_point m_nextSlowedLogAt{};
 };
 
 } // namespace zinniabarrow
--- a/libs/jobs/job_controller.cpp
+++ b/libs/jobs/job_controller.cpp
@@ -262,7 +262,7 @@
     const auto jobsWithOrders = m_jobsWithOrders;
     for (const auto &id : jobsWithOrders) {
         const auto found = m_jobs.find(id);
-        if (found == m_jobs.end() || !sendDueOrders(id, found->second, now))
+        if (found == m_jobs.end() || !sendDueOrders(id, found->second, now, wallMs))
             m_jobsWithOrders.erase(id);
     }
 }
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -173,6 +173,10 @@
     // sent again: if this process was suspended, another entry may have taken over its jobs, and
     // the lease may be read before that is known here.
     void epochSeen(const std::string &worker, std::int64_t epoch);
+    // The slack of owned runs on the worker that has changed by more than a step since it was last
+    // sent there, for the answer to the worker's report. `wallMs` is Unix time, ms.
+    std::vector<run_slack> changedSlack(const std::string &worker, time_point now,
+                                        std::int64_t wallMs);
     // Workers on which tasks of owned jobs are placed.
     std::set<std::string> workersWithPlacements() const;
 
@@ -223,6 +227,13 @@
         std::int64_t unplacedMs = 0; // total time during which steps had tasks without a worker
     };
 
+    // The slack of a run, as its agent was last told.
+    struct sent_slack
+    {
+        std::int64_t slackMs = 0;
+        time_point repeatUntil{}; // an answer to a report may be lost, so the next ones repeat it
+    };
+
     struct owned_job
     {
         job_record record;
@@ -286,9 +297,14 @@
     void countFailure(const std::string &id, owned_job &job, const std::string &worker,
                       const run_end &end, const step_spec &step,
                       const std::optional<milliseconds> &runDuration);
-    bool sendDueOrders(const std::string &id, owned_job &job, time_point now);
+    bool sendDueOrders(const std::string &id, owned_job &job, time_point now, std::int64_t wallMs);
     run_order makeStartOrder(const owned_job &job, const task_id &task,
                              const placement &runPlacement, time_point now) const;
+    // How long the run may stand still in all without making its job late, ms; none: not shared.
+    std::optional<std::int64_t> slackOfRun(const owned_job &job, const std::pair<task_id, int> &run,
+                                           time_point now, std::int64_t wallMs) const;
+    void addSlack(run_order &order, const owned_job &job, const std::string &worker, time_point now,
+                  std::int64_t wallMs);
     void stopAllRuns(const std::string &id, owned_job &job);
     static void handleNeverStarted(owned_job &job, const std::string &worker, const task_id &task,
                                    int run);
@@ -365,6 +381,9 @@
     // Starts that their worker's reports may not include yet, by worker. Starts that were answered
     // meanwhile are removed when the worker's next report arrives.
     std::map<std::string, std::set<std::pair<task_id, int>>> m_startsInFlight;
+    // By worker: runs whose slack its agent was told. Those no longer placed are removed when the
+    // worker's next report arrives.
+    std::map<std::string, std::map<std::pair<task_id, int>, sent_slack>> m_sentSlack;
     time_point m_nextUnderservedLogAt{}; // when underserved jobs are logged next
     time_point m_nextLongRunningLogAt{}; // when long-running tasks are counted in the log next
     time_point m_nextStallCheckAt{};     // when tasks are checked for stalls next
--- a/libs/jobs/job_controller_orders.cpp
+++ b/libs/jobs/job_controller_orders.cpp
@@ -208,7 +208,8 @@
 }
 
 // Returns true while some order of the job is unanswered.
-bool job_controller::sendDueOrders(const std::string &id, owned_job &job, time_point now)
+bool job_controller::sendDueOrders(const std::string &id, owned_job &job, time_point now,
+                                   std::int64_t wallMs)
 {
     const auto isDue = [&](const pending_order &order) {
         return !order.isInFlight && order.neededRevision <= job.storedRevision
@@ -224,8 +225,9 @@
             order.isInFlight = true;
             order.basedOnReportAt = reportTimeOf(runPlacement.worker);
             logIfUnanswered(id, key.first, key.second, order, now);
-            m_actions.emplace_back(send_order{runPlacement.worker,
-                                              makeStartOrder(job, key.first, runPlacement, now)});
+            auto start = makeStartOrder(job, key.first, runPlacement, now);
+            addSlack(start, job, runPlacement.worker, now, wallMs);
+            m_actions.emplace_back(send_order{runPlacement.worker, std::move(start)});
         }
     }
     for (auto &[key, order] : job.stopOrders) {
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -70,6 +70,35 @@
             integerMember(value, "accelerators")};
 }
 
+std::int64_t slackMember(const Json::Value &object)
+{
+    const auto slackMs = integerMember(object, "slack_ms");
+    if (slackMs < 0 || slackMs > MaxRunSlackMs)
+        throw error(error_kind::BadRequest, "member 'slack_ms': out of range");
+    return slackMs;
+}
+
+Json::Value toJson(const std::vector<run_slack> &runs)
+{
+    Json::Value rows(Json::arrayValue);
+    for (const auto &run : runs) {
+        Json::Value row(Json::objectValue);
+        row["task"] = toText(run.task);
+        row["run"] = run.run;
+        row["slack_ms"] = Json::Int64(run.slackMs);
+        rows.append(std::move(row));
+    }
+    return rows;
+}
+
+std::vector<run_slack> slackFrom(const Json::Value &rows)
+{
+    std::vector<run_slack> runs;
+    for (const auto &row : rows)
+        runs.push_back({taskMember(row), smallIntegerMember(row, "run"), slackMember(row)});
+    return runs;
+}
+
 Json::Value toJson(const run_order &order)
 {
     Json::Value value(Json::objectValue);
@@ -88,6 +117,8 @@
     value["lasting"] = order.requirements.isLongRunning;
     value["image"] = order.requirements.image;
     value["target_ms"] = Json::Int64(order.requirements.latencyTargetMs);
+    if (order.requirements.slackMs)
+        value["slack_ms"] = Json::Int64(*order.requirements.slackMs);
     value["tells_start"] = order.wantsStartReport;
     return value;
 }
@@ -113,6 +144,8 @@
     order.requirements.isLongRunning = boolMember(value, "lasting");
     order.requirements.image = stringMember(value, "image");
     order.requirements.latencyTargetMs = integerMember(value, "target_ms");
+    if (value.isMember("slack_ms"))
+        order.requirements.slackMs = slackMember(value);
     order.wantsStartReport = boolMember(value, "tells_start");
     return order;
 }
@@ -235,6 +268,8 @@
         value["seldom"] = true;
     if (answer.zoneEvacuated)
         value["zone_evacuated"] = true;
+    if (!answer.slack.empty())
+        value["slack"] = toJson(answer.slack);
     return compactJson(value);
 }
 
@@ -259,6 +294,8 @@
         answer.wantsReports = !boolMember(value, "seldom");
     if (value.isMember("zone_evacuated"))
         answer.zoneEvacuated = boolMember(value, "zone_evacuated");
+    if (value.isMember("slack"))
+        answer.slack = slackFrom(arrayMember(value, "slack"));
     return answer;
 }
 
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,8 +29,13 @@
     bool isLongRunning = false;       // runs until its job is cancelled
     std::string image;                // names what runs; interference is estimated per image
     std::int64_t latencyTargetMs = 0; // upper limit of the tail latency; 0: none
+    // How long the run may stand still in all, from its start on, without making its job late, ms;
+    // at most MaxRunSlackMs. None: unknown.
+    std::optional<std::int64_t> slackMs = {};
 };
 
+constexpr std::int64_t MaxRunSlackMs = 60'000;
+
 struct run_order
 {
     order_kind kind = order_kind::Start;
@@ -118,6 +124,14 @@
     bool isLate = false;  // the run missed its target in the last measurement
 };
 
+// The slack of a run has changed; see run_requirements::slackMs.
+struct run_slack
+{
+    task_id task;
+    int run = 0;
+    std::int64_t slackMs = 0;
+};
+
 // An agent's report on its worker, sent at least once a second to each entry that wants reports,
 // and every few seconds to the others. `ends` are repeated until they are acknowledged.
 struct worker_report
@@ -172,6 +186,8 @@
     // can say when that has changed.
     bool wantsReports = true;
     bool zoneEvacuated = false; // operators evacuate the worker's zone: nothing more starts there
+    // Runs of this entry on the worker whose slack has changed by more than a step.
+    std::vector<run_slack> slack = {};
 };
 
 // The functions that parse throw error BadRequest if the text is malformed.
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -456,11 +456,21 @@
             continue;
         const auto requestedCores = coresOf(tracked.requirements.size.millicores);
         runs.push_back({key.first, key.second, tracked.requirements.image,
-                        coresOf(tracked.measured), requestedCores});
+                        coresOf(tracked.measured), requestedCores, tracked.requirements.slackMs});
     }
     return runs;
 }
 
+bool run_table::setSlack(const run_slack &slack, const std::string &owner)
+{
+    const auto known = m_runs.find({slack.task, slack.run});
+    if (known == m_runs.end() || known->second.phase == run_phase::Ended
+        || known->second.owner != owner)
+        return false;
+    known->second.requirements.slackMs = slack.slackMs;
+    return true;
+}
+
 bool run_table::hasEndsFor(const std::string &owner) const
 {
     return std::any_of(m_runs.begin(), m_runs.end(), [&](const auto &entry) {
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -149,6 +149,10 @@
     // entry gives an order for them.
     void noteOwnerSilent(const std::string &owner);
 
+    // A report's answer of `owner` gives the run a new slack. False: it has another owner, or no
+    // run of it is active.
+    bool setSlack(const run_slack &slack, const std::string &owner);
+
     std::int64_t epoch() const { return m_epoch; }
     // Number of ends so far that had to be reported to an entry for the first time. It never falls;
     // the agent sends reports at once when it has grown.
--- a/libs/jobs/throttle_controller.cpp
+++ b/libs/jobs/throttle_controller.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/names.h"
+
 namespace zinniabarrow::jobs {
 
 namespace {
@@ -61,8 +63,18 @@
     }
 };
 
+constexpr name_table<slowing_reason, 2> SlowingReasonNames{{
+        {slowing_reason::Slack, "slack"},
+        {slowing_reason::Pause, "pause"},
+}};
+
 } // namespace
 
+std::string_view nameOf(slowing_reason reason)
+{
+    return nameOf(SlowingReasonNames, reason);
+}
+
 throttle_controller::throttle_controller(const throttle_settings &settings)
     : m_settings(settings)
 { }
@@ -183,23 +195,93 @@
     return false;
 }
 
+// Counts what the runs have lost since the last call, by the speeds that were in force.
+void throttle_controller::updateRuns(const std::vector<best_effort_run> &bestEffort, time_point now)
+{
+    const auto passed = m_updatedAt == time_point{} ? duration(0) : now - m_updatedAt;
+    const auto reason = m_isPausing ? slowing_reason::Pause : slowing_reason::Slack;
+    std::vector<run_key> active;
+    for (const auto &run : bestEffort) {
+        const run_key key{run.task, run.run};
+        const int percent = m_confirmedSpeeds.try_emplace(key, 100).first->second;
+        if (percent < 100)
+            m_lostTimes[reason] += passed * (100 - percent) / 100;
+        m_slackSpender.spend(key, run.slackMs, percent, now);
+        active.push_back(key);
+    }
+    m_slackSpender.keepOnly(active);
+    std::erase_if(m_fullSpeedUse, [&](const auto &entry) {
+        return std::find(active.begin(), active.end(), entry.first) == active.end();
+    });
+    m_updatedAt = now;
+}
+
 std::vector<run_speed>
 throttle_controller::decideSpeeds(const std::vector<serving_sample> &serving,
                                   const std::vector<best_effort_run> &bestEffort, time_point now)
 {
-    bool shouldPause = false;
+    updateRuns(bestEffort, now);
+    m_isPausing = false;
     for (const auto &sample : serving)
-        shouldPause = needsPause(sample, now) || shouldPause;
+        m_isPausing = needsPause(sample, now) || m_isPausing;
     std::vector<run_speed> changes;
     for (const auto &run : bestEffort) {
-        const int targetPercent = shouldPause ? 0 : 100;
-        const auto lastSpeed = m_confirmedSpeeds.try_emplace({run.task, run.run}, 100).first;
-        if (lastSpeed->second != targetPercent)
+        const run_key key{run.task, run.run};
+        const int targetPercent = m_isPausing ? 0 : m_slackSpender.percentOf(key);
+        if (m_confirmedSpeeds.at(key) != targetPercent)
             changes.push_back({run.task, run.run, targetPercent});
     }
     return changes;
 }
 
+// A worker measures the cores in use over half a second.
+void throttle_controller::updateFullSpeedUse(const std::vector<best_effort_run> &bestEffort)
+{
+    for (const auto &run : bestEffort) {
+        const run_key key{run.task, run.run};
+        auto &use = m_fullSpeedUse.try_emplace(key, full_speed_use{run.requestedCores, 0})
+                            .first->second;
+        use.samples = m_confirmedSpeeds.at(key) == 100 ? use.samples + 1 : 0;
+        if (use.samples > 1)
+            use.cores = run.usedCores;
+    }
+}
+
+std::vector<headroom_excess>
+throttle_controller::spendSlack(const std::vector<serving_sample> &serving,
+                                const std::vector<best_effort_run> &bestEffort, time_point now)
+{
+    updateRuns(bestEffort, now);
+    updateFullSpeedUse(bestEffort);
+    std::vector<headroom_excess> excesses;
+    for (const auto &sample : serving) {
+        if (sample.tailLatencyMs <= 0 || sample.latencyTargetMs <= 0)
+            continue;
+        auto excess = excessOf(sample, bestEffort);
+        if (excess.excess > 0)
+            excesses.push_back(std::move(excess));
+    }
+    m_slackSpender.plan(excesses);
+    return excesses;
+}
+
+// By how much the load exceeds its limit when all runs work at full speed.
+headroom_excess throttle_controller::excessOf(const serving_sample &sample,
+                                              const std::vector<best_effort_run> &bestEffort) const
+{
+    const double own = ownLoad(sample, bestEffort);
+    const double peak = m_forecast.peakLoadAhead({sample.task, sample.run}, own);
+    headroom_excess found;
+    found.excess = own + m_settings.anticipatedRiseShare * (peak - own) - limitOf(sample);
+    for (const auto &run : bestEffort) {
+        const run_key key{run.task, run.run};
+        const double load = loadPerCore(sample.image, run.image) * m_fullSpeedUse.at(key).cores;
+        found.loads[key] = load;
+        found.excess += load;
+    }
+    return found;
+}
+
 double throttle_controller::floorMsOf(const serving_sample &sample) const
 {
     const auto row = m_interference.find(sample.image);
@@ -221,10 +303,14 @@
 double throttle_controller::headroomOf(const serving_sample &sample,
                                        const std::vector<best_effort_run> &bestEffort) const
 {
-    const double limit =
-            loadOf(m_settings.headroomTargetFraction * static_cast<double>(sample.latencyTargetMs),
-                   floorMsOf(sample));
-    return limit - m_forecast.peakLoadAhead({sample.task, sample.run}, ownLoad(sample, bestEffort));
+    return limitOf(sample)
+           - m_forecast.peakLoadAhead({sample.task, sample.run}, ownLoad(sample, bestEffort));
+}
+
+double throttle_controller::limitOf(const serving_sample &sample) const
+{
+    return loadOf(m_settings.headroomTargetFraction * static_cast<double>(sample.latencyTargetMs),
+                  floorMsOf(sample));
 }
 
 void throttle_controller::noteConfirmed(const run_speed &speed)
--- a/libs/jobs/throttle_controller.h
+++ b/libs/jobs/throttle_controller.h
@@ -7,6 +7,9 @@
 // only of those that are estimated to interfere: some estimates are wrong, and the serving run
 // would then stay late.
 //
+// Before that, runs whose jobs have slack are slowed as soon as the headroom of a serving run is
+// exceeded (slack_spender.h). Runs whose owners don't tell their slack are not.
+//
 // Makes decisions only; the agent carries them out.
 #pragma once
 
@@ -14,12 +17,15 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
 #include "jobs/interference_estimator.h"
 #include "jobs/load_forecast.h"
 #include "jobs/model.h"
+#include "jobs/slack_spender.h"
 
 namespace zinniabarrow::jobs {
 
@@ -41,6 +47,8 @@
     std::string image;
     double usedCores = 0;      // mean number of cores in use
     double requestedCores = 0; // by its task's specification
+    // How long it may stand still in all, as its owner told it, ms; none: unknown.
+    std::optional<std::int64_t> slackMs = {};
 };
 
 // The speed at which a best-effort run is to work.
@@ -77,7 +85,20 @@
     // The headroom, which the agent reports to the entries, is zero if the serving run's own load
     // is expected to take its tail latency to this fraction of the target.
     double headroomTargetFraction = 0.9;
+    // Of the rise of a serving run's own load that is forecast for the next two seconds, the part
+    // that runs with slack are slowed for. A change of speed takes effect within half a second.
+    double anticipatedRiseShare = 0.5;
+};
+
+// Why a best-effort run is slowed.
+enum class slowing_reason {
+    Slack, // its job has slack, and a serving run has no headroom left
+    Pause, // a serving run has been late for throttle_settings::maxLateTime
 };
+std::string_view nameOf(slowing_reason reason);
+
+// Time that best-effort runs lost by being slowed, since the last call of takeLostTimes().
+using lost_times = std::map<slowing_reason, duration>;
 
 // An agent has one. Its worker_calls calls it after each poll of the worker.
 class throttle_controller
@@ -91,6 +112,20 @@
     std::vector<run_speed> decideSpeeds(const std::vector<serving_sample> &serving,
                                         const std::vector<best_effort_run> &bestEffort,
                                         time_point now);
+    // Decides which runs with slack are slowed; decideSpeeds() then returns their speeds. Called
+    // after takeSamples(). Returns the serving runs that lack headroom.
+    std::vector<headroom_excess> spendSlack(const std::vector<serving_sample> &serving,
+                                            const std::vector<best_effort_run> &bestEffort,
+                                            time_point now);
+    lost_times takeLostTimes() { return std::exchange(m_lostTimes, {}); }
+    int slackPercent(const task_id &task, int run) const
+    {
+        return m_slackSpender.percentOf({task, run});
+    }
+    milliseconds slackLeft(const task_id &task, int run) const
+    {
+        return m_slackSpender.slackLeft({task, run});
+    }
     void noteConfirmed(const run_speed &speed); // the worker has applied it
     void forget(const task_id &task, int run);  // the run has ended
     // One sample for each serving image with a latency target: its longest tail latency, the cores
@@ -115,6 +150,12 @@
         time_point pausedAt = {}; // start of the current pause; 0: none
     };
 
+    struct full_speed_use
+    {
+        double cores = 0; // in use at the last sampling after half a second at full speed
+        int samples = 0;  // at full speed, in a row
+    };
+
     double loadPerCore(const std::string &serving, const std::string &bestEffort) const;
     double floorMsOf(const serving_sample &sample) const;
     std::optional<interference_change> changeOf(const std::string &image,
@@ -126,6 +167,11 @@
     double ownLoad(const serving_sample &sample,
                    const std::vector<best_effort_run> &bestEffort) const;
     bool needsPause(const serving_sample &sample, time_point now);
+    void updateRuns(const std::vector<best_effort_run> &bestEffort, time_point now);
+    void updateFullSpeedUse(const std::vector<best_effort_run> &bestEffort);
+    headroom_excess excessOf(const serving_sample &sample,
+                             const std::vector<best_effort_run> &bestEffort) const;
+    double limitOf(const serving_sample &sample) const;
 
     throttle_settings m_settings;
     interference_table m_interference;
@@ -135,6 +181,11 @@
     cores_by_image m_earlierCores;                    // in use at the sampling before the last one
     std::map<run_key, late_run> m_lateRuns;           // serving runs that miss their target
     std::map<run_key, int> m_confirmedSpeeds;         // best-effort runs, percent
+    std::map<run_key, full_speed_use> m_fullSpeedUse; // of best-effort runs
+    slack_spender m_slackSpender;
+    lost_times m_lostTimes;
+    time_point m_updatedAt{}; // when speeds were last decided
+    bool m_isPausing = false; // all best-effort runs
 };
 
 } // namespace zinniabarrow::jobs
