Slowed runs are always resumed

Cause: a worker may carry out a call without an answer seconds later, and an agent that is killed leaves its runs at the speed they had. Both let a best-effort run stand still for good: a pause that was not answered left the speed known as full, so no call ended it, and the agent's next incarnation assumed full speed. Change: a speed counts as unknown from the call to its confirmation, an unanswered one is set again after 8 s, and runs of an earlier incarnation are set to full speed once. States of runs that are gone are dropped. Result: slack_sharing_test slowed_runs_are_always_resumed.

--- a/app/worker_calls.cpp
+++ b/app/worker_calls.cpp
@@ -103,6 +103,8 @@
                           const auto *answer = std::get_if<http_response>(&result);
                           if (answer != nullptr && answer->status == 200)
                               m_throttleController.noteConfirmed(change);
+                          else if (answer == nullptr)
+                              m_throttleController.noteUnanswered(change, suspendAwareNow());
                       });
     }
 }
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -456,7 +456,8 @@
             continue;
         const auto requestedCores = coresOf(tracked.requirements.size.millicores);
         runs.push_back({key.first, key.second, tracked.requirements.image,
-                        coresOf(tracked.measured), requestedCores, tracked.requirements.slackMs});
+                        coresOf(tracked.measured), requestedCores, tracked.requirements.slackMs,
+                        tracked.claimDeadline != time_point{}});
     }
     return runs;
 }
--- a/libs/jobs/slack_spender.cpp
+++ b/libs/jobs/slack_spender.cpp
@@ -42,11 +42,9 @@
         known.percent = known.planned = 100;
 }
 
-void slack_spender::keepOnly(const std::vector<run_key> &runs)
+void slack_spender::keepOnly(const std::set<run_key> &runs)
 {
-    std::erase_if(m_runs, [&](const auto &entry) {
-        return std::find(runs.begin(), runs.end(), entry.first) == runs.end();
-    });
+    std::erase_if(m_runs, [&](const auto &entry) { return !runs.contains(entry.first); });
 }
 
 milliseconds slack_spender::slackLeft(const run_key &run) const
--- a/libs/jobs/slack_spender.h
+++ b/libs/jobs/slack_spender.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -46,7 +47,7 @@
     // with keepOnly().
     void spend(const run_key &run, std::optional<std::int64_t> slackMs, int percent,
                time_point now);
-    void keepOnly(const std::vector<run_key> &runs);
+    void keepOnly(const std::set<run_key> &runs);
     void plan(const std::vector<headroom_excess> &excesses);
     int percentOf(const run_key &run) const;
     milliseconds slackLeft(const run_key &run) const; // 0 if unknown
--- a/libs/jobs/throttle_controller.cpp
+++ b/libs/jobs/throttle_controller.cpp
@@ -1,6 +1,7 @@
 #include "jobs/throttle_controller.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "base/names.h"
@@ -63,6 +64,14 @@
     }
 };
 
+std::set<std::pair<task_id, int>> keysOf(const std::vector<best_effort_run> &runs)
+{
+    std::set<std::pair<task_id, int>> keys;
+    for (const auto &run : runs)
+        keys.emplace(run.task, run.run);
+    return keys;
+}
+
 constexpr name_table<slowing_reason, 2> SlowingReasonNames{{
         {slowing_reason::Slack, "slack"},
         {slowing_reason::Pause, "pause"},
@@ -200,19 +209,20 @@
 {
     const auto passed = m_updatedAt == time_point{} ? duration(0) : now - m_updatedAt;
     const auto reason = m_isPausing ? slowing_reason::Pause : slowing_reason::Slack;
-    std::vector<run_key> active;
     for (const auto &run : bestEffort) {
         const run_key key{run.task, run.run};
-        const int percent = m_confirmedSpeeds.try_emplace(key, 100).first->second;
+        // It is unknown at which speed an earlier incarnation let the run work.
+        const speed_state initial{100, !run.isInherited, Never};
+        const int percent = m_speeds.try_emplace(key, initial).first->second.percent;
         if (percent < 100)
             m_lostTimes[reason] += passed * (100 - percent) / 100;
         m_slackSpender.spend(key, run.slackMs, percent, now);
-        active.push_back(key);
     }
+    const std::set<run_key> active = keysOf(bestEffort);
+    const auto hasEnded = [&](const auto &entry) { return !active.contains(entry.first); };
+    std::erase_if(m_speeds, hasEnded);
+    std::erase_if(m_fullSpeedUse, hasEnded);
     m_slackSpender.keepOnly(active);
-    std::erase_if(m_fullSpeedUse, [&](const auto &entry) {
-        return std::find(active.begin(), active.end(), entry.first) == active.end();
-    });
     m_updatedAt = now;
 }
 
@@ -228,8 +238,11 @@
     for (const auto &run : bestEffort) {
         const run_key key{run.task, run.run};
         const int targetPercent = m_isPausing ? 0 : m_slackSpender.percentOf(key);
-        if (m_confirmedSpeeds.at(key) != targetPercent)
-            changes.push_back({run.task, run.run, targetPercent});
+        auto &speed = m_speeds.at(key);
+        if (speed.percent == targetPercent && speed.isConfirmed && now < speed.repeatAt)
+            continue;
+        speed = {targetPercent, false, now < speed.repeatAt ? speed.repeatAt : Never};
+        changes.push_back({run.task, run.run, targetPercent});
     }
     return changes;
 }
@@ -241,7 +254,7 @@
         const run_key key{run.task, run.run};
         auto &use = m_fullSpeedUse.try_emplace(key, full_speed_use{run.requestedCores, 0})
                             .first->second;
-        use.samples = m_confirmedSpeeds.at(key) == 100 ? use.samples + 1 : 0;
+        use.samples = m_speeds.at(key).percent == 100 ? use.samples + 1 : 0;
         if (use.samples > 1)
             use.cores = run.usedCores;
     }
@@ -315,14 +328,24 @@
 
 void throttle_controller::noteConfirmed(const run_speed &speed)
 {
-    const auto lastSpeed = m_confirmedSpeeds.find({speed.task, speed.run});
-    if (lastSpeed != m_confirmedSpeeds.end())
-        lastSpeed->second = speed.percent;
+    const auto known = m_speeds.find({speed.task, speed.run});
+    if (known != m_speeds.end() && known->second.percent == speed.percent)
+        known->second.isConfirmed = true;
+}
+
+// A worker may carry out a call without an answer seconds later, after newer ones. A run would then
+// stand still for good, so its speed is set once more.
+void throttle_controller::noteUnanswered(const run_speed &speed, time_point now)
+{
+    constexpr milliseconds LateEffectLimit{8000};
+    const auto known = m_speeds.find({speed.task, speed.run});
+    if (known != m_speeds.end())
+        known->second.repeatAt = now + LateEffectLimit;
 }
 
 void throttle_controller::forget(const task_id &task, int run)
 {
-    m_confirmedSpeeds.erase({task, run});
+    m_speeds.erase({task, run});
     m_lateRuns.erase({task, run});
 }
 
--- a/libs/jobs/throttle_controller.h
+++ b/libs/jobs/throttle_controller.h
@@ -49,6 +49,7 @@
     double requestedCores = 0; // by its task's specification
     // How long it may stand still in all, as its owner told it, ms; none: unknown.
     std::optional<std::int64_t> slackMs = {};
+    bool isInherited = false; // an earlier incarnation of the agent started it
 };
 
 // The speed at which a best-effort run is to work.
@@ -127,7 +128,9 @@
         return m_slackSpender.slackLeft({task, run});
     }
     void noteConfirmed(const run_speed &speed); // the worker has applied it
-    void forget(const task_id &task, int run);  // the run has ended
+    // The call that set the speed got no answer.
+    void noteUnanswered(const run_speed &speed, time_point now);
+    void forget(const task_id &task, int run); // the run has ended
     // One sample for each serving image with a latency target: its longest tail latency, the cores
     // that its best-effort neighbours use, and the change of both since the last call. Called every
     // half second.
@@ -156,6 +159,14 @@
         int samples = 0;  // at full speed, in a row
     };
 
+    struct speed_state
+    {
+        int percent = 100;       // last decided
+        bool isConfirmed = true; // by the worker
+        time_point repeatAt =
+                Never; // when it is set again, as an earlier call may take effect late
+    };
+
     double loadPerCore(const std::string &serving, const std::string &bestEffort) const;
     double floorMsOf(const serving_sample &sample) const;
     std::optional<interference_change> changeOf(const std::string &image,
@@ -180,7 +191,7 @@
     neighbour_cores m_previous;                       // at the last sampling
     cores_by_image m_earlierCores;                    // in use at the sampling before the last one
     std::map<run_key, late_run> m_lateRuns;           // serving runs that miss their target
-    std::map<run_key, int> m_confirmedSpeeds;         // best-effort runs, percent
+    std::map<run_key, speed_state> m_speeds;          // of best-effort runs
     std::map<run_key, full_speed_use> m_fullSpeedUse; // of best-effort runs
     slack_spender m_slackSpender;
     lost_times m_lostTimes;
--- a/tests/slack_sharing_test.cpp
+++ b/tests/slack_sharing_test.cpp
@@ -252,6 +252,49 @@
     check(worker.controller.slackLeft({"job", 0, 0, 0}, 1) < milliseconds(500));
 }
 
+// Guards against runs that stand still for good. The agent is killed while a run is slowed, or its
+// worker doesn't answer a call that slows a run, carries it out late, and nobody sets the speed
+// again.
+Test(slack_sharing, slowed_runs_are_always_resumed)
+{
+    time_point now{std::chrono::hours(1)};
+    best_effort_run run{{"f", 0, 0, 0}, 1, "heavy", 2, 2};
+    const auto decide = [&](throttle_controller &controller, std::int64_t tailMs) {
+        return controller.decideSpeeds({{{"s", 0, 0, 0}, 1, "site", tailMs, 150}}, {run}, now);
+    };
+    section("the agent's next incarnation sets the speed of the runs that it finds", [&] {
+        throttle_controller next;
+        run.isInherited = true;
+        const auto speeds = decide(next, 100);
+        require(speeds.size() == 1);
+        check(speeds[0].percent == 100);
+        next.noteConfirmed(speeds[0]);
+        check(decide(next, 100).empty());
+        run.isInherited = false;
+    });
+    section("a pause that ends unanswered is ended by a call", [&] {
+        throttle_controller controller;
+        decide(controller, 400);
+        now += milliseconds(2200);
+        const auto pause = decide(controller, 400);
+        require(pause.size() == 1 && pause[0].percent == 0);
+        controller.noteUnanswered(pause[0], now);
+        now += milliseconds(500);
+        const auto resumed = decide(controller, 100);
+        require(resumed.size() == 1 && resumed[0].percent == 100);
+        controller.noteConfirmed(resumed[0]);
+        check(decide(controller, 100).empty());
+        section("and by another, as the unanswered one may take effect after the first", [&] {
+            now += seconds(8);
+            const auto repeated = decide(controller, 100);
+            require(repeated.size() == 1 && repeated[0].percent == 100);
+            controller.noteConfirmed(repeated[0]);
+            now += seconds(20);
+            check(decide(controller, 100).empty());
+        });
+    });
+}
+
 Test(slack_sharing, what_the_owner_tells)
 {
     section("a start order has the slack of its run", [] {
