Slack keeps half of the critical path

Cause: with seven tenths of the slack to spend, best-effort jobs lost more than long-running ones gained. Change: half of the estimated critical path is kept, for estimates that are up to twice too long.

--- a/libs/jobs/job_controller_slack.cpp
+++ b/libs/jobs/job_controller_slack.cpp
@@ -9,10 +9,11 @@
 
 namespace {
 
-// The part of a job's slack that its runs may spend. The rest covers estimates that are too long,
-// and the waits of later steps for workers.
-constexpr double SpendableShare = 0.7;
-constexpr std::int64_t SlackStepMs = 300; // smaller changes aren't sent
+// This part of a job's estimated critical path is kept of its slack: an objective that is counted
+// by real run times ends sooner than by estimates if these are too long, here up to twice.
+constexpr double KeptPathShare = 0.5;
+constexpr std::int64_t KeptForStartMs = 300; // to place and to start a step
+constexpr std::int64_t SlackStepMs = 300;    // smaller changes aren't sent
 // Reports come about once a second, and the answers to two of them repeat a change.
 constexpr milliseconds SlackRepeatTime{2200};
 constexpr std::size_t MaxSlackChanges = 64; // in one answer
@@ -46,11 +47,13 @@
     const auto accepted = job.startAcceptedAt.find(run);
     const auto elapsedMs =
             accepted == job.startAcceptedAt.end() ? 0 : millisecondsIn(now - accepted->second);
+    const auto keptMs = KeptPathShare * static_cast<double>(estimatedCriticalPathMs(record))
+                        + static_cast<double>(KeptForStartMs);
+    const auto spendableMs = static_cast<double>(slackMs(record, wallMs) + elapsedMs) - keptMs;
     const auto remainingMs = std::max(step.estimateMs, unfinishedEstimateMs(record));
-    const double share = SpendableShare * static_cast<double>(step.estimateMs)
-                         / static_cast<double>(remainingMs);
-    const auto ms = share * static_cast<double>(slackMs(record, wallMs) + elapsedMs);
-    return std::clamp(static_cast<std::int64_t>(ms), std::int64_t(0), MaxRunSlackMs);
+    const double share = static_cast<double>(step.estimateMs) / static_cast<double>(remainingMs);
+    return std::clamp(static_cast<std::int64_t>(share * spendableMs), std::int64_t(0),
+                      MaxRunSlackMs);
 }
 
 void job_controller::addSlack(run_order &order, const owned_job &job, const std::string &worker,
--- a/libs/jobs/throttle_controller.h
+++ b/libs/jobs/throttle_controller.h
@@ -88,7 +88,7 @@
     double headroomTargetFraction = 0.9;
     // Of the rise of a serving run's own load that is forecast for the next two seconds, the part
     // that runs with slack are slowed for. A change of speed takes effect within half a second.
-    double anticipatedRiseShare = 0.5;
+    double anticipatedRiseShare = 0.25;
 };
 
 // Why a best-effort run is slowed.
