Slack is spent first where one run slowed helps several serving runs

Change: runs are ordered by the load that they add to all serving runs without headroom, those serving runs come first that lack least, and a run that adds less than 0.02 of load is not slowed.

--- a/libs/jobs/slack_spender.cpp
+++ b/libs/jobs/slack_spender.cpp
@@ -15,6 +15,8 @@
 // A run with at least this much left is no better to slow than others with as much.
 constexpr milliseconds AmpleSlack{3000};
 constexpr int PercentStep = 10;
+// A run that adds less is not slowed: that would be lost in the noise of the samples.
+constexpr double MinLoad = 0.02;
 
 // Percent of full speed at which the run adds `removed` less of its `load`, rounded down.
 int percentWithout(double removed, double load)
@@ -63,15 +65,22 @@
 }
 
 // One sample may be wrong, so a run is sped up only as far as two plans in a row allow it.
-void slack_spender::plan(const std::vector<headroom_excess> &excesses)
+void slack_spender::plan(std::vector<headroom_excess> excesses)
 {
+    std::sort(excesses.begin(), excesses.end(),
+              [](const auto &left, const auto &right) { return left.excess < right.excess; });
+    run_loads sums; // load that a run adds to all serving runs without headroom
+    for (const auto &serving : excesses) {
+        for (const auto &[run, load] : serving.loads)
+            sums[run] += load;
+    }
     planned_percents planned; // of the runs that may be slowed
     for (const auto &[run, known] : m_runs) {
         if (slackLeft(run) >= MinSlackLeft)
             planned[run] = 100;
     }
     for (const auto &serving : excesses)
-        slowFor(serving, planned);
+        slowFor(serving, sums, planned);
     for (auto &[run, known] : m_runs) {
         const auto found = planned.find(run);
         const int percent = found == planned.end() ? 100 : found->second;
@@ -87,18 +96,19 @@
     return load * static_cast<double>(left.count()) / static_cast<double>(AmpleSlack.count());
 }
 
-void slack_spender::slowFor(const headroom_excess &serving, planned_percents &planned) const
+void slack_spender::slowFor(const headroom_excess &serving, const run_loads &sums,
+                            planned_percents &planned) const
 {
     std::vector<std::pair<double, run_key>> byScore;
     double excess = serving.excess;
     double removable = 0;
     for (const auto &[run, load] : serving.loads) {
         const auto found = planned.find(run);
-        if (found == planned.end() || load <= 0)
+        if (found == planned.end() || load < MinLoad)
             continue;
         excess -= load - loadAt(load, found->second); // slowed for another serving run
         removable += loadAt(load, found->second);
-        byScore.emplace_back(scoreOf(run, load), run);
+        byScore.emplace_back(scoreOf(run, sums.at(run)), run);
     }
     if (excess <= 0 || removable < excess)
         return;
--- a/libs/jobs/slack_spender.h
+++ b/libs/jobs/slack_spender.h
@@ -1,8 +1,9 @@
 // Decides which best-effort runs of one worker are slowed so that its serving runs stay below their
 // headroom, and by how much. Only runs whose owner told how long they may stand still, and that
 // have some of that time left, are slowed; a run at p percent of full speed spends (100 - p)
-// percent of the time. The run that adds most load and has most time left is slowed first, and only
-// by as much as brings the load below the headroom. Where all of them together can't do that,
+// percent of the time. The run that adds most load to all serving runs without headroom and has
+// most time left is slowed first, and only by as much as brings the load below the headroom of the
+// serving run that lacks least, then of the next. Where all of them together can't do that,
 // nothing is slowed: the serving run would be late all the same, and only longer.
 //
 // Call spend() after each poll of the worker, plan() at each sampling, then percentOf().
@@ -48,14 +49,16 @@
     void spend(const run_key &run, std::optional<std::int64_t> slackMs, int percent,
                time_point now);
     void keepOnly(const std::set<run_key> &runs);
-    void plan(const std::vector<headroom_excess> &excesses);
+    void plan(std::vector<headroom_excess> excesses);
     int percentOf(const run_key &run) const;
     milliseconds slackLeft(const run_key &run) const; // 0 if unknown
 
 private:
     using planned_percents = std::map<run_key, int>;
+    using run_loads = std::map<run_key, double>;
 
-    void slowFor(const headroom_excess &serving, planned_percents &planned) const;
+    void slowFor(const headroom_excess &serving, const run_loads &sums,
+                 planned_percents &planned) const;
     double scoreOf(const run_key &run, double load) const;
 
     std::map<run_key, spending_run> m_runs;
