--- a/libs/jobs/throttle_controller.cpp
+++ b/libs/jobs/throttle_controller.cpp
@@ -1,8 +1,11 @@
 #include "jobs/throttle_controller.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
+#include "base/names.h"
+
 namespace zinniabarrow::jobs {
 
 namespace {
@@ -61,8 +64,26 @@
     }
 };
 
+std::set<std::pair<task_id, int>> keysOf(const std::vector<best_effort_run> &runs)
+{
+    std::set<std::pair<task_id, int>> keys;
+    for (const auto &run : runs)
+        keys.emplace(run.task, run.run);
+    return keys;
+}
+
+constexpr name_table<slowing_reason, 2> SlowingReasonNames{{
+        {slowing_reason::Slack, "slack"},
+        {slowing_reason::Pause, "pause"},
+}};
+
 } // namespace
 
+std::string_view nameOf(slowing_reason reason)
+{
+    return nameOf(SlowingReasonNames, reason);
+}
+
 throttle_controller::throttle_controller(const throttle_settings &settings)
     : m_settings(settings)
 { }
@@ -183,23 +204,97 @@
     return false;
 }
 
+// Counts what the runs have lost since the last call, by the speeds that were in force.
+void throttle_controller::updateRuns(const std::vector<best_effort_run> &bestEffort, time_point now)
+{
+    const auto passed = m_updatedAt == time_point{} ? duration(0) : now - m_updatedAt;
+    const auto reason = m_isPausing ? slowing_reason::Pause : slowing_reason::Slack;
+    for (const auto &run : bestEffort) {
+        const run_key key{run.task, run.run};
+        // It is unknown at which speed an earlier incarnation let the run work.
+        const speed_state initial{100, !run.isInherited, Never};
+        const int percent = m_speeds.try_emplace(key, initial).first->second.percent;
+        if (percent < 100)
+            m_lostTimes[reason] += passed * (100 - percent) / 100;
+        m_slackSpender.spend(key, run.slackMs, percent, now);
+    }
+    const std::set<run_key> active = keysOf(bestEffort);
+    const auto hasEnded = [&](const auto &entry) { return !active.contains(entry.first); };
+    std::erase_if(m_speeds, hasEnded);
+    std::erase_if(m_fullSpeedUse, hasEnded);
+    m_slackSpender.keepOnly(active);
+    m_updatedAt = now;
+}
+
 std::vector<run_speed>
 throttle_controller::decideSpeeds(const std::vector<serving_sample> &serving,
                                   const std::vector<best_effort_run> &bestEffort, time_point now)
 {
-    bool shouldPause = false;
+    updateRuns(bestEffort, now);
+    m_isPausing = false;
     for (const auto &sample : serving)
-        shouldPause = needsPause(sample, now) || shouldPause;
+        m_isPausing = needsPause(sample, now) || m_isPausing;
     std::vector<run_speed> changes;
     for (const auto &run : bestEffort) {
-        const int targetPercent = shouldPause ? 0 : 100;
-        const auto lastSpeed = m_confirmedSpeeds.try_emplace({run.task, run.run}, 100).first;
-        if (lastSpeed->second != targetPercent)
-            changes.push_back({run.task, run.run, targetPercent});
+        const run_key key{run.task, run.run};
+        const int targetPercent = m_isPausing ? 0 : m_slackSpender.percentOf(key);
+        auto &speed = m_speeds.at(key);
+        if (speed.percent == targetPercent && speed.isConfirmed && now < speed.repeatAt)
+            continue;
+        speed = {targetPercent, false, now < speed.repeatAt ? speed.repeatAt : Never};
+        changes.push_back({run.task, run.run, targetPercent});
     }
     return changes;
 }
 
+// A worker measures the cores in use over half a second.
+void throttle_controller::updateFullSpeedUse(const std::vector<best_effort_run> &bestEffort)
+{
+    for (const auto &run : bestEffort) {
+        const run_key key{run.task, run.run};
+        auto &use = m_fullSpeedUse.try_emplace(key, full_speed_use{run.requestedCores, 0})
+                            .first->second;
+        use.samples = m_speeds.at(key).percent == 100 ? use.samples + 1 : 0;
+        if (use.samples > 1)
+            use.cores = run.usedCores;
+    }
+}
+
+std::vector<headroom_excess>
+throttle_controller::spendSlack(const std::vector<serving_sample> &serving,
+                                const std::vector<best_effort_run> &bestEffort, time_point now)
+{
+    updateRuns(bestEffort, now);
+    updateFullSpeedUse(bestEffort);
+    std::vector<headroom_excess> excesses;
+    for (const auto &sample : serving) {
+        if (sample.tailLatencyMs <= 0 || sample.latencyTargetMs <= 0)
+            continue;
+        auto excess = excessOf(sample, bestEffort);
+        if (excess.excess > 0)
+            excesses.push_back(std::move(excess));
+    }
+    m_slackSpender.plan(excesses);
+    return excesses;
+}
+
+// By how much the load exceeds its limit when all runs work at full speed.
+headroom_excess throttle_controller::excessOf(const serving_sample &sample,
+                                              const std::vector<best_effort_run> &bestEffort) const
+{
+    const double own = ownLoad(sample, bestEffort);
+    const double peak = m_forecast.peakLoadAhead({sample.task, sample.run}, own);
+    headroom_excess found;
+    found.excess = own + m_settings.anticipatedRiseShare * (peak - own) - limitOf(sample);
+    for (const auto &run : bestEffort) {
+        const run_key key{run.task, run.run};
+        const double load = loadPerCore(sample.image, run.image) * m_fullSpeedUse.at(key).cores;
+        found.loads[key] = load;
+        found.excess += load;
+    }
+    return found;
+}
+
 double throttle_controller::floorMsOf(const serving_sample &sample) const
 {
     const auto row = m_interference.find(sample.image);
@@ -221,22 +316,36 @@
 double throttle_controller::headroomOf(const serving_sample &sample,
                                        const std::vector<best_effort_run> &bestEffort) const
 {
-    const double limit =
-            loadOf(m_settings.headroomTargetFraction * static_cast<double>(sample.latencyTargetMs),
-                   floorMsOf(sample));
-    return limit - m_forecast.peakLoadAhead({sample.task, sample.run}, ownLoad(sample, bestEffort));
+    return limitOf(sample)
+           - m_forecast.peakLoadAhead({sample.task, sample.run}, ownLoad(sample, bestEffort));
+}
+
+double throttle_controller::limitOf(const serving_sample &sample) const
+{
+    return loadOf(m_settings.headroomTargetFraction * static_cast<double>(sample.latencyTargetMs),
+                  floorMsOf(sample));
 }
 
 void throttle_controller::noteConfirmed(const run_speed &speed)
 {
-    const auto lastSpeed = m_confirmedSpeeds.find({speed.task, speed.run});
-    if (lastSpeed != m_confirmedSpeeds.end())
-        lastSpeed->second = speed.percent;
+    const auto known = m_speeds.find({speed.task, speed.run});
+    if (known != m_speeds.end() && known->second.percent == speed.percent)
+        known->second.isConfirmed = true;
+}
+
+// A worker may carry out a call without an answer seconds later, after newer ones. A run would then
+// stand still for good, so its speed is set once more.
+void throttle_controller::noteUnanswered(const run_speed &speed, time_point now)
+{
+    constexpr milliseconds LateEffectLimit{8000};
+    const auto known = m_speeds.find({speed.task, speed.run});
+    if (known != m_speeds.end())
+        known->second.repeatAt = now + LateEffectLimit;
 }
 
 void throttle_controller::forget(const task_id &task, int run)
 {
-    m_confirmedSpeeds.erase({task, run});
+    m_speeds.erase({task, run});
     m_lateRuns.erase({task, run});
 }
 
