Waits for a better place are weighed: by slack, run time and how soon one comes free

Fixed rules decided how long a best-effort task waits for a worker on which it makes no serving run late, and tasks took any rack but their data's at once; prefersSameRack had no effect. With weighed_waits, wait_policy decides both: the far factor and the places that come free on a rack are observed, a group stays on one rack where one holds it, and of a job with a run the other best-effort tasks wait as long as its slack lasts. A worker counts as a good place with a margin of load for what comes after the forecast, less as the slack ends.

--- a/libs/jobs/job_controller.cpp
+++ b/libs/jobs/job_controller.cpp
@@ -15,6 +15,7 @@
     : m_self(std::move(self))
     , m_workers(workers)
     , m_settings(settings)
+    , m_waitPolicy({settings.maxInterferenceWait, settings.maxInterferenceWaitWhenIdle})
 { }
 
 // --- requests of callers
@@ -245,6 +246,7 @@
     for (const auto &id : m_waitingJobs)
         byUrgency.emplace_back(urgencyOf(m_jobs.at(id).record, wallMs), id);
     std::sort(byUrgency.begin(), byUrgency.end());
+    m_waitPolicy.beginRound();
     for (const auto &[urgency, id] : byUrgency)
         placeWaitingTasks(id, m_jobs.at(id), now, wallMs);
     logUnderservedJobs(now);
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -24,6 +24,7 @@
 #include "jobs/run_times.h"
 #include "jobs/scheduling_features.h"
 #include "jobs/stall_timer.h"
+#include "jobs/wait_policy.h"
 #include "jobs/worker_pool.h"
 
 namespace zinniabarrow::jobs {
@@ -303,9 +304,46 @@
     void placeWaitingTasks(const std::string &id, owned_job &job, time_point now,
                            std::int64_t wallMs);
     bool placeStep(const std::string &id, owned_job &job, int occurrence, int stepIndex,
-                   time_point now);
+                   time_point now, std::int64_t wallMs);
     bool placeGang(const std::string &id, owned_job &job, int occurrence, int stepIndex,
-                   time_point now);
+                   time_point now, std::int64_t wallMs);
+    // A worker for each member of the gang in turn; empty: there is not one for all of them.
+    std::vector<std::string> chooseGangWorkers(const owned_job &job, const task_id &firstMember,
+                                               const step_spec &step, int run,
+                                               const std::string &onlyRack, time_point now) const;
+
+    // --- with weighsWaits; see wait_policy.h
+    // The waiting tasks of one step, while workers are chosen for them.
+    struct weighed_step
+    {
+        waiting_tasks tasks;
+        placement_preferences preferences;
+        std::string nearRack; // where tasks run faster: near their data or group; empty: none
+        bool isNearRackFull = false;          // no worker there can take a task of the step now
+        std::map<wait_reason, int> worseRuns; // tasks placed where a better place was waited for
+    };
+    struct weighed_choice
+    {
+        std::optional<std::string> worker;
+        std::optional<wait_reason> reason = {}; // why a worse place was taken, or why it waits
+    };
+    weighed_step weigh(const owned_job &job, const task_id &firstTask, const step_spec &step,
+                       time_point now, std::int64_t wallMs);
+    bool hasReportingRun(const owned_job &job, time_point now) const;
+    std::string nearRackOf(const owned_job &job, const task_id &firstTask, const step_spec &step,
+                           time_point now) const;
+    weighed_choice chooseOrWait(weighed_step &weighed, const owned_job &job, const task_id &task,
+                                const step_spec &step, time_point now);
+    weighed_choice chooseAnywhere(const weighed_step &weighed, const owned_job &job,
+                                  const task_id &task, const step_spec &step, time_point now) const;
+    bool placeWeighedStep(const std::string &id, owned_job &job, const task_id &firstTask,
+                          time_point now, std::int64_t wallMs);
+    // The workers for a gang that prefers one rack; empty: it waits.
+    std::vector<std::string> chooseGangOrWait(const std::string &id, owned_job &job,
+                                              const task_id &firstMember, const step_spec &step,
+                                              int run, time_point now, std::int64_t wallMs);
+    void logWorseRuns(const std::string &id, const task_id &firstTask, const weighed_step &weighed,
+                      time_point now);
     void placeTask(const std::string &id, owned_job &job, const task_id &task,
                    const step_spec &step, const std::string &worker, int run);
     bool endPlacementsBefore(const std::string &id, owned_job &job, const std::string &worker,
@@ -317,6 +355,8 @@
     chooseWorkerFor(const worker_pool &workers, const owned_job &job, const task_id &task,
                     const step_spec &step, time_point now,
                     const placement_preferences &preferences = {});
+    static std::uint64_t tieBreakSeedOf(const task_id &task, int run);
+    bool isServiceMostlyUsed(const owned_job &job, time_point now) const;
     // Whether the task must not go to a quarantined worker yet.
     static bool isKeptFromQuarantine(const owned_job &job, const task_id &task, time_point now);
     void logUnplacedTasks(const std::string &id, owned_job &job, int occurrence, int stepIndex,
@@ -357,6 +397,7 @@
     worker_pool &m_workers;
     controller_settings m_settings;
     run_times m_runTimes;
+    wait_policy m_waitPolicy;
     std::map<std::string, owned_job> m_jobs;
     std::set<std::string> m_waitingJobs;      // jobs that may have a task to place
     std::set<std::string> m_changedJobs;      // jobs that changed since the last call of `plan`
--- a/libs/jobs/job_controller_ends.cpp
+++ b/libs/jobs/job_controller_ends.cpp
@@ -54,6 +54,9 @@
         m_workers.recordServedRun(worker);
     else if (m_workers.recordRunEnd(worker, end.endKind, slowdownOf(runDuration, step), now))
         logQuarantine(id, worker, end, now);
+    if (end.endKind == end_kind::Done && !step.dataRack.empty())
+        m_waitPolicy.recordRun(m_workers.rackOf(worker) == step.dataRack,
+                               slowdownOf(runDuration, step));
     const bool hasFailedAtOnce = end.endKind == end_kind::Failed && !isEndOfService;
     if (step.isLongRunning && (hasFailedAtOnce || end.endKind == end_kind::NeverStarted))
         job.quarantineRetryAt[end.task] = now + m_settings.quarantineRetryDelay;
--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr double MostlyUsedShare = 0.55; // of a service's processors, see maxInterferenceWait
-
 bool hasPlacements(const job_record &record)
 {
     for (const auto &steps : record.tasks) {
@@ -26,14 +24,14 @@
     return false;
 }
 
+} // namespace
+
 // A different seed for each run, so that a task that was refused tends to try another worker.
-std::uint64_t tieBreakSeedOf(const task_id &task, int run)
+std::uint64_t job_controller::tieBreakSeedOf(const task_id &task, int run)
 {
     return stableHash(fmt::format("{} {}", toText(task), run));
 }
 
-} // namespace
-
 void job_controller::placeWaitingTasks(const std::string &id, owned_job &job, time_point now,
                                        std::int64_t wallMs)
 {
@@ -53,8 +51,8 @@
             const auto occurrenceNumber = static_cast<int>(occurrence);
             const auto stepNumber = static_cast<int>(step);
             if (job.record.isStepReady(occurrenceNumber, stepNumber))
-                hasWaitingTasks =
-                        placeStep(id, job, occurrenceNumber, stepNumber, now) || hasWaitingTasks;
+                hasWaitingTasks = placeStep(id, job, occurrenceNumber, stepNumber, now, wallMs)
+                                  || hasWaitingTasks;
         }
     }
     if (!hasWaitingTasks)
@@ -67,11 +65,13 @@
 
 // Returns true when some task of the step still waits for a worker.
 bool job_controller::placeStep(const std::string &id, owned_job &job, int occurrence, int stepIndex,
-                               time_point now)
+                               time_point now, std::int64_t wallMs)
 {
     const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
     if (step.isGang)
-        return placeGang(id, job, occurrence, stepIndex, now);
+        return placeGang(id, job, occurrence, stepIndex, now, wallMs);
+    if (m_settings.features.weighsWaits)
+        return placeWeighedStep(id, job, {id, occurrence, stepIndex, 0}, now, wallMs);
     const auto &stepTasks = job.record.tasks[static_cast<std::size_t>(occurrence)]
                                             [static_cast<std::size_t>(stepIndex)];
     auto unplacedTasks = countWaiting(stepTasks);
@@ -79,8 +79,7 @@
     if (unplacedTasks == 0)
         waitStart = now;
     placement_preferences preferences;
-    const bool isMostlyUsed =
-            m_workers.usedProcessorShare(job.record.policy.service, now) > MostlyUsedShare;
+    const bool isMostlyUsed = isServiceMostlyUsed(job, now);
     preferences.avoidsInterference =
             now - waitStart < (isMostlyUsed ? m_settings.maxInterferenceWait
                                             : m_settings.maxInterferenceWaitWhenIdle);
@@ -115,7 +114,7 @@
 // Places all tasks of the gang or none: a member that runs alone occupies its worker in vain.
 // Returns true when the gang waits for workers.
 bool job_controller::placeGang(const std::string &id, owned_job &job, int occurrence, int stepIndex,
-                               time_point now)
+                               time_point now, std::int64_t wallMs)
 {
     const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
     auto &members = job.record.tasks[static_cast<std::size_t>(occurrence)]
@@ -126,18 +125,13 @@
             return false; // done, or members of an earlier run have not ended yet
         run = std::max(run, member.lastRun + 1);
     }
-    auto trialPool = m_workers;
-    std::vector<std::string> chosenWorkers;
-    for (int index = 0; index < step.count; ++index) {
-        const task_id task{id, occurrence, stepIndex, index};
-        placement_preferences preferences;
-        preferences.tieBreakSeed = tieBreakSeedOf(task, run);
-        const auto worker = chooseWorkerFor(trialPool, job, task, step, now, preferences);
-        if (!worker)
-            return true;
-        trialPool.reserve(*worker, step);
-        chosenWorkers.push_back(*worker);
-    }
+    const task_id firstMember{id, occurrence, stepIndex, 0};
+    const auto chosenWorkers =
+            m_settings.features.weighsWaits
+                    ? chooseGangOrWait(id, job, firstMember, step, run, now, wallMs)
+                    : chooseGangWorkers(job, firstMember, step, run, {}, now);
+    if (chosenWorkers.empty())
+        return true;
     // All members resume from the latest checkpoint of any of them.
     std::string checkpoint;
     for (const auto &member : members)
@@ -150,6 +144,29 @@
     return false;
 }
 
+std::vector<std::string> job_controller::chooseGangWorkers(const owned_job &job,
+                                                           const task_id &firstMember,
+                                                           const step_spec &step, int run,
+                                                           const std::string &onlyRack,
+                                                           time_point now) const
+{
+    auto trialPool = m_workers;
+    std::vector<std::string> chosenWorkers;
+    for (int index = 0; index < step.count; ++index) {
+        auto task = firstMember;
+        task.index = index;
+        placement_preferences preferences;
+        preferences.tieBreakSeed = tieBreakSeedOf(task, run);
+        preferences.onlyRack = onlyRack;
+        const auto worker = chooseWorkerFor(trialPool, job, task, step, now, preferences);
+        if (!worker)
+            return {};
+        trialPool.reserve(*worker, step);
+        chosenWorkers.push_back(*worker);
+    }
+    return chosenWorkers;
+}
+
 void job_controller::placeTask(const std::string &id, owned_job &job, const task_id &task,
                                const step_spec &step, const std::string &worker, int run)
 {
@@ -191,6 +208,12 @@
     return workers.chooseWorker(service, step, fullWorkers, now, lastResort);
 }
 
+bool job_controller::isServiceMostlyUsed(const owned_job &job, time_point now) const
+{
+    constexpr double MostlyUsedShare = 0.55; // of its processors, see maxInterferenceWait
+    return m_workers.usedProcessorShare(job.record.policy.service, now) > MostlyUsedShare;
+}
+
 bool job_controller::isKeptFromQuarantine(const owned_job &job, const task_id &task, time_point now)
 {
     const auto found = job.quarantineRetryAt.find(task);
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -29,6 +29,23 @@
            / static_cast<double>(TieBreakSteps);
 }
 
+// Whether the worker can take the task, or could if others of its runs ended.
+bool mayFitLater(unfit_reason reason)
+{
+    switch (reason) {
+    case unfit_reason::None:
+    case unfit_reason::BestEffortFull:
+    case unfit_reason::WouldCauseLateness:
+    case unfit_reason::RefusedByAgent:
+    case unfit_reason::NoProcessors:
+    case unfit_reason::NoMemory:
+    case unfit_reason::NoAccelerators:
+        return true;
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
 task_size reservedSize(const task_size &size, bool isBestEffort)
@@ -157,6 +174,8 @@
     if (!step.requiredLabel.empty() && step.requiredLabel != latest.kind
         && step.requiredLabel != latest.rack)
         return unfit_reason::LabelMismatch;
+    if (!preferences.onlyRack.empty() && preferences.onlyRack != latest.rack)
+        return unfit_reason::OtherRack;
     // Above this share, best-effort runs only slow each other down: more jobs are on time when they
     // wait and run one after another than when all run at a fraction of full speed.
     constexpr double MaxProcessorShare = 0.95;
@@ -167,7 +186,7 @@
     // time, while nothing makes up for a late response to a user.
     constexpr double MaxExpectedLateJobs = 0.15;
     if (step.isBestEffort && preferences.avoidsInterference
-        && expectedLateJobs(view, step) > MaxExpectedLateJobs)
+        && expectedLateJobs(view, step, preferences.loadMargin) > MaxExpectedLateJobs)
         return unfit_reason::WouldCauseLateness;
     const auto size = reservedSize(step.size, step.isBestEffort);
     const auto lacking = lackingResource(size, latest.capacity, latest.used);
@@ -225,6 +244,32 @@
     return best->lastReport.worker;
 }
 
+std::map<std::string, rack_room>
+worker_pool::roomByRack(const std::string &service, const step_spec &step, int maxTasks,
+                        time_point now, const placement_preferences &preferences) const
+{
+    std::map<std::string, rack_room> rooms;
+    for (const auto &[name, view] : m_workers) {
+        const auto reason = unfitReasonOf(view, service, step, preferences, now);
+        const auto size = reservedSize(step.size, step.isBestEffort);
+        if (view.lastReport.rack.empty() || !mayFitLater(reason)
+            || !size.fitsInto(view.lastReport.capacity))
+            continue;
+        auto &room = rooms[view.lastReport.rack];
+        ++room.workers;
+        if (reason == unfit_reason::None)
+            room.fittingTasks =
+                    std::min(maxTasks, room.fittingTasks + countFitting(view, step, maxTasks));
+    }
+    return rooms;
+}
+
+std::string worker_pool::rackOf(const std::string &worker) const
+{
+    const auto *view = find(worker);
+    return view == nullptr ? std::string() : view->lastReport.rack;
+}
+
 void worker_pool::setHome(const std::string &worker, bool isHome)
 {
     const auto found = m_workers.find(worker);
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -72,6 +72,7 @@
     Silent,             // no report within `reportTimeout`
     Quarantined,        // too many runs failed in a row
     LabelMismatch,      // neither its kind nor its rack is the label that the step requires
+    OtherRack,          // not on the rack to which this choice is limited
     BestEffortFull,     // best-effort runs would only slow each other down
     WouldCauseLateness, // a best-effort task would make serving runs late
     Avoided,            // in the `avoid` list of this choice
@@ -97,6 +98,16 @@
     std::uint64_t tieBreakSeed = 0;
     // Whether the task may go to a quarantined worker: as a last resort, if no other can take it.
     bool mayUseQuarantined = false;
+    // With `avoidsInterference`: load that serving runs must be able to bear in addition.
+    double loadMargin = 0;
+    std::string onlyRack = {}; // the only rack on which to look for a worker; empty: on all
+};
+
+// What a rack has for the tasks of a step.
+struct rack_room
+{
+    int workers = 0;      // that can take tasks of the step, now or when other runs have ended
+    int fittingTasks = 0; // tasks of the step that these could start now
 };
 
 class worker_pool
@@ -137,6 +148,12 @@
     std::optional<std::string> chooseWorker(const std::string &service, const step_spec &step,
                                             const std::vector<std::string> &avoid, time_point now,
                                             const placement_preferences &preferences = {}) const;
+    // Racks with workers for tasks of the step, and the room there for at most `maxTasks` of them.
+    std::map<std::string, rack_room> roomByRack(const std::string &service, const step_spec &step,
+                                                int maxTasks, time_point now,
+                                                const placement_preferences &preferences) const;
+    // The rack of a worker by its latest report; empty: unknown.
+    std::string rackOf(const std::string &worker) const;
     // Explains for the log why `chooseWorker` found no worker: the number of workers of the service
     // for each unfit_reason, how many of the workers that lack free capacity would have enough
     // for the task if they had only their long-running runs, and how many processors that would
@@ -184,10 +201,11 @@
     static int countFitting(const worker_view &view, const step_spec &step, int waitingTasks);
     // By job: probability that a best-effort task of the step makes the job late here, or keeps it
     // late.
-    std::map<std::string, double> expectedLateness(const worker_view &view,
-                                                   const step_spec &step) const;
+    std::map<std::string, double> expectedLateness(const worker_view &view, const step_spec &step,
+                                                   double loadMargin) const;
     // Sum of these probabilities with the jobs' weights; decides whether the task waits.
-    double expectedLateJobs(const worker_view &view, const step_spec &step) const;
+    double expectedLateJobs(const worker_view &view, const step_spec &step,
+                            double loadMargin) const;
     // The same for the choice between workers, where it does not matter whether jobs that were
     // served worse than the average are late elsewhere.
     double latenessCost(const worker_view &view, const step_spec &step) const;
--- a/libs/jobs/worker_pool_log.cpp
+++ b/libs/jobs/worker_pool_log.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr name_table<unfit_reason, 14> UnfitReasonNames{{
+constexpr name_table<unfit_reason, 15> UnfitReasonNames{{
         {unfit_reason::None, "fit"},
         {unfit_reason::ServiceMismatch, "other_service"},
         {unfit_reason::NotAccepting, "not_accepting"},
@@ -20,6 +20,7 @@
         {unfit_reason::Silent, "silent"},
         {unfit_reason::Quarantined, "set_aside"},
         {unfit_reason::LabelMismatch, "other_label"},
+        {unfit_reason::OtherRack, "other_rack"},
         {unfit_reason::BestEffortFull, "full"},
         {unfit_reason::WouldCauseLateness, "makes_late"},
         {unfit_reason::Avoided, "avoided"},
--- a/libs/jobs/worker_score.cpp
+++ b/libs/jobs/worker_score.cpp
@@ -87,7 +87,8 @@
 // worker, or keeps it late. Only the worst run of each job counts: users of a job depend on all of
 // its tasks, so one late task spoils the job and a second one adds little.
 std::map<std::string, double> worker_pool::expectedLateness(const worker_view &view,
-                                                            const step_spec &step) const
+                                                            const step_spec &step,
+                                                            double loadMargin) const
 {
     std::map<std::string, double> latenessByJob;
     if (!step.isBestEffort)
@@ -99,7 +100,7 @@
     const double cores = static_cast<double>(step.size.millicores) / 1000;
     for (const auto &run : view.lastReport.serving) {
         const double addedLoad = m_interferenceEstimator.loadPerCore(run.image, step.image) * cores;
-        const double load = interferenceLoad(view, run) + addedLoad;
+        const double load = interferenceLoad(view, run) + addedLoad + loadMargin;
         const double probability =
                 std::clamp((load - run.headroom) / LoadUncertainty + 0.5, 0.0, 1.0);
         if (probability <= 0 || addedLoad <= 0)
@@ -113,10 +114,11 @@
 
 // Expected number of jobs that the task makes or keeps late here. A job that is late elsewhere
 // counts only in part.
-double worker_pool::expectedLateJobs(const worker_view &view, const step_spec &step) const
+double worker_pool::expectedLateJobs(const worker_view &view, const step_spec &step,
+                                     double loadMargin) const
 {
     double sum = 0;
-    for (const auto &[job, probability] : expectedLateness(view, step))
+    for (const auto &[job, probability] : expectedLateness(view, step, loadMargin))
         sum += probability * latenessWeight(view, job);
     return sum;
 }
@@ -129,7 +131,7 @@
 double worker_pool::latenessCost(const worker_view &view, const step_spec &step) const
 {
     double sum = 0;
-    for (const auto &[job, probability] : expectedLateness(view, step)) {
+    for (const auto &[job, probability] : expectedLateness(view, step, 0)) {
         const auto weight = m_serviceHistory.isBelowAverage(job)
                                     ? m_serviceHistory.latenessWeightOf(job)
                                     : latenessWeight(view, job);
