Copies of slow tasks: a second run where the caller permits it

Cause: step_spec::isSpeculative was stored and had no effect. A run on a worker that is slow, silent or cut off delays its whole job, although most processors may be idle. Change: with features.copiesSlowTasks, a run that is slow by its siblings, or whose worker is silent, quarantined, slow or does not answer, gets one copy on another worker, on another rack if possible; the first to be done counts. Bounded by idle processors, by shares of the job's and the owner's runs, and by the attempts left, runs at work counted as failed.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -314,6 +314,8 @@
     void execute(log_event &action, orders_by_worker & /*orders*/)
     {
         m_metrics.count("job_events_total", action.event);
+        if (!action.reason.empty())
+            m_metrics.count(action.event + "_total", action.reason);
         m_log.writeEvent(action.event, {{"job", action.job}, {"detail", action.detail}});
     }
 
--- a/libs/jobs/job_controller.cpp
+++ b/libs/jobs/job_controller.cpp
@@ -33,6 +33,7 @@
     job.waitingTokens.push_back({token, job.revision});
     m_changedJobs.insert(id);
     m_waitingJobs.insert(id);
+    noteCopyableJob(id, job);
     // Tasks are placed before the first write, so that the acceptance and the first placements are
     // one transaction.
     placeWaitingTasks(id, job, now, wallMs);
@@ -153,8 +154,10 @@
     job.cancelRowStored = record.cancelled;
     job.version = version;
     job.storedState = record.state();
+    job.isAdopted = true;
     m_changedJobs.insert(id);
     m_waitingJobs.insert(id);
+    noteCopyableJob(id, job);
     forEachTask(id, job, [&](const task_id &task, const task_state &state) {
         auto &orders = record.shouldRun(state) ? job.startOrders : job.stopOrders;
         for (const auto &runPlacement : state.placements)
@@ -184,8 +187,10 @@
     // that was saved with the end.
     if (!isPlacedOn(*task, worker, progress.run))
         return;
-    task->checkpoint = progress.checkpoint;
-    markChanged(found->first, found->second);
+    const auto before = task->checkpoint;
+    keepCheckpoint(*task, stepOf(found->second, progress.task), progress.checkpoint);
+    if (task->checkpoint != before)
+        markChanged(found->first, found->second);
 }
 
 void job_controller::runStarted(const started_run &run, time_point now)
@@ -247,6 +252,7 @@
     std::sort(byUrgency.begin(), byUrgency.end());
     for (const auto &[urgency, id] : byUrgency)
         placeWaitingTasks(id, m_jobs.at(id), now, wallMs);
+    placeCopies(now, wallMs);
     logUnderservedJobs(now);
     logLongRunningTasks(now, wallMs);
     logStalledTasks(now, wallMs);
@@ -339,6 +345,7 @@
     m_changedJobs.erase(id);
     m_jobsWithOrders.erase(id);
     m_startedWriteDueAt.erase(id);
+    m_copyableJobs.erase(id);
 }
 
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "jobs/copy_policy.h"
 #include "jobs/job_summary.h"
 #include "jobs/messages.h"
 #include "jobs/model.h"
@@ -73,6 +74,7 @@
     std::string event; // one of the events that docs/OPERATIONS.md lists
     std::string job;
     std::string detail;
+    std::string reason = {}; // if given, the event is also counted by it
 };
 
 using controller_action =
@@ -110,6 +112,7 @@
     milliseconds stallLogInterval{4000};
     milliseconds stallCheckInterval{1000};
     scheduling_features features;
+    copy_settings copies;
 };
 
 class job_controller
@@ -223,6 +226,20 @@
         std::int64_t unplacedMs = 0; // total time during which steps had tasks without a worker
     };
 
+    // The newest copy of a task, as far as this owner placed it.
+    struct task_copy
+    {
+        int run = 0;
+        time_point placedAt{};
+    };
+
+    // Of a service, in one check for copies.
+    struct service_state
+    {
+        double usedShare = 1; // of its processors
+        double medianSlowdown = 1;
+    };
+
     struct owned_job
     {
         job_record record;
@@ -254,6 +271,10 @@
         // and the timeline.
         std::map<std::pair<int, int>, waiting_step> unplacedSteps;
         std::map<task_id, stall_timer> stalls; // of long-running tasks
+        bool isAdopted = false;                // taken over from another owner
+        std::map<task_id, task_copy> copies;
+        // By occurrence and step: run times of its tasks that are done, ms.
+        std::map<std::pair<int, int>, std::vector<std::int64_t>> doneRunTimes;
         job_timeline timeline;
     };
 
@@ -290,6 +311,11 @@
     run_order makeStartOrder(const owned_job &job, const task_id &task,
                              const placement &runPlacement, time_point now) const;
     void stopAllRuns(const std::string &id, owned_job &job);
+    static bool isOutOfAttempts(const owned_job &job, const step_spec &step,
+                                const task_state &state);
+    void failJob(const std::string &id, owned_job &job, const task_id &task);
+    void keepCheckpoint(task_state &state, const step_spec &step,
+                        const std::string &checkpoint) const;
     static void handleNeverStarted(owned_job &job, const std::string &worker, const task_id &task,
                                    int run);
     static void stopRun(owned_job &job, const task_id &task, const placement &runPlacement);
@@ -319,6 +345,23 @@
                     const placement_preferences &preferences = {});
     // Whether the task must not go to a quarantined worker yet.
     static bool isKeptFromQuarantine(const owned_job &job, const task_id &task, time_point now);
+    // --- job_controller_copies.cpp
+    bool mayHaveCopies(const step_spec &step) const;
+    void noteCopyableJob(const std::string &id, const owned_job &job);
+    template <typename Visit>
+    void forEachCopyableTask(const std::string &id, owned_job &job, Visit visit);
+    void placeCopies(time_point now, std::int64_t wallMs);
+    void placeCopiesOf(const std::string &id, owned_job &job, copy_budget &budget, time_point now);
+    copy_reason copyReasonOf(const owned_job &job, const task_id &task, const service_state &pool,
+                             time_point now) const;
+    run_at_work runAtWork(const owned_job &job, const task_id &task, const service_state &pool,
+                          time_point now) const;
+    std::optional<std::string> chooseWorkerForCopy(const owned_job &job, const task_id &task,
+                                                   const service_state &pool, time_point now) const;
+    bool placeCopy(const std::string &id, owned_job &job, const task_id &task, copy_reason reason,
+                   const service_state &pool, time_point now);
+    void noteCopyOutcome(const std::string &id, const owned_job &job, const task_id &task, int run);
+    void stopOverdueStarts(owned_job &job, time_point now);
     void logUnplacedTasks(const std::string &id, owned_job &job, int occurrence, int stepIndex,
                           int tasks, const placement_preferences &preferences, time_point now);
     // Logs long-running jobs with tasks that are unplaced, not running, or late.
@@ -351,7 +394,8 @@
     void logQuarantine(const std::string &id, const std::string &worker, const run_end &failure,
                        time_point now);
     static std::string describeRun(const task_id &task, int run, const std::string &worker);
-    void addLog(std::string event, const std::string &job, std::string detail);
+    void addLog(std::string event, const std::string &job, std::string detail,
+                std::string reason = {});
 
     owner_id m_self;
     worker_pool &m_workers;
@@ -370,6 +414,8 @@
     time_point m_nextStallCheckAt{};     // when tasks are checked for stalls next
     // Jobs whose row does not show yet that they have started, and when that is to be written.
     std::map<std::string, time_point> m_startedWriteDueAt;
+    std::set<std::string> m_copyableJobs; // unfinished jobs with tasks that may have copies
+    time_point m_nextCopyCheckAt{};
     std::int64_t m_nextWriteNumber = 1;
     std::vector<controller_action> m_actions;
 };
--- a/libs/jobs/job_controller_ends.cpp
+++ b/libs/jobs/job_controller_ends.cpp
@@ -61,7 +61,9 @@
     if (end.endKind != end_kind::NeverStarted)
         markStarted(id, job, now);
     if (!end.checkpoint.empty())
-        task.checkpoint = end.checkpoint;
+        keepCheckpoint(task, step, end.checkpoint);
+    if (end.endKind == end_kind::Done && runDuration && mayHaveCopies(step))
+        job.doneRunTimes[{end.task.occurrence, end.task.step}].push_back(runDuration->count());
     if (end.endKind == end_kind::NeverStarted)
         handleNeverStarted(job, worker, end.task, end.run);
     if (end.endKind != end_kind::Done)
@@ -98,7 +100,7 @@
     if (!completesTask && !isFirstReport)
         return;
     if (!end.checkpoint.empty() && end.run == task.lastRun)
-        task.checkpoint = end.checkpoint;
+        keepCheckpoint(task, step, end.checkpoint);
     applyRunEnd(id, job, worker, end, std::nullopt);
 }
 
@@ -152,6 +154,7 @@
         // The members of a gang end together: their placements of this run end without a stop
         // order.
         removePlacement(job, memberId, run);
+        noteCopyOutcome(id, job, memberId, run);
         stopRedundantRuns(job, memberId, member);
     }
     m_jobsWithOrders.insert(id);
@@ -182,11 +185,33 @@
     if (hasServed(step, runDuration))
         return;
     avoidWorker(job, end.task, worker);
-    if (step.isLongRunning || task.failures < job.record.policy.maxAttempts)
-        return;
+    // Another run may still complete the task. If it does not, placeStep() fails the job.
+    const bool isCopyAtWork = mayHaveCopies(step) && !task.placements.empty();
+    if (isOutOfAttempts(job, step, task) && !isCopyAtWork)
+        failJob(id, job, end.task);
+}
+
+bool job_controller::isOutOfAttempts(const owned_job &job, const step_spec &step,
+                                     const task_state &state)
+{
+    return !step.isLongRunning && state.failures > 0
+           && state.failures >= job.record.policy.maxAttempts;
+}
+
+void job_controller::failJob(const std::string &id, owned_job &job, const task_id &task)
+{
     job.record.failed = true;
     stopAllRuns(id, job);
-    addLog("job_failed", id, fmt::format("{} failed {} times", toText(end.task), task.failures));
+    addLog("job_failed", id,
+           fmt::format("{} failed {} times", toText(task), job.record.find(task)->failures));
+}
+
+// Of two runs of a task, the one that was started later may be behind. Checkpoints of one task
+// compare as texts, as for the members of a gang.
+void job_controller::keepCheckpoint(task_state &state, const step_spec &step,
+                                    const std::string &checkpoint) const
+{
+    state.checkpoint = mayHaveCopies(step) ? std::max(state.checkpoint, checkpoint) : checkpoint;
 }
 
 // The run was refused or never started. The other members of its gang would wait for it in vain, so
--- a/libs/jobs/job_controller_log.cpp
+++ b/libs/jobs/job_controller_log.cpp
@@ -232,9 +232,10 @@
                        toText(failure.task), failure.run));
 }
 
-void job_controller::addLog(std::string event, const std::string &job, std::string detail)
+void job_controller::addLog(std::string event, const std::string &job, std::string detail,
+                            std::string reason)
 {
-    m_actions.emplace_back(log_event{std::move(event), job, std::move(detail)});
+    m_actions.emplace_back(log_event{std::move(event), job, std::move(detail), std::move(reason)});
 }
 
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/job_controller_orders.cpp
+++ b/libs/jobs/job_controller_orders.cpp
@@ -214,6 +214,8 @@
         return !order.isInFlight && order.neededRevision <= job.storedRevision
                && order.retryAt <= now;
     };
+    if (m_copyableJobs.contains(id))
+        stopOverdueStarts(job, now);
     for (auto &[key, order] : job.startOrders) {
         if (!isDue(order))
             continue;
--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -70,6 +70,8 @@
                                time_point now)
 {
     const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
+    if (job.record.failed)
+        return false;
     if (step.isGang)
         return placeGang(id, job, occurrence, stepIndex, now);
     const auto &stepTasks = job.record.tasks[static_cast<std::size_t>(occurrence)]
@@ -94,6 +96,13 @@
         auto &state = *job.record.find(task);
         if (!state.isWaiting())
             continue;
+        // Its last run failed earlier than a copy, which has ended without completing it.
+        if (isOutOfAttempts(job, step, state)) {
+            failJob(id, job, task);
+            markChanged(id, job);
+            addLog("job_ended", id, std::string(nameOf(job.record.state())));
+            return false;
+        }
         preferences.waitingTasks = unplacedTasks--;
         preferences.tieBreakSeed = tieBreakSeedOf(task, state.lastRun + 1);
         preferences.mayOvercommit = mayOvercommit && !hasPlacements(job.record);
--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -25,7 +25,7 @@
 };
 
 // One step of a job: tasks of the same kind that may run in parallel. `checkpointing`,
-// `prefersSameRack`, `isSpeculative` and `maxUnavailable` are stored, but have no effect.
+// `prefersSameRack` and `maxUnavailable` are stored, but have no effect.
 struct step_spec
 {
     int count = 1;                    // number of tasks
@@ -106,7 +106,8 @@
     int failures = 0;       // number of failed runs
     std::string checkpoint; // text of the latest one, passed to the next run; empty: none
     // Runs that have not ended, as far as the owner knows. A further run is placed only when there
-    // is none. Those of a task that is done are redundant and are being stopped.
+    // is none, except one copy (copy_policy.h). Those of a task that is done are redundant and are
+    // being stopped.
     std::vector<placement> placements;
     // Runs that ended with their worker's epoch but whose end was never reported, the newest few.
     // The report may still arrive; then it is applied, a failure only once.
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -109,6 +109,7 @@
     bool update(const worker_report &report, time_point now);
     const worker_view *find(const std::string &worker) const;
     std::size_t workerCount() const { return m_workers.size(); } // that have ever reported
+    const std::map<std::string, worker_view> &workers() const { return m_workers; }
     // Whether its agent has reported within `reportTimeout`.
     bool isReporting(const std::string &worker, time_point now) const;
     // Deadline of a start order that is sent now, by the clock of the agent, ms; 0: the agent's
