--- a/tests/copies_test.cpp
+++ b/tests/copies_test.cpp
@@ -6,13 +6,14 @@
 
 #include <criterion/criterion.h>
 
+#include "cluster_simulation.h"
 #include "jobs/copy_policy.h"
 #include "jobs/job_controller.h"
 #include "section.h"
 
 using namespace zinniabarrow;
 using namespace zinniabarrow::jobs;
-using zinniabarrow::tests::section;
+using namespace zinniabarrow::tests;
 
 namespace {
 
@@ -449,3 +450,54 @@
     fixture.pass(milliseconds(3000));
     check(fixture.starts.size() == 6);
 }
+
+// An owner is suspended after it has placed a copy, as the first run's start got no answer. Its
+// successor, which does not reach the first run's agent either, stores that the copy is done. If
+// the former owner then repeated the start, before it learned of its successor, the task would run
+// again long after it was done.
+Test(copies, suspended_owner)
+{
+    milliseconds feedDelay{2};
+    cluster_simulation simulation(
+            2, 3, [](const auto &, int) { return run_plan{milliseconds(300)}; },
+            [&](delivery_kind what) {
+                return what == delivery_kind::Feed ? delivery{feedDelay} : promptDelivery(what);
+            },
+            true, model_kind::Complete, settingsWithCopies(), 3);
+    simulation.run(milliseconds(1500));
+    auto &owner = simulation.entry(0);
+    simulation.delayOrder = [](const send_order &sent) -> std::optional<milliseconds> {
+        if (sent.order.run != 1)
+            return std::nullopt;
+        return std::chrono::hours(1);
+    };
+    std::string firstWorker;
+    simulation.onRowStored = [&](simulated_entry &, const std::string &, const job_record &record) {
+        if (firstWorker.empty())
+            firstWorker = record.tasks[0][0][0].placements.front().worker;
+    };
+    const auto cut = [&](const std::string &worker, const simulated_entry &entry) {
+        simulation.cutOffLink(simulation.agent(simulation.workerIndex(worker)), entry,
+                              std::chrono::seconds(30));
+    };
+    simulation.onOrderHandled = [&](const send_order &sent, const order_answer &) {
+        if (sent.order.run != 2 || feedDelay > std::chrono::seconds(1))
+            return;
+        simulation.freeze(owner, milliseconds(4500));
+        feedDelay = std::chrono::seconds(30);
+        cut(firstWorker, simulation.entry(1));
+        cut(sent.worker, owner);
+    };
+    simulation.submit("j", cluster::oneStep(1));
+    const task_id task{"j", 0, 0, 0};
+    require(simulation.runUntil([&] { return simulation.runChecker().isDone(task); },
+                                milliseconds(6000)));
+    check(simulation.runChecker().copyCount() == 0); // only the copy was started
+    check(simulation.now() < owner.frozenUntil);
+    simulation.delayOrder = nullptr;
+    simulation.stopStore(milliseconds(20'000));
+    simulation.run(milliseconds(10'000));
+    check(!isFinal(owner.controller->record("j")->state())); // it has not learned of its successor
+    check(simulation.runChecker().startCount() == 1);
+    check(simulation.runChecker().violations().empty());
+}
