--- a/libs/jobs/copy_policy.h
+++ b/libs/jobs/copy_policy.h
@@ -48,8 +48,8 @@
     double doneShareNeeded = 0.5;       // of the siblings, to know how long the task takes
     std::size_t doneSiblingsNeeded = 2; // the same, as a number
     double lastTasksShare = 0.2;        // tasks of a step that count as its last, at least one
-    double maxUsedShare = 0.7;          // of the service's processors, for any copy
-    double maxUsedShareForLastTasks = 0.55;
+    double maxUsedShare = 0.92;         // of the service's processors reserved, for any copy
+    double maxUsedShareForLastTasks = 0.85;
     double maxShareOfJob = 0.25;   // copies of a job's runs, at least one
     double maxShareOfOwner = 0.15; // copies of all runs of an owner's jobs that permit them
     int minCopiesOfOwner = 2;
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -351,6 +351,7 @@
     template <typename Visit>
     void forEachCopyableTask(const std::string &id, owned_job &job, Visit visit);
     void placeCopies(time_point now, std::int64_t wallMs);
+    bool hasUnplacedTasks(const std::string &service) const;
     void placeCopiesOf(const std::string &id, owned_job &job, copy_budget &budget, time_point now);
     copy_reason copyReasonOf(const owned_job &job, const task_id &task, const service_state &pool,
                              time_point now) const;
--- a/libs/jobs/job_controller_copies.cpp
+++ b/libs/jobs/job_controller_copies.cpp
@@ -87,13 +87,28 @@
         placeCopiesOf(id, m_jobs.at(id), budget, now);
 }
 
+// Whether tasks that reserve processors wait for a worker of the service: copies would only take
+// the room that is left.
+bool job_controller::hasUnplacedTasks(const std::string &service) const
+{
+    return std::any_of(m_waitingJobs.begin(), m_waitingJobs.end(), [&](const auto &id) {
+        const auto &job = m_jobs.at(id);
+        return job.record.policy.service == service
+               && std::any_of(job.unplacedSteps.begin(), job.unplacedSteps.end(),
+                              [&](const auto &unplaced) {
+                                  const auto step = static_cast<std::size_t>(unplaced.first.second);
+                                  return !job.record.steps[step].isBestEffort;
+                              });
+    });
+}
+
 void job_controller::placeCopiesOf(const std::string &id, owned_job &job, copy_budget &budget,
                                    time_point now)
 {
     const auto &service = job.record.policy.service;
     const service_state pool{m_workers.usedProcessorShare(service, now),
                              medianSlowdown(m_workers.workers(), service)};
-    if (pool.usedShare > m_settings.copies.maxUsedShare)
+    if (pool.usedShare > m_settings.copies.maxUsedShare || hasUnplacedTasks(service))
         return;
     budget.jobRuns = 0;
     budget.jobCopies = 0;
