--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "jobs/copy_policy.h"
 #include "jobs/job_summary.h"
 #include "jobs/messages.h"
 #include "jobs/model.h"
@@ -75,6 +76,7 @@
     std::string event; // one of the events that docs/OPERATIONS.md lists
     std::string job;
     std::string detail;
+    std::string reason = {}; // if given, the event is also counted by it
 };
 
 using controller_action =
@@ -112,6 +114,7 @@
     milliseconds stallLogInterval{4000};
     milliseconds stallCheckInterval{1000};
     scheduling_features features;
+    copy_settings copies;
 };
 
 class job_controller
@@ -237,6 +240,20 @@
         time_point repeatUntil{}; // an answer to a report may be lost, so the next ones repeat it
     };
 
+    // The newest copy of a task, as far as this owner placed it.
+    struct task_copy
+    {
+        int run = 0;
+        time_point placedAt{};
+    };
+
+    // Of a service, in one check for copies.
+    struct service_state
+    {
+        double usedShare = 1; // of its processors
+        double medianSlowdown = 1;
+    };
+
     struct owned_job
     {
         job_record record;
@@ -268,6 +285,8 @@
         // and the timeline.
         std::map<std::pair<int, int>, waiting_step> unplacedSteps;
         std::map<task_id, stall_timer> stalls; // of long-running tasks
+        bool isAdopted = false;                // taken over from another owner
+        std::map<task_id, task_copy> copies;
         job_timeline timeline;
         run_course course; // of its runs, for the log
     };
@@ -294,7 +313,7 @@
                      const run_end &end, const std::optional<milliseconds> &runDuration);
     static std::optional<milliseconds> takeRunDuration(owned_job &job, const run_end &end,
                                                        time_point now);
-    // Learns from the end of a run, if the entry learns run times.
+    // Notes how long the task took, and learns from it if the entry learns run times.
     void learnRunTime(owned_job &job, const std::string &worker, const run_end &end,
                       const std::optional<milliseconds> &runDuration);
     std::int64_t slackOf(const job_record &record, std::int64_t wallMs) const;
@@ -314,6 +333,11 @@
     void addSlack(run_order &order, const owned_job &job, const std::string &worker, time_point now,
                   std::int64_t wallMs);
     void stopAllRuns(const std::string &id, owned_job &job);
+    static bool isOutOfAttempts(const owned_job &job, const step_spec &step,
+                                const task_state &state);
+    void failJob(const std::string &id, owned_job &job, const task_id &task);
+    void keepCheckpoint(task_state &state, const step_spec &step,
+                        const std::string &checkpoint) const;
     static void handleNeverStarted(owned_job &job, const std::string &worker, const task_id &task,
                                    int run);
     static void stopRun(owned_job &job, const task_id &task, const placement &runPlacement);
@@ -382,6 +406,25 @@
     bool isServiceMostlyUsed(const owned_job &job, time_point now) const;
     // Whether the task must not go to a quarantined worker yet.
     static bool isKeptFromQuarantine(const owned_job &job, const task_id &task, time_point now);
+    // --- job_controller_copies.cpp
+    bool mayHaveCopies(const step_spec &step) const;
+    void noteCopyableJob(const std::string &id, const owned_job &job);
+    template <typename Visit>
+    void forEachCopyableTask(const std::string &id, owned_job &job, Visit visit);
+    void placeCopies(time_point now, std::int64_t wallMs);
+    bool hasUnplacedTasks(const std::string &service) const;
+    void placeCopiesOf(const std::string &id, owned_job &job, copy_budget &budget, time_point now);
+    copy_reason copyReasonOf(const owned_job &job, const task_id &task, const service_state &pool,
+                             time_point now) const;
+    run_at_work runAtWork(const owned_job &job, const task_id &task, const service_state &pool,
+                          time_point now) const;
+    std::optional<std::string> chooseWorkerForCopy(const owned_job &job, const task_id &task,
+                                                   const service_state &pool, time_point now) const;
+    bool placeCopy(const std::string &id, owned_job &job, const task_id &task, copy_reason reason,
+                   const service_state &pool, time_point now);
+    void recordOvertakenRuns(const owned_job &job, const run_end &end, time_point now);
+    void noteCopyOutcome(const std::string &id, const owned_job &job, const task_id &task, int run);
+    void stopOverdueStarts(owned_job &job, time_point now);
     void logUnplacedTasks(const std::string &id, owned_job &job, int occurrence, int stepIndex,
                           int tasks, const placement_preferences &preferences, time_point now);
     // Logs long-running jobs with tasks that are unplaced, not running, or late.
@@ -418,7 +461,8 @@
     void logQuarantine(const std::string &id, const std::string &worker, const run_end &failure,
                        time_point now);
     static std::string describeRun(const task_id &task, int run, const std::string &worker);
-    void addLog(std::string event, const std::string &job, std::string detail);
+    void addLog(std::string event, const std::string &job, std::string detail,
+                std::string reason = {});
 
     owner_id m_self;
     worker_pool &m_workers;
@@ -441,6 +485,8 @@
     time_point m_nextStallCheckAt{};     // when tasks are checked for stalls next
     // Jobs whose row does not show yet that they have started, and when that is to be written.
     std::map<std::string, time_point> m_startedWriteDueAt;
+    std::set<std::string> m_copyableJobs; // unfinished jobs with tasks that may have copies
+    time_point m_nextCopyCheckAt{};
     std::int64_t m_nextWriteNumber = 1;
     std::vector<controller_action> m_actions;
 };
--- a/libs/jobs/job_controller_slack.cpp
+++ b/libs/jobs/job_controller_slack.cpp
@@ -49,7 +49,7 @@
             accepted == job.startAcceptedAt.end() ? 0 : millisecondsIn(now - accepted->second);
     const auto keptMs = KeptPathShare * static_cast<double>(estimatedCriticalPathMs(record))
                         + static_cast<double>(KeptForStartMs);
-    const auto spendableMs = static_cast<double>(slackMs(record, wallMs) + elapsedMs) - keptMs;
+    const auto spendableMs = static_cast<double>(slackOf(record, wallMs) + elapsedMs) - keptMs;
     const auto remainingMs = std::max(step.estimateMs, unfinishedEstimateMs(record));
     const double share = static_cast<double>(step.estimateMs) / static_cast<double>(remainingMs);
     return std::clamp(static_cast<std::int64_t>(share * spendableMs), std::int64_t(0),
--- a/libs/jobs/job_controller_waits.cpp
+++ b/libs/jobs/job_controller_waits.cpp
@@ -37,7 +37,7 @@
         weighed.preferences.tieBreakSeed = tieBreakSeedOf(task, state.lastRun + 1);
         const auto choice = chooseOrWait(weighed, job, task, step, now);
         if (choice.worker) {
-            placeTask(id, job, task, step, *choice.worker, state.lastRun + 1);
+            placeTask(id, job, task, step, *choice.worker, state.lastRun + 1, now);
             weighed.tasks.hasRun = true;
             if (choice.reason)
                 ++weighed.worseRuns[*choice.reason];
@@ -64,9 +64,9 @@
     auto &tasks = weighed.tasks;
     const auto since = job.waitingSince.find({firstTask.occurrence, firstTask.step});
     tasks.since = since == job.waitingSince.end() ? now : since->second;
-    tasks.slackMs = slackMs(job.record, wallMs);
+    tasks.slackMs = slackOf(job.record, wallMs);
     tasks.runMs = m_runTimes.quantileMs(
-            {{job.record.policy.queue, step.image}, step.estimateMs, {}}, 0.5);
+            stepContextOf(job.record, firstTask.occurrence, firstTask.step), 0.5);
     tasks.hasRun = hasReportingRun(job, now);
     tasks.isLongRunning = step.isLongRunning;
     tasks.isServiceMostlyUsed = isServiceMostlyUsed(job, now);
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -181,6 +181,16 @@
     return slowdown > NoticeableSlowdown ? slowdown : 1;
 }
 
+void worker_pool::recordOvertakenRun(const std::string &worker, double slowdown)
+{
+    // Half: it is certain that the worker was slow, as the copy was started later and done sooner.
+    constexpr double OvertakenRunWeight = 0.5;
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end() || slowdown <= found->second.slowdown)
+        return;
+    found->second.slowdown += OvertakenRunWeight * (slowdown - found->second.slowdown);
+}
+
 void worker_pool::recordServedRun(const std::string &worker)
 {
     const auto found = m_workers.find(worker);
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -125,6 +125,7 @@
     bool update(const worker_report &report, time_point now);
     const worker_view *find(const std::string &worker) const;
     std::size_t workerCount() const { return m_workers.size(); } // that have ever reported
+    const std::map<std::string, worker_view> &workers() const { return m_workers; }
     // Whether its agent has reported within `reportTimeout`.
     bool isReporting(const std::string &worker, time_point now) const;
     // Deadline of a start order that is sent now, by the clock of the agent, ms; 0: the agent's
@@ -150,6 +151,11 @@
     // processors; 1: not noticeably longer, or not known.
     double slowdownAmongPeers(const std::string &worker) const;
 
+    // Records that a run which a copy has overtaken was stopped: it would have taken at least
+    // `slowdown` times its estimate. Without this a slow worker would end no run, and so keep its
+    // good score.
+    void recordOvertakenRun(const std::string &worker, double slowdown);
+
     // Records that a long-running run failed after it had been at work for a while: the worker is
     // not faulty.
     void recordServedRun(const std::string &worker);
