No slack is told while late jobs wait for room

Cause: a run that stands still keeps its room. Change: while an owned job that can't be in time lacks workers for best-effort tasks, and for 2 s after, runs of its service are told to have none.

--- a/libs/jobs/job_controller.cpp
+++ b/libs/jobs/job_controller.cpp
@@ -247,6 +247,8 @@
     std::sort(byUrgency.begin(), byUrgency.end());
     for (const auto &[urgency, id] : byUrgency)
         placeWaitingTasks(id, m_jobs.at(id), now, wallMs);
+    if (m_settings.features.sharesSlack)
+        noteScarceServices(byUrgency, now);
     logUnderservedJobs(now);
     logLongRunningTasks(now, wallMs);
     logStalledTasks(now, wallMs);
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -24,6 +24,7 @@
 #include "jobs/run_times.h"
 #include "jobs/scheduling_features.h"
 #include "jobs/stall_timer.h"
+#include "jobs/urgency.h"
 #include "jobs/worker_pool.h"
 
 namespace zinniabarrow::jobs {
@@ -303,6 +304,9 @@
     // How long the run may stand still in all without making its job late, ms; none: not shared.
     std::optional<std::int64_t> slackOfRun(const owned_job &job, const std::pair<task_id, int> &run,
                                            time_point now, std::int64_t wallMs) const;
+    // Notes services where best-effort tasks lack workers and their jobs get late by it.
+    void noteScarceServices(const std::vector<std::pair<job_urgency, std::string>> &waiting,
+                            time_point now);
     void addSlack(run_order &order, const owned_job &job, const std::string &worker, time_point now,
                   std::int64_t wallMs);
     void stopAllRuns(const std::string &id, owned_job &job);
@@ -384,7 +388,8 @@
     // By worker: runs whose slack its agent was told. Those no longer placed are removed when the
     // worker's next report arrives.
     std::map<std::string, std::map<std::pair<task_id, int>, sent_slack>> m_sentSlack;
-    time_point m_nextUnderservedLogAt{}; // when underserved jobs are logged next
+    std::map<std::string, time_point> m_scarceUntil; // by service; see noteScarceServices()
+    time_point m_nextUnderservedLogAt{};             // when underserved jobs are logged next
     time_point m_nextLongRunningLogAt{}; // when long-running tasks are counted in the log next
     time_point m_nextStallCheckAt{};     // when tasks are checked for stalls next
     // Jobs whose row does not show yet that they have started, and when that is to be written.
--- a/libs/jobs/job_controller_slack.cpp
+++ b/libs/jobs/job_controller_slack.cpp
@@ -17,6 +17,9 @@
 // Reports come about once a second, and the answers to two of them repeat a change.
 constexpr milliseconds SlackRepeatTime{2200};
 constexpr std::size_t MaxSlackChanges = 64; // in one answer
+// A run that stands still keeps its room from others. While late jobs wait for room, and for this
+// long after, runs are told to have no slack.
+constexpr milliseconds ScarceTime{2000};
 
 std::int64_t unfinishedEstimateMs(const job_record &record)
 {
@@ -35,6 +38,22 @@
 
 } // namespace
 
+void job_controller::noteScarceServices(
+        const std::vector<std::pair<job_urgency, std::string>> &waiting, time_point now)
+{
+    for (const auto &[urgency, id] : waiting) {
+        const auto &job = m_jobs.at(id);
+        const bool lacksWorkers = std::any_of(
+                job.unplacedSteps.begin(), job.unplacedSteps.end(), [&](const auto &entry) {
+                    return job.record.steps[static_cast<std::size_t>(entry.first.second)]
+                            .isBestEffort;
+                });
+        if (lacksWorkers && urgency.deadlineState == job_urgency::deadline_state::Late)
+            m_scarceUntil[job.record.policy.service] = now + ScarceTime;
+    }
+    std::erase_if(m_scarceUntil, [&](const auto &entry) { return entry.second <= now; });
+}
+
 std::optional<std::int64_t> job_controller::slackOfRun(const owned_job &job,
                                                        const std::pair<task_id, int> &run,
                                                        time_point now, std::int64_t wallMs) const
@@ -43,6 +62,8 @@
     const auto &step = stepOf(job, run.first);
     if (!m_settings.features.sharesSlack || !sharesSlackOf(record, step))
         return std::nullopt;
+    if (m_scarceUntil.contains(record.policy.service))
+        return 0;
     // The slack counts the estimate of the whole step, of which the run has done a part since.
     const auto accepted = job.startAcceptedAt.find(run);
     const auto elapsedMs =
