--- a/libs/jobs/job_controller.cpp
+++ b/libs/jobs/job_controller.cpp
@@ -260,6 +260,8 @@
     for (const auto &[urgency, id] : byUrgency)
         placeWaitingTasks(id, m_jobs.at(id), now, wallMs);
     placeCopies(now, wallMs);
+    if (m_settings.features.sharesSlack)
+        noteScarceServices(byUrgency, now);
     logUnderservedJobs(now);
     logLongRunningTasks(now, wallMs);
     logStalledTasks(now, wallMs);
