Copies: by the spread of siblings, and with patience where copies are in vain

Change: a run has to exceed its longest sibling by two spreads, by one where its worker is slow or it is one of the last; a patience for each kind of run rises with copies that were not done first.

--- a/libs/jobs/copy_policy.h
+++ b/libs/jobs/copy_policy.h
@@ -3,16 +3,19 @@
 // of the same step, which take about as long.
 //
 // For each run that is at work alone, fill in a run_at_work and call copyReasonFor(). If it gives a
-// reason, ask copy_budget::allows() before a copy is placed, and note it there afterwards.
+// reason, ask copy_budget::allows() before a copy is placed, and note it there afterwards. Once the
+// task is done, tell copy_patience which of the two runs was first.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string_view>
 #include <vector>
 
 #include "base/time.h"
+#include "jobs/run_times.h"
 
 namespace zinniabarrow::jobs {
 
@@ -26,6 +29,7 @@
     LastTasks,         // the step waits for few tasks, and many processors are idle
 };
 std::string_view nameOf(copy_reason reason);
+bool isByRunTime(copy_reason reason); // rather than by what is known of the worker
 
 struct copy_settings
 {
@@ -36,19 +40,26 @@
     // placed; its run is stopped instead. An owner that was suspended may not know that the other
     // run is done.
     milliseconds startOrderLifetime{700};
-    milliseconds silenceTimeout{1700};  // agents report every second
-    milliseconds minRunTime{150};       // a shorter run ends before its copy has started
-    milliseconds recopyDelay{500};      // from one copy of a task to the next
-    milliseconds failureDoubt{6000};    // after a failed run a worker takes no copies for this time
-    double highQuantile = 0.9;          // of the run times of a kind
-    double slowRunFactor = 1.5;         // on the longest sibling
-    double lastTasksFactor = 1.15;      // the same, for the last tasks of a step
-    double uncertainFactor = 2.5;       // on the high quantile, where siblings show nothing
+    milliseconds silenceTimeout{1700}; // agents report every second
+    milliseconds minRunTime{150};      // a shorter run ends before its copy has started
+    milliseconds recopyDelay{500};     // from one copy of a task to the next
+    milliseconds failureDoubt{6000};   // after a failed run a worker takes no copies for this time
+    double highQuantile = 0.9;         // of the run times of a kind
+    // A run is slow when it exceeds the longest run time of its siblings by this many spreads: what
+    // the longest exceeds their median by, and at least `minSpread` of the longest.
+    double slowRunSpreads = 2;
+    double lastTasksSpreads = 1; // the same, for the last tasks of a step and slow workers
+    double minSpread = 0.2;
+    double learnedFactor = 1.5;         // on the high quantile, where siblings show nothing
+    double estimatedFactor = 2.5;       // the same, while run times are not learned
     double slowWorkerFactor = 2;        // on the service's median slowdown
     double doneShareNeeded = 0.5;       // of the siblings, to know how long the task takes
     std::size_t doneSiblingsNeeded = 2; // the same, as a number
     double lastTasksShare = 0.2;        // tasks of a step that count as its last, at least one
-    double maxUsedShare = 0.92;         // of the service's processors reserved, for any copy
+    // Up to these shares of the service's processors, in use or reserved, there are copies: of runs
+    // that may never end, of slow runs, and of the last tasks of a step.
+    double maxUsedShareForDoubtfulWorkers = 0.97;
+    double maxUsedShareForSlowRuns = 0.92;
     double maxUsedShareForLastTasks = 0.85;
     double maxShareOfJob = 0.25;   // copies of a job's runs, at least one
     double maxShareOfOwner = 0.15; // copies of all runs of an owner's jobs that permit them
@@ -69,6 +80,7 @@
     double workerSlowdown = 1;   // of the worker over the service's median
     std::int64_t expectedMs = 0; // high quantile of the run times of its kind
     bool isExpectedLearned = false;
+    double patience = 1;                  // of its kind, see copy_patience
     std::vector<std::int64_t> siblingsMs; // run times of its siblings that are done, ms
     std::size_t stepTasks = 1;            // tasks of the step
     std::size_t undoneTasks = 1;          // those that are not done
@@ -89,6 +101,19 @@
     void noteCopy();
 };
 
+// By kind of run, a factor on how much longer than usual a run must take to get a copy. It rises
+// with each copy that was not done first, where run times vary more than siblings show, and falls
+// with each one that was.
+class copy_patience
+{
+public:
+    double of(const run_kind &kind) const;
+    void noteOutcome(const run_kind &kind, bool copyWon);
+
+private:
+    std::map<run_kind, double> m_factors;
+};
+
 // Whether one more run of the task can't exceed the limit of failed runs, even if all that are at
 // work fail. `openRuns`: those that have not ended, or whose end was not reported.
 bool hasAttemptLeft(int failures, std::size_t openRuns, int maxAttempts);
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -231,6 +231,7 @@
     {
         int run = 0;
         time_point placedAt{};
+        copy_reason reason = copy_reason::None;
     };
 
     // Of a service, in one check for copies.
@@ -418,6 +419,7 @@
     std::map<std::string, time_point> m_startedWriteDueAt;
     std::set<std::string> m_copyableJobs; // unfinished jobs with tasks that may have copies
     time_point m_nextCopyCheckAt{};
+    copy_patience m_copyPatience;
     std::int64_t m_nextWriteNumber = 1;
     std::vector<controller_action> m_actions;
 };
--- a/libs/jobs/job_controller_copies.cpp
+++ b/libs/jobs/job_controller_copies.cpp
@@ -108,7 +108,8 @@
     const auto &service = job.record.policy.service;
     const service_state pool{m_workers.usedProcessorShare(service, now),
                              medianSlowdown(m_workers.workers(), service)};
-    if (pool.usedShare > m_settings.copies.maxUsedShare || hasUnplacedTasks(service))
+    if (pool.usedShare > m_settings.copies.maxUsedShareForDoubtfulWorkers
+        || hasUnplacedTasks(service))
         return;
     budget.jobRuns = 0;
     budget.jobCopies = 0;
@@ -177,6 +178,7 @@
     const step_context context{
             {job.record.policy.queue, step.image}, step.estimateMs, run.siblingsMs};
     run.expectedMs = m_runTimes.quantileMs(context, m_settings.copies.highQuantile);
+    run.patience = m_copyPatience.of(context.kind);
     run.isExpectedLearned = m_settings.features.learnsRunTimes;
     run.usedShare = pool.usedShare;
     return run;
@@ -224,7 +226,7 @@
     const auto &state = *job.record.find(task);
     const auto original = state.placements.front();
     placeTask(id, job, task, stepOf(job, task), *worker, state.lastRun + 1);
-    job.copies[task] = {state.lastRun, now};
+    job.copies[task] = {state.lastRun, now, reason};
     addLog("copy_placed", id,
            fmt::format("{} beside run {} on {}: {}", describeRun(task, state.lastRun, *worker),
                        original.run, original.worker, nameOf(reason)),
@@ -252,12 +254,17 @@
     const auto copied = job.copies.find(task);
     if (copied == job.copies.end())
         return;
-    if (copied->second.run == run)
-        return addLog("copy_won", id, fmt::format("{} run {}", toText(task), run));
     const auto &placements = job.record.find(task)->placements;
-    if (std::any_of(placements.begin(), placements.end(),
-                    [&](const auto &other) { return other.run == copied->second.run; }))
-        addLog("copy_lost", id, fmt::format("{} to run {}", toText(task), run));
+    const bool hasWon = copied->second.run == run;
+    const bool isAtWork = std::any_of(placements.begin(), placements.end(), [&](const auto &other) {
+        return other.run == copied->second.run;
+    });
+    if (!hasWon && !isAtWork)
+        return;
+    if (isByRunTime(copied->second.reason))
+        m_copyPatience.noteOutcome({job.record.policy.queue, stepOf(job, task).image}, hasWon);
+    addLog(hasWon ? "copy_won" : "copy_lost", id,
+           fmt::format("{}: run {} was done first", toText(task), run));
 }
 
 // A start of a task with two runs is ordered for a short time only. The other run may be done, and
