--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -26,7 +26,6 @@
 #include "jobs/run_times.h"
 #include "jobs/scheduling_features.h"
 #include "jobs/stall_timer.h"
-
 #include "jobs/urgency.h"
 #include "jobs/wait_policy.h"
 #include "jobs/worker_pool.h"
@@ -247,6 +246,7 @@
     {
         int run = 0;
         time_point placedAt{};
+        copy_reason reason = copy_reason::None;
     };
 
     // Of a service, in one check for copies.
@@ -493,6 +493,7 @@
     std::map<std::string, time_point> m_startedWriteDueAt;
     std::set<std::string> m_copyableJobs; // unfinished jobs with tasks that may have copies
     time_point m_nextCopyCheckAt{};
+    copy_patience m_copyPatience;
     std::int64_t m_nextWriteNumber = 1;
     std::vector<controller_action> m_actions;
 };
