Entries leave the last places of a worker to its home, and prefer workers with room

Change (setting weighed_room, off by default): a short task that depends on no rack or label takes the last six places of a worker only where its entry is the home, which hears of ends there at once, for 400 ms of waiting; on other workers it prefers those where more tasks of its size fit.

CHANGELOG: `scheduling.weighed_room`: fewer orders are refused for want of room where several entries place short tasks on full workers.

--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -95,6 +95,9 @@
     // its own lateness does not justify making others late.
     milliseconds maxInterferenceWait{60'000};
     milliseconds maxInterferenceWaitWhenIdle{2500};
+    // How long a short task leaves the last places of other entries' workers to their homes. As
+    // long as the shortest tasks run: by then the workers of this entry have had ends, too.
+    milliseconds maxWaitForHome{400};
     // A long-running task whose run failed at once, or never started, is kept from quarantined
     // workers for this time: long enough not to be started again and again on a faulty one, and
     // shorter than the 6 s after which callers count the outage of such a task.
--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -97,6 +97,9 @@
             continue;
         preferences.waitingTasks = unplacedTasks--;
         preferences.tieBreakSeed = tieBreakSeedOf(task, state.lastRun + 1);
+        preferences.weighsRoom = m_settings.features.weighsRoom;
+        preferences.leavesLastPlaces =
+                preferences.weighsRoom && now - waitStart < m_settings.maxWaitForHome;
         preferences.mayOvercommit = mayOvercommit && !hasPlacements(job.record);
         const auto worker = chooseWorkerFor(m_workers, job, task, step, now, preferences);
         if (!worker) {
--- a/libs/jobs/scheduling_features.h
+++ b/libs/jobs/scheduling_features.h
@@ -14,6 +14,9 @@
     bool sharesSlack = false;
     // Runs copies of slow tasks of steps whose callers permit it (step_spec::isSpeculative).
     bool copiesSlowTasks = false;
+    // Prefers workers on which more tasks of the same size fit: what other entries place there at
+    // the same time then leaves room for this one.
+    bool weighsRoom = false;
 };
 
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -171,6 +171,8 @@
         return unfit_reason::WouldCauseLateness;
     const auto size = reservedSize(step.size, step.isBestEffort);
     const auto lacking = lackingResource(size, latest.capacity, latest.used);
+    if (lacking == unfit_reason::None && preferences.leavesLastPlaces && isLeftToHome(view, step))
+        return unfit_reason::LeftToHome;
     return lacking == unfit_reason::None && wasRefused(view, size) ? unfit_reason::RefusedByAgent
                                                                    : lacking;
 }
@@ -261,17 +263,53 @@
     return score;
 }
 
+// Serving tasks are packed, best-effort tasks reserve memory alone, and a task that depends on a
+// rack or a label has few workers to choose from.
+bool worker_pool::isShortAndAnywhere(const step_spec &step)
+{
+    return !step.isBestEffort && !step.isLongRunning && step.dataRack.empty()
+           && step.requiredLabel.empty();
+}
+
+// When a place comes free on a full worker, all entries with waiting tasks hear of it within a
+// fraction of a second. If all ordered a run there, all orders but one would be refused.
+bool worker_pool::isLeftToHome(const worker_view &view, const step_spec &step)
+{
+    constexpr int LastPlaces = 6;
+    if (view.isHome || !isShortAndAnywhere(step))
+        return false;
+    return countPlaces(view, step.size, LastPlaces + 1) <= LastPlaces;
+}
+
+double worker_pool::contentionPenalty(const worker_view &view, const step_spec &step)
+{
+    // Two owners meet on one of the last places about as often as places are few. A refused order
+    // costs a write and a placement more, which weighs as much as a place near the data.
+    constexpr double LastPlacePenalty = 0.5;
+    constexpr int EnoughPlaces = 32;
+    if (view.isHome || !isShortAndAnywhere(step))
+        return 0;
+    return LastPlacePenalty / std::max(1, countPlaces(view, step.size, EnoughPlaces));
+}
+
 // The number of the `waitingTasks` tasks of the step that would fit on the worker.
 int worker_pool::countFitting(const worker_view &view, const step_spec &step, int waitingTasks)
+{
+    const int tasks = countPlaces(view, step.size, waitingTasks);
+    return step.maxPerWorker > 0 ? std::min(tasks, step.maxPerWorker) : tasks;
+}
+
+// How many tasks of the size the worker has room for, counted up to `limit`.
+int worker_pool::countPlaces(const worker_view &view, const task_size &size, int limit)
 {
     auto freeCapacity = view.lastReport.capacity;
     freeCapacity -= view.lastReport.used;
-    int tasks = 0;
-    while (tasks < waitingTasks && step.size.fitsInto(freeCapacity)) {
-        freeCapacity -= step.size;
-        ++tasks;
+    int places = 0;
+    while (places < limit && size.fitsInto(freeCapacity)) {
+        freeCapacity -= size;
+        ++places;
     }
-    return step.maxPerWorker > 0 ? std::min(tasks, step.maxPerWorker) : tasks;
+    return places;
 }
 
 // By job: the probability that placing a best-effort task of the step makes the job late on this
@@ -379,8 +417,10 @@
             continue;
         if (std::find(avoid.begin(), avoid.end(), name) != avoid.end())
             continue;
-        const auto candidateScore = score(view, step, preferences.waitingTasks)
-                                    + tieBreakOf(name, preferences.tieBreakSeed);
+        auto candidateScore = score(view, step, preferences.waitingTasks)
+                              + tieBreakOf(name, preferences.tieBreakSeed);
+        if (preferences.weighsRoom)
+            candidateScore -= contentionPenalty(view, step);
         if (best != nullptr && candidateScore <= bestScore)
             continue;
         best = &view;
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -75,6 +75,7 @@
     BestEffortFull,     // best-effort runs would only slow each other down
     WouldCauseLateness, // a best-effort task would make serving runs late
     Avoided,            // in the `avoid` list of this choice
+    LeftToHome,         // its last places are left to the entry that is its home
     RefusedByAgent,     // its agent refused a task of this size or smaller since its last report
     NoProcessors,
     NoMemory,
@@ -97,6 +98,12 @@
     std::uint64_t tieBreakSeed = 0;
     // Whether the task may go to a quarantined worker: as a last resort, if no other can take it.
     bool mayUseQuarantined = false;
+    // Whether a short reserved task avoids workers on which few more of its size fit. See
+    // scheduling_features.
+    bool weighsRoom = false;
+    // Whether such a task also leaves the last places of a worker to the entry that is its home,
+    // which hears of each end there at once.
+    bool leavesLastPlaces = false;
 };
 
 class worker_pool
@@ -180,6 +187,13 @@
     static double processorShareWith(const worker_view &view, const step_spec &step);
     double score(const worker_view &view, const step_spec &step, int waitingTasks) const;
     static double servingScore(const worker_view &view, const step_spec &step, int waitingTasks);
+    // Subtracted from the score: how likely it is that other entries, whose placements are not in
+    // the view yet, take the room before the order arrives.
+    static double contentionPenalty(const worker_view &view, const step_spec &step);
+    static bool isShortAndAnywhere(const step_spec &step);
+    static int countPlaces(const worker_view &view, const task_size &size, int limit);
+    // Whether the last places of the worker are to be left to its home.
+    static bool isLeftToHome(const worker_view &view, const step_spec &step);
     // Number of the waiting tasks that fit on the worker.
     static int countFitting(const worker_view &view, const step_spec &step, int waitingTasks);
     // By job: probability that a best-effort task of the step makes the job late here, or keeps it
--- a/libs/jobs/worker_pool_log.cpp
+++ b/libs/jobs/worker_pool_log.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr name_table<unfit_reason, 14> UnfitReasonNames{{
+constexpr name_table<unfit_reason, 15> UnfitReasonNames{{
         {unfit_reason::None, "fit"},
         {unfit_reason::ServiceMismatch, "other_service"},
         {unfit_reason::NotAccepting, "not_accepting"},
@@ -23,6 +23,7 @@
         {unfit_reason::BestEffortFull, "full"},
         {unfit_reason::WouldCauseLateness, "makes_late"},
         {unfit_reason::Avoided, "avoided"},
+        {unfit_reason::LeftToHome, "left_to_home"},
         {unfit_reason::RefusedByAgent, "refused"},
         {unfit_reason::NoProcessors, "no_processors"},
         {unfit_reason::NoMemory, "no_memory"},
--- a/tests/placement_simulation.h
+++ b/tests/placement_simulation.h
@@ -30,13 +30,18 @@
 class placement_simulation
 {
 public:
-    explicit placement_simulation(int owners, const simulated_delays &delays = {})
+    explicit placement_simulation(int owners, const simulated_delays &delays = {},
+                                  const jobs::controller_settings &settings = {})
         : m_delays(delays)
     {
         for (int number = 0; number < owners; ++number)
-            m_owners.push_back(std::make_unique<simulated_entry>(fmt::format("entry-{}", number)));
+            m_owners.push_back(
+                    std::make_unique<simulated_entry>(fmt::format("entry-{}", number), settings));
     }
 
+    // Gives each worker one of the owners as its home.
+    void assignHomes() { m_hasHomes = true; }
+
     void addWorker(const jobs::task_size &capacity)
     {
         auto &added = m_workers[fmt::format("w{}", m_workers.size())];
@@ -98,9 +103,9 @@
 
     struct simulated_entry
     {
-        explicit simulated_entry(std::string entry)
+        simulated_entry(std::string entry, const jobs::controller_settings &settings)
             : name(entry)
-            , controller({std::move(entry), 1}, pool)
+            , controller({std::move(entry), 1}, pool, settings)
         { }
 
         std::string name;
@@ -258,6 +263,8 @@
                        const std::vector<jobs::run_end> &ends)
     {
         receiver.pool.update(workerReport, m_now);
+        if (m_hasHomes)
+            receiver.pool.setHome(workerReport.worker, homeOf(workerReport.worker) == &receiver);
         for (const auto &end : ends) {
             const auto token = m_nextToken++;
             receiver.unacknowledgedEnds[token] = {workerReport.worker,
@@ -267,6 +274,11 @@
         receiver.controller.workerReported(workerReport.worker, m_now);
     }
 
+    const simulated_entry *homeOf(const std::string &worker) const
+    {
+        return m_owners[std::stoul(worker.substr(1)) % m_owners.size()].get();
+    }
+
     // Plans and carries out the actions until there are none: without delays, writes and orders are
     // answered at once.
     void planAndAct(simulated_entry &item)
@@ -319,6 +331,7 @@
     std::map<std::string, milliseconds> m_runTimes; // by job
     std::vector<jobs::log_event> m_logEvents;
     std::int64_t m_nextToken = 1;
+    bool m_hasHomes = false;
 };
 
 } // namespace zinniabarrow::tests
