Entries quarantine a worker by the failures of all entries' runs there, as its agent counts them

Change (setting shared_failures, off by default): an agent counts the runs that failed in a row, whoever owns them (failure_streak), and its reports tell the count while it is of two jobs or more: one job's tasks may fail on every worker. Entries that hear of four quarantine the worker as for their own. Agents and entries of the release before pass over the member.

--- a/app/job_settings.cpp
+++ b/app/job_settings.cpp
@@ -53,12 +53,13 @@
 
 using jobs::scheduling_features;
 
-constexpr std::array<std::pair<const char *, bool scheduling_features::*>, 5> FeatureMembers{{
+constexpr std::array<std::pair<const char *, bool scheduling_features::*>, 6> FeatureMembers{{
         {"learned_run_times", &scheduling_features::learnsRunTimes},
         {"weighed_waits", &scheduling_features::weighsWaits},
         {"shared_slack", &scheduling_features::sharesSlack},
         {"speculative_copies", &scheduling_features::copiesSlowTasks},
         {"weighed_room", &scheduling_features::weighsRoom},
+        {"shared_failures", &scheduling_features::sharesFailures},
 }};
 
 // Unlike the other members, these are not filled in by the platform: one that is unknown is a
--- a/app/report_sender.cpp
+++ b/app/report_sender.cpp
@@ -139,6 +139,7 @@
     message.used = m_runTable.used();
     message.usedByLongRunning = m_runTable.usedByLongRunning();
     message.bestEffortMillicores = m_runTable.bestEffortMillicores();
+    message.failuresInRow = m_runTable.failuresInRow(suspendAwareNow());
     const auto bestEffort = m_runTable.bestEffortRuns();
     for (const auto &run : m_runTable.servingSamples())
         message.serving.push_back({run.image, m_throttleController.headroomOf(run, bestEffort),
--- a/libs/jobs/job_controller_ends.cpp
+++ b/libs/jobs/job_controller_ends.cpp
@@ -14,7 +14,6 @@
 // Whether the run was at work for a while. If it failed after that, its worker is not at fault.
 bool hasServed(const step_spec &step, const std::optional<milliseconds> &runDuration)
 {
-    constexpr milliseconds MinServingTime{5000}; // a faulty worker fails its runs at once
     return step.isLongRunning && runDuration && *runDuration >= MinServingTime;
 }
 
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -328,6 +328,8 @@
     value["used"] = toJson(report.used);
     value["lasting"] = toJson(report.usedByLongRunning);
     value["fill_millicores"] = Json::Int64(report.bestEffortMillicores);
+    if (report.failuresInRow > 0)
+        value["failures_in_row"] = report.failuresInRow;
     for (const auto &run : report.serving) {
         Json::Value row(Json::objectValue);
         row["image"] = run.image;
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -139,6 +139,7 @@
     task_size used;                        // by runs that are running, starting or being stopped
     task_size usedByLongRunning;           // the part of `used` that long-running runs use
     std::int64_t bestEffortMillicores = 0; // requested by best-effort runs
+    int failuresInRow = 0;                 // of runs of all owners, see failure_streak.h
     std::vector<serving_headroom> serving; // runs with a latency target
     std::map<std::string, double> bestEffortDemand; // by image: cores requested by best-effort runs
     std::vector<interference_sample> samples;       // since the last periodic report
--- a/libs/jobs/report_text.cpp
+++ b/libs/jobs/report_text.cpp
@@ -147,6 +147,9 @@
     report.used = sizeFrom(requiredMember(value, "used"));
     report.usedByLongRunning = longRunningUseFrom(value, report.used);
     report.bestEffortMillicores = number(value, "fill_millicores");
+    // Agents of the previous release don't send "failures_in_row".
+    if (find(value, "failures_in_row") != nullptr)
+        report.failuresInRow = requiredCount(value, "failures_in_row");
     forEach(value, "serving",
             [&](const auto &row) { report.serving.push_back(headroomFrom(row)); });
     if (const auto *demand = find(value, "filling"))
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -206,8 +206,10 @@
         tracked.lastStartEffectMs = 0; // also if it is being stopped: its end will be listed
     if (tracked.phase != run_phase::Starting)
         return;
-    if (answer == start_answer::Started)
+    if (answer == start_answer::Started) {
         tracked.phase = run_phase::Running;
+        tracked.startedAt = now;
+    }
     if (answer == start_answer::Refused || answer == start_answer::NotExecuted)
         tracked.openStartCalls = std::max(0, tracked.openStartCalls - 1);
     // Another, unanswered call may have started the run, or may still do so. Only the worker's
@@ -235,6 +237,8 @@
             tracked.claimDeadline = now + m_settings.claimTimeout;
         if (tracked.phase == run_phase::Starting)
             tracked.phase = run_phase::Running;
+        if (!tracked.startedAt)
+            tracked.startedAt = now;
         tracked.lastStartEffectMs = 0; // from now on the list of ends says how it ends
         tracked.checkpoint = listed.checkpoint;
         tracked.measured = listed.measured;
@@ -311,11 +315,24 @@
     auto &tracked = m_runs[key];
     if (tracked.phase != run_phase::Ended)
         ++m_newEndCount;
+    // Of a run that an earlier incarnation of this agent started it isn't known when it failed.
+    if (known != m_runs.end() && tracked.phase != run_phase::Ended)
+        countFailures(tracked, end, now);
     tracked.phase = run_phase::Ended;
     tracked.end = end;
     rememberRefusal(key, now);
 }
 
+void run_table::countFailures(const tracked_run &tracked, const run_end &end, time_point now)
+{
+    const bool hasServed = tracked.requirements.isLongRunning && tracked.startedAt
+                           && now - *tracked.startedAt >= MinServingTime;
+    if (end.endKind == end_kind::Done || hasServed)
+        m_failures.recordSuccess();
+    else if (end.endKind == end_kind::Failed)
+        m_failures.recordFailure(end.task.job, now);
+}
+
 bool run_table::acknowledgeEnd(const run_end_id &end, time_point now)
 {
     const auto known = m_runs.find({end.task, end.run});
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "jobs/failure_streak.h"
 #include "jobs/messages.h"
 #include "jobs/throttle_controller.h"
 
@@ -160,6 +161,8 @@
     task_size usedByLongRunning() const;
     // Requested by best-effort runs, which only use idle processors. Not included in `used`.
     std::int64_t bestEffortMillicores() const;
+    // Runs of all owners that failed in a row, see failure_streak.h.
+    int failuresInRow(time_point now) const { return m_failures.length(now); }
     // Whether every active run is claimed. Until then the worker's free capacity is unknown, as
     // only the orders that claim runs give their sizes.
     bool allRunsClaimed() const;
@@ -205,6 +208,7 @@
         time_point startDeadline{}; // the worker isn't called later
         time_point retryAt{};
         time_point claimDeadline{};
+        std::optional<time_point> startedAt; // when it was first known to run
         run_end end;
 
         void setOwner(const std::string &entry);
@@ -218,6 +222,7 @@
     time_point startDeadline(const run_order &order, time_point now) const;
     // `previousHighest`: highest sequence number of an end before this listing.
     void applyEnd(const run_end &end, std::int64_t previousHighest, time_point now);
+    void countFailures(const tracked_run &tracked, const run_end &end, time_point now);
     // False: it has ended or is being stopped already.
     bool stopRun(const run_key &key, tracked_run &tracked, time_point now);
     void markNeverStarted(const run_key &key, tracked_run &tracked);
@@ -245,6 +250,7 @@
     std::map<std::string, time_point> m_cancelledJobs; // job -> when the entry expires
     std::int64_t m_highestEndSequence = 0;
     std::size_t m_newEndCount = 0;
+    failure_streak m_failures;
 };
 
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/scheduling_features.h
+++ b/libs/jobs/scheduling_features.h
@@ -17,6 +17,8 @@
     // Prefers workers on which more tasks of the same size fit: what other entries place there at
     // the same time then leaves room for this one.
     bool weighsRoom = false;
+    // Quarantines a worker by the failures of all entries' runs there, not of the own ones alone.
+    bool sharesFailures = false;
 };
 
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -1,6 +1,7 @@
 #include "jobs/worker_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/hash.h"
 
@@ -131,6 +132,20 @@
     return true;
 }
 
+bool worker_pool::applyReportedFailures(const std::string &worker, time_point now)
+{
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end())
+        return false;
+    auto &view = found->second;
+    const auto failures = view.lastReport.failuresInRow;
+    const bool hasNewOnes = failures > std::exchange(view.handledFailures, failures);
+    if (!hasNewOnes || failures < m_settings.maxConsecutiveFailures || now < view.quarantinedUntil)
+        return false;
+    view.quarantinedUntil = now + m_settings.quarantineTime;
+    return true;
+}
+
 void worker_pool::recordServedRun(const std::string &worker)
 {
     const auto found = m_workers.find(worker);
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -39,6 +39,7 @@
     bool isHome = false;           // this entry prefers the worker; see entry_directory::homeOf()
     int consecutiveFailures = 0;   // failed runs since the last one that was done or served
     time_point lastFailureAt{};    // when the latest of them ended
+    int handledFailures = 0;       // worker_report::failuresInRow when it was last looked at
     time_point quarantinedUntil{}; // before, a task is placed here only as a last resort
     double slowdown = 1;           // actual run time over estimated run time, moving average
 };
@@ -135,6 +136,10 @@
     // 0: unknown. Returns true when a quarantine begins.
     bool recordRunEnd(const std::string &worker, end_kind endKind, double slowdown, time_point now);
 
+    // Applies the failures of all entries' runs that the latest report tells of. Returns true when
+    // a quarantine begins.
+    bool applyReportedFailures(const std::string &worker, time_point now);
+
     // Records that a long-running run failed after it had been at work for a while: the worker is
     // not faulty.
     void recordServedRun(const std::string &worker);
