--- a/tests/contended_room_test.cpp
+++ b/tests/contended_room_test.cpp
@@ -89,7 +89,7 @@
     }
     double tasksPerTick() const
     {
-        constexpr double FreeCores = Workers / 2 * (16 + 2);
+        constexpr double FreeCores = Workers * (16 + 2) / 2.0;
         constexpr double Places = FreeCores * 2; // half a core each
         return m_load * Places * static_cast<double>(placement_simulation::TickInterval.count())
                / static_cast<double>(ShortRunTime.count());
