--- a/libs/jobs/worker_pool.cpp
+++ b/libs/jobs/worker_pool.cpp
@@ -1,6 +1,7 @@
 #include "jobs/worker_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/hash.h"
 
@@ -191,6 +192,20 @@
     found->second.slowdown += OvertakenRunWeight * (slowdown - found->second.slowdown);
 }
 
+bool worker_pool::applyReportedFailures(const std::string &worker, time_point now)
+{
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end())
+        return false;
+    auto &view = found->second;
+    const auto failures = view.lastReport.failuresInRow;
+    const bool hasNewOnes = failures > std::exchange(view.handledFailures, failures);
+    if (!hasNewOnes || failures < m_settings.maxConsecutiveFailures || now < view.quarantinedUntil)
+        return false;
+    view.quarantinedUntil = now + m_settings.quarantineTime;
+    return true;
+}
+
 void worker_pool::recordServedRun(const std::string &worker)
 {
     const auto found = m_workers.find(worker);
@@ -233,6 +248,8 @@
         return unfit_reason::WouldCauseLateness;
     const auto size = reservedSize(step.size, step.isBestEffort);
     const auto lacking = lackingResource(size, latest.capacity, latest.used);
+    if (lacking == unfit_reason::None && preferences.leavesLastPlaces && isLeftToHome(view, step))
+        return unfit_reason::LeftToHome;
     return lacking == unfit_reason::None && wasRefused(view, size) ? unfit_reason::RefusedByAgent
                                                                    : lacking;
 }
@@ -275,8 +292,10 @@
             continue;
         if (std::find(avoid.begin(), avoid.end(), name) != avoid.end())
             continue;
-        const auto candidateScore = score(view, step, preferences.waitingTasks)
-                                    + tieBreakOf(name, preferences.tieBreakSeed);
+        auto candidateScore = score(view, step, preferences.waitingTasks)
+                              + tieBreakOf(name, preferences.tieBreakSeed);
+        if (preferences.weighsRoom)
+            candidateScore -= contentionPenalty(view, step);
         if (best != nullptr && candidateScore <= bestScore)
             continue;
         best = &view;
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -40,6 +40,7 @@
     bool isHome = false;           // this entry prefers the worker; see entry_directory::homeOf()
     int consecutiveFailures = 0;   // failed runs since the last one that was done or served
     time_point lastFailureAt{};    // when the latest of them ended
+    int handledFailures = 0;       // worker_report::failuresInRow when it was last looked at
     time_point quarantinedUntil{}; // before, a task is placed here only as a last resort
     // Actual run time over estimated run time, moving average. Where run times are learned: over
     // the expected run time, median.
@@ -81,6 +82,7 @@
     BestEffortFull,     // best-effort runs would only slow each other down
     WouldCauseLateness, // a best-effort task would make serving runs late
     Avoided,            // in the `avoid` list of this choice
+    LeftToHome,         // its last places are left to the entry that is its home
     RefusedByAgent,     // its agent refused a task of this size or smaller since its last report
     NoProcessors,
     NoMemory,
@@ -103,6 +105,12 @@
     std::uint64_t tieBreakSeed = 0;
     // Whether the task may go to a quarantined worker: as a last resort, if no other can take it.
     bool mayUseQuarantined = false;
+    // Whether a short reserved task avoids workers on which few more of its size fit. See
+    // scheduling_features.
+    bool weighsRoom = false;
+    // Whether such a task also leaves the last places of a worker to the entry that is its home,
+    // which hears of each end there at once.
+    bool leavesLastPlaces = false;
     // With `avoidsInterference`: load that serving runs must be able to bear in addition.
     double loadMargin = 0;
     std::string onlyRack = {}; // the only rack on which to look for a worker; empty: on all
@@ -156,6 +164,10 @@
     // good score.
     void recordOvertakenRun(const std::string &worker, double slowdown);
 
+    // Applies the failures of all entries' runs that the latest report tells of. Returns true when
+    // a quarantine begins.
+    bool applyReportedFailures(const std::string &worker, time_point now);
+
     // Records that a long-running run failed after it had been at work for a while: the worker is
     // not faulty.
     void recordServedRun(const std::string &worker);
@@ -214,6 +226,13 @@
     static double processorShareWith(const worker_view &view, const step_spec &step);
     double score(const worker_view &view, const step_spec &step, int waitingTasks) const;
     static double servingScore(const worker_view &view, const step_spec &step, int waitingTasks);
+    // Subtracted from the score: how likely it is that other entries, whose placements are not in
+    // the view yet, take the room before the order arrives.
+    static double contentionPenalty(const worker_view &view, const step_spec &step);
+    static bool isShortAndAnywhere(const step_spec &step);
+    static int countPlaces(const worker_view &view, const task_size &size, int limit);
+    // Whether the last places of the worker are to be left to its home.
+    static bool isLeftToHome(const worker_view &view, const step_spec &step);
     // Number of the waiting tasks that fit on the worker.
     static int countFitting(const worker_view &view, const step_spec &step, int waitingTasks);
     // By job: probability that a best-effort task of the step makes the job late here, or keeps it
