run_time_learning_test: braces as the linter wants them

Cause: clang-tidy refused a statement over several lines without braces. Change: braces; no check differs.

--- a/tests/run_time_learning_test.cpp
+++ b/tests/run_time_learning_test.cpp
@@ -53,10 +53,11 @@
         for (auto &action : controller.takeActions()) {
             if (auto *write = std::get_if<write_row>(&action))
                 controller.rowWritten(write->job, ++version);
-            if (auto *order = std::get_if<send_order>(&action))
+            if (auto *order = std::get_if<send_order>(&action)) {
                 controller.orderAnswered(
                         order->worker,
                         {order->order.task, order->order.run, order_outcome::Accepted}, now, 0);
+            }
             if (auto *line = std::get_if<log_event>(&action); line && line->event == "job_course")
                 course = line->detail;
         }
