--- a/libs/jobs/job_controller.cpp
+++ b/libs/jobs/job_controller.cpp
@@ -246,7 +246,7 @@
     for (const auto &id : m_waitingJobs)
         byUrgency.emplace_back(urgencyOf(m_jobs.at(id).record, wallMs), id);
     std::sort(byUrgency.begin(), byUrgency.end());
-    m_waitPolicy.beginRound();
+    m_waitPolicy.beginRound(lateShareOfBestEffort(wallMs));
     for (const auto &[urgency, id] : byUrgency)
         placeWaitingTasks(id, m_jobs.at(id), now, wallMs);
     logUnderservedJobs(now);
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -327,6 +327,8 @@
         std::optional<std::string> worker;
         std::optional<wait_reason> reason = {}; // why a worse place was taken, or why it waits
     };
+    // Of the best-effort jobs that wait, those that are late in any case.
+    double lateShareOfBestEffort(std::int64_t wallMs) const;
     weighed_step weigh(const owned_job &job, const task_id &firstTask, const step_spec &step,
                        time_point now, std::int64_t wallMs);
     bool hasReportingRun(const owned_job &job, time_point now) const;
--- a/libs/jobs/job_controller_waits.cpp
+++ b/libs/jobs/job_controller_waits.cpp
@@ -56,6 +56,21 @@
     return hasWaitingTasks;
 }
 
+double job_controller::lateShareOfBestEffort(std::int64_t wallMs) const
+{
+    int waiting = 0;
+    int late = 0;
+    for (const auto &id : m_waitingJobs) {
+        const auto &record = m_jobs.at(id).record;
+        const auto isBestEffort = [](const auto &step) { return step.isBestEffort; };
+        if (std::none_of(record.steps.begin(), record.steps.end(), isBestEffort))
+            continue;
+        ++waiting;
+        late += slackMs(record, wallMs) < 0 ? 1 : 0;
+    }
+    return waiting == 0 ? 0 : static_cast<double>(late) / waiting;
+}
+
 job_controller::weighed_step job_controller::weigh(const owned_job &job, const task_id &firstTask,
                                                    const step_spec &step, time_point now,
                                                    std::int64_t wallMs)
@@ -70,7 +85,7 @@
     tasks.hasRun = hasReportingRun(job, now);
     tasks.isLongRunning = step.isLongRunning;
     tasks.isServiceMostlyUsed = isServiceMostlyUsed(job, now);
-    weighed.preferences.loadMargin = wait_policy::loadMargin(tasks);
+    weighed.preferences.loadMargin = m_waitPolicy.loadMargin(tasks);
     weighed.nearRack = nearRackOf(job, firstTask, step, now);
     return weighed;
 }
--- a/libs/jobs/wait_policy.cpp
+++ b/libs/jobs/wait_policy.cpp
@@ -39,8 +39,9 @@
     : m_settings(settings)
 { }
 
-void wait_policy::beginRound()
+void wait_policy::beginRound(double lateShare)
 {
+    m_lateShare = lateShare;
     for (auto &[rack, turnover] : m_racks)
         turnover.queue = 0;
 }
@@ -68,25 +69,34 @@
 }
 
 // The load of serving runs rises and falls while a task runs beside them, and their headroom is
-// forecast for two seconds only. A job with time to wait is asked for a margin; one that would be
-// late by waiting goes without. So goes none that is late in any case: its callers gain less than
-// those of the serving runs lose.
-double wait_policy::loadMargin(const waiting_tasks &tasks)
+// forecast for two seconds only.
+double wait_policy::expectedLoadRise(std::int64_t runMs)
+{
+    constexpr double LoadPerSecond = 0.05;
+    constexpr double MaxRise = 0.2; // load
+    return std::min(MaxRise, LoadPerSecond * static_cast<double>(runMs) / 1000);
+}
+
+// A job with time to wait is asked for the whole margin, one that would be late by waiting for
+// none. One that is late in any case is asked for all of it: its callers gain less than those of
+// the serving runs lose. But the more of the waiting jobs are late, the less is asked: their work
+// must be done in any case, and processors that are left idle are missing until the queue is empty.
+double wait_policy::loadMargin(const waiting_tasks &tasks) const
 {
-    constexpr double LoadPerSecond = 0.05; // by which a serving run's load rises, about
-    constexpr double MaxMargin = 0.2;      // load
     if (tasks.runMs <= 0 || tasks.isLongRunning)
         return 0;
-    const auto runMs = static_cast<double>(tasks.runMs);
-    const double margin = std::min(MaxMargin, LoadPerSecond * runMs / 1000);
+    const double margin = expectedLoadRise(tasks.runMs) * (1 - m_lateShare);
     if (tasks.slackMs < 0)
         return margin;
-    return margin * std::min(1.0, static_cast<double>(tasks.slackMs) / runMs);
+    return margin
+           * std::min(1.0, static_cast<double>(tasks.slackMs) / static_cast<double>(tasks.runMs));
 }
 
 // Places come free at random, so that the expected wait does not depend on the time waited. Since
 // the rate may be estimated too high, a task waits no longer than the near place would save: then
-// it loses at most twice what it would have lost by going at once.
+// it loses at most twice what it would have lost by going at once. It joins the queue only if it
+// expects to gain more than it waits: if each task joined that expects any gain, the queue would
+// grow until none gains.
 wait_decision wait_policy::decideDistance(const waiting_tasks &tasks, const std::string &rack,
                                           time_point now)
 {
@@ -97,7 +107,8 @@
     if (!tasks.hasRun && now >= firstRunDue)
         return go_now{wait_reason::FirstRun};
     const double savedMs = static_cast<double>(tasks.runMs) * (farFactor() - 1);
-    const double waitMs = position * expectedWaitMs(turnover);
+    constexpr double MaxWaitShare = 0.5; // of what the near place saves
+    const double waitMs = position * expectedWaitMs(turnover) / MaxWaitShare;
     const auto slackMs = static_cast<double>(tasks.slackMs);
     // With nothing running, the decision is due again when the job would count as lost.
     const auto latest = tasks.hasRun ? Never : firstRunDue;
--- a/libs/jobs/wait_policy.h
+++ b/libs/jobs/wait_policy.h
@@ -65,13 +65,15 @@
 public:
     explicit wait_policy(const wait_settings &settings = {});
 
-    void beginRound();
+    // `lateShare`: of the owner's best-effort jobs that wait now, those that are late in any case.
+    void beginRound(double lateShare);
 
     // Whether a best-effort task goes where it makes serving runs late.
     wait_decision decideInterference(const waiting_tasks &tasks, time_point now) const;
-    // How much more load than at present serving runs beside a best-effort task must be able to
-    // bear, for their worker to count as a good place.
-    static double loadMargin(const waiting_tasks &tasks);
+    // By how much the load of serving runs is expected to rise while a task runs beside them; and
+    // how much of that they must be able to bear for their worker to count as a good place.
+    static double expectedLoadRise(std::int64_t runMs);
+    double loadMargin(const waiting_tasks &tasks) const;
 
     // Whether the next task of a step goes to another rack than `rack`, which has no room for it
     // now. Call it once in a round for each task that finds none there.
@@ -107,6 +109,7 @@
     static double expectedWaitMs(const rack_turnover &turnover);
 
     wait_settings m_settings;
+    double m_lateShare = 0; // of the best-effort jobs that wait
     std::map<std::string, rack_turnover> m_racks;
     stretch_average m_near;
     stretch_average m_far;
