--- a/libs/jobs/job_controller.cpp
+++ b/libs/jobs/job_controller.cpp
@@ -256,7 +256,7 @@
                                id);
     }
     std::sort(byUrgency.begin(), byUrgency.end());
-    m_waitPolicy.beginRound();
+    m_waitPolicy.beginRound(lateShareOfBestEffort(wallMs));
     for (const auto &[urgency, id] : byUrgency)
         placeWaitingTasks(id, m_jobs.at(id), now, wallMs);
     placeCopies(now, wallMs);
