--- a/tests/slack_sharing_test.cpp
+++ b/tests/slack_sharing_test.cpp
@@ -128,6 +128,7 @@
         policy.stretch = 2;
         policy.targetLatencyMs = 1000;
         controller.submit("j", spec, policy, wallMs, now, 1);
+        submitWaitingJob(policy);
         controller.plan(now, wallMs);
         controller.rowWritten("j", 1);
         controller.plan(now, wallMs);
@@ -137,6 +138,15 @@
         }
     }
 
+    // Its task fits no worker; it can't be in time after 3 s.
+    void submitWaitingJob(const queue_policy &policy)
+    {
+        job_spec spec;
+        spec.steps = {bestEffortStep()};
+        spec.steps[0].size.memoryMb = 65'000;
+        controller.submit("waiting", spec, policy, wallMs, now, 2);
+    }
+
     static controller_settings settingsWith(bool sharesSlack)
     {
         controller_settings settings;
@@ -315,6 +325,16 @@
         check(entry.report(seconds(1)).size() == 1); // the answer may have been lost
         check(entry.report(seconds(3)).empty());
     });
+    section("0, while a late job waits for room: a run that stands still would keep it", [] {
+        modelled_entry entry(true);
+        entry.controller.orderAnswered("w1", {entry.order->task, 1, order_outcome::Accepted},
+                                       entry.now, 0);
+        check(entry.report(seconds(4)).empty());
+        entry.controller.plan(entry.now, entry.wallMs);
+        const auto none = entry.report(milliseconds(100));
+        require(none.size() == 1);
+        check(none[0].slackMs == 0);
+    });
     section("none, if it is not to be shared, or the run is not best-effort", [] {
         auto reserved = bestEffortStep();
         reserved.isBestEffort = false;
