The limit of attempts and the choice by room hold where waits are weighed, too

Cause: the parts were built side by side. With weighed waits a task whose copies had failed could have got a run beyond its attempts, and room was not weighed there; an overtaken run was forgotten with learned run times. Change: one check of attempts before a step is placed, one place for the preferences by room, and an overtaken run counts in the learned slowness of its worker.

--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -360,6 +360,8 @@
                            std::int64_t wallMs);
     bool placeStep(const std::string &id, owned_job &job, int occurrence, int stepIndex,
                    time_point now, std::int64_t wallMs);
+    bool failIfOutOfAttempts(const std::string &id, owned_job &job, const task_id &firstTask);
+    placement_preferences roomPreferences(time_point waitStart, time_point now) const;
     bool placeGang(const std::string &id, owned_job &job, int occurrence, int stepIndex,
                    time_point now, std::int64_t wallMs);
     // A worker for each member of the gang in turn; empty: there is not one for all of them.
--- a/libs/jobs/job_controller_copies.cpp
+++ b/libs/jobs/job_controller_copies.cpp
@@ -233,13 +233,21 @@
 // Runs that are still at work although the one that is done was placed after them.
 void job_controller::recordOvertakenRuns(const owned_job &job, const run_end &end, time_point now)
 {
+    const auto &step = stepOf(job, end.task);
+    const auto expectedMs = m_runTimes.quantileMs(
+            stepContextOf(job.record, end.task.occurrence, end.task.step), 0.5);
     for (const auto &runPlacement : job.record.find(end.task)->placements) {
         const auto accepted = job.startAcceptedAt.find({end.task, runPlacement.run});
         if (runPlacement.run > end.run || accepted == job.startAcceptedAt.end())
             continue;
         const auto elapsed = std::chrono::duration_cast<milliseconds>(now - accepted->second);
-        m_workers.recordOvertakenRun(runPlacement.worker,
-                                     slowdownOf(elapsed, stepOf(job, end.task)));
+        if (m_settings.features.learnsRunTimes && expectedMs > 0)
+            m_workers.recordRunTime(runPlacement.worker,
+                                    static_cast<double>(elapsed.count())
+                                            / static_cast<double>(expectedMs),
+                                    step.isBestEffort);
+        else
+            m_workers.recordOvertakenRun(runPlacement.worker, slowdownOf(elapsed, step));
     }
 }
 
--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -65,12 +65,41 @@
     }
 }
 
+// Fails the job if a waiting task of the step has no attempt left: its last run failed earlier than
+// a copy, which has ended without completing it.
+bool job_controller::failIfOutOfAttempts(const std::string &id, owned_job &job,
+                                         const task_id &firstTask)
+{
+    const auto &step = stepOf(job, firstTask);
+    for (int index = 0; index < step.count; ++index) {
+        auto task = firstTask;
+        task.index = index;
+        const auto &state = *job.record.find(task);
+        if (!state.isWaiting() || !isOutOfAttempts(job, step, state))
+            continue;
+        failJob(id, job, task);
+        markChanged(id, job);
+        addLog("job_ended", id, std::string(nameOf(job.record.state())));
+        return true;
+    }
+    return false;
+}
+
+placement_preferences job_controller::roomPreferences(time_point waitStart, time_point now) const
+{
+    placement_preferences preferences;
+    preferences.weighsRoom = m_settings.features.weighsRoom;
+    preferences.leavesLastPlaces =
+            preferences.weighsRoom && now - waitStart < m_settings.maxWaitForHome;
+    return preferences;
+}
+
 // Returns true when some task of the step still waits for a worker.
 bool job_controller::placeStep(const std::string &id, owned_job &job, int occurrence, int stepIndex,
                                time_point now, std::int64_t wallMs)
 {
     const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
-    if (job.record.failed)
+    if (job.record.failed || failIfOutOfAttempts(id, job, {id, occurrence, stepIndex, 0}))
         return false;
     job.course.stepReady(occurrence, stepIndex, now);
     if (step.isGang)
@@ -83,7 +112,7 @@
     auto &waitStart = job.waitingSince.try_emplace({occurrence, stepIndex}, now).first->second;
     if (unplacedTasks == 0)
         waitStart = now;
-    placement_preferences preferences;
+    auto preferences = roomPreferences(waitStart, now);
     const bool isMostlyUsed = isServiceMostlyUsed(job, now);
     preferences.avoidsInterference =
             now - waitStart < (isMostlyUsed ? m_settings.maxInterferenceWait
@@ -98,18 +127,8 @@
         auto &state = *job.record.find(task);
         if (!state.isWaiting())
             continue;
-        // Its last run failed earlier than a copy, which has ended without completing it.
-        if (isOutOfAttempts(job, step, state)) {
-            failJob(id, job, task);
-            markChanged(id, job);
-            addLog("job_ended", id, std::string(nameOf(job.record.state())));
-            return false;
-        }
         preferences.waitingTasks = unplacedTasks--;
         preferences.tieBreakSeed = tieBreakSeedOf(task, state.lastRun + 1);
-        preferences.weighsRoom = m_settings.features.weighsRoom;
-        preferences.leavesLastPlaces =
-                preferences.weighsRoom && now - waitStart < m_settings.maxWaitForHome;
         preferences.mayOvercommit = mayOvercommit && !hasPlacements(job.record);
         const auto worker = chooseWorkerFor(m_workers, job, task, step, now, preferences);
         if (!worker) {
--- a/libs/jobs/job_controller_waits.cpp
+++ b/libs/jobs/job_controller_waits.cpp
@@ -85,6 +85,7 @@
     tasks.hasRun = hasReportingRun(job, now);
     tasks.isLongRunning = step.isLongRunning;
     tasks.isServiceMostlyUsed = isServiceMostlyUsed(job, now);
+    weighed.preferences = roomPreferences(tasks.since, now);
     weighed.preferences.loadMargin = m_waitPolicy.loadMargin(tasks);
     weighed.nearRack = nearRackOf(job, firstTask, step, now);
     return weighed;
