--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -25,7 +25,8 @@
 };
 
 // One step of a job: tasks of the same kind that may run in parallel. `checkpointing`,
-// `prefersSameRack`, `isSpeculative` and `maxUnavailable` are stored, but have no effect.
+// `isSpeculative` and `maxUnavailable` are stored, but have no effect; `prefersSameRack` only with
+// scheduling_features::weighsWaits.
 struct step_spec
 {
     int count = 1;                    // number of tasks
--- a/libs/jobs/wait_policy.h
+++ b/libs/jobs/wait_policy.h
@@ -70,7 +70,7 @@
 
     // Whether a best-effort task goes where it makes serving runs late.
     wait_decision decideInterference(const waiting_tasks &tasks, time_point now) const;
-    // By how much the load of serving runs is expected to rise while a task runs beside them; and
+    // By how much the load of serving runs is expected to rise while a task runs beside them, and
     // how much of that they must be able to bear for their worker to count as a good place.
     static double expectedLoadRise(std::int64_t runMs);
     double loadMargin(const waiting_tasks &tasks) const;
