--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -24,8 +24,9 @@
     bool fitsInto(const task_size &room) const;
 };
 
-// One step of a job: tasks of the same kind that may run in parallel. `checkpointing`,
-// `prefersSameRack` and `maxUnavailable` are stored, but have no effect.
+// One step of a job: tasks of the same kind that may run in parallel. `checkpointing` and
+// `maxUnavailable` are stored, but have no effect; `prefersSameRack` and `isSpeculative` have one
+// where scheduling_features say so.
 struct step_spec
 {
     int count = 1;                    // number of tasks
