--- a/tests/order_search.h
+++ b/tests/order_search.h
@@ -75,7 +75,7 @@
                   [this](const auto &task, int) { return drawRun(task); },
                   [this](delivery_kind what) { return drawDelivery(what); }, keepsTrace,
                   kind == search_kind::DuplicateRuns ? model_kind::Basic : model_kind::Complete,
-                  settingsOf(kind), kind == search_kind::Copies ? CopiesMaxAttempts : 50)
+                  settingsOf(kind, seed), kind == search_kind::Copies ? CopiesMaxAttempts : 50)
     {
         const auto kinds = faultKindsOf(kind);
         for (std::size_t index = 0; index < kinds; ++index)
@@ -123,10 +123,15 @@
         return kind == search_kind::Copies ? FaultKindCount : StallFaultKindCount;
     }
 
-    static jobs::controller_settings settingsOf(search_kind kind)
+    // In a search with copies, each other seed has all optional decisions: they act on the same
+    // tasks and workers.
+    static jobs::controller_settings settingsOf(search_kind kind, std::uint64_t seed)
     {
         jobs::controller_settings settings;
-        settings.features.copiesSlowTasks = kind == search_kind::Copies;
+        if (kind != search_kind::Copies)
+            return settings;
+        const bool hasAll = seed % 2 == 1;
+        settings.features = {hasAll, hasAll, hasAll, true, hasAll, hasAll};
         return settings;
     }
 
