--- a/libs/jobs/copy_policy.cpp
+++ b/libs/jobs/copy_policy.cpp
@@ -30,7 +30,7 @@
     double spreadMs = 0; // the longest less the median
 };
 
-// None: too few siblings are done to tell how long the task takes.
+// None: too few siblings are done to know how long the task takes.
 std::optional<sibling_times> siblingTimes(const run_at_work &run, const copy_settings &settings)
 {
     const auto siblings = run.stepTasks - 1;
@@ -49,7 +49,7 @@
               const copy_settings &settings)
 {
     const auto spreadMs = std::max(siblings.spreadMs, settings.minSpread * siblings.longestMs);
-    return countOf(*run.elapsed) > siblings.longestMs + run.patience * spreads * spreadMs;
+    return countOf(*run.elapsed) > siblings.longestMs + run.backoff * spreads * spreadMs;
 }
 
 // For a task alone in its step. Where other tasks are at work as well, it may be the step that
@@ -58,7 +58,7 @@
 {
     const auto factor = run.isExpectedLearned ? settings.learnedFactor : settings.estimatedFactor;
     const auto expectedMs = static_cast<double>(run.expectedMs);
-    return run.undoneTasks == 1 && countOf(*run.elapsed) > run.patience * factor * expectedMs;
+    return run.undoneTasks == 1 && countOf(*run.elapsed) > run.backoff * factor * expectedMs;
 }
 
 bool isOneOfLast(const run_at_work &run, const copy_settings &settings)
@@ -138,13 +138,13 @@
     ++ownerCopies;
 }
 
-double copy_patience::of(const run_kind &kind) const
+double copy_backoff::factorOf(const run_kind &kind) const
 {
     const auto found = m_factors.find(kind);
     return found == m_factors.end() ? 1 : found->second;
 }
 
-void copy_patience::noteOutcome(const run_kind &kind, bool copyWon)
+void copy_backoff::noteOutcome(const run_kind &kind, bool copyWon)
 {
     // In balance when one copy of three is done first.
     constexpr double WonFactor = 0.8;
--- a/libs/jobs/copy_policy.h
+++ b/libs/jobs/copy_policy.h
@@ -4,7 +4,7 @@
 //
 // For each run that is at work alone, fill in a run_at_work and call copyReasonFor(). If it gives a
 // reason, ask copy_budget::allows() before a copy is placed, and note it there afterwards. Once the
-// task is done, tell copy_patience which of the two runs was first.
+// task is done, note in copy_backoff which of the two runs was first.
 #pragma once
 
 #include <cstddef>
@@ -80,7 +80,7 @@
     double workerSlowdown = 1;   // of the worker over the service's median
     std::int64_t expectedMs = 0; // high quantile of the run times of its kind
     bool isExpectedLearned = false;
-    double patience = 1;                  // of its kind, see copy_patience
+    double backoff = 1;                   // of its kind, see copy_backoff
     std::vector<std::int64_t> siblingsMs; // run times of its siblings that are done, ms
     std::size_t stepTasks = 1;            // tasks of the step
     std::size_t undoneTasks = 1;          // those that are not done
@@ -104,10 +104,10 @@
 // By kind of run, a factor on how much longer than usual a run must take to get a copy. It rises
 // with each copy that was not done first, where run times vary more than siblings show, and falls
 // with each one that was.
-class copy_patience
+class copy_backoff
 {
 public:
-    double of(const run_kind &kind) const;
+    double factorOf(const run_kind &kind) const;
     void noteOutcome(const run_kind &kind, bool copyWon);
 
 private:
--- a/libs/jobs/failure_streak.h
+++ b/libs/jobs/failure_streak.h
@@ -1,5 +1,5 @@
 // Counts the runs that failed in a row on one worker, whichever entries own them. An agent has one;
-// its reports tell all entries, so that each need not lose runs of its own to a faulty worker.
+// its reports have the count, so that each entry need not lose runs of its own to a faulty worker.
 // Order of calls: recordFailure() and recordSuccess() as runs end, length() for a report.
 #pragma once
 
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -237,7 +237,7 @@
         std::int64_t unplacedMs = 0;    // total time during which steps had tasks without a worker
     };
 
-    // The slack of a run, as its agent was last told.
+    // The slack of a run, as it was last sent to its agent.
     struct sent_slack
     {
         std::int64_t slackMs = 0;
@@ -332,7 +332,7 @@
     bool sendDueOrders(const std::string &id, owned_job &job, time_point now, std::int64_t wallMs);
     run_order makeStartOrder(const owned_job &job, const task_id &task,
                              const placement &runPlacement, time_point now) const;
-    // How long the run may stand still in all without making its job late, ms; none: not shared.
+    // How long the run may be paused in all without making its job late, ms; none: not shared.
     std::optional<std::int64_t> slackOfRun(const owned_job &job, const std::pair<task_id, int> &run,
                                            time_point now, std::int64_t wallMs) const;
     // Notes services where best-effort tasks lack workers and their jobs get late by it.
@@ -489,8 +489,8 @@
     // Starts that their worker's reports may not include yet, by worker. Starts that were answered
     // meanwhile are removed when the worker's next report arrives.
     std::map<std::string, std::set<std::pair<task_id, int>>> m_startsInFlight;
-    // By worker: runs whose slack its agent was told. Those no longer placed are removed when the
-    // worker's next report arrives.
+    // By worker: runs whose slack was sent to its agent. Those no longer placed are removed when
+    // the worker's next report arrives.
     std::map<std::string, std::map<std::pair<task_id, int>, sent_slack>> m_sentSlack;
     std::map<std::string, time_point> m_scarceUntil; // by service; see noteScarceServices()
     time_point m_nextUnderservedLogAt{};             // when underserved jobs are logged next
@@ -500,7 +500,7 @@
     std::map<std::string, time_point> m_startedWriteDueAt;
     std::set<std::string> m_copyableJobs; // unfinished jobs with tasks that may have copies
     time_point m_nextCopyCheckAt{};
-    copy_patience m_copyPatience;
+    copy_backoff m_copyBackoff;
     std::int64_t m_nextWriteNumber = 1;
     std::vector<controller_action> m_actions;
 };
--- a/libs/jobs/job_controller_copies.cpp
+++ b/libs/jobs/job_controller_copies.cpp
@@ -174,7 +174,7 @@
     const auto context = stepContextOf(job.record, task.occurrence, task.step);
     run.siblingsMs = context.siblingsMs;
     run.expectedMs = m_runTimes.quantileMs(context, m_settings.copies.highQuantile);
-    run.patience = m_copyPatience.of(context.kind);
+    run.backoff = m_copyBackoff.factorOf(context.kind);
     run.isExpectedLearned = m_settings.features.learnsRunTimes;
     run.usedShare = pool.usedShare;
     return run;
@@ -266,7 +266,7 @@
     if (!hasWon && !isAtWork)
         return;
     if (isByRunTime(copied->second.reason))
-        m_copyPatience.noteOutcome({job.record.policy.queue, stepOf(job, task).image}, hasWon);
+        m_copyBackoff.noteOutcome({job.record.policy.queue, stepOf(job, task).image}, hasWon);
     addLog(hasWon ? "copy_won" : "copy_lost", id,
            fmt::format("{}: run {} was done first", toText(task), run));
 }
--- a/libs/jobs/job_controller_ends.cpp
+++ b/libs/jobs/job_controller_ends.cpp
@@ -143,7 +143,7 @@
     return std::chrono::duration_cast<milliseconds>(now - started.mapped());
 }
 
-// A run that began at a checkpoint tells nothing of the whole task's time. What a slow worker adds
+// A run that began at a checkpoint does not show the whole task's time. What a slow worker adds
 // is left out of run times; what other best-effort runs take from a best-effort run is a part of
 // them.
 void job_controller::learnRunTime(owned_job &job, const std::string &worker, const run_end &end,
--- a/libs/jobs/job_controller_slack.cpp
+++ b/libs/jobs/job_controller_slack.cpp
@@ -1,4 +1,4 @@
-// What agents are told of the slack of best-effort runs, so that runs with slack yield first.
+// Sends agents the slack of best-effort runs, so that runs with slack yield first.
 #include <algorithm>
 #include <utility>
 
@@ -17,8 +17,8 @@
 // Reports come about once a second, and the answers to two of them repeat a change.
 constexpr milliseconds SlackRepeatTime{2200};
 constexpr std::size_t MaxSlackChanges = 64; // in one answer
-// A run that stands still keeps its room from others. While late jobs wait for room, and for this
-// long after, runs are told to have no slack.
+// A paused run keeps its memory from others. While late jobs wait for capacity, and for this long
+// after, agents get no slack to spend.
 constexpr milliseconds ScarceTime{2000};
 
 std::int64_t unfinishedEstimateMs(const job_record &record)
@@ -29,7 +29,7 @@
     return sum;
 }
 
-// A member of a gang that stands still holds up all others, and a long-running task is never done.
+// A paused member of a gang delays all others, and a long-running task is never done.
 bool sharesSlackOf(const job_record &record, const step_spec &step)
 {
     return step.isBestEffort && !step.isLongRunning && !step.isGang && step.estimateMs > 0
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -29,7 +29,7 @@
     bool isLongRunning = false;       // runs until its job is cancelled
     std::string image;                // names what runs; interference is estimated per image
     std::int64_t latencyTargetMs = 0; // upper limit of the tail latency; 0: none
-    // How long the run may stand still in all, from its start on, without making its job late, ms;
+    // How long the run may be paused in all, from its start on, without making its job late, ms;
     // at most MaxRunSlackMs. None: unknown.
     std::optional<std::int64_t> slackMs = {};
 };
--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -75,8 +75,8 @@
     std::int64_t targetLatencyMs = 0; // objective: fixed part, ms
 };
 
-// A long-running run that was at work for this long and then failed does not tell of its worker: a
-// faulty worker fails its runs at once.
+// A long-running run that was at work for this long and then failed says nothing about its worker:
+// a faulty worker fails its runs at once.
 inline constexpr milliseconds MinServingTime{5000};
 
 // Identifies one task by its job, occurrence, step and index within the step.
--- a/libs/jobs/run_times.h
+++ b/libs/jobs/run_times.h
@@ -2,7 +2,7 @@
 //
 // Call recordDone() for each run that was done, recordStepDone() once all tasks of a step are, and
 // recordFailed() for each run that failed; quantileMs() and stepMs() to ask for run times. Until
-// enough runs of a kind were seen, the estimate is the answer. A step's tasks that are done tell
+// enough runs of a kind were seen, the estimate is the answer. A step's tasks that are done show
 // much more of the others than the kind does: they share the error of the estimate. A kind of which
 // too little was seen is taken for its queue.
 //
@@ -100,7 +100,7 @@
 private:
     template <typename Observe>
     void record(const run_kind &kind, Observe observe);
-    // The profile of the kind, or of its queue, that has been seen often enough to tell; null:
+    // The profile of the kind, or of its queue, that has been seen often enough; null:
     // none.
     template <typename HasEnough>
     const run_time_profile *find(const run_kind &kind, HasEnough hasEnough) const;
--- a/libs/jobs/slack_spender.h
+++ b/libs/jobs/slack_spender.h
@@ -1,5 +1,5 @@
 // Decides which best-effort runs of one worker are slowed so that its serving runs stay below their
-// headroom, and by how much. Only runs whose owner told how long they may stand still, and that
+// headroom, and by how much. Only runs whose owner sent how long they may be paused, and that
 // have some of that time left, are slowed; a run at p percent of full speed spends (100 - p)
 // percent of the time. The run that adds most load to all serving runs without headroom and has
 // most time left is slowed first, and only by as much as brings the load below the headroom of the
@@ -37,7 +37,7 @@
 
     struct spending_run
     {
-        std::optional<std::int64_t> slackMs; // as its owner told it; none: unknown
+        std::optional<std::int64_t> slackMs; // as its owner sent it; none: unknown
         duration spent{};                    // since its start
         time_point spentUntil{};             // up to when `spent` is counted
         int planned = 100;                   // percent of full speed, by the last plan
--- a/libs/jobs/throttle_controller.cpp
+++ b/libs/jobs/throttle_controller.cpp
@@ -334,7 +334,7 @@
 }
 
 // A worker may carry out a call without an answer seconds later, after newer ones. A run would then
-// stand still for good, so its speed is set once more.
+// be paused for good, so its speed is set once more.
 void throttle_controller::noteUnanswered(const run_speed &speed, time_point now)
 {
     constexpr milliseconds LateEffectLimit{8000};
--- a/libs/jobs/throttle_controller.h
+++ b/libs/jobs/throttle_controller.h
@@ -8,7 +8,7 @@
 // would then stay late.
 //
 // Before that, runs whose jobs have slack are slowed as soon as the headroom of a serving run is
-// exceeded (slack_spender.h). Runs whose owners don't tell their slack are not.
+// exceeded (slack_spender.h). Runs whose owners don't send their slack are not.
 //
 // Makes decisions only; the agent carries them out.
 #pragma once
@@ -47,7 +47,7 @@
     std::string image;
     double usedCores = 0;      // mean number of cores in use
     double requestedCores = 0; // by its task's specification
-    // How long it may stand still in all, as its owner told it, ms; none: unknown.
+    // How long it may be paused in all, as its owner sent it, ms; none: unknown.
     std::optional<std::int64_t> slackMs = {};
     bool isInherited = false; // an earlier incarnation of the agent started it
 };
--- a/libs/jobs/urgency.h
+++ b/libs/jobs/urgency.h
@@ -41,7 +41,7 @@
 // the first occurrence that isn't done, ms.
 std::int64_t remainingPathMs(const job_record &record, const run_times &times);
 
-// What the record tells of a step: its estimate, and the run times of some tasks that are done.
+// What the record has of a step: its estimate, and the run times of some tasks that are done.
 step_context stepContextOf(const job_record &record, int occurrence, int step);
 
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -164,7 +164,7 @@
     // good score.
     void recordOvertakenRun(const std::string &worker, double slowdown);
 
-    // Applies the failures of all entries' runs that the latest report tells of. Returns true when
+    // Applies the failures of all entries' runs that the latest report counts. Returns true when
     // a quarantine begins.
     bool applyReportedFailures(const std::string &worker, time_point now);
 
--- a/tests/copies_test.cpp
+++ b/tests/copies_test.cpp
@@ -422,17 +422,17 @@
 }
 
 // Run times vary more than siblings show: copies that are not done first make the next ones wait.
-Test(copies, patience_with_a_kind_of_runs)
+Test(copies, backoff_for_a_kind_of_runs)
 {
     const run_kind kind{"previews", ""};
-    copy_patience patience;
+    copy_backoff backoff;
     for (int copy = 0; copy < 40; ++copy)
-        patience.noteOutcome(kind, false);
-    check(patience.of(kind) == 4);
-    check(patience.of({"others", ""}) == 1);
+        backoff.noteOutcome(kind, false);
+    check(backoff.factorOf(kind) == 4);
+    check(backoff.factorOf({"others", ""}) == 1);
     for (int copy = 0; copy < 10; ++copy)
-        patience.noteOutcome(kind, true);
-    check(patience.of(kind) == 1);
+        backoff.noteOutcome(kind, true);
+    check(backoff.factorOf(kind) == 1);
 }
 
 // Several workers turn slow at once: the copies in flight stay a small share of the runs.
