--- a/libs/jobs/job_controller_copies.cpp
+++ b/libs/jobs/job_controller_copies.cpp
@@ -241,13 +241,14 @@
         if (runPlacement.run > end.run || accepted == job.startAcceptedAt.end())
             continue;
         const auto elapsed = std::chrono::duration_cast<milliseconds>(now - accepted->second);
-        if (m_settings.features.learnsRunTimes && expectedMs > 0)
+        if (m_settings.features.learnsRunTimes && expectedMs > 0) {
             m_workers.recordRunTime(runPlacement.worker,
                                     static_cast<double>(elapsed.count())
                                             / static_cast<double>(expectedMs),
                                     step.isBestEffort);
-        else
+        } else {
             m_workers.recordOvertakenRun(runPlacement.worker, slowdownOf(elapsed, step));
+        }
     }
 }
 
@@ -286,8 +287,9 @@
         const auto since = isCopy ? copied->second.placedAt : order.firstSentAt;
         if (since == time_point{} || now - since <= m_settings.copies.startOrderLifetime)
             continue;
-        const auto own = std::find_if(placements.begin(), placements.end(),
-                                      [&](const auto &other) { return other.run == key.second; });
+        const auto own = std::find_if(
+                placements.begin(), placements.end(),
+                [number = key.second](const auto &other) { return other.run == number; });
         if (own != placements.end())
             overdue.emplace_back(task, *own);
     }
--- a/libs/jobs/job_controller_orders.cpp
+++ b/libs/jobs/job_controller_orders.cpp
@@ -99,10 +99,11 @@
 
 void job_controller::workerReported(const std::string &worker, time_point now)
 {
-    if (m_settings.features.sharesFailures && m_workers.applyReportedFailures(worker, now))
+    if (m_settings.features.sharesFailures && m_workers.applyReportedFailures(worker, now)) {
         addLog("worker_quarantined", {},
                fmt::format("{}, {} failures in a row by its agent's count", worker,
                            m_workers.find(worker)->lastReport.failuresInRow));
+    }
     const auto found = m_startsInFlight.find(worker);
     if (found == m_startsInFlight.end())
         return;
--- a/tests/run_checker.h
+++ b/tests/run_checker.h
@@ -90,10 +90,11 @@
     {
         constexpr milliseconds Slack{1000};
         const auto found = times.find(task);
-        if (found != times.end() && now - found->second > Slack)
+        if (found != times.end() && now - found->second > Slack) {
             m_violations.push_back(fmt::format("started {} ms after {}: {} run {}",
                                                clockOf(now) - clockOf(found->second), what,
                                                toText(task), run));
+        }
     }
 
     times_by_task m_doneAt;          // when the store first had the task as done
