--- a/bench/wait_policy_bench.cpp
+++ b/bench/wait_policy_bench.cpp
@@ -1,7 +1,7 @@
 // Compares how long tasks wait for a place on their data's rack, on the same seeded sequences:
 // never, always, for 2.5 s, and as wait_policy decides. One rack of `Slots` places; other racks
-// always have room, and runs there take `farFactor` times as long. Prints a table in Markdown;
-// times in ms.
+// always have free capacity, and runs there take `farFactor` times as long. Prints a table in
+// Markdown; times in ms.
 //
 //   wait_policy_bench [seconds]
 #include <algorithm>
--- a/libs/jobs/job_controller_copies.cpp
+++ b/libs/jobs/job_controller_copies.cpp
@@ -88,7 +88,7 @@
 }
 
 // Whether tasks that reserve processors wait for a worker of the service: copies would only take
-// the room that is left.
+// the capacity that is left.
 bool job_controller::hasUnplacedTasks(const std::string &service) const
 {
     return std::any_of(m_waitingJobs.begin(), m_waitingJobs.end(), [&](const auto &id) {
--- a/libs/jobs/job_controller_waits.cpp
+++ b/libs/jobs/job_controller_waits.cpp
@@ -110,8 +110,8 @@
 }
 
 // The rack on which the waiting tasks of the step run faster than elsewhere: that of their data; or
-// that of the step's other tasks; or, for the first of them, the one with most room for the step.
-// Empty: there is none, or no worker there can ever take them, or the step is spread already.
+// that of the step's other tasks; or, for the first of them, the one with most free capacity for
+// it. Empty: there is none, or no worker there can ever take them, or the step is spread already.
 std::string job_controller::nearRackOf(const owned_job &job, const task_id &firstTask,
                                        const step_spec &step, time_point now) const
 {
@@ -185,7 +185,7 @@
 }
 
 // A group of tasks that must run at the same time: all on one rack, or, once that pays no longer,
-// wherever there is room.
+// wherever there is free capacity.
 std::vector<std::string> job_controller::chooseGangOrWait(const std::string &id, owned_job &job,
                                                           const task_id &firstMember,
                                                           const step_spec &step, int run,
--- a/libs/jobs/run_course.h
+++ b/libs/jobs/run_course.h
@@ -1,4 +1,4 @@
-// Tells for a completed job what made its steps take longer than their estimates: failed runs,
+// Records for a completed job what made its steps take longer than their estimates: failed runs,
 // refused orders, waits for a worker, or runs that took long. Keeps counts only; job_controller
 // logs them. Order of calls: stepReady() when planning first considers a step; placed(),
 // accepted(), refused() and failed() for each run of its tasks; stepDone() when its last task is
--- a/libs/jobs/run_times_text.cpp
+++ b/libs/jobs/run_times_text.cpp
@@ -130,7 +130,7 @@
     profile.done = weightFrom(required(value, "dn"));
     profile.failed = weightFrom(required(value, "fl"));
     profile.lastUse = countFrom(required(value, "u"));
-    constexpr std::int64_t MaxLastUse = std::int64_t{1} << 53; // leaves room to count on
+    constexpr std::int64_t MaxLastUse = std::int64_t{1} << 53; // far from an overflow
     if (profile.lastUse > MaxLastUse)
         refuse("sequence number out of range");
     return profile;
--- a/libs/jobs/scheduling_features.h
+++ b/libs/jobs/scheduling_features.h
@@ -15,7 +15,7 @@
     // Runs copies of slow tasks of steps whose callers permit it (step_spec::isSpeculative).
     bool copiesSlowTasks = false;
     // Prefers workers on which more tasks of the same size fit: what other entries place there at
-    // the same time then leaves room for this one.
+    // the same time then leaves enough capacity for this one.
     bool weighsRoom = false;
     // Quarantines a worker by the failures of all entries' runs there, not of the own ones alone.
     bool sharesFailures = false;
--- a/libs/jobs/wait_policy.h
+++ b/libs/jobs/wait_policy.h
@@ -75,7 +75,7 @@
     static double expectedLoadRise(std::int64_t runMs);
     double loadMargin(const waiting_tasks &tasks) const;
 
-    // Whether the next task of a step goes to another rack than `rack`, which has no room for it
+    // Whether the next task of a step goes to another rack than `rack`, which is too full for it
     // now. Call it once in a round for each task that finds none there.
     wait_decision decideDistance(const waiting_tasks &tasks, const std::string &rack,
                                  time_point now);
--- a/libs/jobs/worker_pool.h
+++ b/libs/jobs/worker_pool.h
@@ -177,7 +177,7 @@
     std::optional<std::string> chooseWorker(const std::string &service, const step_spec &step,
                                             const std::vector<std::string> &avoid, time_point now,
                                             const placement_preferences &preferences = {}) const;
-    // Racks with workers for tasks of the step, and the room there for at most `maxTasks` of them.
+    // Racks with workers for tasks of the step, and how many of at most `maxTasks` fit there.
     std::map<std::string, rack_room> roomByRack(const std::string &service, const step_spec &step,
                                                 int maxTasks, time_point now,
                                                 const placement_preferences &preferences) const;
@@ -227,7 +227,7 @@
     double score(const worker_view &view, const step_spec &step, int waitingTasks) const;
     static double servingScore(const worker_view &view, const step_spec &step, int waitingTasks);
     // Subtracted from the score: how likely it is that other entries, whose placements are not in
-    // the view yet, take the room before the order arrives.
+    // the view yet, take the capacity before the order arrives.
     static double contentionPenalty(const worker_view &view, const step_spec &step);
     static bool isShortAndAnywhere(const step_spec &step);
     static int countPlaces(const worker_view &view, const task_size &size, int limit);
--- a/libs/jobs/worker_score.cpp
+++ b/libs/jobs/worker_score.cpp
@@ -106,7 +106,7 @@
     return step.maxPerWorker > 0 ? std::min(tasks, step.maxPerWorker) : tasks;
 }
 
-// How many tasks of the size the worker has room for, counted up to `limit`.
+// How many tasks of the size fit on the worker, counted up to `limit`.
 int worker_pool::countPlaces(const worker_view &view, const task_size &size, int limit)
 {
     auto freeCapacity = view.lastReport.capacity;
