Leases of workers are renewed each 500 ms: an outage of six seconds ends no run

Cause: a renewal each 1.5 s leaves 6.0 s of a lease of 7.5 s in the worst case. All agents start together and renew at the same moments.

Change: the interval is 500 ms; watchers read a silent worker's lease each 1.5 s as before. The lease is no longer than it was, so the restart after the silent loss of a worker and its agent takes no longer.

The new test fails with the interval before.

--- a/libs/jobs/lease.cpp
+++ b/libs/jobs/lease.cpp
@@ -77,7 +77,7 @@
                                            time_point now)
 {
     if (row.endedByWatcher)
-        return {false, now + LeaseRenewInterval}; // the agent has to begin a new epoch
+        return {false, now + LeaseCheckInterval}; // the agent has to begin a new epoch
     auto &observed = m_observed[worker];
     if (observed.version != version)
         observed = {version, now + LeaseDuration + LeaseExpirySlack};
@@ -85,7 +85,7 @@
     if (row.expiresAtMs != 0 && storeMs != 0)
         expiresAt = std::min(expiresAt,
                              now + milliseconds(row.expiresAtMs - storeMs) + LeaseExpirySlack);
-    return {now >= expiresAt, std::min(expiresAt, now + LeaseRenewInterval)};
+    return {now >= expiresAt, std::min(expiresAt, now + LeaseCheckInterval)};
 }
 
 void lease_expiry_detector::forget(const std::string &worker)
--- a/libs/jobs/lease.h
+++ b/libs/jobs/lease.h
@@ -17,12 +17,16 @@
 // free capacity for it.
 constexpr milliseconds TaskLostAfter{9000};
 
-// For how long tasks may run after the agent sent a renewal that was written. Longer than the
-// platform's outages of 4 to 5 s plus one renewal interval. When a worker is lost together with its
-// agent, its tasks can't start elsewhere for about this long. That time plus all that follows (the
-// margins, the read that finds the lease expired, the placement) must stay below TaskLostAfter.
+// For how long tasks may run after the agent sent a renewal that was written. When a worker is lost
+// together with its agent, its tasks can't start elsewhere for about this long. That time plus all
+// that follows (the margins, the read that finds the lease expired, the placement) must stay below
+// TaskLostAfter.
 constexpr milliseconds LeaseDuration{7500};
-constexpr milliseconds LeaseRenewInterval{1500}; // two renewals may fail within one lease
+// The store may go away just before a renewal: what is left of the lease then is LeaseDuration less
+// this interval. Agents that started together renew at the same moments, so an outage of more than
+// that ends the runs of all workers at once.
+constexpr milliseconds LeaseRenewInterval{500};
+constexpr milliseconds LeaseCheckInterval{1500}; // a watcher's reads of a silent worker's lease
 
 // Covers the small delays with which both sides read their clocks.
 constexpr milliseconds LeaseMargin{700};
--- a/tests/worker_lease_test.cpp
+++ b/tests/worker_lease_test.cpp
@@ -340,3 +340,55 @@
         check(fixture.lease.validUntil() == fixture.now + LeaseDuration);
     });
 }
+
+namespace {
+
+// The store is away from `from` to `to`. A pending write is repeated, and succeeds `RetryDelay`
+// after the store's return at the latest.
+struct store_outage
+{
+    static constexpr milliseconds RetryDelay{500};
+    time_point from;
+    time_point to;
+
+    bool answers(time_point at) const { return at < from || at >= to + RetryDelay; }
+};
+
+// Renews the lease each LeaseRenewInterval during the outage and some seconds after it. Returns
+// whether the lease was valid all the while.
+bool outlasts(const store_outage &outage)
+{
+    constexpr milliseconds Step{10};
+    lease_fixture fixture;
+    fixture.startLease();
+    auto nextRenewal = fixture.now;
+    for (; fixture.now < outage.to + seconds(5); fixture.now += Step) {
+        if (fixture.now >= nextRenewal) {
+            fixture.lease.renew(fixture.now);
+            nextRenewal += LeaseRenewInterval;
+        }
+        fixture.runActions(false);
+        if (outage.answers(fixture.now))
+            fixture.completeWrite();
+        if (fixture.now >= fixture.lease.validUntil())
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+// Guards against the restart of everything at once: the leases of all workers expire shortly before
+// the store is back, because all agents had renewed them at the same unlucky moment.
+Test(worker_lease, runs_outlast_the_loss_of_the_store)
+{
+    constexpr milliseconds LongestOutage{6500};
+    const time_point start = lease_fixture().now + seconds(10);
+    for (milliseconds phase{0}; phase < seconds(2); phase += milliseconds(50)) {
+        const auto from = start + phase;
+        check(outlasts({from, from + LongestOutage}));
+    }
+    section("a lease still ends when the store stays away", [&] {
+        check(!outlasts({start, start + TaskLostAfter}));
+    });
+}
