Agents find the store sooner after silence, and follow the entries with a third of the calls

Cause: while the store is silent, timeouts grow to 1.5 s, and a renewal waited for a try sent into the silence up to 2 s after the store was back. A poll of the worker waits up to 1 s, so that a lease renewed at the last moment could still lapse there.

Change: renewals overlap (store_client::commitOverlapping): the next try goes out when one was not answered for 500 ms; the first outcome counts, and a try carried out late fails its condition. While the lease ends within 2 s, polls wait 0.1 s. The feed of the entries' rows is asked with a wait of 3 s, through a relay of 1 s, so that a leaving relay isn't held.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -31,8 +31,10 @@
 
 namespace {
 
-constexpr milliseconds PollWait{1000};       // the worker answers a poll earlier if a run ends
-constexpr milliseconds ServingPollWait{250}; // workers measure latencies over 0.5 s
+constexpr milliseconds PollWait{1000};        // the worker answers a poll earlier if a run ends
+constexpr milliseconds ServingPollWait{250};  // workers measure latencies over 0.5 s
+constexpr milliseconds ExpiringPollWait{100}; // while the lease ends soon
+constexpr milliseconds LeaseEndsSoon{2000};   // longer than any poll
 constexpr milliseconds PollTimeout{700}; // in addition to the wait; a worker answers in a few ms
 constexpr milliseconds PollRetryDelay{150};
 // While ends of runs are not acknowledged, the worker answers each poll at once.
@@ -42,6 +44,8 @@
 constexpr milliseconds StopMargin{150}; // in addition to the worker's stop timeout
 // Lets one answer of the store contain many cancellations; they have to take effect within 3 s.
 constexpr milliseconds CancelsBatchDelay{1000};
+// The rows of the entries change only when an entry starts, and the store answers at once then.
+constexpr milliseconds EntriesPollWait{3000};
 constexpr milliseconds LogFlushInterval{100};
 constexpr milliseconds TrafficLogInterval{10'000};
 constexpr milliseconds FinishLimit{300}; // the final write of the lease takes about 15 ms
@@ -64,7 +68,7 @@
         , m_store(
                   m_loop, m_client, m_settings.storeAddress,
                   [this] { return m_reportSender.relayAddresses(); }, m_metrics, m_log)
-        , m_entriesFollower(m_loop, m_store, m_log, {EntriesTable},
+        , m_entriesFollower(m_loop, m_store, m_log, {EntriesTable, {""}, {}, EntriesPollWait},
                             [this](const auto &rows) { m_reportSender.updateEntries(rows); })
         , m_cancelsFollower(
                   m_loop, m_store, m_log, {CancelsTable, jobPartitions(), CancelsBatchDelay},
@@ -211,8 +215,7 @@
             m_workerLiveness.noteHold(holdUntil);
         }
         // While the worker's clock is unknown, the poll returns at once and only reads the clock.
-        const auto maxWait = m_runTable.servingSamples().empty() ? PollWait : ServingPollWait;
-        const auto wait = m_workerClock.isKnown() ? millisecondsIn(maxWait) : 0;
+        const auto wait = m_workerClock.isKnown() ? millisecondsIn(maxPollWait(now)) : 0;
         auto request =
                 platform_wire::makeHoldRequest(m_workerPresence.id(), deadline, lease().fence(),
                                                m_runTable.acknowledgedThrough(), wait);
@@ -226,6 +229,15 @@
                       });
     }
 
+    // A lease that is renewed at the last moment saves the runs only if the next hold call comes
+    // before the end of the earlier lease.
+    milliseconds maxPollWait(time_point now) const
+    {
+        if (lease().validUntil() - now < LeaseEndsSoon)
+            return ExpiringPollWait;
+        return m_runTable.servingSamples().empty() ? PollWait : ServingPollWait;
+    }
+
     void handlePollResult(const call_result &result, std::int64_t fence, time_point sentAt)
     {
         if (!lease().holdsFence())
--- a/app/lease_keeper.cpp
+++ b/app/lease_keeper.cpp
@@ -105,13 +105,14 @@
 void lease_keeper::execute(const write_lease &action)
 {
     const auto name = leaseRowName(m_agent);
-    m_store.commit({{{name, action.expectedVersion}}, {{name, toText(action.row), 0, false}}, {}},
-                   [this, write = action.row.writeId,
-                    sentAt = suspendAwareNow()](const store_client::commit_outcome &outcome) {
-                       if (const auto *done = std::get_if<committed>(&outcome))
-                           m_lease.noteStoreClock(done->storeClockMs, sentAt, suspendAwareNow());
-                       handleRowWritten(write, outcome);
-                   });
+    m_store.commitOverlapping(
+            {{{name, action.expectedVersion}}, {{name, toText(action.row), 0, false}}, {}},
+            [this, write = action.row.writeId,
+             sentAt = suspendAwareNow()](const store_client::commit_outcome &outcome) {
+                if (const auto *done = std::get_if<committed>(&outcome))
+                    m_lease.noteStoreClock(done->storeClockMs, sentAt, suspendAwareNow());
+                handleRowWritten(write, outcome);
+            });
 }
 
 void lease_keeper::handleRowWritten(const std::string &write,
--- a/app/store_client.cpp
+++ b/app/store_client.cpp
@@ -18,9 +18,11 @@
 constexpr milliseconds MaxTimeout{1500};
 // After a failed direct call, calls go through a relay for this long, if there is one.
 constexpr milliseconds DirectBackoff{400};
+constexpr milliseconds OverlapDelay{500};  // longer than a slow store takes to answer
 constexpr milliseconds InitialBackoff{40}; // before a write is retried; doubles with each retry
 constexpr milliseconds MaxBackoff{500};
-constexpr milliseconds RelayAllowance{150}; // added to the timeout for the additional hop
+constexpr milliseconds MaxRelayedWait{1000}; // of a feed's answer, so that a relay can leave soon
+constexpr milliseconds RelayAllowance{150};  // added to the timeout for the additional hop
 // Longest pause while an answer arrives. After a longer loss of the link the rest of the answer
 // will not come.
 constexpr milliseconds MaxStall{1500};
@@ -124,15 +126,19 @@
                   });
 }
 
+bool store_client::sendsDirectly() const
+{
+    return net::suspendAwareNow() >= m_avoidDirectUntil || m_relays().empty();
+}
+
 // One try, directly or through a relay, whichever is expected to work.
 void store_client::send(store_request call, duration extraTimeout,
                         answer_begun_callback onAnswerBegun, net::http_client::call_callback done)
 {
-    const auto relays = m_relays();
-    const bool isDirect = relays.empty() || net::suspendAwareNow() >= m_avoidDirectUntil;
-    if (isDirect)
+    if (sendsDirectly())
         return sendTo(m_address, true, std::move(call), timeout() + extraTimeout,
                       std::move(onAnswerBegun), std::move(done));
+    const auto relays = m_relays();
     const auto &peer = relays[m_nextRelay++ % relays.size()];
     m_metrics.count("store_calls_relayed_total", "sent");
     call.request.target = StoreRelayPath + call.request.target;
@@ -142,28 +148,50 @@
 
 void store_client::commit(row_transaction transaction, commit_callback done)
 {
-    tryCommit(std::make_shared<row_transaction>(std::move(transaction)), InitialBackoff,
-              std::move(done));
+    sendTry(std::make_shared<repeated_write>(
+            repeated_write{std::move(transaction), std::move(done), false, InitialBackoff}));
 }
 
-void store_client::tryCommit(std::shared_ptr<row_transaction> transaction, duration backoff,
-                             commit_callback done)
+void store_client::commitOverlapping(row_transaction transaction, commit_callback done)
 {
-    send({purposeOf(*transaction), platform_wire::makeCommitRequest(*transaction)}, {},
+    sendTry(std::make_shared<repeated_write>(
+            repeated_write{std::move(transaction), std::move(done), true, InitialBackoff}));
+}
+
+void store_client::sendTry(const std::shared_ptr<repeated_write> &write)
+{
+    const int number = ++write->tries;
+    send({purposeOf(write->transaction), platform_wire::makeCommitRequest(write->transaction)}, {},
          ignoreAnswerBegun,
-         [this, transaction, backoff, done = std::move(done)](const call_result &result) mutable {
-             const auto parsed = platform_wire::parseCommitResult(result);
-             if (const auto *success = std::get_if<committed>(&parsed))
-                 return done(*success);
-             if (const auto *conflict = std::get_if<conflicting>(&parsed))
-                 return done(*conflict);
-             m_metrics.count("store_writes_repeated_total", failureName(result));
-             const auto nextBackoff = std::min<duration>(backoff * 2, MaxBackoff);
-             m_loop.runAfter(backoff,
-                             [this, transaction, nextBackoff, done = std::move(done)]() mutable {
-                                 tryCommit(transaction, nextBackoff, std::move(done));
-                             });
-         });
+         [this, write, number](const call_result &result) { handleTry(write, number, result); });
+    if (write->mayOverlap)
+        repeatAfter(OverlapDelay, write);
+}
+
+// Does nothing if the outcome is known or a later try was sent by then.
+void store_client::repeatAfter(duration delay, const std::shared_ptr<repeated_write> &write)
+{
+    m_loop.runAfter(delay, [this, write, number = write->tries] {
+        if (write->done && write->tries == number)
+            sendTry(write);
+    });
+}
+
+void store_client::handleTry(const std::shared_ptr<repeated_write> &write, int number,
+                             const call_result &result)
+{
+    if (!write->done)
+        return;
+    const auto parsed = platform_wire::parseCommitResult(result);
+    if (const auto *success = std::get_if<committed>(&parsed))
+        return std::exchange(write->done, {})(*success);
+    if (const auto *conflict = std::get_if<conflicting>(&parsed))
+        return std::exchange(write->done, {})(*conflict);
+    m_metrics.count("store_writes_repeated_total", failureName(result));
+    if (number != write->tries)
+        return;
+    repeatAfter(write->backoff, write);
+    write->backoff = std::min<duration>(write->backoff * 2, MaxBackoff);
 }
 
 void store_client::read(const std::string &table, const std::string &partition,
@@ -211,8 +239,10 @@
 void store_client::pollFeed(const std::string &table, std::int64_t after, milliseconds wait,
                             answer_begun_callback onAnswerBegun, feed_callback done)
 {
-    send({purposeOfRead(table), platform_wire::makeFeedRequest(table, after, wait.count())}, wait,
-         std::move(onAnswerBegun), [done = std::move(done)](const call_result &result) {
+    const auto limitedWait = sendsDirectly() ? wait : std::min(wait, MaxRelayedWait);
+    send({purposeOfRead(table), platform_wire::makeFeedRequest(table, after, limitedWait.count())},
+         limitedWait, std::move(onAnswerBegun),
+         [done = std::move(done)](const call_result &result) {
              const auto *failure = std::get_if<call_failure>(&result);
              if (failure != nullptr && *failure == call_failure::TooLarge)
                  return done(feed_page{{}, 0, true});
@@ -225,10 +255,8 @@
     request.target = request.target.substr(std::string(StoreRelayPath).size());
     request.headers.clear();
     m_metrics.count("store_calls_relayed_total", "carried");
-    // Enough for any call: the store holds the answer of a feed for up to a second.
-    sendTo(m_address, true, {store_purpose::Relay, std::move(request)},
-           MaxTimeout + milliseconds(1000), ignoreAnswerBegun,
-           [respond = std::move(respond)](call_result result) {
+    sendTo(m_address, true, {store_purpose::Relay, std::move(request)}, MaxTimeout + MaxRelayedWait,
+           ignoreAnswerBegun, [respond = std::move(respond)](call_result result) {
                if (auto *answer = std::get_if<http_response>(&result)) {
                    answer->headers.clear();
                    return respond(std::move(*answer));
--- a/app/store_client.h
+++ b/app/store_client.h
@@ -39,6 +39,10 @@
     // condition. If the write took effect but its answer was lost, the result is `conflicting` and
     // contains the row as this process wrote it.
     void commit(jobs::row_transaction transaction, commit_callback done);
+    // The same for a write with a deadline: the next try is sent when one was not answered for
+    // OverlapDelay. A store that is back after a silent outage gets it sooner than by commit(),
+    // which waits until the last try into the silence has timed out.
+    void commitOverlapping(jobs::row_transaction transaction, commit_callback done);
     // Reads the rows of a partition with keys in [`from`, `to`); an empty bound is open. Tries
     // twice. The result is empty if the store answered neither try.
     void read(const std::string &table, const std::string &partition, const std::string &from,
@@ -46,8 +50,8 @@
     // Reads all rows of a partition, page by page.
     void readAll(const std::string &table, const std::string &partition, read_callback done);
     // Long poll for changes of a table after version `after`; the store holds the answer for up to
-    // `wait`. An answer that is too large is reported as lost history (historyExpired), so that the
-    // whole table is read again page by page.
+    // `wait`, for less through a relay. An answer that is too large is reported as lost history
+    // (historyExpired), so that the whole table is read again page by page.
     void pollFeed(const std::string &table, std::int64_t after, milliseconds wait,
                   answer_begun_callback onAnswerBegun, feed_callback done);
 
@@ -72,11 +76,23 @@
               net::http_client::call_callback done);
     void sendTo(const std::string &peer, bool isDirect, store_request call, duration callTimeout,
                 answer_begun_callback onAnswerBegun, net::http_client::call_callback done);
-    void tryCommit(std::shared_ptr<jobs::row_transaction> transaction, duration backoff,
-                   commit_callback done);
+    // A write that is tried until its outcome is known. Only the latest try causes the next one.
+    struct repeated_write
+    {
+        jobs::row_transaction transaction;
+        commit_callback done; // empty once called
+        bool mayOverlap = false;
+        duration backoff{}; // before the next try
+        int tries = 0;
+    };
+    void sendTry(const std::shared_ptr<repeated_write> &write);
+    void repeatAfter(duration delay, const std::shared_ptr<repeated_write> &write);
+    void handleTry(const std::shared_ptr<repeated_write> &write, int number,
+                   const call_result &result);
     void readNextPage(std::string table, std::string partition, std::string from,
                       std::shared_ptr<jobs::row_page> collected, read_callback done);
     void recordAnswer(bool isDirect, const call_result &result, duration answerTime);
+    bool sendsDirectly() const; // the next call goes to the store itself, not through a relay
     duration timeout() const;
 
     net::event_loop &m_loop;
--- a/app/table_follower.cpp
+++ b/app/table_follower.cpp
@@ -7,8 +7,7 @@
 
 namespace {
 
-constexpr milliseconds FeedPollWait{1000}; // short enough to notice soon that the feed has stopped
-constexpr milliseconds RetryDelay{200};    // enough for a store that was slow for a moment
+constexpr milliseconds RetryDelay{200}; // enough for a store that was slow for a moment
 
 } // namespace
 
@@ -60,7 +59,7 @@
 void table_follower::pollFeed(std::int64_t after)
 {
     m_store.pollFeed(
-            m_followed.table, after, FeedPollWait,
+            m_followed.table, after, m_followed.pollWait,
             [this](std::uint64_t bytes) { m_onProgress(feed_answer_begun{bytes}); },
             [this, after,
              requestedAt = net::suspendAwareNow()](const std::optional<jobs::feed_page> &page) {
--- a/app/table_follower.h
+++ b/app/table_follower.h
@@ -25,6 +25,9 @@
     std::vector<std::string> partitions{""};
     // Pause after each answer of the feed, so that the next one contains many changes.
     milliseconds batchDelay{0};
+    // For how long the store may hold an answer without changes. A feed that has stopped is noticed
+    // only after it.
+    milliseconds pollWait{1000};
 };
 
 // Progress events, for code that has to know whether its copy of the table is up to date:
