A single sample below the target no longer puts the pause of best-effort runs off

Change: a late run counts as in time again once no sample was above its target for 600 ms, more than one sample's span.

The new test fails with the code before.

--- a/libs/jobs/throttle_controller.cpp
+++ b/libs/jobs/throttle_controller.cpp
@@ -180,16 +180,18 @@
     const auto known = m_lateRuns.find(key);
     if (known == m_lateRuns.end()) {
         if (isLate)
-            m_lateRuns.emplace(key, late_run{now, {}});
+            m_lateRuns.emplace(key, late_run{now, now, {}});
         return false;
     }
     auto &late = known->second;
+    if (isLate)
+        late.lastLateAt = now;
     if (late.pausedAt == time_point{}) {
-        if (!isLate) {
+        if (now - late.lastLateAt >= m_settings.minGoodTime) {
             m_lateRuns.erase(known);
             return false;
         }
-        if (now - late.lateSince < m_settings.maxLateTime)
+        if (!isLate || now - late.lateSince < m_settings.maxLateTime)
             return false;
         late.pausedAt = now;
         return true;
@@ -198,7 +200,7 @@
     if (pausedFor < m_settings.minPause || (isLate && pausedFor < m_settings.maxPause))
         return true;
     if (isLate)
-        late = {now, {}};
+        late = {now, now, {}};
     else
         m_lateRuns.erase(known);
     return false;
--- a/libs/jobs/throttle_controller.h
+++ b/libs/jobs/throttle_controller.h
@@ -72,6 +72,9 @@
     // For how long a serving run may miss its target before a pause begins. Users tolerate a late
     // answer or two, but not seconds of late answers.
     milliseconds maxLateTime{2200};
+    // For how long all its samples must meet the target before it counts as in time again. Samples
+    // are rough: of a run just above its target some are below it.
+    milliseconds minGoodTime{600};
     // A pause ends once a sample shows that it helped; as a sample covers the last half second, it
     // shows that late. A serving run that is still late after the longest pause is late because of
     // its own load.
@@ -150,6 +153,7 @@
     struct late_run
     {
         time_point lateSince{};   // since when it has been late without a pause
+        time_point lastLateAt{};  // last sample above the target
         time_point pausedAt = {}; // start of the current pause; 0: none
     };
 
--- a/tests/job_platform_test.cpp
+++ b/tests/job_platform_test.cpp
@@ -348,6 +348,31 @@
     });
 }
 
+// Guards against users who wait too long for seconds on end: samples are rough, and each one below
+// the target among many above it put the pause of the best-effort runs off by its whole delay.
+Test(job_platform, a_sample_below_the_target_puts_no_pause_off)
+{
+    constexpr milliseconds SampleInterval{250};
+    constexpr int SamplesPerDip = 5;
+    constexpr milliseconds MaxHarm{4500}; // users bear no more, the call's effect included
+    const best_effort_run filling{{"f", 0, 0, 0}, 1, "press", 2, 2};
+    for (int firstDip = 1; firstDip < SamplesPerDip; ++firstDip) {
+        throttle_controller controller;
+        const time_point start{std::chrono::hours(1)};
+        auto now = start;
+        const auto isPaused = [&](int sample) {
+            const int tailMs = sample % SamplesPerDip == firstDip ? 145 : 160;
+            return !controller
+                            .decideSpeeds({{{"s", 0, 0, 0}, 1, "site", tailMs, 150}}, {filling},
+                                          now)
+                            .empty();
+        };
+        for (int sample = 0; now < start + MaxHarm && !isPaused(sample); ++sample)
+            now += SampleInterval;
+        check(now <= start + throttle_settings().maxLateTime + 2 * SampleInterval);
+    }
+}
+
 // A peer sends unexpected data, and the code that handles it throws. Other callers must still be
 // served.
 Test(job_platform, callback_that_throws)
