Review, case 1: wide jobs with long specs never start

Cause: an entry sends all due start orders for a worker in one call, each with the whole spec; the agent's listener takes 256 KiB, answers 413, and the entry repeats the same batch for ever. Change: a script with stand-ins of the store, the runners and the clients, beside it the claim.

--- /dev/null
+++ b/review/standin/cases.h
@@ -0,0 +1,218 @@
+// The cases of the review that are scripts.
+#pragma once
+
+#include <cstdio>
+#include <iostream>
+
+#include "deployment.h"
+
+namespace review {
+
+inline bool hasTrouble()
+{
+    const char *value = std::getenv("TROUBLE");
+    return value == nullptr || std::string(value) != "0";
+}
+
+inline std::string jobId(std::uint64_t number)
+{
+    char text[20];
+    std::snprintf(text, sizeof text, "%016llx",
+                  static_cast<unsigned long long>(number * 0x9e3779b97f4a7c15ULL
+                                                  + 0x5c0e7a21d94b36f8ULL));
+    return text;
+}
+
+// About `bytes` bytes of Georgian text: what a ticket says.
+inline std::string georgianText(std::size_t bytes)
+{
+    const std::string word = "ბილეთი საციგურაოზე ";
+    std::string text;
+    while (text.size() + word.size() <= bytes)
+        text += word;
+    return text;
+}
+
+inline int finish(deployment &system)
+{
+    checkHistory(system.all);
+    const std::lock_guard lock(system.all.mutex);
+    for (const auto &line : system.all.violations)
+        std::cout << line << "\n";
+    system.all.note(system.all.violations.empty() ? "RESULT held" : "RESULT broken");
+    system.all.record.flush();
+    return system.all.violations.empty() ? 0 : 1;
+}
+
+// Whether the job has nothing running now although a task's turn has come: the job was accepted,
+// isn't over, and no runner works on it. The jobs of these cases have steps that don't wait.
+inline bool hasNothingRunning(world &all, const std::string &id)
+{
+    for (const auto &[task, indexes] : all.runsOfTask) {
+        if (!task.starts_with(id + "."))
+            continue;
+        for (const auto index : indexes) {
+            if (all.runs[index].endedAt == 0)
+                return false;
+        }
+    }
+    return true;
+}
+
+// The part of all runners' processors that runs reserve now.
+inline double usedShare(deployment &system)
+{
+    std::int64_t used = 0;
+    std::int64_t room = 0;
+    for (const auto &each : system.runners)
+        room += each->options().cpu;
+    for (const auto &run : system.all.runs) {
+        const auto name = parseTask(run.task);
+        if (run.endedAt == 0)
+            used += system.all.jobs.at(name->job).steps[static_cast<std::size_t>(name->step)].cpu;
+    }
+    return static_cast<double>(used) / static_cast<double>(room);
+}
+
+// Rule LOST, from finish_s after the end of the traffic: for 3 s, an accepted job has nothing
+// running although there is capacity for it twice over and under half of it is in use. Watches for
+// `watchMs`.
+inline void checkNothingLost(deployment &system, std::int64_t watchMs)
+{
+    constexpr std::int64_t FinishMs = 14'000;
+    constexpr std::int64_t IdleMs = 3000;
+    sleepMs(FinishMs);
+    std::map<std::string, std::int64_t> idleSince;
+    std::set<std::string> lost;
+    const auto until = steadyMs() + watchMs;
+    while (steadyMs() < until) {
+        std::map<std::string, std::string> states;
+        for (const auto &[id, asked] : system.all.jobs) {
+            if (asked.accepted)
+                states[id] = system.stateOf(id, 0);
+        }
+        const std::lock_guard lock(system.all.mutex);
+        const bool hasRoom = usedShare(system) < 0.5;
+        for (const auto &[id, state] : states) {
+            const bool isOver = state == "completed" || state == "failed" || state == "cancelled";
+            if (isOver || !hasRoom || !hasNothingRunning(system.all, id)) {
+                idleSince.erase(id);
+                continue;
+            }
+            const auto since = idleSince.emplace(id, steadyMs()).first->second;
+            if (steadyMs() - since >= IdleMs && lost.insert(id).second)
+                system.all.violate("LOST " + id + " is " + state + ", has nothing running for 3 s, "
+                                   + std::to_string(static_cast<int>(100 * usedShare(system)))
+                                   + "% of the capacity are in use");
+        }
+        sleepMs(200);
+    }
+    for (const auto &[id, asked] : system.all.jobs) {
+        const auto state = system.stateOf(id, 0);
+        const std::lock_guard lock(system.all.mutex);
+        system.all.note("state " + id + " " + (state.empty() ? "(no answer)" : state));
+    }
+}
+
+// Case 1. Jobs whose spec has the 4,000 bytes that PROTOCOL.md allows come at once. With the
+// disruption they are as wide as the site's sheet lets them be, without it of the mean width.
+inline int largeJobs(const std::string &record)
+{
+    constexpr int MeanWidth = 6;
+    constexpr int LargestWidth = 36;
+    constexpr int JobCount = 6;
+    deployment_options options;
+    options.recordFile = record;
+    deployment system(options);
+    if (!system.waitUntilReady())
+        return 2;
+    std::vector<std::thread> clients;
+    for (int number = 0; number < JobCount; ++number) {
+        job asked;
+        asked.id = jobId(static_cast<std::uint64_t>(number));
+        asked.spec = georgianText(4000);
+        step tasks;
+        tasks.count = hasTrouble() ? LargestWidth : MeanWidth;
+        tasks.cpu = 240;
+        tasks.memMb = 480;
+        tasks.workMs = 640;
+        asked.steps = {tasks};
+        clients.emplace_back([&system, asked, number] { system.submit(asked, number % 3); });
+        sleepMs(150); // 6.7 jobs a second, as on a usual day
+    }
+    for (auto &client : clients)
+        client.join();
+    checkNothingLost(system, 12'000);
+    return finish(system);
+}
+
+// Case 2. Gangs of two contend for room: when two entries choose the same runners at the same
+// moment, one member of a gang is refused, and the other one is stopped. The disruption: as a
+// runner is told to stop a run, its agent is killed, and started again after a short delay; three
+// times at most.
+inline int stoppedGangs(const std::string &record)
+{
+    constexpr std::int64_t TrafficMs = 20'000;
+    constexpr std::int64_t RestartDelayMs = 200;
+    constexpr std::int64_t BetweenKillsMs = 4000;
+    constexpr int MostKills = 3;
+    deployment_options options;
+    options.recordFile = record;
+    options.agents = 5;
+    deployment system(options);
+    if (!system.waitUntilReady())
+        return 2;
+    std::vector<std::thread> clients;
+    int kills = 0;
+    std::uint64_t number = 0;
+    const auto begin = steadyMs();
+    std::int64_t nextKill = 0;
+    while (steadyMs() - begin < TrafficMs) {
+        for (int entry = 0; entry < 3; ++entry) {
+            job asked;
+            asked.id = jobId(number++);
+            asked.spec = "season block";
+            step tasks;
+            tasks.count = 2;
+            tasks.cpu = 9000;
+            tasks.memMb = 1000;
+            tasks.workMs = 400;
+            tasks.gang = true;
+            asked.steps = {tasks};
+            clients.emplace_back([&system, asked, entry] { system.submit(asked, entry); });
+        }
+        const auto nextJobs = steadyMs() + 1000;
+        while (steadyMs() < nextJobs) {
+            for (std::size_t index = 0; index < system.runners.size(); ++index) {
+                const bool isStopping = system.runners[index]->hasStopped.exchange(false);
+                if (!isStopping || !hasTrouble() || kills == MostKills || steadyMs() < nextKill)
+                    continue;
+                system.agents[index]->kill();
+                system.note("agent " + std::to_string(index) + " killed");
+                sleepMs(RestartDelayMs);
+                system.agents[index]->start();
+                system.note("agent " + std::to_string(index) + " started");
+                ++kills;
+                nextKill = steadyMs() + BetweenKillsMs;
+            }
+            sleepMs(5);
+        }
+    }
+    for (auto &client : clients)
+        client.join();
+    sleepMs(5000);
+    if (hasTrouble() && kills == 0)
+        return 2; // no run was stopped, so that there was nothing to try
+    return finish(system);
+}
+
+inline int runCase(const std::string &name, const std::string &record)
+{
+    if (name == "large-jobs")
+        return largeJobs(record);
+    if (name == "stopped-gangs")
+        return stoppedGangs(record);
+    return 2;
+}
+
+} // namespace review
