--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -206,12 +206,80 @@
     return finish(system);
 }
 
+// Case 3. Jobs that fill the runners and are cancelled 0.2 s after their ack, while the next job
+// waits for room and a stream of short tasks goes on. The disruption: some runners carry out starts
+// whose answers are lost.
+inline int lostStarts(const std::string &record)
+{
+    constexpr std::int64_t TrafficMs = 70'000;
+    constexpr double LossyRunners = 0.45;
+    constexpr double LostShare = 0.025;
+    constexpr std::int64_t LossMs = 5500;
+    deployment_options options;
+    options.recordFile = record;
+    options.agents = 5;
+    deployment system(options);
+    if (!system.waitUntilReady())
+        return 2;
+    std::uint64_t number = 0;
+    const auto begin = steadyMs();
+    const auto makeJob = [&](int count, int cpu, int workMs) {
+        job asked;
+        asked.id = jobId(number++);
+        asked.spec = "season block";
+        step tasks;
+        tasks.count = count;
+        tasks.cpu = cpu;
+        tasks.memMb = 200;
+        tasks.workMs = workMs;
+        asked.steps = {tasks};
+        return asked;
+    };
+    std::vector<std::thread> clients;
+    std::int64_t nextLoss = 0;
+    while (steadyMs() - begin < TrafficMs) {
+        if (hasTrouble() && steadyMs() >= nextLoss) {
+            nextLoss = steadyMs() + LossMs;
+            const auto lossy = static_cast<std::size_t>(
+                    LossyRunners * static_cast<double>(system.runners.size()));
+            const auto first = static_cast<std::size_t>(nextLoss) % system.runners.size();
+            for (std::size_t index = 0; index < system.runners.size(); ++index) {
+                const auto place = (index + first) % system.runners.size();
+                system.runners[place]->lostShare = index < lossy ? LostShare : 0;
+            }
+        }
+        // Six tasks of 2 cores a runner, cancelled at once; the next ones wait for their room.
+        const auto filling = makeJob(30, 2000, 5000);
+        clients.emplace_back([&system, filling] {
+            if (!system.submit(filling, 0))
+                return;
+            sleepMs(200);
+            system.cancel(filling.id, 0);
+        });
+        for (int slice = 0; slice < 8; ++slice) {
+            const auto brief = makeJob(20, 200, 150);
+            clients.emplace_back([&system, brief, slice] { system.submit(brief, slice % 3); });
+            if (slice == 3) {
+                const auto waiting = makeJob(30, 2000, 300);
+                clients.emplace_back([&system, waiting] { system.submit(waiting, 0); });
+            }
+            sleepMs(200);
+        }
+    }
+    for (auto &client : clients)
+        client.join();
+    sleepMs(3000);
+    return finish(system);
+}
+
 inline int runCase(const std::string &name, const std::string &record)
 {
     if (name == "large-jobs")
         return largeJobs(record);
     if (name == "stopped-gangs")
         return stoppedGangs(record);
+    if (name == "lost-starts")
+        return lostStarts(record);
     return 2;
 }
 
--- a/review/standin/runner.h
+++ b/review/standin/runner.h
@@ -195,6 +195,7 @@
     std::atomic<bool> isDraining{false};
     std::atomic<bool> mayBeat{true};
     std::atomic<double> lateShare{0};    // of the starts that get no answer and come late
+    std::atomic<double> lostShare{0};    // of the starts that it carries out and doesn't answer
     std::atomic<bool> hasStopped{false}; // it was told to stop a run, and is stopping it
 
     void crash()
@@ -206,6 +207,12 @@
             m_world.runs[index].how = "crashed";
         }
         m_running.clear();
+        for (auto &[task, index] : m_stoppingRuns) {
+            m_world.runs[index].endedAt = steadyMs();
+            m_world.runs[index].how = "crashed";
+        }
+        m_stoppingRuns.clear();
+        m_stopping.clear();
         m_world.note("runner " + m_options.id + " crashed");
         m_world.changed.notify_all();
         m_serverToClose = std::move(m_server);
@@ -275,8 +282,10 @@
                 isLate = m_world.chance() < lateShare;
             }
             if (isLate) {
+                const auto born = m_bornMs.load();
                 sleepMs(2500);
-                act(call, body);
+                if (born == m_bornMs) // what a dead process had received is gone
+                    act(call, body);
                 return std::nullopt;
             }
         }
@@ -296,8 +305,15 @@
             return refuse("fence");
         m_fence = fence;
         tick();
-        if (call.path == "/-/run-start")
-            return start(body);
+        if (call.path == "/-/run-start") {
+            auto answer = start(body);
+            if (lostShare > 0 && m_world.chance() < lostShare) {
+                m_world.note("answer lost: start " + body["task"].asString() + " on "
+                             + m_options.id);
+                return std::nullopt;
+            }
+            return answer;
+        }
         if (call.path == "/-/run-stop")
             return stop(body);
         if (call.path == "/-/pace")
@@ -462,12 +478,12 @@
             m_world.runs[end.second].notedAt = steadyMs();
             return true;
         });
-        const auto born = m_bornMs;
+        const auto born = m_bornMs.load();
         const auto until = steadyMs() + std::min<std::int64_t>(2000, body["wait-ms"].asInt64());
         while (m_ends.empty() && steadyMs() < until && m_open && m_bornMs == born && m_isUp)
             m_world.changed.wait_for(lock, std::chrono::milliseconds(20));
         auto answer = clockAnswer();
-        answer["born"] = Json::Int64(m_bornMs);
+        answer["born"] = Json::Int64(m_bornMs.load());
         answer["running"] = Json::Value(Json::arrayValue);
         answer["ended"] = Json::Value(Json::arrayValue);
         for (const auto &[task, index] : m_running) {
@@ -663,7 +679,7 @@
             body["labels"].append(m_options.kind);
             body["labels"].append(m_options.rack);
             body["clock-ms"] = Json::Int64(clockMs());
-            body["born"] = Json::Int64(m_bornMs);
+            body["born"] = Json::Int64(m_bornMs.load());
             body["seq"] = Json::Int64(++m_sequence);
             if (draining)
                 body["remaining-ms"] = 20'000;
@@ -692,7 +708,7 @@
     runner_options m_options;
     std::atomic<bool> m_open{true};
     std::atomic<bool> m_isUp{false};
-    std::int64_t m_bornMs = 0;
+    std::atomic<std::int64_t> m_bornMs{0};
     std::int64_t m_clockStart = 0;
     std::int64_t m_fence = 0;
     std::int64_t m_leaseEnd = 0;
