--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -88,6 +88,7 @@
     std::int64_t stopMs = 900;
     std::int64_t holdMaxMs = 10'000;
     std::int64_t gangMs = 3000;
+    double slowestClock = 1; // rate of the clocks of every third runner
     std::string recordFile;
 };
 
@@ -326,6 +327,7 @@
         options.stopMs = m_options.stopMs;
         options.holdMaxMs = m_options.holdMaxMs;
         options.gangMs = m_options.gangMs;
+        options.clockRate = index % 3 == 2 ? m_options.slowestClock : 1;
         runners.push_back(std::make_unique<runner>(all, options));
         Json::Value settings(Json::objectValue); // as platform/agent.json.in is filled in
         settings["id"] = name;
--- a/review/standin/runner.h
+++ b/review/standin/runner.h
@@ -169,6 +169,7 @@
     std::int64_t checkpointMs = 2000;
     std::int64_t restoreMs = 600;
     std::int64_t heartbeatMs = 1500;
+    double clockRate = 1; // of its own steady clock; may be 2% slow
 };
 
 class runner
@@ -250,7 +251,11 @@
         m_isUp = true;
     }
 
-    std::int64_t clockMs() const { return steadyMs() - m_clockStart; }
+    std::int64_t clockMs() const
+    {
+        return static_cast<std::int64_t>(static_cast<double>(steadyMs() - m_clockStart)
+                                         * m_options.clockRate);
+    }
 
     Json::Value clockAnswer() const
     {
@@ -475,7 +480,9 @@
         std::erase_if(m_ends, [&](const auto &end) {
             if (end.first > seen)
                 return false;
-            m_world.runs[end.second].notedAt = steadyMs();
+            // Not taken note of if the runner's lease lapsed between the two.
+            if (m_lapsedAt < m_world.runs[end.second].endedAt)
+                m_world.runs[end.second].notedAt = steadyMs();
             return true;
         });
         const auto born = m_bornMs.load();
@@ -574,6 +581,8 @@
     void tick()
     {
         const auto now = steadyMs();
+        if (clockMs() > m_leaseEnd)
+            m_lapsedAt = now;
         std::erase_if(m_stopping, [&](const auto &stopping) {
             if (stopping.first > now)
                 return false;
@@ -712,6 +721,7 @@
     std::int64_t m_clockStart = 0;
     std::int64_t m_fence = 0;
     std::int64_t m_leaseEnd = 0;
+    std::int64_t m_lapsedAt = 0; // when the lease was last seen lapsed
     std::int64_t m_lastEnd = 0;
     std::int64_t m_sequence = 0;
     std::map<std::string, std::size_t> m_running; // task -> its run
