Review, case 4: members of a gang exceed the limit of tasks on one runner

Cause: all members of a gang are chosen before any is placed, and the limit counts placements. Change: a script with gangs that allow one task a runner, beside it the claim.

--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -272,6 +272,39 @@
     return finish(system);
 }
 
+// Case 4. Gangs with `anti-affinity` 1. With the disruption, large jobs that come at once, they
+// have six members, without it one. Nothing else happens.
+inline int spreadGangs(const std::string &record)
+{
+    constexpr int MeanWidth = 6;
+    constexpr int JobCount = 10;
+    deployment_options options;
+    options.recordFile = record;
+    deployment system(options);
+    if (!system.waitUntilReady())
+        return 2;
+    std::vector<std::thread> clients;
+    for (int number = 0; number < JobCount; ++number) {
+        job asked;
+        asked.id = jobId(static_cast<std::uint64_t>(number));
+        asked.spec = "season block";
+        step tasks;
+        tasks.count = hasTrouble() ? MeanWidth : 1;
+        tasks.cpu = 240;
+        tasks.memMb = 480;
+        tasks.workMs = 640;
+        tasks.gang = true;
+        tasks.antiAffinity = 1;
+        asked.steps = {tasks};
+        clients.emplace_back([&system, asked, number] { system.submit(asked, number % 3); });
+        sleepMs(150);
+    }
+    for (auto &client : clients)
+        client.join();
+    sleepMs(5000);
+    return finish(system);
+}
+
 inline int runCase(const std::string &name, const std::string &record)
 {
     if (name == "large-jobs")
@@ -280,6 +313,8 @@
         return stoppedGangs(record);
     if (name == "lost-starts")
         return lostStarts(record);
+    if (name == "spread-gangs")
+        return spreadGangs(record);
     return 2;
 }
 
