--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -33,15 +33,20 @@
     return text;
 }
 
-inline int finish(deployment &system)
+// Ends the case: exit code 1 if a rule was broken, 0 if all held.
+[[noreturn]] inline void finish(deployment &system)
 {
     checkHistory(system.all);
-    const std::lock_guard lock(system.all.mutex);
-    for (const auto &line : system.all.violations)
-        std::cout << line << "\n";
-    system.all.note(system.all.violations.empty() ? "RESULT held" : "RESULT broken");
-    system.all.record.flush();
-    return system.all.violations.empty() ? 0 : 1;
+    bool isBroken = false;
+    {
+        const std::lock_guard lock(system.all.mutex);
+        isBroken = !system.all.violations.empty();
+        for (const auto &line : system.all.violations)
+            std::cout << line << "\n";
+        system.all.note(isBroken ? "RESULT broken" : "RESULT held");
+    }
+    std::cout.flush();
+    system.leave(isBroken ? 1 : 0);
 }
 
 // Whether the job has nothing running now although a task's turn has come: the job was accepted,
@@ -116,7 +121,7 @@
 
 // Case 1. Jobs whose spec has the 4,000 bytes that PROTOCOL.md allows come at once. With the
 // disruption they are as wide as the site's sheet lets them be, without it of the mean width.
-inline int largeJobs(const std::string &record)
+[[noreturn]] inline void largeJobs(const std::string &record)
 {
     constexpr int MeanWidth = 6;
     constexpr int LargestWidth = 36;
@@ -125,7 +130,7 @@
     options.recordFile = record;
     deployment system(options);
     if (!system.waitUntilReady())
-        return 2;
+        system.leave(2);
     std::vector<std::thread> clients;
     for (int number = 0; number < JobCount; ++number) {
         job asked;
@@ -143,14 +148,14 @@
     for (auto &client : clients)
         client.join();
     checkNothingLost(system, 12'000);
-    return finish(system);
+    finish(system);
 }
 
 // Case 2. Gangs of two contend for room: when two entries choose the same runners at the same
 // moment, one member of a gang is refused, and the other one is stopped. The disruption: as a
 // runner is told to stop a run, its agent is killed, and started again after a short delay; three
 // times at most.
-inline int stoppedGangs(const std::string &record)
+[[noreturn]] inline void stoppedGangs(const std::string &record)
 {
     constexpr std::int64_t TrafficMs = 20'000;
     constexpr std::int64_t RestartDelayMs = 200;
@@ -161,7 +166,7 @@
     options.agents = 5;
     deployment system(options);
     if (!system.waitUntilReady())
-        return 2;
+        system.leave(2);
     std::vector<std::thread> clients;
     int kills = 0;
     std::uint64_t number = 0;
@@ -202,14 +207,14 @@
         client.join();
     sleepMs(5000);
     if (hasTrouble() && kills == 0)
-        return 2; // no run was stopped, so that there was nothing to try
-    return finish(system);
+        system.leave(2); // no run was stopped, so that there was nothing to try
+    finish(system);
 }
 
 // Case 3. Jobs that fill the runners and are cancelled 0.2 s after their ack, while the next job
 // waits for room and a stream of short tasks goes on. The disruption: some runners carry out starts
 // whose answers are lost.
-inline int lostStarts(const std::string &record)
+[[noreturn]] inline void lostStarts(const std::string &record)
 {
     constexpr std::int64_t TrafficMs = 70'000;
     constexpr double LossyRunners = 0.45;
@@ -220,7 +225,7 @@
     options.agents = 5;
     deployment system(options);
     if (!system.waitUntilReady())
-        return 2;
+        system.leave(2);
     std::uint64_t number = 0;
     const auto begin = steadyMs();
     const auto makeJob = [&](int count, int cpu, int workMs) {
@@ -269,12 +274,12 @@
     for (auto &client : clients)
         client.join();
     sleepMs(3000);
-    return finish(system);
+    finish(system);
 }
 
 // Case 4. Gangs with `anti-affinity` 1. With the disruption, large jobs that come at once, they
 // have six members, without it one. Nothing else happens.
-inline int spreadGangs(const std::string &record)
+[[noreturn]] inline void spreadGangs(const std::string &record)
 {
     constexpr int MeanWidth = 6;
     constexpr int JobCount = 10;
@@ -282,7 +287,7 @@
     options.recordFile = record;
     deployment system(options);
     if (!system.waitUntilReady())
-        return 2;
+        system.leave(2);
     std::vector<std::thread> clients;
     for (int number = 0; number < JobCount; ++number) {
         job asked;
@@ -302,20 +307,20 @@
     for (auto &client : clients)
         client.join();
     sleepMs(5000);
-    return finish(system);
+    finish(system);
 }
 
-inline int runCase(const std::string &name, const std::string &record)
+// Returns only if there is no such case.
+inline void runCase(const std::string &name, const std::string &record)
 {
     if (name == "large-jobs")
-        return largeJobs(record);
+        largeJobs(record);
     if (name == "stopped-gangs")
-        return stoppedGangs(record);
+        stoppedGangs(record);
     if (name == "lost-starts")
-        return lostStarts(record);
+        lostStarts(record);
     if (name == "spread-gangs")
-        return spreadGangs(record);
-    return 2;
+        spreadGangs(record);
 }
 
 } // namespace review
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -117,14 +117,24 @@
             addAgent(index, zones[static_cast<std::size_t>(index) % zones.size()]);
     }
 
-    ~deployment()
+    // Ends all processes that it started, removes its folder and ends this process. The stand-ins'
+    // threads may still be at work, so nothing is destroyed.
+    [[noreturn]] void leave(int code)
     {
-        entries.clear();
-        agents.clear();
+        for (auto *group : {&entries, &agents}) {
+            for (auto &each : *group)
+                each->kill();
+        }
         if (std::getenv("KEEP_LOGS") == nullptr) {
             std::error_code ignored;
             std::filesystem::remove_all(m_folder, ignored);
         }
+        {
+            const std::lock_guard lock(all.mutex);
+            all.record.flush();
+        }
+        std::fflush(stdout);
+        std::_Exit(code);
     }
 
     // Waits until all entries are ready and all runners are registered; false: not in time.
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -5,15 +5,12 @@
 
 int main(int argc, char **argv)
 {
-    if (argc < 3)
-        return 2;
     std::signal(SIGPIPE, SIG_IGN);
-    int result = 2;
     try {
-        result = review::runCase(argv[1], argv[2]);
+        if (argc == 3)
+            review::runCase(argv[1], argv[2]);
     } catch (const std::exception &problem) {
         std::cerr << problem.what() << "\n";
     }
-    std::cout.flush();
-    std::_Exit(result);
+    return 2;
 }
--- a/review/standin/runner.h
+++ b/review/standin/runner.h
@@ -208,11 +208,10 @@
             m_world.runs[index].how = "crashed";
         }
         m_running.clear();
-        for (auto &[task, index] : m_stoppingRuns) {
+        for (const auto &[until, index] : m_stopping) {
             m_world.runs[index].endedAt = steadyMs();
             m_world.runs[index].how = "crashed";
         }
-        m_stoppingRuns.clear();
         m_stopping.clear();
         m_world.note("runner " + m_options.id + " crashed");
         m_world.changed.notify_all();
@@ -407,8 +406,8 @@
             sameStep += otherName.job == name.job && otherName.occurrence == name.occurrence
                         && otherName.step == name.step;
         }
-        for (const auto &[until, stopping] : m_stopping) {
-            const auto otherName = *parseTask(stopping);
+        for (const auto &[until, index] : m_stopping) {
+            const auto otherName = *parseTask(m_world.runs[index].task);
             const auto &otherPart =
                     m_world.jobs.at(otherName.job).steps[static_cast<std::size_t>(otherName.step)];
             cpu += otherPart.fills ? 0 : otherPart.cpu;
@@ -463,10 +462,9 @@
         const auto known = m_running.find(task);
         if (known != m_running.end() && m_world.runs[known->second].run <= body["run"].asInt()) {
             // Until it has ended it is in neither list, and counts for the runner's capacity.
-            m_stopping.emplace_back(steadyMs() + m_options.stopMs * 9 / 10, task);
+            m_stopping.emplace_back(steadyMs() + m_options.stopMs * 9 / 10, known->second);
             m_world.note("stop " + task + " on " + m_options.id);
             hasStopped = true;
-            m_stoppingRuns[task] = known->second;
             m_running.erase(known);
         }
         m_highest[task] = std::max(m_highest[task], body["run"].asInt());
@@ -586,9 +584,7 @@
         std::erase_if(m_stopping, [&](const auto &stopping) {
             if (stopping.first > now)
                 return false;
-            const auto index = m_stoppingRuns.at(stopping.second);
-            m_stoppingRuns.erase(stopping.second);
-            end(index, "stopped");
+            end(stopping.second, "stopped");
             return true;
         });
         const auto running = m_running;
@@ -725,8 +721,8 @@
     std::int64_t m_lastEnd = 0;
     std::int64_t m_sequence = 0;
     std::map<std::string, std::size_t> m_running; // task -> its run
-    std::vector<std::pair<std::int64_t, std::string>> m_stopping;
-    std::map<std::string, std::size_t> m_stoppingRuns;
+    // Runs that are being stopped, and when they will have ended.
+    std::vector<std::pair<std::int64_t, std::size_t>> m_stopping;
     std::map<std::string, run_state> m_states;
     std::vector<std::pair<std::int64_t, std::size_t>> m_ends; // number, run
     std::map<std::string, int> m_highest; // highest run that was stopped or has ended there
