Order sender: status and size of calls with orders that failed

Cause: orders_unanswered said "refused" for every answer but 200, so that a call that is too large, one that can't be read and an agent that leaves looked alike. Change: the line has the HTTP status and the bytes of the call.

--- a/app/order_outcomes.cpp
+++ b/app/order_outcomes.cpp
@@ -39,6 +39,8 @@
 order_outcomes outcomesOf(std::vector<jobs::run_order> batch, const call_result &result)
 {
     order_outcomes outcomes;
+    if (const auto *response = std::get_if<http_response>(&result))
+        outcomes.status = response->status;
     const auto answers = readAnswers(result, outcomes.reason);
     for (auto &order : batch) {
         const auto answer =
--- a/app/order_outcomes.h
+++ b/app/order_outcomes.h
@@ -14,6 +14,7 @@
     std::vector<jobs::order_answer> answered; // only of orders in the batch, one per order
     std::vector<jobs::run_order> unanswered;  // outcome unknown; these orders are sent again
     std::string reason;                       // why some are unanswered; empty: all are answered
+    int status = 0;                           // HTTP status of the answer; 0: none
 };
 
 // Puts each order of `batch` into exactly one of the two lists, whatever the result contains.
--- a/app/order_sender.cpp
+++ b/app/order_sender.cpp
@@ -35,16 +35,17 @@
     request.method = "POST";
     request.target = "/v1/orders";
     request.body = toText(order_batch{m_settings.id, toText(m_settings.internalAddress), orders});
+    const auto bytes = request.body.size();
     m_client.call(
             view->lastReport.address, std::move(request), OrderTimeout,
-            [this, worker, orders = std::move(orders),
+            [this, worker, bytes, orders = std::move(orders),
              agentIncarnation = view->lastReport.agentIncarnation](const call_result &result) {
-                handleAnswers(worker, outcomesOf(orders, result), agentIncarnation);
+                handleAnswers(worker, outcomesOf(orders, result), bytes, agentIncarnation);
             });
 }
 
 void order_sender::handleAnswers(const std::string &worker, const order_outcomes &outcomes,
-                                 std::int64_t agentIncarnation)
+                                 std::size_t bytes, std::int64_t agentIncarnation)
 {
     for (const auto &answer : outcomes.answered) {
         m_metrics.count("orders_total", nameOf(answer.outcome));
@@ -54,7 +55,9 @@
         m_metrics.count("orders_unanswered_total", "agent_silent");
         m_log.writeEvent("orders_unanswered", {{"worker", worker},
                                                {"orders", outcomes.unanswered.size()},
-                                               {"why", outcomes.reason}});
+                                               {"why", outcomes.reason},
+                                               {"status", outcomes.status},
+                                               {"bytes", bytes}});
         handleUnanswered(worker, outcomes.unanswered);
     }
     if (!outcomes.answered.empty())
--- a/app/order_sender.h
+++ b/app/order_sender.h
@@ -42,8 +42,9 @@
     void sendOrders(const std::string &worker, std::vector<jobs::run_order> orders);
 
 private:
+    // `bytes`: size of the call's body.
     void handleAnswers(const std::string &worker, const order_outcomes &outcomes,
-                       std::int64_t agentIncarnation);
+                       std::size_t bytes, std::int64_t agentIncarnation);
     void handleUnanswered(const std::string &worker, const std::vector<jobs::run_order> &orders);
 
     const job_entry_settings &m_settings;
