Orders, reports, records: nothing is sent that is refused for its size

Cause: an entry sends all orders for a worker that are due in one call, with the spec in each order and three escapes of six characters a Georgian letter; no limit was known to the sender. The agent refuses a body above 256 KiB with 413, which the entry took for no answer, so it sent the same call for ever.

Change: message_limits.h has the limits for both sides. Calls with orders are divided by bytes; a job's spec stands once in a call (for agents that say that they take it so); text is UTF-8. A call that is answered 4xx is sent again in halves; an order that is refused alone is logged with status and bytes, counted, and taken back by a stop, since an earlier call may have started it; its task goes elsewhere. The same cause on related paths: reports above 4 MiB, records above the 64 KiB of a row, checkpoints that no order can carry, specs beyond the 4,000 bytes of the users' pages (accepted, and never stored if above a row).

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -16,6 +16,7 @@
 #include "app/worker_clock.h"
 #include "app/worker_presence.h"
 #include "base/errors.h"
+#include "jobs/message_limits.h"
 #include "jobs/run_table.h"
 #include "jobs/throttle_controller.h"
 #include "jobs/worker_liveness.h"
@@ -82,7 +83,7 @@
                         {[this] { executeDueActions(); },
                          [this](auto samples) { m_reportSender.addSamples(std::move(samples)); }})
         , m_internalListener(
-                  m_loop, m_settings.internalAddress, {},
+                  m_loop, m_settings.internalAddress, internalLimits(),
                   [this](http_request request, responder respond) {
                       serveInternal(std::move(request), std::move(respond));
                   },
@@ -136,6 +137,14 @@
     {
         net::client_limits limits;
         limits.maxIdlePerPeer = 16;
+        limits.answerBytesLimit = MaxPollAnswerBytes;
+        return limits;
+    }
+
+    static net::listener_limits internalLimits()
+    {
+        net::listener_limits limits;
+        limits.maxRequestBytes = MaxOrderCallBytes;
         return limits;
     }
 
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -24,6 +24,7 @@
 #include "base/errors.h"
 #include "base/hash.h"
 #include "jobs/job_controller.h"
+#include "jobs/message_limits.h"
 #include "jobs/report_interval.h"
 #include "net/http_listener.h"
 
@@ -134,7 +135,7 @@
     static net::listener_limits internalLimits()
     {
         net::listener_limits limits;
-        limits.maxRequestBytes = 4 * 1024 * 1024; // enough for a report after a long outage
+        limits.maxRequestBytes = MaxEntryCallBytes;
         return limits;
     }
 
--- a/app/job_requests.cpp
+++ b/app/job_requests.cpp
@@ -6,6 +6,7 @@
 
 #include "app/job_tables.h"
 #include "base/errors.h"
+#include "jobs/message_limits.h"
 #include "jobs/messages.h"
 #include "jobs/retry_delay.h"
 #include "platform/caller_wire.h"
@@ -418,7 +419,7 @@
         record.cancelled = true;
         record.writeId = m_self + ":cancel:" + std::to_string(m_nextCancel++);
         m_store.commit({{{storedRow.name, storedRow.version}},
-                        {{storedRow.name, toText(record), 0, false},
+                        {{storedRow.name, toTextWithin(record, MaxRowBytes), 0, false},
                          {summaryRowName(id), toText(summaryOf(record)), 0, false},
                          newCancelRow(id)},
                         {}},
--- a/app/order_outcomes.cpp
+++ b/app/order_outcomes.cpp
@@ -57,4 +57,11 @@
     return outcomes;
 }
 
+bool isRejection(int status)
+{
+    constexpr int RequestTimeout = 408;
+    constexpr int TooManyRequests = 429;
+    return status >= 400 && status < 500 && status != RequestTimeout && status != TooManyRequests;
+}
+
 } // namespace zinniabarrow
--- a/app/order_outcomes.h
+++ b/app/order_outcomes.h
@@ -20,4 +20,8 @@
 // Puts each order of `batch` into exactly one of the two lists, whatever the result contains.
 order_outcomes outcomesOf(std::vector<jobs::run_order> batch, const call_result &result);
 
+// True for an HTTP status that says that nothing of the call was done, and that the same call will
+// be answered so again.
+bool isRejection(int status);
+
 } // namespace zinniabarrow
--- a/app/order_sender.h
+++ b/app/order_sender.h
@@ -12,6 +12,7 @@
 #include "app/order_outcomes.h"
 #include "base/event_log.h"
 #include "jobs/job_controller.h"
+#include "jobs/order_calls.h"
 #include "jobs/worker_pool.h"
 #include "net/http_client.h"
 #include "runtime/metrics.h"
@@ -36,15 +37,31 @@
     order_sender(const order_sender_dependencies &dependencies,
                  std::function<void()> onActionsReady);
 
-    // Sends the orders in one call to the worker's agent. Those without an answer are reported to
-    // the controller as unanswered. A call without orders requests reports, see
-    // report_requests.h.
+    // Sends the orders to the worker's agent, in as many calls as MaxOrderCallBytes needs. Those
+    // without an answer are reported to the controller as unanswered. Of a call that is answered
+    // with a status of 4xx, the halves are sent again, so that one order cannot hold up the others;
+    // an order that is refused alone is reported as rejected. A call without orders requests
+    // reports, see report_requests.h.
     void sendOrders(const std::string &worker, std::vector<jobs::run_order> orders);
 
 private:
-    // `bytes`: size of the call's body.
-    void handleAnswers(const std::string &worker, const order_outcomes &outcomes,
-                       std::size_t bytes, std::int64_t agentIncarnation);
+    // What is known of a call when it is answered.
+    struct sent_call
+    {
+        std::string worker;
+        std::size_t bytes = 0; // of its body
+        std::vector<jobs::run_order> orders;
+        std::int64_t agentIncarnation = 0; // by the reports when the call was sent
+    };
+
+    void sendCall(const std::string &worker, const jobs::worker_report &report,
+                  jobs::order_call call);
+    void handleResult(const sent_call &call, const call_result &result);
+    // The agent did nothing and would answer the same again.
+    void handleRejection(const sent_call &call, int status);
+    // `status`: HTTP status of the answer; 0: the order is too large for any call.
+    void rejectOrder(const std::string &worker, const jobs::run_order &order, std::size_t bytes,
+                     int status);
     void handleUnanswered(const std::string &worker, const std::vector<jobs::run_order> &orders);
 
     const job_entry_settings &m_settings;
--- a/app/report_sender.cpp
+++ b/app/report_sender.cpp
@@ -4,6 +4,7 @@
 
 #include "app/entry_directory.h"
 #include "base/errors.h"
+#include "jobs/message_limits.h"
 #include "net/event_loop.h"
 
 namespace zinniabarrow {
@@ -114,7 +115,7 @@
     http_request request;
     request.method = "POST";
     request.target = "/v1/report";
-    request.body = toText(message);
+    request.body = textWithin(message, MaxEntryCallBytes);
     m_client.call(m_targets.addressOf(entry), std::move(request), ReportTimeout,
                   [this, entry, epoch = message.epoch,
                    started = std::move(message.started)](const call_result &result) {
@@ -135,6 +136,7 @@
     message.kind = m_workerPresence.lastAnnouncement().kind;
     message.rack = m_workerPresence.lastAnnouncement().rack;
     message.isAccepting = m_isAccepting();
+    message.takesSharedPayloads = true;
     message.capacity = m_workerPresence.lastAnnouncement().capacity;
     message.used = m_runTable.used();
     message.usedByLongRunning = m_runTable.usedByLongRunning();
--- a/libs/base/json.cpp
+++ b/libs/base/json.cpp
@@ -39,6 +39,14 @@
     return Json::writeString(builder, value);
 }
 
+std::string compactUtf8Json(const Json::Value &value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    return Json::writeString(builder, value);
+}
+
 std::string prettyJson(const Json::Value &value)
 {
     Json::StreamWriterBuilder builder;
--- a/libs/base/json.h
+++ b/libs/base/json.h
@@ -15,9 +15,13 @@
 // Like parseJson(); also throws error BadRequest when the value is not an object.
 Json::Value parseJsonObject(std::string_view text);
 
-// Writes one line with sorted keys and no trailing newline.
+// Writes one line with sorted keys and no trailing newline. Characters above ASCII are escaped.
 std::string compactJson(const Json::Value &value);
 
+// The same without escapes for characters above ASCII: of Georgian a third of the bytes. Strings
+// that are not UTF-8 are written as they are.
+std::string compactUtf8Json(const Json::Value &value);
+
 // Writes indented text for human readers.
 std::string prettyJson(const Json::Value &value);
 
--- a/libs/jobs/job_controller.cpp
+++ b/libs/jobs/job_controller.cpp
@@ -6,6 +6,7 @@
 #include <fmt/core.h>
 
 #include "base/errors.h"
+#include "jobs/message_limits.h"
 #include "jobs/urgency.h"
 
 namespace zinniabarrow::jobs {
@@ -330,7 +331,8 @@
     job.inFlightRevision = job.revision;
     job.inFlightState = job.record.state();
     m_startedWriteDueAt.erase(id);
-    write_row write{id, job.version, toText(job.record), std::nullopt, std::nullopt};
+    write_row write{id, job.version, toTextWithin(job.record, MaxRowBytes), std::nullopt,
+                    std::nullopt};
     if (!job.payloadStored)
         write.payload = job.payload;
     job.inFlightSummary = toText(summaryOf(job.record));
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -88,6 +88,9 @@
     // An unanswered order is sent again after this time. Agents answer within milliseconds, and an
     // order that arrives twice starts one run only.
     milliseconds orderRetryDelay{300};
+    // What follows a rejected order is sent after this time: if all agents reject a task's orders,
+    // it must not go from one to the next without a pause.
+    milliseconds rejectedOrderDelay{1000};
     // A start order that was first sent this long ago either is counted in its worker's reports or
     // no longer takes effect.
     milliseconds startInFlightTimeout{700};
@@ -167,6 +170,10 @@
     // `agentIncarnation` is that of the agent, by its reports, when the order was sent; 0: unknown.
     void orderAnswered(const std::string &worker, const order_answer &answer, time_point now,
                        std::int64_t agentIncarnation);
+    // The worker's agent can't take the order, whenever it is sent. A start is taken back by a
+    // stop, which is small and tells whether an earlier call started the run; its task then goes
+    // elsewhere. A stop is sent again.
+    void orderRejected(const std::string &worker, const run_order &order, time_point now);
     // The order got no answer; it is sent again after `orderRetryDelay`.
     void orderUnanswered(const std::string &worker, const task_id &task, int run, time_point now);
     // The pool took a new report of the worker, which does not include starts that are still in
--- a/libs/jobs/job_controller_orders.cpp
+++ b/libs/jobs/job_controller_orders.cpp
@@ -97,6 +97,31 @@
     m_jobsWithOrders.insert(found->first);
 }
 
+void job_controller::orderRejected(const std::string &worker, const run_order &order,
+                                   time_point now)
+{
+    const auto found = m_jobs.find(order.task.job);
+    if (found == m_jobs.end())
+        return;
+    auto &job = found->second;
+    const std::pair key{order.task, order.run};
+    const auto *task = job.record.find(order.task);
+    if (task == nullptr || !isPlacedOn(*task, worker, order.run))
+        return;
+    const bool isStart = order.kind == order_kind::Start;
+    if (isStart && job.startOrders.erase(key) > 0) {
+        job.stopOrders[key] = {worker, job.revision, false, {}};
+        if (job.record.shouldRun(*task))
+            handleNeverStarted(job, worker, order.task, order.run);
+    }
+    const auto stop = job.stopOrders.find(key);
+    if (stop == job.stopOrders.end())
+        return;
+    stop->second.isInFlight = false;
+    stop->second.retryAt = now + m_settings.rejectedOrderDelay;
+    m_jobsWithOrders.insert(found->first);
+}
+
 void job_controller::workerReported(const std::string &worker, time_point now)
 {
     if (m_settings.features.sharesFailures && m_workers.applyReportedFailures(worker, now)) {
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -99,7 +99,7 @@
     return runs;
 }
 
-Json::Value toJson(const run_order &order)
+Json::Value toJson(const run_order &order, bool hasPayload)
 {
     Json::Value value(Json::objectValue);
     value["kind"] = std::string(nameOf(OrderKindNames, order.kind));
@@ -110,7 +110,8 @@
         return value;
     value["agent_life"] = Json::Int64(order.agentIncarnation);
     value["holds_until_ms"] = Json::Int64(order.startDeadlineMs);
-    value["payload"] = order.payload;
+    if (hasPayload)
+        value["payload"] = order.payload;
     value["checkpoint"] = order.checkpoint;
     value["size"] = toJson(order.requirements.size);
     value["fills"] = order.requirements.isBestEffort;
@@ -123,7 +124,8 @@
     return value;
 }
 
-run_order orderFrom(const Json::Value &value)
+// `payloads`: those that the batch has for all orders of a job, by the job's id.
+run_order orderFrom(const Json::Value &value, const Json::Value &payloads)
 {
     run_order order;
     order.kind = enumFromName(OrderKindNames, stringMember(value, "kind"));
@@ -137,7 +139,8 @@
         order.agentIncarnation = integerMember(value, "agent_life");
     if (value.isMember("holds_until_ms"))
         order.startDeadlineMs = integerMember(value, "holds_until_ms");
-    order.payload = stringMember(value, "payload");
+    order.payload = value.isMember("payload") ? stringMember(value, "payload")
+                                              : stringMember(payloads, order.task.job.c_str());
     order.checkpoint = stringMember(value, "checkpoint");
     order.requirements.size = sizeFrom(objectMember(value, "size"));
     order.requirements.isBestEffort = boolMember(value, "fills");
@@ -305,9 +308,12 @@
     value["owner"] = batch.owner;
     value["owner_address"] = batch.ownerAddress;
     value["orders"] = Json::Value(Json::arrayValue);
-    for (const auto &order : batch.orders)
-        value["orders"].append(toJson(order));
-    return compactJson(value);
+    for (const auto &order : batch.orders) {
+        value["orders"].append(toJson(order, !batch.sharesPayloads));
+        if (batch.sharesPayloads && order.kind == order_kind::Start)
+            value["payloads"][order.task.job] = order.payload;
+    }
+    return compactUtf8Json(value);
 }
 
 order_batch orderBatchFrom(const std::string &text)
@@ -316,8 +322,11 @@
     order_batch batch;
     batch.owner = stringMember(value, "owner");
     batch.ownerAddress = stringMember(value, "owner_address");
+    batch.sharesPayloads = value.isMember("payloads");
+    const Json::Value none(Json::objectValue);
+    const auto &payloads = batch.sharesPayloads ? objectMember(value, "payloads") : none;
     for (const auto &order : arrayMember(value, "orders"))
-        batch.orders.push_back(orderFrom(order));
+        batch.orders.push_back(orderFrom(order, payloads));
     return batch;
 }
 
@@ -361,6 +370,8 @@
     value["kind"] = report.kind;
     value["rack"] = report.rack;
     value["accepting"] = report.isAccepting;
+    if (report.takesSharedPayloads)
+        value["shared_payloads"] = true;
     value["capacity"] = toJson(report.capacity);
     value["used"] = toJson(report.used);
     value["lasting"] = toJson(report.usedByLongRunning);
@@ -397,7 +408,19 @@
         row["run"] = started.run;
         value["started"].append(std::move(row));
     }
-    return compactJson(value);
+    return compactUtf8Json(value);
+}
+
+std::string textWithin(worker_report &report, std::size_t maxBytes)
+{
+    auto text = toText(report);
+    while (text.size() > maxBytes && (!report.progress.empty() || !report.ends.empty())) {
+        if (report.progress.empty())
+            report.ends.resize(report.ends.size() / 2);
+        report.progress.clear();
+        text = toText(report);
+    }
+    return text;
 }
 
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -81,6 +81,9 @@
     std::string owner;        // entry's name
     std::string ownerAddress; // where reports to the owner go
     std::vector<run_order> orders;
+    // The text has each job's payload once, for all of its orders. Only for agents that say so in
+    // worker_report::takesSharedPayloads.
+    bool sharesPayloads = false;
 };
 
 // How a run ended. All but NeverStarted are the kinds that the worker itself lists. HoldExpired:
@@ -148,7 +151,8 @@
     // Labels of the worker, one of which a step of a job may require.
     std::string kind;
     std::string rack;
-    bool isAccepting = false; // accepts new runs
+    bool isAccepting = false;         // accepts new runs
+    bool takesSharedPayloads = false; // see order_batch; agents of the previous release do not
     task_size capacity;
     task_size used;                        // by runs that are running, starting or being stopped
     task_size usedByLongRunning;           // the part of `used` that long-running runs use
@@ -199,6 +203,10 @@
 std::string toText(const std::vector<order_answer> &answers);
 std::vector<order_answer> orderAnswersFrom(const std::string &text);
 std::string toText(const worker_report &report);
+// The text of the report, and the report as it is sent: what makes it longer than `maxBytes` is
+// taken out. Checkpoints go first, then the later half of the ends, again and again; both are
+// reported again until their owner has them.
+std::string textWithin(worker_report &report, std::size_t maxBytes);
 worker_report reportFrom(const std::string &text);
 
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/model.cpp
+++ b/libs/jobs/model.cpp
@@ -8,6 +8,8 @@
 
 #include "base/errors.h"
 #include "base/names.h"
+#include "base/utf8.h"
+#include "jobs/message_limits.h"
 
 namespace zinniabarrow::jobs {
 
@@ -231,7 +233,12 @@
         reject(fmt::format("a job must have 1 to {} steps", MaxSteps));
     if (spec.occurrences < 0 || spec.occurrences > MaxOccurrences)
         reject(fmt::format("a job may have at most {} occurrences", MaxOccurrences));
+    if (spec.payload.size() > MaxPayloadBytes)
+        reject(fmt::format("the spec of a job may have at most {} bytes", MaxPayloadBytes));
+    if (!isUtf8(spec.payload))
+        reject("the spec of a job must be UTF-8");
     std::int64_t tasks = 0;
+    std::size_t nameBytes = 0;
     for (std::size_t index = 0; index < spec.steps.size(); ++index) {
         const auto &step = spec.steps[index];
         if (step.count < 1)
@@ -244,7 +251,10 @@
                                    index, earlierStep));
         }
         tasks += step.count;
+        nameBytes += step.requiredLabel.size() + step.dataRack.size() + step.image.size();
     }
+    if (nameBytes > MaxNameBytes)
+        reject(fmt::format("labels, racks and images may have at most {} bytes", MaxNameBytes));
     if (tasks * std::max(1, spec.occurrences) > MaxTasks)
         reject(fmt::format("a job may have at most {} tasks", MaxTasks));
 }
--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -189,12 +189,16 @@
 std::string toText(const forwarded_job &job);
 forwarded_job forwardedJobFrom(const std::string &text); // throws error BadRequest
 
-// Validates a submitted job. Throws error BadRequest with the reason.
+// Validates a submitted job, and that all messages about it stay within message_limits.h. Throws
+// error BadRequest with the reason.
 void checkSpec(const job_spec &spec);
 
 // Text form of a record in the platform's store. `recordFrom` throws error BadRequest when the text
 // is malformed.
 std::string toText(const job_record &record);
+// The same within `maxBytes`: if it is longer, the longest checkpoints are left out, whose tasks
+// would start anew under a later owner.
+std::string toTextWithin(const job_record &record, std::size_t maxBytes);
 job_record recordFrom(const std::string &text);
 
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/record.cpp
+++ b/libs/jobs/record.cpp
@@ -1,6 +1,9 @@
 // The stored text of a job's record. Member names are short because each change writes the whole
 // row, and the bytes written to the platform's store are paid for. Members that are zero, empty or
 // false are left out.
+#include <algorithm>
+#include <utility>
+
 #include <json/json.h>
 
 #include "base/errors.h"
@@ -251,7 +254,33 @@
     auto redundant = redundantRuns(record.tasks);
     if (!redundant.empty())
         value["x"] = std::move(redundant);
-    return compactJson(value);
+    return compactUtf8Json(value);
+}
+
+std::string toTextWithin(const job_record &record, std::size_t maxBytes)
+{
+    auto text = toText(record);
+    if (text.size() <= maxBytes)
+        return text;
+    auto shortened = record;
+    std::vector<task_state *> byLength;
+    for (auto &occurrenceSteps : shortened.tasks) {
+        for (auto &stepTasks : occurrenceSteps) {
+            for (auto &task : stepTasks)
+                byLength.push_back(&task);
+        }
+    }
+    std::sort(byLength.begin(), byLength.end(), [](const auto *left, const auto *right) {
+        return left->checkpoint.size() > right->checkpoint.size();
+    });
+    auto excess = text.size() - maxBytes;
+    for (auto *task : byLength) {
+        const auto length = compactUtf8Json(std::exchange(task->checkpoint, {})).size();
+        if (length >= excess)
+            break;
+        excess -= length;
+    }
+    return toText(shortened);
 }
 
 job_record recordFrom(const std::string &text)
@@ -287,7 +316,7 @@
     Json::Value value(Json::objectValue);
     value["record"] = toText(job.record);
     value["payload"] = job.payload;
-    return compactJson(value);
+    return compactUtf8Json(value);
 }
 
 forwarded_job forwardedJobFrom(const std::string &text)
--- a/libs/jobs/report_text.cpp
+++ b/libs/jobs/report_text.cpp
@@ -143,6 +143,7 @@
     report.kind = large_json::text(value, "kind");
     report.rack = large_json::text(value, "rack");
     report.isAccepting = requiredFlag(value, "accepting");
+    report.takesSharedPayloads = optionalFlag(value, "shared_payloads");
     report.capacity = sizeFrom(requiredMember(value, "capacity"));
     report.used = sizeFrom(requiredMember(value, "used"));
     report.usedByLongRunning = longRunningUseFrom(value, report.used);
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "jobs/message_limits.h"
 #include "jobs/worker_pool.h"
 
 namespace zinniabarrow::jobs {
@@ -240,7 +241,8 @@
         if (!tracked.startedAt)
             tracked.startedAt = now;
         tracked.lastStartEffectMs = 0; // from now on the list of ends says how it ends
-        tracked.checkpoint = listed.checkpoint;
+        if (listed.checkpoint.size() <= MaxCheckpointBytes)
+            tracked.checkpoint = listed.checkpoint;
         tracked.measured = listed.measured;
         if (isCancelled(key.first.job))
             stopRun(key, tracked, now);
@@ -320,6 +322,8 @@
         countFailures(tracked, end, now);
     tracked.phase = run_phase::Ended;
     tracked.end = end;
+    if (end.checkpoint.size() > MaxCheckpointBytes)
+        tracked.end.checkpoint.clear(); // the owner keeps the one before
     rememberRefusal(key, now);
 }
 
--- a/tests/job_controller_test.cpp
+++ b/tests/job_controller_test.cpp
@@ -637,6 +637,19 @@
                 });
         check(newOrder->worker != first.worker);
     });
+    section("rejected by its agent: all are stopped", [&] {
+        test_fixture fixture;
+        fixture.submitJob(gangSpec);
+        fixture.confirmWrite();
+        const auto first = fixture.orders[0];
+        const auto second = fixture.orders[1];
+        fixture.acceptOrder(second);
+        fixture.controller.orderRejected(first.worker, first.order, fixture.now);
+        fixture.tick();
+        check(countStops(fixture, second.order.task) == 1);
+        fixture.advance(milliseconds(1000));
+        check(countStops(fixture, first.order.task) == 1);
+    });
     section("refused by its agent: the others are stopped, too", [&] {
         test_fixture fixture;
         fixture.submitJob(gangSpec);
@@ -652,6 +665,54 @@
     });
 }
 
+// Guards against a job that never starts: its order is rejected and sent again for ever.
+Test(job_controller, an_order_that_its_agent_cannot_take)
+{
+    auto spec = test_fixture::twoSteps();
+    spec.steps.resize(1);
+    spec.steps[0].count = 1;
+    test_fixture fixture;
+    fixture.submitJob(spec);
+    fixture.confirmWrite();
+    require(fixture.orders.size() == 1);
+    const auto first = fixture.orders[0];
+    fixture.orders.clear();
+    fixture.controller.orderRejected(first.worker, first.order, fixture.now);
+    fixture.tick();
+    section("is taken back by a stop after a pause, as an earlier call may have started it", [&] {
+        fixture.advance(milliseconds(900));
+        check(fixture.orders.empty());
+        fixture.advance(milliseconds(200));
+        require(fixture.orders.size() == 1);
+        check(fixture.orders[0].order.kind == order_kind::Stop);
+        check(fixture.countStarts(first.order.task) == 0);
+    });
+    section("a stop that is rejected is sent again after the same pause", [&] {
+        fixture.controller.orderRejected(first.worker, fixture.orders[0].order, fixture.now);
+        fixture.advance(milliseconds(900));
+        check(fixture.orders.size() == 1);
+        fixture.advance(milliseconds(200));
+        check(fixture.orders.size() == 2);
+    });
+    section("once the stop proves that nothing runs, the task goes elsewhere", [&] {
+        fixture.controller.orderAnswered(
+                first.worker, {first.order.task, 1, order_outcome::Superseded, order_kind::Stop},
+                fixture.now, 0);
+        fixture.tick();
+        fixture.confirmWrite();
+        require(fixture.countStarts(first.order.task) == 1);
+        check(fixture.orders.back().worker != first.worker);
+        check(fixture.orders.back().order.run == 2);
+    });
+    section("a late rejection of a run that is no longer placed changes nothing", [&] {
+        fixture.acceptOrder(fixture.orders.back());
+        fixture.orders.clear();
+        fixture.controller.orderRejected(first.worker, first.order, fixture.now);
+        fixture.advance(milliseconds(2000));
+        check(fixture.orders.empty());
+    });
+}
+
 // Guards against restarting the runs of an incomplete gang: they are being stopped when their agent
 // restarts.
 Test(job_controller, only_the_stop_is_sent_to_the_next_incarnation)
--- a/tests/order_outcomes_test.cpp
+++ b/tests/order_outcomes_test.cpp
@@ -78,3 +78,15 @@
         check(outcomes.unanswered.empty());
     });
 }
+
+// Guards against orders that are refused for good and repeated for ever.
+Test(order_outcomes, refusals_that_cannot_change)
+{
+    for (const int status : {400, 404, 413, 431})
+        check(isRejection(status));
+    section("no answer, and those of an agent that is busy or leaving, may change", [] {
+        for (const int status : {0, 200, 408, 429, 500, 502, 503, 504})
+            check(!isRejection(status));
+    });
+    check(outcomesOf({orderOf(0)}, http_response{413, {}, ""}).status == 413);
+}
