Unanswered starts: a run that is in no list may be ending

Cause: a run whose start call was not answered counted as never started once the worker's clock had passed the call's deadline and the run was in neither list. A run that is being stopped is in neither list, too, until it has ended: stopped within 250 ms of its start, it was given up up to 250 ms before its end.

Change: the proof takes two listings, the first after the last moment at which the start could take effect, the second a stop's longest time later. A run that started has ended by then and is in the list of ends, whatever ended it: an order, a cancel, the end of the epoch, its gang, its lease. So it holds for runs that nobody stopped as well, and for the order's deadline. A start that the worker has rejected while the run is being stopped frees it at once. Meanwhile the worker is polled each 0.25 s. It costs nothing where a worker lists runs while they are stopped, or where their ends are listed.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -34,6 +34,7 @@
 
 constexpr milliseconds PollWait{1000};        // the worker answers a poll earlier if a run ends
 constexpr milliseconds ServingPollWait{250};  // workers measure latencies over 0.5 s
+constexpr milliseconds ProofPollWait{250};    // while a listing will free a run's capacity
 constexpr milliseconds ExpiringPollWait{100}; // while the lease ends soon
 constexpr milliseconds LeaseEndsSoon{2000};   // longer than any poll
 constexpr milliseconds PollTimeout{700}; // in addition to the wait; a worker answers in a few ms
@@ -248,6 +249,8 @@
     {
         if (lease().validUntil() - now < LeaseEndsSoon)
             return ExpiringPollWait;
+        if (m_runTable.awaitsListing())
+            return ProofPollWait;
         return m_runTable.servingSamples().empty() ? PollWait : ServingPollWait;
     }
 
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -76,6 +76,13 @@
     reportsEndToAll = false;
 }
 
+// From now on the worker's list of ends says how it ends.
+void run_table::tracked_run::noteStarted()
+{
+    lastStartEffectMs = 0;
+    unlistedSinceMs = 0;
+}
+
 bool run_table::tracked_run::reportsEndOnlyTo(const std::string &entry) const
 {
     return owner == entry && !reportsEndToAll;
@@ -220,6 +227,7 @@
     if (known == m_runs.end())
         return;
     known->second.lastStartEffectMs = std::max(known->second.lastStartEffectMs, deadlineMs);
+    known->second.unlistedSinceMs = 0;
     ++known->second.openStartCalls;
 }
 
@@ -230,15 +238,19 @@
         return;
     auto &tracked = known->second;
     if (answer == start_answer::Started)
-        tracked.lastStartEffectMs = 0; // also if it is being stopped: its end will be listed
+        tracked.noteStarted(); // also if it is being stopped: its end will be listed
+    if (answer == start_answer::Refused || answer == start_answer::NotExecuted)
+        tracked.openStartCalls = std::max(0, tracked.openStartCalls - 1);
+    // No call of a run that is being stopped was executed, and no further one will be sent.
+    if (tracked.phase == run_phase::Stopping && tracked.lastStartEffectMs > 0
+        && tracked.openStartCalls == 0)
+        markNeverStarted(known->first, tracked);
     if (tracked.phase != run_phase::Starting)
         return;
     if (answer == start_answer::Started) {
         tracked.phase = run_phase::Running;
         tracked.startedAt = now;
     }
-    if (answer == start_answer::Refused || answer == start_answer::NotExecuted)
-        tracked.openStartCalls = std::max(0, tracked.openStartCalls - 1);
     // Another, unanswered call may have started the run, or may still do so. Only the worker's
     // list, read after the deadlines of the calls, proves that it never ran.
     if (answer == start_answer::Refused) {
@@ -268,7 +280,7 @@
             tracked.phase = run_phase::Running;
         if (!tracked.startedAt)
             tracked.startedAt = now;
-        tracked.lastStartEffectMs = 0; // from now on the list of ends says how it ends
+        tracked.noteStarted();
         if (listed.checkpoint.size() <= MaxCheckpointBytes)
             tracked.checkpoint = listed.checkpoint;
         tracked.measured = listed.measured;
@@ -279,14 +291,27 @@
     for (const auto &end : listing.ended)
         applyEnd(end, previousHighest, now);
     for (auto &[key, tracked] : m_runs) {
-        const bool mayStart =
-                tracked.phase == run_phase::Starting || tracked.phase == run_phase::Stopping;
-        if (mayStart && tracked.lastStartEffectMs > 0
-            && listing.clockMs > tracked.lastStartEffectMs)
+        if (isProvedNeverStarted(tracked, listing.clockMs))
             markNeverStarted(key, tracked);
     }
 }
 
+// A run that started is active, ending or in the list of ends. It ends within stopTimeout, whether
+// it was told to stop, its gang was broken or its lease expired, and only then it is in neither
+// list. So it never started if it is missing after the last moment at which it could start, and
+// still missing a stop's longest time later.
+bool run_table::isProvedNeverStarted(tracked_run &tracked, std::int64_t clockMs) const
+{
+    const bool mayHaveStarted =
+            tracked.phase == run_phase::Starting || tracked.phase == run_phase::Stopping;
+    if (!mayHaveStarted || tracked.lastStartEffectMs == 0 || clockMs <= tracked.lastStartEffectMs)
+        return false;
+    if (tracked.unlistedSinceMs == 0)
+        tracked.unlistedSinceMs = clockMs;
+    return clockMs - tracked.unlistedSinceMs
+           >= (m_settings.stopTimeout + m_settings.stopMargin).count();
+}
+
 void run_table::markNeverStarted(const run_key &key, tracked_run &tracked)
 {
     tracked.phase = run_phase::Ended;
@@ -481,6 +506,14 @@
     return activeRunCount() > 0 || m_hasStoppedUnlisted || mayHaveUnlistedRuns(now);
 }
 
+bool run_table::awaitsListing() const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
+        const auto &run = entry.second;
+        return run.phase != run_phase::Ended && run.unlistedSinceMs > 0;
+    });
+}
+
 bool run_table::hasEndsOfGoneWorker() const
 {
     return std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -192,6 +192,8 @@
     std::size_t activeRunCount() const; // runs that have not ended
     // False: the worker certainly runs nothing, so the next epoch may begin.
     bool mayHaveRuns(time_point now) const;
+    // A further listing will prove that some run never started.
+    bool awaitsListing() const;
     // There are unacknowledged ends of a worker that is gone. No other process can report them, so
     // the agent must not exit.
     bool hasEndsOfGoneWorker() const;
@@ -225,6 +227,8 @@
         // Worker's clock: no start call takes effect later. 0: none was made, or the run is known
         // to have started.
         std::int64_t lastStartEffectMs = 0;
+        // Worker's clock: the first listing after lastStartEffectMs without the run; 0: none yet.
+        std::int64_t unlistedSinceMs = 0;
         int openStartCalls = 0;     // start calls that the worker has not rejected
         time_point startDeadline{}; // the worker isn't called later
         time_point retryAt{};
@@ -233,6 +237,7 @@
         run_end end;
 
         void setOwner(const std::string &entry);
+        void noteStarted();
         bool reportsEndTo(const std::string &entry) const;
         bool reportsEndOnlyTo(const std::string &entry) const;
     };
@@ -248,6 +253,8 @@
     void countFailures(const tracked_run &tracked, const run_end &end, time_point now);
     // False: it has ended or is being stopped already.
     bool stopRun(const run_key &key, tracked_run &tracked, time_point now);
+    // Whether the listing, read at `clockMs` without the run, proves that it never started.
+    bool isProvedNeverStarted(tracked_run &tracked, std::int64_t clockMs) const;
     void markNeverStarted(const run_key &key, tracked_run &tracked);
     void abandonStart(const run_key &key, tracked_run &tracked);
     void rememberRefusal(const run_key &key, time_point now);
