Gangs: members are chosen within the limit of tasks on one worker

Cause: the workers of all members are chosen before any of them is placed. The chosen ones were counted as used capacity, but the limit was checked by the placements in the record, where none of them is yet.

Change: one count, of placements and of the choices made in this round; it holds for the second and third choice (avoided, quarantined workers) and for gangs on one rack. A gang that finds no workers is logged as tasks_unplaced, with the limit; before, no line told of it. The agent, the last check for capacity, checks the limit as well: it knows the runs of a step on its worker, those that are being stopped included.

--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -417,10 +417,11 @@
     bool isCurrentIncarnation(const std::string &worker, std::int64_t agentIncarnation) const;
     void resendOrders(const std::string &id, owned_job &job, const std::string &worker,
                       time_point now);
-    static std::optional<std::string>
-    chooseWorkerFor(const worker_pool &workers, const owned_job &job, const task_id &task,
-                    const step_spec &step, time_point now,
-                    const placement_preferences &preferences = {});
+    static std::optional<std::string> chooseWorkerFor(const worker_pool &workers,
+                                                      const owned_job &job, const task_id &task,
+                                                      const step_spec &step, time_point now,
+                                                      const placement_preferences &preferences = {},
+                                                      const std::vector<std::string> &chosen = {});
     static std::uint64_t tieBreakSeedOf(const task_id &task, int run);
     bool isServiceMostlyUsed(const owned_job &job, time_point now) const;
     // Whether the task must not go to a quarantined worker yet.
@@ -473,9 +474,11 @@
     static void noteStepDone(owned_job &job, const task_id &task, time_point now);
     void logIfUnanswered(const std::string &id, const task_id &task, int run, pending_order &order,
                          time_point now);
-    // Workers that have as many tasks of the step as step_spec::maxPerWorker allows.
+    // Workers that have as many tasks of the step as step_spec::maxPerWorker allows, counting those
+    // that are placed and one on each worker of `chosen`, for tasks that are not placed yet.
     static std::vector<std::string> workersAtTaskLimit(const owned_job &job, const task_id &task,
-                                                       const step_spec &step);
+                                                       const step_spec &step,
+                                                       const std::vector<std::string> &chosen = {});
     // Logs that a quarantine of the worker has begun with the failure of this run.
     void logQuarantine(const std::string &id, const std::string &worker, const run_end &failure,
                        time_point now);
--- a/libs/jobs/job_controller_log.cpp
+++ b/libs/jobs/job_controller_log.cpp
@@ -77,6 +77,10 @@
                             step.isLongRunning ? "long-running " : "", occurrence, stepIndex,
                             millisecondsIn(now - waiting.since),
                             m_workers.describeUnfitWorkers(service, step, full, now, preferences));
+    if (step.isGang)
+        text += "; a gang, which starts whole";
+    if (step.maxPerWorker > 0)
+        text += fmt::format("; at most {} on a worker", step.maxPerWorker);
     if (step.isLongRunning)
         text += fmt::format("; {} owned runs could make room by a move",
                             countMovesThatMakeRoom(service, step, full, now));
--- a/libs/jobs/job_controller_orders.cpp
+++ b/libs/jobs/job_controller_orders.cpp
@@ -23,7 +23,8 @@
 
 run_requirements requirementsOf(const step_spec &step)
 {
-    return {step.size, step.isBestEffort, step.isLongRunning, step.image, step.latencyTargetMs};
+    return {step.size, step.isBestEffort, step.isLongRunning, step.image, step.latencyTargetMs,
+            {},        step.maxPerWorker};
 }
 
 } // namespace
--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -164,6 +164,8 @@
             m_settings.features.weighsWaits
                     ? chooseGangOrWait(id, job, firstMember, step, run, now, wallMs)
                     : chooseGangWorkers(job, firstMember, step, run, {}, now);
+    logUnplacedTasks(id, job, occurrence, stepIndex, chosenWorkers.empty() ? step.count : 0, {},
+                     now);
     if (chosenWorkers.empty())
         return true;
     // All members resume from the latest checkpoint of any of them.
@@ -186,13 +188,15 @@
 {
     auto trialPool = m_workers;
     std::vector<std::string> chosenWorkers;
+    // The members are placed only once each has a worker: until then the record has none of them.
     for (int index = 0; index < step.count; ++index) {
         auto task = firstMember;
         task.index = index;
         placement_preferences preferences;
         preferences.tieBreakSeed = tieBreakSeedOf(task, run);
         preferences.onlyRack = onlyRack;
-        const auto worker = chooseWorkerFor(trialPool, job, task, step, now, preferences);
+        const auto worker =
+                chooseWorkerFor(trialPool, job, task, step, now, preferences, chosenWorkers);
         if (!worker)
             return {};
         trialPool.reserve(*worker, step);
@@ -225,10 +229,11 @@
                                                            const owned_job &job,
                                                            const task_id &task,
                                                            const step_spec &step, time_point now,
-                                                           const placement_preferences &preferences)
+                                                           const placement_preferences &preferences,
+                                                           const std::vector<std::string> &chosen)
 {
     const auto &service = job.record.policy.service;
-    const auto fullWorkers = workersAtTaskLimit(job, task, step);
+    const auto fullWorkers = workersAtTaskLimit(job, task, step, chosen);
     auto avoid = fullWorkers;
     const auto avoided = job.avoidedWorkers.find(task);
     const bool avoidsAny = avoided != job.avoidedWorkers.end();
@@ -256,22 +261,27 @@
     return found != job.quarantineRetryAt.end() && now < found->second;
 }
 
-// Workers that have as many tasks of the step as `maxPerWorker` allows.
-std::vector<std::string>
-job_controller::workersAtTaskLimit(const owned_job &job, const task_id &task, const step_spec &step)
+std::vector<std::string> job_controller::workersAtTaskLimit(const owned_job &job,
+                                                            const task_id &task,
+                                                            const step_spec &step,
+                                                            const std::vector<std::string> &chosen)
 {
     std::vector<std::string> fullWorkers;
     if (step.maxPerWorker == 0)
         return fullWorkers;
     std::map<std::string, int> perWorker;
+    const auto count = [&](const std::string &worker) {
+        if (++perWorker[worker] == step.maxPerWorker)
+            fullWorkers.push_back(worker);
+    };
     const auto &stepTasks = job.record.tasks[static_cast<std::size_t>(task.occurrence)]
                                             [static_cast<std::size_t>(task.step)];
     for (const auto &other : stepTasks) {
-        for (const auto &runPlacement : other.placements) {
-            if (++perWorker[runPlacement.worker] >= step.maxPerWorker)
-                fullWorkers.push_back(runPlacement.worker);
-        }
+        for (const auto &runPlacement : other.placements)
+            count(runPlacement.worker);
     }
+    for (const auto &worker : chosen)
+        count(worker);
     return fullWorkers;
 }
 
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -120,6 +120,8 @@
     value["target_ms"] = Json::Int64(order.requirements.latencyTargetMs);
     if (order.requirements.slackMs)
         value["slack_ms"] = Json::Int64(*order.requirements.slackMs);
+    if (order.requirements.maxPerWorker > 0)
+        value["per_worker"] = order.requirements.maxPerWorker;
     value["tells_start"] = order.wantsStartReport;
     return value;
 }
@@ -149,6 +151,8 @@
     order.requirements.latencyTargetMs = integerMember(value, "target_ms");
     if (value.isMember("slack_ms"))
         order.requirements.slackMs = slackMember(value);
+    if (value.isMember("per_worker"))
+        order.requirements.maxPerWorker = smallIntegerMember(value, "per_worker");
     order.wantsStartReport = boolMember(value, "tells_start");
     return order;
 }
--- a/libs/jobs/messages.h
+++ b/libs/jobs/messages.h
@@ -32,6 +32,7 @@
     // How long the run may be paused in all, from its start on, without making its job late, ms;
     // at most MaxRunSlackMs. None: unknown.
     std::optional<std::int64_t> slackMs = {};
+    int maxPerWorker = 0; // runs of its step and occurrence on the worker; 0: no limit
 };
 
 constexpr std::int64_t MaxRunSlackMs = 60'000;
@@ -54,7 +55,7 @@
 enum class order_outcome {
     Accepted,              // the run exists, or is being started or stopped
     NoRoom,                // refused for good: the worker lacks free capacity, or it is unknown
-                           // as runs on it are unclaimed
+                           // as runs on it are unclaimed, or has as many runs of the step as it may
     Draining,              // refused for good: the worker is leaving
     WrongEpoch,            // refused for good: placed in another epoch of the worker
     Superseded,            // refused for good: the run was stopped or refused before
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -153,7 +153,7 @@
     // No refusal is remembered: an order for the same run that arrives in time starts it.
     if (startDeadline(order, now) <= now)
         return answer(order_outcome::DeadlineExceeded);
-    if (!isCapacityKnown || !hasRoom(order)) {
+    if (!isCapacityKnown || !hasRoom(order) || isAtStepLimit(order)) {
         rememberRefusal(key, now);
         return answer(order_outcome::NoRoom);
     }
@@ -638,4 +638,22 @@
     return sum.fitsInto(m_capacity);
 }
 
+bool run_table::isAtStepLimit(const run_order &order) const
+{
+    const auto limit = order.requirements.maxPerWorker;
+    if (limit == 0)
+        return false;
+    auto firstTask = order.task;
+    firstTask.index = 0;
+    int runs = 0;
+    for (auto at = m_runs.lower_bound({firstTask, 0}); at != m_runs.end(); ++at) {
+        const auto &task = at->first.first;
+        if (task.job != order.task.job || task.occurrence != order.task.occurrence
+            || task.step != order.task.step)
+            break;
+        runs += at->second.phase != run_phase::Ended ? 1 : 0;
+    }
+    return runs >= limit;
+}
+
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -262,6 +262,9 @@
     bool hasNewerRun(const run_key &key) const; // of the same task
     bool isCancelled(const std::string &job) const;
     bool hasRoom(const run_order &order) const;
+    // The worker has as many runs of the step as it may have, those that are being stopped
+    // included.
+    bool isAtStepLimit(const run_order &order) const;
 
     struct refusal
     {
--- a/tests/job_controller_test.cpp
+++ b/tests/job_controller_test.cpp
@@ -1076,6 +1076,104 @@
     check(fixture.orders.size() == 3);
 }
 
+// Guards against members of a gang that start on one worker beyond the limit that their caller has
+// given: they are chosen before any of them is placed.
+Test(job_controller, members_of_a_gang_within_the_limit_per_worker)
+{
+    const auto gangOf = [](int members, int maxPerWorker, int steps) {
+        auto spec = test_fixture::twoSteps();
+        spec.steps.resize(static_cast<std::size_t>(steps));
+        for (auto &step : spec.steps) {
+            step.isGang = true;
+            step.count = members;
+            step.maxPerWorker = maxPerWorker;
+            step.after.clear();
+        }
+        return spec;
+    };
+    const auto mostOnOneWorker = [](const test_fixture &fixture, int occurrence, int step) {
+        std::map<std::string, int> perWorker;
+        for (const auto &order : fixture.orders) {
+            const auto &task = order.order.task;
+            if (order.order.kind == order_kind::Start && task.occurrence == occurrence
+                && task.step == step)
+                ++perWorker[order.worker];
+        }
+        int most = 0;
+        for (const auto &[worker, runs] : perWorker)
+            most = std::max(most, runs);
+        return most;
+    };
+    section("each worker gets as many as allowed", [&] {
+        for (const int limit : {1, 2, 3}) {
+            test_fixture fixture;
+            fixture.submitJob(gangOf(2 * limit, limit, 1));
+            fixture.confirmWrite();
+            check(static_cast<int>(fixture.orders.size()) == 2 * limit);
+            check(mostOnOneWorker(fixture, 0, 0) == limit);
+        }
+    });
+    section("where too few workers are in order, the gang waits and its line says so", [&] {
+        test_fixture fixture;
+        fixture.submitJob(gangOf(3, 1, 1));
+        fixture.confirmWrite();
+        fixture.advance(milliseconds(2500));
+        check(fixture.orders.empty());
+        const auto line = fixture.logDetailOf("tasks_unplaced");
+        check(line.starts_with("3 tasks of step 0.0 unplaced for 2500 ms: 2 fit"));
+        check(line.ends_with("; a gang, which starts whole; at most 1 on a worker"));
+        fixture.receiveReports("w3");
+        fixture.tick();
+        fixture.confirmWrite();
+        check(fixture.orders.size() == 3);
+        check(mostOnOneWorker(fixture, 0, 0) == 1);
+    });
+    section("steps and occurrences are counted apart", [&] {
+        test_fixture fixture;
+        auto spec = gangOf(2, 1, 2);
+        spec.occurrences = 2;
+        spec.firstOccurrenceMs = 1;
+        spec.intervalMs = 1;
+        fixture.submitJob(spec);
+        fixture.confirmWrite();
+        check(fixture.orders.size() == 8);
+        for (const int occurrence : {0, 1}) {
+            for (const int step : {0, 1})
+                check(mostOnOneWorker(fixture, occurrence, step) == 1);
+        }
+    });
+    section("after a failure, which worker is avoided does not matter to the limit", [&] {
+        test_fixture fixture;
+        fixture.submitJob(gangOf(2, 1, 1));
+        fixture.confirmWrite();
+        const auto first = fixture.orders;
+        require(first.size() == 2);
+        for (const auto &order : first) {
+            fixture.acceptOrder(order);
+            fixture.endRun(order, end_kind::Broken);
+        }
+        fixture.orders.clear();
+        fixture.confirmWrite();
+        fixture.confirmWrite();
+        check(fixture.orders.size() == 2);
+        check(mostOnOneWorker(fixture, 0, 0) == 1);
+    });
+    section("with weighed waits, on one rack or spread", [&] {
+        for (const bool prefersSameRack : {false, true}) {
+            controller_settings settings;
+            settings.features.weighsWaits = true;
+            test_fixture fixture;
+            job_controller controller(Self, fixture.workers, settings);
+            auto spec = gangOf(2, 1, 1);
+            spec.steps[0].prefersSameRack = prefersSameRack;
+            controller.submit("j", spec, {"holds", "tickets"}, 1000, fixture.now, 1);
+            const auto &members = controller.record("j")->tasks[0][0];
+            require(!members[0].placements.empty() && !members[1].placements.empty());
+            check(members[0].placements[0].worker != members[1].placements[0].worker);
+        }
+    });
+}
+
 Test(job_controller, a_record_is_stored_and_read)
 {
     test_fixture fixture;
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -98,6 +98,40 @@
     });
 }
 
+// Guards against more tasks of a step on a worker than their caller allows, whatever owners know of
+// the runs there.
+Test(run_table, runs_of_a_step_within_its_limit)
+{
+    const auto limited = [](int index, int run = 1) {
+        auto order = table_fixture::order(index, run);
+        order.requirements.maxPerWorker = 2;
+        return order;
+    };
+    table_fixture fixture;
+    check(fixture.giveOrder(limited(0)) == order_outcome::Accepted);
+    check(fixture.giveOrder(limited(3)) == order_outcome::Accepted);
+    check(fixture.giveOrder(limited(1)) == order_outcome::NoRoom);
+    section("a run that is being stopped counts until its end is listed", [&] {
+        fixture.table.startCalled(limited(0).task, 1, 2000);
+        check(fixture.giveOrder(table_fixture::stopOrderFor(limited(0)))
+              == order_outcome::Accepted);
+        check(fixture.giveOrder(limited(2)) == order_outcome::NoRoom);
+        fixture.listEnd(limited(0), end_kind::Stopped);
+        check(fixture.giveOrder(limited(2, 2)) == order_outcome::Accepted);
+    });
+    section("other steps, occurrences and jobs count by themselves", [&] {
+        auto other = limited(0, 2);
+        other.task.step = 1;
+        check(fixture.giveOrder(other) == order_outcome::Accepted);
+        other.task.occurrence = 1;
+        check(fixture.giveOrder(other) == order_outcome::Accepted);
+    });
+    section("the limit arrives with the order", [&] {
+        const auto sent = orderBatchFrom(toText(order_batch{"e", "a", {limited(0)}}));
+        check(sent.orders.at(0).requirements.maxPerWorker == 2);
+    });
+}
+
 // Guards against a worker with more runs than fit. The agent is killed; its next incarnation finds
 // a run in the worker's list, and the first order for it is a stop, as its job was cancelled. A
 // stop doesn't give the run's size. If it counted as zero, another run would get the same capacity.
