Rows and messages: values are within ranges that can be added and converted

The operators' report: one odd entry among those that a system reads ends the machines that read it, or stops their following.

Cause here, by reading: numbers were checked for their kind alone. Epochs, run numbers, sizes, clocks and latencies up to 64 bits went into sums, into time points and, from doubles, into integers, all of which overflow; a sequence number of 2^63-1 in a worker's list of ends would have told the worker to forget all later ones.

Change: value_limits.h has the ranges, and the decoders of orders, reports and their answers, summaries, rows of entries, announcements and lists refuse what is outside. An odd row in a worker's list is passed over, also one that no JSON parser takes (1e400, 5,000 levels), which made the whole list unreadable and the worker silent. An announcement whose address has no valid port is another writer's.

--- a/app/entry_directory.cpp
+++ b/app/entry_directory.cpp
@@ -5,6 +5,8 @@
 #include "base/hash.h"
 #include "base/json.h"
 #include "base/json_member.h"
+#include "jobs/value_limits.h"
+#include "runtime/http.h"
 
 namespace zinniabarrow {
 
@@ -22,11 +24,13 @@
 entry_row entryRowFrom(const std::string &text)
 {
     const auto value = parseJsonObject(text);
-    entry_row row{integerMember(value, "incarnation"), stringMember(value, "internal"),
-                  stringMember(value, "callers")};
+    entry_row row{integerMemberUpTo(value, "incarnation", jobs::MaxCounter),
+                  stringMember(value, "internal"), stringMember(value, "callers")};
+    for (const auto &address : {row.internalAddress, row.callersAddress})
+        parseAddress(address);
     // Entries of the previous release don't write it.
     if (value.isMember("millicores"))
-        row.millicores = integerMember(value, "millicores");
+        row.millicores = integerMemberUpTo(value, "millicores", jobs::MaxAmount);
     return row;
 }
 
--- a/libs/base/json.h
+++ b/libs/base/json.h
@@ -15,6 +15,11 @@
 // Like parseJson(); also throws error BadRequest when the value is not an object.
 Json::Value parseJsonObject(std::string_view text);
 
+// The text with null in place of each number of more than 18 characters or with an exponent, and of
+// each value nested deeper than 32 levels: one odd value in it must not hide the others. For texts
+// that parseJson() refuses.
+std::string withoutOddValues(std::string_view text);
+
 // Writes one line with sorted keys and no trailing newline. Characters above ASCII are escaped.
 std::string compactJson(const Json::Value &value);
 
--- a/libs/base/json_member.cpp
+++ b/libs/base/json_member.cpp
@@ -1,5 +1,7 @@
 #include "base/json_member.h"
 
+#include <cmath>
+
 #include "base/errors.h"
 
 namespace zinniabarrow {
@@ -12,6 +14,11 @@
                 std::string("member '") + name + "': " + needed + " is needed");
 }
 
+[[noreturn]] void throwOutOfRange(const char *name)
+{
+    throw error(error_kind::BadRequest, std::string("member '") + name + "': out of range");
+}
+
 const Json::Value &member(const Json::Value &object, const char *name, const char *needed)
 {
     if (!object.isObject() || !object.isMember(name))
@@ -44,6 +51,14 @@
     return value.asInt64();
 }
 
+std::int64_t integerMemberUpTo(const Json::Value &object, const char *name, std::int64_t most)
+{
+    const auto value = integerMember(object, name);
+    if (value < 0 || value > most)
+        throwOutOfRange(name);
+    return value;
+}
+
 std::uint64_t countMember(const Json::Value &object, const char *name)
 {
     const auto &value = member(object, name, "an integer of zero or above");
@@ -76,6 +91,14 @@
     return value.asDouble();
 }
 
+double numberMemberWithin(const Json::Value &object, const char *name, double most)
+{
+    const auto value = numberMember(object, name);
+    if (!(std::abs(value) <= most)) // also if it is not a number
+        throwOutOfRange(name);
+    return value;
+}
+
 bool boolMember(const Json::Value &object, const char *name)
 {
     const auto &value = member(object, name, "true or false");
--- a/libs/base/large_json.cpp
+++ b/libs/base/large_json.cpp
@@ -1,5 +1,7 @@
 #include "base/large_json.h"
 
+#include <cmath>
+
 #include "base/errors.h"
 
 namespace zinniabarrow::large_json {
@@ -44,6 +46,13 @@
     return element.GetInt();
 }
 
+std::int64_t within(std::int64_t number, const char *name, std::int64_t most)
+{
+    if (number < 0 || number > most)
+        throwInvalidMember(name, "an integer in its range");
+    return number;
+}
+
 constexpr const char *ArrayElementName = "(array element)";
 
 } // namespace
@@ -101,6 +110,16 @@
     return found == nullptr ? 0 : countAt(*found, name);
 }
 
+std::int64_t numberUpTo(const value &object, const char *name, std::int64_t most)
+{
+    return within(number(object, name), name, most);
+}
+
+std::int64_t numberOr0UpTo(const value &object, const char *name, std::int64_t most)
+{
+    return within(numberOr0(object, name), name, most);
+}
+
 double realOr(const value &object, const char *name, double absent)
 {
     const auto *found = find(object, name);
@@ -126,4 +145,19 @@
     return countAt(element, ArrayElementName);
 }
 
+std::int64_t asNumberUpTo(const value &element, std::int64_t most)
+{
+    return within(asNumber(element), ArrayElementName, most);
+}
+
+double asRealWithin(const value &element, double most)
+{
+    if (!element.IsNumber())
+        throwInvalidMember(ArrayElementName, "a number");
+    const auto real = element.GetDouble();
+    if (!(std::abs(real) <= most)) // also if it is not a number
+        throwInvalidMember(ArrayElementName, "a smaller number");
+    return real;
+}
+
 } // namespace zinniabarrow::large_json
--- a/libs/base/large_json.h
+++ b/libs/base/large_json.h
@@ -30,12 +30,17 @@
 std::string textOrEmpty(const value &object, const char *name);
 std::int64_t numberOr0(const value &object, const char *name);
 int countOr0(const value &object, const char *name); // 32 bits, zero or above
+// From 0 to `most`.
+std::int64_t numberUpTo(const value &object, const char *name, std::int64_t most);
+std::int64_t numberOr0UpTo(const value &object, const char *name, std::int64_t most);
 double realOr(const value &object, const char *name, double absent);
 
 // Values of array elements.
 std::string asText(const value &element);
 std::int64_t asNumber(const value &element);
-int asCount(const value &element); // as countOr0
+int asCount(const value &element);                                  // as countOr0
+std::int64_t asNumberUpTo(const value &element, std::int64_t most); // from 0
+double asRealWithin(const value &element, double most);             // from -`most`
 
 // Calls `visit` with each element of an array member; an absent member has none.
 template <typename Visit>
--- a/libs/jobs/job_summary.cpp
+++ b/libs/jobs/job_summary.cpp
@@ -3,6 +3,7 @@
 #include "base/errors.h"
 #include "base/json.h"
 #include "base/large_json.h"
+#include "jobs/value_limits.h"
 
 namespace zinniabarrow::jobs {
 
@@ -42,7 +43,7 @@
     const auto state = jobStateNamed(large_json::text(value, "s"));
     if (!state)
         throw error(error_kind::BadRequest, "job summary: unknown state");
-    return {{large_json::text(value, "o"), number(value, "i")},
+    return {{large_json::text(value, "o"), numberUpTo(value, "i", MaxCounter)},
             *state,
             large_json::text(value, "q"),
             numberOr0(value, "n") != 0,
--- a/libs/jobs/messages.cpp
+++ b/libs/jobs/messages.cpp
@@ -6,6 +6,7 @@
 #include "base/json.h"
 #include "base/json_member.h"
 #include "base/names.h"
+#include "jobs/value_limits.h"
 
 namespace zinniabarrow::jobs {
 
@@ -66,8 +67,14 @@
 
 task_size sizeFrom(const Json::Value &value)
 {
-    return {integerMember(value, "millicores"), integerMember(value, "memory_mb"),
-            integerMember(value, "accelerators")};
+    return {integerMemberUpTo(value, "millicores", MaxAmount),
+            integerMemberUpTo(value, "memory_mb", MaxAmount),
+            integerMemberUpTo(value, "accelerators", MaxAmount)};
+}
+
+int runMember(const Json::Value &object)
+{
+    return static_cast<int>(integerMemberUpTo(object, "run", MaxRunNumber));
 }
 
 std::int64_t slackMember(const Json::Value &object)
@@ -95,7 +102,7 @@
 {
     std::vector<run_slack> runs;
     for (const auto &row : rows)
-        runs.push_back({taskMember(row), smallIntegerMember(row, "run"), slackMember(row)});
+        runs.push_back({taskMember(row), runMember(row), slackMember(row)});
     return runs;
 }
 
@@ -132,15 +139,15 @@
     run_order order;
     order.kind = enumFromName(OrderKindNames, stringMember(value, "kind"));
     order.task = taskMember(value);
-    order.run = smallIntegerMember(value, "run");
-    order.epoch = integerMember(value, "epoch");
+    order.run = runMember(value);
+    order.epoch = integerMemberUpTo(value, "epoch", MaxCounter);
     if (order.kind == order_kind::Stop)
         return order;
     // Entries of the previous release don't send these.
     if (value.isMember("agent_life"))
-        order.agentIncarnation = integerMember(value, "agent_life");
+        order.agentIncarnation = integerMemberUpTo(value, "agent_life", MaxCounter);
     if (value.isMember("holds_until_ms"))
-        order.startDeadlineMs = integerMember(value, "holds_until_ms");
+        order.startDeadlineMs = integerMemberUpTo(value, "holds_until_ms", MaxTimeMs);
     order.payload = value.isMember("payload") ? stringMember(value, "payload")
                                               : stringMember(payloads, order.task.job.c_str());
     order.checkpoint = stringMember(value, "checkpoint");
@@ -148,7 +155,7 @@
     order.requirements.isBestEffort = boolMember(value, "fills");
     order.requirements.isLongRunning = boolMember(value, "lasting");
     order.requirements.image = stringMember(value, "image");
-    order.requirements.latencyTargetMs = integerMember(value, "target_ms");
+    order.requirements.latencyTargetMs = integerMemberUpTo(value, "target_ms", MaxTimeMs);
     if (value.isMember("slack_ms"))
         order.requirements.slackMs = slackMember(value);
     if (value.isMember("per_worker"))
@@ -172,9 +179,7 @@
 {
     std::map<std::string, double> amounts;
     for (const auto &name : object.getMemberNames()) {
-        if (!object[name].isNumeric())
-            throw error(error_kind::BadRequest, "member '" + name + "': a number is needed");
-        amounts[name] = object[name].asDouble();
+        amounts[name] = numberMemberWithin(object, name.c_str(), MaxReal);
     }
     return amounts;
 }
@@ -208,7 +213,7 @@
         if (!endKind)
             throw error(error_kind::BadRequest,
                         "answer to a report names an end of an unknown kind");
-        ends.push_back({taskMember(row), smallIntegerMember(row, "run"), *endKind});
+        ends.push_back({taskMember(row), runMember(row), *endKind});
     }
     return ends;
 }
@@ -291,12 +296,12 @@
     const auto &interferenceRows = objectMember(value, "presses");
     for (const auto &serving : interferenceRows.getMemberNames()) {
         const auto &row = objectMember(interferenceRows, serving.c_str());
-        answer.interference[serving] = {numberMember(row, "floor_ms"),
+        answer.interference[serving] = {numberMemberWithin(row, "floor_ms", MaxReal),
                                         amountsFrom(objectMember(row, "by"))};
     }
     // Entries of the previous release don't send it.
     if (value.isMember("interval_ms"))
-        answer.minReportInterval = milliseconds(integerMember(value, "interval_ms"));
+        answer.minReportInterval = milliseconds(integerMemberUpTo(value, "interval_ms", MaxTimeMs));
     if (value.isMember("seldom"))
         answer.wantsReports = !boolMember(value, "seldom");
     if (value.isMember("zone_evacuated"))
@@ -354,7 +359,7 @@
     const auto value = parseJsonObject(text);
     std::vector<order_answer> answers;
     for (const auto &row : arrayMember(value, "answers")) {
-        answers.push_back({taskMember(row), smallIntegerMember(row, "run"),
+        answers.push_back({taskMember(row), runMember(row),
                            enumFromName(OrderOutcomeNames, stringMember(row, "outcome")),
                            enumFromName(OrderKindNames, stringMember(row, "kind"))});
     }
--- a/libs/jobs/report_text.cpp
+++ b/libs/jobs/report_text.cpp
@@ -1,8 +1,12 @@
 // Parses the reports of agents on their workers. An entry receives at least one report a second
 // from each agent and parses no other text as often, so large_json is used.
+#include <utility>
+
 #include "base/errors.h"
 #include "base/large_json.h"
+#include "jobs/message_limits.h"
 #include "jobs/messages.h"
+#include "jobs/value_limits.h"
 
 namespace zinniabarrow::jobs {
 
@@ -34,14 +38,29 @@
 
 double requiredReal(const value &object, const char *name)
 {
-    requiredMember(object, name);
-    return large_json::realOr(object, name, 0);
+    return large_json::asRealWithin(requiredMember(object, name), MaxReal);
 }
 
 int requiredCount(const value &object, const char *name)
 {
-    requiredMember(object, name);
-    return large_json::countOr0(object, name);
+    return static_cast<int>(large_json::numberUpTo(object, name, MaxRunNumber));
+}
+
+// A name that entries store with the runs on a worker.
+std::string nameMember(const value &object, const char *member)
+{
+    constexpr std::size_t MaxLength = 256; // bytes
+    auto name = large_json::text(object, member);
+    if (name.size() > MaxLength)
+        throw error(error_kind::BadRequest, std::string(member) + ": too long");
+    return name;
+}
+
+// Agents of the previous release send checkpoints of any length.
+std::string checkpointOf(const value &object)
+{
+    auto checkpoint = large_json::text(object, "checkpoint");
+    return checkpoint.size() > MaxCheckpointBytes ? std::string() : checkpoint;
 }
 
 task_id taskOf(const value &object)
@@ -55,8 +74,9 @@
 
 task_size sizeFrom(const value &object)
 {
-    return {large_json::number(object, "millicores"), large_json::number(object, "memory_mb"),
-            large_json::number(object, "accelerators")};
+    return {large_json::numberUpTo(object, "millicores", MaxAmount),
+            large_json::numberUpTo(object, "memory_mb", MaxAmount),
+            large_json::numberUpTo(object, "accelerators", MaxAmount)};
 }
 
 std::map<std::string, double> amountsFrom(const value &object)
@@ -65,9 +85,7 @@
         throw error(error_kind::BadRequest, "amounts by image: an object is needed");
     std::map<std::string, double> amounts;
     for (const auto &[name, amount] : object.GetObject()) {
-        if (!amount.IsNumber())
-            throw error(error_kind::BadRequest, "amounts by image: numbers are needed");
-        amounts[large_json::asText(name)] = amount.GetDouble();
+        amounts[large_json::asText(name)] = large_json::asRealWithin(amount, MaxReal);
     }
     return amounts;
 }
@@ -89,8 +107,9 @@
 
 interference_sample sampleFrom(const value &row)
 {
-    interference_sample sample{large_json::text(row, "image"), large_json::number(row, "tail_ms"),
-                               large_json::number(row, "target_ms"),
+    interference_sample sample{large_json::text(row, "image"),
+                               large_json::numberUpTo(row, "tail_ms", MaxTimeMs),
+                               large_json::numberUpTo(row, "target_ms", MaxTimeMs),
                                amountsFrom(requiredMember(row, "fills"))};
     if (large_json::find(row, "inverse_fall") != nullptr) {
         sample.change = interference_change{requiredReal(row, "inverse_fall"),
@@ -106,13 +125,15 @@
     const auto endKind = endKindNamed(name);
     if (!endKind)
         throw error(error_kind::BadRequest, "unknown name " + name);
-    return {large_json::number(row, "number"), taskOf(row), requiredCount(row, "run"), *endKind,
-            large_json::text(row, "checkpoint")};
+    return {large_json::numberUpTo(row, "number", MaxCounter), taskOf(row),
+            requiredCount(row, "run"), *endKind, checkpointOf(row)};
 }
 
-run_progress progressFrom(const value &row)
+void addProgress(const value &row, std::vector<run_progress> &progress)
 {
-    return {taskOf(row), requiredCount(row, "run"), large_json::text(row, "checkpoint")};
+    run_progress added{taskOf(row), requiredCount(row, "run"), checkpointOf(row)};
+    if (!added.checkpoint.empty())
+        progress.push_back(std::move(added));
 }
 
 // Agents of the previous release don't send "wants_presses": they expect the interference table
@@ -131,23 +152,23 @@
     using namespace large_json;
     const auto value = parseObject(text);
     worker_report report;
-    report.worker = large_json::text(value, "worker");
-    report.address = large_json::text(value, "address");
-    report.agentIncarnation = number(value, "agent_life");
-    report.epoch = number(value, "epoch");
+    report.worker = nameMember(value, "worker");
+    report.address = nameMember(value, "address");
+    report.agentIncarnation = numberUpTo(value, "agent_life", MaxCounter);
+    report.epoch = numberUpTo(value, "epoch", MaxCounter);
     // Agents of the previous release don't send "clock_ms".
     if (find(value, "clock_ms") != nullptr)
-        report.clockMs = number(value, "clock_ms");
-    report.service = large_json::text(value, "service");
-    report.zone = large_json::text(value, "zone");
-    report.kind = large_json::text(value, "kind");
-    report.rack = large_json::text(value, "rack");
+        report.clockMs = numberUpTo(value, "clock_ms", MaxTimeMs);
+    report.service = nameMember(value, "service");
+    report.zone = nameMember(value, "zone");
+    report.kind = nameMember(value, "kind");
+    report.rack = nameMember(value, "rack");
     report.isAccepting = requiredFlag(value, "accepting");
     report.takesSharedPayloads = optionalFlag(value, "shared_payloads");
     report.capacity = sizeFrom(requiredMember(value, "capacity"));
     report.used = sizeFrom(requiredMember(value, "used"));
     report.usedByLongRunning = longRunningUseFrom(value, report.used);
-    report.bestEffortMillicores = number(value, "fill_millicores");
+    report.bestEffortMillicores = numberUpTo(value, "fill_millicores", MaxAmount);
     // Agents of the previous release don't send "failures_in_row".
     if (find(value, "failures_in_row") != nullptr)
         report.failuresInRow = requiredCount(value, "failures_in_row");
@@ -160,7 +181,7 @@
     for (const auto &row : array(value, "ends").GetArray())
         report.ends.push_back(endFrom(row));
     for (const auto &row : array(value, "progress").GetArray())
-        report.progress.push_back(progressFrom(row));
+        addProgress(row, report.progress);
     forEach(value, "started", [&](const auto &row) {
         report.started.push_back({taskOf(row), requiredCount(row, "run")});
     });
