Leases and followed tables: an unreadable row stops nobody

Cause, by reading: an agent that seeks its lease and finds a row that can't be read threw out of the callback and never read again, so its worker stayed unused for good. A table was followed on only if the handler of its rows returned, so that any exception ended the following for good. A page of the feed that can't be read was asked for again with the same number for ever.

Change: an unreadable lease row counts as one whose epoch a watcher has ended, with the store's version as epoch and fence, which is above all that were ever written; all runs are stopped before the next epoch. A handler's exception is logged and the following goes on. A page that can't be read means that the table is read anew.

The follower and the feed call the store: no test without network, none was run.

--- a/app/lease_keeper.cpp
+++ b/app/lease_keeper.cpp
@@ -97,11 +97,24 @@
         m_lease.rowRead(std::nullopt, 0, now);
     } else {
         const auto &storedRow = page.rows.front();
-        m_lease.rowRead(leaseFrom(storedRow.value), storedRow.version, now);
+        m_lease.rowRead(readLease(storedRow), storedRow.version, now);
     }
     execute();
 }
 
+// If the row can't be read, the worker would stay unused for good. It is taken for one whose epoch
+// a watcher has ended: all runs are stopped before the next one begins.
+lease_row lease_keeper::readLease(const row &stored)
+{
+    try {
+        return leaseFrom(stored.value);
+    } catch (const error &problem) {
+        m_log.writeEvent("lease_row_unreadable",
+                         {{"version", stored.version}, {"why", problem.what()}});
+        return endedLeaseAfter(stored.version);
+    }
+}
+
 void lease_keeper::execute(const write_lease &action)
 {
     const auto name = leaseRowName(m_agent);
--- a/app/lease_keeper.h
+++ b/app/lease_keeper.h
@@ -48,6 +48,7 @@
     void execute(const jobs::read_lease &action);
     void execute(const jobs::write_lease &action);
     void execute(const jobs::epoch_settled &action);
+    jobs::lease_row readLease(const jobs::row &stored);
     void handleRowRead(const jobs::row_page &page);
     void handleRowWritten(const std::string &write, const store_client::commit_outcome &outcome);
 
--- a/app/report_sender.cpp
+++ b/app/report_sender.cpp
@@ -44,7 +44,7 @@
         try {
             m_targets.setAddress(changedRow.name.key,
                                  entryRowFrom(changedRow.value).internalAddress);
-        } catch (const error &problem) {
+        } catch (const std::exception &problem) {
             m_log.writeEvent("entry_row_unreadable",
                              {{"entry", changedRow.name.key}, {"why", problem.what()}});
         }
--- a/app/store_client.cpp
+++ b/app/store_client.cpp
@@ -246,7 +246,12 @@
              const auto *failure = std::get_if<call_failure>(&result);
              if (failure != nullptr && *failure == call_failure::TooLarge)
                  return done(feed_page{{}, 0, true});
-             done(platform_wire::parseFeedResult(result));
+             auto page = platform_wire::parseFeedResult(result);
+             const auto *answer = std::get_if<http_response>(&result);
+             // The same call would bring the same page: the table is read anew, row by row.
+             if (!page && answer != nullptr && answer->status == 200)
+                 page = feed_page{{}, 0, true};
+             done(std::move(page));
          });
 }
 
--- a/app/table_follower.cpp
+++ b/app/table_follower.cpp
@@ -1,5 +1,6 @@
 #include "app/table_follower.h"
 
+#include <exception>
 #include <memory>
 #include <utility>
 
@@ -42,7 +43,7 @@
                                      const std::optional<jobs::row_page> &page)
 {
     if (page) {
-        m_onRows(page->rows);
+        passOn(page->rows);
         if (readState.oldestVersion == 0 || page->version < readState.oldestVersion)
             readState.oldestVersion = page->version;
     }
@@ -56,6 +57,18 @@
     pollFeed(readState.oldestVersion);
 }
 
+// Whatever a row does to its reader, the following goes on.
+void table_follower::passOn(const std::vector<jobs::row> &rows)
+{
+    try {
+        m_onRows(rows);
+    } catch (const std::exception &problem) {
+        m_log.writeEvent(
+                "rows_unreadable",
+                {{"table", m_followed.table}, {"rows", rows.size()}, {"why", problem.what()}});
+    }
+}
+
 void table_follower::pollFeed(std::int64_t after)
 {
     m_store.pollFeed(
@@ -75,7 +88,7 @@
         m_log.writeEvent("history_gone", {{"table", m_followed.table}});
         return start();
     }
-    m_onRows(page.rows);
+    passOn(page.rows);
     m_onProgress(all_changes_applied{requestedAt});
     if (m_followed.batchDelay == milliseconds(0))
         return pollFeed(page.version);
--- a/app/table_follower.h
+++ b/app/table_follower.h
@@ -75,6 +75,7 @@
     };
 
     void handlePartition(full_read &readState, const std::optional<jobs::row_page> &page);
+    void passOn(const std::vector<jobs::row> &rows);
     void pollFeed(std::int64_t after); // for changes after this version of the store
     void handleFeedPage(const jobs::feed_page &page, time_point requestedAt);
 
--- a/libs/jobs/lease.cpp
+++ b/libs/jobs/lease.cpp
@@ -5,6 +5,7 @@
 
 #include "base/json.h"
 #include "base/json_member.h"
+#include "jobs/value_limits.h"
 
 namespace zinniabarrow::jobs {
 
@@ -24,11 +25,23 @@
 lease_row leaseFrom(const std::string &text)
 {
     const auto value = parseJsonObject(text);
-    lease_row row{integerMember(value, "epoch"),    integerMember(value, "fence"),
-                  integerMember(value, "renewals"), stringMember(value, "life"),
-                  boolMember(value, "ended"),       stringMember(value, "write")};
+    lease_row row{integerMemberUpTo(value, "epoch", MaxCounter),
+                  integerMemberUpTo(value, "fence", MaxCounter),
+                  integerMemberUpTo(value, "renewals", MaxCounter),
+                  stringMember(value, "life"),
+                  boolMember(value, "ended"),
+                  stringMember(value, "write")};
     if (value.isMember("ends_at_ms")) // agents of the previous release don't write it
-        row.expiresAtMs = integerMember(value, "ends_at_ms");
+        row.expiresAtMs = integerMemberUpTo(value, "ends_at_ms", MaxTimeMs);
+    return row;
+}
+
+lease_row endedLeaseAfter(std::int64_t version)
+{
+    lease_row row;
+    row.epoch = version;
+    row.fence = version;
+    row.endedByWatcher = true;
     return row;
 }
 
--- a/libs/jobs/lease.h
+++ b/libs/jobs/lease.h
@@ -55,6 +55,9 @@
 };
 std::string toText(const lease_row &row);
 lease_row leaseFrom(const std::string &text); // throws error BadRequest
+// A lease whose epoch has ended, for a row that can't be read. Its epoch and fence are above those
+// of all rows before: each of these took a write, and the store's versions count all writes.
+lease_row endedLeaseAfter(std::int64_t version);
 
 // Estimates the store's steady clock from the readings in the store's answers. The expiry in a row
 // is given on that clock: an agent and a watcher both read it, and it continues when either of them
