Records of jobs: what is read is whole, and an unreadable one is left alone

Cause: a record was checked for its steps being as many as its lists, not for a step's count being the length of its list, nor for the ranges to which callers are held; later code indexes by the count. A record that can't be read at all was tried and logged each 0.25 s, by an exception out of the callback and without the job's id. An owner whose row was overwritten with such a record never wrote it again, and a cancel of such a job was answered by a timeout.

Change: one check for submitted, handed over and stored jobs (checkRecord uses that of checkSpec). Negative and huge times and sizes of callers are refused. job_not_adopted tells the id once a version of the row, which is kept and read again each 10 s; the other jobs are taken over. An owner writes its record again over an unreadable one, but yields to one of another release. A cancel is refused with 503 and a line.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -78,7 +78,7 @@
         , m_directory(m_settings.id, m_startedAt, m_settings.millicores)
         , m_pings(m_settings.id, {m_client, m_configuration, m_directory, m_log},
                   [this] { return isLeaving(); })
-        , m_takeover({m_store, m_directory, m_view, m_jobController, m_metrics},
+        , m_takeover({m_store, m_directory, m_view, m_jobController, m_metrics, m_log},
                      [this] { schedulePlan(); })
         , m_orderSender({m_settings, m_client, m_pool, m_jobController, m_metrics, m_log},
                         [this] { schedulePlan(); })
@@ -206,7 +206,7 @@
             }
             try {
                 m_directory.updateRow(changedRow.name.key, entryRowFrom(changedRow.value));
-            } catch (const error &problem) {
+            } catch (const std::exception &problem) {
                 m_log.writeEvent("entry_row_unreadable",
                                  {{"entry", changedRow.name.key}, {"why", problem.what()}});
             }
@@ -254,7 +254,7 @@
                 m_view.update(changedRow.name.key, summary, changedRow.version, now);
                 if (m_jobController->owns(changedRow.name.key))
                     m_jobController->rowChanged(changedRow.name.key, summary, changedRow.version);
-            } catch (const error &problem) {
+            } catch (const std::exception &problem) {
                 m_log.writeEvent("job_row_unreadable",
                                  {{"job", changedRow.name.key}, {"why", problem.what()}});
             }
@@ -327,7 +327,7 @@
                 m_jobController->rowConflict(id, 0, std::nullopt);
             else
                 m_jobController->rowConflict(id, rows.front().version, rows.front().value);
-        } catch (const error &problem) {
+        } catch (const std::exception &problem) {
             m_log.writeEvent("job_row_unreadable", {{"job", id}, {"why", problem.what()}});
         }
         schedulePlan();
--- a/app/job_requests.cpp
+++ b/app/job_requests.cpp
@@ -413,7 +413,13 @@
         if (page->rows.empty())
             return respond({410, {}, R"({"error":"unknown_job"})"});
         const auto &storedRow = page->rows.front();
-        auto record = recordFrom(storedRow.value);
+        job_record record;
+        try {
+            record = recordFrom(storedRow.value);
+        } catch (const error &problem) {
+            m_log.writeEvent("job_not_cancelled", {{"job", id}, {"why", problem.what()}});
+            return respond(countedRefusal(503, "job_row_unreadable"));
+        }
         if (isFinal(record.state()))
             return respond({200, {}, ""});
         record.cancelled = true;
--- a/app/job_takeover.cpp
+++ b/app/job_takeover.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "app/job_tables.h"
+#include "base/errors.h"
 #include "net/event_loop.h"
 
 namespace zinniabarrow {
@@ -25,6 +26,7 @@
     , m_view(dependencies.view)
     , m_jobController(dependencies.jobController)
     , m_metrics(dependencies.counters)
+    , m_log(dependencies.log)
     , m_onActionsReady(std::move(onActionsReady))
 { }
 
@@ -33,7 +35,7 @@
     const auto now = suspendAwareNow();
     for (const auto &[id, known] : m_view.jobs()) {
         if (!known.summary.needsOwner || m_jobController->owns(id)
-            || m_adoptionsInProgress.contains(id))
+            || m_adoptionsInProgress.contains(id) || !m_unreadableRecords.isDue(id, now))
             continue;
         const auto successor = m_directory.successorOf(id, known.summary.owner, self, now);
         if (successor && *successor == self.entry)
@@ -55,20 +57,42 @@
                  });
 }
 
+std::optional<job_record> job_takeover::readRecord(const row &jobRow)
+{
+    const auto &id = jobRow.name.key;
+    const auto now = suspendAwareNow();
+    if (m_unreadableRecords.isKnown(id, jobRow.version, now))
+        return std::nullopt;
+    try {
+        auto record = recordFrom(jobRow.value);
+        m_unreadableRecords.noteReadable(id);
+        return record;
+    } catch (const error &problem) {
+        m_unreadableRecords.noteUnreadable(id, jobRow.version, now);
+        m_metrics.count("jobs_not_adopted_total", "row_unreadable");
+        m_log.writeEvent("job_not_adopted",
+                         {{"job", id}, {"version", jobRow.version}, {"why", problem.what()}});
+        return std::nullopt;
+    }
+}
+
 void job_takeover::adoptRow(const row &jobRow, const owner_id &formerOwner)
 {
     const auto &id = jobRow.name.key;
+    auto record = readRecord(jobRow);
+    // The summary that led here may be older than the record: another entry may own the job by now,
+    // and must not lose it.
+    if (!record || record->owner != formerOwner || !record->needsOwner()) {
+        m_adoptionsInProgress.erase(id);
+        return;
+    }
     m_store.read(PayloadsTable, partitionOfJob(id), id, id + "\x01",
-                 [this, id, jobRow, formerOwner](const std::optional<row_page> &page) {
+                 [this, id, record = std::move(*record),
+                  version = jobRow.version](const std::optional<row_page> &page) {
                      m_adoptionsInProgress.erase(id);
                      if (!page || page->rows.empty())
                          return;
-                     const auto record = recordFrom(jobRow.value);
-                     // The summary that led here may be older than the record: another entry may
-                     // own the job by now, and must not lose it.
-                     if (record.owner != formerOwner || !record.needsOwner())
-                         return;
-                     m_jobController->adopt(id, record, jobRow.version, page->rows.front().value);
+                     m_jobController->adopt(id, record, version, page->rows.front().value);
                      m_metrics.count("jobs_adopted_total", "owner_gone");
                      m_onActionsReady();
                  });
--- a/libs/jobs/job_controller.cpp
+++ b/libs/jobs/job_controller.cpp
@@ -98,19 +98,33 @@
         return;
     auto &job = found->second;
     std::optional<job_record> row;
-    if (content)
-        row = recordFrom(*content);
+    if (content && !isRecordOfOtherRelease(*content)) {
+        try {
+            row = recordFrom(*content);
+        } catch (const error &problem) {
+            // Not written by an entry: the record in memory is the only whole one.
+            addLog("job_row_overwritten", id, problem.what());
+            return writeAgain(id, job, version);
+        }
+    }
     // An earlier attempt of this write was applied, and its answer was lost.
     if (row && row->writeId == job.inFlightWriteId)
         return rowWritten(id, version);
     if (!row || row->owner != m_self) {
-        addLog("job_disowned", id, row ? "owner is " + row->owner.entry : "its row was deleted");
+        addLog("job_disowned", id,
+               row ? "owner is " + row->owner.entry
+                   : "its row was deleted, or is of another release");
         return dropJob(id);
     }
+    applyCancel(id, job, row->cancelled);
+    writeAgain(id, job, version);
+}
+
+void job_controller::writeAgain(const std::string &id, owned_job &job, std::int64_t version)
+{
     job.inFlightRevision = 0;
     job.version = version;
     job.storedSummary.clear();
-    applyCancel(id, job, row->cancelled);
     markChanged(id, job);
 }
 
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -310,6 +310,8 @@
     void writeStartedJobs(time_point now);
     void writeIfDue(const std::string &id, owned_job &job);
     void notifyStored(owned_job &job);
+    // The row has another version than expected, but the job is still owned.
+    void writeAgain(const std::string &id, owned_job &job, std::int64_t version);
     void dropJob(const std::string &id);
     void applyCancel(const std::string &id, owned_job &job, bool isCancelled);
     // Handles the end of a placed run whose task is not done.
--- a/libs/jobs/model.cpp
+++ b/libs/jobs/model.cpp
@@ -10,6 +10,7 @@
 #include "base/names.h"
 #include "base/utf8.h"
 #include "jobs/message_limits.h"
+#include "jobs/value_limits.h"
 
 namespace zinniabarrow::jobs {
 
@@ -36,6 +37,72 @@
     return errorCode == std::errc{} && parsedEnd == end && number >= 0;
 }
 
+[[noreturn]] void reject(const std::string &reason)
+{
+    throw error(error_kind::BadRequest, reason);
+}
+
+void checkTime(const char *name, std::int64_t timeMs)
+{
+    if (timeMs < 0 || timeMs > MaxTimeMs)
+        reject(fmt::format("{} is out of range", name));
+}
+
+void checkCounter(const char *name, std::int64_t number)
+{
+    if (number < 0 || number > MaxCounter)
+        reject(fmt::format("{} is out of range", name));
+}
+
+void checkStep(const step_spec &step, std::size_t index)
+{
+    if (step.count < 1)
+        reject(fmt::format("step {}: at least one task is needed", index));
+    for (const auto amount : {step.size.millicores, step.size.memoryMb, step.size.accelerators}) {
+        if (amount < 0)
+            reject(fmt::format("step {}: a size is negative", index));
+        if (amount > MaxAmount)
+            reject(fmt::format("step {}: a size is above {}", index, MaxAmount));
+    }
+    for (const int earlierStep : step.after) {
+        if (earlierStep < 0 || earlierStep >= static_cast<int>(index))
+            reject(fmt::format("step {} depends on step {}, which is not an earlier step", index,
+                               earlierStep));
+    }
+    if (step.maxPerWorker < 0 || step.maxUnavailable < 0)
+        reject(fmt::format("step {}: a limit is negative", index));
+    checkTime("estimate-ms", step.estimateMs);
+    checkTime("target-ms", step.latencyTargetMs);
+}
+
+void checkSteps(const std::vector<step_spec> &steps, int occurrences)
+{
+    if (steps.empty() || steps.size() > MaxSteps)
+        reject(fmt::format("a job must have 1 to {} steps", MaxSteps));
+    if (occurrences < 0 || occurrences > MaxOccurrences)
+        reject(fmt::format("a job may have at most {} occurrences", MaxOccurrences));
+    std::int64_t tasks = 0;
+    for (std::size_t index = 0; index < steps.size(); ++index) {
+        checkStep(steps[index], index);
+        tasks += steps[index].count;
+    }
+    if (tasks * std::max(1, occurrences) > MaxTasks)
+        reject(fmt::format("a job may have at most {} tasks", MaxTasks));
+}
+
+void checkTask(const task_state &task)
+{
+    if (task.lastRun < 0 || task.lastRun > MaxRunNumber || task.failures < 0
+        || task.failures > MaxRunNumber)
+        reject("a task's runs are out of range");
+    for (const auto &runPlacement : task.placements) {
+        if (runPlacement.run < 1 || runPlacement.run > MaxRunNumber)
+            reject("the run of a placement is out of range");
+        checkCounter("epoch of a placement", runPlacement.epoch);
+        checkCounter("incarnation of a placement", runPlacement.agentIncarnation);
+    }
+}
+
 } // namespace
 
 task_size &task_size::operator+=(const task_size &other)
@@ -226,37 +293,42 @@
 
 void checkSpec(const job_spec &spec)
 {
-    const auto reject = [](const std::string &reason) {
-        throw error(error_kind::BadRequest, reason);
-    };
-    if (spec.steps.empty() || spec.steps.size() > MaxSteps)
-        reject(fmt::format("a job must have 1 to {} steps", MaxSteps));
-    if (spec.occurrences < 0 || spec.occurrences > MaxOccurrences)
-        reject(fmt::format("a job may have at most {} occurrences", MaxOccurrences));
+    checkSteps(spec.steps, spec.occurrences);
+    checkTime("initial-delay-ms", spec.firstOccurrenceMs);
+    checkTime("interval-ms", spec.intervalMs);
     if (spec.payload.size() > MaxPayloadBytes)
         reject(fmt::format("the spec of a job may have at most {} bytes", MaxPayloadBytes));
     if (!isUtf8(spec.payload))
         reject("the spec of a job must be UTF-8");
-    std::int64_t tasks = 0;
     std::size_t nameBytes = 0;
-    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
-        const auto &step = spec.steps[index];
-        if (step.count < 1)
-            reject(fmt::format("step {}: at least one task is needed", index));
-        if (step.size.millicores < 0 || step.size.memoryMb < 0 || step.size.accelerators < 0)
-            reject(fmt::format("step {}: a size is negative", index));
-        for (const int earlierStep : step.after) {
-            if (earlierStep < 0 || earlierStep >= static_cast<int>(index))
-                reject(fmt::format("step {} depends on step {}, which is not an earlier step",
-                                   index, earlierStep));
-        }
-        tasks += step.count;
+    for (const auto &step : spec.steps)
         nameBytes += step.requiredLabel.size() + step.dataRack.size() + step.image.size();
-    }
     if (nameBytes > MaxNameBytes)
         reject(fmt::format("labels, racks and images may have at most {} bytes", MaxNameBytes));
-    if (tasks * std::max(1, spec.occurrences) > MaxTasks)
-        reject(fmt::format("a job may have at most {} tasks", MaxTasks));
+}
+
+void checkRecord(const job_record &record)
+{
+    checkSteps(record.steps, record.occurrences);
+    checkTime("first occurrence", record.firstOccurrenceMs);
+    checkTime("interval", record.intervalMs);
+    checkTime("time of acceptance", record.acceptedAtMs);
+    checkTime("target latency", record.policy.targetLatencyMs);
+    checkCounter("incarnation of the owner", record.owner.incarnation);
+    if (!(record.policy.stretch >= 0 && record.policy.stretch <= MaxStretch))
+        reject("the stretch is out of range");
+    if (record.tasks.size() != static_cast<std::size_t>(std::max(1, record.occurrences)))
+        reject("occurrences and tasks do not match");
+    for (const auto &steps : record.tasks) {
+        if (steps.size() != record.steps.size())
+            reject("steps and tasks do not match");
+        for (std::size_t index = 0; index < steps.size(); ++index) {
+            if (steps[index].size() != static_cast<std::size_t>(record.steps[index].count))
+                reject(fmt::format("step {}: its count is not the number of its tasks", index));
+            for (const auto &task : steps[index])
+                checkTask(task);
+        }
+    }
 }
 
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/model.h
+++ b/libs/jobs/model.h
@@ -193,12 +193,18 @@
 // error BadRequest with the reason.
 void checkSpec(const job_spec &spec);
 
+// Checks that the lists of a record match, and that its values are within the limits of submitted
+// jobs: code that uses a record relies on both. Throws error BadRequest with the reason.
+void checkRecord(const job_record &record);
+
 // Text form of a record in the platform's store. `recordFrom` throws error BadRequest when the text
-// is malformed.
+// is malformed or the record does not pass checkRecord().
 std::string toText(const job_record &record);
 // The same within `maxBytes`: if it is longer, the longest checkpoints are left out, whose tasks
 // would start anew under a later owner.
 std::string toTextWithin(const job_record &record, std::size_t maxBytes);
 job_record recordFrom(const std::string &text);
+// Whether the text is a record in the format of another release.
+bool isRecordOfOtherRelease(const std::string &text);
 
 } // namespace zinniabarrow::jobs
--- a/libs/jobs/record.cpp
+++ b/libs/jobs/record.cpp
@@ -283,6 +283,16 @@
     return toText(shortened);
 }
 
+bool isRecordOfOtherRelease(const std::string &text)
+{
+    try {
+        const auto version = large_json::number(large_json::parseObject(text), "v");
+        return version > 0 && version != RecordVersion;
+    } catch (const error & /*not a record at all*/) {
+        return false;
+    }
+}
+
 job_record recordFrom(const std::string &text)
 {
     using namespace large_json;
@@ -303,11 +313,8 @@
     record.failed = find(value, "fx") != nullptr;
     record.hasStarted = find(value, "bg") != nullptr;
     forEach(value, "t", [&](const auto &steps) { record.tasks.push_back(occurrenceFrom(steps)); });
-    for (const auto &steps : record.tasks) {
-        if (steps.size() != record.steps.size())
-            throw error(error_kind::BadRequest, "job record: steps and tasks do not match");
-    }
     forEach(value, "x", [&](const auto &row) { readRedundantRun(row, record); });
+    checkRecord(record);
     return record;
 }
 
@@ -322,7 +329,9 @@
 forwarded_job forwardedJobFrom(const std::string &text)
 {
     const auto value = parseJsonObject(text);
-    return {recordFrom(stringMember(value, "record")), stringMember(value, "payload")};
+    forwarded_job job{recordFrom(stringMember(value, "record")), stringMember(value, "payload")};
+    checkSpec(specOf(job));
+    return job;
 }
 
 } // namespace zinniabarrow::jobs
