--- a/tests/job_system.h
+++ b/tests/job_system.h
@@ -13,7 +13,9 @@
 
 #include <fmt/core.h>
 
+#include "app/job_tables.h"
 #include "base/json.h"
+#include "platform/store_wire.h"
 #include "section.h"
 #include "standins/fleet.h"
 #include "standins/job_platform.h"
@@ -278,6 +280,26 @@
         writeAsOperator("set-keys", row);
     }
 
+    // Replaces a part of the job's record in the store, as another writer could.
+    void changeRecord(const std::string &job, const std::string &part, const std::string &by)
+    {
+        http_pool pool(parseAddress(processAddress(0, 9000)));
+        const auto request =
+                platform_wire::makeRowsRequest(JobsTable, partitionOfJob(job), job, "");
+        const auto page = platform_wire::parseRowsResult(
+                pool.call(request, monotonic_clock::now() + seconds(5)));
+        require(page && !page->rows.empty() && page->rows.front().name.key == job);
+        auto record = page->rows.front().value;
+        const auto at = record.find(part);
+        require(at != std::string::npos);
+        Json::Value row(Json::objectValue);
+        row["table"] = JobsTable;
+        row["part"] = partitionOfJob(job);
+        row["key"] = job;
+        row["value"] = base64(record.replace(at, part.size(), by));
+        writeAsOperator("set-keys", row);
+    }
+
     void evacuateZone(const std::string &zone)
     {
         auto row = operatorRow("evacuate/" + zone);
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -166,6 +166,31 @@
     checkNoViolations(system, system.platform());
 }
 
+// Guards against an entry that ends again and again: it takes over a job whose record another
+// writer has changed. The other jobs of the dead owner are taken over, and callers are told what is
+// known.
+Test(process_jobs, owner_killed_and_a_record_changed)
+{
+    system_under_test system;
+    system.platform().setTaskTime(milliseconds(1500));
+    const std::string odd = "bbcc000000000001";
+    const std::string sound = "bbcc000000000002";
+    for (const auto &job : {odd, sound})
+        require(system.submit(0, job));
+    require(waitUntil([&] { return system.platform().startCount() == 8; }, WaitLimit));
+    system.entry(0).signal(SIGKILL);
+    system.changeRecord(odd, "\"n\":4", "\"n\":2147483647");
+    check(system.reachesState(1, sound, "completed"));
+    check(waitUntil([&] { return system.hasLogged("entry", 1, "job_not_adopted"); }, WaitLimit));
+    check(system.reachesState(1, odd, "running"));
+    check(system.call(1, "DELETE", odd)->status == 503);
+    section("once the record is repaired, the job is taken over as well", [&] {
+        system.changeRecord(odd, "\"n\":2147483647", "\"n\":4");
+        check(system.reachesState(1, odd, "completed"));
+    });
+    checkNoViolations(system, system.platform());
+}
+
 // Guards against an entry that waits seconds for the reports of workers once it alone is left to
 // place tasks.
 Test(process_jobs, only_placer_killed)
