configuration_follow_test: a record whose count is that of its tasks

The example of job_records had two tasks in a step of one, which checkRecord refuses since (an entry indexes by the count). The count is now given; what the test checks is as it was, and its malformed records are refused as before.

--- a/tests/configuration_follow_test.cpp
+++ b/tests/configuration_follow_test.cpp
@@ -193,6 +193,7 @@
     record.writeId = "w";
     record.policy = {"queue", "service", 2, 3, 1.5, 2500};
     record.steps = {step_spec{}, step_spec{}};
+    record.steps[0].count = 2;
     record.steps[1].after = {0};
     record.steps[1].isLongRunning = true;
     record.tasks = {{{task_state{true, 1, 0, "", {}}, task_state{}},
