Comments of runs that terminate and of rejected orders: plain terms

Cause: a reader of the diff would stop at "taken back", "small", "broken" and "ends by itself". Change: four comments say what happens in the field's terms.

--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -88,8 +88,8 @@
     // An unanswered order is sent again after this time. Agents answer within milliseconds, and an
     // order that arrives twice starts one run only.
     milliseconds orderRetryDelay{300};
-    // What follows a rejected order is sent after this time: if all agents reject a task's orders,
-    // it must not go from one to the next without a pause.
+    // The stop order that follows a rejected order is sent after this time. If all agents reject
+    // the orders of a task, it limits how often the task is placed anew.
     milliseconds rejectedOrderDelay{1000};
     // A start order that was first sent this long ago either is counted in its worker's reports or
     // no longer takes effect.
@@ -170,9 +170,9 @@
     // `agentIncarnation` is that of the agent, by its reports, when the order was sent; 0: unknown.
     void orderAnswered(const std::string &worker, const order_answer &answer, time_point now,
                        std::int64_t agentIncarnation);
-    // The worker's agent can't take the order, whenever it is sent. A start is taken back by a
-    // stop, which is small and tells whether an earlier call started the run; its task then goes
-    // elsewhere. A stop is sent again.
+    // The worker's agent refuses the order each time that it is sent. A start order is replaced by
+    // a stop order, which has few bytes: its answer tells whether an earlier call has started the
+    // run. After it the task is placed on another worker. A stop order is sent again.
     void orderRejected(const std::string &worker, const run_order &order, time_point now);
     // The order got no answer; it is sent again after `orderRetryDelay`.
     void orderUnanswered(const std::string &worker, const task_id &task, int run, time_point now);
--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -296,10 +296,10 @@
     }
 }
 
-// A run that started is active, ending or in the list of ends. It ends within stopTimeout, whether
-// it was told to stop, its gang was broken or its lease expired, and only then it is in neither
-// list. So it never started if it is missing after the last moment at which it could start, and
-// still missing a stop's longest time later.
+// A run that was started is listed as active, is terminating, or is listed as ended. Only while it
+// terminates is it in neither list: for stopTimeout at most, whether a call stopped it, another
+// member of its gang ended, or its hold expired. So a run was never started if a list read after
+// the last start call's deadline lacks it, and a list read stopTimeout later does as well.
 bool run_table::isProvedNeverStarted(tracked_run &tracked, std::int64_t clockMs) const
 {
     const bool mayHaveStarted =
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -121,10 +121,10 @@
     // can claim a run that exists, but starts none.
     void setAgentIncarnation(std::int64_t incarnation);
     // The worker was polled for the first time with the fence of a new incarnation of the agent.
-    // Runs that earlier incarnations told it to stop, or that it ends by itself, may exist for
-    // stopTimeout more although they are in neither list. Until then an order for a run that may be
-    // one of them is answered with NotReady, whatever the worker's readiness, and nothing is
-    // started: their size is unknown.
+    // Runs that terminate at that moment, after a stop call of an earlier incarnation or by the
+    // worker's own decision, are in neither list for up to stopTimeout. Until then an order for a
+    // run that may be one of them is answered with NotReady, whatever the worker's readiness, and
+    // nothing is started: their size is unknown.
     void noteNewIncarnation(time_point now);
     bool mayHaveUnlistedRuns(time_point now) const { return now < m_unlistedRunsEndBy; }
     // All runs of the worker have certainly ended. Sets the epoch to 0. Ends that are not
