Owner's log: an order that is not settled, with its last answer

An owner repeats an order that its agent refuses for now (not_ready, overdue) as it repeats one that got no answer, and logged both as 'no answer'. A gang's member that was refused six times in 1.4 s looked like one on a silent agent. The line now has the last answer and how many there were. job_controller_test an_order_that_is_not_settled_is_logged_with_its_last_answer: red before, as the line ends with the time alone.

--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -223,6 +223,9 @@
         time_point retryAt{};
         time_point firstSentAt{}; // time_point{}: not sent yet
         time_point nextLogAt{};   // when the missing answer is logged next
+        // The latest answer, if it settles nothing; none: the latest call got no answer.
+        std::optional<order_outcome> lastAnswer;
+        int answerCount = 0; // answers that settled nothing
         // Arrival of the worker's latest report when the order was last sent.
         time_point basedOnReportAt{};
     };
@@ -474,6 +477,8 @@
     void logFollowedFailure(const std::string &id, owned_job &job, const std::string &worker,
                             const order_answer &answer, time_point now);
     static void noteStepDone(owned_job &job, const task_id &task, time_point now);
+    // Remembers an answer that settles nothing: the order is sent again.
+    static void noteUnsettlingAnswer(owned_job &job, const order_answer &answer);
     void logIfUnanswered(const std::string &id, const task_id &task, int run, pending_order &order,
                          time_point now);
     // Workers that have as many tasks of the step as step_spec::maxPerWorker allows, counting those
--- a/libs/jobs/job_controller_log.cpp
+++ b/libs/jobs/job_controller_log.cpp
@@ -239,6 +239,17 @@
         job.course.stepDone(task, stepOf(job, task).estimateMs, now);
 }
 
+void job_controller::noteUnsettlingAnswer(owned_job &job, const order_answer &answer)
+{
+    auto &orders = answer.kind == order_kind::Stop ? job.stopOrders : job.startOrders;
+    const auto order = orders.find({answer.task, answer.run});
+    if (order == orders.end())
+        return;
+    order->second.lastAnswer = answer.outcome;
+    ++order->second.answerCount;
+}
+
+// Tells an agent that refuses the order again and again from one that is silent.
 void job_controller::logIfUnanswered(const std::string &id, const task_id &task, int run,
                                      pending_order &order, time_point now)
 {
@@ -249,9 +260,12 @@
     if (now < order.nextLogAt)
         return;
     order.nextLogAt = now + m_settings.waitLogInterval;
+    const auto lastAnswer = order.lastAnswer ? nameOf(*order.lastAnswer) : "none";
+    const auto waitMs = millisecondsIn(now - order.firstSentAt);
     addLog("order_unanswered", id,
-           fmt::format("{}: no answer for {} ms", describeRun(task, run, order.worker),
-                       millisecondsIn(now - order.firstSentAt)));
+           fmt::format("{}: not settled for {} ms, last answer {}, {} answers",
+                       describeRun(task, run, order.worker), waitMs, lastAnswer,
+                       order.answerCount));
 }
 
 void job_controller::logQuarantine(const std::string &id, const std::string &worker,
--- a/libs/jobs/job_controller_orders.cpp
+++ b/libs/jobs/job_controller_orders.cpp
@@ -44,8 +44,10 @@
     // If the agent has restarted since, the incarnation that answered is gone, and with it what it
     // was ordered to do. An owner that was suspended may process the answer after the report of the
     // new incarnation.
-    if (shouldRetry(answer.outcome) || !isCurrentIncarnation(worker, agentIncarnation))
-        return orderUnanswered(worker, answer.task, answer.run, now);
+    if (shouldRetry(answer.outcome) || !isCurrentIncarnation(worker, agentIncarnation)) {
+        orderUnanswered(worker, answer.task, answer.run, now);
+        return noteUnsettlingAnswer(job, answer);
+    }
     // An answer settles only the order that it answers. If the answer to a start also removed the
     // stop, which may still wait for the write of the cancel, the run would never be stopped.
     if (answer.kind == order_kind::Stop) {
@@ -92,6 +94,7 @@
             return;
         order->second.isInFlight = false;
         order->second.retryAt = now + m_settings.orderRetryDelay;
+        order->second.lastAnswer.reset();
     };
     scheduleRetry(found->second.startOrders);
     scheduleRetry(found->second.stopOrders);
--- a/tests/job_controller_test.cpp
+++ b/tests/job_controller_test.cpp
@@ -891,6 +891,39 @@
     check(fixture.orders[0].worker == first.worker);
 }
 
+// Guards against an agent that refuses an order again and again and looks like a silent one.
+Test(job_controller, an_order_that_is_not_settled_is_logged_with_its_last_answer)
+{
+    test_fixture fixture;
+    fixture.submitJob();
+    fixture.confirmWrite();
+    const auto order = fixture.orders[0];
+    const auto repeatUntilLogged = [&](const auto &answerOrder) {
+        fixture.logEvents.clear();
+        while (fixture.logDetailOf("order_unanswered").empty()) {
+            answerOrder();
+            fixture.now += milliseconds(400);
+            fixture.tick();
+        }
+        return fixture.logDetailOf("order_unanswered");
+    };
+    section("the agent is silent", [&] {
+        const auto line = repeatUntilLogged([&] {
+            fixture.controller.orderUnanswered(order.worker, order.order.task, order.order.run,
+                                               fixture.now);
+        });
+        check(line.ends_with("last answer none, 0 answers"));
+    });
+    section("the agent refuses it for now", [&] {
+        const auto line = repeatUntilLogged([&] {
+            fixture.controller.orderAnswered(
+                    order.worker, {order.order.task, order.order.run, order_outcome::NotReady},
+                    fixture.now, 0);
+        });
+        check(line.ends_with("last answer not_ready, 5 answers"));
+    });
+}
+
 namespace {
 
 job_spec oneStep(int count)
