Daemons of callers' jobs: raise the limit of open files at the start

An entry accepts 1,500 connections of callers, and a common default lets a process open 1,024 files. Beyond that nothing is accepted: a caller's request is never read, calls to agents and to the store fail, and the loop tries again without a pause. Not known to have happened to users.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -66,10 +66,12 @@
         return runAgent(config::agentSettingsFrom(file, readTextFile(file)));
     }
     if (name == "job-entry") {
+        raiseOpenFileLimit();
         const auto file = settingsFile(name, count, arguments);
         return runJobEntry(jobEntrySettingsFrom(file, readTextFile(file)));
     }
     if (name == "job-agent") {
+        raiseOpenFileLimit();
         const auto file = settingsFile(name, count, arguments);
         return runJobAgent(jobAgentSettingsFrom(file, readTextFile(file)));
     }
--- a/app/process.cpp
+++ b/app/process.cpp
@@ -1,14 +1,22 @@
 #include "app/process.h"
 
+#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <sstream>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "base/errors.h"
 
 namespace zinniabarrow {
 
+namespace {
+
+constexpr rlim_t WantedOpenFiles = 8192; // several times the connections of all listeners
+
+} // namespace
+
 stop_signals::stop_signals()
 {
     sigemptyset(&m_set);
@@ -29,6 +37,15 @@
     kill(getpid(), SIGTERM);
 }
 
+void raiseOpenFileLimit()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return;
+    limit.rlim_cur = std::max(limit.rlim_cur, std::min(limit.rlim_max, WantedOpenFiles));
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 process_identity identityFor(const std::string &id)
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
--- a/app/process.h
+++ b/app/process.h
@@ -1,5 +1,5 @@
 // Helpers that all daemons and operators' commands share: version, exit codes, shutdown signals,
-// process identity, reading of files.
+// limit of open files, process identity, reading of files.
 #pragma once
 
 #include <csignal>
@@ -31,6 +31,11 @@
     sigset_t m_set;
 };
 
+// Raises the number of files that this process may have open, as far as the system allows. A common
+// default, 1024, is below the number of connections that a daemon accepts. Not for code that waits
+// with select(), which takes only descriptors below 1024.
+void raiseOpenFileLimit();
+
 // The identity of the process named `id`. Its incarnation is the current wall clock time in ms,
 // so that a later start has a higher one.
 process_identity identityFor(const std::string &id);
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -224,7 +224,7 @@
         time_point firstSentAt{}; // time_point{}: not sent yet
         time_point nextLogAt{};   // when the missing answer is logged next
         // The latest answer, if it settles nothing; none: the latest call got no answer.
-        std::optional<order_outcome> lastAnswer;
+        std::optional<order_outcome> lastAnswer{};
         int answerCount = 0; // answers that settled nothing
         // Arrival of the worker's latest report when the order was last sent.
         time_point basedOnReportAt{};
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <memory>
 #include <string>
+#include <sys/resource.h>
 #include <thread>
 #include <vector>
 
@@ -770,3 +771,29 @@
     check(system.entry(0).waitForExit(WaitLimit) == 0);
     checkNoViolations(system, system.platform());
 }
+
+// Guards against callers that an entry never accepts, because it was started with a limit of open
+// files that is below the number of its connections.
+Test(process_jobs, more_connections_than_the_limit_of_open_files_at_the_start)
+{
+    constexpr rlim_t LowLimit = 128;
+    constexpr int Connections = 300;
+    system_under_test system;
+    rlimit before{};
+    require(getrlimit(RLIMIT_NOFILE, &before) == 0);
+    section("the entry is started with the limit", [&] {
+        const rlimit low{LowLimit, before.rlim_max};
+        require(setrlimit(RLIMIT_NOFILE, &low) == 0);
+        system.startEntry(0);
+        require(setrlimit(RLIMIT_NOFILE, &before) == 0);
+        require(waitUntil([&] { return system.isReady(0); }, WaitLimit));
+    });
+    section("it answers on a connection beyond the limit", [&] {
+        client_group callers(system.callersAddress(0));
+        callers.connect(Connections);
+        keep_alive_caller last(system.callersAddress(0));
+        require(last.send("GET", "/holds/"));
+        check(last.readAnswer() == 200);
+    });
+    checkNoViolations(system, system.platform());
+}
