Job platform stand-in: one file a job, silent and slow stores, gangs, hung workers

The store's rows, its server, the workers and the history of the runs are files of their own now. Runs are told to a callback, and a callback says what a task does.

--- a/standins/job_platform.h
+++ b/standins/job_platform.h
@@ -2,12 +2,14 @@
 // store and workers that run tasks under leases. It runs in this process on its own thread.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "base/time.h"
 #include "runtime/http.h"
+#include "standins/job_worker.h"
 
 namespace zinniabarrow::standins {
 
@@ -18,7 +20,14 @@
     std::vector<socket_address> workers;
     std::vector<socket_address> agentAddresses; // where each worker announces itself
     std::int64_t millicores = 4000;             // of each worker
-    milliseconds taskTime{300};                 // run time of each task
+    milliseconds taskTime{300};                 // run time of tasks whose shape tells none
+    milliseconds stopTime{0};                   // from a call that stops a run to its end
+    milliseconds gangTimeout{3000};             // how long a member of a gang waits for the others
+    // Both are called on the platform's own thread, and must not call the platform.
+    std::function<task_shape(const jobs::task_id &task)> describeTask = [](const jobs::task_id &) {
+        return task_shape{};
+    };
+    std::function<void(const run_notice &)> onRun = [](const run_notice &) {};
 };
 
 // Records the runs, and each start that must not happen: of a task that runs elsewhere or was
@@ -33,12 +42,22 @@
     job_platform &operator=(const job_platform &) = delete;
 
     void loseWriteAnswers(int writeCount);        // applies the next writes, drops their answers
+    void loseStoreAnswers(int interval);          // each interval-th answer of the store; 0: none
     void setStoreUnavailable(bool isUnavailable); // the store answers 503 without any effect
+    void setStoreSilent(bool isSilent);           // calls wait until it isn't silent any more
+    void setStoreDelay(milliseconds delay);       // before each call of the store is carried out
     void makeUnresponsive(std::size_t worker);    // its runs go on, but it answers no calls
     // Ends the worker and all its runs, closes its listener and sends the agent the message by
     // which a worker announces its shutdown (the deregistration).
     void terminateWorker(std::size_t worker);
-    // The same, but the worker's last heartbeat reaches the agent after the deregistration.
+    void crashWorker(std::size_t worker); // as terminateWorker(), but it announces nothing
+    // A hung worker sends no heartbeats and takes calls without an answer; its runs and its lease
+    // go on. When it works again, it carries out those calls first.
+    void setWorkerHung(std::size_t worker, bool isHung);
+    // The worker says from now on that it is going to shut down; it still takes calls.
+    void drainWorker(std::size_t worker);
+    // As terminateWorker(), but the worker's last heartbeat reaches the agent after the
+    // deregistration.
     void terminateBeforeAnnouncement(std::size_t worker);
     // Terminates the worker when the lease row with key `lease` is written next, and then delays
     // the answers to writes of that row for 800 ms: longer than an agent needs to detect that its
