Tests of jobs: parts for fixtures with other numbers of processes

Addresses, settings, the processes with their logs and the operator's writes move from the fixture of two entries and two agents to a header of their own.

--- a/tests/job_system.h
+++ b/tests/job_system.h
@@ -2,64 +2,34 @@
 // which contains the store and the agents' workers.
 #pragma once
 
-#include <filesystem>
-#include <fstream>
-#include <map>
-#include <memory>
 #include <optional>
 #include <string>
-#include <unistd.h>
 #include <vector>
 
 #include <fmt/core.h>
 
 #include "app/job_tables.h"
 #include "base/json.h"
+#include "job_processes.h"
 #include "platform/store_wire.h"
 #include "section.h"
-#include "standins/fleet.h"
 #include "standins/job_platform.h"
 
 namespace zinniabarrow::tests {
 
-using standins::child_process;
 using standins::job_platform;
-using standins::waitUntil;
 
-inline constexpr milliseconds WaitLimit{45'000}; // upper bound on waits for conditions
-inline constexpr int InternalPort = 7720;
-inline constexpr int CallersPort = 8161;
-inline constexpr int ReadyPort = 8167;
-inline constexpr int WorkersPort = 8166;
-
-// Loopback addresses that are unique to this test process, so that fixed ports are free there.
-inline std::string hostAddress(int number)
-{
-    const int pid = getpid();
-    return fmt::format("127.{}.{}.{}", 64 + (pid >> 14) % 64, (pid >> 7) % 128,
-                       (pid % 128) + 128 * (number % 2));
-}
-
-// Process 0 is the test with the platform's stand-in, 2 and 3 are the entries, 4 and 5 the agents.
-inline std::string processAddress(int process, int port)
-{
-    // Uses two hosts; each process on a host has its own range of ports.
-    return fmt::format("{}:{}", hostAddress(process), port + 20 * (process / 2));
-}
-
-// Starts all processes, and waits until the entries are ready.
+// Starts all processes, and waits until the entries are ready. Processes 2 and 3 (processAddress())
+// are the entries, 4 and 5 the agents.
 class system_under_test
 {
 public:
     system_under_test()
-        : m_scratch(std::filesystem::temp_directory_path() / fmt::format("zb-jobs-{}", getpid()))
-        , m_platform(
-                  {parseAddress(processAddress(0, 9000)),
-                   {parseAddress(processAddress(0, 9001)), parseAddress(processAddress(0, 9002))},
-                   {parseAddress(processAddress(4, WorkersPort)),
-                    parseAddress(processAddress(5, WorkersPort))}})
+        : m_platform({parseAddress(processAddress(0, StorePort)),
+                      {parseAddress(workerAddress(0)), parseAddress(workerAddress(1))},
+                      {parseAddress(processAddress(4, WorkersPort)),
+                       parseAddress(processAddress(5, WorkersPort))}})
     {
-        std::filesystem::create_directories(m_scratch);
         putConfiguration(7);
         for (int index = 0; index < 2; ++index) {
             startEntry(index);
@@ -69,38 +39,27 @@
             require(waitUntil([&] { return isReady(index); }, WaitLimit));
     }
 
-    ~system_under_test()
-    {
-        m_processes.clear();
-        std::filesystem::remove_all(m_scratch);
-    }
-
     job_platform &platform() { return m_platform; }
-    child_process &entry(int index) { return *m_processes.at(fmt::format("entry-{}", index)); }
-    child_process &agent(int index) { return *m_processes.at(fmt::format("agent-{}", index)); }
+    child_process &entry(int index) { return m_processes.at(fmt::format("entry-{}", index)); }
+    child_process &agent(int index) { return m_processes.at(fmt::format("agent-{}", index)); }
 
     // `processorShare`: of one core.
     void startEntry(int index, double processorShare = 1)
     {
-        const int process = 2 + index;
-        start(fmt::format("entry-{}", index), "job-entry",
-              fmt::format(R"({{"id":"entry-{}","zone":"z","callers":"{}","ready":"{}",)"
-                          R"("internal":"{}","store":"{}","processor_share":{}}})",
-                          index, processAddress(process, CallersPort),
-                          processAddress(process, ReadyPort), processAddress(process, InternalPort),
-                          processAddress(0, 9000), processorShare));
+        const auto id = fmt::format("entry-{}", index);
+        m_processes.start(id, "job-entry",
+                          settingsOf(entry_process{.id = id,
+                                                   .process = 2 + index,
+                                                   .processorShare = processorShare}));
     }
 
     void startAgent(int index)
     {
-        const int process = 4 + index;
-        start(fmt::format("agent-{}", index), "job-agent",
-              fmt::format(R"({{"id":"agent-{}","zone":"z","workers":"{}","internal":"{}",)"
-                          R"("worker":"{}","service":"tickets","stop_within_ms":100,)"
-                          R"("store":"{}"}})",
-                          index, processAddress(process, WorkersPort),
-                          processAddress(process, InternalPort), processAddress(0, 9001 + index),
-                          processAddress(0, 9000)));
+        const auto id = fmt::format("agent-{}", index);
+        m_processes.start(id, "job-agent",
+                          settingsOf(agent_process{.id = id,
+                                                   .process = 4 + index,
+                                                   .workerAddress = workerAddress(index)}));
     }
 
     std::string callersAddress(int entry) const { return processAddress(2 + entry, CallersPort); }
@@ -125,10 +84,7 @@
         request.method = method;
         request.target = "/holds/" + job;
         request.body = body;
-        http_pool pool(parseAddress(processAddress(2 + entry, CallersPort)));
-        const auto result = pool.call(request, monotonic_clock::now() + seconds(4));
-        const auto *answer = std::get_if<http_response>(&result);
-        return answer == nullptr ? std::nullopt : std::optional(*answer);
+        return callAddress(processAddress(2 + entry, CallersPort), request, seconds(4));
     }
 
     // Submits a job of 4 tasks and 2 that follow them; repeats the request until it is accepted.
@@ -209,12 +165,10 @@
     // The log of all incarnations of a process, from a byte offset on.
     std::string logText(const std::string &role, int index, std::size_t from = 0)
     {
-        std::ifstream lines(m_processes.at(fmt::format("{}-{}", role, index))->outFile());
-        lines.seekg(static_cast<std::streamoff>(from));
-        return {std::istreambuf_iterator<char>(lines), {}};
+        return m_processes.logText(fmt::format("{}-{}", role, index), from);
     }
 
-    const std::filesystem::path &scratch() const { return m_scratch; }
+    const std::filesystem::path &scratch() const { return m_processes.scratch(); }
 
     // Whether the agent has relayed a call to the store.
     bool hasAgentRelayed(int agent)
@@ -238,15 +192,7 @@
                 WaitLimit);
     }
 
-    bool isReady(int entry)
-    {
-        http_request request;
-        request.target = "/-/ready";
-        http_pool pool(parseAddress(processAddress(2 + entry, ReadyPort)));
-        const auto result = pool.call(request, monotonic_clock::now() + seconds(1));
-        const auto *answer = std::get_if<http_response>(&result);
-        return answer != nullptr && answer->status == 200;
-    }
+    bool isReady(int entry) { return isEntryReady(2 + entry); }
 
     // Sends entry 0 a ping in the name of entry 1, which says that entry 1 uses this version.
     void announceConfiguration(int version)
@@ -261,29 +207,13 @@
         request.method = "POST";
         request.target = "/v1/ping";
         request.body = compactJson(ping);
-        http_pool pool(parseAddress(processAddress(2, InternalPort)));
-        pool.call(request, monotonic_clock::now() + seconds(5));
-    }
-
-    void putConfiguration(int version)
-    {
-        // One route per entry, for its host name: http_pool sends the peer's address as the host.
-        std::string routes;
-        for (const int process : {2, 3}) {
-            routes += fmt::format(R"({}{{"name":"r{}","host":"{}","prefix":"/holds/",)"
-                                  R"("service":"tickets","max-attempts":2,"stretch":1.5}})",
-                                  routes.empty() ? "" : ",", process, hostAddress(process));
-        }
-        const auto text = fmt::format(R"({{"version":{},"routes":[{}]}})", version, routes);
-        auto row = operatorRow("config");
-        row["value"] = base64(text);
-        writeAsOperator("set-keys", row);
+        callAddress(processAddress(2, InternalPort), request, seconds(5));
     }
 
     // Replaces a part of the job's record in the store, as another writer could.
     void changeRecord(const std::string &job, const std::string &part, const std::string &by)
     {
-        http_pool pool(parseAddress(processAddress(0, 9000)));
+        http_pool pool(parseAddress(processAddress(0, StorePort)));
         const auto request =
                 platform_wire::makeRowsRequest(JobsTable, partitionOfJob(job), job, "");
         const auto page = platform_wire::parseRowsResult(
@@ -312,69 +242,21 @@
     }
 
 private:
-    static bool metricsContain(const std::string &address, const std::string &fragment)
+    static std::string workerAddress(int index)
     {
-        http_request request;
-        request.target = "/metrics";
-        http_pool pool(parseAddress(address));
-        const auto result = pool.call(request, monotonic_clock::now() + seconds(1));
-        const auto *answer = std::get_if<http_response>(&result);
-        return answer != nullptr && answer->body.find(fragment) != std::string::npos;
+        return processAddress(0, FirstWorkerPort + index);
     }
 
-    static Json::Value operatorRow(const std::string &key)
-    {
-        Json::Value row(Json::objectValue);
-        row["table"] = "op";
-        row["part"] = "";
-        row["key"] = key;
-        return row;
-    }
-
-    static void writeAsOperator(const char *operation, const Json::Value &row)
+    static bool metricsContain(const std::string &address, const std::string &fragment)
     {
         http_request request;
-        request.method = "POST";
-        request.target = "/-/rows-tx";
-        Json::Value body(Json::objectValue);
-        body[operation].append(row);
-        request.body = compactJson(body);
-        http_pool pool(parseAddress(processAddress(0, 9000)));
-        pool.call(request, monotonic_clock::now() + seconds(5));
-    }
-
-    static std::string base64(const std::string &text)
-    {
-        constexpr const char *Alphabet =
-                "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-        std::string result;
-        for (std::size_t from = 0; from < text.size(); from += 3) {
-            unsigned value = 0;
-            for (std::size_t index = from; index < from + 3; ++index)
-                value = value << 8
-                        | (index < text.size() ? static_cast<unsigned char>(text[index]) : 0U);
-            for (std::size_t position = 0; position < 4; ++position) {
-                const bool isPadding = position > text.size() - from;
-                result += isPadding ? '=' : Alphabet[value >> (18 - 6 * position) & 63];
-            }
-        }
-        return result;
-    }
-
-    void start(const std::string &name, const std::string &role, const std::string &settings)
-    {
-        m_processes.erase(name);
-        const auto file = (m_scratch / (name + ".json")).string();
-        std::ofstream(file) << settings;
-        m_processes[name] = std::make_unique<child_process>(
-                std::vector<std::string>{std::string(ZB_BINARIES) + "/zinniabarrow", role,
-                                         "--settings", file},
-                (m_scratch / (name + ".out")).string(), (m_scratch / (name + ".err")).string());
+        request.target = "/metrics";
+        const auto answer = callAddress(address, request, seconds(1));
+        return answer && answer->body.find(fragment) != std::string::npos;
     }
 
-    std::filesystem::path m_scratch;
     job_platform m_platform;
-    std::map<std::string, std::unique_ptr<child_process>> m_processes;
+    job_processes m_processes{fmt::format("zb-jobs-{}", getpid())};
 };
 
 inline void checkNoViolations(const system_under_test &, const job_platform &platform)
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -120,7 +120,7 @@
         check(system.isReady(1));
     });
     section("requests are served again once the entry has the version", [&] {
-        system.putConfiguration(9);
+        putConfiguration(9);
         require(waitUntil([&] { return system.isReady(0); }, WaitLimit));
         check(system.call(0, "GET", "")->status == 200);
     });
