--- /dev/null
+++ b/tests/soak/system.h
@@ -0,0 +1,66 @@
+// Entries and agents of a soak as real processes on loopback, with the stand-in of the platform in
+// this process: its store, and a worker beside each agent.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "job_processes.h"
+#include "soak/links.h"
+#include "standins/job_platform.h"
+
+namespace zinniabarrow::soak {
+
+// Where the process `from` reaches `to`, as "ip:port"; names as in the timeline.
+using address_lookup = std::function<std::string(const std::string &from, const std::string &to)>;
+
+// The address at which the entry (its internal one), the agent (the one for its worker), the worker
+// or the store listens.
+std::string listenAddress(const std::string &name);
+
+// Links between the store, the agents, their workers and the entries, as far as the settings of the
+// processes allow it: to the store, and between each worker and its agent.
+std::vector<link_definition> linkDefinitions(int entries, int agents);
+
+struct system_options
+{
+    int entries = 3;
+    int agents = 6;                     // each with a worker
+    std::int64_t workerCapacity = 4000; // 1/1000 core
+    address_lookup addressFor = [](const std::string &, const std::string &to) {
+        return listenAddress(to);
+    };
+    // As job_platform_options.
+    std::function<standins::task_shape(const jobs::task_id &)> describeTask;
+    std::function<void(const standins::run_notice &)> onRun;
+};
+
+class soak_system
+{
+public:
+    // Starts the platform; the processes are started by start().
+    explicit soak_system(system_options options);
+
+    standins::job_platform &platform() { return m_platform; }
+    // Names of all entries and agents.
+    std::vector<std::string> processNames() const;
+    // Starts an entry or an agent. One of that name that still runs is killed before.
+    void start(const std::string &name);
+    tests::child_process &process(const std::string &name) const { return m_processes.at(name); }
+    // Whether the process has written to its log since it was started last.
+    bool hasLogged(const std::string &name) const;
+    std::vector<std::string> callersAddresses() const; // of the entries
+    bool areEntriesReady() const;
+    const std::filesystem::path &scratch() const { return m_processes.scratch(); }
+
+private:
+    system_options m_options;
+    standins::job_platform m_platform;
+    tests::job_processes m_processes;
+    std::map<std::string, std::uintmax_t> m_logStart; // bytes of earlier incarnations, by name
+};
+
+} // namespace zinniabarrow::soak
--- a/tests/soak/timeline.h
+++ b/tests/soak/timeline.h
@@ -3,6 +3,8 @@
 // broken.
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <mutex>
 #include <string>
@@ -94,6 +96,14 @@
         return m_items;
     }
 
+    // Those from the position `first` on.
+    std::vector<timeline_item> itemsFrom(std::size_t first) const
+    {
+        const std::lock_guard lock(m_mutex);
+        return {m_items.begin() + static_cast<std::ptrdiff_t>(std::min(first, m_items.size())),
+                m_items.end()};
+    }
+
 private:
     mutable std::mutex m_mutex;
     std::vector<timeline_item> m_items;
