Soak: interfaces of the callers and of the check of promises

The generator of variation moves out of the soak of shutdowns, so that both use one. The timeline gains what the check needs: the occurrence of a run, the wall clock of a request, and until when a connection was seen open.

--- a/tests/process_stops_test.cpp
+++ b/tests/process_stops_test.cpp
@@ -7,16 +7,17 @@
 #include <cstdlib>
 #include <ctime>
 #include <mutex>
-#include <random>
 #include <set>
 #include <stop_token>
 #include <thread>
 
 #include "job_system.h"
 #include "keep_alive_caller.h"
+#include "soak/random.h"
 
 using namespace zinniabarrow;
 using namespace zinniabarrow::tests;
+using zinniabarrow::soak::random_source;
 
 namespace {
 
@@ -37,28 +38,6 @@
 constexpr milliseconds LogPollInterval{50}; // while waiting for a log line
 constexpr milliseconds TaskDuration{100};
 
-class random_source
-{
-public:
-    explicit random_source(unsigned seed)
-        : m_generator(seed)
-    { }
-    int between(int minimum, int maximum)
-    {
-        return minimum
-               + static_cast<int>(m_generator() % static_cast<unsigned>(maximum - minimum + 1));
-    }
-    std::size_t indexBelow(std::size_t bound) { return m_generator() % bound; }
-    milliseconds time(int minimumMs, int maximumMs)
-    {
-        return milliseconds(between(minimumMs, maximumMs));
-    }
-    bool oneIn(int count) { return between(1, count) == 1; }
-
-private:
-    std::mt19937 m_generator;
-};
-
 // What all callers together have seen.
 struct callers_record
 {
--- a/tests/soak/timeline.h
+++ b/tests/soak/timeline.h
@@ -22,6 +22,7 @@
     std::string method;
     std::string job; // empty: about the whole queue
     std::string body;
+    std::int64_t unixMs = 0; // wall clock at that moment; 0: not known
 };
 
 struct answer_received
@@ -39,6 +40,7 @@
     std::uint64_t request = 0;
     connection_end how = connection_end::Closed;
     std::size_t answerBytes = 0; // of the incomplete answer
+    time_point lastSeenOpenAt{}; // of the connection; none: when this is noted
 };
 
 struct run_started
@@ -48,6 +50,7 @@
     int step = 0;
     int index = 0; // of the task in its step
     int run = 0;
+    int occurrence = 0; // of a job with times
 };
 
 struct run_ended
@@ -58,6 +61,7 @@
     int index = 0;
     int run = 0;
     std::string how; // the worker's word for the end
+    int occurrence = 0;
 };
 
 // A disruption of one process, link or store begins or ends. A signal has no end.
