--- a/standins/job_platform.cpp
+++ b/standins/job_platform.cpp
@@ -73,7 +73,8 @@
         auto seat = std::make_unique<worker_seat>();
         seat->worker = std::make_unique<job_worker>(
                 job_worker_options{index, options.millicores, options.taskTime, options.stopTime,
-                                   options.gangTimeout, options.describeTask, options.onRun},
+                                   options.gangTimeout, options.describeTask, options.onRun,
+                                   [onLapse = options.onLapse, index] { onLapse(index); }},
                 history, gangs);
         seat->address = options.workers[index];
         seat->agent = toText(options.agentAddresses[index]);
--- a/standins/job_platform.h
+++ b/standins/job_platform.h
@@ -23,11 +23,12 @@
     milliseconds taskTime{300};                 // run time of tasks whose shape tells none
     milliseconds stopTime{0};                   // from a call that stops a run to its end
     milliseconds gangTimeout{3000};             // how long a member of a gang waits for the others
-    // Both are called on the platform's own thread, and must not call the platform.
+    // All are called on the platform's own thread, and must not call the platform.
     std::function<task_shape(const jobs::task_id &task)> describeTask = [](const jobs::task_id &) {
         return task_shape{};
     };
     std::function<void(const run_notice &)> onRun = [](const run_notice &) {};
+    std::function<void(std::size_t worker)> onLapse = [](std::size_t) {}; // its lease has run out
 };
 
 // Records the runs, and each start that must not happen: of a task that runs elsewhere or was
--- a/standins/job_worker.cpp
+++ b/standins/job_worker.cpp
@@ -154,7 +154,7 @@
     }
     m_runsByTask.clear();
     m_history.recordCrash(m_id);
-    recordLapse();
+    forgetUnacknowledgedEnds();
 }
 
 void job_worker::restart()
@@ -245,6 +245,12 @@
 void job_worker::recordLapse()
 {
     m_hasLapsed = true;
+    m_options.onLapse();
+    forgetUnacknowledgedEnds();
+}
+
+void job_worker::forgetUnacknowledgedEnds()
+{
     for (const auto &row : m_unacknowledgedEnds) {
         if (isDone(row[3].asString()))
             m_history.forgetDone(row[1].asString());
--- a/standins/job_worker.h
+++ b/standins/job_worker.h
@@ -63,6 +63,7 @@
     milliseconds gangTimeout{}; // how long a member waits for the others
     std::function<task_shape(const jobs::task_id &task)> describeTask;
     std::function<void(const run_notice &)> onRun;
+    std::function<void()> onLapse; // the lease has run out
 };
 
 class job_worker
@@ -106,6 +107,7 @@
     const char *endOf(const active_run &run, std::int64_t nowMs);
     void end(const std::string &name, const char *how);
     void recordLapse();
+    void forgetUnacknowledgedEnds();
     void notify(const active_run &run, const char *how) const;
     std::int64_t load() const;
 
--- a/tests/process_soak_test.cpp
+++ b/tests/process_soak_test.cpp
@@ -129,6 +129,9 @@
         };
         options.describeTask = [this](const jobs::task_id &task) { return m_shapes.shapeOf(task); };
         options.onRun = [this](const standins::run_notice &notice) { noteRun(notice); };
+        options.onLapse = [this](std::size_t worker) {
+            m_record.note(fault_noted{"lease_lapsed", fmt::format("worker-{}", worker), true, ""});
+        };
         return options;
     }
 
--- a/tests/soak/system.cpp
+++ b/tests/soak/system.cpp
@@ -31,6 +31,7 @@
     result.stopTime = StopTime / 2;
     result.describeTask = options.describeTask;
     result.onRun = options.onRun;
+    result.onLapse = options.onLapse;
     for (int index = 0; index < options.agents; ++index) {
         result.workers.push_back(parseAddress(listenAddress(workerName(index))));
         const auto agent = options.addressFor(workerName(index), agentName(index));
--- a/tests/soak/system.h
+++ b/tests/soak/system.h
@@ -36,6 +36,7 @@
     // As job_platform_options.
     std::function<standins::task_shape(const jobs::task_id &)> describeTask;
     std::function<void(const standins::run_notice &)> onRun;
+    std::function<void(std::size_t worker)> onLapse;
 };
 
 class soak_system
