Settings of job-entry and job-agent: address told to other processes

A process told others the address that it listens on. Behind a translation of addresses, or a proxy in front of its internal listener, nobody reaches it there. `internal_advertise` is told instead, where it is set; absent, all is as before.

job_settings_test: the default, another address, and one that is refused.

--- a/app/entry_registration.cpp
+++ b/app/entry_registration.cpp
@@ -36,7 +36,7 @@
 
 void entry_registration::writeNextIncarnation(const row_page &page)
 {
-    entry_row ownRow{1, toText(m_settings.internalAddress), toText(m_settings.callersAddress),
+    entry_row ownRow{1, toText(m_settings.advertisedAddress), toText(m_settings.callersAddress),
                      m_settings.millicores};
     std::int64_t version = 0;
     if (!page.rows.empty()) {
--- a/app/job_settings.cpp
+++ b/app/job_settings.cpp
@@ -51,6 +51,13 @@
     return toText(parseAddress(requiredString(object, name)));
 }
 
+// Differs from the address that the process listens on behind an address translation.
+socket_address advertisedAddressIn(const Json::Value &object)
+{
+    const bool isTold = object.isMember("internal_advertise");
+    return parseAddress(requiredString(object, isTold ? "internal_advertise" : "internal"));
+}
+
 using jobs::scheduling_features;
 
 constexpr std::array<std::pair<const char *, bool scheduling_features::*>, 6> FeatureMembers{{
@@ -97,6 +104,7 @@
         settings.callersAddress = parseAddress(requiredString(value, "callers"));
         settings.readinessAddress = parseAddress(requiredString(value, "ready"));
         settings.internalAddress = parseAddress(requiredString(value, "internal"));
+        settings.advertisedAddress = advertisedAddressIn(value);
         settings.storeAddress = addressMember(value, "store");
         settings.millicores = millicoresFrom(value);
         settings.scheduling = schedulingFrom(value);
@@ -112,6 +120,7 @@
         settings.zone = requiredString(value, "zone");
         settings.announcementsAddress = parseAddress(requiredString(value, "workers"));
         settings.internalAddress = parseAddress(requiredString(value, "internal"));
+        settings.advertisedAddress = advertisedAddressIn(value);
         settings.workerAddress = addressMember(value, "worker");
         settings.service = requiredString(value, "service");
         settings.stopTimeout = milliseconds(integerMember(value, "stop_within_ms"));
--- a/app/job_settings.h
+++ b/app/job_settings.h
@@ -17,8 +17,9 @@
     socket_address callersAddress;   // listens here for callers
     socket_address readinessAddress; // listens here for the load balancer's readiness checks
     socket_address
-            internalAddress;  // listens here for zinniabarrow's own processes, and serves metrics
-    std::string storeAddress; // "ip:port" of the platform's store
+            internalAddress; // listens here for zinniabarrow's own processes, and serves metrics
+    socket_address advertisedAddress;     // where these processes reach internalAddress
+    std::string storeAddress;             // "ip:port" of the platform's store
     std::int64_t millicores = 1000;       // processor capacity of the instance, 1/1000 core
     jobs::scheduling_features scheduling; // member "scheduling"; absent: all off
 };
@@ -29,11 +30,12 @@
     std::string zone;
     socket_address announcementsAddress; // listens here for the worker's announcements
     socket_address
-            internalAddress;   // listens here for zinniabarrow's own processes, and serves metrics
-    std::string workerAddress; // "ip:port" of the worker
-    std::string service;       // the one that the worker belongs to
-    std::string storeAddress;  // "ip:port" of the platform's store
-    milliseconds stopTimeout{900}; // a run has ended at most this long after the call to stop it
+            internalAddress; // listens here for zinniabarrow's own processes, and serves metrics
+    socket_address advertisedAddress; // where these processes reach internalAddress
+    std::string workerAddress;        // "ip:port" of the worker
+    std::string service;              // the one that the worker belongs to
+    std::string storeAddress;         // "ip:port" of the platform's store
+    milliseconds stopTimeout{900};    // a run has ended at most this long after the call to stop it
 };
 
 // Both parse a settings file's text. They throw error BadSettings, which names the file and the
--- a/app/order_sender.cpp
+++ b/app/order_sender.cpp
@@ -33,7 +33,7 @@
     if (view == nullptr) // no report since the start of this entry; agents report every second
         return handleUnanswered(worker, orders);
     const auto &report = view->lastReport;
-    auto divided = makeOrderCalls({m_settings.id, toText(m_settings.internalAddress),
+    auto divided = makeOrderCalls({m_settings.id, toText(m_settings.advertisedAddress),
                                    std::move(orders), report.takesSharedPayloads},
                                   MaxOrderCallBytes);
     for (const auto &call : divided.tooLarge)
--- a/app/report_sender.cpp
+++ b/app/report_sender.cpp
@@ -127,7 +127,7 @@
 {
     worker_report message;
     message.worker = m_settings.id;
-    message.address = toText(m_settings.internalAddress);
+    message.address = toText(m_settings.advertisedAddress);
     message.agentIncarnation = m_leaseKeeper.lease().fence();
     message.epoch = m_runTable.epoch();
     message.clockMs = millisecondsIn(suspendAwareNow().time_since_epoch());
--- a/tests/job_settings_test.cpp
+++ b/tests/job_settings_test.cpp
@@ -1,4 +1,4 @@
-// Tests the settings of job-entry: the processor time of its instance.
+// Tests the settings of job-entry and job-agent.
 #include "app/job_settings.h"
 
 #include <criterion/criterion.h>
@@ -19,8 +19,40 @@
                                                       + members + "}");
 }
 
+job_agent_settings agentSettingsWith(const std::string &members)
+{
+    return jobAgentSettingsFrom("local.json", R"({"id":"a1","zone":"z","workers":"127.0.0.1:1",)"
+                                              R"("worker":"127.0.0.1:2","internal":"127.0.0.1:3",)"
+                                              R"("store":"127.0.0.1:4","service":"tickets",)"
+                                              R"("stop_within_ms":900)"
+                                                      + members + "}");
+}
+
 } // namespace
 
+// Guards against a process that other ones can't reach, since they learn an address that isn't
+// theirs to use.
+Test(job_settings, advertised_address)
+{
+    const std::string advertised = R"(,"internal_advertise":"127.0.0.9:5")";
+    section("it is the one listened on where nothing is said", [] {
+        cr_assert_eq(toText(settingsWith("").advertisedAddress), "127.0.0.1:3");
+        cr_assert_eq(toText(agentSettingsWith("").advertisedAddress), "127.0.0.1:3");
+    });
+    section("another one can be told", [&] {
+        cr_assert_eq(toText(settingsWith(advertised).advertisedAddress), "127.0.0.9:5");
+        cr_assert_eq(toText(agentSettingsWith(advertised).advertisedAddress), "127.0.0.9:5");
+    });
+    section("the process listens where it did", [&] {
+        cr_assert_eq(toText(settingsWith(advertised).internalAddress), "127.0.0.1:3");
+        cr_assert_eq(toText(agentSettingsWith(advertised).internalAddress), "127.0.0.1:3");
+    });
+    section("one that is no address is refused", [] {
+        cr_assert_throw(settingsWith(R"(,"internal_advertise":"here")"), error);
+        cr_assert_throw(agentSettingsWith(R"(,"internal_advertise":"")"), error);
+    });
+}
+
 // Guards against an entry that others take for stronger than it is, or that does not start because
 // of a setting that it could do without.
 Test(job_settings, processor_time)
