Soak: links between all processes, with faults in one direction and resets

The relay of the stand-ins could be slowed, cut, silenced both ways, or drop answers. It now also holds back what goes in one direction, and resets all open connections once: at both ends, or at one, so that the other end keeps a half-open connection. Changes of state are made on the relay's thread.

tests/soak/links: names links by their ends, notes each fault in the timeline, lets faults overlap. All processes learn one address of an entry or agent, so the callers of such a link are told apart by the process that holds the connection's end (/proc).

--- a/tests/soak/links.h
+++ b/tests/soak/links.h
@@ -2,12 +2,10 @@
 // can delay it, hold back or drop what it carries, cut or reset it.
 #pragma once
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include <sys/types.h>
@@ -80,6 +78,9 @@
 {
 public:
     soak_links(const std::vector<link_definition> &definitions, timeline &events);
+    ~soak_links();
+    soak_links(const soak_links &) = delete;
+    soak_links &operator=(const soak_links &) = delete;
 
     // Where `from` reaches `to`, as "ip:port". Throws std::out_of_range for an unknown link.
     std::string addressFor(const std::string &from, const std::string &to) const;
@@ -95,6 +96,19 @@
 
 private:
     struct relayed_link;
+
+    relayed_link &find(const std::string &from, const std::string &to) const;
+    static void reset(relayed_link &affected, const link_fault &fault);
+    void update(relayed_link &affected);
+    void note(const link_fault &fault, bool isBegin);
+    std::vector<std::string> processNames() const;
+    std::string callerAt(const socket_address &callerEnd, const socket_address &linkEnd) const;
+
+    timeline &m_events;
+    mutable std::mutex m_processesMutex; // relays take it, so it is not held while they are awaited
+    std::map<std::string, pid_t> m_processes;
+    std::mutex m_faultsMutex;
+    std::vector<std::unique_ptr<relayed_link>> m_links;
 };
 
 } // namespace zinniabarrow::soak
