--- a/tests/soak/load.cpp
+++ b/tests/soak/load.cpp
@@ -120,11 +120,12 @@
 class noting_connection
 {
 public:
-    noting_connection(std::string entry, const load_options &options, timeline &record)
+    noting_connection(std::string entry, const std::string &address, const load_options &options,
+                      timeline &record)
         : m_entry(std::move(entry))
         , m_options(options)
         , m_record(record)
-        , m_connection(m_entry)
+        , m_connection(address)
     { }
 
     bool isOpen() const { return m_connection.isOpen(); }
@@ -179,7 +180,7 @@
         return std::min(seconds(std::stoi(answer.substr(at + Field.size()))), MaxRetryAfter);
     }
 
-    std::string m_entry;
+    std::string m_entry; // its name
     const load_options &m_options;
     timeline &m_record;
     keep_alive_caller m_connection;
@@ -198,7 +199,12 @@
         , isCancelling(options.hasCancels)
     { }
 
-    const std::vector<std::string> entries;
+    noting_connection connect(std::size_t entry) const
+    {
+        return {fmt::format("entry-{}", entry), entries[entry], options, record};
+    }
+
+    const std::vector<std::string> entries; // their addresses
     const unsigned seed;
     timeline &record;
     const load_options options;
@@ -225,7 +231,7 @@
     void run(const std::stop_token &stopToken)
     {
         while (!stopToken.stop_requested()) {
-            noting_connection connection(m_load.entries[m_entry], m_load.options, m_load.record);
+            auto connection = m_load.connect(m_entry);
             if (!connection.isOpen())
                 std::this_thread::sleep_for(ReconnectInterval);
             while (connection.isOpen() && !stopToken.stop_requested()) {
@@ -377,7 +383,7 @@
     for (const auto &job : m_impl->jobs.accepted()) {
         const auto isSettled = [&] {
             entry = (entry + 1) % m_impl->entries.size();
-            noting_connection connection(m_impl->entries[entry], m_impl->options, m_impl->record);
+            auto connection = m_impl->connect(entry);
             if (!connection.isOpen())
                 return false;
             const auto answer = connection.exchange({"GET", job.id, ""}, ++m_impl->lastRequest);
--- a/tests/soak/load.h
+++ b/tests/soak/load.h
@@ -44,7 +44,8 @@
 class soak_load
 {
 public:
-    // `entryAddresses`: host:port of the callers' listener of each entry.
+    // `entryAddresses`: host:port of the callers' listener of each entry. In the timeline they are
+    // entry-0, entry-1 and so on, in this order.
     soak_load(std::vector<std::string> entryAddresses, unsigned seed, timeline &record,
               load_options options);
     ~soak_load();
