--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -297,23 +297,20 @@
         }
     }
 
-    // Whether nobody may have learned of the end before its worker ended, lost its lease, or could
-    // not be asked.
+    // Whether nobody need have learned of the end before its worker was gone or lost its lease.
     bool mayBeForgotten(const run_history &done, time_point startedAt) const
     {
+        const auto isBetween = [&](time_point at) { return at >= done.endedAt && at <= startedAt; };
         const auto lapses = m_history.lapses.find(done.worker);
         const bool hasLapsed =
                 lapses != m_history.lapses.end()
-                && std::any_of(lapses->second.begin(), lapses->second.end(), [&](time_point at) {
-                       return at >= done.endedAt && at <= startedAt;
-                   });
-        return hasLapsed || isDisturbed(done.worker, done.endedAt, startedAt)
-               || isDisturbed(agentOf(done.worker), done.endedAt, startedAt);
-    }
-
-    static std::string agentOf(const std::string &worker)
-    {
-        return "agent-" + worker.substr(worker.rfind('-') + 1);
+                && std::any_of(lapses->second.begin(), lapses->second.end(), isBetween);
+        return hasLapsed
+               || std::any_of(m_history.disturbances.begin(), m_history.disturbances.end(),
+                              [&](const auto &each) {
+                                  return each.kind == "worker_ended" && each.concerns(done.worker)
+                                         && isBetween(each.from);
+                              });
     }
 
     void checkGangIsComplete(const task_key &task, const std::vector<run_history> &runs)
--- a/tests/soak_promises_test.cpp
+++ b/tests/soak_promises_test.cpp
@@ -442,6 +442,14 @@
         timeline.close(60'000);
         check(timeline.breaksOnly({"TWICE"}));
     });
+    section("nor is one that is killed, as the worker still lists the end", [] {
+        auto timeline = doneJob();
+        timeline.fault(10'450, "SIGKILL", "agent-0");
+        timeline.start(10'600, {0, 0, 2}, "worker-1");
+        timeline.end(10'650, {0, 0, 2}, "stopped", "worker-1");
+        timeline.close(60'000);
+        check(timeline.breaksOnly({"TWICE"}));
+    });
     section("a long-running task runs twice at a time", [] {
         planted_timeline timeline;
         timeline.accept(0, LongRunningTask);
