--- a/tests/soak/history.cpp
+++ b/tests/soak/history.cpp
@@ -195,9 +195,9 @@
 
 const std::vector<run_history> &soak_history::runsOf(const task_key &task) const
 {
-    static const std::vector<run_history> None;
+    static const std::vector<run_history> none;
     const auto found = runs.find(task);
-    return found == runs.end() ? None : found->second;
+    return found == runs.end() ? none : found->second;
 }
 
 time_point soak_history::doneAt(const task_key &task) const
--- a/tests/soak/load.h
+++ b/tests/soak/load.h
@@ -30,14 +30,14 @@
 {
     std::string prefix = "/holds/";            // of the queue's path
     std::vector<job_kind> kinds = AllJobKinds; // that are drawn, one as often as another
-    int callersPerEntry = 8;                   //
-    int maxPauseMs = 300;                      // between a caller's requests
-    int taskMillicores = 500;                  // of each task
-    int taskEstimateMs = 300;                  // as the jobs state it
-    std::size_t maxJobs = 500;                 // submitted in the soak
-    std::size_t maxLongRunningJobs = 2;        // of these; each of two tasks
-    bool hasCancels = true;                    //
-    milliseconds answerTimeout{20'000};        // after it, a request counts as timed out
+    int callersPerEntry = 8;
+    int maxPauseMs = 300;               // between a caller's requests
+    int taskMillicores = 500;           // of each task
+    int taskEstimateMs = 300;           // as the jobs state it
+    std::size_t maxJobs = 2000;         // submitted in the soak
+    std::size_t maxLongRunningJobs = 2; // of these; each of two tasks
+    bool hasCancels = true;
+    milliseconds answerTimeout{20'000}; // after it, a request counts as timed out
 };
 
 // May be stopped and started again.
--- a/tests/soak_promises_test.cpp
+++ b/tests/soak_promises_test.cpp
@@ -99,25 +99,33 @@
         limits.capacity = capacity;
         return brokenPromises(m_items, limits);
     }
-    // Whether exactly one promise is broken, and its text contains all the parts.
+    // Whether exactly one promise is broken, and its text contains all the parts. Prints what is
+    // broken otherwise.
     bool breaksOnly(std::initializer_list<const char *> parts, std::int64_t capacity = 0)
     {
         const auto found = broken(capacity);
-        for (const auto &each : found)
-            fprintf(stderr, "%s: %s\n", sectionName().c_str(), each.c_str());
-        return found.size() == 1 && std::all_of(parts.begin(), parts.end(), [&](const char *part) {
-                   return found.front().find(part) != std::string::npos;
-               });
+        const bool isExpected =
+                found.size() == 1 && std::all_of(parts.begin(), parts.end(), [&](const char *part) {
+                    return found.front().find(part) != std::string::npos;
+                });
+        if (!isExpected)
+            print(found);
+        return isExpected;
     }
     bool breaksNone(std::int64_t capacity = 0)
     {
         const auto found = broken(capacity);
-        for (const auto &each : found)
-            fprintf(stderr, "%s: %s\n", sectionName().c_str(), each.c_str());
+        print(found);
         return found.empty();
     }
 
 private:
+    static void print(const std::vector<std::string> &found)
+    {
+        for (const auto &each : found)
+            std::fprintf(stderr, "%s: broken: %s\n", sectionName().c_str(), each.c_str());
+    }
+
     void add(int ms, soak_event event)
     {
         m_items.push_back({time_point(milliseconds(ms)), std::move(event)});
