--- a/tests/job_processes.h
+++ b/tests/job_processes.h
@@ -51,16 +51,24 @@
     int process = 2; // as for processAddress()
     std::string storeAddress = processAddress(0, StorePort);
     double processorShare = 1; // of one core
+    // Where the other processes reach its internal address; empty: there itself.
+    std::string advertisedAddress = {};
 };
 
+// The member of the settings that tells it, if it differs from the internal address.
+inline std::string advertiseMember(const std::string &address)
+{
+    return address.empty() ? "" : fmt::format(R"("internal_advertise":"{}",)", address);
+}
+
 inline std::string settingsOf(const entry_process &entry)
 {
-    return fmt::format(R"({{"id":"{}","zone":"z","callers":"{}","ready":"{}",)"
-                       R"("internal":"{}","store":"{}","processor_share":{}}})",
-                       entry.id, processAddress(entry.process, CallersPort),
-                       processAddress(entry.process, ReadyPort),
-                       processAddress(entry.process, InternalPort), entry.storeAddress,
-                       entry.processorShare);
+    return fmt::format(
+            R"({{"id":"{}","zone":"z","callers":"{}","ready":"{}",)"
+            R"("internal":"{}",{}"store":"{}","processor_share":{}}})",
+            entry.id, processAddress(entry.process, CallersPort),
+            processAddress(entry.process, ReadyPort), processAddress(entry.process, InternalPort),
+            advertiseMember(entry.advertisedAddress), entry.storeAddress, entry.processorShare);
 }
 
 struct agent_process
@@ -69,16 +77,18 @@
     int process = 4; // as for processAddress()
     std::string workerAddress;
     std::string storeAddress = processAddress(0, StorePort);
-    milliseconds stopTime{100}; // of its worker's runs, at most
+    milliseconds stopTime{100};         // of its worker's runs, at most
+    std::string advertisedAddress = {}; // as entry_process
 };
 
 inline std::string settingsOf(const agent_process &agent)
 {
     return fmt::format(R"({{"id":"{}","zone":"z","workers":"{}","internal":"{}",)"
-                       R"("worker":"{}","service":"tickets","stop_within_ms":{},)"
+                       R"({}"worker":"{}","service":"tickets","stop_within_ms":{},)"
                        R"("store":"{}"}})",
                        agent.id, processAddress(agent.process, WorkersPort),
-                       processAddress(agent.process, InternalPort), agent.workerAddress,
+                       processAddress(agent.process, InternalPort),
+                       advertiseMember(agent.advertisedAddress), agent.workerAddress,
                        agent.stopTime.count(), agent.storeAddress);
 }
 
--- a/tests/process_soak_test.cpp
+++ b/tests/process_soak_test.cpp
@@ -6,6 +6,7 @@
 // All variation is drawn from a seed; odd seeds draw planned stops only. ZB_SOAK_SEED=N runs one
 // seed, ZB_SOAK_SEEDS=A-B a range. ZB_SOAK_SECONDS: length of the faults. ZB_SOAK_LOGS=FOLDER keeps
 // the logs and the timeline of a seed that breaks a promise.
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <thread>
@@ -54,9 +55,8 @@
     explicit process_soak(unsigned seed)
         : m_seed(seed)
         , m_shapes(m_record)
-        , m_system(systemOptions())
-        , m_disruptor(drawPlan(seed, planOptions()), m_system, m_record,
-                      [](const link_disruption &, bool) {})
+        , m_system(systemOptions(), m_record)
+        , m_disruptor(drawPlan(seed, planOptions()), m_system, m_record)
         , m_load(m_system.callersAddresses(), seed, m_record, {})
     { }
 
@@ -109,6 +109,7 @@
         plan_options options;
         options.entries = EntryCount;
         options.agents = AgentCount;
+        options.links = m_system.linkedPairs();
         options.hasPlannedStopsOnly = hasPlannedStopsOnly(m_seed);
         options.endsAt = faultTime();
         return options;
@@ -120,6 +121,7 @@
         options.entries = EntryCount;
         options.agents = AgentCount;
         options.workerCapacity = WorkerCapacity;
+        options.hasLinks = !hasPlannedStopsOnly(m_seed);
         options.describeTask = [this](const jobs::task_id &task) { return m_shapes.shapeOf(task); };
         options.onRun = [this](const standins::run_notice &notice) { noteRun(notice); };
         options.onLapse = [this](std::size_t worker) {
@@ -169,6 +171,7 @@
     process_soak soak(seed);
     soak.run();
     fmt::print("{}\n", soak.summary());
+    std::fflush(stdout);
     for (const auto &each : soak.broken())
         cr_expect_fail("seed %u: %s", seed, each.c_str());
     const char *folder = std::getenv("ZB_SOAK_LOGS");
--- a/tests/soak/disruptor.cpp
+++ b/tests/soak/disruptor.cpp
@@ -40,11 +40,9 @@
 
 } // namespace
 
-disruptor::disruptor(std::vector<disruption> plan, soak_system &system, timeline &record,
-                     link_action disruptLink)
+disruptor::disruptor(std::vector<disruption> plan, soak_system &system, timeline &record)
     : m_system(system)
     , m_record(record)
-    , m_disruptLink(std::move(disruptLink))
 {
     for (auto &each : plan)
         m_plan.push_back({std::move(each)});
@@ -102,7 +100,7 @@
                     [&](const reload_process &action) { reload(action); },
                     [&](const store_fault &action) { setStoreFault(action, true); },
                     [&](const worker_fault &action) { beginWorkerFault(action); },
-                    [&](const link_disruption &action) { m_disruptLink(action, true); },
+                    [&](const link_fault &action) { m_system.links().apply(action); },
             },
             planned.action);
 }
@@ -142,7 +140,7 @@
                        [](const reload_process &) {},
                        [&](const store_fault &action) { setStoreFault(action, false); },
                        [&](const worker_fault &action) { endWorkerFault(action); },
-                       [&](const link_disruption &action) { m_disruptLink(action, false); },
+                       [&](const link_fault &action) { m_system.links().end(action); },
                },
                planned.action);
 }
--- a/tests/soak/disruptor.h
+++ b/tests/soak/disruptor.h
@@ -17,11 +17,7 @@
 class disruptor
 {
 public:
-    // Begins or ends the disruption of a link, and notes it.
-    using link_action = std::function<void(const link_disruption &link, bool isBegin)>;
-
-    disruptor(std::vector<disruption> plan, soak_system &system, timeline &record,
-              link_action disruptLink);
+    disruptor(std::vector<disruption> plan, soak_system &system, timeline &record);
 
     // Starts all processes, the plan's time begins.
     void start();
@@ -75,7 +71,6 @@
     std::vector<planned_disruption> m_plan;
     soak_system &m_system;
     timeline &m_record;
-    link_action m_disruptLink;
     time_point m_startedAt{};
     std::map<std::string, process_state> m_processes;
     std::vector<later_step> m_laterSteps;
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -55,7 +55,7 @@
             disruptAll(at);
         else if (drawn < 68)
             disruptStore(at);
-        else if (drawn < 85 || m_options.links == 0)
+        else if (drawn < 85 || m_options.links.empty())
             disruptWorkers(at);
         else
             disruptLinks(at);
@@ -187,12 +187,15 @@
 
     void disruptLinks(milliseconds at)
     {
-        const int kind = m_random.between(0, m_options.linkKinds - 1);
+        const auto kind = LinkFaultNames.at(m_random.indexBelow(LinkFaultNames.size())).value;
+        const auto delay = m_random.time(20, 600);
         const int count = m_random.between(1, 3);
         for (int number = 0; number < count; ++number) {
-            const int link = m_random.between(0, m_options.links - 1);
-            const link_disruption action{kind, link, m_random.time(20, 600)};
-            add(fmt::format("link-{}", link), {at, at + m_random.time(200, MaxOutageMs), action});
+            const auto &ends = m_options.links[m_random.indexBelow(m_options.links.size())];
+            const auto until =
+                    isMomentary(kind) ? at + MinOutage : at + m_random.time(200, MaxOutageMs);
+            add(ends.from + ">" + ends.to,
+                {at, until, link_fault{kind, ends.from, ends.to, delay}});
         }
     }
 
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -8,6 +8,7 @@
 
 #include "base/names.h"
 #include "base/time.h"
+#include "soak/links.h"
 
 namespace zinniabarrow::soak {
 
@@ -69,16 +70,8 @@
     milliseconds leavesAt{0}; // since the start of the soak; only with Leave
 };
 
-// Of the links between the processes; what the link does is up to the driver.
-struct link_disruption
-{
-    int kind = 0; // below plan_options::linkKinds
-    int link = 0; // below plan_options::links
-    milliseconds delay{0};
-};
-
 using disruption_action = std::variant<stop_process, kill_process, freeze_process, reload_process,
-                                       store_fault, worker_fault, link_disruption>;
+                                       store_fault, worker_fault, link_fault>;
 
 // Times are counted from the start of the soak.
 struct disruption
@@ -88,12 +81,18 @@
     disruption_action action;
 };
 
+// A link by which the process `from` makes connections to `to`.
+struct link_ends
+{
+    std::string from;
+    std::string to;
+};
+
 struct plan_options
 {
     int entries = 3;
-    int agents = 6;    // each with a worker
-    int links = 0;     // that can be disrupted
-    int linkKinds = 0; // kinds of link disruptions
+    int agents = 6;                    // each with a worker
+    std::vector<link_ends> links = {}; // that can be disrupted
     bool hasPlannedStopsOnly = false;
     milliseconds firstAt{1500};  // no disruption begins earlier
     milliseconds endsAt{20'000}; // each disruption has ended by then; the calm span follows
--- a/tests/soak/system.cpp
+++ b/tests/soak/system.cpp
@@ -22,44 +22,95 @@
     return fmt::format("worker-{}", index);
 }
 
-standins::job_platform_options platformOptions(const system_options &options)
+// Where `from` reaches `to` without a link.
+std::string listenAddress(const std::string &from, const std::string &to)
 {
-    standins::job_platform_options result;
-    result.store = parseAddress(listenAddress("store"));
-    result.millicores = options.workerCapacity;
-    result.stopTime = StopTime / 2;
-    result.describeTask = options.describeTask;
-    result.onRun = options.onRun;
-    result.onLapse = options.onLapse;
+    if (to == "store")
+        return processAddress(0, tests::StorePort);
+    if (to.starts_with("worker-"))
+        return processAddress(0, tests::FirstWorkerPort + indexOf(to));
+    if (to.starts_with("entry-"))
+        return processAddress(FirstEntry + indexOf(to), tests::InternalPort);
+    const bool isFromWorker = from.starts_with("worker-");
+    return processAddress(FirstAgent + indexOf(to),
+                          isFromWorker ? tests::WorkersPort : tests::InternalPort);
+}
+
+std::vector<link_definition> linkDefinitions(const system_options &options)
+{
+    std::vector<link_definition> definitions;
+    if (!options.hasLinks)
+        return definitions;
+    const auto add = [&](const std::string &from, const std::string &to) {
+        definitions.push_back({from, to, {"127.0.0.1", 0}, parseAddress(listenAddress(from, to))});
+    };
+    for (int index = 0; index < options.entries; ++index) {
+        add(entryName(index), "store");
+        add(AnyCaller, entryName(index));
+    }
     for (int index = 0; index < options.agents; ++index) {
-        result.workers.push_back(parseAddress(listenAddress(workerName(index))));
-        const auto agent = options.addressFor(workerName(index), agentName(index));
-        result.agentAddresses.push_back(parseAddress(agent));
+        add(agentName(index), "store");
+        add(agentName(index), workerName(index));
+        add(workerName(index), agentName(index));
+        add(AnyCaller, agentName(index));
     }
-    return result;
+    return definitions;
 }
 
 } // namespace
 
-std::string listenAddress(const std::string &name)
-{
-    if (name == "store")
-        return processAddress(0, tests::StorePort);
-    if (name.starts_with("worker-"))
-        return processAddress(0, tests::FirstWorkerPort + indexOf(name));
-    if (name.starts_with("agent-"))
-        return processAddress(FirstAgent + indexOf(name), tests::WorkersPort);
-    return processAddress(FirstEntry + indexOf(name), tests::InternalPort);
-}
-
-soak_system::soak_system(system_options options)
+soak_system::soak_system(system_options options, timeline &record)
     : m_options(std::move(options))
-    , m_platform(platformOptions(m_options))
+    , m_links(linkDefinitions(m_options), record)
+    , m_platform(platformOptions())
     , m_processes(fmt::format("zb-soak-{}", getpid()))
 {
     tests::putConfiguration(7);
 }
 
+std::string soak_system::addressFor(const std::string &from, const std::string &to) const
+{
+    return m_options.hasLinks ? m_links.addressFor(from, to) : listenAddress(from, to);
+}
+
+standins::job_platform_options soak_system::platformOptions() const
+{
+    standins::job_platform_options result;
+    result.store = parseAddress(listenAddress("", "store"));
+    result.millicores = m_options.workerCapacity;
+    result.stopTime = StopTime / 2;
+    result.describeTask = m_options.describeTask;
+    result.onRun = m_options.onRun;
+    result.onLapse = m_options.onLapse;
+    for (int index = 0; index < m_options.agents; ++index) {
+        const auto worker = workerName(index);
+        result.workers.push_back(parseAddress(listenAddress("", worker)));
+        result.agentAddresses.push_back(parseAddress(addressFor(worker, agentName(index))));
+    }
+    return result;
+}
+
+std::vector<link_ends> soak_system::linkedPairs() const
+{
+    std::vector<link_ends> pairs;
+    if (!m_options.hasLinks)
+        return pairs;
+    const auto names = processNames();
+    for (const auto &from : names) {
+        pairs.push_back({from, "store"});
+        for (const auto &to : names) {
+            const bool areAgents = from.starts_with("agent-") && to.starts_with("agent-");
+            if (from != to && !areAgents)
+                pairs.push_back({from, to});
+        }
+    }
+    for (int index = 0; index < m_options.agents; ++index) {
+        pairs.push_back({agentName(index), workerName(index)});
+        pairs.push_back({workerName(index), agentName(index)});
+    }
+    return pairs;
+}
+
 std::vector<std::string> soak_system::processNames() const
 {
     std::vector<std::string> names;
@@ -73,19 +124,24 @@
 void soak_system::start(const std::string &name)
 {
     m_logStart[name] = m_processes.logBytes(name);
-    const auto index = indexOf(name);
-    const auto store = m_options.addressFor(name, "store");
+    const auto advertised = m_options.hasLinks ? m_links.addressFor(AnyCaller, name) : "";
     if (name.starts_with("entry-")) {
-        const tests::entry_process entry{
-                .id = name, .process = FirstEntry + index, .storeAddress = store};
-        return m_processes.start(name, "job-entry", settingsOf(entry));
+        m_processes.start(name, "job-entry",
+                          settingsOf(tests::entry_process{.id = name,
+                                                          .process = FirstEntry + indexOf(name),
+                                                          .storeAddress = addressFor(name, "store"),
+                                                          .advertisedAddress = advertised}));
+    } else {
+        const auto worker = workerName(indexOf(name));
+        m_processes.start(name, "job-agent",
+                          settingsOf(tests::agent_process{.id = name,
+                                                          .process = FirstAgent + indexOf(name),
+                                                          .workerAddress = addressFor(name, worker),
+                                                          .storeAddress = addressFor(name, "store"),
+                                                          .stopTime = StopTime,
+                                                          .advertisedAddress = advertised}));
     }
-    const tests::agent_process agent{.id = name,
-                                     .process = FirstAgent + index,
-                                     .workerAddress = m_options.addressFor(name, workerName(index)),
-                                     .storeAddress = store,
-                                     .stopTime = StopTime};
-    m_processes.start(name, "job-agent", settingsOf(agent));
+    m_links.setProcess(name, m_processes.at(name).processId());
 }
 
 bool soak_system::hasLogged(const std::string &name) const
--- a/tests/soak/system.h
+++ b/tests/soak/system.h
@@ -9,25 +9,19 @@
 #include <vector>
 
 #include "job_processes.h"
+#include "soak/links.h"
+#include "soak/plan.h"
+#include "soak/timeline.h"
 #include "standins/job_platform.h"
 
 namespace zinniabarrow::soak {
 
-// Where the process `from` reaches `to`, as "ip:port"; names as in the timeline.
-using address_lookup = std::function<std::string(const std::string &from, const std::string &to)>;
-
-// The address at which the entry (its internal one), the agent (the one for its worker), the worker
-// or the store listens.
-std::string listenAddress(const std::string &name);
-
 struct system_options
 {
     int entries = 3;
     int agents = 6;                     // each with a worker
     std::int64_t workerCapacity = 4000; // 1/1000 core
-    address_lookup addressFor = [](const std::string &, const std::string &to) {
-        return listenAddress(to);
-    };
+    bool hasLinks = false; // between all processes; otherwise they reach each other directly
     // As job_platform_options.
     std::function<standins::task_shape(const jobs::task_id &)> describeTask;
     std::function<void(const standins::run_notice &)> onRun;
@@ -38,9 +32,12 @@
 {
 public:
     // Starts the platform; the processes are started by start().
-    explicit soak_system(system_options options);
+    soak_system(system_options options, timeline &record);
 
     standins::job_platform &platform() { return m_platform; }
+    soak_links &links() { return m_links; }
+    // All pairs of processes that make connections by a link; empty without links.
+    std::vector<link_ends> linkedPairs() const;
     // Names of all entries and agents.
     std::vector<std::string> processNames() const;
     // Starts an entry or an agent. One of that name that still runs is killed before.
@@ -53,7 +50,12 @@
     const std::filesystem::path &scratch() const { return m_processes.scratch(); }
 
 private:
+    // Where the process `from` reaches `to`.
+    std::string addressFor(const std::string &from, const std::string &to) const;
+    standins::job_platform_options platformOptions() const;
+
     system_options m_options;
+    soak_links m_links;
     standins::job_platform m_platform;
     tests::job_processes m_processes;
     std::map<std::string, std::uintmax_t> m_logStart; // bytes of earlier incarnations, by name
--- a/tests/soak_plan_test.cpp
+++ b/tests/soak_plan_test.cpp
@@ -22,10 +22,7 @@
     {
         return "worker-" + std::to_string(action.worker);
     }
-    std::string operator()(const link_disruption &action) const
-    {
-        return "link-" + std::to_string(action.link);
-    }
+    std::string operator()(const link_fault &action) const { return action.from + ">" + action.to; }
 };
 
 bool isPlanned(const disruption &drawn)
@@ -44,8 +41,7 @@
 plan_options allKinds()
 {
     plan_options options;
-    options.links = 12;
-    options.linkKinds = 9;
+    options.links = {{"entry-0", "store"}, {"agent-1", "worker-1"}, {"entry-0", "agent-1"}};
     return options;
 }
 
