Gangs: the stops of the other members are sent when one never starts

Cause (callers saw a gang whose members waited 3 s for one that its agent had given up after 0.9 s): the stops were decided, but the job was no longer among those with unanswered orders once all starts had been answered, so nothing sent them.

Change: whoever decides a stop enters the job there.

--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -334,7 +334,7 @@
     static double slowdownOf(const std::optional<milliseconds> &runDuration, const step_spec &step);
     void finishTask(const std::string &id, owned_job &job, const task_id &task, int run,
                     const step_spec &step);
-    static void stopRedundantRuns(owned_job &job, const task_id &task, const task_state &state);
+    void stopRedundantRuns(owned_job &job, const task_id &task, const task_state &state);
     void countFailure(const std::string &id, owned_job &job, const std::string &worker,
                       const run_end &end, const step_spec &step,
                       const std::optional<milliseconds> &runDuration);
@@ -355,9 +355,9 @@
     void failJob(const std::string &id, owned_job &job, const task_id &task);
     void keepCheckpoint(task_state &state, const step_spec &step,
                         const std::string &checkpoint) const;
-    static void handleNeverStarted(owned_job &job, const std::string &worker, const task_id &task,
-                                   int run);
-    static void stopRun(owned_job &job, const task_id &task, const placement &runPlacement);
+    void handleNeverStarted(owned_job &job, const std::string &worker, const task_id &task,
+                            int run);
+    void stopRun(owned_job &job, const task_id &task, const placement &runPlacement);
     static void avoidWorker(owned_job &job, const task_id &task, const std::string &worker);
     static void removePlacement(owned_job &job, const task_id &task, int run);
     time_point reportTimeOf(const std::string &worker) const;
--- a/libs/jobs/job_controller_ends.cpp
+++ b/libs/jobs/job_controller_ends.cpp
@@ -198,7 +198,6 @@
         noteCopyOutcome(id, job, memberId, run);
         stopRedundantRuns(job, memberId, member);
     }
-    m_jobsWithOrders.insert(id);
 }
 
 // Other runs of a task that is done stay placed, and so in the row, until they have ended. If only
@@ -214,6 +213,7 @@
 {
     job.startOrders.erase({task, runPlacement.run});
     job.stopOrders[{task, runPlacement.run}] = {runPlacement.worker, job.revision, false, {}};
+    m_jobsWithOrders.insert(task.job);
 }
 
 void job_controller::countFailure(const std::string &id, owned_job &job, const std::string &worker,
--- a/tests/job_controller_test.cpp
+++ b/tests/job_controller_test.cpp
@@ -637,6 +637,20 @@
                 });
         check(newOrder->worker != first.worker);
     });
+    section("the same, after the answers to all starts were planned with", [&] {
+        test_fixture fixture;
+        fixture.submitJob(gangSpec);
+        fixture.confirmWrite();
+        require(fixture.orders.size() == 2);
+        const auto first = fixture.orders[0];
+        const auto second = fixture.orders[1];
+        fixture.acceptOrder(first);
+        fixture.acceptOrder(second);
+        fixture.advance(milliseconds(900));
+        fixture.endRun(first, end_kind::NeverStarted);
+        fixture.confirmWrite();
+        check(countStops(fixture, second.order.task) == 1);
+    });
     section("rejected by its agent: all are stopped", [&] {
         test_fixture fixture;
         fixture.submitJob(gangSpec);
