Gangs: one that has lost a member is taken back, whoever owns it

Cause (callers saw members that end alone after 3 s, and a job late by seconds): a member's placement that ended with its worker's epoch stopped nobody; a successor gave the starts of the remaining members again, also where the owner before had lost one; an agent that restarted after it had accepted the stop was given the start; and a member whose agent was not ready was started after the others had ended.

Change: where the gang is planned, its runs are stopped if some member has none. That holds for each cause and each owner. A member's stop is sent once the loss is stored, as before.

--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -373,6 +373,7 @@
     placement_preferences roomPreferences(time_point waitStart, time_point now) const;
     bool placeGang(const std::string &id, owned_job &job, int occurrence, int stepIndex,
                    time_point now, std::int64_t wallMs);
+    void stopIncompleteGang(owned_job &job, const task_id &firstMember);
     // A worker for each member of the gang in turn; empty: there is not one for all of them.
     std::vector<std::string> chooseGangWorkers(const owned_job &job, const task_id &firstMember,
                                                const step_spec &step, int run,
--- a/libs/jobs/job_controller_orders.cpp
+++ b/libs/jobs/job_controller_orders.cpp
@@ -215,6 +215,7 @@
         }
     });
     m_jobsWithOrders.insert(id);
+    m_waitingJobs.insert(id); // planning stops the runs of incomplete gangs, see placeGang()
 }
 
 run_order job_controller::makeStartOrder(const owned_job &job, const task_id &task,
--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -153,13 +153,14 @@
     const auto &step = job.record.steps[static_cast<std::size_t>(stepIndex)];
     auto &members = job.record.tasks[static_cast<std::size_t>(occurrence)]
                                     [static_cast<std::size_t>(stepIndex)];
+    const task_id firstMember{id, occurrence, stepIndex, 0};
+    if (countWaiting(members) < step.count) {
+        stopIncompleteGang(job, firstMember);
+        return false; // done, or members of an earlier run have not ended yet
+    }
     int run = 1;
-    for (const auto &member : members) {
-        if (!member.isWaiting())
-            return false; // done, or members of an earlier run have not ended yet
+    for (const auto &member : members)
         run = std::max(run, member.lastRun + 1);
-    }
-    const task_id firstMember{id, occurrence, stepIndex, 0};
     const auto chosenWorkers =
             m_settings.features.weighsWaits
                     ? chooseGangOrWait(id, job, firstMember, step, run, now, wallMs)
@@ -180,6 +181,26 @@
     return false;
 }
 
+// Stops the runs of a gang of which a member has none: its run was refused, has ended, or ended
+// with its worker's epoch, perhaps before this entry took the job over. The others can't work
+// without it, and the gang is placed again only once all have ended.
+void job_controller::stopIncompleteGang(owned_job &job, const task_id &firstMember)
+{
+    const auto &step = stepOf(job, firstMember);
+    const auto &members = job.record.tasks[static_cast<std::size_t>(firstMember.occurrence)]
+                                          [static_cast<std::size_t>(firstMember.step)];
+    if (countWaiting(members) == 0)
+        return;
+    for (int index = 0; index < step.count; ++index) {
+        auto task = firstMember;
+        task.index = index;
+        for (const auto &runPlacement : members[static_cast<std::size_t>(index)].placements) {
+            if (!job.stopOrders.contains({task, runPlacement.run}))
+                stopRun(job, task, runPlacement);
+        }
+    }
+}
+
 std::vector<std::string> job_controller::chooseGangWorkers(const owned_job &job,
                                                            const task_id &firstMember,
                                                            const step_spec &step, int run,
--- a/tests/job_controller_test.cpp
+++ b/tests/job_controller_test.cpp
@@ -679,6 +679,95 @@
     });
 }
 
+// Guards against a gang that waits for a member which has no run, and occupies its workers, until
+// these end its runs as alone.
+Test(job_controller, a_gang_that_has_lost_a_member)
+{
+    auto gangSpec = test_fixture::twoSteps();
+    gangSpec.steps.pop_back();
+    gangSpec.steps[0].isGang = true;
+    gangSpec.steps[0].maxPerWorker = 1;
+    const auto countOrders = [](const test_fixture &fixture, order_kind kind, const task_id &task) {
+        return std::count_if(fixture.orders.begin(), fixture.orders.end(), [&](const auto &item) {
+            return item.order.kind == kind && item.order.task == task;
+        });
+    };
+    test_fixture fixture;
+    fixture.submitJob(gangSpec);
+    fixture.confirmWrite();
+    require(fixture.orders.size() == 2);
+    const auto first = fixture.orders[0];
+    const auto second = fixture.orders[1];
+    fixture.orders.clear();
+    fixture.acceptOrder(second);
+    section("with the epoch of its worker: the others are stopped", [&] {
+        fixture.acceptOrder(first);
+        fixture.advance(milliseconds(100));
+        fixture.controller.epochSeen(first.worker, 2);
+        fixture.tick();
+        fixture.confirmWrite();
+        check(countOrders(fixture, order_kind::Stop, second.order.task) == 1);
+    });
+    section("the stop was accepted by an agent that restarts: it is sent again", [&] {
+        fixture.controller.orderAnswered(
+                second.worker, {second.order.task, 1, order_outcome::Accepted, order_kind::Stop},
+                fixture.now, 0);
+        fixture.tick();
+        fixture.orders.clear();
+        fixture.controller.workerRestarted(second.worker, 1, fixture.now);
+        fixture.tick();
+        check(countOrders(fixture, order_kind::Stop, second.order.task) == 1);
+        check(countOrders(fixture, order_kind::Start, second.order.task) == 0);
+    });
+    section("before the job was taken over: the successor stops the others", [&] {
+        auto record = *fixture.controller.record("j");
+        record.owner = Other;
+        test_fixture successor;
+        successor.controller.adopt("j", record, 90, "hold seat 7");
+        successor.tick();
+        successor.confirmWrite();
+        check(countOrders(successor, order_kind::Start, second.order.task) == 0);
+        check(countOrders(successor, order_kind::Stop, second.order.task) == 1);
+        successor.endRun(second, end_kind::Stopped);
+        successor.confirmWrite();
+        successor.confirmWrite();
+        check(countOrders(successor, order_kind::Start, first.order.task) == 1);
+        check(countOrders(successor, order_kind::Start, second.order.task) == 1);
+    });
+}
+
+// Guards against a member of a gang that starts when the others have given up: its agent was not
+// ready until then.
+Test(job_controller, a_member_whose_start_is_put_off_until_its_gang_has_ended)
+{
+    auto gangSpec = test_fixture::twoSteps();
+    gangSpec.steps.pop_back();
+    gangSpec.steps[0].isGang = true;
+    test_fixture fixture;
+    fixture.submitJob(gangSpec);
+    fixture.confirmWrite();
+    require(fixture.orders.size() == 2);
+    const auto first = fixture.orders[0];
+    const auto second = fixture.orders[1];
+    fixture.acceptOrder(second);
+    fixture.controller.orderAnswered(first.worker, {first.order.task, 1, order_outcome::NotReady},
+                                     fixture.now, 0);
+    fixture.endRun(second, end_kind::Alone);
+    fixture.confirmWrite();
+    fixture.orders.clear();
+    fixture.advance(milliseconds(400));
+    check(fixture.countStarts(first.order.task) == 0);
+    section("once the stop proves that nothing runs, the gang starts again", [&] {
+        fixture.controller.orderAnswered(
+                first.worker, {first.order.task, 1, order_outcome::Superseded, order_kind::Stop},
+                fixture.now, 0);
+        fixture.tick();
+        fixture.confirmWrite();
+        check(fixture.countStarts(first.order.task) == 1);
+        check(fixture.countStarts(second.order.task) == 1);
+    });
+}
+
 // Guards against a job that never starts: its order is rejected and sent again for ever.
 Test(job_controller, an_order_that_its_agent_cannot_take)
 {
