Order search: gangs beside processes that restart

Simulated workers know gangs: members work from the moment when all are present, one that waits 3 s ends as alone, and when one ends the others are broken. A member must not end alone when the job's row has lacked one of its gang for 2.5 s, and each job must end.

By reading, other searches draw as before.

--- a/tests/cluster_simulation.h
+++ b/tests/cluster_simulation.h
@@ -23,6 +23,7 @@
 
 #include <fmt/core.h>
 
+#include "gang_checker.h"
 #include "jobs/job_controller.h"
 #include "jobs/run_table.h"
 #include "run_checker.h"
@@ -146,6 +147,11 @@
         for (int index = 0; index < workerCount; ++index) {
             const auto name = fmt::format("w{}", index + 1);
             m_workers.push_back(std::make_unique<simulated_worker>(name, planner));
+            m_workers.back()->joinGangs(
+                    m_gangs, [this, name](const auto &task, int run, auto endedAt) {
+                        addToTrace("{} ENDS {} run {} as alone", name, toText(task), run);
+                        m_gangChecker.noteAlone(task, run, endedAt);
+                    });
             m_agents.push_back(std::make_unique<simulated_agent>());
             m_agents.back()->name = name;
             m_leases[name] = {};
@@ -312,7 +318,7 @@
 
     void reboot(simulated_worker &worker)
     {
-        worker.reboot();
+        worker.reboot(m_now);
         agentOf(worker.name()).isLeaving = false;
         addToTrace("{} has rebooted", worker.name());
     }
@@ -327,7 +333,7 @@
             if (m_areFaultsCleared)
                 return;
             kill(agentOf(worker.name()));
-            worker.reboot();
+            worker.reboot(m_now);
             worker.rejectStartsUntil(m_now + downTime);
             addToTrace("{} is down for {} ms", worker.name(), downTime.count());
         });
@@ -403,6 +409,7 @@
 
     time_point now() const { return m_now; }
     const run_checker &runChecker() const { return m_runChecker; }
+    const gang_checker &gangChecker() const { return m_gangChecker; }
     const std::map<std::string, job_row> &rows() const { return m_rows; }
     simulated_entry &entry(std::size_t index) { return *m_entries.at(index); }
     simulated_agent &agent(std::size_t index) { return *m_agents.at(index); }
@@ -749,6 +756,7 @@
         row.record = std::make_shared<const jobs::job_record>(jobs::recordFrom(content));
         row.version = ++m_lastVersion;
         m_runChecker.noteCommit(job, *row.record, m_now);
+        m_gangChecker.noteCommit(job, *row.record, m_now);
         for (auto &entry : m_entries)
             sendRowChange(*entry, entry->incarnation, job, row);
     }
@@ -1303,6 +1311,8 @@
     time_point m_storeDownUntil{};
     bool m_areFaultsCleared = false; // by clearFaults()
     run_checker m_runChecker;
+    gang_checker m_gangChecker;
+    simulated_gangs m_gangs;
     std::vector<std::string> m_trace;
 };
 
--- a/tests/order_search.cpp
+++ b/tests/order_search.cpp
@@ -1,6 +1,7 @@
 // Searches seeded orders of events for one in which a task runs twice, or, although all faults have
 // ended, a task stalls, waits beside free capacity, or with copies does not end; with slow stops
-// also for one in which a worker is given more than it holds. Exit codes: 0 no
+// also for one in which a worker is given more than it holds, and with gangs for one in which a
+// member waits in vain for another. Exit codes: 0 no
 // violation, 1 some seeds failed, 2 usage error.
 #include <cstdint>
 #include <string>
@@ -42,6 +43,7 @@
     std::uint64_t seedCount = 0;
     std::int64_t startCount = 0;
     std::int64_t copyCount = 0;
+    std::int64_t aloneCount = 0;
     std::size_t finishedJobCount = 0;
 };
 
@@ -58,6 +60,7 @@
     ++totals.seedCount;
     totals.startCount += result.startCount;
     totals.copyCount += result.copyCount;
+    totals.aloneCount += result.aloneCount;
     totals.finishedJobCount += result.finishedJobCount;
     if (printsTrace)
         printTrace(seed, kind);
@@ -76,9 +79,10 @@
         for (auto seed = range.first; seed <= range.last; ++seed)
             searchSeed(seed, kind, printsTrace, totals);
     }
-    fmt::print("{} seeds, {} failed, {} starts, {} of them copies, {} jobs finished\n",
+    fmt::print("{} seeds, {} failed, {} starts, {} of them copies, {} ended alone, {} jobs "
+               "finished\n",
                totals.seedCount, totals.failedSeeds.size(), totals.startCount, totals.copyCount,
-               totals.finishedJobCount);
+               totals.aloneCount, totals.finishedJobCount);
     return totals.failedSeeds.empty() ? ExitDone : ExitFailed;
 }
 
@@ -97,12 +101,15 @@
         TCLAP::SwitchArg searchesCopies("", "copies", "search with copies of slow tasks", command);
         TCLAP::SwitchArg searchesStops("", "stops", "search with runs that take long to stop",
                                        command);
+        TCLAP::SwitchArg searchesGangs("", "gangs", "search with gangs beside restarts", command);
         command.parse(argumentCount, arguments);
         if (searchesStalls.getValue() + searchesHeldRoom.getValue() + searchesCopies.getValue()
-                    + searchesStops.getValue()
+                    + searchesStops.getValue() + searchesGangs.getValue()
             > 1)
-            throw TCLAP::ArgException("give one of --standing, --room, --copies and --stops");
-        const auto kind = searchesStops.getValue()      ? search_kind::SlowStops
+            throw TCLAP::ArgException(
+                    "give one of --standing, --room, --copies, --stops and --gangs");
+        const auto kind = searchesGangs.getValue()      ? search_kind::Gangs
+                          : searchesStops.getValue()    ? search_kind::SlowStops
                           : searchesCopies.getValue()   ? search_kind::Copies
                           : searchesHeldRoom.getValue() ? search_kind::HeldRoom
                           : searchesStalls.getValue()   ? search_kind::StalledTasks
--- a/tests/order_search.h
+++ b/tests/order_search.h
@@ -4,7 +4,8 @@
 // long-running tasks and more kinds of faults, and ends all faults before it checks for stalls. A
 // search for held room does the same with tasks that compete for the workers' capacity. A search
 // with copies has jobs that permit copies of their tasks and workers that turn slow, and ends all
-// faults before it checks that each job has ended.
+// faults before it checks that each job has ended. A search with gangs has few faults, and checks
+// that no member waits in vain for one that has no run.
 #pragma once
 
 #include <array>
@@ -51,7 +52,7 @@
 constexpr std::size_t FaultKindCount = 18;      // all
 
 // What a search looks for. HeldRoom: long-running tasks that wait beside free capacity.
-enum class search_kind { DuplicateRuns, StalledTasks, HeldRoom, Copies, SlowStops };
+enum class search_kind { DuplicateRuns, StalledTasks, HeldRoom, Copies, SlowStops, Gangs };
 
 // What one search has seen.
 struct search_result
@@ -60,6 +61,7 @@
     std::vector<std::string> trace; // empty unless it was asked for
     int startCount = 0;             // runs that have started
     int copyCount = 0;              // those that started beside another run of their task
+    int aloneCount = 0;             // members of gangs that waited in vain for the others
     std::size_t finishedJobCount = 0;
 };
 
@@ -84,7 +86,7 @@
         m_simulation.addToTrace("orders are {}delayed by seconds", m_delaysOrders ? "" : "not ");
         if (m_kind == search_kind::HeldRoom)
             m_maxShortTasks = randomBetween(0, 2) * randomBetween(1, 6);
-        if (m_kind == search_kind::SlowStops)
+        if (m_kind == search_kind::SlowStops || m_kind == search_kind::Gangs)
             m_simulation.slowStops(randomSpan(600, 890), drawChance(20));
     }
 
@@ -96,7 +98,10 @@
         }
         if (m_kind == search_kind::StalledTasks || m_kind == search_kind::HeldRoom)
             submitLongRunning();
-        scheduleFaults();
+        if (m_kind == search_kind::Gangs)
+            scheduleRestarts();
+        else
+            scheduleFaults();
         for (milliseconds elapsed{};
              elapsed < FaultPeriod && m_simulation.runChecker().violations().empty();
              elapsed += FaultInterval)
@@ -105,10 +110,14 @@
             checkForStalls();
         if (m_kind == search_kind::HeldRoom)
             checkForHeldRoom();
-        if (m_kind == search_kind::Copies)
+        if (m_kind == search_kind::Copies || m_kind == search_kind::Gangs)
             checkForUnfinishedJobs();
         const auto &checker = m_simulation.runChecker();
-        return {violations(), m_simulation.trace(), checker.startCount(), checker.copyCount(),
+        return {violations(),
+                m_simulation.trace(),
+                checker.startCount(),
+                checker.copyCount(),
+                m_simulation.gangChecker().aloneCount(),
                 m_simulation.finishedJobCount()};
     }
 
@@ -171,6 +180,8 @@
         auto found = m_simulation.runChecker().violations();
         const auto &stalls = m_stallChecker.violations();
         found.insert(found.end(), stalls.begin(), stalls.end());
+        const auto &gangs = m_simulation.gangChecker().violations();
+        found.insert(found.end(), gangs.begin(), gangs.end());
         const auto &heldRoom = m_heldRoomChecker.violations();
         found.insert(found.end(), heldRoom.begin(), heldRoom.end());
         found.insert(found.end(), m_unfinishedJobs.begin(), m_unfinishedJobs.end());
@@ -198,6 +209,8 @@
             return submitCopyable(name);
         if (m_kind == search_kind::SlowStops)
             return submitGang(name);
+        if (m_kind == search_kind::Gangs)
+            return submitWholeGang(name);
         m_simulation.submit(name, m_kind == search_kind::HeldRoom ? drawShortJob() : shortJob());
     }
 
@@ -217,6 +230,21 @@
                                   [this, name] { m_simulation.cancel(name); });
     }
 
+    // One gang after another; workers know its size by the name of its job.
+    void submitWholeGang(const std::string &name)
+    {
+        auto spec = shortJob();
+        for (auto &step : spec.steps) {
+            step.isGang = true;
+            step.count = gangSizeOf(name);
+            step.size.millicores = 1000 * randomBetween(1, 3);
+            step.maxPerWorker = drawChance(70) ? 1 : 2;
+        }
+        m_simulation.submit(name, spec);
+    }
+
+    static int gangSizeOf(const std::string &job) { return 2 + static_cast<int>(job.back()) % 2; }
+
     // Some of these jobs are cancelled, some while a task has two runs.
     void submitCopyable(const std::string &name)
     {
@@ -322,6 +350,7 @@
     static constexpr int JobCount = 40;
     static constexpr milliseconds FaultPeriod{25'000};
     static constexpr milliseconds FaultInterval{250};
+    static constexpr milliseconds RestartInterval{4500}; // longer than a gang waits for its members
 
     int randomBetween(int lowest, int highest)
     {
@@ -342,7 +371,8 @@
         if (m_kind == search_kind::Copies)
             return drawCopyableRun(task);
         const auto endKind = drawChance(90) ? jobs::end_kind::Done : jobs::end_kind::Failed;
-        return {randomSpan(100, 900), endKind};
+        const auto gangSize = m_kind == search_kind::Gangs ? gangSizeOf(task.job) : 0;
+        return {randomSpan(100, 900), endKind, gangSize};
     }
 
     // Tasks of a job take about as long, a few of its runs much longer; a few tasks mostly fail.
@@ -390,6 +420,8 @@
 
     delivery_odds oddsOf(delivery_kind what) const
     {
+        if (m_kind == search_kind::Gangs) // a lost stop would let members wait for cause
+            return {0, 10, 100, 0};
         switch (what) {
         case delivery_kind::Order:
             return {3, 10, 700, m_delaysOrders ? 2 : 0};
@@ -444,6 +476,50 @@
         });
     }
 
+    // Now and then a few processes restart at about the same time; all else is well.
+    void scheduleRestarts()
+    {
+        m_simulation.schedule(RestartInterval, [this] {
+            if (m_areFaultsOver)
+                return;
+            startDeadEntries();
+            for (int restarts = randomBetween(1, 3); restarts > 0; --restarts)
+                m_simulation.schedule(randomSpan(1, 700), [this] { restartSomething(); });
+            scheduleRestarts();
+        });
+    }
+
+    void restartSomething()
+    {
+        if (m_areFaultsOver)
+            return;
+        const auto kind = randomBetween(1, 100);
+        if (kind <= 40)
+            return restartAgent(randomAgent());
+        if (kind <= 60)
+            return m_simulation.reboot(randomWorker());
+        if (kind <= 80)
+            return m_simulation.rejectStarts(randomWorker(), randomSpan(200, 1500));
+        kind <= 92 ? m_simulation.beginShutdown(randomEntry()) : m_simulation.kill(randomEntry());
+    }
+
+    void startDeadEntries()
+    {
+        for (std::size_t index = 0; index < EntryCount; ++index) {
+            if (!m_simulation.entry(index).isAlive)
+                m_simulation.startEntry(m_simulation.entry(index));
+        }
+    }
+
+    void restartAgent(simulated_agent &agent)
+    {
+        m_simulation.kill(agent);
+        m_simulation.schedule(randomSpan(50, 500), [this, &agent] {
+            if (!agent.isAlive)
+                m_simulation.startAgent(agent);
+        });
+    }
+
     fault drawFault()
     {
         int totalWeight = 0;
--- a/tests/simulated_worker.h
+++ b/tests/simulated_worker.h
@@ -14,6 +14,7 @@
 
 #include "base/time.h"
 #include "jobs/run_table.h"
+#include "simulated_gangs.h"
 
 namespace zinniabarrow::tests {
 
@@ -22,6 +23,7 @@
 {
     milliseconds duration{300};
     jobs::end_kind endKind = jobs::end_kind::Done;
+    int gangSize = 0; // members of the task's gang; 0: it works by itself
 };
 using run_planner = std::function<run_plan(const jobs::task_id &task, int run)>;
 
@@ -61,9 +63,21 @@
         m_listsStopping = listsStopping;
     }
 
+    // The gangs of all workers of the cluster; called for each run that has ended as alone,
+    // with the time of its end.
+    void joinGangs(simulated_gangs &gangs,
+                   std::function<void(const jobs::task_id &, int, time_point)> onAlone)
+    {
+        m_gangs = &gangs;
+        m_onAlone = std::move(onAlone);
+    }
+
     // Keeps the name only: runs, ends, the numbers of ends, the fence and the hold are lost.
-    void reboot()
+    void reboot(time_point now)
     {
+        advance(now);
+        for (const auto &[key, run] : m_running)
+            leaveGang(key, run, now);
         m_running.clear();
         m_stopping.clear();
         m_ended.clear();
@@ -95,7 +109,9 @@
             return jobs::start_answer::Refused;
         const auto plan = m_planner(order.task, order.run);
         const auto factor = now < m_isSlowUntil ? m_slowFactor : 1;
-        m_running[key] = {now + factor * plan.duration, plan.endKind};
+        m_running[key] = {now + factor * plan.duration, plan.endKind, plan.gangSize > 0};
+        if (plan.gangSize > 0)
+            m_gangs->join(key.first, key.second, plan.gangSize, plan.duration, plan.endKind, now);
         hasStarted = true;
         return jobs::start_answer::Started;
     }
@@ -107,7 +123,10 @@
             return false;
         advance(now);
         const run_key key{order.task, order.run};
-        const bool ran = m_running.erase(key) > 0;
+        const auto running = m_running.extract(key);
+        const bool ran = !running.empty();
+        if (ran)
+            leaveGang(key, running.mapped(), now);
         if (ran && m_stopTime > milliseconds(0))
             m_stopping[key] = now + m_stopTime;
         else if (ran)
@@ -155,14 +174,20 @@
         });
         const bool isHoldExpired = m_deadlineMs > 0 && clockOf(now) > m_deadlineMs;
         for (auto at = m_running.begin(); at != m_running.end();) {
-            const auto &[key, run] = *at;
+            const auto &key = at->first;
+            auto &run = at->second;
+            applyGang(key, run, now);
             const bool isFinished =
                     run.endsAt <= now && (!isHoldExpired || clockOf(run.endsAt) <= m_deadlineMs);
             if (!isFinished && !isHoldExpired) {
                 ++at;
                 continue;
             }
+            if (!isFinished)
+                leaveGang(key, run, time_point(milliseconds(m_deadlineMs)));
             addEnded(key, isFinished ? run.endKind : jobs::end_kind::HoldExpired);
+            if (isFinished && run.endKind == jobs::end_kind::Alone)
+                m_onAlone(key.first, key.second, run.endsAt);
             recordFinished(key);
             at = m_running.erase(at);
         }
@@ -198,8 +223,26 @@
     {
         time_point endsAt{};
         jobs::end_kind endKind = jobs::end_kind::Done;
+        bool isGangMember = false;
     };
 
+    // Sets when and how the run of a gang's member ends.
+    void applyGang(const run_key &key, active_run &run, time_point now)
+    {
+        if (!run.isGangMember)
+            return;
+        const auto end = m_gangs->endOf(key.first, key.second, now);
+        run.endsAt = end ? end->at : time_point::max();
+        if (end)
+            run.endKind = end->endKind;
+    }
+
+    void leaveGang(const run_key &key, const active_run &run, time_point at)
+    {
+        if (run.isGangMember)
+            m_gangs->leave(key.first, key.second, at);
+    }
+
     bool acceptFence(std::int64_t fence)
     {
         if (fence < m_fence)
@@ -233,6 +276,8 @@
     std::string m_name;
     run_planner m_planner;
     std::map<run_key, active_run> m_running;
+    simulated_gangs *m_gangs = nullptr; // null: no task is a member of a gang
+    std::function<void(const jobs::task_id &, int, time_point)> m_onAlone;
     std::map<run_key, time_point> m_stopping; // when they have ended
     milliseconds m_stopTime{0};
     bool m_listsStopping = false;
