Agents: a worker's next incarnation may seem to have started earlier

Cause (by reading; no play has shown it): a worker that is restarted under another id, on a machine whose clock was set back meanwhile, names a start time before that of the incarnation before. Its announcements were dropped as late ones, each poll was answered that it is another one (421), and the agent sought its lease again without a pause, answering all orders with not_ready for good.

Change: after that answer nothing is assumed of the next incarnation: neither its id, nor that it started later. Polls expect no incarnation until it has announced itself, so that the first one settles the epoch, without waiting for an announcement.

Evidence: worker_presence_test another_incarnation_that_seems_to_have_started_earlier. The function is new, so the test does not build on the code before. The agent itself was not run with it in a test of its own.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -269,8 +269,10 @@
         if (isAnsweringAgain)
             m_leaseKeeper.renew();
         if (!holdAnswer) {
-            if (platform_wire::isOtherIncarnation(result))
+            if (platform_wire::isOtherIncarnation(result)) {
+                m_workerPresence.handleOtherIncarnation();
                 return handleIncarnationEnd("other_life");
+            }
             const auto *failure = std::get_if<call_failure>(&result);
             if (failure != nullptr && m_workerPresence.handlePollFailure(*failure))
                 handleDepartureConfirmed();
--- a/app/worker_presence.cpp
+++ b/app/worker_presence.cpp
@@ -75,6 +75,14 @@
     return poll_result::DepartureRefuted;
 }
 
+void worker_presence::handleOtherIncarnation()
+{
+    m_lastAnnouncement = {};
+    m_id.clear();
+    m_startTimeMs = 0;
+    resetAnnouncedState();
+}
+
 // Each incarnation numbers its announcements from the start, and what an earlier one said about
 // leaving or departing does not apply to it.
 void worker_presence::resetAnnouncedState()
--- a/app/worker_presence.h
+++ b/app/worker_presence.h
@@ -30,6 +30,10 @@
     // A poll sent at `sentAt` was answered. `workerStartMs`: start time of the worker's
     // incarnation in Unix ms, which identifies it; 0: not given.
     poll_result handlePollAnswer(std::int64_t workerStartMs, time_point sentAt);
+    // The worker has answered that it isn't the expected incarnation. Until the next one has
+    // announced itself, nothing is known of it: not its id, and not that it started later, since
+    // its machine's clock may have been set back.
+    void handleOtherIncarnation();
     // A poll has failed. True if that proves that a worker that announced its end is gone, and with
     // it all its runs; true only once for each departure.
     bool handlePollFailure(call_failure failure);
--- a/tests/worker_presence_test.cpp
+++ b/tests/worker_presence_test.cpp
@@ -166,3 +166,39 @@
         check(!worker.isLeaving());
     });
 }
+
+// Guards against a worker that is never used again, while its agent seeks its lease without a
+// pause: its machine was restarted and its clock set back, so that the worker has another id and an
+// earlier start time, and its announcements are taken for late ones of the earlier incarnation.
+Test(worker_presence, another_incarnation_that_seems_to_have_started_earlier)
+{
+    present_worker current;
+    auto next = announcementWith(1, StartTimeMs - 500);
+    next.id = "next-worker";
+    current.worker.handleOtherIncarnation();
+    check(!current.worker.isPresent());
+    check(current.worker.id().empty()); // polls expect no incarnation until it is known
+    section("its announcement counts", [&] {
+        auto worker = current.worker;
+        check(worker.handleAnnouncement(next) == presence_change::ReadinessChanged);
+        check(worker.isPresent());
+        check(worker.id() == "next-worker");
+        check(worker.incarnationName() == std::to_string(StartTimeMs - 500));
+    });
+    section("a poll may see it first", [&] {
+        auto worker = current.worker;
+        check(worker.handlePollAnswer(StartTimeMs - 500, current.now)
+              == poll_outcome::SameIncarnation);
+        check(worker.isIncarnationKnown());
+        check(!worker.isPresent());
+        check(worker.handleAnnouncement(next) == presence_change::ReadinessChanged);
+        check(worker.isPresent());
+    });
+    section("a delayed announcement of the one before is undone by the next answer", [&] {
+        auto worker = current.worker;
+        worker.handleAnnouncement(announcementWith(2));
+        worker.handleOtherIncarnation();
+        check(worker.handleAnnouncement(next) == presence_change::ReadinessChanged);
+        check(worker.id() == "next-worker");
+    });
+}
