Cancels: one that the owner may write is not refused

If the store doesn't answer, the owner can't answer either, and the entry, which then reads the row in vain, said 503: refused. The owner wrote the cancel once the store was back, and the caller found a job cancelled whose cancel had been refused.

Change: once an earlier try of the request may have written the cancel, the answer is 504, outcome unknown.

Test: process_jobs_test a_cancel_that_its_owner_may_write.

--- a/app/job_requests.cpp
+++ b/app/job_requests.cpp
@@ -379,7 +379,7 @@
     const auto *known = m_view.find(id);
     const auto *owner = known == nullptr ? nullptr : m_directory.find(known->summary.owner.entry);
     if (owner == nullptr || !m_directory.isAlive(known->summary.owner.entry, suspendAwareNow()))
-        return cancelInStore(id, answer);
+        return cancelInStore(id, answer, earlier_cancel::None);
     http_request request;
     request.method = "DELETE";
     request.target = "/v1/jobs/" + id;
@@ -388,7 +388,10 @@
                       const auto *response = std::get_if<http_response>(&result);
                       if (response != nullptr && response->status == 200)
                           return answer({200, {}, ""});
-                      cancelInStore(id, answer);
+                      const bool isRefused = wasNotExecuted(result)
+                                             || (response != nullptr && response->status == 404);
+                      cancelInStore(id, answer,
+                                    isRefused ? earlier_cancel::None : earlier_cancel::Unknown);
                   });
 }
 
@@ -397,7 +400,7 @@
     const auto token = m_writeCallbacks.add([this, id, respond](bool isStored) {
         if (isStored)
             return respond({200, {}, ""});
-        cancelInStore(id, respond);
+        cancelInStore(id, respond, earlier_cancel::Unknown);
     });
     m_jobController->cancel(id, token);
     m_hooks.onActionsReady();
@@ -405,11 +408,14 @@
 
 // Used when the owner can't be asked. Marks the job as cancelled in its row, where the owner, or
 // the entry that takes over, reads it.
-void job_requests::cancelInStore(const std::string &id, const responder &respond)
+void job_requests::cancelInStore(const std::string &id, const responder &respond,
+                                 earlier_cancel earlier)
 {
-    readJob(id, [this, id, respond](const std::optional<row_page> &page) {
+    readJob(id, [this, id, respond, earlier](const std::optional<row_page> &page) {
         if (!page)
-            return respond(storeUnreachableRefusal());
+            return respond(earlier == earlier_cancel::None
+                                   ? storeUnreachableRefusal()
+                                   : countedRefusal(504, "outcome_unknown"));
         if (page->rows.empty())
             return respond({410, {}, R"({"error":"unknown_job"})"});
         const auto &storedRow = page->rows.front();
@@ -433,7 +439,7 @@
                         write = record.writeId](const store_client::commit_outcome &outcome) {
                            if (wasWritten(outcome, write))
                                return respond({200, {}, ""});
-                           cancelInStore(id, respond);
+                           cancelInStore(id, respond, earlier_cancel::Unknown);
                        });
     });
 }
--- a/app/job_requests.h
+++ b/app/job_requests.h
@@ -104,7 +104,11 @@
     void readJob(const std::string &id, store_client::read_callback done);
     void cancel(const std::string &id, net::responder respond);
     void cancelOwned(const std::string &id, const net::responder &respond);
-    void cancelInStore(const std::string &id, const net::responder &respond);
+    // Whether an earlier try of the same request may have written the cancel, or may still do so:
+    // then it can't be refused any more.
+    enum class earlier_cancel { None, Unknown };
+    void cancelInStore(const std::string &id, const net::responder &respond,
+                       earlier_cancel earlier);
 
     std::string m_self;
     net::event_loop &m_loop;
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -495,6 +495,23 @@
     checkNoViolations(system, system.platform());
 }
 
+// Guards against a caller that is told that its cancel was refused, while the job's owner has it
+// and writes it later: the owner can't answer while the store is unreachable, and neither can the
+// entry that asked it read the job's row.
+Test(process_jobs, a_cancel_that_its_owner_may_write)
+{
+    system_under_test system;
+    system.platform().setTaskTime(milliseconds(60'000));
+    require(system.submit(0, "ffff000000000003"));
+    require(system.reachesState(1, "ffff000000000003", "running")); // it knows the owner
+    system.platform().setStoreUnavailable(true);
+    const auto answer = system.call(1, "DELETE", "ffff000000000003");
+    check(answer && answer->status == 504);
+    system.platform().setStoreUnavailable(false);
+    check(system.reachesState(1, "ffff000000000003", "cancelled"));
+    checkNoViolations(system, system.platform());
+}
+
 // Guards against connections that are closed without an answer by an entry that has been shutting
 // down for seconds. The entry was suspended when it had to decide whether requests were open:
 // requests were still unread in its sockets, or were read but not handled yet.
