Tests tell how a request without an answer ended; an agent's log counts its connections

A test that found a request without an answer could not say whether its connection was closed, reset or still open, and counted an answer that was late as closed. An agent's last line said nothing of its connections, so that a failure could not be traced from its log.

Requests of tests end as answered, closed, reset or timed out, and the daemon counts connections that it accepted, closed for its limit, and closed although bytes had arrived that it had not read (closed_unread). An agent logs these for each listener (connections_at_end) before "stopped", and how late its timers are; an entry adds them to "stopped". A connection is shut down for sending before the last look into its socket, so that nothing is counted that its caller sent after the end.

The check of a second answer in drain_closes_connections asks for an orderly close now, where a reset or a wait of 20 s was enough before.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -116,11 +116,7 @@
             m_metrics.count("callbacks_failed_total", "exception");
             m_log.writeEvent("callback_failed", {{"why", problem.what()}});
         });
-        m_log.writeAlways("stopped",
-                          {{"epoch", m_runTable.epoch()},
-                           {"runs", m_runTable.activeRunCount()},
-                           {"worker", m_workerPresence.isPresent() ? "present" : "absent"},
-                           {"lease_write_out", lease().isWritePending() ? "yes" : "no"}});
+        logStopped();
         m_log.flush();
     }
 
@@ -493,6 +489,34 @@
                 [this](shutdown_step step) { executeStep(step); }};
     }
 
+    // Logs what the end of the process cuts off, and how late its event loop was.
+    void logStopped()
+    {
+        logConnections("internal", m_internalListener);
+        logConnections("workers", m_workerListener);
+        m_log.writeAlways("stopped",
+                          {{"epoch", m_runTable.epoch()},
+                           {"runs", m_runTable.activeRunCount()},
+                           {"worker", m_workerPresence.isPresent() ? "present" : "absent"},
+                           {"lease_write_out", lease().isWritePending() ? "yes" : "no"},
+                           {"late_ms", millisecondsIn(m_loop.lateness())}});
+    }
+
+    void logConnections(const char *listenerName, const net::http_listener &listener)
+    {
+        const auto open = listener.activity();
+        const auto &totals = listener.totals();
+        m_log.writeAlways("connections_at_end", {{"listener", listenerName},
+                                                 {"accepted", totals.accepted},
+                                                 {"over_limit", totals.overLimit},
+                                                 {"closed_unread", totals.closedUnread},
+                                                 {"idle", open.idle},
+                                                 {"unread", open.unread},
+                                                 {"reading", open.reading},
+                                                 {"answering", open.answering},
+                                                 {"writing", open.writing}});
+    }
+
     void beginShutdown()
     {
         m_log.writeAlways("drain_started",
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -538,13 +538,17 @@
     {
         const auto callers = m_callerListener.activity();
         const auto internal = m_internalListener.activity();
-        m_log.writeAlways("stopped", {{"callers_unread", callers.unread},
-                                      {"callers_reading", callers.reading},
-                                      {"callers_answering", callers.answering},
-                                      {"callers_writing", callers.writing},
-                                      {"callers_idle", callers.idle},
-                                      {"internal_answering", internal.answering},
-                                      {"late_ms", millisecondsIn(m_loop.lateness())}});
+        m_log.writeAlways("stopped",
+                          {{"callers_unread", callers.unread},
+                           {"callers_reading", callers.reading},
+                           {"callers_answering", callers.answering},
+                           {"callers_writing", callers.writing},
+                           {"callers_idle", callers.idle},
+                           {"callers_over_limit", m_callerListener.totals().overLimit},
+                           {"callers_closed_unread", m_callerListener.totals().closedUnread},
+                           {"internal_answering", internal.answering},
+                           {"internal_closed_unread", m_internalListener.totals().closedUnread},
+                           {"late_ms", millisecondsIn(m_loop.lateness())}});
     }
 
     void beginShutdown()
--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -45,6 +45,7 @@
     tcp::acceptor acceptor;
     std::list<connection *> connections;
     std::size_t inFlight = 0;
+    listener_totals totals;
     bool isClosing = false;  // each connection closes after its next answer
     bool isDraining = false; // idle connections close as well, and no more are accepted
 };
@@ -128,7 +129,10 @@
         m_phase = connection_phase::Ended;
         m_readTimer.cancel();
         m_state->connections.erase(m_position);
-        beast::error_code ignored; // nothing is left to send
+        beast::error_code ignored; // the peer may have closed first; nothing is left to send
+        // Bytes that arrive later than this were sent on a connection that had ended.
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        m_state->totals.closedUnread += hasUnreadBytes() ? 1 : 0;
         m_stream.socket().close(ignored);
     }
 
@@ -259,11 +263,8 @@
         m_answer.reset();
         if (failure)
             return end();
-        if (!shouldKeepOpen) {
-            beast::error_code ignored; // the peer may have closed first; nothing is left to send
-            m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        if (!shouldKeepOpen)
             return end();
-        }
         readNextRequest();
     }
 
@@ -283,8 +284,11 @@
 
 void startConnection(tcp::socket socket, const std::shared_ptr<http_listener::shared_state> &state)
 {
-    if (state->connections.size() >= state->limits.connectionLimit)
+    ++state->totals.accepted;
+    if (state->connections.size() >= state->limits.connectionLimit) {
+        ++state->totals.overLimit;
         return;
+    }
     beast::error_code ignored; // failure only makes answers slower
     socket.set_option(tcp::no_delay(true), ignored);
     std::make_shared<connection>(std::move(socket), state)->readNextRequest();
@@ -398,6 +402,11 @@
     return counts;
 }
 
+const listener_totals &http_listener::totals() const
+{
+    return m_state->totals;
+}
+
 socket_address http_listener::address() const
 {
     const auto listenEndpoint = m_state->acceptor.local_endpoint();
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -34,6 +34,16 @@
     std::size_t writing = 0;   // an answer is being sent
 };
 
+// Numbers of connections since the listener was created.
+struct listener_totals
+{
+    std::size_t accepted = 0;
+    std::size_t overLimit = 0; // closed at once because of connectionLimit
+    // Closed by the listener although bytes had arrived that it had not read. If these are a
+    // request, its caller sees the connection end without an answer.
+    std::size_t closedUnread = 0;
+};
+
 // Answers one request. May be called within the handler or later, on the loop's thread; only the
 // first call has an effect.
 using responder = std::function<void(http_response)>;
@@ -60,6 +70,7 @@
     void answerAll(const http_response &answer); // answers every request that has no answer yet
     std::size_t inFlight() const;                // requests read but not answered yet
     listener_activity activity() const;
+    const listener_totals &totals() const;
     socket_address address() const;
 
     // The socket and the list of connections; connections and responders keep it alive. Public for
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -271,7 +271,7 @@
                        });
         check(server.runUntilDrained());
         check(caller.readAnswer() == 504);
-        check(caller.requestOutcome() == request_outcome::ClosedWithoutAnswer);
+        check(caller.requestOutcome() == request_outcome::Closed);
     });
 }
 
@@ -316,7 +316,7 @@
         check(server.runUntilDrained());
         int unanswered = 0;
         for (const auto &each : callers)
-            unanswered += each->requestOutcome() == request_outcome::ClosedWithoutAnswer ? 1 : 0;
+            unanswered += each->requestOutcome() != request_outcome::Answered ? 1 : 0;
         check(unanswered == 0);
     });
     section("a caller that sends nothing, or only a part, is disconnected", [&] {
--- a/tests/keep_alive_caller.h
+++ b/tests/keep_alive_caller.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <netinet/in.h>
 #include <optional>
 #include <poll.h>
@@ -11,12 +12,25 @@
 #include <unistd.h>
 #include <utility>
 
+#include "base/names.h"
 #include "runtime/http.h"
 
 namespace zinniabarrow::tests {
 
 // The outcome of a request. The server may have closed the connection before it was sent.
-enum class request_outcome { Answered, ClosedWithoutAnswer };
+enum class request_outcome {
+    Answered,
+    Closed,  // the server ended the connection in order, without a complete answer
+    Reset,   // the connection was reset: the server had closed it before it read all bytes
+    TimedOut // the connection is still open
+};
+
+inline constexpr name_table<request_outcome, 4> RequestOutcomeNames{{
+        {request_outcome::Answered, "answered"},
+        {request_outcome::Closed, "closed"},
+        {request_outcome::Reset, "reset"},
+        {request_outcome::TimedOut, "timed_out"},
+}};
 
 class keep_alive_caller
 {
@@ -87,8 +101,10 @@
     }
 
     // Reads the next answer; returns its status, or nullopt if it does not arrive completely.
+    // requestOutcome() returns why.
     std::optional<int> readAnswer()
     {
+        m_outcome = request_outcome::Answered;
         while (answerBytes() == 0) {
             const auto more = readSome();
             if (more.empty()) {
@@ -108,9 +124,11 @@
     // The last time at which the connection was seen open, during readAnswer() or staysOpenFor().
     time_point lastSeenOpenAt() const { return m_lastSeenOpenAt; }
 
+    // Reads the next answer and returns how its request ended.
     request_outcome requestOutcome()
     {
-        return readAnswer() ? request_outcome::Answered : request_outcome::ClosedWithoutAnswer;
+        readAnswer();
+        return m_outcome;
     }
 
 private:
@@ -129,7 +147,8 @@
         return m_unparsed.size() >= bytes ? bytes : 0;
     }
 
-    // Returns an empty string when the connection is closed or nothing arrives within ReadTimeout.
+    // Returns an empty string, and sets m_outcome, when the connection is closed or nothing arrives
+    // within ReadTimeout.
     std::string readSome()
     {
         constexpr milliseconds ReadTimeout{20'000};
@@ -140,12 +159,16 @@
              poll(&pollEntry, 1, static_cast<int>(PollInterval.count())) == 0;
              now = monotonic_clock::now()) {
             m_lastSeenOpenAt = now;
-            if (now > giveUpAt)
+            if (now > giveUpAt) {
+                m_outcome = request_outcome::TimedOut;
                 return {};
+            }
         }
         const auto receivedBytes = recv(m_socket, buffer, sizeof buffer, 0);
-        return receivedBytes <= 0 ? std::string{}
-                                  : std::string(buffer, static_cast<std::size_t>(receivedBytes));
+        if (receivedBytes > 0)
+            return std::string(buffer, static_cast<std::size_t>(receivedBytes));
+        m_outcome = receivedBytes == 0 ? request_outcome::Closed : request_outcome::Reset;
+        return {};
     }
 
     static constexpr milliseconds PollInterval{5};
@@ -156,6 +179,7 @@
     bool m_isCloseAnnounced = false; // the last answer had "Connection: close"
     std::string m_unparsed;          // bytes after the answers that were returned
     std::string m_answer;
+    request_outcome m_outcome = request_outcome::Answered; // of the last readAnswer()
     time_point m_lastSeenOpenAt{};
 };
 
--- a/tests/process_jobs_test.cpp
+++ b/tests/process_jobs_test.cpp
@@ -45,13 +45,18 @@
         for (const auto &each : m_clients)
             require(each->send(method, path, body));
     }
-    // The number of requests whose connections were closed without an answer.
-    int cutOffCount() const
+    // The number of requests that got no answer.
+    int unansweredCount() const
     {
-        return static_cast<int>(
-                std::count_if(m_clients.begin(), m_clients.end(), [](const auto &each) {
-                    return each->requestOutcome() == request_outcome::ClosedWithoutAnswer;
-                }));
+        int count = 0;
+        for (std::size_t index = 0; index < m_clients.size(); ++index) {
+            const auto outcome = m_clients[index]->requestOutcome();
+            count += outcome != request_outcome::Answered ? 1 : 0;
+            if (outcome != request_outcome::Answered)
+                fmt::print(stderr, "{}: client {} of {} of {}: {}\n", sectionName(), index + 1,
+                           m_clients.size(), m_server, nameOf(RequestOutcomeNames, outcome));
+        }
+        return count;
     }
 
 private:
@@ -534,7 +539,7 @@
     section("each request is answered nevertheless", [&] {
         int cutOffCount = 0;
         for (const auto &caller : callers)
-            cutOffCount += caller->requestOutcome() == request_outcome::ClosedWithoutAnswer ? 1 : 0;
+            cutOffCount += caller->requestOutcome() != request_outcome::Answered ? 1 : 0;
         check(cutOffCount == 0);
     });
     check(system.entry(0).waitForExit(WaitLimit) == 0);
@@ -602,7 +607,7 @@
         send(orderClients, announcementClients);
         system.agent(0).signal(SIGTERM);
         system.agent(0).signal(SIGCONT);
-        check(orderClients.cutOffCount() + announcementClients.cutOffCount() == 0);
+        check(orderClients.unansweredCount() + announcementClients.unansweredCount() == 0);
         check(system.agent(0).waitForExit(WaitLimit) == 0);
     });
     section("the agent is suspended until after the time limit for the last write of its lease",
@@ -620,7 +625,7 @@
                 send(orderClients, announcementClients);
                 std::this_thread::sleep_for(milliseconds(1000));
                 system.agent(1).signal(SIGCONT);
-                check(orderClients.cutOffCount() + announcementClients.cutOffCount() == 0);
+                check(orderClients.unansweredCount() + announcementClients.unansweredCount() == 0);
                 check(system.agent(1).waitForExit(WaitLimit) == 0);
             });
     system.platform().setStoreUnavailable(false);
@@ -659,7 +664,7 @@
         callers.send("GET", "/holds/");
         system.entry(0).signal(SIGTERM);
         system.entry(0).signal(SIGCONT);
-        check(callers.cutOffCount() == 0);
+        check(callers.unansweredCount() == 0);
         check(system.entry(0).waitForExit(WaitLimit) == 0);
     };
     section("the signal comes as soon as it accepts connections", [&] {
@@ -733,7 +738,7 @@
         system.entry(0).signal(SIGCONT);
         system.entry(0).signal(SIGTERM);
         system.entry(0).signal(SIGHUP);
-        check(callers.cutOffCount() == 0);
+        check(callers.unansweredCount() == 0);
         check(system.entry(0).waitForExit(WaitLimit) == 0);
     });
     section("answers of the store are lost", [&] {
@@ -744,7 +749,7 @@
         system.platform().loseWriteAnswers(40);
         callers.send("POST", "/holds/fffd000000000001", Job);
         system.entry(0).signal(SIGTERM);
-        check(callers.cutOffCount() == 0);
+        check(callers.unansweredCount() == 0);
         check(system.entry(0).waitForExit(WaitLimit) == 0);
         system.platform().loseWriteAnswers(0);
     });
@@ -766,7 +771,7 @@
     callers.send("GET", "/holds/");
     system.entry(0).signal(SIGTERM);
     system.entry(0).signal(SIGCONT);
-    check(callers.cutOffCount() == 0);
+    check(callers.unansweredCount() == 0);
     check(system.entry(0).waitForExit(WaitLimit) == 0);
     checkNoViolations(system, system.platform());
 }
--- a/tests/process_requests_test.cpp
+++ b/tests/process_requests_test.cpp
@@ -135,7 +135,7 @@
         process.signal(SIGCONT);
         int cutOffCount = 0;
         for (const auto &caller : callers)
-            cutOffCount += caller->requestOutcome() == request_outcome::ClosedWithoutAnswer ? 1 : 0;
+            cutOffCount += caller->requestOutcome() != request_outcome::Answered ? 1 : 0;
         check(cutOffCount == 0);
         check(process.waitForExit(WaitLimit) == 0);
     };
