A request whose callback throws is answered with 500

Callers saw their connection end without an answer: when a handler, or a later callback that held the responder, threw an exception, the responder was destroyed, and the connection with it. The request counted as open for ever, so that each planned stop of that process took the whole time limit for handing over.

A responder that is destroyed without an answer has its request answered with 500. Without the change, both sections of requests_whose_callback_throws fail (no answer, inFlight() is 1).

--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -122,6 +122,29 @@
     }
 
 private:
+    // The answer to one request, held by its responder. A responder that is destroyed without an
+    // answer, because a callback threw, would leave the connection to be closed without one.
+    class pending_answer
+    {
+    public:
+        pending_answer(std::shared_ptr<connection> owner, std::uint64_t requestNumber)
+            : m_connection(std::move(owner))
+            , m_requestNumber(requestNumber)
+        { }
+        ~pending_answer() { m_connection->handleUnanswered(m_requestNumber); }
+        pending_answer(const pending_answer &) = delete;
+        pending_answer &operator=(const pending_answer &) = delete;
+
+        void give(http_response answer)
+        {
+            m_connection->handleAnswer(m_requestNumber, std::move(answer));
+        }
+
+    private:
+        std::shared_ptr<connection> m_connection;
+        std::uint64_t m_requestNumber;
+    };
+
     void end()
     {
         if (m_phase == connection_phase::Ended)
@@ -217,11 +240,10 @@
         shrinkLargeBuffer(m_buffer);
         ++m_state->inFlight;
         m_phase = connection_phase::Answering;
-        auto self = shared_from_this();
-        m_state->serve(std::move(request),
-                       [self, requestNumber = ++m_requestNumber](http_response answer) {
-                           self->handleAnswer(requestNumber, std::move(answer));
-                       });
+        auto pending = std::make_shared<pending_answer>(shared_from_this(), ++m_requestNumber);
+        m_state->serve(std::move(request), [pending = std::move(pending)](http_response answer) {
+            pending->give(std::move(answer));
+        });
     }
 
     // Ignores all but the first answer to the current request.
@@ -233,6 +255,17 @@
         write(std::move(answer));
     }
 
+    // Posted to the loop, because an exception may be on its way through the caller.
+    void handleUnanswered(std::uint64_t requestNumber)
+    {
+        if (requestNumber != m_requestNumber || m_phase != connection_phase::Answering
+            || m_state->loop.isStopped())
+            return;
+        m_state->loop.post([self = shared_from_this(), requestNumber] {
+            self->handleAnswer(requestNumber, {500, {}, R"({"error":"internal"})"});
+        });
+    }
+
     void write(http_response answer)
     {
         m_phase = connection_phase::Writing;
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -45,7 +45,7 @@
 };
 
 // Answers one request. May be called within the handler or later, on the loop's thread; only the
-// first call has an effect.
+// first call has an effect. The caller gets 500 if all copies are destroyed without a call.
 using responder = std::function<void(http_response)>;
 
 class http_listener
