--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -45,6 +45,7 @@
     tcp::acceptor acceptor;
     std::list<connection *> connections;
     std::size_t inFlight = 0;
+    listener_totals totals;
     bool isClosing = false;  // each connection closes after its next answer
     bool isDraining = false; // idle connections close as well, and no more are accepted
 };
@@ -58,6 +59,10 @@
 // trips.
 constexpr milliseconds FirstRequestTimeout{100};
 
+// Time until the next try when no connection can be accepted, e.g. because the process has too many
+// open files. Without a pause, the tries would take all processor time.
+constexpr milliseconds AcceptRetryDelay{20};
+
 enum class connection_phase { Idle, Reading, Answering, Writing, Ended };
 
 class connection : public std::enable_shared_from_this<connection>
@@ -121,6 +126,29 @@
     }
 
 private:
+    // The answer to one request, held by its responder. A responder that is destroyed without an
+    // answer, because a callback threw, would leave the connection to be closed without one.
+    class pending_answer
+    {
+    public:
+        pending_answer(std::shared_ptr<connection> owner, std::uint64_t requestNumber)
+            : m_connection(std::move(owner))
+            , m_requestNumber(requestNumber)
+        { }
+        ~pending_answer() { m_connection->handleUnanswered(m_requestNumber); }
+        pending_answer(const pending_answer &) = delete;
+        pending_answer &operator=(const pending_answer &) = delete;
+
+        void give(http_response answer)
+        {
+            m_connection->handleAnswer(m_requestNumber, std::move(answer));
+        }
+
+    private:
+        std::shared_ptr<connection> m_connection;
+        std::uint64_t m_requestNumber;
+    };
+
     void end()
     {
         if (m_phase == connection_phase::Ended)
@@ -128,7 +156,10 @@
         m_phase = connection_phase::Ended;
         m_readTimer.cancel();
         m_state->connections.erase(m_position);
-        beast::error_code ignored; // nothing is left to send
+        beast::error_code ignored; // the peer may have closed first; nothing is left to send
+        // Bytes that arrive later than this were sent on a connection that had ended.
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        m_state->totals.closedUnread += hasUnreadBytes() ? 1 : 0;
         m_stream.socket().close(ignored);
     }
 
@@ -213,11 +244,10 @@
         shrinkLargeBuffer(m_buffer);
         ++m_state->inFlight;
         m_phase = connection_phase::Answering;
-        auto self = shared_from_this();
-        m_state->serve(std::move(request),
-                       [self, requestNumber = ++m_requestNumber](http_response answer) {
-                           self->handleAnswer(requestNumber, std::move(answer));
-                       });
+        auto pending = std::make_shared<pending_answer>(shared_from_this(), ++m_requestNumber);
+        m_state->serve(std::move(request), [pending = std::move(pending)](http_response answer) {
+            pending->give(std::move(answer));
+        });
     }
 
     // Ignores all but the first answer to the current request.
@@ -229,6 +259,17 @@
         write(std::move(answer));
     }
 
+    // Posted to the loop, because an exception may be on its way through the caller.
+    void handleUnanswered(std::uint64_t requestNumber)
+    {
+        if (requestNumber != m_requestNumber || m_phase != connection_phase::Answering
+            || m_state->loop.isStopped())
+            return;
+        m_state->loop.post([self = shared_from_this(), requestNumber] {
+            self->handleAnswer(requestNumber, {500, {}, R"({"error":"internal"})"});
+        });
+    }
+
     void write(http_response answer)
     {
         m_phase = connection_phase::Writing;
@@ -259,11 +300,8 @@
         m_answer.reset();
         if (failure)
             return end();
-        if (!shouldKeepOpen) {
-            beast::error_code ignored; // the peer may have closed first; nothing is left to send
-            m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        if (!shouldKeepOpen)
             return end();
-        }
         readNextRequest();
     }
 
@@ -283,13 +321,31 @@
 
 void startConnection(tcp::socket socket, const std::shared_ptr<http_listener::shared_state> &state)
 {
-    if (state->connections.size() >= state->limits.connectionLimit)
+    ++state->totals.accepted;
+    if (state->connections.size() >= state->limits.connectionLimit) {
+        ++state->totals.overLimit;
         return;
+    }
     beast::error_code ignored; // failure only makes answers slower
     socket.set_option(tcp::no_delay(true), ignored);
     std::make_shared<connection>(std::move(socket), state)->readNextRequest();
 }
 
+bool isOutOfResources(const beast::error_code &failure)
+{
+    return failure == asio::error::no_descriptors || failure == asio::error::no_memory
+           || failure == asio::error::no_buffer_space
+           || failure == beast::errc::too_many_files_open_in_system;
+}
+
+void acceptNext(const std::shared_ptr<http_listener::shared_state> &state);
+
+void acceptLater(const std::shared_ptr<http_listener::shared_state> &state)
+{
+    ++state->totals.acceptRetries;
+    state->loop.runAfter(AcceptRetryDelay, [state] { acceptNext(state); });
+}
+
 // Accepts the established connections that still wait; later ones are refused.
 void acceptRemaining(const std::shared_ptr<http_listener::shared_state> &state)
 {
@@ -300,18 +356,23 @@
         if (!failure)
             startConnection(std::move(socket), state);
     } while (!failure || failure == asio::error::connection_aborted);
+    if (isOutOfResources(failure))
+        return acceptLater(state);
     state->acceptor.close(failure);
 }
 
 void acceptNext(const std::shared_ptr<http_listener::shared_state> &state)
 {
+    if (!state->acceptor.is_open())
+        return;
+    if (state->isDraining)
+        return acceptRemaining(state);
     state->acceptor.async_accept([state](const beast::error_code &failure, tcp::socket socket) {
+        if (isOutOfResources(failure))
+            return acceptLater(state);
         if (!failure)
             startConnection(std::move(socket), state);
-        if (state->isDraining && state->acceptor.is_open())
-            return acceptRemaining(state);
-        if (state->acceptor.is_open())
-            acceptNext(state);
+        acceptNext(state);
     });
 }
 
@@ -398,6 +459,11 @@
     return counts;
 }
 
+const listener_totals &http_listener::totals() const
+{
+    return m_state->totals;
+}
+
 socket_address http_listener::address() const
 {
     const auto listenEndpoint = m_state->acceptor.local_endpoint();
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -2,8 +2,13 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
+#include <sys/resource.h>
+#include <sys/syscall.h>
 #include <thread>
+#include <unistd.h>
+#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -59,6 +64,8 @@
     explicit draining_server(const net::listener_limits &limits = {})
         : m_listener(m_loop, {"127.0.0.1", 0}, limits,
                      [this](const http_request &request, net::responder respond) {
+                         if (request.target == "/throw")
+                             throw std::runtime_error("planted");
                          if (request.target == "/slow")
                              m_openResponders.push_back(std::move(respond));
                          else
@@ -115,8 +122,45 @@
     net::http_listener m_listener;
 };
 
+// Called before the next shutdown() of a socket, with which the server ends a connection.
+std::function<void()> &beforeNextShutdown()
+{
+    static std::function<void()> planted;
+    return planted;
+}
+
+// Lets the process open no more files until it is destroyed.
+class full_file_table
+{
+public:
+    full_file_table()
+    {
+        getrlimit(RLIMIT_NOFILE, &m_before);
+        const int nextFree = dup(STDIN_FILENO);
+        close(nextFree);
+        rlimit limit = m_before;
+        limit.rlim_cur = static_cast<rlim_t>(nextFree);
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+    ~full_file_table() { setrlimit(RLIMIT_NOFILE, &m_before); }
+    full_file_table(const full_file_table &) = delete;
+    full_file_table &operator=(const full_file_table &) = delete;
+
+private:
+    rlimit m_before{};
+};
+
 } // namespace
 
+// Replaces the function of the C library in this program, to plant events between the server's last
+// look into a socket and the end of the connection.
+extern "C" int shutdown(int socket, int how) noexcept
+{
+    if (const auto planted = std::exchange(beforeNextShutdown(), nullptr))
+        planted();
+    return static_cast<int>(syscall(SYS_shutdown, socket, how));
+}
+
 // A caller sends a body above the limit, and its first bytes arrive together with the head. Guards
 // against closing the connection without an answer, and against accepting a body of any size.
 Test(http_listener, large_requests)
@@ -227,6 +271,35 @@
     });
 }
 
+// Guards against a request that gets no answer and leaves no trace in the daemon's log: it was sent
+// after the server's last look into the socket, and before its caller could see the end of the
+// connection. No server can answer it, but it must be counted.
+Test(http_listener, requests_between_the_last_look_and_the_close)
+{
+    for (const bool wasUsed : {false, true}) {
+        draining_server server;
+        keep_alive_caller caller(server.address());
+        keep_alive_caller other(server.address());
+        if (wasUsed)
+            caller.send("GET", "/quick");
+        server.runWhen([&] { return !wasUsed || !caller.isOpen(); },
+                       [&] {
+                           check(!wasUsed || caller.readAnswer() == 200);
+                           server.runWhenIdle(2, [&] {
+                               beforeNextShutdown() = [&] {
+                                   check(caller.isOpen());
+                                   caller.send("POST", "/quick", "body");
+                               };
+                               server.listener().drain();
+                           });
+                       });
+        check(server.runUntilDrained());
+        check(caller.requestOutcome() == request_outcome::Closed);
+        check(server.listener().totals().closedUnread == 1);
+        check(server.listener().totals().accepted == 2);
+    }
+}
+
 // Guards against connections that stay open although the server no longer reads from them: callers
 // would wait for answers until their deadlines.
 Test(http_listener, drain_closes_connections)
@@ -271,7 +344,7 @@
                        });
         check(server.runUntilDrained());
         check(caller.readAnswer() == 504);
-        check(caller.requestOutcome() == request_outcome::ClosedWithoutAnswer);
+        check(caller.requestOutcome() == request_outcome::Closed);
     });
 }
 
@@ -330,3 +403,81 @@
         check(server.runUntilDrained());
     });
 }
+
+// Guards against a connection that is closed without an answer, and a request that counts as open
+// for ever, because a callback threw before it had answered the request.
+Test(http_listener, requests_whose_callback_throws)
+{
+    section("the handler throws", [] {
+        draining_server server;
+        keep_alive_caller caller(server.address());
+        caller.send("GET", "/throw");
+        server.runWhen([&] { return !caller.isOpen(); }, [&] { server.listener().drain(); });
+        check(server.runUntilDrained());
+        check(caller.readAnswer() == 500);
+        check(server.listener().inFlight() == 0);
+    });
+    section("a later callback throws, and its responder is lost", [] {
+        draining_server server;
+        keep_alive_caller caller(server.address());
+        caller.send("GET", "/slow");
+        server.runWhen([&] { return server.openResponders().size() == 1; },
+                       [&] {
+                           server.runWhen([&] { return !caller.isOpen(); },
+                                          [&] { server.listener().drain(); });
+                           const auto respond = std::move(server.openResponders()[0]);
+                           server.openResponders().clear();
+                           throw std::runtime_error("planted");
+                       });
+        check(server.runUntilDrained());
+        check(caller.readAnswer() == 500);
+        check(server.listener().inFlight() == 0);
+    });
+}
+
+// Guards against a server that takes all processor time, or resets the connections that wait to be
+// accepted, because the process can open no more files.
+Test(http_listener, connections_while_the_file_table_is_full)
+{
+    section("a server waits before it tries again, and answers once there is room", [] {
+        draining_server server;
+        std::optional<keep_alive_caller> caller;
+        std::optional<full_file_table> fullTable;
+        time_point fullSince;
+        server.runWhenIdle(0, [&] {
+            caller.emplace(server.address());
+            caller->send("POST", "/quick", "body");
+            fullTable.emplace();
+            fullSince = monotonic_clock::now();
+            server.runAfter(milliseconds(300), [&] {
+                constexpr milliseconds ShortestPause{10};
+                const auto longestPlausible = (monotonic_clock::now() - fullSince) / ShortestPause;
+                const auto retries = server.listener().totals().acceptRetries;
+                check(retries > 0);
+                check(retries <= static_cast<std::size_t>(longestPlausible));
+                fullTable.reset();
+                server.runWhen([&] { return !caller->isOpen(); },
+                               [&] { server.listener().drain(); });
+            });
+        });
+        check(server.runUntilDrained());
+        check(caller->readAnswer() == 200);
+    });
+    section("a server that drains answers those who wait once there is room", [] {
+        draining_server server;
+        std::vector<std::unique_ptr<keep_alive_caller>> callers;
+        std::optional<full_file_table> fullTable;
+        server.runWhenIdle(0, [&] {
+            for (int each = 0; each < 3; ++each) {
+                callers.push_back(std::make_unique<keep_alive_caller>(server.address()));
+                callers.back()->send("POST", "/quick", "body");
+            }
+            fullTable.emplace();
+            server.listener().drain();
+            server.runAfter(milliseconds(100), [&] { fullTable.reset(); });
+        });
+        check(server.runUntilDrained());
+        for (const auto &caller : callers)
+            check(caller->readAnswer() == 200);
+    });
+}
--- a/tests/keep_alive_caller.h
+++ b/tests/keep_alive_caller.h
@@ -12,18 +12,26 @@
 #include <unistd.h>
 #include <utility>
 
+#include "base/names.h"
 #include "runtime/http.h"
 
 namespace zinniabarrow::tests {
 
-// The outcome of a request. The server may have closed or reset the connection before it was sent.
+// The outcome of a request. The server may have closed the connection before it was sent.
 enum class request_outcome {
     Answered,
-    ClosedWithoutAnswer, // in order: the server had read all that had arrived
-    ResetWithoutAnswer,
+    Closed,  // the server ended the connection in order, without a complete answer
+    Reset,   // the connection was reset: the server had closed it before it read all bytes
     TimedOut // the connection is still open
 };
 
+inline constexpr name_table<request_outcome, 4> RequestOutcomeNames{{
+        {request_outcome::Answered, "answered"},
+        {request_outcome::Closed, "closed"},
+        {request_outcome::Reset, "reset"},
+        {request_outcome::TimedOut, "timed_out"},
+}};
+
 class keep_alive_caller
 {
 public:
@@ -118,6 +126,7 @@
     // The last time at which the connection was seen open, during readAnswer() or staysOpenFor().
     time_point lastSeenOpenAt() const { return m_lastSeenOpenAt; }
 
+    // Reads the next answer and returns how its request ended.
     request_outcome requestOutcome()
     {
         readAnswer();
@@ -155,9 +164,9 @@
         }
         const auto receivedBytes = recv(m_socket, buffer, sizeof buffer, 0);
         if (receivedBytes < 0)
-            return request_outcome::ResetWithoutAnswer;
+            return request_outcome::Reset;
         if (receivedBytes == 0)
-            return request_outcome::ClosedWithoutAnswer;
+            return request_outcome::Closed;
         m_unparsed.append(buffer, static_cast<std::size_t>(receivedBytes));
         return request_outcome::Answered;
     }
@@ -171,6 +180,7 @@
     bool m_isCloseAnnounced = false; // the last answer had "Connection: close"
     std::string m_unparsed;          // bytes after the answers that were returned
     std::string m_answer;
+    request_outcome m_outcome = request_outcome::Answered; // of the last readAnswer()
     time_point m_lastSeenOpenAt{};
     request_outcome m_outcome = request_outcome::Answered; // of the last readAnswer()
 };
--- a/tests/soak/load.cpp
+++ b/tests/soak/load.cpp
@@ -163,7 +163,7 @@
     void noteUnanswered(std::uint64_t request, time_point sentAt)
     {
         auto how = connection_end::Closed;
-        if (m_connection.outcome() == request_outcome::ResetWithoutAnswer)
+        if (m_connection.outcome() == request_outcome::Reset)
             how = connection_end::Reset;
         if (m_connection.outcome() == request_outcome::TimedOut)
             how = connection_end::TimedOut;
