--- a/tests/process_soak_test.cpp
+++ b/tests/process_soak_test.cpp
@@ -6,6 +6,7 @@
 // All variation is drawn from a seed; odd seeds draw planned stops only. ZB_SOAK_SEED=N runs one
 // seed, ZB_SOAK_SEEDS=A-B a range. ZB_SOAK_SECONDS: length of the faults. ZB_SOAK_LOGS=FOLDER keeps
 // the logs and the timeline of a seed that breaks a promise.
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
@@ -49,6 +50,14 @@
     return seed % 2 == 1;
 }
 
+template <typename Event>
+std::ptrdiff_t countOf(const std::vector<timeline_item> &items)
+{
+    return std::count_if(items.begin(), items.end(), [](const timeline_item &item) {
+        return std::holds_alternative<Event>(item.event);
+    });
+}
+
 class process_soak
 {
 public:
@@ -87,10 +96,14 @@
 
     std::string summary() const
     {
-        return fmt::format("seed {}{}: {} items, {} jobs accepted, {} stops killed, {} broken",
-                           m_seed, hasPlannedStopsOnly(m_seed) ? " (planned stops)" : "",
-                           m_record.items().size(), m_load.acceptedCount(),
-                           m_disruptor.killedStops(), m_broken.size());
+        const auto items = m_record.items();
+        return fmt::format(
+                "seed {}{}: {} requests, {} without an answer, {} jobs accepted, {} runs, "
+                "{} disruptions, {} stops killed; {} broken",
+                m_seed, hasPlannedStopsOnly(m_seed) ? " (planned stops)" : "",
+                countOf<request_sent>(items), countOf<request_unanswered>(items),
+                m_load.acceptedCount(), countOf<run_started>(items), countOf<fault_noted>(items),
+                m_disruptor.killedStops(), m_broken.size());
     }
 
     void keepLogs(const std::string &folder) const
