--- a/tests/soak/links.cpp
+++ b/tests/soak/links.cpp
@@ -70,10 +70,11 @@
 {
     for (const auto &defined : definitions) {
         standins::caller_lookup lookup;
-        if (defined.from == AnyCaller)
+        if (defined.from == AnyCaller) {
             lookup = [this](const socket_address &callerEnd, const socket_address &linkEnd) {
                 return callerAt(callerEnd, linkEnd);
             };
+        }
         m_links.push_back(std::unique_ptr<relayed_link>(
                 new relayed_link{defined.from,
                                  defined.to,
