--- a/tests/keep_alive_caller.h
+++ b/tests/keep_alive_caller.h
@@ -182,7 +182,6 @@
     std::string m_answer;
     request_outcome m_outcome = request_outcome::Answered; // of the last readAnswer()
     time_point m_lastSeenOpenAt{};
-    request_outcome m_outcome = request_outcome::Answered; // of the last readAnswer()
 };
 
 } // namespace zinniabarrow::tests
