--- a/tests/soak/history.cpp
+++ b/tests/soak/history.cpp
@@ -128,7 +128,9 @@
         if (!fault.isBegin)
             return;
         const bool isPlanned = isOneOf(fault.kind, {"SIGTERM", "SIGHUP", "start"});
-        const bool isMoment = isOneOf(fault.kind, {"SIGHUP", "start", "SIGCONT", "worker_started"});
+        const bool isMoment =
+                isOneOf(fault.kind, {"SIGHUP", "start", "SIGCONT", "worker_started", "link_reset",
+                                     "link_reset_at_caller", "link_reset_at_target"});
         m_history.disturbances.push_back(
                 {fault.kind, fault.target, at, isMoment ? at : Never, isPlanned});
     }
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -3,11 +3,11 @@
 // Faults are known by their kinds: "SIGTERM", "SIGKILL", "SIGSTOP", "SIGCONT", "SIGHUP" and "start"
 // of a process; "store_unavailable", "store_silent", "store_slow" and "store_answers_lost" of the
 // store; "worker_leaving", "worker_ended", "worker_hung" and "worker_started" of a worker;
-// "link_slow", "link_cut", "link_silent" and "link_answers_dropped" of a link, whose target is
-// "entry-0>store". A process is disturbed from SIGSTOP to SIGCONT and from SIGKILL to its start, a
-// worker from its end to its start. Two kinds are no faults: "exit" of a process that ends by
-// itself excuses nothing, and after "lease_lapsed" of a worker its ends before that count for
-// nothing.
+// "link_reset", "link_reset_at_caller" and "link_reset_at_target", at one moment, and other faults
+// with a begin and an end, of a link, whose target is "entry-0>store". A process is disturbed from
+// SIGSTOP to SIGCONT and from SIGKILL to its start, a worker from its end to its start. Two kinds
+// are no faults: "exit" of a process that ends by itself excuses nothing, and after "lease_lapsed"
+// of a worker its ends before that count for nothing.
 #pragma once
 
 #include <cstdint>
--- a/tests/soak_promises_test.cpp
+++ b/tests/soak_promises_test.cpp
@@ -306,6 +306,11 @@
         check(counts.longRunningTasks == 1);
         check(counts.calm == milliseconds(12'500 - 4000 + 27'105 - 17'000));
     });
+    section("the same after links were reset, which has no end", [&] {
+        check(countUpTo(27'100, "link_reset").finishedJobs == 1);
+        check(countUpTo(27'100, "link_reset_at_caller").finishedJobs == 1);
+        check(countUpTo(27'100, "link_reset_at_target").finishedJobs == 1);
+    });
     section("no job that still has time to end", [&] {
         const auto counts = countUpTo(26'900, nullptr);
         check(counts.finishedJobs == 0);
