--- a/app/job_requests.cpp
+++ b/app/job_requests.cpp
@@ -412,10 +412,11 @@
                                  earlier_cancel earlier)
 {
     readJob(id, [this, id, respond, earlier](const std::optional<row_page> &page) {
-        if (!page)
+        if (!page) {
             return respond(earlier == earlier_cancel::None
                                    ? storeUnreachableRefusal()
                                    : countedRefusal(504, "outcome_unknown"));
+        }
         if (page->rows.empty())
             return respond({410, {}, R"({"error":"unknown_job"})"});
         const auto &storedRow = page->rows.front();
