--- a/libs/net/event_loop.cpp
+++ b/libs/net/event_loop.cpp
@@ -57,11 +57,6 @@
     m_impl->io.stop();
 }
 
-bool event_loop::isStopped() const
-{
-    return m_impl->io.stopped();
-}
-
 void event_loop::post(std::function<void()> work)
 {
     asio::post(m_impl->io, std::move(work));
--- a/libs/net/event_loop.h
+++ b/libs/net/event_loop.h
@@ -37,7 +37,6 @@
     // unreadable message must not end the process and everything that it owns.
     void run(const std::function<void(const std::exception &)> &onError);
     void stop(); // call from a callback
-    bool isStopped() const;
     void post(std::function<void()> work);
     void runAfter(duration delay, std::function<void()> work);
     // Repeats until the loop stops; each period starts when the previous call has returned, also by
--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -1,5 +1,6 @@
 #include "net/http_listener.h"
 
+#include <exception>
 #include <list>
 #include <optional>
 #include <utility>
@@ -126,8 +127,8 @@
     }
 
 private:
-    // The answer to one request, held by its responder. A responder that is destroyed without an
-    // answer, because a callback threw, would leave the connection to be closed without one.
+    // The answer to one request, held by its responder. An exception that destroys the responder
+    // would leave the connection to be closed without an answer.
     class pending_answer
     {
     public:
@@ -135,7 +136,11 @@
             : m_connection(std::move(owner))
             , m_requestNumber(requestNumber)
         { }
-        ~pending_answer() { m_connection->handleUnanswered(m_requestNumber); }
+        ~pending_answer()
+        {
+            if (std::uncaught_exceptions() > 0)
+                m_connection->handleException(m_requestNumber);
+        }
         pending_answer(const pending_answer &) = delete;
         pending_answer &operator=(const pending_answer &) = delete;
 
@@ -153,6 +158,8 @@
     {
         if (m_phase == connection_phase::Ended)
             return;
+        if (m_phase == connection_phase::Answering)
+            --m_state->inFlight; // its responder was destroyed
         m_phase = connection_phase::Ended;
         m_readTimer.cancel();
         m_state->connections.erase(m_position);
@@ -259,11 +266,10 @@
         write(std::move(answer));
     }
 
-    // Posted to the loop, because an exception may be on its way through the caller.
-    void handleUnanswered(std::uint64_t requestNumber)
+    // Posted to the loop, because the exception is on its way through the caller.
+    void handleException(std::uint64_t requestNumber)
     {
-        if (requestNumber != m_requestNumber || m_phase != connection_phase::Answering
-            || m_state->loop.isStopped())
+        if (requestNumber != m_requestNumber || m_phase != connection_phase::Answering)
             return;
         m_state->loop.post([self = shared_from_this(), requestNumber] {
             self->handleAnswer(requestNumber, {500, {}, R"({"error":"internal"})"});
