A request whose callback throws is answered with 500

Callers saw their connection end without an answer: when a handler, or a later callback that held the responder, threw an exception, the responder was destroyed, and the connection with it. The request counted as open for ever, for which an entry's planned stop waits.

A responder that an exception destroys has its request answered with 500. One that is dropped otherwise closes the connection as before, which the stand-ins use to play a lost answer; its request no longer counts as open. With the answer disabled, both sections of requests_whose_callback_throws fail (no answer, and inFlight() is not 0).

--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -1,5 +1,6 @@
 #include "net/http_listener.h"
 
+#include <exception>
 #include <list>
 #include <optional>
 #include <utility>
@@ -122,10 +123,39 @@
     }
 
 private:
+    // The answer to one request, held by its responder. An exception that destroys the responder
+    // would leave the connection to be closed without an answer.
+    class pending_answer
+    {
+    public:
+        pending_answer(std::shared_ptr<connection> owner, std::uint64_t requestNumber)
+            : m_connection(std::move(owner))
+            , m_requestNumber(requestNumber)
+        { }
+        ~pending_answer()
+        {
+            if (std::uncaught_exceptions() > 0)
+                m_connection->handleException(m_requestNumber);
+        }
+        pending_answer(const pending_answer &) = delete;
+        pending_answer &operator=(const pending_answer &) = delete;
+
+        void give(http_response answer)
+        {
+            m_connection->handleAnswer(m_requestNumber, std::move(answer));
+        }
+
+    private:
+        std::shared_ptr<connection> m_connection;
+        std::uint64_t m_requestNumber;
+    };
+
     void end()
     {
         if (m_phase == connection_phase::Ended)
             return;
+        if (m_phase == connection_phase::Answering)
+            --m_state->inFlight; // its responder was destroyed
         m_phase = connection_phase::Ended;
         m_readTimer.cancel();
         m_state->connections.erase(m_position);
@@ -217,11 +247,10 @@
         shrinkLargeBuffer(m_buffer);
         ++m_state->inFlight;
         m_phase = connection_phase::Answering;
-        auto self = shared_from_this();
-        m_state->serve(std::move(request),
-                       [self, requestNumber = ++m_requestNumber](http_response answer) {
-                           self->handleAnswer(requestNumber, std::move(answer));
-                       });
+        auto pending = std::make_shared<pending_answer>(shared_from_this(), ++m_requestNumber);
+        m_state->serve(std::move(request), [pending = std::move(pending)](http_response answer) {
+            pending->give(std::move(answer));
+        });
     }
 
     // Ignores all but the first answer to the current request.
@@ -233,6 +262,16 @@
         write(std::move(answer));
     }
 
+    // Posted to the loop, because the exception is on its way through the caller.
+    void handleException(std::uint64_t requestNumber)
+    {
+        if (requestNumber != m_requestNumber || m_phase != connection_phase::Answering)
+            return;
+        m_state->loop.post([self = shared_from_this(), requestNumber] {
+            self->handleAnswer(requestNumber, {500, {}, R"({"error":"internal"})"});
+        });
+    }
+
     void write(http_response answer)
     {
         m_phase = connection_phase::Writing;
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -45,7 +45,8 @@
 };
 
 // Answers one request. May be called within the handler or later, on the loop's thread; only the
-// first call has an effect.
+// first call has an effect. If all copies are destroyed without a call, the caller gets 500 if an
+// exception destroyed the last one; otherwise its connection is closed.
 using responder = std::function<void(http_response)>;
 
 class http_listener
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -2,6 +2,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -59,6 +60,8 @@
     explicit draining_server(const net::listener_limits &limits = {})
         : m_listener(m_loop, {"127.0.0.1", 0}, limits,
                      [this](const http_request &request, net::responder respond) {
+                         if (request.target == "/throw")
+                             throw std::runtime_error("planted");
                          if (request.target == "/slow")
                              m_openResponders.push_back(std::move(respond));
                          else
@@ -330,3 +333,34 @@
         check(server.runUntilDrained());
     });
 }
+
+// Guards against a connection that is closed without an answer, and a request that counts as open
+// for ever, because a callback threw before it had answered the request.
+Test(http_listener, requests_whose_callback_throws)
+{
+    section("the handler throws", [] {
+        draining_server server;
+        keep_alive_caller caller(server.address());
+        caller.send("GET", "/throw");
+        server.runWhen([&] { return !caller.isOpen(); }, [&] { server.listener().drain(); });
+        check(server.runUntilDrained());
+        check(caller.readAnswer() == 500);
+        check(server.listener().inFlight() == 0);
+    });
+    section("a later callback throws, and its responder is lost", [] {
+        draining_server server;
+        keep_alive_caller caller(server.address());
+        caller.send("GET", "/slow");
+        server.runWhen([&] { return server.openResponders().size() == 1; },
+                       [&] {
+                           server.runWhen([&] { return !caller.isOpen(); },
+                                          [&] { server.listener().drain(); });
+                           const auto respond = std::move(server.openResponders()[0]);
+                           server.openResponders().clear();
+                           throw std::runtime_error("planted");
+                       });
+        check(server.runUntilDrained());
+        check(caller.readAnswer() == 500);
+        check(server.listener().inFlight() == 0);
+    });
+}
