A listener that can accept no connection waits before it tries again

While the process could open no more files, each try to accept failed at once and was repeated without a pause: the process took all processor time. If it was told to stop then, it closed its port, and the connections that waited to be accepted were reset, whatever had been sent on them.

The next try comes after 20 ms, also while draining; the time limits of the stop still apply. With a pause of 0, and a drain that closes its port as before, connections_while_the_file_table_is_full fails in both sections: more tries than one in 10 ms, and 3 of 3 requests without an answer.

--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -60,6 +60,10 @@
 // trips.
 constexpr milliseconds FirstRequestTimeout{100};
 
+// Time until the next try when no connection can be accepted, e.g. because the process has too many
+// open files. Without a pause, the tries would take all processor time.
+constexpr milliseconds AcceptRetryDelay{20};
+
 enum class connection_phase { Idle, Reading, Answering, Writing, Ended };
 
 class connection : public std::enable_shared_from_this<connection>
@@ -333,6 +337,21 @@
     std::make_shared<connection>(std::move(socket), state)->readNextRequest();
 }
 
+bool isOutOfResources(const beast::error_code &failure)
+{
+    return failure == asio::error::no_descriptors || failure == asio::error::no_memory
+           || failure == asio::error::no_buffer_space
+           || failure == beast::errc::too_many_files_open_in_system;
+}
+
+void acceptNext(const std::shared_ptr<http_listener::shared_state> &state);
+
+void acceptLater(const std::shared_ptr<http_listener::shared_state> &state)
+{
+    ++state->totals.acceptRetries;
+    state->loop.runAfter(AcceptRetryDelay, [state] { acceptNext(state); });
+}
+
 // Accepts the established connections that still wait; later ones are refused.
 void acceptRemaining(const std::shared_ptr<http_listener::shared_state> &state)
 {
@@ -343,18 +362,23 @@
         if (!failure)
             startConnection(std::move(socket), state);
     } while (!failure || failure == asio::error::connection_aborted);
+    if (isOutOfResources(failure))
+        return acceptLater(state);
     state->acceptor.close(failure);
 }
 
 void acceptNext(const std::shared_ptr<http_listener::shared_state> &state)
 {
+    if (!state->acceptor.is_open())
+        return;
+    if (state->isDraining)
+        return acceptRemaining(state);
     state->acceptor.async_accept([state](const beast::error_code &failure, tcp::socket socket) {
+        if (isOutOfResources(failure))
+            return acceptLater(state);
         if (!failure)
             startConnection(std::move(socket), state);
-        if (state->isDraining && state->acceptor.is_open())
-            return acceptRemaining(state);
-        if (state->acceptor.is_open())
-            acceptNext(state);
+        acceptNext(state);
     });
 }
 
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -38,7 +38,8 @@
 struct listener_totals
 {
     std::size_t accepted = 0;
-    std::size_t overLimit = 0; // closed at once because of connectionLimit
+    std::size_t overLimit = 0;     // closed at once because of connectionLimit
+    std::size_t acceptRetries = 0; // tries put off for want of file descriptors or memory
     // Closed by the listener although bytes had arrived that it had not read. If these are a
     // request, its caller sees the connection end without an answer.
     std::size_t closedUnread = 0;
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -4,7 +4,9 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -118,6 +120,27 @@
     net::http_listener m_listener;
 };
 
+// Lets the process open no more files until it is destroyed.
+class full_file_table
+{
+public:
+    full_file_table()
+    {
+        getrlimit(RLIMIT_NOFILE, &m_before);
+        const int nextFree = dup(STDIN_FILENO);
+        close(nextFree);
+        rlimit limit = m_before;
+        limit.rlim_cur = static_cast<rlim_t>(nextFree);
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+    ~full_file_table() { setrlimit(RLIMIT_NOFILE, &m_before); }
+    full_file_table(const full_file_table &) = delete;
+    full_file_table &operator=(const full_file_table &) = delete;
+
+private:
+    rlimit m_before{};
+};
+
 } // namespace
 
 // A caller sends a body above the limit, and its first bytes arrive together with the head. Guards
@@ -364,3 +387,50 @@
         check(server.listener().inFlight() == 0);
     });
 }
+
+// Guards against a server that takes all processor time, or resets the connections that wait to be
+// accepted, because the process can open no more files.
+Test(http_listener, connections_while_the_file_table_is_full)
+{
+    section("a server waits before it tries again, and answers once there is room", [] {
+        draining_server server;
+        std::optional<keep_alive_caller> caller;
+        std::optional<full_file_table> fullTable;
+        time_point fullSince;
+        server.runWhenIdle(0, [&] {
+            caller.emplace(server.address());
+            caller->send("POST", "/quick", "body");
+            fullTable.emplace();
+            fullSince = monotonic_clock::now();
+            server.runAfter(milliseconds(300), [&] {
+                constexpr milliseconds ShortestPause{10};
+                const auto longestPlausible = (monotonic_clock::now() - fullSince) / ShortestPause;
+                const auto retries = server.listener().totals().acceptRetries;
+                check(retries > 0);
+                check(retries <= static_cast<std::size_t>(longestPlausible));
+                fullTable.reset();
+                server.runWhen([&] { return !caller->isOpen(); },
+                               [&] { server.listener().drain(); });
+            });
+        });
+        check(server.runUntilDrained());
+        check(caller->readAnswer() == 200);
+    });
+    section("a server that drains answers those who wait once there is room", [] {
+        draining_server server;
+        std::vector<std::unique_ptr<keep_alive_caller>> callers;
+        std::optional<full_file_table> fullTable;
+        server.runWhenIdle(0, [&] {
+            for (int each = 0; each < 3; ++each) {
+                callers.push_back(std::make_unique<keep_alive_caller>(server.address()));
+                callers.back()->send("POST", "/quick", "body");
+            }
+            fullTable.emplace();
+            server.listener().drain();
+            server.runAfter(milliseconds(100), [&] { fullTable.reset(); });
+        });
+        check(server.runUntilDrained());
+        for (const auto &caller : callers)
+            check(caller->readAnswer() == 200);
+    });
+}
