A connection with unread bytes is not closed as stalled

When all threads of the first generation's server are in use, a new connection takes the thread of one that has stalled. An idle connection counted as stalled by its time alone. After a suspension of the process, requests that had arrived meanwhile were unread, and their connections could be closed without an answer.

A connection counts as stalled only if no byte waits in its socket, except while its answer is written. Without the change, stalled_connections_with_unread_bytes fails: the connection is closed. The order of events was planted on the table of connections, not on a whole server.

--- a/libs/runtime/http_connection.cpp
+++ b/libs/runtime/http_connection.cpp
@@ -30,6 +30,20 @@
     return std::nullopt; // its request may be executing: only its own deadline ends it
 }
 
+// Whether bytes wait that the connection's thread has not read yet. A connection that is closed
+// then gets no answer to a request that has arrived.
+bool hasUnreadBytes(socket_t socket)
+{
+    char byte = 0;
+    return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+// Whether the client, and not the connection's own thread, is to continue.
+bool awaitsClient(socket_t socket, connection_phase phase)
+{
+    return phase == connection_phase::Writing || !hasUnreadBytes(socket);
+}
+
 void readAddress(const sockaddr_storage &from, std::string &ip, int &port)
 {
     std::array<char, INET6_ADDRSTRLEN> text{};
@@ -90,6 +104,9 @@
         const auto gracePeriod = gracePeriodOf(each->second.phase);
         if (!gracePeriod || each->second.isClosing || each->second.phaseSince + *gracePeriod > now)
             continue;
+        // After a suspension of the process, its threads may not have noticed what arrived.
+        if (!awaitsClient(each->first, each->second.phase))
+            continue;
         if (longestStalled == m_tracked.end()
             || each->second.phaseSince < longestStalled->second.phaseSince)
             longestStalled = each;
--- a/libs/runtime/http_connection.h
+++ b/libs/runtime/http_connection.h
@@ -37,8 +37,9 @@
 
     // Closes the connection that has stalled the longest, to free its thread. Returns false when
     // none has exceeded the grace period of its phase (gracePeriodOf() in http_connection.cpp). A
-    // connection in phase Serving is never closed here, since its request may be executing. Without
-    // this function, a stalled client would hold its thread until its deadline.
+    // connection in phase Serving is never closed here, since its request may be executing, nor one
+    // with bytes that its thread has not read yet. Without this function, a stalled client would
+    // hold its thread until its deadline.
     bool closeLongestStalled(time_point now);
 
 private:
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -1,14 +1,18 @@
 // Tests of http_server: clients that stall may occupy its threads for a limited time only, and a
 // stop answers the requests that have arrived.
+#include <array>
 #include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
 #include <optional>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 #include "keep_alive_caller.h"
 #include "runtime/http.h"
+#include "runtime/http_connection.h"
 #include "section.h"
 #include "stalled_callers.h"
 
@@ -283,3 +287,29 @@
         check(second.requestOutcome() == request_outcome::Answered);
     });
 }
+
+// Guards against closing a connection without an answer, to free its thread, although its request
+// has arrived: the process was suspended, and the connection's thread has not read it yet.
+Test(http_server, stalled_connections_with_unread_bytes)
+{
+    constexpr milliseconds Stalled{10'000}; // longer than any grace period
+    for (const auto phase : {connection_phase::Idle, connection_phase::Reading}) {
+        std::array<int, 2> sockets{};
+        require(socketpair(AF_UNIX, SOCK_STREAM, 0, sockets.data()) == 0);
+        const auto [server, client] = sockets;
+        connection_table connections;
+        connections.add(server, "127.0.0.9");
+        connections.setPhase(server, phase);
+        section("a connection with unread bytes is kept", [&] {
+            require(write(client, "GET", 3) == 3);
+            check(!connections.closeLongestStalled(monotonic_clock::now() + Stalled));
+        });
+        section("it is closed once they are read and nothing more arrives", [&] {
+            std::array<char, 3> bytes{};
+            require(read(server, bytes.data(), bytes.size()) == 3);
+            check(connections.closeLongestStalled(monotonic_clock::now() + Stalled));
+        });
+        close(server);
+        close(client);
+    }
+}
