--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -5,8 +5,10 @@
 #include <stdexcept>
 #include <string>
 #include <sys/resource.h>
+#include <sys/syscall.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -120,6 +122,13 @@
     net::http_listener m_listener;
 };
 
+// Called before the next shutdown() of a socket, with which the server ends a connection.
+std::function<void()> &beforeNextShutdown()
+{
+    static std::function<void()> planted;
+    return planted;
+}
+
 // Lets the process open no more files until it is destroyed.
 class full_file_table
 {
@@ -143,6 +152,15 @@
 
 } // namespace
 
+// Replaces the function of the C library in this program, to plant events between the server's last
+// look into a socket and the end of the connection.
+extern "C" int shutdown(int socket, int how) noexcept
+{
+    if (const auto planted = std::exchange(beforeNextShutdown(), nullptr))
+        planted();
+    return static_cast<int>(syscall(SYS_shutdown, socket, how));
+}
+
 // A caller sends a body above the limit, and its first bytes arrive together with the head. Guards
 // against closing the connection without an answer, and against accepting a body of any size.
 Test(http_listener, large_requests)
@@ -253,6 +271,35 @@
     });
 }
 
+// Guards against a request that gets no answer and leaves no trace in the daemon's log: it was sent
+// after the server's last look into the socket, and before its caller could see the end of the
+// connection. No server can answer it, but it must be counted.
+Test(http_listener, requests_between_the_last_look_and_the_close)
+{
+    for (const bool wasUsed : {false, true}) {
+        draining_server server;
+        keep_alive_caller caller(server.address());
+        keep_alive_caller other(server.address());
+        if (wasUsed)
+            caller.send("GET", "/quick");
+        server.runWhen([&] { return !wasUsed || !caller.isOpen(); },
+                       [&] {
+                           check(!wasUsed || caller.readAnswer() == 200);
+                           server.runWhenIdle(2, [&] {
+                               beforeNextShutdown() = [&] {
+                                   check(caller.isOpen());
+                                   caller.send("POST", "/quick", "body");
+                               };
+                               server.listener().drain();
+                           });
+                       });
+        check(server.runUntilDrained());
+        check(caller.requestOutcome() == request_outcome::Closed);
+        check(server.listener().totals().closedUnread == 1);
+        check(server.listener().totals().accepted == 2);
+    }
+}
+
 // Guards against connections that stay open although the server no longer reads from them: callers
 // would wait for answers until their deadlines.
 Test(http_listener, drain_closes_connections)
