Orders: an answer that comes late still settles its order

Cause: a call with orders was given up after 600 ms, and a refusal that came later went with it. Agents tell refusals in these answers alone, so an agent that is slow each time was never heard, and the order was repeated for as long as that lasted. Class: a limit of time that takes a slow peer for a silent one. Change: after 600 ms the orders are sent again as before, and the call stays open for 5 s. A late answer that settles an order counts; an agent remembers what it refused for good, so it can't become untrue, and one of an earlier incarnation is put aside as before.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -80,7 +80,7 @@
                   [this] { return isLeaving(); })
         , m_takeover({m_store, m_directory, m_view, m_jobController, m_metrics, m_log},
                      [this] { schedulePlan(); })
-        , m_orderSender({m_settings, m_client, m_pool, m_jobController, m_metrics, m_log},
+        , m_orderSender({m_settings, m_loop, m_client, m_pool, m_jobController, m_metrics, m_log},
                         [this] { schedulePlan(); })
         , m_leaseWatcher(m_loop, m_store, m_metrics, m_log, m_settings.id,
                          [this](const auto &worker, auto epoch) { applyEpoch(worker, epoch); })
--- a/app/order_sender.cpp
+++ b/app/order_sender.cpp
@@ -1,9 +1,9 @@
 #include "app/order_sender.h"
 
+#include <memory>
 #include <utility>
 
 #include "jobs/message_limits.h"
-#include "net/event_loop.h"
 
 namespace zinniabarrow {
 
@@ -12,13 +12,16 @@
 
 namespace {
 
-constexpr milliseconds OrderTimeout{600}; // an agent answers without asking its worker
+// An agent answers without asking its worker, so an order without an answer by then is sent again.
+constexpr milliseconds OrderTimeout{600};
+constexpr milliseconds LateAnswerTimeout{5000}; // from then on no answer is awaited
 
 } // namespace
 
 order_sender::order_sender(const order_sender_dependencies &dependencies,
                            std::function<void()> onActionsReady)
     : m_settings(dependencies.settings)
+    , m_loop(dependencies.loop)
     , m_client(dependencies.client)
     , m_pool(dependencies.pool)
     , m_jobController(dependencies.jobController)
@@ -48,11 +51,21 @@
     request.method = "POST";
     request.target = "/v1/orders";
     request.body = std::move(call.text);
-    sent_call sent{worker, request.body.size(), std::move(call.orders), report.agentIncarnation};
-    m_client.call(report.address, std::move(request), OrderTimeout,
-                  [this, sent = std::move(sent)](const call_result &result) {
-                      handleResult(sent, result);
+    const auto sent = std::make_shared<const sent_call>(sent_call{
+            worker, request.body.size(), std::move(call.orders), report.agentIncarnation});
+    const auto state = std::make_shared<call_state>(call_state::Open);
+    m_client.call(report.address, std::move(request), LateAnswerTimeout,
+                  [this, sent, state](const call_result &result) {
+                      if (std::exchange(*state, call_state::Answered) == call_state::Overdue)
+                          return handleLateResult(*sent, result);
+                      handleResult(*sent, result);
                   });
+    m_loop.runAfter(OrderTimeout, [this, sent, state] {
+        if (*state != call_state::Open)
+            return;
+        *state = call_state::Overdue;
+        handleOverdue(*sent);
+    });
 }
 
 void order_sender::handleResult(const sent_call &call, const call_result &result)
@@ -65,19 +78,47 @@
         m_jobController->orderAnswered(call.worker, answer, suspendAwareNow(),
                                        call.agentIncarnation);
     }
-    if (!outcomes.unanswered.empty()) {
-        m_metrics.count("orders_unanswered_total", "agent_silent");
-        m_log.writeEvent("orders_unanswered", {{"worker", call.worker},
-                                               {"orders", outcomes.unanswered.size()},
-                                               {"why", outcomes.reason},
-                                               {"status", outcomes.status},
-                                               {"bytes", call.bytes}});
-        handleUnanswered(call.worker, outcomes.unanswered);
-    }
+    if (!outcomes.unanswered.empty())
+        reportUnanswered(call, outcomes);
     if (!outcomes.answered.empty())
         m_onActionsReady();
 }
 
+void order_sender::handleOverdue(const sent_call &call)
+{
+    if (!call.orders.empty())
+        reportUnanswered(call, outcomesOf(call.orders, call_failure::TimedOut));
+}
+
+// The order has been sent again meanwhile. An answer that settles nothing says less than the one
+// that is still to come.
+void order_sender::handleLateResult(const sent_call &call, const call_result &result)
+{
+    const auto outcomes = outcomesOf(call.orders, result);
+    bool hasSettled = false;
+    for (const auto &answer : outcomes.answered) {
+        if (shouldRetry(answer.outcome))
+            continue;
+        hasSettled = true;
+        m_metrics.count("orders_answered_late_total", nameOf(answer.outcome));
+        m_jobController->orderAnswered(call.worker, answer, suspendAwareNow(),
+                                       call.agentIncarnation);
+    }
+    if (hasSettled)
+        m_onActionsReady();
+}
+
+void order_sender::reportUnanswered(const sent_call &call, const order_outcomes &outcomes)
+{
+    m_metrics.count("orders_unanswered_total", "agent_silent");
+    m_log.writeEvent("orders_unanswered", {{"worker", call.worker},
+                                           {"orders", outcomes.unanswered.size()},
+                                           {"why", outcomes.reason},
+                                           {"status", outcomes.status},
+                                           {"bytes", call.bytes}});
+    handleUnanswered(call.worker, outcomes.unanswered);
+}
+
 void order_sender::handleRejection(const sent_call &call, int status)
 {
     if (call.orders.size() == 1)
--- a/app/order_sender.h
+++ b/app/order_sender.h
@@ -14,6 +14,7 @@
 #include "jobs/job_controller.h"
 #include "jobs/order_calls.h"
 #include "jobs/worker_pool.h"
+#include "net/event_loop.h"
 #include "net/http_client.h"
 #include "runtime/metrics.h"
 
@@ -23,6 +24,7 @@
 struct order_sender_dependencies
 {
     const job_entry_settings &settings;
+    net::event_loop &loop;
     net::http_client &client;
     jobs::worker_pool &pool;
     std::optional<jobs::job_controller> &jobController; // that issues the orders
@@ -38,7 +40,9 @@
                  std::function<void()> onActionsReady);
 
     // Sends the orders to the worker's agent, in as many calls as MaxOrderCallBytes needs. Those
-    // without an answer are reported to the controller as unanswered. Of a call that is answered
+    // without an answer are reported to the controller as unanswered. An answer that comes later
+    // still settles them: an agent that is slow each time would otherwise refuse an order for good
+    // and never be heard. Of a call that is answered
     // with a status of 4xx, the halves are sent again, so that one order cannot hold up the others;
     // an order that is refused alone is reported as rejected. A call without orders requests
     // reports, see report_requests.h.
@@ -53,10 +57,15 @@
         std::vector<jobs::run_order> orders;
         std::int64_t agentIncarnation = 0; // by the reports when the call was sent
     };
+    enum class call_state { Open, Overdue, Answered };
 
     void sendCall(const std::string &worker, const jobs::worker_report &report,
                   jobs::order_call call);
     void handleResult(const sent_call &call, const call_result &result);
+    void handleOverdue(const sent_call &call);
+    // An answer after the orders were reported as unanswered.
+    void handleLateResult(const sent_call &call, const call_result &result);
+    void reportUnanswered(const sent_call &call, const order_outcomes &outcomes);
     // The agent did nothing and would answer the same again.
     void handleRejection(const sent_call &call, int status);
     // `status`: HTTP status of the answer; 0: the order is too large for any call.
@@ -65,6 +74,7 @@
     void handleUnanswered(const std::string &worker, const std::vector<jobs::run_order> &orders);
 
     const job_entry_settings &m_settings;
+    net::event_loop &m_loop;
     net::http_client &m_client;
     jobs::worker_pool &m_pool;
     std::optional<jobs::job_controller> &m_jobController;
