--- a/app/order_sender.h
+++ b/app/order_sender.h
@@ -40,12 +40,12 @@
                  std::function<void()> onActionsReady);
 
     // Sends the orders to the worker's agent, in as many calls as MaxOrderCallBytes needs. Those
-    // without an answer are reported to the controller as unanswered. An answer that comes later
-    // still settles them: an agent that is slow each time would otherwise refuse an order for good
-    // and never be heard. Of a call that is answered
-    // with a status of 4xx, the halves are sent again, so that one order cannot hold up the others;
-    // an order that is refused alone is reported as rejected. A call without orders requests
-    // reports, see report_requests.h.
+    // without an answer are reported to the controller as unanswered. A later answer still settles
+    // them: if an agent answers late each time, its refusals would otherwise have no effect.
+    //
+    // Of a call that is answered with a status of 4xx, the halves are sent again, so that one order
+    // cannot hold up the others; an order that is refused alone is reported as rejected. A call
+    // without orders requests reports, see report_requests.h.
     void sendOrders(const std::string &worker, std::vector<jobs::run_order> orders);
 
 private:
