Stops of an incomplete gang once, idle connections of a late agent, a cancel of an unreadable row

A stop is decided once for each run, and again only after its agent restarts. job_controller_test a_member_of_an_incomplete_gang_is_stopped_once: red with the condition as it was, 1 of 1. - Since calls with orders stay open for 5 s, the idle connections to an agent that may have died were kept as long, and each cost a try. No test of its own. - A cancel whose row can't be read got 503 also where its owner may write it: 504 now. No test of its own.

--- a/app/job_requests.cpp
+++ b/app/job_requests.cpp
@@ -425,7 +425,9 @@
             record = recordFrom(storedRow.value);
         } catch (const error &problem) {
             m_log.writeEvent("job_not_cancelled", {{"job", id}, {"why", problem.what()}});
-            return respond(countedRefusal(503, "job_row_unreadable"));
+            return respond(earlier == earlier_cancel::None
+                                   ? countedRefusal(503, "job_row_unreadable")
+                                   : countedRefusal(504, "outcome_unknown"));
         }
         if (isFinal(record.state()))
             return respond({200, {}, ""});
--- a/app/order_sender.cpp
+++ b/app/order_sender.cpp
@@ -51,8 +51,9 @@
     request.method = "POST";
     request.target = "/v1/orders";
     request.body = std::move(call.text);
-    const auto sent = std::make_shared<const sent_call>(sent_call{
-            worker, request.body.size(), std::move(call.orders), report.agentIncarnation});
+    const auto sent = std::make_shared<const sent_call>(
+            sent_call{worker, report.address, request.body.size(), std::move(call.orders),
+                      report.agentIncarnation});
     const auto state = std::make_shared<call_state>(call_state::Open);
     m_client.call(report.address, std::move(request), LateAnswerTimeout,
                   [this, sent, state](const call_result &result) {
@@ -86,6 +87,7 @@
 
 void order_sender::handleOverdue(const sent_call &call)
 {
+    m_client.closeIdle(call.address);
     if (!call.orders.empty())
         reportUnanswered(call, outcomesOf(call.orders, call_failure::TimedOut));
 }
--- a/app/order_sender.h
+++ b/app/order_sender.h
@@ -53,6 +53,7 @@
     struct sent_call
     {
         std::string worker;
+        std::string address;   // of its agent
         std::size_t bytes = 0; // of its body
         std::vector<jobs::run_order> orders;
         std::int64_t agentIncarnation = 0; // by the reports when the call was sent
--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -287,6 +287,9 @@
         std::vector<waiting_token> waitingTokens;
         std::map<std::pair<task_id, int>, pending_order> startOrders;
         std::map<std::pair<task_id, int>, pending_order> stopOrders;
+        // Members of incomplete gangs that were ordered to stop, by run. An agent that has accepted
+        // the stop is not ordered again until it restarts.
+        std::set<std::pair<task_id, int>> stoppedMembers;
         // When this entry first received the answer that the agent accepted the start order. The
         // run's duration is counted from then, also if the agent's next incarnation takes it over.
         std::map<std::pair<task_id, int>, time_point> startAcceptedAt;
--- a/libs/jobs/job_controller_orders.cpp
+++ b/libs/jobs/job_controller_orders.cpp
@@ -206,6 +206,7 @@
             if (runPlacement.worker != worker)
                 continue;
             const std::pair key{task, runPlacement.run};
+            job.stoppedMembers.erase(key);
             // A run that is being stopped, because its gang lacks a member, must not be started
             // again.
             const bool mayStart = job.record.shouldRun(state) && !job.stopOrders.contains(key);
--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -195,7 +195,7 @@
         auto task = firstMember;
         task.index = index;
         for (const auto &runPlacement : members[static_cast<std::size_t>(index)].placements) {
-            if (!job.stopOrders.contains({task, runPlacement.run}))
+            if (job.stoppedMembers.insert({task, runPlacement.run}).second)
                 stopRun(job, task, runPlacement);
         }
     }
--- a/libs/net/http_client.cpp
+++ b/libs/net/http_client.cpp
@@ -265,6 +265,11 @@
 
 http_client::~http_client() = default;
 
+void http_client::closeIdle(const std::string &peer)
+{
+    m_state->idle.erase(peer);
+}
+
 void http_client::call(const std::string &peer, http_request request, duration timeLimit,
                        call_callback done)
 {
--- a/libs/net/http_client.h
+++ b/libs/net/http_client.h
@@ -59,6 +59,10 @@
     void call(const std::string &peer, http_request request, large_call_options options,
               call_callback done);
 
+    // Closes the idle connections to the peer: they may have stopped working without a reset, and
+    // each would cost a call its whole time limit.
+    void closeIdle(const std::string &peer);
+
     // The idle connections; running calls keep it alive. Public for http_client.cpp only.
     struct shared_state;
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -296,7 +296,8 @@
     for (const auto phase : {connection_phase::Idle, connection_phase::Reading}) {
         std::array<int, 2> sockets{};
         require(socketpair(AF_UNIX, SOCK_STREAM, 0, sockets.data()) == 0);
-        const auto [server, client] = sockets;
+        const int server = sockets[0];
+        const int client = sockets[1];
         connection_table connections;
         connections.add(server, "127.0.0.9");
         connections.setPhase(server, phase);
--- a/tests/job_controller_test.cpp
+++ b/tests/job_controller_test.cpp
@@ -736,6 +736,38 @@
     });
 }
 
+// Guards against stops that are sent at each planning while another step waits, until the end of
+// the run is reported.
+Test(job_controller, a_member_of_an_incomplete_gang_is_stopped_once)
+{
+    auto spec = test_fixture::twoSteps();
+    spec.steps[0].isGang = true;
+    spec.steps[0].maxPerWorker = 1;
+    spec.steps[1].after.clear();
+    spec.steps[1].size = {64'000, 100, 0}; // no worker can take it
+    test_fixture fixture;
+    fixture.submitJob(spec);
+    fixture.confirmWrite();
+    require(fixture.orders.size() == 2);
+    const auto lost = fixture.orders[0];
+    const auto stopped = fixture.orders[1];
+    fixture.acceptOrder(lost);
+    fixture.acceptOrder(stopped);
+    fixture.orders.clear();
+    fixture.controller.epochSeen(lost.worker, 2);
+    fixture.tick();
+    fixture.confirmWrite();
+    require(fixture.orders.size() == 1);
+    check(fixture.orders[0].order.kind == order_kind::Stop);
+    for (int round = 0; round < 5; ++round) {
+        fixture.controller.orderAnswered(
+                stopped.worker, {stopped.order.task, 1, order_outcome::Accepted, order_kind::Stop},
+                fixture.now, 0);
+        fixture.advance(milliseconds(10));
+    }
+    check(fixture.orders.size() == 1);
+}
+
 // Guards against a member of a gang that starts when the others have given up: its agent was not
 // ready until then.
 Test(job_controller, a_member_whose_start_is_put_off_until_its_gang_has_ended)
--- a/tests/order_sender_test.cpp
+++ b/tests/order_sender_test.cpp
@@ -99,11 +99,12 @@
             reportWorker("w2");
         m_controller->plan(net::suspendAwareNow(), 1000);
         for (auto &action : m_controller->takeActions()) {
-            if (const auto *write = std::get_if<write_row>(&action))
+            if (const auto *write = std::get_if<write_row>(&action)) {
                 m_loop.post(
                         [this, job = write->job] { m_controller->rowWritten(job, ++m_version); });
-            else if (const auto *order = std::get_if<send_order>(&action))
+            } else if (const auto *order = std::get_if<send_order>(&action)) {
                 send(*order);
+            }
         }
     }
 
