--- a/app/job_settings.cpp
+++ b/app/job_settings.cpp
@@ -51,7 +51,8 @@
     return toText(parseAddress(requiredString(object, name)));
 }
 
-// Differs from the address that the process listens on behind an address translation.
+// The address that other processes use. Behind an address translation it is not the one that the
+// process listens on.
 socket_address advertisedAddressIn(const Json::Value &object)
 {
     const bool isTold = object.isMember("internal_advertise");
--- a/libs/jobs/job_controller_log.cpp
+++ b/libs/jobs/job_controller_log.cpp
@@ -249,7 +249,7 @@
     ++order->second.answerCount;
 }
 
-// Tells an agent that refuses the order again and again from one that is silent.
+// The line distinguishes an agent that refuses the order repeatedly from one that does not answer.
 void job_controller::logIfUnanswered(const std::string &id, const task_id &task, int run,
                                      pending_order &order, time_point now)
 {
--- a/standins/job_platform.h
+++ b/standins/job_platform.h
@@ -20,7 +20,7 @@
     std::vector<socket_address> workers;
     std::vector<socket_address> agentAddresses; // where each worker announces itself
     std::int64_t millicores = 4000;             // of each worker
-    milliseconds taskTime{300};                 // run time of tasks whose shape tells none
+    milliseconds taskTime{300};                 // run time of tasks whose shape has none
     milliseconds stopTime{0};                   // from a call that stops a run to its end
     milliseconds gangTimeout{3000};             // how long a member of a gang waits for the others
     // All are called on the platform's own thread, and must not call the platform.
--- a/standins/job_worker.cpp
+++ b/standins/job_worker.cpp
@@ -262,7 +262,7 @@
     m_options.onRun({m_options.index, run.task, run.number, how});
 }
 
-// A run that was told to stop is in neither list until it has ended.
+// A run that is being stopped is in neither list until it has ended.
 http_response job_worker::makeListing(std::int64_t lastSeen)
 {
     std::erase_if(m_unacknowledgedEnds,
--- a/standins/job_worker.h
+++ b/standins/job_worker.h
@@ -58,7 +58,7 @@
 {
     std::size_t index = 0;
     std::int64_t millicores = 4000;
-    milliseconds taskTime{300}; // of tasks whose shape tells none
+    milliseconds taskTime{300}; // of tasks whose shape has none
     milliseconds stopTime{0};   // from a call that stops a run to its end
     milliseconds gangTimeout{}; // how long a member waits for the others
     std::function<task_shape(const jobs::task_id &task)> describeTask;
@@ -96,7 +96,7 @@
         task_shape shape;
         std::int64_t startedAtMs = 0;
         std::int64_t workEndsAtMs = 0;
-        std::int64_t stopsAtMs = 0; // 0: it was not told to stop
+        std::int64_t stopsAtMs = 0; // 0: no stop was ordered
     };
 
     http_response start(const Json::Value &body);
--- a/standins/run_history.h
+++ b/standins/run_history.h
@@ -13,7 +13,7 @@
 
 namespace zinniabarrow::standins {
 
-// What a task does on a worker, which the worker of the users' platform knows from the task's spec.
+// How a task behaves on a worker. A real worker reads that from the task's spec.
 struct task_shape
 {
     std::int64_t millicores = 1000;
