Review case 6: a suspended machine's runner outlasts its lease

Cause: the entries wait for the end of a lease with a margin for a clock that is 2% slow. A runner counts its hold on a steady clock that stands while its machine is suspended, so its hold ends later by that time.

--- /dev/null
+++ b/review/standin-2/cases.h
@@ -0,0 +1,12 @@
+// The cases that are played by scripts. Each returns whether its rule held.
+#pragma once
+
+#include "runner.h"
+
+namespace review {
+
+bool playSuspendedMachine(record &log, bool hasTrouble);
+bool playCrashLoop(record &log, bool hasTrouble);
+bool playLatePause(record &log, bool hasTrouble);
+
+} // namespace review
