--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -5,6 +5,7 @@
 
 namespace review {
 
+bool playRebornRunner(record &log, bool hasTrouble);
 bool playSuspendedMachine(record &log, bool hasTrouble);
 bool playCrashLoop(record &log, bool hasTrouble);
 bool playLatePause(record &log, bool hasTrouble);
--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -131,6 +131,7 @@
 
 deployment::deployment(const deployment_options &options, record &log)
     : m_log(log)
+    , m_ledger(log)
     , m_folder(temporaryFolder())
     , m_store({Loopback, 0})
 {
@@ -180,7 +181,7 @@
     options.listen = runnerAddress;
     options.agent = announcements;
     options.fault = fault;
-    side.worker = std::make_unique<runner>(options, m_log);
+    side.worker = std::make_unique<runner>(options, m_log, m_ledger);
     Json::Value settings(Json::objectValue);
     settings["id"] = name;
     settings["zone"] = "kartli-a";
@@ -241,7 +242,7 @@
     m_log.write("all processes serve");
 }
 
-void deployment::submit(const std::string &queue, const std::string &job, const Json::Value &body)
+int deployment::trySubmit(const std::string &queue, const std::string &job, const Json::Value &body)
 {
     http_message request;
     request.method = "POST";
@@ -249,13 +250,18 @@
     request.headers["Host"] = "shop.example";
     request.headers["Deadline-Ms"] = "3000";
     request.body = toText(body);
+    const auto &entry = m_fronts[m_nextFront++ % m_fronts.size()];
+    const auto answer = call(entry.callers, request, ClientTimeout);
+    const int status = answer ? answer->status : 0;
+    m_log.write("client: POST " + queue + job + " at " + entry.entry->name() + " -> "
+                + std::to_string(status) + "; " + request.body);
+    return status;
+}
+
+void deployment::submit(const std::string &queue, const std::string &job, const Json::Value &body)
+{
     for (int attempt = 0; attempt < 10; ++attempt) {
-        const auto &entry = m_fronts[m_nextFront++ % m_fronts.size()];
-        const auto answer = call(entry.callers, request, ClientTimeout);
-        const int status = answer ? answer->status : 0;
-        m_log.write("client: POST " + queue + job + " at " + entry.entry->name() + " -> "
-                    + std::to_string(status) + "; " + request.body);
-        if (status == 200)
+        if (trySubmit(queue, job, body) == 200)
             return;
         waitSeconds(0.5);
     }
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -2,6 +2,7 @@
 // own programs as separate processes, started with the commands of the deploy file.
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <filesystem>
 #include <memory>
@@ -70,6 +71,9 @@
     void end();   // kills the processes and removes their files
     std::vector<machine> &machines() { return m_machines; }
     std::vector<front> &fronts() { return m_fronts; }
+    done_ledger &ledger() { return m_ledger; }
+    // Submits the job once; the status of the answer, 0: none.
+    int trySubmit(const std::string &queue, const std::string &job, const Json::Value &body);
 
     // Submits the job until it is accepted. `queue`: "/fast/" or "/slow/".
     void submit(const std::string &queue, const std::string &job, const Json::Value &body);
@@ -92,11 +96,12 @@
     static Json::Value configuration();
 
     record &m_log;
+    done_ledger m_ledger;
     std::filesystem::path m_folder; // settings and logs of the processes
     store m_store;
     std::vector<machine> m_machines;
     std::vector<front> m_fronts;
-    std::size_t m_nextFront = 0;
+    std::atomic<std::size_t> m_nextFront{0};
 };
 
 // Ends the deployment, if one was made.
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -16,6 +16,7 @@
 {
     constexpr int CannotRun = 2;
     const std::map<std::string, bool (*)(record &, bool)> cases{
+            {"reborn-runner", playRebornRunner},
             {"suspended-machine", playSuspendedMachine},
             {"crash-loop", playCrashLoop},
             {"late-pause", playLatePause},
--- a/review/standin-2/net.cpp
+++ b/review/standin-2/net.cpp
@@ -210,23 +210,46 @@
 http_server::http_server(const endpoint &address, http_handler handler)
     : m_address(address)
     , m_handler(std::move(handler))
-    , m_listener(listenAt(m_address))
 {
-    std::thread([this] { accept(); }).detach();
+    open();
+}
+
+void http_server::open()
+{
+    const std::lock_guard lock(m_mutex);
+    m_listener = listenAt(m_address);
+    std::thread([this, listener = m_listener] { accept(listener); }).detach();
+}
+
+void http_server::close()
+{
+    const std::lock_guard lock(m_mutex);
+    shutdown(m_listener, SHUT_RDWR); // ends accept(), which closes it
+    m_listener = -1;
+    for (const int connection : m_connections)
+        shutdown(connection, SHUT_RDWR);
 }
 
-void http_server::accept()
+void http_server::accept(int listener)
 {
     while (true) {
-        const int connection = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+        const int connection = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+        const std::lock_guard lock(m_mutex);
+        if (m_listener != listener) {
+            if (connection >= 0)
+                ::close(connection);
+            ::close(listener);
+            return;
+        }
         if (connection < 0)
             continue;
         setNoDelay(connection);
+        m_connections.insert(connection);
         std::thread([this, connection] { serve(connection); }).detach();
     }
 }
 
-void http_server::serve(int socket) const
+void http_server::serve(int socket)
 {
     std::string buffer;
     while (const auto request = readMessage(socket, buffer, std::nullopt)) {
@@ -234,7 +257,9 @@
         if (!answer || !writeAll(socket, toBytes(*answer)))
             break;
     }
-    close(socket);
+    const std::lock_guard lock(m_mutex);
+    m_connections.erase(socket);
+    ::close(socket);
 }
 
 std::optional<http_message> call(const endpoint &peer, const http_message &request,
--- a/review/standin-2/net.h
+++ b/review/standin-2/net.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -38,14 +39,19 @@
 public:
     http_server(const endpoint &address, http_handler handler);
     endpoint address() const { return m_address; }
+    // Closes the listener and all connections, as when the process ends.
+    void close();
+    void open(); // listens again at the same address
 
 private:
-    void accept();
-    void serve(int socket) const;
+    void accept(int listener);
+    void serve(int socket);
 
     endpoint m_address;
     http_handler m_handler;
+    std::mutex m_mutex;
     int m_listener = -1;
+    std::set<int> m_connections;
 };
 
 // None: there was no complete answer in time.
--- a/review/standin-2/runner.cpp
+++ b/review/standin-2/runner.cpp
@@ -37,6 +37,46 @@
     std::fflush(m_file);
 }
 
+void done_ledger::noteDone(const std::string &life, std::int64_t sequence, const std::string &task)
+{
+    const std::lock_guard lock(m_mutex);
+    m_unseen[life].push_back({sequence, task});
+}
+
+void done_ledger::noteSeen(const std::string &life, std::int64_t lastSeen)
+{
+    const std::lock_guard lock(m_mutex);
+    std::erase_if(m_unseen[life], [&](const done_run &run) {
+        if (run.sequence > lastSeen)
+            return false;
+        m_seen[run.task] = life;
+        return true;
+    });
+}
+
+void done_ledger::forgetUnseen(const std::string &life)
+{
+    const std::lock_guard lock(m_mutex);
+    m_unseen.erase(life);
+}
+
+void done_ledger::noteStart(const std::string &task, int run, const std::string &runner)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_seen.find(task);
+    if (found == m_seen.end())
+        return;
+    ++m_startsAfterDone;
+    m_log.write("TWICE: run " + std::to_string(run) + " of " + task + " starts on " + runner
+                + " after a run had ended as done, which was taken note of on " + found->second);
+}
+
+int done_ledger::startsAfterDone()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_startsAfterDone;
+}
+
 task_work workFrom(const std::string &spec)
 {
     const auto value = fromText(spec);
@@ -49,9 +89,10 @@
     return work;
 }
 
-runner::runner(runner_options options, record &log)
+runner::runner(runner_options options, record &log, done_ledger &ledger)
     : m_options(std::move(options))
     , m_log(log)
+    , m_ledger(ledger)
     , m_born(duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
                      .count())
     , m_server(m_options.listen, [this](const http_message &request) { return serve(request); })
@@ -66,6 +107,42 @@
     std::thread([this] { checkIn(); }).detach();
 }
 
+std::string runner::lifeName() const
+{
+    return m_options.name + ", life " + std::to_string(m_life);
+}
+
+void runner::crash()
+{
+    const std::lock_guard lock(m_mutex);
+    advance();
+    m_isDown = true;
+    m_log.write(lifeName() + ": crashes with " + std::to_string(m_runs.size()) + " runs");
+    m_runs.clear();
+    m_ends.clear();
+    m_ledger.forgetUnseen(lifeName());
+    m_server.close();
+}
+
+void runner::restart()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_life;
+    m_isDown = false;
+    m_startedAt = steady_clock::now();
+    m_suspendedTime = steady_clock::duration(0);
+    m_born = duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+                     .count();
+    m_fence = 0;
+    m_heldUntilMs = 0;
+    m_advancedAtMs = clockMs();
+    m_sequence = 0;
+    m_highestRun.clear();
+    m_endCount = 0;
+    m_log.write(lifeName() + ": starts again under the same id");
+    m_server.open();
+}
+
 std::int64_t runner::clockMs() const
 {
     const auto now = m_isSuspended ? m_suspendedAt : steady_clock::now();
@@ -122,7 +199,7 @@
 
 void runner::advance()
 {
-    if (m_isSuspended)
+    if (m_isSuspended || m_isDown)
         return;
     const auto nowMs = clockMs();
     const auto passedMs = static_cast<double>(nowMs - std::exchange(m_advancedAtMs, nowMs));
@@ -147,8 +224,13 @@
     m_runs.erase(task);
     m_highestRun[task] = std::max(m_highestRun[task], number);
     m_hasDone[task] = m_hasDone[task] || std::string(how) == "done";
+    ++m_endCount;
+    if (std::string(how) == "done")
+        m_ledger.noteDone(lifeName(), m_endCount, task);
+    if (std::string(how) == "lapsed")
+        m_ledger.forgetUnseen(lifeName());
     Json::Value row(Json::arrayValue);
-    row.append(Json::Int64(++m_endCount));
+    row.append(Json::Int64(m_endCount));
     row.append(task);
     row.append(number);
     row.append(how);
@@ -190,20 +272,31 @@
 
 std::optional<http_message> runner::serve(const http_message &request)
 {
-    while (true) {
+    int life = 0;
+    while (life == 0) {
         {
             const std::lock_guard lock(m_mutex);
+            if (m_isDown)
+                return std::nullopt;
             if (!m_isSuspended)
-                break;
+                life = m_life;
         }
-        std::this_thread::sleep_for(AdvanceInterval);
+        if (life == 0)
+            std::this_thread::sleep_for(AdvanceInterval);
     }
+    // A call that another life of the runner received is never carried out.
+    const auto isOver = [this, life] { return m_isDown || m_life != life; };
     const auto body = fromText(request.body);
     const auto expected = request.headers.find("expect-instance");
     const auto id = expected == request.headers.end() ? m_options.name : expected->second;
     if (const auto late = m_options.fault(request.target, body)) {
-        std::thread([this, target = request.target, body, id, delay = late->delay] {
+        std::thread([this, target = request.target, body, id, delay = late->delay, isOver] {
             std::this_thread::sleep_for(delay);
+            {
+                const std::lock_guard lock(m_mutex);
+                if (isOver())
+                    return;
+            }
             const auto answer = carryOut(target, body, id);
             m_log.write(m_options.name + ": carries out late, after "
                         + std::to_string(delay.count()) + " ms: " + target + " " + toText(body)
@@ -222,12 +315,16 @@
     while (answer.status == 200 && steady_clock::now() < deadline) {
         {
             const std::lock_guard lock(m_mutex);
+            if (isOver())
+                return std::nullopt;
             if (!m_ends.empty())
                 break;
         }
         std::this_thread::sleep_for(AdvanceInterval);
     }
     const std::lock_guard lock(m_mutex);
+    if (isOver())
+        return std::nullopt;
     return answer.status == 200 ? listing() : answer;
 }
 
@@ -284,6 +381,7 @@
         return toAnswer(200, makeAnswer());
     if (active != m_runs.end() || number <= m_highestRun[task])
         return refuse(makeAnswer(), "old");
+    m_ledger.noteStart(task, number, m_options.name);
     m_runs[task] = {number, workFrom(body["spec"].asString()), 0, 100};
     m_hasDone.try_emplace(task, false);
     m_log.write(m_options.name + ": run " + std::to_string(number) + " of " + task + " starts");
@@ -293,6 +391,7 @@
 http_message runner::hold(const Json::Value &body)
 {
     extendHold(body);
+    m_ledger.noteSeen(lifeName(), body["last-seen"].asInt64());
     std::erase_if(m_ends, [&](const Json::Value &row) {
         return row[0].asInt64() <= body["last-seen"].asInt64();
     });
--- a/review/standin-2/runner.h
+++ b/review/standin-2/runner.h
@@ -30,6 +30,35 @@
     std::FILE *m_file = nullptr;
 };
 
+// The ends as done of all runners, and whether they were taken note of: last-seen has reached them
+// before the runner's hold ran out or the runner was gone.
+class done_ledger
+{
+public:
+    explicit done_ledger(record &log)
+        : m_log(log)
+    { }
+    void noteDone(const std::string &life, std::int64_t sequence, const std::string &task);
+    void noteSeen(const std::string &life, std::int64_t lastSeen);
+    void forgetUnseen(const std::string &life);
+    void noteStart(const std::string &task, int run, const std::string &runner);
+    // Starts after an end as done that had been taken note of.
+    int startsAfterDone();
+
+private:
+    struct done_run
+    {
+        std::int64_t sequence = 0;
+        std::string task;
+    };
+
+    record &m_log;
+    std::mutex m_mutex;
+    std::map<std::string, std::vector<done_run>> m_unseen; // by the life of a runner
+    std::map<std::string, std::string> m_seen;             // task -> by which life
+    int m_startsAfterDone = 0;
+};
+
 // How a task behaves. A runner reads that from the task's spec.
 struct task_work
 {
@@ -62,13 +91,18 @@
 class runner
 {
 public:
-    runner(runner_options options, record &log);
+    runner(runner_options options, record &log, done_ledger &ledger);
     const std::string &name() const { return m_options.name; }
 
     // The machine is suspended: nothing happens on it, and its steady clock stands.
     void suspend();
     void resume();
 
+    // The runner's process ends at once, with all that runs there.
+    void crash();
+    // It starts again under the id that it had: its counts and its clock start anew.
+    void restart();
+
     // The tail latency of all tasks that serve, alone and while a task that fills works beside
     // them.
     void setTails(std::int64_t aloneMs, std::int64_t disturbedMs);
@@ -95,6 +129,7 @@
     void advance();
     void end(const std::string &task, const char *how);
     void checkIn();
+    std::string lifeName() const;
     std::int64_t clockMs() const;
     std::int64_t tailMs() const;
     Json::Value makeAnswer() const;
@@ -103,6 +138,7 @@
 
     runner_options m_options;
     record &m_log;
+    done_ledger &m_ledger;
     std::mutex m_mutex;
     bool m_isSuspended = false;
     std::chrono::steady_clock::time_point m_suspendedAt{};
@@ -118,7 +154,9 @@
     std::map<std::string, active_run> m_runs;
     std::map<std::string, int> m_highestRun; // that was stopped or has ended
     std::map<std::string, bool> m_hasDone;   // every task that was started here
-    std::vector<Json::Value> m_ends;         // not acknowledged yet
+    int m_life = 1;
+    bool m_isDown = false;
+    std::vector<Json::Value> m_ends; // not acknowledged yet
     std::int64_t m_endCount = 0;
     http_server m_server; // last: it serves as soon as it exists
 };
