--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # case couldn't run. TROUBLE=0 leaves the disruption out. Build the project and build-2.sh first.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/review-2 ] || exit 2
-exec target/review-2/review-2 reborn-runner review/6
+exec target/review-2/review-2 suspended-machine review/6
--- a/review/standin-2/runner.cpp
+++ b/review/standin-2/runner.cpp
@@ -1,6 +1,8 @@
 #include "runner.h"
 
 #include <algorithm>
+#include <functional>
+#include <random>
 #include <thread>
 #include <utility>
 
@@ -419,41 +421,62 @@
     return toAnswer(200, value);
 }
 
+// The first check-in of each life comes at any moment of the interval.
 void runner::checkIn()
 {
+    std::mt19937 random(static_cast<unsigned>(std::hash<std::string>()(m_options.name)));
+    std::uniform_int_distribution<std::int64_t> phase(0, CheckInInterval.count());
+    int life = 0;
     while (true) {
-        http_message request;
-        {
-            const std::lock_guard lock(m_mutex);
-            Json::Value body(Json::objectValue);
-            body["service"] = "tickets";
-            body["address"] = toText(m_options.listen);
-            body["zone"] = "kartli-a";
-            body["version"] = "v1";
-            body["slots"] = 8;
-            body["state"] = "ready";
-            body["cold-remaining-ms"] = 0;
-            body["capacity"]["cpu"] = Json::Int64(m_options.millicores);
-            body["capacity"]["mem-mb"] = Json::Int64(m_options.memoryMb);
-            body["capacity"]["gpu"] = 0;
-            body["labels"].append("a");
-            body["labels"].append("r1-1");
-            body["clock-ms"] = Json::Int64(clockMs());
-            body["born"] = Json::Int64(m_born);
-            body["seq"] = Json::Int64(++m_sequence);
-            request.method = "POST";
-            request.target = "/-/instances/" + m_options.name + "/heartbeat";
-            request.body = toText(body);
-        }
-        bool isSuspended = false;
-        {
-            const std::lock_guard lock(m_mutex);
-            isSuspended = m_isSuspended;
-        }
-        const auto answer =
-                isSuspended ? std::nullopt : call(m_options.agent, request, milliseconds(1000));
-        std::this_thread::sleep_for(answer ? CheckInInterval : CheckInRetry);
+        if (std::exchange(life, lifeNumber()) != lifeNumber())
+            std::this_thread::sleep_for(milliseconds(phase(random)));
+        const bool isAcknowledged = checkInOnce();
+        waitInLife(life, isAcknowledged ? CheckInInterval : CheckInRetry);
+    }
+}
+
+int runner::lifeNumber()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_life;
+}
+
+// Returns early when the next life begins.
+void runner::waitInLife(int life, milliseconds time)
+{
+    const auto deadline = steady_clock::now() + time;
+    while (lifeNumber() == life && steady_clock::now() < deadline)
+        std::this_thread::sleep_for(AdvanceInterval);
+}
+
+bool runner::checkInOnce()
+{
+    http_message request;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isSuspended || m_isDown)
+            return false;
+        Json::Value body(Json::objectValue);
+        body["service"] = "tickets";
+        body["address"] = toText(m_options.listen);
+        body["zone"] = "kartli-a";
+        body["version"] = "v1";
+        body["slots"] = 8;
+        body["state"] = "ready";
+        body["cold-remaining-ms"] = 0;
+        body["capacity"]["cpu"] = Json::Int64(m_options.millicores);
+        body["capacity"]["mem-mb"] = Json::Int64(m_options.memoryMb);
+        body["capacity"]["gpu"] = 0;
+        body["labels"].append("a");
+        body["labels"].append("r1-1");
+        body["clock-ms"] = Json::Int64(clockMs());
+        body["born"] = Json::Int64(m_born);
+        body["seq"] = Json::Int64(++m_sequence);
+        request.method = "POST";
+        request.target = "/-/instances/" + m_options.name + "/heartbeat";
+        request.body = toText(body);
     }
+    return call(m_options.agent, request, milliseconds(1000)).has_value();
 }
 
 } // namespace review
--- a/review/standin-2/runner.h
+++ b/review/standin-2/runner.h
@@ -129,6 +129,9 @@
     void advance();
     void end(const std::string &task, const char *how);
     void checkIn();
+    int lifeNumber();
+    void waitInLife(int life, std::chrono::milliseconds time);
+    bool checkInOnce(); // whether it was acknowledged
     std::string lifeName() const;
     std::int64_t clockMs() const;
     std::int64_t tailMs() const;
