--- a/review/standin-2/net.cpp
+++ b/review/standin-2/net.cpp
@@ -313,15 +313,16 @@
         std::thread([this, near, port = ntohs(caller.sin_port)] {
             // Only while a process is cut off it matters whose connection this is. Connections that
             // were made before are told apart when the cut begins, see relay().
-            const auto inode = inodeOfConnection(port, m_listen.port);
             const int far = connectTo(m_target);
             if (far < 0) {
                 close(near);
                 return;
             }
-            const auto ownerOf = [this, inode] {
+            const auto ownerOf = [this, port] {
                 const int process = m_cutProcess;
-                return process != 0 && ownsSocket(process, inode) ? process : -1;
+                if (process == 0)
+                    return -1;
+                return ownsSocket(process, inodeOfConnection(port, m_listen.port)) ? process : -1;
             };
             std::atomic<bool> isOpen{true};
             const auto pump = [&](int from, int to) {
