Agents log what an unknown incarnation was polled with, and the hold as an epoch begins

No line told the deadline of a hold beside the worker's clock, nor up to when the agent counts runs as held: the hypotheses could not be told apart. worker_polled_anew has the first, epoch_hold the second. No logic is changed.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
+#include <optional>
 #include <utility>
 
 #include "app/job_tables.h"
@@ -193,9 +195,20 @@
         } else {
             m_runTable.noteNewIncarnation(now);
         }
+        logHold(now);
         m_reportSender.sendReports();
     }
 
+    // Until when the worker may continue runs by itself, and until when the lease lets it.
+    void logHold(time_point now)
+    {
+        const auto heldUntil = m_workerLiveness.heldUntil();
+        m_log.writeEvent("epoch_hold",
+                         {{"epoch", m_runTable.epoch()},
+                          {"held_ms", heldUntil ? millisecondsIn(*heldUntil - now) : 0},
+                          {"lease_ms", millisecondsIn(lease().validUntil() - now)}});
+    }
+
     // No run of any earlier epoch is left: tasks that were placed here may be placed elsewhere.
     void noteAllRunsEnded(const std::string &nextIncarnation)
     {
@@ -224,6 +237,7 @@
             deadline = m_workerClock.millisecondsAt(holdUntil);
             m_workerLiveness.noteHold(holdUntil);
         }
+        m_lastPollDeadlineMs = deadline;
         // While the worker's clock is unknown, the poll returns at once and only reads the clock.
         const auto wait = m_workerClock.isKnown() ? millisecondsIn(maxPollWait(now)) : 0;
         auto request =
@@ -277,8 +291,10 @@
         }
         const auto pollOutcome =
                 m_workerPresence.handlePollAnswer(holdAnswer->workerStartMs, sentAt);
-        if (pollOutcome == worker_presence::poll_result::NewIncarnation)
+        if (pollOutcome == worker_presence::poll_result::NewIncarnation) {
+            logPollOfNewIncarnation(*holdAnswer);
             return handleIncarnationEnd("born_anew");
+        }
         if (pollOutcome == worker_presence::poll_result::DepartureRefuted)
             handleDepartureRefuted();
         m_workerClock.setReading(holdAnswer->listing.clockMs, now);
@@ -294,6 +310,17 @@
             pollWorker();
     }
 
+    // What a poll that was meant for the earlier incarnation did to the new one: a deadline on the
+    // earlier clock lets runs continue for long, and an acknowledgement drops ends.
+    void logPollOfNewIncarnation(const platform_wire::hold_result &answer)
+    {
+        m_log.writeEvent("worker_polled_anew", {{"worker", m_workerPresence.id()},
+                                                {"clock_ms", answer.listing.clockMs},
+                                                {"deadline_ms", m_lastPollDeadlineMs.value_or(0)},
+                                                {"acknowledged", m_runTable.acknowledgedThrough()},
+                                                {"runs", answer.listing.running.size()}});
+    }
+
     // Logs once when polls begin to fail and once when they are answered again.
     void logAnswering(bool isAnswered, const call_result &result)
     {
@@ -608,6 +635,8 @@
     std::size_t m_reportedEndCount = 0; // value of m_runTable.newEndCount() at the last report
 
     bool m_isPolling = false;
+    // Worker's clock: until when the last poll lets runs continue; none: it extends nothing.
+    std::optional<std::int64_t> m_lastPollDeadlineMs;
 
     net::http_listener m_internalListener;
     net::http_listener m_workerListener;
