A worker that is back under its id takes runs once its lease covers their hold

Callers saw TWICE: two runs of one task at once on two live workers, or a task started again after its end had been noted.

Cause: a worker restarts under its id. A call that was meant for its earlier incarnation, in the plain case the agent's next poll, carries a deadline on the earlier clock, which the worker shortens to its longest hold, 10 s from the call. A hold never gets shorter, so it applies to the runs that start there in the next epoch. The lease lasts 7.5 s, and is all that watchers know: cut off soon after, the worker goes on while its tasks start elsewhere. worker_liveness had that bound, and set it back to 5 s as the epoch began.

Change: the bound outlives the beginning of the epoch; it counts from the first answer to a call with the next fence, as earlier calls are refused from then on. A run starts only once the lease is valid up to the bound, some 2.5 s later. The lease's row carries the bound for the agent's next incarnation, gives no earlier expiry, and watchers don't cap it. A poll after one that failed carries no deadline.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -180,7 +180,14 @@
     {
         return {[this] { m_runTable.setEpoch(0); },
                 [this](const epoch_settled &epoch) { handleEpochSettled(epoch); },
-                [this] { pollWorker(); }};
+                [this] { handleFenceAcquired(); }};
+    }
+
+    void handleFenceAcquired()
+    {
+        if (const auto until = lease().earlierCallsHoldUntil(suspendAwareNow()))
+            m_workerLiveness.noteEarlierCallsHold(*until);
+        pollWorker();
     }
 
     void handleEpochSettled(const epoch_settled &settled)
@@ -230,9 +237,11 @@
         std::optional<std::int64_t> deadline;
         // A worker that does not answer is polled without a deadline that extends its runs: each
         // extending call that may have reached it would postpone the time at which all its runs
-        // have certainly ended.
+        // have certainly ended. After a poll that failed, the next one may reach another
+        // incarnation, whose clock has started anew: it would hold its runs for longer than the
+        // lease.
         if (m_workerClock.isKnown() && now < lease().validUntil()
-            && m_workerLiveness.isResponsive(now)) {
+            && m_workerLiveness.isIncarnationConfirmed(now)) {
             const auto holdUntil = std::min<time_point>(lease().validUntil(), now + HoldDuration);
             deadline = m_workerClock.millisecondsAt(holdUntil);
             m_workerLiveness.noteHold(holdUntil);
@@ -266,12 +275,16 @@
 
     void handlePollResult(const call_result &result, std::int64_t fence, time_point sentAt)
     {
+        const auto now = suspendAwareNow();
+        const auto holdAnswer = platform_wire::parseHoldResult(result);
+        const bool isOfThisFence = lease().holdsFence() && fence == lease().fence();
+        // The answer to a poll with an earlier fence isn't used, but its failure is a sign.
+        if (!isOfThisFence && !holdAnswer)
+            m_workerLiveness.notePoll(false, now);
         if (!lease().holdsFence())
             return; // polling resumes when the fence is acquired
-        if (fence != lease().fence())
+        if (!isOfThisFence)
             return pollWorker(); // the poll was sent with an earlier fence
-        const auto now = suspendAwareNow();
-        const auto holdAnswer = platform_wire::parseHoldResult(result);
         logAnswering(holdAnswer.has_value(), result);
         const bool isAnsweringAgain = holdAnswer && m_workerLiveness.heldUntilIfSilent();
         m_workerLiveness.notePoll(holdAnswer.has_value(), now);
@@ -298,6 +311,7 @@
         if (pollOutcome == worker_presence::poll_result::DepartureRefuted)
             handleDepartureRefuted();
         m_workerClock.setReading(holdAnswer->listing.clockMs, now);
+        noteFenceSeen(fence, now);
         m_runTable.applyListing(holdAnswer->listing, now);
         const bool hasNewEnds = m_runTable.newEndCount() != m_reportedEndCount;
         settleEpoch(now);
@@ -321,6 +335,21 @@
                                                 {"runs", answer.listing.running.size()}});
     }
 
+    // The worker has answered a call with this fence, and refuses calls with an earlier one from
+    // now on.
+    void noteFenceSeen(std::int64_t fence, time_point now)
+    {
+        if (std::exchange(m_fenceSeen, fence) == fence)
+            return;
+        const bool isNewIncarnation =
+                lease().workerIncarnation() != m_workerPresence.incarnationName();
+        if (!isNewIncarnation || !lease().hadIncarnation()
+            || !m_workerPresence.mayTakeEarlierCalls())
+            return;
+        m_workerLiveness.noteNewIncarnation(now);
+        m_leaseKeeper.noteEarlierCallsHold(m_workerLiveness.earlierCallsHoldUntil());
+    }
+
     // Logs once when polls begin to fail and once when they are answered again.
     void logAnswering(bool isAnswered, const call_result &result)
     {
@@ -352,7 +381,10 @@
         m_metrics.count("worker_lives_ended_total", reason);
         m_runTable.noteWorkerRestarted();
         m_workerClock.reset();
-        m_workerLiveness.noteNewIncarnation(suspendAwareNow());
+        if (m_workerPresence.mayTakeEarlierCalls())
+            m_workerLiveness.noteNewIncarnation(suspendAwareNow());
+        else
+            m_workerLiveness.noteReplaced(suspendAwareNow());
         m_leaseKeeper.acquire(reason);
     }
 
@@ -428,13 +460,21 @@
     {
         const auto now = suspendAwareNow();
         const bool holdsLease = m_areCancelsRead && !m_runTable.mayHaveUnlistedRuns(now)
-                                && lease().isSettled() && m_workerClock.isKnown()
-                                && now < lease().validUntil();
+                                && lease().isSettled() && leaseCoversHold(now);
         return readinessOf({m_workerPresence.isPresent(), m_workerPresence.isLeaving(), holdsLease,
                             m_reportSender.isZoneEvacuated(now)},
                            m_workerLiveness, now);
     }
 
+    // Runs that start now end with the lease. A run on a worker that calls to its earlier
+    // incarnation hold for longer would go on beside the one that an entry starts elsewhere when
+    // the lease has expired.
+    bool leaseCoversHold(time_point now) const
+    {
+        return now < lease().validUntil() && m_workerClock.isKnown()
+               && m_workerLiveness.earlierCallsHoldUntil() <= lease().validUntil();
+    }
+
     // --- Orders from entries.
 
     void serveInternal(http_request request, responder respond)
@@ -482,8 +522,7 @@
         const auto now = suspendAwareNow();
         // Nothing is started on a worker that does not answer: each such call would postpone the
         // time at which all its runs have certainly ended.
-        const bool canStart = now < lease().validUntil() && m_workerClock.isKnown()
-                              && m_workerLiveness.isResponsive(now);
+        const bool canStart = leaseCoversHold(now) && m_workerLiveness.isResponsive(now);
         for (const auto &action : m_runTable.takeDueActions(now, canStart))
             std::visit([this](const auto &typedAction) { m_workerCalls.execute(typedAction); },
                        action);
@@ -635,6 +674,7 @@
     std::size_t m_reportedEndCount = 0; // value of m_runTable.newEndCount() at the last report
 
     bool m_isPolling = false;
+    std::int64_t m_fenceSeen = 0; // the last one that the worker has answered
     // Worker's clock: until when the last poll lets runs continue; none: it extends nothing.
     std::optional<std::int64_t> m_lastPollDeadlineMs;
 
--- a/app/lease_keeper.cpp
+++ b/app/lease_keeper.cpp
@@ -59,6 +59,11 @@
     execute();
 }
 
+void lease_keeper::noteEarlierCallsHold(time_point until)
+{
+    m_lease.noteEarlierCallsHold(until, suspendAwareNow());
+}
+
 bool lease_keeper::observeWorker(const std::string &incarnation, bool mayHaveRuns)
 {
     const bool shouldStopAll = m_lease.reconcile(incarnation, mayHaveRuns, suspendAwareNow());
--- a/app/lease_keeper.h
+++ b/app/lease_keeper.h
@@ -38,6 +38,8 @@
     // the worker does not answer, and at the agent's end: a hold call lets the worker's runs
     // continue until a deadline, and this is the last one. The lease is then renewed only up to it.
     void renew(std::optional<time_point> heldUntil = std::nullopt);
+    // As jobs::worker_lease, for the writes from now on.
+    void noteEarlierCallsHold(time_point until);
     // Both pass on to jobs::worker_lease what was observed of the worker. observeWorker() returns
     // whether all its runs have to be stopped before a new epoch can begin.
     bool observeWorker(const std::string &incarnation, bool mayHaveRuns);
--- a/app/worker_presence.cpp
+++ b/app/worker_presence.cpp
@@ -27,6 +27,8 @@
     if (isSameIncarnation && m_isDeparting)
         return change::None;
     const bool isFirst = m_id.empty();
+    if (!isSameIncarnation && !isFirst)
+        m_mayTakeEarlierCalls = announcement.id == m_id;
     const bool hasReadinessChanged =
             announcement.isDraining != m_lastAnnouncement.isDraining || !m_isPresent;
     m_lastAnnouncement = announcement;
@@ -63,6 +65,7 @@
     if (workerStartMs != 0)
         m_startTimeMs = workerStartMs;
     if (isNewIncarnation) {
+        m_mayTakeEarlierCalls = true; // the call named the id that the earlier one had
         resetAnnouncedState();
         return poll_result::NewIncarnation;
     }
@@ -79,6 +82,7 @@
 {
     m_lastAnnouncement = {};
     m_id.clear();
+    m_mayTakeEarlierCalls = false;
     m_startTimeMs = 0;
     resetAnnouncedState();
 }
--- a/app/worker_presence.h
+++ b/app/worker_presence.h
@@ -39,6 +39,8 @@
     bool handlePollFailure(call_failure failure);
 
     const std::string &id() const { return m_id; } // empty before the first announcement
+    // The incarnation before had the same id, as far as is known: this one takes calls to it.
+    bool mayTakeEarlierCalls() const { return m_mayTakeEarlierCalls; }
     bool isIncarnationKnown() const { return m_startTimeMs != 0; }
     std::string incarnationName() const { return std::to_string(m_startTimeMs); }
     bool isPresent() const { return m_isPresent; }
@@ -60,7 +62,8 @@
     // The newest one of the current incarnation.
     platform_wire::worker_announcement m_lastAnnouncement;
     std::string m_id;
-    std::int64_t m_startTimeMs = 0;   // start time of the current incarnation; 0: unknown
+    std::int64_t m_startTimeMs = 0; // start time of the current incarnation; 0: unknown
+    bool m_mayTakeEarlierCalls = true;
     bool m_isPresent = false;         // announced and not departed
     bool m_isDeparting = false;       // announced its end, which is not confirmed yet
     time_point m_departureDeadline{}; // by then it is gone, if it sent the departure message
--- a/libs/jobs/lease.cpp
+++ b/libs/jobs/lease.cpp
@@ -19,6 +19,8 @@
     value["ended"] = row.endedByWatcher;
     value["write"] = row.writeId;
     value["ends_at_ms"] = Json::Int64(row.expiresAtMs);
+    if (row.earlierCallsHoldUntilMs != 0)
+        value["earlier_calls_until_ms"] = Json::Int64(row.earlierCallsHoldUntilMs);
     return compactJson(value);
 }
 
@@ -33,6 +35,8 @@
                   stringMember(value, "write")};
     if (value.isMember("ends_at_ms")) // agents of the previous release don't write it
         row.expiresAtMs = integerMemberUpTo(value, "ends_at_ms", MaxTimeMs);
+    if (value.isMember("earlier_calls_until_ms")) // nor this
+        row.earlierCallsHoldUntilMs = integerMemberUpTo(value, "earlier_calls_until_ms", MaxTimeMs);
     return row;
 }
 
@@ -52,22 +56,38 @@
     return millisecondsIn(at.time_since_epoch());
 }
 
+// By how much the store's clock and this one can differ in the time between, at most.
+std::int64_t maxDriftMs(time_point from, time_point to)
+{
+    constexpr int MaxDriftPerMille = 1;
+    return std::max<std::int64_t>(0, millisecondsSinceEpoch(to) - millisecondsSinceEpoch(from))
+           * MaxDriftPerMille / 1000;
+}
+
 // Added to the expiry in a row, or to LeaseDuration if the expiry is unknown.
 constexpr milliseconds LeaseExpirySlack = expirySlack(LeaseDuration);
 
+// For how long runs may continue after the row was written, at most.
+milliseconds longestHold(const lease_row &row)
+{
+    return row.earlierCallsHoldUntilMs == 0 ? LeaseDuration : MaxHoldDuration;
+}
+
 } // namespace
 
 void store_clock::noteReading(std::int64_t storeMs, time_point sentAt, time_point now)
 {
     if (storeMs == 0)
         return;
+    m_lastReadingMs = storeMs;
+    m_lastReadAt = now;
     // The store read its clock after the call was sent, so the reading gives an upper bound of the
     // offset; the longer the call took, the looser. The tightest bound of all answers is used.
     const auto offsetMs = storeMs - millisecondsSinceEpoch(sentAt);
     // A reading later than the estimate's upper bound proves the estimate wrong. If it were kept,
     // later rows would give an expiry that is too early.
     const bool disproved = storeMs > upperBoundMs(now);
-    if (m_maxOffsetMs && !disproved && *m_maxOffsetMs + maxDriftMs(now) <= offsetMs)
+    if (m_maxOffsetMs && !disproved && *m_maxOffsetMs + maxDriftMs(m_readAt, now) <= offsetMs)
         return;
     m_maxOffsetMs = offsetMs;
     m_readAt = now;
@@ -75,14 +95,15 @@
 
 std::int64_t store_clock::upperBoundMs(time_point at) const
 {
-    return m_maxOffsetMs ? millisecondsSinceEpoch(at) + *m_maxOffsetMs + maxDriftMs(at) : 0;
+    return m_maxOffsetMs ? millisecondsSinceEpoch(at) + *m_maxOffsetMs + maxDriftMs(m_readAt, at)
+                         : 0;
 }
 
-std::int64_t store_clock::maxDriftMs(time_point at) const
+std::int64_t store_clock::lowerBoundMs(time_point at) const
 {
-    constexpr int MaxDriftPerMille = 1;
-    return std::max<std::int64_t>(0, millisecondsSinceEpoch(at) - millisecondsSinceEpoch(m_readAt))
-           * MaxDriftPerMille / 1000;
+    return m_lastReadingMs == 0 ? 0
+                                : m_lastReadingMs + millisecondsIn(at - m_lastReadAt)
+                                          - maxDriftMs(m_lastReadAt, at);
 }
 
 lease_check lease_expiry_detector::observe(const std::string &worker, const lease_row &row,
@@ -93,7 +114,7 @@
         return {false, now + LeaseCheckInterval}; // the agent has to begin a new epoch
     auto &observed = m_observed[worker];
     if (observed.version != version)
-        observed = {version, now + LeaseDuration + LeaseExpirySlack};
+        observed = {version, now + longestHold(row) + LeaseExpirySlack};
     auto expiresAt = observed.expiresAt;
     if (row.expiresAtMs != 0 && storeMs != 0)
         expiresAt = std::min(expiresAt,
--- a/libs/jobs/lease.h
+++ b/libs/jobs/lease.h
@@ -26,6 +26,9 @@
 // this interval. Agents that started together renew at the same moments, so an outage of more than
 // that ends the runs of all workers at once.
 constexpr milliseconds LeaseRenewInterval{500};
+// Upper bound of the time for which any worker lets its runs continue by one call, whatever the
+// call asks for.
+constexpr milliseconds MaxHoldDuration{10'000};
 constexpr milliseconds LeaseCheckInterval{1500}; // a watcher's reads of a silent worker's lease
 
 // Covers the small delays with which both sides read their clocks.
@@ -52,6 +55,10 @@
     bool endedByWatcher = false;   // a watcher ended the epoch: the agent has to begin a new one
     std::string writeId;           // identifies the write
     std::int64_t expiresAtMs = 0;  // store's clock, ms: no run continues after it; 0: unknown
+    // Store's clock, ms: until then calls that were meant for an earlier incarnation of the worker
+    // may let runs of this one continue, whatever the agent does; 0: no such calls. Copied from
+    // write to write, as a restarted agent can't know it otherwise.
+    std::int64_t earlierCallsHoldUntilMs = 0;
 };
 std::string toText(const lease_row &row);
 lease_row leaseFrom(const std::string &text); // throws error BadRequest
@@ -69,12 +76,14 @@
     void noteReading(std::int64_t storeMs, time_point sentAt, time_point now);
     // The latest time, in ms, that the store's clock can show at `at`; 0: no reading so far.
     std::int64_t upperBoundMs(time_point at) const;
+    // The earliest time, in ms, that the store's clock can show at `at`; 0: no reading so far.
+    std::int64_t lowerBoundMs(time_point at) const;
 
 private:
-    std::int64_t maxDriftMs(time_point at) const; // of the two clocks since m_readAt
-
     std::optional<std::int64_t> m_maxOffsetMs; // store's clock minus local clock, at most
     time_point m_readAt{};                     // when the reading in use arrived
+    std::int64_t m_lastReadingMs = 0;          // in the last answer; 0: none so far
+    time_point m_lastReadAt{};                 // when that answer arrived
 };
 
 struct lease_check
@@ -87,7 +96,8 @@
 // Used by a watcher to prove that a worker's lease has expired. The row gives the expiry on the
 // store's clock, so that a restarted watcher need not wait again. If the expiry or the clock is
 // unknown, the row has to stay unchanged for LeaseDuration plus slack, counted from when this
-// watcher first read its present version.
+// watcher first read its present version; for MaxHoldDuration if calls to an earlier incarnation of
+// the worker may hold its runs.
 class lease_expiry_detector
 {
 public:
--- a/libs/jobs/worker_lease.cpp
+++ b/libs/jobs/worker_lease.cpp
@@ -45,6 +45,24 @@
     write(m_row, false, now, heldUntil);
 }
 
+void worker_lease::noteEarlierCallsHold(time_point until, time_point now)
+{
+    const auto storeMs = m_storeClock.upperBoundMs(now);
+    // Without a reading the row can't say it; tasks start only once a usual lease lasts longer.
+    if (storeMs == 0)
+        return;
+    m_earlierCallsHoldUntilMs =
+            std::max(m_earlierCallsHoldUntilMs, storeMs + millisecondsIn(until - now));
+}
+
+std::optional<time_point> worker_lease::earlierCallsHoldUntil(time_point now) const
+{
+    const auto storeMs = m_storeClock.lowerBoundMs(now);
+    if (storeMs == 0 || m_earlierCallsHoldUntilMs <= storeMs)
+        return std::nullopt;
+    return now + milliseconds(m_earlierCallsHoldUntilMs - storeMs);
+}
+
 void worker_lease::noteStoreClock(std::int64_t storeMs, time_point sentAt, time_point now)
 {
     m_storeClock.noteReading(storeMs, sentAt, now);
@@ -57,6 +75,7 @@
         return;
     m_version = row ? version : 0;
     auto next = row.value_or(lease_row());
+    m_earlierCallsHoldUntilMs = std::max(m_earlierCallsHoldUntilMs, next.earlierCallsHoldUntilMs);
     ++next.fence;
     m_phase = lease_phase::WritingFence;
     write(std::move(next), false, now);
@@ -136,7 +155,12 @@
     const auto validUntil = std::min<time_point>(now + LeaseDuration, heldUntil.value_or(Never));
     ++next.renewals;
     const auto storeMs = m_storeClock.upperBoundMs(now);
-    next.expiresAtMs = storeMs == 0 ? 0 : storeMs + millisecondsIn(validUntil - now);
+    if (m_earlierCallsHoldUntilMs <= m_storeClock.lowerBoundMs(now))
+        m_earlierCallsHoldUntilMs = 0;
+    next.earlierCallsHoldUntilMs = m_earlierCallsHoldUntilMs;
+    next.expiresAtMs = storeMs == 0 ? 0
+                                    : std::max(storeMs + millisecondsIn(validUntil - now),
+                                               next.earlierCallsHoldUntilMs);
     // Two incarnations of an agent may write the same fence, and the write of the earlier one may
     // take effect late. If it were mistaken for the later one's write, the row would give an
     // earlier expiry than its agent assumes. The expiry in the id tells the writes apart.
--- a/libs/jobs/worker_lease.h
+++ b/libs/jobs/worker_lease.h
@@ -55,6 +55,12 @@
     // doesn't answer and at the agent's end; the lease is not renewed beyond it.
     void renew(time_point now, std::optional<time_point> heldUntil = std::nullopt);
 
+    // The worker's present incarnation may continue runs until then by calls that were meant for an
+    // earlier one. Every row that is written from now on says so, and gives no earlier expiry.
+    void noteEarlierCallsHold(time_point until, time_point now);
+    // The same as the row gives it, at the latest; none: no such calls, or that time is over.
+    std::optional<time_point> earlierCallsHoldUntil(time_point now) const;
+
     // Called for each answer of the store to a call sent at `sentAt`. `storeMs`: reading of the
     // store's clock in it, ms; 0: none.
     void noteStoreClock(std::int64_t storeMs, time_point sentAt, time_point now);
@@ -84,6 +90,8 @@
     std::int64_t epoch() const { return m_row.epoch; }
     std::int64_t fence() const { return m_row.fence; }
     const std::string &workerIncarnation() const { return m_row.workerIncarnation; }
+    // Whether the row has ever named an incarnation of the worker.
+    bool hadIncarnation() const { return m_row.epoch > lease_row().epoch; }
     // End of the lease on the agent's clock. No run is started after it, and no hold call lets runs
     // continue beyond it.
     time_point validUntil() const { return m_validUntil; }
@@ -111,8 +119,9 @@
     std::string m_agent;
     store_clock m_storeClock;
     lease_phase m_phase = lease_phase::Reading;
-    lease_row m_row;            // as last written by this agent
-    std::int64_t m_version = 0; // of the row; 0: it doesn't exist
+    lease_row m_row;                            // as last written by this agent
+    std::int64_t m_version = 0;                 // of the row; 0: it doesn't exist
+    std::int64_t m_earlierCallsHoldUntilMs = 0; // as in lease_row
     std::optional<pending_write> m_pendingWrite;
     // Set once all runs have ended: the next incarnation of the worker; empty text: none yet or
     // unknown. Kept until it is in the row; a pending write or a conflict only delays it.
--- a/libs/jobs/worker_liveness.cpp
+++ b/libs/jobs/worker_liveness.cpp
@@ -16,6 +16,18 @@
 void worker_liveness::noteNewIncarnation(time_point now)
 {
     m_heldUntil = now + MaxHoldDuration;
+    m_earlierCallsHoldUntil = m_heldUntil;
+}
+
+void worker_liveness::noteEarlierCallsHold(time_point until)
+{
+    m_earlierCallsHoldUntil = std::max(m_earlierCallsHoldUntil, until);
+}
+
+void worker_liveness::noteReplaced(time_point now)
+{
+    m_heldUntil = now + HoldDuration;
+    m_earlierCallsHoldUntil = {};
 }
 
 void worker_liveness::noteNewEpoch(time_point now)
@@ -26,6 +38,7 @@
 void worker_liveness::clearHold()
 {
     m_heldUntil = {};
+    m_earlierCallsHoldUntil = {};
 }
 
 void worker_liveness::notePoll(bool answered, time_point now)
@@ -41,6 +54,11 @@
     return now - m_answeredAt < WorkerSilentAfter;
 }
 
+bool worker_liveness::isIncarnationConfirmed(time_point now) const
+{
+    return m_lastPollAnswered && isResponsive(now);
+}
+
 bool worker_liveness::isSilent(time_point now) const
 {
     // An agent that was frozen has no recent answer either, although its last poll was answered. It
@@ -50,7 +68,8 @@
 
 std::optional<time_point> worker_liveness::heldUntil() const
 {
-    return m_heldUntil == time_point{} ? std::nullopt : std::optional(m_heldUntil);
+    const auto until = std::max(m_heldUntil, m_earlierCallsHoldUntil);
+    return until == time_point{} ? std::nullopt : std::optional(until);
 }
 
 std::optional<time_point> worker_liveness::heldUntilIfSilent() const
@@ -61,7 +80,8 @@
 
 bool worker_liveness::hasNothingRunning(time_point now) const
 {
-    return m_heldUntil != time_point{} && now >= m_heldUntil + expirySlack(MaxHoldDuration);
+    const auto until = heldUntil();
+    return until && now >= *until + expirySlack(MaxHoldDuration);
 }
 
 start_readiness readinessOf(const worker_status &status, const worker_liveness &liveness,
--- a/libs/jobs/worker_liveness.h
+++ b/libs/jobs/worker_liveness.h
@@ -15,9 +15,6 @@
 // How long a hold call lets runs continue. Outlasts a lost poll, and the restart of an agent, which
 // is back within 2 s.
 constexpr milliseconds HoldDuration{5000};
-// Upper bound of the time for which any worker lets its runs continue by one call, whatever the
-// call asks for. Used after a restart of the worker, and to allow for the error of its clock.
-constexpr milliseconds MaxHoldDuration{10'000};
 // When no poll has been answered for this long, nothing new is started.
 constexpr milliseconds WorkerSilentAfter{1700};
 
@@ -33,11 +30,16 @@
 
     // A hold call was sent that lets runs continue until then, if it reaches the worker.
     void noteHold(time_point until);
-    // The worker was restarted. Runs count as held until MaxHoldDuration from now: a start call to
-    // the worker's earlier incarnation that was not answered may still take effect in the new one,
-    // until the worker knows the agent's next fence. The fence is a number that rises whenever the
-    // agent acquires the lease; calls with an earlier one are invalid.
+    // The worker was restarted, and up to now may have taken calls that were meant for its earlier
+    // incarnation. Their deadlines are times on the earlier clock, so that the worker shortens them
+    // to MaxHoldDuration from the call. That ends only when it has answered a call with the agent's
+    // next fence, a number that rises whenever the agent acquires the lease: it refuses calls with
+    // an earlier one. A hold never gets shorter, so it applies to later runs as well.
     void noteNewIncarnation(time_point now);
+    // The lease says the same, for an incarnation that the agent found when it started.
+    void noteEarlierCallsHold(time_point until);
+    // The worker was replaced by one with another id, which refuses calls to the earlier one.
+    void noteReplaced(time_point now);
     // A new epoch of the worker begins, a number that rises once all its runs have ended. Runs
     // count as held until HoldDuration from now: nothing runs, but a hold call that is not answered
     // yet may extend runs that are started from now on.
@@ -48,19 +50,27 @@
     bool lastPollAnswered() const { return m_lastPollAnswered; }
     // A poll was answered less than WorkerSilentAfter ago.
     bool isResponsive(time_point now) const;
+    // The last poll was answered, less than WorkerSilentAfter ago. Otherwise the next call may
+    // reach another incarnation, under the same id, whose clock and numbering of ends have started
+    // anew: a restart breaks the poll that is open.
+    bool isIncarnationConfirmed(time_point now) const;
     // The last poll failed, and the worker is not responsive.
     bool isSilent(time_point now) const;
     // The latest time until which the worker lets runs continue; none: nothing is held.
     std::optional<time_point> heldUntil() const;
-    // The same if at least the last two polls failed; none otherwise, since a single poll is lost
-    // now and then. Does not depend on `isSilent`.
+    // Until when calls that were meant for an earlier incarnation may let runs continue; a time in
+    // the past: no such calls.
+    time_point earlierCallsHoldUntil() const { return m_earlierCallsHoldUntil; }
+    // The same as heldUntil() if at least the last two polls failed; none otherwise, since a single
+    // poll is lost now and then. Does not depend on `isSilent`.
     std::optional<time_point> heldUntilIfSilent() const;
     // All runs have certainly ended, although the worker hasn't said so: the last hold has expired,
     // also by the slowest permitted clock. False when nothing is held.
     bool hasNothingRunning(time_point now) const;
 
 private:
-    time_point m_heldUntil{};  // at most; 0: nothing is held
+    time_point m_heldUntil{}; // by calls to this incarnation, at most; 0: nothing is held
+    time_point m_earlierCallsHoldUntil{};
     time_point m_answeredAt{}; // last answered poll
     bool m_lastPollAnswered = false;
     int m_consecutiveFailures = 0; // polls
--- a/tests/job_platform_test.cpp
+++ b/tests/job_platform_test.cpp
@@ -194,6 +194,29 @@
     });
 }
 
+// Guards against a watcher that ends the lease of a worker while calls to the worker's earlier
+// incarnation still hold its runs: their tasks would run twice.
+Test(job_platform, lease_of_a_worker_that_earlier_calls_hold)
+{
+    constexpr std::int64_t RestartedAtMs = 5'000'000; // store's clock
+    constexpr std::int64_t HeldUntilMs = RestartedAtMs + MaxHoldDuration.count();
+    const time_point restartedAt{std::chrono::hours(1)};
+    lease_row row{4, 7, 12, "17", false, "w:7:12", HeldUntilMs, HeldUntilMs};
+    for (const bool isStoreClockKnown : {true, false}) {
+        section(isStoreClockKnown ? "by the store's clock" : "without it", [&] {
+            lease_expiry_detector detector;
+            const auto hasExpired = [&](milliseconds after) {
+                const auto storeMs = isStoreClockKnown ? RestartedAtMs + after.count() : 0;
+                return detector.observe("w", row, 5, storeMs, restartedAt + after).isExpired;
+            };
+            check(!hasExpired(milliseconds(0)));
+            check(!hasExpired(LeaseDuration + seconds(1)));
+            check(!hasExpired(durationOnSlowClock(MaxHoldDuration)));
+            check(hasExpired(MaxHoldDuration + seconds(1)));
+        });
+    }
+}
+
 // Callers count a long-running task as lost if it has not run for 9 s. In the worst case its agent
 // renews the lease, and right after that agent and worker lose power. The entries get no more
 // reports, and each check of the lease returns when to check next.
@@ -238,6 +261,12 @@
         clock.noteReading(8900, start + seconds(3), start + seconds(5));
         check(clock.upperBoundMs(start + milliseconds(2010)) == 6710);
     });
+    section("the store can't have read its clock after the answer arrived", [&] {
+        store_clock slowClock;
+        slowClock.noteReading(5000, start, start + seconds(1));
+        check(slowClock.lowerBoundMs(start + seconds(1)) == 5000);
+        check(slowClock.lowerBoundMs(start + seconds(2)) == 5999); // less the drift
+    });
     section("the estimate from an old answer grows less precise, as clocks drift", [&] {
         const auto later = start + milliseconds(1'002'010);
         check(clock.upperBoundMs(later) == 6710 + 1'000'000 + 1000);
@@ -248,6 +277,7 @@
         store_clock unreadClock;
         unreadClock.noteReading(0, start, start);
         check(unreadClock.upperBoundMs(start) == 0);
+        check(unreadClock.lowerBoundMs(start) == 0);
     });
 }
 
--- a/tests/worker_lease_test.cpp
+++ b/tests/worker_lease_test.cpp
@@ -2,6 +2,7 @@
 #include <criterion/criterion.h>
 
 #include "jobs/worker_lease.h"
+#include "jobs/worker_liveness.h"
 #include "section.h"
 
 using namespace zinniabarrow;
@@ -341,6 +342,56 @@
     });
 }
 
+// Guards against a task that runs twice. Calls that were meant for the worker's earlier incarnation
+// hold the runs of the present one for longer than a lease lasts, and watchers know of nothing but
+// the row. The agent may be killed as well: its next incarnation shortens the lease of a worker
+// that doesn't answer, and takes HoldDuration for the longest hold.
+Test(worker_lease, earlier_calls_hold_runs_beyond_the_lease)
+{
+    constexpr std::int64_t StoreMs = 70'000;
+    lease_fixture fixture;
+    fixture.startLease();
+    const auto restartedAt = fixture.now;
+    const auto boundMs = StoreMs + MaxHoldDuration.count();
+    fixture.lease.noteStoreClock(StoreMs, restartedAt, restartedAt);
+    fixture.lease.noteEarlierCallsHold(restartedAt + MaxHoldDuration, restartedAt);
+    fixture.lease.endEpoch("b", fixture.now);
+    fixture.runActions();
+    section("the row that begins the epoch says so, and gives no earlier expiry", [&] {
+        check(fixture.row->earlierCallsHoldUntilMs == boundMs);
+        check(fixture.row->expiresAtMs == boundMs);
+        check(fixture.lease.validUntil() == restartedAt + LeaseDuration);
+        check(leaseFrom(toText(*fixture.row)).earlierCallsHoldUntilMs == boundMs);
+    });
+    section("so do a renewal for a worker that does not answer, and one that was on its way", [&] {
+        auto renewed = fixture;
+        renewed.now += seconds(1);
+        renewed.lease.renew(renewed.now, renewed.now + HoldDuration);
+        renewed.runActions();
+        check(renewed.row->expiresAtMs == boundMs);
+    });
+    section("the next incarnation of the agent keeps and knows it", [&] {
+        auto next = fixture;
+        next.now += seconds(2);
+        next.lease = worker_lease("agent");
+        next.lease.noteStoreClock(StoreMs + 2000, next.now, next.now);
+        next.lease.acquireFence();
+        next.runActions();
+        check(next.row->earlierCallsHoldUntilMs == boundMs);
+        check(next.lease.earlierCallsHoldUntil(next.now) == restartedAt + MaxHoldDuration);
+        next.lease.renew(next.now, next.now + HoldDuration);
+        next.runActions();
+        check(next.row->expiresAtMs == boundMs);
+    });
+    section("it is over in time", [&] {
+        fixture.now += MaxHoldDuration + milliseconds(100);
+        fixture.lease.renew(fixture.now);
+        fixture.runActions();
+        check(fixture.row->earlierCallsHoldUntilMs == 0);
+        check(!fixture.lease.earlierCallsHoldUntil(fixture.now).has_value());
+    });
+}
+
 namespace {
 
 // The store is away from `from` to `to`. A pending write is repeated, and succeeds `RetryDelay`
--- a/tests/worker_liveness_test.cpp
+++ b/tests/worker_liveness_test.cpp
@@ -37,6 +37,60 @@
     });
 }
 
+// Guards against a task that runs twice. A worker restarts under its id, and a poll that was meant
+// for its earlier incarnation holds its runs for MaxHoldDuration. A new epoch begins and a run
+// starts; the bound was that of a usual hold then, so that the agent of a worker that fell silent
+// took its runs as ended while they went on.
+Test(worker_liveness, calls_to_the_earlier_incarnation_outlast_the_new_epoch)
+{
+    const time_point restartedAt{std::chrono::hours(1)};
+    worker_liveness liveness(restartedAt - seconds(60));
+    liveness.noteNewIncarnation(restartedAt);
+    liveness.noteNewEpoch(restartedAt + milliseconds(100));
+    check(liveness.heldUntil() == restartedAt + MaxHoldDuration);
+    check(!liveness.hasNothingRunning(restartedAt + MaxHoldDuration));
+    check(liveness.hasNothingRunning(restartedAt + MaxHoldDuration + seconds(1)));
+    section("a restarted agent knows it from the lease", [&] {
+        worker_liveness restarted(restartedAt + seconds(1));
+        restarted.noteEarlierCallsHold(restartedAt + MaxHoldDuration);
+        check(!restarted.hasNothingRunning(restartedAt + MaxHoldDuration));
+    });
+    section("no bound is left once all runs have ended", [&] {
+        auto ended = liveness;
+        ended.clearHold();
+        check(!ended.heldUntil().has_value());
+        check(ended.earlierCallsHoldUntil() == time_point{});
+    });
+    section("a worker with another id refuses such calls", [&] {
+        auto replaced = liveness;
+        replaced.noteReplaced(restartedAt + seconds(1));
+        check(replaced.heldUntil() == restartedAt + seconds(1) + HoldDuration);
+    });
+}
+
+// Guards against calls that a new incarnation of the worker takes although they were meant for the
+// one before: after a poll that failed, the next one tells which incarnation is there.
+Test(worker_liveness, incarnation_behind_a_poll_that_failed)
+{
+    const time_point now{std::chrono::hours(1)};
+    worker_liveness liveness(now);
+    check(!liveness.isIncarnationConfirmed(now));
+    liveness.notePoll(true, now);
+    check(liveness.isIncarnationConfirmed(now));
+    section("one failed poll is enough", [&] {
+        liveness.notePoll(false, now + milliseconds(10));
+        check(liveness.isResponsive(now + milliseconds(10)));
+        check(!liveness.isIncarnationConfirmed(now + milliseconds(10)));
+    });
+    section("one answer is enough", [&] {
+        liveness.notePoll(true, now + milliseconds(20));
+        check(liveness.isIncarnationConfirmed(now + milliseconds(20)));
+    });
+    section("an agent that was suspended can't know", [&] {
+        check(!liveness.isIncarnationConfirmed(now + milliseconds(20) + WorkerSilentAfter));
+    });
+}
+
 // Guards against long-running tasks that stay down for 11 s. A worker is lost and its agent killed
 // at the same moment. The agent is back 2 s later and can't know until when its earlier incarnation
 // let runs continue. It assumed a whole lease, although no hold call lasts that long.
--- a/tests/worker_presence_test.cpp
+++ b/tests/worker_presence_test.cpp
@@ -167,6 +167,42 @@
     });
 }
 
+// Guards against a task that runs twice: an incarnation under the id of the one before takes calls
+// that were meant for that one, which one with another id refuses.
+Test(worker_presence, which_incarnations_take_calls_to_the_one_before)
+{
+    section("the same id, found by a poll or an announcement", [] {
+        present_worker polled;
+        polled.worker.handlePollAnswer(StartTimeMs + 5, polled.now);
+        check(polled.worker.mayTakeEarlierCalls());
+        present_worker announced;
+        announced.worker.handleAnnouncement(announcementWith(1, StartTimeMs + 5));
+        check(announced.worker.mayTakeEarlierCalls());
+    });
+    section("another id", [] {
+        present_worker current;
+        auto next = announcementWith(1, StartTimeMs + 5);
+        next.id = "next-worker";
+        check(current.worker.handleAnnouncement(next) == presence_change::NewIncarnation);
+        check(!current.worker.mayTakeEarlierCalls());
+        section("and then the same again", [&] {
+            next.startTimeMs += 5;
+            current.worker.handleAnnouncement(next);
+            check(current.worker.mayTakeEarlierCalls());
+        });
+    });
+    section("one that has refused a call", [] {
+        present_worker current;
+        current.worker.handleOtherIncarnation();
+        check(!current.worker.mayTakeEarlierCalls());
+    });
+    section("the first one that an agent meets, as its earlier incarnation may have called", [] {
+        worker_presence unknown;
+        unknown.handleAnnouncement(announcementWith(1));
+        check(unknown.mayTakeEarlierCalls());
+    });
+}
+
 // Guards against a worker that is never used again, while its agent seeks its lease without a
 // pause: its machine was restarted and its clock set back, so that the worker has another id and an
 // earlier start time, and its announcements are taken for late ones of the earlier incarnation.
