Polls and starts for an incarnation of the worker that isn't confirmed

Cause: a worker restarts under its id. The poll after the broken one told the new incarnation to forget ends up to a number of the earlier one, and starts went out while the last poll had failed. Ends of such runs were forgotten before they were listed.

Change: after a poll that failed, the next one acknowledges nothing and doesn't wait, and nothing is started, until one is answered.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -246,14 +246,19 @@
             deadline = m_workerClock.millisecondsAt(holdUntil);
             m_workerLiveness.noteHold(holdUntil);
         }
-        m_lastPollDeadlineMs = deadline;
-        // While the worker's clock is unknown, the poll returns at once and only reads the clock.
-        const auto wait = m_workerClock.isKnown() ? millisecondsIn(maxPollWait(now)) : 0;
-        auto request =
-                platform_wire::makeHoldRequest(m_workerPresence.id(), deadline, lease().fence(),
-                                               m_runTable.acknowledgedThrough(), wait);
+        // Another incarnation would forget ends of its own by an acknowledgement of the earlier
+        // one's numbers, before it has listed them.
+        const bool isConfirmed = m_workerLiveness.isIncarnationConfirmed(now);
+        const auto acknowledged = isConfirmed ? m_runTable.acknowledgedThrough() : 0;
+        // While the worker's clock or incarnation is unknown, the poll returns at once.
+        const bool mayWait = isConfirmed && m_workerClock.isKnown();
+        const auto wait = mayWait ? millisecondsIn(maxPollWait(now)) : 0;
+        auto request = platform_wire::makeHoldRequest(m_workerPresence.id(), deadline,
+                                                      lease().fence(), acknowledged, wait);
         if (m_workerPresence.id().empty())
             request.headers.clear();
+        m_lastPollDeadlineMs = deadline;
+        m_lastPollAcknowledged = acknowledged;
         m_client.call(m_settings.workerAddress, std::move(request),
                       milliseconds(wait) + PollTimeout,
                       [this, fence = lease().fence(), now](const call_result &result) {
@@ -331,7 +336,7 @@
         m_log.writeEvent("worker_polled_anew", {{"worker", m_workerPresence.id()},
                                                 {"clock_ms", answer.listing.clockMs},
                                                 {"deadline_ms", m_lastPollDeadlineMs.value_or(0)},
-                                                {"acknowledged", m_runTable.acknowledgedThrough()},
+                                                {"acknowledged", m_lastPollAcknowledged},
                                                 {"runs", answer.listing.running.size()}});
     }
 
@@ -521,8 +526,9 @@
     {
         const auto now = suspendAwareNow();
         // Nothing is started on a worker that does not answer: each such call would postpone the
-        // time at which all its runs have certainly ended.
-        const bool canStart = leaseCoversHold(now) && m_workerLiveness.isResponsive(now);
+        // time at which all its runs have certainly ended. After a poll that failed, another
+        // incarnation may take the call, which this agent would start again elsewhere.
+        const bool canStart = leaseCoversHold(now) && m_workerLiveness.isIncarnationConfirmed(now);
         for (const auto &action : m_runTable.takeDueActions(now, canStart))
             std::visit([this](const auto &typedAction) { m_workerCalls.execute(typedAction); },
                        action);
@@ -677,6 +683,7 @@
     std::int64_t m_fenceSeen = 0; // the last one that the worker has answered
     // Worker's clock: until when the last poll lets runs continue; none: it extends nothing.
     std::optional<std::int64_t> m_lastPollDeadlineMs;
+    std::int64_t m_lastPollAcknowledged = 0;
 
     net::http_listener m_internalListener;
     net::http_listener m_workerListener;
