An agent that seeks its fence stops what earlier calls start on its worker

Cause, by reading: a start that is on its way as a worker restarts under its id is carried out by the new incarnation. If the agent is cut off from the store at that moment it never gets its next fence, does not poll, and nobody knows of that run, which lasts up to 10 s while its task starts elsewhere after 8.35 s.

Change: until it has the fence, the agent goes on polling with the one before, which such a worker still takes, without deadline or acknowledgement, and stops what is listed.

No test of the whole; process_jobs_test 31 of 31. An agent that is killed as well can't know of such a run.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -185,6 +185,7 @@
 
     void handleFenceAcquired()
     {
+        m_stopsStrayRuns = false;
         if (const auto until = lease().earlierCallsHoldUntil(suspendAwareNow()))
             m_workerLiveness.noteEarlierCallsHold(*until);
         pollWorker();
@@ -230,7 +231,7 @@
 
     void pollWorker()
     {
-        if (!lease().holdsFence() || m_isPolling)
+        if (m_isPolling || !(lease().holdsFence() || m_stopsStrayRuns))
             return;
         m_isPolling = true;
         const auto now = suspendAwareNow();
@@ -248,7 +249,8 @@
         }
         // Another incarnation would forget ends of its own by an acknowledgement of the earlier
         // one's numbers, before it has listed them.
-        const bool isConfirmed = m_workerLiveness.isIncarnationConfirmed(now);
+        const bool isConfirmed =
+                lease().holdsFence() && m_workerLiveness.isIncarnationConfirmed(now);
         const auto acknowledged = isConfirmed ? m_runTable.acknowledgedThrough() : 0;
         // While the worker's clock or incarnation is unknown, the poll returns at once.
         const bool mayWait = isConfirmed && m_workerClock.isKnown();
@@ -286,6 +288,8 @@
         // The answer to a poll with an earlier fence isn't used, but its failure is a sign.
         if (!isOfThisFence && !holdAnswer)
             m_workerLiveness.notePoll(false, now);
+        if (!lease().holdsFence() && m_stopsStrayRuns)
+            return stopStrayRuns(holdAnswer, sentAt, now);
         if (!lease().holdsFence())
             return; // polling resumes when the fence is acquired
         if (!isOfThisFence)
@@ -340,6 +344,24 @@
                                                 {"runs", answer.listing.running.size()}});
     }
 
+    // The agent seeks its next fence, perhaps for long if it is cut off from the store. Until the
+    // worker knows that fence, calls that were meant for its earlier incarnation may start runs,
+    // and nobody but this agent can learn of them: their tasks are started elsewhere once the lease
+    // has expired. The worker still takes calls with the fence before.
+    void stopStrayRuns(const std::optional<platform_wire::hold_result> &answer, time_point sentAt,
+                       time_point now)
+    {
+        if (answer) {
+            const auto outcome = m_workerPresence.handlePollAnswer(answer->workerStartMs, sentAt);
+            if (outcome == worker_presence::poll_result::NewIncarnation)
+                m_runTable.noteWorkerRestarted();
+            m_runTable.applyListing(answer->listing, now);
+            m_runTable.stopAll(now);
+            executeDueActions();
+        }
+        m_loop.runAfter(PollRetryDelay, [this] { pollWorker(); });
+    }
+
     // The worker has answered a call with this fence, and refuses calls with an earlier one from
     // now on.
     void noteFenceSeen(std::int64_t fence, time_point now)
@@ -390,7 +412,9 @@
             m_workerLiveness.noteNewIncarnation(suspendAwareNow());
         else
             m_workerLiveness.noteReplaced(suspendAwareNow());
+        m_stopsStrayRuns = true;
         m_leaseKeeper.acquire(reason);
+        m_loop.runAfter(PollRetryDelay, [this] { pollWorker(); });
     }
 
     // A worker that gets no calls ends all its runs when its last hold expires. Once that has
@@ -680,7 +704,8 @@
     std::size_t m_reportedEndCount = 0; // value of m_runTable.newEndCount() at the last report
 
     bool m_isPolling = false;
-    std::int64_t m_fenceSeen = 0; // the last one that the worker has answered
+    bool m_stopsStrayRuns = false; // see stopStrayRuns()
+    std::int64_t m_fenceSeen = 0;  // the last one that the worker has answered
     // Worker's clock: until when the last poll lets runs continue; none: it extends nothing.
     std::optional<std::int64_t> m_lastPollDeadlineMs;
     std::int64_t m_lastPollAcknowledged = 0;
