Runs of earlier calls that terminate count as runs of a restarted worker

Cause, by reading: the next epoch began while a run that an unanswered start had begun on the new incarnation, or one that is refused here, was terminating and in neither list. Its task could start elsewhere, and the worker get more than it holds.

Change: a start that was open, and a listed run that is refused, keep the epoch from beginning until such a run has ended for certain.

run_table_test runs_started_in_an_incarnation_of_the_worker_that_was_not_known_yet.

--- a/libs/jobs/run_table.cpp
+++ b/libs/jobs/run_table.cpp
@@ -58,16 +58,18 @@
     m_highestEndSequence = 0;
     m_epoch = 0;
     m_unlistedRunsEndBy = {};
-    m_hasStoppedUnlisted = false;
+    m_mayHaveTerminating = false;
 }
 
 void run_table::noteWorkerRestarted()
 {
-    const bool isStopping = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
-        return entry.second.phase == run_phase::Stopping;
+    const bool mayBeTerminating = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
+        const auto &run = entry.second;
+        return run.phase == run_phase::Stopping
+               || (run.phase == run_phase::Starting && run.openStartCalls > 0);
     });
     clearRuns();
-    m_hasStoppedUnlisted = isStopping;
+    m_mayHaveTerminating = mayBeTerminating;
 }
 
 void run_table::tracked_run::setOwner(const std::string &entry)
@@ -264,13 +266,14 @@
 
 void run_table::applyListing(const run_listing &listing, time_point now)
 {
-    if (std::exchange(m_hasStoppedUnlisted, false))
+    if (std::exchange(m_mayHaveTerminating, false))
         noteNewIncarnation(now);
     for (const auto &listed : listing.running) {
         const run_key key{listed.task, listed.run};
         const auto known = m_runs.find(key);
         if (known == m_runs.end() && isRefused(key)) {
             m_strayRuns.insert(key);
+            m_mayHaveTerminating = true; // it is stopped now
             continue;
         }
         auto &tracked = m_runs[key];
@@ -503,7 +506,7 @@
 
 bool run_table::mayHaveRuns(time_point now) const
 {
-    return activeRunCount() > 0 || m_hasStoppedUnlisted || mayHaveUnlistedRuns(now);
+    return activeRunCount() > 0 || m_mayHaveTerminating || mayHaveUnlistedRuns(now);
 }
 
 bool run_table::awaitsListing() const
--- a/libs/jobs/run_table.h
+++ b/libs/jobs/run_table.h
@@ -131,8 +131,8 @@
     // acknowledged are still reported.
     void clearRuns();
     // The same for a worker that was restarted. Before that was known, start and stop calls may
-    // have reached its new incarnation, which has this run in neither list: until it has ended,
-    // mayHaveRuns() is true, counted from the next listing.
+    // have reached its new incarnation, which has such a run in neither list while it terminates:
+    // until it has ended, mayHaveRuns() is true, counted from the next listing.
     void noteWorkerRestarted();
 
     // Accepts or refuses an order of the entry `owner`.
@@ -277,8 +277,10 @@
     start_readiness m_readiness = start_readiness::RetryLater;
     std::int64_t m_epoch = 0;
     std::int64_t m_agentIncarnation = 0;
-    time_point m_unlistedRunsEndBy{};  // see noteNewIncarnation()
-    bool m_hasStoppedUnlisted = false; // see noteWorkerRestarted(); until the next listing
+    time_point m_unlistedRunsEndBy{}; // see noteNewIncarnation()
+    // A run that isn't in the table is stopped or may be, and terminates in neither list; counted
+    // from the next listing.
+    bool m_mayHaveTerminating = false;
     std::map<run_key, tracked_run> m_runs;
     std::map<task_id, refusal> m_refusals;
     std::set<run_key> m_strayRuns; // listed by the worker as active although refused here
--- a/tests/run_table_test.cpp
+++ b/tests/run_table_test.cpp
@@ -252,6 +252,41 @@
     });
 }
 
+// Guards against a task that runs twice: the next epoch of a restarted worker began while a run
+// that a call to its earlier incarnation had started there was still terminating, in neither list.
+Test(run_table, runs_started_in_an_incarnation_of_the_worker_that_was_not_known_yet)
+{
+    table_fixture fixture;
+    const auto order = table_fixture::order(0);
+    require(fixture.giveOrder(order) == order_outcome::Accepted);
+    section("a start that wasn't answered may have started a member of a gang that is broken", [&] {
+        auto restarted = fixture;
+        restarted.table.startCalled(order.task, 1, 2000);
+        restarted.table.noteWorkerRestarted();
+        check(restarted.table.mayHaveRuns(restarted.now));
+        restarted.table.applyListing(table_fixture::listing({}), restarted.now);
+        check(restarted.table.mayHaveRuns(restarted.now + milliseconds(1067)));
+        check(!restarted.table.mayHaveRuns(restarted.now + milliseconds(1068)));
+    });
+    section("one that was never called for started nothing", [&] {
+        auto restarted = fixture;
+        restarted.table.noteWorkerRestarted();
+        check(!restarted.table.mayHaveRuns(restarted.now));
+    });
+    section("a run that is listed although it was refused counts until it has ended", [&] {
+        auto restarted = fixture;
+        restarted.listEnd(order);
+        restarted.table.acknowledgeEnd({order.task, 1, end_kind::Done}, restarted.now);
+        restarted.table.noteWorkerRestarted();
+        restarted.table.applyListing(table_fixture::listing({order}), restarted.now);
+        check(restarted.table.mayHaveRuns(restarted.now));
+        check(restarted.table.takeDueActions(restarted.now, false).size() == 1); // its stop
+        restarted.table.applyListing(table_fixture::listing({}), restarted.now);
+        check(restarted.table.mayHaveRuns(restarted.now + milliseconds(1067)));
+        check(!restarted.table.mayHaveRuns(restarted.now + milliseconds(1068)));
+    });
+}
+
 // Guards against a task that runs twice. An entry that was frozen resumes and gives an order that
 // was placed before the worker's lease expired; the task runs elsewhere by now.
 Test(run_table, orders_of_another_epoch)
