Setting hold_at_most_ms: a worker's longest hold, from the platform's bounds

Agents report at once when the lease lets runs start; entries learned of it up to 1 s later.

job_settings_test longest_hold, worker_liveness_test.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -558,9 +558,10 @@
                        action);
         if (std::exchange(m_reportedEndCount, m_runTable.newEndCount()) != m_runTable.newEndCount())
             m_reportSender.sendEnds();
-        // Entries place nothing here until a report says that all runs are claimed.
-        const bool areAllRunsClaimed = m_runTable.allRunsClaimed();
-        if (!std::exchange(m_wereAllRunsClaimed, areAllRunsClaimed) && areAllRunsClaimed)
+        // Entries place nothing here until a report says that all runs are claimed and that the
+        // lease lets them start.
+        const bool canTakeRuns = m_runTable.allRunsClaimed() && leaseCoversHold(now);
+        if (!std::exchange(m_couldTakeRuns, canTakeRuns) && canTakeRuns)
             m_reportSender.sendReports();
     }
 
@@ -692,13 +693,13 @@
     // Until the cancellations are read, nothing is started: a delayed order could start a task of
     // a cancelled job.
     bool m_areCancelsRead = false;
-    bool m_wereAllRunsClaimed = true; // when the table's due actions were last executed
+    bool m_couldTakeRuns = false; // when the table's due actions were last executed
     shutdown_driver m_shutdown;
     bool m_isFinalRenewalSent = false; // see sendFinalRenewal()
 
     lease_keeper m_leaseKeeper;
     report_sender m_reportSender;
-    worker_liveness m_workerLiveness{suspendAwareNow()};
+    worker_liveness m_workerLiveness{suspendAwareNow(), m_settings.longestHold};
     worker_calls m_workerCalls;
 
     std::size_t m_reportedEndCount = 0; // value of m_runTable.newEndCount() at the last report
--- a/app/job_settings.cpp
+++ b/app/job_settings.cpp
@@ -59,6 +59,17 @@
     return parseAddress(requiredString(object, isTold ? "internal_advertise" : "internal"));
 }
 
+milliseconds longestHoldIn(const Json::Value &object)
+{
+    constexpr const char *Name = "hold_at_most_ms";
+    if (!object.isMember(Name))
+        return jobs::MaxHoldDuration;
+    const milliseconds longestHold(integerMember(object, Name));
+    if (longestHold <= milliseconds(0))
+        throw error(error_kind::BadSettings, std::string("member '") + Name + "' must be above 0");
+    return longestHold;
+}
+
 using jobs::scheduling_features;
 
 constexpr std::array<std::pair<const char *, bool scheduling_features::*>, 6> FeatureMembers{{
@@ -125,6 +136,7 @@
         settings.workerAddress = addressMember(value, "worker");
         settings.service = requiredString(value, "service");
         settings.stopTimeout = milliseconds(integerMember(value, "stop_within_ms"));
+        settings.longestHold = longestHoldIn(value);
         settings.storeAddress = addressMember(value, "store");
         return settings;
     });
--- a/app/job_settings.h
+++ b/app/job_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/time.h"
+#include "jobs/lease.h"
 #include "jobs/scheduling_features.h"
 #include "runtime/http.h"
 
@@ -36,6 +37,8 @@
     std::string service;              // the one that the worker belongs to
     std::string storeAddress;         // "ip:port" of the platform's store
     milliseconds stopTimeout{900};    // a run has ended at most this long after the call to stop it
+    // One call lets the worker's runs continue for this long at most.
+    milliseconds longestHold = jobs::MaxHoldDuration;
 };
 
 // Both parse a settings file's text. They throw error BadSettings, which names the file and the
--- a/libs/jobs/lease.h
+++ b/libs/jobs/lease.h
@@ -26,8 +26,8 @@
 // this interval. Agents that started together renew at the same moments, so an outage of more than
 // that ends the runs of all workers at once.
 constexpr milliseconds LeaseRenewInterval{500};
-// Upper bound of the time for which any worker lets its runs continue by one call, whatever the
-// call asks for.
+// For how long one call lets a worker's runs continue at most, whatever it asks for, unless the
+// settings say otherwise.
 constexpr milliseconds MaxHoldDuration{10'000};
 constexpr milliseconds LeaseCheckInterval{1500}; // a watcher's reads of a silent worker's lease
 
--- a/libs/jobs/worker_liveness.cpp
+++ b/libs/jobs/worker_liveness.cpp
@@ -4,8 +4,9 @@
 
 namespace zinniabarrow::jobs {
 
-worker_liveness::worker_liveness(time_point now)
-    : m_heldUntil(now + HoldDuration)
+worker_liveness::worker_liveness(time_point now, milliseconds longestHold)
+    : m_longestHold(longestHold)
+    , m_heldUntil(now + HoldDuration)
 { }
 
 void worker_liveness::noteHold(time_point until)
@@ -15,7 +16,7 @@
 
 void worker_liveness::noteNewIncarnation(time_point now)
 {
-    m_heldUntil = now + MaxHoldDuration;
+    m_heldUntil = now + m_longestHold;
     m_earlierCallsHoldUntil = m_heldUntil;
 }
 
--- a/libs/jobs/worker_liveness.h
+++ b/libs/jobs/worker_liveness.h
@@ -26,15 +26,15 @@
     // that each lasted for a HoldDuration at most. If it assumed LeaseDuration instead, the tasks
     // of a worker that was lost with its agent could not start elsewhere within TaskLostAfter, the
     // time after which callers consider a task lost (both in lease.h).
-    explicit worker_liveness(time_point now);
+    explicit worker_liveness(time_point now, milliseconds longestHold = MaxHoldDuration);
 
     // A hold call was sent that lets runs continue until then, if it reaches the worker.
     void noteHold(time_point until);
     // The worker was restarted, and up to now may have taken calls that were meant for its earlier
     // incarnation. Their deadlines are times on the earlier clock, so that the worker shortens them
-    // to MaxHoldDuration from the call. That ends only when it has answered a call with the agent's
-    // next fence, a number that rises whenever the agent acquires the lease: it refuses calls with
-    // an earlier one. A hold never gets shorter, so it applies to later runs as well.
+    // to its longest hold from the call. That ends only when it has answered a call with the
+    // agent's next fence, a number that rises whenever the agent acquires the lease: it refuses
+    // calls with an earlier one. A hold never gets shorter, so it applies to later runs as well.
     void noteNewIncarnation(time_point now);
     // The lease says the same, for an incarnation that the agent found when it started.
     void noteEarlierCallsHold(time_point until);
@@ -69,6 +69,7 @@
     bool hasNothingRunning(time_point now) const;
 
 private:
+    milliseconds m_longestHold;
     time_point m_heldUntil{}; // by calls to this incarnation, at most; 0: nothing is held
     time_point m_earlierCallsHoldUntil{};
     time_point m_answeredAt{}; // last answered poll
--- a/tests/job_settings_test.cpp
+++ b/tests/job_settings_test.cpp
@@ -69,6 +69,23 @@
     });
 }
 
+// Guards against a worker that is left unused for seconds after each restart, where it holds its
+// runs for a shorter time than most, and against one that holds them for longer than its agent
+// assumes.
+Test(job_settings, longest_hold)
+{
+    section("it is 10 s where nothing is said",
+            [] { check(agentSettingsWith("").longestHold == seconds(10)); });
+    section("another one can be told", [] {
+        check(agentSettingsWith(R"(,"hold_at_most_ms":6000)").longestHold == seconds(6));
+        check(agentSettingsWith(R"(,"hold_at_most_ms":15000)").longestHold == seconds(15));
+    });
+    section("values that make no sense are refused", [] {
+        cr_assert_throw(agentSettingsWith(R"(,"hold_at_most_ms":0)"), error);
+        cr_assert_throw(agentSettingsWith(R"(,"hold_at_most_ms":"long")"), error);
+    });
+}
+
 // Guards against a feature that stays off, or goes on, because of a slip in the settings.
 Test(job_settings, scheduling_features)
 {
--- a/tests/worker_liveness_test.cpp
+++ b/tests/worker_liveness_test.cpp
@@ -50,6 +50,11 @@
     check(liveness.heldUntil() == restartedAt + MaxHoldDuration);
     check(!liveness.hasNothingRunning(restartedAt + MaxHoldDuration));
     check(liveness.hasNothingRunning(restartedAt + MaxHoldDuration + seconds(1)));
+    section("a worker that holds its runs for a shorter time", [&] {
+        worker_liveness shorter(restartedAt, seconds(6));
+        shorter.noteNewIncarnation(restartedAt);
+        check(shorter.earlierCallsHoldUntil() == restartedAt + seconds(6));
+    });
     section("a restarted agent knows it from the lease", [&] {
         worker_liveness restarted(restartedAt + seconds(1));
         restarted.noteEarlierCallsHold(restartedAt + MaxHoldDuration);
