Polls that extend or acknowledge go on a connection that has been answered on

Cause, by reading: an agent that stalls for 0.2 s between the answer to a poll and the next one misses that its worker has restarted in between: no poll fails, and the next one opens a connection to the new incarnation without a word.

Change: such polls use only a connection that was open when the known incarnation answered; http_client fails the call as not connected otherwise, and the agent polls without deadline and acknowledgement. A worker that closes its connections is polled as before.

http_client_test calls_on_connections_opened_before.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -235,22 +235,13 @@
             return;
         m_isPolling = true;
         const auto now = suspendAwareNow();
+        const bool isConfirmed = reachesConfirmedIncarnation(now);
         std::optional<std::int64_t> deadline;
-        // A worker that does not answer is polled without a deadline that extends its runs: each
-        // extending call that may have reached it would postpone the time at which all its runs
-        // have certainly ended. After a poll that failed, the next one may reach another
-        // incarnation, whose clock has started anew: it would hold its runs for longer than the
-        // lease.
-        if (m_workerClock.isKnown() && now < lease().validUntil()
-            && m_workerLiveness.isIncarnationConfirmed(now)) {
+        if (isConfirmed && m_workerClock.isKnown() && now < lease().validUntil()) {
             const auto holdUntil = std::min<time_point>(lease().validUntil(), now + HoldDuration);
             deadline = m_workerClock.millisecondsAt(holdUntil);
             m_workerLiveness.noteHold(holdUntil);
         }
-        // Another incarnation would forget ends of its own by an acknowledgement of the earlier
-        // one's numbers, before it has listed them.
-        const bool isConfirmed =
-                lease().holdsFence() && m_workerLiveness.isIncarnationConfirmed(now);
         const auto acknowledged = isConfirmed ? m_runTable.acknowledgedThrough() : 0;
         // While the worker's clock or incarnation is unknown, the poll returns at once.
         const bool mayWait = isConfirmed && m_workerClock.isKnown();
@@ -261,14 +252,31 @@
             request.headers.clear();
         m_lastPollDeadlineMs = deadline;
         m_lastPollAcknowledged = acknowledged;
-        m_client.call(m_settings.workerAddress, std::move(request),
-                      milliseconds(wait) + PollTimeout,
+        const auto timeLimit = milliseconds(wait) + PollTimeout;
+        net::large_call_options options{{timeLimit, timeLimit, timeLimit}, MaxPollAnswerBytes};
+        if (isConfirmed && m_keepsConnections)
+            options.openedBefore = m_workerLiveness.answeredAt();
+        m_client.call(m_settings.workerAddress, std::move(request), std::move(options),
                       [this, fence = lease().fence(), now](const call_result &result) {
                           m_isPolling = false;
                           handlePollResult(result, fence, now);
                       });
     }
 
+    // Whether the next poll certainly reaches the incarnation that answered the last one: it goes
+    // on a connection that was open then. Otherwise another one may take it, whose clock and
+    // numbering of ends have started anew. By a deadline on the earlier clock it would hold its
+    // runs for longer than the lease, and by an acknowledgement forget ends that it has not listed.
+    // A worker that does not answer isn't given deadlines anyway: each call that may have reached
+    // it would postpone the time at which all its runs have certainly ended.
+    bool reachesConfirmedIncarnation(time_point now)
+    {
+        return lease().holdsFence() && m_workerLiveness.isIncarnationConfirmed(now)
+               && (!m_keepsConnections
+                   || m_client.hasIdleConnection(m_settings.workerAddress,
+                                                 m_workerLiveness.answeredAt()));
+    }
+
     // A lease that is renewed at the last moment saves the runs only if the next hold call comes
     // before the end of the earlier lease.
     milliseconds maxPollWait(time_point now) const
@@ -295,6 +303,8 @@
         if (!isOfThisFence)
             return pollWorker(); // the poll was sent with an earlier fence
         logAnswering(holdAnswer.has_value(), result);
+        if (holdAnswer)
+            m_keepsConnections = m_client.hasIdleConnection(m_settings.workerAddress, now);
         const bool isAnsweringAgain = holdAnswer && m_workerLiveness.heldUntilIfSilent();
         m_workerLiveness.notePoll(holdAnswer.has_value(), now);
         // While the worker was silent, the lease was renewed only up to the end of its last hold.
@@ -710,6 +720,7 @@
     // Worker's clock: until when the last poll lets runs continue; none: it extends nothing.
     std::optional<std::int64_t> m_lastPollDeadlineMs;
     std::int64_t m_lastPollAcknowledged = 0;
+    bool m_keepsConnections = false; // the worker did not close the last poll's after its answer
 
     net::http_listener m_internalListener;
     net::http_listener m_workerListener;
--- a/libs/jobs/worker_liveness.h
+++ b/libs/jobs/worker_liveness.h
@@ -48,6 +48,7 @@
     void notePoll(bool answered, time_point now);
 
     bool lastPollAnswered() const { return m_lastPollAnswered; }
+    time_point answeredAt() const { return m_answeredAt; } // the last poll that was answered
     // A poll was answered less than WorkerSilentAfter ago.
     bool isResponsive(time_point now) const;
     // The last poll was answered, less than WorkerSilentAfter ago. Otherwise the next call may
--- a/libs/net/http_client.cpp
+++ b/libs/net/http_client.cpp
@@ -32,6 +32,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     time_point idleSince{};
+    time_point openedAt{};
 };
 
 } // namespace
@@ -50,21 +51,40 @@
     exchange_observer observer;
     std::map<std::string, std::list<std::unique_ptr<pooled_connection>>> idle;
 
-    std::unique_ptr<pooled_connection> takeConnection(const std::string &peer)
+    // The one that became idle last, of those opened before `openedBefore`. Drops the later ones
+    // that can't be used.
+    std::unique_ptr<pooled_connection> takeConnection(const std::string &peer,
+                                                      time_point openedBefore)
     {
+        const auto found = findConnection(peer, openedBefore);
         auto &pool = idle[peer];
-        const auto now = suspendAwareNow();
-        while (!pool.empty()) {
-            auto pooledConnection = std::move(pool.back());
-            pool.pop_back();
-            // An idle connection with unread bytes or a closed peer is not reused: the bytes would
-            // be taken for the answer to the next request.
-            const bool hasNothingToRead =
-                    peek(pooledConnection->stream.socket()) == socket_peek::Nothing;
-            if (now - pooledConnection->idleSince < limits.maxIdleTime && hasNothingToRead)
-                return pooledConnection;
+        if (found == pool.end())
+            return nullptr;
+        auto taken = std::move(*found);
+        pool.erase(found);
+        return taken;
+    }
+
+    std::list<std::unique_ptr<pooled_connection>>::iterator findConnection(const std::string &peer,
+                                                                           time_point openedBefore)
+    {
+        auto &pool = idle[peer];
+        for (auto at = pool.end(); at != pool.begin();) {
+            --at;
+            if (!isUsable(**at))
+                at = pool.erase(at);
+            else if ((*at)->openedAt < openedBefore)
+                return at;
         }
-        return nullptr;
+        return pool.end();
+    }
+
+    // An idle connection with unread bytes or a closed peer is not reused: the bytes would be taken
+    // for the answer to the next request.
+    bool isUsable(pooled_connection &connection) const
+    {
+        return suspendAwareNow() - connection.idleSince < limits.maxIdleTime
+               && peek(connection.stream.socket()) == socket_peek::Nothing;
     }
 
     void returnConnection(const std::string &peer,
@@ -110,11 +130,11 @@
 
     void start()
     {
-        m_connection = m_state->takeConnection(m_peer);
-        if (m_connection) {
-            send();
-            return;
-        }
+        m_connection = m_state->takeConnection(m_peer, m_options.openedBefore);
+        if (m_connection)
+            return send();
+        if (m_options.openedBefore != Never)
+            return finish(call_failure::NotConnected);
         connect();
     }
 
@@ -122,7 +142,7 @@
     void connect()
     {
         m_connection = std::make_unique<pooled_connection>(
-                pooled_connection{beast::tcp_stream(m_state->loop.internals().io), {}, {}});
+                pooled_connection{beast::tcp_stream(m_state->loop.internals().io), {}, {}, {}});
         socket_address address;
         try {
             address = parseAddress(m_peer);
@@ -149,6 +169,7 @@
             return finish(call_failure::ConnectionRefused);
         if (failure)
             return finish(call_failure::NotConnected);
+        m_connection->openedAt = suspendAwareNow();
         beast::error_code ignored; // failure only makes requests slower
         m_connection->stream.socket().set_option(tcp::no_delay(true), ignored);
         send();
@@ -265,6 +286,11 @@
 
 http_client::~http_client() = default;
 
+bool http_client::hasIdleConnection(const std::string &peer, time_point openedBefore)
+{
+    return m_state->findConnection(peer, openedBefore) != m_state->idle[peer].end();
+}
+
 void http_client::closeIdle(const std::string &peer)
 {
     m_state->idle.erase(peer);
--- a/libs/net/http_client.h
+++ b/libs/net/http_client.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 
+#include "base/time.h"
 #include "net/answer_deadline.h"
 #include "net/event_loop.h"
 #include "net/exchange.h"
@@ -37,6 +38,10 @@
     std::size_t answerBytesLimit = 0;
     // Called when the head of the answer has arrived, with the Content-Length; 0: not declared.
     std::function<void(std::uint64_t bytes)> onHead = [](std::uint64_t) {};
+    // Only an idle connection that was opened before this is used; without one the call ends as
+    // NotConnected. A connection reaches no other process than the one that it was opened to, also
+    // if that has ended and another listens at its address.
+    time_point openedBefore = Never;
 };
 
 class http_client
@@ -59,6 +64,9 @@
     void call(const std::string &peer, http_request request, large_call_options options,
               call_callback done);
 
+    // Whether a call with such options finds a connection.
+    bool hasIdleConnection(const std::string &peer, time_point openedBefore);
+
     // Closes the idle connections to the peer: they may have stopped working without a reset, and
     // each would cost a call its whole time limit.
     void closeIdle(const std::string &peer);
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -1,6 +1,9 @@
-// Tests how http_client classifies calls that fail to connect.
+// Tests how http_client classifies calls that fail to connect, and which connections it uses.
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <arpa/inet.h>
@@ -12,6 +15,7 @@
 
 #include "net/event_loop.h"
 #include "net/http_client.h"
+#include "net/http_listener.h"
 #include "section.h"
 
 using namespace zinniabarrow;
@@ -98,3 +102,147 @@
         check(mayHaveArrived(call_failure::TooLarge));
     });
 }
+
+namespace {
+
+// A server that ends and is started again at the same address, and its caller. The steps of a test
+// run on one event loop, one after the other.
+class restarting_server
+{
+public:
+    using step = std::function<void(std::function<void()> next)>;
+
+    restarting_server()
+    {
+        start({"127.0.0.1", 0});
+        m_address = m_listener->address();
+    }
+
+    net::http_client &client() { return m_client; }
+    std::string peer() const { return toText(m_address); }
+    int requests() const { return m_requests; } // that this incarnation was given
+
+    step call(const time_point &openedBefore, std::function<void(const call_result &)> inspect)
+    {
+        return [this, &openedBefore, inspect = std::move(inspect)](std::function<void()> next) {
+            constexpr seconds TimeLimit{5};
+            net::large_call_options options{{TimeLimit, TimeLimit, TimeLimit}, 1000};
+            options.openedBefore = openedBefore;
+            m_client.call(peer(), {"GET", "/", {}, ""}, std::move(options),
+                          [inspect, next = std::move(next)](const call_result &result) {
+                              inspect(result);
+                              next();
+                          });
+        };
+    }
+
+    step restart()
+    {
+        return [this](std::function<void()> next) {
+            m_listener->drain();
+            startOnceDrained(std::move(next));
+        };
+    }
+
+    void run(const std::vector<step> &steps)
+    {
+        m_loop.runAfter(milliseconds(0), [&] { runFrom(steps, 0); });
+        m_loop.run([this](const std::exception &) { m_loop.stop(); });
+    }
+
+private:
+    void start(const socket_address &address)
+    {
+        m_requests = 0;
+        m_listener.reset();
+        m_listener = std::make_unique<net::http_listener>(
+                m_loop, address, net::listener_limits{},
+                [this](const http_request &, const net::responder &respond) {
+                    ++m_requests;
+                    respond({200, {}, ""});
+                });
+    }
+
+    void startOnceDrained(std::function<void()> next)
+    {
+        m_loop.runAfter(milliseconds(1), [this, next = std::move(next)]() mutable {
+            if (!m_listener->isDrained())
+                return startOnceDrained(std::move(next));
+            start(m_address);
+            next();
+        });
+    }
+
+    void runFrom(const std::vector<step> &steps, std::size_t index)
+    {
+        if (index == steps.size())
+            return m_loop.stop();
+        steps[index]([this, &steps, index] { runFrom(steps, index + 1); });
+    }
+
+    net::event_loop m_loop;
+    net::http_client m_client{m_loop};
+    int m_requests = 0;
+    socket_address m_address;
+    std::unique_ptr<net::http_listener> m_listener;
+};
+
+bool isAnswer(const call_result &result)
+{
+    return std::holds_alternative<http_response>(result);
+}
+
+bool isNotConnected(const call_result &result)
+{
+    const auto *failure = std::get_if<call_failure>(&result);
+    return failure != nullptr && *failure == call_failure::NotConnected;
+}
+
+} // namespace
+
+// Guards against a call that another process takes than the one it was meant for: that one ended,
+// and the next one listens at the same address.
+Test(http_client, calls_on_connections_opened_before)
+{
+    restarting_server server;
+    const time_point anyTime = Never;
+    time_point answeredAt{};
+    int steps = 0;
+    server.run({
+            server.call(anyTime,
+                        [&](const call_result &result) {
+                            check(isAnswer(result));
+                            answeredAt = net::suspendAwareNow();
+                            check(server.client().hasIdleConnection(server.peer(), answeredAt));
+                            ++steps;
+                        }),
+            server.call(answeredAt,
+                        [&](const call_result &result) {
+                            section("the connection of an answered call is used again", [&] {
+                                check(isAnswer(result));
+                                check(server.requests() == 2);
+                            });
+                            ++steps;
+                        }),
+            server.restart(),
+            server.call(answeredAt,
+                        [&](const call_result &result) {
+                            section("the next process is not called instead", [&] {
+                                check(isNotConnected(result));
+                                check(server.requests() == 0);
+                            });
+                            ++steps;
+                        }),
+            server.call(anyTime, [&](const call_result &result) { check(isAnswer(result)); }),
+            server.call(answeredAt,
+                        [&](const call_result &result) {
+                            section("nor on a connection that other calls have opened to it", [&] {
+                                check(server.client().hasIdleConnection(server.peer(), Never));
+                                check(isNotConnected(result));
+                                check(server.requests() == 1);
+                            });
+                            ++steps;
+                        }),
+    });
+    check(steps == 4);
+}
