Runs whose hold outlasts the lease after a suspension are stopped in time

Cause: a worker's clock stands while its machine is suspended, the store's doesn't, so that the hold ends later than the lease. The agent, which is on the same machine, knew that its lease was over and relied on the hold.

Change: each reading of the worker's clock says anew when its hold ends. If that is after the lease, the agent stops the runs early enough for them to have ended when watchers take the lease for expired.

A suspension over the end of the lease itself is not covered.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -194,6 +194,7 @@
     void handleEpochSettled(const epoch_settled &settled)
     {
         m_runTable.setEpoch(settled.epoch);
+        m_hasStoppedForLease = false;
         m_runTable.setAgentIncarnation(lease().fence());
         const auto now = suspendAwareNow();
         if (settled.isNew) {
@@ -241,6 +242,7 @@
             const auto holdUntil = std::min<time_point>(lease().validUntil(), now + HoldDuration);
             deadline = m_workerClock.millisecondsAt(holdUntil);
             m_workerLiveness.noteHold(holdUntil);
+            m_workerClock.noteDeadline(*deadline);
         }
         const auto acknowledged = isConfirmed ? m_runTable.acknowledgedThrough() : 0;
         // While the worker's clock or incarnation is unknown, the poll returns at once.
@@ -330,6 +332,8 @@
         if (pollOutcome == worker_presence::poll_result::DepartureRefuted)
             handleDepartureRefuted();
         m_workerClock.setReading(holdAnswer->listing.clockMs, now);
+        if (const auto heldUntil = m_workerClock.latestDeadline())
+            m_workerLiveness.noteHold(*heldUntil);
         noteFenceSeen(fence, now);
         m_runTable.applyListing(holdAnswer->listing, now);
         const bool hasNewEnds = m_runTable.newEndCount() != m_reportedEndCount;
@@ -563,6 +567,7 @@
         // time at which all its runs have certainly ended. After a poll that failed, another
         // incarnation may take the call, which this agent would start again elsewhere.
         const bool canStart = leaseCoversHold(now) && m_workerLiveness.isIncarnationConfirmed(now);
+        stopRunsThatOutlastTheLease(now);
         for (const auto &action : m_runTable.takeDueActions(now, canStart))
             std::visit([this](const auto &typedAction) { m_workerCalls.execute(typedAction); },
                        action);
@@ -575,6 +580,23 @@
             m_reportSender.sendReports();
     }
 
+    // The worker's own hold ends with the lease, unless its machine was suspended meanwhile: its
+    // clock stood then, and the store's did not.
+    void stopRunsThatOutlastTheLease(time_point now)
+    {
+        const auto heldUntil = m_workerClock.latestDeadline();
+        if (!heldUntil || m_runTable.activeRunCount() == 0
+            || !needsStopBeforeExpiry(*heldUntil, lease().validUntil(), m_settings.stopTimeout,
+                                      now))
+            return;
+        if (!std::exchange(m_hasStoppedForLease, true))
+            m_log.writeEvent("runs_outlast_lease",
+                             {{"runs", m_runTable.activeRunCount()},
+                              {"held_ms", millisecondsIn(*heldUntil - now)},
+                              {"lease_ms", millisecondsIn(lease().validUntil() - now)}});
+        m_runTable.stopAll(now);
+    }
+
     // --- Cancelled jobs, read from the store.
 
     void applyCancels(const std::vector<row> &rows)
@@ -703,7 +725,8 @@
     // Until the cancellations are read, nothing is started: a delayed order could start a task of
     // a cancelled job.
     bool m_areCancelsRead = false;
-    bool m_couldTakeRuns = false; // when the table's due actions were last executed
+    bool m_hasStoppedForLease = false; // logged once an epoch
+    bool m_couldTakeRuns = false;      // when the table's due actions were last executed
     shutdown_driver m_shutdown;
     bool m_isFinalRenewalSent = false; // see sendFinalRenewal()
 
--- a/app/worker_calls.cpp
+++ b/app/worker_calls.cpp
@@ -46,6 +46,7 @@
             std::min<time_point>(lease().validUntil(), start.callDeadline + StartAllowance);
     const auto deadline = m_workerClock.millisecondsAt(until);
     m_workerLiveness.noteHold(until);
+    m_workerClock.noteDeadline(deadline);
     m_runTable.startCalled(start.task, start.run, deadline);
     m_client.call(m_address,
                   platform_wire::makeStartRequest(m_workerPresence.id(), start, deadline,
--- a/app/worker_calls.h
+++ b/app/worker_calls.h
@@ -26,7 +26,7 @@
     net::http_client &client;
     const lease_keeper &leaseKeeper;
     const worker_presence &workerPresence;
-    const worker_clock &workerClock;
+    worker_clock &workerClock;
     jobs::worker_liveness &workerLiveness;
     jobs::run_table &runTable;
     jobs::throttle_controller &throttleController;
@@ -63,7 +63,7 @@
     net::http_client &m_client;
     const lease_keeper &m_leaseKeeper;
     const worker_presence &m_workerPresence;
-    const worker_clock &m_workerClock;
+    worker_clock &m_workerClock;
     jobs::worker_liveness &m_workerLiveness;
     jobs::run_table &m_runTable;
     jobs::throttle_controller &m_throttleController;
--- a/libs/jobs/lease.cpp
+++ b/libs/jobs/lease.cpp
@@ -75,6 +75,18 @@
 
 } // namespace
 
+bool needsStopBeforeExpiry(time_point heldUntil, time_point validUntil, milliseconds stopTimeout,
+                           time_point now)
+{
+    // Holds up to the lease's end seem longer by the age of a reading and a slow clock. The rest of
+    // the watchers' slack is left to them.
+    constexpr milliseconds HoldTolerance{500};
+    static_assert(HoldTolerance < LeaseExpirySlack);
+    constexpr milliseconds CallTime{150}; // a stop call reaches the worker, and may have to wait
+    return heldUntil > validUntil + HoldTolerance
+           && now >= validUntil - durationOnSlowClock(stopTimeout) - CallTime;
+}
+
 void store_clock::noteReading(std::int64_t storeMs, time_point sentAt, time_point now)
 {
     if (storeMs == 0)
--- a/libs/jobs/lease.h
+++ b/libs/jobs/lease.h
@@ -46,6 +46,12 @@
     return durationOnSlowClock(interval) - interval + LeaseMargin;
 }
 
+// Whether runs that the worker holds until `heldUntil` have to be told to stop now, so that they
+// have ended when a watcher can know the lease, valid until `validUntil`, as expired.
+// `stopTimeout`: from the call that stops a run to its end, on the worker's clock.
+bool needsStopBeforeExpiry(time_point heldUntil, time_point validUntil, milliseconds stopTimeout,
+                           time_point now);
+
 struct lease_row
 {
     std::int64_t epoch = 1; // of the worker; rises once all its runs have certainly ended
