The lease says at once until when earlier calls hold a restarted worker

The bound came with the row that begins the epoch, which waits up to a second for runs to be stopped. An agent that is killed in that time left a row without it. It is renewed at once if there may be such runs.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -334,8 +334,8 @@
         m_workerClock.setReading(holdAnswer->listing.clockMs, now);
         if (const auto heldUntil = m_workerClock.latestDeadline())
             m_workerLiveness.noteHold(*heldUntil);
-        noteFenceSeen(fence, now);
         m_runTable.applyListing(holdAnswer->listing, now);
+        noteFenceSeen(fence, now);
         const bool hasNewEnds = m_runTable.newEndCount() != m_reportedEndCount;
         settleEpoch(now);
         executeDueActions();
@@ -389,6 +389,9 @@
             return;
         m_workerLiveness.noteNewIncarnation(now);
         m_leaseKeeper.noteEarlierCallsHold(m_workerLiveness.earlierCallsHoldUntil());
+        // The epoch waits until the runs that such calls started have ended, and its row with it.
+        if (m_runTable.mayHaveRuns(now))
+            m_leaseKeeper.renew();
     }
 
     // Logs once when polls begin to fail and once when they are answered again.
