Restarted workers: no needless stops, polls after one success, bound by the worker's clock

Finds of a review by someone who had not seen the work, by reading: - an agent without its fence stopped runs of the incarnation that its lease names, after a late announcement of an earlier one; - one failed poll took the deadline of the next two; - a crash could look like a worker that closes its connections, which turned the check off: the answer's head says it now; - the bound of earlier calls did not move with a suspension; - a suspension of 6 to 8 s stopped all runs although a renewal was on its way: the stop waits 250 ms; - watchers capped the expiry of a row whose worker holds for over 10 s; - a worker with another id kept the bound of the one before; - late answers of an earlier incarnation were used while the fence was sought.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -43,6 +43,9 @@
 constexpr milliseconds PollRetryDelay{150};
 // While ends of runs are not acknowledged, the worker answers each poll at once.
 constexpr milliseconds UnacknowledgedPollDelay{40};
+// An agent that wakes after a suspension renews its lease within this time, if it reaches the
+// store.
+constexpr milliseconds RenewalAfterWake{250};
 constexpr milliseconds ReportInterval{1000};
 constexpr milliseconds ActionInterval{100};
 // Lets one answer of the store contain many cancellations; they have to take effect within 3 s.
@@ -186,8 +189,10 @@
     void handleFenceAcquired()
     {
         m_stopsStrayRuns = false;
-        if (const auto until = lease().earlierCallsHoldUntil(suspendAwareNow()))
-            m_workerLiveness.noteEarlierCallsHold(*until);
+        const auto now = suspendAwareNow();
+        if (const auto until = lease().earlierCallsHoldUntil(now))
+            m_workerLiveness.noteEarlierCallsHold(
+                    std::min<time_point>(*until, now + m_settings.longestHold));
         pollWorker();
     }
 
@@ -223,6 +228,8 @@
     {
         m_runTable.clearRuns();
         m_workerLiveness.clearHold();
+        m_earlierCallsUntilMs = 0;
+        m_leaseKeeper.forgetEarlierCallsHold();
         m_leaseKeeper.noteAllRunsEnded(nextIncarnation);
     }
 
@@ -273,10 +280,13 @@
     // it would postpone the time at which all its runs have certainly ended.
     bool reachesConfirmedIncarnation(time_point now)
     {
-        return lease().holdsFence() && m_workerLiveness.isIncarnationConfirmed(now)
-               && (!m_keepsConnections
-                   || m_client.hasIdleConnection(m_settings.workerAddress,
-                                                 m_workerLiveness.answeredAt()));
+        if (!lease().holdsFence())
+            return false;
+        if (!m_keepsConnections)
+            return m_workerLiveness.isIncarnationConfirmed(now);
+        return m_workerLiveness.isResponsive(now)
+               && m_client.hasIdleConnection(m_settings.workerAddress,
+                                             m_workerLiveness.answeredAt());
     }
 
     // A lease that is renewed at the last moment saves the runs only if the next hold call comes
@@ -306,7 +316,7 @@
             return pollWorker(); // the poll was sent with an earlier fence
         logAnswering(holdAnswer.has_value(), result);
         if (holdAnswer)
-            m_keepsConnections = m_client.hasIdleConnection(m_settings.workerAddress, now);
+            m_keepsConnections = holdAnswer->keepsConnection;
         const bool isAnsweringAgain = holdAnswer && m_workerLiveness.heldUntilIfSilent();
         m_workerLiveness.notePoll(holdAnswer.has_value(), now);
         // While the worker was silent, the lease was renewed only up to the end of its last hold.
@@ -335,7 +345,8 @@
         if (const auto heldUntil = m_workerClock.latestDeadline())
             m_workerLiveness.noteHold(*heldUntil);
         m_runTable.applyListing(holdAnswer->listing, now);
-        noteFenceSeen(fence, now);
+        noteFenceSeen(fence, holdAnswer->listing.clockMs, now);
+        noteEarlierCallsHold(holdAnswer->listing.clockMs, now);
         const bool hasNewEnds = m_runTable.newEndCount() != m_reportedEndCount;
         settleEpoch(now);
         executeDueActions();
@@ -365,20 +376,28 @@
     void stopStrayRuns(const std::optional<platform_wire::hold_result> &answer, time_point sentAt,
                        time_point now)
     {
-        if (answer) {
+        if (answer && !m_workerPresence.isEarlierIncarnation(answer->workerStartMs)) {
             const auto outcome = m_workerPresence.handlePollAnswer(answer->workerStartMs, sentAt);
             if (outcome == worker_presence::poll_result::NewIncarnation)
                 m_runTable.noteWorkerRestarted();
-            m_runTable.applyListing(answer->listing, now);
-            m_runTable.stopAll(now);
-            executeDueActions();
+            stopRunsOfUnknownEpoch(answer->listing, now);
         }
         m_loop.runAfter(PollRetryDelay, [this] { pollWorker(); });
     }
 
+    // Runs of the incarnation that the lease names go on: it wasn't a restart after all.
+    void stopRunsOfUnknownEpoch(const run_listing &listing, time_point now)
+    {
+        if (lease().workerIncarnation() == m_workerPresence.incarnationName())
+            return;
+        m_runTable.applyListing(listing, now);
+        m_runTable.stopAll(now);
+        executeDueActions();
+    }
+
     // The worker has answered a call with this fence, and refuses calls with an earlier one from
     // now on.
-    void noteFenceSeen(std::int64_t fence, time_point now)
+    void noteFenceSeen(std::int64_t fence, std::int64_t clockMs, time_point now)
     {
         if (std::exchange(m_fenceSeen, fence) == fence)
             return;
@@ -388,12 +407,23 @@
             || !m_workerPresence.mayTakeEarlierCalls())
             return;
         m_workerLiveness.noteNewIncarnation(now);
+        m_earlierCallsUntilMs = clockMs + m_settings.longestHold.count();
         m_leaseKeeper.noteEarlierCallsHold(m_workerLiveness.earlierCallsHoldUntil());
         // The epoch waits until the runs that such calls started have ended, and its row with it.
         if (m_runTable.mayHaveRuns(now))
             m_leaseKeeper.renew();
     }
 
+    // By each reading of the worker's clock, which stands while its machine is suspended.
+    void noteEarlierCallsHold(std::int64_t clockMs, time_point now)
+    {
+        if (clockMs >= m_earlierCallsUntilMs)
+            return;
+        const auto until = now + milliseconds(m_earlierCallsUntilMs - clockMs);
+        m_workerLiveness.noteEarlierCallsHold(until);
+        m_leaseKeeper.noteEarlierCallsHold(until);
+    }
+
     // Logs once when polls begin to fail and once when they are answered again.
     void logAnswering(bool isAnswered, const call_result &result)
     {
@@ -425,10 +455,13 @@
         m_metrics.count("worker_lives_ended_total", reason);
         m_runTable.noteWorkerRestarted();
         m_workerClock.reset();
-        if (m_workerPresence.mayTakeEarlierCalls())
+        m_earlierCallsUntilMs = 0;
+        if (m_workerPresence.mayTakeEarlierCalls()) {
             m_workerLiveness.noteNewIncarnation(suspendAwareNow());
-        else
+        } else {
             m_workerLiveness.noteReplaced(suspendAwareNow());
+            m_leaseKeeper.forgetEarlierCallsHold();
+        }
         m_stopsStrayRuns = true;
         m_leaseKeeper.acquire(reason);
         m_loop.runAfter(PollRetryDelay, [this] { pollWorker(); });
@@ -587,15 +620,21 @@
     // clock stood then, and the store's did not.
     void stopRunsThatOutlastTheLease(time_point now)
     {
-        const auto heldUntil = m_workerClock.latestDeadline();
-        if (!heldUntil || m_runTable.activeRunCount() == 0
-            || !needsStopBeforeExpiry(*heldUntil, lease().validUntil(), m_settings.stopTimeout,
-                                      now))
+        const auto latestDeadline = m_workerClock.latestDeadline();
+        if (!latestDeadline || m_runTable.activeRunCount() == 0)
+            return;
+        const auto heldUntil = std::max(*latestDeadline, m_workerLiveness.earlierCallsHoldUntil());
+        if (!needsStopBeforeExpiry(heldUntil, lease().validUntil(), m_settings.stopTimeout, now)) {
+            m_outlastsLeaseSince = Never;
+            return;
+        }
+        m_outlastsLeaseSince = std::min(m_outlastsLeaseSince, now);
+        if (now - m_outlastsLeaseSince < RenewalAfterWake)
             return;
         if (!std::exchange(m_hasStoppedForLease, true))
             m_log.writeEvent("runs_outlast_lease",
                              {{"runs", m_runTable.activeRunCount()},
-                              {"held_ms", millisecondsIn(*heldUntil - now)},
+                              {"held_ms", millisecondsIn(heldUntil - now)},
                               {"lease_ms", millisecondsIn(lease().validUntil() - now)}});
         m_runTable.stopAll(now);
     }
@@ -728,8 +767,9 @@
     // Until the cancellations are read, nothing is started: a delayed order could start a task of
     // a cancelled job.
     bool m_areCancelsRead = false;
-    bool m_hasStoppedForLease = false; // logged once an epoch
-    bool m_couldTakeRuns = false;      // when the table's due actions were last executed
+    time_point m_outlastsLeaseSince = Never; // see stopRunsThatOutlastTheLease()
+    bool m_hasStoppedForLease = false;       // logged once an epoch
+    bool m_couldTakeRuns = false;            // when the table's due actions were last executed
     shutdown_driver m_shutdown;
     bool m_isFinalRenewalSent = false; // see sendFinalRenewal()
 
@@ -741,8 +781,9 @@
     std::size_t m_reportedEndCount = 0; // value of m_runTable.newEndCount() at the last report
 
     bool m_isPolling = false;
-    bool m_stopsStrayRuns = false; // see stopStrayRuns()
-    std::int64_t m_fenceSeen = 0;  // the last one that the worker has answered
+    bool m_stopsStrayRuns = false;          // see stopStrayRuns()
+    std::int64_t m_fenceSeen = 0;           // the last one that the worker has answered
+    std::int64_t m_earlierCallsUntilMs = 0; // worker's clock; see noteEarlierCallsHold(); 0: none
     // Worker's clock: until when the last poll lets runs continue; none: it extends nothing.
     std::optional<std::int64_t> m_lastPollDeadlineMs;
     std::int64_t m_lastPollAcknowledged = 0;
--- a/app/worker_presence.h
+++ b/app/worker_presence.h
@@ -41,6 +41,10 @@
     const std::string &id() const { return m_id; } // empty before the first announcement
     // The incarnation before had the same id, as far as is known: this one takes calls to it.
     bool mayTakeEarlierCalls() const { return m_mayTakeEarlierCalls; }
+    bool isEarlierIncarnation(std::int64_t workerStartMs) const // than the present one
+    {
+        return workerStartMs != 0 && workerStartMs < m_startTimeMs;
+    }
     bool isIncarnationKnown() const { return m_startTimeMs != 0; }
     std::string incarnationName() const { return std::to_string(m_startTimeMs); }
     bool isPresent() const { return m_isPresent; }
--- a/libs/jobs/lease.cpp
+++ b/libs/jobs/lease.cpp
@@ -128,9 +128,11 @@
     if (observed.version != version)
         observed = {version, now + longestHold(row) + LeaseExpirySlack};
     auto expiresAt = observed.expiresAt;
-    if (row.expiresAtMs != 0 && storeMs != 0)
-        expiresAt = std::min(expiresAt,
-                             now + milliseconds(row.expiresAtMs - storeMs) + LeaseExpirySlack);
+    if (row.expiresAtMs != 0 && storeMs != 0) {
+        const auto inRow = now + milliseconds(row.expiresAtMs - storeMs) + LeaseExpirySlack;
+        expiresAt =
+                row.earlierCallsHoldUntilMs == 0 ? std::min<time_point>(expiresAt, inRow) : inRow;
+    }
     return {now >= expiresAt, std::min(expiresAt, now + LeaseCheckInterval)};
 }
 
--- a/libs/jobs/worker_lease.cpp
+++ b/libs/jobs/worker_lease.cpp
@@ -55,6 +55,12 @@
             std::max(m_earlierCallsHoldUntilMs, storeMs + millisecondsIn(until - now));
 }
 
+void worker_lease::forgetEarlierCallsHold()
+{
+    m_earlierCallsHoldUntilMs = 0;
+    m_hasForgottenEarlierCalls = true;
+}
+
 std::optional<time_point> worker_lease::earlierCallsHoldUntil(time_point now) const
 {
     const auto storeMs = m_storeClock.lowerBoundMs(now);
@@ -75,7 +81,9 @@
         return;
     m_version = row ? version : 0;
     auto next = row.value_or(lease_row());
-    m_earlierCallsHoldUntilMs = std::max(m_earlierCallsHoldUntilMs, next.earlierCallsHoldUntilMs);
+    if (!std::exchange(m_hasForgottenEarlierCalls, false))
+        m_earlierCallsHoldUntilMs =
+                std::max(m_earlierCallsHoldUntilMs, next.earlierCallsHoldUntilMs);
     ++next.fence;
     m_phase = lease_phase::WritingFence;
     write(std::move(next), false, now);
--- a/libs/jobs/worker_lease.h
+++ b/libs/jobs/worker_lease.h
@@ -58,6 +58,8 @@
     // The worker's present incarnation may continue runs until then by calls that were meant for an
     // earlier one. Every row that is written from now on says so, and gives no earlier expiry.
     void noteEarlierCallsHold(time_point until, time_point now);
+    // No run of the incarnation that took such calls is left, and none can start.
+    void forgetEarlierCallsHold();
     // The same as the row gives it, at the latest; none: no such calls, or that time is over.
     std::optional<time_point> earlierCallsHoldUntil(time_point now) const;
 
@@ -122,6 +124,7 @@
     lease_row m_row;                            // as last written by this agent
     std::int64_t m_version = 0;                 // of the row; 0: it doesn't exist
     std::int64_t m_earlierCallsHoldUntilMs = 0; // as in lease_row
+    bool m_hasForgottenEarlierCalls = false;    // the row may still have them when it is read
     std::optional<pending_write> m_pendingWrite;
     // Set once all runs have ended: the next incarnation of the worker; empty text: none yet or
     // unknown. Kept until it is in the row; a pending write or a conflict only delays it.
--- a/tests/worker_lease_test.cpp
+++ b/tests/worker_lease_test.cpp
@@ -383,6 +383,14 @@
         next.runActions();
         check(next.row->expiresAtMs == boundMs);
     });
+    section("a worker with another id takes no such calls", [&] {
+        auto replaced = fixture;
+        replaced.lease.forgetEarlierCallsHold();
+        replaced.lease.acquireFence();
+        replaced.runActions();
+        check(replaced.row->earlierCallsHoldUntilMs == 0);
+        check(!replaced.lease.earlierCallsHoldUntil(replaced.now).has_value());
+    });
     section("it is over in time", [&] {
         fixture.now += MaxHoldDuration + milliseconds(100);
         fixture.lease.renew(fixture.now);
