--- a/standins/job_platform.cpp
+++ b/standins/job_platform.cpp
@@ -18,6 +18,8 @@
 
 constexpr milliseconds HeartbeatInterval{200};
 constexpr milliseconds HeartbeatTimeout{500};
+// For how long a restarted worker waits for a poll before it announces itself.
+constexpr milliseconds FirstHeartbeatLimit{2000};
 constexpr milliseconds DrainTime{2000}; // that a draining worker says it has left
 // Longer than an agent needs to detect that its worker is gone.
 constexpr milliseconds LeaseAnswerDelay{800};
@@ -47,6 +49,7 @@
         std::unique_ptr<net::http_listener> listener;
         std::vector<held_call> heldCalls;
         int announcementCount = 0; // heartbeats in its current incarnation
+        bool awaitsPoll = false;   // it sends no heartbeat yet
     };
 
     explicit impl(const job_platform_options &options)
@@ -79,10 +82,11 @@
         seat->address = options.workers[index];
         seat->agent = toText(options.agentAddresses[index]);
         loop.runEvery(HeartbeatInterval, [this, index] {
-            auto &worker = *seats.at(index)->worker;
+            auto &own = *seats.at(index);
+            auto &worker = *own.worker;
             worker.endDueRuns();
-            if (!worker.isUnresponsive && !worker.isHung && !worker.isTerminated)
-                announce(*seats.at(index));
+            if (!worker.isUnresponsive && !worker.isHung && !worker.isTerminated && !own.awaitsPoll)
+                announce(own);
         });
         seats.push_back(std::move(seat));
         openListener(index);
@@ -93,17 +97,27 @@
         auto &seat = *seats.at(index);
         seat.listener = std::make_unique<net::http_listener>(
                 loop, seat.address, net::listener_limits{},
-                [&seat](http_request request, responder reply) {
+                [this, &seat](http_request request, responder reply) {
                     auto &worker = *seat.worker;
                     if (worker.isUnresponsive || worker.isTerminated)
                         return;
                     if (worker.isHung)
                         seat.heldCalls.push_back({std::move(request), std::move(reply)});
                     else
-                        reply(worker.serve(request));
+                        serve(seat, request, reply);
                 });
     }
 
+    // A start is compared with the runs on all workers, so those that have ended are removed first.
+    void serve(worker_seat &seat, const http_request &request, const responder &reply)
+    {
+        for (const auto &each : seats)
+            each->worker->endDueRuns();
+        reply(seat.worker->serve(request));
+        if (request.path() == "/-/hold")
+            seat.awaitsPoll = false;
+    }
+
     void crashWorker(std::size_t index)
     {
         auto &seat = *seats.at(index);
@@ -132,10 +146,15 @@
         loop.runAfter(milliseconds(50), [this, index] { announce(*seats.at(index)); });
     }
 
-    void restartWorker(std::size_t index)
+    void restartWorker(std::size_t index, restart_notice notice)
     {
-        seats.at(index)->worker->restart();
-        seats.at(index)->announcementCount = 0;
+        auto &seat = *seats.at(index);
+        seat.worker->restart();
+        seat.worker->announcesStart = notice == restart_notice::ByPollFirst;
+        seat.announcementCount = 0;
+        seat.awaitsPoll = notice == restart_notice::ByPollFirst;
+        if (seat.awaitsPoll)
+            loop.runAfter(FirstHeartbeatLimit, [&seat] { seat.awaitsPoll = false; });
         openListener(index);
     }
 
@@ -146,7 +165,7 @@
         if (isHung)
             return;
         for (const auto &call : std::exchange(seat.heldCalls, {}))
-            call.reply(seat.worker->serve(call.request));
+            serve(seat, call.request, call.reply);
     }
 
     void announce(worker_seat &seat)
@@ -240,9 +259,9 @@
     m_impl->loop.post([this, worker] { m_impl->seats.at(worker)->worker->isDraining = true; });
 }
 
-void job_platform::restartWorker(std::size_t worker)
+void job_platform::restartWorker(std::size_t worker, restart_notice notice)
 {
-    m_impl->loop.post([this, worker] { m_impl->restartWorker(worker); });
+    m_impl->loop.post([this, worker, notice] { m_impl->restartWorker(worker, notice); });
 }
 
 void job_platform::terminateBeforeAnnouncement(std::size_t worker)
--- a/standins/job_platform.h
+++ b/standins/job_platform.h
@@ -13,6 +13,12 @@
 
 namespace zinniabarrow::standins {
 
+// How the agent of a restarted worker, which keeps its id, learns of the new incarnation.
+enum class restart_notice {
+    ByPollsOnly, // heartbeats leave out the start time
+    ByPollFirst, // the first heartbeat comes after the answer to a poll; each gives the start time
+};
+
 // Addresses of the store, the workers and their agents, and size and speed of the workers.
 struct job_platform_options
 {
@@ -64,9 +70,8 @@
     // the answers to writes of that row for 800 ms: longer than an agent needs to detect that its
     // worker is gone.
     void terminateAtLeaseWrite(std::size_t worker, const std::string &lease);
-    // Restarts a terminated worker with the same id. From then on it reports its start time only in
-    // answers to polls; its heartbeats leave it out.
-    void restartWorker(std::size_t worker);
+    // Restarts a terminated worker with the same id. Its clock starts anew.
+    void restartWorker(std::size_t worker, restart_notice notice = restart_notice::ByPollsOnly);
     bool isCancelStored(const std::string &job) const;       // the job's cancel row was written
     std::int64_t leaseEpoch(const std::string &lease) const; // as stored last; 0 if never stored
     void setTaskTime(milliseconds taskTime);                 // for runs that start from now on
--- a/standins/job_worker.cpp
+++ b/standins/job_worker.cpp
@@ -11,26 +11,15 @@
 namespace {
 
 constexpr milliseconds MaxLeaseTime{10'000}; // a longer lease is shortened to it
+// What the clock of a worker's first incarnation shows when the stand-in starts. A later
+// incarnation shortens each deadline on that clock to MaxLeaseTime.
+constexpr milliseconds FirstClockReading{600'000};
 
 http_response jsonResponse(int status, const Json::Value &value)
 {
     return {status, {}, compactJson(value)};
 }
 
-Json::Value makeClockAnswer()
-{
-    Json::Value value(Json::objectValue);
-    value["clock-ms"] = Json::Int64(standinClockMs());
-    return value;
-}
-
-http_response refuse(const char *reason)
-{
-    auto value = makeClockAnswer();
-    value["reason"] = reason;
-    return jsonResponse(409, value);
-}
-
 bool isDone(std::string_view how)
 {
     return how == "done";
@@ -85,8 +74,33 @@
     , m_history(history)
     , m_gangs(gangs)
     , m_startTimeMs(standinClockMs())
+    , m_clockZeroMs(m_startTimeMs - FirstClockReading.count())
 { }
 
+std::int64_t job_worker::clockMs() const
+{
+    return standinClockMs() - m_clockZeroMs;
+}
+
+std::int64_t job_worker::fromOwnClock(std::int64_t ownMs) const
+{
+    return ownMs + m_clockZeroMs;
+}
+
+Json::Value job_worker::makeClockAnswer() const
+{
+    Json::Value value(Json::objectValue);
+    value["clock-ms"] = Json::Int64(clockMs());
+    return value;
+}
+
+http_response job_worker::refuse(const char *reason) const
+{
+    auto value = makeClockAnswer();
+    value["reason"] = reason;
+    return jsonResponse(409, value);
+}
+
 http_response job_worker::serve(const http_request &request)
 {
     endDueRuns();
@@ -107,7 +121,8 @@
     if (!body.isMember("deadline-ms"))
         return;
     const auto latest = standinClockMs() + MaxLeaseTime.count();
-    m_leaseEndMs = std::max(m_leaseEndMs, std::min(body["deadline-ms"].asInt64(), latest));
+    const auto deadline = fromOwnClock(body["deadline-ms"].asInt64());
+    m_leaseEndMs = std::max(m_leaseEndMs, std::min(deadline, latest));
     m_hasLapsed = m_leaseEndMs < standinClockMs();
 }
 
@@ -162,8 +177,8 @@
     isTerminated = false;
     isHung = false;
     isDraining = false;
-    announcesStart = false;
     m_startTimeMs = standinClockMs();
+    m_clockZeroMs = m_startTimeMs - 1; // a reading of 0 could be taken for none
     m_fence = 0;
     m_leaseEndMs = 0;
     m_highestRunByTask.clear();
@@ -175,7 +190,7 @@
 {
     const auto name = body["task"].asString();
     const auto number = body["run"].asInt();
-    if (body["deadline-ms"].asInt64() < standinClockMs())
+    if (body["deadline-ms"].asInt64() < clockMs())
         return refuse("late");
     extendLease(body);
     const auto known = m_runsByTask.find(name);
--- a/standins/job_worker.h
+++ b/standins/job_worker.h
@@ -76,6 +76,7 @@
     void endDueRuns();
     // Drops all runs without recording ends, as when the process is killed.
     void terminate();
+    // Keeps the id only: fence, lease, ends, the numbers of ends and the clock start anew.
     void restart();
     void setTaskTime(milliseconds taskTime) { m_options.taskTime = taskTime; }
 
@@ -102,6 +103,10 @@
     http_response start(const Json::Value &body);
     http_response stop(const Json::Value &body);
     http_response makeListing(std::int64_t lastSeen);
+    std::int64_t clockMs() const;
+    std::int64_t fromOwnClock(std::int64_t ownMs) const;
+    Json::Value makeClockAnswer() const;
+    http_response refuse(const char *reason) const;
     void extendLease(const Json::Value &body);
     void begin(const std::string &name, const jobs::task_id &task, int number);
     const char *endOf(const active_run &run, std::int64_t nowMs);
@@ -116,6 +121,7 @@
     run_history &m_history;
     gang_board &m_gangs;
     std::int64_t m_startTimeMs;
+    std::int64_t m_clockZeroMs; // when the worker's own clock showed 0
     std::int64_t m_fence = 0;
     std::int64_t m_leaseEndMs = 0;
     bool m_hasLapsed = false; // the lease has run out since it was extended last
@@ -125,7 +131,8 @@
     int m_lastEndId = 0;
 };
 
-// The clock of the store and the workers.
+// The clock of the store, ms. All times that a worker keeps are on it; calls to a worker and its
+// answers have times on the worker's own clock, which starts anew with each incarnation.
 std::int64_t standinClockMs();
 
 } // namespace zinniabarrow::standins
