order_search: calls that outlive a restart of their worker

A rebooted worker takes starts, stops and polls that were sent to its former incarnation; polls may be lost after the reboot while starts arrive, the machine is cut off or the agent restarts. The other searches draw as before. It is not registered as a test: the simulated agent has the fault of the daemons, and worker_lease and worker_liveness aren't part of the simulation, only run_table, worker_pool and job_controller are.

--- a/tests/cluster_simulation.h
+++ b/tests/cluster_simulation.h
@@ -39,9 +39,10 @@
     ReportAnswer,
     Start, // call of an agent to its worker
     StartAnswer,
-    Stop,  // call of an agent to its worker
-    Poll,  // answer of a worker to its agent, with its runs
-    Write, // of a row, by an entry to the store
+    Stop,     // call of an agent to its worker
+    PollCall, // of an agent to its worker; drawn only if calls outlive reboots
+    Poll,     // answer of a worker to its agent, with its runs
+    Write,    // of a row, by an entry to the store
     WriteAnswer,
     Feed, // change of a row, or in the basic model of an epoch, from the store to an entry
     // Complete model only: an event that came while its process was frozen. Each such event has its
@@ -114,8 +115,11 @@
     time_point leaseUntil{};
     bool hasPolled = false;           // since the start of the process
     bool isFenceAcknowledged = false; // the worker has answered a poll that carried the fence
-    time_point cutOffUntil{};         // from entries only
-    time_point storeCutOffUntil{};    // from the store only
+    // The agent's clock minus the worker's, ms; none: unknown since the worker has rebooted.
+    std::optional<std::int64_t> workerClockOffsetMs = 0;
+    time_point pollsLostUntil{};                 // its polls don't reach the worker, other calls do
+    time_point cutOffUntil{};                    // from entries only
+    time_point storeCutOffUntil{};               // from the store only
     jobs::task_size capacity{16'000, 64'000, 0}; // millicores, MB, accelerators
     jobs::run_table table;
 };
@@ -190,6 +194,21 @@
         m_runChecker.leaveOutDoneGangs();
     }
 
+    // From now on each incarnation of a worker has a clock of its own and a limit on holds, and a
+    // worker that has rebooted takes calls that were sent to its earlier incarnation.
+    void letCallsOutliveReboots()
+    {
+        m_doCallsOutliveReboots = true;
+        for (auto &worker : m_workers)
+            worker->startClocksAnew(MaxHold);
+    }
+
+    void losePolls(simulated_agent &agent, milliseconds span)
+    {
+        agent.pollsLostUntil = m_now + span;
+        addToTrace("polls of the agent of {} are lost for {} ms", agent.name, span.count());
+    }
+
     // Submits a job to the first entry that is reachable and not shutting down; does nothing when
     // there is none.
     void submit(const std::string &id, const jobs::job_spec &spec)
@@ -278,6 +297,8 @@
         agent.leaseEpoch = 0;
         agent.hasPolled = false;
         agent.isFenceAcknowledged = false;
+        if (m_doCallsOutliveReboots)
+            agent.workerClockOffsetMs.reset();
         agent.table = jobs::run_table();
         updateTableIncarnation(agent);
         addToTrace("agent of {} starts, incarnation {}", agent.name, agent.fence);
@@ -452,6 +473,7 @@
     static constexpr milliseconds LateStartThreshold{100}; // delay from which a start is late
     static constexpr milliseconds LeaseDuration{5000};
     static constexpr milliseconds LeaseMargin{600}; // covers clocks that are at most 2% slow
+    static constexpr milliseconds MaxHold{6700};    // to LeaseDuration as in the daemons
     static constexpr milliseconds WriteRetryDelay{300};
     static constexpr milliseconds HeartbeatTimeout{1600};
     static constexpr milliseconds ShutdownTimeout{3000};
@@ -1028,6 +1050,8 @@
             return;
         addToTrace("agent of {} has detected the reboot of its worker", agent.name);
         agent.table.noteWorkerRestarted();
+        if (m_doCallsOutliveReboots)
+            agent.workerClockOffsetMs.reset();
         ++agent.fence;
         updateTableIncarnation(agent);
         agent.isFenceAcknowledged = false;
@@ -1039,8 +1063,10 @@
     {
         auto &worker = *m_workers[workerIndex(agent.name)];
         std::optional<std::int64_t> deadline;
-        if (agent.leaseEpoch != 0 && m_now < agent.leaseUntil)
-            deadline = clockOf(agent.leaseUntil);
+        if (agent.leaseEpoch != 0 && m_now < agent.leaseUntil && agent.workerClockOffsetMs)
+            deadline = clockOf(agent.leaseUntil) - *agent.workerClockOffsetMs;
+        if (m_doCallsOutliveReboots && isPollDelayed(agent, deadline))
+            return;
         const auto listing =
                 worker.renewHold(deadline, agent.table.acknowledgedThrough(), agent.fence, m_now);
         const auto inbound = m_planDelivery(delivery_kind::Poll);
@@ -1055,11 +1081,28 @@
         });
     }
 
+    // Whether the call is lost, or carried out late and not answered.
+    bool isPollDelayed(simulated_agent &agent, std::optional<std::int64_t> deadline)
+    {
+        const auto outbound = m_planDelivery(delivery_kind::PollCall);
+        if (outbound.isLost || m_now < agent.pollsLostUntil)
+            return true;
+        if (outbound.delay < LateStartThreshold)
+            return false;
+        schedule(outbound.delay, [this, &agent, deadline, fence = agent.fence,
+                                  acknowledged = agent.table.acknowledgedThrough()] {
+            m_workers[workerIndex(agent.name)]->renewHold(deadline, acknowledged, fence, m_now);
+        });
+        return true;
+    }
+
     void handleListing(simulated_agent &agent, const jobs::run_listing &listing,
                        int bootNumberAtCall)
     {
         if (bootNumberAtCall != agent.knownBootNumber)
             return detectReboot(agent);
+        if (m_doCallsOutliveReboots)
+            agent.workerClockOffsetMs = clockOf(m_now) - listing.clockMs;
         const auto endCountBefore = agent.table.newEndCount();
         agent.isFenceAcknowledged = true;
         // Without slow stops there is nothing to wait for.
@@ -1077,8 +1120,8 @@
 
     void executeDueActions(simulated_agent &agent)
     {
-        const bool canStart =
-                agent.isFenceAcknowledged && agent.leaseEpoch != 0 && m_now < agent.leaseUntil;
+        const bool canStart = agent.isFenceAcknowledged && agent.leaseEpoch != 0
+                              && m_now < agent.leaseUntil && agent.workerClockOffsetMs;
         for (const auto &action : agent.table.takeDueActions(m_now, canStart))
             std::visit([&](const auto &one) { execute(agent, one); }, action);
     }
@@ -1086,7 +1129,8 @@
     void execute(simulated_agent &agent, const jobs::start_run &start)
     {
         const auto deadline =
-                clockOf(std::min<time_point>(agent.leaseUntil, m_now + m_maxStartDelay));
+                clockOf(std::min<time_point>(agent.leaseUntil, m_now + m_maxStartDelay))
+                - *agent.workerClockOffsetMs;
         agent.table.startCalled(start.task, start.run, deadline);
         const auto outbound = m_planDelivery(delivery_kind::Start);
         const auto isAnswered = std::make_shared<bool>(false);
@@ -1097,8 +1141,7 @@
                                       isAnswered, fence = agent.fence,
                                       bootNumberAtCall =
                                               m_workers[workerIndex(agent.name)]->bootNumber()] {
-                // A connection doesn't outlive a reboot of the worker.
-                if (m_workers[workerIndex(agent.name)]->bootNumber() == bootNumberAtCall)
+                if (isCallTaken(*m_workers[workerIndex(agent.name)], bootNumberAtCall))
                     deliverStart(agent, startNumber, start, deadline, fence, isLate, isAnswered);
             });
         }
@@ -1108,6 +1151,12 @@
         });
     }
 
+    // A connection doesn't outlive a reboot of the worker.
+    bool isCallTaken(const simulated_worker &worker, int bootNumberAtCall) const
+    {
+        return m_doCallsOutliveReboots || worker.bootNumber() == bootNumberAtCall;
+    }
+
     void deliverStart(simulated_agent &agent, int startNumber, const jobs::start_run &start,
                       std::int64_t deadline, std::int64_t fence, bool isLate,
                       const std::shared_ptr<bool> &isAnswered)
@@ -1150,7 +1199,7 @@
                  [this, &agent, stop, fence = agent.fence,
                   bootNumberAtCall = m_workers[workerIndex(agent.name)]->bootNumber()] {
                      auto &worker = *m_workers[workerIndex(agent.name)];
-                     if (worker.bootNumber() == bootNumberAtCall && worker.stop(stop, fence, m_now))
+                     if (isCallTaken(worker, bootNumberAtCall) && worker.stop(stop, fence, m_now))
                          addToTrace("{} stops {} run {}", agent.name, toText(stop.task), stop.run);
                  });
     }
@@ -1291,6 +1340,7 @@
 
     delivery_planner m_planDelivery;
     bool m_hasSlowStops = false;
+    bool m_doCallsOutliveReboots = false;
     milliseconds m_maxStartDelay{1500};
     milliseconds m_pollInterval{40};
     bool m_keepsTrace = true;
--- a/tests/order_search.cpp
+++ b/tests/order_search.cpp
@@ -102,13 +102,18 @@
         TCLAP::SwitchArg searchesStops("", "stops", "search with runs that take long to stop",
                                        command);
         TCLAP::SwitchArg searchesGangs("", "gangs", "search with gangs beside restarts", command);
+        TCLAP::SwitchArg searchesRestarts(
+                "", "restarts", "search with calls that outlive a restart of their worker",
+                command);
         command.parse(argumentCount, arguments);
         if (searchesStalls.getValue() + searchesHeldRoom.getValue() + searchesCopies.getValue()
                     + searchesStops.getValue() + searchesGangs.getValue()
+                    + searchesRestarts.getValue()
             > 1)
             throw TCLAP::ArgException(
-                    "give one of --standing, --room, --copies, --stops and --gangs");
-        const auto kind = searchesGangs.getValue()      ? search_kind::Gangs
+                    "give one of --standing, --room, --copies, --stops, --gangs and --restarts");
+        const auto kind = searchesRestarts.getValue()   ? search_kind::Restarts
+                          : searchesGangs.getValue()    ? search_kind::Gangs
                           : searchesStops.getValue()    ? search_kind::SlowStops
                           : searchesCopies.getValue()   ? search_kind::Copies
                           : searchesHeldRoom.getValue() ? search_kind::HeldRoom
--- a/tests/order_search.h
+++ b/tests/order_search.h
@@ -5,7 +5,9 @@
 // search for held room does the same with tasks that compete for the workers' capacity. A search
 // with copies has jobs that permit copies of their tasks and workers that turn slow, and ends all
 // faults before it checks that each job has ended. A search with gangs has few faults, and checks
-// that no member waits in vain for one that has no run.
+// that no member waits in vain for one that has no run. A search with restarts reboots workers
+// whose machines are then cut off, and lets them take calls that were sent to their earlier
+// incarnations.
 #pragma once
 
 #include <array>
@@ -52,7 +54,15 @@
 constexpr std::size_t FaultKindCount = 18;      // all
 
 // What a search looks for. HeldRoom: long-running tasks that wait beside free capacity.
-enum class search_kind { DuplicateRuns, StalledTasks, HeldRoom, Copies, SlowStops, Gangs };
+enum class search_kind {
+    DuplicateRuns,
+    StalledTasks,
+    HeldRoom,
+    Copies,
+    SlowStops,
+    Gangs,
+    Restarts
+};
 
 // What one search has seen.
 struct search_result
@@ -88,6 +98,8 @@
             m_maxShortTasks = randomBetween(0, 2) * randomBetween(1, 6);
         if (m_kind == search_kind::SlowStops || m_kind == search_kind::Gangs)
             m_simulation.slowStops(randomSpan(600, 890), drawChance(20));
+        if (m_kind == search_kind::Restarts)
+            m_simulation.letCallsOutliveReboots();
     }
 
     search_result run()
@@ -129,7 +141,7 @@
 
     static std::size_t faultKindsOf(search_kind kind)
     {
-        if (kind == search_kind::DuplicateRuns)
+        if (kind == search_kind::DuplicateRuns || kind == search_kind::Restarts)
             return BasicFaultKindCount;
         return kind == search_kind::Copies ? FaultKindCount : StallFaultKindCount;
     }
@@ -371,6 +383,8 @@
         if (m_kind == search_kind::Copies)
             return drawCopyableRun(task);
         const auto endKind = drawChance(90) ? jobs::end_kind::Done : jobs::end_kind::Failed;
+        if (m_kind == search_kind::Restarts && drawChance(30))
+            return {randomSpan(3000, 9000), endKind};
         const auto gangSize = m_kind == search_kind::Gangs ? gangSizeOf(task.job) : 0;
         return {randomSpan(100, 900), endKind, gangSize};
     }
@@ -439,6 +453,8 @@
             return {3, 10, 300, 0};
         case delivery_kind::Poll:
             return {3, 5, 100, 0};
+        case delivery_kind::PollCall:
+            return {2, 6, 2500, 0};
         case delivery_kind::Write:
             return {5, 10, 200, 0};
         case delivery_kind::WriteAnswer:
@@ -470,12 +486,32 @@
                 return;
             if (m_simulation.now() >= m_startTime + milliseconds(1000)) {
                 restartProcesses();
-                injectFault(drawFault());
+                if (m_kind != search_kind::Restarts || drawChance(10))
+                    injectFault(drawFault());
+                if (m_kind == search_kind::Restarts && drawChance(6))
+                    rebootAndCutOff();
             }
             scheduleFaults();
         });
     }
 
+    // The agent learns of the reboot at once or late, and its machine is cut off, or the agent
+    // restarts, at about the same time.
+    void rebootAndCutOff()
+    {
+        const auto index = drawIndex(m_random, workerCountOf(m_kind));
+        auto &agent = m_simulation.agent(index);
+        m_simulation.reboot(m_simulation.worker(index));
+        if (drawChance(50))
+            m_simulation.losePolls(agent, randomSpan(50, 1500));
+        if (drawChance(60))
+            m_simulation.schedule(randomSpan(1, 900), [this, &agent] {
+                m_simulation.cutOffFromEntriesAndStore(agent, randomSpan(6000, 11'000));
+            });
+        if (drawChance(20))
+            m_simulation.schedule(randomSpan(1, 900), [this, &agent] { restartAgent(agent); });
+    }
+
     // Now and then a few processes restart at about the same time; all else is well.
     void scheduleRestarts()
     {
--- a/tests/simulated_worker.h
+++ b/tests/simulated_worker.h
@@ -72,6 +72,10 @@
         m_onAlone = std::move(onAlone);
     }
 
+    // From now on each incarnation has a clock of its own, which starts anew at a reboot, and no
+    // hold lasts longer than `maxHold` from the call that sets it.
+    void startClocksAnew(milliseconds maxHold) { m_maxHold = maxHold; }
+
     // Keeps the name only: runs, ends, the numbers of ends, the fence and the hold are lost.
     void reboot(time_point now)
     {
@@ -85,6 +89,8 @@
         m_nextEndSequence = 1;
         m_fence = 0;
         m_deadlineMs = 0;
+        if (m_maxHold)
+            m_clockZeroMs = clockOf(now) - 1;
         ++m_bootNumber;
     }
     int bootNumber() const { return m_bootNumber; }
@@ -102,9 +108,9 @@
         const run_key key{order.task, order.run};
         if (m_running.contains(key))
             return jobs::start_answer::Started;
-        if (clockOf(now) > deadlineMs || std::exchange(m_refusesNextStart, false))
+        if (ownClock(now) > deadlineMs || std::exchange(m_refusesNextStart, false))
             return jobs::start_answer::Refused;
-        extendDeadline(deadlineMs);
+        extendDeadline(deadlineMs, now);
         if (order.run <= highestFinishedRun(order.task))
             return jobs::start_answer::Refused;
         const auto plan = m_planner(order.task, order.run);
@@ -145,11 +151,11 @@
             return std::nullopt;
         advance(now);
         if (deadlineMs)
-            extendDeadline(*deadlineMs);
+            extendDeadline(*deadlineMs, now);
         std::erase_if(m_ended,
                       [&](const auto &end) { return end.sequence <= acknowledgedThrough; });
         jobs::run_listing listing;
-        listing.clockMs = clockOf(now);
+        listing.clockMs = ownClock(now);
         for (const auto &[key, run] : m_running)
             listing.running.push_back({key.first, key.second, "", 0});
         for (const auto &[key, endsAt] : m_stopping) {
@@ -172,19 +178,19 @@
             addEnded(stopping.first, jobs::end_kind::Stopped);
             return true;
         });
-        const bool isHoldExpired = m_deadlineMs > 0 && clockOf(now) > m_deadlineMs;
+        const bool isHoldExpired = m_deadlineMs > 0 && ownClock(now) > m_deadlineMs;
         for (auto at = m_running.begin(); at != m_running.end();) {
             const auto &key = at->first;
             auto &run = at->second;
             applyGang(key, run, now);
             const bool isFinished =
-                    run.endsAt <= now && (!isHoldExpired || clockOf(run.endsAt) <= m_deadlineMs);
+                    run.endsAt <= now && (!isHoldExpired || ownClock(run.endsAt) <= m_deadlineMs);
             if (!isFinished && !isHoldExpired) {
                 ++at;
                 continue;
             }
             if (!isFinished)
-                leaveGang(key, run, time_point(milliseconds(m_deadlineMs)));
+                leaveGang(key, run, time_point(milliseconds(m_deadlineMs + m_clockZeroMs)));
             addEnded(key, isFinished ? run.endKind : jobs::end_kind::HoldExpired);
             if (isFinished && run.endKind == jobs::end_kind::Alone)
                 m_onAlone(key.first, key.second, run.endsAt);
@@ -251,8 +257,12 @@
         return true;
     }
 
-    void extendDeadline(std::int64_t deadlineMs)
+    std::int64_t ownClock(time_point now) const { return clockOf(now) - m_clockZeroMs; }
+
+    void extendDeadline(std::int64_t deadlineMs, time_point now)
     {
+        if (m_maxHold)
+            deadlineMs = std::min(deadlineMs, ownClock(now) + m_maxHold->count());
         m_deadlineMs = std::max(m_deadlineMs, deadlineMs);
     }
 
@@ -284,8 +294,10 @@
     std::vector<jobs::run_end> m_ended;
     std::map<jobs::task_id, int> m_highestFinished; // highest run that was stopped or ended
     std::int64_t m_nextEndSequence = 1;
-    std::int64_t m_fence = 0;      // highest seen
-    std::int64_t m_deadlineMs = 0; // of the hold; 0: none
+    std::int64_t m_fence = 0;              // highest seen
+    std::int64_t m_deadlineMs = 0;         // of the hold, on the own clock; 0: none
+    std::int64_t m_clockZeroMs = 0;        // time at which the own clock showed 0
+    std::optional<milliseconds> m_maxHold; // none: no limit, and one clock for all incarnations
     time_point m_rejectsStartsUntil{};
     bool m_refusesNextStart = false;
     time_point m_isSlowUntil{};
