A run's speed is set again when its worker lists another one

Cause: the speed that a worker had confirmed last counted as the one in force. A call to pause a run got no answer and was carried out 11 s later, after the call that ended the pause; the one repeat had come 9 s after the call. The percent that the worker lists for each run was not read, so the run stood at 0 for good, and callers saw its job as running. Of the agent's orders speeds alone can be undone by an earlier one: stops are final, starts have a deadline and a run number.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -286,7 +286,7 @@
         const bool hasNewEnds = m_runTable.newEndCount() != m_reportedEndCount;
         settleEpoch(now);
         executeDueActions();
-        m_workerCalls.adjustSpeeds(now);
+        m_workerCalls.adjustSpeeds(holdAnswer->speeds, now);
         const bool hasUnacknowledgedEnds = !holdAnswer->listing.ended.empty();
         if (hasUnacknowledgedEnds && !hasNewEnds)
             m_loop.runAfter(UnacknowledgedPollDelay, [this] { pollWorker(); });
--- a/tests/slack_sharing_test.cpp
+++ b/tests/slack_sharing_test.cpp
@@ -305,6 +305,79 @@
     });
 }
 
+// Guards against a run that stands still for good, or that disturbs a serving run which it is to
+// give way to: a call without an answer is carried out seconds after newer ones, at a time that
+// nobody knows, and the agent believes that its last call is in force.
+Test(slack_sharing, a_speed_that_an_earlier_call_undoes)
+{
+    const best_effort_run run{{"f", 0, 0, 0}, 1, "heavy", 2, 2};
+    time_point now{std::chrono::hours(1)};
+    throttle_controller controller;
+    const auto decide = [&](std::int64_t tailMs, int listedPercent) {
+        controller.noteListed({{run.task, run.run, listedPercent}}, now);
+        return controller.decideSpeeds({{{"s", 0, 0, 0}, 1, "site", tailMs, 150}}, {run}, now);
+    };
+    const auto pause = [&] {
+        decide(400, 100);
+        now += milliseconds(2200);
+        const auto paused = decide(400, 100);
+        require(paused.size() == 1 && paused[0].percent == 0);
+        return paused[0];
+    };
+    const auto resume = [&] {
+        now += milliseconds(500);
+        const auto resumed = decide(100, 100);
+        require(resumed.size() == 1 && resumed[0].percent == 100);
+        controller.noteConfirmed(resumed[0]);
+    };
+    section("a pause that is carried out 30 s late is ended once it is listed", [&] {
+        controller.noteUnanswered(pause(), now);
+        resume();
+        now += seconds(8);
+        controller.noteConfirmed(decide(100, 100).at(0)); // as a call had no answer
+        now += seconds(22);
+        check(decide(100, 100).empty());
+        const auto repeated = decide(100, 0);
+        require(repeated.size() == 1);
+        check(repeated[0].percent == 100);
+        section("until the worker has confirmed it", [&] {
+            check(decide(100, 0).size() == 1);
+            controller.noteConfirmed(repeated[0]);
+        });
+    });
+    section("an answer to a poll that was on its way meanwhile repeats nothing", [&] {
+        now += milliseconds(1000);
+        check(decide(100, 0).empty());
+        now += milliseconds(1000);
+        check(decide(100, 100).empty());
+    });
+    section("it is set again as often as it is undone", [&] {
+        now += seconds(5);
+        require(decide(100, 0).size() == 1);
+        controller.noteConfirmed({run.task, run.run, 100});
+        now += milliseconds(1300);
+        check(decide(100, 10).size() == 1);
+        controller.noteConfirmed({run.task, run.run, 100});
+        now += milliseconds(1300);
+        check(decide(100, 100).empty());
+    });
+    section("a pause that a late call ends goes on", [&] {
+        now += seconds(5);
+        decide(400, 100);
+        now += milliseconds(2200);
+        const auto paused = decide(400, 100);
+        require(paused.size() == 1);
+        controller.noteConfirmed(paused[0]);
+        now += milliseconds(1250);
+        const auto repeated = decide(400, 100);
+        require(repeated.size() == 1);
+        check(repeated[0].percent == 0);
+    });
+    section("what is listed of a run that is unknown changes nothing", [&] {
+        check(controller.noteListed({{{"other", 0, 0, 0}, 1, 0}}, now).empty());
+    });
+}
+
 Test(slack_sharing, what_the_owner_tells)
 {
     section("a start order has the slack of its run", [] {
