Failures that follow a task don't count against its workers

Cause: four failures in a row on a worker kept all tasks off it for 6 s, whatever had failed there. A task that fails by itself avoids the workers it failed on last, and so took one sound worker after another from all other jobs of its entry, which had nothing running for 5 s, again and again, beside free capacity. Nothing held the failing job back. Change: task_failures. A task that failed soon after its start on two workers within a minute fails by itself: its failures count against none from then on, until a run of it is done or has served. If it is long-running it is started again after 0.25 to 1.5 s, from its third failure in a row on. First failures and those on one worker count as before, so a worker that fails all that it starts is quarantined as soon. Ruled out: counting failures of two jobs or more alone, as a large job would go on losing tasks to a faulty worker; judging by the whole job.

--- a/libs/jobs/job_controller.h
+++ b/libs/jobs/job_controller.h
@@ -26,6 +26,7 @@
 #include "jobs/run_times.h"
 #include "jobs/scheduling_features.h"
 #include "jobs/stall_timer.h"
+#include "jobs/task_failures.h"
 #include "jobs/urgency.h"
 #include "jobs/wait_policy.h"
 #include "jobs/worker_pool.h"
@@ -296,6 +297,7 @@
         std::map<task_id, std::vector<std::string>> avoidedWorkers; // newest last
         // By long-running task: when it may be placed on a quarantined worker again.
         std::map<task_id, time_point> quarantineRetryAt;
+        task_failures taskFailures; // soon after a start
         // By occurrence and step: when planning last found no waiting task of the step, or first
         // considered the step. The interference wait is counted from then.
         std::map<std::pair<int, int>, time_point> waitingSince;
@@ -433,6 +435,9 @@
                                                       const std::vector<std::string> &chosen = {});
     static std::uint64_t tieBreakSeedOf(const task_id &task, int run);
     bool isServiceMostlyUsed(const owned_job &job, time_point now) const;
+    // Whether the long-running task fails by itself, and must not be started again yet.
+    static bool isPausing(const owned_job &job, const task_id &task, const step_spec &step,
+                          time_point now);
     // Whether the task must not go to a quarantined worker yet.
     static bool isKeptFromQuarantine(const owned_job &job, const task_id &task, time_point now);
     // --- job_controller_copies.cpp
--- a/libs/jobs/job_controller_ends.cpp
+++ b/libs/jobs/job_controller_ends.cpp
@@ -52,14 +52,20 @@
     const auto runDuration = takeRunDuration(job, end, now);
     const bool isEndOfService = hasServed(step, runDuration);
     const auto slowdown = m_settings.features.learnsRunTimes ? 0 : slowdownOf(runDuration, step);
+    const bool hasFailedAtOnce = end.endKind == end_kind::Failed && !isEndOfService;
+    if (isEndOfService || end.endKind == end_kind::Done)
+        job.taskFailures.recordSuccess(end.task);
+    // A task that fails wherever it runs would keep the tasks of all other jobs from one sound
+    // worker after another.
+    const bool failsByItself =
+            hasFailedAtOnce && job.taskFailures.recordFailure(end.task, worker, now);
     if (end.endKind == end_kind::Failed && isEndOfService)
         m_workers.recordServedRun(worker);
-    else if (m_workers.recordRunEnd(worker, end.endKind, slowdown, now))
+    else if (!failsByItself && m_workers.recordRunEnd(worker, end.endKind, slowdown, now))
         logQuarantine(id, worker, end, now);
     if (end.endKind == end_kind::Done && !step.dataRack.empty())
         m_waitPolicy.recordRun(m_workers.rackOf(worker) == step.dataRack,
                                slowdownOf(runDuration, step));
-    const bool hasFailedAtOnce = end.endKind == end_kind::Failed && !isEndOfService;
     if (step.isLongRunning && (hasFailedAtOnce || end.endKind == end_kind::NeverStarted))
         job.quarantineRetryAt[end.task] = now + m_settings.quarantineRetryDelay;
     learnRunTime(job, worker, end, runDuration);
--- a/libs/jobs/job_controller_placing.cpp
+++ b/libs/jobs/job_controller_placing.cpp
@@ -127,6 +127,10 @@
         auto &state = *job.record.find(task);
         if (!state.isWaiting())
             continue;
+        if (isPausing(job, task, step, now)) {
+            hasWaitingTasks = true;
+            continue;
+        }
         preferences.waitingTasks = unplacedTasks--;
         preferences.tieBreakSeed = tieBreakSeedOf(task, state.lastRun + 1);
         preferences.mayOvercommit = mayOvercommit && !hasPlacements(job.record);
@@ -158,6 +162,10 @@
         stopIncompleteGang(job, firstMember);
         return false; // done, or members of an earlier run have not ended yet
     }
+    for (int index = 0; index < step.count; ++index) {
+        if (isPausing(job, {id, occurrence, stepIndex, index}, step, now))
+            return true;
+    }
     int run = 1;
     for (const auto &member : members)
         run = std::max(run, member.lastRun + 1);
@@ -276,6 +284,12 @@
     return m_workers.usedProcessorShare(job.record.policy.service, now) > MostlyUsedShare;
 }
 
+bool job_controller::isPausing(const owned_job &job, const task_id &task, const step_spec &step,
+                               time_point now)
+{
+    return step.isLongRunning && job.taskFailures.isPausing(task, now);
+}
+
 bool job_controller::isKeptFromQuarantine(const owned_job &job, const task_id &task, time_point now)
 {
     const auto found = job.quarantineRetryAt.find(task);
--- a/libs/jobs/job_controller_waits.cpp
+++ b/libs/jobs/job_controller_waits.cpp
@@ -33,6 +33,10 @@
         auto &state = *job.record.find(task);
         if (!state.isWaiting())
             continue;
+        if (isPausing(job, task, step, now)) {
+            hasWaitingTasks = true;
+            continue;
+        }
         weighed.preferences.waitingTasks = unplacedTasks--;
         weighed.preferences.tieBreakSeed = tieBreakSeedOf(task, state.lastRun + 1);
         const auto choice = chooseOrWait(weighed, job, task, step, now);
--- a/tests/job_controller_test.cpp
+++ b/tests/job_controller_test.cpp
@@ -2,6 +2,7 @@
 // a task at a time, and what must hold when a write, an order, a worker or the entry itself is
 // lost.
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include <criterion/criterion.h>
@@ -1752,6 +1753,200 @@
     check(fixture.workers.chooseWorker("tickets", step, {}, fixture.now).has_value());
 }
 
+namespace {
+
+// Four workers, and a job whose runs end as the test says. A run that fails does so 300 ms after
+// its start.
+struct failing_runs_fixture : test_fixture
+{
+    static constexpr milliseconds Tick{100};
+    static constexpr milliseconds UntilFailure{300};
+
+    const std::vector<std::string> names{"w1", "w2", "w3", "w4"};
+    std::map<std::string, int> failuresByWorker;
+    std::size_t handled = 0; // orders that were accepted
+    std::vector<std::pair<time_point, send_order>> running;
+    milliseconds idle{0}; // up to now, without a run
+    milliseconds longestIdle{0};
+    milliseconds longestWithoutWorker{0}; // for a task of another job
+
+    failing_runs_fixture() { receiveAllReports(); }
+
+    void receiveAllReports()
+    {
+        for (const auto &name : names)
+            receiveReports(name);
+    }
+
+    static job_spec oneStep(int count, bool isLongRunning)
+    {
+        auto spec = twoSteps();
+        spec.steps.resize(1);
+        spec.steps[0].count = count;
+        spec.steps[0].isLongRunning = isLongRunning;
+        return spec;
+    }
+
+    void submitAndStart(const job_spec &spec)
+    {
+        submitJob(spec);
+        confirmWrite();
+    }
+
+    // `fails` tells of a run whether it fails.
+    template <typename Fails>
+    void play(milliseconds duration, Fails fails)
+    {
+        milliseconds withoutWorker{0};
+        for (const auto end = now + duration; now < end;) {
+            acceptAll();
+            endDueRuns(fails);
+            const bool hasWorker =
+                    workers.chooseWorker("tickets", twoSteps().steps[0], {}, now).has_value();
+            withoutWorker = hasWorker ? milliseconds(0) : withoutWorker + Tick;
+            longestWithoutWorker = std::max(longestWithoutWorker, withoutWorker);
+            idle = running.empty() ? idle + Tick : milliseconds(0);
+            longestIdle = std::max(longestIdle, idle);
+            receiveAllReports();
+            advance(Tick);
+            confirmWrite();
+        }
+    }
+
+    void acceptAll()
+    {
+        for (; handled < orders.size(); ++handled) {
+            const auto order = orders[handled];
+            if (order.order.kind != order_kind::Start)
+                continue;
+            acceptOrder(order);
+            running.emplace_back(now, order);
+        }
+    }
+
+    template <typename Fails>
+    void endDueRuns(Fails fails)
+    {
+        const auto current = std::exchange(running, {});
+        for (const auto &[startedAt, order] : current) {
+            if (!fails(order) || now - startedAt < UntilFailure) {
+                running.emplace_back(startedAt, order);
+                continue;
+            }
+            ++failuresByWorker[order.worker];
+            endRun(order, end_kind::Failed);
+            confirmWrite();
+        }
+    }
+
+    // The first member of the gang fails, and so the others end.
+    void endDueGang()
+    {
+        if (running.empty() || now - running.front().first < UntilFailure)
+            return;
+        for (const auto &[startedAt, order] : std::exchange(running, {})) {
+            const bool isFirst = order.order.task.index == 0;
+            failuresByWorker[order.worker] += isFirst ? 1 : 0;
+            endRun(order, isFirst ? end_kind::Failed : end_kind::Broken);
+            confirmWrite();
+        }
+    }
+
+    int failures() const
+    {
+        int sum = 0;
+        for (const auto &[worker, count] : failuresByWorker)
+            sum += count;
+        return sum;
+    }
+};
+
+} // namespace
+
+// Guards against other jobs that wait beside free capacity: the tasks of one job fail wherever they
+// run, each failure counts against its worker, and all sound workers are quarantined again and
+// again.
+Test(job_controller, a_job_that_fails_wherever_it_runs)
+{
+    const auto always = [](const send_order & /*each*/) { return true; };
+    section("its failures keep no other job from the workers", [&] {
+        failing_runs_fixture fixture;
+        fixture.submitAndStart(failing_runs_fixture::oneStep(6, true));
+        fixture.play(seconds(60), always);
+        check(fixture.failures() > 100);
+        check(fixture.longestWithoutWorker == milliseconds(0));
+    });
+    section("it backs off, and is never without a run for long", [&] {
+        failing_runs_fixture fixture;
+        fixture.submitAndStart(failing_runs_fixture::oneStep(1, true));
+        fixture.play(seconds(60), always);
+        check(fixture.failures() < 40);
+        check(fixture.longestIdle < seconds(2));
+    });
+    section("and so does a gang of which one member fails", [] {
+        failing_runs_fixture fixture;
+        auto spec = failing_runs_fixture::oneStep(3, true);
+        spec.steps[0].isGang = true;
+        fixture.submitAndStart(spec);
+        for (const auto end = fixture.now + seconds(60); fixture.now < end;) {
+            fixture.acceptAll();
+            fixture.endDueGang();
+            fixture.receiveAllReports();
+            fixture.advance(failing_runs_fixture::Tick);
+            fixture.confirmWrite();
+        }
+        check(fixture.failures() > 20 && fixture.failures() < 40);
+    });
+    section("a task that works again is started at once after its next failure", [&] {
+        failing_runs_fixture fixture;
+        fixture.submitAndStart(failing_runs_fixture::oneStep(1, true));
+        fixture.play(seconds(10), always);
+        fixture.play(seconds(10), [](const send_order & /*each*/) { return false; });
+        fixture.longestIdle = milliseconds(0);
+        const auto lastRun = fixture.running.at(0).second.order.run;
+        fixture.play(seconds(1),
+                     [&](const send_order &order) { return order.order.run == lastRun; });
+        check(fixture.orders.back().order.run == lastRun + 1);
+        check(fixture.longestIdle <= failing_runs_fixture::Tick);
+    });
+}
+
+// Guards against tasks that go on being lost to a worker that fails all that it starts, while the
+// failures of a job that fails by itself are passed over.
+Test(job_controller, a_worker_that_fails_all_that_it_starts)
+{
+    const auto onFaulty = [](const send_order &order) { return order.worker == "w1"; };
+    section("it is quarantined by the failures of one job's tasks, however many it has", [&] {
+        for (const bool isLongRunning : {false, true}) {
+            failing_runs_fixture fixture;
+            fixture.submitAndStart(failing_runs_fixture::oneStep(24, isLongRunning));
+            fixture.play(seconds(4), onFaulty);
+            check(fixture.failuresByWorker["w1"] >= 4);
+            check(fixture.workers.find("w1")->quarantinedUntil > fixture.now);
+            for (const char *name : {"w2", "w3", "w4"})
+                check(fixture.workers.find(name)->quarantinedUntil == time_point{});
+        }
+    });
+    section("and so is another one beside it", [&] {
+        failing_runs_fixture fixture;
+        fixture.submitAndStart(failing_runs_fixture::oneStep(24, true));
+        fixture.play(seconds(4), [](const send_order &order) {
+            return order.worker == "w1" || order.worker == "w3";
+        });
+        for (const char *name : {"w1", "w3"})
+            check(fixture.workers.find(name)->quarantinedUntil > fixture.now);
+        for (const char *name : {"w2", "w4"})
+            check(fixture.workers.find(name)->quarantinedUntil == time_point{});
+    });
+    section("a task that failed there first and then by itself counts there once", [&] {
+        failing_runs_fixture fixture;
+        fixture.submitAndStart(failing_runs_fixture::oneStep(1, true));
+        fixture.play(seconds(20), [](const send_order & /*each*/) { return true; });
+        for (const auto &name : fixture.names)
+            check(fixture.workers.find(name)->consecutiveFailures <= 1);
+    });
+}
+
 // A job that is forwarded to the entry that will own it arrives as it was submitted.
 Test(job_controller, a_forwarded_job)
 {
