--- a/tests/job_processes.h
+++ b/tests/job_processes.h
@@ -2,6 +2,7 @@
 // platform: addresses, settings, the processes with their logs, calls, and the operator's writes.
 #pragma once
 
+#include <cstdint>
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -53,6 +54,7 @@
     double processorShare = 1; // of one core
     // Where the other processes reach its internal address; empty: there itself.
     std::string advertisedAddress = {};
+    std::int64_t requestMemoryBytes = 0; // of all its callers' requests; 0: the default
 };
 
 // The member of the settings that tells it, if it differs from the internal address.
@@ -61,14 +63,20 @@
     return address.empty() ? "" : fmt::format(R"("internal_advertise":"{}",)", address);
 }
 
+inline std::string requestMemoryMember(std::int64_t bytes)
+{
+    return bytes == 0 ? "" : fmt::format(R"("request_memory_bytes":{},)", bytes);
+}
+
 inline std::string settingsOf(const entry_process &entry)
 {
     return fmt::format(
             R"({{"id":"{}","zone":"z","callers":"{}","ready":"{}",)"
-            R"("internal":"{}",{}"store":"{}","processor_share":{}}})",
+            R"("internal":"{}",{}{}"store":"{}","processor_share":{}}})",
             entry.id, processAddress(entry.process, CallersPort),
             processAddress(entry.process, ReadyPort), processAddress(entry.process, InternalPort),
-            advertiseMember(entry.advertisedAddress), entry.storeAddress, entry.processorShare);
+            advertiseMember(entry.advertisedAddress), requestMemoryMember(entry.requestMemoryBytes),
+            entry.storeAddress, entry.processorShare);
 }
 
 struct agent_process
