--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -1,4 +1,6 @@
-// Tests of http_listener: large requests, and requests that arrive while the server shuts down.
+// Tests of http_listener: large, slow and endless requests, and requests that arrive while the
+// server shuts down.
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -12,6 +14,7 @@
 #include <vector>
 
 #include <criterion/criterion.h>
+#include <fmt/core.h>
 
 #include "keep_alive_caller.h"
 #include "net/event_loop.h"
@@ -481,3 +484,68 @@
             check(caller->readAnswer() == 200);
     });
 }
+
+namespace {
+
+// A request whose body comes in chunks, of which only the lines between them are large.
+const std::string ChunkedHead = "POST /quick HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string repeated(const std::string &part, std::size_t count)
+{
+    std::string text;
+    for (std::size_t each = 0; each < count; ++each)
+        text += part;
+    return text;
+}
+
+// The status with which the server answers the bytes, or nullopt if it closes the connection
+// without an answer.
+std::optional<int> answerTo(const std::string &text, const net::listener_limits &limits = {})
+{
+    draining_server server(limits);
+    keep_alive_caller caller(server.address());
+    caller.sendText(text);
+    server.runWhen([&] { return !caller.isOpen(); }, [&] { server.listener().drain(); });
+    check(server.runUntilDrained());
+    return caller.readAnswer();
+}
+
+} // namespace
+
+// Guards against memory without a bound for one request: what comes beside the body counts as its
+// head, wherever it comes.
+Test(http_listener, bytes_beside_the_body)
+{
+    const std::string field = "X-Trailer: " + std::string(87, 'x') + "\r\n"; // 100 bytes
+    section("trailers are taken up to the limit of a head", [&] {
+        check(answerTo(ChunkedHead + "0\r\n" + repeated(field, 160) + "\r\n") == 200);
+        check(answerTo(ChunkedHead + "0\r\n" + repeated(field, 200) + "\r\n") == 431);
+    });
+    section("trailers without an end are refused",
+            [&] { check(answerTo(ChunkedHead + "0\r\n" + repeated(field, 200)) == 431); });
+    section("a chunk's extension without an end is refused", [] {
+        check(answerTo(ChunkedHead + "1;x=" + std::string(20'000, 'x')) == 431);
+        check(answerTo(ChunkedHead + "1;x=" + std::string(10'000, 'x') + "\r\nx\r\n0\r\n\r\n")
+              == 200);
+    });
+    section("a size without an end is refused",
+            [] { check(answerTo(ChunkedHead + std::string(20'000, '0')) == 431); });
+    section("extensions of many chunks count together", [] {
+        const auto chunk = "1;x=" + std::string(96, 'x') + "\r\nx\r\n";
+        check(answerTo(ChunkedHead + repeated(chunk, 100) + "0\r\n\r\n") == 200);
+        check(answerTo(ChunkedHead + repeated(chunk, 250) + "0\r\n\r\n") == 431);
+    });
+    section("small chunks are no reason to refuse a body", [] {
+        check(answerTo(ChunkedHead + repeated("1\r\nx\r\n", 20'000) + "0\r\n\r\n") == 200);
+    });
+    section("a head of short fields is closed at its limit, wherever a read ends", [] {
+        const std::string shortField = "a: bcd\r\n"; // reads are of a multiple of its bytes
+        const std::string begin = "GET /quick HTTP/1.1\r\nX-Fill: ";
+        const auto fill =
+                std::string(shortField.size() * 5 - begin.size() % shortField.size() - 2, 'x')
+                + "\r\n";
+        check((begin + fill).size() % shortField.size() == 0);
+        check(answerTo(begin + fill + repeated(shortField, 1000) + "\r\n") == 200);
+        check(!answerTo(begin + fill + repeated(shortField, 4000)));
+    });
+}
