Listener: one limit for the memory of all requests being read

Callers saw a process end and its connections break. A body may have 256 KiB and an entry 1,500 connections, and nothing counted the bytes of all of them: 300 clients that stop 8 bytes short of their end took 111 MiB with a length and 81 in chunks, of 32 allowed, six such crowds one after another 128, 700 clients 239 of the 160 MB of the smallest machine (process_crowd_test).

All requests that are being read now share maxHeldBytes: buffers, heads with what their fields take, and bodies by their room. Beyond it the one that holds the most is answered with 503 and Retry-After and its connection closed; it was never handled. So a request of less than a 1,500th (22 KB) is never refused for this, whatever the others do, and one alone always fits. Default 32 MiB, for an entry's callers by the setting request_memory_bytes (at least 1 MiB), for calls between processes 64 MiB. A smaller limit for each body was ruled out: 1,500 of 64 KiB are 96 MiB, and a job may be padded. What a handler keeps of a request that was passed on is not counted.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -50,6 +50,8 @@
 constexpr shutdown_poll_intervals ShutdownIntervals{milliseconds(50), milliseconds(50)};
 constexpr milliseconds LogFlushInterval{100};
 constexpr milliseconds TrafficLogInterval{10'000};
+// Calls of other processes that are being read, together; each is at most MaxEntryCallBytes.
+constexpr std::size_t MaxHeldCallBytes = 64 * 1024 * 1024;
 // An entry that had no answer of the store for this long is not ready.
 constexpr milliseconds MaxStoreSilence{2500};
 
@@ -99,7 +101,7 @@
                                   respond({isReady() ? 200 : 503, {}, ""});
                               })
         , m_callerListener(
-                  m_loop, m_settings.callersAddress, {},
+                  m_loop, m_settings.callersAddress, callerLimits(m_settings),
                   [this](http_request request, responder respond) {
                       m_requests.serve(std::move(request), std::move(respond));
                   },
@@ -136,6 +138,14 @@
     {
         net::listener_limits limits;
         limits.maxRequestBytes = MaxEntryCallBytes;
+        limits.maxHeldBytes = MaxHeldCallBytes;
+        return limits;
+    }
+
+    static net::listener_limits callerLimits(const job_entry_settings &settings)
+    {
+        net::listener_limits limits;
+        limits.maxHeldBytes = settings.requestMemoryBytes;
         return limits;
     }
 
--- a/app/job_settings.cpp
+++ b/app/job_settings.cpp
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <utility>
 
+#include <fmt/core.h>
+
 #include "base/errors.h"
 #include "base/json.h"
 #include "base/json_member.h"
@@ -46,6 +48,21 @@
     return millicores;
 }
 
+// At least room for one of the largest requests, so that this one is never refused in calm.
+std::size_t requestMemoryFrom(const Json::Value &object)
+{
+    constexpr std::int64_t Least = 1024 * 1024;
+    constexpr std::int64_t Most = 1024 * Least;
+    constexpr const char *Name = "request_memory_bytes";
+    if (!object.isMember(Name))
+        return job_entry_settings{}.requestMemoryBytes;
+    const auto bytes = integerMember(object, Name);
+    if (bytes < Least || bytes > Most)
+        throw error(error_kind::BadSettings,
+                    fmt::format("member '{}' must be from {} to {}", Name, Least, Most));
+    return static_cast<std::size_t>(bytes);
+}
+
 std::string addressMember(const Json::Value &object, const char *name)
 {
     return toText(parseAddress(requiredString(object, name)));
@@ -108,6 +125,7 @@
         settings.advertisedAddress = advertisedAddressIn(value);
         settings.storeAddress = addressMember(value, "store");
         settings.millicores = millicoresFrom(value);
+        settings.requestMemoryBytes = requestMemoryFrom(value);
         settings.scheduling = schedulingFrom(value);
         return settings;
     });
--- a/app/job_settings.h
+++ b/app/job_settings.h
@@ -1,6 +1,7 @@
 // Settings of the two daemons that serve jobs. The platform fills them into a JSON template.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -18,10 +19,11 @@
     socket_address readinessAddress; // listens here for the load balancer's readiness checks
     socket_address
             internalAddress; // listens here for zinniabarrow's own processes, and serves metrics
-    socket_address advertisedAddress;     // where these processes reach internalAddress
-    std::string storeAddress;             // "ip:port" of the platform's store
-    std::int64_t millicores = 1000;       // processor capacity of the instance, 1/1000 core
-    jobs::scheduling_features scheduling; // member "scheduling"; absent: all off
+    socket_address advertisedAddress; // where these processes reach internalAddress
+    std::string storeAddress;         // "ip:port" of the platform's store
+    std::int64_t millicores = 1000;   // processor capacity of the instance, 1/1000 core
+    std::size_t requestMemoryBytes = 32 * 1024 * 1024; // of all callers' requests being read
+    jobs::scheduling_features scheduling;              // member "scheduling"; absent: all off
 };
 
 struct job_agent_settings
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -16,6 +16,10 @@
 {
     std::size_t maxRequestBytes = 256 * 1024; // bytes; a larger request body is answered with 413
     std::size_t maxHeadBytes = 16 * 1024;     // bytes; a larger head closes the connection
+    // Memory of all requests that are being read, together. Beyond it, the connection that holds
+    // the most is answered with 503 and closed; its request was not handled. A request of less than
+    // maxHeldBytes / connectionLimit is never refused for this.
+    std::size_t maxHeldBytes = 32 * 1024 * 1024;
     std::size_t connectionLimit = 1500; // more are closed at once, to keep file descriptors free
     milliseconds readTimeout{10'000};   // from a request's complete head to its last byte
     // For the complete head of the next request. A head that has begun by then gets readTimeout
@@ -39,6 +43,7 @@
 {
     std::size_t accepted = 0;
     std::size_t overLimit = 0;     // closed at once because of connectionLimit
+    std::size_t overMemory = 0;    // refused because of maxHeldBytes
     std::size_t acceptRetries = 0; // tries put off for want of file descriptors or memory
     // Closed by the listener although bytes had arrived that it had not read. If these are a
     // request, its caller sees the connection end without an answer.
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -549,3 +549,126 @@
         check(!answerTo(begin + fill + repeated(shortField, 4000)));
     });
 }
+
+namespace {
+
+// A caller that has sent all of a body but its last byte.
+std::unique_ptr<keep_alive_caller> holdBody(const std::string &address, std::size_t bodyBytes,
+                                            bool isChunked)
+{
+    auto caller = std::make_unique<keep_alive_caller>(address);
+    const auto head = isChunked ? fmt::format("{}{:x}\r\n", ChunkedHead, bodyBytes)
+                                : fmt::format("POST /quick HTTP/1.1\r\nContent-Length: {}\r\n\r\n",
+                                              bodyBytes);
+    caller->sendText(head + std::string(bodyBytes - 1, 'x'));
+    return caller;
+}
+
+void finishBody(keep_alive_caller &caller, bool isChunked)
+{
+    caller.sendText(isChunked ? "x\r\n0\r\n\r\n" : "x");
+}
+
+} // namespace
+
+// Guards against a process that runs out of memory by many requests, each of which is within its
+// limits: all that are being read share one limit, and the one that holds the most pays.
+Test(http_listener, requests_that_share_the_memory)
+{
+    net::listener_limits limits;
+    limits.maxRequestBytes = 100'000;
+    limits.maxHeldBytes = 400'000;
+    limits.connectionLimit = 20;
+    for (const bool isChunked : {false, true}) {
+        section(isChunked ? "in chunks" : "with a length", [&] {
+            draining_server server(limits);
+            const auto address = server.address();
+            // Together they are within the limit, whatever room a buffer takes beyond its bytes.
+            auto largest = holdBody(address, 90'000, isChunked);
+            std::vector<std::unique_ptr<keep_alive_caller>> others;
+            for (const std::size_t bytes : {1000, 10'000, 20'000})
+                others.push_back(holdBody(address, bytes, isChunked));
+            std::vector<std::unique_ptr<keep_alive_caller>> crowd;
+            const auto addToCrowd = [&] {
+                constexpr std::size_t CrowdBytes = 80'000;
+                for (int each = 0; each < 10; ++each)
+                    crowd.push_back(holdBody(address, CrowdBytes, isChunked));
+            };
+            const auto finishOthers = [&] {
+                for (auto &each : others)
+                    finishBody(*each, isChunked);
+            };
+            const auto areOthersAnswered = [&] {
+                return std::none_of(others.begin(), others.end(),
+                                    [](const auto &each) { return each->isOpen(); });
+            };
+            server.runWhen([&] { return server.listener().activity().reading == 4; },
+                           [&] {
+                               check(server.listener().totals().overMemory == 0);
+                               check(largest->isOpen());
+                               addToCrowd();
+                               server.runWhen(
+                                       [&] { return server.listener().totals().overMemory > 5; },
+                                       [&] {
+                                           finishOthers();
+                                           server.runWhen(areOthersAnswered,
+                                                          [&] { server.listener().drain(); });
+                                       });
+                           });
+            require(server.runUntilDrained());
+            section("the requests that hold the least are served", [&] {
+                for (auto &each : others)
+                    check(each->readAnswer() == 200);
+            });
+            section("one that holds the most is refused as not handled", [&] {
+                check(largest->readAnswer() == 503);
+                check(largest->answerText().find("\r\nRetry-After: ") != std::string::npos);
+                check(largest->answerText().find("\r\nConnection: close\r\n") != std::string::npos);
+            });
+        });
+    }
+    section("a single request of the largest size is served", [&] {
+        limits.maxHeldBytes = 300'000;
+        check(answerTo("POST /quick HTTP/1.1\r\nContent-Length: 100000\r\n\r\n"
+                               + std::string(100'000, 'x'),
+                       limits)
+              == 200);
+        check(answerTo(ChunkedHead + "186a0\r\n" + std::string(100'000, 'x') + "\r\n0\r\n\r\n",
+                       limits)
+              == 200);
+    });
+}
+
+// Guards against a count of held bytes that only rises: the server would refuse all requests for
+// good.
+Test(http_listener, memory_of_requests_that_have_ended)
+{
+    net::listener_limits limits;
+    limits.maxHeldBytes = 400'000;
+    draining_server server(limits);
+    const auto address = server.address();
+    constexpr int Rounds = 20;
+    std::vector<std::unique_ptr<keep_alive_caller>> callers;
+    std::function<void()> nextRound = [&] {
+        if (callers.size() == 3 * Rounds)
+            return server.listener().drain();
+        callers.push_back(holdBody(address, 100'000, false)); // is finished
+        callers.push_back(holdBody(address, 100'000, true));  // goes away
+        callers.push_back(std::make_unique<keep_alive_caller>(address));
+        callers.back()->sendText(ChunkedHead + std::string(20'000, '0')); // is refused
+        server.runWhen([&] { return server.listener().activity().reading == 2; },
+                       [&] {
+                           finishBody(*callers[callers.size() - 3], false);
+                           callers[callers.size() - 2].reset();
+                           server.runWhen([&] { return server.listener().activity().reading == 0; },
+                                          nextRound);
+                       });
+    };
+    server.runWhen([] { return true; }, nextRound);
+    check(server.runUntilDrained());
+    check(server.listener().totals().overMemory == 0);
+    for (std::size_t each = 0; each < callers.size(); each += 3) {
+        check(callers[each]->readAnswer() == 200);
+        check(callers[each + 2]->readAnswer() == 431);
+    }
+}
--- a/tests/job_settings_test.cpp
+++ b/tests/job_settings_test.cpp
@@ -69,6 +69,23 @@
     });
 }
 
+// Guards against an entry that refuses a single request of the largest size, or that does not bound
+// the memory of callers' requests at all.
+Test(job_settings, request_memory)
+{
+    section("32 MiB where nothing is said",
+            [] { cr_assert_eq(settingsWith("").requestMemoryBytes, 32 * 1024 * 1024); });
+    section("another amount can be told", [] {
+        cr_assert_eq(settingsWith(R"(,"request_memory_bytes":4194304)").requestMemoryBytes,
+                     4 * 1024 * 1024);
+    });
+    section("amounts that make no sense are refused", [] {
+        cr_assert_throw(settingsWith(R"(,"request_memory_bytes":1048575)"), error);
+        cr_assert_throw(settingsWith(R"(,"request_memory_bytes":1073741825)"), error);
+        cr_assert_throw(settingsWith(R"(,"request_memory_bytes":"4 MB")"), error);
+    });
+}
+
 // Guards against a feature that stays off, or goes on, because of a slip in the settings.
 Test(job_settings, scheduling_features)
 {
