Listener: a request has one deadline from its first byte on

A caller that sends a head byte by byte kept its connection for up to 70 s, as only the body had a limit (10 s). The deadline of 10 s now runs from the first byte of a request to its last one. One whose bytes wait unread at the deadline, because the loop was held up, gets the time once more. A request that becomes complete at the same moment as its deadline is no longer cut off while it is handled, and a head that has begun when the server drains keeps its deadline.

http_listener_test requests_that_arrive_slowly.

--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -108,6 +108,7 @@
         m_receivedBytes = 0;
         m_headBytes = 0;
         m_headLines = 0;
+        m_isOverdue = false;
         m_parser.emplace();
         m_parser->body_limit(m_state->limits.maxRequestBytes);
         m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.maxHeadBytes));
@@ -124,7 +125,7 @@
 
     void drain()
     {
-        if (m_phase != connection_phase::Idle)
+        if (m_phase != connection_phase::Idle || hasPartialHead())
             return;
         if (m_requestNumber > 0)
             return endIfIdle();
@@ -216,6 +217,14 @@
         endIfIdle();
     }
 
+    // Its rest may have arrived while the loop was held up.
+    void handleRequestTimeout()
+    {
+        if (std::exchange(m_isOverdue, true) || !hasUnreadBytes())
+            return end();
+        startReadTimer(m_state->limits.readTimeout, &connection::handleRequestTimeout);
+    }
+
     // Used instead of the stream's own timeout, which closes the socket whatever has arrived
     // meanwhile.
     void startReadTimer(milliseconds time, void (connection::*then)())
@@ -223,11 +232,17 @@
         m_readTimer.expires_after(time);
         m_readTimer.async_wait([weak = weak_from_this(), then](const beast::error_code &failure) {
             const auto self = weak.lock();
-            if (!failure && self)
+            // The request may have become complete at the same moment.
+            if (!failure && self && self->isWaitingForRequest())
                 (*self.*then)();
         });
     }
 
+    bool isWaitingForRequest() const
+    {
+        return m_phase == connection_phase::Idle || m_phase == connection_phase::Reading;
+    }
+
     // A partial head stays in the buffer, except for a complete request line, which the parser has
     // already taken.
     bool hasPartialHead() const { return m_buffer.size() > 0 || m_parser->got_some(); }
@@ -273,6 +288,7 @@
 
     void parseBuffer()
     {
+        const bool isFirstPart = !m_parser->got_some();
         const bool hadHead = m_parser->is_header_done();
         beast::error_code failure;
         while (m_buffer.size() > 0 && !m_parser->is_done() && !failure) {
@@ -292,6 +308,8 @@
             return refuse({431, {}, R"({"error":"request_head_too_large"})"});
         if (m_parser->is_done())
             return handleRequest();
+        if (isFirstPart)
+            startReadTimer(m_state->limits.readTimeout, &connection::handleRequestTimeout);
         if (!hadHead && m_parser->is_header_done())
             beginBody();
         countHeldBytes();
@@ -339,7 +357,6 @@
     void beginBody()
     {
         m_phase = connection_phase::Reading;
-        startReadTimer(m_state->limits.readTimeout, &connection::end);
         reserveBodyBuffer(m_buffer, *m_parser);
     }
 
@@ -452,6 +469,7 @@
     std::uint64_t m_requestNumber = 0; // number of the current request on this connection
     bool m_keepAlive = true;
     bool m_isReadPending = false;
+    bool m_isOverdue = false;               // readTimeout has passed once for the current request
     std::optional<http_response> m_refusal; // to be written when the pending read has ended
     std::string m_target;                   // of the current request
     std::size_t m_receivedBytes = 0;        // of the current request, as far as it is parsed
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -21,11 +21,9 @@
     // maxHeldBytes / connectionLimit is never refused for this.
     std::size_t maxHeldBytes = 32 * 1024 * 1024;
     std::size_t connectionLimit = 1500; // more are closed at once, to keep file descriptors free
-    milliseconds readTimeout{10'000};   // from a request's complete head to its last byte
-    // For the complete head of the next request. A head that has begun by then gets readTimeout
-    // more; otherwise the connection is closed.
-    milliseconds maxIdleTime{60'000};
-    milliseconds writeTimeout{10'000}; // time for the client to read the whole answer
+    milliseconds readTimeout{10'000};   // from the first byte of a request to its last one
+    milliseconds maxIdleTime{60'000};   // until the first byte of the next request
+    milliseconds writeTimeout{10'000};  // time for the client to read the whole answer
 };
 
 // Number of open connections in each state.
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -672,3 +672,28 @@
         check(callers[each + 2]->readAnswer() == 431);
     }
 }
+
+// Guards against a caller that keeps its connection by a byte now and then: a whole request has one
+// deadline, whichever part of it is slow.
+Test(http_listener, requests_that_arrive_slowly)
+{
+    net::listener_limits limits;
+    limits.readTimeout = milliseconds(500);
+    for (const std::string begin : {"GET /quick HTTP/1.1\r\nX-Slow: ",
+                                    "POST /quick HTTP/1.1\r\nContent-Length: 1000\r\n\r\n"}) {
+        section(begin, [&] {
+            draining_server server(limits);
+            keep_alive_caller caller(server.address());
+            caller.sendText(begin);
+            std::function<void()> sendNextByte = [&] {
+                if (!caller.isOpen())
+                    return server.listener().drain();
+                caller.sendText("x");
+                server.runAfter(milliseconds(50), sendNextByte);
+            };
+            server.runWhen([] { return true; }, sendNextByte);
+            check(server.runUntilDrained());
+            check(!caller.readAnswer());
+        });
+    }
+}
