Entry: a small receive buffer for each caller

Bytes that have arrived and are not read count as the process's memory on the users' machines. While a request waits for its answer, the system took what its caller sent behind it, by its own measure. The callers' listener now asks for 16 KiB for each connection, at most 32 KiB for each in the test (http_listener_test bytes_behind_a_request; it fails without the option). Calls between processes keep the system's size.

Not covered: connections that wait to be accepted have such a buffer, too.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -52,6 +52,8 @@
 constexpr milliseconds TrafficLogInterval{10'000};
 // Calls of other processes that are being read, together; each is at most MaxEntryCallBytes.
 constexpr std::size_t MaxHeldCallBytes = 64 * 1024 * 1024;
+// Bytes of callers that are not read count as the process's memory. A job of ordinary size fits.
+constexpr int CallerReceiveBufferBytes = 16 * 1024;
 // An entry that had no answer of the store for this long is not ready.
 constexpr milliseconds MaxStoreSilence{2500};
 
@@ -146,6 +148,7 @@
     {
         net::listener_limits limits;
         limits.maxHeldBytes = settings.requestMemoryBytes;
+        limits.receiveBufferBytes = CallerReceiveBufferBytes;
         return limits;
     }
 
--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -569,6 +569,9 @@
                                            static_cast<unsigned short>(address.port));
         m_state->acceptor.open(listenEndpoint.protocol());
         m_state->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        if (limits.receiveBufferBytes > 0) // connections inherit it
+            m_state->acceptor.set_option(
+                    tcp::acceptor::receive_buffer_size(limits.receiveBufferBytes));
         m_state->acceptor.bind(listenEndpoint);
         m_state->acceptor.listen(ListenBacklog);
     } catch (const boost::system::system_error &problem) {
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -20,6 +20,9 @@
     // the most is answered with 503 and closed; its request was not handled. A request of less than
     // maxHeldBytes / connectionLimit is never refused for this.
     std::size_t maxHeldBytes = 32 * 1024 * 1024;
+    // Of each connection, for bytes that have arrived and are not read; 0: as the system sets it.
+    // Linux doubles it for its own use.
+    int receiveBufferBytes = 0;
     std::size_t connectionLimit = 1500; // more are closed at once, to keep file descriptors free
     milliseconds readTimeout{10'000};   // from the first byte of a request to its last one
     milliseconds maxIdleTime{60'000};   // until the first byte of the next request
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -697,3 +697,24 @@
         });
     }
 }
+
+// Guards against memory that a caller takes behind a request which is not answered yet: bytes that
+// have arrived and are not read count as the process's.
+Test(http_listener, bytes_behind_a_request)
+{
+    net::listener_limits limits;
+    limits.receiveBufferBytes = 16 * 1024;
+    draining_server server(limits);
+    keep_alive_caller caller(server.address());
+    caller.send("GET", "/slow");
+    std::size_t arrivedBytes = 0;
+    server.runWhen([&] { return server.openResponders().size() == 1; },
+                   [&] {
+                       arrivedBytes = caller.fillConnection();
+                       server.openResponders()[0]({200, {{"Connection", "close"}}, ""});
+                       server.listener().drain();
+                   });
+    check(server.runUntilDrained());
+    check(arrivedBytes > 0);
+    check(arrivedBytes <= 2 * static_cast<std::size_t>(limits.receiveBufferBytes));
+}
--- a/tests/keep_alive_caller.h
+++ b/tests/keep_alive_caller.h
@@ -3,10 +3,12 @@
 
 #include <arpa/inet.h>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <optional>
 #include <poll.h>
 #include <string>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -100,6 +102,26 @@
                == static_cast<ssize_t>(text.size());
     }
 
+    // Sends until nothing more is taken; returns the bytes of it that the server's machine has
+    // acknowledged.
+    std::size_t fillConnection()
+    {
+        const std::string part(16 * 1024, 'x');
+        std::size_t sentBytes = 0;
+        constexpr int PauseMs = 200;
+        pollfd pollEntry{m_socket, POLLOUT, 0};
+        while (poll(&pollEntry, 1, PauseMs) == 1) {
+            const auto sent =
+                    ::send(m_socket, part.data(), part.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+            if (sent <= 0)
+                break;
+            sentBytes += static_cast<std::size_t>(sent);
+        }
+        int unacknowledgedBytes = 0;
+        ioctl(m_socket, SIOCOUTQ, &unacknowledgedBytes);
+        return sentBytes - static_cast<std::size_t>(unacknowledgedBytes);
+    }
+
     // Reads the next answer; returns its status, or nullopt if it does not arrive completely by
     // `giveUpAt`.
     std::optional<int> readAnswer(time_point giveUpAt)
