Listener: slow requests give way when all connections are in use

With 1,500 connections held by requests that do not end, each new caller was closed at once. The connection whose request has been arriving for the longest time, and for more than a second, is closed instead. Connections that are idle are left alone.

http_listener_test connections_held_by_slow_requests.

--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -67,6 +67,9 @@
 // open files. Without a pause, the tries would take all processor time.
 constexpr milliseconds AcceptRetryDelay{20};
 
+// A request that has been arriving for this long gives way to another connection.
+constexpr milliseconds MinSlowTime{1000};
+
 constexpr std::size_t MinReadBytes = 512;
 // Of the line before a chunk: 16 digits and two line ends.
 constexpr std::size_t MaxChunkLineBytes = 20;
@@ -99,6 +102,7 @@
                                                                      : m_phase;
     }
     std::size_t heldBytes() const { return m_heldBytes; }
+    time_point requestBeganAt() const { return m_requestBeganAt; }
     bool hasUnreadBytes() { return peek(m_stream.socket()) == socket_peek::Bytes; }
 
     void readNextRequest()
@@ -164,6 +168,23 @@
         handleAnswer(m_requestNumber, answer);
     }
 
+    void end()
+    {
+        if (m_phase == connection_phase::Ended)
+            return;
+        if (m_phase == connection_phase::Answering)
+            --m_state->inFlight; // its responder was destroyed
+        m_phase = connection_phase::Ended;
+        m_readTimer.cancel();
+        m_state->connections.erase(m_position);
+        countHeldBytes();
+        beast::error_code ignored; // the peer may have closed first; nothing is left to send
+        // Bytes that arrive later than this were sent on a connection that had ended.
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        m_state->totals.closedUnread += hasUnreadBytes() ? 1 : 0;
+        m_stream.socket().close(ignored);
+    }
+
 private:
     // The answer to one request, held by its responder. An exception that destroys the responder
     // would leave the connection to be closed without an answer.
@@ -192,23 +213,6 @@
         std::uint64_t m_requestNumber;
     };
 
-    void end()
-    {
-        if (m_phase == connection_phase::Ended)
-            return;
-        if (m_phase == connection_phase::Answering)
-            --m_state->inFlight; // its responder was destroyed
-        m_phase = connection_phase::Ended;
-        m_readTimer.cancel();
-        m_state->connections.erase(m_position);
-        countHeldBytes();
-        beast::error_code ignored; // the peer may have closed first; nothing is left to send
-        // Bytes that arrive later than this were sent on a connection that had ended.
-        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-        m_state->totals.closedUnread += hasUnreadBytes() ? 1 : 0;
-        m_stream.socket().close(ignored);
-    }
-
     // At the end of the idle time, a request that has begun, or whose bytes wait in the socket, is
     // still served.
     void handleIdleTimeout()
@@ -308,8 +312,10 @@
             return refuse({431, {}, R"({"error":"request_head_too_large"})"});
         if (m_parser->is_done())
             return handleRequest();
-        if (isFirstPart)
+        if (isFirstPart) {
+            m_requestBeganAt = monotonic_clock::now();
             startReadTimer(m_state->limits.readTimeout, &connection::handleRequestTimeout);
+        }
         if (!hadHead && m_parser->is_header_done())
             beginBody();
         countHeldBytes();
@@ -470,6 +476,7 @@
     bool m_keepAlive = true;
     bool m_isReadPending = false;
     bool m_isOverdue = false;               // readTimeout has passed once for the current request
+    time_point m_requestBeganAt{};          // first bytes of the current request
     std::optional<http_response> m_refusal; // to be written when the pending read has ended
     std::string m_target;                   // of the current request
     std::size_t m_receivedBytes = 0;        // of the current request, as far as it is parsed
@@ -500,10 +507,26 @@
     }
 }
 
+// Closes the connection whose request has been arriving for the longest time.
+bool closeSlowest(http_listener::shared_state &state)
+{
+    connection *slowest = nullptr;
+    for (auto *each : state.connections) {
+        if (each->phase() == connection_phase::Reading
+            && (slowest == nullptr || each->requestBeganAt() < slowest->requestBeganAt()))
+            slowest = each;
+    }
+    if (slowest == nullptr || monotonic_clock::now() - slowest->requestBeganAt() < MinSlowTime)
+        return false;
+    ++state.totals.madeRoom;
+    slowest->end();
+    return true;
+}
+
 void startConnection(tcp::socket socket, const std::shared_ptr<http_listener::shared_state> &state)
 {
     ++state->totals.accepted;
-    if (state->connections.size() >= state->limits.connectionLimit) {
+    if (state->connections.size() >= state->limits.connectionLimit && !closeSlowest(*state)) {
         ++state->totals.overLimit;
         return;
     }
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -23,10 +23,12 @@
     // Of each connection, for bytes that have arrived and are not read; 0: as the system sets it.
     // Linux doubles it for its own use.
     int receiveBufferBytes = 0;
-    std::size_t connectionLimit = 1500; // more are closed at once, to keep file descriptors free
-    milliseconds readTimeout{10'000};   // from the first byte of a request to its last one
-    milliseconds maxIdleTime{60'000};   // until the first byte of the next request
-    milliseconds writeTimeout{10'000};  // time for the client to read the whole answer
+    // More are closed at once, to keep file descriptors free; one whose request has been arriving
+    // for the longest time, and for more than a second, is closed instead if there is one.
+    std::size_t connectionLimit = 1500;
+    milliseconds readTimeout{10'000};  // from the first byte of a request to its last one
+    milliseconds maxIdleTime{60'000};  // until the first byte of the next request
+    milliseconds writeTimeout{10'000}; // time for the client to read the whole answer
 };
 
 // Number of open connections in each state.
@@ -44,6 +46,7 @@
 {
     std::size_t accepted = 0;
     std::size_t overLimit = 0;     // closed at once because of connectionLimit
+    std::size_t madeRoom = 0;      // closed for another one because of connectionLimit
     std::size_t overMemory = 0;    // refused because of maxHeldBytes
     std::size_t acceptRetries = 0; // tries put off for want of file descriptors or memory
     // Closed by the listener although bytes had arrived that it had not read. If these are a
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -698,6 +698,41 @@
     }
 }
 
+// Guards against a server that turns every new caller away because others hold all connections with
+// requests that do not end.
+Test(http_listener, connections_held_by_slow_requests)
+{
+    net::listener_limits limits;
+    limits.connectionLimit = 3;
+    draining_server server(limits);
+    keep_alive_caller idle(server.address());
+    keep_alive_caller slowest(server.address());
+    slowest.sendText("GET /quick HTTP/1.1\r\nX-Slow: ");
+    std::unique_ptr<keep_alive_caller> slow;
+    std::optional<keep_alive_caller> tooEarly;
+    std::optional<keep_alive_caller> caller;
+    server.runWhen([&] { return server.listener().activity().reading == 1; },
+                   [&] {
+                       slow = holdBody(server.address(), 1000, false);
+                       tooEarly.emplace(server.address());
+                       server.runWhen([&] { return !tooEarly->isOpen(); },
+                                      [&] {
+                                          check(slowest.isOpen());
+                                          server.runAfter(milliseconds(1500), [&] {
+                                              caller.emplace(server.address());
+                                              caller->send("GET", "/quick");
+                                              server.runWhen([&] { return !caller->isOpen(); },
+                                                             [&] { server.listener().drain(); });
+                                          });
+                                      });
+                   });
+    check(server.runUntilDrained());
+    check(caller->readAnswer() == 200);
+    check(slowest.requestOutcome() == request_outcome::Closed);
+    check(server.listener().totals().madeRoom == 1);
+    check(server.listener().totals().overLimit == 1);
+}
+
 // Guards against memory that a caller takes behind a request which is not answered yet: bytes that
 // have arrived and are not read count as the process's.
 Test(http_listener, bytes_behind_a_request)
