Jobs: a body of very many values is refused before it is parsed

Other callers got no answer while an entry parsed bodies of the largest size that are arrays of 131,000 numbers: 300 of them held its loop, it took 84 MiB of 32 allowed and answered no ordinary request within 45 s, beside the crowd or after it (process_crowd_test whole_bodies_of_many_numbers). A parsed number takes a hundred times the memory of its text.

--- a/tests/base_test.cpp
+++ b/tests/base_test.cpp
@@ -7,6 +7,7 @@
 #include "base/event_log.h"
 #include "base/hash.h"
 #include "base/json.h"
+#include "base/json_values.h"
 #include "base/time.h"
 #include "section.h"
 
@@ -68,6 +69,22 @@
     });
 }
 
+// Guards against a process that is held up, and grows, by a text of many small values: it is
+// counted before it is parsed, and must not be counted short.
+Test(base, json_values)
+{
+    section("members and elements of all levels count", [] {
+        check(countJsonValues("{}") == 2);
+        check(countJsonValues(R"({"a":[1,2,{"b":3}]})") == 6);
+        check(countJsonValues("[[],[],[]]") == 7);
+        check(countJsonValues("[1,2,3,4,5,6,7") == 8);
+    });
+    section("what stands in a string does not count", [] {
+        check(countJsonValues(R"({"a":"1,2,3\\\"[[[{{{,,,\\","b":"})") == 3);
+        check(countJsonValues(R"(["unfinished,[[[\)") == 2);
+    });
+}
+
 Test(base, rendezvous_hashing)
 {
     section("removing a member moves only its keys", [] {
