Entry: say how many callers were refused and why

Each 10 s, if there were any: the event callers_refused, and connections_refused_total by memory, made_room and all_in_use; the counts since the start go into stopped.

--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -117,6 +117,7 @@
         m_loop.runEvery(TrafficLogInterval, [this] {
             m_traffic.writeTo(m_log);
             m_store.meter().writeTo(m_log);
+            logRefusedCallers();
         });
         m_registration.registerEntry();
         m_configuration.start();
@@ -536,6 +537,25 @@
                && suspendAwareNow() - m_store.lastAnswerAt() < MaxStoreSilence;
     }
 
+    // --- Callers that take more than their share.
+
+    void logRefusedCallers()
+    {
+        const auto &totals = m_callerListener.totals();
+        const auto overMemory = totals.overMemory - m_loggedTotals.overMemory;
+        const auto madeRoom = totals.madeRoom - m_loggedTotals.madeRoom;
+        const auto overLimit = totals.overLimit - m_loggedTotals.overLimit;
+        m_loggedTotals = totals;
+        if (overMemory + madeRoom + overLimit == 0)
+            return;
+        m_metrics.count("connections_refused_total", "memory", static_cast<double>(overMemory));
+        m_metrics.count("connections_refused_total", "made_room", static_cast<double>(madeRoom));
+        m_metrics.count("connections_refused_total", "all_in_use", static_cast<double>(overLimit));
+        m_log.writeEvent(
+                "callers_refused",
+                {{"over_memory", overMemory}, {"made_room", madeRoom}, {"over_limit", overLimit}});
+    }
+
     // --- Graceful shutdown.
 
     shutdown_driver::hooks shutdownHooks()
@@ -558,6 +578,8 @@
                            {"callers_writing", callers.writing},
                            {"callers_idle", callers.idle},
                            {"callers_over_limit", m_callerListener.totals().overLimit},
+                           {"callers_made_room", m_callerListener.totals().madeRoom},
+                           {"callers_over_memory", m_callerListener.totals().overMemory},
                            {"callers_closed_unread", m_callerListener.totals().closedUnread},
                            {"internal_answering", internal.answering},
                            {"internal_closed_unread", m_internalListener.totals().closedUnread},
@@ -643,6 +665,7 @@
     net::http_listener m_internalListener;
     net::http_listener m_readinessListener;
     net::http_listener m_callerListener;
+    net::listener_totals m_loggedTotals; // of m_callerListener, at the last logRefusedCallers()
 };
 
 } // namespace
