--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -1,8 +1,10 @@
 #include "net/http_listener.h"
 
+#include <algorithm>
 #include <exception>
 #include <list>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -46,6 +48,7 @@
     tcp::acceptor acceptor;
     std::list<connection *> connections;
     std::size_t inFlight = 0;
+    std::size_t heldBytes = 0; // of all connections
     listener_totals totals;
     bool isClosing = false;  // each connection closes after its next answer
     bool isDraining = false; // idle connections close as well, and no more are accepted
@@ -64,6 +67,19 @@
 // open files. Without a pause, the tries would take all processor time.
 constexpr milliseconds AcceptRetryDelay{20};
 
+// A request that has been arriving for this long gives way to another connection.
+constexpr milliseconds MinSlowTime{1000};
+
+constexpr std::size_t MinReadBytes = 512;
+// Of the line before a chunk: 16 digits and two line ends.
+constexpr std::size_t MaxChunkLineBytes = 20;
+
+// What the fields of a head take beyond their text, for each field.
+constexpr std::size_t FieldOverheadBytes = 128;
+
+// Refuses the requests that hold the most until all connections are within maxHeldBytes.
+void refuseLargest(http_listener::shared_state &state);
+
 enum class connection_phase { Idle, Reading, Answering, Writing, Ended };
 
 class connection : public std::enable_shared_from_this<connection>
@@ -85,18 +101,27 @@
         return m_phase == connection_phase::Idle && hasPartialHead() ? connection_phase::Reading
                                                                      : m_phase;
     }
+    std::size_t heldBytes() const { return m_heldBytes; }
+    time_point requestBeganAt() const { return m_requestBeganAt; }
     bool hasUnreadBytes() { return peek(m_stream.socket()) == socket_peek::Bytes; }
 
     void readNextRequest()
     {
         m_phase = connection_phase::Idle;
+        m_target.clear();
         m_receivedBytes = 0;
+        m_headBytes = 0;
+        m_headLines = 0;
+        m_isOverdue = false;
         m_parser.emplace();
         m_parser->body_limit(m_state->limits.maxRequestBytes);
         m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.maxHeadBytes));
         m_stream.expires_never();
         startReadTimer(m_state->limits.maxIdleTime, &connection::handleIdleTimeout);
-        readHead();
+        if (m_buffer.size() > 0)
+            parseBuffer();
+        else
+            readSome();
         // An answer that was being sent when the drain began may have announced keep-alive.
         if (m_state->isDraining)
             drain();
@@ -104,7 +129,7 @@
 
     void drain()
     {
-        if (m_phase != connection_phase::Idle)
+        if (m_phase != connection_phase::Idle || hasPartialHead())
             return;
         if (m_requestNumber > 0)
             return endIfIdle();
@@ -121,11 +146,45 @@
             m_stream.socket().cancel(ignored);
     }
 
+    // Answers a request that is not read to its end, gives up its memory, and closes the connection
+    // after the answer.
+    void refuse(http_response answer)
+    {
+        m_readTimer.cancel();
+        m_keepAlive = false;
+        m_phase = connection_phase::Writing;
+        m_parser.reset();
+        if (!m_isReadPending)
+            return writeRefusal(std::move(answer));
+        // The pending read uses the buffer until its callback runs.
+        m_refusal = std::move(answer);
+        countHeldBytes();
+        beast::error_code ignored; // of a broken connection, the callback runs as well
+        m_stream.socket().cancel(ignored);
+    }
+
     void answerCurrentRequest(const http_response &answer)
     {
         handleAnswer(m_requestNumber, answer);
     }
 
+    void end()
+    {
+        if (m_phase == connection_phase::Ended)
+            return;
+        if (m_phase == connection_phase::Answering)
+            --m_state->inFlight; // its responder was destroyed
+        m_phase = connection_phase::Ended;
+        m_readTimer.cancel();
+        m_state->connections.erase(m_position);
+        countHeldBytes();
+        beast::error_code ignored; // the peer may have closed first; nothing is left to send
+        // Bytes that arrive later than this were sent on a connection that had ended.
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        m_state->totals.closedUnread += hasUnreadBytes() ? 1 : 0;
+        m_stream.socket().close(ignored);
+    }
+
 private:
     // The answer to one request, held by its responder. An exception that destroys the responder
     // would leave the connection to be closed without an answer.
@@ -154,22 +213,6 @@
         std::uint64_t m_requestNumber;
     };
 
-    void end()
-    {
-        if (m_phase == connection_phase::Ended)
-            return;
-        if (m_phase == connection_phase::Answering)
-            --m_state->inFlight; // its responder was destroyed
-        m_phase = connection_phase::Ended;
-        m_readTimer.cancel();
-        m_state->connections.erase(m_position);
-        beast::error_code ignored; // the peer may have closed first; nothing is left to send
-        // Bytes that arrive later than this were sent on a connection that had ended.
-        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-        m_state->totals.closedUnread += hasUnreadBytes() ? 1 : 0;
-        m_stream.socket().close(ignored);
-    }
-
     // At the end of the idle time, a request that has begun, or whose bytes wait in the socket, is
     // still served.
     void handleIdleTimeout()
@@ -178,6 +221,14 @@
         endIfIdle();
     }
 
+    // Its rest may have arrived while the loop was held up.
+    void handleRequestTimeout()
+    {
+        if (std::exchange(m_isOverdue, true) || !hasUnreadBytes())
+            return end();
+        startReadTimer(m_state->limits.readTimeout, &connection::handleRequestTimeout);
+    }
+
     // Used instead of the stream's own timeout, which closes the socket whatever has arrived
     // meanwhile.
     void startReadTimer(milliseconds time, void (connection::*then)())
@@ -185,60 +236,160 @@
         m_readTimer.expires_after(time);
         m_readTimer.async_wait([weak = weak_from_this(), then](const beast::error_code &failure) {
             const auto self = weak.lock();
-            if (!failure && self)
+            // The request may have become complete at the same moment.
+            if (!failure && self && self->isWaitingForRequest())
                 (*self.*then)();
         });
     }
 
+    bool isWaitingForRequest() const
+    {
+        return m_phase == connection_phase::Idle || m_phase == connection_phase::Reading;
+    }
+
     // A partial head stays in the buffer, except for a complete request line, which the parser has
     // already taken.
     bool hasPartialHead() const { return m_buffer.size() > 0 || m_parser->got_some(); }
 
-    void readHead()
+    // Reads on with what is missing of the current request. Beast's own functions would collect a
+    // line without an end, or trailers without an end, in the buffer: they return only with a whole
+    // part of the message.
+    void readSome()
     {
-        auto self = shared_from_this();
-        http::async_read_header(m_stream, m_buffer, *m_parser,
-                                [self](const beast::error_code &failure, std::size_t bytes) {
-                                    self->m_receivedBytes += bytes;
-                                    self->handleHead(failure);
-                                });
+        m_isReadPending = true;
+        m_stream.async_read_some(
+                m_buffer.prepare(readBytes()),
+                [self = shared_from_this()](const beast::error_code &failure, std::size_t bytes) {
+                    self->m_isReadPending = false;
+                    self->m_buffer.commit(bytes);
+                    self->handleRead(failure);
+                });
     }
 
-    void handleHead(const beast::error_code &failure)
+    // Not more than is missing of a body, so that the next request stays in the socket.
+    std::size_t readBytes() const
     {
+        if (m_parser->is_header_done()) {
+            const auto missing = m_parser->content_length_remaining();
+            if (missing)
+                return std::min<std::size_t>(*missing, MaxReadBytes);
+        }
+        return std::clamp(m_buffer.capacity() - m_buffer.size(), MinReadBytes, MaxReadBytes);
+    }
+
+    void handleRead(const beast::error_code &failure)
+    {
+        if (m_phase == connection_phase::Ended)
+            return;
+        if (m_refusal)
+            return writeRefusal(std::move(*m_refusal));
         if (failure == asio::error::operation_aborted)
             return handleReadCancelled();
-        if (failure || m_parser->is_done())
-            return handleRequest(failure);
+        if (failure)
+            return end(); // closed by the peer
+        parseBuffer();
+    }
+
+    void parseBuffer()
+    {
+        const bool isFirstPart = !m_parser->got_some();
+        const bool hadHead = m_parser->is_header_done();
+        beast::error_code failure;
+        while (m_buffer.size() > 0 && !m_parser->is_done() && !failure) {
+            const bool isHead = !m_parser->is_header_done();
+            const auto unparsed = m_buffer.data();
+            const auto parsedBytes = m_parser->put(unparsed, failure);
+            if (isHead)
+                countHead({static_cast<const char *>(unparsed.data()), parsedBytes});
+            m_receivedBytes += parsedBytes;
+            m_buffer.consume(parsedBytes);
+        }
+        if (failure && failure != http::error::need_more)
+            return handleMalformed(failure);
+        if (isHeadTooLarge())
+            return end();
+        if (areChunkLinesTooLarge())
+            return refuse({431, {}, R"({"error":"request_head_too_large"})"});
+        if (m_parser->is_done())
+            return handleRequest();
+        if (isFirstPart) {
+            m_requestBeganAt = monotonic_clock::now();
+            startReadTimer(m_state->limits.readTimeout, &connection::handleRequestTimeout);
+        }
+        if (!hadHead && m_parser->is_header_done())
+            beginBody();
+        countHeldBytes();
+        refuseLargest(*m_state);
+        if (m_phase != connection_phase::Writing) // it was not the largest itself
+            readSome();
+    }
+
+    void countHead(std::string_view parsed)
+    {
+        m_headBytes += parsed.size();
+        m_headLines += static_cast<std::size_t>(std::count(parsed.begin(), parsed.end(), '\n'));
+    }
+
+    // A body takes its whole room as soon as its head tells its size.
+    void countHeldBytes()
+    {
+        auto bytes = m_phase == connection_phase::Ended ? 0 : m_buffer.capacity();
+        if (m_parser && m_phase != connection_phase::Ended)
+            bytes += m_headBytes + m_headLines * FieldOverheadBytes
+                     + m_parser->get().body().capacity();
+        m_state->heldBytes += bytes - m_heldBytes;
+        m_heldBytes = bytes;
+    }
+
+    // The parser itself counts a head only from its last whole field on, if a read ended there.
+    bool isHeadTooLarge() const
+    {
+        const auto unparsedBytes = m_parser->is_header_done() ? 0 : m_buffer.size();
+        return m_headBytes + unparsedBytes > m_state->limits.maxHeadBytes;
+    }
+
+    // What is left unparsed behind a head is the begin of a line between two chunks, or trailers.
+    // Such lines may also be many: what they have beyond digits and line ends counts as well.
+    bool areChunkLinesTooLarge() const
+    {
+        if (!m_parser->is_header_done())
+            return false;
+        const auto unparsedBytes = m_parser->is_done() ? 0 : m_buffer.size();
+        const auto bodyBytes = m_parser->get().body().size();
+        const auto lineBytes = m_receivedBytes - m_headBytes - bodyBytes + unparsedBytes;
+        return lineBytes > m_state->limits.maxHeadBytes + MaxChunkLineBytes * bodyBytes;
+    }
+
+    void beginBody()
+    {
         m_phase = connection_phase::Reading;
-        startReadTimer(m_state->limits.readTimeout, &connection::end);
         reserveBodyBuffer(m_buffer, *m_parser);
-        auto self = shared_from_this();
-        http::async_read(m_stream, m_buffer, *m_parser,
-                         [self](const beast::error_code &problem, std::size_t bytes) {
-                             self->m_receivedBytes += bytes;
-                             self->handleRequest(problem);
-                         });
     }
 
     void handleReadCancelled()
     {
-        if (m_phase == connection_phase::Ended)
-            return;
         if (!hasPartialHead() && peek(m_stream.socket()) != socket_peek::Bytes)
             return end();
-        readHead();
+        readSome();
+    }
+
+    void handleMalformed(const beast::error_code &failure)
+    {
+        if (failure != http::error::body_limit)
+            return end();
+        refuse({413, {}, R"({"error":"request_too_large"})"});
     }
 
-    void handleRequest(const beast::error_code &failure)
+    void writeRefusal(http_response answer)
+    {
+        m_buffer = {};
+        countHeldBytes();
+        write(std::move(answer));
+    }
+
+    void handleRequest()
     {
         m_readTimer.cancel();
-        if (failure == http::error::body_limit) {
-            m_keepAlive = false;
-            return write({413, {}, R"({"error":"request_too_large"})"});
-        }
-        if (failure)
-            return end(); // closed by the peer, or malformed request
         auto message = m_parser->release();
         m_keepAlive = message.keep_alive();
         http_request request;
@@ -248,7 +399,9 @@
         for (const auto &field : message)
             request.headers[std::string(field.name_string())] = std::string(field.value());
         request.body = std::move(message.body());
+        m_parser.reset();
         shrinkLargeBuffer(m_buffer);
+        countHeldBytes();
         ++m_state->inFlight;
         m_phase = connection_phase::Answering;
         auto pending = std::make_shared<pending_answer>(shared_from_this(), ++m_requestNumber);
@@ -321,14 +474,59 @@
     connection_phase m_phase = connection_phase::Idle;
     std::uint64_t m_requestNumber = 0; // number of the current request on this connection
     bool m_keepAlive = true;
-    std::string m_target;            // of the current request
-    std::size_t m_receivedBytes = 0; // of the current request
+    bool m_isReadPending = false;
+    bool m_isOverdue = false;               // readTimeout has passed once for the current request
+    time_point m_requestBeganAt{};          // first bytes of the current request
+    std::optional<http_response> m_refusal; // to be written when the pending read has ended
+    std::string m_target;                   // of the current request
+    std::size_t m_receivedBytes = 0;        // of the current request, as far as it is parsed
+    std::size_t m_headBytes = 0;            // those of its head
+    std::size_t m_headLines = 0;            // of its head
+    std::size_t m_heldBytes = 0;            // counted in shared_state::heldBytes
 };
 
+connection *largestRequestInReading(const http_listener::shared_state &state)
+{
+    connection *largest = nullptr;
+    for (auto *each : state.connections) {
+        if (each->phase() == connection_phase::Reading
+            && (largest == nullptr || each->heldBytes() > largest->heldBytes()))
+            largest = each;
+    }
+    return largest;
+}
+
+void refuseLargest(http_listener::shared_state &state)
+{
+    while (state.heldBytes > state.limits.maxHeldBytes) {
+        auto *largest = largestRequestInReading(state);
+        if (largest == nullptr)
+            return;
+        ++state.totals.overMemory;
+        largest->refuse({503, {{"Retry-After", "1"}}, R"({"error":"too_many_large_requests"})"});
+    }
+}
+
+// Closes the connection whose request has been arriving for the longest time.
+bool closeSlowest(http_listener::shared_state &state)
+{
+    connection *slowest = nullptr;
+    for (auto *each : state.connections) {
+        if (each->phase() == connection_phase::Reading
+            && (slowest == nullptr || each->requestBeganAt() < slowest->requestBeganAt()))
+            slowest = each;
+    }
+    if (slowest == nullptr || monotonic_clock::now() - slowest->requestBeganAt() < MinSlowTime)
+        return false;
+    ++state.totals.madeRoom;
+    slowest->end();
+    return true;
+}
+
 void startConnection(tcp::socket socket, const std::shared_ptr<http_listener::shared_state> &state)
 {
     ++state->totals.accepted;
-    if (state->connections.size() >= state->limits.connectionLimit) {
+    if (state->connections.size() >= state->limits.connectionLimit && !closeSlowest(*state)) {
         ++state->totals.overLimit;
         return;
     }
@@ -394,6 +592,9 @@
                                            static_cast<unsigned short>(address.port));
         m_state->acceptor.open(listenEndpoint.protocol());
         m_state->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        if (limits.receiveBufferBytes > 0) // connections inherit it
+            m_state->acceptor.set_option(
+                    tcp::acceptor::receive_buffer_size(limits.receiveBufferBytes));
         m_state->acceptor.bind(listenEndpoint);
         m_state->acceptor.listen(ListenBacklog);
     } catch (const boost::system::system_error &problem) {
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -16,11 +16,18 @@
 {
     std::size_t maxRequestBytes = 256 * 1024; // bytes; a larger request body is answered with 413
     std::size_t maxHeadBytes = 16 * 1024;     // bytes; a larger head closes the connection
-    std::size_t connectionLimit = 1500; // more are closed at once, to keep file descriptors free
-    milliseconds readTimeout{10'000};   // from a request's complete head to its last byte
-    // For the complete head of the next request. A head that has begun by then gets readTimeout
-    // more; otherwise the connection is closed.
-    milliseconds maxIdleTime{60'000};
+    // Memory of all requests that are being read, together. Beyond it, the connection that holds
+    // the most is answered with 503 and closed; its request was not handled. A request of less than
+    // maxHeldBytes / connectionLimit is never refused for this.
+    std::size_t maxHeldBytes = 32 * 1024 * 1024;
+    // Of each connection, for bytes that have arrived and are not read; 0: as the system sets it.
+    // Linux doubles it for its own use.
+    int receiveBufferBytes = 0;
+    // More are closed at once, to keep file descriptors free; one whose request has been arriving
+    // for the longest time, and for more than a second, is closed instead if there is one.
+    std::size_t connectionLimit = 1500;
+    milliseconds readTimeout{10'000};  // from the first byte of a request to its last one
+    milliseconds maxIdleTime{60'000};  // until the first byte of the next request
     milliseconds writeTimeout{10'000}; // time for the client to read the whole answer
 };
 
@@ -39,6 +46,8 @@
 {
     std::size_t accepted = 0;
     std::size_t overLimit = 0;     // closed at once because of connectionLimit
+    std::size_t madeRoom = 0;      // closed for another one because of connectionLimit
+    std::size_t overMemory = 0;    // refused because of maxHeldBytes
     std::size_t acceptRetries = 0; // tries put off for want of file descriptors or memory
     // Closed by the listener although bytes had arrived that it had not read. If these are a
     // request, its caller sees the connection end without an answer.
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -1,4 +1,6 @@
-// Tests of http_listener: large requests, and requests that arrive while the server shuts down.
+// Tests of http_listener: large, slow and endless requests, and requests that arrive while the
+// server shuts down.
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -12,6 +14,7 @@
 #include <vector>
 
 #include <criterion/criterion.h>
+#include <fmt/core.h>
 
 #include "keep_alive_caller.h"
 #include "net/event_loop.h"
@@ -481,3 +484,272 @@
             check(caller->readAnswer() == 200);
     });
 }
+
+namespace {
+
+// A request whose body comes in chunks, of which only the lines between them are large.
+const std::string ChunkedHead = "POST /quick HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string repeated(const std::string &part, std::size_t count)
+{
+    std::string text;
+    for (std::size_t each = 0; each < count; ++each)
+        text += part;
+    return text;
+}
+
+// The status with which the server answers the bytes, or nullopt if it closes the connection
+// without an answer.
+std::optional<int> answerTo(const std::string &text, const net::listener_limits &limits = {})
+{
+    draining_server server(limits);
+    keep_alive_caller caller(server.address());
+    caller.sendText(text);
+    server.runWhen([&] { return !caller.isOpen(); }, [&] { server.listener().drain(); });
+    check(server.runUntilDrained());
+    return caller.readAnswer();
+}
+
+} // namespace
+
+// Guards against memory without a bound for one request: what comes beside the body counts as its
+// head, wherever it comes.
+Test(http_listener, bytes_beside_the_body)
+{
+    const std::string field = "X-Trailer: " + std::string(87, 'x') + "\r\n"; // 100 bytes
+    section("trailers are taken up to the limit of a head", [&] {
+        check(answerTo(ChunkedHead + "0\r\n" + repeated(field, 160) + "\r\n") == 200);
+        check(answerTo(ChunkedHead + "0\r\n" + repeated(field, 200) + "\r\n") == 431);
+    });
+    section("trailers without an end are refused",
+            [&] { check(answerTo(ChunkedHead + "0\r\n" + repeated(field, 200)) == 431); });
+    section("a chunk's extension without an end is refused", [] {
+        check(answerTo(ChunkedHead + "1;x=" + std::string(20'000, 'x')) == 431);
+        check(answerTo(ChunkedHead + "1;x=" + std::string(10'000, 'x') + "\r\nx\r\n0\r\n\r\n")
+              == 200);
+    });
+    section("a size without an end is refused",
+            [] { check(answerTo(ChunkedHead + std::string(20'000, '0')) == 431); });
+    section("extensions of many chunks count together", [] {
+        const auto chunk = "1;x=" + std::string(96, 'x') + "\r\nx\r\n";
+        check(answerTo(ChunkedHead + repeated(chunk, 100) + "0\r\n\r\n") == 200);
+        check(answerTo(ChunkedHead + repeated(chunk, 250) + "0\r\n\r\n") == 431);
+    });
+    section("small chunks are no reason to refuse a body", [] {
+        check(answerTo(ChunkedHead + repeated("1\r\nx\r\n", 20'000) + "0\r\n\r\n") == 200);
+    });
+    section("a head of short fields is closed at its limit, wherever a read ends", [] {
+        const std::string shortField = "a: bcd\r\n"; // reads are of a multiple of its bytes
+        const std::string begin = "GET /quick HTTP/1.1\r\nX-Fill: ";
+        const auto fill =
+                std::string(shortField.size() * 5 - begin.size() % shortField.size() - 2, 'x')
+                + "\r\n";
+        check((begin + fill).size() % shortField.size() == 0);
+        check(answerTo(begin + fill + repeated(shortField, 1000) + "\r\n") == 200);
+        check(!answerTo(begin + fill + repeated(shortField, 4000)));
+    });
+}
+
+namespace {
+
+// A caller that has sent all of a body but its last byte.
+std::unique_ptr<keep_alive_caller> holdBody(const std::string &address, std::size_t bodyBytes,
+                                            bool isChunked)
+{
+    auto caller = std::make_unique<keep_alive_caller>(address);
+    const auto head = isChunked ? fmt::format("{}{:x}\r\n", ChunkedHead, bodyBytes)
+                                : fmt::format("POST /quick HTTP/1.1\r\nContent-Length: {}\r\n\r\n",
+                                              bodyBytes);
+    caller->sendText(head + std::string(bodyBytes - 1, 'x'));
+    return caller;
+}
+
+void finishBody(keep_alive_caller &caller, bool isChunked)
+{
+    caller.sendText(isChunked ? "x\r\n0\r\n\r\n" : "x");
+}
+
+} // namespace
+
+// Guards against a process that runs out of memory by many requests, each of which is within its
+// limits: all that are being read share one limit, and the one that holds the most pays.
+Test(http_listener, requests_that_share_the_memory)
+{
+    net::listener_limits limits;
+    limits.maxRequestBytes = 100'000;
+    limits.maxHeldBytes = 400'000;
+    limits.connectionLimit = 20;
+    for (const bool isChunked : {false, true}) {
+        section(isChunked ? "in chunks" : "with a length", [&] {
+            draining_server server(limits);
+            const auto address = server.address();
+            // Together they are within the limit, whatever room a buffer takes beyond its bytes.
+            auto largest = holdBody(address, 90'000, isChunked);
+            std::vector<std::unique_ptr<keep_alive_caller>> others;
+            for (const std::size_t bytes : {1000, 10'000, 20'000})
+                others.push_back(holdBody(address, bytes, isChunked));
+            std::vector<std::unique_ptr<keep_alive_caller>> crowd;
+            const auto addToCrowd = [&] {
+                constexpr std::size_t CrowdBytes = 80'000;
+                for (int each = 0; each < 10; ++each)
+                    crowd.push_back(holdBody(address, CrowdBytes, isChunked));
+            };
+            const auto finishOthers = [&] {
+                for (auto &each : others)
+                    finishBody(*each, isChunked);
+            };
+            const auto areOthersAnswered = [&] {
+                return std::none_of(others.begin(), others.end(),
+                                    [](const auto &each) { return each->isOpen(); });
+            };
+            server.runWhen([&] { return server.listener().activity().reading == 4; },
+                           [&] {
+                               check(server.listener().totals().overMemory == 0);
+                               check(largest->isOpen());
+                               addToCrowd();
+                               server.runWhen(
+                                       [&] { return server.listener().totals().overMemory > 5; },
+                                       [&] {
+                                           finishOthers();
+                                           server.runWhen(areOthersAnswered,
+                                                          [&] { server.listener().drain(); });
+                                       });
+                           });
+            require(server.runUntilDrained());
+            section("the requests that hold the least are served", [&] {
+                for (auto &each : others)
+                    check(each->readAnswer() == 200);
+            });
+            section("one that holds the most is refused as not handled", [&] {
+                check(largest->readAnswer() == 503);
+                check(largest->answerText().find("\r\nRetry-After: ") != std::string::npos);
+                check(largest->answerText().find("\r\nConnection: close\r\n") != std::string::npos);
+            });
+        });
+    }
+    section("a single request of the largest size is served", [&] {
+        limits.maxHeldBytes = 300'000;
+        check(answerTo("POST /quick HTTP/1.1\r\nContent-Length: 100000\r\n\r\n"
+                               + std::string(100'000, 'x'),
+                       limits)
+              == 200);
+        check(answerTo(ChunkedHead + "186a0\r\n" + std::string(100'000, 'x') + "\r\n0\r\n\r\n",
+                       limits)
+              == 200);
+    });
+}
+
+// Guards against a count of held bytes that only rises: the server would refuse all requests for
+// good.
+Test(http_listener, memory_of_requests_that_have_ended)
+{
+    net::listener_limits limits;
+    limits.maxHeldBytes = 400'000;
+    draining_server server(limits);
+    const auto address = server.address();
+    constexpr int Rounds = 20;
+    std::vector<std::unique_ptr<keep_alive_caller>> callers;
+    std::function<void()> nextRound = [&] {
+        if (callers.size() == 3 * Rounds)
+            return server.listener().drain();
+        callers.push_back(holdBody(address, 100'000, false)); // is finished
+        callers.push_back(holdBody(address, 100'000, true));  // goes away
+        callers.push_back(std::make_unique<keep_alive_caller>(address));
+        callers.back()->sendText(ChunkedHead + std::string(20'000, '0')); // is refused
+        server.runWhen([&] { return server.listener().activity().reading == 2; },
+                       [&] {
+                           finishBody(*callers[callers.size() - 3], false);
+                           callers[callers.size() - 2].reset();
+                           server.runWhen([&] { return server.listener().activity().reading == 0; },
+                                          nextRound);
+                       });
+    };
+    server.runWhen([] { return true; }, nextRound);
+    check(server.runUntilDrained());
+    check(server.listener().totals().overMemory == 0);
+    for (std::size_t each = 0; each < callers.size(); each += 3) {
+        check(callers[each]->readAnswer() == 200);
+        check(callers[each + 2]->readAnswer() == 431);
+    }
+}
+
+// Guards against a caller that keeps its connection by a byte now and then: a whole request has one
+// deadline, whichever part of it is slow.
+Test(http_listener, requests_that_arrive_slowly)
+{
+    net::listener_limits limits;
+    limits.readTimeout = milliseconds(500);
+    for (const std::string begin : {"GET /quick HTTP/1.1\r\nX-Slow: ",
+                                    "POST /quick HTTP/1.1\r\nContent-Length: 1000\r\n\r\n"}) {
+        section(begin, [&] {
+            draining_server server(limits);
+            keep_alive_caller caller(server.address());
+            caller.sendText(begin);
+            std::function<void()> sendNextByte = [&] {
+                if (!caller.isOpen())
+                    return server.listener().drain();
+                caller.sendText("x");
+                server.runAfter(milliseconds(50), sendNextByte);
+            };
+            server.runWhen([] { return true; }, sendNextByte);
+            check(server.runUntilDrained());
+            check(!caller.readAnswer());
+        });
+    }
+}
+
+// Guards against a server that turns every new caller away because others hold all connections with
+// requests that do not end.
+Test(http_listener, connections_held_by_slow_requests)
+{
+    net::listener_limits limits;
+    limits.connectionLimit = 3;
+    draining_server server(limits);
+    keep_alive_caller idle(server.address());
+    keep_alive_caller slowest(server.address());
+    slowest.sendText("GET /quick HTTP/1.1\r\nX-Slow: ");
+    std::unique_ptr<keep_alive_caller> slow;
+    std::optional<keep_alive_caller> tooEarly;
+    std::optional<keep_alive_caller> caller;
+    server.runWhen([&] { return server.listener().activity().reading == 1; },
+                   [&] {
+                       slow = holdBody(server.address(), 1000, false);
+                       tooEarly.emplace(server.address());
+                       server.runWhen([&] { return !tooEarly->isOpen(); },
+                                      [&] {
+                                          check(slowest.isOpen());
+                                          server.runAfter(milliseconds(1500), [&] {
+                                              caller.emplace(server.address());
+                                              caller->send("GET", "/quick");
+                                              server.runWhen([&] { return !caller->isOpen(); },
+                                                             [&] { server.listener().drain(); });
+                                          });
+                                      });
+                   });
+    check(server.runUntilDrained());
+    check(caller->readAnswer() == 200);
+    check(slowest.requestOutcome() == request_outcome::Closed);
+    check(server.listener().totals().madeRoom == 1);
+    check(server.listener().totals().overLimit == 1);
+}
+
+// Guards against memory that a caller takes behind a request which is not answered yet: bytes that
+// have arrived and are not read count as the process's.
+Test(http_listener, bytes_behind_a_request)
+{
+    net::listener_limits limits;
+    limits.receiveBufferBytes = 16 * 1024;
+    draining_server server(limits);
+    keep_alive_caller caller(server.address());
+    caller.send("GET", "/slow");
+    std::size_t arrivedBytes = 0;
+    server.runWhen([&] { return server.openResponders().size() == 1; },
+                   [&] {
+                       arrivedBytes = caller.fillConnection();
+                       server.openResponders()[0]({200, {{"Connection", "close"}}, ""});
+                       server.listener().drain();
+                   });
+    check(server.runUntilDrained());
+    check(arrivedBytes > 0);
+    check(arrivedBytes <= 2 * static_cast<std::size_t>(limits.receiveBufferBytes));
+}
