--- a/libs/jobs/message_limits.h
+++ b/libs/jobs/message_limits.h
@@ -15,8 +15,8 @@
 constexpr std::size_t MaxPollAnswerBytes = 16 * 1024 * 1024;
 
 constexpr std::size_t MaxPayloadBytes = 4000; // that a caller submits with a job
-// Members and elements in the body of a job. 64 steps of 18 members, each after all steps before it,
-// have about 3,200.
+// Members and elements in the body of a job. 64 steps of 18 members, each after all steps before
+// it, have about 3,200.
 constexpr std::size_t MaxJobValues = 8192;
 // Of the names in all steps of a job: labels, racks and images.
 constexpr std::size_t MaxNameBytes = 16 * 1024;
