A worker with another id than the one before takes runs at once, also after a restart of its agent

Cause: agents and workers start together; a new agent did not know that its worker has another id, and refuses calls to the one before, and waited for the end of holds that nobody could have given. Change: the lease's row has the id of the worker that the epoch belongs to. worker_lease_test id_of_the_incarnation_before.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -403,9 +403,13 @@
             return;
         const bool isNewIncarnation =
                 lease().workerIncarnation() != m_workerPresence.incarnationName();
-        if (!isNewIncarnation || !lease().hadIncarnation()
-            || !m_workerPresence.mayTakeEarlierCalls())
+        if (!isNewIncarnation || !lease().hadIncarnation())
             return;
+        if (!takesEarlierCalls()) {
+            m_workerLiveness.noteReplaced(now);
+            m_leaseKeeper.forgetEarlierCallsHold();
+            return;
+        }
         m_workerLiveness.noteNewIncarnation(now);
         m_earlierCallsUntilMs = clockMs + m_settings.longestHold.count();
         m_leaseKeeper.noteEarlierCallsHold(m_workerLiveness.earlierCallsHoldUntil());
@@ -414,6 +418,15 @@
             m_leaseKeeper.renew();
     }
 
+    // The worker has the id that the incarnation before had, as far as is known.
+    bool takesEarlierCalls() const
+    {
+        const auto &id = m_workerPresence.id();
+        const bool isAnother =
+                !id.empty() && !lease().workerId().empty() && id != lease().workerId();
+        return m_workerPresence.mayTakeEarlierCalls() && !isAnother;
+    }
+
     // By each reading of the worker's clock, which stands while its machine is suspended.
     void noteEarlierCallsHold(std::int64_t clockMs, time_point now)
     {
@@ -444,6 +457,7 @@
     {
         if (!m_workerPresence.isIncarnationKnown())
             return;
+        m_leaseKeeper.noteWorkerId(m_workerPresence.id());
         if (m_leaseKeeper.observeWorker(m_workerPresence.incarnationName(),
                                         m_runTable.mayHaveRuns(now)))
             m_runTable.stopAll(now);
--- a/app/lease_keeper.h
+++ b/app/lease_keeper.h
@@ -40,6 +40,7 @@
     void renew(std::optional<time_point> heldUntil = std::nullopt);
     // As jobs::worker_lease, for the writes from now on.
     void noteEarlierCallsHold(time_point until);
+    void noteWorkerId(const std::string &id) { m_lease.noteWorkerId(id); }
     void forgetEarlierCallsHold() { m_lease.forgetEarlierCallsHold(); }
     // Both pass on to jobs::worker_lease what was observed of the worker. observeWorker() returns
     // whether all its runs have to be stopped before a new epoch can begin.
--- a/libs/jobs/lease.cpp
+++ b/libs/jobs/lease.cpp
@@ -21,6 +21,8 @@
     value["ends_at_ms"] = Json::Int64(row.expiresAtMs);
     if (row.earlierCallsHoldUntilMs != 0)
         value["earlier_calls_until_ms"] = Json::Int64(row.earlierCallsHoldUntilMs);
+    if (!row.workerId.empty())
+        value["worker"] = row.workerId;
     return compactJson(value);
 }
 
@@ -37,6 +39,8 @@
         row.expiresAtMs = integerMemberUpTo(value, "ends_at_ms", MaxTimeMs);
     if (value.isMember("earlier_calls_until_ms")) // nor this
         row.earlierCallsHoldUntilMs = integerMemberUpTo(value, "earlier_calls_until_ms", MaxTimeMs);
+    if (value.isMember("worker")) // nor this
+        row.workerId = stringMember(value, "worker");
     return row;
 }
 
--- a/libs/jobs/lease.h
+++ b/libs/jobs/lease.h
@@ -65,6 +65,7 @@
     // may let runs of this one continue, whatever the agent does; 0: no such calls. Copied from
     // write to write, as a restarted agent can't know it otherwise.
     std::int64_t earlierCallsHoldUntilMs = 0;
+    std::string workerId = {}; // that this incarnation announced; empty: unknown
 };
 std::string toText(const lease_row &row);
 lease_row leaseFrom(const std::string &text); // throws error BadRequest
--- a/libs/jobs/worker_lease.cpp
+++ b/libs/jobs/worker_lease.cpp
@@ -162,6 +162,10 @@
 {
     const auto validUntil = std::min<time_point>(now + LeaseDuration, heldUntil.value_or(Never));
     ++next.renewals;
+    // The row of an incarnation that has ended keeps its id, for the comparison with the next
+    // one's.
+    if ((m_isSettled || beginsEpoch) && next.workerIncarnation != NoIncarnation)
+        next.workerId = m_workerId;
     const auto storeMs = m_storeClock.upperBoundMs(now);
     if (m_earlierCallsHoldUntilMs <= m_storeClock.lowerBoundMs(now))
         m_earlierCallsHoldUntilMs = 0;
--- a/libs/jobs/worker_lease.h
+++ b/libs/jobs/worker_lease.h
@@ -92,6 +92,10 @@
     std::int64_t epoch() const { return m_row.epoch; }
     std::int64_t fence() const { return m_row.fence; }
     const std::string &workerIncarnation() const { return m_row.workerIncarnation; }
+    // As in lease_row. Given for the incarnation that the epoch belongs to, or that reconcile() is
+    // called for next; later writes say so.
+    void noteWorkerId(const std::string &id) { m_workerId = id; }
+    const std::string &workerId() const { return m_row.workerId; }
     // Whether the row has ever named an incarnation of the worker.
     bool hadIncarnation() const { return m_row.epoch > lease_row().epoch; }
     // End of the lease on the agent's clock. No run is started after it, and no hold call lets runs
@@ -123,6 +127,7 @@
     lease_phase m_phase = lease_phase::Reading;
     lease_row m_row;                            // as last written by this agent
     std::int64_t m_version = 0;                 // of the row; 0: it doesn't exist
+    std::string m_workerId;                     // see noteWorkerId()
     std::int64_t m_earlierCallsHoldUntilMs = 0; // as in lease_row
     bool m_hasForgottenEarlierCalls = false;    // the row may still have them when it is read
     std::optional<pending_write> m_pendingWrite;
--- a/tests/worker_lease_test.cpp
+++ b/tests/worker_lease_test.cpp
@@ -342,6 +342,37 @@
     });
 }
 
+// Guards against workers that are left unused for seconds after a loss of power: their agents start
+// anew beside them, and can't know by themselves that these workers have other ids, and so refuse
+// calls to the ones before.
+Test(worker_lease, id_of_the_incarnation_before)
+{
+    lease_fixture fixture;
+    fixture.startLease();
+    check(fixture.row->workerId.empty());
+    fixture.lease.noteWorkerId("i-1");
+    fixture.lease.renew(fixture.now);
+    fixture.runActions();
+    check(fixture.row->workerId == "i-1");
+    check(leaseFrom(toText(*fixture.row)).workerId == "i-1");
+    section("the end of the incarnation does not change it", [&] {
+        auto ended = fixture;
+        ended.lease.endEpoch("", ended.now);
+        ended.runActions();
+        check(ended.row->workerId == "i-1");
+    });
+    section("the next agent finds it, until it begins the epoch of another incarnation", [&] {
+        fixture.lease = worker_lease("agent");
+        fixture.lease.acquireFence();
+        fixture.runActions();
+        check(fixture.lease.workerId() == "i-1");
+        fixture.lease.noteWorkerId("i-2");
+        check(!fixture.lease.reconcile("b", false, fixture.now));
+        fixture.runActions();
+        check(fixture.row->workerId == "i-2");
+    });
+}
+
 // Guards against a task that runs twice. Calls that were meant for the worker's earlier incarnation
 // hold the runs of the present one for longer than a lease lasts, and watchers know of nothing but
 // the row. The agent may be killed as well: its next incarnation shortens the lease of a worker
