Speeds are not compared with the percent that a worker lists

Cause: it took the percent of a listed run for its speed. It is the task's progress: the users' page says that a task that lasts is at work when its percent is 100.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -350,7 +350,7 @@
         const bool hasNewEnds = m_runTable.newEndCount() != m_reportedEndCount;
         settleEpoch(now);
         executeDueActions();
-        m_workerCalls.adjustSpeeds(holdAnswer->speeds, now);
+        m_workerCalls.adjustSpeeds(now);
         const bool hasUnacknowledgedEnds = !holdAnswer->listing.ended.empty();
         if (hasUnacknowledgedEnds && !hasNewEnds)
             m_loop.runAfter(UnacknowledgedPollDelay, [this] { pollWorker(); });
--- a/app/worker_calls.cpp
+++ b/app/worker_calls.cpp
@@ -83,9 +83,8 @@
                   });
 }
 
-void worker_calls::adjustSpeeds(const std::vector<run_speed> &listed, time_point now)
+void worker_calls::adjustSpeeds(time_point now)
 {
-    reportDifferingSpeeds(m_throttleController.noteListed(listed, now));
     const auto serving = m_runTable.servingSamples();
     const auto bestEffort = m_runTable.bestEffortRuns();
     if (now >= m_nextSampleAt) {
@@ -111,16 +110,6 @@
     }
 }
 
-void worker_calls::reportDifferingSpeeds(const std::vector<run_speed> &differing)
-{
-    for (const auto &listed : differing) {
-        m_metrics.count("paces_undone_total", listed.percent < 100 ? "slowed" : "full");
-        m_log.writeEvent("run_speed_differs", {{"task", toText(listed.task)},
-                                               {"run", listed.run},
-                                               {"listed_percent", listed.percent}});
-    }
-}
-
 void worker_calls::countLostTimes()
 {
     for (const auto &[reason, lost] : m_throttleController.takeLostTimes())
--- a/app/worker_calls.h
+++ b/app/worker_calls.h
@@ -47,14 +47,12 @@
 
     void execute(const jobs::start_run &start);
     void execute(const jobs::stop_run &stop);
-    // Called after each successful poll of the worker, with the speeds that it lists. Slows down or
-    // resumes best-effort runs.
-    void adjustSpeeds(const std::vector<jobs::run_speed> &listed, time_point now);
+    // Called after each successful poll of the worker. Slows down or resumes best-effort runs.
+    void adjustSpeeds(time_point now);
 
 private:
     void handleStartResult(const jobs::task_id &task, int run, const call_result &result);
 
-    void reportDifferingSpeeds(const std::vector<jobs::run_speed> &differing);
     void countLostTimes();
     void logSlowedRuns(const std::vector<jobs::headroom_excess> &excesses,
                        const std::vector<jobs::best_effort_run> &bestEffort, time_point now);
--- a/libs/jobs/throttle_controller.cpp
+++ b/libs/jobs/throttle_controller.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-// How long after a call to set a speed the answer to a poll may still list the speed before: the
-// call takes up to a second, its effect a tenth, and an answer on another connection may be late.
-constexpr milliseconds ListedWithin{1200};
-
 // The cores that a tail latency reflects. Requests that queued up beside the neighbours of the half
 // second before are still in the tail. If only the cores in use now counted, a part of the
 // interference would be taken for the serving runs' own load.
@@ -230,7 +226,7 @@
     for (const auto &run : bestEffort) {
         const run_key key{run.task, run.run};
         // It is unknown at which speed an earlier incarnation let the run work.
-        const speed_state initial{100, !run.isInherited, Never, now};
+        const speed_state initial{100, !run.isInherited, Never};
         const int percent = m_speeds.try_emplace(key, initial).first->second.percent;
         if (percent < 100)
             m_lostTimes[reason] += passed * (100 - percent) / 100;
@@ -259,8 +255,7 @@
         auto &speed = m_speeds.at(key);
         if (speed.percent == targetPercent && speed.isConfirmed && now < speed.repeatAt)
             continue;
-        speed = {targetPercent, false, now < speed.repeatAt ? speed.repeatAt : Never,
-                 now + ListedWithin};
+        speed = {targetPercent, false, now < speed.repeatAt ? speed.repeatAt : Never};
         changes.push_back({run.task, run.run, targetPercent});
     }
     return changes;
@@ -362,23 +357,6 @@
         known->second.repeatAt = now + LateEffectLimit;
 }
 
-std::vector<run_speed> throttle_controller::noteListed(const std::vector<run_speed> &speeds,
-                                                       time_point now)
-{
-    std::vector<run_speed> differing;
-    for (const auto &listed : speeds) {
-        const auto known = m_speeds.find({listed.task, listed.run});
-        if (known == m_speeds.end())
-            continue;
-        auto &speed = known->second;
-        if (!speed.isConfirmed || now < speed.listedFrom || listed.percent == speed.percent)
-            continue;
-        speed.isConfirmed = false;
-        differing.push_back(listed);
-    }
-    return differing;
-}
-
 void throttle_controller::forget(const task_id &task, int run)
 {
     m_speeds.erase({task, run});
--- a/libs/jobs/throttle_controller.h
+++ b/libs/jobs/throttle_controller.h
@@ -134,10 +134,6 @@
     void noteConfirmed(const run_speed &speed); // the worker has applied it
     // The call that set the speed got no answer.
     void noteUnanswered(const run_speed &speed, time_point now);
-    // The speeds that the worker lists, in its answer to a poll. One that is not the speed set last
-    // is set again by decideSpeeds(), which is called next. Returns the runs of which this holds,
-    // with the speed listed: an earlier call was carried out after the last one.
-    std::vector<run_speed> noteListed(const std::vector<run_speed> &speeds, time_point now);
     void forget(const task_id &task, int run); // the run has ended
     // One sample for each serving image with a latency target: its longest tail latency, the cores
     // that its best-effort neighbours use, and the change of both since the last call. Called every
@@ -175,8 +171,7 @@
         int percent = 100;       // last decided
         bool isConfirmed = true; // by the worker
         time_point repeatAt =
-                Never;           // when it is set again, as an earlier call may take effect late
-        time_point listedFrom{}; // a poll answered from then on lists it
+                Never; // when it is set again, as an earlier call may take effect late
     };
 
     double loadPerCore(const std::string &serving, const std::string &bestEffort) const;
