--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -645,11 +645,12 @@
         m_outlastsLeaseSince = std::min(m_outlastsLeaseSince, now);
         if (now - m_outlastsLeaseSince < RenewalAfterWake)
             return;
-        if (!std::exchange(m_hasStoppedForLease, true))
+        if (!std::exchange(m_hasStoppedForLease, true)) {
             m_log.writeEvent("runs_outlast_lease",
                              {{"runs", m_runTable.activeRunCount()},
                               {"held_ms", millisecondsIn(heldUntil - now)},
                               {"lease_ms", millisecondsIn(lease().validUntil() - now)}});
+        }
         m_runTable.stopAll(now);
     }
 
--- a/tests/order_search.h
+++ b/tests/order_search.h
@@ -504,10 +504,11 @@
         m_simulation.reboot(m_simulation.worker(index));
         if (drawChance(50))
             m_simulation.losePolls(agent, randomSpan(50, 1500));
-        if (drawChance(60))
+        if (drawChance(60)) {
             m_simulation.schedule(randomSpan(1, 900), [this, &agent] {
                 m_simulation.cutOffFromEntriesAndStore(agent, randomSpan(6000, 11'000));
             });
+        }
         if (drawChance(20))
             m_simulation.schedule(randomSpan(1, 900), [this, &agent] { restartAgent(agent); });
     }
