--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -370,8 +370,8 @@
     }
 
     // The agent seeks its next fence, perhaps for long if it is cut off from the store. Until the
-    // worker knows that fence, calls that were meant for its earlier incarnation may start runs,
-    // and nobody but this agent can learn of them: their tasks are started elsewhere once the lease
+    // worker has seen that fence, calls addressed to its earlier incarnation may start runs, and
+    // only this agent can learn of them: their tasks are started elsewhere once the lease
     // has expired. The worker still takes calls with the fence before.
     void stopStrayRuns(const std::optional<platform_wire::hold_result> &answer, time_point sentAt,
                        time_point now)
--- a/app/job_settings.cpp
+++ b/app/job_settings.cpp
@@ -48,7 +48,7 @@
     return millicores;
 }
 
-// At least room for one of the largest requests, so that this one is never refused in calm.
+// At least the memory of one request of the largest size, so that a single one is never refused.
 std::size_t requestMemoryFrom(const Json::Value &object)
 {
     constexpr std::int64_t Least = 1024 * 1024;
--- a/libs/jobs/lease.h
+++ b/libs/jobs/lease.h
@@ -46,8 +46,9 @@
     return durationOnSlowClock(interval) - interval + LeaseMargin;
 }
 
-// Whether runs that the worker holds until `heldUntil` have to be told to stop now, so that they
-// have ended when a watcher can know the lease, valid until `validUntil`, as expired.
+// Whether calls that stop the runs on a worker are due. The worker continues its runs until
+// `heldUntil`; they must have ended when a watcher takes the lease, valid until `validUntil`, for
+// expired.
 // `stopTimeout`: from the call that stops a run to its end, on the worker's clock.
 bool needsStopBeforeExpiry(time_point heldUntil, time_point validUntil, milliseconds stopTimeout,
                            time_point now);
--- a/libs/jobs/task_failures.cpp
+++ b/libs/jobs/task_failures.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// Longer than a run that failed soon after its start, its pause and a wait for room take together.
+// Covers a run that fails soon after its start, the pause after it and the wait for capacity.
 constexpr milliseconds Memory{60'000};
 
 // Of tasks that fail at times wherever they run, a few fail twice in a row: there is no pause after
--- a/libs/jobs/task_failures.h
+++ b/libs/jobs/task_failures.h
@@ -1,6 +1,6 @@
-// Tells failures that follow a task from failures of a worker. A task that failed on one worker may
-// have been on a faulty one. A task that fails on another worker as well fails by itself: that says
-// nothing about the workers, and each further start is likely to be in vain.
+// Distinguishes failures caused by a task from failures caused by a worker. A task that failed on
+// one worker may have been on a faulty one. A task that fails on another worker as well fails by
+// itself: that says nothing about the workers, and each further start is likely to be in vain.
 //
 // Each owned job has one. Order of calls: recordFailure() and recordSuccess() as runs end,
 // isPausing() before a long-running task is placed.
--- a/libs/net/http_listener.cpp
+++ b/libs/net/http_listener.cpp
@@ -70,6 +70,12 @@
 // A request that has been arriving for this long gives way to another connection.
 constexpr milliseconds MinSlowTime{1000};
 
+// HTTP statuses of refused requests; none of these was handled.
+constexpr int StatusBodyTooLarge = 413;
+constexpr int StatusHeadTooLarge = 431;
+constexpr int StatusUnavailable = 503;
+constexpr const char *RetryAfterSeconds = "1";
+
 constexpr std::size_t MinReadBytes = 512;
 // Of the line before a chunk: 16 digits and two line ends.
 constexpr std::size_t MaxChunkLineBytes = 20;
@@ -309,7 +315,7 @@
         if (isHeadTooLarge())
             return end();
         if (areChunkLinesTooLarge())
-            return refuse({431, {}, R"({"error":"request_head_too_large"})"});
+            return refuse({StatusHeadTooLarge, {}, R"({"error":"request_head_too_large"})"});
         if (m_parser->is_done())
             return handleRequest();
         if (isFirstPart) {
@@ -330,7 +336,7 @@
         m_headLines += static_cast<std::size_t>(std::count(parsed.begin(), parsed.end(), '\n'));
     }
 
-    // A body takes its whole room as soon as its head tells its size.
+    // Memory for the whole body is allocated once the head gives its size.
     void countHeldBytes()
     {
         auto bytes = m_phase == connection_phase::Ended ? 0 : m_buffer.capacity();
@@ -377,7 +383,7 @@
     {
         if (failure != http::error::body_limit)
             return end();
-        refuse({413, {}, R"({"error":"request_too_large"})"});
+        refuse({StatusBodyTooLarge, {}, R"({"error":"request_too_large"})"});
     }
 
     void writeRefusal(http_response answer)
@@ -503,7 +509,9 @@
         if (largest == nullptr)
             return;
         ++state.totals.overMemory;
-        largest->refuse({503, {{"Retry-After", "1"}}, R"({"error":"too_many_large_requests"})"});
+        largest->refuse({StatusUnavailable,
+                         {{"Retry-After", RetryAfterSeconds}},
+                         R"({"error":"too_many_large_requests"})"});
     }
 }
 
--- a/libs/net/http_listener.h
+++ b/libs/net/http_listener.h
@@ -23,8 +23,9 @@
     // Of each connection, for bytes that have arrived and are not read; 0: as the system sets it.
     // Linux doubles it for its own use.
     int receiveBufferBytes = 0;
-    // More are closed at once, to keep file descriptors free; one whose request has been arriving
-    // for the longest time, and for more than a second, is closed instead if there is one.
+    // Open connections. More are closed at once, to keep file descriptors free; one whose request
+    // has been arriving for the longest time, and for more than a second, is closed instead if
+    // there is one.
     std::size_t connectionLimit = 1500;
     milliseconds readTimeout{10'000};  // from the first byte of a request to its last one
     milliseconds maxIdleTime{60'000};  // until the first byte of the next request
