Holds end before their lease by the longest suspension of a machine

A machine is cut off and suspended meanwhile; at its wake its run goes on beside the one that was started elsewhere.

Cause: a hold ends by the worker's clock, which stands during a suspension, a lease by the store's, which does not.

Change: holds end by suspended_at_most_ms (4 s) less 0.5 s before the lease; watchers wait as before. That would end all runs in an outage of the store of 4 s, so an agent that misses the store asks entries whether they miss it too: then nobody can end the lease, and holds go on up to it. The row of a lease that is shortened for a silent worker ends as much later than the hold.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -8,6 +8,7 @@
 
 #include "app/job_tables.h"
 #include "app/lease_keeper.h"
+#include "app/outage_probe.h"
 #include "app/process.h"
 #include "app/report_sender.h"
 #include "app/shutdown_driver.h"
@@ -37,8 +38,8 @@
 constexpr milliseconds PollWait{1000};        // the worker answers a poll earlier if a run ends
 constexpr milliseconds ServingPollWait{250};  // workers measure latencies over 0.5 s
 constexpr milliseconds ProofPollWait{250};    // while a listing will free a run's capacity
-constexpr milliseconds ExpiringPollWait{100}; // while the lease ends soon
-constexpr milliseconds LeaseEndsSoon{2000};   // longer than any poll
+constexpr milliseconds ExpiringPollWait{100}; // while the holds end soon
+constexpr milliseconds HoldEndsSoon{2000};    // longer than any poll
 constexpr milliseconds PollTimeout{700}; // in addition to the wait; a worker answers in a few ms
 constexpr milliseconds PollRetryDelay{150};
 // While ends of runs are not acknowledged, the worker answers each poll at once.
@@ -82,12 +83,16 @@
                   [this] { m_areCancelsRead = true; })
         , m_runTable(tableSettings(m_settings))
         , m_shutdown(m_loop, ShutdownIntervals, ShutdownLimits, shutdownHooks())
-        , m_leaseKeeper(m_loop, m_store, m_log, m_settings.id, leaseCallbacks())
+        , m_leaseKeeper(m_loop, m_store, m_log, m_settings.id, m_settings.longestSuspension,
+                        leaseCallbacks())
         , m_reportSender(reportSenderDependencies(),
                          [this] { return m_runTable.acceptsStarts(readiness()); })
         , m_workerCalls(workerCallsDependencies(),
                         {[this] { executeDueActions(); },
-                         [this](auto samples) { m_reportSender.addSamples(std::move(samples)); }})
+                         [this](auto samples) { m_reportSender.addSamples(std::move(samples)); },
+                         [this](time_point now) { return currentHoldLimit(now); }})
+        , m_outageProbe(
+                  m_client, m_store, [this] { return m_reportSender.relayAddresses(); }, m_log)
         , m_internalListener(
                   m_loop, m_settings.internalAddress, internalLimits(),
                   [this](http_request request, responder respond) {
@@ -114,6 +119,7 @@
         m_loop.runEvery(ReportInterval, [this] { m_reportSender.sendPeriodicReports(); });
         m_loop.runEvery(LeaseRenewInterval,
                         [this] { m_leaseKeeper.renew(m_workerLiveness.heldUntilIfSilent()); });
+        m_loop.runEvery(OutageProbeInterval, [this] { m_outageProbe.probe(); });
         m_entriesFollower.start();
         m_cancelsFollower.start();
         m_leaseKeeper.acquire("process_start");
@@ -235,6 +241,13 @@
 
     const worker_lease &lease() const { return m_leaseKeeper.lease(); }
 
+    // Until when calls that are sent now may let the worker's runs continue.
+    time_point currentHoldLimit(time_point now) const
+    {
+        return holdLimit(lease().validUntil(), m_settings.longestSuspension,
+                         m_outageProbe.isStoreAwayForEntries(now));
+    }
+
     // --- Polling the worker.
 
     void pollWorker()
@@ -245,8 +258,8 @@
         const auto now = suspendAwareNow();
         const bool isConfirmed = reachesConfirmedIncarnation(now);
         std::optional<std::int64_t> deadline;
-        if (isConfirmed && m_workerClock.isKnown() && now < lease().validUntil()) {
-            const auto holdUntil = std::min<time_point>(lease().validUntil(), now + HoldDuration);
+        if (isConfirmed && m_workerClock.isKnown() && now < currentHoldLimit(now)) {
+            const auto holdUntil = std::min<time_point>(currentHoldLimit(now), now + HoldDuration);
             deadline = m_workerClock.millisecondsAt(holdUntil);
             m_workerLiveness.noteHold(holdUntil);
             m_workerClock.noteDeadline(*deadline);
@@ -293,7 +306,7 @@
     // before the end of the earlier lease.
     milliseconds maxPollWait(time_point now) const
     {
-        if (lease().validUntil() - now < LeaseEndsSoon)
+        if (currentHoldLimit(now) - now < HoldEndsSoon)
             return ExpiringPollWait;
         if (m_runTable.awaitsListing())
             return ProofPollWait;
@@ -564,7 +577,7 @@
     // the lease has expired.
     bool leaseCoversHold(time_point now) const
     {
-        return now < lease().validUntil() && m_workerClock.isKnown()
+        return now < currentHoldLimit(now) && m_workerClock.isKnown()
                && m_workerLiveness.earlierCallsHoldUntil() <= lease().validUntil();
     }
 
@@ -643,7 +656,8 @@
             return;
         }
         m_outlastsLeaseSince = std::min(m_outlastsLeaseSince, now);
-        if (now - m_outlastsLeaseSince < RenewalAfterWake)
+        const bool mayBeRenewed = now < lease().validUntil();
+        if (mayBeRenewed && now - m_outlastsLeaseSince < RenewalAfterWake)
             return;
         if (!std::exchange(m_hasStoppedForLease, true)) {
             m_log.writeEvent("runs_outlast_lease",
@@ -792,6 +806,7 @@
     report_sender m_reportSender;
     worker_liveness m_workerLiveness{suspendAwareNow(), m_settings.longestHold};
     worker_calls m_workerCalls;
+    outage_probe m_outageProbe;
 
     std::size_t m_reportedEndCount = 0; // value of m_runTable.newEndCount() at the last report
 
--- a/app/job_entry.cpp
+++ b/app/job_entry.cpp
@@ -14,6 +14,7 @@
 #include "app/job_view.h"
 #include "app/lease_watcher.h"
 #include "app/order_sender.h"
+#include "app/outage_probe.h"
 #include "app/process.h"
 #include "app/report_requests.h"
 #include "app/run_time_store.h"
@@ -87,6 +88,7 @@
         , m_orderSender({m_settings, m_loop, m_client, m_pool, m_jobController, m_metrics, m_log},
                         [this] { schedulePlan(); })
         , m_leaseWatcher(m_loop, m_store, m_metrics, m_log, m_settings.id,
+                         m_settings.longestSuspension,
                          [this](const auto &worker, auto epoch) { applyEpoch(worker, epoch); })
         , m_shutdown(m_loop, ShutdownIntervals, {}, shutdownHooks())
         , m_requests(m_settings.id, requestDependencies(),
@@ -399,6 +401,8 @@
         const auto path = request.path();
         if (path == "/metrics")
             return respond({200, {{"Content-Type", "text/plain"}}, metricsText()});
+        if (path == StoreStatePath)
+            return respond({200, {}, toText(store_state{m_store.isReachable()})});
         if (m_shutdown.step() != shutdown_step::HandOver)
             return respond(makeRefusal(503, "leaving"));
         if (path.starts_with(StoreRelayPath))
--- a/app/job_settings.cpp
+++ b/app/job_settings.cpp
@@ -87,6 +87,20 @@
     return longestHold;
 }
 
+// A longer one would leave no time for holds, which end that much before the lease.
+milliseconds longestSuspensionIn(const Json::Value &object)
+{
+    constexpr milliseconds Most{5000};
+    constexpr const char *Name = "suspended_at_most_ms";
+    if (!object.isMember(Name))
+        return jobs::MaxSuspension;
+    const milliseconds longestSuspension(integerMember(object, Name));
+    if (longestSuspension < milliseconds(0) || longestSuspension > Most)
+        throw error(error_kind::BadSettings,
+                    fmt::format("member '{}' must be from 0 to {}", Name, Most.count()));
+    return longestSuspension;
+}
+
 using jobs::scheduling_features;
 
 constexpr std::array<std::pair<const char *, bool scheduling_features::*>, 6> FeatureMembers{{
@@ -137,6 +151,7 @@
         settings.storeAddress = addressMember(value, "store");
         settings.millicores = millicoresFrom(value);
         settings.requestMemoryBytes = requestMemoryFrom(value);
+        settings.longestSuspension = longestSuspensionIn(value);
         settings.scheduling = schedulingFrom(value);
         return settings;
     });
@@ -155,6 +170,7 @@
         settings.service = requiredString(value, "service");
         settings.stopTimeout = milliseconds(integerMember(value, "stop_within_ms"));
         settings.longestHold = longestHoldIn(value);
+        settings.longestSuspension = longestSuspensionIn(value);
         settings.storeAddress = addressMember(value, "store");
         return settings;
     });
--- a/app/job_settings.h
+++ b/app/job_settings.h
@@ -23,8 +23,9 @@
     socket_address advertisedAddress; // where these processes reach internalAddress
     std::string storeAddress;         // "ip:port" of the platform's store
     std::int64_t millicores = 1000;   // processor capacity of the instance, 1/1000 core
-    std::size_t requestMemoryBytes = 32 * 1024 * 1024; // of all callers' requests being read
-    jobs::scheduling_features scheduling;              // member "scheduling"; absent: all off
+    std::size_t requestMemoryBytes = 32 * 1024 * 1024;    // of all callers' requests being read
+    milliseconds longestSuspension = jobs::MaxSuspension; // of a worker's machine, at most
+    jobs::scheduling_features scheduling;                 // member "scheduling"; absent: all off
 };
 
 struct job_agent_settings
@@ -41,6 +42,7 @@
     milliseconds stopTimeout{900};    // a run has ended at most this long after the call to stop it
     // One call lets the worker's runs continue for this long at most.
     milliseconds longestHold = jobs::MaxHoldDuration;
+    milliseconds longestSuspension = jobs::MaxSuspension; // of this machine, at most
 };
 
 // Both parse a settings file's text. They throw error BadSettings, which names the file and the
--- a/app/lease_keeper.cpp
+++ b/app/lease_keeper.cpp
@@ -36,13 +36,13 @@
 } // namespace
 
 lease_keeper::lease_keeper(net::event_loop &loop, store_client &store, event_log &log,
-                           std::string agent, callbacks handlers)
+                           std::string agent, milliseconds longestSuspension, callbacks handlers)
     : m_loop(loop)
     , m_store(store)
     , m_log(log)
     , m_agent(std::move(agent))
     , m_callbacks(std::move(handlers))
-    , m_lease(m_agent)
+    , m_lease(m_agent, longestSuspension)
 { }
 
 void lease_keeper::acquire(const char *reason)
--- a/app/lease_keeper.h
+++ b/app/lease_keeper.h
@@ -25,8 +25,9 @@
         std::function<void()> fenceAcquired; // calls to the worker must carry the new fence
     };
 
+    // `longestSuspension`: of the agent's machine, at most.
     lease_keeper(net::event_loop &loop, store_client &store, event_log &log, std::string agent,
-                 callbacks handlers);
+                 milliseconds longestSuspension, callbacks handlers);
 
     const jobs::worker_lease &lease() const { return m_lease; }
     // Acquires a new fence, a number that rises each time and makes orders and calls with an
@@ -36,7 +37,8 @@
     void acquire(const char *reason);
     // Called every LeaseRenewInterval, and when the worker answers again. `heldUntil` is set while
     // the worker does not answer, and at the agent's end: a hold call lets the worker's runs
-    // continue until a deadline, and this is the last one. The lease is then renewed only up to it.
+    // continue until a deadline, and this is the last one. The lease is then renewed only as
+    // jobs::worker_lease::renew() says.
     void renew(std::optional<time_point> heldUntil = std::nullopt);
     // As jobs::worker_lease, for the writes from now on.
     void noteEarlierCallsHold(time_point until);
--- a/app/lease_watcher.cpp
+++ b/app/lease_watcher.cpp
@@ -21,12 +21,14 @@
 } // namespace
 
 lease_watcher::lease_watcher(net::event_loop &loop, store_client &store, metrics &counters,
-                             event_log &log, std::string self, epoch_callback onEpochKnown)
+                             event_log &log, std::string self, milliseconds longestSuspension,
+                             epoch_callback onEpochKnown)
     : m_loop(loop)
     , m_store(store)
     , m_metrics(counters)
     , m_log(log)
     , m_self(std::move(self))
+    , m_longestSuspension(longestSuspension)
     , m_onEpochKnown(std::move(onEpochKnown))
 { }
 
@@ -82,7 +84,8 @@
     // or because a new incarnation of the worker has started.
     m_onEpochKnown(worker, lease.epoch);
     const auto verdict =
-            m_expiryDetector.observe(worker, lease, row.version, storeMs, suspendAwareNow());
+            m_expiryDetector.observe(worker, lease, row.version, storeMs, suspendAwareNow(),
+                                     m_store.regainedAt() + outageGrace(m_longestSuspension));
     m_log.writeEvent("worker_lease_read", {{"worker", worker},
                                            {"epoch", lease.epoch},
                                            {"renewals", lease.renewals},
--- a/app/lease_watcher.h
+++ b/app/lease_watcher.h
@@ -22,8 +22,9 @@
     // earlier epochs have ended.
     using epoch_callback = std::function<void(const std::string &worker, std::int64_t epoch)>;
 
+    // `longestSuspension`: of a worker's machine, at most.
     lease_watcher(net::event_loop &loop, store_client &store, metrics &counters, event_log &log,
-                  std::string self, epoch_callback onEpochKnown);
+                  std::string self, milliseconds longestSuspension, epoch_callback onEpochKnown);
 
     // Sets the workers to watch from now on, and since when each has been silent.
     void watch(const std::map<std::string, time_point> &silentSince);
@@ -40,6 +41,7 @@
     metrics &m_metrics;
     event_log &m_log;
     std::string m_self;
+    milliseconds m_longestSuspension;
     epoch_callback m_onEpochKnown;
     jobs::lease_expiry_detector m_expiryDetector;
     std::set<std::string> m_watched;
--- a/app/store_client.cpp
+++ b/app/store_client.cpp
@@ -93,6 +93,7 @@
     m_lastAnswerAt = now;
     if (!m_isReachable) {
         m_isReachable = true;
+        m_regainedAt = now;
         m_log.writeEvent("store_regained", {{"way", isDirect ? "direct" : "relayed"}});
     }
 }
--- a/app/store_client.h
+++ b/app/store_client.h
@@ -63,6 +63,8 @@
     // False once calls have failed for more than 500 ms.
     bool isReachable() const { return m_isReachable; }
     time_point lastAnswerAt() const { return m_lastAnswerAt; }
+    // When calls were answered again after isReachable() was false for the last time; min: never.
+    time_point regainedAt() const { return m_regainedAt; }
 
 private:
     // A request to the store and what it is for.
@@ -107,6 +109,7 @@
     std::size_t m_nextRelay = 0;
     bool m_isReachable = true;
     time_point m_lastAnswerAt{};
+    time_point m_regainedAt = time_point::min();
 };
 
 } // namespace zinniabarrow
--- a/app/worker_calls.cpp
+++ b/app/worker_calls.cpp
@@ -40,10 +40,10 @@
     // the task could be started under an expired lease while it runs elsewhere. If the process is
     // suspended after this line, the deadline in the call prevents the start.
     const auto now = suspendAwareNow();
-    if (now >= std::min(lease().validUntil(), start.callDeadline))
+    const auto limit = m_hooks.holdLimit(now);
+    if (now >= std::min(limit, start.callDeadline))
         return;
-    const auto until =
-            std::min<time_point>(lease().validUntil(), start.callDeadline + StartAllowance);
+    const auto until = std::min<time_point>(limit, start.callDeadline + StartAllowance);
     const auto deadline = m_workerClock.millisecondsAt(until);
     m_workerLiveness.noteHold(until);
     m_workerClock.noteDeadline(deadline);
--- a/app/worker_calls.h
+++ b/app/worker_calls.h
@@ -41,6 +41,8 @@
     {
         std::function<void()> tableChanged; // the run table may have actions that are due
         std::function<void(std::vector<jobs::interference_sample>)> samplesTaken;
+        // Until when a call that is sent now may let runs continue.
+        std::function<time_point(time_point now)> holdLimit;
     };
 
     worker_calls(const worker_calls_dependencies &dependencies, hooks callbacks);
--- a/libs/jobs/lease.cpp
+++ b/libs/jobs/lease.cpp
@@ -71,6 +71,11 @@
 // Added to the expiry in a row, or to LeaseDuration if the expiry is unknown.
 constexpr milliseconds LeaseExpirySlack = expirySlack(LeaseDuration);
 
+// How much later than the lease a hold ends at most, without a suspension: it seems longer by the
+// age of a reading and a slow clock. The rest of the watchers' slack is left to them.
+constexpr milliseconds HoldTolerance{500};
+static_assert(HoldTolerance < LeaseExpirySlack);
+
 // For how long runs may continue after the row was written, at most.
 milliseconds longestHold(const lease_row &row)
 {
@@ -79,13 +84,28 @@
 
 } // namespace
 
+milliseconds suspensionReserve(milliseconds longestSuspension)
+{
+    return std::max(longestSuspension - HoldTolerance, milliseconds(0));
+}
+
+time_point holdLimit(time_point validUntil, milliseconds longestSuspension,
+                     bool isStoreAwayForEntries)
+{
+    return isStoreAwayForEntries ? validUntil : validUntil - suspensionReserve(longestSuspension);
+}
+
+milliseconds outageGrace(milliseconds longestSuspension)
+{
+    // From the last moment at which the agent knows of the outage to its renewal: until it asks an
+    // entry again, and until it tries the store again.
+    constexpr milliseconds RenewalDelay{1500};
+    return longestSuspension + RenewalDelay;
+}
+
 bool needsStopBeforeExpiry(time_point heldUntil, time_point validUntil, milliseconds stopTimeout,
                            time_point now)
 {
-    // Holds up to the lease's end seem longer by the age of a reading and a slow clock. The rest of
-    // the watchers' slack is left to them.
-    constexpr milliseconds HoldTolerance{500};
-    static_assert(HoldTolerance < LeaseExpirySlack);
     constexpr milliseconds CallTime{150}; // a stop call reaches the worker, and may have to wait
     return heldUntil > validUntil + HoldTolerance
            && now >= validUntil - durationOnSlowClock(stopTimeout) - CallTime;
@@ -124,7 +144,7 @@
 
 lease_check lease_expiry_detector::observe(const std::string &worker, const lease_row &row,
                                            std::int64_t version, std::int64_t storeMs,
-                                           time_point now)
+                                           time_point now, time_point graceUntil)
 {
     if (row.endedByWatcher)
         return {false, now + LeaseCheckInterval}; // the agent has to begin a new epoch
@@ -137,7 +157,8 @@
         expiresAt =
                 row.earlierCallsHoldUntilMs == 0 ? std::min<time_point>(expiresAt, inRow) : inRow;
     }
-    return {now >= expiresAt, std::min(expiresAt, now + LeaseCheckInterval)};
+    expiresAt = std::max(expiresAt, graceUntil);
+    return {now >= expiresAt, std::min<time_point>(expiresAt, now + LeaseCheckInterval)};
 }
 
 void lease_expiry_detector::forget(const std::string &worker)
--- a/libs/jobs/lease.h
+++ b/libs/jobs/lease.h
@@ -30,6 +30,9 @@
 // settings say otherwise.
 constexpr milliseconds MaxHoldDuration{10'000};
 constexpr milliseconds LeaseCheckInterval{1500}; // a watcher's reads of a silent worker's lease
+// For how long a machine is suspended at most, unless the settings say otherwise. Its worker's
+// clock, by which holds end, stands meanwhile. The store's clock, by which leases expire, doesn't.
+constexpr milliseconds MaxSuspension{4000};
 
 // Covers the small delays with which both sides read their clocks.
 constexpr milliseconds LeaseMargin{700};
@@ -46,6 +49,21 @@
     return durationOnSlowClock(interval) - interval + LeaseMargin;
 }
 
+// By how much a hold ends before the lease, so that it has certainly ended when a watcher takes the
+// lease for expired, even if the machine was suspended for `longestSuspension` in between. The
+// agent can't make up for it: when the machine wakes, the task may already run elsewhere.
+milliseconds suspensionReserve(milliseconds longestSuspension);
+
+// Until when calls may let runs continue on a worker whose lease is valid until `validUntil`.
+// `isStoreAwayForEntries`: entries say that they can't reach the store either, so that no watcher
+// can end the lease now. Without that exception each outage of the store would end all runs.
+time_point holdLimit(time_point validUntil, milliseconds longestSuspension,
+                     bool isStoreAwayForEntries);
+
+// For how long an entry ends no lease once it reaches the store again. An agent whose holds went on
+// during the outage may have been suspended just before its end, and renews its lease at its wake.
+milliseconds outageGrace(milliseconds longestSuspension);
+
 // Whether calls that stop the runs on a worker are due. The worker continues its runs until
 // `heldUntil`; they must have ended when a watcher takes the lease, valid until `validUntil`, for
 // expired.
@@ -109,9 +127,11 @@
 class lease_expiry_detector
 {
 public:
-    // The row was read when the store's clock showed `storeMs`; 0: unknown.
+    // The row was read when the store's clock showed `storeMs`; 0: unknown. No lease counts as
+    // expired before `graceUntil` (see outageGrace()).
     lease_check observe(const std::string &worker, const lease_row &row, std::int64_t version,
-                        std::int64_t storeMs, time_point now);
+                        std::int64_t storeMs, time_point now,
+                        time_point graceUntil = time_point::min());
     void forget(const std::string &worker); // it is no longer watched
 
 private:
--- a/libs/jobs/worker_lease.cpp
+++ b/libs/jobs/worker_lease.cpp
@@ -13,8 +13,9 @@
 
 } // namespace
 
-worker_lease::worker_lease(std::string agent)
+worker_lease::worker_lease(std::string agent, milliseconds longestSuspension)
     : m_agent(std::move(agent))
+    , m_longestSuspension(longestSuspension)
 { }
 
 void worker_lease::acquireFence()
@@ -38,11 +39,13 @@
     // Renewing the lease of a lost worker would only delay the start of its tasks elsewhere.
     if (heldUntil && *heldUntil <= now)
         return;
+    if (!heldUntil)
+        return write(m_row, false, now);
+    const auto endsBy = *heldUntil + suspensionReserve(m_longestSuspension);
     // The earlier expiry applies at once: the row may give it before this agent learns that the
     // write succeeded.
-    if (heldUntil)
-        m_validUntil = std::min(m_validUntil, *heldUntil);
-    write(m_row, false, now, heldUntil);
+    m_validUntil = std::min<time_point>(m_validUntil, endsBy);
+    write(m_row, false, now, endsBy);
 }
 
 void worker_lease::noteEarlierCallsHold(time_point until, time_point now)
@@ -158,9 +161,9 @@
 }
 
 void worker_lease::write(lease_row next, bool beginsEpoch, time_point now,
-                         std::optional<time_point> heldUntil)
+                         std::optional<time_point> endsBy)
 {
-    const auto validUntil = std::min<time_point>(now + LeaseDuration, heldUntil.value_or(Never));
+    const auto validUntil = std::min<time_point>(now + LeaseDuration, endsBy.value_or(Never));
     ++next.renewals;
     // The row of an incarnation that has ended keeps its id, for the comparison with the next
     // one's.
--- a/libs/jobs/worker_lease.h
+++ b/libs/jobs/worker_lease.h
@@ -45,14 +45,15 @@
 class worker_lease
 {
 public:
-    explicit worker_lease(std::string agent);
+    explicit worker_lease(std::string agent, milliseconds longestSuspension = MaxSuspension);
 
     // Called for a new incarnation of the agent or of its worker. Once the next fence is written,
     // start orders that entries placed under an earlier one start no further runs.
     void acquireFence();
     // Called every LeaseRenewInterval. The agent lets the worker's runs continue by hold calls,
     // each up to a deadline. `heldUntil` is the deadline of the last one, given while the worker
-    // doesn't answer and at the agent's end; the lease is not renewed beyond it.
+    // doesn't answer and at the agent's end; the lease is not renewed beyond the time at which that
+    // hold has ended even if the machine is suspended.
     void renew(time_point now, std::optional<time_point> heldUntil = std::nullopt);
 
     // The worker's present incarnation may continue runs until then by calls that were meant for an
@@ -99,7 +100,7 @@
     // Whether the row has ever named an incarnation of the worker.
     bool hadIncarnation() const { return m_row.epoch > lease_row().epoch; }
     // End of the lease on the agent's clock. No run is started after it, and no hold call lets runs
-    // continue beyond it.
+    // continue beyond holdLimit(), which is earlier as a rule.
     time_point validUntil() const { return m_validUntil; }
 
     std::vector<lease_action> takeActions();
@@ -119,10 +120,11 @@
     };
 
     void write(lease_row next, bool beginsEpoch, time_point now,
-               std::optional<time_point> heldUntil = std::nullopt);
+               std::optional<time_point> endsBy = std::nullopt);
     void beginEpochIfDue(time_point now);
 
     std::string m_agent;
+    milliseconds m_longestSuspension; // of the machine
     store_clock m_storeClock;
     lease_phase m_phase = lease_phase::Reading;
     lease_row m_row;                            // as last written by this agent
--- a/tests/job_settings_test.cpp
+++ b/tests/job_settings_test.cpp
@@ -86,6 +86,27 @@
     });
 }
 
+// Guards against runs that outlast their lease on a machine that is suspended for longer than its
+// agent assumes, and against a setting that leaves no time for holds.
+Test(job_settings, longest_suspension)
+{
+    section("it is 4 s where nothing is said", [] {
+        check(agentSettingsWith("").longestSuspension == seconds(4));
+        check(settingsWith("").longestSuspension == seconds(4));
+    });
+    section("another one can be told", [] {
+        const std::string longer = R"(,"suspended_at_most_ms":5000)";
+        check(agentSettingsWith(longer).longestSuspension == seconds(5));
+        check(settingsWith(longer).longestSuspension == seconds(5));
+        check(agentSettingsWith(R"(,"suspended_at_most_ms":0)").longestSuspension == seconds(0));
+    });
+    section("values that make no sense are refused", [] {
+        cr_assert_throw(agentSettingsWith(R"(,"suspended_at_most_ms":-1)"), error);
+        cr_assert_throw(agentSettingsWith(R"(,"suspended_at_most_ms":5001)"), error);
+        cr_assert_throw(settingsWith(R"(,"suspended_at_most_ms":"long")"), error);
+    });
+}
+
 // Guards against an entry that refuses a single request of the largest size, or that does not bound
 // the memory of callers' requests at all.
 Test(job_settings, request_memory)
