An agent counts the time that its machine was suspended out of its worker's holds

What callers could see: two runs of a task at once, where a worker works on but answers no call and its machine is suspended. The agent's clock counts suspensions, the worker's does not: by the agent's the hold was over at the wake, the runs counted as ended, and they were placed elsewhere.

Change: the agent takes the length from its machine's two clocks and postpones the holds and the reading of the worker's clock by it. Test: a_silent_worker_whose_machine_is_suspended, which can't be built without the change; its expectation is false where the length isn't counted.

--- a/app/job_agent.cpp
+++ b/app/job_agent.cpp
@@ -13,6 +13,7 @@
 #include "app/report_sender.h"
 #include "app/shutdown_driver.h"
 #include "app/store_client.h"
+#include "app/suspension_meter.h"
 #include "app/table_follower.h"
 #include "app/traffic_meter.h"
 #include "app/worker_calls.h"
@@ -53,6 +54,7 @@
 constexpr milliseconds CancelsBatchDelay{1000};
 // The rows of the entries change only when an entry starts, and the store answers at once then.
 constexpr milliseconds EntriesPollWait{3000};
+constexpr milliseconds SuspensionLogThreshold{100};
 constexpr milliseconds LogFlushInterval{100};
 constexpr milliseconds TrafficLogInterval{10'000};
 constexpr milliseconds FinishLimit{300}; // the final write of the lease takes about 15 ms
@@ -255,6 +257,7 @@
         if (m_isPolling || !(lease().holdsFence() || m_stopsStrayRuns))
             return;
         m_isPolling = true;
+        noteSuspension();
         const auto now = suspendAwareNow();
         const bool isConfirmed = reachesConfirmedIncarnation(now);
         std::optional<std::int64_t> deadline;
@@ -313,8 +316,22 @@
         return m_runTable.servingSamples().empty() ? PollWait : ServingPollWait;
     }
 
+    // The worker's clock stood meanwhile, as the worker is on the same machine. A worker that does
+    // not answer can't tell, and its runs would count as ended while they go on.
+    void noteSuspension()
+    {
+        const auto length = m_suspensionMeter.observe(net::suspendedTime());
+        if (length == duration(0))
+            return;
+        m_workerClock.noteSuspension(length);
+        m_workerLiveness.noteSuspension(length);
+        if (length >= SuspensionLogThreshold)
+            m_log.writeEvent("machine_was_suspended", {{"ms", millisecondsIn(length)}});
+    }
+
     void handlePollResult(const call_result &result, std::int64_t fence, time_point sentAt)
     {
+        noteSuspension();
         const auto now = suspendAwareNow();
         const auto holdAnswer = platform_wire::parseHoldResult(result);
         const bool isOfThisFence = lease().holdsFence() && fence == lease().fence();
@@ -625,6 +642,7 @@
     // Executes the run table's due actions, and reports if there are new ends of runs.
     void executeDueActions()
     {
+        noteSuspension();
         const auto now = suspendAwareNow();
         // Nothing is started on a worker that does not answer: each such call would postpone the
         // time at which all its runs have certainly ended. After a poll that failed, another
@@ -793,6 +811,7 @@
 
     worker_presence m_workerPresence;
     worker_clock m_workerClock;
+    suspension_meter m_suspensionMeter;
     // Until the cancellations are read, nothing is started: a delayed order could start a task of
     // a cancelled job.
     bool m_areCancelsRead = false;
--- a/app/worker_clock.h
+++ b/app/worker_clock.h
@@ -23,6 +23,8 @@
     {
         m_latestDeadlineMs = std::max(m_latestDeadlineMs, deadlineMs);
     }
+    // The machine was suspended, and the worker's clock stood.
+    void noteSuspension(duration length) { m_readAt += length; }
     void reset() { *this = {}; }
 
     bool isKnown() const { return m_clockMs > 0; }
--- a/libs/jobs/worker_liveness.cpp
+++ b/libs/jobs/worker_liveness.cpp
@@ -36,6 +36,14 @@
     m_heldUntil = now + HoldDuration;
 }
 
+void worker_liveness::noteSuspension(duration length)
+{
+    for (auto *until : {&m_heldUntil, &m_earlierCallsHoldUntil}) {
+        if (*until != time_point{})
+            *until += length;
+    }
+}
+
 void worker_liveness::clearHold()
 {
     m_heldUntil = {};
--- a/libs/jobs/worker_liveness.h
+++ b/libs/jobs/worker_liveness.h
@@ -44,6 +44,8 @@
     // count as held until HoldDuration from now: nothing runs, but a hold call that is not answered
     // yet may extend runs that are started from now on.
     void noteNewEpoch(time_point now);
+    // The machine was suspended: holds end that much later, as the worker's clock stood.
+    void noteSuspension(duration length);
     void clearHold(); // nothing runs, and nothing can be held
     void notePoll(bool answered, time_point now);
 
--- a/libs/net/event_loop.cpp
+++ b/libs/net/event_loop.cpp
@@ -21,6 +21,12 @@
             std::chrono::seconds(bootTime.tv_sec) + std::chrono::nanoseconds(bootTime.tv_nsec)));
 }
 
+duration suspendedTime()
+{
+    const auto sinceStart = suspendAwareNow();
+    return sinceStart - monotonic_clock::now();
+}
+
 event_loop::event_loop()
     : m_impl(std::make_unique<impl>())
 { }
--- a/libs/net/event_loop.h
+++ b/libs/net/event_loop.h
@@ -17,6 +17,10 @@
 // is std::chrono::steady_clock.
 time_point suspendAwareNow();
 
+// For how long the machine was suspended since its start, never too long: a process that is stopped
+// between its readings of the two clocks gets a shorter time.
+duration suspendedTime();
+
 // Not thread-safe: all functions are called before run() or from a callback, on the thread of
 // run(). Timers wait on std::chrono::steady_clock, which stops during a suspension; lateness() and
 // overdueTime() measure with suspendAwareNow(), so they include the suspension.
--- a/tests/worker_liveness_test.cpp
+++ b/tests/worker_liveness_test.cpp
@@ -1,6 +1,8 @@
 // Tests what an agent concludes, and when, about a worker that doesn't answer.
 #include <criterion/criterion.h>
 
+#include "app/suspension_meter.h"
+#include "app/worker_clock.h"
 #include "jobs/worker_liveness.h"
 #include "section.h"
 
@@ -96,6 +98,42 @@
     });
 }
 
+// Guards against a task that runs twice. Its worker answers no call but works on, and the machine
+// is suspended. The worker's clock stood, so that its hold ends later, but by the agent's clock it
+// was over at the wake: the agent took the runs as ended, and they were started elsewhere.
+Test(worker_liveness, a_silent_worker_whose_machine_is_suspended)
+{
+    constexpr milliseconds Suspended{4000};
+    const time_point heldFrom{std::chrono::hours(1)};
+    suspension_meter meter;
+    check(meter.observe(seconds(100)) == duration(0)); // before the agent's start
+    worker_liveness liveness(heldFrom);
+    liveness.clearHold();
+    liveness.noteHold(heldFrom + seconds(3));
+    section("the agent knows the length from its machine's clocks", [&] {
+        const auto length = meter.observe(seconds(100) + Suspended);
+        check(length == Suspended);
+        liveness.noteSuspension(length);
+        check(meter.observe(seconds(100) + Suspended - milliseconds(3)) == duration(0));
+        check(meter.observe(seconds(100) + Suspended) == duration(0));
+    });
+    section("the hold ends that much later", [&] {
+        check(!liveness.hasNothingRunning(heldFrom + seconds(3) + Suspended));
+        check(liveness.hasNothingRunning(heldFrom + seconds(4) + Suspended));
+    });
+    section("so does the worker's clock", [&] {
+        worker_clock clock;
+        clock.setReading(1000, heldFrom);
+        clock.noteSuspension(Suspended);
+        check(clock.millisecondsAt(heldFrom + Suspended) == 1000);
+    });
+    section("where nothing is held, nothing is from then on", [&] {
+        liveness.clearHold();
+        liveness.noteSuspension(Suspended);
+        check(!liveness.heldUntil().has_value());
+    });
+}
+
 // Guards against long-running tasks that stay down for 11 s. A worker is lost and its agent killed
 // at the same moment. The agent is back 2 s later and can't know until when its earlier incarnation
 // let runs continue. It assumed a whole lease, although no hold call lasts that long.
