--- a/tests/process_reborn_test.cpp
+++ b/tests/process_reborn_test.cpp
@@ -1,6 +1,7 @@
-// Tests of a worker that crashes and is restarted under its old id, and whose machine is then cut
-// off: real processes, links between all of them, and the stand-in of the platform.
+// Tests of workers that crash and are restarted under their old ids: real processes, links between
+// all of them, and the stand-in of the platform.
 #include <array>
+#include <atomic>
 #include <string>
 #include <thread>
 
@@ -23,8 +24,10 @@
 
 namespace {
 
-constexpr milliseconds DownTime{200};     // of the crashed worker
-constexpr milliseconds TaskTime{600'000}; // longer than the test
+constexpr milliseconds DownTime{200};          // of the crashed worker
+constexpr milliseconds TaskTime{600'000};      // longer than the test
+constexpr std::string_view ShortJobs = "feed"; // their names begin with it
+constexpr milliseconds ShortTaskTime{20};      // shorter than the agent's pause between two polls
 
 system_options systemOptions()
 {
@@ -33,7 +36,9 @@
     options.agents = 2;
     options.hasLinks = true;
     // A worker has room for one task.
-    options.describeTask = [](const jobs::task_id &) {
+    options.describeTask = [](const jobs::task_id &task) {
+        if (task.job.starts_with(ShortJobs))
+            return standins::task_shape{.millicores = 100, .workTime = ShortTaskTime};
         return standins::task_shape{.millicores = 3000, .workTime = TaskTime};
     };
     options.onRun = [](const standins::run_notice &) {};
@@ -69,6 +74,15 @@
         return hasStartedOn(0) ? 0 : 1;
     }
 
+    // Submits a job of short tasks once; it may be refused, or get no answer.
+    void trySubmitShort(const std::string &job)
+    {
+        call("POST", job,
+             fmt::format(R"({{"spec":"seat","steps":[{{"count":4,"cpu":100,"mem-mb":50,)"
+                         R"("estimate-ms":{}}}]}})",
+                         ShortTaskTime.count()));
+    }
+
     void cancel(const std::string &job) { require(callUntilDone("DELETE", job, "")); }
 
     int runsOn(std::size_t worker) { return platform().countRunsOn(worker); }
@@ -97,18 +111,20 @@
     }
 
 private:
-    bool callUntilDone(const std::string &method, const std::string &job, const std::string &body)
+    bool call(const std::string &method, const std::string &job, const std::string &body)
     {
         http_request request;
         request.method = method;
         request.target = "/holds/" + job;
         request.body = body;
-        const auto isDone = [&] {
-            const auto answer =
-                    tests::callAddress(m_system.callersAddresses().front(), request, seconds(4));
-            return answer && answer->status == 200;
-        };
-        return waitUntil(isDone, WaitLimit);
+        const auto answer =
+                tests::callAddress(m_system.callersAddresses().front(), request, seconds(4));
+        return answer && answer->status == 200;
+    }
+
+    bool callUntilDone(const std::string &method, const std::string &job, const std::string &body)
+    {
+        return waitUntil([&] { return call(method, job, body); }, WaitLimit);
     }
 
     timeline m_record;
@@ -182,3 +198,44 @@
         round.worker = round.otherWorker();
     }
 }
+
+// Guards against a task that runs again after it was done. Its worker crashes and is back under its
+// id; until the agent knows, the new incarnation takes starts, and the agent's next poll
+// acknowledges ends by the former incarnation's numbers: ends that it has not listed yet.
+Test(process_reborn, short_tasks_while_their_workers_restart)
+{
+    constexpr int Rounds = 16;
+    constexpr int Callers = 6;
+    constexpr milliseconds SubmitInterval{20};
+    constexpr milliseconds RoundTime{1000};
+    // The worker is back between two polls of its agent, at different times before the next one.
+    constexpr std::array DownTimes{milliseconds(160), milliseconds(180), DownTime,
+                                   milliseconds(220)};
+    two_machines system;
+    std::atomic<bool> isOver = false;
+    std::vector<std::jthread> callers;
+    for (int caller = 0; caller < Callers; ++caller) {
+        callers.emplace_back([&, caller] {
+            for (int number = 0; !isOver; ++number) {
+                system.trySubmitShort(fmt::format("{}{}{:011d}", ShortJobs, caller, number));
+                std::this_thread::sleep_for(SubmitInterval);
+            }
+        });
+    }
+    for (int round = 0; round < Rounds; ++round) {
+        section(fmt::format("round {}", round), [&] {
+            const auto worker = static_cast<std::size_t>(round) % 2;
+            const int doneBefore = system.platform().doneCount();
+            require(waitUntil([&] { return system.platform().doneCount() > doneBefore + 20; },
+                              WaitLimit));
+            system.platform().crashWorker(worker);
+            std::this_thread::sleep_for(DownTimes.at(round / 2 % DownTimes.size()));
+            system.platform().restartWorker(worker, restart_notice::ByPollFirst);
+            std::this_thread::sleep_for(RoundTime);
+            system.checkNoNewViolations();
+        });
+    }
+    isOver = true;
+    callers.clear();
+    system.checkNoNewViolations();
+}
