--- a/app/suspension_meter.h
+++ b/app/suspension_meter.h
@@ -1,5 +1,5 @@
-// Tells for how long the machine was suspended between two looks. What ends by the clock of a
-// worker beside the agent is postponed by that time.
+// Measures for how long the machine was suspended between two calls. The agent postpones by that
+// time what ends by the clock of its worker, which is on the same machine.
 #pragma once
 
 #include <algorithm>
@@ -13,7 +13,7 @@
 {
 public:
     // `suspendedTime`: of the machine since its start (see net::suspendedTime()). Returns by how
-    // much it has grown; 0 at the first look.
+    // much it has grown; 0 at the first call.
     duration observe(duration suspendedTime)
     {
         const auto before = m_suspendedTime.value_or(suspendedTime);
@@ -22,7 +22,7 @@
     }
 
 private:
-    std::optional<duration> m_suspendedTime; // the longest so far; none before the first look
+    std::optional<duration> m_suspendedTime; // the longest so far; none before the first call
 };
 
 } // namespace zinniabarrow
--- a/libs/jobs/lease.cpp
+++ b/libs/jobs/lease.cpp
@@ -97,8 +97,8 @@
 
 milliseconds outageGrace(milliseconds longestSuspension)
 {
-    // From the last moment at which the agent knows of the outage to its renewal: until it asks an
-    // entry again, and until it tries the store again.
+    // Longest time from an agent's last extension of a hold during the outage to the write of its
+    // renewal, apart from the suspension: one interval between probes and one between renewals.
     constexpr milliseconds RenewalDelay{1500};
     return longestSuspension + RenewalDelay;
 }
